--- /dev/null
+++ b/packages/puffinarch/src/core/configurationStore.ts
@@ -0,0 +1,188 @@
+/**
+ * The configuration in force. One head row holds the latest version; a change is conditional on the version that
+ * the operator saw. A daemon adopts only higher versions, from the table or from a peer, so nothing reverts.
+ */
+
+import type { ChangeContext, Configuration, ConfigurationDocument, Policy, WorkloadClass } from "../types/configuration.js";
+import type { Clock, Log, TableRow, TableStore } from "../types/ports.js";
+import { die } from "../utils/errors.js";
+import { sleep } from "../utils/time.js";
+import { checkDocument, diffDocuments, initialDocument } from "./configurationDocument.js";
+
+export interface ConfigurationStore {
+    inForce(): Configuration;
+    inForceSinceMs(): number;
+    /** Reads the head row and adopts it where it is newer. */
+    refresh(): Promise<void>;
+    /** Adopts a version told by a peer where it is newer. */
+    adopt(configuration: Configuration): void;
+    /** Fails with `invalid`, or with `conflict` naming the winner; resolves once the version is accepted. */
+    apply(document: unknown, context: ChangeContext): Promise<Configuration>;
+    /** Reads one accepted version. */
+    version(version: number): Promise<Configuration>;
+    /** Newest first. */
+    history(limit: number): Promise<readonly Configuration[]>;
+    forget(version: number): Promise<void>;
+    policyOf(name: string): Policy;
+    classOf(name: string): WorkloadClass;
+}
+
+/** What the configuration store needs. */
+export interface ConfigurationStoreOptions {
+    readonly table: TableStore;
+    readonly clock: Clock;
+    readonly log: Log;
+    /** Runs after each adoption, so that peers can be told. */
+    readonly onAdopted: (configuration: Configuration) => void;
+}
+
+const headKey = "configuration/head";
+const historyPrefix = "configuration/history/";
+const versionDigits = 10;
+const readBackTries = 10;
+const readBackRetryMs = 100;
+const retryAfterMs = 1_000;
+
+const historyKey = (version: number): string => `${historyPrefix}${String(version).padStart(versionDigits, "0")}`;
+
+const fallbackPolicy: Policy = { name: "fallback", placement: "bestFit", sampleSize: 2 };
+
+/**
+ * Makes the store; version 0, the initial document, is in force until the table or a peer says otherwise.
+ *
+ * @example
+ * await store.apply(document, { expectedVersion: 0, author: "ana", reason: "first policies" });
+ */
+export const createConfigurationStore = ({ table, clock, log, onAdopted }: ConfigurationStoreOptions): ConfigurationStore => {
+    let inForce: Configuration = { version: 0, document: initialDocument, author: "", reason: "initial", acceptedAtMs: 0 };
+    let inForceSinceMs = clock.nowMs();
+
+    const adopt = (configuration: Configuration): void => {
+        if (configuration.version <= inForce.version) {
+            return;
+        }
+        inForce = configuration;
+        inForceSinceMs = clock.nowMs();
+        log.write("info", "configurationInForce", { version: configuration.version, author: configuration.author });
+        onAdopted(configuration);
+    };
+
+    const readHead = async (): Promise<TableRow | undefined> => {
+        const [row] = await table.read([headKey]);
+        return row;
+    };
+
+    const refuse = (winner: Configuration, document: ConfigurationDocument): never =>
+        die("conflict", `version ${winner.version} by ${winner.author} is in force`, {
+            winningVersion: winner.version,
+            difference: diffDocuments(winner.document, document),
+        });
+
+    const put = async (next: Configuration, head: TableRow | undefined) =>
+        table.transact({
+            conditions: [{ key: headKey, version: head?.version ?? "absent" }],
+            puts: [{ key: headKey, value: next }, { key: historyKey(next.version), value: next }],
+            deletes: [],
+        });
+
+    const isSame = (left: Configuration, right: Configuration): boolean => JSON.stringify(left) === JSON.stringify(right);
+
+    /** After a lost reply: the history row of the version says whose change won, for good. */
+    const settle = async (next: Configuration, head: TableRow | undefined): Promise<Configuration> => {
+        for (let left = readBackTries; left > 0; left -= 1) {
+            await sleep(clock, readBackRetryMs);
+            const rows = await table.read([headKey, historyKey(next.version)]).catch(() => undefined);
+            if (rows === undefined) {
+                continue;
+            }
+            const accepted = rows.find(row => row.key === historyKey(next.version))?.value as Configuration | undefined;
+            if (accepted !== undefined) {
+                return isSame(accepted, next) ? next : refuse(accepted, next.document);
+            }
+            const again = await put(next, head);
+            if (again.outcome === "committed") {
+                return next;
+            }
+        }
+        return die("mayHaveRun", `version ${next.version} may have been accepted; read the configuration before a new try`, {
+            retryAfterMs,
+        });
+    };
+
+    const apply = async (input: unknown, context: ChangeContext): Promise<Configuration> => {
+        const document = checkDocument(input);
+        const head = await readHead();
+        const current = (head?.value as Configuration | undefined) ?? inForce;
+        if (current.version !== context.expectedVersion) {
+            adopt(current);
+            return refuse(current, document);
+        }
+        const { author, reason, expectedVersion } = context;
+        const next: Configuration = { version: expectedVersion + 1, document, author, reason, acceptedAtMs: clock.nowMs() };
+        const { outcome } = await put(next, head);
+        if (outcome === "refused") {
+            return die("notAccepted", "the platform's table is out of reach; nothing was changed", { retryAfterMs });
+        }
+        if (outcome === "conflict" || outcome === "unknown") {
+            await settle(next, head);
+        }
+        adopt(next);
+        return next;
+    };
+
+    const history = async (limit: number): Promise<readonly Configuration[]> => {
+        const rows = await table.scan(historyPrefix);
+        return rows.map(row => row.value as Configuration).reverse().slice(0, limit);
+    };
+
+    const version = async (wanted: number): Promise<Configuration> => {
+        if (wanted === inForce.version) {
+            return inForce;
+        }
+        const [row] = await table.read([historyKey(wanted)]);
+        return row === undefined
+            ? die("notFound", `there is no version ${wanted} in the history`)
+            : row.value as Configuration;
+    };
+
+    const forget = async (wanted: number): Promise<void> => {
+        const head = (await readHead())?.value as Configuration | undefined;
+        if (wanted === (head?.version ?? inForce.version)) {
+            die("invalid", `version ${wanted} is in force`, {
+                violations: [{ field: "version", value: String(wanted), allowed: "a superseded version" }],
+            });
+        }
+        const [row] = await table.read([historyKey(wanted)]);
+        if (row === undefined) {
+            return die("notFound", `there is no version ${wanted} in the history`);
+        }
+        const { outcome } = await table.transact({
+            conditions: [{ key: row.key, version: row.version }],
+            puts: [],
+            deletes: [row.key],
+        });
+        if (outcome === "refused" || outcome === "unknown") {
+            die("unavailable", "the platform's table is out of reach", { retryAfterMs });
+        }
+    };
+
+    return {
+        inForce: () => inForce,
+        inForceSinceMs: () => inForceSinceMs,
+        refresh: async () => {
+            const head = await readHead();
+            if (head !== undefined) {
+                adopt(head.value as Configuration);
+            }
+        },
+        adopt,
+        apply,
+        version,
+        history,
+        forget,
+        policyOf: name => inForce.document.policies.find(policy => policy.name === name) ?? fallbackPolicy,
+        classOf: name =>
+            inForce.document.workloadClasses.find(each => each.name === name)
+                ?? { name, kind: "batch", policy: fallbackPolicy.name, priority: 0 },
+    };
+};
--- /dev/null
+++ b/packages/puffinarch/src/core/homes.ts
@@ -0,0 +1,135 @@
+/** The homes that a daemon holds: its own, and those of dead daemons that it took over. */
+
+import { unitKey } from "../types/ownership.js";
+import type { Clock, Log, Meter, TableStore } from "../types/ports.js";
+import { die, failureOf } from "../utils/errors.js";
+import { sleep } from "../utils/time.js";
+import { createHome, type Home, type HomeOptions } from "./home.js";
+import { createHomeState } from "./homeState.js";
+import { createJournal, replay } from "./journal.js";
+import type { OwnedUnit, Membership } from "./membership.js";
+import type { UnitKeeper } from "./ownership.js";
+
+export interface Homes {
+    readonly keeper: UnitKeeper;
+    /** The home that accepts new jobs; undefined until the session owns it. */
+    own(): Home | undefined;
+    held(): readonly Home[];
+    find(homeId: string): Home | undefined;
+    /** The home held here that holds this job. */
+    withJob(jobId: string): Home | undefined;
+}
+
+/** What homes need; the rest of a home's options is the same for all. */
+export interface HomesOptions {
+    readonly table: TableStore;
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly meter: Meter;
+    readonly membership: Membership;
+    readonly sessionId: () => string;
+    readonly dataCentre: string;
+    readonly batchesPerSecond: number;
+    readonly maxPendingEntries: number;
+    readonly onFenced: (unitKey: string) => void;
+    readonly homeOptions: (homeId: string) => Omit<HomeOptions, "homeId" | "journal" | "state">;
+}
+
+const retryMs = 200;
+
+/**
+ * Makes the homes of a daemon that holds none yet.
+ *
+ * @example
+ * const homes = createHomes(options);
+ * homes.own()?.queuedTasks();
+ */
+export const createHomes = (options: HomesOptions): Homes => {
+    const { table, clock, log, meter } = options;
+    const homes = new Map<string, Home>();
+    const wanted = new Map<string, Promise<void>>();
+    let batches = 0;
+
+    const newBatchId = (): string => {
+        batches += 1;
+        return `${options.sessionId()}.${batches}`;
+    };
+
+    const openOnce = async (unit: OwnedUnit): Promise<void> => {
+        const { records, nextSequence } = await replay(table, unit.name);
+        const state = createHomeState();
+        for (const record of records) {
+            state.apply(record);
+        }
+        const journal = createJournal({
+            table,
+            clock,
+            log,
+            meter,
+            journalId: unit.name,
+            nextSequence,
+            fence: { key: unit.key, version: unit.version },
+            newBatchId,
+            onFenced: () => options.onFenced(unit.key),
+            batchesPerSecond: options.batchesPerSecond,
+            maxPendingEntries: options.maxPendingEntries,
+        });
+        homes.set(unit.name, createHome({ ...options.homeOptions(unit.name), homeId: unit.name, journal, state }));
+        log.write("info", "homeOpened", { homeId: unit.name, records: records.length, nextSequence });
+    };
+
+    const openHome = async (unit: OwnedUnit): Promise<void> => {
+        while (wanted.has(unit.name)) {
+            try {
+                await openOnce(unit);
+                return;
+            }
+            catch (error) {
+                log.write("warn", "homeOpenFailed", { homeId: unit.name, ...failureOf(error) });
+                await sleep(clock, retryMs);
+            }
+        }
+    };
+
+    const gain = async (unit: OwnedUnit): Promise<void> => {
+        wanted.set(unit.name, Promise.resolve());
+        wanted.set(unit.name, openHome(unit));
+    };
+
+    const yieldHome = async (unit: OwnedUnit): Promise<void> => {
+        const opening = wanted.get(unit.name);
+        wanted.delete(unit.name);
+        await opening;
+        const home = homes.get(unit.name);
+        homes.delete(unit.name);
+        await home?.close();
+    };
+
+    return {
+        keeper: { gain, yield: yieldHome },
+        own: () => homes.get(options.sessionId()),
+        held: () => [...homes.values()],
+        find: homeId => homes.get(homeId),
+        withJob: jobId => [...homes.values()].find(home => home.job(jobId) !== undefined),
+    };
+};
+
+/**
+ * Finds the session that holds a home now; fails with `unavailable` while nobody is known to.
+ *
+ * @example
+ * const holder = holderOf(membership, "vm-1~1");
+ */
+export const holderOf = (membership: Membership, homeId: string): string => {
+    const unit = membership.units().find(each => each.kind === "home" && each.name === homeId);
+    const owner = unit === undefined ? undefined : membership.ownerOf(unit.key);
+    return owner?.sessionId ?? die("unavailable", `home ${homeId} has no holder at present`, { retryAfterMs: 1_000 });
+};
+
+/**
+ * Names the unit of a session's own home.
+ *
+ * @example
+ * homeKey("leon-feria", "vm-1~1"); // "unit/home/leon-feria/vm-1~1"
+ */
+export const homeKey = (dataCentre: string, sessionId: string): string => unitKey("home", dataCentre, sessionId);
--- /dev/null
+++ b/packages/puffinarch/src/plugins/upstreamChoices.ts
@@ -0,0 +1,39 @@
+/** Handlers that pick one upstream among those with a free slot. */
+
+import type { Random } from "../types/ports.js";
+
+/** An upstream with at least one free slot. */
+export interface UpstreamCandidate {
+    readonly upstreamId: string;
+    readonly slotsInUse: number;
+}
+
+/** What a handler decides on; `sequence` counts the choices made so far. */
+export interface UpstreamChoiceInput<T extends UpstreamCandidate> {
+    readonly candidates: readonly T[];
+    readonly random: Random;
+    readonly sequence: number;
+}
+
+const leastOfTwo = <T extends UpstreamCandidate>({ candidates, random }: UpstreamChoiceInput<T>): T | undefined => {
+    const first = candidates[Math.floor(random.next() * candidates.length)];
+    const second = candidates[Math.floor(random.next() * candidates.length)];
+    if (first === undefined || second === undefined) {
+        return first ?? second;
+    }
+    return second.slotsInUse < first.slotsInUse ? second : first;
+};
+
+const roundRobin = <T extends UpstreamCandidate>({ candidates, sequence }: UpstreamChoiceInput<T>): T | undefined =>
+    candidates[sequence % Math.max(1, candidates.length)];
+
+/**
+ * Handlers by name.
+ *
+ * @example
+ * upstreamChoices.roundRobin({ candidates: [{ upstreamId: "u1", slotsInUse: 0 }], random, sequence: 0 })?.upstreamId; // "u1"
+ */
+export const upstreamChoices = { leastOfTwo, roundRobin } as const;
+
+export type UpstreamChoiceName = keyof typeof upstreamChoices;
+export const upstreamChoiceNames = Object.keys(upstreamChoices) as readonly UpstreamChoiceName[];
--- /dev/null
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -0,0 +1,1 @@
+export * from "./internal.js";
--- /dev/null
+++ b/packages/puffinarch/src/types/peer.ts
@@ -0,0 +1,181 @@
+/** Messages between daemons. Every call is answered by the handler of the same name in `core/node.ts`. */
+
+import type { Configuration } from "./configuration.js";
+import type { Decision } from "./decision.js";
+import type { AttemptReport, Job, Task } from "./job.js";
+import type { Resources } from "./resources.js";
+
+/** A task offered to the owner of racks. */
+export interface TaskOffer {
+    readonly attemptId: string;
+    readonly taskId: string;
+    readonly size: Resources;
+    readonly payload: string;
+    readonly policy: string;
+}
+
+export interface PlaceRequest {
+    readonly homeId: string;
+    readonly offers: readonly TaskOffer[];
+}
+
+/** A reservation; offers without one were refused. */
+export interface Placement {
+    readonly attemptId: string;
+    readonly workerId: string;
+    readonly rackKey: string;
+}
+
+export interface PlaceResponse {
+    readonly placements: readonly Placement[];
+}
+
+/** States of an attempt at the owner of its rack. `undecided`: the worker has not answered yet. */
+export const attemptStates = {
+    reserved: "reserved",
+    starting: "starting",
+    running: "running",
+    ended: "ended",
+    absent: "absent",
+    notStarted: "notStarted",
+    undecided: "undecided",
+} as const;
+export type AttemptState = (typeof attemptStates)[keyof typeof attemptStates];
+
+/** Attempts by id, with the rack they were placed in. */
+export interface AttemptsRequest {
+    readonly attempts: readonly { readonly attemptId: string; readonly workerId: string; readonly rackKey: string; }[];
+}
+
+export interface AttemptsResponse {
+    readonly states: Readonly<Record<string, AttemptState>>;
+}
+
+export interface ReportRequest {
+    readonly homeId: string;
+    readonly reports: readonly AttemptReport[];
+}
+
+/** Reports that are durable, or of no more interest. */
+export interface ReportResponse {
+    readonly settled: readonly string[];
+}
+
+/** Free room of one daemon's workers; of fixed size. */
+export interface CapacitySummary {
+    readonly workers: number;
+    readonly capacity: Resources;
+    readonly free: Resources;
+    /** Room of the worker with most free processors. */
+    readonly mostFree: Resources;
+}
+
+/** What daemons tell each other regularly. */
+export interface Gossip {
+    readonly sessionId: string;
+    readonly configurationVersion: number;
+    readonly draining: boolean;
+    readonly capacity: CapacitySummary;
+    /** Free slots by service. */
+    readonly freeSlots: Readonly<Record<string, number>>;
+    /** Held by the running tasks of teams that have a quota. */
+    readonly teamUse: Readonly<Record<string, Resources>>;
+}
+
+export interface WorkerView {
+    readonly workerId: string;
+    readonly dataCentre: string;
+    readonly rack: string;
+    readonly state: string;
+    readonly capacity: Resources;
+    readonly reserved: Resources;
+    readonly used: Resources;
+    readonly attemptIds: readonly string[];
+    readonly ownerDaemonId: string;
+}
+
+export interface UpstreamView {
+    readonly upstreamId: string;
+    readonly service: string;
+    readonly dataCentre: string;
+    readonly state: string;
+    readonly slotsInUse: number;
+    readonly slots: number;
+    readonly ownerDaemonId: string;
+}
+
+export interface DaemonView {
+    readonly daemonId: string;
+    readonly vmId: string;
+    readonly dataCentre: string;
+    readonly address: string;
+    readonly reachable: boolean;
+    readonly draining: boolean;
+    readonly ownedRacks: number;
+    readonly ownedUpstreams: number;
+    readonly homes: number;
+    readonly queuedTasks: number;
+    readonly configurationVersion: number;
+    readonly configurationInForceSinceMs: number;
+}
+
+/** Counts and waits of one daemon. */
+export interface NodeReport {
+    readonly tasksAccepted: number;
+    readonly tasksEnded: number;
+    readonly tasksQueued: number;
+    readonly tasksRunning: number;
+    readonly waitP50Ms: number;
+    readonly waitP99Ms: number;
+    readonly reservedCpuMillis: number;
+    readonly capacityCpuMillis: number;
+    readonly tableWrites: number;
+    readonly tableReads: number;
+    readonly requestsAnswered: number;
+}
+
+/** Calls between daemons: what goes in and what comes out. */
+export interface PeerCalls {
+    readonly place: { readonly input: PlaceRequest; readonly output: PlaceResponse; };
+    readonly start: { readonly input: AttemptsRequest; readonly output: AttemptsResponse; };
+    readonly release: { readonly input: AttemptsRequest; readonly output: AttemptsResponse; };
+    readonly stop: { readonly input: AttemptsRequest; readonly output: AttemptsResponse; };
+    readonly attemptStates: { readonly input: AttemptsRequest; readonly output: AttemptsResponse; };
+    readonly report: { readonly input: ReportRequest; readonly output: ReportResponse; };
+    readonly gossip: { readonly input: Gossip; readonly output: { readonly configurationVersion: number; }; };
+    readonly configuration: { readonly input: { readonly version: number; }; readonly output: Configuration; };
+    readonly job: { readonly input: { readonly jobId: string; }; readonly output: Job; };
+    readonly cancel: { readonly input: { readonly jobId: string; }; readonly output: Job; };
+    readonly jobs: {
+        readonly input: { readonly team: string; readonly afterJobId: string; readonly limit: number; };
+        readonly output: readonly Job[];
+    };
+    readonly task: { readonly input: { readonly taskId: string; }; readonly output: Task; };
+    readonly tasks: {
+        readonly input: { readonly jobId: string; readonly afterIndex: number; readonly limit: number; };
+        readonly output: readonly Task[];
+    };
+    readonly decisions: {
+        readonly input: { readonly subject: string; readonly limit: number; };
+        readonly output: readonly Decision[];
+    };
+    readonly workers: { readonly input: { readonly dataCentre: string; }; readonly output: readonly WorkerView[]; };
+    readonly upstreams: { readonly input: { readonly service: string; }; readonly output: readonly UpstreamView[]; };
+    readonly daemon: { readonly input: { readonly detail: boolean; }; readonly output: DaemonView; };
+    readonly nodeReport: { readonly input: { readonly detail: boolean; }; readonly output: NodeReport; };
+    readonly drain: { readonly input: { readonly reason: string; }; readonly output: { readonly draining: boolean; }; };
+}
+
+export type PeerCallName = keyof PeerCalls;
+
+/** Answers one kind of call. */
+export type PeerHandler<K extends PeerCallName> = (input: PeerCalls[K]["input"]) => Promise<PeerCalls[K]["output"]>;
+export type PeerHandlers = { readonly [K in PeerCallName]: PeerHandler<K>; };
+
+/**
+ * Calls to other daemons. Fails with `unavailable` where the call surely was not delivered, with `mayHaveRun` where
+ * the answer was lost, and with the peer's own kind where it answered with an error.
+ */
+export interface PeerPort {
+    call<K extends PeerCallName>(address: string, name: K, input: PeerCalls[K]["input"]): Promise<PeerCalls[K]["output"]>;
+}
--- /dev/null
+++ b/packages/puffinarch/src/types/records.ts
@@ -0,0 +1,63 @@
+/** Records of a home's journal. Replaying them in order gives the state of its jobs. */
+
+import type { JobSpec, TaskState } from "./job.js";
+
+export const recordKinds = {
+    jobAccepted: "jobAccepted",
+    attemptIntended: "attemptIntended",
+    attemptAbandoned: "attemptAbandoned",
+    taskEnded: "taskEnded",
+    jobCancelled: "jobCancelled",
+} as const;
+
+/** The job is durable from here on. */
+export interface JobAcceptedRecord {
+    readonly kind: typeof recordKinds.jobAccepted;
+    readonly spec: JobSpec;
+    readonly acceptedAtMs: number;
+}
+
+/** Committed before the start is sent, so that whoever replays knows where the task may run. */
+export interface AttemptIntendedRecord {
+    readonly kind: typeof recordKinds.attemptIntended;
+    readonly taskId: string;
+    readonly attemptId: string;
+    readonly workerId: string;
+    readonly rackKey: string;
+}
+
+/** The attempt surely runs no more, or never ran; the task waits again. */
+export interface AttemptAbandonedRecord {
+    readonly kind: typeof recordKinds.attemptAbandoned;
+    readonly taskId: string;
+    readonly attemptId: string;
+    readonly started: boolean;
+    readonly reason: string;
+}
+
+/** The task has its final state. A large result stands in the object store under `resultKey`. */
+export interface TaskEndedRecord {
+    readonly kind: typeof recordKinds.taskEnded;
+    readonly taskId: string;
+    readonly state: TaskState;
+    readonly detail: string;
+    readonly started: boolean;
+    readonly result?: string;
+    readonly resultKey?: string;
+    readonly startedAtMs?: number;
+    readonly endedAtMs: number;
+}
+
+/** Waiting tasks end here; started ones are stopped. */
+export interface JobCancelledRecord {
+    readonly kind: typeof recordKinds.jobCancelled;
+    readonly jobId: string;
+    readonly cancelledAtMs: number;
+}
+
+export type JournalRecord =
+    | JobAcceptedRecord
+    | AttemptIntendedRecord
+    | AttemptAbandonedRecord
+    | TaskEndedRecord
+    | JobCancelledRecord;
--- /dev/null
+++ b/packages/puffinarch/src/types/resources.ts
@@ -0,0 +1,71 @@
+/** An amount of processors, memory and accelerators, and the arithmetic on it. */
+
+/** Processors in thousandths of a core, memory in mebibytes, whole accelerators. */
+export interface Resources {
+    readonly cpuMillis: number;
+    readonly memoryMib: number;
+    readonly accelerators: number;
+}
+
+/** The amount that holds nothing. */
+export const noResources: Resources = { cpuMillis: 0, memoryMib: 0, accelerators: 0 };
+
+/**
+ * Adds two amounts.
+ *
+ * @example
+ * add({ cpuMillis: 500, memoryMib: 64, accelerators: 0 }, noResources).cpuMillis; // 500
+ */
+export const add = (left: Resources, right: Resources): Resources => ({
+    cpuMillis: left.cpuMillis + right.cpuMillis,
+    memoryMib: left.memoryMib + right.memoryMib,
+    accelerators: left.accelerators + right.accelerators,
+});
+
+/**
+ * Takes the second amount from the first; the answer may be negative.
+ *
+ * @example
+ * subtract({ cpuMillis: 500, memoryMib: 64, accelerators: 0 }, noResources).memoryMib; // 64
+ */
+export const subtract = (left: Resources, right: Resources): Resources => ({
+    cpuMillis: left.cpuMillis - right.cpuMillis,
+    memoryMib: left.memoryMib - right.memoryMib,
+    accelerators: left.accelerators - right.accelerators,
+});
+
+/**
+ * Multiplies an amount by a whole number.
+ *
+ * @example
+ * scale({ cpuMillis: 500, memoryMib: 64, accelerators: 1 }, 3).accelerators; // 3
+ */
+export const scale = (amount: Resources, times: number): Resources => ({
+    cpuMillis: amount.cpuMillis * times,
+    memoryMib: amount.memoryMib * times,
+    accelerators: amount.accelerators * times,
+});
+
+/**
+ * Tells whether an amount fits into a room, in every dimension.
+ *
+ * @example
+ * fits(noResources, noResources); // true
+ */
+export const fits = (amount: Resources, room: Resources): boolean =>
+    amount.cpuMillis <= room.cpuMillis
+    && amount.memoryMib <= room.memoryMib
+    && amount.accelerators <= room.accelerators;
+
+/**
+ * Takes the larger of two amounts in each dimension.
+ *
+ * @example
+ * largest({ cpuMillis: 1, memoryMib: 9, accelerators: 0 }, { cpuMillis: 5, memoryMib: 2, accelerators: 0 });
+ * // { cpuMillis: 5, memoryMib: 9, accelerators: 0 }
+ */
+export const largest = (left: Resources, right: Resources): Resources => ({
+    cpuMillis: Math.max(left.cpuMillis, right.cpuMillis),
+    memoryMib: Math.max(left.memoryMib, right.memoryMib),
+    accelerators: Math.max(left.accelerators, right.accelerators),
+});
--- /dev/null
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -0,0 +1,91 @@
+/** JSON over HTTP to the platform, workers and upstreams, with the outcome of a failed call told apart. */
+
+import { die } from "puffinarch";
+import { Agent, type Dispatcher, request } from "undici";
+
+/** How a call ended that brought no answer. */
+export type CallFailure = "notDelivered" | "unknown";
+
+/** An answer, or what is known without one. */
+export type CallResult<T> =
+    | { readonly kind: "answered"; readonly status: number; readonly body: T; }
+    | { readonly kind: CallFailure; readonly reason: string; };
+
+/** Connections to one kind of outside system. */
+export interface HttpCaller {
+    call<T>(method: "GET" | "POST" | "PUT" | "DELETE", url: string, body?: unknown): Promise<CallResult<T>>;
+    close(): Promise<void>;
+}
+
+/** Limits of an HTTP caller. */
+export interface HttpCallerOptions {
+    readonly timeoutMs: number;
+    readonly connectionsPerHost: number;
+}
+
+const neverConnectedCodes: ReadonlySet<string> = new Set([
+    "ECONNREFUSED",
+    "EHOSTUNREACH",
+    "ENETUNREACH",
+    "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/**
+ * Tells from an error whether the request surely was not delivered.
+ *
+ * @example
+ * failureKindOf(Object.assign(new Error(), { code: "ECONNREFUSED" })); // "notDelivered"
+ */
+export const failureKindOf = (error: unknown): CallFailure => {
+    const code = (error as { readonly code?: unknown; }).code;
+    return typeof code === "string" && neverConnectedCodes.has(code) ? "notDelivered" : "unknown";
+};
+
+/**
+ * Makes a caller with its own connection pool.
+ *
+ * @example
+ * const http = createHttpCaller({ timeoutMs: 2_000, connectionsPerHost: 4 });
+ * await http.call("GET", `${address}/vms`);
+ */
+export const createHttpCaller = ({ timeoutMs, connectionsPerHost }: HttpCallerOptions): HttpCaller => {
+    const dispatcher: Dispatcher = new Agent({
+        connections: connectionsPerHost,
+        headersTimeout: timeoutMs,
+        bodyTimeout: timeoutMs,
+        connect: { timeout: timeoutMs },
+    });
+    return {
+        call: async <T>(method: "GET" | "POST" | "PUT" | "DELETE", url: string, body?: unknown): Promise<CallResult<T>> => {
+            try {
+                const answer = await request(url, {
+                    method,
+                    dispatcher,
+                    headers: body === undefined ? {} : { "content-type": "application/json" },
+                    body: body === undefined ? undefined : JSON.stringify(body),
+                });
+                const text = await answer.body.text();
+                return { kind: "answered", status: answer.statusCode, body: (text === "" ? undefined : JSON.parse(text)) as T };
+            }
+            catch (error) {
+                return { kind: failureKindOf(error), reason: error instanceof Error ? error.message : String(error) };
+            }
+        },
+        close: () => dispatcher.close(),
+    };
+};
+
+const okStatus = 200;
+
+/**
+ * Takes the body of a good answer; fails with `unavailable` for everything else.
+ *
+ * @example
+ * const listing = bodyOf(await http.call<VmListing>("GET", url), "list of VMs");
+ */
+export const bodyOf = <T>(result: CallResult<T>, what: string): T => {
+    if (result.kind !== "answered") {
+        return die("unavailable", `the ${what} did not answer: ${result.reason}`);
+    }
+    return result.status === okStatus ? result.body : die("unavailable", `the ${what} answered with status ${result.status}`);
+};
--- /dev/null
+++ b/packages/puffinarchd/src/adapters/machines.ts
@@ -0,0 +1,36 @@
+/** Workers and upstreams over HTTP. */
+
+import type { StartOutcome, UpstreamPort, UpstreamStatus, WorkerPort, WorkerReport } from "puffinarch";
+import { bodyOf, type HttpCaller } from "./http.js";
+
+const okStatus = 200;
+
+/**
+ * Adapts the workers.
+ *
+ * @example
+ * const workers = createHttpWorkers(http);
+ */
+export const createHttpWorkers = (http: HttpCaller): WorkerPort => ({
+    start: async (address, order) => {
+        const result = await http.call<{ readonly outcome: StartOutcome; }>("POST", `${address}/start`, order);
+        if (result.kind === "answered" && result.status === okStatus) {
+            return result.body.outcome;
+        }
+        return result.kind === "notDelivered" ? "refused" : "unknown";
+    },
+    poll: async (address, poll) => bodyOf(await http.call<WorkerReport>("POST", `${address}/poll`, poll), "worker"),
+    stop: async (address, attemptIds) => {
+        bodyOf(await http.call("POST", `${address}/stop`, { attemptIds }), "worker");
+    },
+});
+
+/**
+ * Adapts the upstreams' status pages.
+ *
+ * @example
+ * const upstreams = createHttpUpstreams(http);
+ */
+export const createHttpUpstreams = (http: HttpCaller): UpstreamPort => ({
+    status: async address => bodyOf(await http.call<UpstreamStatus>("GET", `${address}/status`), "upstream"),
+});
--- /dev/null
+++ b/packages/puffinarchd/src/adapters/platform.ts
@@ -0,0 +1,53 @@
+/** The platform's table, object store and list of VMs over HTTP. */
+
+import type { ObjectStore, TableRow, TableStore, TransactResult, VmList, VmListing } from "puffinarch";
+import { bodyOf, type HttpCaller } from "./http.js";
+
+const okStatus = 200;
+
+/**
+ * Adapts the table service. A reply that never came is `unknown`; a refusal or a failed connection is `refused`.
+ *
+ * @example
+ * const table = createHttpTable(http, "http://127.0.0.1:7000");
+ */
+export const createHttpTable = (http: HttpCaller, address: string): TableStore => ({
+    read: async keys => bodyOf(await http.call<readonly TableRow[]>("POST", `${address}/table/read`, { keys }), "table"),
+    scan: async prefix => bodyOf(await http.call<readonly TableRow[]>("POST", `${address}/table/scan`, { prefix }), "table"),
+    transact: async transaction => {
+        const result = await http.call<TransactResult>("POST", `${address}/table/transact`, transaction);
+        if (result.kind === "answered") {
+            return result.status === okStatus ? result.body : { outcome: "refused" };
+        }
+        return { outcome: result.kind === "notDelivered" ? "refused" : "unknown" };
+    },
+});
+
+/**
+ * Adapts the object store.
+ *
+ * @example
+ * const objects = createHttpObjects(http, "http://127.0.0.1:7000");
+ */
+export const createHttpObjects = (http: HttpCaller, address: string): ObjectStore => {
+    const urlOf = (key: string): string => `${address}/objects/${encodeURIComponent(key)}`;
+    return {
+        put: async (key, body) => {
+            bodyOf(await http.call("PUT", urlOf(key), { body }), "object store");
+        },
+        get: async key => bodyOf(await http.call<{ body?: string; }>("GET", urlOf(key)), "object store").body,
+        delete: async key => {
+            bodyOf(await http.call("DELETE", urlOf(key)), "object store");
+        },
+    };
+};
+
+/**
+ * Adapts the list of VMs.
+ *
+ * @example
+ * const vmList = createHttpVmList(http, "http://127.0.0.1:7000");
+ */
+export const createHttpVmList = (http: HttpCaller, address: string): VmList => ({
+    list: async () => bodyOf(await http.call<VmListing>("GET", `${address}/vms`), "list of VMs"),
+});
--- /dev/null
+++ b/packages/puffinarchd/src/index.ts
@@ -0,0 +1,11 @@
+/** The daemon as a library, for tests and benchmarks. */
+
+export * from "./adapters/http.js";
+export * from "./adapters/machines.js";
+export * from "./adapters/peers.js";
+export * from "./adapters/platform.js";
+export * from "./daemon.js";
+export * from "./logging.js";
+export * from "./metrics.js";
+export * from "./proxy.js";
+export * from "./settings.js";
--- /dev/null
+++ b/packages/puffinarchd/src/logging.ts
@@ -0,0 +1,51 @@
+/** Structured log through consola: one JSON object a line on standard output, level changeable at run time. */
+
+import { type ConsolaInstance, createConsola, type ConsolaReporter, LogLevels } from "consola";
+import type { Clock, Log, LogLevel } from "puffinarch";
+
+/** A log whose level can be changed. */
+export interface DaemonLog extends Log {
+    level(): LogLevel;
+    setLevel(level: LogLevel): void;
+}
+
+const consolaLevels: Readonly<Record<LogLevel, number>> = {
+    error: LogLevels.error,
+    warn: LogLevels.warn,
+    info: LogLevels.info,
+    debug: LogLevels.debug,
+};
+
+/**
+ * Makes the daemon's log.
+ *
+ * @example
+ * createLog({ clock, level: "info", vmId: "vm-1", write: line => process.stdout.write(line) });
+ */
+export const createLog = ({ clock, level, vmId, write }: {
+    readonly clock: Clock;
+    readonly level: LogLevel;
+    readonly vmId: string;
+    readonly write: (line: string) => void;
+}): DaemonLog => {
+    const reporter: ConsolaReporter = {
+        log: ({ type, args }) => {
+            const [event, fields] = args as [string, Readonly<Record<string, unknown>>];
+            write(`${JSON.stringify({ atMs: clock.nowMs(), level: type, vmId, event, ...fields })}\n`);
+        },
+    };
+    const consola: ConsolaInstance = createConsola({ level: consolaLevels[level], reporters: [reporter] });
+    let current = level;
+    return {
+        write: (lineLevel, event, fields) => {
+            if (consolaLevels[lineLevel] <= consola.level) {
+                consola[lineLevel](event, fields);
+            }
+        },
+        level: () => current,
+        setLevel: next => {
+            current = next;
+            consola.level = consolaLevels[next];
+        },
+    };
+};
--- /dev/null
+++ b/packages/puffinarchd/src/rpc/failures.ts
@@ -0,0 +1,44 @@
+/** Errors of the library as errors of the Connect protocol, with the failure as a typed detail. */
+
+import { Code, ConnectError, type Interceptor } from "@connectrpc/connect";
+import { FailureSchema } from "@puffinarch/schema";
+import { errorAnswers, failureOf } from "puffinarch";
+
+const codesByName: ReadonlyMap<string, Code> = new Map(
+    Object.entries(Code)
+        .filter((entry): entry is [string, Code] => typeof entry[1] === "number")
+        .map(([name, code]) => [name.replaceAll(/([a-z])([A-Z])/g, "$1_$2").toLowerCase(), code]),
+);
+
+/**
+ * Turns any error into one that callers can read.
+ *
+ * @example
+ * toConnectError(new Error("boom")).code; // Code.Internal
+ */
+export const toConnectError = (error: unknown): ConnectError => {
+    if (error instanceof ConnectError) {
+        return error;
+    }
+    const failure = failureOf(error);
+    const value = {
+        kind: failure.kind,
+        message: failure.message,
+        violations: (failure.violations ?? []).map(({ field, value: given, allowed }) => ({ field, value: given, allowed })),
+        retryAfterMs: failure.retryAfterMs ?? 0,
+        winningVersion: failure.winningVersion ?? 0,
+        difference: failure.difference ?? "",
+    };
+    const code = codesByName.get(errorAnswers[failure.kind].code) ?? Code.Internal;
+    return new ConnectError(failure.message, code, undefined, [{ desc: FailureSchema, value }]);
+};
+
+/** Gives every call's error its kind. */
+export const failureInterceptor: Interceptor = next => async request => {
+    try {
+        return await next(request);
+    }
+    catch (error) {
+        throw toConnectError(error);
+    }
+};
--- /dev/null
+++ b/packages/puffinarchd/src/settings.ts
@@ -0,0 +1,177 @@
+/** The daemon's settings: a YAML file, checked whole, each wrong field named with its line and what is allowed. */
+
+import { readFileSync } from "node:fs";
+import {
+    check,
+    defaultNodeSettings,
+    die,
+    failureOf,
+    logLevels,
+    nameSchema,
+    type NodeSettings,
+    oneOf,
+    rejectAll,
+    upstreamChoiceNames,
+    type Violation,
+    wholeNumber,
+} from "puffinarch";
+import { type Document, isMap, isNode, LineCounter, parseDocument } from "yaml";
+import { z } from "zod";
+
+const urlAllowed = "an http URL with an IP number and a port, such as http://127.0.0.1:7000";
+const urlSchema = z.string(urlAllowed).regex(/^http:\/\/(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, urlAllowed);
+const hostAllowed = "an IP number, such as 127.0.0.1";
+const hostSchema = z.string(hostAllowed).regex(/^(\d{1,3}\.){3}\d{1,3}$/, hostAllowed);
+const durationMs = wholeNumber(1, 3_600_000);
+
+const timingSchema = z.strictObject({
+    leaseMs: durationMs,
+    pollWaitMs: wholeNumber(0, 60_000),
+    startValidityMs: durationMs,
+    reservationMs: durationMs,
+    deathGraceMs: durationMs,
+    refreshIntervalMs: durationMs,
+    gossipIntervalMs: durationMs,
+    pumpIntervalMs: durationMs,
+    reconcileIntervalMs: durationMs,
+    claimTimeoutMs: durationMs,
+    statusIntervalMs: durationMs,
+    drainTimeoutMs: durationMs,
+}).partial();
+
+const limitSchema = z.strictObject({
+    journalBatchesPerSecond: wholeNumber(1, 10_000),
+    maxPendingEntries: wholeNumber(1, 1_000_000),
+    slotsPerUpstream: wholeNumber(1, 1_024),
+    maxQueuedRequests: wholeNumber(1, 100_000),
+    requestTimeoutMs: durationMs,
+    maxBodyBytes: wholeNumber(1, 256 * 1024 * 1024),
+}).partial();
+
+const settingsSchema = z.strictObject({
+    vmId: nameSchema,
+    dataCentre: nameSchema,
+    listen: z.strictObject({ host: hostSchema, port: wholeNumber(0, 65_535) }),
+    /** Where peers reach this daemon; the listening address where it is left out. */
+    advertisedAddress: urlSchema.optional(),
+    platformAddress: urlSchema,
+    logLevel: oneOf(logLevels).optional(),
+    upstreamChoice: oneOf(upstreamChoiceNames).optional(),
+    timings: timingSchema.optional(),
+    limits: limitSchema.optional(),
+});
+
+/** What the settings file says, as it stands there. */
+export type DaemonSettings = z.infer<typeof settingsSchema>;
+
+export const defaultRequestTimeoutMs = 10_000;
+export const defaultMaxBodyBytes = 1024 * 1024;
+
+const lineOf = (document: Document, lines: LineCounter, field: string): number | undefined => {
+    const path = field.split(".").filter(part => part !== "");
+    while (path.length > 0) {
+        const node = document.getIn(path, true);
+        const range = isNode(node) ? node.range : undefined;
+        if (range !== undefined && range !== null) {
+            return lines.linePos(range[0]).line;
+        }
+        path.pop();
+    }
+    return isMap(document.contents) ? 1 : undefined;
+};
+
+const withLines = (document: Document, lines: LineCounter, violations: readonly Violation[]): readonly Violation[] =>
+    violations.map(violation => ({ ...violation, line: lineOf(document, lines, violation.field) }));
+
+/** Timings that would break a promise when set against each other. */
+const contradictions = (settings: DaemonSettings): readonly Violation[] => {
+    const timings = { ...defaultNodeSettings, ...settings.timings };
+    const violations: Violation[] = [];
+    if (timings.deathGraceMs <= timings.startValidityMs) {
+        violations.push({
+            field: "timings.deathGraceMs",
+            value: String(timings.deathGraceMs),
+            allowed: `more than startValidityMs, which is ${timings.startValidityMs}`,
+        });
+    }
+    if (timings.leaseMs < 3 * timings.pollWaitMs) {
+        violations.push({
+            field: "timings.leaseMs",
+            value: String(timings.leaseMs),
+            allowed: `at least three times pollWaitMs, which is ${timings.pollWaitMs}`,
+        });
+    }
+    return violations;
+};
+
+/**
+ * Checks the text of a settings file; fails with the kind `invalid` and every violation with its line.
+ *
+ * @example
+ * parseSettings("vmId: vm-1\n..."); // fails and names the fields that are missing
+ */
+export const parseSettings = (text: string): DaemonSettings => {
+    const lines = new LineCounter();
+    const document = parseDocument(text, { lineCounter: lines, prettyErrors: false });
+    if (document.errors.length > 0) {
+        return rejectAll(
+            document.errors.map(error => ({
+                field: "file",
+                value: error.message,
+                allowed: "well-formed YAML",
+                line: lines.linePos(error.pos[0]).line,
+            })),
+            "settings file",
+        );
+    }
+    try {
+        const settings = check(settingsSchema, document.toJS() ?? {}, "settings file");
+        const wrong = contradictions(settings);
+        return wrong.length === 0 ? settings : rejectAll(wrong, "settings file");
+    }
+    catch (error) {
+        const { violations } = failureOf(error);
+        return violations === undefined ? die("internal", String(error)) : rejectAll(withLines(document, lines, violations), "settings file");
+    }
+};
+
+/**
+ * Reads and checks a settings file.
+ *
+ * @example
+ * const settings = readSettings("puffinarchd.yaml");
+ */
+export const readSettings = (path: string): DaemonSettings => {
+    let text: string;
+    try {
+        text = readFileSync(path, "utf8");
+    }
+    catch (error) {
+        return rejectAll([{ field: "config", value: `"${path}"`, allowed: "a file that can be read" }], "command line");
+    }
+    return parseSettings(text);
+};
+
+/**
+ * Gives the part of the settings that the node needs.
+ *
+ * @example
+ * nodeSettings(settings).leaseMs; // 10000
+ */
+export const nodeSettings = (settings: DaemonSettings): NodeSettings => {
+    const { journalBatchesPerSecond, maxPendingEntries, slotsPerUpstream, maxQueuedRequests } = {
+        ...defaultNodeSettings,
+        ...settings.limits,
+    };
+    return {
+        ...defaultNodeSettings,
+        ...settings.timings,
+        journalBatchesPerSecond,
+        maxPendingEntries,
+        slotsPerUpstream,
+        maxQueuedRequests,
+        upstreamChoice: settings.upstreamChoice ?? defaultNodeSettings.upstreamChoice,
+        vmId: settings.vmId,
+        dataCentre: settings.dataCentre,
+    };
+};
--- /dev/null
+++ b/packages/stand-ins/src/demo/processes.ts
@@ -0,0 +1,85 @@
+/** Starting and ending the demo's processes. */
+
+import { type ChildProcess, fork } from "node:child_process";
+import { createWriteStream, mkdirSync, writeFileSync } from "node:fs";
+import { createRequire } from "node:module";
+import { join } from "node:path";
+import { createInterface } from "node:readline";
+import { fileURLToPath } from "node:url";
+import type { Vm } from "puffinarch";
+import { stringify } from "yaml";
+
+/** A daemon under the demo's control. */
+export interface DemoDaemon {
+    readonly vmId: string;
+    readonly dataCentre: string;
+    readonly address: string;
+    readonly process: ChildProcess;
+}
+
+export interface Processes {
+    /** Starts a process of stand-ins and resolves to its addresses. */
+    startRole(role: "platform" | "workers" | "upstreams", vms: readonly Vm[]): Promise<readonly string[]>;
+    startDaemon(vm: Vm, platformAddress: string): Promise<DemoDaemon>;
+    /** Ends everything that was started. */
+    endAll(): void;
+}
+
+const rolePath = fileURLToPath(new URL("./role.js", import.meta.url));
+const daemonPath = createRequire(import.meta.url).resolve("puffinarchd").replace(/index\.js$/, "main.js");
+
+/**
+ * Makes the demo's processes; settings and logs go below a folder.
+ *
+ * @example
+ * const processes = createProcesses("reports/demo");
+ */
+export const createProcesses = (folder: string): Processes => {
+    const children: ChildProcess[] = [];
+    mkdirSync(folder, { recursive: true });
+
+    const startRole: Processes["startRole"] = (role, vms) =>
+        new Promise((resolve, reject) => {
+            const child = fork(rolePath, [role, JSON.stringify(vms)]);
+            children.push(child);
+            child.once("message", message => resolve((message as { readonly addresses: readonly string[]; }).addresses));
+            child.once("exit", code => reject(new Error(`the ${role} process ended with ${code}`)));
+        });
+
+    const startDaemon: Processes["startDaemon"] = (vm, platformAddress) =>
+        new Promise((resolve, reject) => {
+            const settingsPath = join(folder, `${vm.vmId}.yaml`);
+            const settings = {
+                vmId: vm.vmId,
+                dataCentre: vm.dataCentre,
+                listen: { host: "127.0.0.1", port: 0 },
+                platformAddress,
+                timings: { drainTimeoutMs: 10_000 },
+            };
+            writeFileSync(settingsPath, stringify(settings));
+            const child = fork(daemonPath, ["--config", settingsPath], { stdio: ["ignore", "pipe", "inherit", "ipc"] });
+            children.push(child);
+            const log = createWriteStream(join(folder, `${vm.vmId}.log`));
+            child.once("exit", code => reject(new Error(`daemon ${vm.vmId} ended with ${code}`)));
+            if (child.stdout === null) {
+                return;
+            }
+            createInterface({ input: child.stdout }).on("line", line => {
+                log.write(`${line}\n`);
+                if (!line.includes("\"event\":\"listening\"")) {
+                    return;
+                }
+                const { address } = JSON.parse(line) as { readonly address: string; };
+                resolve({ vmId: vm.vmId, dataCentre: vm.dataCentre, address, process: child });
+            });
+        });
+
+    const endAll = (): void => {
+        for (const child of children) {
+            child.kill("SIGKILL");
+        }
+    };
+    process.once("exit", endAll);
+
+    return { startRole, startDaemon, endAll };
+};
--- /dev/null
+++ b/packages/stand-ins/src/demo/role.ts
@@ -0,0 +1,29 @@
+/** A process of stand-ins: `role.js platform|workers|upstreams JSON`. It tells its addresses to its parent and ends with it. */
+
+import { createSystemClock, createSystemRandom, type Vm } from "puffinarch";
+import { createPlatform, defaultPlatformLimits } from "../platform.js";
+import { servePlatform, serveUpstream, serveWorkers } from "../serve.js";
+import { createUpstream } from "../upstream.js";
+import { createWorker } from "../worker.js";
+
+const clock = createSystemClock();
+
+const roles: Readonly<Record<string, (vms: readonly Vm[]) => Promise<readonly string[]>>> = {
+    platform: async () => {
+        const platform = createPlatform(clock, createSystemRandom(), defaultPlatformLimits);
+        return [(await servePlatform(platform, 0)).address];
+    },
+    workers: async vms => {
+        const workers = vms.map(vm => createWorker(clock, vm.vmId, vm.capacity ?? { cpuMillis: 0, memoryMib: 0, accelerators: 0 }));
+        return [(await serveWorkers(workers, 0)).address];
+    },
+    upstreams: async vms => {
+        const served = await Promise.all(vms.map(vm => serveUpstream(createUpstream(clock, vm.vmId), 0)));
+        return served.map(each => each.address);
+    },
+};
+
+const [role = "", vms = "[]"] = process.argv.slice(2);
+process.on("disconnect", () => process.exit(0));
+const addresses = await roles[role]?.(JSON.parse(vms) as readonly Vm[]);
+process.send?.({ addresses });
--- /dev/null
+++ b/packages/stand-ins/src/faults.ts
@@ -0,0 +1,63 @@
+/** Faults that a stand-in can be told to have, by name, from a table. */
+
+import type { Clock, Random } from "puffinarch";
+import { sleep } from "puffinarch";
+
+/** One fault of one target; `probability` 1 hits every call. */
+export interface Fault {
+    readonly target: string;
+    /** `refuse`: no effect, said so. `hang`: no effect, no answer. `loseReply`: effect, no answer. `slow`: late. */
+    readonly kind: "refuse" | "hang" | "loseReply" | "slow";
+    readonly probability: number;
+    /** For `slow`. */
+    readonly delayMs?: number;
+}
+
+/** What a call that meets a fault ends with. */
+export type FaultedResult<T> = { readonly kind: "answered"; readonly value: T; } | { readonly kind: "refused" | "silent"; };
+
+export interface Faults {
+    /** Replaces all faults of a target; an empty list heals it. */
+    set(target: string, faults: readonly Fault[]): void;
+    /** Runs an effect under the faults of a target. */
+    apply<T>(target: string, effect: () => T | Promise<T>): Promise<FaultedResult<T>>;
+}
+
+/**
+ * Makes a healthy table of faults.
+ *
+ * @example
+ * faults.set("table", [{ target: "table", kind: "refuse", probability: 1 }]);
+ */
+export const createFaults = (clock: Clock, random: Random): Faults => {
+    const table = new Map<string, readonly Fault[]>();
+
+    const pickFault = (target: string): Fault | undefined => {
+        for (const fault of table.get(target) ?? []) {
+            if (random.next() < fault.probability) {
+                return fault;
+            }
+        }
+        return undefined;
+    };
+
+    return {
+        set: (target, faults) => {
+            table.set(target, faults);
+        },
+        apply: async (target, effect) => {
+            const fault = pickFault(target);
+            if (fault?.kind === "refuse") {
+                return { kind: "refused" };
+            }
+            if (fault?.kind === "hang") {
+                return { kind: "silent" };
+            }
+            if (fault?.kind === "slow") {
+                await sleep(clock, fault.delayMs ?? 0);
+            }
+            const value = await effect();
+            return fault?.kind === "loseReply" ? { kind: "silent" } : { kind: "answered", value };
+        },
+    };
+};
