--- /dev/null
+++ b/packages/puffinarch-cli/src/client.ts
@@ -0,0 +1,66 @@
+/** Calls to daemons: the endpoints are tried in turn until one answers. */
+
+import type { DescService } from "@bufbuild/protobuf";
+import { type Client, Code, ConnectError, createClient } from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
+import { FailureSchema } from "@puffinarch/schema";
+import { die, errorAnswers, type ErrorKind, errorOf, type Failure } from "puffinarch";
+import type { CliSettings } from "./settings.js";
+
+/** Calls of one service through whichever endpoint answers. */
+export type Caller<S extends DescService> = <T>(call: (client: Client<S>) => Promise<T>) => Promise<T>;
+
+const isKind = (kind: string): kind is ErrorKind => kind in errorAnswers;
+
+/**
+ * Reads the failure that a daemon attached to its answer; undefined where the error is not a daemon's.
+ *
+ * @example
+ * failureFrom(new ConnectError("no", Code.Unavailable)); // undefined
+ */
+export const failureFrom = (error: ConnectError): Failure | undefined => {
+    const [detail] = error.findDetails(FailureSchema);
+    if (detail === undefined || !isKind(detail.kind)) {
+        return undefined;
+    }
+    const { kind, message, violations, retryAfterMs, winningVersion, difference } = detail;
+    return { kind, message, violations, retryAfterMs, winningVersion, difference };
+};
+
+/** Codes after which another endpoint may be asked: the call was surely not answered by a daemon. */
+const tryNextCodes: ReadonlySet<Code> = new Set([
+    Code.Unavailable,
+    Code.DeadlineExceeded,
+    Code.Aborted,
+    Code.Unknown,
+    Code.Internal,
+]);
+
+/**
+ * Makes the calls of one service. A daemon's own answer is final; only silence moves on to the next endpoint.
+ *
+ * @example
+ * const jobs = createCaller(JobService, settings);
+ * await jobs(client => client.getJob({ jobId: "load-in-7" }));
+ */
+export const createCaller = <S extends DescService>(service: S, settings: CliSettings): Caller<S> => async call => {
+    const silent: string[] = [];
+    for (const baseUrl of settings.endpoints) {
+        const transport = createConnectTransport({ baseUrl, httpVersion: "1.1", defaultTimeoutMs: settings.timeoutMs });
+        try {
+            return await call(createClient(service, transport));
+        }
+        catch (error) {
+            const connectError = ConnectError.from(error);
+            const failure = failureFrom(connectError);
+            if (failure !== undefined && failure.kind !== "unavailable" && failure.kind !== "notAccepted") {
+                throw errorOf(failure);
+            }
+            if (failure === undefined && !tryNextCodes.has(connectError.code)) {
+                throw errorOf({ kind: "internal", message: connectError.message });
+            }
+            silent.push(`${baseUrl}: ${failure?.message ?? connectError.rawMessage}`);
+        }
+    }
+    return die("unavailable", `no endpoint answered; ${silent.join("; ")}`);
+};
--- /dev/null
+++ b/packages/puffinarch-cli/src/program.ts
@@ -0,0 +1,80 @@
+/** The command-line tool as a function, so that tests can run it in their own process. */
+
+import { Command, CommanderError } from "commander";
+import { errorAnswers, type Failure, failureOf } from "puffinarch";
+import { addClusterCommands } from "./commands/cluster.js";
+import { addConfigurationCommands } from "./commands/configuration.js";
+import { addJobCommands } from "./commands/job.js";
+import { createContext } from "./context.js";
+import type { Output } from "./output.js";
+import type { CliEnvironment } from "./settings.js";
+
+export type { Output } from "./output.js";
+export type { CliEnvironment } from "./settings.js";
+
+const collect = (value: string, earlier: readonly string[] | undefined): readonly string[] => [...earlier ?? [], value];
+
+const exitCodesHelp = `
+Exit codes:
+  0 done   1 fault of the system   2 bad input   3 not found   4 conflict or exists already
+  5 never fits   6 over quota or overloaded   7 unavailable, not accepted, not run   8 may have run`;
+
+const buildProgram = (output: Output, environment: CliEnvironment): Command => {
+    const program = new Command("puffinarch")
+        .description("Drive a puffinarch cell: policies, classes, configurations, jobs, workers, upstreams, daemons.")
+        .option("--endpoint <url>", "a daemon's address; may be given several times, tried in turn", collect)
+        .option("--timeout-ms <n>", "limit of one call in milliseconds")
+        .option("--json", "write JSON instead of tables")
+        .option("--settings <file>", "YAML file with endpoints, timeoutMs and author")
+        .option("--author <name>", "who makes a change")
+        .addHelpText("after", exitCodesHelp);
+    const context = createContext(output, environment);
+    addJobCommands(program, context);
+    addConfigurationCommands(program, context);
+    addClusterCommands(program, context);
+    return program;
+};
+
+const prepare = (command: Command, output: Output): void => {
+    command.exitOverride();
+    command.configureOutput({ writeOut: text => output.write(text), writeErr: text => output.writeError(text) });
+    for (const child of command.commands) {
+        prepare(child, output);
+    }
+};
+
+const showFailure = (output: Output, failure: Failure): void => {
+    output.writeError(`puffinarch: ${failure.kind}: ${failure.message}\n`);
+    for (const { field, value, allowed } of failure.violations ?? []) {
+        output.writeError(`  ${field}: ${value}; allowed: ${allowed}\n`);
+    }
+    if (failure.difference !== undefined && failure.difference !== "") {
+        output.writeError(`difference to version ${failure.winningVersion}:\n${failure.difference}\n`);
+    }
+    if (failure.retryAfterMs !== undefined && failure.retryAfterMs > 0) {
+        output.writeError(`  try again after ${failure.retryAfterMs} ms\n`);
+    }
+};
+
+/**
+ * Runs the tool and resolves to its exit code.
+ *
+ * @example
+ * await runCli(["job", "list"], output, process.env);
+ */
+export const runCli = async (args: readonly string[], output: Output, environment: CliEnvironment): Promise<number> => {
+    const program = buildProgram(output, environment);
+    prepare(program, output);
+    try {
+        await program.parseAsync(args, { from: "user" });
+        return 0;
+    }
+    catch (error) {
+        if (error instanceof CommanderError) {
+            return error.exitCode === 0 ? 0 : errorAnswers.invalid.exitCode;
+        }
+        const failure = failureOf(error);
+        showFailure(output, failure);
+        return errorAnswers[failure.kind].exitCode;
+    }
+};
--- a/packages/puffinarch/src/core/configurationStore.ts
+++ b/packages/puffinarch/src/core/configurationStore.ts
@@ -3,7 +3,13 @@
  * the operator saw. A daemon adopts only higher versions, from the table or from a peer, so nothing reverts.
  */
 
-import type { ChangeContext, Configuration, ConfigurationDocument, Policy, WorkloadClass } from "../types/configuration.js";
+import type {
+    ChangeContext,
+    Configuration,
+    ConfigurationDocument,
+    Policy,
+    WorkloadClass,
+} from "../types/configuration.js";
 import type { Clock, Log, TableRow, TableStore } from "../types/ports.js";
 import { die } from "../utils/errors.js";
 import { sleep } from "../utils/time.js";
@@ -53,8 +59,16 @@
  * @example
  * await store.apply(document, { expectedVersion: 0, author: "ana", reason: "first policies" });
  */
-export const createConfigurationStore = ({ table, clock, log, onAdopted }: ConfigurationStoreOptions): ConfigurationStore => {
-    let inForce: Configuration = { version: 0, document: initialDocument, author: "", reason: "initial", acceptedAtMs: 0 };
+export const createConfigurationStore = (
+    { table, clock, log, onAdopted }: ConfigurationStoreOptions,
+): ConfigurationStore => {
+    let inForce: Configuration = {
+        version: 0,
+        document: initialDocument,
+        author: "",
+        reason: "initial",
+        acceptedAtMs: 0,
+    };
     let inForceSinceMs = clock.nowMs();
 
     const adopt = (configuration: Configuration): void => {
@@ -85,7 +99,8 @@
             deletes: [],
         });
 
-    const isSame = (left: Configuration, right: Configuration): boolean => JSON.stringify(left) === JSON.stringify(right);
+    const isSame = (left: Configuration, right: Configuration): boolean =>
+        JSON.stringify(left) === JSON.stringify(right);
 
     /** After a lost reply: the history row of the version says whose change won, for good. */
     const settle = async (next: Configuration, head: TableRow | undefined): Promise<Configuration> => {
@@ -104,9 +119,13 @@
                 return next;
             }
         }
-        return die("mayHaveRun", `version ${next.version} may have been accepted; read the configuration before a new try`, {
-            retryAfterMs,
-        });
+        return die(
+            "mayHaveRun",
+            `version ${next.version} may have been accepted; read the configuration before a new try`,
+            {
+                retryAfterMs,
+            },
+        );
     };
 
     const apply = async (input: unknown, context: ChangeContext): Promise<Configuration> => {
@@ -118,7 +137,13 @@
             return refuse(current, document);
         }
         const { author, reason, expectedVersion } = context;
-        const next: Configuration = { version: expectedVersion + 1, document, author, reason, acceptedAtMs: clock.nowMs() };
+        const next: Configuration = {
+            version: expectedVersion + 1,
+            document,
+            author,
+            reason,
+            acceptedAtMs: clock.nowMs(),
+        };
         const { outcome } = await put(next, head);
         if (outcome === "refused") {
             return die("notAccepted", "the platform's table is out of reach; nothing was changed", { retryAfterMs });
--- a/packages/puffinarch/src/core/home.ts
+++ b/packages/puffinarch/src/core/home.ts
@@ -14,7 +14,15 @@
     taskStates,
     workloadKinds,
 } from "../types/job.js";
-import type { AttemptsRequest, AttemptsResponse, AttemptState, PeerCallName, PeerCalls, Placement, TaskOffer } from "../types/peer.js";
+import type {
+    AttemptsRequest,
+    AttemptsResponse,
+    AttemptState,
+    PeerCallName,
+    PeerCalls,
+    Placement,
+    TaskOffer,
+} from "../types/peer.js";
 import type { Clock, Log, Meter, ObjectStore, Random } from "../types/ports.js";
 import type { AttemptIntendedRecord, JournalRecord, TaskEndedRecord } from "../types/records.js";
 import { add, noResources, type Resources } from "../types/resources.js";
@@ -63,7 +71,11 @@
     readonly rooms: () => readonly Room[];
     /** True where the team's quota leaves room for this much more. */
     readonly withinQuota: (team: string, size: Resources) => boolean;
-    readonly call: <K extends PeerCallName>(sessionId: string, name: K, input: PeerCalls[K]["input"]) => Promise<PeerCalls[K]["output"]>;
+    readonly call: <K extends PeerCallName>(
+        sessionId: string,
+        name: K,
+        input: PeerCalls[K]["input"],
+    ) => Promise<PeerCalls[K]["output"]>;
     readonly pumpIntervalMs: number;
     readonly reconcileIntervalMs: number;
 }
@@ -199,7 +211,11 @@
     };
 
     /** Takes what an owner says of attempts; the ones that surely do not run are settled at once. */
-    const takeStates = async (owner: string, tasks: readonly TaskEntry[], { states }: AttemptsResponse): Promise<void> => {
+    const takeStates = async (
+        owner: string,
+        tasks: readonly TaskEntry[],
+        { states }: AttemptsResponse,
+    ): Promise<void> => {
         const reports: AttemptReport[] = [];
         for (const task of tasks) {
             const attemptId = task.attemptId ?? "";
@@ -227,7 +243,10 @@
         await callOwners("stop", tasks, async () => {});
     };
 
-    const ended = (task: TaskEntry, end: Pick<TaskEndedRecord, "state" | "detail" | "started"> & Partial<TaskEndedRecord>): JournalRecord => ({
+    const ended = (
+        task: TaskEntry,
+        end: Pick<TaskEndedRecord, "state" | "detail" | "started"> & Partial<TaskEndedRecord>,
+    ): JournalRecord => ({
         kind: "taskEnded",
         taskId: task.taskId,
         startedAtMs: task.startedAtMs,
@@ -269,9 +288,16 @@
             : abandoned(task, true, reason);
     };
 
-    const outcomeHandlers: Readonly<Record<AttemptOutcome, (task: TaskEntry, result: string) => Promise<JournalRecord>>> = {
+    const outcomeHandlers: Readonly<
+        Record<AttemptOutcome, (task: TaskEntry, result: string) => Promise<JournalRecord>>
+    > = {
         completed: async (task, result) =>
-            ended(task, { state: "completed", detail: "", started: true, ...await resultOf(task.attemptId ?? "", result) }),
+            ended(task, {
+                state: "completed",
+                detail: "",
+                started: true,
+                ...await resultOf(task.attemptId ?? "", result),
+            }),
         failed: async (task, result) =>
             mayRetry(task) && !task.job.cancelled
                 ? abandoned(task, true, `failed on ${task.workerId}: ${result}`)
@@ -296,7 +322,9 @@
             queue.push(itemOf(task.job, [task], false, task.attempts));
             return;
         }
-        const others = task.job.tasks.filter(each => each.state === taskStates.running || each.state === taskStates.starting);
+        const others = task.job.tasks.filter(each =>
+            each.state === taskStates.running || each.state === taskStates.starting
+        );
         if (others.length > 0) {
             await stop(others);
             return;
@@ -422,7 +450,10 @@
         return counts.reduce((sum, count) => sum + count, 0);
     };
 
-    const groupGang = (item: QueueItem, rooms: Rooms): ReadonlyMap<string, { task: TaskEntry; offer: TaskOffer; }[]> | undefined => {
+    const groupGang = (
+        item: QueueItem,
+        rooms: Rooms,
+    ): ReadonlyMap<string, { task: TaskEntry; offer: TaskOffer; }[]> | undefined => {
         const byTarget = new Map<string, { task: TaskEntry; offer: TaskOffer; }[]>();
         for (const task of item.tasks) {
             const owner = rooms.choose(item.size, options.policyOf(item.policy).placement);
@@ -555,7 +586,12 @@
         acceptedTasks += spec.tasks;
         enqueueJob(job);
         pumpLoop.wake();
-        log.write("info", "jobAccepted", { jobId: spec.jobId, homeId, tasks: spec.tasks, workloadClass: spec.workloadClass });
+        log.write("info", "jobAccepted", {
+            jobId: spec.jobId,
+            homeId,
+            tasks: spec.tasks,
+            workloadClass: spec.workloadClass,
+        });
         return showJob(job, homeId);
     };
 
--- a/packages/puffinarch/src/core/homeState.ts
+++ b/packages/puffinarch/src/core/homeState.ts
@@ -1,6 +1,15 @@
 /** State of a home's jobs, as a reducer over journal records; replay and live writing share it. */
 
-import { isFinal, type Job, jobIdOf, type JobSpec, type Task, taskIdOf, type TaskState, taskStates } from "../types/job.js";
+import {
+    isFinal,
+    type Job,
+    jobIdOf,
+    type JobSpec,
+    type Task,
+    taskIdOf,
+    type TaskState,
+    taskStates,
+} from "../types/job.js";
 import type {
     AttemptAbandonedRecord,
     AttemptIntendedRecord,
@@ -167,13 +176,14 @@
         }
     };
 
-    const handlers: { readonly [K in JournalRecord["kind"]]: (record: Extract<JournalRecord, { kind: K; }>) => void; } = {
-        jobAccepted,
-        attemptIntended,
-        attemptAbandoned,
-        taskEnded,
-        jobCancelled,
-    };
+    const handlers: { readonly [K in JournalRecord["kind"]]: (record: Extract<JournalRecord, { kind: K; }>) => void; } =
+        {
+            jobAccepted,
+            attemptIntended,
+            attemptAbandoned,
+            taskEnded,
+            jobCancelled,
+        };
 
     const apply = (record: JournalRecord): void => {
         (handlers[record.kind] as (each: JournalRecord) => void)(record);
--- a/packages/puffinarch/src/core/homes.ts
+++ b/packages/puffinarch/src/core/homes.ts
@@ -7,7 +7,7 @@
 import { createHome, type Home, type HomeOptions } from "./home.js";
 import { createHomeState } from "./homeState.js";
 import { createJournal, replay } from "./journal.js";
-import type { OwnedUnit, Membership } from "./membership.js";
+import type { Membership, OwnedUnit } from "./membership.js";
 import type { UnitKeeper } from "./ownership.js";
 
 export interface Homes {
@@ -28,7 +28,7 @@
     readonly meter: Meter;
     readonly membership: Membership;
     readonly sessionId: () => string;
-    readonly dataCentre: string;
+    readonly isOpen: () => boolean;
     readonly batchesPerSecond: number;
     readonly maxPendingEntries: number;
     readonly onFenced: (unitKey: string) => void;
@@ -107,7 +107,7 @@
 
     return {
         keeper: { gain, yield: yieldHome },
-        own: () => homes.get(options.sessionId()),
+        own: () => options.isOpen() ? homes.get(options.sessionId()) : undefined,
         held: () => [...homes.values()],
         find: homeId => homes.get(homeId),
         withJob: jobId => [...homes.values()].find(home => home.job(jobId) !== undefined),
--- a/packages/puffinarch/src/core/jobSpec.ts
+++ b/packages/puffinarch/src/core/jobSpec.ts
@@ -35,7 +35,11 @@
     }
     const limit = capacities.reduce(largest, noResources);
     die("neverFits", `a task of ${show(spec.taskSize)} fits no worker; the largest amounts are ${show(limit)}`, {
-        violations: [{ field: "taskSize", value: show(spec.taskSize), allowed: `at most ${show(limit)} on one worker` }],
+        violations: [{
+            field: "taskSize",
+            value: show(spec.taskSize),
+            allowed: `at most ${show(limit)} on one worker`,
+        }],
     });
 };
 
@@ -59,9 +63,13 @@
     const quota = configuration.document.quotas.find(each => each.team === spec.team);
     const atOnce = scale(spec.taskSize, isGang ? spec.tasks : 1);
     if (quota !== undefined && (atOnce.cpuMillis > quota.cpuMillis || atOnce.memoryMib > quota.memoryMib)) {
-        die("overQuota", `team ${spec.team} may hold ${quota.cpuMillis} cpuMillis and ${quota.memoryMib} memoryMib at once`, {
-            retryAfterMs: 60_000,
-        });
+        die(
+            "overQuota",
+            `team ${spec.team} may hold ${quota.cpuMillis} cpuMillis and ${quota.memoryMib} memoryMib at once`,
+            {
+                retryAfterMs: 60_000,
+            },
+        );
     }
 };
 
@@ -99,6 +107,16 @@
  */
 export const sameSpec = (left: JobSpec, right: JobSpec): boolean => {
     const text = ({ jobId, workloadClass, team, tasks, taskSize, atMostOnce, payload }: JobSpec): string =>
-        JSON.stringify([jobId, workloadClass, team, tasks, taskSize.cpuMillis, taskSize.memoryMib, taskSize.accelerators, atMostOnce, payload]);
+        JSON.stringify([
+            jobId,
+            workloadClass,
+            team,
+            tasks,
+            taskSize.cpuMillis,
+            taskSize.memoryMib,
+            taskSize.accelerators,
+            atMostOnce,
+            payload,
+        ]);
     return text(left) === text(right);
 };
--- a/packages/puffinarch/src/core/jobs.ts
+++ b/packages/puffinarch/src/core/jobs.ts
@@ -33,7 +33,11 @@
     readonly configuration: () => Configuration;
     readonly vms: () => readonly Vm[];
     readonly accepts: () => boolean;
-    readonly call: <K extends PeerCallName>(sessionId: string, name: K, input: PeerCalls[K]["input"]) => Promise<PeerCalls[K]["output"]>;
+    readonly call: <K extends PeerCallName>(
+        sessionId: string,
+        name: K,
+        input: PeerCalls[K]["input"],
+    ) => Promise<PeerCalls[K]["output"]>;
     /** Asks every live daemon; answers by session, and the sessions that did not answer. */
     readonly callAll: <K extends PeerCallName>(
         name: K,
--- a/packages/puffinarch/src/core/journal.ts
+++ b/packages/puffinarch/src/core/journal.ts
@@ -130,7 +130,8 @@
         let sizeBytes = 0;
         let claims = 0;
         for (const entry of pending) {
-            const full = sizeBytes + entry.sizeBytes > maxBatchBytes || (entry.row !== undefined && claims === maxClaimsPerBatch);
+            const full = sizeBytes + entry.sizeBytes > maxBatchBytes
+                || (entry.row !== undefined && claims === maxClaimsPerBatch);
             if (batch.length > 0 && full) {
                 break;
             }
@@ -147,7 +148,11 @@
         const rows = batch.flatMap(entry => entry.row === undefined ? [] : [entry.row]);
         const value: BatchValue = { batchId, records: batch.flatMap(entry => entry.records) };
         return {
-            conditions: [fence, { key, version: "absent" }, ...rows.map(row => ({ key: row.key, version: "absent" as const }))],
+            conditions: [
+                fence,
+                { key, version: "absent" },
+                ...rows.map(row => ({ key: row.key, version: "absent" as const })),
+            ],
             puts: [{ key, value }, ...rows],
             deletes: [],
         };
@@ -183,7 +188,10 @@
         row !== undefined && (row.value as BatchValue).batchId === batchId;
 
     /** Finds out why a batch met a conflict; what it names as taken is rejected, the rest is returned to be retried. */
-    const settleConflict = async (batch: readonly Entry[], batchId: string): Promise<readonly Entry[] | "committed"> => {
+    const settleConflict = async (
+        batch: readonly Entry[],
+        batchId: string,
+    ): Promise<readonly Entry[] | "committed"> => {
         const key = journalKey(journalId, sequence);
         const claimed = batch.flatMap(entry => entry.row === undefined ? [] : [entry.row.key]);
         const rows = await readUntilAnswered([key, fence.key, ...claimed]);
@@ -237,7 +245,10 @@
             mayHaveCommitted ||= outcome === "unknown";
             if (!mayHaveCommitted) {
                 const claims = batch.filter(entry => entry.row !== undefined);
-                fail({ kind: "notAccepted", message: "the platform's table is out of reach", retryAfterMs: maxRetryMs }, claims);
+                fail(
+                    { kind: "notAccepted", message: "the platform's table is out of reach", retryAfterMs: maxRetryMs },
+                    claims,
+                );
                 batch = batch.filter(entry => entry.row === undefined);
             }
             log.write("debug", "journalRetry", { journalId, outcome, retryMs });
--- a/packages/puffinarch/src/core/ledger.ts
+++ b/packages/puffinarch/src/core/ledger.ts
@@ -142,7 +142,7 @@
         reindex(entry);
     };
 
-    function* candidates(size: Resources): Iterable<LedgerWorker> {
+    const candidates = function*(size: Resources): Iterable<LedgerWorker> {
         for (let bucket = bucketOf(size.cpuMillis); bucket < buckets.length; bucket += 1) {
             for (const entry of buckets[bucket] ?? []) {
                 if (fits(size, freeOf(entry))) {
@@ -150,9 +150,9 @@
                 }
             }
         }
-    }
+    };
 
-    function* emptiest(size: Resources): Iterable<LedgerWorker> {
+    const emptiest = function*(size: Resources): Iterable<LedgerWorker> {
         for (let bucket = buckets.length - 1; bucket >= bucketOf(size.cpuMillis); bucket -= 1) {
             for (const entry of buckets[bucket] ?? []) {
                 if (fits(size, freeOf(entry))) {
@@ -160,7 +160,7 @@
                 }
             }
         }
-    }
+    };
 
     return {
         addWorker: (workerId, rack, capacity) => {
--- a/packages/puffinarch/src/core/membership.ts
+++ b/packages/puffinarch/src/core/membership.ts
@@ -158,8 +158,11 @@
         },
         gossipOf: sessionId => {
             const entry = heard.get(sessionId);
-            return entry !== undefined && clock.monotonicMs() - entry.heardAtMs <= gossipMaxAgeMs ? entry.gossip : undefined;
+            return entry !== undefined && clock.monotonicMs() - entry.heardAtMs <= gossipMaxAgeMs
+                ? entry.gossip
+                : undefined;
         },
-        peers: () => [...sessionsByVm.values()].filter(session => session.vmId !== ownVmId && !isDead(session.sessionId)),
+        peers: () =>
+            [...sessionsByVm.values()].filter(session => session.vmId !== ownVmId && !isDead(session.sessionId)),
     };
 };
--- a/packages/puffinarch/src/core/node.ts
+++ b/packages/puffinarch/src/core/node.ts
@@ -1,12 +1,23 @@
 /** One daemon's coordination, put together from its parts; all of the outside comes in through ports. */
 
+import type { UpstreamChoiceName } from "../plugins/upstreamChoices.js";
 import type { Configuration } from "../types/configuration.js";
 import type { Decision } from "../types/decision.js";
 import type { AttemptReport } from "../types/job.js";
+import { unitKinds } from "../types/ownership.js";
 import type { DaemonView, Gossip, NodeReport, PeerCallName, PeerCalls, PeerHandlers, PeerPort } from "../types/peer.js";
-import type { Clock, Log, Meter, ObjectStore, Random, TableStore, UpstreamPort, VmList, WorkerPort } from "../types/ports.js";
+import type {
+    Clock,
+    Log,
+    Meter,
+    ObjectStore,
+    Random,
+    TableStore,
+    UpstreamPort,
+    VmList,
+    WorkerPort,
+} from "../types/ports.js";
 import { add, fits, noResources, type Resources } from "../types/resources.js";
-import { unitKinds } from "../types/ownership.js";
 import { die, failureOf } from "../utils/errors.js";
 import { createRing } from "../utils/ring.js";
 import { type Loop, sleep, startLoop } from "../utils/time.js";
@@ -21,7 +32,6 @@
 import type { Room } from "./rooms.js";
 import { createRouter, type Router } from "./router.js";
 import { createSlots, type Slots } from "./slots.js";
-import type { UpstreamChoiceName } from "../plugins/upstreamChoices.js";
 
 /** Settings of a daemon that its coordination needs. */
 export interface NodeSettings {
@@ -111,7 +121,11 @@
     readonly router: Router;
     noteDecision(decision: Decision): void;
     callAll<K extends PeerCallName>(name: K, input: PeerCalls[K]["input"]): Promise<Answers<PeerCalls[K]["output"]>>;
-    call<K extends PeerCallName>(sessionId: string, name: K, input: PeerCalls[K]["input"]): Promise<PeerCalls[K]["output"]>;
+    call<K extends PeerCallName>(
+        sessionId: string,
+        name: K,
+        input: PeerCalls[K]["input"],
+    ): Promise<PeerCalls[K]["output"]>;
     /** Resolves when a peer or an operator asked for a graceful shutdown. */
     readonly drainAsked: Promise<string>;
     /** Resources in use by teams with a quota, over all daemons heard of lately. */
@@ -237,7 +251,12 @@
             const gossip = membership.gossipOf(peer.sessionId);
             if (gossip !== undefined && gossip.capacity.workers > 0) {
                 const { free, mostFree } = gossip.capacity;
-                known.push({ sessionId: peer.sessionId, near: peer.dataCentre === settings.dataCentre, free, mostFree });
+                known.push({
+                    sessionId: peer.sessionId,
+                    near: peer.dataCentre === settings.dataCentre,
+                    free,
+                    mostFree,
+                });
             }
         }
         return known;
@@ -296,7 +315,7 @@
         meter,
         membership,
         sessionId,
-        dataCentre: settings.dataCentre,
+        isOpen: () => ownership.isOpen(),
         batchesPerSecond: settings.journalBatchesPerSecond,
         maxPendingEntries: settings.maxPendingEntries,
         onFenced: key => ownership.forfeit(key),
@@ -346,15 +365,17 @@
 
     const sendGossip = async (): Promise<void> => {
         const message = gossip();
-        await Promise.all(membership.peers().map(async peer => {
-            try {
-                const heard = await call(peer.sessionId, "gossip", message);
-                await adoptFrom(peer.sessionId, heard.configurationVersion);
-            }
-            catch (error) {
-                log.write("debug", "gossipFailed", { peer: peer.sessionId, ...failureOf(error) });
-            }
-        }));
+        await Promise.all(
+            membership.peers().map(async peer => {
+                try {
+                    const heard = await call(peer.sessionId, "gossip", message);
+                    await adoptFrom(peer.sessionId, heard.configurationVersion);
+                }
+                catch (error) {
+                    log.write("debug", "gossipFailed", { peer: peer.sessionId, ...failureOf(error) });
+                }
+            }),
+        );
     };
 
     const daemonView = (): DaemonView => ({
@@ -425,7 +446,8 @@
             decisions.newest().filter(each => subject === "" || each.subject === subject).slice(0, limit),
         workers: async ({ dataCentre }) =>
             rackOwner.views().filter(view => dataCentre === "" || view.dataCentre === dataCentre),
-        upstreams: async ({ service }) => slots.views(sessionId()).filter(view => service === "" || view.service === service),
+        upstreams: async ({ service }) =>
+            slots.views(sessionId()).filter(view => service === "" || view.service === service),
         daemon: async () => daemonView(),
         nodeReport: async () => nodeReport(),
         drain: async ({ reason }) => {
--- a/packages/puffinarch/src/core/ownership.ts
+++ b/packages/puffinarch/src/core/ownership.ts
@@ -5,14 +5,14 @@
  */
 
 import {
+    sessionKey,
     type SessionRow,
     type SessionState,
     type Unit,
     unitKey,
     type UnitKind,
-    type UnitRow,
     unitKinds,
-    sessionKey,
+    type UnitRow,
 } from "../types/ownership.js";
 import type { Clock, Log, Meter, TableRow, TableStore, VmList } from "../types/ports.js";
 import { vmRoles } from "../types/ports.js";
@@ -48,7 +48,9 @@
 export interface Ownership {
     /** Writes the session row and waits until the VM list shows this VM. */
     open(address: string): Promise<void>;
+    /** Fails with `unavailable` before the session is open. */
     sessionId(): string;
+    isOpen(): boolean;
     /** Reads what others wrote and takes or hands over units; run at an interval. */
     refresh(): Promise<void>;
     owns(key: string): boolean;
@@ -90,7 +92,11 @@
     /** Writes the session row until it is known to stand; the row's previous version is the condition. */
     const writeSession = async (next: SessionRow, version: number | "absent"): Promise<boolean> => {
         const key = sessionKey(vmId);
-        const result = await table.transact({ conditions: [{ key, version }], puts: [{ key, value: next }], deletes: [] });
+        const result = await table.transact({
+            conditions: [{ key, version }],
+            puts: [{ key, value: next }],
+            deletes: [],
+        });
         if (result.outcome === "committed") {
             session = next;
             sessionVersion = result.version;
@@ -190,7 +196,10 @@
         const { outcome } = await table.transact({
             conditions: [
                 { key: sessionKey(vmId), version: sessionVersion },
-                ...units.map(unit => ({ key: unit.key, version: membership.unit(unit.key)?.version ?? "absent" as const })),
+                ...units.map(unit => ({
+                    key: unit.key,
+                    version: membership.unit(unit.key)?.version ?? "absent" as const,
+                })),
             ],
             puts: rows.map(row => ({ key: row.key, value: row })),
             deletes: [],
@@ -295,6 +304,7 @@
     return {
         open,
         sessionId: ownId,
+        isOpen: () => session !== undefined,
         refresh,
         owns: key => owned.has(key),
         owned: kind => [...owned.values()].filter(unit => unit.kind === kind),
--- a/packages/puffinarch/src/core/rackOwner.ts
+++ b/packages/puffinarch/src/core/rackOwner.ts
@@ -7,11 +7,19 @@
 import type { Policy } from "../types/configuration.js";
 import type { Decision } from "../types/decision.js";
 import type { AttemptOutcome, AttemptReport } from "../types/job.js";
-import type { AttemptsRequest, AttemptState, CapacitySummary, Placement, PlaceRequest, TaskOffer, WorkerView } from "../types/peer.js";
+import { unitKey } from "../types/ownership.js";
+import type {
+    AttemptsRequest,
+    AttemptState,
+    CapacitySummary,
+    Placement,
+    PlaceRequest,
+    TaskOffer,
+    WorkerView,
+} from "../types/peer.js";
 import type { Clock, Log, Meter, Random, Vm, WorkerPort, WorkerReport } from "../types/ports.js";
 import { vmRoles } from "../types/ports.js";
 import { add, noResources, type Resources } from "../types/resources.js";
-import { unitKey } from "../types/ownership.js";
 import { failureOf } from "../utils/errors.js";
 import { type Loop, sleep, startLoop } from "../utils/time.js";
 import { createLedger } from "./ledger.js";
@@ -19,7 +27,12 @@
 import type { UnitKeeper } from "./ownership.js";
 
 /** States of a worker at its owner. */
-export const workerStates = { recovering: "recovering", live: "live", unreachable: "unreachable", leaving: "leaving" } as const;
+export const workerStates = {
+    recovering: "recovering",
+    live: "live",
+    unreachable: "unreachable",
+    leaving: "leaving",
+} as const;
 export type WorkerState = (typeof workerStates)[keyof typeof workerStates];
 
 /** The part of a daemon that owns racks. */
@@ -127,7 +140,12 @@
         unreported.delete(attempt);
     };
 
-    const track = (worker: WorkerEntry, offer: Omit<TaskOffer, "policy">, homeId: string, state: AttemptState): Attempt => {
+    const track = (
+        worker: WorkerEntry,
+        offer: Omit<TaskOffer, "policy">,
+        homeId: string,
+        state: AttemptState,
+    ): Attempt => {
         const attempt: Attempt = {
             ...offer,
             homeId,
@@ -347,7 +365,12 @@
     const decide = (homeId: string, offer: TaskOffer): Placement | undefined => {
         const startedAtMs = clock.monotonicMs();
         const policy = options.policyOf(offer.policy);
-        const choice = placements[policy.placement]({ ledger, size: offer.size, random, sampleSize: policy.sampleSize });
+        const choice = placements[policy.placement]({
+            ledger,
+            size: offer.size,
+            random,
+            sampleSize: policy.sampleSize,
+        });
         const worker = choice.worker === undefined ? undefined : entries.get(choice.worker.workerId);
         const reserved = worker !== undefined && ledger.reserve(worker.vm.vmId, offer.attemptId, offer.size);
         options.onDecision({
--- a/packages/puffinarch/src/core/requestClaims.ts
+++ b/packages/puffinarch/src/core/requestClaims.ts
@@ -79,7 +79,13 @@
             if (clock.monotonicMs() < each.giveUpAtMs) {
                 return true;
             }
-            each.reject(errorOf({ kind: "notRun", message: "the request id could not be claimed in time", retryAfterMs: 1_000 }));
+            each.reject(
+                errorOf({
+                    kind: "notRun",
+                    message: "the request id could not be claimed in time",
+                    retryAfterMs: 1_000,
+                }),
+            );
             return false;
         });
 
--- a/packages/puffinarch/src/core/router.ts
+++ b/packages/puffinarch/src/core/router.ts
@@ -1,7 +1,7 @@
 /** Where a caller's request goes: a free slot here, a peer with free slots (own data centre first), or the queue. */
 
-import type { Clock, Random } from "../types/ports.js";
 import type { SessionRow } from "../types/ownership.js";
+import type { Clock, Random } from "../types/ports.js";
 import { die } from "../utils/errors.js";
 import type { Membership } from "./membership.js";
 import type { Slot, Slots } from "./slots.js";
@@ -9,7 +9,13 @@
 /** A slot of an upstream owned here, or a peer that owns one. */
 export type Route =
     | { readonly kind: "slot"; readonly slot: Slot; }
-    | { readonly kind: "peer"; readonly sessionId: string; readonly address: string; readonly alternatives: number; done(): void; };
+    | {
+        readonly kind: "peer";
+        readonly sessionId: string;
+        readonly address: string;
+        readonly alternatives: number;
+        done(): void;
+    };
 
 export interface Router {
     /** Fails with `notRun` or `overloaded`; a forwarded request is never forwarded again. */
--- a/packages/puffinarch/src/core/slots.ts
+++ b/packages/puffinarch/src/core/slots.ts
@@ -12,7 +12,12 @@
 import type { UnitKeeper } from "./ownership.js";
 
 /** States of an upstream at its owner. */
-export const upstreamStates = { recovering: "recovering", live: "live", unreachable: "unreachable", leaving: "leaving" } as const;
+export const upstreamStates = {
+    recovering: "recovering",
+    live: "live",
+    unreachable: "unreachable",
+    leaving: "leaving",
+} as const;
 export type UpstreamState = (typeof upstreamStates)[keyof typeof upstreamStates];
 
 /** One slot of one upstream, held until it is given back. */
@@ -156,7 +161,9 @@
         const queue = queues.get(service) ?? [];
         queues.set(service, queue);
         if (queue.length >= options.maxQueued) {
-            return Promise.reject(errorOf({ kind: "overloaded", message: `too many requests wait for ${service}`, retryAfterMs }));
+            return Promise.reject(
+                errorOf({ kind: "overloaded", message: `too many requests wait for ${service}`, retryAfterMs }),
+            );
         }
         return new Promise((resolve, reject) => {
             const cancelTimer = clock.setTimer(Math.max(0, giveUpAtMs - clock.monotonicMs()), () => {
@@ -185,7 +192,13 @@
 
     const startStatus = (entry: UpstreamEntry): void => {
         const run = (): Promise<void> => checkStatus(entry);
-        entry.loop = startLoop({ clock, log, name: `status ${entry.upstreamId}`, intervalMs: options.statusIntervalMs, run });
+        entry.loop = startLoop({
+            clock,
+            log,
+            name: `status ${entry.upstreamId}`,
+            intervalMs: options.statusIntervalMs,
+            run,
+        });
     };
 
     const gain = async (unit: OwnedUnit): Promise<void> => {
@@ -250,7 +263,8 @@
             }
             return free;
         },
-        serves: service => [...entries.values()].some(entry => entry.vm.service === service && entry.state !== "leaving"),
+        serves: service =>
+            [...entries.values()].some(entry => entry.vm.service === service && entry.state !== "leaving"),
         refresh,
         inUse: () => [...entries.values()].reduce((sum, entry) => sum + entry.slotsInUse, 0),
         views: daemonId =>
--- a/packages/puffinarch/src/types/ownership.ts
+++ b/packages/puffinarch/src/types/ownership.ts
@@ -38,7 +38,8 @@
  * @example
  * unitKey("rack", "leon-feria", "r1"); // "unit/rack/leon-feria/r1"
  */
-export const unitKey = (kind: UnitKind, dataCentre: string, name: string): string => `unit/${kind}/${dataCentre}/${name}`;
+export const unitKey = (kind: UnitKind, dataCentre: string, name: string): string =>
+    `unit/${kind}/${dataCentre}/${name}`;
 
 /**
  * Names the row of a VM's session.
--- a/packages/puffinarch/src/types/peer.ts
+++ b/packages/puffinarch/src/types/peer.ts
@@ -177,5 +177,9 @@
  * the answer was lost, and with the peer's own kind where it answered with an error.
  */
 export interface PeerPort {
-    call<K extends PeerCallName>(address: string, name: K, input: PeerCalls[K]["input"]): Promise<PeerCalls[K]["output"]>;
+    call<K extends PeerCallName>(
+        address: string,
+        name: K,
+        input: PeerCalls[K]["input"],
+    ): Promise<PeerCalls[K]["output"]>;
 }
--- a/packages/puffinarch/src/utils/check.ts
+++ b/packages/puffinarch/src/utils/check.ts
@@ -35,7 +35,11 @@
             }
             continue;
         }
-        violations.push({ field: joinPath(issue.path), value: show(valueAt(input, issue.path)), allowed: issue.message });
+        violations.push({
+            field: joinPath(issue.path),
+            value: show(valueAt(input, issue.path)),
+            allowed: issue.message,
+        });
     }
     return violations;
 };
@@ -63,7 +67,11 @@
  */
 export const rejectAll = (violations: readonly Violation[], what: string): never => {
     const listed = violations.map(violation =>
-        `${violation.line === undefined ? "" : `line ${violation.line}: `}${violation.field} is ${violation.value}; allowed: ${violation.allowed}`
+        `${
+            violation.line === undefined
+                ? ""
+                : `line ${violation.line}: `
+        }${violation.field} is ${violation.value}; allowed: ${violation.allowed}`
     );
     return die("invalid", `the ${what} is not valid: ${listed.join("; ")}`, { violations });
 };
--- a/packages/puffinarch/src/utils/errors.ts
+++ b/packages/puffinarch/src/utils/errors.ts
@@ -132,7 +132,11 @@
  */
 export const die = (kind: ErrorKind, message: string, detail: FailureDetail = {}, cause?: unknown): never => {
     throw new VError(
-        { name: errorName, info: { failure: { ...detail, kind, message } }, cause: cause instanceof Error ? cause : undefined },
+        {
+            name: errorName,
+            info: { failure: { ...detail, kind, message } },
+            cause: cause instanceof Error ? cause : undefined,
+        },
         "%s",
         message,
     );
@@ -144,7 +148,8 @@
  * @example
  * Promise.reject(errorOf({ kind: "notRun", message: "no upstream is free" }));
  */
-export const errorOf = (failure: Failure): Error => new VError({ name: errorName, info: { failure } }, "%s", failure.message);
+export const errorOf = (failure: Failure): Error =>
+    new VError({ name: errorName, info: { failure } }, "%s", failure.message);
 
 const isKind = (kind: unknown): kind is ErrorKind => typeof kind === "string" && kind in errorAnswers;
 
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -56,7 +56,11 @@
         connect: { timeout: timeoutMs },
     });
     return {
-        call: async <T>(method: "GET" | "POST" | "PUT" | "DELETE", url: string, body?: unknown): Promise<CallResult<T>> => {
+        call: async <T>(
+            method: "GET" | "POST" | "PUT" | "DELETE",
+            url: string,
+            body?: unknown,
+        ): Promise<CallResult<T>> => {
             try {
                 const answer = await request(url, {
                     method,
@@ -65,7 +69,11 @@
                     body: body === undefined ? undefined : JSON.stringify(body),
                 });
                 const text = await answer.body.text();
-                return { kind: "answered", status: answer.statusCode, body: (text === "" ? undefined : JSON.parse(text)) as T };
+                return {
+                    kind: "answered",
+                    status: answer.statusCode,
+                    body: (text === "" ? undefined : JSON.parse(text)) as T,
+                };
             }
             catch (error) {
                 return { kind: failureKindOf(error), reason: error instanceof Error ? error.message : String(error) };
@@ -87,5 +95,7 @@
     if (result.kind !== "answered") {
         return die("unavailable", `the ${what} did not answer: ${result.reason}`);
     }
-    return result.status === okStatus ? result.body : die("unavailable", `the ${what} answered with status ${result.status}`);
+    return result.status === okStatus
+        ? result.body
+        : die("unavailable", `the ${what} answered with status ${result.status}`);
 };
--- a/packages/puffinarchd/src/adapters/peers.ts
+++ b/packages/puffinarchd/src/adapters/peers.ts
@@ -1,6 +1,6 @@
 /** Calls between daemons over tRPC. */
 
-import { createTRPCClient, httpLink, TRPCClientError, type TRPCClient } from "@trpc/client";
+import { createTRPCClient, httpLink, type TRPCClient, TRPCClientError } from "@trpc/client";
 import { initTRPC, TRPCError } from "@trpc/server";
 import { die, type Failure, failureOf, type Node, type PeerCallName, type PeerPort } from "puffinarch";
 import { Agent, fetch as undiciFetch, type RequestInit } from "undici";
@@ -14,7 +14,10 @@
 }
 
 const trpc = initTRPC.context<PeerContext>().create({
-    errorFormatter: ({ shape, error }) => ({ ...shape, data: { ...shape.data, failure: failureOf(error.cause ?? error) } }),
+    errorFormatter: ({ shape, error }) => ({
+        ...shape,
+        data: { ...shape.data, failure: failureOf(error.cause ?? error) },
+    }),
 });
 
 const passThrough = (input: unknown): unknown => input;
@@ -113,7 +116,10 @@
     return {
         call: async (address, name, input) => {
             try {
-                const procedures = clientOf(address) as unknown as Record<string, { mutate(input: unknown): Promise<unknown>; }>;
+                const procedures = clientOf(address) as unknown as Record<
+                    string,
+                    { mutate(input: unknown): Promise<unknown>; }
+                >;
                 return await procedures[name]?.mutate(input) as never;
             }
             catch (error) {
--- a/packages/puffinarchd/src/adapters/platform.ts
+++ b/packages/puffinarchd/src/adapters/platform.ts
@@ -12,8 +12,10 @@
  * const table = createHttpTable(http, "http://127.0.0.1:7000");
  */
 export const createHttpTable = (http: HttpCaller, address: string): TableStore => ({
-    read: async keys => bodyOf(await http.call<readonly TableRow[]>("POST", `${address}/table/read`, { keys }), "table"),
-    scan: async prefix => bodyOf(await http.call<readonly TableRow[]>("POST", `${address}/table/scan`, { prefix }), "table"),
+    read: async keys =>
+        bodyOf(await http.call<readonly TableRow[]>("POST", `${address}/table/read`, { keys }), "table"),
+    scan: async prefix =>
+        bodyOf(await http.call<readonly TableRow[]>("POST", `${address}/table/scan`, { prefix }), "table"),
     transact: async transaction => {
         const result = await http.call<TransactResult>("POST", `${address}/table/transact`, transaction);
         if (result.kind === "answered") {
--- a/packages/puffinarchd/src/daemon.ts
+++ b/packages/puffinarchd/src/daemon.ts
@@ -5,7 +5,13 @@
 import { type DynamicModule, Inject, Module, type OnApplicationShutdown } from "@nestjs/common";
 import { NestFactory } from "@nestjs/core";
 import { FastifyAdapter, type NestFastifyApplication } from "@nestjs/platform-fastify";
-import { ClusterService, ConfigurationService, JobService, PolicyService, WorkloadClassService } from "@puffinarch/schema";
+import {
+    ClusterService,
+    ConfigurationService,
+    JobService,
+    PolicyService,
+    WorkloadClassService,
+} from "@puffinarch/schema";
 import { fastifyTRPCPlugin } from "@trpc/server/adapters/fastify";
 import type { FastifyInstance } from "fastify";
 import { type Clock, createNode, failureOf, type Node, type Random, sleep } from "puffinarch";
@@ -17,7 +23,11 @@
 import { createMeter, type DaemonMeter } from "./metrics.js";
 import { type Proxy, registerProxy } from "./proxy.js";
 import { createClusterService } from "./rpc/clusterService.js";
-import { createConfigurationService, createPolicyService, createWorkloadClassService } from "./rpc/configurationServices.js";
+import {
+    createConfigurationService,
+    createPolicyService,
+    createWorkloadClassService,
+} from "./rpc/configurationServices.js";
 import { failureInterceptor } from "./rpc/failures.js";
 import { createJobService } from "./rpc/jobService.js";
 import { type DaemonSettings, defaultMaxBodyBytes, defaultRequestTimeoutMs, nodeSettings } from "./settings.js";
@@ -78,7 +88,10 @@
     settings,
     meter: createMeter(),
     platform: createHttpCaller({ timeoutMs: platformTimeoutMs, connectionsPerHost: 8 }),
-    machines: createHttpCaller({ timeoutMs: (settings.timings?.pollWaitMs ?? 1_000) + pollSlackMs, connectionsPerHost: 64 }),
+    machines: createHttpCaller({
+        timeoutMs: (settings.timings?.pollWaitMs ?? 1_000) + pollSlackMs,
+        connectionsPerHost: 64,
+    }),
     peers: createTrpcPeers({ timeoutMs: peerTimeoutMs }),
 });
 
@@ -118,7 +131,9 @@
 export const startDaemon = async (options: DaemonOptions): Promise<Daemon> => {
     const { settings, clock, random, log } = options;
     const adapter = new FastifyAdapter({ forceCloseConnections: true, bodyLimit: 4 * 1024 * 1024 });
-    const app = await NestFactory.create<NestFastifyApplication>(DaemonModule.register(settings), adapter, { logger: false });
+    const app = await NestFactory.create<NestFastifyApplication>(DaemonModule.register(settings), adapter, {
+        logger: false,
+    });
     const parts = app.get<DaemonParts>(daemonParts);
     const fastify = adapter.getInstance() as unknown as FastifyInstance;
     const node = createNode(nodeSettings(settings), {
--- a/packages/puffinarchd/src/logging.ts
+++ b/packages/puffinarchd/src/logging.ts
@@ -1,6 +1,6 @@
 /** Structured log through consola: one JSON object a line on standard output, level changeable at run time. */
 
-import { type ConsolaInstance, createConsola, type ConsolaReporter, LogLevels } from "consola";
+import { type ConsolaInstance, type ConsolaReporter, createConsola, LogLevels } from "consola";
 import type { Clock, Log, LogLevel } from "puffinarch";
 
 /** A log whose level can be changed. */
--- a/packages/puffinarchd/src/metrics.ts
+++ b/packages/puffinarchd/src/metrics.ts
@@ -49,7 +49,9 @@
     };
 
     const counterLines = (): readonly string[] =>
-        [...counters].flatMap(([name, total]) => [`# TYPE ${metricName(name)}_total counter`, `${metricName(name)}_total ${total}`]);
+        [...counters].flatMap((
+            [name, total],
+        ) => [`# TYPE ${metricName(name)}_total counter`, `${metricName(name)}_total ${total}`]);
 
     const histogramLines = (): readonly string[] =>
         [...histograms].flatMap(([name, histogram]) => [
--- a/packages/puffinarchd/src/proxy.ts
+++ b/packages/puffinarchd/src/proxy.ts
@@ -8,10 +8,10 @@
     type Clock,
     die,
     errorAnswers,
+    type ErrorKind,
     type Failure,
     failureOf,
     type Meter,
-    type ErrorKind,
     type Node,
     type RequestClaim,
     type Route,
@@ -73,7 +73,10 @@
 }
 
 /** Why a try brought no answer; only `notRun` may be tried again for every request. */
-type TryResult = { readonly kind: "answered"; readonly answer: UpstreamAnswer; } | { readonly kind: "notRun" | "mayHaveRun"; readonly reason: string; };
+type TryResult = { readonly kind: "answered"; readonly answer: UpstreamAnswer; } | {
+    readonly kind: "notRun" | "mayHaveRun";
+    readonly reason: string;
+};
 
 const idempotentMethods: ReadonlySet<string> = new Set(["GET", "HEAD", "OPTIONS", "PUT", "DELETE"]);
 const surelyNotRun: ReadonlySet<ErrorKind> = new Set(["notRun", "overloaded", "invalid"]);
@@ -81,7 +84,13 @@
 const maxTries = 3;
 const defaultRetryAfterMs = 1_000;
 const maxTimeoutMs = 600_000;
-const passedHeaders = ["content-type", "x-upstream-leaving", requestHeaders.upstream, requestHeaders.answer, requestHeaders.retryAfterMs] as const;
+const passedHeaders = [
+    "content-type",
+    "x-upstream-leaving",
+    requestHeaders.upstream,
+    requestHeaders.answer,
+    requestHeaders.retryAfterMs,
+] as const;
 
 const headerOf = (request: FastifyRequest, name: string): string | undefined => {
     const value = request.headers[name];
@@ -95,8 +104,14 @@
     }
     const timeoutMs = Number(text);
     if (!Number.isInteger(timeoutMs) || timeoutMs < 1 || timeoutMs > maxTimeoutMs) {
-        const violation = { field: requestHeaders.timeoutMs, value: text, allowed: `a whole number from 1 to ${maxTimeoutMs}` };
-        return die("invalid", `${violation.field} is ${text}; allowed: ${violation.allowed}`, { violations: [violation] });
+        const violation = {
+            field: requestHeaders.timeoutMs,
+            value: text,
+            allowed: `a whole number from 1 to ${maxTimeoutMs}`,
+        };
+        return die("invalid", `${violation.field} is ${text}; allowed: ${violation.allowed}`, {
+            violations: [violation],
+        });
     }
     return timeoutMs;
 };
@@ -108,7 +123,9 @@
     }
     if (text !== "true" && text !== "false") {
         const violation = { field: requestHeaders.idempotent, value: text, allowed: "true or false" };
-        return die("invalid", `${violation.field} is ${text}; allowed: ${violation.allowed}`, { violations: [violation] });
+        return die("invalid", `${violation.field} is ${text}; allowed: ${violation.allowed}`, {
+            violations: [violation],
+        });
     }
     return text === "true";
 };
@@ -153,7 +170,12 @@
         ...request.contentType === undefined ? {} : { "content-type": request.contentType },
     });
 
-    const send = async (url: string, via: Dispatcher, request: CallerRequest, extra: Readonly<Record<string, string>>): Promise<TryResult> => {
+    const send = async (
+        url: string,
+        via: Dispatcher,
+        request: CallerRequest,
+        extra: Readonly<Record<string, string>>,
+    ): Promise<TryResult> => {
         const remainingMs = request.giveUpAtMs - clock.monotonicMs();
         if (remainingMs <= 0) {
             return { kind: "notRun", reason: "the deadline passed before the request was sent" };
@@ -193,7 +215,10 @@
         });
     };
 
-    const tryUpstream = async (request: CallerRequest, route: Extract<Route, { kind: "slot"; }>): Promise<TryResult> => {
+    const tryUpstream = async (
+        request: CallerRequest,
+        route: Extract<Route, { kind: "slot"; }>,
+    ): Promise<TryResult> => {
         const { slot } = route;
         try {
             const result = await send(`${slot.address}${request.path}`, dispatcher, request, {});
@@ -209,7 +234,11 @@
             if (result.answer.headers[requestHeaders.notRun] !== undefined) {
                 return { kind: "notRun", reason: "the upstream refused the request" };
             }
-            const headers = { ...result.answer.headers, [requestHeaders.upstream]: slot.upstreamId, [requestHeaders.answer]: "completed" };
+            const headers = {
+                ...result.answer.headers,
+                [requestHeaders.upstream]: slot.upstreamId,
+                [requestHeaders.answer]: "completed",
+            };
             return { kind: "answered", answer: { ...result.answer, headers } };
         }
         finally {
@@ -229,7 +258,10 @@
                 return result;
             }
             const surelyNot = said === "notRun" || said === "overloaded";
-            return { kind: surelyNot ? "notRun" : "mayHaveRun", reason: `the peer ${route.sessionId} said ${String(said)}` };
+            return {
+                kind: surelyNot ? "notRun" : "mayHaveRun",
+                reason: `the peer ${route.sessionId} said ${String(said)}`,
+            };
         }
         finally {
             route.done();
@@ -306,9 +338,13 @@
 
     fastify.register(async scope => {
         scope.removeAllContentTypeParsers();
-        scope.addContentTypeParser("*", { parseAs: "buffer", bodyLimit: options.maxBodyBytes }, (_request, body, done) => {
-            done(null, body);
-        });
+        scope.addContentTypeParser(
+            "*",
+            { parseAs: "buffer", bodyLimit: options.maxBodyBytes },
+            (_request, body, done) => {
+                done(null, body);
+            },
+        );
         scope.all<{ Params: { service: string; "*": string; }; }>("/services/:service/*", async (request, reply) => {
             inFlight += 1;
             const startedAtMs = clock.monotonicMs();
--- a/packages/puffinarchd/src/rpc/clusterService.ts
+++ b/packages/puffinarchd/src/rpc/clusterService.ts
@@ -28,7 +28,10 @@
 export const createClusterService = (node: Node, log: DaemonLog): ServiceImpl<typeof ClusterService> => {
     const workers = async (dataCentre: string) => {
         const { answers, unreachable } = await node.callAll("workers", { dataCentre });
-        return { workers: answers.flat().map(each => ({ ...each, attemptIds: [...each.attemptIds] })), unreachableDaemons: [...unreachable] };
+        return {
+            workers: answers.flat().map(each => ({ ...each, attemptIds: [...each.attemptIds] })),
+            unreachableDaemons: [...unreachable],
+        };
     };
 
     const decisions = async (subject: string, limit: number) => {
@@ -91,7 +94,8 @@
         },
         getReport: async () => {
             const { answers, unreachable } = await node.callAll("nodeReport", { detail: true });
-            const sum = (pick: (each: (typeof answers)[number]) => number): number => answers.reduce((total, each) => total + pick(each), 0);
+            const sum = (pick: (each: (typeof answers)[number]) => number): number =>
+                answers.reduce((total, each) => total + pick(each), 0);
             const capacity = sum(each => each.capacityCpuMillis);
             return {
                 tasksAccepted: sum(each => each.tasksAccepted),
--- a/packages/puffinarchd/src/rpc/configurationServices.ts
+++ b/packages/puffinarchd/src/rpc/configurationServices.ts
@@ -1,8 +1,23 @@
 /** Policies, workload classes and the whole configuration for operators. */
 
 import type { ServiceImpl } from "@connectrpc/connect";
-import type { ChangeContext as ChangeContextMessage, ConfigurationService, PolicyService, WorkloadClassService } from "@puffinarch/schema";
-import { type ChangeContext, check, checkDocument, type ConfigurationDocument, die, diffDocuments, type Node, textUpTo, wholeNumber } from "puffinarch";
+import type {
+    ChangeContext as ChangeContextMessage,
+    ConfigurationService,
+    PolicyService,
+    WorkloadClassService,
+} from "@puffinarch/schema";
+import {
+    type ChangeContext,
+    check,
+    checkDocument,
+    type ConfigurationDocument,
+    die,
+    diffDocuments,
+    type Node,
+    textUpTo,
+    wholeNumber,
+} from "puffinarch";
 import { z } from "zod";
 import { readDocument, readPolicy, readWorkloadClass, showConfiguration, showWorkloadClass } from "./convert.js";
 
@@ -46,7 +61,9 @@
 const create = <T extends Named>(list: readonly T[], entry: unknown): readonly unknown[] => {
     const { name } = entry as Named;
     return list.some(each => each.name === name)
-        ? die("alreadyExists", `"${name}" exists`, { violations: [{ field: "name", value: `"${name}"`, allowed: "a new name" }] })
+        ? die("alreadyExists", `"${name}" exists`, {
+            violations: [{ field: "name", value: `"${name}"`, allowed: "a new name" }],
+        })
         : [...list, entry];
 };
 
@@ -58,7 +75,9 @@
 };
 
 const remove = <T extends Named>(list: readonly T[], name: string): readonly T[] =>
-    list.some(each => each.name === name) ? list.filter(each => each.name !== name) : die("notFound", `there is no "${name}"`);
+    list.some(each => each.name === name)
+        ? list.filter(each => each.name !== name)
+        : die("notFound", `there is no "${name}"`);
 
 const find = <T extends Named>(list: readonly T[], name: string): T =>
     list.find(each => each.name === name) ?? die("notFound", `there is no "${name}"`);
@@ -72,7 +91,11 @@
 export const createConfigurationService = (node: Node): ServiceImpl<typeof ConfigurationService> => ({
     getConfiguration: async ({ version }) => {
         const { configuration } = node;
-        return { configuration: showConfiguration(version === 0 ? configuration.inForce() : await configuration.version(version)) };
+        return {
+            configuration: showConfiguration(
+                version === 0 ? configuration.inForce() : await configuration.version(version),
+            ),
+        };
     },
     applyConfiguration: async ({ document, context }) => ({
         configuration: showConfiguration(await node.configuration.apply(readDocument(document), readContext(context))),
@@ -91,7 +114,10 @@
     },
     getConfigurationStatus: async () => {
         const { answers, unreachable } = await node.callAll("daemon", { detail: false });
-        const accepted = Math.max(node.configuration.inForce().version, ...answers.map(each => each.configurationVersion));
+        const accepted = Math.max(
+            node.configuration.inForce().version,
+            ...answers.map(each => each.configurationVersion),
+        );
         return {
             acceptedVersion: accepted,
             daemons: [
@@ -116,7 +142,11 @@
 export const createPolicyService = (node: Node): ServiceImpl<typeof PolicyService> => ({
     createPolicy: async ({ policy, context }) => {
         const entry = readPolicy(policy);
-        const version = await edit(node, context, document => ({ ...document, policies: create(document.policies, entry) }));
+        const version = await edit(
+            node,
+            context,
+            document => ({ ...document, policies: create(document.policies, entry) }),
+        );
         return { policy: find(node.configuration.inForce().document.policies, policy?.name ?? ""), version };
     },
     listPolicies: async () => {
@@ -129,7 +159,11 @@
     },
     updatePolicy: async ({ policy, context }) => {
         const entry = readPolicy(policy);
-        const version = await edit(node, context, document => ({ ...document, policies: update(document.policies, entry) }));
+        const version = await edit(
+            node,
+            context,
+            document => ({ ...document, policies: update(document.policies, entry) }),
+        );
         return { policy: find(node.configuration.inForce().document.policies, policy?.name ?? ""), version };
     },
     deletePolicy: async ({ name, context }) => ({
@@ -155,7 +189,11 @@
     };
     return {
         createWorkloadClass: ({ workloadClass, context }) =>
-            changed(context, workloadClass?.name ?? "", document => create(document.workloadClasses, readWorkloadClass(workloadClass))),
+            changed(
+                context,
+                workloadClass?.name ?? "",
+                document => create(document.workloadClasses, readWorkloadClass(workloadClass)),
+            ),
         listWorkloadClasses: async () => ({
             workloadClasses: classes().map(showWorkloadClass),
             version: node.configuration.inForce().version,
@@ -165,9 +203,17 @@
             version: node.configuration.inForce().version,
         }),
         updateWorkloadClass: ({ workloadClass, context }) =>
-            changed(context, workloadClass?.name ?? "", document => update(document.workloadClasses, readWorkloadClass(workloadClass))),
+            changed(
+                context,
+                workloadClass?.name ?? "",
+                document => update(document.workloadClasses, readWorkloadClass(workloadClass)),
+            ),
         deleteWorkloadClass: async ({ name, context }) => ({
-            version: await edit(node, context, document => ({ ...document, workloadClasses: remove(document.workloadClasses, name) })),
+            version: await edit(
+                node,
+                context,
+                document => ({ ...document, workloadClasses: remove(document.workloadClasses, name) }),
+            ),
         }),
     };
 };
--- a/packages/puffinarchd/src/rpc/convert.ts
+++ b/packages/puffinarchd/src/rpc/convert.ts
@@ -13,7 +13,16 @@
     type WorkloadClass as WorkloadClassMessage,
     WorkloadKind as WorkloadKindMessage,
 } from "@puffinarch/schema";
-import { type Configuration, type Decision, type Job, noResources, type Resources, type Task, type TaskState, type WorkloadKind } from "puffinarch";
+import {
+    type Configuration,
+    type Decision,
+    type Job,
+    noResources,
+    type Resources,
+    type Task,
+    type TaskState,
+    type WorkloadKind,
+} from "puffinarch";
 
 const kindMessages: Readonly<Record<WorkloadKind, WorkloadKindMessage>> = {
     batch: WorkloadKindMessage.BATCH,
@@ -145,7 +154,9 @@
  * @example
  * const message = showJob(job);
  */
-export const showJob = ({ spec, homeId, acceptedAtMs, ended, taskCounts }: Job): MessageInitShape<typeof JobSchema> => ({
+export const showJob = (
+    { spec, homeId, acceptedAtMs, ended, taskCounts }: Job,
+): MessageInitShape<typeof JobSchema> => ({
     spec: { ...spec, taskSize: { ...spec.taskSize } },
     homeId,
     acceptedAtMs,
--- a/packages/puffinarchd/src/rpc/failures.ts
+++ b/packages/puffinarchd/src/rpc/failures.ts
@@ -24,7 +24,11 @@
     const value = {
         kind: failure.kind,
         message: failure.message,
-        violations: (failure.violations ?? []).map(({ field, value: given, allowed }) => ({ field, value: given, allowed })),
+        violations: (failure.violations ?? []).map(({ field, value: given, allowed }) => ({
+            field,
+            value: given,
+            allowed,
+        })),
         retryAfterMs: failure.retryAfterMs ?? 0,
         winningVersion: failure.winningVersion ?? 0,
         difference: failure.difference ?? "",
--- a/packages/puffinarchd/src/rpc/jobService.ts
+++ b/packages/puffinarchd/src/rpc/jobService.ts
@@ -17,7 +17,8 @@
  * @example
  * pageSizeOf(0); // 100
  */
-export const pageSizeOf = (pageSize: number): number => check(pageSchema, { pageSize }, "request").pageSize || defaultPageSize;
+export const pageSizeOf = (pageSize: number): number =>
+    check(pageSchema, { pageSize }, "request").pageSize || defaultPageSize;
 
 const indexToken = z.object({ pageToken: z.string().regex(/^\d*$/, "a token from an earlier page") });
 
--- a/packages/puffinarchd/src/settings.ts
+++ b/packages/puffinarchd/src/settings.ts
@@ -131,7 +131,9 @@
     }
     catch (error) {
         const { violations } = failureOf(error);
-        return violations === undefined ? die("internal", String(error)) : rejectAll(withLines(document, lines, violations), "settings file");
+        return violations === undefined
+            ? die("internal", String(error))
+            : rejectAll(withLines(document, lines, violations), "settings file");
     }
 };
 
@@ -146,7 +148,7 @@
     try {
         text = readFileSync(path, "utf8");
     }
-    catch (error) {
+    catch {
         return rejectAll([{ field: "config", value: `"${path}"`, allowed: "a file that can be read" }], "command line");
     }
     return parseSettings(text);
--- a/packages/stand-ins/src/demo/callers.ts
+++ b/packages/stand-ins/src/demo/callers.ts
@@ -77,7 +77,10 @@
     let requestCount = 0;
 
     const clientOf = (address: string) =>
-        createClient(JobService, createConnectTransport({ baseUrl: address, httpVersion: "1.1", defaultTimeoutMs: tryTimeoutMs }));
+        createClient(
+            JobService,
+            createConnectTransport({ baseUrl: address, httpVersion: "1.1", defaultTimeoutMs: tryTimeoutMs }),
+        );
 
     const submitOne = async (): Promise<void> => {
         jobCount += 1;
@@ -107,7 +110,14 @@
             tried.push(address);
             try {
                 await clientOf(address).submitJob({ spec });
-                const note = { jobId: spec.jobId, tasks, atMostOnce, acceptedAtMs: firstSentAtMs, finalStates: new Map(), wrongResults: 0 };
+                const note = {
+                    jobId: spec.jobId,
+                    tasks,
+                    atMostOnce,
+                    acceptedAtMs: firstSentAtMs,
+                    finalStates: new Map(),
+                    wrongResults: 0,
+                };
                 jobs.push(note);
                 return;
             }
@@ -165,7 +175,8 @@
                 note.resends += 1;
                 const said = await tryRequest(address, note);
                 note.answer = said ?? note.answer;
-                const mayResend = said === undefined || said === "notRun" || said === "overloaded" || (said === "mayHaveRun" && note.idempotent);
+                const mayResend = said === undefined || said === "notRun" || said === "overloaded"
+                    || (said === "mayHaveRun" && note.idempotent);
                 if (!mayResend) {
                     break;
                 }
--- a/packages/stand-ins/src/demo/evidence.ts
+++ b/packages/stand-ins/src/demo/evidence.ts
@@ -1,9 +1,9 @@
 /** Promises checked against what the stand-ins saw; the daemons' word counts for nothing here. */
 
 import { TaskState } from "@puffinarch/schema";
-import type { Execution } from "../worker.js";
 import type { PlatformEvidence } from "../platform.js";
 import type { RequestRun, UpstreamEvidence } from "../upstream.js";
+import type { Execution } from "../worker.js";
 import type { JobNote, RequestNote } from "./callers.js";
 
 /** What was seen in one deployment. */
@@ -81,7 +81,9 @@
 
 const overlap = (executions: readonly Execution[]): boolean => {
     const sorted = [...executions].sort((left, right) => left.startedAtMs - right.startedAtMs);
-    return sorted.some((execution, index) => index > 0 && execution.startedAtMs < (sorted[index - 1]?.endedAtMs ?? Infinity));
+    return sorted.some((execution, index) =>
+        index > 0 && execution.startedAtMs < (sorted[index - 1]?.endedAtMs ?? Infinity)
+    );
 };
 
 const countTwice = (jobs: readonly JobNote[], byTask: ReadonlyMap<string, readonly Execution[]>): number => {
@@ -123,7 +125,8 @@
     const accepted = sum(jobs.map(job => job.tasks));
     const completedTasks = new Set(executions.filter(each => each.outcome === "completed").map(each => each.taskId));
     const states = jobs.flatMap(job => [...job.finalStates]);
-    const mayHaveRun = states.filter(([taskId, state]) => state === TaskState.MAY_HAVE_RUN && !completedTasks.has(taskId)).length;
+    const mayHaveRun =
+        states.filter(([taskId, state]) => state === TaskState.MAY_HAVE_RUN && !completedTasks.has(taskId)).length;
     const waited = waits(jobs, byTask);
     const answered = requests.filter(note => note.answer !== undefined);
     const latencies = answered.map(note => note.answeredAtMs - note.sentAtMs);
@@ -163,7 +166,9 @@
  * breaches(verdict); // []
  */
 export const breaches = (verdict: Verdict): readonly string[] => {
-    const broken: string[] = breachCounters.filter(name => verdict[name] !== 0).map(name => `${name} is ${verdict[name]}`);
+    const broken: string[] = breachCounters.filter(name => verdict[name] !== 0).map(name =>
+        `${name} is ${verdict[name]}`
+    );
     if (verdict.tasksCompleted + verdict.tasksMayHaveRun !== verdict.tasksAccepted) {
         broken.push("tasksCompleted + tasksMayHaveRun differs from tasksAccepted");
     }
--- a/packages/stand-ins/src/demo/main.ts
+++ b/packages/stand-ins/src/demo/main.ts
@@ -33,7 +33,11 @@
 const readyWaitMs = 15_000;
 
 const post = async (url: string, body: unknown): Promise<void> => {
-    const answer = await request(url, { method: "POST", headers: { "content-type": "application/json" }, body: JSON.stringify(body) });
+    const answer = await request(url, {
+        method: "POST",
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(body),
+    });
     await answer.body.dump();
 };
 
@@ -45,13 +49,19 @@
     const plain = upstreamVms(deployment, Array.from({ length: deployment.upstreams }, () => ""));
     const upstreams = upstreamVms(deployment, await processes.startRole("upstreams", plain));
     const entries = entryVms(deployment);
-    await post(`${platformAddress}/control/vms`, { set: [...entries, ...workerVms(deployment, workersAddress), ...upstreams] });
+    await post(`${platformAddress}/control/vms`, {
+        set: [...entries, ...workerVms(deployment, workersAddress), ...upstreams],
+    });
     const daemons = await Promise.all(entries.map(vm => processes.startDaemon(vm, platformAddress)));
     return { deployment, platformAddress, workersAddress, upstreams, daemons };
 };
 
 /** What happens to a cell, by the share of the run that has passed. */
-const happenings: readonly { readonly atShare: number; readonly title: string; readonly run: (cell: Cell) => Promise<void>; }[] = [
+const happenings: readonly {
+    readonly atShare: number;
+    readonly title: string;
+    readonly run: (cell: Cell) => Promise<void>;
+}[] = [
     {
         atShare: 0.15,
         title: "a daemon is killed, and its VM is gone",
@@ -63,14 +73,20 @@
     {
         atShare: 0.25,
         title: "one table write in ten loses its reply",
-        run: ({ platformAddress }) => setTableFaults(platformAddress, [{ target: "table", kind: "loseReply", probability: 0.1 }]),
+        run: ({ platformAddress }) =>
+            setTableFaults(platformAddress, [{ target: "table", kind: "loseReply", probability: 0.1 }]),
     },
     { atShare: 0.3, title: "a daemon is paused", run: async ({ daemons }) => void daemons[1]?.process.kill("SIGSTOP") },
-    { atShare: 0.5, title: "the paused daemon goes on", run: async ({ daemons }) => void daemons[1]?.process.kill("SIGCONT") },
+    {
+        atShare: 0.5,
+        title: "the paused daemon goes on",
+        run: async ({ daemons }) => void daemons[1]?.process.kill("SIGCONT"),
+    },
     {
         atShare: 0.55,
         title: "the platform is out",
-        run: ({ platformAddress }) => setTableFaults(platformAddress, [{ target: "table", kind: "refuse", probability: 1 }]),
+        run: ({ platformAddress }) =>
+            setTableFaults(platformAddress, [{ target: "table", kind: "refuse", probability: 1 }]),
     },
     { atShare: 0.68, title: "the platform is back", run: ({ platformAddress }) => setTableFaults(platformAddress, []) },
     {
@@ -84,12 +100,19 @@
             }
         },
     },
-    { atShare: 0.8, title: "a daemon is stopped gracefully", run: async ({ daemons }) => void daemons[2]?.process.kill("SIGTERM") },
+    {
+        atShare: 0.8,
+        title: "a daemon is stopped gracefully",
+        run: async ({ daemons }) => void daemons[2]?.process.kill("SIGTERM"),
+    },
 ];
 
 const setTableFaults = async (platformAddress: string, faults: readonly Fault[]): Promise<void> => {
     await post(`${platformAddress}/control/faults`, { target: "table", faults });
-    await post(`${platformAddress}/control/faults`, { target: "vmList", faults: faults.filter(fault => fault.kind === "refuse") });
+    await post(`${platformAddress}/control/faults`, {
+        target: "vmList",
+        faults: faults.filter(fault => fault.kind === "refuse"),
+    });
 };
 
 const runHappenings = async (cell: Cell, clock: Clock, seconds: number): Promise<void> => {
@@ -125,8 +148,12 @@
 };
 
 const collectEvidence = async (cell: Cell, callers: Callers): Promise<Verdict> => {
-    const workers = await get<{ executions: readonly Execution[]; overcommits: number; }>(`${cell.workersAddress}/control/evidence`);
-    const upstreams = await Promise.all(cell.upstreams.map(vm => get<UpstreamEvidence>(`${vm.address}/control/evidence`)));
+    const workers = await get<{ executions: readonly Execution[]; overcommits: number; }>(
+        `${cell.workersAddress}/control/evidence`,
+    );
+    const upstreams = await Promise.all(
+        cell.upstreams.map(vm => get<UpstreamEvidence>(`${vm.address}/control/evidence`)),
+    );
     const platform = await get<PlatformEvidence>(`${cell.platformAddress}/control/evidence`);
     return judge({ jobs: callers.jobs, requests: callers.requests, upstreams, platform, ...workers });
 };
@@ -180,7 +207,9 @@
         const verdicts = await Promise.all(cells.map(cell => runCell(cell, clock, options)));
         verdicts.forEach((verdict, index) => show(cells[index]?.deployment.name ?? "", verdict));
         const whole = merge(verdicts);
-        const broken = verdicts.flatMap((verdict, index) => breaches(verdict).map(each => `${cells[index]?.deployment.name}: ${each}`));
+        const broken = verdicts.flatMap((verdict, index) =>
+            breaches(verdict).map(each => `${cells[index]?.deployment.name}: ${each}`)
+        );
         process.stdout.write(broken.length === 0 ? "\nevery promise held\n" : `\nBROKEN: ${broken.join("; ")}\n`);
         process.stdout.write(`${JSON.stringify(whole)}\n`);
         return broken.length === 0 ? 0 : 1;
--- a/packages/stand-ins/src/demo/processes.ts
+++ b/packages/stand-ins/src/demo/processes.ts
@@ -42,7 +42,10 @@
         new Promise((resolve, reject) => {
             const child = fork(rolePath, [role, JSON.stringify(vms)]);
             children.push(child);
-            child.once("message", message => resolve((message as { readonly addresses: readonly string[]; }).addresses));
+            child.once(
+                "message",
+                message => resolve((message as { readonly addresses: readonly string[]; }).addresses),
+            );
             child.once("exit", code => reject(new Error(`the ${role} process ended with ${code}`)));
         });
 
@@ -66,7 +69,7 @@
             }
             createInterface({ input: child.stdout }).on("line", line => {
                 log.write(`${line}\n`);
-                if (!line.includes("\"event\":\"listening\"")) {
+                if (!line.includes('"event":"listening"')) {
                     return;
                 }
                 const { address } = JSON.parse(line) as { readonly address: string; };
--- a/packages/stand-ins/src/demo/role.ts
+++ b/packages/stand-ins/src/demo/role.ts
@@ -14,7 +14,9 @@
         return [(await servePlatform(platform, 0)).address];
     },
     workers: async vms => {
-        const workers = vms.map(vm => createWorker(clock, vm.vmId, vm.capacity ?? { cpuMillis: 0, memoryMib: 0, accelerators: 0 }));
+        const workers = vms.map(vm =>
+            createWorker(clock, vm.vmId, vm.capacity ?? { cpuMillis: 0, memoryMib: 0, accelerators: 0 })
+        );
         return [(await serveWorkers(workers, 0)).address];
     },
     upstreams: async vms => {
--- a/packages/stand-ins/src/faults.ts
+++ b/packages/stand-ins/src/faults.ts
@@ -6,15 +6,20 @@
 /** One fault of one target; `probability` 1 hits every call. */
 export interface Fault {
     readonly target: string;
-    /** `refuse`: no effect, said so. `hang`: no effect, no answer. `loseReply`: effect, no answer. `slow`: late. */
-    readonly kind: "refuse" | "hang" | "loseReply" | "slow";
+    /**
+     * `refuse`: no effect, said so. `hang`: no effect, no answer. `loseReply`: effect, no answer. `slow`: effect and
+     * answer after a delay. `late`: no answer at once, effect after a delay.
+     */
+    readonly kind: "refuse" | "hang" | "loseReply" | "slow" | "late";
     readonly probability: number;
-    /** For `slow`. */
+    /** For `slow` and `late`. */
     readonly delayMs?: number;
 }
 
 /** What a call that meets a fault ends with. */
-export type FaultedResult<T> = { readonly kind: "answered"; readonly value: T; } | { readonly kind: "refused" | "silent"; };
+export type FaultedResult<T> = { readonly kind: "answered"; readonly value: T; } | {
+    readonly kind: "refused" | "silent";
+};
 
 export interface Faults {
     /** Replaces all faults of a target; an empty list heals it. */
@@ -53,6 +58,10 @@
             if (fault?.kind === "hang") {
                 return { kind: "silent" };
             }
+            if (fault?.kind === "late") {
+                clock.setTimer(fault.delayMs ?? 0, () => void effect());
+                return { kind: "silent" };
+            }
             if (fault?.kind === "slow") {
                 await sleep(clock, fault.delayMs ?? 0);
             }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,5 +1,8 @@
 /** Stand-ins for everything outside of puffinarch: platform, workers, upstreams. */
 
+export * from "./cell/cell.js";
+export * from "./cell/fakeClock.js";
+export * from "./cell/gate.js";
 export * from "./faults.js";
 export * from "./platform.js";
 export * from "./serve.js";
--- a/packages/stand-ins/src/platform.ts
+++ b/packages/stand-ins/src/platform.ts
@@ -1,8 +1,17 @@
 /** Stand-in for the platform: a transactional table and an object store with limits, and a lagging list of VMs. */
 
-import { type Clock, die, type ObjectStore, type TableRow, type TableStore, type TransactResult, type Vm, type VmList } from "puffinarch";
-import { createFaults, type Faults } from "./faults.js";
+import {
+    type Clock,
+    die,
+    type ObjectStore,
+    type TableRow,
+    type TableStore,
+    type TransactResult,
+    type Vm,
+    type VmList,
+} from "puffinarch";
 import type { Random } from "puffinarch";
+import { createFaults, type Faults } from "./faults.js";
 
 /** Limits of the platform. */
 export interface PlatformLimits {
@@ -11,7 +20,11 @@
     readonly vmListLagMs: number;
 }
 
-export const defaultPlatformLimits: PlatformLimits = { writesPerSecond: 300, readsPerSecond: 2_000, vmListLagMs: 2_000 };
+export const defaultPlatformLimits: PlatformLimits = {
+    writesPerSecond: 300,
+    readsPerSecond: 2_000,
+    vmListLagMs: 2_000,
+};
 
 /** Counts kept by the platform itself. */
 export interface PlatformEvidence {
@@ -123,11 +136,15 @@
             reads += cost;
             return effect();
         });
-        return result.kind === "answered" ? result.value : die("unavailable", `the platform's ${target} does not answer`);
+        return result.kind === "answered"
+            ? result.value
+            : die("unavailable", `the platform's ${target} does not answer`);
     };
 
     const scan = (prefix: string): readonly TableRow[] =>
-        [...rows.values()].filter(row => row.key.startsWith(prefix)).sort((left, right) => left.key < right.key ? -1 : 1);
+        [...rows.values()].filter(row => row.key.startsWith(prefix)).sort((left, right) =>
+            left.key < right.key ? -1 : 1
+        );
 
     const publish = (): void => {
         generation += 1;
@@ -146,7 +163,8 @@
     return {
         faults,
         table: {
-            read: keys => answerRead("table", Math.ceil(keys.length / maxRows), () => keys.flatMap(key => rows.get(key) ?? [])),
+            read: keys =>
+                answerRead("table", Math.ceil(keys.length / maxRows), () => keys.flatMap(key => rows.get(key) ?? [])),
             scan: prefix => {
                 const found = scan(prefix);
                 return answerRead("table", Math.max(1, Math.ceil(found.length / rowsPerRead)), () => found);
--- a/packages/stand-ins/src/serve.ts
+++ b/packages/stand-ins/src/serve.ts
@@ -51,7 +51,10 @@
         await platform.objects.put(params["*"], body.body);
         return {};
     });
-    server.get<{ Params: { "*": string; }; }>("/objects/*", async ({ params }) => ({ body: await platform.objects.get(params["*"]) }));
+    server.get<{ Params: { "*": string; }; }>(
+        "/objects/*",
+        async ({ params }) => ({ body: await platform.objects.get(params["*"]) }),
+    );
     server.delete<{ Params: { "*": string; }; }>("/objects/*", async ({ params }) => {
         await platform.objects.delete(params["*"]);
         return {};
@@ -85,28 +88,37 @@
         }
         return worker;
     };
-    server.post<{ Params: { id: string; }; Body: StartOrder; }>("/workers/:id/start", async ({ params, body }, reply) => {
-        const worker = find(params.id);
-        const outcome = worker.start(body);
-        if (worker.faults().losesStartReply) {
-            reply.hijack();
-            reply.raw.destroy();
-            return;
-        }
-        return { outcome };
-    });
+    server.post<{ Params: { id: string; }; Body: StartOrder; }>(
+        "/workers/:id/start",
+        async ({ params, body }, reply) => {
+            const worker = find(params.id);
+            const outcome = worker.start(body);
+            if (worker.faults().losesStartReply) {
+                reply.hijack();
+                reply.raw.destroy();
+                return;
+            }
+            return { outcome };
+        },
+    );
     server.post<{ Params: { id: string; }; Body: WorkerPoll; }>(
         "/workers/:id/poll",
         ({ params, body }) => find(params.id).poll(body),
     );
-    server.post<{ Params: { id: string; }; Body: { attemptIds: string[]; }; }>("/workers/:id/stop", async ({ params, body }) => {
-        find(params.id).stop(body.attemptIds);
-        return {};
-    });
-    server.post<{ Params: { id: string; }; Body: Partial<WorkerFaults>; }>("/control/workers/:id", async ({ params, body }) => {
-        byId.get(params.id)?.setFaults(body);
-        return {};
-    });
+    server.post<{ Params: { id: string; }; Body: { attemptIds: string[]; }; }>(
+        "/workers/:id/stop",
+        async ({ params, body }) => {
+            find(params.id).stop(body.attemptIds);
+            return {};
+        },
+    );
+    server.post<{ Params: { id: string; }; Body: Partial<WorkerFaults>; }>(
+        "/control/workers/:id",
+        async ({ params, body }) => {
+            byId.get(params.id)?.setFaults(body);
+            return {};
+        },
+    );
     server.get("/control/evidence", async () => ({
         executions: workers.flatMap(worker => worker.executions()),
         overcommits: workers.reduce((sum, worker) => sum + worker.overcommits(), 0),
--- a/packages/stand-ins/src/worker.ts
+++ b/packages/stand-ins/src/worker.ts
@@ -47,6 +47,8 @@
     start(order: StartOrder): StartOutcome;
     poll(poll: WorkerPoll): Promise<WorkerReport>;
     stop(attemptIds: readonly string[]): void;
+    /** The VM is gone: everything that ran has ended, and nobody is told. */
+    kill(): void;
     setFaults(faults: Partial<WorkerFaults>): void;
     faults(): WorkerFaults;
     executions(): readonly Execution[];
@@ -147,7 +149,10 @@
         };
         running.set(attemptId, entry);
         const result = fails ? "the task failed" : `${taskId} done${"x".repeat(script.resultBytes ?? 0)}`;
-        entry.cancelRun = clock.setTimer(fails ? 1 : script.runMs, () => end(attemptId, fails ? "failed" : "completed", result));
+        entry.cancelRun = clock.setTimer(
+            fails ? 1 : script.runMs,
+            () => end(attemptId, fails ? "failed" : "completed", result),
+        );
         lease(entry, order.leaseMs);
         countUse();
         return "started";
@@ -158,7 +163,11 @@
             return noResources;
         }
         const { cpuMillis, memoryMib, accelerators } = entry.order.size;
-        return { cpuMillis: Math.floor(cpuMillis * usedShare), memoryMib: Math.floor(memoryMib * usedShare), accelerators };
+        return {
+            cpuMillis: Math.floor(cpuMillis * usedShare),
+            memoryMib: Math.floor(memoryMib * usedShare),
+            accelerators,
+        };
     };
 
     const waitForNews = (waitMs: number): Promise<void> =>
@@ -204,6 +213,12 @@
                 end(attemptId, "stopped", "");
             }
         },
+        kill: () => {
+            for (const attemptId of [...running.keys()]) {
+                end(attemptId, "lapsed", "");
+            }
+            ended.clear();
+        },
         setFaults: changed => {
             faults = { ...faults, ...changed };
         },
