--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -20,7 +20,7 @@
                 { selector: "import", format: ["camelCase", "PascalCase"] },
                 { selector: "variable", modifiers: ["const"], format: ["camelCase", "PascalCase"] },
                 { selector: "typeLike", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
-                { selector: ["objectLiteralProperty", "typeProperty"], format: null },
+                { selector: ["objectLiteralProperty", "objectLiteralMethod", "typeProperty"], format: null },
             ],
             "@typescript-eslint/no-floating-promises": "error",
             "@typescript-eslint/no-misused-promises": ["error", { checksVoidReturn: false }],
--- /dev/null
+++ b/features/steps/exampleSteps.ts
@@ -0,0 +1,22 @@
+import { Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { coordinationExamples } from "./examples/coordination.js";
+import { decisionExamples } from "./examples/decisions.js";
+import { utilityExamples } from "./examples/utilities.js";
+import { partOf, type ScenarioWorld } from "./support.js";
+
+const examples: Readonly<Record<string, () => string | Promise<string>>> = {
+    ...decisionExamples,
+    ...coordinationExamples,
+    ...utilityExamples,
+};
+
+When("the example of {string} runs", async function(this: ScenarioWorld, name: string) {
+    const run = examples[name] ?? assert.fail(`no example is named ${name}`);
+    const result = await run();
+    partOf(this, "example", () => result);
+});
+
+Then("it gives {string}", function(this: ScenarioWorld, expected: string) {
+    assert.equal(partOf(this, "example", () => ""), expected);
+});
--- /dev/null
+++ b/features/steps/examples/decisions.ts
@@ -0,0 +1,127 @@
+/** Examples of the parts that decide; each is a complete embedding of one module. */
+
+import {
+    checkJobSpec,
+    createHomeState,
+    createLedger,
+    createRooms,
+    createSeededRandom,
+    createTaskQueue,
+    diffDocuments,
+    failureOf,
+    initialDocument,
+    type JobSpec,
+    placements,
+    type QueueItem,
+    upstreamChoices,
+} from "puffinarch";
+
+const size = { cpuMillis: 1_000, memoryMib: 512, accelerators: 0 };
+const random = createSeededRandom(1);
+
+const spec: JobSpec = {
+    jobId: "load-in-7",
+    workloadClass: "batch",
+    team: "rigging",
+    tasks: 1,
+    taskSize: size,
+    atMostOnce: false,
+    payload: "",
+};
+
+const ledger = (): string => {
+    const book = createLedger();
+    book.addWorker("w1", "r1", size);
+    book.setOpen("w1", true);
+    const first = book.reserve("w1", "a1", size);
+    const second = book.reserve("w1", "a2", size);
+    return `${first ? "reserved" : "refused"}, then ${second ? "reserved" : "refused"}`;
+};
+
+const placementExample = (): string => {
+    const book = createLedger();
+    for (const [workerId, cpuMillis] of [["a", 4_000], ["b", 1_500]] as const) {
+        book.addWorker(workerId, "r1", { ...size, cpuMillis });
+        book.setOpen(workerId, true);
+    }
+    return placements.bestFit({ ledger: book, size, random, sampleSize: 2 }).worker?.workerId ?? "none";
+};
+
+const upstreamChoice = (): string => {
+    const candidates = [{ upstreamId: "u1", slotsInUse: 3 }, { upstreamId: "u2", slotsInUse: 1 }];
+    return upstreamChoices.roundRobin({ candidates, random, sequence: 1 })?.upstreamId ?? "none";
+};
+
+const homeState = (): string => {
+    const state = createHomeState();
+    state.apply({ kind: "jobAccepted", spec, acceptedAtMs: 0 });
+    const before = state.task("load-in-7/0")?.state;
+    state.apply({
+        kind: "attemptIntended",
+        taskId: "load-in-7/0",
+        attemptId: "a1",
+        workerId: "w1",
+        rackKey: "unit/rack/leon-feria/r1",
+    });
+    return `${before}, then ${state.task("load-in-7/0")?.state}`;
+};
+
+const taskQueue = (): string => {
+    const queue = createTaskQueue();
+    const item = (policy: string, priority: number, queuedAtMs: number): QueueItem => ({
+        tasks: [],
+        gang: false,
+        priority,
+        policy,
+        team: "rigging",
+        size,
+        queuedAtMs,
+        tries: 0,
+    });
+    queue.push(item("early", 3, 0));
+    queue.push(item("urgent", 9, 5));
+    return `${queue.take(1, 10)[0]?.policy} first`;
+};
+
+const rooms = (): string => {
+    const known = [
+        { sessionId: "owner-1", near: true, free: size, mostFree: { ...size, cpuMillis: 100 } },
+        { sessionId: "owner-2", near: false, free: size, mostFree: size },
+    ];
+    return createRooms(known, random).choose(size, "bestFit") ?? "none";
+};
+
+const jobSpec = (): string => {
+    const worker = {
+        vmId: "w1",
+        role: "worker",
+        dataCentre: "leon-feria",
+        address: "",
+        leaving: false,
+        capacity: size,
+    } as const;
+    const configuration = { version: 0, document: initialDocument, author: "", reason: "", acceptedAtMs: 0 };
+    try {
+        return checkJobSpec({ ...spec, taskSize: { ...size, cpuMillis: 9_000 } }, configuration, [worker]).jobId;
+    }
+    catch (error) {
+        return failureOf(error).kind;
+    }
+};
+
+const configurationDocument = (): string =>
+    diffDocuments(initialDocument, {
+        ...initialDocument,
+        workloadClasses: initialDocument.workloadClasses.filter(each => each.name !== "batch"),
+    });
+
+export const decisionExamples = {
+    ledger,
+    placements: placementExample,
+    upstreamChoices: upstreamChoice,
+    homeState,
+    taskQueue,
+    rooms,
+    jobSpec,
+    configurationDocument,
+};
--- /dev/null
+++ b/features/steps/examples/utilities.ts
@@ -0,0 +1,64 @@
+/** Examples of the small helpers. */
+
+import { createFakeClock } from "@puffinarch/stand-ins";
+import {
+    add,
+    check,
+    createRing,
+    createSeededRandom,
+    errorAnswers,
+    failureOf,
+    noResources,
+    pick,
+    scale,
+    startLoop,
+    wholeNumber,
+} from "puffinarch";
+import { z } from "zod";
+
+const errors = (): string => `notRun is ${errorAnswers.notRun.httpStatus}`;
+
+const checkExample = (): string => {
+    try {
+        check(z.strictObject({ tasks: wholeNumber(1, 10) }), { tasks: 11 }, "job");
+        return "valid";
+    }
+    catch (error) {
+        const [violation] = failureOf(error).violations ?? [];
+        return `${violation?.field}: ${violation?.allowed}`;
+    }
+};
+
+const resources = (): string =>
+    `${add(noResources, scale({ cpuMillis: 1, memoryMib: 1, accelerators: 1 }, 3)).accelerators} accelerators`;
+
+const rendezvous = (): string =>
+    pick("unit", ["a", "b", "c"]) === pick("unit", ["c", "a", "b"]) ? "the same for all" : "different";
+
+const ring = (): string => {
+    const entries = createRing<number>(2);
+    [1, 2, 3].forEach(entries.push);
+    return entries.newest().join(", ");
+};
+
+const time = async (): Promise<string> => {
+    const clock = createFakeClock();
+    let runs = 0;
+    const loop = startLoop({
+        clock,
+        log: { write: () => {} },
+        name: "example",
+        intervalMs: 100,
+        run: async () => {
+            runs += 1;
+        },
+    });
+    await clock.advance(250);
+    await loop.stop();
+    return `${runs} runs`;
+};
+
+const system = (): string =>
+    createSeededRandom(7).next() === createSeededRandom(7).next() ? "the same for the same seed" : "different";
+
+export const utilityExamples = { errors, check: checkExample, resources, rendezvous, ring, time, system };
--- /dev/null
+++ b/features/steps/failureSteps.ts
@@ -0,0 +1,164 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import { type Cell, platformPlace } from "@puffinarch/stand-ins";
+import assert from "node:assert/strict";
+import { answering, cellPart, specOf, submit, tasksOf, untilEnded } from "./cellPart.js";
+import { faultsOf } from "./platformSteps.js";
+import type { ScenarioWorld } from "./support.js";
+
+const home = "leon-feria-e0";
+const other = "qro-arena-e0";
+
+/** How long the jobs have been under way when the fault comes. */
+const phaseMs: Readonly<Record<string, number>> = { "are submitted": 0, run: 1_200, end: 1_995 };
+const runMs = 2_000;
+
+Given(
+    /^a batch job, an at-most-once job, a service and a gang that (are submitted|run|end)$/,
+    async function(this: ScenarioWorld, phase: string) {
+        const { cell } = cellPart(this);
+        const daemon = cell.daemon(home);
+        const script = { runMs };
+        await submit(this, daemon, specOf("batch-1", { tasks: 3, script }));
+        await submit(this, daemon, specOf("once-1", { tasks: 3, atMostOnce: true, script }));
+        await submit(
+            this,
+            daemon,
+            specOf("service-1", { tasks: 2, workloadClass: "interactive", script: { runMs: 2 * runMs } }),
+        );
+        await submit(this, daemon, specOf("gang-1", { tasks: 4, workloadClass: "gang", script }));
+        assert.equal(cellPart(this).jobIds.size, 4);
+        await cell.advance(phaseMs[phase] ?? 0);
+    },
+);
+
+const setTable = (cell: Cell, fault: string, probability: number): void =>
+    cell.platform.faults.set("table", faultsOf(fault, probability));
+
+const outPlatform = (cell: Cell): void => {
+    setTable(cell, "refuse", 1);
+    cell.platform.faults.set("vmList", [{ target: "vmList", kind: "refuse", probability: 1 }]);
+};
+
+const stopGracefully = (cell: Cell, vmId: string): void => {
+    void cell.daemon(vmId).node.stop();
+};
+
+const cutDataCentre = (
+    cell: Cell,
+    dataCentre: string,
+    places: (vmId: string, vmDataCentre: string) => readonly string[],
+): void => {
+    for (const daemon of cell.daemons()) {
+        if (daemon.dataCentre !== dataCentre) {
+            continue;
+        }
+        for (const place of places(daemon.vmId, daemon.dataCentre)) {
+            cell.cut(daemon.vmId, place);
+        }
+    }
+};
+
+const othersOf = (cell: Cell, vmId: string): readonly string[] =>
+    cell.daemons().map(daemon => daemon.vmId).filter(each => each !== vmId);
+
+const farMachines = (cell: Cell, dataCentre: string): readonly string[] => [
+    ...cell.daemons().filter(daemon => daemon.dataCentre !== dataCentre).map(daemon => daemon.vmId),
+    ...cell.workers().map(worker => worker.workerId).filter(workerId => !workerId.startsWith(dataCentre)),
+];
+
+const simpleFaults: Readonly<Record<string, (cell: Cell) => void>> = {
+    "the home daemon is killed": cell => cell.kill(home, true),
+    "the home daemon is killed and started again on its VM": cell => {
+        cell.kill(home, false);
+        cell.restart(home);
+    },
+    "the home daemon is killed twice": cell => {
+        cell.kill(home, false);
+        cell.restart(home);
+        cell.clock.setTimer(5_000, () => {
+            cell.kill(home, false);
+            cell.restart(home);
+        });
+    },
+    "the home daemon is paused": cell => cell.pause(home),
+    "another daemon is killed": cell => cell.kill(other, true),
+    "another daemon is paused": cell => cell.pause(other),
+    "two daemons of one data centre are killed": cell => {
+        cell.kill(home, true);
+        cell.kill("leon-feria-e1", true);
+        cell.addDaemon("leon-feria-e2", "leon-feria");
+    },
+    "the platform is out": outPlatform,
+    "the platform loses every second reply": cell => setTable(cell, "loseReply", 0.5),
+    "the platform answers late": cell => setTable(cell, "late", 0.5),
+    "the data centres are cut off from each other": cell =>
+        cutDataCentre(cell, "leon-feria", () => farMachines(cell, "leon-feria")),
+    "a data centre is cut off from the platform": cell => cutDataCentre(cell, "leon-feria", () => [platformPlace]),
+    "the home daemon is cut off from the platform": cell => cell.cut(home, platformPlace),
+    "the home daemon is cut off from its peers": cell => othersOf(cell, home).forEach(vmId => cell.cut(home, vmId)),
+    "a worker is lost": cell => cell.killWorker("leon-feria-w0"),
+    "a worker is unreachable": cell => cell.worker("leon-feria-w0").setFaults({ unreachable: true }),
+    "a worker fails everything": cell => cell.worker("leon-feria-w0").setFaults({ failsEverything: true }),
+    "workers lose the replies to starts": cell =>
+        cell.workers().forEach(worker => worker.setFaults({ losesStartReply: true })),
+    "the home daemon is stopped gracefully": cell => stopGracefully(cell, home),
+    "another daemon is stopped gracefully": cell => stopGracefully(cell, other),
+};
+
+const runFault = (cell: Cell, name: string): void => {
+    const whole = simpleFaults[name];
+    if (whole !== undefined) {
+        whole(cell);
+        return;
+    }
+    for (const part of name.split(" and ")) {
+        const fault = simpleFaults[part] ?? assert.fail(`no fault is named ${part}`);
+        fault(cell);
+    }
+};
+
+const faultPattern = new RegExp(
+    `^((?:${Object.keys(simpleFaults).join("|")})(?: and (?:${Object.keys(simpleFaults).join("|")}))*)$`,
+);
+
+When(faultPattern, function(this: ScenarioWorld, name: string) {
+    runFault(cellPart(this).cell, name);
+});
+
+When("everything is healed", function(this: ScenarioWorld) {
+    const { cell } = cellPart(this);
+    cell.platform.faults.set("table", []);
+    cell.platform.faults.set("tableWrites", []);
+    cell.platform.faults.set("vmList", []);
+    cell.healAll();
+    for (const worker of cell.workers()) {
+        worker.setFaults({ failsEverything: false, losesStartReply: false, unreachable: false });
+    }
+    for (const daemon of cell.daemons()) {
+        daemon.gate.resume();
+    }
+});
+
+When("every worker is lost", function(this: ScenarioWorld) {
+    const { cell } = cellPart(this);
+    for (const worker of cell.workers()) {
+        cell.killWorker(worker.workerId);
+    }
+});
+
+Then("every task is answered within {int} ms", async function(this: ScenarioWorld, limitMs: number) {
+    const { cell, jobIds } = cellPart(this);
+    for (const jobId of jobIds) {
+        await untilEnded(cell, jobId, limitMs);
+    }
+    assert.ok(answering(cell));
+});
+
+Then("the tasks of re-runnable jobs are all {string}", async function(this: ScenarioWorld, state: string) {
+    const { cell, reRunnable } = cellPart(this);
+    for (const jobId of reRunnable) {
+        for (const task of await tasksOf(cell, jobId)) {
+            assert.equal(task.state, state, `${task.taskId}: ${task.detail}`);
+        }
+    }
+});
--- /dev/null
+++ b/features/steps/journalSteps.ts
@@ -0,0 +1,147 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import {
+    createFakeClock,
+    createPlatform,
+    defaultPlatformLimits,
+    type FakeClock,
+    type Platform,
+} from "@puffinarch/stand-ins";
+import assert from "node:assert/strict";
+import { createJournal, createSeededRandom, type Journal, type JournalRecord, type Meter, replay } from "puffinarch";
+import { faultsOf } from "./platformSteps.js";
+import { type Ending, endingOf, kindOfEnding, partOf, type ScenarioWorld } from "./support.js";
+
+interface JournalPart {
+    readonly clock: FakeClock;
+    readonly platform: Platform;
+    readonly journal: Journal;
+    readonly endings: (Ending<void> | undefined)[];
+    readonly writesBefore: number;
+    replaced: boolean;
+}
+
+const fenceKey = "unit/home/leon-feria/h1";
+const meter: Meter = { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 };
+
+const make = async (world: ScenarioWorld, batchesPerSecond: number): Promise<void> => {
+    const clock = createFakeClock();
+    const platform = createPlatform(clock, createSeededRandom(1), defaultPlatformLimits);
+    const claimed = await platform.table.transact({
+        conditions: [],
+        puts: [{ key: fenceKey, value: {} }],
+        deletes: [],
+    });
+    assert.ok(claimed.outcome === "committed");
+    let batches = 0;
+    const state: JournalPart = {
+        clock,
+        platform,
+        endings: [],
+        writesBefore: platform.evidence().writes,
+        replaced: false,
+        journal: createJournal({
+            table: platform.table,
+            clock,
+            log: { write: () => {} },
+            meter,
+            journalId: "h1",
+            nextSequence: 0,
+            fence: { key: fenceKey, version: claimed.version },
+            newBatchId: () => {
+                batches += 1;
+                return `b${batches}`;
+            },
+            onFenced: () => {
+                state.replaced = true;
+            },
+            batchesPerSecond,
+            maxPendingEntries: 10_000,
+        }),
+    };
+    partOf(world, "journal", () => state);
+};
+
+const part = (world: ScenarioWorld): JournalPart =>
+    partOf<JournalPart>(world, "journal", () => assert.fail("there is no journal"));
+
+const recordOf = (jobId: string): JournalRecord => ({ kind: "jobCancelled", jobId, cancelledAtMs: 0 });
+
+const track = (state: JournalPart, call: Promise<void>): void => {
+    const index = state.endings.push(undefined) - 1;
+    void endingOf(call).then(ending => {
+        state.endings[index] = ending;
+    });
+};
+
+Given("a journal", function(this: ScenarioWorld) {
+    return make(this, 1_000);
+});
+
+Given("a journal of {int} batches a second", function(this: ScenarioWorld, rate: number) {
+    return make(this, rate);
+});
+
+Given("the table has the fault {string} for {int} ms", function(this: ScenarioWorld, fault: string, forMs: number) {
+    const { platform, clock } = part(this);
+    platform.faults.set("table", faultsOf(fault, 1));
+    clock.setTimer(forMs, () => platform.faults.set("table", []));
+});
+
+Given("the row {string} is taken", async function(this: ScenarioWorld, key: string) {
+    await part(this).platform.table.transact({ conditions: [], puts: [{ key, value: {} }], deletes: [] });
+});
+
+Given("the ownership row has changed", async function(this: ScenarioWorld) {
+    await part(this).platform.table.transact({ conditions: [], puts: [{ key: fenceKey, value: {} }], deletes: [] });
+});
+
+When(/^(?:a|another) record is appended$/, function(this: ScenarioWorld) {
+    const state = part(this);
+    track(state, state.journal.append([recordOf("j1")]));
+});
+
+When("a record is appended that claims the row {string}", function(this: ScenarioWorld, key: string) {
+    const state = part(this);
+    track(state, state.journal.claim([recordOf("j1")], { key, value: { homeId: "h1" } }));
+});
+
+When("{int} records are appended at once", function(this: ScenarioWorld, count: number) {
+    const state = part(this);
+    for (let index = 0; index < count; index += 1) {
+        track(state, state.journal.append([recordOf(`j${index}`)]));
+    }
+});
+
+When(
+    "a record is appended every {int} ms for {int} ms",
+    async function(this: ScenarioWorld, everyMs: number, forMs: number) {
+        const state = part(this);
+        for (let passedMs = 0; passedMs < forMs; passedMs += everyMs) {
+            track(state, state.journal.append([recordOf(`j${passedMs}`)]));
+            await state.clock.advance(everyMs);
+        }
+    },
+);
+
+Then("the append is {string}", function(this: ScenarioWorld, outcome: string) {
+    assert.equal(kindOfEnding(part(this).endings[0], "durable"), outcome);
+});
+
+Then("the other append is {string}", function(this: ScenarioWorld, outcome: string) {
+    assert.equal(kindOfEnding(part(this).endings[1], "durable"), outcome);
+});
+
+Then(/^the journal holds the record (\d+) times?$/, async function(this: ScenarioWorld, times: string) {
+    const { records } = await replay(part(this).platform.table, "h1");
+    assert.equal(records.length, Number(times));
+});
+
+Then("the holder is told that it was replaced", function(this: ScenarioWorld) {
+    assert.equal(part(this).replaced, true);
+});
+
+Then("all of them are durable in at most {int} writes", function(this: ScenarioWorld, writes: number) {
+    const { endings, platform, writesBefore } = part(this);
+    assert.ok(endings.every(ending => kindOfEnding(ending, "durable") === "durable"));
+    assert.ok(platform.evidence().writes - writesBefore <= writes);
+});
--- a/packages/puffinarchd/src/daemon.ts
+++ b/packages/puffinarchd/src/daemon.ts
@@ -30,7 +30,13 @@
 } from "./rpc/configurationServices.js";
 import { failureInterceptor } from "./rpc/failures.js";
 import { createJobService } from "./rpc/jobService.js";
-import { type DaemonSettings, defaultMaxBodyBytes, defaultRequestTimeoutMs, nodeSettings } from "./settings.js";
+import {
+    type DaemonSettings,
+    defaultBalancerNoticeMs,
+    defaultMaxBodyBytes,
+    defaultRequestTimeoutMs,
+    nodeSettings,
+} from "./settings.js";
 
 /** What a daemon is started with. */
 export interface DaemonOptions {
@@ -55,7 +61,6 @@
 const pollSlackMs = 2_000;
 const peerTimeoutMs = 2_000;
 const connectionsPerUpstream = 8;
-const balancerNoticeMs = 500;
 
 interface DaemonParts {
     readonly settings: DaemonSettings;
@@ -166,7 +171,7 @@
     const stop = async (): Promise<void> => {
         const drainTimeoutMs = settings.timings?.drainTimeoutMs ?? 30_000;
         node.announceStop();
-        await sleep(clock, balancerNoticeMs);
+        await sleep(clock, settings.timings?.balancerNoticeMs ?? defaultBalancerNoticeMs);
         const stopped = node.stop();
         await proxy.drain(drainTimeoutMs);
         await stopped;
--- a/packages/puffinarchd/src/settings.ts
+++ b/packages/puffinarchd/src/settings.ts
@@ -37,6 +37,7 @@
     claimTimeoutMs: durationMs,
     statusIntervalMs: durationMs,
     drainTimeoutMs: durationMs,
+    balancerNoticeMs: durationMs,
 }).partial();
 
 const limitSchema = z.strictObject({
@@ -64,6 +65,8 @@
 /** What the settings file says, as it stands there. */
 export type DaemonSettings = z.infer<typeof settingsSchema>;
 
+/** How long a stopping daemon goes on serving after it has told the balancer. */
+export const defaultBalancerNoticeMs = 500;
 export const defaultRequestTimeoutMs = 10_000;
 export const defaultMaxBodyBytes = 1024 * 1024;
 
--- a/packages/stand-ins/src/demo/evidence.ts
+++ b/packages/stand-ins/src/demo/evidence.ts
@@ -2,6 +2,7 @@
 
 import { TaskState } from "@puffinarch/schema";
 import type { PlatformEvidence } from "../platform.js";
+import { groupBy, tasksRunTwice } from "../runTwice.js";
 import type { RequestRun, UpstreamEvidence } from "../upstream.js";
 import type { Execution } from "../worker.js";
 import type { JobNote, RequestNote } from "./callers.js";
@@ -60,42 +61,11 @@
 
 const leavingGraceMs = 3_000;
 
-const groupBy = <T>(items: readonly T[], keyOf: (item: T) => string): ReadonlyMap<string, readonly T[]> => {
-    const groups = new Map<string, T[]>();
-    for (const item of items) {
-        const group = groups.get(keyOf(item));
-        if (group === undefined) {
-            groups.set(keyOf(item), [item]);
-        }
-        else {
-            group.push(item);
-        }
-    }
-    return groups;
-};
-
 const percentile = (values: readonly number[], percent: number): number => {
     const sorted = [...values].sort((left, right) => left - right);
     return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * percent / 100))] ?? 0;
 };
 
-const overlap = (executions: readonly Execution[]): boolean => {
-    const sorted = [...executions].sort((left, right) => left.startedAtMs - right.startedAtMs);
-    return sorted.some((execution, index) =>
-        index > 0 && execution.startedAtMs < (sorted[index - 1]?.endedAtMs ?? Infinity)
-    );
-};
-
-const countTwice = (jobs: readonly JobNote[], byTask: ReadonlyMap<string, readonly Execution[]>): number => {
-    const onceOnly = new Set(jobs.filter(job => job.atMostOnce).map(job => job.jobId));
-    let twice = 0;
-    for (const [taskId, executions] of byTask) {
-        const tooOften = onceOnly.has(taskId.slice(0, taskId.lastIndexOf("/"))) && executions.length > 1;
-        twice += tooOften || overlap(executions) ? 1 : 0;
-    }
-    return twice;
-};
-
 const waits = (jobs: readonly JobNote[], byTask: ReadonlyMap<string, readonly Execution[]>): readonly number[] =>
     jobs.flatMap(job =>
         Array.from({ length: job.tasks }, (_none, index) => byTask.get(`${job.jobId}/${index}`)).flatMap(executions =>
@@ -120,6 +90,7 @@
  */
 export const judge = ({ jobs, requests, executions, overcommits, upstreams, platform }: Seen): Verdict => {
     const byTask = groupBy(executions, execution => execution.taskId);
+    const onceOnly = new Set(jobs.filter(job => job.atMostOnce).map(job => job.jobId));
     const runs = groupBy(upstreams.flatMap(upstream => upstream.runs), (run: RequestRun) => run.requestId);
     const runsOf = (note: RequestNote): number => runs.get(note.requestId)?.length ?? 0;
     const accepted = sum(jobs.map(job => job.tasks));
@@ -135,7 +106,7 @@
         tasksCompleted: completedTasks.size,
         tasksMayHaveRun: mayHaveRun,
         tasksUnanswered: accepted - states.length,
-        tasksRunTwice: countTwice(jobs, byTask),
+        tasksRunTwice: tasksRunTwice(executions, onceOnly).length,
         wrongResults: sum(jobs.map(job => job.wrongResults)),
         overcommits,
         requestsSent: requests.length,
--- a/packages/stand-ins/src/faults.ts
+++ b/packages/stand-ins/src/faults.ts
@@ -22,7 +22,9 @@
 };
 
 export interface Faults {
-    /** Replaces all faults of a target; an empty list heals it. */
+    /**
+     * Replaces all faults of a target; an empty list heals it. Faults of `table` hit `tableReads` and `tableWrites`.
+     */
     set(target: string, faults: readonly Fault[]): void;
     /** Runs an effect under the faults of a target. */
     apply<T>(target: string, effect: () => T | Promise<T>): Promise<FaultedResult<T>>;
@@ -38,7 +40,8 @@
     const table = new Map<string, readonly Fault[]>();
 
     const pickFault = (target: string): Fault | undefined => {
-        for (const fault of table.get(target) ?? []) {
+        const whole = target.replace(/(Reads|Writes)$/, "");
+        for (const fault of [...table.get(target) ?? [], ...whole === target ? [] : table.get(whole) ?? []]) {
             if (random.next() < fault.probability) {
                 return fault;
             }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./cell/gate.js";
 export * from "./faults.js";
 export * from "./platform.js";
+export * from "./runTwice.js";
 export * from "./serve.js";
 export * from "./upstream.js";
 export * from "./worker.js";
--- a/packages/stand-ins/src/platform.ts
+++ b/packages/stand-ins/src/platform.ts
@@ -118,7 +118,7 @@
         if (!admit(writeWindow, limits.writesPerSecond, 1)) {
             return { outcome: "refused" };
         }
-        const result = await faults.apply<TransactResult>("table", () => {
+        const result = await faults.apply<TransactResult>("tableWrites", () => {
             writes += 1;
             return commit(transaction);
         });
@@ -164,10 +164,14 @@
         faults,
         table: {
             read: keys =>
-                answerRead("table", Math.ceil(keys.length / maxRows), () => keys.flatMap(key => rows.get(key) ?? [])),
+                answerRead(
+                    "tableReads",
+                    Math.ceil(keys.length / maxRows),
+                    () => keys.flatMap(key => rows.get(key) ?? []),
+                ),
             scan: prefix => {
                 const found = scan(prefix);
-                return answerRead("table", Math.max(1, Math.ceil(found.length / rowsPerRead)), () => found);
+                return answerRead("tableReads", Math.max(1, Math.ceil(found.length / rowsPerRead)), () => found);
             },
             transact,
         },
