--- a/packages/puffinarch-cli/src/context.ts
+++ b/packages/puffinarch-cli/src/context.ts
@@ -9,6 +9,7 @@
 import { jsonOf, type Output } from "./output.js";
 import { type CliEnvironment, type CliSettings, type GlobalFlags, readCliSettings } from "./settings.js";
 
+/** Settings, callers and output of one run of the tool. */
 export interface CliContext {
     readonly output: Output;
     settings(command: Command): CliSettings;
--- a/packages/puffinarch/src/core/configurationStore.ts
+++ b/packages/puffinarch/src/core/configurationStore.ts
@@ -15,6 +15,7 @@
 import { sleep } from "../utils/time.js";
 import { checkDocument, diffDocuments, initialDocument } from "./configurationDocument.js";
 
+/** The versions of the configuration as this daemon knows them. */
 export interface ConfigurationStore {
     inForce(): Configuration;
     inForceSinceMs(): number;
--- a/packages/puffinarch/src/core/homeState.ts
+++ b/packages/puffinarch/src/core/homeState.ts
@@ -42,6 +42,7 @@
     settling: Promise<void> | undefined;
 }
 
+/** One job and its tasks inside a home. */
 export interface JobEntry {
     readonly spec: JobSpec;
     readonly acceptedAtMs: number;
--- a/packages/puffinarch/src/core/homes.ts
+++ b/packages/puffinarch/src/core/homes.ts
@@ -10,6 +10,7 @@
 import type { Membership, OwnedUnit } from "./membership.js";
 import type { UnitKeeper } from "./ownership.js";
 
+/** The homes held here, by id. */
 export interface Homes {
     readonly keeper: UnitKeeper;
     /** The home that accepts new jobs; undefined until the session owns it. */
--- a/packages/puffinarch/src/core/jobs.ts
+++ b/packages/puffinarch/src/core/jobs.ts
@@ -16,6 +16,7 @@
     readonly unreachable: readonly string[];
 }
 
+/** Calls on jobs, wherever their home is. */
 export interface Jobs {
     submit(input: unknown): Promise<Job>;
     cancel(jobId: string): Promise<Job>;
--- a/packages/puffinarch/src/core/rackOwner.ts
+++ b/packages/puffinarch/src/core/rackOwner.ts
@@ -33,6 +33,7 @@
     unreachable: "unreachable",
     leaving: "leaving",
 } as const;
+/** One of `workerStates`. */
 export type WorkerState = (typeof workerStates)[keyof typeof workerStates];
 
 /** The part of a daemon that owns racks. */
--- a/packages/puffinarch/src/core/rooms.ts
+++ b/packages/puffinarch/src/core/rooms.ts
@@ -12,6 +12,7 @@
     readonly mostFree: Resources;
 }
 
+/** Estimated room of all known rack owners. */
 export interface Rooms {
     /** Picks an owner for a task and lowers its room; undefined where nobody seems to have room. */
     choose(size: Resources, placement: PlacementName): string | undefined;
--- a/packages/puffinarch/src/core/router.ts
+++ b/packages/puffinarch/src/core/router.ts
@@ -17,6 +17,7 @@
         done(): void;
     };
 
+/** Decides where requests go. */
 export interface Router {
     /** Fails with `notRun` or `overloaded`; a forwarded request is never forwarded again. */
     route(service: string, forwarded: boolean, giveUpAtMs: number): Promise<Route>;
--- a/packages/puffinarch/src/core/slots.ts
+++ b/packages/puffinarch/src/core/slots.ts
@@ -18,6 +18,7 @@
     unreachable: "unreachable",
     leaving: "leaving",
 } as const;
+/** One of `upstreamStates`. */
 export type UpstreamState = (typeof upstreamStates)[keyof typeof upstreamStates];
 
 /** One slot of one upstream, held until it is given back. */
@@ -30,6 +31,7 @@
     mark(state: "unreachable" | "leaving"): void;
 }
 
+/** Slots of the upstreams owned here, and the queue for them. */
 export interface Slots {
     readonly keeper: UnitKeeper;
     /** A free slot of this service at once, or undefined. */
--- a/packages/puffinarch/src/core/taskQueue.ts
+++ b/packages/puffinarch/src/core/taskQueue.ts
@@ -19,6 +19,7 @@
     readonly tries: number;
 }
 
+/** Waiting tasks in the order of placing. */
 export interface TaskQueue {
     push(item: QueueItem): void;
     /** Puts an item back at the head of its shape, and rests the shape until then on the monotonic clock. */
--- a/packages/puffinarch/src/plugins/placements.ts
+++ b/packages/puffinarch/src/plugins/placements.ts
@@ -19,6 +19,7 @@
     readonly alternatives: number;
 }
 
+/** Picks one worker, or none. */
 export type PlacementHandler = (input: PlacementInput) => PlacementChoice;
 
 const maxLooks = 16;
@@ -84,5 +85,7 @@
  */
 export const placements = { bestFit, worstFit, firstFit, randomOfK, gang: bestFit } as const;
 
+/** Name of a placement handler. */
 export type PlacementName = keyof typeof placements;
+/** Names that a policy may give. */
 export const placementNames = Object.keys(placements) as readonly PlacementName[];
--- a/packages/puffinarch/src/plugins/upstreamChoices.ts
+++ b/packages/puffinarch/src/plugins/upstreamChoices.ts
@@ -35,5 +35,7 @@
  */
 export const upstreamChoices = { leastOfTwo, roundRobin } as const;
 
+/** Name of a handler that chooses upstreams. */
 export type UpstreamChoiceName = keyof typeof upstreamChoices;
+/** Names that the settings may give. */
 export const upstreamChoiceNames = Object.keys(upstreamChoices) as readonly UpstreamChoiceName[];
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -1,1 +1,173 @@
-export * from "./internal.js";
+/**
+ * The public entry of the library. Everything here takes its clock, randomness and I/O as parameters; each name is
+ * documented, with an example, where it is defined.
+ */
+
+// Parts that coordinate and decide.
+export { checkDocument, diffDocuments, initialDocument } from "./internal.js";
+export { type ConfigurationStore, type ConfigurationStoreOptions, createConfigurationStore } from "./internal.js";
+export { createHome, type Home, type HomeOptions, jobKey } from "./internal.js";
+export { createHomeState, type HomeState, type JobEntry, showJob, showTask, type TaskEntry } from "./internal.js";
+export { createHomes, holderOf, homeKey, type Homes, type HomesOptions } from "./internal.js";
+export { checkJobSpec, sameSpec } from "./internal.js";
+export { createJobs, type JobPage, type Jobs, type JobsOptions } from "./internal.js";
+export { createJournal, type Journal, journalKey, type JournalOptions, replay, type RowClaim } from "./internal.js";
+export { createLedger, type Ledger, type LedgerWorker } from "./internal.js";
+export { createMembership, type Membership, type MembershipOptions, type OwnedUnit, sessionIdOf } from "./internal.js";
+export {
+    type Answers,
+    createNode,
+    defaultNodeSettings,
+    type Node,
+    type NodePorts,
+    type NodeSettings,
+} from "./internal.js";
+export { createOwnership, type Ownership, type OwnershipOptions, type UnitKeeper } from "./internal.js";
+export { createRackOwner, type RackOwner, type RackOwnerOptions, type WorkerState, workerStates } from "./internal.js";
+export { createRequestClaims, type RequestClaim, type RequestClaims, type RequestClaimsOptions } from "./internal.js";
+export { createRooms, type Room, type Rooms } from "./internal.js";
+export { createRouter, type Route, type Router, type RouterOptions } from "./internal.js";
+export {
+    createSlots,
+    type Slot,
+    type Slots,
+    type SlotsOptions,
+    type UpstreamState,
+    upstreamStates,
+} from "./internal.js";
+export { createTaskQueue, type QueueItem, type TaskQueue } from "./internal.js";
+
+// Handlers in lookup tables.
+export {
+    type PlacementChoice,
+    type PlacementHandler,
+    type PlacementInput,
+    type PlacementName,
+    placementNames,
+    placements,
+} from "./internal.js";
+export {
+    type UpstreamCandidate,
+    type UpstreamChoiceInput,
+    type UpstreamChoiceName,
+    upstreamChoiceNames,
+    upstreamChoices,
+} from "./internal.js";
+
+// Types of the ports, messages and records.
+export {
+    type ChangeContext,
+    type Configuration,
+    type ConfigurationDocument,
+    type Policy,
+    type Quota,
+    type WorkloadClass,
+} from "./internal.js";
+export { type Decision, type DecisionKind, decisionKinds } from "./internal.js";
+export {
+    type AttemptOutcome,
+    attemptOutcomes,
+    type AttemptReport,
+    isFinal,
+    type Job,
+    jobIdOf,
+    type JobSpec,
+    type Task,
+    taskIdOf,
+    type TaskState,
+    taskStates,
+    type WorkloadKind,
+    workloadKinds,
+} from "./internal.js";
+export {
+    sessionKey,
+    type SessionRow,
+    type SessionState,
+    sessionStates,
+    type Unit,
+    unitKey,
+    type UnitKind,
+    unitKinds,
+    type UnitRow,
+} from "./internal.js";
+export {
+    type AttemptsRequest,
+    type AttemptsResponse,
+    type AttemptState,
+    attemptStates,
+    type CapacitySummary,
+    type DaemonView,
+    type Gossip,
+    type NodeReport,
+    type PeerCallName,
+    type PeerCalls,
+    type PeerHandler,
+    type PeerHandlers,
+    type PeerPort,
+    type Placement,
+    type PlaceRequest,
+    type PlaceResponse,
+    type ReportRequest,
+    type ReportResponse,
+    type TaskOffer,
+    type UpstreamView,
+    type WorkerView,
+} from "./internal.js";
+export {
+    type CancelTimer,
+    type Clock,
+    type EndedAttempt,
+    type Log,
+    type LogLevel,
+    logLevels,
+    type Meter,
+    type ObjectStore,
+    type Random,
+    type RowCondition,
+    type RunningAttempt,
+    type StartOrder,
+    type StartOutcome,
+    type TableRow,
+    type TableStore,
+    type Transaction,
+    type TransactResult,
+    type UpstreamPort,
+    type UpstreamStatus,
+    type Vm,
+    type VmList,
+    type VmListing,
+    type VmRole,
+    vmRoles,
+    type WorkerPoll,
+    type WorkerPort,
+    type WorkerReport,
+} from "./internal.js";
+export {
+    type AttemptAbandonedRecord,
+    type AttemptIntendedRecord,
+    type JobAcceptedRecord,
+    type JobCancelledRecord,
+    type JournalRecord,
+    recordKinds,
+    type TaskEndedRecord,
+} from "./internal.js";
+export { add, fits, largest, noResources, type Resources, scale, subtract } from "./internal.js";
+
+// Errors, checks and small helpers.
+export { check, nameSchema, oneOf, rejectAll, textUpTo, wholeNumber } from "./internal.js";
+export {
+    die,
+    type ErrorAnswer,
+    errorAnswers,
+    type ErrorKind,
+    errorOf,
+    type Failure,
+    type FailureDetail,
+    failureOf,
+    kindOf,
+    type Violation,
+} from "./internal.js";
+export { hash, pick } from "./internal.js";
+export { createRing, type Ring } from "./internal.js";
+export { createSeededRandom, createSystemClock, createSystemRandom } from "./internal.js";
+export { type Loop, type LoopOptions, sleep, startLoop } from "./internal.js";
--- a/packages/puffinarch/src/types/decision.ts
+++ b/packages/puffinarch/src/types/decision.ts
@@ -1,6 +1,8 @@
 /** Records of decisions, for the log, `explain` and reports. */
 
+/** Kinds of decisions that are recorded. */
 export const decisionKinds = { placement: "placement", routing: "routing" } as const;
+/** One of `decisionKinds`. */
 export type DecisionKind = (typeof decisionKinds)[keyof typeof decisionKinds];
 
 /** Why something was placed or routed where it was, or why not. */
--- a/packages/puffinarch/src/types/job.ts
+++ b/packages/puffinarch/src/types/job.ts
@@ -4,6 +4,7 @@
 
 /** Kinds of workload that a class can have. */
 export const workloadKinds = { batch: "batch", service: "service", gang: "gang" } as const;
+/** One of `workloadKinds`. */
 export type WorkloadKind = (typeof workloadKinds)[keyof typeof workloadKinds];
 
 /** States that a task goes through; the last four are final. */
@@ -16,6 +17,7 @@
     cancelled: "cancelled",
     mayHaveRun: "mayHaveRun",
 } as const;
+/** One of `taskStates`. */
 export type TaskState = (typeof taskStates)[keyof typeof taskStates];
 
 /** What a caller submits; `jobId` is the caller's choice, so that a resend is idempotent. */
@@ -68,6 +70,7 @@
     absent: "absent",
     notStarted: "notStarted",
 } as const;
+/** One of `attemptOutcomes`. */
 export type AttemptOutcome = (typeof attemptOutcomes)[keyof typeof attemptOutcomes];
 
 /** Report of an ended attempt, from the owner of a rack to the home of the task. */
--- a/packages/puffinarch/src/types/ownership.ts
+++ b/packages/puffinarch/src/types/ownership.ts
@@ -2,6 +2,7 @@
 
 /** Kinds of units that have one owner each. */
 export const unitKinds = { rack: "rack", upstream: "upstream", home: "home" } as const;
+/** One of `unitKinds`. */
 export type UnitKind = (typeof unitKinds)[keyof typeof unitKinds];
 
 /** Something that exactly one session decides on. */
@@ -17,7 +18,9 @@
     readonly owner: string;
 }
 
+/** States of a session; a closed one acts no more. */
 export const sessionStates = { live: "live", draining: "draining", closed: "closed" } as const;
+/** One of `sessionStates`. */
 export type SessionState = (typeof sessionStates)[keyof typeof sessionStates];
 
 /** Value of a session's row; one row a VM, and the incarnation grows with each start of its daemon. */
--- a/packages/puffinarch/src/types/peer.ts
+++ b/packages/puffinarch/src/types/peer.ts
@@ -14,6 +14,7 @@
     readonly policy: string;
 }
 
+/** Tasks of one home, offered to a rack owner. */
 export interface PlaceRequest {
     readonly homeId: string;
     readonly offers: readonly TaskOffer[];
@@ -26,6 +27,7 @@
     readonly rackKey: string;
 }
 
+/** What the owner reserved. */
 export interface PlaceResponse {
     readonly placements: readonly Placement[];
 }
@@ -40,6 +42,7 @@
     notStarted: "notStarted",
     undecided: "undecided",
 } as const;
+/** One of `attemptStates`. */
 export type AttemptState = (typeof attemptStates)[keyof typeof attemptStates];
 
 /** Attempts by id, with the rack they were placed in. */
@@ -47,10 +50,12 @@
     readonly attempts: readonly { readonly attemptId: string; readonly workerId: string; readonly rackKey: string; }[];
 }
 
+/** State of each attempt that was asked about. */
 export interface AttemptsResponse {
     readonly states: Readonly<Record<string, AttemptState>>;
 }
 
+/** Ended attempts of one home's tasks. */
 export interface ReportRequest {
     readonly homeId: string;
     readonly reports: readonly AttemptReport[];
@@ -82,6 +87,7 @@
     readonly teamUse: Readonly<Record<string, Resources>>;
 }
 
+/** A worker as its owner shows it. */
 export interface WorkerView {
     readonly workerId: string;
     readonly dataCentre: string;
@@ -94,6 +100,7 @@
     readonly ownerDaemonId: string;
 }
 
+/** An upstream as its owner shows it. */
 export interface UpstreamView {
     readonly upstreamId: string;
     readonly service: string;
@@ -104,6 +111,7 @@
     readonly ownerDaemonId: string;
 }
 
+/** A daemon as it shows itself. */
 export interface DaemonView {
     readonly daemonId: string;
     readonly vmId: string;
@@ -166,10 +174,12 @@
     readonly drain: { readonly input: { readonly reason: string; }; readonly output: { readonly draining: boolean; }; };
 }
 
+/** Name of a call between daemons. */
 export type PeerCallName = keyof PeerCalls;
 
 /** Answers one kind of call. */
 export type PeerHandler<K extends PeerCallName> = (input: PeerCalls[K]["input"]) => Promise<PeerCalls[K]["output"]>;
+/** One handler for each call. */
 export type PeerHandlers = { readonly [K in PeerCallName]: PeerHandler<K>; };
 
 /**
--- a/packages/puffinarch/src/types/ports.ts
+++ b/packages/puffinarch/src/types/ports.ts
@@ -65,6 +65,7 @@
 
 /** Roles of a VM in the platform's list. */
 export const vmRoles = { entry: "entry", worker: "worker", upstream: "upstream" } as const;
+/** One of `vmRoles`. */
 export type VmRole = (typeof vmRoles)[keyof typeof vmRoles];
 
 /** A VM as the platform lists it. */
@@ -161,6 +162,7 @@
 
 /** Levels of the log, gravest first. */
 export const logLevels = ["error", "warn", "info", "debug"] as const;
+/** One of `logLevels`. */
 export type LogLevel = (typeof logLevels)[number];
 
 /** Structured log: an event name and its fields. */
--- a/packages/puffinarch/src/types/records.ts
+++ b/packages/puffinarch/src/types/records.ts
@@ -2,6 +2,7 @@
 
 import type { JobSpec, TaskState } from "./job.js";
 
+/** Kinds of journal records. */
 export const recordKinds = {
     jobAccepted: "jobAccepted",
     attemptIntended: "attemptIntended",
@@ -55,6 +56,7 @@
     readonly cancelledAtMs: number;
 }
 
+/** Any record of a journal. */
 export type JournalRecord =
     | JobAcceptedRecord
     | AttemptIntendedRecord
--- a/packages/puffinarch/src/utils/ring.ts
+++ b/packages/puffinarch/src/utils/ring.ts
@@ -1,5 +1,6 @@
 /** A bounded list that forgets its oldest entries. */
 
+/** The newest entries, up to a capacity. */
 export interface Ring<T> {
     push(entry: T): void;
     /** Newest first. */
--- a/packages/puffinarchd/src/adapters/peers.ts
+++ b/packages/puffinarchd/src/adapters/peers.ts
@@ -56,6 +56,7 @@
 
 /** One procedure for each call of `PeerCalls`. */
 export const peerRouter = trpc.router(Object.fromEntries(callNames.map(name => [name, procedureOf(name)])));
+/** Type of the router, for clients. */
 export type PeerRouter = typeof peerRouter;
 
 /** A peer port that can be closed. */
--- a/packages/puffinarchd/src/rpc/convert.ts
+++ b/packages/puffinarchd/src/rpc/convert.ts
@@ -123,6 +123,12 @@
     quotas: (message?.quotas ?? []).map(readQuota),
 });
 
+/**
+ * Shows a workload class.
+ *
+ * @example
+ * const message = showWorkloadClass(workloadClass);
+ */
 export const showWorkloadClass = ({ name, kind, policy, priority }: {
     readonly name: string;
     readonly kind: WorkloadKind;
--- a/packages/puffinarchd/src/settings.ts
+++ b/packages/puffinarchd/src/settings.ts
@@ -67,7 +67,9 @@
 
 /** How long a stopping daemon goes on serving after it has told the balancer. */
 export const defaultBalancerNoticeMs = 500;
+/** Limit of a request whose caller names none. */
 export const defaultRequestTimeoutMs = 10_000;
+/** Largest body of a request. */
 export const defaultMaxBodyBytes = 1024 * 1024;
 
 const lineOf = (document: Document, lines: LineCounter, field: string): number | undefined => {
--- a/packages/stand-ins/src/cell/cell.ts
+++ b/packages/stand-ins/src/cell/cell.ts
@@ -43,6 +43,7 @@
     readonly maxDelayMs: number;
 }
 
+/** Two data centres with two daemons, two workers and one upstream each. */
 export const defaultCellOptions: CellOptions = {
     seed: 1,
     dataCentres: ["leon-feria", "qro-arena"],
@@ -66,8 +67,10 @@
 
 /** One end of a link: a VM's id, or the platform. */
 export type Place = string;
+/** The platform's end of a link. */
 export const platformPlace: Place = "platform";
 
+/** Nodes, machines and the network between them, under a test's control. */
 export interface Cell {
     readonly clock: FakeClock;
     readonly random: Random;
--- a/packages/stand-ins/src/cell/fakeClock.ts
+++ b/packages/stand-ins/src/cell/fakeClock.ts
@@ -2,6 +2,7 @@
 
 import type { Clock } from "puffinarch";
 
+/** Time that a test moves. */
 export interface FakeClock extends Clock {
     /** Moves the time, running every timer that falls due in order, with all that follows from it. */
     advance(byMs: number): Promise<void>;
--- a/packages/stand-ins/src/cell/gate.ts
+++ b/packages/stand-ins/src/cell/gate.ts
@@ -2,6 +2,7 @@
 
 import type { Clock } from "puffinarch";
 
+/** Pauses, resumes and kills one process. */
 export interface Gate {
     pause(): void;
     resume(): void;
--- a/packages/stand-ins/src/demo/balancer.ts
+++ b/packages/stand-ins/src/demo/balancer.ts
@@ -3,6 +3,7 @@
 import { type Clock, type Loop, startLoop } from "puffinarch";
 import { request } from "undici";
 
+/** Chooses a daemon for a caller. */
 export interface Balancer {
     /** A ready daemon's address, other than the ones tried already where there is one. */
     next(tried: readonly string[]): string | undefined;
--- a/packages/stand-ins/src/demo/callers.ts
+++ b/packages/stand-ins/src/demo/callers.ts
@@ -29,6 +29,7 @@
     resends: number;
 }
 
+/** What callers did and were told. */
 export interface Callers {
     readonly jobs: readonly JobNote[];
     readonly requests: readonly RequestNote[];
--- a/packages/stand-ins/src/demo/deployments.ts
+++ b/packages/stand-ins/src/demo/deployments.ts
@@ -15,6 +15,7 @@
     readonly teams: readonly string[];
 }
 
+/** The consortium's cell and Akuafo's cell. */
 export const deployments: readonly Deployment[] = [
     {
         name: "bajio",
--- a/packages/stand-ins/src/demo/evidence.ts
+++ b/packages/stand-ins/src/demo/evidence.ts
@@ -46,6 +46,7 @@
     readonly requestP99Ms: number;
 }
 
+/** Figures that must be 0. */
 export const breachCounters = [
     "tasksUnanswered",
     "tasksRunTwice",
--- a/packages/stand-ins/src/demo/main.ts
+++ b/packages/stand-ins/src/demo/main.ts
@@ -1,7 +1,7 @@
 /** The demo: both deployments as separate processes, mixed work, faults, and a verdict from the stand-ins' evidence. */
 
 import { Command, InvalidArgumentError } from "commander";
-import { type Clock, createSeededRandom, createSystemClock, sleep, type Vm } from "puffinarch";
+import { type Clock, createSeededRandom, createSystemClock, sleep } from "puffinarch";
 import { request } from "undici";
 import type { Fault } from "../faults.js";
 import type { PlatformEvidence } from "../platform.js";
@@ -9,9 +9,10 @@
 import type { Execution } from "../worker.js";
 import { createBalancer } from "./balancer.js";
 import { type Callers, createCallers } from "./callers.js";
-import { type Deployment, deployments, entryVms, upstreamVms, workerVms } from "./deployments.js";
+import { deployments } from "./deployments.js";
 import { breaches, judge, type Verdict } from "./evidence.js";
-import { createProcesses, type DemoDaemon, type Processes } from "./processes.js";
+import { createProcesses, type DemoDaemon } from "./processes.js";
+import { type DemoCell as Cell, get, post, startCell } from "./startCell.js";
 
 interface DemoOptions {
     readonly seconds: number;
@@ -21,41 +22,9 @@
     readonly seed: number;
 }
 
-interface Cell {
-    readonly deployment: Deployment;
-    readonly platformAddress: string;
-    readonly workersAddress: string;
-    readonly upstreams: readonly Vm[];
-    readonly daemons: readonly DemoDaemon[];
-}
-
 const settleMs = 25_000;
 const readyWaitMs = 15_000;
 
-const post = async (url: string, body: unknown): Promise<void> => {
-    const answer = await request(url, {
-        method: "POST",
-        headers: { "content-type": "application/json" },
-        body: JSON.stringify(body),
-    });
-    await answer.body.dump();
-};
-
-const get = async <T>(url: string): Promise<T> => (await request(url)).body.json() as Promise<T>;
-
-const startCell = async (processes: Processes, deployment: Deployment): Promise<Cell> => {
-    const [platformAddress = ""] = await processes.startRole("platform", []);
-    const [workersAddress = ""] = await processes.startRole("workers", workerVms(deployment, ""));
-    const plain = upstreamVms(deployment, Array.from({ length: deployment.upstreams }, () => ""));
-    const upstreams = upstreamVms(deployment, await processes.startRole("upstreams", plain));
-    const entries = entryVms(deployment);
-    await post(`${platformAddress}/control/vms`, {
-        set: [...entries, ...workerVms(deployment, workersAddress), ...upstreams],
-    });
-    const daemons = await Promise.all(entries.map(vm => processes.startDaemon(vm, platformAddress)));
-    return { deployment, platformAddress, workersAddress, upstreams, daemons };
-};
-
 /** What happens to a cell, by the share of the run that has passed. */
 const happenings: readonly {
     readonly atShare: number;
--- a/packages/stand-ins/src/demo/processes.ts
+++ b/packages/stand-ins/src/demo/processes.ts
@@ -17,6 +17,7 @@
     readonly process: ChildProcess;
 }
 
+/** The demo's child processes. */
 export interface Processes {
     /** Starts a process of stand-ins and resolves to its addresses. */
     startRole(role: "platform" | "workers" | "upstreams", vms: readonly Vm[]): Promise<readonly string[]>;
--- a/packages/stand-ins/src/faults.ts
+++ b/packages/stand-ins/src/faults.ts
@@ -21,6 +21,7 @@
     readonly kind: "refused" | "silent";
 };
 
+/** The faults in force. */
 export interface Faults {
     /**
      * Replaces all faults of a target; an empty list heals it. Faults of `table` hit `tableReads` and `tableWrites`.
--- a/packages/stand-ins/src/platform.ts
+++ b/packages/stand-ins/src/platform.ts
@@ -20,6 +20,7 @@
     readonly vmListLagMs: number;
 }
 
+/** Several hundred writes and 2,000 reads a second. */
 export const defaultPlatformLimits: PlatformLimits = {
     writesPerSecond: 300,
     readsPerSecond: 2_000,
@@ -34,6 +35,7 @@
     readonly rows: number;
 }
 
+/** The platform and the means to break it. */
 export interface Platform {
     readonly table: TableStore;
     readonly objects: ObjectStore;
--- a/packages/stand-ins/src/upstream.ts
+++ b/packages/stand-ins/src/upstream.ts
@@ -28,6 +28,7 @@
     readonly leavingSinceMs?: number;
 }
 
+/** One upstream. */
 export interface UpstreamStandIn {
     readonly upstreamId: string;
     /** Undefined where every slot is taken; nothing ran then. */
@@ -40,7 +41,9 @@
     evidence(): UpstreamEvidence;
 }
 
+/** Requests that an upstream runs at once. */
 export const slotsPerUpstream = 8;
+/** Connections that an upstream accepts. */
 export const connectionsPerUpstream = 64;
 
 /**
--- a/packages/stand-ins/src/worker.ts
+++ b/packages/stand-ins/src/worker.ts
@@ -42,6 +42,7 @@
     readonly unreachable: boolean;
 }
 
+/** One worker. */
 export interface WorkerStandIn {
     readonly workerId: string;
     start(order: StartOrder): StartOutcome;
