--- a/features/steps/examples/coordination.ts
+++ b/features/steps/examples/coordination.ts
@@ -17,6 +17,7 @@
     createRequestClaims,
     createRouter,
     createSeededRandom,
+    createSession,
     createSlots,
     failureOf,
     initialDocument,
@@ -57,11 +58,16 @@
         book.append([{ kind: "jobCancelled", jobId: `job-${index}`, cancelledAtMs: 0 }])
     );
     await Promise.all(appended);
-    return `${(await replay(table, "home-1")).records.length} records replayed`;
+    return `${(await replay(table, "home-1", 0)).records.length} records replayed`;
 };
 
 const membership = (): string => {
-    const known = createMembership({ clock: createFakeClock(), ownVmId: "vm-2", gossipMaxAgeMs: 1_000 });
+    const known = createMembership({
+        clock: createFakeClock(),
+        ownVmId: "vm-2",
+        gossipMaxAgeMs: 1_000,
+        maxReadGapMs: 3_000,
+    });
     const session = {
         sessionId: "vm-1~1",
         vmId: "vm-1",
@@ -70,13 +76,15 @@
         address: "",
         state: "live",
         listedGeneration: 1,
+        deputy: "",
+        beat: 0,
     };
     known.setListing({
         generation: 1,
         vms: [{ vmId: "vm-1", role: "entry", dataCentre: "leon-feria", address: "", leaving: false }],
     });
     known.setListing({ generation: 2, vms: [] });
-    known.setRows([{ key: "session/vm-1", version: 1, value: session }], []);
+    known.setRows([{ key: "session/vm-1", version: 1, value: session }], [], 0);
     return known.deadForMs("vm-1~1") === undefined ? "the session may live" : "the session is dead";
 };
 
@@ -87,19 +95,14 @@
         { vmId: "vm-1", role: "entry", dataCentre: "leon-feria", address: "", leaving: false },
         { vmId: "w1", role: "worker", dataCentre: "leon-feria", address: "", leaving: false, rack: "r1" },
     ]);
-    const own = createOwnership({
-        table: platform.table,
-        vmList: platform.vmList,
-        clock,
-        log,
-        meter,
-        membership: createMembership({ clock, ownVmId: "vm-1", gossipMaxAgeMs: 1_000 }),
-        vmId: "vm-1",
-        dataCentre: "leon-feria",
-        deathGraceMs: 3_000,
-        keepers: { rack: idle, upstream: idle, home: idle },
-    });
-    await own.open("http://127.0.0.1:7100");
+    const { table, vmList } = platform;
+    const known = createMembership({ clock, ownVmId: "vm-1", gossipMaxAgeMs: 1_000, maxReadGapMs: 3_000 });
+    const dataCentre = "leon-feria";
+    const common = { table, vmList, clock, log, meter, membership: known, dataCentre };
+    const session = createSession({ ...common, vmId: "vm-1", sessionLeaseMs: 6_000, renewIntervalMs: 1_500 });
+    const keepers = { rack: idle, upstream: idle, home: idle };
+    const own = createOwnership({ ...common, session, deathGraceMs: 3_000, keepers });
+    await session.open("http://127.0.0.1:7100");
     await own.refresh();
     return `${own.owned("rack")[0]?.key} is owned`;
 };
@@ -136,7 +139,7 @@
 };
 
 const slotsWithUpstream = async (clock: FakeClock): Promise<{ readonly slots: Slots; readonly known: Membership; }> => {
-    const known = createMembership({ clock, ownVmId: "vm-1", gossipMaxAgeMs: 1_000 });
+    const known = createMembership({ clock, ownVmId: "vm-1", gossipMaxAgeMs: 1_000, maxReadGapMs: 3_000 });
     known.setListing({
         generation: 1,
         vms: [{
@@ -155,6 +158,7 @@
         meter,
         upstreams: { status: async () => ({ leaving: false, slotsInUse: 0 }) },
         membership: known,
+        mayAct: () => true,
         choice: "leastOfTwo",
         slotsPerUpstream: 8,
         maxQueued: 10,
--- a/features/steps/examples/decisions.ts
+++ b/features/steps/examples/decisions.ts
@@ -44,7 +44,8 @@
         book.addWorker(workerId, "r1", { ...size, cpuMillis });
         book.setOpen(workerId, true);
     }
-    return placements.bestFit({ ledger: book, size, random, sampleSize: 2 }).worker?.workerId ?? "none";
+    return placements.bestFit({ ledger: book, size, random, sampleSize: 2, avoid: new Set() }).worker?.workerId
+        ?? "none";
 };
 
 const upstreamChoice = (): string => {
@@ -80,7 +81,7 @@
     });
     queue.push(item("early", 3, 0));
     queue.push(item("urgent", 9, 5));
-    return `${queue.take(1, 10)[0]?.policy} first`;
+    return `${queue.take(1, 10, () => 0)[0]?.policy} first`;
 };
 
 const rooms = (): string => {
--- a/features/steps/journalSteps.ts
+++ b/features/steps/journalSteps.ts
@@ -132,7 +132,7 @@
 });
 
 Then(/^the journal holds the record (\d+) times?$/, async function(this: ScenarioWorld, times: string) {
-    const { records } = await replay(part(this).platform.table, "h1");
+    const { records } = await replay(part(this).platform.table, "h1", 0);
     assert.equal(records.length, Number(times));
 });
 
--- a/features/steps/ledgerSteps.ts
+++ b/features/steps/ledgerSteps.ts
@@ -149,6 +149,7 @@
         ledger,
         size: { cpuMillis, memoryMib, accelerators: 0 },
         random: createSeededRandom(1),
+        avoid: new Set(),
         sampleSize: 2,
     }).worker?.workerId;
 
--- a/features/steps/machineSteps.ts
+++ b/features/steps/machineSteps.ts
@@ -29,7 +29,8 @@
 const directPort = (worker: WorkerStandIn): WorkerPort => ({
     start: async (_address, order) => worker.start(order),
     poll: (_address, poll) => worker.poll(poll),
-    stop: async (_address, attemptIds) => worker.stop(attemptIds),
+    stop: async (_address, orders) => worker.stop(orders),
+    throttle: async (_address, attemptId, cpuMillis) => worker.throttle(attemptId, cpuMillis),
 });
 
 const part = (world: ScenarioWorld): MachinePart =>
@@ -55,6 +56,7 @@
     homeId: "h1",
     size: { cpuMillis: 1_000, memoryMib: 256, accelerators: 0 },
     payload: JSON.stringify({ runMs }),
+    checkpoint: "",
     leaseMs,
     startBeforeMs: state.startBeforeMs,
 });
--- a/packages/puffinarch-cli/src/commands/job.ts
+++ b/packages/puffinarch-cli/src/commands/job.ts
@@ -2,6 +2,7 @@
 
 import {
     CancelJobResponseSchema,
+    CancelTaskResponseSchema,
     ClusterService,
     ExplainTaskResponseSchema,
     GetJobResponseSchema,
@@ -14,6 +15,7 @@
     type Task,
     TaskState,
     WatchJobResponseSchema,
+    WatchTaskResponseSchema,
 } from "@puffinarch/schema";
 import type { Command } from "commander";
 import { type CliContext, numberFrom } from "../context.js";
@@ -56,6 +58,9 @@
 const showJobs = (jobs: readonly (Job | undefined)[]): string =>
     tableOf(jobColumns, jobs.filter(job => job !== undefined));
 
+const showTasks = (tasks: readonly (Task | undefined)[]): string =>
+    tableOf(taskColumns, tasks.filter(task => task !== undefined));
+
 const addSubmit = (job: Command, context: CliContext): void => {
     job.command("submit <job-id>")
         .description("Submit a job. Submitting the same job again is harmless.")
@@ -136,6 +141,21 @@
             const response = await context.caller(command, JobService)(client => client.cancelJob({ jobId }));
             context.show(command, CancelJobResponseSchema, response, () => showJobs([response.job]));
         });
+    job.command("cancel-task <task-id>")
+        .description("Cancel one task; the rest of its job goes on.")
+        .action(async (taskId: string, _flags: unknown, command: Command) => {
+            const response = await context.caller(command, JobService)(client => client.cancelTask({ taskId }));
+            context.show(command, CancelTaskResponseSchema, response, () => showTasks([response.task]));
+        });
+    job.command("watch-task <task-id>")
+        .description("Follow one task until it ends.")
+        .action(async (taskId: string, _flags: unknown, command: Command) => {
+            await context.caller(command, JobService)(async client => {
+                for await (const response of client.watchTask({ taskId }, { timeoutMs: 0 })) {
+                    context.show(command, WatchTaskResponseSchema, response, () => showTasks([response.task]));
+                }
+            });
+        });
     job.command("watch <job-id>")
         .description("Follow a job until it ends.")
         .action(async (jobId: string, _flags: unknown, command: Command) => {
--- a/packages/puffinarch/src/core/home.ts
+++ b/packages/puffinarch/src/core/home.ts
@@ -1,6 +1,9 @@
 /**
  * The home of jobs: it accepts them durably, offers their tasks to rack owners, commits each attempt before it is
  * started, and is the one writer of every task's state.
+ *
+ * While the table is out of reach, re-runnable tasks are started in the home's own data centre before their attempt is
+ * committed. A new holder of the home therefore asks every rack owner there what it runs before it places anything.
  */
 
 import type { Policy, WorkloadClass } from "../types/configuration.js";
@@ -14,24 +17,27 @@
     taskStates,
     workloadKinds,
 } from "../types/job.js";
+import { unitKey } from "../types/ownership.js";
 import type {
     AttemptsRequest,
     AttemptsResponse,
     AttemptState,
+    HomeAttempt,
     PeerCallName,
     PeerCalls,
-    Placement,
-    TaskOffer,
 } from "../types/peer.js";
-import type { Clock, Log, Meter, ObjectStore, Random } from "../types/ports.js";
-import type { AttemptIntendedRecord, JournalRecord, TaskEndedRecord } from "../types/records.js";
+import { type Clock, type Log, type Meter, type ObjectStore, type Random, vmRoles } from "../types/ports.js";
+import type { JournalRecord, TaskEndedRecord } from "../types/records.js";
 import { add, noResources, type Resources } from "../types/resources.js";
 import { die, failureOf } from "../utils/errors.js";
-import { startLoop } from "../utils/time.js";
-import { type HomeState, type JobEntry, showJob, showTask, type TaskEntry } from "./homeState.js";
+import { sleep, startLoop } from "../utils/time.js";
+import { type HomeState, isCancelled, type JobEntry, showJob, showTask, type TaskEntry } from "./homeState.js";
 import type { Journal } from "./journal.js";
 import type { Membership } from "./membership.js";
-import { createRooms, type Room, type Rooms } from "./rooms.js";
+import { recordFor } from "./outcomes.js";
+import { createPlacer, type Reserved } from "./placer.js";
+import type { Room } from "./rooms.js";
+import type { LoadedSnapshot } from "./snapshots.js";
 import { createTaskQueue, type QueueItem } from "./taskQueue.js";
 
 /** The holder of one home. */
@@ -39,6 +45,7 @@
     readonly homeId: string;
     submit(spec: JobSpec): Promise<Job>;
     cancel(jobId: string): Promise<Job>;
+    cancelTask(taskId: string): Promise<Task>;
     report(reports: readonly AttemptReport[]): Promise<readonly string[]>;
     job(jobId: string): Job | undefined;
     jobs(team: string, afterJobId: string, limit: number): readonly Job[];
@@ -48,6 +55,8 @@
     queuedTasks(): number;
     activeTasks(): number;
     acceptedTasks(): number;
+    /** False while a new holder still asks rack owners what runs. */
+    recovered(): boolean;
     /** Resources held by active tasks, by team. */
     teamUse(): ReadonlyMap<string, Resources>;
     close(): Promise<void>;
@@ -56,6 +65,9 @@
 /** What a home needs. */
 export interface HomeOptions {
     readonly homeId: string;
+    readonly dataCentre: string;
+    /** Version of the ownership row; it grows with each new holder. */
+    readonly homeVersion: number;
     readonly journal: Journal;
     readonly state: HomeState;
     readonly clock: Clock;
@@ -76,27 +88,28 @@
         name: K,
         input: PeerCalls[K]["input"],
     ) => Promise<PeerCalls[K]["output"]>;
+    /** Whether this session may act now without the table. */
+    readonly mayAct: () => boolean;
+    /** Saves a snapshot; true where it is in force. */
+    readonly saveSnapshot: (loaded: LoadedSnapshot) => Promise<boolean>;
+    /** Deletes directory rows of jobs that are forgotten. */
+    readonly forgetJobs: (jobIds: readonly string[]) => Promise<void>;
     readonly pumpIntervalMs: number;
     readonly reconcileIntervalMs: number;
+    readonly starvationMs: number;
+    /** A commit that takes longer than this lets re-runnable tasks start before it. */
+    readonly earlyStartMs: number;
+    /** Batches after which a snapshot is taken. */
+    readonly snapshotBatches: number;
+    readonly maintainIntervalMs: number;
+    /** Longest wait for pending writes at a planned stop. */
+    readonly closeTimeoutMs: number;
+    /** Ended jobs are forgotten after this. */
+    readonly retentionMs: number;
 }
 
-interface Offered {
-    readonly item: QueueItem;
-    readonly task: TaskEntry;
-    readonly offer: TaskOffer;
-}
-
-interface Made {
-    readonly task: TaskEntry;
-    readonly placement: Placement;
-}
-
-const itemsPerRound = 256;
-const maxBatchAttempts = 3;
 const inlineResultLength = 8 * 1024;
-const baseRestMs = 100;
-const maxRestMs = 5_000;
-const quotaRestMs = 500;
+const recoverRetryMs = 250;
 
 /**
  * Opens a home whose state has been replayed.
@@ -106,13 +119,17 @@
  * await home.submit(spec); // durable once this resolves
  */
 export const createHome = (options: HomeOptions): Home => {
-    const { homeId, journal, state, clock, random, log, meter, objects, membership } = options;
+    const { homeId, homeVersion, journal, state, clock, random, log, meter, objects, membership } = options;
     const queue = createTaskQueue();
     const teamUse = new Map<string, Resources>();
-    /** Attempts whose start may have reached an owner from this holder; absent ones never did. */
+    /** Attempts whose start may have reached an owner; an absent one that is not here never started. */
     const startSent = new Set<string>();
+    /** Records that were applied before they were durable. */
+    const appliedEarly = new Set<JournalRecord>();
     let acceptedTasks = 0;
     let closed = false;
+    let recovered = [...state.jobs()].every(job => showJob(job, homeId).ended);
+    let snapshotAt = journal.nextSequence();
 
     const write = async (records: readonly JournalRecord[]): Promise<void> => {
         if (records.length === 0) {
@@ -120,30 +137,25 @@
         }
         await journal.append(records);
         for (const record of records) {
-            state.apply(record);
+            if (!appliedEarly.delete(record)) {
+                state.apply(record);
+            }
         }
     };
 
-    const isGang = (job: JobEntry): boolean => options.classOf(job.spec.workloadClass).kind === workloadKinds.gang;
-
-    const itemOf = (job: JobEntry, tasks: readonly TaskEntry[], gang: boolean, tries: number): QueueItem => {
-        const workloadClass = options.classOf(job.spec.workloadClass);
-        return {
-            tasks,
-            gang,
-            priority: workloadClass.priority,
-            policy: workloadClass.policy,
-            team: job.spec.team,
-            size: job.spec.taskSize,
-            queuedAtMs: job.acceptedAtMs,
-            tries,
-        };
+    const classOf = (job: JobEntry): WorkloadClass => options.classOf(job.spec.workloadClass);
+    const isGang = (job: JobEntry): boolean => classOf(job).kind === workloadKinds.gang;
+
+    const itemOf = (job: JobEntry, tasks: readonly TaskEntry[], gang: boolean): QueueItem => {
+        const { priority, policy } = classOf(job);
+        const { team, taskSize } = job.spec;
+        return { tasks, gang, priority, policy, team, size: taskSize, queuedAtMs: job.acceptedAtMs, tries: 0 };
     };
 
     const enqueueGang = (job: JobEntry): void => {
         const open = job.tasks.filter(task => !isFinal(task.state));
         if (open.length > 0 && open.every(task => task.state === taskStates.queued)) {
-            queue.push(itemOf(job, open, true, 0));
+            queue.push(itemOf(job, open, true));
         }
     };
 
@@ -154,16 +166,18 @@
         }
         for (const task of job.tasks) {
             if (task.state === taskStates.queued) {
-                queue.push(itemOf(job, [task], false, 0));
+                queue.push(itemOf(job, [task], false));
             }
         }
     };
 
     const attemptsOf = (tasks: readonly TaskEntry[]): AttemptsRequest => ({
-        attempts: tasks.flatMap(task =>
-            task.attemptId === undefined || task.workerId === undefined || task.rackKey === undefined
+        homeId,
+        homeVersion,
+        attempts: tasks.flatMap(({ attemptId, workerId, rackKey }) =>
+            attemptId === undefined || workerId === undefined || rackKey === undefined
                 ? []
-                : [{ attemptId: task.attemptId, workerId: task.workerId, rackKey: task.rackKey }]
+                : [{ attemptId, workerId, rackKey }]
         ),
     });
 
@@ -187,14 +201,15 @@
         onAnswer: (owner: string, group: readonly TaskEntry[], answer: AttemptsResponse) => Promise<void>,
     ): Promise<void> => {
         await Promise.all([...byOwner(tasks)].map(async ([owner, group]) => {
+            const request = attemptsOf(group);
             try {
-                await onAnswer(owner, group, await options.call(owner, name, attemptsOf(group)));
+                await onAnswer(owner, group, await options.call(owner, name, request));
             }
             catch (error) {
                 const failure = failureOf(error);
                 log.write("debug", "ownerSilent", { call: name, owner, tasks: group.length, ...failure });
                 if (name === "start" && failure.kind !== "unavailable") {
-                    group.forEach(task => startSent.add(task.attemptId ?? ""));
+                    request.attempts.forEach(({ attemptId }) => startSent.add(attemptId));
                 }
             }
         }));
@@ -229,7 +244,7 @@
             }
             if (said === "notStarted" || said === "absent") {
                 const outcome: AttemptOutcome = said === "absent" && startSent.has(attemptId) ? "absent" : "notStarted";
-                reports.push({ attemptId, taskId: task.taskId, outcome, result: "" });
+                reports.push({ attemptId, taskId: task.taskId, outcome, result: "", checkpoint: "" });
             }
         }
         await report(reports);
@@ -239,39 +254,18 @@
         await callOwners("start", tasks, takeStates);
     };
 
-    const stop = async (tasks: readonly TaskEntry[]): Promise<void> => {
-        await callOwners("stop", tasks, async () => {});
+    const startSoon = (tasks: readonly TaskEntry[]): void => {
+        start(tasks).catch(error => log.write("debug", "startFailed", { ...failureOf(error) }));
     };
 
-    const ended = (
-        task: TaskEntry,
-        end: Pick<TaskEndedRecord, "state" | "detail" | "started"> & Partial<TaskEndedRecord>,
-    ): JournalRecord => ({
-        kind: "taskEnded",
-        taskId: task.taskId,
-        startedAtMs: task.startedAtMs,
-        endedAtMs: clock.nowMs(),
-        ...end,
-    });
-
-    const abandoned = (task: TaskEntry, started: boolean, reason: string): JournalRecord => ({
-        kind: "attemptAbandoned",
-        taskId: task.taskId,
-        attemptId: task.attemptId ?? "",
-        started,
-        reason,
-    });
-
-    const mayRetry = (task: TaskEntry): boolean => {
-        const { kind } = options.classOf(task.job.spec.workloadClass);
-        if (task.job.spec.atMostOnce || kind === workloadKinds.gang) {
-            return false;
-        }
-        return kind === workloadKinds.service || task.attempts < maxBatchAttempts;
+    const stop = async (tasks: readonly TaskEntry[]): Promise<void> => {
+        await callOwners("stop", tasks, async () => {});
     };
 
-    const resultOf = async (attemptId: string, result: string): Promise<Partial<TaskEndedRecord>> => {
-        if (result.length <= inlineResultLength) {
+    const resultOf = async (
+        { attemptId, outcome, result }: AttemptReport,
+    ): Promise<Pick<TaskEndedRecord, "result" | "resultKey">> => {
+        if (outcome !== "completed" || result.length <= inlineResultLength) {
             return { result };
         }
         const resultKey = `results/${attemptId}`;
@@ -279,47 +273,12 @@
         return { resultKey };
     };
 
-    const lost = (task: TaskEntry, reason: string): JournalRecord => {
-        if (task.job.cancelled) {
-            return ended(task, { state: "cancelled", detail: reason, started: true });
-        }
-        return task.job.spec.atMostOnce
-            ? ended(task, { state: "mayHaveRun", detail: reason, started: true })
-            : abandoned(task, true, reason);
-    };
-
-    const outcomeHandlers: Readonly<
-        Record<AttemptOutcome, (task: TaskEntry, result: string) => Promise<JournalRecord>>
-    > = {
-        completed: async (task, result) =>
-            ended(task, {
-                state: "completed",
-                detail: "",
-                started: true,
-                ...await resultOf(task.attemptId ?? "", result),
-            }),
-        failed: async (task, result) =>
-            mayRetry(task) && !task.job.cancelled
-                ? abandoned(task, true, `failed on ${task.workerId}: ${result}`)
-                : ended(task, { state: "failed", detail: result, started: true }),
-        stopped: async task =>
-            task.job.cancelled
-                ? ended(task, { state: "cancelled", detail: "stopped", started: true })
-                : lost(task, `stopped on ${task.workerId}`),
-        lapsed: async task => lost(task, `the lease lapsed on ${task.workerId}`),
-        absent: async task => lost(task, `lost with ${task.workerId}`),
-        notStarted: async task =>
-            task.job.cancelled
-                ? ended(task, { state: "cancelled", detail: "cancelled before it started", started: false })
-                : abandoned(task, false, `did not start on ${task.workerId}`),
-    };
-
     const afterSettled = async (task: TaskEntry): Promise<void> => {
         if (task.state !== taskStates.queued) {
             return;
         }
         if (!isGang(task.job)) {
-            queue.push(itemOf(task.job, [task], false, task.attempts));
+            queue.push(itemOf(task.job, [task], false));
             return;
         }
         const others = task.job.tasks.filter(each =>
@@ -332,11 +291,15 @@
         enqueueGang(task.job);
     };
 
-    const settle = async (task: TaskEntry, { attemptId, outcome, result }: AttemptReport): Promise<void> => {
-        const record = await outcomeHandlers[outcome](task, result);
+    const settle = async (task: TaskEntry, ended: AttemptReport): Promise<void> => {
+        const result = await resultOf(ended);
+        const record = recordFor(task, ended, { nowMs: clock.nowMs(), workloadClass: classOf(task.job), result });
+        if (ended.outcome === "failed" && task.workerId !== undefined) {
+            task.failedOn.add(task.workerId);
+        }
         await write([record]);
-        startSent.delete(attemptId);
-        meter.count(`attempts.${outcome}`);
+        startSent.delete(ended.attemptId);
+        meter.count(`attempts.${ended.outcome}`);
         await afterSettled(task);
         pumpLoop.wake();
     };
@@ -345,6 +308,9 @@
         const settled: string[] = [];
         await Promise.all(reports.map(async each => {
             const task = state.task(each.taskId);
+            if (!recovered && task?.attemptId !== each.attemptId) {
+                return;
+            }
             if (task === undefined || task.attemptId !== each.attemptId || isFinal(task.state)) {
                 meter.count("lateReports");
                 settled.push(each.attemptId);
@@ -359,12 +325,36 @@
         return settled;
     };
 
-    const isWaiting = (task: TaskEntry): boolean => task.state === taskStates.queued && !task.job.cancelled;
+    const isAgreed = ({ task, placement }: Reserved): boolean =>
+        task.attemptId === placement.attemptId && task.state === taskStates.starting;
 
-    const addTeamUse = (item: QueueItem): void => {
-        for (const { job: { spec } } of item.tasks) {
-            teamUse.set(spec.team, add(teamUse.get(spec.team) ?? noResources, spec.taskSize));
+    const mayStartEarly = ({ task, placement }: Reserved): boolean =>
+        !task.job.spec.atMostOnce && placement.rackKey.startsWith(unitKey("rack", options.dataCentre, ""));
+
+    /** Commits reservations and starts them; where the commit is slow, what may start before it does. */
+    const commit = async (reserved: readonly Reserved[], gang: boolean): Promise<void> => {
+        const intents = reserved.map(each => {
+            const record: JournalRecord = { kind: "attemptIntended", taskId: each.task.taskId, ...each.placement };
+            return { ...each, record };
+        });
+        const durable = write(intents.map(each => each.record));
+        durable.then(
+            () => startSoon(intents.filter(isAgreed).filter(each => !early.has(each.task)).map(each => each.task)),
+            error => log.write("debug", "commitFailed", { homeId, ...failureOf(error) }),
+        );
+        const early = new Set<TaskEntry>();
+        const slow = sleep(clock, options.earlyStartMs).then(() => true);
+        const isSlow = await Promise.race([durable.then(() => false, () => false), slow]);
+        if (!isSlow || gang || closed || !options.mayAct()) {
+            return;
         }
+        for (const each of intents.filter(mayStartEarly)) {
+            state.apply(each.record);
+            appliedEarly.add(each.record);
+            early.add(each.task);
+        }
+        meter.count("earlyStarts", early.size);
+        startSoon([...early].filter(task => task.state === taskStates.starting));
     };
 
     const recountTeamUse = (): void => {
@@ -374,176 +364,101 @@
         }
     };
 
-    const offerOf = (item: QueueItem, task: TaskEntry): TaskOffer => ({
-        attemptId: options.newAttemptId(task.taskId),
-        taskId: task.taskId,
-        size: item.size,
-        payload: task.job.spec.payload,
-        policy: item.policy,
+    const placer = createPlacer({
+        queue,
+        clock,
+        random,
+        newAttemptId: options.newAttemptId,
+        policyOf: options.policyOf,
+        rooms: options.rooms,
+        withinQuota: options.withinQuota,
+        useOf: team => teamUse.get(team)?.cpuMillis ?? 0,
+        addUse: (team, size) => teamUse.set(team, add(teamUse.get(team) ?? noResources, size)),
+        offer: async (owner, offers) => {
+            try {
+                return (await options.call(owner, "place", { homeId, homeVersion, offers })).placements;
+            }
+            catch (error) {
+                log.write("debug", "offerFailed", { owner, offers: offers.length, ...failureOf(error) });
+                return [];
+            }
+        },
+        release: async (owner, placements) => {
+            await options.call(owner, "release", { homeId, homeVersion, attempts: placements }).catch(() => undefined);
+        },
+        commit,
+        isWaiting: task => task.state === taskStates.queued && !isCancelled(task),
+        starvationMs: options.starvationMs,
     });
 
-    const putBack = (item: QueueItem, restMs: number): void => {
-        queue.putBack({ ...item, tries: item.tries + 1 }, clock.monotonicMs() + restMs);
-    };
-
-    const restFor = (item: QueueItem): number => {
-        const ceilingMs = Math.min(maxRestMs, baseRestMs * 2 ** Math.min(10, item.tries));
-        return item.gang ? ceilingMs * (0.5 + random.next() / 2) : baseRestMs;
-    };
-
-    const send = async (owner: string, offers: readonly TaskOffer[]): Promise<readonly Placement[]> => {
-        try {
-            return (await options.call(owner, "place", { homeId, offers })).placements;
+    const pump = async (): Promise<void> => {
+        if (closed || !recovered || queue.size() === 0) {
+            return;
         }
-        catch (error) {
-            log.write("debug", "offerFailed", { owner, offers: offers.length, ...failureOf(error) });
-            return [];
+        recountTeamUse();
+        if (await placer.round() > 0) {
+            pumpLoop.wake();
         }
     };
 
-    const commitAndStart = async (made: readonly Made[]): Promise<void> => {
-        const records: readonly AttemptIntendedRecord[] = made.map(({ task, placement }) => ({
-            kind: "attemptIntended",
-            taskId: task.taskId,
-            ...placement,
-        }));
-        await write(records);
-        const agreed = made.filter(({ task, placement }) =>
-            task.attemptId === placement.attemptId && task.state === taskStates.starting
-        );
-        void start(agreed.map(({ task }) => task)).catch(error => {
-            log.write("debug", "startFailed", { ...failureOf(error) });
-        });
-    };
-
-    const placeSingles = async (items: readonly QueueItem[], rooms: Rooms): Promise<number> => {
-        const byTarget = new Map<string, Offered[]>();
-        const unplaced: QueueItem[] = [];
-        for (const item of items) {
-            const [task] = item.tasks;
-            const owner = rooms.choose(item.size, options.policyOf(item.policy).placement);
-            if (owner === undefined || task === undefined) {
-                unplaced.push(item);
-                continue;
-            }
-            byTarget.set(owner, [...(byTarget.get(owner) ?? []), { item, task, offer: offerOf(item, task) }]);
-        }
-        const counts = await Promise.all([...byTarget].map(async ([owner, group]) => {
-            const placements = await send(owner, group.map(({ offer }) => offer));
-            const placed = new Map(placements.map(placement => [placement.attemptId, placement]));
-            const made: Made[] = [];
-            for (const { item, task, offer } of group) {
-                const placement = placed.get(offer.attemptId);
-                if (placement === undefined) {
-                    unplaced.push(item);
-                    continue;
-                }
-                made.push({ task, placement });
+    const ownRacks = (): ReadonlySet<string> => {
+        const racks = new Set<string>();
+        for (const vm of membership.listing().vms) {
+            if (vm.role === vmRoles.worker && vm.dataCentre === options.dataCentre) {
+                racks.add(unitKey("rack", vm.dataCentre, vm.rack ?? ""));
             }
-            await commitAndStart(made);
-            return made.length;
-        }));
-        unplaced.sort((left, right) => right.queuedAtMs - left.queuedAtMs);
-        for (const item of unplaced) {
-            putBack(item, restFor(item));
         }
-        return counts.reduce((sum, count) => sum + count, 0);
+        return racks;
     };
 
-    const groupGang = (
-        item: QueueItem,
-        rooms: Rooms,
-    ): ReadonlyMap<string, { task: TaskEntry; offer: TaskOffer; }[]> | undefined => {
-        const byTarget = new Map<string, { task: TaskEntry; offer: TaskOffer; }[]>();
-        for (const task of item.tasks) {
-            const owner = rooms.choose(item.size, options.policyOf(item.policy).placement);
-            if (owner === undefined) {
-                return undefined;
+    /** Attempts that an earlier holder started without a committed intent. */
+    const adoptFound = async (found: readonly HomeAttempt[]): Promise<void> => {
+        const records: JournalRecord[] = [];
+        for (const { attemptId, taskId, workerId, rackKey, state: said } of found) {
+            const task = state.task(taskId);
+            if (task?.state === taskStates.queued && said !== "absent" && said !== "notStarted") {
+                records.push({ kind: "attemptIntended", taskId, attemptId, workerId, rackKey });
+                startSent.add(attemptId);
             }
-            byTarget.set(owner, [...(byTarget.get(owner) ?? []), { task, offer: offerOf(item, task) }]);
         }
-        return byTarget;
-    };
-
-    const releaseAll = async (owner: string, placements: readonly Placement[]): Promise<void> => {
-        await options.call(owner, "release", { attempts: placements }).catch(() => undefined);
+        await write(records);
     };
 
-    /** All or nothing: owners are asked in one fixed order, and the first refusal gives everything back. */
-    const placeGang = async (item: QueueItem, rooms: Rooms): Promise<number> => {
-        const byTarget = groupGang(item, rooms);
-        const held: { owner: string; placements: readonly Placement[]; }[] = [];
-        const tasks = new Map<string, TaskEntry>();
-        let complete = byTarget !== undefined;
-        for (const owner of [...(byTarget?.keys() ?? [])].sort()) {
-            const offers = byTarget?.get(owner) ?? [];
-            const placements = await send(owner, offers.map(each => each.offer));
-            held.push({ owner, placements });
-            offers.forEach(each => tasks.set(each.offer.attemptId, each.task));
-            if (placements.length < offers.length) {
-                complete = false;
-                break;
-            }
-        }
-        if (!complete) {
-            await Promise.all(held.map(({ owner, placements }) => releaseAll(owner, placements)));
-            putBack(item, restFor(item));
-            return 0;
+    /** Asks the owners of all racks of the home's data centre what they run of it; true once all have answered whole. */
+    const recoverOnce = async (): Promise<boolean> => {
+        const racks = ownRacks();
+        const owners = new Set([...racks].map(rackKey => membership.ownerOf(rackKey)?.sessionId));
+        if (owners.has(undefined)) {
+            return false;
         }
-        const made = held.flatMap(({ placements }) => placements).flatMap(placement => {
-            const task = tasks.get(placement.attemptId);
-            return task === undefined ? [] : [{ task, placement }];
-        });
-        await commitAndStart(made);
-        return made.length;
-    };
-
-    const waitingPart = (item: QueueItem): QueueItem | undefined => {
-        const tasks = item.tasks.filter(isWaiting);
-        return tasks.length === 0 ? undefined : { ...item, tasks };
+        const answers = await Promise.all(
+            [...owners].map(owner => options.call(owner ?? "", "attemptsOfHome", { homeId, homeVersion })),
+        );
+        const decided = new Set(answers.flatMap(answer => answer.decidedRacks));
+        await adoptFound(answers.flatMap(answer => answer.attempts));
+        return [...racks].every(rackKey => decided.has(rackKey));
     };
 
-    const admitted = (items: readonly QueueItem[]): readonly QueueItem[] => {
-        const open: QueueItem[] = [];
-        for (const taken of items) {
-            const item = waitingPart(taken);
-            if (item === undefined) {
-                continue;
+    const recover = async (): Promise<void> => {
+        while (!recovered && !closed) {
+            recovered = await recoverOnce().catch(() => false);
+            if (!recovered) {
+                await sleep(clock, recoverRetryMs);
             }
-            const size = item.tasks.reduce(sum => add(sum, item.size), noResources);
-            if (!options.withinQuota(item.team, size)) {
-                putBack(item, quotaRestMs);
-                continue;
-            }
-            addTeamUse(item);
-            open.push(item);
-        }
-        return open;
-    };
-
-    const round = async (): Promise<void> => {
-        if (closed || queue.size() === 0) {
-            return;
         }
-        recountTeamUse();
-        const items = admitted(queue.take(itemsPerRound, clock.monotonicMs()));
-        const rooms = createRooms(options.rooms(), random);
-        let placed = await placeSingles(items.filter(item => !item.gang), rooms);
-        for (const item of items.filter(each => each.gang)) {
-            placed += await placeGang(item, rooms);
-        }
-        if (placed > 0) {
-            pumpLoop.wake();
+        log.write("info", "homeRecovered", { homeId });
+        for (const job of state.jobs()) {
+            enqueueJob(job);
         }
+        pumpLoop.wake();
     };
 
     const settleLost = async (): Promise<void> => {
         const reports: AttemptReport[] = [];
-        for (const task of state.active()) {
-            const { workerId, rackKey, attemptId } = task;
+        for (const { workerId, rackKey, attemptId, taskId } of state.active()) {
             const ownerless = rackKey !== undefined && membership.ownerOf(rackKey) === undefined;
             if (workerId !== undefined && ownerless && membership.vmGone(workerId)) {
-                reports.push({ attemptId: attemptId ?? "", taskId: task.taskId, outcome: "absent", result: "" });
+                reports.push({ attemptId: attemptId ?? "", taskId, outcome: "absent", result: "", checkpoint: "" });
             }
         }
         await report(reports);
@@ -558,25 +473,36 @@
             await takeStates(owner, tasks, answer);
             await start(tasks.filter(task => answer.states[task.attemptId ?? ""] === "reserved"));
         });
-        await stop([...state.active()].filter(task => task.job.cancelled));
+        await stop([...state.active()].filter(isCancelled));
         await settleLost();
     };
 
-    const pumpLoop = startLoop({ clock, log, name: `pump ${homeId}`, intervalMs: options.pumpIntervalMs, run: round });
-    const reconcileLoop = startLoop({
-        clock,
-        log,
-        name: `reconcile ${homeId}`,
-        intervalMs: options.reconcileIntervalMs,
-        run: reconcile,
-    });
+    /** Runs from a timer, when everything committed so far has been applied. */
+    const maintain = async (): Promise<void> => {
+        const nextSequence = journal.nextSequence();
+        if (closed || nextSequence - snapshotAt < options.snapshotBatches) {
+            return;
+        }
+        const forgotten = state.forgetEnded(clock.nowMs() - options.retentionMs);
+        if (await options.saveSnapshot({ snapshot: state.snapshot(), nextSequence })) {
+            snapshotAt = nextSequence;
+            meter.count("snapshots");
+            await options.forgetJobs(forgotten);
+        }
+    };
+
+    const loopOf = (name: string, intervalMs: number, run: () => Promise<void>) =>
+        startLoop({ clock, log, name: `${name} ${homeId}`, intervalMs, run });
+    const pumpLoop = loopOf("pump", options.pumpIntervalMs, pump);
+    const reconcileLoop = loopOf("reconcile", options.reconcileIntervalMs, reconcile);
+    const maintainLoop = loopOf("maintain", options.maintainIntervalMs, maintain);
 
-    for (const job of state.jobs()) {
-        enqueueJob(job);
-    }
     for (const task of state.active()) {
         startSent.add(task.attemptId ?? "");
     }
+    if (!recovered) {
+        void recover();
+    }
 
     const submit = async (spec: JobSpec): Promise<Job> => {
         const record: JournalRecord = { kind: "jobAccepted", spec, acceptedAtMs: clock.nowMs() };
@@ -584,7 +510,9 @@
         state.apply(record);
         const job = state.job(spec.jobId) ?? die("internal", `job ${spec.jobId} is not in its home`);
         acceptedTasks += spec.tasks;
-        enqueueJob(job);
+        if (recovered) {
+            enqueueJob(job);
+        }
         pumpLoop.wake();
         log.write("info", "jobAccepted", {
             jobId: spec.jobId,
@@ -595,15 +523,28 @@
         return showJob(job, homeId);
     };
 
+    const stopSoon = (tasks: readonly TaskEntry[]): void => {
+        stop(tasks).catch(error => log.write("debug", "stopFailed", { ...failureOf(error) }));
+    };
+
     const cancel = async (jobId: string): Promise<Job> => {
         const job = state.job(jobId) ?? die("notFound", `home ${homeId} has no job ${jobId}`);
         if (!job.cancelled && !showJob(job, homeId).ended) {
             await write([{ kind: "jobCancelled", jobId, cancelledAtMs: clock.nowMs() }]);
-            void stop(job.tasks.filter(task => !isFinal(task.state))).catch(() => undefined);
+            stopSoon(job.tasks.filter(task => !isFinal(task.state)));
         }
         return showJob(job, homeId);
     };
 
+    const cancelTask = async (taskId: string): Promise<Task> => {
+        const task = state.task(taskId) ?? die("notFound", `home ${homeId} has no task ${taskId}`);
+        if (!isCancelled(task) && !isFinal(task.state)) {
+            await write([{ kind: "taskCancelled", taskId, cancelledAtMs: clock.nowMs() }]);
+            stopSoon([task]);
+        }
+        return showTask(task);
+    };
+
     const fullTask = async (taskId: string): Promise<Task | undefined> => {
         const entry = state.task(taskId);
         if (entry === undefined) {
@@ -613,21 +554,24 @@
         return resultKey === undefined ? showTask(entry) : { ...showTask(entry), result: await objects.get(resultKey) };
     };
 
+    const listJobs = (team: string, afterJobId: string, limit: number): readonly Job[] =>
+        [...state.jobs()]
+            .filter(job => (team === "" || job.spec.team === team) && job.spec.jobId > afterJobId)
+            .sort((left, right) => left.spec.jobId < right.spec.jobId ? -1 : 1)
+            .slice(0, limit)
+            .map(job => showJob(job, homeId));
+
     return {
         homeId,
         submit,
         cancel,
+        cancelTask,
         report,
         job: jobId => {
             const job = state.job(jobId);
             return job === undefined ? undefined : showJob(job, homeId);
         },
-        jobs: (team, afterJobId, limit) =>
-            [...state.jobs()]
-                .filter(job => (team === "" || job.spec.team === team) && job.spec.jobId > afterJobId)
-                .sort((left, right) => left.spec.jobId < right.spec.jobId ? -1 : 1)
-                .slice(0, limit)
-                .map(job => showJob(job, homeId)),
+        jobs: listJobs,
         tasks: (jobId, afterIndex, limit) => {
             const job = state.job(jobId) ?? die("notFound", `home ${homeId} has no job ${jobId}`);
             return job.tasks.slice(afterIndex + 1, afterIndex + 1 + limit).map(showTask);
@@ -636,12 +580,14 @@
         queuedTasks: () => queue.size(),
         activeTasks: () => [...state.active()].length,
         acceptedTasks: () => acceptedTasks,
+        recovered: () => recovered,
         teamUse: () => teamUse,
         close: async () => {
             closed = true;
-            await pumpLoop.stop();
-            await reconcileLoop.stop();
-            await journal.flush();
+            await Promise.all([pumpLoop.stop(), reconcileLoop.stop(), maintainLoop.stop()]);
+            if (options.mayAct()) {
+                await Promise.race([journal.flush(), sleep(clock, options.closeTimeoutMs)]);
+            }
             journal.close();
         },
     };
--- a/packages/puffinarch/src/core/homeState.ts
+++ b/packages/puffinarch/src/core/homeState.ts
@@ -16,6 +16,7 @@
     JobAcceptedRecord,
     JobCancelledRecord,
     JournalRecord,
+    TaskCancelledRecord,
     TaskEndedRecord,
 } from "../types/records.js";
 
@@ -31,6 +32,9 @@
     rackKey: string | undefined;
     detail: string;
     mayHaveStarted: boolean;
+    cancelled: boolean;
+    /** Progress that the next attempt goes on from. */
+    checkpoint: string;
     result: string | undefined;
     resultKey: string | undefined;
     queuedAtMs: number;
@@ -38,6 +42,8 @@
     endedAtMs: number | undefined;
     /** Session of the rack owner that last answered for this attempt; not journaled. */
     confirmedBy: string | undefined;
+    /** Workers on which an attempt failed; not journaled. */
+    readonly failedOn: Set<string>;
     /** A report is being made durable; not journaled. */
     settling: Promise<void> | undefined;
 }
@@ -51,6 +57,68 @@
     cancelled: boolean;
 }
 
+/** What of a task outlasts its process; the fields of `TaskEntry` of the same names. */
+export type TaskSnapshot = Pick<
+    TaskEntry,
+    | "state"
+    | "attempts"
+    | "attemptId"
+    | "workerId"
+    | "rackKey"
+    | "detail"
+    | "mayHaveStarted"
+    | "cancelled"
+    | "checkpoint"
+    | "result"
+    | "resultKey"
+    | "queuedAtMs"
+    | "startedAtMs"
+    | "endedAtMs"
+>;
+
+/** What of a job outlasts its process. */
+export interface JobSnapshot {
+    readonly spec: JobSpec;
+    readonly acceptedAtMs: number;
+    readonly cancelled: boolean;
+    readonly tasks: readonly TaskSnapshot[];
+}
+
+/** A home's state at one point of its journal. */
+export type HomeSnapshot = readonly JobSnapshot[];
+
+const taskSnapshotOf = (task: TaskEntry): TaskSnapshot => ({
+    state: task.state,
+    attempts: task.attempts,
+    attemptId: task.attemptId,
+    workerId: task.workerId,
+    rackKey: task.rackKey,
+    detail: task.detail,
+    mayHaveStarted: task.mayHaveStarted,
+    cancelled: task.cancelled,
+    checkpoint: task.checkpoint,
+    result: task.result,
+    resultKey: task.resultKey,
+    queuedAtMs: task.queuedAtMs,
+    startedAtMs: task.startedAtMs,
+    endedAtMs: task.endedAtMs,
+});
+
+const snapshotOf = ({ spec, acceptedAtMs, cancelled, tasks }: JobEntry): JobSnapshot => ({
+    spec,
+    acceptedAtMs,
+    cancelled,
+    tasks: tasks.map(taskSnapshotOf),
+});
+
+/**
+ * Tells whether a task or its whole job was cancelled.
+ *
+ * @example
+ * if (isCancelled(task)) { await stop([task]); }
+ */
+export const isCancelled = (task: TaskEntry): boolean => task.cancelled || task.job.cancelled;
+
 /** Jobs of one home. */
 export interface HomeState {
     apply(record: JournalRecord): void;
@@ -61,6 +129,11 @@
     setState(task: TaskEntry, state: TaskState): void;
     /** Tasks that hold an attempt. */
     active(): IterableIterator<TaskEntry>;
+    snapshot(): HomeSnapshot;
+    /** Takes over a snapshot; before any record is applied. */
+    load(snapshot: HomeSnapshot): void;
+    /** Drops jobs whose last task ended before then (wall clock); answers their ids. */
+    forgetEnded(beforeMs: number): readonly string[];
 }
 
 /**
@@ -100,6 +173,9 @@
         rackKey: undefined,
         detail: "",
         mayHaveStarted: false,
+        cancelled: false,
+        checkpoint: "",
+        failedOn: new Set(),
         result: undefined,
         resultKey: undefined,
         queuedAtMs: job.acceptedAtMs,
@@ -144,8 +220,9 @@
         }
         task.mayHaveStarted ||= record.started;
         task.detail = record.reason;
+        task.checkpoint = record.checkpoint ?? task.checkpoint;
         clearAttempt(task);
-        setState(task, task.job.cancelled ? taskStates.cancelled : taskStates.queued);
+        setState(task, isCancelled(task) ? taskStates.cancelled : taskStates.queued);
     };
 
     const taskEnded = (record: TaskEndedRecord): void => {
@@ -162,6 +239,22 @@
         setState(task, record.state);
     };
 
+    const endWaiting = (task: TaskEntry, cancelledAtMs: number): void => {
+        if (task.state === taskStates.queued) {
+            task.endedAtMs = cancelledAtMs;
+            task.detail = "cancelled while waiting";
+            setState(task, taskStates.cancelled);
+        }
+    };
+
+    const taskCancelled = ({ taskId, cancelledAtMs }: TaskCancelledRecord): void => {
+        const task = findTask(taskId);
+        if (task !== undefined) {
+            task.cancelled = true;
+            endWaiting(task, cancelledAtMs);
+        }
+    };
+
     const jobCancelled = ({ jobId, cancelledAtMs }: JobCancelledRecord): void => {
         const job = jobs.get(jobId);
         if (job === undefined) {
@@ -169,11 +262,7 @@
         }
         job.cancelled = true;
         for (const task of job.tasks) {
-            if (task.state === taskStates.queued) {
-                task.endedAtMs = cancelledAtMs;
-                task.detail = "cancelled while waiting";
-                setState(task, taskStates.cancelled);
-            }
+            endWaiting(task, cancelledAtMs);
         }
     };
 
@@ -184,8 +273,40 @@
             attemptAbandoned,
             taskEnded,
             jobCancelled,
+            taskCancelled,
         };
 
+    const load = (snapshot: HomeSnapshot): void => {
+        for (const { spec, acceptedAtMs, cancelled, tasks } of snapshot) {
+            jobAccepted({ kind: "jobAccepted", spec, acceptedAtMs });
+            const job = jobs.get(spec.jobId);
+            if (job === undefined) {
+                continue;
+            }
+            job.cancelled = cancelled;
+            for (const [index, saved] of tasks.entries()) {
+                const task = job.tasks[index];
+                if (task !== undefined) {
+                    const { state, ...fields } = saved;
+                    Object.assign(task, fields);
+                    setState(task, state);
+                }
+            }
+        }
+    };
+
+    const forgetEnded = (beforeMs: number): readonly string[] => {
+        const forgotten: string[] = [];
+        for (const [jobId, job] of jobs) {
+            const open = job.tasks.some(task => !isFinal(task.state) || (task.endedAtMs ?? 0) >= beforeMs);
+            if (!open) {
+                jobs.delete(jobId);
+                forgotten.push(jobId);
+            }
+        }
+        return forgotten;
+    };
+
     const apply = (record: JournalRecord): void => {
         (handlers[record.kind] as (each: JournalRecord) => void)(record);
     };
@@ -197,6 +318,9 @@
         jobs: () => jobs.values(),
         setState,
         active: () => active.values(),
+        snapshot: () => [...jobs.values()].map(snapshotOf),
+        load,
+        forgetEnded,
     };
 };
 
--- a/packages/puffinarch/src/core/homes.ts
+++ b/packages/puffinarch/src/core/homes.ts
@@ -1,14 +1,15 @@
 /** The homes that a daemon holds: its own, and those of dead daemons that it took over. */
 
 import { unitKey } from "../types/ownership.js";
-import type { Clock, Log, Meter, TableStore } from "../types/ports.js";
+import type { Clock, Log, Meter, ObjectStore, TableStore } from "../types/ports.js";
 import { die, failureOf } from "../utils/errors.js";
 import { sleep } from "../utils/time.js";
-import { createHome, type Home, type HomeOptions } from "./home.js";
+import { createHome, type Home, type HomeOptions, jobKey } from "./home.js";
 import { createHomeState } from "./homeState.js";
 import { createJournal, replay } from "./journal.js";
 import type { Membership, OwnedUnit } from "./membership.js";
 import type { UnitKeeper } from "./ownership.js";
+import { forgetRows, loadSnapshot, saveSnapshot } from "./snapshots.js";
 
 /** The homes held here, by id. */
 export interface Homes {
@@ -21,7 +22,13 @@
     withJob(jobId: string): Home | undefined;
 }
 
-/** What homes need; the rest of a home's options is the same for all. */
+/** Options that are the same for all homes of a daemon. */
+export type SharedHomeOptions = Omit<
+    HomeOptions,
+    "homeId" | "homeVersion" | "dataCentre" | "journal" | "state" | "saveSnapshot" | "forgetJobs"
+>;
+
+/** What homes need. */
 export interface HomesOptions {
     readonly table: TableStore;
     readonly clock: Clock;
@@ -33,7 +40,8 @@
     readonly batchesPerSecond: number;
     readonly maxPendingEntries: number;
     readonly onFenced: (unitKey: string) => void;
-    readonly homeOptions: (homeId: string) => Omit<HomeOptions, "homeId" | "journal" | "state">;
+    readonly objects: ObjectStore;
+    readonly homeOptions: () => SharedHomeOptions;
 }
 
 const retryMs = 200;
@@ -46,7 +54,7 @@
  * homes.own()?.queuedTasks();
  */
 export const createHomes = (options: HomesOptions): Homes => {
-    const { table, clock, log, meter } = options;
+    const { table, objects, clock, log, meter } = options;
     const homes = new Map<string, Home>();
     const wanted = new Map<string, Promise<void>>();
     let batches = 0;
@@ -57,11 +65,15 @@
     };
 
     const openOnce = async (unit: OwnedUnit): Promise<void> => {
-        const { records, nextSequence } = await replay(table, unit.name);
+        const loaded = await loadSnapshot(table, objects, unit.name);
+        const { records, nextSequence, staleKeys } = await replay(table, unit.name, loaded.nextSequence);
         const state = createHomeState();
+        state.load(loaded.snapshot);
         for (const record of records) {
             state.apply(record);
         }
+        const fence = { key: unit.key, version: unit.version };
+        const snapshotOptions = { table, objects, homeId: unit.name, fence };
         const journal = createJournal({
             table,
             clock,
@@ -69,13 +81,24 @@
             meter,
             journalId: unit.name,
             nextSequence,
-            fence: { key: unit.key, version: unit.version },
+            fence,
             newBatchId,
             onFenced: () => options.onFenced(unit.key),
             batchesPerSecond: options.batchesPerSecond,
             maxPendingEntries: options.maxPendingEntries,
         });
-        homes.set(unit.name, createHome({ ...options.homeOptions(unit.name), homeId: unit.name, journal, state }));
+        const home = createHome({
+            ...options.homeOptions(),
+            homeId: unit.name,
+            homeVersion: unit.version,
+            dataCentre: unit.dataCentre,
+            journal,
+            state,
+            saveSnapshot: snapshot => saveSnapshot(snapshotOptions, snapshot),
+            forgetJobs: jobIds => forgetRows(snapshotOptions, jobIds.map(jobKey)),
+        });
+        homes.set(unit.name, home);
+        await forgetRows(snapshotOptions, staleKeys);
         log.write("info", "homeOpened", { homeId: unit.name, records: records.length, nextSequence });
     };
 
--- a/packages/puffinarch/src/core/jobs.ts
+++ b/packages/puffinarch/src/core/jobs.ts
@@ -20,6 +20,7 @@
 export interface Jobs {
     submit(input: unknown): Promise<Job>;
     cancel(jobId: string): Promise<Job>;
+    cancelTask(taskId: string): Promise<Task>;
     get(jobId: string): Promise<Job>;
     list(team: string, afterJobId: string, limit: number): Promise<JobPage>;
     task(taskId: string): Promise<Task>;
@@ -106,6 +107,13 @@
             const here = homes.withJob(jobId);
             return here === undefined ? call(await holderOfJob(jobId), "cancel", { jobId }) : here.cancel(jobId);
         },
+        cancelTask: async taskId => {
+            const jobId = jobIdOf(taskId);
+            const here = homes.withJob(jobId);
+            return here === undefined
+                ? call(await holderOfJob(jobId), "cancelTask", { taskId })
+                : here.cancelTask(taskId);
+        },
         list: async (team, afterJobId, limit) => {
             const { answers, unreachable } = await options.callAll("jobs", { team, afterJobId, limit });
             const jobs = answers.flat().sort((left, right) => left.spec.jobId < right.spec.jobId ? -1 : 1);
--- a/packages/puffinarch/src/core/journal.ts
+++ b/packages/puffinarch/src/core/journal.ts
@@ -26,6 +26,8 @@
     claim(records: readonly JournalRecord[], row: RowClaim): Promise<void>;
     /** Batches that hold everything up to now are committed when this resolves. */
     flush(): Promise<void>;
+    /** Sequence number of the next batch; every record that was applied stands before it. */
+    nextSequence(): number;
     /** Stops writing; pending entries are rejected with `unavailable`. */
     close(): void;
     pendingEntries(): number;
@@ -66,6 +68,7 @@
 const maxBatchBytes = 48 * 1024;
 const maxClaimsPerBatch = 23;
 const sequenceDigits = 10;
+const unknownFailure: Failure = { kind: "mayHaveRun", message: "it is not known whether the batch was committed" };
 const firstRetryMs = 20;
 const maxRetryMs = 1_000;
 
@@ -78,24 +81,36 @@
 export const journalKey = (journalId: string, sequence: number): string =>
     `journal/${journalId}/${String(sequence).padStart(sequenceDigits, "0")}`;
 
+/** A journal as it was read. */
+export interface Replayed {
+    readonly records: readonly JournalRecord[];
+    /** Sequence number of the next batch. */
+    readonly nextSequence: number;
+    /** Rows that a snapshot holds already and that were not deleted yet. */
+    readonly staleKeys: readonly string[];
+}
+
 /**
- * Reads a journal whole: its records in order, and the sequence number of the next batch.
+ * Reads a journal from a sequence number on: its records in order.
  *
  * @example
- * const { records, nextSequence } = await replay(table, "home-1");
+ * const { records, nextSequence } = await replay(table, "home-1", 0);
  */
-export const replay = async (
-    table: TableStore,
-    journalId: string,
-): Promise<{ readonly records: readonly JournalRecord[]; readonly nextSequence: number; }> => {
+export const replay = async (table: TableStore, journalId: string, fromSequence: number): Promise<Replayed> => {
     const rows = await table.scan(`journal/${journalId}/`);
     const records: JournalRecord[] = [];
-    let nextSequence = 0;
+    const staleKeys: string[] = [];
+    let nextSequence = fromSequence;
     for (const row of rows) {
+        const sequence = Number(row.key.slice(-sequenceDigits));
+        if (sequence < fromSequence) {
+            staleKeys.push(row.key);
+            continue;
+        }
         records.push(...(row.value as BatchValue).records);
-        nextSequence = Number(row.key.slice(-sequenceDigits)) + 1;
+        nextSequence = sequence + 1;
     }
-    return { records, nextSequence };
+    return { records, nextSequence, staleKeys };
 };
 
 /**
@@ -222,7 +237,7 @@
         let retryMs = firstRetryMs;
         while (batch.length > 0) {
             if (closed !== undefined) {
-                fail(closed, batch);
+                fail(mayHaveCommitted ? unknownFailure : closed, batch);
                 return;
             }
             const { outcome } = await table.transact(transactionOf(batch, batchId));
@@ -289,6 +304,7 @@
             }
         },
         close: () => closeWith({ kind: "unavailable", message: `journal ${journalId} is closed` }),
+        nextSequence: () => sequence,
         pendingEntries: () => pending.length,
     };
 };
--- a/packages/puffinarch/src/core/ledger.ts
+++ b/packages/puffinarch/src/core/ledger.ts
@@ -25,6 +25,10 @@
     setOpen(workerId: string, open: boolean): void;
     /** False, and no change, where it does not fit or the worker is closed; true again for the same attempt. */
     reserve(workerId: string, attemptId: string, size: Resources): boolean;
+    /** Like `reserve`, on a worker that is closed to all others. */
+    reserveClosed(workerId: string, attemptId: string, size: Resources): boolean;
+    /** Changes what an attempt holds, whether it fits or not. */
+    resize(attemptId: string, size: Resources): void;
     /** Records an attempt that a worker already runs, whether it fits or not. */
     adopt(workerId: string, attemptId: string, size: Resources): void;
     /** Harmless where the attempt holds nothing. */
@@ -37,6 +41,9 @@
     /** Open workers, most free processors first. */
     emptiest(size: Resources): Iterable<LedgerWorker>;
     openWorkers(): readonly LedgerWorker[];
+    openCount(): number;
+    /** The open worker at a place from 0 to `openCount() - 1`, in no order. */
+    openAt(place: number): LedgerWorker | undefined;
 }
 
 interface Entry {
@@ -130,6 +137,18 @@
         reindex(entry);
     };
 
+    const reserve = (entry: Entry | undefined, attemptId: string, size: Resources, evenClosed: boolean): boolean => {
+        const holder = holders.get(attemptId);
+        if (holder !== undefined) {
+            return holder === entry;
+        }
+        if (entry === undefined || (!entry.open && !evenClosed) || !fits(size, freeOf(entry))) {
+            return false;
+        }
+        hold(entry, attemptId, size);
+        return true;
+    };
+
     const release = (attemptId: string): void => {
         const entry = holders.get(attemptId);
         const size = entry?.attempts.get(attemptId);
@@ -199,17 +218,16 @@
                 setOpen(entry, open);
             }
         },
-        reserve: (workerId, attemptId, size) => {
-            const holder = holders.get(attemptId);
-            if (holder !== undefined) {
-                return holder.workerId === workerId;
+        reserve: (workerId, attemptId, size) => reserve(entries.get(workerId), attemptId, size, false),
+        reserveClosed: (workerId, attemptId, size) => reserve(entries.get(workerId), attemptId, size, true),
+        resize: (attemptId, size) => {
+            const entry = holders.get(attemptId);
+            const held = entry?.attempts.get(attemptId);
+            if (entry !== undefined && held !== undefined) {
+                entry.attempts.set(attemptId, size);
+                entry.reserved = add(subtract(entry.reserved, held), size);
+                reindex(entry);
             }
-            const entry = entries.get(workerId);
-            if (entry === undefined || !entry.open || !fits(size, freeOf(entry))) {
-                return false;
-            }
-            hold(entry, attemptId, size);
-            return true;
         },
         adopt: (workerId, attemptId, size) => {
             const entry = entries.get(workerId);
@@ -227,5 +245,10 @@
         candidates,
         emptiest,
         openWorkers: () => openEntries.map(viewOf),
+        openCount: () => openEntries.length,
+        openAt: place => {
+            const entry = openEntries[place];
+            return entry === undefined ? undefined : viewOf(entry);
+        },
     };
 };
--- a/packages/puffinarch/src/core/membership.ts
+++ b/packages/puffinarch/src/core/membership.ts
@@ -1,7 +1,7 @@
 /**
  * What a daemon knows of the others: sessions and units as last read from the table, the lagging VM list, and the
  * latest gossip. A session counts as dead on evidence only: its VM was listed once and is gone, or a later
- * incarnation runs on its VM. A paused or cut-off daemon is therefore never taken for dead.
+ * incarnation runs on its VM, or its row says that it was fenced or closed. Silence alone is never taken for death.
  */
 
 import type { SessionRow, UnitRow } from "../types/ownership.js";
@@ -15,7 +15,8 @@
 
 /** Knowledge of the cluster, refreshed by `core/ownership.ts` and by gossip. */
 export interface Membership {
-    setRows(sessions: readonly TableRow[], units: readonly TableRow[]): void;
+    /** Takes what a scan returned; the scan was begun at this reading of the monotonic clock. */
+    setRows(sessions: readonly TableRow[], units: readonly TableRow[], begunAtMs: number): void;
     setListing(listing: VmListing): void;
     setGossip(gossip: Gossip): void;
     listing(): VmListing;
@@ -24,6 +25,10 @@
     vmGone(vmId: string): boolean;
     sessions(): readonly SessionRow[];
     session(sessionId: string): SessionRow | undefined;
+    /** Version of the session's row as last read. */
+    sessionVersion(sessionId: string): number | undefined;
+    /** How long the row surely stood still while the table was read without a gap; 0 for an unknown session. */
+    unchangedForMs(sessionId: string): number;
     /** Sessions that can be given work. */
     liveSessions(): readonly SessionRow[];
     /** Milliseconds since the session was first known dead here; undefined while it may live. */
@@ -42,6 +47,8 @@
     readonly clock: Clock;
     readonly ownVmId: string;
     readonly gossipMaxAgeMs: number;
+    /** Reads further apart than this begin the watch on all sessions anew. */
+    readonly maxReadGapMs: number;
 }
 
 interface HeardGossip {
@@ -49,6 +56,11 @@
     readonly heardAtMs: number;
 }
 
+interface WatchedRow {
+    readonly version: number;
+    readonly sinceMs: number;
+}
+
 const noListing: VmListing = { generation: -1, vms: [] };
 
 const vmIdOf = (sessionId: string): string => sessionId.slice(0, sessionId.lastIndexOf("~"));
@@ -66,10 +78,14 @@
  * Makes the knowledge of a daemon that knows nothing yet.
  *
  * @example
- * const membership = createMembership({ clock, ownVmId: "vm-1", gossipMaxAgeMs: 3_000 });
+ * const membership = createMembership({ clock, ownVmId: "vm-1", gossipMaxAgeMs: 3_000, maxReadGapMs: 3_000 });
  */
-export const createMembership = ({ clock, ownVmId, gossipMaxAgeMs }: MembershipOptions): Membership => {
+export const createMembership = (options: MembershipOptions): Membership => {
+    const { clock, ownVmId, gossipMaxAgeMs } = options;
     let listing = noListing;
+    let watched = new Map<string, WatchedRow>();
+    let lastReadMs = -Infinity;
+    let lastBegunMs = -Infinity;
     let vmsById = new Map<string, Vm>();
     const seenVmIds = new Set<string>();
     let sessionsByVm = new Map<string, SessionRow>();
@@ -90,8 +106,8 @@
             return vmGone(vmIdOf(sessionId));
         }
         const replaced = session.incarnation > incarnationOf(sessionId);
-        const closed = session.sessionId === sessionId && session.state === "closed";
-        return replaced || closed || goneByList(session);
+        const over = session.sessionId === sessionId && (session.state === "closed" || session.state === "fenced");
+        return replaced || over || goneByList(session);
     };
 
     const noteDeaths = (): void => {
@@ -117,8 +133,23 @@
         return session?.sessionId === sessionId ? session : undefined;
     };
 
+    const watch = (sessions: readonly TableRow[], begunAtMs: number): void => {
+        const nowMs = clock.monotonicMs();
+        const gap = nowMs - lastReadMs > options.maxReadGapMs;
+        const next = new Map<string, WatchedRow>();
+        for (const { value, version } of sessions) {
+            const { sessionId } = value as SessionRow;
+            const known = watched.get(sessionId);
+            next.set(sessionId, !gap && known?.version === version ? known : { version, sinceMs: nowMs });
+        }
+        watched = next;
+        lastReadMs = nowMs;
+        lastBegunMs = begunAtMs;
+    };
+
     return {
-        setRows: (sessions, units) => {
+        setRows: (sessions, units, begunAtMs) => {
+            watch(sessions, begunAtMs);
             sessionsByVm = new Map(sessions.map(row => {
                 const session = row.value as SessionRow;
                 return [session.vmId, session];
@@ -145,6 +176,12 @@
         vmGone,
         sessions: () => [...sessionsByVm.values()],
         session: findSession,
+        sessionVersion: sessionId => watched.get(sessionId)?.version,
+        unchangedForMs: sessionId => {
+            const sinceMs = watched.get(sessionId)?.sinceMs;
+            const read = clock.monotonicMs() - lastReadMs <= options.maxReadGapMs;
+            return sinceMs === undefined || !read ? 0 : Math.max(0, lastBegunMs - sinceMs);
+        },
         liveSessions: () => [...sessionsByVm.values()].filter(isLive),
         deadForMs: sessionId => {
             const sinceMs = deadSinceMs.get(sessionId);
--- a/packages/puffinarch/src/core/node.ts
+++ b/packages/puffinarch/src/core/node.ts
@@ -3,7 +3,7 @@
 import type { UpstreamChoiceName } from "../plugins/upstreamChoices.js";
 import type { Configuration } from "../types/configuration.js";
 import type { Decision } from "../types/decision.js";
-import type { AttemptReport } from "../types/job.js";
+import { type AttemptReport, jobIdOf } from "../types/job.js";
 import { unitKinds } from "../types/ownership.js";
 import type { DaemonView, Gossip, NodeReport, PeerCallName, PeerCalls, PeerHandlers, PeerPort } from "../types/peer.js";
 import type {
@@ -22,8 +22,8 @@
 import { createRing } from "../utils/ring.js";
 import { type Loop, sleep, startLoop } from "../utils/time.js";
 import { type ConfigurationStore, createConfigurationStore } from "./configurationStore.js";
-import type { HomeOptions } from "./home.js";
-import { createHomes, holderOf } from "./homes.js";
+import { createDeputy } from "./deputy.js";
+import { createHomes, holderOf, type SharedHomeOptions } from "./homes.js";
 import { createJobs, type Jobs } from "./jobs.js";
 import { createMembership, type Membership } from "./membership.js";
 import { createOwnership } from "./ownership.js";
@@ -31,6 +31,7 @@
 import { createRequestClaims, type RequestClaims } from "./requestClaims.js";
 import type { Room } from "./rooms.js";
 import { createRouter, type Router } from "./router.js";
+import { createSession } from "./session.js";
 import { createSlots, type Slots } from "./slots.js";
 
 /** Settings of a daemon that its coordination needs. */
@@ -42,6 +43,14 @@
     readonly startValidityMs: number;
     readonly reservationMs: number;
     readonly deathGraceMs: number;
+    readonly sessionLeaseMs: number;
+    readonly renewIntervalMs: number;
+    readonly promiseMs: number;
+    readonly starvationMs: number;
+    readonly earlyStartMs: number;
+    readonly snapshotBatches: number;
+    readonly maintainIntervalMs: number;
+    readonly retentionMs: number;
     readonly refreshIntervalMs: number;
     readonly gossipIntervalMs: number;
     readonly pumpIntervalMs: number;
@@ -63,6 +72,14 @@
     startValidityMs: 2_000,
     reservationMs: 5_000,
     deathGraceMs: 3_000,
+    sessionLeaseMs: 6_000,
+    renewIntervalMs: 1_500,
+    promiseMs: 3_000,
+    starvationMs: 5_000,
+    earlyStartMs: 250,
+    snapshotBatches: 500,
+    maintainIntervalMs: 5_000,
+    retentionMs: 3_600_000,
     refreshIntervalMs: 1_000,
     gossipIntervalMs: 250,
     pumpIntervalMs: 50,
@@ -135,6 +152,8 @@
 const gossipMaxAgeMs = 5_000;
 const decisionsKept = 5_000;
 const startPollMs = 20;
+const maxMissedReads = 3;
+const clockMarginMs = 250;
 
 const countCalls = (table: TableStore, meter: Meter): TableStore => ({
     read: keys => {
@@ -161,7 +180,12 @@
 export const createNode = (settings: NodeSettings, ports: NodePorts): Node => {
     const { clock, random, log, meter, peers } = ports;
     const table = countCalls(ports.table, meter);
-    const membership = createMembership({ clock, ownVmId: settings.vmId, gossipMaxAgeMs });
+    const membership = createMembership({
+        clock,
+        ownVmId: settings.vmId,
+        gossipMaxAgeMs,
+        maxReadGapMs: maxMissedReads * settings.refreshIntervalMs,
+    });
     const decisions = createRing<Decision>(decisionsKept);
     const loops: Loop[] = [];
     let isDraining = false;
@@ -179,7 +203,32 @@
         meter.record(`decisionUs.${decision.kind}`, decision.durationUs);
     };
 
-    const sessionId = (): string => ownership.sessionId();
+    const session = createSession({
+        table,
+        vmList: ports.vmList,
+        clock,
+        log,
+        meter,
+        membership,
+        vmId: settings.vmId,
+        dataCentre: settings.dataCentre,
+        sessionLeaseMs: settings.sessionLeaseMs,
+        renewIntervalMs: settings.renewIntervalMs,
+    });
+    const sessionId = session.id;
+
+    const deputy = createDeputy({
+        table,
+        clock,
+        log,
+        meter,
+        membership,
+        ownId: sessionId,
+        dataCentre: settings.dataCentre,
+        sessionLeaseMs: settings.sessionLeaseMs,
+        promiseMs: settings.promiseMs,
+        marginMs: clockMarginMs,
+    });
 
     const call: Node["call"] = async (target, name, input) => {
         if (target === sessionId()) {
@@ -221,6 +270,7 @@
         workers: ports.workers,
         membership,
         daemonId: sessionId,
+        mayAct: session.mayAct,
         policyOf: configuration.policyOf,
         onDecision: noteDecision,
         report,
@@ -228,6 +278,7 @@
         pollWaitMs: settings.pollWaitMs,
         startValidityMs: settings.startValidityMs,
         reservationMs: settings.reservationMs,
+        starvationMs: settings.starvationMs,
     });
 
     const slots = createSlots({
@@ -237,6 +288,7 @@
         meter,
         upstreams: ports.upstreams,
         membership,
+        mayAct: session.mayAct,
         choice: settings.upstreamChoice,
         slotsPerUpstream: settings.slotsPerUpstream,
         maxQueued: settings.maxQueuedRequests,
@@ -288,7 +340,7 @@
         return quota === undefined || fits(add(teamUse(team), size), { ...quota, accelerators: Infinity });
     };
 
-    const homeOptions = (): Omit<HomeOptions, "homeId" | "journal" | "state"> => ({
+    const homeOptions = (): SharedHomeOptions => ({
         clock,
         random,
         log,
@@ -304,6 +356,13 @@
         rooms,
         withinQuota,
         call,
+        mayAct: session.mayAct,
+        starvationMs: settings.starvationMs,
+        earlyStartMs: settings.earlyStartMs,
+        snapshotBatches: settings.snapshotBatches,
+        maintainIntervalMs: settings.maintainIntervalMs,
+        retentionMs: settings.retentionMs,
+        closeTimeoutMs: settings.drainTimeoutMs,
         pumpIntervalMs: settings.pumpIntervalMs,
         reconcileIntervalMs: settings.reconcileIntervalMs,
     });
@@ -315,7 +374,8 @@
         meter,
         membership,
         sessionId,
-        isOpen: () => ownership.isOpen(),
+        isOpen: session.isOpen,
+        objects: ports.objects,
         batchesPerSecond: settings.journalBatchesPerSecond,
         maxPendingEntries: settings.maxPendingEntries,
         onFenced: key => ownership.forfeit(key),
@@ -329,7 +389,7 @@
         log,
         meter,
         membership,
-        vmId: settings.vmId,
+        session,
         dataCentre: settings.dataCentre,
         deathGraceMs: settings.deathGraceMs,
         keepers: { rack: rackOwner.keeper, upstream: slots.keeper, home: homes.keeper },
@@ -350,6 +410,7 @@
 
     const gossip = (): Gossip => ({
         sessionId: sessionId(),
+        deputy: session.row()?.deputy ?? "",
         configurationVersion: configuration.inForce().version,
         draining: stopAnnounced,
         capacity: rackOwner.summary(),
@@ -368,7 +429,9 @@
         await Promise.all(
             membership.peers().map(async peer => {
                 try {
+                    const sentAtMs = clock.monotonicMs();
                     const heard = await call(peer.sessionId, "gossip", message);
+                    session.notePromise(peer.sessionId, sentAtMs, heard.promiseMs);
                     await adoptFrom(peer.sessionId, heard.configurationVersion);
                 }
                 catch (error) {
@@ -427,18 +490,21 @@
             return { states: rackOwner.states(input) };
         },
         attemptStates: async input => ({ states: rackOwner.states(input) }),
+        attemptsOfHome: async input => rackOwner.attemptsOfHome(input),
         report: async ({ homeId, reports }) => ({ settled: await heldHome(homeId).report(reports) }),
         gossip: async heard => {
             membership.setGossip(heard);
             void adoptFrom(heard.sessionId, heard.configurationVersion).catch(() => undefined);
-            return { configurationVersion: configuration.inForce().version };
+            const promiseMs = session.isOpen() && heard.deputy === sessionId() ? deputy.promise(heard.sessionId) : 0;
+            return { configurationVersion: configuration.inForce().version, promiseMs };
         },
         configuration: async (): Promise<Configuration> => configuration.inForce(),
         job: async ({ jobId }) => homeWithJob(jobId).job(jobId) ?? die("notFound", `there is no job ${jobId} here`),
+        cancelTask: async ({ taskId }) => homeWithJob(jobIdOf(taskId)).cancelTask(taskId),
         cancel: async ({ jobId }) => homeWithJob(jobId).cancel(jobId),
         jobs: async ({ team, afterJobId, limit }) => homes.held().flatMap(home => home.jobs(team, afterJobId, limit)),
         task: async ({ taskId }) => {
-            const home = homeWithJob(taskId.slice(0, taskId.lastIndexOf("/")));
+            const home = homeWithJob(jobIdOf(taskId));
             return await home.task(taskId) ?? die("notFound", `there is no task ${taskId}`);
         },
         tasks: async ({ jobId, afterIndex, limit }) => homeWithJob(jobId).tasks(jobId, afterIndex, limit),
@@ -462,8 +528,24 @@
         slots.refresh();
     };
 
-    const refreshWithConfiguration = async (): Promise<void> => {
+    /** Another session has taken this one over: stop acting, and begin anew. */
+    const rejoin = async (): Promise<void> => {
+        await ownership.abandon();
+        await session.open(ownAddress);
+        log.write("warn", "sessionReopened", { daemonId: sessionId() });
+    };
+
+    const keepSession = async (): Promise<void> => {
+        if (session.isFenced()) {
+            await rejoin();
+            return;
+        }
+        await session.renew();
+    };
+
+    const refreshAll = async (): Promise<void> => {
         await Promise.all([refresh(), configuration.refresh()]);
+        await deputy.fenceLapsed();
     };
 
     let gossipLoop: Loop | undefined;
@@ -475,8 +557,9 @@
 
     const start = async (address: string): Promise<void> => {
         ownAddress = address;
-        await ownership.open(address);
-        begin("refresh", settings.refreshIntervalMs, refreshWithConfiguration);
+        await session.open(address);
+        begin("refresh", settings.refreshIntervalMs, refreshAll);
+        begin("session", settings.renewIntervalMs / 3, keepSession);
         gossipLoop = begin("gossip", settings.gossipIntervalMs, sendGossip);
         begin("reports", settings.reconcileIntervalMs, rackOwner.flushReports);
         while (homes.own() === undefined) {
--- a/packages/puffinarch/src/core/ownership.ts
+++ b/packages/puffinarch/src/core/ownership.ts
@@ -4,22 +4,13 @@
  * hashing over the live sessions of the data centre says who takes what, without a message.
  */
 
-import {
-    sessionKey,
-    type SessionRow,
-    type SessionState,
-    type Unit,
-    unitKey,
-    type UnitKind,
-    unitKinds,
-    type UnitRow,
-} from "../types/ownership.js";
-import type { Clock, Log, Meter, TableRow, TableStore, VmList } from "../types/ports.js";
+import { sessionKey, type Unit, unitKey, type UnitKind, unitKinds, type UnitRow } from "../types/ownership.js";
+import type { Clock, Log, Meter, TableStore, VmList } from "../types/ports.js";
 import { vmRoles } from "../types/ports.js";
-import { die } from "../utils/errors.js";
 import { pick } from "../utils/rendezvous.js";
 import { sleep } from "../utils/time.js";
-import { type Membership, type OwnedUnit, sessionIdOf } from "./membership.js";
+import type { Membership, OwnedUnit } from "./membership.js";
+import type { Session } from "./session.js";
 
 /** Acts on the units of one kind. */
 export interface UnitKeeper {
@@ -37,26 +28,23 @@
     readonly log: Log;
     readonly meter: Meter;
     readonly membership: Membership;
-    readonly vmId: string;
+    readonly session: Session;
     readonly dataCentre: string;
     /** A dead session's units are taken no earlier than this; longer than any of its messages can be under way. */
     readonly deathGraceMs: number;
     readonly keepers: Readonly<Record<UnitKind, UnitKeeper>>;
 }
 
-/** A daemon's session and the units it owns. */
+/** The units that a daemon owns. */
 export interface Ownership {
-    /** Writes the session row and waits until the VM list shows this VM. */
-    open(address: string): Promise<void>;
-    /** Fails with `unavailable` before the session is open. */
-    sessionId(): string;
-    isOpen(): boolean;
     /** Reads what others wrote and takes or hands over units; run at an interval. */
     refresh(): Promise<void>;
     owns(key: string): boolean;
     owned(kind: UnitKind): readonly OwnedUnit[];
     /** Hands everything over and closes the session. */
     close(): Promise<void>;
+    /** Stops acting on everything at once, without a word to the table: another session has taken over. */
+    abandon(): Promise<void>;
     /** Forgets a unit that turned out to have another owner. */
     forfeit(key: string): void;
 }
@@ -66,81 +54,20 @@
 const handOverTries = 25;
 
 /**
- * Makes the ownership of a daemon; nothing is written before `open`.
+ * Makes the ownership of a daemon whose session is opened elsewhere.
  *
  * @example
  * const ownership = createOwnership(options);
- * await ownership.open("http://127.0.0.1:7100");
  * const loop = startLoop({ clock, log, name: "ownership", intervalMs: 1_000, run: ownership.refresh });
  */
 export const createOwnership = (options: OwnershipOptions): Ownership => {
-    const { table, vmList, clock, log, meter, membership, vmId, dataCentre, keepers } = options;
+    const { table, vmList, clock, log, meter, membership, session, dataCentre, keepers } = options;
     const owned = new Map<string, OwnedUnit>();
     const handedOver = new Map<string, number>();
-    let session: SessionRow | undefined;
-    let sessionVersion = 0;
-
-    const ownId = (): string => session?.sessionId ?? die("unavailable", "the session is not open yet");
+    const ownId = session.id;
 
     const readListing = async (): Promise<void> => membership.setListing(await vmList.list());
 
-    const isMine = (row: TableRow, next: SessionRow): boolean => {
-        const value = row.value as SessionRow;
-        return value.sessionId === next.sessionId && value.state === next.state && value.address === next.address;
-    };
-
-    /** Writes the session row until it is known to stand; the row's previous version is the condition. */
-    const writeSession = async (next: SessionRow, version: number | "absent"): Promise<boolean> => {
-        const key = sessionKey(vmId);
-        const result = await table.transact({
-            conditions: [{ key, version }],
-            puts: [{ key, value: next }],
-            deletes: [],
-        });
-        if (result.outcome === "committed") {
-            session = next;
-            sessionVersion = result.version;
-            return true;
-        }
-        const [row] = await table.read([key]).catch(() => []);
-        if (row !== undefined && result.outcome !== "refused" && isMine(row, next)) {
-            session = next;
-            sessionVersion = row.version;
-            return true;
-        }
-        return false;
-    };
-
-    const beginSession = async (address: string): Promise<boolean> => {
-        const [row] = await table.read([sessionKey(vmId)]);
-        const incarnation = row === undefined ? 1 : (row.value as SessionRow).incarnation + 1;
-        const next: SessionRow = {
-            sessionId: sessionIdOf(vmId, incarnation),
-            vmId,
-            incarnation,
-            dataCentre,
-            address,
-            state: "live",
-            listedGeneration: membership.listing().generation,
-        };
-        return writeSession(next, row?.version ?? "absent");
-    };
-
-    const open = async (address: string): Promise<void> => {
-        for (;;) {
-            try {
-                await readListing();
-                if (membership.vm(vmId) !== undefined && await beginSession(address)) {
-                    return;
-                }
-            }
-            catch {
-                log.write("debug", "sessionWaits", { vmId });
-            }
-            await sleep(clock, retryMs);
-        }
-    };
-
     const wantedUnits = (): readonly Unit[] => {
         const units = new Map<string, Unit>();
         const want = (kind: UnitKind, name: string): void => {
@@ -195,7 +122,7 @@
         }));
         const { outcome } = await table.transact({
             conditions: [
-                { key: sessionKey(vmId), version: sessionVersion },
+                { key: sessionKey(session.row()?.vmId ?? ""), version: session.version() },
                 ...units.map(unit => ({
                     key: unit.key,
                     version: membership.unit(unit.key)?.version ?? "absent" as const,
@@ -209,7 +136,7 @@
     };
 
     const claimFree = async (): Promise<boolean> => {
-        if (session?.state !== "live") {
+        if (session.row()?.state !== "live" || session.isFenced()) {
             return false;
         }
         const wanted = wantedUnits().filter(unit => isFree(membership.unit(unit.key)) && chosenOwner(unit) === ownId());
@@ -251,6 +178,9 @@
     };
 
     const noteGains = async (): Promise<void> => {
+        if (session.isFenced()) {
+            return;
+        }
         for (const unit of membership.units()) {
             const known = owned.get(unit.key);
             if (unit.owner !== ownId()) {
@@ -270,8 +200,9 @@
     };
 
     const readRows = async (): Promise<void> => {
+        const begunAtMs = clock.monotonicMs();
         const [sessions, units] = await Promise.all([table.scan("session/"), table.scan("unit/")]);
-        membership.setRows(sessions, units);
+        membership.setRows(sessions, units, begunAtMs);
         await noteGains();
     };
 
@@ -284,31 +215,26 @@
         }
     };
 
-    const setState = async (state: SessionState): Promise<void> => {
-        for (let left = handOverTries; left > 0 && session !== undefined; left -= 1) {
-            if (await writeSession({ ...session, state }, sessionVersion)) {
-                return;
-            }
-            await sleep(clock, retryMs);
-        }
-    };
-
     const close = async (): Promise<void> => {
-        await setState("draining");
+        await session.setState("draining");
         for (const unit of [...owned.values()]) {
             await handOver(unit);
         }
-        await setState("closed");
+        await session.setState("closed");
+    };
+
+    const abandon = async (): Promise<void> => {
+        const units = [...owned.values()];
+        owned.clear();
+        await Promise.all(units.map(unit => keepers[unit.kind].yield(unit)));
     };
 
     return {
-        open,
-        sessionId: ownId,
-        isOpen: () => session !== undefined,
         refresh,
         owns: key => owned.has(key),
         owned: kind => [...owned.values()].filter(unit => unit.kind === kind),
         close,
+        abandon,
         forfeit: key => {
             owned.delete(key);
         },
--- a/packages/puffinarch/src/core/rackOwner.ts
+++ b/packages/puffinarch/src/core/rackOwner.ts
@@ -3,38 +3,35 @@
  * the task's home. A worker is offered for placing only after it has said what it already runs.
  */
 
-import { placements } from "../plugins/placements.js";
+import { type PlacementChoice, placements } from "../plugins/placements.js";
 import type { Policy } from "../types/configuration.js";
 import type { Decision } from "../types/decision.js";
-import type { AttemptOutcome, AttemptReport } from "../types/job.js";
+import { type AttemptOutcome, type AttemptReport, jobIdOf } from "../types/job.js";
 import { unitKey } from "../types/ownership.js";
 import type {
     AttemptsRequest,
     AttemptState,
     CapacitySummary,
+    HomeAttemptsRequest,
+    HomeAttemptsResponse,
     Placement,
     PlaceRequest,
     TaskOffer,
     WorkerView,
 } from "../types/peer.js";
-import type { Clock, Log, Meter, Random, Vm, WorkerPort, WorkerReport } from "../types/ports.js";
-import { vmRoles } from "../types/ports.js";
-import { add, noResources, type Resources } from "../types/resources.js";
+import { type Clock, type Log, type Meter, type Random, type Vm, vmRoles, type WorkerPort } from "../types/ports.js";
+import { add, fits, noResources } from "../types/resources.js";
 import { failureOf } from "../utils/errors.js";
-import { type Loop, sleep, startLoop } from "../utils/time.js";
+import { sleep, startLoop } from "../utils/time.js";
+import { type Attempt, createAttempts, type OwnedWorker, type WorkerState } from "./attempts.js";
+import { createEarmarks, type Victim, victimsFor } from "./earmarks.js";
 import { createLedger } from "./ledger.js";
 import type { Membership, OwnedUnit } from "./membership.js";
 import type { UnitKeeper } from "./ownership.js";
-
-/** States of a worker at its owner. */
-export const workerStates = {
-    recovering: "recovering",
-    live: "live",
-    unreachable: "unreachable",
-    leaving: "leaving",
-} as const;
-/** One of `workerStates`. */
-export type WorkerState = (typeof workerStates)[keyof typeof workerStates];
+import { createQuarantine } from "./quarantine.js";
+import { createReportOutbox } from "./reportOutbox.js";
+import { correctedSize, remediesFor } from "./usage.js";
+import { readReport } from "./workerReport.js";
 
 /** The part of a daemon that owns racks. */
 export interface RackOwner {
@@ -47,6 +44,8 @@
     release(request: AttemptsRequest): void;
     stop(request: AttemptsRequest): Promise<void>;
     states(request: AttemptsRequest): Readonly<Record<string, AttemptState>>;
+    /** Everything known of a home; earlier holders of the home are shut out from then on. */
+    attemptsOfHome(request: HomeAttemptsRequest): HomeAttemptsResponse;
     summary(): CapacitySummary;
     views(): readonly WorkerView[];
     /** Sends reports that wait. */
@@ -63,6 +62,8 @@
     readonly workers: WorkerPort;
     readonly membership: Membership;
     readonly daemonId: () => string;
+    /** Whether this session may act now; asked before each send. */
+    readonly mayAct: () => boolean;
     readonly policyOf: (name: string) => Policy;
     readonly onDecision: (decision: Decision) => void;
     /** Sends reports to the home's present holder; answers the attempts settled there. */
@@ -73,201 +74,158 @@
     readonly startValidityMs: number;
     /** A reservation that is not started is given back after this. */
     readonly reservationMs: number;
+    /** A task that waited this long earns a worker that is kept free for it. */
+    readonly starvationMs: number;
 }
 
-interface Attempt {
-    readonly attemptId: string;
-    readonly taskId: string;
-    readonly homeId: string;
-    readonly size: Resources;
-    readonly payload: string;
-    readonly worker: WorkerEntry;
-    state: AttemptState;
-    readonly reservedAtMs: number;
-    confirmedAtMs: number;
-    /** On the worker's clock; after it, an attempt that the worker does not show never started. */
-    startBeforeMs: number;
-    stopWanted: boolean;
-    used: Resources;
-    report: AttemptReport | undefined;
-    reported: boolean;
-}
-
-interface WorkerEntry {
-    vm: Vm;
-    readonly rackKey: string;
-    state: WorkerState;
-    failures: number;
-    clockMs: number;
-    clockReadAtMs: number;
-    readonly acknowledge: Set<string>;
-    readonly attempts: Set<Attempt>;
-    loop: Loop | undefined;
-}
+/** Priority from which a class's tasks may have others stopped. */
+export const urgentPriority = 9;
 
 const failuresUntilUnreachable = 3;
-const reportsPerCall = 512;
 const pollPauseMs = 5;
 const failedPollPauseMs = 250;
+const failuresUntilQuarantine = 3;
+const jobsUntilQuarantine = 2;
+const firstProbeMs = 10_000;
+const maxProbeMs = 300_000;
+const earmarkMs = 10_000;
+const oneInWorkersKept = 4;
+const preemptionLooks = 64;
 
 /**
  * Makes a rack owner that owns nothing yet.
  *
  * @example
  * const rackOwner = createRackOwner(options);
- * rackOwner.place({ homeId: "vm-1~1", offers }); // reservations for the offers that fit
+ * rackOwner.place({ homeId: "vm-1~1", homeVersion: 3, offers }); // reservations for the offers that fit
  */
 export const createRackOwner = (options: RackOwnerOptions): RackOwner => {
-    const { clock, random, log, meter, workers, membership } = options;
+    const { clock, random, log, meter, workers, membership, mayAct } = options;
     const ledger = createLedger();
-    const entries = new Map<string, WorkerEntry>();
-    const attempts = new Map<string, Attempt>();
+    const attempts = createAttempts(clock, ledger);
+    const earmarks = createEarmarks({ clock, keptMs: earmarkMs, oneInWorkers: oneInWorkersKept });
+    const quarantine = createQuarantine({
+        clock,
+        failures: failuresUntilQuarantine,
+        jobs: jobsUntilQuarantine,
+        firstProbeMs,
+        maxProbeMs,
+    });
+    const entries = new Map<string, OwnedWorker>();
     const racks = new Set<string>();
-    const unreported = new Set<Attempt>();
-    let reporting: Promise<void> | undefined;
+    const homeVersions = new Map<string, number>();
+
+    const outbox = createReportOutbox({
+        log,
+        report: options.report,
+        onSettled: attempt => {
+            attempt.worker.acknowledge.add(attempt.attemptId);
+            attempts.forget(attempt);
+        },
+    });
+
+    /** False for a holder of the home that has been replaced since. */
+    const admitHolder = ({ homeId, homeVersion }: HomeAttemptsRequest): boolean => {
+        const seen = homeVersions.get(homeId) ?? -1;
+        if (homeVersion < seen) {
+            return false;
+        }
+        homeVersions.set(homeId, homeVersion);
+        return true;
+    };
 
-    const setWorkerState = (worker: WorkerEntry, state: WorkerState): void => {
+    const refreshOpen = (worker: OwnedWorker): void => {
+        const { vmId } = worker.vm;
+        const trust = quarantine.trust(vmId);
+        const trusted = trust === "trusted" || (trust === "probing" && worker.attempts.size === 0);
+        ledger.setOpen(vmId, worker.state === "live" && trusted && !earmarks.isKept(vmId) && racks.has(worker.rackKey));
+    };
+
+    const setWorkerState = (worker: OwnedWorker, state: WorkerState): void => {
         if (worker.state !== state) {
             log.write("info", "workerState", { workerId: worker.vm.vmId, from: worker.state, to: state });
             worker.state = state;
         }
-        ledger.setOpen(worker.vm.vmId, state === workerStates.live);
+        refreshOpen(worker);
     };
 
-    const forget = (attempt: Attempt): void => {
-        ledger.release(attempt.attemptId);
-        attempts.delete(attempt.attemptId);
-        attempt.worker.attempts.delete(attempt);
-        unreported.delete(attempt);
-    };
-
-    const track = (
-        worker: WorkerEntry,
-        offer: Omit<TaskOffer, "policy">,
-        homeId: string,
-        state: AttemptState,
-    ): Attempt => {
-        const attempt: Attempt = {
-            ...offer,
-            homeId,
-            worker,
-            state,
-            reservedAtMs: clock.monotonicMs(),
-            confirmedAtMs: clock.monotonicMs(),
-            startBeforeMs: Infinity,
-            stopWanted: false,
-            used: noResources,
-            report: undefined,
-            reported: false,
-        };
-        attempts.set(attempt.attemptId, attempt);
-        worker.attempts.add(attempt);
-        return attempt;
+    const noteTrust = (attempt: Attempt, outcome: AttemptOutcome): void => {
+        const { vmId } = attempt.worker.vm;
+        if (outcome === "completed") {
+            quarantine.noteSuccess(vmId);
+        }
+        if (outcome === "failed") {
+            quarantine.noteFailure(vmId, jobIdOf(attempt.taskId));
+            if (quarantine.trust(vmId) === "quarantined") {
+                meter.count("quarantines");
+                log.write("warn", "workerQuarantined", { workerId: vmId });
+            }
+        }
     };
 
-    const endAttempt = (attempt: Attempt, outcome: AttemptOutcome, result: string): void => {
+    const endAttempt = (attempt: Attempt, outcome: AttemptOutcome, result: string, checkpoint: string): void => {
         if (attempt.state === "ended") {
             return;
         }
         attempt.state = "ended";
         ledger.release(attempt.attemptId);
-        attempt.report = { attemptId: attempt.attemptId, taskId: attempt.taskId, outcome, result };
-        unreported.add(attempt);
-        void flushReports();
+        noteTrust(attempt, outcome);
+        refreshOpen(attempt.worker);
+        attempt.report = { attemptId: attempt.attemptId, taskId: attempt.taskId, outcome, result, checkpoint };
+        outbox.add(attempt);
     };
 
-    const settleReport = (attempt: Attempt): void => {
-        attempt.reported = true;
-        attempt.worker.acknowledge.add(attempt.attemptId);
-        forget(attempt);
-    };
-
-    const sendReports = async (homeId: string, batch: readonly Attempt[]): Promise<void> => {
-        try {
-            const reports = batch.flatMap(attempt => attempt.report === undefined ? [] : [attempt.report]);
-            const settled = new Set(await options.report(homeId, reports));
-            for (const attempt of batch) {
-                if (settled.has(attempt.attemptId)) {
-                    settleReport(attempt);
-                }
-            }
-        }
-        catch (error) {
-            log.write("debug", "reportWaits", { homeId, reports: batch.length, ...failureOf(error) });
+    const sendStops = async (
+        worker: OwnedWorker,
+        attemptIds: readonly string[],
+        checkpoint: boolean,
+    ): Promise<void> => {
+        if (attemptIds.length > 0 && mayAct()) {
+            await workers.stop(worker.vm.address, attemptIds.map(attemptId => ({ attemptId, checkpoint })));
         }
     };
 
-    const sendAllReports = async (): Promise<void> => {
-        const byHome = new Map<string, Attempt[]>();
-        for (const attempt of unreported) {
-            const batch = byHome.get(attempt.homeId) ?? [];
-            if (batch.length < reportsPerCall) {
-                batch.push(attempt);
-            }
-            byHome.set(attempt.homeId, batch);
-        }
-        await Promise.all([...byHome].map(([homeId, batch]) => sendReports(homeId, batch)));
-    };
-
-    const flushReports = async (): Promise<void> => {
-        reporting ??= Promise.resolve().then(sendAllReports).finally(() => {
-            reporting = undefined;
+    const stopSoon = (worker: OwnedWorker, attemptIds: readonly string[], checkpoint: boolean): void => {
+        sendStops(worker, attemptIds, checkpoint).catch(error => {
+            log.write("debug", "stopFailed", { workerId: worker.vm.vmId, ...failureOf(error) });
         });
-        await reporting;
     };
 
-    const adoptRunning = (worker: WorkerEntry, report: WorkerReport): void => {
-        for (const running of report.running) {
-            const known = attempts.get(running.attemptId);
-            if (known !== undefined) {
-                known.used = running.used;
-                continue;
-            }
-            const { attemptId, taskId, size, homeId } = running;
-            ledger.adopt(worker.vm.vmId, attemptId, size);
-            track(worker, { attemptId, taskId, size, payload: "" }, homeId, "running").used = running.used;
+    const confirm = (attempt: Attempt): void => {
+        attempt.state = "running";
+        attempt.confirmedAtMs = clock.monotonicMs();
+        if (attempt.stopWanted) {
+            stopSoon(attempt.worker, [attempt.attemptId], false);
         }
     };
 
-    const takeEnded = (worker: WorkerEntry, report: WorkerReport): void => {
-        for (const { attemptId, taskId, homeId, outcome, result } of report.ended) {
-            if (worker.acknowledge.has(attemptId)) {
-                continue;
+    /** Follows usage: what is held grows with it, and what exceeds the worker is throttled or stopped. */
+    const followUsage = (worker: OwnedWorker): void => {
+        const running = [...worker.attempts].filter(attempt => attempt.state === "running");
+        for (const attempt of running) {
+            const corrected = correctedSize(attempt.size, attempt.used);
+            if (!attempt.throttled && corrected !== attempt.size) {
+                ledger.resize(attempt.attemptId, corrected);
             }
-            const attempt = attempts.get(attemptId)
-                ?? track(worker, { attemptId, taskId, size: noResources, payload: "" }, homeId, "running");
-            endAttempt(attempt, outcome, result);
         }
-    };
-
-    /** Attempts that the worker should show and does not. */
-    const endMissing = (worker: WorkerEntry, report: WorkerReport, sentAtMs: number): void => {
-        const shown = new Set(report.running.map(running => running.attemptId));
-        for (const attempt of [...worker.attempts]) {
-            if (shown.has(attempt.attemptId)) {
-                if (attempt.state === "starting") {
-                    confirm(attempt);
-                }
-                continue;
-            }
-            if (attempt.state === "running" && attempt.confirmedAtMs < sentAtMs) {
-                endAttempt(attempt, "absent", "");
+        for (const remedy of remediesFor(worker.vm.capacity ?? noResources, running)) {
+            const attempt = attempts.find(remedy.attemptId);
+            meter.count(`remedies.${remedy.kind}`);
+            log.write("info", "remedy", { workerId: worker.vm.vmId, ...remedy });
+            if (remedy.kind === "stop") {
+                stopSoon(worker, [remedy.attemptId], true);
             }
-            if (attempt.state === "starting" && report.nowMs > attempt.startBeforeMs) {
-                endAttempt(attempt, "notStarted", "");
+            else if (attempt !== undefined) {
+                attempt.throttled = true;
+                ledger.resize(attempt.attemptId, attempt.size);
+                workers.throttle(worker.vm.address, remedy.attemptId, remedy.cpuMillis).catch(() => {
+                    attempt.throttled = false;
+                });
             }
         }
     };
 
-    const confirm = (attempt: Attempt): void => {
-        attempt.state = "running";
-        attempt.confirmedAtMs = clock.monotonicMs();
-        if (attempt.stopWanted) {
-            void sendStop(attempt.worker, [attempt.attemptId]);
-        }
-    };
-
-    const poll = async (worker: WorkerEntry): Promise<void> => {
+    const poll = async (worker: OwnedWorker): Promise<void> => {
         const sentAtMs = clock.monotonicMs();
         const acknowledged = [...worker.acknowledge];
         const renew = [...worker.attempts].filter(each => each.state === "running" || each.state === "starting");
@@ -280,17 +238,20 @@
         worker.clockMs = report.nowMs;
         worker.clockReadAtMs = clock.monotonicMs();
         worker.failures = 0;
-        takeEnded(worker, report);
+        readReport({ ledger, attempts, onRunning: confirm, onEnded: endAttempt }, worker, report, sentAtMs);
         for (const attemptId of acknowledged) {
             worker.acknowledge.delete(attemptId);
         }
-        adoptRunning(worker, report);
-        endMissing(worker, report, sentAtMs);
+        followUsage(worker);
         setWorkerState(worker, worker.vm.leaving ? "leaving" : "live");
         meter.count("workerPolls");
     };
 
-    const pollSafely = async (worker: WorkerEntry): Promise<void> => {
+    const pollSafely = async (worker: OwnedWorker): Promise<void> => {
+        if (!mayAct()) {
+            await sleep(clock, failedPollPauseMs);
+            return;
+        }
         try {
             await poll(worker);
         }
@@ -305,7 +266,7 @@
     };
 
     const addWorker = (vm: Vm, rackKey: string): void => {
-        const worker: WorkerEntry = {
+        const worker: OwnedWorker = {
             vm,
             rackKey,
             state: "recovering",
@@ -322,96 +283,203 @@
         worker.loop = startLoop({ clock, log, name: `poll ${vm.vmId}`, intervalMs: pollPauseMs, run });
     };
 
-    const removeWorker = (worker: WorkerEntry): void => {
+    const removeWorker = (worker: OwnedWorker): void => {
         void worker.loop?.stop();
         entries.delete(worker.vm.vmId);
         ledger.removeWorker(worker.vm.vmId);
+        quarantine.forget(worker.vm.vmId);
     };
 
-    const removeGone = (worker: WorkerEntry): void => {
+    const removeGone = (worker: OwnedWorker): void => {
+        log.write("warn", "workerGone", { workerId: worker.vm.vmId, attempts: worker.attempts.size });
         removeWorker(worker);
         for (const attempt of [...worker.attempts]) {
-            endAttempt(attempt, attempt.state === "reserved" ? "notStarted" : "absent", "");
+            endAttempt(attempt, attempt.state === "reserved" ? "notStarted" : "absent", "", "");
+        }
+    };
+
+    const noteListing = (vm: Vm): void => {
+        const rackKey = vm.role === vmRoles.worker ? unitKey("rack", vm.dataCentre, vm.rack ?? "") : "";
+        if (!racks.has(rackKey)) {
+            return;
+        }
+        const known = entries.get(vm.vmId);
+        if (known === undefined) {
+            addWorker(vm, rackKey);
+            return;
+        }
+        if (vm.leaving !== known.vm.leaving) {
+            known.vm = vm;
+            setWorkerState(known, vm.leaving ? "leaving" : known.state);
+        }
+    };
+
+    const expireReservations = (): void => {
+        for (const attempt of [...attempts.all()]) {
+            if (attempt.state === "reserved" && clock.monotonicMs() - attempt.reservedAtMs > options.reservationMs) {
+                attempts.forget(attempt);
+            }
         }
-        log.write("warn", "workerGone", { workerId: worker.vm.vmId, attempts: worker.attempts.size });
     };
 
     const refresh = (): void => {
         for (const vm of membership.listing().vms) {
-            const rackKey = vm.role === vmRoles.worker ? unitKey("rack", vm.dataCentre, vm.rack ?? "") : "";
-            if (!racks.has(rackKey)) {
+            noteListing(vm);
+        }
+        expireReservations();
+        earmarks.expire();
+        for (const worker of [...entries.values()]) {
+            if (membership.vmGone(worker.vm.vmId)) {
+                removeGone(worker);
                 continue;
             }
-            const known = entries.get(vm.vmId);
-            if (known === undefined) {
-                addWorker(vm, rackKey);
+            refreshOpen(worker);
+        }
+    };
+
+    const keepFree = (offer: TaskOffer, worker: OwnedWorker): boolean => {
+        const kept = earmarks.keep(offer.keepKey, worker.vm.vmId, entries.size);
+        if (kept) {
+            refreshOpen(worker);
+        }
+        return kept;
+    };
+
+    const victimsOn = (worker: OwnedWorker): readonly Victim[] =>
+        [...worker.attempts].filter(attempt =>
+            attempt.preemptible && attempt.state === "running" && !attempt.stopWanted
+        );
+
+    /** Stops the fewest less urgent attempts of one worker that make room, and keeps the worker for the offer. */
+    const preempt = (offer: TaskOffer): string | undefined => {
+        let best: { readonly worker: OwnedWorker; readonly victims: readonly Victim[]; } | undefined;
+        let looks = 0;
+        for (const worker of entries.values()) {
+            const view = ledger.worker(worker.vm.vmId);
+            if (looks === preemptionLooks) {
+                break;
+            }
+            if (view?.open !== true) {
+                continue;
             }
-            else if (vm.leaving !== known.vm.leaving) {
-                known.vm = vm;
-                setWorkerState(known, vm.leaving ? "leaving" : known.state);
+            looks += 1;
+            const victims = victimsFor(offer.size, view.free, victimsOn(worker), offer.priority);
+            if (victims !== undefined && victims.length < (best?.victims.length ?? Infinity)) {
+                best = { worker, victims };
             }
         }
-        for (const worker of [...entries.values()]) {
-            if (membership.vmGone(worker.vm.vmId)) {
-                removeGone(worker);
+        if (best === undefined || !keepFree(offer, best.worker)) {
+            return undefined;
+        }
+        const attemptIds = best.victims.map(victim => victim.attemptId);
+        attemptIds.forEach(attemptId => Object.assign(attempts.find(attemptId) ?? {}, { stopWanted: true }));
+        stopSoon(best.worker, attemptIds, true);
+        meter.count("preemptions", attemptIds.length);
+        return `${attemptIds.length} less urgent tasks of ${best.worker.vm.vmId} are stopped for it`;
+    };
+
+    /** Keeps the worker with most room free until what runs there has ended, so that small tasks cannot take it all. */
+    const keepForStarved = (offer: TaskOffer): string | undefined => {
+        for (const view of ledger.emptiest(noResources)) {
+            const worker = entries.get(view.workerId);
+            if (worker !== undefined && fits(offer.size, view.capacity) && keepFree(offer, worker)) {
+                meter.count("earmarks");
+                return `${view.workerId} is kept free for it`;
             }
         }
-        for (const attempt of [...attempts.values()]) {
-            if (attempt.state === "reserved" && clock.monotonicMs() - attempt.reservedAtMs > options.reservationMs) {
-                forget(attempt);
+        return undefined;
+    };
+
+    const makeRoom = (offer: TaskOffer): string | undefined => {
+        const keptWorkers = earmarks.workersFor(offer.keepKey);
+        if (keptWorkers.length > 0 && !offer.gang) {
+            return `${keptWorkers.join(", ")} is kept free for it`;
+        }
+        const urgent = offer.priority >= urgentPriority ? preempt(offer) : undefined;
+        return urgent ?? (offer.waitedMs >= options.starvationMs ? keepForStarved(offer) : undefined);
+    };
+
+    const takeKept = (offer: TaskOffer): OwnedWorker | undefined => {
+        for (const workerId of earmarks.workersFor(offer.keepKey)) {
+            const worker = entries.get(workerId);
+            if (worker?.state === "live" && ledger.reserveClosed(workerId, offer.attemptId, offer.size)) {
+                releaseKept(offer);
+                return worker;
             }
         }
+        return undefined;
+    };
+
+    /** A gang's workers stay kept until its last task has come or the time is up. */
+    const releaseKept = (offer: TaskOffer): void => {
+        const released = offer.gang ? [] : earmarks.release(offer.keepKey);
+        for (const workerId of released) {
+            const worker = entries.get(workerId);
+            if (worker !== undefined) {
+                refreshOpen(worker);
+            }
+        }
+    };
+
+    const takeChosen = (offer: TaskOffer, choice: PlacementChoice): OwnedWorker | undefined => {
+        const worker = choice.worker === undefined ? undefined : entries.get(choice.worker.workerId);
+        if (worker === undefined || !ledger.reserve(worker.vm.vmId, offer.attemptId, offer.size)) {
+            return undefined;
+        }
+        releaseKept(offer);
+        return worker;
     };
 
     const decide = (homeId: string, offer: TaskOffer): Placement | undefined => {
         const startedAtMs = clock.monotonicMs();
         const policy = options.policyOf(offer.policy);
+        const { size, avoid } = offer;
         const choice = placements[policy.placement]({
             ledger,
-            size: offer.size,
+            size,
             random,
             sampleSize: policy.sampleSize,
+            avoid: new Set(avoid),
         });
-        const worker = choice.worker === undefined ? undefined : entries.get(choice.worker.workerId);
-        const reserved = worker !== undefined && ledger.reserve(worker.vm.vmId, offer.attemptId, offer.size);
+        const worker = takeKept(offer) ?? takeChosen(offer, choice);
+        const reason = worker === undefined
+            ? makeRoom(offer) ?? "no worker of these racks has room"
+            : `${policy.placement} among workers with room`;
         options.onDecision({
             atMs: clock.nowMs(),
             daemonId: options.daemonId(),
             kind: "placement",
             subject: offer.taskId,
             requester: homeId,
-            chosen: reserved ? worker.vm.vmId : undefined,
-            reason: reserved ? `${policy.placement} among workers with room` : "no worker of these racks has room",
+            chosen: worker?.vm.vmId,
+            reason,
             policy: policy.name,
             alternatives: choice.alternatives,
             durationUs: (clock.monotonicMs() - startedAtMs) * 1_000,
         });
-        if (!reserved) {
+        if (worker === undefined) {
             return undefined;
         }
-        const { attemptId, taskId, size, payload } = offer;
-        track(worker, { attemptId, taskId, size, payload }, homeId, "reserved");
-        return { attemptId, workerId: worker.vm.vmId, rackKey: worker.rackKey };
+        attempts.track(worker, offer, homeId, "reserved");
+        refreshOpen(worker);
+        return { attemptId: offer.attemptId, workerId: worker.vm.vmId, rackKey: worker.rackKey };
     };
 
-    const place = ({ homeId, offers }: PlaceRequest): readonly Placement[] => {
-        const made: Placement[] = [];
-        for (const offer of offers) {
-            const placement = decide(homeId, offer);
-            if (placement !== undefined) {
-                made.push(placement);
-            }
+    const place = (request: PlaceRequest): readonly Placement[] => {
+        if (!mayAct() || !admitHolder(request)) {
+            return [];
         }
-        return made;
+        return request.offers.flatMap(offer => decide(request.homeId, offer) ?? []);
     };
 
     const startOne = async (attempt: Attempt): Promise<AttemptState> => {
-        const { worker, attemptId, taskId, homeId, size, payload } = attempt;
+        const { worker, attemptId, taskId, homeId, size, payload, checkpoint } = attempt;
         const sinceReadMs = clock.monotonicMs() - worker.clockReadAtMs;
         attempt.state = "starting";
         attempt.startBeforeMs = worker.clockMs + sinceReadMs + options.startValidityMs;
         const { leaseMs } = options;
-        const order = { attemptId, taskId, homeId, size, payload, leaseMs, startBeforeMs: attempt.startBeforeMs };
+        const { startBeforeMs } = attempt;
+        const order = { attemptId, taskId, homeId, size, payload, checkpoint, leaseMs, startBeforeMs };
         const outcome = await workers.start(worker.vm.address, order);
         meter.count("taskStarts");
         if (attempt.state !== "starting") {
@@ -421,53 +489,61 @@
             confirm(attempt);
         }
         if (outcome === "refused") {
-            forget(attempt);
+            attempts.forget(attempt);
+            refreshOpen(worker);
             return "notStarted";
         }
         return attempt.state;
     };
 
-    const start = async ({ attempts: wanted }: AttemptsRequest): Promise<Readonly<Record<string, AttemptState>>> => {
-        const states: Record<string, AttemptState> = {};
-        await Promise.all(wanted.map(async ({ attemptId }) => {
-            const attempt = attempts.get(attemptId);
-            if (attempt === undefined) {
-                states[attemptId] = "absent";
-                return;
-            }
-            if (attempt.state === "reserved" && !racks.has(attempt.worker.rackKey)) {
-                forget(attempt);
-                states[attemptId] = "notStarted";
-                return;
-            }
-            states[attemptId] = attempt.state === "reserved" ? await startOne(attempt) : attempt.state;
-        }));
-        return states;
+    const startKnown = async (attempt: Attempt | undefined): Promise<AttemptState> => {
+        if (attempt === undefined) {
+            return "absent";
+        }
+        if (attempt.state !== "reserved") {
+            return attempt.state;
+        }
+        if (!racks.has(attempt.worker.rackKey)) {
+            attempts.forget(attempt);
+            return "notStarted";
+        }
+        return mayAct() ? startOne(attempt) : "undecided";
     };
 
-    const sendStop = async (worker: WorkerEntry, attemptIds: readonly string[]): Promise<void> => {
-        await workers.stop(worker.vm.address, attemptIds);
+    const start = async (request: AttemptsRequest): Promise<Readonly<Record<string, AttemptState>>> => {
+        if (!admitHolder(request)) {
+            return {};
+        }
+        const states = await Promise.all(
+            request.attempts.map(async ({ attemptId }) =>
+                [attemptId, await startKnown(attempts.find(attemptId))] as const
+            ),
+        );
+        return Object.fromEntries(states);
     };
 
-    const stop = async ({ attempts: wanted }: AttemptsRequest): Promise<void> => {
-        const byWorker = new Map<WorkerEntry, string[]>();
-        for (const { attemptId } of wanted) {
-            const attempt = attempts.get(attemptId);
+    const stop = async (request: AttemptsRequest): Promise<void> => {
+        const byWorker = new Map<OwnedWorker, string[]>();
+        if (!admitHolder(request)) {
+            return;
+        }
+        for (const { attemptId } of request.attempts) {
+            const attempt = attempts.find(attemptId);
             if (attempt === undefined || attempt.state === "ended") {
                 continue;
             }
             if (attempt.state === "reserved") {
-                endAttempt(attempt, "notStarted", "");
+                endAttempt(attempt, "notStarted", "", "");
                 continue;
             }
             attempt.stopWanted = true;
             byWorker.set(attempt.worker, [...(byWorker.get(attempt.worker) ?? []), attemptId]);
         }
-        await Promise.all([...byWorker].map(([worker, attemptIds]) => sendStop(worker, attemptIds)));
+        await Promise.all([...byWorker].map(([worker, attemptIds]) => sendStops(worker, attemptIds, false)));
     };
 
     const stateOf = (attemptId: string, workerId: string): AttemptState => {
-        const attempt = attempts.get(attemptId);
+        const attempt = attempts.find(attemptId);
         if (attempt !== undefined) {
             return attempt.state;
         }
@@ -481,13 +557,26 @@
         return worker.state === "recovering" || worker.state === "unreachable" ? "undecided" : "absent";
     };
 
-    const gain = async (unit: OwnedUnit): Promise<void> => {
-        racks.add(unit.key);
-        refresh();
+    const isDecided = (rackKey: string): boolean =>
+        [...entries.values()].every(worker => worker.rackKey !== rackKey || worker.state !== "recovering");
+
+    const attemptsOfHome = (request: HomeAttemptsRequest): HomeAttemptsResponse => {
+        admitHolder(request);
+        const known = [...attempts.all()].filter(attempt => attempt.homeId === request.homeId);
+        return {
+            attempts: known.map(({ attemptId, taskId, worker, state }) => ({
+                attemptId,
+                taskId,
+                workerId: worker.vm.vmId,
+                rackKey: worker.rackKey,
+                state,
+            })),
+            decidedRacks: [...racks].filter(isDecided),
+        };
     };
 
     /** A start order still under way could take effect unseen by the next owner; wait until each is decided or void. */
-    const settleStarts = async (leaving: readonly WorkerEntry[]): Promise<void> => {
+    const settleStarts = async (leaving: readonly OwnedWorker[]): Promise<void> => {
         const giveUpAtMs = clock.monotonicMs() + options.startValidityMs;
         const underWay = (): boolean =>
             leaving.some(worker => [...worker.attempts].some(attempt => attempt.state === "starting"));
@@ -499,60 +588,69 @@
     const yieldRack = async (unit: OwnedUnit): Promise<void> => {
         racks.delete(unit.key);
         const leaving = [...entries.values()].filter(worker => worker.rackKey === unit.key);
-        for (const worker of leaving) {
-            ledger.setOpen(worker.vm.vmId, false);
-        }
+        leaving.forEach(refreshOpen);
         await settleStarts(leaving);
         await Promise.all(leaving.map(worker => worker.loop?.stop()));
         for (const worker of leaving) {
             removeWorker(worker);
             for (const attempt of [...worker.attempts]) {
-                forget(attempt);
+                outbox.drop(attempt);
+                attempts.forget(attempt);
             }
         }
     };
 
+    const viewOf = (worker: OwnedWorker): WorkerView => ({
+        workerId: worker.vm.vmId,
+        dataCentre: worker.vm.dataCentre,
+        rack: worker.vm.rack ?? "",
+        state: quarantine.trust(worker.vm.vmId) === "trusted" ? worker.state : quarantine.trust(worker.vm.vmId),
+        capacity: worker.vm.capacity ?? noResources,
+        reserved: ledger.worker(worker.vm.vmId)?.reserved ?? noResources,
+        used: [...worker.attempts].reduce((sum, attempt) => add(sum, attempt.used), noResources),
+        attemptIds: [...worker.attempts].map(attempt => attempt.attemptId),
+        ownerDaemonId: options.daemonId(),
+    });
+
+    const summary = (): CapacitySummary => {
+        let capacity = noResources;
+        let free = noResources;
+        let mostFree = noResources;
+        for (const worker of ledger.openWorkers()) {
+            capacity = add(capacity, worker.capacity);
+            free = add(free, worker.free);
+            mostFree = worker.free.cpuMillis > mostFree.cpuMillis ? worker.free : mostFree;
+        }
+        return { workers: ledger.openCount(), capacity, free, mostFree };
+    };
+
     return {
-        keeper: { gain, yield: yieldRack },
+        keeper: {
+            gain: async unit => {
+                racks.add(unit.key);
+                refresh();
+            },
+            yield: yieldRack,
+        },
         refresh,
         place,
         start,
-        release: ({ attempts: wanted }) => {
-            for (const { attemptId } of wanted) {
-                const attempt = attempts.get(attemptId);
-                if (attempt?.state === "reserved") {
-                    forget(attempt);
+        release: request => {
+            for (const { attemptId } of request.attempts) {
+                const attempt = attempts.find(attemptId);
+                if (attempt?.state === "reserved" && admitHolder(request)) {
+                    attempts.forget(attempt);
+                    refreshOpen(attempt.worker);
                 }
             }
         },
         stop,
         states: ({ attempts: wanted }) =>
             Object.fromEntries(wanted.map(({ attemptId, workerId }) => [attemptId, stateOf(attemptId, workerId)])),
-        summary: () => {
-            const open = ledger.openWorkers();
-            let capacity = noResources;
-            let free = noResources;
-            let mostFree = noResources;
-            for (const worker of open) {
-                capacity = add(capacity, worker.capacity);
-                free = add(free, worker.free);
-                mostFree = worker.free.cpuMillis > mostFree.cpuMillis ? worker.free : mostFree;
-            }
-            return { workers: open.length, capacity, free, mostFree };
-        },
-        views: () =>
-            [...entries.values()].map(worker => ({
-                workerId: worker.vm.vmId,
-                dataCentre: worker.vm.dataCentre,
-                rack: worker.vm.rack ?? "",
-                state: worker.state,
-                capacity: worker.vm.capacity ?? noResources,
-                reserved: ledger.worker(worker.vm.vmId)?.reserved ?? noResources,
-                used: [...worker.attempts].reduce((sum, attempt) => add(sum, attempt.used), noResources),
-                attemptIds: [...worker.attempts].map(attempt => attempt.attemptId),
-                ownerDaemonId: options.daemonId(),
-            })),
-        flushReports,
+        attemptsOfHome,
+        summary,
+        views: () => [...entries.values()].map(viewOf),
+        flushReports: outbox.flush,
         close: async () => {
             await Promise.all([...entries.values()].map(worker => worker.loop?.stop()));
         },
--- a/packages/puffinarch/src/core/slots.ts
+++ b/packages/puffinarch/src/core/slots.ts
@@ -56,6 +56,8 @@
     readonly meter: Meter;
     readonly upstreams: UpstreamPort;
     readonly membership: Membership;
+    /** Whether this session may act now; without it no slot is given. */
+    readonly mayAct: () => boolean;
     readonly choice: UpstreamChoiceName;
     readonly slotsPerUpstream: number;
     readonly maxQueued: number;
@@ -132,6 +134,9 @@
     };
 
     const tryTake = (service: string): Slot | undefined => {
+        if (!options.mayAct()) {
+            return undefined;
+        }
         const candidates: UpstreamEntry[] = [];
         for (const entry of entries.values()) {
             if (entry.vm.service === service && freeOf(entry) > 0) {
--- a/packages/puffinarch/src/core/taskQueue.ts
+++ b/packages/puffinarch/src/core/taskQueue.ts
@@ -1,5 +1,5 @@
 /**
- * Tasks that wait at their home: first by priority, then oldest first, kept by shape so that one shape without room
+ * Tasks that wait at their home: first by priority, then by how little their team holds, then oldest first, kept by shape so that one shape without room
  * holds up no other and costs one look instead of one for each task.
  */
 
@@ -24,8 +24,11 @@
     push(item: QueueItem): void;
     /** Puts an item back at the head of its shape, and rests the shape until then on the monotonic clock. */
     putBack(item: QueueItem, notBeforeMs: number): void;
-    /** Takes up to `most` items whose shape does not rest. */
-    take(most: number, nowMs: number): readonly QueueItem[];
+    /**
+     * Takes up to `most` items whose shape does not rest. `useOf` says what a team holds; what is taken counts into it,
+     * so that teams take turns within one call.
+     */
+    take(most: number, nowMs: number, useOf: (team: string) => number): readonly QueueItem[];
     /** Number of tasks, cancelled ones included until they are taken. */
     size(): number;
 }
@@ -33,6 +36,7 @@
 interface Shape {
     readonly key: string;
     readonly priority: number;
+    readonly team: string;
     items: QueueItem[];
     head: number;
     notBeforeMs: number;
@@ -51,7 +55,7 @@
  *
  * @example
  * const queue = createTaskQueue();
- * queue.take(256, clock.monotonicMs()); // []
+ * queue.take(256, clock.monotonicMs(), () => 0); // []
  */
 export const createTaskQueue = (): TaskQueue => {
     const shapes = new Map<string, Shape>();
@@ -63,22 +67,26 @@
         if (known !== undefined) {
             return known;
         }
-        const shape: Shape = { key, priority: item.priority, items: [], head: 0, notBeforeMs: 0 };
+        const shape: Shape = { key, priority: item.priority, team: item.team, items: [], head: 0, notBeforeMs: 0 };
         shapes.set(key, shape);
         return shape;
     };
 
-    const comesFirst = (left: Shape, right: Shape | undefined): boolean => {
+    const comesFirst = (left: Shape, right: Shape | undefined, useOf: (team: string) => number): boolean => {
         if (right === undefined || left.priority !== right.priority) {
             return right === undefined || left.priority > right.priority;
         }
+        const [leftUse, rightUse] = [useOf(left.team), useOf(right.team)];
+        if (leftUse !== rightUse) {
+            return leftUse < rightUse;
+        }
         return (left.items[left.head]?.queuedAtMs ?? 0) < (right.items[right.head]?.queuedAtMs ?? 0);
     };
 
-    const nextShape = (nowMs: number): Shape | undefined => {
+    const nextShape = (nowMs: number, useOf: (team: string) => number): Shape | undefined => {
         let next: Shape | undefined;
         for (const shape of shapes.values()) {
-            if (shape.notBeforeMs <= nowMs && comesFirst(shape, next)) {
+            if (shape.notBeforeMs <= nowMs && comesFirst(shape, next, useOf)) {
                 next = shape;
             }
         }
@@ -116,15 +124,18 @@
             shape.notBeforeMs = Math.max(shape.notBeforeMs, notBeforeMs);
             size += item.tasks.length;
         },
-        take: (most, nowMs) => {
+        take: (most, nowMs, useOf) => {
             const taken: QueueItem[] = [];
+            const takenUse = new Map<string, number>();
+            const useWithTaken = (team: string): number => useOf(team) + (takenUse.get(team) ?? 0);
             while (taken.length < most) {
-                const shape = nextShape(nowMs);
+                const shape = nextShape(nowMs, useWithTaken);
                 const item = shape === undefined ? undefined : takeHead(shape);
                 if (item === undefined) {
                     break;
                 }
                 taken.push(item);
+                takenUse.set(item.team, (takenUse.get(item.team) ?? 0) + item.size.cpuMillis * item.tasks.length);
             }
             return taken;
         },
--- /dev/null
+++ b/packages/puffinarch/src/core/workerReport.ts
@@ -0,0 +1,79 @@
+/** What a rack owner concludes from one report of a worker: which attempts run, which ended, and which never started. */
+
+import type { AttemptOutcome } from "../types/job.js";
+import type { WorkerReport } from "../types/ports.js";
+import { noResources } from "../types/resources.js";
+import { type Attempt, type Attempts, foundParts, type OwnedWorker } from "./attempts.js";
+import type { Ledger } from "./ledger.js";
+
+/** What reading a report changes. */
+export interface WorkerReportOptions {
+    readonly ledger: Ledger;
+    readonly attempts: Attempts;
+    readonly onRunning: (attempt: Attempt) => void;
+    readonly onEnded: (attempt: Attempt, outcome: AttemptOutcome, result: string, checkpoint: string) => void;
+}
+
+const adoptRunning = ({ ledger, attempts }: WorkerReportOptions, worker: OwnedWorker, report: WorkerReport): void => {
+    for (const running of report.running) {
+        const known = attempts.find(running.attemptId);
+        if (known !== undefined) {
+            known.used = running.used;
+            continue;
+        }
+        ledger.adopt(worker.vm.vmId, running.attemptId, running.size);
+        attempts.track(worker, foundParts(running), running.homeId, "running").used = running.used;
+    }
+};
+
+const takeEnded = ({ attempts, onEnded }: WorkerReportOptions, worker: OwnedWorker, report: WorkerReport): void => {
+    for (const { attemptId, taskId, homeId, outcome, result, checkpoint } of report.ended) {
+        if (worker.acknowledge.has(attemptId)) {
+            continue;
+        }
+        const attempt = attempts.find(attemptId)
+            ?? attempts.track(worker, foundParts({ attemptId, taskId, size: noResources }), homeId, "running");
+        onEnded(attempt, outcome, result, checkpoint);
+    }
+};
+
+/** Attempts that the worker should show and does not. */
+const endMissing = (
+    options: WorkerReportOptions,
+    worker: OwnedWorker,
+    report: WorkerReport,
+    sentAtMs: number,
+): void => {
+    const shown = new Set(report.running.map(running => running.attemptId));
+    for (const attempt of [...worker.attempts]) {
+        if (shown.has(attempt.attemptId)) {
+            if (attempt.state === "starting") {
+                options.onRunning(attempt);
+            }
+            continue;
+        }
+        if (attempt.state === "running" && attempt.confirmedAtMs < sentAtMs) {
+            options.onEnded(attempt, "absent", "", "");
+        }
+        if (attempt.state === "starting" && report.nowMs > attempt.startBeforeMs) {
+            options.onEnded(attempt, "notStarted", "", "");
+        }
+    }
+};
+
+/**
+ * Reads a report; `sentAtMs` is when the poll was sent, so that an attempt confirmed later is not missed in it.
+ *
+ * @example
+ * readReport(options, worker, report, sentAtMs);
+ */
+export const readReport = (
+    options: WorkerReportOptions,
+    worker: OwnedWorker,
+    report: WorkerReport,
+    sentAtMs: number,
+): void => {
+    takeEnded(options, worker, report);
+    adoptRunning(options, worker, report);
+    endMissing(options, worker, report, sentAtMs);
+};
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -1,7 +1,10 @@
 /** Everything inside the library, for the public entry to choose from. */
 
+export * from "./core/attempts.js";
 export * from "./core/configurationDocument.js";
 export * from "./core/configurationStore.js";
+export * from "./core/deputy.js";
+export * from "./core/earmarks.js";
 export * from "./core/home.js";
 export * from "./core/homes.js";
 export * from "./core/homeState.js";
@@ -11,13 +14,21 @@
 export * from "./core/ledger.js";
 export * from "./core/membership.js";
 export * from "./core/node.js";
+export * from "./core/outcomes.js";
 export * from "./core/ownership.js";
+export * from "./core/placer.js";
+export * from "./core/quarantine.js";
 export * from "./core/rackOwner.js";
+export * from "./core/reportOutbox.js";
 export * from "./core/requestClaims.js";
 export * from "./core/rooms.js";
 export * from "./core/router.js";
+export * from "./core/session.js";
 export * from "./core/slots.js";
+export * from "./core/snapshots.js";
 export * from "./core/taskQueue.js";
+export * from "./core/usage.js";
+export * from "./core/workerReport.js";
 export * from "./plugins/placements.js";
 export * from "./plugins/upstreamChoices.js";
 export * from "./types/configuration.js";
--- a/packages/puffinarch/src/plugins/placements.ts
+++ b/packages/puffinarch/src/plugins/placements.ts
@@ -11,6 +11,8 @@
     readonly random: Random;
     /** Candidates that `randomOfK` looks at. */
     readonly sampleSize: number;
+    /** Workers that are taken only where no other has room. */
+    readonly avoid: ReadonlySet<string>;
 }
 
 /** A handler's choice, and among how many it chose. */
@@ -29,13 +31,19 @@
     + (worker.free.memoryMib - size.memoryMib) / Math.max(1, worker.capacity.memoryMib)
     + (worker.free.accelerators - size.accelerators) / Math.max(1, worker.capacity.accelerators);
 
-const bestOf = (workers: Iterable<LedgerWorker>, score: (worker: LedgerWorker) => number): PlacementChoice => {
+const avoidedScore = 1_000;
+
+const bestOf = (
+    workers: Iterable<LedgerWorker>,
+    avoid: ReadonlySet<string>,
+    score: (worker: LedgerWorker) => number,
+): PlacementChoice => {
     let best: LedgerWorker | undefined;
     let bestScore = Infinity;
     let looks = 0;
     for (const worker of workers) {
         looks += 1;
-        const workerScore = score(worker);
+        const workerScore = score(worker) + (avoid.has(worker.workerId) ? avoidedScore : 0);
         if (workerScore < bestScore) {
             best = worker;
             bestScore = workerScore;
@@ -47,11 +55,11 @@
     return { worker: best, alternatives: looks };
 };
 
-const bestFit: PlacementHandler = ({ ledger, size }) =>
-    bestOf(ledger.candidates(size), worker => leftOver(worker, size));
+const bestFit: PlacementHandler = ({ ledger, size, avoid }) =>
+    bestOf(ledger.candidates(size), avoid, worker => leftOver(worker, size));
 
-const worstFit: PlacementHandler = ({ ledger, size }) =>
-    bestOf(ledger.emptiest(size), worker => -leftOver(worker, size));
+const worstFit: PlacementHandler = ({ ledger, size, avoid }) =>
+    bestOf(ledger.emptiest(size), avoid, worker => -leftOver(worker, size));
 
 const firstFit: PlacementHandler = ({ ledger, size }) => {
     let looks = 0;
@@ -64,24 +72,24 @@
     return { worker: undefined, alternatives: 0 };
 };
 
-const randomOfK: PlacementHandler = ({ ledger, size, random, sampleSize }) => {
-    const open = ledger.openWorkers();
+const randomOfK: PlacementHandler = input => {
+    const { ledger, size, random, sampleSize, avoid } = input;
     const sample: LedgerWorker[] = [];
-    for (let look = 0; look < sampleSize && open.length > 0; look += 1) {
-        const worker = open[Math.floor(random.next() * open.length)];
+    for (let look = 0; look < sampleSize; look += 1) {
+        const worker = ledger.openAt(Math.floor(random.next() * ledger.openCount()));
         if (worker !== undefined && fits(size, worker.free)) {
             sample.push(worker);
         }
     }
-    const choice = bestOf(sample, worker => leftOver(worker, size));
-    return choice.worker === undefined ? bestFit({ ledger, size, random, sampleSize }) : choice;
+    const choice = bestOf(sample, avoid, worker => leftOver(worker, size));
+    return choice.worker === undefined ? bestFit(input) : choice;
 };
 
 /**
  * Handlers by name; a policy of the configuration names one. `gang` packs tightly, so that whole gangs find room.
  *
  * @example
- * placements.bestFit({ ledger, size, random, sampleSize: 2 }).worker?.workerId;
+ * placements.bestFit({ ledger, size, random, sampleSize: 2, avoid: new Set() }).worker?.workerId;
  */
 export const placements = { bestFit, worstFit, firstFit, randomOfK, gang: bestFit } as const;
 
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -4,14 +4,45 @@
  */
 
 // Parts that coordinate and decide.
+export {
+    type Attempt,
+    type AttemptParts,
+    type Attempts,
+    createAttempts,
+    foundParts,
+    type OwnedWorker,
+    type WorkerState,
+    workerStates,
+} from "./internal.js";
 export { checkDocument, diffDocuments, initialDocument } from "./internal.js";
 export { type ConfigurationStore, type ConfigurationStoreOptions, createConfigurationStore } from "./internal.js";
+export { createDeputy, type Deputy, type DeputyOptions } from "./internal.js";
+export { createEarmarks, type Earmarks, type EarmarksOptions, type Victim, victimsFor } from "./internal.js";
 export { createHome, type Home, type HomeOptions, jobKey } from "./internal.js";
-export { createHomeState, type HomeState, type JobEntry, showJob, showTask, type TaskEntry } from "./internal.js";
-export { createHomes, holderOf, homeKey, type Homes, type HomesOptions } from "./internal.js";
+export {
+    createHomeState,
+    type HomeSnapshot,
+    type HomeState,
+    isCancelled,
+    type JobEntry,
+    type JobSnapshot,
+    showJob,
+    showTask,
+    type TaskEntry,
+    type TaskSnapshot,
+} from "./internal.js";
+export { createHomes, holderOf, homeKey, type Homes, type HomesOptions, type SharedHomeOptions } from "./internal.js";
 export { checkJobSpec, sameSpec } from "./internal.js";
 export { createJobs, type JobPage, type Jobs, type JobsOptions } from "./internal.js";
-export { createJournal, type Journal, journalKey, type JournalOptions, replay, type RowClaim } from "./internal.js";
+export {
+    createJournal,
+    type Journal,
+    journalKey,
+    type JournalOptions,
+    replay,
+    type Replayed,
+    type RowClaim,
+} from "./internal.js";
 export { createLedger, type Ledger, type LedgerWorker } from "./internal.js";
 export { createMembership, type Membership, type MembershipOptions, type OwnedUnit, sessionIdOf } from "./internal.js";
 export {
@@ -22,11 +53,16 @@
     type NodePorts,
     type NodeSettings,
 } from "./internal.js";
+export { type OutcomeContext, recordFor } from "./internal.js";
 export { createOwnership, type Ownership, type OwnershipOptions, type UnitKeeper } from "./internal.js";
-export { createRackOwner, type RackOwner, type RackOwnerOptions, type WorkerState, workerStates } from "./internal.js";
+export { createPlacer, type Placer, type PlacerOptions, type Reserved } from "./internal.js";
+export { createQuarantine, type Quarantine, type QuarantineOptions, type Trust } from "./internal.js";
+export { createRackOwner, type RackOwner, type RackOwnerOptions, urgentPriority } from "./internal.js";
+export { createReportOutbox, type ReportOutbox, type ReportOutboxOptions } from "./internal.js";
 export { createRequestClaims, type RequestClaim, type RequestClaims, type RequestClaimsOptions } from "./internal.js";
 export { createRooms, type Room, type Rooms } from "./internal.js";
 export { createRouter, type Route, type Router, type RouterOptions } from "./internal.js";
+export { createSession, type Session, type SessionOptions } from "./internal.js";
 export {
     createSlots,
     type Slot,
@@ -35,7 +71,10 @@
     type UpstreamState,
     upstreamStates,
 } from "./internal.js";
+export { forgetRows, type LoadedSnapshot, loadSnapshot, saveSnapshot, type SaveSnapshotOptions } from "./internal.js";
 export { createTaskQueue, type QueueItem, type TaskQueue } from "./internal.js";
+export { correctedSize, remediesFor, type Remedy, type UsedAttempt } from "./internal.js";
+export { readReport, type WorkerReportOptions } from "./internal.js";
 
 // Handlers in lookup tables.
 export {
@@ -98,6 +137,10 @@
     type CapacitySummary,
     type DaemonView,
     type Gossip,
+    type GossipReply,
+    type HomeAttempt,
+    type HomeAttemptsRequest,
+    type HomeAttemptsResponse,
     type NodeReport,
     type PeerCallName,
     type PeerCalls,
@@ -127,6 +170,7 @@
     type RunningAttempt,
     type StartOrder,
     type StartOutcome,
+    type StopOrder,
     type TableRow,
     type TableStore,
     type Transaction,
@@ -149,6 +193,7 @@
     type JobCancelledRecord,
     type JournalRecord,
     recordKinds,
+    type TaskCancelledRecord,
     type TaskEndedRecord,
 } from "./internal.js";
 export { add, fits, largest, noResources, type Resources, scale, subtract } from "./internal.js";
--- a/packages/puffinarch/src/types/job.ts
+++ b/packages/puffinarch/src/types/job.ts
@@ -79,6 +79,8 @@
     readonly taskId: string;
     readonly outcome: AttemptOutcome;
     readonly result: string;
+    /** Saved progress of an attempt that was stopped with a checkpoint; empty otherwise. */
+    readonly checkpoint: string;
 }
 
 /**
--- a/packages/puffinarch/src/types/ownership.ts
+++ b/packages/puffinarch/src/types/ownership.ts
@@ -18,8 +18,8 @@
     readonly owner: string;
 }
 
-/** States of a session; a closed one acts no more. */
-export const sessionStates = { live: "live", draining: "draining", closed: "closed" } as const;
+/** States of a session. A closed one handed everything over; a fenced one was taken over while it may still run. */
+export const sessionStates = { live: "live", draining: "draining", closed: "closed", fenced: "fenced" } as const;
 /** One of `sessionStates`. */
 export type SessionState = (typeof sessionStates)[keyof typeof sessionStates];
 
@@ -33,6 +33,10 @@
     readonly state: SessionState;
     /** Generation of the VM list in which the session saw its own VM. */
     readonly listedGeneration: number;
+    /** The one session that may take over by lease; empty where only evidence of death counts. */
+    readonly deputy: string;
+    /** Grows with each renewal. */
+    readonly beat: number;
 }
 
 /**
--- a/packages/puffinarch/src/types/peer.ts
+++ b/packages/puffinarch/src/types/peer.ts
@@ -11,12 +11,25 @@
     readonly taskId: string;
     readonly size: Resources;
     readonly payload: string;
+    readonly checkpoint: string;
     readonly policy: string;
+    readonly priority: number;
+    /** True where the attempt may be stopped to make room for more urgent work. */
+    readonly preemptible: boolean;
+    /** How long the task has waited; a long wait earns a worker that is kept free for it. */
+    readonly waitedMs: number;
+    /** What a worker is kept free for: the task, or the whole gang. */
+    readonly keepKey: string;
+    readonly gang: boolean;
+    /** Workers on which the task failed before. */
+    readonly avoid: readonly string[];
 }
 
 /** Tasks of one home, offered to a rack owner. */
 export interface PlaceRequest {
     readonly homeId: string;
+    /** Version of the home's ownership row; an owner refuses a lower one than it has seen. */
+    readonly homeVersion: number;
     readonly offers: readonly TaskOffer[];
 }
 
@@ -47,6 +60,8 @@
 
 /** Attempts by id, with the rack they were placed in. */
 export interface AttemptsRequest {
+    readonly homeId: string;
+    readonly homeVersion: number;
     readonly attempts: readonly { readonly attemptId: string; readonly workerId: string; readonly rackKey: string; }[];
 }
 
@@ -78,6 +93,8 @@
 /** What daemons tell each other regularly. */
 export interface Gossip {
     readonly sessionId: string;
+    /** The session that this one named as its deputy; empty for none. */
+    readonly deputy: string;
     readonly configurationVersion: number;
     readonly draining: boolean;
     readonly capacity: CapacitySummary;
@@ -87,6 +104,13 @@
     readonly teamUse: Readonly<Record<string, Resources>>;
 }
 
+/** What a daemon answers to gossip. */
+export interface GossipReply {
+    readonly configurationVersion: number;
+    /** The deputy promises not to take over for this long, counted from when it answers; 0 for no promise. */
+    readonly promiseMs: number;
+}
+
 /** A worker as its owner shows it. */
 export interface WorkerView {
     readonly workerId: string;
@@ -142,6 +166,28 @@
     readonly requestsAnswered: number;
 }
 
+/** Asks for everything that an owner knows of a home, and shuts out earlier holders of the home. */
+export interface HomeAttemptsRequest {
+    readonly homeId: string;
+    readonly homeVersion: number;
+}
+
+/** An attempt of a home, as the owner of its rack knows it. */
+export interface HomeAttempt {
+    readonly attemptId: string;
+    readonly taskId: string;
+    readonly workerId: string;
+    readonly rackKey: string;
+    readonly state: AttemptState;
+}
+
+/** What the owner knows of a home's attempts. */
+export interface HomeAttemptsResponse {
+    readonly attempts: readonly HomeAttempt[];
+    /** Racks of which every worker has answered since this daemon owns them. */
+    readonly decidedRacks: readonly string[];
+}
+
 /** Calls between daemons: what goes in and what comes out. */
 export interface PeerCalls {
     readonly place: { readonly input: PlaceRequest; readonly output: PlaceResponse; };
@@ -149,8 +195,9 @@
     readonly release: { readonly input: AttemptsRequest; readonly output: AttemptsResponse; };
     readonly stop: { readonly input: AttemptsRequest; readonly output: AttemptsResponse; };
     readonly attemptStates: { readonly input: AttemptsRequest; readonly output: AttemptsResponse; };
+    readonly attemptsOfHome: { readonly input: HomeAttemptsRequest; readonly output: HomeAttemptsResponse; };
     readonly report: { readonly input: ReportRequest; readonly output: ReportResponse; };
-    readonly gossip: { readonly input: Gossip; readonly output: { readonly configurationVersion: number; }; };
+    readonly gossip: { readonly input: Gossip; readonly output: GossipReply; };
     readonly configuration: { readonly input: { readonly version: number; }; readonly output: Configuration; };
     readonly job: { readonly input: { readonly jobId: string; }; readonly output: Job; };
     readonly cancel: { readonly input: { readonly jobId: string; }; readonly output: Job; };
@@ -159,6 +206,7 @@
         readonly output: readonly Job[];
     };
     readonly task: { readonly input: { readonly taskId: string; }; readonly output: Task; };
+    readonly cancelTask: { readonly input: { readonly taskId: string; }; readonly output: Task; };
     readonly tasks: {
         readonly input: { readonly jobId: string; readonly afterIndex: number; readonly limit: number; };
         readonly output: readonly Task[];
--- a/packages/puffinarch/src/types/ports.ts
+++ b/packages/puffinarch/src/types/ports.ts
@@ -101,6 +101,8 @@
     readonly homeId: string;
     readonly size: Resources;
     readonly payload: string;
+    /** What an earlier attempt saved, to go on from; empty to begin anew. */
+    readonly checkpoint: string;
     readonly leaseMs: number;
     readonly startBeforeMs: number;
 }
@@ -121,6 +123,8 @@
     readonly homeId: string;
     readonly outcome: AttemptOutcome;
     readonly result: string;
+    /** Saved by an attempt that was stopped with a checkpoint; empty otherwise. */
+    readonly checkpoint: string;
 }
 
 /** Everything a worker knows, with its own clock at the time. */
@@ -142,11 +146,20 @@
 /** `refused`: surely not started. `unknown`: it may have started. */
 export type StartOutcome = "started" | "refused" | "unknown";
 
-/** Workers. `poll` and `stop` fail with the kind `unavailable`. */
+/** Orders to a worker about an attempt that runs. */
+export interface StopOrder {
+    readonly attemptId: string;
+    /** Saves the attempt's progress before it is stopped. */
+    readonly checkpoint: boolean;
+}
+
+/** Workers. All but `start` fail with the kind `unavailable`. */
 export interface WorkerPort {
     start(address: string, order: StartOrder): Promise<StartOutcome>;
     poll(address: string, poll: WorkerPoll): Promise<WorkerReport>;
-    stop(address: string, attemptIds: readonly string[]): Promise<void>;
+    stop(address: string, orders: readonly StopOrder[]): Promise<void>;
+    /** Limits the processors that an attempt may use, in thousandths of a core. */
+    throttle(address: string, attemptId: string, cpuMillis: number): Promise<void>;
 }
 
 /** What an upstream says of itself. */
--- a/packages/puffinarch/src/types/records.ts
+++ b/packages/puffinarch/src/types/records.ts
@@ -9,6 +9,7 @@
     attemptAbandoned: "attemptAbandoned",
     taskEnded: "taskEnded",
     jobCancelled: "jobCancelled",
+    taskCancelled: "taskCancelled",
 } as const;
 
 /** The job is durable from here on. */
@@ -34,6 +35,8 @@
     readonly attemptId: string;
     readonly started: boolean;
     readonly reason: string;
+    /** Progress to go on from; left out where there is none. */
+    readonly checkpoint?: string;
 }
 
 /** The task has its final state. A large result stands in the object store under `resultKey`. */
@@ -56,10 +59,18 @@
     readonly cancelledAtMs: number;
 }
 
+/** One task ends here; a started one is stopped. */
+export interface TaskCancelledRecord {
+    readonly kind: typeof recordKinds.taskCancelled;
+    readonly taskId: string;
+    readonly cancelledAtMs: number;
+}
+
 /** Any record of a journal. */
 export type JournalRecord =
     | JobAcceptedRecord
     | AttemptIntendedRecord
     | AttemptAbandonedRecord
     | TaskEndedRecord
-    | JobCancelledRecord;
+    | JobCancelledRecord
+    | TaskCancelledRecord;
--- a/packages/puffinarchd/src/adapters/machines.ts
+++ b/packages/puffinarchd/src/adapters/machines.ts
@@ -20,8 +20,11 @@
         return result.kind === "notDelivered" ? "refused" : "unknown";
     },
     poll: async (address, poll) => bodyOf(await http.call<WorkerReport>("POST", `${address}/poll`, poll), "worker"),
-    stop: async (address, attemptIds) => {
-        bodyOf(await http.call("POST", `${address}/stop`, { attemptIds }), "worker");
+    stop: async (address, orders) => {
+        bodyOf(await http.call("POST", `${address}/stop`, { orders }), "worker");
+    },
+    throttle: async (address, attemptId, cpuMillis) => {
+        bodyOf(await http.call("POST", `${address}/throttle`, { attemptId, cpuMillis }), "worker");
     },
 });
 
--- a/packages/puffinarchd/src/adapters/peers.ts
+++ b/packages/puffinarchd/src/adapters/peers.ts
@@ -45,6 +45,8 @@
     "cancel",
     "jobs",
     "task",
+    "cancelTask",
+    "attemptsOfHome",
     "tasks",
     "decisions",
     "workers",
--- a/packages/puffinarchd/src/rpc/jobService.ts
+++ b/packages/puffinarchd/src/rpc/jobService.ts
@@ -60,6 +60,22 @@
         }
         return { task: showTask(task), result: task.result ?? "" };
     },
+    cancelTask: async ({ taskId }) => ({ task: showTask(await node.jobs.cancelTask(taskId)) }),
+    watchTask: async function*({ taskId }, { signal }) {
+        let shown = "";
+        while (!signal.aborted) {
+            const task = await node.jobs.task(taskId);
+            const text = `${task.state} ${task.attempts}`;
+            if (text !== shown) {
+                shown = text;
+                yield { task: showTask(task) };
+            }
+            if (isFinal(task.state)) {
+                return;
+            }
+            await sleep(clock, watchIntervalMs);
+        }
+    },
     getTask: async ({ taskId }) => ({ task: showTask(await node.jobs.task(taskId)) }),
     listTasks: async ({ jobId, pageSize, pageToken }) => {
         const limit = pageSizeOf(pageSize);
--- a/packages/puffinarchd/src/settings.ts
+++ b/packages/puffinarchd/src/settings.ts
@@ -30,6 +30,13 @@
     startValidityMs: durationMs,
     reservationMs: durationMs,
     deathGraceMs: durationMs,
+    sessionLeaseMs: durationMs,
+    renewIntervalMs: durationMs,
+    promiseMs: durationMs,
+    starvationMs: durationMs,
+    earlyStartMs: durationMs,
+    maintainIntervalMs: durationMs,
+    retentionMs: wholeNumber(1, 30 * 24 * 3_600_000),
     refreshIntervalMs: durationMs,
     gossipIntervalMs: durationMs,
     pumpIntervalMs: durationMs,
@@ -42,6 +49,7 @@
 
 const limitSchema = z.strictObject({
     journalBatchesPerSecond: wholeNumber(1, 10_000),
+    snapshotBatches: wholeNumber(1, 1_000_000),
     maxPendingEntries: wholeNumber(1, 1_000_000),
     slotsPerUpstream: wholeNumber(1, 1_024),
     maxQueuedRequests: wholeNumber(1, 100_000),
@@ -106,6 +114,20 @@
             allowed: `at least three times pollWaitMs, which is ${timings.pollWaitMs}`,
         });
     }
+    if (timings.sessionLeaseMs < 3 * timings.renewIntervalMs) {
+        violations.push({
+            field: "timings.sessionLeaseMs",
+            value: String(timings.sessionLeaseMs),
+            allowed: `at least three times renewIntervalMs, which is ${timings.renewIntervalMs}`,
+        });
+    }
+    if (timings.promiseMs > timings.sessionLeaseMs) {
+        violations.push({
+            field: "timings.promiseMs",
+            value: String(timings.promiseMs),
+            allowed: `at most sessionLeaseMs, which is ${timings.sessionLeaseMs}`,
+        });
+    }
     return violations;
 };
 
@@ -166,7 +188,7 @@
  * nodeSettings(settings).leaseMs; // 10000
  */
 export const nodeSettings = (settings: DaemonSettings): NodeSettings => {
-    const { journalBatchesPerSecond, maxPendingEntries, slotsPerUpstream, maxQueuedRequests } = {
+    const { journalBatchesPerSecond, snapshotBatches, maxPendingEntries, slotsPerUpstream, maxQueuedRequests } = {
         ...defaultNodeSettings,
         ...settings.limits,
     };
@@ -174,6 +196,7 @@
         ...defaultNodeSettings,
         ...settings.timings,
         journalBatchesPerSecond,
+        snapshotBatches,
         maxPendingEntries,
         slotsPerUpstream,
         maxQueuedRequests,
--- a/packages/stand-ins/src/cell/cell.ts
+++ b/packages/stand-ins/src/cell/cell.ts
@@ -11,6 +11,7 @@
     type Log,
     type Meter,
     type Node,
+    type NodePorts,
     type NodeSettings,
     type PeerPort,
     type Random,
@@ -25,6 +26,7 @@
 import { createPlatform, defaultPlatformLimits, type Platform, type PlatformLimits } from "../platform.js";
 import { createUpstream, type UpstreamStandIn } from "../upstream.js";
 import { createWorker, type Execution, type WorkerStandIn } from "../worker.js";
+import { breakPart, type BrokenPart } from "./brokenParts.js";
 import { createFakeClock, type FakeClock } from "./fakeClock.js";
 import { createGate, type Gate } from "./gate.js";
 
@@ -41,6 +43,8 @@
     readonly limits: Partial<PlatformLimits>;
     /** One-way delay of a message is random up to this. */
     readonly maxDelayMs: number;
+    /** A part that is broken on purpose, to show that a check finds it. */
+    readonly broken: BrokenPart | undefined;
 }
 
 /** Two data centres with two daemons, two workers and one upstream each. */
@@ -55,6 +59,7 @@
     settings: {},
     limits: {},
     maxDelayMs: 2,
+    broken: undefined,
 };
 
 /** A daemon of the cell. */
@@ -85,6 +90,8 @@
     /** Cuts the link between two places, both ways. */
     cut(one: Place, other: Place): void;
     heal(one: Place, other: Place): void;
+    /** Makes each message between two places late by this much; 0 heals it. */
+    slow(one: Place, other: Place, delayMs: number): void;
     healAll(): void;
     pause(vmId: string): void;
     resume(vmId: string): void;
@@ -141,7 +148,9 @@
 
     const linkOf = (one: Place, other: Place): string => [one, other].sort().join("|");
     const isCut = (one: Place, other: Place): boolean => cuts.has(linkOf(one, other));
-    const delay = (): Promise<void> => sleep(clock, random.next() * options.maxDelayMs);
+    const slowed = new Map<string, number>();
+    const delay = (one: Place, other: Place): Promise<void> =>
+        sleep(clock, random.next() * options.maxDelayMs + (slowed.get(linkOf(one, other)) ?? 0));
 
     /** One call over the network: either way may take a while, or be cut; silence ends at the caller's limit. */
     const send = async <T>(
@@ -152,12 +161,12 @@
     ): Promise<T | "silence"> => {
         await from.pass();
         const answer = async (): Promise<T | "silence"> => {
-            await delay();
+            await delay(fromId, toId);
             if (isCut(fromId, toId)) {
                 return new Promise(() => {});
             }
             const result = await effect();
-            await delay();
+            await delay(fromId, toId);
             return isCut(fromId, toId) ? new Promise(() => {}) : result;
         };
         const result = await Promise.race([answer(), sleep(clock, callTimeoutMs).then(() => "silence" as const)]);
@@ -205,7 +214,9 @@
             }
         },
         poll: (address, poll) => reachable(gate, vmId, address, () => workerAt(address).poll(poll)),
-        stop: (address, attemptIds) => reachable(gate, vmId, address, async () => workerAt(address).stop(attemptIds)),
+        stop: (address, orders) => reachable(gate, vmId, address, async () => workerAt(address).stop(orders)),
+        throttle: (address, attemptId, cpuMillis) =>
+            reachable(gate, vmId, address, async () => workerAt(address).throttle(attemptId, cpuMillis)),
     });
 
     const upstreamsFor = (gate: Gate, vmId: string): UpstreamPort => ({
@@ -243,7 +254,7 @@
 
     const launch = (vmId: string, dataCentre: string): void => {
         const gate = createGate(clock);
-        const node = createNode({ ...defaultNodeSettings, ...options.settings, vmId, dataCentre }, {
+        const ports: NodePorts = {
             table: tableFor(gate, vmId),
             objects: platform.objects,
             vmList: vmListFor(gate, vmId),
@@ -254,7 +265,10 @@
             random,
             log: logFor(vmId),
             meter: countingMeter(totals),
-        });
+        };
+        const broken = breakPart(options.broken, ports);
+        const settings = { ...defaultNodeSettings, ...options.settings, ...broken.settings, vmId, dataCentre };
+        const node = createNode(settings, broken.ports);
         daemons.set(vmId, { vmId, dataCentre, node, gate });
         void node.start(vmId);
     };
@@ -343,7 +357,13 @@
         heal: (one, other) => {
             cuts.delete(linkOf(one, other));
         },
-        healAll: () => cuts.clear(),
+        slow: (one, other, delayMs) => {
+            slowed.set(linkOf(one, other), delayMs);
+        },
+        healAll: () => {
+            cuts.clear();
+            slowed.clear();
+        },
         pause: vmId => find(vmId).gate.pause(),
         resume: vmId => find(vmId).gate.resume(),
         kill: (vmId, vmGone) => {
--- /dev/null
+++ b/packages/stand-ins/src/explore/explore.ts
@@ -0,0 +1,363 @@
+/**
+ * Seeded exploration: a random schedule of submissions, pauses, kills, cuts and faults on a small cell, with every
+ * promise checked after each step from the stand-ins' evidence. The same seed gives the same schedule.
+ */
+
+import { createSeededRandom, failureOf, isFinal, type JobSpec, type Random, type Task } from "puffinarch";
+import type { BrokenPart } from "../cell/brokenParts.js";
+import { type Cell, type CellDaemon, createCell, defaultCellOptions, platformPlace } from "../cell/cell.js";
+import type { Fault } from "../faults.js";
+import { groupBy, tasksRunTwice } from "../runTwice.js";
+
+/** What one schedule came to. */
+export interface Exploration {
+    readonly seed: number;
+    readonly steps: readonly string[];
+    /** Promises that broke; empty where all held. */
+    readonly broken: readonly string[];
+    readonly tasksAccepted: number;
+    readonly executions: number;
+}
+
+/** What a schedule is run with. */
+export interface ExploreOptions {
+    readonly seed: number;
+    readonly steps: number;
+    readonly part?: BrokenPart;
+}
+
+interface Run {
+    readonly cell: Cell;
+    readonly random: Random;
+    readonly accepted: Map<string, JobSpec>;
+    readonly refused: Set<string>;
+    readonly gone: Set<string>;
+    submitted: number;
+    added: number;
+}
+
+type Action = (run: Run) => string | Promise<string>;
+
+const settleLimitMs = 180_000;
+const callLimitMs = 4_000;
+const stepMs = 50;
+
+const any = <T>(random: Random, items: readonly T[]): T | undefined => items[Math.floor(random.next() * items.length)];
+
+const alive = ({ cell, gone }: Run): readonly CellDaemon[] =>
+    cell.daemons().filter(daemon => !gone.has(daemon.vmId) && !daemon.gate.dead());
+
+const answering = (run: Run): readonly CellDaemon[] =>
+    alive(run).filter(daemon => !daemon.gate.paused() && daemon.node.ready());
+
+/** Calls a node while the clock moves; undefined where no answer came in time. */
+const callFor = async <T>(cell: Cell, call: () => Promise<T>): Promise<T | undefined> => {
+    let answer: T | undefined;
+    let done = false;
+    void call().then(value => {
+        answer = value;
+    }, () => undefined).finally(() => {
+        done = true;
+    });
+    for (let passedMs = 0; passedMs < callLimitMs && !done; passedMs += stepMs) {
+        await cell.advance(stepMs);
+    }
+    return answer;
+};
+
+const specOf = (run: Run): JobSpec => {
+    run.submitted += 1;
+    const { random } = run;
+    const workloadClass = any(random, ["batch", "batch", "interactive", "gang"]) ?? "batch";
+    return {
+        jobId: `job-${run.submitted}`,
+        workloadClass,
+        team: any(random, ["rigging", "barriers"]) ?? "rigging",
+        tasks: 1 + Math.floor(random.next() * 5),
+        taskSize: { cpuMillis: 500 + Math.floor(random.next() * 3) * 500, memoryMib: 512, accelerators: 0 },
+        atMostOnce: workloadClass === "batch" && random.next() < 0.4,
+        payload: JSON.stringify({ runMs: Math.floor(random.next() * 6_000), fails: random.next() < 0.05 }),
+    };
+};
+
+const submit: Action = async run => {
+    const daemon = any(run.random, answering(run));
+    const spec = specOf(run);
+    if (daemon === undefined) {
+        return "submit: nobody answers";
+    }
+    let kind = "open";
+    const job = await callFor(run.cell, () =>
+        daemon.node.jobs.submit(spec).catch((error: unknown) => {
+            kind = failureOf(error).kind;
+            throw error;
+        }));
+    if (job !== undefined) {
+        run.accepted.set(spec.jobId, spec);
+    }
+    if (kind === "notAccepted") {
+        run.refused.add(spec.jobId);
+    }
+    return `submit ${spec.jobId} (${spec.workloadClass}, ${spec.tasks}) through ${daemon.vmId}: ${
+        job === undefined ? kind : "accepted"
+    }`;
+};
+
+const pause: Action = run => {
+    const daemon = any(run.random, alive(run));
+    daemon?.gate.pause();
+    return `pause ${daemon?.vmId}`;
+};
+
+const resume: Action = run => {
+    const daemon = any(run.random, alive(run).filter(each => each.gate.paused()));
+    daemon?.gate.resume();
+    return `resume ${daemon?.vmId}`;
+};
+
+/** A VM is lost, and a new one takes its place. */
+const lose: Action = run => {
+    const daemon = any(run.random, alive(run));
+    if (daemon === undefined) {
+        return "lose: nobody is left";
+    }
+    run.cell.kill(daemon.vmId, true);
+    run.gone.add(daemon.vmId);
+    run.added += 1;
+    run.cell.addDaemon(`new-e${run.added}`, daemon.dataCentre);
+    return `lose ${daemon.vmId}, add new-e${run.added}`;
+};
+
+const restart: Action = run => {
+    const daemon = any(run.random, alive(run));
+    if (daemon === undefined) {
+        return "restart: nobody is left";
+    }
+    run.cell.kill(daemon.vmId, false);
+    run.cell.restart(daemon.vmId);
+    return `restart ${daemon.vmId}`;
+};
+
+const stopGracefully: Action = run => {
+    const daemon = any(run.random, answering(run));
+    if (daemon === undefined || run.gone.size > 2) {
+        return "stop: not now";
+    }
+    run.gone.add(daemon.vmId);
+    run.added += 1;
+    run.cell.addDaemon(`new-e${run.added}`, daemon.dataCentre);
+    void daemon.node.stop().then(() => run.cell.kill(daemon.vmId, true));
+    return `stop ${daemon.vmId}, add new-e${run.added}`;
+};
+
+const places = (run: Run): readonly string[] => [
+    platformPlace,
+    ...alive(run).map(daemon => daemon.vmId),
+    ...run.cell.workers().map(worker => worker.workerId),
+];
+
+const cut: Action = run => {
+    const daemon = any(run.random, alive(run));
+    const other = any(run.random, places(run));
+    if (daemon === undefined || other === undefined) {
+        return "cut: nothing to cut";
+    }
+    run.cell.cut(daemon.vmId, other);
+    return `cut ${daemon.vmId} from ${other}`;
+};
+
+const slow: Action = run => {
+    const daemon = any(run.random, alive(run));
+    const worker = any(run.random, run.cell.workers());
+    if (daemon === undefined || worker === undefined) {
+        return "slow: nothing to slow";
+    }
+    const delayMs = 200 + Math.floor(run.random.next() * 1_700);
+    run.cell.slow(daemon.vmId, worker.workerId, delayMs);
+    return `slow ${daemon.vmId} to ${worker.workerId} by ${delayMs} ms`;
+};
+
+const healNetwork: Action = run => {
+    run.cell.healAll();
+    return "heal the network";
+};
+
+const breakTable: Action = run => {
+    const kind = any(run.random, ["refuse", "hang", "loseReply", "late", "slow"] as const) ?? "refuse";
+    const fault: Fault = { target: "table", kind, probability: 0.2 + run.random.next() * 0.8, delayMs: 300 };
+    run.cell.platform.faults.set("table", [fault]);
+    return `the table has ${kind} at ${fault.probability.toFixed(2)}`;
+};
+
+const healTable: Action = run => {
+    run.cell.platform.faults.set("table", []);
+    return "heal the table";
+};
+
+const loseWorker: Action = run => {
+    const worker = any(run.random, run.cell.workers());
+    if (worker === undefined || run.random.next() < 0.5) {
+        return "lose no worker";
+    }
+    run.cell.killWorker(worker.workerId);
+    return `lose ${worker.workerId}`;
+};
+
+const breakWorker: Action = run => {
+    const worker = any(run.random, run.cell.workers());
+    const unreachable = run.random.next() < 0.5;
+    worker?.setFaults(unreachable ? { unreachable: true } : { losesStartReply: true });
+    return `${worker?.workerId} ${unreachable ? "is unreachable" : "loses the replies to starts"}`;
+};
+
+const healWorkers: Action = run => {
+    for (const worker of run.cell.workers()) {
+        worker.setFaults({ unreachable: false, losesStartReply: false });
+    }
+    return "heal the workers";
+};
+
+const cancel: Action = async run => {
+    const jobId = any(run.random, [...run.accepted.keys()]);
+    const daemon = any(run.random, answering(run));
+    if (jobId === undefined || daemon === undefined) {
+        return "cancel: nothing";
+    }
+    await callFor(run.cell, () => daemon.node.jobs.cancel(jobId));
+    return `cancel ${jobId} through ${daemon.vmId}`;
+};
+
+/** Actions by weight. */
+const actions: readonly (readonly [number, Action])[] = [
+    [8, submit],
+    [3, pause],
+    [3, resume],
+    [2, lose],
+    [2, restart],
+    [1, stopGracefully],
+    [3, cut],
+    [2, slow],
+    [2, healNetwork],
+    [3, breakTable],
+    [3, healTable],
+    [1, loseWorker],
+    [2, breakWorker],
+    [1, healWorkers],
+    [1, cancel],
+];
+
+const totalWeight = actions.reduce((sum, [weight]) => sum + weight, 0);
+
+const pickAction = (random: Random): Action => {
+    let left = random.next() * totalWeight;
+    for (const [weight, action] of actions) {
+        left -= weight;
+        if (left < 0) {
+            return action;
+        }
+    }
+    return submit;
+};
+
+const onceOnly = (run: Run): ReadonlySet<string> =>
+    new Set([...run.accepted.values()].filter(spec => spec.atMostOnce).map(spec => spec.jobId));
+
+const checkEvidence = (run: Run): readonly string[] => {
+    const executions = run.cell.executions();
+    const twice = tasksRunTwice(executions, onceOnly(run));
+    const refusedRan = executions.filter(each => run.refused.has(each.taskId.slice(0, each.taskId.lastIndexOf("/"))));
+    return [
+        ...twice.map(taskId => `${taskId} ran twice`),
+        ...refusedRan.map(each => `${each.taskId} ran although its job was not accepted`),
+        ...run.cell.overcommits() > 0 ? ["a worker was given more than it has"] : [],
+    ];
+};
+
+const checkTask = (task: Task, executions: readonly { readonly outcome?: string; }[]): readonly string[] => {
+    const completed = executions.some(each => each.outcome === "completed");
+    if (task.state === "completed" && (!completed || task.result !== `${task.taskId} done`)) {
+        return [`${task.taskId} was answered completed and was not, or with another result`];
+    }
+    if (task.state === "cancelled" && !task.mayHaveStarted && executions.length > 0) {
+        return [`${task.taskId} was answered as never started and ran`];
+    }
+    return [];
+};
+
+const healEverything = (run: Run): void => {
+    const { cell } = run;
+    cell.healAll();
+    cell.platform.faults.set("table", []);
+    for (const worker of cell.workers()) {
+        worker.setFaults({ unreachable: false, losesStartReply: false });
+    }
+    for (const daemon of alive(run)) {
+        daemon.gate.resume();
+    }
+};
+
+const tasksOf = async (run: Run, jobId: string): Promise<readonly Task[]> => {
+    const daemon = answering(run)[0];
+    return daemon === undefined ? [] : await callFor(run.cell, () => daemon.node.jobs.tasks(jobId, -1, 100)) ?? [];
+};
+
+/** After everything is healed, each accepted job has to be answered, and as the workers saw it. */
+const settle = async (run: Run): Promise<readonly string[]> => {
+    const { cell } = run;
+    healEverything(run);
+    const giveUpAtMs = cell.clock.monotonicMs() + settleLimitMs;
+    const broken: string[] = [];
+    for (const jobId of run.accepted.keys()) {
+        let tasks = await tasksOf(run, jobId);
+        while (
+            cell.clock.monotonicMs() < giveUpAtMs && !(tasks.length > 0 && tasks.every(task => isFinal(task.state)))
+        ) {
+            await cell.advance(500);
+            tasks = await tasksOf(run, jobId);
+        }
+        const open = tasks.filter(task => !isFinal(task.state));
+        if (tasks.length === 0 || open.length > 0) {
+            broken.push(
+                `${jobId} is not answered: ${
+                    tasks.length === 0 ? "nobody knows it" : open.map(task => task.state).join(", ")
+                }`,
+            );
+        }
+        const byTask = groupBy(cell.executions(), each => each.taskId);
+        broken.push(...tasks.flatMap(task => checkTask(task, byTask.get(task.taskId) ?? [])));
+    }
+    return [...broken, ...checkEvidence(run)];
+};
+
+/**
+ * Runs one schedule.
+ *
+ * @example
+ * const { broken, steps } = await explore({ seed: 7, steps: 30 });
+ */
+export const explore = async ({ seed, steps, part }: ExploreOptions): Promise<Exploration> => {
+    const cell = createCell({ ...defaultCellOptions, seed, broken: part, maxDelayMs: 20 });
+    const run: Run = {
+        cell,
+        random: createSeededRandom(seed + 1_000_003),
+        accepted: new Map(),
+        refused: new Set(),
+        gone: new Set(),
+        submitted: 0,
+        added: 0,
+    };
+    const taken: string[] = [];
+    let broken: readonly string[] = [];
+    await cell.start();
+    for (let step = 0; step < steps && broken.length === 0; step += 1) {
+        const atMs = cell.clock.monotonicMs();
+        taken.push(`${atMs.toFixed(0)} ms: ${await pickAction(run.random)(run)}`);
+        await cell.advance(Math.floor(run.random.next() * 2_500));
+        broken = checkEvidence(run);
+    }
+    if (broken.length === 0) {
+        broken = await settle(run);
+    }
+    const tasksAccepted = [...run.accepted.values()].reduce((sum, spec) => sum + spec.tasks, 0);
+    return { seed, steps: taken, broken, tasksAccepted, executions: cell.executions().length };
+};
--- /dev/null
+++ b/packages/stand-ins/src/explore/main.ts
@@ -0,0 +1,32 @@
+/** `npm run explore -- --seeds N`: many schedules by hand; a broken one is printed whole. */
+
+import { Command, Option } from "commander";
+import { type BrokenPart, brokenParts } from "../cell/brokenParts.js";
+import { explore } from "./explore.js";
+
+const program = new Command("explore")
+    .description("Runs seeded schedules of faults against a small cell and checks every promise.")
+    .option("--seeds <n>", "how many schedules", "200")
+    .option("--first <n>", "the first seed", "1")
+    .option("--steps <n>", "steps in a schedule", "30")
+    .addOption(new Option("--broken <part>", "break a part on purpose").choices([...brokenParts]));
+
+program.parse();
+const flags = program.opts<
+    { readonly seeds: string; readonly first: string; readonly steps: string; readonly broken?: BrokenPart; }
+>();
+const first = Number(flags.first);
+let failed = 0;
+let tasks = 0;
+for (let seed = first; seed < first + Number(flags.seeds); seed += 1) {
+    const result = await explore({ seed, steps: Number(flags.steps), part: flags.broken });
+    tasks += result.tasksAccepted;
+    if (result.broken.length > 0) {
+        failed += 1;
+        process.stdout.write(
+            `seed ${seed}: ${result.broken.join("; ")}\n${result.steps.map(step => `  ${step}\n`).join("")}`,
+        );
+    }
+}
+process.stdout.write(`${JSON.stringify({ seeds: Number(flags.seeds), failed, tasksAccepted: tasks })}\n`);
+process.exit(failed === 0 ? 0 : 1);
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,8 +1,10 @@
 /** Stand-ins for everything outside of puffinarch: platform, workers, upstreams. */
 
+export * from "./cell/brokenParts.js";
 export * from "./cell/cell.js";
 export * from "./cell/fakeClock.js";
 export * from "./cell/gate.js";
+export * from "./explore/explore.js";
 export * from "./faults.js";
 export * from "./platform.js";
 export * from "./runTwice.js";
--- a/packages/stand-ins/src/serve.ts
+++ b/packages/stand-ins/src/serve.ts
@@ -1,7 +1,7 @@
 /** The stand-ins as HTTP servers on the loopback address. */
 
 import Fastify, { type FastifyInstance } from "fastify";
-import { failureOf, type StartOrder, type Transaction, type Vm, type WorkerPoll } from "puffinarch";
+import { failureOf, type StartOrder, type StopOrder, type Transaction, type Vm, type WorkerPoll } from "puffinarch";
 import type { Fault } from "./faults.js";
 import type { Platform } from "./platform.js";
 import type { RequestScript, UpstreamStandIn } from "./upstream.js";
@@ -105,10 +105,17 @@
         "/workers/:id/poll",
         ({ params, body }) => find(params.id).poll(body),
     );
-    server.post<{ Params: { id: string; }; Body: { attemptIds: string[]; }; }>(
+    server.post<{ Params: { id: string; }; Body: { orders: StopOrder[]; }; }>(
         "/workers/:id/stop",
         async ({ params, body }) => {
-            find(params.id).stop(body.attemptIds);
+            find(params.id).stop(body.orders);
+            return {};
+        },
+    );
+    server.post<{ Params: { id: string; }; Body: { attemptId: string; cpuMillis: number; }; }>(
+        "/workers/:id/throttle",
+        async ({ params, body }) => {
+            find(params.id).throttle(body.attemptId, body.cpuMillis);
             return {};
         },
     );
--- a/packages/stand-ins/src/worker.ts
+++ b/packages/stand-ins/src/worker.ts
@@ -14,6 +14,7 @@
     type Resources,
     type StartOrder,
     type StartOutcome,
+    type StopOrder,
     type WorkerPoll,
     type WorkerReport,
 } from "puffinarch";
@@ -33,6 +34,8 @@
     readonly runMs: number;
     readonly fails?: boolean;
     readonly resultBytes?: number;
+    /** What it uses of what it declared; 0.8 by default. */
+    readonly usedShare?: number;
 }
 
 /** Faults of one worker. */
@@ -47,7 +50,9 @@
     readonly workerId: string;
     start(order: StartOrder): StartOutcome;
     poll(poll: WorkerPoll): Promise<WorkerReport>;
-    stop(attemptIds: readonly string[]): void;
+    stop(orders: readonly StopOrder[]): void;
+    /** Limits what an attempt uses from now on. */
+    throttle(attemptId: string, cpuMillis: number): void;
     /** The VM is gone: everything that ran has ended, and nobody is told. */
     kill(): void;
     setFaults(faults: Partial<WorkerFaults>): void;
@@ -62,6 +67,8 @@
     readonly order: StartOrder;
     readonly startedAtMs: number;
     readonly execution: number;
+    readonly doneBeforeMs: number;
+    throttledCpuMillis: number;
     cancelRun: CancelTimer;
     cancelLease: CancelTimer;
 }
@@ -102,7 +109,13 @@
         }
     };
 
-    const end = (attemptId: string, outcome: AttemptOutcome, result: string): void => {
+    /** How long the attempt has run, earlier attempts included; that is all that this work needs to go on. */
+    const progressOf = (attemptId: string): string => {
+        const entry = running.get(attemptId);
+        return entry === undefined ? "" : String(clock.monotonicMs() - entry.startedAtMs + entry.doneBeforeMs);
+    };
+
+    const end = (attemptId: string, outcome: AttemptOutcome, result: string, checkpoint = ""): void => {
         const entry = running.get(attemptId);
         if (entry === undefined) {
             return;
@@ -115,7 +128,7 @@
         if (execution !== undefined) {
             executions[entry.execution] = { ...execution, endedAtMs: clock.nowMs(), outcome };
         }
-        ended.set(attemptId, { attemptId, taskId, homeId, outcome, result });
+        ended.set(attemptId, { attemptId, taskId, homeId, outcome, result, checkpoint });
         tellNews();
     };
 
@@ -145,13 +158,15 @@
             order,
             startedAtMs: clock.monotonicMs(),
             execution: executions.length - 1,
+            doneBeforeMs: Number(order.checkpoint),
+            throttledCpuMillis: Infinity,
             cancelRun: () => {},
             cancelLease: () => {},
         };
         running.set(attemptId, entry);
         const result = fails ? "the task failed" : `${taskId} done${"x".repeat(script.resultBytes ?? 0)}`;
         entry.cancelRun = clock.setTimer(
-            fails ? 1 : script.runMs,
+            fails ? 1 : Math.max(0, script.runMs - entry.doneBeforeMs),
             () => end(attemptId, fails ? "failed" : "completed", result),
         );
         lease(entry, order.leaseMs);
@@ -164,9 +179,10 @@
             return noResources;
         }
         const { cpuMillis, memoryMib, accelerators } = entry.order.size;
+        const share = scriptOf(entry.order.payload).usedShare ?? usedShare;
         return {
-            cpuMillis: Math.floor(cpuMillis * usedShare),
-            memoryMib: Math.floor(memoryMib * usedShare),
+            cpuMillis: Math.min(entry.throttledCpuMillis, Math.floor(cpuMillis * share)),
+            memoryMib: Math.floor(memoryMib * share),
             accelerators,
         };
     };
@@ -209,9 +225,15 @@
                 ended: [...ended.values()],
             };
         },
-        stop: attemptIds => {
-            for (const attemptId of attemptIds) {
-                end(attemptId, "stopped", "");
+        stop: orders => {
+            for (const { attemptId, checkpoint } of orders) {
+                end(attemptId, "stopped", "", checkpoint ? progressOf(attemptId) : "");
+            }
+        },
+        throttle: (attemptId, cpuMillis) => {
+            const entry = running.get(attemptId);
+            if (entry !== undefined) {
+                entry.throttledCpuMillis = cpuMillis;
             }
         },
         kill: () => {
