Faults of progress that exploration found, mended

Change: restarts at growing intervals; a forfeited unit is closed; intents carry the generation of the VM list in which the worker was seen; a gang's rest is queued once. Ruled out: unsafe takeovers; no schedule ran a task twice or overcommitted.

--- a/features/jobs.feature
+++ b/features/jobs.feature
@@ -54,6 +54,11 @@
         And the job "j1" has 2 tasks in the state "failed"
         And the workers ran 6 attempts
 
+    Scenario: A service that cannot start is started again at growing intervals
+        When a job "j1" of the class "interactive" with 1 failing tasks is submitted
+        And 10000 ms pass in the cell
+        Then the workers ran at most 9 attempts
+
     Scenario: A gang starts all of its tasks or none
         When a job "j1" of the class "batch" with 12 tasks of 2000 ms is submitted
         And 500 ms pass in the cell
--- a/features/steps/examples/decisions.ts
+++ b/features/steps/examples/decisions.ts
@@ -63,6 +63,7 @@
         attemptId: "a1",
         workerId: "w1",
         rackKey: "unit/rack/leon-feria/r1",
+        listedGeneration: 1,
     });
     return `${before}, then ${state.task("load-in-7/0")?.state}`;
 };
--- a/features/steps/jobSteps.ts
+++ b/features/steps/jobSteps.ts
@@ -159,6 +159,11 @@
     assert.equal(cellPart(this).cell.executions().length, count);
 });
 
+Then("the workers ran at most {int} attempts", function(this: ScenarioWorld, most: number) {
+    const { length } = cellPart(this).cell.executions();
+    assert.ok(length <= most, `${length} attempts`);
+});
+
 Then("the workers have nothing left to run", function(this: ScenarioWorld) {
     assert.ok(cellPart(this).cell.executions().every(execution => execution.endedAtMs !== undefined));
 });
--- a/packages/puffinarch/src/core/home.ts
+++ b/packages/puffinarch/src/core/home.ts
@@ -110,6 +110,11 @@
 
 const inlineResultLength = 8 * 1024;
 const recoverRetryMs = 250;
+const firstFailureRestMs = 100;
+const maxFailureRestMs = 60_000;
+
+const restAfterFailures = (failures: number): number =>
+    failures === 0 ? 0 : Math.min(maxFailureRestMs, firstFailureRestMs * 2 ** Math.min(failures - 1, 20));
 
 /**
  * Opens a home whose state has been replayed.
@@ -154,7 +159,8 @@
 
     const enqueueGang = (job: JobEntry): void => {
         const open = job.tasks.filter(task => !isFinal(task.state));
-        if (open.length > 0 && open.every(task => task.state === taskStates.queued)) {
+        if (!job.gangQueued && open.length > 0 && open.every(task => task.state === taskStates.queued)) {
+            job.gangQueued = true;
             queue.push(itemOf(job, open, true));
         }
     };
@@ -174,10 +180,10 @@
     const attemptsOf = (tasks: readonly TaskEntry[]): AttemptsRequest => ({
         homeId,
         homeVersion,
-        attempts: tasks.flatMap(({ attemptId, workerId, rackKey }) =>
+        attempts: tasks.flatMap(({ attemptId, workerId, rackKey, listedGeneration }) =>
             attemptId === undefined || workerId === undefined || rackKey === undefined
                 ? []
-                : [{ attemptId, workerId, rackKey }]
+                : [{ attemptId, workerId, rackKey, listedGeneration }]
         ),
     });
 
@@ -273,12 +279,29 @@
         return { resultKey };
     };
 
-    const afterSettled = async (task: TaskEntry): Promise<void> => {
-        if (task.state !== taskStates.queued) {
+    /** A task that fails again and again, such as a service that cannot start, comes back at growing intervals. */
+    const enqueueAfter = (task: TaskEntry, restMs: number): void => {
+        const enqueue = (): void => {
+            if (!closed && task.state === taskStates.queued) {
+                queue.push(itemOf(task.job, [task], false));
+                pumpLoop.wake();
+            }
+        };
+        if (restMs === 0) {
+            enqueue();
             return;
         }
+        clock.setTimer(restMs, enqueue);
+    };
+
+    const afterSettled = async (task: TaskEntry): Promise<void> => {
         if (!isGang(task.job)) {
-            queue.push(itemOf(task.job, [task], false));
+            if (task.state === taskStates.queued) {
+                enqueueAfter(task, restAfterFailures(task.failures));
+            }
+            return;
+        }
+        if (!task.job.tasks.some(each => each.state === taskStates.queued)) {
             return;
         }
         const others = task.job.tasks.filter(each =>
@@ -296,6 +319,7 @@
         const record = recordFor(task, ended, { nowMs: clock.nowMs(), workloadClass: classOf(task.job), result });
         if (ended.outcome === "failed" && task.workerId !== undefined) {
             task.failedOn.add(task.workerId);
+            task.failures += 1;
         }
         await write([record]);
         startSent.delete(ended.attemptId);
@@ -337,6 +361,9 @@
             const record: JournalRecord = { kind: "attemptIntended", taskId: each.task.taskId, ...each.placement };
             return { ...each, record };
         });
+        for (const { task } of reserved) {
+            task.job.gangQueued = false;
+        }
         const durable = write(intents.map(each => each.record));
         durable.then(
             () => startSoon(intents.filter(isAgreed).filter(each => !early.has(each.task)).map(each => each.task)),
@@ -414,10 +441,11 @@
     /** Attempts that an earlier holder started without a committed intent. */
     const adoptFound = async (found: readonly HomeAttempt[]): Promise<void> => {
         const records: JournalRecord[] = [];
-        for (const { attemptId, taskId, workerId, rackKey, state: said } of found) {
+        for (const { state: said, ...parts } of found) {
+            const { attemptId, taskId } = parts;
             const task = state.task(taskId);
             if (task?.state === taskStates.queued && said !== "absent" && said !== "notStarted") {
-                records.push({ kind: "attemptIntended", taskId, attemptId, workerId, rackKey });
+                records.push({ kind: "attemptIntended", ...parts });
                 startSent.add(attemptId);
             }
         }
@@ -455,9 +483,9 @@
 
     const settleLost = async (): Promise<void> => {
         const reports: AttemptReport[] = [];
-        for (const { workerId, rackKey, attemptId, taskId } of state.active()) {
+        for (const { workerId, rackKey, attemptId, taskId, listedGeneration } of state.active()) {
             const ownerless = rackKey !== undefined && membership.ownerOf(rackKey) === undefined;
-            if (workerId !== undefined && ownerless && membership.vmGone(workerId)) {
+            if (workerId !== undefined && ownerless && membership.vmGoneSince(workerId, listedGeneration)) {
                 reports.push({ attemptId: attemptId ?? "", taskId, outcome: "absent", result: "", checkpoint: "" });
             }
         }
--- a/packages/puffinarch/src/core/homeState.ts
+++ b/packages/puffinarch/src/core/homeState.ts
@@ -30,6 +30,8 @@
     attemptId: string | undefined;
     workerId: string | undefined;
     rackKey: string | undefined;
+    /** Generation of the VM list in which the attempt's worker was seen. */
+    listedGeneration: number;
     detail: string;
     mayHaveStarted: boolean;
     cancelled: boolean;
@@ -44,6 +46,8 @@
     confirmedBy: string | undefined;
     /** Workers on which an attempt failed; not journaled. */
     readonly failedOn: Set<string>;
+    /** Attempts that failed; not journaled. */
+    failures: number;
     /** A report is being made durable; not journaled. */
     settling: Promise<void> | undefined;
 }
@@ -55,6 +59,8 @@
     readonly tasks: TaskEntry[];
     readonly counts: Map<TaskState, number>;
     cancelled: boolean;
+    /** The gang waits in the queue; not journaled. */
+    gangQueued: boolean;
 }
 
 /** What of a task outlasts its process; the fields of `TaskEntry` of the same names. */
@@ -65,6 +71,7 @@
     | "attemptId"
     | "workerId"
     | "rackKey"
+    | "listedGeneration"
     | "detail"
     | "mayHaveStarted"
     | "cancelled"
@@ -93,6 +100,7 @@
     attemptId: task.attemptId,
     workerId: task.workerId,
     rackKey: task.rackKey,
+    listedGeneration: task.listedGeneration,
     detail: task.detail,
     mayHaveStarted: task.mayHaveStarted,
     cancelled: task.cancelled,
@@ -171,11 +179,13 @@
         attemptId: undefined,
         workerId: undefined,
         rackKey: undefined,
+        listedGeneration: 0,
         detail: "",
         mayHaveStarted: false,
         cancelled: false,
         checkpoint: "",
         failedOn: new Set(),
+        failures: 0,
         result: undefined,
         resultKey: undefined,
         queuedAtMs: job.acceptedAtMs,
@@ -186,7 +196,7 @@
     });
 
     const jobAccepted = ({ spec, acceptedAtMs }: JobAcceptedRecord): void => {
-        const job: JobEntry = { spec, acceptedAtMs, tasks: [], counts: new Map(), cancelled: false };
+        const job: JobEntry = { spec, acceptedAtMs, tasks: [], counts: new Map(), cancelled: false, gangQueued: false };
         for (let index = 0; index < spec.tasks; index += 1) {
             job.tasks.push(newTask(job, index));
         }
@@ -203,6 +213,7 @@
         task.attemptId = record.attemptId;
         task.workerId = record.workerId;
         task.rackKey = record.rackKey;
+        task.listedGeneration = record.listedGeneration;
         task.confirmedBy = undefined;
         setState(task, taskStates.starting);
     };
--- a/packages/puffinarch/src/core/membership.ts
+++ b/packages/puffinarch/src/core/membership.ts
@@ -23,6 +23,8 @@
     vm(vmId: string): Vm | undefined;
     /** True where the VM was listed and is no more; such a VM never comes back. */
     vmGone(vmId: string): boolean;
+    /** Like `vmGone`, for a VM that another daemon saw in the list of that generation. */
+    vmGoneSince(vmId: string, listedGeneration: number): boolean;
     sessions(): readonly SessionRow[];
     session(sessionId: string): SessionRow | undefined;
     /** Version of the session's row as last read. */
@@ -174,6 +176,7 @@
         listing: () => listing,
         vm: vmId => vmsById.get(vmId),
         vmGone,
+        vmGoneSince: (vmId, listedGeneration) => !vmsById.has(vmId) && listing.generation >= listedGeneration,
         sessions: () => [...sessionsByVm.values()],
         session: findSession,
         sessionVersion: sessionId => watched.get(sessionId)?.version,
--- a/packages/puffinarch/src/core/ownership.ts
+++ b/packages/puffinarch/src/core/ownership.ts
@@ -45,7 +45,7 @@
     close(): Promise<void>;
     /** Stops acting on everything at once, without a word to the table: another session has taken over. */
     abandon(): Promise<void>;
-    /** Forgets a unit that turned out to have another owner. */
+    /** Stops acting on a unit that turned out to have another owner. */
     forfeit(key: string): void;
 }
 
@@ -236,7 +236,11 @@
         close,
         abandon,
         forfeit: key => {
+            const unit = owned.get(key);
             owned.delete(key);
+            if (unit !== undefined) {
+                void keepers[unit.kind].yield(unit);
+            }
         },
     };
 };
--- a/packages/puffinarch/src/core/quarantine.ts
+++ b/packages/puffinarch/src/core/quarantine.ts
@@ -1,6 +1,7 @@
 /**
  * Workers that fail every task they start. A worker is closed after failures in a row from more than one job, and
- * opened for one attempt at a time, at growing intervals, until one succeeds.
+ * opened for one attempt at a time, at growing intervals, until one succeeds. Where nothing came to try it with, it is
+ * opened whole, and one more failure closes it: a gang that needs the worker would wait for ever otherwise.
  */
 
 import type { Clock } from "../types/ports.js";
@@ -75,7 +76,12 @@
             if (record === undefined || !isClosed(record)) {
                 return "trusted";
             }
-            return clock.monotonicMs() >= record.probeAtMs ? "probing" : "quarantined";
+            const sinceProbeMs = clock.monotonicMs() - record.probeAtMs;
+            if (sinceProbeMs >= record.probeDelayMs) {
+                record.failures = options.failures - 1;
+                return "trusted";
+            }
+            return sinceProbeMs >= 0 ? "probing" : "quarantined";
         },
         forget: workerId => {
             records.delete(workerId);
--- a/packages/puffinarch/src/core/rackOwner.ts
+++ b/packages/puffinarch/src/core/rackOwner.ts
@@ -462,7 +462,8 @@
         }
         attempts.track(worker, offer, homeId, "reserved");
         refreshOpen(worker);
-        return { attemptId: offer.attemptId, workerId: worker.vm.vmId, rackKey: worker.rackKey };
+        const listedGeneration = membership.listing().generation;
+        return { attemptId: offer.attemptId, workerId: worker.vm.vmId, rackKey: worker.rackKey, listedGeneration };
     };
 
     const place = (request: PlaceRequest): readonly Placement[] => {
@@ -542,14 +543,14 @@
         await Promise.all([...byWorker].map(([worker, attemptIds]) => sendStops(worker, attemptIds, false)));
     };
 
-    const stateOf = (attemptId: string, workerId: string): AttemptState => {
+    const stateOf = ({ attemptId, workerId, listedGeneration }: Placement): AttemptState => {
         const attempt = attempts.find(attemptId);
         if (attempt !== undefined) {
             return attempt.state;
         }
         const worker = entries.get(workerId);
         if (worker === undefined) {
-            return membership.vmGone(workerId) ? "absent" : "undecided";
+            return membership.vmGoneSince(workerId, listedGeneration) ? "absent" : "undecided";
         }
         if (worker.acknowledge.has(attemptId)) {
             return "ended";
@@ -569,6 +570,7 @@
                 taskId,
                 workerId: worker.vm.vmId,
                 rackKey: worker.rackKey,
+                listedGeneration: membership.listing().generation,
                 state,
             })),
             decidedRacks: [...racks].filter(isDecided),
@@ -645,8 +647,7 @@
             }
         },
         stop,
-        states: ({ attempts: wanted }) =>
-            Object.fromEntries(wanted.map(({ attemptId, workerId }) => [attemptId, stateOf(attemptId, workerId)])),
+        states: ({ attempts: wanted }) => Object.fromEntries(wanted.map(each => [each.attemptId, stateOf(each)])),
         attemptsOfHome,
         summary,
         views: () => [...entries.values()].map(viewOf),
--- a/packages/puffinarch/src/types/peer.ts
+++ b/packages/puffinarch/src/types/peer.ts
@@ -38,6 +38,8 @@
     readonly attemptId: string;
     readonly workerId: string;
     readonly rackKey: string;
+    /** Generation of the VM list in which the owner saw the worker. */
+    readonly listedGeneration: number;
 }
 
 /** What the owner reserved. */
@@ -62,7 +64,7 @@
 export interface AttemptsRequest {
     readonly homeId: string;
     readonly homeVersion: number;
-    readonly attempts: readonly { readonly attemptId: string; readonly workerId: string; readonly rackKey: string; }[];
+    readonly attempts: readonly Placement[];
 }
 
 /** State of each attempt that was asked about. */
@@ -178,6 +180,7 @@
     readonly taskId: string;
     readonly workerId: string;
     readonly rackKey: string;
+    readonly listedGeneration: number;
     readonly state: AttemptState;
 }
 
--- a/packages/puffinarch/src/types/records.ts
+++ b/packages/puffinarch/src/types/records.ts
@@ -26,6 +26,8 @@
     readonly attemptId: string;
     readonly workerId: string;
     readonly rackKey: string;
+    /** Generation of the VM list in which the worker was seen. */
+    readonly listedGeneration: number;
 }
 
 /** The attempt surely runs no more, or never ran; the task waits again. */
