Recovery never takes up an attempt again that was given up; starvation by shape

Cause: schedules that end a home in an outage found a cancel that was answered 'never started' although the dead holder had started the task before its commit; schedules that change holders twice found an attempt intended anew after it had been given up, so that its task waited for ever; a long queue of one shape counted as starving although it went forward. Change: cancels wait until a home has asked what runs; attempts that were given up are remembered with the task; a shape starves only when none of it was placed.

--- a/packages/puffinarch/src/core/home.ts
+++ b/packages/puffinarch/src/core/home.ts
@@ -187,6 +187,12 @@
         ),
     });
 
+    /** The owner of a rack and since which change of hands; undefined while there is none. */
+    const tenureOf = (rackKey: string | undefined): string | undefined => {
+        const owner = rackKey === undefined ? undefined : membership.ownerOf(rackKey);
+        return owner === undefined ? undefined : `${owner.sessionId}@${membership.unit(rackKey ?? "")?.version}`;
+    };
+
     const byOwner = (tasks: Iterable<TaskEntry>): ReadonlyMap<string, readonly TaskEntry[]> => {
         const groups = new Map<string, TaskEntry[]>();
         for (const task of tasks) {
@@ -204,12 +210,17 @@
     const callOwners = async (
         name: "start" | "stop" | "attemptStates",
         tasks: Iterable<TaskEntry>,
-        onAnswer: (owner: string, group: readonly TaskEntry[], answer: AttemptsResponse) => Promise<void>,
+        onAnswer: (
+            group: readonly TaskEntry[],
+            answer: AttemptsResponse,
+            tenures: ReadonlyMap<string, string | undefined>,
+        ) => Promise<void>,
     ): Promise<void> => {
         await Promise.all([...byOwner(tasks)].map(async ([owner, group]) => {
             const request = attemptsOf(group);
+            const tenures = new Map(group.map(task => [task.taskId, tenureOf(task.rackKey)]));
             try {
-                await onAnswer(owner, group, await options.call(owner, name, request));
+                await onAnswer(group, await options.call(owner, name, request), tenures);
             }
             catch (error) {
                 const failure = failureOf(error);
@@ -233,9 +244,9 @@
 
     /** Takes what an owner says of attempts; the ones that surely do not run are settled at once. */
     const takeStates = async (
-        owner: string,
         tasks: readonly TaskEntry[],
         { states }: AttemptsResponse,
+        tenures: ReadonlyMap<string, string | undefined>,
     ): Promise<void> => {
         const reports: AttemptReport[] = [];
         for (const task of tasks) {
@@ -243,7 +254,7 @@
             const said: AttemptState | undefined = states[attemptId];
             if (said === "running" || said === "starting" || said === "ended") {
                 startSent.add(attemptId);
-                task.confirmedBy = owner;
+                task.confirmedBy = tenures.get(task.taskId);
             }
             if (said === "running") {
                 noteRunning(task);
@@ -332,7 +343,8 @@
         const settled: string[] = [];
         await Promise.all(reports.map(async each => {
             const task = state.task(each.taskId);
-            if (!recovered && task?.attemptId !== each.attemptId) {
+            const abandoned = task?.abandonedIds.includes(each.attemptId) === true;
+            if (!recovered && !abandoned && task?.attemptId !== each.attemptId) {
                 return;
             }
             if (task === undefined || task.attemptId !== each.attemptId || isFinal(task.state)) {
@@ -444,7 +456,8 @@
         for (const { state: said, ...parts } of found) {
             const { attemptId, taskId } = parts;
             const task = state.task(taskId);
-            if (task?.state === taskStates.queued && said !== "absent" && said !== "notStarted") {
+            const isOpen = task?.state === taskStates.queued && !task.abandonedIds.includes(attemptId);
+            if (isOpen && said !== "absent" && said !== "notStarted") {
                 records.push({ kind: "attemptIntended", ...parts });
                 startSent.add(attemptId);
             }
@@ -474,6 +487,9 @@
                 await sleep(clock, recoverRetryMs);
             }
         }
+        if (closed) {
+            return;
+        }
         log.write("info", "homeRecovered", { homeId });
         for (const job of state.jobs()) {
             enqueueJob(job);
@@ -495,10 +511,11 @@
     /** Asks the present owners about every attempt that they have not yet answered for. */
     const reconcile = async (): Promise<void> => {
         const unconfirmed = [...state.active()].filter(task =>
-            task.rackKey !== undefined && membership.ownerOf(task.rackKey)?.sessionId !== task.confirmedBy
+            task.rackKey !== undefined
+            && (task.confirmedBy === undefined || tenureOf(task.rackKey) !== task.confirmedBy)
         );
-        await callOwners("attemptStates", unconfirmed, async (owner, tasks, answer) => {
-            await takeStates(owner, tasks, answer);
+        await callOwners("attemptStates", unconfirmed, async (tasks, answer, tenures) => {
+            await takeStates(tasks, answer, tenures);
             await start(tasks.filter(task => answer.states[task.attemptId ?? ""] === "reserved"));
         });
         await stop([...state.active()].filter(isCancelled));
@@ -555,7 +572,15 @@
         stop(tasks).catch(error => log.write("debug", "stopFailed", { ...failureOf(error) }));
     };
 
+    /** An earlier holder may have started tasks that this one takes for waiting. */
+    const refuseUntilRecovered = (): void => {
+        if (!recovered) {
+            die("unavailable", `home ${homeId} still asks what runs of it`, { retryAfterMs: recoverRetryMs });
+        }
+    };
+
     const cancel = async (jobId: string): Promise<Job> => {
+        refuseUntilRecovered();
         const job = state.job(jobId) ?? die("notFound", `home ${homeId} has no job ${jobId}`);
         if (!job.cancelled && !showJob(job, homeId).ended) {
             await write([{ kind: "jobCancelled", jobId, cancelledAtMs: clock.nowMs() }]);
@@ -565,6 +590,7 @@
     };
 
     const cancelTask = async (taskId: string): Promise<Task> => {
+        refuseUntilRecovered();
         const task = state.task(taskId) ?? die("notFound", `home ${homeId} has no task ${taskId}`);
         if (!isCancelled(task) && !isFinal(task.state)) {
             await write([{ kind: "taskCancelled", taskId, cancelledAtMs: clock.nowMs() }]);
--- a/packages/puffinarch/src/core/homeState.ts
+++ b/packages/puffinarch/src/core/homeState.ts
@@ -30,6 +30,8 @@
     attemptId: string | undefined;
     workerId: string | undefined;
     rackKey: string | undefined;
+    /** Latest attempts that were given up; none of them is ever taken up again. */
+    abandonedIds: readonly string[];
     /** Generation of the VM list in which the attempt's worker was seen. */
     listedGeneration: number;
     detail: string;
@@ -42,7 +44,7 @@
     queuedAtMs: number;
     startedAtMs: number | undefined;
     endedAtMs: number | undefined;
-    /** Session of the rack owner that last answered for this attempt; not journaled. */
+    /** Owner and tenure of the rack when it last answered for this attempt; not journaled. */
     confirmedBy: string | undefined;
     /** Workers on which an attempt failed; not journaled. */
     readonly failedOn: Set<string>;
@@ -63,6 +65,8 @@
     gangQueued: boolean;
 }
 
+const abandonedIdsKept = 16;
+
 /** What of a task outlasts its process; the fields of `TaskEntry` of the same names. */
 export type TaskSnapshot = Pick<
     TaskEntry,
@@ -71,6 +75,7 @@
     | "attemptId"
     | "workerId"
     | "rackKey"
+    | "abandonedIds"
     | "listedGeneration"
     | "detail"
     | "mayHaveStarted"
@@ -100,6 +105,7 @@
     attemptId: task.attemptId,
     workerId: task.workerId,
     rackKey: task.rackKey,
+    abandonedIds: task.abandonedIds,
     listedGeneration: task.listedGeneration,
     detail: task.detail,
     mayHaveStarted: task.mayHaveStarted,
@@ -179,6 +185,7 @@
         attemptId: undefined,
         workerId: undefined,
         rackKey: undefined,
+        abandonedIds: [],
         listedGeneration: 0,
         detail: "",
         mayHaveStarted: false,
@@ -232,6 +239,7 @@
         task.mayHaveStarted ||= record.started;
         task.detail = record.reason;
         task.checkpoint = record.checkpoint ?? task.checkpoint;
+        task.abandonedIds = [...task.abandonedIds, record.attemptId].slice(-abandonedIdsKept);
         clearAttempt(task);
         setState(task, isCancelled(task) ? taskStates.cancelled : taskStates.queued);
     };
--- a/packages/puffinarch/src/core/placer.ts
+++ b/packages/puffinarch/src/core/placer.ts
@@ -8,7 +8,7 @@
 import type { TaskEntry } from "./homeState.js";
 import { urgentPriority } from "./rackOwner.js";
 import { createRooms, type Room, type Rooms } from "./rooms.js";
-import type { QueueItem, TaskQueue } from "./taskQueue.js";
+import { type QueueItem, shapeKey, type TaskQueue } from "./taskQueue.js";
 
 /** A task with the reservation that an owner made for it. */
 export interface Reserved {
@@ -52,6 +52,10 @@
     readonly offer: TaskOffer;
 }
 
+interface Held extends Reserved {
+    readonly owner: string;
+}
+
 const itemsPerRound = 256;
 const baseRestMs = 100;
 const maxRestMs = 5_000;
@@ -66,6 +70,23 @@
 export const createPlacer = (options: PlacerOptions): Placer => {
     const { queue, clock, random } = options;
 
+    /** When a task of each shape was last placed; a shape that goes forward does not starve, however long its queue. */
+    const progressAtMs = new Map<string, number>();
+
+    const noteProgress = (item: QueueItem): void => {
+        progressAtMs.delete(shapeKey(item));
+        progressAtMs.set(shapeKey(item), clock.nowMs());
+        for (const [key, atMs] of progressAtMs) {
+            if (clock.nowMs() - atMs < options.starvationMs) {
+                break;
+            }
+            progressAtMs.delete(key);
+        }
+    };
+
+    const waitOf = (item: QueueItem, task: TaskEntry): number =>
+        Math.max(0, clock.nowMs() - Math.max(task.queuedAtMs, progressAtMs.get(shapeKey(item)) ?? 0));
+
     const offerOf = (item: QueueItem, task: TaskEntry): TaskOffer => ({
         attemptId: options.newAttemptId(task.taskId),
         taskId: task.taskId,
@@ -75,7 +96,7 @@
         policy: item.policy,
         priority: item.priority,
         preemptible: !task.job.spec.atMostOnce && !item.gang,
-        waitedMs: Math.max(0, clock.nowMs() - task.queuedAtMs),
+        waitedMs: waitOf(item, task),
         keepKey: item.gang ? task.job.spec.jobId : task.taskId,
         gang: item.gang,
         avoid: [...task.failedOn],
@@ -93,12 +114,12 @@
     /** Urgent and starved tasks go to one owner all the same, always the same one, which makes room for them. */
     const ownerFor = (item: QueueItem, task: TaskEntry, rooms: Rooms): string | undefined => {
         const owner = rooms.choose(item.size, options.policyOf(item.policy).placement);
-        const starved = clock.nowMs() - task.queuedAtMs >= options.starvationMs;
+        const starved = waitOf(item, task) >= options.starvationMs;
         if (owner !== undefined || (item.priority < urgentPriority && !starved)) {
             return owner;
         }
         const key = item.gang ? task.job.spec.jobId : task.taskId;
-        return pick(key, options.rooms().map(room => room.sessionId));
+        return pick(key, rooms.owners());
     };
 
     const placeSingles = async (items: readonly QueueItem[], rooms: Rooms): Promise<number> => {
@@ -126,6 +147,7 @@
                     continue;
                 }
                 reserved.push({ task, placement });
+                noteProgress(item);
             }
             await options.commit(reserved, false);
             return reserved.length;
@@ -137,9 +159,14 @@
         return counts.reduce((sum, count) => sum + count, 0);
     };
 
-    const groupGang = (item: QueueItem, rooms: Rooms): ReadonlyMap<string, readonly Offered[]> | undefined => {
+    /** Undefined where nobody is left to ask for one of the tasks. */
+    const groupByOwner = (
+        item: QueueItem,
+        tasks: readonly TaskEntry[],
+        rooms: Rooms,
+    ): readonly (readonly [string, readonly Offered[]])[] | undefined => {
         const byOwner = new Map<string, Offered[]>();
-        for (const task of item.tasks) {
+        for (const task of tasks) {
             const owner = ownerFor(item, task, rooms);
             if (owner === undefined) {
                 return undefined;
@@ -148,35 +175,64 @@
             offered.push({ item, task, offer: offerOf(item, task) });
             byOwner.set(owner, offered);
         }
-        return byOwner;
+        return [...byOwner].sort(([left], [right]) => left < right ? -1 : 1);
     };
 
-    /** All or nothing: owners are asked in one fixed order, and the first refusal gives everything back. */
+    /** Offers tasks of a gang to one owner; answers those that it refused. */
+    const offerGang = async (
+        owner: string,
+        offered: readonly Offered[],
+        held: Held[],
+        rooms: Rooms,
+    ): Promise<readonly TaskEntry[]> => {
+        const placements = await options.offer(owner, offered.map(each => each.offer));
+        const made = new Map(placements.map(placement => [placement.attemptId, placement]));
+        const refused: TaskEntry[] = [];
+        for (const { task, offer } of offered) {
+            const placement = made.get(offer.attemptId);
+            if (placement === undefined) {
+                refused.push(task);
+                continue;
+            }
+            held.push({ owner, task, placement });
+        }
+        if (refused.length > 0) {
+            rooms.refuse(owner);
+        }
+        return refused;
+    };
+
+    /** All or nothing: what one owner refuses is offered to the others, and where nobody is left all is given back. */
     const placeGang = async (item: QueueItem, rooms: Rooms): Promise<number> => {
-        const byOwner = groupGang(item, rooms);
-        const held: { readonly owner: string; readonly placements: readonly Placement[]; }[] = [];
-        const tasks = new Map<string, TaskEntry>();
-        let complete = byOwner !== undefined;
-        for (const [owner, offered] of [...byOwner ?? []].sort(([left], [right]) => left < right ? -1 : 1)) {
-            const placements = await options.offer(owner, offered.map(each => each.offer));
-            held.push({ owner, placements });
-            offered.forEach(each => tasks.set(each.offer.attemptId, each.task));
-            if (placements.length < offered.length) {
-                complete = false;
+        const held: Held[] = [];
+        let left = item.tasks;
+        while (left.length > 0) {
+            const groups = groupByOwner(item, left, rooms);
+            if (groups === undefined) {
                 break;
             }
+            const refused: TaskEntry[] = [];
+            for (const [owner, offered] of groups) {
+                refused.push(...await offerGang(owner, offered, held, rooms));
+            }
+            left = refused;
         }
-        if (!complete) {
-            await Promise.all(held.map(({ owner, placements }) => options.release(owner, placements)));
+        if (left.length > 0) {
+            await giveBack(held);
             putBack(item, restFor(item));
             return 0;
         }
-        const reserved = held.flatMap(({ placements }) => placements).flatMap(placement => {
-            const task = tasks.get(placement.attemptId);
-            return task === undefined ? [] : [{ task, placement }];
-        });
-        await options.commit(reserved, true);
-        return reserved.length;
+        await options.commit(held, true);
+        return held.length;
+    };
+
+    const giveBack = async (held: readonly Held[]): Promise<void> => {
+        const owners = new Set(held.map(each => each.owner));
+        await Promise.all(
+            [...owners].map(owner =>
+                options.release(owner, held.filter(each => each.owner === owner).map(each => each.placement))
+            ),
+        );
     };
 
     const waitingPart = (item: QueueItem): QueueItem | undefined => {
@@ -208,7 +264,7 @@
             const rooms = createRooms(options.rooms(), random);
             let placed = await placeSingles(items.filter(item => !item.gang), rooms);
             for (const item of items.filter(each => each.gang)) {
-                placed += await placeGang(item, rooms);
+                placed += await placeGang(item, createRooms(options.rooms(), random));
             }
             return placed;
         },
--- a/packages/puffinarch/src/core/rackOwner.ts
+++ b/packages/puffinarch/src/core/rackOwner.ts
@@ -623,7 +623,7 @@
             free = add(free, worker.free);
             mostFree = worker.free.cpuMillis > mostFree.cpuMillis ? worker.free : mostFree;
         }
-        return { workers: ledger.openCount(), capacity, free, mostFree };
+        return { workers: entries.size, capacity, free, mostFree };
     };
 
     return {
--- a/packages/puffinarch/src/core/rooms.ts
+++ b/packages/puffinarch/src/core/rooms.ts
@@ -16,8 +16,10 @@
 export interface Rooms {
     /** Picks an owner for a task and lowers its room; undefined where nobody seems to have room. */
     choose(size: Resources, placement: PlacementName): string | undefined;
-    /** Notes that an owner refused this size. */
-    refuse(sessionId: string, size: Resources): void;
+    /** Leaves an owner out from now on, since it refused. */
+    refuse(sessionId: string): void;
+    /** Owners that have not refused. */
+    owners(): readonly string[];
 }
 
 type Order = (left: Room, right: Room) => number;
@@ -64,5 +66,6 @@
         refuse: sessionId => {
             rooms.delete(sessionId);
         },
+        owners: () => [...rooms.keys()],
     };
 };
--- a/packages/puffinarch/src/core/taskQueue.ts
+++ b/packages/puffinarch/src/core/taskQueue.ts
@@ -42,7 +42,13 @@
     notBeforeMs: number;
 }
 
-const shapeKey = (item: QueueItem): string => {
+/**
+ * Names the shape of an item; items of one shape are placed or refused alike.
+ *
+ * @example
+ * shapeKey(item) === shapeKey(likeItem); // true
+ */
+export const shapeKey = (item: QueueItem): string => {
     const { cpuMillis, memoryMib, accelerators } = item.size;
     const gang = item.gang ? item.tasks[0]?.job.spec.jobId ?? "" : "";
     return [item.priority, item.team, item.policy, cpuMillis, memoryMib, accelerators, gang].join("|");
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -72,7 +72,7 @@
     upstreamStates,
 } from "./internal.js";
 export { forgetRows, type LoadedSnapshot, loadSnapshot, saveSnapshot, type SaveSnapshotOptions } from "./internal.js";
-export { createTaskQueue, type QueueItem, type TaskQueue } from "./internal.js";
+export { createTaskQueue, type QueueItem, shapeKey, type TaskQueue } from "./internal.js";
 export { correctedSize, remediesFor, type Remedy, type UsedAttempt } from "./internal.js";
 export { readReport, type WorkerReportOptions } from "./internal.js";
 
--- a/packages/puffinarch/src/types/peer.ts
+++ b/packages/puffinarch/src/types/peer.ts
@@ -85,6 +85,7 @@
 
 /** Free room of one daemon's workers; of fixed size. */
 export interface CapacitySummary {
+    /** All workers owned; the amounts are of those that are open to any task. */
     readonly workers: number;
     readonly capacity: Resources;
     readonly free: Resources;
--- a/packages/stand-ins/src/explore/explore.ts
+++ b/packages/stand-ins/src/explore/explore.ts
@@ -43,6 +43,8 @@
 /** What is left has to hold the largest gang. */
 const mostWorkersLost = 1;
 const callLimitMs = 4_000;
+/** Around the two seconds for which a start order is valid. */
+const startDelaysMs = [1_000, 1_500, 1_800, 4_000, 6_500];
 const stepMs = 50;
 
 const any = <T>(random: Random, items: readonly T[]): T | undefined => items[Math.floor(random.next() * items.length)];
@@ -86,12 +88,17 @@
     };
 };
 
-const submit: Action = async run => {
-    const daemon = any(run.random, answering(run));
-    const spec = specOf(run);
-    if (daemon === undefined) {
-        return "submit: nobody answers";
-    }
+/** More tasks than there is room for, so that some wait while faults come. */
+const backlogOf = (run: Run): JobSpec => ({
+    ...specOf(run),
+    workloadClass: "batch",
+    tasks: 24,
+    taskSize: { cpuMillis: 1_000, memoryMib: 512, accelerators: 0 },
+    atMostOnce: false,
+    payload: JSON.stringify({ runMs: 300 + Math.floor(run.random.next() * 12_000) }),
+});
+
+const submitThrough = async (run: Run, daemon: CellDaemon, spec: JobSpec): Promise<string> => {
     let kind = "open";
     const job = await callFor(run.cell, () =>
         daemon.node.jobs.submit(spec).catch((error: unknown) => {
@@ -121,11 +128,11 @@
     return `resume ${daemon?.vmId}`;
 };
 
-/** A VM is lost, and a new one takes its place. */
-const lose: Action = run => {
-    const daemon = any(run.random, alive(run));
-    if (daemon === undefined) {
-        return "lose: nobody is left";
+const end = (run: Run, daemon: CellDaemon): string => {
+    if (run.random.next() < 0.5) {
+        run.cell.kill(daemon.vmId, false);
+        run.cell.restart(daemon.vmId);
+        return `restart ${daemon.vmId}`;
     }
     run.cell.kill(daemon.vmId, true);
     run.gone.add(daemon.vmId);
@@ -134,14 +141,10 @@
     return `lose ${daemon.vmId}, add new-e${run.added}`;
 };
 
-const restart: Action = run => {
+/** A VM is lost and a new one takes its place, or the process is started again on its VM. */
+const endAny: Action = run => {
     const daemon = any(run.random, alive(run));
-    if (daemon === undefined) {
-        return "restart: nobody is left";
-    }
-    run.cell.kill(daemon.vmId, false);
-    run.cell.restart(daemon.vmId);
-    return `restart ${daemon.vmId}`;
+    return daemon === undefined ? "end: nobody is left" : end(run, daemon);
 };
 
 const stopGracefully: Action = run => {
@@ -234,13 +237,66 @@
     return `cancel ${jobId} through ${daemon.vmId}`;
 };
 
+const submit: Action = run => {
+    const daemon = any(run.random, answering(run));
+    return daemon === undefined ? "submit: nobody answers" : submitThrough(run, daemon, specOf(run));
+};
+
+const wait = async (run: Run, fromMs: number, toMs: number): Promise<void> => {
+    await run.cell.advance(fromMs + Math.floor(run.random.next() * (toMs - fromMs)));
+};
+
+/** An owner ends while its start orders are still under way. */
+const endMidStart: Action = async run => {
+    const home = any(run.random, answering(run));
+    const owner = any(run.random, alive(run).filter(each => each !== home && each.dataCentre === home?.dataCentre));
+    if (owner === undefined || home === undefined) {
+        return "end mid start: nobody is left";
+    }
+    const delayMs = any(run.random, startDelaysMs) ?? 0;
+    for (const worker of run.cell.workers()) {
+        run.cell.slow(owner.vmId, worker.workerId, delayMs);
+    }
+    const submitted = await submitThrough(run, home, { ...specOf(run), workloadClass: "batch", tasks: 8 });
+    await wait(run, 20, 400);
+    return `${submitted}; starts of ${owner.vmId} take ${delayMs} ms; ${end(run, owner)}`;
+};
+
+/** A home with waiting tasks is cut off from the platform until another takes over. */
+const cutWithBacklog: Action = async run => {
+    const daemon = any(run.random, answering(run));
+    if (daemon === undefined) {
+        return "cut with backlog: nobody answers";
+    }
+    const submitted = await submitThrough(run, daemon, backlogOf(run));
+    await wait(run, 50, 600);
+    run.cell.cut(daemon.vmId, platformPlace);
+    await wait(run, 6_000, 14_000);
+    return `${submitted}; cut ${daemon.vmId} from the platform`;
+};
+
+/** A home that goes on without the table ends before the table is back. */
+const endInOutage: Action = async run => {
+    const daemon = any(run.random, answering(run));
+    if (daemon === undefined) {
+        return "end in outage: nobody answers";
+    }
+    const submitted = await submitThrough(run, daemon, backlogOf(run));
+    await wait(run, 0, 200);
+    run.cell.platform.faults.set("table", [{ target: "table", kind: "refuse", probability: 1 }]);
+    await wait(run, 500, 3_000);
+    const ended = end(run, daemon);
+    await wait(run, 100, 1_000);
+    run.cell.platform.faults.set("table", []);
+    return `${submitted}; the table is out; ${ended}; the table is back`;
+};
+
 /** Actions by weight. */
 const actions: readonly (readonly [number, Action])[] = [
     [8, submit],
     [3, pause],
     [3, resume],
-    [2, lose],
-    [2, restart],
+    [4, endAny],
     [1, stopGracefully],
     [3, cut],
     [2, slow],
@@ -251,6 +307,9 @@
     [2, breakWorker],
     [1, healWorkers],
     [1, cancel],
+    [3, endMidStart],
+    [2, cutWithBacklog],
+    [2, endInOutage],
 ];
 
 const totalWeight = actions.reduce((sum, [weight]) => sum + weight, 0);
