--- /dev/null
+++ b/benchmarks/src/takeover.ts
@@ -0,0 +1,93 @@
+/**
+ * From an owner's death to its racks placing again, by number of racks, and what happened to its tasks. The cell runs on
+ * a fake clock: the times are the protocol's, with the default timings and a list of VMs that lags by 2 s.
+ */
+
+import { createCell, defaultCellOptions, tasksRunTwice } from "@puffinarch/stand-ins";
+import { type Benchmark, type Row } from "./benchmark.js";
+
+type Ending = "VM gone" | "process restarted" | "paused";
+
+const stepMs = 50;
+const limitMs = 60_000;
+
+const measure = async (racks: number, ending: Ending, seed: number): Promise<Row> => {
+    const cell = createCell({
+        ...defaultCellOptions,
+        seed,
+        dataCentres: ["leon-feria"],
+        daemonsPerDataCentre: 3,
+        workersPerDataCentre: racks,
+        workersPerRack: 1,
+    });
+    await cell.start();
+    await cell.advance(5_000);
+    const home = cell.daemon("leon-feria-e0");
+    const tasks = racks * 2;
+    const accepted = home.node.jobs.submit({
+        jobId: "j1",
+        workloadClass: "batch",
+        team: "rigging",
+        tasks,
+        taskSize: { cpuMillis: 1_000, memoryMib: 256, accelerators: 0 },
+        atMostOnce: false,
+        payload: JSON.stringify({ runMs: 12_000 }),
+    });
+    await cell.advance(2_000);
+    await accepted;
+    const owners = new Map<string, number>();
+    for (const row of await cell.platform.table.scan("unit/rack/")) {
+        const { owner } = row.value as { readonly owner: string; };
+        owners.set(owner, (owners.get(owner) ?? 0) + 1);
+    }
+    const [sessionBefore = "", ownedBefore = 0] = [...owners].sort(([, left], [, right]) => right - left)[0] ?? [];
+    const victim = sessionBefore.slice(0, sessionBefore.indexOf("~"));
+    const endings: Readonly<Record<Ending, () => void>> = {
+        "VM gone": () => cell.kill(victim, true),
+        "process restarted": () => {
+            cell.kill(victim, false);
+            cell.restart(victim);
+        },
+        paused: () => cell.pause(victim),
+    };
+    endings[ending]();
+    const endedAtMs = cell.clock.monotonicMs();
+    const allPlace = async (): Promise<boolean> => {
+        const owners = cell.daemons().filter(daemon =>
+            !daemon.gate.dead() && !daemon.gate.paused() && daemon.node.ready()
+        );
+        const views = (await Promise.all(owners.map(daemon => daemon.node.handlers.workers({ dataCentre: "" }))))
+            .flat();
+        const live = views.filter(view => view.state === "live" && view.ownerDaemonId !== sessionBefore);
+        return new Set(live.map(view => view.workerId)).size === racks;
+    };
+    while (!await allPlace() && cell.clock.monotonicMs() - endedAtMs < limitMs) {
+        await cell.advance(stepMs);
+    }
+    const takeoverMs = cell.clock.monotonicMs() - endedAtMs;
+    await cell.advance(40_000);
+    const executions = cell.executions();
+    const completed = new Set(executions.filter(each => each.outcome === "completed").map(each => each.taskId));
+    return {
+        racks,
+        ending,
+        ownedBefore,
+        takeoverMs,
+        tasks,
+        tasksLost: tasks - completed.size,
+        tasksRunTwice: tasksRunTwice(executions, new Set()).length,
+        tasksRunAgain: executions.length - tasks,
+        sessionsFenced: cell.total("sessionsFenced"),
+    };
+};
+
+/** 1 to 60 racks in one data centre with three daemons, for each way to end. */
+export const takeover: Benchmark = async ({ long, seed }) => {
+    const rows: Row[] = [];
+    for (const racks of long ? [1, 3, 10, 30, 60, 120] : [1, 10, 60]) {
+        for (const ending of ["VM gone", "process restarted", "paused"] as const) {
+            rows.push(await measure(racks, ending, seed));
+        }
+    }
+    return rows;
+};
--- a/features/steps/examples/coordination.ts
+++ b/features/steps/examples/coordination.ts
@@ -52,10 +52,11 @@
         newBatchId: () => "batch-1",
         onFenced: () => {},
         batchesPerSecond: 40,
+        urgentBatchesPerSecond: 0,
         maxPendingEntries: 100,
     });
     const appended = [0, 1].map(index =>
-        book.append([{ kind: "jobCancelled", jobId: `job-${index}`, cancelledAtMs: 0 }])
+        book.append([{ kind: "jobCancelled", jobId: `job-${index}`, cancelledAtMs: 0 }], false)
     );
     await Promise.all(appended);
     return `${(await replay(table, "home-1", 0)).records.length} records replayed`;
--- a/features/steps/journalSteps.ts
+++ b/features/steps/journalSteps.ts
@@ -55,6 +55,7 @@
                 state.replaced = true;
             },
             batchesPerSecond,
+            urgentBatchesPerSecond: 0,
             maxPendingEntries: 10_000,
         }),
     };
@@ -97,18 +98,18 @@
 
 When(/^(?:a|another) record is appended$/, function(this: ScenarioWorld) {
     const state = part(this);
-    track(state, state.journal.append([recordOf("j1")]));
+    track(state, state.journal.append([recordOf("j1")], false));
 });
 
 When("a record is appended that claims the row {string}", function(this: ScenarioWorld, key: string) {
     const state = part(this);
-    track(state, state.journal.claim([recordOf("j1")], { key, value: { homeId: "h1" } }));
+    track(state, state.journal.claim([recordOf("j1")], { key, value: { homeId: "h1" } }, false));
 });
 
 When("{int} records are appended at once", function(this: ScenarioWorld, count: number) {
     const state = part(this);
     for (let index = 0; index < count; index += 1) {
-        track(state, state.journal.append([recordOf(`j${index}`)]));
+        track(state, state.journal.append([recordOf(`j${index}`)], false));
     }
 });
 
@@ -117,7 +118,7 @@
     async function(this: ScenarioWorld, everyMs: number, forMs: number) {
         const state = part(this);
         for (let passedMs = 0; passedMs < forMs; passedMs += everyMs) {
-            track(state, state.journal.append([recordOf(`j${passedMs}`)]));
+            track(state, state.journal.append([recordOf(`j${passedMs}`)], false));
             await state.clock.advance(everyMs);
         }
     },
--- a/packages/puffinarch/src/core/earmarks.ts
+++ b/packages/puffinarch/src/core/earmarks.ts
@@ -10,8 +10,11 @@
 export interface Earmarks {
     workersFor(keepKey: string): readonly string[];
     isKept(workerId: string): boolean;
-    /** False where too many workers are kept already, or this one is. */
-    keep(keepKey: string, workerId: string, workers: number): boolean;
+    /**
+     * Keeps a worker for work that waits since then. False where too many workers are kept already for work that waits
+     * as long: the oldest work wins everywhere, so that two gangs do not hold half of the workers each.
+     */
+    keep(keepKey: string, workerId: string, workers: number, sinceMs: number): boolean;
     /** Answers the workers that are free again. */
     release(keepKey: string): readonly string[];
     /** Releases what was kept too long. */
@@ -28,14 +31,17 @@
 
 interface Kept {
     readonly keepKey: string;
+    readonly sinceMs: number;
     readonly untilMs: number;
 }
 
+const clearlyOlderMs = 500;
+
 /**
  * Makes the earmarks of one rack owner.
  *
  * @example
- * earmarks.keep("barrier-plan/0", "w1", 8); // true
+ * earmarks.keep("barrier-plan/0", "w1", 8, 0); // true
  */
 export const createEarmarks = ({ clock, keptMs, oneInWorkers }: EarmarksOptions): Earmarks => {
     const byWorker = new Map<string, Kept>();
@@ -43,15 +49,25 @@
     const workersFor = (keepKey: string): readonly string[] =>
         [...byWorker].filter(([, kept]) => kept.keepKey === keepKey).map(([workerId]) => workerId);
 
+    /** Lets go of the worker that is kept for the youngest work, where that is younger. */
+    const makePlace = (keepKey: string, sinceMs: number): boolean => {
+        const others = [...byWorker].filter(([, kept]) => kept.keepKey !== keepKey);
+        const [youngest] = others.sort(([, left], [, right]) => right.sinceMs - left.sinceMs);
+        if (youngest === undefined || youngest[1].sinceMs <= sinceMs + clearlyOlderMs) {
+            return false;
+        }
+        return byWorker.delete(youngest[0]);
+    };
+
     return {
         workersFor,
         isKept: workerId => byWorker.has(workerId),
-        keep: (keepKey, workerId, workers) => {
+        keep: (keepKey, workerId, workers, sinceMs) => {
             const most = Math.max(1, Math.floor(workers / oneInWorkers));
-            if (byWorker.size >= most || byWorker.has(workerId)) {
+            if (byWorker.has(workerId) || (byWorker.size >= most && !makePlace(keepKey, sinceMs))) {
                 return false;
             }
-            byWorker.set(workerId, { keepKey, untilMs: clock.monotonicMs() + keptMs });
+            byWorker.set(workerId, { keepKey, sinceMs, untilMs: clock.monotonicMs() + keptMs });
             return true;
         },
         release: keepKey => {
--- a/packages/puffinarch/src/core/home.ts
+++ b/packages/puffinarch/src/core/home.ts
@@ -108,6 +108,8 @@
     readonly retentionMs: number;
 }
 
+/** Priority from which a class's tasks do not wait for other records to share a write with. */
+const pressingPriority = 7;
 const inlineResultLength = 8 * 1024;
 const recoverRetryMs = 250;
 const firstFailureRestMs = 100;
@@ -136,11 +138,11 @@
     let recovered = [...state.jobs()].every(job => showJob(job, homeId).ended);
     let snapshotAt = journal.nextSequence();
 
-    const write = async (records: readonly JournalRecord[]): Promise<void> => {
+    const write = async (records: readonly JournalRecord[], urgent = false): Promise<void> => {
         if (records.length === 0) {
             return;
         }
-        await journal.append(records);
+        await journal.append(records, urgent);
         for (const record of records) {
             if (!appliedEarly.delete(record)) {
                 state.apply(record);
@@ -149,6 +151,7 @@
     };
 
     const classOf = (job: JobEntry): WorkloadClass => options.classOf(job.spec.workloadClass);
+    const isPressing = (job: JobEntry): boolean => classOf(job).priority >= pressingPriority;
     const isGang = (job: JobEntry): boolean => classOf(job).kind === workloadKinds.gang;
 
     const itemOf = (job: JobEntry, tasks: readonly TaskEntry[], gang: boolean): QueueItem => {
@@ -376,7 +379,8 @@
         for (const { task } of reserved) {
             task.job.gangQueued = false;
         }
-        const durable = write(intents.map(each => each.record));
+        const urgent = reserved.some(({ task }) => isPressing(task.job));
+        const durable = write(intents.map(each => each.record), urgent);
         durable.then(
             () => startSoon(intents.filter(isAgreed).filter(each => !early.has(each.task)).map(each => each.task)),
             error => log.write("debug", "commitFailed", { homeId, ...failureOf(error) }),
@@ -422,8 +426,9 @@
                 return [];
             }
         },
-        release: async (owner, placements) => {
-            await options.call(owner, "release", { homeId, homeVersion, attempts: placements }).catch(() => undefined);
+        release: async (owner, placements, keepKeys) => {
+            const request = { homeId, homeVersion, attempts: placements, keepKeys };
+            await options.call(owner, "release", request).catch(() => undefined);
         },
         commit,
         isWaiting: task => task.state === taskStates.queued && !isCancelled(task),
@@ -551,7 +556,8 @@
 
     const submit = async (spec: JobSpec): Promise<Job> => {
         const record: JournalRecord = { kind: "jobAccepted", spec, acceptedAtMs: clock.nowMs() };
-        await journal.claim([record], { key: jobKey(spec.jobId), value: { homeId } });
+        const urgent = options.classOf(spec.workloadClass).priority >= pressingPriority;
+        await journal.claim([record], { key: jobKey(spec.jobId), value: { homeId } }, urgent);
         state.apply(record);
         const job = state.job(spec.jobId) ?? die("internal", `job ${spec.jobId} is not in its home`);
         acceptedTasks += spec.tasks;
--- a/packages/puffinarch/src/core/homes.ts
+++ b/packages/puffinarch/src/core/homes.ts
@@ -38,6 +38,7 @@
     readonly sessionId: () => string;
     readonly isOpen: () => boolean;
     readonly batchesPerSecond: number;
+    readonly urgentBatchesPerSecond: number;
     readonly maxPendingEntries: number;
     readonly onFenced: (unitKey: string) => void;
     readonly objects: ObjectStore;
@@ -85,6 +86,7 @@
             newBatchId,
             onFenced: () => options.onFenced(unit.key),
             batchesPerSecond: options.batchesPerSecond,
+            urgentBatchesPerSecond: options.urgentBatchesPerSecond,
             maxPendingEntries: options.maxPendingEntries,
         });
         const home = createHome({
--- a/packages/puffinarch/src/core/journal.ts
+++ b/packages/puffinarch/src/core/journal.ts
@@ -6,6 +6,7 @@
 
 import type { Clock, Log, Meter, RowCondition, TableRow, TableStore, Transaction } from "../types/ports.js";
 import type { JournalRecord } from "../types/records.js";
+import { createBucket } from "../utils/bucket.js";
 import { errorOf, type Failure } from "../utils/errors.js";
 import { sleep } from "../utils/time.js";
 
@@ -17,13 +18,16 @@
 
 /** A home's durable log. */
 export interface Journal {
-    /** Resolves once the records are durable. Retries through outages; rejects only when the journal is fenced. */
-    append(records: readonly JournalRecord[]): Promise<void>;
+    /**
+     * Resolves once the records are durable. Retries through outages; rejects only when the journal is fenced. Urgent
+     * records do not wait for the steady allowance of writes.
+     */
+    append(records: readonly JournalRecord[], urgent: boolean): Promise<void>;
     /**
      * Like `append`, with a row to claim. Rejects with `alreadyExists` where the row is taken, and with
      * `notAccepted` where the table surely refused; nothing was written then.
      */
-    claim(records: readonly JournalRecord[], row: RowClaim): Promise<void>;
+    claim(records: readonly JournalRecord[], row: RowClaim, urgent: boolean): Promise<void>;
     /** Batches that hold everything up to now are committed when this resolves. */
     flush(): Promise<void>;
     /** Sequence number of the next batch; every record that was applied stands before it. */
@@ -46,8 +50,10 @@
     readonly fence: RowCondition;
     readonly newBatchId: () => string;
     readonly onFenced: () => void;
-    /** Steady rate of batches; a burst of as many is free. */
+    /** Steady allowance of batches; as many may come at once after a rest. */
     readonly batchesPerSecond: number;
+    /** Further allowance while something urgent waits. */
+    readonly urgentBatchesPerSecond: number;
     /** Entries that may wait before claims are refused as overloaded. */
     readonly maxPendingEntries: number;
 }
@@ -55,6 +61,7 @@
 interface Entry {
     readonly records: readonly JournalRecord[];
     readonly row: RowClaim | undefined;
+    readonly urgent: boolean;
     readonly sizeBytes: number;
     readonly resolve: () => void;
     readonly reject: (error: Error) => void;
@@ -118,7 +125,7 @@
  *
  * @example
  * const journal = createJournal(options);
- * await journal.append([{ kind: "jobCancelled", jobId: "load-in-7", cancelledAtMs: clock.nowMs() }]);
+ * await journal.append([{ kind: "jobCancelled", jobId: "load-in-7", cancelledAtMs: clock.nowMs() }], false);
  */
 export const createJournal = (options: JournalOptions): Journal => {
     const { table, clock, log, meter, journalId, fence } = options;
@@ -126,17 +133,22 @@
     let sequence = options.nextSequence;
     let flushing: Promise<void> | undefined;
     let closed: Failure | undefined;
-    let tokens = options.batchesPerSecond;
-    let tokensAtMs = clock.monotonicMs();
+    const steady = createBucket(clock, options.batchesPerSecond);
+    const urgent = createBucket(clock, options.urgentBatchesPerSecond);
+    let urgentPending = 0;
+    let wakeForUrgent = (): void => {};
 
-    const takeToken = async (): Promise<void> => {
-        const nowMs = clock.monotonicMs();
-        const gained = (nowMs - tokensAtMs) * options.batchesPerSecond / 1_000;
-        tokens = Math.min(options.batchesPerSecond, tokens + gained);
-        tokensAtMs = nowMs;
-        tokens -= 1;
-        if (tokens < 0) {
-            await sleep(clock, Math.ceil(-tokens * 1_000 / options.batchesPerSecond));
+    /** Waits for leave to write: from the steady allowance, or from the urgent one while something urgent waits. */
+    const takeTurn = async (): Promise<void> => {
+        for (;;) {
+            if (steady.take() || (urgentPending > 0 && urgent.take())) {
+                return;
+            }
+            const waitMs = urgentPending > 0 ? Math.min(steady.waitMs(), urgent.waitMs()) : steady.waitMs();
+            const woken = new Promise<void>(resolve => {
+                wakeForUrgent = resolve;
+            });
+            await Promise.race([sleep(clock, Math.ceil(waitMs)), woken]);
         }
     };
 
@@ -155,6 +167,7 @@
             claims += entry.row === undefined ? 0 : 1;
         }
         pending.splice(0, batch.length);
+        urgentPending -= batch.filter(entry => entry.urgent).length;
         return batch;
     };
 
@@ -181,6 +194,7 @@
 
     const closeWith = (failure: Failure): void => {
         closed = failure;
+        urgentPending = 0;
         fail(failure, pending.splice(0));
     };
 
@@ -275,13 +289,13 @@
     const run = async (): Promise<void> => {
         await Promise.resolve();
         while (pending.length > 0) {
-            await takeToken();
+            await takeTurn();
             await commit(takeBatch());
         }
         flushing = undefined;
     };
 
-    const enqueue = (records: readonly JournalRecord[], row: RowClaim | undefined): Promise<void> =>
+    const enqueue = (records: readonly JournalRecord[], row: RowClaim | undefined, isUrgent: boolean): Promise<void> =>
         new Promise((resolve, reject) => {
             if (closed !== undefined) {
                 reject(errorOf(closed));
@@ -291,13 +305,24 @@
                 reject(errorOf({ kind: "overloaded", message: "too many writes wait", retryAfterMs: maxRetryMs }));
                 return;
             }
-            pending.push({ records, row, sizeBytes: JSON.stringify(records).length, resolve, reject });
+            pending.push({
+                records,
+                row,
+                urgent: isUrgent,
+                sizeBytes: JSON.stringify(records).length,
+                resolve,
+                reject,
+            });
+            if (isUrgent) {
+                urgentPending += 1;
+                wakeForUrgent();
+            }
             flushing ??= run();
         });
 
     return {
-        append: records => enqueue(records, undefined),
-        claim: (records, row) => enqueue(records, row),
+        append: (records, isUrgent) => enqueue(records, undefined, isUrgent),
+        claim: (records, row, isUrgent) => enqueue(records, row, isUrgent),
         flush: async () => {
             while (flushing !== undefined) {
                 await flushing;
--- a/packages/puffinarch/src/core/ledger.ts
+++ b/packages/puffinarch/src/core/ledger.ts
@@ -51,6 +51,7 @@
     readonly rack: string;
     capacity: Resources;
     reserved: Resources;
+    free: Resources;
     open: boolean;
     bucket: number;
     openIndex: number;
@@ -75,7 +76,6 @@
     const buckets: Set<Entry>[] = [];
     const openEntries: Entry[] = [];
 
-    const freeOf = (entry: Entry): Resources => subtract(entry.capacity, entry.reserved);
     const bucketOf = (cpuMillis: number): number => Math.max(0, Math.floor(cpuMillis / bucketCpuMillis));
 
     const viewOf = (entry: Entry): LedgerWorker => {
@@ -84,7 +84,7 @@
             rack: entry.rack,
             capacity: entry.capacity,
             reserved: entry.reserved,
-            free: freeOf(entry),
+            free: entry.free,
             open: entry.open,
         };
         return entry.view;
@@ -92,7 +92,8 @@
 
     const reindex = (entry: Entry): void => {
         entry.view = undefined;
-        const bucket = entry.open ? bucketOf(freeOf(entry).cpuMillis) : -1;
+        entry.free = subtract(entry.capacity, entry.reserved);
+        const bucket = entry.open ? bucketOf(entry.free.cpuMillis) : -1;
         if (bucket === entry.bucket) {
             return;
         }
@@ -142,7 +143,7 @@
         if (holder !== undefined) {
             return holder === entry;
         }
-        if (entry === undefined || (!entry.open && !evenClosed) || !fits(size, freeOf(entry))) {
+        if (entry === undefined || (!entry.open && !evenClosed) || !fits(size, entry.free)) {
             return false;
         }
         hold(entry, attemptId, size);
@@ -164,7 +165,7 @@
     const candidates = function*(size: Resources): Iterable<LedgerWorker> {
         for (let bucket = bucketOf(size.cpuMillis); bucket < buckets.length; bucket += 1) {
             for (const entry of buckets[bucket] ?? []) {
-                if (fits(size, freeOf(entry))) {
+                if (fits(size, entry.free)) {
                     yield viewOf(entry);
                 }
             }
@@ -174,7 +175,7 @@
     const emptiest = function*(size: Resources): Iterable<LedgerWorker> {
         for (let bucket = buckets.length - 1; bucket >= bucketOf(size.cpuMillis); bucket -= 1) {
             for (const entry of buckets[bucket] ?? []) {
-                if (fits(size, freeOf(entry))) {
+                if (fits(size, entry.free)) {
                     yield viewOf(entry);
                 }
             }
@@ -194,6 +195,7 @@
                 rack,
                 capacity,
                 reserved: noResources,
+                free: capacity,
                 open: false,
                 bucket: -1,
                 openIndex: -1,
--- a/packages/puffinarch/src/core/node.ts
+++ b/packages/puffinarch/src/core/node.ts
@@ -56,6 +56,7 @@
     readonly pumpIntervalMs: number;
     readonly reconcileIntervalMs: number;
     readonly journalBatchesPerSecond: number;
+    readonly urgentBatchesPerSecond: number;
     readonly maxPendingEntries: number;
     readonly claimTimeoutMs: number;
     readonly slotsPerUpstream: number;
@@ -67,7 +68,7 @@
 
 /** Settings that suit a cell of today's size. */
 export const defaultNodeSettings: Omit<NodeSettings, "vmId" | "dataCentre"> = {
-    leaseMs: 10_000,
+    leaseMs: 20_000,
     pollWaitMs: 1_000,
     startValidityMs: 2_000,
     reservationMs: 5_000,
@@ -84,7 +85,8 @@
     gossipIntervalMs: 250,
     pumpIntervalMs: 50,
     reconcileIntervalMs: 1_000,
-    journalBatchesPerSecond: 40,
+    journalBatchesPerSecond: 8,
+    urgentBatchesPerSecond: 27,
     maxPendingEntries: 20_000,
     claimTimeoutMs: 2_000,
     slotsPerUpstream: 8,
@@ -377,6 +379,7 @@
         isOpen: session.isOpen,
         objects: ports.objects,
         batchesPerSecond: settings.journalBatchesPerSecond,
+        urgentBatchesPerSecond: settings.urgentBatchesPerSecond,
         maxPendingEntries: settings.maxPendingEntries,
         onFenced: key => ownership.forfeit(key),
         homeOptions,
--- a/packages/puffinarch/src/core/placer.ts
+++ b/packages/puffinarch/src/core/placer.ts
@@ -1,6 +1,7 @@
 /** Rounds of offers: waiting tasks go to rack owners, and what they reserve is handed on to be committed and started. */
 
 import type { Policy } from "../types/configuration.js";
+import type { JobSpec } from "../types/job.js";
 import type { Placement, TaskOffer } from "../types/peer.js";
 import type { Clock, Random } from "../types/ports.js";
 import { add, noResources, type Resources } from "../types/resources.js";
@@ -39,7 +40,7 @@
     readonly addUse: (team: string, size: Resources) => void;
     /** Offers tasks to an owner; answers its reservations, none where it is out of reach. */
     readonly offer: (owner: string, offers: readonly TaskOffer[]) => Promise<readonly Placement[]>;
-    readonly release: (owner: string, placements: readonly Placement[]) => Promise<void>;
+    readonly release: (owner: string, placements: readonly Placement[], keepKeys: readonly string[]) => Promise<void>;
     readonly commit: (reserved: readonly Reserved[], gang: boolean) => Promise<void>;
     readonly isWaiting: (task: TaskEntry) => boolean;
     /** From this wait on, a task is offered even where no room is known, so that room is made for it. */
@@ -58,7 +59,7 @@
 
 const itemsPerRound = 256;
 const baseRestMs = 100;
-const maxRestMs = 5_000;
+const maxGangRestMs = 500;
 const quotaRestMs = 500;
 
 /**
@@ -107,7 +108,7 @@
     };
 
     const restFor = (item: QueueItem): number => {
-        const ceilingMs = Math.min(maxRestMs, baseRestMs * 2 ** Math.min(10, item.tries));
+        const ceilingMs = Math.min(maxGangRestMs, baseRestMs * 2 ** Math.min(10, item.tries));
         return item.gang ? ceilingMs * (0.5 + random.next() / 2) : baseRestMs;
     };
 
@@ -205,6 +206,7 @@
     /** All or nothing: what one owner refuses is offered to the others, and where nobody is left all is given back. */
     const placeGang = async (item: QueueItem, rooms: Rooms): Promise<number> => {
         const held: Held[] = [];
+        const asked = new Set<string>();
         let left = item.tasks;
         while (left.length > 0) {
             const groups = groupByOwner(item, left, rooms);
@@ -213,6 +215,7 @@
             }
             const refused: TaskEntry[] = [];
             for (const [owner, offered] of groups) {
+                asked.add(owner);
                 refused.push(...await offerGang(owner, offered, held, rooms));
             }
             left = refused;
@@ -222,6 +225,8 @@
             putBack(item, restFor(item));
             return 0;
         }
+        const [{ jobId }] = item.tasks.map(task => task.job.spec) as [JobSpec];
+        await Promise.all([...asked].map(owner => options.release(owner, [], [jobId])));
         await options.commit(held, true);
         return held.length;
     };
@@ -230,7 +235,7 @@
         const owners = new Set(held.map(each => each.owner));
         await Promise.all(
             [...owners].map(owner =>
-                options.release(owner, held.filter(each => each.owner === owner).map(each => each.placement))
+                options.release(owner, held.filter(each => each.owner === owner).map(each => each.placement), [])
             ),
         );
     };
--- a/packages/puffinarch/src/core/rackOwner.ts
+++ b/packages/puffinarch/src/core/rackOwner.ts
@@ -344,9 +344,10 @@
     };
 
     const keepFree = (offer: TaskOffer, worker: OwnedWorker): boolean => {
-        const kept = earmarks.keep(offer.keepKey, worker.vm.vmId, entries.size);
+        const sinceMs = clock.monotonicMs() - offer.waitedMs;
+        const kept = earmarks.keep(offer.keepKey, worker.vm.vmId, entries.size, sinceMs);
         if (kept) {
-            refreshOpen(worker);
+            [...entries.values()].forEach(refreshOpen);
         }
         return kept;
     };
@@ -529,6 +530,22 @@
         return Object.fromEntries(states);
     };
 
+    const release = (request: AttemptsRequest): void => {
+        if (!admitHolder(request)) {
+            return;
+        }
+        for (const { attemptId } of request.attempts) {
+            const attempt = attempts.find(attemptId);
+            if (attempt?.state === "reserved") {
+                attempts.forget(attempt);
+            }
+        }
+        for (const keepKey of request.keepKeys ?? []) {
+            earmarks.release(keepKey);
+        }
+        [...entries.values()].forEach(refreshOpen);
+    };
+
     const stop = async (request: AttemptsRequest): Promise<void> => {
         const byWorker = new Map<OwnedWorker, string[]>();
         if (!admitHolder(request)) {
@@ -643,15 +660,7 @@
         refresh,
         place,
         start,
-        release: request => {
-            for (const { attemptId } of request.attempts) {
-                const attempt = attempts.find(attemptId);
-                if (attempt?.state === "reserved" && admitHolder(request)) {
-                    attempts.forget(attempt);
-                    refreshOpen(attempt.worker);
-                }
-            }
-        },
+        release,
         stop,
         states: ({ attempts: wanted }) => Object.fromEntries(wanted.map(each => [each.attemptId, stateOf(each)])),
         attemptsOfHome,
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -39,6 +39,7 @@
 export * from "./types/ports.js";
 export * from "./types/records.js";
 export * from "./types/resources.js";
+export * from "./utils/bucket.js";
 export * from "./utils/check.js";
 export * from "./utils/errors.js";
 export * from "./utils/rendezvous.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -199,6 +199,7 @@
 export { add, fits, largest, noResources, type Resources, scale, subtract } from "./internal.js";
 
 // Errors, checks and small helpers.
+export { type Bucket, createBucket } from "./internal.js";
 export { check, nameSchema, oneOf, rejectAll, textUpTo, wholeNumber } from "./internal.js";
 export {
     die,
--- a/packages/puffinarch/src/types/peer.ts
+++ b/packages/puffinarch/src/types/peer.ts
@@ -62,6 +62,8 @@
 
 /** Attempts by id, with the rack they were placed in. */
 export interface AttemptsRequest {
+    /** With `release`: work that needs no worker kept free any more. */
+    readonly keepKeys?: readonly string[];
     readonly homeId: string;
     readonly homeVersion: number;
     readonly attempts: readonly Placement[];
--- a/packages/puffinarchd/src/settings.ts
+++ b/packages/puffinarchd/src/settings.ts
@@ -49,6 +49,7 @@
 
 const limitSchema = z.strictObject({
     journalBatchesPerSecond: wholeNumber(1, 10_000),
+    urgentBatchesPerSecond: wholeNumber(0, 10_000),
     snapshotBatches: wholeNumber(1, 1_000_000),
     maxPendingEntries: wholeNumber(1, 1_000_000),
     slotsPerUpstream: wholeNumber(1, 1_024),
@@ -188,7 +189,14 @@
  * nodeSettings(settings).leaseMs; // 10000
  */
 export const nodeSettings = (settings: DaemonSettings): NodeSettings => {
-    const { journalBatchesPerSecond, snapshotBatches, maxPendingEntries, slotsPerUpstream, maxQueuedRequests } = {
+    const {
+        journalBatchesPerSecond,
+        urgentBatchesPerSecond,
+        snapshotBatches,
+        maxPendingEntries,
+        slotsPerUpstream,
+        maxQueuedRequests,
+    } = {
         ...defaultNodeSettings,
         ...settings.limits,
     };
@@ -196,6 +204,7 @@
         ...defaultNodeSettings,
         ...settings.timings,
         journalBatchesPerSecond,
+        urgentBatchesPerSecond,
         snapshotBatches,
         maxPendingEntries,
         slotsPerUpstream,
