A full batch does not wait for the steady allowance

Cause: a wave of single-task jobs met the steady allowance: 8 batches of 23 claims a second for each home. Change: the further allowance is open to full batches as well as to urgent work.

--- a/packages/puffinarch/src/core/journal.ts
+++ b/packages/puffinarch/src/core/journal.ts
@@ -52,7 +52,7 @@
     readonly onFenced: () => void;
     /** Steady allowance of batches; as many may come at once after a rest. */
     readonly batchesPerSecond: number;
-    /** Further allowance while something urgent waits. */
+    /** Further allowance while something urgent or a full batch waits. */
     readonly urgentBatchesPerSecond: number;
     /** Entries that may wait before claims are refused as overloaded. */
     readonly maxPendingEntries: number;
@@ -136,17 +136,23 @@
     const steady = createBucket(clock, options.batchesPerSecond);
     const urgent = createBucket(clock, options.urgentBatchesPerSecond);
     let urgentPending = 0;
-    let wakeForUrgent = (): void => {};
+    let pendingBytes = 0;
+    let pendingClaims = 0;
+    let wake = (): void => {};
 
-    /** Waits for leave to write: from the steady allowance, or from the urgent one while something urgent waits. */
+    /** A batch that is full gains nothing by waiting. */
+    const mayHurry = (): boolean =>
+        urgentPending > 0 || pendingBytes >= maxBatchBytes || pendingClaims >= maxClaimsPerBatch;
+
+    /** Waits for leave to write: from the steady allowance, or from the further one where waiting gains nothing. */
     const takeTurn = async (): Promise<void> => {
         for (;;) {
-            if (steady.take() || (urgentPending > 0 && urgent.take())) {
+            if (steady.take() || (mayHurry() && urgent.take())) {
                 return;
             }
-            const waitMs = urgentPending > 0 ? Math.min(steady.waitMs(), urgent.waitMs()) : steady.waitMs();
+            const waitMs = mayHurry() ? Math.min(steady.waitMs(), urgent.waitMs()) : steady.waitMs();
             const woken = new Promise<void>(resolve => {
-                wakeForUrgent = resolve;
+                wake = resolve;
             });
             await Promise.race([sleep(clock, Math.ceil(waitMs)), woken]);
         }
@@ -168,6 +174,8 @@
         }
         pending.splice(0, batch.length);
         urgentPending -= batch.filter(entry => entry.urgent).length;
+        pendingBytes -= sizeBytes;
+        pendingClaims -= claims;
         return batch;
     };
 
@@ -195,6 +203,8 @@
     const closeWith = (failure: Failure): void => {
         closed = failure;
         urgentPending = 0;
+        pendingBytes = 0;
+        pendingClaims = 0;
         fail(failure, pending.splice(0));
     };
 
@@ -305,17 +315,13 @@
                 reject(errorOf({ kind: "overloaded", message: "too many writes wait", retryAfterMs: maxRetryMs }));
                 return;
             }
-            pending.push({
-                records,
-                row,
-                urgent: isUrgent,
-                sizeBytes: JSON.stringify(records).length,
-                resolve,
-                reject,
-            });
-            if (isUrgent) {
-                urgentPending += 1;
-                wakeForUrgent();
+            const sizeBytes = JSON.stringify(records).length;
+            pending.push({ records, row, urgent: isUrgent, sizeBytes, resolve, reject });
+            urgentPending += isUrgent ? 1 : 0;
+            pendingClaims += row === undefined ? 0 : 1;
+            pendingBytes += sizeBytes;
+            if (mayHurry()) {
+                wake();
             }
             flushing ??= run();
         });
