--- a/benchmarks/src/capacity.ts
+++ b/benchmarks/src/capacity.ts
@@ -28,8 +28,13 @@
     readonly requestsPerSecond: number;
     readonly changesPerSecond: number;
     readonly teams: number;
+    /** 1 starts the daemons with `smallHeapFlags`. */
+    readonly smallHeap: number;
 }
 
+/** Flags that lower what a daemon keeps resident. */
+export const smallHeapFlags = ["--max-semi-space-size=1", "--max-old-space-size=64"] as const;
+
 const baseShape: Shape = {
     workers: 4,
     upstreams: 0,
@@ -41,6 +46,7 @@
     requestsPerSecond: 0,
     changesPerSecond: 0,
     teams: 0,
+    smallHeap: 0,
 };
 
 interface Quantity {
@@ -61,6 +67,7 @@
     { name: "request a second", field: "requestsPerSecond", sizes: [0, 25, 50, 75, 100], base: { upstreams: 4 } },
     { name: "configuration change a second", field: "changesPerSecond", sizes: [0, 1, 2, 3, 4] },
     { name: "team with a quota", field: "teams", sizes: [0, 160, 320, 480, 640] },
+    { name: "nothing, with a small heap", field: "workers", sizes: [0, 1, 2, 3, 4], base: { smallHeap: 1 } },
 ];
 
 /** Figures of one daemon over the measured time; rates are a second. */
@@ -213,7 +220,11 @@
         }),
     );
     await post(`${platformAddress}/control/vms`, { set: [...near, ...far] });
-    return Promise.all([...near, ...far].map(vm => processes.startDaemon(vm, platformAddress)));
+    return Promise.all(
+        [...near, ...far].map(vm =>
+            processes.startDaemon(vm, platformAddress, shape.smallHeap === 1 ? smallHeapFlags : [])
+        ),
+    );
 };
 
 const difference = (before: ReadonlyMap<string, number>, after: ReadonlyMap<string, number>, name: string): number =>
--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -67,3 +67,12 @@
         When the daemon "leon-feria-e7" is added in "leon-feria"
         And 30000 ms pass in the cell
         Then every unit has a live owner in its data centre
+
+    Scenario: In a large cell, daemons read their own data centre's units only
+        Given a cell
+        And 1000 racks of other data centres are owned by others
+        And 2000 ms pass in the cell
+        When 30000 ms pass in the cell
+        Then the platform answered at most 900 reads meanwhile
+        When a job "j1" of the class "batch" with 4 tasks of 500 ms is submitted
+        Then the job "j1" ends within 10000 ms
--- a/features/steps/placementSteps.ts
+++ b/features/steps/placementSteps.ts
@@ -258,3 +258,28 @@
         assert.equal(dataCentres.get(row.owner), row.dataCentre);
     }
 });
+
+Given("{int} racks of other data centres are owned by others", async function(this: ScenarioWorld, racks: number) {
+    const { cell } = cellPart(this);
+    for (let index = 0; index < racks; index += 1) {
+        const key = `unit/rack/dc-${index % 30}/r${index}`;
+        const value = {
+            key,
+            kind: "rack",
+            dataCentre: `dc-${index % 30}`,
+            name: `r${index}`,
+            owner: `far-${index % 30}~1`,
+        };
+        await cell.platform.table.transact({ conditions: [], puts: [{ key, value }], deletes: [] });
+        if (index % 200 === 0) {
+            await cell.advance(1_000);
+        }
+    }
+    await cell.advance(2_000);
+    this.parts.set("readsBefore", cell.platform.evidence().reads);
+});
+
+Then("the platform answered at most {int} reads meanwhile", function(this: ScenarioWorld, most: number) {
+    const reads = cellPart(this).cell.platform.evidence().reads - Number(this.parts.get("readsBefore") ?? 0);
+    assert.ok(reads > 0 && reads <= most, `${reads} reads`);
+});
--- a/packages/puffinarch/src/core/membership.ts
+++ b/packages/puffinarch/src/core/membership.ts
@@ -15,8 +15,11 @@
 
 /** Knowledge of the cluster, refreshed by `core/ownership.ts` and by gossip. */
 export interface Membership {
-    /** Takes what a scan returned; the scan was begun at this reading of the monotonic clock. */
-    setRows(sessions: readonly TableRow[], units: readonly TableRow[], begunAtMs: number): void;
+    /**
+     * Takes what a scan returned; the scan was begun at this reading of the monotonic clock. The units are all there are,
+     * or all of one data centre.
+     */
+    setRows(sessions: readonly TableRow[], units: readonly TableRow[], begunAtMs: number, dataCentre?: string): void;
     setListing(listing: VmListing): void;
     setGossip(gossip: Gossip): void;
     listing(): VmListing;
@@ -150,13 +153,17 @@
     };
 
     return {
-        setRows: (sessions, units, begunAtMs) => {
+        setRows: (sessions, units, begunAtMs, dataCentre) => {
             watch(sessions, begunAtMs);
             sessionsByVm = new Map(sessions.map(row => {
                 const session = row.value as SessionRow;
                 return [session.vmId, session];
             }));
-            unitsByKey = new Map(units.map(row => [row.key, { ...(row.value as UnitRow), version: row.version }]));
+            const kept = dataCentre === undefined
+                ? []
+                : [...unitsByKey].filter(([, unit]) => unit.dataCentre !== dataCentre);
+            const read = units.map(row => [row.key, { ...(row.value as UnitRow), version: row.version }] as const);
+            unitsByKey = new Map([...kept, ...read]);
             noteDeaths();
         },
         setListing: next => {
--- a/packages/puffinarch/src/core/node.ts
+++ b/packages/puffinarch/src/core/node.ts
@@ -155,8 +155,11 @@
 
 const gossipMaxAgeMs = 5_000;
 const decisionsKept = 5_000;
-/** Other data centres hear of this one in one round of this many. */
+/** Daemons of other data centres hear of this one in one round of this many, so many of them at a time. */
 const farGossipEvery = 8;
+const farPeersPerRound = 6;
+/** Gossip tells of a new configuration first; the table is asked in one refresh of this many. */
+const configurationEvery = 3;
 const startPollMs = 20;
 const maxMissedReads = 3;
 const clockMarginMs = 250;
@@ -199,6 +202,7 @@
     let ownAddress = "";
     let attemptCount = 0;
     let gossipRound = 0;
+    let refreshRound = 0;
     let askDrain = (_reason: string): void => {};
     const drainAsked = new Promise<string>(resolve => {
         askDrain = resolve;
@@ -450,12 +454,21 @@
         }
     };
 
+    /** A few at random, so that the cost of gossip does not grow with the number of data centres. */
+    const someFarPeers = (): readonly SessionRow[] => {
+        const far = membership.peers().filter(peer => peer.dataCentre !== settings.dataCentre);
+        while (far.length > farPeersPerRound) {
+            far.splice(Math.floor(random.next() * far.length), 1);
+        }
+        return far;
+    };
+
     const sendGossip = async (): Promise<void> => {
         const message = gossip();
         gossipRound += 1;
-        const toAll = gossipRound % farGossipEvery === 0;
-        const peers = membership.peers().filter(peer => toAll || peer.dataCentre === settings.dataCentre);
-        await Promise.all(peers.map(peer => gossipWith(peer, message)));
+        const near = membership.peers().filter(peer => peer.dataCentre === settings.dataCentre);
+        const far = gossipRound % farGossipEvery === 0 ? someFarPeers() : [];
+        await Promise.all([...near, ...far].map(peer => gossipWith(peer, message)));
     };
 
     const daemonView = (): DaemonView => ({
@@ -574,7 +587,9 @@
     };
 
     const refreshAll = async (): Promise<void> => {
-        await Promise.all([refresh(), configuration.refresh()]);
+        refreshRound += 1;
+        const readsHead = refreshRound % configurationEvery === 1;
+        await Promise.all([refresh(), readsHead ? configuration.refresh() : Promise.resolve()]);
         await deputy.fenceLapsed();
     };
 
--- a/packages/puffinarch/src/core/ownership.ts
+++ b/packages/puffinarch/src/core/ownership.ts
@@ -49,6 +49,9 @@
     forfeit(key: string): void;
 }
 
+/** Up to this many units, all of them are read each time; beyond, those of other data centres once in a while. */
+const smallCellUnits = 500;
+const wholeEvery = 30;
 const retryMs = 200;
 const claimsPerTransaction = 8;
 const handOverTries = 25;
@@ -65,6 +68,7 @@
     const owned = new Map<string, OwnedUnit>();
     const handedOver = new Map<string, number>();
     const ownId = session.id;
+    let reads = 0;
 
     const readListing = async (): Promise<void> => membership.setListing(await vmList.list());
 
@@ -201,8 +205,11 @@
 
     const readRows = async (): Promise<void> => {
         const begunAtMs = clock.monotonicMs();
-        const [sessions, units] = await Promise.all([table.scan("session/"), table.scan("unit/")]);
-        membership.setRows(sessions, units, begunAtMs);
+        const whole = membership.units().length <= smallCellUnits || reads % wholeEvery === 0;
+        const prefixes = whole ? ["unit/"] : Object.values(unitKinds).map(kind => unitKey(kind, dataCentre, ""));
+        const [sessions, ...units] = await Promise.all(["session/", ...prefixes].map(prefix => table.scan(prefix)));
+        reads += 1;
+        membership.setRows(sessions ?? [], units.flat(), begunAtMs, whole ? undefined : dataCentre);
         await noteGains();
     };
 
--- a/packages/stand-ins/src/demo/processes.ts
+++ b/packages/stand-ins/src/demo/processes.ts
@@ -21,7 +21,8 @@
 export interface Processes {
     /** Starts a process of stand-ins and resolves to its addresses. */
     startRole(role: "platform" | "workers" | "upstreams", vms: readonly Vm[]): Promise<readonly string[]>;
-    startDaemon(vm: Vm, platformAddress: string): Promise<DemoDaemon>;
+    /** Starts a daemon, with flags for Node.js where some are given. */
+    startDaemon(vm: Vm, platformAddress: string, nodeFlags?: readonly string[]): Promise<DemoDaemon>;
     /** Ends everything that was started. */
     endAll(): void;
 }
@@ -50,7 +51,7 @@
             child.once("exit", code => reject(new Error(`the ${role} process ended with ${code}`)));
         });
 
-    const startDaemon: Processes["startDaemon"] = (vm, platformAddress) =>
+    const startDaemon: Processes["startDaemon"] = (vm, platformAddress, nodeFlags = []) =>
         new Promise((resolve, reject) => {
             const settingsPath = join(folder, `${vm.vmId}.yaml`);
             const settings = {
@@ -61,7 +62,10 @@
                 timings: { drainTimeoutMs: 10_000 },
             };
             writeFileSync(settingsPath, stringify(settings));
-            const child = fork(daemonPath, ["--config", settingsPath], { stdio: ["ignore", "pipe", "inherit", "ipc"] });
+            const child = fork(daemonPath, ["--config", settingsPath], {
+                stdio: ["ignore", "pipe", "inherit", "ipc"],
+                execArgv: [...nodeFlags],
+            });
             children.push(child);
             const log = createWriteStream(join(folder, `${vm.vmId}.log`));
             child.once("exit", code => reject(new Error(`daemon ${vm.vmId} ended with ${code}`)));
@@ -83,6 +87,7 @@
             child.kill("SIGKILL");
         }
     };
+    process.setMaxListeners(0);
     process.once("exit", endAll);
 
     return { startRole, startDaemon, endAll };
