Polls wait 5 s for news, and deputies are named at once

Cause: one poll a worker and second is the largest part of a node's bytes and processor time; a data centre that was cut off just after its daemons had started had no deputies yet. Change: polls are held for 5 s unless something ends, an unknown worker answers at once, hand-over no longer waits for polls under way; a session is renewed at once where another deputy has to be named.

--- a/packages/puffinarch/src/core/node.ts
+++ b/packages/puffinarch/src/core/node.ts
@@ -71,7 +71,7 @@
 /** Settings that suit a cell of today's size. */
 export const defaultNodeSettings: Omit<NodeSettings, "vmId" | "dataCentre"> = {
     leaseMs: 20_000,
-    pollWaitMs: 1_000,
+    pollWaitMs: 5_000,
     startValidityMs: 2_000,
     reservationMs: 5_000,
     deathGraceMs: 3_000,
--- a/packages/puffinarch/src/core/rackOwner.ts
+++ b/packages/puffinarch/src/core/rackOwner.ts
@@ -83,6 +83,7 @@
 
 const failuresUntilUnreachable = 3;
 const pollPauseMs = 5;
+const undecidedWaitMs = 1_000;
 const failedPollPauseMs = 250;
 const failuresUntilQuarantine = 3;
 const jobsUntilQuarantine = 2;
@@ -225,6 +226,15 @@
         }
     };
 
+    /** A worker that is not known yet is asked at once, and one with an undecided start soon. */
+    const waitFor = (worker: OwnedWorker): number => {
+        if (worker.seen === undefined) {
+            return 0;
+        }
+        const undecided = [...worker.attempts].some(attempt => attempt.state === "starting");
+        return undecided ? Math.min(undecidedWaitMs, options.pollWaitMs) : options.pollWaitMs;
+    };
+
     const poll = async (worker: OwnedWorker): Promise<void> => {
         const sentAtMs = clock.monotonicMs();
         const acknowledged = [...worker.acknowledge];
@@ -232,8 +242,11 @@
             seen: worker.seen,
             leaseMs: options.leaseMs,
             acknowledge: acknowledged,
-            waitMs: options.pollWaitMs,
+            waitMs: waitFor(worker),
         });
+        if (entries.get(worker.vm.vmId) !== worker) {
+            return;
+        }
         worker.clockMs = report.nowMs;
         worker.clockReadAtMs = clock.monotonicMs();
         worker.failures = 0;
@@ -616,7 +629,6 @@
         const leaving = [...entries.values()].filter(worker => worker.rackKey === unit.key);
         leaving.forEach(refreshOpen);
         await settleStarts(leaving);
-        await Promise.all(leaving.map(worker => worker.loop?.stop()));
         for (const worker of leaving) {
             removeWorker(worker);
             for (const attempt of [...worker.attempts]) {
@@ -669,7 +681,9 @@
         views: () => [...entries.values()].map(viewOf),
         flushReports: outbox.flush,
         close: async () => {
-            await Promise.all([...entries.values()].map(worker => worker.loop?.stop()));
+            for (const worker of [...entries.values()]) {
+                removeWorker(worker);
+            }
         },
     };
 };
--- a/packages/puffinarch/src/core/session.ts
+++ b/packages/puffinarch/src/core/session.ts
@@ -23,7 +23,7 @@
     isFenced(): boolean;
     /** Whether this session may act on what it owns now; asked before each send. */
     mayAct(): boolean;
-    /** Renews the row when it is due, and names a deputy. */
+    /** Renews the row when it is due, or at once where another deputy has to be named. */
     renew(): Promise<void>;
     /** Notes a promise of the deputy; it counts from when the gossip was sent. */
     notePromise(from: string, sentAtMs: number, promiseMs: number): void;
@@ -168,10 +168,14 @@
     };
 
     const renew = async (): Promise<void> => {
-        if (row === undefined || fenced || clock.monotonicMs() - renewedAtMs < options.renewIntervalMs) {
+        if (row === undefined || fenced) {
             return;
         }
-        await write({ ...row, deputy: chooseDeputy(row), beat: row.beat + 1 });
+        const deputy = chooseDeputy(row);
+        const isDue = clock.monotonicMs() - renewedAtMs >= options.renewIntervalMs;
+        if (isDue || deputy !== row.deputy) {
+            await write({ ...row, deputy, beat: row.beat + 1 });
+        }
     };
 
     const setState = async (state: SessionState): Promise<void> => {
--- a/packages/puffinarchd/src/daemon.ts
+++ b/packages/puffinarchd/src/daemon.ts
@@ -14,7 +14,7 @@
 } from "@puffinarch/schema";
 import { fastifyTRPCPlugin } from "@trpc/server/adapters/fastify";
 import type { FastifyInstance } from "fastify";
-import { type Clock, createNode, failureOf, type Node, type Random, sleep } from "puffinarch";
+import { type Clock, createNode, defaultNodeSettings, failureOf, type Node, type Random, sleep } from "puffinarch";
 import { createHttpCaller, type HttpCaller } from "./adapters/http.js";
 import { createHttpUpstreams, createHttpWorkers } from "./adapters/machines.js";
 import { createTrpcPeers, peerPath, peerRouter, type TrpcPeers } from "./adapters/peers.js";
@@ -94,7 +94,7 @@
     meter,
     platform: createHttpCaller({ timeoutMs: platformTimeoutMs, connectionsPerHost: 8, meter }),
     machines: createHttpCaller({
-        timeoutMs: (settings.timings?.pollWaitMs ?? 1_000) + pollSlackMs,
+        timeoutMs: (settings.timings?.pollWaitMs ?? defaultNodeSettings.pollWaitMs) + pollSlackMs,
         connectionsPerHost: 512,
         meter,
     }),
--- a/packages/stand-ins/src/cell/cell.ts
+++ b/packages/stand-ins/src/cell/cell.ts
@@ -158,6 +158,7 @@
         fromId: string,
         toId: Place,
         effect: () => Promise<T>,
+        timeoutMs = callTimeoutMs,
     ): Promise<T | "silence"> => {
         await from.pass();
         const answer = async (): Promise<T | "silence"> => {
@@ -169,13 +170,19 @@
             await delay(fromId, toId);
             return isCut(fromId, toId) ? new Promise(() => {}) : result;
         };
-        const result = await Promise.race([answer(), sleep(clock, callTimeoutMs).then(() => "silence" as const)]);
+        const result = await Promise.race([answer(), sleep(clock, timeoutMs).then(() => "silence" as const)]);
         await from.pass();
         return result;
     };
 
-    const reachable = async <T>(from: Gate, fromId: string, toId: Place, effect: () => Promise<T>): Promise<T> => {
-        const result = await send(from, fromId, toId, effect);
+    const reachable = async <T>(
+        from: Gate,
+        fromId: string,
+        toId: Place,
+        effect: () => Promise<T>,
+        timeoutMs = callTimeoutMs,
+    ): Promise<T> => {
+        const result = await send(from, fromId, toId, effect, timeoutMs);
         return result === "silence" ? die("unavailable", `${toId} does not answer`) : result;
     };
 
@@ -213,7 +220,8 @@
                 return "refused";
             }
         },
-        poll: (address, poll) => reachable(gate, vmId, address, () => workerAt(address).poll(poll)),
+        poll: (address, poll) =>
+            reachable(gate, vmId, address, () => workerAt(address).poll(poll), poll.waitMs + callTimeoutMs),
         stop: (address, orders) => reachable(gate, vmId, address, async () => workerAt(address).stop(orders)),
         throttle: (address, attemptId, cpuMillis) =>
             reachable(gate, vmId, address, async () => workerAt(address).throttle(attemptId, cpuMillis)),
