A holder that may have been replaced settles no report

Cause: an owner that was cut off from the platform told the former holder of a home of an ended attempt; that one did not know the attempt, called it late, and it was lost. Change: reports are taken with authority only.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -23,6 +23,7 @@
             | endMidStart    | 1     | 6    |
             | cutWithBacklog | 1     | 6    |
             | cutWithBacklog | 50    | 50   |
+            | cutWithBacklog | 140   | 140  |
             | endInOutage    | 1     | 6    |
 
     Scenario Outline: A part that is broken on purpose is found: <part>
--- a/packages/puffinarch/src/core/node.ts
+++ b/packages/puffinarch/src/core/node.ts
@@ -513,7 +513,10 @@
         }
     };
 
-    const heldHome = (homeId: string) => homes.find(homeId) ?? die("unavailable", `home ${homeId} is not held here`);
+    const heldHome = (homeId: string) => {
+        refuseWithoutAuthority();
+        return homes.find(homeId) ?? die("unavailable", `home ${homeId} is not held here`);
+    };
     const homeWithJob = (jobId: string) => {
         refuseWithoutAuthority();
         return homes.withJob(jobId) ?? die("notFound", `there is no job ${jobId} here`);
