Only a rack's owner may deny an attempt

Change: an attempt is denied only by a daemon that owns its rack and may act; a task whose end is being written is not started any more. Ruled out: a start order that outlived its validity.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -24,6 +24,7 @@
             | cutWithBacklog | 1     | 6    |
             | cutWithBacklog | 50    | 50   |
             | cutWithBacklog | 140   | 140  |
+            | cutWithBacklog | 426   | 426  |
             | endInOutage    | 1     | 6    |
 
     Scenario Outline: A part that is broken on purpose is found: <part>
--- a/packages/puffinarch/src/core/home.ts
+++ b/packages/puffinarch/src/core/home.ts
@@ -516,7 +516,7 @@
     /** Asks the present owners about every attempt that they have not yet answered for. */
     const reconcile = async (): Promise<void> => {
         const unconfirmed = [...state.active()].filter(task =>
-            task.rackKey !== undefined
+            task.settling === undefined && task.rackKey !== undefined
             && (task.confirmedBy === undefined || tenureOf(task.rackKey) !== task.confirmedBy)
         );
         await callOwners("attemptStates", unconfirmed, async (tasks, answer, tenures) => {
--- a/packages/puffinarch/src/core/rackOwner.ts
+++ b/packages/puffinarch/src/core/rackOwner.ts
@@ -518,9 +518,13 @@
         return attempt.state;
     };
 
-    const startKnown = async (attempt: Attempt | undefined): Promise<AttemptState> => {
+    /** Only the rack's owner can say that an attempt is not there; another may not know where it is. */
+    const mayDeny = (rackKey: string): boolean => racks.has(rackKey) && mayAct();
+
+    const startKnown = async ({ attemptId, rackKey }: Placement): Promise<AttemptState> => {
+        const attempt = attempts.find(attemptId);
         if (attempt === undefined) {
-            return "absent";
+            return mayDeny(rackKey) ? "absent" : "undecided";
         }
         if (attempt.state !== "reserved") {
             return attempt.state;
@@ -537,9 +541,7 @@
             return {};
         }
         const states = await Promise.all(
-            request.attempts.map(async ({ attemptId }) =>
-                [attemptId, await startKnown(attempts.find(attemptId))] as const
-            ),
+            request.attempts.map(async placement => [placement.attemptId, await startKnown(placement)] as const),
         );
         return Object.fromEntries(states);
     };
@@ -580,7 +582,7 @@
         await Promise.all([...byWorker].map(([worker, attemptIds]) => sendStops(worker, attemptIds, false)));
     };
 
-    const stateOf = ({ attemptId, workerId, listedGeneration }: Placement): AttemptState => {
+    const stateOf = ({ attemptId, workerId, rackKey, listedGeneration }: Placement): AttemptState => {
         const attempt = attempts.find(attemptId);
         if (attempt !== undefined) {
             return attempt.state;
@@ -592,7 +594,8 @@
         if (worker.acknowledge.has(attemptId)) {
             return "ended";
         }
-        return worker.state === "recovering" || worker.state === "unreachable" ? "undecided" : "absent";
+        const asked = worker.state !== "recovering" && worker.state !== "unreachable";
+        return asked && mayDeny(rackKey) ? "absent" : "undecided";
     };
 
     const isDecided = (rackKey: string): boolean =>
