An example for each module of the library, and a check that there is one

Cause: modules added since the first examples had none. Change: sixteen examples, run by the tests, and a scenario that lists modules without.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -29,3 +29,22 @@
             | ring                 | 3, 2                                    |
             | time                 | 3 runs                                  |
             | system               | the same for the same seed              |
+            | session              | vm-1~1 may act                          |
+            | deputy               | promises 3000 ms                        |
+            | attempts             | a1 is reserved                          |
+            | reportOutbox         | a1 is settled                           |
+            | workerReport         | a1 holds 1000 cpuMillis                 |
+            | quarantine           | quarantined                             |
+            | usage                | throttle a1                             |
+            | earmarks             | w1 is kept                              |
+            | bucket               | true, true, false                       |
+            | outcomes             | attemptAbandoned                        |
+            | placer               | 1 placed                                |
+            | snapshots            | 1 job up to batch 5                     |
+            | homes                | 1 home is held                          |
+            | home                 | load-in-7 is accepted                   |
+            | jobs                 | the same answer twice                   |
+            | rackOwner            | running on w1                           |
+
+    Scenario: Every module that the library exports has an example
+        Then each module of core, plugins and utils has an example
--- a/features/steps/exampleSteps.ts
+++ b/features/steps/exampleSteps.ts
@@ -1,7 +1,9 @@
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { readdirSync } from "node:fs";
 import { coordinationExamples } from "./examples/coordination.js";
 import { decisionExamples } from "./examples/decisions.js";
+import { ownershipExamples } from "./examples/ownership.js";
 import { utilityExamples } from "./examples/utilities.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
@@ -9,8 +11,17 @@
     ...decisionExamples,
     ...coordinationExamples,
     ...utilityExamples,
+    ...ownershipExamples,
 };
 
+const libraryFolder = "packages/puffinarch/src";
+
+Then("each module of core, plugins and utils has an example", function() {
+    const modules = ["core", "plugins", "utils"].flatMap(folder => readdirSync(`${libraryFolder}/${folder}`));
+    const missing = modules.map(file => file.replace(/\.ts$/, "")).filter(name => !(name in examples));
+    assert.deepEqual(missing, []);
+});
+
 When("the example of {string} runs", async function(this: ScenarioWorld, name: string) {
     const run = examples[name] ?? assert.fail(`no example is named ${name}`);
     const result = await run();
--- /dev/null
+++ b/features/steps/examples/ownership.ts
@@ -0,0 +1,432 @@
+/** Examples of the parts around homes, rack owners and sessions. */
+
+import {
+    createFakeClock,
+    createPlatform,
+    createWorker,
+    defaultPlatformLimits,
+    type FakeClock,
+    type Platform,
+} from "@puffinarch/stand-ins";
+import {
+    type Attempt,
+    createAttempts,
+    createBucket,
+    createDeputy,
+    createEarmarks,
+    createHomes,
+    createHomeState,
+    createJobs,
+    createLedger,
+    createMembership,
+    createPlacer,
+    createQuarantine,
+    createRackOwner,
+    createReportOutbox,
+    createSeededRandom,
+    createSession,
+    createTaskQueue,
+    defaultNodeSettings,
+    type Homes,
+    initialDocument,
+    type JobSpec,
+    loadSnapshot,
+    type Membership,
+    type Meter,
+    type OwnedUnit,
+    type OwnedWorker,
+    type Policy,
+    readReport,
+    recordFor,
+    remediesFor,
+    saveSnapshot,
+    type Session,
+    type SessionRow,
+    type Vm,
+    type WorkerPort,
+} from "puffinarch";
+
+const log = { write: () => {} };
+const meter: Meter = { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 };
+const random = createSeededRandom(1);
+const dataCentre = "leon-feria";
+const size = { cpuMillis: 1_000, memoryMib: 512, accelerators: 0 };
+const capacity = { cpuMillis: 4_000, memoryMib: 4_096, accelerators: 0 };
+const policy: Policy = { name: "pack", placement: "bestFit", sampleSize: 2 };
+const batch = { name: "batch", kind: "batch", policy: "pack", priority: 3 } as const;
+const workerVm: Vm = { vmId: "w1", role: "worker", dataCentre, address: "w1", leaving: false, rack: "r1", capacity };
+const spec: JobSpec = {
+    jobId: "load-in-7",
+    workloadClass: "batch",
+    team: "rigging",
+    tasks: 1,
+    taskSize: size,
+    atMostOnce: false,
+    payload: "",
+};
+const parts = {
+    attemptId: "a1",
+    taskId: "load-in-7/0",
+    size,
+    payload: "",
+    checkpoint: "",
+    priority: 3,
+    preemptible: true,
+};
+
+interface Surroundings {
+    readonly clock: FakeClock;
+    readonly platform: Platform;
+    readonly known: Membership;
+}
+
+const surround = (): Surroundings => {
+    const clock = createFakeClock();
+    const platform = createPlatform(clock, random, { ...defaultPlatformLimits, vmListLagMs: 0 });
+    platform.setVms([{ vmId: "vm-1", role: "entry", dataCentre, address: "", leaving: false }, workerVm]);
+    const known = createMembership({ clock, ownVmId: "vm-1", gossipMaxAgeMs: 5_000, maxReadGapMs: 3_000 });
+    return { clock, platform, known };
+};
+
+const openSession = async ({ clock, platform, known }: Surroundings): Promise<Session> => {
+    const { table, vmList } = platform;
+    const own = createSession({
+        table,
+        vmList,
+        clock,
+        log,
+        meter,
+        membership: known,
+        vmId: "vm-1",
+        dataCentre,
+        sessionLeaseMs: 6_000,
+        renewIntervalMs: 1_500,
+    });
+    await own.open("http://127.0.0.1:7100");
+    return own;
+};
+
+const session = async (): Promise<string> => {
+    const own = await openSession(surround());
+    return `${own.id()} ${own.mayAct() ? "may act" : "may not act"}`;
+};
+
+const deputy = (): string => {
+    const { clock, platform, known } = surround();
+    const other: SessionRow = {
+        sessionId: "vm-2~1",
+        vmId: "vm-2",
+        incarnation: 1,
+        dataCentre,
+        address: "",
+        state: "live",
+        listedGeneration: 0,
+        deputy: "vm-1~1",
+        beat: 1,
+    };
+    known.setRows([{ key: "session/vm-2", version: 1, value: other }], [], 0);
+    const own = createDeputy({
+        table: platform.table,
+        clock,
+        log,
+        meter,
+        membership: known,
+        ownId: () => "vm-1~1",
+        mayAct: () => true,
+        dataCentre,
+        sessionLeaseMs: 6_000,
+        promiseMs: 3_000,
+        marginMs: 250,
+    });
+    return `promises ${own.promise("vm-2~1")} ms`;
+};
+
+const ownedWorker = (): OwnedWorker => ({
+    vm: workerVm,
+    rackKey: "unit/rack/leon-feria/r1",
+    state: "live",
+    failures: 0,
+    clockMs: 0,
+    clockReadAtMs: 0,
+    acknowledge: new Set(),
+    shown: new Map(),
+    seen: undefined,
+    attempts: new Set(),
+    loop: undefined,
+});
+
+const trackOne = (): { readonly attempt: Attempt; readonly worker: OwnedWorker; } => {
+    const worker = ownedWorker();
+    return {
+        worker,
+        attempt: createAttempts(createFakeClock(), createLedger()).track(worker, parts, "home-1", "reserved"),
+    };
+};
+
+const attempts = (): string => `${trackOne().attempt.attemptId} is ${trackOne().attempt.state}`;
+
+const reportOutbox = async (): Promise<string> => {
+    const { attempt } = trackOne();
+    attempt.report = { attemptId: "a1", taskId: "load-in-7/0", outcome: "completed", result: "", checkpoint: "" };
+    const settled: string[] = [];
+    const outbox = createReportOutbox({
+        log,
+        report: async () => ["a1"],
+        onSettled: each => settled.push(each.attemptId),
+    });
+    outbox.add(attempt);
+    await outbox.flush();
+    await createFakeClock().advance(1);
+    return `${settled.join(", ")} is settled`;
+};
+
+const workerReport = (): string => {
+    const ledger = createLedger();
+    ledger.addWorker("w1", "r1", capacity);
+    const table = createAttempts(createFakeClock(), ledger);
+    const running = [{ attemptId: "a1", taskId: "load-in-7/0", homeId: "home-1", size, used: size }];
+    const report = { nowMs: 0, bootId: "b", version: 1, complete: true, running, gone: [], ended: [] };
+    readReport({ ledger, attempts: table, onRunning: () => {}, onEnded: () => {} }, ownedWorker(), report, 0);
+    return `a1 holds ${ledger.worker("w1")?.reserved.cpuMillis} cpuMillis`;
+};
+
+const quarantine = (): string => {
+    const trust = createQuarantine({
+        clock: createFakeClock(),
+        failures: 3,
+        jobs: 2,
+        firstProbeMs: 10_000,
+        maxProbeMs: 300_000,
+    });
+    ["job-1", "job-1", "job-2"].forEach(jobId => trust.noteFailure("w1", jobId));
+    return trust.trust("w1");
+};
+
+const usage = (): string => {
+    const used = { ...capacity, cpuMillis: 5_000 };
+    return remediesFor(capacity, [{ attemptId: "a1", size, used, throttled: false }]).map(each =>
+        `${each.kind} ${each.attemptId}`
+    ).join(", ");
+};
+
+const earmarks = (): string => {
+    const marks = createEarmarks({ clock: createFakeClock(), keptMs: 10_000, oneInWorkers: 4 });
+    marks.keep("load-in-7/0", "w1", 8, 0);
+    return `${marks.workersFor("load-in-7/0").join(", ")} is kept`;
+};
+
+const bucket = (): string => {
+    const tokens = createBucket(createFakeClock(), () => 2);
+    return [tokens.take(), tokens.take(), tokens.take()].join(", ");
+};
+
+const queuedTask = () => {
+    const state = createHomeState();
+    state.apply({ kind: "jobAccepted", spec, acceptedAtMs: 0 });
+    const task = state.task("load-in-7/0");
+    if (task === undefined) {
+        throw new Error("the task is missing");
+    }
+    return { state, task };
+};
+
+const outcomes = (): string => {
+    const report = { attemptId: "a1", taskId: "load-in-7/0", outcome: "lapsed", result: "", checkpoint: "" } as const;
+    return recordFor(queuedTask().task, report, { nowMs: 0, workloadClass: batch, result: {} }).kind;
+};
+
+const placer = async (): Promise<string> => {
+    const { task } = queuedTask();
+    const queue = createTaskQueue();
+    queue.push({
+        tasks: [task],
+        gang: false,
+        priority: 3,
+        policy: "pack",
+        team: "rigging",
+        size,
+        queuedAtMs: 0,
+        tries: 0,
+    });
+    const placed = await createPlacer({
+        queue,
+        clock: createFakeClock(),
+        random,
+        newAttemptId: taskId => `${taskId}@1`,
+        policyOf: () => policy,
+        rooms: () => [{ sessionId: "vm-1~1", near: true, free: capacity, mostFree: capacity }],
+        withinQuota: () => true,
+        useOf: () => 0,
+        addUse: () => {},
+        offer: async (_owner, offers) =>
+            offers.map(({ attemptId }) => ({ attemptId, workerId: "w1", rackKey: "r1", listedGeneration: 0 })),
+        release: async () => {},
+        commit: async () => {},
+        isWaiting: () => true,
+        starvationMs: 5_000,
+    }).round();
+    return `${placed} placed`;
+};
+
+const snapshots = async (): Promise<string> => {
+    const { platform: { table, objects } } = surround();
+    const put = await table.transact({ conditions: [], puts: [{ key: "unit", value: {} }], deletes: [] });
+    const fence = { key: "unit", version: put.outcome === "committed" ? put.version : 0 };
+    await saveSnapshot({ table, objects, homeId: "home-1", fence }, {
+        snapshot: queuedTask().state.snapshot(),
+        nextSequence: 5,
+    });
+    const loaded = await loadSnapshot(table, objects, "home-1");
+    return `${loaded.snapshot.length} job up to batch ${loaded.nextSequence}`;
+};
+
+const makeHomes = async (around: Surroundings): Promise<{ readonly homes: Homes; readonly own: Session; }> => {
+    const { clock, platform: { table, objects }, known } = around;
+    const own = await openSession(around);
+    const key = `unit/home/${dataCentre}/${own.id()}`;
+    const unit = { key, kind: "home", dataCentre, name: own.id(), owner: own.id() } as const;
+    const put = await table.transact({ conditions: [], puts: [{ key, value: unit }], deletes: [] });
+    const {
+        pumpIntervalMs,
+        reconcileIntervalMs,
+        starvationMs,
+        earlyStartMs,
+        snapshotBatches,
+        maintainIntervalMs,
+        retentionMs,
+    } = defaultNodeSettings;
+    const homes = createHomes({
+        table,
+        objects,
+        clock,
+        log,
+        meter,
+        membership: known,
+        sessionId: own.id,
+        isOpen: own.isOpen,
+        batchesPerSecond: () => 8,
+        urgentBatchesPerSecond: () => 27,
+        maxPendingEntries: 100,
+        onFenced: () => {},
+        homeOptions: () => ({
+            clock,
+            random,
+            log,
+            meter,
+            objects,
+            membership: known,
+            newAttemptId: taskId => `${taskId}@1`,
+            policyOf: () => policy,
+            classOf: () => batch,
+            rooms: () => [],
+            withinQuota: () => true,
+            call: async () => ({}) as never,
+            mayAct: own.mayAct,
+            pumpIntervalMs,
+            reconcileIntervalMs,
+            starvationMs,
+            earlyStartMs,
+            snapshotBatches,
+            maintainIntervalMs,
+            retentionMs,
+            closeTimeoutMs: 1_000,
+        }),
+    });
+    const owned: OwnedUnit = { ...unit, version: put.outcome === "committed" ? put.version : 0 };
+    await homes.keeper.gain(owned);
+    await clock.advance(10);
+    return { homes, own };
+};
+
+const homesExample = async (): Promise<string> => `${(await makeHomes(surround())).homes.held().length} home is held`;
+
+const home = async (): Promise<string> => {
+    const around = surround();
+    const { homes } = await makeHomes(around);
+    const accepted = homes.own()?.submit(spec);
+    await around.clock.advance(10);
+    return `${(await accepted)?.spec.jobId} is accepted`;
+};
+
+const jobs = async (): Promise<string> => {
+    const around = surround();
+    const { homes, own } = await makeHomes(around);
+    const configuration = { version: 0, document: initialDocument, author: "", reason: "", acceptedAtMs: 0 };
+    const calls = createJobs({
+        table: around.platform.table,
+        membership: around.known,
+        homes,
+        configuration: () => configuration,
+        vms: () => [workerVm],
+        accepts: () => true,
+        mayAct: own.mayAct,
+        call: async () => ({}) as never,
+        callAll: async () => ({ answers: [], unreachable: [] }),
+    });
+    const first = calls.submit(spec);
+    await around.clock.advance(10);
+    return (await first).homeId === (await calls.submit(spec)).homeId ? "the same answer twice" : "another answer";
+};
+
+const rackOwner = async (): Promise<string> => {
+    const { clock, platform, known } = surround();
+    known.setListing(await platform.vmList.list());
+    const worker = createWorker(clock, "w1", capacity);
+    const port: WorkerPort = {
+        start: async (_address, order) => worker.start(order),
+        poll: (_address, poll) => worker.poll(poll),
+        stop: async (_address, orders) => worker.stop(orders),
+        throttle: async (_address, attemptId, cpuMillis) => worker.throttle(attemptId, cpuMillis),
+    };
+    const { leaseMs, pollWaitMs, startValidityMs, reservationMs, starvationMs } = defaultNodeSettings;
+    const owner = createRackOwner({
+        clock,
+        random,
+        log,
+        meter,
+        workers: port,
+        membership: known,
+        daemonId: () => "vm-1~1",
+        mayAct: () => true,
+        policyOf: () => policy,
+        onDecision: () => {},
+        report: async () => [],
+        leaseMs,
+        pollWaitMs,
+        startValidityMs,
+        reservationMs,
+        starvationMs,
+    });
+    await owner.keeper.gain({
+        key: `unit/rack/${dataCentre}/r1`,
+        kind: "rack",
+        dataCentre,
+        name: "r1",
+        owner: "vm-1~1",
+        version: 1,
+    });
+    await clock.advance(100);
+    const offer = { ...parts, policy: "pack", waitedMs: 0, keepKey: parts.taskId, gang: false, avoid: [] };
+    const placements = owner.place({ homeId: "home-1", homeVersion: 1, offers: [offer] });
+    const states = await owner.start({ homeId: "home-1", homeVersion: 1, attempts: placements });
+    return `${states["a1"]} on ${placements[0]?.workerId}`;
+};
+
+export const ownershipExamples = {
+    session,
+    deputy,
+    attempts,
+    reportOutbox,
+    workerReport,
+    quarantine,
+    usage,
+    earmarks,
+    bucket,
+    outcomes,
+    placer,
+    snapshots,
+    homes: homesExample,
+    home,
+    jobs,
+    rackOwner,
+};
