--- a/features/steps/exampleSteps.ts
+++ b/features/steps/exampleSteps.ts
@@ -16,7 +16,7 @@
 
 const libraryFolder = "packages/puffinarch/src";
 
-Then("each module of core, plugins and utils has an example", function() {
+Then("each module of core, plugins and utils has an example", () => {
     const modules = ["core", "plugins", "utils"].flatMap(folder => readdirSync(`${libraryFolder}/${folder}`));
     const missing = modules.map(file => file.replace(/\.ts$/, "")).filter(name => !(name in examples));
     assert.deepEqual(missing, []);
