A table of 316 faults: at each step, alone, twice and in pairs

Cause: 32 rows held the faults while tasks were submitted, ran and ended only. Change: seven steps (submitted, started, running, ending, answered, taken over, handed over), each fault alone, sensible pairs, and what the caller of an at-most-once job may be told. Found: nothing unsafe.

--- /dev/null
+++ b/features/faults.feature
@@ -0,0 +1,333 @@
+Feature: Faults at each step, alone, twice and in pairs
+
+    # The last column is what the caller of an at-most-once job may be told; the callers of re-runnable jobs are always
+    # told that they completed.
+    Scenario Outline: <fault> while tasks <phase>
+        Given a cell
+        And a batch job, an at-most-once job, a service and a gang that <phase>
+        When <fault>
+        And 14000 ms pass in the cell
+        And everything is healed
+        Then every task is answered within 90000 ms
+        And the stand-ins saw no promise broken
+        And the tasks of re-runnable jobs are all "completed"
+        And the tasks of the at-most-once job are "<once>"
+
+        Examples:
+            | phase | fault | once |
+            | are submitted   | the home daemon is killed                                                                     | completed |
+            | are submitted   | the home daemon is killed and started again on its VM                                         | completed |
+            | are submitted   | the home daemon is paused                                                                     | completed |
+            | are submitted   | another daemon is killed                                                                      | completed |
+            | are submitted   | another daemon is paused                                                                      | completed |
+            | are submitted   | the platform is out                                                                           | completed |
+            | are submitted   | the platform loses every second reply                                                         | completed |
+            | are submitted   | the platform answers late                                                                     | completed |
+            | are submitted   | the data centres are cut off from each other                                                  | completed |
+            | are submitted   | a data centre is cut off from the platform                                                    | completed |
+            | are submitted   | the home daemon is cut off from the platform                                                  | completed |
+            | are submitted   | the home daemon is cut off from its peers                                                     | completed |
+            | are submitted   | a worker is lost                                                                              | completed or mayHaveRun |
+            | are submitted   | a worker is unreachable                                                                       | completed |
+            | are submitted   | workers lose the replies to starts                                                            | completed |
+            | are submitted   | a worker fails everything                                                                     | completed |
+            | are submitted   | the home daemon is stopped gracefully                                                         | completed |
+            | are submitted   | another daemon is stopped gracefully                                                          | completed |
+            | are started     | the home daemon is killed                                                                     | completed |
+            | are started     | the home daemon is killed and started again on its VM                                         | completed |
+            | are started     | the home daemon is paused                                                                     | completed |
+            | are started     | another daemon is killed                                                                      | completed |
+            | are started     | another daemon is paused                                                                      | completed |
+            | are started     | the platform is out                                                                           | completed |
+            | are started     | the platform loses every second reply                                                         | completed |
+            | are started     | the platform answers late                                                                     | completed |
+            | are started     | the data centres are cut off from each other                                                  | completed |
+            | are started     | a data centre is cut off from the platform                                                    | completed |
+            | are started     | the home daemon is cut off from the platform                                                  | completed |
+            | are started     | the home daemon is cut off from its peers                                                     | completed |
+            | are started     | a worker is lost                                                                              | completed or mayHaveRun |
+            | are started     | a worker is unreachable                                                                       | completed |
+            | are started     | workers lose the replies to starts                                                            | completed |
+            | are started     | a worker fails everything                                                                     | completed |
+            | are started     | the home daemon is stopped gracefully                                                         | completed |
+            | are started     | another daemon is stopped gracefully                                                          | completed |
+            | run             | the home daemon is killed                                                                     | completed |
+            | run             | the home daemon is killed and started again on its VM                                         | completed |
+            | run             | the home daemon is paused                                                                     | completed |
+            | run             | another daemon is killed                                                                      | completed |
+            | run             | another daemon is paused                                                                      | completed |
+            | run             | the platform is out                                                                           | completed |
+            | run             | the platform loses every second reply                                                         | completed |
+            | run             | the platform answers late                                                                     | completed |
+            | run             | the data centres are cut off from each other                                                  | completed |
+            | run             | a data centre is cut off from the platform                                                    | completed |
+            | run             | the home daemon is cut off from the platform                                                  | completed |
+            | run             | the home daemon is cut off from its peers                                                     | completed |
+            | run             | a worker is lost                                                                              | completed or mayHaveRun |
+            | run             | a worker is unreachable                                                                       | completed |
+            | run             | workers lose the replies to starts                                                            | completed |
+            | run             | a worker fails everything                                                                     | completed |
+            | run             | the home daemon is stopped gracefully                                                         | completed |
+            | run             | another daemon is stopped gracefully                                                          | completed |
+            | end             | the home daemon is killed                                                                     | completed |
+            | end             | the home daemon is killed and started again on its VM                                         | completed |
+            | end             | the home daemon is paused                                                                     | completed |
+            | end             | another daemon is killed                                                                      | completed |
+            | end             | another daemon is paused                                                                      | completed |
+            | end             | the platform is out                                                                           | completed |
+            | end             | the platform loses every second reply                                                         | completed |
+            | end             | the platform answers late                                                                     | completed |
+            | end             | the data centres are cut off from each other                                                  | completed |
+            | end             | a data centre is cut off from the platform                                                    | completed |
+            | end             | the home daemon is cut off from the platform                                                  | completed |
+            | end             | the home daemon is cut off from its peers                                                     | completed |
+            | end             | a worker is lost                                                                              | completed or mayHaveRun |
+            | end             | a worker is unreachable                                                                       | completed |
+            | end             | workers lose the replies to starts                                                            | completed |
+            | end             | a worker fails everything                                                                     | completed |
+            | end             | the home daemon is stopped gracefully                                                         | completed |
+            | end             | another daemon is stopped gracefully                                                          | completed |
+            | are answered    | the home daemon is killed                                                                     | completed |
+            | are answered    | the home daemon is killed and started again on its VM                                         | completed |
+            | are answered    | the home daemon is paused                                                                     | completed |
+            | are answered    | another daemon is killed                                                                      | completed |
+            | are answered    | another daemon is paused                                                                      | completed |
+            | are answered    | the platform is out                                                                           | completed |
+            | are answered    | the platform loses every second reply                                                         | completed |
+            | are answered    | the platform answers late                                                                     | completed |
+            | are answered    | the data centres are cut off from each other                                                  | completed |
+            | are answered    | a data centre is cut off from the platform                                                    | completed |
+            | are answered    | the home daemon is cut off from the platform                                                  | completed |
+            | are answered    | the home daemon is cut off from its peers                                                     | completed |
+            | are answered    | a worker is lost                                                                              | completed or mayHaveRun |
+            | are answered    | a worker is unreachable                                                                       | completed |
+            | are answered    | workers lose the replies to starts                                                            | completed |
+            | are answered    | a worker fails everything                                                                     | completed |
+            | are answered    | the home daemon is stopped gracefully                                                         | completed |
+            | are answered    | another daemon is stopped gracefully                                                          | completed |
+            | are taken over  | the new holder is killed                                                                      | completed |
+            | are taken over  | the new holder is paused                                                                      | completed |
+            | are taken over  | the new holder is cut off from the platform                                                   | completed |
+            | are taken over  | another daemon is killed                                                                      | completed |
+            | are taken over  | another daemon is paused                                                                      | completed |
+            | are taken over  | the platform is out                                                                           | completed |
+            | are taken over  | the platform loses every second reply                                                         | completed |
+            | are taken over  | the platform answers late                                                                     | completed |
+            | are taken over  | the data centres are cut off from each other                                                  | completed |
+            | are taken over  | a data centre is cut off from the platform                                                    | completed |
+            | are taken over  | a worker is lost                                                                              | completed or mayHaveRun |
+            | are taken over  | a worker is unreachable                                                                       | completed |
+            | are taken over  | workers lose the replies to starts                                                            | completed |
+            | are taken over  | another daemon is stopped gracefully                                                          | completed |
+            | are handed over | the new holder is killed                                                                      | completed |
+            | are handed over | the new holder is paused                                                                      | completed |
+            | are handed over | the new holder is cut off from the platform                                                   | completed |
+            | are handed over | another daemon is killed                                                                      | completed |
+            | are handed over | another daemon is paused                                                                      | completed |
+            | are handed over | the platform is out                                                                           | completed |
+            | are handed over | the platform loses every second reply                                                         | completed |
+            | are handed over | the platform answers late                                                                     | completed |
+            | are handed over | the data centres are cut off from each other                                                  | completed |
+            | are handed over | a data centre is cut off from the platform                                                    | completed |
+            | are handed over | a worker is lost                                                                              | completed or mayHaveRun |
+            | are handed over | a worker is unreachable                                                                       | completed |
+            | are handed over | workers lose the replies to starts                                                            | completed |
+            | are handed over | another daemon is stopped gracefully                                                          | completed |
+            | are submitted   | the home daemon is killed and another daemon is killed                                        | completed |
+            | are submitted   | the home daemon is killed and another daemon is paused                                        | completed |
+            | are submitted   | the home daemon is killed and the platform is out                                             | completed |
+            | are submitted   | the home daemon is killed and the platform loses every second reply                           | completed |
+            | are submitted   | the home daemon is killed and the platform answers late                                       | completed |
+            | are submitted   | the home daemon is killed and the data centres are cut off from each other                    | completed |
+            | are submitted   | the home daemon is killed and a worker is lost                                                | completed or mayHaveRun |
+            | are submitted   | the home daemon is killed and a worker is unreachable                                         | completed |
+            | are submitted   | the home daemon is killed and workers lose the replies to starts                              | completed |
+            | are submitted   | the home daemon is paused and another daemon is killed                                        | completed |
+            | are submitted   | the home daemon is paused and another daemon is paused                                        | completed |
+            | are submitted   | the home daemon is paused and the platform is out                                             | completed |
+            | are submitted   | the home daemon is paused and the platform loses every second reply                           | completed |
+            | are submitted   | the home daemon is paused and the platform answers late                                       | completed |
+            | are submitted   | the home daemon is paused and the data centres are cut off from each other                    | completed |
+            | are submitted   | the home daemon is paused and the home daemon is cut off from the platform                    | completed |
+            | are submitted   | the home daemon is paused and a worker is lost                                                | completed or mayHaveRun |
+            | are submitted   | the home daemon is paused and a worker is unreachable                                         | completed |
+            | are submitted   | the home daemon is paused and workers lose the replies to starts                              | completed |
+            | are submitted   | another daemon is killed and the platform is out                                              | completed |
+            | are submitted   | another daemon is killed and the platform loses every second reply                            | completed |
+            | are submitted   | another daemon is killed and the platform answers late                                        | completed |
+            | are submitted   | another daemon is killed and the data centres are cut off from each other                     | completed |
+            | are submitted   | another daemon is killed and the home daemon is cut off from the platform                     | completed |
+            | are submitted   | another daemon is killed and a worker is lost                                                 | completed or mayHaveRun |
+            | are submitted   | another daemon is killed and a worker is unreachable                                          | completed |
+            | are submitted   | another daemon is killed and workers lose the replies to starts                               | completed |
+            | are submitted   | another daemon is paused and the platform is out                                              | completed |
+            | are submitted   | another daemon is paused and the platform loses every second reply                            | completed |
+            | are submitted   | another daemon is paused and the platform answers late                                        | completed |
+            | are submitted   | another daemon is paused and the data centres are cut off from each other                     | completed |
+            | are submitted   | another daemon is paused and the home daemon is cut off from the platform                     | completed |
+            | are submitted   | another daemon is paused and a worker is lost                                                 | completed or mayHaveRun |
+            | are submitted   | another daemon is paused and a worker is unreachable                                          | completed |
+            | are submitted   | another daemon is paused and workers lose the replies to starts                               | completed |
+            | are submitted   | the platform is out and the data centres are cut off from each other                          | completed |
+            | are submitted   | the platform is out and the home daemon is cut off from the platform                          | completed |
+            | are submitted   | the platform is out and a worker is lost                                                      | completed or mayHaveRun |
+            | are submitted   | the platform is out and a worker is unreachable                                               | completed |
+            | are submitted   | the platform is out and workers lose the replies to starts                                    | completed |
+            | are submitted   | the platform loses every second reply and the data centres are cut off from each other        | completed |
+            | are submitted   | the platform loses every second reply and the home daemon is cut off from the platform        | completed |
+            | are submitted   | the platform loses every second reply and a worker is lost                                    | completed or mayHaveRun |
+            | are submitted   | the platform loses every second reply and a worker is unreachable                             | completed |
+            | are submitted   | the platform loses every second reply and workers lose the replies to starts                  | completed |
+            | are submitted   | the platform answers late and the data centres are cut off from each other                    | completed |
+            | are submitted   | the platform answers late and the home daemon is cut off from the platform                    | completed |
+            | are submitted   | the platform answers late and a worker is lost                                                | completed or mayHaveRun |
+            | are submitted   | the platform answers late and a worker is unreachable                                         | completed |
+            | are submitted   | the platform answers late and workers lose the replies to starts                              | completed |
+            | are submitted   | the data centres are cut off from each other and the home daemon is cut off from the platform | completed |
+            | are submitted   | the data centres are cut off from each other and a worker is lost                             | completed or mayHaveRun |
+            | are submitted   | the data centres are cut off from each other and a worker is unreachable                      | completed |
+            | are submitted   | the data centres are cut off from each other and workers lose the replies to starts           | completed |
+            | are submitted   | the home daemon is cut off from the platform and a worker is lost                             | completed or mayHaveRun |
+            | are submitted   | the home daemon is cut off from the platform and a worker is unreachable                      | completed |
+            | are submitted   | the home daemon is cut off from the platform and workers lose the replies to starts           | completed |
+            | are submitted   | a worker is lost and a worker is unreachable                                                  | completed or mayHaveRun |
+            | are submitted   | a worker is lost and workers lose the replies to starts                                       | completed or mayHaveRun |
+            | are submitted   | a worker is unreachable and workers lose the replies to starts                                | completed |
+            | run             | the home daemon is killed and another daemon is killed                                        | completed |
+            | run             | the home daemon is killed and another daemon is paused                                        | completed |
+            | run             | the home daemon is killed and the platform is out                                             | completed |
+            | run             | the home daemon is killed and the platform loses every second reply                           | completed |
+            | run             | the home daemon is killed and the platform answers late                                       | completed |
+            | run             | the home daemon is killed and the data centres are cut off from each other                    | completed |
+            | run             | the home daemon is killed and a worker is lost                                                | completed or mayHaveRun |
+            | run             | the home daemon is killed and a worker is unreachable                                         | completed |
+            | run             | the home daemon is killed and workers lose the replies to starts                              | completed |
+            | run             | the home daemon is paused and another daemon is killed                                        | completed |
+            | run             | the home daemon is paused and another daemon is paused                                        | completed |
+            | run             | the home daemon is paused and the platform is out                                             | completed |
+            | run             | the home daemon is paused and the platform loses every second reply                           | completed |
+            | run             | the home daemon is paused and the platform answers late                                       | completed |
+            | run             | the home daemon is paused and the data centres are cut off from each other                    | completed |
+            | run             | the home daemon is paused and the home daemon is cut off from the platform                    | completed |
+            | run             | the home daemon is paused and a worker is lost                                                | completed or mayHaveRun |
+            | run             | the home daemon is paused and a worker is unreachable                                         | completed |
+            | run             | the home daemon is paused and workers lose the replies to starts                              | completed |
+            | run             | another daemon is killed and the platform is out                                              | completed |
+            | run             | another daemon is killed and the platform loses every second reply                            | completed |
+            | run             | another daemon is killed and the platform answers late                                        | completed |
+            | run             | another daemon is killed and the data centres are cut off from each other                     | completed |
+            | run             | another daemon is killed and the home daemon is cut off from the platform                     | completed |
+            | run             | another daemon is killed and a worker is lost                                                 | completed or mayHaveRun |
+            | run             | another daemon is killed and a worker is unreachable                                          | completed |
+            | run             | another daemon is killed and workers lose the replies to starts                               | completed |
+            | run             | another daemon is paused and the platform is out                                              | completed |
+            | run             | another daemon is paused and the platform loses every second reply                            | completed |
+            | run             | another daemon is paused and the platform answers late                                        | completed |
+            | run             | another daemon is paused and the data centres are cut off from each other                     | completed |
+            | run             | another daemon is paused and the home daemon is cut off from the platform                     | completed |
+            | run             | another daemon is paused and a worker is lost                                                 | completed or mayHaveRun |
+            | run             | another daemon is paused and a worker is unreachable                                          | completed |
+            | run             | another daemon is paused and workers lose the replies to starts                               | completed |
+            | run             | the platform is out and the data centres are cut off from each other                          | completed |
+            | run             | the platform is out and the home daemon is cut off from the platform                          | completed |
+            | run             | the platform is out and a worker is lost                                                      | completed or mayHaveRun |
+            | run             | the platform is out and a worker is unreachable                                               | completed |
+            | run             | the platform is out and workers lose the replies to starts                                    | completed |
+            | run             | the platform loses every second reply and the data centres are cut off from each other        | completed |
+            | run             | the platform loses every second reply and the home daemon is cut off from the platform        | completed |
+            | run             | the platform loses every second reply and a worker is lost                                    | completed or mayHaveRun |
+            | run             | the platform loses every second reply and a worker is unreachable                             | completed |
+            | run             | the platform loses every second reply and workers lose the replies to starts                  | completed |
+            | run             | the platform answers late and the data centres are cut off from each other                    | completed |
+            | run             | the platform answers late and the home daemon is cut off from the platform                    | completed |
+            | run             | the platform answers late and a worker is lost                                                | completed or mayHaveRun |
+            | run             | the platform answers late and a worker is unreachable                                         | completed |
+            | run             | the platform answers late and workers lose the replies to starts                              | completed |
+            | run             | the data centres are cut off from each other and the home daemon is cut off from the platform | completed |
+            | run             | the data centres are cut off from each other and a worker is lost                             | completed or mayHaveRun |
+            | run             | the data centres are cut off from each other and a worker is unreachable                      | completed |
+            | run             | the data centres are cut off from each other and workers lose the replies to starts           | completed |
+            | run             | the home daemon is cut off from the platform and a worker is lost                             | completed or mayHaveRun |
+            | run             | the home daemon is cut off from the platform and a worker is unreachable                      | completed |
+            | run             | the home daemon is cut off from the platform and workers lose the replies to starts           | completed |
+            | run             | a worker is lost and a worker is unreachable                                                  | completed or mayHaveRun |
+            | run             | a worker is lost and workers lose the replies to starts                                       | completed or mayHaveRun |
+            | run             | a worker is unreachable and workers lose the replies to starts                                | completed |
+            | end             | the home daemon is killed and another daemon is killed                                        | completed |
+            | end             | the home daemon is killed and another daemon is paused                                        | completed |
+            | end             | the home daemon is killed and the platform is out                                             | completed |
+            | end             | the home daemon is killed and the platform loses every second reply                           | completed |
+            | end             | the home daemon is killed and the platform answers late                                       | completed |
+            | end             | the home daemon is killed and the data centres are cut off from each other                    | completed |
+            | end             | the home daemon is killed and a worker is lost                                                | completed or mayHaveRun |
+            | end             | the home daemon is killed and a worker is unreachable                                         | completed |
+            | end             | the home daemon is killed and workers lose the replies to starts                              | completed |
+            | end             | the home daemon is paused and another daemon is killed                                        | completed |
+            | end             | the home daemon is paused and another daemon is paused                                        | completed |
+            | end             | the home daemon is paused and the platform is out                                             | completed |
+            | end             | the home daemon is paused and the platform loses every second reply                           | completed |
+            | end             | the home daemon is paused and the platform answers late                                       | completed |
+            | end             | the home daemon is paused and the data centres are cut off from each other                    | completed |
+            | end             | the home daemon is paused and the home daemon is cut off from the platform                    | completed |
+            | end             | the home daemon is paused and a worker is lost                                                | completed or mayHaveRun |
+            | end             | the home daemon is paused and a worker is unreachable                                         | completed |
+            | end             | the home daemon is paused and workers lose the replies to starts                              | completed |
+            | end             | another daemon is killed and the platform is out                                              | completed |
+            | end             | another daemon is killed and the platform loses every second reply                            | completed |
+            | end             | another daemon is killed and the platform answers late                                        | completed |
+            | end             | another daemon is killed and the data centres are cut off from each other                     | completed |
+            | end             | another daemon is killed and the home daemon is cut off from the platform                     | completed |
+            | end             | another daemon is killed and a worker is lost                                                 | completed or mayHaveRun |
+            | end             | another daemon is killed and a worker is unreachable                                          | completed |
+            | end             | another daemon is killed and workers lose the replies to starts                               | completed |
+            | end             | another daemon is paused and the platform is out                                              | completed |
+            | end             | another daemon is paused and the platform loses every second reply                            | completed |
+            | end             | another daemon is paused and the platform answers late                                        | completed |
+            | end             | another daemon is paused and the data centres are cut off from each other                     | completed |
+            | end             | another daemon is paused and the home daemon is cut off from the platform                     | completed |
+            | end             | another daemon is paused and a worker is lost                                                 | completed or mayHaveRun |
+            | end             | another daemon is paused and a worker is unreachable                                          | completed |
+            | end             | another daemon is paused and workers lose the replies to starts                               | completed |
+            | end             | the platform is out and the data centres are cut off from each other                          | completed |
+            | end             | the platform is out and the home daemon is cut off from the platform                          | completed |
+            | end             | the platform is out and a worker is lost                                                      | completed or mayHaveRun |
+            | end             | the platform is out and a worker is unreachable                                               | completed |
+            | end             | the platform is out and workers lose the replies to starts                                    | completed |
+            | end             | the platform loses every second reply and the data centres are cut off from each other        | completed |
+            | end             | the platform loses every second reply and the home daemon is cut off from the platform        | completed |
+            | end             | the platform loses every second reply and a worker is lost                                    | completed or mayHaveRun |
+            | end             | the platform loses every second reply and a worker is unreachable                             | completed |
+            | end             | the platform loses every second reply and workers lose the replies to starts                  | completed |
+            | end             | the platform answers late and the data centres are cut off from each other                    | completed |
+            | end             | the platform answers late and the home daemon is cut off from the platform                    | completed |
+            | end             | the platform answers late and a worker is lost                                                | completed or mayHaveRun |
+            | end             | the platform answers late and a worker is unreachable                                         | completed |
+            | end             | the platform answers late and workers lose the replies to starts                              | completed |
+            | end             | the data centres are cut off from each other and the home daemon is cut off from the platform | completed |
+            | end             | the data centres are cut off from each other and a worker is lost                             | completed or mayHaveRun |
+            | end             | the data centres are cut off from each other and a worker is unreachable                      | completed |
+            | end             | the data centres are cut off from each other and workers lose the replies to starts           | completed |
+            | end             | the home daemon is cut off from the platform and a worker is lost                             | completed or mayHaveRun |
+            | end             | the home daemon is cut off from the platform and a worker is unreachable                      | completed |
+            | end             | the home daemon is cut off from the platform and workers lose the replies to starts           | completed |
+            | end             | a worker is lost and a worker is unreachable                                                  | completed or mayHaveRun |
+            | end             | a worker is lost and workers lose the replies to starts                                       | completed or mayHaveRun |
+            | end             | a worker is unreachable and workers lose the replies to starts                                | completed |
+            | run             | the home daemon is killed twice                                                               | completed |
+            | run             | two daemons of one data centre are killed                                                     | completed |
+            | are taken over  | the new holder is killed and the platform is out                                              | completed |
+            | are taken over  | the new holder is killed and the platform loses every second reply                            | completed |
+            | are taken over  | the new holder is killed and another daemon is paused                                         | completed |
+            | are taken over  | the new holder is killed and a worker is lost                                                 | completed or mayHaveRun |
+            | are taken over  | the new holder is paused and the platform is out                                              | completed |
+            | are taken over  | the new holder is paused and the platform loses every second reply                            | completed |
+            | are taken over  | the new holder is paused and another daemon is paused                                         | completed |
+            | are taken over  | the new holder is paused and a worker is lost                                                 | completed or mayHaveRun |
+            | are handed over | the new holder is killed and the platform is out                                              | completed |
+            | are handed over | the new holder is killed and the platform loses every second reply                            | completed |
+            | are handed over | the new holder is killed and another daemon is paused                                         | completed |
+            | are handed over | the new holder is killed and a worker is lost                                                 | completed or mayHaveRun |
+            | are handed over | the new holder is paused and the platform is out                                              | completed |
+            | are handed over | the new holder is paused and the platform loses every second reply                            | completed |
+            | are handed over | the new holder is paused and another daemon is paused                                         | completed |
+            | are handed over | the new holder is paused and a worker is lost                                                 | completed or mayHaveRun |
--- a/features/steps/failureSteps.ts
+++ b/features/steps/failureSteps.ts
@@ -8,14 +8,46 @@
 const home = "leon-feria-e0";
 const other = "qro-arena-e0";
 
-/** How long the jobs have been under way when the fault comes. */
-const phaseMs: Readonly<Record<string, number>> = { "are submitted": 0, run: 1_200, end: 1_995 };
-const runMs = 2_000;
+const newHolder = "leon-feria-e1";
+
+/** What has happened to the jobs when the fault comes. */
+interface Phase {
+    readonly runMs: number;
+    readonly reach: (cell: Cell) => Promise<void>;
+}
+
+const after = (ms: number) => (cell: Cell): Promise<void> => cell.advance(ms);
+
+const phases: Readonly<Record<string, Phase>> = {
+    "are submitted": { runMs: 2_000, reach: after(0) },
+    "are started": { runMs: 2_000, reach: after(25) },
+    run: { runMs: 2_000, reach: after(1_200) },
+    end: { runMs: 2_000, reach: after(1_995) },
+    "are answered": { runMs: 2_000, reach: after(2_040) },
+    "are taken over": {
+        runMs: 9_000,
+        reach: async cell => {
+            await cell.advance(1_000);
+            cell.kill(home, true);
+            await cell.advance(5_200);
+        },
+    },
+    "are handed over": {
+        runMs: 4_000,
+        reach: async cell => {
+            await cell.advance(1_000);
+            stopGracefully(cell, home);
+            await cell.advance(20);
+        },
+    },
+};
 
 Given(
-    /^a batch job, an at-most-once job, a service and a gang that (are submitted|run|end)$/,
-    async function(this: ScenarioWorld, phase: string) {
+    new RegExp(`^a batch job, an at-most-once job, a service and a gang that (${Object.keys(phases).join("|")})$`),
+    async function(this: ScenarioWorld, name: string) {
         const { cell } = cellPart(this);
+        const phase = phases[name] ?? assert.fail(`no phase is named ${name}`);
+        const { runMs } = phase;
         const daemon = cell.daemon(home);
         const script = { runMs };
         await submit(this, daemon, specOf("batch-1", { tasks: 3, script }));
@@ -27,7 +59,7 @@
         );
         await submit(this, daemon, specOf("gang-1", { tasks: 4, workloadClass: "gang", script }));
         assert.equal(cellPart(this).jobIds.size, 4);
-        await cell.advance(phaseMs[phase] ?? 0);
+        await phase.reach(cell);
     },
 );
 
@@ -81,6 +113,12 @@
         });
     },
     "the home daemon is paused": cell => cell.pause(home),
+    "the new holder is killed": cell => {
+        cell.kill(newHolder, true);
+        cell.addDaemon("leon-feria-e9", "leon-feria");
+    },
+    "the new holder is paused": cell => cell.pause(newHolder),
+    "the new holder is cut off from the platform": cell => cell.cut(newHolder, platformPlace),
     "another daemon is killed": cell => cell.kill(other, true),
     "another daemon is paused": cell => cell.pause(other),
     "two daemons of one data centre are killed": cell => {
@@ -162,3 +200,12 @@
         }
     }
 });
+
+Then("the tasks of the at-most-once job are {string}", async function(this: ScenarioWorld, allowed: string) {
+    const { cell, onceOnly } = cellPart(this);
+    for (const jobId of onceOnly) {
+        for (const task of await tasksOf(cell, jobId)) {
+            assert.ok(allowed.split(" or ").includes(task.state), `${task.taskId} is ${task.state}: ${task.detail}`);
+        }
+    }
+});
