Contract of the calls between daemons

Cause: the tRPC adapter had no contract test. Change: six cases, among them a peer that nobody listens for, one that is silent and one that hangs up; the outcomes are told apart. Ruled out: a fault in the adapter; port 1 is refused by fetch itself as unsafe.

--- a/features/steps/daemonSteps.ts
+++ b/features/steps/daemonSteps.ts
@@ -57,6 +57,14 @@
 const part = (world: ScenarioWorld): DaemonPart =>
     partOf<DaemonPart>(world, "daemon", () => assert.fail("there is no daemon"));
 
+/**
+ * Gives the address of the scenario's daemon.
+ *
+ * @example
+ * const address = daemonAddress(world);
+ */
+export const daemonAddress = (world: ScenarioWorld): string => part(world).daemon.address;
+
 const waitUntil = async (what: string, holds: () => boolean): Promise<void> => {
     for (let left = maxWaits; left > 0; left -= 1) {
         if (holds()) {
--- /dev/null
+++ b/features/steps/peerSteps.ts
@@ -0,0 +1,59 @@
+import { Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { createServer, type Server } from "node:net";
+import type { PeerCallName } from "puffinarch";
+import { createMeter, createTrpcPeers } from "puffinarchd";
+import { daemonAddress } from "./daemonSteps.js";
+import { type Ending, endingOf, kindOfEnding, partOf, type ScenarioWorld } from "./support.js";
+
+const inputs: Readonly<Record<string, unknown>> = {
+    daemon: { detail: false },
+    job: { jobId: "missing" },
+    report: { homeId: "nobody~1", reports: [] },
+};
+
+/** A peer that takes connections and never answers; `hangUp` closes them once something was sent. */
+const startMute = (world: ScenarioWorld, hangUp: boolean): Promise<string> =>
+    new Promise(resolve => {
+        const server: Server = createServer(socket => {
+            socket.on("data", () => hangUp && socket.destroy());
+            socket.on("error", () => undefined);
+            world.closers.push(async () => void socket.destroy());
+        });
+        world.closers.push(async () => void server.close());
+        server.listen(0, "127.0.0.1", () => {
+            const address = server.address();
+            resolve(`http://127.0.0.1:${typeof address === "object" ? address?.port : 0}`);
+        });
+    });
+
+/** An address that was listened on and is no more. */
+const freedAddress = (): Promise<string> =>
+    new Promise(resolve => {
+        const server = createServer();
+        server.listen(0, "127.0.0.1", () => {
+            const address = server.address();
+            server.close(() => resolve(`http://127.0.0.1:${typeof address === "object" ? address?.port : 0}`));
+        });
+    });
+
+const addresses: Readonly<Record<string, (world: ScenarioWorld) => Promise<string>>> = {
+    "all is well": async world => daemonAddress(world),
+    "the home is not held there": async world => daemonAddress(world),
+    "nobody listens": freedAddress,
+    "the peer accepts and is silent": world => startMute(world, false),
+    "the peer hangs up": world => startMute(world, true),
+};
+
+When(/^a peer calls "([^"]*)" and (.+)$/, async function(this: ScenarioWorld, name: string, situation: string) {
+    const address = await addresses[situation]?.(this) ?? assert.fail(`no situation is named ${situation}`);
+    const peers = createTrpcPeers({ timeoutMs: 300, meter: createMeter() });
+    this.closers.push(peers.close);
+    const ending = await endingOf<unknown>(peers.call(address, name as PeerCallName, inputs[name] as never));
+    partOf<{ ending: Ending<unknown>; }>(this, "peerCall", () => ({ ending }));
+});
+
+Then("the call ends as {string}", function(this: ScenarioWorld, expected: string) {
+    const { ending } = partOf<{ ending: Ending<unknown>; }>(this, "peerCall", () => assert.fail("nothing was called"));
+    assert.equal(kindOfEnding(ending, "answered"), expected, JSON.stringify(ending));
+});
