Large files divided: room maker, owners of attempts, recovery, settings

Change: roomMaker, attemptOwners, homeRecovery and nodeSettings are modules with examples; the scene endInOutage runs long tasks and breaks the table sooner.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -45,6 +45,10 @@
             | home                 | load-in-7 is accepted                   |
             | jobs                 | the same answer twice                   |
             | rackOwner            | running on w1                           |
+            | homeRecovery         | recovered                               |
+            | attemptOwners        | no owner is known                       |
+            | roomMaker            | 1 less urgent tasks of w1 are stopped for it |
+            | nodeSettings         | leases of 20000 ms                      |
 
     Scenario: Every module that the library exports has an example
         Then each module of core, plugins and utils has an example
--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -37,6 +37,6 @@
             | noReadBack            | endMidStart    | 1     |
             | unknownStartIsRefused | endMidStart    | 1     |
             | endlessPromise        | cutWithBacklog | 11    |
-            | noRecovery            | endInOutage    | 8     |
+            | noRecovery            | endInOutage    | 30    |
             | noTakeoverWait        | endMidStart    | 60    |
             | startsNeverVoid       | endMidStart    | 8     |
--- a/features/steps/examples/ownership.ts
+++ b/features/steps/examples/ownership.ts
@@ -10,10 +10,12 @@
 } from "@puffinarch/stand-ins";
 import {
     type Attempt,
+    createAttemptOwners,
     createAttempts,
     createBucket,
     createDeputy,
     createEarmarks,
+    createHomeRecovery,
     createHomes,
     createHomeState,
     createJobs,
@@ -23,6 +25,7 @@
     createQuarantine,
     createRackOwner,
     createReportOutbox,
+    createRoomMaker,
     createSeededRandom,
     createSession,
     createTaskQueue,
@@ -412,7 +415,89 @@
     return `${states["a1"]} on ${placements[0]?.workerId}`;
 };
 
+const homeRecovery = async (): Promise<string> => {
+    const { platform, known } = surround();
+    known.setListing(await platform.vmList.list());
+    const key = "unit/rack/leon-feria/r1";
+    const owner: SessionRow = {
+        sessionId: "vm-2~1",
+        vmId: "vm-2",
+        incarnation: 1,
+        dataCentre,
+        address: "",
+        state: "live",
+        listedGeneration: -1,
+        deputy: "",
+        beat: 0,
+    };
+    const rack = { key, kind: "rack", dataCentre, name: "r1", owner: "vm-2~1" };
+    known.setRows([{ key: "session/vm-2", version: 1, value: owner }], [{ key, version: 2, value: rack }], 0);
+    const answer = { attempts: [], decidedRacks: [key] };
+    const tryRecovery = createHomeRecovery({
+        homeId: "home-1",
+        homeVersion: 1,
+        dataCentre,
+        membership: known,
+        call: async () => answer as never,
+        adopt: async () => {},
+    });
+    return await tryRecovery() ? "recovered" : "not yet";
+};
+
+const attemptOwners = (): string => {
+    const { known } = surround();
+    const calls = createAttemptOwners({
+        homeId: "home-1",
+        homeVersion: 1,
+        membership: known,
+        log,
+        call: async () => ({}) as never,
+        onStartUnknown: () => {},
+    });
+    return calls.tenureOf("unit/rack/leon-feria/r1") ?? "no owner is known";
+};
+
+const roomMaker = (): string => {
+    const clock = createFakeClock();
+    const ledger = createLedger();
+    const table = createAttempts(clock, ledger);
+    const worker = ownedWorker();
+    ledger.addWorker("w1", "r1", capacity);
+    ledger.setOpen("w1", true);
+    ledger.reserve("w1", "a1", capacity);
+    table.track(worker, { ...parts, size: capacity }, "home-1", "running");
+    const makeRoom = createRoomMaker({
+        clock,
+        meter,
+        ledger,
+        earmarks: createEarmarks({ clock, keptMs: 10_000, oneInWorkers: 4 }),
+        attempts: table,
+        workers: new Map([["w1", worker]]),
+        starvationMs: 5_000,
+        onKept: () => {},
+        stop: () => {},
+    });
+    const urgent = {
+        ...parts,
+        attemptId: "a2",
+        taskId: "barrier-plan/0",
+        priority: 9,
+        policy: "pack",
+        waitedMs: 0,
+        keepKey: "barrier-plan/0",
+        gang: false,
+        avoid: [],
+    };
+    return makeRoom(urgent) ?? "no room";
+};
+
+const nodeSettings = (): string => `leases of ${defaultNodeSettings.leaseMs} ms`;
+
 export const ownershipExamples = {
+    homeRecovery,
+    attemptOwners,
+    roomMaker,
+    nodeSettings,
     session,
     deputy,
     attempts,
--- /dev/null
+++ b/packages/puffinarch/src/core/attemptOwners.ts
@@ -0,0 +1,103 @@
+/** A home's calls to the owners of the racks that its attempts are in. */
+
+import type { AttemptsRequest, AttemptsResponse, PeerCallName, PeerCalls } from "../types/peer.js";
+import type { Log } from "../types/ports.js";
+import { failureOf } from "../utils/errors.js";
+import type { TaskEntry } from "./homeState.js";
+import type { Membership } from "./membership.js";
+
+/** Takes an owner's answer, with the tenure of each task's rack when the owner was asked. */
+export type OwnerAnswer = (
+    tasks: readonly TaskEntry[],
+    answer: AttemptsResponse,
+    tenures: ReadonlyMap<string, string | undefined>,
+) => Promise<void>;
+
+/** Calls to the owners of a home's attempts. */
+export interface AttemptOwners {
+    /** The owner of a rack and since which change of hands; undefined while there is none. */
+    tenureOf(rackKey: string | undefined): string | undefined;
+    /** One call to each owner; tasks whose rack has no owner are left out, and an owner's silence is logged. */
+    call(name: "start" | "stop" | "attemptStates", tasks: Iterable<TaskEntry>, onAnswer: OwnerAnswer): Promise<void>;
+}
+
+/** What the calls need. */
+export interface AttemptOwnersOptions {
+    readonly homeId: string;
+    readonly homeVersion: number;
+    readonly membership: Membership;
+    readonly log: Log;
+    readonly call: <K extends PeerCallName>(
+        sessionId: string,
+        name: K,
+        input: PeerCalls[K]["input"],
+    ) => Promise<PeerCalls[K]["output"]>;
+    /** Starts that may have reached their owner although no answer came. */
+    readonly onStartUnknown: (attemptIds: readonly string[]) => void;
+}
+
+/**
+ * Makes the calls of one home.
+ *
+ * @example
+ * await owners.call("stop", tasks, async () => {});
+ */
+export const createAttemptOwners = (options: AttemptOwnersOptions): AttemptOwners => {
+    const { homeId, homeVersion, membership, log } = options;
+
+    const tenureOf = (rackKey: string | undefined): string | undefined => {
+        const owner = rackKey === undefined ? undefined : membership.ownerOf(rackKey);
+        return owner === undefined ? undefined : `${owner.sessionId}@${membership.unit(rackKey ?? "")?.version}`;
+    };
+
+    const requestOf = (tasks: readonly TaskEntry[]): AttemptsRequest => ({
+        homeId,
+        homeVersion,
+        attempts: tasks.flatMap(({ attemptId, workerId, rackKey, listedGeneration }) =>
+            attemptId === undefined || workerId === undefined || rackKey === undefined
+                ? []
+                : [{ attemptId, workerId, rackKey, listedGeneration }]
+        ),
+    });
+
+    const byOwner = (tasks: Iterable<TaskEntry>): ReadonlyMap<string, readonly TaskEntry[]> => {
+        const groups = new Map<string, TaskEntry[]>();
+        for (const task of tasks) {
+            const owner = task.rackKey === undefined ? undefined : membership.ownerOf(task.rackKey);
+            if (owner === undefined) {
+                continue;
+            }
+            const group = groups.get(owner.sessionId) ?? [];
+            group.push(task);
+            groups.set(owner.sessionId, group);
+        }
+        return groups;
+    };
+
+    const callOne = async (
+        name: "start" | "stop" | "attemptStates",
+        owner: string,
+        tasks: readonly TaskEntry[],
+        onAnswer: OwnerAnswer,
+    ): Promise<void> => {
+        const request = requestOf(tasks);
+        const tenures = new Map(tasks.map(task => [task.taskId, tenureOf(task.rackKey)]));
+        try {
+            await onAnswer(tasks, await options.call(owner, name, request), tenures);
+        }
+        catch (error) {
+            const failure = failureOf(error);
+            log.write("debug", "ownerSilent", { call: name, owner, tasks: tasks.length, ...failure });
+            if (name === "start" && failure.kind !== "unavailable") {
+                options.onStartUnknown(request.attempts.map(({ attemptId }) => attemptId));
+            }
+        }
+    };
+
+    return {
+        tenureOf,
+        call: async (name, tasks, onAnswer) => {
+            await Promise.all([...byOwner(tasks)].map(([owner, group]) => callOne(name, owner, group, onAnswer)));
+        },
+    };
+};
--- a/packages/puffinarch/src/core/home.ts
+++ b/packages/puffinarch/src/core/home.ts
@@ -18,19 +18,14 @@
     workloadKinds,
 } from "../types/job.js";
 import { unitKey } from "../types/ownership.js";
-import type {
-    AttemptsRequest,
-    AttemptsResponse,
-    AttemptState,
-    HomeAttempt,
-    PeerCallName,
-    PeerCalls,
-} from "../types/peer.js";
-import { type Clock, type Log, type Meter, type ObjectStore, type Random, vmRoles } from "../types/ports.js";
+import type { AttemptsResponse, AttemptState, HomeAttempt, PeerCallName, PeerCalls } from "../types/peer.js";
+import type { Clock, Log, Meter, ObjectStore, Random } from "../types/ports.js";
 import type { JournalRecord, TaskEndedRecord } from "../types/records.js";
 import { add, noResources, type Resources } from "../types/resources.js";
 import { die, failureOf } from "../utils/errors.js";
 import { sleep, startLoop } from "../utils/time.js";
+import { createAttemptOwners } from "./attemptOwners.js";
+import { createHomeRecovery } from "./homeRecovery.js";
 import { type HomeState, isCancelled, type JobEntry, showJob, showTask, type TaskEntry } from "./homeState.js";
 import type { Journal } from "./journal.js";
 import type { Membership } from "./membership.js";
@@ -180,61 +175,15 @@
         }
     };
 
-    const attemptsOf = (tasks: readonly TaskEntry[]): AttemptsRequest => ({
+    const owners = createAttemptOwners({
         homeId,
         homeVersion,
-        attempts: tasks.flatMap(({ attemptId, workerId, rackKey, listedGeneration }) =>
-            attemptId === undefined || workerId === undefined || rackKey === undefined
-                ? []
-                : [{ attemptId, workerId, rackKey, listedGeneration }]
-        ),
+        membership,
+        log,
+        call: options.call,
+        onStartUnknown: attemptIds => attemptIds.forEach(attemptId => startSent.add(attemptId)),
     });
 
-    /** The owner of a rack and since which change of hands; undefined while there is none. */
-    const tenureOf = (rackKey: string | undefined): string | undefined => {
-        const owner = rackKey === undefined ? undefined : membership.ownerOf(rackKey);
-        return owner === undefined ? undefined : `${owner.sessionId}@${membership.unit(rackKey ?? "")?.version}`;
-    };
-
-    const byOwner = (tasks: Iterable<TaskEntry>): ReadonlyMap<string, readonly TaskEntry[]> => {
-        const groups = new Map<string, TaskEntry[]>();
-        for (const task of tasks) {
-            const owner = task.rackKey === undefined ? undefined : membership.ownerOf(task.rackKey);
-            if (owner === undefined) {
-                continue;
-            }
-            const group = groups.get(owner.sessionId) ?? [];
-            group.push(task);
-            groups.set(owner.sessionId, group);
-        }
-        return groups;
-    };
-
-    const callOwners = async (
-        name: "start" | "stop" | "attemptStates",
-        tasks: Iterable<TaskEntry>,
-        onAnswer: (
-            group: readonly TaskEntry[],
-            answer: AttemptsResponse,
-            tenures: ReadonlyMap<string, string | undefined>,
-        ) => Promise<void>,
-    ): Promise<void> => {
-        await Promise.all([...byOwner(tasks)].map(async ([owner, group]) => {
-            const request = attemptsOf(group);
-            const tenures = new Map(group.map(task => [task.taskId, tenureOf(task.rackKey)]));
-            try {
-                await onAnswer(group, await options.call(owner, name, request), tenures);
-            }
-            catch (error) {
-                const failure = failureOf(error);
-                log.write("debug", "ownerSilent", { call: name, owner, tasks: group.length, ...failure });
-                if (name === "start" && failure.kind !== "unavailable") {
-                    request.attempts.forEach(({ attemptId }) => startSent.add(attemptId));
-                }
-            }
-        }));
-    };
-
     const noteRunning = (task: TaskEntry): void => {
         if (task.state !== taskStates.starting) {
             return;
@@ -271,7 +220,7 @@
     };
 
     const start = async (tasks: readonly TaskEntry[]): Promise<void> => {
-        await callOwners("start", tasks, takeStates);
+        await owners.call("start", tasks, takeStates);
     };
 
     const startSoon = (tasks: readonly TaskEntry[]): void => {
@@ -279,7 +228,7 @@
     };
 
     const stop = async (tasks: readonly TaskEntry[]): Promise<void> => {
-        await callOwners("stop", tasks, async () => {});
+        await owners.call("stop", tasks, async () => {});
     };
 
     const resultOf = async (
@@ -445,16 +394,6 @@
         }
     };
 
-    const ownRacks = (): ReadonlySet<string> => {
-        const racks = new Set<string>();
-        for (const vm of membership.listing().vms) {
-            if (vm.role === vmRoles.worker && vm.dataCentre === options.dataCentre) {
-                racks.add(unitKey("rack", vm.dataCentre, vm.rack ?? ""));
-            }
-        }
-        return racks;
-    };
-
     /** Attempts that an earlier holder started without a committed intent. */
     const adoptFound = async (found: readonly HomeAttempt[]): Promise<void> => {
         const records: JournalRecord[] = [];
@@ -470,20 +409,14 @@
         await write(records);
     };
 
-    /** Asks the owners of all racks of the home's data centre what they run of it; true once all have answered whole. */
-    const recoverOnce = async (): Promise<boolean> => {
-        const racks = ownRacks();
-        const owners = new Set([...racks].map(rackKey => membership.ownerOf(rackKey)?.sessionId));
-        if (owners.has(undefined)) {
-            return false;
-        }
-        const answers = await Promise.all(
-            [...owners].map(owner => options.call(owner ?? "", "attemptsOfHome", { homeId, homeVersion })),
-        );
-        const decided = new Set(answers.flatMap(answer => answer.decidedRacks));
-        await adoptFound(answers.flatMap(answer => answer.attempts));
-        return [...racks].every(rackKey => decided.has(rackKey));
-    };
+    const recoverOnce = createHomeRecovery({
+        homeId,
+        homeVersion,
+        dataCentre: options.dataCentre,
+        membership,
+        call: options.call,
+        adopt: adoptFound,
+    });
 
     const recover = async (): Promise<void> => {
         while (!recovered && !closed) {
@@ -517,9 +450,9 @@
     const reconcile = async (): Promise<void> => {
         const unconfirmed = [...state.active()].filter(task =>
             task.settling === undefined && task.rackKey !== undefined
-            && (task.confirmedBy === undefined || tenureOf(task.rackKey) !== task.confirmedBy)
+            && (task.confirmedBy === undefined || owners.tenureOf(task.rackKey) !== task.confirmedBy)
         );
-        await callOwners("attemptStates", unconfirmed, async (tasks, answer, tenures) => {
+        await owners.call("attemptStates", unconfirmed, async (tasks, answer, tenures) => {
             await takeStates(tasks, answer, tenures);
             await start(tasks.filter(task => answer.states[task.attemptId ?? ""] === "reserved"));
         });
--- a/packages/puffinarch/src/core/placer.ts
+++ b/packages/puffinarch/src/core/placer.ts
@@ -7,7 +7,7 @@
 import { add, noResources, type Resources } from "../types/resources.js";
 import { pick } from "../utils/rendezvous.js";
 import type { TaskEntry } from "./homeState.js";
-import { urgentPriority } from "./rackOwner.js";
+import { urgentPriority } from "./roomMaker.js";
 import { createRooms, type Room, type Rooms } from "./rooms.js";
 import { type QueueItem, shapeKey, type TaskQueue } from "./taskQueue.js";
 
--- a/packages/puffinarch/src/core/rackOwner.ts
+++ b/packages/puffinarch/src/core/rackOwner.ts
@@ -20,16 +20,17 @@
     WorkerView,
 } from "../types/peer.js";
 import { type Clock, type Log, type Meter, type Random, type Vm, vmRoles, type WorkerPort } from "../types/ports.js";
-import { add, fits, noResources } from "../types/resources.js";
+import { add, noResources } from "../types/resources.js";
 import { failureOf } from "../utils/errors.js";
 import { sleep, startLoop } from "../utils/time.js";
 import { type Attempt, createAttempts, type OwnedWorker, type WorkerState } from "./attempts.js";
-import { createEarmarks, type Victim, victimsFor } from "./earmarks.js";
+import { createEarmarks } from "./earmarks.js";
 import { createLedger } from "./ledger.js";
 import type { Membership, OwnedUnit } from "./membership.js";
 import type { UnitKeeper } from "./ownership.js";
 import { createQuarantine } from "./quarantine.js";
 import { createReportOutbox } from "./reportOutbox.js";
+import { createRoomMaker } from "./roomMaker.js";
 import { correctedSize, remediesFor } from "./usage.js";
 import { readReport } from "./workerReport.js";
 
@@ -78,9 +79,6 @@
     readonly starvationMs: number;
 }
 
-/** Priority from which a class's tasks may have others stopped. */
-export const urgentPriority = 9;
-
 const failuresUntilUnreachable = 3;
 const pollPauseMs = 5;
 const undecidedWaitMs = 1_000;
@@ -91,7 +89,6 @@
 const maxProbeMs = 300_000;
 const earmarkMs = 10_000;
 const oneInWorkersKept = 4;
-const preemptionLooks = 64;
 
 /**
  * Makes a rack owner that owns nothing yet.
@@ -113,6 +110,17 @@
         maxProbeMs,
     });
     const entries = new Map<string, OwnedWorker>();
+    const makeRoom = createRoomMaker({
+        clock,
+        meter,
+        ledger,
+        earmarks,
+        attempts,
+        workers: entries,
+        starvationMs: options.starvationMs,
+        onKept: () => [...entries.values()].forEach(each => refreshOpen(each)),
+        stop: (worker, attemptIds) => stopSoon(worker, attemptIds, true),
+    });
     const racks = new Set<string>();
     const homeVersions = new Map<string, number>();
 
@@ -357,69 +365,6 @@
         }
     };
 
-    const keepFree = (offer: TaskOffer, worker: OwnedWorker): boolean => {
-        const sinceMs = clock.monotonicMs() - offer.waitedMs;
-        const kept = earmarks.keep(offer.keepKey, worker.vm.vmId, entries.size, sinceMs);
-        if (kept) {
-            [...entries.values()].forEach(refreshOpen);
-        }
-        return kept;
-    };
-
-    const victimsOn = (worker: OwnedWorker): readonly Victim[] =>
-        [...worker.attempts].filter(attempt =>
-            attempt.preemptible && attempt.state === "running" && !attempt.stopWanted
-        );
-
-    /** Stops the fewest less urgent attempts of one worker that make room, and keeps the worker for the offer. */
-    const preempt = (offer: TaskOffer): string | undefined => {
-        let best: { readonly worker: OwnedWorker; readonly victims: readonly Victim[]; } | undefined;
-        let looks = 0;
-        for (const worker of entries.values()) {
-            const view = ledger.worker(worker.vm.vmId);
-            if (looks === preemptionLooks) {
-                break;
-            }
-            if (view?.open !== true) {
-                continue;
-            }
-            looks += 1;
-            const victims = victimsFor(offer.size, view.free, victimsOn(worker), offer.priority);
-            if (victims !== undefined && victims.length < (best?.victims.length ?? Infinity)) {
-                best = { worker, victims };
-            }
-        }
-        if (best === undefined || !keepFree(offer, best.worker)) {
-            return undefined;
-        }
-        const attemptIds = best.victims.map(victim => victim.attemptId);
-        attemptIds.forEach(attemptId => Object.assign(attempts.find(attemptId) ?? {}, { stopWanted: true }));
-        stopSoon(best.worker, attemptIds, true);
-        meter.count("preemptions", attemptIds.length);
-        return `${attemptIds.length} less urgent tasks of ${best.worker.vm.vmId} are stopped for it`;
-    };
-
-    /** Keeps the worker with most room free until what runs there has ended, so that small tasks cannot take it all. */
-    const keepForStarved = (offer: TaskOffer): string | undefined => {
-        for (const view of ledger.emptiest(noResources)) {
-            const worker = entries.get(view.workerId);
-            if (worker !== undefined && fits(offer.size, view.capacity) && keepFree(offer, worker)) {
-                meter.count("earmarks");
-                return `${view.workerId} is kept free for it`;
-            }
-        }
-        return undefined;
-    };
-
-    const makeRoom = (offer: TaskOffer): string | undefined => {
-        const keptWorkers = earmarks.workersFor(offer.keepKey);
-        if (keptWorkers.length > 0 && !offer.gang) {
-            return `${keptWorkers.join(", ")} is kept free for it`;
-        }
-        const urgent = offer.priority >= urgentPriority ? preempt(offer) : undefined;
-        return urgent ?? (offer.waitedMs >= options.starvationMs ? keepForStarved(offer) : undefined);
-    };
-
     const takeKept = (offer: TaskOffer): OwnedWorker | undefined => {
         for (const workerId of earmarks.workersFor(offer.keepKey)) {
             const worker = entries.get(workerId);
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -1,11 +1,13 @@
 /** Everything inside the library, for the public entry to choose from. */
 
+export * from "./core/attemptOwners.js";
 export * from "./core/attempts.js";
 export * from "./core/configurationDocument.js";
 export * from "./core/configurationStore.js";
 export * from "./core/deputy.js";
 export * from "./core/earmarks.js";
 export * from "./core/home.js";
+export * from "./core/homeRecovery.js";
 export * from "./core/homes.js";
 export * from "./core/homeState.js";
 export * from "./core/jobs.js";
@@ -14,6 +16,7 @@
 export * from "./core/ledger.js";
 export * from "./core/membership.js";
 export * from "./core/node.js";
+export * from "./core/nodeSettings.js";
 export * from "./core/outcomes.js";
 export * from "./core/ownership.js";
 export * from "./core/placer.js";
@@ -21,6 +24,7 @@
 export * from "./core/rackOwner.js";
 export * from "./core/reportOutbox.js";
 export * from "./core/requestClaims.js";
+export * from "./core/roomMaker.js";
 export * from "./core/rooms.js";
 export * from "./core/router.js";
 export * from "./core/session.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -4,6 +4,7 @@
  */
 
 // Parts that coordinate and decide.
+export { type AttemptOwners, type AttemptOwnersOptions, createAttemptOwners, type OwnerAnswer } from "./internal.js";
 export {
     type Attempt,
     type AttemptParts,
@@ -19,6 +20,7 @@
 export { createDeputy, type Deputy, type DeputyOptions } from "./internal.js";
 export { createEarmarks, type Earmarks, type EarmarksOptions, type Victim, victimsFor } from "./internal.js";
 export { createHome, type Home, type HomeOptions, jobKey } from "./internal.js";
+export { createHomeRecovery, type HomeRecoveryOptions } from "./internal.js";
 export {
     createHomeState,
     type HomeSnapshot,
@@ -45,21 +47,16 @@
 } from "./internal.js";
 export { createLedger, type Ledger, type LedgerWorker } from "./internal.js";
 export { createMembership, type Membership, type MembershipOptions, type OwnedUnit, sessionIdOf } from "./internal.js";
-export {
-    type Answers,
-    createNode,
-    defaultNodeSettings,
-    type Node,
-    type NodePorts,
-    type NodeSettings,
-} from "./internal.js";
+export { type Answers, createNode, type Node, type NodePorts } from "./internal.js";
+export { defaultNodeSettings, type NodeSettings } from "./internal.js";
 export { type OutcomeContext, recordFor } from "./internal.js";
 export { createOwnership, type Ownership, type OwnershipOptions, type UnitKeeper } from "./internal.js";
 export { createPlacer, type Placer, type PlacerOptions, type Reserved } from "./internal.js";
 export { createQuarantine, type Quarantine, type QuarantineOptions, type Trust } from "./internal.js";
-export { createRackOwner, type RackOwner, type RackOwnerOptions, urgentPriority } from "./internal.js";
+export { createRackOwner, type RackOwner, type RackOwnerOptions } from "./internal.js";
 export { createReportOutbox, type ReportOutbox, type ReportOutboxOptions } from "./internal.js";
 export { createRequestClaims, type RequestClaim, type RequestClaims, type RequestClaimsOptions } from "./internal.js";
+export { createRoomMaker, type RoomMaker, type RoomMakerOptions, urgentPriority } from "./internal.js";
 export { createRooms, type Room, type Rooms } from "./internal.js";
 export { createRouter, type Route, type Router, type RouterOptions } from "./internal.js";
 export { createSession, type Session, type SessionOptions } from "./internal.js";
--- a/packages/stand-ins/src/explore/explore.ts
+++ b/packages/stand-ins/src/explore/explore.ts
@@ -44,7 +44,7 @@
 
 type Action = (run: Run) => string | Promise<string>;
 
-const settleLimitMs = 180_000;
+const settleLimitMs = 400_000;
 /** What is left has to hold the largest gang. */
 const mostWorkersLost = 1;
 const callLimitMs = 4_000;
@@ -286,8 +286,9 @@
     if (daemon === undefined) {
         return "end in outage: nobody answers";
     }
-    const submitted = await submitThrough(run, daemon, backlogOf(run));
-    await wait(run, 0, 200);
+    const runMs = 9_000 + Math.floor(run.random.next() * 3_000);
+    const submitted = await submitThrough(run, daemon, { ...backlogOf(run), payload: JSON.stringify({ runMs }) });
+    await wait(run, 0, 40);
     run.cell.platform.faults.set("table", [{ target: "table", kind: "refuse", probability: 1 }]);
     await wait(run, 500, 3_000);
     const ended = end(run, daemon);
