--- a/benchmarks/src/capacityPage.ts
+++ b/benchmarks/src/capacityPage.ts
@@ -57,7 +57,7 @@
     {
         quantity: "worker",
         perNode: target.workers / daemons,
-        mechanism: "one long poll a second and worker; changes only",
+        mechanism: "a long poll a worker, held for 5 s; changes only",
         file: core("rackOwner"),
     },
     {
