Benchmark of a thousand tasks a second while a daemon is lost

Cause: nothing showed the promises at that rate with each way to lose a daemon. Change: npm run bench -- storm.

--- a/benchmarks/src/main.ts
+++ b/benchmarks/src/main.ts
@@ -5,10 +5,11 @@
 import { capacity } from "./capacity.js";
 import { journal } from "./journal.js";
 import { placement } from "./placement.js";
+import { storm } from "./storm.js";
 import { takeover } from "./takeover.js";
 import { waiting } from "./waiting.js";
 
-const benchmarks: Readonly<Record<string, Benchmark>> = { placement, journal, takeover, waiting, capacity };
+const benchmarks: Readonly<Record<string, Benchmark>> = { placement, journal, takeover, waiting, capacity, storm };
 
 const show = (rows: readonly Row[]): string => {
     const names = Object.keys(rows[0] ?? {});
