--- a/packages/puffinarch/src/core/slots.ts
+++ b/packages/puffinarch/src/core/slots.ts
@@ -68,7 +68,6 @@
 
 interface UpstreamEntry {
     vm: Vm;
-    readonly unitKey: string;
     readonly upstreamId: string;
     state: UpstreamState;
     /** Held by this owner's requests. */
@@ -215,7 +214,6 @@
         }
         const entry: UpstreamEntry = {
             vm,
-            unitKey: unit.key,
             upstreamId: unit.name,
             state: "recovering",
             slotsInUse: 0,
