Faults that come twice, and a slow platform, in the table of faults

Cause: only one fault came twice, and the platform was never slow there. Change: eleven faults twice at five steps, a slow platform at each step and in pairs; a deputy's option that nobody read is gone.

--- a/features/faults.feature
+++ b/features/faults.feature
@@ -331,3 +331,77 @@
             | are handed over | the new holder is paused and the platform loses every second reply                            | completed |
             | are handed over | the new holder is paused and another daemon is paused                                         | completed |
             | are handed over | the new holder is paused and a worker is lost                                                 | completed or mayHaveRun |
+            | are submitted | the platform is slow | completed |
+            | are started | the platform is slow | completed |
+            | run | the platform is slow | completed |
+            | end | the platform is slow | completed |
+            | are answered | the platform is slow | completed |
+            | are taken over | the platform is slow | completed |
+            | are handed over | the platform is slow | completed |
+            | are submitted | the home daemon is paused, twice | completed |
+            | are submitted | the home daemon is killed and started again on its VM, twice | completed |
+            | are submitted | another daemon is paused, twice | completed |
+            | are submitted | the platform is out, twice | completed |
+            | are submitted | the platform is slow, twice | completed |
+            | are submitted | the platform loses every second reply, twice | completed |
+            | are submitted | the platform answers late, twice | completed |
+            | are submitted | the home daemon is cut off from the platform, twice | completed |
+            | are submitted | a data centre is cut off from the platform, twice | completed |
+            | are submitted | the data centres are cut off from each other, twice | completed |
+            | are submitted | a worker is unreachable, twice | completed |
+            | are started | the home daemon is paused, twice | completed |
+            | are started | the home daemon is killed and started again on its VM, twice | completed |
+            | are started | another daemon is paused, twice | completed |
+            | are started | the platform is out, twice | completed |
+            | are started | the platform is slow, twice | completed |
+            | are started | the platform loses every second reply, twice | completed |
+            | are started | the platform answers late, twice | completed |
+            | are started | the home daemon is cut off from the platform, twice | completed |
+            | are started | a data centre is cut off from the platform, twice | completed |
+            | are started | the data centres are cut off from each other, twice | completed |
+            | are started | a worker is unreachable, twice | completed |
+            | run | the home daemon is paused, twice | completed |
+            | run | the home daemon is killed and started again on its VM, twice | completed |
+            | run | another daemon is paused, twice | completed |
+            | run | the platform is out, twice | completed |
+            | run | the platform is slow, twice | completed |
+            | run | the platform loses every second reply, twice | completed |
+            | run | the platform answers late, twice | completed |
+            | run | the home daemon is cut off from the platform, twice | completed |
+            | run | a data centre is cut off from the platform, twice | completed |
+            | run | the data centres are cut off from each other, twice | completed |
+            | run | a worker is unreachable, twice | completed |
+            | end | the home daemon is paused, twice | completed |
+            | end | the home daemon is killed and started again on its VM, twice | completed |
+            | end | another daemon is paused, twice | completed |
+            | end | the platform is out, twice | completed |
+            | end | the platform is slow, twice | completed |
+            | end | the platform loses every second reply, twice | completed |
+            | end | the platform answers late, twice | completed |
+            | end | the home daemon is cut off from the platform, twice | completed |
+            | end | a data centre is cut off from the platform, twice | completed |
+            | end | the data centres are cut off from each other, twice | completed |
+            | end | a worker is unreachable, twice | completed |
+            | are answered | the home daemon is paused, twice | completed |
+            | are answered | the home daemon is killed and started again on its VM, twice | completed |
+            | are answered | another daemon is paused, twice | completed |
+            | are answered | the platform is out, twice | completed |
+            | are answered | the platform is slow, twice | completed |
+            | are answered | the platform loses every second reply, twice | completed |
+            | are answered | the platform answers late, twice | completed |
+            | are answered | the home daemon is cut off from the platform, twice | completed |
+            | are answered | a data centre is cut off from the platform, twice | completed |
+            | are answered | the data centres are cut off from each other, twice | completed |
+            | are answered | a worker is unreachable, twice | completed |
+            | are submitted | the home daemon is killed and the platform is slow | completed |
+            | run | the home daemon is killed and the platform is slow | completed |
+            | end | the home daemon is killed and the platform is slow | completed |
+            | are submitted | the home daemon is paused and the platform is slow | completed |
+            | run | the home daemon is paused and the platform is slow | completed |
+            | end | the home daemon is paused and the platform is slow | completed |
+            | are submitted | another daemon is killed and the platform is slow | completed |
+            | run | another daemon is killed and the platform is slow | completed |
+            | end | another daemon is killed and the platform is slow | completed |
+            | are submitted | a worker is lost and the platform is slow | completed or mayHaveRun |
+            | run | a worker is lost and the platform is slow | completed or mayHaveRun |
+            | end | a worker is lost and the platform is slow | completed or mayHaveRun |
--- a/features/steps/examples/ownership.ts
+++ b/features/steps/examples/ownership.ts
@@ -136,7 +136,6 @@
         membership: known,
         ownId: () => "vm-1~1",
         mayAct: () => true,
-        dataCentre,
         sessionLeaseMs: 6_000,
         promiseMs: 3_000,
         marginMs: 250,
--- a/features/steps/failureSteps.ts
+++ b/features/steps/failureSteps.ts
@@ -127,6 +127,7 @@
         cell.addDaemon("leon-feria-e2", "leon-feria");
     },
     "the platform is out": outPlatform,
+    "the platform is slow": cell => setTable(cell, "slow", 1),
     "the platform loses every second reply": cell => setTable(cell, "loseReply", 0.5),
     "the platform answers late": cell => setTable(cell, "late", 0.5),
     "the data centres are cut off from each other": cell =>
@@ -163,8 +164,7 @@
     runFault(cellPart(this).cell, name);
 });
 
-When("everything is healed", function(this: ScenarioWorld) {
-    const { cell } = cellPart(this);
+const heal = (cell: Cell): void => {
     cell.platform.faults.set("table", []);
     cell.platform.faults.set("tableWrites", []);
     cell.platform.faults.set("vmList", []);
@@ -175,6 +175,22 @@
     for (const daemon of cell.daemons()) {
         daemon.gate.resume();
     }
+};
+
+When(
+    new RegExp(`^(${Object.keys(simpleFaults).join("|")}), twice$`),
+    async function(this: ScenarioWorld, name: string) {
+        const { cell } = cellPart(this);
+        runFault(cell, name);
+        await cell.advance(5_000);
+        heal(cell);
+        await cell.advance(1_000);
+        runFault(cell, name);
+    },
+);
+
+When("everything is healed", function(this: ScenarioWorld) {
+    heal(cellPart(this).cell);
 });
 
 When("every worker is lost", function(this: ScenarioWorld) {
--- a/packages/puffinarch/src/core/deputy.ts
+++ b/packages/puffinarch/src/core/deputy.ts
@@ -26,7 +26,6 @@
     readonly ownId: () => string;
     /** Only a session that surely was not replaced itself may promise anything. */
     readonly mayAct: () => boolean;
-    readonly dataCentre: string;
     readonly sessionLeaseMs: number;
     readonly promiseMs: number;
     /** Added to every wait, for clocks that run at slightly different rates. */
--- a/packages/puffinarch/src/core/node.ts
+++ b/packages/puffinarch/src/core/node.ts
@@ -172,7 +172,6 @@
         membership,
         ownId: sessionId,
         mayAct: session.mayAct,
-        dataCentre: settings.dataCentre,
         sessionLeaseMs: settings.sessionLeaseMs,
         promiseMs: settings.promiseMs,
         marginMs: clockMarginMs,
