One type for a call to a session

Cause: the signature of a call to a session's daemon was written out in four modules. Change: CallSession in types/peer.ts serves home, jobs, attemptOwners and homeRecovery. Conclusion: a change of types only.

--- a/packages/puffinarch/src/core/attemptOwners.ts
+++ b/packages/puffinarch/src/core/attemptOwners.ts
@@ -1,6 +1,6 @@
 /** A home's calls to the owners of the racks that its attempts are in. */
 
-import type { AttemptsRequest, AttemptsResponse, PeerCallName, PeerCalls } from "../types/peer.js";
+import type { AttemptsRequest, AttemptsResponse, CallSession } from "../types/peer.js";
 import type { Log } from "../types/ports.js";
 import { failureOf } from "../utils/errors.js";
 import type { TaskEntry } from "./homeState.js";
@@ -27,11 +27,7 @@
     readonly homeVersion: number;
     readonly membership: Membership;
     readonly log: Log;
-    readonly call: <K extends PeerCallName>(
-        sessionId: string,
-        name: K,
-        input: PeerCalls[K]["input"],
-    ) => Promise<PeerCalls[K]["output"]>;
+    readonly call: CallSession;
     /** Starts that may have reached their owner although no answer came. */
     readonly onStartUnknown: (attemptIds: readonly string[]) => void;
 }
--- a/packages/puffinarch/src/core/home.ts
+++ b/packages/puffinarch/src/core/home.ts
@@ -18,7 +18,7 @@
     workloadKinds,
 } from "../types/job.js";
 import { unitKey } from "../types/ownership.js";
-import type { AttemptsResponse, AttemptState, HomeAttempt, PeerCallName, PeerCalls } from "../types/peer.js";
+import type { AttemptsResponse, AttemptState, CallSession, HomeAttempt } from "../types/peer.js";
 import type { Clock, Log, Meter, ObjectStore, Random } from "../types/ports.js";
 import type { JournalRecord, TaskEndedRecord } from "../types/records.js";
 import { add, noResources, type Resources } from "../types/resources.js";
@@ -78,11 +78,7 @@
     readonly rooms: () => readonly Room[];
     /** True where the team's quota leaves room for this much more. */
     readonly withinQuota: (team: string, size: Resources) => boolean;
-    readonly call: <K extends PeerCallName>(
-        sessionId: string,
-        name: K,
-        input: PeerCalls[K]["input"],
-    ) => Promise<PeerCalls[K]["output"]>;
+    readonly call: CallSession;
     /** Whether this session may act now without the table. */
     readonly mayAct: () => boolean;
     /** Saves a snapshot; true where it is in force. */
--- a/packages/puffinarch/src/core/homeRecovery.ts
+++ b/packages/puffinarch/src/core/homeRecovery.ts
@@ -4,7 +4,7 @@
  */
 
 import { unitKey } from "../types/ownership.js";
-import type { HomeAttempt, PeerCallName, PeerCalls } from "../types/peer.js";
+import type { CallSession, HomeAttempt } from "../types/peer.js";
 import { vmRoles } from "../types/ports.js";
 import type { Membership } from "./membership.js";
 
@@ -14,11 +14,7 @@
     readonly homeVersion: number;
     readonly dataCentre: string;
     readonly membership: Membership;
-    readonly call: <K extends PeerCallName>(
-        sessionId: string,
-        name: K,
-        input: PeerCalls[K]["input"],
-    ) => Promise<PeerCalls[K]["output"]>;
+    readonly call: CallSession;
     /** Takes up what was found; resolves once it is durable. */
     readonly adopt: (found: readonly HomeAttempt[]) => Promise<void>;
 }
--- a/packages/puffinarch/src/core/jobs.ts
+++ b/packages/puffinarch/src/core/jobs.ts
@@ -2,7 +2,7 @@
 
 import type { Configuration } from "../types/configuration.js";
 import { type Job, jobIdOf, type JobSpec, type Task } from "../types/job.js";
-import type { PeerCallName, PeerCalls } from "../types/peer.js";
+import type { CallSession, PeerCallName, PeerCalls } from "../types/peer.js";
 import type { TableStore, Vm } from "../types/ports.js";
 import { die, kindOf } from "../utils/errors.js";
 import { type Home, jobKey } from "./home.js";
@@ -37,11 +37,7 @@
     readonly accepts: () => boolean;
     /** Whether what is held here is surely held by nobody else. */
     readonly mayAct: () => boolean;
-    readonly call: <K extends PeerCallName>(
-        sessionId: string,
-        name: K,
-        input: PeerCalls[K]["input"],
-    ) => Promise<PeerCalls[K]["output"]>;
+    readonly call: CallSession;
     /** Asks every live daemon; answers by session, and the sessions that did not answer. */
     readonly callAll: <K extends PeerCallName>(
         name: K,
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -131,6 +131,7 @@
     type AttemptsResponse,
     type AttemptState,
     attemptStates,
+    type CallSession,
     type CapacitySummary,
     type DaemonView,
     type Gossip,
--- a/packages/puffinarch/src/types/peer.ts
+++ b/packages/puffinarch/src/types/peer.ts
@@ -247,3 +247,10 @@
         input: PeerCalls[K]["input"],
     ): Promise<PeerCalls[K]["output"]>;
 }
+
+/** A call to the daemon of a session, this one's own included; fails as `PeerPort` does. */
+export type CallSession = <K extends PeerCallName>(
+    sessionId: string,
+    name: K,
+    input: PeerCalls[K]["input"],
+) => Promise<PeerCalls[K]["output"]>;
