--- /dev/null
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -0,0 +1,609 @@
+/**
+ * A daemon's part in the cell: it watches the configuration, the members and the owner of the shard, takes the shard
+ * over when its owner is lost, and passes callers' requests on to the owner.
+ */
+
+import {
+    type AdvisorPort,
+    type FencedWorkerPort,
+    type MemberHandlers,
+    type MemberPort,
+    type MemberRow,
+    type OwnerRow,
+    type PingAnswer,
+    type Row,
+    type RowStore,
+} from "../../types/cellPorts.js";
+import type { Clock, Log, Meter, Random } from "../../types/ports.js";
+import type { CellConfiguration, JobState, JobSubmission, WorkerEntry } from "../../types/work.js";
+import { die, failureOf, kindOf } from "../../utils/errors.js";
+import { hash } from "../../utils/rendezvous.js";
+import { sleep } from "../../utils/time.js";
+import { claimShard } from "./claimShard.js";
+import { ownerKey, ownerTable } from "./commitLog.js";
+import { type ShardOwner, startShardOwner } from "./shardOwner.js";
+import type { ShardSettings } from "./shardSettings.js";
+import { type TableWatch, watchTable } from "./tableWatch.js";
+
+/** Table in which the daemons enter themselves; the key is the member's id. */
+export const memberTable = "puffinarch-member";
+
+/** What a member is made of. */
+export interface CellMemberOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly meter: Meter;
+    readonly random: Random;
+    readonly settings: ShardSettings;
+    readonly self: MemberRow;
+    readonly store: RowStore;
+    readonly workers: FencedWorkerPort;
+    readonly advisor: AdvisorPort;
+    readonly members: MemberPort;
+    /** Table and decoding of what the platform publishes. */
+    readonly platform: {
+        readonly configurationTable: string;
+        readonly readConfiguration: (rows: readonly Row[]) => CellConfiguration | undefined;
+        readonly workerTable: string;
+        readonly readWorker: (row: Row) => WorkerEntry | undefined;
+    };
+}
+
+/** A daemon in its cell. */
+export interface CellMember {
+    /** The newest configuration known; undefined before the first. */
+    configuration(): CellConfiguration | undefined;
+    /** True while callers may be sent here. */
+    ready(): boolean;
+    submit(submission: JobSubmission, patienceMs: number): Promise<void>;
+    jobState(queueKey: string, jobId: string, patienceMs: number): Promise<JobState | undefined>;
+    cancel(queueKey: string, jobId: string, patienceMs: number): Promise<boolean>;
+    /** Jobs accepted of which no task has started; undefined where that is not known freshly enough. */
+    pending(queueKey: string): number | undefined;
+    readonly handlers: MemberHandlers;
+    ownsShard(): boolean;
+    /** Hands the shard over; resolves when this daemon owns nothing. */
+    stop(): Promise<void>;
+}
+
+/** The one shard of today's sites; docs/design/platform.md has the arithmetic for more. */
+const part = "shard-0";
+const pingIntervalMs = 200;
+/** An answer takes some 10 ms; a VM that is 5 times slowed still makes it. */
+const pingTimeoutMs = 400;
+/** Pings in a row without any answer before the owner counts as lost; refusals count double. */
+const silentPingsToClaim = 3;
+/** Each place in the order of candidates waits this much longer. */
+const rankDelayMs = 120;
+/** A candidate that reaches too few of its peers waits this much longer, so that a cut-off minority does not claim. */
+const minorityDelayMs = 2_500;
+/** An owner whose commits found no answer for this long is replaced by a peer that the store answers. */
+const stalledOwnerMs = 1_500;
+/** A store that answered a read within this time counts as well. */
+const quickReadMs = 300;
+/** Counts older than this are not told. */
+const countsFreshMs = 1_800;
+/** How long a request looks for an owner before it is refused with a time to come back. */
+const ownerPatienceMs = 1_200;
+const forwardPauseMs = 50;
+/** Workers write every 1.5 s or so; a leaving one has to be noticed within 2 s. */
+const workerListPauseMs = 300;
+/** One try at the owner; a commit takes some 10 ms, and a resend of the same id is harmless. */
+const forwardTimeoutMs = 900;
+
+interface KnownOwner {
+    readonly row: OwnerRow;
+    readonly version: number;
+}
+
+/**
+ * Starts a member; it enters itself in the store and watches from then on.
+ *
+ * @example
+ * const member = startCellMember({ clock, log, meter, random, settings, self, store, workers, advisor, members, platform });
+ * await member.submit(submission, 2_000);
+ */
+export const startCellMember = (options: CellMemberOptions): CellMember => {
+    const { clock, log, meter, settings, self, store, members, platform } = options;
+    const peers = new Map<string, MemberRow>();
+    const peerAnsweredAtMs = new Map<string, number>();
+    let workerWatch: TableWatch | undefined;
+    let configuration: CellConfiguration | undefined;
+    let knownOwner: KnownOwner | undefined;
+    let ownerRead = false;
+    let owner: ShardOwner | undefined;
+    let claiming = false;
+    let stopping = false;
+    let ownerLostAtMs: number | undefined;
+    let silentPings = 0;
+    let ownerAnsweredAtMs = -Infinity;
+    let pendingCounts: { readonly counts: Readonly<Record<string, number>>; readonly atMs: number; } | undefined;
+    const wakers = new Set<() => void>();
+
+    const adopt = (next: CellConfiguration, source: string): void => {
+        if (configuration !== undefined && next.version <= configuration.version) {
+            return;
+        }
+        log.write("info", "configurationInForce", { version: next.version, from: configuration?.version, source });
+        configuration = next;
+        owner?.updateConfiguration(next);
+    };
+
+    const learnOwner = (row: Row): void => {
+        if (row.value === undefined || row.version <= (knownOwner?.version ?? 0)) {
+            return;
+        }
+        knownOwner = { row: JSON.parse(row.value) as OwnerRow, version: row.version };
+        silentPings = 0;
+        ownerLostAtMs = undefined;
+        log.write("info", "ownerKnown", { owner: knownOwner.row.memberId, fencingToken: row.version });
+        if (owner !== undefined && row.version > owner.fencingToken) {
+            loseShard("ownerRow");
+        }
+        for (const waker of wakers) {
+            waker();
+        }
+        wakers.clear();
+    };
+
+    const loseShard = (reason: string): void => {
+        if (owner === undefined) {
+            return;
+        }
+        log.write("warn", "shardLost", { reason, fencingToken: owner.fencingToken });
+        owner.close();
+        owner = undefined;
+        workerWatch?.stop();
+    };
+
+    const liveLanes = (): readonly string[] => {
+        const nowMs = clock.monotonicMs();
+        const live = [...peers.keys()].filter(id => nowMs - (peerAnsweredAtMs.get(id) ?? -Infinity) < 3 * pingIntervalMs);
+        return [self.memberId, ...live];
+    };
+
+    /** Follows the platform's list of workers for as long as this daemon owns the shard. */
+    const watchWorkers = (shard: ShardOwner): TableWatch => {
+        const entries = new Map<string, WorkerEntry>();
+        let readOnce = false;
+        const tell = (): void => {
+            if (owner === shard) {
+                shard.updateWorkers([...entries.values()]);
+            }
+        };
+        return watchTable({
+            clock,
+            log,
+            store,
+            table: platform.workerTable,
+            parts: [""],
+            pauseMs: workerListPauseMs,
+            onRows: rows => {
+                for (const row of rows) {
+                    const entry = platform.readWorker(row);
+                    if (entry === undefined) {
+                        entries.delete(row.key);
+                    }
+                    else {
+                        entries.set(row.key, entry);
+                    }
+                }
+                if (readOnce) {
+                    tell();
+                }
+            },
+            onWhole: keys => {
+                readOnce = true;
+                for (const workerId of [...entries.keys()]) {
+                    if (!keys.has(workerId)) {
+                        entries.delete(workerId);
+                    }
+                }
+                tell();
+            },
+        });
+    };
+
+    const claim = async (seenVersion: number, why: string): Promise<boolean> => {
+        if (claiming || stopping) {
+            return false;
+        }
+        claiming = true;
+        const startedAtMs = clock.monotonicMs();
+        const claimId = `${self.memberId}/${self.incarnation}/${Math.floor(options.random.next() * 1e9)}`;
+        log.write("info", "claimBegins", { part, seenVersion, why });
+        try {
+            const claimed = await claimShard({
+                clock,
+                log,
+                store,
+                part,
+                owner: { ...self, claimId },
+                seenVersion,
+                wanted: () => !stopping && (knownOwner?.version ?? 0) <= seenVersion
+                    || knownOwner?.row.claimId === claimId,
+            });
+            if (claimed === undefined) {
+                log.write("info", "claimLost", { part, seenVersion });
+                return false;
+            }
+            knownOwner = { row: { ...self, claimId }, version: claimed.fencingToken };
+            owner = startShardOwner({
+                clock,
+                log,
+                meter,
+                settings,
+                store,
+                workers: options.workers,
+                part,
+                claimId,
+                claimed,
+                adviceLanes: liveLanes,
+                callAdvice: (laneId, request) => {
+                    const peer = peers.get(laneId);
+                    return laneId === self.memberId || peer === undefined
+                        ? options.advisor.advise(request)
+                        : members.call(peer.address, "advise", request, request.timeoutMs);
+                },
+                onFenced: reason => {
+                    log.write("warn", "shardLost", { reason, fencingToken: claimed.fencingToken });
+                    owner = undefined;
+                    workerWatch?.stop();
+                },
+            });
+            meter.record("takeoverMs", clock.monotonicMs() - startedAtMs);
+            log.write("info", "claimed", { part, fencingToken: claimed.fencingToken, tookMs: clock.monotonicMs() - startedAtMs });
+            if (configuration !== undefined) {
+                owner.updateConfiguration(configuration);
+            }
+            workerWatch = watchWorkers(owner);
+            return true;
+        }
+        finally {
+            claiming = false;
+        }
+    };
+
+    const forEachLost = async <T>(run: () => Promise<T>): Promise<T | undefined> => {
+        try {
+            return await run();
+        }
+        catch (error) {
+            log.write("debug", "peerSilent", { reason: failureOf(error).message });
+            return undefined;
+        }
+    };
+
+    /** Whether a peer had an answer from the owner within the last moments; then the fault is on this side. */
+    const peersSeeOwner = async (version: number): Promise<{ readonly seen: boolean; readonly answered: number; }> => {
+        const answers = await Promise.all([...peers.values()].filter(peer => peer.memberId !== knownOwner?.row.memberId)
+            .map(peer => forEachLost(() => members.call(peer.address, "ping", { from: self.memberId }, pingTimeoutMs))));
+        const answered = answers.filter(answer => answer !== undefined);
+        return { seen: version > 0 && answered.some(answer => answer.seenOwnerToken === version), answered: answered.length };
+    };
+
+    const rankOf = (version: number): number => {
+        const score = (id: string): number => hash(`${version}|${id}`);
+        const mine = score(self.memberId);
+        return liveLanes().filter(id => id !== knownOwner?.row.memberId && score(id) > mine).length;
+    };
+
+    const considerClaim = async (why: string): Promise<void> => {
+        if (claiming || stopping || owner !== undefined || !ownerRead) {
+            return;
+        }
+        const version = knownOwner?.version ?? 0;
+        ownerLostAtMs ??= clock.monotonicMs();
+        const lostForMs = clock.monotonicMs() - ownerLostAtMs;
+        if (lostForMs < rankOf(version) * rankDelayMs) {
+            return;
+        }
+        const { seen, answered } = await peersSeeOwner(version);
+        if (seen) {
+            ownerLostAtMs = clock.monotonicMs();
+            return;
+        }
+        const others = Math.max(0, peers.size - 1);
+        if (2 * answered < others && lostForMs < minorityDelayMs) {
+            return;
+        }
+        if ((knownOwner?.version ?? 0) === version && owner === undefined) {
+            await claim(version, why);
+        }
+    };
+
+    const storeIsQuick = async (): Promise<boolean> => {
+        const startedAtMs = clock.monotonicMs();
+        const page = await forEachLost(() => store.read(ownerTable, part));
+        for (const row of page?.rows ?? []) {
+            if (row.key === ownerKey) {
+                learnOwner(row);
+            }
+        }
+        return page !== undefined && clock.monotonicMs() - startedAtMs < quickReadMs;
+    };
+
+    const takePing = (answer: PingAnswer): void => {
+        ownerAnsweredAtMs = clock.monotonicMs();
+        silentPings = 0;
+        ownerLostAtMs = undefined;
+        pendingCounts = { counts: answer.pending, atMs: clock.monotonicMs() };
+    };
+
+    const pingOwner = async ({ row, version }: KnownOwner): Promise<void> => {
+        const startedAtMs = clock.monotonicMs();
+        try {
+            const answer = await members.call(row.address, "ping", { from: self.memberId }, pingTimeoutMs);
+            peerAnsweredAtMs.set(row.memberId, clock.monotonicMs());
+            if (knownOwner?.version !== version) {
+                return;
+            }
+            if (answer.configurationVersion > (configuration?.version ?? 0)) {
+                void fetchConfiguration(row.address);
+            }
+            if (answer.ownedToken === version) {
+                takePing(answer);
+                if (answer.storeStalledMs > stalledOwnerMs && await storeIsQuick()) {
+                    await considerClaim("ownerStalled");
+                }
+                return;
+            }
+            // The process is another one, or gave the shard up; a claim under way shows no token yet.
+            if (answer.incarnation !== row.incarnation || clock.monotonicMs() - startedAtMs < pingTimeoutMs) {
+                silentPings += 1;
+            }
+        }
+        catch (error) {
+            silentPings += kindOf(error) === "unavailable" ? 2 : 1;
+        }
+        if (knownOwner?.version === version && silentPings >= silentPingsToClaim) {
+            await considerClaim("ownerSilent");
+        }
+    };
+
+    const fetchConfiguration = async (address: string): Promise<void> => {
+        const next = await forEachLost(() =>
+            members.call(address, "configuration", { from: self.memberId }, pingTimeoutMs)
+        );
+        if (next !== undefined) {
+            adopt(next, "peer");
+        }
+    };
+
+    const pingPeers = (): void => {
+        for (const peer of peers.values()) {
+            if (peer.memberId === knownOwner?.row.memberId && owner === undefined) {
+                continue;
+            }
+            void forEachLost(async () => {
+                const answer = await members.call(peer.address, "ping", { from: self.memberId }, pingTimeoutMs);
+                peerAnsweredAtMs.set(peer.memberId, clock.monotonicMs());
+                if (answer.configurationVersion > (configuration?.version ?? 0)) {
+                    await fetchConfiguration(peer.address);
+                }
+            });
+        }
+        owner?.wake();
+    };
+
+    /** The owner pings everyone, since its peers are its lanes to the advisor; the others ping the owner. */
+    const watchOwner = async (): Promise<void> => {
+        let rounds = 0;
+        while (!stopping) {
+            rounds += 1;
+            if (owner !== undefined) {
+                pendingCounts = { counts: owner.pending(), atMs: clock.monotonicMs() };
+                if (rounds % 2 === 0) {
+                    pingPeers();
+                }
+            }
+            else if (ownerRead && !claiming) {
+                if (knownOwner === undefined || knownOwner.row.memberId === self.memberId) {
+                    await considerClaim(knownOwner === undefined ? "noOwner" : "restarted");
+                }
+                else {
+                    await pingOwner(knownOwner);
+                }
+                if (rounds % 10 === 0) {
+                    pingPeers();
+                }
+            }
+            await sleep(clock, pingIntervalMs);
+        }
+    };
+
+    const enterSelf = async (): Promise<void> => {
+        const row = { table: memberTable, part: "", key: self.memberId };
+        while (!stopping) {
+            const result = await store.transact({
+                expect: [],
+                puts: [{ ...row, value: JSON.stringify(self) }],
+                removes: [],
+            });
+            if (result.outcome === "committed") {
+                return;
+            }
+            await sleep(clock, 300);
+        }
+    };
+
+    const watches = [
+        watchTable({
+            clock,
+            log,
+            store,
+            table: ownerTable,
+            parts: [part],
+            onRows: rows => {
+                for (const row of rows.filter(each => each.part === part && each.key === ownerKey)) {
+                    learnOwner(row);
+                }
+            },
+            onWhole: () => {
+                ownerRead = true;
+            },
+        }),
+        watchTable({
+            clock,
+            log,
+            store,
+            table: memberTable,
+            parts: [""],
+            onRows: rows => {
+                for (const row of rows) {
+                    if (row.value === undefined) {
+                        peers.delete(row.key);
+                    }
+                    else if (row.key !== self.memberId) {
+                        peers.set(row.key, JSON.parse(row.value) as MemberRow);
+                    }
+                }
+            },
+            onWhole: () => {},
+        }),
+        watchTable({
+            clock,
+            log,
+            store,
+            table: platform.configurationTable,
+            parts: [""],
+            onRows: rows => {
+                const next = platform.readConfiguration(rows);
+                if (next !== undefined) {
+                    adopt(next, "store");
+                }
+            },
+            onWhole: () => {},
+        }),
+    ];
+
+    void enterSelf();
+    void watchOwner();
+
+    const ownerChange = (waitMs: number): Promise<void> =>
+        new Promise(resolve => {
+            const end = (): void => {
+                cancel();
+                wakers.delete(end);
+                resolve();
+            };
+            const cancel = clock.setTimer(waitMs, end);
+            wakers.add(end);
+        });
+
+    interface Forward<T> {
+        readonly local: (shard: ShardOwner) => Promise<T>;
+        readonly remote: (address: string, timeoutMs: number) => Promise<T>;
+        readonly patienceMs: number;
+    }
+
+    /** Tries the owner until it answers; what may have had an effect is repeated, since a resend is the same. */
+    const forward = async <T>({ local, remote, patienceMs }: Forward<T>): Promise<T> => {
+        const startedAtMs = clock.monotonicMs();
+        let unknown = false;
+        for (;;) {
+            const leftMs = startedAtMs + patienceMs - clock.monotonicMs();
+            try {
+                if (owner !== undefined) {
+                    return await local(owner);
+                }
+                if (knownOwner !== undefined && knownOwner.row.memberId !== self.memberId) {
+                    return await remote(knownOwner.row.address, Math.max(1, Math.min(forwardTimeoutMs, leftMs)));
+                }
+            }
+            catch (error) {
+                const failure = failureOf(error);
+                unknown ||= failure.kind === "mayHaveRun";
+                if (!unknown && failure.kind !== "unavailable") {
+                    throw error;
+                }
+            }
+            const waitedMs = clock.monotonicMs() - startedAtMs;
+            if (waitedMs + forwardPauseMs >= (unknown ? patienceMs : Math.min(patienceMs, ownerPatienceMs))) {
+                return unknown
+                    ? die("mayHaveRun", "the owner of the shard gave no answer")
+                    : die("notAccepted", "no owner of the shard can be reached", { retryAfterMs: settings.retryAfterMs });
+            }
+            await ownerChange(forwardPauseMs);
+        }
+    };
+
+    const owned = (): ShardOwner => owner ?? die("unavailable", "this daemon does not own the shard");
+
+    return {
+        configuration: () => configuration,
+        ready: () => !stopping && configuration !== undefined,
+        submit: (submission, patienceMs) =>
+            forward({
+                local: shard => shard.submit(submission),
+                remote: async (address, timeoutMs) => {
+                    await members.call(address, "submit", submission, timeoutMs);
+                },
+                patienceMs,
+            }),
+        jobState: (queueKey, jobId, patienceMs) =>
+            forward({
+                local: async shard => shard.jobState(jobId),
+                remote: async (address, timeoutMs) =>
+                    (await members.call(address, "jobState", { queueKey, jobId }, timeoutMs)).state,
+                patienceMs,
+            }),
+        cancel: (queueKey, jobId, patienceMs) =>
+            forward({
+                local: shard => shard.cancel(jobId),
+                remote: async (address, timeoutMs) =>
+                    (await members.call(address, "cancelJob", { queueKey, jobId }, timeoutMs)).known,
+                patienceMs,
+            }),
+        pending: queueKey =>
+            pendingCounts === undefined || clock.monotonicMs() - pendingCounts.atMs > countsFreshMs
+                ? undefined
+                : pendingCounts.counts[queueKey] ?? 0,
+        handlers: {
+            ping: async () => ({
+                incarnation: self.incarnation,
+                ownedToken: owner?.fencingToken ?? 0,
+                storeStalledMs: owner?.stalledMs() ?? 0,
+                configurationVersion: configuration?.version ?? 0,
+                pending: owner?.pending() ?? {},
+                seenOwnerToken: owner?.fencingToken
+                    ?? (clock.monotonicMs() - ownerAnsweredAtMs < 2 * pingTimeoutMs ? knownOwner?.version ?? 0 : 0),
+                stopping,
+            }),
+            submit: async submission => {
+                await owned().submit(submission);
+                return { accepted: true };
+            },
+            jobState: async ({ jobId }) => ({ state: owned().jobState(jobId) }),
+            cancelJob: async ({ jobId }) => ({ known: await owned().cancel(jobId) }),
+            advise: request => options.advisor.advise(request),
+            configuration: async () => configuration ?? die("unavailable", "no configuration is known yet"),
+            handOver: async ({ token }) => ({ claimed: await claim(token, "handOver") }),
+        },
+        ownsShard: () => owner !== undefined,
+        stop: async () => {
+            const shard = owner;
+            if (shard !== undefined) {
+                await Promise.race([shard.idle(), sleep(clock, pingTimeoutMs)]);
+                for (const peerId of liveLanes().filter(id => id !== self.memberId)) {
+                    const peer = peers.get(peerId);
+                    if (peer === undefined) {
+                        continue;
+                    }
+                    const answer = await forEachLost(() =>
+                        members.call(peer.address, "handOver", { token: shard.fencingToken }, 2 * pingTimeoutMs)
+                    );
+                    log.write("info", "handOver", { to: peerId, claimed: answer?.claimed ?? false });
+                    if (answer?.claimed === true) {
+                        break;
+                    }
+                }
+                loseShard("stopping");
+            }
+            stopping = true;
+            for (const watch of watches) {
+                watch.stop();
+            }
+        },
+    };
+};
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -0,0 +1,135 @@
+/** Which worker takes a task: what must hold, and what is better. */
+
+import { fits, type Resources } from "../../types/resources.js";
+import type { Step } from "../../types/work.js";
+import type { ShardStep, ShardTask } from "./jobBook.js";
+import { isOpen, roomOf, type ShardWorker } from "./workerTable.js";
+
+/** A ticket that is about to end might be refused on arrival. */
+const ticketMarginMs = 120;
+
+/** What a task of a step holds of a worker: tasks that fill use processors that others leave unused. */
+export const heldBy = ({ size, fills }: Step): Resources => fills ? { ...size, cpuMillis: 0 } : size;
+
+/**
+ * Counts a step's live runs on a worker.
+ *
+ * @example
+ * runsOnWorker(step, "i-7f3a91c2"); // 0
+ */
+export const runsOnWorker = (step: ShardStep, workerId: string): number => {
+    let count = 0;
+    for (const task of step.tasks) {
+        for (const run of task.runs) {
+            count += run.workerId === workerId ? 1 : 0;
+        }
+    }
+    return count;
+};
+
+/**
+ * Gives the ticket that a start of the step must show: empty where none is needed, undefined where there is none.
+ *
+ * @example
+ * ticketFor(step, "i-7f3a91c2", clock.monotonicMs());
+ */
+export const ticketFor = (step: ShardStep, workerId: string, nowMs: number): string | undefined => {
+    if (step.occurrence.job.queue.advice === undefined) {
+        return "";
+    }
+    const good = step.advice.good.get(workerId);
+    return good !== undefined && good.validUntilMs - ticketMarginMs > nowMs ? good.ticket : undefined;
+};
+
+/**
+ * Tells whether a worker could ever run the step: service, label and capacity.
+ *
+ * @example
+ * suits(worker, step);
+ */
+export const suits = ({ entry }: ShardWorker, { spec, occurrence }: ShardStep): boolean =>
+    entry.service === occurrence.job.queue.service
+    && (spec.requiredLabel === "" || entry.labels.includes(spec.requiredLabel))
+    && fits(heldBy(spec), entry.capacity);
+
+/** Share of processors that would be free after the task; workers with much room first spreads the harm of a loss. */
+const spareShare = (worker: ShardWorker, held: Resources): number =>
+    (roomOf(worker).cpuMillis - held.cpuMillis) / Math.max(1, worker.entry.capacity.cpuMillis);
+
+/** Preferences outweigh the spread: a data rack saves half the run time, a worker that failed the task may do so again. */
+const dataRackBonus = 1;
+const failedPenalty = 4;
+const streakPenalty = 0.5;
+/** Tasks that fill and tasks that serve disturb each other. */
+const disturbancePenalty = 2;
+
+const hasServing = (worker: ShardWorker): boolean =>
+    [...worker.runs.values()].some(run => run.task.step.spec.latencyObjectiveMs > 0);
+const hasFilling = (worker: ShardWorker): boolean => [...worker.runs.values()].some(run => run.task.step.spec.fills);
+
+const score = (worker: ShardWorker, task: ShardTask, held: Resources): number => {
+    const { spec } = task.step;
+    let value = spareShare(worker, held);
+    if (spec.dataRack !== "" && worker.entry.rack === spec.dataRack) {
+        value += dataRackBonus;
+    }
+    if (task.failedOn.has(worker.workerId)) {
+        value -= failedPenalty;
+    }
+    value -= streakPenalty * worker.failuresInARow;
+    if (spec.fills && hasServing(worker)) {
+        value -= disturbancePenalty;
+    }
+    if (spec.latencyObjectiveMs > 0 && hasFilling(worker)) {
+        value -= disturbancePenalty;
+    }
+    return value;
+};
+
+/** What limits a choice. */
+export interface ChoiceLimits {
+    readonly nowMs: number;
+    /** Racks that the task must stay on; undefined for any. */
+    readonly rack?: string;
+    /** Workers that may not be chosen. */
+    readonly except?: ReadonlySet<string>;
+}
+
+/**
+ * Chooses a worker with room for a task now; undefined where there is none.
+ *
+ * @example
+ * const worker = chooseWorker(task, workers.values(), { nowMs: clock.monotonicMs() });
+ */
+export const chooseWorker = (
+    task: ShardTask,
+    workers: Iterable<ShardWorker>,
+    { nowMs, rack, except }: ChoiceLimits,
+): ShardWorker | undefined => {
+    const { step } = task;
+    const held = heldBy(step.spec);
+    let best: ShardWorker | undefined;
+    let bestScore = -Infinity;
+    for (const worker of workers) {
+        if (!isOpen(worker, nowMs) || !suits(worker, step) || except?.has(worker.workerId) === true) {
+            continue;
+        }
+        if (rack !== undefined && worker.entry.rack !== rack) {
+            continue;
+        }
+        if (!fits(held, roomOf(worker)) || ticketFor(step, worker.workerId, nowMs) === undefined) {
+            continue;
+        }
+        const { maxPerWorker } = step.spec;
+        if (maxPerWorker > 0 && runsOnWorker(step, worker.workerId) >= maxPerWorker) {
+            continue;
+        }
+        const value = score(worker, task, held);
+        if (value > bestScore) {
+            best = worker;
+            bestScore = value;
+        }
+    }
+    return best;
+};
+
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/claimShard.ts
@@ -0,0 +1,108 @@
+/** Claiming a shard: one conditional write of its owner's row, whose version is the fencing token, then its rows. */
+
+import type { OwnerRow, Row, RowStore } from "../../types/cellPorts.js";
+import type { Clock, Log } from "../../types/ports.js";
+import { failureOf } from "../../utils/errors.js";
+import { sleep } from "../../utils/time.js";
+import { journalTable, ownerKey, ownerTable, sequenceKey } from "./commitLog.js";
+
+/** What a claim needs. */
+export interface ClaimOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly store: RowStore;
+    readonly part: string;
+    readonly owner: OwnerRow;
+    /** Version of the owner's row that this claim replaces; 0 where there is none. */
+    readonly seenVersion: number;
+    /** False once the claim is of no use any more. */
+    readonly wanted: () => boolean;
+}
+
+/** A shard that was claimed, with all its rows. */
+export interface ClaimedShard {
+    readonly fencingToken: number;
+    readonly sequenceVersion: number;
+    readonly rows: readonly Row[];
+}
+
+const retryPauseMs = 60;
+
+/** Reads the owner's row to learn whether a claim without an answer took effect. */
+const settleClaim = async ({ store, part, owner }: ClaimOptions): Promise<number | undefined> => {
+    const { rows } = await store.read(ownerTable, part);
+    const row = rows.find(each => each.key === ownerKey);
+    if (row?.value === undefined) {
+        return undefined;
+    }
+    return (JSON.parse(row.value) as OwnerRow).claimId === owner.claimId ? row.version : undefined;
+};
+
+const writeClaim = async (options: ClaimOptions): Promise<number | undefined> => {
+    const { clock, log, store, part, owner, seenVersion, wanted } = options;
+    const key = { table: ownerTable, part, key: ownerKey };
+    while (wanted()) {
+        const result = await store.transact({
+            expect: [{ ...key, version: seenVersion }],
+            puts: [{ ...key, value: JSON.stringify(owner) }],
+            removes: [],
+        });
+        if (result.outcome === "committed") {
+            return result.version;
+        }
+        if (result.outcome === "conflict") {
+            // An earlier try may have taken effect although its answer was lost.
+            try {
+                return await settleClaim(options);
+            }
+            catch (error) {
+                log.write("warn", "claimUnsettled", { part, reason: failureOf(error).message });
+            }
+        }
+        else {
+            log.write("warn", "claimDelayed", { part, outcome: result.outcome, reason: result.reason });
+        }
+        await sleep(clock, retryPauseMs);
+    }
+    return undefined;
+};
+
+const readRows = async ({ clock, log, store, part, wanted }: ClaimOptions): Promise<readonly Row[] | undefined> => {
+    const rows: Row[] = [];
+    let fromKey: string | undefined;
+    while (wanted()) {
+        try {
+            const page = await store.read(journalTable, part, fromKey);
+            rows.push(...page.rows);
+            if (!page.more) {
+                return rows;
+            }
+            // The least key after the last one.
+            fromKey = `${page.rows.at(-1)?.key ?? ""}\u0001`;
+        }
+        catch (error) {
+            log.write("warn", "shardReadDelayed", { part, reason: failureOf(error).message });
+            await sleep(clock, retryPauseMs);
+        }
+    }
+    return undefined;
+};
+
+/**
+ * Claims a shard; undefined where another daemon has it by now. What a former owner still sends is refused from then on.
+ *
+ * @example
+ * const claimed = await claimShard({ clock, log, store, part: "shard-0", owner, seenVersion, wanted: () => true });
+ */
+export const claimShard = async (options: ClaimOptions): Promise<ClaimedShard | undefined> => {
+    const fencingToken = await writeClaim(options);
+    if (fencingToken === undefined) {
+        return undefined;
+    }
+    const rows = await readRows(options);
+    if (rows === undefined) {
+        return undefined;
+    }
+    const sequence = rows.find(row => row.key === sequenceKey);
+    return { fencingToken, sequenceVersion: sequence?.version ?? 0, rows };
+};
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -0,0 +1,210 @@
+/**
+ * Group commit of a shard: one transaction at a time for everything that changed while the last one was under way. Each
+ * is conditional on the owner's row, which fences a replaced owner, and on a sequence row, so that a copy that takes
+ * effect late cannot bring old rows back.
+ */
+
+import type { Clock, Log, Meter } from "../../types/ports.js";
+import type { Row, RowStore, RowTransaction } from "../../types/cellPorts.js";
+import { sleep } from "../../utils/time.js";
+
+/** Table of a shard's jobs; the part is the shard's name. */
+export const journalTable = "puffinarch-journal";
+/** Table of the owners of shards. */
+export const ownerTable = "puffinarch-owner";
+/** Key of the owner's row in the shard's part. */
+export const ownerKey = "owner";
+/** Key of the row that orders commits. */
+export const sequenceKey = "sequence";
+
+/** Most rows that a batch puts; the store takes 100 entries a call, three of them conditions and the sequence. */
+const maxBatchRows = 90;
+/** Most bytes of values in a batch; the store takes 1 MB a call, and base64 adds a third. */
+const maxBatchBytes = 600_000;
+/** Pause after a refusal, doubled up to the longest one; refused calls are priced. */
+const firstPauseMs = 25;
+const longestPauseMs = 200;
+
+/** Rows that a change puts and removes. */
+export interface RowChange {
+    readonly puts: readonly { readonly key: string; readonly value: string; }[];
+    readonly removes: readonly string[];
+}
+
+/** What a commit log needs. */
+export interface CommitLogOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly meter: Meter;
+    readonly store: RowStore;
+    readonly part: string;
+    /** Version of the owner's row, which is the fencing token. */
+    readonly ownerVersion: number;
+    /** Version of the sequence row as it was read; 0 for none. */
+    readonly sequenceVersion: number;
+    /** Tells this owner's batches from all others. */
+    readonly claimId: string;
+    /** Rows that keep a job as it is now. */
+    readonly encode: (jobId: string) => RowChange;
+    /** Another owner has the shard; called once. */
+    readonly onFenced: () => void;
+}
+
+/** Makes changed jobs durable. */
+export interface CommitLog {
+    /** Resolves once the job as it is now is durable; never resolves after a fence or a stop. */
+    commit(jobId: string): Promise<void>;
+    /** Milliseconds since the batch under way was first sent; 0 at rest. */
+    stalledMs(): number;
+    /** Resolves when nothing waits to be written any more. */
+    idle(): Promise<void>;
+    stop(): void;
+}
+
+interface Batch {
+    readonly id: string;
+    readonly transaction: RowTransaction;
+    readonly waiting: readonly (() => void)[];
+}
+
+/**
+ * Makes the commit log of a shard's owner.
+ *
+ * @example
+ * const commits = createCommitLog({ clock, log, meter, store, part, ownerVersion, sequenceVersion, claimId, encode, onFenced });
+ * await commits.commit("5c0e7a21d94b36f8");
+ */
+export const createCommitLog = (options: CommitLogOptions): CommitLog => {
+    const { clock, log, meter, store, part, ownerVersion, claimId, encode, onFenced } = options;
+    const dirty = new Map<string, (() => void)[]>();
+    let idleWaiting: (() => void)[] = [];
+    let sequenceVersion = options.sequenceVersion;
+    let batches = 0;
+    let running = false;
+    let stopped = false;
+    let sentAtMs: number | undefined;
+
+    const takeBatch = (): Batch => {
+        const id = `${claimId}/${batches}`;
+        batches += 1;
+        const puts: { table: string; part: string; key: string; value: string; }[] = [];
+        const removes: { table: string; part: string; key: string; }[] = [];
+        const waiting: (() => void)[] = [];
+        let bytes = 0;
+        for (const [jobId, resolvers] of dirty) {
+            if (puts.length + removes.length >= maxBatchRows || bytes >= maxBatchBytes) {
+                break;
+            }
+            dirty.delete(jobId);
+            waiting.push(...resolvers);
+            const change = encode(jobId);
+            for (const { key, value } of change.puts) {
+                puts.push({ table: journalTable, part, key, value });
+                bytes += value.length;
+            }
+            for (const key of change.removes) {
+                removes.push({ table: journalTable, part, key });
+            }
+        }
+        puts.push({ table: journalTable, part, key: sequenceKey, value: JSON.stringify({ batch: id }) });
+        meter.record("commitRows", puts.length);
+        meter.count("commitBytes", bytes);
+        const expect = [
+            { table: ownerTable, part, key: ownerKey, version: ownerVersion },
+            { table: journalTable, part, key: sequenceKey, version: sequenceVersion },
+        ];
+        return { id, transaction: { expect, puts, removes }, waiting };
+    };
+
+    /** After a conflict: the version at which an earlier try took effect; undefined where the shard is another's. */
+    const settledVersion = (rows: readonly Row[], id: string): number | undefined => {
+        const owner = rows.find(row => row.table === ownerTable);
+        const sequence = rows.find(row => row.table === journalTable && row.key === sequenceKey);
+        if (owner?.version !== ownerVersion || sequence?.value === undefined) {
+            return undefined;
+        }
+        return sequence.value === JSON.stringify({ batch: id }) ? sequence.version : undefined;
+    };
+
+    const write = async ({ id, transaction }: Batch): Promise<boolean> => {
+        let pauseMs = firstPauseMs;
+        while (!stopped) {
+            const result = await store.transact(transaction);
+            meter.count(`commits.${result.outcome}`);
+            if (result.outcome === "committed") {
+                sequenceVersion = result.version;
+                return true;
+            }
+            if (result.outcome === "conflict") {
+                const version = settledVersion(result.rows, id);
+                if (version === undefined) {
+                    log.write("warn", "commitFenced", { part, batch: id, ownerVersion, found: result.rows.length });
+                    return false;
+                }
+                sequenceVersion = version;
+                return true;
+            }
+            log.write("warn", "commitDelayed", { part, batch: id, outcome: result.outcome, reason: result.reason });
+            await sleep(clock, pauseMs);
+            pauseMs = Math.min(longestPauseMs, 2 * pauseMs);
+        }
+        return false;
+    };
+
+    const drain = async (): Promise<void> => {
+        running = true;
+        while (dirty.size > 0 && !stopped) {
+            sentAtMs = clock.monotonicMs();
+            const batch = takeBatch();
+            const written = await write(batch);
+            if (stopped) {
+                return;
+            }
+            if (!written) {
+                stopped = true;
+                onFenced();
+                return;
+            }
+            meter.record("commitMs", clock.monotonicMs() - sentAtMs);
+            sentAtMs = undefined;
+            for (const resolve of batch.waiting) {
+                resolve();
+            }
+            // Lets those who waited mark more jobs, so that the next batch has them.
+            await Promise.resolve();
+        }
+        running = false;
+        for (const resolve of idleWaiting) {
+            resolve();
+        }
+        idleWaiting = [];
+    };
+
+    return {
+        commit: jobId =>
+            new Promise(resolve => {
+                const resolvers = dirty.get(jobId);
+                if (resolvers === undefined) {
+                    dirty.set(jobId, [resolve]);
+                }
+                else {
+                    resolvers.push(resolve);
+                }
+                if (!running && !stopped) {
+                    running = true;
+                    // One turn later, so that all changes of one event share a batch.
+                    queueMicrotask(() => void drain());
+                }
+            }),
+        stalledMs: () => sentAtMs === undefined ? 0 : clock.monotonicMs() - sentAtMs,
+        idle: () =>
+            running && !stopped
+                ? new Promise(resolve => {
+                    idleWaiting.push(resolve);
+                })
+                : Promise.resolve(),
+        stop: () => {
+            stopped = true;
+        },
+    };
+};
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -0,0 +1,328 @@
+/** Jobs of one shard in memory: their occurrences, steps, tasks and live runs, and the changes between their states. */
+
+import type { RunEnd } from "../../types/cellPorts.js";
+import type { Resources } from "../../types/resources.js";
+import {
+    formatTaskName,
+    type JobState,
+    jobStates,
+    type JobSubmission,
+    type Queue,
+    type Step,
+    type TaskName,
+} from "../../types/work.js";
+
+/** Phases of a run, from its plan to its end. */
+export const runPhases = {
+    /** Reserved; its intent is not durable yet and nothing was sent. */
+    planned: "planned",
+    /** The order was sent and may have been carried out. */
+    starting: "starting",
+    /** The worker has answered that it runs. */
+    running: "running",
+    /** A stop is under way; its room is held until the worker lists the end. */
+    stopping: "stopping",
+} as const;
+/** One of `runPhases`. */
+export type RunPhase = (typeof runPhases)[keyof typeof runPhases];
+
+/** One attempt at a task that holds room on a worker. */
+export interface ShardRun {
+    readonly task: ShardTask;
+    readonly run: number;
+    readonly workerId: string;
+    /** What it holds of the worker's capacity. */
+    readonly held: Resources;
+    phase: RunPhase;
+    /** Local time from which a look that does not list it proves that it is gone; undefined before an answer. */
+    settledAtMs: number | undefined;
+    /** Local time at which the worker first showed it at work. */
+    startedAtMs: number | undefined;
+    /** Latest share of the processor and progress that a look showed. */
+    percent: number;
+    figure: number;
+}
+
+/** One task of a step. */
+export interface ShardTask {
+    readonly step: ShardStep;
+    readonly index: number;
+    readonly name: string;
+    done: boolean;
+    /** Highest run number used so far. */
+    lastRun: number;
+    failures: number;
+    checkpoint: string;
+    readonly runs: ShardRun[];
+    /** Workers on which it failed. */
+    readonly failedOn: Set<string>;
+}
+
+/** Answers of the advisor for one step. */
+export interface StepAdvice {
+    /** Workers that were named in a call. */
+    readonly asked: Set<string>;
+    /** Workers that may run the step, which does not change, and their newest tickets. */
+    readonly good: Map<string, { ticket: string; validUntilMs: number; }>;
+    inFlight: boolean;
+    /** No call before this local time. */
+    notBeforeMs: number;
+}
+
+/** One step of one occurrence. */
+export interface ShardStep {
+    readonly occurrence: ShardOccurrence;
+    readonly number: number;
+    readonly spec: Step;
+    readonly tasks: readonly ShardTask[];
+    /** Tasks that are not done. */
+    open: number;
+    /** Gangs: runs of the whole gang that failed, and the newest run that was counted so. */
+    gangFailures: number;
+    gangFailedRun: number;
+    readonly advice: StepAdvice;
+    /** Local time at which it became ready. */
+    readyAtMs: number;
+}
+
+/** One occurrence of a job's steps. */
+export interface ShardOccurrence {
+    readonly job: ShardJob;
+    readonly number: number;
+    readonly steps: readonly ShardStep[];
+}
+
+/** One job. */
+export interface ShardJob {
+    readonly submission: JobSubmission;
+    queue: Queue;
+    /** Milliseconds since the Unix epoch. */
+    readonly acceptedAtMs: number;
+    /** Order of acceptance within the shard's life. */
+    readonly order: number;
+    readonly occurrences: Map<number, ShardOccurrence>;
+    /** Occurrences that are done, and therefore no longer kept. */
+    readonly doneOccurrences: Set<number>;
+    state: JobState;
+    started: boolean;
+    endedAtMs: number | undefined;
+    /** What callers may see; undefined before the acceptance is durable. */
+    shown: JobState | undefined;
+    /** True once the submission's own row is durable. */
+    stored: boolean;
+}
+
+const newTask = (step: ShardStep, name: TaskName): ShardTask => ({
+    step,
+    index: name.index,
+    name: formatTaskName(name),
+    done: false,
+    lastRun: 0,
+    failures: 0,
+    checkpoint: "",
+    runs: [],
+    failedOn: new Set(),
+});
+
+const newStep = (occurrence: ShardOccurrence, number: number, spec: Step): ShardStep => {
+    const tasks: ShardTask[] = [];
+    const step: ShardStep = {
+        occurrence,
+        number,
+        spec,
+        tasks,
+        open: spec.count,
+        gangFailures: 0,
+        gangFailedRun: 0,
+        advice: { asked: new Set(), good: new Map(), inFlight: false, notBeforeMs: 0 },
+        readyAtMs: 0,
+    };
+    for (let index = 0; index < spec.count; index += 1) {
+        const { jobId } = occurrence.job.submission;
+        tasks.push(newTask(step, { jobId, occurrence: occurrence.number, step: number, index }));
+    }
+    return step;
+};
+
+/**
+ * Opens an occurrence of a job with all its tasks waiting.
+ *
+ * @example
+ * openOccurrence(job, 0).steps.length;
+ */
+export const openOccurrence = (job: ShardJob, number: number): ShardOccurrence => {
+    const steps: ShardStep[] = [];
+    const occurrence: ShardOccurrence = { job, number, steps };
+    for (const [index, spec] of job.submission.steps.entries()) {
+        steps.push(newStep(occurrence, index, spec));
+    }
+    job.occurrences.set(number, occurrence);
+    return occurrence;
+};
+
+/**
+ * Makes the entry of a job; occurrence 0 of a job without a schedule is open at once.
+ *
+ * @example
+ * const job = newJob(submission, queue, { acceptedAtMs: clock.nowMs(), order: 1 });
+ */
+export const newJob = (
+    submission: JobSubmission,
+    queue: Queue,
+    { acceptedAtMs, order }: { readonly acceptedAtMs: number; readonly order: number; },
+): ShardJob => {
+    const job: ShardJob = {
+        submission,
+        queue,
+        acceptedAtMs,
+        order,
+        occurrences: new Map(),
+        doneOccurrences: new Set(),
+        state: jobStates.queued,
+        started: false,
+        endedAtMs: undefined,
+        shown: undefined,
+        stored: false,
+    };
+    if (submission.schedule.repeatCount === 0) {
+        openOccurrence(job, 0);
+    }
+    return job;
+};
+
+/**
+ * Tells whether a job changes no more.
+ *
+ * @example
+ * hasEnded(job); // false while a task may still run
+ */
+export const hasEnded = (job: ShardJob): boolean => job.state !== jobStates.queued && job.state !== jobStates.running;
+
+/**
+ * Tells whether all steps that a step waits for are done.
+ *
+ * @example
+ * isReady(step); // true for a first step
+ */
+export const isReady = ({ spec, occurrence }: ShardStep): boolean =>
+    spec.after.every(number => occurrence.steps[number]?.open === 0);
+
+/**
+ * Tells whether a task needs a run and has none.
+ *
+ * @example
+ * isWaiting(task);
+ */
+export const isWaiting = (task: ShardTask): boolean => !task.done && task.runs.length === 0;
+
+/** Number of occurrences that a job has in all. */
+const occurrencesOf = ({ submission }: ShardJob): number => Math.max(1, submission.schedule.repeatCount);
+
+const settleJob = (job: ShardJob, state: JobState, nowMs: number): void => {
+    job.state = state;
+    job.endedAtMs = nowMs;
+};
+
+/**
+ * Ends a job early.
+ *
+ * @example
+ * endJob(job, "cancelled", clock.nowMs());
+ */
+export const endJob = (job: ShardJob, state: "failed" | "cancelled", nowMs: number): void => {
+    if (!hasEnded(job)) {
+        settleJob(job, state, nowMs);
+    }
+};
+
+const closeTask = (task: ShardTask): void => {
+    if (!task.done) {
+        task.done = true;
+        task.step.open -= 1;
+    }
+};
+
+const closeFinished = ({ occurrence }: ShardStep, nowMs: number): void => {
+    const { job } = occurrence;
+    if (occurrence.steps.some(step => step.open > 0)) {
+        return;
+    }
+    job.occurrences.delete(occurrence.number);
+    job.doneOccurrences.add(occurrence.number);
+    if (job.doneOccurrences.size === occurrencesOf(job) && !hasEnded(job)) {
+        settleJob(job, jobStates.completed, nowMs);
+    }
+};
+
+const countFailure = (task: ShardTask, run: number): number => {
+    const { step } = task;
+    if (!step.spec.gang) {
+        task.failures += 1;
+        return task.failures;
+    }
+    if (run > step.gangFailedRun) {
+        step.gangFailedRun = run;
+        step.gangFailures += 1;
+    }
+    return step.gangFailures;
+};
+
+/** Handlers for each way a run can end; they change the task, its step and its job. */
+const endHandlers: Readonly<Record<RunEnd, (task: ShardTask, run: number, nowMs: number) => void>> = {
+    done: (task, _run, nowMs) => {
+        if (task.step.spec.longRunning) {
+            return;
+        }
+        for (const each of task.step.spec.gang ? task.step.tasks : [task]) {
+            closeTask(each);
+        }
+        if (task.step.open === 0) {
+            closeFinished(task.step, nowMs);
+        }
+    },
+    failed: (task, run, nowMs) => {
+        const failures = countFailure(task, run);
+        const { job } = task.step.occurrence;
+        if (!task.step.spec.longRunning && failures >= job.queue.attempts) {
+            endJob(job, jobStates.failed, nowMs);
+        }
+    },
+    stopped: () => {},
+    lapsed: () => {},
+    broken: () => {},
+    alone: () => {},
+};
+
+/**
+ * Takes the end of a run into its task, step and job.
+ *
+ * @example
+ * applyEnd(task, 1, "done", "", clock.nowMs());
+ */
+export const applyEnd = (task: ShardTask, run: number, how: RunEnd, checkpoint: string, nowMs: number): void => {
+    if (task.done) {
+        return;
+    }
+    if (checkpoint !== "") {
+        for (const each of task.step.spec.gang ? task.step.tasks : [task]) {
+            each.checkpoint = checkpoint;
+        }
+    }
+    endHandlers[how](task, run, nowMs);
+};
+
+/** All steps of a job's open occurrences. */
+export const stepsOf = function*(job: ShardJob): Generator<ShardStep> {
+    for (const occurrence of job.occurrences.values()) {
+        yield* occurrence.steps;
+    }
+};
+
+/** All live runs of a job. */
+export const runsOf = function*(job: ShardJob): Generator<ShardRun> {
+    for (const step of stepsOf(job)) {
+        for (const task of step.tasks) {
+            yield* task.runs;
+        }
+    }
+};
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -0,0 +1,246 @@
+/** The pass over all steps that have tasks waiting: the most urgent first, each task to a worker with room. */
+
+import type { AdviceAnswer } from "../../types/cellPorts.js";
+import type { Clock, Log, Meter } from "../../types/ports.js";
+import type { AdviceDesk } from "./adviceDesk.js";
+import { chooseWorker, heldBy, runsOnWorker, suits, ticketFor } from "./chooseWorker.js";
+import { hasEnded, isReady, isWaiting, type ShardJob, type ShardRun, runPhases, type ShardStep, type ShardTask } from "./jobBook.js";
+import type { ShardSettings } from "./shardSettings.js";
+import { dropRun, holdRoom, isOpen, roomOf, type ShardWorker } from "./workerTable.js";
+import { fits } from "../../types/resources.js";
+
+/** What placing needs. */
+export interface PlacingOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly meter: Meter;
+    readonly settings: ShardSettings;
+    readonly workers: ReadonlyMap<string, ShardWorker>;
+    readonly desk: AdviceDesk;
+    /** The job's planned runs are to be made durable, then started. */
+    readonly onPlanned: (job: ShardJob, runs: readonly ShardRun[]) => void;
+}
+
+/** Places tasks. */
+export interface Placing {
+    /** Looks at the steps of a job again. */
+    consider(job: ShardJob): void;
+    forget(job: ShardJob): void;
+    /** One pass over all that waits. */
+    pass(): void;
+    readySteps(): number;
+}
+
+/** Pause after a failed call to the advisor, and least time between two calls for one step. */
+const adviceRetryMs = 150;
+/** A renewal names this many more workers than tasks wait, since some fill up meanwhile. */
+const spareNames = 4;
+
+const byUrgency = (left: ShardStep, right: ShardStep): number => {
+    const [a, b] = [left.occurrence.job, right.occurrence.job];
+    return a.queue.priority - b.queue.priority || a.order - b.order || left.number - right.number;
+};
+
+/**
+ * Makes the placing of a shard.
+ *
+ * @example
+ * const placing = createPlacing({ clock, log, meter, settings, workers, desk, onPlanned });
+ * placing.consider(job);
+ * placing.pass();
+ */
+export const createPlacing = (options: PlacingOptions): Placing => {
+    const { clock, log, meter, settings, workers, desk, onPlanned } = options;
+    const ready = new Set<ShardStep>();
+
+    const plan = (task: ShardTask, worker: ShardWorker, number: number): ShardRun | undefined => {
+        const run: ShardRun = {
+            task,
+            run: number,
+            workerId: worker.workerId,
+            held: heldBy(task.step.spec),
+            phase: runPhases.planned,
+            settledAtMs: undefined,
+            startedAtMs: undefined,
+            percent: 100,
+            figure: 0,
+        };
+        if (!holdRoom(worker, run)) {
+            return undefined;
+        }
+        task.lastRun = number;
+        task.runs.push(run);
+        return run;
+    };
+
+    const takeAdvice = (step: ShardStep, named: readonly string[], answer: AdviceAnswer): void => {
+        const { advice } = step;
+        advice.inFlight = false;
+        for (const workerId of named) {
+            advice.asked.add(workerId);
+        }
+        const validUntilMs = clock.monotonicMs() + answer.validMs;
+        for (const { workerId, ticket } of answer.good) {
+            advice.good.set(workerId, { ticket, validUntilMs });
+        }
+        log.write("info", "advice", {
+            step: stepNameOf(step),
+            named: named.length,
+            good: answer.good.length,
+            validMs: answer.validMs,
+        });
+    };
+
+    const stepNameOf = ({ occurrence, number }: ShardStep): string =>
+        `${occurrence.job.submission.jobId}.${occurrence.number}.${number}`;
+
+    const ask = (step: ShardStep, named: readonly string[]): void => {
+        const terms = step.occurrence.job.queue.advice;
+        if (terms === undefined || named.length === 0) {
+            return;
+        }
+        step.advice.inFlight = true;
+        meter.count("adviceCalls");
+        meter.count("adviceNames", named.length);
+        desk.ask({
+            stepName: stepNameOf(step),
+            workerIds: named,
+            costMs: terms.decideMs + terms.eachMs * named.length,
+            priority: step.occurrence.job.queue.priority,
+            wanted: () => !hasEnded(step.occurrence.job),
+            onAnswer: answer => {
+                takeAdvice(step, named, answer);
+                pass();
+            },
+            onFailure: () => {
+                step.advice.inFlight = false;
+                step.advice.notBeforeMs = clock.monotonicMs() + adviceRetryMs;
+            },
+        });
+    };
+
+    /** Workers worth naming: those never asked about first where nothing is known, else the good ones with room. */
+    const namesFor = (step: ShardStep, waiting: number, nowMs: number): readonly string[] => {
+        const { advice, spec } = step;
+        const held = heldBy(spec);
+        const usable = [...workers.values()].filter(worker => isOpen(worker, nowMs) && suits(worker, step));
+        const byRoom = (left: ShardWorker, right: ShardWorker): number =>
+            roomOf(right).cpuMillis - roomOf(left).cpuMillis;
+        const hasRoom = (worker: ShardWorker): boolean =>
+            fits(held, roomOf(worker))
+            && (spec.maxPerWorker === 0 || runsOnWorker(step, worker.workerId) < spec.maxPerWorker);
+        const unasked = usable.filter(worker => !advice.asked.has(worker.workerId));
+        if (advice.asked.size === 0) {
+            return unasked.sort(byRoom).slice(0, settings.maxAdviceWorkers).map(worker => worker.workerId);
+        }
+        const known = usable.filter(worker => advice.good.has(worker.workerId) && hasRoom(worker)).sort(byRoom);
+        const named = known.slice(0, waiting + spareNames);
+        if (named.length < waiting) {
+            named.push(...unasked.filter(hasRoom).sort(byRoom).slice(0, settings.maxAdviceWorkers - named.length));
+        }
+        return named.map(worker => worker.workerId);
+    };
+
+    const askIfNeeded = (step: ShardStep, waiting: number, nowMs: number): void => {
+        const { advice, occurrence } = step;
+        if (occurrence.job.queue.advice === undefined || advice.inFlight || advice.notBeforeMs > nowMs) {
+            return;
+        }
+        const names = namesFor(step, waiting, nowMs);
+        const useful = names.filter(workerId => ticketFor(step, workerId, nowMs) === undefined);
+        if (useful.length > 0) {
+            ask(step, useful);
+        }
+    };
+
+    const placeTasks = (waiting: readonly ShardTask[], nowMs: number): readonly ShardRun[] => {
+        const runs: ShardRun[] = [];
+        for (const task of waiting) {
+            const worker = chooseWorker(task, workers.values(), { nowMs });
+            const run = worker === undefined ? undefined : plan(task, worker, task.lastRun + 1);
+            if (run === undefined) {
+                break;
+            }
+            runs.push(run);
+        }
+        return runs;
+    };
+
+    /** All members at once under one run number, or none. */
+    const placeGang = (step: ShardStep, waiting: readonly ShardTask[], nowMs: number): readonly ShardRun[] => {
+        if (waiting.length < step.tasks.length) {
+            return [];
+        }
+        const number = 1 + Math.max(...step.tasks.map(task => task.lastRun));
+        const runs: ShardRun[] = [];
+        for (const task of waiting) {
+            const worker = chooseWorker(task, workers.values(), { nowMs });
+            const run = worker === undefined ? undefined : plan(task, worker, number);
+            if (run === undefined) {
+                for (const planned of runs) {
+                    const holder = workers.get(planned.workerId);
+                    if (holder !== undefined) {
+                        dropRun(holder, planned);
+                    }
+                    planned.task.lastRun = number - 1;
+                }
+                return [];
+            }
+            runs.push(run);
+        }
+        return runs;
+    };
+
+    const placeStep = (step: ShardStep, nowMs: number): void => {
+        const waiting = step.tasks.filter(isWaiting);
+        if (waiting.length === 0 || hasEnded(step.occurrence.job)) {
+            ready.delete(step);
+            return;
+        }
+        const runs = step.spec.gang ? placeGang(step, waiting, nowMs) : placeTasks(waiting, nowMs);
+        if (runs.length > 0) {
+            log.write("info", "placed", {
+                step: stepNameOf(step),
+                waitedMs: Math.round(nowMs - step.readyAtMs),
+                runs: runs.map(run => `${run.task.index}#${run.run}@${run.workerId}`).join(" "),
+                waiting: waiting.length - runs.length,
+            });
+            onPlanned(step.occurrence.job, runs);
+        }
+        if (runs.length < waiting.length) {
+            askIfNeeded(step, waiting.length - runs.length, nowMs);
+        }
+    };
+
+    const pass = (): void => {
+        const nowMs = clock.monotonicMs();
+        for (const step of [...ready].sort(byUrgency)) {
+            placeStep(step, nowMs);
+        }
+    };
+
+    return {
+        consider: job => {
+            if (hasEnded(job)) {
+                return;
+            }
+            for (const occurrence of job.occurrences.values()) {
+                for (const step of occurrence.steps) {
+                    if (step.open > 0 && !ready.has(step) && isReady(step) && step.tasks.some(isWaiting)) {
+                        step.readyAtMs = clock.monotonicMs();
+                        ready.add(step);
+                    }
+                }
+            }
+        },
+        forget: job => {
+            for (const step of ready) {
+                if (step.occurrence.job === job) {
+                    ready.delete(step);
+                }
+            }
+        },
+        pass,
+        readySteps: () => ready.size,
+    };
+};
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -0,0 +1,36 @@
+/** Figures that a shard's owner works with; each can be set. */
+
+/** Timings and limits of a shard's owner. */
+export interface ShardSettings {
+    /** Lease of everything that runs; outlasts a takeover, and ends soon enough to run a lost worker's tasks again. */
+    readonly leaseMs: number;
+    /** How long a look may wait for an end; a third of the lease at most, so that two may fail. */
+    readonly lookWaitMs: number;
+    /** Pause between looks that bring nothing new to make durable. */
+    readonly lookPauseMs: number;
+    /** Pause before an order without an answer is sent again. */
+    readonly orderPauseMs: number;
+    /** How long a replaced owner may go on renewing leases that its successor cannot see. */
+    readonly formerOwnerMs: number;
+    /** Commits that find no answer for this long let submissions be refused at once. */
+    readonly refuseStalledMs: number;
+    /** An ended job is forgotten after this. */
+    readonly retentionMs: number;
+    /** Most workers named in one call to the advisor; the objective of a job counts 30. */
+    readonly maxAdviceWorkers: number;
+    /** What a refused caller is told to wait. */
+    readonly retryAfterMs: number;
+}
+
+/** What fits the sites of today; the figures are explained in docs/design/platform.md. */
+export const defaultShardSettings: ShardSettings = {
+    leaseMs: 5_000,
+    lookWaitMs: 1_000,
+    lookPauseMs: 250,
+    orderPauseMs: 100,
+    formerOwnerMs: 2_500,
+    refuseStalledMs: 400,
+    retentionMs: 180_000,
+    maxAdviceWorkers: 40,
+    retryAfterMs: 1_000,
+};
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/tableWatch.ts
@@ -0,0 +1,112 @@
+/** Follows a table of the store: a whole read, then its changes; a whole read again where the history is lost. */
+
+import type { Row, RowStore } from "../../types/cellPorts.js";
+import type { Clock, Log } from "../../types/ports.js";
+import { failureOf } from "../../utils/errors.js";
+import { sleep } from "../../utils/time.js";
+
+/** What a watch needs. */
+export interface TableWatchOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly store: RowStore;
+    readonly table: string;
+    readonly parts: readonly string[];
+    /** Rows that are new or changed; a removed one has no value. */
+    readonly onRows: (rows: readonly Row[]) => void;
+    /** After a whole read: the keys of all rows; what else was known is gone. */
+    readonly onWhole: (keys: ReadonlySet<string>) => void;
+    /** Pause after changes, so that a table that changes all the time costs few calls; none where it is left out. */
+    readonly pauseMs?: number;
+}
+
+/** A watch that runs until it is stopped. */
+export interface TableWatch {
+    stop(): void;
+}
+
+/** A change is told at once; the wait only bounds how long a lost connection goes unnoticed. */
+const feedWaitMs = 10_000;
+const retryPauseMs = 250;
+
+/**
+ * Starts to follow a table.
+ *
+ * @example
+ * const watch = watchTable({ clock, log, store, table: "puffinarch-member", parts: [""], onRows, onWhole });
+ */
+export const watchTable = (
+    { clock, log, store, table, parts, onRows, onWhole, pauseMs }: TableWatchOptions,
+): TableWatch => {
+    let stopped = false;
+
+    const readPart = async (part: string): Promise<{ readonly rows: readonly Row[]; readonly version: number; }> => {
+        const rows: Row[] = [];
+        let page = await store.read(table, part);
+        // Changes since the first page are followed from its version.
+        const { version } = page;
+        rows.push(...page.rows);
+        while (page.more) {
+            page = await store.read(table, part, `${rows.at(-1)?.key ?? ""}\u0001`);
+            rows.push(...page.rows);
+        }
+        return { rows, version };
+    };
+
+    const readWhole = async (): Promise<number> => {
+        let oldest = Infinity;
+        const keys = new Set<string>();
+        for (const part of parts) {
+            const { rows, version } = await readPart(part);
+            oldest = Math.min(oldest, version);
+            for (const row of rows) {
+                keys.add(row.key);
+            }
+            onRows(rows);
+        }
+        onWhole(keys);
+        return oldest;
+    };
+
+    const follow = async (): Promise<void> => {
+        let version = await readWhole();
+        while (!stopped) {
+            const changes = await store.changes(table, version, feedWaitMs);
+            if (changes.kind === "historyLost") {
+                log.write("info", "historyLost", { table, version });
+                return;
+            }
+            version = changes.version;
+            if (changes.rows.length > 0 && !stopped) {
+                onRows(changes.rows);
+            }
+            if (pauseMs !== undefined) {
+                await sleep(clock, pauseMs);
+            }
+        }
+    };
+
+    const run = async (): Promise<void> => {
+        let lost = false;
+        while (!stopped) {
+            try {
+                await follow();
+                lost = false;
+            }
+            catch (error) {
+                if (!lost) {
+                    log.write("warn", "watchLost", { table, reason: failureOf(error).message });
+                }
+                lost = true;
+                await sleep(clock, retryPauseMs);
+            }
+        }
+    };
+
+    void run();
+    return {
+        stop: () => {
+            stopped = true;
+        },
+    };
+};
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -0,0 +1,229 @@
+/** One worker's side of a shard: looks that renew leases and bring ends, and orders that are repeated until settled. */
+
+import { type FencedWorkerPort, type LookResult, type OrderOutcome, orderOutcomes } from "../../types/cellPorts.js";
+import type { CancelTimer, Clock, Log, Meter } from "../../types/ports.js";
+import { sleep } from "../../utils/time.js";
+import { type ShardRun, runPhases } from "./jobBook.js";
+import { extendLease, runKey, type ShardWorker } from "./workerTable.js";
+
+/** What the links of a shard share. */
+export interface WorkerLinkOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly meter: Meter;
+    readonly workers: FencedWorkerPort;
+    readonly fencingToken: number;
+    readonly leaseMs: number;
+    /** How long a look may wait for an end. */
+    readonly lookWaitMs: number;
+    /** Pause between looks while the ends that it shows cannot be made durable, or it does not answer. */
+    readonly lookPauseMs: number;
+    /** Pause before an order without an answer is sent again. */
+    readonly orderPauseMs: number;
+    /** Takes what a look brought; resolves when the next look may be sent. */
+    readonly onLook: (worker: ShardWorker, look: LookResult & { readonly outcome: "done"; }, sentAtMs: number) => Promise<void>;
+    readonly onSilent: (worker: ShardWorker) => void;
+    readonly onLifeOver: (worker: ShardWorker) => void;
+    readonly onFenced: (worker: ShardWorker) => void;
+    /** The run surely does not and will not run there. */
+    readonly onNotStarted: (worker: ShardWorker, run: ShardRun, outcome: OrderOutcome) => void;
+    readonly onStarted: (worker: ShardWorker, run: ShardRun) => void;
+}
+
+/** Talks to one worker until it is closed. */
+export interface WorkerLink {
+    /** Sends the start of a run whose intent is durable. */
+    start(run: ShardRun, checkpoint: string, ticket: string): void;
+    /** Stops a run; its room is free only when the worker lists the end. */
+    stop(run: ShardRun): void;
+    /** Stops a run that the book does not have. */
+    stopUnknown(taskName: string, run: number): void;
+    pace(run: ShardRun, percent: number): void;
+    /** Makes the next look at once. */
+    wake(): void;
+    close(): void;
+}
+
+/**
+ * Opens the link to a worker; it begins to look at once.
+ *
+ * @example
+ * const link = openWorkerLink(worker, options);
+ */
+export const openWorkerLink = (worker: ShardWorker, options: WorkerLinkOptions): WorkerLink => {
+    const { clock, log, meter, workers, fencingToken, leaseMs, lookWaitMs, lookPauseMs, orderPauseMs } = options;
+    let closed = false;
+    let wakePause: (() => void) | undefined;
+
+    const target = () => ({ workerId: worker.workerId, address: worker.entry.address });
+
+    const pause = (delayMs: number): Promise<void> =>
+        new Promise(resolve => {
+            const end = (): void => {
+                cancel();
+                wakePause = undefined;
+                resolve();
+            };
+            const cancel: CancelTimer = clock.setTimer(delayMs, end);
+            wakePause = end;
+        });
+
+    const lookOnce = async (): Promise<void> => {
+        const sentAtMs = clock.monotonicMs();
+        const deadlineMs = extendLease(worker, sentAtMs, leaseMs);
+        const ready = deadlineMs !== undefined && worker.silentLooks === 0;
+        meter.count("looks");
+        const look = await workers.look(target(), {
+            fencingToken,
+            acknowledgedEnd: worker.acknowledgedEnd,
+            deadlineMs,
+            waitMs: ready ? lookWaitMs : 0,
+        });
+        if (closed) {
+            return;
+        }
+        if (look.outcome === "done") {
+            const nowMs = clock.monotonicMs();
+            worker.clock = { localMs: nowMs, clockMs: look.clockMs };
+            worker.answeredAtMs = nowMs;
+            worker.silentLooks = 0;
+            await options.onLook(worker, look, sentAtMs);
+            return;
+        }
+        if (look.outcome === "fenced") {
+            options.onFenced(worker);
+            return;
+        }
+        if (look.outcome === "otherLife") {
+            options.onLifeOver(worker);
+            return;
+        }
+        worker.silentLooks += 1;
+        if (worker.silentLooks === 1) {
+            log.write("warn", "workerSilent", { workerId: worker.workerId, outcome: look.outcome });
+        }
+        options.onSilent(worker);
+        await pause(lookPauseMs);
+    };
+
+    const lookAlways = async (): Promise<void> => {
+        while (!closed) {
+            await lookOnce();
+        }
+    };
+
+    /** Stops without an answer may still be under way, so they are sent until the run is gone. */
+    const stopUntilGone = async (run: ShardRun): Promise<void> => {
+        while (!closed && worker.runs.has(runKey(run.task.name, run.run))) {
+            const outcome = await workers.stop(target(), { taskName: run.task.name, run: run.run, fencingToken });
+            meter.count(`stops.${outcome}`);
+            if (outcome === orderOutcomes.done || outcome === orderOutcomes.stale) {
+                run.settledAtMs = clock.monotonicMs();
+                return;
+            }
+            if (outcome === orderOutcomes.fenced) {
+                options.onFenced(worker);
+                return;
+            }
+            if (outcome === orderOutcomes.otherLife) {
+                options.onLifeOver(worker);
+                return;
+            }
+            await sleep(clock, orderPauseMs);
+        }
+    };
+
+    /** Handlers for a start that was surely not carried out. */
+    const notStarted = (run: ShardRun, outcome: OrderOutcome, unanswered: boolean): void => {
+        if (unanswered) {
+            // An earlier copy may still arrive; a stop makes the worker refuse it.
+            run.phase = runPhases.stopping;
+            void stopUntilGone(run);
+            return;
+        }
+        options.onNotStarted(worker, run, outcome);
+    };
+
+    const startUntilSettled = async (run: ShardRun, checkpoint: string, ticket: string): Promise<void> => {
+        let unanswered = false;
+        while (!closed && run.phase === runPhases.starting && worker.runs.has(runKey(run.task.name, run.run))) {
+            const deadlineMs = extendLease(worker, clock.monotonicMs(), leaseMs);
+            if (deadlineMs === undefined) {
+                await sleep(clock, orderPauseMs);
+                continue;
+            }
+            const outcome = await workers.start(target(), {
+                taskName: run.task.name,
+                run: run.run,
+                payload: run.task.step.occurrence.job.submission.payload,
+                deadlineMs,
+                fencingToken,
+                checkpoint,
+                ticket,
+            });
+            meter.count(`starts.${outcome}`);
+            if (closed || run.phase !== runPhases.starting) {
+                return;
+            }
+            if (outcome === orderOutcomes.done) {
+                run.phase = runPhases.running;
+                run.settledAtMs = clock.monotonicMs();
+                options.onStarted(worker, run);
+                return;
+            }
+            if (outcome === orderOutcomes.stale) {
+                // It has ended there already; the next look brings the end.
+                run.phase = runPhases.running;
+                run.settledAtMs = clock.monotonicMs();
+                return;
+            }
+            if (outcome === orderOutcomes.fenced) {
+                options.onFenced(worker);
+                return;
+            }
+            if (outcome === orderOutcomes.otherLife) {
+                options.onLifeOver(worker);
+                return;
+            }
+            if (outcome !== orderOutcomes.unknown) {
+                log.write("warn", "startRefused", {
+                    task: run.task.name,
+                    run: run.run,
+                    workerId: worker.workerId,
+                    outcome,
+                    unanswered,
+                });
+                notStarted(run, outcome, unanswered);
+                return;
+            }
+            unanswered = true;
+            await sleep(clock, orderPauseMs);
+        }
+    };
+
+    void lookAlways();
+    return {
+        start: (run, checkpoint, ticket) => {
+            run.phase = runPhases.starting;
+            void startUntilSettled(run, checkpoint, ticket);
+        },
+        stop: run => {
+            if (run.phase !== runPhases.stopping) {
+                run.phase = runPhases.stopping;
+                run.settledAtMs = undefined;
+                void stopUntilGone(run);
+            }
+        },
+        stopUnknown: (taskName, run) => {
+            void workers.stop(target(), { taskName, run, fencingToken });
+        },
+        pace: (run, percent) => {
+            void workers.pace(target(), { taskName: run.task.name, run: run.run, fencingToken, percent });
+        },
+        wake: () => wakePause?.(),
+        close: () => {
+            closed = true;
+            wakePause?.();
+        },
+    };
+};
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -0,0 +1,146 @@
+/** The workers of a shard: room, leases, and what is known of each. */
+
+import type { WorkerEntry } from "../../types/work.js";
+import { add, fits, noResources, type Resources, subtract } from "../../types/resources.js";
+import type { ShardRun } from "./jobBook.js";
+
+/** How much slower than ours a worker's clock may run. */
+export const slowestClockRate = 0.98;
+
+/** A worker as its shard's owner knows it; one life of one VM. */
+export interface ShardWorker {
+    readonly workerId: string;
+    entry: WorkerEntry;
+    /** False once the platform's list lacks it. */
+    listed: boolean;
+    /** True once it has answered a look under this owner's token, so that all it runs is known. */
+    certain: boolean;
+    /** Local time and its own clock at its newest answer. */
+    clock: { readonly localMs: number; readonly clockMs: number; } | undefined;
+    /** Local time by which every lease that it may have been given is over. */
+    horizonMs: number;
+    /** Local time of the newest answer to a look. */
+    answeredAtMs: number;
+    /** Looks in a row without an answer. */
+    silentLooks: number;
+    /** Highest number of an end that is durable, and so may be forgotten there. */
+    acknowledgedEnd: number;
+    /** Highest number of an end that was taken into the book. */
+    takenEnd: number;
+    /** Runs that hold room, by name and number. */
+    readonly runs: Map<string, ShardRun>;
+    /** Room that is held, by known runs and by runs that nobody knows until they are stopped. */
+    held: Resources;
+    /** Failures in a row, and the jobs that they belonged to. */
+    readonly failedJobs: Set<string>;
+    failuresInARow: number;
+    /** Gets no work before this local time. */
+    avoidUntilMs: number;
+}
+
+/** Key of a run among those of a worker. */
+export const runKey = (taskName: string, run: number): string => `${taskName}#${run}`;
+
+/**
+ * Makes the entry of a worker of which nothing is known but its listing.
+ *
+ * @example
+ * const worker = newWorker(entry, clock.monotonicMs() + 7_000);
+ */
+export const newWorker = (entry: WorkerEntry, horizonMs: number): ShardWorker => ({
+    workerId: entry.workerId,
+    entry,
+    listed: true,
+    certain: false,
+    clock: undefined,
+    horizonMs,
+    answeredAtMs: 0,
+    silentLooks: 0,
+    acknowledgedEnd: 0,
+    takenEnd: 0,
+    runs: new Map(),
+    held: noResources,
+    failedJobs: new Set(),
+    failuresInARow: 0,
+    avoidUntilMs: 0,
+});
+
+/**
+ * Gives the time on a worker's own clock that lies this far ahead, and notes how long the lease may last.
+ *
+ * @example
+ * const deadlineMs = extendLease(worker, clock.monotonicMs(), 5_000);
+ */
+export const extendLease = (worker: ShardWorker, nowMs: number, leaseMs: number): number | undefined => {
+    if (worker.clock === undefined) {
+        return undefined;
+    }
+    const { localMs, clockMs } = worker.clock;
+    const deadlineMs = Math.floor(clockMs + (nowMs - localMs) + leaseMs);
+    const latestEndMs = localMs + (deadlineMs - clockMs) / slowestClockRate;
+    worker.horizonMs = Math.max(worker.horizonMs, latestEndMs);
+    return deadlineMs;
+};
+
+/**
+ * Gives the room that is left on a worker.
+ *
+ * @example
+ * roomOf(worker).cpuMillis;
+ */
+export const roomOf = (worker: ShardWorker): Resources => subtract(worker.entry.capacity, worker.held);
+
+/**
+ * Reserves room for a run; false where it does not fit.
+ *
+ * @example
+ * if (!holdRoom(worker, run)) { return; }
+ */
+export const holdRoom = (worker: ShardWorker, run: ShardRun): boolean => {
+    if (!fits(run.held, roomOf(worker))) {
+        return false;
+    }
+    worker.held = add(worker.held, run.held);
+    worker.runs.set(runKey(run.task.name, run.run), run);
+    return true;
+};
+
+/**
+ * Takes over a run that a worker was found to have, whether it fits or not.
+ *
+ * @example
+ * adoptRun(worker, run);
+ */
+export const adoptRun = (worker: ShardWorker, run: ShardRun): void => {
+    worker.held = add(worker.held, run.held);
+    worker.runs.set(runKey(run.task.name, run.run), run);
+};
+
+/**
+ * Gives back the room of a run that is gone, and takes the run from its task.
+ *
+ * @example
+ * dropRun(worker, run);
+ */
+export const dropRun = (worker: ShardWorker, run: ShardRun): void => {
+    if (worker.runs.delete(runKey(run.task.name, run.run))) {
+        worker.held = subtract(worker.held, run.held);
+    }
+    const index = run.task.runs.indexOf(run);
+    if (index >= 0) {
+        run.task.runs.splice(index, 1);
+    }
+};
+
+/** Looks without an answer after which a worker gets no new work. */
+const silentLooksToAvoid = 1;
+
+/**
+ * Tells whether a worker may get new work now.
+ *
+ * @example
+ * isOpen(worker, clock.monotonicMs());
+ */
+export const isOpen = (worker: ShardWorker, nowMs: number): boolean =>
+    worker.listed && worker.certain && !worker.entry.draining && worker.clock !== undefined
+    && worker.silentLooks < silentLooksToAvoid && worker.avoidUntilMs <= nowMs;
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -0,0 +1,200 @@
+/** What a look at a worker brings: ends, runs that nobody knew, runs that are gone, and tasks to pace. */
+
+import { type EndedRun, type LookResult, type RunningRun } from "../../types/cellPorts.js";
+import type { Clock, Log, Meter } from "../../types/ports.js";
+import { parseTaskName } from "../../types/work.js";
+import { heldBy } from "./chooseWorker.js";
+import { applyEnd, hasEnded, type ShardJob, type ShardRun, runPhases, type ShardTask } from "./jobBook.js";
+import { adoptRun, dropRun, runKey, type ShardWorker } from "./workerTable.js";
+
+/** What the watch needs. */
+export interface WorkerWatchOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly meter: Meter;
+    readonly jobOf: (jobId: string) => ShardJob | undefined;
+    /** The job changed and has to be made durable. */
+    readonly onChange: (job: ShardJob) => void;
+    readonly stop: (worker: ShardWorker, run: ShardRun) => void;
+    readonly stopUnknown: (worker: ShardWorker, taskName: string, run: number) => void;
+}
+
+/** Takes looks into the book. */
+export interface WorkerWatch {
+    /** Gives the highest end that was taken in. */
+    take(worker: ShardWorker, look: LookResult & { readonly outcome: "done"; }, sentAtMs: number): number;
+    /** The worker's life is over, or its leases are: nothing runs there any more. */
+    loseRuns(worker: ShardWorker, reason: string): void;
+}
+
+/** Failures in a row, from at least this many jobs, after which a worker rests. */
+const failuresToRest = 3;
+const jobsToRest = 2;
+/** How long it rests; disruptions of workers last some 4 to 7 s. */
+const restMs = 4_000;
+
+/**
+ * Makes the watch.
+ *
+ * @example
+ * const watch = createWorkerWatch({ clock, log, meter, jobOf, onChange, stop, stopUnknown });
+ */
+export const createWorkerWatch = (options: WorkerWatchOptions): WorkerWatch => {
+    const { clock, log, meter, jobOf, onChange } = options;
+
+    const taskOf = (taskName: string): ShardTask | undefined => {
+        const name = parseTaskName(taskName);
+        if (name === undefined) {
+            return undefined;
+        }
+        return jobOf(name.jobId)?.occurrences.get(name.occurrence)?.steps[name.step]?.tasks[name.index];
+    };
+
+    const judgeWorker = (worker: ShardWorker, jobId: string, how: EndedRun["how"]): void => {
+        if (how === "done") {
+            worker.failuresInARow = 0;
+            worker.failedJobs.clear();
+        }
+        if (how !== "failed") {
+            return;
+        }
+        worker.failuresInARow += 1;
+        worker.failedJobs.add(jobId);
+        if (worker.failuresInARow >= failuresToRest && worker.failedJobs.size >= jobsToRest) {
+            worker.avoidUntilMs = clock.monotonicMs() + restMs;
+            log.write("warn", "workerRests", { workerId: worker.workerId, failuresInARow: worker.failuresInARow, restMs });
+        }
+    };
+
+    const stopOthers = (task: ShardTask): void => {
+        const runs = task.step.spec.gang ? [] : [...task.runs];
+        for (const run of runs) {
+            const worker = workersById.get(run.workerId);
+            if (worker !== undefined) {
+                options.stop(worker, run);
+            }
+        }
+    };
+    const workersById = new Map<string, ShardWorker>();
+
+    const takeEnd = (worker: ShardWorker, end: EndedRun): void => {
+        const run = worker.runs.get(runKey(end.taskName, end.run));
+        const task = run?.task ?? taskOf(end.taskName);
+        log.write("info", "runEnded", {
+            task: end.taskName,
+            run: end.run,
+            workerId: worker.workerId,
+            how: end.how,
+            known: run !== undefined,
+        });
+        if (run !== undefined) {
+            dropRun(worker, run);
+        }
+        if (task === undefined) {
+            return;
+        }
+        const { job } = task.step.occurrence;
+        judgeWorker(worker, job.submission.jobId, end.how);
+        if (end.how === "failed") {
+            task.failedOn.add(worker.workerId);
+        }
+        // An end that was counted before, by a former owner or before the lease ran out, counts only as done.
+        if (run !== undefined || end.how === "done") {
+            meter.count(`ends.${end.how}`);
+            applyEnd(task, end.run, end.how, end.checkpoint, clock.monotonicMs());
+        }
+        if (task.done) {
+            stopOthers(task);
+        }
+        onChange(job);
+    };
+
+    const adopt = (worker: ShardWorker, task: ShardTask, row: RunningRun): void => {
+        const run: ShardRun = {
+            task,
+            run: row.run,
+            workerId: worker.workerId,
+            held: heldBy(task.step.spec),
+            phase: runPhases.running,
+            settledAtMs: clock.monotonicMs(),
+            startedAtMs: clock.monotonicMs(),
+            percent: row.percent,
+            figure: row.figure,
+        };
+        const wanted = !task.done && task.runs.length === 0 && row.run >= task.lastRun
+            && !hasEnded(task.step.occurrence.job);
+        task.lastRun = Math.max(task.lastRun, row.run);
+        task.runs.push(run);
+        adoptRun(worker, run);
+        log.write("info", wanted ? "runAdopted" : "runUnwanted", { task: task.name, run: row.run, workerId: worker.workerId });
+        onChange(task.step.occurrence.job);
+        if (!wanted) {
+            options.stop(worker, run);
+        }
+    };
+
+    const takeRunning = (worker: ShardWorker, row: RunningRun): void => {
+        const run = worker.runs.get(runKey(row.taskName, row.run));
+        if (run === undefined) {
+            const task = taskOf(row.taskName);
+            if (task === undefined) {
+                options.stopUnknown(worker, row.taskName, row.run);
+                return;
+            }
+            adopt(worker, task, row);
+            return;
+        }
+        run.percent = row.percent;
+        run.figure = row.figure;
+        run.startedAtMs ??= clock.monotonicMs();
+        if (run.phase === runPhases.starting || run.phase === runPhases.planned) {
+            run.phase = runPhases.running;
+            run.settledAtMs = clock.monotonicMs();
+        }
+        if (row.checkpoint !== "") {
+            run.task.checkpoint = row.checkpoint;
+        }
+        run.task.step.occurrence.job.started = true;
+    };
+
+    const dropMissing = (worker: ShardWorker, listed: ReadonlySet<string>, sentAtMs: number): void => {
+        for (const [key, run] of [...worker.runs]) {
+            if (run.settledAtMs === undefined || run.settledAtMs >= sentAtMs || listed.has(key)) {
+                continue;
+            }
+            log.write("info", "runGone", { task: run.task.name, run: run.run, workerId: worker.workerId, phase: run.phase });
+            dropRun(worker, run);
+            onChange(run.task.step.occurrence.job);
+        }
+    };
+
+    return {
+        take: (worker, look, sentAtMs) => {
+            workersById.set(worker.workerId, worker);
+            let newest = worker.acknowledgedEnd;
+            const listed = new Set<string>();
+            for (const end of look.ended) {
+                listed.add(runKey(end.taskName, end.run));
+                newest = Math.max(newest, end.endNumber);
+                if (end.endNumber > worker.takenEnd) {
+                    worker.takenEnd = end.endNumber;
+                    takeEnd(worker, end);
+                }
+            }
+            for (const row of look.running) {
+                listed.add(runKey(row.taskName, row.run));
+                takeRunning(worker, row);
+            }
+            dropMissing(worker, listed, sentAtMs);
+            worker.certain = true;
+            return newest;
+        },
+        loseRuns: (worker, reason) => {
+            for (const run of [...worker.runs.values()]) {
+                log.write("info", "runLost", { task: run.task.name, run: run.run, workerId: worker.workerId, reason });
+                dropRun(worker, run);
+                onChange(run.task.step.occurrence.job);
+            }
+        },
+    };
+};
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -73,6 +73,57 @@
 export { correctedSize, remediesFor, type Remedy, type UsedAttempt } from "./internal.js";
 export { readReport, type WorkerReportOptions } from "./internal.js";
 
+// A shard: jobs of steps on workers with fencing tokens, owned by one daemon of a cell at a time.
+export {
+    type CellMember,
+    type CellMemberOptions,
+    claimShard,
+    createAdviceDesk,
+    createCommitLog,
+    defaultShardSettings,
+    memberTable,
+    type ShardOwner,
+    type ShardOwnerOptions,
+    type ShardSettings,
+    startCellMember,
+    startShardOwner,
+    watchTable,
+} from "./internal.js";
+export {
+    type AdviceAnswer,
+    type AdviceRequest,
+    type AdvisorPort,
+    type FencedWorkerPort,
+    type LookResult,
+    type MemberCallName,
+    type MemberCalls,
+    type MemberHandlers,
+    type MemberPort,
+    type MemberRow,
+    type OrderOutcome,
+    orderOutcomes,
+    type Row,
+    type RowChanges,
+    type RowPage,
+    type RowStore,
+    type RowTransaction,
+    type RowTransactResult,
+    type RunEnd,
+    runEnds,
+    type WorkerTarget,
+} from "./internal.js";
+export {
+    type CellConfiguration,
+    formatTaskName,
+    type JobState,
+    jobStates,
+    type JobSubmission,
+    parseTaskName,
+    type Queue,
+    type Step,
+    type WorkerEntry,
+} from "./internal.js";
+
 // Handlers in lookup tables.
 export {
     type PlacementChoice,
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -11,9 +11,21 @@
     | { readonly kind: "answered"; readonly status: number; readonly body: T; }
     | { readonly kind: CallFailure; readonly reason: string; };
 
+/** What one call may set. */
+export interface HttpCallOptions {
+    /** Limit of the whole call; the caller's own limits hold besides. */
+    readonly timeoutMs?: number;
+    readonly headers?: Readonly<Record<string, string>>;
+}
+
 /** Connections to one kind of outside system. */
 export interface HttpCaller {
-    call<T>(method: "GET" | "POST" | "PUT" | "DELETE", url: string, body?: unknown): Promise<CallResult<T>>;
+    call<T>(
+        method: "GET" | "POST" | "PUT" | "DELETE",
+        url: string,
+        body?: unknown,
+        options?: HttpCallOptions,
+    ): Promise<CallResult<T>>;
     close(): Promise<void>;
 }
 
@@ -21,6 +33,9 @@
 export interface HttpCallerOptions {
     readonly timeoutMs: number;
     readonly connectionsPerHost: number;
+    /** How long an idle connection is kept; the library's default where it is left out. */
+    readonly keepAliveMs?: number;
+    readonly connectTimeoutMs?: number;
     /** Counts calls and the bytes of their bodies. */
     readonly meter: Meter;
 }
@@ -50,26 +65,32 @@
  * const http = createHttpCaller({ timeoutMs: 2_000, connectionsPerHost: 4, meter });
  * await http.call("GET", `${address}/vms`);
  */
-export const createHttpCaller = ({ timeoutMs, connectionsPerHost, meter }: HttpCallerOptions): HttpCaller => {
+export const createHttpCaller = (limits: HttpCallerOptions): HttpCaller => {
+    const { timeoutMs, connectionsPerHost, keepAliveMs, connectTimeoutMs, meter } = limits;
     const dispatcher: Dispatcher = new Agent({
         connections: connectionsPerHost,
         headersTimeout: timeoutMs,
         bodyTimeout: timeoutMs,
-        connect: { timeout: timeoutMs },
+        connect: { timeout: connectTimeoutMs ?? timeoutMs },
+        ...(keepAliveMs === undefined ? {} : { keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs }),
     });
     return {
         call: async <T>(
             method: "GET" | "POST" | "PUT" | "DELETE",
             url: string,
             body?: unknown,
+            { timeoutMs: callTimeoutMs, headers }: HttpCallOptions = {},
         ): Promise<CallResult<T>> => {
             const sent = body === undefined ? "" : JSON.stringify(body);
+            const abort = callTimeoutMs === undefined ? undefined : new AbortController();
+            const timer = abort === undefined ? undefined : setTimeout(() => abort.abort(), callTimeoutMs);
             try {
                 const answer = await request(url, {
                     method,
                     dispatcher,
-                    headers: body === undefined ? {} : { "content-type": "application/json" },
+                    headers: body === undefined ? headers ?? {} : { ...headers, "content-type": "application/json" },
                     body: body === undefined ? undefined : sent,
+                    signal: abort?.signal,
                 });
                 const text = await answer.body.text();
                 meter.count("outsideCalls");
@@ -83,6 +104,9 @@
             catch (error) {
                 return { kind: failureKindOf(error), reason: error instanceof Error ? error.message : String(error) };
             }
+            finally {
+                clearTimeout(timer);
+            }
         },
         close: () => dispatcher.close(),
     };
--- a/packages/puffinarchd/src/settings.ts
+++ b/packages/puffinarchd/src/settings.ts
@@ -1,11 +1,8 @@
 /** The daemon's settings: a YAML file, checked whole, each wrong field named with its line and what is allowed. */
 
-import { readFileSync } from "node:fs";
 import {
     check,
     defaultNodeSettings,
-    die,
-    failureOf,
     logLevels,
     nameSchema,
     type NodeSettings,
@@ -15,8 +12,8 @@
     type Violation,
     wholeNumber,
 } from "puffinarch";
-import { type Document, isMap, isNode, LineCounter, parseDocument } from "yaml";
 import { z } from "zod";
+import { checkYaml, readSettingsFile } from "./settingsFile.js";
 
 const urlAllowed = "an http URL with an IP number and a port, such as http://127.0.0.1:7000";
 const urlSchema = z.string(urlAllowed).regex(/^http:\/\/(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/, urlAllowed);
@@ -81,22 +78,6 @@
 /** Largest body of a request. */
 export const defaultMaxBodyBytes = 1024 * 1024;
 
-const lineOf = (document: Document, lines: LineCounter, field: string): number | undefined => {
-    const path = field.split(".").filter(part => part !== "");
-    while (path.length > 0) {
-        const node = document.getIn(path, true);
-        const range = isNode(node) ? node.range : undefined;
-        if (range !== undefined && range !== null) {
-            return lines.linePos(range[0]).line;
-        }
-        path.pop();
-    }
-    return isMap(document.contents) ? 1 : undefined;
-};
-
-const withLines = (document: Document, lines: LineCounter, violations: readonly Violation[]): readonly Violation[] =>
-    violations.map(violation => ({ ...violation, line: lineOf(document, lines, violation.field) }));
-
 /** Timings that would break a promise when set against each other. */
 const contradictions = (settings: DaemonSettings): readonly Violation[] => {
     const timings = { ...defaultNodeSettings, ...settings.timings };
@@ -138,32 +119,12 @@
  * @example
  * parseSettings("vmId: vm-1\n..."); // fails and names the fields that are missing
  */
-export const parseSettings = (text: string): DaemonSettings => {
-    const lines = new LineCounter();
-    const document = parseDocument(text, { lineCounter: lines, prettyErrors: false });
-    if (document.errors.length > 0) {
-        return rejectAll(
-            document.errors.map(error => ({
-                field: "file",
-                value: error.message,
-                allowed: "well-formed YAML",
-                line: lines.linePos(error.pos[0]).line,
-            })),
-            "settings file",
-        );
-    }
-    try {
-        const settings = check(settingsSchema, document.toJS() ?? {}, "settings file");
+export const parseSettings = (text: string): DaemonSettings =>
+    checkYaml(text, input => {
+        const settings = check(settingsSchema, input, "settings file");
         const wrong = contradictions(settings);
         return wrong.length === 0 ? settings : rejectAll(wrong, "settings file");
-    }
-    catch (error) {
-        const { violations } = failureOf(error);
-        return violations === undefined
-            ? die("internal", String(error))
-            : rejectAll(withLines(document, lines, violations), "settings file");
-    }
-};
+    });
 
 /**
  * Reads and checks a settings file.
@@ -171,16 +132,7 @@
  * @example
  * const settings = readSettings("puffinarchd.yaml");
  */
-export const readSettings = (path: string): DaemonSettings => {
-    let text: string;
-    try {
-        text = readFileSync(path, "utf8");
-    }
-    catch {
-        return rejectAll([{ field: "config", value: `"${path}"`, allowed: "a file that can be read" }], "command line");
-    }
-    return parseSettings(text);
-};
+export const readSettings = (path: string): DaemonSettings => parseSettings(readSettingsFile(path));
 
 /**
  * Gives the part of the settings that the node needs.
