Acknowledge ends only after every earlier one is durable; quicker takeover; claims only with the store at hand

Acknowledgements now wait for all commits begun before. Ruled out: late copies of old commits (the sequence row refuses them). Besides: a daemon claims only after a quick read of the store; an owner that neither the store nor most workers answer stops; the balancer is told when no owner is reachable; rows of ended jobs shrink.

--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -69,10 +69,16 @@
 /** The one shard of today's sites; docs/design/platform.md has the arithmetic for more. */
 const part = "shard-0";
 const pingIntervalMs = 200;
+/** After a ping that failed the next one comes sooner. */
+const failedPingIntervalMs = 50;
 /** An answer takes some 10 ms; a VM that is 5 times slowed still makes it. */
-const pingTimeoutMs = 400;
-/** Pings in a row without any answer before the owner counts as lost; refusals count double. */
-const silentPingsToClaim = 3;
+const pingTimeoutMs = 350;
+/** Pings in a row without any answer before the owner counts as lost. */
+const silentPingsToClaim = 2;
+/** An answer from the owner within this time speaks against a peer that finds it silent. */
+const freshAnswerMs = 450;
+/** Without an owner for this long, a daemon asks the balancer for no more callers. */
+const readyWithoutOwnerMs = 700;
 /** Each place in the order of candidates waits this much longer. */
 const rankDelayMs = 120;
 /** A candidate that reaches too few of its peers waits this much longer, so that a cut-off minority does not claim. */
@@ -83,8 +89,8 @@
 const quickReadMs = 300;
 /** Counts older than this are not told. */
 const countsFreshMs = 1_800;
-/** How long a request looks for an owner before it is refused with a time to come back. */
-const ownerPatienceMs = 1_200;
+/** How long after an owner was lost a request waits for the next one before it is refused with a time to come back. */
+const ownerPatienceMs = 1_500;
 const forwardPauseMs = 50;
 /** Workers write every 1.5 s or so; a leaving one has to be noticed within 2 s. */
 const workerListPauseMs = 300;
@@ -117,6 +123,7 @@
     let ownerLostAtMs: number | undefined;
     let silentPings = 0;
     let ownerAnsweredAtMs = -Infinity;
+    let lastOwnedAtMs = clock.monotonicMs();
     let pendingCounts: { readonly counts: Readonly<Record<string, number>>; readonly atMs: number; } | undefined;
     const wakers = new Set<() => void>();
 
@@ -307,7 +314,8 @@
         if (2 * answered < others && lostForMs < minorityDelayMs) {
             return;
         }
-        if ((knownOwner?.version ?? 0) === version && owner === undefined) {
+        // A claim that is sent into an outage might take effect after it, when nobody needs it.
+        if (await storeIsQuick() && (knownOwner?.version ?? 0) === version && owner === undefined) {
             await claim(version, why);
         }
     };
@@ -354,7 +362,8 @@
             }
         }
         catch (error) {
-            silentPings += kindOf(error) === "unavailable" ? 2 : 1;
+            silentPings += 1;
+            log.write("warn", "ownerSilent", { owner: row.memberId, kind: kindOf(error), silentPings });
         }
         if (knownOwner?.version === version && silentPings >= silentPingsToClaim) {
             await considerClaim("ownerSilent");
@@ -392,6 +401,7 @@
         while (!stopping) {
             rounds += 1;
             if (owner !== undefined) {
+                lastOwnedAtMs = clock.monotonicMs();
                 pendingCounts = { counts: owner.pending(), atMs: clock.monotonicMs() };
                 if (rounds % 2 === 0) {
                     pingPeers();
@@ -408,7 +418,7 @@
                     pingPeers();
                 }
             }
-            await sleep(clock, pingIntervalMs);
+            await sleep(clock, silentPings > 0 ? failedPingIntervalMs : pingIntervalMs);
         }
     };
 
@@ -518,8 +528,11 @@
                     throw error;
                 }
             }
-            const waitedMs = clock.monotonicMs() - startedAtMs;
-            if (waitedMs + forwardPauseMs >= (unknown ? patienceMs : Math.min(patienceMs, ownerPatienceMs))) {
+            // An owner that was lost a while ago is not expected back at once, and other daemons may reach one.
+            const nowMs = clock.monotonicMs();
+            const ownerLostMs = nowMs - Math.max(ownerAnsweredAtMs, lastOwnedAtMs);
+            const allowedMs = unknown ? patienceMs : Math.min(patienceMs, ownerPatienceMs - ownerLostMs);
+            if (nowMs - startedAtMs + forwardPauseMs >= allowedMs) {
                 return unknown
                     ? die("mayHaveRun", "the owner of the shard gave no answer")
                     : die("notAccepted", "no owner of the shard can be reached", { retryAfterMs: settings.retryAfterMs });
@@ -532,7 +545,9 @@
 
     return {
         configuration: () => configuration,
-        ready: () => !stopping && configuration !== undefined,
+        ready: () =>
+            !stopping && configuration !== undefined
+            && (owner !== undefined || clock.monotonicMs() - ownerAnsweredAtMs < readyWithoutOwnerMs),
         submit: (submission, patienceMs) =>
             forward({
                 local: shard => shard.submit(submission),
@@ -567,7 +582,9 @@
                 configurationVersion: configuration?.version ?? 0,
                 pending: owner?.pending() ?? {},
                 seenOwnerToken: owner?.fencingToken
-                    ?? (clock.monotonicMs() - ownerAnsweredAtMs < 2 * pingTimeoutMs ? knownOwner?.version ?? 0 : 0),
+                    ?? (silentPings === 0 && clock.monotonicMs() - ownerAnsweredAtMs < freshAnswerMs
+                        ? knownOwner?.version ?? 0
+                        : 0),
                 stopping,
             }),
             submit: async submission => {
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -56,6 +56,8 @@
     commit(jobId: string): Promise<void>;
     /** Milliseconds since the batch under way was first sent; 0 at rest. */
     stalledMs(): number;
+    /** Local time of the newest answer from the store. */
+    answeredAtMs(): number;
     /** Resolves when nothing waits to be written any more. */
     idle(): Promise<void>;
     stop(): void;
@@ -83,6 +85,7 @@
     let running = false;
     let stopped = false;
     let sentAtMs: number | undefined;
+    let answeredAtMs = clock.monotonicMs();
 
     const takeBatch = (): Batch => {
         const id = `${claimId}/${batches}`;
@@ -131,6 +134,9 @@
         while (!stopped) {
             const result = await store.transact(transaction);
             meter.count(`commits.${result.outcome}`);
+            if (result.outcome === "committed" || result.outcome === "conflict") {
+                answeredAtMs = clock.monotonicMs();
+            }
             if (result.outcome === "committed") {
                 sequenceVersion = result.version;
                 return true;
@@ -196,6 +202,7 @@
                     queueMicrotask(() => void drain());
                 }
             }),
+        answeredAtMs: () => answeredAtMs,
         stalledMs: () => sentAtMs === undefined ? 0 : clock.monotonicMs() - sentAtMs,
         idle: () =>
             running && !stopped
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -1,6 +1,5 @@
 /** Rows that keep a job: one for its submission, written once, and a small one for its state, written at each change. */
 
-import { z } from "zod";
 import { type Row } from "../../types/cellPorts.js";
 import { type JobState, type JobSubmission, type Queue } from "../../types/work.js";
 import { die } from "../../utils/errors.js";
@@ -36,18 +35,6 @@
     readonly open: readonly (readonly [number, readonly (readonly [number, number, readonly StoredTask[]])[]])[];
 }
 
-const taskSchema: z.ZodType<StoredTask> = z.union([
-    z.literal(0),
-    z.literal(1),
-    z.tuple([z.number(), z.number(), z.string(), z.array(z.tuple([z.string(), z.number()]))]),
-]);
-const stateSchema: z.ZodType<StoredState> = z.object({
-    state: z.enum(["queued", "running", "completed", "failed", "cancelled"]),
-    endedAtMs: z.number().optional(),
-    done: z.array(z.number()),
-    open: z.array(z.tuple([z.number(), z.array(z.tuple([z.number(), z.number(), z.array(taskSchema)]))])),
-});
-
 const encodeTask = (task: ShardTask): StoredTask => {
     if (task.done) {
         return 1;
@@ -84,13 +71,15 @@
 };
 
 /**
- * Writes what a job was submitted with.
+ * Writes what a job was submitted with; the tasks of one that has ended are left out.
  *
  * @example
  * encodeSubmission(job);
  */
-export const encodeSubmission = ({ submission, queue, acceptedAtMs, order }: ShardJob): string => {
-    const stored: StoredSubmission = { submission, queue, acceptedAtMs, order };
+export const encodeSubmission = (job: ShardJob): string => {
+    const { submission, queue, acceptedAtMs, order } = job;
+    const kept = hasEnded(job) ? { ...submission, payload: "", steps: [] } : submission;
+    const stored: StoredSubmission = { submission: kept, queue, acceptedAtMs, order };
     return JSON.stringify(stored);
 };
 
@@ -161,7 +150,7 @@
             ?? die("internal", `the job ${key} has no state row`);
         const job = newJob(stored.submission, stored.queue, stored);
         job.stored = true;
-        runs.push(...restoreState(job, stateSchema.parse(JSON.parse(stateText))));
+        runs.push(...restoreState(job, JSON.parse(stateText) as StoredState));
         jobs.push(job);
     }
     return { jobs, runs };
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -108,6 +108,7 @@
     let closed = false;
     let passWanted = false;
     let ticks = 0;
+    const startedAtMs = clock.monotonicMs();
     let nextOrder = 1;
     let rejectWaiting: (error: Error) => void = () => {};
 
@@ -124,6 +125,10 @@
             return { puts: [], removes: [submissionPrefix + jobId, statePrefix + jobId] };
         }
         const state = { key: statePrefix + jobId, value: encodeState(job) };
+        if (job.stored && hasEnded(job)) {
+            // Nothing runs it again, and a successor reads fewer bytes.
+            return { puts: [{ key: submissionPrefix + jobId, value: encodeSubmission(job) }, state], removes: [] };
+        }
         return job.stored
             ? { puts: [state], removes: [] }
             : { puts: [{ key: submissionPrefix + jobId, value: encodeSubmission(job) }, state], removes: [] };
@@ -260,9 +265,11 @@
                 const wasCertain = seen.certain;
                 const newest = watch.take(seen, look, sentAtMs);
                 pacer.review(seen, (run, percent) => links.get(seen.workerId)?.pace(run, percent));
-                const written = commitTouched().then(() => {
+                // A look may list ends again whose commit, begun by an earlier look, is still under way.
+                const written = Promise.all([seen.endsWritten, commitTouched()]).then(() => {
                     seen.acknowledgedEnd = Math.max(seen.acknowledgedEnd, newest);
                 });
+                seen.endsWritten = written;
                 if (!wasCertain) {
                     wake();
                 }
@@ -435,12 +442,26 @@
         }
     };
 
+    /**
+     * An owner that neither the store nor most workers answer may have been replaced by one that it cannot see; it stops
+     * renewing leases soon enough for the successor's count of them.
+     */
+    const isCutOff = (nowMs: number): boolean => {
+        const silent = [...workers.values()].filter(worker => nowMs - worker.answeredAtMs > settings.cutOffMs).length;
+        return nowMs - startedAtMs > settings.cutOffMs && 2 * silent > workers.size
+            && nowMs - commits.answeredAtMs() > settings.cutOffMs && commits.stalledMs() > settings.cutOffMs;
+    };
+
     const tick = (): void => {
         if (closed) {
             return;
         }
         ticks += 1;
         const nowMs = clock.monotonicMs();
+        if (isCutOff(nowMs)) {
+            fenced("cutOff");
+            return;
+        }
         checkHorizons(nowMs);
         openDue();
         if (ticks % forgetIntervalTicks === 0) {
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -12,6 +12,8 @@
     readonly orderPauseMs: number;
     /** How long a replaced owner may go on renewing leases that its successor cannot see. */
     readonly formerOwnerMs: number;
+    /** An owner to which neither the store nor most workers answered for this long stops; below `formerOwnerMs`. */
+    readonly cutOffMs: number;
     /** Commits that find no answer for this long let submissions be refused at once. */
     readonly refuseStalledMs: number;
     /** An ended job is forgotten after this. */
@@ -29,6 +31,7 @@
     lookPauseMs: 250,
     orderPauseMs: 100,
     formerOwnerMs: 2_500,
+    cutOffMs: 1_800,
     refuseStalledMs: 400,
     retentionMs: 180_000,
     maxAdviceWorkers: 40,
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -27,6 +27,8 @@
     acknowledgedEnd: number;
     /** Highest number of an end that was taken into the book. */
     takenEnd: number;
+    /** Resolves once all ends taken so far are durable. */
+    endsWritten: Promise<unknown>;
     /** Runs that hold room, by name and number. */
     readonly runs: Map<string, ShardRun>;
     /** Room that is held, by known runs and by runs that nobody knows until they are stopped. */
@@ -58,6 +60,7 @@
     silentLooks: 0,
     acknowledgedEnd: 0,
     takenEnd: 0,
+    endsWritten: Promise.resolve(),
     runs: new Map(),
     held: noResources,
     failedJobs: new Set(),
