--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -80,7 +80,9 @@
 const answerMs = 1;
 const unansweredMs = 500;
 const lateMs = 3_000;
-const stopMs = 100;
+const failMs = 100;
+/** As slow as the slower site allows. */
+const stopMs = 900;
 
 /**
  * Makes the stand-ins.
@@ -182,7 +184,7 @@
         const { durationMs, fails } = model(order.taskName, order.run);
         const failing = worker.fault === "failing";
         const cancel = worker.fault === "hanging" ? () => {} : clock.setTimer(
-            failing ? stopMs : durationMs,
+            failing ? failMs : durationMs,
             () => endRun(worker, key, failing || fails ? runEnds.failed : runEnds.done),
         );
         worker.running.set(key, { evidence: made, cancel, cpuMillis: cpuOf(order.taskName), checkpoint: order.checkpoint });
