--- a/features/shard.feature
+++ b/features/shard.feature
@@ -142,3 +142,20 @@
         And 4 jobs of steps "4" are submitted
         And the shard runs for 5000 ms
         Then no promise was broken
+
+    Scenario: Tasks of a worker that is cut off for good run elsewhere once its lease is over
+        Given a cell of 3 daemons and 4 workers
+        When 6 jobs of steps "3" are submitted
+        And the shard runs for 300 ms
+        And the fault "worker cut" comes
+        Then all jobs are "completed" within 9000 ms
+        And no promise was broken
+
+    Scenario: Tasks of a worker that left run elsewhere
+        Given a cell of 3 daemons and 4 workers
+        When 6 jobs of steps "3" are submitted
+        And the shard runs for 300 ms
+        And the fault "worker crashes" comes
+        And the fault goes
+        Then all jobs are "completed" within 9000 ms
+        And no promise was broken
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -104,11 +104,12 @@
     readonly except?: ReadonlySet<string>;
 }
 
-/** Whether the step may run there at all now, whatever room is left. */
-const mayRun = (worker: ShardWorker, step: ShardStep, { nowMs, rack, except }: ChoiceLimits): boolean =>
+/** Whether the step may run there now, whatever room is left, or nobody has asked yet whether it may. */
+const mightRun = (worker: ShardWorker, step: ShardStep, { nowMs, rack, except }: ChoiceLimits): boolean =>
     isOpen(worker, nowMs) && suits(worker, step) && except?.has(worker.workerId) !== true
     && (rack === undefined || worker.entry.rack === rack)
-    && (step.occurrence.job.queue.advice === undefined || step.advice.good.has(worker.workerId));
+    && (step.occurrence.job.queue.advice === undefined || step.advice.good.has(worker.workerId)
+        || !step.advice.asked.has(worker.workerId));
 
 const hasRoomFor = (worker: ShardWorker, step: ShardStep): boolean => {
     const { maxPerWorker } = step.spec;
@@ -130,7 +131,7 @@
 ): ShardWorker | undefined => {
     const { step } = task;
     const held = heldBy(step.spec);
-    const allowed = [...workers].filter(worker => mayRun(worker, step, limits));
+    const allowed = [...workers].filter(worker => mightRun(worker, step, limits));
     const untried = allowed.filter(worker => !task.failedOn.has(worker.workerId));
     let best: ShardWorker | undefined;
     let bestScore = -Infinity;
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -70,8 +70,9 @@
 
     const lookOnce = async (): Promise<void> => {
         const sentAtMs = clock.monotonicMs();
-        const deadlineMs = extendLease(worker, sentAtMs, leaseMs);
-        const ready = deadlineMs !== undefined && worker.silentLooks === 0;
+        // A worker that is silent may get each of these orders late; renewing its lease would put off its end for ever.
+        const deadlineMs = worker.silentLooks > 0 ? undefined : extendLease(worker, sentAtMs, leaseMs);
+        const ready = deadlineMs !== undefined;
         meter.count("looks");
         const look = await workers.look(target(), {
             fencingToken,
@@ -147,7 +148,9 @@
     const startUntilSettled = async (run: ShardRun, checkpoint: string, ticket: string): Promise<void> => {
         let unanswered = false;
         while (!closed && run.phase === runPhases.starting && worker.runs.has(runKey(run.task.name, run.run))) {
-            const deadlineMs = extendLease(worker, clock.monotonicMs(), leaseMs);
+            const deadlineMs = unanswered && worker.silentLooks > 0
+                ? undefined
+                : extendLease(worker, clock.monotonicMs(), leaseMs);
             if (deadlineMs === undefined) {
                 await sleep(clock, orderPauseMs);
                 continue;
