--- a/features/shard.feature
+++ b/features/shard.feature
@@ -159,3 +159,15 @@
         And the fault goes
         Then all jobs are "completed" within 9000 ms
         And no promise was broken
+
+    Scenario: A job that no commit has held is refused at once while the store is away
+        Given a cell of 3 daemons and 4 workers
+        When the fault "store hangs" comes
+        And 3 jobs of steps "2" are submitted
+        And the shard runs for 300 ms
+        And 3 jobs of steps "2" are submitted
+        And the shard runs for 900 ms
+        Then 3 jobs at least were refused
+        And the fault goes
+        And all jobs are "completed" within 20000 ms
+        And every task ran 1 time
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -153,6 +153,11 @@
     assert.ok(reached, `still ${cell.owner()}`);
 });
 
+Then("{int} jobs at least were refused", function(this: ScenarioWorld, count: number) {
+    const refused = [...cellOf(this).answers().values()].filter(answer => answer === "refused");
+    assert.ok(refused.length >= count, `${refused.length} were`);
+});
+
 Then("no promise was broken", function(this: ScenarioWorld) {
     assert.deepEqual(cellOf(this).breaches(), []);
 });
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -62,6 +62,8 @@
     answeredAtMs(): number;
     /** Resolves when nothing waits to be written any more. */
     idle(): Promise<void>;
+    /** Takes a job back that no batch has held yet; false where one may have made it durable. */
+    withdraw(jobId: string): boolean;
     /** Writes a batch without jobs where nothing is under way, to learn whether the store answers this owner. */
     probe(): void;
     stop(): void;
@@ -83,6 +85,8 @@
 export const createCommitLog = (options: CommitLogOptions): CommitLog => {
     const { clock, log, meter, store, part, ownerVersion, claimId, encode, onFenced } = options;
     const dirty = new Map<string, (() => void)[]>();
+    /** Jobs of the batch under way. */
+    let sent = new Set<string>();
     let idleWaiting: (() => void)[] = [];
     let sequenceVersion = options.sequenceVersion;
     let batches = 0;
@@ -98,12 +102,14 @@
         const puts: { table: string; part: string; key: string; value: string; }[] = [];
         const removes: { table: string; part: string; key: string; }[] = [];
         const waiting: (() => void)[] = [];
+        sent = new Set();
         let bytes = 0;
         for (const [jobId, resolvers] of dirty) {
             if (puts.length + removes.length >= maxBatchRows || bytes >= maxBatchBytes) {
                 break;
             }
             dirty.delete(jobId);
+            sent.add(jobId);
             waiting.push(...resolvers);
             const change = encode(jobId);
             for (const put of change.puts) {
@@ -206,6 +212,7 @@
                 begin();
             }
         },
+        withdraw: jobId => !sent.has(jobId) && dirty.delete(jobId),
         commit: jobId =>
             new Promise(resolve => {
                 const resolvers = dirty.get(jobId);
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -85,6 +85,8 @@
     readonly advice: StepAdvice;
     /** Local time at which it became ready. */
     readyAtMs: number;
+    /** Less urgent runs that were stopped to make room for it. */
+    victims: readonly ShardRun[];
 }
 
 /** One occurrence of a job's steps. */
@@ -138,6 +140,7 @@
         gangFailedRun: 0,
         advice: { asked: new Set(), good: new Map(), inFlight: false, notBeforeMs: 0 },
         readyAtMs: 0,
+        victims: [],
     };
     for (let index = 0; index < spec.count; index += 1) {
         const { jobId } = occurrence.job.submission;
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -3,8 +3,10 @@
 import type { AdviceAnswer } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import type { AdviceDesk } from "./adviceDesk.js";
+import { isTimeToAsk } from "./askAhead.js";
 import { chooseWorker, heldBy, runsOnWorker, suits, ticketFor } from "./chooseWorker.js";
 import { hasEnded, isReady, isWaiting, type ShardJob, type ShardRun, runPhases, type ShardStep, type ShardTask } from "./jobBook.js";
+import { victimsOf } from "./preempt.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { dropRun, holdRoom, isOpen, roomOf, type ShardWorker } from "./workerTable.js";
 import { fits } from "../../types/resources.js";
@@ -19,6 +21,8 @@
     readonly desk: AdviceDesk;
     /** The job's planned runs are to be made durable, then started. */
     readonly onPlanned: (job: ShardJob, runs: readonly ShardRun[]) => void;
+    /** The run is to be stopped with its checkpoint, to make room. */
+    readonly onPreempt: (run: ShardRun) => void;
 }
 
 /** Places tasks. */
@@ -55,6 +59,8 @@
 export const createPlacing = (options: PlacingOptions): Placing => {
     const { clock, log, meter, settings, workers, desk, onPlanned } = options;
     const ready = new Set<ShardStep>();
+    /** Steps that wait for others and about which nobody has asked yet. */
+    const upcoming = new Set<ShardStep>();
     /** Steps that began and whose tasks may run twice at once. */
     const copyable = new Set<ShardStep>();
 
@@ -253,6 +259,28 @@
         }
         if (runs.length < waiting.length) {
             askIfNeeded(step, waiting.length - runs.length, nowMs);
+            makeRoom(step, waiting.length - runs.length, nowMs);
+        }
+    };
+
+    const makeRoom = (step: ShardStep, waiting: number, nowMs: number): void => {
+        for (const run of victimsOf({ step, waiting, workers, nowMs, stopMs: settings.stopMs })) {
+            log.write("info", "preempted", { task: run.task.name, run: run.run, workerId: run.workerId, for: stepNameOf(step) });
+            meter.count("preemptions");
+            options.onPreempt(run);
+        }
+    };
+
+    const askAhead = (nowMs: number): void => {
+        for (const step of upcoming) {
+            if (hasEnded(step.occurrence.job) || isReady(step)) {
+                upcoming.delete(step);
+                continue;
+            }
+            if (isTimeToAsk(step)) {
+                upcoming.delete(step);
+                ask(step, namesFor(step, step.open, nowMs));
+            }
         }
     };
 
@@ -261,6 +289,7 @@
         for (const step of [...ready].sort(byUrgency)) {
             placeStep(step, nowMs);
         }
+        askAhead(nowMs);
         for (const step of copyable) {
             if (step.open === 0 || hasEnded(step.occurrence.job)) {
                 copyable.delete(step);
@@ -277,6 +306,9 @@
             }
             for (const occurrence of job.occurrences.values()) {
                 for (const step of occurrence.steps) {
+                    if (step.open > 0 && step.advice.asked.size === 0 && !step.advice.inFlight && !isReady(step)) {
+                        upcoming.add(step);
+                    }
                     if (step.open > 0 && !ready.has(step) && isReady(step) && step.tasks.some(isWaiting)) {
                         step.readyAtMs = clock.monotonicMs();
                         ready.add(step);
@@ -285,14 +317,15 @@
             }
         },
         forget: job => {
-            for (const step of [...ready, ...copyable]) {
+            for (const step of [...ready, ...copyable, ...upcoming]) {
                 if (step.occurrence.job === job) {
                     ready.delete(step);
                     copyable.delete(step);
+                    upcoming.delete(step);
                 }
             }
         },
         pass,
-        readySteps: () => ready.size + copyable.size,
+        readySteps: () => ready.size + copyable.size + upcoming.size,
     };
 };
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -73,7 +73,9 @@
 
 /** Interval of the checks that depend on time alone: leases, due occurrences, expired advice. */
 const tickMs = 100;
-/** A submission that waits for its commit gives way to the caller's resend after this long. */
+/** How often a job that waits for its acceptance looks whether the store stalls. */
+const acceptanceCheckMs = 100;
+/** Ended jobs are looked through this many ticks apart. */
 const forgetIntervalTicks = 50;
 
 /** Stands for a worker that has runs and is not listed: no order can reach it and nothing fits on it. */
@@ -198,7 +200,7 @@
         });
     };
 
-    const placing = createPlacing({ clock, log, meter, settings, workers, desk, onPlanned: startPlanned });
+    const placing = createPlacing({ clock, log, meter, settings, workers, desk, onPlanned: startPlanned, onPreempt: stopRun });
     const pacer = createPacer({ clock, log });
 
     const wake = (): void => {
@@ -542,6 +544,27 @@
     endedKnown.catch(() => {});
     clock.setTimer(tickMs, tick);
 
+    /**
+     * Waits for a job's acceptance. Where the store stalls and no batch has held the job yet, it is taken back: the
+     * refusal is certain, and the caller hears it at once.
+     */
+    const settleAcceptance = async (job: ShardJob): Promise<void> => {
+        const { jobId } = job.submission;
+        let stored = false;
+        const written = commit(job).then(() => {
+            stored = true;
+        });
+        while (!stored) {
+            await Promise.race([written, endOfOffice, sleep(clock, acceptanceCheckMs)]);
+            if (!stored && commits.stalledMs() > settings.refuseStalledMs && commits.withdraw(jobId)) {
+                jobs.delete(jobId);
+            }
+            if (jobs.get(jobId) !== job) {
+                die("notAccepted", "the store does not answer", { retryAfterMs: settings.retryAfterMs });
+            }
+        }
+    };
+
     const accept = (submission: JobSubmission): ShardJob => {
         const queue = queues.get(submission.queueKey)
             ?? die("unavailable", `the queue ${submission.queueKey} is not in this daemon's configuration`);
@@ -558,7 +581,7 @@
         const known = jobs.get(submission.jobId);
         if (known !== undefined) {
             if (!known.stored) {
-                await Promise.race([commit(known), endOfOffice]);
+                await settleAcceptance(known);
             }
             return;
         }
@@ -568,7 +591,7 @@
             return;
         }
         const job = accept(submission);
-        await Promise.race([commit(job), endOfOffice]);
+        await settleAcceptance(job);
         meter.count("jobsAccepted");
         log.write("info", "jobAccepted", { jobId: submission.jobId, queue: submission.queueKey, steps: submission.steps.length });
         placing.consider(job);
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -12,6 +12,8 @@
     readonly orderPauseMs: number;
     /** How long a replaced owner may go on renewing leases that its successor cannot see. */
     readonly formerOwnerMs: number;
+    /** How long a worker may take to stop a run; a bound of the platform. */
+    readonly stopMs: number;
     /** A worker or a store without an answer for this long is silent; a look waits up to `lookWaitMs`. */
     readonly silentMs: number;
     /** An owner to which neither the store nor most workers answered for this long stops; below `formerOwnerMs`. */
@@ -35,6 +37,7 @@
     lookPauseMs: 250,
     orderPauseMs: 100,
     formerOwnerMs: 2_500,
+    stopMs: 900,
     silentMs: 1_300,
     cutOffMs: 1_800,
     refuseStalledMs: 400,
