--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -510,11 +510,9 @@
             runs.push(stored);
             unseenRuns.set(stored.workerId, runs);
         }
-        for (const [workerId, runs] of [...unseenRuns]) {
+        for (const workerId of [...unseenRuns.keys()]) {
             // Until the platform lists it, it may be anywhere; its lease settles it.
-            const worker = addWorker({ ...unlistedEntry, workerId }, false);
-            log.write("info", "runsUnsettled", { workerId, runs: runs.length });
-            worker.horizonMs = formerHorizonMs();
+            addWorker({ ...unlistedEntry, workerId }, false);
         }
         for (const job of jobs.values()) {
             placing.consider(job);
