--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "**/*_pb.ts", "reports/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "**/*_pb.ts", "reports/**", "target/**"] },
     ...tseslint.configs.strict,
     ...tseslint.configs.stylistic,
     {
@@ -33,4 +33,6 @@
             "@typescript-eslint/unified-signatures": "off",
         },
     },
+    // V8 keeps compiled code for scripts and not for modules, so the daemon's loader is a script.
+    { files: ["**/*.cjs"], rules: { "@typescript-eslint/no-require-imports": "off" } },
 );
--- a/features/examples.feature
+++ b/features/examples.feature
@@ -49,6 +49,24 @@
             | attemptOwners        | no owner is known                       |
             | roomMaker            | 1 less urgent tasks of w1 are stopped for it |
             | nodeSettings         | leases of 20000 ms                      |
+            | adviceDesk           | first, urgent, batch                    |
+            | askAhead             | not yet, then now                       |
+            | cellMember           | another daemon owns the shard           |
+            | chooseWorker         | i-2                                     |
+            | claimShard           | token 1, then refused                   |
+            | commitLog            | 3 jobs in 1 transaction                 |
+            | jobBook              | completed                               |
+            | jobRows              | 5c0e7a21d94b36f8.0.0.0 ran on i-1       |
+            | pacer                | paced to 0 percent                      |
+            | placing              | 5c0e7a21d94b36f8.0.0.0 on i-1           |
+            | preempt              | 1 run stops                             |
+            | shardOwner           | 5c0e7a21d94b36f8 is queued              |
+            | shardSettings        | leases of 5000 ms                       |
+            | tableWatch           | configuration seen                      |
+            | workerLink           | 3 looks                                 |
+            | workerTable          | until 6500 on its clock, 8000 free      |
+            | workerWatch          | end 7 taken, done                       |
+            | taskName             | 5c0e7a21d94b36f8.0.1.17                 |
 
     Scenario: Every module that the library exports has an example
         Then each module of core, plugins and utils has an example
--- a/features/steps/exampleSteps.ts
+++ b/features/steps/exampleSteps.ts
@@ -1,9 +1,11 @@
 import { Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { readdirSync } from "node:fs";
+import { basename } from "node:path";
 import { coordinationExamples } from "./examples/coordination.js";
 import { decisionExamples } from "./examples/decisions.js";
 import { ownershipExamples } from "./examples/ownership.js";
+import { shardExamples } from "./examples/shard.js";
 import { utilityExamples } from "./examples/utilities.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
@@ -12,13 +14,16 @@
     ...coordinationExamples,
     ...utilityExamples,
     ...ownershipExamples,
+    ...shardExamples,
 };
 
 const libraryFolder = "packages/puffinarch/src";
 
 Then("each module of core, plugins and utils has an example", () => {
-    const modules = ["core", "plugins", "utils"].flatMap(folder => readdirSync(`${libraryFolder}/${folder}`));
-    const missing = modules.map(file => file.replace(/\.ts$/, "")).filter(name => !(name in examples));
+    const files = ["core", "plugins", "utils"].flatMap(folder =>
+        readdirSync(`${libraryFolder}/${folder}`, { recursive: true, encoding: "utf8" })
+    ).filter(file => file.endsWith(".ts"));
+    const missing = files.map(file => basename(file, ".ts")).filter(name => !(name in examples));
     assert.deepEqual(missing, []);
 });
 
--- /dev/null
+++ b/features/steps/examples/shard.ts
@@ -0,0 +1,402 @@
+/** Examples of the parts of a shard; each is a complete embedding of one module. */
+
+import {
+    createFakeClock,
+    createFakeRowStore,
+    createShardCell,
+    plainStep,
+    testQueue,
+    workerEntry,
+} from "@puffinarch/stand-ins";
+import {
+    applyEnd,
+    chooseWorker,
+    claimShard,
+    createAdviceDesk,
+    createCommitLog,
+    createPacer,
+    createPlacing,
+    createWorkerWatch,
+    defaultShardSettings,
+    encodeJob,
+    extendLease,
+    type FencedWorkerPort,
+    formatTaskName,
+    isTimeToAsk,
+    isWaiting,
+    type Log,
+    type Meter,
+    newJob,
+    newWorker,
+    openWorkerLink,
+    restoreJobs,
+    roomOf,
+    type ShardJob,
+    type ShardRun,
+    startShardOwner,
+    victimsOf,
+    watchTable,
+} from "puffinarch";
+
+const log: Log = { write: () => {} };
+const meter: Meter = { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 };
+const part = "shard-0";
+const owner = {
+    memberId: "entry-1",
+    address: "http://127.0.0.1:7100",
+    dataCentre: "leon-feria",
+    incarnation: "1",
+    claimId: "1",
+};
+
+const submission = {
+    jobId: "5c0e7a21d94b36f8",
+    queueKey: testQueue.key,
+    dataCentre: "leon-feria",
+    payload: "plan",
+    steps: [plainStep, { ...plainStep, after: [0] }],
+    schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
+};
+
+const exampleJob = (): ShardJob => newJob(submission, testQueue, { acceptedAtMs: 0, order: 1 });
+
+const taskOf = (job: ShardJob, step = 0) => {
+    const task = job.occurrences.get(0)?.steps[step]?.tasks[0];
+    if (task === undefined) {
+        throw new Error("the job has no such step");
+    }
+    return task;
+};
+
+const openWorker = () => {
+    const worker = newWorker(workerEntry("i-1", 1), 0);
+    worker.certain = true;
+    worker.clock = { localMs: 0, clockMs: 1_000 };
+    return worker;
+};
+
+const runOf = (job: ShardJob): ShardRun => ({
+    task: taskOf(job),
+    run: 1,
+    workerId: "i-1",
+    held: plainStep.size,
+    phase: "running",
+    settledAtMs: 0,
+    startedAtMs: 0,
+    percent: 100,
+    figure: 0,
+    idleSinceMs: undefined,
+});
+
+const jobBook = (): string => {
+    const job = exampleJob();
+    applyEnd(taskOf(job), 1, "done", "", 1_000);
+    applyEnd(taskOf(job, 1), 1, "done", "", 2_000);
+    return job.state;
+};
+
+const jobRows = (): string => {
+    const job = exampleJob();
+    taskOf(job).lastRun = 1;
+    taskOf(job).runs.push(runOf(job));
+    const rows = encodeJob(job).puts.map(put => ({ ...put, part, version: 1 }));
+    const [run] = restoreJobs(rows).runs;
+    return `${run?.taskName} ran on ${run?.workerId}`;
+};
+
+const commitLog = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const store = createFakeRowStore(clock);
+    const commits = createCommitLog({
+        clock,
+        log,
+        meter,
+        store: store.connect("entry-1"),
+        part,
+        ownerVersion: 0,
+        sequenceVersion: 0,
+        claimId: "1",
+        encode: jobId => ({ puts: [{ table: "puffinarch-journal", key: `state/${jobId}`, value: "{}" }], removes: [] }),
+        onFenced: () => {},
+    });
+    const written = Promise.all(["a", "b", "c"].map(jobId => commits.commit(jobId)));
+    await clock.advance(100);
+    await written;
+    return `3 jobs in ${store.transactions()} transaction`;
+};
+
+const claim = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const store = createFakeRowStore(clock).connect("entry-1");
+    const options = { clock, log, store, part, owner, seenVersion: 0, wanted: () => true, onClaimed: () => {} };
+    const first = claimShard(options);
+    await clock.advance(100);
+    const second = claimShard({ ...options, owner: { ...owner, claimId: "2" } });
+    await clock.advance(100);
+    return `token ${(await first)?.fencingToken}, then ${(await second) === undefined ? "refused" : "claimed"}`;
+};
+
+const tableWatch = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const store = createFakeRowStore(clock);
+    const seen: string[] = [];
+    const watch = watchTable({
+        clock,
+        log,
+        store: store.connect("entry-1"),
+        table: "operator",
+        parts: [""],
+        onRows: rows => seen.push(...rows.map(row => row.key)),
+        onWhole: () => {},
+    });
+    await clock.advance(100);
+    store.put("operator", "configuration", { version: 1 });
+    await clock.advance(100);
+    watch.stop();
+    return `${seen.join(", ")} seen`;
+};
+
+const adviceDesk = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const order: string[] = [];
+    const desk = createAdviceDesk({
+        clock,
+        log,
+        meter,
+        lanes: () => ["entry-1"],
+        call: async (_lane, { stepName }) => {
+            order.push(stepName);
+            return { good: [], validMs: 2_500 };
+        },
+    });
+    const common = { workerIds: ["i-1"], costMs: 20, onAnswer: () => {}, onFailure: () => {}, wanted: () => true };
+    desk.ask({ ...common, stepName: "first", priority: 2 });
+    desk.ask({ ...common, stepName: "batch", priority: 2 });
+    desk.ask({ ...common, stepName: "urgent", priority: 0 });
+    await clock.advance(10);
+    return order.join(", ");
+};
+
+const chooser = (): string => {
+    const job = exampleJob();
+    const task = taskOf(job);
+    const full = openWorker();
+    const free = { ...openWorker(), workerId: "i-2", entry: workerEntry("i-2", 2) };
+    full.held = full.entry.capacity;
+    for (const workerId of ["i-1", "i-2"]) {
+        task.step.advice.good.set(workerId, { ticket: "t", validUntilMs: 9_000 });
+    }
+    return chooseWorker(task, [full, free], { nowMs: 0 })?.workerId ?? "none";
+};
+
+const askAhead = (): string => {
+    const job = exampleJob();
+    const second = taskOf(job, 1).step;
+    const early = isTimeToAsk(second);
+    taskOf(job).runs.push(runOf(job));
+    return `${early ? "now" : "not yet"}, then ${isTimeToAsk(second) ? "now" : "not yet"}`;
+};
+
+const preempt = (): string => {
+    const batchQueue = { ...testQueue, priority: 2 };
+    const batch = newJob(
+        { ...submission, steps: [{ ...plainStep, checkpointing: true }] },
+        batchQueue,
+        { acceptedAtMs: 0, order: 1 },
+    );
+    const worker = openWorker();
+    worker.held = worker.entry.capacity;
+    worker.runs.set("batch", runOf(batch));
+    const { step } = taskOf(exampleJob());
+    step.advice.good.set("i-1", { ticket: "t", validUntilMs: 9_000 });
+    const victims = victimsOf({ step, waiting: 1, workers: new Map([["i-1", worker]]), nowMs: 200, stopMs: 200 });
+    return `${victims.length} run stops`;
+};
+
+const pacer = (): string => {
+    const worker = openWorker();
+    const serving = newJob(
+        { ...submission, steps: [{ ...plainStep, latencyObjectiveMs: 100 }] },
+        testQueue,
+        { acceptedAtMs: 0, order: 1 },
+    );
+    const filling = newJob(
+        { ...submission, steps: [{ ...plainStep, fills: true }] },
+        testQueue,
+        { acceptedAtMs: 0, order: 2 },
+    );
+    worker.runs.set("serving", { ...runOf(serving), figure: 120 });
+    worker.runs.set("filling", runOf(filling));
+    const paced: number[] = [];
+    createPacer({ clock: createFakeClock(), log }).review(worker, (_run, percent) => paced.push(percent));
+    return `paced to ${paced.join(", ")} percent`;
+};
+
+const placing = (): string => {
+    const clock = createFakeClock();
+    const planned: string[] = [];
+    const job = exampleJob();
+    taskOf(job).step.advice.good.set("i-1", { ticket: "t", validUntilMs: 9_000 });
+    const desk = createAdviceDesk({
+        clock,
+        log,
+        meter,
+        lanes: () => [],
+        call: () => Promise.reject(new Error("no lane")),
+    });
+    const all = createPlacing({
+        clock,
+        log,
+        meter,
+        settings: defaultShardSettings,
+        workers: new Map([["i-1", openWorker()]]),
+        desk,
+        onPlanned: (_job, runs) => planned.push(...runs.map(run => `${run.task.name} on ${run.workerId}`)),
+        onPreempt: () => {},
+    });
+    all.consider(job);
+    all.pass();
+    return planned.join(", ");
+};
+
+const workerTable = (): string => {
+    const worker = openWorker();
+    const deadlineMs = extendLease(worker, 500, 5_000);
+    return `until ${deadlineMs} on its clock, ${roomOf(worker).cpuMillis} free`;
+};
+
+const workerWatch = (): string => {
+    const job = exampleJob();
+    const task = taskOf(job);
+    const worker = openWorker();
+    const run = runOf(job);
+    task.runs.push(run);
+    worker.runs.set(`${task.name}#1`, run);
+    const watch = createWorkerWatch({
+        clock: createFakeClock(),
+        log,
+        meter,
+        jobOf: () => job,
+        onChange: () => {},
+        onStuck: () => {},
+        stop: () => {},
+        stopUnknown: () => {},
+    });
+    const ended = [{ endNumber: 7, taskName: task.name, run: 1, how: "done", checkpoint: "" }] as const;
+    const newest = watch.take(worker, { outcome: "done", clockMs: 1_000, running: [], ended }, 10);
+    return `end ${newest} taken, ${isWaiting(task) ? "waiting" : "done"}`;
+};
+
+const workerLink = async (): Promise<string> => {
+    const clock = createFakeClock();
+    let looks = 0;
+    const workers: FencedWorkerPort = {
+        start: async () => "done",
+        stop: async () => "done",
+        pace: async () => "done",
+        look: async () => {
+            looks += 1;
+            await new Promise<void>(resolve => {
+                clock.setTimer(1_000, resolve);
+            });
+            return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: [] };
+        },
+    };
+    const link = openWorkerLink(openWorker(), {
+        clock,
+        log,
+        meter,
+        workers,
+        fencingToken: 7,
+        leaseMs: 5_000,
+        lookWaitMs: 1_000,
+        lookPauseMs: 250,
+        orderPauseMs: 100,
+        onLook: async () => {},
+        onSilent: () => {},
+        onLifeOver: () => {},
+        onFenced: () => {},
+        onNotStarted: () => {},
+        onStarted: () => {},
+    });
+    await clock.advance(2_500);
+    link.close();
+    return `${looks} looks`;
+};
+
+const shardOwner = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const store = createFakeRowStore(clock).connect("entry-1");
+    const claiming = claimShard({
+        clock,
+        log,
+        store,
+        part,
+        owner,
+        seenVersion: 0,
+        wanted: () => true,
+        onClaimed: () => {},
+    });
+    await clock.advance(100);
+    const claimed = await claiming;
+    if (claimed === undefined) {
+        return "not claimed";
+    }
+    const shard = startShardOwner({
+        clock,
+        log,
+        meter,
+        settings: defaultShardSettings,
+        store,
+        workers: {
+            start: async () => "done",
+            stop: async () => "done",
+            pace: async () => "done",
+            look: async () => ({ outcome: "unknown" }),
+        },
+        part,
+        claimId: owner.claimId,
+        claimed,
+        adviceLanes: () => [],
+        callAdvice: () => Promise.reject(new Error("no lane")),
+        onFenced: () => {},
+    });
+    shard.updateConfiguration({ version: 1, queues: [testQueue], maxHeaderBytes: 1, maxBodyBytes: 1 });
+    const accepted = shard.submit(submission);
+    await clock.advance(500);
+    await accepted;
+    const state = await shard.jobState(submission.jobId);
+    shard.close();
+    return `${submission.jobId} is ${state}`;
+};
+
+const cellMember = async (): Promise<string> => {
+    const cell = createShardCell({ members: 3, workers: 2, seed: 1 });
+    await cell.clock.advance(2_000);
+    const first = cell.owner();
+    cell.kill(first ?? "");
+    await cell.clock.advance(2_000);
+    return cell.owner() === undefined || cell.owner() === first ? "nobody took over" : "another daemon owns the shard";
+};
+
+/** One example for each module of `core/shard`, by the module's name. */
+export const shardExamples: Readonly<Record<string, () => string | Promise<string>>> = {
+    adviceDesk,
+    askAhead,
+    cellMember,
+    chooseWorker: chooser,
+    claimShard: claim,
+    commitLog,
+    jobBook,
+    jobRows,
+    pacer,
+    placing,
+    preempt,
+    shardOwner,
+    shardSettings: () => `leases of ${defaultShardSettings.leaseMs} ms`,
+    tableWatch,
+    workerLink,
+    workerTable,
+    workerWatch,
+    taskName: () => formatTaskName({ jobId: "5c0e7a21d94b36f8", occurrence: 0, step: 1, index: 17 }),
+};
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -21,7 +21,11 @@
 }
 
 const part = (world: ScenarioWorld): Part =>
-    partOf(world, "shard", () => ({ cell: undefined, jobs: [], mend: [], seed: 1, faultAtMs: 0, ownerBefore: undefined }));
+    partOf(
+        world,
+        "shard",
+        () => ({ cell: undefined, jobs: [], mend: [], seed: 1, faultAtMs: 0, ownerBefore: undefined }),
+    );
 
 const cellOf = (world: ScenarioWorld): ShardCell => {
     const { cell } = part(world);
@@ -38,9 +42,12 @@
     await cellOf(world).clock.advance(2_000);
 };
 
-Given("a cell of {int} daemons and {int} workers", async function(this: ScenarioWorld, members: number, workers: number) {
-    await startCell(this, { members, workers, seed: 1 });
-});
+Given(
+    "a cell of {int} daemons and {int} workers",
+    async function(this: ScenarioWorld, members: number, workers: number) {
+        await startCell(this, { members, workers, seed: 1 });
+    },
+);
 
 Given(
     "a cell of {int} daemons and {int} workers, seed {int}",
@@ -149,7 +156,10 @@
     const cell = cellOf(this);
     const { ownerBefore } = part(this);
     const others = cell.memberIds().filter(memberId => memberId !== ownerBefore);
-    const reached = await cell.until(() => others.some(memberId => cell.member(memberId)?.ownsShard() === true), limitMs);
+    const reached = await cell.until(
+        () => others.some(memberId => cell.member(memberId)?.ownsShard() === true),
+        limitMs,
+    );
     assert.ok(reached, `still ${cell.owner()}`);
 });
 
--- /dev/null
+++ b/features/steps/usersPlatformSteps.ts
@@ -0,0 +1,278 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import { testQueue } from "@puffinarch/stand-ins";
+import assert from "node:assert/strict";
+import { createServer, type IncomingHttpHeaders } from "node:http";
+import type { AddressInfo } from "node:net";
+import { type CellConfiguration, type CellMember, errorOf, failureOf, type Row, type WorkerEntry } from "puffinarch";
+import {
+    createCallers,
+    createPlatformStore,
+    createPlatformWorkers,
+    parsePlatformSettings,
+    readConfiguration,
+    readWorker,
+} from "puffinarch-platform";
+import { createHttpCaller, createMeter } from "puffinarchd";
+import { partOf, type ScenarioWorld } from "./support.js";
+
+interface Part {
+    address: string;
+    sent: {
+        readonly method: string;
+        readonly path: string;
+        readonly body: string;
+        readonly headers: IncomingHttpHeaders;
+    }[];
+    outcome: string;
+    look: string;
+    status: number;
+    text: string;
+    configuration: CellConfiguration | undefined;
+    worker: WorkerEntry | undefined;
+}
+
+const part = (world: ScenarioWorld): Part =>
+    partOf(world, "usersPlatform", () => ({
+        address: "",
+        sent: [],
+        outcome: "",
+        look: "",
+        status: 0,
+        text: "",
+        configuration: undefined,
+        worker: undefined,
+    }));
+
+const serve = async (world: ScenarioWorld, status: number | undefined, body: string): Promise<void> => {
+    const { sent } = part(world);
+    const server = createServer((request, response) => {
+        const chunks: Buffer[] = [];
+        request.on("data", (chunk: Buffer) => chunks.push(chunk));
+        request.on("end", () => {
+            sent.push({
+                method: request.method ?? "",
+                path: request.url ?? "",
+                body: Buffer.concat(chunks).toString("utf8"),
+                headers: request.headers,
+            });
+            if (status === undefined) {
+                request.socket.destroy();
+                return;
+            }
+            response.writeHead(status, { "content-type": "application/json" }).end(body);
+        });
+    });
+    await new Promise<void>(resolve => {
+        server.listen(0, "127.0.0.1", resolve);
+    });
+    part(world).address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    world.closers.push(async () => {
+        server.closeAllConnections();
+        server.close();
+    });
+};
+
+const callerOf = (world: ScenarioWorld) => {
+    const http = createHttpCaller({ timeoutMs: 5_000, connectionsPerHost: 1, meter: createMeter() });
+    world.closers.push(() => http.close());
+    return http;
+};
+
+Given("a service that answers {int} with {string}", async function(this: ScenarioWorld, status: number, body: string) {
+    await serve(this, status, body);
+});
+
+Given("a service that closes every connection", async function(this: ScenarioWorld) {
+    await serve(this, undefined, "");
+});
+
+Given("a service that does not listen", async function(this: ScenarioWorld) {
+    await serve(this, 200, "{}");
+    await this.closers.pop()?.();
+});
+
+When("a run is started through the adapter", async function(this: ScenarioWorld) {
+    const workers = createPlatformWorkers(callerOf(this));
+    part(this).outcome = await workers.start({ workerId: "i-1", address: part(this).address }, {
+        taskName: "5c0e7a21d94b36f8.0.1.17",
+        run: 2,
+        payload: "plan",
+        deadlineMs: 9_000,
+        fencingToken: 7,
+        checkpoint: "",
+        ticket: "t",
+    });
+});
+
+When("a worker is looked at through the adapter", async function(this: ScenarioWorld) {
+    const workers = createPlatformWorkers(callerOf(this));
+    const look = await workers.look({ workerId: "i-1", address: part(this).address }, {
+        fencingToken: 7,
+        acknowledgedEnd: 57,
+        deadlineMs: 9_000,
+        waitMs: 100,
+    });
+    part(this).look = JSON.stringify(look);
+});
+
+const row = { table: "t", part: "p", key: "k" };
+
+When("a row is written through the adapter", async function(this: ScenarioWorld) {
+    const store = createPlatformStore(callerOf(this), `http://${part(this).address}`);
+    const result = await store.transact({
+        expect: [{ ...row, version: 3 }],
+        puts: [{ ...row, value: '{"a":1}' }],
+        removes: [],
+    });
+    part(this).outcome = result.outcome;
+});
+
+When("the changes of a table are read through the adapter", async function(this: ScenarioWorld) {
+    const store = createPlatformStore(callerOf(this), `http://${part(this).address}`);
+    part(this).outcome = (await store.changes("t", 1, 100)).kind;
+});
+
+Then("the adapter says {string}", function(this: ScenarioWorld, outcome: string) {
+    assert.equal(part(this).outcome, outcome);
+});
+
+Then("the look is {string}", function(this: ScenarioWorld, look: string) {
+    assert.deepEqual(JSON.parse(part(this).look), JSON.parse(look));
+});
+
+Then(
+    "the service was sent a {string} to {string} with {string}",
+    function(this: ScenarioWorld, method: string, path: string, body: string) {
+        const [first] = part(this).sent;
+        assert.equal(`${first?.method} ${first?.path}`, `${method} ${path}`);
+        assert.deepEqual(JSON.parse(first?.body ?? ""), JSON.parse(body));
+    },
+);
+
+Then("the header {string} was {string}", function(this: ScenarioWorld, name: string, value: string) {
+    assert.equal(part(this).sent[0]?.headers[name], value);
+});
+
+const rowOf = (key: string, value: string): Row => ({ table: "", part: "", key, value, version: 1 });
+
+When("the operator's row is {string}", function(this: ScenarioWorld, value: string) {
+    part(this).configuration = readConfiguration([rowOf("config", value)]);
+});
+
+When("an executor's row is {string}", function(this: ScenarioWorld, value: string) {
+    part(this).worker = readWorker(rowOf("i-1", value));
+});
+
+Then(
+    "the configuration has version {int} and the queue {string} of service {string}, priority {int}, {int} attempts",
+    function(this: ScenarioWorld, version: number, key: string, service: string, priority: number, attempts: number) {
+        const { configuration } = part(this);
+        const [queue] = configuration?.queues ?? [];
+        assert.equal(configuration?.version, version);
+        assert.deepEqual(
+            [queue?.key, queue?.service, queue?.priority, queue?.attempts],
+            [key, service, priority, attempts],
+        );
+    },
+);
+
+Then(
+    "the worker has {int} cpuMillis, rack {string}, and drains with {int} ms left",
+    function(this: ScenarioWorld, cpuMillis: number, rack: string, remainingMs: number) {
+        const { worker } = part(this);
+        assert.equal(worker?.capacity.cpuMillis, cpuMillis);
+        assert.equal(worker?.rack, rack);
+        assert.equal(worker?.draining, true);
+        assert.equal(worker?.drainRemainingMs, remainingMs);
+    },
+);
+
+const knownJob = "5c0e7a21d94b36f8";
+
+/** A member that knows one job, and refuses another. */
+const fakeMember: CellMember = {
+    dataCentre: "leon-feria",
+    configuration: () => ({ version: 1, queues: [testQueue], maxHeaderBytes: 16_384, maxBodyBytes: 262_144 }),
+    ready: () => true,
+    submit: async ({ jobId }) => {
+        if (jobId !== knownJob) {
+            throw errorOf({ kind: "notAccepted", message: "the store does not answer", retryAfterMs: 1_000 });
+        }
+    },
+    jobState: async (_queueKey, jobId) => jobId === knownJob ? "running" : undefined,
+    cancel: async (_queueKey, jobId) => jobId === knownJob,
+    pending: () => 3,
+    handlers: {} as CellMember["handlers"],
+    ownsShard: () => false,
+    stop: async () => {},
+};
+
+Given("the callers' side of a daemon", async function(this: ScenarioWorld) {
+    const callers = createCallers({
+        member: fakeMember,
+        log: { write: () => {} },
+        meter: createMeter(),
+        stopping: () => false,
+    });
+    await callers.listen({ host: "127.0.0.1", port: 0 });
+    part(this).address = `127.0.0.1:${(callers.server.address() as AddressInfo).port}`;
+    this.closers.push(() => callers.close());
+});
+
+When(
+    "a caller sends {string} to {string} with {string}",
+    async function(this: ScenarioWorld, method: string, path: string, body: string) {
+        const answer = await fetchFrom(part(this).address, method, path, body);
+        part(this).status = answer.status;
+        part(this).text = answer.text;
+    },
+);
+
+/** Node's fetch does not send another `Host`, which selects the queue. */
+const fetchFrom = async (
+    address: string,
+    method: string,
+    path: string,
+    body: string,
+): Promise<{ readonly status: number; readonly text: string; }> => {
+    const { request } = await import("node:http");
+    const [host, port] = address.split(":");
+    return new Promise((resolve, reject) => {
+        const sent = request({
+            host,
+            port,
+            method,
+            path,
+            headers: { host: testQueue.host, ...(body === "" ? {} : { "content-type": "application/json" }) },
+        }, answer => {
+            const chunks: Buffer[] = [];
+            answer.on("data", (chunk: Buffer) => chunks.push(chunk));
+            answer.on(
+                "end",
+                () => resolve({ status: answer.statusCode ?? 0, text: Buffer.concat(chunks).toString("utf8") }),
+            );
+        });
+        sent.on("error", reject);
+        sent.end(body);
+    });
+};
+
+Then("the answer is {int} and names {string}", function(this: ScenarioWorld, status: number, words: string) {
+    const { status: answered, text } = part(this);
+    assert.equal(answered, status, text);
+    assert.ok(text.includes(words.replaceAll("\\", "")), text);
+});
+
+When("the settings {string} are read", function(this: ScenarioWorld, text: string) {
+    try {
+        parsePlatformSettings(text.replaceAll("\\n", "\n"));
+        part(this).text = "accepted";
+    }
+    catch (error) {
+        part(this).text = (failureOf(error).violations ?? []).map(violation => violation.field).join(", ");
+    }
+});
+
+Then("the refusal names {string}", function(this: ScenarioWorld, fields: string) {
+    assert.equal(part(this).text, fields);
+});
--- /dev/null
+++ b/features/usersPlatform.feature
@@ -0,0 +1,102 @@
+Feature: The adapter to the users' platform
+
+    Scenario Outline: A worker answers a start with <status> <body>
+        Given a service that answers <status> with '<body>'
+        When a run is started through the adapter
+        Then the adapter says "<outcome>"
+        And the service was sent a "POST" to "/-/run-start" with '{"task":"5c0e7a21d94b36f8.0.1.17","run":2,"spec":"plan","deadline_ms":9000,"fencing_token":7,"ticket":"t"}'
+        And the header "x-expected-instance" was "i-1"
+
+        Examples:
+            | status | body                                | outcome   |
+            | 200    | {"clock_ms":1}                      | done      |
+            | 409    | {"clock_ms":1,"reason":"fence"}     | fenced    |
+            | 409    | {"clock_ms":1,"reason":"old"}       | stale     |
+            | 409    | {"clock_ms":1,"reason":"late"}      | late      |
+            | 409    | {"clock_ms":1,"reason":"room"}      | noRoom    |
+            | 409    | {"clock_ms":1,"reason":"ticket"}    | badTicket |
+            | 409    | {"clock_ms":1,"reason":"something"} | unknown   |
+            | 400    | {}                                  | invalid   |
+            | 421    | {}                                  | otherLife |
+            | 429    | {}                                  | unhealthy |
+            | 503    | {}                                  | unhealthy |
+            | 500    | {}                                  | unknown   |
+
+    Scenario: A worker that is gone may have carried out a start
+        Given a service that closes every connection
+        When a run is started through the adapter
+        Then the adapter says "unknown"
+
+    Scenario: A look is decoded into what each place of its rows holds
+        Given a service that answers 200 with '{"clock_ms":5,"running":[["a.0.0.0",2,"saved",40,1300]],"ended":[[58,"a.0.0.9",1,"done",""]]}'
+        When a worker is looked at through the adapter
+        Then the look is '{"outcome":"done","clockMs":5,"running":[{"taskName":"a.0.0.0","run":2,"checkpoint":"saved","percent":40,"figure":1300}],"ended":[{"endNumber":58,"taskName":"a.0.0.9","run":1,"how":"done","checkpoint":""}]}'
+        And the service was sent a "POST" to "/-/hold" with '{"fencing_token":7,"seen_upto":57,"deadline_ms":9000,"wait_ms":100}'
+
+    Scenario Outline: The store answers a transaction with <status>
+        Given a service that answers <status> with '<body>'
+        When a row is written through the adapter
+        Then the adapter says "<outcome>"
+        And the service was sent a "POST" to "/-/rows-tx" with '{"expect":[{"table":"t","part":"p","key":"k","schema_ver":3}],"puts":[{"table":"t","part":"p","key":"k","value":"eyJhIjoxfQ=="}],"remove":[]}'
+
+        Examples:
+            | status | body                                                                                         | outcome   |
+            | 200    | {"schema_ver":9,"now_ms":1}                                                                  | committed |
+            | 412    | {"rows":[{"table":"t","part":"p","key":"k","value":"e30=","schema_ver":4}],"schema_ver":9}  | conflict  |
+            | 429    | {}                                                                                           | refused   |
+            | 503    | {}                                                                                           | refused   |
+            | 507    | {}                                                                                           | refused   |
+
+    Scenario: A transaction whose answer is lost may have taken effect
+        Given a service that closes every connection
+        When a row is written through the adapter
+        Then the adapter says "unknown"
+
+    Scenario: A transaction that nobody could accept surely had no effect
+        Given a service that does not listen
+        When a row is written through the adapter
+        Then the adapter says "refused"
+
+    Scenario: A feed whose history is gone says so
+        Given a service that answers 410 with '{}'
+        When the changes of a table are read through the adapter
+        Then the adapter says "historyLost"
+
+    Scenario: The operator's configuration and an executor's entry are decoded
+        When the operator's row is '{"version":7,"routes":[{"name":"r","host":"nony24.example","path_prefix":"/a/","backend":"b1","timeout_ms":3000,"priority":2,"attempts":3,"advice":{"decide_ms":20,"each_ms":1,"valid_ms":2500}}],"limits":{"max_body_bytes":1000}}'
+        And an executor's row is '{"backend":"b1","address":"10.0.0.9:80","zone":"leon-feria","state":"draining","drain_remaining_ms":900,"capacity":{"cpu":16000,"mem_mb":32768},"labels":["a","r1-3"],"sequence":4}'
+        Then the configuration has version 7 and the queue "nony24.example/a/" of service "b1", priority 2, 3 attempts
+        And the worker has 16000 cpuMillis, rack "r1-3", and drains with 900 ms left
+
+    Scenario Outline: A caller sends <method> <path>
+        Given the callers' side of a daemon
+        When a caller sends "<method>" to "<path>" with '<body>'
+        Then the answer is <status> and names '<words>'
+
+        Examples:
+            | method | path                       | body                                                           | status | words                  |
+            | POST   | /plans/5c0e7a21d94b36f8    | {"spec":"x","steps":[{"count":1,"cpu":500}]}                   | 200    |                        |
+            | POST   | /plans/5c0e7a21d94b36f8    | {"spec":"x","steps":[]}                                        | 400    | steps                  |
+            | POST   | /plans/5c0e7a21d94b36f8    | {"spec":"x","steps":[{"count":-1}]}                            | 400    | steps[0].count         |
+            | POST   | /plans/5c0e7a21d94b36f8    | {"spec":"x","steps":[{"count":1e9}]}                           | 400    | steps[0].count         |
+            | POST   | /plans/5c0e7a21d94b36f8    | {"spec":"x","steps":[{"count":1,"cpu":"many"}]}                | 400    | steps[0].cpu           |
+            | POST   | /plans/5c0e7a21d94b36f8    | {"spec":"x","steps":[{"count":1,"gang":"yes"}]}                | 400    | steps[0].gang          |
+            | POST   | /plans/5c0e7a21d94b36f8    | {"spec":7,"steps":[{"count":1}]}                               | 400    | spec                   |
+            | POST   | /plans/5c0e7a21d94b36f8    | {"steps":[{"count":1,"after":[0]}]}                            | 400    | steps[0].after         |
+            | POST   | /plans/5c0e7a21d94b36f8    | {"steps":[{"count":1,"after":[1]},{"count":1,"after":[0]}]}    | 400    | steps[0].after         |
+            | POST   | /plans/5c0e7a21d94b36f8    | {"steps":[{"count":1}],"repeat_count":-2}                      | 400    | repeat_count           |
+            | POST   | /plans/5c0e7a21d94b36f8    | no json                                                        | 400    | invalid                |
+            | POST   | /plans/5C0E                | {"steps":[{"count":1}]}                                        | 400    | 16 hexadecimal digits  |
+            | POST   | /plans/                    | {"steps":[{"count":1}]}                                        | 400    | 16 hexadecimal digits  |
+            | POST   | /other/5c0e7a21d94b36f8    | {"steps":[{"count":1}]}                                        | 404    | no such queue          |
+            | POST   | /plans/00000000000000ff    | {"steps":[{"count":1}]}                                        | 503    | retry_after_ms         |
+            | GET    | /plans/5c0e7a21d94b36f8    |                                                                | 200    | running                |
+            | GET    | /plans/00000000000000aa    |                                                                | 410    | no such job            |
+            | GET    | /plans/                    |                                                                | 200    | "pending":3            |
+            | DELETE | /plans/5c0e7a21d94b36f8    |                                                                | 200    |                        |
+            | DELETE | /plans/00000000000000aa    |                                                                | 410    | no such job            |
+            | PUT    | /plans/5c0e7a21d94b36f8    | {}                                                             | 405    | GET, POST, DELETE      |
+
+    Scenario: A settings file with wrong fields is refused, and each is named
+        When the settings "vmId: entry-1\nhost: 10.0.0.1\npeerPorts: [1]\ncallersAddress: here" are read
+        Then the refusal names "dataCentre, callersAddress, readinessAddress, peerPorts, storeAddress, memoryMb, bounds"
--- a/packages/puffinarch/src/core/shard/adviceDesk.ts
+++ b/packages/puffinarch/src/core/shard/adviceDesk.ts
@@ -103,7 +103,13 @@
         }
         catch (error) {
             const { kind, message } = failureOf(error);
-            log.write("warn", "adviceFailed", { step: stepName, lane, kind, message, tookMs: clock.monotonicMs() - startedAtMs });
+            log.write("warn", "adviceFailed", {
+                step: stepName,
+                lane,
+                kind,
+                message,
+                tookMs: clock.monotonicMs() - startedAtMs,
+            });
             restsUntil.set(lane, clock.monotonicMs() + failedLaneRestMs);
             clock.setTimer(failedLaneRestMs, wake);
             if (!closed) {
--- a/packages/puffinarch/src/core/shard/askAhead.ts
+++ b/packages/puffinarch/src/core/shard/askAhead.ts
@@ -9,7 +9,9 @@
 /** Share of the tasks before that may still be open when a dear call is made. */
 const openShare = 0.25;
 
-const openBefore = ({ spec, occurrence }: ShardStep): { readonly open: number; readonly all: number; readonly waiting: number; } => {
+const openBefore = (
+    { spec, occurrence }: ShardStep,
+): { readonly open: number; readonly all: number; readonly waiting: number; } => {
     let open = 0;
     let all = 0;
     let waiting = 0;
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -171,7 +171,9 @@
 
     const liveLanes = (): readonly string[] => {
         const nowMs = clock.monotonicMs();
-        const live = [...peers.keys()].filter(id => nowMs - (peerAnsweredAtMs.get(id) ?? -Infinity) < 3 * pingIntervalMs);
+        const live = [...peers.keys()].filter(id =>
+            nowMs - (peerAnsweredAtMs.get(id) ?? -Infinity) < 3 * pingIntervalMs
+        );
         return [self.memberId, ...live];
     };
 
@@ -233,7 +235,8 @@
                 part,
                 owner: { ...self, claimId },
                 seenVersion,
-                wanted: () => !stopping && (knownOwner?.version ?? 0) <= seenVersion
+                wanted: () =>
+                    !stopping && (knownOwner?.version ?? 0) <= seenVersion
                     || knownOwner?.row.claimId === claimId,
                 onClaimed: fencingToken => {
                     claimedToken = fencingToken;
@@ -268,7 +271,11 @@
                 },
             });
             meter.record("takeoverMs", clock.monotonicMs() - startedAtMs);
-            log.write("info", "claimed", { part, fencingToken: claimed.fencingToken, tookMs: clock.monotonicMs() - startedAtMs });
+            log.write("info", "claimed", {
+                part,
+                fencingToken: claimed.fencingToken,
+                tookMs: clock.monotonicMs() - startedAtMs,
+            });
             if (configuration !== undefined) {
                 owner.updateConfiguration(configuration);
             }
@@ -298,7 +305,10 @@
             forEachLost(() => members.call(peer.address, "ping", { from: self.memberId }, peerOpinionMs));
         const answers = await Promise.all(others.map(ask));
         const answered = answers.filter(answer => answer !== undefined);
-        return { seen: version > 0 && answered.some(answer => answer.seenOwnerToken === version), answered: answered.length };
+        return {
+            seen: version > 0 && answered.some(answer => answer.seenOwnerToken === version),
+            answered: answered.length,
+        };
     };
 
     const rankOf = (version: number): number => {
@@ -567,7 +577,9 @@
             if (nowMs - startedAtMs + forwardPauseMs >= allowedMs) {
                 return unknown
                     ? die("mayHaveRun", "the owner of the shard gave no answer")
-                    : die("notAccepted", "no owner of the shard can be reached", { retryAfterMs: settings.retryAfterMs });
+                    : die("notAccepted", "no owner of the shard can be reached", {
+                        retryAfterMs: settings.retryAfterMs,
+                    });
             }
             await ownerChange(forwardPauseMs);
         }
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -4,8 +4,8 @@
  * effect late cannot bring old rows back.
  */
 
-import type { Clock, Log, Meter } from "../../types/ports.js";
 import type { Row, RowStore, RowTransaction } from "../../types/cellPorts.js";
+import type { Clock, Log, Meter } from "../../types/ports.js";
 import { sleep } from "../../utils/time.js";
 
 /** Table of a shard's jobs; the part is the shard's name. */
--- a/packages/puffinarch/src/core/shard/pacer.ts
+++ b/packages/puffinarch/src/core/shard/pacer.ts
@@ -1,7 +1,7 @@
 /** Paces tasks that fill, so that the tasks that serve beside them keep their latency objective. */
 
 import type { Clock, Log } from "../../types/ports.js";
-import { type ShardRun, runPhases } from "./jobBook.js";
+import { runPhases, type ShardRun } from "./jobBook.js";
 import type { ShardWorker } from "./workerTable.js";
 
 /** Shares of the objective: at the first, tasks that fill are halved; over the second, halted; below the last, raised. */
@@ -61,7 +61,13 @@
                     continue;
                 }
                 changedAtMs.set(worker.workerId, nowMs);
-                log.write("info", "paced", { task: run.task.name, workerId: worker.workerId, from: run.percent, percent, worstShare });
+                log.write("info", "paced", {
+                    task: run.task.name,
+                    workerId: worker.workerId,
+                    from: run.percent,
+                    percent,
+                    worstShare,
+                });
                 pace(run, percent);
             }
         },
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -2,14 +2,23 @@
 
 import type { AdviceAnswer } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
+import { fits } from "../../types/resources.js";
 import type { AdviceDesk } from "./adviceDesk.js";
 import { isTimeToAsk } from "./askAhead.js";
 import { chooseWorker, heldBy, runsOnWorker, suits, ticketFor } from "./chooseWorker.js";
-import { hasEnded, isReady, isWaiting, type ShardJob, type ShardRun, runPhases, type ShardStep, type ShardTask } from "./jobBook.js";
+import {
+    hasEnded,
+    isReady,
+    isWaiting,
+    runPhases,
+    type ShardJob,
+    type ShardRun,
+    type ShardStep,
+    type ShardTask,
+} from "./jobBook.js";
 import { victimsOf } from "./preempt.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { dropRun, holdRoom, isOpen, roomOf, type ShardWorker } from "./workerTable.js";
-import { fits } from "../../types/resources.js";
 
 /** What placing needs. */
 export interface PlacingOptions {
@@ -229,7 +238,10 @@
             }
         }
         if (runs.length > 0) {
-            log.write("info", "copied", { step: stepNameOf(step), runs: runs.map(run => `${run.task.index}#${run.run}@${run.workerId}`).join(" ") });
+            log.write("info", "copied", {
+                step: stepNameOf(step),
+                runs: runs.map(run => `${run.task.index}#${run.run}@${run.workerId}`).join(" "),
+            });
             meter.count("copies", runs.length);
             onPlanned(step.occurrence.job, runs);
         }
@@ -265,7 +277,12 @@
 
     const makeRoom = (step: ShardStep, waiting: number, nowMs: number): void => {
         for (const run of victimsOf({ step, waiting, workers, nowMs, stopMs: settings.stopMs })) {
-            log.write("info", "preempted", { task: run.task.name, run: run.run, workerId: run.workerId, for: stepNameOf(step) });
+            log.write("info", "preempted", {
+                task: run.task.name,
+                run: run.run,
+                workerId: run.workerId,
+                for: stepNameOf(step),
+            });
             meter.count("preemptions");
             options.onPreempt(run);
         }
--- a/packages/puffinarch/src/core/shard/preempt.ts
+++ b/packages/puffinarch/src/core/shard/preempt.ts
@@ -1,8 +1,8 @@
 /** Which less urgent runs to stop, with their checkpoint, so that urgent tasks find room. */
 
 import { add, fits, type Resources } from "../../types/resources.js";
-import { runPhases, type ShardRun, type ShardStep } from "./jobBook.js";
 import { heldBy, ticketFor } from "./chooseWorker.js";
+import { runPhases, type ShardRun, type ShardStep } from "./jobBook.js";
 import { isOpen, roomOf, runKey, type ShardWorker } from "./workerTable.js";
 
 /** A step that has waited for less than this may find room by itself; tasks end every few milliseconds under load. */
@@ -54,7 +54,9 @@
     }
     const { priority } = step.occurrence.job.queue;
     const need = heldBy(step.spec);
-    const leaving = step.victims.filter(run => workers.get(run.workerId)?.runs.has(runKey(run.task.name, run.run)) === true);
+    const leaving = step.victims.filter(run =>
+        workers.get(run.workerId)?.runs.has(runKey(run.task.name, run.run)) === true
+    );
     const chosen: ShardRun[] = [];
     for (const worker of workers.values()) {
         if (leaving.length + chosen.length >= waiting) {
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -16,13 +16,12 @@
 import {
     endJob,
     hasEnded,
-    type ShardJob,
     newJob,
     openOccurrence,
-    type ShardRun,
     runPhases,
     runsOf,
-
+    type ShardJob,
+    type ShardRun,
 } from "./jobBook.js";
 import { decodeEnded, encodeJob, restoreJobs, type StoredRun } from "./jobRows.js";
 import { createPacer } from "./pacer.js";
@@ -200,7 +199,16 @@
         });
     };
 
-    const placing = createPlacing({ clock, log, meter, settings, workers, desk, onPlanned: startPlanned, onPreempt: stopRun });
+    const placing = createPlacing({
+        clock,
+        log,
+        meter,
+        settings,
+        workers,
+        desk,
+        onPlanned: startPlanned,
+        onPreempt: stopRun,
+    });
     const pacer = createPacer({ clock, log });
 
     const wake = (): void => {
@@ -310,7 +318,12 @@
             const ranMs = clock.monotonicMs() - (run.startedAtMs ?? clock.monotonicMs());
             const stays = !spec.longRunning && (!spec.checkpointing || spec.estimateMs - ranMs < remainingMs);
             if (!stays && run.phase === runPhases.running) {
-                log.write("info", "evacuated", { task: run.task.name, run: run.run, workerId: worker.workerId, remainingMs });
+                log.write("info", "evacuated", {
+                    task: run.task.name,
+                    run: run.run,
+                    workerId: worker.workerId,
+                    remainingMs,
+                });
                 links.get(worker.workerId)?.stop(run);
             }
         }
@@ -591,7 +604,11 @@
         const job = accept(submission);
         await settleAcceptance(job);
         meter.count("jobsAccepted");
-        log.write("info", "jobAccepted", { jobId: submission.jobId, queue: submission.queueKey, steps: submission.steps.length });
+        log.write("info", "jobAccepted", {
+            jobId: submission.jobId,
+            queue: submission.queueKey,
+            steps: submission.steps.length,
+        });
         placing.consider(job);
         wake();
     };
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -3,7 +3,7 @@
 import { type FencedWorkerPort, type LookResult, type OrderOutcome, orderOutcomes } from "../../types/cellPorts.js";
 import type { CancelTimer, Clock, Log, Meter } from "../../types/ports.js";
 import { sleep } from "../../utils/time.js";
-import { type ShardRun, runPhases } from "./jobBook.js";
+import { runPhases, type ShardRun } from "./jobBook.js";
 import { extendLease, runKey, type ShardWorker } from "./workerTable.js";
 
 /** What the links of a shard share. */
@@ -21,7 +21,11 @@
     /** Pause before an order without an answer is sent again. */
     readonly orderPauseMs: number;
     /** Takes what a look brought; resolves when the next look may be sent. */
-    readonly onLook: (worker: ShardWorker, look: LookResult & { readonly outcome: "done"; }, sentAtMs: number) => Promise<void>;
+    readonly onLook: (
+        worker: ShardWorker,
+        look: LookResult & { readonly outcome: "done"; },
+        sentAtMs: number,
+    ) => Promise<void>;
     readonly onSilent: (worker: ShardWorker) => void;
     readonly onLifeOver: (worker: ShardWorker) => void;
     readonly onFenced: (worker: ShardWorker) => void;
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -1,7 +1,7 @@
 /** The workers of a shard: room, leases, and what is known of each. */
 
-import type { WorkerEntry } from "../../types/work.js";
 import { add, fits, noResources, type Resources, subtract } from "../../types/resources.js";
+import type { WorkerEntry } from "../../types/work.js";
 import type { ShardRun } from "./jobBook.js";
 
 /** How much slower than ours a worker's clock may run. */
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -4,7 +4,7 @@
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import { parseTaskName } from "../../types/work.js";
 import { heldBy } from "./chooseWorker.js";
-import { applyEnd, hasEnded, type ShardJob, type ShardRun, runPhases, type ShardTask } from "./jobBook.js";
+import { applyEnd, hasEnded, runPhases, type ShardJob, type ShardRun, type ShardTask } from "./jobBook.js";
 import { adoptRun, dropRun, runKey, type ShardWorker } from "./workerTable.js";
 
 /** What the watch needs. */
@@ -66,7 +66,11 @@
         worker.failedJobs.add(jobId);
         if (worker.failuresInARow >= failuresToRest && worker.failedJobs.size >= jobsToRest) {
             worker.avoidUntilMs = clock.monotonicMs() + restMs;
-            log.write("warn", "workerRests", { workerId: worker.workerId, failuresInARow: worker.failuresInARow, restMs });
+            log.write("warn", "workerRests", {
+                workerId: worker.workerId,
+                failuresInARow: worker.failuresInARow,
+                restMs,
+            });
         }
     };
 
@@ -134,7 +138,11 @@
         task.lastRun = Math.max(task.lastRun, row.run);
         task.runs.push(run);
         adoptRun(worker, run);
-        log.write("info", wanted ? "runAdopted" : "runUnwanted", { task: task.name, run: row.run, workerId: worker.workerId });
+        log.write("info", wanted ? "runAdopted" : "runUnwanted", {
+            task: task.name,
+            run: row.run,
+            workerId: worker.workerId,
+        });
         onChange(task.step.occurrence.job);
         if (!wanted) {
             options.stop(worker, run);
@@ -190,7 +198,12 @@
             if (run.settledAtMs === undefined || run.settledAtMs >= sentAtMs || listed.has(key)) {
                 continue;
             }
-            log.write("info", "runGone", { task: run.task.name, run: run.run, workerId: worker.workerId, phase: run.phase });
+            log.write("info", "runGone", {
+                task: run.task.name,
+                run: run.run,
+                workerId: worker.workerId,
+                phase: run.phase,
+            });
             dropRun(worker, run);
             onChange(run.task.step.occurrence.job);
         }
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -74,21 +74,39 @@
 export { readReport, type WorkerReportOptions } from "./internal.js";
 
 // A shard: jobs of steps on workers with fencing tokens, owned by one daemon of a cell at a time.
+export { type AdviceDesk, type AdviceDeskOptions, type AdviceOrder, createAdviceDesk } from "./internal.js";
+export { isTimeToAsk } from "./internal.js";
+export { type CellMember, type CellMemberOptions, memberTable, startCellMember } from "./internal.js";
+export { type ChoiceLimits, chooseWorker, ticketFor } from "./internal.js";
+export { type ClaimedShard, type ClaimOptions, claimShard, readAllRows } from "./internal.js";
+export { type CommitLog, type CommitLogOptions, createCommitLog, type RowChange } from "./internal.js";
 export {
-    type CellMember,
-    type CellMemberOptions,
-    claimShard,
-    createAdviceDesk,
-    createCommitLog,
-    defaultShardSettings,
-    memberTable,
-    type ShardOwner,
-    type ShardOwnerOptions,
-    type ShardSettings,
-    startCellMember,
-    startShardOwner,
-    watchTable,
+    applyEnd,
+    endJob,
+    hasEnded,
+    isReady,
+    isWaiting,
+    letGo,
+    newJob,
+    openOccurrence,
+    type RunPhase,
+    runPhases,
+    type ShardJob,
+    type ShardOccurrence,
+    type ShardRun,
+    type ShardStep,
+    type ShardTask,
 } from "./internal.js";
+export { decodeEnded, encodeJob, type RestoredJobs, restoreJobs } from "./internal.js";
+export { createPacer, type Pacer } from "./internal.js";
+export { createPlacing, type Placing, type PlacingOptions } from "./internal.js";
+export { type PreemptOptions, victimsOf } from "./internal.js";
+export { type ShardOwner, type ShardOwnerOptions, startShardOwner } from "./internal.js";
+export { defaultShardSettings, type ShardSettings } from "./internal.js";
+export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
+export { openWorkerLink, type WorkerLink, type WorkerLinkOptions } from "./internal.js";
+export { extendLease, holdRoom, isOpen, newWorker, roomOf, type ShardWorker } from "./internal.js";
+export { createWorkerWatch, type WorkerWatch, type WorkerWatchOptions } from "./internal.js";
 export {
     type AdviceAnswer,
     type AdviceRequest,
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -232,7 +232,10 @@
     readonly advise: { readonly input: AdviceRequest; readonly output: AdviceAnswer; };
     readonly configuration: { readonly input: { readonly from: string; }; readonly output: CellConfiguration; };
     /** Asks the daemon to claim the shard from the caller, which stops. */
-    readonly handOver: { readonly input: { readonly token: number; }; readonly output: { readonly claimed: boolean; }; };
+    readonly handOver: {
+        readonly input: { readonly token: number; };
+        readonly output: { readonly claimed: boolean; };
+    };
 }
 
 /** Name of a call between the daemons of a cell. */
--- a/packages/puffinarchd/src/adapters/members.ts
+++ b/packages/puffinarchd/src/adapters/members.ts
@@ -30,7 +30,9 @@
 const passThrough = (input: unknown): unknown => input;
 
 const procedureOf = (name: MemberCallName) =>
-    trpc.procedure.input(passThrough).mutation(async ({ ctx, input }) => await ctx.handlers[name](input as never) as unknown);
+    trpc.procedure.input(passThrough).mutation(async ({ ctx, input }) =>
+        await ctx.handlers[name](input as never) as unknown
+    );
 
 const callNames: readonly MemberCallName[] = [
     "ping",
--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -3,7 +3,11 @@
 import { Command } from "commander";
 import { exploreShardSeed } from "./shardFaults.js";
 
-const program = new Command("explore-shard").option("--seeds <n>", "how many", "100").option("--from <n>", "first seed", "1");
+const program = new Command("explore-shard").option("--seeds <n>", "how many", "100").option(
+    "--from <n>",
+    "first seed",
+    "1",
+);
 program.parse();
 const { seeds, from } = program.opts<{ seeds: string; from: string; }>();
 let failed = 0;
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -187,7 +187,12 @@
             failing ? failMs : durationMs,
             () => endRun(worker, key, failing || fails ? runEnds.failed : runEnds.done),
         );
-        worker.running.set(key, { evidence: made, cancel, cpuMillis: cpuOf(order.taskName), checkpoint: order.checkpoint });
+        worker.running.set(key, {
+            evidence: made,
+            cancel,
+            cpuMillis: cpuOf(order.taskName),
+            checkpoint: order.checkpoint,
+        });
         const held = [...worker.running.values()].reduce((sum, run) => sum + run.cpuMillis, 0);
         if (held > worker.entry.capacity.cpuMillis) {
             overcommitted.add(worker.entry.workerId);
@@ -280,7 +285,10 @@
             }
             return carryOut(worker);
         };
-        const look = async (target: WorkerTarget, { fencingToken, acknowledgedEnd, deadlineMs, waitMs }: LookOrder): Promise<LookResult> => {
+        const look = async (
+            target: WorkerTarget,
+            { fencingToken, acknowledgedEnd, deadlineMs, waitMs }: LookOrder,
+        ): Promise<LookResult> => {
             const worker = await reach(target);
             if (worker === undefined) {
                 return { outcome: orderOutcomes.unknown };
@@ -352,7 +360,10 @@
 };
 
 /** What the evidence says against the scheduler; empty where every promise was kept. */
-export const breachesOf = (evidence: readonly StartEvidence[], mayRepeat: (taskName: string) => boolean): readonly string[] => {
+export const breachesOf = (
+    evidence: readonly StartEvidence[],
+    mayRepeat: (taskName: string) => boolean,
+): readonly string[] => {
     const breaches: string[] = [];
     const byTask = new Map<string, StartEvidence[]>();
     for (const start of evidence) {
@@ -375,4 +386,3 @@
     }
     return breaches;
 };
-
--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -1,6 +1,14 @@
 /** A stand-in for the platform's store of rows: conditions, a feed whose history can be lost, and faults on a clock. */
 
-import { type Clock, die, type Row, type RowChanges, type RowStore, type RowTransaction, type RowTransactResult } from "puffinarch";
+import {
+    type Clock,
+    die,
+    type Row,
+    type RowChanges,
+    type RowStore,
+    type RowTransaction,
+    type RowTransactResult,
+} from "puffinarch";
 
 /** What can be wrong with the store. `late`: a transaction is carried out two seconds after, without an answer. */
 export const storeFaults = ["none", "refuse", "hang", "loseReply", "late", "slow"] as const;
@@ -75,34 +83,35 @@
 
     const faultOf = (memberId: string): StoreFault => faults.get(memberId) ?? faults.get("") ?? "none";
 
-    const transactHandlers: Readonly<Record<StoreFault, (transaction: RowTransaction) => Promise<RowTransactResult>>> = {
-        none: async transaction => {
-            await wait(answerMs);
-            return apply(transaction);
-        },
-        slow: async transaction => {
-            await wait(slowAnswerMs);
-            return apply(transaction);
-        },
-        refuse: async () => {
-            await wait(answerMs);
-            return { outcome: "refused", reason: "503" };
-        },
-        hang: async () => {
-            await wait(hangMs);
-            return { outcome: "unknown", reason: "no answer" };
-        },
-        loseReply: async transaction => {
-            await wait(answerMs);
-            apply(transaction);
-            return { outcome: "unknown", reason: "connection closed" };
-        },
-        late: async transaction => {
-            clock.setTimer(lateMs, () => apply(transaction));
-            await wait(answerMs);
-            return { outcome: "unknown", reason: "connection closed" };
-        },
-    };
+    const transactHandlers: Readonly<Record<StoreFault, (transaction: RowTransaction) => Promise<RowTransactResult>>> =
+        {
+            none: async transaction => {
+                await wait(answerMs);
+                return apply(transaction);
+            },
+            slow: async transaction => {
+                await wait(slowAnswerMs);
+                return apply(transaction);
+            },
+            refuse: async () => {
+                await wait(answerMs);
+                return { outcome: "refused", reason: "503" };
+            },
+            hang: async () => {
+                await wait(hangMs);
+                return { outcome: "unknown", reason: "no answer" };
+            },
+            loseReply: async transaction => {
+                await wait(answerMs);
+                apply(transaction);
+                return { outcome: "unknown", reason: "connection closed" };
+            },
+            late: async transaction => {
+                clock.setTimer(lateMs, () => apply(transaction));
+                await wait(answerMs);
+                return { outcome: "unknown", reason: "connection closed" };
+            },
+        };
 
     const reachable = async (memberId: string): Promise<void> => {
         const fault = faultOf(memberId);
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -59,7 +59,11 @@
     readonly clock: FakeClock;
     readonly store: FakeRowStore;
     readonly workers: FakeFencedWorkers;
-    readonly log: readonly { readonly memberId: string; readonly event: string; readonly fields: Readonly<Record<string, unknown>>; }[];
+    readonly log: readonly {
+        readonly memberId: string;
+        readonly event: string;
+        readonly fields: Readonly<Record<string, unknown>>;
+    }[];
     memberIds(): readonly string[];
     member(memberId: string): CellMember | undefined;
     owner(): string | undefined;
@@ -202,7 +206,12 @@
             meter,
             random,
             settings: defaultShardSettings,
-            self: { memberId, address: memberId, dataCentre: "leon-feria", incarnation: `${memberId}-${clock.monotonicMs()}` },
+            self: {
+                memberId,
+                address: memberId,
+                dataCentre: "leon-feria",
+                incarnation: `${memberId}-${clock.monotonicMs()}`,
+            },
             store: {
                 // A killed process sends nothing more; what it had sent may still take effect.
                 transact: transaction => alive() ? connection.transact(transaction) : never,
@@ -243,13 +252,19 @@
         workers.add(workerEntry(`worker-${index}`, index));
     }
     listWorkers();
-    const configuration: CellConfiguration = { version: 1, queues: [testQueue], maxHeaderBytes: 16_384, maxBodyBytes: 262_144 };
+    const configuration: CellConfiguration = {
+        version: 1,
+        queues: [testQueue],
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 262_144,
+    };
     store.put("operator", "configuration", configuration);
     for (const memberId of ids) {
         start(memberId);
     }
 
-    const owner = (): string | undefined => ids.find(id => seats.get(id)?.life.alive === true && seats.get(id)?.member.ownsShard());
+    const owner = (): string | undefined =>
+        ids.find(id => seats.get(id)?.life.alive === true && seats.get(id)?.member.ownsShard());
 
     const send = async (submission: JobSubmission): Promise<void> => {
         // A caller resends the same id, through any daemon, until it is accepted.
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -98,7 +98,9 @@
 
 const randomShapes = ["2", "3, 4 after 0", "2, 2 after 0, 1 after 1", "4 gang", "3 speculative, 1 after 0"];
 /** A crashed worker stays gone and a list without workers ends all placing, so these stand in the table alone. */
-const randomFaults = Object.keys(shardFaults).filter(name => name !== "worker crashes" && name !== "workers not listed");
+const randomFaults = Object.keys(shardFaults).filter(name =>
+    name !== "worker crashes" && name !== "workers not listed"
+);
 const stepMs = 250;
 const jobShare = 0.5;
 const faultShare = 0.15;
