--- a/features/usersPlatform.feature
+++ b/features/usersPlatform.feature
@@ -99,4 +99,4 @@
 
     Scenario: A settings file with wrong fields is refused, and each is named
         When the settings "vmId: entry-1\nhost: 10.0.0.1\npeerPorts: [1]\ncallersAddress: here" are read
-        Then the refusal names "dataCentre, callersAddress, readinessAddress, peerPorts, storeAddress, memoryMb, bounds"
+        Then the refusal names "dataCentre, callersAddress, readinessAddress, peerPorts, storeAddress, metricsPort, bounds"
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -95,6 +95,8 @@
 /** How long after an owner was lost a request waits for the next one before it is refused with a time to come back. */
 const ownerPatienceMs = 1_500;
 const forwardPauseMs = 50;
+/** A try takes some 15 ms, a commit included; below this it could not be settled in time. */
+const shortestForwardMs = 40;
 /** Workers write every 1.5 s or so; a leaving one has to be noticed within 2 s. */
 const workerListPauseMs = 300;
 /** One try at the owner; a commit takes some 10 ms, and a resend of the same id is harmless. */
@@ -555,6 +557,10 @@
         let unknown = false;
         for (;;) {
             const leftMs = startedAtMs + patienceMs - clock.monotonicMs();
+            if (!unknown && leftMs < shortestForwardMs) {
+                // Sent now, it would be settled after its caller has gone; not sent, the refusal is certain.
+                return die("notAccepted", "too little time is left", { retryAfterMs: settings.retryAfterMs });
+            }
             try {
                 if (owner !== undefined) {
                     return await local(owner);
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -46,6 +46,8 @@
 
 /** Pause after a failed call to the advisor, and least time between two calls for one step. */
 const adviceRetryMs = 150;
+/** Pause after nobody was worth naming; going through all workers at each pass costs more than the wait. */
+const adviceLookMs = 40;
 /** A run that takes this many times its estimate, and this much more, may be on a slow worker. */
 const overdueFactor = 2.5;
 const overdueMs = 500;
@@ -172,7 +174,9 @@
         const useful = names.filter(workerId => ticketFor(step, workerId, nowMs) === undefined);
         if (useful.length > 0) {
             ask(step, useful);
+            return;
         }
+        advice.notBeforeMs = nowMs + adviceLookMs;
     };
 
     const placeTasks = (waiting: readonly ShardTask[], nowMs: number): readonly ShardRun[] => {
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -72,6 +72,8 @@
 
 /** Interval of the checks that depend on time alone: leases, due occurrences, expired advice. */
 const tickMs = 100;
+/** All that happens within this time shares one pass over the waiting steps. */
+const passDelayMs = 2;
 /** How often a job that waits for its acceptance looks whether the store stalls. */
 const acceptanceCheckMs = 100;
 /** Ended jobs are looked through this many ticks apart. */
@@ -216,7 +218,7 @@
             return;
         }
         passWanted = true;
-        clock.setTimer(1, () => {
+        clock.setTimer(passDelayMs, () => {
             passWanted = false;
             if (!closed) {
                 placing.pass();
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -102,7 +102,11 @@
                 };
             }
             catch (error) {
-                return { kind: failureKindOf(error), reason: error instanceof Error ? error.message : String(error) };
+                const reason = error instanceof Error ? error.message : String(error);
+                return {
+                    kind: failureKindOf(error),
+                    reason: abort?.signal.aborted === true ? `no answer within ${callTimeoutMs} ms` : reason,
+                };
             }
             finally {
                 clearTimeout(timer);
