--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -115,6 +115,7 @@
         part,
         ownerVersion: 0,
         sequenceVersion: 0,
+        storeMs: 8,
         claimId: "1",
         encode: jobId => ({ puts: [{ table: "puffinarch-journal", key: `state/${jobId}`, value: "{}" }], removes: [] }),
         onFenced: () => {},
--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -101,7 +101,7 @@
         fencingToken: 7,
         checkpoint: "",
         ticket: "t",
-    });
+    }, 1_000);
 });
 
 When("a worker is looked at through the adapter", async function(this: ScenarioWorld) {
@@ -123,7 +123,7 @@
         expect: [{ ...row, version: 3 }],
         puts: [{ ...row, value: '{"a":1}' }],
         removes: [],
-    });
+    }, 1_000);
     part(this).outcome = result.outcome;
 });
 
@@ -204,7 +204,8 @@
     pending: () => 3,
     handlers: {} as CellMember["handlers"],
     ownsShard: () => false,
-    stop: async () => {},
+    leave: async () => {},
+    close: () => {},
 };
 
 Given("the callers' side of a daemon", async function(this: ScenarioWorld) {
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -63,13 +63,19 @@
     pending(queueKey: string): number | undefined;
     readonly handlers: MemberHandlers;
     ownsShard(): boolean;
-    /** Hands the shard over; resolves when this daemon owns nothing. */
-    stop(): Promise<void>;
+    /**
+     * Hands the shard over and claims none any more, but goes on passing callers' requests to the owner. Where every peer
+     * is leaving as well, it keeps the shard until one has come back, at most until the local time given.
+     */
+    leave(untilMs: number): Promise<void>;
+    close(): void;
 }
 
 /** The one shard of today's sites; docs/design/platform.md has the arithmetic for more. */
 const part = "shard-0";
 const pingIntervalMs = 200;
+/** How long the store may take to write this daemon's entry. */
+const enterTimeoutMs = 1_500;
 /** After a ping that failed the next one comes sooner. */
 const failedPingIntervalMs = 50;
 /** An answer takes some 10 ms; a VM that is 5 times slowed still makes it. */
@@ -86,10 +92,14 @@
 const rankDelayMs = 120;
 /** A candidate that reaches too few of its peers waits this much longer, so that a cut-off minority does not claim. */
 const minorityDelayMs = 2_500;
+/** Timers of an owner that are late by this much, on average over a second, tell that its VM has turned slow. */
+const slowOwnerLagMs = 60;
 /** An owner whose commits found no answer for this long is replaced by a peer that the store answers quickly. */
 const stalledOwnerMs = 700;
-/** A store that answered a read within this time counts as well. */
-const quickReadMs = 300;
+/** A store that answers a read, which takes some 6 ms, within this time is well, and an owner that waits for it is not. */
+const quickReadMs = 60;
+/** A store that answers a read within this time can carry a claim. */
+const claimReadMs = 800;
 /** Counts older than this are not told. */
 const countsFreshMs = 1_800;
 /** How long after an owner was lost a request waits for the next one before it is refused with a time to come back. */
@@ -126,13 +136,17 @@
     let claiming = false;
     /** Token of a claim whose rows are still being read; 0 for none. */
     let claimedToken = 0;
-    let stopping = false;
+    /** Claims no shard any more. */
+    let leaving = false;
+    let closed = false;
     let ownerLostAtMs: number | undefined;
     let silentPings = 0;
     let ownerAnsweredAtMs = -Infinity;
     let lastOwnedAtMs = clock.monotonicMs();
     let pendingCounts: { readonly counts: Readonly<Record<string, number>>; readonly atMs: number; } | undefined;
     let wakeWatch: (() => void) | undefined;
+    let yielding = false;
+    const leavingPeers = new Set<string>();
     const wakers = new Set<() => void>();
 
     const adopt = (next: CellConfiguration, source: string): void => {
@@ -222,7 +236,7 @@
     };
 
     const claim = async (seenVersion: number, why: string): Promise<boolean> => {
-        if (claiming || stopping) {
+        if (claiming || leaving || closed) {
             return false;
         }
         claiming = true;
@@ -238,7 +252,7 @@
                 owner: { ...self, claimId },
                 seenVersion,
                 wanted: () =>
-                    !stopping && (knownOwner?.version ?? 0) <= seenVersion
+                    !closed && (knownOwner?.version ?? 0) <= seenVersion
                     || knownOwner?.row.claimId === claimId,
                 onClaimed: fencingToken => {
                     claimedToken = fencingToken;
@@ -320,7 +334,7 @@
     };
 
     const considerClaim = async (why: string): Promise<void> => {
-        if (claiming || stopping || owner !== undefined || !ownerRead) {
+        if (claiming || leaving || owner !== undefined || !ownerRead) {
             return;
         }
         const version = knownOwner?.version ?? 0;
@@ -344,12 +358,12 @@
             return;
         }
         // A claim that is sent into an outage might take effect after it, when nobody needs it.
-        if (await storeIsQuick() && (knownOwner?.version ?? 0) === version && owner === undefined) {
+        if (await storeAnswers(claimReadMs) && (knownOwner?.version ?? 0) === version && owner === undefined) {
             await claim(version, why);
         }
     };
 
-    const storeIsQuick = async (): Promise<boolean> => {
+    const storeAnswers = async (withinMs: number): Promise<boolean> => {
         const startedAtMs = clock.monotonicMs();
         const page = await forEachLost(() => store.read(ownerTable, part));
         for (const row of page?.rows ?? []) {
@@ -357,15 +371,15 @@
                 learnOwner(row);
             }
         }
-        return page !== undefined && clock.monotonicMs() - startedAtMs < quickReadMs;
+        return page !== undefined && clock.monotonicMs() - startedAtMs < withinMs;
     };
 
     /** An owner that answers its peers and cannot reach the store gives way to one that can. */
     const replaceStalled = async (version: number, stalledMs: number): Promise<void> => {
-        if (claiming || stopping || stalledMs < stalledOwnerMs + rankOf(version) * rankDelayMs) {
+        if (claiming || leaving || stalledMs < stalledOwnerMs + rankOf(version) * rankDelayMs) {
             return;
         }
-        if (await storeIsQuick() && knownOwner?.version === version && owner === undefined) {
+        if (await storeAnswers(quickReadMs) && knownOwner?.version === version && owner === undefined) {
             await claim(version, "ownerStalled");
         }
     };
@@ -416,6 +430,15 @@
         }
     };
 
+    const notePeer = (peerId: string, answer: PingAnswer): void => {
+        if (answer.leaving) {
+            leavingPeers.add(peerId);
+        }
+        else {
+            leavingPeers.delete(peerId);
+        }
+    };
+
     const pingPeers = (): void => {
         for (const peer of peers.values()) {
             if (peer.memberId === knownOwner?.row.memberId && owner === undefined) {
@@ -424,6 +447,7 @@
             void forEachLost(async () => {
                 const answer = await members.call(peer.address, "ping", { from: self.memberId }, pingTimeoutMs);
                 peerAnsweredAtMs.set(peer.memberId, clock.monotonicMs());
+                notePeer(peer.memberId, answer);
                 if (answer.configurationVersion > (configuration?.version ?? 0)) {
                     await fetchConfiguration(peer.address);
                 }
@@ -435,7 +459,7 @@
     /** The owner pings everyone, since its peers are its lanes to the advisor; the others ping the owner. */
     const watchOwner = async (): Promise<void> => {
         let rounds = 0;
-        while (!stopping) {
+        while (!closed) {
             rounds += 1;
             if (owner !== undefined) {
                 lastOwnedAtMs = clock.monotonicMs();
@@ -443,6 +467,7 @@
                 if (rounds % 2 === 0) {
                     pingPeers();
                 }
+                void yieldIfSlow();
             }
             else if (ownerRead && !claiming) {
                 if (knownOwner === undefined || knownOwner.row.memberId === self.memberId) {
@@ -465,14 +490,47 @@
         }
     };
 
+    /** Lets a peer claim the shard; the one that started last is the least likely to stop soon. */
+    const handOver = async (shard: ShardOwner, why: string): Promise<boolean> => {
+        await Promise.race([shard.idle(), sleep(clock, pingTimeoutMs)]);
+        const startedAt = (peerId: string): number => Number.parseInt(peers.get(peerId)?.incarnation ?? "0", 10);
+        const candidates = liveLanes().filter(id => id !== self.memberId && !leavingPeers.has(id));
+        for (const peerId of candidates.sort((left, right) => startedAt(right) - startedAt(left))) {
+            const peer = peers.get(peerId);
+            if (peer === undefined) {
+                continue;
+            }
+            const call = members.call(peer.address, "handOver", { token: shard.fencingToken }, 2 * pingTimeoutMs);
+            const claimed = (await forEachLost(() => call))?.claimed ?? false;
+            log.write("info", "handOver", { to: peerId, claimed, why });
+            if (claimed) {
+                if (owner === shard) {
+                    loseShard(why);
+                }
+                return true;
+            }
+        }
+        return false;
+    };
+
+    /** An owner whose VM has turned slow gives way to a peer. */
+    const yieldIfSlow = async (): Promise<void> => {
+        if (owner === undefined || leaving || yielding || owner.lagMs() < slowOwnerLagMs) {
+            return;
+        }
+        yielding = true;
+        await handOver(owner, "slow");
+        yielding = false;
+    };
+
     const enterSelf = async (): Promise<void> => {
         const row = { table: memberTable, part: "", key: self.memberId };
-        while (!stopping) {
+        while (!closed) {
             const result = await store.transact({
                 expect: [],
                 puts: [{ ...row, value: JSON.stringify(self) }],
                 removes: [],
-            });
+            }, enterTimeoutMs);
             if (result.outcome === "committed") {
                 return;
             }
@@ -597,7 +655,7 @@
         dataCentre: self.dataCentre,
         configuration: () => configuration,
         ready: () =>
-            !stopping && configuration !== undefined
+            !leaving && configuration !== undefined
             && (owner !== undefined || clock.monotonicMs() - ownerAnsweredAtMs < readyWithoutOwnerMs),
         submit: (submission, patienceMs) =>
             forward({
@@ -636,7 +694,8 @@
                     ?? (silentPings === 0 && clock.monotonicMs() - ownerAnsweredAtMs < freshAnswerMs
                         ? knownOwner?.version ?? 0
                         : 0),
-                stopping,
+                leaving,
+                lagMs: owner?.lagMs() ?? 0,
             }),
             submit: async submission => {
                 await owned().submit(submission);
@@ -649,26 +708,18 @@
             handOver: async ({ token }) => ({ claimed: await claim(token, "handOver") }),
         },
         ownsShard: () => owner !== undefined,
-        stop: async () => {
-            const shard = owner;
-            if (shard !== undefined) {
-                await Promise.race([shard.idle(), sleep(clock, pingTimeoutMs)]);
-                for (const peerId of liveLanes().filter(id => id !== self.memberId)) {
-                    const peer = peers.get(peerId);
-                    if (peer === undefined) {
-                        continue;
-                    }
-                    const answer = await forEachLost(() =>
-                        members.call(peer.address, "handOver", { token: shard.fencingToken }, 2 * pingTimeoutMs)
-                    );
-                    log.write("info", "handOver", { to: peerId, claimed: answer?.claimed ?? false });
-                    if (answer?.claimed === true) {
-                        break;
-                    }
+        leave: async untilMs => {
+            leaving = true;
+            while (owner !== undefined && clock.monotonicMs() < untilMs) {
+                if (!await handOver(owner, "leaving")) {
+                    await sleep(clock, pingIntervalMs);
                 }
-                loseShard("stopping");
             }
-            stopping = true;
+            loseShard("leaving");
+        },
+        close: () => {
+            closed = true;
+            loseShard("closing");
             for (const watch of watches) {
                 watch.stop();
             }
--- a/packages/puffinarch/src/core/shard/claimShard.ts
+++ b/packages/puffinarch/src/core/shard/claimShard.ts
@@ -26,9 +26,13 @@
     readonly fencingToken: number;
     readonly sequenceVersion: number;
     readonly rows: readonly Row[];
+    /** How long the store took for the claim. */
+    readonly storeMs: number;
 }
 
 const retryPauseMs = 60;
+/** A store that answers 60 times slower than its usual 7 ms still makes it. */
+const claimTimeoutMs = 600;
 
 /** Reads the owner's row to learn whether a claim without an answer took effect. */
 const settleClaim = async ({ store, part, owner }: ClaimOptions): Promise<number | undefined> => {
@@ -48,7 +52,7 @@
             expect: [{ ...key, version: seenVersion }],
             puts: [{ ...key, value: JSON.stringify(owner) }],
             removes: [],
-        });
+        }, claimTimeoutMs);
         if (result.outcome === "committed") {
             return result.version;
         }
@@ -115,7 +119,9 @@
  * const claimed = await claimShard({ clock, log, store, part: "shard-0", owner, seenVersion, wanted, onClaimed });
  */
 export const claimShard = async (options: ClaimOptions): Promise<ClaimedShard | undefined> => {
+    const startedAtMs = options.clock.monotonicMs();
     const fencingToken = await writeClaim(options);
+    const storeMs = options.clock.monotonicMs() - startedAtMs;
     if (fencingToken === undefined) {
         return undefined;
     }
@@ -125,5 +131,5 @@
         return undefined;
     }
     const sequence = rows.find(row => row.key === sequenceKey);
-    return { fencingToken, sequenceVersion: sequence?.version ?? 0, rows };
+    return { fencingToken, sequenceVersion: sequence?.version ?? 0, rows, storeMs };
 };
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -27,6 +27,13 @@
 const firstPauseMs = 25;
 const longestPauseMs = 200;
 
+/** A commit takes some 8 ms; without an answer by the first it is sent again, with twice the time up to the last. */
+const shortestTimeoutMs = 80;
+const longestTimeoutMs = 1_500;
+const timeoutFactor = 4;
+/** Weight of the newest answer in the usual time. */
+const usualShare = 0.2;
+
 /** Rows that a change puts and removes. */
 export interface RowChange {
     readonly puts: readonly { readonly table: string; readonly key: string; readonly value: string; }[];
@@ -44,6 +51,8 @@
     readonly ownerVersion: number;
     /** Version of the sequence row as it was read; 0 for none. */
     readonly sequenceVersion: number;
+    /** How long the store took to answer last. */
+    readonly storeMs: number;
     /** Tells this owner's batches from all others. */
     readonly claimId: string;
     /** Rows that keep a job as it is now. */
@@ -92,6 +101,8 @@
     let batches = 0;
     let running = false;
     let probeWanted = false;
+    /** How long the store usually takes to answer. */
+    let usualMs = options.storeMs;
     let stopped = false;
     let sentAtMs: number | undefined;
     let answeredAtMs = clock.monotonicMs();
@@ -142,11 +153,17 @@
 
     const write = async ({ id, transaction }: Batch): Promise<boolean> => {
         let pauseMs = firstPauseMs;
+        let timeoutMs = Math.min(longestTimeoutMs, Math.max(shortestTimeoutMs, timeoutFactor * usualMs));
+        let timedOut = false;
         while (!stopped) {
-            const result = await store.transact(transaction);
+            const askedAtMs = clock.monotonicMs();
+            const result = await store.transact(transaction, timeoutMs);
             meter.count(`commits.${result.outcome}`);
             if (result.outcome === "committed" || result.outcome === "conflict") {
                 answeredAtMs = clock.monotonicMs();
+                const tookMs = answeredAtMs - askedAtMs;
+                // Copies sent too soon only load a slow store, so one slow answer after them is believed at once.
+                usualMs = timedOut ? Math.max(usualMs, tookMs) : usualMs + usualShare * (tookMs - usualMs);
             }
             if (result.outcome === "committed") {
                 sequenceVersion = result.version;
@@ -162,6 +179,12 @@
                 return true;
             }
             log.write("warn", "commitDelayed", { part, batch: id, outcome: result.outcome, reason: result.reason });
+            if (result.outcome === "unknown" && clock.monotonicMs() - askedAtMs >= timeoutMs) {
+                // The same batch again settles it; a store that is slow, not deaf, gets more time. A reset takes the pause.
+                timeoutMs = Math.min(longestTimeoutMs, 2 * timeoutMs);
+                timedOut = true;
+                continue;
+            }
             await sleep(clock, pauseMs);
             pauseMs = Math.min(longestPauseMs, 2 * pauseMs);
         }
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -65,6 +65,8 @@
     updateWorkers(entries: readonly WorkerEntry[]): void;
     wake(): void;
     stalledMs(): number;
+    /** How late this process's timers are, on average over the last second or so. */
+    lagMs(): number;
     /** Resolves when all changes so far are durable. */
     idle(): Promise<void>;
     close(): void;
@@ -72,6 +74,8 @@
 
 /** Interval of the checks that depend on time alone: leases, due occurrences, expired advice. */
 const tickMs = 100;
+/** Weight of the newest tick in the average of its lateness: about a second's memory. */
+const lagShare = 0.1;
 /** All that happens within this time shares one pass over the waiting steps. */
 const passDelayMs = 2;
 /** How often a job that waits for its acceptance looks whether the store stalls. */
@@ -111,6 +115,8 @@
     let closed = false;
     let passWanted = false;
     let ticks = 0;
+    let lagMs = 0;
+    let tickDueMs = clock.monotonicMs() + tickMs;
     const startedAtMs = clock.monotonicMs();
     const endedBefore = new Map<string, JobState>();
     let nextOrder = 1;
@@ -136,6 +142,7 @@
         part,
         ownerVersion: fencingToken,
         sequenceVersion: claimed.sequenceVersion,
+        storeMs: claimed.storeMs,
         claimId,
         encode,
         onFenced: () => fenced("commit"),
@@ -483,6 +490,8 @@
         }
         ticks += 1;
         const nowMs = clock.monotonicMs();
+        lagMs += lagShare * (nowMs - tickDueMs - lagMs);
+        tickDueMs = nowMs + tickMs;
         if (isCutOff(nowMs)) {
             fenced("cutOff");
             return;
@@ -653,6 +662,7 @@
             desk.wake();
         },
         stalledMs: commits.stalledMs,
+        lagMs: () => lagMs,
         idle: commits.idle,
         close,
     };
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -6,6 +6,10 @@
 import { runPhases, type ShardRun } from "./jobBook.js";
 import { extendLease, runKey, type ShardWorker } from "./workerTable.js";
 
+/** An order takes a round trip of some milliseconds; without an answer by the first it is sent again, up to the last. */
+const shortestOrderMs = 150;
+const longestOrderMs = 600;
+
 /** What the links of a shard share. */
 export interface WorkerLinkOptions {
     readonly clock: Clock;
@@ -108,7 +112,9 @@
             log.write("warn", "workerSilent", { workerId: worker.workerId, outcome: look.outcome });
         }
         options.onSilent(worker);
-        await pause(lookPauseMs);
+        if (worker.silentLooks > 1) {
+            await pause(lookPauseMs);
+        }
     };
 
     const lookAlways = async (): Promise<void> => {
@@ -119,8 +125,11 @@
 
     /** Stops without an answer may still be under way, so they are sent until the run is gone. */
     const stopUntilGone = async (run: ShardRun): Promise<void> => {
+        let timeoutMs = shortestOrderMs;
         while (!closed && worker.runs.has(runKey(run.task.name, run.run))) {
-            const outcome = await workers.stop(target(), { taskName: run.task.name, run: run.run, fencingToken });
+            const order = { taskName: run.task.name, run: run.run, fencingToken };
+            const outcome = await workers.stop(target(), order, timeoutMs);
+            timeoutMs = Math.min(longestOrderMs, 2 * timeoutMs);
             meter.count(`stops.${outcome}`);
             if (outcome === orderOutcomes.done || outcome === orderOutcomes.stale) {
                 run.settledAtMs = clock.monotonicMs();
@@ -151,6 +160,7 @@
 
     const startUntilSettled = async (run: ShardRun, checkpoint: string, ticket: string): Promise<void> => {
         let unanswered = false;
+        let timeoutMs = shortestOrderMs;
         while (!closed && run.phase === runPhases.starting && worker.runs.has(runKey(run.task.name, run.run))) {
             const deadlineMs = unanswered && worker.silentLooks > 0
                 ? undefined
@@ -167,7 +177,8 @@
                 fencingToken,
                 checkpoint,
                 ticket,
-            });
+            }, timeoutMs);
+            timeoutMs = Math.min(longestOrderMs, 2 * timeoutMs);
             meter.count(`starts.${outcome}`);
             if (closed || run.phase !== runPhases.starting) {
                 return;
@@ -222,7 +233,7 @@
             }
         },
         stopUnknown: (taskName, run) => {
-            void workers.stop(target(), { taskName, run, fencingToken });
+            void workers.stop(target(), { taskName, run, fencingToken }, longestOrderMs);
         },
         pace: (run, percent) => {
             void workers.pace(target(), { taskName: run.task.name, run: run.run, fencingToken, percent });
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -55,7 +55,8 @@
 
 /** The platform's transactional store of rows. Reads fail with the kind `unavailable`. */
 export interface RowStore {
-    transact(transaction: RowTransaction): Promise<RowTransactResult>;
+    /** Without an answer within `timeoutMs` the outcome is unknown. */
+    transact(transaction: RowTransaction, timeoutMs: number): Promise<RowTransactResult>;
     /** Keys in ascending order, from `fromKey` on. */
     read(table: string, part: string, fromKey?: string): Promise<RowPage>;
     /** Waits up to `waitMs` for a change after `version`. */
@@ -160,8 +161,9 @@
 
 /** Orders to workers. No call rejects: what is not known is `unknown`. */
 export interface FencedWorkerPort {
-    start(target: WorkerTarget, order: RunOrder): Promise<OrderOutcome>;
-    stop(target: WorkerTarget, order: RunStop): Promise<OrderOutcome>;
+    /** Without an answer within `timeoutMs` the outcome is unknown. */
+    start(target: WorkerTarget, order: RunOrder, timeoutMs: number): Promise<OrderOutcome>;
+    stop(target: WorkerTarget, order: RunStop, timeoutMs: number): Promise<OrderOutcome>;
     look(target: WorkerTarget, order: LookOrder): Promise<LookResult>;
     /** Limits the share of time that a run works, 0 to 100 percent. */
     pace(target: WorkerTarget, order: RunStop & { readonly percent: number; }): Promise<OrderOutcome>;
@@ -214,7 +216,10 @@
     readonly pending: Readonly<Record<string, number>>;
     /** Token of the owner that this daemon had an answer from within the last moments; 0 for none. */
     readonly seenOwnerToken: number;
-    readonly stopping: boolean;
+    /** It is about to stop, and claims no shard any more. */
+    readonly leaving: boolean;
+    /** How late its timers are, while it owns the shard. */
+    readonly lagMs: number;
 }
 
 /** Calls between the daemons of a cell: what goes in and what comes out. */
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -254,20 +254,24 @@
         });
 
     const connect = (isOpen: (workerId: string) => boolean): FencedWorkerPort => {
-        const reach = async (target: WorkerTarget): Promise<FakeWorker | "otherLife" | undefined> => {
+        const reach = async (
+            target: WorkerTarget,
+            timeoutMs = unansweredMs,
+        ): Promise<FakeWorker | "otherLife" | undefined> => {
             await wait(answerMs);
             const worker = workers.get(target.workerId);
             if (worker === undefined || !isOpen(target.workerId) || worker.fault === "cut") {
-                await wait(unansweredMs);
+                await wait(timeoutMs);
                 return undefined;
             }
             return worker.alive ? worker : "otherLife";
         };
         const order = async (
             target: WorkerTarget,
+            timeoutMs: number,
             carryOut: (worker: FakeWorker) => OrderOutcome,
         ): Promise<OrderOutcome> => {
-            const worker = await reach(target);
+            const worker = await reach(target, timeoutMs);
             if (worker === undefined) {
                 return orderOutcomes.unknown;
             }
@@ -280,7 +284,7 @@
                         carryOut(worker);
                     }
                 });
-                await wait(unansweredMs);
+                await wait(timeoutMs);
                 return orderOutcomes.unknown;
             }
             return carryOut(worker);
@@ -309,10 +313,10 @@
             return worker.alive ? show(worker) : { outcome: orderOutcomes.otherLife };
         };
         return {
-            start: (target, sent) => order(target, worker => start(worker, sent)),
-            stop: (target, sent) => order(target, worker => stop(worker, sent)),
+            start: (target, sent, timeoutMs) => order(target, timeoutMs, worker => start(worker, sent)),
+            stop: (target, sent, timeoutMs) => order(target, timeoutMs, worker => stop(worker, sent)),
             look,
-            pace: target => order(target, () => orderOutcomes.done),
+            pace: target => order(target, unansweredMs, () => orderOutcomes.done),
         };
     };
 
--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -83,35 +83,42 @@
 
     const faultOf = (memberId: string): StoreFault => faults.get(memberId) ?? faults.get("") ?? "none";
 
-    const transactHandlers: Readonly<Record<StoreFault, (transaction: RowTransaction) => Promise<RowTransactResult>>> =
-        {
-            none: async transaction => {
-                await wait(answerMs);
-                return apply(transaction);
-            },
-            slow: async transaction => {
-                await wait(slowAnswerMs);
-                return apply(transaction);
-            },
-            refuse: async () => {
-                await wait(answerMs);
-                return { outcome: "refused", reason: "503" };
-            },
-            hang: async () => {
-                await wait(hangMs);
-                return { outcome: "unknown", reason: "no answer" };
-            },
-            loseReply: async transaction => {
-                await wait(answerMs);
-                apply(transaction);
-                return { outcome: "unknown", reason: "connection closed" };
-            },
-            late: async transaction => {
-                clock.setTimer(lateMs, () => apply(transaction));
-                await wait(answerMs);
-                return { outcome: "unknown", reason: "connection closed" };
-            },
-        };
+    type Transact = (transaction: RowTransaction, timeoutMs: number) => Promise<RowTransactResult>;
+
+    const transactHandlers: Readonly<Record<StoreFault, Transact>> = {
+        none: async transaction => {
+            await wait(answerMs);
+            return apply(transaction);
+        },
+        slow: async (transaction, timeoutMs) => {
+            if (timeoutMs < slowAnswerMs) {
+                clock.setTimer(slowAnswerMs, () => apply(transaction));
+                await wait(timeoutMs);
+                return { outcome: "unknown", reason: "no answer in time" };
+            }
+            await wait(slowAnswerMs);
+            return apply(transaction);
+        },
+        refuse: async () => {
+            await wait(answerMs);
+            return { outcome: "refused", reason: "503" };
+        },
+        hang: async (_transaction, timeoutMs) => {
+            await wait(timeoutMs);
+            return { outcome: "unknown", reason: "no answer" };
+        },
+        loseReply: async (transaction, timeoutMs) => {
+            await wait(answerMs);
+            apply(transaction);
+            await wait(timeoutMs);
+            return { outcome: "unknown", reason: "connection closed" };
+        },
+        late: async transaction => {
+            clock.setTimer(lateMs, () => apply(transaction));
+            await wait(answerMs);
+            return { outcome: "unknown", reason: "connection closed" };
+        },
+    };
 
     const reachable = async (memberId: string): Promise<void> => {
         const fault = faultOf(memberId);
@@ -126,7 +133,7 @@
 
     return {
         connect: memberId => ({
-            transact: transaction => transactHandlers[faultOf(memberId)](transaction),
+            transact: (transaction, timeoutMs) => transactHandlers[faultOf(memberId)](transaction, timeoutMs),
             read: async (table, part, fromKey) => {
                 await reachable(memberId);
                 const all = [...rows.values()]
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -98,6 +98,7 @@
 
 const linkMs = 1;
 const unansweredMs = 3_000;
+const leaveMs = 4_000;
 const stateWaitMs = 10;
 const workerCpuMillis = 8_000;
 
@@ -214,15 +215,15 @@
             },
             store: {
                 // A killed process sends nothing more; what it had sent may still take effect.
-                transact: transaction => alive() ? connection.transact(transaction) : never,
+                transact: (transaction, timeoutMs) => alive() ? connection.transact(transaction, timeoutMs) : never,
                 read: (table, part, fromKey) => alive() ? connection.read(table, part, fromKey) : never,
                 changes: (table, version, waitMs) => alive() ? connection.changes(table, version, waitMs) : never,
             },
             workers: (() => {
                 const port = workers.connect(() => !isCut(memberId, "workers"));
                 return {
-                    start: (target, order) => alive() ? port.start(target, order) : never,
-                    stop: (target, order) => alive() ? port.stop(target, order) : never,
+                    start: (target, order, timeoutMs) => alive() ? port.start(target, order, timeoutMs) : never,
+                    stop: (target, order, timeoutMs) => alive() ? port.stop(target, order, timeoutMs) : never,
                     look: (target, order) => alive() ? port.look(target, order) : never,
                     pace: (target, order) => alive() ? port.pace(target, order) : never,
                 };
@@ -320,7 +321,8 @@
         },
         stop: async memberId => {
             const seat = seats.get(memberId);
-            await seat?.member.stop();
+            await seat?.member.leave(clock.monotonicMs() + leaveMs);
+            seat?.member.close();
             if (seat !== undefined) {
                 seat.life.alive = false;
             }
