--- a/features/examples.feature
+++ b/features/examples.feature
@@ -55,6 +55,8 @@
             | chooseWorker         | i-2                                     |
             | claimShard           | token 1, then refused                   |
             | commitLog            | 3 jobs in 1 transaction                 |
+            | forward              | notAccepted after 750 ms                |
+            | workerList           | i-1, then nobody                        |
             | jobBook              | completed                               |
             | jobRows              | 5c0e7a21d94b36f8.0.0.0 ran on i-1       |
             | pacer                | paced to 0 percent                      |
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -14,6 +14,7 @@
     claimShard,
     createAdviceDesk,
     createCommitLog,
+    createForward,
     createPacer,
     createPlacing,
     createWorkerWatch,
@@ -24,6 +25,7 @@
     formatTaskName,
     isTimeToAsk,
     isWaiting,
+    kindOf,
     type Log,
     type Meter,
     newJob,
@@ -36,6 +38,8 @@
     startShardOwner,
     victimsOf,
     watchTable,
+    watchWorkerList,
+    type WorkerEntry,
 } from "puffinarch";
 
 const log: Log = { write: () => {} };
@@ -371,6 +375,41 @@
     return `${submission.jobId} is ${state}`;
 };
 
+const forward = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const passing = createForward({
+        clock,
+        retryAfterMs: 1_000,
+        shard: () => undefined,
+        ownerAddress: () => undefined,
+        ownerLostMs: () => clock.monotonicMs(),
+    });
+    const asked = passing.run({ local: async () => "here", remote: async () => "there", patienceMs: 2_000 })
+        .catch((error: unknown) => `${kindOf(error)} after ${clock.monotonicMs()} ms`);
+    await clock.advance(3_000);
+    return asked;
+};
+
+const workerList = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const store = createFakeRowStore(clock);
+    store.put("workers", "i-1", workerEntry("i-1", 1));
+    const told: string[] = [];
+    const watch = watchWorkerList({
+        clock,
+        log,
+        store: store.connect("entry-1"),
+        table: "workers",
+        readWorker: row => row.value === undefined ? undefined : JSON.parse(row.value) as WorkerEntry,
+        onWorkers: entries => told.push(entries.map(entry => entry.workerId).join("+")),
+    });
+    await clock.advance(1_000);
+    store.remove("workers", "i-1");
+    await clock.advance(1_000);
+    watch.stop();
+    return told.map(each => each === "" ? "nobody" : each).join(", then ");
+};
+
 const cellMember = async (): Promise<string> => {
     const cell = createShardCell({ members: 3, workers: 2, seed: 1 });
     await cell.clock.advance(2_000);
@@ -388,6 +427,7 @@
     chooseWorker: chooser,
     claimShard: claim,
     commitLog,
+    forward,
     jobBook,
     jobRows,
     pacer,
@@ -397,6 +437,7 @@
     shardSettings: () => `leases of ${defaultShardSettings.leaseMs} ms`,
     tableWatch,
     workerLink,
+    workerList,
     workerTable,
     workerWatch,
     taskName: () => formatTaskName({ jobId: "5c0e7a21d94b36f8", occurrence: 0, step: 1, index: 17 }),
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -21,9 +21,11 @@
 import { sleep } from "../../utils/time.js";
 import { claimShard } from "./claimShard.js";
 import { ownerKey, ownerTable } from "./commitLog.js";
+import { createForward } from "./forward.js";
 import { type ShardOwner, startShardOwner } from "./shardOwner.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { type TableWatch, watchTable } from "./tableWatch.js";
+import { watchWorkerList } from "./workerList.js";
 
 /** Table in which the daemons enter themselves; the key is the member's id. */
 export const memberTable = "puffinarch-member";
@@ -76,6 +78,9 @@
 const pingIntervalMs = 200;
 /** How long the store may take to write this daemon's entry. */
 const enterTimeoutMs = 1_500;
+/** An owner pings its peers, which are its lanes to the advisor, every second round; the others every tenth. */
+const ownerPingRounds = 2;
+const memberPingRounds = 10;
 /** After a ping that failed the next one comes sooner. */
 const failedPingIntervalMs = 50;
 /** An answer takes some 10 ms; a VM that is 5 times slowed still makes it. */
@@ -102,15 +107,6 @@
 const claimReadMs = 800;
 /** Counts older than this are not told. */
 const countsFreshMs = 1_800;
-/** How long after an owner was lost a request waits for the next one before it is refused with a time to come back. */
-const ownerPatienceMs = 1_500;
-const forwardPauseMs = 50;
-/** A try takes some 15 ms, a commit included; below this it could not be settled in time. */
-const shortestForwardMs = 40;
-/** Workers write every 1.5 s or so; a leaving one has to be noticed within 2 s. */
-const workerListPauseMs = 300;
-/** One try at the owner; a commit takes some 10 ms, and a resend of the same id is harmless. */
-const forwardTimeoutMs = 900;
 
 interface KnownOwner {
     readonly row: OwnerRow;
@@ -147,7 +143,6 @@
     let wakeWatch: (() => void) | undefined;
     let yielding = false;
     const leavingPeers = new Set<string>();
-    const wakers = new Set<() => void>();
 
     const adopt = (next: CellConfiguration, source: string): void => {
         if (configuration !== undefined && next.version <= configuration.version) {
@@ -169,10 +164,7 @@
         if (owner !== undefined && row.version > owner.fencingToken) {
             loseShard("ownerRow");
         }
-        for (const waker of wakers) {
-            waker();
-        }
-        wakers.clear();
+        forward.wake();
     };
 
     const loseShard = (reason: string): void => {
@@ -193,48 +185,6 @@
         return [self.memberId, ...live];
     };
 
-    /** Follows the platform's list of workers for as long as this daemon owns the shard. */
-    const watchWorkers = (shard: ShardOwner): TableWatch => {
-        const entries = new Map<string, WorkerEntry>();
-        let readOnce = false;
-        const tell = (): void => {
-            if (owner === shard) {
-                shard.updateWorkers([...entries.values()]);
-            }
-        };
-        return watchTable({
-            clock,
-            log,
-            store,
-            table: platform.workerTable,
-            parts: [""],
-            pauseMs: workerListPauseMs,
-            onRows: rows => {
-                for (const row of rows) {
-                    const entry = platform.readWorker(row);
-                    if (entry === undefined) {
-                        entries.delete(row.key);
-                    }
-                    else {
-                        entries.set(row.key, entry);
-                    }
-                }
-                if (readOnce) {
-                    tell();
-                }
-            },
-            onWhole: keys => {
-                readOnce = true;
-                for (const workerId of [...entries.keys()]) {
-                    if (!keys.has(workerId)) {
-                        entries.delete(workerId);
-                    }
-                }
-                tell();
-            },
-        });
-    };
-
     const claim = async (seenVersion: number, why: string): Promise<boolean> => {
         if (claiming || leaving || closed) {
             return false;
@@ -295,7 +245,15 @@
             if (configuration !== undefined) {
                 owner.updateConfiguration(configuration);
             }
-            workerWatch = watchWorkers(owner);
+            const shard = owner;
+            workerWatch = watchWorkerList({
+                clock,
+                log,
+                store,
+                table: platform.workerTable,
+                readWorker: platform.readWorker,
+                onWorkers: entries => shard.updateWorkers(entries),
+            });
             return true;
         }
         finally {
@@ -354,7 +312,7 @@
             return;
         }
         const others = Math.max(0, peers.size - 1);
-        if (2 * answered < others && lostForMs < minorityDelayMs) {
+        if (2 * answered < others && (lostForMs < minorityDelayMs || await ownerAnswers(version))) {
             return;
         }
         // A claim that is sent into an outage might take effect after it, when nobody needs it.
@@ -363,6 +321,16 @@
         }
     };
 
+    /** A cut may just have healed: the owner is asked once more before a minority replaces it. */
+    const ownerAnswers = async (version: number): Promise<boolean> => {
+        const address = knownOwner?.row.address;
+        if (address === undefined || !await storeAnswers(claimReadMs)) {
+            return false;
+        }
+        const answer = await forEachLost(() => members.call(address, "ping", { from: self.memberId }, pingTimeoutMs));
+        return answer?.ownedToken === version;
+    };
+
     const storeAnswers = async (withinMs: number): Promise<boolean> => {
         const startedAtMs = clock.monotonicMs();
         const page = await forEachLost(() => store.read(ownerTable, part));
@@ -457,28 +425,38 @@
     };
 
     /** The owner pings everyone, since its peers are its lanes to the advisor; the others ping the owner. */
+    const watchOnce = async (round: number): Promise<void> => {
+        if (owner !== undefined) {
+            lastOwnedAtMs = clock.monotonicMs();
+            pendingCounts = { counts: owner.pending(), atMs: clock.monotonicMs() };
+            if (round % ownerPingRounds === 0) {
+                pingPeers();
+            }
+            void yieldIfSlow();
+            return;
+        }
+        if (!ownerRead || claiming) {
+            return;
+        }
+        if (knownOwner === undefined || knownOwner.row.memberId === self.memberId) {
+            await considerClaim(knownOwner === undefined ? "noOwner" : "restarted");
+        }
+        else {
+            await pingOwner(knownOwner);
+        }
+        if (round % memberPingRounds === 0) {
+            pingPeers();
+        }
+    };
+
     const watchOwner = async (): Promise<void> => {
-        let rounds = 0;
-        while (!closed) {
-            rounds += 1;
-            if (owner !== undefined) {
-                lastOwnedAtMs = clock.monotonicMs();
-                pendingCounts = { counts: owner.pending(), atMs: clock.monotonicMs() };
-                if (rounds % 2 === 0) {
-                    pingPeers();
-                }
-                void yieldIfSlow();
+        for (let round = 1; !closed; round += 1) {
+            try {
+                await watchOnce(round);
             }
-            else if (ownerRead && !claiming) {
-                if (knownOwner === undefined || knownOwner.row.memberId === self.memberId) {
-                    await considerClaim(knownOwner === undefined ? "noOwner" : "restarted");
-                }
-                else {
-                    await pingOwner(knownOwner);
-                }
-                if (rounds % 10 === 0) {
-                    pingPeers();
-                }
+            catch (error) {
+                // Without this watch the daemon would never take over again.
+                log.write("error", "ownerWatchFailed", { ...failureOf(error) });
             }
             await new Promise<void>(resolve => {
                 const cancel = clock.setTimer(silentPings > 0 ? failedPingIntervalMs : pingIntervalMs, resolve);
@@ -592,62 +570,14 @@
     void enterSelf();
     void watchOwner();
 
-    const ownerChange = (waitMs: number): Promise<void> =>
-        new Promise(resolve => {
-            const end = (): void => {
-                cancel();
-                wakers.delete(end);
-                resolve();
-            };
-            const cancel = clock.setTimer(waitMs, end);
-            wakers.add(end);
-        });
-
-    interface Forward<T> {
-        readonly local: (shard: ShardOwner) => Promise<T>;
-        readonly remote: (address: string, timeoutMs: number) => Promise<T>;
-        readonly patienceMs: number;
-    }
-
-    /** Tries the owner until it answers; what may have had an effect is repeated, since a resend is the same. */
-    const forward = async <T>({ local, remote, patienceMs }: Forward<T>): Promise<T> => {
-        const startedAtMs = clock.monotonicMs();
-        let unknown = false;
-        for (;;) {
-            const leftMs = startedAtMs + patienceMs - clock.monotonicMs();
-            if (!unknown && leftMs < shortestForwardMs) {
-                // Sent now, it would be settled after its caller has gone; not sent, the refusal is certain.
-                return die("notAccepted", "too little time is left", { retryAfterMs: settings.retryAfterMs });
-            }
-            try {
-                if (owner !== undefined) {
-                    return await local(owner);
-                }
-                if (knownOwner !== undefined && knownOwner.row.memberId !== self.memberId) {
-                    return await remote(knownOwner.row.address, Math.max(1, Math.min(forwardTimeoutMs, leftMs)));
-                }
-            }
-            catch (error) {
-                const failure = failureOf(error);
-                unknown ||= failure.kind === "mayHaveRun";
-                if (!unknown && failure.kind !== "unavailable") {
-                    throw error;
-                }
-            }
-            // An owner that was lost a while ago is not expected back at once, and other daemons may reach one.
-            const nowMs = clock.monotonicMs();
-            const ownerLostMs = nowMs - Math.max(ownerAnsweredAtMs, lastOwnedAtMs);
-            const allowedMs = unknown ? patienceMs : Math.min(patienceMs, ownerPatienceMs - ownerLostMs);
-            if (nowMs - startedAtMs + forwardPauseMs >= allowedMs) {
-                return unknown
-                    ? die("mayHaveRun", "the owner of the shard gave no answer")
-                    : die("notAccepted", "no owner of the shard can be reached", {
-                        retryAfterMs: settings.retryAfterMs,
-                    });
-            }
-            await ownerChange(forwardPauseMs);
-        }
-    };
+    const forward = createForward({
+        clock,
+        retryAfterMs: settings.retryAfterMs,
+        shard: () => owner,
+        ownerAddress: () =>
+            knownOwner === undefined || knownOwner.row.memberId === self.memberId ? undefined : knownOwner.row.address,
+        ownerLostMs: () => clock.monotonicMs() - Math.max(ownerAnsweredAtMs, lastOwnedAtMs),
+    });
 
     const owned = (): ShardOwner => owner ?? die("unavailable", "this daemon does not own the shard");
 
@@ -658,7 +588,7 @@
             !leaving && configuration !== undefined
             && (owner !== undefined || clock.monotonicMs() - ownerAnsweredAtMs < readyWithoutOwnerMs),
         submit: (submission, patienceMs) =>
-            forward({
+            forward.run({
                 local: shard => shard.submit(submission),
                 remote: async (address, timeoutMs) => {
                     await members.call(address, "submit", submission, timeoutMs);
@@ -666,14 +596,14 @@
                 patienceMs,
             }),
         jobState: (queueKey, jobId, patienceMs) =>
-            forward({
+            forward.run({
                 local: shard => shard.jobState(jobId),
                 remote: async (address, timeoutMs) =>
                     (await members.call(address, "jobState", { queueKey, jobId }, timeoutMs)).state,
                 patienceMs,
             }),
         cancel: (queueKey, jobId, patienceMs) =>
-            forward({
+            forward.run({
                 local: shard => shard.cancel(jobId),
                 remote: async (address, timeoutMs) =>
                     (await members.call(address, "cancelJob", { queueKey, jobId }, timeoutMs)).known,
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/workerList.ts
@@ -0,0 +1,63 @@
+/** Follows the platform's list of workers, for as long as a daemon owns a shard. */
+
+import type { Row, RowStore } from "../../types/cellPorts.js";
+import type { Clock, Log } from "../../types/ports.js";
+import type { WorkerEntry } from "../../types/work.js";
+import { type TableWatch, watchTable } from "./tableWatch.js";
+
+/** What following the list needs. */
+export interface WorkerListOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly store: RowStore;
+    readonly table: string;
+    readonly readWorker: (row: Row) => WorkerEntry | undefined;
+    /** All workers that are listed now, after each change. */
+    readonly onWorkers: (entries: readonly WorkerEntry[]) => void;
+}
+
+/** Workers write every 1.5 s or so; a leaving one has to be noticed within 2 s. */
+const pauseMs = 300;
+
+/**
+ * Starts to follow the list; nothing is told before it was read whole once.
+ *
+ * @example
+ * const watch = watchWorkerList({ clock, log, store, table: "workers", readWorker, onWorkers });
+ */
+export const watchWorkerList = (options: WorkerListOptions): TableWatch => {
+    const { clock, log, store, table, readWorker, onWorkers } = options;
+    const entries = new Map<string, WorkerEntry>();
+    let readOnce = false;
+    return watchTable({
+        clock,
+        log,
+        store,
+        table,
+        parts: [""],
+        pauseMs,
+        onRows: rows => {
+            for (const row of rows) {
+                const entry = readWorker(row);
+                if (entry === undefined) {
+                    entries.delete(row.key);
+                }
+                else {
+                    entries.set(row.key, entry);
+                }
+            }
+            if (readOnce) {
+                onWorkers([...entries.values()]);
+            }
+        },
+        onWhole: keys => {
+            readOnce = true;
+            for (const workerId of [...entries.keys()]) {
+                if (!keys.has(workerId)) {
+                    entries.delete(workerId);
+                }
+            }
+            onWorkers([...entries.values()]);
+        },
+    });
+};
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -98,6 +98,7 @@
     type ShardTask,
 } from "./internal.js";
 export { decodeEnded, encodeJob, type RestoredJobs, restoreJobs } from "./internal.js";
+export { createForward, type Forward, type ForwardOptions, type ForwardRequest } from "./internal.js";
 export { createPacer, type Pacer } from "./internal.js";
 export { createPlacing, type Placing, type PlacingOptions } from "./internal.js";
 export { type PreemptOptions, victimsOf } from "./internal.js";
@@ -105,6 +106,7 @@
 export { defaultShardSettings, type ShardSettings } from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
 export { openWorkerLink, type WorkerLink, type WorkerLinkOptions } from "./internal.js";
+export { watchWorkerList, type WorkerListOptions } from "./internal.js";
 export { extendLease, holdRoom, isOpen, newWorker, roomOf, type ShardWorker } from "./internal.js";
 export { createWorkerWatch, type WorkerWatch, type WorkerWatchOptions } from "./internal.js";
 export {
