--- a/features/shard.feature
+++ b/features/shard.feature
@@ -171,3 +171,16 @@
         And the fault goes
         And all jobs are "completed" within 20000 ms
         And every task ran 1 time
+
+    Scenario: A draining worker gets no new task, and its long-running tasks move
+        Given a cell of 3 daemons and 4 workers
+        When 1 jobs of steps "8 long running" are submitted
+        And the shard runs for 1500 ms
+        And a worker with tasks drains
+        And the shard runs for 1000 ms
+        And 6 jobs of steps "2" are submitted
+        And the shard runs for 4000 ms
+        Then nothing was started on the draining worker after 1000 ms
+        And nothing runs on the draining worker
+        And 8 tasks run
+        And no promise was broken
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -18,13 +18,22 @@
     seed: number;
     faultAtMs: number;
     ownerBefore: string | undefined;
+    drainingWorker: string;
 }
 
 const part = (world: ScenarioWorld): Part =>
     partOf(
         world,
         "shard",
-        () => ({ cell: undefined, jobs: [], mend: [], seed: 1, faultAtMs: 0, ownerBefore: undefined }),
+        () => ({
+            cell: undefined,
+            jobs: [],
+            mend: [],
+            seed: 1,
+            faultAtMs: 0,
+            ownerBefore: undefined,
+            drainingWorker: "",
+        }),
     );
 
 const cellOf = (world: ScenarioWorld): ShardCell => {
@@ -135,6 +144,29 @@
     part(this).jobs = [];
 });
 
+When("a worker with tasks drains", function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    const busy = cell.workers.evidence.find(start => start.endedAtMs === undefined);
+    part(this).drainingWorker = busy?.workerId ?? "";
+    part(this).faultAtMs = cell.clock.monotonicMs();
+    cell.drain(part(this).drainingWorker, 5_000);
+});
+
+Then("nothing was started on the draining worker after {int} ms", function(this: ScenarioWorld, afterMs: number) {
+    const { drainingWorker, faultAtMs } = part(this);
+    const late = cellOf(this).workers.evidence.filter(start =>
+        start.workerId === drainingWorker && start.startedAtMs > faultAtMs + afterMs
+    );
+    assert.deepEqual(late, []);
+});
+
+Then("nothing runs on the draining worker", function(this: ScenarioWorld) {
+    const left = cellOf(this).workers.evidence.filter(start =>
+        start.workerId === part(this).drainingWorker && start.endedAtMs === undefined
+    );
+    assert.deepEqual(left, []);
+});
+
 When("random faults come for {int} ms while jobs are submitted", async function(this: ScenarioWorld, forMs: number) {
     const cell = cellOf(this);
     const { seed, jobs } = part(this);
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -92,7 +92,7 @@
 /** An answer from the owner within this time speaks against a peer that finds it silent. */
 const freshAnswerMs = 450;
 /** Without an owner for this long, a daemon asks the balancer for no more callers. */
-const readyWithoutOwnerMs = 700;
+const readyWithoutOwnerMs = 450;
 /** Each place in the order of candidates waits this much longer. */
 const rankDelayMs = 120;
 /** A candidate that reaches too few of its peers waits this much longer, so that a cut-off minority does not claim. */
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -78,6 +78,8 @@
     mend(memberId: string): void;
     listWorkers(): void;
     unlist(workerId: string): void;
+    /** The worker says that it leaves, after this time at the least. */
+    drain(workerId: string, remainingMs: number): void;
     /** Moves time until a condition holds; fails after the limit. */
     until(holds: () => boolean | Promise<boolean>, limitMs: number): Promise<boolean>;
     /** State of each job as the owner shows it; moves time a little. */
@@ -339,6 +341,14 @@
         },
         listWorkers,
         unlist: workerId => store.remove("workers", workerId),
+        drain: (workerId, remainingMs) => {
+            const index = workers.workerIds().indexOf(workerId);
+            store.put("workers", workerId, {
+                ...workerEntry(workerId, index),
+                draining: true,
+                drainRemainingMs: remainingMs,
+            });
+        },
         until: async (holds, limitMs) => {
             for (let passedMs = 0; passedMs < limitMs; passedMs += 100) {
                 if (await holds()) {
