--- a/features/shard.feature
+++ b/features/shard.feature
@@ -184,3 +184,11 @@
         And nothing runs on the draining worker
         And 8 tasks run
         And no promise was broken
+
+    Scenario: Workers whose entries lapsed with the store and that still answer go on getting tasks
+        Given a cell of 3 daemons and 4 workers
+        When the fault "workers not listed" comes
+        And the shard runs for 500 ms
+        And 4 jobs of steps "2" are submitted
+        Then all jobs are "completed" within 2000 ms
+        And no promise was broken
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -370,7 +370,7 @@
 
     const addWorker = (entry: WorkerEntry, listed: boolean): ShardWorker => {
         const worker = newWorker(entry, formerHorizonMs());
-        worker.listed = listed;
+        worker.unlistedAtMs = listed ? undefined : clock.monotonicMs();
         workers.set(entry.workerId, worker);
         for (const stored of unseenRuns.get(entry.workerId) ?? []) {
             attachStored(worker, stored);
@@ -394,7 +394,7 @@
             }
             const drainsNow = entry.draining && !known.entry.draining;
             known.entry = entry.address === "" ? { ...entry, address: known.entry.address } : entry;
-            known.listed = true;
+            known.unlistedAtMs = undefined;
             if (!links.has(known.workerId)) {
                 links.set(known.workerId, openLink(known));
             }
@@ -407,7 +407,7 @@
             if (listed.has(worker.workerId)) {
                 continue;
             }
-            worker.listed = false;
+            worker.unlistedAtMs ??= clock.monotonicMs();
             const next = byAddress.get(worker.entry.address);
             if (next !== undefined && next !== worker.workerId) {
                 loseWorker(worker, "addressTaken");
@@ -426,7 +426,7 @@
             if (worker.runs.size > 0) {
                 watch.loseRuns(worker, "leaseOver");
             }
-            if (!worker.listed) {
+            if (worker.unlistedAtMs !== undefined) {
                 loseWorker(worker, "notListed");
             }
         }
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -11,8 +11,8 @@
 export interface ShardWorker {
     readonly workerId: string;
     entry: WorkerEntry;
-    /** False once the platform's list lacks it. */
-    listed: boolean;
+    /** Local time since which the platform's list lacks it; undefined while it has it. */
+    unlistedAtMs: number | undefined;
     /** True once it has answered a look under this owner's token, so that all it runs is known. */
     certain: boolean;
     /** Local time and its own clock at its newest answer. */
@@ -52,7 +52,7 @@
 export const newWorker = (entry: WorkerEntry, horizonMs: number): ShardWorker => ({
     workerId: entry.workerId,
     entry,
-    listed: true,
+    unlistedAtMs: undefined,
     certain: false,
     clock: undefined,
     horizonMs,
@@ -135,6 +135,8 @@
     }
 };
 
+/** Entries may lapse while the store is away; those of workers that live are back within two seconds of its return. */
+const unlistedGraceMs = 2_500;
 /** Looks without an answer after which a worker gets no new work. */
 const silentLooksToAvoid = 1;
 
@@ -145,5 +147,6 @@
  * isOpen(worker, clock.monotonicMs());
  */
 export const isOpen = (worker: ShardWorker, nowMs: number): boolean =>
-    worker.listed && worker.certain && !worker.entry.draining && worker.clock !== undefined
+    (worker.unlistedAtMs === undefined || nowMs - worker.unlistedAtMs < unlistedGraceMs) && worker.certain
+    && !worker.entry.draining && worker.clock !== undefined
     && worker.silentLooks < silentLooksToAvoid && worker.avoidUntilMs <= nowMs;
