--- a/features/examples.feature
+++ b/features/examples.feature
@@ -63,6 +63,7 @@
             | placing              | 5c0e7a21d94b36f8.0.0.0 on i-1           |
             | preempt              | 1 run stops                             |
             | shardOwner           | 5c0e7a21d94b36f8 is queued              |
+            | shardWorkers         | 1 worker, then 0, as its life was over  |
             | shardSettings        | leases of 5000 ms                       |
             | tableWatch           | configuration seen                      |
             | workerLink           | 3 looks                                 |
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -17,6 +17,7 @@
     createForward,
     createPacer,
     createPlacing,
+    createShardWorkers,
     createWorkerWatch,
     defaultShardSettings,
     encodeJob,
@@ -329,6 +330,31 @@
     return `${looks} looks`;
 };
 
+const shardWorkers = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const workers = createShardWorkers({
+        clock,
+        log,
+        meter,
+        settings: defaultShardSettings,
+        port: {
+            start: async () => "done",
+            stop: async () => "done",
+            pace: async () => "done",
+            look: async () => ({ outcome: "otherLife" }),
+        },
+        fencingToken: 7,
+        jobOf: () => undefined,
+        changed: async () => {},
+        wake: () => {},
+        onFenced: () => {},
+    });
+    workers.update([workerEntry("i-1", 1)]);
+    const before = workers.all.size;
+    await clock.advance(100);
+    return `${before} worker, then ${workers.all.size}, as its life was over`;
+};
+
 const shardOwner = async (): Promise<string> => {
     const clock = createFakeClock();
     const store = createFakeRowStore(clock).connect("entry-1");
@@ -434,6 +460,7 @@
     placing,
     preempt,
     shardOwner,
+    shardWorkers,
     shardSettings: () => `leases of ${defaultShardSettings.leaseMs} ms`,
     tableWatch,
     workerLink,
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -6,11 +6,10 @@
 import { type AdviceAnswer, type AdviceRequest, type FencedWorkerPort, type RowStore } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import type { CellConfiguration, JobState, JobSubmission, Queue, WorkerEntry } from "../../types/work.js";
-import { jobStates, parseTaskName } from "../../types/work.js";
+import { jobStates } from "../../types/work.js";
 import { die, errorOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
 import { createAdviceDesk } from "./adviceDesk.js";
-import { heldBy } from "./chooseWorker.js";
 import { type ClaimedShard, readAllRows } from "./claimShard.js";
 import { createCommitLog, endedTable, type RowChange } from "./commitLog.js";
 import {
@@ -23,13 +22,11 @@
     type ShardJob,
     type ShardRun,
 } from "./jobBook.js";
-import { decodeEnded, encodeJob, restoreJobs, type StoredRun } from "./jobRows.js";
-import { createPacer } from "./pacer.js";
+import { decodeEnded, encodeJob, restoreJobs } from "./jobRows.js";
 import { createPlacing } from "./placing.js";
 import type { ShardSettings } from "./shardSettings.js";
-import { openWorkerLink, type WorkerLink } from "./workerLink.js";
-import { adoptRun, dropRun, newWorker, type ShardWorker, slowestClockRate } from "./workerTable.js";
-import { createWorkerWatch } from "./workerWatch.js";
+import { createShardWorkers } from "./shardWorkers.js";
+import { dropRun } from "./workerTable.js";
 
 /** What a shard's owner needs. */
 export interface ShardOwnerOptions {
@@ -83,18 +80,6 @@
 /** Ended jobs are looked through this many ticks apart. */
 const forgetIntervalTicks = 50;
 
-/** Stands for a worker that has runs and is not listed: no order can reach it and nothing fits on it. */
-const unlistedEntry: WorkerEntry = {
-    workerId: "",
-    service: "",
-    address: "",
-    dataCentre: "",
-    draining: false,
-    capacity: { cpuMillis: 0, memoryMib: 0, accelerators: 0 },
-    labels: [],
-    rack: "",
-};
-
 /**
  * Starts the owner of a shard that was just claimed.
  *
@@ -106,11 +91,6 @@
     const { clock, log, meter, settings, part, claimId, claimed } = options;
     const { fencingToken } = claimed;
     const jobs = new Map<string, ShardJob>();
-    const workers = new Map<string, ShardWorker>();
-    const links = new Map<string, WorkerLink>();
-    const overLives = new Set<string>();
-    /** Runs whose intent is durable and whose worker has not been seen yet. */
-    const unseenRuns = new Map<string, StoredRun[]>();
     let queues = new Map<string, Queue>();
     let closed = false;
     let passWanted = false;
@@ -158,16 +138,18 @@
         }
     };
 
-    const stopRun = (run: ShardRun): void => {
-        if (run.phase !== runPhases.planned) {
-            links.get(run.workerId)?.stop(run);
-            return;
-        }
-        const worker = workers.get(run.workerId);
-        if (worker !== undefined) {
-            dropRun(worker, run);
-        }
-    };
+    const workers = createShardWorkers({
+        clock,
+        log,
+        meter,
+        settings,
+        port: options.workers,
+        fencingToken,
+        jobOf: jobId => jobs.get(jobId),
+        changed: job => changed(job),
+        wake: () => wake(),
+        onFenced: () => fenced("worker"),
+    });
 
     /** After a change: what follows from it, and its commit. */
     const changed = (job: ShardJob): Promise<void> => {
@@ -182,7 +164,7 @@
         return commit(job).then(() => {
             if (hasEnded(job)) {
                 for (const run of [...runsOf(job)]) {
-                    stopRun(run);
+                    workers.stop(run);
                 }
             }
         });
@@ -193,7 +175,7 @@
     const startPlanned = (job: ShardJob, runs: readonly ShardRun[]): void => {
         void commit(job).then(() => {
             for (const run of runs) {
-                const worker = workers.get(run.workerId);
+                const worker = workers.all.get(run.workerId);
                 if (worker === undefined || run.phase !== runPhases.planned || !run.task.runs.includes(run)) {
                     continue;
                 }
@@ -203,7 +185,7 @@
                     continue;
                 }
                 const ticket = run.task.step.advice.good.get(run.workerId)?.ticket ?? "";
-                links.get(run.workerId)?.start(run, run.task.checkpoint, ticket);
+                workers.start(run, ticket);
             }
         });
     };
@@ -213,12 +195,11 @@
         log,
         meter,
         settings,
-        workers,
+        workers: workers.all,
         desk,
         onPlanned: startPlanned,
-        onPreempt: stopRun,
+        onPreempt: workers.stop,
     });
-    const pacer = createPacer({ clock, log });
 
     const wake = (): void => {
         if (passWanted || closed) {
@@ -233,206 +214,6 @@
         });
     };
 
-    const touched = new Set<ShardJob>();
-    const watch = createWorkerWatch({
-        clock,
-        log,
-        meter,
-        jobOf: jobId => jobs.get(jobId),
-        onChange: job => touched.add(job),
-        stop: (worker, run) => links.get(worker.workerId)?.stop(run),
-        onStuck: (worker, run) => {
-            worker.avoidUntilMs = Math.max(worker.avoidUntilMs, clock.monotonicMs() + settings.stuckWorkerRestMs);
-            links.get(worker.workerId)?.stop(run);
-        },
-        stopUnknown: (worker, taskName, run) => links.get(worker.workerId)?.stopUnknown(taskName, run),
-    });
-
-    const commitTouched = (): Promise<unknown> => {
-        const all = [...touched].map(changed);
-        touched.clear();
-        return Promise.all(all);
-    };
-
-    const loseWorker = (worker: ShardWorker, reason: string): void => {
-        links.get(worker.workerId)?.close();
-        links.delete(worker.workerId);
-        workers.delete(worker.workerId);
-        overLives.add(worker.workerId);
-        log.write("info", "workerGone", { workerId: worker.workerId, reason, runs: worker.runs.size });
-        watch.loseRuns(worker, reason);
-        void commitTouched();
-    };
-
-    const openLink = (worker: ShardWorker): WorkerLink =>
-        openWorkerLink(worker, {
-            clock,
-            log,
-            meter,
-            workers: options.workers,
-            fencingToken,
-            leaseMs: settings.leaseMs,
-            lookWaitMs: settings.lookWaitMs,
-            lookPauseMs: settings.lookPauseMs,
-            orderPauseMs: settings.orderPauseMs,
-            onLook: async (seen, look, sentAtMs) => {
-                const wasCertain = seen.certain;
-                const newest = watch.take(seen, look, sentAtMs);
-                pacer.review(seen, (run, percent) => links.get(seen.workerId)?.pace(run, percent));
-                // A look may list ends again whose commit, begun by an earlier look, is still under way.
-                const written = Promise.all([seen.endsWritten, commitTouched()]).then(() => {
-                    seen.acknowledgedEnd = Math.max(seen.acknowledgedEnd, newest);
-                });
-                seen.endsWritten = written;
-                if (!wasCertain) {
-                    wake();
-                }
-                if (look.ended.length > 0) {
-                    await Promise.race([written, sleep(clock, settings.lookPauseMs)]);
-                }
-            },
-            onSilent: () => {},
-            onLifeOver: gone => loseWorker(gone, "otherLife"),
-            onFenced: () => fenced("worker"),
-            onNotStarted: (holder, run, outcome) => {
-                dropRun(holder, run);
-                const { step } = run.task;
-                if (outcome === "badTicket") {
-                    step.advice.good.delete(holder.workerId);
-                    step.advice.asked.delete(holder.workerId);
-                }
-                else {
-                    holder.avoidUntilMs = clock.monotonicMs() + settings.retryAfterMs;
-                }
-                void changed(step.occurrence.job);
-            },
-            onStarted: (holder, run) => {
-                const { job } = run.task.step.occurrence;
-                run.startedAtMs = clock.monotonicMs();
-                if (!job.started) {
-                    job.started = true;
-                    void changed(job);
-                }
-                if (holder.entry.draining) {
-                    leaveDraining(holder);
-                }
-            },
-        });
-
-    /** Runs that would not end before a draining worker leaves move with their checkpoint. */
-    const leaveDraining = (worker: ShardWorker): void => {
-        const remainingMs = worker.entry.drainRemainingMs ?? 0;
-        for (const run of [...worker.runs.values()]) {
-            const { spec } = run.task.step;
-            const ranMs = clock.monotonicMs() - (run.startedAtMs ?? clock.monotonicMs());
-            const stays = !spec.longRunning && (!spec.checkpointing || spec.estimateMs - ranMs < remainingMs);
-            if (!stays && run.phase === runPhases.running) {
-                log.write("info", "evacuated", {
-                    task: run.task.name,
-                    run: run.run,
-                    workerId: worker.workerId,
-                    remainingMs,
-                });
-                links.get(worker.workerId)?.stop(run);
-            }
-        }
-    };
-
-    /** Puts a run whose intent was durable where its worker's first look will settle it. */
-    const attachStored = (worker: ShardWorker, { taskName, run }: StoredRun): void => {
-        const name = parseTaskName(taskName);
-        const job = name === undefined ? undefined : jobs.get(name.jobId);
-        const task = name === undefined
-            ? undefined
-            : job?.occurrences.get(name.occurrence)?.steps[name.step]?.tasks[name.index];
-        if (task === undefined) {
-            return;
-        }
-        const entry: ShardRun = {
-            task,
-            run,
-            workerId: worker.workerId,
-            held: heldBy(task.step.spec),
-            phase: runPhases.running,
-            settledAtMs: 0,
-            startedAtMs: undefined,
-            percent: 100,
-            figure: 0,
-            idleSinceMs: undefined,
-        };
-        task.runs.push(entry);
-        adoptRun(worker, entry);
-    };
-
-    /** The longest lease that a former owner may have given, from now. */
-    const formerHorizonMs = (): number =>
-        clock.monotonicMs() + settings.formerOwnerMs + settings.leaseMs / slowestClockRate;
-
-    const addWorker = (entry: WorkerEntry, listed: boolean): ShardWorker => {
-        const worker = newWorker(entry, formerHorizonMs());
-        worker.unlistedAtMs = listed ? undefined : clock.monotonicMs();
-        workers.set(entry.workerId, worker);
-        for (const stored of unseenRuns.get(entry.workerId) ?? []) {
-            attachStored(worker, stored);
-        }
-        unseenRuns.delete(entry.workerId);
-        return worker;
-    };
-
-    const updateWorkers = (entries: readonly WorkerEntry[]): void => {
-        const listed = new Set<string>();
-        const byAddress = new Map(entries.map(entry => [entry.address, entry.workerId]));
-        for (const entry of entries) {
-            listed.add(entry.workerId);
-            const known = workers.get(entry.workerId);
-            if (known === undefined) {
-                if (!overLives.has(entry.workerId)) {
-                    const worker = addWorker(entry, true);
-                    links.set(entry.workerId, openLink(worker));
-                }
-                continue;
-            }
-            const drainsNow = entry.draining && !known.entry.draining;
-            known.entry = entry.address === "" ? { ...entry, address: known.entry.address } : entry;
-            known.unlistedAtMs = undefined;
-            if (!links.has(known.workerId)) {
-                links.set(known.workerId, openLink(known));
-            }
-            if (drainsNow) {
-                log.write("info", "workerDrains", { workerId: entry.workerId, remainingMs: entry.drainRemainingMs });
-                leaveDraining(known);
-            }
-        }
-        for (const worker of [...workers.values()]) {
-            if (listed.has(worker.workerId)) {
-                continue;
-            }
-            worker.unlistedAtMs ??= clock.monotonicMs();
-            const next = byAddress.get(worker.entry.address);
-            if (next !== undefined && next !== worker.workerId) {
-                loseWorker(worker, "addressTaken");
-            }
-        }
-        wake();
-    };
-
-    /** Leases that are surely over, and workers of which nothing is left. */
-    const checkHorizons = (nowMs: number): void => {
-        for (const worker of [...workers.values()]) {
-            const silent = worker.silentLooks > 0 || !worker.certain;
-            if (!silent || nowMs <= worker.horizonMs) {
-                continue;
-            }
-            if (worker.runs.size > 0) {
-                watch.loseRuns(worker, "leaseOver");
-            }
-            if (worker.unlistedAtMs !== undefined) {
-                loseWorker(worker, "notListed");
-            }
-        }
-        void commitTouched();
-    };
-
     const openDue = (): void => {
         const wallMs = clock.nowMs();
         for (const job of jobs.values()) {
@@ -474,8 +255,9 @@
      * renewing leases soon enough for the successor's count of them.
      */
     const isCutOff = (nowMs: number): boolean => {
-        const silent = [...workers.values()].filter(worker => nowMs - worker.answeredAtMs > settings.silentMs).length;
-        if (2 * silent <= workers.size || nowMs - startedAtMs < settings.cutOffMs) {
+        const silent =
+            [...workers.all.values()].filter(worker => nowMs - worker.answeredAtMs > settings.silentMs).length;
+        if (2 * silent <= workers.all.size || nowMs - startedAtMs < settings.cutOffMs) {
             return false;
         }
         if (nowMs - commits.answeredAtMs() > settings.silentMs) {
@@ -496,7 +278,7 @@
             fenced("cutOff");
             return;
         }
-        checkHorizons(nowMs);
+        workers.checkLeases(nowMs);
         openDue();
         if (ticks % forgetIntervalTicks === 0) {
             forgetOld(nowMs);
@@ -518,9 +300,7 @@
         rejectWaiting(errorOf({ kind: "mayHaveRun", message: "this daemon owns the shard no more" }));
         commits.stop();
         desk.close();
-        for (const link of links.values()) {
-            link.close();
-        }
+        workers.close();
     };
 
     const restore = (): void => {
@@ -529,15 +309,7 @@
             nextOrder = Math.max(nextOrder, job.order + 1);
             jobs.set(job.submission.jobId, job);
         }
-        for (const stored of restored.runs) {
-            const runs = unseenRuns.get(stored.workerId) ?? [];
-            runs.push(stored);
-            unseenRuns.set(stored.workerId, runs);
-        }
-        for (const workerId of [...unseenRuns.keys()]) {
-            // Until the platform lists it, it may be anywhere; its lease settles it.
-            addWorker({ ...unlistedEntry, workerId }, false);
-        }
+        workers.expect(restored.runs);
         for (const job of jobs.values()) {
             placing.consider(job);
         }
@@ -656,7 +428,7 @@
             }
             wake();
         },
-        updateWorkers,
+        updateWorkers: workers.update,
         wake: () => {
             wake();
             desk.wake();
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -0,0 +1,312 @@
+/** The workers of a shard and what runs on them: links, looks, listings, draining, lost lives and leases that are over. */
+
+import type { FencedWorkerPort } from "../../types/cellPorts.js";
+import type { Clock, Log, Meter } from "../../types/ports.js";
+import { parseTaskName, type WorkerEntry } from "../../types/work.js";
+import { sleep } from "../../utils/time.js";
+import { heldBy } from "./chooseWorker.js";
+import { runPhases, type ShardJob, type ShardRun } from "./jobBook.js";
+import type { StoredRun } from "./jobRows.js";
+import { createPacer } from "./pacer.js";
+import type { ShardSettings } from "./shardSettings.js";
+import { openWorkerLink, type WorkerLink } from "./workerLink.js";
+import { adoptRun, dropRun, newWorker, type ShardWorker, slowestClockRate } from "./workerTable.js";
+import { createWorkerWatch } from "./workerWatch.js";
+
+/** What the workers of a shard need. */
+export interface ShardWorkersOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly meter: Meter;
+    readonly settings: ShardSettings;
+    readonly port: FencedWorkerPort;
+    readonly fencingToken: number;
+    readonly jobOf: (jobId: string) => ShardJob | undefined;
+    /** The job changed; resolves once it is durable. */
+    readonly changed: (job: ShardJob) => Promise<void>;
+    /** There may be room now. */
+    readonly wake: () => void;
+    /** A worker has seen a higher token. */
+    readonly onFenced: () => void;
+}
+
+/** The workers of a shard. */
+export interface ShardWorkers {
+    readonly all: ReadonlyMap<string, ShardWorker>;
+    /** Runs whose intent a former owner made durable; each holds room until its worker's first look settles it. */
+    expect(runs: readonly StoredRun[]): void;
+    /** All workers that the platform lists now. */
+    update(entries: readonly WorkerEntry[]): void;
+    start(run: ShardRun, ticket: string): void;
+    /** Stops a run, or lets go of one that was only planned. */
+    stop(run: ShardRun): void;
+    /** Looks for leases that are over by now. */
+    checkLeases(nowMs: number): void;
+    close(): void;
+}
+
+/** Stands for a worker that has runs and is not listed: no order can reach it and nothing fits on it. */
+const unlistedEntry: WorkerEntry = {
+    workerId: "",
+    service: "",
+    address: "",
+    dataCentre: "",
+    draining: false,
+    capacity: { cpuMillis: 0, memoryMib: 0, accelerators: 0 },
+    labels: [],
+    rack: "",
+};
+
+/**
+ * Makes the workers of a shard; none is known before the first listing.
+ *
+ * @example
+ * const workers = createShardWorkers({ clock, log, meter, settings, port, fencingToken, jobOf, changed, wake, onFenced });
+ * workers.update(entries);
+ */
+export const createShardWorkers = (options: ShardWorkersOptions): ShardWorkers => {
+    const { clock, log, meter, settings, fencingToken, jobOf, changed, wake } = options;
+    const workers = new Map<string, ShardWorker>();
+    const links = new Map<string, WorkerLink>();
+    const overLives = new Set<string>();
+    /** Runs whose intent is durable and whose worker has not been seen yet. */
+    const unseenRuns = new Map<string, StoredRun[]>();
+    const pacer = createPacer({ clock, log });
+
+    const stopRun = (run: ShardRun): void => {
+        if (run.phase !== runPhases.planned) {
+            links.get(run.workerId)?.stop(run);
+            return;
+        }
+        const worker = workers.get(run.workerId);
+        if (worker !== undefined) {
+            dropRun(worker, run);
+        }
+    };
+
+    const touched = new Set<ShardJob>();
+    const watch = createWorkerWatch({
+        clock,
+        log,
+        meter,
+        jobOf,
+        onChange: job => touched.add(job),
+        stop: (worker, run) => links.get(worker.workerId)?.stop(run),
+        onStuck: (worker, run) => {
+            worker.avoidUntilMs = Math.max(worker.avoidUntilMs, clock.monotonicMs() + settings.stuckWorkerRestMs);
+            links.get(worker.workerId)?.stop(run);
+        },
+        stopUnknown: (worker, taskName, run) => links.get(worker.workerId)?.stopUnknown(taskName, run),
+    });
+
+    const commitTouched = (): Promise<unknown> => {
+        const all = [...touched].map(changed);
+        touched.clear();
+        return Promise.all(all);
+    };
+
+    const loseWorker = (worker: ShardWorker, reason: string): void => {
+        links.get(worker.workerId)?.close();
+        links.delete(worker.workerId);
+        workers.delete(worker.workerId);
+        overLives.add(worker.workerId);
+        log.write("info", "workerGone", { workerId: worker.workerId, reason, runs: worker.runs.size });
+        watch.loseRuns(worker, reason);
+        void commitTouched();
+    };
+
+    const openLink = (worker: ShardWorker): WorkerLink =>
+        openWorkerLink(worker, {
+            clock,
+            log,
+            meter,
+            workers: options.port,
+            fencingToken,
+            leaseMs: settings.leaseMs,
+            lookWaitMs: settings.lookWaitMs,
+            lookPauseMs: settings.lookPauseMs,
+            orderPauseMs: settings.orderPauseMs,
+            onLook: async (seen, look, sentAtMs) => {
+                const wasCertain = seen.certain;
+                const newest = watch.take(seen, look, sentAtMs);
+                pacer.review(seen, (run, percent) => links.get(seen.workerId)?.pace(run, percent));
+                // A look may list ends again whose commit, begun by an earlier look, is still under way.
+                const written = Promise.all([seen.endsWritten, commitTouched()]).then(() => {
+                    seen.acknowledgedEnd = Math.max(seen.acknowledgedEnd, newest);
+                });
+                seen.endsWritten = written;
+                if (!wasCertain) {
+                    wake();
+                }
+                if (look.ended.length > 0) {
+                    await Promise.race([written, sleep(clock, settings.lookPauseMs)]);
+                }
+            },
+            onSilent: () => {},
+            onLifeOver: gone => loseWorker(gone, "otherLife"),
+            onFenced: () => options.onFenced(),
+            onNotStarted: (holder, run, outcome) => {
+                dropRun(holder, run);
+                const { step } = run.task;
+                if (outcome === "badTicket") {
+                    step.advice.good.delete(holder.workerId);
+                    step.advice.asked.delete(holder.workerId);
+                }
+                else {
+                    holder.avoidUntilMs = clock.monotonicMs() + settings.retryAfterMs;
+                }
+                void changed(step.occurrence.job);
+            },
+            onStarted: (holder, run) => {
+                const { job } = run.task.step.occurrence;
+                run.startedAtMs = clock.monotonicMs();
+                if (!job.started) {
+                    job.started = true;
+                    void changed(job);
+                }
+                if (holder.entry.draining) {
+                    leaveDraining(holder);
+                }
+            },
+        });
+
+    /** Runs that would not end before a draining worker leaves move with their checkpoint. */
+    const leaveDraining = (worker: ShardWorker): void => {
+        const remainingMs = worker.entry.drainRemainingMs ?? 0;
+        for (const run of [...worker.runs.values()]) {
+            const { spec } = run.task.step;
+            const ranMs = clock.monotonicMs() - (run.startedAtMs ?? clock.monotonicMs());
+            const stays = !spec.longRunning && (!spec.checkpointing || spec.estimateMs - ranMs < remainingMs);
+            if (!stays && run.phase === runPhases.running) {
+                log.write("info", "evacuated", {
+                    task: run.task.name,
+                    run: run.run,
+                    workerId: worker.workerId,
+                    remainingMs,
+                });
+                links.get(worker.workerId)?.stop(run);
+            }
+        }
+    };
+
+    /** Puts a run whose intent was durable where its worker's first look will settle it. */
+    const attachStored = (worker: ShardWorker, { taskName, run }: StoredRun): void => {
+        const name = parseTaskName(taskName);
+        const job = name === undefined ? undefined : jobOf(name.jobId);
+        const task = name === undefined
+            ? undefined
+            : job?.occurrences.get(name.occurrence)?.steps[name.step]?.tasks[name.index];
+        if (task === undefined) {
+            return;
+        }
+        const entry: ShardRun = {
+            task,
+            run,
+            workerId: worker.workerId,
+            held: heldBy(task.step.spec),
+            phase: runPhases.running,
+            settledAtMs: 0,
+            startedAtMs: undefined,
+            percent: 100,
+            figure: 0,
+            idleSinceMs: undefined,
+        };
+        task.runs.push(entry);
+        adoptRun(worker, entry);
+    };
+
+    /** The longest lease that a former owner may have given, from now. */
+    const formerHorizonMs = (): number =>
+        clock.monotonicMs() + settings.formerOwnerMs + settings.leaseMs / slowestClockRate;
+
+    const addWorker = (entry: WorkerEntry, listed: boolean): ShardWorker => {
+        const worker = newWorker(entry, formerHorizonMs());
+        worker.unlistedAtMs = listed ? undefined : clock.monotonicMs();
+        workers.set(entry.workerId, worker);
+        for (const stored of unseenRuns.get(entry.workerId) ?? []) {
+            attachStored(worker, stored);
+        }
+        unseenRuns.delete(entry.workerId);
+        return worker;
+    };
+
+    const updateWorkers = (entries: readonly WorkerEntry[]): void => {
+        const listed = new Set<string>();
+        const byAddress = new Map(entries.map(entry => [entry.address, entry.workerId]));
+        for (const entry of entries) {
+            listed.add(entry.workerId);
+            const known = workers.get(entry.workerId);
+            if (known === undefined) {
+                if (!overLives.has(entry.workerId)) {
+                    const worker = addWorker(entry, true);
+                    links.set(entry.workerId, openLink(worker));
+                }
+                continue;
+            }
+            const drainsNow = entry.draining && !known.entry.draining;
+            known.entry = entry.address === "" ? { ...entry, address: known.entry.address } : entry;
+            known.unlistedAtMs = undefined;
+            if (!links.has(known.workerId)) {
+                links.set(known.workerId, openLink(known));
+            }
+            if (drainsNow) {
+                log.write("info", "workerDrains", { workerId: entry.workerId, remainingMs: entry.drainRemainingMs });
+                leaveDraining(known);
+            }
+        }
+        for (const worker of [...workers.values()]) {
+            if (listed.has(worker.workerId)) {
+                continue;
+            }
+            worker.unlistedAtMs ??= clock.monotonicMs();
+            const next = byAddress.get(worker.entry.address);
+            if (next !== undefined && next !== worker.workerId) {
+                loseWorker(worker, "addressTaken");
+            }
+        }
+        wake();
+    };
+
+    /** Leases that are surely over, and workers of which nothing is left. */
+    const checkHorizons = (nowMs: number): void => {
+        for (const worker of [...workers.values()]) {
+            const silent = worker.silentLooks > 0 || !worker.certain;
+            if (!silent || nowMs <= worker.horizonMs) {
+                continue;
+            }
+            if (worker.runs.size > 0) {
+                watch.loseRuns(worker, "leaseOver");
+            }
+            if (worker.unlistedAtMs !== undefined) {
+                loseWorker(worker, "notListed");
+            }
+        }
+        void commitTouched();
+    };
+
+    const expect = (runs: readonly StoredRun[]): void => {
+        for (const stored of runs) {
+            const known = unseenRuns.get(stored.workerId) ?? [];
+            known.push(stored);
+            unseenRuns.set(stored.workerId, known);
+        }
+        for (const workerId of [...unseenRuns.keys()]) {
+            // Until the platform lists it, it may be anywhere; its lease settles it.
+            addWorker({ ...unlistedEntry, workerId }, false);
+        }
+    };
+
+    return {
+        all: workers,
+        expect,
+        update: updateWorkers,
+        start: (run, ticket) => links.get(run.workerId)?.start(run, run.task.checkpoint, ticket),
+        stop: stopRun,
+        checkLeases: checkHorizons,
+        close: () => {
+            for (const link of links.values()) {
+                link.close();
+            }
+        },
+    };
+};
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -42,6 +42,7 @@
 export * from "./core/shard/preempt.js";
 export * from "./core/shard/shardOwner.js";
 export * from "./core/shard/shardSettings.js";
+export * from "./core/shard/shardWorkers.js";
 export * from "./core/shard/tableWatch.js";
 export * from "./core/shard/workerLink.js";
 export * from "./core/shard/workerList.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -103,6 +103,7 @@
 export { createPlacing, type Placing, type PlacingOptions } from "./internal.js";
 export { type PreemptOptions, victimsOf } from "./internal.js";
 export { type ShardOwner, type ShardOwnerOptions, startShardOwner } from "./internal.js";
+export { createShardWorkers, type ShardWorkers, type ShardWorkersOptions } from "./internal.js";
 export { defaultShardSettings, type ShardSettings } from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
 export { openWorkerLink, type WorkerLink, type WorkerLinkOptions } from "./internal.js";
