A gang does not go back to a worker that failed one of its members; the eight red pairs of faults are in the table

Cause: what a worker did to one member was held against it for that member alone, and an owner with no other worker fell back on it, so the gang failed there three times before the worker was quarantined. Owners now refuse such a worker to a gang for 15 s, so that another owner's is taken. Ruled out: the preference of the placement handler alone (all eight rows still failed with it). Not measured: the waiting of gangs under load with this rule.

--- a/features/faults.feature
+++ b/features/faults.feature
@@ -1202,3 +1202,11 @@
             | are handed over | a worker fails everything and a wave of cancels comes | completed |
             | are handed over | a worker fails everything and tasks use twice what they declared | completed |
             | are handed over | a worker fails everything and a job that never fits is submitted | completed |
+            | are submitted | another daemon is paused and a worker fails everything | completed |
+            | are submitted | the platform is slow and a worker fails everything | completed |
+            | are submitted | the data centres are cut off from each other and a worker fails everything | completed |
+            | are submitted | a worker fails everything and a wave of cancels comes | completed |
+            | are started | another daemon is paused and a worker fails everything | completed |
+            | are started | the platform is slow and a worker fails everything | completed |
+            | are started | the data centres are cut off from each other and a worker fails everything | completed |
+            | are started | a worker fails everything and a wave of cancels comes | completed |
--- a/packages/puffinarch/src/core/placer.ts
+++ b/packages/puffinarch/src/core/placer.ts
@@ -88,6 +88,11 @@
     const waitOf = (item: QueueItem, task: TaskEntry): number =>
         Math.max(0, clock.nowMs() - Math.max(task.queuedAtMs, progressAtMs.get(shapeKey(item)) ?? 0));
 
+    /** Any member that fails ends its whole gang, so what one member met all of them avoid. */
+    const avoidedBy = (item: QueueItem, task: TaskEntry): readonly string[] => [
+        ...new Set((item.gang ? item.tasks : [task]).flatMap(each => [...each.failedOn])),
+    ];
+
     const offerOf = (item: QueueItem, task: TaskEntry): TaskOffer => ({
         attemptId: options.newAttemptId(task.taskId),
         taskId: task.taskId,
@@ -100,7 +105,7 @@
         waitedMs: waitOf(item, task),
         keepKey: item.gang ? task.job.spec.jobId : task.taskId,
         gang: item.gang,
-        avoid: [...task.failedOn],
+        avoid: avoidedBy(item, task),
     });
 
     const putBack = (item: QueueItem, restMs: number): void => {
--- a/packages/puffinarch/src/core/rackOwner.ts
+++ b/packages/puffinarch/src/core/rackOwner.ts
@@ -89,6 +89,8 @@
 const maxProbeMs = 300_000;
 const earmarkMs = 10_000;
 const oneInWorkersKept = 4;
+/** A gang that has waited this long takes a worker that failed it; a probe opens a quarantined one after 10 s. */
+const gangRefusalMs = 15_000;
 
 /**
  * Makes a rack owner that owns nothing yet.
@@ -365,10 +367,17 @@
         }
     };
 
+    /** A worker that failed one member of a gang fails all of it again; other owners may have a better one. */
+    const refusesFor = ({ gang, avoid, waitedMs }: TaskOffer, workerId: string): boolean =>
+        gang && avoid.includes(workerId) && waitedMs < gangRefusalMs;
+
     const takeKept = (offer: TaskOffer): OwnedWorker | undefined => {
         for (const workerId of earmarks.workersFor(offer.keepKey)) {
             const worker = entries.get(workerId);
-            if (worker?.state === "live" && ledger.reserveClosed(workerId, offer.attemptId, offer.size)) {
+            if (
+                worker?.state === "live" && !refusesFor(offer, workerId)
+                && ledger.reserveClosed(workerId, offer.attemptId, offer.size)
+            ) {
                 releaseKept(offer);
                 return worker;
             }
@@ -389,7 +398,10 @@
 
     const takeChosen = (offer: TaskOffer, choice: PlacementChoice): OwnedWorker | undefined => {
         const worker = choice.worker === undefined ? undefined : entries.get(choice.worker.workerId);
-        if (worker === undefined || !ledger.reserve(worker.vm.vmId, offer.attemptId, offer.size)) {
+        if (worker === undefined || refusesFor(offer, worker.vm.vmId)) {
+            return undefined;
+        }
+        if (!ledger.reserve(worker.vm.vmId, offer.attemptId, offer.size)) {
             return undefined;
         }
         releaseKept(offer);
