--- a/features/shard.feature
+++ b/features/shard.feature
@@ -192,3 +192,20 @@
         And 4 jobs of steps "2" are submitted
         Then all jobs are "completed" within 2000 ms
         And no promise was broken
+
+    Scenario Outline: What was surely refused never runs, after "<fault>"
+        Given a cell of 3 daemons and 4 workers
+        When the fault "<fault>" comes
+        And 12 jobs are submitted once, 150 ms apart
+        And the shard runs for 1000 ms
+        And the fault goes
+        And the fault "owner killed" comes
+        And the shard runs for 8000 ms
+        Then some were surely refused and none of those ran
+
+        Examples:
+            | fault                                   |
+            | store answers late                      |
+            | store hangs                             |
+            | store refuses                           |
+            | owner cut from the store                |
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -144,6 +144,24 @@
     part(this).jobs = [];
 });
 
+When(
+    "{int} jobs are submitted once, {int} ms apart",
+    async function(this: ScenarioWorld, count: number, apartMs: number) {
+        for (let index = 1; index <= count; index += 1) {
+            cellOf(this).submitOnce(jobIdOf(index), readSteps("2"));
+            await cellOf(this).clock.advance(apartMs);
+        }
+    },
+);
+
+Then("some were surely refused and none of those ran", function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    const refused = [...cell.answers()].filter(([, answer]) => answer === "notAccepted").map(([jobId]) => jobId);
+    assert.ok(refused.length > 0, [...cell.answers().values()].join(", "));
+    const ran = cell.workers.evidence.filter(({ taskName }) => refused.some(jobId => taskName.startsWith(jobId)));
+    assert.deepEqual(ran, []);
+});
+
 When("a worker with tasks drains", function(this: ScenarioWorld) {
     const cell = cellOf(this);
     const busy = cell.workers.evidence.find(start => start.endedAtMs === undefined);
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -8,6 +8,7 @@
     defaultShardSettings,
     die,
     type JobSubmission,
+    kindOf,
     type Log,
     type MemberHandlers,
     type MemberPort,
@@ -68,6 +69,8 @@
     member(memberId: string): CellMember | undefined;
     owner(): string | undefined;
     submit(jobId: string, steps: readonly Step[]): void;
+    /** Submits through one daemon and never again; the answer, or the kind of its failure, is among the answers. */
+    submitOnce(jobId: string, steps: readonly Step[]): void;
     /** Acceptances and refusals so far, by job. */
     answers(): ReadonlyMap<string, string>;
     kill(memberId: string): void;
@@ -101,9 +104,20 @@
 const linkMs = 1;
 const unansweredMs = 3_000;
 const leaveMs = 4_000;
+/** The time of a caller that asks once. */
+const onceMs = 2_500;
 const stateWaitMs = 10;
 const workerCpuMillis = 8_000;
 
+const submissionOf = (jobId: string, steps: readonly Step[]): JobSubmission => ({
+    jobId,
+    queueKey: testQueue.key,
+    dataCentre: "leon-feria",
+    payload: "plan",
+    steps,
+    schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
+});
+
 /** An entry in the platform's list for a worker of the cell. */
 export const workerEntry = (workerId: string, index: number): WorkerEntry => ({
     workerId,
@@ -300,14 +314,15 @@
         owner,
         submit: (jobId, jobSteps) => {
             steps.set(jobId, jobSteps);
-            void send({
-                jobId,
-                queueKey: testQueue.key,
-                dataCentre: "leon-feria",
-                payload: "plan",
-                steps: jobSteps,
-                schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
-            });
+            void send(submissionOf(jobId, jobSteps));
+        },
+        submitOnce: (jobId, jobSteps) => {
+            steps.set(jobId, jobSteps);
+            const seat = seats.get(ids[jobId.charCodeAt(jobId.length - 1) % ids.length] ?? "");
+            void seat?.member.submit(submissionOf(jobId, jobSteps), onceMs).then(
+                () => answers.set(jobId, "accepted"),
+                (error: unknown) => answers.set(jobId, kindOf(error)),
+            );
         },
         answers: () => answers,
         kill: memberId => {
