One way to make a run, to find a task, to end a worker's link, and to page through rows

Found on reading the whole change again: a run was written out at three places, a task looked up by name at two, the answers "fenced" and "other life" handled at three places of a worker's link, the key of the next page made at two; and onSilent, the link's wake, the desk's waiting and a lane that nobody read are gone.

--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -319,7 +319,6 @@
         lookPauseMs: 250,
         orderPauseMs: 100,
         onLook: async () => {},
-        onSilent: () => {},
         onLifeOver: () => {},
         onFenced: () => {},
         onNotStarted: () => {},
--- a/packages/puffinarch/src/core/shard/adviceDesk.ts
+++ b/packages/puffinarch/src/core/shard/adviceDesk.ts
@@ -15,7 +15,7 @@
     readonly costMs: number;
     /** 0 first. */
     readonly priority: number;
-    readonly onAnswer: (answer: AdviceAnswer, laneId: string) => void;
+    readonly onAnswer: (answer: AdviceAnswer) => void;
     readonly onFailure: () => void;
     /** False once nobody wants the answer any more. */
     readonly wanted: () => boolean;
@@ -36,7 +36,6 @@
     ask(order: AdviceOrder): void;
     /** Looks for free lanes again, after their number changed. */
     wake(): void;
-    waiting(): number;
     close(): void;
 }
 
@@ -98,7 +97,7 @@
             });
             meter.record("adviceMs", clock.monotonicMs() - startedAtMs);
             if (!closed) {
-                order.onAnswer(answer, lane);
+                order.onAnswer(answer);
             }
         }
         catch (error) {
@@ -147,7 +146,6 @@
             wake();
         },
         wake,
-        waiting: () => queue.length,
         close: () => {
             closed = true;
             queue.length = 0;
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -1,16 +1,13 @@
 /** Which worker takes a task: what must hold, and what is better. */
 
 import { fits, type Resources } from "../../types/resources.js";
-import type { Step } from "../../types/work.js";
-import type { ShardStep, ShardTask } from "./jobBook.js";
+
+import { heldBy, type ShardStep, type ShardTask } from "./jobBook.js";
 import { isOpen, roomOf, type ShardWorker } from "./workerTable.js";
 
 /** A ticket that is about to end might be refused on arrival. */
 const ticketMarginMs = 120;
 
-/** What a task of a step holds of a worker: tasks that fill use processors that others leave unused. */
-export const heldBy = ({ size, fills }: Step): Resources => fills ? { ...size, cpuMillis: 0 } : size;
-
 /**
  * Counts a step's live runs on a worker.
  *
--- a/packages/puffinarch/src/core/shard/claimShard.ts
+++ b/packages/puffinarch/src/core/shard/claimShard.ts
@@ -5,6 +5,7 @@
 import { failureOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
 import { journalTable, ownerKey, ownerTable, sequenceKey } from "./commitLog.js";
+import { keyAfter } from "./tableWatch.js";
 
 /** What a claim needs. */
 export interface ClaimOptions {
@@ -101,8 +102,7 @@
             if (!page.more) {
                 return rows;
             }
-            // The least key after the last one.
-            fromKey = `${page.rows.at(-1)?.key ?? ""}\u0001`;
+            fromKey = keyAfter(page.rows);
         }
         catch (error) {
             log.write("warn", "shardReadDelayed", { table, part, reason: failureOf(error).message });
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -7,6 +7,7 @@
     type JobState,
     jobStates,
     type JobSubmission,
+    parseTaskName,
     type Queue,
     type Step,
     type TaskName,
@@ -220,6 +221,45 @@
  */
 export const isWaiting = (task: ShardTask): boolean => !task.done && task.runs.length === 0;
 
+/** What a task of a step holds of a worker: tasks that fill use processors that others leave unused. */
+export const heldBy = ({ size, fills }: Step): Resources => fills ? { ...size, cpuMillis: 0 } : size;
+
+/**
+ * Makes a run of a task, planned unless said otherwise; it holds no room yet.
+ *
+ * @example
+ * const run = newRun(task, "i-7f3a91c2", 1);
+ */
+export const newRun = (task: ShardTask, workerId: string, run: number, known: Partial<ShardRun> = {}): ShardRun => ({
+    task,
+    run,
+    workerId,
+    held: heldBy(task.step.spec),
+    phase: runPhases.planned,
+    settledAtMs: undefined,
+    startedAtMs: undefined,
+    percent: 100,
+    figure: 0,
+    idleSinceMs: undefined,
+    ...known,
+});
+
+/**
+ * Finds a task by its name; undefined where its job, or the occurrence, is not kept.
+ *
+ * @example
+ * findTask(jobId => jobs.get(jobId), "5c0e7a21d94b36f8.0.1.17");
+ */
+export const findTask = (
+    jobOf: (jobId: string) => ShardJob | undefined,
+    taskName: string,
+): ShardTask | undefined => {
+    const name = parseTaskName(taskName);
+    return name === undefined
+        ? undefined
+        : jobOf(name.jobId)?.occurrences.get(name.occurrence)?.steps[name.step]?.tasks[name.index];
+};
+
 /** Number of occurrences that a job has in all. */
 const occurrencesOf = ({ submission }: ShardJob): number => Math.max(1, submission.schedule.repeatCount);
 
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -5,12 +5,13 @@
 import { fits } from "../../types/resources.js";
 import type { AdviceDesk } from "./adviceDesk.js";
 import { isTimeToAsk } from "./askAhead.js";
-import { chooseWorker, heldBy, runsOnWorker, suits, ticketFor } from "./chooseWorker.js";
+import { chooseWorker, runsOnWorker, suits, ticketFor } from "./chooseWorker.js";
 import {
     hasEnded,
+    heldBy,
     isReady,
     isWaiting,
-    runPhases,
+    newRun,
     type ShardJob,
     type ShardRun,
     type ShardStep,
@@ -76,18 +77,7 @@
     const copyable = new Set<ShardStep>();
 
     const plan = (task: ShardTask, worker: ShardWorker, number: number): ShardRun | undefined => {
-        const run: ShardRun = {
-            task,
-            run: number,
-            workerId: worker.workerId,
-            held: heldBy(task.step.spec),
-            phase: runPhases.planned,
-            settledAtMs: undefined,
-            startedAtMs: undefined,
-            percent: 100,
-            figure: 0,
-            idleSinceMs: undefined,
-        };
+        const run = newRun(task, worker.workerId, number);
         if (!holdRoom(worker, run)) {
             return undefined;
         }
--- a/packages/puffinarch/src/core/shard/preempt.ts
+++ b/packages/puffinarch/src/core/shard/preempt.ts
@@ -1,8 +1,8 @@
 /** Which less urgent runs to stop, with their checkpoint, so that urgent tasks find room. */
 
 import { add, fits, type Resources } from "../../types/resources.js";
-import { heldBy, ticketFor } from "./chooseWorker.js";
-import { runPhases, type ShardRun, type ShardStep } from "./jobBook.js";
+import { ticketFor } from "./chooseWorker.js";
+import { heldBy, runPhases, type ShardRun, type ShardStep } from "./jobBook.js";
 import { isOpen, roomOf, runKey, type ShardWorker } from "./workerTable.js";
 
 /** A step that has waited for less than this may find room by itself; tasks end every few milliseconds under load. */
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -2,10 +2,9 @@
 
 import type { FencedWorkerPort } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
-import { parseTaskName, type WorkerEntry } from "../../types/work.js";
+import type { WorkerEntry } from "../../types/work.js";
 import { sleep } from "../../utils/time.js";
-import { heldBy } from "./chooseWorker.js";
-import { runPhases, type ShardJob, type ShardRun } from "./jobBook.js";
+import { findTask, newRun, runPhases, type ShardJob, type ShardRun } from "./jobBook.js";
 import type { StoredRun } from "./jobRows.js";
 import { createPacer } from "./pacer.js";
 import type { ShardSettings } from "./shardSettings.js";
@@ -142,7 +141,6 @@
                     await Promise.race([written, sleep(clock, settings.lookPauseMs)]);
                 }
             },
-            onSilent: () => {},
             onLifeOver: gone => loseWorker(gone, "otherLife"),
             onFenced: () => options.onFenced(),
             onNotStarted: (holder, run, outcome) => {
@@ -191,26 +189,11 @@
 
     /** Puts a run whose intent was durable where its worker's first look will settle it. */
     const attachStored = (worker: ShardWorker, { taskName, run }: StoredRun): void => {
-        const name = parseTaskName(taskName);
-        const job = name === undefined ? undefined : jobOf(name.jobId);
-        const task = name === undefined
-            ? undefined
-            : job?.occurrences.get(name.occurrence)?.steps[name.step]?.tasks[name.index];
+        const task = findTask(jobOf, taskName);
         if (task === undefined) {
             return;
         }
-        const entry: ShardRun = {
-            task,
-            run,
-            workerId: worker.workerId,
-            held: heldBy(task.step.spec),
-            phase: runPhases.running,
-            settledAtMs: 0,
-            startedAtMs: undefined,
-            percent: 100,
-            figure: 0,
-            idleSinceMs: undefined,
-        };
+        const entry = newRun(task, worker.workerId, run, { phase: runPhases.running, settledAtMs: 0 });
         task.runs.push(entry);
         adoptRun(worker, entry);
     };
--- a/packages/puffinarch/src/core/shard/tableWatch.ts
+++ b/packages/puffinarch/src/core/shard/tableWatch.ts
@@ -29,6 +29,9 @@
 const feedWaitMs = 10_000;
 const retryPauseMs = 250;
 
+/** The key from which the page after these rows begins: the least one after the last. */
+export const keyAfter = (rows: readonly Row[]): string => `${rows.at(-1)?.key ?? ""}\u0001`;
+
 /**
  * Starts to follow a table.
  *
@@ -47,7 +50,7 @@
         const { version } = page;
         rows.push(...page.rows);
         while (page.more) {
-            page = await store.read(table, part, `${rows.at(-1)?.key ?? ""}\u0001`);
+            page = await store.read(table, part, keyAfter(rows));
             rows.push(...page.rows);
         }
         return { rows, version };
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -30,7 +30,6 @@
         look: LookResult & { readonly outcome: "done"; },
         sentAtMs: number,
     ) => Promise<void>;
-    readonly onSilent: (worker: ShardWorker) => void;
     readonly onLifeOver: (worker: ShardWorker) => void;
     readonly onFenced: (worker: ShardWorker) => void;
     /** The run surely does not and will not run there. */
@@ -47,8 +46,6 @@
     /** Stops a run that the book does not have. */
     stopUnknown(taskName: string, run: number): void;
     pace(run: ShardRun, percent: number): void;
-    /** Makes the next look at once. */
-    wake(): void;
     close(): void;
 }
 
@@ -61,7 +58,7 @@
 export const openWorkerLink = (worker: ShardWorker, options: WorkerLinkOptions): WorkerLink => {
     const { clock, log, meter, workers, fencingToken, leaseMs, lookWaitMs, lookPauseMs, orderPauseMs } = options;
     let closed = false;
-    let wakePause: (() => void) | undefined;
+    let endPause: (() => void) | undefined;
 
     const target = () => ({ workerId: worker.workerId, address: worker.entry.address });
 
@@ -69,13 +66,26 @@
         new Promise(resolve => {
             const end = (): void => {
                 cancel();
-                wakePause = undefined;
+                endPause = undefined;
                 resolve();
             };
             const cancel: CancelTimer = clock.setTimer(delayMs, end);
-            wakePause = end;
+            endPause = end;
         });
 
+    /** Tells the shard where this owner, or this life of the worker, is over; nothing more is said to it then. */
+    const endsLink = (outcome: OrderOutcome): boolean => {
+        if (outcome === orderOutcomes.fenced) {
+            options.onFenced(worker);
+            return true;
+        }
+        if (outcome === orderOutcomes.otherLife) {
+            options.onLifeOver(worker);
+            return true;
+        }
+        return false;
+    };
+
     const lookOnce = async (): Promise<void> => {
         const sentAtMs = clock.monotonicMs();
         // A worker that is silent may get each of these orders late; renewing its lease would put off its end for ever.
@@ -99,19 +109,13 @@
             await options.onLook(worker, look, sentAtMs);
             return;
         }
-        if (look.outcome === "fenced") {
-            options.onFenced(worker);
-            return;
-        }
-        if (look.outcome === "otherLife") {
-            options.onLifeOver(worker);
+        if (endsLink(look.outcome)) {
             return;
         }
         worker.silentLooks += 1;
         if (worker.silentLooks === 1) {
             log.write("warn", "workerSilent", { workerId: worker.workerId, outcome: look.outcome });
         }
-        options.onSilent(worker);
         if (worker.silentLooks > 1) {
             await pause(lookPauseMs);
         }
@@ -135,12 +139,7 @@
                 run.settledAtMs = clock.monotonicMs();
                 return;
             }
-            if (outcome === orderOutcomes.fenced) {
-                options.onFenced(worker);
-                return;
-            }
-            if (outcome === orderOutcomes.otherLife) {
-                options.onLifeOver(worker);
+            if (endsLink(outcome)) {
                 return;
             }
             await sleep(clock, orderPauseMs);
@@ -195,12 +194,7 @@
                 run.settledAtMs = clock.monotonicMs();
                 return;
             }
-            if (outcome === orderOutcomes.fenced) {
-                options.onFenced(worker);
-                return;
-            }
-            if (outcome === orderOutcomes.otherLife) {
-                options.onLifeOver(worker);
+            if (endsLink(outcome)) {
                 return;
             }
             if (outcome !== orderOutcomes.unknown) {
@@ -238,10 +232,9 @@
         pace: (run, percent) => {
             void workers.pace(target(), { taskName: run.task.name, run: run.run, fencingToken, percent });
         },
-        wake: () => wakePause?.(),
         close: () => {
             closed = true;
-            wakePause?.();
+            endPause?.();
         },
     };
 };
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -2,9 +2,16 @@
 
 import { type EndedRun, type LookResult, type RunningRun } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
-import { parseTaskName } from "../../types/work.js";
-import { heldBy } from "./chooseWorker.js";
-import { applyEnd, hasEnded, runPhases, type ShardJob, type ShardRun, type ShardTask } from "./jobBook.js";
+import {
+    applyEnd,
+    findTask,
+    hasEnded,
+    newRun,
+    runPhases,
+    type ShardJob,
+    type ShardRun,
+    type ShardTask,
+} from "./jobBook.js";
 import { adoptRun, dropRun, runKey, type ShardWorker } from "./workerTable.js";
 
 /** What the watch needs. */
@@ -46,14 +53,6 @@
 export const createWorkerWatch = (options: WorkerWatchOptions): WorkerWatch => {
     const { clock, log, meter, jobOf, onChange } = options;
 
-    const taskOf = (taskName: string): ShardTask | undefined => {
-        const name = parseTaskName(taskName);
-        if (name === undefined) {
-            return undefined;
-        }
-        return jobOf(name.jobId)?.occurrences.get(name.occurrence)?.steps[name.step]?.tasks[name.index];
-    };
-
     const judgeWorker = (worker: ShardWorker, jobId: string, how: EndedRun["how"]): void => {
         if (how === "done") {
             worker.failuresInARow = 0;
@@ -87,7 +86,7 @@
 
     const takeEnd = (worker: ShardWorker, end: EndedRun): void => {
         const run = worker.runs.get(runKey(end.taskName, end.run));
-        const task = run?.task ?? taskOf(end.taskName);
+        const task = run?.task ?? findTask(jobOf, end.taskName);
         log.write("info", "runEnded", {
             task: end.taskName,
             run: end.run,
@@ -121,18 +120,14 @@
     };
 
     const adopt = (worker: ShardWorker, task: ShardTask, row: RunningRun): void => {
-        const run: ShardRun = {
-            task,
-            run: row.run,
-            workerId: worker.workerId,
-            held: heldBy(task.step.spec),
+        const nowMs = clock.monotonicMs();
+        const run = newRun(task, worker.workerId, row.run, {
             phase: runPhases.running,
-            settledAtMs: clock.monotonicMs(),
-            startedAtMs: clock.monotonicMs(),
+            settledAtMs: nowMs,
+            startedAtMs: nowMs,
             percent: row.percent,
             figure: row.figure,
-            idleSinceMs: undefined,
-        };
+        });
         const wanted = !task.done && task.runs.length === 0 && row.run >= task.lastRun
             && !hasEnded(task.step.occurrence.job);
         task.lastRun = Math.max(task.lastRun, row.run);
@@ -167,7 +162,7 @@
     const takeRunning = (worker: ShardWorker, row: RunningRun): void => {
         const run = worker.runs.get(runKey(row.taskName, row.run));
         if (run === undefined) {
-            const task = taskOf(row.taskName);
+            const task = findTask(jobOf, row.taskName);
             if (task === undefined) {
                 options.stopUnknown(worker, row.taskName, row.run);
                 return;
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -11,7 +11,6 @@
     type LookResult,
     type OrderOutcome,
     orderOutcomes,
-    type Random,
     type RunEnd,
     runEnds,
     type RunOrder,
@@ -88,11 +87,10 @@
  * Makes the stand-ins.
  *
  * @example
- * const workers = createFakeFencedWorkers({ clock, random, model, cpuOf });
+ * const workers = createFakeFencedWorkers({ clock, model, cpuOf, leaseLimitMs });
  */
 export const createFakeFencedWorkers = ({ clock, model, cpuOf, leaseLimitMs }: {
     readonly clock: Clock;
-    readonly random: Random;
     readonly model: TaskModel;
     readonly cpuOf: (taskName: string) => number;
     readonly leaseLimitMs: number;
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -156,7 +156,6 @@
     };
     const workers = createFakeFencedWorkers({
         clock,
-        random,
         leaseLimitMs: 10_000,
         cpuOf: taskName => stepOf(taskName)?.fills === true ? 0 : stepOf(taskName)?.size.cpuMillis ?? 0,
         model: (taskName, run) => ({
