Connections that go silent are found by one call, and the feeds that must be timely by 2 s

Cause: open connections may go silent for good, without a reset, while new ones work. A call that timed out ended its own connection only, so each of the idle ones beside it cost another call its time; and a feed waited up to 11.5 s for a change, while a configuration has to be in force within 2 s of the moment from which the VM counts as in touch again. Ruled out: TCP keep-alive (its shortest use in Node 20 takes 11 s); a short wait for all feeds (members and owners are learnt from pings as well, so their feeds keep 10 s). Change: where nothing came from an origin during a call that timed out, all its connections are replaced; the feeds of the configuration and of the workers wait 1 s at most.

--- /dev/null
+++ b/features/connections.feature
@@ -0,0 +1,21 @@
+Feature: Connections that go silent without a reset
+
+    Scenario Outline: One call is lost to <open> connections that went silent, and the next one is answered
+        Given a service with <open> open connections
+        When all open connections go silent
+        And a call is made that may take 100 ms
+        Then it got no answer
+        When a call is made that may take 20000 ms
+        Then it was answered
+
+        Examples:
+            | open |
+            | 1    |
+            | 5    |
+
+    Scenario: One slow answer does not cost the connections that answer meanwhile
+        Given a service with 3 open connections
+        When a call is made that may take 200 ms and gets no answer, while others are answered
+        And a call is made that may take 20000 ms
+        Then it was answered
+        And no connection was replaced
--- a/features/shard.feature
+++ b/features/shard.feature
@@ -46,6 +46,8 @@
             | store slow                                     |
             | store slow, owner killed                       |
             | history lost                                   |
+            | feeds go silent                                |
+            | feeds go silent, owner killed                  |
             | worker cut                                     |
             | worker cut, store hangs                        |
             | worker crashes                                 |
@@ -185,6 +187,25 @@
         And 8 tasks run
         And no promise was broken
 
+    Scenario: A configuration is in force in time although all connections that wait for it have gone silent
+        Given a cell of 3 daemons and 4 workers
+        When the fault "feeds go silent" comes
+        And the configuration 2 comes
+        And the shard runs for 2800 ms
+        Then the configuration 2 is in force on every daemon
+
+    Scenario: A draining worker gets no new task although the connection that waits for its entry has gone silent
+        Given a cell of 3 daemons and 4 workers
+        When 1 jobs of steps "8 long running" are submitted
+        And the shard runs for 1500 ms
+        And the fault "feeds go silent" comes
+        And a worker with tasks drains
+        And the shard runs for 2800 ms
+        And 6 jobs of steps "2" are submitted
+        And the shard runs for 4000 ms
+        Then nothing was started on the draining worker after 2800 ms
+        And nothing runs on the draining worker
+
     Scenario: Workers whose entries lapsed with the store and that still answer go on getting tasks
         Given a cell of 3 daemons and 4 workers
         When the fault "workers not listed" comes
--- /dev/null
+++ b/features/steps/connectionSteps.ts
@@ -0,0 +1,98 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { type CallResult, createHttpCaller, createMeter, type HttpCaller } from "puffinarchd";
+import { partOf, type ScenarioWorld } from "./support.js";
+
+interface Part {
+    server: Server | undefined;
+    http: HttpCaller | undefined;
+    readonly meter: ReturnType<typeof createMeter>;
+    readonly silent: Set<Socket>;
+    readonly open: Set<Socket>;
+    address: string;
+    result: CallResult<unknown> | undefined;
+}
+
+const part = (world: ScenarioWorld): Part =>
+    partOf(world, "connections", () => ({
+        server: undefined,
+        http: undefined,
+        meter: createMeter(),
+        silent: new Set(),
+        open: new Set(),
+        address: "",
+        result: undefined,
+    }));
+
+const call = async (world: ScenarioWorld, path: string, timeoutMs: number): Promise<CallResult<unknown>> => {
+    const { http, address } = part(world);
+    assert.ok(http !== undefined);
+    return http.call("GET", `${address}${path}`, undefined, { timeoutMs });
+};
+
+/** How long the service takes for "/slow", so that calls under way at once need a connection each. */
+const slowAnswerMs = 50;
+const answeredInTimeMs = 20_000;
+
+Given("a service with {int} open connections", async function(this: ScenarioWorld, count: number) {
+    const { silent, open, meter } = part(this);
+    const server = createServer((request, response) => {
+        if (silent.has(request.socket) || request.url === "/never") {
+            return;
+        }
+        setTimeout(() => response.end("{}"), request.url === "/slow" ? slowAnswerMs : 0);
+    });
+    server.on("connection", socket => open.add(socket));
+    await new Promise<void>(resolve => {
+        server.listen(0, "127.0.0.1", resolve);
+    });
+    part(this).server = server;
+    part(this).address = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+    part(this).http = createHttpCaller({ timeoutMs: answeredInTimeMs, connectionsPerHost: count, meter });
+    await Promise.all(Array.from({ length: count }, () => call(this, "/slow", answeredInTimeMs)));
+    assert.equal(open.size, count);
+});
+
+When("all open connections go silent", function(this: ScenarioWorld) {
+    const { silent, open } = part(this);
+    for (const socket of open) {
+        silent.add(socket);
+    }
+});
+
+When("a call is made that may take {int} ms", async function(this: ScenarioWorld, timeoutMs: number) {
+    part(this).result = await call(this, "/", timeoutMs);
+});
+
+When(
+    "a call is made that may take {int} ms and gets no answer, while others are answered",
+    async function(this: ScenarioWorld, timeoutMs: number) {
+        const unanswered = call(this, "/never", timeoutMs);
+        await call(this, "/", answeredInTimeMs);
+        await call(this, "/", answeredInTimeMs);
+        assert.equal((await unanswered).kind, "unknown");
+    },
+);
+
+Then("it got no answer", function(this: ScenarioWorld) {
+    assert.equal(part(this).result?.kind, "unknown");
+});
+
+Then("it was answered", function(this: ScenarioWorld) {
+    assert.equal(part(this).result?.kind, "answered");
+});
+
+Then("no connection was replaced", function(this: ScenarioWorld) {
+    assert.equal(part(this).meter.total("connectionsReplaced"), 0);
+});
+
+After(async function(this: ScenarioWorld) {
+    const { server, http } = part(this);
+    for (const socket of part(this).open) {
+        socket.destroy();
+    }
+    server?.close();
+    await http?.close();
+});
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -162,6 +162,17 @@
     assert.deepEqual(ran, []);
 });
 
+When("the configuration {int} comes", function(this: ScenarioWorld, version: number) {
+    cellOf(this).configure(version);
+});
+
+Then("the configuration {int} is in force on every daemon", function(this: ScenarioWorld, version: number) {
+    const cell = cellOf(this);
+    for (const memberId of cell.memberIds()) {
+        assert.equal(cell.member(memberId)?.configuration()?.version, version, memberId);
+    }
+});
+
 When("a worker with tasks drains", function(this: ScenarioWorld) {
     const cell = cellOf(this);
     const busy = cell.workers.evidence.find(start => start.endedAtMs === undefined);
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -24,7 +24,7 @@
 import { createForward } from "./forward.js";
 import { type ShardOwner, startShardOwner } from "./shardOwner.js";
 import type { ShardSettings } from "./shardSettings.js";
-import { type TableWatch, watchTable } from "./tableWatch.js";
+import { shortFeedWaitMs, type TableWatch, watchTable } from "./tableWatch.js";
 import { watchWorkerList } from "./workerList.js";
 
 /** Table in which the daemons enter themselves; the key is the member's id. */
@@ -557,6 +557,7 @@
             store,
             table: platform.configurationTable,
             parts: [""],
+            feedWaitMs: shortFeedWaitMs,
             onRows: rows => {
                 const next = platform.readConfiguration(rows);
                 if (next !== undefined) {
--- a/packages/puffinarch/src/core/shard/tableWatch.ts
+++ b/packages/puffinarch/src/core/shard/tableWatch.ts
@@ -18,6 +18,8 @@
     readonly onWhole: (keys: ReadonlySet<string>) => void;
     /** Pause after changes, so that a table that changes all the time costs few calls; none where it is left out. */
     readonly pauseMs?: number;
+    /** How long the store may wait for a change before it answers, which bounds how long a silent connection goes unnoticed. */
+    readonly feedWaitMs?: number;
 }
 
 /** A watch that runs until it is stopped. */
@@ -25,8 +27,10 @@
     stop(): void;
 }
 
-/** A change is told at once; the wait only bounds how long a lost connection goes unnoticed. */
-const feedWaitMs = 10_000;
+/** For tables whose changes reach a daemon through its peers as well. */
+const longFeedWaitMs = 10_000;
+/** For tables whose changes must be known within the platform's 2 s, also where the connection has gone silent. */
+export const shortFeedWaitMs = 1_000;
 const retryPauseMs = 250;
 
 /** The key from which the page after these rows begins: the least one after the last. */
@@ -39,7 +43,7 @@
  * const watch = watchTable({ clock, log, store, table: "puffinarch-member", parts: [""], onRows, onWhole });
  */
 export const watchTable = (
-    { clock, log, store, table, parts, onRows, onWhole, pauseMs }: TableWatchOptions,
+    { clock, log, store, table, parts, onRows, onWhole, pauseMs, feedWaitMs }: TableWatchOptions,
 ): TableWatch => {
     let stopped = false;
 
@@ -74,7 +78,7 @@
     const follow = async (): Promise<void> => {
         let version = await readWhole();
         while (!stopped) {
-            const changes = await store.changes(table, version, feedWaitMs);
+            const changes = await store.changes(table, version, feedWaitMs ?? longFeedWaitMs);
             if (changes.kind === "historyLost") {
                 log.write("info", "historyLost", { table, version });
                 return;
--- a/packages/puffinarch/src/core/shard/workerList.ts
+++ b/packages/puffinarch/src/core/shard/workerList.ts
@@ -3,7 +3,7 @@
 import type { Row, RowStore } from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
 import type { WorkerEntry } from "../../types/work.js";
-import { type TableWatch, watchTable } from "./tableWatch.js";
+import { shortFeedWaitMs, type TableWatch, watchTable } from "./tableWatch.js";
 
 /** What following the list needs. */
 export interface WorkerListOptions {
@@ -36,6 +36,7 @@
         table,
         parts: [""],
         pauseMs,
+        feedWaitMs: shortFeedWaitMs,
         onRows: rows => {
             for (const row of rows) {
                 const entry = readWorker(row);
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -1,7 +1,13 @@
-/** JSON over HTTP to the platform, workers and upstreams, with the outcome of a failed call told apart. */
+/**
+ * JSON over HTTP to the platform, workers and upstreams, with the outcome of a failed call told apart.
+ *
+ * Open connections may go silent for good, without a reset, while new ones work. A call that times out ends its own
+ * connection only, and the idle ones beside it would each cost another call its whole time. So where nothing at all came
+ * from an origin during a call that timed out, all its connections are replaced.
+ */
 
 import { die, type Meter } from "puffinarch";
-import { Agent, type Dispatcher, request } from "undici";
+import { Pool } from "undici";
 
 /** How a call ended that brought no answer. */
 export type CallFailure = "notDelivered" | "unknown";
@@ -40,6 +46,13 @@
     readonly meter: Meter;
 }
 
+/** Open connections to one origin, and when they last brought an answer. */
+interface Connections {
+    readonly pool: Pool;
+    readonly openedAtMs: number;
+    answeredAtMs: number;
+}
+
 const neverConnectedCodes: ReadonlySet<string> = new Set([
     "ECONNREFUSED",
     "EHOSTUNREACH",
@@ -47,6 +60,10 @@
     "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
+const timeoutCodes: ReadonlySet<unknown> = new Set(["UND_ERR_HEADERS_TIMEOUT", "UND_ERR_BODY_TIMEOUT"]);
+
+const codeOf = (error: unknown): unknown => (error as { readonly code?: unknown; }).code;
+
 /**
  * Tells from an error whether the request surely was not delivered.
  *
@@ -54,7 +71,7 @@
  * failureKindOf(Object.assign(new Error(), { code: "ECONNREFUSED" })); // "notDelivered"
  */
 export const failureKindOf = (error: unknown): CallFailure => {
-    const code = (error as { readonly code?: unknown; }).code;
+    const code = codeOf(error);
     return typeof code === "string" && neverConnectedCodes.has(code) ? "notDelivered" : "unknown";
 };
 
@@ -67,13 +84,35 @@
  */
 export const createHttpCaller = (limits: HttpCallerOptions): HttpCaller => {
     const { timeoutMs, connectionsPerHost, keepAliveMs, connectTimeoutMs, meter } = limits;
-    const dispatcher: Dispatcher = new Agent({
-        connections: connectionsPerHost,
-        headersTimeout: timeoutMs,
-        bodyTimeout: timeoutMs,
-        connect: { timeout: connectTimeoutMs ?? timeoutMs },
-        ...(keepAliveMs === undefined ? {} : { keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs }),
-    });
+    const byOrigin = new Map<string, Connections>();
+
+    const connectionsTo = (origin: string): Connections => {
+        const known = byOrigin.get(origin);
+        if (known !== undefined) {
+            return known;
+        }
+        const pool = new Pool(origin, {
+            connections: connectionsPerHost,
+            headersTimeout: timeoutMs,
+            bodyTimeout: timeoutMs,
+            connect: { timeout: connectTimeoutMs ?? timeoutMs },
+            ...(keepAliveMs === undefined ? {} : { keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs }),
+        });
+        const opened = { pool, openedAtMs: performance.now(), answeredAtMs: 0 };
+        byOrigin.set(origin, opened);
+        return opened;
+    };
+
+    /** Calls that are under way may still be answered; new ones go over new connections. */
+    const replaceIfSilent = (origin: string, connections: Connections, askedAtMs: number): void => {
+        const silent = Math.max(connections.openedAtMs, connections.answeredAtMs) < askedAtMs;
+        if (silent && byOrigin.get(origin) === connections) {
+            byOrigin.delete(origin);
+            meter.count("connectionsReplaced");
+            void connections.pool.close();
+        }
+    };
+
     return {
         call: async <T>(
             method: "GET" | "POST" | "PUT" | "DELETE",
@@ -84,15 +123,19 @@
             const sent = body === undefined ? "" : JSON.stringify(body);
             const abort = callTimeoutMs === undefined ? undefined : new AbortController();
             const timer = abort === undefined ? undefined : setTimeout(() => abort.abort(), callTimeoutMs);
+            const { origin, pathname, search } = new URL(url);
+            const connections = connectionsTo(origin);
+            const askedAtMs = performance.now();
             try {
-                const answer = await request(url, {
+                const answer = await connections.pool.request({
+                    path: pathname + search,
                     method,
-                    dispatcher,
                     headers: body === undefined ? headers ?? {} : { ...headers, "content-type": "application/json" },
                     body: body === undefined ? undefined : sent,
                     signal: abort?.signal,
                 });
                 const text = await answer.body.text();
+                connections.answeredAtMs = performance.now();
                 meter.count("outsideCalls");
                 meter.count("outsideBytes", text.length + sent.length);
                 return {
@@ -103,16 +146,22 @@
             }
             catch (error) {
                 const reason = error instanceof Error ? error.message : String(error);
+                const aborted = abort?.signal.aborted === true;
+                if (aborted || timeoutCodes.has(codeOf(error))) {
+                    replaceIfSilent(origin, connections, askedAtMs);
+                }
                 return {
                     kind: failureKindOf(error),
-                    reason: abort?.signal.aborted === true ? `no answer within ${callTimeoutMs} ms` : reason,
+                    reason: aborted ? `no answer within ${callTimeoutMs} ms` : reason,
                 };
             }
             finally {
                 clearTimeout(timer);
             }
         },
-        close: () => dispatcher.close(),
+        close: async () => {
+            await Promise.all([...byOrigin.values()].map(({ pool }) => pool.close()));
+        },
     };
 };
 
--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -3,6 +3,7 @@
 import {
     type Clock,
     die,
+    errorOf,
     type Row,
     type RowChanges,
     type RowStore,
@@ -22,6 +23,8 @@
     /** For one daemon, or for all. */
     setFault(fault: StoreFault, memberId?: string): void;
     forgetHistory(): void;
+    /** Connections on which a feed waits now go silent for good; later ones work. */
+    silenceFeeds(): void;
     /** Writes as the platform does. */
     put(table: string, key: string, value: unknown): void;
     remove(table: string, key: string): void;
@@ -32,6 +35,8 @@
 const answerMs = 4;
 const slowAnswerMs = 240;
 const hangMs = 1_500;
+/** How long after its longest wait a daemon gives a feed up. */
+const feedSlackMs = 1_000;
 const lateMs = 2_000;
 const pageRows = 500;
 
@@ -53,6 +58,8 @@
     let version = 0;
     let transactions = 0;
     const waiters = new Set<() => void>();
+    /** Ends the hearing of each feed that waits. */
+    const silenced = new Set<() => void>();
 
     const wait = (delayMs: number): Promise<void> =>
         new Promise(resolve => {
@@ -147,7 +154,7 @@
                     return { kind: "historyLost" };
                 }
                 if (changesOf(table, after).length === 0) {
-                    await new Promise<void>(resolve => {
+                    await new Promise<void>((resolve, reject) => {
                         const wake = (): void => {
                             if (changesOf(table, after).length > 0) {
                                 end();
@@ -156,10 +163,21 @@
                         const end = (): void => {
                             cancel();
                             waiters.delete(wake);
+                            silenced.delete(giveUp);
                             resolve();
                         };
+                        const giveUp = (): void => {
+                            waiters.delete(wake);
+                            silenced.delete(giveUp);
+                            clock.setTimer(
+                                waitMs + feedSlackMs,
+                                () => reject(errorOf({ kind: "unavailable", message: "the feed went silent" })),
+                            );
+                            cancel();
+                        };
                         const cancel = clock.setTimer(waitMs, end);
                         waiters.add(wake);
+                        silenced.add(giveUp);
                     });
                     await reachable(memberId);
                 }
@@ -173,6 +191,11 @@
             history = [];
             historyStart = version;
         },
+        silenceFeeds: () => {
+            for (const giveUp of [...silenced]) {
+                giveUp();
+            }
+        },
         put: (table, key, value) => {
             apply({ expect: [], puts: [{ table, part: "", key, value: JSON.stringify(value) }], removes: [] });
         },
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -79,6 +79,8 @@
     /** Cuts a daemon off from its peers, the store and the workers, or mends all of it. */
     cut(memberId: string, what: readonly ("peers" | "store" | "workers")[]): void;
     mend(memberId: string): void;
+    /** Puts the configuration in force under a new version. */
+    configure(version: number): void;
     listWorkers(): void;
     unlist(workerId: string): void;
     /** The worker says that it leaves, after this time at the least. */
@@ -268,13 +270,16 @@
         workers.add(workerEntry(`worker-${index}`, index));
     }
     listWorkers();
-    const configuration: CellConfiguration = {
-        version: 1,
-        queues: [testQueue],
-        maxHeaderBytes: 16_384,
-        maxBodyBytes: 262_144,
+    const configure = (version: number): void => {
+        const configuration: CellConfiguration = {
+            version,
+            queues: [testQueue],
+            maxHeaderBytes: 16_384,
+            maxBodyBytes: 262_144,
+        };
+        store.put("operator", "configuration", configuration);
     };
-    store.put("operator", "configuration", configuration);
+    configure(1);
     for (const memberId of ids) {
         start(memberId);
     }
@@ -353,6 +358,7 @@
             cuts.delete(memberId);
             store.setFault("none", memberId);
         },
+        configure,
         listWorkers,
         unlist: workerId => store.remove("workers", workerId),
         drain: (workerId, remainingMs) => {
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -80,6 +80,10 @@
         cell.store.forgetHistory();
         return () => {};
     },
+    "feeds go silent": cell => {
+        cell.store.silenceFeeds();
+        return () => {};
+    },
     "worker cut": cell => workerFault(cell, "cut", 1),
     "all workers cut": cell => workerFault(cell, "cut", cell.workers.workerIds().length),
     "worker carries out late": cell => workerFault(cell, "late", 1),
