A minority whose cut has just healed no longer replaces a healthy owner

The question to the owner was put only if the store had answered before it; the store answered the next read, and the claim went out unasked. Change: the store's answer first, then the owner is asked, twice where no answer came, then the claim.

--- a/features/shard.feature
+++ b/features/shard.feature
@@ -32,6 +32,8 @@
             | owner killed, store answers late               |
             | owner cut from the store                       |
             | owner cut from its peers                       |
+            | two others cut off                             |
+            | two others cut off, owner killed               |
             | owner cut from the workers                     |
             | owner cut from its peers, the store            |
             | owner cut from its peers, the store, workers   |
@@ -187,6 +189,29 @@
         And 8 tasks run
         And no promise was broken
 
+    Scenario Outline: A minority that was cut off for <ms> ms does not replace a healthy owner
+        Given a cell of 6 daemons and 4 workers
+        When 2 jobs of steps "3, 4 after 0" are submitted
+        And the shard runs for 500 ms
+        And the fault "two others cut off" comes
+        And the shard runs for <ms> ms
+        And the fault goes
+        And the shard runs for 4000 ms
+        Then the shard has had no other owner
+
+        Examples:
+            | ms   |
+            | 3000 |
+            | 4000 |
+            | 4250 |
+            | 4500 |
+            | 4750 |
+            | 5000 |
+            | 5250 |
+            | 5500 |
+            | 5750 |
+            | 6000 |
+
     Scenario: A configuration is in force in time although all connections that wait for it have gone silent
         Given a cell of 3 daemons and 4 workers
         When the fault "feeds go silent" comes
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -162,6 +162,11 @@
     assert.deepEqual(ran, []);
 });
 
+Then("the shard has had no other owner", function(this: ScenarioWorld) {
+    const owners = cellOf(this).log.filter(line => line.event === "claimed").map(line => line.memberId);
+    assert.equal(owners.length, 1, owners.join(", "));
+});
+
 When("the configuration {int} comes", function(this: ScenarioWorld, version: number) {
     cellOf(this).configure(version);
 });
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -97,6 +97,7 @@
 const rankDelayMs = 120;
 /** A candidate that reaches too few of its peers waits this much longer, so that a cut-off minority does not claim. */
 const minorityDelayMs = 2_500;
+const minorityAsks = 2;
 /** Timers of an owner that are late by this much, on average over a second, tell that its VM has turned slow. */
 const slowOwnerLagMs = 60;
 /** An owner whose commits found no answer for this long is replaced by a peer that the store answers quickly. */
@@ -312,23 +313,34 @@
             return;
         }
         const others = Math.max(0, peers.size - 1);
-        if (2 * answered < others && (lostForMs < minorityDelayMs || await ownerAnswers(version))) {
+        const minority = 2 * answered < others;
+        if (minority && lostForMs < minorityDelayMs) {
             return;
         }
         // A claim that is sent into an outage might take effect after it, when nobody needs it.
-        if (await storeAnswers(claimReadMs) && (knownOwner?.version ?? 0) === version && owner === undefined) {
+        if (!await storeAnswers(claimReadMs) || minority && await ownerAnswers(version)) {
+            return;
+        }
+        if ((knownOwner?.version ?? 0) === version && owner === undefined) {
             await claim(version, why);
         }
     };
 
-    /** A cut may just have healed: the owner is asked once more before a minority replaces it. */
+    /**
+     * A cut may just have healed: once the store answers, a minority asks the owner before it replaces it, and once more
+     * where the first call was lost to a connection that was begun during the cut.
+     */
     const ownerAnswers = async (version: number): Promise<boolean> => {
         const address = knownOwner?.row.address;
-        if (address === undefined || !await storeAnswers(claimReadMs)) {
-            return false;
+        for (let tries = 0; address !== undefined && tries < minorityAsks; tries += 1) {
+            const answer = await forEachLost(() =>
+                members.call(address, "ping", { from: self.memberId }, pingTimeoutMs)
+            );
+            if (answer !== undefined) {
+                return answer.ownedToken === version;
+            }
         }
-        const answer = await forEachLost(() => members.call(address, "ping", { from: self.memberId }, pingTimeoutMs));
-        return answer?.ownedToken === version;
+        return false;
     };
 
     const storeAnswers = async (withinMs: number): Promise<boolean> => {
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -61,6 +61,17 @@
     "owner cut from the workers": cell => cutOwner(cell, ["workers"]),
     "owner cut from its peers, the store": cell => cutOwner(cell, ["peers", "store"]),
     "owner cut from its peers, the store, workers": cell => cutOwner(cell, ["peers", "store", "workers"]),
+    "two others cut off": cell => {
+        const others = cell.memberIds().filter(memberId => memberId !== cell.owner()).slice(0, 2);
+        for (const memberId of others) {
+            cell.cut(memberId, ["peers", "store", "workers"]);
+        }
+        return () => {
+            for (const memberId of others) {
+                cell.mend(memberId);
+            }
+        };
+    },
     "all killed": cell => {
         for (const memberId of cell.memberIds()) {
             cell.kill(memberId);
