--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -4,7 +4,14 @@
 
 const sourceOf = path => new URL(`../${path}`, import.meta.url).pathname;
 
+/** An alias would also catch the library's inner paths. */
+const undiciPool = {
+    name: "undici-pool",
+    setup: ({ onResolve }) => onResolve({ filter: /^undici$/ }, () => ({ path: sourceOf("scripts/undiciPool.cjs") })),
+};
+
 await build({
+    plugins: [undiciPool],
     entryPoints: [sourceOf("platform/src/main.ts")],
     outfile: process.argv[2] ?? "target/puffinarchd.cjs",
     bundle: true,
