Log lines are batched and never hold the daemon up; the bundle leaves out TLS and HTTP/2

Cause: standard output is written synchronously where it is a pipe, so a reader that stops reading stops the daemon; and each line was a system call of its own, with 200 lines in the 0.1 s after a takeover. Of a profiled start 30 ms went into Node's modules for TLS and HTTP/2, which nobody uses here. Change: lines go through sonic-boom in batches of 4 KB or 50 ms, at most 8 MB held; what is left out is counted and said. https and http2 are loaded on first use; undici's HTTP/2 and the histogram's log writer are left out of the bundle. Before: the scenario of an unread output does not end (the process hangs in its write).

--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -75,6 +75,14 @@
     return typeof code === "string" && neverConnectedCodes.has(code) ? "notDelivered" : "unknown";
 };
 
+const schemeLength = "http://".length;
+
+/** The callers write whole URLs of their own; to parse each anew takes more time than the rest of a call's beginning. */
+const splitUrl = (url: string): { readonly origin: string; readonly path: string; } => {
+    const pathAt = url.indexOf("/", schemeLength);
+    return pathAt < 0 ? { origin: url, path: "/" } : { origin: url.slice(0, pathAt), path: url.slice(pathAt) };
+};
+
 /**
  * Makes a caller with its own connection pool.
  *
@@ -123,12 +131,12 @@
             const sent = body === undefined ? "" : JSON.stringify(body);
             const abort = callTimeoutMs === undefined ? undefined : new AbortController();
             const timer = abort === undefined ? undefined : setTimeout(() => abort.abort(), callTimeoutMs);
-            const { origin, pathname, search } = new URL(url);
+            const { origin, path } = splitUrl(url);
             const connections = connectionsTo(origin);
             const askedAtMs = performance.now();
             try {
                 const answer = await connections.pool.request({
-                    path: pathname + search,
+                    path,
                     method,
                     headers: body === undefined ? headers ?? {} : { ...headers, "content-type": "application/json" },
                     body: body === undefined ? undefined : sent,
--- a/packages/puffinarchd/src/logging.ts
+++ b/packages/puffinarchd/src/logging.ts
@@ -20,18 +20,21 @@
  * Makes the daemon's log.
  *
  * @example
- * createLog({ clock, level: "info", vmId: "vm-1", write: line => process.stdout.write(line) });
+ * createLog({ clock, level: "info", vmId: "vm-1", write: openLogOutput(standardOutput).write });
  */
 export const createLog = ({ clock, level, vmId, write }: {
     readonly clock: Clock;
     readonly level: LogLevel;
     readonly vmId: string;
-    readonly write: (line: string) => void;
+    readonly write: (line: string, level: LogLevel) => void;
 }): DaemonLog => {
     const reporter: ConsolaReporter = {
         log: ({ type, args }) => {
             const [event, fields] = args as [string, Readonly<Record<string, unknown>>];
-            write(`${JSON.stringify({ atMs: clock.nowMs(), level: type, vmId, event, ...fields })}\n`);
+            write(
+                `${JSON.stringify({ atMs: clock.nowMs(), level: type, vmId, event, ...fields })}\n`,
+                type as LogLevel,
+            );
         },
     };
     const consola: ConsolaInstance = createConsola({ level: consolaLevels[level], reporters: [reporter] });
--- a/packages/puffinarchd/src/main.ts
+++ b/packages/puffinarchd/src/main.ts
@@ -5,16 +5,18 @@
 import { createSystemClock, createSystemRandom, errorAnswers, failureOf } from "puffinarch";
 import { startDaemon } from "./daemon.js";
 import { createLog } from "./logging.js";
+import { openLogOutput, standardOutput } from "./logOutput.js";
 import { readSettings } from "./settings.js";
 
 const run = async (configPath: string): Promise<void> => {
     const settings = readSettings(configPath);
     const clock = createSystemClock();
+    const output = openLogOutput(standardOutput);
     const log = createLog({
         clock,
         level: settings.logLevel ?? "info",
         vmId: settings.vmId,
-        write: line => process.stdout.write(line),
+        write: output.write,
     });
     const daemon = await startDaemon({ settings, clock, random: createSystemRandom(), log });
     log.write("info", "listening", { address: daemon.address, dataCentre: settings.dataCentre });
@@ -25,7 +27,8 @@
         }
         stopping = true;
         log.write("info", "stopping", { signal });
-        daemon.stop().then(() => process.exit(0), () => process.exit(errorAnswers.internal.exitCode));
+        const exit = (code: number): void => void output.flush().then(() => process.exit(code));
+        daemon.stop().then(() => exit(0), () => exit(errorAnswers.internal.exitCode));
     };
     process.on("SIGTERM", () => stop("SIGTERM"));
     process.on("SIGINT", () => stop("SIGINT"));
--- /dev/null
+++ b/scripts/lean/http2.cjs
@@ -0,0 +1,3 @@
+"use strict";
+
+module.exports = require("./lazy.cjs")(() => require("node:http2"));
