A change and what follows from it share a commit; advice is asked for while an acceptance is written

Change: a batch gathers for 3 ms, so that the ends of a step and the starts of the next share it; a new job's advice is asked for and its starts are planned while its acceptance is written; that a job has begun is shown without a commit of its own. The choice of workers is prepared once a step, not once a task.

--- a/features/shard.feature
+++ b/features/shard.feature
@@ -7,6 +7,12 @@
         And no promise was broken
         And every task ran 1 time
 
+    Scenario: What follows from a change shares its commit
+        Given a cell of 3 daemons and 4 workers
+        When 1 jobs of steps "1, 1 after 0" are submitted
+        Then all jobs are "completed" within 10000 ms
+        And the shard's owner has written 4 batches at most
+
     Scenario: The same id through two daemons is one job
         Given a cell of 3 daemons and 4 workers
         When the job "00000000000000a1" of steps "2" is submitted 3 times
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -10,9 +10,9 @@
 } from "@puffinarch/stand-ins";
 import {
     applyEnd,
-    chooseWorker,
     claimShard,
     createAdviceDesk,
+    createChooser,
     createCommitLog,
     createForward,
     createPacer,
@@ -192,7 +192,7 @@
     for (const workerId of ["i-1", "i-2"]) {
         task.step.advice.good.set(workerId, { ticket: "t", validUntilMs: 9_000 });
     }
-    return chooseWorker(task, [full, free], { nowMs: 0 })?.workerId ?? "none";
+    return createChooser(task.step, [full, free], { nowMs: 0 }).choose(task)?.workerId ?? "none";
 };
 
 const askAhead = (): string => {
@@ -345,6 +345,7 @@
         fencingToken: 7,
         jobOf: () => undefined,
         changed: async () => {},
+        onStarted: () => {},
         wake: () => {},
         onFenced: () => {},
     });
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -167,6 +167,13 @@
     assert.equal(owners.length, 1, owners.join(", "));
 });
 
+Then("the shard's owner has written {int} batches at most", function(this: ScenarioWorld, most: number) {
+    const row = cellOf(this).store.rows("puffinarch-journal").find(each => each.key === "sequence");
+    const { batch } = JSON.parse(row?.value ?? "{}") as { readonly batch?: string; };
+    const written = 1 + Number(batch?.split("/").at(-1));
+    assert.ok(written <= most, `${written} batches`);
+});
+
 When("the configuration {int} comes", function(this: ScenarioWorld, version: number) {
     cellOf(this).configure(version);
 });
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -1,7 +1,7 @@
 /** Which worker takes a task: what must hold, and what is better. */
 
 import { fits, type Resources } from "../../types/resources.js";
-
+import type { Step } from "../../types/work.js";
 import { heldBy, type ShardStep, type ShardTask } from "./jobBook.js";
 import { isOpen, roomOf, type ShardWorker } from "./workerTable.js";
 
@@ -9,19 +9,19 @@
 const ticketMarginMs = 120;
 
 /**
- * Counts a step's live runs on a worker.
+ * Counts a step's live runs on each worker that has some.
  *
  * @example
- * runsOnWorker(step, "i-7f3a91c2"); // 0
+ * countRuns(step).get("i-7f3a91c2"); // undefined
  */
-export const runsOnWorker = (step: ShardStep, workerId: string): number => {
-    let count = 0;
+export const countRuns = (step: ShardStep): ReadonlyMap<string, number> => {
+    const counts = new Map<string, number>();
     for (const task of step.tasks) {
-        for (const run of task.runs) {
-            count += run.workerId === workerId ? 1 : 0;
+        for (const { workerId } of task.runs) {
+            counts.set(workerId, (counts.get(workerId) ?? 0) + 1);
         }
     }
-    return count;
+    return counts;
 };
 
 /**
@@ -69,78 +69,116 @@
     [...worker.runs.values()].some(run => run.task.step.spec.latencyObjectiveMs > 0);
 const hasFilling = (worker: ShardWorker): boolean => [...worker.runs.values()].some(run => run.task.step.spec.fills);
 
-const score = (worker: ShardWorker, task: ShardTask, held: Resources): number => {
-    const { spec } = task.step;
-    let value = spareShare(worker, held);
-    if (spec.dataRack !== "" && worker.entry.rack === spec.dataRack) {
+/** What speaks for a worker whatever else of the step runs there. */
+const fixedScore = ({ entry, failuresInARow }: ShardWorker, { spec, occurrence }: ShardStep): number => {
+    let value = -streakPenalty * failuresInARow;
+    if (spec.dataRack !== "" && entry.rack === spec.dataRack) {
         value += dataRackBonus;
     }
-    const { dataCentre } = task.step.occurrence.job.submission;
-    if (worker.entry.dataCentre === dataCentre) {
+    if (entry.dataCentre === occurrence.job.submission.dataCentre) {
         value += nearCallerBonus;
     }
-    if (!spec.longRunning && runsOnWorker(task.step, worker.workerId) > 0) {
-        value += togetherBonus;
-    }
-    value -= streakPenalty * worker.failuresInARow;
-    if (spec.fills && hasServing(worker)) {
-        value -= disturbancePenalty;
-    }
-    if (spec.latencyObjectiveMs > 0 && hasFilling(worker)) {
-        value -= disturbancePenalty;
-    }
     return value;
 };
 
+const disturbance = (worker: ShardWorker, { fills, latencyObjectiveMs }: Step): number => {
+    const disturbs = fills && hasServing(worker) || latencyObjectiveMs > 0 && hasFilling(worker);
+    return disturbs ? disturbancePenalty : 0;
+};
+
+/** A worker that may run the step, with what stays as it is while the step's tasks are placed one after the other. */
+interface Candidate {
+    readonly worker: ShardWorker;
+    readonly fixed: number;
+    /** Runs of the step on it. */
+    runs: number;
+}
+
 /** What limits a choice. */
 export interface ChoiceLimits {
     readonly nowMs: number;
-    /** Racks that the task must stay on; undefined for any. */
+    /** Rack that the tasks must stay on; undefined for any. */
     readonly rack?: string;
-    /** Workers that may not be chosen. */
-    readonly except?: ReadonlySet<string>;
+}
+
+/** Chooses workers for the tasks of one step at one moment. */
+export interface Chooser {
+    /** A worker with room for the task now; undefined where there is none. */
+    choose(task: ShardTask, except?: ReadonlySet<string>): ShardWorker | undefined;
+    /** A task of the step was placed there. */
+    took(worker: ShardWorker): void;
 }
 
 /** Whether the step may run there now, whatever room is left, or nobody has asked yet whether it may. */
-const mightRun = (worker: ShardWorker, step: ShardStep, { nowMs, rack, except }: ChoiceLimits): boolean =>
-    isOpen(worker, nowMs) && suits(worker, step) && except?.has(worker.workerId) !== true
+const mightRun = (worker: ShardWorker, step: ShardStep, { nowMs, rack }: ChoiceLimits): boolean =>
+    isOpen(worker, nowMs) && suits(worker, step)
     && (rack === undefined || worker.entry.rack === rack)
     && (step.occurrence.job.queue.advice === undefined || step.advice.good.has(worker.workerId)
         || !step.advice.asked.has(worker.workerId));
 
-const hasRoomFor = (worker: ShardWorker, step: ShardStep): boolean => {
-    const { maxPerWorker } = step.spec;
-    return fits(heldBy(step.spec), roomOf(worker))
-        && (maxPerWorker === 0 || runsOnWorker(step, worker.workerId) < maxPerWorker);
-};
-
 /**
- * Chooses a worker with room for a task now; undefined where there is none. A worker on which the task failed is chosen
- * only where no other may run it, with room or without.
+ * Prepares the choice of workers for a step. A worker on which a task failed is chosen for it only where no other may
+ * run it, with room or without.
  *
  * @example
- * const worker = chooseWorker(task, workers.values(), { nowMs: clock.monotonicMs() });
+ * const chooser = createChooser(step, workers.values(), { nowMs: clock.monotonicMs() });
+ * const worker = chooser.choose(task);
  */
-export const chooseWorker = (
-    task: ShardTask,
+export const createChooser = (
+    step: ShardStep,
     workers: Iterable<ShardWorker>,
     limits: ChoiceLimits,
-): ShardWorker | undefined => {
-    const { step } = task;
-    const held = heldBy(step.spec);
-    const allowed = [...workers].filter(worker => mightRun(worker, step, limits));
-    const untried = allowed.filter(worker => !task.failedOn.has(worker.workerId));
-    let best: ShardWorker | undefined;
-    let bestScore = -Infinity;
-    for (const worker of untried.length > 0 ? untried : allowed) {
-        if (!hasRoomFor(worker, step) || ticketFor(step, worker.workerId, limits.nowMs) === undefined) {
-            continue;
-        }
-        const value = score(worker, task, held);
-        if (value > bestScore) {
-            best = worker;
-            bestScore = value;
+): Chooser => {
+    const { spec } = step;
+    const held = heldBy(spec);
+    const runs = countRuns(step);
+    const allowed: Candidate[] = [];
+    for (const worker of workers) {
+        if (mightRun(worker, step, limits)) {
+            allowed.push({
+                worker,
+                fixed: fixedScore(worker, step) - disturbance(worker, spec),
+                runs: runs.get(worker.workerId) ?? 0,
+            });
         }
     }
-    return best;
+    const usable = allowed.filter(({ worker }) => ticketFor(step, worker.workerId, limits.nowMs) !== undefined);
+
+    const hasRoomFor = ({ worker, runs: here }: Candidate): boolean =>
+        (spec.maxPerWorker === 0 || here < spec.maxPerWorker) && fits(held, roomOf(worker));
+
+    const score = ({ worker, fixed, runs: here }: Candidate): number =>
+        fixed + spareShare(worker, held) + (!spec.longRunning && here > 0 ? togetherBonus : 0);
+
+    return {
+        choose: (task, except) => {
+            const avoidsFailed = task.failedOn.size > 0
+                && allowed.some(({ worker }) =>
+                    !task.failedOn.has(worker.workerId) && except?.has(worker.workerId) !== true
+                );
+            let best: ShardWorker | undefined;
+            let bestScore = -Infinity;
+            for (const candidate of usable) {
+                const { workerId } = candidate.worker;
+                if (avoidsFailed && task.failedOn.has(workerId) || except?.has(workerId) === true) {
+                    continue;
+                }
+                if (!hasRoomFor(candidate)) {
+                    continue;
+                }
+                const value = score(candidate);
+                if (value > bestScore) {
+                    best = candidate.worker;
+                    bestScore = value;
+                }
+            }
+            return best;
+        },
+        took: worker => {
+            const candidate = usable.find(each => each.worker === worker);
+            if (candidate !== undefined) {
+                candidate.runs += 1;
+            }
+        },
+    };
 };
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -27,6 +27,11 @@
 const firstPauseMs = 25;
 const longestPauseMs = 200;
 
+/**
+ * What follows from a change, such as the starts of the next step, is planned within 2 ms, and then shares its batch: a step
+ * costs one answer of the store in place of two.
+ */
+const gatherMs = 3;
 /** A commit takes some 8 ms; without an answer by the first it is sent again, with twice the time up to the last. */
 const shortestTimeoutMs = 80;
 const longestTimeoutMs = 1_500;
@@ -223,8 +228,7 @@
     const begin = (): void => {
         if (!running && !stopped) {
             running = true;
-            // One turn later, so that all changes of one event share a batch.
-            queueMicrotask(() => void drain());
+            clock.setTimer(gatherMs, () => void drain());
         }
     };
 
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -5,7 +5,7 @@
 import { fits } from "../../types/resources.js";
 import type { AdviceDesk } from "./adviceDesk.js";
 import { isTimeToAsk } from "./askAhead.js";
-import { chooseWorker, runsOnWorker, suits, ticketFor } from "./chooseWorker.js";
+import { type Chooser, countRuns, createChooser, suits, ticketFor } from "./chooseWorker.js";
 import {
     hasEnded,
     heldBy,
@@ -139,9 +139,10 @@
         const usable = [...workers.values()].filter(worker => isOpen(worker, nowMs) && suits(worker, step));
         const byRoom = (left: ShardWorker, right: ShardWorker): number =>
             roomOf(right).cpuMillis - roomOf(left).cpuMillis;
+        const runs = countRuns(step);
         const hasRoom = (worker: ShardWorker): boolean =>
             fits(held, roomOf(worker))
-            && (spec.maxPerWorker === 0 || runsOnWorker(step, worker.workerId) < spec.maxPerWorker);
+            && (spec.maxPerWorker === 0 || (runs.get(worker.workerId) ?? 0) < spec.maxPerWorker);
         const unasked = usable.filter(worker => !advice.asked.has(worker.workerId));
         if (advice.asked.size === 0) {
             return unasked.sort(byRoom).slice(0, settings.maxAdviceWorkers).map(worker => worker.workerId);
@@ -169,11 +170,26 @@
         advice.notBeforeMs = nowMs + adviceLookMs;
     };
 
-    const placeTasks = (waiting: readonly ShardTask[], nowMs: number): readonly ShardRun[] => {
+    /** Plans a run of the task on the best worker; undefined where there is no room. */
+    const placeOne = (
+        chooser: Chooser,
+        task: ShardTask,
+        number: number,
+        except?: ReadonlySet<string>,
+    ): ShardRun | undefined => {
+        const worker = chooser.choose(task, except);
+        const run = worker === undefined ? undefined : plan(task, worker, number);
+        if (worker !== undefined && run !== undefined) {
+            chooser.took(worker);
+        }
+        return run;
+    };
+
+    const placeTasks = (step: ShardStep, waiting: readonly ShardTask[], nowMs: number): readonly ShardRun[] => {
         const runs: ShardRun[] = [];
+        const chooser = createChooser(step, workers.values(), { nowMs });
         for (const task of waiting) {
-            const worker = chooseWorker(task, workers.values(), { nowMs });
-            const run = worker === undefined ? undefined : plan(task, worker, task.lastRun + 1);
+            const run = placeOne(chooser, task, task.lastRun + 1);
             if (run === undefined) {
                 break;
             }
@@ -189,9 +205,9 @@
         }
         const number = 1 + Math.max(...step.tasks.map(task => task.lastRun));
         const runs: ShardRun[] = [];
+        const chooser = createChooser(step, workers.values(), { nowMs });
         for (const task of waiting) {
-            const worker = chooseWorker(task, workers.values(), { nowMs });
-            const run = worker === undefined ? undefined : plan(task, worker, number);
+            const run = placeOne(chooser, task, number);
             if (run === undefined) {
                 for (const planned of runs) {
                     const holder = workers.get(planned.workerId);
@@ -222,11 +238,13 @@
 
     const placeCopies = (step: ShardStep, nowMs: number): void => {
         const tasks = step.tasks.filter(task => wantsCopy(task, nowMs));
+        if (tasks.length === 0) {
+            return;
+        }
         const runs: ShardRun[] = [];
+        const chooser = createChooser(step, workers.values(), { nowMs });
         for (const task of tasks) {
-            const except = new Set(task.runs.map(run => run.workerId));
-            const worker = chooseWorker(task, workers.values(), { nowMs, except });
-            const run = worker === undefined ? undefined : plan(task, worker, task.lastRun + 1);
+            const run = placeOne(chooser, task, task.lastRun + 1, new Set(task.runs.map(each => each.workerId)));
             if (run !== undefined) {
                 runs.push(run);
             }
@@ -250,7 +268,7 @@
             ready.delete(step);
             return;
         }
-        const runs = step.spec.gang ? placeGang(step, waiting, nowMs) : placeTasks(waiting, nowMs);
+        const runs = step.spec.gang ? placeGang(step, waiting, nowMs) : placeTasks(step, waiting, nowMs);
         if (runs.length > 0) {
             log.write("info", "placed", {
                 step: stepNameOf(step),
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -132,12 +132,26 @@
         const { state } = job;
         await commits.commit(job.submission.jobId);
         job.stored = true;
+        // A task may have started while this was written.
+        show(job, state === jobStates.queued && job.started ? jobStates.running : state);
+    };
+
+    const show = (job: ShardJob, state: JobState): void => {
         if (job.shown !== state) {
             log.write("info", "jobState", { jobId: job.submission.jobId, from: job.shown, to: state });
             job.shown = state;
         }
     };
 
+    /** That a job has begun need not be durable: a successor finds its runs at the workers, or their ends. */
+    const showStarted = (job: ShardJob): void => {
+        job.started = true;
+        if (!hasEnded(job)) {
+            job.state = jobStates.running;
+            show(job, job.state);
+        }
+    };
+
     const workers = createShardWorkers({
         clock,
         log,
@@ -147,6 +161,7 @@
         fencingToken,
         jobOf: jobId => jobs.get(jobId),
         changed: job => changed(job),
+        onStarted: showStarted,
         wake: () => wake(),
         onFenced: () => fenced("worker"),
     });
@@ -338,6 +353,17 @@
     endedKnown.catch(() => {});
     clock.setTimer(tickMs, tick);
 
+    /** Forgets a job that no batch has held, with the starts that were planned for it. */
+    const takeBack = (job: ShardJob): void => {
+        jobs.delete(job.submission.jobId);
+        placing.forget(job);
+        for (const run of [...runsOf(job)]) {
+            workers.stop(run);
+        }
+        // Nobody wants its advice any more.
+        endJob(job, jobStates.cancelled, clock.monotonicMs());
+    };
+
     /**
      * Waits for a job's acceptance. Where the store stalls and no batch has held the job yet, it is taken back: the
      * refusal is certain, and the caller hears it at once.
@@ -351,7 +377,7 @@
         while (!stored) {
             await Promise.race([written, endOfOffice, sleep(clock, acceptanceCheckMs)]);
             if (!stored && commits.stalledMs() > settings.refuseStalledMs && commits.withdraw(jobId)) {
-                jobs.delete(jobId);
+                takeBack(job);
             }
             if (jobs.get(jobId) !== job) {
                 die("notAccepted", "the store does not answer", { retryAfterMs: settings.retryAfterMs });
@@ -385,6 +411,9 @@
             return;
         }
         const job = accept(submission);
+        // Advice is asked for, and starts are planned, while the acceptance is written; they share its batch or a later one.
+        placing.consider(job);
+        wake();
         await settleAcceptance(job);
         meter.count("jobsAccepted");
         log.write("info", "jobAccepted", {
@@ -392,8 +421,6 @@
             queue: submission.queueKey,
             steps: submission.steps.length,
         });
-        placing.consider(job);
-        wake();
     };
 
     const cancel = async (jobId: string): Promise<boolean> => {
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -23,6 +23,8 @@
     readonly jobOf: (jobId: string) => ShardJob | undefined;
     /** The job changed; resolves once it is durable. */
     readonly changed: (job: ShardJob) => Promise<void>;
+    /** A task of the job runs. */
+    readonly onStarted: (job: ShardJob) => void;
     /** There may be room now. */
     readonly wake: () => void;
     /** A worker has seen a higher token. */
@@ -60,7 +62,7 @@
  * Makes the workers of a shard; none is known before the first listing.
  *
  * @example
- * const workers = createShardWorkers({ clock, log, meter, settings, port, fencingToken, jobOf, changed, wake, onFenced });
+ * const workers = createShardWorkers({ clock, log, meter, settings, port, fencingToken, jobOf, changed, onStarted, wake, onFenced });
  * workers.update(entries);
  */
 export const createShardWorkers = (options: ShardWorkersOptions): ShardWorkers => {
@@ -156,12 +158,8 @@
                 void changed(step.occurrence.job);
             },
             onStarted: (holder, run) => {
-                const { job } = run.task.step.occurrence;
                 run.startedAtMs = clock.monotonicMs();
-                if (!job.started) {
-                    job.started = true;
-                    void changed(job);
-                }
+                options.onStarted(run.task.step.occurrence.job);
                 if (holder.entry.draining) {
                     leaveDraining(holder);
                 }
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -77,7 +77,7 @@
 export { type AdviceDesk, type AdviceDeskOptions, type AdviceOrder, createAdviceDesk } from "./internal.js";
 export { isTimeToAsk } from "./internal.js";
 export { type CellMember, type CellMemberOptions, memberTable, startCellMember } from "./internal.js";
-export { type ChoiceLimits, chooseWorker, ticketFor } from "./internal.js";
+export { type ChoiceLimits, type Chooser, createChooser, ticketFor } from "./internal.js";
 export { type ClaimedShard, type ClaimOptions, claimShard, readAllRows } from "./internal.js";
 export { type CommitLog, type CommitLogOptions, createCommitLog, type RowChange } from "./internal.js";
 export {
