Several commits under way while the store is slow, and a copy beside an unanswered one in place of an abort

Each first copy was ended after 80 ms, the next after 160, so that the third was the first to be answered, 490 ms later; by then eleven submissions had been refused as if the store were away. And a change waited for the batch under way, then for its own: 375 ms in the mean. Ruled out: a longer first wait (a lost answer would cost it); one sequence row a job (a late copy could bring an ended job back). Change: a copy follows one without an answer while both may be answered; up to six batches of different jobs are under way, 20 ms apart, each with a sequence row of its own; submissions are refused after 600 ms without any answer (400).

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -54,6 +54,7 @@
             | cellMember           | another daemon owns the shard           |
             | chooseWorker         | i-2                                     |
             | claimShard           | token 1, then refused                   |
+            | batchWriter          | in force at version 1                   |
             | commitLog            | 3 jobs in 1 transaction                 |
             | forward              | notAccepted after 750 ms                |
             | workerList           | i-1, then nobody                        |
@@ -65,6 +66,7 @@
             | shardOwner           | 5c0e7a21d94b36f8 is queued              |
             | shardWorkers         | 1 worker, then 0, as its life was over  |
             | shardSettings        | leases of 5000 ms                       |
+            | shardTables          | sequence/0                              |
             | tableWatch           | configuration seen                      |
             | workerLink           | 3 looks                                 |
             | workerTable          | until 6500 on its clock, 8000 free      |
--- a/features/shard.feature
+++ b/features/shard.feature
@@ -13,6 +13,13 @@
         Then all jobs are "completed" within 10000 ms
         And the shard's owner has written 4 batches at most
 
+    Scenario: Jobs go on while each transaction of the store takes 240 ms
+        Given a cell of 3 daemons and 4 workers
+        When the fault "store slow" comes
+        And the shard runs for 1000 ms
+        And 8 jobs of steps "1, 1 after 0, 1 after 1" are submitted
+        Then all jobs are "completed" within 4000 ms
+
     Scenario: The same id through two daemons is one job
         Given a cell of 3 daemons and 4 workers
         When the job "00000000000000a1" of steps "2" is submitted 3 times
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -12,6 +12,7 @@
     applyEnd,
     claimShard,
     createAdviceDesk,
+    createBatchWriter,
     createChooser,
     createCommitLog,
     createForward,
@@ -26,6 +27,7 @@
     formatTaskName,
     isTimeToAsk,
     isWaiting,
+    journalTable,
     kindOf,
     type Log,
     type Meter,
@@ -34,6 +36,7 @@
     openWorkerLink,
     restoreJobs,
     roomOf,
+    sequenceKey,
     type ShardJob,
     type ShardRun,
     startShardOwner,
@@ -119,7 +122,7 @@
         store: store.connect("entry-1"),
         part,
         ownerVersion: 0,
-        sequenceVersion: 0,
+        sequenceVersions: [],
         storeMs: 8,
         claimId: "1",
         encode: jobId => ({ puts: [{ table: "puffinarch-journal", key: `state/${jobId}`, value: "{}" }], removes: [] }),
@@ -131,6 +134,27 @@
     return `3 jobs in ${store.transactions()} transaction`;
 };
 
+const batchWriter = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const store = createFakeRowStore(clock);
+    const writer = createBatchWriter({
+        clock,
+        log,
+        meter,
+        store: store.connect("entry-1"),
+        part,
+        ownerVersion: 0,
+        storeMs: 8,
+        onAnswer: () => {},
+        isStopped: () => false,
+    });
+    const marker = { table: journalTable, part, key: sequenceKey(0) };
+    const transaction = { expect: [{ ...marker, version: 0 }], puts: [{ ...marker, value: "first" }], removes: [] };
+    const version = writer.write({ batchId: "first", transaction });
+    await clock.advance(10);
+    return `in force at version ${await version}`;
+};
+
 const claim = async (): Promise<string> => {
     const clock = createFakeClock();
     const store = createFakeRowStore(clock).connect("entry-1");
@@ -450,6 +474,7 @@
     adviceDesk,
     askAhead,
     cellMember,
+    batchWriter,
     chooseWorker: chooser,
     claimShard: claim,
     commitLog,
@@ -462,6 +487,7 @@
     shardOwner,
     shardWorkers,
     shardSettings: () => `leases of ${defaultShardSettings.leaseMs} ms`,
+    shardTables: () => sequenceKey(0),
     tableWatch,
     workerLink,
     workerList,
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -20,10 +20,10 @@
 import { hash } from "../../utils/rendezvous.js";
 import { sleep } from "../../utils/time.js";
 import { claimShard } from "./claimShard.js";
-import { ownerKey, ownerTable } from "./commitLog.js";
 import { createForward } from "./forward.js";
 import { type ShardOwner, startShardOwner } from "./shardOwner.js";
 import type { ShardSettings } from "./shardSettings.js";
+import { ownerKey, ownerTable } from "./shardTables.js";
 import { shortFeedWaitMs, type TableWatch, watchTable } from "./tableWatch.js";
 import { watchWorkerList } from "./workerList.js";
 
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -1,43 +1,28 @@
 /**
- * Group commit of a shard: one transaction at a time for everything that changed while the last one was under way. Each
- * is conditional on the owner's row, which fences a replaced owner, and on a sequence row, so that a copy that takes
- * effect late cannot bring old rows back.
+ * Group commit of a shard: one transaction for everything that changed while the last one was under way. Each is conditional
+ * on the owner's row, which fences a replaced owner, and on a sequence row, so that a copy that takes effect late cannot
+ * bring old rows back. While the store is slow, several batches of different jobs are under way at once, each with a
+ * sequence row of its own; a job is in one at most.
  */
 
-import type { Row, RowStore, RowTransaction } from "../../types/cellPorts.js";
-import type { Clock, Log, Meter } from "../../types/ports.js";
-import { sleep } from "../../utils/time.js";
-
-/** Table of a shard's jobs; the part is the shard's name. */
-export const journalTable = "puffinarch-journal";
-/** Table of the jobs that have ended, which a successor need not read before it places the others. */
-export const endedTable = "puffinarch-ended";
-/** Table of the owners of shards. */
-export const ownerTable = "puffinarch-owner";
-/** Key of the owner's row in the shard's part. */
-export const ownerKey = "owner";
-/** Key of the row that orders commits. */
-export const sequenceKey = "sequence";
+import type { RowStore, RowTransaction } from "../../types/cellPorts.js";
+import type { CancelTimer, Clock, Log, Meter } from "../../types/ports.js";
+import { createBatchWriter } from "./batchWriter.js";
+import { journalTable, maxFlights, ownerKey, ownerTable, sequenceKey } from "./shardTables.js";
 
 /** Most rows that a batch puts; the store takes 100 entries a call, three of them conditions and the sequence. */
 const maxBatchRows = 90;
 /** Most bytes of values in a batch; the store takes 1 MB a call, and base64 adds a third. */
 const maxBatchBytes = 600_000;
-/** Pause after a refusal, doubled up to the longest one; refused calls are priced. */
-const firstPauseMs = 25;
-const longestPauseMs = 200;
-
 /**
  * What follows from a change, such as the starts of the next step, is planned within 2 ms, and then shares its batch: a step
  * costs one answer of the store in place of two.
  */
 const gatherMs = 3;
-/** A commit takes some 8 ms; without an answer by the first it is sent again, with twice the time up to the last. */
-const shortestTimeoutMs = 80;
-const longestTimeoutMs = 1_500;
-const timeoutFactor = 4;
-/** Weight of the newest answer in the usual time. */
-const usualShare = 0.2;
+/** A usual commit is over by then; only while the store is slower is another batch sent beside it. */
+const overlapAfterMs = 20;
+/** A store that has answered nothing for this long is not slow but away; more batches would only load its connections. */
+const overlapStalledMs = 250;
 
 /** Rows that a change puts and removes. */
 export interface RowChange {
@@ -54,8 +39,8 @@
     readonly part: string;
     /** Version of the owner's row, which is the fencing token. */
     readonly ownerVersion: number;
-    /** Version of the sequence row as it was read; 0 for none. */
-    readonly sequenceVersion: number;
+    /** Versions of the sequence rows as they were read, by place; 0 for none. */
+    readonly sequenceVersions: readonly number[];
     /** How long the store took to answer last. */
     readonly storeMs: number;
     /** Tells this owner's batches from all others. */
@@ -70,7 +55,7 @@
 export interface CommitLog {
     /** Resolves once the job as it is now is durable; never resolves after a fence or a stop. */
     commit(jobId: string): Promise<void>;
-    /** Milliseconds since the batch under way was first sent; 0 at rest. */
+    /** Milliseconds for which batches under way have found no answer; 0 at rest. */
     stalledMs(): number;
     /** Local time of the newest answer from the store. */
     answeredAtMs(): number;
@@ -83,49 +68,69 @@
     stop(): void;
 }
 
-interface Batch {
-    readonly id: string;
+/** A batch under way, or about to be. */
+interface Flight {
+    readonly place: number;
+    readonly batchId: string;
     readonly transaction: RowTransaction;
+    readonly jobIds: readonly string[];
     readonly waiting: readonly (() => void)[];
+    readonly sentAtMs: number;
 }
 
 /**
  * Makes the commit log of a shard's owner.
  *
  * @example
- * const commits = createCommitLog({ clock, log, meter, store, part, ownerVersion, sequenceVersion, claimId, encode, onFenced });
+ * const commits = createCommitLog({ clock, log, meter, store, part, ownerVersion, sequenceVersions, storeMs, claimId, encode, onFenced });
  * await commits.commit("5c0e7a21d94b36f8");
  */
 export const createCommitLog = (options: CommitLogOptions): CommitLog => {
-    const { clock, log, meter, store, part, ownerVersion, claimId, encode, onFenced } = options;
+    const { clock, meter, part, ownerVersion, claimId, encode, onFenced } = options;
     const dirty = new Map<string, (() => void)[]>();
-    /** Jobs of the batch under way. */
-    let sent = new Set<string>();
+    const flights = new Set<Flight>();
+    const inFlight = new Set<string>();
+    const versions = Array.from({ length: maxFlights }, (_, place) => options.sequenceVersions[place] ?? 0);
     let idleWaiting: (() => void)[] = [];
-    let sequenceVersion = options.sequenceVersion;
     let batches = 0;
-    let running = false;
     let probeWanted = false;
-    /** How long the store usually takes to answer. */
-    let usualMs = options.storeMs;
     let stopped = false;
-    let sentAtMs: number | undefined;
     let answeredAtMs = clock.monotonicMs();
+    let nextPump: { readonly dueMs: number; readonly cancel: CancelTimer; } | undefined;
 
-    const takeBatch = (): Batch => {
-        const id = `${claimId}/${batches}`;
+    const writer = createBatchWriter({
+        ...options,
+        onAnswer: atMs => {
+            answeredAtMs = atMs;
+        },
+        isStopped: () => stopped,
+    });
+
+    const stalledMs = (): number => {
+        let oldestMs = Infinity;
+        for (const { sentAtMs } of flights) {
+            oldestMs = Math.min(oldestMs, sentAtMs);
+        }
+        return flights.size === 0 ? 0 : clock.monotonicMs() - Math.max(answeredAtMs, oldestMs);
+    };
+
+    const takeBatch = (place: number): Flight => {
+        const batchId = `${claimId}/${batches}`;
         batches += 1;
         const puts: { table: string; part: string; key: string; value: string; }[] = [];
         const removes: { table: string; part: string; key: string; }[] = [];
         const waiting: (() => void)[] = [];
-        sent = new Set();
+        const jobIds: string[] = [];
         let bytes = 0;
         for (const [jobId, resolvers] of dirty) {
             if (puts.length + removes.length >= maxBatchRows || bytes >= maxBatchBytes) {
                 break;
             }
+            if (inFlight.has(jobId)) {
+                continue;
+            }
             dirty.delete(jobId);
-            sent.add(jobId);
+            jobIds.push(jobId);
             waiting.push(...resolvers);
             const change = encode(jobId);
             for (const put of change.puts) {
@@ -136,110 +141,106 @@
                 removes.push({ ...remove, part });
             }
         }
-        puts.push({ table: journalTable, part, key: sequenceKey, value: JSON.stringify({ batch: id }) });
+        const sequence = { table: journalTable, part, key: sequenceKey(place) };
+        puts.push({ ...sequence, value: JSON.stringify({ batch: batchId }) });
         meter.record("commitRows", puts.length);
         meter.count("commitBytes", bytes);
         const expect = [
             { table: ownerTable, part, key: ownerKey, version: ownerVersion },
-            { table: journalTable, part, key: sequenceKey, version: sequenceVersion },
+            { ...sequence, version: versions[place] ?? 0 },
         ];
-        return { id, transaction: { expect, puts, removes }, waiting };
+        const transaction = { expect, puts, removes };
+        return { place, batchId, transaction, jobIds, waiting, sentAtMs: clock.monotonicMs() };
     };
 
-    /** After a conflict: the version at which an earlier try took effect; undefined where the shard is another's. */
-    const settledVersion = (rows: readonly Row[], id: string): number | undefined => {
-        const owner = rows.find(row => row.table === ownerTable);
-        const sequence = rows.find(row => row.table === journalTable && row.key === sequenceKey);
-        if (owner?.version !== ownerVersion || sequence?.value === undefined) {
-            return undefined;
+    const fly = async (flight: Flight): Promise<void> => {
+        flights.add(flight);
+        for (const jobId of flight.jobIds) {
+            inFlight.add(jobId);
         }
-        return sequence.value === JSON.stringify({ batch: id }) ? sequence.version : undefined;
+        const version = await writer.write(flight);
+        if (stopped) {
+            return;
+        }
+        if (version === undefined) {
+            stopped = true;
+            onFenced();
+            return;
+        }
+        versions[flight.place] = version;
+        flights.delete(flight);
+        for (const jobId of flight.jobIds) {
+            inFlight.delete(jobId);
+        }
+        meter.record("commitMs", clock.monotonicMs() - flight.sentAtMs);
+        for (const resolve of flight.waiting) {
+            resolve();
+        }
+        // Lets those who waited mark more jobs, so that the next batch has them.
+        await Promise.resolve();
+        pump();
     };
 
-    const write = async ({ id, transaction }: Batch): Promise<boolean> => {
-        let pauseMs = firstPauseMs;
-        let timeoutMs = Math.min(longestTimeoutMs, Math.max(shortestTimeoutMs, timeoutFactor * usualMs));
-        let timedOut = false;
-        while (!stopped) {
-            const askedAtMs = clock.monotonicMs();
-            const result = await store.transact(transaction, timeoutMs);
-            meter.count(`commits.${result.outcome}`);
-            if (result.outcome === "committed" || result.outcome === "conflict") {
-                answeredAtMs = clock.monotonicMs();
-                const tookMs = answeredAtMs - askedAtMs;
-                // Copies sent too soon only load a slow store, so one slow answer after them is believed at once.
-                usualMs = timedOut ? Math.max(usualMs, tookMs) : usualMs + usualShare * (tookMs - usualMs);
-            }
-            if (result.outcome === "committed") {
-                sequenceVersion = result.version;
-                return true;
-            }
-            if (result.outcome === "conflict") {
-                const version = settledVersion(result.rows, id);
-                if (version === undefined) {
-                    log.write("warn", "commitFenced", { part, batch: id, ownerVersion, found: result.rows.length });
-                    return false;
-                }
-                sequenceVersion = version;
-                return true;
-            }
-            log.write("warn", "commitDelayed", { part, batch: id, outcome: result.outcome, reason: result.reason });
-            if (result.outcome === "unknown" && clock.monotonicMs() - askedAtMs >= timeoutMs) {
-                // The same batch again settles it; a store that is slow, not deaf, gets more time. A reset takes the pause.
-                timeoutMs = Math.min(longestTimeoutMs, 2 * timeoutMs);
-                timedOut = true;
-                continue;
-            }
-            await sleep(clock, pauseMs);
-            pauseMs = Math.min(longestPauseMs, 2 * pauseMs);
-        }
-        return false;
+    const freePlace = (): number => {
+        const taken = new Set([...flights].map(({ place }) => place));
+        return versions.findIndex((_, place) => !taken.has(place));
     };
 
-    const drain = async (): Promise<void> => {
-        running = true;
-        while ((dirty.size > 0 || probeWanted) && !stopped) {
-            sentAtMs = clock.monotonicMs();
-            const batch = takeBatch();
-            const written = await write(batch);
-            if (stopped) {
-                return;
-            }
-            if (!written) {
-                stopped = true;
-                onFenced();
-                return;
-            }
-            meter.record("commitMs", clock.monotonicMs() - sentAtMs);
-            sentAtMs = undefined;
-            for (const resolve of batch.waiting) {
-                resolve();
-            }
-            // Lets those who waited mark more jobs, so that the next batch has them.
-            await Promise.resolve();
-        }
-        running = false;
+    const hasWork = (): boolean => probeWanted || [...dirty.keys()].some(jobId => !inFlight.has(jobId));
+
+    const endIdle = (): void => {
         for (const resolve of idleWaiting) {
             resolve();
         }
         idleWaiting = [];
     };
 
-    const begin = (): void => {
-        if (!running && !stopped) {
-            running = true;
-            clock.setTimer(gatherMs, () => void drain());
+    /** Sends the next batch, unless the ones under way are to be waited for first. */
+    const pump = (): void => {
+        nextPump?.cancel();
+        nextPump = undefined;
+        if (stopped) {
+            return;
+        }
+        if (!hasWork()) {
+            if (flights.size === 0) {
+                endIdle();
+            }
+            return;
+        }
+        const newestSentMs = Math.max(-Infinity, ...[...flights].map(({ sentAtMs }) => sentAtMs));
+        const dueMs = newestSentMs + overlapAfterMs;
+        if (dueMs > clock.monotonicMs()) {
+            pumpAt(dueMs);
+            return;
+        }
+        const place = freePlace();
+        if (place < 0 || stalledMs() > overlapStalledMs) {
+            return;
+        }
+        probeWanted = false;
+        void fly(takeBatch(place));
+        if (hasWork()) {
+            pumpAt(clock.monotonicMs() + overlapAfterMs);
+        }
+    };
+
+    const pumpAt = (dueMs: number): void => {
+        if (stopped || nextPump !== undefined && nextPump.dueMs <= dueMs) {
+            return;
         }
+        nextPump?.cancel();
+        nextPump = { dueMs, cancel: clock.setTimer(Math.max(0, dueMs - clock.monotonicMs()), pump) };
     };
 
     return {
         probe: () => {
-            if (!running) {
+            if (flights.size === 0) {
                 probeWanted = true;
-                begin();
+                pumpAt(clock.monotonicMs() + gatherMs);
             }
         },
-        withdraw: jobId => !sent.has(jobId) && dirty.delete(jobId),
+        withdraw: jobId => !inFlight.has(jobId) && dirty.delete(jobId),
         commit: jobId =>
             new Promise(resolve => {
                 const resolvers = dirty.get(jobId);
@@ -249,18 +250,19 @@
                 else {
                     resolvers.push(resolve);
                 }
-                begin();
+                pumpAt(clock.monotonicMs() + gatherMs);
             }),
         answeredAtMs: () => answeredAtMs,
-        stalledMs: () => sentAtMs === undefined ? 0 : clock.monotonicMs() - sentAtMs,
+        stalledMs,
         idle: () =>
-            running && !stopped
+            !stopped && (flights.size > 0 || dirty.size > 0)
                 ? new Promise(resolve => {
                     idleWaiting.push(resolve);
                 })
                 : Promise.resolve(),
         stop: () => {
             stopped = true;
+            nextPump?.cancel();
         },
     };
 };
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -3,8 +3,9 @@
 import { type Row } from "../../types/cellPorts.js";
 import { type JobState, type JobSubmission, type Queue } from "../../types/work.js";
 import { die } from "../../utils/errors.js";
-import { endedTable, journalTable, type RowChange } from "./commitLog.js";
+import { type RowChange } from "./commitLog.js";
 import { hasEnded, letGo, newJob, openOccurrence, type ShardJob, type ShardStep, type ShardTask } from "./jobBook.js";
+import { endedTable, journalTable } from "./shardTables.js";
 
 /** Key prefix of the rows with submissions. */
 const submissionPrefix = "job/";
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -11,7 +11,7 @@
 import { sleep } from "../../utils/time.js";
 import { createAdviceDesk } from "./adviceDesk.js";
 import { type ClaimedShard, readAllRows } from "./claimShard.js";
-import { createCommitLog, endedTable, type RowChange } from "./commitLog.js";
+import { createCommitLog, type RowChange } from "./commitLog.js";
 import {
     endJob,
     hasEnded,
@@ -25,6 +25,7 @@
 import { decodeEnded, encodeJob, restoreJobs } from "./jobRows.js";
 import { createPlacing } from "./placing.js";
 import type { ShardSettings } from "./shardSettings.js";
+import { endedTable } from "./shardTables.js";
 import { createShardWorkers } from "./shardWorkers.js";
 import { dropRun } from "./workerTable.js";
 
@@ -121,7 +122,7 @@
         store: options.store,
         part,
         ownerVersion: fencingToken,
-        sequenceVersion: claimed.sequenceVersion,
+        sequenceVersions: claimed.sequenceVersions,
         storeMs: claimed.storeMs,
         claimId,
         encode,
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -40,7 +40,7 @@
     stopMs: 900,
     silentMs: 1_300,
     cutOffMs: 1_800,
-    refuseStalledMs: 400,
+    refuseStalledMs: 600,
     stuckWorkerRestMs: 3_000,
     retentionMs: 180_000,
     maxAdviceWorkers: 40,
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -79,6 +79,7 @@
 export { type CellMember, type CellMemberOptions, memberTable, startCellMember } from "./internal.js";
 export { type ChoiceLimits, type Chooser, createChooser, ticketFor } from "./internal.js";
 export { type ClaimedShard, type ClaimOptions, claimShard, readAllRows } from "./internal.js";
+export { type Batch, type BatchWriter, type BatchWriterOptions, createBatchWriter } from "./internal.js";
 export { type CommitLog, type CommitLogOptions, createCommitLog, type RowChange } from "./internal.js";
 export {
     applyEnd,
@@ -105,6 +106,7 @@
 export { type ShardOwner, type ShardOwnerOptions, startShardOwner } from "./internal.js";
 export { createShardWorkers, type ShardWorkers, type ShardWorkersOptions } from "./internal.js";
 export { defaultShardSettings, type ShardSettings } from "./internal.js";
+export { endedTable, journalTable, maxFlights, ownerKey, ownerTable, sequenceKey } from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
 export { openWorkerLink, type WorkerLink, type WorkerLinkOptions } from "./internal.js";
 export { watchWorkerList, type WorkerListOptions } from "./internal.js";
