One commit at a time again: a slow store carries out a part's transactions one after another

Reverted: several commits under way. Kept: a copy beside an unanswered one, where a late answer after copies is believed at once, so that no more copies are sent while the store is slow. The stand-in store has the queue now.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -66,7 +66,7 @@
             | shardOwner           | 5c0e7a21d94b36f8 is queued              |
             | shardWorkers         | 1 worker, then 0, as its life was over  |
             | shardSettings        | leases of 5000 ms                       |
-            | shardTables          | sequence/0                              |
+            | shardTables          | sequence                                |
             | tableWatch           | configuration seen                      |
             | workerLink           | 3 looks                                 |
             | workerTable          | until 6500 on its clock, 8000 free      |
--- a/features/shard.feature
+++ b/features/shard.feature
@@ -18,7 +18,7 @@
         When the fault "store slow" comes
         And the shard runs for 1000 ms
         And 8 jobs of steps "1, 1 after 0, 1 after 1" are submitted
-        Then all jobs are "completed" within 4000 ms
+        Then all jobs are "completed" within 4500 ms
 
     Scenario: The same id through two daemons is one job
         Given a cell of 3 daemons and 4 workers
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -168,7 +168,7 @@
 });
 
 Then("the shard's owner has written {int} batches at most", function(this: ScenarioWorld, most: number) {
-    const row = cellOf(this).store.rows("puffinarch-journal").find(each => each.key === "sequence/0");
+    const row = cellOf(this).store.rows("puffinarch-journal").find(each => each.key === "sequence");
     const { batch } = JSON.parse(row?.value ?? "{}") as { readonly batch?: string; };
     const written = 1 + Number(batch?.split("/").at(-1));
     assert.ok(written <= most, `${written} batches`);
--- a/packages/puffinarch/src/core/shard/batchWriter.ts
+++ b/packages/puffinarch/src/core/shard/batchWriter.ts
@@ -46,8 +46,8 @@
 const waitFactor = 4;
 /** How long one copy may be answered. */
 const copyTimeoutMs = 1_500;
-/** Weight of the newest answer in the usual time. */
-const usualShare = 0.3;
+/** Weight of the newest answer in the usual time, where no copy was sent before it came. */
+const usualShare = 0.2;
 
 /**
  * Makes the writer of a shard's batches.
@@ -79,14 +79,18 @@
             announce();
         };
 
+        let copies = 0;
         const sendCopy = async (): Promise<void> => {
+            copies += 1;
             const askedAtMs = clock.monotonicMs();
             const result = await store.transact(batch.transaction, copyTimeoutMs);
             meter.count(`commits.${result.outcome}`);
             if (result.outcome === "committed" || result.outcome === "conflict") {
                 const nowMs = clock.monotonicMs();
                 onAnswer(nowMs);
-                usualMs += usualShare * (nowMs - askedAtMs - usualMs);
+                const tookMs = nowMs - askedAtMs;
+                // Copies queue behind each other in a slow store, so one late answer is believed at once.
+                usualMs = copies > 1 ? Math.max(usualMs, tookMs) : usualMs + usualShare * (tookMs - usualMs);
             }
             if (settled !== undefined || isStopped()) {
                 return;
--- a/packages/puffinarch/src/core/shard/claimShard.ts
+++ b/packages/puffinarch/src/core/shard/claimShard.ts
@@ -4,7 +4,7 @@
 import type { Clock, Log } from "../../types/ports.js";
 import { failureOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
-import { journalTable, maxFlights, ownerKey, ownerTable, sequenceKey } from "./shardTables.js";
+import { journalTable, ownerKey, ownerTable, sequenceKey } from "./shardTables.js";
 import { keyAfter } from "./tableWatch.js";
 
 /** What a claim needs. */
@@ -25,8 +25,8 @@
 /** A shard that was claimed, with all its rows. */
 export interface ClaimedShard {
     readonly fencingToken: number;
-    /** Versions of the rows that order commits, by place; 0 for none. */
-    readonly sequenceVersions: readonly number[];
+    /** Version of the row that orders commits; 0 for none. */
+    readonly sequenceVersion: number;
     readonly rows: readonly Row[];
     /** How long the store took for the claim. */
     readonly storeMs: number;
@@ -131,9 +131,6 @@
     if (rows === undefined) {
         return undefined;
     }
-    const sequenceVersions = Array.from(
-        { length: maxFlights },
-        (_, place) => rows.find(row => row.key === sequenceKey(place))?.version ?? 0,
-    );
-    return { fencingToken, sequenceVersions, rows, storeMs };
+    const sequence = rows.find(row => row.key === sequenceKey);
+    return { fencingToken, sequenceVersion: sequence?.version ?? 0, rows, storeMs };
 };
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -122,7 +122,7 @@
         store: options.store,
         part,
         ownerVersion: fencingToken,
-        sequenceVersions: claimed.sequenceVersions,
+        sequenceVersion: claimed.sequenceVersion,
         storeMs: claimed.storeMs,
         claimId,
         encode,
--- a/packages/puffinarch/src/core/shard/shardTables.ts
+++ b/packages/puffinarch/src/core/shard/shardTables.ts
@@ -8,7 +8,5 @@
 export const ownerTable = "puffinarch-owner";
 /** Key of the owner's row in the shard's part. */
 export const ownerKey = "owner";
-/** Batches under way at once: a store that is 60 times slower takes 0.4 s for one. */
-export const maxFlights = 6;
-/** Key of the row that orders the batches of one place. */
-export const sequenceKey = (place: number): string => `sequence/${place}`;
+/** Key of the row that orders commits. */
+export const sequenceKey = "sequence";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -106,7 +106,7 @@
 export { type ShardOwner, type ShardOwnerOptions, startShardOwner } from "./internal.js";
 export { createShardWorkers, type ShardWorkers, type ShardWorkersOptions } from "./internal.js";
 export { defaultShardSettings, type ShardSettings } from "./internal.js";
-export { endedTable, journalTable, maxFlights, ownerKey, ownerTable, sequenceKey } from "./internal.js";
+export { endedTable, journalTable, ownerKey, ownerTable, sequenceKey } from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
 export { openWorkerLink, type WorkerLink, type WorkerLinkOptions } from "./internal.js";
 export { watchWorkerList, type WorkerListOptions } from "./internal.js";
--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -34,6 +34,9 @@
 
 const answerMs = 4;
 const slowAnswerMs = 240;
+/** A part carries out one transaction after another, and refuses more once a second of them waits. */
+const slowTransactionMs = 110;
+const longestQueueMs = 1_000;
 const hangMs = 1_500;
 /** How long after its longest wait a daemon gives a feed up. */
 const feedSlackMs = 1_000;
@@ -57,6 +60,7 @@
     let historyStart = 0;
     let version = 0;
     let transactions = 0;
+    let freeAtMs = 0;
     const waiters = new Set<() => void>();
     /** Ends the hearing of each feed that waits. */
     const silenced = new Set<() => void>();
@@ -98,13 +102,22 @@
             return apply(transaction);
         },
         slow: async (transaction, timeoutMs) => {
-            if (timeoutMs < slowAnswerMs) {
-                clock.setTimer(slowAnswerMs, () => apply(transaction));
+            const nowMs = clock.monotonicMs();
+            const queuedMs = Math.max(0, freeAtMs - nowMs);
+            if (queuedMs > longestQueueMs) {
+                await wait(answerMs);
+                return { outcome: "refused", reason: "429" };
+            }
+            freeAtMs = nowMs + queuedMs + slowTransactionMs;
+            const takesMs = queuedMs + slowAnswerMs;
+            const result = new Promise<RowTransactResult>(resolve => {
+                clock.setTimer(takesMs, () => resolve(apply(transaction)));
+            });
+            if (timeoutMs < takesMs) {
                 await wait(timeoutMs);
                 return { outcome: "unknown", reason: "no answer in time" };
             }
-            await wait(slowAnswerMs);
-            return apply(transaction);
+            return result;
         },
         refuse: async () => {
             await wait(answerMs);
