--- a/features/examples.feature
+++ b/features/examples.feature
@@ -65,7 +65,7 @@
             | preempt              | 1 run stops                             |
             | shardOwner           | 5c0e7a21d94b36f8 is queued              |
             | shardWorkers         | 1 worker, then 0, as its life was over  |
-            | shardSettings        | leases of 5000 ms                       |
+            | shardSettings        | leases of 3000 ms                       |
             | shardTables          | sequence                                |
             | tableWatch           | configuration seen                      |
             | workerLink           | 3 looks                                 |
