--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -32,8 +32,8 @@
 
 /** What fits the sites of today; the figures are explained in docs/design/platform.md. */
 export const defaultShardSettings: ShardSettings = {
-    leaseMs: 3_000,
-    lookWaitMs: 700,
+    leaseMs: 5_000,
+    lookWaitMs: 1_000,
     lookPauseMs: 250,
     orderPauseMs: 100,
     formerOwnerMs: 2_500,
