Waves of upkeep: VMs are emptied, taken down few at once, in time, and reported

Cause: nothing acted on the operator's waves. Change: the shard's owner closes the workers of a wave to new tasks, moves what saves its progress and long-running tasks as far as their step's budget of absent tasks allows, orders each upkeep under its fencing token, repeats orders without an answer, keeps in the store which VMs have begun, for a successor, and shows the state. Ways weighed: to order at once and let tasks run again (cuts work off and breaks budgets); to know what has begun from the workers' new lives alone (a crash looks the same).

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -56,6 +56,7 @@
             | claimShard           | token 1, then refused                   |
             | batchWriter          | in force at version 1                   |
             | commitLog            | 3 jobs in 1 transaction                 |
+            | evacuate             | 0 moves while the other is away; not ready |
             | forward              | notAccepted after 750 ms                |
             | workerList           | i-1, then nobody                        |
             | jobBook              | completed                               |
@@ -65,9 +66,11 @@
             | preempt              | 1 run stops                             |
             | shardOwner           | 5c0e7a21d94b36f8 is queued              |
             | shardWorkers         | 1 worker, then 0, as its life was over  |
-            | shardSettings        | leases of 3000 ms                       |
+            | shardSettings        | leases of 5000 ms                       |
             | shardTables          | sequence                                |
             | tableWatch           | configuration seen                      |
+            | upkeep               | 1 completed |
+            | waveRows             | true, 1 begun |
             | workerLink           | 3 looks                                 |
             | workerTable          | until 6500 on its clock, 8000 free      |
             | workerWatch          | end 7 taken, done                       |
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -19,6 +19,7 @@
     createPacer,
     createPlacing,
     createShardWorkers,
+    createWaveRows,
     createWorkerWatch,
     defaultShardSettings,
     encodeJob,
@@ -30,16 +31,19 @@
     journalTable,
     kindOf,
     type Log,
+    mayGoDown,
     type Meter,
     newJob,
     newWorker,
     openWorkerLink,
     restoreJobs,
     roomOf,
+    runsToMove,
     sequenceKey,
     type ShardJob,
     type ShardRun,
     startShardOwner,
+    startUpkeep,
     victimsOf,
     watchTable,
     watchWorkerList,
@@ -243,6 +247,66 @@
     return `${victims.length} run stops`;
 };
 
+const evacuate = (): string => {
+    const job = newJob(
+        { ...submission, steps: [{ ...plainStep, count: 2, longRunning: true, mayMiss: 1 }] },
+        testQueue,
+        { acceptedAtMs: 0, order: 1 },
+    );
+    const worker = openWorker();
+    worker.runs.set("only", runOf(job));
+    return `${runsToMove(worker, 5_000).length} moves while the other is away; ${
+        mayGoDown(worker) ? "ready" : "not ready"
+    }`;
+};
+
+const upkeep = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const saved: string[] = [];
+    const waves = startUpkeep({
+        clock,
+        log,
+        meter,
+        port: {
+            list: async () => [{ vmId: "vm-1", state: "up", workerId: "i-1" }],
+            upkeep: async () => "done",
+        },
+        holderId: "entry-1",
+        fencingToken: 7,
+        workers: new Map(),
+        stop: () => {},
+        lose: () => {},
+        readBegun: async () => new Map(),
+        save: async (_wave, begun, state) => {
+            saved.push(`${begun.size} ${state}`);
+            return true;
+        },
+    });
+    waves.update([{ number: 1, vmIds: ["vm-1"], deadlineMs: 10_000, atOnce: 1 }]);
+    await clock.advance(1_000);
+    waves.close();
+    return saved.join(", ");
+};
+
+const waveRows = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const store = createFakeRowStore(clock);
+    const rows = createWaveRows({
+        clock,
+        log,
+        store: store.connect("entry-1"),
+        part,
+        ownerVersion: 0,
+        stateRow: (wave, state) => ({ table: "status", part: "", key: `wave/${wave}`, value: state }),
+        isClosed: () => false,
+    });
+    const written = rows.save(3, new Set(["vm-1"]), "running");
+    await clock.advance(20);
+    const read = rows.read();
+    await clock.advance(20);
+    return `${await written}, ${(await read).get(3)?.size} begun`;
+};
+
 const pacer = (): string => {
     const worker = openWorker();
     const serving = newJob(
@@ -478,6 +542,7 @@
     chooseWorker: chooser,
     claimShard: claim,
     commitLog,
+    evacuate,
     forward,
     jobBook,
     jobRows,
@@ -489,6 +554,8 @@
     shardSettings: () => `leases of ${defaultShardSettings.leaseMs} ms`,
     shardTables: () => sequenceKey,
     tableWatch,
+    upkeep,
+    waveRows,
     workerLink,
     workerList,
     workerTable,
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -185,6 +185,58 @@
     }
 });
 
+When(
+    "the operator asks for upkeep of {int} VMs, {int} at once, within {int} ms",
+    function(this: ScenarioWorld, count: number, atOnce: number, deadlineMs: number) {
+        const vmIds = Array.from({ length: count }, (_, index) => `vm-${index}`);
+        cellOf(this).askUpkeep({ number: 1, vmIds, deadlineMs, atOnce });
+    },
+);
+
+Then(
+    "the wave is shown as {string} within {int} ms",
+    async function(this: ScenarioWorld, state: string, limitMs: number) {
+        const cell = cellOf(this);
+        assert.ok(
+            await cell.until(() => cell.waveState(1) === state, limitMs),
+            `it is shown as ${cell.waveState(1)}; upkeep of ${cell.vms.evidence.map(each => each.vmId).join(", ")}`,
+        );
+    },
+);
+
+Then(
+    "each of the {int} VMs had its upkeep once, with {int} down at once at the most",
+    function(this: ScenarioWorld, count: number, atOnce: number) {
+        const { evidence } = cellOf(this).vms;
+        assert.equal(new Set(evidence.map(each => each.vmId)).size, count);
+        assert.equal(evidence.length, count);
+        assert.ok(evidence.every(each => each.othersDown < atOnce));
+    },
+);
+
+Then("the upkeep cut off no task", function(this: ScenarioWorld) {
+    assert.deepEqual(cellOf(this).vms.evidence.filter(each => each.cutRuns > 0), []);
+});
+
+Then(
+    "never were more than {int} of {int} tasks away at once",
+    function(this: ScenarioWorld, most: number, all: number) {
+        const { evidence } = cellOf(this).workers;
+        const names = new Set(evidence.map(each => each.taskName));
+        assert.equal(names.size, all);
+        const firstEndMs = Math.min(...evidence.map(each => each.endedAtMs ?? Infinity));
+        assert.ok(Number.isFinite(firstEndMs), "no task was moved");
+        for (const { endedAtMs } of evidence) {
+            const atMs = (endedAtMs ?? firstEndMs) + 1;
+            const present = new Set(
+                evidence.filter(each => each.startedAtMs <= atMs && (each.endedAtMs ?? Infinity) > atMs)
+                    .map(each => each.taskName),
+            );
+            assert.ok(all - present.size <= most, `${all - present.size} away at ${atMs} ms`);
+        }
+    },
+);
+
 When("a worker with tasks drains", function(this: ScenarioWorld) {
     const cell = cellOf(this);
     const busy = cell.workers.evidence.find(start => start.endedAtMs === undefined);
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -12,9 +12,11 @@
     type OwnerRow,
     type PingAnswer,
     type Row,
+    type RowKey,
     type RowStore,
 } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter, Random } from "../../types/ports.js";
+import type { UpkeepWave, VmPort, WaveState } from "../../types/upkeep.js";
 import type { CellConfiguration, JobState, JobSubmission, WorkerEntry } from "../../types/work.js";
 import { die, failureOf, kindOf } from "../../utils/errors.js";
 import { hash } from "../../utils/rendezvous.js";
@@ -48,6 +50,12 @@
         readonly readConfiguration: (rows: readonly Row[]) => CellConfiguration | undefined;
         readonly workerTable: string;
         readonly readWorker: (row: Row) => WorkerEntry | undefined;
+        /** Waves of upkeep among the rows of the configuration's table; left out where nobody asks for any. */
+        readonly upkeep?: {
+            readonly port: VmPort;
+            readonly readWave: (row: Row) => UpkeepWave | undefined;
+            readonly stateRow: (wave: number, state: WaveState) => RowKey & { readonly value: string; };
+        };
     };
 }
 
@@ -128,6 +136,8 @@
     const { clock, log, meter, settings, self, store, members, platform } = options;
     const peers = new Map<string, MemberRow>();
     const peerAnsweredAtMs = new Map<string, number>();
+    /** Waves of upkeep by the key of their row. */
+    const waves = new Map<string, UpkeepWave>();
     let workerWatch: TableWatch | undefined;
     let configuration: CellConfiguration | undefined;
     let knownOwner: KnownOwner | undefined;
@@ -234,6 +244,9 @@
                         ? options.advisor.advise(request)
                         : members.call(peer.address, "advise", request, request.timeoutMs);
                 },
+                ...(platform.upkeep === undefined
+                    ? {}
+                    : { upkeep: { ...platform.upkeep, holderId: `${self.memberId}/${self.incarnation}` } }),
                 onFenced: reason => {
                     log.write("warn", "shardLost", { reason, fencingToken: claimed.fencingToken });
                     owner = undefined;
@@ -249,6 +262,7 @@
             if (configuration !== undefined) {
                 owner.updateConfiguration(configuration);
             }
+            owner.updateWaves([...waves.values()]);
             const shard = owner;
             workerWatch = watchWorkerList({
                 clock,
@@ -531,6 +545,23 @@
         }
     };
 
+    const takeWaves = (rows: readonly Row[]): void => {
+        let changed = false;
+        for (const row of platform.upkeep === undefined ? [] : rows) {
+            const wave = platform.upkeep?.readWave(row);
+            changed ||= wave !== undefined || waves.has(row.key);
+            if (wave === undefined) {
+                waves.delete(row.key);
+            }
+            else {
+                waves.set(row.key, wave);
+            }
+        }
+        if (changed) {
+            owner?.updateWaves([...waves.values()]);
+        }
+    };
+
     const watches = [
         watchTable({
             clock,
@@ -578,6 +609,7 @@
                 if (next !== undefined) {
                     adopt(next, "store");
                 }
+                takeWaves(rows);
             },
             onWhole: () => {},
         }),
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -3,8 +3,15 @@
  * last is in the shard's rows; all that runs is listed by the workers, so a successor learns the rest from them.
  */
 
-import { type AdviceAnswer, type AdviceRequest, type FencedWorkerPort, type RowStore } from "../../types/cellPorts.js";
+import {
+    type AdviceAnswer,
+    type AdviceRequest,
+    type FencedWorkerPort,
+    type RowKey,
+    type RowStore,
+} from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
+import type { UpkeepWave, VmPort, WaveState } from "../../types/upkeep.js";
 import type { CellConfiguration, JobState, JobSubmission, Queue, WorkerEntry } from "../../types/work.js";
 import { jobStates } from "../../types/work.js";
 import { die, errorOf } from "../../utils/errors.js";
@@ -27,6 +34,8 @@
 import type { ShardSettings } from "./shardSettings.js";
 import { endedTable } from "./shardTables.js";
 import { createShardWorkers } from "./shardWorkers.js";
+import { startUpkeep, type Upkeep } from "./upkeep.js";
+import { createWaveRows } from "./waveRows.js";
 import { dropRun } from "./workerTable.js";
 
 /** What a shard's owner needs. */
@@ -43,6 +52,12 @@
     /** Daemons that can call the advisor, this one included. */
     readonly adviceLanes: () => readonly string[];
     readonly callAdvice: (laneId: string, request: AdviceRequest) => Promise<AdviceAnswer>;
+    /** The platform's VMs and where the operator is shown a wave's state; undefined where nobody asks for upkeep. */
+    readonly upkeep?: {
+        readonly port: VmPort;
+        readonly holderId: string;
+        readonly stateRow: (wave: number, state: WaveState) => RowKey & { readonly value: string; };
+    };
     /** Another daemon owns the shard by now. */
     readonly onFenced: (reason: string) => void;
 }
@@ -61,6 +76,8 @@
     updateConfiguration(configuration: CellConfiguration): void;
     /** All workers that the platform lists now. */
     updateWorkers(entries: readonly WorkerEntry[]): void;
+    /** All waves of upkeep that the operator asks for. */
+    updateWaves(waves: readonly UpkeepWave[]): void;
     wake(): void;
     stalledMs(): number;
     /** How late this process's timers are, on average over the last second or so. */
@@ -195,7 +212,7 @@
                 if (worker === undefined || run.phase !== runPhases.planned || !run.task.runs.includes(run)) {
                     continue;
                 }
-                if (closed || hasEnded(job) || run.task.done || worker.entry.draining) {
+                if (closed || hasEnded(job) || run.task.done || worker.entry.draining || worker.cordoned) {
                     dropRun(worker, run);
                     void changed(job);
                     continue;
@@ -317,6 +334,7 @@
         commits.stop();
         desk.close();
         workers.close();
+        upkeep?.close();
     };
 
     const restore = (): void => {
@@ -349,7 +367,37 @@
         return rows === undefined ? endOfOffice : endedBefore;
     };
 
+    const openUpkeep = (): Upkeep | undefined => {
+        if (options.upkeep === undefined) {
+            return undefined;
+        }
+        const { port, holderId, stateRow } = options.upkeep;
+        const rows = createWaveRows({
+            clock,
+            log,
+            store: options.store,
+            part,
+            ownerVersion: fencingToken,
+            stateRow,
+            isClosed: () => closed,
+        });
+        return startUpkeep({
+            clock,
+            log,
+            meter,
+            port,
+            holderId,
+            fencingToken,
+            workers: workers.all,
+            stop: workers.stop,
+            lose: workerId => workers.lose(workerId, "upkeep"),
+            readBegun: rows.read,
+            save: rows.save,
+        });
+    };
+
     restore();
+    const upkeep = openUpkeep();
     const endedKnown = readEnded();
     endedKnown.catch(() => {});
     clock.setTimer(tickMs, tick);
@@ -457,6 +505,7 @@
             wake();
         },
         updateWorkers: workers.update,
+        updateWaves: waves => upkeep?.update(waves),
         wake: () => {
             wake();
             desk.wake();
--- a/packages/puffinarch/src/core/shard/shardTables.ts
+++ b/packages/puffinarch/src/core/shard/shardTables.ts
@@ -10,3 +10,5 @@
 export const ownerKey = "owner";
 /** Key of the row that orders commits. */
 export const sequenceKey = "sequence";
+/** Table of the VMs that have begun their upkeep; the key is the wave's number. */
+export const upkeepTable = "puffinarch-upkeep";
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -41,6 +41,8 @@
     start(run: ShardRun, ticket: string): void;
     /** Stops a run, or lets go of one that was only planned. */
     stop(run: ShardRun): void;
+    /** The worker's life is surely over: nothing runs there any more. */
+    lose(workerId: string, reason: string): void;
     /** Looks for leases that are over by now. */
     checkLeases(nowMs: number): void;
     close(): void;
@@ -283,6 +285,12 @@
         update: updateWorkers,
         start: (run, ticket) => links.get(run.workerId)?.start(run, run.task.checkpoint, ticket),
         stop: stopRun,
+        lose: (workerId, reason) => {
+            const worker = workers.get(workerId);
+            if (worker !== undefined) {
+                loseWorker(worker, reason);
+            }
+        },
         checkLeases: checkHorizons,
         close: () => {
             for (const link of links.values()) {
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/upkeep.ts
@@ -0,0 +1,325 @@
+/**
+ * Waves of upkeep: each VM of a wave is closed to new tasks, emptied, and given its upkeep, few at once and in time. The
+ * platform takes the same order again without harm, so that an order whose answer is lost is sent again; what has begun is
+ * made durable, so that a successor does not empty those VMs a second time.
+ */
+
+import type { Clock, Log, Meter } from "../../types/ports.js";
+import {
+    type UpkeepOutcome,
+    upkeepOutcomes,
+    type UpkeepWave,
+    type VmEntry,
+    type VmPort,
+    vmStates,
+    type WaveState,
+    waveStates,
+} from "../../types/upkeep.js";
+import { failureOf } from "../../utils/errors.js";
+import { sleep } from "../../utils/time.js";
+import { mayGoDown, runsToMove } from "./evacuate.js";
+import type { ShardRun } from "./jobBook.js";
+import type { ShardWorker } from "./workerTable.js";
+
+/** What waves of upkeep need. */
+export interface UpkeepOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly meter: Meter;
+    readonly port: VmPort;
+    readonly holderId: string;
+    readonly fencingToken: number;
+    readonly workers: ReadonlyMap<string, ShardWorker>;
+    readonly stop: (run: ShardRun) => void;
+    /** The worker's life is over. */
+    readonly lose: (workerId: string) => void;
+    /** VMs that have begun under an earlier owner, by wave. */
+    readonly readBegun: () => Promise<ReadonlyMap<number, ReadonlySet<string>>>;
+    /** Makes durable which VMs of a wave have begun, and shows its state. False where the store did not take it. */
+    readonly save: (wave: number, begun: ReadonlySet<string>, state: WaveState) => Promise<boolean>;
+}
+
+/** Waves of upkeep, as long as a daemon owns the shard. */
+export interface Upkeep {
+    /** All waves that the operator asks for. */
+    update(waves: readonly UpkeepWave[]): void;
+    close(): void;
+}
+
+/** Pause between two looks at the VMs while a wave is open; the platform takes 60 listings a second from all. */
+const stepMs = 300;
+/** A VM that was ordered is back after some 2 s; work that is cut off costs less than a wave that is late. */
+const downMs = 2_500;
+const shortestPatienceMs = 1_200;
+const longestPatienceMs = 8_000;
+/** A VM that no listing has had for this long has left. */
+const goneMs = 4_000;
+/** An order that may not have been carried out is sent again after this. */
+const orderAgainMs = 600;
+
+/** Phases of a VM in a wave. */
+const phases = {
+    waiting: "waiting",
+    /** Closed to new tasks; those that run end or move. */
+    emptying: "emptying",
+    /** The order was sent and may have been carried out. */
+    ordered: "ordered",
+    /** The platform has said that it began. */
+    begun: "begun",
+    /** It has left, and needs none. */
+    gone: "gone",
+} as const;
+
+/** Where a VM of a wave stands. */
+interface Progress {
+    readonly vmId: string;
+    phase: (typeof phases)[keyof typeof phases];
+    /** Local time at which its present phase began. */
+    sinceMs: number;
+    /** The life that the order ends. */
+    workerId: string;
+    absentSinceMs: number | undefined;
+    /** It is down, or may be, for this wave. */
+    down: boolean;
+}
+
+interface OpenWave {
+    readonly wave: UpkeepWave;
+    readonly seenAtMs: number;
+    readonly vms: readonly Progress[];
+    reported: WaveState | undefined;
+    /** Number of VMs that were begun when it was saved last. */
+    saved: number;
+}
+
+const isSettled = ({ phase }: Progress): boolean => phase === phases.begun || phase === phases.gone;
+
+/**
+ * Starts to act on waves of upkeep.
+ *
+ * @example
+ * const upkeep = startUpkeep({ clock, log, meter, port, holderId, fencingToken, workers, stop, lose, readBegun, save });
+ * upkeep.update(waves);
+ */
+export const startUpkeep = (options: UpkeepOptions): Upkeep => {
+    const { clock, log, meter, port, holderId, fencingToken, workers } = options;
+    const open = new Map<number, OpenWave>();
+    let running = false;
+    let closed = false;
+    /** Read when the first wave comes; most owners never see one. */
+    let begunBefore: Promise<ReadonlyMap<number, ReadonlySet<string>>> | undefined;
+
+    const enter = (progress: Progress, phase: Progress["phase"]): void => {
+        progress.phase = phase;
+        progress.sinceMs = clock.monotonicMs();
+    };
+
+    /** Closes its worker to new tasks, or opens it again. */
+    const cordon = (workerId: string, cordoned: boolean): void => {
+        const worker = workers.get(workerId);
+        if (worker !== undefined) {
+            worker.cordoned = cordoned;
+        }
+    };
+
+    const order = async (progress: Progress, wave: number): Promise<UpkeepOutcome> => {
+        enter(progress, phases.ordered);
+        progress.down = true;
+        meter.count("upkeepOrders");
+        const outcome = await port.upkeep({ vmId: progress.vmId, wave, holderId, fencingToken });
+        log.write(outcome === upkeepOutcomes.done ? "info" : "warn", "upkeepOrdered", {
+            wave,
+            target: progress.vmId,
+            workerId: progress.workerId,
+            outcome,
+        });
+        return outcome;
+    };
+
+    /** What follows from each answer to an order. */
+    const answers: Readonly<Record<UpkeepOutcome, (progress: Progress) => void>> = {
+        done: progress => enter(progress, phases.begun),
+        busy: progress => {
+            progress.down = false;
+            enter(progress, phases.emptying);
+        },
+        invalid: progress => {
+            progress.down = false;
+            cordon(progress.workerId, false);
+            enter(progress, phases.gone);
+        },
+        fenced: () => {
+            closed = true;
+        },
+        // It may begin, or have begun: it counts as down and is ordered again.
+        refused: () => {},
+        unknown: () => {},
+    };
+
+    /** Takes in what a listing says of a VM. */
+    const observe = (progress: Progress, vm: VmEntry | undefined, askedAtMs: number): void => {
+        const nowMs = clock.monotonicMs();
+        if (vm === undefined) {
+            progress.absentSinceMs ??= nowMs;
+            if (!isSettled(progress) && nowMs - progress.absentSinceMs > goneMs) {
+                progress.down = false;
+                enter(progress, phases.gone);
+            }
+            return;
+        }
+        progress.absentSinceMs = undefined;
+        const isOtherLife = progress.workerId !== "" && vm.workerId !== "" && vm.workerId !== progress.workerId;
+        if (progress.down && askedAtMs > progress.sinceMs && vm.state === vmStates.up && isOtherLife) {
+            options.lose(progress.workerId);
+            progress.down = false;
+        }
+        if (progress.phase === phases.waiting || progress.phase === phases.emptying) {
+            progress.workerId = vm.workerId;
+        }
+    };
+
+    const patienceOf = ({ wave, seenAtMs, vms }: OpenWave): number => {
+        const left = vms.filter(vm => !isSettled(vm)).length;
+        const rounds = Math.max(1, Math.ceil(left / wave.atOnce));
+        const leftMs = seenAtMs + wave.deadlineMs - clock.monotonicMs();
+        return Math.min(longestPatienceMs, Math.max(shortestPatienceMs, leftMs / (rounds + 1) - downMs));
+    };
+
+    const empty = (progress: Progress, patienceMs: number): boolean => {
+        const worker = workers.get(progress.workerId);
+        if (worker === undefined || worker.runs.size === 0) {
+            return true;
+        }
+        worker.cordoned = true;
+        const nowMs = clock.monotonicMs();
+        for (const run of runsToMove(worker, nowMs)) {
+            log.write("info", "evacuated", {
+                task: run.task.name,
+                run: run.run,
+                workerId: worker.workerId,
+                for: "upkeep",
+            });
+            options.stop(run);
+        }
+        return nowMs - progress.sinceMs > patienceMs && mayGoDown(worker);
+    };
+
+    /** What an earlier owner ordered may still be down. */
+    const isDown = ({ vmId, down }: Progress, vms: ReadonlyMap<string, VmEntry>): boolean =>
+        down || vms.get(vmId)?.state === vmStates.upkeep;
+
+    const advance = async (openWave: OpenWave, vms: ReadonlyMap<string, VmEntry>): Promise<void> => {
+        const { wave } = openWave;
+        const patienceMs = patienceOf(openWave);
+        // While the first ones are down, the next ones are emptied already.
+        const ahead = openWave.vms.filter(vm => vm.phase === phases.emptying).length;
+        const next = openWave.vms.filter(vm => vm.phase === phases.waiting).slice(0, Math.max(0, wave.atOnce - ahead));
+        for (const progress of next) {
+            enter(progress, phases.emptying);
+            cordon(progress.workerId, true);
+        }
+        for (const progress of openWave.vms) {
+            const nowMs = clock.monotonicMs();
+            const again = progress.phase === phases.ordered && nowMs - progress.sinceMs > orderAgainMs;
+            const isUp = vms.get(progress.vmId)?.state === vmStates.up;
+            const ready = progress.phase === phases.emptying && isUp && empty(progress, patienceMs);
+            const down = openWave.vms.filter(vm => vm !== progress && isDown(vm, vms)).length;
+            if (closed || !again && !ready || down >= wave.atOnce) {
+                continue;
+            }
+            answers[await order(progress, wave.number)](progress);
+        }
+    };
+
+    const report = async (openWave: OpenWave): Promise<void> => {
+        const { wave, vms } = openWave;
+        const state = vms.every(isSettled) ? waveStates.completed : waveStates.running;
+        const begun = new Set(vms.filter(vm => vm.phase === phases.begun).map(vm => vm.vmId));
+        if (openWave.reported === state && openWave.saved === begun.size) {
+            return;
+        }
+        if (await options.save(wave.number, begun, state)) {
+            openWave.saved = begun.size;
+            openWave.reported = state;
+            log.write("info", "waveReported", { wave: wave.number, state, begun: begun.size, of: vms.length });
+        }
+    };
+
+    const step = async (): Promise<void> => {
+        const askedAtMs = clock.monotonicMs();
+        const vms = new Map((await port.list()).map(vm => [vm.vmId, vm]));
+        for (const openWave of open.values()) {
+            for (const progress of openWave.vms) {
+                observe(progress, vms.get(progress.vmId), askedAtMs);
+            }
+            await advance(openWave, vms);
+            await report(openWave);
+        }
+    };
+
+    const isOver = ({ reported, vms }: OpenWave): boolean =>
+        reported === waveStates.completed && vms.every(vm => !vm.down);
+
+    const run = async (): Promise<void> => {
+        while (!closed && [...open.values()].some(openWave => !isOver(openWave))) {
+            try {
+                await step();
+            }
+            catch (error) {
+                log.write("warn", "upkeepDelayed", { reason: failureOf(error).message });
+            }
+            await sleep(clock, stepMs);
+        }
+        running = false;
+    };
+
+    const begin = async (waves: readonly UpkeepWave[]): Promise<void> => {
+        begunBefore ??= options.readBegun();
+        const earlier = await begunBefore;
+        const wanted = new Set(waves.map(wave => wave.number));
+        for (const number of [...open.keys()].filter(known => !wanted.has(known))) {
+            log.write("info", "waveWithdrawn", { wave: number });
+            open.delete(number);
+        }
+        for (const wave of waves) {
+            if (open.has(wave.number)) {
+                continue;
+            }
+            const begun = earlier.get(wave.number);
+            const nowMs = clock.monotonicMs();
+            log.write("info", "waveSeen", { ...wave, begun: begun?.size ?? 0 });
+            open.set(wave.number, {
+                wave,
+                seenAtMs: nowMs,
+                vms: wave.vmIds.map(vmId => ({
+                    vmId,
+                    phase: begun?.has(vmId) === true ? phases.begun : phases.waiting,
+                    sinceMs: nowMs,
+                    workerId: "",
+                    absentSinceMs: undefined,
+                    down: false,
+                })),
+                reported: undefined,
+                saved: begun?.size ?? 0,
+            });
+        }
+        if (!running && !closed) {
+            running = true;
+            await run();
+        }
+    };
+
+    return {
+        update: waves => {
+            if (waves.length === 0 && open.size === 0) {
+                return;
+            }
+            begin(waves).catch((error: unknown) => {
+                log.write("error", "upkeepFailed", { reason: failureOf(error).message });
+            });
+        },
+        close: () => {
+            closed = true;
+        },
+    };
+};
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -38,6 +38,8 @@
     failuresInARow: number;
     /** Gets no work before this local time. */
     avoidUntilMs: number;
+    /** Gets no work at all, since its VM is about to go down. */
+    cordoned: boolean;
 }
 
 /** Key of a run among those of a worker. */
@@ -66,6 +68,7 @@
     failedJobs: new Set(),
     failuresInARow: 0,
     avoidUntilMs: 0,
+    cordoned: false,
 });
 
 /**
@@ -148,5 +151,5 @@
  */
 export const isOpen = (worker: ShardWorker, nowMs: number): boolean =>
     (worker.unlistedAtMs === undefined || nowMs - worker.unlistedAtMs < unlistedGraceMs) && worker.certain
-    && !worker.entry.draining && worker.clock !== undefined
+    && !worker.entry.draining && !worker.cordoned && worker.clock !== undefined
     && worker.silentLooks < silentLooksToAvoid && worker.avoidUntilMs <= nowMs;
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -106,8 +106,23 @@
 export { type ShardOwner, type ShardOwnerOptions, startShardOwner } from "./internal.js";
 export { createShardWorkers, type ShardWorkers, type ShardWorkersOptions } from "./internal.js";
 export { defaultShardSettings, type ShardSettings } from "./internal.js";
-export { endedTable, journalTable, ownerKey, ownerTable, sequenceKey } from "./internal.js";
+export { endedTable, journalTable, ownerKey, ownerTable, sequenceKey, upkeepTable } from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
+export { mayGoDown, runsToMove } from "./internal.js";
+export { startUpkeep, type Upkeep, type UpkeepOptions } from "./internal.js";
+export { createWaveRows, type WaveRows, type WaveRowsOptions } from "./internal.js";
+export {
+    type UpkeepOrder,
+    type UpkeepOutcome,
+    upkeepOutcomes,
+    type UpkeepWave,
+    type VmEntry,
+    type VmPort,
+    type VmState,
+    vmStates,
+    type WaveState,
+    waveStates,
+} from "./internal.js";
 export { openWorkerLink, type WorkerLink, type WorkerLinkOptions } from "./internal.js";
 export { watchWorkerList, type WorkerListOptions } from "./internal.js";
 export { extendLease, holdRoom, isOpen, newWorker, roomOf, type ShardWorker } from "./internal.js";
@@ -129,6 +144,7 @@
     orderOutcomes,
     type Row,
     type RowChanges,
+    type RowKey,
     type RowPage,
     type RowStore,
     type RowTransaction,
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./platform.js";
 export * from "./runTwice.js";
 export * from "./serve.js";
+export * from "./shard/fakeVms.js";
 export * from "./shard/fencedWorkers.js";
 export * from "./shard/rowStore.js";
 export * from "./shard/shardCell.js";
--- /dev/null
+++ b/packages/stand-ins/src/shard/fakeVms.ts
@@ -0,0 +1,122 @@
+/** Stand-ins for the VMs under the workers: upkeep that ends a life, fencing tokens for each VM, and the evidence of both. */
+
+import { type Clock, die, type UpkeepOutcome, upkeepOutcomes, type VmPort, vmStates } from "puffinarch";
+import type { FakeFencedWorkers } from "./fencedWorkers.js";
+
+/** What can be wrong with the calls. `late`: an order gets no answer and is carried out a second after. */
+export const vmFaults = ["none", "late", "silent"] as const;
+/** One of `vmFaults`. */
+export type VmFault = (typeof vmFaults)[number];
+
+/** An upkeep that began, for the evidence. */
+export interface UpkeepEvidence {
+    readonly vmId: string;
+    readonly wave: number;
+    readonly atMs: number;
+    /** Others that were down for the same wave. */
+    readonly othersDown: number;
+    /** Runs that it cut off. */
+    readonly cutRuns: number;
+}
+
+/** The stand-ins. */
+export interface FakeVms {
+    readonly port: VmPort;
+    readonly evidence: readonly UpkeepEvidence[];
+    setFault(fault: VmFault): void;
+}
+
+const answerMs = 4;
+const unansweredMs = 1_500;
+const lateMs = 1_000;
+/** How long a VM is down for its upkeep. */
+export const upkeepMs = 2_000;
+
+interface FakeVm {
+    readonly vmId: string;
+    state: "up" | "upkeep";
+    workerId: string;
+    token: number;
+    readonly waves: Set<number>;
+}
+
+/**
+ * Makes a VM under each worker; the VM of "worker-1" is "vm-1".
+ *
+ * @example
+ * const vms = createFakeVms({ clock, workers, renew: vmId => newWorkerIdOn(vmId) });
+ */
+export const createFakeVms = ({ clock, workers, renew }: {
+    readonly clock: Clock;
+    readonly workers: FakeFencedWorkers;
+    /** The VM is up again; gives the id of its new worker. */
+    readonly renew: (vmId: string, workerId: string) => string;
+}): FakeVms => {
+    const vms = new Map<string, FakeVm>();
+    const evidence: UpkeepEvidence[] = [];
+    let fault: VmFault = "none";
+    for (const workerId of workers.workerIds()) {
+        const vmId = workerId.replace("worker", "vm");
+        vms.set(vmId, { vmId, state: vmStates.up, workerId, token: 0, waves: new Set() });
+    }
+
+    const wait = (delayMs: number): Promise<void> =>
+        new Promise(resolve => {
+            clock.setTimer(delayMs, resolve);
+        });
+
+    const carryOut = (vmId: string, wave: number, token: number): UpkeepOutcome => {
+        const vm = vms.get(vmId);
+        if (vm === undefined) {
+            return upkeepOutcomes.invalid;
+        }
+        if (token < vm.token) {
+            return upkeepOutcomes.fenced;
+        }
+        vm.token = token;
+        if (vm.waves.has(wave)) {
+            return upkeepOutcomes.done;
+        }
+        if (vm.state !== vmStates.up) {
+            return upkeepOutcomes.busy;
+        }
+        const othersDown = [...vms.values()].filter(other => other.state !== vmStates.up).length;
+        const { workerId } = vm;
+        const cutRuns = workers.evidence.filter(run => run.workerId === workerId && run.endedAtMs === undefined).length;
+        evidence.push({ vmId, wave, atMs: clock.monotonicMs(), othersDown, cutRuns });
+        vm.waves.add(wave);
+        vm.state = vmStates.upkeep;
+        workers.crash(workerId);
+        clock.setTimer(upkeepMs, () => {
+            vm.state = vmStates.up;
+            vm.workerId = renew(vmId, workerId);
+        });
+        return upkeepOutcomes.done;
+    };
+
+    return {
+        evidence,
+        setFault: next => {
+            fault = next;
+        },
+        port: {
+            list: async () => {
+                await wait(answerMs);
+                return fault === "silent"
+                    ? die("unavailable", "the list was not answered")
+                    : [...vms.values()].map(({ vmId, state, workerId }) => ({ vmId, state, workerId }));
+            },
+            upkeep: async ({ vmId, wave, fencingToken }) => {
+                if (fault === "none") {
+                    await wait(answerMs);
+                    return carryOut(vmId, wave, fencingToken);
+                }
+                if (fault === "late") {
+                    clock.setTimer(lateMs, () => carryOut(vmId, wave, fencingToken));
+                }
+                await wait(unansweredMs);
+                return upkeepOutcomes.unknown;
+            },
+        },
+    };
+};
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -17,9 +17,11 @@
     type Queue,
     startCellMember,
     type Step,
+    type UpkeepWave,
     type WorkerEntry,
 } from "puffinarch";
 import { createFakeClock, type FakeClock } from "../cell/fakeClock.js";
+import { createFakeVms, type FakeVms } from "./fakeVms.js";
 import { breachesOf, createFakeFencedWorkers, type FakeFencedWorkers } from "./fencedWorkers.js";
 import { createFakeRowStore, type FakeRowStore } from "./rowStore.js";
 
@@ -60,6 +62,7 @@
     readonly clock: FakeClock;
     readonly store: FakeRowStore;
     readonly workers: FakeFencedWorkers;
+    readonly vms: FakeVms;
     readonly log: readonly {
         readonly memberId: string;
         readonly event: string;
@@ -81,6 +84,10 @@
     mend(memberId: string): void;
     /** Puts the configuration in force under a new version. */
     configure(version: number): void;
+    /** The operator asks for a wave of upkeep. */
+    askUpkeep(wave: UpkeepWave): void;
+    /** State of a wave as the operator is shown it. */
+    waveState(wave: number): string | undefined;
     listWorkers(): void;
     unlist(workerId: string): void;
     /** The worker says that it leaves, after this time at the least. */
@@ -255,6 +262,12 @@
                 },
                 workerTable: "workers",
                 readWorker: row => row.value === undefined ? undefined : JSON.parse(row.value) as WorkerEntry,
+                upkeep: {
+                    port: vms.port,
+                    readWave: ({ key, value }) =>
+                        key.startsWith("wave/") && value !== undefined ? JSON.parse(value) as UpkeepWave : undefined,
+                    stateRow: (wave, state) => ({ table: "status", part: "", key: `wave/${wave}`, value: state }),
+                },
             },
         });
         seats.set(memberId, { member, handlers: member.handlers, life });
@@ -269,6 +282,18 @@
     for (let index = 0; index < workerCount; index += 1) {
         workers.add(workerEntry(`worker-${index}`, index));
     }
+    const vms = createFakeVms({
+        clock,
+        workers,
+        renew: (vmId, workerId) => {
+            const index = Number(vmId.split("-").at(-1));
+            const renewed = workerEntry(`${workerId}+`, index);
+            store.remove("workers", workerId);
+            workers.add(renewed);
+            store.put("workers", renewed.workerId, renewed);
+            return renewed.workerId;
+        },
+    });
     listWorkers();
     const configure = (version: number): void => {
         const configuration: CellConfiguration = {
@@ -358,6 +383,9 @@
             cuts.delete(memberId);
             store.setFault("none", memberId);
         },
+        vms,
+        askUpkeep: wave => store.put("operator", `wave/${wave.number}`, wave),
+        waveState: wave => store.rows("status").find(row => row.key === `wave/${wave}`)?.value,
         configure,
         listWorkers,
         unlist: workerId => store.remove("workers", workerId),
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -15,6 +15,8 @@
             gang: words.includes("gang"),
             longRunning: words.includes("long running"),
             speculative: words.includes("speculative"),
+            checkpointing: words.includes("checkpointing"),
+            mayMiss: Number(/may miss (\d+)/.exec(words)?.[1] ?? 0),
         };
     });
 
@@ -103,6 +105,14 @@
         cell.workers.crash(cell.workers.workerIds()[0] ?? "");
         return () => cell.unlist(cell.workers.workerIds()[0] ?? "");
     },
+    "upkeep orders late": cell => {
+        cell.vms.setFault("late");
+        return () => cell.vms.setFault("none");
+    },
+    "VMs not listed": cell => {
+        cell.vms.setFault("silent");
+        return () => cell.vms.setFault("none");
+    },
     "workers not listed": cell => {
         for (const workerId of cell.workers.workerIds()) {
             cell.unlist(workerId);
