A task waits for silent workers rather than go back to one that failed it; the watch of the owner in files of its own

'Untried' counted open workers only. Change: workers that are silent or rest count as untried for as long as the platform lists them.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -57,6 +57,9 @@
             | batchWriter          | in force at version 1                   |
             | commitLog            | 3 jobs in 1 transaction                 |
             | evacuate             | 0 moves while the other is away; not ready |
+            | handOver             | claimed by a peer                       |
+            | ownerWatch           | 7 restarted                             |
+            | peers                | 1 daemon, then entry-1 and entry-2      |
             | forward              | notAccepted after 750 ms                |
             | workerList           | i-1, then nobody                        |
             | jobBook              | completed                               |
--- a/features/shard.feature
+++ b/features/shard.feature
@@ -150,6 +150,17 @@
             | 6    |
             | 7    |
             | 8    |
+            | 12   |
+
+    Scenario: A task waits for workers that do not answer rather than use up its attempts on one that failed it
+        Given a cell of 3 daemons and 4 workers
+        When the fault "all workers cut but the first" comes
+        And the fault "worker fails everything" comes
+        And the shard runs for 2000 ms
+        And 1 jobs of steps "2" are submitted
+        And the shard runs for 3000 ms
+        And the fault goes
+        Then all jobs are "completed" within 15000 ms
 
     Scenario: Room of a cancelled job's tasks is held until they have ended, also by the next owner
         Given a cell of 3 daemons and 2 workers
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -4,6 +4,7 @@
     createFakeClock,
     createFakeRowStore,
     createShardCell,
+    type FakeClock,
     plainStep,
     testQueue,
     workerEntry,
@@ -17,6 +18,7 @@
     createCommitLog,
     createForward,
     createPacer,
+    createPeers,
     createPlacing,
     createShardWorkers,
     createWaveRows,
@@ -26,6 +28,7 @@
     extendLease,
     type FencedWorkerPort,
     formatTaskName,
+    handOver,
     isTimeToAsk,
     isWaiting,
     journalTable,
@@ -36,15 +39,18 @@
     newJob,
     newWorker,
     openWorkerLink,
+    type Peers,
     restoreJobs,
     roomOf,
     runsToMove,
     sequenceKey,
     type ShardJob,
+    type ShardOwner,
     type ShardRun,
     startShardOwner,
     startUpkeep,
     victimsOf,
+    watchOwner,
     watchTable,
     watchWorkerList,
     type WorkerEntry,
@@ -524,6 +530,61 @@
     return told.map(each => each === "" ? "nobody" : each).join(", then ");
 };
 
+const examplePeers = (clock: FakeClock, claimed: boolean): Peers => {
+    const peers = createPeers({
+        clock,
+        log,
+        self: owner,
+        members: {
+            call: async (_address, name) =>
+                (name === "handOver" ? { claimed } : { incarnation: "9", leaving: false, ownedToken: 0 }) as never,
+        },
+    });
+    const peer = { memberId: "entry-2", address: "http://127.0.0.1:7101", dataCentre: "leon-feria", incarnation: "9" };
+    peers.take([{ table: "member", part: "", key: "entry-2", value: JSON.stringify(peer), version: 1 }]);
+    return peers;
+};
+
+const peersExample = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const peers = examplePeers(clock, false);
+    const before = peers.live().length;
+    await Promise.all([...peers.all.values()].map(peer => peers.ping(peer)));
+    return `${before} daemon, then ${peers.live().join(" and ")}`;
+};
+
+const handOverExample = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const peers = examplePeers(clock, true);
+    await Promise.all([...peers.all.values()].map(peer => peers.ping(peer)));
+    const shard = { fencingToken: 7, idle: async () => {} } as ShardOwner;
+    return await handOver(shard, "leaving", { clock, log, peers, selfId: "entry-1" }) ? "claimed by a peer" : "kept";
+};
+
+const ownerWatch = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const claims: string[] = [];
+    const watch = watchOwner({
+        clock,
+        log,
+        selfId: "entry-1",
+        peers: examplePeers(clock, false),
+        known: () => ({ row: owner, version: 7 }),
+        owns: () => claims.length > 0,
+        isSettled: () => true,
+        isLeaving: () => false,
+        readOwner: async () => true,
+        claim: async (version, why) => claims.push(`${version} ${why}`),
+        onAnswer: () => {},
+        onOwnerAnswer: () => {},
+        onOwnRound: () => {},
+        onPeersPinged: () => {},
+    });
+    await clock.advance(1_000);
+    watch.close();
+    return claims.join(", ");
+};
+
 const cellMember = async (): Promise<string> => {
     const cell = createShardCell({ members: 3, workers: 2, seed: 1 });
     await cell.clock.advance(2_000);
@@ -543,6 +604,9 @@
     claimShard: claim,
     commitLog,
     evacuate,
+    handOver: handOverExample,
+    ownerWatch,
+    peers: peersExample,
     forward,
     jobBook,
     jobRows,
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -18,11 +18,13 @@
 import type { Clock, Log, Meter, Random } from "../../types/ports.js";
 import type { UpkeepWave, VmPort, WaveState } from "../../types/upkeep.js";
 import type { CellConfiguration, JobState, JobSubmission, WorkerEntry } from "../../types/work.js";
-import { die, failureOf, kindOf } from "../../utils/errors.js";
-import { hash } from "../../utils/rendezvous.js";
+import { die, failureOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
 import { claimShard } from "./claimShard.js";
 import { createForward } from "./forward.js";
+import { handOver } from "./handOver.js";
+import { type KnownOwner, watchOwner } from "./ownerWatch.js";
+import { createPeers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
 import { type ShardOwner, startShardOwner } from "./shardOwner.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { ownerKey, ownerTable } from "./shardTables.js";
@@ -83,48 +85,15 @@
 
 /** The one shard of today's sites; docs/design/platform.md has the arithmetic for more. */
 const part = "shard-0";
-const pingIntervalMs = 200;
 /** How long the store may take to write this daemon's entry. */
 const enterTimeoutMs = 1_500;
-/** An owner pings its peers, which are its lanes to the advisor, every second round; the others every tenth. */
-const ownerPingRounds = 2;
-const memberPingRounds = 10;
-/** After a ping that failed the next one comes sooner. */
-const failedPingIntervalMs = 50;
-/** An answer takes some 10 ms; a VM that is 5 times slowed still makes it. */
-const pingTimeoutMs = 350;
-/** Pings in a row without any answer before the owner counts as lost. */
-const silentPingsToClaim = 2;
-/** How long a peer may take to say whether it sees the owner. */
-const peerOpinionMs = 200;
-/** An answer from the owner within this time speaks against a peer that finds it silent. */
-const freshAnswerMs = 450;
 /** Without an owner for this long, a daemon asks the balancer for no more callers. */
 const readyWithoutOwnerMs = 450;
-/** Each place in the order of candidates waits this much longer. */
-const rankDelayMs = 120;
-/** A candidate that reaches too few of its peers waits this much longer, so that a cut-off minority does not claim. */
-const minorityDelayMs = 2_500;
-const minorityAsks = 2;
 /** Timers of an owner that are late by this much, on average over a second, tell that its VM has turned slow. */
 const slowOwnerLagMs = 60;
-/**
- * An owner whose commits found no answer for this long is replaced by a peer that the store answers quickly. Of the copies
- * that it sends by then, at 0, 80 and 240 ms, each may lose its answer one time in three.
- */
-const stalledOwnerMs = 400;
-/** A store that answers a read, which takes some 6 ms, within this time is well, and an owner that waits for it is not. */
-const quickReadMs = 60;
-/** A store that answers a read within this time can carry a claim. */
-const claimReadMs = 800;
 /** Counts older than this are not told. */
 const countsFreshMs = 1_800;
 
-interface KnownOwner {
-    readonly row: OwnerRow;
-    readonly version: number;
-}
-
 /**
  * Starts a member; it enters itself in the store and watches from then on.
  *
@@ -134,8 +103,7 @@
  */
 export const startCellMember = (options: CellMemberOptions): CellMember => {
     const { clock, log, meter, settings, self, store, members, platform } = options;
-    const peers = new Map<string, MemberRow>();
-    const peerAnsweredAtMs = new Map<string, number>();
+    const peers = createPeers({ clock, log, self, members });
     /** Waves of upkeep by the key of their row. */
     const waves = new Map<string, UpkeepWave>();
     let workerWatch: TableWatch | undefined;
@@ -149,14 +117,9 @@
     /** Claims no shard any more. */
     let leaving = false;
     let closed = false;
-    let ownerLostAtMs: number | undefined;
-    let silentPings = 0;
-    let ownerAnsweredAtMs = -Infinity;
     let lastOwnedAtMs = clock.monotonicMs();
     let pendingCounts: { readonly counts: Readonly<Record<string, number>>; readonly atMs: number; } | undefined;
-    let wakeWatch: (() => void) | undefined;
     let yielding = false;
-    const leavingPeers = new Set<string>();
 
     const adopt = (next: CellConfiguration, source: string): void => {
         if (configuration !== undefined && next.version <= configuration.version) {
@@ -172,8 +135,7 @@
             return;
         }
         knownOwner = { row: JSON.parse(row.value) as OwnerRow, version: row.version };
-        silentPings = 0;
-        ownerLostAtMs = undefined;
+        watch.reset();
         log.write("info", "ownerKnown", { owner: knownOwner.row.memberId, fencingToken: row.version });
         if (owner !== undefined && row.version > owner.fencingToken) {
             loseShard("ownerRow");
@@ -191,14 +153,6 @@
         workerWatch?.stop();
     };
 
-    const liveLanes = (): readonly string[] => {
-        const nowMs = clock.monotonicMs();
-        const live = [...peers.keys()].filter(id =>
-            nowMs - (peerAnsweredAtMs.get(id) ?? -Infinity) < 3 * pingIntervalMs
-        );
-        return [self.memberId, ...live];
-    };
-
     const claim = async (seenVersion: number, why: string): Promise<boolean> => {
         if (claiming || leaving || closed) {
             return false;
@@ -237,9 +191,9 @@
                 part,
                 claimId,
                 claimed,
-                adviceLanes: liveLanes,
+                adviceLanes: peers.live,
                 callAdvice: (laneId, request) => {
-                    const peer = peers.get(laneId);
+                    const peer = peers.all.get(laneId);
                     return laneId === self.memberId || peer === undefined
                         ? options.advisor.advise(request)
                         : members.call(peer.address, "advise", request, request.timeoutMs);
@@ -280,244 +234,38 @@
         }
     };
 
-    const forEachLost = async <T>(run: () => Promise<T>): Promise<T | undefined> => {
-        try {
-            return await run();
-        }
-        catch (error) {
-            log.write("debug", "peerSilent", { reason: failureOf(error).message });
-            return undefined;
-        }
-    };
-
-    /** Whether a peer had an answer from the owner within the last moments; then the fault is on this side. */
-    const peersSeeOwner = async (version: number): Promise<{ readonly seen: boolean; readonly answered: number; }> => {
-        const others = [...peers.values()].filter(peer => peer.memberId !== knownOwner?.row.memberId);
-        const ask = (peer: MemberRow): Promise<PingAnswer | undefined> =>
-            forEachLost(() => members.call(peer.address, "ping", { from: self.memberId }, peerOpinionMs));
-        const answers = await Promise.all(others.map(ask));
-        const answered = answers.filter(answer => answer !== undefined);
-        return {
-            seen: version > 0 && answered.some(answer => answer.seenOwnerToken === version),
-            answered: answered.length,
-        };
-    };
-
-    const rankOf = (version: number): number => {
-        const score = (id: string): number => hash(`${version}|${id}`);
-        const mine = score(self.memberId);
-        return liveLanes().filter(id => id !== knownOwner?.row.memberId && score(id) > mine).length;
-    };
-
-    const considerClaim = async (why: string): Promise<void> => {
-        if (claiming || leaving || owner !== undefined || !ownerRead) {
-            return;
-        }
-        const version = knownOwner?.version ?? 0;
-        if (knownOwner?.row.memberId === self.memberId) {
-            // This VM's former process owned it, and is surely over.
-            await claim(version, why);
-            return;
-        }
-        ownerLostAtMs ??= clock.monotonicMs();
-        const lostForMs = clock.monotonicMs() - ownerLostAtMs;
-        if (lostForMs < rankOf(version) * rankDelayMs) {
-            return;
-        }
-        const { seen, answered } = await peersSeeOwner(version);
-        if (seen) {
-            ownerLostAtMs = clock.monotonicMs();
-            return;
-        }
-        const others = Math.max(0, peers.size - 1);
-        const minority = 2 * answered < others;
-        if (minority && lostForMs < minorityDelayMs) {
-            return;
-        }
-        // A claim that is sent into an outage might take effect after it, when nobody needs it.
-        if (!await storeAnswers(claimReadMs) || minority && await ownerAnswers(version)) {
-            return;
-        }
-        if ((knownOwner?.version ?? 0) === version && owner === undefined) {
-            await claim(version, why);
-        }
-    };
-
-    /**
-     * A cut may just have healed: once the store answers, a minority asks the owner before it replaces it, and once more
-     * where the first call was lost to a connection that was begun during the cut.
-     */
-    const ownerAnswers = async (version: number): Promise<boolean> => {
-        const address = knownOwner?.row.address;
-        for (let tries = 0; address !== undefined && tries < minorityAsks; tries += 1) {
-            const answer = await forEachLost(() =>
-                members.call(address, "ping", { from: self.memberId }, pingTimeoutMs)
-            );
-            if (answer !== undefined) {
-                return answer.ownedToken === version;
-            }
-        }
-        return false;
-    };
-
-    const storeAnswers = async (withinMs: number): Promise<boolean> => {
-        const startedAtMs = clock.monotonicMs();
-        const page = await forEachLost(() => store.read(ownerTable, part));
-        for (const row of page?.rows ?? []) {
-            if (row.key === ownerKey) {
-                learnOwner(row);
-            }
-        }
-        return page !== undefined && clock.monotonicMs() - startedAtMs < withinMs;
-    };
-
-    /** An owner that answers its peers and cannot reach the store gives way to one that can. */
-    const replaceStalled = async (version: number, stalledMs: number): Promise<void> => {
-        if (claiming || leaving || stalledMs < stalledOwnerMs + rankOf(version) * rankDelayMs) {
-            return;
-        }
-        if (await storeAnswers(quickReadMs) && knownOwner?.version === version && owner === undefined) {
-            await claim(version, "ownerStalled");
-        }
-    };
-
-    const takePing = (answer: PingAnswer): void => {
-        ownerAnsweredAtMs = clock.monotonicMs();
-        silentPings = 0;
-        ownerLostAtMs = undefined;
-        pendingCounts = { counts: answer.pending, atMs: clock.monotonicMs() };
-    };
-
-    const pingOwner = async ({ row, version }: KnownOwner): Promise<void> => {
+    const readOwner = async (withinMs: number): Promise<boolean> => {
         const startedAtMs = clock.monotonicMs();
         try {
-            const answer = await members.call(row.address, "ping", { from: self.memberId }, pingTimeoutMs);
-            peerAnsweredAtMs.set(row.memberId, clock.monotonicMs());
-            if (knownOwner?.version !== version) {
-                return;
-            }
-            if (answer.configurationVersion > (configuration?.version ?? 0)) {
-                void fetchConfiguration(row.address);
-            }
-            if (answer.ownedToken === version) {
-                takePing(answer);
-                await replaceStalled(version, answer.storeStalledMs);
-                return;
-            }
-            // The process is another one, or gave the shard up; a claim under way shows no token yet.
-            if (answer.incarnation !== row.incarnation || clock.monotonicMs() - startedAtMs < pingTimeoutMs) {
-                silentPings += 1;
+            const page = await store.read(ownerTable, part);
+            for (const row of page.rows.filter(each => each.key === ownerKey)) {
+                learnOwner(row);
             }
         }
         catch (error) {
-            silentPings += 1;
-            log.write("warn", "ownerSilent", { owner: row.memberId, kind: kindOf(error), silentPings });
-        }
-        if (knownOwner?.version === version && silentPings >= silentPingsToClaim) {
-            await considerClaim("ownerSilent");
-        }
-    };
-
-    const fetchConfiguration = async (address: string): Promise<void> => {
-        const next = await forEachLost(() =>
-            members.call(address, "configuration", { from: self.memberId }, pingTimeoutMs)
-        );
-        if (next !== undefined) {
-            adopt(next, "peer");
-        }
-    };
-
-    const notePeer = (peerId: string, answer: PingAnswer): void => {
-        if (answer.leaving) {
-            leavingPeers.add(peerId);
-        }
-        else {
-            leavingPeers.delete(peerId);
-        }
-    };
-
-    const pingPeers = (): void => {
-        for (const peer of peers.values()) {
-            if (peer.memberId === knownOwner?.row.memberId && owner === undefined) {
-                continue;
-            }
-            void forEachLost(async () => {
-                const answer = await members.call(peer.address, "ping", { from: self.memberId }, pingTimeoutMs);
-                peerAnsweredAtMs.set(peer.memberId, clock.monotonicMs());
-                notePeer(peer.memberId, answer);
-                if (answer.configurationVersion > (configuration?.version ?? 0)) {
-                    await fetchConfiguration(peer.address);
-                }
-            });
+            log.write("debug", "storeSilent", { reason: failureOf(error).message });
+            return false;
         }
-        owner?.wake();
+        return clock.monotonicMs() - startedAtMs < withinMs;
     };
 
-    /** The owner pings everyone, since its peers are its lanes to the advisor; the others ping the owner. */
-    const watchOnce = async (round: number): Promise<void> => {
-        if (owner !== undefined) {
-            lastOwnedAtMs = clock.monotonicMs();
-            pendingCounts = { counts: owner.pending(), atMs: clock.monotonicMs() };
-            if (round % ownerPingRounds === 0) {
-                pingPeers();
-            }
-            void yieldIfSlow();
+    const takeNewer = (address: string, { configurationVersion }: PingAnswer): void => {
+        if (configurationVersion <= (configuration?.version ?? 0)) {
             return;
         }
-        if (!ownerRead || claiming) {
-            return;
-        }
-        if (knownOwner === undefined || knownOwner.row.memberId === self.memberId) {
-            await considerClaim(knownOwner === undefined ? "noOwner" : "restarted");
-        }
-        else {
-            await pingOwner(knownOwner);
-        }
-        if (round % memberPingRounds === 0) {
-            pingPeers();
-        }
-    };
-
-    const watchOwner = async (): Promise<void> => {
-        for (let round = 1; !closed; round += 1) {
-            try {
-                await watchOnce(round);
-            }
-            catch (error) {
-                // Without this watch the daemon would never take over again.
-                log.write("error", "ownerWatchFailed", { ...failureOf(error) });
+        void peers.ask(address, "configuration", { from: self.memberId }, pingTimeoutMs).then(next => {
+            if (next !== undefined) {
+                adopt(next, "peer");
             }
-            await new Promise<void>(resolve => {
-                const cancel = clock.setTimer(silentPings > 0 ? failedPingIntervalMs : pingIntervalMs, resolve);
-                wakeWatch = () => {
-                    cancel();
-                    resolve();
-                };
-            });
-        }
+        });
     };
 
-    /** Lets a peer claim the shard; the one that started last is the least likely to stop soon. */
-    const handOver = async (shard: ShardOwner, why: string): Promise<boolean> => {
-        await Promise.race([shard.idle(), sleep(clock, pingTimeoutMs)]);
-        const startedAt = (peerId: string): number => Number.parseInt(peers.get(peerId)?.incarnation ?? "0", 10);
-        const candidates = liveLanes().filter(id => id !== self.memberId && !leavingPeers.has(id));
-        for (const peerId of candidates.sort((left, right) => startedAt(right) - startedAt(left))) {
-            const peer = peers.get(peerId);
-            if (peer === undefined) {
-                continue;
-            }
-            const call = members.call(peer.address, "handOver", { token: shard.fencingToken }, 2 * pingTimeoutMs);
-            const claimed = (await forEachLost(() => call))?.claimed ?? false;
-            log.write("info", "handOver", { to: peerId, claimed, why });
-            if (claimed) {
-                if (owner === shard) {
-                    loseShard(why);
-                }
-                return true;
-            }
+    const giveAway = async (shard: ShardOwner, why: string): Promise<boolean> => {
+        const claimed = await handOver(shard, why, { clock, log, peers, selfId: self.memberId });
+        if (claimed && owner === shard) {
+            loseShard(why);
         }
-        return false;
+        return claimed;
     };
 
     /** An owner whose VM has turned slow gives way to a peer. */
@@ -526,10 +274,18 @@
             return;
         }
         yielding = true;
-        await handOver(owner, "slow");
+        await giveAway(owner, "slow");
         yielding = false;
     };
 
+    const noteOwnership = (): void => {
+        if (owner !== undefined) {
+            lastOwnedAtMs = clock.monotonicMs();
+            pendingCounts = { counts: owner.pending(), atMs: clock.monotonicMs() };
+            void yieldIfSlow();
+        }
+    };
+
     const enterSelf = async (): Promise<void> => {
         const row = { table: memberTable, part: "", key: self.memberId };
         while (!closed) {
@@ -562,7 +318,7 @@
         }
     };
 
-    const watches = [
+    const tableWatches = [
         watchTable({
             clock,
             log,
@@ -576,7 +332,7 @@
             },
             onWhole: () => {
                 ownerRead = true;
-                wakeWatch?.();
+                watch.wake();
             },
         }),
         watchTable({
@@ -585,16 +341,7 @@
             store,
             table: memberTable,
             parts: [""],
-            onRows: rows => {
-                for (const row of rows) {
-                    if (row.value === undefined) {
-                        peers.delete(row.key);
-                    }
-                    else if (row.key !== self.memberId) {
-                        peers.set(row.key, JSON.parse(row.value) as MemberRow);
-                    }
-                }
-            },
+            onRows: peers.take,
             onWhole: () => {},
         }),
         watchTable({
@@ -615,8 +362,25 @@
         }),
     ];
 
+    const watch = watchOwner({
+        clock,
+        log,
+        selfId: self.memberId,
+        peers,
+        known: () => knownOwner,
+        owns: () => owner !== undefined,
+        isSettled: () => ownerRead && !claiming,
+        isLeaving: () => leaving,
+        readOwner,
+        claim,
+        onAnswer: takeNewer,
+        onOwnerAnswer: answer => {
+            pendingCounts = { counts: answer.pending, atMs: clock.monotonicMs() };
+        },
+        onOwnRound: noteOwnership,
+        onPeersPinged: () => owner?.wake(),
+    });
     void enterSelf();
-    void watchOwner();
 
     const forward = createForward({
         clock,
@@ -624,7 +388,7 @@
         shard: () => owner,
         ownerAddress: () =>
             knownOwner === undefined || knownOwner.row.memberId === self.memberId ? undefined : knownOwner.row.address,
-        ownerLostMs: () => clock.monotonicMs() - Math.max(ownerAnsweredAtMs, lastOwnedAtMs),
+        ownerLostMs: () => clock.monotonicMs() - Math.max(watch.answeredAtMs(), lastOwnedAtMs),
     });
 
     const owned = (): ShardOwner => owner ?? die("unavailable", "this daemon does not own the shard");
@@ -634,7 +398,7 @@
         configuration: () => configuration,
         ready: () =>
             !leaving && configuration !== undefined
-            && (owner !== undefined || clock.monotonicMs() - ownerAnsweredAtMs < readyWithoutOwnerMs),
+            && (owner !== undefined || clock.monotonicMs() - watch.answeredAtMs() < readyWithoutOwnerMs),
         submit: (submission, patienceMs) =>
             forward.run({
                 local: shard => shard.submit(submission),
@@ -668,10 +432,7 @@
                 storeStalledMs: owner?.stalledMs() ?? 0,
                 configurationVersion: configuration?.version ?? 0,
                 pending: owner?.pending() ?? {},
-                seenOwnerToken: owner?.fencingToken
-                    ?? (silentPings === 0 && clock.monotonicMs() - ownerAnsweredAtMs < freshAnswerMs
-                        ? knownOwner?.version ?? 0
-                        : 0),
+                seenOwnerToken: owner?.fencingToken ?? watch.seenToken(),
                 leaving,
                 lagMs: owner?.lagMs() ?? 0,
             }),
@@ -689,7 +450,7 @@
         leave: async untilMs => {
             leaving = true;
             while (owner !== undefined && clock.monotonicMs() < untilMs) {
-                if (!await handOver(owner, "leaving")) {
+                if (!await giveAway(owner, "leaving")) {
                     await sleep(clock, pingIntervalMs);
                 }
             }
@@ -697,9 +458,10 @@
         },
         close: () => {
             closed = true;
+            watch.close();
             loseShard("closing");
-            for (const watch of watches) {
-                watch.stop();
+            for (const tableWatch of tableWatches) {
+                tableWatch.stop();
             }
         },
     };
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -109,16 +109,16 @@
     took(worker: ShardWorker): void;
 }
 
-/** Whether the step may run there now, whatever room is left, or nobody has asked yet whether it may. */
-const mightRun = (worker: ShardWorker, step: ShardStep, { nowMs, rack }: ChoiceLimits): boolean =>
-    isOpen(worker, nowMs) && suits(worker, step)
+/** Whether the step may run there, now or once the worker answers again, or nobody has asked yet whether it may. */
+const mightRun = (worker: ShardWorker, step: ShardStep, { rack }: ChoiceLimits): boolean =>
+    worker.unlistedAtMs === undefined && !worker.entry.draining && suits(worker, step)
     && (rack === undefined || worker.entry.rack === rack)
     && (step.occurrence.job.queue.advice === undefined || step.advice.good.has(worker.workerId)
         || !step.advice.asked.has(worker.workerId));
 
 /**
  * Prepares the choice of workers for a step. A worker on which a task failed is chosen for it only where no other may
- * run it, with room or without.
+ * run it, with room or without, open or not.
  *
  * @example
  * const chooser = createChooser(step, workers.values(), { nowMs: clock.monotonicMs() });
@@ -132,17 +132,27 @@
     const { spec } = step;
     const held = heldBy(spec);
     const runs = countRuns(step);
-    const allowed: Candidate[] = [];
-    for (const worker of workers) {
-        if (mightRun(worker, step, limits)) {
-            allowed.push({
+    const all = [...workers];
+    const usable: Candidate[] = [];
+    for (const worker of all) {
+        if (
+            isOpen(worker, limits.nowMs) && suits(worker, step)
+            && (limits.rack === undefined || worker.entry.rack === limits.rack)
+            && ticketFor(step, worker.workerId, limits.nowMs) !== undefined
+        ) {
+            usable.push({
                 worker,
                 fixed: fixedScore(worker, step) - disturbance(worker, spec),
                 runs: runs.get(worker.workerId) ?? 0,
             });
         }
     }
-    const usable = allowed.filter(({ worker }) => ticketFor(step, worker.workerId, limits.nowMs) !== undefined);
+
+    /** A worker that is silent or rests for a moment is worth waiting for: going back may use up the last attempt. */
+    const hasUntried = ({ failedOn }: ShardTask, except?: ReadonlySet<string>): boolean =>
+        all.some(worker =>
+            !failedOn.has(worker.workerId) && except?.has(worker.workerId) !== true && mightRun(worker, step, limits)
+        );
 
     const hasRoomFor = ({ worker, runs: here }: Candidate): boolean =>
         (spec.maxPerWorker === 0 || here < spec.maxPerWorker) && fits(held, roomOf(worker));
@@ -152,10 +162,7 @@
 
     return {
         choose: (task, except) => {
-            const avoidsFailed = task.failedOn.size > 0
-                && allowed.some(({ worker }) =>
-                    !task.failedOn.has(worker.workerId) && except?.has(worker.workerId) !== true
-                );
+            const avoidsFailed = task.failedOn.size > 0 && hasUntried(task, except);
             let best: ShardWorker | undefined;
             let bestScore = -Infinity;
             for (const candidate of usable) {
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -0,0 +1,281 @@
+/**
+ * Watches the owner of a shard from another daemon: it pings the owner, asks the other daemons where the owner is silent, and
+ * decides when this one claims the shard.
+ */
+
+import type { OwnerRow, PingAnswer } from "../../types/cellPorts.js";
+import type { Clock, Log } from "../../types/ports.js";
+import { failureOf } from "../../utils/errors.js";
+import { hash } from "../../utils/rendezvous.js";
+import { type Peers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
+
+/** An owner as its row says, with the row's version, which is its fencing token. */
+export interface KnownOwner {
+    readonly row: OwnerRow;
+    readonly version: number;
+}
+
+/** What the watch needs. */
+export interface OwnerWatchOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly selfId: string;
+    readonly peers: Peers;
+    /** The newest owner's row that is known. */
+    readonly known: () => KnownOwner | undefined;
+    /** True while this daemon owns the shard. */
+    readonly owns: () => boolean;
+    /** True once the owner's row was read, and while no claim is under way. */
+    readonly isSettled: () => boolean;
+    /** True while this daemon claims no shard any more. */
+    readonly isLeaving: () => boolean;
+    /** Reads the owner's row again; false where the store did not answer within the time. */
+    readonly readOwner: (withinMs: number) => Promise<boolean>;
+    readonly claim: (seenVersion: number, why: string) => Promise<unknown>;
+    /** A daemon answered, which may have a newer configuration. */
+    readonly onAnswer: (address: string, answer: PingAnswer) => void;
+    /** The owner answered. */
+    readonly onOwnerAnswer: (answer: PingAnswer) => void;
+    /** Called in each round while this daemon owns the shard. */
+    readonly onOwnRound: () => void;
+    /** After the peers were pinged. */
+    readonly onPeersPinged: () => void;
+}
+
+/** A watch of the owner. */
+export interface OwnerWatch {
+    /** Local time of the owner's newest answer. */
+    answeredAtMs(): number;
+    /** Token of the owner that answered within the last moments; 0 for none. */
+    seenToken(): number;
+    /** The owner's row changed. */
+    reset(): void;
+    /** Begins the next round at once. */
+    wake(): void;
+    close(): void;
+}
+
+/** An owner pings its peers, which are its lanes to the advisor, every second round; the others every tenth. */
+const ownerPingRounds = 2;
+const memberPingRounds = 10;
+/** After a ping that failed the next one comes sooner. */
+const failedPingIntervalMs = 50;
+/** Pings in a row without any answer before the owner counts as lost. */
+const silentPingsToClaim = 2;
+/** How long a peer may take to say whether it sees the owner. */
+const peerOpinionMs = 200;
+/** An answer from the owner within this time speaks against a peer that finds it silent. */
+const freshAnswerMs = 450;
+/** Each place in the order of candidates waits this much longer. */
+const rankDelayMs = 120;
+/** A candidate that reaches too few of its peers waits this much longer, so that a cut-off minority does not claim. */
+const minorityDelayMs = 2_500;
+const minorityAsks = 2;
+/**
+ * An owner whose commits found no answer for this long is replaced by a peer that the store answers quickly. Of the copies
+ * that it sends by then, at 0, 80 and 240 ms, each may lose its answer one time in three.
+ */
+const stalledOwnerMs = 400;
+/** A store that answers a read, which takes some 6 ms, within this time is well, and an owner that waits for it is not. */
+const quickReadMs = 60;
+/** A store that answers a read within this time can carry a claim. */
+const claimReadMs = 800;
+
+/**
+ * Starts to watch the owner of a shard.
+ *
+ * @example
+ * const watch = watchOwner({ clock, log, selfId, peers, known, owns, isSettled, isLeaving, readOwner, claim, onAnswer, onOwnerAnswer, onOwnRound, onPeersPinged });
+ */
+export const watchOwner = (options: OwnerWatchOptions): OwnerWatch => {
+    const { clock, log, selfId, peers, known, owns, isSettled, isLeaving, readOwner, claim } = options;
+    let closed = false;
+    let silentPings = 0;
+    let lostAtMs: number | undefined;
+    let answeredAtMs = -Infinity;
+    let endPause: (() => void) | undefined;
+
+    const mayClaim = (): boolean => isSettled() && !isLeaving() && !owns();
+
+    const versionNow = (): number => known()?.version ?? 0;
+
+    /** Whether a peer had an answer from the owner within the last moments; then the fault is on this side. */
+    const peersSeeOwner = async (version: number): Promise<{ readonly seen: boolean; readonly answered: number; }> => {
+        const others = [...peers.all.values()].filter(peer => peer.memberId !== known()?.row.memberId);
+        const answers = await Promise.all(
+            others.map(peer => peers.ask(peer.address, "ping", { from: selfId }, peerOpinionMs)),
+        );
+        const answered = answers.filter(answer => answer !== undefined);
+        return {
+            seen: version > 0 && answered.some(answer => answer.seenOwnerToken === version),
+            answered: answered.length,
+        };
+    };
+
+    const rankOf = (version: number): number => {
+        const score = (id: string): number => hash(`${version}|${id}`);
+        const mine = score(selfId);
+        return peers.live().filter(id => id !== known()?.row.memberId && score(id) > mine).length;
+    };
+
+    /**
+     * A cut may just have healed: once the store answers, a minority asks the owner before it replaces it, and once more
+     * where the first call was lost to a connection that was begun during the cut.
+     */
+    const ownerAnswers = async (version: number): Promise<boolean> => {
+        const address = known()?.row.address;
+        for (let tries = 0; address !== undefined && tries < minorityAsks; tries += 1) {
+            const answer = await peers.ask(address, "ping", { from: selfId }, pingTimeoutMs);
+            if (answer !== undefined) {
+                return answer.ownedToken === version;
+            }
+        }
+        return false;
+    };
+
+    const considerClaim = async (why: string): Promise<void> => {
+        if (!mayClaim()) {
+            return;
+        }
+        const version = versionNow();
+        if (known()?.row.memberId === selfId) {
+            // This VM's former process owned it, and is surely over.
+            await claim(version, why);
+            return;
+        }
+        lostAtMs ??= clock.monotonicMs();
+        const lostForMs = clock.monotonicMs() - lostAtMs;
+        if (lostForMs < rankOf(version) * rankDelayMs) {
+            return;
+        }
+        const { seen, answered } = await peersSeeOwner(version);
+        if (seen) {
+            lostAtMs = clock.monotonicMs();
+            return;
+        }
+        const minority = 2 * answered < Math.max(0, peers.all.size - 1);
+        if (minority && lostForMs < minorityDelayMs) {
+            return;
+        }
+        // A claim that is sent into an outage might take effect after it, when nobody needs it.
+        if (!await readOwner(claimReadMs) || minority && await ownerAnswers(version)) {
+            return;
+        }
+        if (versionNow() === version && !owns()) {
+            await claim(version, why);
+        }
+    };
+
+    /** An owner that answers its peers and cannot reach the store gives way to one that can. */
+    const replaceStalled = async (version: number, stalledMs: number): Promise<void> => {
+        if (!mayClaim() || stalledMs < stalledOwnerMs + rankOf(version) * rankDelayMs) {
+            return;
+        }
+        if (await readOwner(quickReadMs) && versionNow() === version && !owns()) {
+            await claim(version, "ownerStalled");
+        }
+    };
+
+    const noteOwnerAnswer = (): void => {
+        answeredAtMs = clock.monotonicMs();
+        silentPings = 0;
+        lostAtMs = undefined;
+    };
+
+    const pingOwner = async ({ row, version }: KnownOwner): Promise<void> => {
+        const startedAtMs = clock.monotonicMs();
+        const answer = await peers.ping(row, kind => {
+            silentPings += 1;
+            log.write("warn", "ownerSilent", { owner: row.memberId, kind, silentPings });
+        });
+        if (answer !== undefined && versionNow() === version) {
+            options.onAnswer(row.address, answer);
+            if (answer.ownedToken === version) {
+                noteOwnerAnswer();
+                options.onOwnerAnswer(answer);
+                await replaceStalled(version, answer.storeStalledMs);
+                return;
+            }
+            // The process is another one, or gave the shard up; a claim under way shows no token yet.
+            const tookMs = clock.monotonicMs() - startedAtMs;
+            silentPings += answer.incarnation !== row.incarnation || tookMs < pingTimeoutMs ? 1 : 0;
+        }
+        if (versionNow() === version && silentPings >= silentPingsToClaim) {
+            await considerClaim("ownerSilent");
+        }
+    };
+
+    const pingPeers = (): void => {
+        for (const peer of peers.all.values()) {
+            if (peer.memberId === known()?.row.memberId && !owns()) {
+                continue;
+            }
+            void peers.ping(peer).then(answer => {
+                if (answer !== undefined) {
+                    options.onAnswer(peer.address, answer);
+                }
+            });
+        }
+        options.onPeersPinged();
+    };
+
+    /** The owner pings everyone, since its peers are its lanes to the advisor; the others ping the owner. */
+    const watchOnce = async (round: number): Promise<void> => {
+        if (owns()) {
+            options.onOwnRound();
+            if (round % ownerPingRounds === 0) {
+                pingPeers();
+            }
+            return;
+        }
+        if (!isSettled()) {
+            return;
+        }
+        const owner = known();
+        if (owner === undefined || owner.row.memberId === selfId) {
+            await considerClaim(owner === undefined ? "noOwner" : "restarted");
+        }
+        else {
+            await pingOwner(owner);
+        }
+        if (round % memberPingRounds === 0) {
+            pingPeers();
+        }
+    };
+
+    const pause = (delayMs: number): Promise<void> =>
+        new Promise(resolve => {
+            const cancel = clock.setTimer(delayMs, resolve);
+            endPause = () => {
+                cancel();
+                resolve();
+            };
+        });
+
+    const watch = async (): Promise<void> => {
+        for (let round = 1; !closed; round += 1) {
+            try {
+                await watchOnce(round);
+            }
+            catch (error) {
+                // Without this watch the daemon would never take over again.
+                log.write("error", "ownerWatchFailed", { ...failureOf(error) });
+            }
+            await pause(silentPings > 0 ? failedPingIntervalMs : pingIntervalMs);
+        }
+    };
+
+    void watch();
+    return {
+        answeredAtMs: () => answeredAtMs,
+        seenToken: () => silentPings === 0 && clock.monotonicMs() - answeredAtMs < freshAnswerMs ? versionNow() : 0,
+        reset: () => {
+            silentPings = 0;
+            lostAtMs = undefined;
+        },
+        wake: () => endPause?.(),
+        close: () => {
+            closed = true;
+        },
+    };
+};
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/peers.ts
@@ -0,0 +1,100 @@
+/** The other daemons of a cell: who they are, which of them answer, and which are about to stop. */
+
+import type { MemberCallName, MemberCalls, MemberPort, MemberRow, PingAnswer, Row } from "../../types/cellPorts.js";
+import type { Clock, Log } from "../../types/ports.js";
+import { type ErrorKind, failureOf } from "../../utils/errors.js";
+
+/** What the table of peers needs. */
+export interface PeersOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly self: MemberRow;
+    readonly members: MemberPort;
+}
+
+/** The other daemons. */
+export interface Peers {
+    readonly all: ReadonlyMap<string, MemberRow>;
+    /** New or changed entries of daemons. */
+    take(rows: readonly Row[]): void;
+    /** Calls a daemon; undefined where it gave no answer. */
+    ask<N extends MemberCallName>(
+        address: string,
+        name: N,
+        input: MemberCalls[N]["input"],
+        timeoutMs: number,
+        onSilent?: (kind: ErrorKind) => void,
+    ): Promise<MemberCalls[N]["output"] | undefined>;
+    /** Pings a peer and notes that it answers, and whether it is leaving. */
+    ping(peer: MemberRow, onSilent?: (kind: ErrorKind) => void): Promise<PingAnswer | undefined>;
+    /** Ids of the daemons that answered lately, this one first. */
+    live(): readonly string[];
+    isLeaving(peerId: string): boolean;
+}
+
+/** Between two pings of the owner. */
+export const pingIntervalMs = 200;
+/** An answer takes some 10 ms; a VM that is 5 times slowed still makes it. */
+export const pingTimeoutMs = 350;
+/** A peer that missed two pings in a row is not counted on. */
+const liveMs = 3 * pingIntervalMs;
+
+/**
+ * Makes the table of peers; it is empty before the first entries.
+ *
+ * @example
+ * const peers = createPeers({ clock, log, self, members });
+ * peers.take(rows);
+ */
+export const createPeers = ({ clock, log, self, members }: PeersOptions): Peers => {
+    const all = new Map<string, MemberRow>();
+    const answeredAtMs = new Map<string, number>();
+    const leaving = new Set<string>();
+
+    const ask: Peers["ask"] = async (address, name, input, timeoutMs, onSilent) => {
+        try {
+            return await members.call(address, name, input, timeoutMs);
+        }
+        catch (error) {
+            const { kind, message } = failureOf(error);
+            log.write("debug", "peerSilent", { address, call: name, reason: message });
+            onSilent?.(kind);
+            return undefined;
+        }
+    };
+
+    return {
+        all,
+        take: rows => {
+            for (const row of rows) {
+                if (row.value === undefined) {
+                    all.delete(row.key);
+                }
+                else if (row.key !== self.memberId) {
+                    all.set(row.key, JSON.parse(row.value) as MemberRow);
+                }
+            }
+        },
+        ask,
+        ping: async (peer, onSilent) => {
+            const answer = await ask(peer.address, "ping", { from: self.memberId }, pingTimeoutMs, onSilent);
+            if (answer === undefined) {
+                return undefined;
+            }
+            answeredAtMs.set(peer.memberId, clock.monotonicMs());
+            if (answer.leaving) {
+                leaving.add(peer.memberId);
+            }
+            else {
+                leaving.delete(peer.memberId);
+            }
+            return answer;
+        },
+        live: () => {
+            const nowMs = clock.monotonicMs();
+            const answering = [...all.keys()].filter(id => nowMs - (answeredAtMs.get(id) ?? -Infinity) < liveMs);
+            return [self.memberId, ...answering];
+        },
+        isLeaving: peerId => leaving.has(peerId),
+    };
+};
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -108,6 +108,9 @@
 export { defaultShardSettings, type ShardSettings } from "./internal.js";
 export { endedTable, journalTable, ownerKey, ownerTable, sequenceKey, upkeepTable } from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
+export { handOver, type HandOverOptions } from "./internal.js";
+export { type KnownOwner, type OwnerWatch, type OwnerWatchOptions, watchOwner } from "./internal.js";
+export { createPeers, type Peers, type PeersOptions } from "./internal.js";
 export { mayGoDown, runsToMove } from "./internal.js";
 export { startUpkeep, type Upkeep, type UpkeepOptions } from "./internal.js";
 export { createWaveRows, type WaveRows, type WaveRowsOptions } from "./internal.js";
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -99,6 +99,17 @@
     },
     "worker cut": cell => workerFault(cell, "cut", 1),
     "all workers cut": cell => workerFault(cell, "cut", cell.workers.workerIds().length),
+    "all workers cut but the first": cell => {
+        const others = cell.workers.workerIds().slice(1);
+        for (const workerId of others) {
+            cell.workers.setFault(workerId, "cut");
+        }
+        return () => {
+            for (const workerId of others) {
+                cell.workers.setFault(workerId, "none");
+            }
+        };
+    },
     "worker carries out late": cell => workerFault(cell, "late", 1),
     "worker fails everything": cell => workerFault(cell, "failing", 1),
     "worker crashes": cell => {
@@ -124,7 +135,7 @@
 const randomShapes = ["2", "3, 4 after 0", "2, 2 after 0, 1 after 1", "4 gang", "3 speculative, 1 after 0"];
 /** A crashed worker stays gone and a list without workers ends all placing, so these stand in the table alone. */
 const randomFaults = Object.keys(shardFaults).filter(name =>
-    name !== "worker crashes" && name !== "workers not listed"
+    !["worker crashes", "workers not listed", "all workers cut but the first"].includes(name)
 );
 const stepMs = 250;
 const jobShare = 0.5;
