--- a/features/examples.feature
+++ b/features/examples.feature
@@ -54,6 +54,7 @@
             | cellMember           | another daemon owns the shard           |
             | chooseWorker         | i-2                                     |
             | claimShard           | token 1, then refused                   |
+            | acceptance           | notAccepted, 0 jobs                     |
             | batchWriter          | in force at version 1                   |
             | commitLog            | 3 jobs in 1 transaction                 |
             | evacuate             | 0 moves while the other is away; not ready |
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -12,6 +12,7 @@
 import {
     applyEnd,
     claimShard,
+    createAcceptance,
     createAdviceDesk,
     createBatchWriter,
     createChooser,
@@ -122,6 +123,36 @@
     return `${run?.taskName} ran on ${run?.workerId}`;
 };
 
+const acceptance = async (): Promise<string> => {
+    const jobs = new Map<string, ShardJob>();
+    const commits = {
+        commit: async () => {},
+        withdraw: () => true,
+        stalledMs: () => 5_000,
+        answeredAtMs: () => 0,
+        idle: async () => {},
+        probe: () => {},
+        stop: () => {},
+    };
+    const submit = createAcceptance({
+        clock: createFakeClock(),
+        log,
+        meter,
+        settings: defaultShardSettings,
+        jobs,
+        queueOf: () => testQueue,
+        nextOrder: 1,
+        commits,
+        commit: () => new Promise(() => {}),
+        consider: () => {},
+        takeBack: () => {},
+        endedKnown: Promise.resolve(new Map()),
+        endOfOffice: new Promise<never>(() => {}),
+    });
+    const refusal = await submit({ ...submission, steps: [plainStep] }).catch(kindOf);
+    return `${String(refusal)}, ${jobs.size} jobs`;
+};
+
 const commitLog = async (): Promise<string> => {
     const clock = createFakeClock();
     const store = createFakeRowStore(clock);
@@ -599,6 +630,7 @@
     adviceDesk,
     askAhead,
     cellMember,
+    acceptance,
     batchWriter,
     chooseWorker: chooser,
     claimShard: claim,
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/acceptance.ts
@@ -0,0 +1,119 @@
+/** Accepting jobs: durable before the answer, the same id again is the same job, and a refusal is certain. */
+
+import type { Clock, Log, Meter } from "../../types/ports.js";
+import { type JobState, jobStates, type JobSubmission, type Queue } from "../../types/work.js";
+import { die } from "../../utils/errors.js";
+import { sleep } from "../../utils/time.js";
+import type { CommitLog } from "./commitLog.js";
+import { endJob, newJob, type ShardJob } from "./jobBook.js";
+import type { ShardSettings } from "./shardSettings.js";
+
+/** What acceptance needs. */
+export interface AcceptanceOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly meter: Meter;
+    readonly settings: ShardSettings;
+    /** Jobs of the shard, to which accepted ones are added. */
+    readonly jobs: Map<string, ShardJob>;
+    readonly queueOf: (queueKey: string) => Queue | undefined;
+    /** Place of the next job in the order of acceptance. */
+    readonly nextOrder: number;
+    readonly commits: CommitLog;
+    /** Resolves once the job as it is now is durable. */
+    readonly commit: (job: ShardJob) => Promise<void>;
+    /** Asks for advice and plans starts for the job. */
+    readonly consider: (job: ShardJob) => void;
+    /** Lets go of the starts that were planned for the job. */
+    readonly takeBack: (job: ShardJob) => void;
+    /** Jobs that ended under earlier owners. */
+    readonly endedKnown: Promise<ReadonlyMap<string, JobState>>;
+    /** Rejects once this daemon owns the shard no more. */
+    readonly endOfOffice: Promise<never>;
+}
+
+/** How often a job that waits for its acceptance looks whether the store stalls. */
+const checkMs = 100;
+
+/**
+ * Makes the function that accepts jobs; it resolves once the job is durable.
+ *
+ * @example
+ * const submit = createAcceptance({ clock, log, meter, settings, jobs, queueOf, nextOrder, commits, commit, consider, takeBack, endedKnown, endOfOffice });
+ * await submit(submission);
+ */
+export const createAcceptance = (options: AcceptanceOptions): (submission: JobSubmission) => Promise<void> => {
+    const { clock, log, meter, settings, jobs, queueOf, commits, commit, consider, endedKnown, endOfOffice } = options;
+    let { nextOrder } = options;
+
+    const refuse = (): never =>
+        die("notAccepted", "the store does not answer", { retryAfterMs: settings.retryAfterMs });
+
+    /** Forgets a job that no batch has held. */
+    const forget = (job: ShardJob): void => {
+        jobs.delete(job.submission.jobId);
+        options.takeBack(job);
+        // Nobody wants its advice any more.
+        endJob(job, jobStates.cancelled, clock.monotonicMs());
+    };
+
+    /**
+     * Waits for a job's acceptance. Where the store stalls and no batch has held the job yet, it is taken back: the
+     * refusal is certain, and the caller hears it at once.
+     */
+    const settle = async (job: ShardJob): Promise<void> => {
+        const { jobId } = job.submission;
+        let stored = false;
+        const written = commit(job).then(() => {
+            stored = true;
+        });
+        while (!stored) {
+            await Promise.race([written, endOfOffice, sleep(clock, checkMs)]);
+            if (!stored && commits.stalledMs() > settings.refuseStalledMs && commits.withdraw(jobId)) {
+                forget(job);
+            }
+            if (jobs.get(jobId) !== job) {
+                refuse();
+            }
+        }
+    };
+
+    const enter = (submission: JobSubmission): ShardJob => {
+        const queue = queueOf(submission.queueKey)
+            ?? die("unavailable", `the queue ${submission.queueKey} is not in this daemon's configuration`);
+        if (commits.stalledMs() > settings.refuseStalledMs) {
+            refuse();
+        }
+        const job = newJob(submission, queue, { acceptedAtMs: clock.nowMs(), order: nextOrder });
+        nextOrder += 1;
+        jobs.set(submission.jobId, job);
+        return job;
+    };
+
+    const submit = async (submission: JobSubmission): Promise<void> => {
+        const known = jobs.get(submission.jobId);
+        if (known !== undefined) {
+            if (!known.stored) {
+                await settle(known);
+            }
+            return;
+        }
+        if ((await endedKnown).has(submission.jobId) || jobs.has(submission.jobId)) {
+            // It ended before, or the same id came through another daemon meanwhile.
+            await (jobs.has(submission.jobId) ? submit(submission) : undefined);
+            return;
+        }
+        const job = enter(submission);
+        // Advice is asked for, and starts are planned, while the acceptance is written; they share its batch or a later one.
+        consider(job);
+        await settle(job);
+        meter.count("jobsAccepted");
+        log.write("info", "jobAccepted", {
+            jobId: submission.jobId,
+            queue: submission.queueKey,
+            steps: submission.steps.length,
+        });
+    };
+
+    return submit;
+};
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -14,21 +14,12 @@
 import type { UpkeepWave, VmPort, WaveState } from "../../types/upkeep.js";
 import type { CellConfiguration, JobState, JobSubmission, Queue, WorkerEntry } from "../../types/work.js";
 import { jobStates } from "../../types/work.js";
-import { die, errorOf } from "../../utils/errors.js";
-import { sleep } from "../../utils/time.js";
+import { errorOf } from "../../utils/errors.js";
+import { createAcceptance } from "./acceptance.js";
 import { createAdviceDesk } from "./adviceDesk.js";
 import { type ClaimedShard, readAllRows } from "./claimShard.js";
 import { createCommitLog, type RowChange } from "./commitLog.js";
-import {
-    endJob,
-    hasEnded,
-    newJob,
-    openOccurrence,
-    runPhases,
-    runsOf,
-    type ShardJob,
-    type ShardRun,
-} from "./jobBook.js";
+import { endJob, hasEnded, openOccurrence, runPhases, runsOf, type ShardJob, type ShardRun } from "./jobBook.js";
 import { decodeEnded, encodeJob, restoreJobs } from "./jobRows.js";
 import { createPlacing } from "./placing.js";
 import type { ShardSettings } from "./shardSettings.js";
@@ -93,8 +84,6 @@
 const lagShare = 0.1;
 /** All that happens within this time shares one pass over the waiting steps. */
 const passDelayMs = 2;
-/** How often a job that waits for its acceptance looks whether the store stalls. */
-const acceptanceCheckMs = 100;
 /** Ended jobs are looked through this many ticks apart. */
 const forgetIntervalTicks = 50;
 
@@ -402,75 +391,29 @@
     endedKnown.catch(() => {});
     clock.setTimer(tickMs, tick);
 
-    /** Forgets a job that no batch has held, with the starts that were planned for it. */
-    const takeBack = (job: ShardJob): void => {
-        jobs.delete(job.submission.jobId);
-        placing.forget(job);
-        for (const run of [...runsOf(job)]) {
-            workers.stop(run);
-        }
-        // Nobody wants its advice any more.
-        endJob(job, jobStates.cancelled, clock.monotonicMs());
-    };
-
-    /**
-     * Waits for a job's acceptance. Where the store stalls and no batch has held the job yet, it is taken back: the
-     * refusal is certain, and the caller hears it at once.
-     */
-    const settleAcceptance = async (job: ShardJob): Promise<void> => {
-        const { jobId } = job.submission;
-        let stored = false;
-        const written = commit(job).then(() => {
-            stored = true;
-        });
-        while (!stored) {
-            await Promise.race([written, endOfOffice, sleep(clock, acceptanceCheckMs)]);
-            if (!stored && commits.stalledMs() > settings.refuseStalledMs && commits.withdraw(jobId)) {
-                takeBack(job);
-            }
-            if (jobs.get(jobId) !== job) {
-                die("notAccepted", "the store does not answer", { retryAfterMs: settings.retryAfterMs });
-            }
-        }
-    };
-
-    const accept = (submission: JobSubmission): ShardJob => {
-        const queue = queues.get(submission.queueKey)
-            ?? die("unavailable", `the queue ${submission.queueKey} is not in this daemon's configuration`);
-        if (commits.stalledMs() > settings.refuseStalledMs) {
-            die("notAccepted", "the store does not answer", { retryAfterMs: settings.retryAfterMs });
-        }
-        const job = newJob(submission, queue, { acceptedAtMs: clock.nowMs(), order: nextOrder });
-        nextOrder += 1;
-        jobs.set(submission.jobId, job);
-        return job;
-    };
-
-    const submit = async (submission: JobSubmission): Promise<void> => {
-        const known = jobs.get(submission.jobId);
-        if (known !== undefined) {
-            if (!known.stored) {
-                await settleAcceptance(known);
+    const submit = createAcceptance({
+        clock,
+        log,
+        meter,
+        settings,
+        jobs,
+        queueOf: queueKey => queues.get(queueKey),
+        nextOrder,
+        commits,
+        commit,
+        consider: job => {
+            placing.consider(job);
+            wake();
+        },
+        takeBack: job => {
+            placing.forget(job);
+            for (const run of [...runsOf(job)]) {
+                workers.stop(run);
             }
-            return;
-        }
-        if ((await endedKnown).has(submission.jobId) || jobs.has(submission.jobId)) {
-            // It ended before, or the same id came through another daemon meanwhile.
-            await (jobs.has(submission.jobId) ? submit(submission) : undefined);
-            return;
-        }
-        const job = accept(submission);
-        // Advice is asked for, and starts are planned, while the acceptance is written; they share its batch or a later one.
-        placing.consider(job);
-        wake();
-        await settleAcceptance(job);
-        meter.count("jobsAccepted");
-        log.write("info", "jobAccepted", {
-            jobId: submission.jobId,
-            queue: submission.queueKey,
-            steps: submission.steps.length,
-        });
-    };
+        },
+        endedKnown,
+        endOfOffice,
+    });
 
     const cancel = async (jobId: string): Promise<boolean> => {
         const job = jobs.get(jobId);
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -28,6 +28,7 @@
 export * from "./core/rooms.js";
 export * from "./core/router.js";
 export * from "./core/session.js";
+export * from "./core/shard/acceptance.js";
 export * from "./core/shard/adviceDesk.js";
 export * from "./core/shard/askAhead.js";
 export * from "./core/shard/batchWriter.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -79,6 +79,7 @@
 export { type CellMember, type CellMemberOptions, memberTable, startCellMember } from "./internal.js";
 export { type ChoiceLimits, type Chooser, createChooser, ticketFor } from "./internal.js";
 export { type ClaimedShard, type ClaimOptions, claimShard, readAllRows } from "./internal.js";
+export { type AcceptanceOptions, createAcceptance } from "./internal.js";
 export { type Batch, type BatchWriter, type BatchWriterOptions, createBatchWriter } from "./internal.js";
 export { type CommitLog, type CommitLogOptions, createCommitLog, type RowChange } from "./internal.js";
 export {
