--- a/features/connections.feature
+++ b/features/connections.feature
@@ -26,3 +26,8 @@
         And a call is under way for 300 ms that makes its connections suspect after 50 ms
         And a call is made that may take 20000 ms
         Then it was answered
+
+    Scenario: A call ends in time although no connection comes about
+        Given a service that accepts no connection
+        When a call is made that may take 100 ms
+        Then it got no answer
--- a/features/steps/connectionSteps.ts
+++ b/features/steps/connectionSteps.ts
@@ -1,12 +1,14 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { type ChildProcess, spawn } from "node:child_process";
 import { createServer, type Server } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import { type AddressInfo, connect, type Socket } from "node:net";
 import { type CallResult, createHttpCaller, createMeter, type HttpCaller } from "puffinarchd";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
     server: Server | undefined;
+    child: ChildProcess | undefined;
     http: HttpCaller | undefined;
     readonly meter: ReturnType<typeof createMeter>;
     readonly silent: Set<Socket>;
@@ -18,6 +20,7 @@
 const part = (world: ScenarioWorld): Part =>
     partOf(world, "connections", () => ({
         server: undefined,
+        child: undefined,
         http: undefined,
         meter: createMeter(),
         silent: new Set(),
@@ -60,6 +63,35 @@
     assert.equal(open.size, count);
 });
 
+/** Listens with the shortest queue of new connections, says its port, and never accepts one. */
+const deafScript = `const server = require("node:net").createServer();
+server.listen({ port: 0, host: "127.0.0.1", backlog: 1 }, () => {
+    require("node:fs").writeSync(1, String(server.address().port));
+    for (const endsAtMs = Date.now() + 60_000; Date.now() < endsAtMs;) {}
+});`;
+/** More than the queue holds; the kernel drops what comes after. */
+const queuedConnections = 8;
+
+Given("a service that accepts no connection", async function(this: ScenarioWorld) {
+    const child = spawn(process.execPath, ["-e", deafScript], { stdio: ["ignore", "pipe", "ignore"] });
+    const port = await new Promise<number>(resolve => {
+        child.stdout.once("data", (data: Buffer) => resolve(Number(data.toString("utf8"))));
+    });
+    for (let count = 0; count < queuedConnections; count += 1) {
+        const socket = connect({ port, host: "127.0.0.1" });
+        socket.on("error", () => {});
+        part(this).open.add(socket);
+    }
+    part(this).child = child;
+    part(this).address = `http://127.0.0.1:${port}`;
+    part(this).http = createHttpCaller({
+        timeoutMs: answeredInTimeMs,
+        connectTimeoutMs: answeredInTimeMs,
+        connectionsPerHost: 1,
+        meter: part(this).meter,
+    });
+});
+
 When("all open connections go silent", function(this: ScenarioWorld) {
     const { silent, open } = part(this);
     for (const socket of open) {
@@ -102,7 +134,8 @@
 });
 
 After(async function(this: ScenarioWorld) {
-    const { server, http } = part(this);
+    const { server, child, http } = part(this);
+    child?.kill("SIGKILL");
     for (const socket of part(this).open) {
         socket.destroy();
     }
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -77,6 +77,32 @@
     return typeof code === "string" && neverConnectedCodes.has(code) ? "notDelivered" : "unknown";
 };
 
+/** A limit of one call. */
+interface Limit {
+    readonly signal: AbortSignal | undefined;
+    /** Rejects when the time is over. */
+    readonly over: Promise<never>;
+    end(): void;
+}
+
+const unlimited: Limit = { signal: undefined, over: new Promise<never>(() => {}), end: () => {} };
+
+/** The library heeds a signal only once a request has a connection, so the end of the time is told beside it. */
+const startLimit = (timeoutMs: number | undefined): Limit => {
+    if (timeoutMs === undefined) {
+        return unlimited;
+    }
+    const abort = new AbortController();
+    let timer: NodeJS.Timeout | undefined;
+    const over = new Promise<never>((_resolve, reject) => {
+        timer = setTimeout(() => {
+            abort.abort();
+            reject(new Error(`no answer within ${timeoutMs} ms`));
+        }, timeoutMs);
+    });
+    return { signal: abort.signal, over, end: () => clearTimeout(timer) };
+};
+
 const schemeLength = "http://".length;
 
 /** The callers write whole URLs of their own; to parse each anew takes more time than the rest of a call's beginning. */
@@ -131,21 +157,21 @@
             { timeoutMs: callTimeoutMs, suspectAfterMs, headers }: HttpCallOptions = {},
         ): Promise<CallResult<T>> => {
             const sent = body === undefined ? "" : JSON.stringify(body);
-            const abort = callTimeoutMs === undefined ? undefined : new AbortController();
-            const timer = abort === undefined ? undefined : setTimeout(() => abort.abort(), callTimeoutMs);
             const { origin, path } = splitUrl(url);
             const connections = connectionsTo(origin);
             const askedAtMs = performance.now();
             const suspicion = suspectAfterMs === undefined
                 ? undefined
                 : setTimeout(() => replaceIfSilent(origin, connections, askedAtMs), suspectAfterMs);
-            try {
+            const limit = startLimit(callTimeoutMs);
+
+            const ask = async (): Promise<CallResult<T>> => {
                 const answer = await connections.pool.request({
                     path,
                     method,
                     headers: body === undefined ? headers ?? {} : { ...headers, "content-type": "application/json" },
                     body: body === undefined ? undefined : sent,
-                    signal: abort?.signal,
+                    signal: limit.signal,
                 });
                 const text = await answer.body.text();
                 connections.answeredAtMs = performance.now();
@@ -156,20 +182,22 @@
                     status: answer.statusCode,
                     body: (text === "" ? undefined : JSON.parse(text)) as T,
                 };
+            };
+
+            const asked = ask();
+            try {
+                return await Promise.race([asked, limit.over]);
             }
             catch (error) {
-                const reason = error instanceof Error ? error.message : String(error);
-                const aborted = abort?.signal.aborted === true;
-                if (aborted || timeoutCodes.has(codeOf(error))) {
+                if (limit.signal?.aborted === true || timeoutCodes.has(codeOf(error))) {
                     replaceIfSilent(origin, connections, askedAtMs);
+                    // The limit has been told already; what the library says of it later adds nothing.
+                    asked.catch(() => {});
                 }
-                return {
-                    kind: failureKindOf(error),
-                    reason: aborted ? `no answer within ${callTimeoutMs} ms` : reason,
-                };
+                return { kind: failureKindOf(error), reason: error instanceof Error ? error.message : String(error) };
             }
             finally {
-                clearTimeout(timer);
+                limit.end();
                 clearTimeout(suspicion);
             }
         },
