A call that found no connection in its time was surely not delivered

Cause: with the end of the time told beside the library, a call to a VM that is gone would count as unknown, and a submission passed on to it could not be refused for certain. Whether the origin has a connection is asked before the abort, which ends it; without one the request was not sent and never will be (the library drops an aborted request as it gets a connection). 105 of 105 scenarios of six features.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -30,4 +30,4 @@
     Scenario: A call ends in time although no connection comes about
         Given a service that accepts no connection
         When a call is made that may take 100 ms
-        Then it got no answer
+        Then it surely was not delivered
--- a/features/steps/connectionSteps.ts
+++ b/features/steps/connectionSteps.ts
@@ -125,6 +125,10 @@
     assert.equal(part(this).result?.kind, "unknown");
 });
 
+Then("it surely was not delivered", function(this: ScenarioWorld) {
+    assert.equal(part(this).result?.kind, "notDelivered");
+});
+
 Then("it was answered", function(this: ScenarioWorld) {
     assert.equal(part(this).result?.kind, "answered");
 });
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -55,7 +55,11 @@
     answeredAtMs: number;
 }
 
+/** The time was over before a connection came about. */
+const neverSentCode = "NEVER_SENT";
+
 const neverConnectedCodes: ReadonlySet<string> = new Set([
+    neverSentCode,
     "ECONNREFUSED",
     "EHOSTUNREACH",
     "ENETUNREACH",
@@ -88,7 +92,7 @@
 const unlimited: Limit = { signal: undefined, over: new Promise<never>(() => {}), end: () => {} };
 
 /** The library heeds a signal only once a request has a connection, so the end of the time is told beside it. */
-const startLimit = (timeoutMs: number | undefined): Limit => {
+const startLimit = (timeoutMs: number | undefined, isConnected: () => boolean): Limit => {
     if (timeoutMs === undefined) {
         return unlimited;
     }
@@ -96,8 +100,10 @@
     let timer: NodeJS.Timeout | undefined;
     const over = new Promise<never>((_resolve, reject) => {
         timer = setTimeout(() => {
+            // Asked before the abort, which ends the request's connection. Without one it was not sent, and never will be.
+            const code = isConnected() ? undefined : neverSentCode;
             abort.abort();
-            reject(new Error(`no answer within ${timeoutMs} ms`));
+            reject(Object.assign(new Error(`no answer within ${timeoutMs} ms`), { code }));
         }, timeoutMs);
     });
     return { signal: abort.signal, over, end: () => clearTimeout(timer) };
@@ -163,7 +169,7 @@
             const suspicion = suspectAfterMs === undefined
                 ? undefined
                 : setTimeout(() => replaceIfSilent(origin, connections, askedAtMs), suspectAfterMs);
-            const limit = startLimit(callTimeoutMs);
+            const limit = startLimit(callTimeoutMs, () => connections.pool.stats.connected > 0);
 
             const ask = async (): Promise<CallResult<T>> => {
                 const answer = await connections.pool.request({
