--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -79,6 +79,7 @@
 export { type CellMember, type CellMemberOptions, memberTable, startCellMember } from "./internal.js";
 export { type ChoiceLimits, type Chooser, createChooser, ticketFor } from "./internal.js";
 export { type ClaimedShard, type ClaimOptions, claimShard, readAllRows } from "./internal.js";
+export { type AcceptanceOptions, createAcceptance } from "./internal.js";
 export { type Batch, type BatchWriter, type BatchWriterOptions, createBatchWriter } from "./internal.js";
 export { type CommitLog, type CommitLogOptions, createCommitLog, type RowChange } from "./internal.js";
 export {
@@ -108,6 +109,9 @@
 export { defaultShardSettings, type ShardSettings } from "./internal.js";
 export { endedTable, journalTable, ownerKey, ownerTable, sequenceKey, upkeepTable } from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
+export { handOver, type HandOverOptions } from "./internal.js";
+export { type KnownOwner, type OwnerWatch, type OwnerWatchOptions, watchOwner } from "./internal.js";
+export { createPeers, type Peers, type PeersOptions } from "./internal.js";
 export { mayGoDown, runsToMove } from "./internal.js";
 export { startUpkeep, type Upkeep, type UpkeepOptions } from "./internal.js";
 export { createWaveRows, type WaveRows, type WaveRowsOptions } from "./internal.js";
