A withdrawn wave opens its workers again; the commit log's options extend the writer's

Found when reading the change: a wave whose row goes away left the workers that it had closed without work until their next life. The new scenario fails without the mend.

--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -193,6 +193,10 @@
     },
 );
 
+When("the operator withdraws the wave", function(this: ScenarioWorld) {
+    cellOf(this).withdrawUpkeep(1);
+});
+
 Then(
     "the wave is shown as {string} within {int} ms",
     async function(this: ScenarioWorld, state: string, limitMs: number) {
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -24,6 +24,17 @@
         And never were more than 2 of 12 tasks away at once
         And no promise was broken
 
+    Scenario: A wave that is withdrawn gives back the workers that it had closed
+        Given a cell of 3 daemons and 1 workers
+        When 1 jobs of steps "2 long running may miss 1" are submitted
+        And the shard runs for 3000 ms
+        And the operator asks for upkeep of 1 VMs, 1 at once, within 20000 ms
+        And the shard runs for 2000 ms
+        Then 1 tasks run
+        When the operator withdraws the wave
+        And the shard runs for 2000 ms
+        Then 2 tasks run
+
     Scenario Outline: A wave outlasts the fault "<fault>"
         Given a cell of 4 daemons and 6 workers
         When 4 jobs of steps "3, 4 after 0" are submitted
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -5,9 +5,8 @@
  * rows back.
  */
 
-import type { RowStore, RowTransaction } from "../../types/cellPorts.js";
-import type { Clock, Log, Meter } from "../../types/ports.js";
-import { createBatchWriter } from "./batchWriter.js";
+import type { RowTransaction } from "../../types/cellPorts.js";
+import { type BatchWriterOptions, createBatchWriter } from "./batchWriter.js";
 import { journalTable, ownerKey, ownerTable, sequenceKey } from "./shardTables.js";
 
 /** Most rows that a batch puts; the store takes 100 entries a call, three of them conditions and the sequence. */
@@ -26,18 +25,9 @@
 }
 
 /** What a commit log needs. */
-export interface CommitLogOptions {
-    readonly clock: Clock;
-    readonly log: Log;
-    readonly meter: Meter;
-    readonly store: RowStore;
-    readonly part: string;
-    /** Version of the owner's row, which is the fencing token. */
-    readonly ownerVersion: number;
+export interface CommitLogOptions extends Omit<BatchWriterOptions, "onAnswer" | "isStopped"> {
     /** Version of the sequence row as it was read; 0 for none. */
     readonly sequenceVersion: number;
-    /** How long the store took to answer last. */
-    readonly storeMs: number;
     /** Tells this owner's batches from all others. */
     readonly claimId: string;
     /** Rows that keep a job as it is now. */
--- a/packages/puffinarch/src/core/shard/upkeep.ts
+++ b/packages/puffinarch/src/core/shard/upkeep.ts
@@ -48,6 +48,8 @@
 
 /** Pause between two looks at the VMs while a wave is open; the platform takes 60 listings a second from all. */
 const stepMs = 300;
+/** The same while the last VMs are only waited for; a worker's own look finds most new lives before. */
+const returnStepMs = 1_500;
 /** A VM that was ordered is back after some 2 s; work that is cut off costs less than a wave that is late. */
 const downMs = 2_500;
 const shortestPatienceMs = 1_200;
@@ -268,18 +270,28 @@
             catch (error) {
                 log.write("warn", "upkeepDelayed", { reason: failureOf(error).message });
             }
-            await sleep(clock, stepMs);
+            const ordersLeft = [...open.values()].some(({ vms }) => !vms.every(isSettled));
+            await sleep(clock, ordersLeft ? stepMs : returnStepMs);
         }
         running = false;
     };
 
+    const withdraw = (number: number): void => {
+        log.write("info", "waveWithdrawn", { wave: number });
+        for (const progress of open.get(number)?.vms ?? []) {
+            if (progress.phase === phases.emptying) {
+                cordon(progress.workerId, false);
+            }
+        }
+        open.delete(number);
+    };
+
     const begin = async (waves: readonly UpkeepWave[]): Promise<void> => {
         begunBefore ??= options.readBegun();
         const earlier = await begunBefore;
         const wanted = new Set(waves.map(wave => wave.number));
         for (const number of [...open.keys()].filter(known => !wanted.has(known))) {
-            log.write("info", "waveWithdrawn", { wave: number });
-            open.delete(number);
+            withdraw(number);
         }
         for (const wave of waves) {
             if (open.has(wave.number)) {
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -86,6 +86,7 @@
     configure(version: number): void;
     /** The operator asks for a wave of upkeep. */
     askUpkeep(wave: UpkeepWave): void;
+    withdrawUpkeep(wave: number): void;
     /** State of a wave as the operator is shown it. */
     waveState(wave: number): string | undefined;
     listWorkers(): void;
@@ -385,6 +386,7 @@
         },
         vms,
         askUpkeep: wave => store.put("operator", `wave/${wave.number}`, wave),
+        withdrawUpkeep: wave => store.remove("operator", `wave/${wave}`),
         waveState: wave => store.rows("status").find(row => row.key === `wave/${wave}`)?.value,
         configure,
         listWorkers,
