A daemon that the store turns away learns of a new owner from its peers

Change: a ping names the newest owner's row that the caller knows, and the answer has a newer one; a claim at once is only for the row of a former process, told by its incarnation. Ruled out as harm: a row never comes back, since its version only grows.

--- a/features/shard.feature
+++ b/features/shard.feature
@@ -213,6 +213,18 @@
         And 8 tasks run
         And no promise was broken
 
+    Scenario: A former owner that the store turns away learns of the new one from its peers
+        Given a cell of 4 daemons and 4 workers
+        When 2 jobs of steps "3, 4 after 0" are submitted
+        And the shard runs for 500 ms
+        And the fault "owner cut from the store" comes
+        Then another daemon owns the shard within 2500 ms
+        When the shard runs for 1500 ms
+        And a job is submitted once through the former owner
+        Then it is accepted within 1000 ms
+        And all jobs are "completed" within 10000 ms
+        And no promise was broken
+
     Scenario Outline: A minority that was cut off for <ms> ms does not replace a healthy owner
         Given a cell of 6 daemons and 4 workers
         When 2 jobs of steps "3, 4 after 0" are submitted
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -570,6 +570,8 @@
             call: async (_address, name) =>
                 (name === "handOver" ? { claimed } : { incarnation: "9", leaving: false, ownedToken: 0 }) as never,
         },
+        ownerVersion: () => 0,
+        onOwner: () => {},
     });
     const peer = { memberId: "entry-2", address: "http://127.0.0.1:7101", dataCentre: "leon-feria", incarnation: "9" };
     peers.take([{ table: "member", part: "", key: "entry-2", value: JSON.stringify(peer), version: 1 }]);
@@ -598,7 +600,7 @@
     const watch = watchOwner({
         clock,
         log,
-        selfId: "entry-1",
+        self: { ...owner, incarnation: "2" },
         peers: examplePeers(clock, false),
         known: () => ({ row: owner, version: 7 }),
         owns: () => claims.length > 0,
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -193,6 +193,20 @@
     },
 );
 
+When("a job is submitted once through the former owner", function(this: ScenarioWorld) {
+    const { ownerBefore, jobs } = part(this);
+    assert.ok(ownerBefore !== undefined);
+    const jobId = jobIdOf(9_001);
+    jobs.push(jobId);
+    cellOf(this).submitOnce(jobId, readSteps("2"), ownerBefore);
+});
+
+Then("it is accepted within {int} ms", async function(this: ScenarioWorld, limitMs: number) {
+    const cell = cellOf(this);
+    await cell.until(() => cell.answers().has(jobIdOf(9_001)), limitMs);
+    assert.equal(cell.answers().get(jobIdOf(9_001)), "accepted");
+});
+
 When("the operator withdraws the wave", function(this: ScenarioWorld) {
     cellOf(this).withdrawUpkeep(1);
 });
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -6,6 +6,7 @@
 import {
     type AdvisorPort,
     type FencedWorkerPort,
+    type KnownOwner,
     type MemberHandlers,
     type MemberPort,
     type MemberRow,
@@ -23,7 +24,7 @@
 import { claimShard } from "./claimShard.js";
 import { createForward } from "./forward.js";
 import { handOver } from "./handOver.js";
-import { type KnownOwner, watchOwner } from "./ownerWatch.js";
+import { watchOwner } from "./ownerWatch.js";
 import { createPeers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
 import { type ShardOwner, startShardOwner } from "./shardOwner.js";
 import type { ShardSettings } from "./shardSettings.js";
@@ -103,7 +104,14 @@
  */
 export const startCellMember = (options: CellMemberOptions): CellMember => {
     const { clock, log, meter, settings, self, store, members, platform } = options;
-    const peers = createPeers({ clock, log, self, members });
+    const peers = createPeers({
+        clock,
+        log,
+        self,
+        members,
+        ownerVersion: () => knownOwner?.version ?? 0,
+        onOwner: known => learnOwner(known, "peer"),
+    });
     /** Waves of upkeep by the key of their row. */
     const waves = new Map<string, UpkeepWave>();
     let workerWatch: TableWatch | undefined;
@@ -130,19 +138,28 @@
         owner?.updateConfiguration(next);
     };
 
-    const learnOwner = (row: Row): void => {
-        if (row.value === undefined || row.version <= (knownOwner?.version ?? 0)) {
+    /** From the store, or from a peer where the store turns this daemon away. */
+    const learnOwner = (known: KnownOwner, source: string): void => {
+        if (known.version <= (knownOwner?.version ?? 0)) {
             return;
         }
-        knownOwner = { row: JSON.parse(row.value) as OwnerRow, version: row.version };
+        knownOwner = known;
         watch.reset();
-        log.write("info", "ownerKnown", { owner: knownOwner.row.memberId, fencingToken: row.version });
-        if (owner !== undefined && row.version > owner.fencingToken) {
+        log.write("info", "ownerKnown", { owner: known.row.memberId, fencingToken: known.version, source });
+        if (owner !== undefined && known.version > owner.fencingToken) {
             loseShard("ownerRow");
         }
         forward.wake();
     };
 
+    const takeOwnerRows = (rows: readonly Row[]): void => {
+        for (const { part: rowPart, key, value, version } of rows) {
+            if (rowPart === part && key === ownerKey && value !== undefined) {
+                learnOwner({ row: JSON.parse(value) as OwnerRow, version }, "store");
+            }
+        }
+    };
+
     const loseShard = (reason: string): void => {
         if (owner === undefined) {
             return;
@@ -238,9 +255,7 @@
         const startedAtMs = clock.monotonicMs();
         try {
             const page = await store.read(ownerTable, part);
-            for (const row of page.rows.filter(each => each.key === ownerKey)) {
-                learnOwner(row);
-            }
+            takeOwnerRows(page.rows);
         }
         catch (error) {
             log.write("debug", "storeSilent", { reason: failureOf(error).message });
@@ -325,11 +340,7 @@
             store,
             table: ownerTable,
             parts: [part],
-            onRows: rows => {
-                for (const row of rows.filter(each => each.part === part && each.key === ownerKey)) {
-                    learnOwner(row);
-                }
-            },
+            onRows: takeOwnerRows,
             onWhole: () => {
                 ownerRead = true;
                 watch.wake();
@@ -365,7 +376,7 @@
     const watch = watchOwner({
         clock,
         log,
-        selfId: self.memberId,
+        self,
         peers,
         known: () => knownOwner,
         owns: () => owner !== undefined,
@@ -426,7 +437,7 @@
                 ? undefined
                 : pendingCounts.counts[queueKey] ?? 0,
         handlers: {
-            ping: async () => ({
+            ping: async ({ ownerVersion }) => ({
                 incarnation: self.incarnation,
                 ownedToken: owner?.fencingToken ?? claimedToken,
                 storeStalledMs: owner?.stalledMs() ?? 0,
@@ -435,6 +446,7 @@
                 seenOwnerToken: owner?.fencingToken ?? watch.seenToken(),
                 leaving,
                 lagMs: owner?.lagMs() ?? 0,
+                ...(knownOwner !== undefined && knownOwner.version > ownerVersion ? { newerOwner: knownOwner } : {}),
             }),
             submit: async submission => {
                 await owned().submit(submission);
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -3,23 +3,17 @@
  * decides when this one claims the shard.
  */
 
-import type { OwnerRow, PingAnswer } from "../../types/cellPorts.js";
+import type { KnownOwner, MemberRow, PingAnswer } from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
 import { failureOf } from "../../utils/errors.js";
 import { hash } from "../../utils/rendezvous.js";
 import { type Peers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
 
-/** An owner as its row says, with the row's version, which is its fencing token. */
-export interface KnownOwner {
-    readonly row: OwnerRow;
-    readonly version: number;
-}
-
 /** What the watch needs. */
 export interface OwnerWatchOptions {
     readonly clock: Clock;
     readonly log: Log;
-    readonly selfId: string;
+    readonly self: MemberRow;
     readonly peers: Peers;
     /** The newest owner's row that is known. */
     readonly known: () => KnownOwner | undefined;
@@ -85,10 +79,10 @@
  * Starts to watch the owner of a shard.
  *
  * @example
- * const watch = watchOwner({ clock, log, selfId, peers, known, owns, isSettled, isLeaving, readOwner, claim, onAnswer, onOwnerAnswer, onOwnRound, onPeersPinged });
+ * const watch = watchOwner({ clock, log, self, peers, known, owns, isSettled, isLeaving, readOwner, claim, onAnswer, onOwnerAnswer, onOwnRound, onPeersPinged });
  */
 export const watchOwner = (options: OwnerWatchOptions): OwnerWatch => {
-    const { clock, log, selfId, peers, known, owns, isSettled, isLeaving, readOwner, claim } = options;
+    const { clock, log, self, peers, known, owns, isSettled, isLeaving, readOwner, claim } = options;
     let closed = false;
     let silentPings = 0;
     let lostAtMs: number | undefined;
@@ -103,7 +97,7 @@
     const peersSeeOwner = async (version: number): Promise<{ readonly seen: boolean; readonly answered: number; }> => {
         const others = [...peers.all.values()].filter(peer => peer.memberId !== known()?.row.memberId);
         const answers = await Promise.all(
-            others.map(peer => peers.ask(peer.address, "ping", { from: selfId }, peerOpinionMs)),
+            others.map(peer => peers.ping(peer, { timeoutMs: peerOpinionMs })),
         );
         const answered = answers.filter(answer => answer !== undefined);
         return {
@@ -114,7 +108,7 @@
 
     const rankOf = (version: number): number => {
         const score = (id: string): number => hash(`${version}|${id}`);
-        const mine = score(selfId);
+        const mine = score(self.memberId);
         return peers.live().filter(id => id !== known()?.row.memberId && score(id) > mine).length;
     };
 
@@ -123,9 +117,9 @@
      * where the first call was lost to a connection that was begun during the cut.
      */
     const ownerAnswers = async (version: number): Promise<boolean> => {
-        const address = known()?.row.address;
-        for (let tries = 0; address !== undefined && tries < minorityAsks; tries += 1) {
-            const answer = await peers.ask(address, "ping", { from: selfId }, pingTimeoutMs);
+        const owner = known();
+        for (let tries = 0; owner !== undefined && tries < minorityAsks; tries += 1) {
+            const answer = await peers.ping(owner.row);
             if (answer !== undefined) {
                 return answer.ownedToken === version;
             }
@@ -133,13 +127,18 @@
         return false;
     };
 
+    /** Whether this VM's former process owned the shard, and is surely over. */
+    const isFormerSelf = (): boolean => {
+        const row = known()?.row;
+        return row?.memberId === self.memberId && row.incarnation !== self.incarnation;
+    };
+
     const considerClaim = async (why: string): Promise<void> => {
         if (!mayClaim()) {
             return;
         }
         const version = versionNow();
-        if (known()?.row.memberId === selfId) {
-            // This VM's former process owned it, and is surely over.
+        if (isFormerSelf()) {
             await claim(version, why);
             return;
         }
@@ -184,9 +183,11 @@
 
     const pingOwner = async ({ row, version }: KnownOwner): Promise<void> => {
         const startedAtMs = clock.monotonicMs();
-        const answer = await peers.ping(row, kind => {
-            silentPings += 1;
-            log.write("warn", "ownerSilent", { owner: row.memberId, kind, silentPings });
+        const answer = await peers.ping(row, {
+            onSilent: kind => {
+                silentPings += 1;
+                log.write("warn", "ownerSilent", { owner: row.memberId, kind, silentPings });
+            },
         });
         if (answer !== undefined && versionNow() === version) {
             options.onAnswer(row.address, answer);
@@ -232,8 +233,8 @@
             return;
         }
         const owner = known();
-        if (owner === undefined || owner.row.memberId === selfId) {
-            await considerClaim(owner === undefined ? "noOwner" : "restarted");
+        if (owner === undefined || owner.row.memberId === self.memberId) {
+            await considerClaim(owner === undefined ? "noOwner" : isFormerSelf() ? "restarted" : "lost");
         }
         else {
             await pingOwner(owner);
--- a/packages/puffinarch/src/core/shard/peers.ts
+++ b/packages/puffinarch/src/core/shard/peers.ts
@@ -1,6 +1,14 @@
 /** The other daemons of a cell: who they are, which of them answer, and which are about to stop. */
 
-import type { MemberCallName, MemberCalls, MemberPort, MemberRow, PingAnswer, Row } from "../../types/cellPorts.js";
+import type {
+    KnownOwner,
+    MemberCallName,
+    MemberCalls,
+    MemberPort,
+    MemberRow,
+    PingAnswer,
+    Row,
+} from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
 import { type ErrorKind, failureOf } from "../../utils/errors.js";
 
@@ -10,6 +18,16 @@
     readonly log: Log;
     readonly self: MemberRow;
     readonly members: MemberPort;
+    /** Version of the newest owner's row that is known; 0 for none. */
+    readonly ownerVersion: () => number;
+    /** A peer knows of a newer owner. */
+    readonly onOwner: (owner: KnownOwner) => void;
+}
+
+/** What one ping may set. */
+export interface PingOptions {
+    readonly timeoutMs?: number;
+    readonly onSilent?: (kind: ErrorKind) => void;
 }
 
 /** The other daemons. */
@@ -25,8 +43,8 @@
         timeoutMs: number,
         onSilent?: (kind: ErrorKind) => void,
     ): Promise<MemberCalls[N]["output"] | undefined>;
-    /** Pings a peer and notes that it answers, and whether it is leaving. */
-    ping(peer: MemberRow, onSilent?: (kind: ErrorKind) => void): Promise<PingAnswer | undefined>;
+    /** Pings a peer and notes that it answers, whether it is leaving, and what it knows of the owner. */
+    ping(peer: MemberRow, options?: PingOptions): Promise<PingAnswer | undefined>;
     /** Ids of the daemons that answered lately, this one first. */
     live(): readonly string[];
     isLeaving(peerId: string): boolean;
@@ -43,10 +61,10 @@
  * Makes the table of peers; it is empty before the first entries.
  *
  * @example
- * const peers = createPeers({ clock, log, self, members });
+ * const peers = createPeers({ clock, log, self, members, ownerVersion, onOwner });
  * peers.take(rows);
  */
-export const createPeers = ({ clock, log, self, members }: PeersOptions): Peers => {
+export const createPeers = ({ clock, log, self, members, ownerVersion, onOwner }: PeersOptions): Peers => {
     const all = new Map<string, MemberRow>();
     const answeredAtMs = new Map<string, number>();
     const leaving = new Set<string>();
@@ -76,8 +94,9 @@
             }
         },
         ask,
-        ping: async (peer, onSilent) => {
-            const answer = await ask(peer.address, "ping", { from: self.memberId }, pingTimeoutMs, onSilent);
+        ping: async (peer, { timeoutMs = pingTimeoutMs, onSilent } = {}) => {
+            const request = { from: self.memberId, ownerVersion: ownerVersion() };
+            const answer = await ask(peer.address, "ping", request, timeoutMs, onSilent);
             if (answer === undefined) {
                 return undefined;
             }
@@ -88,6 +107,9 @@
             else {
                 leaving.delete(peer.memberId);
             }
+            if (answer.newerOwner !== undefined) {
+                onOwner(answer.newerOwner);
+            }
             return answer;
         },
         live: () => {
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -110,8 +110,8 @@
 export { endedTable, journalTable, ownerKey, ownerTable, sequenceKey, upkeepTable } from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
 export { handOver, type HandOverOptions } from "./internal.js";
-export { type KnownOwner, type OwnerWatch, type OwnerWatchOptions, watchOwner } from "./internal.js";
-export { createPeers, type Peers, type PeersOptions } from "./internal.js";
+export { type OwnerWatch, type OwnerWatchOptions, watchOwner } from "./internal.js";
+export { createPeers, type Peers, type PeersOptions, type PingOptions } from "./internal.js";
 export { mayGoDown, runsToMove } from "./internal.js";
 export { startUpkeep, type Upkeep, type UpkeepOptions } from "./internal.js";
 export { createWaveRows, type WaveRows, type WaveRowsOptions } from "./internal.js";
@@ -137,6 +137,7 @@
     type AdvisorPort,
     type EndedRun,
     type FencedWorkerPort,
+    type KnownOwner,
     type LookOrder,
     type LookResult,
     type MemberCallName,
@@ -146,6 +147,7 @@
     type MemberRow,
     type OrderOutcome,
     orderOutcomes,
+    type PingRequest,
     type Row,
     type RowChanges,
     type RowKey,
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -204,6 +204,19 @@
     readonly claimId: string;
 }
 
+/** An owner as its row says, with the row's version, which is its fencing token. */
+export interface KnownOwner {
+    readonly row: OwnerRow;
+    readonly version: number;
+}
+
+/** A daemon's health check of its peer. */
+export interface PingRequest {
+    readonly from: string;
+    /** Version of the newest owner's row that the caller knows; 0 for none. */
+    readonly ownerVersion: number;
+}
+
 /** Answer of a daemon to its peer's health check. */
 export interface PingAnswer {
     readonly incarnation: string;
@@ -220,11 +233,13 @@
     readonly leaving: boolean;
     /** How late its timers are, while it owns the shard. */
     readonly lagMs: number;
+    /** A newer owner's row than the caller knows: the store may have turned the caller away. */
+    readonly newerOwner?: KnownOwner;
 }
 
 /** Calls between the daemons of a cell: what goes in and what comes out. */
 export interface MemberCalls {
-    readonly ping: { readonly input: { readonly from: string; }; readonly output: PingAnswer; };
+    readonly ping: { readonly input: PingRequest; readonly output: PingAnswer; };
     readonly submit: { readonly input: JobSubmission; readonly output: { readonly accepted: true; }; };
     readonly jobState: {
         readonly input: { readonly queueKey: string; readonly jobId: string; };
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -73,7 +73,7 @@
     owner(): string | undefined;
     submit(jobId: string, steps: readonly Step[]): void;
     /** Submits through one daemon and never again; the answer, or the kind of its failure, is among the answers. */
-    submitOnce(jobId: string, steps: readonly Step[]): void;
+    submitOnce(jobId: string, steps: readonly Step[], memberId?: string): void;
     /** Acceptances and refusals so far, by job. */
     answers(): ReadonlyMap<string, string>;
     kill(memberId: string): void;
@@ -346,9 +346,9 @@
             steps.set(jobId, jobSteps);
             void send(submissionOf(jobId, jobSteps));
         },
-        submitOnce: (jobId, jobSteps) => {
+        submitOnce: (jobId, jobSteps, memberId) => {
             steps.set(jobId, jobSteps);
-            const seat = seats.get(ids[jobId.charCodeAt(jobId.length - 1) % ids.length] ?? "");
+            const seat = seats.get(memberId ?? ids[jobId.charCodeAt(jobId.length - 1) % ids.length] ?? "");
             void seat?.member.submit(submissionOf(jobId, jobSteps), onceMs).then(
                 () => answers.set(jobId, "accepted"),
                 (error: unknown) => answers.set(jobId, kindOf(error)),
