--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -73,7 +73,7 @@
     owner(): string | undefined;
     submit(jobId: string, steps: readonly Step[]): void;
     /** Submits through one daemon and never again; the answer, or the kind of its failure, is among the answers. */
-    submitOnce(jobId: string, steps: readonly Step[]): void;
+    submitOnce(jobId: string, steps: readonly Step[], memberId?: string): void;
     /** Acceptances and refusals so far, by job. */
     answers(): ReadonlyMap<string, string>;
     kill(memberId: string): void;
@@ -86,6 +86,7 @@
     configure(version: number): void;
     /** The operator asks for a wave of upkeep. */
     askUpkeep(wave: UpkeepWave): void;
+    withdrawUpkeep(wave: number): void;
     /** State of a wave as the operator is shown it. */
     waveState(wave: number): string | undefined;
     listWorkers(): void;
@@ -345,9 +346,9 @@
             steps.set(jobId, jobSteps);
             void send(submissionOf(jobId, jobSteps));
         },
-        submitOnce: (jobId, jobSteps) => {
+        submitOnce: (jobId, jobSteps, memberId) => {
             steps.set(jobId, jobSteps);
-            const seat = seats.get(ids[jobId.charCodeAt(jobId.length - 1) % ids.length] ?? "");
+            const seat = seats.get(memberId ?? ids[jobId.charCodeAt(jobId.length - 1) % ids.length] ?? "");
             void seat?.member.submit(submissionOf(jobId, jobSteps), onceMs).then(
                 () => answers.set(jobId, "accepted"),
                 (error: unknown) => answers.set(jobId, kindOf(error)),
@@ -385,6 +386,7 @@
         },
         vms,
         askUpkeep: wave => store.put("operator", `wave/${wave.number}`, wave),
+        withdrawUpkeep: wave => store.remove("operator", `wave/${wave}`),
         waveState: wave => store.rows("status").find(row => row.key === `wave/${wave}`)?.value,
         configure,
         listWorkers,
