Commits that follow one another at once are one chain; a claim in vain is given up and the peers are asked

Cause: found when reading the change. In the moment between two batches nothing was under way, so a job that was committed again as soon as it was durable began a second chain; both sent batches against the same sequence row, and the conflict of the second read as another owner's: the shard would have been given up for nothing.

--- a/features/shard.feature
+++ b/features/shard.feature
@@ -13,6 +13,10 @@
         Then all jobs are "completed" within 10000 ms
         And the shard's owner has written 4 batches at most
 
+    Scenario: Commits that follow one another at once are one chain
+        When 40 jobs are committed, each again as soon as it is durable
+        Then 40 were made durable twice, and no batch was taken for another owner's
+
     Scenario: Jobs go on while each transaction of the store takes 240 ms
         Given a cell of 3 daemons and 4 workers
         When the fault "store slow" comes
--- a/features/steps/connectionSteps.ts
+++ b/features/steps/connectionSteps.ts
@@ -99,9 +99,14 @@
     }
 });
 
-When("a call is made that may take {int} ms", async function(this: ScenarioWorld, timeoutMs: number) {
-    part(this).result = await call(this, "/", timeoutMs);
-});
+When(
+    "a call is made that may take {int} ms",
+    // Well below the limit of a connection, so that a call which waits for that fails.
+    { timeout: answeredInTimeMs / 2 },
+    async function(this: ScenarioWorld, timeoutMs: number) {
+        part(this).result = await call(this, "/", timeoutMs);
+    },
+);
 
 When(
     "a call is made that may take {int} ms and gets no answer, while others are answered",
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -1,5 +1,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import {
+    createFakeClock,
+    createFakeRowStore,
     createShardCell,
     jobIdOf,
     readSteps,
@@ -9,6 +11,7 @@
     testQueue,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
+import { createCommitLog, journalTable } from "puffinarch";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
@@ -19,6 +22,7 @@
     faultAtMs: number;
     ownerBefore: string | undefined;
     drainingWorker: string;
+    commitOutcome: { readonly durable: number; readonly fenced: number; } | undefined;
 }
 
 const part = (world: ScenarioWorld): Part =>
@@ -33,6 +37,7 @@
             faultAtMs: 0,
             ownerBefore: undefined,
             drainingWorker: "",
+            commitOutcome: undefined,
         }),
     );
 
@@ -207,6 +212,44 @@
     assert.equal(cell.answers().get(jobIdOf(9_001)), "accepted");
 });
 
+When(
+    "{int} jobs are committed, each again as soon as it is durable",
+    async function(this: ScenarioWorld, count: number) {
+        const clock = createFakeClock();
+        const store = createFakeRowStore(clock);
+        const fenced: string[] = [];
+        const commits = createCommitLog({
+            clock,
+            log: { write: () => {} },
+            meter: { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 },
+            store: store.connect("entry-1"),
+            part: "shard-0",
+            ownerVersion: 0,
+            sequenceVersion: 0,
+            storeMs: 8,
+            claimId: "1",
+            encode: jobId => ({ puts: [{ table: journalTable, key: jobId, value: "{}" }], removes: [] }),
+            onFenced: () => fenced.push("fenced"),
+        });
+        let durable = 0;
+        for (let number = 0; number < count; number += 1) {
+            void commits.commit(String(number)).then(() => commits.commit(String(number))).then(() => {
+                durable += 1;
+            });
+            await clock.advance(1);
+        }
+        await clock.advance(1_000);
+        part(this).commitOutcome = { durable, fenced: fenced.length };
+    },
+);
+
+Then(
+    "{int} were made durable twice, and no batch was taken for another owner's",
+    function(this: ScenarioWorld, count: number) {
+        assert.deepEqual(part(this).commitOutcome, { durable: count, fenced: 0 });
+    },
+);
+
 When("the operator withdraws the wave", function(this: ScenarioWorld) {
     cellOf(this).withdrawUpkeep(1);
 });
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -92,6 +92,8 @@
 const readyWithoutOwnerMs = 450;
 /** Timers of an owner that are late by this much, on average over a second, tell that its VM has turned slow. */
 const slowOwnerLagMs = 60;
+/** A claim that the store does not answer is given up after this, so that the peers are asked who owns the shard by now. */
+const claimPatienceMs = 1_500;
 /** Counts older than this are not told. */
 const countsFreshMs = 1_800;
 
@@ -188,10 +190,13 @@
                 seenVersion,
                 wanted: () =>
                     !closed && (knownOwner?.version ?? 0) <= seenVersion
+                        && clock.monotonicMs() - startedAtMs < claimPatienceMs
                     || knownOwner?.row.claimId === claimId,
                 onClaimed: fencingToken => {
                     claimedToken = fencingToken;
-                    knownOwner = { row: { ...self, claimId }, version: fencingToken };
+                    if (fencingToken > (knownOwner?.version ?? 0)) {
+                        knownOwner = { row: { ...self, claimId }, version: fencingToken };
+                    }
                 },
             });
             if (claimed === undefined) {
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -18,6 +18,7 @@
  * costs one answer of the store in place of two.
  */
 const gatherMs = 3;
+
 /** Rows that a change puts and removes. */
 export interface RowChange {
     readonly puts: readonly { readonly table: string; readonly key: string; readonly value: string; }[];
@@ -40,7 +41,7 @@
 export interface CommitLog {
     /** Resolves once the job as it is now is durable; never resolves after a fence or a stop. */
     commit(jobId: string): Promise<void>;
-    /** Milliseconds for which batches under way have found no answer; 0 at rest. */
+    /** Milliseconds since the batch under way was first sent; 0 at rest. */
     stalledMs(): number;
     /** Local time of the newest answer from the store. */
     answeredAtMs(): number;
@@ -76,7 +77,8 @@
     let sequenceVersion = options.sequenceVersion;
     let idleWaiting: (() => void)[] = [];
     let batches = 0;
-    let gathering = false;
+    /** From the first change on until nothing is left to write. */
+    let working = false;
     let probeWanted = false;
     let stopped = false;
     let answeredAtMs = clock.monotonicMs();
@@ -134,7 +136,6 @@
 
     /** Writes batches until nothing is left to write. */
     const drain = async (): Promise<void> => {
-        gathering = false;
         while ((dirty.size > 0 || probeWanted) && !stopped) {
             probeWanted = false;
             flight = takeBatch();
@@ -156,19 +157,20 @@
             // Lets those who waited mark more jobs, so that the next batch has them.
             await Promise.resolve();
         }
+        working = false;
         endIdle();
     };
 
     const begin = (): void => {
-        if (!gathering && flight === undefined && !stopped) {
-            gathering = true;
+        if (!working && !stopped) {
+            working = true;
             clock.setTimer(gatherMs, () => void drain());
         }
     };
 
     return {
         probe: () => {
-            if (flight === undefined) {
+            if (!working) {
                 probeWanted = true;
                 begin();
             }
@@ -188,7 +190,7 @@
         answeredAtMs: () => answeredAtMs,
         stalledMs: () => flight === undefined ? 0 : clock.monotonicMs() - flight.sentAtMs,
         idle: () =>
-            !stopped && (gathering || flight !== undefined)
+            !stopped && working
                 ? new Promise(resolve => {
                     idleWaiting.push(resolve);
                 })
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -233,13 +233,15 @@
             return;
         }
         const owner = known();
-        if (owner === undefined || owner.row.memberId === self.memberId) {
-            await considerClaim(owner === undefined ? "noOwner" : isFormerSelf() ? "restarted" : "lost");
+        const others = owner !== undefined && owner.row.memberId !== self.memberId;
+        if (others) {
+            await pingOwner(owner);
         }
         else {
-            await pingOwner(owner);
+            await considerClaim(owner === undefined ? "noOwner" : isFormerSelf() ? "restarted" : "lost");
         }
-        if (round % memberPingRounds === 0) {
+        // Where a claim did not succeed, a peer may know who has the shard.
+        if (round % memberPingRounds === 0 || !others && !owns()) {
             pingPeers();
         }
     };
