--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -6,11 +6,14 @@
 import { type CellConfiguration, type CellMember, errorOf, failureOf, type Row, type WorkerEntry } from "puffinarch";
 import {
     createCallers,
+    createPlatformMachines,
     createPlatformStore,
     createPlatformWorkers,
     parsePlatformSettings,
     readConfiguration,
+    readWave,
     readWorker,
+    waveStateRow,
 } from "puffinarch-platform";
 import { createHttpCaller, createMeter } from "puffinarchd";
 import { partOf, type ScenarioWorld } from "./support.js";
@@ -132,6 +135,33 @@
     part(this).outcome = (await store.changes("t", 1, 100)).kind;
 });
 
+const machinesOf = (world: ScenarioWorld) => createPlatformMachines(callerOf(world), `http://${part(world).address}`);
+
+When("the upkeep of a VM is ordered through the adapter", async function(this: ScenarioWorld) {
+    part(this).outcome = await machinesOf(this).upkeep({
+        vmId: "m-1",
+        wave: 3,
+        holderId: "entry-1/5",
+        fencingToken: 7,
+    });
+});
+
+When("the VMs are listed through the adapter", async function(this: ScenarioWorld) {
+    const vms = machinesOf(this).list();
+    part(this).outcome = await vms.then(listed => JSON.stringify(listed), error => failureOf(error).kind);
+});
+
+Then(
+    "the wave in the operator's row {string} with {string} is {string}",
+    (key: string, value: string, wave: string) => {
+        assert.deepEqual(readWave(rowOf(key, value)), wave === "none" ? undefined : JSON.parse(wave));
+    },
+);
+
+Then("the operator reads the state of wave {int} in {string}", (wave: number, row: string) => {
+    assert.deepEqual(waveStateRow(wave, "completed"), JSON.parse(row));
+});
+
 Then("the adapter says {string}", function(this: ScenarioWorld, outcome: string) {
     assert.equal(part(this).outcome, outcome);
 });
--- a/features/usersPlatform.feature
+++ b/features/usersPlatform.feature
@@ -22,6 +22,47 @@
             | 503    | {}                                  | unhealthy |
             | 500    | {}                                  | unknown   |
 
+    Scenario Outline: The platform answers an upkeep order with <status> <body>
+        Given a service that answers <status> with '<body>'
+        When the upkeep of a VM is ordered through the adapter
+        Then the adapter says "<outcome>"
+        And the service was sent a "POST" to "/-/machine-upkeep" with '{"machine":"m-1","wave":3}'
+        And the header "x-fencing-token" was "7"
+        And the header "x-lease-holder" was "entry-1/5"
+
+        Examples:
+            | status | body                   | outcome |
+            | 200    | {}                     | done    |
+            | 409    | {"reason":"fence"}     | fenced  |
+            | 409    | {"reason":"busy"}      | busy    |
+            | 409    | {"reason":"wave"}      | invalid |
+            | 409    | {"reason":"something"} | unknown |
+            | 400    | {}                     | invalid |
+            | 429    | {}                     | refused |
+            | 503    | {}                     | refused |
+            | 500    | {}                     | unknown |
+
+    Scenario: An upkeep order without an answer may have been carried out
+        Given a service that closes every connection
+        When the upkeep of a VM is ordered through the adapter
+        Then the adapter says "unknown"
+
+    Scenario Outline: The platform's list of machines is answered with <status> <body>
+        Given a service that answers <status> with '<body>'
+        When the VMs are listed through the adapter
+        Then the adapter says '<listed>'
+
+        Examples:
+            | status | body                                                                                         | listed                                                                                               |
+            | 200    | {"machines":[{"machine":"m-1","state":"up","id":"i-1"},{"machine":"m-2","state":"upkeep"}]} | [{"vmId":"m-1","state":"up","workerId":"i-1"},{"vmId":"m-2","state":"upkeep","workerId":""}] |
+            | 200    | {"machines":[{"machine":"m-1","state":"new","id":"i-1"}]}                                   | [{"vmId":"m-1","state":"down","workerId":"i-1"}]                                                     |
+            | 503    | {}                                                                                           | unavailable                                                                                          |
+
+    Scenario: Waves of upkeep among the operator's rows
+        Then the wave in the operator's row "wave/3" with '{"wave":3,"machines":["m-1"],"deadline_s":20,"cap":2}' is '{"number":3,"vmIds":["m-1"],"deadlineMs":20000,"atOnce":2}'
+        And the wave in the operator's row "config" with '{"version":1}' is "none"
+        And the operator reads the state of wave 3 in '{"table":"status","part":"","key":"wave/3","value":"{\\"wave\\":3,\\"state\\":\\"completed\\"}"}'
+
     Scenario: A worker that is gone may have carried out a start
         Given a service that closes every connection
         When a run is started through the adapter
