Room is planned for tasks that need much of a worker; jobs take their turn by when they are due

A run could be stopped for one other task only where it made room alone.

Change: policies of the shard in tables (order of turns, packing, room). planRoom.ts plans, for each waiting task, the worker that has room for it first, by runs that end and by runs that can be stopped and resumed; large tasks keep that room from less urgent ones, which pass where they end before or can be stopped then; tickets are renewed before the room is free. urgency.ts computes a job's due time from its queue's stretch and target; what can still be in time goes first, earliest due first; a late job keeps no room and stops nobody. Asking for advice has a file of its own.

Ruled out: processor time of the owner (0.17 cores at the most), the advisor's lanes (43% used).

--- /dev/null
+++ b/features/load.feature
@@ -0,0 +1,17 @@
+Feature: What callers get under load
+
+    # Two kinds share four workers with 8 accelerators each: large tasks that need a whole worker, and small ones with time
+    # to spare. The first row of each pair is the policy that was in force before.
+    Scenario Outline: Large tasks find a worker at <load> times the load, policies <order>, <packing>, <room>
+        Given workers of 8 accelerators with policies "<order>", "<packing>", "<room>"
+        When large and small jobs come at <load> times the load for 30000 ms
+        Then <large> percent of the large jobs are in time
+        And <small> percent of the small jobs are in time
+        And no worker held more than it has
+
+        Examples:
+            | load | order      | packing  | room    | large     | small     |
+            | 1.0  | acceptance | spread   | none    | 0 to 90   | 95 to 100 |
+            | 1.0  | due        | scarcest | planned | 95 to 100 | 95 to 100 |
+            | 1.3  | acceptance | spread   | none    | 0 to 60   | 95 to 100 |
+            | 1.3  | due        | scarcest | planned | 95 to 100 | 90 to 100 |
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -11,8 +11,10 @@
 } from "@puffinarch/stand-ins";
 import {
     applyEnd,
+    chooseVictims,
     claimShard,
     createAcceptance,
+    createAdviceAsker,
     createAdviceDesk,
     createBatchWriter,
     createChooser,
@@ -21,6 +23,7 @@
     createPacer,
     createPeers,
     createPlacing,
+    createRoomView,
     createShardWorkers,
     createWaveRows,
     createWorkerWatch,
@@ -30,6 +33,7 @@
     type FencedWorkerPort,
     formatTaskName,
     handOver,
+    inTurn,
     isTimeToAsk,
     isWaiting,
     journalTable,
@@ -41,6 +45,7 @@
     newWorker,
     openWorkerLink,
     type Peers,
+    planRoom,
     restoreJobs,
     roomOf,
     runsToMove,
@@ -50,7 +55,6 @@
     type ShardRun,
     startShardOwner,
     startUpkeep,
-    victimsOf,
     watchOwner,
     watchTable,
     watchWorkerList,
@@ -257,7 +261,8 @@
     for (const workerId of ["i-1", "i-2"]) {
         task.step.advice.good.set(workerId, { ticket: "t", validUntilMs: 9_000 });
     }
-    return createChooser(task.step, [full, free], { nowMs: 0 }).choose(task)?.workerId ?? "none";
+    return createChooser(task.step, [full, free], { nowMs: 0, view: createRoomView(0), packing: "spread" }).choose(task)
+        ?.workerId ?? "none";
 };
 
 const askAhead = (): string => {
@@ -268,6 +273,58 @@
     return `${early ? "now" : "not yet"}, then ${isTimeToAsk(second) ? "now" : "not yet"}`;
 };
 
+const roomView = (): string => {
+    const worker = openWorker();
+    const urgent = taskOf(exampleJob()).step;
+    const other = taskOf(newJob(submission, { ...testQueue, priority: 2 }, { acceptedAtMs: 0, order: 2 })).step;
+    const view = createRoomView(0);
+    view.keep({ step: urgent, workerId: "i-1", held: worker.entry.capacity, freeAtMs: 100, victims: [] });
+    return `${view.roomFor(worker, urgent).cpuMillis} for it, ${view.roomFor(worker, other).cpuMillis} for others`;
+};
+
+const plan = (): string => {
+    const large = { ...plainStep, size: { ...plainStep.size, cpuMillis: 8_000 } };
+    const job = newJob({ ...submission, steps: [large] }, testQueue, { acceptedAtMs: 0, order: 1 });
+    const { step } = taskOf(job);
+    const workers = new Map(["i-1", "i-2"].map(workerId => [workerId, { ...openWorker(), workerId }]));
+    for (const workerId of workers.keys()) {
+        step.advice.good.set(workerId, { ticket: "t", validUntilMs: 9_000 });
+    }
+    const busy = { ...runOf(exampleJob()), held: plainStep.size };
+    const first = workers.get("i-1");
+    if (first !== undefined) {
+        first.held = busy.held;
+        first.runs.set("busy", busy);
+    }
+    const view = createRoomView(100);
+    const options = { step, waiting: 2, workers, view, nowMs: 100, stopMs: 200, slackMs: 5_000 };
+    return planRoom(options).map(each => `${each.workerId} in ${each.freeAtMs - 100} ms`).join(", ");
+};
+
+const urgency = (): string => {
+    const workers = new Map([["i-1", openWorker()]]);
+    const clock = createFakeClock();
+    const nowMs = clock.nowMs();
+    const early = newJob(submission, testQueue, { acceptedAtMs: nowMs - 3_000, order: 1 });
+    const later = newJob(submission, testQueue, { acceptedAtMs: nowMs, order: 2 });
+    const steps = [early, later].map(job => taskOf(job).step);
+    const ranked = inTurn(steps, { clock, workers, order: "due" });
+    return ranked.map(({ step, standing }) => `${step.occurrence.job.order} ${standing}`).join(", ");
+};
+
+const askAdvice = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const { step } = taskOf(exampleJob());
+    const call = async () => ({ good: [{ workerId: "i-1", ticket: "t" }], validMs: 2_500 });
+    const desk = createAdviceDesk({ clock, log, meter, lanes: () => ["entry-1"], call });
+    const workers = new Map([["i-1", openWorker()]]);
+    const options = { clock, log, meter, settings: defaultShardSettings, workers, desk, onAnswer: () => {} };
+    const view = createRoomView(0);
+    createAdviceAsker(options).askFor({ step, waiting: 2, reservations: [], view, nowMs: 0 });
+    await clock.advance(10);
+    return `may run on ${[...step.advice.good.keys()].join(", ")}`;
+};
+
 const preempt = (): string => {
     const batchQueue = { ...testQueue, priority: 2 };
     const batch = newJob(
@@ -278,10 +335,9 @@
     const worker = openWorker();
     worker.held = worker.entry.capacity;
     worker.runs.set("batch", runOf(batch));
-    const { step } = taskOf(exampleJob());
-    step.advice.good.set("i-1", { ticket: "t", validUntilMs: 9_000 });
-    const victims = victimsOf({ step, waiting: 1, workers: new Map([["i-1", worker]]), nowMs: 200, stopMs: 200 });
-    return `${victims.length} run stops`;
+    const need = plainStep.size;
+    const victims = chooseVictims(worker, { need, room: roomOf(worker), priority: 0 });
+    return `${victims?.length} run stops`;
 };
 
 const evacuate = (): string => {
@@ -647,6 +703,10 @@
     pacer,
     placing,
     preempt,
+    roomView,
+    planRoom: plan,
+    urgency,
+    askAdvice,
     shardOwner,
     shardWorkers,
     shardSettings: () => `leases of ${defaultShardSettings.leaseMs} ms`,
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -3,7 +3,8 @@
 import { fits, type Resources } from "../../types/resources.js";
 import type { Step } from "../../types/work.js";
 import { heldBy, type ShardStep, type ShardTask } from "./jobBook.js";
-import { isOpen, roomOf, type ShardWorker } from "./workerTable.js";
+import type { RoomView } from "./roomView.js";
+import { isOpen, type ShardWorker } from "./workerTable.js";
 
 /** A ticket that is about to end might be refused on arrival. */
 const ticketMarginMs = 120;
@@ -49,9 +50,39 @@
     && (spec.requiredLabel === "" || entry.labels.includes(spec.requiredLabel))
     && fits(heldBy(spec), entry.capacity);
 
+/** A worker with its room for a task, and what the task takes of it. */
+interface Offer {
+    readonly capacity: Resources;
+    readonly room: Resources;
+    readonly held: Resources;
+}
+
 /** Share of processors that would be free after the task; workers with much room first spreads the harm of a loss. */
-const spareShare = (worker: ShardWorker, held: Resources): number =>
-    (roomOf(worker).cpuMillis - held.cpuMillis) / Math.max(1, worker.entry.capacity.cpuMillis);
+const spareShare = ({ capacity, room, held }: Offer): number =>
+    (room.cpuMillis - held.cpuMillis) / Math.max(1, capacity.cpuMillis);
+
+/** Outweighs all that speaks for a worker near the caller or with others of the step. */
+const acceleratorWeight = 2;
+
+/** What speaks for a worker by how full it would be: a higher value is better. */
+export const packings = {
+    /** The emptiest by processors. */
+    spread: spareShare,
+    /**
+     * Tasks that need accelerators go where the fewest are left, so that whole workers stay free for those that need all
+     * of one; tasks that need none keep off workers that have some.
+     */
+    scarcest: (offer: Offer): number => {
+        const { capacity, room, held } = offer;
+        if (capacity.accelerators === 0) {
+            return spareShare(offer);
+        }
+        const left = (room.accelerators - held.accelerators) / capacity.accelerators;
+        return held.accelerators === 0 ? spareShare(offer) - acceleratorWeight : acceleratorWeight * (1 - left);
+    },
+} as const;
+/** Name of a way to pack workers. */
+export type Packing = keyof typeof packings;
 
 /**
  * The loss of a worker or a data centre harms every job with a task there, so a step's tasks go together and near the
@@ -97,6 +128,8 @@
 /** What limits a choice. */
 export interface ChoiceLimits {
     readonly nowMs: number;
+    readonly view: RoomView;
+    readonly packing: Packing;
     /** Rack that the tasks must stay on; undefined for any. */
     readonly rack?: string;
 }
@@ -121,7 +154,7 @@
  * run it, with room or without, open or not.
  *
  * @example
- * const chooser = createChooser(step, workers.values(), { nowMs: clock.monotonicMs() });
+ * const chooser = createChooser(step, workers.values(), { nowMs, view, packing: "scarcest" });
  * const worker = chooser.choose(task);
  */
 export const createChooser = (
@@ -130,6 +163,7 @@
     limits: ChoiceLimits,
 ): Chooser => {
     const { spec } = step;
+    const { view, packing } = limits;
     const held = heldBy(spec);
     const runs = countRuns(step);
     const all = [...workers];
@@ -155,10 +189,12 @@
         );
 
     const hasRoomFor = ({ worker, runs: here }: Candidate): boolean =>
-        (spec.maxPerWorker === 0 || here < spec.maxPerWorker) && fits(held, roomOf(worker));
+        (spec.maxPerWorker === 0 || here < spec.maxPerWorker) && fits(held, view.roomFor(worker, step));
 
-    const score = ({ worker, fixed, runs: here }: Candidate): number =>
-        fixed + spareShare(worker, held) + (!spec.longRunning && here > 0 ? togetherBonus : 0);
+    const score = ({ worker, fixed, runs: here }: Candidate): number => {
+        const offer = { capacity: worker.entry.capacity, room: view.roomFor(worker, step), held };
+        return fixed + packings[packing](offer) + (!spec.longRunning && here > 0 ? togetherBonus : 0);
+    };
 
     return {
         choose: (task, except) => {
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -86,8 +86,6 @@
     readonly advice: StepAdvice;
     /** Local time at which it became ready. */
     readyAtMs: number;
-    /** Less urgent runs that were stopped to make room for it. */
-    victims: readonly ShardRun[];
 }
 
 /** One occurrence of a job's steps. */
@@ -95,6 +93,16 @@
     readonly job: ShardJob;
     readonly number: number;
     readonly steps: readonly ShardStep[];
+    /** Undefined until the workers are known. */
+    course: OccurrenceCourse | undefined;
+}
+
+/** The time that an occurrence may take, and what is expected of its steps. */
+export interface OccurrenceCourse {
+    /** `Infinity` where its queue has no objective. */
+    readonly objectiveMs: number;
+    /** Expected time from the start of each step to the end of the job. */
+    readonly tailsMs: readonly number[];
 }
 
 /** One job. */
@@ -141,7 +149,6 @@
         gangFailedRun: 0,
         advice: { asked: new Set(), good: new Map(), inFlight: false, notBeforeMs: 0 },
         readyAtMs: 0,
-        victims: [],
     };
     for (let index = 0; index < spec.count; index += 1) {
         const { jobId } = occurrence.job.submission;
@@ -158,7 +165,7 @@
  */
 export const openOccurrence = (job: ShardJob, number: number): ShardOccurrence => {
     const steps: ShardStep[] = [];
-    const occurrence: ShardOccurrence = { job, number, steps };
+    const occurrence: ShardOccurrence = { job, number, steps, course: undefined };
     for (const [index, spec] of job.submission.steps.entries()) {
         steps.push(newStep(occurrence, index, spec));
     }
@@ -221,6 +228,15 @@
  */
 export const isWaiting = (task: ShardTask): boolean => !task.done && task.runs.length === 0;
 
+/**
+ * Names a step as the advisor and the log do: job, occurrence and step.
+ *
+ * @example
+ * stepNameOf(step); // "5c0e7a21d94b36f8.0.1"
+ */
+export const stepNameOf = ({ occurrence, number }: ShardStep): string =>
+    `${occurrence.job.submission.jobId}.${occurrence.number}.${number}`;
+
 /** What a task of a step holds of a worker: tasks that fill use processors that others leave unused. */
 export const heldBy = ({ size, fills }: Step): Resources => fills ? { ...size, cpuMillis: 0 } : size;
 
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -26,6 +26,9 @@
     readonly order: number;
 }
 
+/** Rows that an earlier version wrote lack these; the configuration brings them soon after a takeover. */
+const noObjective = { stretch: 0, targetRuntimeMs: 0 };
+
 /** 1: done; 0: untouched; else highest run, failures, checkpoint, runs as worker and number, and 1 where it is done. */
 type StoredTask = 0 | 1 | readonly [number, number, string, readonly (readonly [string, number])[], (0 | 1)?];
 
@@ -169,7 +172,7 @@
         const stored = JSON.parse(value) as StoredSubmission;
         const stateText = byKey.get(statePrefix + key.slice(submissionPrefix.length))
             ?? die("internal", `the job ${key} has no state row`);
-        const job = newJob(stored.submission, stored.queue, stored);
+        const job = newJob(stored.submission, { ...noObjective, ...stored.queue }, stored);
         job.stored = true;
         runs.push(...restoreState(job, JSON.parse(stateText) as StoredState));
         jobs.push(job);
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -1,14 +1,12 @@
 /** The pass over all steps that have tasks waiting: the most urgent first, each task to a worker with room. */
 
-import type { AdviceAnswer } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
-import { fits } from "../../types/resources.js";
 import type { AdviceDesk } from "./adviceDesk.js";
+import { createAdviceAsker } from "./askAdvice.js";
 import { isTimeToAsk } from "./askAhead.js";
-import { type Chooser, countRuns, createChooser, suits, ticketFor } from "./chooseWorker.js";
+import { type Chooser, createChooser } from "./chooseWorker.js";
 import {
     hasEnded,
-    heldBy,
     isReady,
     isWaiting,
     newRun,
@@ -16,10 +14,13 @@
     type ShardRun,
     type ShardStep,
     type ShardTask,
+    stepNameOf,
 } from "./jobBook.js";
-import { victimsOf } from "./preempt.js";
+import { planRoom } from "./planRoom.js";
+import { createRoomView, type Reservation, type RoomView } from "./roomView.js";
 import type { ShardSettings } from "./shardSettings.js";
-import { dropRun, holdRoom, isOpen, roomOf, type ShardWorker } from "./workerTable.js";
+import { inTurn, type RankedStep, standings } from "./urgency.js";
+import { dropRun, holdRoom, type ShardWorker } from "./workerTable.js";
 
 /** What placing needs. */
 export interface PlacingOptions {
@@ -45,20 +46,32 @@
     readySteps(): number;
 }
 
-/** Pause after a failed call to the advisor, and least time between two calls for one step. */
-const adviceRetryMs = 150;
-/** Pause after nobody was worth naming; going through all workers at each pass costs more than the wait. */
-const adviceLookMs = 40;
 /** A run that takes this many times its estimate, and this much more, may be on a slow worker. */
 const overdueFactor = 2.5;
 const overdueMs = 500;
-/** A renewal names this many more workers than tasks wait, since some fill up meanwhile. */
-const spareNames = 4;
+/** A step that has waited for less than this may find room by itself; tasks end every few milliseconds under load. */
+const patienceMs = 120;
+/** A plan of room holds for this long: runs end every few milliseconds, and planning at each end costs too much. */
+const planMs = 80;
+/** Only so many of the most urgent steps that wait have room planned; what is planned for others is far off. */
+const maxPlanned = 24;
+/** Runs are stopped only for jobs of which a stop takes at most this share of the time that they may take. */
+const stopShare = 0.34;
 
-const byUrgency = (left: ShardStep, right: ShardStep): number => {
-    const [a, b] = [left.occurrence.job, right.occurrence.job];
-    return a.queue.priority - b.queue.priority || a.order - b.order || left.number - right.number;
-};
+/** One pass over the waiting steps. */
+interface Round {
+    readonly nowMs: number;
+    readonly wallMs: number;
+    readonly view: RoomView;
+    /** Steps that had room planned so far. */
+    planned: number;
+}
+
+/** Where a step's waiting tasks are expected to run. */
+interface RoomPlan {
+    readonly madeAtMs: number;
+    readonly reservations: readonly Reservation[];
+}
 
 /**
  * Makes the placing of a shard.
@@ -86,89 +99,11 @@
         return run;
     };
 
-    const takeAdvice = (step: ShardStep, named: readonly string[], answer: AdviceAnswer): void => {
-        const { advice } = step;
-        advice.inFlight = false;
-        for (const workerId of named) {
-            advice.asked.add(workerId);
-        }
-        const validUntilMs = clock.monotonicMs() + answer.validMs;
-        for (const { workerId, ticket } of answer.good) {
-            advice.good.set(workerId, { ticket, validUntilMs });
-        }
-        log.write("info", "advice", {
-            step: stepNameOf(step),
-            named: named.length,
-            good: answer.good.length,
-            validMs: answer.validMs,
-        });
-    };
-
-    const stepNameOf = ({ occurrence, number }: ShardStep): string =>
-        `${occurrence.job.submission.jobId}.${occurrence.number}.${number}`;
-
-    const ask = (step: ShardStep, named: readonly string[]): void => {
-        const terms = step.occurrence.job.queue.advice;
-        if (terms === undefined || named.length === 0) {
-            return;
-        }
-        step.advice.inFlight = true;
-        meter.count("adviceCalls");
-        meter.count("adviceNames", named.length);
-        desk.ask({
-            stepName: stepNameOf(step),
-            workerIds: named,
-            costMs: terms.decideMs + terms.eachMs * named.length,
-            priority: step.occurrence.job.queue.priority,
-            wanted: () => !hasEnded(step.occurrence.job),
-            onAnswer: answer => {
-                takeAdvice(step, named, answer);
-                pass();
-            },
-            onFailure: () => {
-                step.advice.inFlight = false;
-                step.advice.notBeforeMs = clock.monotonicMs() + adviceRetryMs;
-            },
-        });
-    };
-
-    /** Workers worth naming: those never asked about first where nothing is known, else the good ones with room. */
-    const namesFor = (step: ShardStep, waiting: number, nowMs: number): readonly string[] => {
-        const { advice, spec } = step;
-        const held = heldBy(spec);
-        const usable = [...workers.values()].filter(worker => isOpen(worker, nowMs) && suits(worker, step));
-        const byRoom = (left: ShardWorker, right: ShardWorker): number =>
-            roomOf(right).cpuMillis - roomOf(left).cpuMillis;
-        const runs = countRuns(step);
-        const hasRoom = (worker: ShardWorker): boolean =>
-            fits(held, roomOf(worker))
-            && (spec.maxPerWorker === 0 || (runs.get(worker.workerId) ?? 0) < spec.maxPerWorker);
-        const unasked = usable.filter(worker => !advice.asked.has(worker.workerId));
-        if (advice.asked.size === 0) {
-            return unasked.sort(byRoom).slice(0, settings.maxAdviceWorkers).map(worker => worker.workerId);
-        }
-        const known = usable.filter(worker => advice.good.has(worker.workerId) && hasRoom(worker)).sort(byRoom);
-        const named = known.slice(0, waiting + spareNames);
-        const failed = new Set(step.tasks.filter(isWaiting).flatMap(task => [...task.failedOn]));
-        if (named.length < waiting || named.every(worker => failed.has(worker.workerId))) {
-            named.push(...unasked.filter(hasRoom).sort(byRoom).slice(0, settings.maxAdviceWorkers - named.length));
-        }
-        return named.map(worker => worker.workerId);
-    };
+    const asker = createAdviceAsker({ clock, log, meter, settings, workers, desk, onAnswer: () => pass() });
+    const plans = new Map<ShardStep, RoomPlan>();
 
-    const askIfNeeded = (step: ShardStep, waiting: number, nowMs: number): void => {
-        const { advice, occurrence } = step;
-        if (occurrence.job.queue.advice === undefined || advice.inFlight || advice.notBeforeMs > nowMs) {
-            return;
-        }
-        const names = namesFor(step, waiting, nowMs);
-        const useful = names.filter(workerId => ticketFor(step, workerId, nowMs) === undefined);
-        if (useful.length > 0) {
-            ask(step, useful);
-            return;
-        }
-        advice.notBeforeMs = nowMs + adviceLookMs;
-    };
+    const chooserFor = (step: ShardStep, { nowMs, view }: Round): Chooser =>
+        createChooser(step, workers.values(), { nowMs, view, packing: settings.policies.packing });
 
     /** Plans a run of the task on the best worker; undefined where there is no room. */
     const placeOne = (
@@ -185,9 +120,9 @@
         return run;
     };
 
-    const placeTasks = (step: ShardStep, waiting: readonly ShardTask[], nowMs: number): readonly ShardRun[] => {
+    const placeTasks = (step: ShardStep, waiting: readonly ShardTask[], round: Round): readonly ShardRun[] => {
         const runs: ShardRun[] = [];
-        const chooser = createChooser(step, workers.values(), { nowMs });
+        const chooser = chooserFor(step, round);
         for (const task of waiting) {
             const run = placeOne(chooser, task, task.lastRun + 1);
             if (run === undefined) {
@@ -199,13 +134,13 @@
     };
 
     /** All members at once under one run number, or none. */
-    const placeGang = (step: ShardStep, waiting: readonly ShardTask[], nowMs: number): readonly ShardRun[] => {
+    const placeGang = (step: ShardStep, waiting: readonly ShardTask[], round: Round): readonly ShardRun[] => {
         if (waiting.length < step.tasks.length) {
             return [];
         }
         const number = 1 + Math.max(...step.tasks.map(task => task.lastRun));
         const runs: ShardRun[] = [];
-        const chooser = createChooser(step, workers.values(), { nowMs });
+        const chooser = chooserFor(step, round);
         for (const task of waiting) {
             const run = placeOne(chooser, task, number);
             if (run === undefined) {
@@ -236,13 +171,14 @@
         return silent || overdue;
     };
 
-    const placeCopies = (step: ShardStep, nowMs: number): void => {
+    const placeCopies = (step: ShardStep, round: Round): void => {
+        const { nowMs, view } = round;
         const tasks = step.tasks.filter(task => wantsCopy(task, nowMs));
         if (tasks.length === 0) {
             return;
         }
         const runs: ShardRun[] = [];
-        const chooser = createChooser(step, workers.values(), { nowMs });
+        const chooser = chooserFor(step, round);
         for (const task of tasks) {
             const run = placeOne(chooser, task, task.lastRun + 1, new Set(task.runs.map(each => each.workerId)));
             if (run !== undefined) {
@@ -258,49 +194,88 @@
             onPlanned(step.occurrence.job, runs);
         }
         if (runs.length < tasks.length) {
-            askIfNeeded(step, tasks.length - runs.length, nowMs);
+            asker.askFor({ step, waiting: tasks.length - runs.length, reservations: [], view, nowMs });
+        }
+    };
+
+    /** Keeps room for tasks that found none, from all steps that follow in this pass. */
+    const keepRoom = (
+        { step, standing, dueAtMs }: RankedStep,
+        waiting: number,
+        round: Round,
+    ): readonly Reservation[] => {
+        const { nowMs, wallMs, view } = round;
+        if (settings.policies.room === "none" || standing !== standings.onTime || step.spec.fills) {
+            return [];
+        }
+        round.planned += 1;
+        const known = plans.get(step);
+        if (round.planned > maxPlanned) {
+            return [];
+        }
+        if (known !== undefined && nowMs - known.madeAtMs < planMs) {
+            known.reservations.forEach(view.keep);
+            return known.reservations;
+        }
+        const tailMs = step.occurrence.course?.tailsMs[step.number] ?? 0;
+        // A step that lasts, or has no objective, earns from its start on.
+        const slackMs = Number.isFinite(dueAtMs) ? dueAtMs - wallMs - tailMs : 0;
+        const reservations = planRoom({ step, waiting, workers, view, nowMs, stopMs: settings.stopMs, slackMs });
+        plans.set(step, { madeAtMs: nowMs, reservations });
+        reservations.forEach(view.keep);
+        stopVictims(step, reservations, nowMs);
+        return reservations;
+    };
+
+    const stopVictims = (step: ShardStep, reservations: readonly Reservation[], nowMs: number): void => {
+        const objectiveMs = step.occurrence.course?.objectiveMs ?? Infinity;
+        if (nowMs - step.readyAtMs < patienceMs || settings.stopMs > stopShare * objectiveMs) {
+            return;
+        }
+        for (const run of reservations.flatMap(reservation => reservation.victims)) {
+            log.write("info", "preempted", {
+                task: run.task.name,
+                run: run.run,
+                workerId: run.workerId,
+                for: stepNameOf(step),
+            });
+            meter.count("preemptions");
+            options.onPreempt(run);
         }
     };
 
-    const placeStep = (step: ShardStep, nowMs: number): void => {
+    const placeStep = (ranked: RankedStep, round: Round): void => {
+        const { step } = ranked;
+        const { nowMs, view } = round;
         const waiting = step.tasks.filter(isWaiting);
         if (waiting.length === 0 || hasEnded(step.occurrence.job)) {
             ready.delete(step);
+            plans.delete(step);
             return;
         }
-        const runs = step.spec.gang ? placeGang(step, waiting, nowMs) : placeTasks(step, waiting, nowMs);
+        const runs = step.spec.gang ? placeGang(step, waiting, round) : placeTasks(step, waiting, round);
         if (runs.length > 0) {
             log.write("info", "placed", {
                 step: stepNameOf(step),
                 waitedMs: Math.round(nowMs - step.readyAtMs),
+                standing: ranked.standing,
                 runs: runs.map(run => `${run.task.index}#${run.run}@${run.workerId}`).join(" "),
                 waiting: waiting.length - runs.length,
             });
+            plans.delete(step);
             onPlanned(step.occurrence.job, runs);
             if (step.spec.speculative && !step.spec.gang) {
                 copyable.add(step);
             }
         }
-        if (runs.length < waiting.length) {
-            askIfNeeded(step, waiting.length - runs.length, nowMs);
-            makeRoom(step, waiting.length - runs.length, nowMs);
-        }
-    };
-
-    const makeRoom = (step: ShardStep, waiting: number, nowMs: number): void => {
-        for (const run of victimsOf({ step, waiting, workers, nowMs, stopMs: settings.stopMs })) {
-            log.write("info", "preempted", {
-                task: run.task.name,
-                run: run.run,
-                workerId: run.workerId,
-                for: stepNameOf(step),
-            });
-            meter.count("preemptions");
-            options.onPreempt(run);
+        const left = waiting.length - runs.length;
+        if (left > 0) {
+            const reservations = keepRoom(ranked, left, round);
+            asker.askFor({ step, waiting: left, reservations, view, nowMs });
         }
     };
 
-    const askAhead = (nowMs: number): void => {
+    const askAhead = ({ view, nowMs }: Round): void => {
         for (const step of upcoming) {
             if (hasEnded(step.occurrence.job) || isReady(step)) {
                 upcoming.delete(step);
@@ -308,23 +283,24 @@
             }
             if (isTimeToAsk(step)) {
                 upcoming.delete(step);
-                ask(step, namesFor(step, step.open, nowMs));
+                asker.askAhead(step, view, nowMs);
             }
         }
     };
 
     const pass = (): void => {
         const nowMs = clock.monotonicMs();
-        for (const step of [...ready].sort(byUrgency)) {
-            placeStep(step, nowMs);
+        const round: Round = { nowMs, wallMs: clock.nowMs(), view: createRoomView(nowMs), planned: 0 };
+        for (const ranked of inTurn(ready, { clock, workers, order: settings.policies.order })) {
+            placeStep(ranked, round);
         }
-        askAhead(nowMs);
+        askAhead(round);
         for (const step of copyable) {
             if (step.open === 0 || hasEnded(step.occurrence.job)) {
                 copyable.delete(step);
                 continue;
             }
-            placeCopies(step, nowMs);
+            placeCopies(step, round);
         }
     };
 
@@ -349,6 +325,7 @@
             for (const step of [...ready, ...copyable, ...upcoming]) {
                 if (step.occurrence.job === job) {
                     ready.delete(step);
+                    plans.delete(step);
                     copyable.delete(step);
                     upcoming.delete(step);
                 }
--- a/packages/puffinarch/src/core/shard/preempt.ts
+++ b/packages/puffinarch/src/core/shard/preempt.ts
@@ -1,78 +1,75 @@
-/** Which less urgent runs to stop, with their checkpoint, so that urgent tasks find room. */
+/** Which less urgent runs of a worker to stop, with their checkpoint, so that an urgent task finds room there. */
 
 import { add, fits, type Resources } from "../../types/resources.js";
-import { ticketFor } from "./chooseWorker.js";
-import { heldBy, runPhases, type ShardRun, type ShardStep } from "./jobBook.js";
-import { isOpen, roomOf, runKey, type ShardWorker } from "./workerTable.js";
+import { runPhases, type ShardRun } from "./jobBook.js";
+import { isPreemptible } from "./roomView.js";
+import type { ShardWorker } from "./workerTable.js";
 
-/** A step that has waited for less than this may find room by itself; tasks end every few milliseconds under load. */
-const patienceMs = 120;
-/** Workers whose stops take longer free their room too late for urgent work. */
-const longestStopMs = 500;
-
-const isVictim = (run: ShardRun, priority: number): boolean => {
-    const { spec, occurrence } = run.task.step;
-    return run.phase === runPhases.running && !run.task.done && occurrence.job.queue.priority > priority
-        && spec.checkpointing && !spec.gang && !spec.longRunning && !spec.fills;
+/**
+ * Tells whether a run gives way to steps of a priority: it is less urgent, and resumes from where it was stopped.
+ *
+ * @example
+ * if (givesWay(run, 0)) { stop(run); }
+ */
+export const givesWay = (run: ShardRun, priority: number): boolean => {
+    const { step, done } = run.task;
+    return run.phase === runPhases.running && !done && step.occurrence.job.queue.priority > priority
+        && isPreemptible(step);
 };
 
-/** The one run of a worker whose end gives room for the task, the smallest such; undefined where none does. */
-const smallestVictim = (worker: ShardWorker, need: Resources, priority: number): ShardRun | undefined => {
-    const room = roomOf(worker);
+const priorityOf = ({ task }: ShardRun): number => task.step.occurrence.job.queue.priority;
+
+/** The least urgent first, and the largest first among equals, so that few are stopped. */
+const byCost = (left: ShardRun, right: ShardRun): number =>
+    priorityOf(right) - priorityOf(left) || right.held.accelerators - left.held.accelerators
+    || right.held.cpuMillis - left.held.cpuMillis;
+
+const smallestAlone = (runs: readonly ShardRun[], need: Resources, room: Resources): ShardRun | undefined => {
     let best: ShardRun | undefined;
-    for (const run of worker.runs.values()) {
-        if (!isVictim(run, priority) || !fits(need, add(room, run.held))) {
-            continue;
-        }
-        if (best === undefined || run.held.cpuMillis < best.held.cpuMillis) {
+    for (const run of runs) {
+        const smaller = best === undefined || run.held.cpuMillis < best.held.cpuMillis;
+        if (smaller && fits(need, add(room, run.held))) {
             best = run;
         }
     }
     return best;
 };
 
-/** What a search for victims needs. */
-export interface PreemptOptions {
-    readonly step: ShardStep;
-    /** Tasks that found no room. */
-    readonly waiting: number;
-    readonly workers: ReadonlyMap<string, ShardWorker>;
-    readonly nowMs: number;
-    /** How long a stop may take. */
-    readonly stopMs: number;
-}
+const sumOf = (room: Resources, runs: readonly ShardRun[]): Resources =>
+    runs.reduce((sum, run) => add(sum, run.held), room);
 
 /**
- * Chooses runs to stop for a step, at most one for each task that waits; those chosen before count until they are gone.
+ * Chooses the runs of a worker whose stop gives room for a task: one alone where one suffices, else as few as possible;
+ * undefined where stopping all that give way would not suffice.
  *
  * @example
- * for (const run of victimsOf({ step, waiting, workers, nowMs, stopMs })) { stop(run); }
+ * const victims = chooseVictims(worker, { need, room, priority: 0 });
  */
-export const victimsOf = ({ step, waiting, workers, nowMs, stopMs }: PreemptOptions): readonly ShardRun[] => {
-    if (nowMs - step.readyAtMs < patienceMs || stopMs > longestStopMs) {
-        return [];
+export const chooseVictims = (
+    worker: ShardWorker,
+    { need, room, priority }: { readonly need: Resources; readonly room: Resources; readonly priority: number; },
+): readonly ShardRun[] | undefined => {
+    const able = [...worker.runs.values()].filter(run => givesWay(run, priority));
+    const alone = smallestAlone(able, need, room);
+    if (alone !== undefined) {
+        return [alone];
     }
-    const { priority } = step.occurrence.job.queue;
-    const need = heldBy(step.spec);
-    const leaving = step.victims.filter(run =>
-        workers.get(run.workerId)?.runs.has(runKey(run.task.name, run.run)) === true
-    );
     const chosen: ShardRun[] = [];
-    for (const worker of workers.values()) {
-        if (leaving.length + chosen.length >= waiting) {
+    for (const run of able.sort(byCost)) {
+        if (fits(need, sumOf(room, chosen))) {
             break;
         }
-        if (!isOpen(worker, nowMs) || ticketFor(step, worker.workerId, nowMs) === undefined) {
-            continue;
-        }
-        if (leaving.some(run => run.workerId === worker.workerId)) {
-            continue;
-        }
-        const victim = smallestVictim(worker, need, priority);
-        if (victim !== undefined) {
-            chosen.push(victim);
+        chosen.push(run);
+    }
+    if (!fits(need, sumOf(room, chosen))) {
+        return undefined;
+    }
+    // What was taken first may not be needed once larger ones are gone.
+    for (const run of [...chosen].reverse()) {
+        const others = chosen.filter(other => other !== run);
+        if (fits(need, sumOf(room, others))) {
+            chosen.splice(chosen.indexOf(run), 1);
         }
     }
-    step.victims = [...leaving, ...chosen];
     return chosen;
 };
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/roomView.ts
@@ -0,0 +1,74 @@
+/** What of a worker's room a step may use, beside room that is kept for more urgent steps. */
+
+import { type Resources, subtract } from "../../types/resources.js";
+import type { ShardRun, ShardStep } from "./jobBook.js";
+import { roomOf, type ShardWorker } from "./workerTable.js";
+
+/** Room on one worker that is kept for a task of a step. */
+export interface Reservation {
+    readonly step: ShardStep;
+    readonly workerId: string;
+    readonly held: Resources;
+    /** Local time at which it is expected to be free. */
+    readonly freeAtMs: number;
+    /** Less urgent runs whose stop frees it. */
+    readonly victims: readonly ShardRun[];
+}
+
+/** Room as it is seen in one pass over the waiting steps, which goes from the most urgent to the least. */
+export interface RoomView {
+    /** Keeps room from all steps that are considered later. */
+    keep(reservation: Reservation): void;
+    /** Room that a task of the step may use now; negative where more is kept than is free. */
+    roomFor(worker: ShardWorker, step: ShardStep): Resources;
+}
+
+/** Estimates of run times are off by up to half; a task that ends before by this much passes. */
+const estimateMargin = 1.3;
+/** A run that can be stopped and resumed makes some progress within this; a restore alone takes up to 0.6 s. */
+const progressMs = 1_500;
+
+/** Whether a task can be stopped for a more urgent one at no loss of work. */
+export const isPreemptible = ({ spec }: ShardStep): boolean =>
+    spec.checkpointing && !spec.gang && !spec.longRunning && !spec.fills;
+
+const priorityOf = ({ occurrence }: ShardStep): number => occurrence.job.queue.priority;
+
+/** Whether a task may use kept room meanwhile: it ends before, or is stopped then and has got on by then. */
+const mayPass = (step: ShardStep, kept: Reservation, nowMs: number): boolean => {
+    const leftMs = kept.freeAtMs - nowMs;
+    const { estimateMs, longRunning } = step.spec;
+    const endsBefore = !longRunning && estimateMs > 0 && estimateMargin * estimateMs <= leftMs;
+    return endsBefore || isPreemptible(step) && priorityOf(step) > priorityOf(kept.step) && leftMs >= progressMs;
+};
+
+/**
+ * Makes the view of one pass; nothing is kept before.
+ *
+ * @example
+ * const view = createRoomView(clock.monotonicMs());
+ * view.roomFor(worker, step);
+ */
+export const createRoomView = (nowMs: number): RoomView => {
+    const byWorker = new Map<string, Reservation[]>();
+    return {
+        keep: reservation => {
+            const known = byWorker.get(reservation.workerId);
+            if (known === undefined) {
+                byWorker.set(reservation.workerId, [reservation]);
+            }
+            else {
+                known.push(reservation);
+            }
+        },
+        roomFor: (worker, step) => {
+            let room = roomOf(worker);
+            for (const kept of byWorker.get(worker.workerId) ?? []) {
+                if (kept.step !== step && !mayPass(step, kept, nowMs)) {
+                    room = subtract(room, kept.held);
+                }
+            }
+            return room;
+        },
+    };
+};
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -1,5 +1,26 @@
 /** Figures that a shard's owner works with; each can be set. */
 
+import type { Packing } from "./chooseWorker.js";
+import type { TurnOrder } from "./urgency.js";
+
+/** Ways to decide; each names an entry of a table, so that one can be compared with another on live work. */
+export interface ShardPolicies {
+    /** In which order waiting steps take their turn. */
+    readonly order: TurnOrder;
+    /** How full workers are preferred. */
+    readonly packing: Packing;
+    /** Whether room is kept, and less urgent runs are stopped, for tasks that find none. */
+    readonly room: RoomPolicy;
+}
+
+/**
+ * `planned`: room is kept for tasks that need much of a worker, and runs that give way are stopped for urgent ones.
+ * `none`: whoever finds room takes it.
+ */
+export const roomPolicies = ["planned", "none"] as const;
+/** One of `roomPolicies`. */
+export type RoomPolicy = (typeof roomPolicies)[number];
+
 /** Timings and limits of a shard's owner. */
 export interface ShardSettings {
     /** Lease of everything that runs; outlasts a takeover, and ends soon enough to run a lost worker's tasks again. */
@@ -28,6 +49,7 @@
     readonly maxAdviceWorkers: number;
     /** What a refused caller is told to wait. */
     readonly retryAfterMs: number;
+    readonly policies: ShardPolicies;
 }
 
 /** What fits the sites of today; the figures are explained in docs/design/platform.md. */
@@ -45,4 +67,5 @@
     retentionMs: 180_000,
     maxAdviceWorkers: 40,
     retryAfterMs: 1_000,
+    policies: { order: "due", packing: "scarcest", room: "planned" },
 };
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -75,9 +75,10 @@
 
 // A shard: jobs of steps on workers with fencing tokens, owned by one daemon of a cell at a time.
 export { type AdviceDesk, type AdviceDeskOptions, type AdviceOrder, createAdviceDesk } from "./internal.js";
+export { type AdviceAsker, type AdviceWish, type AskAdviceOptions, createAdviceAsker } from "./internal.js";
 export { isTimeToAsk } from "./internal.js";
 export { type CellMember, type CellMemberOptions, memberTable, startCellMember } from "./internal.js";
-export { type ChoiceLimits, type Chooser, createChooser, ticketFor } from "./internal.js";
+export { type ChoiceLimits, type Chooser, createChooser, type Packing, packings, ticketFor } from "./internal.js";
 export { type ClaimedShard, type ClaimOptions, claimShard, readAllRows } from "./internal.js";
 export { type AcceptanceOptions, createAcceptance } from "./internal.js";
 export { type Batch, type BatchWriter, type BatchWriterOptions, createBatchWriter } from "./internal.js";
@@ -86,6 +87,7 @@
     applyEnd,
     endJob,
     hasEnded,
+    heldBy,
     isReady,
     isWaiting,
     letGo,
@@ -98,15 +100,34 @@
     type ShardRun,
     type ShardStep,
     type ShardTask,
+    stepNameOf,
 } from "./internal.js";
 export { decodeEnded, encodeJob, type RestoredJobs, restoreJobs } from "./internal.js";
 export { createForward, type Forward, type ForwardOptions, type ForwardRequest } from "./internal.js";
 export { createPacer, type Pacer } from "./internal.js";
 export { createPlacing, type Placing, type PlacingOptions } from "./internal.js";
-export { type PreemptOptions, victimsOf } from "./internal.js";
+export { chooseVictims, givesWay } from "./internal.js";
+export { type PlanOptions, planRoom } from "./internal.js";
+export { createRoomView, isPreemptible, type Reservation, type RoomView } from "./internal.js";
+export {
+    inTurn,
+    type RankedStep,
+    rankStep,
+    type Standing,
+    standings,
+    type TurnOptions,
+    type TurnOrder,
+    turnOrders,
+} from "./internal.js";
 export { type ShardOwner, type ShardOwnerOptions, startShardOwner } from "./internal.js";
 export { createShardWorkers, type ShardWorkers, type ShardWorkersOptions } from "./internal.js";
-export { defaultShardSettings, type ShardSettings } from "./internal.js";
+export {
+    defaultShardSettings,
+    roomPolicies,
+    type RoomPolicy,
+    type ShardPolicies,
+    type ShardSettings,
+} from "./internal.js";
 export { endedTable, journalTable, ownerKey, ownerTable, sequenceKey, upkeepTable } from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
 export { handOver, type HandOverOptions } from "./internal.js";
--- a/packages/puffinarch/src/types/work.ts
+++ b/packages/puffinarch/src/types/work.ts
@@ -90,6 +90,9 @@
     /** How often a task, or a gang, may fail. */
     readonly attempts: number;
     readonly timeoutMs: number;
+    /** A job's objective is this many times its longest chain of work, and `targetRuntimeMs` more; 0 for no objective. */
+    readonly stretch: number;
+    readonly targetRuntimeMs: number;
     /** Undefined where every worker of the service may run the queue's steps. */
     readonly advice?: AdviceTerms;
 }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -17,5 +17,6 @@
 export * from "./shard/rowStore.js";
 export * from "./shard/shardCell.js";
 export * from "./shard/shardFaults.js";
+export * from "./shard/shardLoad.js";
 export * from "./upstream.js";
 export * from "./worker.js";
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -4,13 +4,17 @@
  */
 
 import {
+    add,
     type Clock,
     type EndedRun,
     type FencedWorkerPort,
+    fits,
     type LookOrder,
     type LookResult,
+    noResources,
     type OrderOutcome,
     orderOutcomes,
+    type Resources,
     type RunEnd,
     runEnds,
     type RunOrder,
@@ -51,14 +55,14 @@
     crash(workerId: string): void;
     workerIds(): readonly string[];
     readonly evidence: readonly StartEvidence[];
-    /** Most processors ever held at once over the capacity, by worker. */
+    /** Workers that ever held more than they have. */
     overcommitted(): readonly string[];
 }
 
 interface LiveRun {
     readonly evidence: StartEvidence;
     readonly cancel: () => void;
-    readonly cpuMillis: number;
+    readonly held: Resources;
     readonly checkpoint: string;
 }
 
@@ -87,12 +91,12 @@
  * Makes the stand-ins.
  *
  * @example
- * const workers = createFakeFencedWorkers({ clock, model, cpuOf, leaseLimitMs });
+ * const workers = createFakeFencedWorkers({ clock, model, heldOf, leaseLimitMs });
  */
-export const createFakeFencedWorkers = ({ clock, model, cpuOf, leaseLimitMs }: {
+export const createFakeFencedWorkers = ({ clock, model, heldOf, leaseLimitMs }: {
     readonly clock: Clock;
     readonly model: TaskModel;
-    readonly cpuOf: (taskName: string) => number;
+    readonly heldOf: (taskName: string) => Resources;
     readonly leaseLimitMs: number;
 }): FakeFencedWorkers => {
     const workers = new Map<string, FakeWorker>();
@@ -188,11 +192,11 @@
         worker.running.set(key, {
             evidence: made,
             cancel,
-            cpuMillis: cpuOf(order.taskName),
+            held: heldOf(order.taskName),
             checkpoint: order.checkpoint,
         });
-        const held = [...worker.running.values()].reduce((sum, run) => sum + run.cpuMillis, 0);
-        if (held > worker.entry.capacity.cpuMillis) {
+        const held = [...worker.running.values()].reduce((sum, run) => add(sum, run.held), noResources);
+        if (!fits(held, worker.entry.capacity)) {
             overcommitted.add(worker.entry.workerId);
         }
         return orderOutcomes.done;
@@ -219,12 +223,12 @@
     const show = (worker: FakeWorker): LookResult => ({
         outcome: orderOutcomes.done,
         clockMs: clock.monotonicMs(),
-        running: [...worker.running.values()].map(({ evidence: run, checkpoint, cpuMillis }) => ({
+        running: [...worker.running.values()].map(({ evidence: run, checkpoint, held }) => ({
             taskName: run.taskName,
             run: run.run,
             checkpoint,
             percent: 100,
-            figure: worker.fault === "hanging" ? 0 : cpuMillis,
+            figure: worker.fault === "hanging" ? 0 : held.cpuMillis,
         })),
         ended: worker.ended.map(({ endNumber, taskName, run, how, checkpoint }) => ({
             endNumber,
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -7,14 +7,18 @@
     createSeededRandom,
     defaultShardSettings,
     die,
+    heldBy,
     type JobSubmission,
     kindOf,
     type Log,
     type MemberHandlers,
     type MemberPort,
     type Meter,
+    noResources,
     parseTaskName,
     type Queue,
+    type Resources,
+    type ShardPolicies,
     startCellMember,
     type Step,
     type UpkeepWave,
@@ -34,6 +38,8 @@
     priority: 0,
     attempts: 3,
     timeoutMs: 3_000,
+    stretch: 2,
+    targetRuntimeMs: 500,
     advice: { decideMs: 20, eachMs: 1, validMs: 2_500 },
 };
 
@@ -71,7 +77,7 @@
     memberIds(): readonly string[];
     member(memberId: string): CellMember | undefined;
     owner(): string | undefined;
-    submit(jobId: string, steps: readonly Step[]): void;
+    submit(jobId: string, steps: readonly Step[], queueKey?: string): void;
     /** Submits through one daemon and never again; the answer, or the kind of its failure, is among the answers. */
     submitOnce(jobId: string, steps: readonly Step[], memberId?: string): void;
     /** Acceptances and refusals so far, by job. */
@@ -100,6 +106,23 @@
     breaches(): readonly string[];
 }
 
+/** What a cell is made of. */
+export interface ShardCellOptions {
+    readonly members: number;
+    readonly workers: number;
+    readonly seed: number;
+    /** Share of runs that fail. */
+    readonly failOften?: number;
+    /** Mean length of a run; "estimated" for the estimates of the steps, off by a fifth at most. */
+    readonly durationMs?: number | "estimated";
+    /** Of each worker. */
+    readonly capacity?: Resources;
+    readonly queues?: readonly Queue[];
+    readonly policies?: ShardPolicies;
+    /** Whether the advisor allows a step on a worker. */
+    readonly isGood?: (stepName: string, workerId: string) => boolean;
+}
+
 /** One life of a daemon's process. */
 interface Life {
     alive: boolean;
@@ -117,11 +140,11 @@
 /** The time of a caller that asks once. */
 const onceMs = 2_500;
 const stateWaitMs = 10;
-const workerCpuMillis = 8_000;
+const workerCapacity: Resources = { cpuMillis: 8_000, memoryMib: 16_000, accelerators: 0 };
 
-const submissionOf = (jobId: string, steps: readonly Step[]): JobSubmission => ({
+const submissionOf = (jobId: string, steps: readonly Step[], queueKey = testQueue.key): JobSubmission => ({
     jobId,
-    queueKey: testQueue.key,
+    queueKey,
     dataCentre: "leon-feria",
     payload: "plan",
     steps,
@@ -129,13 +152,13 @@
 });
 
 /** An entry in the platform's list for a worker of the cell. */
-export const workerEntry = (workerId: string, index: number): WorkerEntry => ({
+export const workerEntry = (workerId: string, index: number, capacity = workerCapacity): WorkerEntry => ({
     workerId,
     service: testQueue.service,
     address: `10.0.0.${index}:1`,
     dataCentre: "leon-feria",
     draining: false,
-    capacity: { cpuMillis: workerCpuMillis, memoryMib: 16_000, accelerators: 0 },
+    capacity,
     labels: ["a", `rack-${index % 2}`],
     rack: `rack-${index % 2}`,
 });
@@ -147,14 +170,19 @@
  * const cell = createShardCell({ members: 3, workers: 4, seed: 1 });
  * await cell.clock.advance(2_000);
  */
-export const createShardCell = ({ members: memberCount, workers: workerCount, seed, failOften = 0, durationMs = 800 }: {
-    readonly members: number;
-    readonly workers: number;
-    readonly seed: number;
-    /** Share of runs that fail. */
-    readonly failOften?: number;
-    readonly durationMs?: number;
-}): ShardCell => {
+export const createShardCell = (
+    {
+        members: memberCount,
+        workers: workerCount,
+        seed,
+        failOften = 0,
+        durationMs = 800,
+        capacity,
+        queues = [testQueue],
+        policies,
+        isGood = () => true,
+    }: ShardCellOptions,
+): ShardCell => {
     const clock = createFakeClock();
     const random = createSeededRandom(seed);
     const store = createFakeRowStore(clock);
@@ -164,12 +192,19 @@
         const name = parseTaskName(taskName);
         return name === undefined ? undefined : steps.get(name.jobId)?.[name.step];
     };
+    const runMs = (taskName: string): number =>
+        durationMs === "estimated"
+            ? (stepOf(taskName)?.estimateMs ?? 0) * (0.8 + 0.4 * random.next())
+            : durationMs * (0.5 + random.next());
     const workers = createFakeFencedWorkers({
         clock,
         leaseLimitMs: 10_000,
-        cpuOf: taskName => stepOf(taskName)?.fills === true ? 0 : stepOf(taskName)?.size.cpuMillis ?? 0,
+        heldOf: taskName => {
+            const step = stepOf(taskName);
+            return step === undefined ? noResources : heldBy(step);
+        },
         model: (taskName, run) => ({
-            durationMs: stepOf(taskName)?.longRunning === true ? 3_600_000 : durationMs * (0.5 + random.next()),
+            durationMs: stepOf(taskName)?.longRunning === true ? 3_600_000 : runMs(taskName),
             // One failure a task: a job that fails by bad luck alone proves nothing.
             fails: (run === 1 || failOften === 1) && random.next() < failOften,
         }),
@@ -212,7 +247,8 @@
         advise: async ({ stepName, workerIds }) => {
             await wait((testQueue.advice?.decideMs ?? 0) + workerIds.length);
             return {
-                good: workerIds.map(workerId => ({ workerId, ticket: `${stepName}@${workerId}` })),
+                good: workerIds.filter(workerId => isGood(stepName, workerId))
+                    .map(workerId => ({ workerId, ticket: `${stepName}@${workerId}` })),
                 validMs: testQueue.advice?.validMs ?? 0,
             };
         },
@@ -231,7 +267,7 @@
             log: writer,
             meter,
             random,
-            settings: defaultShardSettings,
+            settings: { ...defaultShardSettings, policies: policies ?? defaultShardSettings.policies },
             self: {
                 memberId,
                 address: memberId,
@@ -276,12 +312,12 @@
 
     const listWorkers = (): void => {
         for (const [index, workerId] of workers.workerIds().entries()) {
-            store.put("workers", workerId, workerEntry(workerId, index));
+            store.put("workers", workerId, workerEntry(workerId, index, capacity));
         }
     };
 
     for (let index = 0; index < workerCount; index += 1) {
-        workers.add(workerEntry(`worker-${index}`, index));
+        workers.add(workerEntry(`worker-${index}`, index, capacity));
     }
     const vms = createFakeVms({
         clock,
@@ -299,7 +335,7 @@
     const configure = (version: number): void => {
         const configuration: CellConfiguration = {
             version,
-            queues: [testQueue],
+            queues,
             maxHeaderBytes: 16_384,
             maxBodyBytes: 262_144,
         };
@@ -342,9 +378,9 @@
         memberIds: () => ids,
         member: memberId => seats.get(memberId)?.member,
         owner,
-        submit: (jobId, jobSteps) => {
+        submit: (jobId, jobSteps, queueKey) => {
             steps.set(jobId, jobSteps);
-            void send(submissionOf(jobId, jobSteps));
+            void send(submissionOf(jobId, jobSteps, queueKey));
         },
         submitOnce: (jobId, jobSteps, memberId) => {
             steps.set(jobId, jobSteps);
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -3,7 +3,7 @@
 import { createSeededRandom, type Step } from "puffinarch";
 import { createShardCell, plainStep, type ShardCell } from "./shardCell.js";
 
-/** Reads steps such as "3, 4 after 0, 2 gang". */
+/** Reads steps such as "3, 4 after 0, 2 gang, 1 of 8 accelerators for 2000 ms". */
 export const readSteps = (text: string): readonly Step[] =>
     text.split(",").map(each => {
         const words = each.trim();
@@ -17,6 +17,12 @@
             speculative: words.includes("speculative"),
             checkpointing: words.includes("checkpointing"),
             mayMiss: Number(/may miss (\d+)/.exec(words)?.[1] ?? 0),
+            estimateMs: Number(/for (\d+) ms/.exec(words)?.[1] ?? plainStep.estimateMs),
+            size: {
+                ...plainStep.size,
+                cpuMillis: 1_000 * Number(/of (\d+) cores/.exec(words)?.[1] ?? 1),
+                accelerators: Number(/of (\d+) accelerators/.exec(words)?.[1] ?? 0),
+            },
         };
     });
 
