Owners sit on strong VMs; a restore gets on over a thin link, or gives the shard back

A hand-over whose answer took longer than 0.7 s was offered to all 33 other daemons in turn.

Change: each daemon enters the strength of its VM (processor and link against what an owner was seen to use, from the settings); weak ones claim 2 s later than strong ones, hand-overs go to strong ones first, a weak owner gives way to a strong peer. A hand-over ends once the shard has another owner.

Ruled out: the store (it answered others in 6 ms), memory (117 MB).

Small sites have VMs of one strength: no change there.

--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -203,7 +203,17 @@
 const claim = async (): Promise<string> => {
     const clock = createFakeClock();
     const store = createFakeRowStore(clock).connect("entry-1");
-    const options = { clock, log, store, part, owner, seenVersion: 0, wanted: () => true, onClaimed: () => {} };
+    const options = {
+        clock,
+        log,
+        store,
+        part,
+        owner,
+        seenVersion: 0,
+        wanted: () => true,
+        onClaimed: () => {},
+        restorePatienceMs: 2_500,
+    };
     const first = claimShard(options);
     await clock.advance(100);
     const second = claimShard({ ...options, owner: { ...owner, claimId: "2" } });
@@ -548,6 +558,7 @@
         seenVersion: 0,
         wanted: () => true,
         onClaimed: () => {},
+        restorePatienceMs: 2_500,
     });
     await clock.advance(100);
     const claimed = await claiming;
@@ -647,7 +658,9 @@
     const peers = examplePeers(clock, true);
     await Promise.all([...peers.all.values()].map(peer => peers.ping(peer)));
     const shard = { fencingToken: 7, idle: async () => {} } as ShardOwner;
-    return await handOver(shard, "leaving", { clock, log, peers, selfId: "entry-1" }) ? "claimed by a peer" : "kept";
+    return await handOver(shard, "leaving", { clock, log, peers, selfId: "entry-1", isOver: () => false })
+        ? "claimed by a peer"
+        : "kept";
 };
 
 const ownerWatch = async (): Promise<string> => {
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -22,6 +22,9 @@
     faultAtMs: number;
     ownerBefore: string | undefined;
     drainingWorker: string;
+    strengths: readonly number[];
+    /** Lines that the log had when the newest fault came. */
+    linesBefore: number;
     commitOutcome: { readonly durable: number; readonly fenced: number; } | undefined;
 }
 
@@ -37,6 +40,8 @@
             faultAtMs: 0,
             ownerBefore: undefined,
             drainingWorker: "",
+            strengths: [],
+            linesBefore: 0,
             commitOutcome: undefined,
         }),
     );
@@ -63,6 +68,58 @@
     },
 );
 
+Given(
+    "a cell of daemons with strengths {string} and {int} workers",
+    async function(this: ScenarioWorld, text: string, workers: number) {
+        const strengths = text.split(",").map(Number);
+        part(this).strengths = strengths;
+        await startCell(this, { members: strengths.length, workers, seed: 1, strengths });
+    },
+);
+
+const isStrong = (world: ScenarioWorld, memberId: string | undefined): boolean =>
+    memberId !== undefined && part(world).strengths[cellOf(world).memberIds().indexOf(memberId)] === 1;
+
+Then("no weak daemon has owned the shard since", function(this: ScenarioWorld) {
+    const lines = cellOf(this).log.slice(part(this).linesBefore);
+    const owners = lines.filter(line => line.event === "claimed").map(line => line.memberId);
+    assert.ok(owners.length > 0);
+    assert.deepEqual(owners.filter(owner => !isStrong(this, owner)), []);
+});
+
+Then("the shard's owner is strong", function(this: ScenarioWorld) {
+    assert.ok(isStrong(this, cellOf(this).owner()), `it is ${cellOf(this).owner()}`);
+});
+
+When("all links to the store carry {int} bytes a ms", function(this: ScenarioWorld, bytesPerMs: number) {
+    const cell = cellOf(this);
+    for (const memberId of cell.memberIds()) {
+        cell.store.setLink(memberId, bytesPerMs);
+    }
+});
+
+When(
+    "the link of the next claimant carries 1 byte a ms, and no other daemon can claim",
+    function(this: ScenarioWorld) {
+        const cell = cellOf(this);
+        const [next, ...others] = cell.memberIds().filter(memberId => memberId !== cell.owner());
+        cell.store.setLink(next ?? "", 1);
+        for (const memberId of others) {
+            cell.store.setFault("refuse", memberId);
+        }
+        part(this).mend.push(() => others.forEach(memberId => cell.store.setFault("none", memberId)));
+    },
+);
+
+When("the other daemons can claim again", function(this: ScenarioWorld) {
+    part(this).mend.shift()?.();
+});
+
+Then("a daemon owns the shard within {int} ms", async function(this: ScenarioWorld, limitMs: number) {
+    const cell = cellOf(this);
+    assert.ok(await cell.until(() => cell.owner() !== undefined, limitMs), "nobody does");
+});
+
 Given(
     "a cell of {int} daemons and {int} workers, seed {int}",
     async function(this: ScenarioWorld, members: number, workers: number, seed: number) {
@@ -116,6 +173,7 @@
 When("the fault {string} comes", function(this: ScenarioWorld, text: string) {
     part(this).faultAtMs = cellOf(this).clock.monotonicMs();
     part(this).ownerBefore = cellOf(this).owner();
+    part(this).linesBefore = cellOf(this).log.length;
     for (const name of faultsNamed(text)) {
         const mend = shardFaults[name]?.(cellOf(this));
         assert.ok(mend !== undefined);
--- /dev/null
+++ b/features/takeover.feature
@@ -0,0 +1,48 @@
+Feature: Taking over at a larger size
+
+    Scenario: A weak VM leaves the shard to a strong one
+        Given a cell of daemons with strengths "0.2, 0.2, 0.2, 1, 1" and 4 workers
+        When 4 jobs of steps "3, 4 after 0" are submitted
+        And the shard runs for 500 ms
+        And the fault "owner killed" comes
+        Then another daemon owns the shard within 1500 ms
+        And no weak daemon has owned the shard since
+        And all jobs are "completed" within 20000 ms
+        And no promise was broken
+
+    Scenario: After a loss of all VMs a strong one takes over
+        Given a cell of daemons with strengths "0.2, 0.2, 0.2, 1, 1" and 4 workers
+        When the fault "all killed" comes
+        And the shard runs for 300 ms
+        And the fault goes
+        And the shard runs for 3000 ms
+        Then no weak daemon has owned the shard since
+
+    Scenario: A weak VM owns the shard where no strong one is left, and gives it back
+        Given a cell of daemons with strengths "0.2, 0.2, 1" and 4 workers
+        When the fault "owner killed" comes
+        Then another daemon owns the shard within 4500 ms
+        When the fault goes
+        And the shard runs for 4000 ms
+        Then the shard's owner is strong
+        When 4 jobs of steps "2" are submitted
+        Then all jobs are "completed" within 5000 ms
+        And no promise was broken
+
+    Scenario: A restore gets on over a thin link
+        Given a cell of 3 daemons and 4 workers
+        When 300 jobs of steps "1 long running" are submitted
+        And the shard runs for 3000 ms
+        And all links to the store carry 100 bytes a ms
+        And the fault "owner killed" comes
+        Then another daemon owns the shard within 6000 ms
+
+    Scenario: A claimant that does not get on gives way
+        Given a cell of 3 daemons and 4 workers
+        When 300 jobs of steps "1 long running" are submitted
+        And the shard runs for 3000 ms
+        And the link of the next claimant carries 1 byte a ms, and no other daemon can claim
+        And the fault "owner killed" comes
+        And the shard runs for 2500 ms
+        And the other daemons can claim again
+        Then a daemon owns the shard within 6000 ms
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -94,6 +94,12 @@
 const slowOwnerLagMs = 60;
 /** A claim that the store does not answer is given up after this, so that the peers are asked who owns the shard by now. */
 const claimPatienceMs = 1_500;
+/** A claimant that reads no page of the journal for this long gives the shard up; a store 60 times slower takes 0.5 s a page. */
+const restorePatienceMs = 2_500;
+/** After that it leaves the claim to others for this long. */
+const restAfterRestoreMs = 3_000;
+/** A weak VM that owns the shard looks this often for a stronger one to give it to. */
+const yieldPauseMs = 2_000;
 /** Counts older than this are not told. */
 const countsFreshMs = 1_800;
 
@@ -130,6 +136,8 @@
     let lastOwnedAtMs = clock.monotonicMs();
     let pendingCounts: { readonly counts: Readonly<Record<string, number>>; readonly atMs: number; } | undefined;
     let yielding = false;
+    let claimsAgainAtMs = 0;
+    let yieldsAgainAtMs = 0;
 
     const adopt = (next: CellConfiguration, source: string): void => {
         if (configuration !== undefined && next.version <= configuration.version) {
@@ -188,6 +196,7 @@
                 part,
                 owner: { ...self, claimId },
                 seenVersion,
+                restorePatienceMs,
                 wanted: () =>
                     !closed && (knownOwner?.version ?? 0) <= seenVersion
                         && clock.monotonicMs() - startedAtMs < claimPatienceMs
@@ -200,7 +209,9 @@
                 },
             });
             if (claimed === undefined) {
-                log.write("info", "claimLost", { part, seenVersion });
+                const gaveUp = claimedToken !== 0 && claimedToken === knownOwner?.version;
+                claimsAgainAtMs = gaveUp ? clock.monotonicMs() + restAfterRestoreMs : 0;
+                log.write("info", gaveUp ? "restoreGivenUp" : "claimLost", { part, seenVersion });
                 return false;
             }
             owner = startShardOwner({
@@ -281,20 +292,30 @@
     };
 
     const giveAway = async (shard: ShardOwner, why: string): Promise<boolean> => {
-        const claimed = await handOver(shard, why, { clock, log, peers, selfId: self.memberId });
+        const isOver = (): boolean => owner !== shard;
+        const claimed = await handOver(shard, why, { clock, log, peers, selfId: self.memberId, isOver });
         if (claimed && owner === shard) {
             loseShard(why);
         }
         return claimed;
     };
 
-    /** An owner whose VM has turned slow gives way to a peer. */
-    const yieldIfSlow = async (): Promise<void> => {
-        if (owner === undefined || leaving || yielding || owner.lagMs() < slowOwnerLagMs) {
+    const strongerPeerAnswers = (): boolean =>
+        !peers.isStrong(self.memberId)
+        && peers.live().some(id => id !== self.memberId && peers.isStrong(id) && !peers.isLeaving(id));
+
+    /** An owner whose VM has turned slow, or is weaker than a peer's, gives way to one. */
+    const yieldIfUnfit = async (): Promise<void> => {
+        if (owner === undefined || leaving || yielding || clock.monotonicMs() < yieldsAgainAtMs) {
+            return;
+        }
+        const slow = owner.lagMs() >= slowOwnerLagMs;
+        if (!slow && !strongerPeerAnswers()) {
             return;
         }
         yielding = true;
-        await giveAway(owner, "slow");
+        await giveAway(owner, slow ? "slow" : "weak");
+        yieldsAgainAtMs = clock.monotonicMs() + yieldPauseMs;
         yielding = false;
     };
 
@@ -302,7 +323,7 @@
         if (owner !== undefined) {
             lastOwnedAtMs = clock.monotonicMs();
             pendingCounts = { counts: owner.pending(), atMs: clock.monotonicMs() };
-            void yieldIfSlow();
+            void yieldIfUnfit();
         }
     };
 
@@ -385,7 +406,7 @@
         peers,
         known: () => knownOwner,
         owns: () => owner !== undefined,
-        isSettled: () => ownerRead && !claiming,
+        isSettled: () => ownerRead && !claiming && clock.monotonicMs() >= claimsAgainAtMs,
         isLeaving: () => leaving,
         readOwner,
         claim,
--- a/packages/puffinarch/src/core/shard/claimShard.ts
+++ b/packages/puffinarch/src/core/shard/claimShard.ts
@@ -20,6 +20,8 @@
     readonly wanted: () => boolean;
     /** The claim took effect; the rows are still to be read. */
     readonly onClaimed: (fencingToken: number) => void;
+    /** Gives up once no page of rows came for this long, so that a daemon that gets on better may claim. */
+    readonly restorePatienceMs: number;
 }
 
 /** A shard that was claimed, with all its rows. */
@@ -83,30 +85,47 @@
     readonly table: string;
     readonly part: string;
     readonly wanted: () => boolean;
+    /** Gives up once no page came for this long; never where it is left out. */
+    readonly patienceMs?: number;
 }
 
+/** Rows of the first page, at 7 KB a job at the most; a link of 10 Mbit/s carries them in 0.4 s. */
+const firstPageRows = 50;
+const fewestPageRows = 10;
+/** The store's own limit. */
+const mostPageRows = 500;
+/** A page that took less than this is followed by one twice as large. */
+const quickPageMs = 150;
+
 /**
- * Reads a whole part of a table, however long the store takes; undefined once it is not wanted any more.
+ * Reads a whole part of a table, in pages that adapt to the link and the store, so that a slow read still gets on; undefined
+ * once it is not wanted any more, or does not get on.
  *
  * @example
  * const rows = await readAllRows({ clock, log, store, table, part, wanted: () => true });
  */
 export const readAllRows = async (
-    { clock, log, store, table, part, wanted }: ReadRowsOptions,
+    { clock, log, store, table, part, wanted, patienceMs = Infinity }: ReadRowsOptions,
 ): Promise<readonly Row[] | undefined> => {
     const rows: Row[] = [];
     let fromKey: string | undefined;
-    while (wanted()) {
+    let pageRows = firstPageRows;
+    let gotOnAtMs = clock.monotonicMs();
+    while (wanted() && clock.monotonicMs() - gotOnAtMs < patienceMs) {
+        const askedAtMs = clock.monotonicMs();
         try {
-            const page = await store.read(table, part, fromKey);
+            const page = await store.read(table, part, fromKey, pageRows);
             rows.push(...page.rows);
             if (!page.more) {
                 return rows;
             }
             fromKey = keyAfter(page.rows);
+            gotOnAtMs = clock.monotonicMs();
+            pageRows = gotOnAtMs - askedAtMs < quickPageMs ? Math.min(mostPageRows, 2 * pageRows) : pageRows;
         }
         catch (error) {
-            log.write("warn", "shardReadDelayed", { table, part, reason: failureOf(error).message });
+            log.write("warn", "shardReadDelayed", { table, part, pageRows, reason: failureOf(error).message });
+            pageRows = Math.max(fewestPageRows, Math.floor(pageRows / 4));
             await sleep(clock, retryPauseMs);
         }
     }
@@ -114,10 +133,10 @@
 };
 
 /**
- * Claims a shard; undefined where another daemon has it by now. What a former owner still sends is refused from then on.
+ * Claims a shard; undefined where another daemon has it by now, or its rows could not be read. What a former owner still sends is refused from then on.
  *
  * @example
- * const claimed = await claimShard({ clock, log, store, part: "shard-0", owner, seenVersion, wanted, onClaimed });
+ * const claimed = await claimShard({ clock, log, store, part: "shard-0", owner, seenVersion, wanted, onClaimed, restorePatienceMs: 2_500 });
  */
 export const claimShard = async (options: ClaimOptions): Promise<ClaimedShard | undefined> => {
     const startedAtMs = options.clock.monotonicMs();
@@ -127,7 +146,7 @@
         return undefined;
     }
     options.onClaimed(fencingToken);
-    const rows = await readAllRows({ ...options, table: journalTable });
+    const rows = await readAllRows({ ...options, table: journalTable, patienceMs: options.restorePatienceMs });
     if (rows === undefined) {
         return undefined;
     }
--- a/packages/puffinarch/src/core/shard/handOver.ts
+++ b/packages/puffinarch/src/core/shard/handOver.ts
@@ -11,6 +11,8 @@
     readonly log: Log;
     readonly peers: Peers;
     readonly selfId: string;
+    /** True once the shard has another owner, so that nobody else is asked. */
+    readonly isOver: () => boolean;
 }
 
 /** When a daemon started, from its incarnation; 0 where it is unknown. */
@@ -18,19 +20,23 @@
     Number.parseInt(peers.all.get(peerId)?.incarnation ?? "0", 10);
 
 /**
- * Lets a peer claim the shard; the one that started last is the least likely to stop soon. False where none did.
+ * Lets a peer claim the shard: a strong one, and of these the one that started last, which is the least likely to stop soon.
+ * False where none did.
  *
  * @example
- * const claimed = await handOver(shard, "leaving", { clock, log, peers, selfId });
+ * const claimed = await handOver(shard, "leaving", { clock, log, peers, selfId, isOver: () => false });
  */
 export const handOver = async (
     shard: ShardOwner,
     why: string,
-    { clock, log, peers, selfId }: HandOverOptions,
+    { clock, log, peers, selfId, isOver }: HandOverOptions,
 ): Promise<boolean> => {
     await Promise.race([shard.idle(), sleep(clock, pingTimeoutMs)]);
     const candidates = peers.live().filter(id => id !== selfId && !peers.isLeaving(id));
-    for (const peerId of candidates.sort((left, right) => startedAt(peers, right) - startedAt(peers, left))) {
+    const strongFirst = (left: string, right: string): number =>
+        Number(peers.isStrong(right)) - Number(peers.isStrong(left))
+        || startedAt(peers, right) - startedAt(peers, left);
+    for (const peerId of candidates.sort(strongFirst)) {
         const address = peers.all.get(peerId)?.address;
         if (address === undefined) {
             continue;
@@ -38,7 +44,8 @@
         const answer = await peers.ask(address, "handOver", { token: shard.fencingToken }, 2 * pingTimeoutMs);
         const claimed = answer?.claimed ?? false;
         log.write("info", "handOver", { to: peerId, claimed, why });
-        if (claimed) {
+        // A claim may take effect although its answer came too late.
+        if (claimed || isOver()) {
             return true;
         }
     }
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -62,6 +62,8 @@
 const freshAnswerMs = 450;
 /** Each place in the order of candidates waits this much longer. */
 const rankDelayMs = 120;
+/** A VM that is weaker than others waits this much longer than they do; a takeover by one of them takes half of it. */
+const weakDelayMs = 2_000;
 /** A candidate that reaches too few of its peers waits this much longer, so that a cut-off minority does not claim. */
 const minorityDelayMs = 2_500;
 const minorityAsks = 2;
@@ -106,10 +108,15 @@
         };
     };
 
-    const rankOf = (version: number): number => {
+    /** How long this daemon leaves the claim to others: strong VMs go first, in an order that all compute alike. */
+    const turnMs = (version: number): number => {
         const score = (id: string): number => hash(`${version}|${id}`);
         const mine = score(self.memberId);
-        return peers.live().filter(id => id !== known()?.row.memberId && score(id) > mine).length;
+        const strong = peers.isStrong(self.memberId);
+        const before = peers.live().filter(id =>
+            id !== known()?.row.memberId && peers.isStrong(id) === strong && score(id) > mine
+        );
+        return (strong ? 0 : weakDelayMs) + before.length * rankDelayMs;
     };
 
     /**
@@ -138,13 +145,13 @@
             return;
         }
         const version = versionNow();
-        if (isFormerSelf()) {
+        if (isFormerSelf() && peers.isStrong(self.memberId)) {
             await claim(version, why);
             return;
         }
         lostAtMs ??= clock.monotonicMs();
         const lostForMs = clock.monotonicMs() - lostAtMs;
-        if (lostForMs < rankOf(version) * rankDelayMs) {
+        if (lostForMs < turnMs(version)) {
             return;
         }
         const { seen, answered } = await peersSeeOwner(version);
@@ -167,7 +174,7 @@
 
     /** An owner that answers its peers and cannot reach the store gives way to one that can. */
     const replaceStalled = async (version: number, stalledMs: number): Promise<void> => {
-        if (!mayClaim() || stalledMs < stalledOwnerMs + rankOf(version) * rankDelayMs) {
+        if (!mayClaim() || stalledMs < stalledOwnerMs + turnMs(version)) {
             return;
         }
         if (await readOwner(quickReadMs) && versionNow() === version && !owns()) {
--- a/packages/puffinarch/src/core/shard/peers.ts
+++ b/packages/puffinarch/src/core/shard/peers.ts
@@ -48,15 +48,24 @@
     /** Ids of the daemons that answered lately, this one first. */
     live(): readonly string[];
     isLeaving(peerId: string): boolean;
+    /** Whether a daemon, this one included, has about as much processor time and network as the best of all. */
+    isStrong(memberId: string): boolean;
 }
 
 /** Between two pings of the owner. */
 export const pingIntervalMs = 200;
 /** An answer takes some 10 ms; a VM that is 5 times slowed still makes it. */
 export const pingTimeoutMs = 350;
+/**
+ * A VM with less than this share of what the strongest has takes a shard only where no stronger one does: with 246 workers,
+ * one of 0.32 cores on 10 Mbit/s needed 0.7 s to restore and was replaced before its first looks were answered.
+ */
+const strongShare = 0.5;
 /** A peer that missed two pings in a row is not counted on. */
 const liveMs = 3 * pingIntervalMs;
 
+const strengthOf = ({ strength }: MemberRow): number => strength ?? 1;
+
 /**
  * Makes the table of peers; it is empty before the first entries.
  *
@@ -118,5 +127,10 @@
             return [self.memberId, ...answering];
         },
         isLeaving: peerId => leaving.has(peerId),
+        isStrong: memberId => {
+            const strongest = Math.max(...[self, ...all.values()].map(strengthOf));
+            const member = memberId === self.memberId ? self : all.get(memberId);
+            return member !== undefined && strengthOf(member) >= strongShare * strongest;
+        },
     };
 };
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -57,8 +57,8 @@
 export interface RowStore {
     /** Without an answer within `timeoutMs` the outcome is unknown. */
     transact(transaction: RowTransaction, timeoutMs: number): Promise<RowTransactResult>;
-    /** Keys in ascending order, from `fromKey` on. */
-    read(table: string, part: string, fromKey?: string): Promise<RowPage>;
+    /** Keys in ascending order, from `fromKey` on, at most `limit` of them; the store has a limit of its own. */
+    read(table: string, part: string, fromKey?: string, limit?: number): Promise<RowPage>;
     /** Waits up to `waitMs` for a change after `version`. */
     changes(table: string, version: number, waitMs: number): Promise<RowChanges>;
 }
@@ -196,6 +196,11 @@
     readonly dataCentre: string;
     /** Differs after each start of the process. */
     readonly incarnation: string;
+    /**
+     * Processor time and network of its VM, as a share of what the owner of a whole shard uses at its peak; undefined in
+     * rows of an earlier version.
+     */
+    readonly strength?: number;
 }
 
 /** Who owns a shard; the row's version is the fencing token. */
--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -22,6 +22,8 @@
     connect(memberId: string): RowStore;
     /** For one daemon, or for all. */
     setFault(fault: StoreFault, memberId?: string): void;
+    /** Bytes that a daemon's link to the store carries in a millisecond; unlimited before. */
+    setLink(memberId: string, bytesPerMs: number): void;
     forgetHistory(): void;
     /** Connections on which a feed waits now go silent for good; later ones work. */
     silenceFeeds(): void;
@@ -42,6 +44,10 @@
 const feedSlackMs = 1_000;
 const lateMs = 2_000;
 const pageRows = 500;
+/** How long a daemon waits for a read. */
+const readTimeoutMs = 1_000;
+/** Values are base64 on the wire. */
+const wireFactor = 4 / 3;
 
 const idOf = ({ table, part, key }: { readonly table: string; readonly part: string; readonly key: string; }): string =>
     `${table}|${part}|${key}`;
@@ -61,6 +67,7 @@
     let version = 0;
     let transactions = 0;
     let freeAtMs = 0;
+    const links = new Map<string, number>();
     const waiters = new Set<() => void>();
     /** Ends the hearing of each feed that waits. */
     const silenced = new Set<() => void>();
@@ -148,18 +155,30 @@
         }
     };
 
+    const carry = async (memberId: string, page: readonly Row[]): Promise<void> => {
+        const bytes = page.reduce((sum, row) => sum + (row.value?.length ?? 0), 0);
+        const takesMs = wireFactor * bytes / (links.get(memberId) ?? Infinity);
+        await wait(Math.min(takesMs, readTimeoutMs));
+        if (takesMs > readTimeoutMs) {
+            die("unavailable", "the page did not come in time");
+        }
+    };
+
     const changesOf = (table: string, after: number): readonly Row[] =>
         history.filter(row => row.table === table && row.version > after);
 
     return {
         connect: memberId => ({
             transact: (transaction, timeoutMs) => transactHandlers[faultOf(memberId)](transaction, timeoutMs),
-            read: async (table, part, fromKey) => {
+            read: async (table, part, fromKey, limit = pageRows) => {
                 await reachable(memberId);
                 const all = [...rows.values()]
                     .filter(row => row.table === table && row.part === part && row.key >= (fromKey ?? ""))
                     .sort((left, right) => left.key < right.key ? -1 : 1);
-                return { rows: all.slice(0, pageRows), more: all.length > pageRows, version };
+                const page = all.slice(0, Math.min(limit, pageRows));
+                const readVersion = version;
+                await carry(memberId, page);
+                return { rows: page, more: all.length > page.length, version: readVersion };
             },
             changes: async (table, after, waitMs): Promise<RowChanges> => {
                 await reachable(memberId);
@@ -200,6 +219,9 @@
         setFault: (fault, memberId = "") => {
             faults.set(memberId, fault);
         },
+        setLink: (memberId, bytesPerMs) => {
+            links.set(memberId, bytesPerMs);
+        },
         forgetHistory: () => {
             history = [];
             historyStart = version;
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -119,6 +119,8 @@
     readonly capacity?: Resources;
     readonly queues?: readonly Queue[];
     readonly policies?: ShardPolicies;
+    /** Of the daemons' VMs; 1 where it is left out. */
+    readonly strengths?: readonly number[];
     /** Whether the advisor allows a step on a worker. */
     readonly isGood?: (stepName: string, workerId: string) => boolean;
 }
@@ -180,6 +182,7 @@
         capacity,
         queues = [testQueue],
         policies,
+        strengths = [],
         isGood = () => true,
     }: ShardCellOptions,
 ): ShardCell => {
@@ -273,11 +276,12 @@
                 address: memberId,
                 dataCentre: "leon-feria",
                 incarnation: `${memberId}-${clock.monotonicMs()}`,
+                strength: strengths[ids.indexOf(memberId)] ?? 1,
             },
             store: {
                 // A killed process sends nothing more; what it had sent may still take effect.
                 transact: (transaction, timeoutMs) => alive() ? connection.transact(transaction, timeoutMs) : never,
-                read: (table, part, fromKey) => alive() ? connection.read(table, part, fromKey) : never,
+                read: (table, part, fromKey, limit) => alive() ? connection.read(table, part, fromKey, limit) : never,
                 changes: (table, version, waitMs) => alive() ? connection.changes(table, version, waitMs) : never,
             },
             workers: (() => {
