--- a/features/shard.feature
+++ b/features/shard.feature
@@ -24,6 +24,26 @@
         And 8 jobs of steps "1, 1 after 0, 1 after 1" are submitted
         Then all jobs are "completed" within 4500 ms
 
+    Scenario Outline: The owner goes on soon after an outage of the store, and nobody replaces it, after <ms> ms
+        Given a cell of 4 daemons and 4 workers
+        When the fault "store hangs" comes
+        And 2 jobs of steps "2" are submitted
+        And the shard runs for <ms> ms
+        And the fault goes
+        And the shard runs for 400 ms
+        And 4 jobs of steps "2, 2 after 0" are submitted
+        Then all jobs are "completed" within 4500 ms
+        And the shard has had no other owner
+
+        Examples:
+            | ms   |
+            | 2500 |
+            | 4000 |
+            | 4300 |
+            | 4600 |
+            | 5600 |
+            | 6100 |
+
     Scenario: The same id through two daemons is one job
         Given a cell of 3 daemons and 4 workers
         When the job "00000000000000a1" of steps "2" is submitted 3 times
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -271,7 +271,11 @@
     for (const workerId of ["i-1", "i-2"]) {
         task.step.advice.good.set(workerId, { ticket: "t", validUntilMs: 9_000 });
     }
-    return createChooser(task.step, [full, free], { nowMs: 0, view: createRoomView(0), packing: "spread" }).choose(task)
+    return createChooser(task.step, new Map([full, free].map(worker => [worker.workerId, worker])), {
+        nowMs: 0,
+        view: createRoomView(0),
+        packing: "spread",
+    }).choose(task)
         ?.workerId ?? "none";
 };
 
@@ -450,6 +454,7 @@
         desk,
         onPlanned: (_job, runs) => planned.push(...runs.map(run => `${run.task.name} on ${run.workerId}`)),
         onPreempt: () => {},
+        wake: () => {},
     });
     all.consider(job);
     all.pass();
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -11,7 +11,7 @@
     testQueue,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { createCommitLog, journalTable } from "puffinarch";
+import { createCommitLog, createForward, journalTable } from "puffinarch";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
@@ -23,6 +23,7 @@
     ownerBefore: string | undefined;
     drainingWorker: string;
     strengths: readonly number[];
+    forwarded: { readonly by: string; readonly afterMs: number; } | undefined;
     /** Lines that the log had when the newest fault came. */
     linesBefore: number;
     commitOutcome: { readonly durable: number; readonly fenced: number; } | undefined;
@@ -41,6 +42,7 @@
             ownerBefore: undefined,
             drainingWorker: "",
             strengths: [],
+            forwarded: undefined,
             linesBefore: 0,
             commitOutcome: undefined,
         }),
@@ -308,6 +310,40 @@
     },
 );
 
+When(
+    "a request hangs at its owner, and the shard has another owner after {int} ms",
+    async function(this: ScenarioWorld, afterMs: number) {
+        const clock = createFakeClock();
+        let owner = "entry-1";
+        const forward = createForward({
+            clock,
+            retryAfterMs: 1_000,
+            shard: () => undefined,
+            ownerAddress: () => owner,
+            ownerLostMs: () => 0,
+        });
+        const never = new Promise<never>(() => {});
+        const answer = forward.run({
+            local: () => never,
+            remote: address => address === "entry-1" ? never : Promise.resolve(address),
+            patienceMs: 2_500,
+        });
+        const beganAtMs = clock.monotonicMs();
+        void answer.then(by => {
+            part(this).forwarded = { by, afterMs: clock.monotonicMs() - beganAtMs };
+        });
+        await clock.advance(afterMs);
+        owner = "entry-2";
+        forward.wake();
+        await clock.advance(2_000);
+    },
+);
+
+Then("it is answered by the next owner after {int} ms", function(this: ScenarioWorld, afterMs: number) {
+    assert.equal(part(this).forwarded?.by, "entry-2");
+    assert.ok((part(this).forwarded?.afterMs ?? Infinity) <= afterMs + 60, `after ${part(this).forwarded?.afterMs} ms`);
+});
+
 When("the operator withdraws the wave", function(this: ScenarioWorld) {
     cellOf(this).withdrawUpkeep(1);
 });
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -46,3 +46,13 @@
         And the shard runs for 2500 ms
         And the other daemons can claim again
         Then a daemon owns the shard within 6000 ms
+
+    Scenario: An owner that falls silent is replaced soon
+        Given a cell of 4 daemons and 4 workers
+        When the shard runs for 500 ms
+        And the fault "owner cut from its peers, the store, workers" comes
+        Then another daemon owns the shard within 800 ms
+
+    Scenario: A request that hangs at a lost owner goes to the next one
+        When a request hangs at its owner, and the shard has another owner after 100 ms
+        Then it is answered by the next owner after 100 ms
--- a/packages/puffinarch/src/core/shard/askAdvice.ts
+++ b/packages/puffinarch/src/core/shard/askAdvice.ts
@@ -36,6 +36,8 @@
 export interface AdviceAsker {
     /** Asks about workers with room, or about to have some, whose tickets are missing. */
     askFor(wish: AdviceWish): void;
+    /** Keeps the room for which tickets are on their way, so that less urgent steps do not ask for the same. */
+    keepAsked(wish: AdviceWish): void;
     /** Asks for a step that is not ready yet. */
     askAhead(step: ShardStep, view: RoomView, nowMs: number): void;
 }
@@ -82,11 +84,15 @@
         return terms === undefined ? 0 : terms.decideMs + terms.eachMs * names;
     };
 
+    /** Workers named in the call that is under way, and when it began. */
+    const asking = new WeakMap<ShardStep, { readonly named: readonly string[]; readonly sinceMs: number; }>();
+
     const ask = (step: ShardStep, named: readonly string[]): void => {
         if (step.occurrence.job.queue.advice === undefined || named.length === 0) {
             return;
         }
         step.advice.inFlight = true;
+        asking.set(step, { named, sinceMs: clock.monotonicMs() });
         meter.count("adviceCalls");
         meter.count("adviceNames", named.length);
         desk.ask({
@@ -163,6 +169,20 @@
             }
             advice.notBeforeMs = nowMs + lookMs;
         },
+        keepAsked: ({ step, waiting, view, nowMs }) => {
+            const call = asking.get(step);
+            if (
+                !step.advice.inFlight || call === undefined
+                || nowMs - call.sinceMs > costOf(step, call.named.length) + queueMs
+            ) {
+                return;
+            }
+            const held = heldBy(step.spec);
+            const known = call.named.filter(workerId => step.advice.good.has(workerId));
+            for (const workerId of known.slice(0, waiting)) {
+                view.keep({ step, workerId, held, freeAtMs: nowMs, victims: [] });
+            }
+        },
         askAhead: (step, view, nowMs) =>
             ask(step, namesFor({ step, waiting: step.open, reservations: [], view, nowMs })),
     };
--- a/packages/puffinarch/src/core/shard/batchWriter.ts
+++ b/packages/puffinarch/src/core/shard/batchWriter.ts
@@ -46,6 +46,12 @@
 const waitFactor = 4;
 /** How long one copy may be answered. */
 const copyTimeoutMs = 1_500;
+/** Copies without an answer after which the store is taken to be away, and is asked whether it is back. */
+const copiesToProbe = 3;
+/** Between two such questions; a copy that was sent into an outage is not answered after it, and the next is 1.5 s off. */
+const probeMs = 200;
+/** A store that answers questions and no copies is not asked again for this long. */
+const probePauseMs = 1_000;
 /** Weight of the newest answer in the usual time, where no copy was sent before it came. */
 const usualShare = 0.2;
 
@@ -112,17 +118,44 @@
             log.write("warn", "commitDelayed", { part, batch: batch.batchId, outcome, reason });
         };
 
-        let waitMs = Math.min(longestWaitMs, Math.max(shortestWaitMs, waitFactor * usualMs));
+        const firstWaitMs = Math.min(longestWaitMs, Math.max(shortestWaitMs, waitFactor * usualMs));
+        let waitMs = firstWaitMs;
         let pauseMs = firstPauseMs;
+        let probesAgainAtMs = -Infinity;
+
+        /** Whether the store is back before the wait for a copy's answer is over. */
+        const isBack = async (withinMs: number): Promise<boolean> => {
+            const endsAtMs = clock.monotonicMs() + withinMs;
+            if (copies < copiesToProbe || clock.monotonicMs() < probesAgainAtMs) {
+                await sleep(clock, withinMs);
+                return false;
+            }
+            while (settled === undefined && !isStopped() && clock.monotonicMs() < endsAtMs) {
+                const answer = store.read(ownerTable, part, undefined, 1).then(() => true, () => false);
+                const pause = sleep(clock, Math.min(probeMs, endsAtMs - clock.monotonicMs()));
+                if (await Promise.race([answer, pause.then(() => false)])) {
+                    return settled === undefined;
+                }
+                await pause;
+            }
+            return false;
+        };
+
         while (settled === undefined && !isStopped()) {
             let answered = false;
             const copy = sendCopy().then(() => {
                 answered = true;
             });
-            await Promise.race([copy, settlement, sleep(clock, waitMs)]);
+            const back = await Promise.race([copy.then(() => false), settlement.then(() => false), isBack(waitMs)]);
             if (settled !== undefined) {
                 break;
             }
+            if (back) {
+                log.write("info", "storeBack", { part, batch: batch.batchId, copies });
+                probesAgainAtMs = clock.monotonicMs() + probePauseMs;
+                waitMs = firstWaitMs;
+                continue;
+            }
             if (answered) {
                 await Promise.race([settlement, sleep(clock, pauseMs)]);
                 pauseMs = Math.min(longestPauseMs, 2 * pauseMs);
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -142,6 +142,20 @@
     took(worker: ShardWorker): void;
 }
 
+/** Workers that may run the step: those that the advisor allows, where it is asked, else all. */
+const mayRunOn = function*(step: ShardStep, workers: ReadonlyMap<string, ShardWorker>): Generator<ShardWorker> {
+    if (step.occurrence.job.queue.advice === undefined) {
+        yield* workers.values();
+        return;
+    }
+    for (const workerId of step.advice.good.keys()) {
+        const worker = workers.get(workerId);
+        if (worker !== undefined) {
+            yield worker;
+        }
+    }
+};
+
 /** Whether the step may run there, now or once the worker answers again, or nobody has asked yet whether it may. */
 const mightRun = (worker: ShardWorker, step: ShardStep, { rack }: ChoiceLimits): boolean =>
     worker.unlistedAtMs === undefined && !worker.entry.draining && suits(worker, step)
@@ -154,21 +168,20 @@
  * run it, with room or without, open or not.
  *
  * @example
- * const chooser = createChooser(step, workers.values(), { nowMs, view, packing: "scarcest" });
+ * const chooser = createChooser(step, workers, { nowMs, view, packing: "scarcest" });
  * const worker = chooser.choose(task);
  */
 export const createChooser = (
     step: ShardStep,
-    workers: Iterable<ShardWorker>,
+    workers: ReadonlyMap<string, ShardWorker>,
     limits: ChoiceLimits,
 ): Chooser => {
     const { spec } = step;
     const { view, packing } = limits;
     const held = heldBy(spec);
     const runs = countRuns(step);
-    const all = [...workers];
     const usable: Candidate[] = [];
-    for (const worker of all) {
+    for (const worker of mayRunOn(step, workers)) {
         if (
             isOpen(worker, limits.nowMs) && suits(worker, step)
             && (limits.rack === undefined || worker.entry.rack === limits.rack)
@@ -184,7 +197,7 @@
 
     /** A worker that is silent or rests for a moment is worth waiting for: going back may use up the last attempt. */
     const hasUntried = ({ failedOn }: ShardTask, except?: ReadonlySet<string>): boolean =>
-        all.some(worker =>
+        [...workers.values()].some(worker =>
             !failedOn.has(worker.workerId) && except?.has(worker.workerId) !== true && mightRun(worker, step, limits)
         );
 
--- a/packages/puffinarch/src/core/shard/forward.ts
+++ b/packages/puffinarch/src/core/shard/forward.ts
@@ -63,6 +63,29 @@
             waiting.add(end);
         });
 
+    /** Rejects with `mayHaveRun` once the owner is another one; a lost owner would else hold the request for its whole time. */
+    const ownerMove = (
+        address: string,
+        withinMs: number,
+    ): { readonly happened: Promise<never>; readonly end: () => void; } => {
+        let ended = false;
+        const watch = async (): Promise<never> => {
+            while (!ended) {
+                await ownerChange(withinMs);
+                if (!ended && (shard() !== undefined || ownerAddress() !== address)) {
+                    return die("mayHaveRun", "the shard has another owner by now");
+                }
+            }
+            return new Promise<never>(() => {});
+        };
+        return {
+            happened: watch(),
+            end: () => {
+                ended = true;
+            },
+        };
+    };
+
     const tryOnce = async <T>(
         { local, remote }: ForwardRequest<T>,
         leftMs: number,
@@ -72,9 +95,20 @@
             return { value: await local(owned) };
         }
         const address = ownerAddress();
-        return address === undefined
-            ? undefined
-            : { value: await remote(address, Math.max(1, Math.min(tryTimeoutMs, leftMs))) };
+        if (address === undefined) {
+            return undefined;
+        }
+        const timeoutMs = Math.max(1, Math.min(tryTimeoutMs, leftMs));
+        const answer = remote(address, timeoutMs).then(value => ({ value }));
+        const moved = ownerMove(address, timeoutMs);
+        try {
+            return await Promise.race([answer, moved.happened]);
+        }
+        finally {
+            moved.end();
+            // Where the owner changed, what its predecessor says adds nothing: the request goes to the new one.
+            answer.catch(() => {});
+        }
     };
 
     return {
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -5,8 +5,9 @@
 
 import type { KnownOwner, MemberRow, PingAnswer } from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
-import { failureOf } from "../../utils/errors.js";
+import { type ErrorKind, failureOf } from "../../utils/errors.js";
 import { hash } from "../../utils/rendezvous.js";
+import { sleep } from "../../utils/time.js";
 import { type Peers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
 
 /** What the watch needs. */
@@ -56,8 +57,12 @@
 const failedPingIntervalMs = 50;
 /** Pings in a row without any answer before the owner counts as lost. */
 const silentPingsToClaim = 2;
+/** An owner that has not answered by then is asked over another connection too; both must fail. */
+const secondPingMs = 120;
 /** How long a peer may take to say whether it sees the owner. */
 const peerOpinionMs = 200;
+/** Once half of the peers have said so, the others have this much longer; those that are gone with the owner never do. */
+const restOpinionMs = 50;
 /** An answer from the owner within this time speaks against a peer that finds it silent. */
 const freshAnswerMs = 450;
 /** Each place in the order of candidates waits this much longer. */
@@ -74,9 +79,25 @@
 const stalledOwnerMs = 400;
 /** A store that answers a read, which takes some 6 ms, within this time is well, and an owner that waits for it is not. */
 const quickReadMs = 60;
+/**
+ * Where the store did not answer this daemon either within this time, the owner's first commit after the outage is waited
+ * for: a takeover costs all tickets and about half a second.
+ */
+const storeBackMs = 700;
 /** A store that answers a read within this time can carry a claim. */
 const claimReadMs = 800;
 
+/** The first answer of several calls; undefined once all have failed. */
+const firstAnswer = <T>(calls: readonly Promise<T | undefined>[]): Promise<T | undefined> =>
+    new Promise(resolve => {
+        const settle = (answer: T | undefined): void => {
+            if (answer !== undefined) {
+                resolve(answer);
+            }
+        };
+        void Promise.all(calls.map(call => call.then(settle))).then(() => resolve(undefined));
+    });
+
 /**
  * Starts to watch the owner of a shard.
  *
@@ -90,6 +111,8 @@
     let lostAtMs: number | undefined;
     let answeredAtMs = -Infinity;
     let endPause: (() => void) | undefined;
+    /** Local time of the last read that the store did not answer quickly. */
+    let slowReadAtMs = -Infinity;
 
     const mayClaim = (): boolean => isSettled() && !isLeaving() && !owns();
 
@@ -98,10 +121,18 @@
     /** Whether a peer had an answer from the owner within the last moments; then the fault is on this side. */
     const peersSeeOwner = async (version: number): Promise<{ readonly seen: boolean; readonly answered: number; }> => {
         const others = [...peers.all.values()].filter(peer => peer.memberId !== known()?.row.memberId);
-        const answers = await Promise.all(
-            others.map(peer => peers.ping(peer, { timeoutMs: peerOpinionMs })),
-        );
-        const answered = answers.filter(answer => answer !== undefined);
+        const answered: PingAnswer[] = [];
+        let noteHalf: () => void = () => {};
+        const half = new Promise<void>(resolve => {
+            noteHalf = resolve;
+        });
+        const all = Promise.all(others.map(async peer => {
+            const answer = await peers.ping(peer, { timeoutMs: peerOpinionMs });
+            if (answer !== undefined && answered.push(answer) >= others.length / 2) {
+                noteHalf();
+            }
+        }));
+        await Promise.race([all, half.then(() => sleep(clock, restOpinionMs))]);
         return {
             seen: version > 0 && answered.some(answer => answer.seenOwnerToken === version),
             answered: answered.length,
@@ -177,7 +208,11 @@
         if (!mayClaim() || stalledMs < stalledOwnerMs + turnMs(version)) {
             return;
         }
-        if (await readOwner(quickReadMs) && versionNow() === version && !owns()) {
+        if (!await readOwner(quickReadMs)) {
+            slowReadAtMs = clock.monotonicMs();
+            return;
+        }
+        if (clock.monotonicMs() - slowReadAtMs > storeBackMs && versionNow() === version && !owns()) {
             await claim(version, "ownerStalled");
         }
     };
@@ -188,14 +223,34 @@
         lostAtMs = undefined;
     };
 
-    const pingOwner = async ({ row, version }: KnownOwner): Promise<void> => {
-        const startedAtMs = clock.monotonicMs();
-        const answer = await peers.ping(row, {
-            onSilent: kind => {
+    /** Asks the owner, and once more over another connection where it takes long. */
+    const askOwner = async (row: MemberRow): Promise<PingAnswer | undefined> => {
+        const ask = async (timeoutMs: number): Promise<PingAnswer | undefined> => {
+            let silence: ErrorKind | undefined;
+            const answer = await peers.ping(row, { timeoutMs, onSilent: kind => silence = kind });
+            if (silence !== undefined) {
+                silences.push(silence);
+            }
+            return answer;
+        };
+        const silences: ErrorKind[] = [];
+        const first = ask(pingTimeoutMs);
+        const early = await Promise.race([first, sleep(clock, secondPingMs).then(() => "late" as const)]);
+        const answer = early === "late"
+            ? await firstAnswer([first, ask(pingTimeoutMs - secondPingMs)])
+            : early;
+        if (answer === undefined) {
+            for (const kind of silences) {
                 silentPings += 1;
                 log.write("warn", "ownerSilent", { owner: row.memberId, kind, silentPings });
-            },
-        });
+            }
+        }
+        return answer;
+    };
+
+    const pingOwner = async ({ row, version }: KnownOwner): Promise<void> => {
+        const startedAtMs = clock.monotonicMs();
+        const answer = await askOwner(row);
         if (answer !== undefined && versionNow() === version) {
             options.onAnswer(row.address, answer);
             if (answer.ownedToken === version) {
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -34,6 +34,8 @@
     readonly onPlanned: (job: ShardJob, runs: readonly ShardRun[]) => void;
     /** The run is to be stopped with its checkpoint, to make room. */
     readonly onPreempt: (run: ShardRun) => void;
+    /** Asks for another pass soon; all that happens until then shares it. */
+    readonly wake: () => void;
 }
 
 /** Places tasks. */
@@ -77,7 +79,7 @@
  * Makes the placing of a shard.
  *
  * @example
- * const placing = createPlacing({ clock, log, meter, settings, workers, desk, onPlanned });
+ * const placing = createPlacing({ clock, log, meter, settings, workers, desk, onPlanned, onPreempt, wake });
  * placing.consider(job);
  * placing.pass();
  */
@@ -99,11 +101,11 @@
         return run;
     };
 
-    const asker = createAdviceAsker({ clock, log, meter, settings, workers, desk, onAnswer: () => pass() });
+    const asker = createAdviceAsker({ clock, log, meter, settings, workers, desk, onAnswer: options.wake });
     const plans = new Map<ShardStep, RoomPlan>();
 
     const chooserFor = (step: ShardStep, { nowMs, view }: Round): Chooser =>
-        createChooser(step, workers.values(), { nowMs, view, packing: settings.policies.packing });
+        createChooser(step, workers, { nowMs, view, packing: settings.policies.packing });
 
     /** Plans a run of the task on the best worker; undefined where there is no room. */
     const placeOne = (
@@ -270,8 +272,9 @@
         }
         const left = waiting.length - runs.length;
         if (left > 0) {
-            const reservations = keepRoom(ranked, left, round);
-            asker.askFor({ step, waiting: left, reservations, view, nowMs });
+            const wish = { step, waiting: left, reservations: keepRoom(ranked, left, round), view, nowMs };
+            asker.askFor(wish);
+            asker.keepAsked(wish);
         }
     };
 
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -84,6 +84,8 @@
 const lagShare = 0.1;
 /** All that happens within this time shares one pass over the waiting steps. */
 const passDelayMs = 2;
+/** Passes take a third of the processor at the most, however many steps wait; looks, pings and commits need the rest. */
+const passRest = 2;
 /** Ended jobs are looked through this many ticks apart. */
 const forgetIntervalTicks = 50;
 
@@ -101,6 +103,8 @@
     let queues = new Map<string, Queue>();
     let closed = false;
     let passWanted = false;
+    /** How long the newest pass took. */
+    let passMs = 0;
     let ticks = 0;
     let lagMs = 0;
     let tickDueMs = clock.monotonicMs() + tickMs;
@@ -221,6 +225,7 @@
         desk,
         onPlanned: startPlanned,
         onPreempt: workers.stop,
+        wake: () => wake(),
     });
 
     const wake = (): void => {
@@ -228,10 +233,12 @@
             return;
         }
         passWanted = true;
-        clock.setTimer(passDelayMs, () => {
+        clock.setTimer(Math.max(passDelayMs, passRest * passMs), () => {
             passWanted = false;
             if (!closed) {
+                const beganAtMs = clock.monotonicMs();
                 placing.pass();
+                passMs = clock.monotonicMs() - beganAtMs;
             }
         });
     };
--- a/packages/puffinarch/src/core/shard/urgency.ts
+++ b/packages/puffinarch/src/core/shard/urgency.ts
@@ -32,8 +32,11 @@
 const waveShare = 0.25;
 /** Up to this many times its objective a job is late; after that it is worth nothing to its caller. */
 const lateFactor = 3;
-/** Run times are estimated up to half too long; a job that needs less than this share of its estimate may make it. */
-const hopefulShare = 0.7;
+/**
+ * A job is taken to need this share of its estimate. Below 1, an overload is spent on jobs that miss their objective by a
+ * little: at 1.04 times the room of 60 workers 76 of 205 checks were in time with 0.7, 117 with 1 and 149 with 1.2.
+ */
+const neededShare = 1.1;
 
 /** How many tasks of a size an empty worker holds. */
 const tasksOn = (held: Resources, capacity: Resources): number => {
@@ -104,7 +107,7 @@
     }
     const beginMs = beginOf(occurrence);
     const dueAtMs = beginMs + course.objectiveMs;
-    const endsAtMs = wallMs + hopefulShare * (course.tailsMs[number] ?? 0);
+    const endsAtMs = wallMs + neededShare * (course.tailsMs[number] ?? 0);
     if (endsAtMs <= dueAtMs) {
         return { step, standing: standings.onTime, dueAtMs };
     }
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -316,6 +316,7 @@
     type TaskCancelledRecord,
     type TaskEndedRecord,
 } from "./internal.js";
+export { type AdviceTerms } from "./internal.js";
 export { add, fits, largest, noResources, type Resources, scale, subtract } from "./internal.js";
 
 // Errors, checks and small helpers.
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -1,6 +1,7 @@
 /** Several daemons of a cell in one process on a fake clock, with links that can be cut and daemons that can be killed. */
 
 import {
+    type AdviceTerms,
     type AdvisorPort,
     type CellConfiguration,
     type CellMember,
@@ -191,6 +192,8 @@
     const store = createFakeRowStore(clock);
     const log: { memberId: string; event: string; fields: Readonly<Record<string, unknown>>; }[] = [];
     const steps = new Map<string, readonly Step[]>();
+    /** Queue of each job that was not submitted to the usual one. */
+    const queueOf = new Map<string, string>();
     const stepOf = (taskName: string): Step | undefined => {
         const name = parseTaskName(taskName);
         return name === undefined ? undefined : steps.get(name.jobId)?.[name.step];
@@ -246,13 +249,19 @@
         },
     });
 
+    const termsOf = (stepName: string): AdviceTerms | undefined => {
+        const queueKey = queueOf.get(stepName.split(".", 1)[0] ?? "") ?? testQueue.key;
+        return queues.find(queue => queue.key === queueKey)?.advice;
+    };
+
     const advisor: AdvisorPort = {
         advise: async ({ stepName, workerIds }) => {
-            await wait((testQueue.advice?.decideMs ?? 0) + workerIds.length);
+            const terms = termsOf(stepName);
+            await wait((terms?.decideMs ?? 0) + (terms?.eachMs ?? 0) * workerIds.length);
             return {
                 good: workerIds.filter(workerId => isGood(stepName, workerId))
                     .map(workerId => ({ workerId, ticket: `${stepName}@${workerId}` })),
-                validMs: testQueue.advice?.validMs ?? 0,
+                validMs: terms?.validMs ?? 0,
             };
         },
     };
@@ -384,6 +393,9 @@
         owner,
         submit: (jobId, jobSteps, queueKey) => {
             steps.set(jobId, jobSteps);
+            if (queueKey !== undefined) {
+                queueOf.set(jobId, queueKey);
+            }
             void send(submissionOf(jobId, jobSteps, queueKey));
         },
         submitOnce: (jobId, jobSteps, memberId) => {
