Orders to VMs are announced durably first, so that owners do not take turns where old tokens are not refused

Cause: the further customer's platform does not check fencing tokens on its calls for VMs (fencing_required false), and the code relied on the refusal alone: an order of a replaced owner that is carried out late comes after its successor's.

Change: before each order the owner records, conditional on owning the shard, that the VM may be ordered; the order leaves within 300 ms of that proof or not at all. A successor knows from the record which VMs may have been ordered: it begins with the others, takes those that it sees in their upkeep for begun, and leaves the rest alone until an order of its predecessor can arrive no more (15 s). Where tokens are checked it waits for nothing, as before. The setting comes through the template.

Ways weighed: waiting out the span for all VMs of a wave after each claim (a wave of 20 s would be late); a lease on the owner's row (the store's clock and a freeze would have to be trusted).

A record that takes 400 ms sends no order.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -77,7 +77,7 @@
             | shardSettings        | leases of 5000 ms                       |
             | shardTables          | sequence                                |
             | tableWatch           | configuration seen                      |
-            | upkeep               | 1 completed |
+            | upkeep               | completed                               |
             | waveRows             | true, 1 begun |
             | workerLink           | 3 looks                                 |
             | workerTable          | until 6500 on its clock, 8000 free      |
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -383,10 +383,14 @@
         workers: new Map(),
         stop: () => {},
         lose: () => {},
-        readBegun: async () => new Map(),
-        save: async (_wave, begun, state) => {
-            saved.push(`${begun.size} ${state}`);
-            return true;
+        settleMs: 0,
+        rows: {
+            read: async () => new Map(),
+            record: async () => true,
+            show: async (_wave, state) => {
+                saved.push(state);
+                return true;
+            },
         },
     });
     waves.update([{ number: 1, vmIds: ["vm-1"], deadlineMs: 10_000, atOnce: 1 }]);
@@ -407,11 +411,11 @@
         stateRow: (wave, state) => ({ table: "status", part: "", key: `wave/${wave}`, value: state }),
         isClosed: () => false,
     });
-    const written = rows.save(3, new Set(["vm-1"]), "running");
+    const written = rows.record(3, { begun: new Set(["vm-1"]), ordered: new Map([["vm-1", 7]]) });
     await clock.advance(20);
     const read = rows.read();
     await clock.advance(20);
-    return `${await written}, ${(await read).get(3)?.size} begun`;
+    return `${await written}, ${(await read).get(3)?.begun.size} begun`;
 };
 
 const pacer = (): string => {
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -11,7 +11,7 @@
     testQueue,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { createCommitLog, createForward, journalTable } from "puffinarch";
+import { createCommitLog, createForward, journalTable, sleep, startUpkeep } from "puffinarch";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
@@ -23,6 +23,7 @@
     ownerBefore: string | undefined;
     drainingWorker: string;
     strengths: readonly number[];
+    orderedVms: readonly string[] | undefined;
     forwarded: { readonly by: string; readonly afterMs: number; } | undefined;
     /** Lines that the log had when the newest fault came. */
     linesBefore: number;
@@ -42,6 +43,7 @@
             ownerBefore: undefined,
             drainingWorker: "",
             strengths: [],
+            orderedVms: undefined,
             forwarded: undefined,
             linesBefore: 0,
             commitOutcome: undefined,
@@ -70,6 +72,56 @@
     },
 );
 
+Given(
+    "a cell of {int} daemons and {int} workers whose VMs refuse no token",
+    async function(this: ScenarioWorld, members: number, workers: number) {
+        await startCell(this, { members, workers, seed: 1, checksVmTokens: false });
+    },
+);
+
+Then("no VM had an order of a former owner after one of its successor", function(this: ScenarioWorld) {
+    assert.deepEqual(cellOf(this).vms.outOfTurn, []);
+});
+
+When("a wave is acted on while each record takes {int} ms", async function(this: ScenarioWorld, takesMs: number) {
+    const clock = createFakeClock();
+    const ordered: string[] = [];
+    const upkeep = startUpkeep({
+        clock,
+        log: { write: () => {} },
+        meter: { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 },
+        port: {
+            list: async () => [{ vmId: "vm-1", state: "up", workerId: "i-1" }],
+            upkeep: async ({ vmId }) => {
+                ordered.push(vmId);
+                return "done";
+            },
+        },
+        holderId: "entry-1",
+        fencingToken: 7,
+        workers: new Map(),
+        stop: () => {},
+        lose: () => {},
+        settleMs: 0,
+        rows: {
+            read: async () => new Map(),
+            record: async () => {
+                await sleep(clock, takesMs);
+                return true;
+            },
+            show: async () => true,
+        },
+    });
+    upkeep.update([{ number: 1, vmIds: ["vm-1"], deadlineMs: 10_000, atOnce: 1 }]);
+    await clock.advance(5_000);
+    upkeep.close();
+    part(this).orderedVms = ordered;
+});
+
+Then("no VM was ordered", function(this: ScenarioWorld) {
+    assert.deepEqual(part(this).orderedVms, []);
+});
+
 Given(
     "a cell of daemons with strengths {string} and {int} workers",
     async function(this: ScenarioWorld, text: string, workers: number) {
--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -35,6 +35,33 @@
         And the shard runs for 2000 ms
         Then 2 tasks run
 
+    Scenario Outline: Where VMs refuse no old token, no order of a former owner comes after one of its successor, "<fault>"
+        Given a cell of 4 daemons and 6 workers whose VMs refuse no token
+        When 4 jobs of steps "3, 4 after 0" are submitted
+        And the shard runs for 2500 ms
+        And the fault "upkeep orders very late" comes
+        And the operator asks for upkeep of 6 VMs, 2 at once, within 30000 ms
+        And the shard runs for 1500 ms
+        And the fault "<fault>" comes
+        And the shard runs for 1500 ms
+        And the fault goes
+        Then the wave is shown as "completed" within 60000 ms
+        When the shard runs for 15000 ms
+        Then no VM had an order of a former owner after one of its successor
+        And each of the 6 VMs had its upkeep once, with 2 down at once at the most
+        And no promise was broken
+
+        Examples:
+            | fault                    |
+            | owner killed             |
+            | owner stops              |
+            | owner cut from the store |
+            | all killed               |
+
+    Scenario: An order is not sent where the proof of ownership took long
+        When a wave is acted on while each record takes 400 ms
+        Then no VM was ordered
+
     Scenario Outline: A wave outlasts the fault "<fault>"
         Given a cell of 4 daemons and 6 workers
         When 4 jobs of steps "3, 4 after 0" are submitted
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -56,6 +56,8 @@
         /** Waves of upkeep among the rows of the configuration's table; left out where nobody asks for any. */
         readonly upkeep?: {
             readonly port: VmPort;
+            /** How long an order of a former owner may still arrive; 0 where the platform refuses lower fencing tokens. */
+            readonly settleMs: number;
             readonly readWave: (row: Row) => UpkeepWave | undefined;
             readonly stateRow: (wave: number, state: WaveState) => RowKey & { readonly value: string; };
         };
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -47,6 +47,8 @@
     readonly upkeep?: {
         readonly port: VmPort;
         readonly holderId: string;
+        /** How long an order of a former owner may still arrive; 0 where the platform refuses lower fencing tokens. */
+        readonly settleMs: number;
         readonly stateRow: (wave: number, state: WaveState) => RowKey & { readonly value: string; };
     };
     /** Another daemon owns the shard by now. */
@@ -367,7 +369,7 @@
         if (options.upkeep === undefined) {
             return undefined;
         }
-        const { port, holderId, stateRow } = options.upkeep;
+        const { port, holderId, stateRow, settleMs: upkeepSettleMs } = options.upkeep;
         const rows = createWaveRows({
             clock,
             log,
@@ -387,8 +389,8 @@
             workers: workers.all,
             stop: workers.stop,
             lose: workerId => workers.lose(workerId, "upkeep"),
-            readBegun: rows.read,
-            save: rows.save,
+            settleMs: upkeepSettleMs,
+            rows,
         });
     };
 
--- a/packages/puffinarch/src/core/shard/upkeep.ts
+++ b/packages/puffinarch/src/core/shard/upkeep.ts
@@ -19,6 +19,7 @@
 import { sleep } from "../../utils/time.js";
 import { mayGoDown, runsToMove } from "./evacuate.js";
 import type { ShardRun } from "./jobBook.js";
+import type { WaveRecord, WaveRows } from "./waveRows.js";
 import type { ShardWorker } from "./workerTable.js";
 
 /** What waves of upkeep need. */
@@ -33,10 +34,12 @@
     readonly stop: (run: ShardRun) => void;
     /** The worker's life is over. */
     readonly lose: (workerId: string) => void;
-    /** VMs that have begun under an earlier owner, by wave. */
-    readonly readBegun: () => Promise<ReadonlyMap<number, ReadonlySet<string>>>;
-    /** Makes durable which VMs of a wave have begun, and shows its state. False where the store did not take it. */
-    readonly save: (wave: number, begun: ReadonlySet<string>, state: WaveState) => Promise<boolean>;
+    /**
+     * For how long after the claim a VM that an earlier owner may have ordered is left alone, unless it is seen in its upkeep:
+     * an order of the earlier owner may still arrive. 0 where the platform refuses lower fencing tokens.
+     */
+    readonly settleMs: number;
+    readonly rows: Pick<WaveRows, "read" | "record" | "show">;
 }
 
 /** Waves of upkeep, as long as a daemon owns the shard. */
@@ -58,12 +61,19 @@
 const goneMs = 4_000;
 /** An order that may not have been carried out is sent again after this. */
 const orderAgainMs = 600;
+/**
+ * An order leaves within this time of the record that proves the ownership: a successor that claims after it knows that the
+ * VM may have been ordered, and a process that was frozen in between sends nothing.
+ */
+const proofMs = 300;
 
 /** Phases of a VM in a wave. */
 const phases = {
     waiting: "waiting",
     /** Closed to new tasks; those that run end or move. */
     emptying: "emptying",
+    /** An earlier owner may have ordered it, and its order may still arrive. */
+    doubtful: "doubtful",
     /** The order was sent and may have been carried out. */
     ordered: "ordered",
     /** The platform has said that it began. */
@@ -92,6 +102,7 @@
     reported: WaveState | undefined;
     /** Number of VMs that were begun when it was saved last. */
     saved: number;
+    readonly ordered: Map<string, number>;
 }
 
 const isSettled = ({ phase }: Progress): boolean => phase === phases.begun || phase === phases.gone;
@@ -100,7 +111,7 @@
  * Starts to act on waves of upkeep.
  *
  * @example
- * const upkeep = startUpkeep({ clock, log, meter, port, holderId, fencingToken, workers, stop, lose, readBegun, save });
+ * const upkeep = startUpkeep({ clock, log, meter, port, holderId, fencingToken, workers, stop, lose, settleMs: 0, rows });
  * upkeep.update(waves);
  */
 export const startUpkeep = (options: UpkeepOptions): Upkeep => {
@@ -109,7 +120,8 @@
     let running = false;
     let closed = false;
     /** Read when the first wave comes; most owners never see one. */
-    let begunBefore: Promise<ReadonlyMap<number, ReadonlySet<string>>> | undefined;
+    let recordsBefore: Promise<ReadonlyMap<number, WaveRecord>> | undefined;
+    const claimedAtMs = clock.monotonicMs();
 
     const enter = (progress: Progress, phase: Progress["phase"]): void => {
         progress.phase = phase;
@@ -124,6 +136,18 @@
         }
     };
 
+    const begunOf = ({ vms }: OpenWave): ReadonlySet<string> =>
+        new Set(vms.filter(vm => vm.phase === phases.begun).map(vm => vm.vmId));
+
+    /** Makes durable that the VM may be ordered from now on; false where the order must not be sent. */
+    const announce = async (openWave: OpenWave, { vmId }: Progress): Promise<boolean> => {
+        const askedAtMs = clock.monotonicMs();
+        openWave.ordered.set(vmId, fencingToken);
+        const record = { begun: begunOf(openWave), ordered: openWave.ordered };
+        const taken = await options.rows.record(openWave.wave.number, record);
+        return taken && !closed && clock.monotonicMs() - askedAtMs <= proofMs;
+    };
+
     const order = async (progress: Progress, wave: number): Promise<UpkeepOutcome> => {
         enter(progress, phases.ordered);
         progress.down = true;
@@ -170,6 +194,14 @@
             return;
         }
         progress.absentSinceMs = undefined;
+        if (progress.phase === phases.doubtful) {
+            if (vm.state === vmStates.upkeep) {
+                enter(progress, phases.begun);
+            }
+            else if (nowMs - claimedAtMs > options.settleMs) {
+                enter(progress, phases.waiting);
+            }
+        }
         const isOtherLife = progress.workerId !== "" && vm.workerId !== "" && vm.workerId !== progress.workerId;
         if (progress.down && askedAtMs > progress.sinceMs && vm.state === vmStates.up && isOtherLife) {
             options.lose(progress.workerId);
@@ -226,7 +258,7 @@
             const isUp = vms.get(progress.vmId)?.state === vmStates.up;
             const ready = progress.phase === phases.emptying && isUp && empty(progress, patienceMs);
             const down = openWave.vms.filter(vm => vm !== progress && isDown(vm, vms)).length;
-            if (closed || !again && !ready || down >= wave.atOnce) {
+            if (closed || !again && !ready || down >= wave.atOnce || !await announce(openWave, progress)) {
                 continue;
             }
             answers[await order(progress, wave.number)](progress);
@@ -236,11 +268,13 @@
     const report = async (openWave: OpenWave): Promise<void> => {
         const { wave, vms } = openWave;
         const state = vms.every(isSettled) ? waveStates.completed : waveStates.running;
-        const begun = new Set(vms.filter(vm => vm.phase === phases.begun).map(vm => vm.vmId));
+        const begun = begunOf(openWave);
         if (openWave.reported === state && openWave.saved === begun.size) {
             return;
         }
-        if (await options.save(wave.number, begun, state)) {
+        const { rows } = options;
+        const recorded = begun.size === 0 || await rows.record(wave.number, { begun, ordered: openWave.ordered });
+        if (recorded && await rows.show(wave.number, state)) {
             openWave.saved = begun.size;
             openWave.reported = state;
             log.write("info", "waveReported", { wave: wave.number, state, begun: begun.size, of: vms.length });
@@ -287,8 +321,8 @@
     };
 
     const begin = async (waves: readonly UpkeepWave[]): Promise<void> => {
-        begunBefore ??= options.readBegun();
-        const earlier = await begunBefore;
+        recordsBefore ??= options.rows.read();
+        const earlier = await recordsBefore;
         const wanted = new Set(waves.map(wave => wave.number));
         for (const number of [...open.keys()].filter(known => !wanted.has(known))) {
             withdraw(number);
@@ -297,22 +331,26 @@
             if (open.has(wave.number)) {
                 continue;
             }
-            const begun = earlier.get(wave.number);
+            const { begun, ordered } = earlier.get(wave.number) ?? { begun: new Set(), ordered: new Map() };
             const nowMs = clock.monotonicMs();
-            log.write("info", "waveSeen", { ...wave, begun: begun?.size ?? 0 });
+            const mayArrive = options.settleMs > 0 && nowMs - claimedAtMs <= options.settleMs;
+            const phaseOf = (vmId: string): Progress["phase"] =>
+                begun.has(vmId) ? phases.begun : mayArrive && ordered.has(vmId) ? phases.doubtful : phases.waiting;
+            log.write("info", "waveSeen", { ...wave, begun: begun.size, ordered: ordered.size });
             open.set(wave.number, {
                 wave,
                 seenAtMs: nowMs,
                 vms: wave.vmIds.map(vmId => ({
                     vmId,
-                    phase: begun?.has(vmId) === true ? phases.begun : phases.waiting,
+                    phase: phaseOf(vmId),
                     sinceMs: nowMs,
                     workerId: "",
                     absentSinceMs: undefined,
                     down: false,
                 })),
                 reported: undefined,
-                saved: begun?.size ?? 0,
+                saved: begun.size,
+                ordered: new Map(ordered),
             });
         }
         if (!running && !closed) {
--- a/packages/puffinarch/src/core/shard/waveRows.ts
+++ b/packages/puffinarch/src/core/shard/waveRows.ts
@@ -1,4 +1,7 @@
-/** Rows that keep waves of upkeep: which VMs have begun, for a successor, and the state that the operator is shown. */
+/**
+ * Rows that keep waves of upkeep: which VMs have begun and which may have been ordered, for a successor, and the state that
+ * the operator is shown.
+ */
 
 import type { RowKey, RowStore } from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
@@ -19,14 +22,44 @@
     readonly isClosed: () => boolean;
 }
 
+/** What a successor must know of a wave. */
+export interface WaveRecord {
+    /** VMs that the platform has said to have begun. */
+    readonly begun: ReadonlySet<string>;
+    /** VMs for which an order may have been sent, with the fencing token of the newest owner that may have sent it. */
+    readonly ordered: ReadonlyMap<string, number>;
+}
+
 /** Rows of waves. */
 export interface WaveRows {
-    /** VMs that have begun, by wave. */
-    read(): Promise<ReadonlyMap<number, ReadonlySet<string>>>;
-    /** False where the store did not take all of it. */
-    save(wave: number, begun: ReadonlySet<string>, state: WaveState): Promise<boolean>;
+    /** Records by wave. */
+    read(): Promise<ReadonlyMap<number, WaveRecord>>;
+    /** False where the store did not take it, or another daemon owns the shard. */
+    record(wave: number, record: WaveRecord): Promise<boolean>;
+    /** Shows the operator a wave's state; false where the store did not take it. */
+    show(wave: number, state: WaveState): Promise<boolean>;
 }
 
+/** A record as it is stored; an earlier version stored the VMs that have begun alone. */
+type StoredRecord = readonly string[] | {
+    readonly begun: readonly string[];
+    readonly ordered: Readonly<Record<string, number>>;
+};
+
+const encodeRecord = ({ begun, ordered }: WaveRecord): string => {
+    const stored: StoredRecord = { begun: [...begun], ordered: Object.fromEntries(ordered) };
+    return JSON.stringify(stored);
+};
+
+const isOldRecord = (stored: StoredRecord): stored is readonly string[] => Array.isArray(stored);
+
+const decodeRecord = (value: string): WaveRecord => {
+    const stored = JSON.parse(value) as StoredRecord;
+    return isOldRecord(stored)
+        ? { begun: new Set(stored), ordered: new Map() }
+        : { begun: new Set(stored.begun), ordered: new Map(Object.entries(stored.ordered)) };
+};
+
 /** Twenty times a usual commit; what was not taken is saved again with the next step. */
 const saveTimeoutMs = 600;
 
@@ -35,16 +68,16 @@
  *
  * @example
  * const rows = createWaveRows({ clock, log, store, part, ownerVersion, stateRow, isClosed });
- * await rows.save(3, new Set(["m-17"]), "running");
+ * await rows.record(3, { begun: new Set(["m-17"]), ordered: new Map() });
  */
 export const createWaveRows = (options: WaveRowsOptions): WaveRows => {
     const { clock, log, store, part, ownerVersion, stateRow, isClosed } = options;
     const shown = new Map<number, WaveState>();
 
-    const saveBegun = async (wave: number, begun: ReadonlySet<string>): Promise<boolean> => {
+    const record = async (wave: number, entry: WaveRecord): Promise<boolean> => {
         const { outcome } = await store.transact({
             expect: [{ table: ownerTable, part, key: ownerKey, version: ownerVersion }],
-            puts: [{ table: upkeepTable, part, key: String(wave), value: JSON.stringify([...begun]) }],
+            puts: [{ table: upkeepTable, part, key: String(wave), value: encodeRecord(entry) }],
             removes: [],
         }, saveTimeoutMs);
         return outcome === "committed";
@@ -69,11 +102,9 @@
         read: async () => {
             const wanted = (): boolean => !isClosed();
             const rows = await readAllRows({ clock, log, store, table: upkeepTable, part, wanted });
-            return new Map(
-                (rows ?? []).map(row => [Number(row.key), new Set(JSON.parse(row.value ?? "[]") as readonly string[])]),
-            );
+            return new Map((rows ?? []).map(row => [Number(row.key), decodeRecord(row.value ?? "[]")]));
         },
-        save: async (wave, begun, state) =>
-            (begun.size === 0 || await saveBegun(wave, begun)) && await show(wave, state),
+        record,
+        show,
     };
 };
--- a/packages/stand-ins/src/shard/fakeVms.ts
+++ b/packages/stand-ins/src/shard/fakeVms.ts
@@ -3,8 +3,8 @@
 import { type Clock, die, type UpkeepOutcome, upkeepOutcomes, type VmPort, vmStates } from "puffinarch";
 import type { FakeFencedWorkers } from "./fencedWorkers.js";
 
-/** What can be wrong with the calls. `late`: an order gets no answer and is carried out a second after. */
-export const vmFaults = ["none", "late", "silent"] as const;
+/** What can be wrong with the calls. `late`, `veryLate`: an order gets no answer and is carried out 1 or 12 s after. */
+export const vmFaults = ["none", "late", "veryLate", "silent"] as const;
 /** One of `vmFaults`. */
 export type VmFault = (typeof vmFaults)[number];
 
@@ -23,12 +23,14 @@
 export interface FakeVms {
     readonly port: VmPort;
     readonly evidence: readonly UpkeepEvidence[];
+    /** Orders that came with a lower token than the VM had seen, where none are refused. */
+    readonly outOfTurn: readonly string[];
     setFault(fault: VmFault): void;
 }
 
 const answerMs = 4;
 const unansweredMs = 1_500;
-const lateMs = 1_000;
+const lateMs: Readonly<Partial<Record<VmFault, number>>> = { late: 1_000, veryLate: 12_000 };
 /** How long a VM is down for its upkeep. */
 export const upkeepMs = 2_000;
 
@@ -46,14 +48,16 @@
  * @example
  * const vms = createFakeVms({ clock, workers, renew: vmId => newWorkerIdOn(vmId) });
  */
-export const createFakeVms = ({ clock, workers, renew }: {
+export const createFakeVms = ({ clock, workers, renew, checksTokens = true }: {
     readonly clock: Clock;
     readonly workers: FakeFencedWorkers;
+    readonly checksTokens?: boolean;
     /** The VM is up again; gives the id of its new worker. */
     readonly renew: (vmId: string, workerId: string) => string;
 }): FakeVms => {
     const vms = new Map<string, FakeVm>();
     const evidence: UpkeepEvidence[] = [];
+    const outOfTurn: string[] = [];
     let fault: VmFault = "none";
     for (const workerId of workers.workerIds()) {
         const vmId = workerId.replace("worker", "vm");
@@ -71,9 +75,12 @@
             return upkeepOutcomes.invalid;
         }
         if (token < vm.token) {
-            return upkeepOutcomes.fenced;
+            if (checksTokens) {
+                return upkeepOutcomes.fenced;
+            }
+            outOfTurn.push(`${vmId}: ${token} after ${vm.token}`);
         }
-        vm.token = token;
+        vm.token = Math.max(token, vm.token);
         if (vm.waves.has(wave)) {
             return upkeepOutcomes.done;
         }
@@ -96,6 +103,7 @@
 
     return {
         evidence,
+        outOfTurn,
         setFault: next => {
             fault = next;
         },
@@ -111,8 +119,9 @@
                     await wait(answerMs);
                     return carryOut(vmId, wave, fencingToken);
                 }
-                if (fault === "late") {
-                    clock.setTimer(lateMs, () => carryOut(vmId, wave, fencingToken));
+                const delayMs = lateMs[fault];
+                if (delayMs !== undefined) {
+                    clock.setTimer(delayMs, () => carryOut(vmId, wave, fencingToken));
                 }
                 await wait(unansweredMs);
                 return upkeepOutcomes.unknown;
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -122,6 +122,8 @@
     readonly policies?: ShardPolicies;
     /** Of the daemons' VMs; 1 where it is left out. */
     readonly strengths?: readonly number[];
+    /** Whether the calls for VMs refuse a lower fencing token than they have seen. */
+    readonly checksVmTokens?: boolean;
     /** Whether the advisor allows a step on a worker. */
     readonly isGood?: (stepName: string, workerId: string) => boolean;
 }
@@ -184,6 +186,7 @@
         queues = [testQueue],
         policies,
         strengths = [],
+        checksVmTokens = true,
         isGood = () => true,
     }: ShardCellOptions,
 ): ShardCell => {
@@ -314,6 +317,7 @@
                 readWorker: row => row.value === undefined ? undefined : JSON.parse(row.value) as WorkerEntry,
                 upkeep: {
                     port: vms.port,
+                    settleMs: checksVmTokens ? 0 : 15_000,
                     readWave: ({ key, value }) =>
                         key.startsWith("wave/") && value !== undefined ? JSON.parse(value) as UpkeepWave : undefined,
                     stateRow: (wave, state) => ({ table: "status", part: "", key: `wave/${wave}`, value: state }),
@@ -335,6 +339,7 @@
     const vms = createFakeVms({
         clock,
         workers,
+        checksTokens: checksVmTokens,
         renew: (vmId, workerId) => {
             const index = Number(vmId.split("-").at(-1));
             const renewed = workerEntry(`${workerId}+`, index);
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -126,6 +126,10 @@
         cell.vms.setFault("late");
         return () => cell.vms.setFault("none");
     },
+    "upkeep orders very late": cell => {
+        cell.vms.setFault("veryLate");
+        return () => cell.vms.setFault("none");
+    },
     "VMs not listed": cell => {
         cell.vms.setFault("silent");
         return () => cell.vms.setFault("none");
