--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -11,7 +11,7 @@
     testQueue,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { createCommitLog, journalTable } from "puffinarch";
+import { createCommitLog, createForward, journalTable, sleep, startUpkeep } from "puffinarch";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
@@ -22,6 +22,11 @@
     faultAtMs: number;
     ownerBefore: string | undefined;
     drainingWorker: string;
+    strengths: readonly number[];
+    orderedVms: readonly string[] | undefined;
+    forwarded: { readonly by: string; readonly afterMs: number; } | undefined;
+    /** Lines that the log had when the newest fault came. */
+    linesBefore: number;
     commitOutcome: { readonly durable: number; readonly fenced: number; } | undefined;
 }
 
@@ -37,6 +42,10 @@
             faultAtMs: 0,
             ownerBefore: undefined,
             drainingWorker: "",
+            strengths: [],
+            orderedVms: undefined,
+            forwarded: undefined,
+            linesBefore: 0,
             commitOutcome: undefined,
         }),
     );
@@ -63,6 +72,108 @@
     },
 );
 
+Given(
+    "a cell of {int} daemons and {int} workers whose VMs refuse no token",
+    async function(this: ScenarioWorld, members: number, workers: number) {
+        await startCell(this, { members, workers, seed: 1, checksVmTokens: false });
+    },
+);
+
+Then("no VM had an order of a former owner after one of its successor", function(this: ScenarioWorld) {
+    assert.deepEqual(cellOf(this).vms.outOfTurn, []);
+});
+
+When("a wave is acted on while each record takes {int} ms", async function(this: ScenarioWorld, takesMs: number) {
+    const clock = createFakeClock();
+    const ordered: string[] = [];
+    const upkeep = startUpkeep({
+        clock,
+        log: { write: () => {} },
+        meter: { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 },
+        port: {
+            list: async () => [{ vmId: "vm-1", state: "up", workerId: "i-1" }],
+            upkeep: async ({ vmId }) => {
+                ordered.push(vmId);
+                return "done";
+            },
+        },
+        holderId: "entry-1",
+        fencingToken: 7,
+        workers: new Map(),
+        stop: () => {},
+        lose: () => {},
+        settleMs: 0,
+        rows: {
+            read: async () => new Map(),
+            record: async () => {
+                await sleep(clock, takesMs);
+                return true;
+            },
+            show: async () => true,
+        },
+    });
+    upkeep.update([{ number: 1, vmIds: ["vm-1"], deadlineMs: 10_000, atOnce: 1 }]);
+    await clock.advance(5_000);
+    upkeep.close();
+    part(this).orderedVms = ordered;
+});
+
+Then("no VM was ordered", function(this: ScenarioWorld) {
+    assert.deepEqual(part(this).orderedVms, []);
+});
+
+Given(
+    "a cell of daemons with strengths {string} and {int} workers",
+    async function(this: ScenarioWorld, text: string, workers: number) {
+        const strengths = text.split(",").map(Number);
+        part(this).strengths = strengths;
+        await startCell(this, { members: strengths.length, workers, seed: 1, strengths });
+    },
+);
+
+const isStrong = (world: ScenarioWorld, memberId: string | undefined): boolean =>
+    memberId !== undefined && part(world).strengths[cellOf(world).memberIds().indexOf(memberId)] === 1;
+
+Then("no weak daemon has owned the shard since", function(this: ScenarioWorld) {
+    const lines = cellOf(this).log.slice(part(this).linesBefore);
+    const owners = lines.filter(line => line.event === "claimed").map(line => line.memberId);
+    assert.ok(owners.length > 0);
+    assert.deepEqual(owners.filter(owner => !isStrong(this, owner)), []);
+});
+
+Then("the shard's owner is strong", function(this: ScenarioWorld) {
+    assert.ok(isStrong(this, cellOf(this).owner()), `it is ${cellOf(this).owner()}`);
+});
+
+When("all links to the store carry {int} bytes a ms", function(this: ScenarioWorld, bytesPerMs: number) {
+    const cell = cellOf(this);
+    for (const memberId of cell.memberIds()) {
+        cell.store.setLink(memberId, bytesPerMs);
+    }
+});
+
+When(
+    "the link of the next claimant carries 1 byte a ms, and no other daemon can claim",
+    function(this: ScenarioWorld) {
+        const cell = cellOf(this);
+        const [next, ...others] = cell.memberIds().filter(memberId => memberId !== cell.owner());
+        cell.store.setLink(next ?? "", 1);
+        for (const memberId of others) {
+            cell.store.setFault("refuse", memberId);
+        }
+        part(this).mend.push(() => others.forEach(memberId => cell.store.setFault("none", memberId)));
+    },
+);
+
+When("the other daemons can claim again", function(this: ScenarioWorld) {
+    part(this).mend.shift()?.();
+});
+
+Then("a daemon owns the shard within {int} ms", async function(this: ScenarioWorld, limitMs: number) {
+    const cell = cellOf(this);
+    assert.ok(await cell.until(() => cell.owner() !== undefined, limitMs), "nobody does");
+});
+
 Given(
     "a cell of {int} daemons and {int} workers, seed {int}",
     async function(this: ScenarioWorld, members: number, workers: number, seed: number) {
@@ -116,6 +227,7 @@
 When("the fault {string} comes", function(this: ScenarioWorld, text: string) {
     part(this).faultAtMs = cellOf(this).clock.monotonicMs();
     part(this).ownerBefore = cellOf(this).owner();
+    part(this).linesBefore = cellOf(this).log.length;
     for (const name of faultsNamed(text)) {
         const mend = shardFaults[name]?.(cellOf(this));
         assert.ok(mend !== undefined);
@@ -250,6 +362,40 @@
     },
 );
 
+When(
+    "a request hangs at its owner, and the shard has another owner after {int} ms",
+    async function(this: ScenarioWorld, afterMs: number) {
+        const clock = createFakeClock();
+        let owner = "entry-1";
+        const forward = createForward({
+            clock,
+            retryAfterMs: 1_000,
+            shard: () => undefined,
+            ownerAddress: () => owner,
+            ownerLostMs: () => 0,
+        });
+        const never = new Promise<never>(() => {});
+        const answer = forward.run({
+            local: () => never,
+            remote: address => address === "entry-1" ? never : Promise.resolve(address),
+            patienceMs: 2_500,
+        });
+        const beganAtMs = clock.monotonicMs();
+        void answer.then(by => {
+            part(this).forwarded = { by, afterMs: clock.monotonicMs() - beganAtMs };
+        });
+        await clock.advance(afterMs);
+        owner = "entry-2";
+        forward.wake();
+        await clock.advance(2_000);
+    },
+);
+
+Then("it is answered by the next owner after {int} ms", function(this: ScenarioWorld, afterMs: number) {
+    assert.equal(part(this).forwarded?.by, "entry-2");
+    assert.ok((part(this).forwarded?.afterMs ?? Infinity) <= afterMs + 60, `after ${part(this).forwarded?.afterMs} ms`);
+});
+
 When("the operator withdraws the wave", function(this: ScenarioWorld) {
     cellOf(this).withdrawUpkeep(1);
 });
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -47,6 +47,8 @@
     readonly upkeep?: {
         readonly port: VmPort;
         readonly holderId: string;
+        /** How long an order of a former owner may still arrive; 0 where the platform refuses lower fencing tokens. */
+        readonly settleMs: number;
         readonly stateRow: (wave: number, state: WaveState) => RowKey & { readonly value: string; };
     };
     /** Another daemon owns the shard by now. */
@@ -84,6 +86,8 @@
 const lagShare = 0.1;
 /** All that happens within this time shares one pass over the waiting steps. */
 const passDelayMs = 2;
+/** Passes take a third of the processor at the most, however many steps wait; looks, pings and commits need the rest. */
+const passRest = 2;
 /** Ended jobs are looked through this many ticks apart. */
 const forgetIntervalTicks = 50;
 
@@ -101,6 +105,8 @@
     let queues = new Map<string, Queue>();
     let closed = false;
     let passWanted = false;
+    /** How long the newest pass took. */
+    let passMs = 0;
     let ticks = 0;
     let lagMs = 0;
     let tickDueMs = clock.monotonicMs() + tickMs;
@@ -221,6 +227,7 @@
         desk,
         onPlanned: startPlanned,
         onPreempt: workers.stop,
+        wake: () => wake(),
     });
 
     const wake = (): void => {
@@ -228,10 +235,12 @@
             return;
         }
         passWanted = true;
-        clock.setTimer(passDelayMs, () => {
+        clock.setTimer(Math.max(passDelayMs, passRest * passMs), () => {
             passWanted = false;
             if (!closed) {
+                const beganAtMs = clock.monotonicMs();
                 placing.pass();
+                passMs = clock.monotonicMs() - beganAtMs;
             }
         });
     };
@@ -360,7 +369,7 @@
         if (options.upkeep === undefined) {
             return undefined;
         }
-        const { port, holderId, stateRow } = options.upkeep;
+        const { port, holderId, stateRow, settleMs: upkeepSettleMs } = options.upkeep;
         const rows = createWaveRows({
             clock,
             log,
@@ -380,8 +389,8 @@
             workers: workers.all,
             stop: workers.stop,
             lose: workerId => workers.lose(workerId, "upkeep"),
-            readBegun: rows.read,
-            save: rows.save,
+            settleMs: upkeepSettleMs,
+            rows,
         });
     };
 
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -1,20 +1,25 @@
 /** Several daemons of a cell in one process on a fake clock, with links that can be cut and daemons that can be killed. */
 
 import {
+    type AdviceTerms,
     type AdvisorPort,
     type CellConfiguration,
     type CellMember,
     createSeededRandom,
     defaultShardSettings,
     die,
+    heldBy,
     type JobSubmission,
     kindOf,
     type Log,
     type MemberHandlers,
     type MemberPort,
     type Meter,
+    noResources,
     parseTaskName,
     type Queue,
+    type Resources,
+    type ShardPolicies,
     startCellMember,
     type Step,
     type UpkeepWave,
@@ -34,6 +39,8 @@
     priority: 0,
     attempts: 3,
     timeoutMs: 3_000,
+    stretch: 2,
+    targetRuntimeMs: 500,
     advice: { decideMs: 20, eachMs: 1, validMs: 2_500 },
 };
 
@@ -71,7 +78,7 @@
     memberIds(): readonly string[];
     member(memberId: string): CellMember | undefined;
     owner(): string | undefined;
-    submit(jobId: string, steps: readonly Step[]): void;
+    submit(jobId: string, steps: readonly Step[], queueKey?: string): void;
     /** Submits through one daemon and never again; the answer, or the kind of its failure, is among the answers. */
     submitOnce(jobId: string, steps: readonly Step[], memberId?: string): void;
     /** Acceptances and refusals so far, by job. */
@@ -100,6 +107,27 @@
     breaches(): readonly string[];
 }
 
+/** What a cell is made of. */
+export interface ShardCellOptions {
+    readonly members: number;
+    readonly workers: number;
+    readonly seed: number;
+    /** Share of runs that fail. */
+    readonly failOften?: number;
+    /** Mean length of a run; "estimated" for the estimates of the steps, off by a fifth at most. */
+    readonly durationMs?: number | "estimated";
+    /** Of each worker. */
+    readonly capacity?: Resources;
+    readonly queues?: readonly Queue[];
+    readonly policies?: ShardPolicies;
+    /** Of the daemons' VMs; 1 where it is left out. */
+    readonly strengths?: readonly number[];
+    /** Whether the calls for VMs refuse a lower fencing token than they have seen. */
+    readonly checksVmTokens?: boolean;
+    /** Whether the advisor allows a step on a worker. */
+    readonly isGood?: (stepName: string, workerId: string) => boolean;
+}
+
 /** One life of a daemon's process. */
 interface Life {
     alive: boolean;
@@ -117,11 +145,11 @@
 /** The time of a caller that asks once. */
 const onceMs = 2_500;
 const stateWaitMs = 10;
-const workerCpuMillis = 8_000;
+const workerCapacity: Resources = { cpuMillis: 8_000, memoryMib: 16_000, accelerators: 0 };
 
-const submissionOf = (jobId: string, steps: readonly Step[]): JobSubmission => ({
+const submissionOf = (jobId: string, steps: readonly Step[], queueKey = testQueue.key): JobSubmission => ({
     jobId,
-    queueKey: testQueue.key,
+    queueKey,
     dataCentre: "leon-feria",
     payload: "plan",
     steps,
@@ -129,13 +157,13 @@
 });
 
 /** An entry in the platform's list for a worker of the cell. */
-export const workerEntry = (workerId: string, index: number): WorkerEntry => ({
+export const workerEntry = (workerId: string, index: number, capacity = workerCapacity): WorkerEntry => ({
     workerId,
     service: testQueue.service,
     address: `10.0.0.${index}:1`,
     dataCentre: "leon-feria",
     draining: false,
-    capacity: { cpuMillis: workerCpuMillis, memoryMib: 16_000, accelerators: 0 },
+    capacity,
     labels: ["a", `rack-${index % 2}`],
     rack: `rack-${index % 2}`,
 });
@@ -147,29 +175,45 @@
  * const cell = createShardCell({ members: 3, workers: 4, seed: 1 });
  * await cell.clock.advance(2_000);
  */
-export const createShardCell = ({ members: memberCount, workers: workerCount, seed, failOften = 0, durationMs = 800 }: {
-    readonly members: number;
-    readonly workers: number;
-    readonly seed: number;
-    /** Share of runs that fail. */
-    readonly failOften?: number;
-    readonly durationMs?: number;
-}): ShardCell => {
+export const createShardCell = (
+    {
+        members: memberCount,
+        workers: workerCount,
+        seed,
+        failOften = 0,
+        durationMs = 800,
+        capacity,
+        queues = [testQueue],
+        policies,
+        strengths = [],
+        checksVmTokens = true,
+        isGood = () => true,
+    }: ShardCellOptions,
+): ShardCell => {
     const clock = createFakeClock();
     const random = createSeededRandom(seed);
     const store = createFakeRowStore(clock);
     const log: { memberId: string; event: string; fields: Readonly<Record<string, unknown>>; }[] = [];
     const steps = new Map<string, readonly Step[]>();
+    /** Queue of each job that was not submitted to the usual one. */
+    const queueOf = new Map<string, string>();
     const stepOf = (taskName: string): Step | undefined => {
         const name = parseTaskName(taskName);
         return name === undefined ? undefined : steps.get(name.jobId)?.[name.step];
     };
+    const runMs = (taskName: string): number =>
+        durationMs === "estimated"
+            ? (stepOf(taskName)?.estimateMs ?? 0) * (0.8 + 0.4 * random.next())
+            : durationMs * (0.5 + random.next());
     const workers = createFakeFencedWorkers({
         clock,
         leaseLimitMs: 10_000,
-        cpuOf: taskName => stepOf(taskName)?.fills === true ? 0 : stepOf(taskName)?.size.cpuMillis ?? 0,
+        heldOf: taskName => {
+            const step = stepOf(taskName);
+            return step === undefined ? noResources : heldBy(step);
+        },
         model: (taskName, run) => ({
-            durationMs: stepOf(taskName)?.longRunning === true ? 3_600_000 : durationMs * (0.5 + random.next()),
+            durationMs: stepOf(taskName)?.longRunning === true ? 3_600_000 : runMs(taskName),
             // One failure a task: a job that fails by bad luck alone proves nothing.
             fails: (run === 1 || failOften === 1) && random.next() < failOften,
         }),
@@ -208,12 +252,19 @@
         },
     });
 
+    const termsOf = (stepName: string): AdviceTerms | undefined => {
+        const queueKey = queueOf.get(stepName.split(".", 1)[0] ?? "") ?? testQueue.key;
+        return queues.find(queue => queue.key === queueKey)?.advice;
+    };
+
     const advisor: AdvisorPort = {
         advise: async ({ stepName, workerIds }) => {
-            await wait((testQueue.advice?.decideMs ?? 0) + workerIds.length);
+            const terms = termsOf(stepName);
+            await wait((terms?.decideMs ?? 0) + (terms?.eachMs ?? 0) * workerIds.length);
             return {
-                good: workerIds.map(workerId => ({ workerId, ticket: `${stepName}@${workerId}` })),
-                validMs: testQueue.advice?.validMs ?? 0,
+                good: workerIds.filter(workerId => isGood(stepName, workerId))
+                    .map(workerId => ({ workerId, ticket: `${stepName}@${workerId}` })),
+                validMs: terms?.validMs ?? 0,
             };
         },
     };
@@ -231,17 +282,18 @@
             log: writer,
             meter,
             random,
-            settings: defaultShardSettings,
+            settings: { ...defaultShardSettings, policies: policies ?? defaultShardSettings.policies },
             self: {
                 memberId,
                 address: memberId,
                 dataCentre: "leon-feria",
                 incarnation: `${memberId}-${clock.monotonicMs()}`,
+                strength: strengths[ids.indexOf(memberId)] ?? 1,
             },
             store: {
                 // A killed process sends nothing more; what it had sent may still take effect.
                 transact: (transaction, timeoutMs) => alive() ? connection.transact(transaction, timeoutMs) : never,
-                read: (table, part, fromKey) => alive() ? connection.read(table, part, fromKey) : never,
+                read: (table, part, fromKey, limit) => alive() ? connection.read(table, part, fromKey, limit) : never,
                 changes: (table, version, waitMs) => alive() ? connection.changes(table, version, waitMs) : never,
             },
             workers: (() => {
@@ -265,6 +317,7 @@
                 readWorker: row => row.value === undefined ? undefined : JSON.parse(row.value) as WorkerEntry,
                 upkeep: {
                     port: vms.port,
+                    settleMs: checksVmTokens ? 0 : 15_000,
                     readWave: ({ key, value }) =>
                         key.startsWith("wave/") && value !== undefined ? JSON.parse(value) as UpkeepWave : undefined,
                     stateRow: (wave, state) => ({ table: "status", part: "", key: `wave/${wave}`, value: state }),
@@ -276,16 +329,17 @@
 
     const listWorkers = (): void => {
         for (const [index, workerId] of workers.workerIds().entries()) {
-            store.put("workers", workerId, workerEntry(workerId, index));
+            store.put("workers", workerId, workerEntry(workerId, index, capacity));
         }
     };
 
     for (let index = 0; index < workerCount; index += 1) {
-        workers.add(workerEntry(`worker-${index}`, index));
+        workers.add(workerEntry(`worker-${index}`, index, capacity));
     }
     const vms = createFakeVms({
         clock,
         workers,
+        checksTokens: checksVmTokens,
         renew: (vmId, workerId) => {
             const index = Number(vmId.split("-").at(-1));
             const renewed = workerEntry(`${workerId}+`, index);
@@ -299,7 +353,7 @@
     const configure = (version: number): void => {
         const configuration: CellConfiguration = {
             version,
-            queues: [testQueue],
+            queues,
             maxHeaderBytes: 16_384,
             maxBodyBytes: 262_144,
         };
@@ -342,9 +396,12 @@
         memberIds: () => ids,
         member: memberId => seats.get(memberId)?.member,
         owner,
-        submit: (jobId, jobSteps) => {
+        submit: (jobId, jobSteps, queueKey) => {
             steps.set(jobId, jobSteps);
-            void send(submissionOf(jobId, jobSteps));
+            if (queueKey !== undefined) {
+                queueOf.set(jobId, queueKey);
+            }
+            void send(submissionOf(jobId, jobSteps, queueKey));
         },
         submitOnce: (jobId, jobSteps, memberId) => {
             steps.set(jobId, jobSteps);
