--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -118,6 +118,21 @@
         void commitTouched();
     };
 
+    const startedAtMs = clock.monotonicMs();
+    let allKnown = false;
+
+    /** Tells once, after a takeover, when every worker that answers has shown what it runs. */
+    const noteKnown = (): void => {
+        if (allKnown || [...workers.values()].some(worker => !worker.certain && worker.silentLooks === 0)) {
+            return;
+        }
+        allKnown = true;
+        const silent = [...workers.values()].filter(worker => !worker.certain).length;
+        const afterMs = Math.round(clock.monotonicMs() - startedAtMs);
+        meter.record("workersKnownMs", afterMs);
+        log.write("info", "workersKnown", { afterMs, workers: workers.size, silent });
+    };
+
     const openLink = (worker: ShardWorker): WorkerLink =>
         openWorkerLink(worker, {
             clock,
@@ -139,6 +154,7 @@
                 });
                 seen.endsWritten = written;
                 if (!wasCertain) {
+                    noteKnown();
                     wake();
                 }
                 if (look.ended.length > 0) {
