--- a/packages/puffinarch-cli/src/context.ts
+++ b/packages/puffinarch-cli/src/context.ts
@@ -13,6 +13,8 @@
 export interface CliContext {
     readonly output: Output;
     settings(command: Command): CliSettings;
+    /** Whether JSON is asked for; also for commands that call no daemon and need no settings. */
+    wantsJson(command: Command): boolean;
     caller<S extends DescService>(command: Command, service: S): Caller<S>;
     /** Writes a message as JSON with `--json`, and as the given text otherwise. */
     show<D extends DescMessage>(command: Command, schema: D, message: MessageShape<D>, text: () => string): void;
@@ -32,6 +34,7 @@
     return {
         output,
         settings,
+        wantsJson: command => command.optsWithGlobals<GlobalFlags>().json === true,
         caller: (command, service) => createCaller(service, settings(command)),
         show: (command, schema, message, text) =>
             output.write(settings(command).json ? jsonOf(schema, message) : text()),
--- a/packages/puffinarch-cli/src/program.ts
+++ b/packages/puffinarch-cli/src/program.ts
@@ -5,6 +5,7 @@
 import { addClusterCommands } from "./commands/cluster.js";
 import { addConfigurationCommands } from "./commands/configuration.js";
 import { addJobCommands } from "./commands/job.js";
+import { addWaterfallCommand } from "./commands/waterfall.js";
 import { createContext } from "./context.js";
 import type { Output } from "./output.js";
 import type { CliEnvironment } from "./settings.js";
@@ -32,6 +33,7 @@
     addJobCommands(program, context);
     addConfigurationCommands(program, context);
     addClusterCommands(program, context);
+    addWaterfallCommand(program, context);
     return program;
 };
 
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -91,6 +91,13 @@
 /** Ended jobs are looked through this many ticks apart. */
 const forgetIntervalTicks = 50;
 
+/** What an ended job was allowed to take; nothing for one that goes on, is scheduled, or has no objective. */
+const objectiveOf = (job: ShardJob): { readonly objectiveMs?: number; } => {
+    const objectiveMs = job.occurrences.get(0)?.course?.objectiveMs ?? Infinity;
+    const counts = hasEnded(job) && job.submission.schedule.repeatCount === 0 && Number.isFinite(objectiveMs);
+    return counts ? { objectiveMs: Math.round(objectiveMs) } : {};
+};
+
 /**
  * Starts the owner of a shard that was just claimed.
  *
@@ -151,7 +158,8 @@
 
     const show = (job: ShardJob, state: JobState): void => {
         if (job.shown !== state) {
-            log.write("info", "jobState", { jobId: job.submission.jobId, from: job.shown, to: state });
+            const { submission: { jobId }, shown } = job;
+            log.write("info", "jobState", { jobId, from: shown, to: state, ...objectiveOf(job) });
             job.shown = state;
         }
     };
