--- a/features/load.feature
+++ b/features/load.feature
@@ -15,3 +15,11 @@
             | 1.0  | due        | scarcest | planned | 95 to 100 | 95 to 100 |
             | 1.3  | acceptance | spread   | none    | 0 to 60   | 95 to 100 |
             | 1.3  | due        | scarcest | planned | 95 to 100 | 90 to 100 |
+
+    # A task that failed keeps off the worker on which it failed while another, which is silent, may still run it.
+    Scenario: A task that waits for a silent worker holds no other task up
+        Given a step of 3 tasks whose first one failed on the only worker that answers, while another is silent
+        When the step is placed
+        Then tasks "1, 2" run on the worker that answers
+        When the step is placed after the leases of the silent worker
+        Then tasks "0, 1, 2" run on the worker that answers
--- a/features/steps/loadSteps.ts
+++ b/features/steps/loadSteps.ts
@@ -1,17 +1,51 @@
 import { Given, Then, When } from "@cucumber/cucumber";
-import { acceleratorLoad, createLoadCell, type LoadKind, type LoadOutcome, playLoad } from "@puffinarch/stand-ins";
+import {
+    acceleratorLoad,
+    createFakeClock,
+    createLoadCell,
+    type FakeClock,
+    type LoadKind,
+    type LoadOutcome,
+    plainStep,
+    playLoad,
+    testQueue,
+    workerEntry,
+} from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { packings, roomPolicies, type ShardPolicies, turnOrders } from "puffinarch";
+import {
+    createAdviceDesk,
+    createPlacing,
+    defaultShardSettings,
+    newJob,
+    newWorker,
+    packings,
+    type Placing,
+    roomPolicies,
+    type ShardPolicies,
+    turnOrders,
+} from "puffinarch";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
     policies: ShardPolicies | undefined;
     outcomes: Readonly<Record<string, LoadOutcome>>;
     breaches: readonly string[];
+    placed: Placed | undefined;
+}
+
+/** A step that is placed without a cell around it. */
+interface Placed {
+    readonly clock: FakeClock;
+    readonly placing: Placing;
+    readonly runs: () => number[];
 }
 
 const part = (world: ScenarioWorld): Part =>
-    partOf(world, "load", () => ({ policies: undefined, outcomes: {}, breaches: ["nothing was played"] }));
+    partOf(
+        world,
+        "load",
+        () => ({ policies: undefined, outcomes: {}, breaches: ["nothing was played"], placed: undefined }),
+    );
 
 const nameIn = <T extends string>(names: readonly T[], text: string): T =>
     names.find(name => name === text) ?? assert.fail(`"${text}" is none of ${names.join(", ")}`);
@@ -50,6 +84,64 @@
     },
 );
 
+Given(
+    "a step of {int} tasks whose first one failed on the only worker that answers, while another is silent",
+    function(this: ScenarioWorld, count: number) {
+        const [only, silent] = ["i-1", "i-2"].map((workerId, index) => {
+            const worker = newWorker(workerEntry(workerId, index), 5_000);
+            worker.certain = true;
+            worker.clock = { localMs: 0, clockMs: 0 };
+            return worker;
+        });
+        assert.ok(only !== undefined && silent !== undefined);
+        silent.silentLooks = 3;
+        const submission = {
+            jobId: "00000000000000a1",
+            queueKey: testQueue.key,
+            dataCentre: "leon-feria",
+            payload: "plan",
+            steps: [{ ...plainStep, count }],
+            schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
+        };
+        const job = newJob(submission, testQueue, { acceptedAtMs: 0, order: 1 });
+        const step = job.occurrences.get(0)?.steps[0];
+        step?.tasks[0]?.failedOn.add("i-1");
+        step?.advice.asked.add("i-1");
+        step?.advice.good.set("i-1", { ticket: "t", validUntilMs: 60_000 });
+        const clock = createFakeClock();
+        const quiet = { write: () => {} };
+        const meter = { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 };
+        const placing = createPlacing({
+            clock,
+            log: quiet,
+            meter,
+            settings: defaultShardSettings,
+            workers: new Map([["i-1", only], ["i-2", silent]]),
+            desk: createAdviceDesk({ clock, log: quiet, meter, lanes: () => [], call: () => assert.fail() }),
+            onPlanned: () => {},
+            onPreempt: () => {},
+            wake: () => {},
+        });
+        placing.consider(job);
+        part(this).placed = { clock, placing, runs: () => [...only.runs.values()].map(run => run.task.index) };
+    },
+);
+
+const placed = (world: ScenarioWorld): Placed => part(world).placed ?? assert.fail("no step is placed");
+
+When("the step is placed", function(this: ScenarioWorld) {
+    placed(this).placing.pass();
+});
+
+When("the step is placed after the leases of the silent worker", async function(this: ScenarioWorld) {
+    await placed(this).clock.advance(6_000);
+    placed(this).placing.pass();
+});
+
+Then("tasks {string} run on the worker that answers", function(this: ScenarioWorld, indices: string) {
+    assert.equal(placed(this).runs().sort().join(", "), indices);
+});
+
 Then("no worker held more than it has", function(this: ScenarioWorld) {
     assert.deepEqual(part(this).breaches, []);
 });
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -146,6 +146,20 @@
     assert.ok(isStrong(this, cellOf(this).owner()), `it is ${cellOf(this).owner()}`);
 });
 
+Then(
+    "for {int} ms no daemon says that fewer than {int} jobs wait",
+    async function(this: ScenarioWorld, forMs: number, least: number) {
+        const cell = cellOf(this);
+        const told: (number | undefined)[] = [];
+        for (let passedMs = 0; passedMs < forMs; passedMs += 50) {
+            await cell.clock.advance(50);
+            told.push(...cell.memberIds().map(memberId => cell.member(memberId)?.pending(testQueue.key)));
+        }
+        assert.deepEqual(told.filter(count => count !== undefined && count < least), []);
+        assert.ok(told.some(count => count !== undefined), "nobody tells any");
+    },
+);
+
 When("all links to the store carry {int} bytes a ms", function(this: ScenarioWorld, bytesPerMs: number) {
     const cell = cellOf(this);
     for (const memberId of cell.memberIds()) {
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -37,6 +37,14 @@
         And the fault "owner killed" comes
         Then another daemon owns the shard within 6000 ms
 
+    Scenario: Nobody tells too small a count of waiting jobs while a claimant reads the journal
+        Given a cell of 3 daemons and 4 workers
+        When 300 jobs of steps "1 long running" are submitted
+        And the shard runs for 3000 ms
+        And all links to the store carry 100 bytes a ms
+        And the fault "owner killed" comes
+        Then for 6000 ms no daemon says that fewer than 200 jobs wait
+
     Scenario: A claimant that does not get on gives way
         Given a cell of 3 daemons and 4 workers
         When 300 jobs of steps "1 long running" are submitted
--- a/packages/puffinarch/src/core/shard/askAdvice.ts
+++ b/packages/puffinarch/src/core/shard/askAdvice.ts
@@ -4,7 +4,7 @@
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import { fits } from "../../types/resources.js";
 import type { AdviceDesk } from "./adviceDesk.js";
-import { countRuns, suits, ticketFor } from "./chooseWorker.js";
+import { avoidedByAll, countRuns, suits, ticketFor } from "./chooseWorker.js";
 import { hasEnded, heldBy, isWaiting, type ShardStep, stepNameOf } from "./jobBook.js";
 import type { Reservation, RoomView } from "./roomView.js";
 import type { ShardSettings } from "./shardSettings.js";
@@ -144,7 +144,10 @@
         const hasRoom = (worker: ShardWorker): boolean =>
             fits(held, view.roomFor(worker, step))
             && (spec.maxPerWorker === 0 || (runs.get(worker.workerId) ?? 0) < spec.maxPerWorker);
-        const known = usable.filter(worker => advice.good.has(worker.workerId) && hasRoom(worker)).sort(byRoom(step));
+        const known = usable.filter(worker =>
+            advice.good.has(worker.workerId) && hasRoom(worker)
+            && !avoidedByAll(step, worker.workerId, { workers, nowMs })
+        ).sort(byRoom(step));
         const named = known.slice(0, waiting + spareNames);
         const failed = new Set(step.tasks.filter(isWaiting).flatMap(task => [...task.failedOn]));
         if (named.length < waiting || named.every(worker => failed.has(worker.workerId))) {
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -416,8 +416,9 @@
         readOwner,
         claim,
         onAnswer: takeNewer,
-        onOwnerAnswer: answer => {
-            pendingCounts = { counts: answer.pending, atMs: clock.monotonicMs() };
+        onOwnerAnswer: ({ pending }) => {
+            // A claimant that still reads the journal counts nothing yet.
+            pendingCounts = pending === undefined ? pendingCounts : { counts: pending, atMs: clock.monotonicMs() };
         },
         onOwnRound: noteOwnership,
         onPeersPinged: () => owner?.wake(),
@@ -473,7 +474,7 @@
                 ownedToken: owner?.fencingToken ?? claimedToken,
                 storeStalledMs: owner?.stalledMs() ?? 0,
                 configurationVersion: configuration?.version ?? 0,
-                pending: owner?.pending() ?? {},
+                ...(owner === undefined ? {} : { pending: owner.pending() }),
                 seenOwnerToken: owner?.fencingToken ?? watch.seenToken(),
                 leaving,
                 lagMs: owner?.lagMs() ?? 0,
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -2,7 +2,7 @@
 
 import { fits, type Resources } from "../../types/resources.js";
 import type { Step } from "../../types/work.js";
-import { heldBy, type ShardStep, type ShardTask } from "./jobBook.js";
+import { heldBy, isWaiting, type ShardStep, type ShardTask } from "./jobBook.js";
 import type { RoomView } from "./roomView.js";
 import { isOpen, type ShardWorker } from "./workerTable.js";
 
@@ -156,13 +156,50 @@
     }
 };
 
-/** Whether the step may run there, now or once the worker answers again, or nobody has asked yet whether it may. */
-const mightRun = (worker: ShardWorker, step: ShardStep, { rack }: ChoiceLimits): boolean =>
+/**
+ * Whether the step may run there, now or once the worker answers again, or nobody has asked yet whether it may. A worker
+ * that stays silent for longer than its leases last is not waited for.
+ */
+const mightRun = (worker: ShardWorker, step: ShardStep, nowMs: number, rack?: string): boolean =>
     worker.unlistedAtMs === undefined && !worker.entry.draining && suits(worker, step)
+    && (isOpen(worker, nowMs) || nowMs <= worker.horizonMs)
     && (rack === undefined || worker.entry.rack === rack)
     && (step.occurrence.job.queue.advice === undefined || step.advice.good.has(worker.workerId)
         || !step.advice.asked.has(worker.workerId));
 
+/** A worker that is silent or rests for a moment is worth waiting for: going back may use up the last attempt. */
+const hasUntried = (
+    { failedOn, step }: ShardTask,
+    { workers, nowMs, rack, except }: AvoidanceLimits,
+): boolean => {
+    for (const worker of workers.values()) {
+        const tried = failedOn.has(worker.workerId) || except?.has(worker.workerId) === true;
+        if (!tried && mightRun(worker, step, nowMs, rack)) {
+            return true;
+        }
+    }
+    return false;
+};
+
+/** What decides whether a task keeps off workers on which it failed. */
+export interface AvoidanceLimits {
+    readonly workers: ReadonlyMap<string, ShardWorker>;
+    readonly nowMs: number;
+    readonly rack?: string | undefined;
+    /** Workers that are out of the question for other reasons. */
+    readonly except?: ReadonlySet<string> | undefined;
+}
+
+/**
+ * Tells whether no waiting task of a step would go to a worker, since each of them failed there and may still run elsewhere.
+ * Such a worker is neither asked about nor kept for the step: others would find no room there.
+ *
+ * @example
+ * avoidedByAll(step, "i-7f3a91c2", { workers, nowMs: clock.monotonicMs() });
+ */
+export const avoidedByAll = (step: ShardStep, workerId: string, limits: AvoidanceLimits): boolean =>
+    step.tasks.every(task => !isWaiting(task) || task.failedOn.has(workerId) && hasUntried(task, limits));
+
 /**
  * Prepares the choice of workers for a step. A worker on which a task failed is chosen for it only where no other may
  * run it, with room or without, open or not.
@@ -195,12 +232,6 @@
         }
     }
 
-    /** A worker that is silent or rests for a moment is worth waiting for: going back may use up the last attempt. */
-    const hasUntried = ({ failedOn }: ShardTask, except?: ReadonlySet<string>): boolean =>
-        [...workers.values()].some(worker =>
-            !failedOn.has(worker.workerId) && except?.has(worker.workerId) !== true && mightRun(worker, step, limits)
-        );
-
     const hasRoomFor = ({ worker, runs: here }: Candidate): boolean =>
         (spec.maxPerWorker === 0 || here < spec.maxPerWorker) && fits(held, view.roomFor(worker, step));
 
@@ -211,7 +242,8 @@
 
     return {
         choose: (task, except) => {
-            const avoidsFailed = task.failedOn.size > 0 && hasUntried(task, except);
+            const { nowMs, rack } = limits;
+            const avoidsFailed = task.failedOn.size > 0 && hasUntried(task, { workers, nowMs, rack, except });
             let best: ShardWorker | undefined;
             let bestScore = -Infinity;
             for (const candidate of usable) {
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -125,12 +125,17 @@
     const placeTasks = (step: ShardStep, waiting: readonly ShardTask[], round: Round): readonly ShardRun[] => {
         const runs: ShardRun[] = [];
         const chooser = chooserFor(step, round);
+        // Tasks that have not failed are alike; one that failed may keep off workers that take the others.
+        let full = false;
         for (const task of waiting) {
-            const run = placeOne(chooser, task, task.lastRun + 1);
-            if (run === undefined) {
-                break;
+            const isPlain = task.failedOn.size === 0;
+            const run = isPlain && full ? undefined : placeOne(chooser, task, task.lastRun + 1);
+            if (run !== undefined) {
+                runs.push(run);
+            }
+            else if (isPlain) {
+                full = true;
             }
-            runs.push(run);
         }
         return runs;
     };
--- a/packages/puffinarch/src/core/shard/planRoom.ts
+++ b/packages/puffinarch/src/core/shard/planRoom.ts
@@ -5,7 +5,7 @@
  */
 
 import { add, fits, noResources, type Resources, subtract } from "../../types/resources.js";
-import { countRuns, suits } from "./chooseWorker.js";
+import { avoidedByAll, countRuns, suits } from "./chooseWorker.js";
 import { heldBy, runPhases, type ShardRun, type ShardStep } from "./jobBook.js";
 import { chooseVictims, givesWay } from "./preempt.js";
 import type { Reservation, RoomView } from "./roomView.js";
@@ -103,9 +103,10 @@
     return Number.isFinite(freeAtMs) ? { freeAtMs, victims: [] } : undefined;
 };
 
-const isCandidate = (worker: ShardWorker, step: ShardStep, nowMs: number): boolean =>
+const isCandidate = (worker: ShardWorker, { step, workers, nowMs }: PlanOptions): boolean =>
     isOpen(worker, nowMs) && suits(worker, step)
-    && (step.occurrence.job.queue.advice === undefined || step.advice.good.has(worker.workerId));
+    && (step.occurrence.job.queue.advice === undefined || step.advice.good.has(worker.workerId))
+    && !avoidedByAll(step, worker.workerId, { workers, nowMs });
 
 const shareOf = (held: Resources, capacity: Resources): number =>
     Math.max(
@@ -132,7 +133,7 @@
  * const reservations = planRoom({ step, waiting: 2, workers, view, nowMs, stopMs: 400, slackMs: 5_000 });
  */
 export const planRoom = (options: PlanOptions): readonly Reservation[] => {
-    const { step, waiting, workers, view, nowMs } = options;
+    const { step, waiting, workers, view } = options;
     const held = heldBy(step.spec);
     const runs = countRuns(step);
     const taken = new Map<string, { readonly room: Resources; readonly count: number; }>();
@@ -162,7 +163,7 @@
     };
 
     for (const worker of workers.values()) {
-        if (isCandidate(worker, step, nowMs)) {
+        if (isCandidate(worker, options)) {
             refresh(worker);
         }
     }
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -78,7 +78,15 @@
 export { type AdviceAsker, type AdviceWish, type AskAdviceOptions, createAdviceAsker } from "./internal.js";
 export { isTimeToAsk } from "./internal.js";
 export { type CellMember, type CellMemberOptions, memberTable, startCellMember } from "./internal.js";
-export { type ChoiceLimits, type Chooser, createChooser, type Packing, packings, ticketFor } from "./internal.js";
+export {
+    avoidedByAll,
+    type ChoiceLimits,
+    type Chooser,
+    createChooser,
+    type Packing,
+    packings,
+    ticketFor,
+} from "./internal.js";
 export { type ClaimedShard, type ClaimOptions, claimShard, readAllRows } from "./internal.js";
 export { type AcceptanceOptions, createAcceptance } from "./internal.js";
 export { type Batch, type BatchWriter, type BatchWriterOptions, createBatchWriter } from "./internal.js";
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -230,8 +230,8 @@
     /** Milliseconds for which its commits have found no answer; 0 where all is well. */
     readonly storeStalledMs: number;
     readonly configurationVersion: number;
-    /** Jobs accepted of which no task has started, by queue. */
-    readonly pending: Readonly<Record<string, number>>;
+    /** Jobs accepted of which no task has started, by queue; undefined where it owns no shard, or still restores it. */
+    readonly pending?: Readonly<Record<string, number>>;
     /** Token of the owner that this daemon had an answer from within the last moments; 0 for none. */
     readonly seenOwnerToken: number;
     /** It is about to stop, and claims no shard any more. */
