A scene in which a busy owner is taken for lost, failing; processors for the fakes

Incident: standing tasks stayed away for up to 50 s after their leases had run out, and after a loss of all daemons nothing was served for 15 s.

The scene: 12 daemons, 350 workers, each daemon with a processor that does one thing at a time.

--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -123,6 +123,20 @@
     assert.deepEqual(part(this).orderedVms, []);
 });
 
+Given(
+    "a cell of {int} daemons and {int} workers whose first looks cost a daemon {float} ms, later ones {float} ms and pings {float} ms",
+    async function(
+        this: ScenarioWorld,
+        members: number,
+        workers: number,
+        firstLookMs: number,
+        lookMs: number,
+        callMs: number,
+    ) {
+        await startCell(this, { members, workers, seed: 1, costs: { firstLookMs, lookMs, callMs } });
+    },
+);
+
 Given(
     "a cell of daemons with strengths {string} and {int} workers",
     async function(this: ScenarioWorld, text: string, workers: number) {
@@ -142,6 +156,17 @@
     assert.deepEqual(owners.filter(owner => !isStrong(this, owner)), []);
 });
 
+Then("the shard has had {int} owners at most since", function(this: ScenarioWorld, most: number) {
+    const lines = cellOf(this).log.slice(part(this).linesBefore);
+    const owners = lines.filter(line => line.event === "claimed").map(line => line.memberId);
+    assert.ok(owners.length <= most, `it has had ${owners.length}: ${owners.join(", ")}`);
+});
+
+Then("no run has lapsed", function(this: ScenarioWorld) {
+    const lapsed = cellOf(this).workers.evidence.filter(start => start.how === "lapsed");
+    assert.equal(lapsed.length, 0);
+});
+
 Then("the shard's owner is strong", function(this: ScenarioWorld) {
     assert.ok(isStrong(this, cellOf(this).owner()), `it is ${cellOf(this).owner()}`);
 });
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -28,6 +28,7 @@
 import { createFakeClock, type FakeClock } from "../cell/fakeClock.js";
 import { createFakeVms, type FakeVms } from "./fakeVms.js";
 import { breachesOf, createFakeFencedWorkers, type FakeFencedWorkers } from "./fencedWorkers.js";
+import { createProcessor, type Processor, type ProcessorCosts, withProcessor } from "./processor.js";
 import { createFakeRowStore, type FakeRowStore } from "./rowStore.js";
 
 /** The queue that the cell's configuration has. */
@@ -126,6 +127,8 @@
     readonly checksVmTokens?: boolean;
     /** Whether the advisor allows a step on a worker. */
     readonly isGood?: (stepName: string, workerId: string) => boolean;
+    /** What the daemons' work costs their processors; nothing where it is left out. */
+    readonly costs?: ProcessorCosts;
 }
 
 /** One life of a daemon's process. */
@@ -137,6 +140,7 @@
     readonly member: CellMember;
     readonly handlers: MemberHandlers;
     readonly life: Life;
+    readonly processor: Processor;
 }
 
 const linkMs = 1;
@@ -145,6 +149,7 @@
 /** The time of a caller that asks once. */
 const onceMs = 2_500;
 const stateWaitMs = 10;
+const noCosts: ProcessorCosts = { firstLookMs: 0, lookMs: 0, callMs: 0 };
 const workerCapacity: Resources = { cpuMillis: 8_000, memoryMib: 16_000, accelerators: 0 };
 
 const submissionOf = (jobId: string, steps: readonly Step[], queueKey = testQueue.key): JobSubmission => ({
@@ -188,6 +193,7 @@
         strengths = [],
         checksVmTokens = true,
         isGood = () => true,
+        costs = noCosts,
     }: ShardCellOptions,
 ): ShardCell => {
     const clock = createFakeClock();
@@ -240,8 +246,14 @@
                 await wait(Math.min(timeoutMs, unansweredMs));
                 return die("mayHaveRun", "no answer");
             }
+            const handle = async (): Promise<unknown> => {
+                if (costs.callMs > 0) {
+                    await seat.processor.use(costs.callMs);
+                }
+                return seat.handlers[name](input as never);
+            };
             const answer = await Promise.race([
-                seat.handlers[name](input as never),
+                handle(),
                 wait(timeoutMs).then(() => die("mayHaveRun", "no answer in time")),
             ]);
             if (!seat.life.alive || isCut(from, "peers") || isCut(address, "peers")) {
@@ -274,6 +286,7 @@
     const start = (memberId: string): void => {
         const writer: Log = { write: (_level, event, fields) => void log.push({ memberId, event, fields }) };
         const life: Life = { alive: true };
+        const processor = createProcessor(clock);
         const alive = (): boolean => life.alive;
         const connection = store.connect(memberId);
         const never = new Promise<never>(() => {});
@@ -297,7 +310,8 @@
                 changes: (table, version, waitMs) => alive() ? connection.changes(table, version, waitMs) : never,
             },
             workers: (() => {
-                const port = workers.connect(() => !isCut(memberId, "workers"));
+                const fast = workers.connect(() => !isCut(memberId, "workers"));
+                const port = costs === noCosts ? fast : withProcessor(fast, { clock, processor, costs });
                 return {
                     start: (target, order, timeoutMs) => alive() ? port.start(target, order, timeoutMs) : never,
                     stop: (target, order, timeoutMs) => alive() ? port.stop(target, order, timeoutMs) : never,
@@ -324,7 +338,7 @@
                 },
             },
         });
-        seats.set(memberId, { member, handlers: member.handlers, life });
+        seats.set(memberId, { member, handlers: member.handlers, life, processor });
     };
 
     const listWorkers = (): void => {
