--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -19,6 +19,7 @@
     createBatchWriter,
     createChooser,
     createCommitLog,
+    createFirstLooks,
     createForward,
     createPacer,
     createPeers,
@@ -493,6 +494,23 @@
     return `end ${newest} taken, ${isWaiting(task) ? "waiting" : "done"}`;
 };
 
+const firstLooksExample = async (): Promise<string> => {
+    const firstLooks = createFirstLooks(createFakeClock());
+    let sent = 0;
+    const ends: (() => void)[] = [];
+    for (let count = 0; count < 30; count += 1) {
+        void firstLooks.enter().then(answered => {
+            sent += 1;
+            ends.push(answered);
+        });
+    }
+    await Promise.resolve();
+    const before = sent;
+    ends[0]?.();
+    await Promise.resolve();
+    return `${before} sent, then ${sent}`;
+};
+
 const workerLink = async (): Promise<string> => {
     const clock = createFakeClock();
     let looks = 0;
@@ -516,6 +534,7 @@
         fencingToken: 7,
         leaseMs: 5_000,
         lookWaitMs: 1_000,
+        firstLooks: createFirstLooks(clock),
         lookPauseMs: 250,
         orderPauseMs: 100,
         onLook: async () => {},
@@ -719,6 +738,7 @@
     handOver: handOverExample,
     ownerWatch,
     peers: peersExample,
+    firstLooks: firstLooksExample,
     forward,
     jobBook,
     jobRows,
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -102,6 +102,10 @@
 const restAfterRestoreMs = 3_000;
 /** A weak VM that owns the shard looks this often for a stronger one to give it to. */
 const yieldPauseMs = 2_000;
+/** An owner that is replaced within this of its claim may only have been busy with it; the first looks at 350 workers take 2 s. */
+const shortOfficeMs = 5_000;
+/** Reasons for a claim that go by an owner's silence alone. */
+const silenceReasons: ReadonlySet<string> = new Set(["ownerSilent", "ownerStalled"]);
 /** Counts older than this are not told. */
 const countsFreshMs = 1_800;
 
@@ -127,6 +131,7 @@
     let workerWatch: TableWatch | undefined;
     let configuration: CellConfiguration | undefined;
     let knownOwner: KnownOwner | undefined;
+    let ownerKnownAtMs = clock.monotonicMs();
     let ownerRead = false;
     let owner: ShardOwner | undefined;
     let claiming = false;
@@ -156,6 +161,7 @@
             return;
         }
         knownOwner = known;
+        ownerKnownAtMs = clock.monotonicMs();
         watch.reset();
         log.write("info", "ownerKnown", { owner: known.row.memberId, fencingToken: known.version, source });
         if (owner !== undefined && known.version > owner.fencingToken) {
@@ -182,6 +188,14 @@
         workerWatch?.stop();
     };
 
+    /** Owners in a row that were replaced soon after their claim, the present one included where it is replaced now. */
+    const shortOffices = (why: string): number => {
+        if (knownOwner === undefined || clock.monotonicMs() - ownerKnownAtMs > shortOfficeMs) {
+            return 0;
+        }
+        return (knownOwner.row.shortOffices ?? 0) + (silenceReasons.has(why) ? 1 : 0);
+    };
+
     const claim = async (seenVersion: number, why: string): Promise<boolean> => {
         if (claiming || leaving || closed) {
             return false;
@@ -189,14 +203,15 @@
         claiming = true;
         const startedAtMs = clock.monotonicMs();
         const claimId = `${self.memberId}/${self.incarnation}/${Math.floor(options.random.next() * 1e9)}`;
-        log.write("info", "claimBegins", { part, seenVersion, why });
+        const row: OwnerRow = { ...self, claimId, shortOffices: shortOffices(why) };
+        log.write("info", "claimBegins", { part, seenVersion, why, shortOffices: row.shortOffices });
         try {
             const claimed = await claimShard({
                 clock,
                 log,
                 store,
                 part,
-                owner: { ...self, claimId },
+                owner: row,
                 seenVersion,
                 restorePatienceMs,
                 wanted: () =>
@@ -206,7 +221,8 @@
                 onClaimed: fencingToken => {
                     claimedToken = fencingToken;
                     if (fencingToken > (knownOwner?.version ?? 0)) {
-                        knownOwner = { row: { ...self, claimId }, version: fencingToken };
+                        knownOwner = { row, version: fencingToken };
+                        ownerKnownAtMs = clock.monotonicMs();
                     }
                 },
             });
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -59,6 +59,13 @@
 const silentPingsToClaim = 2;
 /** An owner that has not answered by then is asked over another connection too; both must fail. */
 const secondPingMs = 120;
+/**
+ * Each owner in a row that was replaced soon after its claim doubles the time for which the next may be silent, up to this
+ * many times: a VM that is busy with taking over is then left to finish, in place of another that begins the same anew.
+ */
+const mostDoublings = 3;
+/** An owner that claimed within this time is in its first looks, which take 2 s for 350 workers, and may be silent for twice as long. */
+const youngMs = 2_000;
 /** How long a peer may take to say whether it sees the owner. */
 const peerOpinionMs = 200;
 /** Once half of the peers have said so, the others have this much longer; those that are gone with the owner never do. */
@@ -107,6 +114,8 @@
 export const watchOwner = (options: OwnerWatchOptions): OwnerWatch => {
     const { clock, log, self, peers, known, owns, isSettled, isLeaving, readOwner, claim } = options;
     let closed = false;
+    /** Local time at which the owner's row changed. */
+    let changedAtMs = -Infinity;
     let silentPings = 0;
     let lostAtMs: number | undefined;
     let answeredAtMs = -Infinity;
@@ -118,6 +127,13 @@
 
     const versionNow = (): number => known()?.version ?? 0;
 
+    /** How many times longer than usual the owner may be silent. */
+    const patienceFactor = (): number => {
+        const shortOffices = known()?.row.shortOffices ?? 0;
+        const young = clock.monotonicMs() - changedAtMs < youngMs ? 1 : 0;
+        return 2 ** Math.min(mostDoublings, Math.max(young, shortOffices));
+    };
+
     /** Whether a peer had an answer from the owner within the last moments; then the fault is on this side. */
     const peersSeeOwner = async (version: number): Promise<{ readonly seen: boolean; readonly answered: number; }> => {
         const others = [...peers.all.values()].filter(peer => peer.memberId !== known()?.row.memberId);
@@ -205,7 +221,7 @@
 
     /** An owner that answers its peers and cannot reach the store gives way to one that can. */
     const replaceStalled = async (version: number, stalledMs: number): Promise<void> => {
-        if (!mayClaim() || stalledMs < stalledOwnerMs + turnMs(version)) {
+        if (!mayClaim() || stalledMs < stalledOwnerMs * patienceFactor() + turnMs(version)) {
             return;
         }
         if (!await readOwner(quickReadMs)) {
@@ -225,6 +241,7 @@
 
     /** Asks the owner, and once more over another connection where it takes long. */
     const askOwner = async (row: MemberRow): Promise<PingAnswer | undefined> => {
+        const limitMs = pingTimeoutMs * patienceFactor();
         const ask = async (timeoutMs: number): Promise<PingAnswer | undefined> => {
             let silence: ErrorKind | undefined;
             const answer = await peers.ping(row, { timeoutMs, onSilent: kind => silence = kind });
@@ -234,10 +251,10 @@
             return answer;
         };
         const silences: ErrorKind[] = [];
-        const first = ask(pingTimeoutMs);
+        const first = ask(limitMs);
         const early = await Promise.race([first, sleep(clock, secondPingMs).then(() => "late" as const)]);
         const answer = early === "late"
-            ? await firstAnswer([first, ask(pingTimeoutMs - secondPingMs)])
+            ? await firstAnswer([first, ask(limitMs - secondPingMs)])
             : early;
         if (answer === undefined) {
             for (const kind of silences) {
@@ -333,8 +350,12 @@
     void watch();
     return {
         answeredAtMs: () => answeredAtMs,
-        seenToken: () => silentPings === 0 && clock.monotonicMs() - answeredAtMs < freshAnswerMs ? versionNow() : 0,
+        seenToken: () =>
+            silentPings === 0 && clock.monotonicMs() - answeredAtMs < freshAnswerMs * patienceFactor()
+                ? versionNow()
+                : 0,
         reset: () => {
+            changedAtMs = clock.monotonicMs();
             silentPings = 0;
             lostAtMs = undefined;
         },
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -4,6 +4,7 @@
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import type { WorkerEntry } from "../../types/work.js";
 import { sleep } from "../../utils/time.js";
+import { createFirstLooks } from "./firstLooks.js";
 import { findTask, newRun, runPhases, type ShardJob, type ShardRun } from "./jobBook.js";
 import type { StoredRun } from "./jobRows.js";
 import { createPacer } from "./pacer.js";
@@ -75,6 +76,7 @@
     /** Runs whose intent is durable and whose worker has not been seen yet. */
     const unseenRuns = new Map<string, StoredRun[]>();
     const pacer = createPacer({ clock, log });
+    const firstLooks = createFirstLooks(clock);
 
     const stopRun = (run: ShardRun): void => {
         if (run.phase !== runPhases.planned) {
@@ -142,6 +144,7 @@
             fencingToken,
             leaseMs: settings.leaseMs,
             lookWaitMs: settings.lookWaitMs,
+            firstLooks,
             lookPauseMs: settings.lookPauseMs,
             orderPauseMs: settings.orderPauseMs,
             onLook: async (seen, look, sentAtMs) => {
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -3,12 +3,19 @@
 import { type FencedWorkerPort, type LookResult, type OrderOutcome, orderOutcomes } from "../../types/cellPorts.js";
 import type { CancelTimer, Clock, Log, Meter } from "../../types/ports.js";
 import { sleep } from "../../utils/time.js";
+import type { FirstLooks } from "./firstLooks.js";
 import { runPhases, type ShardRun } from "./jobBook.js";
 import { extendLease, runKey, type ShardWorker } from "./workerTable.js";
 
 /** An order takes a round trip of some milliseconds; without an answer by the first it is sent again, up to the last. */
 const shortestOrderMs = 150;
 const longestOrderMs = 600;
+/** A look answers after the time that it may wait, and this. */
+const lookPatienceMs = 350;
+/** A look that is given up this much after its limit shows that this daemon's own processor is late. */
+const ownLateMs = 50;
+/** So many looks in a row that this daemon may have read too late say nothing of the worker: some five seconds. */
+const mostForgivenLooks = 4;
 
 /** What the links of a shard share. */
 export interface WorkerLinkOptions {
@@ -20,6 +27,7 @@
     readonly leaseMs: number;
     /** How long a look may wait for an end. */
     readonly lookWaitMs: number;
+    readonly firstLooks: FirstLooks;
     /** Pause between looks while the ends that it shows cannot be made durable, or it does not answer. */
     readonly lookPauseMs: number;
     /** Pause before an order without an answer is sent again. */
@@ -58,6 +66,8 @@
 export const openWorkerLink = (worker: ShardWorker, options: WorkerLinkOptions): WorkerLink => {
     const { clock, log, meter, workers, fencingToken, leaseMs, lookWaitMs, lookPauseMs, orderPauseMs } = options;
     let closed = false;
+    /** Looks in a row without an answer that are put down to this daemon. */
+    let forgivenLooks = 0;
     let endPause: (() => void) | undefined;
 
     const target = () => ({ workerId: worker.workerId, address: worker.entry.address });
@@ -86,18 +96,31 @@
         return false;
     };
 
-    const lookOnce = async (): Promise<void> => {
+    /**
+     * A daemon that reads answers too late must not take sound workers for silent: it would renew no lease there and place
+     * nothing, while all that runs there ends.
+     */
+    const isOwnDelay = (sentAtMs: number, waitMs: number): boolean => {
+        const overdueMs = clock.monotonicMs() - sentAtMs - waitMs - lookPatienceMs;
+        forgivenLooks = overdueMs > ownLateMs ? forgivenLooks + 1 : 0;
+        return forgivenLooks > 0 && forgivenLooks <= mostForgivenLooks;
+    };
+
+    const lookOnce = async (answered: () => void): Promise<void> => {
         const sentAtMs = clock.monotonicMs();
         // A worker that is silent may get each of these orders late; renewing its lease would put off its end for ever.
         const deadlineMs = worker.silentLooks > 0 ? undefined : extendLease(worker, sentAtMs, leaseMs);
         const ready = deadlineMs !== undefined;
+        const waitMs = ready ? lookWaitMs : 0;
         meter.count("looks");
         const look = await workers.look(target(), {
             fencingToken,
             acknowledgedEnd: worker.acknowledgedEnd,
             deadlineMs,
-            waitMs: ready ? lookWaitMs : 0,
+            waitMs,
+            patienceMs: lookPatienceMs,
         });
+        answered();
         if (closed) {
             return;
         }
@@ -106,12 +129,17 @@
             worker.clock = { localMs: nowMs, clockMs: look.clockMs };
             worker.answeredAtMs = nowMs;
             worker.silentLooks = 0;
+            forgivenLooks = 0;
             await options.onLook(worker, look, sentAtMs);
             return;
         }
         if (endsLink(look.outcome)) {
             return;
         }
+        if (look.outcome === orderOutcomes.unknown && isOwnDelay(sentAtMs, waitMs)) {
+            meter.count("looks.ownDelay");
+            return;
+        }
         worker.silentLooks += 1;
         if (worker.silentLooks === 1) {
             log.write("warn", "workerSilent", { workerId: worker.workerId, outcome: look.outcome });
@@ -122,8 +150,9 @@
     };
 
     const lookAlways = async (): Promise<void> => {
+        await lookOnce(await options.firstLooks.enter());
         while (!closed) {
-            await lookOnce();
+            await lookOnce(() => {});
         }
     };
 
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -38,6 +38,7 @@
 export * from "./core/shard/claimShard.js";
 export * from "./core/shard/commitLog.js";
 export * from "./core/shard/evacuate.js";
+export * from "./core/shard/firstLooks.js";
 export * from "./core/shard/forward.js";
 export * from "./core/shard/handOver.js";
 export * from "./core/shard/jobBook.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -111,6 +111,7 @@
     stepNameOf,
 } from "./internal.js";
 export { decodeEnded, encodeJob, type RestoredJobs, restoreJobs } from "./internal.js";
+export { createFirstLooks, type FirstLooks } from "./internal.js";
 export { createForward, type Forward, type ForwardOptions, type ForwardRequest } from "./internal.js";
 export { createPacer, type Pacer } from "./internal.js";
 export { createPlacing, type Placing, type PlacingOptions } from "./internal.js";
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -143,7 +143,10 @@
     readonly acknowledgedEnd: number;
     /** On the worker's own clock; undefined renews nothing. */
     readonly deadlineMs?: number;
+    /** How long the answer may wait for an end. */
     readonly waitMs: number;
+    /** How much longer than that it may take before the look counts as unanswered. */
+    readonly patienceMs: number;
 }
 
 /** A worker's address and the life that an order is meant for. */
@@ -207,6 +210,8 @@
 export interface OwnerRow extends MemberRow {
     /** Tells this claim from all others, so that a lost answer can be settled. */
     readonly claimId: string;
+    /** Owners right before this one that were each replaced as silent or stalled soon after their claim; none where it is left out. */
+    readonly shortOffices?: number;
 }
 
 /** An owner as its row says, with the row's version, which is its fencing token. */
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -293,9 +293,10 @@
         };
         const look = async (
             target: WorkerTarget,
-            { fencingToken, acknowledgedEnd, deadlineMs, waitMs }: LookOrder,
+            { fencingToken, acknowledgedEnd, deadlineMs, waitMs, patienceMs }: LookOrder,
         ): Promise<LookResult> => {
-            const worker = await reach(target);
+            const lostMs = Math.min(unansweredMs, waitMs + patienceMs);
+            const worker = await reach(target, lostMs);
             if (worker === undefined) {
                 return { outcome: orderOutcomes.unknown };
             }
@@ -309,7 +310,7 @@
             acknowledge(worker, acknowledgedEnd);
             await waitForEnd(worker, waitMs);
             if (!isOpen(target.workerId) || (worker.fault as WorkerFault) === "cut") {
-                await wait(unansweredMs);
+                await wait(lostMs);
                 return { outcome: orderOutcomes.unknown };
             }
             return worker.alive ? show(worker) : { outcome: orderOutcomes.otherLife };
--- a/packages/stand-ins/src/shard/processor.ts
+++ b/packages/stand-ins/src/shard/processor.ts
@@ -18,9 +18,6 @@
     use(costMs: number): Promise<void>;
 }
 
-/** An answer that is read this much later than the look may wait for ends comes too late, as on the platform. */
-const lookSlackMs = 350;
-
 /**
  * Makes the processor of one process.
  *
@@ -68,7 +65,7 @@
             }
             await processor.use(seen.has(target.workerId) ? costs.lookMs : costs.firstLookMs);
             seen.add(target.workerId);
-            const late = clock.monotonicMs() - sentAtMs > order.waitMs + lookSlackMs;
+            const late = clock.monotonicMs() - sentAtMs > order.waitMs + order.patienceMs;
             return late ? { outcome: "unknown" } : answer;
         },
     };
