--- a/packages/puffinarch/src/core/shard/firstLooks.ts
+++ b/packages/puffinarch/src/core/shard/firstLooks.ts
@@ -16,8 +16,10 @@
 const atOnce = 24;
 /** A look that has not been answered though this many later ones have is left to itself; its worker may be out of reach. */
 const overtakenBy = 8;
-/** So is one that takes this long, where none is answered: 117 workers of a data centre that is cut off take 0.8 s. */
+/** So is one that takes this long while none is answered: 117 workers of a data centre that is cut off take 0.8 s. */
 const turnMs = 150;
+/** Answers that come at shorter intervals than this show that the others only wait for this daemon's processor. */
+const quietMs = 50;
 
 /** A look under way. */
 interface Turn {
@@ -38,6 +40,7 @@
     const turns = new Set<Turn>();
     const waiting: (() => void)[] = [];
     let numbers = 0;
+    let answeredAtMs = -Infinity;
 
     const letIn = (): void => {
         while (turns.size < atOnce && waiting.length > 0) {
@@ -46,6 +49,7 @@
     };
 
     const noteAnswer = (number: number): void => {
+        answeredAtMs = clock.monotonicMs();
         for (const turn of [...turns]) {
             if (turn.number < number) {
                 turn.overtaken += 1;
@@ -65,8 +69,15 @@
                 letIn();
             }
         };
+        const leaveIfQuiet = (): void => {
+            if (clock.monotonicMs() - answeredAtMs >= quietMs) {
+                leave();
+                return;
+            }
+            cancel = clock.setTimer(quietMs, leaveIfQuiet);
+        };
         const turn: Turn = { number, overtaken: 0, leave };
-        const cancel = clock.setTimer(turnMs, leave);
+        let cancel = clock.setTimer(turnMs, leaveIfQuiet);
         turns.add(turn);
         return () => {
             leave();
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -64,8 +64,6 @@
  * many times: a VM that is busy with taking over is then left to finish, in place of another that begins the same anew.
  */
 const mostDoublings = 3;
-/** An owner that claimed within this time is in its first looks, which take 2 s for 350 workers, and may be silent for twice as long. */
-const youngMs = 2_000;
 /** How long a peer may take to say whether it sees the owner. */
 const peerOpinionMs = 200;
 /** Once half of the peers have said so, the others have this much longer; those that are gone with the owner never do. */
@@ -114,8 +112,6 @@
 export const watchOwner = (options: OwnerWatchOptions): OwnerWatch => {
     const { clock, log, self, peers, known, owns, isSettled, isLeaving, readOwner, claim } = options;
     let closed = false;
-    /** Local time at which the owner's row changed. */
-    let changedAtMs = -Infinity;
     let silentPings = 0;
     let lostAtMs: number | undefined;
     let answeredAtMs = -Infinity;
@@ -130,8 +126,7 @@
     /** How many times longer than usual the owner may be silent. */
     const patienceFactor = (): number => {
         const shortOffices = known()?.row.shortOffices ?? 0;
-        const young = clock.monotonicMs() - changedAtMs < youngMs ? 1 : 0;
-        return 2 ** Math.min(mostDoublings, Math.max(young, shortOffices));
+        return 2 ** Math.min(mostDoublings, shortOffices);
     };
 
     /** Whether a peer had an answer from the owner within the last moments; then the fault is on this side. */
@@ -355,7 +350,6 @@
                 ? versionNow()
                 : 0,
         reset: () => {
-            changedAtMs = clock.monotonicMs();
             silentPings = 0;
             lostAtMs = undefined;
         },
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -10,8 +10,12 @@
 /** An order takes a round trip of some milliseconds; without an answer by the first it is sent again, up to the last. */
 const shortestOrderMs = 150;
 const longestOrderMs = 600;
-/** A look answers after the time that it may wait, and this. */
-const lookPatienceMs = 350;
+/**
+ * A look answers after the time that it may wait, and this. A daemon that reads answers later than that waits longer next
+ * time, up to the last: two such looks still fit into a lease of 5 s.
+ */
+const shortestPatienceMs = 350;
+const longestPatienceMs = 1_400;
 /** A look that is given up this much after its limit shows that this daemon's own processor is late. */
 const ownLateMs = 50;
 /** So many looks in a row that this daemon may have read too late say nothing of the worker: some five seconds. */
@@ -68,6 +72,7 @@
     let closed = false;
     /** Looks in a row without an answer that are put down to this daemon. */
     let forgivenLooks = 0;
+    let patienceMs = shortestPatienceMs;
     let endPause: (() => void) | undefined;
 
     const target = () => ({ workerId: worker.workerId, address: worker.entry.address });
@@ -101,9 +106,13 @@
      * nothing, while all that runs there ends.
      */
     const isOwnDelay = (sentAtMs: number, waitMs: number): boolean => {
-        const overdueMs = clock.monotonicMs() - sentAtMs - waitMs - lookPatienceMs;
-        forgivenLooks = overdueMs > ownLateMs ? forgivenLooks + 1 : 0;
-        return forgivenLooks > 0 && forgivenLooks <= mostForgivenLooks;
+        const overdueMs = clock.monotonicMs() - sentAtMs - waitMs - patienceMs;
+        if (overdueMs <= ownLateMs) {
+            return false;
+        }
+        patienceMs = Math.min(longestPatienceMs, 2 * patienceMs);
+        forgivenLooks += 1;
+        return forgivenLooks <= mostForgivenLooks;
     };
 
     const lookOnce = async (answered: () => void): Promise<void> => {
@@ -118,7 +127,7 @@
             acknowledgedEnd: worker.acknowledgedEnd,
             deadlineMs,
             waitMs,
-            patienceMs: lookPatienceMs,
+            patienceMs,
         });
         answered();
         if (closed) {
@@ -130,6 +139,7 @@
             worker.answeredAtMs = nowMs;
             worker.silentLooks = 0;
             forgivenLooks = 0;
+            patienceMs = nowMs - sentAtMs < waitMs + shortestPatienceMs ? shortestPatienceMs : patienceMs;
             await options.onLook(worker, look, sentAtMs);
             return;
         }
