A second failing scene: a busy owner takes sound workers for silent; the trial that shows it

The log has 121 workers called silent within a second by an owner that was itself late.

The scene: one daemon whose processor needs 5 ms for each of 350 answers. It fails on the code as it is: leases of sound workers end.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -27,3 +27,11 @@
             | look |
             | 1.5  |
             | 2.2  |
+
+    Scenario: An owner that reads its answers too late takes no worker for silent
+        Given a cell of 1 daemons and 350 workers whose first looks cost a daemon 6 ms, later ones 5 ms and pings 0.5 ms
+        When 20 jobs of steps "20 long running" are submitted
+        And the shard runs for 30000 ms
+        Then 400 tasks run
+        And no run has lapsed
+        And no promise was broken
