--- a/features/shard.feature
+++ b/features/shard.feature
@@ -328,3 +328,63 @@
             | store hangs                             |
             | store refuses                           |
             | owner cut from the store                |
+
+    Scenario: Workers that were cut off, and whose entries lapsed, take tasks again once they are listed again
+        Given a cell of 3 daemons and 4 workers
+        When 1 jobs of steps "4 long running" are submitted
+        And the shard runs for 2000 ms
+        And the fault "all workers cut, workers not listed" comes
+        And the shard runs for 12000 ms
+        And the fault goes
+        And the shard runs for 4000 ms
+        Then 4 tasks run
+        And no promise was broken
+
+    Scenario: A task that failed on the one worker with room is not kept waiting for one that is full
+        Given a cell of 3 daemons and 2 workers
+        When the fault "worker fails everything" comes
+        And 1 jobs of steps "1 long running of 8 cores" are submitted
+        And the shard runs for 2000 ms
+        And 1 jobs of steps "1 long running of 2 cores" are submitted
+        And the shard runs for 2000 ms
+        And the fault goes
+        And the shard runs for 8000 ms
+        Then 2 tasks run
+        And no promise was broken
+
+    Scenario: A call to the advisor waits for a bounded time behind more urgent ones
+        When the advice desk's lane is asked for urgent calls of 100 ms without end, and once for one of a lower priority
+        Then the advisor has served the call of the lower priority within 2500 ms
+
+    Scenario: The log says what tasks wait for that have waited for long
+        Given a cell of 3 daemons and 4 workers
+        When the fault "all workers cut" comes
+        And 1 jobs of steps "2" are submitted
+        And the shard runs for 11000 ms
+        Then the log says that the tasks of 1 step wait for "workers", with "silent 4"
+
+    Scenario: A new owner reviews all accepted tasks once its workers are known, also where one of them is silent
+        Given a cell of 3 daemons and 4 workers
+        When 2 jobs of steps "3 long running" are submitted
+        And the shard runs for 1000 ms
+        And the fault "worker cut, owner killed" comes
+        And the shard runs for 3000 ms
+        Then the new owner has reviewed the tasks of 2 jobs
+
+    Scenario: A task that lasts is not kept out for long of room that is kept for a step which cannot begin yet
+        Given a cell of 3 daemons and 4 workers whose tasks take their estimates, with a stretch of 20
+        When 1 jobs of steps "1 of 1 cores for 30000 ms" are submitted
+        And the shard runs for 1000 ms
+        And 1 jobs of steps "4 gang of 8 cores for 2000 ms" are submitted
+        And the shard runs for 1000 ms
+        And 1 jobs of steps "1 long running of 1 cores" are submitted
+        And the shard runs for 4000 ms
+        Then 2 tasks run
+
+    Scenario: A start that gets no answer from a worker that answers looks is given up
+        Given a cell of 3 daemons and 2 workers
+        When the fault "orders to a worker get lost" comes
+        And 1 jobs of steps "4 long running" are submitted
+        And the shard runs for 14000 ms
+        Then 4 tasks run
+        And no promise was broken
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -1,9 +1,10 @@
-import { Given, Then, When } from "@cucumber/cucumber";
+import { After, Given, Status, Then, When } from "@cucumber/cucumber";
 import {
     createFakeClock,
     createFakeRowStore,
     createShardCell,
     crowdedShapes,
+    findStanding,
     jobIdOf,
     readSteps,
     runRandomFaults,
@@ -12,7 +13,7 @@
     testQueue,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { createCommitLog, createForward, journalTable, sleep, startUpkeep } from "puffinarch";
+import { createAdviceDesk, createCommitLog, createForward, journalTable, sleep, startUpkeep } from "puffinarch";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
@@ -29,6 +30,8 @@
     /** Lines that the log had when the newest fault came. */
     linesBefore: number;
     commitOutcome: { readonly durable: number; readonly fenced: number; } | undefined;
+    /** When a call of a lower priority was answered. */
+    adviceServedAtMs: number | undefined;
 }
 
 const part = (world: ScenarioWorld): Part =>
@@ -48,9 +51,22 @@
             forwarded: undefined,
             linesBefore: 0,
             commitOutcome: undefined,
+            adviceServedAtMs: undefined,
         }),
     );
 
+/** Whatever a scene was about: once nothing is wrong, each accepted task runs, has ended, or finds no worker with room. */
+After(async function(this: ScenarioWorld, { result }) {
+    const { cell, mend } = part(this);
+    if (cell === undefined || result?.status !== Status.PASSED) {
+        return;
+    }
+    for (const end of mend.splice(0)) {
+        end();
+    }
+    assert.deepEqual(await findStanding(cell), [], "tasks stand although a worker with room for them answers");
+});
+
 const cellOf = (world: ScenarioWorld): ShardCell => {
     const { cell } = part(world);
     assert.ok(cell !== undefined);
@@ -73,6 +89,14 @@
     },
 );
 
+Given(
+    "a cell of {int} daemons and {int} workers whose tasks take their estimates, with a stretch of {int}",
+    async function(this: ScenarioWorld, members: number, workers: number, stretch: number) {
+        const queues = [{ ...testQueue, stretch }];
+        await startCell(this, { members, workers, seed: 1, durationMs: "estimated", queues });
+    },
+);
+
 Given(
     "a cell of {int} daemons and {int} workers whose VMs refuse no token",
     async function(this: ScenarioWorld, members: number, workers: number) {
@@ -402,6 +426,50 @@
     },
 );
 
+When(
+    "the advice desk's lane is asked for urgent calls of {int} ms without end, and once for one of a lower priority",
+    async function(this: ScenarioWorld, callMs: number) {
+        const clock = createFakeClock();
+        const desk = createAdviceDesk({
+            clock,
+            log: { write: () => {} },
+            meter: { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 },
+            lanes: () => ["entry-1"],
+            call: async () => {
+                await sleep(clock, callMs);
+                return { good: [], validMs: 1_000 };
+            },
+        });
+        const order = (priority: number, onAnswer: () => void) => ({
+            stepName: `of priority ${priority}`,
+            workerIds: ["i-1"],
+            costMs: callMs,
+            priority,
+            wanted: () => true,
+            onAnswer,
+            onFailure: () => {},
+        });
+        const askUrgent = (): void => desk.ask(order(0, askUrgent));
+        askUrgent();
+        askUrgent();
+        desk.ask(order(2, () => {
+            part(this).adviceServedAtMs = clock.monotonicMs();
+        }));
+        part(this).faultAtMs = clock.monotonicMs();
+        await clock.advance(60_000);
+        desk.close();
+    },
+);
+
+Then(
+    "the advisor has served the call of the lower priority within {int} ms",
+    function(this: ScenarioWorld, limitMs: number) {
+        const { adviceServedAtMs, faultAtMs } = part(this);
+        assert.ok(adviceServedAtMs !== undefined, "it was not served within a minute");
+        assert.ok(adviceServedAtMs - faultAtMs <= limitMs, `after ${adviceServedAtMs - faultAtMs} ms`);
+    },
+);
+
 When(
     "a request hangs at its owner, and the shard has another owner after {int} ms",
     async function(this: ScenarioWorld, afterMs: number) {
@@ -436,6 +504,22 @@
     assert.ok((part(this).forwarded?.afterMs ?? Infinity) <= afterMs + 60, `after ${part(this).forwarded?.afterMs} ms`);
 });
 
+Then(
+    "the log says that the tasks of {int} step(s) wait for {string}, with {string}",
+    function(this: ScenarioWorld, count: number, wait: string, counts: string) {
+        const { fields } = cellOf(this).log.findLast(line => line.event === "taskWaits")
+            ?? assert.fail("it says nothing");
+        assert.equal(fields["lateSteps"], `${wait} ${count}`);
+        assert.match(String(fields["longest"]), new RegExp(`: ${wait} for \\d+ ms; ${counts}`));
+    },
+);
+
+Then("the new owner has reviewed the tasks of {int} jobs", function(this: ScenarioWorld, jobs: number) {
+    const cell = cellOf(this);
+    const lines = cell.log.slice(part(this).linesBefore).filter(line => line.event === "tasksReviewed");
+    assert.deepEqual(lines.map(line => [line.memberId, line.fields["jobs"]]), [[cell.owner(), jobs]]);
+});
+
 When("the operator withdraws the wave", function(this: ScenarioWorld) {
     cellOf(this).withdrawUpkeep(1);
 });
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -28,6 +28,8 @@
     readonly onStarted: (job: ShardJob) => void;
     /** There may be room now. */
     readonly wake: () => void;
+    /** Every worker that answers has shown what it runs; called once. */
+    readonly onKnown: () => void;
     /** A worker has seen a higher token. */
     readonly onFenced: () => void;
 }
@@ -65,7 +67,7 @@
  * Makes the workers of a shard; none is known before the first listing.
  *
  * @example
- * const workers = createShardWorkers({ clock, log, meter, settings, port, fencingToken, jobOf, changed, onStarted, wake, onFenced });
+ * const workers = createShardWorkers({ clock, log, meter, settings, port, fencingToken, jobOf, changed, onStarted, wake, onKnown, onFenced });
  * workers.update(entries);
  */
 export const createShardWorkers = (options: ShardWorkersOptions): ShardWorkers => {
@@ -110,22 +112,30 @@
         return Promise.all(all);
     };
 
-    const loseWorker = (worker: ShardWorker, reason: string): void => {
+    const dropWorker = (worker: ShardWorker, reason: string): void => {
         links.get(worker.workerId)?.close();
         links.delete(worker.workerId);
         workers.delete(worker.workerId);
-        overLives.add(worker.workerId);
         log.write("info", "workerGone", { workerId: worker.workerId, reason, runs: worker.runs.size });
         watch.loseRuns(worker, reason);
         void commitTouched();
     };
 
+    /** The worker's life is over: what is still listed under its id is an entry that has yet to lapse. */
+    const loseWorker = (worker: ShardWorker, reason: string): void => {
+        overLives.add(worker.workerId);
+        dropWorker(worker, reason);
+    };
+
     const startedAtMs = clock.monotonicMs();
     let allKnown = false;
 
     /** Tells once, after a takeover, when every worker that answers has shown what it runs. */
     const noteKnown = (): void => {
-        if (allKnown || [...workers.values()].some(worker => !worker.certain && worker.silentLooks === 0)) {
+        if (
+            allKnown || links.size === 0
+            || [...workers.values()].some(worker => !worker.certain && worker.silentLooks === 0)
+        ) {
             return;
         }
         allKnown = true;
@@ -133,6 +143,7 @@
         const afterMs = Math.round(clock.monotonicMs() - startedAtMs);
         meter.record("workersKnownMs", afterMs);
         log.write("info", "workersKnown", { afterMs, workers: workers.size, silent });
+        options.onKnown();
     };
 
     const openLink = (worker: ShardWorker): WorkerLink =>
@@ -271,6 +282,8 @@
 
     /** Leases that are surely over, and workers of which nothing is left. */
     const checkHorizons = (nowMs: number): void => {
+        // The last one may have turned out to be silent.
+        noteKnown();
         for (const worker of [...workers.values()]) {
             const silent = worker.silentLooks > 0 || !worker.certain;
             if (!silent || nowMs <= worker.horizonMs) {
@@ -280,7 +293,8 @@
                 watch.loseRuns(worker, "leaseOver");
             }
             if (worker.unlistedAtMs !== undefined) {
-                loseWorker(worker, "notListed");
+                // It may only have been cut off from the store and from here; once listed again, it begins anew.
+                dropWorker(worker, "notListed");
             }
         }
         void commitTouched();
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -37,8 +37,11 @@
     lapsedSince: boolean;
 }
 
-/** What can be wrong with a worker. `late`: orders get no answer and are carried out three seconds after. */
-export const workerFaults = ["none", "cut", "late", "failing", "hanging"] as const;
+/**
+ * What can be wrong with a worker. `late`: orders get no answer and are carried out three seconds after. `deaf`: orders get
+ * lost, and looks do not.
+ */
+export const workerFaults = ["none", "cut", "late", "failing", "hanging", "deaf"] as const;
 /** One of `workerFaults`. */
 export type WorkerFault = (typeof workerFaults)[number];
 
@@ -54,6 +57,8 @@
     /** The worker's life ends; what answers at its address from now on is another one. */
     crash(workerId: string): void;
     workerIds(): readonly string[];
+    /** Whether the worker lives and nothing is wrong with it. */
+    isSound(workerId: string): boolean;
     readonly evidence: readonly StartEvidence[];
     /** Workers that ever held more than they have. */
     overcommitted(): readonly string[];
@@ -280,6 +285,10 @@
             if (worker === "otherLife") {
                 return orderOutcomes.otherLife;
             }
+            if (worker.fault === "deaf") {
+                await wait(timeoutMs);
+                return orderOutcomes.unknown;
+            }
             if (worker.fault === "late") {
                 clock.setTimer(lateMs, () => {
                     if (worker.alive) {
@@ -361,6 +370,7 @@
             worker.running.clear();
         },
         workerIds: () => [...workers.keys()],
+        isSound: workerId => workers.get(workerId)?.alive === true && workers.get(workerId)?.fault === "none",
         evidence,
         overcommitted: () => [...overcommitted],
     };
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -9,7 +9,9 @@
     defaultShardSettings,
     die,
     heldBy,
+    jobStates,
     type JobSubmission,
+    journalTable,
     kindOf,
     type Log,
     type MemberHandlers,
@@ -19,17 +21,21 @@
     parseTaskName,
     type Queue,
     type Resources,
+    type Row,
     type ShardPolicies,
     startCellMember,
     type Step,
     type UpkeepWave,
+    waveStates,
     type WorkerEntry,
 } from "puffinarch";
 import { createFakeClock, type FakeClock } from "../cell/fakeClock.js";
+import { breakShardPart, type BrokenShardPart } from "./brokenShardParts.js";
 import { createFakeVms, type FakeVms } from "./fakeVms.js";
 import { breachesOf, createFakeFencedWorkers, type FakeFencedWorkers } from "./fencedWorkers.js";
 import { createProcessor, type Processor, type ProcessorCosts, withProcessor } from "./processor.js";
 import { createFakeRowStore, type FakeRowStore } from "./rowStore.js";
+import { standingTasks } from "./standing.js";
 
 /** The queue that the cell's configuration has. */
 export const testQueue: Queue = {
@@ -106,6 +112,8 @@
     /** State of each job as the owner shows it; moves time a little. */
     statesOf(jobIds: readonly string[]): Promise<ReadonlyMap<string, string | undefined>>;
     breaches(): readonly string[];
+    /** Accepted tasks that neither run nor have ended although their turn has come and a worker with room answers. */
+    standing(): readonly string[];
 }
 
 /** What a cell is made of. */
@@ -129,6 +137,8 @@
     readonly isGood?: (stepName: string, workerId: string) => boolean;
     /** What the daemons' work costs their processors; nothing where it is left out. */
     readonly costs?: ProcessorCosts;
+    /** A part of every daemon's surroundings that is broken on purpose. */
+    readonly broken?: BrokenShardPart | undefined;
 }
 
 /** One life of a daemon's process. */
@@ -143,6 +153,9 @@
     readonly processor: Processor;
 }
 
+/** Key prefix of the rows with the jobs' states, and the states of jobs that go on. */
+const stateKeyPrefix = "state/";
+const openStates: ReadonlySet<string> = new Set([jobStates.queued, jobStates.running]);
 const linkMs = 1;
 const unansweredMs = 3_000;
 const leaveMs = 4_000;
@@ -194,6 +207,7 @@
         checksVmTokens = true,
         isGood = () => true,
         costs = noCosts,
+        broken,
     }: ShardCellOptions,
 ): ShardCell => {
     const clock = createFakeClock();
@@ -211,13 +225,14 @@
         durationMs === "estimated"
             ? (stepOf(taskName)?.estimateMs ?? 0) * (0.8 + 0.4 * random.next())
             : durationMs * (0.5 + random.next());
+    const heldOf = (taskName: string): Resources => {
+        const step = stepOf(taskName);
+        return step === undefined ? noResources : heldBy(step);
+    };
     const workers = createFakeFencedWorkers({
         clock,
         leaseLimitMs: 10_000,
-        heldOf: taskName => {
-            const step = stepOf(taskName);
-            return step === undefined ? noResources : heldBy(step);
-        },
+        heldOf,
         model: (taskName, run) => ({
             durationMs: stepOf(taskName)?.longRunning === true ? 3_600_000 : runMs(taskName),
             // One failure a task: a job that fails by bad luck alone proves nothing.
@@ -281,6 +296,9 @@
         },
     };
 
+    const readEntry = ({ value }: Row): WorkerEntry | undefined =>
+        value === undefined ? undefined : JSON.parse(value) as WorkerEntry;
+
     const meter: Meter = { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 };
 
     const start = (memberId: string): void => {
@@ -290,6 +308,18 @@
         const alive = (): boolean => life.alive;
         const connection = store.connect(memberId);
         const never = new Promise<never>(() => {});
+        const fast = workers.connect(() => !isCut(memberId, "workers"));
+        const port = costs === noCosts ? fast : withProcessor(fast, { clock, processor, costs });
+        const surroundings = breakShardPart(broken, {
+            workers: {
+                start: (target, order, timeoutMs) => alive() ? port.start(target, order, timeoutMs) : never,
+                stop: (target, order, timeoutMs) => alive() ? port.stop(target, order, timeoutMs) : never,
+                look: (target, order) => alive() ? port.look(target, order) : never,
+                pace: (target, order) => alive() ? port.pace(target, order) : never,
+            },
+            advisor,
+            readWorker: readEntry,
+        });
         const member = startCellMember({
             clock,
             log: writer,
@@ -309,17 +339,8 @@
                 read: (table, part, fromKey, limit) => alive() ? connection.read(table, part, fromKey, limit) : never,
                 changes: (table, version, waitMs) => alive() ? connection.changes(table, version, waitMs) : never,
             },
-            workers: (() => {
-                const fast = workers.connect(() => !isCut(memberId, "workers"));
-                const port = costs === noCosts ? fast : withProcessor(fast, { clock, processor, costs });
-                return {
-                    start: (target, order, timeoutMs) => alive() ? port.start(target, order, timeoutMs) : never,
-                    stop: (target, order, timeoutMs) => alive() ? port.stop(target, order, timeoutMs) : never,
-                    look: (target, order) => alive() ? port.look(target, order) : never,
-                    pace: (target, order) => alive() ? port.pace(target, order) : never,
-                };
-            })(),
-            advisor,
+            workers: surroundings.workers,
+            advisor: surroundings.advisor,
             members: peersOf(memberId),
             platform: {
                 configurationTable: "operator",
@@ -328,7 +349,7 @@
                     return row?.value === undefined ? undefined : JSON.parse(row.value) as CellConfiguration;
                 },
                 workerTable: "workers",
-                readWorker: row => row.value === undefined ? undefined : JSON.parse(row.value) as WorkerEntry,
+                readWorker: surroundings.readWorker,
                 upkeep: {
                     port: vms.port,
                     settleMs: checksVmTokens ? 0 : 15_000,
@@ -378,6 +399,23 @@
         start(memberId);
     }
 
+    /** Jobs whose row says that they go on; they are accepted, whoever has heard so. */
+    const openJobs = (): readonly string[] =>
+        store.rows(journalTable).filter(({ key, value }) =>
+            key.startsWith(stateKeyPrefix)
+            && openStates.has((JSON.parse(value ?? "{}") as { state?: string; }).state ?? "")
+        ).map(({ key }) => key.slice(stateKeyPrefix.length));
+
+    const workersForNew = (): readonly WorkerEntry[] =>
+        store.rows("workers").flatMap(row => readEntry(row) ?? [])
+            .filter(({ workerId, draining }) => !draining && workers.isSound(workerId));
+
+    /** Workers of a wave that goes on are closed to new tasks, and from outside nobody sees which. */
+    const wavesOpen = (): boolean =>
+        store.rows("operator").some(({ key }) =>
+            key.startsWith("wave/") && store.rows("status").find(row => row.key === key)?.value !== waveStates.completed
+        );
+
     const owner = (): string | undefined =>
         ids.find(id => seats.get(id)?.life.alive === true && seats.get(id)?.member.ownsShard());
 
@@ -498,5 +536,13 @@
             ...breachesOf(workers.evidence, taskName => stepOf(taskName)?.speculative === true),
             ...workers.overcommitted().map(workerId => `${workerId} held more than it has`),
         ],
+        standing: () =>
+            wavesOpen() ? [] : standingTasks({
+                jobs: openJobs().map(jobId => ({ jobId, steps: steps.get(jobId) ?? [] })),
+                evidence: workers.evidence,
+                workers: workersForNew(),
+                heldOf,
+                isGood,
+            }),
     };
 };
