--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -229,9 +229,12 @@
             clock.setTimer(delayMs, resolve);
         });
 
-    const peersOf = (from: string): MemberPort => ({
+    const peersOf = (from: string, life: Life): MemberPort => ({
         call: async (address, name, input, timeoutMs) => {
             const seat = seats.get(address);
+            if (!life.alive) {
+                return new Promise<never>(() => {});
+            }
             await wait(linkMs);
             if (seat?.life.alive !== true) {
                 return die("unavailable", "nobody listens there");
@@ -272,9 +275,16 @@
     const meter: Meter = { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 };
 
     const start = (memberId: string): void => {
-        const writer: Log = { write: (_level, event, fields) => void log.push({ memberId, event, fields }) };
         const life: Life = { alive: true };
         const alive = (): boolean => life.alive;
+        const writer: Log = {
+            write: (_level, event, fields) => {
+                // What is left of a killed process in this one says nothing.
+                if (alive()) {
+                    log.push({ memberId, event, fields });
+                }
+            },
+        };
         const connection = store.connect(memberId);
         const never = new Promise<never>(() => {});
         const member = startCellMember({
@@ -306,7 +316,7 @@
                 };
             })(),
             advisor,
-            members: peersOf(memberId),
+            members: peersOf(memberId, life),
             platform: {
                 configurationTable: "operator",
                 readConfiguration: rows => {
