--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -211,6 +211,7 @@
         owner,
         seenVersion: 0,
         wanted: () => true,
+        heardToken: () => undefined,
         onClaimed: () => {},
         restorePatienceMs: 2_500,
     };
@@ -566,6 +567,7 @@
         owner,
         seenVersion: 0,
         wanted: () => true,
+        heardToken: () => undefined,
         onClaimed: () => {},
         restorePatienceMs: 2_500,
     });
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -129,7 +129,8 @@
     let knownOwner: KnownOwner | undefined;
     let ownerRead = false;
     let owner: ShardOwner | undefined;
-    let claiming = false;
+    /** The claim under way. */
+    let claimUnderWay: string | undefined;
     /** Token of a claim whose rows are still being read; 0 for none. */
     let claimedToken = 0;
     /** Claims no shard any more. */
@@ -183,12 +184,12 @@
     };
 
     const claim = async (seenVersion: number, why: string): Promise<boolean> => {
-        if (claiming || leaving || closed) {
+        if (claimUnderWay !== undefined || leaving || closed) {
             return false;
         }
-        claiming = true;
         const startedAtMs = clock.monotonicMs();
         const claimId = `${self.memberId}/${self.incarnation}/${Math.floor(options.random.next() * 1e9)}`;
+        claimUnderWay = claimId;
         log.write("info", "claimBegins", { part, seenVersion, why });
         try {
             const claimed = await claimShard({
@@ -203,6 +204,7 @@
                     !closed && (knownOwner?.version ?? 0) <= seenVersion
                         && clock.monotonicMs() - startedAtMs < claimPatienceMs
                     || knownOwner?.row.claimId === claimId,
+                heardToken: () => knownOwner?.row.claimId === claimId ? knownOwner.version : undefined,
                 onClaimed: fencingToken => {
                     claimedToken = fencingToken;
                     if (fencingToken > (knownOwner?.version ?? 0)) {
@@ -264,7 +266,7 @@
             return true;
         }
         finally {
-            claiming = false;
+            claimUnderWay = undefined;
             claimedToken = 0;
         }
     };
@@ -411,7 +413,7 @@
         peers,
         known: () => knownOwner,
         owns: () => owner !== undefined,
-        isSettled: () => ownerRead && !claiming && clock.monotonicMs() >= claimsAgainAtMs,
+        isSettled: () => ownerRead && claimUnderWay === undefined && clock.monotonicMs() >= claimsAgainAtMs,
         isLeaving: () => leaving,
         readOwner,
         claim,
@@ -472,6 +474,7 @@
             ping: async ({ ownerVersion }) => ({
                 incarnation: self.incarnation,
                 ownedToken: owner?.fencingToken ?? claimedToken,
+                ...(claimUnderWay === undefined ? {} : { claimId: claimUnderWay }),
                 storeStalledMs: owner?.stalledMs() ?? 0,
                 configurationVersion: configuration?.version ?? 0,
                 ...(owner === undefined ? {} : { pending: owner.pending() }),
--- a/packages/puffinarch/src/core/shard/claimShard.ts
+++ b/packages/puffinarch/src/core/shard/claimShard.ts
@@ -18,6 +18,8 @@
     readonly seenVersion: number;
     /** False once the claim is of no use any more. */
     readonly wanted: () => boolean;
+    /** Version of the owner's row, where a peer or a feed told that this claim took effect before the store's answer came. */
+    readonly heardToken: () => number | undefined;
     /** The claim took effect; the rows are still to be read. */
     readonly onClaimed: (fencingToken: number) => void;
     /** Gives up once no page of rows came for this long, so that a daemon that gets on better may claim. */
@@ -60,6 +62,10 @@
         if (result.outcome === "committed") {
             return result.version;
         }
+        const heard = options.heardToken();
+        if (heard !== undefined) {
+            return heard;
+        }
         if (result.outcome === "conflict") {
             // An earlier try may have taken effect although its answer was lost.
             try {
@@ -136,7 +142,7 @@
  * Claims a shard; undefined where another daemon has it by now, or its rows could not be read. What a former owner still sends is refused from then on.
  *
  * @example
- * const claimed = await claimShard({ clock, log, store, part: "shard-0", owner, seenVersion, wanted, onClaimed, restorePatienceMs: 2_500 });
+ * const claimed = await claimShard({ clock, log, store, part: "shard-0", owner, seenVersion, wanted, heardToken, onClaimed, restorePatienceMs: 2_500 });
  */
 export const claimShard = async (options: ClaimOptions): Promise<ClaimedShard | undefined> => {
     const startedAtMs = options.clock.monotonicMs();
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -253,13 +253,15 @@
         const answer = await askOwner(row);
         if (answer !== undefined && versionNow() === version) {
             options.onAnswer(row.address, answer);
-            if (answer.ownedToken === version) {
+            // A claimant learns last that its claim took effect: where the store takes a quarter of a second for an answer,
+            // peers that went by the token alone replaced one claimant after the other.
+            if (answer.ownedToken === version || answer.claimId === row.claimId) {
                 noteOwnerAnswer();
                 options.onOwnerAnswer(answer);
                 await replaceStalled(version, answer.storeStalledMs);
                 return;
             }
-            // The process is another one, or gave the shard up; a claim under way shows no token yet.
+            // The process is another one, or gave the shard up.
             const tookMs = clock.monotonicMs() - startedAtMs;
             silentPings += answer.incarnation !== row.incarnation || tookMs < pingTimeoutMs ? 1 : 0;
         }
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -227,6 +227,8 @@
     readonly incarnation: string;
     /** Fencing token of the shard that it owns; 0 for none. */
     readonly ownedToken: number;
+    /** Its claim under way: it may own the shard by the store's word and not know it yet. */
+    readonly claimId?: string;
     /** Milliseconds for which its commits have found no answer; 0 where all is well. */
     readonly storeStalledMs: number;
     readonly configurationVersion: number;
