--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -12,7 +12,7 @@
     testQueue,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { createCommitLog, createForward, journalTable, sleep, startUpkeep } from "puffinarch";
+import { createCommitLog, createForward, endedTable, journalTable, sleep, startUpkeep } from "puffinarch";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
@@ -31,6 +31,12 @@
     commitOutcome: { readonly durable: number; readonly fenced: number; } | undefined;
 }
 
+/** The store takes 100 entries a call. */
+const rowsPerWrite = 90;
+
+/** A claim and half of the first page after it, where the store is well. */
+const claimMs = 6;
+
 const part = (world: ScenarioWorld): Part =>
     partOf(
         world,
@@ -141,6 +147,79 @@
     },
 );
 
+/** Rows as an owner writes them, in as many transactions as the store asks for. */
+const writeRows = async (
+    cell: ShardCell,
+    rows: readonly { readonly table: string; readonly key: string; readonly value: string; }[],
+): Promise<void> => {
+    const connection = cell.store.connect("writer");
+    for (let index = 0; index < rows.length; index += rowsPerWrite) {
+        const puts = rows.slice(index, index + rowsPerWrite).map(row => ({ ...row, part: "shard-0" }));
+        void connection.transact({ expect: [], puts, removes: [] }, 1_000);
+    }
+    await cell.clock.advance(100);
+};
+
+When(
+    "the journal holds {int} jobs that go on and {int} that have ended",
+    async function(this: ScenarioWorld, jobs: number, ended: number) {
+        const cell = cellOf(this);
+        for (let number = 1; number <= jobs; number += 1) {
+            cell.submit(jobIdOf(number), readSteps("1 long running"));
+        }
+        assert.ok(await cell.until(() => cell.answers().size === jobs, 20_000));
+        const states = Array.from({ length: ended }, (_, index) => ({
+            table: endedTable,
+            key: jobIdOf(100_000 + index),
+            value: JSON.stringify({ state: "completed" }),
+        }));
+        await writeRows(cell, states);
+    },
+);
+
+When(
+    "the owner is killed, and from the first page that its successor reads the store is down for {int} ms and then slow",
+    async function(this: ScenarioWorld, downMs: number) {
+        const cell = cellOf(this);
+        const before = cell.log.length;
+        cell.kill(cell.owner() ?? "");
+        const isClaimed = (): boolean => cell.log.slice(before).some(line => line.event === "claimBegins");
+        while (!isClaimed()) {
+            await cell.clock.advance(1);
+        }
+        await cell.clock.advance(claimMs);
+        cell.store.setFault("hang");
+        await cell.clock.advance(downMs);
+        cell.store.setFault("slow");
+    },
+);
+
+Then("a job is accepted within {int} ms", async function(this: ScenarioWorld, limitMs: number) {
+    const cell = cellOf(this);
+    const jobId = jobIdOf(9_002);
+    cell.submit(jobId, readSteps("1"));
+    assert.ok(await cell.until(() => cell.answers().get(jobId) === "accepted", limitMs), "it is not");
+});
+
+Then(
+    "the owner knows {int} workers within {int} ms",
+    async function(this: ScenarioWorld, count: number, limitMs: number) {
+        const cell = cellOf(this);
+        const isKnown = (): boolean =>
+            cell.log.slice(part(this).linesBefore).some(line =>
+                line.event === "workersKnown" && line.fields["workers"] === count
+            );
+        assert.ok(await cell.until(isKnown, limitMs), "it does not");
+    },
+);
+
+Then("all daemons that run are ready within {int} ms", async function(this: ScenarioWorld, limitMs: number) {
+    const cell = cellOf(this);
+    const running = cell.memberIds().filter(memberId => memberId !== part(this).ownerBefore);
+    const notReady = (): readonly string[] => running.filter(memberId => cell.member(memberId)?.ready() !== true);
+    assert.ok(await cell.until(() => notReady().length === 0, limitMs), `not ready: ${notReady().join(", ")}`);
+});
+
 When("all daemons are back", function(this: ScenarioWorld) {
     const cell = cellOf(this);
     for (const memberId of cell.memberIds()) {
@@ -191,11 +270,11 @@
 });
 
 When(
-    "the link of the next claimant carries 1 byte a ms, and no other daemon can claim",
-    function(this: ScenarioWorld) {
+    /^the link of the next claimant carries (\d+) bytes? a ms, and no other daemon can claim$/,
+    function(this: ScenarioWorld, bytesPerMs: string) {
         const cell = cellOf(this);
         const [next, ...others] = cell.memberIds().filter(memberId => memberId !== cell.owner());
-        cell.store.setLink(next ?? "", 1);
+        cell.store.setLink(next ?? "", Number(bytesPerMs));
         for (const memberId of others) {
             cell.store.setFault("refuse", memberId);
         }
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -96,3 +96,42 @@
         Then a daemon owns the shard within 6000 ms
         And the shard was claimed 2 times at most
         And no promise was broken
+
+    Scenario Outline: A journal of <jobs> jobs is restored soon by a store that is slow, also where a page failed before
+        Given a cell of 4 daemons and 4 workers
+        When the journal holds <jobs> jobs that go on and <ended> that have ended
+        And the owner is killed, and from the first page that its successor reads the store is down for <downMs> ms and then slow
+        Then a daemon owns the shard within <ownMs> ms
+        And a job is accepted within <acceptMs> ms
+
+        Examples:
+            | jobs | ended | downMs | ownMs | acceptMs |
+            | 1000 | 0     | 0      | 4000  | 2000     |
+            | 350  | 0     | 1500   | 6000  | 2000     |
+            | 10   | 3000  | 0      | 3000  | 4000     |
+
+    Scenario: A list of 350 workers is read over a link on which it takes longer than one read may
+        Given a cell of 3 daemons and 350 workers
+        When all links to the store carry 60 bytes a ms
+        And the fault "owner killed" comes
+        Then another daemon owns the shard within 2000 ms
+        And the owner knows 350 workers within 15000 ms
+
+    Scenario: A claimant that gets on at a crawl gives way
+        Given a cell of 4 daemons and 4 workers
+        When the journal holds 1000 jobs that go on and 0 that have ended
+        And the link of the next claimant carries 20 bytes a ms, and no other daemon can claim
+        And the fault "owner killed" comes
+        And the shard runs for 2500 ms
+        And the other daemons can claim again
+        Then a daemon owns the shard within 8000 ms
+
+    Scenario: A daemon that gave a restore up is ready as soon as another owns the shard
+        Given a cell of 4 daemons and 4 workers
+        When the journal holds 1000 jobs that go on and 0 that have ended
+        And the link of the next claimant carries 10 bytes a ms, and no other daemon can claim
+        And the fault "owner killed" comes
+        And the shard runs for 2500 ms
+        And the other daemons can claim again
+        Then a daemon owns the shard within 6000 ms
+        And all daemons that run are ready within 600 ms
