--- a/packages/puffinarch/src/core/shard/claimShard.ts
+++ b/packages/puffinarch/src/core/shard/claimShard.ts
@@ -4,8 +4,8 @@
 import type { Clock, Log } from "../../types/ports.js";
 import { failureOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
+import { readAllRows } from "./readRows.js";
 import { journalTable, ownerKey, ownerTable, sequenceKey } from "./shardTables.js";
-import { keyAfter } from "./tableWatch.js";
 
 /** What a claim needs. */
 export interface ClaimOptions {
@@ -83,61 +83,6 @@
     return undefined;
 };
 
-/** What reading a part of a table needs. */
-export interface ReadRowsOptions {
-    readonly clock: Clock;
-    readonly log: Log;
-    readonly store: RowStore;
-    readonly table: string;
-    readonly part: string;
-    readonly wanted: () => boolean;
-    /** Gives up once no page came for this long; never where it is left out. */
-    readonly patienceMs?: number;
-}
-
-/** Rows of the first page, at 7 KB a job at the most; a link of 10 Mbit/s carries them in 0.4 s. */
-const firstPageRows = 50;
-const fewestPageRows = 10;
-/** The store's own limit. */
-const mostPageRows = 500;
-/** A page that took less than this is followed by one twice as large. */
-const quickPageMs = 150;
-
-/**
- * Reads a whole part of a table, in pages that adapt to the link and the store, so that a slow read still gets on; undefined
- * once it is not wanted any more, or does not get on.
- *
- * @example
- * const rows = await readAllRows({ clock, log, store, table, part, wanted: () => true });
- */
-export const readAllRows = async (
-    { clock, log, store, table, part, wanted, patienceMs = Infinity }: ReadRowsOptions,
-): Promise<readonly Row[] | undefined> => {
-    const rows: Row[] = [];
-    let fromKey: string | undefined;
-    let pageRows = firstPageRows;
-    let gotOnAtMs = clock.monotonicMs();
-    while (wanted() && clock.monotonicMs() - gotOnAtMs < patienceMs) {
-        const askedAtMs = clock.monotonicMs();
-        try {
-            const page = await store.read(table, part, fromKey, pageRows);
-            rows.push(...page.rows);
-            if (!page.more) {
-                return rows;
-            }
-            fromKey = keyAfter(page.rows);
-            gotOnAtMs = clock.monotonicMs();
-            pageRows = gotOnAtMs - askedAtMs < quickPageMs ? Math.min(mostPageRows, 2 * pageRows) : pageRows;
-        }
-        catch (error) {
-            log.write("warn", "shardReadDelayed", { table, part, pageRows, reason: failureOf(error).message });
-            pageRows = Math.max(fewestPageRows, Math.floor(pageRows / 4));
-            await sleep(clock, retryPauseMs);
-        }
-    }
-    return undefined;
-};
-
 /**
  * Claims a shard; undefined where another daemon has it by now, or its rows could not be read. What a former owner still sends is refused from then on.
  *
@@ -152,10 +97,11 @@
         return undefined;
     }
     options.onClaimed(fencingToken);
-    const rows = await readAllRows({ ...options, table: journalTable, patienceMs: options.restorePatienceMs });
-    if (rows === undefined) {
+    const read = await readAllRows({ ...options, table: journalTable, patienceMs: options.restorePatienceMs });
+    if (read === undefined) {
         return undefined;
     }
+    const { rows } = read;
     const sequence = rows.find(row => row.key === sequenceKey);
     return { fencingToken, sequenceVersion: sequence?.version ?? 0, rows, storeMs };
 };
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -17,11 +17,12 @@
 import { errorOf } from "../../utils/errors.js";
 import { createAcceptance } from "./acceptance.js";
 import { createAdviceDesk } from "./adviceDesk.js";
-import { type ClaimedShard, readAllRows } from "./claimShard.js";
+import type { ClaimedShard } from "./claimShard.js";
 import { createCommitLog, type RowChange } from "./commitLog.js";
 import { endJob, hasEnded, openOccurrence, runPhases, runsOf, type ShardJob, type ShardRun } from "./jobBook.js";
 import { decodeEnded, encodeJob, restoreJobs } from "./jobRows.js";
 import { createPlacing } from "./placing.js";
+import { readAllRows } from "./readRows.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { endedTable } from "./shardTables.js";
 import { createShardWorkers } from "./shardWorkers.js";
@@ -358,7 +359,7 @@
 
     /** Jobs that ended under earlier owners, by id, with their states; they are read while the others go on already. */
     const readEnded = async (): Promise<ReadonlyMap<string, JobState>> => {
-        const rows = await readAllRows({
+        const read = await readAllRows({
             clock,
             log,
             store: options.store,
@@ -366,11 +367,11 @@
             part,
             wanted: () => !closed,
         });
-        for (const row of rows ?? []) {
+        for (const row of read?.rows ?? []) {
             endedBefore.set(row.key, decodeEnded(row.value ?? ""));
         }
-        log.write("info", "endedRead", { part, jobs: endedBefore.size, complete: rows !== undefined });
-        return rows === undefined ? endOfOffice : endedBefore;
+        log.write("info", "endedRead", { part, jobs: endedBefore.size, complete: read !== undefined });
+        return read === undefined ? endOfOffice : endedBefore;
     };
 
     const openUpkeep = (): Upkeep | undefined => {
--- a/packages/puffinarch/src/core/shard/tableWatch.ts
+++ b/packages/puffinarch/src/core/shard/tableWatch.ts
@@ -4,6 +4,7 @@
 import type { Clock, Log } from "../../types/ports.js";
 import { failureOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
+import { mostPageRows, readAllRows } from "./readRows.js";
 
 /** What a watch needs. */
 export interface TableWatchOptions {
@@ -33,9 +34,6 @@
 export const shortFeedWaitMs = 1_000;
 const retryPauseMs = 250;
 
-/** The key from which the page after these rows begins: the least one after the last. */
-export const keyAfter = (rows: readonly Row[]): string => `${rows.at(-1)?.key ?? ""}\u0001`;
-
 /**
  * Starts to follow a table.
  *
@@ -47,24 +45,26 @@
 ): TableWatch => {
     let stopped = false;
 
-    const readPart = async (part: string): Promise<{ readonly rows: readonly Row[]; readonly version: number; }> => {
-        const rows: Row[] = [];
-        let page = await store.read(table, part);
-        // Changes since the first page are followed from its version.
-        const { version } = page;
-        rows.push(...page.rows);
-        while (page.more) {
-            page = await store.read(table, part, keyAfter(rows));
-            rows.push(...page.rows);
-        }
-        return { rows, version };
-    };
-
-    const readWhole = async (): Promise<number> => {
+    /** The version from which changes are followed; undefined once stopped. */
+    const readWhole = async (): Promise<number | undefined> => {
         let oldest = Infinity;
         const keys = new Set<string>();
         for (const part of parts) {
-            const { rows, version } = await readPart(part);
+            // Usually one answer holds all rows; over a link on which it takes too long they come in smaller pages.
+            const read = await readAllRows({
+                clock,
+                log,
+                store,
+                table,
+                part,
+                wanted: () => !stopped,
+                firstRows: mostPageRows,
+                retryPauseMs,
+            });
+            if (read === undefined) {
+                return undefined;
+            }
+            const { rows, version } = read;
             oldest = Math.min(oldest, version);
             for (const row of rows) {
                 keys.add(row.key);
@@ -77,7 +77,7 @@
 
     const follow = async (): Promise<void> => {
         let version = await readWhole();
-        while (!stopped) {
+        while (!stopped && version !== undefined) {
             const changes = await store.changes(table, version, feedWaitMs ?? longFeedWaitMs);
             if (changes.kind === "historyLost") {
                 log.write("info", "historyLost", { table, version });
--- a/packages/puffinarch/src/core/shard/waveRows.ts
+++ b/packages/puffinarch/src/core/shard/waveRows.ts
@@ -6,7 +6,7 @@
 import type { RowKey, RowStore } from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
 import { type WaveState, waveStates } from "../../types/upkeep.js";
-import { readAllRows } from "./claimShard.js";
+import { readAllRows } from "./readRows.js";
 import { ownerKey, ownerTable, upkeepTable } from "./shardTables.js";
 
 /** What the rows of waves need. */
@@ -101,8 +101,8 @@
     return {
         read: async () => {
             const wanted = (): boolean => !isClosed();
-            const rows = await readAllRows({ clock, log, store, table: upkeepTable, part, wanted });
-            return new Map((rows ?? []).map(row => [Number(row.key), decodeRecord(row.value ?? "[]")]));
+            const read = await readAllRows({ clock, log, store, table: upkeepTable, part, wanted });
+            return new Map((read?.rows ?? []).map(row => [Number(row.key), decodeRecord(row.value ?? "[]")]));
         },
         record,
         show,
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -87,7 +87,8 @@
     packings,
     ticketFor,
 } from "./internal.js";
-export { type ClaimedShard, type ClaimOptions, claimShard, readAllRows } from "./internal.js";
+export { type ClaimedShard, type ClaimOptions, claimShard } from "./internal.js";
+export { readAllRows, type ReadRows, type ReadRowsOptions } from "./internal.js";
 export { type AcceptanceOptions, createAcceptance } from "./internal.js";
 export { type Batch, type BatchWriter, type BatchWriterOptions, createBatchWriter } from "./internal.js";
 export { type CommitLog, type CommitLogOptions, createCommitLog, type RowChange } from "./internal.js";
