--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -214,6 +214,7 @@
         heardToken: () => undefined,
         onClaimed: () => {},
         restorePatienceMs: 2_500,
+        restoreWithinMs: 5_000,
     };
     const first = claimShard(options);
     await clock.advance(100);
@@ -570,6 +571,7 @@
         heardToken: () => undefined,
         onClaimed: () => {},
         restorePatienceMs: 2_500,
+        restoreWithinMs: 5_000,
     });
     await clock.advance(100);
     const claimed = await claiming;
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -98,6 +98,12 @@
 const claimPatienceMs = 1_500;
 /** A claimant that reads no page of the journal for this long gives the shard up; a store 60 times slower takes 0.5 s a page. */
 const restorePatienceMs = 2_500;
+/**
+ * A claimant that reads the journal for this long, and for as long as no owner was at work before, gives the shard up too:
+ * over a link of 20 bytes a ms one got on for 56 s while its peers would have needed 0.1 s. The second part doubles what
+ * each next claimant is given, so that one of them gets through where all are slow. 1,000 jobs of 6 KB take 7 s at 10 Mbit/s.
+ */
+const shortestRestoreMs = 8_000;
 /** After that it leaves the claim to others for this long. */
 const restAfterRestoreMs = 3_000;
 /** A weak VM that owns the shard looks this often for a stronger one to give it to. */
@@ -137,6 +143,8 @@
     let leaving = false;
     let closed = false;
     let lastOwnedAtMs = clock.monotonicMs();
+    /** Local time at which an owner was last known to have its rows, wherever it is. */
+    let ownerAtWorkAtMs = clock.monotonicMs();
     let pendingCounts: { readonly counts: Readonly<Record<string, number>>; readonly atMs: number; } | undefined;
     let yielding = false;
     let claimsAgainAtMs = 0;
@@ -200,6 +208,7 @@
                 owner: { ...self, claimId },
                 seenVersion,
                 restorePatienceMs,
+                restoreWithinMs: Math.max(shortestRestoreMs, startedAtMs - ownerAtWorkAtMs),
                 wanted: () =>
                     !closed && (knownOwner?.version ?? 0) <= seenVersion
                         && clock.monotonicMs() - startedAtMs < claimPatienceMs
@@ -329,6 +338,7 @@
     const noteOwnership = (): void => {
         if (owner !== undefined) {
             lastOwnedAtMs = clock.monotonicMs();
+            ownerAtWorkAtMs = lastOwnedAtMs;
             pendingCounts = { counts: owner.pending(), atMs: clock.monotonicMs() };
             void yieldIfUnfit();
         }
@@ -420,7 +430,10 @@
         onAnswer: takeNewer,
         onOwnerAnswer: ({ pending }) => {
             // A claimant that still reads the journal counts nothing yet.
-            pendingCounts = pending === undefined ? pendingCounts : { counts: pending, atMs: clock.monotonicMs() };
+            if (pending !== undefined) {
+                ownerAtWorkAtMs = clock.monotonicMs();
+                pendingCounts = { counts: pending, atMs: ownerAtWorkAtMs };
+            }
         },
         onOwnRound: noteOwnership,
         onPeersPinged: () => owner?.wake(),
--- a/packages/puffinarch/src/core/shard/claimShard.ts
+++ b/packages/puffinarch/src/core/shard/claimShard.ts
@@ -24,6 +24,8 @@
     readonly onClaimed: (fencingToken: number) => void;
     /** Gives up once no page of rows came for this long, so that a daemon that gets on better may claim. */
     readonly restorePatienceMs: number;
+    /** Gives up once reading all rows took this long, though it gets on. */
+    readonly restoreWithinMs: number;
 }
 
 /** A shard that was claimed, with all its rows. */
@@ -87,7 +89,7 @@
  * Claims a shard; undefined where another daemon has it by now, or its rows could not be read. What a former owner still sends is refused from then on.
  *
  * @example
- * const claimed = await claimShard({ clock, log, store, part: "shard-0", owner, seenVersion, wanted, heardToken, onClaimed, restorePatienceMs: 2_500 });
+ * const claimed = await claimShard({ clock, log, store, part: "shard-0", owner, seenVersion, wanted, heardToken, onClaimed, restorePatienceMs: 2_500, restoreWithinMs: 5_000 });
  */
 export const claimShard = async (options: ClaimOptions): Promise<ClaimedShard | undefined> => {
     const startedAtMs = options.clock.monotonicMs();
@@ -97,7 +99,12 @@
         return undefined;
     }
     options.onClaimed(fencingToken);
-    const read = await readAllRows({ ...options, table: journalTable, patienceMs: options.restorePatienceMs });
+    const read = await readAllRows({
+        ...options,
+        table: journalTable,
+        patienceMs: options.restorePatienceMs,
+        withinMs: options.restoreWithinMs,
+    });
     if (read === undefined) {
         return undefined;
     }
--- a/packages/puffinarch/src/core/shard/readRows.ts
+++ b/packages/puffinarch/src/core/shard/readRows.ts
@@ -15,6 +15,8 @@
     readonly wanted: () => boolean;
     /** Gives up once no page came for this long; never where it is left out. */
     readonly patienceMs?: number;
+    /** Gives up once the whole took this long; never where it is left out. */
+    readonly withinMs?: number;
     /** Rows of the first page, for rows that are known to be small. */
     readonly firstRows?: number;
     /** Pause after a page that failed. */
@@ -64,6 +66,7 @@
         part,
         wanted,
         patienceMs = Infinity,
+        withinMs = Infinity,
         firstRows = firstPageRows,
         retryPauseMs = shortRetryPauseMs,
     }: ReadRowsOptions,
@@ -74,8 +77,11 @@
     let pageRows = firstRows;
     let failures = 0;
     let loggedAtMs = -Infinity;
-    let gotOnAtMs = clock.monotonicMs();
-    while (wanted() && clock.monotonicMs() - gotOnAtMs < patienceMs) {
+    const startedAtMs = clock.monotonicMs();
+    let gotOnAtMs = startedAtMs;
+    const isLate = (): boolean =>
+        clock.monotonicMs() - gotOnAtMs >= patienceMs || clock.monotonicMs() - startedAtMs >= withinMs;
+    while (wanted() && !isLate()) {
         const askedAtMs = clock.monotonicMs();
         try {
             const page = await store.read(table, part, fromKey, pageRows);
@@ -101,5 +107,18 @@
             await sleep(clock, retryPauseMs);
         }
     }
+    if (isLate()) {
+        const nowMs = clock.monotonicMs();
+        const withoutPageMs = nowMs - gotOnAtMs;
+        log.write("warn", "shardReadGivenUp", {
+            table,
+            part,
+            rows: rows.length,
+            pageRows,
+            tookMs: nowMs - startedAtMs,
+            withoutPageMs,
+            withinMs,
+        });
+    }
     return undefined;
 };
