--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -687,6 +687,7 @@
         known: () => ({ row: owner, version: 7 }),
         owns: () => claims.length > 0,
         isSettled: () => true,
+        isResting: () => false,
         isLeaving: () => false,
         readOwner: async () => true,
         claim: async (version, why) => claims.push(`${version} ${why}`),
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -22,6 +22,8 @@
     readonly owns: () => boolean;
     /** True once the owner's row was read, and while no claim is under way. */
     readonly isSettled: () => boolean;
+    /** True while it leaves the claim to others, after a restore that it gave up; it goes on asking who owns the shard. */
+    readonly isResting: () => boolean;
     /** True while this daemon claims no shard any more. */
     readonly isLeaving: () => boolean;
     /** Reads the owner's row again; false where the store did not answer within the time. */
@@ -102,10 +104,10 @@
  * Starts to watch the owner of a shard.
  *
  * @example
- * const watch = watchOwner({ clock, log, self, peers, known, owns, isSettled, isLeaving, readOwner, claim, onAnswer, onOwnerAnswer, onOwnRound, onPeersPinged });
+ * const watch = watchOwner({ clock, log, self, peers, known, owns, isSettled, isResting, isLeaving, readOwner, claim, onAnswer, onOwnerAnswer, onOwnRound, onPeersPinged });
  */
 export const watchOwner = (options: OwnerWatchOptions): OwnerWatch => {
-    const { clock, log, self, peers, known, owns, isSettled, isLeaving, readOwner, claim } = options;
+    const { clock, log, self, peers, known, owns, isSettled, isResting, isLeaving, readOwner, claim } = options;
     let closed = false;
     let silentPings = 0;
     let lostAtMs: number | undefined;
@@ -114,7 +116,7 @@
     /** Local time of the last read that the store did not answer quickly. */
     let slowReadAtMs = -Infinity;
 
-    const mayClaim = (): boolean => isSettled() && !isLeaving() && !owns();
+    const mayClaim = (): boolean => isSettled() && !isResting() && !isLeaving() && !owns();
 
     const versionNow = (): number => known()?.version ?? 0;
 
