--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -227,6 +227,19 @@
     }
 });
 
+When("all daemons but the former owner are back", function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    for (const memberId of cell.memberIds().filter(each => each !== part(this).ownerBefore)) {
+        cell.restart(memberId);
+    }
+});
+
+Then("{int} daemons at most began a claim", function(this: ScenarioWorld, most: number) {
+    const lines = cellOf(this).log.slice(part(this).linesBefore).filter(line => line.event === "claimBegins");
+    const claimants = new Set(lines.map(line => line.memberId));
+    assert.ok(claimants.size <= most, [...claimants].join(", "));
+});
+
 Then("the shard was claimed {int} times at most", function(this: ScenarioWorld, most: number) {
     const known = cellOf(this).log.slice(part(this).linesBefore).filter(line => line.event === "ownerKnown");
     const tokens = new Set(known.map(line => Number(line.fields["fencingToken"])));
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -135,3 +135,17 @@
         And the other daemons can claim again
         Then a daemon owns the shard within 6000 ms
         And all daemons that run are ready within 600 ms
+
+    # Nobody has answered a daemon that has just started, so that none knew of others before it, and all strong ones claimed at once.
+    Scenario Outline: Daemons that come back together claim in turn, the store being <store>
+        Given a cell of 32 daemons, each fifth of them strong, and 20 workers
+        When the fault "<faults>" comes
+        And the shard runs for 2700 ms
+        And all daemons but the former owner are back
+        Then a daemon owns the shard within 4000 ms
+        And 2 daemons at most began a claim
+
+        Examples:
+            | store | faults                |
+            | well  | all killed             |
+            | slow  | all killed, store slow |
