--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -69,6 +69,12 @@
 const freshAnswerMs = 450;
 /** Each place in the order of candidates waits this much longer. */
 const rankDelayMs = 120;
+/**
+ * Where a daemon has only just learnt who else answers, each place waits for so many answers of the store: the claim of the
+ * one before, which may queue behind what daemons write at their start, the news of it, and the next one's read.
+ */
+const storeAnswersARank = 4;
+const longestRankDelayMs = 1_000;
 /** A VM that is weaker than others waits this much longer than they do; a takeover by one of them takes half of it. */
 const weakDelayMs = 2_000;
 /** A candidate that reaches too few of its peers waits this much longer, so that a cut-off minority does not claim. */
@@ -142,14 +148,14 @@
     };
 
     /** How long this daemon leaves the claim to others: strong VMs go first, in an order that all compute alike. */
-    const turnMs = (version: number): number => {
+    const turnMs = (version: number, rankMs = rankDelayMs): number => {
         const score = (id: string): number => hash(`${version}|${id}`);
         const mine = score(self.memberId);
         const strong = peers.isStrong(self.memberId);
         const before = peers.live().filter(id =>
             id !== known()?.row.memberId && peers.isStrong(id) === strong && score(id) > mine
         );
-        return (strong ? 0 : weakDelayMs) + before.length * rankDelayMs;
+        return (strong ? 0 : weakDelayMs) + before.length * rankMs;
     };
 
     /**
@@ -183,8 +189,8 @@
             return;
         }
         lostAtMs ??= clock.monotonicMs();
-        const lostForMs = clock.monotonicMs() - lostAtMs;
-        if (lostForMs < turnMs(version)) {
+        const lostForMs = (): number => clock.monotonicMs() - (lostAtMs ?? clock.monotonicMs());
+        if (lostForMs() < turnMs(version)) {
             return;
         }
         const { seen, answered } = await peersSeeOwner(version);
@@ -193,11 +199,17 @@
             return;
         }
         const minority = 2 * answered < Math.max(0, peers.all.size - 1);
-        if (minority && lostForMs < minorityDelayMs) {
+        if (minority && lostForMs() < minorityDelayMs) {
             return;
         }
         // A claim that is sent into an outage might take effect after it, when nobody needs it.
-        if (!await readOwner(claimReadMs) || minority && await ownerAnswers(version)) {
+        const askedAtMs = clock.monotonicMs();
+        if (!await readOwner(claimReadMs)) {
+            return;
+        }
+        // Nobody had answered a daemon that has just started; claims of all at once would queue in a slow store.
+        const rankMs = Math.min(longestRankDelayMs, storeAnswersARank * (clock.monotonicMs() - askedAtMs));
+        if (lostForMs() < turnMs(version, rankMs) || minority && await ownerAnswers(version)) {
             return;
         }
         if (versionNow() === version && !owns()) {
