--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -12,7 +12,7 @@
     testQueue,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { createCommitLog, createForward, endedTable, journalTable, sleep, startUpkeep } from "puffinarch";
+import { createCommitLog, createForward, endedTable, journalTable, memberTable, sleep, startUpkeep } from "puffinarch";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
@@ -234,6 +234,17 @@
     }
 });
 
+When(/^the table of members (cannot be read|can be read again)$/, function(this: ScenarioWorld, how: string) {
+    cellOf(this).store.setUnreadable(memberTable, how === "cannot be read");
+});
+
+When("only the weak daemons are back", function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    for (const memberId of cell.memberIds().filter(each => !isStrong(this, each))) {
+        cell.restart(memberId);
+    }
+});
+
 Then("{int} daemons at most began a claim", function(this: ScenarioWorld, most: number) {
     const lines = cellOf(this).log.slice(part(this).linesBefore).filter(line => line.event === "claimBegins");
     const claimants = new Set(lines.map(line => line.memberId));
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -149,3 +149,23 @@
             | store | faults                |
             | well  | all killed             |
             | slow  | all killed, store slow |
+
+    # A daemon that knows no others takes itself for the strongest, and nobody tells it that the owner is well.
+    Scenario: A weak VM that has not read who else there is claims no shard
+        Given a cell of daemons with strengths "0.2, 0.2, 0.2, 1, 1" and 4 workers
+        When the fault "all killed" comes
+        And the shard runs for 300 ms
+        And the table of members cannot be read
+        And only the weak daemons are back
+        And the shard runs for 1500 ms
+        And the table of members can be read again
+        And all daemons are back
+        Then a daemon owns the shard within 3000 ms
+        And no weak daemon has owned the shard since
+
+    Scenario: A daemon that cannot read who else there is claims the shard in the end
+        Given a cell of 3 daemons and 4 workers
+        When the fault "all killed" comes
+        And the table of members cannot be read
+        And all daemons but the former owner are back
+        Then a daemon owns the shard within 6000 ms
--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -22,6 +22,8 @@
     connect(memberId: string): RowStore;
     /** For one daemon, or for all. */
     setFault(fault: StoreFault, memberId?: string): void;
+    /** Whether reads of a table get no answer, all others being answered. */
+    setUnreadable(table: string, unreadable: boolean): void;
     /** Bytes that a daemon's link to the store carries in a millisecond; unlimited before. */
     setLink(memberId: string, bytesPerMs: number): void;
     forgetHistory(): void;
@@ -67,6 +69,7 @@
     let version = 0;
     let transactions = 0;
     let freeAtMs = 0;
+    const unreadable = new Set<string>();
     const links = new Map<string, number>();
     const waiters = new Set<() => void>();
     /** Ends the hearing of each feed that waits. */
@@ -172,6 +175,10 @@
             transact: (transaction, timeoutMs) => transactHandlers[faultOf(memberId)](transaction, timeoutMs),
             read: async (table, part, fromKey, limit = pageRows) => {
                 await reachable(memberId);
+                if (unreadable.has(table)) {
+                    await wait(readTimeoutMs);
+                    die("unavailable", "the read was not answered");
+                }
                 const all = [...rows.values()]
                     .filter(row => row.table === table && row.part === part && row.key >= (fromKey ?? ""))
                     .sort((left, right) => left.key < right.key ? -1 : 1);
@@ -219,6 +226,14 @@
         setFault: (fault, memberId = "") => {
             faults.set(memberId, fault);
         },
+        setUnreadable: (table, isUnreadable) => {
+            if (isUnreadable) {
+                unreadable.add(table);
+            }
+            else {
+                unreadable.delete(table);
+            }
+        },
         setLink: (memberId, bytesPerMs) => {
             links.set(memberId, bytesPerMs);
         },
