--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -106,6 +106,11 @@
 const shortestRestoreMs = 8_000;
 /** After that it leaves the claim to others for this long. */
 const restAfterRestoreMs = 3_000;
+/**
+ * A daemon that has not read who else there is takes itself for the strongest, and hears nobody say that the owner is well;
+ * so it claims nothing before, but after this time, three reads without an answer, in any case.
+ */
+const membersPatienceMs = 3_500;
 /** A weak VM that owns the shard looks this often for a stronger one to give it to. */
 const yieldPauseMs = 2_000;
 /** Counts older than this are not told. */
@@ -134,6 +139,7 @@
     let configuration: CellConfiguration | undefined;
     let knownOwner: KnownOwner | undefined;
     let ownerRead = false;
+    let membersRead = false;
     let owner: ShardOwner | undefined;
     /** The claim under way. */
     let claimUnderWay: string | undefined;
@@ -148,6 +154,7 @@
     let pendingCounts: { readonly counts: Readonly<Record<string, number>>; readonly atMs: number; } | undefined;
     let yielding = false;
     let claimsAgainAtMs = 0;
+    const claimsAnywayAtMs = clock.monotonicMs() + membersPatienceMs;
     let yieldsAgainAtMs = 0;
 
     const adopt = (next: CellConfiguration, source: string): void => {
@@ -396,7 +403,9 @@
             table: memberTable,
             parts: [""],
             onRows: peers.take,
-            onWhole: () => {},
+            onWhole: () => {
+                membersRead = true;
+            },
         }),
         watchTable({
             clock,
@@ -424,7 +433,8 @@
         known: () => knownOwner,
         owns: () => owner !== undefined,
         isSettled: () => ownerRead && claimUnderWay === undefined,
-        isResting: () => clock.monotonicMs() < claimsAgainAtMs,
+        isResting: () =>
+            clock.monotonicMs() < claimsAgainAtMs || !membersRead && clock.monotonicMs() < claimsAnywayAtMs,
         isLeaving: () => leaving,
         readOwner,
         claim,
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -22,7 +22,10 @@
     readonly owns: () => boolean;
     /** True once the owner's row was read, and while no claim is under way. */
     readonly isSettled: () => boolean;
-    /** True while it leaves the claim to others, after a restore that it gave up; it goes on asking who owns the shard. */
+    /**
+     * True while it leaves the claim to others: after a restore that it gave up, or before it has read who else there is. It
+     * goes on asking who owns the shard.
+     */
     readonly isResting: () => boolean;
     /** True while this daemon claims no shard any more. */
     readonly isLeaving: () => boolean;
