Sight: why a daemon is not ready, how long no owner was at work, how far a read of the store got; one line a second for a silent owner

ownerSilent was written for each failed ping, up to 20 times a second; the two that lead to a takeover stay, then one a second. The examples of readRows and readiness come with this commit.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -76,6 +76,8 @@
             | shardWorkers         | 1 worker, then 0, as its life was over  |
             | shardSettings        | leases of 5000 ms                       |
             | shardTables          | sequence                                |
+            | readRows             | 120 rows                                |
+            | readiness            | ready, notReady, withoutOwner           |
             | tableWatch           | configuration seen                      |
             | upkeep               | completed                               |
             | waveRows             | true, 1 begun |
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -46,6 +46,7 @@
     openWorkerLink,
     type Peers,
     planRoom,
+    readAllRows,
     restoreJobs,
     roomOf,
     runsToMove,
@@ -56,6 +57,7 @@
     startShardOwner,
     startUpkeep,
     watchOwner,
+    watchReadiness,
     watchTable,
     watchWorkerList,
     type WorkerEntry,
@@ -223,6 +225,43 @@
     return `token ${(await first)?.fencingToken}, then ${(await second) === undefined ? "refused" : "claimed"}`;
 };
 
+const readRowsExample = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const store = createFakeRowStore(clock);
+    for (let number = 0; number < 120; number += 1) {
+        store.put("workers", `worker-${number}`, {});
+    }
+    const read = readAllRows({
+        clock,
+        log,
+        store: store.connect("entry-1"),
+        table: "workers",
+        part: "",
+        wanted: () => true,
+    });
+    await clock.advance(100);
+    return `${(await read)?.rows.length} rows`;
+};
+
+const readinessExample = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const lines: string[] = [];
+    const readiness = watchReadiness({
+        clock,
+        log: { write: (_level, event) => lines.push(event) },
+        isLeaving: () => false,
+        hasConfiguration: () => true,
+        owns: () => clock.monotonicMs() < 500,
+        answeredAtMs: () => -Infinity,
+        ownerAtWorkAtMs: () => Math.min(clock.monotonicMs(), 500),
+        knownOwner: () => undefined,
+        situation: () => ({}),
+    });
+    await clock.advance(2_000);
+    readiness.close();
+    return lines.join(", ");
+};
+
 const tableWatch = async (): Promise<string> => {
     const clock = createFakeClock();
     const store = createFakeRowStore(clock);
@@ -723,6 +762,8 @@
     evacuate,
     handOver: handOverExample,
     ownerWatch,
+    readRows: readRowsExample,
+    readiness: readinessExample,
     peers: peersExample,
     forward,
     jobBook,
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -238,6 +238,36 @@
     cellOf(this).store.setUnreadable(memberTable, how === "cannot be read");
 });
 
+/** Lines of an event since the newest fault, for each daemon but the owner before it. */
+const linesOfOthers = (
+    world: ScenarioWorld,
+    event: string,
+): ReadonlyMap<string, readonly ShardCell["log"][number][]> => {
+    const { linesBefore, ownerBefore } = part(world);
+    const lines = cellOf(world).log.slice(linesBefore).filter(line => line.event === event);
+    const others = cellOf(world).memberIds().filter(memberId => memberId !== ownerBefore);
+    return new Map(others.map(memberId => [memberId, lines.filter(line => line.memberId === memberId)]));
+};
+
+Then(
+    /^each other daemon has logged "(\w+)" (\d+) times?, at last with "(\w+)" "(\w*)"$/,
+    function(this: ScenarioWorld, event: string, times: string, field: string, value: string) {
+        for (const [memberId, lines] of linesOfOthers(this, event)) {
+            assert.equal(lines.length, Number(times), memberId);
+            assert.equal(lines.at(-1)?.fields[field] ?? "", value, memberId);
+        }
+    },
+);
+
+Then(
+    "each other daemon has logged {string} {int} times at most",
+    function(this: ScenarioWorld, event: string, most: number) {
+        for (const [memberId, lines] of linesOfOthers(this, event)) {
+            assert.ok(lines.length > 0 && lines.length <= most, `${memberId}: ${lines.length}`);
+        }
+    },
+);
+
 When("only the weak daemons are back", function(this: ScenarioWorld) {
     const cell = cellOf(this);
     for (const memberId of cell.memberIds().filter(each => !isStrong(this, each))) {
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -169,3 +169,15 @@
         And the table of members cannot be read
         And all daemons but the former owner are back
         Then a daemon owns the shard within 6000 ms
+
+    Scenario: Each daemon tells why it is not ready, and for how long no owner was at work
+        Given a cell of 4 daemons and 4 workers
+        When the fault "owner killed, store hangs" comes
+        And the shard runs for 5000 ms
+        Then each other daemon has logged "notReady" 1 time, at last with "reason" "ownerSilent"
+        And each other daemon has logged "withoutOwner" 3 times, at last with "doing" "storeSilent"
+        And each other daemon has logged "ownerSilent" 8 times at most
+        When the fault goes
+        And the shard runs for 2000 ms
+        Then each other daemon has logged "ready" 1 time, at last with "reason" ""
+        And each other daemon has logged "ownerAtWork" 1 time, at last with "reason" ""
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -26,6 +26,7 @@
 import { handOver } from "./handOver.js";
 import { watchOwner } from "./ownerWatch.js";
 import { createPeers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
+import { watchReadiness } from "./readiness.js";
 import { type ShardOwner, startShardOwner } from "./shardOwner.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { ownerKey, ownerTable } from "./shardTables.js";
@@ -90,8 +91,6 @@
 const part = "shard-0";
 /** How long the store may take to write this daemon's entry. */
 const enterTimeoutMs = 1_500;
-/** Without an owner for this long, a daemon asks the balancer for no more callers. */
-const readyWithoutOwnerMs = 450;
 /** Timers of an owner that are late by this much, on average over a second, tell that its VM has turned slow. */
 const slowOwnerLagMs = 60;
 /** A claim that the store does not answer is given up after this, so that the peers are asked who owns the shard by now. */
@@ -449,6 +448,22 @@
         onOwnRound: noteOwnership,
         onPeersPinged: () => owner?.wake(),
     });
+    const readiness = watchReadiness({
+        clock,
+        log,
+        isLeaving: () => leaving,
+        hasConfiguration: () => configuration !== undefined,
+        owns: () => owner !== undefined,
+        answeredAtMs: watch.answeredAtMs,
+        ownerAtWorkAtMs: () => ownerAtWorkAtMs,
+        knownOwner: () => knownOwner,
+        situation: () => ({
+            doing: claimedToken !== 0 ? "restores" : claimUnderWay === undefined ? watch.doing() : "claims",
+            strong: peers.isStrong(self.memberId),
+            members: peers.all.size + 1,
+            answering: peers.live().length,
+        }),
+    });
     void enterSelf();
 
     const forward = createForward({
@@ -465,9 +480,7 @@
     return {
         dataCentre: self.dataCentre,
         configuration: () => configuration,
-        ready: () =>
-            !leaving && configuration !== undefined
-            && (owner !== undefined || clock.monotonicMs() - watch.answeredAtMs() < readyWithoutOwnerMs),
+        ready: readiness.ready,
         submit: (submission, patienceMs) =>
             forward.run({
                 local: shard => shard.submit(submission),
@@ -530,6 +543,7 @@
         close: () => {
             closed = true;
             watch.close();
+            readiness.close();
             loseShard("closing");
             for (const tableWatch of tableWatches) {
                 tableWatch.stop();
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -42,8 +42,25 @@
     readonly onPeersPinged: () => void;
 }
 
+/** What the newest look at the owner led to. */
+export const watchSteps = {
+    pings: "pings",
+    readsOwnerRow: "readsOwnerRow",
+    mayNotClaim: "mayNotClaim",
+    rests: "rests",
+    waitsItsTurn: "waitsItsTurn",
+    peerSeesOwner: "peerSeesOwner",
+    minority: "minority",
+    storeSilent: "storeSilent",
+    claims: "claims",
+} as const;
+/** One of `watchSteps`. */
+export type WatchStep = (typeof watchSteps)[keyof typeof watchSteps];
+
 /** A watch of the owner. */
 export interface OwnerWatch {
+    /** What the newest look at the owner led to. */
+    doing(): WatchStep;
     /** Local time of the owner's newest answer. */
     answeredAtMs(): number;
     /** Token of the owner that answered within the last moments; 0 for none. */
@@ -62,6 +79,8 @@
 const failedPingIntervalMs = 50;
 /** Pings in a row without any answer before the owner counts as lost. */
 const silentPingsToClaim = 2;
+/** Of the pings that fail after these, one a second or so is logged. */
+const silenceLogPauseMs = 1_000;
 /** An owner that has not answered by then is asked over another connection too; both must fail. */
 const secondPingMs = 120;
 /** How long a peer may take to say whether it sees the owner. */
@@ -122,6 +141,8 @@
     let lostAtMs: number | undefined;
     let answeredAtMs = -Infinity;
     let endPause: (() => void) | undefined;
+    let step: WatchStep = watchSteps.readsOwnerRow;
+    let silenceLoggedAtMs = -Infinity;
     /** Local time of the last read that the store did not answer quickly. */
     let slowReadAtMs = -Infinity;
 
@@ -184,6 +205,7 @@
 
     const considerClaim = async (why: string): Promise<void> => {
         if (!mayClaim()) {
+            step = isResting() ? watchSteps.rests : watchSteps.mayNotClaim;
             return;
         }
         const version = versionNow();
@@ -194,28 +216,35 @@
         lostAtMs ??= clock.monotonicMs();
         const lostForMs = (): number => clock.monotonicMs() - (lostAtMs ?? clock.monotonicMs());
         if (lostForMs() < turnMs(version)) {
+            step = watchSteps.waitsItsTurn;
             return;
         }
         const { seen, answered } = await peersSeeOwner(version);
         if (seen) {
+            step = watchSteps.peerSeesOwner;
             lostAtMs = clock.monotonicMs();
             return;
         }
         const minority = 2 * answered < Math.max(0, peers.all.size - 1);
         if (minority && lostForMs() < minorityDelayMs) {
+            step = watchSteps.minority;
             return;
         }
         // A claim that is sent into an outage might take effect after it, when nobody needs it.
         const askedAtMs = clock.monotonicMs();
+        step = step === watchSteps.storeSilent ? step : watchSteps.readsOwnerRow;
         if (!await readOwner(claimReadMs)) {
+            step = watchSteps.storeSilent;
             return;
         }
+        step = watchSteps.waitsItsTurn;
         // Nobody had answered a daemon that has just started; claims of all at once would queue in a slow store.
         const rankMs = Math.min(longestRankDelayMs, storeAnswersARank * (clock.monotonicMs() - askedAtMs));
         if (lostForMs() < turnMs(version, rankMs) || minority && await ownerAnswers(version)) {
             return;
         }
         if (versionNow() === version && !owns()) {
+            step = watchSteps.claims;
             await claim(version, why);
         }
     };
@@ -238,6 +267,16 @@
         answeredAtMs = clock.monotonicMs();
         silentPings = 0;
         lostAtMs = undefined;
+        step = watchSteps.pings;
+    };
+
+    /** A cut fails pings by the dozen each second; the count tells how many there were. */
+    const logSilence = (owner: string, kind: ErrorKind): void => {
+        const nowMs = clock.monotonicMs();
+        if (silentPings <= silentPingsToClaim || nowMs - silenceLoggedAtMs >= silenceLogPauseMs) {
+            silenceLoggedAtMs = nowMs;
+            log.write("warn", "ownerSilent", { owner, kind, silentPings });
+        }
     };
 
     /** Asks the owner, and once more over another connection where it takes long. */
@@ -259,7 +298,7 @@
         if (answer === undefined) {
             for (const kind of silences) {
                 silentPings += 1;
-                log.write("warn", "ownerSilent", { owner: row.memberId, kind, silentPings });
+                logSilence(row.memberId, kind);
             }
         }
         return answer;
@@ -351,6 +390,7 @@
 
     void watch();
     return {
+        doing: () => step,
         answeredAtMs: () => answeredAtMs,
         seenToken: () => silentPings === 0 && clock.monotonicMs() - answeredAtMs < freshAnswerMs ? versionNow() : 0,
         reset: () => {
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -140,7 +140,8 @@
 export { endedTable, journalTable, ownerKey, ownerTable, sequenceKey, upkeepTable } from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
 export { handOver, type HandOverOptions } from "./internal.js";
-export { type OwnerWatch, type OwnerWatchOptions, watchOwner } from "./internal.js";
+export { type OwnerWatch, type OwnerWatchOptions, watchOwner, type WatchStep, watchSteps } from "./internal.js";
+export { type Readiness, type ReadinessOptions, watchReadiness } from "./internal.js";
 export { createPeers, type Peers, type PeersOptions, type PingOptions } from "./internal.js";
 export { mayGoDown, runsToMove } from "./internal.js";
 export { startUpkeep, type Upkeep, type UpkeepOptions } from "./internal.js";
