--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -49,6 +49,7 @@
     openWorkerLink,
     type Peers,
     planRoom,
+    readAllRows,
     restoreJobs,
     roomOf,
     runsToMove,
@@ -60,6 +61,7 @@
     startUpkeep,
     taskWaitOf,
     watchOwner,
+    watchReadiness,
     watchTable,
     watchWorkerList,
     type WorkerEntry,
@@ -215,8 +217,10 @@
         owner,
         seenVersion: 0,
         wanted: () => true,
+        heardToken: () => undefined,
         onClaimed: () => {},
         restorePatienceMs: 2_500,
+        restoreWithinMs: 5_000,
     };
     const first = claimShard(options);
     await clock.advance(100);
@@ -225,6 +229,43 @@
     return `token ${(await first)?.fencingToken}, then ${(await second) === undefined ? "refused" : "claimed"}`;
 };
 
+const readRowsExample = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const store = createFakeRowStore(clock);
+    for (let number = 0; number < 120; number += 1) {
+        store.put("workers", `worker-${number}`, {});
+    }
+    const read = readAllRows({
+        clock,
+        log,
+        store: store.connect("entry-1"),
+        table: "workers",
+        part: "",
+        wanted: () => true,
+    });
+    await clock.advance(100);
+    return `${(await read)?.rows.length} rows`;
+};
+
+const readinessExample = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const lines: string[] = [];
+    const readiness = watchReadiness({
+        clock,
+        log: { write: (_level, event) => lines.push(event) },
+        isLeaving: () => false,
+        hasConfiguration: () => true,
+        owns: () => clock.monotonicMs() < 500,
+        answeredAtMs: () => -Infinity,
+        ownerAtWorkAtMs: () => Math.min(clock.monotonicMs(), 500),
+        knownOwner: () => undefined,
+        situation: () => ({}),
+    });
+    await clock.advance(2_000);
+    readiness.close();
+    return lines.join(", ");
+};
+
 const tableWatch = async (): Promise<string> => {
     const clock = createFakeClock();
     const store = createFakeRowStore(clock);
@@ -589,8 +630,10 @@
         owner,
         seenVersion: 0,
         wanted: () => true,
+        heardToken: () => undefined,
         onClaimed: () => {},
         restorePatienceMs: 2_500,
+        restoreWithinMs: 5_000,
     });
     await clock.advance(100);
     const claimed = await claiming;
@@ -706,6 +749,7 @@
         known: () => ({ row: owner, version: 7 }),
         owns: () => claims.length > 0,
         isSettled: () => true,
+        isResting: () => false,
         isLeaving: () => false,
         readOwner: async () => true,
         claim: async (version, why) => claims.push(`${version} ${why}`),
@@ -766,6 +810,8 @@
     evacuate,
     handOver: handOverExample,
     ownerWatch,
+    readRows: readRowsExample,
+    readiness: readinessExample,
     peers: peersExample,
     firstLooks: firstLooksExample,
     forward,
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -13,7 +13,16 @@
     testQueue,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { createAdviceDesk, createCommitLog, createForward, journalTable, sleep, startUpkeep } from "puffinarch";
+import {
+    createAdviceDesk,
+    createCommitLog,
+    createForward,
+    endedTable,
+    journalTable,
+    memberTable,
+    sleep,
+    startUpkeep,
+} from "puffinarch";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
@@ -34,6 +43,12 @@
     adviceServedAtMs: number | undefined;
 }
 
+/** The store takes 100 entries a call. */
+const rowsPerWrite = 90;
+
+/** A claim and half of the first page after it, where the store is well. */
+const claimMs = 6;
+
 const part = (world: ScenarioWorld): Part =>
     partOf(
         world,
@@ -170,6 +185,156 @@
     },
 );
 
+Given(
+    "a cell of {int} daemons, each fifth of them strong, and {int} workers",
+    async function(this: ScenarioWorld, members: number, workers: number) {
+        const strengths = Array.from({ length: members }, (_, index) => index % 5 === 0 ? 1 : 0.2);
+        part(this).strengths = strengths;
+        await startCell(this, { members, workers, seed: 1, strengths });
+    },
+);
+
+/** Rows as an owner writes them, in as many transactions as the store asks for. */
+const writeRows = async (
+    cell: ShardCell,
+    rows: readonly { readonly table: string; readonly key: string; readonly value: string; }[],
+): Promise<void> => {
+    const connection = cell.store.connect("writer");
+    for (let index = 0; index < rows.length; index += rowsPerWrite) {
+        const puts = rows.slice(index, index + rowsPerWrite).map(row => ({ ...row, part: "shard-0" }));
+        void connection.transact({ expect: [], puts, removes: [] }, 1_000);
+    }
+    await cell.clock.advance(100);
+};
+
+When(
+    "the journal holds {int} jobs that go on and {int} that have ended",
+    async function(this: ScenarioWorld, jobs: number, ended: number) {
+        const cell = cellOf(this);
+        for (let number = 1; number <= jobs; number += 1) {
+            cell.submit(jobIdOf(number), readSteps("1 long running"));
+        }
+        assert.ok(await cell.until(() => cell.answers().size === jobs, 20_000));
+        const states = Array.from({ length: ended }, (_, index) => ({
+            table: endedTable,
+            key: jobIdOf(100_000 + index),
+            value: JSON.stringify({ state: "completed" }),
+        }));
+        await writeRows(cell, states);
+    },
+);
+
+When(
+    "the owner is killed, and from the first page that its successor reads the store is down for {int} ms and then slow",
+    async function(this: ScenarioWorld, downMs: number) {
+        const cell = cellOf(this);
+        const before = cell.log.length;
+        cell.kill(cell.owner() ?? "");
+        const isClaimed = (): boolean => cell.log.slice(before).some(line => line.event === "claimBegins");
+        while (!isClaimed()) {
+            await cell.clock.advance(1);
+        }
+        await cell.clock.advance(claimMs);
+        cell.store.setFault("hang");
+        await cell.clock.advance(downMs);
+        cell.store.setFault("slow");
+    },
+);
+
+Then("a job is accepted within {int} ms", async function(this: ScenarioWorld, limitMs: number) {
+    const cell = cellOf(this);
+    const jobId = jobIdOf(9_002);
+    cell.submit(jobId, readSteps("1"));
+    assert.ok(await cell.until(() => cell.answers().get(jobId) === "accepted", limitMs), "it is not");
+});
+
+Then(
+    "the owner knows {int} workers within {int} ms",
+    async function(this: ScenarioWorld, count: number, limitMs: number) {
+        const cell = cellOf(this);
+        const isKnown = (): boolean =>
+            cell.log.slice(part(this).linesBefore).some(line =>
+                line.event === "workersKnown" && line.fields["workers"] === count
+            );
+        assert.ok(await cell.until(isKnown, limitMs), "it does not");
+    },
+);
+
+Then("all daemons that run are ready within {int} ms", async function(this: ScenarioWorld, limitMs: number) {
+    const cell = cellOf(this);
+    const running = cell.memberIds().filter(memberId => memberId !== part(this).ownerBefore);
+    const notReady = (): readonly string[] => running.filter(memberId => cell.member(memberId)?.ready() !== true);
+    assert.ok(await cell.until(() => notReady().length === 0, limitMs), `not ready: ${notReady().join(", ")}`);
+});
+
+When("all daemons are back", function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    for (const memberId of cell.memberIds()) {
+        cell.restart(memberId);
+    }
+});
+
+When("all daemons but the former owner are back", function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    for (const memberId of cell.memberIds().filter(each => each !== part(this).ownerBefore)) {
+        cell.restart(memberId);
+    }
+});
+
+When(/^the table of members (cannot be read|can be read again)$/, function(this: ScenarioWorld, how: string) {
+    cellOf(this).store.setUnreadable(memberTable, how === "cannot be read");
+});
+
+/** Lines of an event since the newest fault, for each daemon but the owner before it. */
+const linesOfOthers = (
+    world: ScenarioWorld,
+    event: string,
+): ReadonlyMap<string, readonly ShardCell["log"][number][]> => {
+    const { linesBefore, ownerBefore } = part(world);
+    const lines = cellOf(world).log.slice(linesBefore).filter(line => line.event === event);
+    const others = cellOf(world).memberIds().filter(memberId => memberId !== ownerBefore);
+    return new Map(others.map(memberId => [memberId, lines.filter(line => line.memberId === memberId)]));
+};
+
+Then(
+    /^each other daemon has logged "(\w+)" (\d+) times?, at last with "(\w+)" "(\w*)"$/,
+    function(this: ScenarioWorld, event: string, times: string, field: string, value: string) {
+        for (const [memberId, lines] of linesOfOthers(this, event)) {
+            assert.equal(lines.length, Number(times), memberId);
+            assert.equal(lines.at(-1)?.fields[field] ?? "", value, memberId);
+        }
+    },
+);
+
+Then(
+    "each other daemon has logged {string} {int} times at most",
+    function(this: ScenarioWorld, event: string, most: number) {
+        for (const [memberId, lines] of linesOfOthers(this, event)) {
+            assert.ok(lines.length > 0 && lines.length <= most, `${memberId}: ${lines.length}`);
+        }
+    },
+);
+
+When("only the weak daemons are back", function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    for (const memberId of cell.memberIds().filter(each => !isStrong(this, each))) {
+        cell.restart(memberId);
+    }
+});
+
+Then("{int} daemons at most began a claim", function(this: ScenarioWorld, most: number) {
+    const lines = cellOf(this).log.slice(part(this).linesBefore).filter(line => line.event === "claimBegins");
+    const claimants = new Set(lines.map(line => line.memberId));
+    assert.ok(claimants.size <= most, [...claimants].join(", "));
+});
+
+Then("the shard was claimed {int} times at most", function(this: ScenarioWorld, most: number) {
+    const known = cellOf(this).log.slice(part(this).linesBefore).filter(line => line.event === "ownerKnown");
+    const tokens = new Set(known.map(line => Number(line.fields["fencingToken"])));
+    // The lowest is the owner's before the fault.
+    assert.ok(tokens.size - 1 <= most, `${tokens.size - 1} times`);
+});
+
 const isStrong = (world: ScenarioWorld, memberId: string | undefined): boolean =>
     memberId !== undefined && part(world).strengths[cellOf(world).memberIds().indexOf(memberId)] === 1;
 
@@ -217,11 +382,11 @@
 });
 
 When(
-    "the link of the next claimant carries 1 byte a ms, and no other daemon can claim",
-    function(this: ScenarioWorld) {
+    /^the link of the next claimant carries (\d+) bytes? a ms, and no other daemon can claim$/,
+    function(this: ScenarioWorld, bytesPerMs: string) {
         const cell = cellOf(this);
         const [next, ...others] = cell.memberIds().filter(memberId => memberId !== cell.owner());
-        cell.store.setLink(next ?? "", 1);
+        cell.store.setLink(next ?? "", Number(bytesPerMs));
         for (const memberId of others) {
             cell.store.setFault("refuse", memberId);
         }
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -82,3 +82,102 @@
     Scenario: A request that hangs at a lost owner goes to the next one
         When a request hangs at its owner, and the shard has another owner after 100 ms
         Then it is answered by the next owner after 100 ms
+
+    # Users saw no request served for 15 s after all VMs were back. While the store answers each call in a quarter of a second,
+    # each daemon that claims learns last that its own claim took effect: its peers know the row before, hear from it that it
+    # owns nothing, and claim in turn, and all their claims queue in the store.
+    Scenario: After a loss of all VMs the shard has an owner soon, also while the store is slow
+        Given a cell of 32 daemons, each fifth of them strong, and 350 workers
+        When 350 jobs of steps "1 long running" are submitted
+        And the shard runs for 3000 ms
+        And the fault "all killed, store slow" comes
+        And the shard runs for 2700 ms
+        And all daemons are back
+        Then a daemon owns the shard within 6000 ms
+        And the shard was claimed 2 times at most
+        And no promise was broken
+
+    Scenario Outline: A journal of <jobs> jobs is restored soon by a store that is slow, also where a page failed before
+        Given a cell of 4 daemons and 4 workers
+        When the journal holds <jobs> jobs that go on and <ended> that have ended
+        And the owner is killed, and from the first page that its successor reads the store is down for <downMs> ms and then slow
+        Then a daemon owns the shard within <ownMs> ms
+        And a job is accepted within <acceptMs> ms
+
+        Examples:
+            | jobs | ended | downMs | ownMs | acceptMs |
+            | 1000 | 0     | 0      | 4000  | 2000     |
+            | 350  | 0     | 1500   | 6000  | 2000     |
+            | 10   | 3000  | 0      | 3000  | 4000     |
+
+    Scenario: A list of 350 workers is read over a link on which it takes longer than one read may
+        Given a cell of 3 daemons and 350 workers
+        When all links to the store carry 60 bytes a ms
+        And the fault "owner killed" comes
+        Then another daemon owns the shard within 2000 ms
+        And the owner knows 350 workers within 15000 ms
+
+    Scenario: A claimant that gets on at a crawl gives way
+        Given a cell of 4 daemons and 4 workers
+        When the journal holds 1000 jobs that go on and 0 that have ended
+        And the link of the next claimant carries 20 bytes a ms, and no other daemon can claim
+        And the fault "owner killed" comes
+        And the shard runs for 2500 ms
+        And the other daemons can claim again
+        Then a daemon owns the shard within 8000 ms
+
+    Scenario: A daemon that gave a restore up is ready as soon as another owns the shard
+        Given a cell of 4 daemons and 4 workers
+        When the journal holds 1000 jobs that go on and 0 that have ended
+        And the link of the next claimant carries 10 bytes a ms, and no other daemon can claim
+        And the fault "owner killed" comes
+        And the shard runs for 2500 ms
+        And the other daemons can claim again
+        Then a daemon owns the shard within 6000 ms
+        And all daemons that run are ready within 600 ms
+
+    # Nobody has answered a daemon that has just started, so that none knew of others before it, and all strong ones claimed at once.
+    Scenario Outline: Daemons that come back together claim in turn, the store being <store>
+        Given a cell of 32 daemons, each fifth of them strong, and 20 workers
+        When the fault "<faults>" comes
+        And the shard runs for 2700 ms
+        And all daemons but the former owner are back
+        Then a daemon owns the shard within 4000 ms
+        And 2 daemons at most began a claim
+
+        Examples:
+            | store | faults                |
+            | well  | all killed             |
+            | slow  | all killed, store slow |
+
+    # A daemon that knows no others takes itself for the strongest, and nobody tells it that the owner is well.
+    Scenario: A weak VM that has not read who else there is claims no shard
+        Given a cell of daemons with strengths "0.2, 0.2, 0.2, 1, 1" and 4 workers
+        When the fault "all killed" comes
+        And the shard runs for 300 ms
+        And the table of members cannot be read
+        And only the weak daemons are back
+        And the shard runs for 1500 ms
+        And the table of members can be read again
+        And all daemons are back
+        Then a daemon owns the shard within 3000 ms
+        And no weak daemon has owned the shard since
+
+    Scenario: A daemon that cannot read who else there is claims the shard in the end
+        Given a cell of 3 daemons and 4 workers
+        When the fault "all killed" comes
+        And the table of members cannot be read
+        And all daemons but the former owner are back
+        Then a daemon owns the shard within 6000 ms
+
+    Scenario: Each daemon tells why it is not ready, and for how long no owner was at work
+        Given a cell of 4 daemons and 4 workers
+        When the fault "owner killed, store hangs" comes
+        And the shard runs for 5000 ms
+        Then each other daemon has logged "notReady" 1 time, at last with "reason" "ownerSilent"
+        And each other daemon has logged "withoutOwner" 3 times, at last with "doing" "storeSilent"
+        And each other daemon has logged "ownerSilent" 8 times at most
+        When the fault goes
+        And the shard runs for 2000 ms
+        Then each other daemon has logged "ready" 1 time, at last with "reason" ""
+        And each other daemon has logged "ownerAtWork" 1 time, at last with "reason" ""
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -26,6 +26,7 @@
 import { handOver } from "./handOver.js";
 import { watchOwner } from "./ownerWatch.js";
 import { createPeers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
+import { watchReadiness } from "./readiness.js";
 import { type ShardOwner, startShardOwner } from "./shardOwner.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { ownerKey, ownerTable } from "./shardTables.js";
@@ -90,16 +91,25 @@
 const part = "shard-0";
 /** How long the store may take to write this daemon's entry. */
 const enterTimeoutMs = 1_500;
-/** Without an owner for this long, a daemon asks the balancer for no more callers. */
-const readyWithoutOwnerMs = 450;
 /** Timers of an owner that are late by this much, on average over a second, tell that its VM has turned slow. */
 const slowOwnerLagMs = 60;
 /** A claim that the store does not answer is given up after this, so that the peers are asked who owns the shard by now. */
 const claimPatienceMs = 1_500;
 /** A claimant that reads no page of the journal for this long gives the shard up; a store 60 times slower takes 0.5 s a page. */
 const restorePatienceMs = 2_500;
+/**
+ * A claimant that reads the journal for this long, and for as long as no owner was at work before, gives the shard up too:
+ * over a link of 20 bytes a ms one got on for 56 s while its peers would have needed 0.1 s. The second part doubles what
+ * each next claimant is given, so that one of them gets through where all are slow. 1,000 jobs of 6 KB take 7 s at 10 Mbit/s.
+ */
+const shortestRestoreMs = 8_000;
 /** After that it leaves the claim to others for this long. */
 const restAfterRestoreMs = 3_000;
+/**
+ * A daemon that has not read who else there is takes itself for the strongest, and hears nobody say that the owner is well;
+ * so it claims nothing before, but after this time, three reads without an answer, in any case.
+ */
+const membersPatienceMs = 3_500;
 /** A weak VM that owns the shard looks this often for a stronger one to give it to. */
 const yieldPauseMs = 2_000;
 /** An owner that is replaced within this of its claim may only have been busy with it; the first looks at 350 workers take 2 s. */
@@ -133,17 +143,22 @@
     let knownOwner: KnownOwner | undefined;
     let ownerKnownAtMs = clock.monotonicMs();
     let ownerRead = false;
+    let membersRead = false;
     let owner: ShardOwner | undefined;
-    let claiming = false;
+    /** The claim under way. */
+    let claimUnderWay: string | undefined;
     /** Token of a claim whose rows are still being read; 0 for none. */
     let claimedToken = 0;
     /** Claims no shard any more. */
     let leaving = false;
     let closed = false;
     let lastOwnedAtMs = clock.monotonicMs();
+    /** Local time at which an owner was last known to have its rows, wherever it is. */
+    let ownerAtWorkAtMs = clock.monotonicMs();
     let pendingCounts: { readonly counts: Readonly<Record<string, number>>; readonly atMs: number; } | undefined;
     let yielding = false;
     let claimsAgainAtMs = 0;
+    const claimsAnywayAtMs = clock.monotonicMs() + membersPatienceMs;
     let yieldsAgainAtMs = 0;
 
     const adopt = (next: CellConfiguration, source: string): void => {
@@ -197,13 +212,13 @@
     };
 
     const claim = async (seenVersion: number, why: string): Promise<boolean> => {
-        if (claiming || leaving || closed) {
+        if (claimUnderWay !== undefined || leaving || closed) {
             return false;
         }
-        claiming = true;
         const startedAtMs = clock.monotonicMs();
         const claimId = `${self.memberId}/${self.incarnation}/${Math.floor(options.random.next() * 1e9)}`;
         const row: OwnerRow = { ...self, claimId, shortOffices: shortOffices(why) };
+        claimUnderWay = claimId;
         log.write("info", "claimBegins", { part, seenVersion, why, shortOffices: row.shortOffices });
         try {
             const claimed = await claimShard({
@@ -214,10 +229,12 @@
                 owner: row,
                 seenVersion,
                 restorePatienceMs,
+                restoreWithinMs: Math.max(shortestRestoreMs, startedAtMs - ownerAtWorkAtMs),
                 wanted: () =>
                     !closed && (knownOwner?.version ?? 0) <= seenVersion
                         && clock.monotonicMs() - startedAtMs < claimPatienceMs
                     || knownOwner?.row.claimId === claimId,
+                heardToken: () => knownOwner?.row.claimId === claimId ? knownOwner.version : undefined,
                 onClaimed: fencingToken => {
                     claimedToken = fencingToken;
                     if (fencingToken > (knownOwner?.version ?? 0)) {
@@ -280,7 +297,7 @@
             return true;
         }
         finally {
-            claiming = false;
+            claimUnderWay = undefined;
             claimedToken = 0;
         }
     };
@@ -343,6 +360,7 @@
     const noteOwnership = (): void => {
         if (owner !== undefined) {
             lastOwnedAtMs = clock.monotonicMs();
+            ownerAtWorkAtMs = lastOwnedAtMs;
             pendingCounts = { counts: owner.pending(), atMs: clock.monotonicMs() };
             void yieldIfUnfit();
         }
@@ -400,7 +418,9 @@
             table: memberTable,
             parts: [""],
             onRows: peers.take,
-            onWhole: () => {},
+            onWhole: () => {
+                membersRead = true;
+            },
         }),
         watchTable({
             clock,
@@ -427,18 +447,39 @@
         peers,
         known: () => knownOwner,
         owns: () => owner !== undefined,
-        isSettled: () => ownerRead && !claiming && clock.monotonicMs() >= claimsAgainAtMs,
+        isSettled: () => ownerRead && claimUnderWay === undefined,
+        isResting: () =>
+            clock.monotonicMs() < claimsAgainAtMs || !membersRead && clock.monotonicMs() < claimsAnywayAtMs,
         isLeaving: () => leaving,
         readOwner,
         claim,
         onAnswer: takeNewer,
         onOwnerAnswer: ({ pending }) => {
             // A claimant that still reads the journal counts nothing yet.
-            pendingCounts = pending === undefined ? pendingCounts : { counts: pending, atMs: clock.monotonicMs() };
+            if (pending !== undefined) {
+                ownerAtWorkAtMs = clock.monotonicMs();
+                pendingCounts = { counts: pending, atMs: ownerAtWorkAtMs };
+            }
         },
         onOwnRound: noteOwnership,
         onPeersPinged: () => owner?.wake(),
     });
+    const readiness = watchReadiness({
+        clock,
+        log,
+        isLeaving: () => leaving,
+        hasConfiguration: () => configuration !== undefined,
+        owns: () => owner !== undefined,
+        answeredAtMs: watch.answeredAtMs,
+        ownerAtWorkAtMs: () => ownerAtWorkAtMs,
+        knownOwner: () => knownOwner,
+        situation: () => ({
+            doing: claimedToken !== 0 ? "restores" : claimUnderWay === undefined ? watch.doing() : "claims",
+            strong: peers.isStrong(self.memberId),
+            members: peers.all.size + 1,
+            answering: peers.live().length,
+        }),
+    });
     void enterSelf();
 
     const forward = createForward({
@@ -455,9 +496,7 @@
     return {
         dataCentre: self.dataCentre,
         configuration: () => configuration,
-        ready: () =>
-            !leaving && configuration !== undefined
-            && (owner !== undefined || clock.monotonicMs() - watch.answeredAtMs() < readyWithoutOwnerMs),
+        ready: readiness.ready,
         submit: (submission, patienceMs) =>
             forward.run({
                 local: shard => shard.submit(submission),
@@ -488,6 +527,7 @@
             ping: async ({ ownerVersion }) => ({
                 incarnation: self.incarnation,
                 ownedToken: owner?.fencingToken ?? claimedToken,
+                ...(claimUnderWay === undefined ? {} : { claimId: claimUnderWay }),
                 storeStalledMs: owner?.stalledMs() ?? 0,
                 configurationVersion: configuration?.version ?? 0,
                 ...(owner === undefined ? {} : { pending: owner.pending() }),
@@ -519,6 +559,7 @@
         close: () => {
             closed = true;
             watch.close();
+            readiness.close();
             loseShard("closing");
             for (const tableWatch of tableWatches) {
                 tableWatch.stop();
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -22,6 +22,11 @@
     readonly owns: () => boolean;
     /** True once the owner's row was read, and while no claim is under way. */
     readonly isSettled: () => boolean;
+    /**
+     * True while it leaves the claim to others: after a restore that it gave up, or before it has read who else there is. It
+     * goes on asking who owns the shard.
+     */
+    readonly isResting: () => boolean;
     /** True while this daemon claims no shard any more. */
     readonly isLeaving: () => boolean;
     /** Reads the owner's row again; false where the store did not answer within the time. */
@@ -37,8 +42,25 @@
     readonly onPeersPinged: () => void;
 }
 
+/** What the newest look at the owner led to. */
+export const watchSteps = {
+    pings: "pings",
+    readsOwnerRow: "readsOwnerRow",
+    mayNotClaim: "mayNotClaim",
+    rests: "rests",
+    waitsItsTurn: "waitsItsTurn",
+    peerSeesOwner: "peerSeesOwner",
+    minority: "minority",
+    storeSilent: "storeSilent",
+    claims: "claims",
+} as const;
+/** One of `watchSteps`. */
+export type WatchStep = (typeof watchSteps)[keyof typeof watchSteps];
+
 /** A watch of the owner. */
 export interface OwnerWatch {
+    /** What the newest look at the owner led to. */
+    doing(): WatchStep;
     /** Local time of the owner's newest answer. */
     answeredAtMs(): number;
     /** Token of the owner that answered within the last moments; 0 for none. */
@@ -57,6 +79,8 @@
 const failedPingIntervalMs = 50;
 /** Pings in a row without any answer before the owner counts as lost. */
 const silentPingsToClaim = 2;
+/** Of the pings that fail after these, one a second or so is logged. */
+const silenceLogPauseMs = 1_000;
 /** An owner that has not answered by then is asked over another connection too; both must fail. */
 const secondPingMs = 120;
 /**
@@ -72,6 +96,12 @@
 const freshAnswerMs = 450;
 /** Each place in the order of candidates waits this much longer. */
 const rankDelayMs = 120;
+/**
+ * Where a daemon has only just learnt who else answers, each place waits for so many answers of the store: the claim of the
+ * one before, which may queue behind what daemons write at their start, the news of it, and the next one's read.
+ */
+const storeAnswersARank = 4;
+const longestRankDelayMs = 1_000;
 /** A VM that is weaker than others waits this much longer than they do; a takeover by one of them takes half of it. */
 const weakDelayMs = 2_000;
 /** A candidate that reaches too few of its peers waits this much longer, so that a cut-off minority does not claim. */
@@ -107,19 +137,21 @@
  * Starts to watch the owner of a shard.
  *
  * @example
- * const watch = watchOwner({ clock, log, self, peers, known, owns, isSettled, isLeaving, readOwner, claim, onAnswer, onOwnerAnswer, onOwnRound, onPeersPinged });
+ * const watch = watchOwner({ clock, log, self, peers, known, owns, isSettled, isResting, isLeaving, readOwner, claim, onAnswer, onOwnerAnswer, onOwnRound, onPeersPinged });
  */
 export const watchOwner = (options: OwnerWatchOptions): OwnerWatch => {
-    const { clock, log, self, peers, known, owns, isSettled, isLeaving, readOwner, claim } = options;
+    const { clock, log, self, peers, known, owns, isSettled, isResting, isLeaving, readOwner, claim } = options;
     let closed = false;
     let silentPings = 0;
     let lostAtMs: number | undefined;
     let answeredAtMs = -Infinity;
     let endPause: (() => void) | undefined;
+    let step: WatchStep = watchSteps.readsOwnerRow;
+    let silenceLoggedAtMs = -Infinity;
     /** Local time of the last read that the store did not answer quickly. */
     let slowReadAtMs = -Infinity;
 
-    const mayClaim = (): boolean => isSettled() && !isLeaving() && !owns();
+    const mayClaim = (): boolean => isSettled() && !isResting() && !isLeaving() && !owns();
 
     const versionNow = (): number => known()?.version ?? 0;
 
@@ -151,14 +183,14 @@
     };
 
     /** How long this daemon leaves the claim to others: strong VMs go first, in an order that all compute alike. */
-    const turnMs = (version: number): number => {
+    const turnMs = (version: number, rankMs = rankDelayMs): number => {
         const score = (id: string): number => hash(`${version}|${id}`);
         const mine = score(self.memberId);
         const strong = peers.isStrong(self.memberId);
         const before = peers.live().filter(id =>
             id !== known()?.row.memberId && peers.isStrong(id) === strong && score(id) > mine
         );
-        return (strong ? 0 : weakDelayMs) + before.length * rankDelayMs;
+        return (strong ? 0 : weakDelayMs) + before.length * rankMs;
     };
 
     /**
@@ -184,6 +216,7 @@
 
     const considerClaim = async (why: string): Promise<void> => {
         if (!mayClaim()) {
+            step = isResting() ? watchSteps.rests : watchSteps.mayNotClaim;
             return;
         }
         const version = versionNow();
@@ -192,24 +225,37 @@
             return;
         }
         lostAtMs ??= clock.monotonicMs();
-        const lostForMs = clock.monotonicMs() - lostAtMs;
-        if (lostForMs < turnMs(version)) {
+        const lostForMs = (): number => clock.monotonicMs() - (lostAtMs ?? clock.monotonicMs());
+        if (lostForMs() < turnMs(version)) {
+            step = watchSteps.waitsItsTurn;
             return;
         }
         const { seen, answered } = await peersSeeOwner(version);
         if (seen) {
+            step = watchSteps.peerSeesOwner;
             lostAtMs = clock.monotonicMs();
             return;
         }
         const minority = 2 * answered < Math.max(0, peers.all.size - 1);
-        if (minority && lostForMs < minorityDelayMs) {
+        if (minority && lostForMs() < minorityDelayMs) {
+            step = watchSteps.minority;
             return;
         }
         // A claim that is sent into an outage might take effect after it, when nobody needs it.
-        if (!await readOwner(claimReadMs) || minority && await ownerAnswers(version)) {
+        const askedAtMs = clock.monotonicMs();
+        step = step === watchSteps.storeSilent ? step : watchSteps.readsOwnerRow;
+        if (!await readOwner(claimReadMs)) {
+            step = watchSteps.storeSilent;
+            return;
+        }
+        step = watchSteps.waitsItsTurn;
+        // Nobody had answered a daemon that has just started; claims of all at once would queue in a slow store.
+        const rankMs = Math.min(longestRankDelayMs, storeAnswersARank * (clock.monotonicMs() - askedAtMs));
+        if (lostForMs() < turnMs(version, rankMs) || minority && await ownerAnswers(version)) {
             return;
         }
         if (versionNow() === version && !owns()) {
+            step = watchSteps.claims;
             await claim(version, why);
         }
     };
@@ -232,6 +278,16 @@
         answeredAtMs = clock.monotonicMs();
         silentPings = 0;
         lostAtMs = undefined;
+        step = watchSteps.pings;
+    };
+
+    /** A cut fails pings by the dozen each second; the count tells how many there were. */
+    const logSilence = (owner: string, kind: ErrorKind): void => {
+        const nowMs = clock.monotonicMs();
+        if (silentPings <= silentPingsToClaim || nowMs - silenceLoggedAtMs >= silenceLogPauseMs) {
+            silenceLoggedAtMs = nowMs;
+            log.write("warn", "ownerSilent", { owner, kind, silentPings });
+        }
     };
 
     /** Asks the owner, and once more over another connection where it takes long. */
@@ -254,7 +310,7 @@
         if (answer === undefined) {
             for (const kind of silences) {
                 silentPings += 1;
-                log.write("warn", "ownerSilent", { owner: row.memberId, kind, silentPings });
+                logSilence(row.memberId, kind);
             }
         }
         return answer;
@@ -265,13 +321,15 @@
         const answer = await askOwner(row);
         if (answer !== undefined && versionNow() === version) {
             options.onAnswer(row.address, answer);
-            if (answer.ownedToken === version) {
+            // A claimant learns last that its claim took effect: where the store takes a quarter of a second for an answer,
+            // peers that went by the token alone replaced one claimant after the other.
+            if (answer.ownedToken === version || answer.claimId === row.claimId) {
                 noteOwnerAnswer();
                 options.onOwnerAnswer(answer);
                 await replaceStalled(version, answer.storeStalledMs);
                 return;
             }
-            // The process is another one, or gave the shard up; a claim under way shows no token yet.
+            // The process is another one, or gave the shard up.
             const tookMs = clock.monotonicMs() - startedAtMs;
             silentPings += answer.incarnation !== row.incarnation || tookMs < pingTimeoutMs ? 1 : 0;
         }
@@ -344,6 +402,7 @@
 
     void watch();
     return {
+        doing: () => step,
         answeredAtMs: () => answeredAtMs,
         seenToken: () =>
             silentPings === 0 && clock.monotonicMs() - answeredAtMs < freshAnswerMs * patienceFactor()
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -88,7 +88,8 @@
     packings,
     ticketFor,
 } from "./internal.js";
-export { type ClaimedShard, type ClaimOptions, claimShard, readAllRows } from "./internal.js";
+export { type ClaimedShard, type ClaimOptions, claimShard } from "./internal.js";
+export { readAllRows, type ReadRows, type ReadRowsOptions } from "./internal.js";
 export { type AcceptanceOptions, createAcceptance } from "./internal.js";
 export { type Batch, type BatchWriter, type BatchWriterOptions, createBatchWriter } from "./internal.js";
 export { type CommitLog, type CommitLogOptions, createCommitLog, type RowChange } from "./internal.js";
@@ -154,7 +155,8 @@
 } from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
 export { handOver, type HandOverOptions } from "./internal.js";
-export { type OwnerWatch, type OwnerWatchOptions, watchOwner } from "./internal.js";
+export { type OwnerWatch, type OwnerWatchOptions, watchOwner, type WatchStep, watchSteps } from "./internal.js";
+export { type Readiness, type ReadinessOptions, watchReadiness } from "./internal.js";
 export { createPeers, type Peers, type PeersOptions, type PingOptions } from "./internal.js";
 export { mayGoDown, runsToMove } from "./internal.js";
 export { startUpkeep, type Upkeep, type UpkeepOptions } from "./internal.js";
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -250,9 +250,12 @@
             clock.setTimer(delayMs, resolve);
         });
 
-    const peersOf = (from: string): MemberPort => ({
+    const peersOf = (from: string, life: Life): MemberPort => ({
         call: async (address, name, input, timeoutMs) => {
             const seat = seats.get(address);
+            if (!life.alive) {
+                return new Promise<never>(() => {});
+            }
             await wait(linkMs);
             if (seat?.life.alive !== true) {
                 return die("unavailable", "nobody listens there");
@@ -302,10 +305,17 @@
     const meter: Meter = { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 };
 
     const start = (memberId: string): void => {
-        const writer: Log = { write: (_level, event, fields) => void log.push({ memberId, event, fields }) };
         const life: Life = { alive: true };
         const processor = createProcessor(clock);
         const alive = (): boolean => life.alive;
+        const writer: Log = {
+            write: (_level, event, fields) => {
+                // What is left of a killed process in this one says nothing.
+                if (alive()) {
+                    log.push({ memberId, event, fields });
+                }
+            },
+        };
         const connection = store.connect(memberId);
         const never = new Promise<never>(() => {});
         const fast = workers.connect(() => !isCut(memberId, "workers"));
@@ -341,7 +351,7 @@
             },
             workers: surroundings.workers,
             advisor: surroundings.advisor,
-            members: peersOf(memberId),
+            members: peersOf(memberId, life),
             platform: {
                 configurationTable: "operator",
                 readConfiguration: rows => {
