Fakes: timers wait for the processor, as those of an event loop do; a busy new owner then gives the shard away

The same cause elsewhere: an owner judges its VM slow by timers that are late by 60 ms on average, and hands the shard over. A new owner is late by as much with its first looks, and so is the next one, which begins them anew. With late timers the scenes of a busy new owner fail again, with 4 and 2 owners in 15 s.

--- a/packages/stand-ins/src/shard/processor.ts
+++ b/packages/stand-ins/src/shard/processor.ts
@@ -70,3 +70,23 @@
         },
     };
 };
+
+/**
+ * Lets the timers of a process wait behind what its processor has to do, as those of an event loop do.
+ *
+ * @example
+ * const late = withLateTimers(clock, createProcessor(clock));
+ */
+export const withLateTimers = (clock: Clock, processor: Processor): Clock => ({
+    ...clock,
+    setTimer: (delayMs, run) => {
+        let cancelled = false;
+        const cancel = clock.setTimer(delayMs, () => {
+            void processor.use(0).then(() => cancelled ? undefined : run());
+        });
+        return () => {
+            cancelled = true;
+            cancel();
+        };
+    },
+});
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -33,7 +33,7 @@
 import { breakShardPart, type BrokenShardPart } from "./brokenShardParts.js";
 import { createFakeVms, type FakeVms } from "./fakeVms.js";
 import { breachesOf, createFakeFencedWorkers, type FakeFencedWorkers } from "./fencedWorkers.js";
-import { createProcessor, type Processor, type ProcessorCosts, withProcessor } from "./processor.js";
+import { createProcessor, type Processor, type ProcessorCosts, withLateTimers, withProcessor } from "./processor.js";
 import { createFakeRowStore, type FakeRowStore } from "./rowStore.js";
 import { standingTasks } from "./standing.js";
 
@@ -331,7 +331,7 @@
             readWorker: readEntry,
         });
         const member = startCellMember({
-            clock,
+            clock: costs === noCosts ? clock : withLateTimers(clock, processor),
             log: writer,
             meter,
             random,
