A new owner does not take its VM for slow by what its takeover costs; hand-overs for slowness count as short offices

Cause: timers late by 60 ms on average made an owner give the shard away 1.5 s after its claim, to one that began the first looks anew. Change: shortOffices.ts holds what bounds owners in a row: an owner settles for 5 s, doubled with each short office, before it may take its VM for slow; one that was replaced as silent, stalled or slow within twice that counts as a short office. A hand-over names its reason.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -79,6 +79,7 @@
             | shardTables          | sequence                                |
             | readRows             | 120 rows                                |
             | readiness            | ready, notReady, withoutOwner           |
+            | shortOffices         | 4 times, then 1                         |
             | tableWatch           | configuration seen                      |
             | taskReview           | 1 step put back, then 0                 |
             | taskWait             | ticket, then room                       |
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -12,7 +12,9 @@
 import {
     applyEnd,
     chooseVictims,
+    claimReasons,
     claimShard,
+    countShortOffices,
     countStands,
     createAcceptance,
     createAdviceAsker,
@@ -47,6 +49,7 @@
     newJob,
     newWorker,
     openWorkerLink,
+    patienceFactor,
     type Peers,
     planRoom,
     readAllRows,
@@ -772,6 +775,13 @@
     return cell.owner() === undefined || cell.owner() === first ? "nobody took over" : "another daemon owns the shard";
 };
 
+const shortOffices = (): string => {
+    const previous = { shortOffices: 1 };
+    const busy = countShortOffices({ previous, lastedMs: 1_200, why: claimReasons.ownerSilent });
+    const lasting = countShortOffices({ previous, lastedMs: 60_000, why: claimReasons.ownerSilent });
+    return `${patienceFactor({ shortOffices: busy })} times, then ${patienceFactor({ shortOffices: lasting })}`;
+};
+
 /** One example for each module of `core/shard`, by the module's name. */
 const taskWait = (): string => {
     const { step } = taskOf(exampleJob());
@@ -828,6 +838,7 @@
     shardWorkers,
     shardSettings: () => `leases of ${defaultShardSettings.leaseMs} ms`,
     shardTables: () => sequenceKey,
+    shortOffices,
     tableWatch,
     taskReview,
     taskWait,
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -6,6 +6,7 @@
 import {
     type AdvisorPort,
     type FencedWorkerPort,
+    type HandOverReason,
     type KnownOwner,
     type MemberHandlers,
     type MemberPort,
@@ -30,6 +31,7 @@
 import { type ShardOwner, startShardOwner } from "./shardOwner.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { ownerKey, ownerTable } from "./shardTables.js";
+import { type ClaimReason, claimReasons, countShortOffices, settlingMs } from "./shortOffices.js";
 import { shortFeedWaitMs, type TableWatch, watchTable } from "./tableWatch.js";
 import { watchWorkerList } from "./workerList.js";
 
@@ -112,10 +114,6 @@
 const membersPatienceMs = 3_500;
 /** A weak VM that owns the shard looks this often for a stronger one to give it to. */
 const yieldPauseMs = 2_000;
-/** An owner that is replaced within this of its claim may only have been busy with it; the first looks at 350 workers take 2 s. */
-const shortOfficeMs = 5_000;
-/** Reasons for a claim that go by an owner's silence alone. */
-const silenceReasons: ReadonlySet<string> = new Set(["ownerSilent", "ownerStalled"]);
 /** Counts older than this are not told. */
 const countsFreshMs = 1_800;
 
@@ -203,23 +201,17 @@
         workerWatch?.stop();
     };
 
-    /** Owners in a row that were replaced soon after their claim, the present one included where it is replaced now. */
-    const shortOffices = (why: string): number => {
-        if (knownOwner === undefined || clock.monotonicMs() - ownerKnownAtMs > shortOfficeMs) {
-            return 0;
-        }
-        return (knownOwner.row.shortOffices ?? 0) + (silenceReasons.has(why) ? 1 : 0);
-    };
-
-    const claim = async (seenVersion: number, why: string): Promise<boolean> => {
+    const claim = async (seenVersion: number, why: ClaimReason): Promise<boolean> => {
         if (claimUnderWay !== undefined || leaving || closed) {
             return false;
         }
         const startedAtMs = clock.monotonicMs();
         const claimId = `${self.memberId}/${self.incarnation}/${Math.floor(options.random.next() * 1e9)}`;
-        const row: OwnerRow = { ...self, claimId, shortOffices: shortOffices(why) };
+        const lastedMs = startedAtMs - ownerKnownAtMs;
+        const shortOffices = countShortOffices({ previous: knownOwner?.row, lastedMs, why });
+        const row: OwnerRow = { ...self, claimId, shortOffices };
         claimUnderWay = claimId;
-        log.write("info", "claimBegins", { part, seenVersion, why, shortOffices: row.shortOffices });
+        log.write("info", "claimBegins", { part, seenVersion, why, shortOffices });
         try {
             const claimed = await claimShard({
                 clock,
@@ -329,7 +321,7 @@
         });
     };
 
-    const giveAway = async (shard: ShardOwner, why: string): Promise<boolean> => {
+    const giveAway = async (shard: ShardOwner, why: HandOverReason): Promise<boolean> => {
         const isOver = (): boolean => owner !== shard;
         const claimed = await handOver(shard, why, { clock, log, peers, selfId: self.memberId, isOver });
         if (claimed && owner === shard) {
@@ -347,7 +339,8 @@
         if (owner === undefined || leaving || yielding || clock.monotonicMs() < yieldsAgainAtMs) {
             return;
         }
-        const slow = owner.lagMs() >= slowOwnerLagMs;
+        const settled = clock.monotonicMs() - ownerKnownAtMs > settlingMs(knownOwner?.row ?? {});
+        const slow = settled && owner.lagMs() >= slowOwnerLagMs;
         if (!slow && !strongerPeerAnswers()) {
             return;
         }
@@ -544,7 +537,9 @@
             cancelJob: async ({ jobId }) => ({ known: await owned().cancel(jobId) }),
             advise: request => options.advisor.advise(request),
             configuration: async () => configuration ?? die("unavailable", "no configuration is known yet"),
-            handOver: async ({ token }) => ({ claimed: await claim(token, "handOver") }),
+            handOver: async ({ token, why }) => ({
+                claimed: await claim(token, why === "slow" ? claimReasons.ownerSlow : claimReasons.handOver),
+            }),
         },
         ownsShard: () => owner !== undefined,
         leave: async untilMs => {
--- a/packages/puffinarch/src/core/shard/handOver.ts
+++ b/packages/puffinarch/src/core/shard/handOver.ts
@@ -1,5 +1,6 @@
 /** Giving a shard to a peer: when its owner's process stops, or its VM has turned slow. */
 
+import type { HandOverReason } from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
 import { sleep } from "../../utils/time.js";
 import { type Peers, pingTimeoutMs } from "./peers.js";
@@ -28,7 +29,7 @@
  */
 export const handOver = async (
     shard: ShardOwner,
-    why: string,
+    why: HandOverReason,
     { clock, log, peers, selfId, isOver }: HandOverOptions,
 ): Promise<boolean> => {
     await Promise.race([shard.idle(), sleep(clock, pingTimeoutMs)]);
@@ -41,7 +42,7 @@
         if (address === undefined) {
             continue;
         }
-        const answer = await peers.ask(address, "handOver", { token: shard.fencingToken }, 2 * pingTimeoutMs);
+        const answer = await peers.ask(address, "handOver", { token: shard.fencingToken, why }, 2 * pingTimeoutMs);
         const claimed = answer?.claimed ?? false;
         log.write("info", "handOver", { to: peerId, claimed, why });
         // A claim may take effect although its answer came too late.
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -9,6 +9,7 @@
 import { hash } from "../../utils/rendezvous.js";
 import { sleep } from "../../utils/time.js";
 import { type Peers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
+import { type ClaimReason, claimReasons, patienceFactor } from "./shortOffices.js";
 
 /** What the watch needs. */
 export interface OwnerWatchOptions {
@@ -31,7 +32,7 @@
     readonly isLeaving: () => boolean;
     /** Reads the owner's row again; false where the store did not answer within the time. */
     readonly readOwner: (withinMs: number) => Promise<boolean>;
-    readonly claim: (seenVersion: number, why: string) => Promise<unknown>;
+    readonly claim: (seenVersion: number, why: ClaimReason) => Promise<unknown>;
     /** A daemon answered, which may have a newer configuration. */
     readonly onAnswer: (address: string, answer: PingAnswer) => void;
     /** The owner answered. */
@@ -83,11 +84,6 @@
 const silenceLogPauseMs = 1_000;
 /** An owner that has not answered by then is asked over another connection too; both must fail. */
 const secondPingMs = 120;
-/**
- * Each owner in a row that was replaced soon after its claim doubles the time for which the next may be silent, up to this
- * many times: a VM that is busy with taking over is then left to finish, in place of another that begins the same anew.
- */
-const mostDoublings = 3;
 /** How long a peer may take to say whether it sees the owner. */
 const peerOpinionMs = 200;
 /** Once half of the peers have said so, the others have this much longer; those that are gone with the owner never do. */
@@ -155,11 +151,7 @@
 
     const versionNow = (): number => known()?.version ?? 0;
 
-    /** How many times longer than usual the owner may be silent. */
-    const patienceFactor = (): number => {
-        const shortOffices = known()?.row.shortOffices ?? 0;
-        return 2 ** Math.min(mostDoublings, shortOffices);
-    };
+    const patience = (): number => patienceFactor(known()?.row ?? {});
 
     /** Whether a peer had an answer from the owner within the last moments; then the fault is on this side. */
     const peersSeeOwner = async (version: number): Promise<{ readonly seen: boolean; readonly answered: number; }> => {
@@ -214,7 +206,7 @@
         return row?.memberId === self.memberId && row.incarnation !== self.incarnation;
     };
 
-    const considerClaim = async (why: string): Promise<void> => {
+    const considerClaim = async (why: ClaimReason): Promise<void> => {
         if (!mayClaim()) {
             step = isResting() ? watchSteps.rests : watchSteps.mayNotClaim;
             return;
@@ -262,7 +254,7 @@
 
     /** An owner that answers its peers and cannot reach the store gives way to one that can. */
     const replaceStalled = async (version: number, stalledMs: number): Promise<void> => {
-        if (!mayClaim() || stalledMs < stalledOwnerMs * patienceFactor() + turnMs(version)) {
+        if (!mayClaim() || stalledMs < stalledOwnerMs * patience() + turnMs(version)) {
             return;
         }
         if (!await readOwner(quickReadMs)) {
@@ -270,7 +262,7 @@
             return;
         }
         if (clock.monotonicMs() - slowReadAtMs > storeBackMs && versionNow() === version && !owns()) {
-            await claim(version, "ownerStalled");
+            await claim(version, claimReasons.ownerStalled);
         }
     };
 
@@ -292,7 +284,7 @@
 
     /** Asks the owner, and once more over another connection where it takes long. */
     const askOwner = async (row: MemberRow): Promise<PingAnswer | undefined> => {
-        const limitMs = pingTimeoutMs * patienceFactor();
+        const limitMs = pingTimeoutMs * patience();
         const ask = async (timeoutMs: number): Promise<PingAnswer | undefined> => {
             let silence: ErrorKind | undefined;
             const answer = await peers.ping(row, { timeoutMs, onSilent: kind => silence = kind });
@@ -334,7 +326,7 @@
             silentPings += answer.incarnation !== row.incarnation || tookMs < pingTimeoutMs ? 1 : 0;
         }
         if (versionNow() === version && silentPings >= silentPingsToClaim) {
-            await considerClaim("ownerSilent");
+            await considerClaim(claimReasons.ownerSilent);
         }
     };
 
@@ -370,7 +362,8 @@
             await pingOwner(owner);
         }
         else {
-            await considerClaim(owner === undefined ? "noOwner" : isFormerSelf() ? "restarted" : "lost");
+            const lost = isFormerSelf() ? claimReasons.restarted : claimReasons.lost;
+            await considerClaim(owner === undefined ? claimReasons.noOwner : lost);
         }
         // Where a claim did not succeed, a peer may know who has the shard.
         if (round % memberPingRounds === 0 || !others && !owns()) {
@@ -405,7 +398,7 @@
         doing: () => step,
         answeredAtMs: () => answeredAtMs,
         seenToken: () =>
-            silentPings === 0 && clock.monotonicMs() - answeredAtMs < freshAnswerMs * patienceFactor()
+            silentPings === 0 && clock.monotonicMs() - answeredAtMs < freshAnswerMs * patience()
                 ? versionNow()
                 : 0,
         reset: () => {
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -56,6 +56,7 @@
 export * from "./core/shard/shardSettings.js";
 export * from "./core/shard/shardTables.js";
 export * from "./core/shard/shardWorkers.js";
+export * from "./core/shard/shortOffices.js";
 export * from "./core/shard/tableWatch.js";
 export * from "./core/shard/taskReview.js";
 export * from "./core/shard/taskWait.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -153,6 +153,7 @@
     type WorkerStand,
     workerStands,
 } from "./internal.js";
+export { type ClaimReason, claimReasons, countShortOffices, patienceFactor, settlingMs } from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
 export { handOver, type HandOverOptions } from "./internal.js";
 export { type OwnerWatch, type OwnerWatchOptions, watchOwner, type WatchStep, watchSteps } from "./internal.js";
@@ -183,6 +184,7 @@
     type AdvisorPort,
     type EndedRun,
     type FencedWorkerPort,
+    type HandOverReason,
     type KnownOwner,
     type LookOrder,
     type LookResult,
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -249,6 +249,9 @@
     readonly newerOwner?: KnownOwner;
 }
 
+/** Why an owner gives its shard to a peer: it stops, its VM has turned slow, or it is weaker than others. */
+export type HandOverReason = "leaving" | "slow" | "weak";
+
 /** Calls between the daemons of a cell: what goes in and what comes out. */
 export interface MemberCalls {
     readonly ping: { readonly input: PingRequest; readonly output: PingAnswer; };
@@ -263,9 +266,9 @@
     };
     readonly advise: { readonly input: AdviceRequest; readonly output: AdviceAnswer; };
     readonly configuration: { readonly input: { readonly from: string; }; readonly output: CellConfiguration; };
-    /** Asks the daemon to claim the shard from the caller, which stops. */
+    /** Asks the daemon to claim the shard from the caller; former versions give no reason. */
     readonly handOver: {
-        readonly input: { readonly token: number; };
+        readonly input: { readonly token: number; readonly why?: HandOverReason; };
         readonly output: { readonly claimed: boolean; };
     };
 }
