Scene: a worker that was cut off until its entry lapsed never takes a task again

Cause: a worker that is silent until its leases are over and whose entry has lapsed is dropped and noted among the lives that are over. When it answers again and its entry is back, the owner ignores it for the rest of its office.

The scene cuts all workers for 12 s, unlists them, and brings them back: of 4 long-running tasks 0 run 4 s later.

--- a/features/shard.feature
+++ b/features/shard.feature
@@ -328,3 +328,14 @@
             | store hangs                             |
             | store refuses                           |
             | owner cut from the store                |
+
+    Scenario: Workers that were cut off, and whose entries lapsed, take tasks again once they are listed again
+        Given a cell of 3 daemons and 4 workers
+        When 1 jobs of steps "4 long running" are submitted
+        And the shard runs for 2000 ms
+        And the fault "all workers cut, workers not listed" comes
+        And the shard runs for 12000 ms
+        And the fault goes
+        And the shard runs for 4000 ms
+        Then 4 tasks run
+        And no promise was broken
