Workers that were dropped as not listed are taken up again once they are listed

A worker that is silent until its leases are over, with its entry lapsed, may only have been cut off. It was noted among the lives that are over, and no listing brought it back. Only a life that is surely over is noted now: another answers at its address, or its VM is taken down.

--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -108,16 +108,21 @@
         return Promise.all(all);
     };
 
-    const loseWorker = (worker: ShardWorker, reason: string): void => {
+    const dropWorker = (worker: ShardWorker, reason: string): void => {
         links.get(worker.workerId)?.close();
         links.delete(worker.workerId);
         workers.delete(worker.workerId);
-        overLives.add(worker.workerId);
         log.write("info", "workerGone", { workerId: worker.workerId, reason, runs: worker.runs.size });
         watch.loseRuns(worker, reason);
         void commitTouched();
     };
 
+    /** The worker's life is over: what is still listed under its id is an entry that has yet to lapse. */
+    const loseWorker = (worker: ShardWorker, reason: string): void => {
+        overLives.add(worker.workerId);
+        dropWorker(worker, reason);
+    };
+
     const startedAtMs = clock.monotonicMs();
     let allKnown = false;
 
@@ -277,7 +282,8 @@
                 watch.loseRuns(worker, "leaseOver");
             }
             if (worker.unlistedAtMs !== undefined) {
-                loseWorker(worker, "notListed");
+                // It may only have been cut off from the store and from here; once listed again, it begins anew.
+                dropWorker(worker, "notListed");
             }
         }
         void commitTouched();
