Scene: a task keeps off the one worker with room while another, which is full for good, has not been tried

Cause: a task that failed on a worker does not go back while any other worker might run it, whether that one has room or ever will. Where long-running tasks fill the others, nothing bounds the wait; a long-running task, which may fail at any moment, collects such workers for its whole life.

The scene: two workers, one full of a task that lasts; the other failed the second task once and is sound again, with room. 8 s later that task does not run (1 of 2 runs). It fails on this code.

--- a/features/shard.feature
+++ b/features/shard.feature
@@ -339,3 +339,15 @@
         And the shard runs for 4000 ms
         Then 4 tasks run
         And no promise was broken
+
+    Scenario: A task that failed on the one worker with room is not kept waiting for one that is full
+        Given a cell of 3 daemons and 2 workers
+        When the fault "worker fails everything" comes
+        And 1 jobs of steps "1 long running of 8 cores" are submitted
+        And the shard runs for 2000 ms
+        And 1 jobs of steps "1 long running of 2 cores" are submitted
+        And the shard runs for 2000 ms
+        And the fault goes
+        And the shard runs for 8000 ms
+        Then 2 tasks run
+        And no promise was broken
