Scene: a call to the advisor is never served while more urgent ones go on

Cause: the advice desk takes the call of the highest priority that waits, whatever the age of the others, and a step whose call waits there counts as asked about: it asks nobody else and has no ticket. While the lanes are busy with urgent steps, as when few daemons are left or many tasks restart at once, a less urgent step waits without a bound.

The scene keeps one lane busy with calls of 100 ms of priority 0; the call of priority 2 is not served within 60 s.

--- a/features/shard.feature
+++ b/features/shard.feature
@@ -351,3 +351,7 @@
         And the shard runs for 8000 ms
         Then 2 tasks run
         And no promise was broken
+
+    Scenario: A call to the advisor waits for a bounded time behind more urgent ones
+        When the advice desk's lane is asked for urgent calls of 100 ms without end, and once for one of a lower priority
+        Then the advisor has served the call of the lower priority within 2500 ms
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -12,7 +12,7 @@
     testQueue,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { createCommitLog, createForward, journalTable, sleep, startUpkeep } from "puffinarch";
+import { createAdviceDesk, createCommitLog, createForward, journalTable, sleep, startUpkeep } from "puffinarch";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
@@ -29,6 +29,8 @@
     /** Lines that the log had when the newest fault came. */
     linesBefore: number;
     commitOutcome: { readonly durable: number; readonly fenced: number; } | undefined;
+    /** When a call of a lower priority was answered. */
+    adviceServedAtMs: number | undefined;
 }
 
 const part = (world: ScenarioWorld): Part =>
@@ -48,6 +50,7 @@
             forwarded: undefined,
             linesBefore: 0,
             commitOutcome: undefined,
+            adviceServedAtMs: undefined,
         }),
     );
 
@@ -377,6 +380,50 @@
     },
 );
 
+When(
+    "the advice desk's lane is asked for urgent calls of {int} ms without end, and once for one of a lower priority",
+    async function(this: ScenarioWorld, callMs: number) {
+        const clock = createFakeClock();
+        const desk = createAdviceDesk({
+            clock,
+            log: { write: () => {} },
+            meter: { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 },
+            lanes: () => ["entry-1"],
+            call: async () => {
+                await sleep(clock, callMs);
+                return { good: [], validMs: 1_000 };
+            },
+        });
+        const order = (priority: number, onAnswer: () => void) => ({
+            stepName: `of priority ${priority}`,
+            workerIds: ["i-1"],
+            costMs: callMs,
+            priority,
+            wanted: () => true,
+            onAnswer,
+            onFailure: () => {},
+        });
+        const askUrgent = (): void => desk.ask(order(0, askUrgent));
+        askUrgent();
+        askUrgent();
+        desk.ask(order(2, () => {
+            part(this).adviceServedAtMs = clock.monotonicMs();
+        }));
+        part(this).faultAtMs = clock.monotonicMs();
+        await clock.advance(60_000);
+        desk.close();
+    },
+);
+
+Then(
+    "the advisor has served the call of the lower priority within {int} ms",
+    function(this: ScenarioWorld, limitMs: number) {
+        const { adviceServedAtMs, faultAtMs } = part(this);
+        assert.ok(adviceServedAtMs !== undefined, "it was not served within a minute");
+        assert.ok(adviceServedAtMs - faultAtMs <= limitMs, `after ${adviceServedAtMs - faultAtMs} ms`);
+    },
+);
+
 When(
     "a request hangs at its owner, and the shard has another owner after {int} ms",
     async function(this: ScenarioWorld, afterMs: number) {
