A task keeps off a worker that failed it for 5 s at the most

Failures are noted with their time now; 5 s outlast most disruptions of workers, and a long-running task is not kept from the only room there is.

The step in loadSteps that marked a failure gives it a time now, so late that the silent worker's leases still decide there, as before.

--- a/features/steps/loadSteps.ts
+++ b/features/steps/loadSteps.ts
@@ -105,7 +105,8 @@
         };
         const job = newJob(submission, testQueue, { acceptedAtMs: 0, order: 1 });
         const step = job.occurrences.get(0)?.steps[0];
-        step?.tasks[0]?.failedOn.add("i-1");
+        // So late that after 6 s it is the end of the silent worker's leases that counts.
+        step?.tasks[0]?.failedOn.set("i-1", 3_000);
         step?.advice.asked.add("i-1");
         step?.advice.good.set("i-1", { ticket: "t", validUntilMs: 60_000 });
         const clock = createFakeClock();
--- a/packages/puffinarch/src/core/shard/askAdvice.ts
+++ b/packages/puffinarch/src/core/shard/askAdvice.ts
@@ -4,7 +4,7 @@
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import { fits } from "../../types/resources.js";
 import type { AdviceDesk } from "./adviceDesk.js";
-import { avoidedByAll, countRuns, suits, ticketFor } from "./chooseWorker.js";
+import { avoidedByAll, countRuns, failedLately, suits, ticketFor } from "./chooseWorker.js";
 import { hasEnded, heldBy, isWaiting, type ShardStep, stepNameOf } from "./jobBook.js";
 import type { Reservation, RoomView } from "./roomView.js";
 import type { ShardSettings } from "./shardSettings.js";
@@ -149,8 +149,9 @@
             && !avoidedByAll(step, worker.workerId, { workers, nowMs })
         ).sort(byRoom(step));
         const named = known.slice(0, waiting + spareNames);
-        const failed = new Set(step.tasks.filter(isWaiting).flatMap(task => [...task.failedOn]));
-        if (named.length < waiting || named.every(worker => failed.has(worker.workerId))) {
+        const tasks = step.tasks.filter(isWaiting);
+        const failed = (workerId: string): boolean => tasks.some(task => failedLately(task, workerId, nowMs));
+        if (named.length < waiting || named.every(worker => failed(worker.workerId))) {
             const others = unasked.filter(hasRoom).sort(byRoom(step));
             named.push(...others.slice(0, settings.maxAdviceWorkers - named.length));
         }
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -167,14 +167,26 @@
     && (step.occurrence.job.queue.advice === undefined || step.advice.good.has(worker.workerId)
         || !step.advice.asked.has(worker.workerId));
 
+/**
+ * A task goes back to a worker that failed it this long ago. Disruptions of workers last some 4 to 7 s and the last
+ * attempt should not be spent in one, but the others may be full for good: long-running tasks fill them for hours.
+ */
+const avoidFailedMs = 5_000;
+
+/**
+ * Tells whether a task failed on a worker so recently that it runs elsewhere if it can.
+ *
+ * @example
+ * failedLately(task, "i-7f3a91c2", clock.monotonicMs());
+ */
+export const failedLately = ({ failedOn }: ShardTask, workerId: string, nowMs: number): boolean =>
+    nowMs - (failedOn.get(workerId) ?? -Infinity) < avoidFailedMs;
+
 /** A worker that is silent or rests for a moment is worth waiting for: going back may use up the last attempt. */
-const hasUntried = (
-    { failedOn, step }: ShardTask,
-    { workers, nowMs, rack, except }: AvoidanceLimits,
-): boolean => {
+const hasUntried = (task: ShardTask, { workers, nowMs, rack, except }: AvoidanceLimits): boolean => {
     for (const worker of workers.values()) {
-        const tried = failedOn.has(worker.workerId) || except?.has(worker.workerId) === true;
-        if (!tried && mightRun(worker, step, nowMs, rack)) {
+        const tried = failedLately(task, worker.workerId, nowMs) || except?.has(worker.workerId) === true;
+        if (!tried && mightRun(worker, task.step, nowMs, rack)) {
             return true;
         }
     }
@@ -198,11 +210,13 @@
  * avoidedByAll(step, "i-7f3a91c2", { workers, nowMs: clock.monotonicMs() });
  */
 export const avoidedByAll = (step: ShardStep, workerId: string, limits: AvoidanceLimits): boolean =>
-    step.tasks.every(task => !isWaiting(task) || task.failedOn.has(workerId) && hasUntried(task, limits));
+    step.tasks.every(task =>
+        !isWaiting(task) || failedLately(task, workerId, limits.nowMs) && hasUntried(task, limits)
+    );
 
 /**
- * Prepares the choice of workers for a step. A worker on which a task failed is chosen for it only where no other may
- * run it, with room or without, open or not.
+ * Prepares the choice of workers for a step. A worker on which a task failed lately is chosen for it only where no
+ * other may run it, with room or without, open or not.
  *
  * @example
  * const chooser = createChooser(step, workers, { nowMs, view, packing: "scarcest" });
@@ -248,7 +262,7 @@
             let bestScore = -Infinity;
             for (const candidate of usable) {
                 const { workerId } = candidate.worker;
-                if (avoidsFailed && task.failedOn.has(workerId) || except?.has(workerId) === true) {
+                if (avoidsFailed && failedLately(task, workerId, nowMs) || except?.has(workerId) === true) {
                     continue;
                 }
                 if (!hasRoomFor(candidate)) {
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -57,8 +57,8 @@
     failures: number;
     checkpoint: string;
     readonly runs: ShardRun[];
-    /** Workers on which it failed. */
-    readonly failedOn: Set<string>;
+    /** Workers on which it failed, and the local time of the newest failure there. */
+    readonly failedOn: Map<string, number>;
 }
 
 /** Answers of the advisor for one step. */
@@ -134,7 +134,7 @@
     failures: 0,
     checkpoint: "",
     runs: [],
-    failedOn: new Set(),
+    failedOn: new Map(),
 });
 
 const newStep = (occurrence: ShardOccurrence, number: number, spec: Step): ShardStep => {
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -105,7 +105,7 @@
         if (end.how === "failed") {
             // Any member that fails ends its whole gang.
             for (const each of task.step.spec.gang ? task.step.tasks : [task]) {
-                each.failedOn.add(worker.workerId);
+                each.failedOn.set(worker.workerId, clock.monotonicMs());
             }
         }
         // An end that was counted before, by a former owner or before the lease ran out, counts only as done.
