The advice desk takes one call in four out of turn, for the one that has waited longest

Calls of a lower priority were passed for as long as urgent ones came. One that has waited for over 2 s now gets one of four free lanes, so that urgent calls lose a quarter of the lanes at the most, and only while some have waited that long.

--- a/packages/puffinarch/src/core/shard/adviceDesk.ts
+++ b/packages/puffinarch/src/core/shard/adviceDesk.ts
@@ -1,6 +1,7 @@
 /**
  * Calls to the advisor, spread over all daemons: it serves one call at a time for each calling VM, so each daemon is a
- * lane. Quick calls always find lanes that slow ones may not take.
+ * lane. Quick calls always find lanes that slow ones may not take, and a call that has waited long is not passed for ever:
+ * its step asks nobody else meanwhile, so that its tasks would stand with room for them.
  */
 
 import type { AdviceAnswer, AdviceRequest } from "../../types/cellPorts.js";
@@ -21,6 +22,10 @@
     readonly wanted: () => boolean;
 }
 
+interface WaitingOrder extends AdviceOrder {
+    readonly askedAtMs: number;
+}
+
 /** What the desk needs. */
 export interface AdviceDeskOptions {
     readonly clock: Clock;
@@ -49,6 +54,11 @@
 const patienceFactor = 2;
 const patienceMs = 400;
 
+/** A call that has waited for longer than this is also taken out of turn; most wait for some milliseconds. */
+const longWaitMs = 2_000;
+/** One call in this many may go to the one that has waited longest, so that urgent ones lose a quarter of the lanes at most. */
+const outOfTurnEvery = 4;
+
 const quickLanes = (lanes: number): number => lanes < 2 ? 0 : Math.max(1, Math.floor(lanes * quickLaneShare));
 
 /**
@@ -58,7 +68,9 @@
  * const desk = createAdviceDesk({ clock, log, meter, lanes: () => ["entry-1"], call });
  */
 export const createAdviceDesk = ({ clock, log, meter, lanes, call }: AdviceDeskOptions): AdviceDesk => {
-    const queue: (AdviceOrder & { readonly askedAtMs: number; })[] = [];
+    const queue: WaitingOrder[] = [];
+    /** Calls that were given to a lane so far. */
+    let taken = 0;
     const busy = new Map<string, boolean>();
     const restsUntil = new Map<string, number>();
     let closed = false;
@@ -68,23 +80,34 @@
         return lanes().find(lane => !busy.has(lane) && (restsUntil.get(lane) ?? 0) <= nowMs);
     };
 
-    const takeOrder = (): (AdviceOrder & { readonly askedAtMs: number; }) | undefined => {
+    const takeOrder = (): WaitingOrder | undefined => {
         const slowBusy = [...busy.values()].filter(slow => slow).length;
         const all = lanes().length;
         const slowAllowed = slowBusy < all - quickLanes(all);
+        const sinceMs = clock.monotonicMs() - longWaitMs;
+        const outOfTurn = taken % outOfTurnEvery === 0;
         let best = -1;
         for (const [index, order] of queue.entries()) {
             if (order.costMs > slowCostMs && !slowAllowed) {
                 continue;
             }
+            if (outOfTurn && order.askedAtMs < sinceMs) {
+                // The queue is in the order of asking, so this one has waited longest.
+                best = index;
+                break;
+            }
             if (best < 0 || order.priority < (queue[best]?.priority ?? 0)) {
                 best = index;
             }
         }
-        return best < 0 ? undefined : queue.splice(best, 1)[0];
+        if (best < 0) {
+            return undefined;
+        }
+        taken += 1;
+        return queue.splice(best, 1)[0];
     };
 
-    const serve = async (lane: string, order: AdviceOrder & { readonly askedAtMs: number; }): Promise<void> => {
+    const serve = async (lane: string, order: WaitingOrder): Promise<void> => {
         const { stepName, workerIds, costMs, askedAtMs } = order;
         const startedAtMs = clock.monotonicMs();
         meter.record("adviceQueueMs", startedAtMs - askedAtMs);
