The owner reviews all accepted tasks each second, and tells what those wait for that wait long

An accepted task runs, has ended, or waits for one of a closed list of events (taskWait.ts), each with a bound. A line taskWaits names, at most once a second, what the steps wait for that are beyond their bound, with counts of the workers that could run them by what keeps them from it. A new owner does the review once, with the line tasksReviewed, when all its workers that answer have shown what they run; the last one to settle may be silent, which workersKnown did not notice before.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -77,6 +77,8 @@
             | shardSettings        | leases of 5000 ms                       |
             | shardTables          | sequence                                |
             | tableWatch           | configuration seen                      |
+            | taskReview           | 1 step put back, then 0                 |
+            | taskWait             | ticket, then room                       |
             | upkeep               | completed                               |
             | waveRows             | true, 1 begun |
             | workerLink           | 3 looks                                 |
--- a/features/shard.feature
+++ b/features/shard.feature
@@ -355,3 +355,18 @@
     Scenario: A call to the advisor waits for a bounded time behind more urgent ones
         When the advice desk's lane is asked for urgent calls of 100 ms without end, and once for one of a lower priority
         Then the advisor has served the call of the lower priority within 2500 ms
+
+    Scenario: The log says what tasks wait for that have waited for long
+        Given a cell of 3 daemons and 4 workers
+        When the fault "all workers cut" comes
+        And 1 jobs of steps "2" are submitted
+        And the shard runs for 11000 ms
+        Then the log says that the tasks of 1 step wait for "workers", with "silent 4"
+
+    Scenario: A new owner reviews all accepted tasks once its workers are known, also where one of them is silent
+        Given a cell of 3 daemons and 4 workers
+        When 2 jobs of steps "3 long running" are submitted
+        And the shard runs for 1000 ms
+        And the fault "worker cut, owner killed" comes
+        And the shard runs for 3000 ms
+        Then the new owner has reviewed the tasks of 2 jobs
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -13,6 +13,7 @@
     applyEnd,
     chooseVictims,
     claimShard,
+    countStands,
     createAcceptance,
     createAdviceAsker,
     createAdviceDesk,
@@ -25,6 +26,7 @@
     createPlacing,
     createRoomView,
     createShardWorkers,
+    createTaskReview,
     createWaveRows,
     createWorkerWatch,
     defaultShardSettings,
@@ -55,6 +57,7 @@
     type ShardRun,
     startShardOwner,
     startUpkeep,
+    taskWaitOf,
     watchOwner,
     watchTable,
     watchWorkerList,
@@ -547,6 +550,7 @@
         changed: async () => {},
         onStarted: () => {},
         wake: () => {},
+        onKnown: () => {},
         onFenced: () => {},
     });
     workers.update([workerEntry("i-1", 1)]);
@@ -706,6 +710,31 @@
 };
 
 /** One example for each module of `core/shard`, by the module's name. */
+const taskWait = (): string => {
+    const { step } = taskOf(exampleJob());
+    const worker = openWorker();
+    const now = { workers: new Map([["i-1", worker]]), nowMs: 100 };
+    const before = taskWaitOf(taskOf(step.occurrence.job), countStands(step, now));
+    step.advice.good.set("i-1", { ticket: "t", validUntilMs: 9_000 });
+    worker.held = worker.entry.capacity;
+    return `${before}, then ${taskWaitOf(taskOf(step.occurrence.job), countStands(step, now))}`;
+};
+
+const taskReview = (): string => {
+    const job = exampleJob();
+    job.stored = true;
+    const considered: string[] = [];
+    const review = createTaskReview({
+        clock: createFakeClock(),
+        log,
+        meter,
+        jobs: new Map([[submission.jobId, job]]),
+        workers: new Map([["i-1", openWorker()]]),
+        placing: { holds: () => considered.length > 0, consider: each => considered.push(each.submission.jobId) },
+    });
+    return `${review.run()} step put back, then ${review.run()}`;
+};
+
 export const shardExamples: Readonly<Record<string, () => string | Promise<string>>> = {
     adviceDesk,
     askAhead,
@@ -734,6 +763,8 @@
     shardSettings: () => `leases of ${defaultShardSettings.leaseMs} ms`,
     shardTables: () => sequenceKey,
     tableWatch,
+    taskReview,
+    taskWait,
     upkeep,
     waveRows,
     workerLink,
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -458,6 +458,22 @@
     assert.ok((part(this).forwarded?.afterMs ?? Infinity) <= afterMs + 60, `after ${part(this).forwarded?.afterMs} ms`);
 });
 
+Then(
+    "the log says that the tasks of {int} step(s) wait for {string}, with {string}",
+    function(this: ScenarioWorld, count: number, wait: string, counts: string) {
+        const { fields } = cellOf(this).log.findLast(line => line.event === "taskWaits")
+            ?? assert.fail("it says nothing");
+        assert.equal(fields["lateSteps"], `${wait} ${count}`);
+        assert.match(String(fields["longest"]), new RegExp(`: ${wait} for \\d+ ms; ${counts}`));
+    },
+);
+
+Then("the new owner has reviewed the tasks of {int} jobs", function(this: ScenarioWorld, jobs: number) {
+    const cell = cellOf(this);
+    const lines = cell.log.slice(part(this).linesBefore).filter(line => line.event === "tasksReviewed");
+    assert.deepEqual(lines.map(line => [line.memberId, line.fields["jobs"]]), [[cell.owner(), jobs]]);
+});
+
 When("the operator withdraws the wave", function(this: ScenarioWorld) {
     cellOf(this).withdrawUpkeep(1);
 });
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -37,6 +37,8 @@
     /** One pass over all that waits. */
     pass(): void;
     readySteps(): number;
+    /** Whether the step is among those that the next pass looks at. */
+    holds(step: ShardStep): boolean;
 }
 
 /** A run that takes this many times its estimate, and this much more, may be on a slow worker. */
@@ -331,6 +333,7 @@
             }
         },
         pass,
+        holds: step => ready.has(step),
         readySteps: () => ready.size + copyable.size + upcoming.size,
     };
 };
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -25,6 +25,7 @@
 import type { ShardSettings } from "./shardSettings.js";
 import { endedTable } from "./shardTables.js";
 import { createShardWorkers } from "./shardWorkers.js";
+import { createTaskReview } from "./taskReview.js";
 import { startUpkeep, type Upkeep } from "./upkeep.js";
 import { createWaveRows } from "./waveRows.js";
 import { dropRun } from "./workerTable.js";
@@ -90,6 +91,8 @@
 const passRest = 2;
 /** Ended jobs are looked through this many ticks apart. */
 const forgetIntervalTicks = 50;
+/** All accepted tasks are reviewed this many ticks apart: a task that an event has missed stands for a second at the most. */
+const reviewIntervalTicks = 10;
 
 /** What an ended job was allowed to take; nothing for one that goes on, is scheduled, or has no objective. */
 const objectiveOf = (job: ShardJob): { readonly objectiveMs?: number; } => {
@@ -184,6 +187,7 @@
         changed: job => changed(job),
         onStarted: showStarted,
         wake: () => wake(),
+        onKnown: () => review.runFirst(),
         onFenced: () => fenced("worker"),
     });
 
@@ -238,6 +242,8 @@
         wake: () => wake(),
     });
 
+    const review = createTaskReview({ clock, log, meter, jobs, workers: workers.all, placing });
+
     const wake = (): void => {
         if (passWanted || closed) {
             return;
@@ -322,6 +328,9 @@
         if (ticks % forgetIntervalTicks === 0) {
             forgetOld(nowMs);
         }
+        if (ticks % reviewIntervalTicks === 0) {
+            review.run();
+        }
         if (placing.readySteps() > 0) {
             wake();
         }
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -27,6 +27,8 @@
     readonly onStarted: (job: ShardJob) => void;
     /** There may be room now. */
     readonly wake: () => void;
+    /** Every worker that answers has shown what it runs; called once. */
+    readonly onKnown: () => void;
     /** A worker has seen a higher token. */
     readonly onFenced: () => void;
 }
@@ -64,7 +66,7 @@
  * Makes the workers of a shard; none is known before the first listing.
  *
  * @example
- * const workers = createShardWorkers({ clock, log, meter, settings, port, fencingToken, jobOf, changed, onStarted, wake, onFenced });
+ * const workers = createShardWorkers({ clock, log, meter, settings, port, fencingToken, jobOf, changed, onStarted, wake, onKnown, onFenced });
  * workers.update(entries);
  */
 export const createShardWorkers = (options: ShardWorkersOptions): ShardWorkers => {
@@ -128,7 +130,10 @@
 
     /** Tells once, after a takeover, when every worker that answers has shown what it runs. */
     const noteKnown = (): void => {
-        if (allKnown || [...workers.values()].some(worker => !worker.certain && worker.silentLooks === 0)) {
+        if (
+            allKnown || links.size === 0
+            || [...workers.values()].some(worker => !worker.certain && worker.silentLooks === 0)
+        ) {
             return;
         }
         allKnown = true;
@@ -136,6 +141,7 @@
         const afterMs = Math.round(clock.monotonicMs() - startedAtMs);
         meter.record("workersKnownMs", afterMs);
         log.write("info", "workersKnown", { afterMs, workers: workers.size, silent });
+        options.onKnown();
     };
 
     const openLink = (worker: ShardWorker): WorkerLink =>
@@ -273,6 +279,8 @@
 
     /** Leases that are surely over, and workers of which nothing is left. */
     const checkHorizons = (nowMs: number): void => {
+        // The last one may have turned out to be silent.
+        noteKnown();
         for (const worker of [...workers.values()]) {
             const silent = worker.silentLooks > 0 || !worker.certain;
             if (!silent || nowMs <= worker.horizonMs) {
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/taskWait.ts
@@ -0,0 +1,203 @@
+/** What an accepted task that does not run waits for: one of a closed list of events, each with a bound on the wait. */
+
+import { fits } from "../../types/resources.js";
+import { countRuns, failedLately, suits, ticketFor } from "./chooseWorker.js";
+import { hasEnded, heldBy, isReady, isWaiting, runPhases, type ShardStep, type ShardTask } from "./jobBook.js";
+import { isOpen, roomOf, type ShardWorker } from "./workerTable.js";
+
+/** Events that a task can wait for once its turn has come. */
+export const taskWaits = {
+    /** The intent of its start is to become durable. */
+    commit: "commit",
+    /** A worker is to answer the order that starts it. */
+    startAnswer: "startAnswer",
+    /** A run that was stopped is to end. */
+    stopEnd: "stopEnd",
+    /** Other members of its gang are to end, since all start at once. */
+    members: "members",
+    /** A worker that could run it is to be listed. */
+    listing: "listing",
+    /** A worker that could run it is to answer, or to end its rest. */
+    workers: "workers",
+    /** The advisor is to answer. */
+    advice: "advice",
+    /** The advisor is to be asked about workers that are open, or to allow one. */
+    ticket: "ticket",
+    /** Runs are to end on a worker that it may use. */
+    room: "room",
+    /** It failed lately on the workers with room, and another one is to have some. */
+    untried: "untried",
+    /** A worker has room for it: the next pass is to place it, unless the room is kept for more urgent steps. */
+    turn: "turn",
+} as const;
+/** One of `taskWaits`. */
+export type TaskWait = (typeof taskWaits)[keyof typeof taskWaits];
+
+/** How long each wait may last in milliseconds before it is worth a log line. */
+export const waitBoundsMs: Readonly<Record<TaskWait, number>> = {
+    /** The store answers within 10 ms; an outage is logged by the commit log. */
+    commit: 2_000,
+    /** An order without an answer is sent again within 0.7 s. */
+    startAnswer: 3_000,
+    /** A stop takes up to 0.9 s. */
+    stopEnd: 3_000,
+    /** The longest of a stop and of a gang's wait for its members. */
+    members: 5_000,
+    /** Entries are back 2 s after the store is. */
+    listing: 3_000,
+    /** A lease, with the time for which a former owner may have renewed it. */
+    workers: 8_000,
+    /** Calls that have waited for 2 s are taken out of turn. */
+    advice: 4_000,
+    /** A new call follows an answer within 0.2 s. */
+    ticket: 3_000,
+    /** Under load the wait for room is usual. */
+    room: 10_000,
+    /** A task keeps off a worker for 5 s. */
+    untried: 6_000,
+    /** Passes follow within milliseconds of a change, and more slowly where many steps wait. */
+    turn: 3_000,
+};
+
+/** How a worker stands towards a step that waits; the first that applies. */
+export const workerStands = [
+    "unlisted",
+    "leaving",
+    "uncertain",
+    "silent",
+    "resting",
+    "noTicket",
+    "full",
+    "avoided",
+    "free",
+] as const;
+/** One of `workerStands`. */
+export type WorkerStand = (typeof workerStands)[number];
+
+/** How many of the workers that could run a step stand in each way. */
+export type StandCounts = Readonly<Record<WorkerStand, number>>;
+
+/** The workers, at one moment. */
+export interface WorkersNow {
+    readonly workers: ReadonlyMap<string, ShardWorker>;
+    readonly nowMs: number;
+}
+
+interface StandOptions {
+    readonly nowMs: number;
+    /** Live runs of the step on the worker. */
+    readonly runsHere: number;
+}
+
+const standOf = (worker: ShardWorker, step: ShardStep, { runsHere, nowMs }: StandOptions): WorkerStand => {
+    if (worker.entry.draining || worker.cordoned) {
+        return "leaving";
+    }
+    if (!worker.certain) {
+        return "uncertain";
+    }
+    if (worker.silentLooks > 0) {
+        return "silent";
+    }
+    if (!isOpen(worker, nowMs)) {
+        return worker.unlistedAtMs === undefined ? "resting" : "unlisted";
+    }
+    if (ticketFor(step, worker.workerId, nowMs) === undefined) {
+        return "noTicket";
+    }
+    const { maxPerWorker } = step.spec;
+    if (maxPerWorker > 0 && runsHere >= maxPerWorker || !fits(heldBy(step.spec), roomOf(worker))) {
+        return "full";
+    }
+    const avoided = step.tasks.every(task => !isWaiting(task) || failedLately(task, worker.workerId, nowMs));
+    return avoided ? "avoided" : "free";
+};
+
+/**
+ * Counts how the workers that could run a step stand towards it. A worker that was never listed to this owner counts as
+ * unlisted, since nobody knows what it could run.
+ *
+ * @example
+ * countStands(step, { workers, nowMs: clock.monotonicMs() }).silent;
+ */
+export const countStands = (step: ShardStep, { workers, nowMs }: WorkersNow): StandCounts => {
+    const counts = {
+        unlisted: 0,
+        leaving: 0,
+        uncertain: 0,
+        silent: 0,
+        resting: 0,
+        noTicket: 0,
+        full: 0,
+        avoided: 0,
+        free: 0,
+    };
+    const runs = countRuns(step);
+    for (const worker of workers.values()) {
+        if (worker.entry.service === "") {
+            counts.unlisted += 1;
+        }
+        else if (suits(worker, step)) {
+            counts[standOf(worker, step, { runsHere: runs.get(worker.workerId) ?? 0, nowMs })] += 1;
+        }
+    }
+    return counts;
+};
+
+const waitForWorker = ({ advice }: ShardStep, counts: StandCounts): TaskWait => {
+    if (counts.free > 0) {
+        return taskWaits.turn;
+    }
+    if (advice.inFlight) {
+        return taskWaits.advice;
+    }
+    if (counts.avoided > 0) {
+        return taskWaits.untried;
+    }
+    if (counts.full > 0) {
+        return taskWaits.room;
+    }
+    if (counts.noTicket > 0) {
+        return taskWaits.ticket;
+    }
+    return workerStands.every(stand => stand === "unlisted" || counts[stand] === 0)
+        ? taskWaits.listing
+        : taskWaits.workers;
+};
+
+/**
+ * Tells whether an accepted task ought to run and does not: its turn has come, it is not done, and no worker shows it at
+ * work.
+ *
+ * @example
+ * isDue(task); // false while a step before its own is open
+ */
+export const isDue = (task: ShardTask): boolean => {
+    const { step } = task;
+    const { job } = step.occurrence;
+    return job.stored && !hasEnded(job) && !task.done && isReady(step)
+        && task.runs.every(run => run.phase !== runPhases.running);
+};
+
+/**
+ * Names what a task that is due waits for.
+ *
+ * @example
+ * if (isDue(task)) { taskWaitOf(task, countStands(task.step, { workers, nowMs })); } // "room"
+ */
+export const taskWaitOf = (task: ShardTask, counts: StandCounts): TaskWait => {
+    const { step, runs } = task;
+    if (runs.some(run => run.phase === runPhases.starting)) {
+        return taskWaits.startAnswer;
+    }
+    if (runs.some(run => run.phase === runPhases.planned)) {
+        return taskWaits.commit;
+    }
+    if (runs.length > 0) {
+        return taskWaits.stopEnd;
+    }
+    if (step.spec.gang && !step.tasks.every(isWaiting)) {
+        return taskWaits.members;
+    }
+    return waitForWorker(step, counts);
+};
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -54,6 +54,8 @@
 export * from "./core/shard/shardTables.js";
 export * from "./core/shard/shardWorkers.js";
 export * from "./core/shard/tableWatch.js";
+export * from "./core/shard/taskReview.js";
+export * from "./core/shard/taskWait.js";
 export * from "./core/shard/upkeep.js";
 export * from "./core/shard/urgency.js";
 export * from "./core/shard/waveRows.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -83,6 +83,7 @@
     type ChoiceLimits,
     type Chooser,
     createChooser,
+    failedLately,
     type Packing,
     packings,
     ticketFor,
@@ -137,6 +138,19 @@
     type ShardSettings,
 } from "./internal.js";
 export { endedTable, journalTable, ownerKey, ownerTable, sequenceKey, upkeepTable } from "./internal.js";
+export { createTaskReview, type TaskReview, type TaskReviewOptions } from "./internal.js";
+export {
+    countStands,
+    isDue,
+    type StandCounts,
+    type TaskWait,
+    taskWaitOf,
+    taskWaits,
+    waitBoundsMs,
+    type WorkersNow,
+    type WorkerStand,
+    workerStands,
+} from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
 export { handOver, type HandOverOptions } from "./internal.js";
 export { type OwnerWatch, type OwnerWatchOptions, watchOwner } from "./internal.js";
