Stand-ins: no accepted task stands while a worker with room for it answers, after every scene of a shard

The check judges from the store's rows and the workers' evidence, not from an owner's own view: an accepted task whose turn has come, that neither runs nor has ended for 14 s after all faults are gone, although a worker that is listed, sound and allowed has room for it.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -40,3 +40,24 @@
             | noRecovery            | endInOutage    | 30    |
             | noTakeoverWait        | endMidStart    | 60    |
             | startsNeverVoid       | endMidStart    | 8     |
+
+    Scenario Outline: On a shard with jobs that last no task stands that has room, seed <seed>
+        When the seed <seed> is explored on a shard with jobs that last
+        Then nothing went wrong on the shard
+
+        Examples:
+            | seed |
+            | 1    |
+            | 2    |
+            | 3    |
+            | 4    |
+
+    Scenario Outline: A part of a shard's surroundings that is broken on purpose is found: <part>
+        When seeds from <first> on are explored on a shard with the part "<part>" broken
+        Then a task that stands is found within 20 seeds
+
+        Examples:
+            | part          | first |
+            | listedOnce    | 3     |
+            | endsHidden    | 4     |
+            | nobodyAllowed | 1     |
--- a/features/steps/explorationSteps.ts
+++ b/features/steps/explorationSteps.ts
@@ -1,10 +1,18 @@
 import { Then, When } from "@cucumber/cucumber";
-import { type BrokenPart, type Exploration, explore, type Scene } from "@puffinarch/stand-ins";
+import {
+    type BrokenPart,
+    type BrokenShardPart,
+    type Exploration,
+    explore,
+    exploreShardSeed,
+    type Scene,
+} from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface ExplorationPart {
     readonly results: Exploration[];
+    readonly shard: { wrong: readonly string[] | undefined; broken: BrokenShardPart | undefined; first: number; };
     readonly search: { part: BrokenPart | undefined; scene: Scene | undefined; first: number; };
 }
 
@@ -12,7 +20,15 @@
 const stepsInScene = 12;
 
 const part = (world: ScenarioWorld): ExplorationPart =>
-    partOf(world, "exploration", () => ({ results: [], search: { part: undefined, scene: undefined, first: 1 } }));
+    partOf(
+        world,
+        "exploration",
+        () => ({
+            results: [],
+            shard: { wrong: undefined, broken: undefined, first: 1 },
+            search: { part: undefined, scene: undefined, first: 1 },
+        }),
+    );
 
 const show = ({ seed, broken, steps }: Exploration): string =>
     `seed ${seed}: ${broken.join("; ")}\n${steps.join("\n")}`;
@@ -57,3 +73,32 @@
     }
     assert.fail(`${broken} was not found within ${most} schedules from ${first} on`);
 });
+
+When(
+    "the seed {int} is explored on a shard with jobs that last",
+    async function(this: ScenarioWorld, seed: number) {
+        part(this).shard.wrong = await exploreShardSeed(seed, { lasting: true });
+    },
+);
+
+Then("nothing went wrong on the shard", function(this: ScenarioWorld) {
+    assert.deepEqual(part(this).shard.wrong, []);
+});
+
+When(
+    "seeds from {int} on are explored on a shard with the part {string} broken",
+    function(this: ScenarioWorld, first: number, name: string) {
+        Object.assign(part(this).shard, { broken: name as BrokenShardPart, first });
+    },
+);
+
+Then("a task that stands is found within {int} seeds", async function(this: ScenarioWorld, most: number) {
+    const { broken, first } = part(this).shard;
+    for (let seed = first; seed < first + most; seed += 1) {
+        const wrong = await exploreShardSeed(seed, { lasting: true, broken });
+        if (wrong.some(each => each.includes("stands with room"))) {
+            return;
+        }
+    }
+    assert.fail(`${broken} was not found within ${most} seeds from ${first} on`);
+});
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -1,9 +1,10 @@
-import { Given, Then, When } from "@cucumber/cucumber";
+import { After, Given, Status, Then, When } from "@cucumber/cucumber";
 import {
     createFakeClock,
     createFakeRowStore,
     createShardCell,
     crowdedShapes,
+    findStanding,
     jobIdOf,
     readSteps,
     runRandomFaults,
@@ -54,6 +55,18 @@
         }),
     );
 
+/** Whatever a scene was about: once nothing is wrong, each accepted task runs, has ended, or finds no worker with room. */
+After(async function(this: ScenarioWorld, { result }) {
+    const { cell, mend } = part(this);
+    if (cell === undefined || result?.status !== Status.PASSED) {
+        return;
+    }
+    for (const end of mend.splice(0)) {
+        end();
+    }
+    assert.deepEqual(await findStanding(cell), [], "tasks stand although a worker with room for them answers");
+});
+
 const cellOf = (world: ScenarioWorld): ShardCell => {
     const { cell } = part(world);
     assert.ok(cell !== undefined);
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -54,6 +54,8 @@
     /** The worker's life ends; what answers at its address from now on is another one. */
     crash(workerId: string): void;
     workerIds(): readonly string[];
+    /** Whether the worker lives and nothing is wrong with it. */
+    isSound(workerId: string): boolean;
     readonly evidence: readonly StartEvidence[];
     /** Workers that ever held more than they have. */
     overcommitted(): readonly string[];
@@ -360,6 +362,7 @@
             worker.running.clear();
         },
         workerIds: () => [...workers.keys()],
+        isSound: workerId => workers.get(workerId)?.alive === true && workers.get(workerId)?.fault === "none",
         evidence,
         overcommitted: () => [...overcommitted],
     };
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -9,7 +9,9 @@
     defaultShardSettings,
     die,
     heldBy,
+    jobStates,
     type JobSubmission,
+    journalTable,
     kindOf,
     type Log,
     type MemberHandlers,
@@ -19,16 +21,20 @@
     parseTaskName,
     type Queue,
     type Resources,
+    type Row,
     type ShardPolicies,
     startCellMember,
     type Step,
     type UpkeepWave,
+    waveStates,
     type WorkerEntry,
 } from "puffinarch";
 import { createFakeClock, type FakeClock } from "../cell/fakeClock.js";
+import { breakShardPart, type BrokenShardPart } from "./brokenShardParts.js";
 import { createFakeVms, type FakeVms } from "./fakeVms.js";
 import { breachesOf, createFakeFencedWorkers, type FakeFencedWorkers } from "./fencedWorkers.js";
 import { createFakeRowStore, type FakeRowStore } from "./rowStore.js";
+import { standingTasks } from "./standing.js";
 
 /** The queue that the cell's configuration has. */
 export const testQueue: Queue = {
@@ -105,6 +111,8 @@
     /** State of each job as the owner shows it; moves time a little. */
     statesOf(jobIds: readonly string[]): Promise<ReadonlyMap<string, string | undefined>>;
     breaches(): readonly string[];
+    /** Accepted tasks that neither run nor have ended although their turn has come and a worker with room answers. */
+    standing(): readonly string[];
 }
 
 /** What a cell is made of. */
@@ -126,6 +134,8 @@
     readonly checksVmTokens?: boolean;
     /** Whether the advisor allows a step on a worker. */
     readonly isGood?: (stepName: string, workerId: string) => boolean;
+    /** A part of every daemon's surroundings that is broken on purpose. */
+    readonly broken?: BrokenShardPart | undefined;
 }
 
 /** One life of a daemon's process. */
@@ -139,6 +149,9 @@
     readonly life: Life;
 }
 
+/** Key prefix of the rows with the jobs' states, and the states of jobs that go on. */
+const stateKeyPrefix = "state/";
+const openStates: ReadonlySet<string> = new Set([jobStates.queued, jobStates.running]);
 const linkMs = 1;
 const unansweredMs = 3_000;
 const leaveMs = 4_000;
@@ -188,6 +201,7 @@
         strengths = [],
         checksVmTokens = true,
         isGood = () => true,
+        broken,
     }: ShardCellOptions,
 ): ShardCell => {
     const clock = createFakeClock();
@@ -205,13 +219,14 @@
         durationMs === "estimated"
             ? (stepOf(taskName)?.estimateMs ?? 0) * (0.8 + 0.4 * random.next())
             : durationMs * (0.5 + random.next());
+    const heldOf = (taskName: string): Resources => {
+        const step = stepOf(taskName);
+        return step === undefined ? noResources : heldBy(step);
+    };
     const workers = createFakeFencedWorkers({
         clock,
         leaseLimitMs: 10_000,
-        heldOf: taskName => {
-            const step = stepOf(taskName);
-            return step === undefined ? noResources : heldBy(step);
-        },
+        heldOf,
         model: (taskName, run) => ({
             durationMs: stepOf(taskName)?.longRunning === true ? 3_600_000 : runMs(taskName),
             // One failure a task: a job that fails by bad luck alone proves nothing.
@@ -269,6 +284,9 @@
         },
     };
 
+    const readEntry = ({ value }: Row): WorkerEntry | undefined =>
+        value === undefined ? undefined : JSON.parse(value) as WorkerEntry;
+
     const meter: Meter = { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 };
 
     const start = (memberId: string): void => {
@@ -277,6 +295,17 @@
         const alive = (): boolean => life.alive;
         const connection = store.connect(memberId);
         const never = new Promise<never>(() => {});
+        const port = workers.connect(() => !isCut(memberId, "workers"));
+        const surroundings = breakShardPart(broken, {
+            workers: {
+                start: (target, order, timeoutMs) => alive() ? port.start(target, order, timeoutMs) : never,
+                stop: (target, order, timeoutMs) => alive() ? port.stop(target, order, timeoutMs) : never,
+                look: (target, order) => alive() ? port.look(target, order) : never,
+                pace: (target, order) => alive() ? port.pace(target, order) : never,
+            },
+            advisor,
+            readWorker: readEntry,
+        });
         const member = startCellMember({
             clock,
             log: writer,
@@ -296,16 +325,8 @@
                 read: (table, part, fromKey, limit) => alive() ? connection.read(table, part, fromKey, limit) : never,
                 changes: (table, version, waitMs) => alive() ? connection.changes(table, version, waitMs) : never,
             },
-            workers: (() => {
-                const port = workers.connect(() => !isCut(memberId, "workers"));
-                return {
-                    start: (target, order, timeoutMs) => alive() ? port.start(target, order, timeoutMs) : never,
-                    stop: (target, order, timeoutMs) => alive() ? port.stop(target, order, timeoutMs) : never,
-                    look: (target, order) => alive() ? port.look(target, order) : never,
-                    pace: (target, order) => alive() ? port.pace(target, order) : never,
-                };
-            })(),
-            advisor,
+            workers: surroundings.workers,
+            advisor: surroundings.advisor,
             members: peersOf(memberId),
             platform: {
                 configurationTable: "operator",
@@ -314,7 +335,7 @@
                     return row?.value === undefined ? undefined : JSON.parse(row.value) as CellConfiguration;
                 },
                 workerTable: "workers",
-                readWorker: row => row.value === undefined ? undefined : JSON.parse(row.value) as WorkerEntry,
+                readWorker: surroundings.readWorker,
                 upkeep: {
                     port: vms.port,
                     settleMs: checksVmTokens ? 0 : 15_000,
@@ -364,6 +385,23 @@
         start(memberId);
     }
 
+    /** Jobs whose row says that they go on; they are accepted, whoever has heard so. */
+    const openJobs = (): readonly string[] =>
+        store.rows(journalTable).filter(({ key, value }) =>
+            key.startsWith(stateKeyPrefix)
+            && openStates.has((JSON.parse(value ?? "{}") as { state?: string; }).state ?? "")
+        ).map(({ key }) => key.slice(stateKeyPrefix.length));
+
+    const workersForNew = (): readonly WorkerEntry[] =>
+        store.rows("workers").flatMap(row => readEntry(row) ?? [])
+            .filter(({ workerId, draining }) => !draining && workers.isSound(workerId));
+
+    /** Workers of a wave that goes on are closed to new tasks, and from outside nobody sees which. */
+    const wavesOpen = (): boolean =>
+        store.rows("operator").some(({ key }) =>
+            key.startsWith("wave/") && store.rows("status").find(row => row.key === key)?.value !== waveStates.completed
+        );
+
     const owner = (): string | undefined =>
         ids.find(id => seats.get(id)?.life.alive === true && seats.get(id)?.member.ownsShard());
 
@@ -484,5 +522,13 @@
             ...breachesOf(workers.evidence, taskName => stepOf(taskName)?.speculative === true),
             ...workers.overcommitted().map(workerId => `${workerId} held more than it has`),
         ],
+        standing: () =>
+            wavesOpen() ? [] : standingTasks({
+                jobs: openJobs().map(jobId => ({ jobId, steps: steps.get(jobId) ?? [] })),
+                evidence: workers.evidence,
+                workers: workersForNew(),
+                heldOf,
+                isGood,
+            }),
     };
 };
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -1,7 +1,9 @@
 /** Faults of a cell of daemons with one shard, and seeded runs with several of them at once. */
 
 import { createSeededRandom, type Step } from "puffinarch";
+import type { BrokenShardPart } from "./brokenShardParts.js";
 import { createShardCell, plainStep, type ShardCell } from "./shardCell.js";
+import { findStanding } from "./standing.js";
 
 /** Reads steps such as "3, 4 after 0, 2 gang, 1 of 8 accelerators for 2000 ms". */
 export const readSteps = (text: string): readonly Step[] =>
@@ -52,6 +54,13 @@
     };
 };
 
+const unlistWorkers = (cell: ShardCell): () => void => {
+    for (const workerId of cell.workers.workerIds()) {
+        cell.unlist(workerId);
+    }
+    return () => cell.listWorkers();
+};
+
 /** Faults of a cell by name; each gives what mends it. */
 export const shardFaults: Readonly<Record<string, (cell: ShardCell) => () => void>> = {
     "owner killed": cell => {
@@ -134,27 +143,37 @@
         cell.vms.setFault("silent");
         return () => cell.vms.setFault("none");
     },
-    "workers not listed": cell => {
-        for (const workerId of cell.workers.workerIds()) {
-            cell.unlist(workerId);
-        }
-        return () => cell.listWorkers();
+    "workers not listed": unlistWorkers,
+    "workers cut until their entries lapsed": cell => {
+        const mendCut = workerFault(cell, "cut", cell.workers.workerIds().length);
+        const listAgain = unlistWorkers(cell);
+        return () => {
+            mendCut();
+            listAgain();
+        };
     },
 };
 
 const randomShapes = ["2", "3, 4 after 0", "2, 2 after 0, 1 after 1", "4 gang", "3 speculative, 1 after 0"];
 /** Tasks that need much of a worker, so that most wait for room. */
 export const crowdedShapes = ["2 of 8 cores", "3 of 5 cores checkpointing, 2 of 8 cores after 0", "4 of 3 cores"];
+/** Faults that end placing while they last, for cells in which it has to begin again. */
+const lastingFaults = ["workers not listed", "workers cut until their entries lapsed"];
 /** A crashed worker stays gone and a list without workers ends all placing, so these stand in the table alone. */
 const randomFaults = Object.keys(shardFaults).filter(name =>
-    !["worker crashes", "workers not listed", "all workers cut but the first"].includes(name)
+    !["worker crashes", "all workers cut but the first", ...lastingFaults].includes(name)
 );
+/** Jobs that last take half of the room of six workers, by tasks of three sizes; their ids follow those of all others. */
+const lastingShapes = ["4 long running", "2 long running of 4 cores", "1 long running of 8 cores"];
+const lastingIds = 9_001;
 const stepMs = 250;
 const jobShare = 0.5;
 const faultShare = 0.15;
 const faultsAtOnce = 2;
 const shortestFaultMs = 500;
 const faultSpreadMs = 4_000;
+/** Long enough for leases of 5 s to end. */
+const longFaultSpreadMs = 10_000;
 
 /**
  * Submits jobs while faults come and go, all chosen by the seed; at its end every fault is mended.
@@ -164,13 +183,17 @@
  */
 export const runRandomFaults = async (
     cell: ShardCell,
-    { seed, forMs, onJob, onFault, shapes = randomShapes }: {
+    { seed, forMs, onJob, onFault, shapes = randomShapes, faults = randomFaults, spreadMs = faultSpreadMs }: {
         readonly seed: number;
         readonly forMs: number;
         readonly onJob: (jobId: string) => void;
         readonly onFault?: (atMs: number, name: string) => void;
         /** Steps of the jobs that are submitted. */
         readonly shapes?: readonly string[];
+        /** Faults that may come, by name. */
+        readonly faults?: readonly string[];
+        /** By how much more than the shortest one a fault may last. */
+        readonly spreadMs?: number;
     },
 ): Promise<void> => {
     const random = createSeededRandom(1_000 + seed);
@@ -193,10 +216,10 @@
             }
         }
         if (random.next() < faultShare && open.length < faultsAtOnce) {
-            const name = choose(randomFaults);
+            const name = choose(faults);
             onFault?.(nowMs, name);
             const mend = shardFaults[name]?.(cell) ?? (() => {});
-            open.push({ endsAtMs: nowMs + shortestFaultMs + faultSpreadMs * random.next(), mend });
+            open.push({ endsAtMs: nowMs + shortestFaultMs + spreadMs * random.next(), mend });
         }
     }
     for (const fault of open) {
@@ -204,29 +227,46 @@
     }
 };
 
+/** What a seed is run with. */
+export interface ExploreShardOptions {
+    /** Steps of the jobs that are submitted while faults come. */
+    readonly shapes?: readonly string[] | undefined;
+    /** Adds jobs that last, on whose tasks nothing but the scheduler brings an end, and lets the list of workers lapse. */
+    readonly lasting?: boolean | undefined;
+    readonly broken?: BrokenShardPart | undefined;
+}
+
 /**
  * Runs one seed on a cell of its own; gives what went wrong, nothing where all is well.
  *
  * @example
- * const wrong = await exploreShardSeed(7);
+ * const wrong = await exploreShardSeed(7, { lasting: true });
  */
-export const exploreShardSeed = async (seed: number, shapes?: readonly string[]): Promise<readonly string[]> => {
-    const cell = createShardCell({ members: 4, workers: 6, seed, failOften: 0.01 });
+export const exploreShardSeed = async (
+    seed: number,
+    { shapes, lasting = false, broken }: ExploreShardOptions = {},
+): Promise<readonly string[]> => {
+    const cell = createShardCell({ members: 4, workers: 6, seed, failOften: 0.01, broken });
     const jobs: string[] = [];
     const faults: string[] = [];
     await cell.clock.advance(2_000);
+    for (const [index, steps] of (lasting ? lastingShapes : []).entries()) {
+        cell.submit(jobIdOf(lastingIds + index), readSteps(steps));
+    }
     await runRandomFaults(cell, {
         seed,
         forMs: 20_000,
         onJob: jobId => jobs.push(jobId),
         onFault: (atMs, name) => faults.push(`${atMs} ${name}`),
         ...(shapes === undefined ? {} : { shapes }),
+        ...(lasting ? { faults: [...randomFaults, ...lastingFaults], spreadMs: longFaultSpreadMs } : {}),
     });
     const left = async (): Promise<readonly string[]> => {
         const states = await cell.statesOf(jobs);
         return [...states].filter(([, state]) => state !== "completed").map(([jobId, state]) => `${jobId} is ${state}`);
     };
     await cell.until(async () => (await left()).length === 0, 60_000);
-    const wrong = [...await left(), ...cell.breaches()];
+    const standing = (await findStanding(cell)).map(taskName => `${taskName} stands with room for it`);
+    const wrong = [...await left(), ...standing, ...cell.breaches()];
     return wrong.length === 0 ? [] : [...wrong, ...faults];
 };
