Scene: a task that lasts stands for as long as room is kept for a step that cannot begin yet

Cause: room that is kept for a more urgent step may be used meanwhile only by tasks that end before it is needed, or that give way. A task that lasts does neither, and every step with an objective that can still be met goes before it. Such a step may wait for its last member for as long as its objective allows, or longer runs take; its workers are idle until then, and where they are those on which the lasting task may run, it stands.

The scene: four workers, a run of 30 s on one of them, a gang that needs all four, and a task of one core that lasts.

--- a/features/shard.feature
+++ b/features/shard.feature
@@ -370,3 +370,13 @@
         And the fault "worker cut, owner killed" comes
         And the shard runs for 3000 ms
         Then the new owner has reviewed the tasks of 2 jobs
+
+    Scenario: A task that lasts is not kept out for long of room that is kept for a step which cannot begin yet
+        Given a cell of 3 daemons and 4 workers whose tasks take their estimates, with a stretch of 20
+        When 1 jobs of steps "1 of 1 cores for 30000 ms" are submitted
+        And the shard runs for 1000 ms
+        And 1 jobs of steps "4 gang of 8 cores for 2000 ms" are submitted
+        And the shard runs for 1000 ms
+        And 1 jobs of steps "1 long running of 1 cores" are submitted
+        And the shard runs for 4000 ms
+        Then 2 tasks run
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -89,6 +89,14 @@
     },
 );
 
+Given(
+    "a cell of {int} daemons and {int} workers whose tasks take their estimates, with a stretch of {int}",
+    async function(this: ScenarioWorld, members: number, workers: number, stretch: number) {
+        const queues = [{ ...testQueue, stretch }];
+        await startCell(this, { members, workers, seed: 1, durationMs: "estimated", queues });
+    },
+);
+
 Given(
     "a cell of {int} daemons and {int} workers whose VMs refuse no token",
     async function(this: ScenarioWorld, members: number, workers: number) {
