A task that lasts takes kept room once its step has waited for 2 s

Room that is kept for steps which cannot begin yet kept it out for as long as their objective allowed.

--- a/packages/puffinarch/src/core/shard/roomView.ts
+++ b/packages/puffinarch/src/core/shard/roomView.ts
@@ -32,12 +32,21 @@
 export const isPreemptible = ({ spec }: ShardStep): boolean =>
     spec.checkpointing && !spec.gang && !spec.longRunning && !spec.fills;
 
+/**
+ * Room may be kept for as long as an objective allows, for a gang whose last worker is busy. A task that lasts never ends
+ * before, and its callers go without it all the while; after this it takes the room.
+ */
+const lastingWaitMs = 2_000;
+
 const priorityOf = ({ occurrence }: ShardStep): number => occurrence.job.queue.priority;
 
-/** Whether a task may use kept room meanwhile: it ends before, or is stopped then and has got on by then. */
+/** Whether a task may use kept room: it ends before, or is stopped then and has got on by then, or lasts and has waited. */
 const mayPass = (step: ShardStep, kept: Reservation, nowMs: number): boolean => {
     const leftMs = kept.freeAtMs - nowMs;
     const { estimateMs, longRunning } = step.spec;
+    if (longRunning && nowMs - step.readyAtMs >= lastingWaitMs) {
+        return true;
+    }
     const endsBefore = !longRunning && estimateMs > 0 && estimateMargin * estimateMs <= leftMs;
     return endsBefore || isPreemptible(step) && priorityOf(step) > priorityOf(kept.step) && leftMs >= progressMs;
 };
--- a/packages/puffinarch/src/core/shard/taskWait.ts
+++ b/packages/puffinarch/src/core/shard/taskWait.ts
@@ -27,7 +27,7 @@
     room: "room",
     /** It failed lately on the workers with room, and another one is to have some. */
     untried: "untried",
-    /** A worker has room for it: the next pass is to place it, unless the room is kept for more urgent steps. */
+    /** A worker has room for it: a pass is to place it, once no room is kept for others or, of a gang, all have some. */
     turn: "turn",
 } as const;
 /** One of `taskWaits`. */
