Scene: a start that gets no answer from a worker that answers looks is sent for ever

Cause: only a silent worker ends the wait for a start's answer. Where looks are answered, and renew the lease, while orders get lost, the task waits in its start without a bound, and so does its room.

--- a/features/shard.feature
+++ b/features/shard.feature
@@ -380,3 +380,11 @@
         And 1 jobs of steps "1 long running of 1 cores" are submitted
         And the shard runs for 4000 ms
         Then 2 tasks run
+
+    Scenario: A start that gets no answer from a worker that answers looks is given up
+        Given a cell of 3 daemons and 2 workers
+        When the fault "orders to a worker get lost" comes
+        And 1 jobs of steps "4 long running" are submitted
+        And the shard runs for 14000 ms
+        Then 4 tasks run
+        And no promise was broken
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -37,8 +37,11 @@
     lapsedSince: boolean;
 }
 
-/** What can be wrong with a worker. `late`: orders get no answer and are carried out three seconds after. */
-export const workerFaults = ["none", "cut", "late", "failing", "hanging"] as const;
+/**
+ * What can be wrong with a worker. `late`: orders get no answer and are carried out three seconds after. `deaf`: orders get
+ * lost, and looks do not.
+ */
+export const workerFaults = ["none", "cut", "late", "failing", "hanging", "deaf"] as const;
 /** One of `workerFaults`. */
 export type WorkerFault = (typeof workerFaults)[number];
 
@@ -282,6 +285,10 @@
             if (worker === "otherLife") {
                 return orderOutcomes.otherLife;
             }
+            if (worker.fault === "deaf") {
+                await wait(timeoutMs);
+                return orderOutcomes.unknown;
+            }
             if (worker.fault === "late") {
                 clock.setTimer(lateMs, () => {
                     if (worker.alive) {
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -42,7 +42,7 @@
     return () => cell.store.setFault("none");
 };
 
-const workerFault = (cell: ShardCell, fault: "cut" | "late" | "failing", count: number): () => void => {
+const workerFault = (cell: ShardCell, fault: "cut" | "late" | "failing" | "deaf", count: number): () => void => {
     const hit = cell.workers.workerIds().slice(0, count);
     for (const workerId of hit) {
         cell.workers.setFault(workerId, fault);
@@ -126,6 +126,7 @@
         };
     },
     "worker carries out late": cell => workerFault(cell, "late", 1),
+    "orders to a worker get lost": cell => workerFault(cell, "deaf", 1),
     "worker fails everything": cell => workerFault(cell, "failing", 1),
     "worker crashes": cell => {
         cell.workers.crash(cell.workers.workerIds()[0] ?? "");
@@ -158,7 +159,7 @@
 /** Tasks that need much of a worker, so that most wait for room. */
 export const crowdedShapes = ["2 of 8 cores", "3 of 5 cores checkpointing, 2 of 8 cores after 0", "4 of 3 cores"];
 /** Faults that end placing while they last, for cells in which it has to begin again. */
-const lastingFaults = ["workers not listed", "workers cut until their entries lapsed"];
+const lastingFaults = ["workers not listed", "workers cut until their entries lapsed", "orders to a worker get lost"];
 /** A crashed worker stays gone and a list without workers ends all placing, so these stand in the table alone. */
 const randomFaults = Object.keys(shardFaults).filter(name =>
     !["worker crashes", "all workers cut but the first", ...lastingFaults].includes(name)
