A start without an answer for 2 s from a worker that answers looks is given up

Its copies carry deadlines, so that none is carried out once the worker's horizon is over; a later look that does not list the run proves it gone, and its task runs elsewhere. The worker gets no new work meanwhile and for 3 s after.

--- a/packages/puffinarch/src/core/shard/taskWait.ts
+++ b/packages/puffinarch/src/core/shard/taskWait.ts
@@ -37,8 +37,8 @@
 export const waitBoundsMs: Readonly<Record<TaskWait, number>> = {
     /** The store answers within 10 ms; an outage is logged by the commit log. */
     commit: 2_000,
-    /** An order without an answer is sent again within 0.7 s. */
-    startAnswer: 3_000,
+    /** A start without an answer is given up after 2 s, and is gone once its lease of 5 s would be over. */
+    startAnswer: 9_000,
     /** A stop takes up to 0.9 s. */
     stopEnd: 3_000,
     /** The longest of a stop and of a gang's wait for its members. */
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -9,6 +9,10 @@
 /** An order takes a round trip of some milliseconds; without an answer by the first it is sent again, up to the last. */
 const shortestOrderMs = 150;
 const longestOrderMs = 600;
+/** A start without an answer for this long, from a worker that answers looks, is given up. */
+const startPatienceMs = 2_000;
+/** A worker that does not answer orders gets none for this long after that. */
+const unansweredRestMs = 3_000;
 
 /** What the links of a shard share. */
 export interface WorkerLinkOptions {
@@ -157,9 +161,17 @@
         options.onNotStarted(worker, run, outcome);
     };
 
+    /** No copy is carried out once its lease would be over, so that a later look which does not list the run proves it gone. */
+    const giveUpStart = (run: ShardRun): void => {
+        log.write("warn", "startUnanswered", { task: run.task.name, run: run.run, workerId: worker.workerId });
+        run.settledAtMs = worker.horizonMs;
+        worker.avoidUntilMs = Math.max(worker.avoidUntilMs, worker.horizonMs + unansweredRestMs);
+    };
+
     const startUntilSettled = async (run: ShardRun, checkpoint: string, ticket: string): Promise<void> => {
         let unanswered = false;
         let timeoutMs = shortestOrderMs;
+        const beganAtMs = clock.monotonicMs();
         while (!closed && run.phase === runPhases.starting && worker.runs.has(runKey(run.task.name, run.run))) {
             const deadlineMs = unanswered && worker.silentLooks > 0
                 ? undefined
@@ -209,6 +221,10 @@
                 return;
             }
             unanswered = true;
+            if (worker.silentLooks === 0 && clock.monotonicMs() - beganAtMs > startPatienceMs) {
+                giveUpStart(run);
+                return;
+            }
             await sleep(clock, orderPauseMs);
         }
     };
