Stand-in of the store: a feed that waits while the history is lost learns so

It was told of no change and given the newest version, so that changes between were lost for good, which the platform's store never does.

--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -213,6 +213,10 @@
                     });
                     await reachable(memberId);
                 }
+                if (after < historyStart) {
+                    // What changed before the history was lost would be missing.
+                    return { kind: "historyLost" };
+                }
                 return { kind: "changes", rows: changesOf(table, after), version };
             },
         }),
