Scene: a task spends all its attempts on one failing worker while the entries of all have just lapsed

Cause: a worker whose entry has lapsed takes tasks for 2.5 s more, but does not count among those on which a task that failed might run instead. So the task goes back to the worker that failed it, which others of its step make attractive.

It fails on this code.

--- a/features/shard.feature
+++ b/features/shard.feature
@@ -388,3 +388,13 @@
         And the shard runs for 14000 ms
         Then 4 tasks run
         And no promise was broken
+
+    Scenario: A task that failed runs elsewhere also while the entries of all workers have just lapsed
+        Given a cell of 3 daemons and 4 workers
+        When 1 jobs of steps "60" are submitted
+        And the shard runs for 200 ms
+        And the fault "worker fails everything" comes
+        And the fault "workers not listed" comes
+        And the shard runs for 2000 ms
+        And the fault goes
+        Then all jobs are "completed" within 15000 ms
