--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -161,8 +161,8 @@
  * that stays silent for longer than its leases last is not waited for.
  */
 const mightRun = (worker: ShardWorker, step: ShardStep, nowMs: number, rack?: string): boolean =>
-    worker.unlistedAtMs === undefined && !worker.entry.draining && suits(worker, step)
-    && (isOpen(worker, nowMs) || nowMs <= worker.horizonMs)
+    suits(worker, step) && !worker.entry.draining && !worker.cordoned
+    && (isOpen(worker, nowMs) || worker.unlistedAtMs === undefined && nowMs <= worker.horizonMs)
     && (rack === undefined || worker.entry.rack === rack)
     && (step.occurrence.job.queue.advice === undefined || step.advice.good.has(worker.workerId)
         || !step.advice.asked.has(worker.workerId));
