Scene: workers stay closed to tasks after a wave is withdrawn whose orders found no answer

Cause: when a wave is withdrawn, only workers that are being emptied are opened again, not those whose VM was ordered and did not answer. They take no task for the rest of the owner's office.

The scene loses the orders for both workers' VMs and withdraws the wave; a job submitted then is queued 8 s later. It fails on this code.

--- a/features/upkeep.feature
+++ b/features/upkeep.feature
@@ -89,3 +89,14 @@
             | upkeep orders late       |
             | VMs not listed           |
             | worker crashes           |
+
+    Scenario: Workers take tasks again after a wave is withdrawn whose orders found no answer
+        Given a cell of 3 daemons and 2 workers
+        When the fault "upkeep orders get lost" comes
+        And the operator asks for upkeep of 2 VMs, 2 at once, within 10000 ms
+        And the shard runs for 3000 ms
+        And the operator withdraws the wave
+        And the fault goes
+        And the shard runs for 1000 ms
+        And 1 jobs of steps "2" are submitted
+        Then all jobs are "completed" within 8000 ms
--- a/packages/stand-ins/src/shard/fakeVms.ts
+++ b/packages/stand-ins/src/shard/fakeVms.ts
@@ -3,8 +3,11 @@
 import { type Clock, die, type UpkeepOutcome, upkeepOutcomes, type VmPort, vmStates } from "puffinarch";
 import type { FakeFencedWorkers } from "./fencedWorkers.js";
 
-/** What can be wrong with the calls. `late`, `veryLate`: an order gets no answer and is carried out 1 or 12 s after. */
-export const vmFaults = ["none", "late", "veryLate", "silent"] as const;
+/**
+ * What can be wrong with the calls. `late`, `veryLate`: an order gets no answer and is carried out 1 or 12 s after; `lost`:
+ * it never is.
+ */
+export const vmFaults = ["none", "late", "veryLate", "lost", "silent"] as const;
 /** One of `vmFaults`. */
 export type VmFault = (typeof vmFaults)[number];
 
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -136,6 +136,10 @@
         cell.vms.setFault("late");
         return () => cell.vms.setFault("none");
     },
+    "upkeep orders get lost": cell => {
+        cell.vms.setFault("lost");
+        return () => cell.vms.setFault("none");
+    },
     "upkeep orders very late": cell => {
         cell.vms.setFault("veryLate");
         return () => cell.vms.setFault("none");
@@ -162,7 +166,7 @@
 const lastingFaults = ["workers not listed", "workers cut until their entries lapsed", "orders to a worker get lost"];
 /** A crashed worker stays gone and a list without workers ends all placing, so these stand in the table alone. */
 const randomFaults = Object.keys(shardFaults).filter(name =>
-    !["worker crashes", "all workers cut but the first", ...lastingFaults].includes(name)
+    !["worker crashes", "upkeep orders get lost", "all workers cut but the first", ...lastingFaults].includes(name)
 );
 /** Jobs that last take half of the room of six workers, by tasks of three sizes; their ids follow those of all others. */
 const lastingShapes = ["4 long running", "2 long running of 4 cores", "1 long running of 8 cores"];
