--- a/packages/puffinarch/src/core/shard/upkeep.ts
+++ b/packages/puffinarch/src/core/shard/upkeep.ts
@@ -253,6 +253,10 @@
             cordon(progress.workerId, true);
         }
         for (const progress of openWave.vms) {
+            if (open.get(wave.number) !== openWave) {
+                // It was withdrawn while an order was under way.
+                return;
+            }
             const nowMs = clock.monotonicMs();
             const again = progress.phase === phases.ordered && nowMs - progress.sinceMs > orderAgainMs;
             const isUp = vms.get(progress.vmId)?.state === vmStates.up;
@@ -313,7 +317,8 @@
     const withdraw = (number: number): void => {
         log.write("info", "waveWithdrawn", { wave: number });
         for (const progress of open.get(number)?.vms ?? []) {
-            if (progress.phase === phases.emptying) {
+            // An order without an answer may never have arrived.
+            if (!isSettled(progress)) {
                 cordon(progress.workerId, false);
             }
         }
