--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -117,6 +117,13 @@
 /** A store that answers a read within this time can carry a claim. */
 const claimReadMs = 800;
 
+/**
+ * Whether a daemon that answers has the shard by the owner's row. A claimant learns last that its claim took effect: where
+ * the store takes a quarter of a second for an answer, peers that went by the token alone replaced one after the other.
+ */
+const holdsShard = (answer: PingAnswer, { row, version }: KnownOwner): boolean =>
+    answer.ownedToken === version || answer.claimId === row.claimId;
+
 /** The first answer of several calls; undefined once all have failed. */
 const firstAnswer = <T>(calls: readonly Promise<T | undefined>[]): Promise<T | undefined> =>
     new Promise(resolve => {
@@ -191,7 +198,7 @@
         for (let tries = 0; owner !== undefined && tries < minorityAsks; tries += 1) {
             const answer = await peers.ping(owner.row);
             if (answer !== undefined) {
-                return answer.ownedToken === version;
+                return holdsShard(answer, { row: owner.row, version });
             }
         }
         return false;
@@ -309,9 +316,7 @@
         const answer = await askOwner(row);
         if (answer !== undefined && versionNow() === version) {
             options.onAnswer(row.address, answer);
-            // A claimant learns last that its claim took effect: where the store takes a quarter of a second for an answer,
-            // peers that went by the token alone replaced one claimant after the other.
-            if (answer.ownedToken === version || answer.claimId === row.claimId) {
+            if (holdsShard(answer, { row, version })) {
                 noteOwnerAnswer();
                 options.onOwnerAnswer(answer);
                 await replaceStalled(version, answer.storeStalledMs);
