--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -285,6 +285,12 @@
     },
 );
 
+When(/^the daemons ([\d, ]+) are gone for good$/, function(this: ScenarioWorld, text: string) {
+    for (const index of text.split(",").map(Number)) {
+        cellOf(this).kill(cellOf(this).memberIds()[index] ?? "");
+    }
+});
+
 When("only the weak daemons are back", function(this: ScenarioWorld) {
     const cell = cellOf(this);
     for (const memberId of cell.memberIds().filter(each => !isStrong(this, each))) {
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -192,3 +192,16 @@
             | 21   |
             | 101  |
             | 102  |
+
+    # Entries of VMs that are gone for good stay in the store.
+    Scenario Outline: VMs that were gone a minute ago hold no takeover up: <gone> of <strengths>
+        Given a cell of daemons with strengths "<strengths>" and 4 workers
+        When the daemons <gone> are gone for good
+        And the shard runs for 70000 ms
+        And the fault "owner killed" comes
+        Then another daemon owns the shard within 800 ms
+
+        Examples:
+            | gone             | strengths                                 |
+            | 0, 1, 2, 3, 4, 5 | 1, 1, 1, 1, 1, 1, 1, 1, 1                 |
+            | 0, 1, 2          | 1, 1, 1, 0.2, 0.2, 0.2, 0.2, 0.2, 0.2     |
