--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -158,8 +158,9 @@
     const versionNow = (): number => known()?.version ?? 0;
 
     /** Whether a peer had an answer from the owner within the last moments; then the fault is on this side. */
-    const peersSeeOwner = async (version: number): Promise<{ readonly seen: boolean; readonly answered: number; }> => {
+    const peersSeeOwner = async (version: number): Promise<{ readonly seen: boolean; readonly minority: boolean; }> => {
         const others = [...peers.all.values()].filter(peer => peer.memberId !== known()?.row.memberId);
+        const expected = Math.max(0, peers.counted().length - 1);
         const answered: PingAnswer[] = [];
         let noteHalf: () => void = () => {};
         const half = new Promise<void>(resolve => {
@@ -167,14 +168,14 @@
         });
         const all = Promise.all(others.map(async peer => {
             const answer = await peers.ping(peer, { timeoutMs: peerOpinionMs });
-            if (answer !== undefined && answered.push(answer) >= others.length / 2) {
+            if (answer !== undefined && answered.push(answer) >= expected / 2) {
                 noteHalf();
             }
         }));
         await Promise.race([all, half.then(() => sleep(clock, restOpinionMs))]);
         return {
             seen: version > 0 && answered.some(answer => answer.seenOwnerToken === version),
-            answered: answered.length,
+            minority: 2 * answered.length < expected,
         };
     };
 
@@ -226,13 +227,12 @@
             step = watchSteps.waitsItsTurn;
             return;
         }
-        const { seen, answered } = await peersSeeOwner(version);
+        const { seen, minority } = await peersSeeOwner(version);
         if (seen) {
             step = watchSteps.peerSeesOwner;
             lostAtMs = clock.monotonicMs();
             return;
         }
-        const minority = 2 * answered < Math.max(0, peers.all.size - 1);
         if (minority && lostForMs() < minorityDelayMs) {
             step = watchSteps.minority;
             return;
--- a/packages/puffinarch/src/core/shard/peers.ts
+++ b/packages/puffinarch/src/core/shard/peers.ts
@@ -33,6 +33,8 @@
 /** The other daemons. */
 export interface Peers {
     readonly all: ReadonlyMap<string, MemberRow>;
+    /** The daemons that are not gone for good: each answered this one within the last minute, or is that new to it. */
+    counted(): readonly MemberRow[];
     /** New or changed entries of daemons. */
     take(rows: readonly Row[]): void;
     /** Calls a daemon; undefined where it gave no answer. */
@@ -64,6 +66,12 @@
 /** A peer that missed two pings in a row is not counted on. */
 const liveMs = 3 * pingIntervalMs;
 
+/**
+ * Nobody removes the entry of a VM that is gone. One that has not answered for this long, far longer than any cut, is not
+ * waited for any more: with six of nine VMs gone each takeover took 2.7 s in place of 0.2 s, and with all strong ones gone 2.2 s.
+ */
+const goneMs = 60_000;
+
 const strengthOf = ({ strength }: MemberRow): number => strength ?? 1;
 
 /**
@@ -76,6 +84,8 @@
 export const createPeers = ({ clock, log, self, members, ownerVersion, onOwner }: PeersOptions): Peers => {
     const all = new Map<string, MemberRow>();
     const answeredAtMs = new Map<string, number>();
+    /** When the entry of each daemon's process was first seen. */
+    const enteredAtMs = new Map<string, number>();
     const leaving = new Set<string>();
 
     const ask: Peers["ask"] = async (address, name, input, timeoutMs, onSilent) => {
@@ -90,15 +100,27 @@
         }
     };
 
+    const counted = (): readonly MemberRow[] => {
+        const nowMs = clock.monotonicMs();
+        return [...all.values()].filter(({ memberId }) =>
+            nowMs - Math.max(answeredAtMs.get(memberId) ?? -Infinity, enteredAtMs.get(memberId) ?? -Infinity) < goneMs
+        );
+    };
+
     return {
         all,
+        counted,
         take: rows => {
             for (const row of rows) {
                 if (row.value === undefined) {
                     all.delete(row.key);
                 }
                 else if (row.key !== self.memberId) {
-                    all.set(row.key, JSON.parse(row.value) as MemberRow);
+                    const member = JSON.parse(row.value) as MemberRow;
+                    if (all.get(row.key)?.incarnation !== member.incarnation) {
+                        enteredAtMs.set(row.key, clock.monotonicMs());
+                    }
+                    all.set(row.key, member);
                 }
             }
         },
@@ -128,7 +150,7 @@
         },
         isLeaving: peerId => leaving.has(peerId),
         isStrong: memberId => {
-            const strongest = Math.max(...[self, ...all.values()].map(strengthOf));
+            const strongest = Math.max(...[self, ...counted()].map(strengthOf));
             const member = memberId === self.memberId ? self : all.get(memberId);
             return member !== undefined && strengthOf(member) >= strongShare * strongest;
         },
