--- a/packages/puffinarch/src/core/shard/taskWait.ts
+++ b/packages/puffinarch/src/core/shard/taskWait.ts
@@ -66,8 +66,9 @@
     "uncertain",
     "silent",
     "resting",
-    "noTicket",
+    "barred",
     "full",
+    "noTicket",
     "avoided",
     "free",
 ] as const;
@@ -102,13 +103,17 @@
     if (!isOpen(worker, nowMs)) {
         return worker.unlistedAtMs === undefined ? "resting" : "unlisted";
     }
-    if (ticketFor(step, worker.workerId, nowMs) === undefined) {
-        return "noTicket";
+    const { asked, good } = step.advice;
+    if (asked.has(worker.workerId) && !good.has(worker.workerId)) {
+        return "barred";
     }
     const { maxPerWorker } = step.spec;
     if (maxPerWorker > 0 && runsHere >= maxPerWorker || !fits(heldBy(step.spec), roomOf(worker))) {
         return "full";
     }
+    if (ticketFor(step, worker.workerId, nowMs) === undefined) {
+        return "noTicket";
+    }
     const avoided = step.tasks.every(task => !isWaiting(task) || failedLately(task, worker.workerId, nowMs));
     return avoided ? "avoided" : "free";
 };
@@ -127,8 +132,9 @@
         uncertain: 0,
         silent: 0,
         resting: 0,
-        noTicket: 0,
+        barred: 0,
         full: 0,
+        noTicket: 0,
         avoided: 0,
         free: 0,
     };
@@ -151,18 +157,19 @@
     if (advice.inFlight) {
         return taskWaits.advice;
     }
+    if (counts.noTicket > 0) {
+        return taskWaits.ticket;
+    }
     if (counts.avoided > 0) {
         return taskWaits.untried;
     }
     if (counts.full > 0) {
         return taskWaits.room;
     }
-    if (counts.noTicket > 0) {
-        return taskWaits.ticket;
+    if (counts.leaving + counts.uncertain + counts.silent + counts.resting > 0) {
+        return taskWaits.workers;
     }
-    return workerStands.every(stand => stand === "unlisted" || counts[stand] === 0)
-        ? taskWaits.listing
-        : taskWaits.workers;
+    return counts.barred > 0 ? taskWaits.ticket : taskWaits.listing;
 };
 
 /**
