--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -16,10 +16,15 @@
 import {
     createAdviceDesk,
     createCommitLog,
+    createFirstLooks,
     createForward,
+    createShardWorkers,
+    defaultShardSettings,
     endedTable,
     journalTable,
     memberTable,
+    newWorker,
+    openWorkerLink,
     sleep,
     startUpkeep,
 } from "puffinarch";
@@ -41,6 +46,8 @@
     commitOutcome: { readonly durable: number; readonly fenced: number; } | undefined;
     /** When a call of a lower priority was answered. */
     adviceServedAtMs: number | undefined;
+    looksSent: number;
+    leasesOverAfterMs: number;
 }
 
 /** The store takes 100 entries a call. */
@@ -67,6 +74,8 @@
             linesBefore: 0,
             commitOutcome: undefined,
             adviceServedAtMs: undefined,
+            looksSent: 0,
+            leasesOverAfterMs: 0,
         }),
     );
 
@@ -112,6 +121,14 @@
     },
 );
 
+Given(
+    "a cell of {int} daemons and {int} workers whose tasks take their estimates, with {int} attempts",
+    async function(this: ScenarioWorld, members: number, workers: number, attempts: number) {
+        const queues = [{ ...testQueue, attempts }];
+        await startCell(this, { members, workers, seed: 1, durationMs: "estimated", queues });
+    },
+);
+
 Given(
     "a cell of {int} daemons and {int} workers whose VMs refuse no token",
     async function(this: ScenarioWorld, members: number, workers: number) {
@@ -834,3 +851,142 @@
     const runs = new Set(cellOf(this).workers.evidence.map(start => start.run));
     assert.equal(runs.size, 1);
 });
+
+When("three owners are cut off, each soon after its claim", async function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    for (let count = 0; count < 3; count += 1) {
+        const mend = shardFaults["owner cut from its peers, the store, workers"]?.(cell);
+        const before = cell.owner();
+        const others = cell.memberIds().filter(memberId => memberId !== before);
+        assert.ok(await cell.until(() => others.some(memberId => cell.member(memberId)?.ownsShard() === true), 8_000));
+        mend?.();
+        await cell.clock.advance(500);
+    }
+});
+
+When("the store is slow and serves but the owner and one other daemon", function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    const others = cell.memberIds().filter(memberId => memberId !== cell.owner());
+    cell.store.setFault("slow");
+    for (const memberId of others.slice(1)) {
+        cell.store.setFault("refuse", memberId);
+    }
+    part(this).mend.push(() => {
+        cell.store.setFault("none");
+        for (const memberId of others) {
+            cell.store.setFault("none", memberId);
+        }
+    });
+});
+
+When("the owner of {int} workers is replaced at once", async function(this: ScenarioWorld, count: number) {
+    const clock = createFakeClock();
+    const workers = createShardWorkers({
+        clock,
+        log: { write: () => {} },
+        meter: { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 },
+        settings: defaultShardSettings,
+        port: {
+            start: async () => "done",
+            stop: async () => "done",
+            pace: async () => "done",
+            look: async () => {
+                part(this).looksSent += 1;
+                await sleep(clock, 20);
+                return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: [] };
+            },
+        },
+        fencingToken: 7,
+        jobOf: () => undefined,
+        changed: async () => {},
+        onStarted: () => {},
+        wake: () => {},
+        onKnown: () => {},
+        onFenced: () => {},
+    });
+    workers.update(Array.from({ length: count }, (_, index) => ({
+        workerId: `i-${index}`,
+        service: "service-1",
+        address: `10.0.0.${index}:1`,
+        dataCentre: "dc-1",
+        draining: false,
+        capacity: { cpuMillis: 8_000, memoryMib: 16_000, accelerators: 0 },
+        labels: [],
+        rack: "",
+    })));
+    await clock.advance(1);
+    workers.close();
+    await clock.advance(5_000);
+});
+
+Then("it has looked at {int} workers", function(this: ScenarioWorld, count: number) {
+    assert.equal(part(this).looksSent, count);
+});
+
+When(
+    "an owner that is {int} ms late looks at a worker that never answers again",
+    async function(this: ScenarioWorld, lateMs: number) {
+        const clock = createFakeClock();
+        const worker = newWorker({
+            workerId: "i-1",
+            service: "service-1",
+            address: "10.0.0.1:1",
+            dataCentre: "dc-1",
+            draining: false,
+            capacity: { cpuMillis: 8_000, memoryMib: 16_000, accelerators: 0 },
+            labels: [],
+            rack: "",
+        }, 0);
+        let looks = 0;
+        const link = openWorkerLink(worker, {
+            clock,
+            log: { write: () => {} },
+            meter: { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 },
+            workers: {
+                start: async () => "unknown",
+                stop: async () => "unknown",
+                pace: async () => "unknown",
+                look: async (_target, { waitMs, patienceMs }) => {
+                    looks += 1;
+                    if (looks === 1) {
+                        return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: [] };
+                    }
+                    await sleep(clock, waitMs + patienceMs + lateMs);
+                    return { outcome: "unknown" };
+                },
+            },
+            fencingToken: 7,
+            leaseMs: 5_000,
+            lookWaitMs: 1_000,
+            firstLooks: createFirstLooks(clock),
+            lookPauseMs: 250,
+            orderPauseMs: 100,
+            onLook: async () => {},
+            onLifeOver: () => {},
+            onFenced: () => {},
+            onNotStarted: () => {},
+            onStarted: () => {},
+        });
+        await clock.advance(60_000);
+        link.close();
+        part(this).leasesOverAfterMs = worker.horizonMs - worker.answeredAtMs;
+    },
+);
+
+Then(
+    "the leases there are surely over {int} ms after its last answer",
+    function(this: ScenarioWorld, limitMs: number) {
+        const { leasesOverAfterMs } = part(this);
+        assert.ok(leasesOverAfterMs <= limitMs, `only ${leasesOverAfterMs} ms after it`);
+    },
+);
+
+Then("all jobs but those that last are completed", async function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    const { jobs } = part(this);
+    const states = await cell.statesOf(jobs);
+    const running = cell.workers.evidence.filter(start => start.endedAtMs === undefined);
+    const lasting = new Set(running.map(({ taskName }) => taskName.split(".")[0]));
+    const open = [...states].filter(([jobId, state]) => state !== "completed" && !lasting.has(jobId));
+    assert.deepEqual(open, []);
+});
