--- /dev/null
+++ b/features/review.feature
@@ -0,0 +1,10 @@
+Feature: What a review of the mend of busy owners found
+
+    # Each owner in a row that was replaced soon doubles the time for which the next may be silent. That time is never
+    # taken back while an owner stays in office, so that long after the cascade a real loss is noticed late.
+    Scenario: An owner that has been at work for a minute is missed as soon as any other
+        Given a cell of 6 daemons and 4 workers
+        When three owners are cut off, each soon after its claim
+        And the shard runs for 60000 ms
+        And the fault "owner cut from its peers, the store, workers" comes
+        Then another daemon owns the shard within 2000 ms
