--- a/features/review.feature
+++ b/features/review.feature
@@ -8,3 +8,10 @@
         And the shard runs for 60000 ms
         And the fault "owner cut from its peers, the store, workers" comes
         Then another daemon owns the shard within 2000 ms
+
+    # Each candidate before a daemon costs it four answers of the store, up to a second, though it may not be able to claim.
+    Scenario: While the store is slow and refuses most daemons, the one that it serves takes over soon
+        Given a cell of 32 daemons and 4 workers
+        When the store is slow and serves but the owner and one other daemon
+        And the fault "owner killed" comes
+        Then another daemon owns the shard within 5000 ms
