--- a/features/review.feature
+++ b/features/review.feature
@@ -15,3 +15,8 @@
         When the store is slow and serves but the owner and one other daemon
         And the fault "owner killed" comes
         Then another daemon owns the shard within 5000 ms
+
+    # Each of these looks costs the daemon and the worker work that nobody needs: the shard has another owner.
+    Scenario: An owner that is replaced during its first looks sends none of those that wait for a turn
+        When the owner of 200 workers is replaced at once
+        Then it has looked at 24 workers
