--- a/features/review.feature
+++ b/features/review.feature
@@ -24,3 +24,14 @@
     Scenario: A worker that is silent for good is not renewed for long by an owner that is late
         When an owner that is 60 ms late looks at a worker that never answers again
         Then the leases there are surely over 10500 ms after its last answer
+
+    # Tasks that last take the room that is kept for a gang, for good, where that leaves the gang too few workers.
+    Scenario: A gang for which room is kept runs in the end though tasks that last are submitted meanwhile
+        Given a cell of 3 daemons and 6 workers whose tasks take their estimates, with a stretch of 20
+        When 1 jobs of steps "3 of 8 cores for 12000 ms" are submitted
+        And the shard runs for 1000 ms
+        And 1 jobs of steps "4 gang of 8 cores for 2000 ms" are submitted
+        And the shard runs for 1000 ms
+        And 1 jobs of steps "3 long running of 1 cores" are submitted
+        And the shard runs for 40000 ms
+        Then all jobs but those that last are completed
