--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -93,6 +93,8 @@
 /** Preferences outweigh the spread: a data rack saves half the run time, a worker that failed others may do so again. */
 const dataRackBonus = 1;
 const streakPenalty = 0.5;
+/** Tasks that last and take kept room go where others of them do, so that it is lost to the fewest workers. */
+const keptRoomPenalty = 0.6;
 /** Tasks that fill and tasks that serve disturb each other. */
 const disturbancePenalty = 2;
 
@@ -168,10 +170,12 @@
         || !step.advice.asked.has(worker.workerId));
 
 /**
- * A task goes back to a worker that failed it this long ago. Disruptions of workers last some 4 to 7 s and the last
- * attempt should not be spent in one, but the others may be full for good: long-running tasks fill them for hours.
+ * A task goes back to a worker that failed it this long ago, since the others may be full for good: long-running tasks fill
+ * them for hours. Disruptions of workers last some 4 to 7 s, and the last attempt should not be spent in one.
  */
-const avoidFailedMs = 5_000;
+const avoidFailedMs = 15_000;
+/** A long-running task has no last attempt. */
+const lastingAvoidsMs = 5_000;
 
 /**
  * Tells whether a task failed on a worker so recently that it runs elsewhere if it can.
@@ -179,8 +183,8 @@
  * @example
  * failedLately(task, "i-7f3a91c2", clock.monotonicMs());
  */
-export const failedLately = ({ failedOn }: ShardTask, workerId: string, nowMs: number): boolean =>
-    nowMs - (failedOn.get(workerId) ?? -Infinity) < avoidFailedMs;
+export const failedLately = ({ failedOn, step }: ShardTask, workerId: string, nowMs: number): boolean =>
+    nowMs - (failedOn.get(workerId) ?? -Infinity) < (step.spec.longRunning ? lastingAvoidsMs : avoidFailedMs);
 
 /** A worker that is silent or rests for a moment is worth waiting for: going back may use up the last attempt. */
 const hasUntried = (task: ShardTask, { workers, nowMs, rack, except }: AvoidanceLimits): boolean => {
@@ -251,7 +255,9 @@
 
     const score = ({ worker, fixed, runs: here }: Candidate): number => {
         const offer = { capacity: worker.entry.capacity, room: view.roomFor(worker, step), held };
-        return fixed + packings[packing](offer) + (!spec.longRunning && here > 0 ? togetherBonus : 0);
+        const together = !spec.longRunning && here > 0 ? togetherBonus : 0;
+        const takesKept = here === 0 && view.takesKept(worker, step) ? keptRoomPenalty : 0;
+        return fixed + packings[packing](offer) + together - takesKept;
     };
 
     return {
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -9,7 +9,7 @@
 import { hash } from "../../utils/rendezvous.js";
 import { sleep } from "../../utils/time.js";
 import { type Peers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
-import { type ClaimReason, claimReasons, patienceFactor } from "./shortOffices.js";
+import { type ClaimReason, claimReasons, patienceFactor, settlingMs } from "./shortOffices.js";
 
 /** What the watch needs. */
 export interface OwnerWatchOptions {
@@ -98,6 +98,10 @@
  */
 const storeAnswersARank = 4;
 const longestRankDelayMs = 1_000;
+/** More than this in all is not waited for them: those before may not be able to claim. */
+const longestStoreWaitMs = 5_000;
+/** A daemon has only just learnt who else answers for this long after its start. */
+const justStartedMs = 10_000;
 /** A VM that is weaker than others waits this much longer than they do; a takeover by one of them takes half of it. */
 const weakDelayMs = 2_000;
 /** A candidate that reaches too few of its peers waits this much longer, so that a cut-off minority does not claim. */
@@ -144,7 +148,10 @@
  */
 export const watchOwner = (options: OwnerWatchOptions): OwnerWatch => {
     const { clock, log, self, peers, known, owns, isSettled, isResting, isLeaving, readOwner, claim } = options;
+    const startedAtMs = clock.monotonicMs();
     let closed = false;
+    /** Local time at which the owner's row changed. */
+    let changedAtMs = -Infinity;
     let silentPings = 0;
     let lostAtMs: number | undefined;
     let answeredAtMs = -Infinity;
@@ -158,7 +165,11 @@
 
     const versionNow = (): number => known()?.version ?? 0;
 
-    const patience = (): number => patienceFactor(known()?.row ?? {});
+    /** An owner that has settled is missed as soon as any other. */
+    const patience = (): number => {
+        const row = known()?.row ?? {};
+        return clock.monotonicMs() - changedAtMs < settlingMs(row) ? patienceFactor(row) : 1;
+    };
 
     /** Whether a peer had an answer from the owner within the last moments; then the fault is on this side. */
     const peersSeeOwner = async (version: number): Promise<{ readonly seen: boolean; readonly minority: boolean; }> => {
@@ -214,6 +225,15 @@
         return row?.memberId === self.memberId && row.incarnation !== self.incarnation;
     };
 
+    /** Nobody had answered a daemon that has just started; claims of all at once would queue in a slow store. */
+    const turnAtStartMs = (version: number, storeMs: number): number => {
+        if (clock.monotonicMs() - startedAtMs > justStartedMs) {
+            return 0;
+        }
+        const rankMs = Math.min(longestRankDelayMs, storeAnswersARank * storeMs);
+        return Math.min(turnMs(version, rankMs), turnMs(version) + longestStoreWaitMs);
+    };
+
     const considerClaim = async (why: ClaimReason): Promise<void> => {
         if (!mayClaim()) {
             step = isResting() ? watchSteps.rests : watchSteps.mayNotClaim;
@@ -248,9 +268,10 @@
             return;
         }
         step = watchSteps.waitsItsTurn;
-        // Nobody had answered a daemon that has just started; claims of all at once would queue in a slow store.
-        const rankMs = Math.min(longestRankDelayMs, storeAnswersARank * (clock.monotonicMs() - askedAtMs));
-        if (lostForMs() < turnMs(version, rankMs) || minority && await ownerAnswers(version)) {
+        if (
+            lostForMs() < turnAtStartMs(version, clock.monotonicMs() - askedAtMs)
+            || minority && await ownerAnswers(version)
+        ) {
             return;
         }
         if (versionNow() === version && !owns()) {
@@ -407,6 +428,7 @@
                 ? versionNow()
                 : 0,
         reset: () => {
+            changedAtMs = clock.monotonicMs();
             silentPings = 0;
             lostAtMs = undefined;
         },
--- a/packages/puffinarch/src/core/shard/roomView.ts
+++ b/packages/puffinarch/src/core/shard/roomView.ts
@@ -21,6 +21,8 @@
     keep(reservation: Reservation): void;
     /** Room that a task of the step may use now; negative where more is kept than is free. */
     roomFor(worker: ShardWorker, step: ShardStep): Resources;
+    /** Whether a task that lasts would take room there that is kept for others, for good. */
+    takesKept(worker: ShardWorker, step: ShardStep): boolean;
 }
 
 /** Estimates of run times are off by up to half; a task that ends before by this much passes. */
@@ -60,6 +62,7 @@
  */
 export const createRoomView = (nowMs: number): RoomView => {
     const byWorker = new Map<string, Reservation[]>();
+    const keptFor = (worker: ShardWorker): readonly Reservation[] => byWorker.get(worker.workerId) ?? [];
     return {
         keep: reservation => {
             const known = byWorker.get(reservation.workerId);
@@ -72,12 +75,13 @@
         },
         roomFor: (worker, step) => {
             let room = roomOf(worker);
-            for (const kept of byWorker.get(worker.workerId) ?? []) {
+            for (const kept of keptFor(worker)) {
                 if (kept.step !== step && !mayPass(step, kept, nowMs)) {
                     room = subtract(room, kept.held);
                 }
             }
             return room;
         },
+        takesKept: (worker, step) => step.spec.longRunning && keptFor(worker).some(kept => kept.step !== step),
     };
 };
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -18,8 +18,8 @@
 const longestPatienceMs = 1_400;
 /** A look that is given up this much after its limit shows that this daemon's own processor is late. */
 const ownLateMs = 50;
-/** So many looks in a row that this daemon may have read too late say nothing of the worker: some five seconds. */
-const mostForgivenLooks = 4;
+/** So many looks in a row that this daemon may have read too late say nothing of the worker; a silent one's lease ends 3.2 s later by them. */
+const mostForgivenLooks = 2;
 /** A start without an answer for this long, from a worker that answers looks, is given up. */
 const startPatienceMs = 2_000;
 /** A worker that does not answer orders gets none for this long after that. */
