--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -543,7 +543,7 @@
     let sent = 0;
     const ends: (() => void)[] = [];
     for (let count = 0; count < 30; count += 1) {
-        void firstLooks.enter().then(answered => {
+        void firstLooks.enter(() => true).then(answered => {
             sent += 1;
             ends.push(answered);
         });
--- a/packages/puffinarch/src/core/shard/firstLooks.ts
+++ b/packages/puffinarch/src/core/shard/firstLooks.ts
@@ -8,8 +8,11 @@
 
 /** Gives turns. */
 export interface FirstLooks {
-    /** Resolves when the look may be sent, with what is to be called once it is answered. */
-    enter(): Promise<() => void>;
+    /**
+     * Resolves when the look may be sent, with what is to be called once it is answered; never where it is not wanted any
+     * more when its turn comes.
+     */
+    enter(isWanted: () => boolean): Promise<() => void>;
 }
 
 /** At 6 ms an answer on a VM of a third of a core, a ping waits 150 ms behind them; its limit is 350 ms. */
@@ -33,18 +36,21 @@
  *
  * @example
  * const firstLooks = createFirstLooks(clock);
- * const answered = await firstLooks.enter();
+ * const answered = await firstLooks.enter(() => true);
  * answered();
  */
 export const createFirstLooks = (clock: Clock): FirstLooks => {
     const turns = new Set<Turn>();
-    const waiting: (() => void)[] = [];
+    const waiting: { readonly isWanted: () => boolean; readonly send: () => void; }[] = [];
     let numbers = 0;
     let answeredAtMs = -Infinity;
 
     const letIn = (): void => {
         while (turns.size < atOnce && waiting.length > 0) {
-            waiting.shift()?.();
+            const next = waiting.shift();
+            if (next?.isWanted() === true) {
+                next.send();
+            }
         }
     };
 
@@ -86,9 +92,9 @@
     };
 
     return {
-        enter: () =>
+        enter: isWanted =>
             new Promise(resolve => {
-                waiting.push(() => resolve(begin()));
+                waiting.push({ isWanted, send: () => resolve(begin()) });
                 letIn();
             }),
     };
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -160,7 +160,7 @@
     };
 
     const lookAlways = async (): Promise<void> => {
-        await lookOnce(await options.firstLooks.enter());
+        await lookOnce(await options.firstLooks.enter(() => !closed));
         while (!closed) {
             await lookOnce(() => {});
         }
