--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -18,8 +18,8 @@
 const longestPatienceMs = 1_400;
 /** A look that is given up this much after its limit shows that this daemon's own processor is late. */
 const ownLateMs = 50;
-/** So many looks in a row that this daemon may have read too late say nothing of the worker: some five seconds. */
-const mostForgivenLooks = 4;
+/** Looks that this daemon may have read too late say nothing of the worker for this long after its last answer. */
+const forgivenMs = 5_000;
 
 /** What the links of a shard share. */
 export interface WorkerLinkOptions {
@@ -70,8 +70,8 @@
 export const openWorkerLink = (worker: ShardWorker, options: WorkerLinkOptions): WorkerLink => {
     const { clock, log, meter, workers, fencingToken, leaseMs, lookWaitMs, lookPauseMs, orderPauseMs } = options;
     let closed = false;
-    /** Looks in a row without an answer that are put down to this daemon. */
-    let forgivenLooks = 0;
+    /** Local time of the newest answer, or of the first look. */
+    let heardAtMs = clock.monotonicMs();
     let patienceMs = shortestPatienceMs;
     let endPause: (() => void) | undefined;
 
@@ -111,8 +111,7 @@
             return false;
         }
         patienceMs = Math.min(longestPatienceMs, 2 * patienceMs);
-        forgivenLooks += 1;
-        return forgivenLooks <= mostForgivenLooks;
+        return clock.monotonicMs() - heardAtMs <= forgivenMs;
     };
 
     const lookOnce = async (answered: () => void): Promise<void> => {
@@ -138,7 +137,7 @@
             worker.clock = { localMs: nowMs, clockMs: look.clockMs };
             worker.answeredAtMs = nowMs;
             worker.silentLooks = 0;
-            forgivenLooks = 0;
+            heardAtMs = nowMs;
             patienceMs = nowMs - sentAtMs < waitMs + shortestPatienceMs ? shortestPatienceMs : patienceMs;
             await options.onLook(worker, look, sentAtMs);
             return;
@@ -160,7 +159,9 @@
     };
 
     const lookAlways = async (): Promise<void> => {
-        await lookOnce(await options.firstLooks.enter(() => !closed));
+        const answered = await options.firstLooks.enter(() => !closed);
+        heardAtMs = clock.monotonicMs();
+        await lookOnce(answered);
         while (!closed) {
             await lookOnce(() => {});
         }
