--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -88,6 +88,8 @@
  * many times: a VM that is busy with taking over is then left to finish, in place of another that begins the same anew.
  */
 const mostDoublings = 3;
+/** A takeover is over by then, also on the weakest VM; from then on silence means as much as with any other owner. */
+const takeoverMs = 10_000;
 /** How long a peer may take to say whether it sees the owner. */
 const peerOpinionMs = 200;
 /** Once half of the peers have said so, the others have this much longer; those that are gone with the owner never do. */
@@ -145,6 +147,8 @@
     let silentPings = 0;
     let lostAtMs: number | undefined;
     let answeredAtMs = -Infinity;
+    /** Local time at which the present owner became known. */
+    let ownerKnownAtMs = clock.monotonicMs();
     let endPause: (() => void) | undefined;
     let step: WatchStep = watchSteps.readsOwnerRow;
     let silenceLoggedAtMs = -Infinity;
@@ -157,6 +161,9 @@
 
     /** How many times longer than usual the owner may be silent. */
     const patienceFactor = (): number => {
+        if (clock.monotonicMs() - ownerKnownAtMs > takeoverMs) {
+            return 1;
+        }
         const shortOffices = known()?.row.shortOffices ?? 0;
         return 2 ** Math.min(mostDoublings, shortOffices);
     };
@@ -249,8 +256,10 @@
             return;
         }
         step = watchSteps.waitsItsTurn;
-        // Nobody had answered a daemon that has just started; claims of all at once would queue in a slow store.
-        const rankMs = Math.min(longestRankDelayMs, storeAnswersARank * (clock.monotonicMs() - askedAtMs));
+        // Nobody had answered a daemon that has just started; claims of all at once would queue in a slow store. One that has
+        // seen an owner at work knows its peers, and of those before it many may be refused by the store.
+        const readMs = clock.monotonicMs() - askedAtMs;
+        const rankMs = Math.min(longestRankDelayMs, storeAnswersARank * readMs);
         if (lostForMs() < turnMs(version, rankMs) || minority && await ownerAnswers(version)) {
             return;
         }
@@ -411,6 +420,7 @@
         reset: () => {
             silentPings = 0;
             lostAtMs = undefined;
+            ownerKnownAtMs = clock.monotonicMs();
         },
         wake: () => endPause?.(),
         close: () => {
