--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -259,7 +259,7 @@
         // Nobody had answered a daemon that has just started; claims of all at once would queue in a slow store. One that has
         // seen an owner at work knows its peers, and of those before it many may be refused by the store.
         const readMs = clock.monotonicMs() - askedAtMs;
-        const rankMs = Math.min(longestRankDelayMs, storeAnswersARank * readMs);
+        const rankMs = answeredAtMs === -Infinity ? Math.min(longestRankDelayMs, storeAnswersARank * readMs) : 0;
         if (lostForMs() < turnMs(version, rankMs) || minority && await ownerAnswers(version)) {
             return;
         }
