--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -100,8 +100,6 @@
 const longestRankDelayMs = 1_000;
 /** More than this in all is not waited for them: those before may not be able to claim. */
 const longestStoreWaitMs = 5_000;
-/** A daemon has only just learnt who else answers for this long after its start. */
-const justStartedMs = 10_000;
 /** A VM that is weaker than others waits this much longer than they do; a takeover by one of them takes half of it. */
 const weakDelayMs = 2_000;
 /** A candidate that reaches too few of its peers waits this much longer, so that a cut-off minority does not claim. */
@@ -148,13 +146,14 @@
  */
 export const watchOwner = (options: OwnerWatchOptions): OwnerWatch => {
     const { clock, log, self, peers, known, owns, isSettled, isResting, isLeaving, readOwner, claim } = options;
-    const startedAtMs = clock.monotonicMs();
     let closed = false;
     /** Local time at which the owner's row changed. */
     let changedAtMs = -Infinity;
     let silentPings = 0;
     let lostAtMs: number | undefined;
     let answeredAtMs = -Infinity;
+    /** True once an owner with all its rows has answered. */
+    let hasSeenWork = false;
     let endPause: (() => void) | undefined;
     let step: WatchStep = watchSteps.readsOwnerRow;
     let silenceLoggedAtMs = -Infinity;
@@ -225,9 +224,12 @@
         return row?.memberId === self.memberId && row.incarnation !== self.incarnation;
     };
 
-    /** Nobody had answered a daemon that has just started; claims of all at once would queue in a slow store. */
+    /**
+     * Nobody had answered a daemon that has just started; claims of all at once would queue in a slow store. One that has seen
+     * an owner at work knows its peers, and of those before it many may be refused by the store.
+     */
     const turnAtStartMs = (version: number, storeMs: number): number => {
-        if (clock.monotonicMs() - startedAtMs > justStartedMs) {
+        if (hasSeenWork) {
             return 0;
         }
         const rankMs = Math.min(longestRankDelayMs, storeAnswersARank * storeMs);
@@ -343,6 +345,7 @@
             options.onAnswer(row.address, answer);
             if (holdsShard(answer, { row, version })) {
                 noteOwnerAnswer();
+                hasSeenWork ||= answer.pending !== undefined;
                 options.onOwnerAnswer(answer);
                 await replaceStalled(version, answer.storeStalledMs);
                 return;
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -18,8 +18,8 @@
 const longestPatienceMs = 1_400;
 /** A look that is given up this much after its limit shows that this daemon's own processor is late. */
 const ownLateMs = 50;
-/** So many looks in a row that this daemon may have read too late say nothing of the worker; a silent one's lease ends 3.2 s later by them. */
-const mostForgivenLooks = 2;
+/** Looks that this daemon may have read too late say nothing of the worker for this long after its last answer. */
+const forgivenMs = 5_000;
 /** A start without an answer for this long, from a worker that answers looks, is given up. */
 const startPatienceMs = 2_000;
 /** A worker that does not answer orders gets none for this long after that. */
@@ -74,8 +74,8 @@
 export const openWorkerLink = (worker: ShardWorker, options: WorkerLinkOptions): WorkerLink => {
     const { clock, log, meter, workers, fencingToken, leaseMs, lookWaitMs, lookPauseMs, orderPauseMs } = options;
     let closed = false;
-    /** Looks in a row without an answer that are put down to this daemon. */
-    let forgivenLooks = 0;
+    /** Local time of the newest answer, or of the first look. */
+    let heardAtMs = clock.monotonicMs();
     let patienceMs = shortestPatienceMs;
     let endPause: (() => void) | undefined;
 
@@ -115,8 +115,7 @@
             return false;
         }
         patienceMs = Math.min(longestPatienceMs, 2 * patienceMs);
-        forgivenLooks += 1;
-        return forgivenLooks <= mostForgivenLooks;
+        return clock.monotonicMs() - heardAtMs <= forgivenMs;
     };
 
     const lookOnce = async (answered: () => void): Promise<void> => {
@@ -142,7 +141,7 @@
             worker.clock = { localMs: nowMs, clockMs: look.clockMs };
             worker.answeredAtMs = nowMs;
             worker.silentLooks = 0;
-            forgivenLooks = 0;
+            heardAtMs = nowMs;
             patienceMs = nowMs - sentAtMs < waitMs + shortestPatienceMs ? shortestPatienceMs : patienceMs;
             await options.onLook(worker, look, sentAtMs);
             return;
@@ -164,11 +163,8 @@
     };
 
     const lookAlways = async (): Promise<void> => {
-        const answered = await options.firstLooks.enter();
-        if (closed) {
-            answered();
-            return;
-        }
+        const answered = await options.firstLooks.enter(() => !closed);
+        heardAtMs = clock.monotonicMs();
         await lookOnce(answered);
         while (!closed) {
             await lookOnce(() => {});
