One rule for the most runs of a step on a worker, one quiet log and meter for tests; a nested condition spelt out

Change: allowsAnother (chooseWorker.ts) serves all four; quietLog and quietMeter (stand-ins) serve the shard's steps, its examples and the cell. firstLooks says that a turn also ends with a look that is given up. Behaviour and assertions stay as they are.

--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -6,6 +6,8 @@
     createShardCell,
     type FakeClock,
     plainStep,
+    quietLog,
+    quietMeter,
     testQueue,
     workerEntry,
 } from "@puffinarch/stand-ins";
@@ -43,9 +45,7 @@
     isWaiting,
     journalTable,
     kindOf,
-    type Log,
     mayGoDown,
-    type Meter,
     newJob,
     newWorker,
     openWorkerLink,
@@ -70,8 +70,8 @@
     type WorkerEntry,
 } from "puffinarch";
 
-const log: Log = { write: () => {} };
-const meter: Meter = { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 };
+const log = quietLog;
+const meter = quietMeter;
 const part = "shard-0";
 const owner = {
     memberId: "entry-1",
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -8,11 +8,14 @@
     findStanding,
     jobIdOf,
     type PowerLossOutcome,
+    quietLog,
+    quietMeter,
     readSteps,
     runRandomFaults,
     type ShardCell,
     shardFaults,
     testQueue,
+    workerEntry,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
@@ -149,8 +152,8 @@
     const ordered: string[] = [];
     const upkeep = startUpkeep({
         clock,
-        log: { write: () => {} },
-        meter: { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 },
+        log: quietLog,
+        meter: quietMeter,
         port: {
             list: async () => [{ vmId: "vm-1", state: "up", workerId: "i-1" }],
             upkeep: async ({ vmId }) => {
@@ -601,8 +604,8 @@
         const fenced: string[] = [];
         const commits = createCommitLog({
             clock,
-            log: { write: () => {} },
-            meter: { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 },
+            log: quietLog,
+            meter: quietMeter,
             store: store.connect("entry-1"),
             part: "shard-0",
             ownerVersion: 0,
@@ -637,8 +640,8 @@
         const clock = createFakeClock();
         const desk = createAdviceDesk({
             clock,
-            log: { write: () => {} },
-            meter: { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 },
+            log: quietLog,
+            meter: quietMeter,
             lanes: () => ["entry-1"],
             call: async () => {
                 await sleep(clock, callMs);
@@ -906,8 +909,8 @@
     const clock = createFakeClock();
     const workers = createShardWorkers({
         clock,
-        log: { write: () => {} },
-        meter: { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 },
+        log: quietLog,
+        meter: quietMeter,
         settings: defaultShardSettings,
         port: {
             start: async () => "done",
@@ -927,16 +930,7 @@
         onKnown: () => {},
         onFenced: () => {},
     });
-    workers.update(Array.from({ length: count }, (_, index) => ({
-        workerId: `i-${index}`,
-        service: "service-1",
-        address: `10.0.0.${index}:1`,
-        dataCentre: "dc-1",
-        draining: false,
-        capacity: { cpuMillis: 8_000, memoryMib: 16_000, accelerators: 0 },
-        labels: [],
-        rack: "",
-    })));
+    workers.update(Array.from({ length: count }, (_, index) => workerEntry(`i-${index}`, index)));
     await clock.advance(1);
     workers.close();
     await clock.advance(5_000);
@@ -950,21 +944,12 @@
     "an owner that is {int} ms late looks at a worker that never answers again",
     async function(this: ScenarioWorld, lateMs: number) {
         const clock = createFakeClock();
-        const worker = newWorker({
-            workerId: "i-1",
-            service: "service-1",
-            address: "10.0.0.1:1",
-            dataCentre: "dc-1",
-            draining: false,
-            capacity: { cpuMillis: 8_000, memoryMib: 16_000, accelerators: 0 },
-            labels: [],
-            rack: "",
-        }, 0);
+        const worker = newWorker(workerEntry("i-1", 1), 0);
         let looks = 0;
         const link = openWorkerLink(worker, {
             clock,
-            log: { write: () => {} },
-            meter: { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 },
+            log: quietLog,
+            meter: quietMeter,
             workers: {
                 start: async () => "unknown",
                 stop: async () => "unknown",
--- a/packages/puffinarch/src/core/shard/askAdvice.ts
+++ b/packages/puffinarch/src/core/shard/askAdvice.ts
@@ -4,7 +4,7 @@
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import { fits } from "../../types/resources.js";
 import type { AdviceDesk } from "./adviceDesk.js";
-import { avoidedByAll, countRuns, failedLately, suits, ticketFor } from "./chooseWorker.js";
+import { allowsAnother, avoidedByAll, countRuns, failedLately, suits, ticketFor } from "./chooseWorker.js";
 import { hasEnded, heldBy, isWaiting, type ShardStep, stepNameOf } from "./jobBook.js";
 import type { Reservation, RoomView } from "./roomView.js";
 import type { ShardSettings } from "./shardSettings.js";
@@ -142,8 +142,7 @@
         }
         const runs = countRuns(step);
         const hasRoom = (worker: ShardWorker): boolean =>
-            fits(held, view.roomFor(worker, step))
-            && (spec.maxPerWorker === 0 || (runs.get(worker.workerId) ?? 0) < spec.maxPerWorker);
+            fits(held, view.roomFor(worker, step)) && allowsAnother(spec, runs.get(worker.workerId) ?? 0);
         const known = usable.filter(worker =>
             advice.good.has(worker.workerId) && hasRoom(worker)
             && !avoidedByAll(step, worker.workerId, { workers, nowMs })
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -457,6 +457,13 @@
         onOwnRound: noteOwnership,
         onPeersPinged: () => owner?.wake(),
     });
+    const doing = (): string => {
+        if (claimedToken !== 0) {
+            return "restores";
+        }
+        return claimUnderWay === undefined ? watch.doing() : "claims";
+    };
+
     const readiness = watchReadiness({
         clock,
         log,
@@ -467,7 +474,7 @@
         ownerAtWorkAtMs: () => ownerAtWorkAtMs,
         knownOwner: () => knownOwner,
         situation: () => ({
-            doing: claimedToken !== 0 ? "restores" : claimUnderWay === undefined ? watch.doing() : "claims",
+            doing: doing(),
             strong: peers.isStrong(self.memberId),
             members: peers.all.size + 1,
             answering: peers.live().length,
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -25,6 +25,15 @@
     return counts;
 };
 
+/**
+ * Tells whether a worker that has so many live runs of a step may have another one.
+ *
+ * @example
+ * allowsAnother(step.spec, countRuns(step).get("i-7f3a91c2") ?? 0);
+ */
+export const allowsAnother = ({ maxPerWorker }: Step, runsHere: number): boolean =>
+    maxPerWorker === 0 || runsHere < maxPerWorker;
+
 /**
  * Gives the ticket that a start of the step must show: empty where none is needed, undefined where there is none.
  *
@@ -251,7 +260,7 @@
     }
 
     const hasRoomFor = ({ worker, runs: here }: Candidate): boolean =>
-        (spec.maxPerWorker === 0 || here < spec.maxPerWorker) && fits(held, view.roomFor(worker, step));
+        allowsAnother(spec, here) && fits(held, view.roomFor(worker, step));
 
     const score = ({ worker, fixed, runs: here }: Candidate): number => {
         const offer = { capacity: worker.entry.capacity, room: view.roomFor(worker, step), held };
--- a/packages/puffinarch/src/core/shard/firstLooks.ts
+++ b/packages/puffinarch/src/core/shard/firstLooks.ts
@@ -9,7 +9,7 @@
 /** Gives turns. */
 export interface FirstLooks {
     /**
-     * Resolves when the look may be sent, with what is to be called once it is answered; never where it is not wanted any
+     * Resolves when the look may be sent, with what is to be called once it is answered or given up; never where it is not wanted any
      * more when its turn comes.
      */
     enter(isWanted: () => boolean): Promise<() => void>;
--- a/packages/puffinarch/src/core/shard/planRoom.ts
+++ b/packages/puffinarch/src/core/shard/planRoom.ts
@@ -5,7 +5,7 @@
  */
 
 import { add, fits, noResources, type Resources, subtract } from "../../types/resources.js";
-import { avoidedByAll, countRuns, suits } from "./chooseWorker.js";
+import { allowsAnother, avoidedByAll, countRuns, suits } from "./chooseWorker.js";
 import { heldBy, runPhases, type ShardRun, type ShardStep } from "./jobBook.js";
 import { chooseVictims, givesWay } from "./preempt.js";
 import type { Reservation, RoomView } from "./roomView.js";
@@ -141,8 +141,7 @@
 
     const refresh = (worker: ShardWorker): void => {
         const { room, count } = taken.get(worker.workerId) ?? { room: noResources, count: 0 };
-        const { maxPerWorker } = step.spec;
-        const full = maxPerWorker > 0 && (runs.get(worker.workerId) ?? 0) + count >= maxPerWorker;
+        const full = !allowsAnother(step.spec, (runs.get(worker.workerId) ?? 0) + count);
         openings.set(worker, full ? undefined : openingOf(worker, subtract(view.roomFor(worker, step), room), options));
     };
 
--- a/packages/puffinarch/src/core/shard/taskWait.ts
+++ b/packages/puffinarch/src/core/shard/taskWait.ts
@@ -1,7 +1,7 @@
 /** What an accepted task that does not run waits for: one of a closed list of events, each with a bound on the wait. */
 
 import { fits } from "../../types/resources.js";
-import { countRuns, failedLately, suits, ticketFor } from "./chooseWorker.js";
+import { allowsAnother, countRuns, failedLately, suits, ticketFor } from "./chooseWorker.js";
 import { hasEnded, heldBy, isReady, isWaiting, runPhases, type ShardStep, type ShardTask } from "./jobBook.js";
 import { isOpen, roomOf, type ShardWorker } from "./workerTable.js";
 
@@ -107,8 +107,7 @@
     if (asked.has(worker.workerId) && !good.has(worker.workerId)) {
         return "barred";
     }
-    const { maxPerWorker } = step.spec;
-    if (maxPerWorker > 0 && runsHere >= maxPerWorker || !fits(heldBy(step.spec), roomOf(worker))) {
+    if (!allowsAnother(step.spec, runsHere) || !fits(heldBy(step.spec), roomOf(worker))) {
         return "full";
     }
     if (ticketFor(step, worker.workerId, nowMs) === undefined) {
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./explore/explore.js";
 export * from "./faults.js";
 export * from "./platform.js";
+export * from "./quiet.js";
 export * from "./runTwice.js";
 export * from "./serve.js";
 export * from "./shard/brokenShardParts.js";
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -16,7 +16,6 @@
     type Log,
     type MemberHandlers,
     type MemberPort,
-    type Meter,
     noResources,
     parseTaskName,
     type Queue,
@@ -30,6 +29,7 @@
     type WorkerEntry,
 } from "puffinarch";
 import { createFakeClock, type FakeClock } from "../cell/fakeClock.js";
+import { quietMeter } from "../quiet.js";
 import { breakShardPart, type BrokenShardPart } from "./brokenShardParts.js";
 import { createFakeVms, type FakeVms } from "./fakeVms.js";
 import { breachesOf, createFakeFencedWorkers, type FakeFencedWorkers } from "./fencedWorkers.js";
@@ -302,8 +302,6 @@
     const readEntry = ({ value }: Row): WorkerEntry | undefined =>
         value === undefined ? undefined : JSON.parse(value) as WorkerEntry;
 
-    const meter: Meter = { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 };
-
     const start = (memberId: string): void => {
         const life: Life = { alive: true };
         const processor = createProcessor(clock);
@@ -333,7 +331,7 @@
         const member = startCellMember({
             clock: costs === noCosts ? clock : withLateTimers(clock, processor),
             log: writer,
-            meter,
+            meter: quietMeter,
             random,
             settings: { ...defaultShardSettings, policies: policies ?? defaultShardSettings.policies },
             self: {
