Membership whose cost a VM stays level: a few watchers, neighbours and lanes in place of everyone pinging everyone

Cause: each daemon pinged the owner each 200 ms and all others each 2 s, and the owner pinged all each 400 ms. In a cell of 97 that is 5,280 calls a second between daemons, over a connection for each pair, on VMs of a third of a core. A claimant asked all others for their opinion, so that a loss of the owner cost calls by VMs times VMs.

Change: the first eight in the order of claims ping the owner each 200 ms; the others share 50 pings a second. Each daemon pings eight neighbours in turn, and one of the rest every 2 s; the owner pings 32 lanes, strong VMs first. A claimant asks 12. Daemons count as gone after pings a minute apart were left unanswered. Counts of waiting jobs that are not fresh are asked of the owner. A failed call to the owner is followed by a ping at once.

Ruled out: pings of random peers, as in SWIM, which open a connection to everyone in the end; a ring, where a lost data centre takes all watchers of a neighbour; everyone on the store's feed alone, which VMs that the store refuses do not read.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -61,6 +61,7 @@
             | handOver             | claimed by a peer                       |
             | ownerWatch           | 7 restarted                             |
             | peers                | 1 daemon, then entry-1 and entry-2      |
+            | probes               | 10 strong ones first, 1940 ms between two pings, 1080 ms for place 20 |
             | firstLooks           | 24 sent, then 25                        |
             | forward              | notAccepted after 750 ms                |
             | workerList           | i-1, then nobody                        |
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -14,6 +14,7 @@
 import {
     applyEnd,
     chooseVictims,
+    claimOrder,
     claimReasons,
     claimShard,
     countShortOffices,
@@ -38,6 +39,7 @@
     encodeJob,
     extendLease,
     type FencedWorkerPort,
+    followerPauseMs,
     formatTaskName,
     handOver,
     inTurn,
@@ -51,6 +53,7 @@
     openWorkerLink,
     patienceFactor,
     type Peers,
+    placeDelayMs,
     planRoom,
     readAllRows,
     restoreJobs,
@@ -259,7 +262,7 @@
         isLeaving: () => false,
         hasConfiguration: () => true,
         owns: () => clock.monotonicMs() < 500,
-        answeredAtMs: () => -Infinity,
+        wellAtMs: () => -Infinity,
         ownerAtWorkAtMs: () => Math.min(clock.monotonicMs(), 500),
         knownOwner: () => undefined,
         situation: () => ({}),
@@ -679,6 +682,7 @@
         shard: () => undefined,
         ownerAddress: () => undefined,
         ownerLostMs: () => clock.monotonicMs(),
+        onNoAnswer: () => {},
     });
     const asked = passing.run({ local: async () => "here", remote: async () => "there", patienceMs: 2_000 })
         .catch((error: unknown) => `${kindOf(error)} after ${clock.monotonicMs()} ms`);
@@ -731,6 +735,19 @@
     return `${before} daemon, then ${peers.live().join(" and ")}`;
 };
 
+const probes = (): string => {
+    const candidates = Array.from({ length: 97 }, (_, index) => ({
+        memberId: `entry-${index}`,
+        strong: index % 10 === 0,
+    }));
+    const order = claimOrder(candidates, 7);
+    const strongAhead = order.findIndex(({ strong }) => !strong);
+    const pauseMs = followerPauseMs(candidates.length, 200);
+    return `${strongAhead} strong ones first, ${pauseMs} ms between two pings, ${
+        placeDelayMs(20, 120)
+    } ms for place 20`;
+};
+
 const handOverExample = async (): Promise<string> => {
     const clock = createFakeClock();
     const peers = examplePeers(clock, true);
@@ -823,6 +840,7 @@
     readRows: readRowsExample,
     readiness: readinessExample,
     peers: peersExample,
+    probes,
     firstLooks: firstLooksExample,
     forward,
     jobBook,
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -7,6 +7,7 @@
     explorePowerLoss,
     findStanding,
     jobIdOf,
+    type PeerCalls,
     type PowerLossOutcome,
     quietLog,
     quietMeter,
@@ -399,6 +400,38 @@
     assert.equal(lapsed.length, 0);
 });
 
+Then(
+    "in {int} ms each other daemon has {int} calls a second at most with its peers, and the owner {int}",
+    async function(this: ScenarioWorld, forMs: number, most: number, mostOfOwner: number) {
+        const cell = cellOf(this);
+        const owner = cell.owner();
+        const before = cell.peerCalls();
+        await cell.clock.advance(forMs);
+        const callsOf = (calls: ReadonlyMap<string, PeerCalls>, memberId: string): number => {
+            const { sent, taken } = calls.get(memberId) ?? { sent: 0, taken: 0 };
+            return sent + taken;
+        };
+        for (const memberId of cell.memberIds()) {
+            const callsPerS = 1_000 * (callsOf(cell.peerCalls(), memberId) - callsOf(before, memberId)) / forMs;
+            const allowed = memberId === owner ? mostOfOwner : most;
+            assert.ok(callsPerS <= allowed, `${memberId} has ${callsPerS} calls a second`);
+        }
+    },
+);
+
+Then(
+    "all daemons tell within {int} ms that {int} jobs wait",
+    async function(this: ScenarioWorld, ms: number, jobs: number) {
+        const cell = cellOf(this);
+        const told = new Map<string, number | undefined>();
+        for (const memberId of cell.memberIds()) {
+            void cell.member(memberId)?.pending(testQueue.key).then(count => told.set(memberId, count));
+        }
+        await cell.clock.advance(ms);
+        assert.deepEqual(told, new Map(cell.memberIds().map(memberId => [memberId, jobs])));
+    },
+);
+
 Then("the shard's owner is strong", function(this: ScenarioWorld) {
     assert.ok(isStrong(this, cellOf(this).owner()), `it is ${cellOf(this).owner()}`);
 });
@@ -410,7 +443,9 @@
         const told: (number | undefined)[] = [];
         for (let passedMs = 0; passedMs < forMs; passedMs += 50) {
             await cell.clock.advance(50);
-            told.push(...cell.memberIds().map(memberId => cell.member(memberId)?.pending(testQueue.key)));
+            for (const memberId of cell.memberIds()) {
+                void cell.member(memberId)?.pending(testQueue.key).then(count => told.push(count));
+            }
         }
         assert.deepEqual(told.filter(count => count !== undefined && count < least), []);
         assert.ok(told.some(count => count !== undefined), "nobody tells any");
@@ -689,6 +724,7 @@
             shard: () => undefined,
             ownerAddress: () => owner,
             ownerLostMs: () => 0,
+            onNoAnswer: () => {},
         });
         const never = new Promise<never>(() => {});
         const answer = forward.run({
--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -232,7 +232,7 @@
     },
     jobState: async (_queueKey, jobId) => jobId === knownJob ? "running" : undefined,
     cancel: async (_queueKey, jobId) => jobId === knownJob,
-    pending: () => 3,
+    pending: async () => 3,
     handlers: {} as CellMember["handlers"],
     ownsShard: () => false,
     leave: async () => {},
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -221,3 +221,33 @@
         When the store is slow and serves but the owner and one other daemon
         And the fault "owner killed" comes
         Then another daemon owns the shard within 5000 ms
+
+    # Each daemon that pings all others costs every one of them more with each VM that is added: 5,100 calls a second at 97.
+    Scenario Outline: What the daemons of a cell of <members> have to do with each other does not grow with the cell
+        Given a cell of <members> daemons and 4 workers
+        When 3 jobs of steps "2" are submitted
+        Then in 10000 ms each other daemon has 26 calls a second at most with its peers, and the owner 200
+
+        Examples:
+            | members |
+            | 6       |
+            | 34      |
+            | 97      |
+            | 300     |
+
+    Scenario: Every daemon of a large cell knows how many jobs wait
+        Given a cell of 97 daemons and 4 workers
+        When 3 jobs of steps "1" are submitted
+        And the shard runs for 5000 ms
+        Then all daemons tell within 100 ms that 0 jobs wait
+
+    Scenario Outline: The owner of a large cell is replaced as soon as that of a small one, <fault>
+        Given a cell of 97 daemons, each fifth of them strong, and 20 workers
+        When the fault "<fault>" comes
+        Then another daemon owns the shard within <ms> ms
+
+        Examples:
+            | fault                                        | ms   |
+            | owner killed                                 | 600  |
+            | owner cut from its peers, the store, workers | 1200 |
+            | owner and a third of the others killed       | 1200 |
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -78,7 +78,7 @@
     jobState(queueKey: string, jobId: string, patienceMs: number): Promise<JobState | undefined>;
     cancel(queueKey: string, jobId: string, patienceMs: number): Promise<boolean>;
     /** Jobs accepted of which no task has started; undefined where that is not known freshly enough. */
-    pending(queueKey: string): number | undefined;
+    pending(queueKey: string): Promise<number | undefined>;
     readonly handlers: MemberHandlers;
     ownsShard(): boolean;
     /**
@@ -153,6 +153,8 @@
     let lastOwnedAtMs = clock.monotonicMs();
     /** Local time at which an owner was last known to have its rows, wherever it is. */
     let ownerAtWorkAtMs = clock.monotonicMs();
+    /** Whether the owner's newest answer said that it has its rows. */
+    let ownerWorks = false;
     let pendingCounts: { readonly counts: Readonly<Record<string, number>>; readonly atMs: number; } | undefined;
     let yielding = false;
     let claimsAgainAtMs = 0;
@@ -221,7 +223,7 @@
                 owner: row,
                 seenVersion,
                 restorePatienceMs,
-                restoreWithinMs: Math.max(shortestRestoreMs, startedAtMs - ownerAtWorkAtMs),
+                restoreWithinMs: Math.max(shortestRestoreMs, startedAtMs - lastAtWorkMs()),
                 wanted: () =>
                     !closed && (knownOwner?.version ?? 0) <= seenVersion
                         && clock.monotonicMs() - startedAtMs < claimPatienceMs
@@ -449,6 +451,7 @@
         onAnswer: takeNewer,
         onOwnerAnswer: ({ pending }) => {
             // A claimant that still reads the journal counts nothing yet.
+            ownerWorks = pending !== undefined;
             if (pending !== undefined) {
                 ownerAtWorkAtMs = clock.monotonicMs();
                 pendingCounts = { counts: pending, atMs: ownerAtWorkAtMs };
@@ -457,6 +460,8 @@
         onOwnRound: noteOwnership,
         onPeersPinged: () => owner?.wake(),
     });
+    const lastAtWorkMs = (): number => ownerWorks ? Math.max(ownerAtWorkAtMs, watch.wellAtMs()) : ownerAtWorkAtMs;
+
     const doing = (): string => {
         if (claimedToken !== 0) {
             return "restores";
@@ -470,8 +475,8 @@
         isLeaving: () => leaving,
         hasConfiguration: () => configuration !== undefined,
         owns: () => owner !== undefined,
-        answeredAtMs: watch.answeredAtMs,
-        ownerAtWorkAtMs: () => ownerAtWorkAtMs,
+        wellAtMs: watch.wellAtMs,
+        ownerAtWorkAtMs: lastAtWorkMs,
         knownOwner: () => knownOwner,
         situation: () => ({
             doing: doing(),
@@ -488,9 +493,27 @@
         shard: () => owner,
         ownerAddress: () =>
             knownOwner === undefined || knownOwner.row.memberId === self.memberId ? undefined : knownOwner.row.address,
-        ownerLostMs: () => clock.monotonicMs() - Math.max(watch.answeredAtMs(), lastOwnedAtMs),
+        ownerLostMs: () => clock.monotonicMs() - Math.max(watch.wellAtMs(), lastOwnedAtMs),
+        onNoAnswer: watch.suspect,
     });
 
+    const freshCounts = (): Readonly<Record<string, number>> | undefined =>
+        pendingCounts !== undefined && clock.monotonicMs() - pendingCounts.atMs <= countsFreshMs
+            ? pendingCounts.counts
+            : undefined;
+
+    /** The counts that came with the newest ping, or where that was a while ago, those that the owner tells now. */
+    const counts = async (): Promise<Readonly<Record<string, number>> | undefined> => {
+        const known = knownOwner;
+        if (freshCounts() === undefined && known !== undefined && known.row.memberId !== self.memberId) {
+            const answer = await peers.ping(known.row);
+            if (answer?.pending !== undefined) {
+                pendingCounts = { counts: answer.pending, atMs: clock.monotonicMs() };
+            }
+        }
+        return freshCounts();
+    };
+
     const owned = (): ShardOwner => owner ?? die("unavailable", "this daemon does not own the shard");
 
     return {
@@ -519,10 +542,10 @@
                     (await members.call(address, "cancelJob", { queueKey, jobId }, timeoutMs)).known,
                 patienceMs,
             }),
-        pending: queueKey =>
-            pendingCounts === undefined || clock.monotonicMs() - pendingCounts.atMs > countsFreshMs
-                ? undefined
-                : pendingCounts.counts[queueKey] ?? 0,
+        pending: async queueKey => {
+            const known = await counts();
+            return known === undefined ? undefined : known[queueKey] ?? 0;
+        },
         handlers: {
             ping: async ({ ownerVersion }) => ({
                 incarnation: self.incarnation,
--- a/packages/puffinarch/src/core/shard/forward.ts
+++ b/packages/puffinarch/src/core/shard/forward.ts
@@ -15,6 +15,8 @@
     readonly ownerAddress: () => string | undefined;
     /** How long ago an owner was last known to be well. */
     readonly ownerLostMs: () => number;
+    /** A try at the owner found no answer. */
+    readonly onNoAnswer: () => void;
 }
 
 /** One request: what to do with it here, and at another daemon. */
@@ -45,11 +47,11 @@
  * Makes the passing on of requests.
  *
  * @example
- * const forward = createForward({ clock, retryAfterMs: 1_000, shard, ownerAddress, ownerLostMs });
+ * const forward = createForward({ clock, retryAfterMs: 1_000, shard, ownerAddress, ownerLostMs, onNoAnswer });
  * await forward.run({ local: shard => shard.submit(job), remote: (address, timeoutMs) => send(address, timeoutMs), patienceMs: 2_000 });
  */
 export const createForward = (options: ForwardOptions): Forward => {
-    const { clock, retryAfterMs, shard, ownerAddress, ownerLostMs } = options;
+    const { clock, retryAfterMs, shard, ownerAddress, ownerLostMs, onNoAnswer } = options;
     const waiting = new Set<() => void>();
 
     const ownerChange = (waitMs: number): Promise<void> =>
@@ -127,6 +129,7 @@
                     if (!unknown && kind !== "unavailable") {
                         throw error;
                     }
+                    onNoAnswer();
                 }
                 // An owner that was lost a while ago is not expected back at once, and other daemons may reach one.
                 const allowedMs = unknown ? patienceMs : Math.min(patienceMs, ownerPatienceMs - ownerLostMs());
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -6,9 +6,9 @@
 import type { KnownOwner, MemberRow, PingAnswer } from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
 import { type ErrorKind, failureOf } from "../../utils/errors.js";
-import { hash } from "../../utils/rendezvous.js";
 import { sleep } from "../../utils/time.js";
 import { type Peers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
+import { followerPauseMs, placeDelayMs, watcherCount } from "./probes.js";
 import { type ClaimReason, claimReasons, patienceFactor, settlingMs } from "./shortOffices.js";
 
 /** What the watch needs. */
@@ -62,8 +62,10 @@
 export interface OwnerWatch {
     /** What the newest look at the owner led to. */
     doing(): WatchStep;
-    /** Local time of the owner's newest answer. */
-    answeredAtMs(): number;
+    /** Local time at which the owner was last known to be well; an answer vouches for it until the next ping is due. */
+    wellAtMs(): number;
+    /** A call to the owner failed: it is pinged at once, also where that is not due. */
+    suspect(): void;
     /** Token of the owner that answered within the last moments; 0 for none. */
     seenToken(): number;
     /** The owner's row changed. */
@@ -73,9 +75,11 @@
     close(): void;
 }
 
-/** An owner pings its peers, which are its lanes to the advisor, every second round; the others every tenth. */
+/** An owner pings its lanes to the advisor every second round; a daemon pings each of its neighbours once in ten. */
 const ownerPingRounds = 2;
-const memberPingRounds = 10;
+const neighbourPingRounds = 10;
+/** Rounds begin this much early or late; a ping that is due by then is sent. */
+const timerSlackMs = 50;
 /** After a ping that failed the next one comes sooner. */
 const failedPingIntervalMs = 50;
 /** Pings in a row without any answer before the owner counts as lost. */
@@ -152,6 +156,9 @@
     let silentPings = 0;
     let lostAtMs: number | undefined;
     let answeredAtMs = -Infinity;
+    /** For how long the newest answer stands for the owner, beyond the usual interval. */
+    let vouchedMs = 0;
+    let askedAtMs = -Infinity;
     /** True once an owner with all its rows has answered. */
     let hasSeenWork = false;
     let endPause: (() => void) | undefined;
@@ -172,8 +179,8 @@
 
     /** Whether a peer had an answer from the owner within the last moments; then the fault is on this side. */
     const peersSeeOwner = async (version: number): Promise<{ readonly seen: boolean; readonly minority: boolean; }> => {
-        const others = [...peers.all.values()].filter(peer => peer.memberId !== known()?.row.memberId);
-        const expected = Math.max(0, peers.counted().length - 1);
+        const others = peers.opinions(known());
+        const expected = others.length;
         const answered: PingAnswer[] = [];
         let noteHalf: () => void = () => {};
         const half = new Promise<void>(resolve => {
@@ -193,14 +200,19 @@
     };
 
     /** How long this daemon leaves the claim to others: strong VMs go first, in an order that all compute alike. */
-    const turnMs = (version: number, rankMs = rankDelayMs): number => {
-        const score = (id: string): number => hash(`${version}|${id}`);
-        const mine = score(self.memberId);
+    const turnMs = (rankMs = rankDelayMs): number => {
         const strong = peers.isStrong(self.memberId);
-        const before = peers.live().filter(id =>
-            id !== known()?.row.memberId && peers.isStrong(id) === strong && score(id) > mine
-        );
-        return (strong ? 0 : weakDelayMs) + before.length * rankMs;
+        const alike = peers.claimants(known()).filter(candidate => candidate.strong === strong);
+        const place = alike.findIndex(({ memberId }) => memberId === self.memberId);
+        const before = alike.slice(0, place).filter(({ memberId }) => !peers.isSilent(memberId));
+        return (strong ? 0 : weakDelayMs) + placeDelayMs(before.length, rankMs);
+    };
+
+    /** The first in the order of claims ping the owner at each round; the others, of whom there may be hundreds, share a rate. */
+    const ownerPauseMs = (): number => {
+        const claimants = peers.claimants(known());
+        const place = claimants.findIndex(({ memberId }) => memberId === self.memberId);
+        return place < watcherCount ? pingIntervalMs : followerPauseMs(claimants.length, pingIntervalMs);
     };
 
     /**
@@ -228,12 +240,12 @@
      * Nobody had answered a daemon that has just started; claims of all at once would queue in a slow store. One that has seen
      * an owner at work knows its peers, and of those before it many may be refused by the store.
      */
-    const turnAtStartMs = (version: number, storeMs: number): number => {
+    const turnAtStartMs = (storeMs: number): number => {
         if (hasSeenWork) {
             return 0;
         }
         const rankMs = Math.min(longestRankDelayMs, storeAnswersARank * storeMs);
-        return Math.min(turnMs(version, rankMs), turnMs(version) + longestStoreWaitMs);
+        return Math.min(turnMs(rankMs), turnMs() + longestStoreWaitMs);
     };
 
     const considerClaim = async (why: ClaimReason): Promise<void> => {
@@ -248,7 +260,7 @@
         }
         lostAtMs ??= clock.monotonicMs();
         const lostForMs = (): number => clock.monotonicMs() - (lostAtMs ?? clock.monotonicMs());
-        if (lostForMs() < turnMs(version)) {
+        if (lostForMs() < turnMs()) {
             step = watchSteps.waitsItsTurn;
             return;
         }
@@ -271,7 +283,7 @@
         }
         step = watchSteps.waitsItsTurn;
         if (
-            lostForMs() < turnAtStartMs(version, clock.monotonicMs() - askedAtMs)
+            lostForMs() < turnAtStartMs(clock.monotonicMs() - askedAtMs)
             || minority && await ownerAnswers(version)
         ) {
             return;
@@ -284,7 +296,7 @@
 
     /** An owner that answers its peers and cannot reach the store gives way to one that can. */
     const replaceStalled = async (version: number, stalledMs: number): Promise<void> => {
-        if (!mayClaim() || stalledMs < stalledOwnerMs * patience() + turnMs(version)) {
+        if (!mayClaim() || stalledMs < stalledOwnerMs * patience() + turnMs()) {
             return;
         }
         if (!await readOwner(quickReadMs)) {
@@ -298,6 +310,7 @@
 
     const noteOwnerAnswer = (): void => {
         answeredAtMs = clock.monotonicMs();
+        vouchedMs = ownerPauseMs() - pingIntervalMs;
         silentPings = 0;
         lostAtMs = undefined;
         step = watchSteps.pings;
@@ -330,6 +343,7 @@
             ? await firstAnswer([first, ask(limitMs - secondPingMs)])
             : early;
         if (answer === undefined) {
+            vouchedMs = Math.max(0, Math.min(vouchedMs, askedAtMs - answeredAtMs));
             for (const kind of silences) {
                 silentPings += 1;
                 logSilence(row.memberId, kind);
@@ -340,6 +354,7 @@
 
     const pingOwner = async ({ row, version }: KnownOwner): Promise<void> => {
         const startedAtMs = clock.monotonicMs();
+        askedAtMs = startedAtMs;
         const answer = await askOwner(row);
         if (answer !== undefined && versionNow() === version) {
             options.onAnswer(row.address, answer);
@@ -359,11 +374,8 @@
         }
     };
 
-    const pingPeers = (): void => {
-        for (const peer of peers.all.values()) {
-            if (peer.memberId === known()?.row.memberId && !owns()) {
-                continue;
-            }
+    const pingPeers = (pinged: readonly MemberRow[]): void => {
+        for (const peer of pinged) {
             void peers.ping(peer).then(answer => {
                 if (answer !== undefined) {
                     options.onAnswer(peer.address, answer);
@@ -373,12 +385,25 @@
         options.onPeersPinged();
     };
 
-    /** The owner pings everyone, since its peers are its lanes to the advisor; the others ping the owner. */
+    const withNextOfRest = (pinged: readonly MemberRow[]): readonly MemberRow[] => {
+        const next = peers.nextOfRest(pinged);
+        return next === undefined ? pinged : [...pinged, next];
+    };
+
+    /** One or two of the neighbours in each round, so that news arrive all the time and work comes evenly. */
+    const pingNeighbours = (round: number): void => {
+        const turn = round % neighbourPingRounds;
+        const neighbours = peers.neighbours();
+        const due = neighbours.filter((_peer, index) => index % neighbourPingRounds === turn);
+        pingPeers(turn === neighbourPingRounds - 1 ? withNextOfRest(neighbours).slice(neighbours.length) : due);
+    };
+
+    /** The owner pings its lanes to the advisor; the others ping the owner. */
     const watchOnce = async (round: number): Promise<void> => {
         if (owns()) {
             options.onOwnRound();
             if (round % ownerPingRounds === 0) {
-                pingPeers();
+                pingPeers(withNextOfRest(peers.lanes(versionNow())));
             }
             return;
         }
@@ -386,18 +411,17 @@
             return;
         }
         const owner = known();
-        const others = owner !== undefined && owner.row.memberId !== self.memberId;
-        if (others) {
-            await pingOwner(owner);
-        }
-        else {
-            const lost = isFormerSelf() ? claimReasons.restarted : claimReasons.lost;
-            await considerClaim(owner === undefined ? claimReasons.noOwner : lost);
+        if (owner !== undefined && owner.row.memberId !== self.memberId) {
+            if (silentPings > 0 || clock.monotonicMs() - askedAtMs >= ownerPauseMs() - timerSlackMs) {
+                await pingOwner(owner);
+            }
+            pingNeighbours(round);
+            return;
         }
+        const lost = isFormerSelf() ? claimReasons.restarted : claimReasons.lost;
+        await considerClaim(owner === undefined ? claimReasons.noOwner : lost);
         // Where a claim did not succeed, a peer may know who has the shard.
-        if (round % memberPingRounds === 0 || !others && !owns()) {
-            pingPeers();
-        }
+        pingPeers(owns() ? [] : withNextOfRest(peers.neighbours()));
     };
 
     const pause = (delayMs: number): Promise<void> =>
@@ -425,12 +449,20 @@
     void watch();
     return {
         doing: () => step,
-        answeredAtMs: () => answeredAtMs,
+        wellAtMs: () => Math.min(clock.monotonicMs(), answeredAtMs + vouchedMs),
         seenToken: () =>
             silentPings === 0 && clock.monotonicMs() - answeredAtMs < freshAnswerMs * patience()
                 ? versionNow()
                 : 0,
+        suspect: () => {
+            if (clock.monotonicMs() - askedAtMs >= pingIntervalMs) {
+                askedAtMs = -Infinity;
+                endPause?.();
+            }
+        },
         reset: () => {
+            askedAtMs = -Infinity;
+            vouchedMs = 0;
             changedAtMs = clock.monotonicMs();
             silentPings = 0;
             lostAtMs = undefined;
--- a/packages/puffinarch/src/core/shard/peers.ts
+++ b/packages/puffinarch/src/core/shard/peers.ts
@@ -11,6 +11,7 @@
 } from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
 import { type ErrorKind, failureOf } from "../../utils/errors.js";
+import { type ClaimCandidate, claimOrder, laneCount, neighbourCount, newsOrder, opinionCount } from "./probes.js";
 
 /** What the table of peers needs. */
 export interface PeersOptions {
@@ -33,8 +34,20 @@
 /** The other daemons. */
 export interface Peers {
     readonly all: ReadonlyMap<string, MemberRow>;
-    /** The daemons that are not gone for good: each answered this one within the last minute, or is that new to it. */
+    /** The daemons that are not gone for good: none of them has left pings unanswered for a minute. */
     counted(): readonly MemberRow[];
+    /** The daemons that may claim the shard after the owner of this version, this one included, in their order. */
+    claimants(owner: KnownOwner | undefined): readonly ClaimCandidate[];
+    /** Whom to ask whether they see the owner: those that watch it, and others. */
+    opinions(owner: KnownOwner | undefined): readonly MemberRow[];
+    /** Whom an owner pings, since they are its lanes to the advisor: those that answer first, strong ones before weak ones. */
+    lanes(version: number): readonly MemberRow[];
+    /** Whom another daemon pings for news. */
+    neighbours(): readonly MemberRow[];
+    /** Of the daemons that are not among these, the one whose turn it is, so that each is heard of now and then. */
+    nextOfRest(pinged: readonly MemberRow[]): MemberRow | undefined;
+    /** Whether a daemon left its newest ping unanswered. */
+    isSilent(memberId: string): boolean;
     /** New or changed entries of daemons. */
     take(rows: readonly Row[]): void;
     /** Calls a daemon; undefined where it gave no answer. */
@@ -67,11 +80,18 @@
 const liveMs = 3 * pingIntervalMs;
 
 /**
- * Nobody removes the entry of a VM that is gone. One that has not answered for this long, far longer than any cut, is not
- * waited for any more: with six of nine VMs gone each takeover took 2.7 s in place of 0.2 s, and with all strong ones gone 2.2 s.
+ * Nobody removes the entry of a VM that is gone. One that left the first and the last of its pings unanswered over this long,
+ * far longer than any cut, and all between them, is not waited for any more: with six of nine VMs gone each takeover took
+ * 2.7 s in place of 0.2 s, and with all strong ones gone 2.2 s.
  */
 const goneMs = 60_000;
 
+/** Pings in a row that a daemon left unanswered. */
+interface Silence {
+    readonly fromMs: number;
+    readonly untilMs: number;
+}
+
 const strengthOf = ({ strength }: MemberRow): number => strength ?? 1;
 
 /**
@@ -84,9 +104,12 @@
 export const createPeers = ({ clock, log, self, members, ownerVersion, onOwner }: PeersOptions): Peers => {
     const all = new Map<string, MemberRow>();
     const answeredAtMs = new Map<string, number>();
-    /** When the entry of each daemon's process was first seen. */
-    const enteredAtMs = new Map<string, number>();
+    const silences = new Map<string, Silence>();
     const leaving = new Set<string>();
+    /** Changes of the table so far, also of which daemons are gone. */
+    let changes = 0;
+    /** How often one outside the usual ones was pinged. */
+    let restTurns = 0;
 
     const ask: Peers["ask"] = async (address, name, input, timeoutMs, onSilent) => {
         try {
@@ -100,25 +123,98 @@
         }
     };
 
-    const counted = (): readonly MemberRow[] => {
-        const nowMs = clock.monotonicMs();
-        return [...all.values()].filter(({ memberId }) =>
-            nowMs - Math.max(answeredAtMs.get(memberId) ?? -Infinity, enteredAtMs.get(memberId) ?? -Infinity) < goneMs
+    const isGone = (memberId: string): boolean => {
+        const silence = silences.get(memberId);
+        return silence !== undefined && silence.untilMs - silence.fromMs >= goneMs;
+    };
+
+    /** Keeps what follows from the table until it changes: it is asked for in each round, by hundreds of entries. */
+    const untilChanged = <T>(derive: () => T): () => T => {
+        let derivedAt = -1;
+        let value: T;
+        return () => {
+            if (derivedAt !== changes) {
+                value = derive();
+                derivedAt = changes;
+            }
+            return value;
+        };
+    };
+
+    const counted = untilChanged((): readonly MemberRow[] => [...all.values()].filter(each => !isGone(each.memberId)));
+
+    const neededStrength = untilChanged(() => strongShare * Math.max(...[self, ...counted()].map(strengthOf)));
+
+    const candidates = untilChanged((): readonly ClaimCandidate[] =>
+        [self, ...counted()].map(member => ({
+            memberId: member.memberId,
+            strong: strengthOf(member) >= neededStrength(),
+        }))
+    );
+
+    const neighbours = untilChanged(() => newsOrder(self.memberId, counted()).slice(0, neighbourCount));
+    const allInOrder = untilChanged(() => newsOrder(self.memberId, [...all.values()]));
+
+    /** The owner whose successors were asked for last. */
+    let claimedFrom: KnownOwner | undefined;
+    const claimantsNow = untilChanged(() => {
+        const owner = claimedFrom;
+        const others = candidates().filter(({ memberId }) =>
+            memberId === self.memberId || memberId !== owner?.row.memberId
         );
+        return claimOrder(others, owner?.version ?? 0);
+    });
+    const claimants: Peers["claimants"] = owner => {
+        changes += owner?.version === claimedFrom?.version ? 0 : 1;
+        claimedFrom = owner;
+        return claimantsNow();
+    };
+
+    const rowsOf = (listed: readonly ClaimCandidate[]): readonly MemberRow[] =>
+        listed.flatMap(({ memberId }) => all.get(memberId) ?? []);
+
+    const noteSilence = (memberId: string, askedAtMs: number): void => {
+        const { fromMs } = silences.get(memberId) ?? { fromMs: askedAtMs };
+        const wasGone = isGone(memberId);
+        silences.set(memberId, { fromMs, untilMs: clock.monotonicMs() });
+        changes += wasGone === isGone(memberId) ? 0 : 1;
+    };
+
+    const endSilence = (memberId: string): void => {
+        changes += isGone(memberId) ? 1 : 0;
+        silences.delete(memberId);
     };
 
     return {
         all,
         counted,
+        claimants,
+        opinions: owner => rowsOf(claimants(owner)).slice(0, opinionCount),
+        lanes: version => {
+            const members = rowsOf(claimOrder(candidates(), version));
+            const answering = members.filter(({ memberId }) => !silences.has(memberId));
+            const silent = members.filter(({ memberId }) => silences.has(memberId));
+            return [...answering, ...silent].slice(0, laneCount);
+        },
+        neighbours,
+        nextOfRest: pinged => {
+            const ids = new Set(pinged.map(({ memberId }) => memberId));
+            const rest = allInOrder().filter(({ memberId }) => !ids.has(memberId));
+            restTurns += 1;
+            return rest[restTurns % Math.max(1, rest.length)];
+        },
+        isSilent: memberId => silences.has(memberId),
         take: rows => {
+            changes += 1;
             for (const row of rows) {
                 if (row.value === undefined) {
                     all.delete(row.key);
+                    silences.delete(row.key);
                 }
                 else if (row.key !== self.memberId) {
                     const member = JSON.parse(row.value) as MemberRow;
                     if (all.get(row.key)?.incarnation !== member.incarnation) {
-                        enteredAtMs.set(row.key, clock.monotonicMs());
+                        silences.delete(row.key);
                     }
                     all.set(row.key, member);
                 }
@@ -127,10 +223,13 @@
         ask,
         ping: async (peer, { timeoutMs = pingTimeoutMs, onSilent } = {}) => {
             const request = { from: self.memberId, ownerVersion: ownerVersion() };
+            const askedAtMs = clock.monotonicMs();
             const answer = await ask(peer.address, "ping", request, timeoutMs, onSilent);
             if (answer === undefined) {
+                noteSilence(peer.memberId, askedAtMs);
                 return undefined;
             }
+            endSilence(peer.memberId);
             answeredAtMs.set(peer.memberId, clock.monotonicMs());
             if (answer.leaving) {
                 leaving.add(peer.memberId);
@@ -150,9 +249,8 @@
         },
         isLeaving: peerId => leaving.has(peerId),
         isStrong: memberId => {
-            const strongest = Math.max(...[self, ...counted()].map(strengthOf));
             const member = memberId === self.memberId ? self : all.get(memberId);
-            return member !== undefined && strengthOf(member) >= strongShare * strongest;
+            return member !== undefined && strengthOf(member) >= neededStrength();
         },
     };
 };
--- a/packages/puffinarch/src/core/shard/readiness.ts
+++ b/packages/puffinarch/src/core/shard/readiness.ts
@@ -10,8 +10,8 @@
     readonly isLeaving: () => boolean;
     readonly hasConfiguration: () => boolean;
     readonly owns: () => boolean;
-    /** Local time of the owner's newest answer. */
-    readonly answeredAtMs: () => number;
+    /** Local time at which the owner was last known to be well. */
+    readonly wellAtMs: () => number;
     /** Local time at which an owner was last known to have its rows, wherever it is. */
     readonly ownerAtWorkAtMs: () => number;
     readonly knownOwner: () => KnownOwner | undefined;
@@ -36,11 +36,11 @@
  * Starts to judge whether a daemon is ready.
  *
  * @example
- * const readiness = watchReadiness({ clock, log, isLeaving, hasConfiguration, owns, answeredAtMs, ownerAtWorkAtMs, knownOwner, situation });
+ * const readiness = watchReadiness({ clock, log, isLeaving, hasConfiguration, owns, wellAtMs, ownerAtWorkAtMs, knownOwner, situation });
  * readiness.ready(); // false before the first configuration
  */
 export const watchReadiness = (options: ReadinessOptions): Readiness => {
-    const { clock, log, isLeaving, hasConfiguration, owns, answeredAtMs, ownerAtWorkAtMs, knownOwner } = options;
+    const { clock, log, isLeaving, hasConfiguration, owns, wellAtMs, ownerAtWorkAtMs, knownOwner } = options;
     let closed = false;
     let shownReason: string | undefined = "starting";
     let withoutOwnerLineMs = firstWithoutOwnerMs;
@@ -53,7 +53,7 @@
         if (!hasConfiguration()) {
             return "noConfiguration";
         }
-        if (owns() || clock.monotonicMs() - answeredAtMs() < readyWithoutOwnerMs) {
+        if (owns() || clock.monotonicMs() - wellAtMs() < readyWithoutOwnerMs) {
             return undefined;
         }
         return knownOwner() === undefined ? "noOwnerKnown" : "ownerSilent";
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -49,6 +49,7 @@
 export * from "./core/shard/placing.js";
 export * from "./core/shard/planRoom.js";
 export * from "./core/shard/preempt.js";
+export * from "./core/shard/probes.js";
 export * from "./core/shard/readiness.js";
 export * from "./core/shard/readRows.js";
 export * from "./core/shard/roomView.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -158,6 +158,7 @@
 export { handOver, type HandOverOptions } from "./internal.js";
 export { type OwnerWatch, type OwnerWatchOptions, watchOwner, type WatchStep, watchSteps } from "./internal.js";
 export { type Readiness, type ReadinessOptions, watchReadiness } from "./internal.js";
+export { type ClaimCandidate, claimOrder, followerPauseMs, newsOrder, placeDelayMs } from "./internal.js";
 export { createPeers, type Peers, type PeersOptions, type PingOptions } from "./internal.js";
 export { mayGoDown, runsToMove } from "./internal.js";
 export { startUpkeep, type Upkeep, type UpkeepOptions } from "./internal.js";
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -107,6 +107,8 @@
     unlist(workerId: string): void;
     /** The worker says that it leaves, after this time at the least. */
     drain(workerId: string, remainingMs: number): void;
+    /** Calls that each daemon has sent to its peers and taken from them so far. */
+    peerCalls(): ReadonlyMap<string, PeerCalls>;
     /** Moves time until a condition holds; fails after the limit. */
     until(holds: () => boolean | Promise<boolean>, limitMs: number): Promise<boolean>;
     /** State of each job as the owner shows it; moves time a little. */
@@ -116,6 +118,12 @@
     standing(): readonly string[];
 }
 
+/** Calls between a daemon and its peers. */
+export interface PeerCalls {
+    readonly sent: number;
+    readonly taken: number;
+}
+
 /** What a cell is made of. */
 export interface ShardCellOptions {
     readonly members: number;
@@ -250,8 +258,16 @@
             clock.setTimer(delayMs, resolve);
         });
 
+    const peerCalls = new Map<string, PeerCalls>();
+    const countCall = (memberId: string, { sent, taken }: PeerCalls): void => {
+        const before = peerCalls.get(memberId) ?? { sent: 0, taken: 0 };
+        peerCalls.set(memberId, { sent: before.sent + sent, taken: before.taken + taken });
+    };
+
     const peersOf = (from: string, life: Life): MemberPort => ({
         call: async (address, name, input, timeoutMs) => {
+            countCall(from, { sent: 1, taken: 0 });
+            countCall(address, { sent: 0, taken: 1 });
             const seat = seats.get(address);
             if (!life.alive) {
                 return new Promise<never>(() => {});
@@ -516,6 +532,7 @@
                 drainRemainingMs: remainingMs,
             });
         },
+        peerCalls: () => new Map(peerCalls),
         until: async (holds, limitMs) => {
             for (let passedMs = 0; passedMs < limitMs; passedMs += 100) {
                 if (await holds()) {
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -89,6 +89,18 @@
             }
         };
     },
+    "owner and a third of the others killed": cell => {
+        const owner = cell.owner() ?? cell.memberIds()[0] ?? "";
+        const hit = [...cell.memberIds().filter((memberId, index) => memberId !== owner && index % 3 === 0), owner];
+        for (const memberId of hit) {
+            cell.kill(memberId);
+        }
+        return () => {
+            for (const memberId of hit) {
+                cell.restart(memberId);
+            }
+        };
+    },
     "all killed": cell => {
         for (const memberId of cell.memberIds()) {
             cell.kill(memberId);
