Rows of other writers are decoded by schemas: one that cannot be read is logged and left out, and stops no feed

Cause: rows that the platform, the operator or another writer leaves were parsed and cast. One malformed row in the list of workers threw inside the feed, which read the whole table again and met it again: no worker was listed and nothing started for as long as it stood. The same held for the configuration, waves, members, the owner's row, jobs, ended jobs and the VMs of a wave; a job without a state row stopped a restore. Words from outside could name an inherited property (`constructor`).

Change: `utils/decode.ts` gives an entry, nothing, or the field that cannot be read, by zod schemas at each edge. A line `rowUnreadable` for each version of a row, and a counter. The newest readable configuration stays in force; a known worker whose row cannot be read gets no new work at once (2.5 s of grace before); an owner's row that cannot be read is replaced by a claim; a job of which a row cannot be read is left out with its rows as they are. Bytes that are not UTF-8 cannot be read either.

Tests: 54 scenes, 24,000 mutations. Weighed: zod's small build and hand-written checks; zod is in the bundle for the settings already, so that neither saves bytes.

--- /dev/null
+++ b/features/decoding.feature
@@ -0,0 +1,103 @@
+Feature: Rows that another writer left
+
+    # An entry that cannot be read names no worker, no configuration and no wave; all others stay in force.
+    Scenario Outline: An executor's entry is <value>
+        Then an executor's entry '<value>' cannot be read at "<field>"
+
+        Examples:
+            | value                                                                                                               | field            |
+            | {"backend":                                                                                                         | value            |
+            | null                                                                                                                | value            |
+            | 7                                                                                                                   | value            |
+            | []                                                                                                                  | value            |
+            | {}                                                                                                                  | backend          |
+            | {"backend":7,"address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{}}                                      | backend          |
+            | {"backend":"","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{}}                                     | backend          |
+            | {"backend":"b","address":null,"zone":"z","state":"ready","capacity":{}}                                             | address          |
+            | {"backend":"b","address":"here","zone":"z","state":"ready","capacity":{}}                                           | address          |
+            | {"backend":"b","address":"10.0.0.9:99999","zone":"z","state":"ready","capacity":{}}                                 | address          |
+            | {"backend":"b","address":"10.0.0.9:80","state":"ready","capacity":{}}                                               | zone             |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","capacity":{}}                                                    | state            |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"resting","capacity":{}}                                  | state            |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"constructor","capacity":{}}                              | state            |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready"}                                                  | capacity         |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{"cpu":"many"}}                        | capacity.cpu     |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{"mem_mb":-1}}                         | capacity.mem_mb  |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"labels":{"a":"r1"}}                | labels           |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"labels":"r1"}                      | labels           |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"labels":["a",3]}                   | labels[1]        |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"draining","capacity":{},"drain_remaining_ms":"soon"}     | drain_remaining_ms |
+
+    Scenario Outline: The operator's row <key> is <value>
+        Then the operator's row "<key>" with '<value>' cannot be read at "<field>"
+
+        Examples:
+            | key    | value                                                                                              | field                  |
+            | config | {                                                                                                  | value                  |
+            | config | null                                                                                               | value                  |
+            | config | {"routes":[]}                                                                                      | version                |
+            | config | {"version":"7"}                                                                                    | version                |
+            | config | {"version":7,"routes":{}}                                                                          | routes                 |
+            | config | {"version":7,"routes":[null]}                                                                      | routes[0]              |
+            | config | {"version":7,"routes":[{"host":"h","path_prefix":"/a/"}]}                                          | routes[0].backend      |
+            | config | {"version":7,"routes":[{"host":"h","path_prefix":"/a/","backend":"b","timeout_ms":"long"}]}        | routes[0].timeout_ms   |
+            | config | {"version":7,"routes":[{"host":"h","path_prefix":"/a/","backend":"b","advice":{"decide_ms":1}}]}   | routes[0].advice.each_ms |
+            | wave/3 | {"wave":3,"machines":"all"}                                                                        | machines               |
+            | wave/3 | {"wave":"3","machines":[]}                                                                         | wave                   |
+            | wave/3 | {"wave":3,"cap":"one"}                                                                             | cap                    |
+
+    Scenario Outline: A worker or the platform answers with the word "<word>", which every object inherits
+        Given a service that answers 409 with '{"clock_ms":1,"reason":"<word>"}'
+        When a run is started through the adapter
+        Then the adapter says "unknown"
+
+        Examples:
+            | word        |
+            | constructor |
+            | toString    |
+            | __proto__   |
+
+    # One row that another writer left stopped the list of workers for as long as it stood: nothing was started.
+    Scenario Outline: Work goes on beside <what> that cannot be read
+        Given a cell of 3 daemons and 4 workers
+        When another writer leaves <what> that cannot be read
+        And the fault "owner killed" comes
+        And the shard runs for 1000 ms
+        And 6 jobs of steps "2, 1 after 0" are submitted
+        Then all jobs are "completed" within 10000 ms
+        And an unreadable row was logged once by each owner or daemon that met it
+        And no promise was broken
+
+        Examples:
+            | what                 |
+            | a worker             |
+            | a configuration      |
+            | a wave               |
+            | a daemon             |
+            | an owner             |
+            | a job                |
+            | a state of a job     |
+            | an ended job         |
+            | the VMs of a wave    |
+
+    Scenario: A worker whose row cannot be read any more gets no new work
+        Given a cell of 3 daemons and 2 workers
+        When another writer leaves a row of the first worker that cannot be read
+        And the shard runs for 1000 ms
+        And 4 jobs of steps "2" are submitted
+        Then all jobs are "completed" within 10000 ms
+        And the first worker has started nothing
+
+    Scenario Outline: Whatever a <kind> row holds, it is decoded or says what cannot be read, seed <seed>
+        Then 3000 mutations of a "<kind>" row with seed <seed> throw nothing and give whole entries only
+
+        Examples:
+            | kind          | seed |
+            | worker        | 1    |
+            | configuration | 2    |
+            | wave          | 3    |
+            | member        | 4    |
+            | owner         | 5    |
+            | submission    | 6    |
+            | state         | 7    |
+            | ended         | 8    |
--- a/features/examples.feature
+++ b/features/examples.feature
@@ -61,6 +61,10 @@
             | handOver             | claimed by a peer                       |
             | ownerWatch           | 7 restarted                             |
             | peers                | 1 daemon, then entry-1 and entry-2      |
+            | memberRows           | entry-2, then memberId cannot be read, then nobody |
+            | rowReader            | 1 line, 1 entry                         |
+            | jobRowSchemas        | done with defaults                      |
+            | decode               | entry, unreadable at wave, unreadable at value, none |
             | probes               | 10 strong ones first, 1940 ms between two pings, 1080 ms for place 20 |
             | firstLooks           | 24 sent, then 25                        |
             | forward              | notAccepted after 750 ms                |
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -31,10 +31,13 @@
     createPeers,
     createPlacing,
     createRoomView,
+    createRowReader,
     createShardWorkers,
     createTaskReview,
     createWaveRows,
     createWorkerWatch,
+    decodeMember,
+    decodeRow,
     defaultShardSettings,
     encodeJob,
     extendLease,
@@ -48,6 +51,7 @@
     journalTable,
     kindOf,
     mayGoDown,
+    memberTable,
     newJob,
     newWorker,
     openWorkerLink,
@@ -58,6 +62,7 @@
     readAllRows,
     restoreJobs,
     roomOf,
+    type Row,
     runsToMove,
     sequenceKey,
     type ShardJob,
@@ -65,13 +70,16 @@
     type ShardRun,
     startShardOwner,
     startUpkeep,
+    submissionSchema,
     taskWaitOf,
+    unreadableOwner,
     watchOwner,
     watchReadiness,
     watchTable,
     watchWorkerList,
     type WorkerEntry,
 } from "puffinarch";
+import { z } from "zod";
 
 const log = quietLog;
 const meter = quietMeter;
@@ -135,7 +143,7 @@
     taskOf(job).lastRun = 1;
     taskOf(job).runs.push(runOf(job));
     const rows = encodeJob(job).puts.map(put => ({ ...put, part, version: 1 }));
-    const [run] = restoreJobs(rows).runs;
+    const [run] = restoreJobs(rows, createRowReader({ log, meter })).runs;
     return `${run?.taskName} ran on ${run?.workerId}`;
 };
 
@@ -460,6 +468,7 @@
         part,
         ownerVersion: 0,
         stateRow: (wave, state) => ({ table: "status", part: "", key: `wave/${wave}`, value: state }),
+        reader: createRowReader({ log, meter }),
         isClosed: () => false,
     });
     const written = rows.record(3, { begun: new Set(["vm-1"]), ordered: new Map([["vm-1", 7]]) });
@@ -719,6 +728,7 @@
             call: async (_address, name) =>
                 (name === "handOver" ? { claimed } : { incarnation: "9", leaving: false, ownedToken: 0 }) as never,
         },
+        reader: createRowReader({ log, meter }),
         ownerVersion: () => 0,
         onOwner: () => {},
     });
@@ -735,6 +745,51 @@
     return `${before} daemon, then ${peers.live().join(" and ")}`;
 };
 
+const memberRows = (): string => {
+    const row = (key: string): Row => ({
+        table: memberTable,
+        part: "",
+        key,
+        value: JSON.stringify({ memberId: "entry-2", address: "http://a:1", dataCentre: "d", incarnation: "9" }),
+        version: 1,
+    });
+    const known = decodeMember(row("entry-2"));
+    const other = decodeMember(row("entry-3"));
+    const noOwner = unreadableOwner(7).row.memberId;
+    return `${known.kind === "entry" ? known.entry.memberId : ""}, then ${
+        other.kind === "unreadable" ? other.field : ""
+    } cannot be read, then ${noOwner === "" ? "nobody" : noOwner}`;
+};
+
+const rowReader = (): string => {
+    let lines = 0;
+    const reader = createRowReader({ log: { write: () => lines += 1 }, meter });
+    const row = { table: "workers", part: "", key: "i-1", value: "{", version: 4 };
+    const schema = z.object({ address: z.string() });
+    const entries = [row, row, { ...row, value: '{"address":"10.0.0.9:80"}', version: 5 }].flatMap(each =>
+        reader.entryOf(each, decodeRow(each, schema)) ?? []
+    );
+    return `${lines} line, ${entries.length} entry`;
+};
+
+const jobRowSchemas = (): string => {
+    const steps = [{ count: 1, size: { cpuMillis: 1, memoryMib: 1, accelerators: 0 } }];
+    const schedule = { startAtMs: 0, intervalMs: 0, repeatCount: 0 };
+    const submission = { jobId: "5c0e7a21d94b36f8", queueKey: "q", payload: "", steps, schedule };
+    const queue = { key: "q", host: "h", pathPrefix: "/", service: "s", priority: 0, attempts: 1, timeoutMs: 1 };
+    const stored = submissionSchema.parse({ submission, queue, acceptedAtMs: 1, order: 1 });
+    return stored.submission.steps[0]?.longRunning === false && stored.queue.stretch === 0 ? "done with defaults" : "";
+};
+
+const decode = (): string => {
+    const schema = z.object({ wave: z.number("a number") });
+    const shown = ['{"wave":3}', '{"wave":"x"}', "{", undefined].map(value => {
+        const decoded = decodeRow({ value }, schema);
+        return decoded.kind === "unreadable" ? `unreadable at ${decoded.field}` : decoded.kind;
+    });
+    return shown.join(", ");
+};
+
 const probes = (): string => {
     const candidates = Array.from({ length: 97 }, (_, index) => ({
         memberId: `entry-${index}`,
@@ -839,8 +894,12 @@
     ownerWatch,
     readRows: readRowsExample,
     readiness: readinessExample,
+    decode,
+    jobRowSchemas,
+    memberRows,
     peers: peersExample,
     probes,
+    rowReader,
     firstLooks: firstLooksExample,
     forward,
     jobBook,
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -99,7 +99,8 @@
     assert.deepEqual(await findStanding(cell), [], "tasks stand although a worker with room for them answers");
 });
 
-const cellOf = (world: ScenarioWorld): ShardCell => {
+/** The cell of a scenario. */
+export const cellOf = (world: ScenarioWorld): ShardCell => {
     const { cell } = part(world);
     assert.ok(cell !== undefined);
     return cell;
--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -3,7 +3,15 @@
 import assert from "node:assert/strict";
 import { createServer, type IncomingHttpHeaders } from "node:http";
 import type { AddressInfo } from "node:net";
-import { type CellConfiguration, type CellMember, errorOf, failureOf, type Row, type WorkerEntry } from "puffinarch";
+import {
+    type CellConfiguration,
+    type CellMember,
+    type Decoded,
+    errorOf,
+    failureOf,
+    type Row,
+    type WorkerEntry,
+} from "puffinarch";
 import {
     createCallers,
     createPlatformMachines,
@@ -136,6 +144,8 @@
     part(this).outcome = (await store.changes("t", 1, 100)).kind;
 });
 
+const entryOf = <T>(decoded: Decoded<T>): T | undefined => decoded.kind === "entry" ? decoded.entry : undefined;
+
 const machinesOf = (world: ScenarioWorld) => createPlatformMachines(callerOf(world), `http://${part(world).address}`);
 
 When("the upkeep of a VM is ordered through the adapter", async function(this: ScenarioWorld) {
@@ -155,7 +165,7 @@
 Then(
     "the wave in the operator's row {string} with {string} is {string}",
     (key: string, value: string, wave: string) => {
-        assert.deepEqual(readWave(rowOf(key, value)), wave === "none" ? undefined : JSON.parse(wave));
+        assert.deepEqual(entryOf(readWave(rowOf(key, value))), wave === "none" ? undefined : JSON.parse(wave));
     },
 );
 
@@ -187,11 +197,11 @@
 const rowOf = (key: string, value: string): Row => ({ table: "", part: "", key, value, version: 1 });
 
 When("the operator's row is {string}", function(this: ScenarioWorld, value: string) {
-    part(this).configuration = readConfiguration([rowOf("config", value)]);
+    part(this).configuration = entryOf(readConfiguration(rowOf("config", value)));
 });
 
 When("an executor's row is {string}", function(this: ScenarioWorld, value: string) {
-    part(this).worker = readWorker(rowOf("i-1", value));
+    part(this).worker = entryOf(readWorker(rowOf("i-1", value)));
 });
 
 Then(
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -20,14 +20,17 @@
 import type { Clock, Log, Meter, Random } from "../../types/ports.js";
 import type { UpkeepWave, VmPort, WaveState } from "../../types/upkeep.js";
 import type { CellConfiguration, JobState, JobSubmission, WorkerEntry } from "../../types/work.js";
+import { type Decoded, noEntry } from "../../utils/decode.js";
 import { die, failureOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
 import { claimShard } from "./claimShard.js";
 import { createForward } from "./forward.js";
 import { handOver } from "./handOver.js";
+import { decodeOwner, unreadableOwner } from "./memberRows.js";
 import { watchOwner } from "./ownerWatch.js";
 import { createPeers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
 import { watchReadiness } from "./readiness.js";
+import { createRowReader } from "./rowReader.js";
 import { type ShardOwner, startShardOwner } from "./shardOwner.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { ownerKey, ownerTable } from "./shardTables.js";
@@ -53,15 +56,15 @@
     /** Table and decoding of what the platform publishes. */
     readonly platform: {
         readonly configurationTable: string;
-        readonly readConfiguration: (rows: readonly Row[]) => CellConfiguration | undefined;
+        readonly readConfiguration: (row: Row) => Decoded<CellConfiguration>;
         readonly workerTable: string;
-        readonly readWorker: (row: Row) => WorkerEntry | undefined;
+        readonly readWorker: (row: Row) => Decoded<WorkerEntry>;
         /** Waves of upkeep among the rows of the configuration's table; left out where nobody asks for any. */
         readonly upkeep?: {
             readonly port: VmPort;
             /** How long an order of a former owner may still arrive; 0 where the platform refuses lower fencing tokens. */
             readonly settleMs: number;
-            readonly readWave: (row: Row) => UpkeepWave | undefined;
+            readonly readWave: (row: Row) => Decoded<UpkeepWave>;
             readonly stateRow: (wave: number, state: WaveState) => RowKey & { readonly value: string; };
         };
     };
@@ -126,11 +129,13 @@
  */
 export const startCellMember = (options: CellMemberOptions): CellMember => {
     const { clock, log, meter, settings, self, store, members, platform } = options;
+    const reader = createRowReader({ log, meter });
     const peers = createPeers({
         clock,
         log,
         self,
         members,
+        reader,
         ownerVersion: () => knownOwner?.version ?? 0,
         onOwner: known => learnOwner(known, "peer"),
     });
@@ -186,10 +191,15 @@
     };
 
     const takeOwnerRows = (rows: readonly Row[]): void => {
-        for (const { part: rowPart, key, value, version } of rows) {
-            if (rowPart === part && key === ownerKey && value !== undefined) {
-                learnOwner({ row: JSON.parse(value) as OwnerRow, version }, "store");
+        for (const row of rows) {
+            if (row.part !== part || row.key !== ownerKey || row.value === undefined) {
+                continue;
             }
+            const entry = reader.entryOf(row, decodeOwner(row));
+            learnOwner(
+                entry === undefined ? unreadableOwner(row.version) : { row: entry, version: row.version },
+                "store",
+            );
         }
     };
 
@@ -285,8 +295,8 @@
                 log,
                 store,
                 table: platform.workerTable,
-                readWorker: platform.readWorker,
-                onWorkers: entries => shard.updateWorkers(entries),
+                readWorker: row => reader.entryOf(row, platform.readWorker(row)),
+                onWorkers: (entries, unreadable) => shard.updateWorkers(entries, unreadable),
             });
             return true;
         }
@@ -379,14 +389,15 @@
     const takeWaves = (rows: readonly Row[]): void => {
         let changed = false;
         for (const row of platform.upkeep === undefined ? [] : rows) {
-            const wave = platform.upkeep?.readWave(row);
+            const decoded = platform.upkeep?.readWave(row) ?? noEntry;
+            const wave = reader.entryOf(row, decoded);
             changed ||= wave !== undefined || waves.has(row.key);
-            if (wave === undefined) {
-                waves.delete(row.key);
-            }
-            else {
+            if (wave !== undefined) {
                 waves.set(row.key, wave);
             }
+            else if (decoded.kind === "none") {
+                waves.delete(row.key);
+            }
         }
         if (changed) {
             owner?.updateWaves([...waves.values()]);
@@ -425,9 +436,11 @@
             parts: [""],
             feedWaitMs: shortFeedWaitMs,
             onRows: rows => {
-                const next = platform.readConfiguration(rows);
-                if (next !== undefined) {
-                    adopt(next, "store");
+                for (const row of rows) {
+                    const next = reader.entryOf(row, platform.readConfiguration(row));
+                    if (next !== undefined) {
+                        adopt(next, "store");
+                    }
                 }
                 takeWaves(rows);
             },
--- a/packages/puffinarch/src/core/shard/claimShard.ts
+++ b/packages/puffinarch/src/core/shard/claimShard.ts
@@ -4,6 +4,7 @@
 import type { Clock, Log } from "../../types/ports.js";
 import { failureOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
+import { decodeOwner } from "./memberRows.js";
 import { readAllRows } from "./readRows.js";
 import { journalTable, ownerKey, ownerTable, sequenceKey } from "./shardTables.js";
 
@@ -46,10 +47,11 @@
 const settleClaim = async ({ store, part, owner }: ClaimOptions): Promise<number | undefined> => {
     const { rows } = await store.read(ownerTable, part);
     const row = rows.find(each => each.key === ownerKey);
-    if (row?.value === undefined) {
+    if (row === undefined) {
         return undefined;
     }
-    return (JSON.parse(row.value) as OwnerRow).claimId === owner.claimId ? row.version : undefined;
+    const decoded = decodeOwner(row);
+    return decoded.kind === "entry" && decoded.entry.claimId === owner.claimId ? row.version : undefined;
 };
 
 const writeClaim = async (options: ClaimOptions): Promise<number | undefined> => {
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/jobRowSchemas.ts
@@ -0,0 +1,91 @@
+/** Shapes of a shard's own rows, checked when a successor reads them; fields that former versions did not write have defaults. */
+
+import { z } from "zod";
+import { type JobState, jobStates } from "../../types/work.js";
+
+const text = z.string("a text");
+const whole = z.number("a whole number").int("a whole number").min(0, "0 or more");
+const amount = z.number("a number").min(0, "0 or more");
+const flag = z.boolean("true or false").default(false);
+const state = z.enum(Object.values(jobStates) as [JobState, ...JobState[]], "a state of a job");
+/** What a task holds, as a run's number and its worker's id. */
+const run = z.tuple([text, whole], "a worker and the number of a run");
+
+const stepSchema = z.object({
+    count: whole.min(1, "one task at least"),
+    size: z.object({ cpuMillis: amount, memoryMib: amount, accelerators: amount }),
+    estimateMs: amount.default(0),
+    after: z.array(whole, "numbers of steps").default([]),
+    checkpointing: flag,
+    gang: flag,
+    colocated: flag,
+    requiredLabel: text.default(""),
+    dataRack: text.default(""),
+    maxPerWorker: amount.default(0),
+    speculative: flag,
+    longRunning: flag,
+    image: text.default(""),
+    latencyObjectiveMs: amount.default(0),
+    fills: flag,
+    mayMiss: amount.default(0),
+});
+
+const stepsSchema = z.array(stepSchema, "a list of steps").min(1, "one step at least").refine(
+    steps => steps.every(({ after }, index) => after.every(number => number < index)),
+    "steps that wait for earlier ones only",
+);
+
+const queueSchema = z.object({
+    key: text,
+    host: text,
+    pathPrefix: text,
+    service: text,
+    priority: amount,
+    attempts: amount,
+    timeoutMs: amount,
+    stretch: amount.default(0),
+    targetRuntimeMs: amount.default(0),
+    advice: z.object({ decideMs: amount, eachMs: amount, validMs: amount }).optional(),
+});
+
+/** What a job was submitted with. */
+export const submissionSchema = z.object({
+    submission: z.object({
+        jobId: text.min(1, "an id"),
+        queueKey: text,
+        dataCentre: text.default(""),
+        payload: text,
+        steps: stepsSchema,
+        schedule: z.object({ startAtMs: amount, intervalMs: amount, repeatCount: whole }),
+    }),
+    queue: queueSchema,
+    acceptedAtMs: z.number("a time"),
+    order: z.number("a number"),
+});
+
+const taskSchema = z.union([
+    z.literal(0),
+    z.literal(1),
+    z.tuple([whole, whole, text, z.array(run)]),
+    z.tuple([whole, whole, text, z.array(run), z.literal([0, 1])]),
+], "the state of a task");
+
+/** A job's state, with what each open occurrence of it has done. */
+export const stateSchema = z.object({
+    state,
+    done: z.array(whole, "numbers of occurrences"),
+    open: z.array(
+        z.tuple([whole, z.array(z.tuple([whole, whole, z.array(taskSchema)]))], "an occurrence and its steps"),
+        "open occurrences",
+    ),
+});
+
+/** The state of a job that has ended. */
+export const endedSchema = z.object({ state });
+
+/** What a job was submitted with, as it is stored. */
+export type StoredSubmission = z.infer<typeof submissionSchema>;
+/** 1: done; 0: untouched; else highest run, failures, checkpoint, runs as worker and number, and 1 where it is done. */
+export type StoredTask = z.infer<typeof taskSchema>;
+/** A job's state as it is stored: number of each open occurrence, then for each step its gang's failures, newest failed run and its tasks. */
+export type StoredState = z.infer<typeof stateSchema>;
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -1,10 +1,12 @@
 /** Rows that keep a job: one for its submission, written once, and a small one for its state, written at each change. */
 
 import { type Row } from "../../types/cellPorts.js";
-import { type JobState, type JobSubmission, type Queue } from "../../types/work.js";
-import { die } from "../../utils/errors.js";
+import { type JobState } from "../../types/work.js";
+import { type Decoded, decodeRow, mapDecoded } from "../../utils/decode.js";
 import { type RowChange } from "./commitLog.js";
 import { hasEnded, letGo, newJob, openOccurrence, type ShardJob, type ShardStep, type ShardTask } from "./jobBook.js";
+import { endedSchema, stateSchema, type StoredState, type StoredTask, submissionSchema } from "./jobRowSchemas.js";
+import type { RowReader } from "./rowReader.js";
 import { endedTable, journalTable } from "./shardTables.js";
 
 /** Key prefix of the rows with submissions. */
@@ -19,26 +21,6 @@
     readonly workerId: string;
 }
 
-interface StoredSubmission {
-    readonly submission: JobSubmission;
-    readonly queue: Queue;
-    readonly acceptedAtMs: number;
-    readonly order: number;
-}
-
-/** Rows that an earlier version wrote lack these; the configuration brings them soon after a takeover. */
-const noObjective = { stretch: 0, targetRuntimeMs: 0 };
-
-/** 1: done; 0: untouched; else highest run, failures, checkpoint, runs as worker and number, and 1 where it is done. */
-type StoredTask = 0 | 1 | readonly [number, number, string, readonly (readonly [string, number])[], (0 | 1)?];
-
-interface StoredState {
-    readonly state: JobState;
-    readonly done: readonly number[];
-    /** Number, then for each step its gang's failures, newest failed run and its tasks. */
-    readonly open: readonly (readonly [number, readonly (readonly [number, number, readonly StoredTask[]])[]])[];
-}
-
 const encodeTask = (task: ShardTask): StoredTask => {
     if (task.done && task.runs.length === 0) {
         return 1;
@@ -46,13 +28,13 @@
     if (task.lastRun === 0) {
         return 0;
     }
-    const runs = task.runs.map(run => [run.workerId, run.run] as const);
+    const runs = task.runs.map((run): [string, number] => [run.workerId, run.run]);
     return task.done
         ? [task.lastRun, task.failures, task.checkpoint, runs, 1]
         : [task.lastRun, task.failures, task.checkpoint, runs];
 };
 
-const encodeStep = (step: ShardStep): readonly [number, number, readonly StoredTask[]] => [
+const encodeStep = (step: ShardStep): [number, number, StoredTask[]] => [
     step.gangFailures,
     step.gangFailedRun,
     step.tasks.map(encodeTask),
@@ -94,13 +76,14 @@
  * Reads the state of a job that has ended.
  *
  * @example
- * decodeEnded('{"state":"completed"}'); // "completed"
+ * decodeEnded({ value: '{"state":"completed"}' }); // { kind: "entry", entry: "completed" }
  */
-export const decodeEnded = (value: string): JobState => (JSON.parse(value) as { readonly state: JobState; }).state;
+export const decodeEnded = (row: Pick<Row, "value">): Decoded<JobState> =>
+    mapDecoded(decodeRow(row, endedSchema), ({ state }) => state);
 
 /** Writes what a job was submitted with. */
 const encodeSubmission = ({ submission, queue, acceptedAtMs, order }: ShardJob): string => {
-    const stored: StoredSubmission = { submission, queue, acceptedAtMs, order };
+    const stored = { submission, queue, acceptedAtMs, order };
     return JSON.stringify(stored);
 };
 
@@ -156,25 +139,30 @@
 }
 
 /**
- * Reads jobs back from all rows of a shard's part.
+ * Reads jobs back from all rows of a shard's part. A job of which a row cannot be read is left out, with its rows as they
+ * are: to run it anew might run it twice.
  *
  * @example
- * const { jobs, runs } = restoreJobs(rows);
+ * const { jobs, runs } = restoreJobs(rows, createRowReader({ log, meter }));
  */
-export const restoreJobs = (rows: readonly Row[]): RestoredJobs => {
-    const byKey = new Map(rows.map(row => [row.key, row.value ?? ""]));
+export const restoreJobs = (rows: readonly Row[], reader: RowReader): RestoredJobs => {
+    const byKey = new Map(rows.map(row => [row.key, row]));
     const jobs: ShardJob[] = [];
     const runs: StoredRun[] = [];
-    for (const [key, value] of byKey) {
-        if (!key.startsWith(submissionPrefix)) {
+    for (const row of byKey.values()) {
+        if (!row.key.startsWith(submissionPrefix)) {
+            continue;
+        }
+        const stored = reader.entryOf(row, decodeRow(row, submissionSchema));
+        const stateKey = statePrefix + row.key.slice(submissionPrefix.length);
+        const stateRow = byKey.get(stateKey) ?? { ...row, key: stateKey, value: "" };
+        const state = reader.entryOf(stateRow, decodeRow(stateRow, stateSchema));
+        if (stored === undefined || state === undefined) {
             continue;
         }
-        const stored = JSON.parse(value) as StoredSubmission;
-        const stateText = byKey.get(statePrefix + key.slice(submissionPrefix.length))
-            ?? die("internal", `the job ${key} has no state row`);
-        const job = newJob(stored.submission, { ...noObjective, ...stored.queue }, stored);
+        const job = newJob(stored.submission, stored.queue, stored);
         job.stored = true;
-        runs.push(...restoreState(job, JSON.parse(stateText) as StoredState));
+        runs.push(...restoreState(job, state));
         jobs.push(job);
     }
     return { jobs, runs };
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/memberRows.ts
@@ -0,0 +1,55 @@
+/** Rows in which daemons enter themselves, and the row of a shard's owner. */
+
+import { z } from "zod";
+import type { KnownOwner, MemberRow, OwnerRow, Row } from "../../types/cellPorts.js";
+import { type Decoded, decodeRow } from "../../utils/decode.js";
+
+const text = z.string("a text").min(1, "a text that is not empty");
+/** The product's own connections between daemons are plain HTTP. */
+const addressAllowed = "an address such as http://10.1.0.13:7720";
+
+const memberSchema = z.object({
+    memberId: text,
+    address: z.string(addressAllowed).regex(/^[a-z0-9:/.-]+$/i, addressAllowed),
+    dataCentre: text,
+    incarnation: text,
+    strength: z.number("a share").min(0, "0 or more").optional(),
+});
+
+const ownerSchema = memberSchema.extend({
+    claimId: text,
+    shortOffices: z.number("a number").int("a whole number").min(0, "0 or more").optional(),
+});
+
+/**
+ * Reads the row in which a daemon entered itself, under its own id.
+ *
+ * @example
+ * decodeMember(row).kind; // "entry"
+ */
+export const decodeMember = (row: Row): Decoded<MemberRow> => {
+    const decoded = decodeRow(row, memberSchema);
+    return decoded.kind === "entry" && decoded.entry.memberId !== row.key
+        ? { kind: "unreadable", field: "memberId", reason: "it is not the key of the row" }
+        : decoded;
+};
+
+/**
+ * Reads the row of a shard's owner.
+ *
+ * @example
+ * decodeOwner(row).kind; // "entry"
+ */
+export const decodeOwner = (row: Row): Decoded<OwnerRow> => decodeRow(row, ownerSchema);
+
+/**
+ * What stands for an owner whose row cannot be read: nobody answers there, so that a daemon claims the shard after this
+ * version, without which no claim would ever succeed.
+ *
+ * @example
+ * unreadableOwner(7).row.memberId; // ""
+ */
+export const unreadableOwner = (version: number): KnownOwner => ({
+    row: { memberId: "", address: "http://0.0.0.0:0", dataCentre: "", incarnation: "", claimId: "" },
+    version,
+});
--- a/packages/puffinarch/src/core/shard/peers.ts
+++ b/packages/puffinarch/src/core/shard/peers.ts
@@ -11,7 +11,9 @@
 } from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
 import { type ErrorKind, failureOf } from "../../utils/errors.js";
+import { decodeMember } from "./memberRows.js";
 import { type ClaimCandidate, claimOrder, laneCount, neighbourCount, newsOrder, opinionCount } from "./probes.js";
+import type { RowReader } from "./rowReader.js";
 
 /** What the table of peers needs. */
 export interface PeersOptions {
@@ -19,6 +21,7 @@
     readonly log: Log;
     readonly self: MemberRow;
     readonly members: MemberPort;
+    readonly reader: RowReader;
     /** Version of the newest owner's row that is known; 0 for none. */
     readonly ownerVersion: () => number;
     /** A peer knows of a newer owner. */
@@ -98,10 +101,10 @@
  * Makes the table of peers; it is empty before the first entries.
  *
  * @example
- * const peers = createPeers({ clock, log, self, members, ownerVersion, onOwner });
+ * const peers = createPeers({ clock, log, self, members, reader, ownerVersion, onOwner });
  * peers.take(rows);
  */
-export const createPeers = ({ clock, log, self, members, ownerVersion, onOwner }: PeersOptions): Peers => {
+export const createPeers = ({ clock, log, self, members, reader, ownerVersion, onOwner }: PeersOptions): Peers => {
     const all = new Map<string, MemberRow>();
     const answeredAtMs = new Map<string, number>();
     const silences = new Map<string, Silence>();
@@ -212,7 +215,11 @@
                     silences.delete(row.key);
                 }
                 else if (row.key !== self.memberId) {
-                    const member = JSON.parse(row.value) as MemberRow;
+                    // Where the row of a daemon that is known cannot be read, it is called where it was.
+                    const member = reader.entryOf(row, decodeMember(row));
+                    if (member === undefined) {
+                        continue;
+                    }
                     if (all.get(row.key)?.incarnation !== member.incarnation) {
                         silences.delete(row.key);
                     }
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -23,6 +23,7 @@
 import { decodeEnded, encodeJob, restoreJobs } from "./jobRows.js";
 import { createPlacing } from "./placing.js";
 import { readAllRows } from "./readRows.js";
+import { createRowReader } from "./rowReader.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { endedTable } from "./shardTables.js";
 import { createShardWorkers } from "./shardWorkers.js";
@@ -70,7 +71,8 @@
     pending(): Readonly<Record<string, number>>;
     updateConfiguration(configuration: CellConfiguration): void;
     /** All workers that the platform lists now. */
-    updateWorkers(entries: readonly WorkerEntry[]): void;
+    /** The workers that are listed; one whose row cannot be read gets no new work from now on. */
+    updateWorkers(entries: readonly WorkerEntry[], unreadable: ReadonlySet<string>): void;
     /** All waves of upkeep that the operator asks for. */
     updateWaves(waves: readonly UpkeepWave[]): void;
     wake(): void;
@@ -152,6 +154,8 @@
         onFenced: () => fenced("commit"),
     });
 
+    const reader = createRowReader({ log, meter });
+
     const commit = async (job: ShardJob): Promise<void> => {
         const { state } = job;
         await commits.commit(job.submission.jobId);
@@ -354,7 +358,7 @@
     };
 
     const restore = (): void => {
-        const restored = restoreJobs(claimed.rows);
+        const restored = restoreJobs(claimed.rows, reader);
         for (const job of restored.jobs) {
             nextOrder = Math.max(nextOrder, job.order + 1);
             jobs.set(job.submission.jobId, job);
@@ -377,7 +381,10 @@
             wanted: () => !closed,
         });
         for (const row of read?.rows ?? []) {
-            endedBefore.set(row.key, decodeEnded(row.value ?? ""));
+            const state = reader.entryOf(row, decodeEnded(row));
+            if (state !== undefined) {
+                endedBefore.set(row.key, state);
+            }
         }
         log.write("info", "endedRead", { part, jobs: endedBefore.size, complete: read !== undefined });
         return read === undefined ? endOfOffice : endedBefore;
@@ -395,6 +402,7 @@
             part,
             ownerVersion: fencingToken,
             stateRow,
+            reader,
             isClosed: () => closed,
         });
         return startUpkeep({
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -40,7 +40,7 @@
     /** Runs whose intent a former owner made durable; each holds room until its worker's first look settles it. */
     expect(runs: readonly StoredRun[]): void;
     /** All workers that the platform lists now. */
-    update(entries: readonly WorkerEntry[]): void;
+    update(entries: readonly WorkerEntry[], unreadable?: ReadonlySet<string>): void;
     start(run: ShardRun, ticket: string): void;
     /** Stops a run, or lets go of one that was only planned. */
     stop(run: ShardRun): void;
@@ -243,7 +243,7 @@
         return worker;
     };
 
-    const updateWorkers = (entries: readonly WorkerEntry[]): void => {
+    const updateWorkers = (entries: readonly WorkerEntry[], unreadable: ReadonlySet<string> = new Set()): void => {
         const listed = new Set<string>();
         const byAddress = new Map(entries.map(entry => [entry.address, entry.workerId]));
         for (const entry of entries) {
@@ -271,7 +271,10 @@
             if (listed.has(worker.workerId)) {
                 continue;
             }
-            worker.unlistedAtMs ??= clock.monotonicMs();
+            // An entry that lapsed may be back soon; one that cannot be read names a worker that must not be used.
+            worker.unlistedAtMs = unreadable.has(worker.workerId)
+                ? -Infinity
+                : worker.unlistedAtMs ?? clock.monotonicMs();
             const next = byAddress.get(worker.entry.address);
             if (next !== undefined && next !== worker.workerId) {
                 loseWorker(worker, "addressTaken");
--- a/packages/puffinarch/src/core/shard/waveRows.ts
+++ b/packages/puffinarch/src/core/shard/waveRows.ts
@@ -3,10 +3,13 @@
  * the operator is shown.
  */
 
+import { z } from "zod";
 import type { RowKey, RowStore } from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
 import { type WaveState, waveStates } from "../../types/upkeep.js";
+import { decodeRow } from "../../utils/decode.js";
 import { readAllRows } from "./readRows.js";
+import type { RowReader } from "./rowReader.js";
 import { ownerKey, ownerTable, upkeepTable } from "./shardTables.js";
 
 /** What the rows of waves need. */
@@ -19,6 +22,7 @@
     readonly ownerVersion: number;
     /** Where and how the operator is shown a wave's state. */
     readonly stateRow: (wave: number, state: WaveState) => RowKey & { readonly value: string; };
+    readonly reader: RowReader;
     readonly isClosed: () => boolean;
 }
 
@@ -51,14 +55,21 @@
     return JSON.stringify(stored);
 };
 
+const vmIds = z.array(z.string("the id of a VM"), "a list of VMs");
+const recordSchema = z.union([
+    vmIds,
+    z.object({
+        begun: vmIds,
+        ordered: z.record(z.string(), z.number("a fencing token"), "fencing tokens by VM"),
+    }),
+], "the VMs of a wave");
+
 const isOldRecord = (stored: StoredRecord): stored is readonly string[] => Array.isArray(stored);
 
-const decodeRecord = (value: string): WaveRecord => {
-    const stored = JSON.parse(value) as StoredRecord;
-    return isOldRecord(stored)
+const recordOf = (stored: StoredRecord): WaveRecord =>
+    isOldRecord(stored)
         ? { begun: new Set(stored), ordered: new Map() }
         : { begun: new Set(stored.begun), ordered: new Map(Object.entries(stored.ordered)) };
-};
 
 /** Twenty times a usual commit; what was not taken is saved again with the next step. */
 const saveTimeoutMs = 600;
@@ -67,7 +78,7 @@
  * Makes the rows of a shard's waves.
  *
  * @example
- * const rows = createWaveRows({ clock, log, store, part, ownerVersion, stateRow, isClosed });
+ * const rows = createWaveRows({ clock, log, store, part, ownerVersion, stateRow, reader, isClosed });
  * await rows.record(3, { begun: new Set(["m-17"]), ordered: new Map() });
  */
 export const createWaveRows = (options: WaveRowsOptions): WaveRows => {
@@ -102,7 +113,14 @@
         read: async () => {
             const wanted = (): boolean => !isClosed();
             const read = await readAllRows({ clock, log, store, table: upkeepTable, part, wanted });
-            return new Map((read?.rows ?? []).map(row => [Number(row.key), decodeRecord(row.value ?? "[]")]));
+            const records = new Map<number, WaveRecord>();
+            for (const row of read?.rows ?? []) {
+                const stored = options.reader.entryOf(row, decodeRow(row, recordSchema));
+                if (stored !== undefined) {
+                    records.set(Number(row.key), recordOf(stored));
+                }
+            }
+            return records;
         },
         record,
         show,
--- a/packages/puffinarch/src/core/shard/workerList.ts
+++ b/packages/puffinarch/src/core/shard/workerList.ts
@@ -12,8 +12,8 @@
     readonly store: RowStore;
     readonly table: string;
     readonly readWorker: (row: Row) => WorkerEntry | undefined;
-    /** All workers that are listed now, after each change. */
-    readonly onWorkers: (entries: readonly WorkerEntry[]) => void;
+    /** All workers that are listed now, after each change, and the ids of those whose row cannot be read. */
+    readonly onWorkers: (entries: readonly WorkerEntry[], unreadable: ReadonlySet<string>) => void;
 }
 
 /** Workers write every 1.5 s or so; a leaving one has to be noticed within 2 s. */
@@ -28,6 +28,7 @@
 export const watchWorkerList = (options: WorkerListOptions): TableWatch => {
     const { clock, log, store, table, readWorker, onWorkers } = options;
     const entries = new Map<string, WorkerEntry>();
+    const unreadable = new Set<string>();
     let readOnce = false;
     return watchTable({
         clock,
@@ -40,25 +41,29 @@
         onRows: rows => {
             for (const row of rows) {
                 const entry = readWorker(row);
-                if (entry === undefined) {
-                    entries.delete(row.key);
-                }
-                else {
+                unreadable.delete(row.key);
+                if (entry !== undefined) {
                     entries.set(row.key, entry);
+                    continue;
+                }
+                entries.delete(row.key);
+                if (row.value !== undefined) {
+                    unreadable.add(row.key);
                 }
             }
             if (readOnce) {
-                onWorkers([...entries.values()]);
+                onWorkers([...entries.values()], unreadable);
             }
         },
         onWhole: keys => {
             readOnce = true;
-            for (const workerId of [...entries.keys()]) {
+            for (const workerId of [...entries.keys(), ...unreadable]) {
                 if (!keys.has(workerId)) {
                     entries.delete(workerId);
+                    unreadable.delete(workerId);
                 }
             }
-            onWorkers([...entries.values()]);
+            onWorkers([...entries.values()], unreadable);
         },
     });
 };
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -158,8 +158,11 @@
 export { handOver, type HandOverOptions } from "./internal.js";
 export { type OwnerWatch, type OwnerWatchOptions, watchOwner, type WatchStep, watchSteps } from "./internal.js";
 export { type Readiness, type ReadinessOptions, watchReadiness } from "./internal.js";
-export { type ClaimCandidate, claimOrder, followerPauseMs, newsOrder, placeDelayMs } from "./internal.js";
 export { createPeers, type Peers, type PeersOptions, type PingOptions } from "./internal.js";
+export { endedSchema, stateSchema, submissionSchema } from "./internal.js";
+export { decodeMember, decodeOwner, unreadableOwner } from "./internal.js";
+export { type ClaimCandidate, claimOrder, followerPauseMs, newsOrder, placeDelayMs } from "./internal.js";
+export { createRowReader, type RowReader } from "./internal.js";
 export { mayGoDown, runsToMove } from "./internal.js";
 export { startUpkeep, type Upkeep, type UpkeepOptions } from "./internal.js";
 export { createWaveRows, type WaveRows, type WaveRowsOptions } from "./internal.js";
@@ -349,7 +352,8 @@
 
 // Errors, checks and small helpers.
 export { type Bucket, createBucket } from "./internal.js";
-export { check, nameSchema, oneOf, rejectAll, textUpTo, wholeNumber } from "./internal.js";
+export { check, lookUp, nameSchema, oneOf, rejectAll, textUpTo, wholeNumber } from "./internal.js";
+export { type Decoded, decodeRow, decodeText, mapDecoded, noEntry } from "./internal.js";
 export {
     die,
     type ErrorAnswer,
--- a/packages/puffinarch/src/utils/check.ts
+++ b/packages/puffinarch/src/utils/check.ts
@@ -25,7 +25,13 @@
     path.map((part, index) => typeof part === "number" ? `[${part}]` : index === 0 ? String(part) : `.${String(part)}`)
         .join("");
 
-const violationsOf = (input: unknown, error: z.ZodError): readonly Violation[] => {
+/**
+ * Names each field of an input that a schema refused, its value and what is allowed.
+ *
+ * @example
+ * violationsOf(input, parsed.error)[0]?.field;
+ */
+export const violationsOf = (input: unknown, error: z.ZodError): readonly Violation[] => {
     const violations: Violation[] = [];
     for (const issue of error.issues) {
         if (issue.code === "unrecognized_keys") {
@@ -111,3 +117,12 @@
     const allowed = `text of ${maxLength} characters at most`;
     return z.string(allowed).max(maxLength, allowed);
 };
+
+/**
+ * The value that a table has for a word from outside; nothing that every object inherits, such as `constructor`.
+ *
+ * @example
+ * lookUp({ done: 1 }, "constructor"); // undefined
+ */
+export const lookUp = <T>(table: Readonly<Record<PropertyKey, T>>, word: PropertyKey): T | undefined =>
+    Object.hasOwn(table, word) ? table[word] : undefined;
--- a/packages/stand-ins/src/shard/brokenShardParts.ts
+++ b/packages/stand-ins/src/shard/brokenShardParts.ts
@@ -1,12 +1,20 @@
 /** Parts of a daemon's surroundings in a cell that can be broken on purpose, to show that the check of standing tasks finds it. */
 
-import { type AdvisorPort, type FencedWorkerPort, type Row, runEnds, type WorkerEntry } from "puffinarch";
+import {
+    type AdvisorPort,
+    type Decoded,
+    type FencedWorkerPort,
+    noEntry,
+    type Row,
+    runEnds,
+    type WorkerEntry,
+} from "puffinarch";
 
 /** What a daemon of a cell sees of its surroundings, as far as it can be broken. */
 export interface ShardSurroundings {
     readonly workers: FencedWorkerPort;
     readonly advisor: AdvisorPort;
-    readonly readWorker: (row: Row) => WorkerEntry | undefined;
+    readonly readWorker: (row: Row) => Decoded<WorkerEntry>;
 }
 
 type Breaker = (surroundings: ShardSurroundings) => ShardSurroundings;
@@ -21,7 +29,7 @@
                 if (row.value === undefined) {
                     lapsed.add(row.key);
                 }
-                return lapsed.has(row.key) ? undefined : surroundings.readWorker(row);
+                return lapsed.has(row.key) ? noEntry : surroundings.readWorker(row);
             },
         };
     },
--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -6,6 +6,7 @@
     errorOf,
     type Row,
     type RowChanges,
+    type RowKey,
     type RowStore,
     type RowTransaction,
     type RowTransactResult,
@@ -29,6 +30,8 @@
     forgetHistory(): void;
     /** Connections on which a feed waits now go silent for good; later ones work. */
     silenceFeeds(): void;
+    /** Writes any text, as another writer may. */
+    putText(row: RowKey & { readonly value: string; }): void;
     /** Writes as the platform does. */
     put(table: string, key: string, value: unknown): void;
     remove(table: string, key: string): void;
@@ -250,6 +253,9 @@
                 giveUp();
             }
         },
+        putText: row => {
+            apply({ expect: [], puts: [row], removes: [] });
+        },
         put: (table, key, value) => {
             apply({ expect: [], puts: [{ table, part: "", key, value: JSON.stringify(value) }], removes: [] });
         },
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -6,6 +6,8 @@
     type CellConfiguration,
     type CellMember,
     createSeededRandom,
+    type Decoded,
+    decodeRow,
     defaultShardSettings,
     die,
     heldBy,
@@ -16,6 +18,7 @@
     type Log,
     type MemberHandlers,
     type MemberPort,
+    noEntry,
     noResources,
     parseTaskName,
     type Queue,
@@ -28,6 +31,7 @@
     waveStates,
     type WorkerEntry,
 } from "puffinarch";
+import { z } from "zod";
 import { createFakeClock, type FakeClock } from "../cell/fakeClock.js";
 import { quietMeter } from "../quiet.js";
 import { breakShardPart, type BrokenShardPart } from "./brokenShardParts.js";
@@ -164,6 +168,9 @@
 /** Key prefix of the rows with the jobs' states, and the states of jobs that go on. */
 const stateKeyPrefix = "state/";
 const openStates: ReadonlySet<string> = new Set([jobStates.queued, jobStates.running]);
+const isObjectWith = (value: unknown, field: string, type: string): boolean =>
+    typeof value === "object" && value !== null && typeof (value as Record<string, unknown>)[field] === type;
+
 const linkMs = 1;
 const unansweredMs = 3_000;
 const leaveMs = 4_000;
@@ -173,6 +180,14 @@
 const noCosts: ProcessorCosts = { firstLookMs: 0, lookMs: 0, callMs: 0 };
 const workerCapacity: Resources = { cpuMillis: 8_000, memoryMib: 16_000, accelerators: 0 };
 
+/** Rows of the fakes' operator and workers are the product's own types; what is no object of theirs cannot be read. */
+const workerSchema = z.custom<WorkerEntry>(value => isObjectWith(value, "address", "string"), "a worker");
+const configurationSchema = z.custom<CellConfiguration>(
+    value => isObjectWith(value, "version", "number"),
+    "a configuration",
+);
+const waveSchema = z.custom<UpkeepWave>(value => isObjectWith(value, "number", "number"), "a wave");
+
 const submissionOf = (jobId: string, steps: readonly Step[], queueKey = testQueue.key): JobSubmission => ({
     jobId,
     queueKey,
@@ -315,8 +330,7 @@
         },
     };
 
-    const readEntry = ({ value }: Row): WorkerEntry | undefined =>
-        value === undefined ? undefined : JSON.parse(value) as WorkerEntry;
+    const readEntry = (row: Row): Decoded<WorkerEntry> => decodeRow(row, workerSchema);
 
     const start = (memberId: string): void => {
         const life: Life = { alive: true };
@@ -368,17 +382,13 @@
             members: peersOf(memberId, life),
             platform: {
                 configurationTable: "operator",
-                readConfiguration: rows => {
-                    const row = rows.findLast(each => each.key === "configuration");
-                    return row?.value === undefined ? undefined : JSON.parse(row.value) as CellConfiguration;
-                },
+                readConfiguration: row => row.key === "configuration" ? decodeRow(row, configurationSchema) : noEntry,
                 workerTable: "workers",
                 readWorker: surroundings.readWorker,
                 upkeep: {
                     port: vms.port,
                     settleMs: checksVmTokens ? 0 : 15_000,
-                    readWave: ({ key, value }) =>
-                        key.startsWith("wave/") && value !== undefined ? JSON.parse(value) as UpkeepWave : undefined,
+                    readWave: row => row.key.startsWith("wave/") ? decodeRow(row, waveSchema) : noEntry,
                     stateRow: (wave, state) => ({ table: "status", part: "", key: `wave/${wave}`, value: state }),
                 },
             },
@@ -431,7 +441,7 @@
         ).map(({ key }) => key.slice(stateKeyPrefix.length));
 
     const workersForNew = (): readonly WorkerEntry[] =>
-        store.rows("workers").flatMap(row => readEntry(row) ?? [])
+        store.rows("workers").map(readEntry).flatMap(decoded => decoded.kind === "entry" ? [decoded.entry] : [])
             .filter(({ workerId, draining }) => !draining && workers.isSound(workerId));
 
     /** Workers of a wave that goes on are closed to new tasks, and from outside nobody sees which. */
