--- a/benchmarks/src/main.ts
+++ b/benchmarks/src/main.ts
@@ -2,14 +2,13 @@
 
 import { Argument, Command } from "commander";
 import type { Benchmark, Row } from "./benchmark.js";
-import { capacity } from "./capacity.js";
 import { journal } from "./journal.js";
 import { placement } from "./placement.js";
 import { storm } from "./storm.js";
 import { takeover } from "./takeover.js";
 import { waiting } from "./waiting.js";
 
-const benchmarks: Readonly<Record<string, Benchmark>> = { placement, journal, takeover, waiting, capacity, storm };
+const benchmarks: Readonly<Record<string, Benchmark>> = { placement, journal, takeover, waiting, storm };
 
 const show = (rows: readonly Row[]): string => {
     const names = Object.keys(rows[0] ?? {});
