--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -24,9 +24,12 @@
     createCommitLog,
     createFirstLooks,
     createForward,
+    createPeers,
+    createRowReader,
     createShardWorkers,
     defaultShardSettings,
     endedTable,
+    errorOf,
     journalTable,
     memberTable,
     newWorker,
@@ -55,6 +58,7 @@
     adviceServedAtMs: number | undefined;
     looksSent: number;
     leasesOverAfterMs: number;
+    silentPeer: boolean | undefined;
 }
 
 /** The store takes 100 entries a call. */
@@ -84,6 +88,7 @@
             adviceServedAtMs: undefined,
             looksSent: 0,
             leasesOverAfterMs: 0,
+            silentPeer: undefined,
         }),
     );
 
@@ -1053,3 +1058,41 @@
     const open = [...states].filter(([jobId, state]) => state !== "completed" && !lasting.has(jobId));
     assert.deepEqual(open, []);
 });
+
+When(
+    "a ping of a peer is lost, and one that was sent {int} ms later is answered at once",
+    async function(this: ScenarioWorld, afterMs: number) {
+        const clock = createFakeClock();
+        const self = { memberId: "entry-1", address: "http://a:1", dataCentre: "leon-feria", incarnation: "1" };
+        const peer = { ...self, memberId: "entry-2", address: "http://b:1" };
+        let calls = 0;
+        const peers = createPeers({
+            clock,
+            log: quietLog,
+            self,
+            members: {
+                call: async (_address, _name, _input, timeoutMs) => {
+                    calls += 1;
+                    if (calls === 1) {
+                        await sleep(clock, timeoutMs);
+                        throw errorOf({ kind: "mayHaveRun", message: "no answer" });
+                    }
+                    return { incarnation: "1", leaving: false, ownedToken: 0 } as never;
+                },
+            },
+            reader: createRowReader({ log: quietLog, meter: quietMeter }),
+            ownerVersion: () => 0,
+            onOwner: () => {},
+        });
+        peers.take([{ table: memberTable, part: "", key: peer.memberId, value: JSON.stringify(peer), version: 1 }]);
+        void peers.ping(peer);
+        await clock.advance(afterMs);
+        void peers.ping(peer);
+        await clock.advance(1_000);
+        part(this).silentPeer = peers.isSilent(peer.memberId);
+    },
+);
+
+Then("the peer is not silent", function(this: ScenarioWorld) {
+    assert.equal(part(this).silentPeer, false);
+});
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -273,3 +273,7 @@
         When the fault "owner killed" comes
         And the shard runs for 3000 ms
         Then no other daemon has logged "withoutOwner"
+
+    Scenario: A ping that is lost says nothing of a daemon that has answered a later one
+        When a ping of a peer is lost, and one that was sent 100 ms later is answered at once
+        Then the peer is not silent
--- a/packages/puffinarch/src/core/shard/peers.ts
+++ b/packages/puffinarch/src/core/shard/peers.ts
@@ -177,6 +177,10 @@
         listed.flatMap(({ memberId }) => all.get(memberId) ?? []);
 
     const noteSilence = (memberId: string, askedAtMs: number): void => {
+        // Calls overlap: one that is lost while a later one was answered says nothing.
+        if ((answeredAtMs.get(memberId) ?? -Infinity) > askedAtMs) {
+            return;
+        }
         const { fromMs } = silences.get(memberId) ?? { fromMs: askedAtMs };
         const wasGone = isGone(memberId);
         silences.set(memberId, { fromMs, untilMs: clock.monotonicMs() });
