--- a/features/shard.feature
+++ b/features/shard.feature
@@ -421,3 +421,11 @@
         And the fault goes
         And the shard runs for 20000 ms
         Then all jobs but those that last are completed
+
+    # Users saw a job that had been accepted 6 s before answered with "no such job", and one of its tasks ran again half a minute later,
+    # after all VMs had lost power. Its caller had sent it twice while the store was slow and many jobs came: the first was accepted; the
+    # second waited for a batch of its own, which stalled, and was taken back, and the accepted job with it. Its rows stayed.
+    Scenario: A job that was accepted is not taken back with a resend that waits for the store
+        When a job is accepted while a resend of it waits for a batch that stalls
+        Then both are answered as accepted, and the job is known
+
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -20,6 +20,7 @@
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
+    createAcceptance,
     createAdviceDesk,
     createCommitLog,
     createFirstLooks,
@@ -31,9 +32,11 @@
     endedTable,
     errorOf,
     journalTable,
+    kindOf,
     memberTable,
     newWorker,
     openWorkerLink,
+    type ShardJob,
     sleep,
     startUpkeep,
 } from "puffinarch";
@@ -59,6 +62,8 @@
     looksSent: number;
     leasesOverAfterMs: number;
     silentPeer: boolean | undefined;
+    /** Answers to a job and its resend, then whether it is known. */
+    resendAnswers: string[];
 }
 
 /** The store takes 100 entries a call. */
@@ -89,6 +94,7 @@
             looksSent: 0,
             leasesOverAfterMs: 0,
             silentPeer: undefined,
+            resendAnswers: [],
         }),
     );
 
@@ -1096,3 +1102,58 @@
 Then("the peer is not silent", function(this: ScenarioWorld) {
     assert.equal(part(this).silentPeer, false);
 });
+
+When("a job is accepted while a resend of it waits for a batch that stalls", async function(this: ScenarioWorld) {
+    const clock = createFakeClock();
+    const jobs = new Map<string, ShardJob>();
+    const stallsFromMs = 300;
+    let commitsBegun = 0;
+    const submit = createAcceptance({
+        clock,
+        log: quietLog,
+        meter: quietMeter,
+        settings: defaultShardSettings,
+        jobs,
+        queueOf: () => testQueue,
+        nextOrder: 1,
+        commits: {
+            commit: async () => {},
+            withdraw: () => true,
+            stalledMs: () => clock.monotonicMs() > stallsFromMs ? 5_000 : 0,
+            answeredAtMs: () => 0,
+            idle: async () => {},
+            probe: () => {},
+            stop: () => {},
+        },
+        commit: async job => {
+            commitsBegun += 1;
+            await sleep(clock, commitsBegun === 1 ? 100 : 10_000);
+            job.stored = true;
+        },
+        consider: () => {},
+        takeBack: () => {},
+        endedKnown: Promise.resolve(new Map()),
+        endOfOffice: new Promise<never>(() => {}),
+    });
+    const submission = {
+        jobId: jobIdOf(1),
+        queueKey: testQueue.key,
+        dataCentre: "leon-feria",
+        payload: "plan",
+        steps: readSteps("1"),
+        schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
+    };
+    const { resendAnswers } = part(this);
+    const send = async (): Promise<void> => {
+        resendAnswers.push(await submit(submission).then(() => "accepted", (error: unknown) => kindOf(error)));
+    };
+    void send();
+    await clock.advance(50);
+    void send();
+    await clock.advance(2_000);
+    resendAnswers.push(jobs.has(submission.jobId) ? "known" : "unknown");
+});
+
+Then("both are answered as accepted, and the job is known", function(this: ScenarioWorld) {
+    assert.deepEqual(part(this).resendAnswers, ["accepted", "accepted", "known"]);
+});
