Acceptance: a durable job is never taken back with a resend that still waits

Cause: two submissions of one id wait for their acceptance side by side. The first one's batch makes the job durable; the second waits for a batch of its own, since the first was under way when it came. Where the store then stalls for 0.6 s before that batch is sent, the second takes "its" job back, and with it the accepted one: the owner answered GET with "no such job" and stopped its tasks, while the rows stayed. After the next restore a task that had ended ran again. It takes a slow store, more changed jobs than one batch holds, and a resend.

Change: a job that is durable is accepted for whoever waits for it.

--- a/packages/puffinarch/src/core/shard/acceptance.ts
+++ b/packages/puffinarch/src/core/shard/acceptance.ts
@@ -59,20 +59,18 @@
 
     /**
      * Waits for a job's acceptance. Where the store stalls and no batch has held the job yet, it is taken back: the
-     * refusal is certain, and the caller hears it at once.
+     * refusal is certain, and the caller hears it at once. A job that another submission of the same id has made durable is
+     * accepted, whatever becomes of the batch that this one waits for: taken back, it was answered as unknown and ran twice.
      */
     const settle = async (job: ShardJob): Promise<void> => {
         const { jobId } = job.submission;
-        let stored = false;
-        const written = commit(job).then(() => {
-            stored = true;
-        });
-        while (!stored) {
+        const written = commit(job);
+        while (!job.stored) {
             await Promise.race([written, endOfOffice, sleep(clock, checkMs)]);
-            if (!stored && commits.stalledMs() > settings.refuseStalledMs && commits.withdraw(jobId)) {
+            if (!job.stored && commits.stalledMs() > settings.refuseStalledMs && commits.withdraw(jobId)) {
                 forget(job);
             }
-            if (jobs.get(jobId) !== job) {
+            if (!job.stored && jobs.get(jobId) !== job) {
                 refuse();
             }
         }
