Peers: nobody outside counts the daemons that are not gone any more

Cause: the watch of the owner asks for opinions and claimants since membership was changed, so that counted() was left in the table's interface without a caller. Change: it is the table's own now; behaviour is as it was.

--- a/packages/puffinarch/src/core/shard/peers.ts
+++ b/packages/puffinarch/src/core/shard/peers.ts
@@ -37,8 +37,6 @@
 /** The other daemons. */
 export interface Peers {
     readonly all: ReadonlyMap<string, MemberRow>;
-    /** The daemons that are not gone for good: none of them has left pings unanswered for a minute. */
-    counted(): readonly MemberRow[];
     /** The daemons that may claim the shard after the owner of this version, this one included, in their order. */
     claimants(owner: KnownOwner | undefined): readonly ClaimCandidate[];
     /** Whom to ask whether they see the owner: those that watch it, and others. */
@@ -144,6 +142,7 @@
         };
     };
 
+    /** The daemons that are not gone for good: none of them has left pings unanswered for a minute. */
     const counted = untilChanged((): readonly MemberRow[] => [...all.values()].filter(each => !isGone(each.memberId)));
 
     const neededStrength = untilChanged(() => strongShare * Math.max(...[self, ...counted()].map(strengthOf)));
@@ -194,7 +193,6 @@
 
     return {
         all,
-        counted,
         claimants,
         opinions: owner => rowsOf(claimants(owner)).slice(0, opinionCount),
         lanes: version => {
