Sight: when a worker's life began is decoded, a worker that has started again is logged, runs taken for gone are counted

The field that tells lives apart was read nowhere.

Change: the adapter decodes it in the executor's entry and in its lists of runs into bornAtMs (an entry with a value that is no whole number cannot be read; a list with one is of a life that is not told). Line workerRestarted, counters workersRestarted, runsGone, endsListedAgain. Nothing is decided by them yet.

--- a/features/decoding.feature
+++ b/features/decoding.feature
@@ -27,6 +27,8 @@
             | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"labels":"r1"}                      | labels           |
             | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"labels":["a",3]}                   | labels[1]        |
             | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"draining","capacity":{},"drain_remaining_ms":"soon"}     | drain_remaining_ms |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"born":"early"}                     | born             |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"born":1.5}                         | born             |
 
     Scenario Outline: The operator's row <key> is <value>
         Then the operator's row "<key>" with '<value>' cannot be read at "<field>"
--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -229,6 +229,10 @@
     },
 );
 
+Then("the worker's life began at {int}", function(this: ScenarioWorld, bornAtMs: number) {
+    assert.equal(part(this).worker?.bornAtMs, bornAtMs);
+});
+
 const knownJob = "5c0e7a21d94b36f8";
 const failedJob = "5c0e7a21d94b36f9";
 const statuses: Readonly<Record<string, JobStatus>> = {
--- a/features/usersPlatform.feature
+++ b/features/usersPlatform.feature
@@ -74,6 +74,17 @@
         Then the look is '{"outcome":"done","clockMs":5,"running":[{"taskName":"a.0.0.0","run":2,"checkpoint":"saved","percent":40,"figure":1300}],"ended":[{"endNumber":58,"taskName":"a.0.0.9","run":1,"how":"done","checkpoint":""}]}'
         And the service was sent a "POST" to "/-/hold" with '{"fencing_token":7,"seen_upto":57,"deadline_ms":9000,"wait_ms":100}'
 
+    Scenario Outline: A look says which life of the worker answers, where the platform tells lives apart: <born>
+        Given a service that answers 200 with '{"clock_ms":5,"born":<born>,"running":[],"ended":[]}'
+        When a worker is looked at through the adapter
+        Then the look is '{"outcome":"done","clockMs":5,<life>"running":[],"ended":[]}'
+
+        Examples:
+            | born          | life                       |
+            | 1768565282669 | "bornAtMs":1768565282669,  |
+            | null          |                            |
+            | "early"       |                            |
+
     Scenario Outline: The store answers a transaction with <status>
         Given a service that answers <status> with '<body>'
         When a row is written through the adapter
@@ -105,9 +116,10 @@
 
     Scenario: The operator's configuration and an executor's entry are decoded
         When the operator's row is '{"version":7,"routes":[{"name":"r","host":"nony24.example","path_prefix":"/a/","backend":"b1","timeout_ms":3000,"priority":2,"attempts":3,"advice":{"decide_ms":20,"each_ms":1,"valid_ms":2500}}],"limits":{"max_body_bytes":1000}}'
-        And an executor's row is '{"backend":"b1","address":"10.0.0.9:80","zone":"leon-feria","state":"draining","drain_remaining_ms":900,"capacity":{"cpu":16000,"mem_mb":32768},"labels":["a","r1-3"],"sequence":4}'
+        And an executor's row is '{"backend":"b1","address":"10.0.0.9:80","zone":"leon-feria","state":"draining","drain_remaining_ms":900,"capacity":{"cpu":16000,"mem_mb":32768},"labels":["a","r1-3"],"sequence":4,"born":1768565282669}'
         Then the configuration has version 7 and the queue "nony24.example/a/" of service "b1", priority 2, 3 attempts
         And the worker has 16000 cpuMillis, rack "r1-3", and drains with 900 ms left
+        And the worker's life began at 1768565282669
 
     Scenario Outline: A caller sends <method> <path>
         Given the callers' side of a daemon
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -89,6 +89,17 @@
         }
     };
     const workersById = new Map<string, ShardWorker>();
+    /** When the life that answered last began, by worker. */
+    const bornAtMsOf = new Map<string, number | undefined>();
+
+    const noteLife = ({ workerId }: ShardWorker, bornAtMs: number | undefined): void => {
+        const before = bornAtMsOf.get(workerId);
+        if (before !== undefined && before !== bornAtMs) {
+            meter.count("workersRestarted");
+            log.write("warn", "workerRestarted", { workerId, bornAtMs, formerBornAtMs: before });
+        }
+        bornAtMsOf.set(workerId, bornAtMs);
+    };
 
     const takeEnd = (worker: ShardWorker, end: EndedRun): void => {
         const run = worker.runs.get(runKey(end.taskName, end.run));
@@ -204,6 +215,7 @@
             if (run.settledAtMs === undefined || run.settledAtMs >= sentAtMs || listed.has(key)) {
                 continue;
             }
+            meter.count("runsGone");
             log.write("info", "runGone", {
                 task: run.task.name,
                 run: run.run,
@@ -218,6 +230,7 @@
     return {
         take: (worker, look, sentAtMs) => {
             workersById.set(worker.workerId, worker);
+            noteLife(worker, look.bornAtMs);
             let newest = worker.acknowledgedEnd;
             const listed = new Set<string>();
             for (const end of look.ended) {
@@ -227,6 +240,9 @@
                     worker.takenEnd = end.endNumber;
                     takeEnd(worker, end);
                 }
+                else {
+                    meter.count("endsListedAgain");
+                }
             }
             for (const row of look.running) {
                 listed.add(runKey(row.taskName, row.run));
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -132,6 +132,8 @@
     | {
         readonly outcome: "done";
         readonly clockMs: number;
+        /** When the life that answers began, as in its `WorkerEntry`; undefined where it does not say. */
+        readonly bornAtMs?: number;
         readonly running: readonly RunningRun[];
         readonly ended: readonly EndedRun[];
     }
