Tests: tasks run twice, and accepted work stands, where workers start again under their IDs, failing; the fakes learn it

The fakes could not show this: a worker that crashed was back under another ID, and all workers shared the scene's clock. Now a worker may start again under its ID: it holds and knows nothing, numbers its ends from 1, has a clock of its own that begins at 0, keeps what is wrong with its link, and gets orders that were under way to the life before. Its entry follows with its first heartbeat.

--- a/features/steps/explorationSteps.ts
+++ b/features/steps/explorationSteps.ts
@@ -123,6 +123,18 @@
     },
 );
 
+When(
+    "the seed {int} is explored on a shard whose workers start again under their IDs after {int} ms, with jobs that {word}",
+    async function(this: ScenarioWorld, seed: number, crashedDownMs: number, others: string) {
+        part(this).shard.wrong = await exploreShardSeed(seed, {
+            keepsIds: true,
+            crashedDownMs,
+            crashing: true,
+            lasting: others === "last",
+        });
+    },
+);
+
 Then("nothing went wrong on the shard", function(this: ScenarioWorld) {
     assert.deepEqual(part(this).shard.wrong, []);
 });
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -133,6 +133,13 @@
     },
 );
 
+Given(
+    "a cell of {int} daemons and {int} workers that start again under their IDs {int} ms after a crash",
+    async function(this: ScenarioWorld, members: number, workers: number, crashedDownMs: number) {
+        await startCell(this, { members, workers, seed: 1, keepsIds: true, crashedDownMs });
+    },
+);
+
 Given(
     "a cell of {int} daemons and {int} workers whose tasks take their estimates, with a stretch of {int}",
     async function(this: ScenarioWorld, members: number, workers: number, stretch: number) {
--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -1,4 +1,4 @@
-/** `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss] [--crashing] [--resizing] [--suspending] [--broken PART]`: seeded runs with random faults, by hand. */
+/** `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss] [--crashing] [--resizing] [--suspending] [--keeping-ids] [--down-ms N] [--broken PART]`: seeded runs with random faults, by hand. */
 
 import { Command, Option } from "commander";
 import { type BrokenShardPart, brokenShardParts } from "./brokenShardParts.js";
@@ -13,6 +13,8 @@
     readonly crashing?: true;
     readonly resizing?: true;
     readonly suspending?: true;
+    readonly keepingIds?: true;
+    readonly downMs?: string;
     readonly powerLoss?: true;
     readonly broken?: BrokenShardPart;
 }
@@ -27,6 +29,8 @@
     .option("--crashing", "jobs whose tasks crash the workers as well")
     .option("--resizing", "workers whose capacity shrinks and grows")
     .option("--suspending", "daemons whose VMs are suspended")
+    .option("--keeping-ids", "workers that crash and start again under their IDs")
+    .option("--down-ms <n>", "how long a worker that crashed is away")
     .addOption(
         new Option("--power-loss", "all of 32 daemons lose power").conflicts([
             "crowded",
@@ -34,12 +38,15 @@
             "crashing",
             "resizing",
             "suspending",
+            "keepingIds",
+            "downMs",
             "broken",
         ]),
     )
     .addOption(new Option("--broken <part>", "a part that is broken on purpose").choices(brokenShardParts));
 program.parse();
-const { seeds, from, crowded, lasting, crashing, resizing, suspending, powerLoss, broken } = program.opts<Options>();
+const { seeds, from, crowded, lasting, crashing, resizing, suspending, keepingIds, downMs, powerLoss, broken } = program
+    .opts<Options>();
 /** A slow store and the largest cell still accept by then. */
 const acceptedWithinMs = 4_000;
 
@@ -59,6 +66,8 @@
             crashing,
             resizing,
             suspending,
+            keepsIds: keepingIds,
+            crashedDownMs: downMs === undefined ? undefined : Number(downMs),
             broken,
         }));
     if (wrong.length > 0) {
--- a/packages/stand-ins/src/shard/fakeVms.ts
+++ b/packages/stand-ins/src/shard/fakeVms.ts
@@ -51,10 +51,12 @@
  * @example
  * const vms = createFakeVms({ clock, workers, renew: vmId => newWorkerIdOn(vmId) });
  */
-export const createFakeVms = ({ clock, workers, renew, checksTokens = true }: {
+export const createFakeVms = ({ clock, workers, renew, checksTokens = true, keepsIds = false }: {
     readonly clock: Clock;
     readonly workers: FakeFencedWorkers;
     readonly checksTokens?: boolean;
+    /** Whether the worker that starts after an upkeep has the ID of the one before. */
+    readonly keepsIds?: boolean;
     /** The VM is up again; gives the id of its new worker. */
     readonly renew: (vmId: string, workerId: string) => string;
 }): FakeVms => {
@@ -96,7 +98,12 @@
         evidence.push({ vmId, wave, atMs: clock.monotonicMs(), othersDown, cutRuns });
         vm.waves.add(wave);
         vm.state = vmStates.upkeep;
-        workers.crash(workerId);
+        if (keepsIds) {
+            workers.goDown(workerId);
+        }
+        else {
+            workers.crash(workerId);
+        }
         clock.setTimer(upkeepMs, () => {
             vm.state = vmStates.up;
             vm.workerId = renew(vmId, workerId);
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -1,6 +1,7 @@
 /**
  * Stand-ins for workers with fencing tokens: leases on their own clock, a list of ends that is kept until it is
- * acknowledged, orders that are lost or carried out late, and a new life after a crash. They keep the evidence.
+ * acknowledged, orders that are lost or carried out late, and a new life after a crash, under another ID or the same. They
+ * keep the evidence.
  */
 
 import {
@@ -68,8 +69,13 @@
     crash(workerId: string): void;
     /** The same, but nobody answers at its address until `replace` brings another life there. */
     goDown(workerId: string): void;
-    /** The worker that went down is back at its address, as another life. */
+    /** The worker that went down is back at its address, as another life under another ID. */
     replace(workerId: string, next: WorkerEntry): void;
+    /**
+     * The worker starts again under its ID: it holds and knows nothing, its ends are numbered from 1 and its clock begins at 0.
+     * What is wrong with its link stays so, and orders that are still under way reach this life. Gives its entry.
+     */
+    startAgain(workerId: string, capacity: Resources): WorkerEntry | undefined;
     workerIds(): readonly string[];
     /** The worker's capacity is another one from now on; gives its entry. */
     resize(workerId: string, capacity: Resources): WorkerEntry | undefined;
@@ -98,12 +104,17 @@
     alive: boolean;
     /** Nobody answers at its address. */
     down: boolean;
+    /** Scene time at which its own clock stood at 0. */
+    readonly clockZeroMs: number;
+    /** On its own clock. */
     deadlineMs: number;
     cancelLapse: () => void;
     readonly running: Map<string, LiveRun>;
     readonly highestRun: Map<string, number>;
     ended: (EndedRun & { readonly evidence: StartEvidence; })[];
     nextEnd: number;
+    /** Highest number that was acknowledged; an end with it or a lower one keeps no look from waiting. */
+    seenUpTo: number;
     readonly waiters: Set<() => void>;
 }
 
@@ -136,6 +147,12 @@
 
     const keyOf = (taskName: string, run: number): string => `${taskName}#${run}`;
 
+    const wakeAll = (worker: FakeWorker): void => {
+        for (const wake of [...worker.waiters]) {
+            wake();
+        }
+    };
+
     const endRun = (worker: FakeWorker, key: string, how: RunEnd): void => {
         const live = worker.running.get(key);
         if (live === undefined) {
@@ -155,8 +172,8 @@
             evidence: start,
         });
         worker.nextEnd += 1;
-        for (const wake of [...worker.waiters]) {
-            wake();
+        if (worker.nextEnd - 1 > worker.seenUpTo) {
+            wakeAll(worker);
         }
     };
 
@@ -169,11 +186,13 @@
         }
     };
 
+    const clockOf = ({ clockZeroMs }: FakeWorker): number => clock.monotonicMs() - clockZeroMs;
+
     const extend = (worker: FakeWorker, deadlineMs: number | undefined): void => {
         if (deadlineMs === undefined) {
             return;
         }
-        const nowMs = clock.monotonicMs();
+        const nowMs = clockOf(worker);
         worker.deadlineMs = Math.max(worker.deadlineMs, Math.min(deadlineMs, nowMs + leaseLimitMs));
         worker.cancelLapse();
         worker.cancelLapse = clock.setTimer(Math.max(0, worker.deadlineMs - nowMs), () => lapse(worker));
@@ -202,9 +221,7 @@
     const goDown = (worker: FakeWorker): void => {
         worker.down = true;
         endLife(worker);
-        for (const wake of [...worker.waiters]) {
-            wake();
-        }
+        wakeAll(worker);
     };
 
     const crashLater = (worker: FakeWorker, delayMs: number): () => void =>
@@ -222,7 +239,7 @@
         if (!raise(worker, order.fencingToken)) {
             return orderOutcomes.fenced;
         }
-        if (order.deadlineMs <= clock.monotonicMs()) {
+        if (order.deadlineMs <= clockOf(worker)) {
             return orderOutcomes.late;
         }
         extend(worker, order.deadlineMs);
@@ -277,6 +294,10 @@
     };
 
     const acknowledge = (worker: FakeWorker, upTo: number): void => {
+        if (upTo <= worker.seenUpTo) {
+            return;
+        }
+        worker.seenUpTo = upTo;
         for (const end of worker.ended) {
             if (end.endNumber <= upTo) {
                 end.evidence.notedAtMs = clock.monotonicMs();
@@ -287,7 +308,8 @@
 
     const show = (worker: FakeWorker): LookResult => ({
         outcome: orderOutcomes.done,
-        clockMs: clock.monotonicMs(),
+        clockMs: clockOf(worker),
+        ...(worker.entry.bornAtMs === undefined ? {} : { bornAtMs: worker.entry.bornAtMs }),
         running: [...worker.running.values()].map(({ evidence: run, checkpoint, held }) => ({
             taskName: run.taskName,
             run: run.run,
@@ -310,7 +332,7 @@
         });
 
     const waitForEnd = (worker: FakeWorker, waitMs: number): Promise<void> =>
-        worker.ended.length > 0 || waitMs === 0 ? Promise.resolve() : new Promise(resolve => {
+        worker.nextEnd - 1 > worker.seenUpTo || waitMs === 0 ? Promise.resolve() : new Promise(resolve => {
             const wake = (): void => {
                 cancel();
                 worker.waiters.delete(wake);
@@ -354,8 +376,10 @@
             }
             if (worker.fault === "late") {
                 clock.setTimer(lateMs, () => {
-                    if (worker.alive) {
-                        carryOut(worker);
+                    // It names the ID alone, so that the life that answers to it by then carries it out.
+                    const present = workers.get(target.workerId);
+                    if (present?.alive === true) {
+                        carryOut(present);
                     }
                 });
                 await wait(timeoutMs);
@@ -398,27 +422,29 @@
         };
     };
 
-    const addWorker = (entry: WorkerEntry): void => {
+    const addWorker = (entry: WorkerEntry, fault: WorkerFault = "none", clockZeroMs = 0): void => {
         workers.set(entry.workerId, {
             entry,
             former: [],
             token: 0,
-            fault: "none",
+            fault,
             alive: true,
             down: false,
+            clockZeroMs,
             deadlineMs: 0,
             cancelLapse: () => {},
             running: new Map(),
             highestRun: new Map(),
             ended: [],
             nextEnd: 1,
+            seenUpTo: 0,
             waiters: new Set(),
         });
     };
 
     return {
         connect,
-        add: addWorker,
+        add: entry => addWorker(entry),
         setFault: (workerId, fault) => {
             const worker = workers.get(workerId);
             if (worker !== undefined) {
@@ -444,6 +470,15 @@
             }
             addWorker(next);
         },
+        startAgain: (workerId, capacity) => {
+            const worker = workers.get(workerId);
+            if (worker === undefined || worker.alive) {
+                return undefined;
+            }
+            const entry = { ...worker.entry, capacity, bornAtMs: Math.floor(clock.nowMs()) };
+            addWorker(entry, worker.fault, clock.monotonicMs());
+            return entry;
+        },
         workerIds: () => [...workers.keys()],
         resize: (workerId, capacity) => {
             const worker = workers.get(workerId);
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -157,6 +157,8 @@
     readonly isGood?: (stepName: string, workerId: string) => boolean;
     /** How long a worker that crashed is away; as users saw it where it is left out. */
     readonly crashedDownMs?: number | undefined;
+    /** Whether a worker that crashed, or had its upkeep, starts again under its ID; it has another one where it is left out. */
+    readonly keepsIds?: boolean | undefined;
     /** What the daemons' work costs their processors; nothing where it is left out. */
     readonly costs?: ProcessorCosts;
     /** A part of every daemon's surroundings that is broken on purpose. */
@@ -250,6 +252,7 @@
         checksVmTokens = true,
         isGood = () => true,
         crashedDownMs = usualDownMs,
+        keepsIds = false,
         costs = noCosts,
         broken,
     }: ShardCellOptions,
@@ -280,8 +283,33 @@
     };
     /** Workers that went down, which no list has any more. */
     const replaced = new Set<string>();
+    const isListed = (workerId: string): boolean => store.rows("workers").some(({ key }) => key === workerId);
+
+    /** The worker starts again under its ID, and says so in the store with its first heartbeat, sooner or later. */
+    const startAgain = (workerId: string): void => {
+        const entry = workers.startAgain(workerId, capacity ?? workerCapacity);
+        if (entry !== undefined) {
+            clock.setTimer(heartbeatMs * random.next(), () => {
+                const newest = workers.entryOf(workerId);
+                if (newest !== undefined) {
+                    store.put("workers", workerId, newest);
+                }
+            });
+        }
+    };
+
+    /** It is back under its ID after a while; its entry, which is that of the life before, lapses if that takes long. */
+    const bringBackUnderId = ({ workerId }: WorkerEntry): void => {
+        clock.setTimer(crashedDownMs, () => startAgain(workerId));
+        clock.setTimer(entryLapsesMs, () => {
+            if (workers.entryOf(workerId) === undefined) {
+                store.remove("workers", workerId);
+            }
+        });
+    };
+
     /** A worker that was crashed is back at its address after a while, and its former entry lapses. */
-    const bringBack = (entry: WorkerEntry): void => {
+    const bringBackAnew = (entry: WorkerEntry): void => {
         replaced.add(entry.workerId);
         clock.setTimer(crashedDownMs, () => {
             const next = { ...entry, workerId: `${entry.workerId}*`, capacity: capacity ?? workerCapacity };
@@ -290,6 +318,7 @@
         });
         clock.setTimer(entryLapsesMs, () => store.remove("workers", entry.workerId));
     };
+    const bringBack = keepsIds ? bringBackUnderId : bringBackAnew;
     const workers = createFakeFencedWorkers({
         clock,
         leaseLimitMs: 10_000,
@@ -464,20 +493,27 @@
 
     const listWorkers = (): void => {
         for (const [index, workerId] of workers.workerIds().entries()) {
-            if (!replaced.has(workerId)) {
+            const isDown = keepsIds && workers.entryOf(workerId) === undefined;
+            if (!replaced.has(workerId) && !isDown) {
                 store.put("workers", workerId, workers.entryOf(workerId) ?? workerEntry(workerId, index, capacity));
             }
         }
     };
 
     for (let index = 0; index < workerCount; index += 1) {
-        workers.add(workerEntry(`worker-${index}`, index, capacity));
+        const entry = workerEntry(`worker-${index}`, index, capacity);
+        workers.add(keepsIds ? { ...entry, bornAtMs: Math.floor(clock.nowMs()) } : entry);
     }
     const vms = createFakeVms({
         clock,
         workers,
         checksTokens: checksVmTokens,
+        keepsIds,
         renew: (vmId, workerId) => {
+            if (keepsIds) {
+                startAgain(workerId);
+                return workerId;
+            }
             const index = Number(vmId.split("-").at(-1));
             const renewed = workerEntry(`${workerId}+`, index);
             store.remove("workers", workerId);
@@ -625,7 +661,7 @@
                 if (entry !== undefined) {
                     clock.setTimer(heartbeatMs, () => {
                         const newest = workers.entryOf(workerId);
-                        if (newest !== undefined && store.rows("workers").some(row => row.key === workerId)) {
+                        if (newest !== undefined && isListed(workerId)) {
                             store.put("workers", workerId, newest);
                         }
                     });
@@ -635,7 +671,7 @@
         drain: (workerId, remainingMs) => {
             const index = workers.workerIds().indexOf(workerId);
             store.put("workers", workerId, {
-                ...workerEntry(workerId, index),
+                ...workers.entryOf(workerId) ?? workerEntry(workerId, index),
                 draining: true,
                 drainRemainingMs: remainingMs,
             });
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -347,6 +347,8 @@
     readonly lasting?: boolean | undefined;
     /** How long workers that crashed are away. */
     readonly crashedDownMs?: number | undefined;
+    /** Workers crash now and then, and start again under their IDs. */
+    readonly keepsIds?: boolean | undefined;
     /** Lets the capacity of workers shrink and grow. */
     readonly resizing?: boolean | undefined;
     /** Suspends the VMs of daemons. */
@@ -364,10 +366,18 @@
  */
 export const exploreShardSeed = async (
     seed: number,
-    { shapes, lasting = false, resizing = false, suspending = false, crashing = false, crashedDownMs, broken }:
-        ExploreShardOptions = {},
+    {
+        shapes,
+        lasting = false,
+        resizing = false,
+        suspending = false,
+        crashing = false,
+        keepsIds = false,
+        crashedDownMs,
+        broken,
+    }: ExploreShardOptions = {},
 ): Promise<readonly string[]> => {
-    const cell = createShardCell({ members: 4, workers: 6, seed, failOften: 0.01, crashedDownMs, broken });
+    const cell = createShardCell({ members: 4, workers: 6, seed, failOften: 0.01, crashedDownMs, keepsIds, broken });
     const jobs: string[] = [];
     const crashingJobs: string[] = [];
     const faults: string[] = [];
@@ -386,6 +396,8 @@
             ...randomFaults,
             ...lasting ? lastingFaults : [],
             ...crashing ? crashFaults : [],
+            // So often that about a quarter of the faults is of them.
+            ...keepsIds ? Array.from({ length: 4 }, () => crashFaults).flat() : [],
             ...suspending ? Array.from({ length: 4 }, () => suspendFaults).flat() : [],
             // So often that about a third of the faults is of them.
             ...resizing ? Array.from({ length: 6 }, () => resizeFaults).flat() : [],
