A worker that starts again under its ID is another life: nothing known of the one before holds on

What callers saw: tasks were started again after their ends had been acknowledged, and steps and tasks that last stood though workers had room for them.

Cause: an owner knew a worker by its ID alone. After a restart the numbers of the life before, up to which its ends had been taken and acknowledged, were applied to ends that are numbered from 1 again: these were passed over, stayed listed and kept their runs alive in the book, until a higher number was acknowledged and they were forgotten unread; the same held for its clock, its runs, its failures and its rests.

Why the mend holds: a ShardWorker is one life; which one, the worker's own lists of runs say. A list of another life is not taken in: the life before is ended with all it had, and the next one begins with nothing known of it, as a worker that was never seen. The ID is not barred. Entries and lists without a beginning are as before.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -87,6 +87,7 @@
             | crashes              | 1 crash, then 0                         |
             | lostRuns             | 1 run was lost with i-1                 |
             | falls                | 1 worker fell                           |
+            | lives                | i-1, then another life; maybe the same  |
             | trials               | 1 task, by itself                       |
             | shortOffices         | 4 times, then 1                         |
             | tableWatch           | configuration seen                      |
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -52,10 +52,12 @@
     formatTaskName,
     handOver,
     inTurn,
+    isOtherLife,
     isTimeToAsk,
     isWaiting,
     journalTable,
     kindOf,
+    lifeOf,
     mayGoDown,
     memberTable,
     newJob,
@@ -610,6 +612,7 @@
         onLook: async () => {},
         onSilent: () => {},
         onLifeOver: () => {},
+        onRestarted: () => {},
         onFenced: () => {},
         onNotStarted: () => {},
         onStarted: () => {},
@@ -881,6 +884,12 @@
     return `${lost.replaced("10.0.0.1:1", "i-2").length} run was lost with i-1`;
 };
 
+const lives = (): string => {
+    const { workerId, bornAtMs } = lifeOf({ ...openWorker(), bornAtMs: 1_000 });
+    const next = isOtherLife(bornAtMs, 900) ? "another life" : "the same life";
+    return `${workerId}, then ${next}; ${isOtherLife(undefined, 900) ? "another" : "maybe the same"}`;
+};
+
 const falls = (): string => {
     const all = createFalls();
     all.note("i-1", 1_000, []);
@@ -970,6 +979,7 @@
     shardTables: () => sequenceKey,
     crashes,
     lostRuns,
+    lives,
     falls,
     trials,
     shortOffices,
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -1045,6 +1045,7 @@
             onLook: async () => {},
             onSilent: () => {},
             onLifeOver: () => {},
+            onRestarted: () => {},
             onFenced: () => {},
             onNotStarted: () => {},
             onStarted: () => {},
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -9,6 +9,7 @@
 import { createFirstLooks } from "./firstLooks.js";
 import { findTask, newRun, runPhases, type ShardJob, type ShardRun } from "./jobBook.js";
 import type { StoredRun } from "./jobRows.js";
+import { lifeOf } from "./lives.js";
 import { createLostRuns } from "./lostRuns.js";
 import { createPacer } from "./pacer.js";
 import type { ShardSettings } from "./shardSettings.js";
@@ -122,15 +123,13 @@
         links.get(worker.workerId)?.close();
         links.delete(worker.workerId);
         workers.delete(worker.workerId);
-        log.write("info", "workerGone", { workerId: worker.workerId, reason, runs: worker.runs.size });
+        log.write("info", "workerGone", { ...lifeOf(worker), reason, runs: worker.runs.size });
         const crashed = watch.loseRuns(worker, reason);
         void commitTouched();
         return crashed;
     };
 
-    /** The worker's life is over: what is still listed under its id is an entry that has yet to lapse. */
-    const loseWorker = (worker: ShardWorker, reason: string): void => {
-        overLives.add(worker.workerId);
+    const endLife = (worker: ShardWorker, reason: string): void => {
         const { address, draining } = worker.entry;
         const crashed = [...dropWorker(worker, reason), ...lostRuns.replaced(address, "")];
         // One that drained or went down for upkeep has left, whatever ran there.
@@ -140,6 +139,30 @@
         }
     };
 
+    /** The worker's life is over: what is still listed under its id is an entry that has yet to lapse. */
+    const loseWorker = (worker: ShardWorker, reason: string): void => {
+        overLives.add(worker.workerId);
+        endLife(worker, reason);
+    };
+
+    /** The same worker answers as another life: what the one before had is over with it, and nothing known of it holds on. */
+    const beginNextLife = (former: ShardWorker, bornAtMs: number | undefined): void => {
+        meter.count("workersRestarted");
+        log.write("warn", "workerRestarted", {
+            workerId: former.workerId,
+            bornAtMs,
+            formerBornAtMs: former.bornAtMs,
+            runs: former.runs.size,
+        });
+        endLife(former, "otherLife");
+        const next = newWorker(former.entry, formerHorizonMs());
+        next.bornAtMs = bornAtMs;
+        next.unlistedAtMs = former.unlistedAtMs;
+        workers.set(next.workerId, next);
+        links.set(next.workerId, openLink(next));
+        wake();
+    };
+
     /** Runs of a silent worker whose leases are over: whether it crashed is known once something answers at its address. */
     const loseSilent = (worker: ShardWorker, reason: string): void => {
         const crashed = watch.loseRuns(worker, reason);
@@ -207,6 +230,7 @@
                 }
             },
             onLifeOver: gone => loseWorker(gone, "otherLife"),
+            onRestarted: beginNextLife,
             onFenced: () => options.onFenced(),
             onNotStarted: (holder, run, outcome) => {
                 dropRun(holder, run);
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -5,6 +5,7 @@
 import { sleep } from "../../utils/time.js";
 import type { FirstLooks } from "./firstLooks.js";
 import { runPhases, type ShardRun } from "./jobBook.js";
+import { isOtherLife, lifeOf } from "./lives.js";
 import { extendLease, runKey, type ShardWorker, stillFits } from "./workerTable.js";
 
 /** An order takes a round trip of some milliseconds; without an answer by the first it is sent again, up to the last. */
@@ -49,6 +50,8 @@
     /** The worker answers no more. */
     readonly onSilent: (worker: ShardWorker) => void;
     readonly onLifeOver: (worker: ShardWorker) => void;
+    /** Another life answers under the worker's id; the link is to be closed. */
+    readonly onRestarted: (worker: ShardWorker, bornAtMs: number | undefined) => void;
     readonly onFenced: (worker: ShardWorker) => void;
     /** The run surely does not and will not run there. */
     readonly onNotStarted: (worker: ShardWorker, run: ShardRun, outcome: OrderOutcome) => void;
@@ -139,6 +142,12 @@
             return;
         }
         if (look.outcome === "done") {
+            // Neither its clock nor what it lists has anything to do with the life before.
+            if (isOtherLife(worker.bornAtMs, look.bornAtMs)) {
+                options.onRestarted(worker, look.bornAtMs);
+                return;
+            }
+            worker.bornAtMs ??= look.bornAtMs;
             const nowMs = clock.monotonicMs();
             worker.clock = { localMs: nowMs, clockMs: look.clockMs };
             worker.answeredAtMs = nowMs;
@@ -159,7 +168,7 @@
         worker.silentLooks += 1;
         worker.silentSinceMs ??= clock.monotonicMs();
         if (worker.silentLooks === 1) {
-            log.write("warn", "workerSilent", { workerId: worker.workerId, outcome: look.outcome });
+            log.write("warn", "workerSilent", { ...lifeOf(worker), outcome: look.outcome });
             options.onSilent(worker);
         }
         if (worker.silentLooks > 1) {
@@ -208,7 +217,7 @@
 
     /** No copy is carried out once its lease would be over, so that a later look which does not list the run proves it gone. */
     const giveUpStart = (run: ShardRun): void => {
-        log.write("warn", "startUnanswered", { task: run.task.name, run: run.run, workerId: worker.workerId });
+        log.write("warn", "startUnanswered", { task: run.task.name, run: run.run, ...lifeOf(worker) });
         run.settledAtMs = worker.horizonMs;
         worker.avoidUntilMs = Math.max(worker.avoidUntilMs, worker.horizonMs + unansweredRestMs);
     };
@@ -262,7 +271,7 @@
                 log.write("warn", "startRefused", {
                     task: run.task.name,
                     run: run.run,
-                    workerId: worker.workerId,
+                    ...lifeOf(worker),
                     outcome,
                     unanswered,
                 });
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -7,9 +7,11 @@
 /** How much slower than ours a worker's clock may run. */
 export const slowestClockRate = 0.98;
 
-/** A worker as its shard's owner knows it; one life of one VM. */
+/** One life of a worker as its shard's owner knows it. */
 export interface ShardWorker {
     readonly workerId: string;
+    /** When this life began, as its own answers say; undefined before the first one, and where they do not say. */
+    bornAtMs: number | undefined;
     entry: WorkerEntry;
     /** The most that it was listed with, which it may have again once it has shrunk. */
     mostCapacity: Resources;
@@ -61,6 +63,7 @@
  */
 export const newWorker = (entry: WorkerEntry, horizonMs: number): ShardWorker => ({
     workerId: entry.workerId,
+    bornAtMs: undefined,
     entry,
     mostCapacity: entry.capacity,
     unlistedAtMs: undefined,
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -14,6 +14,7 @@
     type ShardRun,
     type ShardTask,
 } from "./jobBook.js";
+import { lifeOf } from "./lives.js";
 import { adoptRun, dropRun, runKey, type ShardWorker } from "./workerTable.js";
 
 /** What the watch needs. */
@@ -72,7 +73,7 @@
         if (worker.failuresInARow >= failuresToRest && worker.failedJobs.size >= jobsToRest) {
             worker.avoidUntilMs = clock.monotonicMs() + restMs;
             log.write("warn", "workerRests", {
-                workerId: worker.workerId,
+                ...lifeOf(worker),
                 failuresInARow: worker.failuresInARow,
                 restMs,
             });
@@ -89,17 +90,6 @@
         }
     };
     const workersById = new Map<string, ShardWorker>();
-    /** When the life that answered last began, by worker. */
-    const bornAtMsOf = new Map<string, number | undefined>();
-
-    const noteLife = ({ workerId }: ShardWorker, bornAtMs: number | undefined): void => {
-        const before = bornAtMsOf.get(workerId);
-        if (before !== undefined && before !== bornAtMs) {
-            meter.count("workersRestarted");
-            log.write("warn", "workerRestarted", { workerId, bornAtMs, formerBornAtMs: before });
-        }
-        bornAtMsOf.set(workerId, bornAtMs);
-    };
 
     const takeEnd = (worker: ShardWorker, end: EndedRun): void => {
         const run = worker.runs.get(runKey(end.taskName, end.run));
@@ -107,7 +97,7 @@
         log.write("info", "runEnded", {
             task: end.taskName,
             run: end.run,
-            workerId: worker.workerId,
+            ...lifeOf(worker),
             how: end.how,
             known: run !== undefined,
         });
@@ -154,7 +144,7 @@
         log.write("info", wanted ? "runAdopted" : "runUnwanted", {
             task: task.name,
             run: row.run,
-            workerId: worker.workerId,
+            ...lifeOf(worker),
         });
         onChange(task.step.occurrence.job);
         if (!wanted) {
@@ -172,7 +162,7 @@
         const nowMs = clock.monotonicMs();
         run.idleSinceMs ??= nowMs;
         if (nowMs - run.idleSinceMs >= stuckMs) {
-            log.write("warn", "runStuck", { task: run.task.name, run: run.run, workerId: worker.workerId });
+            log.write("warn", "runStuck", { task: run.task.name, run: run.run, ...lifeOf(worker) });
             options.onStuck(worker, run);
         }
     };
@@ -202,7 +192,7 @@
         const { job } = run.task.step.occurrence;
         job.started = true;
         if (showSound(run, clock.monotonicMs())) {
-            log.write("info", "taskSound", { task: run.task.name, run: run.run, workerId: worker.workerId });
+            log.write("info", "taskSound", { task: run.task.name, run: run.run, ...lifeOf(worker) });
             onChange(job);
         }
         if (hasEnded(job) || (run.task.done && run.phase !== runPhases.stopping)) {
@@ -219,7 +209,7 @@
             log.write("info", "runGone", {
                 task: run.task.name,
                 run: run.run,
-                workerId: worker.workerId,
+                ...lifeOf(worker),
                 phase: run.phase,
             });
             dropRun(worker, run);
@@ -230,7 +220,6 @@
     return {
         take: (worker, look, sentAtMs) => {
             workersById.set(worker.workerId, worker);
-            noteLife(worker, look.bornAtMs);
             let newest = worker.acknowledgedEnd;
             const listed = new Set<string>();
             for (const end of look.ended) {
@@ -285,7 +274,7 @@
                 log.write("info", "runLost", {
                     task: run.task.name,
                     run: run.run,
-                    workerId: worker.workerId,
+                    ...lifeOf(worker),
                     reason,
                     phase: run.phase,
                     sentMsAgo: run.sentAtMs === undefined ? undefined : Math.round(nowMs - run.sentAtMs),
