Crashes count for the life under which they happened: across owners, and where a worker was given up before it was back

What callers saw: tasks that crash their workers were started on and on again, where the owner changed or the worker was away for longer than its leases and then back under its ID.

Cause: the life for which a run was planned was known to the owner only as long as it had the worker. A successor took the intents of its predecessor for runs of the life that it met, found them gone and counted nothing; a worker dropped as not listed and listed again had no former life; and an answer under the ID settled what was lost with it as not crashed.

Why the mend holds: a run says for which life it was planned, in the job's row as well (lives; rows without it are read as before). A first look that does not list a run of another life shows that it ended with that life, and the crash counts. What is remembered of silent workers names the life, so that only an answer of the same one settles it as not crashed.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -84,6 +84,20 @@
             | 11   |
             | 39   |
 
+    # A worker that started again under its ID was taken for the one before: crashes were not counted, ends passed over.
+    Scenario Outline: Workers that start again under their IDs after <ms> ms, with jobs that <others>, seed <seed>
+        When the seed <seed> is explored on a shard whose workers start again under their IDs after <ms> ms, with jobs that <others>
+        Then nothing went wrong on the shard
+
+        Examples:
+            | seed | ms   | others |
+            | 4    | 3300 | end    |
+            | 13   | 3300 | end    |
+            | 17   | 3300 | end    |
+            | 35   | 3300 | end    |
+            | 39   | 3300 | end    |
+            | 2    | 3300 | last   |
+
     # Workers that do not guard their capacity were started on with room that they had no more: what had been planned while they
     # were larger was sent all the same, after the store had been away or once a silent worker answered again.
     Scenario Outline: No start brings a worker over a capacity that has shrunk, with tasks that are <size>, seed <seed>
--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -37,3 +37,27 @@
             | 50   | 1            |
             | 600  | 2, 1 after 0 |
             | 3300 | 2, 1 after 0 |
+
+    # What crashes its workers was started on and on again: an answer under the same ID counted as proof that none had crashed, a
+    # worker that was listed again had no former life, and a successor took the runs of the life before for runs of this one.
+    Scenario Outline: A task that crashes its workers is given up where these start again under their IDs, after "<fault>"
+        Given a cell of 4 daemons and 8 workers that start again under their IDs <ms> ms after a crash
+        When 2 crashing jobs of steps "1 crashing" are submitted
+        And 2 crashing jobs of steps "2 speculative first crashing" are submitted
+        And 4 jobs of steps "3, 4 after 0" are submitted
+        And the fault "<fault>" comes at each crash for <for> ms, in the first 30000 ms
+        Then the crashing jobs are "failed" within 15000 ms
+        And all jobs are "completed" within 15000 ms
+        And no job was shown as failed and then as anything else
+        And no promise was broken
+
+        Examples:
+            | fault                      | for  | ms   |
+            | feeds go silent            | 100  | 600  |
+            | owner killed               | 600  | 600  |
+            | owner killed               | 4000 | 3300 |
+            | all killed                 | 1500 | 600  |
+            | all killed                 | 1500 | 7000 |
+            | store hangs                | 1500 | 600  |
+            | workers not listed         | 9000 | 7000 |
+            | owner cut from the workers | 1500 | 600  |
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -132,6 +132,7 @@
     task: taskOf(job),
     run: 1,
     workerId: "i-1",
+    bornAtMs: undefined,
     address: "",
     held: plainStep.size,
     phase: "running",
@@ -880,7 +881,7 @@
     const worker = openWorker();
     adoptRun(worker, { ...runOf(exampleJob()), startedAtMs: 990 });
     const lost = createLostRuns();
-    lost.lose({ workerId: "i-1", address: "10.0.0.1:1" }, crashedRuns(worker, 1_000), 1_000);
+    lost.lose({ workerId: "i-1", bornAtMs: undefined, address: "10.0.0.1:1" }, crashedRuns(worker, 1_000), 1_000);
     return `${lost.replaced("10.0.0.1:1", "i-2").length} run was lost with i-1`;
 };
 
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -34,6 +34,8 @@
     readonly task: ShardTask;
     readonly run: number;
     readonly workerId: string;
+    /** When the life that it was planned for began; undefined where that is not known. */
+    readonly bornAtMs: number | undefined;
     /** Where its worker was reached when it was planned; empty where that is not known. */
     readonly address: string;
     /** What it holds of the worker's capacity. */
@@ -274,6 +276,7 @@
     task,
     run,
     workerId,
+    bornAtMs: undefined,
     address: "",
     held: heldBy(task.step.spec),
     phase: runPhases.planned,
--- a/packages/puffinarch/src/core/shard/jobRowSchemas.ts
+++ b/packages/puffinarch/src/core/shard/jobRowSchemas.ts
@@ -102,6 +102,8 @@
     failed: z.array(failedTaskSchema, "tasks that failed").default([]),
     /** Where the workers of its live runs are reached, by id. */
     addresses: z.record(z.string(), text, "addresses of workers").default({}),
+    /** When the lives of these workers began that the runs were planned for, by id; none where lives are told by their ids. */
+    lives: z.record(z.string(), whole, "beginnings of lives").default({}),
 });
 
 /** The state of a job that has ended. */
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -37,6 +37,8 @@
     readonly taskName: string;
     readonly run: number;
     readonly workerId: string;
+    /** When the worker's life began; undefined where the row does not say. */
+    readonly bornAtMs: number | undefined;
     /** Where the worker is reached; empty where the row does not say. */
     readonly address: string;
 }
@@ -101,6 +103,17 @@
 const encodeAddresses = (job: ShardJob): Readonly<Record<string, string>> =>
     Object.fromEntries([...runsOf(job)].map(({ workerId, address }) => [workerId, address]));
 
+/** A successor knows by them which runs were for a life that is over by now, and that its worker crashed under them. */
+const encodeLives = (job: ShardJob): Readonly<Record<string, number>> => {
+    const lives: Record<string, number> = {};
+    for (const { workerId, bornAtMs } of runsOf(job)) {
+        if (bornAtMs !== undefined) {
+            lives[workerId] = bornAtMs;
+        }
+    }
+    return lives;
+};
+
 const encodeState = (job: ShardJob): string => {
     const stored: StoredState = {
         state: job.state,
@@ -108,6 +121,7 @@
         crashed: encodeCrashed(job),
         failed: encodeFailed(job),
         addresses: encodeAddresses(job),
+        lives: encodeLives(job),
         done: [...job.doneOccurrences],
         open: [...job.occurrences.values()].map(({ number, steps }) => [number, steps.map(encodeStep)]),
     };
@@ -171,7 +185,7 @@
     task.failures = failures;
     task.checkpoint = checkpoint;
     for (const [workerId, run] of storedRuns) {
-        runs.push({ taskName: task.name, run, workerId, address: "" });
+        runs.push({ taskName: task.name, run, workerId, bornAtMs: undefined, address: "" });
     }
 };
 
@@ -212,7 +226,11 @@
             taskAt(job, place)?.failedOn.set(workerId, nowMs);
         }
     }
-    return runs.map(run => ({ ...run, address: stored.addresses[run.workerId] ?? "" }));
+    return runs.map(run => ({
+        ...run,
+        address: stored.addresses[run.workerId] ?? "",
+        bornAtMs: stored.lives[run.workerId],
+    }));
 };
 
 /** Jobs as the store has them, with the runs that were meant to be started. */
--- a/packages/puffinarch/src/core/shard/lostRuns.ts
+++ b/packages/puffinarch/src/core/shard/lostRuns.ts
@@ -1,22 +1,22 @@
 /**
  * Runs on workers that fell silent until their leases were over. Nobody knows then whether the worker crashed or was only
- * cut off: another life at its address shows a crash, an answer of the same life that there was none.
+ * cut off: another life under its id or at its address shows a crash, an answer of the same life that there was none.
  */
 
 import type { CrashedRun } from "./crashes.js";
+import { isOtherLife, type WorkerLife } from "./lives.js";
 
-/** A worker, and where it was reached. */
-export interface LostWorkerId {
-    readonly workerId: string;
+/** A life of a worker, and where it was reached. */
+export interface LostLife extends WorkerLife {
     readonly address: string;
 }
 
 /** Remembers what may have crashed silent workers. */
 export interface LostRuns {
     /** The leases of a silent worker are over, with these runs. */
-    lose(worker: LostWorkerId, runs: readonly CrashedRun[], nowMs: number): void;
-    /** The same life has answered. */
-    answered(workerId: string): void;
+    lose(life: LostLife, runs: readonly CrashedRun[], nowMs: number): void;
+    /** The worker has answered; gives the runs that were lost with another life of it, none where the same life answers. */
+    answered(life: WorkerLife): readonly CrashedRun[];
     /** Another life is at the address; gives the runs that were lost with the one before. */
     replaced(address: string, nextId: string): readonly CrashedRun[];
 }
@@ -25,6 +25,7 @@
 const mostWorkers = 1_000;
 
 interface LostWorker {
+    readonly bornAtMs: number | undefined;
     readonly address: string;
     readonly runs: readonly CrashedRun[];
 }
@@ -35,7 +36,7 @@
  * @example
  * const lost = createLostRuns();
  * const nowMs = clock.monotonicMs();
- * lost.lose({ workerId: "i-1", address: "10.0.0.1:1" }, crashedRuns(worker, nowMs), nowMs);
+ * lost.lose({ workerId: "i-1", bornAtMs: undefined, address: "10.0.0.1:1" }, crashedRuns(worker, nowMs), nowMs);
  * lost.replaced("10.0.0.1:1", "i-2");
  */
 export const createLostRuns = (): LostRuns => {
@@ -50,7 +51,7 @@
         return runs;
     };
     return {
-        lose: ({ workerId, address }, runs, nowMs) => {
+        lose: ({ workerId, bornAtMs, address }, runs, nowMs) => {
             if (runs.length === 0 || address === "") {
                 return;
             }
@@ -61,10 +62,12 @@
             for (const { task } of runs) {
                 task.unresolvedAtMs.push(nowMs);
             }
-            byWorker.set(workerId, { address, runs: [...byWorker.get(workerId)?.runs ?? [], ...runs] });
+            byWorker.set(workerId, { bornAtMs, address, runs: [...byWorker.get(workerId)?.runs ?? [], ...runs] });
         },
-        answered: workerId => {
-            settle(workerId);
+        answered: ({ workerId, bornAtMs }) => {
+            const isOther = isOtherLife(byWorker.get(workerId)?.bornAtMs, bornAtMs);
+            const runs = settle(workerId);
+            return isOther ? runs : [];
         },
         replaced: (address, nextId) => {
             const found: CrashedRun[] = [];
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -87,7 +87,10 @@
     const copyable = new Set<ShardStep>();
 
     const plan = (task: ShardTask, worker: ShardWorker, number: number): ShardRun | undefined => {
-        const run = newRun(task, worker.workerId, number, { address: worker.entry.address });
+        const run = newRun(task, worker.workerId, number, {
+            address: worker.entry.address,
+            bornAtMs: worker.bornAtMs,
+        });
         if (!holdRoom(worker, run)) {
             return undefined;
         }
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -167,8 +167,7 @@
     const loseSilent = (worker: ShardWorker, reason: string): void => {
         const crashed = watch.loseRuns(worker, reason);
         if (!worker.entry.draining && !worker.cordoned) {
-            const { workerId, entry: { address } } = worker;
-            lostRuns.lose({ workerId, address }, crashed, clock.monotonicMs());
+            lostRuns.lose({ ...lifeOf(worker), address: worker.entry.address }, crashed, clock.monotonicMs());
         }
     };
 
@@ -205,7 +204,7 @@
             orderPauseMs: settings.orderPauseMs,
             onLook: async (seen, look, sentAtMs) => {
                 const wasCertain = seen.certain;
-                lostRuns.answered(seen.workerId);
+                watch.countCrashes(seen.workerId, lostRuns.answered(seen));
                 falls.answered(seen.workerId);
                 const newest = watch.take(seen, look, sentAtMs);
                 pacer.review(seen, (run, percent) => links.get(seen.workerId)?.pace(run, percent));
@@ -273,12 +272,17 @@
     };
 
     /** Puts a run whose intent was durable where its worker's first look will settle it. */
-    const attachStored = (worker: ShardWorker, { taskName, run, address }: StoredRun): void => {
+    const attachStored = (worker: ShardWorker, { taskName, run, bornAtMs, address }: StoredRun): void => {
         const task = findTask(jobOf, taskName);
         if (task === undefined) {
             return;
         }
-        const entry = newRun(task, worker.workerId, run, { address, phase: runPhases.running, settledAtMs: 0 });
+        const entry = newRun(task, worker.workerId, run, {
+            address,
+            bornAtMs,
+            phase: runPhases.running,
+            settledAtMs: 0,
+        });
         task.runs.push(entry);
         adoptRun(worker, entry);
         if (needsTrial(task)) {
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -14,7 +14,7 @@
     type ShardRun,
     type ShardTask,
 } from "./jobBook.js";
-import { lifeOf } from "./lives.js";
+import { isOtherLife, lifeOf } from "./lives.js";
 import { adoptRun, dropRun, runKey, type ShardWorker } from "./workerTable.js";
 
 /** What the watch needs. */
@@ -130,6 +130,7 @@
         const nowMs = clock.monotonicMs();
         const run = newRun(task, worker.workerId, row.run, {
             address: worker.entry.address,
+            bornAtMs: worker.bornAtMs,
             phase: runPhases.running,
             settledAtMs: nowMs,
             startedAtMs: nowMs,
@@ -217,6 +218,42 @@
         }
     };
 
+    const countCrashes: WorkerWatch["countCrashes"] = (workerId, runs) => {
+        if (runs.length > 0) {
+            meter.count("workersCrashed");
+        }
+        for (const crashed of runs) {
+            const { task } = crashed;
+            const { job } = task.step.occurrence;
+            const others = options.othersAt(crashed.goneAtMs, job);
+            if (!countCrash(crashed, { others, nowMs: clock.monotonicMs() })) {
+                continue;
+            }
+            log.write("warn", "taskCrashed", {
+                task: task.name,
+                run: crashed.run,
+                workerId,
+                alone: crashed.alone,
+                others,
+                crashes: task.crashes,
+                crashesExcused: task.crashesExcused,
+            });
+            onChange(job);
+        }
+    };
+
+    /** Runs that were for a life before this one, of which a former owner had not seen the end. */
+    const crashedBefore = (worker: ShardWorker, listed: ReadonlySet<string>): readonly CrashedRun[] => {
+        const isOver = (run: ShardRun): boolean =>
+            isOtherLife(run.bornAtMs, worker.bornAtMs) && !listed.has(runKey(run.task.name, run.run));
+        const over = [...worker.runs.values()].filter(isOver);
+        if (over.length === 0 || worker.entry.draining || worker.cordoned) {
+            return [];
+        }
+        const names = new Set(over.map(({ task }) => task.name));
+        return crashedRuns(worker, clock.monotonicMs()).filter(({ task }) => names.has(task.name));
+    };
+
     return {
         take: (worker, look, sentAtMs) => {
             workersById.set(worker.workerId, worker);
@@ -237,33 +274,13 @@
                 listed.add(runKey(row.taskName, row.run));
                 takeRunning(worker, row);
             }
+            const crashed = crashedBefore(worker, listed);
             dropMissing(worker, listed, sentAtMs);
+            countCrashes(worker.workerId, crashed);
             worker.certain = true;
             return newest;
         },
-        countCrashes: (workerId, runs) => {
-            if (runs.length > 0) {
-                meter.count("workersCrashed");
-            }
-            for (const crashed of runs) {
-                const { task } = crashed;
-                const { job } = task.step.occurrence;
-                const others = options.othersAt(crashed.goneAtMs, job);
-                if (!countCrash(crashed, { others, nowMs: clock.monotonicMs() })) {
-                    continue;
-                }
-                log.write("warn", "taskCrashed", {
-                    task: task.name,
-                    run: crashed.run,
-                    workerId,
-                    alone: crashed.alone,
-                    others,
-                    crashes: task.crashes,
-                    crashesExcused: task.crashesExcused,
-                });
-                onChange(job);
-            }
-        },
+        countCrashes,
         loseRuns: (worker, reason) => {
             const crashed = crashedRuns(worker, clock.monotonicMs());
             const runs = [...worker.runs.values()];
