Commits: a wait for the store that has a fraction of a millisecond left ends

Cause: while a commit has no answer, the store is asked every 200 ms, the last time in what is left of the wait. A pause of 2e-12 ms added to a time of 16,462 ms is that time again, so that the fakes' clock stood still and the store was asked on and on until the heap was full (seed 30 of the explored suspended VMs, once an order to a silent worker is withheld). A real clock goes on, and asks some more times than it should.

Change: a wait of less than 1 ms asks no more.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -125,6 +125,7 @@
             | 4    |
             | 5    |
             | 6    |
+            | 30   |
 
     Scenario: Suspended daemons start nothing on a list of workers from before, seed 1029
         When the seed 1029 is explored with jobs that last and crash, workers that shrink and VMs that are suspended
--- a/packages/puffinarch/src/core/shard/batchWriter.ts
+++ b/packages/puffinarch/src/core/shard/batchWriter.ts
@@ -50,6 +50,8 @@
 const copiesToProbe = 3;
 /** Between two such questions; a copy that was sent into an outage is not answered after it, and the next is 1.5 s off. */
 const probeMs = 200;
+/** No answer comes in what is left of a wait by then; a pause of a fraction of that may end at the moment at which it began. */
+const shortestProbeMs = 1;
 /** A store that answers questions and no copies is not asked again for this long. */
 const probePauseMs = 1_000;
 /** Weight of the newest answer in the usual time, where no copy was sent before it came. */
@@ -130,7 +132,7 @@
                 await sleep(clock, withinMs);
                 return false;
             }
-            while (settled === undefined && !isStopped() && clock.monotonicMs() < endsAtMs) {
+            while (settled === undefined && !isStopped() && endsAtMs - clock.monotonicMs() >= shortestProbeMs) {
                 const answer = store.read(ownerTable, part, undefined, 1).then(() => true, () => false);
                 const pause = sleep(clock, Math.min(probeMs, endsAtMs - clock.monotonicMs()));
                 if (await Promise.race([answer, pause.then(() => false)])) {
