No start is sent to a worker that has fallen silent, and none that was sent after counts as the cause of its crash

Cause: a worker may fall silent while the intent of a start is made durable. The first copy was sent all the same, 35 ms after its last answer; it got no answer, and the run counted as just started when the worker was known to have crashed.

Why the mend holds: such a run is placed anew, elsewhere, at once, as where a worker drains or shrinks meanwhile; an order under way is repeated only while the worker answers. Whatever was sent after the silence began cannot be why it began. It also keeps orders from a life that nobody has met yet.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -95,6 +95,7 @@
             | 13   | 3300 | end    |
             | 17   | 3300 | end    |
             | 35   | 3300 | end    |
+            | 36   | 3300 | end    |
             | 39   | 3300 | end    |
             | 2    | 3300 | last   |
 
--- a/packages/puffinarch/src/core/shard/crashes.ts
+++ b/packages/puffinarch/src/core/shard/crashes.ts
@@ -52,7 +52,10 @@
  */
 export const crashedRuns = (worker: ShardWorker, nowMs: number): readonly CrashedRun[] => {
     const goneAtMs = worker.silentSinceMs ?? nowMs;
-    const sent = [...worker.runs.values()].filter(({ phase }) => phase !== runPhases.planned);
+    // What was sent after the worker had fallen silent cannot be why.
+    const sent = [...worker.runs.values()].filter(run =>
+        run.phase !== runPhases.planned && (sinceMs(run) ?? goneAtMs) <= goneAtMs
+    );
     // When it went is known only from its silence, which a cut link shows late: what no answer has shown at work may be to blame.
     const justStarted = sent.filter(run => worker.answeredAtMs - (sinceMs(run) ?? -Infinity) < atWorkMs);
     const possible = justStarted.length > 0
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -248,11 +248,15 @@
         }
     };
 
-    /** Whether a planned run may be sent now: its worker may have drained, shrunk or gone while the intent was written. */
+    /**
+     * Whether a planned run may be sent now: its worker may have drained, shrunk, fallen silent or gone while the intent was
+     * written. An order to a silent worker is lost, or meets a life that nobody knows yet.
+     */
     const isStartable = (run: ShardRun): boolean => {
         const worker = workers.all.get(run.workerId);
         return worker !== undefined && run.phase === runPhases.planned && run.task.runs.includes(run)
-            && !run.task.done && !worker.entry.draining && !worker.cordoned && stillFits(worker, run);
+            && !run.task.done && !worker.entry.draining && !worker.cordoned && worker.silentLooks === 0
+            && stillFits(worker, run);
     };
 
     const startPlanned = (job: ShardJob, runs: readonly ShardRun[]): void => {
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -231,7 +231,7 @@
                 notStarted(run, orderOutcomes.noRoom, unanswered);
                 return;
             }
-            const deadlineMs = unanswered && worker.silentLooks > 0
+            const deadlineMs = worker.silentLooks > 0
                 ? undefined
                 : extendLease(worker, clock.monotonicMs(), leaseMs);
             if (deadlineMs === undefined) {
