Orders for a life that is over: what the next one may have is waited for, what may still come is refused

What callers saw, on the fakes: tasks ran twice, at once or after their end was acknowledged, and workers held more than they have, where a worker crashed and started again under its ID while starts to it were unanswered.

Cause: an order names the worker's ID alone. A start that was answered may have been carried out by the next life; one without an answer may be, some seconds later, by a life that knows neither the stop nor the fencing token by which the one before would have refused it. The owner took every run of the life before for ended with it.

Why the mend holds: only what the life before had listed, with no order unanswered, is surely over with it, and is free at once. A run that no list has shown is settled by the next look at the next life; one with an unanswered order is stopped there first, so that the order is refused when it comes. Nothing is started in its place until then. Unanswered orders are remembered for 12 s and refused by each life that follows, those of a former owner as well, as far as its intents are known. Whether such a run crashed the life before is counted once it is settled, and what no list has shown at work is always among the suspects. The room of a next life is counted with the longest lease that a worker grants, since deadlines on another clock may have reached it.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -88,6 +88,7 @@
             | lostRuns             | 1 run was lost with i-1                 |
             | falls                | 1 worker fell                           |
             | lives                | i-1, then another life; maybe the same  |
+            | lateOrders           | 1 order, then none                      |
             | trials               | 1 task, by itself                       |
             | shortOffices         | 4 times, then 1                         |
             | tableWatch           | configuration seen                      |
--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -99,6 +99,34 @@
             | 39   | 3300 | end    |
             | 2    | 3300 | last   |
 
+    # A start without an answer was carried out by the next life of its worker, which knew neither the stop nor the token that the
+    # life before would have refused it by: tasks ran twice, and workers held more than they have.
+    Scenario Outline: Orders reach a worker that has started again after <ms> ms, with jobs that <others>, seed <seed>
+        When the seed <seed> is explored on a shard whose workers start again under their IDs after <ms> ms, with jobs that <others>
+        Then nothing went wrong on the shard
+
+        Examples:
+            | seed | ms  | others |
+            | 16   | 50  | end    |
+            | 25   | 50  | end    |
+            | 28   | 50  | end    |
+            | 40   | 50  | end    |
+            | 7    | 500 | crowd  |
+            | 54   | 500 | crowd  |
+            | 61   | 500 | crowd  |
+            | 62   | 500 | crowd  |
+            | 157  | 600 | last   |
+
+    # What is left: the copies of one order, late, each met a life that nobody had spoken to yet.
+    Scenario Outline: Orders reach lives of a worker that their owner has not met
+        When the seed <seed> is explored on a shard whose workers start again under their IDs after <ms> ms, with jobs that <others>
+        Then nothing went wrong on the shard
+
+        Examples:
+            | seed | ms  | others |
+            | 94   | 50  | end    |
+            | 42   | 600 | last   |
+
     # Workers that do not guard their capacity were started on with room that they had no more: what had been planned while they
     # were larger was sent all the same, after the store had been away or once a silent worker answered again.
     Scenario Outline: No start brings a worker over a capacity that has shrunk, with tasks that are <size>, seed <seed>
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -32,6 +32,7 @@
     createFalls,
     createFirstLooks,
     createForward,
+    createLateOrders,
     createLostRuns,
     createPacer,
     createPeers,
@@ -138,6 +139,7 @@
     phase: "running",
     sentAtMs: undefined,
     settledAtMs: 0,
+    shown: true,
     startedAtMs: 0,
     percent: 100,
     figure: 0,
@@ -561,6 +563,7 @@
         onStuck: () => {},
         stop: () => {},
         stopUnknown: () => {},
+        onFormerGone: () => {},
     });
     const ended = [{ endNumber: 7, taskName: task.name, run: 1, how: "done", checkpoint: "" }] as const;
     const newest = watch.take(worker, { outcome: "done", clockMs: 1_000, running: [], ended }, 10);
@@ -608,6 +611,7 @@
         leaseMs: 5_000,
         lookWaitMs: 1_000,
         firstLooks: createFirstLooks(clock),
+        lateOrders: createLateOrders(clock),
         lookPauseMs: 250,
         orderPauseMs: 100,
         onLook: async () => {},
@@ -885,6 +889,16 @@
     return `${lost.replaced("10.0.0.1:1", "i-2").length} run was lost with i-1`;
 };
 
+const lateOrders = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const late = createLateOrders(clock);
+    const order = { taskName: "5c0e7a21d94b36f8.0.1.17", run: 2 };
+    late.note("i-1", order);
+    const before = late.of("i-1").length;
+    await clock.advance(13_000);
+    return `${before} order, then ${late.has("i-1", order) ? "still one" : "none"}`;
+};
+
 const lives = (): string => {
     const { workerId, bornAtMs } = lifeOf({ ...openWorker(), bornAtMs: 1_000 });
     const next = isOtherLife(bornAtMs, 900) ? "another life" : "the same life";
@@ -981,6 +995,7 @@
     crashes,
     lostRuns,
     lives,
+    lateOrders,
     falls,
     trials,
     shortOffices,
--- a/features/steps/explorationSteps.ts
+++ b/features/steps/explorationSteps.ts
@@ -129,8 +129,9 @@
         part(this).shard.wrong = await exploreShardSeed(seed, {
             keepsIds: true,
             crashedDownMs,
-            crashing: true,
+            crashing: others !== "crowd",
             lasting: others === "last",
+            shapes: others === "crowd" ? crowdedShapes : undefined,
         });
     },
 );
--- a/packages/puffinarch/src/core/shard/crashes.ts
+++ b/packages/puffinarch/src/core/shard/crashes.ts
@@ -57,7 +57,7 @@
         run.phase !== runPhases.planned && (sinceMs(run) ?? goneAtMs) <= goneAtMs
     );
     // When it went is known only from its silence, which a cut link shows late: what no answer has shown at work may be to blame.
-    const justStarted = sent.filter(run => worker.answeredAtMs - (sinceMs(run) ?? -Infinity) < atWorkMs);
+    const justStarted = sent.filter(run => !run.shown || worker.answeredAtMs - (sinceMs(run) ?? -Infinity) < atWorkMs);
     const possible = justStarted.length > 0
         ? justStarted
         : sent.filter(run => goneAtMs - (sinceMs(run) ?? goneAtMs) < soundAfterMs);
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -45,6 +45,8 @@
     sentAtMs: number | undefined;
     /** Local time from which a look that does not list it proves that it is gone; undefined before an answer. */
     settledAtMs: number | undefined;
+    /** Whether a look at its worker has listed it; until then the life that carried it out is not known. */
+    shown: boolean;
     /** Local time at which the worker first showed it at work. */
     startedAtMs: number | undefined;
     /** Latest share of the processor and progress that a look showed. */
@@ -282,6 +284,7 @@
     phase: runPhases.planned,
     sentAtMs: undefined,
     settledAtMs: undefined,
+    shown: false,
     startedAtMs: undefined,
     percent: 100,
     figure: 0,
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -25,6 +25,8 @@
 export interface ShardSettings {
     /** Lease of everything that runs; outlasts a takeover, and ends soon enough to run a lost worker's tasks again. */
     readonly leaseMs: number;
+    /** The longest lease that a worker grants; a deadline on the clock of another life of it gets as much. */
+    readonly leaseLimitMs: number;
     /** How long a look may wait for an end; a third of the lease at most, so that two may fail. */
     readonly lookWaitMs: number;
     /** Pause between looks that bring nothing new to make durable. */
@@ -55,6 +57,7 @@
 /** What fits the sites of today; the figures are explained in docs/design/platform.md. */
 export const defaultShardSettings: ShardSettings = {
     leaseMs: 5_000,
+    leaseLimitMs: 10_000,
     lookWaitMs: 1_000,
     lookPauseMs: 250,
     orderPauseMs: 100,
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -9,12 +9,13 @@
 import { createFirstLooks } from "./firstLooks.js";
 import { findTask, newRun, runPhases, type ShardJob, type ShardRun } from "./jobBook.js";
 import type { StoredRun } from "./jobRows.js";
+import { createLateOrders } from "./lateOrders.js";
 import { lifeOf } from "./lives.js";
 import { createLostRuns } from "./lostRuns.js";
 import { createPacer } from "./pacer.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { openWorkerLink, type WorkerLink } from "./workerLink.js";
-import { adoptRun, dropRun, newWorker, type ShardWorker, slowestClockRate, takeEntry } from "./workerTable.js";
+import { adoptRun, dropRun, newWorker, runKey, type ShardWorker, slowestClockRate, takeEntry } from "./workerTable.js";
 import { createWorkerWatch } from "./workerWatch.js";
 
 /** What the workers of a shard need. */
@@ -83,6 +84,7 @@
     const unseenRuns = new Map<string, StoredRun[]>();
     const pacer = createPacer({ clock, log });
     const firstLooks = createFirstLooks(clock);
+    const lateOrders = createLateOrders(clock);
     const lostRuns = createLostRuns();
     const falls = createFalls();
 
@@ -110,6 +112,8 @@
             worker.avoidUntilMs = Math.max(worker.avoidUntilMs, clock.monotonicMs() + settings.stuckWorkerRestMs);
             links.get(worker.workerId)?.stop(run);
         },
+        // This life refuses it by its fencing token, which the next one will not know.
+        onFormerGone: ({ workerId }, { task, run }) => lateOrders.note(workerId, { taskName: task.name, run }),
         stopUnknown: (worker, taskName, run) => links.get(worker.workerId)?.stopUnknown(taskName, run),
     });
 
@@ -129,22 +133,60 @@
         return crashed;
     };
 
-    const endLife = (worker: ShardWorker, reason: string): void => {
-        const { address, draining } = worker.entry;
-        const crashed = [...dropWorker(worker, reason), ...lostRuns.replaced(address, "")];
-        // One that drained or went down for upkeep has left, whatever ran there.
-        if (!draining && !worker.cordoned) {
+    /** Counts what a life may have crashed by; nothing where it drained or went down for upkeep, whatever ran there. */
+    const countCrashes = (worker: ShardWorker, crashed: readonly CrashedRun[]): void => {
+        if (!worker.entry.draining && !worker.cordoned) {
             watch.countCrashes(worker.workerId, crashed);
             void commitTouched();
         }
     };
 
+    /** Runs that are undecided count for the life before, and not for this one as well. */
+    const withUndecided = ({ undecided }: ShardWorker, crashed: readonly CrashedRun[]): readonly CrashedRun[] => [
+        ...undecided.values(),
+        ...crashed.filter(({ task, run }) => !undecided.has(runKey(task.name, run))),
+    ];
+
+    const endLife = (worker: ShardWorker, reason: string): void => {
+        const crashed = withUndecided(worker, dropWorker(worker, reason));
+        countCrashes(worker, [...crashed, ...lostRuns.replaced(worker.entry.address, "")]);
+    };
+
     /** The worker's life is over: what is still listed under its id is an entry that has yet to lapse. */
     const loseWorker = (worker: ShardWorker, reason: string): void => {
         overLives.add(worker.workerId);
         endLife(worker, reason);
     };
 
+    /**
+     * Whether the next life may have a run that was meant for this one: it was answered by one of them and neither has listed
+     * it, or an order for it may still be under way.
+     */
+    const mayBeNext = ({ workerId }: ShardWorker, { task, run, phase, shown }: ShardRun): boolean =>
+        phase !== runPhases.planned
+        && (!shown || phase === runPhases.starting || lateOrders.has(workerId, { taskName: task.name, run }));
+
+    /**
+     * Takes runs over from the life before: those whose start was answered show in the next look, or are gone; the others
+     * are stopped, so that the order is refused when it comes. Until then nothing is started in their place.
+     */
+    const carryOver = (next: ShardWorker, runs: readonly ShardRun[]): void => {
+        for (const run of runs) {
+            adoptRun(next, run);
+        }
+        next.trial = runs.find(run => needsTrial(run.task));
+        const link = openLink(next);
+        links.set(next.workerId, link);
+        for (const run of runs) {
+            const isSettled = run.phase === runPhases.running
+                && !lateOrders.has(next.workerId, { taskName: run.task.name, run: run.run });
+            if (!isSettled) {
+                run.phase = runPhases.running;
+                link.stop(run);
+            }
+        }
+    };
+
     /** The same worker answers as another life: what the one before had is over with it, and nothing known of it holds on. */
     const beginNextLife = (former: ShardWorker, bornAtMs: number | undefined): void => {
         meter.count("workersRestarted");
@@ -154,18 +196,37 @@
             formerBornAtMs: former.bornAtMs,
             runs: former.runs.size,
         });
-        endLife(former, "otherLife");
-        const next = newWorker(former.entry, formerHorizonMs());
+        const suspects = withUndecided(former, crashedRuns(former, clock.monotonicMs()));
+        const carried = new Map([...former.runs].filter(([, run]) => mayBeNext(former, run)));
+        for (const key of carried.keys()) {
+            former.runs.delete(key);
+        }
+        const isCarried = ({ task, run }: CrashedRun): boolean => carried.has(runKey(task.name, run));
+        dropWorker(former, "otherLife");
+        countCrashes(former, [
+            ...suspects.filter(suspect => !isCarried(suspect)),
+            ...lostRuns.replaced(former.entry.address, ""),
+        ]);
+        // Deadlines on the clock of the life before may have reached this one, whose clock has begun anew.
+        const next = newWorker(former.entry, clock.monotonicMs() + settings.leaseLimitMs / slowestClockRate);
         next.bornAtMs = bornAtMs;
         next.unlistedAtMs = former.unlistedAtMs;
         workers.set(next.workerId, next);
-        links.set(next.workerId, openLink(next));
+        const mayHaveCrashed = !former.entry.draining && !former.cordoned;
+        for (const suspect of mayHaveCrashed ? suspects.filter(isCarried) : []) {
+            next.undecided.set(runKey(suspect.task.name, suspect.run), suspect);
+        }
+        carryOver(next, [...carried.values()]);
         wake();
     };
 
     /** Runs of a silent worker whose leases are over: whether it crashed is known once something answers at its address. */
     const loseSilent = (worker: ShardWorker, reason: string): void => {
-        const crashed = watch.loseRuns(worker, reason);
+        const crashed = watch.loseRuns(worker, reason).filter(({ task, run }) =>
+            !worker.undecided.has(runKey(task.name, run))
+        );
+        countCrashes(worker, [...worker.undecided.values()]);
+        worker.undecided.clear();
         if (!worker.entry.draining && !worker.cordoned) {
             lostRuns.lose({ ...lifeOf(worker), address: worker.entry.address }, crashed, clock.monotonicMs());
         }
@@ -190,8 +251,8 @@
         options.onKnown();
     };
 
-    const openLink = (worker: ShardWorker): WorkerLink =>
-        openWorkerLink(worker, {
+    const openLink = (worker: ShardWorker): WorkerLink => {
+        const link = openWorkerLink(worker, {
             clock,
             log,
             meter,
@@ -200,6 +261,7 @@
             leaseMs: settings.leaseMs,
             lookWaitMs: settings.lookWaitMs,
             firstLooks,
+            lateOrders,
             lookPauseMs: settings.lookPauseMs,
             orderPauseMs: settings.orderPauseMs,
             onLook: async (seen, look, sentAtMs) => {
@@ -251,6 +313,13 @@
                 }
             },
         });
+        for (const order of lateOrders.of(worker.workerId)) {
+            if (!worker.runs.has(runKey(order.taskName, order.run))) {
+                link.refuse(order);
+            }
+        }
+        return link;
+    };
 
     /** Runs that would not end before a draining worker leaves move with their checkpoint. */
     const leaveDraining = (worker: ShardWorker): void => {
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -5,6 +5,7 @@
 import { sleep } from "../../utils/time.js";
 import type { FirstLooks } from "./firstLooks.js";
 import { runPhases, type ShardRun } from "./jobBook.js";
+import type { LateOrder, LateOrders } from "./lateOrders.js";
 import { isOtherLife, lifeOf } from "./lives.js";
 import { extendLease, runKey, type ShardWorker, stillFits } from "./workerTable.js";
 
@@ -37,6 +38,7 @@
     /** How long a look may wait for an end. */
     readonly lookWaitMs: number;
     readonly firstLooks: FirstLooks;
+    readonly lateOrders: LateOrders;
     /** Pause between looks while the ends that it shows cannot be made durable, or it does not answer. */
     readonly lookPauseMs: number;
     /** Pause before an order without an answer is sent again. */
@@ -66,6 +68,8 @@
     stop(run: ShardRun): void;
     /** Stops a run that the book does not have. */
     stopUnknown(taskName: string, run: number): void;
+    /** Lets the worker refuse an order that may be under way to it; sent until it is answered. */
+    refuse(order: LateOrder): void;
     pace(run: ShardRun, percent: number): void;
     close(): void;
 }
@@ -204,6 +208,17 @@
         }
     };
 
+    /** A stop of a run that is not there makes the worker refuse it when it comes. */
+    const refuseUntilAnswered = async ({ taskName, run }: LateOrder): Promise<void> => {
+        while (!closed && options.lateOrders.has(worker.workerId, { taskName, run })) {
+            const outcome = await workers.stop(target(), { taskName, run, fencingToken }, longestOrderMs);
+            if (outcome === orderOutcomes.done || outcome === orderOutcomes.stale || endsLink(outcome)) {
+                return;
+            }
+            await sleep(clock, orderPauseMs);
+        }
+    };
+
     /** Handlers for a start that was surely not carried out. */
     const notStarted = (run: ShardRun, outcome: OrderOutcome, unanswered: boolean): void => {
         if (unanswered) {
@@ -249,6 +264,9 @@
             }, timeoutMs);
             timeoutMs = Math.min(longestOrderMs, 2 * timeoutMs);
             meter.count(`starts.${outcome}`);
+            if (outcome === orderOutcomes.unknown) {
+                options.lateOrders.note(worker.workerId, { taskName: run.task.name, run: run.run });
+            }
             if (closed || run.phase !== runPhases.starting) {
                 return;
             }
@@ -304,6 +322,7 @@
         stopUnknown: (taskName, run) => {
             void workers.stop(target(), { taskName, run, fencingToken }, longestOrderMs);
         },
+        refuse: order => void refuseUntilAnswered(order),
         pace: (run, percent) => {
             void workers.pace(target(), { taskName: run.task.name, run: run.run, fencingToken, percent });
         },
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -2,6 +2,7 @@
 
 import { add, fits, largest, noResources, type Resources, subtract } from "../../types/resources.js";
 import type { WorkerEntry } from "../../types/work.js";
+import type { CrashedRun } from "./crashes.js";
 import type { ShardJob, ShardRun } from "./jobBook.js";
 
 /** How much slower than ours a worker's clock may run. */
@@ -35,6 +36,8 @@
     takenEnd: number;
     /** Resolves once all ends taken so far are durable. */
     endsWritten: Promise<unknown>;
+    /** Runs of the life before that this one may have carried out, and which may have crashed that one; by name and number. */
+    readonly undecided: Map<string, CrashedRun>;
     /** Runs that hold room, by name and number. */
     readonly runs: Map<string, ShardRun>;
     /** Room that is held, by known runs and by runs that nobody knows until they are stopped. */
@@ -76,6 +79,7 @@
     acknowledgedEnd: 0,
     takenEnd: 0,
     endsWritten: Promise.resolve(),
+    undecided: new Map(),
     runs: new Map(),
     held: noResources,
     failedJobs: new Set(),
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -31,6 +31,8 @@
     /** The run makes no progress; it is to run elsewhere. */
     readonly onStuck: (worker: ShardWorker, run: ShardRun) => void;
     readonly stopUnknown: (worker: ShardWorker, taskName: string, run: number) => void;
+    /** A former owner's run is not there; its order may still be under way. */
+    readonly onFormerGone: (worker: ShardWorker, run: ShardRun) => void;
 }
 
 /** Takes looks into the book. */
@@ -103,6 +105,7 @@
         });
         if (run !== undefined) {
             dropRun(worker, run);
+            worker.undecided.delete(runKey(end.taskName, end.run));
         }
         if (task === undefined) {
             return;
@@ -133,6 +136,7 @@
             bornAtMs: worker.bornAtMs,
             phase: runPhases.running,
             settledAtMs: nowMs,
+            shown: true,
             startedAtMs: nowMs,
             percent: row.percent,
             figure: row.figure,
@@ -179,6 +183,8 @@
             adopt(worker, task, row);
             return;
         }
+        run.shown = true;
+        worker.undecided.delete(runKey(row.taskName, row.run));
         run.percent = row.percent;
         run.figure = row.figure;
         judgeProgress(worker, run, row.figure);
@@ -201,23 +207,6 @@
         }
     };
 
-    const dropMissing = (worker: ShardWorker, listed: ReadonlySet<string>, sentAtMs: number): void => {
-        for (const [key, run] of [...worker.runs]) {
-            if (run.settledAtMs === undefined || run.settledAtMs >= sentAtMs || listed.has(key)) {
-                continue;
-            }
-            meter.count("runsGone");
-            log.write("info", "runGone", {
-                task: run.task.name,
-                run: run.run,
-                ...lifeOf(worker),
-                phase: run.phase,
-            });
-            dropRun(worker, run);
-            onChange(run.task.step.occurrence.job);
-        }
-    };
-
     const countCrashes: WorkerWatch["countCrashes"] = (workerId, runs) => {
         if (runs.length > 0) {
             meter.count("workersCrashed");
@@ -242,21 +231,51 @@
         }
     };
 
-    /** Runs that were for a life before this one, of which a former owner had not seen the end. */
-    const crashedBefore = (worker: ShardWorker, listed: ReadonlySet<string>): readonly CrashedRun[] => {
-        const isOver = (run: ShardRun): boolean =>
-            isOtherLife(run.bornAtMs, worker.bornAtMs) && !listed.has(runKey(run.task.name, run.run));
-        const over = [...worker.runs.values()].filter(isOver);
-        if (over.length === 0 || worker.entry.draining || worker.cordoned) {
-            return [];
+    const dropMissing = (worker: ShardWorker, listed: ReadonlySet<string>, sentAtMs: number): void => {
+        for (const [key, run] of [...worker.runs]) {
+            if (run.settledAtMs === undefined || run.settledAtMs >= sentAtMs || listed.has(key)) {
+                continue;
+            }
+            meter.count("runsGone");
+            log.write("info", "runGone", {
+                task: run.task.name,
+                run: run.run,
+                ...lifeOf(worker),
+                phase: run.phase,
+            });
+            dropRun(worker, run);
+            if (run.sentAtMs === undefined && !run.shown) {
+                options.onFormerGone(worker, run);
+            }
+            onChange(run.task.step.occurrence.job);
+            const suspect = worker.undecided.get(key);
+            if (suspect !== undefined) {
+                worker.undecided.delete(key);
+                countCrashes(worker.workerId, [suspect]);
+            }
+        }
+    };
+
+    /** Runs of former owners that were for a life before this one may have crashed that one, unless this one has them. */
+    const suspectFormer = (worker: ShardWorker): void => {
+        if (worker.entry.draining || worker.cordoned) {
+            return;
+        }
+        for (const suspect of crashedRuns(worker, clock.monotonicMs())) {
+            const key = runKey(suspect.task.name, suspect.run);
+            const run = worker.runs.get(key);
+            if (run?.sentAtMs === undefined && isOtherLife(run?.bornAtMs, worker.bornAtMs)) {
+                worker.undecided.set(key, suspect);
+            }
         }
-        const names = new Set(over.map(({ task }) => task.name));
-        return crashedRuns(worker, clock.monotonicMs()).filter(({ task }) => names.has(task.name));
     };
 
     return {
         take: (worker, look, sentAtMs) => {
             workersById.set(worker.workerId, worker);
+            if (!worker.certain) {
+                suspectFormer(worker);
+            }
             let newest = worker.acknowledgedEnd;
             const listed = new Set<string>();
             for (const end of look.ended) {
@@ -274,9 +293,7 @@
                 listed.add(runKey(row.taskName, row.run));
                 takeRunning(worker, row);
             }
-            const crashed = crashedBefore(worker, listed);
             dropMissing(worker, listed, sentAtMs);
-            countCrashes(worker.workerId, crashed);
             worker.certain = true;
             return newest;
         },
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -101,6 +101,7 @@
     showSound,
 } from "./internal.js";
 export { createFalls, type Falls } from "./internal.js";
+export { createLateOrders, type LateOrder, type LateOrders } from "./internal.js";
 export { isOtherLife, lifeOf, type WorkerLife } from "./internal.js";
 export { createLostRuns, type LostRuns } from "./internal.js";
 export { allowsTrial, companyOf, fellAtStart, holdForTrial, isKeptFrom, isSuspect, startable } from "./internal.js";
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -326,17 +326,18 @@
 };
 
 /**
- * Whether three workers crashed under one task of a job. Where two went down by the task beside it and the third, on which
- * it ran by itself, by chance, nothing tells the task from one that is the cause, and the job may be given up.
+ * Whether so many workers crashed under one task of a job. Where two went down by the task beside it and the third, on which
+ * it ran by itself, by chance, nothing tells the task from one that is the cause, and the job may be given up. Users allow it
+ * after two already.
  */
-const wasHitThrice = ({ workers }: ShardCell, jobId: string): boolean => {
+const wasHit = ({ workers }: ShardCell, jobId: string, times: number): boolean => {
     const crashes = new Map<string, number>();
     for (const { taskName, how } of workers.evidence) {
         if (how === "crashed" && taskName.startsWith(`${jobId}.`)) {
             crashes.set(taskName, 1 + (crashes.get(taskName) ?? 0));
         }
     }
-    return [...crashes.values()].some(count => count >= 3);
+    return [...crashes.values()].some(count => count >= times);
 };
 
 /** What a seed is run with. */
@@ -404,12 +405,14 @@
         ],
         ...(lasting ? { spreadMs: longFaultSpreadMs } : {}),
     });
+    // A worker that crashes under its ID between two owners says nothing of a run that had ended there, or never begun.
+    const hitsToGiveUp = keepsIds ? 2 : 3;
     const left = async (): Promise<readonly string[]> => {
         const states = await cell.statesOf([...jobs, ...crashingJobs]);
         const isWrong = (jobId: string, state: string | undefined): boolean =>
             crashingJobs.includes(jobId)
                 ? state !== "failed"
-                : state !== "completed" && !(state === "failed" && wasHitThrice(cell, jobId));
+                : state !== "completed" && !(state === "failed" && wasHit(cell, jobId, hitsToGiveUp));
         return [...states].filter(([jobId, state]) => isWrong(jobId, state)).map(([jobId, state]) =>
             `${jobId} is ${state}`
         );
