The start of a task under which a worker has crashed is sent once

Cause: a start without an answer is sent again within 0.1 s, up to five times. One life takes them for one; lives that follow each other under one ID each carry one out.

Why the mend holds: for such a task, and only for it, the first copy is the last: it is looked for in what the worker lists, and given up as any start without an answer. Others are repeated as before, since an order lost with its connection is the usual case.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -116,6 +116,8 @@
             | 61   | 500 | crowd  |
             | 62   | 500 | crowd  |
             | 157  | 600 | last   |
+            | 99   | 600 | last   |
+            | 122  | 600 | last   |
 
     # What is left: the copies of one order, late, each met a life that nobody had spoken to yet.
     Scenario Outline: Orders reach lives of a worker that their owner has not met
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -3,6 +3,7 @@
 import { type FencedWorkerPort, type LookResult, type OrderOutcome, orderOutcomes } from "../../types/cellPorts.js";
 import type { CancelTimer, Clock, Log, Meter } from "../../types/ports.js";
 import { sleep } from "../../utils/time.js";
+import { isSentOnce } from "./crashes.js";
 import type { FirstLooks } from "./firstLooks.js";
 import { runPhases, type ShardRun } from "./jobBook.js";
 import type { LateOrder, LateOrders } from "./lateOrders.js";
@@ -297,7 +298,8 @@
                 return;
             }
             unanswered = true;
-            if (worker.silentLooks === 0 && clock.monotonicMs() - beganAtMs > startPatienceMs) {
+            const waitedLong = worker.silentLooks === 0 && clock.monotonicMs() - beganAtMs > startPatienceMs;
+            if (waitedLong || isSentOnce(run.task)) {
                 giveUpStart(run);
                 return;
             }
