Waves of upkeep go on where a VM is back under the ID that its worker had

What operators saw, on the fakes: a wave stood as running for good with its first VMs counted as down; its cap let no other one begin.

Cause: a VM counted as back once another ID was listed on it. A worker that starts again under its ID has the same one.

Why the mend holds: the order notes which life it ends; the VM is back once another worker is on it, or the same one answers as another life. A worker is closed to new tasks again before its runs are counted, as it may have started again since it was closed.

Test: a scene that failed.

--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -61,3 +61,14 @@
             | store hangs                | 1500 | 600  |
             | workers not listed         | 9000 | 7000 |
             | owner cut from the workers | 1500 | 600  |
+
+    # A wave of upkeep stood with its first VMs for down: they had come back under the IDs that their workers had before.
+    Scenario: Workers that have had their upkeep take tasks again under their IDs, and the wave goes on
+        Given a cell of 3 daemons and 4 workers that start again under their IDs 600 ms after a crash
+        When the operator asks for upkeep of 4 VMs, 2 at once, within 20000 ms
+        Then the wave is shown as "completed" within 20000 ms
+        When the shard runs for 4000 ms
+        And 6 jobs of steps "4" are submitted
+        Then all jobs are "completed" within 8000 ms
+        And each of the 4 VMs had its upkeep once, with 2 down at once at the most
+        And no promise was broken
--- a/packages/puffinarch/src/core/shard/upkeep.ts
+++ b/packages/puffinarch/src/core/shard/upkeep.ts
@@ -19,6 +19,7 @@
 import { sleep } from "../../utils/time.js";
 import { mayGoDown, runsToMove } from "./evacuate.js";
 import type { ShardRun } from "./jobBook.js";
+import { isOtherLife } from "./lives.js";
 import type { WaveRecord, WaveRows } from "./waveRows.js";
 import type { ShardWorker } from "./workerTable.js";
 
@@ -88,8 +89,9 @@
     phase: (typeof phases)[keyof typeof phases];
     /** Local time at which its present phase began. */
     sinceMs: number;
-    /** The life that the order ends. */
+    /** The worker whose life the order ends, and when that life began as far as it is known. */
     workerId: string;
+    bornAtMs: number | undefined;
     absentSinceMs: number | undefined;
     /** It is down, or may be, for this wave. */
     down: boolean;
@@ -151,6 +153,7 @@
     const order = async (progress: Progress, wave: number): Promise<UpkeepOutcome> => {
         enter(progress, phases.ordered);
         progress.down = true;
+        progress.bornAtMs = workers.get(progress.workerId)?.bornAtMs;
         meter.count("upkeepOrders");
         const outcome = await port.upkeep({ vmId: progress.vmId, wave, holderId, fencingToken });
         log.write(outcome === upkeepOutcomes.done ? "info" : "warn", "upkeepOrdered", {
@@ -182,6 +185,11 @@
         unknown: () => {},
     };
 
+    /** Whether another worker is on the VM, or the same one has started again under its id. */
+    const hasNextLife = ({ workerId, bornAtMs }: Progress, vm: VmEntry): boolean =>
+        workerId !== "" && vm.workerId !== ""
+        && (vm.workerId !== workerId || isOtherLife(bornAtMs, workers.get(workerId)?.bornAtMs));
+
     /** Takes in what a listing says of a VM. */
     const observe = (progress: Progress, vm: VmEntry | undefined, askedAtMs: number): void => {
         const nowMs = clock.monotonicMs();
@@ -202,9 +210,10 @@
                 enter(progress, phases.waiting);
             }
         }
-        const isOtherLife = progress.workerId !== "" && vm.workerId !== "" && vm.workerId !== progress.workerId;
-        if (progress.down && askedAtMs > progress.sinceMs && vm.state === vmStates.up && isOtherLife) {
-            options.lose(progress.workerId);
+        if (progress.down && askedAtMs > progress.sinceMs && vm.state === vmStates.up && hasNextLife(progress, vm)) {
+            if (vm.workerId !== progress.workerId) {
+                options.lose(progress.workerId);
+            }
             progress.down = false;
         }
         if (progress.phase === phases.waiting || progress.phase === phases.emptying) {
@@ -220,11 +229,12 @@
     };
 
     const empty = (progress: Progress, patienceMs: number): boolean => {
+        // It may have started again since it was closed to new tasks.
+        cordon(progress.workerId, true);
         const worker = workers.get(progress.workerId);
         if (worker === undefined || worker.runs.size === 0) {
             return true;
         }
-        worker.cordoned = true;
         const nowMs = clock.monotonicMs();
         for (const run of runsToMove(worker, nowMs)) {
             log.write("info", "evacuated", {
@@ -350,6 +360,7 @@
                     phase: phaseOf(vmId),
                     sinceMs: nowMs,
                     workerId: "",
+                    bornAtMs: undefined,
                     absentSinceMs: undefined,
                     down: false,
                 })),
