Tickets and failures of the life before do not hold for the next

Cause: a step keeps its tickets, and a task the workers that failed it, by the worker's ID. A ticket is good during one life.

Why the mend holds: when a worker has started again, all steps forget its tickets and that they asked about it, and all tasks that it failed them; the advisor is asked before the next start. An answer of the advisor that was under way is still refused once, and then asked for again.

Test: the fakes check tickets now; a scene that failed.

--- a/features/steps/crashingSteps.ts
+++ b/features/steps/crashingSteps.ts
@@ -141,3 +141,10 @@
     const failed = cellOf(this).log.filter(({ event, fields }) => event === "jobState" && fields["to"] === "failed");
     assert.deepEqual(failed.map(({ fields }) => fields), []);
 });
+
+Then("no start was refused for its ticket", function(this: ScenarioWorld) {
+    const refused = cellOf(this).log.filter(({ event, fields }) =>
+        event === "startRefused" && fields["outcome"] === "badTicket"
+    );
+    assert.deepEqual(refused.map(({ fields }) => fields), []);
+});
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -643,6 +643,7 @@
         fencingToken: 7,
         jobOf: () => undefined,
         changed: async () => {},
+        onNextLife: () => {},
         onStarted: () => {},
         wake: () => {},
         onKnown: () => {},
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -1013,6 +1013,7 @@
         fencingToken: 7,
         jobOf: () => undefined,
         changed: async () => {},
+        onNextLife: () => {},
         onStarted: () => {},
         wake: () => {},
         onKnown: () => {},
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -445,6 +445,22 @@
     }
 };
 
+/**
+ * Forgets what a job knows of a worker's former life: tickets hold for one life, and the next one has failed no task.
+ *
+ * @example
+ * forgetWorker(job, "i-7f3a91c2");
+ */
+export const forgetWorker = (job: ShardJob, workerId: string): void => {
+    for (const { advice, tasks } of stepsOf(job)) {
+        advice.good.delete(workerId);
+        advice.asked.delete(workerId);
+        for (const { failedOn } of tasks) {
+            failedOn.delete(workerId);
+        }
+    }
+};
+
 /** The job that a run belongs to. */
 export const jobOf = ({ task }: ShardRun): ShardJob => task.step.occurrence.job;
 
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -20,7 +20,16 @@
 import { createAdviceDesk } from "./adviceDesk.js";
 import type { ClaimedShard } from "./claimShard.js";
 import { createCommitLog, type RowChange } from "./commitLog.js";
-import { cancelJob, hasEnded, openOccurrence, runPhases, runsOf, type ShardJob, type ShardRun } from "./jobBook.js";
+import {
+    cancelJob,
+    forgetWorker,
+    hasEnded,
+    openOccurrence,
+    runPhases,
+    runsOf,
+    type ShardJob,
+    type ShardRun,
+} from "./jobBook.js";
 import { decodeEnded, encodeJob, restoreJobs } from "./jobRows.js";
 import { createPlacing } from "./placing.js";
 import { readAllRows } from "./readRows.js";
@@ -210,6 +219,11 @@
         fencingToken,
         jobOf: jobId => jobs.get(jobId),
         changed: job => changed(job),
+        onNextLife: workerId => {
+            for (const job of jobs.values()) {
+                forgetWorker(job, workerId);
+            }
+        },
         onStarted: showStarted,
         wake: () => wake(),
         onKnown: () => review.runFirst(),
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -29,6 +29,8 @@
     readonly jobOf: (jobId: string) => ShardJob | undefined;
     /** The job changed; resolves once it is durable. */
     readonly changed: (job: ShardJob) => Promise<void>;
+    /** A worker has started again: what steps and tasks know of it by its id was of the life before. */
+    readonly onNextLife: (workerId: string) => void;
     /** A task of the job runs. */
     readonly onStarted: (job: ShardJob) => void;
     /** There may be room now. */
@@ -72,7 +74,7 @@
  * Makes the workers of a shard; none is known before the first listing.
  *
  * @example
- * const workers = createShardWorkers({ clock, log, meter, settings, port, fencingToken, jobOf, changed, onStarted, wake, onKnown, onFenced });
+ * const workers = createShardWorkers({ clock, log, meter, settings, port, fencingToken, jobOf, changed, onNextLife, onStarted, wake, onKnown, onFenced });
  * workers.update(entries);
  */
 export const createShardWorkers = (options: ShardWorkersOptions): ShardWorkers => {
@@ -224,6 +226,7 @@
             next.undecided.set(runKey(suspect.task.name, suspect.run), suspect);
         }
         carryOver(next, [...carried.values()]);
+        options.onNextLife(next.workerId);
         wake();
     };
 
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -118,6 +118,12 @@
     readonly waiters: Set<() => void>;
 }
 
+/** The advisor's ticket for a step on a worker; it holds for one life of it. */
+export const ticketFor = (stepName: string, entry: WorkerEntry | undefined): string =>
+    `${stepName}@${entry?.workerId}@${entry?.bornAtMs}`;
+
+const stepNameOf = (taskName: string): string => taskName.slice(0, taskName.lastIndexOf("."));
+
 const answerMs = 1;
 const unansweredMs = 500;
 /** How long a start may count on room that a worker has no more: its news take a heartbeat. */
@@ -250,6 +256,10 @@
         if (order.run <= (worker.highestRun.get(order.taskName) ?? 0)) {
             return orderOutcomes.stale;
         }
+        const isForLife = order.ticket === "" || order.ticket === ticketFor(stepNameOf(order.taskName), worker.entry);
+        if (!isForLife) {
+            return orderOutcomes.badTicket;
+        }
         worker.highestRun.set(order.taskName, order.run);
         const { durationMs, fails, crashesAfterMs } = model(order.taskName, order.run);
         const made: StartEvidence = {
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -36,7 +36,7 @@
 import { quietMeter } from "../quiet.js";
 import { breakShardPart, type BrokenShardPart } from "./brokenShardParts.js";
 import { createFakeVms, type FakeVms } from "./fakeVms.js";
-import { breachesOf, createFakeFencedWorkers, type FakeFencedWorkers } from "./fencedWorkers.js";
+import { breachesOf, createFakeFencedWorkers, type FakeFencedWorkers, ticketFor } from "./fencedWorkers.js";
 import { createProcessor, type Processor, type ProcessorCosts, withLateTimers, withProcessor } from "./processor.js";
 import { createFakeRowStore, type FakeRowStore } from "./rowStore.js";
 import { standingTasks } from "./standing.js";
@@ -407,7 +407,7 @@
             await wait((terms?.decideMs ?? 0) + (terms?.eachMs ?? 0) * workerIds.length);
             return {
                 good: workerIds.filter(workerId => isGood(stepName, workerId))
-                    .map(workerId => ({ workerId, ticket: `${stepName}@${workerId}` })),
+                    .map(workerId => ({ workerId, ticket: ticketFor(stepName, workers.entryOf(workerId)) })),
                 validMs: terms?.validMs ?? 0,
             };
         },
