Workers that fell together are remembered by life: one that is back has fallen all the same

Cause: how many workers fall at one moment tells a common cause from a task. A fall was forgotten once the worker answered under its ID, also where that was another life; of workers that fell together, those that came back last then seemed to have fallen alone, and their crash counted against the sound tasks that had just started there. A life that was over before a look could fail had not fallen at all.

Why the mend holds: a fall is kept under the life that fell; only that life's own answer takes it back. Steps that are done are not walked through when a worker starts again.

--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -97,3 +97,27 @@
         Then all jobs are "completed" within 60000 ms
         And no start was refused for its ticket
         And no promise was broken
+
+    # Crashes of many workers at one moment speak for a cause outside of any task. A worker that was back had never fallen, in the
+    # eyes of those that came back after it.
+    Scenario Outline: Workers that crash of themselves cost no sound job its life where they start again under their IDs
+        Given a cell of 3 daemons and 16 workers that start again under their IDs <ms> ms after a crash
+        When 30 jobs of steps "<steps>" are submitted
+        And the shard runs for 300 ms
+        And <count> workers crash of themselves <rounds> times, <apart> ms apart
+        Then all jobs are "<state>" within 40000 ms
+        And no job was given up
+        And no promise was broken
+
+        Examples:
+            | ms   | steps          | state     | count | rounds | apart |
+            | 600  | 3, 4 after 0   | completed | 12    | 2      | 1500  |
+            | 600  | 3, 4 after 0   | completed | 6     | 4      | 4000  |
+            | 3300 | 2 long running | running   | 12    | 4      | 6000  |
+            | 600  | 2 long running | running   | 12    | 3      | 2000  |
+            | 600  | 2 long running | running   | 6     | 3      | 1500  |
+            | 1500 | 2 long running | running   | 9     | 3      | 3000  |
+            | 50   | 2 long running | running   | 12    | 3      | 1500  |
+            | 50   | 2 long running | running   | 5     | 4      | 1000  |
+            | 2500 | 4 long running | running   | 8     | 3      | 3000  |
+            | 50   | 1 of 8 cores   | completed | 6     | 3      | 4000  |
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -908,9 +908,12 @@
 
 const falls = (): string => {
     const all = createFalls();
-    all.note("i-1", 1_000, []);
-    all.note("i-2", 1_100, []);
-    all.answered("i-2");
+    const first = { workerId: "i-1", bornAtMs: 500 };
+    const second = { workerId: "i-2", bornAtMs: 500 };
+    all.note(first, 1_000, []);
+    all.note(second, 1_100, []);
+    all.answered(second);
+    all.answered({ ...first, bornAtMs: 1_200 });
     return `${all.othersAt(1_050, exampleJob())} worker fell`;
 };
 
--- a/packages/puffinarch/src/core/shard/falls.ts
+++ b/packages/puffinarch/src/core/shard/falls.ts
@@ -5,13 +5,14 @@
 
 import type { CrashedRun } from "./crashes.js";
 import type { ShardJob } from "./jobBook.js";
+import { lifeKey, type WorkerLife } from "./lives.js";
 
 /** Remembers how workers fell silent. */
 export interface Falls {
-    /** A worker has fallen silent, with these runs that had just been started. */
-    note(workerId: string, atMs: number, runs: readonly CrashedRun[]): void;
-    /** The same life has answered: it had not crashed. */
-    answered(workerId: string): void;
+    /** A life of a worker has fallen silent, with these runs that had just been started. */
+    note(life: WorkerLife, atMs: number, runs: readonly CrashedRun[]): void;
+    /** This life answers: it had not crashed. One that answers under its id later says nothing of it. */
+    answered(life: WorkerLife): void;
     /** Workers that fell at the same moment and had no task of the job that had just been started. */
     othersAt(atMs: number, job: ShardJob): number;
 }
@@ -31,26 +32,26 @@
  *
  * @example
  * const falls = createFalls();
- * falls.note("i-1", 1_000, []);
+ * falls.note({ workerId: "i-1", bornAtMs: undefined }, 1_000, []);
  * falls.othersAt(1_050, job); // 1
  */
 export const createFalls = (): Falls => {
-    const byWorker = new Map<string, Fall>();
+    const byLife = new Map<string, Fall>();
     return {
-        note: (workerId, atMs, runs) => {
-            for (const [known, fall] of byWorker) {
+        note: (life, atMs, runs) => {
+            for (const [known, fall] of byLife) {
                 if (atMs - fall.atMs > keptMs) {
-                    byWorker.delete(known);
+                    byLife.delete(known);
                 }
             }
-            byWorker.set(workerId, { atMs, jobs: new Set(runs.map(({ task }) => task.step.occurrence.job)) });
+            byLife.set(lifeKey(life), { atMs, jobs: new Set(runs.map(({ task }) => task.step.occurrence.job)) });
         },
-        answered: workerId => {
-            byWorker.delete(workerId);
+        answered: life => {
+            byLife.delete(lifeKey(life));
         },
         othersAt: (atMs, job) => {
             let others = 0;
-            for (const fall of byWorker.values()) {
+            for (const fall of byLife.values()) {
                 others += Math.abs(fall.atMs - atMs) <= sameMomentMs && !fall.jobs.has(job) ? 1 : 0;
             }
             return others;
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -452,7 +452,10 @@
  * forgetWorker(job, "i-7f3a91c2");
  */
 export const forgetWorker = (job: ShardJob, workerId: string): void => {
-    for (const { advice, tasks } of stepsOf(job)) {
+    for (const { advice, tasks, open } of stepsOf(job)) {
+        if (open === 0) {
+            continue;
+        }
         advice.good.delete(workerId);
         advice.asked.delete(workerId);
         for (const { failedOn } of tasks) {
--- a/packages/puffinarch/src/core/shard/lives.ts
+++ b/packages/puffinarch/src/core/shard/lives.ts
@@ -21,6 +21,15 @@
 export const isOtherLife = (left: number | undefined, right: number | undefined): boolean =>
     left !== undefined && right !== undefined && left !== right;
 
+/**
+ * Gives a key under which something is remembered of one life of a worker.
+ *
+ * @example
+ * lifeKey({ workerId: "i-1", bornAtMs: 1_768_565_282_669 }); // "i-1@1768565282669"
+ */
+export const lifeKey = ({ workerId, bornAtMs }: WorkerLife): string =>
+    bornAtMs === undefined ? workerId : `${workerId}@${bornAtMs}`;
+
 /**
  * Gives what names a life in the log.
  *
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -201,7 +201,12 @@
             formerBornAtMs: former.bornAtMs,
             runs: former.runs.size,
         });
-        const suspects = withUndecided(former, crashedRuns(former, clock.monotonicMs()));
+        const nowMs = clock.monotonicMs();
+        const suspects = withUndecided(former, crashedRuns(former, nowMs));
+        if (former.silentSinceMs === undefined) {
+            // It was back before a look could fail.
+            falls.note(former, nowMs, suspects);
+        }
         const carried = new Map([...former.runs].filter(([, run]) => mayBeNext(former, run)));
         for (const key of carried.keys()) {
             former.runs.delete(key);
@@ -277,7 +282,7 @@
             onLook: async (seen, look, sentAtMs) => {
                 const wasCertain = seen.certain;
                 watch.countCrashes(seen.workerId, lostRuns.answered(seen));
-                falls.answered(seen.workerId);
+                falls.answered(seen);
                 const newest = watch.take(seen, look, sentAtMs);
                 pacer.review(seen, (run, percent) => links.get(seen.workerId)?.pace(run, percent));
                 // A look may list ends again whose commit, begun by an earlier look, is still under way.
@@ -297,7 +302,7 @@
                 const nowMs = clock.monotonicMs();
                 // All that are silent from the start of an office are noticed at one moment.
                 if (silent.certain) {
-                    falls.note(silent.workerId, nowMs, crashedRuns(silent, nowMs));
+                    falls.note(silent, nowMs, crashedRuns(silent, nowMs));
                 }
             },
             onLifeOver: gone => loseWorker(gone, "otherLife"),
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -102,7 +102,7 @@
 } from "./internal.js";
 export { createFalls, type Falls } from "./internal.js";
 export { createLateOrders, type LateOrder, type LateOrders } from "./internal.js";
-export { isOtherLife, lifeOf, type WorkerLife } from "./internal.js";
+export { isOtherLife, lifeKey, lifeOf, type WorkerLife } from "./internal.js";
 export { createLostRuns, type LostRuns } from "./internal.js";
 export { allowsTrial, companyOf, fellAtStart, holdForTrial, isKeptFrom, isSuspect, startable } from "./internal.js";
 export { type Batch, type BatchWriter, type BatchWriterOptions, createBatchWriter } from "./internal.js";
