What a life leaves to the next one is a module of its own

Decided without links or clocks: which runs the next life may have, what may have crashed the one before, with which entry the next one begins.

--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -47,6 +47,7 @@
     decodeRow,
     defaultShardSettings,
     encodeJob,
+    enterLife,
     extendLease,
     type FencedWorkerPort,
     followerPauseMs,
@@ -54,10 +55,12 @@
     handOver,
     inTurn,
     isOtherLife,
+    isSettledByLook,
     isTimeToAsk,
     isWaiting,
     journalTable,
     kindOf,
+    leaveLife,
     lifeOf,
     mayGoDown,
     memberTable,
@@ -88,6 +91,7 @@
     watchReadiness,
     watchTable,
     watchWorkerList,
+    withUndecided,
     type WorkerEntry,
 } from "puffinarch";
 import { z } from "zod";
@@ -906,6 +910,21 @@
     return `${workerId}, then ${next}; ${isOtherLife(undefined, 900) ? "another" : "maybe the same"}`;
 };
 
+const nextLife = (): string => {
+    const clock = createFakeClock();
+    const former = { ...openWorker(), bornAtMs: 500 };
+    const job = exampleJob();
+    const [shown, unshown] = [runOf(job), { ...runOf(job), run: 2, shown: false }];
+    adoptRun(former, shown);
+    adoptRun(former, unshown);
+    const late = createLateOrders(clock);
+    const left = leaveLife(former, late, 1_000);
+    const next = enterLife(former, left, { bornAtMs: 900, listed: undefined, horizonMs: 11_000 });
+    const settled = isSettledByLook(unshown, late) ? "by its next look" : "by a stop";
+    const suspects = withUndecided(next, left.suspects).length;
+    return `${next.runs.size} of 2 runs may be there, settled ${settled}; ${suspects} may have crashed the life before`;
+};
+
 const falls = (): string => {
     const all = createFalls();
     const first = { workerId: "i-1", bornAtMs: 500 };
@@ -1000,6 +1019,7 @@
     lostRuns,
     lives,
     lateOrders,
+    nextLife,
     falls,
     trials,
     shortOffices,
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -12,6 +12,7 @@
 import { createLateOrders } from "./lateOrders.js";
 import { isOtherLife, lifeOf } from "./lives.js";
 import { createLostRuns } from "./lostRuns.js";
+import { enterLife, isSettledByLook, leaveLife, withUndecided } from "./nextLife.js";
 import { createPacer } from "./pacer.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { openWorkerLink, type WorkerLink } from "./workerLink.js";
@@ -138,20 +139,17 @@
         return crashed;
     };
 
-    /** Counts what a life may have crashed by; nothing where it drained or went down for upkeep, whatever ran there. */
+    /** A life that drained or went down for upkeep has left, whatever ran there. */
+    const hasLeft = ({ entry, cordoned }: ShardWorker): boolean => entry.draining || cordoned;
+
+    /** Counts what a life may have crashed by. */
     const countCrashes = (worker: ShardWorker, crashed: readonly CrashedRun[]): void => {
-        if (!worker.entry.draining && !worker.cordoned) {
+        if (!hasLeft(worker)) {
             watch.countCrashes(worker.workerId, crashed);
             void commitTouched();
         }
     };
 
-    /** Runs that are undecided count for the life before, and not for this one as well. */
-    const withUndecided = ({ undecided }: ShardWorker, crashed: readonly CrashedRun[]): readonly CrashedRun[] => [
-        ...undecided.values(),
-        ...crashed.filter(({ task, run }) => !undecided.has(runKey(task.name, run))),
-    ];
-
     const endLife = (worker: ShardWorker, reason: string): void => {
         const crashed = withUndecided(worker, dropWorker(worker, reason));
         countCrashes(worker, [...crashed, ...lostRuns.replaced(worker.entry.address, "")]);
@@ -164,74 +162,42 @@
     };
 
     /**
-     * Whether the next life may have a run that was meant for this one: it was answered by one of them and neither has listed
-     * it, or an order for it may still be under way.
-     */
-    const mayBeNext = ({ workerId }: ShardWorker, { task, run, phase, shown }: ShardRun): boolean =>
-        phase !== runPhases.planned
-        && (!shown || phase === runPhases.starting || lateOrders.has(workerId, { taskName: task.name, run }));
-
-    /**
-     * Takes runs over from the life before: those whose start was answered show in the next look, or are gone; the others
-     * are stopped, so that the order is refused when it comes. Until then nothing is started in their place.
+     * The same worker answers as another life: what the one before had is over with it, and nothing known of it holds on. Nothing is
+     * started in place of the runs that this one may have before it has shown, or refused, them.
      */
-    const carryOver = (next: ShardWorker, runs: readonly ShardRun[]): void => {
-        for (const run of runs) {
-            adoptRun(next, run);
-        }
-        next.trial = runs.find(run => needsTrial(run.task));
-        const link = openLink(next);
-        links.set(next.workerId, link);
-        for (const run of runs) {
-            const isSettled = run.phase === runPhases.running
-                && !lateOrders.has(next.workerId, { taskName: run.task.name, run: run.run });
-            if (!isSettled) {
-                run.phase = runPhases.running;
-                link.stop(run);
-            }
-        }
-    };
-
-    /** The same worker answers as another life: what the one before had is over with it, and nothing known of it holds on. */
     const beginNextLife = (former: ShardWorker, bornAtMs: number | undefined): void => {
+        const { workerId } = former;
+        const nowMs = clock.monotonicMs();
         meter.count("workersRestarted");
         log.write("warn", "workerRestarted", {
-            workerId: former.workerId,
+            workerId,
             bornAtMs,
             formerBornAtMs: former.bornAtMs,
             runs: former.runs.size,
         });
-        const nowMs = clock.monotonicMs();
-        const suspects = withUndecided(former, crashedRuns(former, nowMs));
         if (former.silentSinceMs === undefined) {
             // It was back before a look could fail.
-            falls.note(former, nowMs, suspects);
-        }
-        const carried = new Map([...former.runs].filter(([, run]) => mayBeNext(former, run)));
-        for (const key of carried.keys()) {
-            former.runs.delete(key);
+            falls.note(former, nowMs, crashedRuns(former, nowMs));
         }
-        const isCarried = ({ task, run }: CrashedRun): boolean => carried.has(runKey(task.name, run));
+        const left = leaveLife(former, lateOrders, nowMs);
         dropWorker(former, "otherLife");
-        countCrashes(former, [
-            ...suspects.filter(suspect => !isCarried(suspect)),
-            ...lostRuns.replaced(former.entry.address, ""),
-        ]);
-        // Deadlines on the clock of the life before may have reached this one, whose clock has begun anew.
-        const listed = listing.get(former.workerId);
-        const isListed = listed !== undefined && !isOtherLife(listed.bornAtMs, bornAtMs);
-        const horizonMs = clock.monotonicMs() + settings.leaseLimitMs / slowestClockRate;
-        const next = newWorker(isListed ? listed : former.entry, horizonMs);
-        next.bornAtMs = bornAtMs;
-        // It may be of another kind and size; nothing is started there before its own entry says so.
-        next.unlistedAtMs = isListed ? undefined : -Infinity;
-        workers.set(next.workerId, next);
-        const mayHaveCrashed = !former.entry.draining && !former.cordoned;
-        for (const suspect of mayHaveCrashed ? suspects.filter(isCarried) : []) {
-            next.undecided.set(runKey(suspect.task.name, suspect.run), suspect);
+        countCrashes(former, [...left.suspects, ...lostRuns.replaced(former.entry.address, "")]);
+        const next = enterLife(former, hasLeft(former) ? { ...left, undecided: [] } : left, {
+            bornAtMs,
+            listed: listing.get(workerId),
+            // Deadlines on the clock of the life before may have reached this one, whose clock has begun anew.
+            horizonMs: nowMs + settings.leaseLimitMs / slowestClockRate,
+        });
+        workers.set(workerId, next);
+        const link = openLink(next);
+        links.set(workerId, link);
+        for (const run of left.carried) {
+            if (!isSettledByLook(run, lateOrders)) {
+                run.phase = runPhases.running;
+                link.stop(run);
+            }
         }
-        carryOver(next, [...carried.values()]);
-        options.onNextLife(next.workerId);
+        options.onNextLife(workerId);
         wake();
     };
 
@@ -242,7 +208,7 @@
         );
         countCrashes(worker, [...worker.undecided.values()]);
         worker.undecided.clear();
-        if (!worker.entry.draining && !worker.cordoned) {
+        if (!hasLeft(worker)) {
             lostRuns.lose({ ...lifeOf(worker), address: worker.entry.address }, crashed, clock.monotonicMs());
         }
     };
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -50,6 +50,7 @@
 export * from "./core/shard/lives.js";
 export * from "./core/shard/lostRuns.js";
 export * from "./core/shard/memberRows.js";
+export * from "./core/shard/nextLife.js";
 export * from "./core/shard/ownerWatch.js";
 export * from "./core/shard/pacer.js";
 export * from "./core/shard/peers.js";
