--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -151,7 +151,7 @@
     readonly patienceMs: number;
 }
 
-/** A worker's address and the life that an order is meant for. */
+/** A worker's id and address. Whichever life is there under the id takes the order. */
 export interface WorkerTarget {
     readonly workerId: string;
     readonly address: string;
