A copy of an order for upkeep does not take the life that has come back for the one that it ends

What operators would see: a wave that stands with its first VMs for down, where the answers to orders are late and workers keep their IDs.

Cause: each copy of an order noted which life it ends, also those sent when the VM was back; its return was then never seen.

Why the mend holds: the first order notes it; copies are of that order. Test: seven faults during a wave of VMs that are back under the IDs of their workers; the one with late orders failed.

--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -73,6 +73,30 @@
         And each of the 4 VMs had its upkeep once, with 2 down at once at the most
         And no promise was broken
 
+    Scenario Outline: A wave outlasts the fault "<fault>" where VMs are back under the IDs of their workers
+        Given a cell of 4 daemons and 6 workers that start again under their IDs 600 ms after a crash
+        When 4 jobs of steps "3, 4 after 0" are submitted
+        And the shard runs for 2500 ms
+        And the operator asks for upkeep of 6 VMs, 2 at once, within 30000 ms
+        And the shard runs for 500 ms
+        And the fault "<fault>" comes
+        And the shard runs for 9000 ms
+        And the fault goes
+        Then the wave is shown as "completed" within 50000 ms
+        And each of the 6 VMs had its upkeep once, with 2 down at once at the most
+        And all jobs are "completed" within 20000 ms
+        And no promise was broken
+
+        Examples:
+            | fault                             |
+            | upkeep orders late                |
+            | VMs not listed                    |
+            | owner killed                      |
+            | all killed                        |
+            | store hangs                       |
+            | feeds go silent                   |
+            | half of the workers crash and are back |
+
     # Its entry in the list is that of the life before until its first heartbeat.
     Scenario: A worker that starts again with less room is not started on with the room that it had
         Given a cell of 3 daemons and 3 workers that start again under their IDs 100 ms after a crash, with 2 cores
--- a/packages/puffinarch/src/core/shard/upkeep.ts
+++ b/packages/puffinarch/src/core/shard/upkeep.ts
@@ -151,9 +151,12 @@
     };
 
     const order = async (progress: Progress, wave: number): Promise<UpkeepOutcome> => {
+        if (progress.phase !== phases.ordered) {
+            // A copy may be sent when the VM is back already.
+            progress.bornAtMs = workers.get(progress.workerId)?.bornAtMs;
+        }
         enter(progress, phases.ordered);
         progress.down = true;
-        progress.bornAtMs = workers.get(progress.workerId)?.bornAtMs;
         meter.count("upkeepOrders");
         const outcome = await port.upkeep({ vmId: progress.vmId, wave, holderId, fencingToken });
         log.write(outcome === upkeepOutcomes.done ? "info" : "warn", "upkeepOrdered", {
