--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -232,6 +232,7 @@
     };
 
     const dropMissing = (worker: ShardWorker, listed: ReadonlySet<string>, sentAtMs: number): void => {
+        const crashed: CrashedRun[] = [];
         for (const [key, run] of [...worker.runs]) {
             if (run.settledAtMs === undefined || run.settledAtMs >= sentAtMs || listed.has(key)) {
                 continue;
@@ -251,9 +252,10 @@
             const suspect = worker.undecided.get(key);
             if (suspect !== undefined) {
                 worker.undecided.delete(key);
-                countCrashes(worker.workerId, [suspect]);
+                crashed.push(suspect);
             }
         }
+        countCrashes(worker.workerId, crashed);
     };
 
     /** Runs of former owners that were for a life before this one may have crashed that one, unless this one has them. */
