One lost order of a task on trial rests no worker

Cause: a start that is sent once is given up with its first copy, and the worker then got no work for 8 s, as one that has answered no order for 2 s. A single lost order says little of a worker, and where an advisor allows a step on one or two only, its tasks stood for that time.

Why the mend holds: the rest follows two seconds without an answer only, as before.

--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -250,7 +250,6 @@
     const giveUpStart = (run: ShardRun): void => {
         log.write("warn", "startUnanswered", { task: run.task.name, run: run.run, ...lifeOf(worker) });
         run.settledAtMs = worker.horizonMs;
-        worker.avoidUntilMs = Math.max(worker.avoidUntilMs, worker.horizonMs + unansweredRestMs);
     };
 
     const startUntilSettled = async (run: ShardRun, checkpoint: string, ticket: string): Promise<void> => {
@@ -314,6 +313,10 @@
             }
             unanswered = true;
             const waitedLong = worker.silentLooks === 0 && clock.monotonicMs() - beganAtMs > startPatienceMs;
+            if (waitedLong) {
+                worker.avoidUntilMs = Math.max(worker.avoidUntilMs, worker.horizonMs + unansweredRestMs);
+            }
+            // One order that got lost says little of a worker, and rests none.
             if (waitedLong || isSentOnce(run.task)) {
                 giveUpStart(run);
                 return;
