Sight: what a task that keeps off workers waits for, and for how long still; a gang that does not fit on what is free is not in turn

What callers saw: an accepted gang stood for 12.7 s after two failures. The log could not tell the hypotheses apart: the line on waiting tasks gave numbers of workers only, and called the wait of a gang that finds room for some of its members its turn. Now taskWaits names the workers that a task keeps off, with the time left, and those that it awaits instead, each with how it stands; a gang is in turn only where its members fit together on what is free. No logic of placing has changed: failedLately and hasUntried are the same tests, split so that the log can use them.

--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -209,26 +209,48 @@
 /** A long-running task has no last attempt. */
 const lastingAvoidsMs = 5_000;
 
+/**
+ * Tells for how much longer a task keeps off a worker that failed it, in milliseconds; 0 or less where it does not.
+ *
+ * @example
+ * keepsOffForMs(task, "i-7f3a91c2", clock.monotonicMs()); // -Infinity for a worker that has not failed it
+ */
+export const keepsOffForMs = ({ failedOn, step }: ShardTask, workerId: string, nowMs: number): number => {
+    const failedAtMs = failedOn.get(workerId) ?? -Infinity;
+    return failedAtMs + (step.spec.longRunning ? lastingAvoidsMs : avoidFailedMs) - nowMs;
+};
+
 /**
  * Tells whether a task failed on a worker so recently that it runs elsewhere if it can.
  *
  * @example
  * failedLately(task, "i-7f3a91c2", clock.monotonicMs());
  */
-export const failedLately = ({ failedOn, step }: ShardTask, workerId: string, nowMs: number): boolean =>
-    nowMs - (failedOn.get(workerId) ?? -Infinity) < (step.spec.longRunning ? lastingAvoidsMs : avoidFailedMs);
+export const failedLately = (task: ShardTask, workerId: string, nowMs: number): boolean =>
+    keepsOffForMs(task, workerId, nowMs) > 0;
 
-/** A worker that is silent or rests for a moment is worth waiting for: going back may use up the last attempt. */
-const hasUntried = (task: ShardTask, { workers, nowMs, rack, except }: AvoidanceLimits): boolean => {
+/**
+ * Names the workers for the sake of which a task keeps off those that failed it. A worker that is silent or rests for a
+ * moment is worth waiting for: going back may use up the last attempt.
+ *
+ * @example
+ * const [awaited] = untriedFor(task, { workers, nowMs: clock.monotonicMs() });
+ */
+export const untriedFor = function*(
+    task: ShardTask,
+    { workers, nowMs, rack, except }: AvoidanceLimits,
+): Generator<ShardWorker> {
     for (const worker of workers.values()) {
         const tried = failedLately(task, worker.workerId, nowMs) || except?.has(worker.workerId) === true;
         if (!tried && mightRun(worker, task.step, nowMs, rack)) {
-            return true;
+            yield worker;
         }
     }
-    return false;
 };
 
+const hasUntried = (task: ShardTask, limits: AvoidanceLimits): boolean =>
+    untriedFor(task, limits).next().done === false;
+
 /** What decides whether a task keeps off workers on which it failed. */
 export interface AvoidanceLimits {
     readonly workers: ReadonlyMap<string, ShardWorker>;
--- a/packages/puffinarch/src/core/shard/taskReview.ts
+++ b/packages/puffinarch/src/core/shard/taskReview.ts
@@ -17,6 +17,7 @@
 import type { Placing } from "./placing.js";
 import {
     countStands,
+    describeAvoided,
     isDue,
     type StandCounts,
     type TaskWait,
@@ -126,6 +127,12 @@
         return [...byStep.values()].sort((left, right) => left.sinceMs - right.sinceMs);
     };
 
+    const showWait = ({ task, wait, waitedMs, counts }: Explained, nowMs: number): string => {
+        const avoided = describeAvoided(task, { workers, nowMs });
+        const parts = [`${task.name}: ${wait} for ${Math.round(waitedMs)} ms`, showCounts(counts), avoided];
+        return parts.filter(part => part !== "").join("; ");
+    };
+
     const tellLongest = (nowMs: number): void => {
         const longest = longestOfSteps(nowMs).slice(0, mostExplained).map(waiting => explain(waiting, nowMs));
         const late = longest.filter(({ wait, waitedMs }) => waitedMs > waitBoundsMs[wait]);
@@ -135,9 +142,7 @@
         log.write("warn", "taskWaits", {
             waiting: known.size,
             lateSteps: countBy(late.map(({ wait }) => wait)),
-            longest: late.slice(0, mostNamed).map(({ task, wait, waitedMs, counts }) =>
-                `${task.name}: ${wait} for ${Math.round(waitedMs)} ms; ${showCounts(counts)}`
-            ).join(" | "),
+            longest: late.slice(0, mostNamed).map(each => showWait(each, nowMs)).join(" | "),
         });
     };
 
--- a/packages/puffinarch/src/core/shard/taskWait.ts
+++ b/packages/puffinarch/src/core/shard/taskWait.ts
@@ -1,7 +1,7 @@
 /** What an accepted task that does not run waits for: one of a closed list of events, each with a bound on the wait. */
 
-import { fits } from "../../types/resources.js";
-import { allowsAnother, countRuns, failedLately, suits, ticketFor } from "./chooseWorker.js";
+import { fits, subtract } from "../../types/resources.js";
+import { allowsAnother, countRuns, failedLately, keepsOffForMs, suits, ticketFor, untriedFor } from "./chooseWorker.js";
 import { needsTrial } from "./crashes.js";
 import { hasEnded, heldBy, isReady, isWaiting, runPhases, type ShardStep, type ShardTask } from "./jobBook.js";
 import { isKeptFrom, startable } from "./trials.js";
@@ -157,8 +157,34 @@
     return counts;
 };
 
-const waitForWorker = ({ advice }: ShardStep, counts: StandCounts): TaskWait => {
-    if (counts.free > 0) {
+/** Tasks of a step that have room, one beside the other, on one worker. */
+const placesOn = (worker: ShardWorker, { spec }: ShardStep, runsHere: number): number => {
+    const held = heldBy(spec);
+    let room = roomOf(worker);
+    let places = 0;
+    while (places < spec.count && allowsAnother(spec, runsHere + places) && fits(held, room)) {
+        room = subtract(room, held);
+        places += 1;
+    }
+    return places;
+};
+
+/** Whether what is free now holds what has to start at once: all members of a gang, else one task. */
+const fitsOnFree = (step: ShardStep, { workers, nowMs }: WorkersNow): boolean => {
+    const runs = countRuns(step);
+    let needed = step.spec.gang ? step.tasks.length : 1;
+    for (const worker of workers.values()) {
+        const runsHere = runs.get(worker.workerId) ?? 0;
+        if (suits(worker, step) && standOf(worker, step, { runsHere, workers, nowMs }) === "free") {
+            needed -= placesOn(worker, step, runsHere);
+        }
+    }
+    return needed <= 0;
+};
+
+const waitForWorker = (step: ShardStep, counts: StandCounts, now: WorkersNow): TaskWait => {
+    const { advice } = step;
+    if (counts.free > 0 && fitsOnFree(step, now)) {
         return taskWaits.turn;
     }
     if (advice.inFlight) {
@@ -170,7 +196,7 @@
     if (counts.avoided > 0) {
         return taskWaits.untried;
     }
-    if (counts.full > 0) {
+    if (counts.full + counts.free > 0) {
         return taskWaits.room;
     }
     if (counts.leaving + counts.uncertain + counts.silent + counts.resting > 0) {
@@ -179,6 +205,32 @@
     return counts.barred > 0 ? taskWaits.ticket : taskWaits.listing;
 };
 
+/** Workers that are named as awaited. */
+const mostAwaited = 3;
+
+/**
+ * Tells which workers a task keeps off since they failed it, for how much longer, and for the sake of which others; empty
+ * where it keeps off none.
+ *
+ * @example
+ * describeAvoided(task, { workers, nowMs }); // "keeps off i-7f3a91c2 for 812 ms; awaits i-20bd11e9 full"
+ */
+export const describeAvoided = (task: ShardTask, now: WorkersNow): string => {
+    const { step } = task;
+    const { workers, nowMs } = now;
+    const avoided = [...task.failedOn.keys()].filter(workerId => failedLately(task, workerId, nowMs));
+    if (avoided.length === 0) {
+        return "";
+    }
+    const runs = countRuns(step);
+    const awaited = [...untriedFor(task, now)].slice(0, mostAwaited).map(worker => {
+        const stand = standOf(worker, step, { runsHere: runs.get(worker.workerId) ?? 0, workers, nowMs });
+        return `${worker.workerId} ${stand}`;
+    });
+    const times = avoided.map(workerId => `${workerId} for ${Math.round(keepsOffForMs(task, workerId, nowMs))} ms`);
+    return `keeps off ${times.join(", ")}; awaits ${awaited.join(", ") || "none"}`;
+};
+
 /**
  * Tells whether an accepted task ought to run and does not: its turn has come, it is not done, and no worker shows it at
  * work.
@@ -216,5 +268,5 @@
     if (needsTrial(task) || !startable(step, step.tasks.filter(isWaiting), now).includes(task)) {
         return taskWaits.trial;
     }
-    return waitForWorker(step, counts);
+    return waitForWorker(step, counts, now);
 };
