The fakes judge gangs over several workers, and jobs that stand while all is well

Cause: a gang counted as standing only where one worker had room for all its members, a cell that had come to rest might let a task stand for 14 s, nothing was judged before a scene's end, and workers that fail everything came one at a time. So the fakes could not see a gang that waits for 15 s after two failures.

Change: a gang stands where its members fit on the sound, allowed workers together, maxPerWorker counted. Once the last fault is over, a task may stand for 4 s + 3 s; for 7.6 s + 3 s after a claim, and, as before, for 14 s where something is wrong still or a worker has crashed under the task. A watch runs in every scene and seed: with no fault for 7 s, a job of which nothing runs may stand for 3 s with room for it twice over, a task that lasts from 6 s after its last run on. Seeds without crashing jobs are also judged right after their faults.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -150,6 +150,18 @@
             | 182  | large |
             | 192  | large |
 
+    # Several workers fail everything for 4 to 7 s, others are full for good or shrunk, and jobs fail by themselves.
+    Scenario Outline: No job stands beside room for it where many runs fail, among jobs that <others>, seed <seed>
+        When the seed <seed> is explored on a shard whose workers fail everything at times, among jobs that <others>
+        Then nothing went wrong on the shard
+
+        Examples:
+            | seed | others |
+            | 12   | end    |
+            | 19   | end    |
+            | 3    | last   |
+            | 5    | last   |
+
     Scenario Outline: VMs of daemons are suspended, which their steady clocks do not count, seed <seed>
         When the seed <seed> is explored on a shard whose daemons' VMs are suspended
         Then nothing went wrong on the shard
--- a/features/steps/explorationSteps.ts
+++ b/features/steps/explorationSteps.ts
@@ -136,6 +136,13 @@
     },
 );
 
+When(
+    "the seed {int} is explored on a shard whose workers fail everything at times, among jobs that {word}",
+    async function(this: ScenarioWorld, seed: number, others: string) {
+        part(this).shard.wrong = await exploreShardSeed(seed, { failing: true, lasting: others === "last" });
+    },
+);
+
 Then("nothing went wrong on the shard", function(this: ScenarioWorld) {
     assert.deepEqual(part(this).shard.wrong, []);
 });
--- a/features/steps/shardSteps.ts
+++ b/features/steps/shardSteps.ts
@@ -16,7 +16,9 @@
     runRandomFaults,
     type ShardCell,
     shardFaults,
+    type StandingWatch,
     testQueue,
+    watchStanding,
     workerEntry,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
@@ -49,6 +51,7 @@
 
 interface Part {
     cell: ShardCell | undefined;
+    watch: StandingWatch | undefined;
     jobs: string[];
     mend: (() => void)[];
     seed: number;
@@ -84,6 +87,7 @@
         "shard",
         () => ({
             cell: undefined,
+            watch: undefined,
             jobs: [],
             mend: [],
             seed: 1,
@@ -105,12 +109,13 @@
         }),
     );
 
-/** Whatever a scene was about: once nothing is wrong, each accepted task runs, has ended, or finds no worker with room. */
+/** Whatever a scene was about: where nothing is wrong, each accepted task runs, has ended, or finds no worker with room. */
 After(async function(this: ScenarioWorld, { result }) {
-    const { cell, mend } = part(this);
+    const { cell, mend, watch } = part(this);
     if (cell === undefined || result?.status !== Status.PASSED) {
         return;
     }
+    assert.deepEqual(watch?.stood(), [], "tasks stood in the midst of the scene although there was room for them");
     for (const end of mend.splice(0)) {
         end();
     }
@@ -124,12 +129,14 @@
     return cell;
 };
 
-const startCell = async (
+/** Starts the cell of a scenario and lets it get an owner. */
+export const startCell = async (
     world: ScenarioWorld,
     options: Parameters<typeof createShardCell>[0],
 ): Promise<void> => {
     part(world).cell = createShardCell(options);
     part(world).seed = options.seed;
+    part(world).watch = watchStanding(cellOf(world));
     await cellOf(world).clock.advance(2_000);
 };
 
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -22,5 +22,6 @@
 export * from "./shard/shardFaults.js";
 export * from "./shard/shardLoad.js";
 export * from "./shard/standing.js";
+export * from "./shard/standingWatch.js";
 export * from "./upstream.js";
 export * from "./worker.js";
--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -1,4 +1,4 @@
-/** `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss] [--crashing] [--resizing] [--suspending] [--keeping-ids] [--down-ms N] [--broken PART]`: seeded runs with random faults, by hand. */
+/** `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss] [--crashing] [--resizing] [--suspending] [--failing] [--keeping-ids] [--down-ms N] [--broken PART]`: seeded runs with random faults, by hand. */
 
 import { Command, Option } from "commander";
 import { type BrokenShardPart, brokenShardParts } from "./brokenShardParts.js";
@@ -13,6 +13,7 @@
     readonly crashing?: true;
     readonly resizing?: true;
     readonly suspending?: true;
+    readonly failing?: true;
     readonly keepingIds?: true;
     readonly downMs?: string;
     readonly powerLoss?: true;
@@ -29,6 +30,7 @@
     .option("--crashing", "jobs whose tasks crash the workers as well")
     .option("--resizing", "workers whose capacity shrinks and grows")
     .option("--suspending", "daemons whose VMs are suspended")
+    .option("--failing", "several workers that fail everything, and jobs that fail by themselves")
     .option("--keeping-ids", "workers that crash and start again under their IDs")
     .option("--down-ms <n>", "how long a worker that crashed is away")
     .addOption(
@@ -38,6 +40,7 @@
             "crashing",
             "resizing",
             "suspending",
+            "failing",
             "keepingIds",
             "downMs",
             "broken",
@@ -45,8 +48,20 @@
     )
     .addOption(new Option("--broken <part>", "a part that is broken on purpose").choices(brokenShardParts));
 program.parse();
-const { seeds, from, crowded, lasting, crashing, resizing, suspending, keepingIds, downMs, powerLoss, broken } = program
-    .opts<Options>();
+const {
+    seeds,
+    from,
+    crowded,
+    lasting,
+    crashing,
+    resizing,
+    suspending,
+    failing,
+    keepingIds,
+    downMs,
+    powerLoss,
+    broken,
+} = program.opts<Options>();
 /** A slow store and the largest cell still accept by then. */
 const acceptedWithinMs = 4_000;
 
@@ -66,6 +81,7 @@
             crashing,
             resizing,
             suspending,
+            failing,
             keepsIds: keepingIds,
             crashedDownMs: downMs === undefined ? undefined : Number(downMs),
             broken,
--- a/packages/stand-ins/src/shard/fakeVms.ts
+++ b/packages/stand-ins/src/shard/fakeVms.ts
@@ -29,6 +29,8 @@
     /** Orders that came with a lower token than the VM had seen, where none are refused. */
     readonly outOfTurn: readonly string[];
     setFault(fault: VmFault): void;
+    /** Whether nothing is wrong with orders and lists. */
+    isSound(): boolean;
 }
 
 const answerMs = 4;
@@ -114,6 +116,7 @@
     return {
         evidence,
         outOfTurn,
+        isSound: () => fault === "none",
         setFault: next => {
             fault = next;
         },
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -81,6 +81,8 @@
     resize(workerId: string, capacity: Resources): WorkerEntry | undefined;
     /** The entry of a worker that lives. */
     entryOf(workerId: string): WorkerEntry | undefined;
+    /** What the runs on a worker hold, those that are being stopped with them. */
+    heldOn(workerId: string): Resources;
     /** Whether the worker lives and nothing is wrong with it. */
     isSound(workerId: string): boolean;
     readonly evidence: readonly StartEvidence[];
@@ -90,7 +92,9 @@
 
 interface LiveRun {
     readonly evidence: StartEvidence;
-    readonly cancel: () => void;
+    cancel: () => void;
+    /** Begins its work, once all members of its gang are there. */
+    readonly work: () => () => void;
     readonly held: Resources;
     readonly checkpoint: string;
 }
@@ -130,6 +134,8 @@
 const shrunkCountsMs = 4_500;
 const lateMs = 3_000;
 const failMs = 100;
+/** How long a member of a gang waits for the others. */
+const aloneMs = 3_000;
 /** As slow as the slower site allows. */
 const stopMs = 900;
 
@@ -139,10 +145,23 @@
  * @example
  * const workers = createFakeFencedWorkers({ clock, model, heldOf, leaseLimitMs, onCrash: entry => {} });
  */
-export const createFakeFencedWorkers = ({ clock, model, heldOf, leaseLimitMs, checksTickets = false, onCrash }: {
+export const createFakeFencedWorkers = ({
+    clock,
+    model,
+    heldOf,
+    gangSize = () => 0,
+    leaseLimitMs,
+    checksTickets = false,
+    onCrash,
+}: {
     readonly clock: Clock;
     readonly model: TaskModel;
     readonly heldOf: (taskName: string) => Resources;
+    /**
+     * How many runs of a task's step, with the same number, have to be there before one of them works, and end with each
+     * other; 0 where a task has nothing to do with others.
+     */
+    readonly gangSize?: (taskName: string) => number;
     readonly leaseLimitMs: number;
     /** Whether a start is refused that shows no ticket of the worker's present life. */
     readonly checksTickets?: boolean;
@@ -183,6 +202,26 @@
         if (worker.nextEnd - 1 > worker.seenUpTo) {
             wakeAll(worker);
         }
+        endGang(start, how === runEnds.done ? runEnds.done : runEnds.broken);
+    };
+
+    /** Live runs of a gang, which have the same number; none of a task that is in no gang. */
+    const membersOf = (
+        { taskName, run }: StartEvidence,
+    ): readonly { worker: FakeWorker; key: string; live: LiveRun; }[] =>
+        gangSize(taskName) === 0
+            ? []
+            : [...workers.values()].flatMap(worker =>
+                [...worker.running].filter(([, { evidence: other }]) =>
+                    other.run === run && stepNameOf(other.taskName) === stepNameOf(taskName)
+                ).map(([key, live]) => ({ worker, key, live }))
+            );
+
+    /** The members of a gang end done together, and those that are left when one has ended otherwise are broken. */
+    const endGang = (ended: StartEvidence, how: RunEnd): void => {
+        for (const { worker, key } of membersOf(ended)) {
+            endRun(worker, key, how);
+        }
     };
 
     const lapse = (worker: FakeWorker): void => {
@@ -217,12 +256,16 @@
     const endLife = (worker: FakeWorker): void => {
         worker.alive = false;
         worker.cancelLapse();
-        for (const { evidence: run, cancel } of worker.running.values()) {
+        const ended = [...worker.running.values()];
+        worker.running.clear();
+        for (const { evidence: run, cancel } of ended) {
             cancel();
             run.endedAtMs = clock.monotonicMs();
             run.how = "crashed";
         }
-        worker.running.clear();
+        for (const { evidence: run } of ended) {
+            endGang(run, runEnds.broken);
+        }
     };
 
     /** Calls that wait for an answer of the worker learn at once that the connection is gone. */
@@ -283,13 +326,22 @@
                 failing ? failMs : durationMs,
                 () => endRun(worker, key, failing || fails ? runEnds.failed : runEnds.done),
             );
-        const cancel = crashesAfterMs === undefined ? endLater() : crashLater(worker, crashesAfterMs);
+        const work = (): () => void => crashesAfterMs === undefined ? endLater() : crashLater(worker, crashesAfterMs);
+        const isMember = gangSize(order.taskName) > 0;
         worker.running.set(key, {
             evidence: made,
-            cancel,
+            cancel: isMember ? clock.setTimer(aloneMs, () => endRun(worker, key, runEnds.alone)) : work(),
+            work,
             held: heldOf(order.taskName),
             checkpoint: order.checkpoint,
         });
+        const members = membersOf(made);
+        if (isMember && members.length === gangSize(order.taskName)) {
+            for (const { live } of members) {
+                live.cancel();
+                live.cancel = live.work();
+            }
+        }
         const held = [...worker.running.values()].reduce((sum, run) => add(sum, run.held), noResources);
         if (!fits(held, worker.entry.capacity) && !mayCountOnFormer(worker, held)) {
             overcommitted.add(worker.entry.workerId);
@@ -506,6 +558,8 @@
             const worker = workers.get(workerId);
             return worker?.alive === true ? worker.entry : undefined;
         },
+        heldOn: workerId =>
+            [...workers.get(workerId)?.running.values() ?? []].reduce((sum, run) => add(sum, run.held), noResources),
         isSound: workerId => workers.get(workerId)?.alive === true && workers.get(workerId)?.fault === "none",
         evidence,
         overcommitted: () => [...overcommitted],
--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -23,6 +23,8 @@
     connect(memberId: string): RowStore;
     /** For one daemon, or for all. */
     setFault(fault: StoreFault, memberId?: string): void;
+    /** Whether nothing is wrong with it for anyone. */
+    isSound(): boolean;
     /** Whether reads of a table get no answer, all others being answered. */
     setUnreadable(table: string, unreadable: boolean): void;
     /** Bytes that a daemon's link to the store carries in a millisecond; unlimited before. */
@@ -233,6 +235,7 @@
         setFault: (fault, memberId = "") => {
             faults.set(memberId, fault);
         },
+        isSound: () => unreadable.size === 0 && [...faults.values()].every(fault => fault === "none"),
         setUnreadable: (table, isUnreadable) => {
             if (isUnreadable) {
                 unreadable.add(table);
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -35,6 +35,7 @@
 import { createFakeClock, type FakeClock } from "../cell/fakeClock.js";
 import { quietMeter } from "../quiet.js";
 import { breakShardPart, type BrokenShardPart } from "./brokenShardParts.js";
+import { createCalm } from "./calm.js";
 import { createFakeVms, type FakeVms } from "./fakeVms.js";
 import { breachesOf, createFakeFencedWorkers, type FakeFencedWorkers, ticketFor } from "./fencedWorkers.js";
 import { createProcessor, type Processor, type ProcessorCosts, withLateTimers, withProcessor } from "./processor.js";
@@ -126,8 +127,17 @@
     /** State of each job as the owner shows it; moves time a little. */
     statesOf(jobIds: readonly string[]): Promise<ReadonlyMap<string, string | undefined>>;
     breaches(): readonly string[];
-    /** Accepted tasks that neither run nor have ended although their turn has come and a worker with room answers. */
-    standing(): readonly string[];
+    /**
+     * Accepted tasks that neither run nor have ended although their turn has come and workers with room answer; only those
+     * with room for so many of them, where a number is given.
+     */
+    standing(times?: number): readonly string[];
+    /** When the last fault was over, as a scene or a crash brought it; undefined while one lasts. */
+    calmSinceMs(): number | undefined;
+    /** The step of a task that was submitted. */
+    stepOf(taskName: string): Step | undefined;
+    /** When the shard's present owner claimed it, or the last one. */
+    claimedAtMs(): number;
 }
 
 /** Calls between a daemon and its peers. */
@@ -153,6 +163,8 @@
     readonly strengths?: readonly number[];
     /** Whether the calls for VMs refuse a lower fencing token than they have seen. */
     readonly checksVmTokens?: boolean;
+    /** Whether the members of a gang work and end with each other, as users' workers have it; each by itself where it is left out. */
+    readonly breaksGangs?: boolean;
     /** Whether the advisor allows a step on a worker. */
     readonly isGood?: (stepName: string, workerId: string) => boolean;
     /** How long a worker that crashed is away; as users saw it where it is left out. */
@@ -184,6 +196,16 @@
 
 /** Images whose tasks crash each worker that starts them: all tasks of a step, or its first one. */
 export const crashingImages = { all: "crashes", first: "crashes-first" } as const;
+/** Images whose tasks fail by themselves: in each run, or in the first two; all tasks of a step, or its first one. */
+export const failingImages = {
+    all: "fails",
+    first: "fails-first",
+    allTwice: "fails-twice",
+    firstTwice: "fails-first-twice",
+} as const;
+const failsInRuns = 2;
+/** When a run fails by itself, as a share of its time: before any member of its gang has ended. */
+const failsAtShare = 0.3;
 /** How long after its start such a task crashes its worker, how long the worker is down, and when its entry lapses. */
 const crashAfterMs = 10;
 const usualDownMs = 3_300;
@@ -254,6 +276,7 @@
         policies,
         strengths = [],
         checksVmTokens = true,
+        breaksGangs = false,
         isGood = () => true,
         crashedDownMs = usualDownMs,
         keepsIds = false,
@@ -265,7 +288,15 @@
 ): ShardCell => {
     const clock = createFakeClock();
     const random = createSeededRandom(seed);
-    const store = createFakeRowStore(clock);
+    const calm = createCalm(clock, () => isDisturbed());
+    const store = calm.noting(createFakeRowStore(clock), [
+        "setFault",
+        "setUnreadable",
+        "setLink",
+        "forgetHistory",
+        "silenceFeeds",
+    ]);
+    let claimedAtMs = 0;
     const log: { memberId: string; event: string; fields: Readonly<Record<string, unknown>>; }[] = [];
     const steps = new Map<string, readonly Step[]>();
     /** Queue of each job that was not submitted to the usual one. */
@@ -287,6 +318,13 @@
         return image === crashingImages.all
             || image === crashingImages.first && parseTaskName(taskName)?.index === 0;
     };
+    const failsByItself = (taskName: string, run: number): boolean => {
+        const image = stepOf(taskName)?.image ?? "";
+        const { all, first, allTwice, firstTwice } = failingImages;
+        const isHit = image === all || image === allTwice
+            || (image === first || image === firstTwice) && parseTaskName(taskName)?.index === 0;
+        return isHit && (image === all || image === first || run <= failsInRuns);
+    };
     /** Workers that went down, which no list has any more. */
     const replaced = new Set<string>();
     const isListed = (workerId: string): boolean => store.rows("workers").some(({ key }) => key === workerId);
@@ -325,19 +363,29 @@
         clock.setTimer(entryLapsesMs, () => store.remove("workers", entry.workerId));
     };
     const bringBack = keepsIds ? bringBackUnderId : bringBackAnew;
-    const workers = createFakeFencedWorkers({
+    const fakeWorkers = createFakeFencedWorkers({
         clock,
         leaseLimitMs: 10_000,
         checksTickets,
         heldOf,
-        onCrash: bringBack,
+        gangSize: taskName => {
+            const { gang = false, count = 0 } = stepOf(taskName) ?? {};
+            return breaksGangs && gang ? count : 0;
+        },
+        onCrash: entry => {
+            calm.note();
+            bringBack(entry);
+        },
         model: (taskName, run) => ({
             crashesAfterMs: crashesWorker(taskName) ? crashAfterMs : undefined,
-            durationMs: stepOf(taskName)?.longRunning === true ? 3_600_000 : runMs(taskName),
+            durationMs: stepOf(taskName)?.longRunning === true
+                ? 3_600_000
+                : runMs(taskName) * (failsByItself(taskName, run) ? failsAtShare : 1),
             // One failure a task: a job that fails by bad luck alone proves nothing.
-            fails: (run === 1 || failOften === 1) && random.next() < failOften,
+            fails: (run === 1 || failOften === 1) && random.next() < failOften || failsByItself(taskName, run),
         }),
     });
+    const workers = calm.noting(fakeWorkers, ["setFault", "crash", "goDown", "replace", "startAgain", "resize", "add"]);
     const seats = new Map<string, Seat>();
     const cuts = new Map<string, ReadonlySet<string>>();
     const answers = new Map<string, string>();
@@ -432,6 +480,7 @@
                 // What is left of a killed process in this one says nothing.
                 if (alive()) {
                     log.push({ memberId, event, fields });
+                    claimedAtMs = event === "claimed" ? clock.monotonicMs() : claimedAtMs;
                 }
             },
         };
@@ -511,7 +560,7 @@
         const entry = workerEntry(`worker-${index}`, index, capacity);
         workers.add(keepsIds ? { ...entry, bornAtMs: Math.floor(clock.nowMs()) } : entry);
     }
-    const vms = createFakeVms({
+    const fakeVms = createFakeVms({
         clock,
         workers,
         checksTokens: checksVmTokens,
@@ -529,6 +578,7 @@
             return renewed.workerId;
         },
     });
+    const vms = calm.noting(fakeVms, ["setFault"]);
     listWorkers();
     const configure = (version: number): void => {
         const configuration: CellConfiguration = {
@@ -561,6 +611,16 @@
             key.startsWith("wave/") && store.rows("status").find(row => row.key === key)?.value !== waveStates.completed
         );
 
+    /** Whether a fault lasts: of a daemon, the store, the VMs' calls or a worker that is listed or should be. */
+    const isDisturbed = (): boolean => {
+        const listed = new Set(store.rows("workers").map(({ key }) => key));
+        return cuts.size > 0 || !store.isSound() || !vms.isSound()
+            || [...seats.values()].some(({ life, suspension }) => !life.alive || suspension.isSuspended())
+            || workers.workerIds().some(workerId =>
+                listed.has(workerId) ? !workers.isSound(workerId) : workers.entryOf(workerId) !== undefined
+            );
+    };
+
     const owner = (): string | undefined =>
         ids.find(id => seats.get(id)?.life.alive === true && seats.get(id)?.member.ownsShard());
 
@@ -610,17 +670,20 @@
         },
         answers: () => answers,
         kill: memberId => {
+            calm.note();
             const seat = seats.get(memberId);
             if (seat !== undefined) {
                 seat.life.alive = false;
             }
         },
         restart: memberId => {
+            calm.note();
             if (seats.get(memberId)?.life.alive !== true) {
                 start(memberId);
             }
         },
         stop: async memberId => {
+            calm.note();
             const seat = seats.get(memberId);
             await seat?.member.leave(clock.monotonicMs() + leaveMs);
             seat?.member.close();
@@ -628,14 +691,19 @@
                 seat.life.alive = false;
             }
         },
-        suspend: (memberId, forMs) => seats.get(memberId)?.suspension.suspend(forMs),
+        suspend: (memberId, forMs) => {
+            seats.get(memberId)?.suspension.suspend(forMs);
+            clock.setTimer(forMs, calm.note);
+        },
         cut: (memberId, what) => {
+            calm.note();
             cuts.set(memberId, new Set(what));
             if (what.includes("store")) {
                 store.setFault("hang", memberId);
             }
         },
         mend: memberId => {
+            calm.note();
             cuts.delete(memberId);
             store.setFault("none", memberId);
         },
@@ -645,8 +713,14 @@
         withdrawUpkeep: wave => store.remove("operator", `wave/${wave}`),
         waveState: wave => store.rows("status").find(row => row.key === `wave/${wave}`)?.value,
         configure,
-        listWorkers,
-        unlist: workerId => store.remove("workers", workerId),
+        listWorkers: () => {
+            calm.note();
+            listWorkers();
+        },
+        unlist: workerId => {
+            calm.note();
+            store.remove("workers", workerId);
+        },
         crashWorkers: workerIds => {
             for (const workerId of workerIds) {
                 const entry = workers.entryOf(workerId);
@@ -676,6 +750,7 @@
             }
         },
         drain: (workerId, remainingMs) => {
+            calm.note();
             const index = workers.workerIds().indexOf(workerId);
             store.put("workers", workerId, {
                 ...workers.entryOf(workerId) ?? workerEntry(workerId, index),
@@ -712,13 +787,17 @@
             ...breachesOf(workers.evidence, taskName => stepOf(taskName)?.speculative === true),
             ...workers.overcommitted().map(workerId => `${workerId} held more than it has`),
         ],
-        standing: () =>
+        calmSinceMs: calm.sinceMs,
+        stepOf,
+        claimedAtMs: () => claimedAtMs,
+        standing: times =>
             wavesOpen() ? [] : standingTasks({
                 jobs: openJobs().map(jobId => ({ jobId, steps: steps.get(jobId) ?? [] })),
                 evidence: workers.evidence,
                 workers: workersForNew(),
                 heldOf,
                 isGood,
+                ...(times === undefined ? {} : { times }),
             }),
     };
 };
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -1,11 +1,19 @@
 /** Faults of a cell of daemons with one shard, and seeded runs with several of them at once. */
 
-import { createSeededRandom, type Step } from "puffinarch";
+import { createSeededRandom, runEnds, type Step } from "puffinarch";
 import type { BrokenShardPart } from "./brokenShardParts.js";
-import { crashingImages, createShardCell, plainStep, type ShardCell } from "./shardCell.js";
+import { crashingImages, createShardCell, failingImages, plainStep, type ShardCell, testQueue } from "./shardCell.js";
 import { findStanding } from "./standing.js";
+import { watchStanding } from "./standingWatch.js";
 
 const imageOf = (words: string): string => {
+    if (words.includes("failing")) {
+        const isFirst = words.includes("first failing");
+        if (words.includes("failing twice")) {
+            return isFirst ? failingImages.firstTwice : failingImages.allTwice;
+        }
+        return isFirst ? failingImages.first : failingImages.all;
+    }
     if (words.includes("first crashing")) {
         return crashingImages.first;
     }
@@ -39,6 +47,9 @@
 /** A job id for a number. */
 export const jobIdOf = (number: number): string => number.toString(16).padStart(16, "0");
 
+/** How long a worker stays shrunk after the others have ceased to fail everything. */
+const shrunkForMs = 12_000;
+
 const cutOwner = (cell: ShardCell, what: readonly ("peers" | "store" | "workers")[]): () => void => {
     const owner = cell.owner() ?? "";
     cell.cut(owner, what);
@@ -82,6 +93,23 @@
     return () => {};
 };
 
+/** Workers that live, those with the most processors taken first. */
+const fullestFirst = (cell: ShardCell): readonly string[] =>
+    [...liveWorkers(cell)].sort((left, right) =>
+        cell.workers.heldOn(right).cpuMillis - cell.workers.heldOn(left).cpuMillis
+    );
+
+const failAll = (cell: ShardCell, hit: readonly string[]): () => void => {
+    for (const workerId of hit) {
+        cell.workers.setFault(workerId, "failing");
+    }
+    return () => {
+        for (const workerId of hit) {
+            cell.workers.setFault(workerId, "none");
+        }
+    };
+};
+
 const workerFault = (cell: ShardCell, fault: "cut" | "late" | "failing" | "deaf", count: number): () => void => {
     const hit = liveWorkers(cell).slice(0, count);
     for (const workerId of hit) {
@@ -171,6 +199,19 @@
     "worker carries out late": cell => workerFault(cell, "late", 1),
     "orders to a worker get lost": cell => workerFault(cell, "deaf", 1),
     "worker fails everything": cell => workerFault(cell, "failing", 1),
+    "half of the workers fail everything": cell =>
+        failAll(cell, fullestFirst(cell).slice(Math.floor(liveWorkers(cell).length / 2))),
+    "all workers but one fail everything": cell => failAll(cell, fullestFirst(cell).slice(1)),
+    "all workers but one, which has shrunk, fail everything": cell => {
+        const sound = fullestFirst(cell).slice(-1);
+        const mend = failAll(cell, fullestFirst(cell).slice(0, -1));
+        cell.resize(sound, 0.2);
+        return () => {
+            mend();
+            // It stays shrunk for as long as tasks may wait for it.
+            cell.clock.setTimer(shrunkForMs, () => cell.resize(sound, 1));
+        };
+    },
     "worker crashes": cell => {
         cell.workers.crash(cell.workers.workerIds()[0] ?? "");
         return () => cell.unlist(cell.workers.workerIds()[0] ?? "");
@@ -234,8 +275,16 @@
     "all suspended for 4 s",
     "two others suspended for 6 s",
 ];
+/** Faults for cells in which several workers fail everything at once; these last 4 to 7 s. */
+const failFaults = [
+    "half of the workers fail everything",
+    "all workers but one fail everything",
+    "all workers but one, which has shrunk, fail everything",
+];
+const shortestFailMs = 4_000;
+const failSpreadMs = 3_000;
 /** Each of these is for a kind of cell only, and seeds of the others stay as they are. */
-const faultsOfKinds = [...lastingFaults, ...crashFaults, ...resizeFaults, ...suspendFaults];
+const faultsOfKinds = [...lastingFaults, ...crashFaults, ...resizeFaults, ...suspendFaults, ...failFaults];
 /** A crashed worker stays gone and a list without workers ends all placing, so these stand in the table alone. */
 const faultsAlone = ["worker crashes", "upkeep orders get lost", "all workers cut but the first"];
 const randomFaults = Object.keys(shardFaults).filter(name => ![...faultsAlone, ...faultsOfKinds].includes(name));
@@ -252,6 +301,41 @@
     "1, 6 crashing after 0",
 ];
 const crashingShare = 0.2;
+/** Jobs that can never be done, as their tasks fail by themselves; one is submitted in place of each fifth of the others. */
+const failingShapes = [
+    "1 failing",
+    "3 first failing",
+    "3 gang of 3 cores first failing",
+    "3 gang of 3 cores failing",
+    "2 gang of 5 cores first failing",
+    "1, 3 gang of 3 cores first failing after 0",
+];
+const failingShare = 0.2;
+/** Jobs that can be done beside those: gangs that need two or three workers too. */
+const soundShapes = [
+    "2",
+    "3, 4 after 0",
+    "3 gang of 3 cores",
+    "2 gang of 5 cores",
+    "2 of 3 cores, 1 of 5 cores after 0",
+];
+/** Fills a worker for good, so that it is none that a task could go to. */
+const fillingShape = "1 long running of 8 cores";
+const fillingIds = 9_101;
+const workersOfSeed = 6;
+/**
+ * An advisor that allows so many workers in a row of six for each step, others for each. Tasks that last are allowed on each
+ * second worker only, so that two others at the least are left to each step, in which any of the gangs finds room.
+ */
+const allowsSome = (allowed: number) => (stepName: string, workerId: string): boolean => {
+    const [jobId = "", , step = ""] = stepName.split(".");
+    const job = Number.parseInt(jobId, 16);
+    const index = Number(/\d+/.exec(workerId)?.[0] ?? 0);
+    return job >= lastingIds ? index % 2 === 0 : (index + job + Number(step)) % workersOfSeed < allowed;
+};
+/** One worker of three may be full of a task that lasts; where jobs that last are submitted, two of four. */
+const allowedWorkers = 3;
+const allowedBesideLasting = 4;
 const stepMs = 250;
 const jobShare = 0.5;
 const faultShare = 0.15;
@@ -274,6 +358,7 @@
         forMs,
         onJob,
         onCrashingJob,
+        onFailingJob,
         onFault,
         shapes = randomShapes,
         faults = randomFaults,
@@ -284,6 +369,8 @@
         readonly onJob: (jobId: string) => void;
         /** Jobs whose tasks crash the workers are among those submitted where this is given; it is told of them. */
         readonly onCrashingJob?: (jobId: string) => void;
+        /** The same for jobs whose tasks fail by themselves. */
+        readonly onFailingJob?: (jobId: string) => void;
         readonly onFault?: (atMs: number, name: string) => void;
         /** Steps of the jobs that are submitted. */
         readonly shapes?: readonly string[];
@@ -304,8 +391,14 @@
         if (random.next() < jobShare) {
             jobs += 1;
             const crashes = onCrashingJob !== undefined && random.next() < crashingShare;
-            (crashes ? onCrashingJob : onJob)(jobIdOf(jobs));
-            cell.submit(jobIdOf(jobs), readSteps(choose(crashes ? crashingShapes : shapes)));
+            const fails = !crashes && onFailingJob !== undefined && random.next() < failingShare;
+            const { onThis, shapesOfThis } = crashes
+                ? { onThis: onCrashingJob, shapesOfThis: crashingShapes }
+                : fails
+                ? { onThis: onFailingJob, shapesOfThis: failingShapes }
+                : { onThis: onJob, shapesOfThis: shapes };
+            onThis(jobIdOf(jobs));
+            cell.submit(jobIdOf(jobs), readSteps(choose(shapesOfThis)));
         }
         for (const [index, fault] of [...open.entries()].reverse()) {
             if (fault.endsAtMs <= nowMs) {
@@ -317,7 +410,10 @@
             const name = choose(faults);
             onFault?.(nowMs, name);
             const mend = shardFaults[name]?.(cell) ?? (() => {});
-            open.push({ endsAtMs: nowMs + shortestFaultMs + spreadMs * random.next(), mend });
+            const [shortest, spread] = failFaults.includes(name)
+                ? [shortestFailMs, failSpreadMs]
+                : [shortestFaultMs, spreadMs];
+            open.push({ endsAtMs: nowMs + shortest + spread * random.next(), mend });
         }
     }
     for (const fault of open) {
@@ -340,6 +436,18 @@
     return [...crashes.values()].some(count => count >= times);
 };
 
+/** Whether so many runs of one task of a job, or of one gang, have failed as its queue allows. */
+const hasFailed = ({ workers, stepOf }: ShardCell, jobId: string): boolean => {
+    const failures = new Map<string, Set<number>>();
+    for (const { taskName, run, how } of workers.evidence) {
+        if (how === runEnds.failed && taskName.startsWith(`${jobId}.`)) {
+            const name = stepOf(taskName)?.gang === true ? taskName.slice(0, taskName.lastIndexOf(".")) : taskName;
+            failures.set(name, (failures.get(name) ?? new Set()).add(run));
+        }
+    }
+    return [...failures.values()].some(runs => runs.size >= testQueue.attempts);
+};
+
 /** What a seed is run with. */
 export interface ExploreShardOptions {
     /** Steps of the jobs that are submitted while faults come. */
@@ -356,6 +464,11 @@
     readonly suspending?: boolean | undefined;
     /** Adds jobs whose tasks crash the workers; these are to be given up, and no other job under which fewer than three crash. */
     readonly crashing?: boolean | undefined;
+    /**
+     * Several workers fail everything for 4 to 7 s, others are full for good or shrunk; jobs fail by themselves among those
+     * that can be done, and the advisor allows three workers for each step.
+     */
+    readonly failing?: boolean | undefined;
     readonly broken?: BrokenShardPart | undefined;
 }
 
@@ -374,24 +487,40 @@
         suspending = false,
         crashing = false,
         keepsIds = false,
+        failing = false,
         crashedDownMs,
         broken,
     }: ExploreShardOptions = {},
 ): Promise<readonly string[]> => {
-    const cell = createShardCell({ members: 4, workers: 6, seed, failOften: 0.01, crashedDownMs, keepsIds, broken });
+    const cell = createShardCell({
+        members: 4,
+        workers: workersOfSeed,
+        seed,
+        failOften: 0.01,
+        crashedDownMs,
+        keepsIds,
+        broken,
+        ...(failing ? { breaksGangs: true, isGood: allowsSome(lasting ? allowedBesideLasting : allowedWorkers) } : {}),
+    });
+    const watch = watchStanding(cell);
     const jobs: string[] = [];
     const crashingJobs: string[] = [];
+    const failingJobs: string[] = [];
     const faults: string[] = [];
     await cell.clock.advance(2_000);
     for (const [index, steps] of (lasting ? lastingShapes : []).entries()) {
         cell.submit(jobIdOf(lastingIds + index), readSteps(steps));
     }
+    if (failing && !lasting) {
+        cell.submit(jobIdOf(fillingIds), readSteps(fillingShape));
+    }
     await runRandomFaults(cell, {
         seed,
         forMs: 20_000,
         onJob: jobId => jobs.push(jobId),
         onFault: (atMs, name) => faults.push(`${atMs} ${name}`),
         ...(crashing ? { onCrashingJob: jobId => crashingJobs.push(jobId) } : {}),
+        ...(failing ? { shapes: soundShapes, onFailingJob: jobId => failingJobs.push(jobId) } : {}),
         ...(shapes === undefined ? {} : { shapes }),
         faults: [
             ...randomFaults,
@@ -401,24 +530,31 @@
             ...keepsIds ? Array.from({ length: 4 }, () => crashFaults).flat() : [],
             ...suspending ? Array.from({ length: 4 }, () => suspendFaults).flat() : [],
             // So often that about a third of the faults is of them.
+            ...failing ? Array.from({ length: 4 }, () => failFaults).flat() : [],
             ...resizing ? Array.from({ length: 6 }, () => resizeFaults).flat() : [],
         ],
         ...(lasting ? { spreadMs: longFaultSpreadMs } : {}),
     });
+    // Jobs that crash the workers are still there, and are tried by themselves one after the other.
+    const standing = crashing
+        ? []
+        : (await findStanding(cell)).map(taskName => `${taskName} stands with room once nothing is wrong`);
     // A worker that crashes under its ID between two owners says nothing of a run that had ended there, or never begun.
     const hitsToGiveUp = keepsIds ? 2 : 3;
     const left = async (): Promise<readonly string[]> => {
-        const states = await cell.statesOf([...jobs, ...crashingJobs]);
+        const states = await cell.statesOf([...jobs, ...crashingJobs, ...failingJobs]);
+        const mayFail = (jobId: string): boolean =>
+            wasHit(cell, jobId, hitsToGiveUp) || failing && hasFailed(cell, jobId);
         const isWrong = (jobId: string, state: string | undefined): boolean =>
-            crashingJobs.includes(jobId)
+            crashingJobs.includes(jobId) || failingJobs.includes(jobId)
                 ? state !== "failed"
-                : state !== "completed" && !(state === "failed" && wasHit(cell, jobId, hitsToGiveUp));
+                : state !== "completed" && !(state === "failed" && mayFail(jobId));
         return [...states].filter(([jobId, state]) => isWrong(jobId, state)).map(([jobId, state]) =>
             `${jobId} is ${state}`
         );
     };
     await cell.until(async () => (await left()).length === 0, 60_000);
-    const standing = (await findStanding(cell)).map(taskName => `${taskName} stands with room for it`);
-    const wrong = [...await left(), ...standing, ...cell.breaches()];
+    const standingLast = (await findStanding(cell)).map(taskName => `${taskName} stands with room for it`);
+    const wrong = [...await left(), ...standing, ...standingLast, ...watch.stood(), ...cell.breaches()];
     return wrong.length === 0 ? [] : [...wrong, ...faults];
 };
--- a/packages/stand-ins/src/shard/standing.ts
+++ b/packages/stand-ins/src/shard/standing.ts
@@ -1,14 +1,13 @@
 /**
- * Tasks that stand: accepted, their turn has come, they neither run nor have ended, and a worker with room for them answers.
+ * Tasks that stand: accepted, their turn has come, they neither run nor have ended, and workers with room for them answer.
  * It is judged from the store's rows and the workers' evidence alone, so that no owner's own view of its tasks counts.
  */
 
 import {
-    add,
     fits,
     formatTaskName,
     heldBy,
-    noResources,
+    parseTaskName,
     type Resources,
     runEnds,
     type Step,
@@ -28,8 +27,19 @@
     readonly heldOf: (taskName: string) => Resources;
     /** Whether the advisor allows a step on a worker. */
     readonly isGood: (stepName: string, workerId: string) => boolean;
+    /** For how many times a task or gang there has to be room; once where it is left out. */
+    readonly times?: number;
 }
 
+/** For how long a task may stand while nothing is wrong. */
+export const standsMs = 3_000;
+/** How long before that time nothing may have been wrong either. */
+export const calmBeforeMs = 4_000;
+/** Runs that a former owner may have begun are over by then, as are its leases. */
+const formerLeasesMs = 7_600;
+/** The longest wait of all, for cells in which something is wrong still and tasks that are tried by themselves after crashes. */
+const longestCalmWaitMs = 14_000;
+
 const roomByWorker = ({ workers, evidence, heldOf }: StandingView): ReadonlyMap<string, Resources> => {
     const rooms = new Map(workers.map(({ workerId, capacity }) => [workerId, capacity]));
     for (const { workerId, taskName, endedAtMs } of evidence) {
@@ -41,13 +51,41 @@
     return rooms;
 };
 
+/** How many tasks of a step fit on a worker beside what is there; no more are asked after than `most`. */
+const countFitting = (step: Step, room: Resources, runsHere: number, most: number): number => {
+    const need = heldBy(step);
+    const allowed = step.maxPerWorker === 0 ? most : Math.min(most, step.maxPerWorker - runsHere);
+    let left = room;
+    let count = 0;
+    while (count < allowed && fits(need, left)) {
+        left = subtract(left, need);
+        count += 1;
+    }
+    return count;
+};
+
+/** Live runs of each step on each worker. */
+const countRuns = ({ evidence }: StandingView): ReadonlyMap<string, number> => {
+    const counts = new Map<string, number>();
+    for (const { taskName, workerId, endedAtMs } of evidence) {
+        const name = parseTaskName(taskName);
+        if (endedAtMs === undefined && name !== undefined) {
+            const key = `${name.jobId}.${name.step}@${workerId}`;
+            counts.set(key, (counts.get(key) ?? 0) + 1);
+        }
+    }
+    return counts;
+};
+
 /**
- * Names the tasks that stand at this moment. The members of a gang stand where one worker has room for all of them.
+ * Names the tasks that stand at this moment. The members of a gang stand where there is room for all of them at once, on
+ * one worker or several; racks that a step would rather stay on do not matter.
  *
  * @example
  * standingTasks({ jobs, evidence, workers, heldOf, isGood: () => true });
  */
 export const standingTasks = (view: StandingView): readonly string[] => {
+    const { times = 1 } = view;
     const running = new Set<string>();
     const done = new Set<string>();
     for (const { taskName, endedAtMs, how } of view.evidence) {
@@ -59,6 +97,7 @@
         }
     }
     const rooms = roomByWorker(view);
+    const runs = countRuns(view);
     const standing: string[] = [];
     for (const { jobId, steps } of view.jobs) {
         const namesOf = (step: number): readonly string[] =>
@@ -74,13 +113,22 @@
             if (isDone(number) || !step.after.every(isDone)) {
                 continue;
             }
-            const together = step.gang ? step.count : 1;
-            const need = Array.from({ length: together }, () => heldBy(step)).reduce(add, noResources);
-            const hasRoom = view.workers.some(({ workerId, labels }) =>
-                (step.requiredLabel === "" || labels.includes(step.requiredLabel))
-                && fits(need, rooms.get(workerId) ?? noResources) && view.isGood(`${jobId}.0.${number}`, workerId)
-            );
-            if (hasRoom) {
+            const most = times * (step.gang ? step.count : 1);
+            let fitting = 0;
+            for (const { workerId, labels } of view.workers) {
+                const room = rooms.get(workerId);
+                const isAllowed = (step.requiredLabel === "" || labels.includes(step.requiredLabel))
+                    && view.isGood(`${jobId}.0.${number}`, workerId);
+                if (room !== undefined && isAllowed) {
+                    fitting += countFitting(
+                        step,
+                        room,
+                        runs.get(`${jobId}.${number}@${workerId}`) ?? 0,
+                        most - fitting,
+                    );
+                }
+            }
+            if (fitting >= most) {
                 standing.push(...namesOf(number).filter(name => !running.has(name) && !done.has(name)));
             }
         }
@@ -89,21 +137,36 @@
 };
 
 /**
- * Once nothing is wrong, the longest wait is for the leases that a former owner may have renewed, 7.6 s, or for the 5 s for
- * which a task keeps off a worker that failed it, after a takeover; all else takes less.
+ * Until when a task may go on to stand: for 3 s where the cell has been calm for 4 s, and by so much longer as it has to be
+ * calm still, has no owner, or leases of a former owner may last.
  */
-export const calmWaitMs = 14_000;
+const standsUntilMs = (cell: ShardCell, sinceMs: number): number => {
+    const nowMs = cell.clock.monotonicMs();
+    const claimedAtMs = cell.owner() === undefined ? nowMs : cell.claimedAtMs();
+    return standsMs + Math.max(sinceMs, (cell.calmSinceMs() ?? nowMs) + calmBeforeMs, claimedAtMs + formerLeasesMs);
+};
 const lookMs = 100;
 
+/** Whether a worker has crashed under the task, so that it may have to be tried by itself, after others. */
+const mayBeOnTrial = ({ workers }: ShardCell, taskName: string): boolean =>
+    workers.evidence.some(start => start.taskName === taskName && start.how === "crashed");
+
 /**
- * Lets a cell go on until no task of it stands, for `calmWaitMs` at the most; gives those that stood all the time.
+ * Lets a cell go on until no task of it stands, for as long as one may at the most; gives those that stood all the time.
  *
  * @example
  * assert.deepEqual(await findStanding(cell), []);
  */
 export const findStanding = async (cell: ShardCell): Promise<readonly string[]> => {
+    const sinceMs = cell.clock.monotonicMs();
     let standing = cell.standing();
-    for (let passedMs = 0; passedMs < calmWaitMs && standing.length > 0; passedMs += lookMs) {
+    for (let passedMs = 0; passedMs < longestCalmWaitMs && standing.length > 0; passedMs += lookMs) {
+        if (sinceMs + passedMs >= standsUntilMs(cell, sinceMs)) {
+            const late = standing.filter(name => !mayBeOnTrial(cell, name));
+            if (late.length > 0) {
+                return late;
+            }
+        }
         await cell.clock.advance(lookMs);
         const now = new Set(cell.standing());
         standing = standing.filter(name => now.has(name));
--- a/packages/stand-ins/src/shard/suspension.ts
+++ b/packages/stand-ins/src/shard/suspension.ts
@@ -13,6 +13,7 @@
     readonly clock: Clock;
     /** Suspends the VM for this long from now on. */
     suspend(forMs: number): void;
+    isSuspended(): boolean;
     /** Resolves at once while it runs, else when it runs again: what arrives meanwhile is read then. */
     awake(): Promise<void>;
 }
@@ -82,6 +83,7 @@
                 clock.setTimer(forMs, wakeUp);
             }
         },
+        isSuspended: () => suspendedAtMs !== undefined,
         awake,
     };
 };
