Scenes of tasks that have failed and stand beside room for them

Cause: a task keeps off a worker that failed it for as long as another one might run it, whether that has room for it or for its whole gang or not, and no scene had such a worker.

Change: a feature of its own.

--- /dev/null
+++ b/features/failedTasks.feature
@@ -0,0 +1,51 @@
+Feature: Tasks that have failed
+
+    # Users saw an accepted job wait to the end of the day with an attempt left, while most of the room was free. It was a gang of
+    # three tasks, two of which fit on one worker; the advisor allowed about three workers. Its first run failed on one worker
+    # 0.7 s after it had begun, its second 1.6 s later on another one, 2.0 s after it had begun. For the 12.7 s that were left
+    # nothing of it ran. The third worker alone could not hold all three.
+    Scenario Outline: A gang that fails by itself goes on to its next run though two workers have failed it
+        Given a cell of 3 daemons and 9 workers, of which an advisor that takes 500 ms allows the first 3
+        When the job of steps "3 gang of 3 cores <fails>" is submitted
+        Then nothing of the job runs for 3000 ms at the most after each of its runs, until it is "<state>"
+
+        Examples:
+            | fails               | state     |
+            | first failing twice | completed |
+            | first failing       | failed    |
+            | failing twice       | completed |
+            | failing             | failed    |
+
+    # The same befalls any task that has failed on all workers but one that might run it and has no room, however long. A gang that
+    # needs two workers waits where the third one is free, too.
+    Scenario Outline: What has failed on two workers goes back to them where the third one has too little room
+        Given a cell of 3 daemons and 3 workers, one of which is <third>
+        When the job of steps "<steps>" is submitted, and 2 workers fail everything until it has failed <times> times
+        Then nothing of the job runs for 3000 ms at the most after each of its runs, until it is "completed"
+
+        Examples:
+            | third  | steps             | times |
+            | full   | 1 of 3 cores      | 2     |
+            | shrunk | 1 of 3 cores      | 2     |
+            | full   | 3 gang of 3 cores | 1     |
+            | shrunk | 3 gang of 3 cores | 1     |
+            | free   | 3 gang of 3 cores | 2     |
+
+    # A third worker that has room takes what the others have failed.
+    Scenario: A task that has failed on two workers goes to the third one that is free
+        Given a cell of 3 daemons and 3 workers, one of which is free
+        When the job of steps "1 of 3 cores" is submitted, and 2 workers fail everything until it has failed 2 times
+        Then nothing of the job runs for 3000 ms at the most after each of its runs, until it is "completed"
+
+    # Tasks that last have no last attempt, and may keep off a worker for longer after a failure: for 6 s in all.
+    Scenario Outline: A task that lasts and has failed on two workers goes back to them where the third one has no room
+        Given a cell of 3 daemons and 3 workers, one of which is <third>
+        When the job of steps "<steps>" is submitted, and 2 workers fail everything until it has failed <times> times
+        Then nothing of the job runs for 6000 ms at the most after each of its runs, until it is at work
+
+        Examples:
+            | third  | steps                          | times |
+            | full   | 1 long running of 3 cores      | 2     |
+            | shrunk | 1 long running of 3 cores      | 2     |
+            | full   | 3 gang long running of 3 cores | 1     |
+            | shrunk | 3 gang long running of 3 cores | 1     |
--- /dev/null
+++ b/features/steps/failedTaskSteps.ts
@@ -0,0 +1,144 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import { jobIdOf, readSteps, type ShardCell, testQueue } from "@puffinarch/stand-ins";
+import assert from "node:assert/strict";
+import { runEnds } from "puffinarch";
+import { cellOf, startCell } from "./shardSteps.js";
+import { partOf, type ScenarioWorld } from "./support.js";
+
+interface Part {
+    /** The worker that has no room for the job. */
+    third: string;
+}
+
+/** Ids of the job that a scene looks at, and of one that fills a worker, so that they are told from those of all others. */
+const jobId = jobIdOf(6_001);
+const fillingId = jobIdOf(6_002);
+const lookMs = 50;
+/** All runs, calls for advice and waits of a scene are over by then. */
+const limitMs = 60_000;
+/** A run that was at work for so long does not fail at once. */
+const atWorkMs = 300;
+const capacity = { cpuMillis: 8_000, memoryMib: 16_000, accelerators: 0 };
+const shrunkShare = 0.2;
+
+const part = (world: ScenarioWorld): Part => partOf(world, "failedTasks", () => ({ third: "" }));
+
+const runsOf = (cell: ShardCell) => cell.workers.evidence.filter(({ taskName }) => taskName.startsWith(`${jobId}.`));
+
+/** Moves time in small steps until a condition holds; tells whether it does in the end. */
+const waitFor = async (cell: ShardCell, holds: () => boolean | Promise<boolean>): Promise<boolean> => {
+    const endsAtMs = cell.clock.monotonicMs() + limitMs;
+    while (cell.clock.monotonicMs() < endsAtMs) {
+        if (await holds()) {
+            return true;
+        }
+        await cell.clock.advance(lookMs);
+    }
+    return false;
+};
+
+const indexOf = (workerId: string): number => Number(/\d+/.exec(workerId)?.[0] ?? 0);
+
+Given(
+    "a cell of {int} daemons and {int} workers, of which an advisor that takes {int} ms allows the first {int}",
+    async function(this: ScenarioWorld, members: number, workers: number, decideMs: number, allowed: number) {
+        await startCell(this, {
+            members,
+            workers,
+            seed: 1,
+            breaksGangs: true,
+            queues: [{ ...testQueue, advice: { decideMs, eachMs: 1, validMs: 2_000 } }],
+            isGood: (_stepName, workerId) => indexOf(workerId) < allowed,
+        });
+    },
+);
+
+/** Each makes one of the workers such that nothing else finds room there for as long as a scene lasts; gives its id. */
+const thirdWorkers: Readonly<Record<string, (cell: ShardCell) => Promise<string>>> = {
+    free: async () => "",
+    full: async cell => {
+        cell.submit(fillingId, readSteps("1 long running of 8 cores"));
+        assert.ok(await waitFor(cell, () => cell.workers.evidence.length > 0));
+        return cell.workers.evidence[0]?.workerId ?? "";
+    },
+    shrunk: async cell => {
+        const [workerId = ""] = cell.workers.workerIds();
+        cell.resize([workerId], shrunkShare);
+        return workerId;
+    },
+};
+
+Given(
+    /^a cell of (\d+) daemons and 3 workers, one of which is (free|full|shrunk)$/,
+    async function(this: ScenarioWorld, members: string, how: string) {
+        await startCell(this, { members: Number(members), workers: 3, seed: 1, capacity, breaksGangs: true });
+        const cell = cellOf(this);
+        part(this).third = await thirdWorkers[how]?.(cell) ?? assert.fail(`no such worker: ${how}`);
+        await cell.clock.advance(2_000);
+    },
+);
+
+When("the job of steps {string} is submitted", function(this: ScenarioWorld, steps: string) {
+    cellOf(this).submit(jobId, readSteps(steps));
+});
+
+When(
+    /^the job of steps "([^"]*)" is submitted, and 2 workers fail everything until it has failed (\d+) times?$/,
+    async function(this: ScenarioWorld, steps: string, times: string) {
+        const cell = cellOf(this);
+        const hit = cell.workers.workerIds().filter(workerId => workerId !== part(this).third).slice(0, 2);
+        for (const workerId of hit) {
+            cell.workers.setFault(workerId, "failing");
+        }
+        cell.submit(jobId, readSteps(steps));
+        const failures = (): number =>
+            new Set(runsOf(cell).filter(({ how }) => how === runEnds.failed).map(({ run }) => run)).size;
+        assert.ok(await waitFor(cell, () => failures() === Number(times)), `it has failed ${failures()} times`);
+        for (const workerId of hit) {
+            cell.workers.setFault(workerId, "none");
+        }
+    },
+);
+
+/** How long nothing of the job ran between each run, all members of a gang being one, and the next one or now. */
+const gapsOf = (cell: ShardCell, hasEnded: boolean): readonly number[] => {
+    const spans = new Map<number, { startMs: number; endMs: number; }>();
+    for (const { run, startedAtMs, endedAtMs = Infinity } of runsOf(cell)) {
+        const { startMs = Infinity, endMs = 0 } = spans.get(run) ?? {};
+        spans.set(run, { startMs: Math.min(startMs, startedAtMs), endMs: Math.max(endMs, endedAtMs) });
+    }
+    const inTurn = [...spans.values()].sort((left, right) => left.startMs - right.startMs);
+    const starts = [...inTurn.slice(1).map(({ startMs }) => startMs), ...hasEnded ? [] : [cell.clock.monotonicMs()]];
+    return starts.map((startMs, index) => Math.max(0, Math.round(startMs - (inTurn[index]?.endMs ?? 0))));
+};
+
+const assertGaps = (world: ScenarioWorld, hasEnded: boolean, mostMs: number): void => {
+    const gaps = gapsOf(cellOf(world), hasEnded);
+    assert.deepEqual(gaps.filter(gapMs => gapMs > mostMs), [], `nothing ran for ${gaps.join(", ")} ms after its runs`);
+    assert.deepEqual(cellOf(world).breaches(), []);
+};
+
+Then(
+    "nothing of the job runs for {int} ms at the most after each of its runs, until it is {string}",
+    async function(this: ScenarioWorld, mostMs: number, state: string) {
+        const cell = cellOf(this);
+        const stateNow = async (): Promise<string | undefined> => (await cell.statesOf([jobId])).get(jobId);
+        const reached = await waitFor(cell, async () => await stateNow() === state);
+        assertGaps(this, reached, mostMs);
+        assert.ok(reached, `it is ${await stateNow()}`);
+    },
+);
+
+Then(
+    "nothing of the job runs for {int} ms at the most after each of its runs, until it is at work",
+    async function(this: ScenarioWorld, mostMs: number) {
+        const cell = cellOf(this);
+        const isAtWork = (): boolean =>
+            runsOf(cell).some(({ startedAtMs, endedAtMs }) =>
+                endedAtMs === undefined && cell.clock.monotonicMs() - startedAtMs > atWorkMs
+            );
+        const reached = await waitFor(cell, isAtWork);
+        assertGaps(this, reached, mostMs);
+        assert.ok(reached, "nothing of it is at work");
+    },
+);
