--- /dev/null
+++ b/features/rests.feature
@@ -0,0 +1,20 @@
+Feature: Rests of workers are bounded
+
+    # Callers saw a task with attempts left stand for over 4 s, again and again, beside two workers that were free and that the
+    # advisor allowed it. Tasks of other jobs failed there by their own fault, three in a row and of two jobs: both workers
+    # rested for 4 s, and each later end of a run that had been started before the rest renewed it. The cause: the rest was as
+    # long as a disruption of workers, longer than a task may stand, and had no bound where it was renewed.
+    Scenario Outline: A task does not stand for 3 s since its workers rest, with calls to the advisor of <call> ms, seed <seed>
+        Given a cell of 3 daemons and 5 workers where every run fails, with calls to the advisor of <call> ms that allow 2, seed <seed>
+        When 4 jobs of steps "2 for 300 ms" are submitted
+        Then no task stands for 3000 ms with room for it, for 15000 ms
+        And workers have rested 3 times at least
+
+        Examples:
+            | call | seed |
+            | 20   | 1    |
+            | 20   | 2    |
+            | 20   | 3    |
+            | 500  | 1    |
+            | 500  | 2    |
+            | 500  | 3    |
--- /dev/null
+++ b/features/steps/restSteps.ts
@@ -0,0 +1,205 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import {
+    createFakeClock,
+    type FakeClock,
+    jobIdOf,
+    plainStep,
+    quietLog,
+    quietMeter,
+    type ShardCell,
+    testQueue,
+    workerEntry,
+} from "@puffinarch/stand-ins";
+import assert from "node:assert/strict";
+import {
+    createShardWorkers,
+    defaultShardSettings,
+    holdRoom,
+    isOpen,
+    newJob,
+    newRun,
+    type ShardJob,
+    type ShardTask,
+    type ShardWorker,
+    sleep,
+} from "puffinarch";
+import { cellOf, startCell } from "./shardSteps.js";
+import { partOf, type ScenarioWorld } from "./support.js";
+
+interface Part {
+    readonly clock: FakeClock;
+    readonly worker: () => ShardWorker;
+    readonly start: () => void;
+    failedAtMs: number | undefined;
+    refused: boolean;
+}
+
+const part = (world: ScenarioWorld): Part => partOf<Part>(world, "rests", () => assert.fail("there is no worker"));
+
+const lookMs = 100;
+
+Given(
+    "a cell of {int} daemons and {int} workers where every run fails, with calls to the advisor of {int} ms that allow {int}, seed {int}",
+    async function(
+        this: ScenarioWorld,
+        members: number,
+        workers: number,
+        decideMs: number,
+        allowed: number,
+        seed: number,
+    ) {
+        const good = new Set(Array.from({ length: allowed }, (_, index) => `worker-${index}`));
+        await startCell(this, {
+            members,
+            workers,
+            seed,
+            failOften: 1,
+            durationMs: 300,
+            isGood: (_step, workerId) => good.has(workerId),
+            queues: [{ ...testQueue, stretch: 10, attempts: 3, advice: { decideMs, eachMs: 1, validMs: 2_500 } }],
+        });
+    },
+);
+
+/** The task that has stood for longest without a break, by looks at the cell, and for how long. */
+const longestStand = async (
+    cell: ShardCell,
+    forMs: number,
+): Promise<{ readonly name: string; readonly ms: number; }> => {
+    const since = new Map<string, number>();
+    let longest = { name: "", ms: 0 };
+    for (let passedMs = 0; passedMs < forMs; passedMs += lookMs) {
+        await cell.clock.advance(lookMs);
+        const nowMs = cell.clock.monotonicMs();
+        const standing = new Set(cell.standing());
+        for (const name of [...since.keys()].filter(each => !standing.has(each))) {
+            since.delete(name);
+        }
+        for (const name of standing) {
+            const sinceMs = since.get(name) ?? nowMs;
+            since.set(name, sinceMs);
+            if (nowMs - sinceMs > longest.ms) {
+                longest = { name, ms: nowMs - sinceMs };
+            }
+        }
+    }
+    return longest;
+};
+
+Then(
+    "no task stands for {int} ms with room for it, for {int} ms",
+    async function(this: ScenarioWorld, limitMs: number, forMs: number) {
+        const { name, ms } = await longestStand(cellOf(this), forMs);
+        assert.ok(ms < limitMs, `${name} stood for ${ms} ms`);
+    },
+);
+
+Then("workers have rested {int} times at least", function(this: ScenarioWorld, least: number) {
+    const rests = cellOf(this).log.filter(line => line.event === "workerRests").length;
+    assert.ok(rests >= least, `${rests} times`);
+});
+
+const workerId = "i-1";
+const failuresShown = 4;
+
+Given(
+    "a worker whose runs of 2 jobs fail while it is sent a start that it refuses after {int} ms",
+    function(this: ScenarioWorld, refusesAfterMs: number) {
+        const clock = createFakeClock();
+        const jobs = new Map<string, ShardJob>();
+        for (const number of [1, 2]) {
+            const jobId = jobIdOf(number);
+            const submission = {
+                jobId,
+                queueKey: testQueue.key,
+                dataCentre: "leon-feria",
+                payload: "plan",
+                steps: [{ ...plainStep, count: failuresShown }],
+                schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
+            };
+            jobs.set(jobId, newJob(submission, testQueue, { acceptedAtMs: 0, order: number }));
+        }
+        const tasksOf = (number: number): readonly ShardTask[] =>
+            jobs.get(jobIdOf(number))?.occurrences.get(0)?.steps[0]?.tasks ?? [];
+        let sent = false;
+        let looks = 0;
+        const ends = [...tasksOf(1).slice(0, 2), ...tasksOf(2).slice(0, 2)].map((task, index) => ({
+            endNumber: index + 1,
+            taskName: task.name,
+            run: 1,
+            how: "failed" as const,
+            checkpoint: "",
+        }));
+        const workers = createShardWorkers({
+            clock,
+            log: quietLog,
+            meter: quietMeter,
+            settings: defaultShardSettings,
+            port: {
+                start: async () => {
+                    sent = true;
+                    await sleep(clock, refusesAfterMs);
+                    part(this).refused = true;
+                    return "noRoom";
+                },
+                stop: async () => "done",
+                pace: async () => "done",
+                look: async () => {
+                    looks += 1;
+                    await sleep(clock, lookMs);
+                    const ended = sent ? ends : [];
+                    if (sent) {
+                        part(this).failedAtMs ??= clock.monotonicMs();
+                    }
+                    return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended, bornAtMs: 1 };
+                },
+            },
+            fencingToken: 7,
+            jobOf: jobId => jobs.get(jobId),
+            changed: async () => {},
+            onNextLife: () => {},
+            onStarted: () => {},
+            wake: () => {},
+            onKnown: () => {},
+            onFenced: () => {},
+        });
+        workers.update([workerEntry(workerId, 1)]);
+        const worker = (): ShardWorker => workers.all.get(workerId) ?? assert.fail("the worker is gone");
+        const start = (): void => {
+            assert.ok(looks > 0 && worker().certain);
+            const task = tasksOf(1).at(-1) ?? assert.fail("no task");
+            const run = newRun(task, workerId, 1, { address: worker().entry.address, bornAtMs: worker().bornAtMs });
+            task.runs.push(run);
+            assert.ok(holdRoom(worker(), run));
+            workers.start(run, "");
+        };
+        partOf<Part>(this, "rests", () => ({ clock, worker, start, failedAtMs: undefined, refused: false }));
+    },
+);
+
+When(
+    "the worker's looks have shown the failures, and the start is refused",
+    async function(this: ScenarioWorld) {
+        const { clock, start } = part(this);
+        await clock.advance(10 * lookMs);
+        start();
+        while (!part(this).refused || part(this).failedAtMs === undefined) {
+            await clock.advance(lookMs);
+        }
+    },
+);
+
+Then(
+    "the worker takes no work for {int} ms from the failures on",
+    async function(this: ScenarioWorld, forMs: number) {
+        const { clock, worker, failedAtMs } = part(this);
+        const endsAtMs = (failedAtMs ?? 0) + forMs;
+        while (clock.monotonicMs() < endsAtMs) {
+            assert.ok(
+                !isOpen(worker(), clock.monotonicMs()),
+                `open after ${clock.monotonicMs() - (failedAtMs ?? 0)} ms`,
+            );
+            await clock.advance(lookMs);
+        }
+    },
+);
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -118,6 +118,7 @@
     isWaiting,
     letGo,
     newJob,
+    newRun,
     openOccurrence,
     type RunPhase,
     runPhases,
