--- a/features/rests.feature
+++ b/features/rests.feature
@@ -18,3 +18,9 @@
             | 500  | 1    |
             | 500  | 2    |
             | 500  | 3    |
+
+    # The rest after a refused start is short, and took the place of a longer one that had begun while the order was under way.
+    Scenario: A refused start does not end a longer rest
+        Given a worker whose runs of 2 jobs fail while it is sent a start that it refuses after 300 ms
+        When the worker's looks have shown the failures, and the start is refused
+        Then the worker takes no work for 2000 ms from the failures on
