A step that has waited for workers at rest passes their rests; nothing renews a rest but what began after it

Callers saw a task with attempts left stand for over 4 s beside free workers that it was allowed, again and again, while jobs that fail by their own fault rested these. Three causes. A rest lasted 4 s from the newest failure, also of runs from before it. Between two rests one other step took the worker and failed there, so that a step whose ticket was just over missed each such window: 9.1 s. And an end of a run from before the failures counted as a sign that the worker is well.

Now a step that has found room on workers at rest only, for 2 s and for 2 s since its task failed last, may use them, after all others; the advisor is asked about them so early that tickets are there by then, and those that nobody asked about are named at rest as well, since tasks wait for them. That holds for each task by its own clock, whatever other steps do. A rest stays at 4 s, is not renewed by runs sent before it, and the row of failures ends only by a run that was sent after its first. Rests after failures have a field of their own, so that a refused start (and an unanswered one) cannot end them; the rest after a refused start does not shorten any other.

Scenes: 7 failed, all pass.

--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -66,7 +66,9 @@
     memberTable,
     newJob,
     newWorker,
+    noteRestWait,
     openWorkerLink,
+    passesRests,
     patienceFactor,
     type Peers,
     placeDelayMs,
@@ -374,6 +376,15 @@
     return `${view.roomFor(worker, urgent).cpuMillis} for it, ${view.roomFor(worker, other).cpuMillis} for others`;
 };
 
+const restPass = (): string => {
+    const task = taskOf(exampleJob());
+    const passed = [0, 500, 1_000, 1_500, 2_000].filter(nowMs => {
+        noteRestWait(task.step, nowMs);
+        return passesRests(task, nowMs);
+    });
+    return `after ${passed.join(", ")} ms`;
+};
+
 const plan = (): string => {
     const large = { ...plainStep, size: { ...plainStep.size, cpuMillis: 8_000 } };
     const job = newJob({ ...submission, steps: [large] }, testQueue, { acceptedAtMs: 0, order: 1 });
@@ -1007,6 +1018,7 @@
     pacer,
     placing,
     preempt,
+    restPass,
     roomView,
     planRoom: plan,
     urgency,
--- a/packages/puffinarch/src/core/shard/askAdvice.ts
+++ b/packages/puffinarch/src/core/shard/askAdvice.ts
@@ -6,6 +6,7 @@
 import type { AdviceDesk } from "./adviceDesk.js";
 import { allowsAnother, avoidedByAll, countRuns, failedLately, suits, ticketFor } from "./chooseWorker.js";
 import { hasEnded, heldBy, isWaiting, type ShardStep, stepNameOf } from "./jobBook.js";
+import { passesRests } from "./restPass.js";
 import type { Reservation, RoomView } from "./roomView.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { isOpen, roomOf, type ShardWorker } from "./workerTable.js";
@@ -112,9 +113,10 @@
         });
     };
 
-    /** Most room first: of accelerators where the step needs some, else of processors. */
-    const byRoom = ({ spec }: ShardStep) => (left: ShardWorker, right: ShardWorker): number =>
-        (spec.size.accelerators > 0 ? roomOf(right).accelerators - roomOf(left).accelerators : 0)
+    /** Those that take work now first, then most room first: of accelerators where the step needs some, else of processors. */
+    const byRoom = ({ spec }: ShardStep, nowMs: number) => (left: ShardWorker, right: ShardWorker): number =>
+        Number(isOpen(right, nowMs)) - Number(isOpen(left, nowMs))
+        || (spec.size.accelerators > 0 ? roomOf(right).accelerators - roomOf(left).accelerators : 0)
         || roomOf(right).cpuMillis - roomOf(left).cpuMillis;
 
     /** Workers where room is about to fall free, unless their tickets outlast a call and the wait for the room. */
@@ -135,27 +137,32 @@
         const { step, waiting, view, nowMs } = wish;
         const { advice, spec } = step;
         const held = heldBy(spec);
-        const usable = [...workers.values()].filter(worker => isOpen(worker, nowMs) && suits(worker, step));
+        const usable = [...workers.values()].filter(worker => isOpen(worker, nowMs, Infinity) && suits(worker, step));
+        // Tasks keep off workers that failed them for the sake of those that nobody has asked about, at rest or not.
         const unasked = usable.filter(worker => !advice.asked.has(worker.workerId));
         if (advice.asked.size === 0) {
-            return unasked.sort(byRoom(step)).slice(0, settings.maxAdviceWorkers).map(worker => worker.workerId);
+            return unasked.sort(byRoom(step, nowMs)).slice(0, settings.maxAdviceWorkers).map(worker => worker.workerId);
         }
         const runs = countRuns(step);
         const hasRoom = (worker: ShardWorker): boolean =>
             fits(held, view.roomFor(worker, step)) && allowsAnother(spec, runs.get(worker.workerId) ?? 0);
+        // A call that begins once a rest is over would add to the time for which tasks stand.
+        const leadMs = costOf(step, 1) + queueMs;
+        const passes = step.tasks.some(task => isWaiting(task) && passesRests(task, nowMs + leadMs));
         const known = usable.filter(worker =>
-            advice.good.has(worker.workerId) && hasRoom(worker)
+            isOpen(worker, nowMs, passes ? Infinity : leadMs) && advice.good.has(worker.workerId) && hasRoom(worker)
             && !avoidedByAll(step, worker.workerId, { workers, nowMs })
-        ).sort(byRoom(step));
+        ).sort(byRoom(step, nowMs));
         const named = known.slice(0, waiting + spareNames);
         const tasks = step.tasks.filter(isWaiting);
         const failed = (workerId: string): boolean => tasks.some(task => failedLately(task, workerId, nowMs));
         if (named.length < waiting || named.every(worker => failed(worker.workerId))) {
-            const others = unasked.filter(hasRoom).sort(byRoom(step));
+            const others = unasked.filter(hasRoom).sort(byRoom(step, nowMs));
             named.push(...others.slice(0, settings.maxAdviceWorkers - named.length));
         }
-        const missing = named.map(worker => worker.workerId)
-            .filter(workerId => ticketFor(step, workerId, nowMs) === undefined);
+        const missing = named.filter(worker =>
+            ticketFor(step, worker.workerId, isOpen(worker, nowMs) ? nowMs : nowMs + leadMs) === undefined
+        ).map(worker => worker.workerId);
         return [...new Set([...missing, ...dueSoon(wish)])];
     };
 
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -3,6 +3,7 @@
 import { fits, type Resources } from "../../types/resources.js";
 import type { Step } from "../../types/work.js";
 import { heldBy, isWaiting, type ShardStep, type ShardTask } from "./jobBook.js";
+import { noteRestWait, passesRests } from "./restPass.js";
 import type { RoomView } from "./roomView.js";
 import { allowsTrial, companyOf, isKeptFrom, isSuspect } from "./trials.js";
 import { isOpen, type ShardWorker } from "./workerTable.js";
@@ -109,6 +110,8 @@
 /** Preferences outweigh the spread: a data rack saves half the run time, a worker that failed others may do so again. */
 const dataRackBonus = 1;
 const streakPenalty = 0.5;
+/** More than all else: a worker at rest takes a task only where no other does. */
+const restPenalty = 1_000;
 /** Tasks that last and take kept room go where others of them do, so that it is lost to the fewest workers. */
 const keptRoomPenalty = 0.6;
 /** Tasks that fill and tasks that serve disturb each other. */
@@ -142,6 +145,9 @@
 interface Candidate {
     readonly worker: ShardWorker;
     readonly fixed: number;
+    /** False while it rests. */
+    readonly open: boolean;
+    readonly hasTicket: boolean;
     /** Runs of the step on it. */
     runs: number;
 }
@@ -293,14 +299,17 @@
     const { job } = step.occurrence;
     const suspect = isSuspect(step);
     for (const worker of mayRunOn(step, workers)) {
+        const open = isOpen(worker, limits.nowMs);
+        const hasTicket = ticketFor(step, worker.workerId, limits.nowMs) !== undefined;
         if (
-            isOpen(worker, limits.nowMs) && suits(worker, step)
+            (open ? hasTicket : isOpen(worker, limits.nowMs, Infinity)) && suits(worker, step)
             && (limits.rack === undefined || worker.entry.rack === limits.rack)
-            && ticketFor(step, worker.workerId, limits.nowMs) !== undefined
             && !isKeptFrom(worker, job, { workers, nowMs: limits.nowMs })
         ) {
             usable.push({
                 worker,
+                open,
+                hasTicket,
                 fixed: fixedScore(worker, step) - disturbance(worker, spec)
                     - companyPenalty * companyOf(worker, job, suspect),
                 runs: runs.get(worker.workerId) ?? 0,
@@ -322,8 +331,12 @@
         choose: (task, except) => {
             const { nowMs, rack } = limits;
             const avoidsFailed = task.failedOn.size > 0 && hasUntried(task, { workers, nowMs, rack, except });
-            let best: ShardWorker | undefined;
+            let best: Candidate | undefined;
             let bestScore = -Infinity;
+            let atRest = false;
+            // Copies may wait: their tasks run.
+            const isCopy = task.runs.length > 0;
+            const mayPass = !isCopy && passesRests(task, nowMs);
             for (const candidate of usable) {
                 const { workerId } = candidate.worker;
                 if (avoidsFailed && failedLately(task, workerId, nowMs) || except?.has(workerId) === true) {
@@ -332,13 +345,20 @@
                 if (!allowsTrial(candidate.worker, task, nowMs) || !hasRoomFor(candidate)) {
                     continue;
                 }
-                const value = score(candidate);
+                atRest ||= !candidate.open;
+                if (!candidate.open && !(mayPass && candidate.hasTicket)) {
+                    continue;
+                }
+                const value = score(candidate) - (candidate.open ? 0 : restPenalty);
                 if (value > bestScore) {
-                    best = candidate.worker;
+                    best = candidate;
                     bestScore = value;
                 }
             }
-            return best;
+            if (atRest && !isCopy && best?.open !== true) {
+                noteRestWait(step, nowMs);
+            }
+            return best?.worker;
         },
         took: worker => {
             const candidate = usable.find(each => each.worker === worker);
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -106,6 +106,8 @@
     readonly advice: StepAdvice;
     /** Local time at which it became ready. */
     readyAtMs: number;
+    /** Since when each pass found room for its tasks on workers at rest only, and the newest such pass. */
+    restWait: { readonly sinceMs: number; readonly seenAtMs: number; } | undefined;
 }
 
 /** One occurrence of a job's steps. */
@@ -176,6 +178,7 @@
         gangFailedRun: 0,
         advice: { asked: new Set(), good: new Map(), inFlight: false, notBeforeMs: 0 },
         readyAtMs: 0,
+        restWait: undefined,
     };
     for (let index = 0; index < spec.count; index += 1) {
         const { jobId } = occurrence.job.submission;
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -282,7 +282,7 @@
                     step.advice.asked.delete(holder.workerId);
                 }
                 else {
-                    holder.avoidUntilMs = clock.monotonicMs() + settings.retryAfterMs;
+                    holder.avoidUntilMs = Math.max(holder.avoidUntilMs, clock.monotonicMs() + settings.retryAfterMs);
                 }
                 void changed(step.occurrence.job);
             },
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -45,6 +45,11 @@
     /** Failures in a row, and the jobs that they belonged to. */
     readonly failedJobs: Set<string>;
     failuresInARow: number;
+    /** Local time of the first of these; it means nothing while there are none. */
+    streakBeganAtMs: number;
+    /** Local time at which the newest rest after failures began, and until which it gets no work but what passes rests. */
+    restBeganAtMs: number;
+    restsUntilMs: number;
     /** Gets no work before this local time. */
     avoidUntilMs: number;
     /** Gets no work at all, since its VM is about to go down. */
@@ -84,6 +89,9 @@
     held: noResources,
     failedJobs: new Set(),
     failuresInARow: 0,
+    streakBeganAtMs: -Infinity,
+    restBeganAtMs: -Infinity,
+    restsUntilMs: 0,
     avoidUntilMs: 0,
     cordoned: false,
     trial: undefined,
@@ -188,12 +196,13 @@
 const silentLooksToAvoid = 1;
 
 /**
- * Tells whether a worker may get new work now.
+ * Tells whether a worker may get new work now, or does so within a given time if it only rests.
  *
  * @example
  * isOpen(worker, clock.monotonicMs());
  */
-export const isOpen = (worker: ShardWorker, nowMs: number): boolean =>
+export const isOpen = (worker: ShardWorker, nowMs: number, restLeadMs = 0): boolean =>
     (worker.unlistedAtMs === undefined || nowMs - worker.unlistedAtMs < unlistedGraceMs) && worker.certain
     && !worker.entry.draining && !worker.cordoned && worker.clock !== undefined
-    && worker.silentLooks < silentLooksToAvoid && worker.avoidUntilMs <= nowMs;
+    && worker.silentLooks < silentLooksToAvoid && worker.avoidUntilMs <= nowMs
+    && worker.restsUntilMs <= nowMs + restLeadMs;
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -50,7 +50,10 @@
 const jobsToRest = 2;
 /** A run that uses no processor for this long is stuck; a resumed one takes up to 0.6 s to be restored. */
 const stuckMs = 1_500;
-/** How long it rests; disruptions of workers last some 4 to 7 s. */
+/**
+ * How long it rests; disruptions of workers last some 4 to 7 s. A task may stand for less than that, and the failures may be the
+ * tasks' own fault, so that a step which has waited for workers at rest passes it.
+ */
 const restMs = 4_000;
 
 /**
@@ -62,18 +65,30 @@
 export const createWorkerWatch = (options: WorkerWatchOptions): WorkerWatch => {
     const { clock, log, meter, jobOf, onChange } = options;
 
-    const judgeWorker = (worker: ShardWorker, jobId: string, how: EndedRun["how"]): void => {
-        if (how === "done") {
+    const judgeWorker = (
+        worker: ShardWorker,
+        { jobId, how, sentAtMs }: { readonly jobId: string; readonly how: EndedRun["how"]; readonly sentAtMs: number; },
+    ): void => {
+        // What ends well but began before the failures did tells nothing of the worker as it is now.
+        if (how === "done" && (worker.failuresInARow === 0 || sentAtMs >= worker.streakBeganAtMs)) {
             worker.failuresInARow = 0;
             worker.failedJobs.clear();
         }
         if (how !== "failed") {
             return;
         }
+        if (worker.failuresInARow === 0) {
+            worker.streakBeganAtMs = clock.monotonicMs();
+        }
         worker.failuresInARow += 1;
         worker.failedJobs.add(jobId);
-        if (worker.failuresInARow >= failuresToRest && worker.failedJobs.size >= jobsToRest) {
-            worker.avoidUntilMs = clock.monotonicMs() + restMs;
+        // Runs from before a rest do not renew it, since it would have no bound.
+        if (
+            worker.failuresInARow >= failuresToRest && worker.failedJobs.size >= jobsToRest
+            && sentAtMs >= worker.restBeganAtMs
+        ) {
+            worker.restBeganAtMs = clock.monotonicMs();
+            worker.restsUntilMs = worker.restBeganAtMs + restMs;
             log.write("warn", "workerRests", {
                 ...lifeOf(worker),
                 failuresInARow: worker.failuresInARow,
@@ -111,7 +126,11 @@
             return;
         }
         const { job } = task.step.occurrence;
-        judgeWorker(worker, job.submission.jobId, end.how);
+        judgeWorker(worker, {
+            jobId: job.submission.jobId,
+            how: end.how,
+            sentAtMs: run?.sentAtMs ?? -Infinity,
+        });
         if (end.how === "failed") {
             // Any member that fails ends its whole gang.
             for (const each of task.step.spec.gang ? task.step.tasks : [task]) {
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -60,6 +60,7 @@
 export * from "./core/shard/probes.js";
 export * from "./core/shard/readiness.js";
 export * from "./core/shard/readRows.js";
+export * from "./core/shard/restPass.js";
 export * from "./core/shard/roomView.js";
 export * from "./core/shard/rowReader.js";
 export * from "./core/shard/shardOwner.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -197,6 +197,7 @@
 } from "./internal.js";
 export { openWorkerLink, type WorkerLink, type WorkerLinkOptions } from "./internal.js";
 export { watchWorkerList, type WorkerListOptions } from "./internal.js";
+export { noteRestWait, passesRests } from "./internal.js";
 export { adoptRun, extendLease, holdRoom, isOpen, newWorker, roomOf, type ShardWorker, stillFits } from "./internal.js";
 export { createWorkerWatch, type WorkerWatch, type WorkerWatchOptions } from "./internal.js";
 export {
