A task is kept out of room for 2 s at the most that is kept for others

Cause: room is kept for a gang until its last member has some, and others pass only where they end before. An overdue run is expected to end "soon" at each look anew, so that such a plan has no end; and a plan that does come true may take as long as the gang's objective allows. Only tasks that last had a bound.

Why it holds: a step notes since when it has been kept out by kept room alone. After 2 s one task of it, or a whole gang, may use what is kept, whoever keeps it and for what plan, so that no plan needs to be judged; 3 s are the users' bound, and a call to the advisor and a start fit into the rest. The call is made ahead, as the advisor's asker sees the room that the step may use by the time of its answer. The tasks of a wide step take it one by one, each after 2 s more, so that a batch doesn't take all that is kept for a gang at once.

--- a/features/keptRoom.feature
+++ b/features/keptRoom.feature
@@ -32,3 +32,17 @@
         And job "plain" of steps "1 for 20000 ms" is submitted, which the advisor allows on "worker-0, worker-1"
         Then job "plain" starts within 3000 ms of its submission
         And no promise was broken
+
+    # A job is lost to its callers if nothing of it runs; all tasks of a wide step at once would take what is kept for good.
+    Scenario: The tasks of a wide step take room that is kept for a gang one by one
+        Given a cell of 3 daemons and 6 workers whose tasks take 20000 ms, with a stretch of 20, seed 1
+        When job "long" of steps "1 of 8 cores for 20000 ms" is submitted, which the advisor allows on "worker-1"
+        And the shard runs for 1000 ms
+        And job "gang" of steps "2 gang of 8 cores for 2000 ms" is submitted, which the advisor allows on "worker-0, worker-1"
+        And the shard runs for 1000 ms
+        And job "wide" of steps "6 for 20000 ms" is submitted, which the advisor allows on "worker-0, worker-1"
+        And the shard runs for 3000 ms
+        Then 1 tasks of job "wide" have started
+        When the shard runs for 2000 ms
+        Then 2 tasks of job "wide" have started
+        And no promise was broken
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -54,6 +54,7 @@
     formatTaskName,
     handOver,
     inTurn,
+    isKeptOut,
     isOtherLife,
     isSettledByLook,
     isTimeToAsk,
@@ -374,6 +375,18 @@
     return `${view.roomFor(worker, urgent).cpuMillis} for it, ${view.roomFor(worker, other).cpuMillis} for others`;
 };
 
+const keptOut = (): string => {
+    const worker = openWorker();
+    const { step } = taskOf(exampleJob());
+    step.advice.good.set("i-1", { ticket: "t", validUntilMs: 9_000 });
+    const view = createRoomView(100);
+    const sight = { workers: new Map([["i-1", worker]]), view, nowMs: 100 };
+    const before = isKeptOut(step, sight);
+    const kept = { held: worker.entry.capacity, freeAtMs: 5_000, victims: [] };
+    view.keep({ step: taskOf(exampleJob()).step, workerId: "i-1", ...kept });
+    return `${before}, then ${isKeptOut(step, sight)}`;
+};
+
 const plan = (): string => {
     const large = { ...plainStep, size: { ...plainStep.size, cpuMillis: 8_000 } };
     const job = newJob({ ...submission, steps: [large] }, testQueue, { acceptedAtMs: 0, order: 1 });
@@ -1008,6 +1021,7 @@
     placing,
     preempt,
     roomView,
+    keptOut,
     planRoom: plan,
     urgency,
     askAdvice,
--- a/packages/puffinarch/src/core/shard/askAdvice.ts
+++ b/packages/puffinarch/src/core/shard/askAdvice.ts
@@ -141,8 +141,10 @@
             return unasked.sort(byRoom(step)).slice(0, settings.maxAdviceWorkers).map(worker => worker.workerId);
         }
         const runs = countRuns(step);
+        // A step that is about to take room kept for others has its ticket by then.
+        const aheadMs = costOf(step, 1) + queueMs;
         const hasRoom = (worker: ShardWorker): boolean =>
-            fits(held, view.roomFor(worker, step)) && allowsAnother(spec, runs.get(worker.workerId) ?? 0);
+            fits(held, view.roomFor(worker, step, aheadMs)) && allowsAnother(spec, runs.get(worker.workerId) ?? 0);
         const known = usable.filter(worker =>
             advice.good.has(worker.workerId) && hasRoom(worker)
             && !avoidedByAll(step, worker.workerId, { workers, nowMs })
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -106,6 +106,8 @@
     readonly advice: StepAdvice;
     /** Local time at which it became ready. */
     readyAtMs: number;
+    /** Local time since which it has been kept out of room for others, or its newest start since; undefined where it is not. */
+    keptOutAtMs: number | undefined;
 }
 
 /** One occurrence of a job's steps. */
@@ -176,6 +178,7 @@
         gangFailedRun: 0,
         advice: { asked: new Set(), good: new Map(), inFlight: false, notBeforeMs: 0 },
         readyAtMs: 0,
+        keptOutAtMs: undefined,
     };
     for (let index = 0; index < spec.count; index += 1) {
         const { jobId } = occurrence.job.submission;
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -15,6 +15,7 @@
     type ShardTask,
     stepNameOf,
 } from "./jobBook.js";
+import { isKeptOut } from "./keptOut.js";
 import { planRoom } from "./planRoom.js";
 import { createRoomView, type Reservation, type RoomView } from "./roomView.js";
 import { fellAtStart, holdForTrial, startable } from "./trials.js";
@@ -137,6 +138,8 @@
             const run = isPlain && full ? undefined : placeOne(chooser, task, task.lastRun + 1);
             if (run !== undefined) {
                 runs.push(run);
+                // The rest of a wide step would take all that is kept, for good; each of its tasks waits in turn.
+                step.keptOutAtMs = undefined;
             }
             else if (needsTrial(task)) {
                 holdForTrial(task, openFor(step, workers, round.nowMs), { workers, nowMs: round.nowMs });
@@ -283,12 +286,16 @@
                 waiting: all.length - runs.length,
             });
             plans.delete(step);
+            step.keptOutAtMs = undefined;
             onPlanned(step.occurrence.job, runs);
             if (step.spec.speculative && !step.spec.gang) {
                 copyable.add(step);
             }
         }
         const left = waiting.length - runs.length;
+        step.keptOutAtMs = left > 0 && isKeptOut(step, { workers, view, nowMs })
+            ? step.keptOutAtMs ?? nowMs
+            : undefined;
         if (left > 0) {
             // Room that is kept beside others is of no use to a task that is to run by itself.
             const reservations = step.tasks.some(needsTrial) ? [] : keepRoom(ranked, left, round);
--- a/packages/puffinarch/src/core/shard/roomView.ts
+++ b/packages/puffinarch/src/core/shard/roomView.ts
@@ -19,8 +19,13 @@
 export interface RoomView {
     /** Keeps room from all steps that are considered later. */
     keep(reservation: Reservation): void;
-    /** Room that a task of the step may use now; negative where more is kept than is free. */
-    roomFor(worker: ShardWorker, step: ShardStep): Resources;
+    /**
+     * Room that a task of the step may use now, or in `aheadMs` if nothing changes; negative where more is kept than is
+     * free.
+     */
+    roomFor(worker: ShardWorker, step: ShardStep, aheadMs?: number): Resources;
+    /** IDs of the workers on which room is kept for other steps than this one. */
+    keptFrom(step: ShardStep): readonly string[];
     /** Whether a task that lasts would take room there that is kept for others, for good. */
     takesKept(worker: ShardWorker, step: ShardStep): boolean;
 }
@@ -35,20 +40,22 @@
     spec.checkpointing && !spec.gang && !spec.longRunning && !spec.fills;
 
 /**
- * Room may be kept for as long as an objective allows, for a gang whose last worker is busy. A task that lasts never ends
- * before, and its callers go without it all the while; after this it takes the room.
+ * Room may be kept for as long as an objective allows, for a gang whose last worker is busy, and its plan may never come
+ * true: a run beyond its estimate may end at any moment, and does not. A job of which nothing runs for 3 s though there is
+ * room for it counts as lost; a task of it takes the room after this, which leaves a call to the advisor and a start their time.
  */
-const lastingWaitMs = 2_000;
+const keptOutMs = 2_000;
 
 const priorityOf = ({ occurrence }: ShardStep): number => occurrence.job.queue.priority;
 
-/** Whether a task may use kept room: it ends before, or is stopped then and has got on by then, or lasts and has waited. */
+/** Whether a step has been kept out of room for long; one that lasts never ends before, so that it counts from its turn on. */
+const waitedLong = ({ spec, readyAtMs, keptOutAtMs }: ShardStep, nowMs: number): boolean =>
+    nowMs - (spec.longRunning ? readyAtMs : keptOutAtMs ?? nowMs) >= keptOutMs;
+
+/** Whether a task does no harm in kept room: it ends before, or is stopped then and has got on by then. */
 const mayPass = (step: ShardStep, kept: Reservation, nowMs: number): boolean => {
     const leftMs = kept.freeAtMs - nowMs;
     const { estimateMs, longRunning } = step.spec;
-    if (longRunning && nowMs - step.readyAtMs >= lastingWaitMs) {
-        return true;
-    }
     const endsBefore = !longRunning && estimateMs > 0 && estimateMargin * estimateMs <= leftMs;
     return endsBefore || isPreemptible(step) && priorityOf(step) > priorityOf(kept.step) && leftMs >= progressMs;
 };
@@ -73,15 +80,17 @@
                 known.push(reservation);
             }
         },
-        roomFor: (worker, step) => {
+        roomFor: (worker, step, aheadMs = 0) => {
             let room = roomOf(worker);
             for (const kept of keptFor(worker)) {
-                if (kept.step !== step && !mayPass(step, kept, nowMs)) {
+                if (kept.step !== step && !mayPass(step, kept, nowMs) && !waitedLong(step, nowMs + aheadMs)) {
                     room = subtract(room, kept.held);
                 }
             }
             return room;
         },
+        keptFrom: step =>
+            [...byWorker].filter(([, kept]) => kept.some(each => each.step !== step)).map(([workerId]) => workerId),
         takesKept: (worker, step) => step.spec.longRunning && keptFor(worker).some(kept => kept.step !== step),
     };
 };
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -46,6 +46,7 @@
 export * from "./core/shard/jobBook.js";
 export * from "./core/shard/jobRows.js";
 export * from "./core/shard/jobRowSchemas.js";
+export * from "./core/shard/keptOut.js";
 export * from "./core/shard/lateOrders.js";
 export * from "./core/shard/lives.js";
 export * from "./core/shard/lostRuns.js";
