A gang that cannot begin keeps no room and stops nothing

Cause: a gang is placed only once all of its members wait, but room was planned and kept, runs were stopped for it and the room of its tickets was kept for those that wait already.

Why it holds: while a member has not ended, or its verdict is open, a gang only asks for tickets, for all of its members, so that it may begin at once when the last one has ended. What is kept is planned when it can be used.

--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -292,6 +292,12 @@
                 copyable.add(step);
             }
         }
+        if (step.spec.gang && waiting.length < step.tasks.length) {
+            // It cannot begin before the other members have ended; only its tickets may be there by then.
+            step.keptOutAtMs = undefined;
+            asker.askFor({ step, waiting: step.tasks.length, reservations: [], view, nowMs });
+            return;
+        }
         const left = waiting.length - runs.length;
         step.keptOutAtMs = left > 0 && isKeptOut(step, { workers, view, nowMs })
             ? step.keptOutAtMs ?? nowMs
