The members of a gang on trial wait at the same time, and nobody on trial for more than 2 s

Cause: a task on trial shares a worker once it has wanted one for itself for 1.5 s. That time was cleared as soon as the task was planned, also where the gang was then rolled back for want of a place for the next member: each member began its wait when the one before had ended it, and the first one waited anew. The roll-back also left a worker marked with a trial that is not there. Near a job's end the wait of 4 s alone was beyond the 3 s after which a job with room counts as lost.

Why it holds: all members want their workers from the same moment on, the time is cleared for runs that are sure to be started, and a roll-back gives each worker its former trial. Near the end the wait is 2 s.

--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -97,7 +97,6 @@
         }
         if (needsTrial(task)) {
             worker.trial = run;
-            task.trialWantedAtMs = undefined;
         }
         task.lastRun = number;
         task.runs.push(run);
@@ -107,9 +106,23 @@
     const asker = createAdviceAsker({ clock, log, meter, settings, workers, desk, onAnswer: options.wake });
     const plans = new Map<ShardStep, RoomPlan>();
 
+    /** The waits of tasks that have places for sure; members of a gang are planned before that is known. */
+    const endTrialWaits = (runs: readonly ShardRun[]): void => {
+        for (const { task } of runs) {
+            task.trialWantedAtMs = undefined;
+        }
+    };
+
     const chooserFor = (step: ShardStep, { nowMs, view }: Round): Chooser =>
         createChooser(step, workers, { nowMs, view, packing: settings.policies.packing });
 
+    /** From now on a task on trial waits for a worker of its own; the members of a gang do so at the same time. */
+    const wantTrials = (tasks: readonly ShardTask[]): void => {
+        for (const task of tasks.filter(needsTrial)) {
+            task.trialWantedAtMs ??= clock.monotonicMs();
+        }
+    };
+
     /** Plans a run of the task on the best worker; undefined where there is no room. */
     const placeOne = (
         chooser: Chooser,
@@ -117,9 +130,7 @@
         number: number,
         except?: ReadonlySet<string>,
     ): ShardRun | undefined => {
-        if (needsTrial(task)) {
-            task.trialWantedAtMs ??= clock.monotonicMs();
-        }
+        wantTrials([task]);
         const worker = chooser.choose(task, except);
         const run = worker === undefined ? undefined : plan(task, worker, number);
         if (worker !== undefined && run !== undefined) {
@@ -159,6 +170,10 @@
         const number = 1 + Math.max(...step.tasks.map(task => task.lastRun));
         const runs: ShardRun[] = [];
         const chooser = chooserFor(step, round);
+        wantTrials(waiting);
+        const trials = waiting.some(needsTrial)
+            ? new Map([...workers.values()].map(worker => [worker, worker.trial]))
+            : undefined;
         for (const task of waiting) {
             const run = placeOne(chooser, task, number);
             if (run === undefined) {
@@ -166,6 +181,7 @@
                     const holder = workers.get(planned.workerId);
                     if (holder !== undefined) {
                         dropRun(holder, planned);
+                        holder.trial = trials === undefined ? holder.trial : trials.get(holder);
                     }
                     planned.task.lastRun = number - 1;
                 }
@@ -208,6 +224,7 @@
             }
         }
         if (runs.length > 0) {
+            endTrialWaits(runs);
             log.write("info", "copied", {
                 step: stepNameOf(step),
                 runs: runs.map(run => `${run.task.index}#${run.run}@${run.workerId}`).join(" "),
@@ -278,6 +295,7 @@
         const waiting = startable(step, all, { workers, nowMs });
         const runs = step.spec.gang ? placeGang(step, waiting, round) : placeTasks(step, waiting, round);
         if (runs.length > 0) {
+            endTrialWaits(runs);
             log.write("info", "placed", {
                 step: stepNameOf(step),
                 waitedMs: Math.round(nowMs - step.readyAtMs),
--- a/packages/puffinarch/src/core/shard/trials.ts
+++ b/packages/puffinarch/src/core/shard/trials.ts
@@ -10,8 +10,11 @@
 
 /** A task on trial shares its worker sooner than its job should stand still: what runs there loses less than its callers. */
 const longestWaitMs = 1_500;
-/** A job that might be given up for what runs beside it waits longer; tasks of a second or so have left a worker by then. */
-const longestWaitNearEndMs = 4_000;
+/**
+ * A job that might be given up for what runs beside it waits longer, since tasks of a second or so have left a worker by then;
+ * not for so long that nothing of it runs for 3 s though there is room, which its callers count as lost.
+ */
+const longestWaitNearEndMs = 2_000;
 /**
  * A step of which nothing is at work goes on elsewhere while so many workers lie silent since they were sent a task of it;
  * once one of them has surely crashed, it waits for the others.
