Whether a step is kept out of room is told without lists of workers

Each pass asks this for each step that waits, hundreds where much waits. It built the set of workers with kept room and the list of all open ones each time; now it goes through the workers once, and looks first at what most of them fail. What it answers is the same, but for a gang that fits on free room of which none is kept: that one waits for something else, and does not count as kept out any more.

--- a/packages/puffinarch/src/core/shard/keptOut.ts
+++ b/packages/puffinarch/src/core/shard/keptOut.ts
@@ -1,11 +1,11 @@
 /** Whether a step that waits has room that is kept for others, so that its wait for it can be bounded. */
 
 import { fits, subtract } from "../../types/resources.js";
-import { allowsAnother, countRuns, openFor } from "./chooseWorker.js";
+import { allowsAnother, countRuns, suits } from "./chooseWorker.js";
 import { heldBy, type ShardStep } from "./jobBook.js";
 import type { RoomView } from "./roomView.js";
 import { isKeptFrom } from "./trials.js";
-import { roomOf, type ShardWorker } from "./workerTable.js";
+import { isOpen, roomOf, type ShardWorker } from "./workerTable.js";
 
 /** What is seen in a pass. */
 interface Sight {
@@ -14,37 +14,53 @@
     readonly nowMs: number;
 }
 
-/** Whether what is free holds what has to start at once, were no room kept: all members of a gang, else one task. */
-const fitsOnFree = (step: ShardStep, { workers, nowMs }: Sight, among: (workerId: string) => boolean): boolean => {
+/** How many tasks of the step an open worker has places for, were no room kept there; `most` at the most. */
+const placesOn = (worker: ShardWorker, step: ShardStep, { runs, most }: {
+    readonly runs: number;
+    readonly most: number;
+}): number => {
     const held = heldBy(step.spec);
-    const runs = countRuns(step);
-    let needed = step.spec.gang ? step.tasks.length : 1;
-    for (const worker of openFor(step, workers, nowMs)) {
-        if (!among(worker.workerId) || isKeptFrom(worker, step.occurrence.job, { workers, nowMs })) {
-            continue;
-        }
-        let here = runs.get(worker.workerId) ?? 0;
-        let room = roomOf(worker);
-        while (allowsAnother(step.spec, here) && fits(held, room)) {
-            needed -= 1;
-            if (needed === 0) {
-                return true;
-            }
-            here += 1;
-            room = subtract(room, held);
-        }
+    let room = roomOf(worker);
+    let places = 0;
+    while (places < most && allowsAnother(step.spec, runs + places) && fits(held, room)) {
+        places += 1;
+        room = subtract(room, held);
     }
-    return false;
+    return places;
+};
+
+const mayRunOn = (worker: ShardWorker, step: ShardStep, { workers, nowMs }: Sight): boolean => {
+    const { job } = step.occurrence;
+    return (job.queue.advice === undefined || step.advice.good.has(worker.workerId)) && isOpen(worker, nowMs)
+        && suits(worker, step) && !isKeptFrom(worker, job, { workers, nowMs });
 };
 
 /**
- * Tells whether a step that found no room would have some if none were kept for others.
+ * Tells whether a step that found no room would have some if none were kept for others: for all members of a gang, else for
+ * one task. Each pass asks for each step that waits, so that what most workers fail is looked at first.
  *
  * @example
  * step.keptOutAtMs = isKeptOut(step, { workers, view, nowMs }) ? step.keptOutAtMs ?? nowMs : undefined;
  */
 export const isKeptOut = (step: ShardStep, sight: Sight): boolean => {
-    const kept = new Set(sight.view.keptFrom(step));
-    // On the others it has just found no room; the members of a gang may be spread over both.
-    return kept.size > 0 && fitsOnFree(step, sight, workerId => step.spec.gang || kept.has(workerId));
+    const { gang } = step.spec;
+    const runsOf = countRuns(step);
+    let needed = gang ? step.tasks.length : 1;
+    let isKept = false;
+    for (const worker of sight.workers.values()) {
+        const isKeptHere = sight.view.isKept(worker, step);
+        // On the others a single task has just found no room; the members of a gang may be spread over both.
+        if (!gang && !isKeptHere) {
+            continue;
+        }
+        const places = placesOn(worker, step, { runs: runsOf.get(worker.workerId) ?? 0, most: step.tasks.length });
+        if (places > 0 && mayRunOn(worker, step, sight)) {
+            needed -= places;
+            isKept ||= isKeptHere;
+        }
+        if (needed <= 0 && isKept) {
+            return true;
+        }
+    }
+    return false;
 };
--- a/packages/puffinarch/src/core/shard/roomView.ts
+++ b/packages/puffinarch/src/core/shard/roomView.ts
@@ -24,8 +24,8 @@
      * free.
      */
     roomFor(worker: ShardWorker, step: ShardStep, aheadMs?: number): Resources;
-    /** IDs of the workers on which room is kept for other steps than this one. */
-    keptFrom(step: ShardStep): readonly string[];
+    /** Whether room is kept there for other steps. */
+    isKept(worker: ShardWorker, step: ShardStep): boolean;
     /** Whether a task that lasts would take room there that is kept for others, for good. */
     takesKept(worker: ShardWorker, step: ShardStep): boolean;
 }
@@ -70,6 +70,8 @@
 export const createRoomView = (nowMs: number): RoomView => {
     const byWorker = new Map<string, Reservation[]>();
     const keptFor = (worker: ShardWorker): readonly Reservation[] => byWorker.get(worker.workerId) ?? [];
+    const isKept = (worker: ShardWorker, step: ShardStep): boolean =>
+        byWorker.get(worker.workerId)?.some(kept => kept.step !== step) === true;
     return {
         keep: reservation => {
             const known = byWorker.get(reservation.workerId);
@@ -89,8 +91,7 @@
             }
             return room;
         },
-        keptFrom: step =>
-            [...byWorker].filter(([, kept]) => kept.some(each => each.step !== step)).map(([workerId]) => workerId),
-        takesKept: (worker, step) => step.spec.longRunning && keptFor(worker).some(kept => kept.step !== step),
+        isKept,
+        takesKept: (worker, step) => step.spec.longRunning && isKept(worker, step),
     };
 };
