--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -55,6 +55,7 @@
     formatTaskName,
     handOver,
     inTurn,
+    isKeptOut,
     isOtherLife,
     isSettledByLook,
     isTimeToAsk,
@@ -403,6 +404,18 @@
     return `after ${passed.join(", ")} ms`;
 };
 
+const keptOut = (): string => {
+    const worker = openWorker();
+    const { step } = taskOf(exampleJob());
+    step.advice.good.set("i-1", { ticket: "t", validUntilMs: 9_000 });
+    const view = createRoomView(100);
+    const sight = { workers: new Map([["i-1", worker]]), view, nowMs: 100 };
+    const before = isKeptOut(step, sight);
+    const kept = { held: worker.entry.capacity, freeAtMs: 5_000, victims: [] };
+    view.keep({ step: taskOf(exampleJob()).step, workerId: "i-1", ...kept });
+    return `${before}, then ${isKeptOut(step, sight)}`;
+};
+
 const plan = (): string => {
     const large = { ...plainStep, size: { ...plainStep.size, cpuMillis: 8_000 } };
     const job = newJob({ ...submission, steps: [large] }, testQueue, { acceptedAtMs: 0, order: 1 });
@@ -1040,6 +1053,7 @@
     preempt,
     restPass,
     roomView,
+    keptOut,
     planRoom: plan,
     urgency,
     askAdvice,
--- a/packages/puffinarch/src/core/shard/askAdvice.ts
+++ b/packages/puffinarch/src/core/shard/askAdvice.ts
@@ -145,10 +145,10 @@
             return unasked.sort(byRoom(step, nowMs)).slice(0, settings.maxAdviceWorkers).map(worker => worker.workerId);
         }
         const runs = countRuns(step);
-        const hasRoom = (worker: ShardWorker): boolean =>
-            fits(held, view.roomFor(worker, step)) && allowsAnother(spec, runs.get(worker.workerId) ?? 0);
-        // A call that begins once a rest, or the wait for other workers, is over would add to the time for which tasks stand.
+        // A call that begins once a wait is over, for kept room, a rest or other workers, would add to the time of standing.
         const leadMs = costOf(step, 1) + queueMs;
+        const hasRoom = (worker: ShardWorker): boolean =>
+            fits(held, view.roomFor(worker, step, leadMs)) && allowsAnother(spec, runs.get(worker.workerId) ?? 0);
         const passes = step.tasks.some(task => isWaiting(task) && passesRests(task, nowMs + leadMs));
         const avoided = avoidedByAll(step, { workers, nowMs: nowMs + leadMs });
         const known = usable.filter(worker =>
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -108,6 +108,8 @@
     readyAtMs: number;
     /** Since when each pass found room for its tasks on workers at rest only, and the newest such pass. */
     restWait: { readonly sinceMs: number; readonly seenAtMs: number; } | undefined;
+    /** Local time since which it has been kept out of room for others, or its newest start since; undefined where it is not. */
+    keptOutAtMs: number | undefined;
 }
 
 /** One occurrence of a job's steps. */
@@ -179,6 +181,7 @@
         advice: { asked: new Set(), good: new Map(), inFlight: false, notBeforeMs: 0 },
         readyAtMs: 0,
         restWait: undefined,
+        keptOutAtMs: undefined,
     };
     for (let index = 0; index < spec.count; index += 1) {
         const { jobId } = occurrence.job.submission;
