Lives: a look that a next life may take carries a token above what was sent before

Callers saw tasks started again after their ends had been acknowledged, and a task that crashes its worker started by each copy of one order, where orders were carried out seconds late by a worker that had started again under its ID.

Cause: the next life was told by orders to refuse them, which take the way that made the starts late and came after them; and every look and order of an owner carried the same token, so that a life that had been looked at took whatever this owner had sent before.

Commits are conditional on the claim, so that the store version of each is a token of this owner alone, above its claim and below that of any successor. A look that follows one without an answer, and the link to a next life, carry the newest. A worker does nothing for a lower token than it has seen: whichever life takes that look refuses what was sent before it, on whatever way that comes. An order that the owner's own look has overtaken did nothing and is sent again; it ends the office only where the token refused was the newest.

--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -112,6 +112,22 @@
         When ends up to 57 are durable and looks are "answered, lost, lost, answered, answered, answered"
         Then they acknowledge "0, 57, 0, 0, 57, 0"
 
+    # A stop that makes the next life refuse a late start takes the way that made the start late, and came seconds after it: tasks
+    # were started again after their ends had been acknowledged.
+    Scenario: What was sent before a look was lost is refused by whichever life takes the next look
+        When looks are "answered, lost, answered, lost, lost, answered" and the owner commits before each
+        Then the tokens sent are "7, 7, 9, 9, 11, 12"
+
+    Scenario Outline: An order that was overtaken by a look of the same owner is sent again, and the owner <what> the shard
+        When a start is refused as fenced after a look was lost, and the owner's newest token is <newest>
+        Then the tokens sent are "<tokens>"
+        And the owner <what> the shard
+
+        Examples:
+            | newest | tokens | what  |
+            | 8      | 7, 8   | keeps |
+            | 7      | 7      | loses |
+
     # Tickets hold for one life of a worker. Each start that showed one of the life before was refused, and placed a second time.
     Scenario: No start shows the ticket of a life that is over
         Given a cell of 3 daemons and 4 workers that check tickets and start again under their IDs 200 ms after a crash
--- /dev/null
+++ b/features/steps/tokenSteps.ts
@@ -0,0 +1,168 @@
+import { Then, When } from "@cucumber/cucumber";
+import {
+    createFakeClock,
+    type FakeClock,
+    plainStep,
+    quietLog,
+    quietMeter,
+    testQueue,
+    workerEntry,
+} from "@puffinarch/stand-ins";
+import assert from "node:assert/strict";
+import {
+    createFirstLooks,
+    createLateOrders,
+    type FencedWorkerPort,
+    holdRoom,
+    newJob,
+    newWorker,
+    openWorkerLink,
+    runPhases,
+    type ShardRun,
+    type ShardWorker,
+    sleep,
+    type WorkerLink,
+} from "puffinarch";
+import { partOf, type ScenarioWorld } from "./support.js";
+
+interface Part {
+    /** Tokens of what was sent, in order. */
+    readonly tokens: number[];
+    /** Whether the owner took itself for replaced. */
+    fenced: boolean;
+}
+
+const part = (world: ScenarioWorld): Part => partOf(world, "tokens", () => ({ tokens: [], fenced: false }));
+
+const fencingToken = 7;
+
+const openLink = (world: ScenarioWorld, { clock, worker, port, newestToken }: {
+    readonly clock: FakeClock;
+    readonly worker: ShardWorker;
+    readonly port: Pick<FencedWorkerPort, "start" | "look">;
+    readonly newestToken: () => number;
+}): WorkerLink =>
+    openWorkerLink(worker, {
+        clock,
+        log: quietLog,
+        meter: quietMeter,
+        workers: { stop: async () => "unknown", pace: async () => "unknown", ...port },
+        fencingToken,
+        newestToken,
+        leaseMs: 5_000,
+        lookWaitMs: 1_000,
+        firstLooks: createFirstLooks(clock),
+        lookPauseMs: 250,
+        orderPauseMs: 100,
+        onLook: async () => {},
+        onSilent: () => {},
+        onLifeOver: () => {},
+        onRestarted: () => {},
+        lateOrders: createLateOrders(clock),
+        onFenced: () => {
+            part(world).fenced = true;
+        },
+        onNotStarted: () => {},
+        onStarted: () => {},
+    });
+
+const runOn = (worker: ShardWorker): ShardRun => {
+    const submission = {
+        jobId: "00000000000000a1",
+        queueKey: testQueue.key,
+        dataCentre: "leon-feria",
+        payload: "plan",
+        steps: [plainStep],
+        schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
+    };
+    const task = newJob(submission, testQueue, { acceptedAtMs: 0, order: 1 }).occurrences.get(0)?.steps[0]?.tasks[0];
+    assert.ok(task !== undefined);
+    const run: ShardRun = {
+        task,
+        run: 1,
+        workerId: worker.workerId,
+        bornAtMs: undefined,
+        address: "",
+        held: plainStep.size,
+        phase: runPhases.planned,
+        sentAtMs: undefined,
+        settledAtMs: undefined,
+        shown: false,
+        startedAtMs: undefined,
+        percent: 100,
+        figure: 0,
+        idleSinceMs: undefined,
+    };
+    holdRoom(worker, run);
+    return run;
+};
+
+When(
+    "looks are {string} and the owner commits before each",
+    async function(this: ScenarioWorld, text: string) {
+        const clock = createFakeClock();
+        const { tokens } = part(this);
+        const answers = text.split(", ");
+        const link = openLink(this, {
+            clock,
+            worker: newWorker(workerEntry("i-1", 1), 0),
+            newestToken: () => fencingToken + tokens.length,
+            port: {
+                start: async () => "unknown",
+                look: async (_target, order) => {
+                    tokens.push(order.fencingToken);
+                    await sleep(clock, 10);
+                    return answers[tokens.length - 1] === "answered"
+                        ? { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: [] }
+                        : { outcome: "unknown" };
+                },
+            },
+        });
+        await clock.advance(2_000);
+        link.close();
+        tokens.splice(answers.length);
+    },
+);
+
+When(
+    "a start is refused as fenced after a look was lost, and the owner's newest token is {int}",
+    async function(this: ScenarioWorld, newest: number) {
+        const clock = createFakeClock();
+        const { tokens } = part(this);
+        const worker = newWorker(workerEntry("i-1", 1), 0);
+        let looks = 0;
+        const link = openLink(this, {
+            clock,
+            worker,
+            newestToken: () => looks < 2 ? fencingToken : newest,
+            port: {
+                start: async (_target, order) => {
+                    tokens.push(order.fencingToken);
+                    // The second look is lost meanwhile, and the third overtakes the start.
+                    await sleep(clock, 60);
+                    return tokens.length === 1 ? "fenced" : "done";
+                },
+                look: async () => {
+                    looks += 1;
+                    const lost = looks === 2;
+                    await sleep(clock, 20);
+                    return lost
+                        ? { outcome: "unknown" }
+                        : { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: [] };
+                },
+            },
+        });
+        await clock.advance(25);
+        link.start(runOn(worker), "", "");
+        await clock.advance(1_000);
+        link.close();
+    },
+);
+
+Then("the tokens sent are {string}", function(this: ScenarioWorld, text: string) {
+    assert.equal(part(this).tokens.join(", "), text);
+});
+
+Then("the owner {word} the shard", function(this: ScenarioWorld, what: string) {
+    assert.equal(part(this).fenced ? "loses" : "keeps", what);
+});
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -33,6 +33,8 @@
     readonly claimId: string;
     /** Rows that keep a job as it is now. */
     readonly encode: (jobId: string) => RowChange;
+    /** A batch took effect at this version of the store, above the claim and below that of any successor. */
+    readonly onCommitted?: (version: number) => void;
     /** Another owner has the shard; called once. */
     readonly onFenced: () => void;
 }
@@ -149,6 +151,7 @@
                 return;
             }
             sequenceVersion = version;
+            options.onCommitted?.(version);
             meter.record("commitMs", clock.monotonicMs() - flight.sentAtMs);
             for (const resolve of flight.waiting) {
                 resolve();
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -157,6 +157,8 @@
         return job === undefined ? { puts: [], removes: [{ table: endedTable, key: jobId }] } : encodeJob(job);
     };
 
+    /** Commits are conditional on the claim, so that their versions are above it and below that of any successor. */
+    let newestToken = fencingToken;
     const commits = createCommitLog({
         clock,
         log,
@@ -168,6 +170,9 @@
         storeMs: claimed.storeMs,
         claimId,
         encode,
+        onCommitted: version => {
+            newestToken = version;
+        },
         onFenced: () => fenced("commit"),
     });
 
@@ -217,6 +222,7 @@
         settings,
         port: options.workers,
         fencingToken,
+        newestToken: () => newestToken,
         jobOf: jobId => jobs.get(jobId),
         changed: job => changed(job),
         onNextLife: workerId => {
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -27,6 +27,8 @@
     readonly settings: ShardSettings;
     readonly port: FencedWorkerPort;
     readonly fencingToken: number;
+    /** The highest token that is surely this owner's now; `fencingToken` where it is left out. */
+    readonly newestToken?: () => number;
     readonly jobOf: (jobId: string) => ShardJob | undefined;
     /** The job changed; resolves once it is durable. */
     readonly changed: (job: ShardJob) => Promise<void>;
@@ -239,6 +241,7 @@
             meter,
             workers: options.port,
             fencingToken,
+            ...(options.newestToken === undefined ? {} : { newestToken: options.newestToken }),
             leaseMs: settings.leaseMs,
             lookWaitMs: settings.lookWaitMs,
             firstLooks,
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -35,6 +35,11 @@
     readonly meter: Meter;
     readonly workers: FencedWorkerPort;
     readonly fencingToken: number;
+    /**
+     * The highest token that is surely this owner's now, above which every successor's is; `fencingToken` where it is left out.
+     * Each link begins with it.
+     */
+    readonly newestToken?: () => number;
     readonly leaseMs: number;
     /** How long a look may wait for an end. */
     readonly lookWaitMs: number;
@@ -82,7 +87,13 @@
  * const link = openWorkerLink(worker, options);
  */
 export const openWorkerLink = (worker: ShardWorker, options: WorkerLinkOptions): WorkerLink => {
-    const { clock, log, meter, workers, fencingToken, leaseMs, lookWaitMs, lookPauseMs, orderPauseMs } = options;
+    const { clock, log, meter, workers, leaseMs, lookWaitMs, lookPauseMs, orderPauseMs } = options;
+    const newestToken = (): number => Math.max(options.fencingToken, options.newestToken?.() ?? 0);
+    /**
+     * What is said to the worker carries it. It rises where another life may answer from now on: that life refuses what was sent
+     * before as soon as a look has reached it. A stop that makes it refuse a run may come as late as the start itself.
+     */
+    let token = newestToken();
     let closed = false;
     /** Whether the newest look was answered, so that the same life most likely answers the next. */
     let answeredLast = false;
@@ -106,8 +117,19 @@
             endPause = end;
         });
 
+    /** The worker refused an order since a look of this owner with a higher token overtook it; nothing was done. */
+    const isOvertaken = (outcome: OrderOutcome, sentToken: number): boolean =>
+        outcome === orderOutcomes.fenced && sentToken < token;
+
     /** Tells the shard where this owner, or this life of the worker, is over; nothing more is said to it then. */
-    const endsLink = (outcome: OrderOutcome): boolean => {
+    const endsLink = (outcome: OrderOutcome, sentToken: number): boolean => {
+        if (closed) {
+            // The next life's link may have raised the token.
+            return true;
+        }
+        if (isOvertaken(outcome, sentToken)) {
+            return false;
+        }
         if (outcome === orderOutcomes.fenced) {
             options.onFenced(worker);
             return true;
@@ -149,7 +171,7 @@
         const acknowledgedEnd = acknowledgedNow();
         answeredLast = false;
         const look = await workers.look(target(), {
-            fencingToken,
+            fencingToken: token,
             acknowledgedEnd,
             deadlineMs,
             waitMs,
@@ -178,9 +200,11 @@
             await options.onLook(worker, look, sentAtMs);
             return;
         }
-        if (endsLink(look.outcome)) {
+        if (endsLink(look.outcome, token)) {
             return;
         }
+        // Whatever answers next may be another life.
+        token = newestToken();
         if (look.outcome === orderOutcomes.unknown && isOwnDelay(sentAtMs, waitMs)) {
             meter.count("looks.ownDelay");
             return;
@@ -209,7 +233,7 @@
     const stopUntilGone = async (run: ShardRun): Promise<void> => {
         let timeoutMs = shortestOrderMs;
         while (!closed && worker.runs.has(runKey(run.task.name, run.run))) {
-            const order = { taskName: run.task.name, run: run.run, fencingToken };
+            const order = { taskName: run.task.name, run: run.run, fencingToken: token };
             const outcome = await workers.stop(target(), order, timeoutMs);
             timeoutMs = Math.min(longestOrderMs, 2 * timeoutMs);
             meter.count(`stops.${outcome}`);
@@ -217,7 +241,7 @@
                 run.settledAtMs = clock.monotonicMs();
                 return;
             }
-            if (endsLink(outcome)) {
+            if (endsLink(outcome, order.fencingToken)) {
                 return;
             }
             await sleep(clock, orderPauseMs);
@@ -227,8 +251,12 @@
     /** A stop of a run that is not there makes the worker refuse it when it comes. */
     const refuseUntilAnswered = async ({ taskName, run }: LateOrder): Promise<void> => {
         while (!closed && options.lateOrders.has(worker.workerId, { taskName, run })) {
-            const outcome = await workers.stop(target(), { taskName, run, fencingToken }, longestOrderMs);
-            if (outcome === orderOutcomes.done || outcome === orderOutcomes.stale || endsLink(outcome)) {
+            const order = { taskName, run, fencingToken: token };
+            const outcome = await workers.stop(target(), order, longestOrderMs);
+            if (
+                outcome === orderOutcomes.done || outcome === orderOutcomes.stale
+                || endsLink(outcome, order.fencingToken)
+            ) {
                 return;
             }
             await sleep(clock, orderPauseMs);
@@ -268,12 +296,13 @@
                 await sleep(clock, orderPauseMs);
                 continue;
             }
+            const sentToken = token;
             const outcome = await workers.start(target(), {
                 taskName: run.task.name,
                 run: run.run,
                 payload: run.task.step.occurrence.job.submission.payload,
                 deadlineMs,
-                fencingToken,
+                fencingToken: sentToken,
                 checkpoint,
                 ticket,
             }, timeoutMs);
@@ -297,9 +326,12 @@
                 run.settledAtMs = clock.monotonicMs();
                 return;
             }
-            if (endsLink(outcome)) {
+            if (endsLink(outcome, sentToken)) {
                 return;
             }
+            if (isOvertaken(outcome, sentToken)) {
+                continue;
+            }
             if (outcome !== orderOutcomes.unknown) {
                 log.write("warn", "startRefused", {
                     task: run.task.name,
@@ -340,11 +372,11 @@
             }
         },
         stopUnknown: (taskName, run) => {
-            void workers.stop(target(), { taskName, run, fencingToken }, longestOrderMs);
+            void workers.stop(target(), { taskName, run, fencingToken: token }, longestOrderMs);
         },
         refuse: order => void refuseUntilAnswered(order),
         pace: (run, percent) => {
-            void workers.pace(target(), { taskName: run.task.name, run: run.run, fencingToken, percent });
+            void workers.pace(target(), { taskName: run.task.name, run: run.run, fencingToken: token, percent });
         },
         close: () => {
             closed = true;
