Lives: a silent worker to which orders may be under way is looked at each 50 ms

Callers saw a task started again after its end had been acknowledged, where orders were carried out late by a worker that had started again under its ID within a second.

Cause: a silent worker was looked at each 250 ms, and its next life takes whatever comes until a look with a higher token has reached it: orders came within 0.1 s of a life's beginning and 0.1 s before the owner's next look.

Looks that time out are as far apart as before.

--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -128,6 +128,19 @@
             | 8      | 7, 8   | keeps |
             | 7      | 7      | loses |
 
+    # Orders came within 0.1 s of a life's beginning and 0.1 s before the owner's next look.
+    Scenario Outline: A worker that was down for <ms> ms is soon looked at where <starts> orders may be under way to it
+        When a worker is down for <ms> ms, and <starts> starts there got no answer
+        Then a look reaches its next life within <within> ms
+
+        Examples:
+            | ms    | starts | within |
+            | 90    | 1      | 50     |
+            | 590   | 1      | 50     |
+            | 3290  | 2      | 50     |
+            | 590   | 0      | 250    |
+            | 15290 | 1      | 250    |
+
     # Tickets hold for one life of a worker. Each start that showed one of the life before was refused, and placed a second time.
     Scenario: No start shows the ticket of a life that is over
         Given a cell of 3 daemons and 4 workers that check tickets and start again under their IDs 200 ms after a crash
--- a/features/steps/tokenSteps.ts
+++ b/features/steps/tokenSteps.ts
@@ -14,6 +14,7 @@
     createLateOrders,
     type FencedWorkerPort,
     holdRoom,
+    type LateOrders,
     newJob,
     newWorker,
     openWorkerLink,
@@ -30,18 +31,29 @@
     readonly tokens: number[];
     /** Whether the owner took itself for replaced. */
     fenced: boolean;
+    /** How long a worker had been back when a look reached it. */
+    metAfterMs: number | undefined;
 }
 
-const part = (world: ScenarioWorld): Part => partOf(world, "tokens", () => ({ tokens: [], fenced: false }));
+const part = (world: ScenarioWorld): Part =>
+    partOf(world, "tokens", () => ({
+        tokens: [],
+        fenced: false,
+        metAfterMs: undefined,
+    }));
 
 const fencingToken = 7;
 
-const openLink = (world: ScenarioWorld, { clock, worker, port, newestToken }: {
-    readonly clock: FakeClock;
-    readonly worker: ShardWorker;
-    readonly port: Pick<FencedWorkerPort, "start" | "look">;
-    readonly newestToken: () => number;
-}): WorkerLink =>
+const openLink = (
+    world: ScenarioWorld,
+    { clock, worker, port, newestToken, lateOrders = createLateOrders(clock) }: {
+        readonly clock: FakeClock;
+        readonly worker: ShardWorker;
+        readonly port: Pick<FencedWorkerPort, "start" | "look">;
+        readonly newestToken: () => number;
+        readonly lateOrders?: LateOrders;
+    },
+): WorkerLink =>
     openWorkerLink(worker, {
         clock,
         log: quietLog,
@@ -58,7 +70,7 @@
         onSilent: () => {},
         onLifeOver: () => {},
         onRestarted: () => {},
-        lateOrders: createLateOrders(clock),
+        lateOrders,
         onFenced: () => {
             part(world).fenced = true;
         },
@@ -124,6 +136,41 @@
     },
 );
 
+When(
+    "a worker is down for {int} ms, and {int} starts there got no answer",
+    async function(this: ScenarioWorld, downMs: number, starts: number) {
+        const clock = createFakeClock();
+        const lateOrders = createLateOrders(clock);
+        for (let run = 1; run <= starts; run += 1) {
+            lateOrders.note("i-1", { taskName: "00000000000000a1.0.0.0", run });
+        }
+        const link = openLink(this, {
+            clock,
+            worker: newWorker(workerEntry("i-1", 1), 0),
+            newestToken: () => fencingToken,
+            lateOrders,
+            port: {
+                start: async () => "unknown",
+                look: async (_target, { waitMs }) => {
+                    if (clock.monotonicMs() < downMs) {
+                        return { outcome: "unknown" };
+                    }
+                    part(this).metAfterMs ??= clock.monotonicMs() - downMs;
+                    await sleep(clock, Math.max(1, waitMs));
+                    return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: [] };
+                },
+            },
+        });
+        await clock.advance(downMs + 1_000);
+        link.close();
+    },
+);
+
+Then("a look reaches its next life within {int} ms", function(this: ScenarioWorld, limitMs: number) {
+    const { metAfterMs } = part(this);
+    assert.ok(metAfterMs !== undefined && metAfterMs <= limitMs, `met after ${metAfterMs} ms`);
+});
+
 When(
     "a start is refused as fenced after a look was lost, and the owner's newest token is {int}",
     async function(this: ScenarioWorld, newest: number) {
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -25,6 +25,11 @@
 const forgivenMs = 5_000;
 /** A start without an answer for this long, from a worker that answers looks, is given up. */
 const startPatienceMs = 2_000;
+/**
+ * Between looks at a silent worker to which orders may be under way: the next life carries them out until a look has reached
+ * it.
+ */
+const lateOrderPauseMs = 50;
 /** A worker that does not answer orders gets none for this long after that. */
 const unansweredRestMs = 3_000;
 
@@ -216,7 +221,8 @@
             options.onSilent(worker);
         }
         if (worker.silentLooks > 1) {
-            await pause(lookPauseMs);
+            const isOrdered = options.lateOrders.of(worker.workerId).length > 0;
+            await pause(isOrdered ? Math.min(lateOrderPauseMs, lookPauseMs) : lookPauseMs);
         }
     };
 
