Lives: a look after 50 ms without one carries the newest token

Callers saw tasks started again after their ends had been acknowledged, and run twice at once, where orders were carried out late by a worker that had been back under its ID before a look could fail.

Cause: the token rose after a look without an answer. Between two looks there is a pause while ends are made durable; a worker that was down and back within it got a look with the token of all that had been sent before, which waited 1 s there for an end, and took all that came in that second.

Where no look was sent for 50 ms after the newest answer, the next one carries the newest token. A usual commit takes 8 ms, so that looks are as before while the store is well.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -123,7 +123,7 @@
             | 273  | 600 | last   |
             | 292  | 600 | last   |
 
-    # What is left: copies of one order, late, each met a life that nobody had spoken to yet.
+    # Copies of one order, late, each met a life that nobody had spoken to yet, or that looks had reached and refusals had not.
     Scenario Outline: Orders reach lives of a worker that their owner has not met
         When the seed <seed> is explored on a shard whose workers start again under their IDs after <ms> ms, with jobs that <others>
         Then nothing went wrong on the shard
@@ -135,6 +135,18 @@
             | 99   | 600 | last   |
             | 287  | 600 | last   |
 
+    # What is left: no look can come before an order that comes 10 ms after a life began, that comes while no owner is at work, or
+    # while the worker answers no look.
+    Scenario Outline: Orders reach lives of a worker that no look can have reached
+        When the seed <seed> is explored on a shard whose workers start again under their IDs after <ms> ms, with jobs that <others>
+        Then nothing went wrong on the shard
+
+        Examples:
+            | seed | ms  | others |
+            | 140  | 600 | last   |
+            | 1036 | 50  | end    |
+            | 1611 | 50  | end    |
+
     # Workers that do not guard their capacity were started on with room that they had no more: what had been planned while they
     # were larger was sent all the same, after the store had been away or once a silent worker answered again.
     Scenario Outline: No start brings a worker over a capacity that has shrunk, with tasks that are <size>, seed <seed>
--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -128,6 +128,16 @@
             | 8      | 7, 8   | keeps |
             | 7      | 7      | loses |
 
+    # A life that was back before a look could fail got one with the token of all that had been sent before, and answered it after 1 s.
+    Scenario Outline: A look after <ms> ms without one carries the tokens "<tokens>"
+        When the ends of a look take <ms> ms to be durable and the owner commits meanwhile
+        Then the tokens sent are "<tokens>"
+
+        Examples:
+            | ms  | tokens  |
+            | 8   | 7, 7, 7 |
+            | 200 | 7, 8, 9 |
+
     # Orders came within 0.1 s of a life's beginning and 0.1 s before the owner's next look.
     Scenario Outline: A worker that was down for <ms> ms is soon looked at where <starts> orders may be under way to it
         When a worker is down for <ms> ms, and <starts> starts there got no answer
--- a/features/steps/tokenSteps.ts
+++ b/features/steps/tokenSteps.ts
@@ -46,12 +46,13 @@
 
 const openLink = (
     world: ScenarioWorld,
-    { clock, worker, port, newestToken, lateOrders = createLateOrders(clock) }: {
+    { clock, worker, port, newestToken, lateOrders = createLateOrders(clock), onLook = async () => {} }: {
         readonly clock: FakeClock;
         readonly worker: ShardWorker;
         readonly port: Pick<FencedWorkerPort, "start" | "look">;
         readonly newestToken: () => number;
         readonly lateOrders?: LateOrders;
+        readonly onLook?: () => Promise<void>;
     },
 ): WorkerLink =>
     openWorkerLink(worker, {
@@ -66,7 +67,7 @@
         firstLooks: createFirstLooks(clock),
         lookPauseMs: 250,
         orderPauseMs: 100,
-        onLook: async () => {},
+        onLook,
         onSilent: () => {},
         onLifeOver: () => {},
         onRestarted: () => {},
@@ -136,6 +137,31 @@
     },
 );
 
+When(
+    "the ends of a look take {int} ms to be durable and the owner commits meanwhile",
+    async function(this: ScenarioWorld, durableMs: number) {
+        const clock = createFakeClock();
+        const { tokens } = part(this);
+        const link = openLink(this, {
+            clock,
+            worker: newWorker(workerEntry("i-1", 1), 0),
+            newestToken: () => fencingToken + tokens.length,
+            onLook: () => sleep(clock, durableMs),
+            port: {
+                start: async () => "unknown",
+                look: async (_target, order) => {
+                    tokens.push(order.fencingToken);
+                    await sleep(clock, 10);
+                    return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: [] };
+                },
+            },
+        });
+        await clock.advance(1_000);
+        link.close();
+        tokens.splice(3);
+    },
+);
+
 When(
     "a worker is down for {int} ms, and {int} starts there got no answer",
     async function(this: ScenarioWorld, downMs: number, starts: number) {
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -30,6 +30,8 @@
  * it.
  */
 const lateOrderPauseMs = 50;
+/** Without a look there for longer than this, a worker may have been down and back. */
+const unseenMs = 50;
 /** A worker that does not answer orders gets none for this long after that. */
 const unansweredRestMs = 3_000;
 
@@ -168,6 +170,9 @@
 
     const lookOnce = async (answered: () => void): Promise<void> => {
         const sentAtMs = clock.monotonicMs();
+        if (sentAtMs - heardAtMs > unseenMs) {
+            token = newestToken();
+        }
         // A worker that is silent may get each of these orders late; renewing its lease would put off its end for ever.
         const deadlineMs = worker.silentLooks > 0 ? undefined : extendLease(worker, sentAtMs, leaseMs);
         const ready = deadlineMs !== undefined;
