--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -112,6 +112,45 @@
         When ends up to 57 are durable and looks are "answered, lost, lost, answered, answered, answered"
         Then they acknowledge "0, 57, 0, 0, 57, 0"
 
+    # A stop that makes the next life refuse a late start takes the way that made the start late, and came seconds after it: tasks
+    # were started again after their ends had been acknowledged.
+    Scenario: What was sent before a look was lost is refused by whichever life takes the next look
+        When looks are "answered, lost, answered, lost, lost, answered" and the owner commits before each
+        Then the tokens sent are "7, 7, 9, 9, 11, 12"
+
+    Scenario Outline: An order that was overtaken by a look of the same owner is sent again, and the owner <what> the shard
+        When a start is refused as fenced after a look was lost, and the owner's newest token is <newest>
+        Then the tokens sent are "<tokens>"
+        And the owner <what> the shard
+
+        Examples:
+            | newest | tokens | what  |
+            | 8      | 7, 8   | keeps |
+            | 7      | 7      | loses |
+
+    # A life that was back before a look could fail got one with the token of all that had been sent before, and answered it after 1 s.
+    Scenario Outline: A look after <ms> ms without one carries the tokens "<tokens>"
+        When the ends of a look take <ms> ms to be durable and the owner commits meanwhile
+        Then the tokens sent are "<tokens>"
+
+        Examples:
+            | ms  | tokens  |
+            | 8   | 7, 7, 7 |
+            | 200 | 7, 8, 9 |
+
+    # Orders came within 0.1 s of a life's beginning and 0.1 s before the owner's next look.
+    Scenario Outline: A worker that was down for <ms> ms is soon looked at where <starts> orders may be under way to it
+        When a worker is down for <ms> ms, and <starts> starts there got no answer
+        Then a look reaches its next life within <within> ms
+
+        Examples:
+            | ms    | starts | within |
+            | 90    | 1      | 50     |
+            | 590   | 1      | 50     |
+            | 3290  | 2      | 50     |
+            | 590   | 0      | 250    |
+            | 15290 | 1      | 250    |
+
     # Tickets hold for one life of a worker. Each start that showed one of the life before was refused, and placed a second time.
     Scenario: No start shows the ticket of a life that is over
         Given a cell of 3 daemons and 4 workers that check tickets and start again under their IDs 200 ms after a crash
