A last attempt waits for room in sight only where one worker has failed it

Cause: the longer wait of a last attempt, which is for disruptions of a worker, held also where the task is likely to be the cause itself. Mend: what several workers have failed goes back after 2 s.

--- a/packages/puffinarch/src/core/shard/avoidance.ts
+++ b/packages/puffinarch/src/core/shard/avoidance.ts
@@ -18,7 +18,7 @@
 const keepsOffMs = 2_000;
 /**
  * The last attempt waits for as long as disruptions of workers last, 4 to 7 s, where other workers are known to have room by
- * then and half of all room is in use, so that such a wait is usual.
+ * then and half of all room is in use, so that such a wait is usual. What several workers failed is likely to be the cause itself.
  */
 const lastKeepsOffMs = 7_000;
 const busyShare = 0.5;
@@ -124,7 +124,10 @@
         const failed = failedWithin(task, lastKeepsOffMs, limits);
         const untilMs = Math.max(...failed.values()) + lastKeepsOffMs;
         const others = othersFor(task, failed, limits);
-        if (others.length > 0 && shareInUse(step, limits) >= busyShare && hasRoomBy(step, others, untilMs, nowMs)) {
+        if (
+            failed.size === 1 && others.length > 0 && shareInUse(step, limits) >= busyShare
+            && hasRoomBy(step, others, untilMs, nowMs)
+        ) {
             return new Map([...failed].map(([workerId, atMs]) => [workerId, atMs + lastKeepsOffMs]));
         }
     }
