Waits for kept room, rests and failures are counted from one moment; a gang is not kept out by a stream of less urgent tasks

What callers saw (trials on the fakes): a gang of whole workers did not begin within 50 s among less urgent tasks of 3 to 4 s, at 0.4 to 0.8 times the room (18 of 18 on four workers; 2.7 to 4.6 s before kept room had an end), since each task that had waited for 2 s took what was kept for it; and a task that was kept off a worker that failed it, and then out of room kept for others, stood for 3.7 to 4.1 s, each wait being counted by itself. A wait for a worker at rest that was long over counted for ever.

Cause: every wait had a clock of its own, and room that is kept had no say in how often it is taken. Each task that takes kept room makes the next one wait for twice as long (2, 6, 14 s), unless the plan is over 10 s off. For a gang, the tickets that end during a call are asked for in that call, as they were else asked for by turns while lanes are scarce. The price: a second job that finds only room kept for the same gang may stand for 4 s more while its plan is near.

--- a/features/load.feature
+++ b/features/load.feature
@@ -23,3 +23,18 @@
         Then tasks "1, 2" run on the worker that answers
         When the step is placed after the leases of the silent worker
         Then tasks "0, 1, 2" run on the worker that answers
+
+    # A gang waited without end, as each task of a stream took the room that was kept for it once it had waited for 2 s, and held it for
+    # longer than that. So each that takes kept room makes the next one wait for twice as long: after 2, 6 and 14 s, and in the
+    # 8 s between the last two all that runs has ended.
+    Scenario Outline: A gang of <workers> whole workers begins among less urgent tasks that come each <every> ms, seed <seed>
+        When tasks of 3 cores for 4000 ms come to <workers> workers each <every> ms, and after 8000 ms a more urgent gang of 8 cores, seed <seed>
+        Then the gang begins within 14000 ms
+
+        Examples:
+            | seed | workers | every |
+            | 1    | 4       | 940   |
+            | 2    | 4       | 625   |
+            | 3    | 4       | 470   |
+            | 2    | 2       | 1250  |
+            | 3    | 2       | 940   |
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -55,7 +55,7 @@
     formatTaskName,
     handOver,
     inTurn,
-    isKeptOut,
+    isHeldUp,
     isOtherLife,
     isSettledByLook,
     isTimeToAsk,
@@ -68,7 +68,6 @@
     memberTable,
     newJob,
     newWorker,
-    noteRestWait,
     openWorkerLink,
     passesRests,
     patienceFactor,
@@ -395,25 +394,15 @@
     return `${view.roomFor(worker, urgent).cpuMillis} for it, ${view.roomFor(worker, other).cpuMillis} for others`;
 };
 
-const restPass = (): string => {
-    const task = taskOf(exampleJob());
-    const passed = [0, 500, 1_000, 1_500, 2_000].filter(nowMs => {
-        noteRestWait(task.step, nowMs);
-        return passesRests(task, nowMs);
-    });
-    return `after ${passed.join(", ")} ms`;
-};
-
-const keptOut = (): string => {
+const heldUp = (): string => {
     const worker = openWorker();
-    const { step } = taskOf(exampleJob());
+    const task = taskOf(exampleJob());
+    const { step } = task;
     step.advice.good.set("i-1", { ticket: "t", validUntilMs: 9_000 });
-    const view = createRoomView(100);
-    const sight = { workers: new Map([["i-1", worker]]), view, nowMs: 100 };
-    const before = isKeptOut(step, sight);
-    const kept = { held: worker.entry.capacity, freeAtMs: 5_000, victims: [] };
-    view.keep({ step: taskOf(exampleJob()).step, workerId: "i-1", ...kept });
-    return `${before}, then ${isKeptOut(step, sight)}`;
+    worker.restsUntilMs = 4_000;
+    step.heldUpAtMs = isHeldUp(step, { workers: new Map([["i-1", worker]]), nowMs: 100 }) ? 100 : undefined;
+    const passed = [100, 1_100, 2_100, 3_100].filter(nowMs => passesRests(task, nowMs));
+    return `after ${passed.join(", ")} ms`;
 };
 
 const plan = (): string => {
@@ -1051,9 +1040,8 @@
     pacer,
     placing,
     preempt,
-    restPass,
     roomView,
-    keptOut,
+    heldUp,
     planRoom: plan,
     urgency,
     askAdvice,
--- a/features/steps/loadSteps.ts
+++ b/features/steps/loadSteps.ts
@@ -3,11 +3,14 @@
     acceleratorLoad,
     createFakeClock,
     createLoadCell,
+    createShardCell,
     type FakeClock,
+    jobIdOf,
     type LoadKind,
     type LoadOutcome,
     plainStep,
     playLoad,
+    readSteps,
     testQueue,
     workerEntry,
 } from "@puffinarch/stand-ins";
@@ -31,6 +34,7 @@
     outcomes: Readonly<Record<string, LoadOutcome>>;
     breaches: readonly string[];
     placed: Placed | undefined;
+    gangWaitedMs: number;
 }
 
 /** A step that is placed without a cell around it. */
@@ -44,7 +48,13 @@
     partOf(
         world,
         "load",
-        () => ({ policies: undefined, outcomes: {}, breaches: ["nothing was played"], placed: undefined }),
+        () => ({
+            policies: undefined,
+            outcomes: {},
+            breaches: ["nothing was played"],
+            placed: undefined,
+            gangWaitedMs: Infinity,
+        }),
     );
 
 const nameIn = <T extends string>(names: readonly T[], text: string): T =>
@@ -146,3 +156,48 @@
 Then("no worker held more than it has", function(this: ScenarioWorld) {
     assert.deepEqual(part(this).breaches, []);
 });
+
+const lowerQueueKey = "stages.example/later/";
+const gangId = jobIdOf(9_000);
+const streamForMs = 40_000;
+
+When(
+    "tasks of {int} cores for {int} ms come to {int} workers each {int} ms, and after {int} ms a more urgent gang of {int} cores, seed {int}",
+    async function(
+        this: ScenarioWorld,
+        cores: number,
+        runMs: number,
+        workers: number,
+        everyMs: number,
+        gangAfterMs: number,
+        gangCores: number,
+        seed: number,
+    ) {
+        const urgent = { ...testQueue, stretch: 30 };
+        const lower = { ...urgent, key: lowerQueueKey, pathPrefix: "/later/", priority: 1 };
+        const cell = createShardCell({
+            members: 3,
+            workers,
+            seed,
+            durationMs: "estimated",
+            queues: [urgent, lower],
+        });
+        await cell.clock.advance(5_000);
+        const steps = readSteps(`1 of ${cores} cores for ${runMs} ms`);
+        for (let atMs = 0, number = 1; atMs < streamForMs; atMs += everyMs, number += 1) {
+            cell.clock.setTimer(atMs, () => cell.submit(jobIdOf(number), steps, lowerQueueKey));
+        }
+        await cell.clock.advance(gangAfterMs);
+        cell.submit(gangId, readSteps(`${workers} gang of ${gangCores} cores for 1000 ms`));
+        const submittedAtMs = cell.clock.monotonicMs();
+        const begins = (): number | undefined =>
+            cell.workers.evidence.find(({ taskName }) => taskName.startsWith(gangId))?.startedAtMs;
+        await cell.until(() => begins() !== undefined, streamForMs);
+        part(this).gangWaitedMs = (begins() ?? Infinity) - submittedAtMs;
+    },
+);
+
+Then("the gang begins within {int} ms", function(this: ScenarioWorld, limitMs: number) {
+    const waitedMs = part(this).gangWaitedMs;
+    assert.ok(waitedMs <= limitMs, `it begins after ${waitedMs} ms`);
+});
--- a/packages/puffinarch/src/core/shard/askAdvice.ts
+++ b/packages/puffinarch/src/core/shard/askAdvice.ts
@@ -6,8 +6,8 @@
 import type { AdviceDesk } from "./adviceDesk.js";
 import { avoidedByAll, failedLately } from "./avoidance.js";
 import { allowsAnother, countRuns, suits, ticketFor } from "./eligible.js";
+import { passesRests } from "./heldUp.js";
 import { hasEnded, heldBy, isWaiting, type ShardStep, stepNameOf } from "./jobBook.js";
-import { passesRests } from "./restPass.js";
 import type { Reservation, RoomView } from "./roomView.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { isOpen, roomOf, type ShardWorker } from "./workerTable.js";
@@ -162,10 +162,14 @@
             const others = unasked.filter(hasRoom).sort(byRoom(step, nowMs));
             named.push(...others.slice(0, settings.maxAdviceWorkers - named.length));
         }
-        const missing = named.filter(worker =>
-            ticketFor(step, worker.workerId, isOpen(worker, nowMs) ? nowMs : nowMs + leadMs) === undefined
-        ).map(worker => worker.workerId);
-        return [...new Set([...missing, ...dueSoon(wish)])];
+        const lacks = ({ workerId }: ShardWorker, atMs: number): boolean =>
+            ticketFor(step, workerId, atMs) === undefined;
+        const missing = named.filter(worker => lacks(worker, isOpen(worker, nowMs) ? nowMs : nowMs + leadMs));
+        // The members of a gang need theirs at once; those that end during a call would be asked for by turns for ever.
+        const together = spec.gang && missing.length > 0
+            ? named.filter(worker => lacks(worker, nowMs + leadMs))
+            : missing;
+        return [...new Set([...together.map(worker => worker.workerId), ...dueSoon(wish)])];
     };
 
     return {
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -4,8 +4,8 @@
 import type { Step } from "../../types/work.js";
 import { avoidedBy, failedLately } from "./avoidance.js";
 import { allowsAnother, countRuns, suits, ticketFor } from "./eligible.js";
+import { passesRests } from "./heldUp.js";
 import { heldBy, type ShardStep, type ShardTask } from "./jobBook.js";
-import { noteRestWait, passesRests } from "./restPass.js";
 import type { RoomView } from "./roomView.js";
 import { allowsTrial, companyOf, isKeptFrom, isSuspect } from "./trials.js";
 import { isOpen, type ShardWorker } from "./workerTable.js";
@@ -194,12 +194,10 @@
         choose: (task, except) => {
             const { nowMs, rack } = limits;
             const avoided = avoidedBy(task, { workers, nowMs, rack, except });
-            let best: Candidate | undefined;
+            let best: ShardWorker | undefined;
             let bestScore = -Infinity;
-            let atRest = false;
             // Copies may wait: their tasks run.
-            const isCopy = task.runs.length > 0;
-            const mayPass = !isCopy && passesRests(task, nowMs);
+            const mayPass = task.runs.length === 0 && passesRests(task, nowMs);
             for (const candidate of usable) {
                 const { worker, open, hasTicket } = candidate;
                 if (
@@ -207,22 +205,17 @@
                 ) {
                     continue;
                 }
-                // Both waits begin with the failure: one after the other they would be too long.
-                atRest ||= !open;
                 if (avoided.has(worker.workerId) || !open && !(mayPass && hasTicket)) {
                     continue;
                 }
                 const value = score(candidate) - (open ? 0 : restPenalty)
                     - (failedLately(task, worker.workerId, nowMs) ? failedPenalty : 0);
                 if (value > bestScore) {
-                    best = candidate;
+                    best = worker;
                     bestScore = value;
                 }
             }
-            if (atRest && !isCopy && best?.open !== true) {
-                noteRestWait(step, nowMs);
-            }
-            return best?.worker;
+            return best;
         },
         took: worker => {
             const candidate = usable.find(each => each.worker === worker);
--- a/packages/puffinarch/src/core/shard/heldUp.ts
+++ b/packages/puffinarch/src/core/shard/heldUp.ts
@@ -1,50 +1,70 @@
-/** Whether a step that waits has room that is kept for others, so that its wait for it can be bounded. */
+/**
+ * Steps that are held up: workers have room for them, and it is kept for others, the workers rest or have just failed the
+ * task, or a ticket is on its way. Each of these waits has its reason, and each ends in time only if all are counted from
+ * the same moment on.
+ */
 
 import { countRuns, placesIn, placesNeeded, suits } from "./eligible.js";
-import type { ShardStep } from "./jobBook.js";
-import type { RoomView } from "./roomView.js";
+import type { ShardStep, ShardTask } from "./jobBook.js";
 import { isKeptFrom } from "./trials.js";
 import { isOpen, roomOf, type ShardWorker } from "./workerTable.js";
 
+/**
+ * A step waits so long for kept room and for workers at rest. A job of which nothing runs for 3 s though there is room for it
+ * counts as lost; what is left is for the pass and the order that start it, and for a call to the advisor that is late.
+ */
+export const holdPatienceMs = 2_000;
+
 /** What is seen in a pass. */
 interface Sight {
     readonly workers: ReadonlyMap<string, ShardWorker>;
-    readonly view: RoomView;
     readonly nowMs: number;
 }
 
 const mayRunOn = (worker: ShardWorker, step: ShardStep, { workers, nowMs }: Sight): boolean => {
     const { job } = step.occurrence;
-    return (job.queue.advice === undefined || step.advice.good.has(worker.workerId)) && isOpen(worker, nowMs)
-        && suits(worker, step) && !isKeptFrom(worker, job, { workers, nowMs });
+    return (job.queue.advice === undefined || step.advice.good.has(worker.workerId))
+        && isOpen(worker, nowMs, Infinity) && suits(worker, step) && !isKeptFrom(worker, job, { workers, nowMs });
 };
 
 /**
- * Tells whether a step that found no room would have some if none were kept for others: for all members of a gang, else for
- * one task. Each pass asks for each step that waits, so that what most workers fail is looked at first.
+ * Tells whether workers have room for all of a step that has to start at once, were none kept for others and none at rest.
  *
  * @example
- * step.keptOutAtMs = isKeptOut(step, { workers, view, nowMs }) ? step.keptOutAtMs ?? nowMs : undefined;
+ * step.heldUpAtMs = isHeldUp(step, { workers, nowMs }) ? step.heldUpAtMs ?? nowMs : undefined;
  */
-export const isKeptOut = (step: ShardStep, sight: Sight): boolean => {
-    const { gang } = step.spec;
-    const runsOf = countRuns(step);
+export const isHeldUp = (step: ShardStep, sight: Sight): boolean => {
+    const runs = countRuns(step);
     let needed = placesNeeded(step);
-    let isKept = false;
     for (const worker of sight.workers.values()) {
-        const isKeptHere = sight.view.isKept(worker, step);
-        // On the others a single task has just found no room; the members of a gang may be spread over both.
-        if (!gang && !isKeptHere) {
-            continue;
-        }
-        const places = placesIn(roomOf(worker), step, runsOf.get(worker.workerId) ?? 0);
+        const places = placesIn(roomOf(worker), step, runs.get(worker.workerId) ?? 0);
         if (places > 0 && mayRunOn(worker, step, sight)) {
             needed -= places;
-            isKept ||= isKeptHere;
         }
-        if (needed <= 0 && isKept) {
+        if (needed <= 0) {
             return true;
         }
     }
     return false;
 };
+
+/**
+ * Tells whether a step has been held up for long, or will have been at the given time. One that lasts never ends before
+ * those for which room is kept, so that it counts from its turn on.
+ *
+ * @example
+ * hasWaitedLong(step, clock.monotonicMs()); // false
+ */
+export const hasWaitedLong = ({ spec, readyAtMs, heldUpAtMs }: ShardStep, atMs: number): boolean =>
+    atMs - (spec.longRunning ? readyAtMs : heldUpAtMs ?? atMs) >= holdPatienceMs;
+
+/**
+ * Tells whether a task may go to a worker at rest. It waits anew after each failure, so that a worker which fails everything
+ * does not use up its attempts at once.
+ *
+ * @example
+ * passesRests(task, clock.monotonicMs()); // false
+ */
+export const passesRests = ({ step, failedOn }: ShardTask, atMs: number): boolean =>
+    step.heldUpAtMs !== undefined
+    && atMs - Math.max(step.heldUpAtMs, ...failedOn.values()) >= holdPatienceMs;
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -106,10 +106,11 @@
     readonly advice: StepAdvice;
     /** Local time at which it became ready. */
     readyAtMs: number;
-    /** Since when each pass found room for its tasks on workers at rest only, and the newest such pass. */
-    restWait: { readonly sinceMs: number; readonly seenAtMs: number; } | undefined;
-    /** Local time since which it has been kept out of room for others, or its newest start since; undefined where it is not. */
-    keptOutAtMs: number | undefined;
+    /** Local time since which it has been held up beside room for it, or its newest start since; undefined where it is not. */
+    heldUpAtMs: number | undefined;
+    /** Others that waited long took room kept for it so often, and may do so again from this local time on. */
+    timesPassed: number;
+    passableAtMs: number;
 }
 
 /** One occurrence of a job's steps. */
@@ -180,8 +181,9 @@
         gangFailedRun: 0,
         advice: { asked: new Set(), good: new Map(), inFlight: false, notBeforeMs: 0 },
         readyAtMs: 0,
-        restWait: undefined,
-        keptOutAtMs: undefined,
+        heldUpAtMs: undefined,
+        timesPassed: 0,
+        passableAtMs: 0,
     };
     for (let index = 0; index < spec.count; index += 1) {
         const { jobId } = occurrence.job.submission;
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -4,6 +4,7 @@
 import { isTimeToAsk } from "./askAhead.js";
 import { type Chooser, createChooser, openFor } from "./chooseWorker.js";
 import { needsTrial } from "./crashes.js";
+import { isHeldUp } from "./heldUp.js";
 import {
     hasEnded,
     isReady,
@@ -15,7 +16,6 @@
     type ShardTask,
     stepNameOf,
 } from "./jobBook.js";
-import { isKeptOut } from "./keptOut.js";
 import { planRoom } from "./planRoom.js";
 import { createRoomView, type Reservation, type RoomView } from "./roomView.js";
 import { fellAtStart, holdForTrial, startable } from "./trials.js";
@@ -139,6 +139,13 @@
         return run;
     };
 
+    const noteTaken = ({ workerId, task }: ShardRun, view: RoomView): void => {
+        const worker = workers.get(workerId);
+        if (worker !== undefined) {
+            view.tookRoom(worker, task.step);
+        }
+    };
+
     const placeTasks = (step: ShardStep, waiting: readonly ShardTask[], round: Round): readonly ShardRun[] => {
         const runs: ShardRun[] = [];
         const chooser = chooserFor(step, round);
@@ -149,8 +156,7 @@
             const run = isPlain && full ? undefined : placeOne(chooser, task, task.lastRun + 1);
             if (run !== undefined) {
                 runs.push(run);
-                // The rest of a wide step would take all that is kept, for good; each of its tasks waits in turn.
-                step.keptOutAtMs = undefined;
+                noteTaken(run, round.view);
             }
             else if (needsTrial(task)) {
                 holdForTrial(task, openFor(step, workers, round.nowMs), { workers, nowMs: round.nowMs });
@@ -189,6 +195,9 @@
             }
             runs.push(run);
         }
+        for (const run of runs) {
+            noteTaken(run, round.view);
+        }
         return runs;
     };
 
@@ -304,7 +313,8 @@
                 waiting: all.length - runs.length,
             });
             plans.delete(step);
-            step.keptOutAtMs = undefined;
+            step.timesPassed = 0;
+            step.passableAtMs = 0;
             onPlanned(step.occurrence.job, runs);
             if (step.spec.speculative && !step.spec.gang) {
                 copyable.add(step);
@@ -312,13 +322,13 @@
         }
         if (step.spec.gang && waiting.length < step.tasks.length) {
             // It cannot begin before the other members have ended; only its tickets may be there by then.
-            step.keptOutAtMs = undefined;
+            step.heldUpAtMs = undefined;
             asker.askFor({ step, waiting: step.tasks.length, reservations: [], view, nowMs });
             return;
         }
         const left = waiting.length - runs.length;
-        step.keptOutAtMs = left > 0 && isKeptOut(step, { workers, view, nowMs })
-            ? step.keptOutAtMs ?? nowMs
+        step.heldUpAtMs = left > 0 && isHeldUp(step, { workers, nowMs })
+            ? step.heldUpAtMs ?? nowMs
             : undefined;
         if (left > 0) {
             // Room that is kept beside others is of no use to a task that is to run by itself.
--- a/packages/puffinarch/src/core/shard/roomView.ts
+++ b/packages/puffinarch/src/core/shard/roomView.ts
@@ -1,6 +1,7 @@
 /** What of a worker's room a step may use, beside room that is kept for more urgent steps. */
 
-import { type Resources, subtract } from "../../types/resources.js";
+import { add, fits, noResources, type Resources, subtract } from "../../types/resources.js";
+import { hasWaitedLong, holdPatienceMs } from "./heldUp.js";
 import type { ShardRun, ShardStep } from "./jobBook.js";
 import { roomOf, type ShardWorker } from "./workerTable.js";
 
@@ -24,8 +25,8 @@
      * free.
      */
     roomFor(worker: ShardWorker, step: ShardStep, aheadMs?: number): Resources;
-    /** Whether room is kept there for other steps. */
-    isKept(worker: ShardWorker, step: ShardStep): boolean;
+    /** A task of the step was placed there; where it took what is kept, others may not do so again at once. */
+    tookRoom(worker: ShardWorker, step: ShardStep): void;
     /** Whether a task that lasts would take room there that is kept for others, for good. */
     takesKept(worker: ShardWorker, step: ShardStep): boolean;
 }
@@ -41,16 +42,22 @@
 
 /**
  * Room may be kept for as long as an objective allows, for a gang whose last worker is busy, and its plan may never come
- * true: a run beyond its estimate may end at any moment, and does not. A job of which nothing runs for 3 s though there is
- * room for it counts as lost; a task of it takes the room after this, which leaves a call to the advisor and a start their time.
+ * true: a run beyond its estimate may end at any moment, and does not. So a task of a job that has waited long takes the
+ * room, and the next one only after twice the time: a stream of such tasks would else keep the gang out for ever.
  */
-const keptOutMs = 2_000;
+const passedAgainMs = 2 * holdPatienceMs;
+/** Room that is kept for what begins this late would lie idle for long; each job that waits long takes some of it in turn. */
+const farOffMs = 10_000;
 
 const priorityOf = ({ occurrence }: ShardStep): number => occurrence.job.queue.priority;
 
-/** Whether a step has been kept out of room for long; one that lasts never ends before, so that it counts from its turn on. */
-const waitedLong = ({ spec, readyAtMs, keptOutAtMs }: ShardStep, nowMs: number): boolean =>
-    nowMs - (spec.longRunning ? readyAtMs : keptOutAtMs ?? nowMs) >= keptOutMs;
+/** Whether a step that has waited long may take what is kept for another; each task that lasts counts by itself. */
+const mayTake = (step: ShardStep, kept: Reservation, atMs: number): boolean =>
+    hasWaitedLong(step, atMs) && (step.spec.longRunning || kept.step.passableAtMs <= atMs);
+
+/** When the next one may take what is kept after another one did. */
+const nextPassAtMs = ({ step, freeAtMs }: Reservation, nowMs: number): number =>
+    nowMs + (freeAtMs - nowMs > farOffMs ? holdPatienceMs : passedAgainMs * 2 ** step.timesPassed);
 
 /** Whether a task does no harm in kept room: it ends before, or is stopped then and has got on by then. */
 const mayPass = (step: ShardStep, kept: Reservation, nowMs: number): boolean => {
@@ -70,8 +77,6 @@
 export const createRoomView = (nowMs: number): RoomView => {
     const byWorker = new Map<string, Reservation[]>();
     const keptFor = (worker: ShardWorker): readonly Reservation[] => byWorker.get(worker.workerId) ?? [];
-    const isKept = (worker: ShardWorker, step: ShardStep): boolean =>
-        byWorker.get(worker.workerId)?.some(kept => kept.step !== step) === true;
     return {
         keep: reservation => {
             const known = byWorker.get(reservation.workerId);
@@ -85,13 +90,23 @@
         roomFor: (worker, step, aheadMs = 0) => {
             let room = roomOf(worker);
             for (const kept of keptFor(worker)) {
-                if (kept.step !== step && !mayPass(step, kept, nowMs) && !waitedLong(step, nowMs + aheadMs)) {
+                if (kept.step !== step && !mayPass(step, kept, nowMs) && !mayTake(step, kept, nowMs + aheadMs)) {
                     room = subtract(room, kept.held);
                 }
             }
             return room;
         },
-        isKept,
-        takesKept: (worker, step) => step.spec.longRunning && isKept(worker, step),
+        tookRoom: (worker, step) => {
+            const others = keptFor(worker).filter(kept => kept.step !== step && !mayPass(step, kept, nowMs));
+            const held = others.reduce((sum, kept) => add(sum, kept.held), noResources);
+            if (fits(held, roomOf(worker))) {
+                return;
+            }
+            for (const kept of others.filter(each => each.step.passableAtMs <= nowMs)) {
+                kept.step.passableAtMs = nextPassAtMs(kept, nowMs);
+                kept.step.timesPassed += 1;
+            }
+        },
+        takesKept: (worker, step) => step.spec.longRunning && keptFor(worker).some(kept => kept.step !== step),
     };
 };
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -130,7 +130,7 @@
 export { chooseVictims, givesWay } from "./internal.js";
 export { type PlanOptions, planRoom } from "./internal.js";
 export { createRoomView, isPreemptible, type Reservation, type RoomView } from "./internal.js";
-export { isKeptOut } from "./internal.js";
+export { hasWaitedLong, isHeldUp, passesRests } from "./internal.js";
 export {
     inTurn,
     type RankedStep,
@@ -191,7 +191,6 @@
 } from "./internal.js";
 export { openWorkerLink, type WorkerLink, type WorkerLinkOptions } from "./internal.js";
 export { watchWorkerList, type WorkerListOptions } from "./internal.js";
-export { noteRestWait, passesRests } from "./internal.js";
 export { adoptRun, extendLease, holdRoom, isOpen, newWorker, roomOf, type ShardWorker, stillFits } from "./internal.js";
 export { createWorkerWatch, type WorkerWatch, type WorkerWatchOptions } from "./internal.js";
 export {
