Faults of a shard, shapes of jobs and the explored seed stand in three files

Moved, each statement to the letter: how steps are read from words, IDs of jobs and the shapes of jobs to jobShapes.ts; random faults and the run of a seed to exploreSeed.ts; the faults by name stay in shardFaults.ts.

--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -2,8 +2,9 @@
 
 import { Command, Option } from "commander";
 import { type BrokenShardPart, brokenShardParts } from "./brokenShardParts.js";
+import { exploreShardSeed } from "./exploreSeed.js";
+import { crowdedShapes } from "./jobShapes.js";
 import { explorePowerLoss } from "./powerLoss.js";
-import { crowdedShapes, exploreShardSeed } from "./shardFaults.js";
 
 interface Options {
     readonly seeds: string;
--- /dev/null
+++ b/packages/stand-ins/src/shard/jobShapes.ts
@@ -0,0 +1,84 @@
+/** Shapes of jobs for a cell with one shard: steps by words, and what seeded runs submit. */
+
+import type { Step } from "puffinarch";
+import { crashingImages, failingImages, plainStep } from "./shardCell.js";
+
+const imageOf = (words: string): string => {
+    if (words.includes("failing")) {
+        const isFirst = words.includes("first failing");
+        if (words.includes("failing twice")) {
+            return isFirst ? failingImages.firstTwice : failingImages.allTwice;
+        }
+        return isFirst ? failingImages.first : failingImages.all;
+    }
+    if (words.includes("first crashing")) {
+        return crashingImages.first;
+    }
+    return words.includes("crashing") ? crashingImages.all : plainStep.image;
+};
+
+/** Reads steps such as "3, 4 after 0, 2 gang, 1 of 8 accelerators for 2000 ms". */
+export const readSteps = (text: string): readonly Step[] =>
+    text.split(",").map(each => {
+        const words = each.trim();
+        const after = /after (\d+)/.exec(words)?.[1];
+        return {
+            ...plainStep,
+            count: Number.parseInt(words, 10),
+            after: after === undefined ? [] : [Number(after)],
+            gang: words.includes("gang"),
+            longRunning: words.includes("long running"),
+            speculative: words.includes("speculative"),
+            checkpointing: words.includes("checkpointing"),
+            image: imageOf(words),
+            mayMiss: Number(/may miss (\d+)/.exec(words)?.[1] ?? 0),
+            estimateMs: Number(/for (\d+) ms/.exec(words)?.[1] ?? plainStep.estimateMs),
+            size: {
+                ...plainStep.size,
+                cpuMillis: 1_000 * Number(/of (\d+) cores/.exec(words)?.[1] ?? 1),
+                accelerators: Number(/of (\d+) accelerators/.exec(words)?.[1] ?? 0),
+            },
+        };
+    });
+
+/** A job id for a number. */
+export const jobIdOf = (number: number): string => number.toString(16).padStart(16, "0");
+
+/** Steps of jobs where a run asks for no others. */
+export const randomShapes = ["2", "3, 4 after 0", "2, 2 after 0, 1 after 1", "4 gang", "3 speculative, 1 after 0"];
+/** Tasks that need much of a worker, so that most wait for room. */
+export const crowdedShapes = ["2 of 8 cores", "3 of 5 cores checkpointing, 2 of 8 cores after 0", "4 of 3 cores"];
+/** Jobs that last take half of the room of six workers, by tasks of three sizes; their ids follow those of all others. */
+export const lastingShapes = ["4 long running", "2 long running of 4 cores", "1 long running of 8 cores"];
+/** The number of the first job that lasts. */
+export const lastingIds = 9_001;
+/** Jobs that can never be done, as their tasks crash the workers; one is submitted in place of each fifth of the others. */
+export const crashingShapes = [
+    "1 crashing",
+    "3 first crashing",
+    "4 speculative first crashing",
+    "2 gang crashing",
+    "1 long running crashing",
+    "1, 6 crashing after 0",
+];
+/** Jobs that can never be done, as their tasks fail by themselves; one is submitted in place of each fifth of the others. */
+export const failingShapes = [
+    "1 failing",
+    "3 first failing",
+    "3 gang of 3 cores first failing",
+    "3 gang of 3 cores failing",
+    "2 gang of 5 cores first failing",
+    "1, 3 gang of 3 cores first failing after 0",
+];
+/** Jobs that can be done beside those: gangs that need two or three workers too. */
+export const soundShapes = [
+    "2",
+    "3, 4 after 0",
+    "3 gang of 3 cores",
+    "2 gang of 5 cores",
+    "2 of 3 cores, 1 of 5 cores after 0",
+];
+/** Fills a worker for good, so that it is none that a task could go to. */
+export const fillingShape = "1 long running of 8 cores";
+/** The number of the job that fills a worker. */
+export const fillingIds = 9_101;
--- a/packages/stand-ins/src/shard/powerLoss.ts
+++ b/packages/stand-ins/src/shard/powerLoss.ts
@@ -1,9 +1,10 @@
 /** Seeded runs in which all daemons of a large cell lose power, and the store and single daemons fail while they come back. */
 
 import { createSeededRandom } from "puffinarch";
+import { jobIdOf, readSteps } from "./jobShapes.js";
 import type { StoreFault } from "./rowStore.js";
 import { createShardCell, type ShardCell } from "./shardCell.js";
-import { jobIdOf, readSteps, shardFaults } from "./shardFaults.js";
+import { shardFaults } from "./shardFaults.js";
 
 /** What a run showed. */
 export interface PowerLossOutcome {
--- a/packages/stand-ins/src/shard/shardLoad.ts
+++ b/packages/stand-ins/src/shard/shardLoad.ts
@@ -1,8 +1,8 @@
 /** A mixed load on a cell's shard, and what its callers get by kind of job. */
 
 import { hash, type Queue, runEnds, type ShardPolicies, type Step } from "puffinarch";
+import { jobIdOf, readSteps } from "./jobShapes.js";
 import { createShardCell, type ShardCell, testQueue } from "./shardCell.js";
-import { jobIdOf, readSteps } from "./shardFaults.js";
 
 /** Jobs of one kind, submitted one after the other. */
 export interface LoadKind {
