--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -72,6 +72,8 @@
             | 57   | last |
             | 352  | last |
             | 3092 | end  |
+            | 261  | end  |
+            | 309  | end  |
 
     # Their leases are over before anyone can know that they crashed.
     Scenario Outline: Crashed workers that are away for longer than their leases, seed <seed>
