--- a/features/steps/crashingSteps.ts
+++ b/features/steps/crashingSteps.ts
@@ -116,6 +116,27 @@
     },
 );
 
+When(
+    "orders get lost until a start is given up, {int} ms at the most",
+    async function(this: ScenarioWorld, limitMs: number) {
+        const cell = cellOf(this);
+        for (const workerId of cell.workers.workerIds()) {
+            cell.workers.setFault(workerId, "deaf");
+        }
+        const isGivenUp = (): boolean => cell.log.some(({ event }) => event === "startUnanswered");
+        assert.ok(await cell.until(isGivenUp, limitMs), "no start was given up");
+        for (const workerId of cell.workers.workerIds()) {
+            cell.workers.setFault(workerId, "none");
+        }
+    },
+);
+
+Then("a task is started within {int} ms", async function(this: ScenarioWorld, limitMs: number) {
+    const cell = cellOf(this);
+    const before = cell.workers.evidence.length;
+    assert.ok(await cell.until(() => cell.workers.evidence.length > before, limitMs), "no task was started");
+});
+
 Then(
     /^the crashing jobs? (?:is|are) "([^"]*)" within (\d+) ms$/,
     async function(this: ScenarioWorld, state: string, limitMs: string) {
