A start that is given up raises the token, so that the next answered look settles it

Callers saw a task under which one worker had crashed stand for 5 to 6 s though there was room, where the one order for it got lost; and such a start counted as a crash of its worker where that went down within those seconds for another cause.

Cause: a start without an answer was held until the lease was over that its order would have brought, as only then no copy can be carried out. Looks that did not list the run meanwhile proved nothing, as they carried the token of the order.

The link takes the newest token when it gives a start up. A life that has answered a look under it refuses each copy of the order, so that a look sent later which does not list the run proves it gone. Where there is no newer token, the lease is waited for as before. A next life is told to refuse the order as before. A look that an order with a higher token has overtaken neither ends the office nor counts as silence.

--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -124,7 +124,7 @@
             endPause = end;
         });
 
-    /** The worker refused an order since a look of this owner with a higher token overtook it; nothing was done. */
+    /** The worker refused it since a look or an order of this owner with a higher token overtook it; nothing was done. */
     const isOvertaken = (outcome: OrderOutcome, sentToken: number): boolean =>
         outcome === orderOutcomes.fenced && sentToken < token;
 
@@ -180,8 +180,9 @@
         meter.count("looks");
         const acknowledgedEnd = acknowledgedNow();
         answeredLast = false;
+        const sentToken = token;
         const look = await workers.look(target(), {
-            fencingToken: token,
+            fencingToken: sentToken,
             acknowledgedEnd,
             deadlineMs,
             waitMs,
@@ -210,7 +211,8 @@
             await options.onLook(worker, look, sentAtMs);
             return;
         }
-        if (endsLink(look.outcome, token)) {
+        if (endsLink(look.outcome, sentToken) || isOvertaken(look.outcome, sentToken)) {
+            // An order with a higher token that came first shows that the worker answers; the next look carries that token.
             return;
         }
         // Whatever answers next may be another life.
@@ -285,10 +287,14 @@
         options.onNotStarted(worker, run, outcome);
     };
 
-    /** No copy is carried out once its lease would be over, so that a later look which does not list the run proves it gone. */
-    const giveUpStart = (run: ShardRun): void => {
+    /**
+     * A life that has answered a look under a higher token refuses each copy, so that a later look which does not list the run proves it
+     * gone. Without a higher token no copy is carried out once its lease would be over.
+     */
+    const giveUpStart = (run: ShardRun, sentToken: number): void => {
         log.write("warn", "startUnanswered", { task: run.task.name, run: run.run, ...lifeOf(worker) });
-        run.settledAtMs = worker.horizonMs;
+        token = newestToken();
+        run.settledAtMs = token > sentToken ? clock.monotonicMs() : worker.horizonMs;
     };
 
     const startUntilSettled = async (run: ShardRun, checkpoint: string, ticket: string): Promise<void> => {
@@ -361,7 +367,7 @@
             }
             // One order that got lost says little of a worker, and rests none.
             if (waitedLong || isSentOnce(run.task)) {
-                giveUpStart(run);
+                giveUpStart(run, sentToken);
                 return;
             }
             await sleep(clock, orderPauseMs);
