A worker that does not answer orders rests from the moment on, not from the end of its leases

What callers saw: accepted tasks stood for 8 s after orders reached their workers again. Cause: a start without an answer for 2 s is given up, and its worker got no work until 3 s after the end of its leases, some 8 s later, though it answers looks; since the next answered look settles such a start, nothing is waited for that long. Mend: it rests for 3 s from the moment at which the start was given up.

--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -363,7 +363,7 @@
             unanswered = true;
             const waitedLong = worker.silentLooks === 0 && clock.monotonicMs() - beganAtMs > startPatienceMs;
             if (waitedLong) {
-                worker.avoidUntilMs = Math.max(worker.avoidUntilMs, worker.horizonMs + unansweredRestMs);
+                worker.avoidUntilMs = Math.max(worker.avoidUntilMs, clock.monotonicMs() + unansweredRestMs);
             }
             // One order that got lost says little of a worker, and rests none.
             if (waitedLong || isSentOnce(run.task)) {
