--- a/features/failedTasks.feature
+++ b/features/failedTasks.feature
@@ -53,3 +53,17 @@
             | shrunk | 1 long running of 3 cores      | 2     |
             | full   | 3 gang long running of 3 cores | 1     |
             | shrunk | 3 gang long running of 3 cores | 1     |
+
+    # A task with one attempt left stood for 6.8 s in a calm cell: two workers had failed it and were empty since, and a third one was to be
+    # free in 7 s. What several workers have failed is likely to be the cause itself; so the longer wait, which is for a worker
+    # that fails everything, needs that one worker failed it, that half of all room is in use and that others have room in time.
+    Scenario Outline: The last attempt waits for room in sight: <left> left, failed by <failed>, others busy for <busy> ms
+        Given a task with <left> attempts left that <failed> of 4 workers failed 3000 ms ago, while the others are busy for <busy> ms
+        Then it keeps off <count> workers
+
+        Examples:
+            | left | failed | busy  | count |
+            | 1    | 1      | 2000  | 1     |
+            | 1    | 1      | 9000  | 0     |
+            | 1    | 2      | 2000  | 0     |
+            | 2    | 1      | 2000  | 0     |
--- a/features/steps/failedTaskSteps.ts
+++ b/features/steps/failedTaskSteps.ts
@@ -1,13 +1,24 @@
 import { Given, Then, When } from "@cucumber/cucumber";
-import { jobIdOf, readSteps, type ShardCell, testQueue } from "@puffinarch/stand-ins";
+import { jobIdOf, plainStep, readSteps, type ShardCell, testQueue, workerEntry } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { runEnds } from "puffinarch";
+import {
+    adoptRun,
+    avoidedBy,
+    newJob,
+    newRun,
+    newWorker,
+    runEnds,
+    runPhases,
+    type ShardJob,
+    type ShardTask,
+} from "puffinarch";
 import { cellOf, startCell } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
     /** The worker that has no room for the job. */
     third: string;
+    avoided: number;
 }
 
 /** Ids of the job that a scene looks at, and of one that fills a worker, so that they are told from those of all others. */
@@ -21,7 +32,7 @@
 const capacity = { cpuMillis: 8_000, memoryMib: 16_000, accelerators: 0 };
 const shrunkShare = 0.2;
 
-const part = (world: ScenarioWorld): Part => partOf(world, "failedTasks", () => ({ third: "" }));
+const part = (world: ScenarioWorld): Part => partOf(world, "failedTasks", () => ({ third: "", avoided: -1 }));
 
 const runsOf = (cell: ShardCell) => cell.workers.evidence.filter(({ taskName }) => taskName.startsWith(`${jobId}.`));
 
@@ -142,3 +153,51 @@
         assert.ok(reached, "nothing of it is at work");
     },
 );
+
+const jobOfOneTask = (id: string, estimateMs: number): ShardJob =>
+    newJob(
+        {
+            jobId: id,
+            queueKey: testQueue.key,
+            dataCentre: "leon-feria",
+            payload: "plan",
+            steps: [{ ...plainStep, estimateMs, size: capacity }],
+            schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
+        },
+        testQueue,
+        { acceptedAtMs: 0, order: 1 },
+    );
+
+const taskOf = (job: ShardJob): ShardTask =>
+    job.occurrences.get(0)?.steps[0]?.tasks[0] ?? assert.fail("the job has no task");
+
+Given(
+    "a task with {int} attempt(s) left that {int} of {int} workers failed {int} ms ago, while the others are busy for {int} ms",
+    function(this: ScenarioWorld, left: number, failed: number, count: number, agoMs: number, busyMs: number) {
+        const nowMs = 10_000;
+        const task = taskOf(jobOfOneTask(jobId, 1_000));
+        task.failures = testQueue.attempts - left;
+        const workers = Array.from({ length: count }, (_, index) => {
+            const worker = newWorker(workerEntry(`i-${index}`, index, capacity), nowMs);
+            worker.certain = true;
+            worker.clock = { localMs: 0, clockMs: 0 };
+            if (index < failed) {
+                task.failedOn.set(worker.workerId, nowMs - agoMs);
+            }
+            else {
+                const busy = taskOf(jobOfOneTask(jobIdOf(7_000 + index), busyMs));
+                adoptRun(
+                    worker,
+                    newRun(busy, worker.workerId, 1, { phase: runPhases.running, startedAtMs: nowMs }),
+                );
+            }
+            return worker;
+        });
+        const byId = new Map(workers.map(worker => [worker.workerId, worker]));
+        part(this).avoided = avoidedBy(task, { workers: byId, nowMs }).size;
+    },
+);
+
+Then("it keeps off {int} worker(s)", function(this: ScenarioWorld, count: number) {
+    assert.equal(part(this).avoided, count);
+});
