--- a/features/steps/tokenSteps.ts
+++ b/features/steps/tokenSteps.ts
@@ -16,9 +16,9 @@
     holdRoom,
     type LateOrders,
     newJob,
+    newRun,
     newWorker,
     openWorkerLink,
-    runPhases,
     type ShardRun,
     type ShardWorker,
     sleep,
@@ -90,22 +90,7 @@
     };
     const task = newJob(submission, testQueue, { acceptedAtMs: 0, order: 1 }).occurrences.get(0)?.steps[0]?.tasks[0];
     assert.ok(task !== undefined);
-    const run: ShardRun = {
-        task,
-        run: 1,
-        workerId: worker.workerId,
-        bornAtMs: undefined,
-        address: "",
-        held: plainStep.size,
-        phase: runPhases.planned,
-        sentAtMs: undefined,
-        settledAtMs: undefined,
-        shown: false,
-        startedAtMs: undefined,
-        percent: 100,
-        figure: 0,
-        idleSinceMs: undefined,
-    };
+    const run = newRun(task, worker.workerId, 1);
     holdRoom(worker, run);
     return run;
 };
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -106,7 +106,7 @@
     readonly advice: StepAdvice;
     /** Local time at which it became ready. */
     readyAtMs: number;
-    /** Local time since which it has been held up beside room for it, or its newest start since; undefined where it is not. */
+    /** Local time since which it has been held up beside room for it; undefined where it is not. */
     heldUpAtMs: number | undefined;
     /** Others that waited long took room kept for it so often, and may do so again from this local time on. */
     timesPassed: number;
