A start is sent once: a look under a newer token settles one without an answer

Callers saw tasks run again after their ends had been acknowledged, and workers go down one after the other under a crashing task. Cause: a start without an answer was sent up to five times in 2 s. Orders that are late are carried out by whichever incarnation has the worker's ID by then, and one that no look has reached refuses none of the copies.

Now each start has one copy. Without an answer within 150 ms its job is committed, so that this owner has a newer token, and a look with that token replaces the one under way: it lists the run, or the worker surely refuses the order, and the task is placed anew at once. A circuit breaker by worker takes the place of the rest of 3 s: one start at a time after 0.1 to 1.5 s, until one is answered. The scene fails on the former code (start 7, start 7, start 7) and passes.

--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -128,6 +128,12 @@
             | 8      | 7, 8   | keeps |
             | 7      | 7      | loses |
 
+    # Each copy of a start that came late could be carried out by another incarnation of its worker: tasks ran again after their ends
+    # had been acknowledged, and crashing ones took one incarnation down after the other.
+    Scenario: A start that gets no answer is sent once, and a look under the next token settles it
+        When a start gets no answer from a worker that answers looks, and the owner commits then
+        Then what is sent is "start 7, look 8, look 8"
+
     # A life that was back before a look could fail got one with the token of all that had been sent before, and answered it after 1 s.
     Scenario Outline: A look after <ms> ms without one carries the tokens "<tokens>"
         When the ends of a look take <ms> ms to be durable and the owner commits meanwhile
--- a/features/steps/examples/shardLives.ts
+++ b/features/steps/examples/shardLives.ts
@@ -1,18 +1,23 @@
 /** Examples of the lives of workers and what is told from their ends; each is an embedding of one module. */
 
-import { createFakeClock } from "@puffinarch/stand-ins";
+import { createFakeClock, quietLog, quietMeter } from "@puffinarch/stand-ins";
 import {
     adoptRun,
+    allowsStart,
     countCrash,
     crashedRuns,
     createFalls,
     createLateOrders,
     createLostRuns,
+    createRunOrders,
     enterLife,
     isOtherLife,
     isSettledByLook,
     leaveLife,
     lifeOf,
+    noteStartAnswered,
+    noteStartUnanswered,
+    runPhases,
     showSound,
     withUndecided,
 } from "puffinarch";
@@ -49,6 +54,62 @@
     return `${before} order, then ${late.has("i-1", order) ? "still one" : "none"}`;
 };
 
+const startBreaker = (): string => {
+    const worker = openWorker();
+    const run = { ...runOf(exampleJob()), phase: runPhases.planned };
+    noteStartUnanswered(worker, 1_000, 1_150);
+    noteStartUnanswered(worker, 1_001, 1_151);
+    const restMs = worker.avoidUntilMs - 1_150;
+    adoptRun(worker, run);
+    const halfOpen = allowsStart(worker);
+    noteStartAnswered(worker);
+    return `${restMs} ms without starts, then ${halfOpen ? "all" : "one at a time"}, then ${
+        allowsStart(worker) ? "all" : "none"
+    }`;
+};
+
+const runOrders = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const worker = openWorker();
+    const lateOrders = createLateOrders(clock);
+    let token = 7;
+    let looks = 0;
+    const orders = createRunOrders({
+        clock,
+        log: quietLog,
+        meter: quietMeter,
+        worker,
+        workers: {
+            start: async () => "unknown",
+            stop: async () => "done",
+            pace: async () => "done",
+            look: async () => ({ outcome: "unknown" }),
+        },
+        target: () => ({ workerId: "i-1", address: "10.0.0.1:1" }),
+        leaseMs: 5_000,
+        orderPauseMs: 100,
+        lateOrders,
+        isClosed: () => false,
+        token: () => token,
+        renewToken: () => {},
+        isOvertaken: () => false,
+        endsLink: () => false,
+        lookSoon: () => {
+            looks += 1;
+        },
+        onStarted: () => {},
+        onNotStarted: () => {},
+        onUnanswered: async () => {
+            token = 8;
+        },
+    });
+    worker.clock = { localMs: 0, clockMs: 0 };
+    const run = { ...runOf(exampleJob()), phase: runPhases.starting };
+    adoptRun(worker, run);
+    await orders.start(run, "", "");
+    return `${lateOrders.of("i-1").length} order without an answer, ${looks} look under token ${token}`;
+};
+
 const lives = (): string => {
     const { workerId, bornAtMs } = lifeOf({ ...openWorker(), bornAtMs: 1_000 });
     const next = isOtherLife(bornAtMs, 900) ? "another life" : "the same life";
@@ -87,6 +148,8 @@
     lostRuns,
     lives,
     lateOrders,
+    startBreaker,
+    runOrders,
     nextLife,
     falls,
 };
--- a/features/steps/examples/shardWorkers.ts
+++ b/features/steps/examples/shardWorkers.ts
@@ -189,6 +189,7 @@
         onFenced: () => {},
         onNotStarted: () => {},
         onStarted: () => {},
+        onUnanswered: async () => {},
     });
     await clock.advance(2_500);
     link.close();
--- a/features/steps/shardLookSteps.ts
+++ b/features/steps/shardLookSteps.ts
@@ -80,6 +80,7 @@
         onFenced: () => {},
         onNotStarted: () => {},
         onStarted: () => {},
+        onUnanswered: async () => {},
     });
 
 When(
--- a/features/steps/tokenSteps.ts
+++ b/features/steps/tokenSteps.ts
@@ -31,6 +31,8 @@
     readonly tokens: number[];
     /** Whether the owner took itself for replaced. */
     fenced: boolean;
+    /** Orders and looks from the first start on, with their tokens. */
+    readonly sent: string[];
     /** How long a worker had been back when a look reached it. */
     metAfterMs: number | undefined;
 }
@@ -38,6 +40,7 @@
 const part = (world: ScenarioWorld): Part =>
     partOf(world, "tokens", () => ({
         tokens: [],
+        sent: [],
         fenced: false,
         metAfterMs: undefined,
     }));
@@ -46,13 +49,22 @@
 
 const openLink = (
     world: ScenarioWorld,
-    { clock, worker, port, newestToken, lateOrders = createLateOrders(clock), onLook = async () => {} }: {
+    {
+        clock,
+        worker,
+        port,
+        newestToken,
+        lateOrders = createLateOrders(clock),
+        onLook = async () => {},
+        onUnanswered = async () => {},
+    }: {
         readonly clock: FakeClock;
         readonly worker: ShardWorker;
         readonly port: Pick<FencedWorkerPort, "start" | "look">;
         readonly newestToken: () => number;
         readonly lateOrders?: LateOrders;
         readonly onLook?: () => Promise<void>;
+        readonly onUnanswered?: () => Promise<void>;
     },
 ): WorkerLink =>
     openWorkerLink(worker, {
@@ -77,6 +89,7 @@
         },
         onNotStarted: () => {},
         onStarted: () => {},
+        onUnanswered,
     });
 
 const runOn = (worker: ShardWorker): ShardRun => {
@@ -147,6 +160,20 @@
     },
 );
 
+/** Looks that a worker answers once it is back. */
+const lookOnceBack = (world: ScenarioWorld, clock: FakeClock, downMs: number): FencedWorkerPort["look"] =>
+async (
+    _target,
+    { waitMs },
+) => {
+    if (clock.monotonicMs() < downMs) {
+        return { outcome: "unknown" };
+    }
+    part(world).metAfterMs ??= clock.monotonicMs() - downMs;
+    await sleep(clock, Math.max(1, waitMs));
+    return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: [] };
+};
+
 When(
     "a worker is down for {int} ms, and {int} starts there got no answer",
     async function(this: ScenarioWorld, downMs: number, starts: number) {
@@ -162,14 +189,7 @@
             lateOrders,
             port: {
                 start: async () => "unknown",
-                look: async (_target, { waitMs }) => {
-                    if (clock.monotonicMs() < downMs) {
-                        return { outcome: "unknown" };
-                    }
-                    part(this).metAfterMs ??= clock.monotonicMs() - downMs;
-                    await sleep(clock, Math.max(1, waitMs));
-                    return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: [] };
-                },
+                look: lookOnceBack(this, clock, downMs),
             },
         });
         await clock.advance(downMs + 1_000);
@@ -217,6 +237,46 @@
     },
 );
 
+When(
+    "a start gets no answer from a worker that answers looks, and the owner commits then",
+    async function(this: ScenarioWorld) {
+        const clock = createFakeClock();
+        const { sent } = part(this);
+        const worker = newWorker(workerEntry("i-1", 1), 0);
+        let newest = fencingToken;
+        const link = openLink(this, {
+            clock,
+            worker,
+            newestToken: () => newest,
+            onUnanswered: async () => {
+                await sleep(clock, 10);
+                newest += 1;
+            },
+            port: {
+                start: async (_target, order, timeoutMs) => {
+                    sent.push(`start ${order.fencingToken}`);
+                    await sleep(clock, timeoutMs);
+                    return "unknown";
+                },
+                look: async (_target, { fencingToken: token, waitMs }) => {
+                    sent.push(`look ${token}`);
+                    await sleep(clock, Math.max(1, waitMs));
+                    return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: [] };
+                },
+            },
+        });
+        await clock.advance(5);
+        sent.splice(0);
+        link.start(runOn(worker), "", "");
+        await clock.advance(900);
+        link.close();
+    },
+);
+
+Then("what is sent is {string}", function(this: ScenarioWorld, text: string) {
+    assert.equal(part(this).sent.join(", "), text);
+});
+
 Then("the tokens sent are {string}", function(this: ScenarioWorld, text: string) {
     assert.equal(part(this).tokens.join(", "), text);
 });
--- a/packages/puffinarch/src/core/shard/crashes.ts
+++ b/packages/puffinarch/src/core/shard/crashes.ts
@@ -111,15 +111,6 @@
 export const needsTrial = ({ crashes, unresolvedAtMs }: ShardTask): boolean =>
     crashes + unresolvedAtMs.length >= crashesToSeparate;
 
-/**
- * Tells whether a worker has crashed under a task. Its start is sent once: each further copy of an order that is carried
- * out late may crash the next life of a worker that starts again under its id.
- *
- * @example
- * isSentOnce(task); // false for a task that was started once
- */
-export const isSentOnce = ({ crashes, crashesExcused }: ShardTask): boolean => crashes + crashesExcused > 0;
-
 /**
  * Tells whether a task waits to know whether a worker crashed under it: it might be started too often. A worker that does
  * not come back is not waited for longer than most take.
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -289,6 +289,7 @@
                 }
                 void changed(step.occurrence.job);
             },
+            onUnanswered: run => changed(run.task.step.occurrence.job),
             onStarted: (holder, run) => {
                 run.startedAtMs = clock.monotonicMs();
                 options.onStarted(run.task.step.occurrence.job);
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -1,18 +1,18 @@
-/** One worker's side of a shard: looks that renew leases and bring ends, and orders that are repeated until settled. */
+/** One worker's side of a shard: looks that renew leases and bring ends, and orders about its runs. */
 
 import { type FencedWorkerPort, type LookResult, type OrderOutcome, orderOutcomes } from "../../types/cellPorts.js";
 import type { CancelTimer, Clock, Log, Meter } from "../../types/ports.js";
-import { sleep } from "../../utils/time.js";
-import { isSentOnce } from "./crashes.js";
 import type { FirstLooks } from "./firstLooks.js";
 import { runPhases, type ShardRun } from "./jobBook.js";
 import type { LateOrder, LateOrders } from "./lateOrders.js";
 import { isOtherLife, lifeOf } from "./lives.js";
-import { extendLease, runKey, type ShardWorker, stillFits } from "./workerTable.js";
+import { createRunOrders } from "./runOrders.js";
+import { extendLease, type ShardWorker } from "./workerTable.js";
 
-/** An order takes a round trip of some milliseconds; without an answer by the first it is sent again, up to the last. */
-const shortestOrderMs = 150;
-const longestOrderMs = 600;
+/** Starts that are given up within this time share a look. */
+const gatherMs = 2;
+/** How long a stop of a run that nobody knows may take. */
+const stopUnknownTimeoutMs = 600;
 /**
  * A look answers after the time that it may wait, and this. A daemon that reads answers later than that waits longer next
  * time, up to the last: two such looks still fit into a lease of 5 s.
@@ -23,8 +23,6 @@
 const ownLateMs = 50;
 /** Looks that this daemon may have read too late say nothing of the worker for this long after its last answer. */
 const forgivenMs = 5_000;
-/** A start without an answer for this long, from a worker that answers looks, is given up. */
-const startPatienceMs = 2_000;
 /**
  * Between looks at a silent worker to which orders may be under way: the next life carries them out until a look has reached
  * it.
@@ -32,8 +30,6 @@
 const lateOrderPauseMs = 50;
 /** Without a look there for longer than this, a worker may have been down and back. */
 const unseenMs = 50;
-/** A worker that does not answer orders gets none for this long after that. */
-const unansweredRestMs = 3_000;
 
 /** What the links of a shard share. */
 export interface WorkerLinkOptions {
@@ -54,7 +50,7 @@
     readonly lateOrders: LateOrders;
     /** Pause between looks while the ends that it shows cannot be made durable, or it does not answer. */
     readonly lookPauseMs: number;
-    /** Pause before an order without an answer is sent again. */
+    /** Pause before an order is sent, or sent again, to a worker that did not answer. */
     readonly orderPauseMs: number;
     /** Takes what a look brought; resolves when the next look may be sent. */
     readonly onLook: (
@@ -71,6 +67,8 @@
     /** The run surely does not and will not run there. */
     readonly onNotStarted: (worker: ShardWorker, run: ShardRun, outcome: OrderOutcome) => void;
     readonly onStarted: (worker: ShardWorker, run: ShardRun) => void;
+    /** A start got no answer; resolves once a commit has brought this owner a newer token. */
+    readonly onUnanswered: (run: ShardRun) => Promise<unknown>;
 }
 
 /** Talks to one worker until it is closed. */
@@ -94,7 +92,7 @@
  * const link = openWorkerLink(worker, options);
  */
 export const openWorkerLink = (worker: ShardWorker, options: WorkerLinkOptions): WorkerLink => {
-    const { clock, log, meter, workers, leaseMs, lookWaitMs, lookPauseMs, orderPauseMs } = options;
+    const { clock, log, meter, workers, leaseMs, lookWaitMs, lookPauseMs } = options;
     const newestToken = (): number => Math.max(options.fencingToken, options.newestToken?.() ?? 0);
     /**
      * What is said to the worker carries it. It rises where another life may answer from now on: that life refuses what was sent
@@ -110,6 +108,9 @@
     let heardAtMs = clock.monotonicMs();
     let patienceMs = shortestPatienceMs;
     let endPause: (() => void) | undefined;
+    /** A look that does not wait is wanted; the one under way is abandoned for it where it waits. */
+    let lookWanted = false;
+    let abandonLook: (() => void) | undefined;
 
     const target = () => ({ workerId: worker.workerId, address: worker.entry.address });
 
@@ -168,6 +169,22 @@
     const acknowledgedNow = (): number =>
         answeredLast && worker.acknowledgedEnd > forgottenEnd ? worker.acknowledgedEnd : 0;
 
+    /**
+     * Gives undefined where another look is wanted before this one is answered. Its answer is dropped then, since it may be older than
+     * that of the next look; what it lists stays listed.
+     */
+    const untilAbandoned = async (answer: Promise<LookResult>, waitMs: number): Promise<LookResult | undefined> => {
+        if (waitMs === 0) {
+            return answer;
+        }
+        const abandoned = new Promise<undefined>(resolve => {
+            abandonLook = () => resolve(undefined);
+        });
+        const look = await Promise.race([answer, abandoned]);
+        abandonLook = undefined;
+        return look;
+    };
+
     const lookOnce = async (answered: () => void): Promise<void> => {
         const sentAtMs = clock.monotonicMs();
         if (sentAtMs - heardAtMs > unseenMs) {
@@ -176,20 +193,16 @@
         // A worker that is silent may get each of these orders late; renewing its lease would put off its end for ever.
         const deadlineMs = worker.silentLooks > 0 ? undefined : extendLease(worker, sentAtMs, leaseMs);
         const ready = deadlineMs !== undefined;
-        const waitMs = ready ? lookWaitMs : 0;
+        const waitMs = ready && !lookWanted ? lookWaitMs : 0;
+        lookWanted = false;
         meter.count("looks");
         const acknowledgedEnd = acknowledgedNow();
         answeredLast = false;
         const sentToken = token;
-        const look = await workers.look(target(), {
-            fencingToken: sentToken,
-            acknowledgedEnd,
-            deadlineMs,
-            waitMs,
-            patienceMs,
-        });
+        const order = { fencingToken: sentToken, acknowledgedEnd, deadlineMs, waitMs, patienceMs };
+        const look = await untilAbandoned(workers.look(target(), order), waitMs);
         answered();
-        if (closed) {
+        if (closed || look === undefined) {
             return;
         }
         if (look.outcome === "done") {
@@ -242,156 +255,45 @@
         }
     };
 
-    /** Stops without an answer may still be under way, so they are sent until the run is gone. */
-    const stopUntilGone = async (run: ShardRun): Promise<void> => {
-        let timeoutMs = shortestOrderMs;
-        while (!closed && worker.runs.has(runKey(run.task.name, run.run))) {
-            const order = { taskName: run.task.name, run: run.run, fencingToken: token };
-            const outcome = await workers.stop(target(), order, timeoutMs);
-            timeoutMs = Math.min(longestOrderMs, 2 * timeoutMs);
-            meter.count(`stops.${outcome}`);
-            if (outcome === orderOutcomes.done || outcome === orderOutcomes.stale) {
-                run.settledAtMs = clock.monotonicMs();
-                return;
-            }
-            if (endsLink(outcome, order.fencingToken)) {
-                return;
-            }
-            await sleep(clock, orderPauseMs);
-        }
-    };
-
-    /** A stop of a run that is not there makes the worker refuse it when it comes. */
-    const refuseUntilAnswered = async ({ taskName, run }: LateOrder): Promise<void> => {
-        while (!closed && options.lateOrders.has(worker.workerId, { taskName, run })) {
-            const order = { taskName, run, fencingToken: token };
-            const outcome = await workers.stop(target(), order, longestOrderMs);
-            if (
-                outcome === orderOutcomes.done || outcome === orderOutcomes.stale
-                || endsLink(outcome, order.fencingToken)
-            ) {
-                return;
-            }
-            await sleep(clock, orderPauseMs);
-        }
-    };
-
-    /** Handlers for a start that was surely not carried out. */
-    const notStarted = (run: ShardRun, outcome: OrderOutcome, unanswered: boolean): void => {
-        if (unanswered) {
-            // An earlier copy may still arrive; a stop makes the worker refuse it.
-            run.phase = runPhases.stopping;
-            void stopUntilGone(run);
-            return;
-        }
-        options.onNotStarted(worker, run, outcome);
-    };
-
-    /**
-     * A life that has answered a look under a higher token refuses each copy, so that a later look which does not list the run proves it
-     * gone. Without a higher token no copy is carried out once its lease would be over.
-     */
-    const giveUpStart = (run: ShardRun, sentToken: number): void => {
-        log.write("warn", "startUnanswered", { task: run.task.name, run: run.run, ...lifeOf(worker) });
-        token = newestToken();
-        run.settledAtMs = token > sentToken ? clock.monotonicMs() : worker.horizonMs;
-    };
-
-    const startUntilSettled = async (run: ShardRun, checkpoint: string, ticket: string): Promise<void> => {
-        let unanswered = false;
-        let timeoutMs = shortestOrderMs;
-        const beganAtMs = clock.monotonicMs();
-        while (!closed && run.phase === runPhases.starting && worker.runs.has(runKey(run.task.name, run.run))) {
-            if (!stillFits(worker, run)) {
-                notStarted(run, orderOutcomes.noRoom, unanswered);
-                return;
-            }
-            const deadlineMs = worker.silentLooks > 0
-                ? undefined
-                : extendLease(worker, clock.monotonicMs(), leaseMs);
-            if (deadlineMs === undefined) {
-                await sleep(clock, orderPauseMs);
-                continue;
-            }
-            const sentToken = token;
-            const outcome = await workers.start(target(), {
-                taskName: run.task.name,
-                run: run.run,
-                payload: run.task.step.occurrence.job.submission.payload,
-                deadlineMs,
-                fencingToken: sentToken,
-                checkpoint,
-                ticket,
-            }, timeoutMs);
-            timeoutMs = Math.min(longestOrderMs, 2 * timeoutMs);
-            meter.count(`starts.${outcome}`);
-            if (outcome === orderOutcomes.unknown) {
-                options.lateOrders.note(worker.workerId, { taskName: run.task.name, run: run.run });
-            }
-            if (closed || run.phase !== runPhases.starting) {
-                return;
-            }
-            if (outcome === orderOutcomes.done) {
-                run.phase = runPhases.running;
-                run.settledAtMs = clock.monotonicMs();
-                options.onStarted(worker, run);
-                return;
-            }
-            if (outcome === orderOutcomes.stale) {
-                // It has ended there already; the next look brings the end.
-                run.phase = runPhases.running;
-                run.settledAtMs = clock.monotonicMs();
-                return;
-            }
-            if (endsLink(outcome, sentToken)) {
-                return;
-            }
-            if (isOvertaken(outcome, sentToken)) {
-                continue;
-            }
-            if (outcome !== orderOutcomes.unknown) {
-                log.write("warn", "startRefused", {
-                    task: run.task.name,
-                    run: run.run,
-                    ...lifeOf(worker),
-                    outcome,
-                    unanswered,
-                });
-                notStarted(run, outcome, unanswered);
-                return;
-            }
-            unanswered = true;
-            const waitedLong = worker.silentLooks === 0 && clock.monotonicMs() - beganAtMs > startPatienceMs;
-            if (waitedLong) {
-                worker.avoidUntilMs = Math.max(worker.avoidUntilMs, clock.monotonicMs() + unansweredRestMs);
-            }
-            // One order that got lost says little of a worker, and rests none.
-            if (waitedLong || isSentOnce(run.task)) {
-                giveUpStart(run, sentToken);
-                return;
-            }
-            await sleep(clock, orderPauseMs);
-        }
-    };
+    const orders = createRunOrders({
+        ...options,
+        worker,
+        target,
+        isClosed: () => closed,
+        token: () => token,
+        renewToken: () => {
+            token = newestToken();
+        },
+        isOvertaken,
+        endsLink,
+        lookSoon: () => {
+            clock.setTimer(gatherMs, () => {
+                lookWanted = true;
+                abandonLook?.();
+            });
+        },
+        onStarted: run => options.onStarted(worker, run),
+        onNotStarted: (run, outcome) => options.onNotStarted(worker, run, outcome),
+    });
 
     void lookAlways();
     return {
         start: (run, checkpoint, ticket) => {
             run.phase = runPhases.starting;
             run.sentAtMs = clock.monotonicMs();
-            void startUntilSettled(run, checkpoint, ticket);
+            void orders.start(run, checkpoint, ticket);
         },
         stop: run => {
             if (run.phase !== runPhases.stopping) {
                 run.phase = runPhases.stopping;
                 run.settledAtMs = undefined;
-                void stopUntilGone(run);
+                void orders.stop(run);
             }
         },
         stopUnknown: (taskName, run) => {
-            void workers.stop(target(), { taskName, run, fencingToken: token }, longestOrderMs);
+            void workers.stop(target(), { taskName, run, fencingToken: token }, stopUnknownTimeoutMs);
         },
-        refuse: order => void refuseUntilAnswered(order),
+        refuse: order => void orders.refuse(order),
         pace: (run, percent) => {
             void workers.pace(target(), { taskName: run.task.name, run: run.run, fencingToken: token, percent });
         },
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -4,6 +4,7 @@
 import type { WorkerEntry } from "../../types/work.js";
 import type { CrashedRun } from "./crashes.js";
 import type { ShardJob, ShardRun } from "./jobBook.js";
+import { allowsStart } from "./startBreaker.js";
 
 /** How much slower than ours a worker's clock may run. */
 export const slowestClockRate = 0.98;
@@ -54,6 +55,9 @@
     restsUntilMs: number;
     /** Gets no work before this local time. */
     avoidUntilMs: number;
+    /** Starts in a row without an answer, and the local time of the newest that was counted. */
+    unansweredStarts: number;
+    startUnansweredAtMs: number;
     /** Gets no work at all, since its VM is about to go down. */
     cordoned: boolean;
     /** Newest run of a task that is to show whether it crashes its worker; nothing else is started beside it. */
@@ -96,6 +100,8 @@
     restBeganAtMs: -Infinity,
     restsUntilMs: 0,
     avoidUntilMs: 0,
+    unansweredStarts: 0,
+    startUnansweredAtMs: -Infinity,
     cordoned: false,
     trial: undefined,
     trialHold: undefined,
@@ -208,4 +214,4 @@
     (worker.unlistedAtMs === undefined || nowMs - worker.unlistedAtMs < unlistedGraceMs) && worker.certain
     && !worker.entry.draining && !worker.cordoned && worker.clock !== undefined
     && worker.silentLooks < silentLooksToAvoid && worker.avoidUntilMs <= nowMs
-    && worker.restsUntilMs <= nowMs + restLeadMs;
+    && worker.restsUntilMs <= nowMs + restLeadMs && allowsStart(worker);
