Silent workers to which orders may be under way are looked at each 10 ms, by a successor too

Callers saw tasks run again after their ends had been acknowledged, by one late order that met an incarnation of its worker before any look did. Cause: looks at such a worker were 50 ms apart, and 250 ms for a successor, which did not know that orders may be under way for runs that its predecessor's rows name.

Now 10 ms, for runs of a former owner that no look has shown too; the looks of an owner at such workers share slots of 5 ms, so that a hundred workers that are down together cost no more than 200 looks a second. The scene fails before (met after 155 ms in both rows, 10 allowed).

--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -157,6 +157,16 @@
             | 590   | 0      | 250    |
             | 15290 | 1      | 250    |
 
+    # A successor looked at such a worker each 250 ms, and orders of its predecessor were carried out in between.
+    Scenario Outline: A worker that was down for <ms> ms is soon looked at where orders of a former owner may be under way to it
+        When a worker is down for <ms> ms that has a former owner's run which no look has shown
+        Then a look reaches its next life within 10 ms
+
+        Examples:
+            | ms  |
+            | 95  |
+            | 595 |
+
     # Tickets hold for one life of a worker. Each start that showed one of the life before was refused, and placed a second time.
     Scenario: No start shows the ticket of a life that is over
         Given a cell of 3 daemons and 4 workers that check tickets and start again under their IDs 200 ms after a crash
--- a/features/steps/examples/shardLives.ts
+++ b/features/steps/examples/shardLives.ts
@@ -8,6 +8,7 @@
     crashedRuns,
     createFalls,
     createLateOrders,
+    createLookSlots,
     createLostRuns,
     createRunOrders,
     enterLife,
@@ -54,6 +55,11 @@
     return `${before} order, then ${late.has("i-1", order) ? "still one" : "none"}`;
 };
 
+const lookSlots = (): string => {
+    const slots = createLookSlots(createFakeClock());
+    return Array.from({ length: 4 }, () => `${slots.pauseMs(20)} ms`).join(", ");
+};
+
 const startBreaker = (): string => {
     const worker = openWorker();
     const run = { ...runOf(exampleJob()), phase: runPhases.planned };
@@ -148,6 +154,7 @@
     lostRuns,
     lives,
     lateOrders,
+    lookSlots,
     startBreaker,
     runOrders,
     nextLife,
--- a/features/steps/examples/shardWorkers.ts
+++ b/features/steps/examples/shardWorkers.ts
@@ -4,6 +4,7 @@
 import {
     createFirstLooks,
     createLateOrders,
+    createLookSlots,
     createPacer,
     createRowReader,
     createShardWorkers,
@@ -180,6 +181,7 @@
         lookWaitMs: 1_000,
         firstLooks: createFirstLooks(clock),
         lateOrders: createLateOrders(clock),
+        lookSlots: createLookSlots(clock),
         lookPauseMs: 250,
         orderPauseMs: 100,
         onLook: async () => {},
--- a/features/steps/shardLookSteps.ts
+++ b/features/steps/shardLookSteps.ts
@@ -6,6 +6,7 @@
 import {
     createFirstLooks,
     createLateOrders,
+    createLookSlots,
     createShardWorkers,
     defaultShardSettings,
     type FencedWorkerPort,
@@ -70,6 +71,7 @@
         leaseMs: 5_000,
         lookWaitMs: 1_000,
         firstLooks: createFirstLooks(clock),
+        lookSlots: createLookSlots(clock),
         lookPauseMs: 250,
         orderPauseMs: 100,
         onLook: async () => {},
--- a/features/steps/tokenSteps.ts
+++ b/features/steps/tokenSteps.ts
@@ -12,6 +12,7 @@
 import {
     createFirstLooks,
     createLateOrders,
+    createLookSlots,
     type FencedWorkerPort,
     holdRoom,
     type LateOrders,
@@ -19,6 +20,7 @@
     newRun,
     newWorker,
     openWorkerLink,
+    runPhases,
     type ShardRun,
     type ShardWorker,
     sleep,
@@ -77,6 +79,7 @@
         leaseMs: 5_000,
         lookWaitMs: 1_000,
         firstLooks: createFirstLooks(clock),
+        lookSlots: createLookSlots(clock),
         lookPauseMs: 250,
         orderPauseMs: 100,
         onLook,
@@ -277,6 +280,23 @@
     assert.equal(part(this).sent.join(", "), text);
 });
 
+When(
+    "a worker is down for {int} ms that has a former owner's run which no look has shown",
+    async function(this: ScenarioWorld, downMs: number) {
+        const clock = createFakeClock();
+        const worker = newWorker(workerEntry("i-1", 1), 0);
+        Object.assign(runOn(worker), { phase: runPhases.running, settledAtMs: 0 });
+        const link = openLink(this, {
+            clock,
+            worker,
+            newestToken: () => fencingToken,
+            port: { start: async () => "unknown", look: lookOnceBack(this, clock, downMs) },
+        });
+        await clock.advance(downMs + 1_000);
+        link.close();
+    },
+);
+
 Then("the tokens sent are {string}", function(this: ScenarioWorld, text: string) {
     assert.equal(part(this).tokens.join(", "), text);
 });
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -11,6 +11,7 @@
 import type { StoredRun } from "./jobRows.js";
 import { createLateOrders } from "./lateOrders.js";
 import { isOtherLife, lifeOf } from "./lives.js";
+import { createLookSlots } from "./lookSlots.js";
 import { createLostRuns } from "./lostRuns.js";
 import { enterLife, isSettledByLook, leaveLife, withUndecided } from "./nextLife.js";
 import { createPacer } from "./pacer.js";
@@ -93,6 +94,7 @@
     const pacer = createPacer({ clock, log });
     const firstLooks = createFirstLooks(clock);
     const lateOrders = createLateOrders(clock);
+    const lookSlots = createLookSlots(clock);
     const lostRuns = createLostRuns();
     const falls = createFalls();
 
@@ -246,6 +248,7 @@
             lookWaitMs: settings.lookWaitMs,
             firstLooks,
             lateOrders,
+            lookSlots,
             lookPauseMs: settings.lookPauseMs,
             orderPauseMs: settings.orderPauseMs,
             onLook: async (seen, look, sentAtMs) => {
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -6,6 +6,7 @@
 import { runPhases, type ShardRun } from "./jobBook.js";
 import type { LateOrder, LateOrders } from "./lateOrders.js";
 import { isOtherLife, lifeOf } from "./lives.js";
+import type { LookSlots } from "./lookSlots.js";
 import { createRunOrders } from "./runOrders.js";
 import { extendLease, type ShardWorker } from "./workerTable.js";
 
@@ -23,11 +24,6 @@
 const ownLateMs = 50;
 /** Looks that this daemon may have read too late say nothing of the worker for this long after its last answer. */
 const forgivenMs = 5_000;
-/**
- * Between looks at a silent worker to which orders may be under way: the next life carries them out until a look has reached
- * it.
- */
-const lateOrderPauseMs = 50;
 /** Without a look there for longer than this, a worker may have been down and back. */
 const unseenMs = 50;
 
@@ -48,6 +44,7 @@
     readonly lookWaitMs: number;
     readonly firstLooks: FirstLooks;
     readonly lateOrders: LateOrders;
+    readonly lookSlots: LookSlots;
     /** Pause between looks while the ends that it shows cannot be made durable, or it does not answer. */
     readonly lookPauseMs: number;
     /** Pause before an order is sent, or sent again, to a worker that did not answer. */
@@ -185,6 +182,10 @@
         return look;
     };
 
+    /** An order of a former owner may be under way for any run that no look has shown. */
+    const isOrdered = (): boolean =>
+        options.lateOrders.of(worker.workerId).length > 0 || [...worker.runs.values()].some(({ shown }) => !shown);
+
     const lookOnce = async (answered: () => void): Promise<void> => {
         const sentAtMs = clock.monotonicMs();
         if (sentAtMs - heardAtMs > unseenMs) {
@@ -241,8 +242,7 @@
             options.onSilent(worker);
         }
         if (worker.silentLooks > 1) {
-            const isOrdered = options.lateOrders.of(worker.workerId).length > 0;
-            await pause(isOrdered ? Math.min(lateOrderPauseMs, lookPauseMs) : lookPauseMs);
+            await pause(isOrdered() ? options.lookSlots.pauseMs(lookPauseMs) : lookPauseMs);
         }
     };
 
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -51,6 +51,7 @@
 export * from "./core/shard/jobRowSchemas.js";
 export * from "./core/shard/lateOrders.js";
 export * from "./core/shard/lives.js";
+export * from "./core/shard/lookSlots.js";
 export * from "./core/shard/lostRuns.js";
 export * from "./core/shard/memberRows.js";
 export * from "./core/shard/nextLife.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -191,6 +191,7 @@
 } from "./internal.js";
 export { createRunOrders, type RunOrders, type RunOrdersOptions } from "./internal.js";
 export { allowsStart, noteStartAnswered, noteStartUnanswered } from "./internal.js";
+export { createLookSlots, type LookSlots } from "./internal.js";
 export { openWorkerLink, type WorkerLink, type WorkerLinkOptions } from "./internal.js";
 export { watchWorkerList, type WorkerListOptions } from "./internal.js";
 export { adoptRun, extendLease, holdRoom, isOpen, newWorker, roomOf, type ShardWorker, stillFits } from "./internal.js";
