Runs that were lost with silent workers stand in the job's row, so that a successor counts their crashes

Callers saw workers go down again and again under a task that had crashed three of them already. Cause: what is lost with a worker that stays silent until its lease is over counts once another incarnation answers there; that was known to one owner only, and forgotten when it changed.

Now such losses are part of the state that is written anyway, with the worker's ID, address and incarnation; a successor settles them by what answers there, as its predecessor would have. A loss that is settled has its job written again, so that no later crash is counted for it.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -101,6 +101,9 @@
             | 39   | 3300 | end    |
             | 51   | 3300 | quiet  |
             | 2    | 3300 | last   |
+            | 44   | 600  | last   |
+            | 816  | 600  | last   |
+            | 1079 | 600  | last   |
 
     # A start without an answer was carried out by the next life of its worker, which knew neither the stop nor the token that the
     # life before would have refused it by: tasks ran twice, and workers held more than they have.
--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -62,6 +62,22 @@
             | workers not listed         | 9000 | 7000 |
             | owner cut from the workers | 1500 | 600  |
 
+    # A worker that stays away for longer than its lease is known to have crashed only once it is back. Its crash counted for nothing
+    # where the owner had changed meanwhile, and the task was started once more each time.
+    Scenario Outline: A crash that shows after a change of owner is counted, workers back after <ms> ms
+        Given a cell of 4 daemons and 8 workers that start again under their IDs <ms> ms after a crash
+        When 1 crashing job of steps "1 crashing" is submitted
+        And the shard runs for 6500 ms
+        And the fault "owner killed" comes
+        Then the crashing job is "failed" within 40000 ms
+        And it has taken 3 workers down at most
+        And no promise was broken
+
+        Examples:
+            | ms   |
+            | 7000 |
+            | 8000 |
+
     # A wave of upkeep stood with its first VMs for down: they had come back under the IDs that their workers had before.
     Scenario: Workers that have had their upkeep take tasks again under their IDs, and the wave goes on
         Given a cell of 3 daemons and 4 workers that start again under their IDs 600 ms after a crash
--- a/features/steps/examples/shardLives.ts
+++ b/features/steps/examples/shardLives.ts
@@ -40,8 +40,8 @@
 const lostRuns = (): string => {
     const worker = openWorker();
     adoptRun(worker, { ...runOf(exampleJob()), startedAtMs: 990 });
-    const lost = createLostRuns();
-    lost.lose({ workerId: "i-1", bornAtMs: undefined, address: "10.0.0.1:1" }, crashedRuns(worker, 1_000), 1_000);
+    const lost = createLostRuns(() => {});
+    lost.lose({ workerId: "i-1", address: "10.0.0.1:1" }, crashedRuns(worker, 1_000), 1_000);
     return `${lost.replaced("10.0.0.1:1", "i-2").length} run was lost with i-1`;
 };
 
--- a/packages/puffinarch/src/core/shard/crashes.ts
+++ b/packages/puffinarch/src/core/shard/crashes.ts
@@ -12,6 +12,8 @@
 export interface CrashedRun {
     readonly task: ShardTask;
     readonly run: number;
+    /** When the incarnation of its worker began that crashed; undefined where that is not known. */
+    readonly bornAtMs: number | undefined;
     /** Local time at which its worker fell silent. */
     readonly goneAtMs: number;
     /** It had surely just started there and no task of another job had, so that nothing else there can be the cause. */
@@ -64,6 +66,7 @@
     return possible.map(run => ({
         task: run.task,
         run: run.run,
+        bornAtMs: worker.bornAtMs ?? run.bornAtMs,
         goneAtMs,
         alone: sinceMs(run) !== undefined && possible.every(other => jobOf(other) === jobOf(run)),
     }));
@@ -108,8 +111,8 @@
  * @example
  * needsTrial(task); // false for a task that was started once
  */
-export const needsTrial = ({ crashes, unresolvedAtMs }: ShardTask): boolean =>
-    crashes + unresolvedAtMs.length >= crashesToSeparate;
+export const needsTrial = ({ crashes, unresolvedLosses }: ShardTask): boolean =>
+    crashes + unresolvedLosses.length >= crashesToSeparate;
 
 /**
  * Tells whether a task waits to know whether a worker crashed under it: it might be started too often. A worker that does
@@ -118,8 +121,8 @@
  * @example
  * if (awaitsVerdict(task, clock.monotonicMs())) { return; }
  */
-export const awaitsVerdict = ({ crashes, crashesExcused, unresolvedAtMs }: ShardTask, nowMs: number): boolean => {
-    const open = unresolvedAtMs.filter(lostAtMs => nowMs - lostAtMs < verdictMs).length;
+export const awaitsVerdict = ({ crashes, crashesExcused, unresolvedLosses }: ShardTask, nowMs: number): boolean => {
+    const open = unresolvedLosses.filter(({ lostAtMs }) => nowMs - lostAtMs < verdictMs).length;
     return open > 0 && crashes + crashesExcused + open >= crashesToGiveUp;
 };
 
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -56,6 +56,20 @@
     idleSinceMs: number | undefined;
 }
 
+/** A run that was lost with a silent worker, as its lease was over. */
+export interface UnresolvedLoss {
+    readonly run: number;
+    readonly workerId: string;
+    /** When the incarnation began that had it; undefined where that is not known. */
+    readonly bornAtMs: number | undefined;
+    /** Where its worker was reached. */
+    readonly address: string;
+    /** Local time at which it was lost. */
+    readonly lostAtMs: number;
+    /** Nothing else there can have crashed its worker. */
+    readonly alone: boolean;
+}
+
 /** One task of a step. */
 export interface ShardTask {
     readonly step: ShardStep;
@@ -70,8 +84,8 @@
     crashes: number;
     /** Further ones that went down together with many others, which it cannot have crashed. */
     crashesExcused: number;
-    /** Local times at which it was lost with workers of which nobody knows yet whether they crashed. */
-    readonly unresolvedAtMs: number[];
+    /** Runs of it that were lost with workers of which nobody knows yet whether they crashed. */
+    readonly unresolvedLosses: UnresolvedLoss[];
     /** Highest run that was at work long enough to show that the task crashes nothing. */
     soundRun: number;
     /** Local time since which it wants a worker for itself; undefined while it does not. */
@@ -162,7 +176,7 @@
     checkpoint: "",
     crashes: 0,
     crashesExcused: 0,
-    unresolvedAtMs: [],
+    unresolvedLosses: [],
     soundRun: 0,
     trialWantedAtMs: undefined,
     runs: [],
--- a/packages/puffinarch/src/core/shard/jobRowSchemas.ts
+++ b/packages/puffinarch/src/core/shard/jobRowSchemas.ts
@@ -83,6 +83,16 @@
     excused: whole,
 });
 
+/** A run that was lost with a silent worker, which may have crashed. */
+const lossSchema = z.object({
+    place: z.tuple([whole, whole, whole], "the place of a task"),
+    run: whole,
+    workerId: text,
+    bornAtMs: whole.optional(),
+    address: text,
+    alone: flag,
+});
+
 /** A task that failed, and the workers on which it did. */
 const failedTaskSchema = z.object({
     place: z.tuple([whole, whole, whole], "the place of a task"),
@@ -99,6 +109,7 @@
     ),
     failure,
     crashed: z.array(crashedTaskSchema, "tasks under which workers crashed").default([]),
+    lost: z.array(lossSchema, "runs that were lost").default([]),
     failed: z.array(failedTaskSchema, "tasks that failed").default([]),
     /** Where the workers of its live runs are reached, by id. */
     addresses: z.record(z.string(), text, "addresses of workers").default({}),
@@ -115,6 +126,8 @@
 export type StoredTask = z.infer<typeof taskSchema>;
 /** A task under which workers have crashed, as it is stored. */
 export type StoredCrashedTask = z.infer<typeof crashedTaskSchema>;
+/** A run that was lost, as it is stored. */
+export type StoredLoss = z.infer<typeof lossSchema>;
 /** A task that failed, as it is stored. */
 export type StoredFailedTask = z.infer<typeof failedTaskSchema>;
 /** A job's state as it is stored: number of each open occurrence, then for each step its gang's failures, newest failed run and its tasks. */
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -4,6 +4,7 @@
 import type { JobStatus } from "../../types/work.js";
 import { type Decoded, decodeRow } from "../../utils/decode.js";
 import { type RowChange } from "./commitLog.js";
+import type { CrashedRun } from "./crashes.js";
 import {
     hasEnded,
     letGo,
@@ -20,6 +21,7 @@
     stateSchema,
     type StoredCrashedTask,
     type StoredFailedTask,
+    type StoredLoss,
     type StoredState,
     type StoredTask,
     submissionSchema,
@@ -43,6 +45,14 @@
     readonly address: string;
 }
 
+/** A run that was lost with a silent worker under a former owner. */
+export interface RestoredLoss {
+    readonly workerId: string;
+    /** Where the worker was reached. */
+    readonly address: string;
+    readonly crashed: CrashedRun;
+}
+
 const encodeTask = (task: ShardTask): StoredTask => {
     if (task.done && task.runs.length === 0) {
         return 1;
@@ -96,6 +106,19 @@
     return crashed;
 };
 
+/** What was lost with a silent worker may have crashed it, which may be known under a successor only. */
+const encodeLosses = (job: ShardJob): StoredLoss[] => {
+    const lost: StoredLoss[] = [];
+    for (const { tasks } of stepsOf(job)) {
+        for (const task of tasks) {
+            for (const { run, workerId, bornAtMs, address, alone } of task.done ? [] : task.unresolvedLosses) {
+                lost.push({ place: placeOf(task), run, workerId, bornAtMs, address, alone });
+            }
+        }
+    }
+    return lost;
+};
+
 /**
  * With the address a successor knows at once that a worker of which the list has another life crashed; it would else wait
  * for 7.6 s of leases, and count nothing.
@@ -119,6 +142,7 @@
         state: job.state,
         failure: job.failure,
         crashed: encodeCrashed(job),
+        lost: encodeLosses(job),
         failed: encodeFailed(job),
         addresses: encodeAddresses(job),
         lives: encodeLives(job),
@@ -197,7 +221,15 @@
     }
 };
 
-const restoreState = (job: ShardJob, stored: StoredState, nowMs: number): readonly StoredRun[] => {
+const restoreLosses = (job: ShardJob, stored: readonly StoredLoss[]): readonly RestoredLoss[] =>
+    stored.flatMap(({ place, run, workerId, bornAtMs, address, alone }) => {
+        const task = taskAt(job, place);
+        // Which workers fell silent at that moment is not known any more.
+        const goneAtMs = -Infinity;
+        return task === undefined ? [] : [{ workerId, address, crashed: { task, run, bornAtMs, goneAtMs, alone } }];
+    });
+
+const restoreState = (job: ShardJob, stored: StoredState, nowMs: number): Pick<RestoredJobs, "runs" | "losses"> => {
     const runs: StoredRun[] = [];
     job.state = stored.state;
     job.shown = stored.state;
@@ -226,17 +258,21 @@
             taskAt(job, place)?.failedOn.set(workerId, nowMs);
         }
     }
-    return runs.map(run => ({
-        ...run,
-        address: stored.addresses[run.workerId] ?? "",
-        bornAtMs: stored.lives[run.workerId],
-    }));
+    return {
+        runs: runs.map(run => ({
+            ...run,
+            address: stored.addresses[run.workerId] ?? "",
+            bornAtMs: stored.lives[run.workerId],
+        })),
+        losses: restoreLosses(job, stored.lost),
+    };
 };
 
-/** Jobs as the store has them, with the runs that were meant to be started. */
+/** Jobs as the store has them, with the runs that were meant to be started and those that were lost. */
 export interface RestoredJobs {
     readonly jobs: readonly ShardJob[];
     readonly runs: readonly StoredRun[];
+    readonly losses: readonly RestoredLoss[];
 }
 
 /**
@@ -250,6 +286,7 @@
     const byKey = new Map(rows.map(row => [row.key, row]));
     const jobs: ShardJob[] = [];
     const runs: StoredRun[] = [];
+    const losses: RestoredLoss[] = [];
     for (const row of byKey.values()) {
         if (!row.key.startsWith(submissionPrefix)) {
             continue;
@@ -263,8 +300,10 @@
         }
         const job = newJob(stored.submission, stored.queue, stored);
         job.stored = true;
-        runs.push(...restoreState(job, state, nowMs));
+        const restored = restoreState(job, state, nowMs);
+        runs.push(...restored.runs);
+        losses.push(...restored.losses);
         jobs.push(job);
     }
-    return { jobs, runs };
+    return { jobs, runs, losses };
 };
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -429,6 +429,7 @@
             jobs.set(job.submission.jobId, job);
         }
         workers.expect(restored.runs);
+        workers.recallLosses(restored.losses);
         for (const job of jobs.values()) {
             placing.consider(job);
         }
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -8,7 +8,7 @@
 import { createFalls } from "./falls.js";
 import { createFirstLooks } from "./firstLooks.js";
 import { findTask, newRun, runPhases, type ShardJob, type ShardRun } from "./jobBook.js";
-import type { StoredRun } from "./jobRows.js";
+import type { RestoredLoss, StoredRun } from "./jobRows.js";
 import { createLateOrders } from "./lateOrders.js";
 import { isOtherLife, lifeOf } from "./lives.js";
 import { createLookSlots } from "./lookSlots.js";
@@ -50,6 +50,8 @@
     readonly all: ReadonlyMap<string, ShardWorker>;
     /** Runs whose intent a former owner made durable; each holds room until its worker's first look settles it. */
     expect(runs: readonly StoredRun[]): void;
+    /** Runs that were lost under a former owner with workers that may have crashed. */
+    recallLosses(losses: readonly RestoredLoss[]): void;
     /** All workers that the platform lists now. */
     update(entries: readonly WorkerEntry[], unreadable?: ReadonlySet<string>): void;
     start(run: ShardRun, ticket: string): void;
@@ -95,7 +97,8 @@
     const firstLooks = createFirstLooks(clock);
     const lateOrders = createLateOrders(clock);
     const lookSlots = createLookSlots(clock);
-    const lostRuns = createLostRuns();
+    const touched = new Set<ShardJob>();
+    const lostRuns = createLostRuns(job => touched.add(job));
     const falls = createFalls();
 
     const stopRun = (run: ShardRun): void => {
@@ -109,7 +112,6 @@
         }
     };
 
-    const touched = new Set<ShardJob>();
     const watch = createWorkerWatch({
         clock,
         log,
@@ -213,7 +215,8 @@
         countCrashes(worker, [...worker.undecided.values()]);
         worker.undecided.clear();
         if (!hasLeft(worker)) {
-            lostRuns.lose({ ...lifeOf(worker), address: worker.entry.address }, crashed, clock.monotonicMs());
+            const { workerId, entry: { address } } = worker;
+            lostRuns.lose({ workerId, address }, crashed, clock.monotonicMs());
         }
     };
 
@@ -458,6 +461,11 @@
     return {
         all: workers,
         expect,
+        recallLosses: losses => {
+            for (const { workerId, address, crashed } of losses) {
+                lostRuns.lose({ workerId, address }, [crashed], clock.monotonicMs());
+            }
+        },
         update: updateWorkers,
         start: (run, ticket) => links.get(run.workerId)?.start(run, run.task.checkpoint, ticket),
         stop: stopRun,
