A crash under a start that no worker confirmed asks for one more run in place of the verdict

Callers were told that a sound job had failed. Cause: a crash counted whether or not anyone knew that the run had begun; one of three counts belonged to a start that no worker had carried out.

The row of a job says now how many counted crashes no worker had confirmed by an answer or a look. The verdict asks for three that were, the last with nothing else to blame, and comes after five crashes in any case: no more starts than before, two after the third. It needs no further write.

--- a/features/crashing.feature
+++ b/features/crashing.feature
@@ -144,3 +144,28 @@
         Then a task is started within 2000 ms
         And all jobs are "completed" within 8000 ms
         And no promise was broken
+
+    # A sound job was given up: one of the three crashes that were counted for its task belonged to a start that no worker had carried out.
+    Scenario: A start that was lost with its worker does not give a sound job up
+        Given a cell of 3 daemons and 4 workers
+        When 1 jobs of steps "1" are submitted
+        And the first start is lost with its worker as the owner is killed
+        And the worker of the newest start crashes soon after it, 2 times
+        Then all jobs are "completed" within 20000 ms
+        And no job was given up
+        And no promise was broken
+
+    # One more run by itself is asked for each crash under a start that no worker had confirmed, five starts in all at the most.
+    Scenario Outline: A job <what> given up after the crashes "<crashes>"
+        When workers crash under a task, "<crashes>"
+        Then its job <what> given up
+
+        Examples:
+            | crashes                                                        | what  |
+            | confirmed, confirmed, confirmed alone                          | is    |
+            | confirmed, confirmed, confirmed                                | isn't |
+            | confirmed, confirmed, unconfirmed alone                        | isn't |
+            | unconfirmed, confirmed, confirmed alone                        | isn't |
+            | unconfirmed, confirmed, confirmed alone, confirmed alone       | is    |
+            | unconfirmed, unconfirmed, confirmed alone, confirmed alone     | isn't |
+            | unconfirmed, unconfirmed, unconfirmed, unconfirmed, unconfirmed | is    |
--- a/features/steps/crashingSteps.ts
+++ b/features/steps/crashingSteps.ts
@@ -1,6 +1,7 @@
 import { Then, When } from "@cucumber/cucumber";
-import { jobIdOf, readSteps, type ShardCell, shardFaults } from "@puffinarch/stand-ins";
+import { jobIdOf, plainStep, readSteps, type ShardCell, shardFaults, testQueue } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
+import { countCrash, type CrashedRun, hasEnded, type JobSubmission, newJob, type ShardTask } from "puffinarch";
 import { cellOf } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
@@ -8,13 +9,25 @@
     readonly jobs: string[];
     /** Jobs that were shown as failed and then as something else. */
     readonly revived: Set<string>;
+    isGivenUp: boolean;
 }
 
 /** Ids of jobs whose tasks crash their workers, so that they are told from those of all others. */
 const firstCrashingId = 5_001;
 const stepMs = 50;
-
-const part = (world: ScenarioWorld): Part => partOf(world, "crashing", () => ({ jobs: [], revived: new Set() }));
+const longestWaitMs = 20_000;
+
+const part = (world: ScenarioWorld): Part =>
+    partOf(world, "crashing", () => ({ jobs: [], revived: new Set(), isGivenUp: false }));
+
+const submissionOfOne: JobSubmission = {
+    jobId: jobIdOf(1),
+    queueKey: testQueue.key,
+    dataCentre: "leon-feria",
+    payload: "plan",
+    steps: [plainStep],
+    schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
+};
 
 const submitCrashing = (world: ScenarioWorld, steps: string): void => {
     const { jobs } = part(world);
@@ -103,6 +116,52 @@
     },
 );
 
+/** Moves time in steps of 1 ms, so that what follows comes before anything that the condition leads to. */
+const advanceUntil = async (cell: ShardCell, holds: () => boolean, what: string): Promise<void> => {
+    for (let passedMs = 0; passedMs < longestWaitMs; passedMs += 1) {
+        if (holds()) {
+            return;
+        }
+        await cell.clock.advance(1);
+    }
+    assert.fail(`${what} within ${longestWaitMs} ms`);
+};
+
+When("the first start is lost with its worker as the owner is killed", async function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    const placed = (): string | undefined => {
+        const line = cell.log.find(({ event }) => event === "placed");
+        return /@(\S+)/.exec(String(line?.fields["runs"]))?.[1];
+    };
+    await advanceUntil(cell, () => placed() !== undefined, "nothing was placed");
+    const workerId = placed() ?? "";
+    cell.workers.setFault(workerId, "cut");
+    await cell.clock.advance(2 * stepMs);
+    const restart = shardFaults["owner killed"]?.(cell);
+    cell.crashWorkers([workerId]);
+    cell.workers.setFault(workerId, "none");
+    await cell.clock.advance(1_000);
+    restart?.();
+    assert.deepEqual(cell.workers.evidence, []);
+});
+
+When(
+    "the worker of the newest start crashes soon after it, {int} times",
+    async function(this: ScenarioWorld, times: number) {
+        const cell = cellOf(this);
+        for (let crashes = 0; crashes < times; crashes += 1) {
+            const newest = () => cell.workers.evidence.at(-1);
+            await advanceUntil(
+                cell,
+                () => newest() !== undefined && newest()?.endedAtMs === undefined,
+                "nothing was started",
+            );
+            await cell.clock.advance(stepMs);
+            cell.crashWorkers([newest()?.workerId ?? ""]);
+        }
+    },
+);
+
 When(
     "the fault {string} comes and goes {int} times, for {int} ms each",
     async function(this: ScenarioWorld, name: string, times: number, faultMs: number) {
@@ -131,6 +190,30 @@
     },
 );
 
+/** Crashes of a worker by words: confirmed or not, with nothing else to blame. */
+const crashOf = (task: ShardTask, run: number, words: string): CrashedRun => ({
+    task,
+    run,
+    bornAtMs: undefined,
+    goneAtMs: 1_000 * run,
+    confirmed: !words.includes("unconfirmed"),
+    alone: words.includes("alone"),
+});
+
+When("workers crash under a task, {string}", function(this: ScenarioWorld, text: string) {
+    const [task] = newJob(submissionOfOne, testQueue, { acceptedAtMs: 0, order: 1 }).occurrences.get(0)?.steps[0]?.tasks
+        ?? [];
+    assert.ok(task !== undefined);
+    for (const [index, words] of text.split(", ").entries()) {
+        countCrash(crashOf(task, index + 1, words), { others: 0, nowMs: 0 });
+    }
+    part(this).isGivenUp = hasEnded(task.step.occurrence.job);
+});
+
+Then("its job {word} given up", function(this: ScenarioWorld, what: string) {
+    assert.equal(part(this).isGivenUp ? "is" : "isn't", what);
+});
+
 Then("a task is started within {int} ms", async function(this: ScenarioWorld, limitMs: number) {
     const cell = cellOf(this);
     const before = cell.workers.evidence.length;
--- a/packages/puffinarch/src/core/shard/crashes.ts
+++ b/packages/puffinarch/src/core/shard/crashes.ts
@@ -16,6 +16,8 @@
     readonly bornAtMs: number | undefined;
     /** Local time at which its worker fell silent. */
     readonly goneAtMs: number;
+    /** Its worker had said that it runs; the order for any other run may never have been carried out. */
+    readonly confirmed: boolean;
     /** It had surely just started there and no task of another job had, so that nothing else there can be the cause. */
     readonly alone: boolean;
 }
@@ -68,12 +70,13 @@
         run: run.run,
         bornAtMs: worker.bornAtMs ?? run.bornAtMs,
         goneAtMs,
+        confirmed: run.startedAtMs !== undefined,
         alone: sinceMs(run) !== undefined && possible.every(other => jobOf(other) === jobOf(run)),
     }));
 };
 
-const isGivenUp = ({ crashes, crashesExcused }: ShardTask, alone: boolean): boolean =>
-    crashes >= crashesToGiveUp && alone || crashes + crashesExcused >= mostCrashes;
+const isGivenUp = ({ crashes, crashesExcused, crashesUnconfirmed }: ShardTask, alone: boolean): boolean =>
+    crashes - crashesUnconfirmed >= crashesToGiveUp && alone || crashes + crashesExcused >= mostCrashes;
 
 /**
  * Counts the crash of a worker for a task; false where a later run has shown the task to be sound. `others` is the number
@@ -84,7 +87,7 @@
  * if (countCrash(crashed, { others: 0, nowMs: clock.monotonicMs() })) { onChange(crashed.task.step.occurrence.job); }
  */
 export const countCrash = (
-    { task, run, alone }: CrashedRun,
+    { task, run, alone, confirmed }: CrashedRun,
     { others, nowMs }: { readonly others: number; readonly nowMs: number; },
 ): boolean => {
     if (task.done || run <= task.soundRun) {
@@ -96,8 +99,10 @@
     }
     else {
         task.crashes += 1;
+        // A sound task whose order was lost would be given up for a worker that it never ran on.
+        task.crashesUnconfirmed += confirmed ? 0 : 1;
     }
-    if (isGivenUp(task, alone && !excused)) {
+    if (isGivenUp(task, alone && confirmed && !excused)) {
         const count = task.crashes + task.crashesExcused;
         const failure = { cause: failureCauses.crashes, taskName: task.name, count };
         failJob(task.step.occurrence.job, failure, nowMs);
@@ -148,6 +153,7 @@
     }
     task.crashes = 0;
     task.crashesExcused = 0;
+    task.crashesUnconfirmed = 0;
     task.soundRun = run.run;
     return true;
 };
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -68,6 +68,8 @@
     readonly lostAtMs: number;
     /** Nothing else there can have crashed its worker. */
     readonly alone: boolean;
+    /** Its worker had said that it runs. */
+    readonly confirmed: boolean;
 }
 
 /** One task of a step. */
@@ -86,6 +88,8 @@
     crashesExcused: number;
     /** Runs of it that were lost with workers of which nobody knows yet whether they crashed. */
     readonly unresolvedLosses: UnresolvedLoss[];
+    /** Those of `crashes` before which no worker had said that it runs the task. */
+    crashesUnconfirmed: number;
     /** Highest run that was at work long enough to show that the task crashes nothing. */
     soundRun: number;
     /** Local time since which it wants a worker for itself; undefined while it does not. */
@@ -177,6 +181,7 @@
     crashes: 0,
     crashesExcused: 0,
     unresolvedLosses: [],
+    crashesUnconfirmed: 0,
     soundRun: 0,
     trialWantedAtMs: undefined,
     runs: [],
--- a/packages/puffinarch/src/core/shard/jobRowSchemas.ts
+++ b/packages/puffinarch/src/core/shard/jobRowSchemas.ts
@@ -81,6 +81,7 @@
     place: z.tuple([whole, whole, whole], "the place of a task"),
     crashes: whole,
     excused: whole,
+    unconfirmed: whole.default(0),
 });
 
 /** A run that was lost with a silent worker, which may have crashed. */
@@ -91,6 +92,7 @@
     bornAtMs: whole.optional(),
     address: text,
     alone: flag,
+    confirmed: flag,
 });
 
 /** A task that failed, and the workers on which it did. */
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -97,9 +97,9 @@
     const crashed: StoredCrashedTask[] = [];
     for (const step of stepsOf(job)) {
         for (const task of step.tasks) {
-            const { crashes, crashesExcused: excused, done } = task;
+            const { crashes, crashesExcused: excused, crashesUnconfirmed: unconfirmed, done } = task;
             if (crashes + excused > 0 && !done) {
-                crashed.push({ place: placeOf(task), crashes, excused });
+                crashed.push({ place: placeOf(task), crashes, excused, unconfirmed });
             }
         }
     }
@@ -111,8 +111,9 @@
     const lost: StoredLoss[] = [];
     for (const { tasks } of stepsOf(job)) {
         for (const task of tasks) {
-            for (const { run, workerId, bornAtMs, address, alone } of task.done ? [] : task.unresolvedLosses) {
-                lost.push({ place: placeOf(task), run, workerId, bornAtMs, address, alone });
+            for (const loss of task.done ? [] : task.unresolvedLosses) {
+                const { run, workerId, bornAtMs, address, alone, confirmed } = loss;
+                lost.push({ place: placeOf(task), run, workerId, bornAtMs, address, alone, confirmed });
             }
         }
     }
@@ -213,20 +214,26 @@
     }
 };
 
-const restoreCrashes = (job: ShardJob, { place, crashes, excused }: StoredCrashedTask): void => {
+const restoreCrashes = (
+    job: ShardJob,
+    { place, crashes, excused, unconfirmed }: StoredCrashedTask,
+): void => {
     const task = taskAt(job, place);
     if (task !== undefined) {
         task.crashes = crashes;
         task.crashesExcused = excused;
+        task.crashesUnconfirmed = unconfirmed;
     }
 };
 
 const restoreLosses = (job: ShardJob, stored: readonly StoredLoss[]): readonly RestoredLoss[] =>
-    stored.flatMap(({ place, run, workerId, bornAtMs, address, alone }) => {
+    stored.flatMap(({ place, run, workerId, bornAtMs, address, alone, confirmed }) => {
         const task = taskAt(job, place);
         // Which workers fell silent at that moment is not known any more.
         const goneAtMs = -Infinity;
-        return task === undefined ? [] : [{ workerId, address, crashed: { task, run, bornAtMs, goneAtMs, alone } }];
+        return task === undefined
+            ? []
+            : [{ workerId, address, crashed: { task, run, bornAtMs, goneAtMs, alone, confirmed } }];
     });
 
 const restoreState = (job: ShardJob, stored: StoredState, nowMs: number): Pick<RestoredJobs, "runs" | "losses"> => {
--- a/packages/puffinarch/src/core/shard/lostRuns.ts
+++ b/packages/puffinarch/src/core/shard/lostRuns.ts
@@ -71,8 +71,8 @@
             if (oldest !== undefined && byWorker.size >= mostWorkers) {
                 settle(oldest);
             }
-            for (const { task, run, bornAtMs, alone } of runs) {
-                task.unresolvedLosses.push({ run, workerId, bornAtMs, address, lostAtMs: nowMs, alone });
+            for (const { task, run, bornAtMs, alone, confirmed } of runs) {
+                task.unresolvedLosses.push({ run, workerId, bornAtMs, address, lostAtMs: nowMs, alone, confirmed });
             }
             byWorker.set(workerId, { address, runs: [...byWorker.get(workerId)?.runs ?? [], ...runs] });
         },
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -245,9 +245,11 @@
                 run: crashed.run,
                 workerId,
                 alone: crashed.alone,
+                confirmed: crashed.confirmed,
                 others,
                 crashes: task.crashes,
                 crashesExcused: task.crashesExcused,
+                crashesUnconfirmed: task.crashesUnconfirmed,
             });
             onChange(job);
         }
