A successor knows which runs were confirmed before their worker fell silent

The crash of a run that a successor knew by its intent alone counted as unconfirmed since the last commit, although its worker had answered: a task that crashes its workers took a fourth one down, as the scene of a crash that shows after a change of owner told (workers back after 8 s: 4, of 3 allowed). Now the row of a task under which workers have crashed before says so as soon as the worker falls silent: one more write for such tasks only. The scene takes 3 again; 385 scenarios of the shard pass.

--- a/packages/puffinarch/src/core/shard/crashes.ts
+++ b/packages/puffinarch/src/core/shard/crashes.ts
@@ -5,7 +5,7 @@
  */
 
 import { failureCauses } from "../../types/work.js";
-import { failJob, jobOf, runPhases, type ShardRun, type ShardTask } from "./jobBook.js";
+import { failJob, jobOf, runPhases, type ShardJob, type ShardRun, type ShardTask } from "./jobBook.js";
 import type { ShardWorker } from "./workerTable.js";
 
 /** A run whose worker crashed so soon after its start that it may be the cause. */
@@ -70,7 +70,7 @@
         run: run.run,
         bornAtMs: worker.bornAtMs ?? run.bornAtMs,
         goneAtMs,
-        confirmed: run.startedAtMs !== undefined,
+        confirmed: run.startedAtMs !== undefined || run.run === run.task.confirmedRun,
         alone: sinceMs(run) !== undefined && possible.every(other => jobOf(other) === jobOf(run)),
     }));
 };
@@ -110,6 +110,23 @@
     return true;
 };
 
+/**
+ * Notes runs of tasks under which workers have crashed before, as their worker falls silent; gives the jobs whose rows have to tell
+ * that these runs were confirmed. Their crashes would else ask for one more start of each under a successor.
+ *
+ * @example
+ * noteConfirmed(crashedRuns(worker, nowMs)).forEach(changed);
+ */
+export const noteConfirmed = (runs: readonly CrashedRun[]): readonly ShardJob[] => {
+    const noted = runs.filter(({ task, confirmed }) =>
+        confirmed && task.crashes + task.crashesExcused + task.unresolvedLosses.length > 0
+    );
+    for (const { task, run } of noted) {
+        task.confirmedRun = run;
+    }
+    return noted.map(({ task }) => task.step.occurrence.job);
+};
+
 /**
  * Tells whether a task runs by itself until it has shown that its worker stays up: enough workers have crashed under it.
  *
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -90,6 +90,8 @@
     readonly unresolvedLosses: UnresolvedLoss[];
     /** Those of `crashes` before which no worker had said that it runs the task. */
     crashesUnconfirmed: number;
+    /** Run that a worker had said to run before it fell silent, so that a successor counts its crash as confirmed; 0 for none. */
+    confirmedRun: number;
     /** Highest run that was at work long enough to show that the task crashes nothing. */
     soundRun: number;
     /** Local time since which it wants a worker for itself; undefined while it does not. */
@@ -182,6 +184,7 @@
     crashesExcused: 0,
     unresolvedLosses: [],
     crashesUnconfirmed: 0,
+    confirmedRun: 0,
     soundRun: 0,
     trialWantedAtMs: undefined,
     runs: [],
--- a/packages/puffinarch/src/core/shard/jobRowSchemas.ts
+++ b/packages/puffinarch/src/core/shard/jobRowSchemas.ts
@@ -82,6 +82,7 @@
     crashes: whole,
     excused: whole,
     unconfirmed: whole.default(0),
+    confirmedRun: whole.default(0),
 });
 
 /** A run that was lost with a silent worker, which may have crashed. */
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -97,9 +97,9 @@
     const crashed: StoredCrashedTask[] = [];
     for (const step of stepsOf(job)) {
         for (const task of step.tasks) {
-            const { crashes, crashesExcused: excused, crashesUnconfirmed: unconfirmed, done } = task;
-            if (crashes + excused > 0 && !done) {
-                crashed.push({ place: placeOf(task), crashes, excused, unconfirmed });
+            const { crashes, crashesExcused: excused, crashesUnconfirmed: unconfirmed, confirmedRun, done } = task;
+            if (crashes + excused + confirmedRun > 0 && !done) {
+                crashed.push({ place: placeOf(task), crashes, excused, unconfirmed, confirmedRun });
             }
         }
     }
@@ -216,13 +216,14 @@
 
 const restoreCrashes = (
     job: ShardJob,
-    { place, crashes, excused, unconfirmed }: StoredCrashedTask,
+    { place, crashes, excused, unconfirmed, confirmedRun }: StoredCrashedTask,
 ): void => {
     const task = taskAt(job, place);
     if (task !== undefined) {
         task.crashes = crashes;
         task.crashesExcused = excused;
         task.crashesUnconfirmed = unconfirmed;
+        task.confirmedRun = confirmedRun;
     }
 };
 
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -4,7 +4,7 @@
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import type { WorkerEntry } from "../../types/work.js";
 import { sleep } from "../../utils/time.js";
-import { type CrashedRun, crashedRuns, needsTrial } from "./crashes.js";
+import { type CrashedRun, crashedRuns, needsTrial, noteConfirmed } from "./crashes.js";
 import { createFalls } from "./falls.js";
 import { createFirstLooks } from "./firstLooks.js";
 import { findTask, newRun, runPhases, type ShardJob, type ShardRun } from "./jobBook.js";
@@ -275,10 +275,13 @@
             },
             onSilent: silent => {
                 const nowMs = clock.monotonicMs();
+                const crashed = crashedRuns(silent, nowMs);
                 // All that are silent from the start of an office are noticed at one moment.
                 if (silent.certain) {
-                    falls.note(silent, nowMs, crashedRuns(silent, nowMs));
+                    falls.note(silent, nowMs, crashed);
                 }
+                noteConfirmed(crashed).forEach(job => touched.add(job));
+                void commitTouched();
             },
             onLifeOver: gone => loseWorker(gone, "otherLife"),
             onRestarted: beginNextLife,
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -91,6 +91,7 @@
     crashedRuns,
     isNearEnd,
     needsTrial,
+    noteConfirmed,
     showSound,
 } from "./internal.js";
 export { createFalls, type Falls } from "./internal.js";
