Tasks of a step that lasts wait for their trials at the same time

Callers saw tasks that last stand for up to 9 s, with room for them, after workers had crashed under them. Cause: the tasks of a step are tried one after the other, and each began to wait for a worker of its own (2 s) only when its turn came.

Now they all wait from the first moment on, so that only the first one's wait counts.

--- a/features/crashing.feature
+++ b/features/crashing.feature
@@ -145,6 +145,19 @@
         And all jobs are "completed" within 8000 ms
         And no promise was broken
 
+    # Each task of a step that lasts counts as lost once it has stood for 3 s. They waited for a worker of their own one after the other, so
+    # that the last of four stood for 9 s.
+    Scenario: Tasks that last wait for their trials at the same time
+        Given a cell of 3 daemons and 6 workers that start again under their IDs 600 ms after a crash
+        When 6 jobs of steps "1 long running of 5 cores" are submitted
+        And the shard runs for 1000 ms
+        And 1 jobs of steps "4 long running of 3 cores" are submitted
+        And the shard runs for 1000 ms
+        And 2 workers crash of themselves 4 times, 1500 ms apart
+        And the shard runs for 3000 ms
+        Then 10 tasks run
+        And no job was given up
+
     # A sound job was given up: one of the three crashes that were counted for its task belonged to a start that no worker had carried out.
     Scenario: A start that was lost with its worker does not give a sound job up
         Given a cell of 3 daemons and 4 workers
--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -103,6 +103,7 @@
             | 2    | 3300 | last   |
             | 44   | 600  | last   |
             | 816  | 600  | last   |
+            | 693  | 600  | last   |
             | 1079 | 600  | last   |
 
     # A start without an answer was carried out by the next life of its worker, which knew neither the stop nor the token that the
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -3,7 +3,7 @@
 import { type AskAdviceOptions, createAdviceAsker } from "./askAdvice.js";
 import { isTimeToAsk } from "./askAhead.js";
 import { type Chooser, createChooser, openFor } from "./chooseWorker.js";
-import { needsTrial } from "./crashes.js";
+import { awaitsVerdict, needsTrial } from "./crashes.js";
 import { isHeldUp } from "./heldUp.js";
 import {
     hasEnded,
@@ -301,6 +301,10 @@
             plans.delete(step);
             return;
         }
+        if (step.spec.longRunning) {
+            // Each of its tasks counts as lost once it has stood for 3 s, and they are tried one after the other.
+            wantTrials(all.filter(task => !awaitsVerdict(task, nowMs)));
+        }
         const waiting = startable(step, all, { workers, nowMs });
         const runs = step.spec.gang ? placeGang(step, waiting, round) : placeTasks(step, waiting, round);
         if (runs.length > 0) {
