--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -51,7 +51,9 @@
 }
 for (const { line, name } of knownRed) {
     const passes = scenarios.some(scenario => scenario.name === name && scenario.passed);
-    console.log(`${passes ? "KNOWN RED, PASSES NOW (to leave the list once it does so many times)" : "KNOWN RED"} ${line}`);
+    console.log(
+        `${passes ? "KNOWN RED, PASSES NOW (to leave the list once it does so many times)" : "KNOWN RED"} ${line}`,
+    );
 }
 for (const mistake of mistakes) {
     console.log(`KNOWN-RED.txt ${mistake}`);
