--- a/features/examples.feature
+++ b/features/examples.feature
@@ -91,7 +91,7 @@
             | lostRuns             | 1 run was lost with i-1                 |
             | falls                | 1 worker fell                           |
             | lives                | i-1, then another life; maybe the same  |
-            | lateOrders           | 1 order, then none                      |
+            | delayedStarts           | 1 order, then none                      |
             | lookSlots            | 10 ms, 15 ms, 20 ms, 20 ms |
             | startBreaker         | 100 ms without starts, then one at a time, then all |
             | runOrders            | 1 order without an answer, 1 look under token 8 |
--- a/features/steps/examples/shardLives.ts
+++ b/features/steps/examples/shardLives.ts
@@ -6,8 +6,8 @@
     allowsStart,
     countCrash,
     crashedRuns,
+    createDelayedStarts,
     createFalls,
-    createLateOrders,
     createLookSlots,
     createLostRuns,
     createRunOrders,
@@ -45,14 +45,14 @@
     return `${lost.replaced("10.0.0.1:1", "i-2").length} run was lost with i-1`;
 };
 
-const lateOrders = async (): Promise<string> => {
+const delayedStarts = async (): Promise<string> => {
     const clock = createFakeClock();
-    const late = createLateOrders(clock);
+    const delayed = createDelayedStarts(clock);
     const order = { taskName: "5c0e7a21d94b36f8.0.1.17", run: 2 };
-    late.note("i-1", order);
-    const before = late.of("i-1").length;
+    delayed.note("i-1", order);
+    const before = delayed.of("i-1").length;
     await clock.advance(13_000);
-    return `${before} order, then ${late.has("i-1", order) ? "still one" : "none"}`;
+    return `${before} order, then ${delayed.has("i-1", order) ? "still one" : "none"}`;
 };
 
 const lookSlots = (): string => {
@@ -77,7 +77,7 @@
 const runOrders = async (): Promise<string> => {
     const clock = createFakeClock();
     const worker = openWorker();
-    const lateOrders = createLateOrders(clock);
+    const delayedStarts = createDelayedStarts(clock);
     let token = 7;
     let looks = 0;
     const orders = createRunOrders({
@@ -94,7 +94,7 @@
         target: () => ({ workerId: "i-1", address: "10.0.0.1:1" }),
         leaseMs: 5_000,
         orderPauseMs: 100,
-        lateOrders,
+        delayedStarts,
         isClosed: () => false,
         token: () => token,
         renewToken: () => {},
@@ -113,7 +113,7 @@
     const run = { ...runOf(exampleJob()), phase: runPhases.starting };
     adoptRun(worker, run);
     await orders.start(run, "", "");
-    return `${lateOrders.of("i-1").length} order without an answer, ${looks} look under token ${token}`;
+    return `${delayedStarts.of("i-1").length} order without an answer, ${looks} look under token ${token}`;
 };
 
 const lives = (): string => {
@@ -129,10 +129,10 @@
     const [shown, unshown] = [runOf(job), { ...runOf(job), run: 2, shown: false }];
     adoptRun(former, shown);
     adoptRun(former, unshown);
-    const late = createLateOrders(clock);
-    const left = leaveLife(former, late, 1_000);
+    const delayed = createDelayedStarts(clock);
+    const left = leaveLife(former, delayed, 1_000);
     const next = enterLife(former, left, { bornAtMs: 900, listed: undefined, horizonMs: 11_000 });
-    const settled = isSettledByLook(unshown, late) ? "by its next look" : "by a stop";
+    const settled = isSettledByLook(unshown, delayed) ? "by its next look" : "by a stop";
     const suspects = withUndecided(next, left.suspects).length;
     return `${next.runs.size} of 2 runs may be there, settled ${settled}; ${suspects} may have crashed the life before`;
 };
@@ -153,7 +153,7 @@
     crashes,
     lostRuns,
     lives,
-    lateOrders,
+    delayedStarts,
     lookSlots,
     startBreaker,
     runOrders,
--- a/features/steps/examples/shardWorkers.ts
+++ b/features/steps/examples/shardWorkers.ts
@@ -2,8 +2,8 @@
 
 import { createFakeClock, createFakeRowStore, plainStep, testQueue, workerEntry } from "@puffinarch/stand-ins";
 import {
+    createDelayedStarts,
     createFirstLooks,
-    createLateOrders,
     createLookSlots,
     createPacer,
     createRowReader,
@@ -180,7 +180,7 @@
         leaseMs: 5_000,
         lookWaitMs: 1_000,
         firstLooks: createFirstLooks(clock),
-        lateOrders: createLateOrders(clock),
+        delayedStarts: createDelayedStarts(clock),
         lookSlots: createLookSlots(clock),
         lookPauseMs: 250,
         orderPauseMs: 100,
--- a/features/steps/shardLookSteps.ts
+++ b/features/steps/shardLookSteps.ts
@@ -4,8 +4,8 @@
 import { createFakeClock, type FakeClock, quietLog, quietMeter, workerEntry } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
+    createDelayedStarts,
     createFirstLooks,
-    createLateOrders,
     createLookSlots,
     createShardWorkers,
     defaultShardSettings,
@@ -78,7 +78,7 @@
         onSilent: () => {},
         onLifeOver: () => {},
         onRestarted: () => {},
-        lateOrders: createLateOrders(clock),
+        delayedStarts: createDelayedStarts(clock),
         onFenced: () => {},
         onNotStarted: () => {},
         onStarted: () => {},
--- a/features/steps/tokenSteps.ts
+++ b/features/steps/tokenSteps.ts
@@ -10,12 +10,12 @@
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
+    createDelayedStarts,
     createFirstLooks,
-    createLateOrders,
     createLookSlots,
+    type DelayedStarts,
     type FencedWorkerPort,
     holdRoom,
-    type LateOrders,
     newJob,
     newRun,
     newWorker,
@@ -56,7 +56,7 @@
         worker,
         port,
         newestToken,
-        lateOrders = createLateOrders(clock),
+        delayedStarts = createDelayedStarts(clock),
         onLook = async () => {},
         onUnanswered = async () => {},
     }: {
@@ -64,7 +64,7 @@
         readonly worker: ShardWorker;
         readonly port: Pick<FencedWorkerPort, "start" | "look">;
         readonly newestToken: () => number;
-        readonly lateOrders?: LateOrders;
+        readonly delayedStarts?: DelayedStarts;
         readonly onLook?: () => Promise<void>;
         readonly onUnanswered?: () => Promise<void>;
     },
@@ -86,7 +86,7 @@
         onSilent: () => {},
         onLifeOver: () => {},
         onRestarted: () => {},
-        lateOrders,
+        delayedStarts,
         onFenced: () => {
             part(world).fenced = true;
         },
@@ -181,15 +181,15 @@
     "a worker is down for {int} ms, and {int} starts there got no answer",
     async function(this: ScenarioWorld, downMs: number, starts: number) {
         const clock = createFakeClock();
-        const lateOrders = createLateOrders(clock);
+        const delayedStarts = createDelayedStarts(clock);
         for (let run = 1; run <= starts; run += 1) {
-            lateOrders.note("i-1", { taskName: "00000000000000a1.0.0.0", run });
+            delayedStarts.note("i-1", { taskName: "00000000000000a1.0.0.0", run });
         }
         const link = openLink(this, {
             clock,
             worker: newWorker(workerEntry("i-1", 1), 0),
             newestToken: () => fencingToken,
-            lateOrders,
+            delayedStarts,
             port: {
                 start: async () => "unknown",
                 look: lookOnceBack(this, clock, downMs),
--- a/packages/puffinarch/src/core/shard/nextLife.ts
+++ b/packages/puffinarch/src/core/shard/nextLife.ts
@@ -5,8 +5,8 @@
 
 import type { WorkerEntry } from "../../types/work.js";
 import { type CrashedRun, crashedRuns, needsTrial } from "./crashes.js";
+import type { DelayedStarts } from "./delayedStarts.js";
 import { runPhases, type ShardRun } from "./jobBook.js";
-import type { LateOrders } from "./lateOrders.js";
 import { isOtherLife } from "./lives.js";
 import { adoptRun, newWorker, runKey, type ShardWorker } from "./workerTable.js";
 
@@ -20,23 +20,23 @@
     readonly undecided: readonly CrashedRun[];
 }
 
-const isUnderWay = ({ task, run, workerId }: ShardRun, lateOrders: LateOrders): boolean =>
-    lateOrders.has(workerId, { taskName: task.name, run });
+const isUnderWay = ({ task, run, workerId }: ShardRun, delayedStarts: DelayedStarts): boolean =>
+    delayedStarts.has(workerId, { taskName: task.name, run });
 
 /** It was answered by one of the two lives and neither has listed it, or an order for it may still be under way. */
-const mayBeNext = (run: ShardRun, lateOrders: LateOrders): boolean =>
+const mayBeNext = (run: ShardRun, delayedStarts: DelayedStarts): boolean =>
     run.phase !== runPhases.planned
-    && (!run.shown || run.phase === runPhases.starting || isUnderWay(run, lateOrders));
+    && (!run.shown || run.phase === runPhases.starting || isUnderWay(run, delayedStarts));
 
 /**
  * Tells whether the next look at the next life settles a run that it may have; any other run has to be stopped there, so
  * that an order for it is refused when it comes.
  *
  * @example
- * if (!isSettledByLook(run, lateOrders)) { link.stop(run); }
+ * if (!isSettledByLook(run, delayedStarts)) { link.stop(run); }
  */
-export const isSettledByLook = (run: ShardRun, lateOrders: LateOrders): boolean =>
-    run.phase === runPhases.running && !isUnderWay(run, lateOrders);
+export const isSettledByLook = (run: ShardRun, delayedStarts: DelayedStarts): boolean =>
+    run.phase === runPhases.running && !isUnderWay(run, delayedStarts);
 
 /**
  * Adds what is undecided of the life before to what may have crashed a worker; such runs do not count for both lives.
@@ -56,11 +56,11 @@
  * Takes from a life that is over the runs that the next one may have.
  *
  * @example
- * const { carried } = leaveLife(worker, createLateOrders(clock), clock.monotonicMs());
+ * const { carried } = leaveLife(worker, createDelayedStarts(clock), clock.monotonicMs());
  */
-export const leaveLife = (former: ShardWorker, lateOrders: LateOrders, nowMs: number): LeftLife => {
+export const leaveLife = (former: ShardWorker, delayedStarts: DelayedStarts, nowMs: number): LeftLife => {
     const all = withUndecided(former, crashedRuns(former, nowMs));
-    const carried = new Map([...former.runs].filter(([, run]) => mayBeNext(run, lateOrders)));
+    const carried = new Map([...former.runs].filter(([, run]) => mayBeNext(run, delayedStarts)));
     for (const key of carried.keys()) {
         former.runs.delete(key);
     }
@@ -85,7 +85,7 @@
  * Makes the next life of a worker, with the runs that it may have.
  *
  * @example
- * const next = enterLife(former, leaveLife(former, lateOrders, nowMs), { bornAtMs, listed, horizonMs });
+ * const next = enterLife(former, leaveLife(former, delayedStarts, nowMs), { bornAtMs, listed, horizonMs });
  */
 export const enterLife = (
     former: ShardWorker,
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -2,8 +2,8 @@
 
 import { type OrderOutcome, orderOutcomes, type WorkerTarget } from "../../types/cellPorts.js";
 import { sleep } from "../../utils/time.js";
+import type { DelayedStart } from "./delayedStarts.js";
 import { runPhases, type ShardRun } from "./jobBook.js";
-import type { LateOrder } from "./lateOrders.js";
 import { lifeOf } from "./lives.js";
 import { noteStartAnswered, noteStartUnanswered } from "./startBreaker.js";
 import type { WorkerLinkOptions } from "./workerLink.js";
@@ -16,7 +16,8 @@
 
 /** What the orders share with the looks of their worker's link. */
 export interface RunOrdersOptions
-    extends Pick<WorkerLinkOptions, "clock" | "log" | "meter" | "workers" | "leaseMs" | "orderPauseMs" | "lateOrders">
+    extends
+        Pick<WorkerLinkOptions, "clock" | "log" | "meter" | "workers" | "leaseMs" | "orderPauseMs" | "delayedStarts">
 {
     readonly worker: ShardWorker;
     readonly target: () => WorkerTarget;
@@ -44,7 +45,7 @@
     /** Stops without an answer may still be under way, so they are sent until the run is gone. */
     stop(run: ShardRun): Promise<void>;
     /** Lets the worker refuse an order that may be under way to it. */
-    refuse(order: LateOrder): Promise<void>;
+    refuse(order: DelayedStart): Promise<void>;
 }
 
 /**
@@ -55,7 +56,7 @@
  * await orders.start(run, run.task.checkpoint, ticket);
  */
 export const createRunOrders = (options: RunOrdersOptions): RunOrders => {
-    const { clock, log, meter, workers, worker, target, leaseMs, lateOrders, orderPauseMs, isClosed, endsLink } =
+    const { clock, log, meter, workers, worker, target, leaseMs, delayedStarts, orderPauseMs, isClosed, endsLink } =
         options;
 
     const isWanted = (run: ShardRun): boolean =>
@@ -123,7 +124,7 @@
         }, startTimeoutMs);
         meter.count(`starts.${outcome}`);
         if (outcome === orderOutcomes.unknown) {
-            lateOrders.note(worker.workerId, { taskName: run.task.name, run: run.run });
+            delayedStarts.note(worker.workerId, { taskName: run.task.name, run: run.run });
         }
         else {
             noteStartAnswered(worker);
@@ -175,8 +176,8 @@
     };
 
     /** A stop of a run that is not there makes the worker refuse it when it comes. */
-    const refuse = async ({ taskName, run }: LateOrder): Promise<void> => {
-        while (!isClosed() && lateOrders.has(worker.workerId, { taskName, run })) {
+    const refuse = async ({ taskName, run }: DelayedStart): Promise<void> => {
+        while (!isClosed() && delayedStarts.has(worker.workerId, { taskName, run })) {
             const order = { taskName, run, fencingToken: options.token() };
             const outcome = await workers.stop(target(), order, longestStopTimeoutMs);
             if (
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -5,11 +5,11 @@
 import type { WorkerEntry } from "../../types/work.js";
 import { sleep } from "../../utils/time.js";
 import { type CrashedRun, crashedRuns, needsTrial, noteConfirmed } from "./crashes.js";
+import { createDelayedStarts } from "./delayedStarts.js";
 import { createFalls } from "./falls.js";
 import { createFirstLooks } from "./firstLooks.js";
 import { findTask, newRun, runPhases, type ShardJob, type ShardRun } from "./jobBook.js";
 import type { RestoredLoss, StoredRun } from "./jobRows.js";
-import { createLateOrders } from "./lateOrders.js";
 import { isOtherLife, lifeOf } from "./lives.js";
 import { createLookSlots } from "./lookSlots.js";
 import { createLostRuns } from "./lostRuns.js";
@@ -95,7 +95,7 @@
     const unseenRuns = new Map<string, StoredRun[]>();
     const pacer = createPacer({ clock, log });
     const firstLooks = createFirstLooks(clock);
-    const lateOrders = createLateOrders(clock);
+    const delayedStarts = createDelayedStarts(clock);
     const lookSlots = createLookSlots(clock);
     const touched = new Set<ShardJob>();
     const lostRuns = createLostRuns(job => touched.add(job));
@@ -125,7 +125,7 @@
             links.get(worker.workerId)?.stop(run);
         },
         // This life refuses it by its fencing token, which the next one will not know.
-        onFormerGone: ({ workerId }, { task, run }) => lateOrders.note(workerId, { taskName: task.name, run }),
+        onFormerGone: ({ workerId }, { task, run }) => delayedStarts.note(workerId, { taskName: task.name, run }),
         stopUnknown: (worker, taskName, run) => links.get(worker.workerId)?.stopUnknown(taskName, run),
     });
 
@@ -185,7 +185,7 @@
             // It was back before a look could fail.
             falls.note(former, nowMs, crashedRuns(former, nowMs));
         }
-        const left = leaveLife(former, lateOrders, nowMs);
+        const left = leaveLife(former, delayedStarts, nowMs);
         dropWorker(former, "otherLife");
         countCrashes(former, [...left.suspects, ...lostRuns.replaced(former.entry.address, "")]);
         const next = enterLife(former, hasLeft(former) ? { ...left, undecided: [] } : left, {
@@ -198,7 +198,7 @@
         const link = openLink(next);
         links.set(workerId, link);
         for (const run of left.carried) {
-            if (!isSettledByLook(run, lateOrders)) {
+            if (!isSettledByLook(run, delayedStarts)) {
                 run.phase = runPhases.running;
                 link.stop(run);
             }
@@ -250,7 +250,7 @@
             leaseMs: settings.leaseMs,
             lookWaitMs: settings.lookWaitMs,
             firstLooks,
-            lateOrders,
+            delayedStarts,
             lookSlots,
             lookPauseMs: settings.lookPauseMs,
             orderPauseMs: settings.orderPauseMs,
@@ -307,7 +307,7 @@
                 }
             },
         });
-        for (const order of lateOrders.of(worker.workerId)) {
+        for (const order of delayedStarts.of(worker.workerId)) {
             if (!worker.runs.has(runKey(order.taskName, order.run))) {
                 link.refuse(order);
             }
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -2,9 +2,9 @@
 
 import { type FencedWorkerPort, type LookResult, type OrderOutcome, orderOutcomes } from "../../types/cellPorts.js";
 import type { CancelTimer, Clock, Log, Meter } from "../../types/ports.js";
+import type { DelayedStart, DelayedStarts } from "./delayedStarts.js";
 import type { FirstLooks } from "./firstLooks.js";
 import { runPhases, type ShardRun } from "./jobBook.js";
-import type { LateOrder, LateOrders } from "./lateOrders.js";
 import { isOtherLife, lifeOf } from "./lives.js";
 import type { LookSlots } from "./lookSlots.js";
 import { createRunOrders } from "./runOrders.js";
@@ -43,7 +43,7 @@
     /** How long a look may wait for an end. */
     readonly lookWaitMs: number;
     readonly firstLooks: FirstLooks;
-    readonly lateOrders: LateOrders;
+    readonly delayedStarts: DelayedStarts;
     readonly lookSlots: LookSlots;
     /** Pause between looks while the ends that it shows cannot be made durable, or it does not answer. */
     readonly lookPauseMs: number;
@@ -77,7 +77,7 @@
     /** Stops a run that the book does not have. */
     stopUnknown(taskName: string, run: number): void;
     /** Lets the worker refuse an order that may be under way to it; sent until it is answered. */
-    refuse(order: LateOrder): void;
+    refuse(order: DelayedStart): void;
     pace(run: ShardRun, percent: number): void;
     close(): void;
 }
@@ -184,7 +184,7 @@
 
     /** An order of a former owner may be under way for any run that no look has shown. */
     const isOrdered = (): boolean =>
-        options.lateOrders.of(worker.workerId).length > 0 || [...worker.runs.values()].some(({ shown }) => !shown);
+        options.delayedStarts.of(worker.workerId).length > 0 || [...worker.runs.values()].some(({ shown }) => !shown);
 
     const lookOnce = async (answered: () => void): Promise<void> => {
         const sentAtMs = clock.monotonicMs();
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -95,7 +95,7 @@
     showSound,
 } from "./internal.js";
 export { createFalls, type Falls } from "./internal.js";
-export { createLateOrders, type LateOrder, type LateOrders } from "./internal.js";
+export { createDelayedStarts, type DelayedStart, type DelayedStarts } from "./internal.js";
 export { enterLife, isSettledByLook, leaveLife, type LeftLife, type NextLife, withUndecided } from "./internal.js";
 export { isOtherLife, lifeKey, lifeOf, type WorkerLife } from "./internal.js";
 export { createLostRuns, type LostRuns } from "./internal.js";
