A look that lists a start without an answer closes the breaker of its worker

Read in the code after plays on which up to 16 starts got no answer: a worker that is slow carries a start out and answers later than 150 ms; the look settles the run, but the breaker stayed half open, so that the worker got one start at a time. The worker has lost no order then. The scene fails without the change.

--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -150,6 +150,11 @@
         When a start gets no answer from a worker that answers looks, and the owner commits then
         Then what is sent is "start 7, look 8, look 8"
 
+    # A slow worker that answers after 150 ms would get one start at a time, some pauses apart, though it carries all of them out.
+    Scenario: A worker whose look lists a start without an answer has lost no order
+        When a start got no answer, and the next look lists its run
+        Then the worker takes any number of starts again
+
     # A life that was back before a look could fail got one with the token of all that had been sent before, and answered it after 1 s.
     Scenario Outline: A look after <ms> ms without one carries the tokens "<tokens>"
         When the ends of a look take <ms> ms to be durable and the owner commits meanwhile
--- a/features/steps/tokenSteps.ts
+++ b/features/steps/tokenSteps.ts
@@ -10,15 +10,18 @@
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
+    allowsStart,
     createDelayedStarts,
     createFirstLooks,
     createLookSlots,
+    createWorkerWatch,
     type DelayedStarts,
     type FencedWorkerPort,
     holdRoom,
     newJob,
     newRun,
     newWorker,
+    noteStartUnanswered,
     openWorkerLink,
     runPhases,
     type ShardRun,
@@ -37,6 +40,7 @@
     readonly sent: string[];
     /** How long a worker had been back when a look reached it. */
     metAfterMs: number | undefined;
+    takesStarts: boolean;
 }
 
 const part = (world: ScenarioWorld): Part =>
@@ -45,6 +49,7 @@
         sent: [],
         fenced: false,
         metAfterMs: undefined,
+        takesStarts: false,
     }));
 
 const fencingToken = 7;
@@ -276,6 +281,34 @@
     },
 );
 
+When("a start got no answer, and the next look lists its run", function(this: ScenarioWorld) {
+    const clock = createFakeClock();
+    const worker = newWorker(workerEntry("i-1", 1), 0);
+    const run = runOn(worker);
+    run.phase = runPhases.starting;
+    noteStartUnanswered(worker, 0, clock.monotonicMs());
+    const watch = createWorkerWatch({
+        clock,
+        log: quietLog,
+        meter: quietMeter,
+        jobOf: () => undefined,
+        onChange: () => {},
+        othersAt: () => 0,
+        stop: () => {},
+        onStuck: () => {},
+        stopUnknown: () => {},
+        onFormerGone: () => {},
+    });
+    const listed = { taskName: run.task.name, run: run.run, checkpoint: "", percent: 100, figure: 1_000 };
+    watch.take(worker, { outcome: "done", clockMs: 0, running: [listed], ended: [] }, clock.monotonicMs());
+    run.phase = runPhases.starting;
+    part(this).takesStarts = allowsStart(worker);
+});
+
+Then("the worker takes any number of starts again", function(this: ScenarioWorld) {
+    assert.equal(part(this).takesStarts, true);
+});
+
 Then("what is sent is {string}", function(this: ScenarioWorld, text: string) {
     assert.equal(part(this).sent.join(", "), text);
 });
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -15,6 +15,7 @@
     type ShardTask,
 } from "./jobBook.js";
 import { isOtherLife, lifeOf } from "./lives.js";
+import { noteStartAnswered } from "./startBreaker.js";
 import { adoptRun, dropRun, runKey, type ShardWorker } from "./workerTable.js";
 
 /** What the watch needs. */
@@ -214,6 +215,8 @@
         if (run.phase === runPhases.starting || run.phase === runPhases.planned) {
             run.phase = runPhases.running;
             run.settledAtMs = clock.monotonicMs();
+            // Only the answer was late or lost, as from a worker that is slow.
+            noteStartAnswered(worker);
         }
         if (row.checkpoint !== "") {
             run.task.checkpoint = row.checkpoint;
