--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -153,6 +153,8 @@
             | 140  | 600 | last   |
             | 1036 | 50  | end    |
             | 1611 | 50  | end    |
+            | 20333 | 600 | last   |
+            | 20968 | 50  | end    |
 
     # Workers that do not guard their capacity were started on with room that they had no more: what had been planned while they
     # were larger was sent all the same, after the store had been away or once a silent worker answered again.
