--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -222,8 +222,8 @@
         And the fault "owner killed" comes
         Then another daemon owns the shard within 5000 ms
 
-    # After all VMs had lost power the owner that brought the service back ran out of memory: each ping that found no one began the next
-    # round of pings, and up to 150 MB of them were under way two seconds after its claim.
+    # An owner that was cut off from its peers ran out of memory: each ping without an answer began the next round of pings, and 110 MB of
+    # them were under way three seconds after the cut.
     Scenario Outline: An owner that loses <others> pings its peers at the usual pace, in a cell of <members>
         Given a cell of <members> daemons and 4 workers
         When <others> lose power
