--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -239,6 +239,7 @@
     jobStates,
     type JobStatus,
     type JobSubmission,
+    type Organisation,
     parseTaskName,
     type Queue,
     type Step,
--- a/packages/puffinarch/src/types/work.ts
+++ b/packages/puffinarch/src/types/work.ts
@@ -51,6 +51,8 @@
 export interface JobSubmission {
     readonly jobId: string;
     readonly queueKey: string;
+    /** Name of the organisation that its caller belongs to; empty, or left out, for a caller without one. */
+    readonly organisation?: string;
     /** Where its caller's requests arrive; tasks near it share its fate when the data centre is cut off. */
     readonly dataCentre: string;
     /** Opaque text for the tasks. */
@@ -120,12 +122,27 @@
     readonly targetRuntimeMs: number;
     /** Undefined where every worker of the service may run the queue's steps. */
     readonly advice?: AdviceTerms;
+    /** True where callers need no API key. */
+    readonly isPublic?: boolean;
+}
+
+/** An organisation that shares the service with others, as configured. */
+export interface Organisation {
+    readonly name: string;
+    /** Digests of the API keys that its callers send, as `digestKey` gives them. */
+    readonly keyDigests: readonly string[];
+    /** Its share of the service while all of it is in use. */
+    readonly weight: number;
+    /** The most that it may have running over all workers; an amount of 0 is no limit. */
+    readonly cap: Resources;
 }
 
 /** What the operator has put in force; versions only grow. */
 export interface CellConfiguration {
     readonly version: number;
     readonly queues: readonly Queue[];
+    /** Undefined where callers are not told apart and need no API key. */
+    readonly organisations?: readonly Organisation[];
     readonly maxHeaderBytes: number;
     readonly maxBodyBytes: number;
 }
--- a/packages/stand-ins/src/shard/exploreSeed.ts
+++ b/packages/stand-ins/src/shard/exploreSeed.ts
@@ -1,6 +1,6 @@
 /** Seeded runs of a cell with one shard, with several faults at once, and what is wrong after them. */
 
-import { createSeededRandom, runEnds } from "puffinarch";
+import { createSeededRandom, type Organisation, runEnds } from "puffinarch";
 import type { BrokenShardPart } from "./brokenShardParts.js";
 import {
     crashingShapes,
@@ -38,10 +38,19 @@
     "all workers but one fail everything",
     "all workers but one, which has shrunk, fail everything",
 ];
+/** Faults for cells whose organisations have caps. */
+const capFaults = ["caps lowered to a quarter", "caps raised to double"];
 const shortestFailMs = 4_000;
 const failSpreadMs = 3_000;
 /** Each of these is for a kind of cell only, and seeds of the others stay as they are. */
-const faultsOfKinds = [...lastingFaults, ...crashFaults, ...resizeFaults, ...suspendFaults, ...failFaults];
+const faultsOfKinds = [
+    ...lastingFaults,
+    ...crashFaults,
+    ...resizeFaults,
+    ...suspendFaults,
+    ...failFaults,
+    ...capFaults,
+];
 /** A crashed worker stays gone and a list without workers ends all placing, so these stand in the table alone. */
 const faultsAlone = [
     "worker crashes",
@@ -64,6 +73,19 @@
     return job >= lastingIds ? index % 2 === 0 : (index + job + Number(step)) % workersOfSeed < allowed;
 };
 /** One worker of three may be full of a task that lasts; where jobs that last are submitted, two of four. */
+/**
+ * Organisations with caps that the jobs of two thirds of the callers reach now and then; the largest gang of a job fits under
+ * the lower one.
+ */
+const cappedOrganisations = (largestGangCores: number): readonly Organisation[] =>
+    [["first", largestGangCores], ["second", 1.5 * largestGangCores], ["third", 0]].map(([name, cores]) => ({
+        name: String(name),
+        keyDigests: [],
+        weight: 1,
+        cap: { cpuMillis: 1_000 * Number(cores), memoryMib: 0, accelerators: 0 },
+    }));
+const largestGangCores = 4;
+const largestGangCoresFailing = 10;
 const allowedWorkers = 3;
 const allowedBesideLasting = 4;
 const stepMs = 250;
@@ -93,6 +115,7 @@
         shapes = randomShapes,
         faults = randomFaults,
         spreadMs = faultSpreadMs,
+        organisationOf,
     }: {
         readonly seed: number;
         readonly forMs: number;
@@ -108,6 +131,8 @@
         readonly faults?: readonly string[];
         /** By how much more than the shortest one a fault may last. */
         readonly spreadMs?: number;
+        /** Organisation of the job with a number; jobs belong to none where it is left out. */
+        readonly organisationOf?: (job: number) => string;
     },
 ): Promise<void> => {
     const random = createSeededRandom(1_000 + seed);
@@ -128,7 +153,13 @@
                 ? { onThis: onFailingJob, shapesOfThis: failingShapes }
                 : { onThis: onJob, shapesOfThis: shapes };
             onThis(jobIdOf(jobs));
-            cell.submit(jobIdOf(jobs), readSteps(choose(shapesOfThis)));
+            const steps = readSteps(choose(shapesOfThis));
+            if (organisationOf === undefined) {
+                cell.submit(jobIdOf(jobs), steps);
+            }
+            else {
+                cell.submitFor(organisationOf(jobs), jobIdOf(jobs), steps);
+            }
         }
         for (const [index, fault] of [...open.entries()].reverse()) {
             if (fault.endsAtMs <= nowMs) {
@@ -199,6 +230,8 @@
      * that can be done, and the advisor allows three workers for each step.
      */
     readonly failing?: boolean | undefined;
+    /** The jobs belong to three organisations, of which two have caps that are lowered and raised. */
+    readonly capped?: boolean | undefined;
     readonly broken?: BrokenShardPart | undefined;
 }
 
@@ -218,10 +251,14 @@
         crashing = false,
         keepsIds = false,
         failing = false,
+        capped = false,
         crashedDownMs,
         broken,
     }: ExploreShardOptions = {},
 ): Promise<readonly string[]> => {
+    const organisations = cappedOrganisations(
+        failing || shapes !== undefined ? largestGangCoresFailing : largestGangCores,
+    );
     const cell = createShardCell({
         members: 4,
         workers: workersOfSeed,
@@ -230,6 +267,7 @@
         crashedDownMs,
         keepsIds,
         broken,
+        ...(capped ? { organisations } : {}),
         ...(failing ? { breaksGangs: true, isGood: allowsSome(lasting ? allowedBesideLasting : allowedWorkers) } : {}),
     });
     const watch = watchStanding(cell);
@@ -252,6 +290,7 @@
         ...(crashing ? { onCrashingJob: jobId => crashingJobs.push(jobId) } : {}),
         ...(failing ? { shapes: soundShapes, onFailingJob: jobId => failingJobs.push(jobId) } : {}),
         ...(shapes === undefined ? {} : { shapes }),
+        ...(capped ? { organisationOf: job => organisations[job % organisations.length]?.name ?? "" } : {}),
         faults: [
             ...randomFaults,
             ...lasting ? lastingFaults : [],
@@ -261,6 +300,7 @@
             ...suspending ? Array.from({ length: 4 }, () => suspendFaults).flat() : [],
             // So often that about a third of the faults is of them.
             ...failing ? Array.from({ length: 4 }, () => failFaults).flat() : [],
+            ...capped ? Array.from({ length: 4 }, () => capFaults).flat() : [],
             ...resizing ? Array.from({ length: 6 }, () => resizeFaults).flat() : [],
         ],
         ...(lasting ? { spreadMs: longFaultSpreadMs } : {}),
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -1,6 +1,7 @@
 /** Several daemons of a cell in one process on a fake clock, with links that can be cut and daemons that can be killed. */
 
 import {
+    add,
     type AdviceTerms,
     type AdvisorPort,
     type CellConfiguration,
@@ -20,6 +21,7 @@
     type MemberPort,
     noEntry,
     noResources,
+    type Organisation,
     parseTaskName,
     type Queue,
     type Resources,
@@ -36,6 +38,7 @@
 import { quietMeter } from "../quiet.js";
 import { breakShardPart, type BrokenShardPart } from "./brokenShardParts.js";
 import { createCalm } from "./calm.js";
+import { capBreaches, type CapVersion, isUnderHalf } from "./capCheck.js";
 import { createFakeVms, type FakeVms } from "./fakeVms.js";
 import { breachesOf, createFakeFencedWorkers, type FakeFencedWorkers, ticketFor } from "./fencedWorkers.js";
 import { createProcessor, type Processor, type ProcessorCosts, withLateTimers, withProcessor } from "./processor.js";
@@ -92,6 +95,8 @@
     member(memberId: string): CellMember | undefined;
     owner(): string | undefined;
     submit(jobId: string, steps: readonly Step[], queueKey?: string): void;
+    /** Submits for a caller of an organisation. */
+    submitFor(organisation: string, jobId: string, steps: readonly Step[]): void;
     /** Submits through one daemon and never again; the answer, or the kind of its failure, is among the answers. */
     submitOnce(jobId: string, steps: readonly Step[], memberId?: string): void;
     /** Acceptances and refusals so far, by job. */
@@ -105,8 +110,12 @@
     cut(memberId: string, what: readonly ("peers" | "store" | "workers")[]): void;
     mend(memberId: string): void;
     isCut(memberId: string, what: "peers" | "store" | "workers"): boolean;
-    /** Puts the configuration in force under a new version. */
-    configure(version: number): void;
+    /** Puts the configuration in force under a new version, with these organisations where they change. */
+    configure(version: number, organisations?: readonly Organisation[]): void;
+    /** The organisations of the newest version. */
+    organisations(): readonly Organisation[];
+    /** The newest version. */
+    version(): number;
     /** The operator asks for a wave of upkeep. */
     askUpkeep(wave: UpkeepWave): void;
     withdrawUpkeep(wave: number): void;
@@ -158,6 +167,8 @@
     /** Of each worker. */
     readonly capacity?: Resources;
     readonly queues?: readonly Queue[];
+    /** Callers are not told apart where it is left out. */
+    readonly organisations?: readonly Organisation[];
     readonly policies?: ShardPolicies;
     /** Of the daemons' VMs; 1 where it is left out. */
     readonly strengths?: readonly number[];
@@ -236,9 +247,14 @@
 );
 const waveSchema = z.custom<UpkeepWave>(value => isObjectWith(value, "number", "number"), "a wave");
 
-const submissionOf = (jobId: string, steps: readonly Step[], queueKey = testQueue.key): JobSubmission => ({
+const submissionOf = (
+    jobId: string,
+    steps: readonly Step[],
+    { queueKey = testQueue.key, organisation = "" }: Partial<Pick<JobSubmission, "queueKey" | "organisation">> = {},
+): JobSubmission => ({
     jobId,
     queueKey,
+    organisation,
     dataCentre: "leon-feria",
     payload: "plan",
     steps,
@@ -273,6 +289,7 @@
         durationMs = 800,
         capacity,
         queues = [testQueue],
+        organisations: firstOrganisations,
         policies,
         strengths = [],
         checksVmTokens = true,
@@ -301,6 +318,8 @@
     const steps = new Map<string, readonly Step[]>();
     /** Queue of each job that was not submitted to the usual one. */
     const queueOf = new Map<string, string>();
+    /** Organisation of each job that was submitted for one. */
+    const organisationOf = new Map<string, string>();
     const stepOf = (taskName: string): Step | undefined => {
         const name = parseTaskName(taskName);
         return name === undefined ? undefined : steps.get(name.jobId)?.[name.step];
@@ -580,10 +599,20 @@
     });
     const vms = calm.noting(fakeVms, ["setFault"]);
     listWorkers();
-    const configure = (version: number): void => {
+    let organisations = firstOrganisations;
+    let newestVersion = 0;
+    const capVersions: CapVersion[] = [];
+    const configure = (version: number, next = organisations): void => {
+        organisations = next;
+        newestVersion = version;
+        capVersions.push({
+            atMs: clock.monotonicMs(),
+            caps: new Map(organisations?.map(({ name, cap }) => [name, cap])),
+        });
         const configuration: CellConfiguration = {
             version,
             queues,
+            ...(organisations === undefined ? {} : { organisations }),
             maxHeaderBytes: 16_384,
             maxBodyBytes: 262_144,
         };
@@ -605,6 +634,16 @@
         store.rows("workers").map(readEntry).flatMap(decoded => decoded.kind === "entry" ? [decoded.entry] : [])
             .filter(({ workerId, draining }) => !draining && workers.isSound(workerId));
 
+    /** Whether the organisation of a job has under half of its cap at work; so does one without a cap. */
+    const hasRoomUnderCap = (jobId: string): boolean => {
+        const organisation = organisationOf.get(jobId) ?? "";
+        const cap = organisations?.find(({ name }) => name === organisation)?.cap ?? noResources;
+        const used = workers.evidence.filter(({ taskName, endedAtMs }) =>
+            endedAtMs === undefined && organisationOf.get(parseTaskName(taskName)?.jobId ?? "") === organisation
+        ).reduce((sum, { taskName }) => add(sum, heldOf(taskName)), noResources);
+        return organisation === "" || isUnderHalf(used, cap);
+    };
+
     /** Workers of a wave that goes on are closed to new tasks, and from outside nobody sees which. */
     const wavesOpen = (): boolean =>
         store.rows("operator").some(({ key }) =>
@@ -658,7 +697,12 @@
             if (queueKey !== undefined) {
                 queueOf.set(jobId, queueKey);
             }
-            void send(submissionOf(jobId, jobSteps, queueKey));
+            void send(submissionOf(jobId, jobSteps, queueKey === undefined ? {} : { queueKey }));
+        },
+        submitFor: (organisation, jobId, jobSteps) => {
+            steps.set(jobId, jobSteps);
+            organisationOf.set(jobId, organisation);
+            void send(submissionOf(jobId, jobSteps, { organisation }));
         },
         submitOnce: (jobId, jobSteps, memberId) => {
             steps.set(jobId, jobSteps);
@@ -713,6 +757,8 @@
         withdrawUpkeep: wave => store.remove("operator", `wave/${wave}`),
         waveState: wave => store.rows("status").find(row => row.key === `wave/${wave}`)?.value,
         configure,
+        organisations: () => organisations ?? [],
+        version: () => newestVersion,
         listWorkers: () => {
             calm.note();
             listWorkers();
@@ -786,13 +832,19 @@
         breaches: () => [
             ...breachesOf(workers.evidence, taskName => stepOf(taskName)?.speculative === true),
             ...workers.overcommitted().map(workerId => `${workerId} held more than it has`),
+            ...capBreaches({
+                evidence: workers.evidence,
+                versions: capVersions,
+                organisationOf: taskName => organisationOf.get(parseTaskName(taskName)?.jobId ?? "") ?? "",
+                heldOf,
+            }),
         ],
         calmSinceMs: calm.sinceMs,
         stepOf,
         claimedAtMs: () => claimedAtMs,
         standing: times =>
             wavesOpen() ? [] : standingTasks({
-                jobs: openJobs().map(jobId => ({ jobId, steps: steps.get(jobId) ?? [] })),
+                jobs: openJobs().filter(hasRoomUnderCap).map(jobId => ({ jobId, steps: steps.get(jobId) ?? [] })),
                 evidence: workers.evidence,
                 workers: workersForNew(),
                 heldOf,
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -77,6 +77,17 @@
     };
 };
 
+/** Every organisation may have this share of its present cap, at once in force. */
+const scaleCaps = (cell: ShardCell, share: number): () => void => {
+    const before = cell.organisations();
+    const scaled = before.map(({ cap, ...organisation }) => ({
+        ...organisation,
+        cap: { ...cap, cpuMillis: Math.ceil(share * cap.cpuMillis) },
+    }));
+    cell.configure(cell.version() + 1, scaled);
+    return () => cell.configure(cell.version() + 1, before);
+};
+
 const unlistWorkers = (cell: ShardCell): () => void => {
     for (const workerId of cell.workers.workerIds()) {
         cell.unlist(workerId);
@@ -204,6 +215,8 @@
         cell.vms.setFault("silent");
         return () => cell.vms.setFault("none");
     },
+    "caps lowered to a quarter": cell => scaleCaps(cell, 0.25),
+    "caps raised to double": cell => scaleCaps(cell, 2),
     "workers not listed": unlistWorkers,
     "workers cut until their entries lapsed": cell => {
         const mendCut = workerFault(cell, "cut", cell.workers.workerIds().length);
