Caps of organisations on a shard: what each has running is counted where a run takes and gives back room

Cause: the scheduler of a shard knew no organisation, neither of a job nor of the configuration.

An account for each organisation counts what its runs hold. It is charged in the one place where a run takes a worker's room, before the run is durable, and released where the run gives it back, so that what a former owner sent, a silent worker may have or a stop has not ended yet counts. A review recounts it each second from the workers' runs and says so where it differs; the fakes' check takes such a line for a breach. The organisation and its cap at acceptance last with the job's row. A cap that is lowered lets nothing start and kills nothing. Steps at their cap ask no advice, keep no room and stop nothing. A gang that needs most of its cap keeps the rest from later steps of its organisation. What no cap ever holds is refused at once.

Ruled out: a sum that is counted on its own beside the runs (leaks where a life of a worker is over), the tolerance of a tenth (it is for what comes late).

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -57,6 +57,7 @@
             | chooseWorker         | i-2                                     |
             | claimShard           | token 1, then refused                   |
             | acceptance           | notAccepted, 0 jobs                     |
+            | accounts             | 2 tasks                                 |
             | batchWriter          | in force at version 1                   |
             | commitLog            | 3 jobs in 1 transaction                 |
             | evacuate             | 0 moves while the other is away; not ready |
--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -52,6 +52,21 @@
             | 3    |
             | 4    |
 
+    # Organisations had more running than their caps, which the scheduler of a shard did not know.
+    Scenario Outline: Organisations keep to caps that change, among workers that <what>, seed <seed>
+        When the seed <seed> is explored on a shard with organisations, among workers that <what>
+        Then nothing went wrong on the shard
+
+        Examples:
+            | what                        | seed |
+            | serve                       | 1    |
+            | serve                       | 5    |
+            | serve                       | 10   |
+            | start again under their IDs | 2    |
+            | start again under their IDs | 3    |
+            | fail                        | 4    |
+            | shrink and grow             | 6    |
+
     # Jobs that could never be done were started on and on, and sound ones given up for what ran beside them.
     Scenario Outline: Tasks that crash their workers are given up and no others, among jobs that <others>, seed <seed>
         When the seed <seed> is explored on a shard with jobs that crash their workers, among jobs that <others>
--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -5,12 +5,15 @@
     applyEnd,
     countStands,
     createAcceptance,
+    createAccounts,
     createForward,
     createTaskReview,
     defaultShardSettings,
     formatTaskName,
     kindOf,
+    noResources,
     type ShardJob,
+    tasksUnderCap,
     taskWaitOf,
 } from "puffinarch";
 import { exampleJob, log, meter, openWorker, submission, taskOf } from "./shardFixtures.js";
@@ -40,6 +43,7 @@
         settings: defaultShardSettings,
         jobs,
         queueOf: () => testQueue,
+        accounts: createAccounts(),
         nextOrder: 1,
         commits,
         commit: () => new Promise(() => {}),
@@ -52,6 +56,13 @@
     return `${String(refusal)}, ${jobs.size} jobs`;
 };
 
+const accounts = (): string => {
+    const all = createAccounts();
+    const cap = { ...noResources, cpuMillis: 4_000 };
+    all.update([{ name: "north", keyDigests: [], weight: 1, cap }]);
+    return `${tasksUnderCap(all.of("north"), { ...noResources, cpuMillis: 1_500 })} tasks`;
+};
+
 const forward = async (): Promise<string> => {
     const clock = createFakeClock();
     const passing = createForward({
@@ -96,6 +107,7 @@
 /** Examples of the modules about jobs, by the module's name. */
 export const shardJobExamples: Readonly<Record<string, () => string | Promise<string>>> = {
     acceptance,
+    accounts,
     forward,
     jobBook,
     taskReview,
--- a/features/steps/examples/shardRows.ts
+++ b/features/steps/examples/shardRows.ts
@@ -2,6 +2,7 @@
 
 import { createFakeClock, createFakeRowStore } from "@puffinarch/stand-ins";
 import {
+    createAccounts,
     createBatchWriter,
     createCommitLog,
     createRowReader,
@@ -26,7 +27,8 @@
     taskOf(job).lastRun = 1;
     taskOf(job).runs.push(runOf(job));
     const rows = encodeJob(job).puts.map(put => ({ ...put, part, version: 1 }));
-    const [run] = restoreJobs(rows, createRowReader({ log, meter }), 0).runs;
+    const [run] =
+        restoreJobs(rows, { reader: createRowReader({ log, meter }), accounts: createAccounts(), nowMs: 0 }).runs;
     return `${run?.taskName} ran on ${run?.workerId}`;
 };
 
--- a/features/steps/explorationSteps.ts
+++ b/features/steps/explorationSteps.ts
@@ -75,6 +75,22 @@
     assert.fail(`${broken} was not found within ${most} schedules from ${first} on`);
 });
 
+/** What else is wrong where organisations have caps, by its words in a row. */
+const mixesWithCaps: Readonly<Record<string, Parameters<typeof exploreShardSeed>[1]>> = {
+    serve: {},
+    "start again under their IDs": { keepsIds: true, crashedDownMs: 600 },
+    fail: { failing: true },
+    "shrink and grow": { resizing: true },
+};
+
+When(
+    "the seed {int} is explored on a shard with organisations, among workers that {}",
+    async function(this: ScenarioWorld, seed: number, what: string) {
+        assert.ok(what in mixesWithCaps, what);
+        part(this).shard.wrong = await exploreShardSeed(seed, { capped: true, ...mixesWithCaps[what] });
+    },
+);
+
 When(
     "the seed {int} is explored on a shard with jobs that last",
     async function(this: ScenarioWorld, seed: number) {
--- a/features/steps/shardModuleSteps.ts
+++ b/features/steps/shardModuleSteps.ts
@@ -13,6 +13,7 @@
 import assert from "node:assert/strict";
 import {
     createAcceptance,
+    createAccounts,
     createAdviceDesk,
     createCommitLog,
     createForward,
@@ -196,6 +197,7 @@
         settings: defaultShardSettings,
         jobs,
         queueOf: () => testQueue,
+        accounts: createAccounts(),
         nextOrder: 1,
         commits: {
             commit: async () => {},
--- a/packages/puffinarch/src/core/shard/acceptance.ts
+++ b/packages/puffinarch/src/core/shard/acceptance.ts
@@ -1,11 +1,13 @@
 /** Accepting jobs: durable before the answer, the same id again is the same job, and a refusal is certain. */
 
 import type { Clock, Log, Meter } from "../../types/ports.js";
+import { scale } from "../../types/resources.js";
 import type { JobStatus, JobSubmission, Queue } from "../../types/work.js";
 import { die } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
+import { type Account, type Accounts, amountAboveCap } from "./accounts.js";
 import type { CommitLog } from "./commitLog.js";
-import { cancelJob, newJob, type ShardJob } from "./jobBook.js";
+import { cancelJob, heldBy, newJob, type ShardJob } from "./jobBook.js";
 import type { ShardSettings } from "./shardSettings.js";
 
 /** What acceptance needs. */
@@ -17,6 +19,7 @@
     /** Jobs of the shard, to which accepted ones are added. */
     readonly jobs: Map<string, ShardJob>;
     readonly queueOf: (queueKey: string) => Queue | undefined;
+    readonly accounts: Pick<Accounts, "of">;
     /** Place of the next job in the order of acceptance. */
     readonly nextOrder: number;
     readonly commits: CommitLog;
@@ -32,6 +35,22 @@
     readonly endOfOffice: Promise<never>;
 }
 
+/** A task, or a gang, that the organisation's cap never holds would wait for ever. */
+const refuseAboveCap = ({ steps }: JobSubmission, { organisation, cap }: Account): void => {
+    for (const [index, step] of steps.entries()) {
+        const atOnce = step.gang ? scale(heldBy(step), step.count) : heldBy(step);
+        const amount = amountAboveCap(cap, atOnce);
+        if (amount !== undefined) {
+            die(
+                "overQuota",
+                `steps[${index}] needs ${atOnce[amount]} ${amount} at once; the cap of ${organisation} is ${
+                    cap[amount]
+                }`,
+            );
+        }
+    }
+};
+
 /** How often a job that waits for its acceptance looks whether the store stalls. */
 const checkMs = 100;
 
@@ -39,11 +58,12 @@
  * Makes the function that accepts jobs; it resolves once the job is durable.
  *
  * @example
- * const submit = createAcceptance({ clock, log, meter, settings, jobs, queueOf, nextOrder, commits, commit, consider, takeBack, endedKnown, endOfOffice });
+ * const submit = createAcceptance({ clock, log, meter, settings, jobs, queueOf, accounts, nextOrder, commits, commit, consider, takeBack, endedKnown, endOfOffice });
  * await submit(submission);
  */
 export const createAcceptance = (options: AcceptanceOptions): (submission: JobSubmission) => Promise<void> => {
-    const { clock, log, meter, settings, jobs, queueOf, commits, commit, consider, endedKnown, endOfOffice } = options;
+    const { clock, log, meter, settings, jobs, queueOf, accounts, commits, commit, consider, endedKnown, endOfOffice } =
+        options;
     let { nextOrder } = options;
 
     const refuse = (): never =>
@@ -82,7 +102,9 @@
         if (commits.stalledMs() > settings.refuseStalledMs) {
             refuse();
         }
-        const job = newJob(submission, queue, { acceptedAtMs: clock.nowMs(), order: nextOrder });
+        const account = accounts.of(submission.organisation ?? "");
+        refuseAboveCap(submission, account);
+        const job = newJob(submission, queue, { acceptedAtMs: clock.nowMs(), order: nextOrder, account });
         nextOrder += 1;
         jobs.set(submission.jobId, job);
         return job;
--- a/packages/puffinarch/src/core/shard/eligible.ts
+++ b/packages/puffinarch/src/core/shard/eligible.ts
@@ -2,6 +2,7 @@
 
 import { fits, type Resources, subtract } from "../../types/resources.js";
 import type { Step } from "../../types/work.js";
+import { tasksUnderCap } from "./accounts.js";
 import { heldBy, type ShardStep } from "./jobBook.js";
 import type { ShardWorker } from "./workerTable.js";
 
@@ -58,6 +59,15 @@
  */
 export const placesNeeded = ({ spec, tasks }: ShardStep): number => spec.gang ? tasks.length : 1;
 
+/**
+ * Tells whether the cap of its organisation lets none of a step's tasks start, or not the whole of a gang.
+ *
+ * @example
+ * if (isAtCap(step)) { return; }
+ */
+export const isAtCap = (step: ShardStep): boolean =>
+    tasksUnderCap(step.occurrence.job.account, heldBy(step.spec)) < placesNeeded(step);
+
 /**
  * Gives the ticket that a start of the step must show: empty where none is needed, undefined where there is none.
  *
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -14,6 +14,7 @@
     type Step,
     type TaskName,
 } from "../../types/work.js";
+import { type Account, newAccount } from "./accounts.js";
 
 /** Phases of a run, from its plan to its end. */
 export const runPhases = {
@@ -153,6 +154,8 @@
 /** One job. */
 export interface ShardJob {
     readonly submission: JobSubmission;
+    /** Of its organisation; all jobs of one share it. */
+    readonly account: Account;
     queue: Queue;
     /** Milliseconds since the Unix epoch. */
     readonly acceptedAtMs: number;
@@ -239,10 +242,15 @@
 export const newJob = (
     submission: JobSubmission,
     queue: Queue,
-    { acceptedAtMs, order }: { readonly acceptedAtMs: number; readonly order: number; },
+    { acceptedAtMs, order, account = newAccount(submission.organisation ?? "") }: {
+        readonly acceptedAtMs: number;
+        readonly order: number;
+        readonly account?: Account;
+    },
 ): ShardJob => {
     const job: ShardJob = {
         submission,
+        account,
         queue,
         acceptedAtMs,
         order,
--- a/packages/puffinarch/src/core/shard/jobRowSchemas.ts
+++ b/packages/puffinarch/src/core/shard/jobRowSchemas.ts
@@ -11,9 +11,11 @@
 /** What a task holds, as a run's number and its worker's id. */
 const run = z.tuple([text, whole], "a worker and the number of a run");
 
+const resourcesSchema = z.object({ cpuMillis: amount, memoryMib: amount, accelerators: amount });
+
 const stepSchema = z.object({
     count: whole.min(1, "one task at least"),
-    size: z.object({ cpuMillis: amount, memoryMib: amount, accelerators: amount }),
+    size: resourcesSchema,
     estimateMs: amount.default(0),
     after: z.array(whole, "numbers of steps").default([]),
     checkpointing: flag,
@@ -53,12 +55,15 @@
     submission: z.object({
         jobId: text.min(1, "an id"),
         queueKey: text,
+        organisation: text.optional(),
         dataCentre: text.default(""),
         payload: text,
         steps: stepsSchema,
         schedule: z.object({ startAtMs: amount, intervalMs: amount, repeatCount: whole }),
     }),
     queue: queueSchema,
+    /** Of its organisation at the acceptance, for a successor that does not find the organisation in its configuration. */
+    cap: resourcesSchema.optional(),
     acceptedAtMs: z.number("a time"),
     order: z.number("a number"),
 });
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -3,6 +3,7 @@
 import { type Row } from "../../types/cellPorts.js";
 import type { JobStatus } from "../../types/work.js";
 import { type Decoded, decodeRow } from "../../utils/decode.js";
+import type { Accounts } from "./accounts.js";
 import { type RowChange } from "./commitLog.js";
 import type { CrashedRun } from "./crashes.js";
 import {
@@ -187,8 +188,8 @@
 export const decodeEnded = (row: Pick<Row, "value">): Decoded<JobStatus> => decodeRow(row, endedSchema);
 
 /** Writes what a job was submitted with. */
-const encodeSubmission = ({ submission, queue, acceptedAtMs, order }: ShardJob): string => {
-    const stored = { submission, queue, acceptedAtMs, order };
+const encodeSubmission = ({ submission, queue, account, acceptedAtMs, order }: ShardJob): string => {
+    const stored = { submission, queue, cap: account.cap, acceptedAtMs, order };
     return JSON.stringify(stored);
 };
 
@@ -288,9 +289,16 @@
  * are: to run it anew might run it twice.
  *
  * @example
- * const { jobs, runs } = restoreJobs(rows, createRowReader({ log, meter }), clock.monotonicMs());
+ * const { jobs, runs } = restoreJobs(rows, { reader: createRowReader({ log, meter }), accounts, nowMs: clock.monotonicMs() });
  */
-export const restoreJobs = (rows: readonly Row[], reader: RowReader, nowMs: number): RestoredJobs => {
+export const restoreJobs = (
+    rows: readonly Row[],
+    { reader, accounts, nowMs }: {
+        readonly reader: RowReader;
+        readonly accounts: Pick<Accounts, "of">;
+        readonly nowMs: number;
+    },
+): RestoredJobs => {
     const byKey = new Map(rows.map(row => [row.key, row]));
     const jobs: ShardJob[] = [];
     const runs: StoredRun[] = [];
@@ -306,7 +314,9 @@
         if (stored === undefined || state === undefined) {
             continue;
         }
-        const job = newJob(stored.submission, stored.queue, stored);
+        const { submission, queue, acceptedAtMs, order, cap } = stored;
+        const account = accounts.of(submission.organisation ?? "", cap);
+        const job = newJob(submission, queue, { acceptedAtMs, order, account });
         job.stored = true;
         const restored = restoreState(job, state, nowMs);
         runs.push(...restored.runs);
--- a/packages/puffinarch/src/core/shard/nextLife.ts
+++ b/packages/puffinarch/src/core/shard/nextLife.ts
@@ -8,7 +8,7 @@
 import type { DelayedStarts } from "./delayedStarts.js";
 import { runPhases, type ShardRun } from "./jobBook.js";
 import { isOtherLife } from "./lives.js";
-import { adoptRun, newWorker, runKey, type ShardWorker } from "./workerTable.js";
+import { adoptRun, newWorker, releaseRun, runKey, type ShardWorker } from "./workerTable.js";
 
 /** What is left of a life that is over. */
 export interface LeftLife {
@@ -61,8 +61,8 @@
 export const leaveLife = (former: ShardWorker, delayedStarts: DelayedStarts, nowMs: number): LeftLife => {
     const all = withUndecided(former, crashedRuns(former, nowMs));
     const carried = new Map([...former.runs].filter(([, run]) => mayBeNext(run, delayedStarts)));
-    for (const key of carried.keys()) {
-        former.runs.delete(key);
+    for (const run of carried.values()) {
+        releaseRun(former, run);
     }
     const isCarried = ({ task, run }: CrashedRun): boolean => carried.has(runKey(task.name, run));
     return {
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -1,12 +1,16 @@
 /** The pass over all steps that have tasks waiting: the most urgent first, each task to a worker with room. */
 
+import { add, noResources, type Resources, scale } from "../../types/resources.js";
+import { type Account, tasksUnderCap, usesHalfOfCap } from "./accounts.js";
 import { type AskAdviceOptions, createAdviceAsker } from "./askAdvice.js";
 import { isTimeToAsk } from "./askAhead.js";
 import { type Chooser, createChooser, openFor } from "./chooseWorker.js";
 import { awaitsVerdict, needsTrial } from "./crashes.js";
-import { isHeldUp } from "./heldUp.js";
+import { isAtCap } from "./eligible.js";
+import { holdPatienceMs, isHeldUp } from "./heldUp.js";
 import {
     hasEnded,
+    heldBy,
     isReady,
     isWaiting,
     newRun,
@@ -63,6 +67,8 @@
     readonly view: RoomView;
     /** Steps that had room planned so far. */
     planned: number;
+    /** Of each organisation's cap, what is meant for steps that came earlier in this pass. */
+    readonly reserved: Map<Account, Resources>;
 }
 
 /** Where a step's waiting tasks are expected to run. */
@@ -221,7 +227,7 @@
     const placeCopies = (step: ShardStep, round: Round): void => {
         const { nowMs, view } = round;
         const tasks = step.tasks.filter(task => wantsCopy(task, nowMs));
-        if (tasks.length === 0) {
+        if (tasks.length === 0 || isAtCap(step)) {
             return;
         }
         const runs: ShardRun[] = [];
@@ -292,6 +298,41 @@
         }
     };
 
+    const reserveCap = ({ spec, occurrence }: ShardStep, count: number, { reserved }: Round): void => {
+        const { account } = occurrence.job;
+        reserved.set(account, add(reserved.get(account) ?? noResources, scale(heldBy(spec), count)));
+    };
+
+    /** Gangs for which a cap is kept although under half of it is used, and the local time since which that is so. */
+    const underHalfSinceMs = new WeakMap<ShardStep, number>();
+
+    /** A job counts as lost that stands for 3 s while its organisation uses less than half of its cap. */
+    const mayKeepCap = (step: ShardStep, nowMs: number): boolean => {
+        if (usesHalfOfCap(step.occurrence.job.account)) {
+            underHalfSinceMs.delete(step);
+            return true;
+        }
+        const sinceMs = underHalfSinceMs.get(step) ?? nowMs;
+        underHalfSinceMs.set(step, sinceMs);
+        return nowMs - sinceMs < holdPatienceMs;
+    };
+
+    /**
+     * The waiting tasks that the organisation's cap leaves room for. The cap is kept for a gang that does not fit, since the
+     * organisation's later steps would else take each piece of it that falls free.
+     */
+    const underCap = (step: ShardStep, waiting: readonly ShardTask[], round: Round): readonly ShardTask[] => {
+        const { account } = step.occurrence.job;
+        const allowed = tasksUnderCap(account, heldBy(step.spec), round.reserved.get(account));
+        if (!step.spec.gang || allowed >= waiting.length) {
+            return waiting.slice(0, allowed);
+        }
+        if (mayKeepCap(step, round.nowMs)) {
+            reserveCap(step, waiting.length, round);
+        }
+        return [];
+    };
+
     const placeStep = (ranked: RankedStep, round: Round): void => {
         const { step } = ranked;
         const { nowMs, view } = round;
@@ -305,7 +346,13 @@
             // Each of its tasks counts as lost once it has stood for 3 s, and they are tried one after the other.
             wantTrials(all.filter(task => !awaitsVerdict(task, nowMs)));
         }
-        const waiting = startable(step, all, { workers, nowMs });
+        const able = startable(step, all, { workers, nowMs });
+        const waiting = underCap(step, able, round);
+        if (waiting.length === 0 && able.length > 0) {
+            // No advice, no kept room and no stops for what cannot start.
+            step.heldUpAtMs = undefined;
+            return;
+        }
         const runs = step.spec.gang ? placeGang(step, waiting, round) : placeTasks(step, waiting, round);
         if (runs.length > 0) {
             endTrialWaits(runs);
@@ -337,6 +384,7 @@
         if (left > 0) {
             // Room that is kept beside others is of no use to a task that is to run by itself.
             const reservations = step.tasks.some(needsTrial) ? [] : keepRoom(ranked, left, round);
+            reserveCap(step, reservations.length, round);
             const wish = { step, waiting: left, reservations, view, nowMs };
             asker.askFor(wish);
             asker.keepAsked(wish);
@@ -349,7 +397,7 @@
                 upcoming.delete(step);
                 continue;
             }
-            if (isTimeToAsk(step)) {
+            if (isTimeToAsk(step) && !isAtCap(step)) {
                 upcoming.delete(step);
                 asker.askAhead(step, view, nowMs);
             }
@@ -358,7 +406,13 @@
 
     const pass = (): void => {
         const nowMs = clock.monotonicMs();
-        const round: Round = { nowMs, wallMs: clock.nowMs(), view: createRoomView(nowMs), planned: 0 };
+        const round: Round = {
+            nowMs,
+            wallMs: clock.nowMs(),
+            view: createRoomView(nowMs),
+            planned: 0,
+            reserved: new Map(),
+        };
         for (const ranked of inTurn(ready, { clock, workers, order: settings.policies.order })) {
             placeStep(ranked, round);
         }
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -17,6 +17,7 @@
 import { errorOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
 import { createAcceptance } from "./acceptance.js";
+import { createAccounts } from "./accounts.js";
 import { createAdviceDesk } from "./adviceDesk.js";
 import type { ClaimedShard } from "./claimShard.js";
 import { createCommitLog, type RowChange } from "./commitLog.js";
@@ -24,6 +25,7 @@
     cancelJob,
     forgetWorker,
     hasEnded,
+    jobOf,
     openOccurrence,
     runPhases,
     runsOf,
@@ -132,6 +134,7 @@
     const { clock, log, meter, settings, part, claimId, claimed } = options;
     const { fencingToken } = claimed;
     const jobs = new Map<string, ShardJob>();
+    const accounts = createAccounts();
     let queues = new Map<string, Queue>();
     let closed = false;
     let passWanted = false;
@@ -381,6 +384,17 @@
         return nowMs - commits.answeredAtMs() > settings.cutOffMs && commits.stalledMs() > settings.silentMs;
     };
 
+    /** An account that counts a run which is gone would hold its organisation back for good. */
+    const reviewAccounts = (): void => {
+        const held = [...workers.all.values()].flatMap(worker =>
+            [...worker.runs.values()].map(run => ({ account: jobOf(run).account, held: run.held }))
+        );
+        for (const organisation of accounts.recount(held)) {
+            meter.count("accountsCorrected");
+            log.write("error", "accountCorrected", { organisation });
+        }
+    };
+
     const tick = (): void => {
         if (closed) {
             return;
@@ -400,6 +414,7 @@
         }
         if (ticks % reviewIntervalTicks === 0) {
             review.run();
+            reviewAccounts();
         }
         if (placing.readySteps() > 0) {
             wake();
@@ -423,7 +438,7 @@
     };
 
     const restore = (): void => {
-        const restored = restoreJobs(claimed.rows, reader, clock.monotonicMs());
+        const restored = restoreJobs(claimed.rows, { reader, accounts, nowMs: clock.monotonicMs() });
         for (const job of restored.jobs) {
             nextOrder = Math.max(nextOrder, job.order + 1);
             jobs.set(job.submission.jobId, job);
@@ -499,6 +514,7 @@
         settings,
         jobs,
         queueOf: queueKey => queues.get(queueKey),
+        accounts,
         nextOrder,
         commits,
         commit,
@@ -543,6 +559,7 @@
         },
         updateConfiguration: configuration => {
             queues = new Map(configuration.queues.map(queue => [queue.key, queue]));
+            accounts.update(configuration.organisations ?? []);
             for (const job of jobs.values()) {
                 job.queue = queues.get(job.submission.queueKey) ?? job.queue;
             }
--- a/packages/puffinarch/src/core/shard/taskWait.ts
+++ b/packages/puffinarch/src/core/shard/taskWait.ts
@@ -3,7 +3,7 @@
 import { fits } from "../../types/resources.js";
 import { avoidedBy, avoidedByAll, awaitedBy } from "./avoidance.js";
 import { needsTrial } from "./crashes.js";
-import { allowsAnother, countRuns, placesIn, placesNeeded, suits, ticketFor } from "./eligible.js";
+import { allowsAnother, countRuns, isAtCap, placesIn, placesNeeded, suits, ticketFor } from "./eligible.js";
 import { hasEnded, heldBy, isReady, isWaiting, runPhases, type ShardStep, type ShardTask } from "./jobBook.js";
 import { isKeptFrom, startable } from "./trials.js";
 import { isOpen, roomOf, type ShardWorker } from "./workerTable.js";
@@ -28,6 +28,8 @@
     ticket: "ticket",
     /** Runs are to end on a worker that it may use. */
     room: "room",
+    /** Runs of its organisation are to end, which has all that its cap allows. */
+    cap: "cap",
     /** Workers crashed under its step: one task of it is to be at work first, or it is to have a worker for itself. */
     trial: "trial",
     /** It failed lately on the workers with room, and another one is to have some. */
@@ -58,6 +60,8 @@
     ticket: 3_000,
     /** Under load the wait for room is usual. */
     room: 10_000,
+    /** The same for what an organisation sends beyond its cap. */
+    cap: 10_000,
     /** Only the last attempt of a task keeps off a worker for longer than 2 s. */
     untried: 3_000,
     /** Each task of a step in turn may take a worker down for some seconds. */
@@ -262,5 +266,5 @@
     if (needsTrial(task) || !startable(step, step.tasks.filter(isWaiting), now).includes(task)) {
         return taskWaits.trial;
     }
-    return waitForWorker(step, counts, now);
+    return isAtCap(step) ? taskWaits.cap : waitForWorker(step, counts, now);
 };
--- a/packages/puffinarch/src/core/shard/urgency.ts
+++ b/packages/puffinarch/src/core/shard/urgency.ts
@@ -2,6 +2,7 @@
 
 import type { Clock } from "../../types/ports.js";
 import type { Resources } from "../../types/resources.js";
+import { newAccount, tasksUnderCap } from "./accounts.js";
 import { suits } from "./eligible.js";
 import { heldBy, type ShardOccurrence, type ShardStep } from "./jobBook.js";
 import type { ShardWorker } from "./workerTable.js";
@@ -28,7 +29,10 @@
 
 /** The platform's objective counts a call to the advisor about this many workers for each step. */
 const namesInObjective = 30;
-/** The platform's objective counts a step in waves, each of this share of the tasks that the service could hold. */
+/**
+ * The platform's objective counts a step in waves, each of this share of the tasks that the service could hold, and of no more
+ * than its organisation's cap allows.
+ */
 const waveShare = 0.25;
 /** Up to this many times its objective a job is late; after that it is worth nothing to its caller. */
 const lateFactor = 3;
@@ -57,7 +61,9 @@
             room += tasksOn(held, worker.entry.capacity);
         }
     }
-    return room === 0 ? 1 : Math.max(1, Math.ceil(step.spec.count / Math.max(1, waveShare * room)));
+    const { organisation, cap } = step.occurrence.job.account;
+    const mostAtOnce = Math.min(waveShare * room, tasksUnderCap(newAccount(organisation, cap), held));
+    return room === 0 ? 1 : Math.max(1, Math.ceil(step.spec.count / Math.max(1, mostAtOnce)));
 };
 
 /** Computes the objective of an occurrence, and how much work follows from the start of each of its steps on. */
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -2,8 +2,9 @@
 
 import { add, fits, largest, noResources, type Resources, subtract } from "../../types/resources.js";
 import type { WorkerEntry } from "../../types/work.js";
+import { charge, isOverCap, release } from "./accounts.js";
 import type { CrashedRun } from "./crashes.js";
-import type { ShardJob, ShardRun } from "./jobBook.js";
+import { jobOf, type ShardJob, type ShardRun } from "./jobBook.js";
 import { allowsStart } from "./startBreaker.js";
 
 /** How much slower than ours a worker's clock may run. */
@@ -150,12 +151,20 @@
 
 /**
  * Tells whether the room that a run holds is still there: a worker may have shrunk since the run was planned, and one that
- * does not guard its capacity would start it all the same.
+ * does not guard its capacity would start it all the same. The cap of its organisation may have been lowered as well.
  *
  * @example
  * if (!stillFits(worker, run)) { dropRun(worker, run); }
  */
-export const stillFits = (worker: ShardWorker, run: ShardRun): boolean => fitsWith(run.held, roomOf(worker));
+export const stillFits = (worker: ShardWorker, run: ShardRun): boolean =>
+    fitsWith(run.held, roomOf(worker)) && !isOverCap(jobOf(run).account, run.held);
+
+/** Room on a worker and use of an organisation's cap are taken and given back together, and only here and in `releaseRun`. */
+const takeRun = (worker: ShardWorker, run: ShardRun): void => {
+    worker.held = add(worker.held, run.held);
+    worker.runs.set(runKey(run.task.name, run.run), run);
+    charge(jobOf(run).account, run.held);
+};
 
 /**
  * Reserves room for a run; false where it does not fit.
@@ -167,8 +176,7 @@
     if (!fits(run.held, roomOf(worker))) {
         return false;
     }
-    worker.held = add(worker.held, run.held);
-    worker.runs.set(runKey(run.task.name, run.run), run);
+    takeRun(worker, run);
     return true;
 };
 
@@ -178,9 +186,19 @@
  * @example
  * adoptRun(worker, run);
  */
-export const adoptRun = (worker: ShardWorker, run: ShardRun): void => {
-    worker.held = add(worker.held, run.held);
-    worker.runs.set(runKey(run.task.name, run.run), run);
+export const adoptRun = takeRun;
+
+/**
+ * Gives back the room of a run that its task keeps, as it may go on elsewhere.
+ *
+ * @example
+ * releaseRun(worker, run);
+ */
+export const releaseRun = (worker: ShardWorker, run: ShardRun): void => {
+    if (worker.runs.delete(runKey(run.task.name, run.run))) {
+        worker.held = subtract(worker.held, run.held);
+        release(jobOf(run).account, run.held);
+    }
 };
 
 /**
@@ -190,9 +208,7 @@
  * dropRun(worker, run);
  */
 export const dropRun = (worker: ShardWorker, run: ShardRun): void => {
-    if (worker.runs.delete(runKey(run.task.name, run.run))) {
-        worker.held = subtract(worker.held, run.held);
-    }
+    releaseRun(worker, run);
     const index = run.task.runs.indexOf(run);
     if (index >= 0) {
         run.task.runs.splice(index, 1);
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -29,6 +29,7 @@
 export * from "./core/router.js";
 export * from "./core/session.js";
 export * from "./core/shard/acceptance.js";
+export * from "./core/shard/accounts.js";
 export * from "./core/shard/adviceDesk.js";
 export * from "./core/shard/askAdvice.js";
 export * from "./core/shard/askAhead.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -84,6 +84,16 @@
 export { type ClaimedShard, type ClaimOptions, claimShard } from "./internal.js";
 export { readAllRows, type ReadRows, type ReadRowsOptions } from "./internal.js";
 export { type AcceptanceOptions, createAcceptance } from "./internal.js";
+export {
+    type Account,
+    type Accounts,
+    amountAboveCap,
+    createAccounts,
+    isOverCap,
+    newAccount,
+    tasksUnderCap,
+    usesHalfOfCap,
+} from "./internal.js";
 export {
     awaitsVerdict,
     countCrash,
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -4,6 +4,7 @@
     add,
     type AdviceTerms,
     type AdvisorPort,
+    amountAboveCap,
     type CellConfiguration,
     type CellMember,
     createSeededRandom,
@@ -26,6 +27,7 @@
     type Queue,
     type Resources,
     type Row,
+    scale,
     type ShardPolicies,
     startCellMember,
     type Step,
@@ -96,9 +98,9 @@
     owner(): string | undefined;
     submit(jobId: string, steps: readonly Step[], queueKey?: string): void;
     /** Submits for a caller of an organisation. */
-    submitFor(organisation: string, jobId: string, steps: readonly Step[]): void;
+    submitFor(organisation: string, jobId: string, steps: readonly Step[], queueKey?: string): void;
     /** Submits through one daemon and never again; the answer, or the kind of its failure, is among the answers. */
-    submitOnce(jobId: string, steps: readonly Step[], memberId?: string): void;
+    submitOnce(jobId: string, steps: readonly Step[], memberId?: string, organisation?: string): void;
     /** Acceptances and refusals so far, by job. */
     answers(): ReadonlyMap<string, string>;
     kill(memberId: string): void;
@@ -634,14 +636,16 @@
         store.rows("workers").map(readEntry).flatMap(decoded => decoded.kind === "entry" ? [decoded.entry] : [])
             .filter(({ workerId, draining }) => !draining && workers.isSound(workerId));
 
-    /** Whether the organisation of a job has under half of its cap at work; so does one without a cap. */
+    /** Whether the organisation of a job has under half of its cap at work, and a cap that ever holds its widest step. */
     const hasRoomUnderCap = (jobId: string): boolean => {
         const organisation = organisationOf.get(jobId) ?? "";
         const cap = organisations?.find(({ name }) => name === organisation)?.cap ?? noResources;
         const used = workers.evidence.filter(({ taskName, endedAtMs }) =>
             endedAtMs === undefined && organisationOf.get(parseTaskName(taskName)?.jobId ?? "") === organisation
         ).reduce((sum, { taskName }) => add(sum, heldOf(taskName)), noResources);
-        return organisation === "" || isUnderHalf(used, cap);
+        const atOnce = (step: Step): Resources => step.gang ? scale(heldBy(step), step.count) : heldBy(step);
+        const fitsCap = (steps.get(jobId) ?? []).every(step => amountAboveCap(cap, atOnce(step)) === undefined);
+        return organisation === "" || fitsCap && isUnderHalf(used, cap);
     };
 
     /** Workers of a wave that goes on are closed to new tasks, and from outside nobody sees which. */
@@ -699,15 +703,17 @@
             }
             void send(submissionOf(jobId, jobSteps, queueKey === undefined ? {} : { queueKey }));
         },
-        submitFor: (organisation, jobId, jobSteps) => {
+        submitFor: (organisation, jobId, jobSteps, queueKey = testQueue.key) => {
             steps.set(jobId, jobSteps);
             organisationOf.set(jobId, organisation);
-            void send(submissionOf(jobId, jobSteps, { organisation }));
+            queueOf.set(jobId, queueKey);
+            void send(submissionOf(jobId, jobSteps, { queueKey, organisation }));
         },
-        submitOnce: (jobId, jobSteps, memberId) => {
+        submitOnce: (jobId, jobSteps, memberId, organisation = "") => {
             steps.set(jobId, jobSteps);
+            organisationOf.set(jobId, organisation);
             const seat = seats.get(memberId ?? ids[jobId.charCodeAt(jobId.length - 1) % ids.length] ?? "");
-            void seat?.member.submit(submissionOf(jobId, jobSteps), onceMs).then(
+            void seat?.member.submit(submissionOf(jobId, jobSteps, { organisation }), onceMs).then(
                 () => answers.set(jobId, "accepted"),
                 (error: unknown) => answers.set(jobId, kindOf(error)),
             );
@@ -832,6 +838,9 @@
         breaches: () => [
             ...breachesOf(workers.evidence, taskName => stepOf(taskName)?.speculative === true),
             ...workers.overcommitted().map(workerId => `${workerId} held more than it has`),
+            ...log.filter(({ event }) => event === "accountCorrected").map(({ fields }) =>
+                `the account of ${String(fields["organisation"])} had to be corrected`
+            ),
             ...capBreaches({
                 evidence: workers.evidence,
                 versions: capVersions,
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -77,15 +77,19 @@
     };
 };
 
-/** Every organisation may have this share of its present cap, at once in force. */
-const scaleCaps = (cell: ShardCell, share: number): () => void => {
-    const before = cell.organisations();
-    const scaled = before.map(({ cap, ...organisation }) => ({
+/** Every organisation may have this many times its present cap. */
+const scaleCaps = (cell: ShardCell, times: number): void => {
+    const scaled = cell.organisations().map(({ cap, ...organisation }) => ({
         ...organisation,
-        cap: { ...cap, cpuMillis: Math.ceil(share * cap.cpuMillis) },
+        cap: { ...cap, cpuMillis: Math.round(times * cap.cpuMillis) },
     }));
     cell.configure(cell.version() + 1, scaled);
-    return () => cell.configure(cell.version() + 1, before);
+};
+
+/** Faults of this kind may overlap, and each takes back its own share alone. */
+const changeCaps = (cell: ShardCell, times: number): () => void => {
+    scaleCaps(cell, times);
+    return () => scaleCaps(cell, 1 / times);
 };
 
 const unlistWorkers = (cell: ShardCell): () => void => {
@@ -215,8 +219,8 @@
         cell.vms.setFault("silent");
         return () => cell.vms.setFault("none");
     },
-    "caps lowered to a quarter": cell => scaleCaps(cell, 0.25),
-    "caps raised to double": cell => scaleCaps(cell, 2),
+    "caps lowered to a quarter": cell => changeCaps(cell, 0.25),
+    "caps raised to double": cell => changeCaps(cell, 2),
     "workers not listed": unlistWorkers,
     "workers cut until their entries lapsed": cell => {
         const mendCut = workerFault(cell, "cut", cell.workers.workerIds().length);
