A job whose tasks a successor finds at work is shown as running

Callers saw a job as queued for as long as nothing of it changed after a takeover, although its tasks ran: that a job has begun is not in its rows, and the look that lists its tasks noted it without telling. The look now counts as a change of the job.

--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -222,7 +222,11 @@
             run.task.checkpoint = row.checkpoint;
         }
         const { job } = run.task.step.occurrence;
-        job.started = true;
+        if (!job.started) {
+            // A former owner started it, whose rows need not say so.
+            job.started = true;
+            onChange(job);
+        }
         if (showSound(run, clock.monotonicMs())) {
             log.write("info", "taskSound", { task: run.task.name, run: run.run, ...lifeOf(worker) });
             onChange(job);
