API keys: who may call a shard, and whose jobs a caller sees

A call is told apart before its body is read: 401 for an unknown key on any queue, or for none on a queue that is not public. The organisation goes with the job, lasts in its rows and in the row of an ended job, and nobody of another one reads or cancels it; the same ID from another organisation is told that it is taken, and no more. An organisation whose entry cannot be read is named by its place and field, and the others hold. Where the configuration names no organisations, nothing changes.

--- a/features/decoding.feature
+++ b/features/decoding.feature
@@ -44,6 +44,7 @@
             | config | {"version":7,"routes":[{"host":"h","path_prefix":"/a/"}]}                                          | routes[0].backend      |
             | config | {"version":7,"routes":[{"host":"h","path_prefix":"/a/","backend":"b","timeout_ms":"long"}]}        | routes[0].timeout_ms   |
             | config | {"version":7,"routes":[{"host":"h","path_prefix":"/a/","backend":"b","advice":{"decide_ms":1}}]}   | routes[0].advice.each_ms |
+            | config | {"version":7,"tenants":{"name":"north"}}                                                           | tenants                |
             | wave/3 | {"wave":3,"machines":"all"}                                                                        | machines               |
             | wave/3 | {"wave":"3","machines":[]}                                                                         | wave                   |
             | wave/3 | {"wave":3,"cap":"one"}                                                                             | cap                    |
--- a/features/examples.feature
+++ b/features/examples.feature
@@ -58,6 +58,7 @@
             | claimShard           | token 1, then refused                   |
             | acceptance           | notAccepted, 0 jobs                     |
             | accounts             | 2 tasks                                 |
+            | callerKeys           | north, then unauthenticated             |
             | batchWriter          | in force at version 1                   |
             | commitLog            | 3 jobs in 1 transaction                 |
             | evacuate             | 0 moves while the other is away; not ready |
--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -6,9 +6,11 @@
     countStands,
     createAcceptance,
     createAccounts,
+    createCallerKeys,
     createForward,
     createTaskReview,
     defaultShardSettings,
+    digestKey,
     formatTaskName,
     kindOf,
     noResources,
@@ -63,6 +65,20 @@
     return `${tasksUnderCap(all.of("north"), { ...noResources, cpuMillis: 1_500 })} tasks`;
 };
 
+const callerKeys = (): string => {
+    const organisations = [{ name: "north", keyDigests: [digestKey("9m2jju7j")], weight: 1, cap: noResources }];
+    const keys = createCallerKeys({ organisations });
+    const stranger = ((): string => {
+        try {
+            return keys.organisationOf(testQueue, "7j9m2jju");
+        }
+        catch (error) {
+            return kindOf(error);
+        }
+    })();
+    return `${keys.organisationOf(testQueue, "9m2jju7j")}, then ${stranger}`;
+};
+
 const forward = async (): Promise<string> => {
     const clock = createFakeClock();
     const passing = createForward({
@@ -108,6 +124,7 @@
 export const shardJobExamples: Readonly<Record<string, () => string | Promise<string>>> = {
     acceptance,
     accounts,
+    callerKeys,
     forward,
     jobBook,
     taskReview,
--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -108,7 +108,7 @@
     const accepted = shard.submit(submission);
     await clock.advance(500);
     await accepted;
-    const status = await shard.jobState(submission.jobId);
+    const status = await shard.jobState(submission);
     shard.close();
     return `${submission.jobId} is ${status?.state}`;
 };
--- a/features/steps/shardJobSteps.ts
+++ b/features/steps/shardJobSteps.ts
@@ -97,7 +97,7 @@
 
 When("all jobs are cancelled", async function(this: ScenarioWorld) {
     const owner = cellOf(this).member(cellOf(this).owner() ?? "");
-    const cancels = part(this).jobs.map(jobId => owner?.cancel(testQueue.key, jobId, 1_000));
+    const cancels = part(this).jobs.map(jobId => owner?.cancel({ queueKey: testQueue.key, jobId }, 1_000));
     await cellOf(this).clock.advance(500);
     await Promise.all(cancels);
 });
@@ -107,7 +107,7 @@
     const ownerId = cell.owner() ?? "";
     const owner = cell.member(ownerId);
     for (const jobId of part(this).jobs) {
-        owner?.cancel(testQueue.key, jobId, 1_000).catch(() => {});
+        owner?.cancel({ queueKey: testQueue.key, jobId }, 1_000).catch(() => {});
     }
     // Long enough for the commit and too short for the stops.
     await cell.clock.advance(6);
--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -2,14 +2,18 @@
 import { testQueue } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import { createServer, type IncomingHttpHeaders } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, connect } from "node:net";
 import {
+    type CallerKeys,
     type CellConfiguration,
     type CellMember,
+    createCallerKeys,
     type Decoded,
+    digestKey,
     errorOf,
     failureOf,
     type JobStatus,
+    noResources,
     type Row,
     type WorkerEntry,
 } from "puffinarch";
@@ -39,6 +43,7 @@
     look: string;
     status: number;
     text: string;
+    readonly logged: string[];
     configuration: CellConfiguration | undefined;
     worker: WorkerEntry | undefined;
 }
@@ -51,6 +56,7 @@
         look: "",
         status: 0,
         text: "",
+        logged: [],
         configuration: undefined,
         worker: undefined,
     }));
@@ -240,35 +246,111 @@
     [failedJob]: { state: "failed", failure: { cause: "crashes", taskName: `${failedJob}.0.0.1`, count: 3 } },
 };
 
+/** A queue that asks for a key and one that does not, and the organisation whose callers have one. */
+const publicQueue = { ...testQueue, key: "stages.example/open/", pathPrefix: "/open/", isPublic: true };
+const northKey = "north-key-of-its-callers";
+const organisations = [{ name: "north", keyDigests: [digestKey(northKey)], weight: 1, cap: noResources }];
+
 /** A member that knows one job, and refuses another. */
-const fakeMember: CellMember = {
+const fakeMember = (keys: CallerKeys): CellMember => ({
     dataCentre: "leon-feria",
-    configuration: () => ({ version: 1, queues: [testQueue], maxHeaderBytes: 16_384, maxBodyBytes: 262_144 }),
+    configuration: () => ({
+        version: 1,
+        queues: [testQueue, publicQueue],
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 262_144,
+    }),
     ready: () => true,
     submit: async ({ jobId }) => {
         if (jobId !== knownJob) {
             throw errorOf({ kind: "notAccepted", message: "the store does not answer", retryAfterMs: 1_000 });
         }
     },
-    jobState: async (_queueKey, jobId) => statuses[jobId],
-    cancel: async (_queueKey, jobId) => jobId === knownJob,
+    authenticate: (queue, key) => keys.organisationOf(queue, key),
+    jobState: async ({ jobId }) => statuses[jobId],
+    cancel: async ({ jobId }) => jobId === knownJob,
     pending: async () => 3,
     handlers: {} as CellMember["handlers"],
     ownsShard: () => false,
     leave: async () => {},
     close: () => {},
-};
+});
 
-Given("the callers' side of a daemon", async function(this: ScenarioWorld) {
+const serveCallers = async (world: ScenarioWorld, keys: CallerKeys): Promise<void> => {
     const callers = createCallers({
-        member: fakeMember,
-        log: { write: () => {} },
+        member: fakeMember(keys),
+        log: { write: (...line) => part(world).logged.push(JSON.stringify(line)) },
         meter: createMeter(),
         stopping: () => false,
     });
     await callers.listen({ host: "127.0.0.1", port: 0 });
-    part(this).address = `127.0.0.1:${(callers.server.address() as AddressInfo).port}`;
-    this.closers.push(() => callers.close());
+    part(world).address = `127.0.0.1:${(callers.server.address() as AddressInfo).port}`;
+    world.closers.push(() => callers.close());
+};
+
+Given("the callers' side of a daemon", async function(this: ScenarioWorld) {
+    await serveCallers(this, createCallerKeys({}));
+});
+
+Given("the callers' side of a daemon that tells organisations apart", async function(this: ScenarioWorld) {
+    await serveCallers(this, createCallerKeys({ organisations }));
+});
+
+When(
+    /^a caller with (the key of north|the key "[^"]*"|no key) sends "([^"]*)" to "([^"]*)" with '([^']*)'$/,
+    async function(this: ScenarioWorld, key: string, method: string, path: string, body: string) {
+        const sent = key === "no key" ? undefined : key === "the key of north" ? northKey : key.slice(9, -1);
+        const answer = await fetchFrom(part(this).address, method, path, body, sent);
+        part(this).status = answer.status;
+        part(this).text = answer.text;
+    },
+);
+
+Then("neither the answer nor the log has a part of the key {string}", function(this: ScenarioWorld, key: string) {
+    const told = [part(this).text, ...part(this).logged].join("\n");
+    assert.ok(part(this).logged.length > 0);
+    assert.ok(!told.includes(key.slice(0, 6)), told);
+});
+
+/** The head of a request whose body does not come. */
+When(
+    "a caller without a known key sends the head of a request and no body",
+    async function(this: ScenarioWorld) {
+        const [host, port] = part(this).address.split(":");
+        const head = [
+            `POST ${testQueue.pathPrefix}${knownJob} HTTP/1.1`,
+            `Host: ${testQueue.host}`,
+            "Api-Key: stolen",
+            "Content-Type: application/json",
+            "Content-Length: 4000",
+        ];
+        part(this).text = await new Promise<string>((resolve, reject) => {
+            const socket = connect(Number(port), host ?? "");
+            socket.on("error", reject);
+            socket.once("data", data => {
+                socket.destroy();
+                resolve(data.toString("utf8"));
+            });
+            socket.write(`${head.join("\r\n")}\r\n\r\n`);
+        });
+    },
+);
+
+Then("the answer begins with {string}", function(this: ScenarioWorld, words: string) {
+    assert.ok(part(this).text.startsWith(words), part(this).text);
+});
+
+Then(
+    "the configuration has the organisations {string} and left out {string}",
+    function(this: ScenarioWorld, names: string, fields: string) {
+        const { organisations: read = [], unreadable = [] } = part(this).configuration ?? {};
+        assert.equal(read.map(({ name }) => name).join(", "), names);
+        assert.equal(unreadable.join(", "), fields);
+    },
+);
+
+Then("the configuration holds no key as it was sent", function(this: ScenarioWorld) {
+    assert.ok(!JSON.stringify(part(this).configuration).includes("secret"));
 });
 
 When(
@@ -286,6 +368,7 @@
     method: string,
     path: string,
     body: string,
+    key?: string,
 ): Promise<{ readonly status: number; readonly text: string; }> => {
     const { request } = await import("node:http");
     const [host, port] = address.split(":");
@@ -295,7 +378,11 @@
             port,
             method,
             path,
-            headers: { host: testQueue.host, ...(body === "" ? {} : { "content-type": "application/json" }) },
+            headers: {
+                host: testQueue.host,
+                ...(key === undefined ? {} : { "api-key": key }),
+                ...(body === "" ? {} : { "content-type": "application/json" }),
+            },
         }, answer => {
             const chunks: Buffer[] = [];
             answer.on("data", (chunk: Buffer) => chunks.push(chunk));
--- a/features/usersPlatform.feature
+++ b/features/usersPlatform.feature
@@ -151,6 +151,57 @@
             | DELETE | /plans/00000000000000aa    |                                                                | 410    | no such job            |
             | PUT    | /plans/5c0e7a21d94b36f8    | {}                                                             | 405    | GET, POST, DELETE      |
 
+    # Calls with a key that was taken away, or that nobody ever had, were run.
+    Scenario Outline: A caller with <key> sends <method> <path>
+        Given the callers' side of a daemon that tells organisations apart
+        When a caller with <key> sends "<method>" to "<path>" with '<body>'
+        Then the answer is <status> and names '<words>'
+
+        Examples:
+            | key               | method | path                    | body                    | status | words            |
+            | the key of north  | POST   | /plans/5c0e7a21d94b36f8 | {"steps":[{"count":1}]} | 200    |                  |
+            | the key of north  | GET    | /plans/5c0e7a21d94b36f8 |                         | 200    | running          |
+            | the key of north  | DELETE | /plans/5c0e7a21d94b36f8 |                         | 200    |                  |
+            | the key of north  | GET    | /open/5c0e7a21d94b36f8  |                         | 200    | running          |
+            | no key            | POST   | /plans/5c0e7a21d94b36f8 | {"steps":[{"count":1}]} | 401    | unauthenticated  |
+            | no key            | GET    | /plans/5c0e7a21d94b36f8 |                         | 401    | unauthenticated  |
+            | no key            | GET    | /plans/                 |                         | 401    | unauthenticated  |
+            | no key            | POST   | /open/5c0e7a21d94b36f8  | {"steps":[{"count":1}]} | 200    |                  |
+            | the key ""        | POST   | /open/5c0e7a21d94b36f8  | {"steps":[{"count":1}]} | 200    |                  |
+            | the key ""        | POST   | /plans/5c0e7a21d94b36f8 | {"steps":[{"count":1}]} | 401    | unauthenticated  |
+            | the key "stolen"  | POST   | /plans/5c0e7a21d94b36f8 | {"steps":[{"count":1}]} | 401    | not known        |
+            | the key "stolen"  | GET    | /plans/5c0e7a21d94b36f8 |                         | 401    | not known        |
+            | the key "stolen"  | DELETE | /plans/5c0e7a21d94b36f8 |                         | 401    | not known        |
+            | the key "stolen"  | POST   | /open/5c0e7a21d94b36f8  | {"steps":[{"count":1}]} | 401    | not known        |
+            | the key "stolen"  | GET    | /other/5c0e7a21d94b36f8 |                         | 404    | no such queue    |
+
+    Scenario: A call without a known key is answered before its body comes
+        Given the callers' side of a daemon that tells organisations apart
+        When a caller without a known key sends the head of a request and no body
+        Then the answer begins with "HTTP/1.1 401"
+
+    Scenario: No part of a key is told
+        Given the callers' side of a daemon that tells organisations apart
+        When a caller with the key "9m2jju7j7gbzf3akwe7k" sends "GET" to "/plans/5c0e7a21d94b36f8" with ''
+        Then neither the answer nor the log has a part of the key "9m2jju7j7gbzf3akwe7k"
+
+    Scenario Outline: An organisation that cannot be read leaves the others in force: <strange>
+        When the operator's row is '{"version":7,"tenants":[{"name":"north","api_keys":["secret-1"],"weight":2,"cap":{"cpu":4000,"mem_mb":0}},<strange>]}'
+        Then the configuration has the organisations "north" and left out "<field>"
+        And the configuration holds no key as it was sent
+
+        Examples:
+            | strange                                           | field                  |
+            | null                                              | tenants.1              |
+            | 7                                                 | tenants.1              |
+            | {}                                                | tenants.1.name         |
+            | {"name":""}                                       | tenants.1.name         |
+            | {"name":"south","api_keys":"secret-2"}            | tenants.1.api_keys     |
+            | {"name":"south","api_keys":["secret-2",3]}        | tenants.1.api_keys.1   |
+            | {"name":"south","cap":{"cpu":"secret-2"}}         | tenants.1.cap.cpu      |
+            | {"name":"south","cap":{"cpu":-1}}                 | tenants.1.cap.cpu      |
+            | {"name":"south","weight":"secret-2"}              | tenants.1.weight       |
+
     Scenario: A settings file with wrong fields is refused, and each is named
         When the settings "vmId: entry-1\nhost: 10.0.0.1\npeerPorts: [1]\ncallersAddress: here" are read
         Then the refusal names "dataCentre, callersAddress, readinessAddress, peerPorts, storeAddress, metricsPort, bounds"
--- a/packages/puffinarch/src/core/shard/acceptance.ts
+++ b/packages/puffinarch/src/core/shard/acceptance.ts
@@ -2,12 +2,13 @@
 
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import { scale } from "../../types/resources.js";
-import type { JobStatus, JobSubmission, Queue } from "../../types/work.js";
+import type { JobSubmission, Queue } from "../../types/work.js";
 import { die } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
 import { type Account, type Accounts, amountAboveCap } from "./accounts.js";
 import type { CommitLog } from "./commitLog.js";
 import { cancelJob, heldBy, newJob, type ShardJob } from "./jobBook.js";
+import type { EndedJob } from "./jobRows.js";
 import type { ShardSettings } from "./shardSettings.js";
 
 /** What acceptance needs. */
@@ -30,11 +31,18 @@
     /** Lets go of the starts that were planned for the job. */
     readonly takeBack: (job: ShardJob) => void;
     /** Jobs that ended under earlier owners. */
-    readonly endedKnown: Promise<ReadonlyMap<string, JobStatus>>;
+    readonly endedKnown: Promise<ReadonlyMap<string, EndedJob>>;
     /** Rejects once this daemon owns the shard no more. */
     readonly endOfOffice: Promise<never>;
 }
 
+/** The same ID is the same job only for callers of one organisation: the answer to another one's must tell nothing of it. */
+const refuseOther = ({ jobId, organisation = "" }: JobSubmission, owner: string): void => {
+    if (owner !== "" && organisation !== owner) {
+        die("alreadyExists", `the id ${jobId} is taken`);
+    }
+};
+
 /** A task, or a gang, that the organisation's cap never holds would wait for ever. */
 const refuseAboveCap = ({ steps }: JobSubmission, { organisation, cap }: Account): void => {
     for (const [index, step] of steps.entries()) {
@@ -113,12 +121,15 @@
     const submit = async (submission: JobSubmission): Promise<void> => {
         const known = jobs.get(submission.jobId);
         if (known !== undefined) {
+            refuseOther(submission, known.account.organisation);
             if (!known.stored) {
                 await settle(known);
             }
             return;
         }
-        if ((await endedKnown).has(submission.jobId) || jobs.has(submission.jobId)) {
+        const ended = (await endedKnown).get(submission.jobId);
+        if (ended !== undefined || jobs.has(submission.jobId)) {
+            refuseOther(submission, ended?.organisation ?? "");
             // It ended before, or the same id came through another daemon meanwhile.
             await (jobs.has(submission.jobId) ? submit(submission) : undefined);
             return;
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -19,10 +19,18 @@
 } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter, Random } from "../../types/ports.js";
 import type { UpkeepWave, VmPort, WaveState } from "../../types/upkeep.js";
-import type { CellConfiguration, JobStatus, JobSubmission, WorkerEntry } from "../../types/work.js";
+import type {
+    CellConfiguration,
+    JobReference,
+    JobStatus,
+    JobSubmission,
+    Queue,
+    WorkerEntry,
+} from "../../types/work.js";
 import { type Decoded, noEntry } from "../../utils/decode.js";
 import { die, failureOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
+import { type CallerKeys, createCallerKeys } from "./callerKeys.js";
 import { claimShard } from "./claimShard.js";
 import { createForward } from "./forward.js";
 import { handOver } from "./handOver.js";
@@ -78,8 +86,15 @@
     /** True while callers may be sent here. */
     ready(): boolean;
     submit(submission: JobSubmission, patienceMs: number): Promise<void>;
-    jobState(queueKey: string, jobId: string, patienceMs: number): Promise<JobStatus | undefined>;
-    cancel(queueKey: string, jobId: string, patienceMs: number): Promise<boolean>;
+    /**
+     * Name of the organisation whose caller sends this API key to a queue, by the newest configuration; empty for none. Fails
+     * with `unauthenticated` where the key is not known, or the queue asks for one.
+     */
+    authenticate(queue: Queue, key: string | undefined): string;
+    /** Undefined where the caller's organisation has no such job. */
+    jobState(job: JobReference, patienceMs: number): Promise<JobStatus | undefined>;
+    /** False where the caller's organisation has no such job. */
+    cancel(job: JobReference, patienceMs: number): Promise<boolean>;
     /** Jobs accepted of which no task has started; undefined where that is not known freshly enough. */
     pending(queueKey: string): Promise<number | undefined>;
     readonly handlers: MemberHandlers;
@@ -143,6 +158,8 @@
     const waves = new Map<string, UpkeepWave>();
     let workerWatch: TableWatch | undefined;
     let configuration: CellConfiguration | undefined;
+    /** Of the same version. */
+    let callerKeys: CallerKeys | undefined;
     let knownOwner: KnownOwner | undefined;
     let ownerKnownAtMs = clock.monotonicMs();
     let ownerRead = false;
@@ -171,7 +188,12 @@
             return;
         }
         log.write("info", "configurationInForce", { version: next.version, from: configuration?.version, source });
+        if (next.unreadable !== undefined && next.unreadable.length > 0) {
+            meter.count("organisationsUnreadable", next.unreadable.length);
+            log.write("error", "organisationsUnreadable", { version: next.version, fields: next.unreadable });
+        }
         configuration = next;
+        callerKeys = createCallerKeys(next);
         owner?.updateConfiguration(next);
     };
 
@@ -544,20 +566,23 @@
                 },
                 patienceMs,
             }),
-        jobState: (queueKey, jobId, patienceMs) =>
+        authenticate: (queue, key) =>
+            callerKeys === undefined
+                ? die("unavailable", "no configuration is known yet", { retryAfterMs: settings.retryAfterMs })
+                : callerKeys.organisationOf(queue, key),
+        jobState: (job, patienceMs) =>
             forward.run({
-                local: shard => shard.jobState(jobId),
+                local: shard => shard.jobState(job),
                 remote: async (address, timeoutMs) => {
-                    const { state, failure } = await members.call(address, "jobState", { queueKey, jobId }, timeoutMs);
+                    const { state, failure } = await members.call(address, "jobState", job, timeoutMs);
                     return state === undefined ? undefined : { state, failure };
                 },
                 patienceMs,
             }),
-        cancel: (queueKey, jobId, patienceMs) =>
+        cancel: (job, patienceMs) =>
             forward.run({
-                local: shard => shard.cancel(jobId),
-                remote: async (address, timeoutMs) =>
-                    (await members.call(address, "cancelJob", { queueKey, jobId }, timeoutMs)).known,
+                local: shard => shard.cancel(job),
+                remote: async (address, timeoutMs) => (await members.call(address, "cancelJob", job, timeoutMs)).known,
                 patienceMs,
             }),
         pending: async queueKey => {
@@ -581,8 +606,8 @@
                 await owned().submit(submission);
                 return { accepted: true };
             },
-            jobState: async ({ jobId }) => await owned().jobState(jobId) ?? { state: undefined },
-            cancelJob: async ({ jobId }) => ({ known: await owned().cancel(jobId) }),
+            jobState: async job => await owned().jobState(job) ?? { state: undefined },
+            cancelJob: async job => ({ known: await owned().cancel(job) }),
             advise: request => options.advisor.advise(request),
             configuration: async () => configuration ?? die("unavailable", "no configuration is known yet"),
             handOver: async ({ token, why }) => ({
--- a/packages/puffinarch/src/core/shard/jobRowSchemas.ts
+++ b/packages/puffinarch/src/core/shard/jobRowSchemas.ts
@@ -126,7 +126,7 @@
 });
 
 /** The state of a job that has ended. */
-export const endedSchema = z.object({ state, failure });
+export const endedSchema = z.object({ state, failure, organisation: text.default("") });
 
 /** What a job was submitted with, as it is stored. */
 export type StoredSubmission = z.infer<typeof submissionSchema>;
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -35,6 +35,12 @@
 /** Key prefix of the rows with states. */
 const statePrefix = "state/";
 
+/** A job that has ended, as its row keeps it. */
+export interface EndedJob extends JobStatus {
+    /** Empty where its caller belonged to none. */
+    readonly organisation: string;
+}
+
 /** A run as its intent was made durable: worker and number. */
 export interface StoredRun {
     readonly taskName: string;
@@ -154,7 +160,11 @@
     return JSON.stringify(stored);
 };
 
-const statusOf = ({ state, failure }: ShardJob): JobStatus => ({ state, failure });
+const endedOf = ({ state, failure, account }: ShardJob): EndedJob => ({
+    state,
+    failure,
+    organisation: account.organisation,
+});
 
 /**
  * Gives the rows that keep a job as it is now: two while it goes on or holds room, a small one after that.
@@ -167,7 +177,7 @@
     const submission = { table: journalTable, key: submissionPrefix + jobId };
     const state = { table: journalTable, key: statePrefix + jobId };
     if (letGo(job) && hasEnded(job)) {
-        const ended = { table: endedTable, key: jobId, value: JSON.stringify(statusOf(job)) };
+        const ended = { table: endedTable, key: jobId, value: JSON.stringify(endedOf(job)) };
         return { puts: [ended], removes: job.stored ? [submission, state] : [] };
     }
     return {
@@ -183,9 +193,9 @@
  * Reads the state of a job that has ended.
  *
  * @example
- * decodeEnded({ value: '{"state":"completed"}' }); // { kind: "entry", entry: { state: "completed" } }
+ * decodeEnded({ value: '{"state":"completed"}' }); // { kind: "entry", entry: { state: "completed", organisation: "" } }
  */
-export const decodeEnded = (row: Pick<Row, "value">): Decoded<JobStatus> => decodeRow(row, endedSchema);
+export const decodeEnded = (row: Pick<Row, "value">): Decoded<EndedJob> => decodeRow(row, endedSchema);
 
 /** Writes what a job was submitted with. */
 const encodeSubmission = ({ submission, queue, account, acceptedAtMs, order }: ShardJob): string => {
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -12,7 +12,15 @@
 } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import type { UpkeepWave, VmPort, WaveState } from "../../types/upkeep.js";
-import type { CellConfiguration, JobState, JobStatus, JobSubmission, Queue, WorkerEntry } from "../../types/work.js";
+import type {
+    CellConfiguration,
+    JobReference,
+    JobState,
+    JobStatus,
+    JobSubmission,
+    Queue,
+    WorkerEntry,
+} from "../../types/work.js";
 import { jobStates } from "../../types/work.js";
 import { errorOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
@@ -32,7 +40,7 @@
     type ShardJob,
     type ShardRun,
 } from "./jobBook.js";
-import { decodeEnded, encodeJob, restoreJobs } from "./jobRows.js";
+import { decodeEnded, encodeJob, type EndedJob, restoreJobs } from "./jobRows.js";
 import { createPlacing } from "./placing.js";
 import { readAllRows } from "./readRows.js";
 import { createRowReader } from "./rowReader.js";
@@ -77,10 +85,10 @@
     readonly fencingToken: number;
     /** Resolves once the job is durable; the same id again is the same job. */
     submit(submission: JobSubmission): Promise<void>;
-    /** Undefined where there is no such job. */
-    jobState(jobId: string): Promise<JobStatus | undefined>;
-    /** False where there is no such job; resolves once the cancel is durable. */
-    cancel(jobId: string): Promise<boolean>;
+    /** Undefined where the caller's organisation has no such job. */
+    jobState(job: JobReference): Promise<JobStatus | undefined>;
+    /** False where the caller's organisation has no such job; resolves once the cancel is durable. */
+    cancel(job: JobReference): Promise<boolean>;
     /** Jobs accepted of which no task has started, by queue. */
     pending(): Readonly<Record<string, number>>;
     updateConfiguration(configuration: CellConfiguration): void;
@@ -144,7 +152,7 @@
     let lagMs = 0;
     let tickDueMs = clock.monotonicMs() + tickMs;
     const startedAtMs = clock.monotonicMs();
-    const endedBefore = new Map<string, JobStatus>();
+    const endedBefore = new Map<string, EndedJob>();
     let nextOrder = 1;
     let rejectWaiting: (error: Error) => void = () => {};
 
@@ -201,6 +209,18 @@
         }
     };
 
+    /** Also of a job that is not durable yet, which has no state to show. */
+    const ownerOf = (jobId: string): string | undefined => {
+        const job = jobs.get(jobId);
+        return job === undefined ? endedBefore.get(jobId)?.organisation : job.account.organisation;
+    };
+
+    /** A job of another organisation is not there for a caller; one whose caller belonged to none is there for all. */
+    const mayAsk = ({ jobId, organisation }: JobReference): boolean => {
+        const owner = ownerOf(jobId) ?? "";
+        return owner === "" || organisation === undefined || organisation === owner;
+    };
+
     const shownOf = (jobId: string): JobStatus | undefined => {
         const job = jobs.get(jobId);
         if (job?.shown === undefined) {
@@ -209,6 +229,12 @@
         return { state: job.shown, ...(job.shown === jobStates.failed ? { failure: job.failure } : {}) };
     };
 
+    const statusOf = async (job: JobReference): Promise<JobStatus | undefined> => {
+        const { jobId } = job;
+        const status = shownOf(jobId) ?? (await endedKnown).get(jobId) ?? shownOf(jobId);
+        return status === undefined || !mayAsk(job) ? undefined : { state: status.state, failure: status.failure };
+    };
+
     /** That a job has begun need not be durable: a successor finds its runs at the workers, or their ends. */
     const showStarted = (job: ShardJob): void => {
         job.started = true;
@@ -452,7 +478,7 @@
     };
 
     /** Jobs that ended under earlier owners, by id, with their states; they are read while the others go on already. */
-    const readEnded = async (): Promise<ReadonlyMap<string, JobStatus>> => {
+    const readEnded = async (): Promise<ReadonlyMap<string, EndedJob>> => {
         const read = await readAllRows({
             clock,
             log,
@@ -532,10 +558,15 @@
         endOfOffice,
     });
 
-    const cancel = async (jobId: string): Promise<boolean> => {
+    const cancel = async (wanted: JobReference): Promise<boolean> => {
+        const { jobId } = wanted;
         const job = jobs.get(jobId);
         if (job === undefined) {
-            return (await endedKnown).has(jobId) || (jobs.has(jobId) && cancel(jobId));
+            const hasEndedBefore = (await endedKnown).has(jobId);
+            return hasEndedBefore ? mayAsk(wanted) : jobs.has(jobId) && cancel(wanted);
+        }
+        if (!mayAsk(wanted)) {
+            return false;
         }
         cancelJob(job, clock.monotonicMs());
         log.write("info", "jobCancelled", { jobId, state: job.state });
@@ -546,7 +577,7 @@
     return {
         fencingToken,
         submit,
-        jobState: async jobId => shownOf(jobId) ?? (await endedKnown).get(jobId) ?? shownOf(jobId),
+        jobState: statusOf,
         cancel,
         pending: () => {
             const counts: Record<string, number> = {};
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -77,6 +77,7 @@
 export { type AdviceDesk, type AdviceDeskOptions, type AdviceOrder, createAdviceDesk } from "./internal.js";
 export { type AdviceAsker, type AdviceWish, type AskAdviceOptions, createAdviceAsker } from "./internal.js";
 export { isTimeToAsk } from "./internal.js";
+export { type CallerKeys, createCallerKeys, digestKey } from "./internal.js";
 export { type CellMember, type CellMemberOptions, memberTable, startCellMember } from "./internal.js";
 export { type AvoidanceLimits, avoidedBy, avoidedByAll, awaitedBy, failedLately } from "./internal.js";
 export { type ChoiceLimits, type Chooser, createChooser, type Packing, packings } from "./internal.js";
@@ -133,7 +134,7 @@
     type ShardTask,
     stepNameOf,
 } from "./internal.js";
-export { decodeEnded, encodeJob, type RestoredJobs, restoreJobs } from "./internal.js";
+export { decodeEnded, encodeJob, type EndedJob, type RestoredJobs, restoreJobs } from "./internal.js";
 export { createFirstLooks, type FirstLooks } from "./internal.js";
 export { createForward, type Forward, type ForwardOptions, type ForwardRequest } from "./internal.js";
 export { createPacer, type Pacer } from "./internal.js";
@@ -245,6 +246,7 @@
     failureCauses,
     formatTaskName,
     type JobFailure,
+    type JobReference,
     type JobState,
     jobStates,
     type JobStatus,
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -3,7 +3,7 @@
  * Adapters implement them; tests pass fakes.
  */
 
-import type { CellConfiguration, JobFailure, JobState, JobSubmission } from "./work.js";
+import type { CellConfiguration, JobFailure, JobReference, JobState, JobSubmission } from "./work.js";
 
 /** A row of the store. Versions come from one counter that grows with each transaction. */
 export interface Row {
@@ -259,11 +259,11 @@
     readonly ping: { readonly input: PingRequest; readonly output: PingAnswer; };
     readonly submit: { readonly input: JobSubmission; readonly output: { readonly accepted: true; }; };
     readonly jobState: {
-        readonly input: { readonly queueKey: string; readonly jobId: string; };
+        readonly input: JobReference;
         readonly output: { readonly state: JobState | undefined; readonly failure?: JobFailure | undefined; };
     };
     readonly cancelJob: {
-        readonly input: { readonly queueKey: string; readonly jobId: string; };
+        readonly input: JobReference;
         readonly output: { readonly known: boolean; };
     };
     readonly advise: { readonly input: AdviceRequest; readonly output: AdviceAnswer; };
--- a/packages/puffinarch/src/types/work.ts
+++ b/packages/puffinarch/src/types/work.ts
@@ -61,6 +61,14 @@
     readonly schedule: Schedule;
 }
 
+/** A job that a caller asks for. */
+export interface JobReference {
+    readonly queueKey: string;
+    readonly jobId: string;
+    /** Of the caller; empty for one without. A daemon of a former version leaves it out, and asks for whoever it is. */
+    readonly organisation?: string;
+}
+
 /** States of a job as callers see them. */
 export const jobStates = {
     queued: "queued",
@@ -143,6 +151,8 @@
     readonly queues: readonly Queue[];
     /** Undefined where callers are not told apart and need no API key. */
     readonly organisations?: readonly Organisation[];
+    /** Fields that could not be read, by their places; the organisations that they belong to are left out. */
+    readonly unreadable?: readonly string[];
     readonly maxHeaderBytes: number;
     readonly maxBodyBytes: number;
 }
--- a/packages/puffinarch/src/utils/errors.ts
+++ b/packages/puffinarch/src/utils/errors.ts
@@ -32,6 +32,13 @@
         resendSafe: true,
         meaning: "bad input; correct the fields named",
     },
+    unauthenticated: {
+        httpStatus: 401,
+        code: "unauthenticated",
+        exitCode: 9,
+        resendSafe: true,
+        meaning: "not run: no known API key came with it",
+    },
     notFound: { httpStatus: 404, code: "not_found", exitCode: 3, resendSafe: true, meaning: "there is no such thing" },
     alreadyExists: {
         httpStatus: 409,
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -111,6 +111,8 @@
     /** Cuts a daemon off from its peers, the store and the workers, or mends all of it. */
     cut(memberId: string, what: readonly ("peers" | "store" | "workers")[]): void;
     mend(memberId: string): void;
+    /** Whether the daemon's process is there, cut off or not. */
+    isRunning(memberId: string): boolean;
     isCut(memberId: string, what: "peers" | "store" | "workers"): boolean;
     /** Puts the configuration in force under a new version, with these organisations where they change. */
     configure(version: number, organisations?: readonly Organisation[]): void;
@@ -757,6 +759,7 @@
             cuts.delete(memberId);
             store.setFault("none", memberId);
         },
+        isRunning: memberId => seats.get(memberId)?.life.alive === true,
         isCut,
         vms,
         askUpkeep: wave => store.put("operator", `wave/${wave.number}`, wave),
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -117,6 +117,13 @@
     "owner cut from its peers, the store": cell => cutOwner(cell, ["peers", "store"]),
     "owner cut from its peers, the store, workers": cell => cutOwner(cell, ["peers", "store", "workers"]),
     "a fifth of the others cut off": cell => cutOthers(cell, Math.floor(cell.memberIds().length / 5)),
+    "a third of the daemons cut from the store": cell => {
+        const hit = cell.memberIds().filter((_, index) => index % 3 === 0);
+        for (const memberId of hit) {
+            cell.cut(memberId, ["store"]);
+        }
+        return () => hit.forEach(memberId => cell.mend(memberId));
+    },
     "two others cut off": cell => cutOthers(cell, 2),
     "owner and a third of the others killed": cell => {
         const owner = cell.owner() ?? cell.memberIds()[0] ?? "";
