--- a/features/usersPlatform.feature
+++ b/features/usersPlatform.feature
@@ -205,3 +205,7 @@
     Scenario: A settings file with wrong fields is refused, and each is named
         When the settings "vmId: entry-1\nhost: 10.0.0.1\npeerPorts: [1]\ncallersAddress: here" are read
         Then the refusal names "dataCentre, callersAddress, readinessAddress, peerPorts, storeAddress, metricsPort, bounds"
+
+    Scenario: Bounds of keys and caps are checked
+        When the settings "vmId: entry-1\nhost: 10.0.0.1\npeerPorts: [1, 2]\ncallersAddress: 10.0.0.1:1\nreadinessAddress: 10.0.0.1:2\ndataCentre: a\nstoreAddress: 10.0.0.2:1\nmetricsPort: 9\nbounds: {graceS: 6, leaseLimitMs: 1, stopMs: 1, statusS: 1, revokeStrict: maybe, revokeMs: 0, quotaOverage: -1, quotaSlack: few, quotaWindowS: 0}" are read
+        Then the refusal names "bounds.revokeStrict, bounds.revokeMs, bounds.quotaOverage, bounds.quotaSlack, bounds.quotaWindowS"
