Starts wait for news of the configuration after an outage of the store, as they do for news of workers

Cause: the intent of a start became durable before the feed told of the configuration again, and only the list of workers was waited for. A start now waits for both, for 2 s at the most, as before; the cap is looked at again after that.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -66,6 +66,7 @@
             | start again under their IDs | 3    |
             | fail                        | 4    |
             | shrink and grow             | 6    |
+            | crash under their tasks     | 30247 |
 
     # Jobs that could never be done were started on and on, and sound ones given up for what ran beside them.
     Scenario Outline: Tasks that crash their workers are given up and no others, among jobs that <others>, seed <seed>
--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -101,7 +101,7 @@
         claimed,
         adviceLanes: () => [],
         callAdvice: () => Promise.reject(new Error("no lane")),
-        workersAgeMs: () => 0,
+        newsAgeMs: () => 0,
         onFenced: () => {},
     });
     shard.updateConfiguration({ version: 1, queues: [testQueue], maxHeaderBytes: 1, maxBodyBytes: 1 });
--- a/features/steps/explorationSteps.ts
+++ b/features/steps/explorationSteps.ts
@@ -81,6 +81,7 @@
     "start again under their IDs": { keepsIds: true, crashedDownMs: 600 },
     fail: { failing: true },
     "shrink and grow": { resizing: true },
+    "crash under their tasks": { crashing: true },
 };
 
 When(
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -297,7 +297,7 @@
                 ...(platform.upkeep === undefined
                     ? {}
                     : { upkeep: { ...platform.upkeep, holderId: `${self.memberId}/${self.incarnation}` } }),
-                workersAgeMs: () => workerWatch?.ageMs() ?? Infinity,
+                newsAgeMs: () => Math.max(workerWatch?.ageMs() ?? Infinity, configurationWatch.ageMs()),
                 onFenced: reason => {
                     log.write("warn", "shardLost", { reason, fencingToken: claimed.fencingToken });
                     owner = undefined;
@@ -429,6 +429,25 @@
         }
     };
 
+    const configurationWatch = watchTable({
+        clock,
+        log,
+        store,
+        table: platform.configurationTable,
+        parts: [""],
+        feedWaitMs: shortFeedWaitMs,
+        onRows: rows => {
+            for (const row of rows) {
+                const next = reader.entryOf(row, platform.readConfiguration(row));
+                if (next !== undefined) {
+                    adopt(next, "store");
+                }
+            }
+            takeWaves(rows);
+        },
+        onWhole: () => {},
+    });
+
     const tableWatches = [
         watchTable({
             clock,
@@ -453,24 +472,7 @@
                 membersRead = true;
             },
         }),
-        watchTable({
-            clock,
-            log,
-            store,
-            table: platform.configurationTable,
-            parts: [""],
-            feedWaitMs: shortFeedWaitMs,
-            onRows: rows => {
-                for (const row of rows) {
-                    const next = reader.entryOf(row, platform.readConfiguration(row));
-                    if (next !== undefined) {
-                        adopt(next, "store");
-                    }
-                }
-                takeWaves(rows);
-            },
-            onWhole: () => {},
-        }),
+        configurationWatch,
     ];
 
     const watch = watchOwner({
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -74,8 +74,8 @@
         readonly settleMs: number;
         readonly stateRow: (wave: number, state: WaveState) => RowKey & { readonly value: string; };
     };
-    /** How old what is known of the list of workers may be. */
-    readonly workersAgeMs: () => number;
+    /** How old what is known of the list of workers, or of the configuration, may be. */
+    readonly newsAgeMs: () => number;
     /** Another daemon owns the shard by now. */
     readonly onFenced: (reason: string) => void;
 }
@@ -110,8 +110,8 @@
 const tickMs = 100;
 /** Weight of the newest tick in the average of its lateness: about a second's memory. */
 const lagShare = 0.1;
-/** Where the store is well the list of workers is 2.3 s old at the most; an older one may lack workers that shrank. */
-const staleWorkersMs = 3_000;
+/** Where the store is well its news are 2.3 s old at the most; older ones may lack a worker that shrank or a cap that was lowered. */
+const staleNewsMs = 3_000;
 /** A start waits no longer for news of them, for the store may answer in part for long; a call for changes takes up to 1 s. */
 const newsPatienceMs = 2_000;
 const newsPauseMs = 20;
@@ -287,12 +287,12 @@
     const desk = createAdviceDesk({ clock, log, meter, lanes: options.adviceLanes, call: options.callAdvice });
 
     /**
-     * After an outage the store may make an intent durable before it tells of workers again: those that have shrunk or drain
-     * meanwhile would be started on as they were.
+     * After an outage the store may make an intent durable before it tells of workers and of the configuration again: what has
+     * shrunk, drains or was lowered meanwhile would be used as it was.
      */
-    const newsOfWorkers = async (): Promise<void> => {
+    const freshNews = async (): Promise<void> => {
         const untilMs = clock.monotonicMs() + newsPatienceMs;
-        while (!closed && options.workersAgeMs() > staleWorkersMs && clock.monotonicMs() < untilMs) {
+        while (!closed && options.newsAgeMs() > staleNewsMs && clock.monotonicMs() < untilMs) {
             await sleep(clock, newsPauseMs);
         }
     };
@@ -309,7 +309,7 @@
     };
 
     const startPlanned = (job: ShardJob, runs: readonly ShardRun[]): void => {
-        void commit(job).then(newsOfWorkers).then(() => {
+        void commit(job).then(freshNews).then(() => {
             // A gang of which one member cannot be sent would wait for it in vain.
             const isBroken = runs.some(run => run.task.step.spec.gang) && !runs.every(isStartable);
             const none = closed || hasEnded(job) || isBroken;
