Turn orders by the shares of organisations, beside the one that stands

Hypothesis: where one organisation sends many times its usual, callers of the others are late behind it, so that what it submits beyond its weight in jobs a second, saved up for 2 s, should wait behind them. Two ways beside 'due': 'shares' puts it behind all others, 'sharesWithinPriority' behind those of its priority. Whether a job is beyond lasts with its row; a job that is taken back gives its share back.

'due' stays the default, and an operator may name another in the settings (policies.order).

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -92,3 +92,11 @@
             | 1 of 5 cores       |
             | 5 gang             |
             | 1, 3 gang of 2 cores after 0 |
+
+    # One organisation sent many times its usual, and the jobs of all others waited behind it.
+    Scenario: What one organisation submits beyond its share makes no other one late
+        Given a cell of 3 daemons and 4 workers for the organisations "north 0, south 0" with the weights "2, 8" and the order "shares"
+        When jobs of steps "4" come for 6000 ms, each 30 ms for "north" and each 250 ms for "south"
+        And the shard runs for 5000 ms
+        Then 22 of 24 jobs of "south" at least ended within 2200 ms of their submission
+        And no promise was broken
--- a/features/steps/quotaSteps.ts
+++ b/features/steps/quotaSteps.ts
@@ -3,7 +3,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { jobIdOf, readSteps, testQueue } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import type { Organisation } from "puffinarch";
+import { defaultShardSettings, type Organisation, type TurnOrder, turnOrders } from "puffinarch";
 import { cellOf, part, startCell } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
@@ -12,10 +12,15 @@
     gangId: string;
     gangAtMs: number;
     newestJobs: readonly string[];
+    readonly submittedAtMs: Map<string, number>;
 }
 
 const quotas = (world: ScenarioWorld): Quotas =>
-    partOf(world, "quotas", () => ({ jobsOf: new Map(), gangId: "", gangAtMs: 0, newestJobs: [] }));
+    partOf(
+        world,
+        "quotas",
+        () => ({ jobsOf: new Map(), gangId: "", gangAtMs: 0, newestJobs: [], submittedAtMs: new Map() }),
+    );
 
 /** Reads organisations with their caps in cores, such as "north 6, south 0"; 0 is no cap. */
 const readOrganisations = (text: string): readonly Organisation[] =>
@@ -77,6 +82,69 @@
     },
 );
 
+Given(
+    "a cell of {int} daemons and {int} workers for the organisations {string} with the weights {string} and the order {string}",
+    async function(
+        this: ScenarioWorld,
+        members: number,
+        workers: number,
+        text: string,
+        weights: string,
+        order: string,
+    ) {
+        const organisations = readOrganisations(text).map((organisation, index) => ({
+            ...organisation,
+            weight: Number(weights.split(", ")[index]),
+        }));
+        assert.ok(order in turnOrders, order);
+        const policies = { ...defaultShardSettings.policies, order: order as TurnOrder };
+        await startCell(this, { members, workers, seed: 1, durationMs: "estimated", organisations, policies });
+    },
+);
+
+When(
+    "jobs of steps {string} come for {int} ms, each {int} ms for {string} and each {int} ms for {string}",
+    async function(
+        this: ScenarioWorld,
+        steps: string,
+        forMs: number,
+        hotEachMs: number,
+        hot: string,
+        eachMs: number,
+        other: string,
+    ) {
+        const { clock } = cellOf(this);
+        const submittedAtMs = quotas(this).submittedAtMs;
+        const stepMs = 10;
+        for (let passedMs = 0; passedMs < forMs; passedMs += stepMs) {
+            if (passedMs % hotEachMs === 0) {
+                submitFor(this, hot, steps);
+            }
+            if (passedMs % eachMs === 0) {
+                submittedAtMs.set(submitFor(this, other, steps), clock.monotonicMs());
+            }
+            await clock.advance(stepMs);
+        }
+    },
+);
+
+Then(
+    "{int} of {int} jobs of {string} at least ended within {int} ms of their submission",
+    function(this: ScenarioWorld, least: number, all: number, organisation: string, withinMs: number) {
+        const jobs = quotas(this).jobsOf.get(organisation) ?? [];
+        assert.equal(jobs.length, all);
+        const { evidence } = cellOf(this).workers;
+        const inTime = jobs.filter(jobId => {
+            const ends = evidence.filter(({ taskName }) => taskName.startsWith(jobId)).map(({ endedAtMs = Infinity }) =>
+                endedAtMs
+            );
+            const submittedAtMs = quotas(this).submittedAtMs.get(jobId) ?? 0;
+            return ends.length > 0 && Math.max(...ends) - submittedAtMs <= withinMs;
+        });
+        assert.ok(inTime.length >= least, `${inTime.length} did`);
+    },
+);
+
 When(
     "{int} jobs of steps {string} are submitted for {string}",
     function(this: ScenarioWorld, count: number, steps: string, organisation: string) {
--- a/packages/puffinarch/src/core/shard/acceptance.ts
+++ b/packages/puffinarch/src/core/shard/acceptance.ts
@@ -5,7 +5,7 @@
 import type { JobSubmission, Queue } from "../../types/work.js";
 import { die } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
-import { type Account, type Accounts, amountAboveCap } from "./accounts.js";
+import { type Account, type Accounts, amountAboveCap, returnShare, takeShare } from "./accounts.js";
 import type { CommitLog } from "./commitLog.js";
 import { cancelJob, heldBy, newJob, type ShardJob } from "./jobBook.js";
 import type { EndedJob } from "./jobRows.js";
@@ -81,6 +81,9 @@
     const forget = (job: ShardJob): void => {
         jobs.delete(job.submission.jobId);
         options.takeBack(job);
+        if (!job.beyondShare) {
+            returnShare(job.account);
+        }
         // Nobody wants its advice any more.
         cancelJob(job, clock.monotonicMs());
     };
@@ -112,7 +115,9 @@
         }
         const account = accounts.of(submission.organisation ?? "");
         refuseAboveCap(submission, account);
-        const job = newJob(submission, queue, { acceptedAtMs: clock.nowMs(), order: nextOrder, account });
+        const acceptedAtMs = clock.nowMs();
+        const beyondShare = !takeShare(account, acceptedAtMs);
+        const job = newJob(submission, queue, { acceptedAtMs, order: nextOrder, account, beyondShare });
         nextOrder += 1;
         jobs.set(submission.jobId, job);
         return job;
--- a/packages/puffinarch/src/core/shard/accounts.ts
+++ b/packages/puffinarch/src/core/shard/accounts.ts
@@ -10,6 +10,9 @@
     /** An amount of 0 is no limit. */
     cap: Resources;
     weight: number;
+    /** Jobs that it may still submit within its share, and the time of day at which they were counted. */
+    allowance: number;
+    countedAtMs: number;
     /** All that runs, may run or is about to be started for it, until it is known to be gone. */
     held: Resources;
 }
@@ -38,9 +41,42 @@
     organisation,
     cap,
     weight: defaultWeight,
+    allowance: Infinity,
+    countedAtMs: 0,
     held: noResources,
 });
 
+/** Jobs that an organisation did not submit within its share are saved up for so long. */
+const savedMs = 2_000;
+const msPerSecond = 1_000;
+
+/**
+ * Takes a job out of what an organisation may submit within its share, its weight in jobs a second; false where that is used
+ * up. Callers without an organisation have no share to exceed.
+ *
+ * @example
+ * takeShare(newAccount(""), clock.nowMs()); // true
+ */
+export const takeShare = (account: Account, wallMs: number): boolean => {
+    if (account.organisation === "") {
+        return true;
+    }
+    const most = Math.max(1, account.weight * savedMs / msPerSecond);
+    const gained = account.weight * Math.max(0, wallMs - account.countedAtMs) / msPerSecond;
+    account.allowance = Math.min(most, account.allowance + gained);
+    account.countedAtMs = wallMs;
+    if (account.allowance < 1) {
+        return false;
+    }
+    account.allowance -= 1;
+    return true;
+};
+
+/** Gives back the share of a job that was not accepted after all; its caller submits it again. */
+export const returnShare = (account: Account): void => {
+    account.allowance += 1;
+};
+
 /** Counts a run in. */
 export const charge = (account: Account, amount: Resources): void => {
     account.held = add(account.held, amount);
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -156,6 +156,8 @@
     readonly submission: JobSubmission;
     /** Of its organisation; all jobs of one share it. */
     readonly account: Account;
+    /** Its organisation had submitted more than its share by then. */
+    readonly beyondShare: boolean;
     queue: Queue;
     /** Milliseconds since the Unix epoch. */
     readonly acceptedAtMs: number;
@@ -242,15 +244,17 @@
 export const newJob = (
     submission: JobSubmission,
     queue: Queue,
-    { acceptedAtMs, order, account = newAccount(submission.organisation ?? "") }: {
+    { acceptedAtMs, order, account = newAccount(submission.organisation ?? ""), beyondShare = false }: {
         readonly acceptedAtMs: number;
         readonly order: number;
         readonly account?: Account;
+        readonly beyondShare?: boolean;
     },
 ): ShardJob => {
     const job: ShardJob = {
         submission,
         account,
+        beyondShare,
         queue,
         acceptedAtMs,
         order,
--- a/packages/puffinarch/src/core/shard/jobRowSchemas.ts
+++ b/packages/puffinarch/src/core/shard/jobRowSchemas.ts
@@ -64,6 +64,7 @@
     queue: queueSchema,
     /** Of its organisation at the acceptance, for a successor that does not find the organisation in its configuration. */
     cap: resourcesSchema.optional(),
+    beyondShare: flag,
     acceptedAtMs: z.number("a time"),
     order: z.number("a number"),
 });
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -198,8 +198,8 @@
 export const decodeEnded = (row: Pick<Row, "value">): Decoded<EndedJob> => decodeRow(row, endedSchema);
 
 /** Writes what a job was submitted with. */
-const encodeSubmission = ({ submission, queue, account, acceptedAtMs, order }: ShardJob): string => {
-    const stored = { submission, queue, cap: account.cap, acceptedAtMs, order };
+const encodeSubmission = ({ submission, queue, account, beyondShare, acceptedAtMs, order }: ShardJob): string => {
+    const stored = { submission, queue, cap: account.cap, beyondShare, acceptedAtMs, order };
     return JSON.stringify(stored);
 };
 
@@ -324,9 +324,9 @@
         if (stored === undefined || state === undefined) {
             continue;
         }
-        const { submission, queue, acceptedAtMs, order, cap } = stored;
+        const { submission, queue, acceptedAtMs, order, cap, beyondShare } = stored;
         const account = accounts.of(submission.organisation ?? "", cap);
-        const job = newJob(submission, queue, { acceptedAtMs, order, account });
+        const job = newJob(submission, queue, { acceptedAtMs, order, account, beyondShare });
         job.stored = true;
         const restored = restoreState(job, state, nowMs);
         runs.push(...restored.runs);
--- a/packages/puffinarch/src/core/shard/urgency.ts
+++ b/packages/puffinarch/src/core/shard/urgency.ts
@@ -132,17 +132,27 @@
 const byDue = (left: RankedStep, right: RankedStep): number =>
     left.dueAtMs === right.dueAtMs ? 0 : left.dueAtMs - right.dueAtMs;
 
-/** Orders in which waiting steps take their turn; a priority always goes before the next one. */
+const byShare = ({ step: left }: RankedStep, { step: right }: RankedStep): number =>
+    Number(left.occurrence.job.beyondShare) - Number(right.occurrence.job.beyondShare);
+
+const byDueTurn = (left: RankedStep, right: RankedStep): number =>
+    byPriority(left, right) || turnOf[left.standing] - turnOf[right.standing] || byDue(left, right)
+    || byAcceptance(left, right);
+
+/** Orders in which waiting steps take their turn. */
 export const turnOrders = {
-    /** First come, first served. */
+    /** First come, first served, within a priority. */
     acceptance: (left: RankedStep, right: RankedStep): number => byPriority(left, right) || byAcceptance(left, right),
     /**
-     * Earliest due first among those that can still be in time, and those that cannot after them: under overload, first
-     * come, first served lets a backlog make every later job late as well.
+     * Within a priority, earliest due first among those that can still be in time, and those that cannot after them: under
+     * overload, first come, first served lets a backlog make every later job late as well.
      */
-    due: (left: RankedStep, right: RankedStep): number =>
-        byPriority(left, right) || turnOf[left.standing] - turnOf[right.standing] || byDue(left, right)
-        || byAcceptance(left, right),
+    due: byDueTurn,
+    /** The same, with jobs that an organisation submitted beyond its share behind all others, of whatever priority. */
+    shares: (left: RankedStep, right: RankedStep): number => byShare(left, right) || byDueTurn(left, right),
+    /** The same, with them behind the others of their priority. */
+    sharesWithinPriority: (left: RankedStep, right: RankedStep): number =>
+        byPriority(left, right) || byShare(left, right) || byDueTurn(left, right),
 } as const;
 /** Name of an order of turns. */
 export type TurnOrder = keyof typeof turnOrders;
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -92,6 +92,7 @@
     createAccounts,
     isOverCap,
     newAccount,
+    takeShare,
     tasksUnderCap,
     usesHalfOfCap,
 } from "./internal.js";
