--- a/features/examples.feature
+++ b/features/examples.feature
@@ -51,6 +51,7 @@
             | nodeSettings         | leases of 20000 ms                      |
             | adviceDesk           | first, urgent, batch                    |
             | askAhead             | not yet, then now                       |
+            | capView              | 1 beside 2 that wait for room           |
             | avoidance            | 1 after 1000 ms, 0 after 3000 ms        |
             | eligible             | 2 of 3                                  |
             | cellMember           | another daemon owns the shard           |
--- a/features/steps/examples/shardPlacement.ts
+++ b/features/steps/examples/shardPlacement.ts
@@ -8,6 +8,7 @@
     chooseVictims,
     createAdviceAsker,
     createAdviceDesk,
+    createCapView,
     createChooser,
     createPlacing,
     createRoomView,
@@ -15,7 +16,9 @@
     inTurn,
     isHeldUp,
     isTimeToAsk,
+    newAccount,
     newJob,
+    noResources,
     passesRests,
     placesIn,
     planRoom,
@@ -86,6 +89,15 @@
     return `${early ? "now" : "not yet"}, then ${isTimeToAsk(second) ? "now" : "not yet"}`;
 };
 
+const capView = (): string => {
+    const account = newAccount("north", { ...noResources, cpuMillis: 3_000 });
+    const first = newJob(submission, testQueue, { acceptedAtMs: 0, order: 1, account });
+    const { step } = taskOf(first);
+    const caps = createCapView(0, new WeakMap());
+    caps.keep(step, 2);
+    return `${caps.allowed(step, [taskOf(first), taskOf(first)]).length} beside 2 that wait for room`;
+};
+
 const roomView = (): string => {
     const worker = openWorker();
     const urgent = taskOf(exampleJob()).step;
@@ -207,6 +219,7 @@
 export const shardPlacementExamples: Readonly<Record<string, () => string | Promise<string>>> = {
     adviceDesk,
     askAhead,
+    capView,
     avoidance,
     eligible,
     chooseWorker: chooser,
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -1,16 +1,14 @@
 /** The pass over all steps that have tasks waiting: the most urgent first, each task to a worker with room. */
 
-import { add, noResources, type Resources, scale } from "../../types/resources.js";
-import { type Account, tasksUnderCap, usesHalfOfCap } from "./accounts.js";
 import { type AskAdviceOptions, createAdviceAsker } from "./askAdvice.js";
 import { isTimeToAsk } from "./askAhead.js";
+import { type CapView, type CapWaits, createCapView } from "./capView.js";
 import { type Chooser, createChooser, openFor } from "./chooseWorker.js";
 import { awaitsVerdict, needsTrial } from "./crashes.js";
 import { isAtCap } from "./eligible.js";
-import { holdPatienceMs, isHeldUp } from "./heldUp.js";
+import { isHeldUp } from "./heldUp.js";
 import {
     hasEnded,
-    heldBy,
     isReady,
     isWaiting,
     newRun,
@@ -67,8 +65,7 @@
     readonly view: RoomView;
     /** Steps that had room planned so far. */
     planned: number;
-    /** Of each organisation's cap, what is meant for steps that came earlier in this pass. */
-    readonly reserved: Map<Account, Resources>;
+    readonly caps: CapView;
 }
 
 /** Where a step's waiting tasks are expected to run. */
@@ -111,6 +108,7 @@
 
     const asker = createAdviceAsker({ clock, log, meter, settings, workers, desk, onAnswer: options.wake });
     const plans = new Map<ShardStep, RoomPlan>();
+    const gangsSinceMs: CapWaits = new WeakMap();
 
     /** The waits of tasks that have places for sure; members of a gang are planned before that is known. */
     const endTrialWaits = (runs: readonly ShardRun[]): void => {
@@ -298,41 +296,6 @@
         }
     };
 
-    const reserveCap = ({ spec, occurrence }: ShardStep, count: number, { reserved }: Round): void => {
-        const { account } = occurrence.job;
-        reserved.set(account, add(reserved.get(account) ?? noResources, scale(heldBy(spec), count)));
-    };
-
-    /** Gangs for which a cap is kept although under half of it is used, and the local time since which that is so. */
-    const underHalfSinceMs = new WeakMap<ShardStep, number>();
-
-    /** A job counts as lost that stands for 3 s while its organisation uses less than half of its cap. */
-    const mayKeepCap = (step: ShardStep, nowMs: number): boolean => {
-        if (usesHalfOfCap(step.occurrence.job.account)) {
-            underHalfSinceMs.delete(step);
-            return true;
-        }
-        const sinceMs = underHalfSinceMs.get(step) ?? nowMs;
-        underHalfSinceMs.set(step, sinceMs);
-        return nowMs - sinceMs < holdPatienceMs;
-    };
-
-    /**
-     * The waiting tasks that the organisation's cap leaves room for. The cap is kept for a gang that does not fit, since the
-     * organisation's later steps would else take each piece of it that falls free.
-     */
-    const underCap = (step: ShardStep, waiting: readonly ShardTask[], round: Round): readonly ShardTask[] => {
-        const { account } = step.occurrence.job;
-        const allowed = tasksUnderCap(account, heldBy(step.spec), round.reserved.get(account));
-        if (!step.spec.gang || allowed >= waiting.length) {
-            return waiting.slice(0, allowed);
-        }
-        if (mayKeepCap(step, round.nowMs)) {
-            reserveCap(step, waiting.length, round);
-        }
-        return [];
-    };
-
     const placeStep = (ranked: RankedStep, round: Round): void => {
         const { step } = ranked;
         const { nowMs, view } = round;
@@ -347,7 +310,7 @@
             wantTrials(all.filter(task => !awaitsVerdict(task, nowMs)));
         }
         const able = startable(step, all, { workers, nowMs });
-        const waiting = underCap(step, able, round);
+        const waiting = round.caps.allowed(step, able);
         if (waiting.length === 0 && able.length > 0) {
             // No advice, no kept room and no stops for what cannot start.
             step.heldUpAtMs = undefined;
@@ -384,7 +347,7 @@
         if (left > 0) {
             // Room that is kept beside others is of no use to a task that is to run by itself.
             const reservations = step.tasks.some(needsTrial) ? [] : keepRoom(ranked, left, round);
-            reserveCap(step, reservations.length, round);
+            round.caps.keep(step, reservations.length);
             const wish = { step, waiting: left, reservations, view, nowMs };
             asker.askFor(wish);
             asker.keepAsked(wish);
@@ -411,7 +374,7 @@
             wallMs: clock.nowMs(),
             view: createRoomView(nowMs),
             planned: 0,
-            reserved: new Map(),
+            caps: createCapView(nowMs, gangsSinceMs),
         };
         for (const ranked of inTurn(ready, { clock, workers, order: settings.policies.order })) {
             placeStep(ranked, round);
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -36,6 +36,7 @@
 export * from "./core/shard/avoidance.js";
 export * from "./core/shard/batchWriter.js";
 export * from "./core/shard/callerKeys.js";
+export * from "./core/shard/capView.js";
 export * from "./core/shard/cellMember.js";
 export * from "./core/shard/chooseWorker.js";
 export * from "./core/shard/claimShard.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -77,6 +77,7 @@
 export { type AdviceDesk, type AdviceDeskOptions, type AdviceOrder, createAdviceDesk } from "./internal.js";
 export { type AdviceAsker, type AdviceWish, type AskAdviceOptions, createAdviceAsker } from "./internal.js";
 export { isTimeToAsk } from "./internal.js";
+export { type CapView, type CapWaits, createCapView } from "./internal.js";
 export { type CallerKeys, createCallerKeys, digestKey } from "./internal.js";
 export { type CellMember, type CellMemberOptions, memberTable, startCellMember } from "./internal.js";
 export { type AvoidanceLimits, avoidedBy, avoidedByAll, awaitedBy, failedLately } from "./internal.js";
