Calls to the advisor name as many workers as the waiting tasks of a step need

Cause: each call named 40 workers, of which a third is good for a batch, so that a step of 21 to 100 tasks asked three times and more, for 0.5 s each beside 7 ms a name. A call now names as many as the waiting tasks need by the share that was good for the queue so far, 40 at the least and 100, which the platform bounds, at the most. Ruled out: fewer names (the fixed cost binds).

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -50,6 +50,7 @@
             | roomMaker            | 1 less urgent tasks of w1 are stopped for it |
             | nodeSettings         | leases of 20000 ms                      |
             | adviceDesk           | first, urgent, batch                    |
+            | adviceBreadth        | 60, then 80, or 40                      |
             | askAhead             | not yet, then now                       |
             | capView              | 1 beside 2 that wait for room           |
             | avoidance            | 1 after 1000 ms, 0 after 3000 ms        |
--- a/features/steps/examples/shardPlacement.ts
+++ b/features/steps/examples/shardPlacement.ts
@@ -7,6 +7,7 @@
     avoidedBy,
     chooseVictims,
     createAdviceAsker,
+    createAdviceBreadth,
     createAdviceDesk,
     createCapView,
     createChooser,
@@ -89,6 +90,14 @@
     return `${early ? "now" : "not yet"}, then ${isTimeToAsk(second) ? "now" : "not yet"}`;
 };
 
+const adviceBreadth = (): string => {
+    const step = taskOf(exampleJob()).step;
+    const breadth = createAdviceBreadth({ usualAdviceWorkers: 40, maxAdviceWorkers: 100 });
+    const before = breadth.namesFor(step, 30);
+    breadth.note(step, ["i-1", "i-2", "i-3", "i-4"], { good: [{ workerId: "i-2", ticket: "t" }], validMs: 2_000 });
+    return `${before}, then ${breadth.namesFor(step, 20)}, or ${breadth.namesFor(step, 1)}`;
+};
+
 const capView = (): string => {
     const account = newAccount("north", { ...noResources, cpuMillis: 3_000 });
     const first = newJob(submission, testQueue, { acceptedAtMs: 0, order: 1, account });
@@ -218,6 +227,7 @@
 /** Examples of the modules about placement, by the module's name. */
 export const shardPlacementExamples: Readonly<Record<string, () => string | Promise<string>>> = {
     adviceDesk,
+    adviceBreadth,
     askAhead,
     capView,
     avoidance,
--- a/packages/puffinarch/src/core/shard/askAdvice.ts
+++ b/packages/puffinarch/src/core/shard/askAdvice.ts
@@ -3,6 +3,7 @@
 import type { AdviceAnswer } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import { fits } from "../../types/resources.js";
+import { createAdviceBreadth } from "./adviceBreadth.js";
 import type { AdviceDesk } from "./adviceDesk.js";
 import { avoidedByAll, failedLately } from "./avoidance.js";
 import { allowsAnother, countRuns, suits, ticketFor } from "./eligible.js";
@@ -63,9 +64,12 @@
 export const createAdviceAsker = (options: AskAdviceOptions): AdviceAsker => {
     const { clock, log, meter, settings, workers, desk, onAnswer } = options;
 
+    const breadth = createAdviceBreadth(settings);
+
     const takeAdvice = (step: ShardStep, named: readonly string[], answer: AdviceAnswer): void => {
         const { advice } = step;
         advice.inFlight = false;
+        breadth.note(step, named.filter(workerId => !advice.asked.has(workerId)), answer);
         for (const workerId of named) {
             advice.asked.add(workerId);
         }
@@ -141,8 +145,9 @@
         const usable = [...workers.values()].filter(worker => isOpen(worker, nowMs, Infinity) && suits(worker, step));
         // Tasks keep off workers that failed them for the sake of those that nobody has asked about, at rest or not.
         const unasked = usable.filter(worker => !advice.asked.has(worker.workerId));
+        const mostNames = breadth.namesFor(step, waiting);
         if (advice.asked.size === 0) {
-            return unasked.sort(byRoom(step, nowMs)).slice(0, settings.maxAdviceWorkers).map(worker => worker.workerId);
+            return unasked.sort(byRoom(step, nowMs)).slice(0, mostNames).map(worker => worker.workerId);
         }
         const runs = countRuns(step);
         // A call that begins once a wait is over, for kept room, a rest or other workers, would add to the time of standing.
@@ -160,7 +165,7 @@
         const failed = (workerId: string): boolean => tasks.some(task => failedLately(task, workerId, nowMs));
         if (named.length < waiting || named.every(worker => failed(worker.workerId))) {
             const others = unasked.filter(hasRoom).sort(byRoom(step, nowMs));
-            named.push(...others.slice(0, settings.maxAdviceWorkers - named.length));
+            named.push(...others.slice(0, mostNames - named.length));
         }
         const lacks = ({ workerId }: ShardWorker, atMs: number): boolean =>
             ticketFor(step, workerId, atMs) === undefined;
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -47,7 +47,9 @@
     readonly stuckWorkerRestMs: number;
     /** An ended job is forgotten after this. */
     readonly retentionMs: number;
-    /** Most workers named in one call to the advisor; the objective of a job counts 30. */
+    /** Workers named in a call to the advisor where few tasks wait; the objective of a job counts 30. */
+    readonly usualAdviceWorkers: number;
+    /** Most workers that a call may name; a bound of the platform. */
     readonly maxAdviceWorkers: number;
     /** What a refused caller is told to wait. */
     readonly retryAfterMs: number;
@@ -68,7 +70,8 @@
     refuseStalledMs: 600,
     stuckWorkerRestMs: 3_000,
     retentionMs: 180_000,
-    maxAdviceWorkers: 40,
+    usualAdviceWorkers: 40,
+    maxAdviceWorkers: 100,
     retryAfterMs: 1_000,
     policies: { order: "due", packing: "scarcest", room: "planned" },
 };
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -30,6 +30,7 @@
 export * from "./core/session.js";
 export * from "./core/shard/acceptance.js";
 export * from "./core/shard/accounts.js";
+export * from "./core/shard/adviceBreadth.js";
 export * from "./core/shard/adviceDesk.js";
 export * from "./core/shard/askAdvice.js";
 export * from "./core/shard/askAhead.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -74,6 +74,7 @@
 export { readReport, type WorkerReportOptions } from "./internal.js";
 
 // A shard: jobs of steps on workers with fencing tokens, owned by one daemon of a cell at a time.
+export { type AdviceBreadth, createAdviceBreadth } from "./internal.js";
 export { type AdviceDesk, type AdviceDeskOptions, type AdviceOrder, createAdviceDesk } from "./internal.js";
 export { type AdviceAsker, type AdviceWish, type AskAdviceOptions, createAdviceAsker } from "./internal.js";
 export { isTimeToAsk } from "./internal.js";
