Lanes of the advisor are kept for quick calls by what these have needed of late

A quarter of the lanes was kept for quick calls, seven of 29, of which the checks of the shifted deployment use one or two, while dear calls of wide batches queued. Twice the lanes that quick calls kept busy over the last seconds are kept now, and one, a quarter at the most.

--- a/features/advisorLanes.feature
+++ b/features/advisorLanes.feature
@@ -39,3 +39,16 @@
             | 1     | 20000  |
             | 9     | 5000   |
             | 9     | 20000  |
+
+    # Steps of wide batches waited for tickets while a quarter of the lanes was kept for quick calls, of which there were few.
+    Scenario Outline: Dear calls have the lanes that quick ones do not need: <what>
+        Given an advice desk with 28 lanes, whose calls take 500 ms
+        When 0 steps ask at once, and quick calls of 40 ms come each <each> ms for 5000 ms
+        And <dear> steps ask at once, and quick calls of 40 ms come each <each> ms for 3000 ms
+        Then all <dear> are advised within <ms> ms, and each quick call within 100 ms
+
+        Examples:
+            | what                        | each | dear | ms   |
+            | none comes                  | 0    | 27   | 600  |
+            | few come                    | 50   | 75   | 1600 |
+            | as many as their lanes bear | 10   | 42   | 1100 |
--- a/features/steps/advisorLaneSteps.ts
+++ b/features/steps/advisorLaneSteps.ts
@@ -15,6 +15,8 @@
     readonly asked: string[];
     outageEndsAtMs: number;
     newest: { readonly beganAtMs: number; readonly callsBefore: number; advisedAtMs: number | undefined; } | undefined;
+    /** How long calls waited for their answers, in milliseconds. */
+    readonly waits: { readonly slow: number[]; readonly quick: number[]; };
 }
 
 const partName = "advisorLanes";
@@ -22,6 +24,8 @@
 
 /** A step asks again so long after a failure, as the product's steps do. */
 const retryMs = 150;
+/** How long the advisor takes for a quick call. */
+const quickCallMs = 40;
 const limitMs = 60_000;
 const lookMs = 10;
 
@@ -37,13 +41,13 @@
             log: quietLog,
             meter: quietMeter,
             lanes: () => laneIds,
-            call: async (lane, { timeoutMs }) => {
+            call: async (lane, { stepName, timeoutMs }) => {
                 asked.push(lane);
                 if (hangs.get(lane)?.() === true) {
                     await sleep(clock, timeoutMs);
                     throw errorOf({ kind: "unavailable", message: "no answer" });
                 }
-                await sleep(clock, callMs);
+                await sleep(clock, stepName === "quick" ? quickCallMs : callMs);
                 return { good: [], validMs: 2_000 };
             },
         });
@@ -56,6 +60,7 @@
             asked,
             outageEndsAtMs: 0,
             newest: undefined,
+            waits: { slow: [], quick: [] },
         }));
     },
 );
@@ -111,6 +116,44 @@
     }
 });
 
+When(
+    "{int} steps ask at once, and quick calls of {int} ms come each {int} ms for {int} ms",
+    async function(this: ScenarioWorld, count: number, quickMs: number, eachMs: number, forMs: number) {
+        const { clock, desk, callMs, waits } = part(this);
+        const ask = (costMs: number, kind: "slow" | "quick"): void => {
+            const askedAtMs = clock.monotonicMs();
+            desk.ask({
+                stepName: kind,
+                workerIds: ["i-1"],
+                costMs,
+                priority: kind === "quick" ? 0 : 2,
+                wanted: () => true,
+                onAnswer: () => waits[kind].push(clock.monotonicMs() - askedAtMs),
+                onFailure: () => assert.fail("a call failed"),
+            });
+        };
+        for (let number = 0; number < count; number += 1) {
+            ask(callMs, "slow");
+        }
+        for (let passedMs = 0; passedMs < forMs; passedMs += lookMs) {
+            if (eachMs > 0 && passedMs % eachMs === 0) {
+                ask(quickMs, "quick");
+            }
+            await clock.advance(lookMs);
+        }
+    },
+);
+
+Then(
+    "all {int} are advised within {int} ms, and each quick call within {int} ms",
+    function(this: ScenarioWorld, count: number, withinMs: number, quickWithinMs: number) {
+        const { waits } = part(this);
+        assert.equal(waits.slow.length, count);
+        assert.ok(Math.max(...waits.slow) <= withinMs, `after ${Math.max(...waits.slow)} ms`);
+        assert.ok(Math.max(0, ...waits.quick) <= quickWithinMs, `a quick one after ${Math.max(...waits.quick)} ms`);
+    },
+);
+
 When("the desk is left alone for {int} ms", async function(this: ScenarioWorld, forMs: number) {
     await part(this).clock.advance(forMs);
 });
--- a/packages/puffinarch/src/core/shard/adviceDesk.ts
+++ b/packages/puffinarch/src/core/shard/adviceDesk.ts
@@ -58,8 +58,11 @@
 
 /** Calls that cost more may not take every lane; between the two sites' cheap (28 ms) and dear (530 ms) calls. */
 const slowCostMs = 150;
-/** Lanes kept for quick calls, of the whole. */
+/** Lanes kept for quick calls at the most, of the whole. */
 const quickLaneShare = 0.25;
+/** Quick calls of late that tell how many lanes they need, and how many times that is kept for them, as they come in bursts. */
+const quickMemoryMs = 4_000;
+const quickMargin = 2;
 /**
  * A lane whose call failed rests, so that its daemon is not asked again while it is cut off: for twice as long after each
  * failure in a row, while another lane is sound. Where none is, the advisor itself may be away, and is asked as often as before.
@@ -85,7 +88,11 @@
 /** One call in this many may go to the one that has waited longest, so that urgent ones lose a quarter of the lanes at most. */
 const outOfTurnEvery = 4;
 
-const quickLanes = (lanes: number): number => lanes < 2 ? 0 : Math.max(1, Math.floor(lanes * quickLaneShare));
+/** Lanes to keep for quick calls, which have kept so many busy of late. */
+const quickLanes = (lanes: number, busyOfLate: number): number => {
+    const most = lanes < 2 ? 0 : Math.max(1, Math.floor(lanes * quickLaneShare));
+    return Math.min(most, 1 + Math.ceil(quickMargin * busyOfLate));
+};
 
 const laneRestMs = (failuresInARow: number): number =>
     Math.min(longestLaneRestMs, failedLaneRestMs * 2 ** (failuresInARow - 1));
@@ -101,6 +108,19 @@
     /** Calls that were given to a lane so far. */
     let taken = 0;
     const busy = new Map<string, boolean>();
+    /** Time that quick calls have taken, of which the past counts less and less, as of a local time. */
+    let quickWork = { tookMs: 0, atMs: clock.monotonicMs() };
+
+    const noteQuick = (tookMs: number): void => {
+        const nowMs = clock.monotonicMs();
+        const left = quickWork.tookMs * Math.exp((quickWork.atMs - nowMs) / quickMemoryMs);
+        quickWork = { tookMs: left + tookMs, atMs: nowMs };
+    };
+
+    const quickBusyOfLate = (): number => {
+        noteQuick(0);
+        return quickWork.tookMs / quickMemoryMs;
+    };
     const failures = new Map<string, LaneFailures>();
     let closed = false;
 
@@ -136,7 +156,7 @@
     const takeOrder = (): WaitingOrder | undefined => {
         const slowBusy = [...busy.values()].filter(slow => slow).length;
         const all = lanes().length;
-        const slowAllowed = slowBusy < all - quickLanes(all);
+        const slowAllowed = slowBusy < all - quickLanes(all, quickBusyOfLate());
         const sinceMs = clock.monotonicMs() - longWaitMs;
         const outOfTurn = taken % outOfTurnEvery === 0;
         let best = -1;
@@ -220,6 +240,9 @@
                 timeoutMs: Math.ceil(patienceFactor * costMs + patienceMs),
             });
             meter.record("adviceMs", clock.monotonicMs() - startedAtMs);
+            if (costMs <= slowCostMs) {
+                noteQuick(clock.monotonicMs() - startedAtMs);
+            }
             failures.delete(lane);
             settle(order, () => order.onAnswer(answer));
         }
