A daemon that hears nobody leaves the shard to an owner that goes on committing

Cause: a daemon that gets no answer from the owner nor from most peers claims after 2.5 s if the store answers it, as the owner may be lost with all of them. A daemon whose link is full, or which alone is cut off, sees just the same. Change: such a daemon reads the sequence row twice a second and claims only once no batch has come for 2 s. An owner at work commits many times a second. Why it holds: the store, which the claim needs anyway, tells a lost owner from one out of reach. An owner that most others miss is replaced as before, by those who hear each other. Evidence: the scene "A daemon that hears no peer leaves the shard to an owner that goes on committing" fails on the code before (entry-0 and then entry-2 claim); with it 0 claims. A lone survivor still takes over within 4 s (second scene, passes before and after).

--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -176,6 +176,7 @@
         isResting: () => false,
         isLeaving: () => false,
         readOwner: async () => true,
+        witness: { isQuiet: async () => true, reset: () => {} },
         claim: async (version, why) => claims.push(`${version} ${why}`),
         onAnswer: () => {},
         onOwnerAnswer: () => {},
--- a/features/steps/shardFaultSteps.ts
+++ b/features/steps/shardFaultSteps.ts
@@ -27,6 +27,14 @@
     },
 );
 
+When("all daemons but one are killed", function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    const survivor = cell.memberIds().find(memberId => memberId !== cell.owner());
+    for (const memberId of cell.memberIds().filter(each => each !== survivor)) {
+        cell.kill(memberId);
+    }
+});
+
 When("all daemons are back", function(this: ScenarioWorld) {
     const cell = cellOf(this);
     for (const memberId of cell.memberIds()) {
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -317,3 +317,21 @@
             | 97      | 5000 | store refuses |
             | 97      | 5500 | store refuses |
             | 97      | 6000 | store hangs   |
+
+    Scenario: A daemon that hears no peer leaves the shard to an owner that goes on committing
+        Given a cell of 6 daemons and 4 workers
+        When 200 jobs of steps "4" are submitted
+        And the shard runs for 500 ms
+        And the fault "another cut from its peers" comes
+        And the shard runs for 10000 ms
+        Then 0 daemons at most began a claim
+        And no promise was broken
+
+    Scenario: A daemon that hears no peer takes over from an owner that is lost with all others
+        Given a cell of 6 daemons and 4 workers
+        When 20 jobs of steps "4" are submitted
+        And the shard runs for 500 ms
+        And all daemons but one are killed
+        Then a daemon owns the shard within 4000 ms
+        And all jobs are "completed" within 30000 ms
+        And no promise was broken
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -32,6 +32,7 @@
 import { sleep } from "../../utils/time.js";
 import { type CallerKeys, createCallerKeys } from "./callerKeys.js";
 import { claimShard } from "./claimShard.js";
+import { createCommitWitness } from "./commitWitness.js";
 import { createForward } from "./forward.js";
 import { handOver } from "./handOver.js";
 import { decodeOwner, unreadableOwner } from "./memberRows.js";
@@ -487,6 +488,7 @@
             clock.monotonicMs() < claimsAgainAtMs || !membersRead && clock.monotonicMs() < claimsAnywayAtMs,
         isLeaving: () => leaving,
         readOwner,
+        witness: createCommitWitness({ clock, log, store, part }),
         claim,
         onAnswer: takeNewer,
         onOwnerAnswer: ({ pending }) => {
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -7,6 +7,7 @@
 import type { Clock, Log } from "../../types/ports.js";
 import { type ErrorKind, failureOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
+import type { CommitWitness } from "./commitWitness.js";
 import { type Peers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
 import { followerPauseMs, placeDelayMs, watcherCount } from "./probes.js";
 import { type ClaimReason, claimReasons, patienceFactor, settlingMs } from "./shortOffices.js";
@@ -32,6 +33,8 @@
     readonly isLeaving: () => boolean;
     /** Reads the owner's row again; false where the store did not answer within the time. */
     readonly readOwner: (withinMs: number) => Promise<boolean>;
+    /** Tells a lost owner from one that is only out of this daemon's reach. */
+    readonly witness: CommitWitness;
     readonly claim: (seenVersion: number, why: ClaimReason) => Promise<unknown>;
     /** A daemon answered, which may have a newer configuration. */
     readonly onAnswer: (address: string, answer: PingAnswer) => void;
@@ -148,10 +151,11 @@
  * Starts to watch the owner of a shard.
  *
  * @example
- * const watch = watchOwner({ clock, log, self, peers, known, owns, isSettled, isResting, isLeaving, readOwner, claim, onAnswer, onOwnerAnswer, onOwnRound, onPeersPinged });
+ * const watch = watchOwner({ clock, log, self, peers, known, owns, isSettled, isResting, isLeaving, readOwner, witness, claim, onAnswer, onOwnerAnswer, onOwnRound, onPeersPinged });
  */
 export const watchOwner = (options: OwnerWatchOptions): OwnerWatch => {
-    const { clock, log, self, peers, known, owns, isSettled, isResting, isLeaving, readOwner, claim } = options;
+    const { clock, log, self, peers, known, owns, isSettled, isResting, isLeaving, readOwner, witness, claim } =
+        options;
     let closed = false;
     /** Local time at which the owner's row changed. */
     let changedAtMs = -Infinity;
@@ -281,7 +285,7 @@
             lostAtMs = clock.monotonicMs();
             return;
         }
-        if (minority && lostForMs() < minorityDelayMs) {
+        if (minority && (!await witness.isQuiet() || lostForMs() < minorityDelayMs)) {
             step = watchSteps.minority;
             return;
         }
@@ -332,6 +336,7 @@
         vouchedMs = ownerPauseMs() - pingIntervalMs;
         silentPings = 0;
         lostAtMs = undefined;
+        witness.reset();
         step = watchSteps.pings;
     };
 
@@ -508,6 +513,7 @@
             changedAtMs = clock.monotonicMs();
             silentPings = 0;
             lostAtMs = undefined;
+            witness.reset();
         },
         wake: () => endPause?.(),
         close: () => {
--- a/packages/stand-ins/src/shard/exploreSeed.ts
+++ b/packages/stand-ins/src/shard/exploreSeed.ts
@@ -57,6 +57,7 @@
     "upkeep orders get lost",
     "all workers cut but the first",
     "orders to all workers get lost",
+    "another cut from its peers",
 ];
 const randomFaults = Object.keys(shardFaults).filter(name => ![...faultsAlone, ...faultsOfKinds].includes(name));
 const crashingShare = 0.2;
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -124,6 +124,11 @@
         }
         return () => hit.forEach(memberId => cell.mend(memberId));
     },
+    "another cut from its peers": cell => {
+        const other = cell.memberIds().find(memberId => memberId !== cell.owner()) ?? "";
+        cell.cut(other, ["peers"]);
+        return () => cell.mend(other);
+    },
     "two others cut off": cell => cutOthers(cell, 2),
     "owner and a third of the others killed": cell => {
         const owner = cell.owner() ?? cell.memberIds()[0] ?? "";
