One copy of the configuration at a time, and answers that keep coming are read to their end

Cause, of the class of retry storms: a daemon asked for a whole copy of the configuration at every answered ping of a peer that had a newer one, five and more times a second, with a limit of 350 ms. Over 10 Mbit/s a copy of 560 KB to 1.7 MB takes 0.5 to 1.4 s, so that no copy came through, each next one shared the link with those before, the store's own answer passed its limit of 1 s as well and was begun anew, and pings were lost behind both. Change: one copy at a time, from one peer, with a limit on its silence and not on its length; the store goes first for 0.4 s. Reads of followed tables and feeds have such a limit too: a page can be made smaller, a row cannot. Fakes: links whose transfers share their rate.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -27,6 +27,17 @@
         And a call is made that may take 20000 ms
         Then it was answered
 
+    Scenario Outline: A call whose answer <how> ends <end>
+        Given a service with 1 open connections
+        When a call is made that may be silent for 200 ms and take <longestMs> ms, and its answer <how>
+        Then it <end>
+
+        Examples:
+            | how                                  | longestMs | end           |
+            | comes in 8 pieces, each after 80 ms  | 20000     | was answered  |
+            | comes in 8 pieces, each after 80 ms  | 300       | got no answer |
+            | comes in 2 pieces, each after 600 ms | 20000     | got no answer |
+
     Scenario: A call ends in time although no connection comes about
         Given a service that accepts no connection
         When a call is made that may take 100 ms
--- a/features/examples.feature
+++ b/features/examples.feature
@@ -64,6 +64,8 @@
             | batchWriter          | in force at version 1                   |
             | commitLog            | 3 jobs in 1 transaction                 |
             | evacuate             | 0 moves while the other is away; not ready |
+            | commitWitness        | commits, then quiet                     |
+            | configurationFetch   | asked 1 time for 3 offers               |
             | handOver             | claimed by a peer                       |
             | ownerWatch           | 7 restarted                             |
             | peers                | 1 daemon, then entry-1 and entry-2      |
--- a/features/steps/connectionSteps.ts
+++ b/features/steps/connectionSteps.ts
@@ -1,7 +1,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { type ChildProcess, spawn } from "node:child_process";
-import { createServer, type Server } from "node:http";
+import { createServer, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { type CallResult, createHttpCaller, createMeter, type HttpCaller } from "puffinarchd";
 import { partOf, type ScenarioWorld } from "./support.js";
@@ -40,6 +40,21 @@
     return http.call("GET", `${address}${path}`, undefined, { timeoutMs, suspectAfterMs });
 };
 
+/** Sends white space piece by piece, and an object at the end. */
+const sendPieces = (response: ServerResponse, count: number, eachMs: number): void => {
+    let sent = 0;
+    const timer = setInterval(() => {
+        sent += 1;
+        if (sent < count) {
+            response.write(" ");
+            return;
+        }
+        clearInterval(timer);
+        response.end("{}");
+    }, eachMs);
+    response.on("close", () => clearInterval(timer));
+};
+
 /** How long the service takes for "/slow", so that calls under way at once need a connection each. */
 const slowAnswerMs = 50;
 const answeredInTimeMs = 20_000;
@@ -50,6 +65,11 @@
         if (silent.has(request.socket) || request.url === "/never") {
             return;
         }
+        const pieces = /^\/pieces\/(\d+)\/(\d+)$/.exec(request.url ?? "");
+        if (pieces !== null) {
+            sendPieces(response, Number(pieces[1]), Number(pieces[2]));
+            return;
+        }
         setTimeout(() => response.end("{}"), request.url === "/slow" ? slowAnswerMs : 0);
     });
     server.on("connection", socket => open.add(socket));
@@ -118,6 +138,17 @@
     },
 );
 
+When(
+    /^a call is made that may be silent for (\d+) ms and take (\d+) ms, and its answer comes in (\d+) pieces, each after (\d+) ms$/,
+    async function(this: ScenarioWorld, timeoutMs: string, longestMs: string, count: string, eachMs: string) {
+        const { http, address } = part(this);
+        part(this).result = await http?.call("GET", `${address}/pieces/${count}/${eachMs}`, undefined, {
+            timeoutMs: Number(timeoutMs),
+            longestMs: Number(longestMs),
+        });
+    },
+);
+
 When(
     "a call is under way for {int} ms that makes its connections suspect after {int} ms",
     async function(this: ScenarioWorld, waitMs: number, suspectAfterMs: number) {
--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -6,14 +6,18 @@
     claimReasons,
     claimShard,
     countShortOffices,
+    createCommitWitness,
+    createConfigurationFetch,
     createPeers,
     createRowReader,
     defaultShardSettings,
     followerPauseMs,
     handOver,
+    journalTable,
     patienceFactor,
     type Peers,
     placeDelayMs,
+    sequenceKey,
     type ShardOwner,
     startShardOwner,
     watchOwner,
@@ -188,6 +192,49 @@
     return claims.join(", ");
 };
 
+const commitWitness = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const store = createFakeRowStore(clock);
+    const witness = createCommitWitness({ clock, log, store: store.connect("entry-1"), part });
+    const isQuiet = async (): Promise<boolean> => {
+        const answer = witness.isQuiet();
+        await clock.advance(1_000);
+        return answer;
+    };
+    for (let batch = 1; batch <= 4; batch += 1) {
+        store.putText({ table: journalTable, part, key: sequenceKey, value: `batch ${batch}` });
+        await isQuiet();
+    }
+    const atWork = await isQuiet();
+    await isQuiet();
+    return `${atWork ? "quiet" : "commits"}, then ${await isQuiet() ? "quiet" : "commits"}`;
+};
+
+const configurationFetch = async (): Promise<string> => {
+    const clock = createFakeClock();
+    let asked = 0;
+    const fetch = createConfigurationFetch({
+        clock,
+        log,
+        selfId: owner.memberId,
+        peers: {
+            ask: () => {
+                asked += 1;
+                return new Promise<never>(() => {});
+            },
+        },
+        version: () => 7,
+        storeAgeMs: () => 10_000,
+        onConfiguration: () => {},
+    });
+    const offers = 3;
+    for (let offer = 0; offer < offers; offer += 1) {
+        fetch.offer("http://10.1.0.14:7720", 8);
+        await clock.advance(200);
+    }
+    return `asked ${asked} time for ${offers} offers`;
+};
+
 const cellMember = async (): Promise<string> => {
     const cell = createShardCell({ members: 3, workers: 2, seed: 1 });
     await cell.clock.advance(2_000);
@@ -208,6 +255,8 @@
 export const shardOwnerExamples: Readonly<Record<string, () => string | Promise<string>>> = {
     cellMember,
     claimShard: claim,
+    commitWitness,
+    configurationFetch,
     handOver: handOverExample,
     ownerWatch,
     readiness: readinessExample,
--- a/features/steps/shardCellSteps.ts
+++ b/features/steps/shardCellSteps.ts
@@ -89,6 +89,27 @@
     },
 );
 
+/** Links of strong and of weak daemons, in bytes a ms. */
+const strongLink = 25_000;
+const weakLink = 1_250;
+
+Given(
+    "a cell of {int} daemons, each fifth of them strong and the others on thin links, {int} workers and a configuration of {int} queues",
+    async function(this: ScenarioWorld, members: number, workers: number, queues: number) {
+        const strengths = Array.from({ length: members }, (_, index) => index % 5 === 0 ? 1 : 0.2);
+        part(this).strengths = strengths;
+        const others = Array.from({ length: queues }, (_, index) => ({
+            ...testQueue,
+            key: `stages.example/others/${index}/`,
+            pathPrefix: `/others/${index}/`,
+        }));
+        await startCell(this, { members, workers, seed: 1, strengths, queues: [testQueue, ...others] });
+        for (const [index, memberId] of cellOf(this).memberIds().entries()) {
+            cellOf(this).store.setLink(memberId, strengths[index] === 1 ? strongLink : weakLink);
+        }
+    },
+);
+
 Given(
     "a cell of {int} daemons and {int} workers, seed {int}",
     async function(this: ScenarioWorld, members: number, workers: number, seed: number) {
--- a/features/steps/shardFaultSteps.ts
+++ b/features/steps/shardFaultSteps.ts
@@ -42,6 +42,19 @@
     }
 });
 
+When("the store refuses {int} of the daemons on thin links", function(this: ScenarioWorld, refused: number) {
+    const cell = cellOf(this);
+    const { strengths } = part(this);
+    const weak = cell.memberIds().filter((_, index) => strengths[index] !== 1);
+    for (const memberId of weak.slice(0, refused)) {
+        cell.store.setFault("refuse", memberId);
+    }
+});
+
+When("the configuration changes", function(this: ScenarioWorld) {
+    cellOf(this).configure(cellOf(this).version() + 1);
+});
+
 When("all daemons but the former owner are back", function(this: ScenarioWorld) {
     const cell = cellOf(this);
     for (const memberId of cell.memberIds().filter(each => each !== part(this).ownerBefore)) {
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -335,3 +335,32 @@
         Then a daemon owns the shard within 4000 ms
         And all jobs are "completed" within 30000 ms
         And no promise was broken
+
+    Scenario Outline: After a loss of all VMs daemons on thin links get a configuration of <queues> queues
+        Given a cell of 34 daemons, each fifth of them strong and the others on thin links, 20 workers and a configuration of <queues> queues
+        When 200 jobs of steps "4" are submitted
+        And the shard runs for 2000 ms
+        And the fault "all killed" comes
+        And the shard runs for 700 ms
+        And all daemons are back
+        Then a daemon owns the shard within 2000 ms
+        And all daemons that run are ready within <readyMs> ms
+        And no weak daemon has owned the shard since
+        And the shard was claimed 1 times at most
+        And no promise was broken
+
+        Examples:
+            | queues | readyMs |
+            | 1400   | 5000    |
+            | 2800   | 5000    |
+            | 5600   | 10000   |
+
+    Scenario: Daemons on thin links that the store refuses get a configuration of 2800 queues from their peers
+        Given a cell of 34 daemons, each fifth of them strong and the others on thin links, 20 workers and a configuration of 2800 queues
+        When the shard runs for 3000 ms
+        And the store refuses 9 of the daemons on thin links
+        And the shard runs for 3000 ms
+        And the configuration changes
+        And the shard runs for 5000 ms
+        Then every daemon that runs has the newest version
+        And no weak daemon has owned the shard since
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -12,7 +12,6 @@
     type MemberPort,
     type MemberRow,
     type OwnerRow,
-    type PingAnswer,
     type Row,
     type RowKey,
     type RowStore,
@@ -33,11 +32,12 @@
 import { type CallerKeys, createCallerKeys } from "./callerKeys.js";
 import { claimShard } from "./claimShard.js";
 import { createCommitWitness } from "./commitWitness.js";
+import { createConfigurationFetch } from "./configurationFetch.js";
 import { createForward } from "./forward.js";
 import { handOver } from "./handOver.js";
 import { decodeOwner, unreadableOwner } from "./memberRows.js";
 import { watchOwner } from "./ownerWatch.js";
-import { createPeers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
+import { createPeers, pingIntervalMs } from "./peers.js";
 import { watchReadiness } from "./readiness.js";
 import { createRowReader } from "./rowReader.js";
 import { type ShardOwner, startShardOwner } from "./shardOwner.js";
@@ -348,17 +348,6 @@
         return Promise.race([read(), sleep(clock, withinMs).then(() => false)]);
     };
 
-    const takeNewer = (address: string, { configurationVersion }: PingAnswer): void => {
-        if (configurationVersion <= (configuration?.version ?? 0)) {
-            return;
-        }
-        void peers.ask(address, "configuration", { from: self.memberId }, pingTimeoutMs).then(next => {
-            if (next !== undefined) {
-                adopt(next, "peer");
-            }
-        });
-    };
-
     const giveAway = async (shard: ShardOwner, why: HandOverReason): Promise<boolean> => {
         const isOver = (): boolean => owner !== shard;
         const claimed = await handOver(shard, why, { clock, log, peers, selfId: self.memberId, isOver });
@@ -449,6 +438,16 @@
         onWhole: () => {},
     });
 
+    const configurationFetch = createConfigurationFetch({
+        clock,
+        log,
+        selfId: self.memberId,
+        peers,
+        version: () => configuration?.version ?? 0,
+        storeAgeMs: configurationWatch.ageMs,
+        onConfiguration: next => adopt(next, "peer"),
+    });
+
     const tableWatches = [
         watchTable({
             clock,
@@ -490,7 +489,7 @@
         readOwner,
         witness: createCommitWitness({ clock, log, store, part }),
         claim,
-        onAnswer: takeNewer,
+        onAnswer: (address, { configurationVersion }) => configurationFetch.offer(address, configurationVersion),
         onOwnerAnswer: ({ pending }) => {
             // A claimant that still reads the journal counts nothing yet.
             ownerWorks = pending !== undefined;
--- a/packages/puffinarch/src/core/shard/handOver.ts
+++ b/packages/puffinarch/src/core/shard/handOver.ts
@@ -42,7 +42,8 @@
         if (address === undefined) {
             continue;
         }
-        const answer = await peers.ask(address, "handOver", { token: shard.fencingToken, why }, 2 * pingTimeoutMs);
+        const order = { token: shard.fencingToken, why };
+        const answer = await peers.ask(address, "handOver", order, { timeoutMs: 2 * pingTimeoutMs });
         const claimed = answer?.claimed ?? false;
         log.write("info", "handOver", { to: peerId, claimed, why });
         // A claim may take effect although its answer came too late.
--- a/packages/puffinarch/src/core/shard/peers.ts
+++ b/packages/puffinarch/src/core/shard/peers.ts
@@ -34,6 +34,14 @@
     readonly onSilent?: (kind: ErrorKind) => void;
 }
 
+/** What one call may set. */
+export interface AskOptions {
+    readonly timeoutMs: number;
+    /** How long an answer may take while it keeps coming; `timeoutMs` where it is left out. */
+    readonly longestMs?: number;
+    readonly onSilent?: ((kind: ErrorKind) => void) | undefined;
+}
+
 /** The other daemons. */
 export interface Peers {
     readonly all: ReadonlyMap<string, MemberRow>;
@@ -56,8 +64,7 @@
         address: string,
         name: N,
         input: MemberCalls[N]["input"],
-        timeoutMs: number,
-        onSilent?: (kind: ErrorKind) => void,
+        options: AskOptions,
     ): Promise<MemberCalls[N]["output"] | undefined>;
     /** Pings a peer and notes that it answers, whether it is leaving, and what it knows of the owner. */
     ping(peer: MemberRow, options?: PingOptions): Promise<PingAnswer | undefined>;
@@ -112,9 +119,9 @@
     /** How often one outside the usual ones was pinged. */
     let restTurns = 0;
 
-    const ask: Peers["ask"] = async (address, name, input, timeoutMs, onSilent) => {
+    const ask: Peers["ask"] = async (address, name, input, { timeoutMs, longestMs, onSilent }) => {
         try {
-            return await members.call(address, name, input, timeoutMs);
+            return await members.call(address, name, input, timeoutMs, longestMs);
         }
         catch (error) {
             const { kind, message } = failureOf(error);
@@ -233,7 +240,7 @@
         ping: async (peer, { timeoutMs = pingTimeoutMs, onSilent } = {}) => {
             const request = { from: self.memberId, ownerVersion: ownerVersion() };
             const askedAtMs = clock.monotonicMs();
-            const answer = await ask(peer.address, "ping", request, timeoutMs, onSilent);
+            const answer = await ask(peer.address, "ping", request, { timeoutMs, onSilent });
             if (answer === undefined) {
                 noteSilence(peer.memberId, askedAtMs);
                 return undefined;
--- a/packages/puffinarch/src/core/shard/readRows.ts
+++ b/packages/puffinarch/src/core/shard/readRows.ts
@@ -21,6 +21,8 @@
     readonly firstRows?: number;
     /** Pause after a page that failed. */
     readonly retryPauseMs?: number;
+    /** How long a page may take while it keeps coming; as long as the store may be silent where it is left out. */
+    readonly longestPageMs?: number;
 }
 
 /** A part of a table. */
@@ -69,6 +71,7 @@
         withinMs = Infinity,
         firstRows = firstPageRows,
         retryPauseMs = shortRetryPauseMs,
+        longestPageMs,
     }: ReadRowsOptions,
 ): Promise<ReadRows | undefined> => {
     const rows: Row[] = [];
@@ -84,7 +87,7 @@
     while (wanted() && !isLate()) {
         const askedAtMs = clock.monotonicMs();
         try {
-            const page = await store.read(table, part, fromKey, pageRows);
+            const page = await store.read(table, part, fromKey, pageRows, longestPageMs);
             rows.push(...page.rows);
             version ??= page.version;
             if (!page.more) {
--- a/packages/puffinarch/src/core/shard/tableWatch.ts
+++ b/packages/puffinarch/src/core/shard/tableWatch.ts
@@ -35,6 +35,8 @@
 /** For tables whose changes must be known within the platform's 2 s, also where the connection has gone silent. */
 export const shortFeedWaitMs = 1_000;
 const retryPauseMs = 250;
+/** No smaller page helps with a row that alone takes longer than the store may be silent. */
+const longestPageMs = 20_000;
 
 /** A moment on both clocks. */
 interface Moment {
@@ -76,6 +78,7 @@
                 wanted: () => !stopped,
                 firstRows: mostPageRows,
                 retryPauseMs,
+                longestPageMs,
             });
             if (read === undefined) {
                 return undefined;
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -42,6 +42,8 @@
 export * from "./core/shard/chooseWorker.js";
 export * from "./core/shard/claimShard.js";
 export * from "./core/shard/commitLog.js";
+export * from "./core/shard/commitWitness.js";
+export * from "./core/shard/configurationFetch.js";
 export * from "./core/shard/crashes.js";
 export * from "./core/shard/delayedStarts.js";
 export * from "./core/shard/eligible.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -116,6 +116,8 @@
 export { allowsTrial, companyOf, fellAtStart, holdForTrial, isKeptFrom, isSuspect, startable } from "./internal.js";
 export { type Batch, type BatchWriter, type BatchWriterOptions, createBatchWriter } from "./internal.js";
 export { type CommitLog, type CommitLogOptions, createCommitLog, type RowChange } from "./internal.js";
+export { type CommitWitness, type CommitWitnessOptions, createCommitWitness } from "./internal.js";
+export { type ConfigurationFetch, type ConfigurationFetchOptions, createConfigurationFetch } from "./internal.js";
 export {
     applyEnd,
     cancelJob,
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -57,8 +57,11 @@
 export interface RowStore {
     /** Without an answer within `timeoutMs` the outcome is unknown. */
     transact(transaction: RowTransaction, timeoutMs: number): Promise<RowTransactResult>;
-    /** Keys in ascending order, from `fromKey` on, at most `limit` of them; the store has a limit of its own. */
-    read(table: string, part: string, fromKey?: string, limit?: number): Promise<RowPage>;
+    /**
+     * Keys in ascending order, from `fromKey` on, at most `limit` of them; the store has a limit of its own. `longestMs` is how long
+     * an answer may take while it keeps coming, which is as long as the store may be silent where it is left out.
+     */
+    read(table: string, part: string, fromKey?: string, limit?: number, longestMs?: number): Promise<RowPage>;
     /** Waits up to `waitMs` for a change after `version`. */
     changes(table: string, version: number, waitMs: number): Promise<RowChanges>;
 }
@@ -293,5 +296,7 @@
         name: K,
         input: MemberCalls[K]["input"],
         timeoutMs: number,
+        /** How long an answer may take while it keeps coming; `timeoutMs` where it is left out. */
+        longestMs?: number,
     ): Promise<MemberCalls[K]["output"]>;
 }
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -21,6 +21,11 @@
 export interface HttpCallOptions {
     /** Limit of the whole call; the caller's own limits hold besides. */
     readonly timeoutMs?: number;
+    /**
+     * With it `timeoutMs` limits the time until the answer begins and between two pieces of it, and this one the whole call. A large
+     * answer over a thin link is then not thrown away half read, to be asked for anew.
+     */
+    readonly longestMs?: number | undefined;
     /** A call that may be answered late: after this long its connections are judged as if it had timed out. */
     readonly suspectAfterMs?: number;
     readonly headers?: Readonly<Record<string, string>>;
@@ -81,32 +86,61 @@
     return typeof code === "string" && neverConnectedCodes.has(code) ? "notDelivered" : "unknown";
 };
 
+/** Timers are exact to a millisecond and may fire a little early. */
+const shortestTimerMs = 1;
+
 /** A limit of one call. */
 interface Limit {
     readonly signal: AbortSignal | undefined;
     /** Rejects when the time is over. */
     readonly over: Promise<never>;
+    /** A piece of the answer has come. */
+    heard(): void;
     end(): void;
 }
 
-const unlimited: Limit = { signal: undefined, over: new Promise<never>(() => {}), end: () => {} };
+const unlimited: Limit = { signal: undefined, over: new Promise<never>(() => {}), heard: () => {}, end: () => {} };
 
 /** The library heeds a signal only once a request has a connection, so the end of the time is told beside it. */
-const startLimit = (timeoutMs: number | undefined, isConnected: () => boolean): Limit => {
-    if (timeoutMs === undefined) {
+const startLimit = (
+    { timeoutMs, longestMs = timeoutMs }: Pick<HttpCallOptions, "timeoutMs" | "longestMs">,
+    isConnected: () => boolean,
+): Limit => {
+    if (timeoutMs === undefined || longestMs === undefined) {
         return unlimited;
     }
     const abort = new AbortController();
+    const endsAtMs = performance.now() + longestMs;
+    let heardAtMs = performance.now();
     let timer: NodeJS.Timeout | undefined;
     const over = new Promise<never>((_resolve, reject) => {
-        timer = setTimeout(() => {
+        const check = (): void => {
+            const leftMs = Math.min(heardAtMs + timeoutMs, endsAtMs) - performance.now();
+            if (leftMs >= shortestTimerMs) {
+                timer = setTimeout(check, leftMs);
+                return;
+            }
             // Asked before the abort, which ends the request's connection. Without one it was not sent, and never will be.
             const code = isConnected() ? undefined : neverSentCode;
             abort.abort();
             reject(Object.assign(new Error(`no answer within ${timeoutMs} ms`), { code }));
-        }, timeoutMs);
+        };
+        timer = setTimeout(check, timeoutMs);
     });
-    return { signal: abort.signal, over, end: () => clearTimeout(timer) };
+    const heard = (): void => {
+        heardAtMs = performance.now();
+    };
+    return { signal: abort.signal, over, heard, end: () => clearTimeout(timer) };
+};
+
+/** Reads a body as text and tells of each piece of it. */
+const readPieces = async (body: AsyncIterable<Buffer>, onPiece: () => void): Promise<string> => {
+    const pieces: Buffer[] = [];
+    for await (const piece of body) {
+        onPiece();
+        pieces.push(piece);
+    }
+    return Buffer.concat(pieces).toString("utf8");
 };
 
 const schemeLength = "http://".length;
@@ -160,7 +194,7 @@
             method: "GET" | "POST" | "PUT" | "DELETE",
             url: string,
             body?: unknown,
-            { timeoutMs: callTimeoutMs, suspectAfterMs, headers }: HttpCallOptions = {},
+            { timeoutMs: callTimeoutMs, longestMs, suspectAfterMs, headers }: HttpCallOptions = {},
         ): Promise<CallResult<T>> => {
             const sent = body === undefined ? "" : JSON.stringify(body);
             const { origin, path } = splitUrl(url);
@@ -169,7 +203,14 @@
             const suspicion = suspectAfterMs === undefined
                 ? undefined
                 : setTimeout(() => replaceIfSilent(origin, connections, askedAtMs), suspectAfterMs);
-            const limit = startLimit(callTimeoutMs, () => connections.pool.stats.connected > 0);
+            const limit = startLimit(
+                { timeoutMs: callTimeoutMs, longestMs },
+                () => connections.pool.stats.connected > 0,
+            );
+            const notePiece = (): void => {
+                limit.heard();
+                connections.answeredAtMs = performance.now();
+            };
 
             const ask = async (): Promise<CallResult<T>> => {
                 const answer = await connections.pool.request({
@@ -179,7 +220,9 @@
                     body: body === undefined ? undefined : sent,
                     signal: limit.signal,
                 });
-                const text = await answer.body.text();
+                const text = longestMs === undefined
+                    ? await answer.body.text()
+                    : await readPieces(answer.body as AsyncIterable<Buffer>, notePiece);
                 connections.answeredAtMs = performance.now();
                 meter.count("outsideCalls");
                 meter.count("outsideBytes", text.length + sent.length);
--- a/packages/puffinarchd/src/adapters/members.ts
+++ b/packages/puffinarchd/src/adapters/members.ts
@@ -104,9 +104,12 @@
         meter,
     });
     return {
-        call: async (address, name, input, timeoutMs) => {
+        call: async (address, name, input, timeoutMs, longestMs) => {
             meter.count("memberCalls");
-            const result = await http.call<Failure>("POST", `${address}${memberPath}/${name}`, input, { timeoutMs });
+            const result = await http.call<Failure>("POST", `${address}${memberPath}/${name}`, input, {
+                timeoutMs,
+                longestMs,
+            });
             if (result.kind !== "answered") {
                 return result.kind === "notDelivered"
                     ? die("unavailable", `${address} cannot be reached: ${result.reason}`)
--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -11,6 +11,7 @@
     type RowTransaction,
     type RowTransactResult,
 } from "puffinarch";
+import { createLink, type Link } from "./link.js";
 
 /** What can be wrong with the store. `late`: a transaction is carried out two seconds after, without an answer. */
 export const storeFaults = ["none", "refuse", "hang", "loseReply", "late", "slow"] as const;
@@ -29,6 +30,8 @@
     setUnreadable(table: string, unreadable: boolean): void;
     /** Bytes that a daemon's link to the store carries in a millisecond; unlimited before. */
     setLink(memberId: string, bytesPerMs: number): void;
+    /** A daemon's link; undefined where it carries all at once. */
+    link(memberId: string): Link | undefined;
     forgetHistory(): void;
     /** Connections on which a feed waits now go silent for good; later ones work. */
     silenceFeeds(): void;
@@ -51,8 +54,9 @@
 const feedSlackMs = 1_000;
 const lateMs = 2_000;
 const pageRows = 500;
-/** How long a daemon waits for a read. */
+/** How long a daemon waits for a read that does not say otherwise, and for the end of changes that have begun to come. */
 const readTimeoutMs = 1_000;
+const longestChangesMs = 20_000;
 /** Values are base64 on the wire. */
 const wireFactor = 4 / 3;
 
@@ -75,7 +79,7 @@
     let transactions = 0;
     let freeAtMs = 0;
     const unreadable = new Set<string>();
-    const links = new Map<string, number>();
+    const links = new Map<string, Link>();
     const waiters = new Set<() => void>();
     /** Ends the hearing of each feed that waits. */
     const silenced = new Set<() => void>();
@@ -163,13 +167,15 @@
         }
     };
 
-    const carry = async (memberId: string, page: readonly Row[]): Promise<void> => {
+    const carry = async (memberId: string, page: readonly Row[], withinMs: number): Promise<void> => {
         const bytes = page.reduce((sum, row) => sum + (row.value?.length ?? 0), 0);
-        const takesMs = wireFactor * bytes / (links.get(memberId) ?? Infinity);
-        await wait(Math.min(takesMs, readTimeoutMs));
-        if (takesMs > readTimeoutMs) {
-            die("unavailable", "the page did not come in time");
+        const transfer = links.get(memberId)?.carry(wireFactor * bytes);
+        const came = transfer?.done.then(() => true) ?? true;
+        if (await Promise.race([came, wait(withinMs).then(() => false)])) {
+            return;
         }
+        transfer?.cancel();
+        die("unavailable", "the page did not come in time");
     };
 
     const changesOf = (table: string, after: number): readonly Row[] =>
@@ -178,7 +184,7 @@
     return {
         connect: memberId => ({
             transact: (transaction, timeoutMs) => transactHandlers[faultOf(memberId)](transaction, timeoutMs),
-            read: async (table, part, fromKey, limit = pageRows) => {
+            read: async (table, part, fromKey, limit = pageRows, longestMs = readTimeoutMs) => {
                 await reachable(memberId);
                 if (unreadable.has(table)) {
                     await wait(readTimeoutMs);
@@ -189,7 +195,7 @@
                     .sort((left, right) => left.key < right.key ? -1 : 1);
                 const page = all.slice(0, Math.min(limit, pageRows));
                 const readVersion = version;
-                await carry(memberId, page);
+                await carry(memberId, page, longestMs);
                 return { rows: page, more: all.length > page.length, version: readVersion };
             },
             changes: async (table, after, waitMs): Promise<RowChanges> => {
@@ -229,7 +235,10 @@
                     // What changed before the history was lost would be missing.
                     return { kind: "historyLost" };
                 }
-                return { kind: "changes", rows: changesOf(table, after), version };
+                const changed = changesOf(table, after);
+                const readVersion = version;
+                await carry(memberId, changed, longestChangesMs);
+                return { kind: "changes", rows: changed, version: readVersion };
             },
         }),
         setFault: (fault, memberId = "") => {
@@ -245,8 +254,9 @@
             }
         },
         setLink: (memberId, bytesPerMs) => {
-            links.set(memberId, bytesPerMs);
+            links.set(memberId, createLink(clock, bytesPerMs));
         },
+        link: memberId => links.get(memberId),
         forgetHistory: () => {
             history = [];
             historyStart = version;
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -43,6 +43,7 @@
 import { capBreaches, type CapVersion, isUnderHalf } from "./capCheck.js";
 import { createFakeVms, type FakeVms } from "./fakeVms.js";
 import { breachesOf, createFakeFencedWorkers, type FakeFencedWorkers, ticketFor } from "./fencedWorkers.js";
+import type { Transfer } from "./link.js";
 import { createProcessor, type Processor, type ProcessorCosts, withLateTimers, withProcessor } from "./processor.js";
 import { createFakeRowStore, type FakeRowStore } from "./rowStore.js";
 import { standingTasks } from "./standing.js";
@@ -436,8 +437,17 @@
         }
     };
 
+    const queueMsBetween = (from: string, to: string): number =>
+        (store.link(from)?.queueMs() ?? 0) + (store.link(to)?.queueMs() ?? 0);
+
+    /** Over the links of both, which it fills while it comes. */
+    const carryConfiguration = (from: string, to: string): readonly Transfer[] => {
+        const bytes = store.rows("operator").reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+        return [from, to].flatMap(memberId => store.link(memberId)?.carry(bytes) ?? []);
+    };
+
     const peersOf = (from: string, life: Life): MemberPort => ({
-        call: async (address, name, input, timeoutMs) => {
+        call: async (address, name, input, timeoutMs, longestMs = timeoutMs) => {
             countCall(from, { sent: 1, taken: 0 });
             countCall(address, { sent: 0, taken: 1 });
             const seat = seats.get(address);
@@ -452,16 +462,24 @@
                 await wait(Math.min(timeoutMs, unansweredMs));
                 return die("mayHaveRun", "no answer");
             }
+            let carried: readonly Transfer[] = [];
             const handle = async (): Promise<unknown> => {
+                await wait(queueMsBetween(from, address));
                 await seat.suspension.awake();
                 if (costs.callMs > 0) {
                     await seat.processor.use(costs.callMs);
                 }
-                return seat.handlers[name](input as never);
+                const answer = await seat.handlers[name](input as never);
+                carried = name === "configuration" ? carryConfiguration(from, address) : [];
+                await Promise.all(carried.map(({ done }) => done));
+                return answer;
             };
             const answer = await Promise.race([
                 handle(),
-                wait(timeoutMs).then(() => die("mayHaveRun", "no answer in time")),
+                wait(longestMs).then(() => {
+                    carried.forEach(transfer => transfer.cancel());
+                    return die("mayHaveRun", "no answer in time");
+                }),
             ]);
             if (!seat.life.alive || isCut(from, "peers") || isCut(address, "peers")) {
                 await wait(Math.min(timeoutMs, unansweredMs));
@@ -539,8 +557,8 @@
                 transact: awake((transaction, timeoutMs) =>
                     alive() ? connection.transact(transaction, timeoutMs) : never
                 ),
-                read: awake((table, part, fromKey, limit) =>
-                    alive() ? connection.read(table, part, fromKey, limit) : never
+                read: awake((table, part, fromKey, limit, longestMs) =>
+                    alive() ? connection.read(table, part, fromKey, limit, longestMs) : never
                 ),
                 changes: awake((table, version, waitMs) =>
                     alive() ? connection.changes(table, version, waitMs) : never
