Daemons that could not enter themselves wait longer before each next try

The store carries out one transaction after the other and refuses more once a second of them waits, so that the entries kept its queue full for 3.5 s, and claims and commits were refused with 429. Change: the pause doubles, to 4.8 s at the most. Nobody waits for an entry: a daemon pings and serves without it. Open: on the fakes all parts share one queue, on the platform each has its own, so that the fakes are harder here than what they stand for.

--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -112,6 +112,9 @@
 const part = "shard-0";
 /** How long the store may take to write this daemon's entry. */
 const enterTimeoutMs = 1_500;
+/** Pause after an entry that was not written, doubled up to the longest one: all daemons enter themselves after a loss of all VMs. */
+const enterPauseMs = 300;
+const longestEnterPauseMs = 4_800;
 /** Timers of an owner that are late by this much, on average over a second, tell that its VM has turned slow. */
 const slowOwnerLagMs = 60;
 /** A claim that the store does not answer is given up after this, so that the peers are asked who owns the shard by now. */
@@ -388,6 +391,7 @@
 
     const enterSelf = async (): Promise<void> => {
         const row = { table: memberTable, part: "", key: self.memberId };
+        let pauseMs = enterPauseMs;
         while (!closed) {
             const result = await store.transact({
                 expect: [],
@@ -397,7 +401,8 @@
             if (result.outcome === "committed") {
                 return;
             }
-            await sleep(clock, 300);
+            await sleep(clock, pauseMs);
+            pauseMs = Math.min(longestEnterPauseMs, 2 * pauseMs);
         }
     };
 
