An owner that starts nothing while steps wait says so, and how old its news are

Change: `nothingStarted` after 3, 6, 12 s without a start while steps wait, with the ages of its lists, of the newest look and acceptance, and of the commit under way; the age of the lists is a metric. Nothing is decided by it.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -67,6 +67,7 @@
             | commitWitness        | commits, then quiet                     |
             | configurationFetch   | asked 1 time for 3 offers               |
             | handOver             | claimed by a peer                       |
+            | ownerProgress        | nothingStarted for 3000 ms, news of 500 ms ago |
             | ownerWatch           | 7 restarted                             |
             | peers                | 1 daemon, then entry-1 and entry-2      |
             | memberRows           | entry-2, then memberId cannot be read, then nobody |
--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -8,6 +8,7 @@
     countShortOffices,
     createCommitWitness,
     createConfigurationFetch,
+    createOwnerProgress,
     createPeers,
     createRowReader,
     defaultShardSettings,
@@ -235,6 +236,27 @@
     return `asked ${asked} time for ${offers} offers`;
 };
 
+const ownerProgress = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const lines: string[] = [];
+    const progress = createOwnerProgress({
+        clock,
+        log: {
+            write: (_level, event, fields) =>
+                lines.push(`${event} for ${fields["forMs"]} ms, news of ${fields["newsAgeMs"]} ms ago`),
+        },
+        meter,
+        newsAgeMs: () => 500,
+        stalledMs: () => 0,
+        lookedAtMs: () => 0,
+    });
+    for (let second = 0; second < 5; second += 1) {
+        await clock.advance(1_000);
+        progress.review(12);
+    }
+    return lines.join("; ");
+};
+
 const cellMember = async (): Promise<string> => {
     const cell = createShardCell({ members: 3, workers: 2, seed: 1 });
     await cell.clock.advance(2_000);
@@ -258,6 +280,7 @@
     commitWitness,
     configurationFetch,
     handOver: handOverExample,
+    ownerProgress,
     ownerWatch,
     readiness: readinessExample,
     peers: peersExample,
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -41,6 +41,9 @@
     forget(job: ShardJob): void;
     /** One pass over all that waits. */
     pass(): void;
+    /** Steps whose turn has come and some of whose tasks wait. */
+    waitingSteps(): number;
+    /** Those, and the steps of which copies or advice may be wanted. */
     readySteps(): number;
     /** Whether the step is among those that the next pass looks at. */
     holds(step: ShardStep): boolean;
@@ -418,6 +421,7 @@
         },
         pass,
         holds: step => ready.has(step),
+        waitingSteps: () => ready.size,
         readySteps: () => ready.size + copyable.size + upcoming.size,
     };
 };
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -41,6 +41,7 @@
     type ShardRun,
 } from "./jobBook.js";
 import { decodeEnded, encodeJob, type EndedJob, restoreJobs } from "./jobRows.js";
+import { createOwnerProgress } from "./ownerProgress.js";
 import { createPlacing } from "./placing.js";
 import { readAllRows } from "./readRows.js";
 import { createRowReader } from "./rowReader.js";
@@ -189,9 +190,21 @@
 
     const reader = createRowReader({ log, meter });
 
+    const progress = createOwnerProgress({
+        clock,
+        log,
+        meter,
+        newsAgeMs: options.newsAgeMs,
+        stalledMs: commits.stalledMs,
+        lookedAtMs: () => Math.max(startedAtMs, ...[...workers.all.values()].map(({ answeredAtMs }) => answeredAtMs)),
+    });
+
     const commit = async (job: ShardJob): Promise<void> => {
         const { state } = job;
         await commits.commit(job.submission.jobId);
+        if (!job.stored) {
+            progress.noteAcceptance();
+        }
         job.stored = true;
         // A task may have started while this was written.
         show(job, state === jobStates.queued && job.started ? jobStates.running : state);
@@ -325,6 +338,7 @@
                 }
                 const ticket = run.task.step.advice.good.get(run.workerId)?.ticket ?? "";
                 workers.start(run, ticket);
+                progress.noteStart();
             }
         });
     };
@@ -440,6 +454,7 @@
         }
         if (ticks % reviewIntervalTicks === 0) {
             review.run();
+            progress.review(placing.waitingSteps());
             reviewAccounts();
         }
         if (placing.readySteps() > 0) {
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -61,6 +61,7 @@
 export * from "./core/shard/lostRuns.js";
 export * from "./core/shard/memberRows.js";
 export * from "./core/shard/nextLife.js";
+export * from "./core/shard/ownerProgress.js";
 export * from "./core/shard/ownerWatch.js";
 export * from "./core/shard/pacer.js";
 export * from "./core/shard/peers.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -184,6 +184,7 @@
 export { type ClaimReason, claimReasons, countShortOffices, patienceFactor, settlingMs } from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
 export { handOver, type HandOverOptions } from "./internal.js";
+export { createOwnerProgress, type OwnerProgress, type OwnerProgressOptions } from "./internal.js";
 export { type OwnerWatch, type OwnerWatchOptions, watchOwner, type WatchStep, watchSteps } from "./internal.js";
 export { type Readiness, type ReadinessOptions, watchReadiness } from "./internal.js";
 export { createPeers, type Peers, type PeersOptions, type PingOptions } from "./internal.js";
