--- a/features/steps/shardCellSteps.ts
+++ b/features/steps/shardCellSteps.ts
@@ -1,7 +1,7 @@
 /** Steps that start a cell with one shard, and let it run. */
 
 import { Given, When } from "@cucumber/cucumber";
-import { testQueue } from "@puffinarch/stand-ins";
+import { otherQueues, testQueue } from "@puffinarch/stand-ins";
 import { cellOf, part, startCell } from "./shardCellPart.js";
 import type { ScenarioWorld } from "./support.js";
 
@@ -98,12 +98,13 @@
     async function(this: ScenarioWorld, members: number, workers: number, queues: number) {
         const strengths = Array.from({ length: members }, (_, index) => index % 5 === 0 ? 1 : 0.2);
         part(this).strengths = strengths;
-        const others = Array.from({ length: queues }, (_, index) => ({
-            ...testQueue,
-            key: `stages.example/others/${index}/`,
-            pathPrefix: `/others/${index}/`,
-        }));
-        await startCell(this, { members, workers, seed: 1, strengths, queues: [testQueue, ...others] });
+        await startCell(this, {
+            members,
+            workers,
+            seed: 1,
+            strengths,
+            queues: [testQueue, ...otherQueues(queues)],
+        });
         for (const [index, memberId] of cellOf(this).memberIds().entries()) {
             cellOf(this).store.setLink(memberId, strengths[index] === 1 ? strongLink : weakLink);
         }
--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -1,4 +1,4 @@
-/** `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss] [--crashing] [--resizing] [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--broken PART]`: seeded runs with random faults, by hand. */
+/** `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss [--queues N]] [--crashing] [--resizing] [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--broken PART]`: seeded runs with random faults, by hand. */
 
 import { Command, Option } from "commander";
 import { type BrokenShardPart, brokenShardParts } from "./brokenShardParts.js";
@@ -19,6 +19,7 @@
     readonly keepingIds?: true;
     readonly downMs?: string;
     readonly powerLoss?: true;
+    readonly queues: string;
     readonly broken?: BrokenShardPart;
 }
 
@@ -50,6 +51,7 @@
             "broken",
         ]),
     )
+    .option("--queues <n>", "queues that nobody uses in the configuration, for a power loss", "0")
     .addOption(new Option("--broken <part>", "a part that is broken on purpose").choices(brokenShardParts));
 program.parse();
 const {
@@ -65,14 +67,23 @@
     keepingIds,
     downMs,
     powerLoss,
+    queues,
     broken,
 } = program.opts<Options>();
 /** A slow store and the largest cell still accept by then. */
 const acceptedWithinMs = 4_000;
+/** The shortest time that the users' sites allow for a recovery. */
+const readyWithinMs = 12_000;
 
 const exploreLoss = async (seed: number): Promise<readonly string[]> => {
-    const { acceptedAfterMs = Infinity, breaches, faults } = await explorePowerLoss(seed);
-    const late = acceptedAfterMs > acceptedWithinMs ? [`accepted after ${acceptedAfterMs} ms`] : [];
+    const { acceptedAfterMs = Infinity, readyAfterMs = Infinity, breaches, faults } = await explorePowerLoss(
+        seed,
+        Number(queues),
+    );
+    const late = [
+        ...acceptedAfterMs > acceptedWithinMs ? [`accepted after ${acceptedAfterMs} ms`] : [],
+        ...readyAfterMs > readyWithinMs ? [`all ready after ${readyAfterMs} ms`] : [],
+    ];
     return late.length + breaches.length === 0 ? [] : [...late, ...breaches, ...faults];
 };
 
--- a/packages/stand-ins/src/shard/powerLoss.ts
+++ b/packages/stand-ins/src/shard/powerLoss.ts
@@ -3,7 +3,7 @@
 import { createSeededRandom } from "puffinarch";
 import { jobIdOf, readSteps } from "./jobShapes.js";
 import type { StoreFault } from "./rowStore.js";
-import { createShardCell, type ShardCell } from "./shardCell.js";
+import { createShardCell, otherQueues, type ShardCell, testQueue } from "./shardCell.js";
 import { shardFaults } from "./shardFaults.js";
 
 /** What a run showed. */
@@ -11,6 +11,8 @@
     /** From the last fault to the first owner, and to the first acceptance; undefined where none came. */
     readonly ownerAfterMs: number | undefined;
     readonly acceptedAfterMs: number | undefined;
+    /** From the last fault until every daemon took callers; undefined where some did not. */
+    readonly readyAfterMs: number | undefined;
     /** Broken promises. */
     readonly breaches: readonly string[];
     /** What failed, and when after the VMs were back. */
@@ -37,10 +39,16 @@
     done: boolean;
 }
 
-const createLargeCell = async (seed: number): Promise<ShardCell> => {
+const createLargeCell = async (seed: number, queues: number): Promise<ShardCell> => {
     const isStrong = (index: number): boolean => index % strongEvery === 0;
     const strengths = Array.from({ length: daemons }, (_, index) => isStrong(index) ? 1 : weakStrength);
-    const cell = createShardCell({ members: daemons, workers, seed, strengths });
+    const cell = createShardCell({
+        members: daemons,
+        workers,
+        seed,
+        strengths,
+        queues: [testQueue, ...otherQueues(queues)],
+    });
     await cell.clock.advance(2_000);
     for (let number = 1; number <= workers; number += 1) {
         cell.submit(jobIdOf(number), readSteps("1 long running"));
@@ -64,14 +72,14 @@
 };
 
 /**
- * Plays one seed on a cell of its own.
+ * Plays one seed on a cell of its own, whose configuration has so many queues that nobody uses.
  *
  * @example
  * const { acceptedAfterMs } = await explorePowerLoss(7);
  */
-export const explorePowerLoss = async (seed: number): Promise<PowerLossOutcome> => {
+export const explorePowerLoss = async (seed: number, queues = 0): Promise<PowerLossOutcome> => {
     const random = createSeededRandom(seed);
-    const cell = await createLargeCell(seed);
+    const cell = await createLargeCell(seed, queues);
     const faults: string[] = [];
     shardFaults["all killed"]?.(cell);
     await cell.clock.advance(powerlessMs);
@@ -140,5 +148,10 @@
     cell.submit(jobId, readSteps("1"));
     const ownerAfterMs = await timeUntil(cell, endedAtMs, () => cell.owner() !== undefined);
     const acceptedAfterMs = await timeUntil(cell, endedAtMs, () => cell.answers().get(jobId) === "accepted");
-    return { ownerAfterMs, acceptedAfterMs, breaches: cell.breaches(), faults };
+    const readyAfterMs = await timeUntil(
+        cell,
+        endedAtMs,
+        () => cell.memberIds().every(memberId => cell.member(memberId)?.ready() === true),
+    );
+    return { ownerAfterMs, acceptedAfterMs, readyAfterMs, breaches: cell.breaches(), faults };
 };
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -63,6 +63,14 @@
     advice: { decideMs: 20, eachMs: 1, validMs: 2_500 },
 };
 
+/** So many queues that nobody uses, each with some 240 bytes in the configuration. */
+export const otherQueues = (count: number): readonly Queue[] =>
+    Array.from({ length: count }, (_, index) => ({
+        ...testQueue,
+        key: `stages.example/others/${index}/`,
+        pathPrefix: `/others/${index}/`,
+    }));
+
 /** A step of one plain task, to be changed in part. */
 export const plainStep: Step = {
     count: 1,
