A gang of which one start is lost lets the other members go at once

What callers saw: one member of a gang was never started, its order lost; the others held their accelerators for 4 s until they gave up waiting, and the gang was placed anew only then. Cause: a start that is surely lost or refused frees its own run only. Change: with the run that never came the other runs of the same number are stopped. Why it holds: the members wait for one that cannot come under this number, so that nothing is lost by ending them, and the gang is placed again after a stop.

--- a/features/failedTasks.feature
+++ b/features/failedTasks.feature
@@ -67,3 +67,14 @@
             | 1    | 1      | 9000  | 0     |
             | 1    | 2      | 2000  | 0     |
             | 2    | 1      | 2000  | 0     |
+
+    # The members that had started held their room until they gave up waiting, 3 to 4 s, and the gang stood as long.
+    Scenario: A gang of which one start is lost lets the others go and starts anew
+        Given a cell of 3 daemons and 3 workers, one of which is free
+        When the fault "orders to a worker get lost" comes
+        And the job of steps "3 gang of 5 cores" is submitted
+        And the shard runs for 1500 ms
+        And the fault goes
+        Then the job has completed within 4000 ms
+        And no run ended as "alone"
+        And no promise was broken
--- a/features/steps/examples/shardWorkers.ts
+++ b/features/steps/examples/shardWorkers.ts
@@ -133,6 +133,7 @@
         stop: () => {},
         stopUnknown: () => {},
         onFormerGone: () => {},
+        onStartLost: () => {},
     });
     const ended = [{ endNumber: 7, taskName: task.name, run: 1, how: "done", checkpoint: "" }] as const;
     const newest = watch.take(worker, { outcome: "done", clockMs: 1_000, running: [], ended }, 10);
--- a/features/steps/failedTaskSteps.ts
+++ b/features/steps/failedTaskSteps.ts
@@ -201,3 +201,13 @@
 Then("it keeps off {int} worker(s)", function(this: ScenarioWorld, count: number) {
     assert.equal(part(this).avoided, count);
 });
+
+Then("the job has completed within {int} ms", async function(this: ScenarioWorld, limitMs: number) {
+    const cell = cellOf(this);
+    const isDone = async (): Promise<boolean> => (await cell.statesOf([jobId])).get(jobId) === "completed";
+    assert.ok(await cell.until(isDone, limitMs), "it has not");
+});
+
+Then("no run ended as {string}", function(this: ScenarioWorld, how: string) {
+    assert.deepEqual(cellOf(this).workers.evidence.filter(run => run.how === how), []);
+});
--- a/features/steps/tokenSteps.ts
+++ b/features/steps/tokenSteps.ts
@@ -298,6 +298,7 @@
         onStuck: () => {},
         stopUnknown: () => {},
         onFormerGone: () => {},
+        onStartLost: () => {},
     });
     const listed = { taskName: run.task.name, run: run.run, checkpoint: "", percent: 100, figure: 1_000 };
     watch.take(worker, { outcome: "done", clockMs: 0, running: [listed], ended: [] }, clock.monotonicMs());
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -112,6 +112,14 @@
         }
     };
 
+    /** The other members of a gang would hold their room until they give up waiting for the one that does not come. */
+    const stopRestOfGang = ({ task: { step }, run }: ShardRun): void => {
+        const members = step.spec.gang ? step.tasks : [];
+        for (const other of members.flatMap(({ runs }) => runs).filter(each => each.run === run)) {
+            stopRun(other);
+        }
+    };
+
     const watch = createWorkerWatch({
         clock,
         log,
@@ -126,6 +134,7 @@
         },
         // This life refuses it by its fencing token, which the next one will not know.
         onFormerGone: ({ workerId }, { task, run }) => delayedStarts.note(workerId, { taskName: task.name, run }),
+        onStartLost: stopRestOfGang,
         stopUnknown: (worker, taskName, run) => links.get(worker.workerId)?.stopUnknown(taskName, run),
     });
 
@@ -288,6 +297,7 @@
             onFenced: () => options.onFenced(),
             onNotStarted: (holder, run, outcome) => {
                 dropRun(holder, run);
+                stopRestOfGang(run);
                 const { step } = run.task;
                 if (outcome === "badTicket") {
                     step.advice.good.delete(holder.workerId);
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -34,6 +34,8 @@
     readonly stopUnknown: (worker: ShardWorker, taskName: string, run: number) => void;
     /** A former owner's run is not there; its order may still be under way. */
     readonly onFormerGone: (worker: ShardWorker, run: ShardRun) => void;
+    /** The start of the run was lost; it surely does not and will not run there. */
+    readonly onStartLost: (run: ShardRun) => void;
 }
 
 /** Takes looks into the book. */
@@ -279,6 +281,9 @@
             if (run.sentAtMs === undefined && !run.shown) {
                 options.onFormerGone(worker, run);
             }
+            if (run.sentAtMs !== undefined && !run.shown && run.startedAtMs === undefined) {
+                options.onStartLost(run);
+            }
             onChange(run.task.step.occurrence.job);
             const suspect = worker.undecided.get(key);
             if (suspect !== undefined) {
