Explored shards: a mix of faults that leave orders under way to workers that start again

Why: the usual mix has one late worker among some thirty kinds of fault, so that the class of the known failures shows once or twice in 600 seeds, and any change moves the seeds.

--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -1,4 +1,4 @@
-/** `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss [--queues N]] [--crashing] [--resizing] [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--broken PART]`: seeded runs with random faults, by hand. */
+/** `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss [--queues N]] [--crashing] [--resizing] [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--draws N] [--broken PART]`: seeded runs with random faults, by hand. */
 
 import { Command, Option } from "commander";
 import { type BrokenShardPart, brokenShardParts } from "./brokenShardParts.js";
@@ -18,6 +18,9 @@
     readonly capped?: true;
     readonly keepingIds?: true;
     readonly downMs?: string;
+    readonly delayingOrders?: true;
+    readonly checkingTickets?: true;
+    readonly draws: string;
     readonly powerLoss?: true;
     readonly queues: string;
     readonly broken?: BrokenShardPart;
@@ -37,6 +40,16 @@
     .option("--capped", "organisations with caps that are lowered and raised")
     .option("--keeping-ids", "workers that crash and start again under their IDs")
     .option("--down-ms <n>", "how long a worker that crashed is away")
+    .option(
+        "--delaying-orders",
+        "more faults at once, of those that leave orders under way to workers that start again",
+    )
+    .option("--checking-tickets", "workers that refuse tickets of other incarnations")
+    .option(
+        "--draws <n>",
+        "how often the jobs and faults of each seed are played, with all else drawn anew each time",
+        "1",
+    )
     .addOption(
         new Option("--power-loss", "all of 32 daemons lose power").conflicts([
             "crowded",
@@ -48,6 +61,8 @@
             "capped",
             "keepingIds",
             "downMs",
+            "delayingOrders",
+            "checkingTickets",
             "broken",
         ]),
     )
@@ -66,6 +81,9 @@
     capped,
     keepingIds,
     downMs,
+    delayingOrders,
+    checkingTickets,
+    draws,
     powerLoss,
     queues,
     broken,
@@ -87,26 +105,34 @@
     return late.length + breaches.length === 0 ? [] : [...late, ...breaches, ...faults];
 };
 
+const explore = (seed: number, draw: number): Promise<readonly string[]> =>
+    powerLoss ? exploreLoss(seed) : exploreShardSeed(seed, {
+        shapes: crowded && crowdedShapes,
+        lasting,
+        crashing,
+        resizing,
+        suspending,
+        failing,
+        capped,
+        delayingOrders,
+        checksTickets: checkingTickets,
+        draw,
+        keepsIds: keepingIds,
+        crashedDownMs: downMs === undefined ? undefined : Number(downMs),
+        broken,
+    });
+
+let played = 0;
 let failed = 0;
 for (let seed = Number(from); seed < Number(from) + Number(seeds); seed += 1) {
-    const wrong = await (powerLoss
-        ? exploreLoss(seed)
-        : exploreShardSeed(seed, {
-            shapes: crowded && crowdedShapes,
-            lasting,
-            crashing,
-            resizing,
-            suspending,
-            failing,
-            capped,
-            keepsIds: keepingIds,
-            crashedDownMs: downMs === undefined ? undefined : Number(downMs),
-            broken,
-        }));
-    if (wrong.length > 0) {
-        failed += 1;
-        process.stdout.write(`seed ${seed}\n  ${wrong.join("\n  ")}\n`);
+    for (let draw = 0; draw < Number(draws); draw += 1) {
+        const wrong = await explore(seed, draw);
+        played += 1;
+        if (wrong.length > 0) {
+            failed += 1;
+            process.stdout.write(`seed ${seed}${draw === 0 ? "" : `, draw ${draw}`}\n  ${wrong.join("\n  ")}\n`);
+        }
     }
 }
-process.stdout.write(`${seeds} seeds, ${failed} failed\n`);
+process.stdout.write(`${played} seeds, ${failed} failed\n`);
 process.exit(failed === 0 ? 0 : 1);
--- a/packages/stand-ins/src/shard/exploreSeed.ts
+++ b/packages/stand-ins/src/shard/exploreSeed.ts
@@ -38,6 +38,15 @@
     "all workers but one fail everything",
     "all workers but one, which has shrunk, fail everything",
 ];
+/** Faults that leave orders under way to workers that start again, some of them while nobody can look at these. */
+const delayedOrderFaults = [
+    ...Array.from({ length: 2 }, () => ["worker carries out late", "half of the workers carry out late"]).flat(),
+    ...Array.from({ length: 2 }, () => crashFaults).flat(),
+    "all workers cut",
+    "all killed",
+    "owner killed",
+    "owner cut from the workers",
+];
 /** Faults for cells whose organisations have caps. */
 const capFaults = ["caps lowered to a quarter", "caps raised to double"];
 const shortestFailMs = 4_000;
@@ -54,6 +63,7 @@
 /** A crashed worker stays gone and a list without workers ends all placing, so these stand in the table alone. */
 const faultsAlone = [
     "worker crashes",
+    "half of the workers carry out late",
     "upkeep orders get lost",
     "all workers cut but the first",
     "orders to all workers get lost",
@@ -89,10 +99,13 @@
 const largestGangCoresFailing = 10;
 const allowedWorkers = 3;
 const allowedBesideLasting = 4;
+/** Seeds of cells that differ in their draws are so far apart that none is that of another plan. */
+const seedsApart = 1_000_003;
 const stepMs = 250;
 const jobShare = 0.5;
-const faultShare = 0.15;
-const faultsAtOnce = 2;
+/** How often a fault begins in a step, and how many there are at once. */
+const usualFaults = { share: 0.15, atOnce: 2 };
+const denseFaults = { share: 0.3, atOnce: 3 };
 const shortestFaultMs = 500;
 const faultSpreadMs = 4_000;
 /** Long enough for leases of 5 s to end. */
@@ -116,6 +129,7 @@
         shapes = randomShapes,
         faults = randomFaults,
         spreadMs = faultSpreadMs,
+        density = usualFaults,
         organisationOf,
     }: {
         readonly seed: number;
@@ -132,6 +146,8 @@
         readonly faults?: readonly string[];
         /** By how much more than the shortest one a fault may last. */
         readonly spreadMs?: number;
+        /** How often a fault begins in a step, and how many there are at once. */
+        readonly density?: { readonly share: number; readonly atOnce: number; };
         /** Organisation of the job with a number; jobs belong to none where it is left out. */
         readonly organisationOf?: (job: number) => string;
     },
@@ -168,7 +184,7 @@
                 fault.mend();
             }
         }
-        if (random.next() < faultShare && open.length < faultsAtOnce) {
+        if (random.next() < density.share && open.length < density.atOnce) {
             const name = choose(faults);
             onFault?.(nowMs, name);
             const mend = shardFaults[name]?.(cell) ?? (() => {});
@@ -233,6 +249,12 @@
     readonly failing?: boolean | undefined;
     /** The jobs belong to three organisations, of which two have caps that are lowered and raised. */
     readonly capped?: boolean | undefined;
+    /** Nothing but faults that leave orders under way to workers that start again, and more of them at once. */
+    readonly delayingOrders?: boolean | undefined;
+    /** Whether workers refuse tickets of other incarnations, as daemons are told. */
+    readonly checksTickets?: boolean | undefined;
+    /** Another number has task times, heartbeats and the daemons' own choices drawn anew, with the same jobs and faults. */
+    readonly draw?: number | undefined;
     readonly broken?: BrokenShardPart | undefined;
 }
 
@@ -253,6 +275,9 @@
         keepsIds = false,
         failing = false,
         capped = false,
+        delayingOrders = false,
+        checksTickets = false,
+        draw = 0,
         crashedDownMs,
         broken,
     }: ExploreShardOptions = {},
@@ -263,10 +288,11 @@
     const cell = createShardCell({
         members: 4,
         workers: workersOfSeed,
-        seed,
+        seed: seed + draw * seedsApart,
         failOften: 0.01,
         crashedDownMs,
         keepsIds,
+        checksTickets,
         broken,
         ...(capped ? { organisations } : {}),
         ...(failing ? { breaksGangs: true, isGood: allowsSome(lasting ? allowedBesideLasting : allowedWorkers) } : {}),
@@ -292,7 +318,7 @@
         ...(failing ? { shapes: soundShapes, onFailingJob: jobId => failingJobs.push(jobId) } : {}),
         ...(shapes === undefined ? {} : { shapes }),
         ...(capped ? { organisationOf: job => organisations[job % organisations.length]?.name ?? "" } : {}),
-        faults: [
+        faults: delayingOrders ? delayedOrderFaults : [
             ...randomFaults,
             ...lasting ? lastingFaults : [],
             ...crashing ? crashFaults : [],
@@ -305,6 +331,7 @@
             ...resizing ? Array.from({ length: 6 }, () => resizeFaults).flat() : [],
         ],
         ...(lasting ? { spreadMs: longFaultSpreadMs } : {}),
+        ...(delayingOrders ? { density: denseFaults } : {}),
     });
     // Jobs that crash the workers are still there, and are tried by themselves one after the other.
     const standing = crashing
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -179,6 +179,7 @@
         };
     },
     "worker carries out late": cell => workerFault(cell, "late", 1),
+    "half of the workers carry out late": cell => workerFault(cell, "late", Math.ceil(liveWorkers(cell).length / 2)),
     "orders to a worker get lost": cell => workerFault(cell, "deaf", 1),
     "orders to all workers get lost": cell => workerFault(cell, "deaf", cell.workers.workerIds().length),
     "worker fails everything": cell => workerFault(cell, "failing", 1),
