A task whose start got no answer waits until no incarnation can carry that start out

What callers saw: tasks ran again after their ends had been acknowledged, or twice at once, and tasks that crash their workers were started on and on.

Cause: a look under a newer token that does not list a run proves that one incarnation of the worker refuses its order. The task was then started elsewhere and ended. The next incarnation under the same ID knows no token, and carried the order out before a look had reached it: it began a few ms before, all daemons were down, or the links to it were cut. Of a former owner's intents the same was believed.

Why it holds: the run keeps its task and its room on that worker for 6.5 s, whatever looks say, across incarnations and owners (the job's row says which starts got no answer and until when; what a row does not say so of may have been sent right after it was written). A start goes unanswered only while something is wrong, and accepted work may stand for 3 s after 4 s of calm, so that nobody counts the wait as standing. Where tickets hold for one incarnation, as on the users' platform, or where each incarnation has an ID of its own, nothing waits: there a look settles it as before. A worker that left a start unanswered gets no further one before it has answered a stop of that run, which is harmless to any incarnation; a start was risked before.

--- a/features/crashing.feature
+++ b/features/crashing.feature
@@ -134,9 +134,10 @@
             | owner cut from the workers              |
 
     # A start of such a task is sent once. Where that order got lost, its run held its room and its task until the lease was over that
-    # the order would have brought, though a look under a higher token proves at once that no life will carry it out.
+    # the order would have brought, though a look under a higher token proves at once that this incarnation will not carry it out, and
+    # its ticket that no other will.
     Scenario: A task under which a worker crashed is started again soon after an order for it got lost
-        Given a cell of 3 daemons and 3 workers that start again under their IDs 3300 ms after a crash
+        Given a cell of 3 daemons and 3 workers that check tickets and start again under their IDs 3300 ms after a crash
         When 1 jobs of steps "1" are submitted
         And the shard runs for 300 ms
         And 1 workers crash of themselves 1 times, 50 ms apart
--- a/features/examples.feature
+++ b/features/examples.feature
@@ -99,6 +99,7 @@
             | falls                | 1 worker fell                           |
             | lives                | i-1, then another life; maybe the same  |
             | delayedStarts           | 1 order, then none                      |
+            | unansweredStart      | it may arrive at 2000 ms, not at 9000 ms; one with a ticket of one incarnation is settled by a look |
             | lookSlots            | 10 ms, 15 ms, 20 ms, 20 ms |
             | startBreaker         | 100 ms without starts, then one at a time, then all |
             | runOrders            | 1 order without an answer, 1 look under token 8 |
--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -181,6 +181,19 @@
             | seed  | ms | others |
             | 41086 | 50 | end    |
 
+    # The faults that leave orders under way to workers that start again, three at once: one seed in four ran tasks twice, as a look at
+    # one incarnation was taken for proof that no other would carry an order out.
+    Scenario Outline: Late orders among crashes, cuts and kills, workers down for <ms> ms, seeds <first> to <last>
+        When the seeds <first> to <last> are explored on a shard with orders under way to workers that start again after <ms> ms, with jobs that <others>
+        Then nothing went wrong on the shard
+
+        Examples:
+            | first | last  | ms  | others |
+            | 50001 | 50010 | 50  | end    |
+            | 50011 | 50020 | 50  | end    |
+            | 50001 | 50010 | 600 | last   |
+            | 50011 | 50020 | 600 | last   |
+
     # Workers that do not guard their capacity were started on with room that they had no more: what had been planned while they
     # were larger was sent all the same, after the store had been away or once a silent worker answered again.
     Scenario Outline: No start brings a worker over a capacity that has shrunk, with tasks that are <size>, seed <seed>
--- a/features/steps/examples/shardFixtures.ts
+++ b/features/steps/examples/shardFixtures.ts
@@ -83,6 +83,8 @@
     sentAtMs: undefined,
     settledAtMs: 0,
     shown: true,
+    mayArriveUntilMs: undefined,
+    absent: false,
     startedAtMs: 0,
     percent: 100,
     figure: 0,
--- a/features/steps/examples/shardLives.ts
+++ b/features/steps/examples/shardLives.ts
@@ -12,10 +12,12 @@
     createLostRuns,
     createRunOrders,
     enterLife,
+    holdsForOneIncarnation,
     isOtherLife,
     isSettledByLook,
     leaveLife,
     lifeOf,
+    mayArrive,
     noteStartAnswered,
     noteStartUnanswered,
     runPhases,
@@ -55,6 +57,15 @@
     return `${before} order, then ${delayed.has("i-1", order) ? "still one" : "none"}`;
 };
 
+const unansweredStart = (): string => {
+    const run = { ...runOf(exampleJob()), mayArriveUntilMs: 6_500 };
+    const at = (nowMs: number): string => `${mayArrive(run, nowMs) ? "" : "not "}at ${nowMs} ms`;
+    const isSettled = holdsForOneIncarnation(run, { ticketsNameIncarnation: true });
+    return `it may arrive ${at(2_000)}, ${at(9_000)}; one with a ticket of one incarnation is ${
+        isSettled ? "settled by a look" : "awaited"
+    }`;
+};
+
 const lookSlots = (): string => {
     const slots = createLookSlots(createFakeClock());
     return Array.from({ length: 4 }, () => `${slots.pauseMs(20)} ms`).join(", ");
@@ -94,6 +105,8 @@
         target: () => ({ workerId: "i-1", address: "10.0.0.1:1" }),
         leaseMs: 5_000,
         orderPauseMs: 100,
+        unansweredStartMs: 6_500,
+        ticketsNameIncarnation: false,
         delayedStarts,
         isClosed: () => false,
         token: () => token,
@@ -131,7 +144,7 @@
     adoptRun(former, unshown);
     const delayed = createDelayedStarts(clock);
     const left = leaveLife(former, delayed, 1_000);
-    const next = enterLife(former, left, { bornAtMs: 900, listed: undefined, horizonMs: 11_000 });
+    const next = enterLife(former, left, { bornAtMs: 900, listed: undefined, horizonMs: 11_000, nowMs: 1_000 });
     const settled = isSettledByLook(unshown, delayed) ? "by its next look" : "by a stop";
     const suspects = withUndecided(next, left.suspects).length;
     return `${next.runs.size} of 2 runs may be there, settled ${settled}; ${suspects} may have crashed the life before`;
@@ -154,6 +167,7 @@
     lostRuns,
     lives,
     delayedStarts,
+    unansweredStart,
     lookSlots,
     startBreaker,
     runOrders,
--- a/features/steps/examples/shardRows.ts
+++ b/features/steps/examples/shardRows.ts
@@ -26,9 +26,10 @@
     const job = exampleJob();
     taskOf(job).lastRun = 1;
     taskOf(job).runs.push(runOf(job));
-    const rows = encodeJob(job).puts.map(put => ({ ...put, part, version: 1 }));
+    const clock = createFakeClock();
+    const rows = encodeJob(job, clock).puts.map(put => ({ ...put, part, version: 1 }));
     const [run] =
-        restoreJobs(rows, { reader: createRowReader({ log, meter }), accounts: createAccounts(), nowMs: 0 }).runs;
+        restoreJobs(rows, { reader: createRowReader({ log, meter }), accounts: createAccounts(), clock }).runs;
     return `${run?.taskName} ran on ${run?.workerId}`;
 };
 
--- a/features/steps/examples/shardWorkers.ts
+++ b/features/steps/examples/shardWorkers.ts
@@ -134,6 +134,7 @@
         stopUnknown: () => {},
         onFormerGone: () => {},
         onStartLost: () => {},
+        onAbsent: () => {},
     });
     const ended = [{ endNumber: 7, taskName: task.name, run: 1, how: "done", checkpoint: "" }] as const;
     const newest = watch.take(worker, { outcome: "done", clockMs: 1_000, running: [], ended }, 10);
@@ -185,6 +186,8 @@
         lookSlots: createLookSlots(clock),
         lookPauseMs: 250,
         orderPauseMs: 100,
+        unansweredStartMs: 6_500,
+        ticketsNameIncarnation: false,
         onLook: async () => {},
         onSilent: () => {},
         onLifeOver: () => {},
--- a/features/steps/explorationSteps.ts
+++ b/features/steps/explorationSteps.ts
@@ -153,6 +153,24 @@
     },
 );
 
+When(
+    "the seeds {int} to {int} are explored on a shard with orders under way to workers that start again after {int} ms, with jobs that {word}",
+    async function(this: ScenarioWorld, first: number, last: number, crashedDownMs: number, others: string) {
+        const wrong: string[] = [];
+        for (let seed = first; seed <= last; seed += 1) {
+            const found = await exploreShardSeed(seed, {
+                delayingOrders: true,
+                keepsIds: true,
+                crashing: true,
+                crashedDownMs,
+                lasting: others === "last",
+            });
+            wrong.push(...found.map(each => `${seed}: ${each}`));
+        }
+        part(this).shard.wrong = wrong;
+    },
+);
+
 When(
     "the seed {int} is explored on a shard whose workers fail everything at times, among jobs that {word}",
     async function(this: ScenarioWorld, seed: number, others: string) {
--- a/features/steps/keptRoomSteps.ts
+++ b/features/steps/keptRoomSteps.ts
@@ -178,6 +178,8 @@
                 sentAtMs: -atWorkMs,
                 settledAtMs: -atWorkMs,
                 shown: true,
+                mayArriveUntilMs: undefined,
+                absent: false,
                 startedAtMs: -atWorkMs,
                 percent: 100,
                 figure: 1,
--- a/features/steps/shardLookSteps.ts
+++ b/features/steps/shardLookSteps.ts
@@ -74,6 +74,8 @@
         lookSlots: createLookSlots(clock),
         lookPauseMs: 250,
         orderPauseMs: 100,
+        unansweredStartMs: 6_500,
+        ticketsNameIncarnation: false,
         onLook: async () => {},
         onSilent: () => {},
         onLifeOver: () => {},
--- a/features/steps/tokenSteps.ts
+++ b/features/steps/tokenSteps.ts
@@ -87,6 +87,8 @@
         lookSlots: createLookSlots(clock),
         lookPauseMs: 250,
         orderPauseMs: 100,
+        unansweredStartMs: 6_500,
+        ticketsNameIncarnation: false,
         onLook,
         onSilent: () => {},
         onLifeOver: () => {},
@@ -299,6 +301,7 @@
         stopUnknown: () => {},
         onFormerGone: () => {},
         onStartLost: () => {},
+        onAbsent: () => {},
     });
     const listed = { taskName: run.task.name, run: run.run, checkpoint: "", percent: 100, figure: 1_000 };
     watch.take(worker, { outcome: "done", clockMs: 0, running: [listed], ended: [] }, clock.monotonicMs());
--- a/packages/puffinarch/src/core/shard/crashes.ts
+++ b/packages/puffinarch/src/core/shard/crashes.ts
@@ -58,7 +58,7 @@
     const goneAtMs = worker.silentSinceMs ?? nowMs;
     // What was sent after the worker had fallen silent cannot be why.
     const sent = [...worker.runs.values()].filter(run =>
-        run.phase !== runPhases.planned && (sinceMs(run) ?? goneAtMs) <= goneAtMs
+        run.phase !== runPhases.planned && !run.absent && (sinceMs(run) ?? goneAtMs) <= goneAtMs
     );
     // When it went is known only from its silence, which a cut link shows late: what no answer has shown at work may be to blame.
     const justStarted = sent.filter(run => !run.shown || worker.answeredAtMs - (sinceMs(run) ?? -Infinity) < atWorkMs);
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -35,8 +35,8 @@
     readonly task: ShardTask;
     readonly run: number;
     readonly workerId: string;
-    /** When the life that it was planned for began; undefined where that is not known. */
-    readonly bornAtMs: number | undefined;
+    /** When the life that it was planned for began, or a later one that does not have it; undefined where that is not known. */
+    bornAtMs: number | undefined;
     /** Where its worker was reached when it was planned; empty where that is not known. */
     readonly address: string;
     /** What it holds of the worker's capacity. */
@@ -48,6 +48,13 @@
     settledAtMs: number | undefined;
     /** Whether a look at its worker has listed it; until then the life that carried it out is not known. */
     shown: boolean;
+    /**
+     * Local time until which its order may be carried out by any incarnation of its worker; undefined once it was answered, and where
+     * it holds for one incarnation only.
+     */
+    mayArriveUntilMs: number | undefined;
+    /** Whether the worker's present incarnation neither runs it nor will. */
+    absent: boolean;
     /** Local time at which the worker first showed it at work. */
     startedAtMs: number | undefined;
     /** Latest share of the processor and progress that a look showed. */
@@ -360,6 +367,8 @@
     sentAtMs: undefined,
     settledAtMs: undefined,
     shown: false,
+    mayArriveUntilMs: undefined,
+    absent: false,
     startedAtMs: undefined,
     percent: 100,
     figure: 0,
--- a/packages/puffinarch/src/core/shard/jobRowSchemas.ts
+++ b/packages/puffinarch/src/core/shard/jobRowSchemas.ts
@@ -91,6 +91,15 @@
     confirmedRun: whole.default(0),
 });
 
+/** A run whose start got no answer, and until when it may be carried out, in milliseconds since the Unix epoch. */
+const unansweredSchema = z.object({
+    place: z.tuple([whole, whole, whole], "the place of a task"),
+    run: whole,
+    untilMs: z.number("a time"),
+    /** An incarnation of its worker that was looked at does not have it. */
+    absent: flag,
+});
+
 /** A run that was lost with a silent worker, which may have crashed. */
 const lossSchema = z.object({
     place: z.tuple([whole, whole, whole], "the place of a task"),
@@ -124,6 +133,10 @@
     addresses: z.record(z.string(), text, "addresses of workers").default({}),
     /** When the lives of these workers began that the runs were planned for, by id; none where lives are told by their ids. */
     lives: z.record(z.string(), whole, "beginnings of lives").default({}),
+    /** When it was written, in milliseconds since the Unix epoch: what is not said to be unanswered may have been sent right after. */
+    writtenAtMs: z.number("a time").default(0),
+    /** Live runs whose start got no answer. */
+    unanswered: z.array(unansweredSchema, "starts without an answer").default([]),
 });
 
 /** The state of a job that has ended. */
@@ -135,6 +148,8 @@
 export type StoredTask = z.infer<typeof taskSchema>;
 /** A task under which workers have crashed, as it is stored. */
 export type StoredCrashedTask = z.infer<typeof crashedTaskSchema>;
+/** A run whose start got no answer, as it is stored. */
+export type StoredUnanswered = z.infer<typeof unansweredSchema>;
 /** A run that was lost, as it is stored. */
 export type StoredLoss = z.infer<typeof lossSchema>;
 /** A task that failed, as it is stored. */
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -1,6 +1,7 @@
 /** Rows that keep a job: one for its submission, written once, and a small one for its state, written at each change. */
 
 import { type Row } from "../../types/cellPorts.js";
+import type { Clock } from "../../types/ports.js";
 import type { JobStatus } from "../../types/work.js";
 import { type Decoded, decodeRow } from "../../utils/decode.js";
 import type { Accounts } from "./accounts.js";
@@ -25,10 +26,12 @@
     type StoredLoss,
     type StoredState,
     type StoredTask,
+    type StoredUnanswered,
     submissionSchema,
 } from "./jobRowSchemas.js";
 import type { RowReader } from "./rowReader.js";
 import { endedTable, journalTable } from "./shardTables.js";
+import { runKey } from "./workerTable.js";
 
 /** Key prefix of the rows with submissions. */
 const submissionPrefix = "job/";
@@ -50,6 +53,12 @@
     readonly bornAtMs: number | undefined;
     /** Where the worker is reached; empty where the row does not say. */
     readonly address: string;
+    /** Local time until which its start may be carried out, which got no answer; undefined where that is not known. */
+    readonly mayArriveUntilMs: number | undefined;
+    /** An incarnation of its worker that was looked at does not have it. */
+    readonly absent: boolean;
+    /** Local time at which it was made durable, or a later change of its job. */
+    readonly storedAtMs: number;
 }
 
 /** A run that was lost with a silent worker under a former owner. */
@@ -145,7 +154,19 @@
     return lives;
 };
 
-const encodeState = (job: ShardJob): string => {
+/** A successor would else start a task elsewhere as soon as a look does not list its run. */
+const encodeUnanswered = (job: ShardJob, clock: Clock): readonly StoredUnanswered[] => {
+    const unanswered: StoredUnanswered[] = [];
+    for (const { task, run, mayArriveUntilMs, absent } of runsOf(job)) {
+        if (mayArriveUntilMs !== undefined) {
+            const untilMs = clock.nowMs() + mayArriveUntilMs - clock.monotonicMs();
+            unanswered.push({ place: placeOf(task), run, untilMs, absent });
+        }
+    }
+    return unanswered;
+};
+
+const encodeState = (job: ShardJob, clock: Clock): string => {
     const stored: StoredState = {
         state: job.state,
         failure: job.failure,
@@ -154,6 +175,8 @@
         failed: encodeFailed(job),
         addresses: encodeAddresses(job),
         lives: encodeLives(job),
+        writtenAtMs: clock.nowMs(),
+        unanswered: [...encodeUnanswered(job, clock)],
         done: [...job.doneOccurrences],
         open: [...job.occurrences.values()].map(({ number, steps }) => [number, steps.map(encodeStep)]),
     };
@@ -170,9 +193,9 @@
  * Gives the rows that keep a job as it is now: two while it goes on or holds room, a small one after that.
  *
  * @example
- * const { puts, removes } = encodeJob(job);
+ * const { puts, removes } = encodeJob(job, clock);
  */
-export const encodeJob = (job: ShardJob): RowChange => {
+export const encodeJob = (job: ShardJob, clock: Clock): RowChange => {
     const { jobId } = job.submission;
     const submission = { table: journalTable, key: submissionPrefix + jobId };
     const state = { table: journalTable, key: statePrefix + jobId };
@@ -183,7 +206,7 @@
     return {
         puts: [
             ...(job.stored ? [] : [{ ...submission, value: encodeSubmission(job) }]),
-            { ...state, value: encodeState(job) },
+            { ...state, value: encodeState(job, clock) },
         ],
         removes: [],
     };
@@ -221,7 +244,16 @@
     task.failures = failures;
     task.checkpoint = checkpoint;
     for (const [workerId, run] of storedRuns) {
-        runs.push({ taskName: task.name, run, workerId, bornAtMs: undefined, address: "" });
+        runs.push({
+            taskName: task.name,
+            run,
+            workerId,
+            bornAtMs: undefined,
+            address: "",
+            mayArriveUntilMs: undefined,
+            absent: false,
+            storedAtMs: 0,
+        });
     }
 };
 
@@ -248,7 +280,8 @@
             : [{ workerId, address, crashed: { task, run, bornAtMs, goneAtMs, alone, confirmed } }];
     });
 
-const restoreState = (job: ShardJob, stored: StoredState, nowMs: number): Pick<RestoredJobs, "runs" | "losses"> => {
+const restoreState = (job: ShardJob, stored: StoredState, clock: Clock): Pick<RestoredJobs, "runs" | "losses"> => {
+    const nowMs = clock.monotonicMs();
     const runs: StoredRun[] = [];
     job.state = stored.state;
     job.shown = stored.state;
@@ -277,12 +310,22 @@
             taskAt(job, place)?.failedOn.set(workerId, nowMs);
         }
     }
+    const unanswered = new Map(
+        stored.unanswered.map(each => [runKey(taskAt(job, each.place)?.name ?? "", each.run), each]),
+    );
+    const localMs = (epochMs: number): number => nowMs + epochMs - clock.nowMs();
     return {
-        runs: runs.map(run => ({
-            ...run,
-            address: stored.addresses[run.workerId] ?? "",
-            bornAtMs: stored.lives[run.workerId],
-        })),
+        runs: runs.map(run => {
+            const start = unanswered.get(runKey(run.taskName, run.run));
+            return {
+                ...run,
+                address: stored.addresses[run.workerId] ?? "",
+                bornAtMs: stored.lives[run.workerId],
+                absent: start?.absent ?? false,
+                mayArriveUntilMs: start && localMs(start.untilMs),
+                storedAtMs: localMs(stored.writtenAtMs),
+            };
+        }),
         losses: restoreLosses(job, stored.lost),
     };
 };
@@ -299,14 +342,14 @@
  * are: to run it anew might run it twice.
  *
  * @example
- * const { jobs, runs } = restoreJobs(rows, { reader: createRowReader({ log, meter }), accounts, nowMs: clock.monotonicMs() });
+ * const { jobs, runs } = restoreJobs(rows, { reader: createRowReader({ log, meter }), accounts, clock });
  */
 export const restoreJobs = (
     rows: readonly Row[],
-    { reader, accounts, nowMs }: {
+    { reader, accounts, clock }: {
         readonly reader: RowReader;
         readonly accounts: Pick<Accounts, "of">;
-        readonly nowMs: number;
+        readonly clock: Clock;
     },
 ): RestoredJobs => {
     const byKey = new Map(rows.map(row => [row.key, row]));
@@ -328,7 +371,7 @@
         const account = accounts.of(submission.organisation ?? "", cap);
         const job = newJob(submission, queue, { acceptedAtMs, order, account, beyondShare });
         job.stored = true;
-        const restored = restoreState(job, state, nowMs);
+        const restored = restoreState(job, state, clock);
         runs.push(...restored.runs);
         losses.push(...restored.losses);
         jobs.push(job);
--- a/packages/puffinarch/src/core/shard/nextLife.ts
+++ b/packages/puffinarch/src/core/shard/nextLife.ts
@@ -28,6 +28,10 @@
     run.phase !== runPhases.planned
     && (!run.shown || run.phase === runPhases.starting || isUnderWay(run, delayedStarts));
 
+/** Its task waits until its order cannot come any more, whichever life has the worker's ID by then. */
+const isAwaited = ({ phase, mayArriveUntilMs }: ShardRun): boolean =>
+    phase === runPhases.starting && mayArriveUntilMs !== undefined;
+
 /**
  * Tells whether the next look at the next life settles a run that it may have; any other run has to be stopped there, so
  * that an order for it is refused when it comes.
@@ -36,7 +40,7 @@
  * if (!isSettledByLook(run, delayedStarts)) { link.stop(run); }
  */
 export const isSettledByLook = (run: ShardRun, delayedStarts: DelayedStarts): boolean =>
-    run.phase === runPhases.running && !isUnderWay(run, delayedStarts);
+    isAwaited(run) || run.phase === runPhases.running && !isUnderWay(run, delayedStarts);
 
 /**
  * Adds what is undecided of the life before to what may have crashed a worker; such runs do not count for both lives.
@@ -79,18 +83,20 @@
     readonly listed: WorkerEntry | undefined;
     /** Local time by which every lease is over that orders for the life before may have brought it. */
     readonly horizonMs: number;
+    /** Local time. */
+    readonly nowMs: number;
 }
 
 /**
  * Makes the next life of a worker, with the runs that it may have.
  *
  * @example
- * const next = enterLife(former, leaveLife(former, delayedStarts, nowMs), { bornAtMs, listed, horizonMs });
+ * const next = enterLife(former, leaveLife(former, delayedStarts, nowMs), { bornAtMs, listed, horizonMs, nowMs });
  */
 export const enterLife = (
     former: ShardWorker,
     { carried, undecided }: LeftLife,
-    { bornAtMs, listed, horizonMs }: NextLife,
+    { bornAtMs, listed, horizonMs, nowMs }: NextLife,
 ): ShardWorker => {
     const isListed = listed !== undefined && !isOtherLife(listed.bornAtMs, bornAtMs);
     const next = newWorker(isListed ? listed : former.entry, horizonMs);
@@ -98,8 +104,17 @@
     // It may be of another kind and size; nothing is started there before its own entry says so.
     next.unlistedAtMs = isListed ? undefined : -Infinity;
     for (const run of carried) {
+        if (run.absent) {
+            // The life before refused it, so that it did not crash under it.
+            run.bornAtMs = bornAtMs;
+            run.absent = false;
+        }
+        if (isAwaited(run)) {
+            run.settledAtMs = nowMs;
+        }
         adoptRun(next, run);
     }
+    next.unansweredOrder = former.unansweredOrder;
     next.trial = carried.find(run => needsTrial(run.task));
     for (const suspect of undecided) {
         next.undecided.set(runKey(suspect.task.name, suspect.run), suspect);
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -6,6 +6,7 @@
 import { runPhases, type ShardRun } from "./jobBook.js";
 import { lifeOf } from "./lives.js";
 import { noteStartAnswered, noteStartUnanswered } from "./startBreaker.js";
+import { holdsForOneIncarnation } from "./unansweredStart.js";
 import type { WorkerLinkOptions } from "./workerLink.js";
 import { extendLease, runKey, type ShardWorker, stillFits } from "./workerTable.js";
 
@@ -15,9 +16,19 @@
 const longestStopTimeoutMs = 600;
 
 /** What the orders share with the looks of their worker's link. */
-export interface RunOrdersOptions
-    extends
-        Pick<WorkerLinkOptions, "clock" | "log" | "meter" | "workers" | "leaseMs" | "orderPauseMs" | "delayedStarts">
+export interface RunOrdersOptions extends
+    Pick<
+        WorkerLinkOptions,
+        | "clock"
+        | "log"
+        | "meter"
+        | "workers"
+        | "leaseMs"
+        | "orderPauseMs"
+        | "unansweredStartMs"
+        | "ticketsNameIncarnation"
+        | "delayedStarts"
+    >
 {
     readonly worker: ShardWorker;
     readonly target: () => WorkerTarget;
@@ -46,6 +57,8 @@
     stop(run: ShardRun): Promise<void>;
     /** Lets the worker refuse an order that may be under way to it. */
     refuse(order: DelayedStart): Promise<void>;
+    /** Sends an order that changes nothing until the worker answers it, which closes its breaker. */
+    probe(order: DelayedStart): Promise<void>;
 }
 
 /**
@@ -79,8 +92,10 @@
         // Without a newer token the order is refused only once its lease would be over.
         run.settledAtMs = worker.horizonMs;
         options.renewToken();
+        // Its row tells a successor that the order may still come.
+        const committed = options.onUnanswered(run);
         if (options.token() <= sentToken) {
-            await options.onUnanswered(run);
+            await committed;
             options.renewToken();
         }
         if (isWanted(run) && options.token() > sentToken) {
@@ -113,6 +128,9 @@
         if (deadlineMs === undefined) {
             return undefined;
         }
+        run.mayArriveUntilMs = worker.bornAtMs === undefined || holdsForOneIncarnation(run, options)
+            ? undefined
+            : clock.monotonicMs() + options.unansweredStartMs;
         const outcome = await workers.start(target(), {
             taskName: run.task.name,
             run: run.run,
@@ -127,6 +145,7 @@
             delayedStarts.note(worker.workerId, { taskName: run.task.name, run: run.run });
         }
         else {
+            run.mayArriveUntilMs = undefined;
             noteStartAnswered(worker);
         }
         return outcome;
@@ -190,5 +209,21 @@
         }
     };
 
-    return { start, stop, refuse };
+    /** A stop of a run that its worker refuses; no other start is risked to find out whether orders arrive again. */
+    const probe = async ({ taskName, run }: DelayedStart): Promise<void> => {
+        while (!isClosed() && worker.unansweredOrder !== undefined) {
+            const order = { taskName, run, fencingToken: options.token() };
+            const outcome = await workers.stop(target(), order, shortestStopTimeoutMs);
+            if (endsLink(outcome, order.fencingToken)) {
+                return;
+            }
+            if (outcome !== orderOutcomes.unknown) {
+                noteStartAnswered(worker);
+                return;
+            }
+            await sleep(clock, orderPauseMs);
+        }
+    };
+
+    return { start, stop, refuse, probe };
 };
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -166,7 +166,7 @@
 
     const encode = (jobId: string): RowChange => {
         const job = jobs.get(jobId);
-        return job === undefined ? { puts: [], removes: [{ table: endedTable, key: jobId }] } : encodeJob(job);
+        return job === undefined ? { puts: [], removes: [{ table: endedTable, key: jobId }] } : encodeJob(job, clock);
     };
 
     /** Commits are conditional on the claim, so that their versions are above it and below that of any successor. */
@@ -479,7 +479,7 @@
     };
 
     const restore = (): void => {
-        const restored = restoreJobs(claimed.rows, { reader, accounts, nowMs: clock.monotonicMs() });
+        const restored = restoreJobs(claimed.rows, { reader, accounts, clock });
         for (const job of restored.jobs) {
             nextOrder = Math.max(nextOrder, job.order + 1);
             jobs.set(job.submission.jobId, job);
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -33,6 +33,13 @@
     readonly lookPauseMs: number;
     /** Pause before an order without an answer is sent again. */
     readonly orderPauseMs: number;
+    /**
+     * How long a start without an answer may still be carried out. Its task waits as long: accepted work may stand for 3 s once nothing
+     * has been wrong for 4 s, and a start goes unanswered only while something is.
+     */
+    readonly unansweredStartMs: number;
+    /** Whether each worker refuses tickets that were given for another incarnation of it. */
+    readonly ticketsNameIncarnation: boolean;
     /** How long a replaced owner may go on renewing leases that its successor cannot see. */
     readonly formerOwnerMs: number;
     /** How long a worker may take to stop a run; a bound of the platform. */
@@ -63,6 +70,8 @@
     lookWaitMs: 1_000,
     lookPauseMs: 250,
     orderPauseMs: 100,
+    unansweredStartMs: 6_500,
+    ticketsNameIncarnation: false,
     formerOwnerMs: 2_500,
     stopMs: 900,
     silentMs: 1_300,
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -5,7 +5,7 @@
 import type { WorkerEntry } from "../../types/work.js";
 import { sleep } from "../../utils/time.js";
 import { type CrashedRun, crashedRuns, needsTrial, noteConfirmed } from "./crashes.js";
-import { createDelayedStarts } from "./delayedStarts.js";
+import { createDelayedStarts, type DelayedStart } from "./delayedStarts.js";
 import { createFalls } from "./falls.js";
 import { createFirstLooks } from "./firstLooks.js";
 import { findTask, newRun, runPhases, type ShardJob, type ShardRun } from "./jobBook.js";
@@ -16,6 +16,7 @@
 import { enterLife, isSettledByLook, leaveLife, withUndecided } from "./nextLife.js";
 import { createPacer } from "./pacer.js";
 import type { ShardSettings } from "./shardSettings.js";
+import { holdsForOneIncarnation, mayArrive } from "./unansweredStart.js";
 import { openWorkerLink, type WorkerLink } from "./workerLink.js";
 import { adoptRun, dropRun, newWorker, runKey, type ShardWorker, slowestClockRate, takeEntry } from "./workerTable.js";
 import { createWorkerWatch } from "./workerWatch.js";
@@ -85,6 +86,7 @@
  */
 export const createShardWorkers = (options: ShardWorkersOptions): ShardWorkers => {
     const { clock, log, meter, settings, fencingToken, jobOf, changed, wake } = options;
+    const startedAtMs = clock.monotonicMs();
     const workers = new Map<string, ShardWorker>();
     const links = new Map<string, WorkerLink>();
     /** Lives that are over, by worker: when the last one of them began. Their entries may still be listed. */
@@ -135,9 +137,18 @@
         // This life refuses it by its fencing token, which the next one will not know.
         onFormerGone: ({ workerId }, { task, run }) => delayedStarts.note(workerId, { taskName: task.name, run }),
         onStartLost: stopRestOfGang,
+        onAbsent: (worker, { task, run }) => probe(worker, { taskName: task.name, run }),
         stopUnknown: (worker, taskName, run) => links.get(worker.workerId)?.stopUnknown(taskName, run),
     });
 
+    /** One order at a time finds out whether a worker takes orders again. */
+    const probe = (worker: ShardWorker, order: DelayedStart): void => {
+        if (worker.unansweredOrder === undefined) {
+            worker.unansweredOrder = order;
+            links.get(worker.workerId)?.probe(order);
+        }
+    };
+
     const commitTouched = (): Promise<unknown> => {
         const all = [...touched].map(changed);
         touched.clear();
@@ -202,10 +213,14 @@
             listed: listing.get(workerId),
             // Deadlines on the clock of the life before may have reached this one, whose clock has begun anew.
             horizonMs: nowMs + settings.leaseLimitMs / slowestClockRate,
+            nowMs,
         });
         workers.set(workerId, next);
         const link = openLink(next);
         links.set(workerId, link);
+        if (next.unansweredOrder !== undefined) {
+            link.probe(next.unansweredOrder);
+        }
         for (const run of left.carried) {
             if (!isSettledByLook(run, delayedStarts)) {
                 run.phase = runPhases.running;
@@ -217,8 +232,8 @@
     };
 
     /** Runs of a silent worker whose leases are over: whether it crashed is known once something answers at its address. */
-    const loseSilent = (worker: ShardWorker, reason: string): void => {
-        const crashed = watch.loseRuns(worker, reason).filter(({ task, run }) =>
+    const loseSilent = (worker: ShardWorker, reason: string, runs: readonly ShardRun[]): void => {
+        const crashed = watch.loseRuns(worker, reason, runs).filter(({ task, run }) =>
             !worker.undecided.has(runKey(task.name, run))
         );
         countCrashes(worker, [...worker.undecided.values()]);
@@ -229,7 +244,6 @@
         }
     };
 
-    const startedAtMs = clock.monotonicMs();
     let allKnown = false;
 
     /** Tells once, after a takeover, when every worker that answers has shown what it runs. */
@@ -263,6 +277,8 @@
             lookSlots,
             lookPauseMs: settings.lookPauseMs,
             orderPauseMs: settings.orderPauseMs,
+            unansweredStartMs: settings.unansweredStartMs,
+            ticketsNameIncarnation: settings.ticketsNameIncarnation,
             onLook: async (seen, look, sentAtMs) => {
                 const wasCertain = seen.certain;
                 watch.countCrashes(seen.workerId, lostRuns.answered(seen));
@@ -345,7 +361,10 @@
     };
 
     /** Puts a run whose intent was durable where its worker's first look will settle it. */
-    const attachStored = (worker: ShardWorker, { taskName, run, bornAtMs, address }: StoredRun): void => {
+    const attachStored = (
+        worker: ShardWorker,
+        { taskName, run, bornAtMs, address, mayArriveUntilMs, absent, storedAtMs }: StoredRun,
+    ): void => {
         const task = findTask(jobOf, taskName);
         if (task === undefined) {
             return;
@@ -355,7 +374,13 @@
             bornAtMs,
             phase: runPhases.running,
             settledAtMs: 0,
+            absent,
         });
+        if (!holdsForOneIncarnation(entry, settings)) {
+            // The time of day may have been stepped since it was stored.
+            const latestMs = startedAtMs + settings.unansweredStartMs;
+            entry.mayArriveUntilMs = Math.min(latestMs, mayArriveUntilMs ?? storedAtMs + settings.unansweredStartMs);
+        }
         task.runs.push(entry);
         adoptRun(worker, entry);
         if (needsTrial(task)) {
@@ -434,19 +459,29 @@
         wake();
     };
 
+    /**
+     * Whether an incarnation that nobody can look at may carry a run's order out, and hold it for a whole lease where the platform hears
+     * of that worker.
+     */
+    const mayBeUnseen = ({ bornAtMs, unlistedAtMs }: ShardWorker, run: ShardRun, nowMs: number): boolean =>
+        bornAtMs !== undefined
+        && mayArrive(run, unlistedAtMs === undefined ? nowMs - settings.leaseLimitMs / slowestClockRate : nowMs);
+
     /** Leases that are surely over, and workers of which nothing is left. */
     const checkHorizons = (nowMs: number): void => {
         // The last one may have turned out to be silent.
         noteKnown();
+        watch.dropAbsent();
         for (const worker of [...workers.values()]) {
             const silent = worker.silentLooks > 0 || !worker.certain;
             if (!silent || nowMs <= worker.horizonMs) {
                 continue;
             }
-            if (worker.runs.size > 0) {
-                loseSilent(worker, "leaseOver");
+            const over = [...worker.runs.values()].filter(run => !mayBeUnseen(worker, run, nowMs));
+            if (over.length > 0) {
+                loseSilent(worker, "leaseOver", over);
             }
-            if (worker.unlistedAtMs !== undefined) {
+            if (worker.unlistedAtMs !== undefined && worker.runs.size === 0) {
                 // It may only have been cut off from the store and from here; once listed again, it begins anew.
                 dropWorker(worker, "notListed");
                 const entry = listing.get(worker.workerId);
--- a/packages/puffinarch/src/core/shard/startBreaker.ts
+++ b/packages/puffinarch/src/core/shard/startBreaker.ts
@@ -19,6 +19,7 @@
  */
 export const noteStartAnswered = (worker: ShardWorker): void => {
     worker.unansweredStarts = 0;
+    worker.unansweredOrder = undefined;
 };
 
 /**
@@ -38,11 +39,12 @@
 };
 
 /**
- * Tells whether the breaker lets a start through: always while it is closed; half open, only while no other is under way.
+ * Tells whether the breaker lets a start through: always while it is closed; half open, only while no other is under way. Where a
+ * start might be carried out by another incarnation, an order that is harmless to any of them is sent instead to try the worker out.
  *
  * @example
  * allowsStart(worker); // true for a worker that answered its newest start
  */
-export const allowsStart = ({ unansweredStarts, runs }: ShardWorker): boolean =>
-    unansweredStarts === 0
-    || [...runs.values()].every(({ phase }) => phase !== runPhases.planned && phase !== runPhases.starting);
+export const allowsStart = ({ unansweredStarts, unansweredOrder, runs }: ShardWorker): boolean =>
+    unansweredOrder === undefined && (unansweredStarts === 0
+        || [...runs.values()].every(({ phase }) => phase !== runPhases.planned && phase !== runPhases.starting));
--- a/packages/puffinarch/src/core/shard/trials.ts
+++ b/packages/puffinarch/src/core/shard/trials.ts
@@ -87,7 +87,7 @@
         return waiting;
     }
     const live = step.tasks.flatMap(task => task.runs).filter(run =>
-        !isAtWork(run, sight) && !fallen.has(run.workerId)
+        !run.absent && !isAtWork(run, sight) && !fallen.has(run.workerId)
     );
     if (!isShown(step, sight)) {
         const tooMany = fallen.size > (counted ? 0 : mostFallen);
@@ -110,7 +110,7 @@
     if (trialHold !== undefined && trialHold.job !== job && sight.nowMs < trialHold.untilMs) {
         return true;
     }
-    return trial !== undefined && jobOf(trial) !== job && runs.has(runKey(trial.task.name, trial.run))
+    return trial !== undefined && !trial.absent && jobOf(trial) !== job && runs.has(runKey(trial.task.name, trial.run))
         && !isAtWork(trial, sight);
 };
 
@@ -135,15 +135,16 @@
         return true;
     }
     const { job } = task.step.occurrence;
-    return [...worker.runs.values()].every(run => jobOf(run) === job);
+    return otherRuns(worker, job) === 0;
 };
 
+/** What the worker refuses when it comes takes no part in a trial there. */
 const otherRuns = ({ runs }: ShardWorker, job: ShardJob): number =>
-    [...runs.values()].filter(run => jobOf(run) !== job).length;
+    [...runs.values()].filter(run => jobOf(run) !== job && !run.absent).length;
 
 /** Whether a worker is empty in a while if nothing more is started there. */
 const emptiesSoon = ({ runs }: ShardWorker): boolean =>
-    [...runs.values()].every(({ task }) => !task.step.spec.longRunning);
+    [...runs.values()].every(({ task, absent }) => absent || !task.step.spec.longRunning);
 
 /**
  * Keeps a worker from other jobs until a task on trial may run there by itself: the one with the fewest runs of others
@@ -188,7 +189,7 @@
 export const companyOf = ({ runs }: ShardWorker, job: ShardJob, suspect: boolean): number => {
     let harmed = 0;
     for (const run of runs.values()) {
-        if (jobOf(run) !== job && (suspect || hasCrashed(run.task))) {
+        if (jobOf(run) !== job && !run.absent && (suspect || hasCrashed(run.task))) {
             harmed += 1;
         }
     }
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -49,6 +49,10 @@
     readonly lookPauseMs: number;
     /** Pause before an order is sent, or sent again, to a worker that did not answer. */
     readonly orderPauseMs: number;
+    /** How long a start without an answer may still be carried out. */
+    readonly unansweredStartMs: number;
+    /** Whether the worker refuses tickets that were given for another incarnation. */
+    readonly ticketsNameIncarnation: boolean;
     /** Takes what a look brought; resolves when the next look may be sent. */
     readonly onLook: (
         worker: ShardWorker,
@@ -78,6 +82,8 @@
     stopUnknown(taskName: string, run: number): void;
     /** Lets the worker refuse an order that may be under way to it; sent until it is answered. */
     refuse(order: DelayedStart): void;
+    /** Finds out when a worker that left a start without an answer takes orders again. */
+    probe(order: DelayedStart): void;
     pace(run: ShardRun, percent: number): void;
     close(): void;
 }
@@ -294,6 +300,7 @@
             void workers.stop(target(), { taskName, run, fencingToken: token }, stopUnknownTimeoutMs);
         },
         refuse: order => void orders.refuse(order),
+        probe: order => void orders.probe(order),
         pace: (run, percent) => {
             void workers.pace(target(), { taskName: run.task.name, run: run.run, fencingToken: token, percent });
         },
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -4,6 +4,7 @@
 import type { WorkerEntry } from "../../types/work.js";
 import { charge, isOverCap, release } from "./accounts.js";
 import type { CrashedRun } from "./crashes.js";
+import type { DelayedStart } from "./delayedStarts.js";
 import { jobOf, type ShardJob, type ShardRun } from "./jobBook.js";
 import { allowsStart } from "./startBreaker.js";
 
@@ -59,6 +60,8 @@
     /** Starts in a row without an answer, and the local time of the newest that was counted. */
     unansweredStarts: number;
     startUnansweredAtMs: number;
+    /** A start that it did not answer; until it answers an order about it, it gets no other. */
+    unansweredOrder: DelayedStart | undefined;
     /** Gets no work at all, since its VM is about to go down. */
     cordoned: boolean;
     /** Newest run of a task that is to show whether it crashes its worker; nothing else is started beside it. */
@@ -103,6 +106,7 @@
     avoidUntilMs: 0,
     unansweredStarts: 0,
     startUnansweredAtMs: -Infinity,
+    unansweredOrder: undefined,
     cordoned: false,
     trial: undefined,
     trialHold: undefined,
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -16,6 +16,7 @@
 } from "./jobBook.js";
 import { isOtherLife, lifeOf } from "./lives.js";
 import { noteStartAnswered } from "./startBreaker.js";
+import { mayArrive } from "./unansweredStart.js";
 import { adoptRun, dropRun, runKey, type ShardWorker } from "./workerTable.js";
 
 /** What the watch needs. */
@@ -36,16 +37,20 @@
     readonly onFormerGone: (worker: ShardWorker, run: ShardRun) => void;
     /** The start of the run was lost; it surely does not and will not run there. */
     readonly onStartLost: (run: ShardRun) => void;
+    /** The worker answers, and left the start of a run that may still be carried out there without an answer. */
+    readonly onAbsent: (worker: ShardWorker, run: ShardRun) => void;
 }
 
 /** Takes looks into the book. */
 export interface WorkerWatch {
     /** Gives the highest end that was taken in. */
     take(worker: ShardWorker, look: LookResult & { readonly outcome: "done"; }, sentAtMs: number): number;
-    /** The worker's life is over, or its leases are: nothing runs there any more. Gives what may have crashed it. */
-    loseRuns(worker: ShardWorker, reason: string): readonly CrashedRun[];
+    /** The worker's life is over, or the leases of these runs are: they run there no more. Gives what may have crashed it. */
+    loseRuns(worker: ShardWorker, reason: string, runs?: readonly ShardRun[]): readonly CrashedRun[];
     /** The worker, or the life before it at its address, has surely crashed with these runs. */
     countCrashes(workerId: string, runs: readonly CrashedRun[]): void;
+    /** Lets go of runs whose orders might have come late and cannot any more. */
+    dropAbsent(): void;
 }
 
 /** Failures in a row, from at least this many jobs, after which a worker rests. */
@@ -209,6 +214,8 @@
             return;
         }
         run.shown = true;
+        run.absent = false;
+        run.mayArriveUntilMs = undefined;
         worker.undecided.delete(runKey(row.taskName, row.run));
         run.percent = row.percent;
         run.figure = row.figure;
@@ -264,27 +271,65 @@
         }
     };
 
+    /** Runs that their workers do not have, and whose orders may still be carried out there. */
+    const absentRuns = new Map<ShardRun, ShardWorker>();
+
+    const noteAbsent = (worker: ShardWorker, run: ShardRun): void => {
+        absentRuns.set(run, worker);
+        if (run.absent) {
+            return;
+        }
+        run.absent = true;
+        onChange(run.task.step.occurrence.job);
+        meter.count("startsAbsent");
+        log.write("warn", "startMayArrive", {
+            task: run.task.name,
+            run: run.run,
+            ...lifeOf(worker),
+            forMs: Math.round((run.mayArriveUntilMs ?? 0) - clock.monotonicMs()),
+        });
+        options.onAbsent(worker, run);
+        noteStartLost(run);
+    };
+
+    const noteStartLost = (run: ShardRun): void => {
+        if (run.sentAtMs !== undefined && !run.shown && run.startedAtMs === undefined) {
+            options.onStartLost(run);
+        }
+    };
+
+    const dropGone = (worker: ShardWorker, run: ShardRun): void => {
+        meter.count("runsGone");
+        log.write("info", "runGone", {
+            task: run.task.name,
+            run: run.run,
+            ...lifeOf(worker),
+            phase: run.phase,
+        });
+        dropRun(worker, run);
+        if (run.sentAtMs === undefined && !run.shown) {
+            options.onFormerGone(worker, run);
+        }
+        if (!run.absent) {
+            noteStartLost(run);
+        }
+        onChange(run.task.step.occurrence.job);
+    };
+
     const dropMissing = (worker: ShardWorker, listed: ReadonlySet<string>, sentAtMs: number): void => {
         const crashed: CrashedRun[] = [];
+        const nowMs = clock.monotonicMs();
         for (const [key, run] of [...worker.runs]) {
             if (run.settledAtMs === undefined || run.settledAtMs >= sentAtMs || listed.has(key)) {
                 continue;
             }
-            meter.count("runsGone");
-            log.write("info", "runGone", {
-                task: run.task.name,
-                run: run.run,
-                ...lifeOf(worker),
-                phase: run.phase,
-            });
-            dropRun(worker, run);
-            if (run.sentAtMs === undefined && !run.shown) {
-                options.onFormerGone(worker, run);
+            // A worker with a new ID for each incarnation refuses what names another one.
+            if (worker.bornAtMs !== undefined && mayArrive(run, nowMs)) {
+                noteAbsent(worker, run);
             }
-            if (run.sentAtMs !== undefined && !run.shown && run.startedAtMs === undefined) {
-                options.onStartLost(run);
+            else {
+                dropGone(worker, run);
             }
-            onChange(run.task.step.occurrence.job);
             const suspect = worker.undecided.get(key);
             if (suspect !== undefined) {
                 worker.undecided.delete(key);
@@ -294,6 +339,20 @@
         countCrashes(worker.workerId, crashed);
     };
 
+    const dropAbsent = (): void => {
+        const nowMs = clock.monotonicMs();
+        for (const [run, worker] of absentRuns) {
+            const isHeld = run.absent && worker.runs.get(runKey(run.task.name, run.run)) === run;
+            if (isHeld && mayArrive(run, nowMs)) {
+                continue;
+            }
+            absentRuns.delete(run);
+            if (isHeld) {
+                dropGone(worker, run);
+            }
+        }
+    };
+
     /** Runs of former owners that were for a life before this one may have crashed that one, unless this one has them. */
     const suspectFormer = (worker: ShardWorker): void => {
         if (worker.entry.draining || worker.cordoned) {
@@ -336,9 +395,12 @@
             return newest;
         },
         countCrashes,
-        loseRuns: (worker, reason) => {
-            const crashed = crashedRuns(worker, clock.monotonicMs());
-            const runs = [...worker.runs.values()];
+        dropAbsent,
+        loseRuns: (worker, reason, runs = [...worker.runs.values()]) => {
+            const lost = new Set(runs);
+            const crashed = crashedRuns(worker, clock.monotonicMs()).filter(({ task, run }) =>
+                task.runs.some(each => each.run === run && lost.has(each))
+            );
             const nowMs = clock.monotonicMs();
             for (const run of runs) {
                 const { job } = run.task.step.occurrence;
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -84,6 +84,7 @@
 export * from "./core/shard/taskReview.js";
 export * from "./core/shard/taskWait.js";
 export * from "./core/shard/trials.js";
+export * from "./core/shard/unansweredStart.js";
 export * from "./core/shard/upkeep.js";
 export * from "./core/shard/urgency.js";
 export * from "./core/shard/waveRows.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -208,6 +208,7 @@
     waveStates,
 } from "./internal.js";
 export { createRunOrders, type RunOrders, type RunOrdersOptions } from "./internal.js";
+export { holdsForOneIncarnation, mayArrive } from "./internal.js";
 export { allowsStart, noteStartAnswered, noteStartUnanswered } from "./internal.js";
 export { createLookSlots, type LookSlots } from "./internal.js";
 export { openWorkerLink, type WorkerLink, type WorkerLinkOptions } from "./internal.js";
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./serve.js";
 export * from "./shard/brokenShardParts.js";
 export * from "./shard/capCheck.js";
+export * from "./shard/delayedStart.js";
 export * from "./shard/exploreSeed.js";
 export * from "./shard/fakeVms.js";
 export * from "./shard/fencedWorkers.js";
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -552,7 +552,11 @@
             log: writer,
             meter: quietMeter,
             random,
-            settings: { ...defaultShardSettings, policies: policies ?? defaultShardSettings.policies },
+            settings: {
+                ...defaultShardSettings,
+                ticketsNameIncarnation: checksTickets,
+                policies: policies ?? defaultShardSettings.policies,
+            },
             self: {
                 memberId,
                 address: memberId,
