No start counts on an entry from before an outage of the store that is listed no more after it

Cause: a worker that is listed no more was used for 2.5 s after the list that lacks it, however old the list before was; and a planned run was sent without asking whether its worker is still listed at all.

Why it holds: a worker counts as missing since 2 s after the last list that had it, so that an entry older than 4.5 s is used by nobody (a worker that shrinks may be started on for as long), and the same question is asked when a planned run is sent. Entries that lapsed with a short outage go on being used as before.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -224,6 +224,7 @@
             | 28   | end    |
             | 3    | last   |
             | 5    | last   |
+            | 7092 | last   |
 
     Scenario Outline: VMs of daemons are suspended, which their steady clocks do not count, seed <seed>
         When the seed <seed> is explored on a shard whose daemons' VMs are suspended
--- a/features/shard.feature
+++ b/features/shard.feature
@@ -329,6 +329,20 @@
             | store refuses                           |
             | owner cut from the store                |
 
+    # Its entry of before the outage was used for 2.5 s after a list without it: it had shrunk long before, and its newer entry lapsed too.
+    Scenario: A worker that shrank in an outage of the store, and is listed no more after it, is not started on as it was before
+        Given a cell of 3 daemons and 2 workers
+        When 4 jobs of steps "4, 8 after 0" are submitted
+        And the shard runs for 300 ms
+        And the fault "store hangs" comes
+        And a worker shrinks to an eighth, and its entry lapses after 5000 ms
+        And the shard runs for 7000 ms
+        And the fault goes
+        And the shard runs for 1900 ms
+        And the workers are listed again
+        Then all jobs are "completed" within 30000 ms
+        And no promise was broken
+
     Scenario: Workers that were cut off, and whose entries lapsed, take tasks again once they are listed again
         Given a cell of 3 daemons and 4 workers
         When 1 jobs of steps "4 long running" are submitted
--- a/features/steps/shardFaultSteps.ts
+++ b/features/steps/shardFaultSteps.ts
@@ -133,6 +133,20 @@
     }
 });
 
+When(
+    "a worker shrinks to an eighth, and its entry lapses after {int} ms",
+    function(this: ScenarioWorld, lapsesMs: number) {
+        const cell = cellOf(this);
+        const [workerId = ""] = cell.workers.workerIds();
+        cell.resize([workerId], 1 / 8);
+        cell.clock.setTimer(lapsesMs, () => cell.unlist(workerId));
+    },
+);
+
+When("the workers are listed again", function(this: ScenarioWorld) {
+    cellOf(this).listWorkers();
+});
+
 When("the fault goes", function(this: ScenarioWorld) {
     for (const mend of part(this).mend.splice(0)) {
         mend();
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -325,7 +325,7 @@
                 store,
                 table: platform.workerTable,
                 readWorker: row => reader.entryOf(row, platform.readWorker(row)),
-                onWorkers: (entries, unreadable) => shard.updateWorkers(entries, unreadable),
+                onWorkers: (entries, unreadable) => shard.updateWorkers(entries, unreadable, workerWatch?.ageMs() ?? 0),
             });
             return true;
         }
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -51,7 +51,7 @@
 import { createTaskReview } from "./taskReview.js";
 import { startUpkeep, type Upkeep } from "./upkeep.js";
 import { createWaveRows } from "./waveRows.js";
-import { dropRun, stillFits } from "./workerTable.js";
+import { dropRun, isListed, stillFits } from "./workerTable.js";
 
 /** What a shard's owner needs. */
 export interface ShardOwnerOptions {
@@ -93,9 +93,8 @@
     /** Jobs accepted of which no task has started, by queue. */
     pending(): Readonly<Record<string, number>>;
     updateConfiguration(configuration: CellConfiguration): void;
-    /** All workers that the platform lists now. */
-    /** The workers that are listed; one whose row cannot be read gets no new work from now on. */
-    updateWorkers(entries: readonly WorkerEntry[], unreadable: ReadonlySet<string>): void;
+    /** All workers that are listed now, those whose entries cannot be read, and how old the list before may have been. */
+    updateWorkers(entries: readonly WorkerEntry[], unreadable: ReadonlySet<string>, formerAgeMs: number): void;
     /** All waves of upkeep that the operator asks for. */
     updateWaves(waves: readonly UpkeepWave[]): void;
     wake(): void;
@@ -318,7 +317,7 @@
         const worker = workers.all.get(run.workerId);
         return worker !== undefined && run.phase === runPhases.planned && run.task.runs.includes(run)
             && !run.task.done && !worker.entry.draining && !worker.cordoned && worker.silentLooks === 0
-            && stillFits(worker, run);
+            && isListed(worker, clock.monotonicMs()) && stillFits(worker, run);
     };
 
     const startPlanned = (job: ShardJob, runs: readonly ShardRun[]): void => {
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -53,8 +53,8 @@
     expect(runs: readonly StoredRun[]): void;
     /** Runs that were lost under a former owner with workers that may have crashed. */
     recallLosses(losses: readonly RestoredLoss[]): void;
-    /** All workers that the platform lists now. */
-    update(entries: readonly WorkerEntry[], unreadable?: ReadonlySet<string>): void;
+    /** All workers that the platform lists now, and how old the list before may have been. */
+    update(entries: readonly WorkerEntry[], unreadable?: ReadonlySet<string>, formerAgeMs?: number): void;
     start(run: ShardRun, ticket: string): void;
     /** Stops a run, or lets go of one that was only planned. */
     stop(run: ShardRun): void;
@@ -65,6 +65,9 @@
     close(): void;
 }
 
+/** An entry that is no older than this may be used on; with the time for which one that lapsed is, it stays below 4.5 s. */
+const trustedListMs = 2_000;
+
 /** Stands for a worker that has runs and is not listed: no order can reach it and nothing fits on it. */
 const unlistedEntry: WorkerEntry = {
     workerId: "",
@@ -418,7 +421,13 @@
         }
     };
 
-    const updateWorkers = (entries: readonly WorkerEntry[], unreadable: ReadonlySet<string> = new Set()): void => {
+    const updateWorkers = (
+        entries: readonly WorkerEntry[],
+        unreadable: ReadonlySet<string> = new Set(),
+        formerAgeMs = 0,
+    ): void => {
+        // After an outage the former list may be old, and a worker that lapsed meanwhile may have shrunk before it did.
+        const missingSinceMs = clock.monotonicMs() - Math.max(0, formerAgeMs - trustedListMs);
         listing = new Map(entries.map(entry => [entry.workerId, entry]));
         // The entry of a life that is over may outlast the one of the life after it, which has not ended for that.
         const byAddress = new Map(
@@ -454,7 +463,7 @@
             // An entry that lapsed may be back soon; one that cannot be read names a worker that must not be used.
             worker.unlistedAtMs = unreadable.has(worker.workerId)
                 ? -Infinity
-                : worker.unlistedAtMs ?? clock.monotonicMs();
+                : worker.unlistedAtMs ?? missingSinceMs;
             const next = byAddress.get(worker.entry.address);
             if (next !== undefined && next !== worker.workerId) {
                 loseWorker(worker, "addressTaken");
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -224,6 +224,15 @@
 /** Looks without an answer after which a worker gets no new work. */
 const silentLooksToAvoid = 1;
 
+/**
+ * Tells whether what the list last said of a worker may be used: it is listed, or was until just now.
+ *
+ * @example
+ * isListed(worker, clock.monotonicMs());
+ */
+export const isListed = ({ unlistedAtMs }: ShardWorker, nowMs: number): boolean =>
+    unlistedAtMs === undefined || nowMs - unlistedAtMs < unlistedGraceMs;
+
 /**
  * Tells whether a worker may get new work now, or does so within a given time if it only rests.
  *
@@ -231,7 +240,7 @@
  * isOpen(worker, clock.monotonicMs());
  */
 export const isOpen = (worker: ShardWorker, nowMs: number, restLeadMs = 0): boolean =>
-    (worker.unlistedAtMs === undefined || nowMs - worker.unlistedAtMs < unlistedGraceMs) && worker.certain
+    isListed(worker, nowMs) && worker.certain
     && !worker.entry.draining && !worker.cordoned && worker.clock !== undefined
     && worker.silentLooks < silentLooksToAvoid && worker.avoidUntilMs <= nowMs
     && worker.restsUntilMs <= nowMs + restLeadMs && allowsStart(worker);
