--- a/features/crashing.feature
+++ b/features/crashing.feature
@@ -4,7 +4,7 @@
     # done: a task of it crashed each worker that started it, some milliseconds after the start. The worker was back 3.4 s later
     # under another id; its runs were lost with its former life, and 0.05 s later the task was placed on the next one. What is
     # lost with its worker has no end, so that nothing was counted: the task had been started 30 to 60 times, and each time all
-    # that ran beside it went too. The owner's lines of the lost runs showed it: every one of them lost with "otherLife", no end of
+    # that ran beside it went too. The owner's lines of the lost runs showed it: every one of them lost with "otherIncarnation", no end of
     # the task ever listed, and one owner all the while.
     Scenario Outline: A task that has crashed three workers is started twice more at the most, a job of steps "<steps>"
         Given a cell of 3 daemons and 8 workers
--- a/features/examples.feature
+++ b/features/examples.feature
@@ -89,21 +89,21 @@
             | heldUp               | after 2100, 3100 ms                     |
             | askAdvice            | may run on i-1                          |
             | shardOwner           | 5c0e7a21d94b36f8 is queued              |
-            | shardWorkers         | 1 worker, then 0, as its life was over  |
+            | shardWorkers         | 1 worker, then 0, as its incarnation was over  |
             | shardSettings        | leases of 5000 ms                       |
             | shardTables          | sequence                                |
             | readRows             | 120 rows                                |
             | readiness            | ready, notReady, withoutOwner           |
             | crashes              | 1 crash, then 0                         |
             | lostRuns             | 1 run was lost with i-1                 |
-            | falls                | 1 worker fell                           |
-            | lives                | i-1, then another life; maybe the same  |
+            | correlatedCrashes    | 1 worker fell silent                    |
+            | incarnations         | i-1, then another one; maybe the same   |
             | delayedStarts           | 1 order, then none                      |
             | unansweredStart      | it may arrive at 2000 ms, not at 9000 ms; one with a ticket of one incarnation is settled by a look |
             | lookSlots            | 10 ms, 15 ms, 20 ms, 20 ms |
             | startBreaker         | 100 ms without starts, then one at a time, then all |
             | runOrders            | 1 order without an answer, 1 look under token 8 |
-            | nextLife             | 1 of 2 runs may be there, settled by its next look; 2 may have crashed the life before |
+            | nextIncarnation      | 1 of 2 runs may be there, settled by its next look; 2 may have crashed the incarnation before |
             | trials               | 1 task, by itself                       |
             | shortOffices         | 4 times, then 1                         |
             | tableWatch           | configuration seen                      |
--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -168,7 +168,7 @@
     # Orders came within 0.1 s of a life's beginning and 0.1 s before the owner's next look.
     Scenario Outline: A worker that was down for <ms> ms is soon looked at where <starts> orders may be under way to it
         When a worker is down for <ms> ms, and <starts> starts there got no answer
-        Then a look reaches its next life within <within> ms
+        Then a look reaches its next incarnation within <within> ms
 
         Examples:
             | ms    | starts | within |
@@ -181,7 +181,7 @@
     # A successor looked at such a worker each 250 ms, and orders of its predecessor were carried out in between.
     Scenario Outline: A worker that was down for <ms> ms is soon looked at where orders of a former owner may be under way to it
         When a worker is down for <ms> ms that has a former owner's run which no look has shown
-        Then a look reaches its next life within 10 ms
+        Then a look reaches its next incarnation within 10 ms
 
         Examples:
             | ms  |
--- a/features/steps/examples/shard.ts
+++ b/features/steps/examples/shard.ts
@@ -1,7 +1,7 @@
 /** Examples of the parts of a shard; each is a complete embedding of one module. */
 
+import { shardIncarnationExamples } from "./shardIncarnations.js";
 import { shardJobExamples } from "./shardJobs.js";
-import { shardLifeExamples } from "./shardLives.js";
 import { shardOwnerExamples } from "./shardOwners.js";
 import { shardPlacementExamples } from "./shardPlacement.js";
 import { shardRowExamples } from "./shardRows.js";
@@ -10,7 +10,7 @@
 /** One example for each module of `core/shard`, by the module's name. */
 export const shardExamples: Readonly<Record<string, () => string | Promise<string>>> = {
     ...shardJobExamples,
-    ...shardLifeExamples,
+    ...shardIncarnationExamples,
     ...shardWorkerExamples,
     ...shardOwnerExamples,
     ...shardPlacementExamples,
--- a/features/steps/examples/shardLives.ts
+++ b/features/steps/examples/shardIncarnations.ts
@@ -1,4 +1,4 @@
-/** Examples of the lives of workers and what is told from their ends; each is an embedding of one module. */
+/** Examples of the incarnations of workers and what is told from their ends; each is an embedding of one module. */
 
 import { createFakeClock, quietLog, quietMeter } from "@puffinarch/stand-ins";
 import {
@@ -6,17 +6,17 @@
     allowsStart,
     countCrash,
     crashedRuns,
+    createCorrelatedCrashes,
     createDelayedStarts,
-    createFalls,
     createLookSlots,
     createLostRuns,
     createRunOrders,
-    enterLife,
+    enterIncarnation,
     holdsForOneIncarnation,
-    isOtherLife,
+    incarnationOf,
+    isOtherIncarnation,
     isSettledByLook,
-    leaveLife,
-    lifeOf,
+    leaveIncarnation,
     mayArrive,
     noteStartAnswered,
     noteStartUnanswered,
@@ -129,13 +129,13 @@
     return `${delayedStarts.of("i-1").length} order without an answer, ${looks} look under token ${token}`;
 };
 
-const lives = (): string => {
-    const { workerId, bornAtMs } = lifeOf({ ...openWorker(), bornAtMs: 1_000 });
-    const next = isOtherLife(bornAtMs, 900) ? "another life" : "the same life";
-    return `${workerId}, then ${next}; ${isOtherLife(undefined, 900) ? "another" : "maybe the same"}`;
+const incarnations = (): string => {
+    const { workerId, bornAtMs } = incarnationOf({ ...openWorker(), bornAtMs: 1_000 });
+    const next = isOtherIncarnation(bornAtMs, 900) ? "another one" : "the same one";
+    return `${workerId}, then ${next}; ${isOtherIncarnation(undefined, 900) ? "another" : "maybe the same"}`;
 };
 
-const nextLife = (): string => {
+const nextIncarnation = (): string => {
     const clock = createFakeClock();
     const former = { ...openWorker(), bornAtMs: 500 };
     const job = exampleJob();
@@ -143,34 +143,34 @@
     adoptRun(former, shown);
     adoptRun(former, unshown);
     const delayed = createDelayedStarts(clock);
-    const left = leaveLife(former, delayed, 1_000);
-    const next = enterLife(former, left, { bornAtMs: 900, listed: undefined, horizonMs: 11_000, nowMs: 1_000 });
+    const left = leaveIncarnation(former, delayed, 1_000);
+    const next = enterIncarnation(former, left, { bornAtMs: 900, listed: undefined, horizonMs: 11_000, nowMs: 1_000 });
     const settled = isSettledByLook(unshown, delayed) ? "by its next look" : "by a stop";
     const suspects = withUndecided(next, left.suspects).length;
-    return `${next.runs.size} of 2 runs may be there, settled ${settled}; ${suspects} may have crashed the life before`;
+    return `${next.runs.size} of 2 runs may be there, settled ${settled}; ${suspects} may have crashed the incarnation before`;
 };
 
-const falls = (): string => {
-    const all = createFalls();
+const correlatedCrashes = (): string => {
+    const all = createCorrelatedCrashes();
     const first = { workerId: "i-1", bornAtMs: 500 };
     const second = { workerId: "i-2", bornAtMs: 500 };
     all.note(first, 1_000, []);
     all.note(second, 1_100, []);
     all.answered(second);
     all.answered({ ...first, bornAtMs: 1_200 });
-    return `${all.othersAt(1_050, exampleJob())} worker fell`;
+    return `${all.othersAt(1_050, exampleJob())} worker fell silent`;
 };
 
-/** Examples of the modules about lives of workers, by the module's name. */
-export const shardLifeExamples: Readonly<Record<string, () => string | Promise<string>>> = {
+/** Examples of the modules about incarnations of workers, by the module's name. */
+export const shardIncarnationExamples: Readonly<Record<string, () => string | Promise<string>>> = {
     crashes,
     lostRuns,
-    lives,
+    incarnations,
     delayedStarts,
     unansweredStart,
     lookSlots,
     startBreaker,
     runOrders,
-    nextLife,
-    falls,
+    nextIncarnation,
+    correlatedCrashes,
 };
--- a/features/steps/examples/shardWorkers.ts
+++ b/features/steps/examples/shardWorkers.ts
@@ -190,7 +190,7 @@
         ticketsNameIncarnation: false,
         onLook: async () => {},
         onSilent: () => {},
-        onLifeOver: () => {},
+        onIncarnationOver: () => {},
         onRestarted: () => {},
         onFenced: () => {},
         onNotStarted: () => {},
@@ -213,12 +213,12 @@
             start: async () => "done",
             stop: async () => "done",
             pace: async () => "done",
-            look: async () => ({ outcome: "otherLife" }),
+            look: async () => ({ outcome: "otherIncarnation" }),
         },
         fencingToken: 7,
         jobOf: () => undefined,
         changed: async () => {},
-        onNextLife: () => {},
+        onNextIncarnation: () => {},
         onStarted: () => {},
         wake: () => {},
         onKnown: () => {},
@@ -227,7 +227,7 @@
     workers.update([workerEntry("i-1", 1)]);
     const before = workers.all.size;
     await clock.advance(100);
-    return `${before} worker, then ${workers.all.size}, as its life was over`;
+    return `${before} worker, then ${workers.all.size}, as its incarnation was over`;
 };
 
 const workerList = async (): Promise<string> => {
--- a/features/steps/restSteps.ts
+++ b/features/steps/restSteps.ts
@@ -157,7 +157,7 @@
             fencingToken: 7,
             jobOf: jobId => jobs.get(jobId),
             changed: async () => {},
-            onNextLife: () => {},
+            onNextIncarnation: () => {},
             onStarted: () => {},
             wake: () => {},
             onKnown: () => {},
--- a/features/steps/tokenSteps.ts
+++ b/features/steps/tokenSteps.ts
@@ -91,7 +91,7 @@
         ticketsNameIncarnation: false,
         onLook,
         onSilent: () => {},
-        onLifeOver: () => {},
+        onIncarnationOver: () => {},
         onRestarted: () => {},
         delayedStarts,
         onFenced: () => {
@@ -207,7 +207,7 @@
     },
 );
 
-Then("a look reaches its next life within {int} ms", function(this: ScenarioWorld, limitMs: number) {
+Then("a look reaches its next incarnation within {int} ms", function(this: ScenarioWorld, limitMs: number) {
     const { metAfterMs } = part(this);
     assert.ok(metAfterMs !== undefined && metAfterMs <= limitMs, `met after ${metAfterMs} ms`);
 });
--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -235,7 +235,7 @@
     },
 );
 
-Then("the worker's life began at {int}", function(this: ScenarioWorld, bornAtMs: number) {
+Then("the worker's incarnation began at {int}", function(this: ScenarioWorld, bornAtMs: number) {
     assert.equal(part(this).worker?.bornAtMs, bornAtMs);
 });
 
--- a/features/usersPlatform.feature
+++ b/features/usersPlatform.feature
@@ -17,7 +17,7 @@
             | 409    | {"clock_ms":1,"reason":"ticket"}    | badTicket |
             | 409    | {"clock_ms":1,"reason":"something"} | unknown   |
             | 400    | {}                                  | invalid   |
-            | 421    | {}                                  | otherLife |
+            | 421    | {}                                  | otherIncarnation |
             | 429    | {}                                  | unhealthy |
             | 503    | {}                                  | unhealthy |
             | 500    | {}                                  | unknown   |
@@ -119,7 +119,7 @@
         And an executor's row is '{"backend":"b1","address":"10.0.0.9:80","zone":"leon-feria","state":"draining","drain_remaining_ms":900,"capacity":{"cpu":16000,"mem_mb":32768},"labels":["a","r1-3"],"sequence":4,"born":1768565282669}'
         Then the configuration has version 7 and the queue "nony24.example/a/" of service "b1", priority 2, 3 attempts
         And the worker has 16000 cpuMillis, rack "r1-3", and drains with 900 ms left
-        And the worker's life began at 1768565282669
+        And the worker's incarnation began at 1768565282669
 
     Scenario Outline: A caller sends <method> <path>
         Given the callers' side of a daemon
--- a/packages/puffinarch/src/core/shard/askAhead.ts
+++ b/packages/puffinarch/src/core/shard/askAhead.ts
@@ -4,7 +4,7 @@
 
 /** A call that costs less than this is asked for as soon as the steps before have started. */
 const quickCostMs = 150;
-/** The estimate may be off by half; beyond this share of the tickets' life they would end too soon. */
+/** The estimate may be off by half; beyond this share of the tickets' validity they would end too soon. */
 const estimateShare = 0.6;
 /** Share of the tasks before that may still be open when a dear call is made. */
 const openShare = 0.25;
--- a/packages/puffinarch/src/core/shard/falls.ts
+++ b/packages/puffinarch/src/core/shard/correlatedCrashes.ts
@@ -4,15 +4,15 @@
  */
 
 import type { CrashedRun } from "./crashes.js";
+import { incarnationKey, type WorkerIncarnation } from "./incarnations.js";
 import type { ShardJob } from "./jobBook.js";
-import { lifeKey, type WorkerLife } from "./lives.js";
 
 /** Remembers how workers fell silent. */
-export interface Falls {
-    /** A life of a worker has fallen silent, with these runs that had just been started. */
-    note(life: WorkerLife, atMs: number, runs: readonly CrashedRun[]): void;
-    /** This life answers: it had not crashed. One that answers under its id later says nothing of it. */
-    answered(life: WorkerLife): void;
+export interface CorrelatedCrashes {
+    /** An incarnation of a worker has fallen silent, with these runs that had just been started. */
+    note(incarnation: WorkerIncarnation, atMs: number, runs: readonly CrashedRun[]): void;
+    /** This incarnation answers: it had not crashed. One that answers under its id later says nothing of it. */
+    answered(incarnation: WorkerIncarnation): void;
     /** Workers that fell at the same moment and had no task of the job that had just been started. */
     othersAt(atMs: number, job: ShardJob): number;
 }
@@ -31,27 +31,30 @@
  * Makes the memory of one owner.
  *
  * @example
- * const falls = createFalls();
- * falls.note({ workerId: "i-1", bornAtMs: undefined }, 1_000, []);
- * falls.othersAt(1_050, job); // 1
+ * const correlatedCrashes = createCorrelatedCrashes();
+ * correlatedCrashes.note({ workerId: "i-1", bornAtMs: undefined }, 1_000, []);
+ * correlatedCrashes.othersAt(1_050, job); // 1
  */
-export const createFalls = (): Falls => {
-    const byLife = new Map<string, Fall>();
+export const createCorrelatedCrashes = (): CorrelatedCrashes => {
+    const byIncarnation = new Map<string, Fall>();
     return {
-        note: (life, atMs, runs) => {
-            for (const [known, fall] of byLife) {
+        note: (incarnation, atMs, runs) => {
+            for (const [known, fall] of byIncarnation) {
                 if (atMs - fall.atMs > keptMs) {
-                    byLife.delete(known);
+                    byIncarnation.delete(known);
                 }
             }
-            byLife.set(lifeKey(life), { atMs, jobs: new Set(runs.map(({ task }) => task.step.occurrence.job)) });
+            byIncarnation.set(incarnationKey(incarnation), {
+                atMs,
+                jobs: new Set(runs.map(({ task }) => task.step.occurrence.job)),
+            });
         },
-        answered: life => {
-            byLife.delete(lifeKey(life));
+        answered: incarnation => {
+            byIncarnation.delete(incarnationKey(incarnation));
         },
         othersAt: (atMs, job) => {
             let others = 0;
-            for (const fall of byLife.values()) {
+            for (const fall of byIncarnation.values()) {
                 others += Math.abs(fall.atMs - atMs) <= sameMomentMs && !fall.jobs.has(job) ? 1 : 0;
             }
             return others;
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -35,7 +35,7 @@
     readonly task: ShardTask;
     readonly run: number;
     readonly workerId: string;
-    /** When the life that it was planned for began, or a later one that does not have it; undefined where that is not known. */
+    /** When the incarnation that it was planned for began, or a later one that does not have it; undefined where that is not known. */
     bornAtMs: number | undefined;
     /** Where its worker was reached when it was planned; empty where that is not known. */
     readonly address: string;
@@ -46,7 +46,7 @@
     sentAtMs: number | undefined;
     /** Local time from which a look that does not list it proves that it is gone; undefined before an answer. */
     settledAtMs: number | undefined;
-    /** Whether a look at its worker has listed it; until then the life that carried it out is not known. */
+    /** Whether a look at its worker has listed it; until then the incarnation that carried it out is not known. */
     shown: boolean;
     /**
      * Local time until which its order may be carried out by any incarnation of its worker; undefined once it was answered, and where
@@ -168,7 +168,7 @@
     queue: Queue;
     /** Milliseconds since the Unix epoch. */
     readonly acceptedAtMs: number;
-    /** Order of acceptance within the shard's life. */
+    /** Order of acceptance since the shard has existed. */
     readonly order: number;
     readonly occurrences: Map<number, ShardOccurrence>;
     /** Occurrences that are done, and therefore no longer kept. */
@@ -530,7 +530,7 @@
 };
 
 /**
- * Forgets what a job knows of a worker's former life: tickets hold for one life, and the next one has failed no task.
+ * Forgets what a job knows of a worker's former incarnation: tickets hold for one incarnation, and the next one has failed no task.
  *
  * @example
  * forgetWorker(job, "i-7f3a91c2");
--- a/packages/puffinarch/src/core/shard/jobRowSchemas.ts
+++ b/packages/puffinarch/src/core/shard/jobRowSchemas.ts
@@ -131,8 +131,8 @@
     failed: z.array(failedTaskSchema, "tasks that failed").default([]),
     /** Where the workers of its live runs are reached, by id. */
     addresses: z.record(z.string(), text, "addresses of workers").default({}),
-    /** When the lives of these workers began that the runs were planned for, by id; none where lives are told by their ids. */
-    lives: z.record(z.string(), whole, "beginnings of lives").default({}),
+    /** When the incarnations of these workers began that the runs were planned for, by id; none where incarnations are told by their ids. */
+    lives: z.record(z.string(), whole, "beginnings of incarnations").default({}),
     /** When it was written, in milliseconds since the Unix epoch: what is not said to be unanswered may have been sent right after. */
     writtenAtMs: z.number("a time").default(0),
     /** Live runs whose start got no answer. */
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -49,7 +49,7 @@
     readonly taskName: string;
     readonly run: number;
     readonly workerId: string;
-    /** When the worker's life began; undefined where the row does not say. */
+    /** When the worker's incarnation began; undefined where the row does not say. */
     readonly bornAtMs: number | undefined;
     /** Where the worker is reached; empty where the row does not say. */
     readonly address: string;
@@ -137,21 +137,21 @@
 };
 
 /**
- * With the address a successor knows at once that a worker of which the list has another life crashed; it would else wait
+ * With the address a successor knows at once that a worker of which the list has another incarnation crashed; it would else wait
  * for 7.6 s of leases, and count nothing.
  */
 const encodeAddresses = (job: ShardJob): Readonly<Record<string, string>> =>
     Object.fromEntries([...runsOf(job)].map(({ workerId, address }) => [workerId, address]));
 
-/** A successor knows by them which runs were for a life that is over by now, and that its worker crashed under them. */
-const encodeLives = (job: ShardJob): Readonly<Record<string, number>> => {
-    const lives: Record<string, number> = {};
+/** A successor knows by them which runs were for an incarnation that is over by now, and that its worker crashed under them. */
+const encodeIncarnations = (job: ShardJob): Readonly<Record<string, number>> => {
+    const incarnations: Record<string, number> = {};
     for (const { workerId, bornAtMs } of runsOf(job)) {
         if (bornAtMs !== undefined) {
-            lives[workerId] = bornAtMs;
+            incarnations[workerId] = bornAtMs;
         }
     }
-    return lives;
+    return incarnations;
 };
 
 /** A successor would else start a task elsewhere as soon as a look does not list its run. */
@@ -174,7 +174,7 @@
         lost: encodeLosses(job),
         failed: encodeFailed(job),
         addresses: encodeAddresses(job),
-        lives: encodeLives(job),
+        lives: encodeIncarnations(job),
         writtenAtMs: clock.nowMs(),
         unanswered: [...encodeUnanswered(job, clock)],
         done: [...job.doneOccurrences],
--- a/packages/puffinarch/src/core/shard/lostRuns.ts
+++ b/packages/puffinarch/src/core/shard/lostRuns.ts
@@ -5,8 +5,8 @@
  */
 
 import type { CrashedRun } from "./crashes.js";
+import { isOtherIncarnation, type WorkerIncarnation } from "./incarnations.js";
 import type { ShardJob } from "./jobBook.js";
-import { isOtherLife, type WorkerLife } from "./lives.js";
 
 /** A worker by its ID, and where it was reached. */
 export interface LostWorker {
@@ -19,7 +19,7 @@
     /** The leases of a silent worker are over, with these runs. */
     lose(worker: LostWorker, runs: readonly CrashedRun[], nowMs: number): void;
     /** The worker has answered; gives the runs that were lost with another incarnation of it. */
-    answered(life: WorkerLife): readonly CrashedRun[];
+    answered(incarnation: WorkerIncarnation): readonly CrashedRun[];
     /** Another worker is at the address; gives the runs that were lost with the one before. */
     replaced(address: string, nextId: string): readonly CrashedRun[];
 }
@@ -76,7 +76,8 @@
             }
             byWorker.set(workerId, { address, runs: [...byWorker.get(workerId)?.runs ?? [], ...runs] });
         },
-        answered: ({ workerId, bornAtMs }) => settle(workerId).filter(lost => isOtherLife(lost.bornAtMs, bornAtMs)),
+        answered: ({ workerId, bornAtMs }) =>
+            settle(workerId).filter(lost => isOtherIncarnation(lost.bornAtMs, bornAtMs)),
         replaced: (address, nextId) => {
             const found: CrashedRun[] = [];
             for (const [workerId, lost] of byWorker) {
--- a/packages/puffinarch/src/core/shard/nextLife.ts
+++ b/packages/puffinarch/src/core/shard/nextIncarnation.ts
@@ -1,39 +1,39 @@
 /**
- * What follows when a worker answers as another life under its id: which runs of the life before are surely over with it, which of
- * them the next life may have, and what may have crashed it.
+ * What follows when a worker answers as another incarnation under its id: which runs of the incarnation before are surely over with it, which of
+ * them the next incarnation may have, and what may have crashed it.
  */
 
 import type { WorkerEntry } from "../../types/work.js";
 import { type CrashedRun, crashedRuns, needsTrial } from "./crashes.js";
 import type { DelayedStarts } from "./delayedStarts.js";
+import { isOtherIncarnation } from "./incarnations.js";
 import { runPhases, type ShardRun } from "./jobBook.js";
-import { isOtherLife } from "./lives.js";
 import { adoptRun, newWorker, releaseRun, runKey, type ShardWorker } from "./workerTable.js";
 
-/** What is left of a life that is over. */
-export interface LeftLife {
-    /** Runs that the next life may have; all others are over. */
+/** What is left of an incarnation that is over. */
+export interface FormerIncarnation {
+    /** Runs that the next incarnation may have; all others are over. */
     readonly carried: readonly ShardRun[];
     /** What may have crashed it, of the runs that are over. */
     readonly suspects: readonly CrashedRun[];
-    /** The same of the runs that the next life may have. */
+    /** The same of the runs that the next incarnation may have. */
     readonly undecided: readonly CrashedRun[];
 }
 
 const isUnderWay = ({ task, run, workerId }: ShardRun, delayedStarts: DelayedStarts): boolean =>
     delayedStarts.has(workerId, { taskName: task.name, run });
 
-/** It was answered by one of the two lives and neither has listed it, or an order for it may still be under way. */
+/** It was answered by one of the two incarnations and neither has listed it, or an order for it may still be under way. */
 const mayBeNext = (run: ShardRun, delayedStarts: DelayedStarts): boolean =>
     run.phase !== runPhases.planned
     && (!run.shown || run.phase === runPhases.starting || isUnderWay(run, delayedStarts));
 
-/** Its task waits until its order cannot come any more, whichever life has the worker's ID by then. */
+/** Its task waits until its order cannot come any more, whichever incarnation has the worker's ID by then. */
 const isAwaited = ({ phase, mayArriveUntilMs }: ShardRun): boolean =>
     phase === runPhases.starting && mayArriveUntilMs !== undefined;
 
 /**
- * Tells whether the next look at the next life settles a run that it may have; any other run has to be stopped there, so
+ * Tells whether the next look at the next incarnation settles a run that it may have; any other run has to be stopped there, so
  * that an order for it is refused when it comes.
  *
  * @example
@@ -43,7 +43,7 @@
     isAwaited(run) || run.phase === runPhases.running && !isUnderWay(run, delayedStarts);
 
 /**
- * Adds what is undecided of the life before to what may have crashed a worker; such runs do not count for both lives.
+ * Adds what is undecided of the incarnation before to what may have crashed a worker; such runs do not count for both incarnations.
  *
  * @example
  * countCrashes(worker, withUndecided(worker, crashedRuns(worker, clock.monotonicMs())));
@@ -57,12 +57,16 @@
 ];
 
 /**
- * Takes from a life that is over the runs that the next one may have.
+ * Takes from an incarnation that is over the runs that the next one may have.
  *
  * @example
- * const { carried } = leaveLife(worker, createDelayedStarts(clock), clock.monotonicMs());
+ * const { carried } = leaveIncarnation(worker, createDelayedStarts(clock), clock.monotonicMs());
  */
-export const leaveLife = (former: ShardWorker, delayedStarts: DelayedStarts, nowMs: number): LeftLife => {
+export const leaveIncarnation = (
+    former: ShardWorker,
+    delayedStarts: DelayedStarts,
+    nowMs: number,
+): FormerIncarnation => {
     const all = withUndecided(former, crashedRuns(former, nowMs));
     const carried = new Map([...former.runs].filter(([, run]) => mayBeNext(run, delayedStarts)));
     for (const run of carried.values()) {
@@ -76,36 +80,36 @@
     };
 };
 
-/** The next life as its first answer tells of it. */
-export interface NextLife {
+/** The next incarnation as its first answer tells of it. */
+export interface NextIncarnation {
     readonly bornAtMs: number | undefined;
     /** The platform's entry for the worker; undefined where it is not listed. */
     readonly listed: WorkerEntry | undefined;
-    /** Local time by which every lease is over that orders for the life before may have brought it. */
+    /** Local time by which every lease is over that orders for the incarnation before may have brought it. */
     readonly horizonMs: number;
     /** Local time. */
     readonly nowMs: number;
 }
 
 /**
- * Makes the next life of a worker, with the runs that it may have.
+ * Makes the next incarnation of a worker, with the runs that it may have.
  *
  * @example
- * const next = enterLife(former, leaveLife(former, delayedStarts, nowMs), { bornAtMs, listed, horizonMs, nowMs });
+ * const next = enterIncarnation(former, leaveIncarnation(former, delayedStarts, nowMs), { bornAtMs, listed, horizonMs, nowMs });
  */
-export const enterLife = (
+export const enterIncarnation = (
     former: ShardWorker,
-    { carried, undecided }: LeftLife,
-    { bornAtMs, listed, horizonMs, nowMs }: NextLife,
+    { carried, undecided }: FormerIncarnation,
+    { bornAtMs, listed, horizonMs, nowMs }: NextIncarnation,
 ): ShardWorker => {
-    const isListed = listed !== undefined && !isOtherLife(listed.bornAtMs, bornAtMs);
+    const isListed = listed !== undefined && !isOtherIncarnation(listed.bornAtMs, bornAtMs);
     const next = newWorker(isListed ? listed : former.entry, horizonMs);
     next.bornAtMs = bornAtMs;
     // It may be of another kind and size; nothing is started there before its own entry says so.
     next.unlistedAtMs = isListed ? undefined : -Infinity;
     for (const run of carried) {
         if (run.absent) {
-            // The life before refused it, so that it did not crash under it.
+            // The incarnation before refused it, so that it did not crash under it.
             run.bornAtMs = bornAtMs;
             run.absent = false;
         }
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -3,8 +3,8 @@
 import { type OrderOutcome, orderOutcomes, type WorkerTarget } from "../../types/cellPorts.js";
 import { sleep } from "../../utils/time.js";
 import type { DelayedStart } from "./delayedStarts.js";
+import { incarnationOf } from "./incarnations.js";
 import { runPhases, type ShardRun } from "./jobBook.js";
-import { lifeOf } from "./lives.js";
 import { noteStartAnswered, noteStartUnanswered } from "./startBreaker.js";
 import { holdsForOneIncarnation } from "./unansweredStart.js";
 import type { WorkerLinkOptions } from "./workerLink.js";
@@ -86,7 +86,7 @@
      * run proves it gone. Sending the order again would leave two of them to be carried out by whoever has the worker's ID then.
      */
     const giveUpStart = async (run: ShardRun, sentToken: number): Promise<void> => {
-        log.write("warn", "startUnanswered", { task: run.task.name, run: run.run, ...lifeOf(worker) });
+        log.write("warn", "startUnanswered", { task: run.task.name, run: run.run, ...incarnationOf(worker) });
         const nowMs = clock.monotonicMs();
         noteStartUnanswered(worker, run.sentAtMs ?? nowMs, nowMs);
         // Without a newer token the order is refused only once its lease would be over.
@@ -118,7 +118,7 @@
             await giveUpStart(run, sentToken);
             return;
         }
-        log.write("warn", "startRefused", { task: run.task.name, run: run.run, ...lifeOf(worker), outcome });
+        log.write("warn", "startRefused", { task: run.task.name, run: run.run, ...incarnationOf(worker), outcome });
         options.onNotStarted(run, outcome);
     };
 
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -266,7 +266,7 @@
         newestToken: () => newestToken,
         jobOf: jobId => jobs.get(jobId),
         changed: job => changed(job),
-        onNextLife: workerId => {
+        onNextIncarnation: workerId => {
             for (const job of jobs.values()) {
                 forgetWorker(job, workerId);
             }
@@ -311,7 +311,7 @@
 
     /**
      * Whether a planned run may be sent now: its worker may have drained, shrunk, fallen silent or gone while the intent was
-     * written. An order to a silent worker is lost, or meets a life that nobody knows yet.
+     * written. An order to a silent worker is lost, or meets an incarnation that nobody knows yet.
      */
     const isStartable = (run: ShardRun): boolean => {
         const worker = workers.all.get(run.workerId);
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -25,7 +25,7 @@
 export interface ShardSettings {
     /** Lease of everything that runs; outlasts a takeover, and ends soon enough to run a lost worker's tasks again. */
     readonly leaseMs: number;
-    /** The longest lease that a worker grants; a deadline on the clock of another life of it gets as much. */
+    /** The longest lease that a worker grants; a deadline on the clock of another incarnation of it gets as much. */
     readonly leaseLimitMs: number;
     /** How long a look may wait for an end; a third of the lease at most, so that two may fail. */
     readonly lookWaitMs: number;
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -1,19 +1,19 @@
-/** The workers of a shard and what runs on them: links, looks, listings, draining, lost lives and leases that are over. */
+/** The workers of a shard and what runs on them: links, looks, listings, draining, lost incarnations and leases that are over. */
 
 import type { FencedWorkerPort } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import type { WorkerEntry } from "../../types/work.js";
 import { sleep } from "../../utils/time.js";
+import { createCorrelatedCrashes } from "./correlatedCrashes.js";
 import { type CrashedRun, crashedRuns, needsTrial, noteConfirmed } from "./crashes.js";
 import { createDelayedStarts, type DelayedStart } from "./delayedStarts.js";
-import { createFalls } from "./falls.js";
 import { createFirstLooks } from "./firstLooks.js";
+import { incarnationOf, isOtherIncarnation } from "./incarnations.js";
 import { findTask, newRun, runPhases, type ShardJob, type ShardRun } from "./jobBook.js";
 import type { RestoredLoss, StoredRun } from "./jobRows.js";
-import { isOtherLife, lifeOf } from "./lives.js";
 import { createLookSlots } from "./lookSlots.js";
 import { createLostRuns } from "./lostRuns.js";
-import { enterLife, isSettledByLook, leaveLife, withUndecided } from "./nextLife.js";
+import { enterIncarnation, isSettledByLook, leaveIncarnation, withUndecided } from "./nextIncarnation.js";
 import { createPacer } from "./pacer.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { holdsForOneIncarnation, mayArrive } from "./unansweredStart.js";
@@ -34,8 +34,8 @@
     readonly jobOf: (jobId: string) => ShardJob | undefined;
     /** The job changed; resolves once it is durable. */
     readonly changed: (job: ShardJob) => Promise<void>;
-    /** A worker has started again: what steps and tasks know of it by its id was of the life before. */
-    readonly onNextLife: (workerId: string) => void;
+    /** A worker has started again: what steps and tasks know of it by its id was of the incarnation before. */
+    readonly onNextIncarnation: (workerId: string) => void;
     /** A task of the job runs. */
     readonly onStarted: (job: ShardJob) => void;
     /** There may be room now. */
@@ -58,7 +58,7 @@
     start(run: ShardRun, ticket: string): void;
     /** Stops a run, or lets go of one that was only planned. */
     stop(run: ShardRun): void;
-    /** The worker's life is surely over: nothing runs there any more. */
+    /** The worker's incarnation is surely over: nothing runs there any more. */
     lose(workerId: string, reason: string): void;
     /** Looks for leases that are over by now. */
     checkLeases(nowMs: number): void;
@@ -84,7 +84,7 @@
  * Makes the workers of a shard; none is known before the first listing.
  *
  * @example
- * const workers = createShardWorkers({ clock, log, meter, settings, port, fencingToken, jobOf, changed, onNextLife, onStarted, wake, onKnown, onFenced });
+ * const workers = createShardWorkers({ clock, log, meter, settings, port, fencingToken, jobOf, changed, onNextIncarnation, onStarted, wake, onKnown, onFenced });
  * workers.update(entries);
  */
 export const createShardWorkers = (options: ShardWorkersOptions): ShardWorkers => {
@@ -92,8 +92,8 @@
     const startedAtMs = clock.monotonicMs();
     const workers = new Map<string, ShardWorker>();
     const links = new Map<string, WorkerLink>();
-    /** Lives that are over, by worker: when the last one of them began. Their entries may still be listed. */
-    const overLives = new Map<string, number | undefined>();
+    /** Incarnations that are over, by worker: when the last one of them began. Their entries may still be listed. */
+    const endedIncarnations = new Map<string, number | undefined>();
     /** The platform's newest list. */
     let listing: ReadonlyMap<string, WorkerEntry> = new Map();
     /** Runs whose intent is durable and whose worker has not been seen yet. */
@@ -104,7 +104,7 @@
     const lookSlots = createLookSlots(clock);
     const touched = new Set<ShardJob>();
     const lostRuns = createLostRuns(job => touched.add(job));
-    const falls = createFalls();
+    const correlatedCrashes = createCorrelatedCrashes();
 
     const stopRun = (run: ShardRun): void => {
         if (run.phase !== runPhases.planned) {
@@ -131,13 +131,13 @@
         meter,
         jobOf,
         onChange: job => touched.add(job),
-        othersAt: falls.othersAt,
+        othersAt: correlatedCrashes.othersAt,
         stop: (worker, run) => links.get(worker.workerId)?.stop(run),
         onStuck: (worker, run) => {
             worker.avoidUntilMs = Math.max(worker.avoidUntilMs, clock.monotonicMs() + settings.stuckWorkerRestMs);
             links.get(worker.workerId)?.stop(run);
         },
-        // This life refuses it by its fencing token, which the next one will not know.
+        // This incarnation refuses it by its fencing token, which the next one will not know.
         onFormerGone: ({ workerId }, { task, run }) => delayedStarts.note(workerId, { taskName: task.name, run }),
         onStartLost: stopRestOfGang,
         onAbsent: (worker, run) => {
@@ -167,16 +167,16 @@
         links.get(worker.workerId)?.close();
         links.delete(worker.workerId);
         workers.delete(worker.workerId);
-        log.write("info", "workerGone", { ...lifeOf(worker), reason, runs: worker.runs.size });
+        log.write("info", "workerGone", { ...incarnationOf(worker), reason, runs: worker.runs.size });
         const crashed = watch.loseRuns(worker, reason);
         void commitTouched();
         return crashed;
     };
 
-    /** A life that drained or went down for upkeep has left, whatever ran there. */
+    /** An incarnation that drained or went down for upkeep has left, whatever ran there. */
     const hasLeft = ({ entry, cordoned }: ShardWorker): boolean => entry.draining || cordoned;
 
-    /** Counts what a life may have crashed by. */
+    /** Counts what an incarnation may have crashed by. */
     const countCrashes = (worker: ShardWorker, crashed: readonly CrashedRun[]): void => {
         if (!hasLeft(worker)) {
             watch.countCrashes(worker.workerId, crashed);
@@ -184,22 +184,22 @@
         }
     };
 
-    const endLife = (worker: ShardWorker, reason: string): void => {
+    const endIncarnation = (worker: ShardWorker, reason: string): void => {
         const crashed = withUndecided(worker, dropWorker(worker, reason));
         countCrashes(worker, [...crashed, ...lostRuns.replaced(worker.entry.address, "")]);
     };
 
-    /** The worker's life is over: what is still listed of it is an entry that has yet to lapse, or to tell of the next one. */
+    /** The worker's incarnation is over: what is still listed of it is an entry that has yet to lapse, or to tell of the next one. */
     const loseWorker = (worker: ShardWorker, reason: string): void => {
-        overLives.set(worker.workerId, worker.bornAtMs ?? worker.entry.bornAtMs);
-        endLife(worker, reason);
+        endedIncarnations.set(worker.workerId, worker.bornAtMs ?? worker.entry.bornAtMs);
+        endIncarnation(worker, reason);
     };
 
     /**
-     * The same worker answers as another life: what the one before had is over with it, and nothing known of it holds on. Nothing is
+     * The same worker answers as another incarnation: what the one before had is over with it, and nothing known of it holds on. Nothing is
      * started in place of the runs that this one may have before it has shown, or refused, them.
      */
-    const beginNextLife = (former: ShardWorker, bornAtMs: number | undefined): void => {
+    const beginNextIncarnation = (former: ShardWorker, bornAtMs: number | undefined): void => {
         const { workerId } = former;
         const nowMs = clock.monotonicMs();
         meter.count("workersRestarted");
@@ -211,15 +211,15 @@
         });
         if (former.silentSinceMs === undefined) {
             // It was back before a look could fail.
-            falls.note(former, nowMs, crashedRuns(former, nowMs));
+            correlatedCrashes.note(former, nowMs, crashedRuns(former, nowMs));
         }
-        const left = leaveLife(former, delayedStarts, nowMs);
-        dropWorker(former, "otherLife");
+        const left = leaveIncarnation(former, delayedStarts, nowMs);
+        dropWorker(former, "otherIncarnation");
         countCrashes(former, [...left.suspects, ...lostRuns.replaced(former.entry.address, "")]);
-        const next = enterLife(former, hasLeft(former) ? { ...left, undecided: [] } : left, {
+        const next = enterIncarnation(former, hasLeft(former) ? { ...left, undecided: [] } : left, {
             bornAtMs,
             listed: listing.get(workerId),
-            // Deadlines on the clock of the life before may have reached this one, whose clock has begun anew.
+            // Deadlines on the clock of the incarnation before may have reached this one, whose clock has begun anew.
             horizonMs: nowMs + settings.leaseLimitMs / slowestClockRate,
             nowMs,
         });
@@ -235,7 +235,7 @@
                 link.stop(run);
             }
         }
-        options.onNextLife(workerId);
+        options.onNextIncarnation(workerId);
         wake();
     };
 
@@ -290,7 +290,7 @@
             onLook: async (seen, look, sentAtMs) => {
                 const wasCertain = seen.certain;
                 watch.countCrashes(seen.workerId, lostRuns.answered(seen));
-                falls.answered(seen);
+                correlatedCrashes.answered(seen);
                 const newest = watch.take(seen, look, sentAtMs);
                 pacer.review(seen, (run, percent) => links.get(seen.workerId)?.pace(run, percent));
                 // A look may list ends again whose commit, begun by an earlier look, is still under way.
@@ -311,13 +311,13 @@
                 const crashed = crashedRuns(silent, nowMs);
                 // All that are silent from the start of an office are noticed at one moment.
                 if (silent.certain) {
-                    falls.note(silent, nowMs, crashed);
+                    correlatedCrashes.note(silent, nowMs, crashed);
                 }
                 noteConfirmed(crashed).forEach(job => touched.add(job));
                 void commitTouched();
             },
-            onLifeOver: gone => loseWorker(gone, "otherLife"),
-            onRestarted: beginNextLife,
+            onIncarnationOver: gone => loseWorker(gone, "otherIncarnation"),
+            onRestarted: beginNextIncarnation,
             onFenced: () => options.onFenced(),
             onNotStarted: (holder, run, outcome) => {
                 dropRun(holder, run);
@@ -412,9 +412,9 @@
     };
 
     const isOver = ({ workerId, bornAtMs }: WorkerEntry): boolean =>
-        overLives.has(workerId) && !isOtherLife(overLives.get(workerId), bornAtMs);
+        endedIncarnations.has(workerId) && !isOtherIncarnation(endedIncarnations.get(workerId), bornAtMs);
 
-    /** Begins to look at a worker that is listed, unless it is listed as a life that is over. */
+    /** Begins to look at a worker that is listed, unless it is listed as an incarnation that is over. */
     const meet = (entry: WorkerEntry): void => {
         if (!isOver(entry)) {
             links.set(entry.workerId, openLink(addWorker(entry, true)));
@@ -429,7 +429,7 @@
         // After an outage the former list may be old, and a worker that lapsed meanwhile may have shrunk before it did.
         const missingSinceMs = clock.monotonicMs() - Math.max(0, formerAgeMs - trustedListMs);
         listing = new Map(entries.map(entry => [entry.workerId, entry]));
-        // The entry of a life that is over may outlast the one of the life after it, which has not ended for that.
+        // The entry of an incarnation that is over may outlast the one of the incarnation after it, which has not ended for that.
         const byAddress = new Map(
             entries.filter(entry => !isOver(entry)).map(entry => [entry.address, entry.workerId]),
         );
@@ -440,7 +440,7 @@
                 meet(entry);
                 continue;
             }
-            if (isOtherLife(known.bornAtMs, entry.bornAtMs)) {
+            if (isOtherIncarnation(known.bornAtMs, entry.bornAtMs)) {
                 // Either may be the newer one, which the worker's next answer settles; until then it is not used.
                 known.unlistedAtMs = -Infinity;
                 continue;
@@ -500,7 +500,7 @@
                 dropWorker(worker, "notListed");
                 const entry = listing.get(worker.workerId);
                 if (entry !== undefined) {
-                    // Its next life has been listed meanwhile.
+                    // Its next incarnation has been listed meanwhile.
                     meet(entry);
                 }
             }
@@ -515,7 +515,7 @@
             unseenRuns.set(stored.workerId, known);
         }
         for (const [workerId, [stored]] of [...unseenRuns]) {
-            // Until the platform lists it, it may be anywhere; its lease, or another life at its address, settles it.
+            // Until the platform lists it, it may be anywhere; its lease, or another incarnation at its address, settles it.
             addWorker({ ...unlistedEntry, workerId, address: stored?.address ?? "" }, false);
         }
     };
--- a/packages/puffinarch/src/core/shard/upkeep.ts
+++ b/packages/puffinarch/src/core/shard/upkeep.ts
@@ -18,8 +18,8 @@
 import { failureOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
 import { mayGoDown, runsToMove } from "./evacuate.js";
+import { isOtherIncarnation } from "./incarnations.js";
 import type { ShardRun } from "./jobBook.js";
-import { isOtherLife } from "./lives.js";
 import type { WaveRecord, WaveRows } from "./waveRows.js";
 import type { ShardWorker } from "./workerTable.js";
 
@@ -33,7 +33,7 @@
     readonly fencingToken: number;
     readonly workers: ReadonlyMap<string, ShardWorker>;
     readonly stop: (run: ShardRun) => void;
-    /** The worker's life is over. */
+    /** The worker's incarnation is over. */
     readonly lose: (workerId: string) => void;
     /**
      * For how long after the claim a VM that an earlier owner may have ordered is left alone, unless it is seen in its upkeep:
@@ -52,7 +52,7 @@
 
 /** Pause between two looks at the VMs while a wave is open; the platform takes 60 listings a second from all. */
 const stepMs = 300;
-/** The same while the last VMs are only waited for; a worker's own look finds most new lives before. */
+/** The same while the last VMs are only waited for; a worker's own look finds most new incarnations before. */
 const returnStepMs = 1_500;
 /** A VM that was ordered is back after some 2 s; work that is cut off costs less than a wave that is late. */
 const downMs = 2_500;
@@ -89,7 +89,7 @@
     phase: (typeof phases)[keyof typeof phases];
     /** Local time at which its present phase began. */
     sinceMs: number;
-    /** The worker whose life the order ends, and when that life began as far as it is known. */
+    /** The worker whose incarnation the order ends, and when that incarnation began as far as it is known. */
     workerId: string;
     bornAtMs: number | undefined;
     absentSinceMs: number | undefined;
@@ -189,9 +189,9 @@
     };
 
     /** Whether another worker is on the VM, or the same one has started again under its id. */
-    const hasNextLife = ({ workerId, bornAtMs }: Progress, vm: VmEntry): boolean =>
+    const hasNextIncarnation = ({ workerId, bornAtMs }: Progress, vm: VmEntry): boolean =>
         workerId !== "" && vm.workerId !== ""
-        && (vm.workerId !== workerId || isOtherLife(bornAtMs, workers.get(workerId)?.bornAtMs));
+        && (vm.workerId !== workerId || isOtherIncarnation(bornAtMs, workers.get(workerId)?.bornAtMs));
 
     /** Takes in what a listing says of a VM. */
     const observe = (progress: Progress, vm: VmEntry | undefined, askedAtMs: number): void => {
@@ -213,7 +213,10 @@
                 enter(progress, phases.waiting);
             }
         }
-        if (progress.down && askedAtMs > progress.sinceMs && vm.state === vmStates.up && hasNextLife(progress, vm)) {
+        if (
+            progress.down && askedAtMs > progress.sinceMs && vm.state === vmStates.up
+            && hasNextIncarnation(progress, vm)
+        ) {
             if (vm.workerId !== progress.workerId) {
                 options.lose(progress.workerId);
             }
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -4,8 +4,8 @@
 import type { CancelTimer, Clock, Log, Meter } from "../../types/ports.js";
 import type { DelayedStart, DelayedStarts } from "./delayedStarts.js";
 import type { FirstLooks } from "./firstLooks.js";
+import { incarnationOf, isOtherIncarnation } from "./incarnations.js";
 import { runPhases, type ShardRun } from "./jobBook.js";
-import { isOtherLife, lifeOf } from "./lives.js";
 import type { LookSlots } from "./lookSlots.js";
 import { createRunOrders } from "./runOrders.js";
 import { extendLease, type ShardWorker } from "./workerTable.js";
@@ -61,8 +61,8 @@
     ) => Promise<void>;
     /** The worker answers no more. */
     readonly onSilent: (worker: ShardWorker) => void;
-    readonly onLifeOver: (worker: ShardWorker) => void;
-    /** Another life answers under the worker's id; the link is to be closed. */
+    readonly onIncarnationOver: (worker: ShardWorker) => void;
+    /** Another incarnation answers under the worker's id; the link is to be closed. */
     readonly onRestarted: (worker: ShardWorker, bornAtMs: number | undefined) => void;
     readonly onFenced: (worker: ShardWorker) => void;
     /** The run surely does not and will not run there. */
@@ -100,12 +100,12 @@
     const { clock, log, meter, workers, leaseMs, lookWaitMs, lookPauseMs } = options;
     const newestToken = (): number => Math.max(options.fencingToken, options.newestToken?.() ?? 0);
     /**
-     * What is said to the worker carries it. It rises where another life may answer from now on: that life refuses what was sent
+     * What is said to the worker carries it. It rises where another incarnation may answer from now on: that incarnation refuses what was sent
      * before as soon as a look has reached it. A stop that makes it refuse a run may come as late as the start itself.
      */
     let token = newestToken();
     let closed = false;
-    /** Whether the newest look was answered, so that the same life most likely answers the next. */
+    /** Whether the newest look was answered, so that the same incarnation most likely answers the next. */
     let answeredLast = false;
     /** Highest number that the worker was told, and has answered to know, that the end is durable. */
     let forgottenEnd = 0;
@@ -134,10 +134,10 @@
     const isOvertaken = (outcome: OrderOutcome, sentToken: number): boolean =>
         outcome === orderOutcomes.fenced && sentToken < token;
 
-    /** Tells the shard where this owner, or this life of the worker, is over; nothing more is said to it then. */
+    /** Tells the shard where this owner, or this incarnation of the worker, is over; nothing more is said to it then. */
     const endsLink = (outcome: OrderOutcome, sentToken: number): boolean => {
         if (closed) {
-            // The next life's link may have raised the token.
+            // The next incarnation's link may have raised the token.
             return true;
         }
         if (isOvertaken(outcome, sentToken)) {
@@ -147,8 +147,8 @@
             options.onFenced(worker);
             return true;
         }
-        if (outcome === orderOutcomes.otherLife) {
-            options.onLifeOver(worker);
+        if (outcome === orderOutcomes.otherIncarnation) {
+            options.onIncarnationOver(worker);
             return true;
         }
         return false;
@@ -168,8 +168,8 @@
     };
 
     /**
-     * The next life would forget ends that nobody has read, if it were told a number of this one. A look tells one only right
-     * after an answer, and none that it has told already; a look without it is harmless to any life.
+     * The next incarnation would forget ends that nobody has read, if it were told a number of this one. A look tells one only right
+     * after an answer, and none that it has told already; a look without it is harmless to any incarnation.
      */
     const acknowledgedNow = (): number =>
         answeredLast && worker.acknowledgedEnd > forgottenEnd ? worker.acknowledgedEnd : 0;
@@ -215,8 +215,8 @@
             return;
         }
         if (look.outcome === "done") {
-            // Neither its clock nor what it lists has anything to do with the life before.
-            if (isOtherLife(worker.bornAtMs, look.bornAtMs)) {
+            // Neither its clock nor what it lists has anything to do with the incarnation before.
+            if (isOtherIncarnation(worker.bornAtMs, look.bornAtMs)) {
                 options.onRestarted(worker, look.bornAtMs);
                 return;
             }
@@ -237,7 +237,7 @@
             // An order with a higher token that came first shows that the worker answers; the next look carries that token.
             return;
         }
-        // Whatever answers next may be another life.
+        // Whatever answers next may be another incarnation.
         token = newestToken();
         if (look.outcome === orderOutcomes.unknown && isOwnDelay(sentAtMs, waitMs)) {
             meter.count("looks.ownDelay");
@@ -246,7 +246,7 @@
         worker.silentLooks += 1;
         worker.silentSinceMs ??= clock.monotonicMs();
         if (worker.silentLooks === 1) {
-            log.write("warn", "workerSilent", { ...lifeOf(worker), outcome: look.outcome });
+            log.write("warn", "workerSilent", { ...incarnationOf(worker), outcome: look.outcome });
             options.onSilent(worker);
         }
         if (worker.silentLooks > 1) {
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -11,10 +11,10 @@
 /** How much slower than ours a worker's clock may run. */
 export const slowestClockRate = 0.98;
 
-/** One life of a worker as its shard's owner knows it. */
+/** One incarnation of a worker as its shard's owner knows it. */
 export interface ShardWorker {
     readonly workerId: string;
-    /** When this life began, as its own answers say; undefined before the first one, and where they do not say. */
+    /** When this incarnation began, as its own answers say; undefined before the first one, and where they do not say. */
     bornAtMs: number | undefined;
     entry: WorkerEntry;
     /** The most that it was listed with, which it may have again once it has shrunk. */
@@ -39,7 +39,7 @@
     takenEnd: number;
     /** Resolves once all ends taken so far are durable. */
     endsWritten: Promise<unknown>;
-    /** Runs of the life before that this one may have carried out, and which may have crashed that one; by name and number. */
+    /** Runs of the incarnation before that this one may have carried out, and which may have crashed that one; by name and number. */
     readonly undecided: Map<string, CrashedRun>;
     /** Runs that hold room, by name and number. */
     readonly runs: Map<string, ShardRun>;
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -2,8 +2,9 @@
 
 import { type EndedRun, type LookResult, type RunningRun } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
+import type { CorrelatedCrashes } from "./correlatedCrashes.js";
 import { countCrash, type CrashedRun, crashedRuns, showSound } from "./crashes.js";
-import type { Falls } from "./falls.js";
+import { incarnationOf, isOtherIncarnation } from "./incarnations.js";
 import {
     applyEnd,
     findTask,
@@ -14,7 +15,6 @@
     type ShardRun,
     type ShardTask,
 } from "./jobBook.js";
-import { isOtherLife, lifeOf } from "./lives.js";
 import { noteStartAnswered } from "./startBreaker.js";
 import { mayArrive } from "./unansweredStart.js";
 import { adoptRun, dropRun, runKey, type ShardWorker } from "./workerTable.js";
@@ -28,7 +28,7 @@
     /** The job changed and has to be made durable. */
     readonly onChange: (job: ShardJob) => void;
     /** Workers that fell at a moment without a task of the job. */
-    readonly othersAt: Falls["othersAt"];
+    readonly othersAt: CorrelatedCrashes["othersAt"];
     readonly stop: (worker: ShardWorker, run: ShardRun) => void;
     /** The run makes no progress; it is to run elsewhere. */
     readonly onStuck: (worker: ShardWorker, run: ShardRun) => void;
@@ -45,9 +45,9 @@
 export interface WorkerWatch {
     /** Gives the highest end that was taken in. */
     take(worker: ShardWorker, look: LookResult & { readonly outcome: "done"; }, sentAtMs: number): number;
-    /** The worker's life is over, or the leases of these runs are: they run there no more. Gives what may have crashed it. */
+    /** The worker's incarnation is over, or the leases of these runs are: they run there no more. Gives what may have crashed it. */
     loseRuns(worker: ShardWorker, reason: string, runs?: readonly ShardRun[]): readonly CrashedRun[];
-    /** The worker, or the life before it at its address, has surely crashed with these runs. */
+    /** The worker, or the incarnation before it at its address, has surely crashed with these runs. */
     countCrashes(workerId: string, runs: readonly CrashedRun[]): void;
 }
 
@@ -99,7 +99,7 @@
             worker.restBeganAtMs = clock.monotonicMs();
             worker.restsUntilMs = worker.restBeganAtMs + restMs;
             log.write("warn", "workerRests", {
-                ...lifeOf(worker),
+                ...incarnationOf(worker),
                 failuresInARow: worker.failuresInARow,
                 restMs,
             });
@@ -123,7 +123,7 @@
         log.write("info", "runEnded", {
             task: end.taskName,
             run: end.run,
-            ...lifeOf(worker),
+            ...incarnationOf(worker),
             how: end.how,
             known: run !== undefined,
         });
@@ -177,7 +177,7 @@
         log.write("info", wanted ? "runAdopted" : "runUnwanted", {
             task: task.name,
             run: row.run,
-            ...lifeOf(worker),
+            ...incarnationOf(worker),
         });
         onChange(task.step.occurrence.job);
         if (!wanted) {
@@ -195,7 +195,7 @@
         const nowMs = clock.monotonicMs();
         run.idleSinceMs ??= nowMs;
         if (nowMs - run.idleSinceMs >= stuckMs) {
-            log.write("warn", "runStuck", { task: run.task.name, run: run.run, ...lifeOf(worker) });
+            log.write("warn", "runStuck", { task: run.task.name, run: run.run, ...incarnationOf(worker) });
             options.onStuck(worker, run);
         }
     };
@@ -235,7 +235,7 @@
             onChange(job);
         }
         if (showSound(run, clock.monotonicMs())) {
-            log.write("info", "taskSound", { task: run.task.name, run: run.run, ...lifeOf(worker) });
+            log.write("info", "taskSound", { task: run.task.name, run: run.run, ...incarnationOf(worker) });
             onChange(job);
         }
         if (hasEnded(job) || (run.task.done && run.phase !== runPhases.stopping)) {
@@ -279,7 +279,7 @@
         log.write("warn", "startMayArrive", {
             task: run.task.name,
             run: run.run,
-            ...lifeOf(worker),
+            ...incarnationOf(worker),
             forMs: Math.round((run.mayArriveUntilMs ?? 0) - clock.monotonicMs()),
         });
         options.onAbsent(worker, run);
@@ -297,7 +297,7 @@
         log.write("info", "runGone", {
             task: run.task.name,
             run: run.run,
-            ...lifeOf(worker),
+            ...incarnationOf(worker),
             phase: run.phase,
         });
         dropRun(worker, run);
@@ -333,7 +333,7 @@
         countCrashes(worker.workerId, crashed);
     };
 
-    /** Runs of former owners that were for a life before this one may have crashed that one, unless this one has them. */
+    /** Runs of former owners that were for an incarnation before this one may have crashed that one, unless this one has them. */
     const suspectFormer = (worker: ShardWorker): void => {
         if (worker.entry.draining || worker.cordoned) {
             return;
@@ -341,7 +341,7 @@
         for (const suspect of crashedRuns(worker, clock.monotonicMs())) {
             const key = runKey(suspect.task.name, suspect.run);
             const run = worker.runs.get(key);
-            if (run?.sentAtMs === undefined && isOtherLife(run?.bornAtMs, worker.bornAtMs)) {
+            if (run?.sentAtMs === undefined && isOtherIncarnation(run?.bornAtMs, worker.bornAtMs)) {
                 worker.undecided.set(key, suspect);
             }
         }
@@ -387,7 +387,7 @@
                 log.write("info", "runLost", {
                     task: run.task.name,
                     run: run.run,
-                    ...lifeOf(worker),
+                    ...incarnationOf(worker),
                     reason,
                     phase: run.phase,
                     sentMsAgo: run.sentAtMs === undefined ? undefined : Math.round(nowMs - run.sentAtMs),
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -108,10 +108,17 @@
     noteConfirmed,
     showSound,
 } from "./internal.js";
-export { createFalls, type Falls } from "./internal.js";
+export { type CorrelatedCrashes, createCorrelatedCrashes } from "./internal.js";
 export { createDelayedStarts, type DelayedStart, type DelayedStarts } from "./internal.js";
-export { enterLife, isSettledByLook, leaveLife, type LeftLife, type NextLife, withUndecided } from "./internal.js";
-export { isOtherLife, lifeKey, lifeOf, type WorkerLife } from "./internal.js";
+export {
+    enterIncarnation,
+    type FormerIncarnation,
+    isSettledByLook,
+    leaveIncarnation,
+    type NextIncarnation,
+    withUndecided,
+} from "./internal.js";
+export { incarnationKey, incarnationOf, isOtherIncarnation, type WorkerIncarnation } from "./internal.js";
 export { createLostRuns, type LostRuns } from "./internal.js";
 export { allowsTrial, companyOf, fellAtStart, holdForTrial, isKeptFrom, isSuspect, startable } from "./internal.js";
 export { type Batch, type BatchWriter, type BatchWriterOptions, createBatchWriter } from "./internal.js";
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -80,7 +80,7 @@
 }
 
 /**
- * How a worker answered an order. `stale`: a run as high was stopped or ended there. `otherLife`: the worker that the
+ * How a worker answered an order. `stale`: a run as high was stopped or ended there. `otherIncarnation`: the worker that the
  * order named is over. `unhealthy`: nothing was done. `unknown`: it may be carried out, now or later.
  */
 export const orderOutcomes = {
@@ -92,7 +92,7 @@
     badTicket: "badTicket",
     invalid: "invalid",
     unhealthy: "unhealthy",
-    otherLife: "otherLife",
+    otherIncarnation: "otherIncarnation",
     unknown: "unknown",
 } as const;
 /** One of `orderOutcomes`. */
@@ -135,7 +135,7 @@
     | {
         readonly outcome: "done";
         readonly clockMs: number;
-        /** When the life that answers began, as in its `WorkerEntry`; undefined where it does not say. */
+        /** When the incarnation that answers began, as in its `WorkerEntry`; undefined where it does not say. */
         readonly bornAtMs?: number;
         readonly running: readonly RunningRun[];
         readonly ended: readonly EndedRun[];
@@ -154,7 +154,7 @@
     readonly patienceMs: number;
 }
 
-/** A worker's id and address. Whichever life is there under the id takes the order. */
+/** A worker's id and address. Whichever incarnation is there under the id takes the order. */
 export interface WorkerTarget {
     readonly workerId: string;
     readonly address: string;
--- a/packages/puffinarch/src/types/upkeep.ts
+++ b/packages/puffinarch/src/types/upkeep.ts
@@ -24,7 +24,7 @@
 export interface VmEntry {
     readonly vmId: string;
     readonly state: VmState;
-    /** The worker that is its present life; empty for none. */
+    /** The worker that is its present incarnation; empty for none. */
     readonly workerId: string;
 }
 
--- a/packages/puffinarch/src/types/work.ts
+++ b/packages/puffinarch/src/types/work.ts
@@ -157,12 +157,12 @@
     readonly maxBodyBytes: number;
 }
 
-/** One life of a worker, as the platform lists it. A worker that starts again may have the id that it had. */
+/** One incarnation of a worker, as the platform lists it. A worker that starts again may have the id that it had. */
 export interface WorkerEntry {
     readonly workerId: string;
     /**
-     * When this life began, in milliseconds since the Unix epoch by a clock that may be stepped: another value is another
-     * life, and a smaller one need not be an earlier one. Undefined where the platform does not say; each life has an id
+     * When this incarnation began, in milliseconds since the Unix epoch by a clock that may be stepped: another value is another
+     * incarnation, and a smaller one need not be an earlier one. Undefined where the platform does not say; each incarnation has an id
      * of its own there.
      */
     readonly bornAtMs?: number;
--- a/packages/stand-ins/src/shard/fakeVms.ts
+++ b/packages/stand-ins/src/shard/fakeVms.ts
@@ -1,4 +1,4 @@
-/** Stand-ins for the VMs under the workers: upkeep that ends a life, fencing tokens for each VM, and the evidence of both. */
+/** Stand-ins for the VMs under the workers: upkeep that ends an incarnation, fencing tokens for each VM, and the evidence of both. */
 
 import { type Clock, die, type UpkeepOutcome, upkeepOutcomes, type VmPort, vmStates } from "puffinarch";
 import type { FakeFencedWorkers } from "./fencedWorkers.js";
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -1,6 +1,6 @@
 /**
  * Stand-ins for workers with fencing tokens: leases on their own clock, a list of ends that is kept until it is
- * acknowledged, orders that are lost or carried out late, and a new life after a crash, under another ID or the same. They
+ * acknowledged, orders that are lost or carried out late, and a new incarnation after a crash, under another ID or the same. They
  * keep the evidence.
  */
 
@@ -65,15 +65,15 @@
     connect(isOpen: (workerId: string) => boolean): FencedWorkerPort;
     add(entry: WorkerEntry): void;
     setFault(workerId: string, fault: WorkerFault): void;
-    /** The worker's life ends; what answers at its address from now on is another one. */
+    /** The worker's incarnation ends; what answers at its address from now on is another one. */
     crash(workerId: string): void;
-    /** The same, but nobody answers at its address until `replace` brings another life there. */
+    /** The same, but nobody answers at its address until `replace` brings another incarnation there. */
     goDown(workerId: string): void;
-    /** The worker that went down is back at its address, as another life under another ID. */
+    /** The worker that went down is back at its address, as another incarnation under another ID. */
     replace(workerId: string, next: WorkerEntry): void;
     /**
      * The worker starts again under its ID: it holds and knows nothing, its ends are numbered from 1 and its clock begins at 0.
-     * What is wrong with its link stays so, and orders that are still under way reach this life. Gives its entry.
+     * What is wrong with its link stays so, and orders that are still under way reach this incarnation. Gives its entry.
      */
     startAgain(workerId: string, capacity: Resources): WorkerEntry | undefined;
     workerIds(): readonly string[];
@@ -122,7 +122,7 @@
     readonly waiters: Set<() => void>;
 }
 
-/** The advisor's ticket for a step on a worker; it holds for one life of it. */
+/** The advisor's ticket for a step on a worker; it holds for one incarnation of it. */
 export const ticketFor = (stepName: string, entry: WorkerEntry | undefined): string =>
     `${stepName}@${entry?.workerId}@${entry?.bornAtMs}`;
 
@@ -163,7 +163,7 @@
      */
     readonly gangSize?: (taskName: string) => number;
     readonly leaseLimitMs: number;
-    /** Whether a start is refused that shows no ticket of the worker's present life. */
+    /** Whether a start is refused that shows no ticket of the worker's present incarnation. */
     readonly checksTickets?: boolean;
     /** A task has crashed the worker; it is down. */
     readonly onCrash: (entry: WorkerEntry) => void;
@@ -253,7 +253,7 @@
         return true;
     };
 
-    const endLife = (worker: FakeWorker): void => {
+    const endIncarnation = (worker: FakeWorker): void => {
         worker.alive = false;
         worker.cancelLapse();
         const ended = [...worker.running.values()];
@@ -271,7 +271,7 @@
     /** Calls that wait for an answer of the worker learn at once that the connection is gone. */
     const goDown = (worker: FakeWorker): void => {
         worker.down = true;
-        endLife(worker);
+        endIncarnation(worker);
         wakeAll(worker);
     };
 
@@ -301,9 +301,9 @@
         if (order.run <= (worker.highestRun.get(order.taskName) ?? 0)) {
             return orderOutcomes.stale;
         }
-        const isForLife = !checksTickets || order.ticket === ""
+        const isForIncarnation = !checksTickets || order.ticket === ""
             || order.ticket === ticketFor(stepNameOf(order.taskName), worker.entry);
-        if (!isForLife) {
+        if (!isForIncarnation) {
             return orderOutcomes.badTicket;
         }
         worker.highestRun.set(order.taskName, order.run);
@@ -411,7 +411,7 @@
         const reach = async (
             target: WorkerTarget,
             timeoutMs = unansweredMs,
-        ): Promise<FakeWorker | "otherLife" | undefined> => {
+        ): Promise<FakeWorker | "otherIncarnation" | undefined> => {
             await wait(answerMs);
             const worker = workers.get(target.workerId);
             if (worker === undefined || !isOpen(target.workerId) || worker.fault === "cut") {
@@ -421,7 +421,7 @@
             if (worker.down) {
                 return undefined;
             }
-            return worker.alive ? worker : "otherLife";
+            return worker.alive ? worker : "otherIncarnation";
         };
         const order = async (
             target: WorkerTarget,
@@ -432,8 +432,8 @@
             if (worker === undefined) {
                 return orderOutcomes.unknown;
             }
-            if (worker === "otherLife") {
-                return orderOutcomes.otherLife;
+            if (worker === "otherIncarnation") {
+                return orderOutcomes.otherIncarnation;
             }
             if (worker.fault === "deaf") {
                 await wait(timeoutMs);
@@ -441,7 +441,7 @@
             }
             if (worker.fault === "late") {
                 clock.setTimer(lateMs, () => {
-                    // It names the ID alone, so that the life that answers to it by then carries it out.
+                    // It names the ID alone, so that the incarnation that answers to it by then carries it out.
                     const present = workers.get(target.workerId);
                     if (present?.alive === true) {
                         carryOut(present);
@@ -461,8 +461,8 @@
             if (worker === undefined) {
                 return { outcome: orderOutcomes.unknown };
             }
-            if (worker === "otherLife") {
-                return { outcome: orderOutcomes.otherLife };
+            if (worker === "otherIncarnation") {
+                return { outcome: orderOutcomes.otherIncarnation };
             }
             if (!raise(worker, fencingToken)) {
                 return { outcome: orderOutcomes.fenced };
@@ -477,7 +477,7 @@
             if (worker.down) {
                 return { outcome: orderOutcomes.unknown };
             }
-            return worker.alive ? show(worker) : { outcome: orderOutcomes.otherLife };
+            return worker.alive ? show(worker) : { outcome: orderOutcomes.otherIncarnation };
         };
         return {
             start: (target, sent, timeoutMs) => order(target, timeoutMs, worker => start(worker, sent)),
@@ -519,7 +519,7 @@
         crash: workerId => {
             const worker = workers.get(workerId);
             if (worker !== undefined) {
-                endLife(worker);
+                endIncarnation(worker);
             }
         },
         goDown: workerId => {
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -136,7 +136,7 @@
     waveState(wave: number): string | undefined;
     listWorkers(): void;
     unlist(workerId: string): void;
-    /** Workers go down at once, for a cause that is not their tasks', and are back at their addresses as other lives. */
+    /** Workers go down at once, for a cause that is not their tasks', and are back at their addresses as other incarnations. */
     crashWorkers(workerIds: readonly string[]): void;
     /** Workers have this share of their usual capacity from now on, and say so with their next heartbeats. */
     resize(workerIds: readonly string[], share: number): void;
@@ -195,7 +195,7 @@
     readonly crashedDownMs?: number | undefined;
     /** Whether a worker that crashed, or had its upkeep, starts again under its ID; it has another one where it is left out. */
     readonly keepsIds?: boolean | undefined;
-    /** Whether workers refuse tickets of other lives; where they do not, orders for one life can be carried out by the next. */
+    /** Whether workers refuse tickets of other incarnations; where they do not, orders for one incarnation can be carried out by the next. */
     readonly checksTickets?: boolean;
     /** Of workers that have started again; as before where it is left out. */
     readonly nextCapacity?: Resources;
@@ -205,15 +205,15 @@
     readonly broken?: BrokenShardPart | undefined;
 }
 
-/** One life of a daemon's process. */
-interface Life {
+/** One incarnation of a daemon's process. */
+interface Incarnation {
     alive: boolean;
 }
 
 interface Seat {
     readonly member: CellMember;
     readonly handlers: MemberHandlers;
-    readonly life: Life;
+    readonly incarnation: Incarnation;
     readonly processor: Processor;
     readonly suspension: Suspension;
 }
@@ -374,7 +374,7 @@
         }
     };
 
-    /** It is back under its ID after a while; its entry, which is that of the life before, lapses if that takes long. */
+    /** It is back under its ID after a while; its entry, which is that of the incarnation before, lapses if that takes long. */
     const bringBackUnderId = ({ workerId }: WorkerEntry): void => {
         clock.setTimer(crashedDownMs, () => startAgain(workerId));
         clock.setTimer(entryLapsesMs, () => {
@@ -454,16 +454,16 @@
         return [from, to].flatMap(memberId => store.link(memberId)?.carry(bytes) ?? []);
     };
 
-    const peersOf = (from: string, life: Life): MemberPort => ({
+    const peersOf = (from: string, incarnation: Incarnation): MemberPort => ({
         call: async (address, name, input, timeoutMs, longestMs = timeoutMs) => {
             countCall(from, { sent: 1, taken: 0 });
             countCall(address, { sent: 0, taken: 1 });
             const seat = seats.get(address);
-            if (!life.alive) {
+            if (!incarnation.alive) {
                 return new Promise<never>(() => {});
             }
             await wait(linkMs);
-            if (seat?.life.alive !== true) {
+            if (seat?.incarnation.alive !== true) {
                 return die("unavailable", "nobody listens there");
             }
             if (isCut(from, "peers") || isCut(address, "peers")) {
@@ -489,7 +489,7 @@
                     return die("mayHaveRun", "no answer in time");
                 }),
             ]);
-            if (!seat.life.alive || isCut(from, "peers") || isCut(address, "peers")) {
+            if (!seat.incarnation.alive || isCut(from, "peers") || isCut(address, "peers")) {
                 await wait(Math.min(timeoutMs, unansweredMs));
                 return die("mayHaveRun", "the answer was lost");
             }
@@ -517,13 +517,13 @@
     const readEntry = (row: Row): Decoded<WorkerEntry> => decodeRow(row, workerSchema);
 
     const start = (memberId: string): void => {
-        const life: Life = { alive: true };
+        const incarnation: Incarnation = { alive: true };
         const processor = createProcessor(clock);
         const suspension = createSuspension(clock);
         const awake = <A extends readonly unknown[], T>(call: (...args: A) => Promise<T>) => (...args: A): Promise<T> =>
             readAwake(suspension, call(...args));
-        const peers = peersOf(memberId, life);
-        const alive = (): boolean => life.alive;
+        const peers = peersOf(memberId, incarnation);
+        const alive = (): boolean => incarnation.alive;
         const writer: Log = {
             write: (_level, event, fields) => {
                 // What is left of a killed process in this one says nothing.
@@ -597,7 +597,7 @@
                 },
             },
         });
-        seats.set(memberId, { member, handlers: member.handlers, life, processor, suspension });
+        seats.set(memberId, { member, handlers: member.handlers, incarnation, processor, suspension });
     };
 
     const listWorkers = (): void => {
@@ -690,20 +690,20 @@
     const isDisturbed = (): boolean => {
         const listed = new Set(store.rows("workers").map(({ key }) => key));
         return cuts.size > 0 || !store.isSound() || !vms.isSound()
-            || [...seats.values()].some(({ life, suspension }) => !life.alive || suspension.isSuspended())
+            || [...seats.values()].some(({ incarnation, suspension }) => !incarnation.alive || suspension.isSuspended())
             || workers.workerIds().some(workerId =>
                 listed.has(workerId) ? !workers.isSound(workerId) : workers.entryOf(workerId) !== undefined
             );
     };
 
     const owner = (): string | undefined =>
-        ids.find(id => seats.get(id)?.life.alive === true && seats.get(id)?.member.ownsShard());
+        ids.find(id => seats.get(id)?.incarnation.alive === true && seats.get(id)?.member.ownsShard());
 
     const send = async (submission: JobSubmission): Promise<void> => {
         // A caller resends the same id, through any daemon, until it is accepted.
         for (let index = submission.jobId.charCodeAt(submission.jobId.length - 1);; index += 1) {
             const seat = seats.get(ids[index % ids.length] ?? "");
-            if (seat?.life.alive === true) {
+            if (seat?.incarnation.alive === true) {
                 try {
                     await Promise.race([
                         seat.member.submit(submission, 2_000),
@@ -755,12 +755,12 @@
             calm.note();
             const seat = seats.get(memberId);
             if (seat !== undefined) {
-                seat.life.alive = false;
+                seat.incarnation.alive = false;
             }
         },
         restart: memberId => {
             calm.note();
-            if (seats.get(memberId)?.life.alive !== true) {
+            if (seats.get(memberId)?.incarnation.alive !== true) {
                 start(memberId);
             }
         },
@@ -770,7 +770,7 @@
             await seat?.member.leave(clock.monotonicMs() + leaveMs);
             seat?.member.close();
             if (seat !== undefined) {
-                seat.life.alive = false;
+                seat.incarnation.alive = false;
             }
         },
         suspend: (memberId, forMs) => {
@@ -789,7 +789,7 @@
             cuts.delete(memberId);
             store.setFault("none", memberId);
         },
-        isRunning: memberId => seats.get(memberId)?.life.alive === true,
+        isRunning: memberId => seats.get(memberId)?.incarnation.alive === true,
         isCut,
         vms,
         askUpkeep: wave => store.put("operator", `wave/${wave.number}`, wave),
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -29,11 +29,11 @@
     return () => cell.store.setFault("none");
 };
 
-/** Workers whose life goes on; those that crashed are listed no more. */
+/** Workers whose incarnation goes on; those that crashed are listed no more. */
 const liveWorkers = (cell: ShardCell): readonly string[] =>
     cell.workers.workerIds().filter(workerId => cell.workers.entryOf(workerId) !== undefined);
 
-/** Workers that are back by themselves, as other lives. */
+/** Workers that are back by themselves, as other incarnations. */
 const crashWorkers = (cell: ShardCell, share: number): () => void => {
     const alive = liveWorkers(cell);
     cell.crashWorkers(alive.slice(0, Math.max(1, share * alive.length)));
