--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -172,7 +172,7 @@
             | 20333 | 600 | last   |
             | 20968 | 50  | end    |
 
-    # Not traced yet.
+    # One order each, carried out by an incarnation behind a cut, or while all daemons were down.
     Scenario Outline: A task is started again after its end was acknowledged, workers down for <ms> ms, seed <seed>
         When the seed <seed> is explored on a shard whose workers start again under their IDs after <ms> ms, with jobs that <others>
         Then nothing went wrong on the shard
@@ -180,6 +180,10 @@
         Examples:
             | seed  | ms | others |
             | 41086 | 50 | end    |
+            | 7279  | 50 | end    |
+            | 7466  | 50 | end    |
+            | 7475  | 50 | end    |
+            | 7494  | 50 | end    |
 
     # The faults that leave orders under way to workers that start again, three at once: one seed in four ran tasks twice, as a look at
     # one incarnation was taken for proof that no other would carry an order out.
@@ -193,6 +197,7 @@
             | 50011 | 50020 | 50  | end    |
             | 50001 | 50010 | 600 | last   |
             | 50011 | 50020 | 600 | last   |
+            | 60052 | 60052 | 600 | last   |
 
     # Workers that do not guard their capacity were started on with room that they had no more: what had been planned while they
     # were larger was sent all the same, after the store had been away or once a silent worker answered again.
