--- a/features/examples.feature
+++ b/features/examples.feature
@@ -99,6 +99,7 @@
             | correlatedCrashes    | 1 worker fell silent                    |
             | incarnations         | i-1, then another one; maybe the same   |
             | delayedStarts           | 1 order, then none                      |
+            | missingRuns          | 1 of 2 is gone                          |
             | unansweredStart      | it may arrive at 2000 ms, not at 9000 ms; one with a ticket of one incarnation is settled by a look |
             | lookSlots            | 10 ms, 15 ms, 20 ms, 20 ms |
             | startBreaker         | 100 ms without starts, then one at a time, then all |
--- a/features/steps/examples/shardIncarnations.ts
+++ b/features/steps/examples/shardIncarnations.ts
@@ -10,6 +10,7 @@
     createDelayedStarts,
     createLookSlots,
     createLostRuns,
+    createMissingRuns,
     createRunOrders,
     enterIncarnation,
     holdsForOneIncarnation,
@@ -57,6 +58,24 @@
     return `${before} order, then ${delayed.has("i-1", order) ? "still one" : "none"}`;
 };
 
+const missingRuns = (): string => {
+    const job = exampleJob();
+    const worker = { ...openWorker(), bornAtMs: 500 };
+    adoptRun(worker, runOf(job));
+    adoptRun(worker, { ...runOf(job), run: 2, mayArriveUntilMs: 6_500 });
+    const missing = createMissingRuns({
+        clock: createFakeClock(),
+        log: quietLog,
+        meter: quietMeter,
+        onChange: () => {},
+        onFormerGone: () => {},
+        onStartLost: () => {},
+        onAbsent: () => {},
+    });
+    missing.review(worker, new Set(), 10);
+    return `${2 - worker.runs.size} of 2 is gone`;
+};
+
 const unansweredStart = (): string => {
     const run = { ...runOf(exampleJob()), mayArriveUntilMs: 6_500 };
     const at = (nowMs: number): string => `${mayArrive(run, nowMs) ? "" : "not "}at ${nowMs} ms`;
@@ -167,6 +186,7 @@
     lostRuns,
     incarnations,
     delayedStarts,
+    missingRuns,
     unansweredStart,
     lookSlots,
     startBreaker,
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -15,12 +15,12 @@
     type ShardRun,
     type ShardTask,
 } from "./jobBook.js";
+import { createMissingRuns, type MissingRunsOptions } from "./missingRuns.js";
 import { noteStartAnswered } from "./startBreaker.js";
-import { mayArrive } from "./unansweredStart.js";
 import { adoptRun, dropRun, runKey, type ShardWorker } from "./workerTable.js";
 
 /** What the watch needs. */
-export interface WorkerWatchOptions {
+export interface WorkerWatchOptions extends Pick<MissingRunsOptions, "onFormerGone" | "onStartLost" | "onAbsent"> {
     readonly clock: Clock;
     readonly log: Log;
     readonly meter: Meter;
@@ -33,12 +33,6 @@
     /** The run makes no progress; it is to run elsewhere. */
     readonly onStuck: (worker: ShardWorker, run: ShardRun) => void;
     readonly stopUnknown: (worker: ShardWorker, taskName: string, run: number) => void;
-    /** A former owner's run is not there; its order may still be under way. */
-    readonly onFormerGone: (worker: ShardWorker, run: ShardRun) => void;
-    /** The start of the run was lost; it surely does not and will not run there. */
-    readonly onStartLost: (run: ShardRun) => void;
-    /** The worker answers, and left the start of a run that may still be carried out there without an answer. */
-    readonly onAbsent: (worker: ShardWorker, run: ShardRun) => void;
 }
 
 /** Takes looks into the book. */
@@ -70,6 +64,7 @@
  */
 export const createWorkerWatch = (options: WorkerWatchOptions): WorkerWatch => {
     const { clock, log, meter, jobOf, onChange } = options;
+    const missingRuns = createMissingRuns(options);
 
     const judgeWorker = (
         worker: ShardWorker,
@@ -269,70 +264,6 @@
         }
     };
 
-    const noteAbsent = (worker: ShardWorker, run: ShardRun): void => {
-        if (run.absent) {
-            return;
-        }
-        run.absent = true;
-        onChange(run.task.step.occurrence.job);
-        meter.count("startsAbsent");
-        log.write("warn", "startMayArrive", {
-            task: run.task.name,
-            run: run.run,
-            ...incarnationOf(worker),
-            forMs: Math.round((run.mayArriveUntilMs ?? 0) - clock.monotonicMs()),
-        });
-        options.onAbsent(worker, run);
-        noteStartLost(run);
-    };
-
-    const noteStartLost = (run: ShardRun): void => {
-        if (run.sentAtMs !== undefined && !run.shown && run.startedAtMs === undefined) {
-            options.onStartLost(run);
-        }
-    };
-
-    const dropGone = (worker: ShardWorker, run: ShardRun): void => {
-        meter.count("runsGone");
-        log.write("info", "runGone", {
-            task: run.task.name,
-            run: run.run,
-            ...incarnationOf(worker),
-            phase: run.phase,
-        });
-        dropRun(worker, run);
-        if (run.sentAtMs === undefined && !run.shown) {
-            options.onFormerGone(worker, run);
-        }
-        if (!run.absent) {
-            noteStartLost(run);
-        }
-        onChange(run.task.step.occurrence.job);
-    };
-
-    const dropMissing = (worker: ShardWorker, listed: ReadonlySet<string>, sentAtMs: number): void => {
-        const crashed: CrashedRun[] = [];
-        const nowMs = clock.monotonicMs();
-        for (const [key, run] of [...worker.runs]) {
-            if (run.settledAtMs === undefined || run.settledAtMs >= sentAtMs || listed.has(key)) {
-                continue;
-            }
-            // A worker with a new ID for each incarnation refuses what names another one.
-            if (worker.bornAtMs !== undefined && mayArrive(run, nowMs)) {
-                noteAbsent(worker, run);
-            }
-            else {
-                dropGone(worker, run);
-            }
-            const suspect = worker.undecided.get(key);
-            if (suspect !== undefined) {
-                worker.undecided.delete(key);
-                crashed.push(suspect);
-            }
-        }
-        countCrashes(worker.workerId, crashed);
-    };
-
     /** Runs of former owners that were for an incarnation before this one may have crashed that one, unless this one has them. */
     const suspectFormer = (worker: ShardWorker): void => {
         if (worker.entry.draining || worker.cordoned) {
@@ -370,7 +301,7 @@
                 listed.add(runKey(row.taskName, row.run));
                 takeRunning(worker, row);
             }
-            dropMissing(worker, listed, sentAtMs);
+            countCrashes(worker.workerId, missingRuns.review(worker, listed, sentAtMs));
             worker.certain = true;
             return newest;
         },
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -60,6 +60,7 @@
 export * from "./core/shard/lookSlots.js";
 export * from "./core/shard/lostRuns.js";
 export * from "./core/shard/memberRows.js";
+export * from "./core/shard/missingRuns.js";
 export * from "./core/shard/nextIncarnation.js";
 export * from "./core/shard/ownerProgress.js";
 export * from "./core/shard/ownerWatch.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -215,6 +215,7 @@
     waveStates,
 } from "./internal.js";
 export { createRunOrders, type RunOrders, type RunOrdersOptions } from "./internal.js";
+export { createMissingRuns, type MissingRuns, type MissingRunsOptions } from "./internal.js";
 export { holdsForOneIncarnation, mayArrive } from "./internal.js";
 export { allowsStart, noteStartAnswered, noteStartUnanswered } from "./internal.js";
 export { createLookSlots, type LookSlots } from "./internal.js";
