--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -198,6 +198,9 @@
             | 50001 | 50010 | 600 | last   |
             | 50011 | 50020 | 600 | last   |
             | 60052 | 60052 | 600 | last   |
+            | 71069 | 71069 | 600 | last   |
+            | 71150 | 71150 | 600 | last   |
+            | 71177 | 71177 | 600 | last   |
 
     # Workers that do not guard their capacity were started on with room that they had no more: what had been planned while they
     # were larger was sent all the same, after the store had been away or once a silent worker answered again.
