A crash behind a cut link is not taken for one that was seen

Cause: the time of a crash was taken from the silence of its worker, and the silence had begun with the cut. Class: a time that is known of the link, taken for one of the worker.

A look now tells the two apart, on the platform and in the fakes alike. Only a worker whose first failed look lost its connection was seen to crash; any other crash counts as unconfirmed, which brings trials and waits as before, and a verdict only as one of five. The line workerSilent says which it was.

Ruled out by earlier trials: to go by silence shared with other workers, since tasks that do crash their workers then lost their verdicts. What it trades: such a task may be started up to five times, as the rule allows, where links are cut at each of its crashes; orders that are carried out between two answers of a worker are not counted yet and come next.

--- a/features/crashing.feature
+++ b/features/crashing.feature
@@ -118,6 +118,19 @@
             | 2 long running  | running   | 3     | 8      | 1500 |
             | 1 of 8 cores    | completed | 6     | 3      | 4000 |
 
+    # The time of each crash was taken from the silence of its worker, which had begun with the cut, right after the start.
+    Scenario Outline: A sound job is not given up for workers that crash behind cuts after its runs have ended, <cut> ms after the start
+        Given a cell of 3 daemons and 3 workers that start again under their IDs 600 ms after a crash
+        When 1 jobs of steps "1" are submitted
+        And the worker of the newest start is cut off <cut> ms after it, until it has crashed 2500 ms after it, 3 times
+        Then all jobs are "completed" within 20000 ms
+        And no job was given up
+
+        Examples:
+            | cut |
+            | 50  |
+            | 200 |
+
     Scenario Outline: A run that is lost and not crashed counts for nothing, by "<fault>"
         Given a cell of 3 daemons and 6 workers
         When 12 jobs of steps "2 long running" are submitted
--- a/features/steps/crashingSteps.ts
+++ b/features/steps/crashingSteps.ts
@@ -188,6 +188,23 @@
     },
 );
 
+When(
+    "the worker of the newest start is cut off {int} ms after it, until it has crashed {int} ms after it, {int} times",
+    async function(this: ScenarioWorld, cutAfterMs: number, crashAfterMs: number, times: number) {
+        const cell = cellOf(this);
+        for (let round = 1; round <= times; round += 1) {
+            await advanceUntil(cell, () => cell.workers.evidence.length >= round, "nothing was started");
+            const workerId = cell.workers.evidence.at(-1)?.workerId ?? "";
+            await cell.clock.advance(cutAfterMs);
+            cell.workers.setFault(workerId, "cut");
+            await cell.clock.advance(crashAfterMs - cutAfterMs);
+            cell.crashWorkers([workerId]);
+            cell.workers.setFault(workerId, "none");
+        }
+        assert.ok(cell.workers.evidence.every(({ how }) => how === "done"), "a run had not ended before the crash");
+    },
+);
+
 When(
     "the fault {string} comes and goes {int} times, for {int} ms each",
     async function(this: ScenarioWorld, name: string, times: number, faultMs: number) {
--- a/packages/puffinarch/src/core/shard/crashes.ts
+++ b/packages/puffinarch/src/core/shard/crashes.ts
@@ -16,7 +16,10 @@
     readonly bornAtMs: number | undefined;
     /** Local time at which its worker fell silent. */
     readonly goneAtMs: number;
-    /** Its worker had said that it runs; the order for any other run may never have been carried out. */
+    /**
+     * Its worker had said that it runs, and was seen to crash. The order for any other run may never have been carried out, and a run may
+     * have ended, unread, long before a crash behind a cut link.
+     */
     readonly confirmed: boolean;
     /** It had surely just started there and no task of another job had, so that nothing else there can be the cause. */
     readonly alone: boolean;
@@ -45,6 +48,10 @@
 /** No more crashes of a task are excused: five that crash their workers by themselves may do so at the same moment. */
 const mostExcused = 2;
 
+/** Whether the time at which the worker fell silent is that of its crash. */
+const wasSeenToCrash = ({ silentSinceMs, connectionLost }: ShardWorker): boolean =>
+    silentSinceMs === undefined || connectionLost;
+
 /** When the run began as far as this owner knows; undefined where it took the run over and never saw it at work. */
 const sinceMs = ({ sentAtMs, startedAtMs }: ShardRun): number | undefined => sentAtMs ?? startedAtMs;
 
@@ -70,7 +77,7 @@
         run: run.run,
         bornAtMs: worker.bornAtMs ?? run.bornAtMs,
         goneAtMs,
-        confirmed: run.startedAtMs !== undefined || run.run === run.task.confirmedRun,
+        confirmed: run.startedAtMs !== undefined && wasSeenToCrash(worker) || run.run === run.task.confirmedRun,
         alone: sinceMs(run) !== undefined && possible.every(other => jobOf(other) === jobOf(run)),
     }));
 };
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -246,7 +246,9 @@
         worker.silentLooks += 1;
         worker.silentSinceMs ??= clock.monotonicMs();
         if (worker.silentLooks === 1) {
-            log.write("warn", "workerSilent", { ...incarnationOf(worker), outcome: look.outcome });
+            const { outcome, connectionLost = false } = look;
+            worker.connectionLost = connectionLost;
+            log.write("warn", "workerSilent", { ...incarnationOf(worker), outcome, connectionLost });
             options.onSilent(worker);
         }
         if (worker.silentLooks > 1) {
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -33,6 +33,8 @@
     silentLooks: number;
     /** Local time of the first of these; undefined while it answers. */
     silentSinceMs: number | undefined;
+    /** The first of these lost its connection. Of a worker that went silent otherwise nobody knows when it crashed, if it did. */
+    connectionLost: boolean;
     /** Highest number of an end that is durable, and so may be forgotten there. */
     acknowledgedEnd: number;
     /** Highest number of an end that was taken into the book. */
@@ -91,6 +93,7 @@
     answeredAtMs: 0,
     silentLooks: 0,
     silentSinceMs: undefined,
+    connectionLost: false,
     acknowledgedEnd: 0,
     takenEnd: 0,
     endsWritten: Promise.resolve(),
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -140,7 +140,11 @@
         readonly running: readonly RunningRun[];
         readonly ended: readonly EndedRun[];
     }
-    | { readonly outcome: Exclude<OrderOutcome, "done">; };
+    | {
+        readonly outcome: Exclude<OrderOutcome, "done">;
+        /** The connection was refused or closed, as by a process that has ended; a cut link only lets the look time out. */
+        readonly connectionLost?: boolean;
+    };
 
 /** Raises the fencing token, renews every lease, acknowledges ends and waits up to `waitMs` for an end. */
 export interface LookOrder {
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -15,7 +15,7 @@
 /** An answer, or what is known without one. */
 export type CallResult<T> =
     | { readonly kind: "answered"; readonly status: number; readonly body: T; }
-    | { readonly kind: CallFailure; readonly reason: string; };
+    | { readonly kind: CallFailure; readonly reason: string; readonly timedOut: boolean; };
 
 /** What one call may set. */
 export interface HttpCallOptions {
@@ -71,7 +71,14 @@
     "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
-const timeoutCodes: ReadonlySet<unknown> = new Set(["UND_ERR_HEADERS_TIMEOUT", "UND_ERR_BODY_TIMEOUT"]);
+/** The origin was connected to and sent nothing in time. */
+const silenceCodes: ReadonlySet<unknown> = new Set(["UND_ERR_HEADERS_TIMEOUT", "UND_ERR_BODY_TIMEOUT"]);
+const timeoutCodes: ReadonlySet<unknown> = new Set([
+    ...silenceCodes,
+    neverSentCode,
+    "UND_ERR_CONNECT_TIMEOUT",
+    "ETIMEDOUT",
+]);
 
 const codeOf = (error: unknown): unknown => (error as { readonly code?: unknown; }).code;
 
@@ -238,12 +245,17 @@
                 return await Promise.race([asked, limit.over]);
             }
             catch (error) {
-                if (limit.signal?.aborted === true || timeoutCodes.has(codeOf(error))) {
+                const isAborted = limit.signal?.aborted === true;
+                if (isAborted || silenceCodes.has(codeOf(error))) {
                     replaceIfSilent(origin, connections, askedAtMs);
                     // The limit has been told already; what the library says of it later adds nothing.
                     asked.catch(() => {});
                 }
-                return { kind: failureKindOf(error), reason: error instanceof Error ? error.message : String(error) };
+                return {
+                    kind: failureKindOf(error),
+                    reason: error instanceof Error ? error.message : String(error),
+                    timedOut: isAborted || timeoutCodes.has(codeOf(error)),
+                };
             }
             finally {
                 limit.end();
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -411,7 +411,7 @@
         const reach = async (
             target: WorkerTarget,
             timeoutMs = unansweredMs,
-        ): Promise<FakeWorker | "otherIncarnation" | undefined> => {
+        ): Promise<FakeWorker | "otherIncarnation" | "down" | undefined> => {
             await wait(answerMs);
             const worker = workers.get(target.workerId);
             if (worker === undefined || !isOpen(target.workerId) || worker.fault === "cut") {
@@ -419,7 +419,7 @@
                 return undefined;
             }
             if (worker.down) {
-                return undefined;
+                return "down";
             }
             return worker.alive ? worker : "otherIncarnation";
         };
@@ -429,7 +429,7 @@
             carryOut: (worker: FakeWorker) => OrderOutcome,
         ): Promise<OrderOutcome> => {
             const worker = await reach(target, timeoutMs);
-            if (worker === undefined) {
+            if (worker === undefined || worker === "down") {
                 return orderOutcomes.unknown;
             }
             if (worker === "otherIncarnation") {
@@ -458,8 +458,8 @@
         ): Promise<LookResult> => {
             const lostMs = Math.min(unansweredMs, waitMs + patienceMs);
             const worker = await reach(target, lostMs);
-            if (worker === undefined) {
-                return { outcome: orderOutcomes.unknown };
+            if (worker === undefined || worker === "down") {
+                return { outcome: orderOutcomes.unknown, connectionLost: worker === "down" };
             }
             if (worker === "otherIncarnation") {
                 return { outcome: orderOutcomes.otherIncarnation };
@@ -475,7 +475,7 @@
                 return { outcome: orderOutcomes.unknown };
             }
             if (worker.down) {
-                return { outcome: orderOutcomes.unknown };
+                return { outcome: orderOutcomes.unknown, connectionLost: true };
             }
             return worker.alive ? show(worker) : { outcome: orderOutcomes.otherIncarnation };
         };
