Crashes that nobody saw are counted apart, and keep a crashing task from being started on and on

Cause: an incarnation carried a late order out, crashed by it and was replaced, and nobody looked in between; that crash counted for no task. Two ways lead there: the held start is let go of by a look at another incarnation than the one that had refused it, or by the end of its worker's lease.

So it is an upper count beside the lower one: crashes that may have been, a field of the job's row, with the line taskMayHaveCrashed and the counter crashesPossible. It counts for no trial and no wait, and ends a job only where two crashes were confirmed, seen and under a run that its worker had answered for, and all that may have been are five. That is within what users allow: a task under which two workers have crashed may be given up. A run at work for 5 s clears it like the others.

Two scenes, one for each way, fail on and pass; three with the same starts of a sound task, up to six times, pass as well.

--- a/features/crashing.feature
+++ b/features/crashing.feature
@@ -196,6 +196,37 @@
             | unconfirmed, confirmed, confirmed alone, confirmed alone       | is    |
             | unconfirmed, unconfirmed, confirmed alone, confirmed alone     | isn't |
             | unconfirmed, unconfirmed, unconfirmed, unconfirmed, unconfirmed | is    |
+            | possible, possible, possible, confirmed, confirmed             | is    |
+            | possible, possible, confirmed, confirmed                       | isn't |
+            | possible, possible, possible, confirmed, unconfirmed           | isn't |
+            | possible, possible, possible, possible, possible               | isn't |
+
+    # An incarnation carried a late order out, crashed by it and was replaced, and nobody looked in between: that crash counted for no task.
+    Scenario Outline: Crashes that nobody saw keep a task that crashes its workers from being started on and on, let go of by <by>
+        Given a cell of 3 daemons and 4 workers that start again under their IDs 50 ms after a crash
+        When 1 crashing job of steps "1 crashing" is submitted
+        And a start is carried out late by an incarnation that crashes unseen, 3 times, and let go of by <by>
+        Then the crashing job is "failed" within 20000 ms
+        And no promise was broken
+
+        Examples:
+            | by                   |
+            | a look               |
+            | the end of its lease |
+
+    # Only the order of events is the same: its workers crashed of themselves.
+    Scenario Outline: Crashes that nobody saw cost no sound job its life, let go of by <by>
+        Given a cell of 3 daemons and 4 workers that start again under their IDs 50 ms after a crash
+        When 1 jobs of steps "1" are submitted
+        And a start is carried out late by an incarnation that crashes unseen, <times> times, and let go of by <by>
+        Then all jobs are "completed" within 20000 ms
+        And no job was given up
+
+        Examples:
+            | by                   | times |
+            | a look               | 3     |
+            | a look               | 6     |
+            | the end of its lease | 3     |
 
     # Such a task was sent to a worker that had just lost an order for it, and both orders came late: two incarnations of the worker crashed that
     # no look had met, and nobody counted them.
--- a/features/steps/crashingSteps.ts
+++ b/features/steps/crashingSteps.ts
@@ -12,10 +12,12 @@
 import {
     allowsTrial,
     countCrash,
+    countPossibleCrash,
     type CrashedRun,
     hasEnded,
     type JobSubmission,
     newJob,
+    newRun,
     newWorker,
     noteStartUnanswered,
     type ShardTask,
@@ -205,6 +207,55 @@
     },
 );
 
+/** Lines of the log after which a run that got no answer is let go of, by the words of the scenes. */
+const letGoLines: Readonly<Record<string, { readonly event: string; readonly reason: string | undefined; }>> = {
+    "a look": { event: "runGone", reason: undefined },
+    "the end of its lease": { event: "runLost", reason: "leaseOver" },
+};
+
+/** Times from when a start was given up, 150 ms after it was sent, around the moment at which it is carried out late. */
+const cutBeforeCarriedOutMs = 2_750;
+const crashAfterCarriedOutMs = 150;
+const reachedAgainAfterMs = 150;
+
+When(
+    "a start is carried out late by an incarnation that crashes unseen, {int} times, and let go of by {}",
+    async function(this: ScenarioWorld, times: number, by: string) {
+        const cell = cellOf(this);
+        const letGo = letGoLines[by] ?? assert.fail(`nothing is let go of by ${by}`);
+        const { workers, clock } = cell;
+        for (let round = 0; round < times; round += 1) {
+            const linesBefore = cell.log.length;
+            const lineOf = (wanted: string) => cell.log.slice(linesBefore).find(({ event }) => event === wanted);
+            for (const workerId of workers.workerIds()) {
+                workers.setFault(workerId, "late");
+            }
+            await advanceUntil(cell, () => lineOf("startUnanswered") !== undefined, "no start was given up");
+            const late = String(lineOf("startUnanswered")?.fields["workerId"]);
+            for (const workerId of workers.workerIds()) {
+                workers.setFault(workerId, "none");
+            }
+            await clock.advance(cutBeforeCarriedOutMs);
+            const startsBefore = workers.evidence.length;
+            workers.setFault(late, "cut");
+            cell.crashWorkers([late]);
+            await clock.advance(crashAfterCarriedOutMs);
+            assert.equal(workers.evidence.length, startsBefore + 1, "it was not carried out");
+            cell.crashWorkers([late]);
+            await clock.advance(reachedAgainAfterMs);
+            const isLetGo = (): boolean => {
+                const line = lineOf(letGo.event);
+                return line !== undefined && line.fields["reason"] === letGo.reason;
+            };
+            if (letGo.reason === undefined) {
+                workers.setFault(late, "none");
+            }
+            await advanceUntil(cell, isLetGo, "it was not let go of");
+            workers.setFault(late, "none");
+        }
+    },
+);
+
 When(
     "the fault {string} comes and goes {int} times, for {int} ms each",
     async function(this: ScenarioWorld, name: string, times: number, faultMs: number) {
@@ -233,7 +284,7 @@
     },
 );
 
-/** Crashes of a worker by words: confirmed or not, with nothing else to blame. */
+/** Crashes of a worker by words: confirmed or not, with nothing else to blame; possible ones of which nobody knows. */
 const crashOf = (task: ShardTask, run: number, words: string): CrashedRun => ({
     task,
     run,
@@ -246,6 +297,10 @@
 When("workers crash under a task, {string}", function(this: ScenarioWorld, text: string) {
     const task = oneTask();
     for (const [index, words] of text.split(", ").entries()) {
+        if (words.includes("possible")) {
+            countPossibleCrash(newRun(task, "i-1", index + 1), 0);
+            continue;
+        }
         countCrash(crashOf(task, index + 1, words), { others: 0, nowMs: 0 });
     }
     part(this).isGivenUp = hasEnded(task.step.occurrence.job);
--- a/features/steps/examples/shardFixtures.ts
+++ b/features/steps/examples/shardFixtures.ts
@@ -1,7 +1,7 @@
 /** What examples of the parts of a shard share: a job, a task, a run, a worker, an owner. */
 
 import { plainStep, quietLog, quietMeter, testQueue, workerEntry } from "@puffinarch/stand-ins";
-import { newJob, newWorker, type ShardJob, type ShardRun } from "puffinarch";
+import { newJob, newRun, newWorker, type ShardJob, type ShardRun } from "puffinarch";
 
 /** The log of each example: none. */
 export const log = quietLog;
@@ -72,21 +72,5 @@
  * @example
  * const run = runOf(exampleJob());
  */
-export const runOf = (job: ShardJob): ShardRun => ({
-    task: taskOf(job),
-    run: 1,
-    workerId: "i-1",
-    bornAtMs: undefined,
-    address: "",
-    held: plainStep.size,
-    phase: "running",
-    sentAtMs: undefined,
-    settledAtMs: 0,
-    shown: true,
-    mayArriveUntilMs: undefined,
-    absent: false,
-    startedAtMs: 0,
-    percent: 100,
-    figure: 0,
-    idleSinceMs: undefined,
-});
+export const runOf = (job: ShardJob): ShardRun =>
+    newRun(taskOf(job), "i-1", 1, { phase: "running", settledAtMs: 0, shown: true, startedAtMs: 0 });
--- a/features/steps/examples/shardIncarnations.ts
+++ b/features/steps/examples/shardIncarnations.ts
@@ -69,6 +69,7 @@
         meter: quietMeter,
         onChange: () => {},
         onFormerGone: () => {},
+        onPossibleCrash: () => {},
         onStartLost: () => {},
         onAbsent: () => {},
     });
--- a/features/steps/keptRoomSteps.ts
+++ b/features/steps/keptRoomSteps.ts
@@ -19,6 +19,7 @@
     createPlacing,
     defaultShardSettings,
     newJob,
+    newRun,
     newWorker,
     type ShardJob,
     type ShardTask,
@@ -167,24 +168,16 @@
             const worker = newWorker(workerEntry(`i-${index}`, index), 0);
             worker.certain = true;
             worker.clock = { localMs: 0, clockMs: 0 };
-            adoptRun(worker, {
-                task,
-                run: 1,
-                workerId: worker.workerId,
-                bornAtMs: undefined,
+            const run = newRun(task, worker.workerId, 1, {
                 address: worker.entry.address,
-                held: plainStep.size,
                 phase: "running",
                 sentAtMs: -atWorkMs,
                 settledAtMs: -atWorkMs,
                 shown: true,
-                mayArriveUntilMs: undefined,
-                absent: false,
                 startedAtMs: -atWorkMs,
-                percent: 100,
                 figure: 1,
-                idleSinceMs: undefined,
             });
+            adoptRun(worker, run);
             workers.set(worker.workerId, worker);
         }
         const job = jobOf(2, { ...plainStep, count: members, gang: members > 1 });
--- a/packages/puffinarch/src/core/shard/crashes.ts
+++ b/packages/puffinarch/src/core/shard/crashes.ts
@@ -82,13 +82,25 @@
     }));
 };
 
-const isGivenUp = ({ crashes, crashesExcused, crashesUnconfirmed }: ShardTask, alone: boolean): boolean =>
-    crashes - crashesUnconfirmed >= crashesToGiveUp && alone || crashes + crashesExcused >= mostCrashes;
+/** Starts that nobody saw end speak against a task only beside this many crashes that surely were. */
+const crashesToBelieve = 2;
+
+/** Gives the job up where its task has crashed enough workers, whatever its attempts: these count what workers say of runs that end. */
+const judge = (task: ShardTask, alone: boolean, nowMs: number): void => {
+    const { crashes, crashesExcused, crashesUnconfirmed, possibleCrashes } = task;
+    const confirmed = crashes - crashesUnconfirmed;
+    const counted = crashes + crashesExcused;
+    const isGivenUp = confirmed >= crashesToGiveUp && alone || counted >= mostCrashes
+        || confirmed >= crashesToBelieve && counted + possibleCrashes >= mostCrashes;
+    if (isGivenUp) {
+        const failure = { cause: failureCauses.crashes, taskName: task.name, count: counted };
+        failJob(task.step.occurrence.job, failure, nowMs);
+    }
+};
 
 /**
  * Counts the crash of a worker for a task; false where a later run has shown the task to be sound. `others` is the number
- * of workers that went down at the same moment without a task of its job. The job is given up where the task is the cause,
- * whatever its attempts: these count what workers say of runs that end.
+ * of workers that went down at the same moment without a task of its job. The job is given up where the task is the cause.
  *
  * @example
  * if (countCrash(crashed, { others: 0, nowMs: clock.monotonicMs() })) { onChange(crashed.task.step.occurrence.job); }
@@ -109,11 +121,24 @@
         // A sound task whose order was lost would be given up for a worker that it never ran on.
         task.crashesUnconfirmed += confirmed ? 0 : 1;
     }
-    if (isGivenUp(task, alone && confirmed && !excused)) {
-        const count = task.crashes + task.crashesExcused;
-        const failure = { cause: failureCauses.crashes, taskName: task.name, count };
-        failJob(task.step.occurrence.job, failure, nowMs);
+    judge(task, alone && confirmed && !excused, nowMs);
+    return true;
+};
+
+/**
+ * Counts a crash of which nobody knows whether it was: an order that may have been carried out between two answers of its worker. It
+ * keeps a task that crashes its workers from being started on and on, and gives no job up without crashes that were seen. False where
+ * a later run has shown the task to be sound.
+ *
+ * @example
+ * if (countPossibleCrash(run, clock.monotonicMs())) { onChange(jobOf(run)); }
+ */
+export const countPossibleCrash = ({ task, run }: ShardRun, nowMs: number): boolean => {
+    if (task.done || run <= task.soundRun) {
+        return false;
     }
+    task.possibleCrashes += 1;
+    judge(task, false, nowMs);
     return true;
 };
 
@@ -172,12 +197,14 @@
  */
 export const showSound = (run: ShardRun, nowMs: number): boolean => {
     const { task } = run;
-    if (task.crashes + task.crashesExcused === 0 || nowMs - (sinceMs(run) ?? nowMs) < soundAfterMs) {
+    const counted = task.crashes + task.crashesExcused + task.possibleCrashes;
+    if (counted === 0 || nowMs - (sinceMs(run) ?? nowMs) < soundAfterMs) {
         return false;
     }
     task.crashes = 0;
     task.crashesExcused = 0;
     task.crashesUnconfirmed = 0;
+    task.possibleCrashes = 0;
     task.soundRun = run.run;
     return true;
 };
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -55,6 +55,8 @@
     mayArriveUntilMs: number | undefined;
     /** Whether the worker's present incarnation neither runs it nor will. */
     absent: boolean;
+    /** An incarnation between two that answered may have carried its order out, and crashed by it. */
+    mayHaveCrashed: boolean;
     /** Local time at which the worker first showed it at work. */
     startedAtMs: number | undefined;
     /** Latest share of the processor and progress that a look showed. */
@@ -96,8 +98,10 @@
     crashesExcused: number;
     /** Runs of it that were lost with workers of which nobody knows yet whether they crashed. */
     readonly unresolvedLosses: UnresolvedLoss[];
-    /** Those of `crashes` before which no worker had said that it runs the task. */
+    /** Those of `crashes` before which no worker had said that it runs the task, or that nobody saw. */
     crashesUnconfirmed: number;
+    /** Starts of it that a worker may have carried out and crashed by between two answers; none of them is among `crashes`. */
+    possibleCrashes: number;
     /** Run that a worker had said to run before it fell silent, so that a successor counts its crash as confirmed; 0 for none. */
     confirmedRun: number;
     /** Highest run that was at work long enough to show that the task crashes nothing. */
@@ -196,6 +200,7 @@
     crashesExcused: 0,
     unresolvedLosses: [],
     crashesUnconfirmed: 0,
+    possibleCrashes: 0,
     confirmedRun: 0,
     soundRun: 0,
     trialWantedAtMs: undefined,
@@ -369,6 +374,7 @@
     shown: false,
     mayArriveUntilMs: undefined,
     absent: false,
+    mayHaveCrashed: false,
     startedAtMs: undefined,
     percent: 100,
     figure: 0,
--- a/packages/puffinarch/src/core/shard/jobRowSchemas.ts
+++ b/packages/puffinarch/src/core/shard/jobRowSchemas.ts
@@ -88,6 +88,7 @@
     crashes: whole,
     excused: whole,
     unconfirmed: whole.default(0),
+    possible: whole.default(0),
     confirmedRun: whole.default(0),
 });
 
@@ -98,6 +99,8 @@
     untilMs: z.number("a time"),
     /** An incarnation of its worker that was looked at does not have it. */
     absent: flag,
+    /** An incarnation that nobody looked at may have crashed by it. */
+    mayHaveCrashed: flag,
 });
 
 /** A run that was lost with a silent worker, which may have crashed. */
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -57,6 +57,8 @@
     readonly mayArriveUntilMs: number | undefined;
     /** An incarnation of its worker that was looked at does not have it. */
     readonly absent: boolean;
+    /** An incarnation that nobody looked at may have crashed by it. */
+    readonly mayHaveCrashed: boolean;
     /** Local time at which it was made durable, or a later change of its job. */
     readonly storedAtMs: number;
 }
@@ -114,8 +116,9 @@
     for (const step of stepsOf(job)) {
         for (const task of step.tasks) {
             const { crashes, crashesExcused: excused, crashesUnconfirmed: unconfirmed, confirmedRun, done } = task;
-            if (crashes + excused + confirmedRun > 0 && !done) {
-                crashed.push({ place: placeOf(task), crashes, excused, unconfirmed, confirmedRun });
+            const { possibleCrashes: possible } = task;
+            if (crashes + excused + possible + confirmedRun > 0 && !done) {
+                crashed.push({ place: placeOf(task), crashes, excused, unconfirmed, possible, confirmedRun });
             }
         }
     }
@@ -157,10 +160,10 @@
 /** A successor would else start a task elsewhere as soon as a look does not list its run. */
 const encodeUnanswered = (job: ShardJob, clock: Clock): readonly StoredUnanswered[] => {
     const unanswered: StoredUnanswered[] = [];
-    for (const { task, run, mayArriveUntilMs, absent } of runsOf(job)) {
+    for (const { task, run, mayArriveUntilMs, absent, mayHaveCrashed } of runsOf(job)) {
         if (mayArriveUntilMs !== undefined) {
             const untilMs = clock.nowMs() + mayArriveUntilMs - clock.monotonicMs();
-            unanswered.push({ place: placeOf(task), run, untilMs, absent });
+            unanswered.push({ place: placeOf(task), run, untilMs, absent, mayHaveCrashed });
         }
     }
     return unanswered;
@@ -252,6 +255,7 @@
             address: "",
             mayArriveUntilMs: undefined,
             absent: false,
+            mayHaveCrashed: false,
             storedAtMs: 0,
         });
     }
@@ -259,13 +263,14 @@
 
 const restoreCrashes = (
     job: ShardJob,
-    { place, crashes, excused, unconfirmed, confirmedRun }: StoredCrashedTask,
+    { place, crashes, excused, unconfirmed, possible, confirmedRun }: StoredCrashedTask,
 ): void => {
     const task = taskAt(job, place);
     if (task !== undefined) {
         task.crashes = crashes;
         task.crashesExcused = excused;
         task.crashesUnconfirmed = unconfirmed;
+        task.possibleCrashes = possible;
         task.confirmedRun = confirmedRun;
     }
 };
@@ -322,6 +327,7 @@
                 address: stored.addresses[run.workerId] ?? "",
                 bornAtMs: stored.lives[run.workerId],
                 absent: start?.absent ?? false,
+                mayHaveCrashed: start?.mayHaveCrashed ?? false,
                 mayArriveUntilMs: start && localMs(start.untilMs),
                 storedAtMs: localMs(stored.writtenAtMs),
             };
--- a/packages/puffinarch/src/core/shard/missingRuns.ts
+++ b/packages/puffinarch/src/core/shard/missingRuns.ts
@@ -16,6 +16,8 @@
     readonly onChange: (job: ShardJob) => void;
     /** A former owner's run is not there; its order may still be under way. */
     readonly onFormerGone: (worker: ShardWorker, run: ShardRun) => void;
+    /** The run was let go of, and nobody knows whether a worker crashed by it. */
+    readonly onPossibleCrash: (worker: ShardWorker, run: ShardRun) => void;
     /** The start of the run was lost; it surely does not and will not run there. */
     readonly onStartLost: (run: ShardRun) => void;
     /** The worker answers, and left the start of a run that may still be carried out there without an answer. */
@@ -35,7 +37,7 @@
  * Makes the review of one owner.
  *
  * @example
- * const missing = createMissingRuns({ clock, log, meter, onChange, onFormerGone, onStartLost, onAbsent });
+ * const missing = createMissingRuns({ clock, log, meter, onChange, onFormerGone, onPossibleCrash, onStartLost, onAbsent });
  * missing.review(worker, new Set(), sentAtMs);
  */
 export const createMissingRuns = (options: MissingRunsOptions): MissingRuns => {
@@ -66,6 +68,9 @@
             phase: run.phase,
         });
         dropRun(worker, run);
+        if (run.mayHaveCrashed) {
+            options.onPossibleCrash(worker, run);
+        }
         if (run.sentAtMs === undefined && !run.shown) {
             options.onFormerGone(worker, run);
         }
--- a/packages/puffinarch/src/core/shard/nextIncarnation.ts
+++ b/packages/puffinarch/src/core/shard/nextIncarnation.ts
@@ -109,9 +109,10 @@
     next.unlistedAtMs = isListed ? undefined : -Infinity;
     for (const run of carried) {
         if (run.absent) {
-            // The incarnation before refused it, so that it did not crash under it.
+            // The incarnation before refused it, so that it did not crash under it; one between the two may have.
             run.bornAtMs = bornAtMs;
             run.absent = false;
+            run.mayHaveCrashed = true;
         }
         if (isAwaited(run)) {
             run.settledAtMs = nowMs;
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -371,7 +371,7 @@
     /** Puts a run whose intent was durable where its worker's first look will settle it. */
     const attachStored = (
         worker: ShardWorker,
-        { taskName, run, bornAtMs, address, mayArriveUntilMs, absent, storedAtMs }: StoredRun,
+        { taskName, run, bornAtMs, address, mayArriveUntilMs, absent, mayHaveCrashed, storedAtMs }: StoredRun,
     ): void => {
         const task = findTask(jobOf, taskName);
         if (task === undefined) {
@@ -383,6 +383,7 @@
             phase: runPhases.running,
             settledAtMs: 0,
             absent,
+            mayHaveCrashed,
         });
         if (!holdsForOneIncarnation(entry, settings)) {
             // The time of day may have been stepped since it was stored.
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -3,12 +3,13 @@
 import { type EndedRun, type LookResult, type RunningRun } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import type { CorrelatedCrashes } from "./correlatedCrashes.js";
-import { countCrash, type CrashedRun, crashedRuns, showSound } from "./crashes.js";
+import { countCrash, countPossibleCrash, type CrashedRun, crashedRuns, showSound } from "./crashes.js";
 import { incarnationOf, isOtherIncarnation } from "./incarnations.js";
 import {
     applyEnd,
     findTask,
     hasEnded,
+    jobOf as jobOfRun,
     newRun,
     runPhases,
     type ShardJob,
@@ -64,7 +65,27 @@
  */
 export const createWorkerWatch = (options: WorkerWatchOptions): WorkerWatch => {
     const { clock, log, meter, jobOf, onChange } = options;
-    const missingRuns = createMissingRuns(options);
+
+    const hasLeft = ({ entry, cordoned }: ShardWorker): boolean => entry.draining || cordoned;
+
+    const notePossibleCrash = (worker: ShardWorker, run: ShardRun): void => {
+        const { task } = run;
+        if (hasLeft(worker) || !countPossibleCrash(run, clock.monotonicMs())) {
+            return;
+        }
+        meter.count("crashesPossible");
+        log.write("warn", "taskMayHaveCrashed", {
+            task: task.name,
+            run: run.run,
+            ...incarnationOf(worker),
+            crashes: task.crashes,
+            crashesExcused: task.crashesExcused,
+            crashesUnconfirmed: task.crashesUnconfirmed,
+            possibleCrashes: task.possibleCrashes,
+        });
+        onChange(jobOfRun(run));
+    };
+    const missingRuns = createMissingRuns({ ...options, onPossibleCrash: notePossibleCrash });
 
     const judgeWorker = (
         worker: ShardWorker,
@@ -208,6 +229,7 @@
         }
         run.shown = true;
         run.absent = false;
+        run.mayHaveCrashed = false;
         run.mayArriveUntilMs = undefined;
         worker.undecided.delete(runKey(row.taskName, row.run));
         run.percent = row.percent;
@@ -266,9 +288,12 @@
 
     /** Runs of former owners that were for an incarnation before this one may have crashed that one, unless this one has them. */
     const suspectFormer = (worker: ShardWorker): void => {
-        if (worker.entry.draining || worker.cordoned) {
+        if (hasLeft(worker)) {
             return;
         }
+        for (const run of worker.runs.values()) {
+            run.mayHaveCrashed ||= run.absent && isOtherIncarnation(run.bornAtMs, worker.bornAtMs);
+        }
         for (const suspect of crashedRuns(worker, clock.monotonicMs())) {
             const key = runKey(suspect.task.name, suspect.run);
             const run = worker.runs.get(key);
@@ -326,6 +351,9 @@
                     otherJobs: runs.filter(other => other.task.step.occurrence.job !== job).length,
                 });
                 dropRun(worker, run);
+                if (run.absent || run.mayHaveCrashed) {
+                    notePossibleCrash(worker, run);
+                }
                 onChange(run.task.step.occurrence.job);
             }
             return crashed;
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -101,6 +101,7 @@
 export {
     awaitsVerdict,
     countCrash,
+    countPossibleCrash,
     type CrashedRun,
     crashedRuns,
     isNearEnd,
