A start without an answer keeps its room on the worker's next incarnation only

Cause: an order without an answer may be carried out by the next incarnation alone, once a look under a newer token has not listed it, and its room was taken from the present one.

Such a run now holds no room of the incarnation that refuses it. What the next one may be given is still bounded: absent runs and all that is planned or under way together fit on it, as each of these may be carried out there before a look reaches it. What runs on the present incarnation ends with it and does not count for that. The organisation's use stays charged.

A scene shows what that costs: two orders that are late one after the other, a crash behind a cut, and the next incarnation holds 12 of 8 cores; it passes here.

--- a/features/delayedStarts.feature
+++ b/features/delayedStarts.feature
@@ -72,3 +72,25 @@
         When it is played with 10 seeds
         Then nothing goes wrong in any of them
         And no other start got no answer
+
+    # Its room was kept on an incarnation that refuses it: beside late orders a third of a cell idled for 6 s.
+    Scenario: The room of a start that got no answer serves others while its worker refuses that start
+        Given a cell of 3 daemons and 1 workers that start again under their IDs 50 ms after a crash
+        When 1 jobs of steps "1 of 4 cores" are submitted
+        And its start gets no answer
+        And 1 jobs of steps "1 long running of 4 cores" are submitted
+        Then a task is started within 1000 ms
+        When 1 jobs of steps "1 of 4 cores" are submitted
+        Then a task is started within 1000 ms
+        And no promise was broken
+
+    # The next incarnation may be given whatever has no answer yet.
+    Scenario: Two starts that got no answer, late one after the other, bring no incarnation over its capacity
+        Given a cell of 3 daemons and 1 workers that start again under their IDs 50 ms after a crash
+        When 1 jobs of steps "1 of 4 cores" are submitted
+        And its start gets no answer
+        And the shard runs for 400 ms
+        And 1 jobs of steps "1 of 8 cores" are submitted
+        And orders to that worker are late until it crashes after 2300 ms behind a cut of 1500 ms
+        Then all jobs are "completed" within 30000 ms
+        And no promise was broken
--- a/features/steps/crashingSteps.ts
+++ b/features/steps/crashingSteps.ts
@@ -31,6 +31,8 @@
     readonly revived: Set<string>;
     isGivenUp: boolean;
     isAllowed: boolean;
+    /** The worker that left a start unanswered. */
+    lateWorker: string;
 }
 
 /** Ids of jobs whose tasks crash their workers, so that they are told from those of all others. */
@@ -39,7 +41,11 @@
 const longestWaitMs = 20_000;
 
 const part = (world: ScenarioWorld): Part =>
-    partOf(world, "crashing", () => ({ jobs: [], revived: new Set(), isGivenUp: false, isAllowed: false }));
+    partOf(
+        world,
+        "crashing",
+        () => ({ jobs: [], revived: new Set(), isGivenUp: false, isAllowed: false, lateWorker: "" }),
+    );
 
 const submissionOfOne: JobSubmission = {
     jobId: jobIdOf(1),
@@ -207,6 +213,38 @@
     },
 );
 
+/** Lets the next start go unanswered; gives its worker. Its order is carried out three seconds after it was sent. */
+const loseAnswer = async (cell: ShardCell): Promise<string> => {
+    const linesBefore = cell.log.length;
+    const given = () => cell.log.slice(linesBefore).find(({ event }) => event === "startUnanswered");
+    for (const workerId of cell.workers.workerIds()) {
+        cell.workers.setFault(workerId, "late");
+    }
+    await advanceUntil(cell, () => given() !== undefined, "no start was given up");
+    for (const workerId of cell.workers.workerIds()) {
+        cell.workers.setFault(workerId, "none");
+    }
+    return String(given()?.fields["workerId"]);
+};
+
+When("its start gets no answer", async function(this: ScenarioWorld) {
+    part(this).lateWorker = await loseAnswer(cellOf(this));
+});
+
+When(
+    "orders to that worker are late until it crashes after {int} ms behind a cut of {int} ms",
+    async function(this: ScenarioWorld, crashAfterMs: number, cutMs: number) {
+        const { workers, clock } = cellOf(this);
+        const { lateWorker } = part(this);
+        workers.setFault(lateWorker, "late");
+        await clock.advance(crashAfterMs);
+        workers.setFault(lateWorker, "cut");
+        cellOf(this).crashWorkers([lateWorker]);
+        await clock.advance(cutMs);
+        workers.setFault(lateWorker, "none");
+    },
+);
+
 /** Lines of the log after which a run that got no answer is let go of, by the words of the scenes. */
 const letGoLines: Readonly<Record<string, { readonly event: string; readonly reason: string | undefined; }>> = {
     "a look": { event: "runGone", reason: undefined },
@@ -225,16 +263,9 @@
         const letGo = letGoLines[by] ?? assert.fail(`nothing is let go of by ${by}`);
         const { workers, clock } = cell;
         for (let round = 0; round < times; round += 1) {
+            const late = await loseAnswer(cell);
             const linesBefore = cell.log.length;
             const lineOf = (wanted: string) => cell.log.slice(linesBefore).find(({ event }) => event === wanted);
-            for (const workerId of workers.workerIds()) {
-                workers.setFault(workerId, "late");
-            }
-            await advanceUntil(cell, () => lineOf("startUnanswered") !== undefined, "no start was given up");
-            const late = String(lineOf("startUnanswered")?.fields["workerId"]);
-            for (const workerId of workers.workerIds()) {
-                workers.setFault(workerId, "none");
-            }
             await clock.advance(cutBeforeCarriedOutMs);
             const startsBefore = workers.evidence.length;
             workers.setFault(late, "cut");
--- a/packages/puffinarch/src/core/shard/missingRuns.ts
+++ b/packages/puffinarch/src/core/shard/missingRuns.ts
@@ -5,7 +5,7 @@
 import { incarnationOf } from "./incarnations.js";
 import { jobOf, type ShardJob, type ShardRun } from "./jobBook.js";
 import { mayArrive } from "./unansweredStart.js";
-import { dropRun, type ShardWorker } from "./workerTable.js";
+import { dropRun, setAbsent, type ShardWorker } from "./workerTable.js";
 
 /** What the review of missing runs needs. */
 export interface MissingRunsOptions {
@@ -44,7 +44,7 @@
     const { clock, log, meter, onChange } = options;
 
     const holdAbsent = (worker: ShardWorker, run: ShardRun, nowMs: number): void => {
-        run.absent = true;
+        setAbsent(worker, run, true);
         meter.count("startsAbsent");
         log.write("warn", "startMayArrive", {
             task: run.task.name,
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -5,7 +5,7 @@
 import { charge, isOverCap, release } from "./accounts.js";
 import type { CrashedRun } from "./crashes.js";
 import type { DelayedStart } from "./delayedStarts.js";
-import { jobOf, type ShardJob, type ShardRun } from "./jobBook.js";
+import { jobOf, runPhases, type ShardJob, type ShardRun } from "./jobBook.js";
 import { allowsStart } from "./startBreaker.js";
 
 /** How much slower than ours a worker's clock may run. */
@@ -47,6 +47,8 @@
     readonly runs: Map<string, ShardRun>;
     /** Room that is held, by known runs and by runs that nobody knows until they are stopped. */
     held: Resources;
+    /** Runs that this incarnation refuses; their orders may reach the next one, of which alone they hold room. */
+    absentRuns: number;
     /** Failures in a row, and the jobs that they belonged to. */
     readonly failedJobs: Set<string>;
     failuresInARow: number;
@@ -100,6 +102,7 @@
     undecided: new Map(),
     runs: new Map(),
     held: noResources,
+    absentRuns: 0,
     failedJobs: new Set(),
     failuresInARow: 0,
     soundSinceMs: -Infinity,
@@ -132,13 +135,21 @@
     return deadlineMs;
 };
 
+/** What ends with this incarnation holds nothing of the next one; whatever has no answer yet may be carried out there. */
+const mayReachNext = ({ absent, phase }: ShardRun): boolean =>
+    absent || phase === runPhases.planned || phase === runPhases.starting;
+
+const heldOfNext = ({ runs }: ShardWorker): Resources =>
+    [...runs.values()].filter(mayReachNext).reduce((sum, run) => add(sum, run.held), noResources);
+
 /**
- * Gives the room that is left on a worker.
+ * Gives the room that is left on a worker, and would be on its next incarnation if that were to carry out what has no answer.
  *
  * @example
  * roomOf(worker).cpuMillis;
  */
-export const roomOf = (worker: ShardWorker): Resources => subtract(worker.entry.capacity, worker.held);
+export const roomOf = (worker: ShardWorker): Resources =>
+    subtract(worker.entry.capacity, worker.absentRuns === 0 ? worker.held : largest(worker.held, heldOfNext(worker)));
 
 /**
  * Takes a worker's newest listing.
@@ -166,9 +177,37 @@
 export const stillFits = (worker: ShardWorker, run: ShardRun): boolean =>
     fitsWith(run.held, roomOf(worker)) && !isOverCap(jobOf(run).account, run.held);
 
+const takeRoom = (worker: ShardWorker, { absent, held }: ShardRun): void => {
+    if (absent) {
+        worker.absentRuns += 1;
+        return;
+    }
+    worker.held = add(worker.held, held);
+};
+
+const giveRoomBack = (worker: ShardWorker, { absent, held }: ShardRun): void => {
+    if (absent) {
+        worker.absentRuns -= 1;
+        return;
+    }
+    worker.held = subtract(worker.held, held);
+};
+
+/**
+ * Notes whether the worker's present incarnation refuses a run that it holds; other tasks may then have the room.
+ *
+ * @example
+ * setAbsent(worker, run, true);
+ */
+export const setAbsent = (worker: ShardWorker, run: ShardRun, absent: boolean): void => {
+    giveRoomBack(worker, run);
+    run.absent = absent;
+    takeRoom(worker, run);
+};
+
 /** Room on a worker and use of an organisation's cap are taken and given back together, and only here and in `releaseRun`. */
 const takeRun = (worker: ShardWorker, run: ShardRun): void => {
-    worker.held = add(worker.held, run.held);
+    takeRoom(worker, run);
     worker.runs.set(runKey(run.task.name, run.run), run);
     charge(jobOf(run).account, run.held);
 };
@@ -203,7 +242,7 @@
  */
 export const releaseRun = (worker: ShardWorker, run: ShardRun): void => {
     if (worker.runs.delete(runKey(run.task.name, run.run))) {
-        worker.held = subtract(worker.held, run.held);
+        giveRoomBack(worker, run);
         release(jobOf(run).account, run.held);
     }
 };
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -18,7 +18,7 @@
 } from "./jobBook.js";
 import { createMissingRuns, type MissingRunsOptions } from "./missingRuns.js";
 import { noteStartAnswered } from "./startBreaker.js";
-import { adoptRun, dropRun, runKey, type ShardWorker } from "./workerTable.js";
+import { adoptRun, dropRun, runKey, setAbsent, type ShardWorker } from "./workerTable.js";
 
 /** What the watch needs. */
 export interface WorkerWatchOptions extends Pick<MissingRunsOptions, "onFormerGone" | "onStartLost" | "onAbsent"> {
@@ -228,7 +228,7 @@
             return;
         }
         run.shown = true;
-        run.absent = false;
+        setAbsent(worker, run, false);
         run.mayHaveCrashed = false;
         run.mayArriveUntilMs = undefined;
         worker.undecided.delete(runKey(row.taskName, row.run));
