A step goes on with its wait where others take the room for a moment

Jobs that fail by themselves do so with each of their attempts. Cause: the wait was counted on end, not in all.

The time for which a step was held up now counts from its newest start on; a start of it ends it. A task that has failed waits 2 s after that as before, so that workers which fail everything do not use up its attempts.

--- a/features/rests.feature
+++ b/features/rests.feature
@@ -19,6 +19,13 @@
             | 500  | 2    |
             | 500  | 3    |
 
+    # Jobs that fail by themselves took the room for a moment, one after the other, and each time its wait began anew: it stood for up to 20 s.
+    Scenario: A task goes on with its wait for a worker at rest where others take the room for a moment
+        Given a cell of 3 daemons and 1 workers
+        When 6 jobs of steps "1 failing" are submitted, 300 ms apart, a job of steps "1 of 8 cores" and 20 more such jobs, 1500 ms apart
+        Then the job of steps "1 of 8 cores" is at work within 5000 ms
+        And workers have rested 1 times at least
+
     # The rest after a refused start is short, and took the place of a longer one that had begun while the order was under way.
     Scenario: A refused start does not end a longer rest
         Given a worker whose runs of 2 jobs fail while it is sent a start that it refuses after 300 ms
--- a/features/steps/restSteps.ts
+++ b/features/steps/restSteps.ts
@@ -6,6 +6,7 @@
     plainStep,
     quietLog,
     quietMeter,
+    readSteps,
     type ShardCell,
     testQueue,
     workerEntry,
@@ -37,6 +38,9 @@
 const part = (world: ScenarioWorld): Part => partOf<Part>(world, "rests", () => assert.fail("there is no worker"));
 
 const lookMs = 100;
+/** The job that waits, and the first of those that pass it. */
+const waitingId = 1;
+const firstOtherId = 2;
 
 Given(
     "a cell of {int} daemons and {int} workers where every run fails, with calls to the advisor of {int} ms that allow {int}, seed {int}",
@@ -86,6 +90,41 @@
     return longest;
 };
 
+When(
+    "{int} jobs of steps {string} are submitted, {int} ms apart, a job of steps {string} and {int} more such jobs, {int} ms apart",
+    async function(
+        this: ScenarioWorld,
+        before: number,
+        steps: string,
+        apartMs: number,
+        waitingSteps: string,
+        after: number,
+        laterApartMs: number,
+    ) {
+        const cell = cellOf(this);
+        for (let index = 0; index < before; index += 1) {
+            cell.submit(jobIdOf(firstOtherId + index), readSteps(steps));
+            await cell.clock.advance(apartMs);
+        }
+        cell.submit(jobIdOf(waitingId), readSteps(waitingSteps));
+        for (let index = before; index < before + after; index += 1) {
+            cell.clock.setTimer((1 + index - before) * laterApartMs, () => {
+                cell.submit(jobIdOf(firstOtherId + index), readSteps(steps));
+            });
+        }
+    },
+);
+
+Then(
+    "the job of steps {string} is at work within {int} ms",
+    async function(this: ScenarioWorld, _steps: string, limitMs: number) {
+        const { workers, until } = cellOf(this);
+        const isAtWork = (): boolean =>
+            workers.evidence.some(({ taskName }) => taskName.startsWith(`${jobIdOf(waitingId)}.`));
+        assert.ok(await until(isAtWork, limitMs), "it is not");
+    },
+);
+
 Then(
     "no task stands for {int} ms with room for it, for {int} ms",
     async function(this: ScenarioWorld, limitMs: number, forMs: number) {
--- a/packages/puffinarch/src/core/shard/heldUp.ts
+++ b/packages/puffinarch/src/core/shard/heldUp.ts
@@ -31,7 +31,7 @@
  * Tells whether workers have room for all of a step that has to start at once, were none kept for others and none at rest.
  *
  * @example
- * step.heldUpAtMs = isHeldUp(step, { workers, nowMs }) ? step.heldUpAtMs ?? nowMs : undefined;
+ * noteHeldUp(step, isHeldUp(step, { workers, nowMs }), nowMs);
  */
 export const isHeldUp = (step: ShardStep, sight: Sight): boolean => {
     const runs = countRuns(step);
@@ -48,6 +48,24 @@
     return false;
 };
 
+/**
+ * Notes whether a step is held up now. Its wait goes on where others have taken the room for a moment: jobs that fail by themselves
+ * would else begin it anew with each of their attempts.
+ *
+ * @example
+ * noteHeldUp(step, isHeldUp(step, { workers, nowMs }), nowMs);
+ */
+export const noteHeldUp = (step: ShardStep, isNow: boolean, nowMs: number): void => {
+    if (isNow) {
+        step.heldUpAtMs ??= nowMs - step.heldUpBeforeMs;
+        return;
+    }
+    if (step.heldUpAtMs !== undefined) {
+        step.heldUpBeforeMs = nowMs - step.heldUpAtMs;
+        step.heldUpAtMs = undefined;
+    }
+};
+
 /**
  * Tells whether a step has been held up for long, or will have been at the given time. One that lasts never ends before
  * those for which room is kept, so that it counts from its turn on.
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -140,6 +140,8 @@
     readyAtMs: number;
     /** Local time since which it has been held up beside room for it; undefined where it is not. */
     heldUpAtMs: number | undefined;
+    /** For how long it was held up before that, since its newest start. */
+    heldUpBeforeMs: number;
     /** Others that waited long took room kept for it so often, and may do so again from this local time on. */
     timesPassed: number;
     passableAtMs: number;
@@ -221,6 +223,7 @@
         advice: { asked: new Set(), good: new Map(), inFlight: false, notBeforeMs: 0 },
         readyAtMs: 0,
         heldUpAtMs: undefined,
+        heldUpBeforeMs: 0,
         timesPassed: 0,
         passableAtMs: 0,
     };
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -6,7 +6,7 @@
 import { type Chooser, createChooser, openFor } from "./chooseWorker.js";
 import { awaitsVerdict, needsTrial } from "./crashes.js";
 import { isAtCap } from "./eligible.js";
-import { isHeldUp } from "./heldUp.js";
+import { isHeldUp, noteHeldUp } from "./heldUp.js";
 import {
     hasEnded,
     isReady,
@@ -344,9 +344,10 @@
             return;
         }
         const left = waiting.length - runs.length;
-        step.heldUpAtMs = left > 0 && isHeldUp(step, { workers, nowMs })
-            ? step.heldUpAtMs ?? nowMs
-            : undefined;
+        noteHeldUp(step, left > 0 && isHeldUp(step, { workers, nowMs }), nowMs);
+        if (runs.length > 0) {
+            step.heldUpBeforeMs = 0;
+        }
         if (left > 0) {
             // Room that is kept beside others is of no use to a task that is to run by itself.
             const reservations = step.tasks.some(needsTrial) ? [] : keepRoom(ranked, left, round);
