--- a/features/examples.feature
+++ b/features/examples.feature
@@ -86,7 +86,7 @@
             | roomView             | 8000 for it, 0 for others               |
             | planRoom             | i-2 in 0 ms, i-1 in 700 ms              |
             | urgency              | 2 onTime, 1 late                        |
-            | heldUp               | after 2100, 3100 ms                     |
+            | blockedSteps         | after 2100, 3100 ms                     |
             | askAdvice            | may run on i-1                          |
             | shardOwner           | 5c0e7a21d94b36f8 is queued              |
             | shardWorkers         | 1 worker, then 0, as its incarnation was over  |
--- a/features/steps/examples/shardPlacement.ts
+++ b/features/steps/examples/shardPlacement.ts
@@ -14,13 +14,13 @@
     createPlacing,
     createRoomView,
     defaultShardSettings,
+    ignoresRests,
     inTurn,
-    isHeldUp,
+    isBlocked,
     isTimeToAsk,
     newAccount,
     newJob,
     noResources,
-    passesRests,
     placesIn,
     planRoom,
     roomOf,
@@ -116,14 +116,14 @@
     return `${view.roomFor(worker, urgent).cpuMillis} for it, ${view.roomFor(worker, other).cpuMillis} for others`;
 };
 
-const heldUp = (): string => {
+const blockedSteps = (): string => {
     const worker = openWorker();
     const task = taskOf(exampleJob());
     const { step } = task;
     step.advice.good.set("i-1", { ticket: "t", validUntilMs: 9_000 });
     worker.restsUntilMs = 4_000;
-    step.heldUpAtMs = isHeldUp(step, { workers: new Map([["i-1", worker]]), nowMs: 100 }) ? 100 : undefined;
-    const passed = [100, 1_100, 2_100, 3_100].filter(nowMs => passesRests(task, nowMs));
+    step.blockedAtMs = isBlocked(step, { workers: new Map([["i-1", worker]]), nowMs: 100 }) ? 100 : undefined;
+    const passed = [100, 1_100, 2_100, 3_100].filter(nowMs => ignoresRests(task, nowMs));
     return `after ${passed.join(", ")} ms`;
 };
 
@@ -236,7 +236,7 @@
     placing,
     preempt,
     roomView,
-    heldUp,
+    blockedSteps,
     planRoom: plan,
     urgency,
     askAdvice,
--- a/packages/puffinarch/src/core/shard/askAdvice.ts
+++ b/packages/puffinarch/src/core/shard/askAdvice.ts
@@ -6,8 +6,8 @@
 import { createAdviceBreadth } from "./adviceBreadth.js";
 import type { AdviceDesk } from "./adviceDesk.js";
 import { avoidedByAll, failedLately } from "./avoidance.js";
+import { ignoresRests } from "./blockedSteps.js";
 import { allowsAnother, countRuns, suits, ticketFor } from "./eligible.js";
-import { passesRests } from "./heldUp.js";
 import { hasEnded, heldBy, isWaiting, type ShardStep, stepNameOf } from "./jobBook.js";
 import type { Reservation, RoomView } from "./roomView.js";
 import type { ShardSettings } from "./shardSettings.js";
@@ -154,7 +154,7 @@
         const leadMs = costOf(step, 1) + queueMs;
         const hasRoom = (worker: ShardWorker): boolean =>
             fits(held, view.roomFor(worker, step, leadMs)) && allowsAnother(spec, runs.get(worker.workerId) ?? 0);
-        const passes = step.tasks.some(task => isWaiting(task) && passesRests(task, nowMs + leadMs));
+        const passes = step.tasks.some(task => isWaiting(task) && ignoresRests(task, nowMs + leadMs));
         const avoided = avoidedByAll(step, { workers, nowMs: nowMs + leadMs });
         const known = usable.filter(worker =>
             isOpen(worker, nowMs, passes ? Infinity : leadMs) && advice.good.has(worker.workerId) && hasRoom(worker)
--- a/packages/puffinarch/src/core/shard/heldUp.ts
+++ b/packages/puffinarch/src/core/shard/blockedSteps.ts
@@ -1,5 +1,5 @@
 /**
- * Steps that are held up: workers have room for them, and it is kept for others, the workers rest or have just failed the
+ * Steps that are blocked: workers have room for them, and it is kept for others, the workers rest or have just failed the
  * task, or a ticket is on its way. Each of these waits has its reason, and each ends in time only if all are counted from
  * the same moment on.
  */
@@ -31,9 +31,9 @@
  * Tells whether workers have room for all of a step that has to start at once, were none kept for others and none at rest.
  *
  * @example
- * noteHeldUp(step, isHeldUp(step, { workers, nowMs }), nowMs);
+ * noteBlocked(step, isBlocked(step, { workers, nowMs }), nowMs);
  */
-export const isHeldUp = (step: ShardStep, sight: Sight): boolean => {
+export const isBlocked = (step: ShardStep, sight: Sight): boolean => {
     const runs = countRuns(step);
     let needed = placesNeeded(step);
     for (const worker of sight.workers.values()) {
@@ -49,32 +49,32 @@
 };
 
 /**
- * Notes whether a step is held up now. Its wait goes on where others have taken the room for a moment: jobs that fail by themselves
+ * Notes whether a step is blocked now. Its wait goes on where others have taken the room for a moment: jobs that fail by themselves
  * would else begin it anew with each of their attempts.
  *
  * @example
- * noteHeldUp(step, isHeldUp(step, { workers, nowMs }), nowMs);
+ * noteBlocked(step, isBlocked(step, { workers, nowMs }), nowMs);
  */
-export const noteHeldUp = (step: ShardStep, isNow: boolean, nowMs: number): void => {
+export const noteBlocked = (step: ShardStep, isNow: boolean, nowMs: number): void => {
     if (isNow) {
-        step.heldUpAtMs ??= nowMs - step.heldUpBeforeMs;
+        step.blockedAtMs ??= nowMs - step.blockedBeforeMs;
         return;
     }
-    if (step.heldUpAtMs !== undefined) {
-        step.heldUpBeforeMs = nowMs - step.heldUpAtMs;
-        step.heldUpAtMs = undefined;
+    if (step.blockedAtMs !== undefined) {
+        step.blockedBeforeMs = nowMs - step.blockedAtMs;
+        step.blockedAtMs = undefined;
     }
 };
 
 /**
- * Tells whether a step has been held up for long, or will have been at the given time. One that lasts never ends before
+ * Tells whether a step has been blocked for long, or will have been at the given time. One that lasts never ends before
  * those for which room is kept, so that it counts from its turn on.
  *
  * @example
  * hasWaitedLong(step, clock.monotonicMs()); // false
  */
-export const hasWaitedLong = ({ spec, readyAtMs, heldUpAtMs }: ShardStep, atMs: number): boolean =>
-    atMs - (spec.longRunning ? readyAtMs : heldUpAtMs ?? atMs) >= holdPatienceMs;
+export const hasWaitedLong = ({ spec, readyAtMs, blockedAtMs }: ShardStep, atMs: number): boolean =>
+    atMs - (spec.longRunning ? readyAtMs : blockedAtMs ?? atMs) >= holdPatienceMs;
 
 /**
  * Ends the patience of a step whose task waited for a start without an answer: it has stood for seconds already.
@@ -83,7 +83,7 @@
  * endPatience(run.task.step, clock.monotonicMs());
  */
 export const endPatience = (step: ShardStep, nowMs: number): void => {
-    step.heldUpAtMs = Math.min(step.heldUpAtMs ?? nowMs, nowMs - holdPatienceMs);
+    step.blockedAtMs = Math.min(step.blockedAtMs ?? nowMs, nowMs - holdPatienceMs);
 };
 
 /**
@@ -91,8 +91,8 @@
  * does not use up its attempts at once.
  *
  * @example
- * passesRests(task, clock.monotonicMs()); // false
+ * ignoresRests(task, clock.monotonicMs()); // false
  */
-export const passesRests = ({ step, failedOn }: ShardTask, atMs: number): boolean =>
-    step.heldUpAtMs !== undefined
-    && atMs - Math.max(step.heldUpAtMs, ...failedOn.values()) >= holdPatienceMs;
+export const ignoresRests = ({ step, failedOn }: ShardTask, atMs: number): boolean =>
+    step.blockedAtMs !== undefined
+    && atMs - Math.max(step.blockedAtMs, ...failedOn.values()) >= holdPatienceMs;
--- a/packages/puffinarch/src/core/shard/capView.ts
+++ b/packages/puffinarch/src/core/shard/capView.ts
@@ -2,7 +2,7 @@
 
 import { add, noResources, type Resources, scale } from "../../types/resources.js";
 import { type Account, tasksUnderCap, usesHalfOfCap } from "./accounts.js";
-import { holdPatienceMs } from "./heldUp.js";
+import { holdPatienceMs } from "./blockedSteps.js";
 import { heldBy, type ShardStep, type ShardTask } from "./jobBook.js";
 
 /** Gangs for which a cap is kept although under half of it is used, and the local time since which that is so. */
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -3,8 +3,8 @@
 import { fits, type Resources } from "../../types/resources.js";
 import type { Step } from "../../types/work.js";
 import { avoidedBy, failedLately } from "./avoidance.js";
+import { ignoresRests } from "./blockedSteps.js";
 import { allowsAnother, countRuns, suits, ticketFor } from "./eligible.js";
-import { passesRests } from "./heldUp.js";
 import { heldBy, type ShardStep, type ShardTask } from "./jobBook.js";
 import type { RoomView } from "./roomView.js";
 import { allowsTrial, companyOf, isKeptFrom, isSuspect } from "./trials.js";
@@ -197,7 +197,7 @@
             let best: ShardWorker | undefined;
             let bestScore = -Infinity;
             // Copies may wait: their tasks run.
-            const mayPass = task.runs.length === 0 && passesRests(task, nowMs);
+            const mayPass = task.runs.length === 0 && ignoresRests(task, nowMs);
             for (const candidate of usable) {
                 const { worker, open, hasTicket } = candidate;
                 if (
--- a/packages/puffinarch/src/core/shard/crashes.ts
+++ b/packages/puffinarch/src/core/shard/crashes.ts
@@ -143,7 +143,7 @@
 };
 
 /**
- * Notes runs of tasks under which workers have crashed before, as their worker correlatedCrashes silent; gives the jobs whose rows have to tell
+ * Notes runs of tasks under which workers have crashed before, as their worker falls silent; gives the jobs whose rows have to tell
  * that these runs were confirmed. Their crashes would else ask for one more start of each under a successor.
  *
  * @example
--- a/packages/puffinarch/src/core/shard/jobBook.ts
+++ b/packages/puffinarch/src/core/shard/jobBook.ts
@@ -138,10 +138,10 @@
     readonly advice: StepAdvice;
     /** Local time at which it became ready. */
     readyAtMs: number;
-    /** Local time since which it has been held up beside room for it; undefined where it is not. */
-    heldUpAtMs: number | undefined;
-    /** For how long it was held up before that, since its newest start. */
-    heldUpBeforeMs: number;
+    /** Local time since which it has been blocked beside room for it; undefined where it is not. */
+    blockedAtMs: number | undefined;
+    /** For how long it was blocked before that, since its newest start. */
+    blockedBeforeMs: number;
     /** Others that waited long took room kept for it so often, and may do so again from this local time on. */
     timesPassed: number;
     passableAtMs: number;
@@ -222,8 +222,8 @@
         gangFailedRun: 0,
         advice: { asked: new Set(), good: new Map(), inFlight: false, notBeforeMs: 0 },
         readyAtMs: 0,
-        heldUpAtMs: undefined,
-        heldUpBeforeMs: 0,
+        blockedAtMs: undefined,
+        blockedBeforeMs: 0,
         timesPassed: 0,
         passableAtMs: 0,
     };
--- a/packages/puffinarch/src/core/shard/missingRuns.ts
+++ b/packages/puffinarch/src/core/shard/missingRuns.ts
@@ -1,8 +1,8 @@
 /** Runs that a look does not list although their worker was to have them: each is gone, or may still come. */
 
 import type { Clock, Log, Meter } from "../../types/ports.js";
+import { endPatience } from "./blockedSteps.js";
 import type { CrashedRun } from "./crashes.js";
-import { endPatience } from "./heldUp.js";
 import { incarnationOf } from "./incarnations.js";
 import { jobOf, type ShardJob, type ShardRun } from "./jobBook.js";
 import { mayArrive } from "./unansweredStart.js";
--- a/packages/puffinarch/src/core/shard/placing.ts
+++ b/packages/puffinarch/src/core/shard/placing.ts
@@ -2,11 +2,11 @@
 
 import { type AskAdviceOptions, createAdviceAsker } from "./askAdvice.js";
 import { isTimeToAsk } from "./askAhead.js";
+import { isBlocked, noteBlocked } from "./blockedSteps.js";
 import { type CapView, type CapWaits, createCapView } from "./capView.js";
 import { type Chooser, createChooser, openFor } from "./chooseWorker.js";
 import { awaitsVerdict, needsTrial } from "./crashes.js";
 import { isAtCap } from "./eligible.js";
-import { isHeldUp, noteHeldUp } from "./heldUp.js";
 import {
     hasEnded,
     isReady,
@@ -316,7 +316,7 @@
         const waiting = round.caps.allowed(step, able);
         if (waiting.length === 0 && able.length > 0) {
             // No advice, no kept room and no stops for what cannot start.
-            step.heldUpAtMs = undefined;
+            step.blockedAtMs = undefined;
             return;
         }
         const runs = step.spec.gang ? placeGang(step, waiting, round) : placeTasks(step, waiting, round);
@@ -339,14 +339,14 @@
         }
         if (step.spec.gang && waiting.length < step.tasks.length) {
             // It cannot begin before the other members have ended; only its tickets may be there by then.
-            step.heldUpAtMs = undefined;
+            step.blockedAtMs = undefined;
             asker.askFor({ step, waiting: step.tasks.length, reservations: [], view, nowMs });
             return;
         }
         const left = waiting.length - runs.length;
-        noteHeldUp(step, left > 0 && isHeldUp(step, { workers, nowMs }), nowMs);
+        noteBlocked(step, left > 0 && isBlocked(step, { workers, nowMs }), nowMs);
         if (runs.length > 0) {
-            step.heldUpBeforeMs = 0;
+            step.blockedBeforeMs = 0;
         }
         if (left > 0) {
             // Room that is kept beside others is of no use to a task that is to run by itself.
--- a/packages/puffinarch/src/core/shard/roomView.ts
+++ b/packages/puffinarch/src/core/shard/roomView.ts
@@ -1,7 +1,7 @@
 /** What of a worker's room a step may use, beside room that is kept for more urgent steps. */
 
 import { add, fits, noResources, type Resources, subtract } from "../../types/resources.js";
-import { hasWaitedLong, holdPatienceMs } from "./heldUp.js";
+import { hasWaitedLong, holdPatienceMs } from "./blockedSteps.js";
 import type { ShardRun, ShardStep } from "./jobBook.js";
 import { roomOf, type ShardWorker } from "./workerTable.js";
 
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -2,9 +2,9 @@
 
 import { type EndedRun, type LookResult, type RunningRun } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
+import { endPatience } from "./blockedSteps.js";
 import type { CorrelatedCrashes } from "./correlatedCrashes.js";
 import { countCrash, countPossibleCrash, type CrashedRun, crashedRuns, showSound } from "./crashes.js";
-import { endPatience } from "./heldUp.js";
 import { incarnationOf, isOtherIncarnation } from "./incarnations.js";
 import {
     applyEnd,
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -155,7 +155,7 @@
 export { chooseVictims, givesWay } from "./internal.js";
 export { type PlanOptions, planRoom } from "./internal.js";
 export { createRoomView, isPreemptible, type Reservation, type RoomView } from "./internal.js";
-export { hasWaitedLong, isHeldUp, passesRests } from "./internal.js";
+export { hasWaitedLong, ignoresRests, isBlocked } from "./internal.js";
 export {
     inTurn,
     type RankedStep,
