A claim that takes effect after it was given up is taken up

Cause: a claim is given up after 1.5 s; a try of it waited in the queue of a slow store and took effect 160 ms before that, which its daemon heard 74 ms after. Nothing took up what it had won, so that the shard had an owner that did not know it until others had missed it. Class: an order without an answer, taken for one that is lost.

A daemon remembers the claim that it gave up last and goes on with it once it hears that it is in force (claimResumed). It may claim anew meanwhile as before, so that a try which was lost costs nothing; to wait for the outcome of each try in place of that was ruled out, as a store that hangs would then hold every claimant up for its longest delay.

--- a/features/steps/shardFaultSteps.ts
+++ b/features/steps/shardFaultSteps.ts
@@ -79,6 +79,36 @@
     },
 );
 
+/** Often enough that a store which takes 110 ms for each refuses the next ones. */
+const writeEveryMs = 10;
+const longestWaitMs = 10_000;
+
+When(
+    "the owner is killed while the store is slow and others keep its queue full until {int} ms after the first claim",
+    async function(this: ScenarioWorld, untilMs: number) {
+        const cell = cellOf(this);
+        const linesBefore = cell.log.length;
+        const hasClaimed = (): boolean => cell.log.slice(linesBefore).some(({ event }) => event === "claimBegins");
+        const connection = cell.store.connect("writer");
+        const write = async (forMs: number, isOver: () => boolean): Promise<void> => {
+            for (let passedMs = 0; passedMs < forMs && !isOver(); passedMs += writeEveryMs) {
+                const put = { table: "others", part: "", key: "row", value: String(passedMs) };
+                void connection.transact({ expect: [], puts: [put], removes: [] }, longestWaitMs);
+                await cell.clock.advance(writeEveryMs);
+            }
+        };
+        const restart = shardFaults["owner killed"]?.(cell);
+        cell.store.setFault("slow");
+        part(this).mend.push(() => {
+            cell.store.setFault("none");
+            restart?.();
+        });
+        await write(longestWaitMs, hasClaimed);
+        assert.ok(hasClaimed(), "nobody claimed");
+        await write(untilMs, () => false);
+    },
+);
+
 When(/^the daemons ([\d, ]+) are gone for good$/, function(this: ScenarioWorld, text: string) {
     for (const index of text.split(",").map(Number)) {
         cellOf(this).kill(cellOf(this).memberIds()[index] ?? "");
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -196,6 +196,17 @@
             | 9074 |
             | 31018 |
 
+    # A try that waited in the store's queue took effect after its claim had been given up, and the shard had an owner that did not know it.
+    Scenario Outline: A claim that takes effect after it was given up is taken up, in a cell of <members>
+        Given a cell of <members> daemons and 2 workers
+        When the owner is killed while the store is slow and others keep its queue full until 300 ms after the first claim
+        Then a daemon owns the shard within 2500 ms
+
+        Examples:
+            | members |
+            | 2       |
+            | 3       |
+
     # Entries of VMs that are gone for good stay in the store.
     Scenario Outline: VMs that were gone a minute ago hold no takeover up: <gone> of <strengths>
         Given a cell of daemons with strengths "<strengths>" and 4 workers
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -171,6 +171,8 @@
     let owner: ShardOwner | undefined;
     /** The claim under way. */
     let claimUnderWay: string | undefined;
+    /** The newest claim that was given up; a try of it that got no answer may take effect yet. */
+    let unansweredClaimId: string | undefined;
     /** Token of a claim whose rows are still being read; 0 for none. */
     let claimedToken = 0;
     /** Claims no shard any more. */
@@ -215,6 +217,9 @@
         if (owner !== undefined && known.version > owner.fencingToken) {
             loseShard("ownerRow");
         }
+        if (known.row.claimId === unansweredClaimId) {
+            void resumeClaim(known);
+        }
         forward.wake();
     };
 
@@ -250,8 +255,32 @@
         const lastedMs = startedAtMs - ownerKnownAtMs;
         const shortOffices = countShortOffices({ previous: knownOwner?.row, lastedMs, why });
         const row: OwnerRow = { ...self, claimId, shortOffices };
-        claimUnderWay = claimId;
         log.write("info", "claimBegins", { part, seenVersion, why, shortOffices });
+        return takeShard(row, { seenVersion });
+    };
+
+    /** A claim that was given up without an answer took effect: until it is taken for silent, no other daemon would serve the shard. */
+    const resumeClaim = async ({ row, version }: KnownOwner): Promise<void> => {
+        if (claimUnderWay !== undefined || leaving || closed) {
+            return;
+        }
+        log.write("warn", "claimResumed", { part, fencingToken: version });
+        try {
+            await takeShard(row, { seenVersion: version, wonToken: version });
+        }
+        catch (error) {
+            log.write("error", "claimResumeFailed", { part, reason: failureOf(error).message });
+        }
+    };
+
+    const takeShard = async (
+        row: OwnerRow,
+        { seenVersion, wonToken }: { readonly seenVersion: number; readonly wonToken?: number; },
+    ): Promise<boolean> => {
+        const startedAtMs = clock.monotonicMs();
+        const { claimId } = row;
+        claimUnderWay = claimId;
+        unansweredClaimId = undefined;
         try {
             const claimed = await claimShard({
                 clock,
@@ -260,6 +289,7 @@
                 part,
                 owner: row,
                 seenVersion,
+                wonToken,
                 restorePatienceMs,
                 restoreWithinMs: Math.max(shortestRestoreMs, startedAtMs - lastAtWorkMs()),
                 wanted: () =>
@@ -278,6 +308,7 @@
             if (claimed === undefined) {
                 const gaveUp = claimedToken !== 0 && claimedToken === knownOwner?.version;
                 claimsAgainAtMs = gaveUp ? clock.monotonicMs() + restAfterRestoreMs : 0;
+                unansweredClaimId = gaveUp ? undefined : claimId;
                 log.write("info", gaveUp ? "restoreGivenUp" : "claimLost", { part, seenVersion });
                 return false;
             }
--- a/packages/puffinarch/src/core/shard/claimShard.ts
+++ b/packages/puffinarch/src/core/shard/claimShard.ts
@@ -21,6 +21,8 @@
     readonly wanted: () => boolean;
     /** Version of the owner's row, where a peer or a feed told that this claim took effect before the store's answer came. */
     readonly heardToken: () => number | undefined;
+    /** Version at which this claim is known to have taken effect before; undefined where it is still to be written. */
+    readonly wonToken?: number | undefined;
     /** The claim took effect; the rows are still to be read. */
     readonly onClaimed: (fencingToken: number) => void;
     /** Gives up once no page of rows came for this long, so that a daemon that gets on better may claim. */
@@ -95,8 +97,8 @@
  */
 export const claimShard = async (options: ClaimOptions): Promise<ClaimedShard | undefined> => {
     const startedAtMs = options.clock.monotonicMs();
-    const fencingToken = await writeClaim(options);
-    const storeMs = options.clock.monotonicMs() - startedAtMs;
+    const fencingToken = options.wonToken ?? await writeClaim(options);
+    const storeMs = options.wonToken === undefined ? options.clock.monotonicMs() - startedAtMs : claimTimeoutMs;
     if (fencingToken === undefined) {
         return undefined;
     }
