Review: one copy of hasLeft, connections that were lost by their codes, claims that are resumed one after the other

From a reading of the change: what a look calls a lost connection is named by the codes of refused and closed connections, so that an unreachable network is none; a claim that takes effect while the next one is under way is resumed after that; a stop that is under way for a start without an answer counts for the next incarnation's room like the start.

--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -171,8 +171,10 @@
     let owner: ShardOwner | undefined;
     /** The claim under way. */
     let claimUnderWay: string | undefined;
-    /** The newest claim that was given up; a try of it that got no answer may take effect yet. */
-    let unansweredClaimId: string | undefined;
+    /** Claims on the present owner's row that were given up; a try of one that got no answer may take effect yet. */
+    const claimsGivenUp = new Set<string>();
+    /** One of them that is in force, and is to be resumed. */
+    let wonClaim: KnownOwner | undefined;
     /** Token of a claim whose rows are still being read; 0 for none. */
     let claimedToken = 0;
     /** Claims no shard any more. */
@@ -217,9 +219,10 @@
         if (owner !== undefined && known.version > owner.fencingToken) {
             loseShard("ownerRow");
         }
-        if (known.row.claimId === unansweredClaimId) {
-            void resumeClaim(known);
-        }
+        wonClaim = claimsGivenUp.has(known.row.claimId) ? known : undefined;
+        // All others were conditional on the row before.
+        claimsGivenUp.clear();
+        void resumeClaim();
         forward.wake();
     };
 
@@ -260,10 +263,12 @@
     };
 
     /** A claim that was given up without an answer took effect: until it is taken for silent, no other daemon would serve the shard. */
-    const resumeClaim = async ({ row, version }: KnownOwner): Promise<void> => {
-        if (claimUnderWay !== undefined || leaving || closed) {
+    const resumeClaim = async (): Promise<void> => {
+        if (wonClaim === undefined || claimUnderWay !== undefined || leaving || closed) {
             return;
         }
+        const { row, version } = wonClaim;
+        wonClaim = undefined;
         log.write("warn", "claimResumed", { part, fencingToken: version });
         try {
             await takeShard(row, { seenVersion: version, wonToken: version });
@@ -280,7 +285,6 @@
         const startedAtMs = clock.monotonicMs();
         const { claimId } = row;
         claimUnderWay = claimId;
-        unansweredClaimId = undefined;
         try {
             const claimed = await claimShard({
                 clock,
@@ -308,7 +312,9 @@
             if (claimed === undefined) {
                 const gaveUp = claimedToken !== 0 && claimedToken === knownOwner?.version;
                 claimsAgainAtMs = gaveUp ? clock.monotonicMs() + restAfterRestoreMs : 0;
-                unansweredClaimId = gaveUp ? undefined : claimId;
+                if (!gaveUp) {
+                    claimsGivenUp.add(claimId);
+                }
                 log.write("info", gaveUp ? "restoreGivenUp" : "claimLost", { part, seenVersion });
                 return false;
             }
@@ -363,6 +369,7 @@
         finally {
             claimUnderWay = undefined;
             claimedToken = 0;
+            void resumeClaim();
         }
     };
 
--- a/packages/puffinarch/src/core/shard/crashes.ts
+++ b/packages/puffinarch/src/core/shard/crashes.ts
@@ -86,7 +86,7 @@
 const crashesToBelieve = 2;
 
 /** Gives the job up where its task has crashed enough workers, whatever its attempts: these count what workers say of runs that end. */
-const judge = (task: ShardTask, alone: boolean, nowMs: number): void => {
+const failAfterCrashes = (task: ShardTask, alone: boolean, nowMs: number): void => {
     const { crashes, crashesExcused, crashesUnconfirmed, possibleCrashes } = task;
     const confirmed = crashes - crashesUnconfirmed;
     const counted = crashes + crashesExcused;
@@ -121,7 +121,7 @@
         // A sound task whose order was lost would be given up for a worker that it never ran on.
         task.crashesUnconfirmed += confirmed ? 0 : 1;
     }
-    judge(task, alone && confirmed && !excused, nowMs);
+    failAfterCrashes(task, alone && confirmed && !excused, nowMs);
     return true;
 };
 
@@ -138,7 +138,7 @@
         return false;
     }
     task.possibleCrashes += 1;
-    judge(task, false, nowMs);
+    failAfterCrashes(task, false, nowMs);
     return true;
 };
 
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -18,7 +18,16 @@
 import type { ShardSettings } from "./shardSettings.js";
 import { holdsForOneIncarnation, mayArrive } from "./unansweredStart.js";
 import { openWorkerLink, type WorkerLink } from "./workerLink.js";
-import { adoptRun, dropRun, newWorker, runKey, type ShardWorker, slowestClockRate, takeEntry } from "./workerTable.js";
+import {
+    adoptRun,
+    dropRun,
+    hasLeft,
+    newWorker,
+    runKey,
+    type ShardWorker,
+    slowestClockRate,
+    takeEntry,
+} from "./workerTable.js";
 import { createWorkerWatch } from "./workerWatch.js";
 
 /** What the workers of a shard need. */
@@ -173,9 +182,6 @@
         return crashed;
     };
 
-    /** An incarnation that drained or went down for upkeep has left, whatever ran there. */
-    const hasLeft = ({ entry, cordoned }: ShardWorker): boolean => entry.draining || cordoned;
-
     /** Counts what an incarnation may have crashed by. */
     const countCrashes = (worker: ShardWorker, crashed: readonly CrashedRun[]): void => {
         if (!hasLeft(worker)) {
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -136,8 +136,8 @@
 };
 
 /** What ends with this incarnation holds nothing of the next one; whatever has no answer yet may be carried out there. */
-const mayReachNext = ({ absent, phase }: ShardRun): boolean =>
-    absent || phase === runPhases.planned || phase === runPhases.starting;
+const mayReachNext = ({ mayArriveUntilMs, phase }: ShardRun): boolean =>
+    mayArriveUntilMs !== undefined || phase === runPhases.planned || phase === runPhases.starting;
 
 const heldOfNext = ({ runs }: ShardWorker): Resources =>
     [...runs.values()].filter(mayReachNext).reduce((sum, run) => add(sum, run.held), noResources);
@@ -261,6 +261,14 @@
     }
 };
 
+/**
+ * Tells whether an incarnation that drained or went down for upkeep has left, whatever ran there.
+ *
+ * @example
+ * hasLeft(worker); // false for one that serves
+ */
+export const hasLeft = ({ entry, cordoned }: ShardWorker): boolean => entry.draining || cordoned;
+
 /** Entries may lapse while the store is away; those of workers that live are back within two seconds of its return. */
 const unlistedGraceMs = 2_500;
 /** Looks without an answer after which a worker gets no new work. */
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -10,7 +10,6 @@
     applyEnd,
     findTask,
     hasEnded,
-    jobOf as jobOfRun,
     newRun,
     runPhases,
     type ShardJob,
@@ -19,7 +18,7 @@
 } from "./jobBook.js";
 import { createMissingRuns, type MissingRunsOptions } from "./missingRuns.js";
 import { noteStartAnswered } from "./startBreaker.js";
-import { adoptRun, dropRun, runKey, setAbsent, type ShardWorker } from "./workerTable.js";
+import { adoptRun, dropRun, hasLeft, runKey, setAbsent, type ShardWorker } from "./workerTable.js";
 
 /** What the watch needs. */
 export interface WorkerWatchOptions extends Pick<MissingRunsOptions, "onFormerGone" | "onStartLost" | "onAbsent"> {
@@ -67,8 +66,6 @@
 export const createWorkerWatch = (options: WorkerWatchOptions): WorkerWatch => {
     const { clock, log, meter, jobOf, onChange } = options;
 
-    const hasLeft = ({ entry, cordoned }: ShardWorker): boolean => entry.draining || cordoned;
-
     const notePossibleCrash = (worker: ShardWorker, run: ShardRun): void => {
         const { task } = run;
         if (hasLeft(worker) || !countPossibleCrash(run, clock.monotonicMs())) {
@@ -84,7 +81,7 @@
             crashesUnconfirmed: task.crashesUnconfirmed,
             possibleCrashes: task.possibleCrashes,
         });
-        onChange(jobOfRun(run));
+        onChange(task.step.occurrence.job);
     };
     const missingRuns = createMissingRuns({ ...options, onPossibleCrash: notePossibleCrash });
 
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -15,7 +15,7 @@
 /** An answer, or what is known without one. */
 export type CallResult<T> =
     | { readonly kind: "answered"; readonly status: number; readonly body: T; }
-    | { readonly kind: CallFailure; readonly reason: string; readonly timedOut: boolean; };
+    | { readonly kind: CallFailure; readonly reason: string; readonly connectionLost: boolean; };
 
 /** What one call may set. */
 export interface HttpCallOptions {
@@ -71,14 +71,9 @@
     "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
-/** The origin was connected to and sent nothing in time. */
-const silenceCodes: ReadonlySet<unknown> = new Set(["UND_ERR_HEADERS_TIMEOUT", "UND_ERR_BODY_TIMEOUT"]);
-const timeoutCodes: ReadonlySet<unknown> = new Set([
-    ...silenceCodes,
-    neverSentCode,
-    "UND_ERR_CONNECT_TIMEOUT",
-    "ETIMEDOUT",
-]);
+const timeoutCodes: ReadonlySet<unknown> = new Set(["UND_ERR_HEADERS_TIMEOUT", "UND_ERR_BODY_TIMEOUT"]);
+/** The origin's machine refused or closed the connection, as it does once a process has ended there. */
+const connectionLostCodes: ReadonlySet<unknown> = new Set(["ECONNREFUSED", "ECONNRESET", "EPIPE", "UND_ERR_SOCKET"]);
 
 const codeOf = (error: unknown): unknown => (error as { readonly code?: unknown; }).code;
 
@@ -245,8 +240,7 @@
                 return await Promise.race([asked, limit.over]);
             }
             catch (error) {
-                const isAborted = limit.signal?.aborted === true;
-                if (isAborted || silenceCodes.has(codeOf(error))) {
+                if (limit.signal?.aborted === true || timeoutCodes.has(codeOf(error))) {
                     replaceIfSilent(origin, connections, askedAtMs);
                     // The limit has been told already; what the library says of it later adds nothing.
                     asked.catch(() => {});
@@ -254,7 +248,7 @@
                 return {
                     kind: failureKindOf(error),
                     reason: error instanceof Error ? error.message : String(error),
-                    timedOut: isAborted || timeoutCodes.has(codeOf(error)),
+                    connectionLost: connectionLostCodes.has(codeOf(error)),
                 };
             }
             finally {
