Tests: a call tells a connection that was lost from one that is silent

What a look makes of it decides whether a crash counts as seen (a job was given up for crashes behind cuts). The HTTP caller is tried against a service that ends before a call, during one, and one whose connections go silent: 3 scenarios, passed; the field is new, so that they cannot be built on the code before.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -42,3 +42,20 @@
         Given a service that accepts no connection
         When a call is made that may take 100 ms
         Then it surely was not delivered
+
+    # A crash behind a cut link was taken for one at the time of the silence: only a process that ends loses its connections at once.
+    Scenario Outline: A call that <what> tells whether its connection was lost
+        Given a service with 1 open connections
+        When <event>
+        And a call is made that may take 300 ms
+        Then its connection <lost>
+
+        Examples:
+            | what                               | event                        | lost         |
+            | meets a process that has ended     | the service ends             | was lost     |
+            | gets no answer over a silent one   | all open connections go silent | was not lost |
+
+    Scenario: A call under way as its process ends tells that its connection was lost
+        Given a service with 1 open connections
+        When the service ends 100 ms after a call that gets no answer
+        Then its connection was lost
--- a/features/steps/connectionSteps.ts
+++ b/features/steps/connectionSteps.ts
@@ -3,6 +3,7 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { createServer, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import { type CallResult, createHttpCaller, createMeter, type HttpCaller } from "puffinarchd";
 import { partOf, type ScenarioWorld } from "./support.js";
 
@@ -119,6 +120,32 @@
     }
 });
 
+const endService = (world: ScenarioWorld): void => {
+    part(world).server?.close();
+    part(world).server?.closeAllConnections();
+};
+
+When("the service ends", async function(this: ScenarioWorld) {
+    endService(this);
+    await sleep(slowAnswerMs);
+});
+
+When(
+    "the service ends {int} ms after a call that gets no answer",
+    async function(this: ScenarioWorld, afterMs: number) {
+        const unanswered = call(this, "/never", answeredInTimeMs);
+        await sleep(afterMs);
+        endService(this);
+        part(this).result = await unanswered;
+    },
+);
+
+Then(/^its connection (was|was not) lost$/, function(this: ScenarioWorld, what: string) {
+    const { result } = part(this);
+    assert.ok(result !== undefined && result.kind !== "answered", "it was answered");
+    assert.equal(result.connectionLost, what === "was");
+});
+
 When(
     "a call is made that may take {int} ms",
     // Well below the limit of a connection, so that a call which waits for that fails.
