A look that shows a run as before does not count its room anew

Each look took the room of every run that it lists away and gave it back, two new sums for each, though only a run that had been absent changes anything: work on the path of some hundred looks a second that the room of absent runs had brought. What is already so is left as it is now.

--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -200,6 +200,9 @@
  * setAbsent(worker, run, true);
  */
 export const setAbsent = (worker: ShardWorker, run: ShardRun, absent: boolean): void => {
+    if (run.absent === absent) {
+        return;
+    }
     giveRoomBack(worker, run);
     run.absent = absent;
     takeRoom(worker, run);
