--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -261,7 +261,11 @@
     const statusOf = async (job: JobReference): Promise<JobStatus | undefined> => {
         const { jobId } = job;
         const status = shownStatusOf(jobId) ?? (await endedJobs).get(jobId) ?? shownStatusOf(jobId);
-        return status === undefined || !isVisible(job) ? undefined : { state: status.state, failure: status.failure };
+        if (status === undefined || !isVisible(job)) {
+            log.write("info", "jobUnknown", { jobId, fencingToken, hidden: status !== undefined });
+            return undefined;
+        }
+        return { state: status.state, failure: status.failure };
     };
 
     /** Marks a job as started. This is not committed, since a successor reads the job's runs, or their ends, from the workers. */
@@ -601,13 +605,17 @@
         const job = jobs.get(jobId);
         if (job === undefined) {
             const hasEndedBefore = (await endedJobs).has(jobId);
-            return hasEndedBefore ? isVisible(reference) : jobs.has(jobId) && cancel(reference);
+            if (!hasEndedBefore && jobs.has(jobId)) {
+                return cancel(reference);
+            }
+            log.write("info", "cancelWithoutJob", { jobId, fencingToken, hasEndedBefore });
+            return hasEndedBefore && isVisible(reference);
         }
         if (!isVisible(reference)) {
             return false;
         }
         cancelJob(job, clock.monotonicMs());
-        log.write("info", "jobCancelled", { jobId, state: job.state });
+        log.write("info", "jobCancelled", { jobId, state: job.state, fencingToken });
         await Promise.race([commitChange(job), ownershipLost]);
         return true;
     };
