Prove the ownership before an owner answers that it knows no job

What callers saw: a cancel of an accepted job was answered that there is no such job, and the job ran to its end; a read of an accepted job was answered the same way for a moment.

Cause: answers about known jobs rest on a commit, which the store accepts from the present owner only. The answer that a job is unknown rested on memory alone. An owner that was replaced and has not noticed does not know the jobs that its successor accepted.

Change: such an answer waits for a commit that began after the question (CommitLog.confirm). It is conditional on the owner's row like each batch, so a replaced owner never gets it; all questions until the next batch share it, and it rides on a batch with jobs where there is one. While the store does not answer, the caller gets a refusal with a time to try again. The wait for the store that acceptances had is now one module, commitWait.

Weighed: a lease of the owner rests on clocks that may jump; a read of the owner's row per question is one call each, and reads by key as well; a commit is shared by all questions of some milliseconds.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -59,6 +59,7 @@
             | chooseWorker         | i-2                                     |
             | claimShard           | token 1, then refused                   |
             | acceptance           | notAccepted, 0 jobs                     |
+            | commitWait           | notAccepted                             |
             | accounts             | 2 tasks                                 |
             | callerKeys           | north, then unauthenticated             |
             | batchWriter          | in force at version 1                   |
--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -7,6 +7,7 @@
     createAcceptance,
     createAccounts,
     createCallerKeys,
+    createCommitWait,
     createForwarder,
     createTaskReview,
     defaultShardSettings,
@@ -27,10 +28,23 @@
     return job.state;
 };
 
+const never = new Promise<never>(() => {});
+
+const commitWait = async (): Promise<string> => {
+    const wait = createCommitWait({
+        clock: createFakeClock(),
+        settings: defaultShardSettings,
+        commits: { stalledMs: () => 5_000 },
+        ownershipLost: never,
+    });
+    return String(await wait.until(never).catch(kindOf));
+};
+
 const acceptance = async (): Promise<string> => {
     const jobs = new Map<string, ShardJob>();
     const commits = {
         commit: async () => {},
+        confirm: async () => {},
         withdraw: () => true,
         stalledMs: () => 5_000,
         answeredAtMs: () => 0,
@@ -38,21 +52,22 @@
         probe: () => {},
         stop: () => {},
     };
+    const clock = createFakeClock();
+    const commitWait = createCommitWait({ clock, settings: defaultShardSettings, commits, ownershipLost: never });
     const submit = createAcceptance({
-        clock: createFakeClock(),
+        clock,
         log,
         meter,
-        settings: defaultShardSettings,
         jobs,
         queueOf: () => testQueue,
         accounts: createAccounts(),
         nextOrder: 1,
         commits,
+        commitWait,
         commit: () => new Promise(() => {}),
         scheduleJob: () => {},
         dropPlannedStarts: () => {},
         endedJobs: Promise.resolve(new Map()),
-        ownershipLost: new Promise<never>(() => {}),
     });
     const refusal = await submit({ ...submission, steps: [plainStep] }).catch(kindOf);
     return `${String(refusal)}, ${jobs.size} jobs`;
@@ -126,6 +141,7 @@
 /** Examples of the modules about jobs, by the module's name. */
 export const shardJobExamples: Readonly<Record<string, () => string | Promise<string>>> = {
     acceptance,
+    commitWait,
     accounts,
     callerKeys,
     forward,
--- a/features/steps/shardModuleSteps.ts
+++ b/features/steps/shardModuleSteps.ts
@@ -16,6 +16,7 @@
     createAccounts,
     createAdviceDispatcher,
     createCommitLog,
+    createCommitWait,
     createForwarder,
     createPeers,
     createRowReader,
@@ -199,24 +200,31 @@
     const jobs = new Map<string, ShardJob>();
     const stallsFromMs = 300;
     let commitsBegun = 0;
+    const commits = {
+        commit: async () => {},
+        confirm: async () => {},
+        withdraw: () => true,
+        stalledMs: () => clock.monotonicMs() > stallsFromMs ? 5_000 : 0,
+        answeredAtMs: () => 0,
+        idle: async () => {},
+        probe: () => {},
+        stop: () => {},
+    };
     const submit = createAcceptance({
         clock,
         log: noopLog,
         meter: noopMeter,
-        settings: defaultShardSettings,
         jobs,
         queueOf: () => testQueue,
         accounts: createAccounts(),
         nextOrder: 1,
-        commits: {
-            commit: async () => {},
-            withdraw: () => true,
-            stalledMs: () => clock.monotonicMs() > stallsFromMs ? 5_000 : 0,
-            answeredAtMs: () => 0,
-            idle: async () => {},
-            probe: () => {},
-            stop: () => {},
-        },
+        commits,
+        commitWait: createCommitWait({
+            clock,
+            settings: defaultShardSettings,
+            commits,
+            ownershipLost: new Promise<never>(() => {}),
+        }),
         commit: async job => {
             commitsBegun += 1;
             await sleep(clock, commitsBegun === 1 ? 100 : 10_000);
@@ -225,7 +233,6 @@
         scheduleJob: () => {},
         dropPlannedStarts: () => {},
         endedJobs: Promise.resolve(new Map()),
-        ownershipLost: new Promise<never>(() => {}),
     });
     const submission = {
         jobId: jobIdOf(1),
--- a/packages/puffinarch/src/core/shard/acceptance.ts
+++ b/packages/puffinarch/src/core/shard/acceptance.ts
@@ -7,19 +7,17 @@
 import { scale } from "../../types/resources.js";
 import type { JobSubmission, Queue } from "../../types/work.js";
 import { die } from "../../utils/errors.js";
-import { sleep } from "../../utils/time.js";
 import { type Account, type Accounts, amountAboveCap, returnShare, takeShare } from "./accounts.js";
 import type { CommitLog } from "./commitLog.js";
+import type { CommitWait } from "./commitWait.js";
 import { cancelJob, newJob, reservedResources, type ShardJob } from "./jobModel.js";
 import type { EndedJob } from "./jobRows.js";
-import type { ShardSettings } from "./shardSettings.js";
 
 /** Dependencies of the acceptance of jobs. */
 export interface AcceptanceOptions {
     readonly clock: Clock;
     readonly log: Log;
     readonly meter: Meter;
-    readonly settings: ShardSettings;
     /** Jobs of the shard by ID; accepted ones are added. */
     readonly jobs: Map<string, ShardJob>;
     readonly queueOf: (queueKey: string) => Queue | undefined;
@@ -27,6 +25,7 @@
     /** Position of the next job in the order of acceptance. */
     readonly nextOrder: number;
     readonly commits: CommitLog;
+    readonly commitWait: Pick<CommitWait, "isStalled" | "refuse" | "pause">;
     /** Resolves once the job's present state is durable. */
     readonly commit: (job: ShardJob) => Promise<void>;
     /** Requests advice and plans starts for the job. */
@@ -35,8 +34,6 @@
     readonly dropPlannedStarts: (job: ShardJob) => void;
     /** Jobs that ended under former owners, by ID. */
     readonly endedJobs: Promise<ReadonlyMap<string, EndedJob>>;
-    /** Rejects once this daemon no longer owns the shard. */
-    readonly ownershipLost: Promise<never>;
 }
 
 /**
@@ -65,14 +62,11 @@
     }
 };
 
-/** Interval at which a pending acceptance checks whether the store has stopped answering. */
-const stallCheckIntervalMs = 100;
-
 /**
  * Creates the function that accepts jobs; it resolves once the job is durable.
  *
  * @example
- * const submit = createAcceptance({ clock, log, meter, settings, jobs, queueOf, accounts, nextOrder, commits, commit, scheduleJob, dropPlannedStarts, endedJobs, ownershipLost });
+ * const submit = createAcceptance({ clock, log, meter, jobs, queueOf, accounts, nextOrder, commits, commitWait, commit, scheduleJob, dropPlannedStarts, endedJobs });
  * await submit(submission);
  */
 export const createAcceptance = (options: AcceptanceOptions): (submission: JobSubmission) => Promise<void> => {
@@ -80,21 +74,17 @@
         clock,
         log,
         meter,
-        settings,
         jobs,
         queueOf,
         accounts,
         commits,
+        commitWait,
         commit,
         scheduleJob,
         endedJobs,
-        ownershipLost,
     } = options;
     let { nextOrder } = options;
 
-    const rejectSubmission = (): never =>
-        die("notAccepted", "the store does not answer", { retryAfterMs: settings.retryAfterMs });
-
     /** Removes a job that was part of no commit batch. */
     const discard = (job: ShardJob): void => {
         jobs.delete(job.submission.jobId);
@@ -115,12 +105,12 @@
         const { jobId } = job.submission;
         const written = commit(job);
         while (!job.stored) {
-            await Promise.race([written, ownershipLost, sleep(clock, stallCheckIntervalMs)]);
-            if (!job.stored && commits.stalledMs() > settings.refuseStalledMs && commits.withdraw(jobId)) {
+            await commitWait.pause(written);
+            if (!job.stored && commitWait.isStalled() && commits.withdraw(jobId)) {
                 discard(job);
             }
             if (!job.stored && jobs.get(jobId) !== job) {
-                rejectSubmission();
+                commitWait.refuse();
             }
         }
     };
@@ -128,8 +118,8 @@
     const register = (submission: JobSubmission): ShardJob => {
         const queue = queueOf(submission.queueKey)
             ?? die("unavailable", `the queue ${submission.queueKey} is not in this daemon's configuration`);
-        if (commits.stalledMs() > settings.refuseStalledMs) {
-            rejectSubmission();
+        if (commitWait.isStalled()) {
+            commitWait.refuse();
         }
         const account = accounts.of(submission.organisation ?? "");
         requireWithinCap(submission, account);
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -43,7 +43,7 @@
 
 /** Writes changed jobs to the store. */
 export interface CommitLog {
-    /** Resolves once the job's present state is durable; never resolves after the owner was fenced or the log was stopped. */
+    /** Resolves once the job's present state is durable; like `confirm`, never after the owner was fenced or the log was stopped. */
     commit(jobId: string): Promise<void>;
     /** Milliseconds since the batch in flight was first sent; 0 without one. */
     stalledMs(): number;
@@ -56,6 +56,11 @@
      * durable.
      */
     withdraw(jobId: string): boolean;
+    /**
+     * Resolves once a batch that was built after this call is durable, which proves that no other daemon had claimed the shard at the time
+     * of the call. All calls until the next batch share it; without a pending change it holds no jobs.
+     */
+    confirm(): Promise<void>;
     /** If no write is pending, writes a batch without jobs to test whether the store answers this owner. */
     probe(): void;
     stop(): void;
@@ -84,9 +89,10 @@
     let sequenceVersion = options.sequenceVersion;
     let idleResolvers: (() => void)[] = [];
     let batches = 0;
-    /** True from the first change or probe until everything is written. */
+    /** True from the first change or confirmation until everything is written. */
     let isDraining = false;
-    let probeRequested = false;
+    /** Callbacks of the confirmations that the next batch resolves. */
+    let confirmations: (() => void)[] = [];
     let stopped = false;
     let answeredAtMs = clock.monotonicMs();
 
@@ -103,7 +109,8 @@
         batches += 1;
         const puts: { table: string; part: string; key: string; value: string; }[] = [];
         const removes: { table: string; part: string; key: string; }[] = [];
-        const waiting: (() => void)[] = [];
+        const waiting = confirmations;
+        confirmations = [];
         const jobIds = new Set<string>();
         let bytes = 0;
         for (const [jobId, resolvers] of dirty) {
@@ -141,10 +148,9 @@
         idleResolvers = [];
     };
 
-    /** Writes batches until no change or probe is pending. */
+    /** Writes batches until no change or confirmation is pending. */
     const drain = async (): Promise<void> => {
-        while ((dirty.size > 0 || probeRequested) && !stopped) {
-            probeRequested = false;
+        while (dirty.size + confirmations.length > 0 && !stopped) {
             inFlight = buildBatch();
             const version = await writer.write(inFlight);
             if (stopped) {
@@ -176,11 +182,17 @@
         }
     };
 
+    const confirm = (): Promise<void> =>
+        new Promise(resolve => {
+            confirmations.push(resolve);
+            scheduleDrain();
+        });
+
     return {
+        confirm,
         probe: () => {
             if (!isDraining) {
-                probeRequested = true;
-                scheduleDrain();
+                void confirm();
             }
         },
         withdraw: jobId => inFlight?.jobIds.has(jobId) !== true && dirty.delete(jobId),
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/commitWait.ts
@@ -0,0 +1,64 @@
+/** Waits of callers' requests for a commit, which end in a refusal once the store has stopped answering. */
+
+import type { Clock } from "../../types/ports.js";
+import { die } from "../../utils/errors.js";
+import { sleep } from "../../utils/time.js";
+import type { CommitLog } from "./commitLog.js";
+import type { ShardSettings } from "./shardSettings.js";
+
+/** Dependencies of the waits. */
+export interface CommitWaitOptions {
+    readonly clock: Clock;
+    readonly settings: Pick<ShardSettings, "refuseStalledMs" | "retryAfterMs">;
+    readonly commits: Pick<CommitLog, "stalledMs">;
+    /** Rejects once this daemon no longer owns the shard. */
+    readonly ownershipLost: Promise<never>;
+}
+
+/** Waits for the commits of one owner. */
+export interface CommitWait {
+    /** Whether the store has left a commit unanswered for too long. */
+    isStalled(): boolean;
+    /** Fails with `notAccepted` and a time to try again. */
+    refuse(): never;
+    /** Waits until `write` resolves, or for a short time. Fails once this daemon no longer owns the shard. */
+    pause(write: Promise<void>): Promise<void>;
+    /** Waits until `write` resolves. Fails as `refuse` does while the store is stalled, although the write may still take effect. */
+    until(write: Promise<void>): Promise<void>;
+}
+
+/** Interval at which a wait checks whether the store has stopped answering. */
+const stallCheckIntervalMs = 100;
+
+/**
+ * Creates the waits of one owner.
+ *
+ * @example
+ * const commitWait = createCommitWait({ clock, settings, commits, ownershipLost });
+ * await commitWait.until(commits.confirm());
+ */
+export const createCommitWait = ({ clock, settings, commits, ownershipLost }: CommitWaitOptions): CommitWait => {
+    const isStalled = (): boolean => commits.stalledMs() > settings.refuseStalledMs;
+    const refuse = (): never =>
+        die("notAccepted", "the store does not answer", { retryAfterMs: settings.retryAfterMs });
+    const pause: CommitWait["pause"] = write =>
+        Promise.race([write, ownershipLost, sleep(clock, stallCheckIntervalMs)]);
+
+    return {
+        isStalled,
+        refuse,
+        pause,
+        until: async write => {
+            let isDurable = false;
+            const durable = write.then(() => {
+                isDurable = true;
+            });
+            while (!isDurable) {
+                if (isStalled()) {
+                    refuse();
+                }
+                await pause(durable);
+            }
+        },
+    };
+};
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -29,6 +29,7 @@
 import { createAdviceDispatcher } from "./adviceDispatcher.js";
 import type { ClaimedShard } from "./claimShard.js";
 import { createCommitLog, type RowChange } from "./commitLog.js";
+import { createCommitWait } from "./commitWait.js";
 import {
     cancelJob,
     forgetWorker,
@@ -258,9 +259,19 @@
         return { state: job.visibleState, ...(job.visibleState === jobStates.failed ? { failure: job.failure } : {}) };
     };
 
+    /**
+     * Waits until it is proven that no other daemon owned the shard when this was called. A replaced owner that has not noticed it does not
+     * know the jobs of its successor, and must not tell a caller that they do not exist.
+     */
+    const confirmOwnership = (): Promise<void> => commitWait.until(commits.confirm());
+
     const statusOf = async (job: JobReference): Promise<JobStatus | undefined> => {
         const { jobId } = job;
-        const status = shownStatusOf(jobId) ?? (await endedJobs).get(jobId) ?? shownStatusOf(jobId);
+        let status = shownStatusOf(jobId) ?? (await endedJobs).get(jobId);
+        if (status === undefined) {
+            await confirmOwnership();
+            status = shownStatusOf(jobId);
+        }
         if (status === undefined || !isVisible(job)) {
             log.write("info", "jobUnknown", { jobId, fencingToken, hidden: status !== undefined });
             return undefined;
@@ -495,6 +506,7 @@
         rejectWaiting = reject;
     });
     ownershipLost.catch(() => {});
+    const commitWait = createCommitWait({ clock, settings, commits, ownershipLost });
 
     const close = (): void => {
         closed = true;
@@ -579,12 +591,12 @@
         clock,
         log,
         meter,
-        settings,
         jobs,
         queueOf: queueKey => queues.get(queueKey),
         accounts,
         nextOrder,
         commits,
+        commitWait,
         commit,
         scheduleJob: job => {
             taskPlacer.updateJob(job);
@@ -597,7 +609,6 @@
             }
         },
         endedJobs,
-        ownershipLost,
     });
 
     const cancel = async (reference: JobReference): Promise<boolean> => {
@@ -608,6 +619,9 @@
             if (!hasEndedBefore && jobs.has(jobId)) {
                 return cancel(reference);
             }
+            if (!hasEndedBefore) {
+                await confirmOwnership();
+            }
             log.write("info", "cancelWithoutJob", { jobId, fencingToken, hasEndedBefore });
             return hasEndedBefore && isVisible(reference);
         }
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -45,6 +45,7 @@
 export * from "./core/shard/claimShard.js";
 export * from "./core/shard/commitLog.js";
 export * from "./core/shard/commitMonitor.js";
+export * from "./core/shard/commitWait.js";
 export * from "./core/shard/configurationFetch.js";
 export * from "./core/shard/correlatedCrashes.js";
 export * from "./core/shard/crashes.js";
