Keep the cancel of a job that has not been submitted yet

What callers saw: a cancel was answered that there is no such job, and the job started up to seconds later and completed.

Cause: a submission may still be on its way while its cancel is answered: a daemon holds it until there is an owner, an earlier attempt got no answer, or its batch is not written. Nothing remembered the cancel.

Change: the cancel of an unknown ID leaves a durable row in the table of ended jobs; its commit also proves that no successor has accepted the job. A later submission of the ID by the same organisation is accepted as a job that is cancelled already, also by later owners, and never starts. Until then a read still says that the job is unknown. Callers choose the IDs, so at most 50 such rows a second are recorded; above that the cancel is refused with a time to try again. Entries now expire each by its own time; jobs that ended under former owners were forgotten all at once.

Weighed: refusing the cancel until it is certain leaves callers without an answer for as long as a submission may be delayed, which nobody bounds.

--- a/features/cancels.feature
+++ b/features/cancels.feature
@@ -27,3 +27,35 @@
         When the fault "store hangs" comes
         And the owner is sent a read of an unknown job
         Then it refuses within 1000 ms, with a time to try again
+
+    # Guards against a job that starts after its cancel was answered, since the cancel arrived before the submission.
+    Scenario Outline: A job that is submitted after its cancel was answered never starts, <when>
+        Given a cell of 3 daemons and 4 workers
+        When a job that was not submitted is cancelled
+        And the fault "<fault>" comes
+        And the shard runs for <ms> ms
+        And that job is submitted
+        Then it is accepted within 6000 ms, never starts, and is shown as cancelled
+
+        Examples:
+            | when                 | fault        | ms   |
+            | by the same owner    | history lost | 100  |
+            | under the next owner | owner killed | 3000 |
+            | by the next owner    | owner killed | 0    |
+
+    Scenario: A job is not known before its submission, although it was cancelled
+        Given a cell of 3 daemons and 4 workers
+        When a job that was not submitted is cancelled
+        And the owner is sent a read of that job
+        Then it answers within 20 ms that the job is unknown
+
+    Scenario: A caller of another organisation cannot cancel a job before its submission
+        Given a cell of 3 daemons and 4 workers
+        When a job of "north" that was not submitted is cancelled by a caller of "south"
+        And that job is submitted
+        Then it is accepted within 1000 ms, and its tasks run
+
+    Scenario: Cancels of unknown jobs above a limited rate are refused with a time to try again
+        Given a cell of 3 daemons and 4 workers
+        When 200 jobs that were not submitted are cancelled at once
+        Then at least 50 cancels are answered within 200 ms, and the others are refused with a time to try again
--- a/features/examples.feature
+++ b/features/examples.feature
@@ -60,6 +60,7 @@
             | claimShard           | token 1, then refused                   |
             | acceptance           | notAccepted, 0 jobs                     |
             | commitWait           | notAccepted                             |
+            | endedJobs            | unknown, then cancelled                 |
             | accounts             | 2 tasks                                 |
             | callerKeys           | north, then unauthenticated             |
             | batchWriter          | in force at version 1                   |
--- a/features/steps/cancelSteps.ts
+++ b/features/steps/cancelSteps.ts
@@ -18,30 +18,45 @@
 interface CancelPart {
     /** The answer to the newest call; undefined before. */
     answer: Answer | undefined;
+    /** The answers to all calls. */
+    readonly answers: Answer[];
+    /** Organisation of the job that is cancelled before its submission; empty for none. */
+    organisation: string;
 }
 
-const part = (world: ScenarioWorld): CancelPart => partOf(world, "cancels", () => ({ answer: undefined }));
+const part = (world: ScenarioWorld): CancelPart =>
+    partOf(world, "cancels", () => ({ answer: undefined, answers: [], organisation: "" }));
 
 const callerTimeoutMs = 2_500;
 const submittedJobId = jobIdOf(9_201);
 const unknownJobId = jobIdOf(9_202);
 
+const earlyJobId = jobIdOf(9_203);
+
 /** What each call returns: whether the job is known. */
-const calls: Readonly<Record<Call, (cell: ShardCell, memberId: string, jobId: string) => Promise<boolean>>> = {
-    cancel: async (cell, memberId, jobId) =>
-        await cell.member(memberId)?.cancel({ queueKey: testQueue.key, jobId }, callerTimeoutMs) === true,
-    read: async (cell, memberId, jobId) =>
-        await cell.member(memberId)?.jobState({ queueKey: testQueue.key, jobId }, callerTimeoutMs) !== undefined,
+const calls: Readonly<
+    Record<Call, (cell: ShardCell, memberId: string, jobId: string, organisation: string) => Promise<boolean>>
+> = {
+    cancel: async (cell, memberId, jobId, organisation) => {
+        const reference = { queueKey: testQueue.key, jobId, organisation };
+        return await cell.member(memberId)?.cancel(reference, callerTimeoutMs) === true;
+    },
+    read: async (cell, memberId, jobId, organisation) => {
+        const reference = { queueKey: testQueue.key, jobId, organisation };
+        return await cell.member(memberId)?.jobState(reference, callerTimeoutMs) !== undefined;
+    },
 };
 
 /** Sends a call through a daemon, without waiting for its answer. */
-const send = (world: ScenarioWorld, call: Call, memberId: string, jobId: string): void => {
+const send = (world: ScenarioWorld, call: Call, memberId: string, jobId: string, organisation = ""): void => {
     const cell = cellOf(world);
     const sentAtMs = cell.clock.monotonicMs();
     const record = (outcome: Answer["outcome"]): void => {
-        part(world).answer = { outcome, afterMs: cell.clock.monotonicMs() - sentAtMs };
+        const answer = { outcome, afterMs: cell.clock.monotonicMs() - sentAtMs };
+        part(world).answer = answer;
+        part(world).answers.push(answer);
     };
-    calls[call](cell, memberId, jobId).then(
+    calls[call](cell, memberId, jobId, organisation).then(
         known => record(known ? "known" : "unknown"),
         (error: unknown) => record(failureOf(error)),
     );
@@ -84,3 +99,76 @@
     const outcome = (await answerWithin(this, limitMs))?.outcome;
     assert.ok(typeof outcome === "object" && (outcome.retryAfterMs ?? 0) > 0, JSON.stringify(outcome));
 });
+
+const cancelEarly = async (world: ScenarioWorld, organisation: string): Promise<void> => {
+    send(world, "cancel", cellOf(world).owner() ?? "", earlyJobId, organisation);
+    assert.equal((await answerWithin(world, 20))?.outcome, "unknown");
+};
+
+When("a job that was not submitted is cancelled", async function(this: ScenarioWorld) {
+    await cancelEarly(this, "");
+});
+
+When(
+    "a job of {string} that was not submitted is cancelled by a caller of {string}",
+    async function(this: ScenarioWorld, organisation: string, caller: string) {
+        part(this).organisation = organisation;
+        await cancelEarly(this, caller);
+    },
+);
+
+When("that job is submitted", function(this: ScenarioWorld) {
+    const { organisation } = part(this);
+    if (organisation === "") {
+        cellOf(this).submit(earlyJobId, readSteps("2"));
+    }
+    else {
+        cellOf(this).submitFor(organisation, earlyJobId, readSteps("2"));
+    }
+});
+
+When("the owner is sent a read of that job", function(this: ScenarioWorld) {
+    send(this, "read", cellOf(this).owner() ?? "", earlyJobId);
+});
+
+const startsOf = (cell: ShardCell, jobId: string): number =>
+    cell.workers.evidence.filter(({ taskName }) => taskName.startsWith(`${jobId}.`)).length;
+
+Then(
+    "it is accepted within {int} ms, never starts, and is shown as cancelled",
+    async function(this: ScenarioWorld, limitMs: number) {
+        const cell = cellOf(this);
+        assert.ok(await cell.until(() => cell.answers().get(earlyJobId) === "accepted", limitMs), "not accepted");
+        await cell.clock.advance(3_000);
+        assert.equal(startsOf(cell, earlyJobId), 0);
+        assert.equal((await cell.statesOf([earlyJobId])).get(earlyJobId), "cancelled");
+    },
+);
+
+Then("it is accepted within {int} ms, and its tasks run", async function(this: ScenarioWorld, limitMs: number) {
+    const cell = cellOf(this);
+    assert.ok(await cell.until(() => cell.answers().get(earlyJobId) === "accepted", limitMs), "not accepted");
+    assert.ok(await cell.until(() => startsOf(cell, earlyJobId) === 2, limitMs), "its tasks do not run");
+});
+
+When("{int} jobs that were not submitted are cancelled at once", function(this: ScenarioWorld, count: number) {
+    for (let number = 1; number <= count; number += 1) {
+        send(this, "cancel", cellOf(this).owner() ?? "", jobIdOf(20_000 + number));
+    }
+});
+
+Then(
+    "at least {int} cancels are answered within {int} ms, and the others are refused with a time to try again",
+    async function(this: ScenarioWorld, least: number, limitMs: number) {
+        await cellOf(this).clock.advance(limitMs);
+        const { answers } = part(this);
+        const refusals = answers.map(({ outcome }) => outcome).filter(outcome => typeof outcome === "object");
+        assert.equal(answers.length, 200);
+        assert.ok(answers.length - refusals.length >= least, `${refusals.length} were refused`);
+        assert.ok(refusals.length > 0);
+        assert.deepEqual(
+            refusals.filter(({ kind, retryAfterMs = 0 }) => kind !== "overloaded" || retryAfterMs <= 0),
+            [],
+        );
+    },
+);
--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -8,6 +8,7 @@
     createAccounts,
     createCallerKeys,
     createCommitWait,
+    createEndedJobs,
     createForwarder,
     createTaskReview,
     defaultShardSettings,
@@ -40,6 +41,14 @@
     return String(await wait.until(never).catch(kindOf));
 };
 
+const endedJobs = async (): Promise<string> => {
+    const ended = createEndedJobs({ clock: createFakeClock(), retentionMs: 180_000, write: async () => {} });
+    await ended.recordCancel(submission);
+    const before = ended.find(submission.jobId) === undefined ? "unknown" : "known";
+    const outcome = ended.applyCancel(submission);
+    return `${before}, then ${outcome?.job.state}`;
+};
+
 const acceptance = async (): Promise<string> => {
     const jobs = new Map<string, ShardJob>();
     const commits = {
@@ -67,7 +76,7 @@
         commit: () => new Promise(() => {}),
         scheduleJob: () => {},
         dropPlannedStarts: () => {},
-        endedJobs: Promise.resolve(new Map()),
+        endedJobs: Promise.resolve(createEndedJobs({ clock, retentionMs: 0, write: commits.commit })),
     });
     const refusal = await submit({ ...submission, steps: [plainStep] }).catch(kindOf);
     return `${String(refusal)}, ${jobs.size} jobs`;
@@ -141,9 +150,10 @@
 /** Examples of the modules about jobs, by the module's name. */
 export const shardJobExamples: Readonly<Record<string, () => string | Promise<string>>> = {
     acceptance,
-    commitWait,
     accounts,
     callerKeys,
+    commitWait,
+    endedJobs,
     forward,
     jobModel,
     taskReview,
--- a/features/steps/shardModuleSteps.ts
+++ b/features/steps/shardModuleSteps.ts
@@ -17,6 +17,7 @@
     createAdviceDispatcher,
     createCommitLog,
     createCommitWait,
+    createEndedJobs,
     createForwarder,
     createPeers,
     createRowReader,
@@ -232,7 +233,7 @@
         },
         scheduleJob: () => {},
         dropPlannedStarts: () => {},
-        endedJobs: Promise.resolve(new Map()),
+        endedJobs: Promise.resolve(createEndedJobs({ clock, retentionMs: 0, write: commits.commit })),
     });
     const submission = {
         jobId: jobIdOf(1),
--- a/packages/puffinarch/src/core/shard/acceptance.ts
+++ b/packages/puffinarch/src/core/shard/acceptance.ts
@@ -10,8 +10,8 @@
 import { type Account, type Accounts, amountAboveCap, returnShare, takeShare } from "./accounts.js";
 import type { CommitLog } from "./commitLog.js";
 import type { CommitWait } from "./commitWait.js";
+import type { EndedJobs, Outcome } from "./endedJobs.js";
 import { cancelJob, newJob, reservedResources, type ShardJob } from "./jobModel.js";
-import type { EndedJob } from "./jobRows.js";
 
 /** Dependencies of the acceptance of jobs. */
 export interface AcceptanceOptions {
@@ -25,15 +25,15 @@
     /** Position of the next job in the order of acceptance. */
     readonly nextOrder: number;
     readonly commits: CommitLog;
-    readonly commitWait: Pick<CommitWait, "isStalled" | "refuse" | "pause">;
+    readonly commitWait: CommitWait;
     /** Resolves once the job's present state is durable. */
     readonly commit: (job: ShardJob) => Promise<void>;
     /** Requests advice and plans starts for the job. */
     readonly scheduleJob: (job: ShardJob) => void;
     /** Drops the starts that were planned for the job. */
     readonly dropPlannedStarts: (job: ShardJob) => void;
-    /** Jobs that ended under former owners, by ID. */
-    readonly endedJobs: Promise<ReadonlyMap<string, EndedJob>>;
+    /** Resolves once the jobs that ended under former owners were read. */
+    readonly endedJobs: Promise<Pick<EndedJobs, "find" | "applyCancel">>;
 }
 
 /**
@@ -131,6 +131,15 @@
         return job;
     };
 
+    /** Returns the outcome of a job that was cancelled before it was submitted; undefined for other jobs. */
+    const applyCancel = (ended: Pick<EndedJobs, "applyCancel">, submission: JobSubmission): Outcome | undefined => {
+        const outcome = ended.applyCancel(submission);
+        if (outcome !== undefined) {
+            log.write("info", "submittedAfterCancel", { jobId: submission.jobId });
+        }
+        return outcome;
+    };
+
     const submit = async (submission: JobSubmission): Promise<void> => {
         const known = jobs.get(submission.jobId);
         if (known !== undefined) {
@@ -140,11 +149,16 @@
             }
             return;
         }
-        const ended = (await endedJobs).get(submission.jobId);
-        if (ended !== undefined || jobs.has(submission.jobId)) {
-            requireSameOrganisation(submission, ended?.organisation ?? "");
-            // The job ended under a former owner, or another request with the same ID was accepted meanwhile.
-            await (jobs.has(submission.jobId) ? submit(submission) : undefined);
+        const ended = await endedJobs;
+        if (jobs.has(submission.jobId)) {
+            // Another request with the same ID was accepted meanwhile.
+            await submit(submission);
+            return;
+        }
+        const outcome = ended.find(submission.jobId) ?? applyCancel(ended, submission);
+        if (outcome !== undefined) {
+            requireSameOrganisation(submission, outcome.job.organisation);
+            await commitWait.until(outcome.written);
             return;
         }
         const job = register(submission);
--- a/packages/puffinarch/src/core/shard/jobRowSchemas.ts
+++ b/packages/puffinarch/src/core/shard/jobRowSchemas.ts
@@ -157,8 +157,14 @@
     unanswered: z.array(unansweredSchema, "starts without an answer").default([]),
 });
 
-/** Schema of the row of a job that has ended. */
-export const endedSchema = z.object({ state, failure, organisation: text.default("") });
+/** Schema of the row of a job that has ended, or that was cancelled before it was submitted. */
+export const endedSchema = z.object({
+    state,
+    failure,
+    organisation: text.default(""),
+    /** Organisations whose callers cancelled the job before it was submitted; undefined for a submitted job. */
+    cancelledFor: z.array(text, "names of organisations").optional(),
+});
 
 /** A decoded submission row. */
 export type StoredSubmission = z.infer<typeof submissionSchema>;
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -45,6 +45,8 @@
 export interface EndedJob extends JobStatus {
     /** Organisation of its caller; empty for a caller without one. */
     readonly organisation: string;
+    /** Organisations whose callers cancelled the job before it was submitted; undefined for a submitted job. */
+    readonly cancelledFor?: readonly string[] | undefined;
 }
 
 /** A run that a state row lists: its start was intended, and may have been ordered. */
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -30,6 +30,7 @@
 import type { ClaimedShard } from "./claimShard.js";
 import { createCommitLog, type RowChange } from "./commitLog.js";
 import { createCommitWait } from "./commitWait.js";
+import { createEndedJobs, type EndedJobs } from "./endedJobs.js";
 import {
     cancelJob,
     forgetWorker,
@@ -41,7 +42,7 @@
     type ShardJob,
     type ShardRun,
 } from "./jobModel.js";
-import { decodeEnded, encodeJob, type EndedJob, restoreJobs } from "./jobRows.js";
+import { decodeEnded, encodeJob, restoreJobs } from "./jobRows.js";
 import { createOwnerProgress } from "./ownerProgress.js";
 import { readAllRows } from "./readRows.js";
 import { createRowReader } from "./rowReader.js";
@@ -164,8 +165,6 @@
     let lagMs = 0;
     let tickDueMs = clock.monotonicMs() + tickMs;
     const startedAtMs = clock.monotonicMs();
-    /** Jobs that ended under former owners, by id. */
-    const endedEarlier = new Map<string, EndedJob>();
     let nextOrder = 1;
     let rejectWaiting: (error: Error) => void = () => {};
 
@@ -179,7 +178,7 @@
 
     const encode = (jobId: string): RowChange => {
         const job = jobs.get(jobId);
-        return job === undefined ? { puts: [], removes: [{ table: endedTable, key: jobId }] } : encodeJob(job, clock);
+        return job === undefined ? endedJobs.encode(jobId) : encodeJob(job, clock);
     };
 
     /**
@@ -204,6 +203,8 @@
         onFenced: () => stopFenced("commit"),
     });
 
+    const endedJobs = createEndedJobs({ clock, retentionMs: settings.retentionMs, write: commits.commit });
+
     const reader = createRowReader({ log, meter });
 
     const progress = createOwnerProgress({
@@ -242,7 +243,7 @@
     /** Returns the organisation of a job, also of one that is not durable yet and has no visible state. */
     const organisationOf = (jobId: string): string | undefined => {
         const job = jobs.get(jobId);
-        return job === undefined ? endedEarlier.get(jobId)?.organisation : job.account.organisation;
+        return job === undefined ? endedJobs.find(jobId)?.job.organisation : job.account.organisation;
     };
 
     /** Jobs of other organisations are hidden from a caller; a job that belongs to no organisation is visible to all. */
@@ -265,12 +266,21 @@
      */
     const confirmOwnership = (): Promise<void> => commitWait.until(commits.confirm());
 
+    /** Returns the state of an ended job once it is durable. */
+    const endedStatusOf = async (jobId: string): Promise<JobStatus | undefined> => {
+        const outcome = (await endedRead).find(jobId);
+        if (outcome !== undefined) {
+            await commitWait.until(outcome.written);
+        }
+        return outcome?.job;
+    };
+
     const statusOf = async (job: JobReference): Promise<JobStatus | undefined> => {
         const { jobId } = job;
-        let status = shownStatusOf(jobId) ?? (await endedJobs).get(jobId);
+        let status = shownStatusOf(jobId) ?? await endedStatusOf(jobId);
         if (status === undefined) {
             await confirmOwnership();
-            status = shownStatusOf(jobId);
+            status = shownStatusOf(jobId) ?? await endedStatusOf(jobId);
         }
         if (status === undefined || !isVisible(job)) {
             log.write("info", "jobUnknown", { jobId, fencingToken, hidden: status !== undefined });
@@ -430,13 +440,7 @@
     };
 
     const forgetExpiredJobs = (nowMs: number): void => {
-        // The retention of jobs that ended under former owners counts from this owner's start.
-        if (nowMs - startedAtMs > settings.retentionMs) {
-            for (const jobId of endedEarlier.keys()) {
-                endedEarlier.delete(jobId);
-                void commits.commit(jobId);
-            }
-        }
+        endedJobs.forgetExpired();
         for (const [jobId, job] of jobs) {
             if (job.endedAtMs !== undefined && nowMs - job.endedAtMs > settings.retentionMs) {
                 jobs.delete(jobId);
@@ -531,8 +535,8 @@
         log.write("info", "shardRestored", { part, fencingToken, jobs: jobs.size, runs: restored.runs.length });
     };
 
-    /** Reads the jobs that ended under former owners, by id with their states, while the other jobs are already being placed. */
-    const readEnded = async (): Promise<ReadonlyMap<string, EndedJob>> => {
+    /** Reads the jobs that ended under former owners, while the other jobs are already being placed. */
+    const readEnded = async (): Promise<EndedJobs> => {
         const read = await readAllRows({
             clock,
             log,
@@ -541,14 +545,15 @@
             part,
             isNeeded: () => !closed,
         });
-        for (const row of read?.rows ?? []) {
-            const status = reader.entryOf(row, decodeEnded(row));
-            if (status !== undefined) {
-                endedEarlier.set(row.key, status);
+        const rows = read?.rows ?? [];
+        for (const row of rows) {
+            const job = reader.entryOf(row, decodeEnded(row));
+            if (job !== undefined) {
+                endedJobs.restore(row.key, job);
             }
         }
-        log.write("info", "endedRead", { part, jobs: endedEarlier.size, complete: read !== undefined });
-        return read === undefined ? ownershipLost : endedEarlier;
+        log.write("info", "endedRead", { part, jobs: rows.length, complete: read !== undefined });
+        return read === undefined ? ownershipLost : endedJobs;
     };
 
     const openUpkeep = (): Upkeep | undefined => {
@@ -583,8 +588,8 @@
 
     restoreFromRows();
     const upkeep = openUpkeep();
-    const endedJobs = readEnded();
-    endedJobs.catch(() => {});
+    const endedRead = readEnded();
+    endedRead.catch(() => {});
     clock.setTimer(tickMs, tick);
 
     const submit = createAcceptance({
@@ -608,30 +613,30 @@
                 workers.stop(run);
             }
         },
-        endedJobs,
+        endedJobs: endedRead,
     });
 
+    const cancelKnownJob = async (job: ShardJob): Promise<void> => {
+        cancelJob(job, clock.monotonicMs());
+        log.write("info", "jobCancelled", { jobId: job.submission.jobId, state: job.state, fencingToken });
+        await Promise.race([commitChange(job), ownershipLost]);
+    };
+
     const cancel = async (reference: JobReference): Promise<boolean> => {
         const { jobId } = reference;
+        const hasEndedBefore = !jobs.has(jobId) && (await endedRead).find(jobId) !== undefined;
         const job = jobs.get(jobId);
-        if (job === undefined) {
-            const hasEndedBefore = (await endedJobs).has(jobId);
-            if (!hasEndedBefore && jobs.has(jobId)) {
-                return cancel(reference);
-            }
-            if (!hasEndedBefore) {
-                await confirmOwnership();
+        if (job !== undefined || hasEndedBefore) {
+            const visible = isVisible(reference);
+            if (visible && job !== undefined) {
+                await cancelKnownJob(job);
             }
-            log.write("info", "cancelWithoutJob", { jobId, fencingToken, hasEndedBefore });
-            return hasEndedBefore && isVisible(reference);
+            return visible;
         }
-        if (!isVisible(reference)) {
-            return false;
-        }
-        cancelJob(job, clock.monotonicMs());
-        log.write("info", "jobCancelled", { jobId, state: job.state, fencingToken });
-        await Promise.race([commitChange(job), ownershipLost]);
-        return true;
+        log.write("info", "cancelWithoutJob", { jobId, fencingToken });
+        // Its commit proves as well that no other daemon has accepted the job.
+        await Promise.race([endedJobs.recordCancel(reference), ownershipLost]);
+        return false;
     };
 
     return {
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -51,6 +51,7 @@
 export * from "./core/shard/crashes.js";
 export * from "./core/shard/delayedStarts.js";
 export * from "./core/shard/eligible.js";
+export * from "./core/shard/endedJobs.js";
 export * from "./core/shard/evacuate.js";
 export * from "./core/shard/firstLooks.js";
 export * from "./core/shard/forward.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -155,6 +155,7 @@
 export { type Batch, type BatchWriter, type BatchWriterOptions, createBatchWriter } from "./internal.js";
 export { type CommitLog, type CommitLogOptions, createCommitLog, type RowChange } from "./internal.js";
 export { type CommitWait, type CommitWaitOptions, createCommitWait } from "./internal.js";
+export { createEndedJobs, type EndedJobs, type EndedJobsOptions, type Outcome } from "./internal.js";
 export { type CommitMonitor, type CommitMonitorOptions, createCommitMonitor } from "./internal.js";
 export { type ConfigurationFetch, type ConfigurationFetchOptions, createConfigurationFetch } from "./internal.js";
 export {
