Keep a job whose cancel waits for the store

What callers saw: no answer to a cancel that was sent while the store did not answer, and a resent job that ran.

Cause: an acceptance that no batch holds yet is withdrawn once the store has stopped answering, together with the cancel that waits in the same place. The cancel was neither answered nor kept.

Change: a job that was cancelled meanwhile is not withdrawn; its rows and its cancel become durable once the store is back.

--- a/features/cancels.feature
+++ b/features/cancels.feature
@@ -55,6 +55,14 @@
         And that job is submitted
         Then it is accepted within 1000 ms, and its tasks run
 
+    Scenario: A job that was cancelled while the store did not answer is cancelled once the store is back
+        Given a cell of 3 daemons and 4 workers
+        When the fault "store hangs" comes
+        And 2 jobs are submitted, and the second is cancelled 50 ms later
+        And the shard runs for 2000 ms
+        And the fault goes
+        Then the cancel is answered within 2500 ms, and the job never starts
+
     Scenario: Cancels of unknown jobs above a limited rate are refused with a time to try again
         Given a cell of 3 daemons and 4 workers
         When 200 jobs that were not submitted are cancelled at once
--- a/features/steps/cancelSteps.ts
+++ b/features/steps/cancelSteps.ts
@@ -151,6 +151,29 @@
     assert.ok(await cell.until(() => startsOf(cell, earlyJobId) === 2, limitMs), "its tasks do not run");
 });
 
+When(
+    "2 jobs are submitted, and the second is cancelled {int} ms later",
+    async function(this: ScenarioWorld, afterMs: number) {
+        const cell = cellOf(this);
+        const owner = cell.owner();
+        // The batch that holds the first job is in flight, so that no batch holds the second one yet.
+        cell.submitOnce(submittedJobId, readSteps("1"), owner);
+        await cell.clock.advance(10);
+        cell.submitOnce(earlyJobId, readSteps("1"), owner);
+        await cell.clock.advance(afterMs);
+        send(this, "cancel", owner ?? "", earlyJobId);
+    },
+);
+
+Then(
+    "the cancel is answered within {int} ms, and the job never starts",
+    async function(this: ScenarioWorld, limitMs: number) {
+        assert.equal((await answerWithin(this, limitMs))?.outcome, "known");
+        await cellOf(this).clock.advance(3_000);
+        assert.equal(startsOf(cellOf(this), earlyJobId), 0);
+    },
+);
+
 When("{int} jobs that were not submitted are cancelled at once", function(this: ScenarioWorld, count: number) {
     for (let number = 1; number <= count; number += 1) {
         send(this, "cancel", cellOf(this).owner() ?? "", jobIdOf(20_000 + number));
--- a/packages/puffinarch/src/core/shard/acceptance.ts
+++ b/packages/puffinarch/src/core/shard/acceptance.ts
@@ -11,7 +11,7 @@
 import type { CommitLog } from "./commitLog.js";
 import type { CommitWait } from "./commitWait.js";
 import type { EndedJobs, Outcome } from "./endedJobs.js";
-import { cancelJob, newJob, reservedResources, type ShardJob } from "./jobModel.js";
+import { cancelJob, hasEnded, newJob, reservedResources, type ShardJob } from "./jobModel.js";
 
 /** Dependencies of the acceptance of jobs. */
 export interface AcceptanceOptions {
@@ -98,15 +98,16 @@
 
     /**
      * Waits until a job is durable. If the store stops answering while no commit batch contains the job, the job is withdrawn: the
-     * refusal is certain and the caller gets it at once. A job that another submission of the same ID has made durable counts as
-     * accepted, whatever the outcome of the batch awaited here: if it were withdrawn, it would be reported as unknown and run twice.
+     * refusal is certain and the caller gets it at once. A job that was cancelled meanwhile is kept, as its cancel would get no answer.
+     * A job that another submission of the same ID has made durable counts as accepted, whatever the outcome of the batch awaited
+     * here: if it were withdrawn, it would be reported as unknown and run twice.
      */
     const awaitAcceptance = async (job: ShardJob): Promise<void> => {
         const { jobId } = job.submission;
         const written = commit(job);
         while (!job.stored) {
             await commitWait.pause(written);
-            if (!job.stored && commitWait.isStalled() && commits.withdraw(jobId)) {
+            if (!job.stored && !hasEnded(job) && commitWait.isStalled() && commits.withdraw(jobId)) {
                 discard(job);
             }
             if (!job.stored && jobs.get(jobId) !== job) {
