A read or cancel that reaches no owner is not answered as a job that was not accepted

What callers saw: while the shard had no owner, a GET or DELETE of an accepted job was refused with the kind notAccepted, whose promise is that the job was not accepted and will not run.

Cause: the forwarder used one kind for all requests that certainly had no effect, and it is true of submissions only.

Change: each forwarded request names its kind; reads and cancels fail with unavailable.

--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -89,7 +89,8 @@
         ownerLostMs: () => clock.monotonicMs(),
         onNoAnswer: () => {},
     });
-    const outcome = forwarder.run({ local: async () => "here", remote: async () => "there", totalTimeoutMs: 2_000 })
+    const request = { local: async () => "here", remote: async () => "there", totalTimeoutMs: 2_000 };
+    const outcome = forwarder.run({ ...request, refusal: "notAccepted" })
         .catch((error: unknown) => `${kindOf(error)} after ${clock.monotonicMs()} ms`);
     await clock.advance(3_000);
     return outcome;
--- a/features/steps/shardModuleSteps.ts
+++ b/features/steps/shardModuleSteps.ts
@@ -127,6 +127,7 @@
         });
         const never = new Promise<never>(() => {});
         const answer = forward.run({
+            refusal: "notAccepted",
             local: () => never,
             remote: address => address === "entry-1" ? never : Promise.resolve(address),
             totalTimeoutMs: 2_500,
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -620,6 +620,7 @@
         ready: readiness.ready,
         submit: (submission, totalTimeoutMs) =>
             forwarder.run({
+                refusal: "notAccepted",
                 local: shard => shard.submit(submission),
                 remote: async (address, timeoutMs) => {
                     await members.call(address, "submit", submission, timeoutMs);
@@ -632,6 +633,7 @@
                 : callerKeys.organisationOf(queue, key),
         jobState: (job, totalTimeoutMs) =>
             forwarder.run({
+                refusal: "unavailable",
                 local: shard => shard.jobState(job),
                 remote: async (address, timeoutMs) => {
                     const { state, failure } = await members.call(address, "jobState", job, timeoutMs);
@@ -641,6 +643,7 @@
             }),
         cancel: (job, totalTimeoutMs) =>
             forwarder.run({
+                refusal: "unavailable",
                 local: shard => shard.cancel(job),
                 remote: async (address, timeoutMs) => (await members.call(address, "cancelJob", job, timeoutMs)).known,
                 totalTimeoutMs,
--- a/packages/puffinarch/src/core/shard/forward.ts
+++ b/packages/puffinarch/src/core/shard/forward.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Clock } from "../../types/ports.js";
-import { die, errorOf, failureOf } from "../../utils/errors.js";
+import { die, type ErrorKind, errorOf, failureOf } from "../../utils/errors.js";
 import type { ShardOwner } from "./shardOwner.js";
 
 /** Dependencies of request forwarding. */
@@ -24,6 +24,11 @@
 
 /** One request: how to run it on the local owner and how to send it to another daemon. `totalTimeoutMs` limits all attempts together. */
 export interface ForwardRequest<T> {
+    /**
+     * Kind of the error where the request certainly had no effect: `notAccepted` for a submission. It would be untrue of a job that is
+     * only read or cancelled, which may have been accepted before; those fail with `unavailable`.
+     */
+    readonly refusal: Extract<ErrorKind, "notAccepted" | "unavailable">;
     readonly local: (shard: ShardOwner) => Promise<T>;
     readonly remote: (address: string, timeoutMs: number) => Promise<T>;
     readonly totalTimeoutMs: number;
@@ -31,7 +36,7 @@
 
 /** Forwards requests. */
 export interface Forwarder {
-    /** Fails with `notAccepted` if the request certainly had no effect, and with `mayHaveRun` if that is unknown. */
+    /** Fails with the request's `refusal` if it certainly had no effect, and with `mayHaveRun` if that is unknown. */
     run<T>(request: ForwardRequest<T>): Promise<T>;
     /** Must be called when the owner changes; waiting requests are retried at once. */
     wake(): void;
@@ -51,7 +56,7 @@
  *
  * @example
  * const forwarder = createForwarder({ clock, retryAfterMs: 1_000, shard, ownerAddress, ownerLostMs, onNoAnswer });
- * await forwarder.run({ local: shard => shard.submit(job), remote: (address, timeoutMs) => send(address, timeoutMs), totalTimeoutMs: 2_000 });
+ * await forwarder.run({ refusal: "notAccepted", local: shard => shard.submit(job), remote: (address, timeoutMs) => send(address, timeoutMs), totalTimeoutMs: 2_000 });
  */
 export const createForwarder = (options: ForwarderOptions): Forwarder => {
     const { clock, retryAfterMs, shard, ownerAddress, ownerLostMs, onNoAnswer } = options;
@@ -114,13 +119,13 @@
     return {
         run: async request => {
             const startedAtMs = clock.monotonicMs();
-            const { totalTimeoutMs } = request;
+            const { refusal, totalTimeoutMs } = request;
             let mayHaveRun = false;
             for (;;) {
                 const leftMs = startedAtMs + totalTimeoutMs - clock.monotonicMs();
                 if (!mayHaveRun && leftMs < minAttemptMs) {
                     // The outcome would come after the caller has given up. Without another attempt, the request certainly had no effect.
-                    return die("notAccepted", "too little time is left to complete the request", { retryAfterMs });
+                    return die(refusal, "too little time is left to complete the request", { retryAfterMs });
                 }
                 try {
                     const answer = await attempt(request, leftMs);
@@ -143,7 +148,7 @@
                 if (clock.monotonicMs() - startedAtMs + retryPauseMs >= allowedMs) {
                     return mayHaveRun
                         ? die("mayHaveRun", "the owner of the shard did not answer")
-                        : die("notAccepted", "no owner of the shard can be reached", { retryAfterMs });
+                        : die(refusal, "no owner of the shard can be reached", { retryAfterMs });
                 }
                 await waitForOwnerChange(retryPauseMs);
             }
