A cancel that no owner answered is delivered after its caller has stopped asking

What callers saw: cancels while the shard had no owner were refused (503) or not answered (504). A caller whose attempts all ended so, and who then stopped asking, had wanted the job gone, but it ran to its end, also long after there was an owner.

Cause: a daemon that had taken a cancel forgot it as soon as its caller's time was over.

It is dropped at shutdown. Each ends with a line, pendingCancelEnded, with its outcome and age. The answer to the caller stays unavailable or mayHaveRun: both say no more than that the outcome is not known.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -77,6 +77,7 @@
             | probes               | 10 strong ones first, 1940 ms between two pings, 1080 ms for place 20 |
             | firstLooks           | 24 sent, then 25                        |
             | forward              | notAccepted after 750 ms                |
+            | pendingCancels       | unavailable, unavailable, unavailable; a cancelled, b shutdown |
             | workerList           | i-1, then nobody                        |
             | jobModel             | completed                               |
             | jobRows              | 5c0e7a21d94b36f8.0.0.0 ran on i-1       |
--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -8,8 +8,10 @@
     createAccounts,
     createCallerKeys,
     createForwarder,
+    createPendingCancels,
     createTaskReview,
     defaultShardSettings,
+    die,
     digestKey,
     formatTaskName,
     kindOf,
@@ -96,6 +98,22 @@
     return outcome;
 };
 
+const pendingCancels = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const ends: string[] = [];
+    const cancels = createPendingCancels({
+        clock,
+        log: { write: (_level, _event, { jobId, outcome }) => ends.push(`${String(jobId)} ${String(outcome)}`) },
+        meter,
+        deliver: async ({ jobId }) =>
+            jobId === "a" && clock.monotonicMs() >= 5_000 || die("unavailable", "no owner of the shard can be reached"),
+    });
+    const answers = ["a", "a", "b"].map(jobId => cancels.cancel({ queueKey: testQueue.key, jobId }, 100).catch(kindOf));
+    await clock.advance(10_000);
+    cancels.close();
+    return `${(await Promise.all(answers)).join(", ")}; ${ends.join(", ")}`;
+};
+
 const taskWait = (): string => {
     const { step } = taskOf(exampleJob());
     const worker = openWorker();
@@ -131,6 +149,7 @@
     callerKeys,
     forward,
     jobModel,
+    pendingCancels,
     taskReview,
     taskWait,
     taskName: () => formatTaskName({ jobId: "5c0e7a21d94b36f8", occurrence: 0, step: 1, index: 17 }),
--- a/features/steps/unansweredCancelSteps.ts
+++ b/features/steps/unansweredCancelSteps.ts
@@ -1,7 +1,7 @@
 /** Steps about reads and cancels of jobs while the shard has no owner. */
 
-import { Then } from "@cucumber/cucumber";
-import { type ShardCell, testQueue } from "@puffinarch/stand-ins";
+import { Then, When } from "@cucumber/cucumber";
+import { jobIdOf, type ShardCell, testQueue } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import { type CellMember, kindOf } from "puffinarch";
 import { cellOf, part } from "./shardCellPart.js";
@@ -27,3 +27,41 @@
         assert.deepEqual(new Set(await Promise.all(answers)), new Set([kind]));
     },
 );
+
+When(
+    "each job is cancelled once, {int} ms apart, through one daemon after another",
+    async function(this: ScenarioWorld, apartMs: number) {
+        const cell = cellOf(this);
+        const daemons = runningDaemons(cell);
+        for (const [index, jobId] of part(this).jobs.entries()) {
+            void daemons[index % daemons.length]?.cancel({ queueKey: testQueue.key, jobId }, patienceMs).catch(
+                () => {},
+            );
+            await cell.clock.advance(apartMs);
+        }
+    },
+);
+
+When(
+    "one daemon gets cancels of {int} jobs that nobody has submitted",
+    function(this: ScenarioWorld, count: number) {
+        const [daemon] = runningDaemons(cellOf(this));
+        for (let number = 1; number <= count; number += 1) {
+            daemon?.cancel({ queueKey: testQueue.key, jobId: jobIdOf(number) }, patienceMs).catch(() => {});
+        }
+    },
+);
+
+const pendingCancelEnds = (cell: ShardCell): readonly unknown[] =>
+    cell.log.filter(({ event }) => event === "pendingCancelEnded").map(({ fields }) => fields["outcome"]);
+
+Then("the log has pending cancels, all of which ended with {string}", function(this: ScenarioWorld, outcome: string) {
+    assert.deepEqual(new Set(pendingCancelEnds(cellOf(this))), new Set([outcome]));
+});
+
+Then(
+    "the log has {int} pending cancels that ended with {string}",
+    function(this: ScenarioWorld, count: number, outcome: string) {
+        assert.equal(pendingCancelEnds(cellOf(this)).filter(each => each === outcome).length, count);
+    },
+);
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -38,6 +38,7 @@
 import { decodeOwner, unreadableOwner } from "./memberRows.js";
 import { watchOwner } from "./ownerWatch.js";
 import { createPeers, pingIntervalMs } from "./peers.js";
+import { createPendingCancels } from "./pendingCancels.js";
 import { watchReadiness } from "./readiness.js";
 import { createRowReader } from "./rowReader.js";
 import { type ShardOwner, startShardOwner } from "./shardOwner.js";
@@ -96,7 +97,10 @@
     authenticate(queue: Queue, key: string | undefined): string;
     /** Returns the job's state; undefined where the caller's organisation has no such job. */
     jobState(job: JobReference, totalTimeoutMs: number): Promise<JobStatus | undefined>;
-    /** Cancels a job; false where the caller's organisation has no such job. */
+    /**
+     * Cancels a job; false where the caller's organisation has no such job. A cancel that fails with `unavailable` or `mayHaveRun` stays
+     * pending at this daemon and may take effect after the failure.
+     */
     cancel(job: JobReference, totalTimeoutMs: number): Promise<boolean>;
     /** Number of accepted jobs in a queue of which no task has started; undefined where no recent count is available. */
     pending(queueKey: string): Promise<number | undefined>;
@@ -595,6 +599,19 @@
         onNoAnswer: ownerWatch.suspect,
     });
 
+    const pendingCancels = createPendingCancels({
+        clock,
+        log,
+        meter,
+        deliver: (job, totalTimeoutMs) =>
+            forwarder.run({
+                refusal: "unavailable",
+                local: shard => shard.cancel(job),
+                remote: async (address, timeoutMs) => (await members.call(address, "cancelJob", job, timeoutMs)).known,
+                totalTimeoutMs,
+            }),
+    });
+
     const freshCounts = (): Readonly<Record<string, number>> | undefined =>
         pendingCounts !== undefined && clock.monotonicMs() - pendingCounts.atMs <= maxCountsAgeMs
             ? pendingCounts.counts
@@ -641,13 +658,7 @@
                 },
                 totalTimeoutMs,
             }),
-        cancel: (job, totalTimeoutMs) =>
-            forwarder.run({
-                refusal: "unavailable",
-                local: shard => shard.cancel(job),
-                remote: async (address, timeoutMs) => (await members.call(address, "cancelJob", job, timeoutMs)).known,
-                totalTimeoutMs,
-            }),
+        cancel: pendingCancels.cancel,
         pending: async queueKey => {
             const known = await counts();
             return known === undefined ? undefined : known[queueKey] ?? 0;
@@ -689,6 +700,7 @@
         },
         close: () => {
             closed = true;
+            pendingCancels.close();
             ownerWatch.close();
             readiness.close();
             loseShard("closing");
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -67,6 +67,7 @@
 export * from "./core/shard/ownerWatch.js";
 export * from "./core/shard/pacer.js";
 export * from "./core/shard/peers.js";
+export * from "./core/shard/pendingCancels.js";
 export * from "./core/shard/planReservations.js";
 export * from "./core/shard/preempt.js";
 export * from "./core/shard/probes.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -181,6 +181,7 @@
 export { createFirstLooks, type FirstLooks } from "./internal.js";
 export { createForwarder, type Forwarder, type ForwarderOptions, type ForwardRequest } from "./internal.js";
 export { createPacer, type Pacer } from "./internal.js";
+export { createPendingCancels, type PendingCancels, type PendingCancelsOptions } from "./internal.js";
 export { createTaskPlacer, type TaskPlacer, type TaskPlacerOptions } from "./internal.js";
 export { chooseVictims, isPreemptibleBy } from "./internal.js";
 export { type PlanOptions, planReservations } from "./internal.js";
