--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -10,8 +10,10 @@
     createCommitWait,
     createEndedJobs,
     createForwarder,
+    createPendingCancels,
     createTaskReview,
     defaultShardSettings,
+    die,
     digestKey,
     formatTaskName,
     kindOf,
@@ -113,12 +115,29 @@
         ownerLostMs: () => clock.monotonicMs(),
         onNoAnswer: () => {},
     });
-    const outcome = forwarder.run({ local: async () => "here", remote: async () => "there", totalTimeoutMs: 2_000 })
+    const request = { local: async () => "here", remote: async () => "there", totalTimeoutMs: 2_000 };
+    const outcome = forwarder.run({ ...request, refusal: "notAccepted" })
         .catch((error: unknown) => `${kindOf(error)} after ${clock.monotonicMs()} ms`);
     await clock.advance(3_000);
     return outcome;
 };
 
+const pendingCancels = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const ends: string[] = [];
+    const cancels = createPendingCancels({
+        clock,
+        log: { write: (_level, _event, { jobId, outcome }) => ends.push(`${String(jobId)} ${String(outcome)}`) },
+        meter,
+        deliver: async ({ jobId }) =>
+            jobId === "a" && clock.monotonicMs() >= 5_000 || die("unavailable", "no owner of the shard can be reached"),
+    });
+    const answers = ["a", "a", "b"].map(jobId => cancels.cancel({ queueKey: testQueue.key, jobId }, 100).catch(kindOf));
+    await clock.advance(10_000);
+    cancels.close();
+    return `${(await Promise.all(answers)).join(", ")}; ${ends.join(", ")}`;
+};
+
 const taskWait = (): string => {
     const { step } = taskOf(exampleJob());
     const worker = openWorker();
@@ -156,6 +175,7 @@
     endedJobs,
     forward,
     jobModel,
+    pendingCancels,
     taskReview,
     taskWait,
     taskName: () => formatTaskName({ jobId: "5c0e7a21d94b36f8", occurrence: 0, step: 1, index: 17 }),
