Refuse a read that the store keeps waiting as unavailable, and at once

An owner that cannot prove its answer to a read refused it as notAccepted, which says that the job will not run; the job may have been accepted. Such refusals are 'unavailable' now, as where no owner is reached. A pending cancel is delivered in one attempt of 900 ms; with 1,000 ms a second one began 50 ms before the end.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -59,7 +59,7 @@
             | chooseWorker         | i-2                                     |
             | claimShard           | token 1, then refused                   |
             | acceptance           | notAccepted, 0 jobs                     |
-            | commitWait           | notAccepted                             |
+            | commitWait           | unavailable                             |
             | endedJobs            | unknown, then cancelled                 |
             | accounts             | 2 tasks                                 |
             | callerKeys           | north, then unauthenticated             |
--- a/features/steps/cancelSteps.ts
+++ b/features/steps/cancelSteps.ts
@@ -98,6 +98,7 @@
 Then("it refuses within {int} ms, with a time to try again", async function(this: ScenarioWorld, limitMs: number) {
     const outcome = (await answerWithin(this, limitMs))?.outcome;
     assert.ok(typeof outcome === "object" && (outcome.retryAfterMs ?? 0) > 0, JSON.stringify(outcome));
+    assert.equal(outcome.kind, "unavailable");
 });
 
 const cancelEarly = async (world: ScenarioWorld, organisation: string): Promise<void> => {
--- a/packages/puffinarch/src/core/shard/acceptance.ts
+++ b/packages/puffinarch/src/core/shard/acceptance.ts
@@ -111,7 +111,7 @@
                 discard(job);
             }
             if (!job.stored && jobs.get(jobId) !== job) {
-                commitWait.refuse();
+                commitWait.refuse("notAccepted");
             }
         }
     };
@@ -120,7 +120,7 @@
         const queue = queueOf(submission.queueKey)
             ?? die("unavailable", `the queue ${submission.queueKey} is not in this daemon's configuration`);
         if (commitWait.isStalled()) {
-            commitWait.refuse();
+            commitWait.refuse("notAccepted");
         }
         const account = accounts.of(submission.organisation ?? "");
         requireWithinCap(submission, account);
@@ -159,7 +159,7 @@
         const outcome = ended.find(submission.jobId) ?? applyCancel(ended, submission);
         if (outcome !== undefined) {
             requireSameOrganisation(submission, outcome.job.organisation);
-            await commitWait.until(outcome.written);
+            await commitWait.until(outcome.written, "notAccepted");
             return;
         }
         const job = register(submission);
--- a/packages/puffinarch/src/core/shard/commitWait.ts
+++ b/packages/puffinarch/src/core/shard/commitWait.ts
@@ -4,6 +4,7 @@
 import { die } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
 import type { CommitLog } from "./commitLog.js";
+import type { Refusal } from "./forward.js";
 import type { ShardSettings } from "./shardSettings.js";
 
 /** Dependencies of the waits. */
@@ -19,12 +20,12 @@
 export interface CommitWait {
     /** Whether the store has left a commit unanswered for too long. */
     isStalled(): boolean;
-    /** Fails with `notAccepted` and a time to try again. */
-    refuse(): never;
+    /** Fails with a time to try again. */
+    refuse(refusal: Refusal): never;
     /** Waits until `write` resolves, or for a short time. Fails once this daemon no longer owns the shard. */
     pause(write: Promise<void>): Promise<void>;
     /** Waits until `write` resolves. Fails as `refuse` does while the store is stalled, although the write may still take effect. */
-    until(write: Promise<void>): Promise<void>;
+    until(write: Promise<void>, refusal: Refusal): Promise<void>;
 }
 
 /** Interval at which a wait checks whether the store has stopped answering. */
@@ -35,12 +36,12 @@
  *
  * @example
  * const commitWait = createCommitWait({ clock, settings, commits, ownershipLost });
- * await commitWait.until(commits.confirm());
+ * await commitWait.until(commits.confirm(), "unavailable");
  */
 export const createCommitWait = ({ clock, settings, commits, ownershipLost }: CommitWaitOptions): CommitWait => {
     const isStalled = (): boolean => commits.stalledMs() > settings.refuseStalledMs;
-    const refuse = (): never =>
-        die("notAccepted", "the store does not answer", { retryAfterMs: settings.retryAfterMs });
+    const refuse: CommitWait["refuse"] = refusal =>
+        die(refusal, "the store does not answer", { retryAfterMs: settings.retryAfterMs });
     const pause: CommitWait["pause"] = write =>
         Promise.race([write, ownershipLost, sleep(clock, stallCheckIntervalMs)]);
 
@@ -48,14 +49,14 @@
         isStalled,
         refuse,
         pause,
-        until: async write => {
+        until: async (write, refusal) => {
             let isDurable = false;
             const durable = write.then(() => {
                 isDurable = true;
             });
             while (!isDurable) {
                 if (isStalled()) {
-                    refuse();
+                    refuse(refusal);
                 }
                 await pause(durable);
             }
--- a/packages/puffinarch/src/core/shard/forward.ts
+++ b/packages/puffinarch/src/core/shard/forward.ts
@@ -22,13 +22,15 @@
     readonly onNoAnswer: () => void;
 }
 
+/**
+ * Kind of the error of a request that certainly had no effect: `notAccepted` for a submission. It would be untrue of a job that is only
+ * read or cancelled, which may have been accepted before; those fail with `unavailable`.
+ */
+export type Refusal = Extract<ErrorKind, "notAccepted" | "unavailable">;
+
 /** One request: how to run it on the local owner and how to send it to another daemon. `totalTimeoutMs` limits all attempts together. */
 export interface ForwardRequest<T> {
-    /**
-     * Kind of the error where the request certainly had no effect: `notAccepted` for a submission. It would be untrue of a job that is
-     * only read or cancelled, which may have been accepted before; those fail with `unavailable`.
-     */
-    readonly refusal: Extract<ErrorKind, "notAccepted" | "unavailable">;
+    readonly refusal: Refusal;
     readonly local: (shard: ShardOwner) => Promise<T>;
     readonly remote: (address: string, timeoutMs: number) => Promise<T>;
     readonly totalTimeoutMs: number;
@@ -134,9 +136,11 @@
                     }
                 }
                 catch (error) {
-                    const { kind } = failureOf(error);
-                    mayHaveRun ||= kind === "mayHaveRun";
-                    if (!mayHaveRun && kind !== "unavailable") {
+                    const failure = failureOf(error);
+                    mayHaveRun ||= failure.kind === "mayHaveRun";
+                    // An owner that names a time to try again has answered the request.
+                    const hasAnswered = failure.kind !== "unavailable" || failure.retryAfterMs !== undefined;
+                    if (!mayHaveRun && hasAnswered) {
                         throw error;
                     }
                     onNoAnswer();
--- a/packages/puffinarch/src/core/shard/pendingCancels.ts
+++ b/packages/puffinarch/src/core/shard/pendingCancels.ts
@@ -47,8 +47,8 @@
  * second of an owner's return, and a new owner gets at most one of these calls from each daemon at a time.
  */
 const maxPending = 64;
-/** Timeout of one delivery. The next one is tried then, since a lost answer of one job must not delay the others. */
-const deliveryTimeoutMs = 1_000;
+/** Timeout of one delivery, enough for one attempt at the owner. A lost answer of one job must not delay the others. */
+const deliveryTimeoutMs = 900;
 /** Pause after a delivery that got no answer. */
 const retryPauseMs = 200;
 
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -264,13 +264,13 @@
      * Waits until it is proven that no other daemon owned the shard when this was called. A replaced owner that has not noticed it does not
      * know the jobs of its successor, and must not tell a caller that they do not exist.
      */
-    const confirmOwnership = (): Promise<void> => commitWait.until(commits.confirm());
+    const confirmOwnership = (): Promise<void> => commitWait.until(commits.confirm(), "unavailable");
 
     /** Returns the state of an ended job once it is durable. */
     const endedStatusOf = async (jobId: string): Promise<JobStatus | undefined> => {
         const outcome = (await endedRead).find(jobId);
         if (outcome !== undefined) {
-            await commitWait.until(outcome.written);
+            await commitWait.until(outcome.written, "unavailable");
         }
         return outcome?.job;
     };
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -181,7 +181,13 @@
 } from "./internal.js";
 export { decodeEnded, encodeJob, type EndedJob, type RestoredJobs, restoreJobs } from "./internal.js";
 export { createFirstLooks, type FirstLooks } from "./internal.js";
-export { createForwarder, type Forwarder, type ForwarderOptions, type ForwardRequest } from "./internal.js";
+export {
+    createForwarder,
+    type Forwarder,
+    type ForwarderOptions,
+    type ForwardRequest,
+    type Refusal,
+} from "./internal.js";
 export { createPacer, type Pacer } from "./internal.js";
 export { createPendingCancels, type PendingCancels, type PendingCancelsOptions } from "./internal.js";
 export { createTaskPlacer, type TaskPlacer, type TaskPlacerOptions } from "./internal.js";
