Exploration of the shard: callers that cancel and read jobs, and their judge

Callers were answered "no such job" for jobs that ran afterwards, and read accepted jobs as unknown.

The judge goes by what callers were told and by the workers' records, which now hold when a start was ordered: no start ordered over 3 s after an answered cancel, nothing that runs on in a calm stretch, every cancel answered within 4 s of calm, no completion after the answer, no answer that contradicts an earlier one or the workers, no run of a rejected submission. Jobs that nobody cancels are judged as before.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -271,6 +271,30 @@
         When the seed 1029 is explored with long-running and crashing jobs, workers that shrink and VMs that are suspended
         Then nothing went wrong on the shard
 
+    # Guards against an owner that was replaced and, not having noticed, says that a job does not exist which its successor has
+    # accepted, and against a cancel that overtakes the job's submission. Such jobs ran after their cancels had been answered.
+    Scenario Outline: Callers cancel jobs that are <when> and read the others, among <what>, seed <seed>
+        When the seed <seed> is explored on a shard whose callers cancel jobs that are <when>, among <what>
+        Then nothing went wrong on the shard
+
+        Examples:
+            | when     | what                                    | seed  |
+            | accepted | the usual faults                        | 96025 |
+            | accepted | the usual faults                        | 96569 |
+            | accepted | VMs that are suspended                  | 97017 |
+            | accepted | the usual faults                        | 96021 |
+            | accepted | the usual faults                        | 96154 |
+            | accepted | the usual faults                        | 95010 |
+            | accepted | the usual faults                        | 95057 |
+            | accepted | delayed orders and workers that restart | 97001 |
+            | sent     | the usual faults                        | 96001 |
+            | sent     | the usual faults                        | 96012 |
+            | sent     | the usual faults                        | 96013 |
+            | sent     | the usual faults                        | 96005 |
+            | sent     | the usual faults                        | 96009 |
+            | mixed    | delayed orders and workers that restart | 98010 |
+            | mixed    | delayed orders and workers that restart | 98001 |
+
     Scenario Outline: The checks find a dependency of a shard that is broken on purpose: <part>
         When seeds from <first> on are explored on a shard with the part "<part>" broken
         Then a stalled task is found within 20 seeds
--- a/features/steps/explorationSteps.ts
+++ b/features/steps/explorationSteps.ts
@@ -4,6 +4,7 @@
 import {
     type BrokenPart,
     type BrokenShardPart,
+    type CancellingMode,
     crowdedShapes,
     type Exploration,
     explore,
@@ -195,6 +196,22 @@
     },
 );
 
+/** Faults that are combined with cancels, by their names in the table of examples. */
+const faultsWithCancels: Readonly<Record<string, Parameters<typeof exploreShardSeed>[1]>> = {
+    "the usual faults": {},
+    "VMs that are suspended": { suspending: true },
+    "delayed orders and workers that restart": { delayingOrders: true, keepsIds: true, crashedDownMs: 600 },
+};
+
+When(
+    "the seed {int} is explored on a shard whose callers cancel jobs that are {word}, among {}",
+    async function(this: ScenarioWorld, seed: number, when: string, what: string) {
+        assert.ok(what in faultsWithCancels, what);
+        const options = { cancelling: when as CancellingMode, ...faultsWithCancels[what] };
+        part(this).shard.wrong = await exploreShardSeed(seed, options);
+    },
+);
+
 Then("nothing went wrong on the shard", function(this: ScenarioWorld) {
     assert.deepEqual(part(this).shard.wrong, []);
 });
--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -3,11 +3,12 @@
  *
  * `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss [--queues N]] [--crashing] [--resizing]
  * [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--draws N]
- * [--broken PART]`
+ * [--cancelling accepted|sent|mixed] [--broken PART]`
  */
 
 import { Command, Option } from "commander";
 import { type BrokenShardPart, brokenShardParts } from "./brokenShardParts.js";
+import { type CancellingMode, cancellingModes } from "./cancellingCallers.js";
 import { exploreShardSeed } from "./exploreSeed.js";
 import { crowdedShapes } from "./jobShapes.js";
 import { explorePowerLoss } from "./powerLoss.js";
@@ -26,6 +27,7 @@
     readonly downMs?: string;
     readonly delayingOrders?: true;
     readonly checkingTickets?: true;
+    readonly cancelling?: CancellingMode;
     readonly draws: string;
     readonly powerLoss?: true;
     readonly queues: string;
@@ -51,6 +53,7 @@
         "more faults at once, of those that leave orders under way to workers that start again",
     )
     .option("--checking-tickets", "workers that refuse tickets of other incarnations")
+    .addOption(new Option("--cancelling <when>", "callers that cancel and read jobs").choices(cancellingModes))
     .option(
         "--draws <n>",
         "how often the jobs and faults of each seed are played, with all else drawn anew each time",
@@ -69,6 +72,7 @@
             "downMs",
             "delayingOrders",
             "checkingTickets",
+            "cancelling",
             "broken",
         ]),
     )
@@ -89,6 +93,7 @@
     downMs,
     delayingOrders,
     checkingTickets,
+    cancelling,
     draws,
     powerLoss,
     queues,
@@ -122,6 +127,7 @@
         capped,
         delayingOrders,
         checksTickets: checkingTickets,
+        cancelling,
         draw,
         keepsIds: keepingIds,
         crashedDownMs: downMs === undefined ? undefined : Number(downMs),
--- a/packages/stand-ins/src/shard/exploreSeed.ts
+++ b/packages/stand-ins/src/shard/exploreSeed.ts
@@ -1,7 +1,8 @@
 /** Runs a cell with one shard under several random faults at once, all chosen by a seed, and reports violated guarantees. */
 
-import { createSeededRandom, type Organisation, runEnds } from "puffinarch";
+import { createSeededRandom, type Organisation, runEnds, type Step } from "puffinarch";
 import type { BrokenShardPart } from "./brokenShardParts.js";
+import { type CancellingMode, createCancellingCallers } from "./cancellingCallers.js";
 import {
     completableShapes,
     crashingShapes,
@@ -14,6 +15,7 @@
     workerFillingJobNumber,
     workerFillingShape,
 } from "./jobShapes.js";
+import { watchCancels } from "./judgeCancels.js";
 import { createShardCell, type ShardCell, testQueue } from "./shardCell.js";
 import { shardFaults } from "./shardFaults.js";
 import { findPersistentlyStalledTasks } from "./stalledTasks.js";
@@ -122,6 +124,8 @@
 /** Long enough for leases of 5 s to expire. */
 const longFaultSpreadMs = 10_000;
 
+type SubmitJob = (jobId: string, steps: readonly Step[], organisation?: string) => void;
+
 /**
  * Submits jobs while faults come and go, all chosen by the seed, and undoes the remaining faults at the end.
  *
@@ -142,6 +146,8 @@
         spreadMs = faultSpreadMs,
         density = usualDensity,
         organisationOf,
+        submit = (jobId, steps, organisation) =>
+            organisation === undefined ? cell.submit(jobId, steps) : cell.submitFor(organisation, jobId, steps),
     }: {
         readonly seed: number;
         readonly forMs: number;
@@ -161,6 +167,8 @@
         readonly density?: { readonly share: number; readonly atOnce: number; };
         /** Organisation of the job with the given number; jobs belong to none where this is left out. */
         readonly organisationOf?: (job: number) => string;
+        /** How the jobs are submitted; until they are accepted where this is left out. */
+        readonly submit?: SubmitJob;
     },
 ): Promise<void> => {
     const random = createSeededRandom(1_000 + seed);
@@ -181,13 +189,7 @@
                 ? { onSubmit: onFailingJob, shapesOfKind: failingShapes }
                 : { onSubmit: onJob, shapesOfKind: shapes };
             onSubmit(jobIdOf(jobs));
-            const steps = readSteps(choose(shapesOfKind));
-            if (organisationOf === undefined) {
-                cell.submit(jobIdOf(jobs), steps);
-            }
-            else {
-                cell.submitFor(organisationOf(jobs), jobIdOf(jobs), steps);
-            }
+            submit(jobIdOf(jobs), readSteps(choose(shapesOfKind)), organisationOf?.(jobs));
         }
         for (const [index, fault] of [...activeFaults.entries()].reverse()) {
             if (fault.endsAtMs <= nowMs) {
@@ -267,6 +269,8 @@
     readonly delayingOrders?: boolean | undefined;
     /** Whether workers refuse tickets of other incarnations and the daemons are configured for it. */
     readonly checksTickets?: boolean | undefined;
+    /** Lets callers cancel jobs at these moments, and read the accepted jobs that they do not cancel. */
+    readonly cancelling?: CancellingMode | undefined;
     /** Another number draws new task durations, heartbeats and daemon choices for the same jobs and faults. */
     readonly draw?: number | undefined;
     /** A deliberate defect in every daemon's dependencies. */
@@ -293,6 +297,7 @@
         capped = false,
         delayingOrders = false,
         checksTickets = false,
+        cancelling,
         draw = 0,
         crashedDownMs,
         broken,
@@ -323,9 +328,22 @@
     const crashingJobs: string[] = [];
     const failingJobs: string[] = [];
     const faults: string[] = [];
+    // If a worker restarts under its ID during a change of owner, the new owner cannot see that a run had ended there or had
+    // never begun. It counts such a crash against the task, so that two more are enough to give the job up.
+    const crashesToGiveUp = keepsIds ? 2 : 3;
+    const cannotComplete = (jobId: string): boolean => crashingJobs.includes(jobId) || failingJobs.includes(jobId);
+    const mayFail = (jobId: string): boolean =>
+        hasCrashedWorkers(cell, jobId, crashesToGiveUp) || failing && hasExhaustedAttempts(cell, jobId);
+    const callers = cancelling === undefined
+        ? undefined
+        : createCancellingCallers(cell, { seed: seed + draw * drawSeedStride, when: cancelling });
+    const cancels = callers === undefined ? undefined : watchCancels(cell, {
+        records: callers.records,
+        mayFail: jobId => cannotComplete(jobId) || mayFail(jobId),
+    });
     await cell.clock.advance(2_000);
     for (const [index, steps] of (lasting ? longRunningShapes : []).entries()) {
-        cell.submit(jobIdOf(firstLongRunningJobNumber + index), readSteps(steps));
+        (callers ?? cell).submit(jobIdOf(firstLongRunningJobNumber + index), readSteps(steps));
     }
     if (failing && !lasting) {
         cell.submit(jobIdOf(workerFillingJobNumber), readSteps(workerFillingShape));
@@ -338,6 +356,7 @@
         ...(crashing ? { onCrashingJob: jobId => crashingJobs.push(jobId) } : {}),
         ...(failing ? { shapes: completableShapes, onFailingJob: jobId => failingJobs.push(jobId) } : {}),
         ...(shapes === undefined ? {} : { shapes }),
+        ...(callers === undefined ? {} : { submit: callers.submit }),
         ...(capped ? { organisationOf: job => organisations[job % organisations.length]?.name ?? "" } : {}),
         faults: delayingOrders ? delayedOrderFaults : [
             ...randomFaults,
@@ -360,22 +379,22 @@
         : (await findPersistentlyStalledTasks(cell)).map(taskName =>
             `${taskName} stands with room once nothing is wrong`
         );
-    // If a worker restarts under its ID during a change of owner, the new owner cannot see that a run had ended there or had
-    // never begun. It counts such a crash against the task, so that two more are enough to give the job up.
-    const crashesToGiveUp = keepsIds ? 2 : 3;
     const findUnexpectedStates = async (): Promise<readonly string[]> => {
-        const states = await cell.statesOf([...jobs, ...crashingJobs, ...failingJobs]);
-        const mayFail = (jobId: string): boolean =>
-            hasCrashedWorkers(cell, jobId, crashesToGiveUp) || failing && hasExhaustedAttempts(cell, jobId);
+        const states = await cell.statesOf([
+            ...new Set([...jobs, ...crashingJobs, ...failingJobs, ...cancels?.cancelledJobs() ?? []]),
+        ]);
         const isUnexpected = (jobId: string, state: string | undefined): boolean =>
-            crashingJobs.includes(jobId) || failingJobs.includes(jobId)
+            cancels?.isCancelled(jobId) === true
+                ? !cancels.mayShow(jobId, state)
+                : cannotComplete(jobId)
                 ? state !== "failed"
                 : state !== "completed" && !(state === "failed" && mayFail(jobId));
         return [...states].filter(([jobId, state]) => isUnexpected(jobId, state)).map(([jobId, state]) =>
-            `${jobId} is ${state}`
+            `${jobId} is ${state}${cancels?.describe(jobId) ?? ""}`
         );
     };
     await cell.until(async () => (await findUnexpectedStates()).length === 0, 60_000);
+    await cancels?.awaitCalm();
     const stalledAtEnd = (await findPersistentlyStalledTasks(cell)).map(taskName =>
         `${taskName} stands with room for it`
     );
@@ -384,6 +403,7 @@
         ...stalledTasks,
         ...stalledAtEnd,
         ...watch.stalledTasks(),
+        ...cancels?.problems() ?? [],
         ...cell.breaches(),
     ];
     return problems.length === 0 ? [] : [...problems, ...faults];
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -29,6 +29,8 @@
     readonly taskName: string;
     readonly run: number;
     readonly workerId: string;
+    /** When the order to start it was sent. */
+    readonly orderedAtMs: number;
     readonly startedAtMs: number;
     /** Undefined while it runs. */
     endedAtMs: number | undefined;
@@ -139,12 +141,13 @@
 const unansweredMs = 500;
 /** How long starts may still rely on the capacity that a worker had before it shrank, as the owner learns of it by heartbeat. */
 const shrinkNoticeMs = 4_500;
-const lateOrderDelayMs = 3_000;
+/** After how long a worker with the fault `late` carries out an order. */
+export const lateOrderDelayMs = 3_000;
 const failingRunMs = 100;
 /** How long a gang member waits for the other members before its run ends as `alone`. */
 const gangWaitMs = 3_000;
 /** The longest time for a stop at the slower of the users' sites. */
-const stopDurationMs = 900;
+export const stopDurationMs = 900;
 
 /**
  * Creates the fake workers; `add` adds each one.
@@ -295,7 +298,7 @@
     const fitsFormerCapacity = ({ formerCapacities }: FakeWorker, held: Resources): boolean =>
         formerCapacities.some(({ capacity, untilMs }) => clock.monotonicMs() <= untilMs && fits(held, capacity));
 
-    const start = (worker: FakeWorker, order: StartRunOrder): OrderOutcome => {
+    const start = (worker: FakeWorker, order: StartRunOrder, orderedAtMs: number): OrderOutcome => {
         if (!acceptToken(worker, order.fencingToken)) {
             return orderOutcomes.fenced;
         }
@@ -321,6 +324,7 @@
             taskName: order.taskName,
             run: order.run,
             workerId: worker.entry.workerId,
+            orderedAtMs,
             startedAtMs: clock.monotonicMs(),
             endedAtMs: undefined,
             how: undefined,
@@ -438,8 +442,9 @@
         const order = async (
             target: WorkerTarget,
             timeoutMs: number,
-            carryOut: (worker: FakeWorker) => OrderOutcome,
+            carryOut: (worker: FakeWorker, orderedAtMs: number) => OrderOutcome,
         ): Promise<OrderOutcome> => {
+            const orderedAtMs = clock.monotonicMs();
             const worker = await reach(target, timeoutMs);
             if (worker === undefined || worker === "down") {
                 return orderOutcomes.unknown;
@@ -456,13 +461,13 @@
                     // The order names only the worker's ID, so whichever incarnation has that ID by then carries it out.
                     const present = workers.get(target.workerId);
                     if (present?.alive === true) {
-                        carryOut(present);
+                        carryOut(present, orderedAtMs);
                     }
                 });
                 await wait(timeoutMs);
                 return orderOutcomes.unknown;
             }
-            return carryOut(worker);
+            return carryOut(worker, orderedAtMs);
         };
         const look = async (
             target: WorkerTarget,
@@ -492,7 +497,8 @@
             return worker.alive ? createLookResult(worker) : { outcome: orderOutcomes.otherIncarnation };
         };
         return {
-            start: (target, sent, timeoutMs) => order(target, timeoutMs, worker => start(worker, sent)),
+            start: (target, sent, timeoutMs) =>
+                order(target, timeoutMs, (worker, orderedAtMs) => start(worker, sent, orderedAtMs)),
             stop: (target, sent, timeoutMs) => order(target, timeoutMs, worker => stop(worker, sent)),
             look,
             pace: target => order(target, unansweredMs, () => orderOutcomes.done),
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -116,6 +116,10 @@
     submitFor(organisation: string, jobId: string, steps: readonly Step[], queueKey?: string): void;
     /** Submits a job once through one daemon; `answers` then has "accepted" or the kind of the error. */
     submitOnce(jobId: string, steps: readonly Step[], memberId?: string, organisation?: string): void;
+    /** Notes the steps of a job that a caller is about to submit, and returns its submission. */
+    submissionFor(jobId: string, steps: readonly Step[], organisation: string): JobSubmission;
+    /** Sends a caller's request to a daemon; fails where its process does not run or ends before the answer. */
+    ask<T>(memberId: string, request: (member: CellMember) => Promise<T>): Promise<T>;
     /** The latest answer to each submission by job: "accepted", "refused" or the kind of an error. */
     answers(): ReadonlyMap<string, string>;
     /** Ends a daemon's process without a shutdown. */
@@ -789,6 +793,21 @@
                     (error: unknown) => answers.set(jobId, kindOf(error)),
                 );
         },
+        submissionFor: (jobId, jobSteps, organisation) => {
+            steps.set(jobId, jobSteps);
+            organisationOf.set(jobId, organisation);
+            return submissionOf(jobId, jobSteps, { organisation });
+        },
+        ask: async (memberId, request) => {
+            const { member, incarnation, suspension } = memberProcesses.get(memberId)
+                ?? die("notFound", "no such daemon");
+            await suspension.whenRunning();
+            if (!incarnation.alive) {
+                return die("unavailable", "the daemon does not run");
+            }
+            const answer = await afterResume(suspension, request(member));
+            return incarnation.alive ? answer : die("mayHaveRun", "the answer was lost");
+        },
         answers: () => answers,
         kill: memberId => {
             faultTracker.recordFault();
