Tests: runs that save checkpoints, and a judge of the one that each start carries

What callers saw: on the one site with gangs that save checkpoints, a worker got work that nobody had sent; a start with a checkpoint that is not the task's counts as such. The fakes saved only at stops, and nobody judged checkpoints, so no test or seed could show it.

Change: where the option `checkpointIntervalMs` is set, tasks of the fakes save a new, unique value after each interval of work, each member of a gang at its own moment, and `findCheckpointBreaches` judges that a start carries only a value that its task or a member of its gang has saved, and that all starts of a gang under one run number carry the same. `--saving` explores such gangs among crashes, cuts and kills.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -92,6 +92,17 @@
             | 261  | end  |
             | 309  | end  |
 
+    # Guards against members of one gang that start from different checkpoints, some of them from none.
+    Scenario Outline: Gangs that save checkpoints while they run, with crashed workers that <ids> their IDs, seed <seed>
+        When the seed <seed> is explored on a shard with gangs that save checkpoints, with crashed workers that <ids> their IDs
+        Then nothing went wrong on the shard
+
+        Examples:
+            | seed | ids    |
+            | 18   | change |
+            | 46   | change |
+            | 3    | keep   |
+
     # The leases of these workers run out before the owner can find out that they crashed.
     Scenario Outline: Crashed workers that stay down for longer than their leases, seed <seed>
         When the seed <seed> is explored on a shard with jobs that crash their workers for 7000 ms
--- a/features/steps/explorationSteps.ts
+++ b/features/steps/explorationSteps.ts
@@ -137,6 +137,13 @@
     },
 );
 
+When(
+    /^the seed (\d+) is explored on a shard with gangs that save checkpoints, with crashed workers that (change|keep) their IDs$/,
+    async function(this: ScenarioWorld, seed: string, ids: string) {
+        part(this).shard.wrong = await exploreShardSeed(Number(seed), { saving: true, keepsIds: ids === "keep" });
+    },
+);
+
 When(
     "the seed {int} is explored on a shard with jobs that crash their workers for {int} ms",
     async function(this: ScenarioWorld, seed: number, crashedDownMs: number) {
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -22,6 +22,7 @@
 export { crowdedShapes, jobIdOf, readSteps } from "./shard/jobShapes.js";
 export * from "./shard/powerLoss.js";
 export * from "./shard/rowStore.js";
+export * from "./shard/savedCheckpoints.js";
 export * from "./shard/shardCell.js";
 export * from "./shard/shardFaults.js";
 export * from "./shard/shardLoad.js";
--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -2,8 +2,8 @@
  * Runs seeds with random faults from the command line; exits with 1 where one failed:
  *
  * `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss [--queues N]] [--crashing] [--resizing]
- * [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--draws N]
- * [--broken PART]`
+ * [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--saving]
+ * [--draws N] [--broken PART]`
  */
 
 import { Command, Option } from "commander";
@@ -26,6 +26,7 @@
     readonly downMs?: string;
     readonly delayingOrders?: true;
     readonly checkingTickets?: true;
+    readonly saving?: true;
     readonly draws: string;
     readonly powerLoss?: true;
     readonly queues: string;
@@ -51,6 +52,14 @@
         "more faults at once, of those that leave orders under way to workers that start again",
     )
     .option("--checking-tickets", "workers that refuse tickets of other incarnations")
+    // The other two name shapes of their own for the jobs.
+    .addOption(
+        new Option("--saving", "gangs that save checkpoints while they run").conflicts([
+            "crowded",
+            "failing",
+            "powerLoss",
+        ]),
+    )
     .option(
         "--draws <n>",
         "how often the jobs and faults of each seed are played, with all else drawn anew each time",
@@ -89,6 +98,7 @@
     downMs,
     delayingOrders,
     checkingTickets,
+    saving,
     draws,
     powerLoss,
     queues,
@@ -122,6 +132,7 @@
         capped,
         delayingOrders,
         checksTickets: checkingTickets,
+        saving,
         draw,
         keepsIds: keepingIds,
         crashedDownMs: downMs === undefined ? undefined : Number(downMs),
--- a/packages/stand-ins/src/shard/exploreSeed.ts
+++ b/packages/stand-ins/src/shard/exploreSeed.ts
@@ -11,6 +11,7 @@
     longRunningShapes,
     randomShapes,
     readSteps,
+    savingShapes,
     workerFillingJobNumber,
     workerFillingShape,
 } from "./jobShapes.js";
@@ -54,6 +55,16 @@
     "owner killed",
     "owner cut from the workers",
 ];
+/** Faults in which all members of a gang can be lost without an end, some before a successor has looked at them. */
+const gangLossFaults = [
+    ...crashFaults,
+    "all workers crash and are back",
+    "all workers cut",
+    "all killed",
+    "owner killed",
+];
+/** Time from one checkpoint to the next, shorter than the runs of `savingShapes` so that each run saves several. */
+const checkpointIntervalMs = 500;
 /** Faults that change the caps of organisations. */
 const capFaults = ["caps lowered to a quarter", "caps raised to double"];
 const shortestWorkerFailureMs = 4_000;
@@ -66,6 +77,7 @@
     ...suspendFaults,
     ...workerFailureFaults,
     ...capFaults,
+    "all workers crash and are back",
 ];
 /**
  * Faults that are never drawn by default: a worker that crashes without a restart stays away for good, and several others stop
@@ -265,6 +277,8 @@
     readonly capped?: boolean | undefined;
     /** Draws only faults after which orders can reach restarted workers, up to three at a time. */
     readonly delayingOrders?: boolean | undefined;
+    /** Submits gangs whose runs save checkpoints for several seconds, and adds faults in which all members of a gang are lost. */
+    readonly saving?: boolean | undefined;
     /** Whether workers refuse tickets of other incarnations and the daemons are configured for it. */
     readonly checksTickets?: boolean | undefined;
     /** Another number draws new task durations, heartbeats and daemon choices for the same jobs and faults. */
@@ -292,6 +306,7 @@
         failing = false,
         capped = false,
         delayingOrders = false,
+        saving = false,
         checksTickets = false,
         draw = 0,
         crashedDownMs,
@@ -311,6 +326,7 @@
         checksTickets,
         broken,
         ...(capped ? { organisations } : {}),
+        ...(saving ? { runsGangsTogether: true, durationMs: "estimated", checkpointIntervalMs } : {}),
         ...(failing
             ? {
                 runsGangsTogether: true,
@@ -337,6 +353,7 @@
         onFault: (atMs, name) => faults.push(`${atMs} ${name}`),
         ...(crashing ? { onCrashingJob: jobId => crashingJobs.push(jobId) } : {}),
         ...(failing ? { shapes: completableShapes, onFailingJob: jobId => failingJobs.push(jobId) } : {}),
+        ...(saving ? { shapes: savingShapes } : {}),
         ...(shapes === undefined ? {} : { shapes }),
         ...(capped ? { organisationOf: job => organisations[job % organisations.length]?.name ?? "" } : {}),
         faults: delayingOrders ? delayedOrderFaults : [
@@ -350,6 +367,8 @@
             ...failing ? Array.from({ length: 4 }, () => workerFailureFaults).flat() : [],
             ...capped ? Array.from({ length: 4 }, () => capFaults).flat() : [],
             ...resizing ? Array.from({ length: 6 }, () => resizeFaults).flat() : [],
+            // Repeated so that they are about half of the faults.
+            ...saving ? Array.from({ length: 6 }, () => gangLossFaults).flat() : [],
         ],
         ...(lasting ? { spreadMs: longFaultSpreadMs } : {}),
         ...(delayingOrders ? { density: highDensity } : {}),
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -23,6 +23,7 @@
     type WorkerEntry,
     type WorkerTarget,
 } from "puffinarch";
+import { createSavedCheckpoints, type SavedCheckpoint, type Saving } from "./savedCheckpoints.js";
 
 /** Record of a run that a worker started. */
 export interface StartEvidence {
@@ -30,6 +31,8 @@
     readonly run: number;
     readonly workerId: string;
     readonly startedAtMs: number;
+    /** The checkpoint that its start carried; empty for none. */
+    readonly checkpoint: string;
     /** Undefined while it runs. */
     endedAtMs: number | undefined;
     /** How the run ended; undefined while it runs. */
@@ -90,6 +93,8 @@
     isFaultFree(workerId: string): boolean;
     /** Every run that was started, in that order. */
     readonly evidence: readonly StartEvidence[];
+    /** Checkpoints that runs have saved, by value; undefined where tasks do not save while they run. */
+    readonly savedCheckpoints: ReadonlyMap<string, SavedCheckpoint> | undefined;
     /** Workers whose runs held more than their capacity at any time. */
     overcommitted(): readonly string[];
 }
@@ -101,7 +106,8 @@
     /** Sets the timer that ends the run and returns its cancel function; a gang member's once all members have started. */
     readonly beginWork: () => () => void;
     readonly held: Resources;
-    readonly checkpoint: string;
+    /** The newest checkpoint: the one that the start carried, or one that the run has saved. */
+    checkpoint: string;
 }
 
 interface FakeWorker {
@@ -159,6 +165,7 @@
     gangSize = () => 0,
     leaseLimitMs,
     checksTickets = false,
+    saving,
     onCrash,
 }: {
     readonly clock: Clock;
@@ -174,12 +181,15 @@
     readonly leaseLimitMs: number;
     /** Whether a start is refused whose ticket is for another incarnation of the worker. */
     readonly checksTickets?: boolean;
+    /** Lets tasks save checkpoints while they run; where this is left out, each task saves one when it is stopped. */
+    readonly saving?: Saving | undefined;
     /** Called when a task has crashed its worker, which is down then. */
     readonly onCrash: (entry: WorkerEntry) => void;
 }): FakeFencedWorkers => {
     const workers = new Map<string, FakeWorker>();
     const evidence: StartEvidence[] = [];
     const overcommitted = new Set<string>();
+    const saved = saving === undefined ? undefined : createSavedCheckpoints(clock, saving);
 
     const keyOf = (taskName: string, run: number): string => `${taskName}#${run}`;
 
@@ -189,6 +199,13 @@
         }
     };
 
+    const checkpointAtEnd = ({ evidence: start, checkpoint }: LiveRun, how: RunEnd): string => {
+        if (saved === undefined) {
+            return how === runEnds.stopped ? `saved-${start.run}` : "";
+        }
+        return how === runEnds.stopped ? saved.save(start) : checkpoint;
+    };
+
     const endRun = (worker: FakeWorker, key: string, how: RunEnd): void => {
         const live = worker.running.get(key);
         if (live === undefined) {
@@ -204,7 +221,7 @@
             taskName: start.taskName,
             run: start.run,
             how,
-            checkpoint: how === runEnds.stopped ? `saved-${start.run}` : "",
+            checkpoint: checkpointAtEnd(live, how),
             evidence: start,
         });
         worker.nextEndNumber += 1;
@@ -322,6 +339,7 @@
             run: order.run,
             workerId: worker.entry.workerId,
             startedAtMs: clock.monotonicMs(),
+            checkpoint: order.checkpoint,
             endedAtMs: undefined,
             how: undefined,
             acknowledgedAtMs: undefined,
@@ -335,8 +353,23 @@
                 failing ? failingRunMs : durationMs,
                 () => endRun(worker, key, failing || fails ? runEnds.failed : runEnds.done),
             );
-        const beginWork = (): () => void =>
+        const scheduleOutcome = (): () => void =>
             crashesAfterMs === undefined ? scheduleEnd() : scheduleCrash(worker, crashesAfterMs);
+        const beginWork = (): () => void => {
+            const cancelOutcome = scheduleOutcome();
+            const endSaving = worker.fault === "hanging"
+                ? undefined
+                : saved?.saveRepeatedly(startRecord, checkpoint => {
+                    const live = worker.running.get(key);
+                    if (live !== undefined) {
+                        live.checkpoint = checkpoint;
+                    }
+                });
+            return () => {
+                cancelOutcome();
+                endSaving?.();
+            };
+        };
         const isMember = gangSize(order.taskName) > 0;
         worker.running.set(key, {
             evidence: startRecord,
@@ -577,6 +610,7 @@
             [...workers.get(workerId)?.running.values() ?? []].reduce((sum, run) => add(sum, run.held), noResources),
         isFaultFree: workerId => workers.get(workerId)?.alive === true && workers.get(workerId)?.fault === "none",
         evidence,
+        savedCheckpoints: saved?.all,
         overcommitted: () => [...overcommitted],
     };
 };
--- a/packages/stand-ins/src/shard/jobShapes.ts
+++ b/packages/stand-ins/src/shard/jobShapes.ts
@@ -84,6 +84,13 @@
     "2 gang of 5 cores",
     "2 of 3 cores, 1 of 5 cores after 0",
 ];
+/** Jobs whose tasks save checkpoints, most of them in gangs, with runs of several seconds. */
+export const savingShapes = [
+    "3 gang of 2 cores checkpointing for 3000 ms",
+    "4 gang checkpointing for 5000 ms",
+    "2 gang of 5 cores checkpointing for 4000 ms",
+    "2 checkpointing for 3000 ms, 2 gang checkpointing for 2000 ms after 0",
+];
 /** A job that fills one worker for good, so that no other task fits on it. */
 export const workerFillingShape = "1 long running of 8 cores";
 /** Number of the job that fills a worker. */
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -49,6 +49,7 @@
 import type { Transfer } from "./link.js";
 import { createProcessor, type Processor, type ProcessorCosts, withProcessor, withQueuedTimers } from "./processor.js";
 import { createFakeRowStore, type FakeRowStore } from "./rowStore.js";
+import { findCheckpointBreaches } from "./savedCheckpoints.js";
 import { findStalledTasks } from "./stalledTasks.js";
 import { createSuspension, type Suspension } from "./suspension.js";
 
@@ -213,6 +214,8 @@
     readonly checksTickets?: boolean;
     /** Capacity of restarted workers that keep their IDs; the usual one where this is left out. */
     readonly restartCapacity?: Resources;
+    /** Working time from one checkpoint of a checkpointing task to the next; tasks save only at stops where this is left out. */
+    readonly checkpointIntervalMs?: number | undefined;
     /** Processor time that the daemons' work takes; none where this is left out. */
     readonly costs?: ProcessorCosts;
     /** A deliberate defect in every daemon's dependencies. */
@@ -330,6 +333,7 @@
         keepsIds = false,
         checksTickets = false,
         restartCapacity,
+        checkpointIntervalMs,
         costs = noCosts,
         broken,
     }: ShardCellOptions,
@@ -417,6 +421,10 @@
         clock,
         leaseLimitMs: 10_000,
         checksTickets,
+        saving: checkpointIntervalMs === undefined ? undefined : {
+            intervalMs: checkpointIntervalMs,
+            saves: taskName => stepOf(taskName)?.checkpointing === true,
+        },
         heldOf,
         gangSize: taskName => {
             const { gang = false, count = 0 } = stepOf(taskName) ?? {};
@@ -909,6 +917,11 @@
         },
         breaches: () => [
             ...findBreaches(workers.evidence, taskName => stepOf(taskName)?.speculative === true),
+            ...(workers.savedCheckpoints === undefined ? [] : findCheckpointBreaches(workers.evidence, {
+                saved: workers.savedCheckpoints,
+                gangOf: taskName =>
+                    stepOf(taskName)?.gang === true ? taskName.slice(0, taskName.lastIndexOf(".")) : undefined,
+            })),
             ...workers.overcommitted().map(workerId => `${workerId} held more than its capacity`),
             ...log.filter(({ event }) => event === "accountCorrected").map(({ fields }) =>
                 `the account of ${String(fields["organisation"])} had to be corrected`
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -202,6 +202,7 @@
     },
     "a worker crashes and is back": cell => crashWorkers(cell, 0),
     "half of the workers crash and are back": cell => crashWorkers(cell, 0.5),
+    "all workers crash and are back": cell => crashWorkers(cell, 1),
     "half of the workers shrink to a quarter": cell => {
         const alive = liveWorkers(cell);
         cell.resize(alive.slice(0, Math.max(1, alive.length / 2)), 0.25);
