All members of a gang start from one checkpoint

What callers saw: a worker got work that nobody had sent, since a start with another checkpoint than the other members of its gang counts as such.

Cause: each member kept a checkpoint of its own, in memory and in the row of its job. An end set it for all members, a look at a running member only for that one. Members that were lost without an end (workers crashed, leases over, also under a former owner) started again each from its own, or from none.

Change: the members of a gang share one checkpoint; what a look or an end of any of them shows counts for all. A run fixes the one that its start carries when it is planned, so that no change between two sends can split a gang. A former run of a gang that shows up late no longer sets it back. The row keeps its format: each member is written with the shared value, and a row of an earlier version with different values gives the gang the last that is not empty. Tasks in no gang stay as they were, but for a value that changes between plan and send.

--- a/features/checkpoints.feature
+++ b/features/checkpoints.feature
@@ -24,6 +24,17 @@
         When a gang of 3 tasks is restored from the checkpoints "a#1/1, , c#1/3"
         Then all of its tasks are stored with one of them
 
+    # Guards against a change of the checkpoint between two starts of one run, and against former runs that set a gang back.
+    Scenario Outline: A checkpoint that run <run> shows once run 2 is planned is carried by none of its starts
+        Given a gang whose run 2 is planned from the checkpoint "b"
+        When its run <run> shows the checkpoint "<shown>"
+        Then all starts of its run 2 carry "b", and those of its next run "<next>"
+
+        Examples:
+            | run | shown | next |
+            | 1   | a     | b    |
+            | 2   | c     | c    |
+
     # Tasks that are in no gang keep their own checkpoints.
     Scenario: Tasks in no gang resume each from its own checkpoint
         Given a cell of 3 daemons and 6 workers whose checkpointing tasks save every 500 ms
--- a/features/steps/checkpointSteps.ts
+++ b/features/steps/checkpointSteps.ts
@@ -3,7 +3,19 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { createFakeClock, plainStep, type StartEvidence, testQueue } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { createAccounts, createRowReader, encodeJob, newJob, newRun, restoreJobs, type Row } from "puffinarch";
+import {
+    createAccounts,
+    createRowReader,
+    encodeJob,
+    newJob,
+    newRun,
+    recordCheckpoint,
+    restoreJobs,
+    type Row,
+    type ShardJob,
+    type ShardRun,
+    type ShardTask,
+} from "puffinarch";
 import { log, meter, part, submission } from "./examples/shardFixtures.js";
 import { cellOf, startCell } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
@@ -14,8 +26,16 @@
     after: readonly string[];
 }
 
+/** The tasks of a gang, and the runs of it that are planned. */
+interface GangPart {
+    tasks: readonly ShardTask[];
+    planned: readonly ShardRun[];
+}
+
 const rowPart = (world: ScenarioWorld): Part => partOf(world, "checkpoints", () => ({ before: [], after: [] }));
 
+const gangPart = (world: ScenarioWorld): GangPart => partOf(world, "gang", () => ({ tasks: [], planned: [] }));
+
 /** The field of a stored task that holds its checkpoint. */
 const checkpointField = 2;
 
@@ -59,16 +79,22 @@
     readonly open: [number, [number, number, (string | number)[][]][]][];
 }
 
-const tasksOf = (state: StateRow): (string | number)[][] => state.open[0]?.[1][0]?.[2] ?? [];
+const tasksIn = (job: ShardJob): readonly ShardTask[] => job.occurrences.get(0)?.steps[0]?.tasks ?? [];
+
+const jobWithGang = (count: number): ShardJob => {
+    const steps = [{ ...plainStep, count, gang: true, checkpointing: true }];
+    return newJob({ ...submission, steps }, testQueue, { acceptedAtMs: 0, order: 1 });
+};
+
+const storedTasksOf = (state: StateRow): (string | number)[][] => state.open[0]?.[1][0]?.[2] ?? [];
 
 When(
     "a gang of {int} tasks is restored from the checkpoints {string}",
     function(this: ScenarioWorld, count: number, checkpoints: string) {
         const clock = createFakeClock();
         const before = checkpoints.split(",").map(each => each.trim());
-        const steps = [{ ...plainStep, count, gang: true, checkpointing: true }];
-        const job = newJob({ ...submission, steps }, testQueue, { acceptedAtMs: 0, order: 1 });
-        for (const [index, task] of (job.occurrences.get(0)?.steps[0]?.tasks ?? []).entries()) {
+        const job = jobWithGang(count);
+        for (const [index, task] of tasksIn(job).entries()) {
             task.lastRun = 1;
             task.runs.push(newRun(task, `i-${index}`, 1));
         }
@@ -78,7 +104,7 @@
                 return row;
             }
             const state = JSON.parse(row.value ?? "") as StateRow;
-            for (const [index, stored] of tasksOf(state).entries()) {
+            for (const [index, stored] of storedTasksOf(state).entries()) {
                 stored[checkpointField] = before[index] ?? "";
             }
             return { ...row, value: JSON.stringify(state) };
@@ -90,12 +116,12 @@
         });
         const [restored] = jobs;
         assert.ok(restored !== undefined);
-        for (const [index, task] of (restored.occurrences.get(0)?.steps[0]?.tasks ?? []).entries()) {
+        for (const [index, task] of tasksIn(restored).entries()) {
             task.runs.push(newRun(task, `i-${index}`, 1));
         }
         const stateRow = encodeJob(restored, clock).puts.find(({ key }) => key.startsWith("state/"));
         rowPart(this).before = before;
-        rowPart(this).after = tasksOf(JSON.parse(stateRow?.value ?? "") as StateRow).map(stored =>
+        rowPart(this).after = storedTasksOf(JSON.parse(stateRow?.value ?? "") as StateRow).map(stored =>
             String(stored[checkpointField])
         );
     },
@@ -108,3 +134,37 @@
     const [checkpoint = ""] = after;
     assert.ok(checkpoint !== "" && before.includes(checkpoint), `they are stored with "${checkpoint}"`);
 });
+
+const planRun = (tasks: readonly ShardTask[], run: number): readonly ShardRun[] =>
+    tasks.map((task, index) => {
+        task.lastRun = run;
+        return newRun(task, `i-${index}`, run);
+    });
+
+Given(
+    "a gang whose run {int} is planned from the checkpoint {string}",
+    function(this: ScenarioWorld, run: number, checkpoint: string) {
+        const tasks = tasksIn(jobWithGang(3));
+        const [first] = tasks;
+        assert.ok(first !== undefined);
+        recordCheckpoint(first, run - 1, checkpoint);
+        gangPart(this).tasks = tasks;
+        gangPart(this).planned = planRun(tasks, run);
+    },
+);
+
+When("its run {int} shows the checkpoint {string}", function(this: ScenarioWorld, run: number, checkpoint: string) {
+    const last = gangPart(this).tasks.at(-1);
+    assert.ok(last !== undefined);
+    recordCheckpoint(last, run, checkpoint);
+});
+
+Then(
+    "all starts of its run {int} carry {string}, and those of its next run {string}",
+    function(this: ScenarioWorld, run: number, carried: string, next: string) {
+        const { tasks, planned } = gangPart(this);
+        const nextRuns = planRun(tasks, run + 1);
+        assert.deepEqual(planned.map(({ checkpoint }) => checkpoint), tasks.map(() => carried));
+        assert.deepEqual(nextRuns.map(({ checkpoint }) => checkpoint), tasks.map(() => next));
+    },
+);
--- a/features/steps/examples/shardIncarnations.ts
+++ b/features/steps/examples/shardIncarnations.ts
@@ -145,7 +145,7 @@
     worker.clock = { localMs: 0, clockMs: 0 };
     const run = { ...runOf(exampleJob()), phase: runPhases.starting };
     adoptRun(worker, run);
-    await orders.start(run, "", "");
+    await orders.start(run, "");
     return `${delayedStarts.of("i-1").length} order without an answer, ${looks} look under token ${token}`;
 };
 
--- a/packages/puffinarch/src/core/shard/jobModel.ts
+++ b/packages/puffinarch/src/core/shard/jobModel.ts
@@ -47,6 +47,8 @@
     readonly address: string;
     /** Capacity that it reserves on the worker. */
     readonly held: Resources;
+    /** Checkpoint that its start carries, fixed at planning so that the starts of a gang's run all carry the same one. */
+    readonly checkpoint: string;
     phase: RunPhase;
     /** Local time at which its start order was first sent; undefined before that, and if a former owner sent it. */
     sentAtMs: number | undefined;
@@ -91,6 +93,12 @@
     readonly confirmed: boolean;
 }
 
+/** Progress that runs of a task have saved. */
+export interface SavedProgress {
+    /** The newest known checkpoint; empty for none. */
+    checkpoint: string;
+}
+
 /** A task of a step, with the state of its attempts. */
 export interface ShardTask {
     readonly step: ShardStep;
@@ -100,7 +108,8 @@
     /** Highest run number assigned so far. */
     lastRun: number;
     failures: number;
-    checkpoint: string;
+    /** The members of a gang share one object: the checkpoint of any member counts for all, and they must all start from the same one. */
+    readonly saved: SavedProgress;
     /** Number of workers that crashed soon after they had started it. */
     crashes: number;
     /**
@@ -212,14 +221,14 @@
     stored: boolean;
 }
 
-const newTask = (step: ShardStep, name: TaskName): ShardTask => ({
+const newTask = (step: ShardStep, name: TaskName, saved: SavedProgress): ShardTask => ({
     step,
     index: name.index,
     name: formatTaskName(name),
     done: false,
     lastRun: 0,
     failures: 0,
-    checkpoint: "",
+    saved,
     crashes: 0,
     crashesExcused: 0,
     unresolvedLosses: [],
@@ -249,9 +258,11 @@
         timesOverridden: 0,
         nextOverrideAtMs: 0,
     };
+    const savedByGang: SavedProgress = { checkpoint: "" };
     for (let index = 0; index < spec.count; index += 1) {
         const { jobId } = occurrence.job.submission;
-        tasks.push(newTask(step, { jobId, occurrence: occurrence.number, step: number, index }));
+        const name = { jobId, occurrence: occurrence.number, step: number, index };
+        tasks.push(newTask(step, name, spec.gang ? savedByGang : { checkpoint: "" }));
     }
     return step;
 };
@@ -394,6 +405,7 @@
     bornAtMs: undefined,
     address: "",
     held: reservedResources(task.step.spec),
+    checkpoint: task.saved.checkpoint,
     phase: runPhases.planned,
     sentAtMs: undefined,
     absenceProvenAfterMs: undefined,
@@ -514,6 +526,19 @@
     alone: () => {},
 };
 
+/**
+ * Records the checkpoint that a run shows, for its task or its whole gang; an empty one changes nothing. A former run of a gang, which may
+ * show up long after the gang has gone on, does not set it back.
+ *
+ * @example
+ * recordCheckpoint(task, 2, "00000bb87a21d94b");
+ */
+export const recordCheckpoint = ({ step, saved, lastRun }: ShardTask, run: number, checkpoint: string): void => {
+    if (checkpoint !== "" && !(step.spec.gang && run < lastRun)) {
+        saved.checkpoint = checkpoint;
+    }
+};
+
 /**
  * Applies the end of a run to its task, step and job: its checkpoint, and completion or one more failure.
  *
@@ -524,11 +549,7 @@
     if (task.done) {
         return;
     }
-    if (checkpoint !== "") {
-        for (const each of task.step.spec.gang ? task.step.tasks : [task]) {
-            each.checkpoint = checkpoint;
-        }
-    }
+    recordCheckpoint(task, run, checkpoint);
     endHandlers[how](task, run, nowMs);
 };
 
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -15,6 +15,7 @@
     newJob,
     openOccurrence,
     pruneDoneOccurrences,
+    recordCheckpoint,
     runsOf,
     type ShardJob,
     type ShardStep,
@@ -83,8 +84,8 @@
     }
     const runs = task.runs.map((run): [string, number] => [run.workerId, run.run]);
     return task.done
-        ? [task.lastRun, task.failures, task.checkpoint, runs, 1]
-        : [task.lastRun, task.failures, task.checkpoint, runs];
+        ? [task.lastRun, task.failures, task.saved.checkpoint, runs, 1]
+        : [task.lastRun, task.failures, task.saved.checkpoint, runs];
 };
 
 const encodeStep = (step: ShardStep): [number, number, StoredTask[]] => [
@@ -254,7 +255,8 @@
     }
     task.lastRun = lastRun;
     task.failures = failures;
-    task.checkpoint = checkpoint;
+    // Earlier versions stored a checkpoint of its own for each member of a gang; the last one becomes that of all.
+    recordCheckpoint(task, lastRun, checkpoint);
     for (const [workerId, run] of storedRuns) {
         runs.push({
             taskName: task.name,
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -55,7 +55,7 @@
 
 /** Sends orders to one worker. */
 export interface RunOrders {
-    start(run: ShardRun, checkpoint: string, ticket: string): Promise<void>;
+    start(run: ShardRun, ticket: string): Promise<void>;
     /** Sends a stop until it is answered or the run is gone; a stop without an answer may never have arrived. */
     stop(run: ShardRun): Promise<void>;
     /** Makes the worker reject a start that may be in flight to it; repeated until it is answered. */
@@ -69,7 +69,7 @@
  *
  * @example
  * const orders = createRunOrders(options);
- * await orders.start(run, run.task.checkpoint, ticket);
+ * await orders.start(run, ticket);
  */
 export const createRunOrders = (options: RunOrdersOptions): RunOrders => {
     const { clock, log, meter, workers, worker, target, leaseMs, delayedStarts, orderPauseMs, isClosed, endsLink } =
@@ -127,7 +127,7 @@
     };
 
     /** Sends the start; returns undefined where the worker is silent, since the order would most likely be lost. */
-    const send = async (run: ShardRun, checkpoint: string, ticket: string): Promise<OrderOutcome | undefined> => {
+    const send = async (run: ShardRun, ticket: string): Promise<OrderOutcome | undefined> => {
         const deadlineMs = worker.silentLooks > 0 ? undefined : extendLease(worker, clock.monotonicMs(), leaseMs);
         if (deadlineMs === undefined) {
             return undefined;
@@ -141,7 +141,7 @@
             payload: run.task.step.occurrence.job.submission.payload,
             deadlineMs,
             fencingToken: options.token(),
-            checkpoint,
+            checkpoint: run.checkpoint,
             ticket,
         }, startTimeoutMs);
         meter.count(`starts.${outcome}`);
@@ -155,14 +155,14 @@
         return outcome;
     };
 
-    const start = async (run: ShardRun, checkpoint: string, ticket: string): Promise<void> => {
+    const start = async (run: ShardRun, ticket: string): Promise<void> => {
         while (isStarting(run)) {
             if (!stillFits(worker, run)) {
                 options.onNotStarted(run, orderOutcomes.noRoom);
                 return;
             }
             const sentToken = options.token();
-            const outcome = await send(run, checkpoint, ticket);
+            const outcome = await send(run, ticket);
             if (!isStarting(run)) {
                 return;
             }
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -557,7 +557,7 @@
             }
         },
         update: updateWorkers,
-        start: (run, ticket) => links.get(run.workerId)?.start(run, run.task.checkpoint, ticket),
+        start: (run, ticket) => links.get(run.workerId)?.start(run, ticket),
         stop: stopRun,
         endIncarnation: (workerId, reason) => {
             const worker = workers.get(workerId);
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -78,7 +78,7 @@
 /** Sends looks and orders to one worker until it is closed. */
 export interface WorkerLink {
     /** Sends the start of a run whose intent is durable. */
-    start(run: ShardRun, checkpoint: string, ticket: string): void;
+    start(run: ShardRun, ticket: string): void;
     /** Stops a run; its capacity is free only once the worker lists the end. */
     stop(run: ShardRun): void;
     /** Stops a run that belongs to no known job. */
@@ -311,10 +311,10 @@
 
     void lookRepeatedly();
     return {
-        start: (run, checkpoint, ticket) => {
+        start: (run, ticket) => {
             run.phase = runPhases.starting;
             run.sentAtMs = clock.monotonicMs();
-            void orders.start(run, checkpoint, ticket);
+            void orders.start(run, ticket);
         },
         stop: run => {
             if (run.phase !== runPhases.stopping) {
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -11,6 +11,7 @@
     findTask,
     hasEnded,
     newRun,
+    recordCheckpoint,
     runPhases,
     type ShardJob,
     type ShardRun,
@@ -245,9 +246,7 @@
             // The start was carried out and only its answer was late or lost, as from a slow worker.
             recordStartAnswered(worker);
         }
-        if (row.checkpoint !== "") {
-            run.task.checkpoint = row.checkpoint;
-        }
+        recordCheckpoint(run.task, row.run, row.checkpoint);
         const { job } = run.task.step.occurrence;
         if (!job.started) {
             // A former owner started the job, and its rows may not say so.
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -167,6 +167,7 @@
     newRun,
     openOccurrence,
     pruneDoneOccurrences,
+    recordCheckpoint,
     reservedResources,
     type RunPhase,
     runPhases,
