--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -169,6 +169,7 @@
     newRun,
     openOccurrence,
     pruneDoneOccurrences,
+    recordCheckpoint,
     reservedResources,
     type RunPhase,
     runPhases,
--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -2,8 +2,8 @@
  * Runs seeds with random faults from the command line; exits with 1 where one failed:
  *
  * `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss [--queues N]] [--crashing] [--resizing]
- * [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--draws N]
- * [--cancelling accepted|sent|mixed] [--broken PART]`
+ * [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--saving]
+ * [--cancelling accepted|sent|mixed] [--draws N] [--broken PART]`
  */
 
 import { Command, Option } from "commander";
@@ -28,6 +28,7 @@
     readonly delayingOrders?: true;
     readonly checkingTickets?: true;
     readonly cancelling?: CancellingMode;
+    readonly saving?: true;
     readonly draws: string;
     readonly powerLoss?: true;
     readonly queues: string;
@@ -54,6 +55,14 @@
     )
     .option("--checking-tickets", "workers that refuse tickets of other incarnations")
     .addOption(new Option("--cancelling <when>", "callers that cancel and read jobs").choices(cancellingModes))
+    // The other two name shapes of their own for the jobs.
+    .addOption(
+        new Option("--saving", "gangs that save checkpoints while they run").conflicts([
+            "crowded",
+            "failing",
+            "powerLoss",
+        ]),
+    )
     .option(
         "--draws <n>",
         "how often the jobs and faults of each seed are played, with all else drawn anew each time",
@@ -94,6 +103,7 @@
     delayingOrders,
     checkingTickets,
     cancelling,
+    saving,
     draws,
     powerLoss,
     queues,
@@ -128,6 +138,7 @@
         delayingOrders,
         checksTickets: checkingTickets,
         cancelling,
+        saving,
         draw,
         keepsIds: keepingIds,
         crashedDownMs: downMs === undefined ? undefined : Number(downMs),
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -23,6 +23,7 @@
     type WorkerEntry,
     type WorkerTarget,
 } from "puffinarch";
+import { createSavedCheckpoints, type SavedCheckpoint, type Saving } from "./savedCheckpoints.js";
 
 /** Record of a run that a worker started. */
 export interface StartEvidence {
@@ -32,6 +33,8 @@
     /** When the order to start it was sent. */
     readonly orderedAtMs: number;
     readonly startedAtMs: number;
+    /** The checkpoint that its start carried; empty for none. */
+    readonly checkpoint: string;
     /** Undefined while it runs. */
     endedAtMs: number | undefined;
     /** How the run ended; undefined while it runs. */
@@ -92,6 +95,8 @@
     isFaultFree(workerId: string): boolean;
     /** Every run that was started, in that order. */
     readonly evidence: readonly StartEvidence[];
+    /** Checkpoints that runs have saved, by value; undefined where tasks do not save while they run. */
+    readonly savedCheckpoints: ReadonlyMap<string, SavedCheckpoint> | undefined;
     /** Workers whose runs held more than their capacity at any time. */
     overcommitted(): readonly string[];
 }
@@ -103,7 +108,8 @@
     /** Sets the timer that ends the run and returns its cancel function; a gang member's once all members have started. */
     readonly beginWork: () => () => void;
     readonly held: Resources;
-    readonly checkpoint: string;
+    /** The newest checkpoint: the one that the start carried, or one that the run has saved. */
+    checkpoint: string;
 }
 
 interface FakeWorker {
@@ -162,6 +168,7 @@
     gangSize = () => 0,
     leaseLimitMs,
     checksTickets = false,
+    saving,
     onCrash,
 }: {
     readonly clock: Clock;
@@ -177,12 +184,15 @@
     readonly leaseLimitMs: number;
     /** Whether a start is refused whose ticket is for another incarnation of the worker. */
     readonly checksTickets?: boolean;
+    /** Lets tasks save checkpoints while they run; where this is left out, each task saves one when it is stopped. */
+    readonly saving?: Saving | undefined;
     /** Called when a task has crashed its worker, which is down then. */
     readonly onCrash: (entry: WorkerEntry) => void;
 }): FakeFencedWorkers => {
     const workers = new Map<string, FakeWorker>();
     const evidence: StartEvidence[] = [];
     const overcommitted = new Set<string>();
+    const saved = saving === undefined ? undefined : createSavedCheckpoints(clock, saving);
 
     const keyOf = (taskName: string, run: number): string => `${taskName}#${run}`;
 
@@ -192,6 +202,13 @@
         }
     };
 
+    const checkpointAtEnd = ({ evidence: start, checkpoint }: LiveRun, how: RunEnd): string => {
+        if (saved === undefined) {
+            return how === runEnds.stopped ? `saved-${start.run}` : "";
+        }
+        return how === runEnds.stopped ? saved.save(start) : checkpoint;
+    };
+
     const endRun = (worker: FakeWorker, key: string, how: RunEnd): void => {
         const live = worker.running.get(key);
         if (live === undefined) {
@@ -207,7 +224,7 @@
             taskName: start.taskName,
             run: start.run,
             how,
-            checkpoint: how === runEnds.stopped ? `saved-${start.run}` : "",
+            checkpoint: checkpointAtEnd(live, how),
             evidence: start,
         });
         worker.nextEndNumber += 1;
@@ -326,6 +343,7 @@
             workerId: worker.entry.workerId,
             orderedAtMs,
             startedAtMs: clock.monotonicMs(),
+            checkpoint: order.checkpoint,
             endedAtMs: undefined,
             how: undefined,
             acknowledgedAtMs: undefined,
@@ -339,8 +357,23 @@
                 failing ? failingRunMs : durationMs,
                 () => endRun(worker, key, failing || fails ? runEnds.failed : runEnds.done),
             );
-        const beginWork = (): () => void =>
+        const scheduleOutcome = (): () => void =>
             crashesAfterMs === undefined ? scheduleEnd() : scheduleCrash(worker, crashesAfterMs);
+        const beginWork = (): () => void => {
+            const cancelOutcome = scheduleOutcome();
+            const endSaving = worker.fault === "hanging"
+                ? undefined
+                : saved?.saveRepeatedly(startRecord, checkpoint => {
+                    const live = worker.running.get(key);
+                    if (live !== undefined) {
+                        live.checkpoint = checkpoint;
+                    }
+                });
+            return () => {
+                cancelOutcome();
+                endSaving?.();
+            };
+        };
         const isMember = gangSize(order.taskName) > 0;
         worker.running.set(key, {
             evidence: startRecord,
@@ -583,6 +616,7 @@
             [...workers.get(workerId)?.running.values() ?? []].reduce((sum, run) => add(sum, run.held), noResources),
         isFaultFree: workerId => workers.get(workerId)?.alive === true && workers.get(workerId)?.fault === "none",
         evidence,
+        savedCheckpoints: saved?.all,
         overcommitted: () => [...overcommitted],
     };
 };
