Exploration: a part broken on purpose shows that the judge of cancels finds runs that go on

Nothing showed that the judge would find a task that runs on after an answered cancel, since no seed of the present code has one. The broken part `stopsNotSent` reports stop orders as carried out without sending them.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -304,3 +304,7 @@
             | listedOnce    | 3     |
             | endsHidden    | 4     |
             | nobodyAllowed | 1     |
+
+    Scenario: The checks find stop orders that are not sent
+        When seeds from 1 on are explored on a shard with the part "stopsNotSent" broken
+        Then a task that runs on after its cancel is found within 20 seeds
--- a/features/steps/explorationSteps.ts
+++ b/features/steps/explorationSteps.ts
@@ -223,13 +223,29 @@
     },
 );
 
-Then("a stalled task is found within {int} seeds", async function(this: ScenarioWorld, most: number) {
-    const { broken, first } = part(this).shard;
+/** Explores the seeds with the broken part until one has a problem with this text. */
+const requireProblem = async (
+    { broken, first }: ExplorationPart["shard"],
+    most: number,
+    text: string,
+    options: Parameters<typeof exploreShardSeed>[1] = {},
+): Promise<void> => {
     for (let seed = first; seed < first + most; seed += 1) {
-        const wrong = await exploreShardSeed(seed, { lasting: true, broken });
-        if (wrong.some(each => each.includes("stands with room"))) {
+        const wrong = await exploreShardSeed(seed, { lasting: true, broken, ...options });
+        if (wrong.some(each => each.includes(text))) {
             return;
         }
     }
-    assert.fail(`no task stalled within ${most} seeds from ${first} on, with the part ${broken} broken`);
+    assert.fail(`no "${text}" within ${most} seeds from ${first} on, with the part ${broken} broken`);
+};
+
+Then("a stalled task is found within {int} seeds", async function(this: ScenarioWorld, most: number) {
+    await requireProblem(part(this).shard, most, "stands with room");
 });
+
+Then(
+    "a task that runs on after its cancel is found within {int} seeds",
+    async function(this: ScenarioWorld, most: number) {
+        await requireProblem(part(this).shard, most, "ran on after its cancel", { cancelling: "accepted" });
+    },
+);
--- a/packages/stand-ins/src/shard/brokenShardParts.ts
+++ b/packages/stand-ins/src/shard/brokenShardParts.ts
@@ -1,10 +1,11 @@
-/** Deliberate defects in a daemon's dependencies, which show that the check for stalled tasks detects them. */
+/** Deliberate defects in a daemon's dependencies, which show that the checks of the exploration detect them. */
 
 import {
     type AdvisorPort,
     type Decoded,
     type FencedWorkerPort,
     noEntry,
+    orderOutcomes,
     type Row,
     runEnds,
     type WorkerEntry,
@@ -66,6 +67,11 @@
         ...dependencies,
         advisor: { advise: async request => ({ ...await dependencies.advisor.advise(request), good: [] }) },
     }),
+    /** Reports stop orders as carried out without sending them. */
+    stopsNotSent: dependencies => ({
+        ...dependencies,
+        workers: { ...dependencies.workers, stop: async () => Promise.resolve(orderOutcomes.done) },
+    }),
 } satisfies Readonly<Record<string, Breaker>>;
 
 /** Name of a defect. */
