Count an owner as alive that has answered a peer since the claimant lost it

Cause: an owner short of processor time answered its peers now and then. The strong daemons that asked each other were told so and waited. A weak daemon that had lost the owner asked in a moment in which no peer had an answer younger than 450 ms, claimed after 4.1 s, restored for 3.6 s, was no match for the load, gave up, claimed again, and was followed by another weak one: 7 owners from second 3 to 34.

Change: a claimant says for how long it has lost the owner, and a peer that has heard the owner within that time says so. An owner that has failed answers nobody after that moment, so that its replacement is not delayed; a claimant that does not wait its turn asks as before.

The new scene failed without the change (a claim within 20 s) and passes with it; takeover passes (75 scenarios).

--- a/features/steps/shardCellPart.ts
+++ b/features/steps/shardCellPart.ts
@@ -3,6 +3,7 @@
 import { After, Status } from "@cucumber/cucumber";
 import {
     createShardCell,
+    type FakeClock,
     findPersistentlyStalledTasks,
     type PowerLossOutcome,
     type ShardCell,
@@ -40,6 +41,8 @@
     commitOutcome: { readonly durable: number; readonly fenced: number; } | undefined;
     /** When the call of a lower priority was answered; undefined before. */
     adviceServedAtMs: number | undefined;
+    /** Claims of the weak daemon of a watched owner, and how often that owner answers; undefined before. */
+    watchedClaims: { readonly clock: FakeClock; claims: number; answersEveryMs: number; } | undefined;
     looksSent: number;
     /** Highest acknowledged end of each look, in order. */
     readonly acknowledged: number[];
@@ -76,6 +79,7 @@
             powerLoss: undefined,
             commitOutcome: undefined,
             adviceServedAtMs: undefined,
+            watchedClaims: undefined,
             looksSent: 0,
             acknowledged: [],
             leasesExpiredAfterMs: 0,
--- a/features/steps/shardOwnerSteps.ts
+++ b/features/steps/shardOwnerSteps.ts
@@ -1,8 +1,20 @@
 /** Steps that check the members of a cell and the owner of its shard: claims, log lines, readiness and calls between members. */
 
 import { Then, When } from "@cucumber/cucumber";
-import type { PeerCalls, ShardCell } from "@puffinarch/stand-ins";
+import { createFakeClock, noopLog, noopMeter, type PeerCalls, type ShardCell } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
+import {
+    type Clock,
+    createPeers,
+    createRowReader,
+    die,
+    type MemberPort,
+    type MemberRow,
+    type PingAnswer,
+    type PingRequest,
+    sleep,
+    watchOwner,
+} from "puffinarch";
 import { cellOf, part } from "./shardCellPart.js";
 import type { ScenarioWorld } from "./support.js";
 
@@ -201,3 +213,107 @@
     );
     assert.ok(reached, `the owner is still ${cell.owner()}`);
 });
+
+/** A weak daemon, a strong one and their owner, on a clock of their own. */
+const memberRow = (memberId: string, strength: number): MemberRow => ({
+    memberId,
+    address: memberId,
+    dataCentre: "leon-feria",
+    incarnation: "1",
+    strength,
+});
+const watchedOwner = { row: { ...memberRow("owner", 1), claimId: "1" }, version: 7 };
+const watchers = [memberRow("weak", 0.2), memberRow("strong", 1)];
+const ownerAnswer: PingAnswer = {
+    incarnation: "1",
+    ownedToken: watchedOwner.version,
+    storeStalledMs: 0,
+    configurationVersion: 0,
+    pending: {},
+    seenOwnerToken: watchedOwner.version,
+    leaving: false,
+    lagMs: 0,
+};
+
+/** Starts the watch of one daemon over a member port. */
+const startWatch = (clock: Clock, self: MemberRow, call: MemberPort["call"], claim: () => void) => {
+    const peers = createPeers({
+        clock,
+        log: noopLog,
+        self,
+        members: { call },
+        reader: createRowReader({ log: noopLog, meter: noopMeter }),
+        ownerVersion: () => watchedOwner.version,
+        onOwner: () => {},
+    });
+    peers.applyRows([watchedOwner.row, ...watchers].map(row => ({
+        table: "member",
+        part: "",
+        key: row.memberId,
+        value: JSON.stringify(row),
+        version: 1,
+    })));
+    return watchOwner({
+        clock,
+        log: noopLog,
+        self,
+        peers,
+        known: () => watchedOwner,
+        owns: () => false,
+        isSettled: () => true,
+        isBackingOff: () => false,
+        isLeaving: () => false,
+        readOwner: async () => true,
+        commitMonitor: { isQuiet: async () => true, reset: () => {} },
+        claim: async () => claim(),
+        onAnswer: () => {},
+        onOwnerAnswer: () => {},
+        onOwnRound: () => {},
+        onPeersPinged: () => {},
+    });
+};
+
+When(
+    "the owner answers a peer every {int} ms, and a weak daemon never",
+    async function(this: ScenarioWorld, everyMs: number) {
+        const clock = createFakeClock();
+        const watched = { clock, claims: 0, answersEveryMs: everyMs };
+        part(this).watchedClaims = watched;
+        let nextAnswerAtMs = 0;
+        const silence = async (timeoutMs: number): Promise<never> => {
+            await sleep(clock, timeoutMs);
+            return die("mayHaveRun", "no answer");
+        };
+        const strong = startWatch(clock, watchers[1] as MemberRow, async (address, _name, _input, timeoutMs) => {
+            if (address !== "owner" || clock.monotonicMs() < nextAnswerAtMs) {
+                return silence(timeoutMs);
+            }
+            nextAnswerAtMs = clock.monotonicMs() + watched.answersEveryMs;
+            return ownerAnswer as never;
+        }, () => {});
+        startWatch(clock, watchers[0] as MemberRow, async (address, _name, input, timeoutMs) => {
+            const seenOwnerToken = strong.seenToken((input as PingRequest).ownerLostMs);
+            return address === "strong"
+                ? { ...ownerAnswer, ownedToken: 0, seenOwnerToken } as never
+                : silence(timeoutMs);
+        }, () => {
+            watched.claims += 1;
+        });
+    },
+);
+
+When("the owner answers nobody any more", function(this: ScenarioWorld) {
+    const { watchedClaims } = part(this);
+    assert.ok(watchedClaims !== undefined);
+    watchedClaims.answersEveryMs = Infinity;
+});
+
+Then(
+    /^the weak daemon has (not claimed after|claimed within) (\d+) ms$/,
+    async function(this: ScenarioWorld, what: string, limitMs: string) {
+        const { watchedClaims } = part(this);
+        assert.ok(watchedClaims !== undefined);
+        await watchedClaims.clock.advance(Number(limitMs));
+        assert.equal(watchedClaims.claims > 0, what === "claimed within");
+    },
+);
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -79,6 +79,13 @@
             | 2900 |
             | 3200 |
 
+    # Guards against a weak daemon that replaces an owner which is overloaded and answers now and then.
+    Scenario: A weak daemon does not claim from an owner that has answered a peer since the daemon lost it
+        When the owner answers a peer every 1000 ms, and a weak daemon never
+        Then the weak daemon has not claimed after 20000 ms
+        When the owner answers nobody any more
+        Then the weak daemon has claimed within 5000 ms
+
     Scenario: A request that hangs at a lost owner is forwarded to its successor
         When a request hangs at its owner, and the shard has another owner after 100 ms
         Then it is answered by the next owner after 100 ms
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -664,14 +664,14 @@
             return known === undefined ? undefined : known[queueKey] ?? 0;
         },
         handlers: {
-            ping: async ({ ownerVersion }) => ({
+            ping: async ({ ownerVersion, ownerLostMs }) => ({
                 incarnation: self.incarnation,
                 ownedToken: owner?.fencingToken ?? claimedToken,
                 ...(claimUnderWay === undefined ? {} : { claimId: claimUnderWay }),
                 storeStalledMs: owner?.stalledMs() ?? 0,
                 configurationVersion: configuration?.version ?? 0,
                 ...(owner === undefined ? {} : { pending: owner.pending() }),
-                seenOwnerToken: owner?.fencingToken ?? ownerWatch.seenToken(),
+                seenOwnerToken: owner?.fencingToken ?? ownerWatch.seenToken(ownerLostMs),
                 leaving,
                 lagMs: owner?.lagMs() ?? 0,
                 ...(knownOwner !== undefined && knownOwner.version > ownerVersion ? { newerOwner: knownOwner } : {}),
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -70,8 +70,8 @@
     lastHealthyAtMs(): number;
     /** Reports a failed call to the owner, which is then pinged at once, before the next ping is due. */
     suspect(): void;
-    /** Fencing token of the owner where it has answered recently; 0 otherwise. */
-    seenToken(): number;
+    /** Fencing token of the owner where it has answered recently, or within the last `withinMs`; 0 otherwise. */
+    seenToken(withinMs?: number): number;
     /** Resets the state of the failure detection after a change of the owner row. */
     reset(): void;
     /** Starts the next round at once. */
@@ -214,11 +214,13 @@
     };
 
     /**
-     * Asks peers whether the owner has answered them recently, in which case only this daemon cannot reach it. `minority` is true
-     * where less than half of the peers answer.
+     * Asks peers whether the owner has answered them recently, or since this daemon lost it: an owner that answers now and then is
+     * overloaded, and a daemon that waits its turn would otherwise claim in a moment without an answer, before the stronger ones that
+     * still hear the owner. `minority` is true where less than half of the peers answer.
      */
     const askPeersAboutOwner = async (
         version: number,
+        ownerLostMs: number,
     ): Promise<{ readonly seen: boolean; readonly minority: boolean; }> => {
         const others = peers.observers(known());
         const expected = others.length;
@@ -228,7 +230,7 @@
             reportHalf = resolve;
         });
         const all = Promise.all(others.map(async peer => {
-            const answer = await peers.ping(peer, { timeoutMs: peerAnswerTimeoutMs });
+            const answer = await peers.ping(peer, { timeoutMs: peerAnswerTimeoutMs, ownerLostMs });
             if (answer !== undefined && answered.push(answer) >= expected / 2) {
                 reportHalf();
             }
@@ -313,7 +315,7 @@
             step = watchSteps.waitsItsTurn;
             return;
         }
-        const { seen, minority } = await askPeersAboutOwner(version);
+        const { seen, minority } = await askPeersAboutOwner(version, lostForMs());
         if (seen) {
             step = watchSteps.peerSeesOwner;
             lostAtMs = clock.monotonicMs();
@@ -539,10 +541,11 @@
     return {
         doing: () => step,
         lastHealthyAtMs,
-        seenToken: () =>
-            silentPings === 0 && clock.monotonicMs() - answeredAtMs < maxAnswerAgeMs * timeoutScale()
-                ? ownerVersion()
-                : 0,
+        seenToken: (withinMs = 0) => {
+            const answerAgeMs = clock.monotonicMs() - answeredAtMs;
+            const answersNow = silentPings === 0 && answerAgeMs < maxAnswerAgeMs * timeoutScale();
+            return answersNow || answerAgeMs < withinMs ? ownerVersion() : 0;
+        },
         suspect,
         reset: () => {
             // The former owner's answer still counts up to now, so that a takeover does not make a daemon report that it has no owner.
--- a/packages/puffinarch/src/core/shard/peers.ts
+++ b/packages/puffinarch/src/core/shard/peers.ts
@@ -31,6 +31,8 @@
 /** Options of a ping. */
 export interface PingOptions {
     readonly timeoutMs?: number;
+    /** For how long this daemon has considered the owner lost. */
+    readonly ownerLostMs?: number;
     /** Called with the kind of the error where no answer came. */
     readonly onSilent?: (kind: ErrorKind) => void;
 }
@@ -243,8 +245,8 @@
             }
         },
         ask,
-        ping: async (peer, { timeoutMs = pingTimeoutMs, onSilent } = {}) => {
-            const request = { from: self.memberId, ownerVersion: ownerVersion() };
+        ping: async (peer, { timeoutMs = pingTimeoutMs, ownerLostMs = 0, onSilent } = {}) => {
+            const request = { from: self.memberId, ownerVersion: ownerVersion(), ownerLostMs };
             const askedAtMs = clock.monotonicMs();
             const answer = await ask(peer.address, "ping", request, { timeoutMs, onSilent });
             if (answer === undefined) {
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -290,6 +290,7 @@
     type MemberRow,
     type OrderOutcome,
     orderOutcomes,
+    type PingAnswer,
     type PingRequest,
     type Row,
     type RowChanges,
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -269,6 +269,8 @@
     readonly from: string;
     /** Version of the newest owner row that the caller has; 0 for none. */
     readonly ownerVersion: number;
+    /** For how long the caller has considered the owner lost, in ms; left out where it does not, and by earlier versions. */
+    readonly ownerLostMs?: number;
 }
 
 /** Answer to a health check. */
@@ -287,7 +289,7 @@
      * is still restoring it.
      */
     readonly pending?: Readonly<Record<string, number>>;
-    /** Fencing token of the owner that has recently answered this daemon; 0 for none. */
+    /** Fencing token of the owner that has answered this daemon recently, or since the caller lost it; 0 for none. */
     readonly seenOwnerToken: number;
     /** True where it is about to stop and no longer claims a shard. */
     readonly leaving: boolean;
