Answer a cancel of a job that was cancelled before its submission once that is durable

What callers saw: a cancel was answered as in force, and the job ran.

Cause: a job submitted after its cancel has an outcome in memory before it is durable. A second cancel found it and was answered at once; the owner was replaced before its write, and the successor accepted the resent submission.

Change: such a cancel waits for the same write as the submission.

The scene 'is answered only once that is durable' is new.

--- a/features/cancels.feature
+++ b/features/cancels.feature
@@ -67,3 +67,10 @@
         Given a cell of 3 daemons and 4 workers
         When 200 jobs that were not submitted are cancelled at once
         Then at least 50 cancels are answered within 200 ms, and the others are refused with a time to try again
+
+    # Guards against a cancel that is answered before it is durable, and lost with its owner.
+    Scenario: A cancel of a job that was cancelled before its submission is answered only once that is durable
+        Given a cell of 3 daemons and 4 workers
+        When the fault "store hangs" comes
+        And a job that was not submitted is cancelled, submitted and cancelled again
+        Then no cancel is answered within 400 ms
--- a/features/steps/cancelSteps.ts
+++ b/features/steps/cancelSteps.ts
@@ -196,3 +196,18 @@
         );
     },
 );
+
+When("a job that was not submitted is cancelled, submitted and cancelled again", async function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    const owner = cell.owner() ?? "";
+    send(this, "cancel", owner, earlyJobId);
+    await cell.clock.advance(20);
+    cell.submitOnce(earlyJobId, readSteps("1"), owner);
+    await cell.clock.advance(20);
+    send(this, "cancel", owner, earlyJobId);
+});
+
+Then("no cancel is answered within {int} ms", async function(this: ScenarioWorld, limitMs: number) {
+    await cellOf(this).clock.advance(limitMs);
+    assert.deepEqual(part(this).answers, []);
+});
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -624,12 +624,12 @@
 
     const cancel = async (reference: JobReference): Promise<boolean> => {
         const { jobId } = reference;
-        const hasEndedBefore = !jobs.has(jobId) && (await endedRead).find(jobId) !== undefined;
+        const outcome = jobs.has(jobId) ? undefined : (await endedRead).find(jobId);
         const job = jobs.get(jobId);
-        if (job !== undefined || hasEndedBefore) {
+        if (job !== undefined || outcome !== undefined) {
             const visible = isVisible(reference);
-            if (visible && job !== undefined) {
-                await cancelKnownJob(job);
+            if (visible) {
+                await (job === undefined ? Promise.race([outcome?.written, ownershipLost]) : cancelKnownJob(job));
             }
             return visible;
         }
