A commit of a withdrawn job does not count as its acceptance

By reading, in a review: two attempts of one submission wait on one job, the first withdraws it, and a commit that only removes its rows marks it as stored, so that the second is answered as accepted. The job is lost. A commit of a job that is not in memory any more leaves its state alone. Not reproduced by a run.

--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -220,6 +220,10 @@
     const commit = async (job: ShardJob): Promise<void> => {
         const { state } = job;
         await commits.commit(job.submission.jobId);
+        if (jobs.get(job.submission.jobId) !== job) {
+            // It was withdrawn or forgotten meanwhile, so that the commit has removed its rows.
+            return;
+        }
         if (!job.stored) {
             progress.recordAcceptance();
         }
