Judge whether a call was sent by connections since it began

A review of the new order of timers showed: a time limit now runs after a closed connection was noticed. The pool then has none open, and the call counted as never sent although its request had been delivered; a submission would be answered as certainly not accepted. A call counts as never sent only if no connection was open when it began and none was opened since. Timers run after reading whatever their lateness: a process that was busy until 1 to 4 ms after a limit still took answers for missing.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -33,6 +33,12 @@
         When a call is made that may take 100 ms, and this process is busy for 400 ms once the answer is sent
         Then it was answered
 
+    # Guards against a submission that the owner has received and that is answered as certainly not accepted.
+    Scenario: A call is not taken for undelivered whose connection is closed while this process is busy
+        Given a service with 1 open connections
+        When a call is made that may take 100 ms, and this process is busy for 400 ms once the connection is reset
+        Then it got no answer
+
     Scenario Outline: A call whose answer <how> ends <end>
         Given a service with 1 open connections
         When a call is made that may be silent for 200 ms and take <longestMs> ms, and its answer <how>
--- a/features/steps/connectionSteps.ts
+++ b/features/steps/connectionSteps.ts
@@ -78,10 +78,18 @@
         if (silent.has(request.socket) || request.url === "/never") {
             return;
         }
-        const busyMs = /^\/busy\/(\d+)$/.exec(request.url ?? "")?.[1];
-        if (busyMs !== undefined) {
-            response.end("{}");
-            blockFor(Number(busyMs));
+        const busy = /^\/(busy|reset)\/(\d+)$/.exec(request.url ?? "");
+        if (busy !== null) {
+            // The block begins after the sockets were handled, so that the time limit is over before they are handled again.
+            setImmediate(() => {
+                if (busy[1] === "busy") {
+                    response.end("{}");
+                }
+                else {
+                    request.socket.resetAndDestroy();
+                }
+                blockFor(Number(busy[2]));
+            });
             return;
         }
         const pieces = /^\/pieces\/(\d+)\/(\d+)$/.exec(request.url ?? "");
@@ -138,6 +146,13 @@
     },
 );
 
+When(
+    "a call is made that may take {int} ms, and this process is busy for {int} ms once the connection is reset",
+    async function(this: ScenarioWorld, timeoutMs: number, busyMs: number) {
+        part(this).result = await call(this, `/reset/${busyMs}`, timeoutMs);
+    },
+);
+
 When("all open connections go silent", function(this: ScenarioWorld) {
     const { silent, open } = part(this);
     for (const socket of open) {
--- a/packages/puffinarch/src/utils/system.ts
+++ b/packages/puffinarch/src/utils/system.ts
@@ -3,12 +3,9 @@
 import { performance } from "node:perf_hooks";
 import type { Clock, Random } from "../types/ports.js";
 
-/** A timer that fires later than this was delayed by this process, which was busy when it became due. */
-const lateTimerMs = 5;
-
 /**
- * Creates a clock that reads the system's time. A late timer runs only after the data that has arrived meanwhile was read: a busy process
- * must not count an answer as missing that it has not got round to reading.
+ * Creates a clock that reads the system's time. A timer runs only after the data that has arrived meanwhile was read: a busy process must
+ * not count an answer as missing that it has not got round to reading.
  *
  * @example
  * createSystemClock().monotonicMs();
@@ -17,13 +14,8 @@
     nowMs: () => Date.now(),
     monotonicMs: () => performance.now(),
     setTimer: (delayMs, run) => {
-        const dueAtMs = performance.now() + delayMs;
         let afterReading: NodeJS.Immediate | undefined;
         const timer = setTimeout(() => {
-            if (performance.now() - dueAtMs < lateTimerMs) {
-                run();
-                return;
-            }
             afterReading = setImmediate(run);
         }, delayMs);
         return () => {
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -59,6 +59,8 @@
 interface Connections {
     readonly pool: Pool;
     readonly openedAtMs: number;
+    /** Number of connections that were established so far. */
+    established: number;
     /** When data last arrived over one of them; 0 if none has. */
     receivedAtMs: number;
 }
@@ -122,7 +124,7 @@
  */
 const startDeadline = (
     { timeoutMs, longestMs = timeoutMs }: Pick<HttpCallOptions, "timeoutMs" | "longestMs">,
-    isConnected: () => boolean,
+    hadConnection: () => boolean,
 ): Deadline => {
     if (timeoutMs === undefined || longestMs === undefined) {
         return noDeadline;
@@ -138,9 +140,8 @@
                 cancelTimer = clock.setTimer(leftMs, check);
                 return;
             }
-            // Checked before the abort, which closes the request's connection. While the pool has none open, the request was not
-            // sent, and the abort keeps it from being sent later.
-            const code = isConnected() ? undefined : neverSentCode;
+            // Without any connection since the call began, the request was not sent, and the abort keeps it from being sent later.
+            const code = hadConnection() ? undefined : neverSentCode;
             abort.abort();
             reject(Object.assign(new Error(`no answer within ${timeoutMs} ms`), { code }));
         };
@@ -193,7 +194,10 @@
             connect: { timeout: connectTimeoutMs ?? timeoutMs },
             ...(keepAliveMs === undefined ? {} : { keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs }),
         });
-        const opened = { pool, openedAtMs: performance.now(), receivedAtMs: 0 };
+        const opened = { pool, openedAtMs: performance.now(), established: 0, receivedAtMs: 0 };
+        pool.on("connect", () => {
+            opened.established += 1;
+        });
         byOrigin.set(origin, opened);
         return opened;
     };
@@ -225,9 +229,12 @@
             const cancelSilenceTimer = suspectAfterMs === undefined
                 ? () => {}
                 : clock.setTimer(suspectAfterMs, () => replaceIfSilent(origin, connections, startedAtMs));
+            const establishedBefore = connections.established;
+            const wasConnected = connections.pool.stats.connected > 0;
             const deadline = startDeadline(
                 { timeoutMs: callTimeoutMs, longestMs },
-                () => connections.pool.stats.connected > 0,
+                // A connection over which the request was sent may be closed again by the end of the time.
+                () => wasConnected || connections.established > establishedBefore,
             );
             const onChunk = (): void => {
                 deadline.onChunk();
