Waits for the store look at the write first; cancels refused as overloaded stay pending

Two faults that a review showed: a wait refused what was durable already while the store was stalled, so that a job that had ended under a former owner was answered as not accepted; and a daemon dropped pending cancels that a new owner refused above its limit of 50 a second (110 of 160).

--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -34,13 +34,16 @@
 const never = new Promise<never>(() => {});
 
 const commitWait = async (): Promise<string> => {
+    const clock = createFakeClock();
     const wait = createCommitWait({
-        clock: createFakeClock(),
+        clock,
         settings: defaultShardSettings,
         commits: { stalledMs: () => 5_000 },
         ownershipLost: never,
     });
-    return String(await wait.until(never, "unavailable").catch(kindOf));
+    const refusal = wait.until(never, "unavailable").catch(kindOf);
+    await clock.advance(200);
+    return String(await refusal);
 };
 
 const endedJobs = async (): Promise<string> => {
@@ -80,8 +83,9 @@
         dropPlannedStarts: () => {},
         endedJobs: Promise.resolve(createEndedJobs({ clock, retentionMs: 0, write: commits.commit })),
     });
-    const refusal = await submit({ ...submission, steps: [plainStep] }).catch(kindOf);
-    return `${String(refusal)}, ${jobs.size} jobs`;
+    const refusal = submit({ ...submission, steps: [plainStep] }).catch(kindOf);
+    await clock.advance(200);
+    return `${String(await refusal)}, ${jobs.size} jobs`;
 };
 
 const accounts = (): string => {
--- a/packages/puffinarch/src/core/shard/commitWait.ts
+++ b/packages/puffinarch/src/core/shard/commitWait.ts
@@ -20,6 +20,8 @@
 export interface CommitWait {
     /** Whether the store has left a commit unanswered for too long. */
     isStalled(): boolean;
+    /** Resolves once the answers that have arrived were read; a busy process must not take its own delay for that of the store. */
+    afterReading(): Promise<void>;
     /** Fails with a time to try again. */
     refuse(refusal: Refusal): never;
     /** Waits until `write` resolves, or for a short time. Fails once this daemon no longer owns the shard. */
@@ -47,6 +49,7 @@
 
     return {
         isStalled,
+        afterReading: () => sleep(clock, 0),
         refuse,
         pause,
         until: async (write, refusal) => {
@@ -54,6 +57,8 @@
             const durable = write.then(() => {
                 isDurable = true;
             });
+            // Paused first, since the write may be durable already.
+            await pause(durable);
             while (!isDurable) {
                 if (isStalled()) {
                     refuse(refusal);
--- a/packages/puffinarch/src/core/shard/pendingCancels.ts
+++ b/packages/puffinarch/src/core/shard/pendingCancels.ts
@@ -21,8 +21,8 @@
 /** Delivers cancels to the owner, also after their callers have gone. */
 export interface PendingCancels {
     /**
-     * Delivers a cancel for a caller, who gets the owner's answer or the failure. After a failure with `unavailable` or `mayHaveRun`
-     * the cancel stays pending, and may still take effect.
+     * Delivers a cancel for a caller, who gets the owner's answer or the failure. After a failure with `unavailable`, `mayHaveRun` or
+     * `overloaded` the cancel stays pending, and may still take effect.
      */
     cancel(job: JobReference, totalTimeoutMs: number): Promise<boolean>;
     /** Drops all pending cancels. */
@@ -52,7 +52,8 @@
 /** Pause after a delivery that got no answer. */
 const retryPauseMs = 200;
 
-const unansweredKinds: ReadonlySet<ErrorKind> = new Set(["unavailable", "mayHaveRun"]);
+/** Kinds of failures after which the cancel is sent again; an owner that is overloaded with cancels takes it later. */
+const unansweredKinds: ReadonlySet<ErrorKind> = new Set(["unavailable", "mayHaveRun", "overloaded"]);
 
 /**
  * Creates the pending cancels of a daemon; there are none at first.
