Read the store's answer before telling others that it does not answer

A process that was busy told peers and submitters, from a socket's event, that the store had left its commit unanswered, with the answer unread in its buffer; a peer may take the shard for it. Both now read what has arrived first. A peer's server that refuses a call by itself while it closes counts as not reached.

--- a/packages/puffinarch/src/core/shard/acceptance.ts
+++ b/packages/puffinarch/src/core/shard/acceptance.ts
@@ -142,6 +142,9 @@
     };
 
     const submit = async (submission: JobSubmission): Promise<void> => {
+        if (commitWait.isStalled()) {
+            await commitWait.afterReading();
+        }
         const known = jobs.get(submission.jobId);
         if (known !== undefined) {
             requireSameOrganisation(submission, known.account.organisation);
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -148,6 +148,11 @@
  * ask about the owner. After this time, enough for three reads without an answer, it claims without them.
  */
 const membersReadTimeoutMs = 3_500;
+/**
+ * A commit that has waited this long may have been answered while this process was busy; what has arrived is read before a peer is told
+ * that the store leaves the commit unanswered.
+ */
+const unreadAnswerMs = 100;
 /** Pause between attempts of a slow or weak owner to hand the shard over. */
 const handOverRetryPauseMs = 2_000;
 /** Counts of pending jobs that are older than this are not returned. */
@@ -664,18 +669,25 @@
             return known === undefined ? undefined : known[queueKey] ?? 0;
         },
         handlers: {
-            ping: async ({ ownerVersion, ownerLostMs }) => ({
-                incarnation: self.incarnation,
-                ownedToken: owner?.fencingToken ?? claimedToken,
-                ...(claimUnderWay === undefined ? {} : { claimId: claimUnderWay }),
-                storeStalledMs: owner?.stalledMs() ?? 0,
-                configurationVersion: configuration?.version ?? 0,
-                ...(owner === undefined ? {} : { pending: owner.pending() }),
-                seenOwnerToken: owner?.fencingToken ?? ownerWatch.seenToken(ownerLostMs),
-                leaving,
-                lagMs: owner?.lagMs() ?? 0,
-                ...(knownOwner !== undefined && knownOwner.version > ownerVersion ? { newerOwner: knownOwner } : {}),
-            }),
+            ping: async ({ ownerVersion, ownerLostMs }) => {
+                if ((owner?.stalledMs() ?? 0) > unreadAnswerMs) {
+                    await sleep(clock, 0);
+                }
+                return {
+                    incarnation: self.incarnation,
+                    ownedToken: owner?.fencingToken ?? claimedToken,
+                    ...(claimUnderWay === undefined ? {} : { claimId: claimUnderWay }),
+                    storeStalledMs: owner?.stalledMs() ?? 0,
+                    configurationVersion: configuration?.version ?? 0,
+                    ...(owner === undefined ? {} : { pending: owner.pending() }),
+                    seenOwnerToken: owner?.fencingToken ?? ownerWatch.seenToken(ownerLostMs),
+                    leaving,
+                    lagMs: owner?.lagMs() ?? 0,
+                    ...(knownOwner !== undefined && knownOwner.version > ownerVersion
+                        ? { newerOwner: knownOwner }
+                        : {}),
+                };
+            },
             submit: async submission => {
                 await requireOwner().submit(submission);
                 return { accepted: true };
--- a/packages/puffinarchd/src/adapters/members.ts
+++ b/packages/puffinarchd/src/adapters/members.ts
@@ -106,7 +106,7 @@
     return {
         call: async (address, name, input, timeoutMs, longestMs) => {
             meter.count("memberCalls");
-            const result = await http.call<Failure>("POST", `${address}${memberPath}/${name}`, input, {
+            const result = await http.call<Failure | undefined>("POST", `${address}${memberPath}/${name}`, input, {
                 timeoutMs,
                 longestMs,
             });
@@ -118,6 +118,11 @@
             if (result.status === okStatus) {
                 return result.body as never;
             }
+            if (result.body?.kind === undefined) {
+                // The peer's server refuses requests by itself while it closes; any other answer says nothing about the call.
+                const kind = result.status === errorResponses.unavailable.httpStatus ? "unavailable" : "mayHaveRun";
+                return die(kind, `${address} answered with status ${result.status}`);
+            }
             return die(result.body.kind, result.body.message, result.body);
         },
         close: () => http.close(),
