--- a/packages/puffinarch/src/utils/system.ts
+++ b/packages/puffinarch/src/utils/system.ts
@@ -4,8 +4,7 @@
 import type { Clock, Random } from "../types/ports.js";
 
 /**
- * Creates a clock that reads the system's time. A timer runs only after the data that has arrived meanwhile was read: a busy process must
- * not count an answer as missing that it has not got round to reading.
+ * Creates a clock that reads the system's time.
  *
  * @example
  * createSystemClock().monotonicMs();
@@ -14,14 +13,8 @@
     nowMs: () => Date.now(),
     monotonicMs: () => performance.now(),
     setTimer: (delayMs, run) => {
-        let afterReading: NodeJS.Immediate | undefined;
-        const timer = setTimeout(() => {
-            afterReading = setImmediate(run);
-        }, delayMs);
-        return () => {
-            clearTimeout(timer);
-            clearImmediate(afterReading);
-        };
+        const timer = setTimeout(run, delayMs);
+        return () => clearTimeout(timer);
     },
 });
 
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -6,7 +6,7 @@
  * at all arrived from an origin during a call that timed out, all connections to that origin are replaced.
  */
 
-import { type CancelTimer, createSystemClock, die, type Meter } from "puffinarch";
+import { type CancelTimer, die, type Meter } from "puffinarch";
 import { Pool } from "undici";
 
 /** Outcome of a call without an answer: the request was surely not delivered, or that is unknown. */
@@ -97,8 +97,20 @@
 /** Timers have a resolution of 1 ms and may fire early by less than that. */
 const shortestTimerMs = 1;
 
-/** Its timers leave an answer that has arrived the precedence over a time limit. */
-const clock = createSystemClock();
+/**
+ * Sets a timer that runs after the data that has arrived by then was read: a busy process must not count an answer as missing that it has
+ * not got round to reading.
+ */
+const setTimerAfterReading = (delayMs: number, run: () => void): CancelTimer => {
+    let afterReading: NodeJS.Immediate | undefined;
+    const timer = setTimeout(() => {
+        afterReading = setImmediate(run);
+    }, delayMs);
+    return () => {
+        clearTimeout(timer);
+        clearImmediate(afterReading);
+    };
+};
 
 /** Time limit of one call. */
 interface Deadline {
@@ -137,7 +149,7 @@
         const check = (): void => {
             const leftMs = Math.min(receivedAtMs + timeoutMs, endsAtMs) - performance.now();
             if (leftMs >= shortestTimerMs) {
-                cancelTimer = clock.setTimer(leftMs, check);
+                cancelTimer = setTimerAfterReading(leftMs, check);
                 return;
             }
             // Without any connection since the call began, the request was not sent, and the abort keeps it from being sent later.
@@ -145,7 +157,7 @@
             abort.abort();
             reject(Object.assign(new Error(`no answer within ${timeoutMs} ms`), { code }));
         };
-        cancelTimer = clock.setTimer(timeoutMs, check);
+        cancelTimer = setTimerAfterReading(timeoutMs, check);
     });
     const onChunk = (): void => {
         receivedAtMs = performance.now();
@@ -228,7 +240,7 @@
             const startedAtMs = performance.now();
             const cancelSilenceTimer = suspectAfterMs === undefined
                 ? () => {}
-                : clock.setTimer(suspectAfterMs, () => replaceIfSilent(origin, connections, startedAtMs));
+                : setTimerAfterReading(suspectAfterMs, () => replaceIfSilent(origin, connections, startedAtMs));
             const establishedBefore = connections.established;
             const wasConnected = connections.pool.stats.connected > 0;
             const deadline = startDeadline(
