--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -102,6 +102,7 @@
             | 18   | change |
             | 46   | change |
             | 3    | keep   |
+            | 176  | keep   |
 
     # The leases of these workers run out before the owner can find out that they crashed.
     Scenario Outline: Crashed workers that stay down for longer than their leases, seed <seed>
