--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -44,7 +44,6 @@
     alias: {
         puffinarch: resolvePath("packages/puffinarch/src/puffinarch.ts"),
         "puffinarchd/adapters/http": resolvePath("packages/puffinarchd/src/adapters/http.ts"),
-        "puffinarchd/adapters/listen": resolvePath("packages/puffinarchd/src/adapters/listen.ts"),
         "puffinarchd/adapters/members": resolvePath("packages/puffinarchd/src/adapters/members.ts"),
         "puffinarchd/logOutput": resolvePath("packages/puffinarchd/src/logOutput.ts"),
         "puffinarchd/logging": resolvePath("packages/puffinarchd/src/logging.ts"),
