Revert "A daemon accepts calls from its peers at several ports"

What the locked out daemons kept away from a busy owner now reaches it, and it accepts more than it serves in time. It needs an owner that sheds load first.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -50,11 +50,6 @@
             | comes in 8 pieces, each after 80 ms  | 300       | got no answer |
             | comes in 2 pieces, each after 600 ms | 20000     | got no answer |
 
-    Scenario: A service is reached at each of its ports
-        Given a service with 1 open connections
-        When it listens at 3 further ports
-        Then a call is answered at each of them
-
     Scenario: A call times out when no connection can be opened
         Given a service that accepts no connection
         When a call is made that may take 100 ms
--- a/features/steps/connectionSteps.ts
+++ b/features/steps/connectionSteps.ts
@@ -4,9 +4,9 @@
 import assert from "node:assert/strict";
 import { type ChildProcess, spawn } from "node:child_process";
 import { createServer, type Server, type ServerResponse } from "node:http";
-import { type AddressInfo, connect, type Server as Listener, type Socket } from "node:net";
+import { type AddressInfo, connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { type CallResult, createHttpClient, createMeter, type HttpClient, listenAlso } from "puffinarchd";
+import { type CallResult, createHttpClient, createMeter, type HttpClient } from "puffinarchd";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
@@ -19,8 +19,6 @@
     readonly open: Set<Socket>;
     address: string;
     result: CallResult<unknown> | undefined;
-    /** Listeners at further ports of the service. */
-    readonly listeners: Listener[];
 }
 
 const part = (world: ScenarioWorld): Part =>
@@ -33,7 +31,6 @@
         open: new Set(),
         address: "",
         result: undefined,
-        listeners: [],
     }));
 
 const call = async (
@@ -156,27 +153,6 @@
     },
 );
 
-When("it listens at {int} further ports", async function(this: ScenarioWorld, count: number) {
-    const { server, listeners } = part(this);
-    assert.ok(server !== undefined);
-    for (let index = 0; index < count; index += 1) {
-        listeners.push(await listenAlso(server, { host: "127.0.0.1", port: 0 }));
-    }
-});
-
-Then("a call is answered at each of them", async function(this: ScenarioWorld) {
-    const { listeners, http } = part(this);
-    assert.ok(http !== undefined && listeners.length > 0);
-    for (const listener of listeners) {
-        const { port } = listener.address() as AddressInfo;
-        const result: CallResult<unknown> = await http.call("GET", `http://127.0.0.1:${port}/`, undefined, {
-            timeoutMs: longTimeoutMs,
-        });
-        assert.equal(result.kind, "answered");
-        listener.close();
-    }
-});
-
 When("all open connections go silent", function(this: ScenarioWorld) {
     const { silent, open } = part(this);
     for (const socket of open) {
--- a/features/steps/shardCellPart.ts
+++ b/features/steps/shardCellPart.ts
@@ -43,8 +43,6 @@
     adviceServedAtMs: number | undefined;
     /** Claims of the weak daemon of a watched owner, and how often that owner answers; undefined before. */
     watchedClaims: { readonly clock: FakeClock; claims: number; answersEveryMs: number; } | undefined;
-    /** How many daemons call at each address of a daemon. */
-    callersByAddress: readonly number[];
     looksSent: number;
     /** Highest acknowledged end of each look, in order. */
     readonly acknowledged: number[];
@@ -82,7 +80,6 @@
             commitOutcome: undefined,
             adviceServedAtMs: undefined,
             watchedClaims: undefined,
-            callersByAddress: [],
             looksSent: 0,
             acknowledged: [],
             leasesExpiredAfterMs: 0,
--- a/features/steps/shardOwnerSteps.ts
+++ b/features/steps/shardOwnerSteps.ts
@@ -4,7 +4,6 @@
 import { createFakeClock, noopLog, noopMeter, type PeerCalls, type ShardCell } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
-    addressFor,
     type Clock,
     createPeers,
     createRowReader,
@@ -318,21 +317,3 @@
         assert.equal(watchedClaims.claims > 0, what === "claimed within");
     },
 );
-
-When(
-    "{int} daemons choose among {int} addresses of a daemon",
-    function(this: ScenarioWorld, daemons: number, count: number) {
-        const addresses = Array.from({ length: count }, (_, index) => `http://10.1.0.13:${7_720 + index}`);
-        const chosen = Array.from(
-            { length: daemons },
-            (_, index) => addressFor(`entry-${index}`, { address: addresses[0] ?? "", addresses }),
-        );
-        part(this).callersByAddress = addresses.map(address => chosen.filter(each => each === address).length);
-    },
-);
-
-Then("each address is chosen by at most {int} of them", function(this: ScenarioWorld, most: number) {
-    const { callersByAddress } = part(this);
-    assert.ok(callersByAddress.length > 0 && Math.max(...callersByAddress) <= most, callersByAddress.join(", "));
-    assert.ok(Math.min(...callersByAddress) > 0, callersByAddress.join(", "));
-});
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -390,8 +390,3 @@
         And the shard runs for 5000 ms
         Then every daemon that runs has the newest version
         And no weak daemon has owned the shard since
-
-    # Guards against peers that all wait at one address of a busy owner, which accepts one connection in each turn there.
-    Scenario: The peers of a daemon spread over its addresses
-        When 96 daemons choose among 8 addresses of a daemon
-        Then each address is chosen by at most 24 of them
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -35,7 +35,7 @@
 import { createConfigurationFetch } from "./configurationFetch.js";
 import { createForwarder } from "./forward.js";
 import { handOver } from "./handOver.js";
-import { addressFor, decodeOwner, unreadableOwner } from "./memberRows.js";
+import { decodeOwner, unreadableOwner } from "./memberRows.js";
 import { watchOwner } from "./ownerWatch.js";
 import { createPeers, pingIntervalMs } from "./peers.js";
 import { createPendingCancels } from "./pendingCancels.js";
@@ -352,7 +352,7 @@
                     const peer = peers.all.get(laneId);
                     return laneId === self.memberId || peer === undefined
                         ? options.advisor.advise(request)
-                        : members.call(addressFor(self.memberId, peer), "advise", request, request.timeoutMs);
+                        : members.call(peer.address, "advise", request, request.timeoutMs);
                 },
                 ...(platform.upkeep === undefined
                     ? {}
@@ -599,9 +599,7 @@
         retryAfterMs: settings.retryAfterMs,
         shard: () => owner,
         ownerAddress: () =>
-            knownOwner === undefined || knownOwner.row.memberId === self.memberId
-                ? undefined
-                : addressFor(self.memberId, knownOwner.row),
+            knownOwner === undefined || knownOwner.row.memberId === self.memberId ? undefined : knownOwner.row.address,
         ownerLostMs: () => clock.monotonicMs() - Math.max(ownerWatch.lastHealthyAtMs(), lastOwnedAtMs),
         onNoAnswer: ownerWatch.suspect,
     });
--- a/packages/puffinarch/src/core/shard/handOver.ts
+++ b/packages/puffinarch/src/core/shard/handOver.ts
@@ -3,7 +3,6 @@
 import type { HandOverReason } from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
 import { sleep } from "../../utils/time.js";
-import { addressFor } from "./memberRows.js";
 import { type Peers, pingTimeoutMs } from "./peers.js";
 import type { ShardOwner } from "./shardOwner.js";
 
@@ -39,12 +38,12 @@
         Number(peers.isStrong(right)) - Number(peers.isStrong(left))
         || startedAtMs(peers, right) - startedAtMs(peers, left);
     for (const peerId of candidates.sort(byPreference)) {
-        const peer = peers.all.get(peerId);
-        if (peer === undefined) {
+        const address = peers.all.get(peerId)?.address;
+        if (address === undefined) {
             continue;
         }
         const order = { token: shard.fencingToken, why };
-        const answer = await peers.ask(addressFor(selfId, peer), "handOver", order, { timeoutMs: 2 * pingTimeoutMs });
+        const answer = await peers.ask(address, "handOver", order, { timeoutMs: 2 * pingTimeoutMs });
         const claimed = answer?.claimed ?? false;
         log.write("info", "handOver", { to: peerId, claimed, why });
         // A claim may have taken effect although its answer came too late.
--- a/packages/puffinarch/src/core/shard/memberRows.ts
+++ b/packages/puffinarch/src/core/shard/memberRows.ts
@@ -1,20 +1,16 @@
-/** Decoders of the rows in which daemons register themselves, and of the row of a shard's owner; choice of a daemon's address. */
+/** Decoders of the rows in which daemons register themselves, and of the row of a shard's owner. */
 
 import { z } from "zod";
 import type { KnownOwner, MemberRow, OwnerRow, Row } from "../../types/cellPorts.js";
 import { type Decoded, decodeRow } from "../../utils/decode.js";
-import { hash } from "../../utils/rendezvous.js";
 
 const text = z.string("a string").min(1, "a string that is not empty");
 /** Daemons connect to each other over plain HTTP. */
 const addressAllowed = "an address such as http://10.1.0.13:7720";
 
-const address = z.string(addressAllowed).regex(/^[a-z0-9:/.-]+$/i, addressAllowed);
-
 const memberSchema = z.object({
     memberId: text,
-    address,
-    addresses: z.array(address, "a list of addresses").optional(),
+    address: z.string(addressAllowed).regex(/^[a-z0-9:/.-]+$/i, addressAllowed),
     dataCentre: text,
     incarnation: text,
     strength: z.number("a share").min(0, "0 or more").optional(),
@@ -57,15 +53,3 @@
     row: { memberId: "", address: "http://0.0.0.0:0", dataCentre: "", incarnation: "", claimId: "" },
     version,
 });
-
-/**
- * Returns the address at which a daemon calls another one. A daemon accepts one connection per listening address in each turn of its
- * event loop; where all others connect to one address while its turns are long, most give up before they are accepted.
- *
- * @example
- * addressFor("entry-1", { address: "http://10.1.0.13:7720" }); // "http://10.1.0.13:7720"
- */
-export const addressFor = (
-    callerId: string,
-    { address, addresses }: Pick<MemberRow, "address" | "addresses">,
-): string => addresses?.[hash(callerId) % addresses.length] ?? address;
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -8,7 +8,6 @@
 import { type ErrorKind, failureOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
 import type { CommitMonitor } from "./commitMonitor.js";
-import { addressFor } from "./memberRows.js";
 import { type Peers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
 import { delayForRankMs, followerPauseMs, watcherCount } from "./probes.js";
 import { type ClaimReason, claimReasons, settlingMs, timeoutFactor } from "./shortTenures.js";
@@ -419,7 +418,7 @@
         askedAtMs = startedAtMs;
         const answer = await askOwner(row);
         if (answer !== undefined && ownerVersion() === version) {
-            options.onAnswer(addressFor(self.memberId, row), answer);
+            options.onAnswer(row.address, answer);
             if (holdsShard(answer, { row, version })) {
                 isOwnerServing = answer.pending !== undefined;
                 recordOwnerAnswer();
@@ -464,7 +463,7 @@
             const wasSilent = peers.isSilent(peer.memberId);
             void peers.ping(peer).then(answer => {
                 if (answer !== undefined) {
-                    options.onAnswer(addressFor(self.memberId, peer), answer);
+                    options.onAnswer(peer.address, answer);
                 }
                 else if (!wasSilent) {
                     suspect();
--- a/packages/puffinarch/src/core/shard/peers.ts
+++ b/packages/puffinarch/src/core/shard/peers.ts
@@ -11,7 +11,7 @@
 } from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
 import { type ErrorKind, failureOf } from "../../utils/errors.js";
-import { addressFor, decodeMember } from "./memberRows.js";
+import { decodeMember } from "./memberRows.js";
 import { type ClaimCandidate, claimOrder, laneCount, neighbourCount, neighbourOrder, observerCount } from "./probes.js";
 import type { RowReader } from "./rowReader.js";
 
@@ -248,7 +248,7 @@
         ping: async (peer, { timeoutMs = pingTimeoutMs, ownerLostMs = 0, onSilent } = {}) => {
             const request = { from: self.memberId, ownerVersion: ownerVersion(), ownerLostMs };
             const askedAtMs = clock.monotonicMs();
-            const answer = await ask(addressFor(self.memberId, peer), "ping", request, { timeoutMs, onSilent });
+            const answer = await ask(peer.address, "ping", request, { timeoutMs, onSilent });
             if (answer === undefined) {
                 recordSilence(peer.memberId, askedAtMs);
                 return undefined;
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -237,7 +237,7 @@
 export { type Readiness, type ReadinessOptions, watchReadiness } from "./internal.js";
 export { createPeers, type Peers, type PeersOptions, type PingOptions } from "./internal.js";
 export { endedSchema, stateSchema, submissionSchema } from "./internal.js";
-export { addressFor, decodeMember, decodeOwner, unreadableOwner } from "./internal.js";
+export { decodeMember, decodeOwner, unreadableOwner } from "./internal.js";
 export { type ClaimCandidate, claimOrder, delayForRankMs, followerPauseMs, neighbourOrder } from "./internal.js";
 export { createRowReader, type RowReader } from "./internal.js";
 export { mayGoDown, runsToMove } from "./internal.js";
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -235,8 +235,6 @@
     readonly memberId: string;
     /** Address for calls from its peers. */
     readonly address: string;
-    /** All addresses for calls from its peers, which spread over them; left out where `address` is the only one, and by earlier versions. */
-    readonly addresses?: readonly string[] | undefined;
     readonly dataCentre: string;
     /** A new value for each start of the process. */
     readonly incarnation: string;
--- a/packages/puffinarchd/src/index.ts
+++ b/packages/puffinarchd/src/index.ts
@@ -1,7 +1,6 @@
 /** Exports of the package, for tests and benchmarks. */
 
 export * from "./adapters/http.js";
-export * from "./adapters/listen.js";
 export * from "./adapters/machines.js";
 export * from "./adapters/peers.js";
 export * from "./adapters/platform.js";
