--- a/benchmarks/src/main.ts
+++ b/benchmarks/src/main.ts
@@ -6,12 +6,13 @@
 import { Argument, Command } from "commander";
 import type { Benchmark, Row } from "./benchmark.js";
 import { journal } from "./journal.js";
+import { pass } from "./pass.js";
 import { placement } from "./placement.js";
 import { storm } from "./storm.js";
 import { takeover } from "./takeover.js";
 import { waiting } from "./waiting.js";
 
-const benchmarks: Readonly<Record<string, Benchmark>> = { placement, journal, takeover, waiting, storm };
+const benchmarks: Readonly<Record<string, Benchmark>> = { placement, journal, takeover, waiting, storm, pass };
 
 const formatTable = (rows: readonly Row[]): string => {
     const columns = Object.keys(rows[0] ?? {});
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -266,6 +266,7 @@
     adoptRun,
     extendLease,
     freeCapacityOf,
+    dropRun,
     holdCapacity,
     isOpen,
     newWorker,
