--- a/features/steps/shardModuleSteps.ts
+++ b/features/steps/shardModuleSteps.ts
@@ -153,6 +153,42 @@
     );
 });
 
+When(
+    "the caller of a submission that reaches no owner closes its connection, and an owner is found {int} ms later",
+    async function(this: ScenarioWorld, laterMs: number) {
+        const clock = createFakeClock();
+        const owners: string[] = [];
+        let isAbandoned = false;
+        const forward = createForwarder({
+            clock,
+            retryAfterMs: 1_000,
+            shard: () => undefined,
+            ownerAddress: () => owners[0],
+            ownerLostMs: () => 0,
+            onNoAnswer: () => {},
+        });
+        forward.run({
+            refusal: "notAccepted",
+            local: () => Promise.resolve("local"),
+            remote: address => Promise.resolve(address),
+            totalTimeoutMs: 2_500,
+            isAbandoned: () => isAbandoned,
+        }).then(by => {
+            part(this).forwarded = { by, afterMs: 0 };
+        }, () => {});
+        await clock.advance(300);
+        isAbandoned = true;
+        await clock.advance(laterMs);
+        owners.push("entry-1");
+        forward.wake();
+        await clock.advance(2_000);
+    },
+);
+
+Then("the submission is not forwarded", function(this: ScenarioWorld) {
+    assert.equal(part(this).forwarded, undefined);
+});
+
 When(
     "a ping of a peer is lost, and one that was sent {int} ms later is answered at once",
     async function(this: ScenarioWorld, afterMs: number) {
--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -3,8 +3,10 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { testQueue } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { createServer, type IncomingHttpHeaders } from "node:http";
 import { type AddressInfo, connect } from "node:net";
+import { setTimeout } from "node:timers/promises";
 import {
     type CallerKeys,
     type CellConfiguration,
@@ -48,6 +50,8 @@
     text: string;
     /** Lines that the API for callers has logged. */
     readonly logged: string[];
+    /** IDs of the jobs that were submitted to the member behind the API for callers. */
+    readonly submitted: string[];
     configuration: CellConfiguration | undefined;
     worker: WorkerEntry | undefined;
 }
@@ -61,6 +65,7 @@
         status: 0,
         text: "",
         logged: [],
+        submitted: [],
         configuration: undefined,
         worker: undefined,
     }));
@@ -244,6 +249,8 @@
     assert.equal(part(this).worker?.bornAtMs, bornAtMs);
 });
 
+/** The server has carried a request out within this time if it ever does. */
+const closedCallerWaitMs = 200;
 const knownJob = "5c0e7a21d94b36f8";
 const failedJob = "5c0e7a21d94b36f9";
 const statuses: Readonly<Record<string, JobStatus>> = {
@@ -257,7 +264,7 @@
 const organisations = [{ name: "north", keyDigests: [digestKey(northKey)], weight: 1, cap: noResources }];
 
 /** A member that accepts the submission of one job only, and knows the states of that job and of a failed one. */
-const fakeMember = (keys: CallerKeys): CellMember => ({
+const fakeMember = (keys: CallerKeys, onSubmit: (jobId: string) => void): CellMember => ({
     dataCentre: "leon-feria",
     configuration: () => ({
         version: 1,
@@ -266,7 +273,11 @@
         maxBodyBytes: 262_144,
     }),
     ready: () => true,
-    submit: async ({ jobId }) => {
+    submit: async ({ jobId }, _totalTimeoutMs, isAbandoned = () => false) => {
+        if (isAbandoned()) {
+            throw errorOf({ kind: "notAccepted", message: "the caller has closed its connection" });
+        }
+        onSubmit(jobId);
         if (jobId !== knownJob) {
             throw errorOf({ kind: "notAccepted", message: "the store does not answer", retryAfterMs: 1_000 });
         }
@@ -283,7 +294,7 @@
 
 const serveCallersApi = async (world: ScenarioWorld, keys: CallerKeys): Promise<void> => {
     const callers = createCallerServer({
-        member: fakeMember(keys),
+        member: fakeMember(keys, jobId => part(world).submitted.push(jobId)),
         log: { write: (...line) => part(world).logged.push(JSON.stringify(line)) },
         meter: createMeter(),
         stopping: () => false,
@@ -317,6 +328,38 @@
     assert.ok(!disclosed.includes(key.slice(0, 6)), disclosed);
 });
 
+When(
+    /^a caller submits a job and (closes its connection at once|waits for the answer)$/,
+    async function(this: ScenarioWorld, then: string) {
+        const [host, port] = part(this).address.split(":");
+        const body = JSON.stringify({ spec: "x", steps: [{ count: 1, cpu: 500 }] });
+        const request = [
+            `POST /plans/${knownJob} HTTP/1.1`,
+            `Host: ${testQueue.host}`,
+            "Content-Type: application/json",
+            `Content-Length: ${body.length}`,
+            "",
+            body,
+        ].join("\r\n");
+        const socket = connect(Number(port), host);
+        await once(socket, "connect");
+        if (then === "waits for the answer") {
+            socket.write(request);
+            await once(socket, "data");
+            socket.destroy();
+            return;
+        }
+        // The server reads the request only after this call has returned, when the connection is closed already.
+        socket.end(request);
+        await setTimeout(closedCallerWaitMs);
+        socket.destroy();
+    },
+);
+
+Then("{int} jobs have been submitted", function(this: ScenarioWorld, count: number) {
+    assert.equal(part(this).submitted.length, count);
+});
+
 /** Sends a request without its body, to show that the server answers before it reads one. */
 When(
     "a caller without a known key sends the head of a request and no body",
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -86,6 +86,11 @@
         When the owner answers nobody any more
         Then the weak daemon has claimed within 5000 ms
 
+    # A job that started after its caller was refused elsewhere would make that refusal untrue.
+    Scenario: A submission whose caller has gone is not forwarded to an owner that is found later
+        When the caller of a submission that reaches no owner closes its connection, and an owner is found 400 ms later
+        Then the submission is not forwarded
+
     Scenario: A request that hangs at a lost owner is forwarded to its successor
         When a request hangs at its owner, and the shard has another owner after 100 ms
         Then it is answered by the next owner after 100 ms
--- a/features/usersPlatform.feature
+++ b/features/usersPlatform.feature
@@ -152,6 +152,17 @@
             | PUT    | /plans/5c0e7a21d94b36f8    | {}                                                             | 405    | GET, POST, DELETE      |
 
     # Guards against calls that are carried out with a revoked or invented key.
+    # The caller may have been refused by another daemon since, which promised that the job never runs.
+    Scenario Outline: A caller submits a job and <then>: <submitted> jobs are submitted
+        Given the API for callers of a daemon
+        When a caller submits a job and <then>
+        Then <submitted> jobs have been submitted
+
+        Examples:
+            | then                            | submitted |
+            | waits for the answer            | 1         |
+            | closes its connection at once   | 0         |
+
     Scenario Outline: A caller with <key> sends <method> <path>
         Given the API for callers of a daemon with organisations
         When a caller with <key> sends "<method>" to "<path>" with '<body>'
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -87,8 +87,11 @@
     configuration(): CellConfiguration | undefined;
     /** True while the load balancer may send callers to this daemon. */
     ready(): boolean;
-    /** Resolves once the job is durable. `totalTimeoutMs` is the longest time that the call may take, as in the calls below. */
-    submit(submission: JobSubmission, totalTimeoutMs: number): Promise<void>;
+    /**
+     * Resolves once the job is durable. `totalTimeoutMs` is the longest time that the call may take, as in the calls below. Once
+     * `isAbandoned` returns true, since the caller has closed its connection, the owner is not called any more.
+     */
+    submit(submission: JobSubmission, totalTimeoutMs: number, isAbandoned?: () => boolean): Promise<void>;
     /**
      * Returns the name of the organisation that the API key belongs to by the newest configuration; empty for a caller without
      * a key. Fails with `unauthenticated` where the key is unknown, or is missing and the queue requires one, and with
@@ -640,9 +643,10 @@
         dataCentre: self.dataCentre,
         configuration: () => configuration,
         ready: readiness.ready,
-        submit: (submission, totalTimeoutMs) =>
+        submit: (submission, totalTimeoutMs, isAbandoned) =>
             forwarder.run({
                 refusal: "notAccepted",
+                isAbandoned,
                 local: shard => shard.submit(submission),
                 remote: async (address, timeoutMs) => {
                     await members.call(address, "submit", submission, timeoutMs);
--- a/packages/puffinarch/src/core/shard/forward.ts
+++ b/packages/puffinarch/src/core/shard/forward.ts
@@ -34,6 +34,8 @@
     readonly local: (shard: ShardOwner) => Promise<T>;
     readonly remote: (address: string, timeoutMs: number) => Promise<T>;
     readonly totalTimeoutMs: number;
+    /** Returns true once the caller has closed its connection; no further attempt is made then. */
+    readonly isAbandoned?: (() => boolean) | undefined;
 }
 
 /** Forwards requests. */
@@ -121,9 +123,13 @@
     return {
         run: async request => {
             const startedAtMs = clock.monotonicMs();
-            const { refusal, totalTimeoutMs } = request;
+            const { refusal, totalTimeoutMs, isAbandoned = () => false } = request;
             let mayHaveRun = false;
             for (;;) {
+                if (isAbandoned()) {
+                    // The caller may have been refused by another daemon since, which promised that the job never runs.
+                    return die(mayHaveRun ? "mayHaveRun" : refusal, "the caller has closed its connection");
+                }
                 const leftMs = startedAtMs + totalTimeoutMs - clock.monotonicMs();
                 if (!mayHaveRun && leftMs < minAttemptMs) {
                     // The outcome would come after the caller has given up. Without another attempt, the request certainly had no effect.
