--- a/features/steps/examples/shardPlacement.ts
+++ b/features/steps/examples/shardPlacement.ts
@@ -23,6 +23,7 @@
     newJob,
     noResources,
     planReservations,
+    roomyWorkers,
     shouldRequestAhead,
     startableTasks,
 } from "puffinarch";
@@ -164,6 +165,13 @@
     return ranked.map(({ step, standing }) => `${step.occurrence.job.order} ${standing}`).join(", ");
 };
 
+const roomyWorkersExample = (): string => {
+    const full = openWorker();
+    full.held = full.entry.capacity;
+    const workers = [full, { ...openWorker(), workerId: "i-2" }];
+    return roomyWorkers(workers, [taskOf(exampleJob()).step]).map(({ workerId }) => workerId).join(", ");
+};
+
 const adviceRequester = async (): Promise<string> => {
     const clock = createFakeClock();
     const { step } = taskOf(exampleJob());
@@ -245,6 +253,7 @@
     capacityView,
     blockedSteps,
     planReservations: plan,
+    roomyWorkers: roomyWorkersExample,
     urgency,
     adviceRequester,
     trials,
--- a/packages/puffinarch/src/core/shard/adviceRequester.ts
+++ b/packages/puffinarch/src/core/shard/adviceRequester.ts
@@ -149,13 +149,13 @@
         const { step, waiting, view, nowMs } = request;
         const { advice, spec } = step;
         const held = reservedResources(spec);
-        const usable = [...workers.values()].filter(worker =>
-            isOpen(worker, nowMs, Infinity) && isEligible(worker, step)
-        );
+        const isFirstCall = advice.askedWorkerIds.size === 0;
+        const examined = isFirstCall ? workers.values() : view.roomy ?? workers.values();
+        const usable = [...examined].filter(worker => isOpen(worker, nowMs, Infinity) && isEligible(worker, step));
         // Resting workers are included, since a task that avoids the workers on which it failed may wait for one of them.
         const unasked = usable.filter(worker => !advice.askedWorkerIds.has(worker.workerId));
         const maxNames = callSize.namesFor(step, waiting);
-        if (advice.askedWorkerIds.size === 0) {
+        if (isFirstCall) {
             return unasked.sort(byFreeCapacity(step, nowMs)).slice(0, maxNames).map(worker => worker.workerId);
         }
         const runs = countRuns(step);
--- a/packages/puffinarch/src/core/shard/blockedSteps.ts
+++ b/packages/puffinarch/src/core/shard/blockedSteps.ts
@@ -19,6 +19,8 @@
 interface PassSnapshot {
     readonly workers: ReadonlyMap<string, ShardWorker>;
     readonly nowMs: number;
+    /** The only workers that may have capacity for a waiting task; all workers if it is left out. */
+    readonly roomy?: readonly ShardWorker[] | undefined;
 }
 
 const isUsable = (worker: ShardWorker, step: ShardStep, { workers, nowMs }: PassSnapshot): boolean => {
@@ -37,7 +39,7 @@
 export const isBlocked = (step: ShardStep, snapshot: PassSnapshot): boolean => {
     const runs = countRuns(step);
     let needed = minTasksToStart(step);
-    for (const worker of snapshot.workers.values()) {
+    for (const worker of snapshot.roomy ?? snapshot.workers.values()) {
         const fitting = countTasksThatFit(freeCapacityOf(worker), step, runs.get(worker.workerId) ?? 0);
         if (fitting > 0 && isUsable(worker, step, snapshot)) {
             needed -= fitting;
--- a/packages/puffinarch/src/core/shard/capacityView.ts
+++ b/packages/puffinarch/src/core/shard/capacityView.ts
@@ -18,6 +18,8 @@
 
 /** Capacity and reservations during one pass, which visits waiting steps from the most to the least urgent. */
 export interface CapacityView {
+    /** The only workers on which a waiting task may fit; undefined where all have to be examined. */
+    readonly roomy: readonly ShardWorker[] | undefined;
     /** Reserves capacity, so that steps visited later in the pass cannot use it. */
     reserve(reservation: Reservation): void;
     /**
@@ -82,17 +84,19 @@
 };
 
 /**
- * Creates the view of one pass, without reservations.
+ * Creates the view of one pass, without reservations. `roomy` lists the workers that may have capacity for a waiting task; all
+ * workers may if it is left out.
  *
  * @example
  * const view = createCapacityView(clock.monotonicMs());
  * view.capacityFor(worker, step);
  */
-export const createCapacityView = (nowMs: number): CapacityView => {
+export const createCapacityView = (nowMs: number, roomy?: readonly ShardWorker[]): CapacityView => {
     const reservationsByWorker = new Map<string, Reservation[]>();
     const reservationsOn = (worker: ShardWorker): readonly Reservation[] =>
         reservationsByWorker.get(worker.workerId) ?? [];
     return {
+        roomy,
         reserve: reservation => {
             const existing = reservationsByWorker.get(reservation.workerId);
             if (existing === undefined) {
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -121,15 +121,12 @@
     recordPlacement(worker: ShardWorker): void;
 }
 
-/** Workers that may run the step: those that the advisor has approved where the queue uses it, else all. */
-const approvedWorkers = function*(step: ShardStep, workers: ReadonlyMap<string, ShardWorker>): Generator<ShardWorker> {
-    if (step.occurrence.job.queue.advice === undefined) {
-        yield* workers.values();
-        return;
-    }
-    for (const workerId of step.advice.good.keys()) {
-        const worker = workers.get(workerId);
-        if (worker !== undefined) {
+/** Those of the workers that may run the step: where its queue uses the advisor, the approved ones, else all. */
+const approvedWorkers = function*(step: ShardStep, workers: Iterable<ShardWorker>): Generator<ShardWorker> {
+    const { good } = step.advice;
+    const needsApproval = step.occurrence.job.queue.advice !== undefined;
+    for (const worker of workers) {
+        if (!needsApproval || good.has(worker.workerId)) {
             yield worker;
         }
     }
@@ -146,7 +143,7 @@
     workers: ReadonlyMap<string, ShardWorker>,
     nowMs: number,
 ): readonly ShardWorker[] =>
-    [...approvedWorkers(step, workers)].filter(worker => isOpen(worker, nowMs) && isEligible(worker, step));
+    [...approvedWorkers(step, workers.values())].filter(worker => isOpen(worker, nowMs) && isEligible(worker, step));
 
 /**
  * Prepares the choice of workers for a step. A task avoids workers that failed it for some seconds if others may run it,
@@ -168,7 +165,7 @@
     const usable: Candidate[] = [];
     const { job } = step.occurrence;
     const suspect = isSuspect(step);
-    for (const worker of approvedWorkers(step, workers)) {
+    for (const worker of approvedWorkers(step, view.roomy ?? workers.values())) {
         const open = isOpen(worker, limits.nowMs);
         const hasTicket = ticketFor(step, worker.workerId, limits.nowMs) !== undefined;
         if (
--- a/packages/puffinarch/src/core/shard/taskPlacer.ts
+++ b/packages/puffinarch/src/core/shard/taskPlacer.ts
@@ -20,6 +20,7 @@
     stepNameOf,
 } from "./jobModel.js";
 import { planReservations } from "./planReservations.js";
+import { roomyWorkers } from "./roomyWorkers.js";
 import { fellSilentAtStart, holdForTrial, startableTasks } from "./trials.js";
 import { inSchedulingOrder, type RankedStep, standings } from "./urgency.js";
 import { dropRun, holdCapacity, type ShardWorker } from "./workerTable.js";
@@ -368,7 +369,7 @@
             return;
         }
         const unplaced = waiting.length - runs.length;
-        recordBlocked(step, unplaced > 0 && isBlocked(step, { workers, nowMs }), nowMs);
+        recordBlocked(step, unplaced > 0 && isBlocked(step, { workers, nowMs, roomy: view.roomy }), nowMs);
         if (runs.length > 0) {
             step.blockedBeforeMs = 0;
         }
@@ -400,7 +401,7 @@
         const context: PassContext = {
             nowMs,
             wallMs: clock.nowMs(),
-            view: createCapacityView(nowMs),
+            view: createCapacityView(nowMs, roomyWorkers(workers.values(), [...ready, ...copyable])),
             planned: 0,
             caps: createCapView(nowMs, capWaits),
         };
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -75,6 +75,7 @@
 export * from "./core/shard/probes.js";
 export * from "./core/shard/readiness.js";
 export * from "./core/shard/readRows.js";
+export * from "./core/shard/roomyWorkers.js";
 export * from "./core/shard/rowReader.js";
 export * from "./core/shard/runOrders.js";
 export * from "./core/shard/shardOwner.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -240,6 +240,7 @@
 export { decodeMember, decodeOwner, unreadableOwner } from "./internal.js";
 export { type ClaimCandidate, claimOrder, delayForRankMs, followerPauseMs, neighbourOrder } from "./internal.js";
 export { createRowReader, type RowReader } from "./internal.js";
+export { roomyWorkers } from "./internal.js";
 export { mayGoDown, runsToMove } from "./internal.js";
 export { startUpkeep, type Upkeep, type UpkeepOptions } from "./internal.js";
 export { createWaveRows, type WaveRows, type WaveRowsOptions } from "./internal.js";
@@ -264,9 +265,9 @@
 export { watchWorkerList, type WorkerListOptions } from "./internal.js";
 export {
     adoptRun,
+    dropRun,
     extendLease,
     freeCapacityOf,
-    dropRun,
     holdCapacity,
     isOpen,
     newWorker,
--- a/packages/puffinarch/src/types/resources.ts
+++ b/packages/puffinarch/src/types/resources.ts
@@ -60,6 +60,19 @@
     && amount.memoryMib <= available.memoryMib
     && amount.accelerators <= available.accelerators;
 
+/**
+ * Returns the smaller of two amounts in each dimension.
+ *
+ * @example
+ * smallest({ cpuMillis: 1, memoryMib: 9, accelerators: 0 }, { cpuMillis: 5, memoryMib: 2, accelerators: 0 });
+ * // { cpuMillis: 1, memoryMib: 2, accelerators: 0 }
+ */
+export const smallest = (left: Resources, right: Resources): Resources => ({
+    cpuMillis: Math.min(left.cpuMillis, right.cpuMillis),
+    memoryMib: Math.min(left.memoryMib, right.memoryMib),
+    accelerators: Math.min(left.accelerators, right.accelerators),
+});
+
 /**
  * Returns the larger of two amounts in each dimension.
  *
