--- a/features/examples.feature
+++ b/features/examples.feature
@@ -89,6 +89,7 @@
             | capacityView         | 8000 for it, 0 for others               |
             | planReservations     | i-2 in 0 ms, i-1 in 700 ms              |
             | roomyWorkers         | i-2                                     |
+            | ticketBudget         | true, then true, then false             |
             | urgency              | 2 onTime, 1 late                        |
             | blockedSteps         | after 2100, 3100 ms                     |
             | adviceRequester      | may run on i-1                          |
--- a/features/steps/examples/shardPlacement.ts
+++ b/features/steps/examples/shardPlacement.ts
@@ -14,6 +14,7 @@
     createCapView,
     createChooser,
     createTaskPlacer,
+    createTicketBudget,
     defaultShardSettings,
     freeCapacityOf,
     inSchedulingOrder,
@@ -172,6 +173,15 @@
     return roomyWorkers(workers, [taskOf(exampleJob()).step]).map(({ workerId }) => workerId).join(", ");
 };
 
+const ticketBudget = (): string => {
+    const worker = openWorker();
+    const job = exampleJob();
+    job.queue = { ...testQueue, advice: { decideMs: 150, eachMs: 2, validMs: 2_000 } };
+    const { step } = taskOf(job);
+    const budget = createTicketBudget([worker], 0);
+    return `${budget.take(step, 1)}, then ${budget.take(step, 1_000)}, then ${budget.take(step, 1)}`;
+};
+
 const adviceRequester = async (): Promise<string> => {
     const clock = createFakeClock();
     const { step } = taskOf(exampleJob());
@@ -254,6 +264,7 @@
     blockedSteps,
     planReservations: plan,
     roomyWorkers: roomyWorkersExample,
+    ticketBudget,
     urgency,
     adviceRequester,
     trials,
--- a/packages/puffinarch/src/core/shard/adviceRequester.ts
+++ b/packages/puffinarch/src/core/shard/adviceRequester.ts
@@ -166,12 +166,15 @@
             fits(held, view.capacityFor(worker, step, leadMs))
             && allowsAnotherRun(spec, runs.get(worker.workerId) ?? 0);
         const mayUseResting = step.tasks.some(task => isWaiting(task) && mayUseRestingWorkers(task, nowMs + leadMs));
-        const avoided = avoidedByAll(step, { workers, nowMs: nowMs + leadMs });
-        const approved = usable.filter(worker =>
+        const withCapacity = usable.filter(worker =>
             isOpen(worker, nowMs, mayUseResting ? Infinity : leadMs) && advice.good.has(worker.workerId)
             && hasCapacity(worker)
-            && !avoided.has(worker.workerId)
-        ).sort(byFreeCapacity(step, nowMs));
+        );
+        const avoided = withCapacity.length === 0
+            ? undefined
+            : avoidedByAll(step, { workers, nowMs: nowMs + leadMs });
+        const approved = withCapacity.filter(({ workerId }) => avoided?.has(workerId) !== true)
+            .sort(byFreeCapacity(step, nowMs));
         const named = approved.slice(0, waiting + spareNames);
         const tasks = step.tasks.filter(isWaiting);
         const hasFailed = (workerId: string): boolean => tasks.some(task => failedRecently(task, workerId, nowMs));
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -197,7 +197,8 @@
     return {
         choose: (task, except) => {
             const { nowMs, rack } = limits;
-            const avoided = avoidedBy(task, { workers, nowMs, rack, except });
+            // Examining all workers for each task that has failed costs most of a pass, so it waits for a worker with capacity.
+            let avoided: ReadonlyMap<string, number> | undefined;
             let best: ShardWorker | undefined;
             let bestScore = -Infinity;
             // A copy, which is a further run of a task that already runs, never uses a resting worker.
@@ -210,7 +211,11 @@
                 ) {
                     continue;
                 }
-                if (avoided.has(worker.workerId) || !open && !(mayUseResting && hasTicket)) {
+                if (!open && !(mayUseResting && hasTicket)) {
+                    continue;
+                }
+                avoided ??= avoidedBy(task, { workers, nowMs, rack, except });
+                if (avoided.has(worker.workerId)) {
                     continue;
                 }
                 const value = score(candidate) - (open ? 0 : restingPenalty)
--- a/packages/puffinarch/src/core/shard/taskPlacer.ts
+++ b/packages/puffinarch/src/core/shard/taskPlacer.ts
@@ -21,6 +21,7 @@
 } from "./jobModel.js";
 import { planReservations } from "./planReservations.js";
 import { roomyWorkers } from "./roomyWorkers.js";
+import { createTicketBudget, type TicketBudget } from "./ticketBudget.js";
 import { fellSilentAtStart, holdForTrial, startableTasks } from "./trials.js";
 import { inSchedulingOrder, type RankedStep, standings } from "./urgency.js";
 import { dropRun, holdCapacity, type ShardWorker } from "./workerTable.js";
@@ -71,6 +72,7 @@
     /** Number of steps for which capacity was planned in this pass, or an earlier plan was reused. */
     planned: number;
     readonly caps: CapView;
+    readonly tickets: TicketBudget;
 }
 
 /** Where a step's waiting tasks are expected to run, and when this was planned. */
@@ -378,7 +380,12 @@
             const reservations = step.tasks.some(needsTrial) ? [] : reserveCapacity(ranked, unplaced, context);
             context.caps.reserve(step, reservations.length);
             const request = { step, waiting: unplaced, reservations, view, nowMs };
-            adviceRequester.requestTickets(request);
+            if (context.tickets.take(step, unplaced)) {
+                adviceRequester.requestTickets(request);
+            }
+            else {
+                meter.count("ticketRequestsPostponed");
+            }
             adviceRequester.reserveRequested(request);
         }
     };
@@ -404,6 +411,7 @@
             view: createCapacityView(nowMs, roomyWorkers(workers.values(), [...ready, ...copyable])),
             planned: 0,
             caps: createCapView(nowMs, capWaits),
+            tickets: createTicketBudget([...workers.values()], nowMs),
         };
         for (const ranked of inSchedulingOrder(ready, { clock, workers, order: settings.policies.order })) {
             placeStep(ranked, context);
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -88,6 +88,7 @@
 export * from "./core/shard/taskPlacer.js";
 export * from "./core/shard/taskReview.js";
 export * from "./core/shard/taskWait.js";
+export * from "./core/shard/ticketBudget.js";
 export * from "./core/shard/trials.js";
 export * from "./core/shard/unansweredStart.js";
 export * from "./core/shard/upkeep.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -241,6 +241,7 @@
 export { type ClaimCandidate, claimOrder, delayForRankMs, followerPauseMs, neighbourOrder } from "./internal.js";
 export { createRowReader, type RowReader } from "./internal.js";
 export { roomyWorkers } from "./internal.js";
+export { createTicketBudget, expectedCpuMillis, type TicketBudget } from "./internal.js";
 export { mayGoDown, runsToMove } from "./internal.js";
 export { startUpkeep, type Upkeep, type UpkeepOptions } from "./internal.js";
 export { createWaveRows, type WaveRows, type WaveRowsOptions } from "./internal.js";
