--- a/features/connections.feature
+++ b/features/connections.feature
@@ -39,6 +39,22 @@
         When a call is made that may take 100 ms, and this process is busy for 400 ms once the connection is reset
         Then it got no answer
 
+    # Guards against a busy owner that only accepts connections: each call that timed out closed its connection and opened another.
+    Scenario: A call that times out keeps its connection while the service answers others
+        Given a service with 2 connection to a client that keeps connections for late answers
+        When a call that is answered after 300 ms may take 100 ms, and another is answered meanwhile
+        Then it got no answer
+        When the late answer has had 400 ms to arrive
+        And a call that is answered after 300 ms may take 100 ms, and another is answered meanwhile
+        Then it got no answer
+        And 2 connections were opened
+
+    # Guards against a submission that waits for a connection, was never sent, and is answered as one that may have run.
+    Scenario: A call that found no free connection in time was not delivered
+        Given a service with 1 connection to a client that keeps connections for late answers
+        When a call that is answered after 600 ms takes the only connection, and another call may take 100 ms
+        Then it was not delivered
+
     Scenario Outline: A call whose answer <how> ends <end>
         Given a service with 1 open connections
         When a call is made that may be silent for 200 ms and take <longestMs> ms, and its answer <how>
--- a/features/steps/connectionSteps.ts
+++ b/features/steps/connectionSteps.ts
@@ -160,6 +160,55 @@
     }
 });
 
+Given(
+    "a service with {int} connection to a client that keeps connections for late answers",
+    async function(this: ScenarioWorld, count: number) {
+        const { open, meter } = part(this);
+        const server = createServer((request, response) => {
+            const delayMs = Number(/^\/after\/(\d+)$/.exec(request.url ?? "")?.[1] ?? 0);
+            setTimeout(() => response.end("{}"), delayMs);
+        });
+        server.on("connection", socket => open.add(socket));
+        await new Promise<void>(resolve => {
+            server.listen(0, "127.0.0.1", resolve);
+        });
+        part(this).server = server;
+        part(this).address = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+        part(this).http = createHttpClient({
+            timeoutMs: longTimeoutMs,
+            connectionsPerHost: count,
+            lateAnswerMs: longTimeoutMs,
+            meter,
+        });
+        await call(this, "/", longTimeoutMs);
+    },
+);
+
+When(
+    "a call that is answered after {int} ms may take {int} ms, and another is answered meanwhile",
+    async function(this: ScenarioWorld, afterMs: number, timeoutMs: number) {
+        const late = call(this, `/after/${afterMs}`, timeoutMs);
+        await call(this, "/", longTimeoutMs);
+        part(this).result = await late;
+    },
+);
+
+When(
+    "a call that is answered after {int} ms takes the only connection, and another call may take {int} ms",
+    async function(this: ScenarioWorld, afterMs: number, timeoutMs: number) {
+        void call(this, `/after/${afterMs}`, longTimeoutMs);
+        part(this).result = await call(this, "/", timeoutMs);
+    },
+);
+
+When("the late answer has had {int} ms to arrive", async (forMs: number) => {
+    await sleep(forMs);
+});
+
+Then("{int} connections were opened", function(this: ScenarioWorld, count: number) {
+    assert.equal(part(this).open.size, count);
+});
+
 const stopService = (world: ScenarioWorld): void => {
     part(world).server?.close();
     part(world).server?.closeAllConnections();
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -4,10 +4,13 @@
  * Open connections may go silent for good, without a reset, while new connections work. A call that times out closes only
  * its own connection, and each idle connection left in the pool would cost another call its whole time limit. So if nothing
  * at all arrived from an origin during a call that timed out, all connections to that origin are replaced.
+ *
+ * A busy origin answers late. If each call that times out closes its connection, the origin spends its time on accepting new ones
+ * and falls further behind. With `lateAnswerMs`, the connection of such a call is kept for the late answer.
  */
 
 import { type CancelTimer, die, type Meter } from "puffinarch";
-import { Pool } from "undici";
+import { type Dispatcher, Pool } from "undici";
 
 /** Outcome of a call without an answer: the request was surely not delivered, or that is unknown. */
 export type CallFailure = "notDelivered" | "unknown";
@@ -51,6 +54,11 @@
     readonly keepAliveMs?: number;
     /** Limit of the time to open a connection; `timeoutMs` if it is missing. */
     readonly connectTimeoutMs?: number;
+    /**
+     * How long a call that has timed out keeps its connection for a late answer, while the origin answers others; its request counts
+     * as sent only once it is being written. If this is missing, a call that times out closes its connection.
+     */
+    readonly lateAnswerMs?: number;
     /** Counts calls, the bytes of their bodies and replacements of connections. */
     readonly meter: Meter;
 }
@@ -58,6 +66,8 @@
 /** Open connections to one origin. Times are readings of `performance.now()`. */
 interface Connections {
     readonly pool: Pool;
+    /** Sends requests over the pool and calls the `onSent` of each when it is being written to a connection. */
+    readonly observed: Dispatcher;
     readonly openedAtMs: number;
     /** Number of connections that were established so far. */
     established: number;
@@ -136,7 +146,7 @@
  */
 const startDeadline = (
     { timeoutMs, longestMs = timeoutMs }: Pick<HttpCallOptions, "timeoutMs" | "longestMs">,
-    hadConnection: () => boolean,
+    { mayBeSent, lateAnswerMs }: { readonly mayBeSent: () => boolean; readonly lateAnswerMs: () => number; },
 ): Deadline => {
     if (timeoutMs === undefined || longestMs === undefined) {
         return noDeadline;
@@ -152,9 +162,15 @@
                 cancelTimer = setTimerAfterReading(leftMs, check);
                 return;
             }
-            // Without any connection since the call began, the request was not sent, and the abort keeps it from being sent later.
-            const code = hadConnection() ? undefined : neverSentCode;
-            abort.abort();
+            // The abort keeps a request that was not sent from being sent later.
+            const code = mayBeSent() ? undefined : neverSentCode;
+            const lateMs = code === undefined ? lateAnswerMs() : 0;
+            if (lateMs > 0) {
+                setTimeout(() => abort.abort(), lateMs).unref();
+            }
+            else {
+                abort.abort();
+            }
             reject(Object.assign(new Error(`no answer within ${timeoutMs} ms`), { code }));
         };
         cancelTimer = setTimerAfterReading(timeoutMs, check);
@@ -177,6 +193,28 @@
 
 const schemeLength = "http://".length;
 
+/** Returns a handler that also reports when its request is being written to a connection. */
+const observeStart = (handler: Dispatcher.DispatchHandler, onSent: () => void): Dispatcher.DispatchHandler => ({
+    onRequestStart: (controller, context) => {
+        onSent();
+        handler.onRequestStart?.(controller, context);
+    },
+    onResponseStart: (...response) => handler.onResponseStart?.(...response),
+    onResponseData: (...data) => handler.onResponseData?.(...data),
+    onResponseEnd: (...end) => handler.onResponseEnd?.(...end),
+    onResponseError: (...failure) => handler.onResponseError?.(...failure),
+});
+
+/** Options of a request with the callback that `observeSending` calls. */
+interface ObservedOptions extends Dispatcher.RequestOptions {
+    readonly onSent?: () => void;
+}
+
+const observeSending: Dispatcher.DispatcherComposeInterceptor = dispatch => (options, handler) => {
+    const { onSent } = options as ObservedOptions;
+    return dispatch(options, onSent === undefined ? handler : observeStart(handler, onSent));
+};
+
 /** Splits a URL without parsing it, since `new URL` would take most of the time of starting a call and all URLs come from this code. */
 const splitUrl = (url: string): { readonly origin: string; readonly path: string; } => {
     const pathAt = url.indexOf("/", schemeLength);
@@ -191,7 +229,7 @@
  * await http.call("GET", `${address}/vms`);
  */
 export const createHttpClient = (limits: HttpClientOptions): HttpClient => {
-    const { timeoutMs, connectionsPerHost, keepAliveMs, connectTimeoutMs, meter } = limits;
+    const { timeoutMs, connectionsPerHost, keepAliveMs, connectTimeoutMs, lateAnswerMs, meter } = limits;
     const byOrigin = new Map<string, Connections>();
 
     const connectionsTo = (origin: string): Connections => {
@@ -206,7 +244,8 @@
             connect: { timeout: connectTimeoutMs ?? timeoutMs },
             ...(keepAliveMs === undefined ? {} : { keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs }),
         });
-        const opened = { pool, openedAtMs: performance.now(), established: 0, receivedAtMs: 0 };
+        const observed = pool.compose(observeSending);
+        const opened = { pool, observed, openedAtMs: performance.now(), established: 0, receivedAtMs: 0 };
         pool.on("connect", () => {
             opened.established += 1;
         });
@@ -243,24 +282,37 @@
                 : setTimerAfterReading(suspectAfterMs, () => replaceIfSilent(origin, connections, startedAtMs));
             const establishedBefore = connections.established;
             const wasConnected = connections.pool.stats.connected > 0;
-            const deadline = startDeadline(
-                { timeoutMs: callTimeoutMs, longestMs },
-                // A connection over which the request was sent may be closed again by the end of the time.
-                () => wasConnected || connections.established > establishedBefore,
-            );
+            let isSent = false;
+            const deadline = startDeadline({ timeoutMs: callTimeoutMs, longestMs }, {
+                mayBeSent: () =>
+                    lateAnswerMs === undefined
+                        // A connection over which the request was sent may be closed again by the end of the time.
+                        ? wasConnected || connections.established > establishedBefore
+                        : isSent,
+                lateAnswerMs: () => connections.receivedAtMs > startedAtMs ? lateAnswerMs ?? 0 : 0,
+            });
             const onChunk = (): void => {
                 deadline.onChunk();
                 connections.receivedAtMs = performance.now();
             };
 
             const send = async (): Promise<CallResult<T>> => {
-                const answer = await connections.pool.request({
+                const options: Dispatcher.RequestOptions = {
                     path,
                     method,
                     headers: body === undefined ? headers ?? {} : { ...headers, "content-type": "application/json" },
-                    body: body === undefined ? undefined : sent,
-                    signal: deadline.signal,
-                });
+                    body: body === undefined ? null : sent,
+                    ...(deadline.signal === undefined ? {} : { signal: deadline.signal }),
+                };
+                const observed: ObservedOptions = {
+                    ...options,
+                    onSent: () => {
+                        isSent = true;
+                    },
+                };
+                const answer = await (lateAnswerMs === undefined
+                    ? connections.pool.request(options)
+                    : connections.observed.request(observed));
                 const text = longestMs === undefined
                     ? await answer.body.text()
                     : await readChunks(answer.body as AsyncIterable<Buffer>, onChunk);
@@ -279,10 +331,10 @@
                 return await Promise.race([answered, deadline.expired]);
             }
             catch (error) {
+                // The timeout is reported already; the request's own error for it is ignored.
+                answered.catch(() => {});
                 if (deadline.signal?.aborted === true || timeoutCodes.has(codeOf(error))) {
                     replaceIfSilent(origin, connections, startedAtMs);
-                    // The timeout is reported already; the request's own error for it is ignored.
-                    answered.catch(() => {});
                 }
                 return {
                     kind: failureKindOf(error),
--- a/packages/puffinarchd/src/adapters/members.ts
+++ b/packages/puffinarchd/src/adapters/members.ts
@@ -56,6 +56,8 @@
 /** A peer on the same network that accepts no connection within this time is gone or cut off. */
 const connectTimeoutMs = 400;
 const connectionsPerPeer = 8;
+/** A busy owner answers within a few seconds; a peer that has gone answers nothing at all. */
+const lateAnswerMs = 3_000;
 /** Upper limit of every call; each call sets its own limit. */
 const callTimeoutMs = 30_000;
 const okStatus = 200;
@@ -101,6 +103,7 @@
         connectionsPerHost: connectionsPerPeer,
         keepAliveMs,
         connectTimeoutMs,
+        lateAnswerMs,
         meter,
     });
     return {
