--- a/features/examples.feature
+++ b/features/examples.feature
@@ -93,6 +93,7 @@
             | adviceRequester      | may run on i-1                          |
             | shardOwner           | 5c0e7a21d94b36f8 is queued              |
             | shardWorkers         | 1 worker, then 0, as its incarnation was over  |
+            | shardQueries         | waits for room, 1 task, i-1 at 0.5      |
             | shardSettings        | leases of 5000 ms                       |
             | shardTables          | sequence                                |
             | readRows             | 120 rows                                |
--- a/features/steps/examples/shardPlacement.ts
+++ b/features/steps/examples/shardPlacement.ts
@@ -15,9 +15,12 @@
     createChooser,
     createTaskPlacer,
     defaultShardSettings,
+    explainJob,
     freeCapacityOf,
     inSchedulingOrder,
     isBlocked,
+    listOrganisations,
+    listSpeeds,
     mayUseRestingWorkers,
     newAccount,
     newJob,
@@ -103,6 +106,33 @@
     return `${before}, then ${sizer.namesFor(step, 20)}, or ${sizer.namesFor(step, 1)}`;
 };
 
+const shardQueries = (): string => {
+    const job = exampleJob();
+    job.stored = true;
+    job.visibleState = "queued";
+    const full = openWorker();
+    full.held = full.entry.capacity;
+    const workers = new Map([["i-1", full]]);
+    taskOf(job).step.advice.good.set("i-1", { ticket: "t", validUntilMs: 9_000 });
+    const accounts = { all: () => [job.account] };
+    const jobs = new Map([[submission.jobId, job]]);
+    const state = { jobs, accounts, workers, nowMs: 0, wallMs: 0, plannedStartMs: () => undefined };
+    const explanation = explainJob(submission.jobId, state);
+    const [use] = listOrganisations(state);
+    const port = {
+        entries: () => [{ address: "10.0.0.9:1", speed: 1, samples: 4 }, {
+            address: full.entry.address,
+            speed: 0.5,
+            samples: 4,
+        }],
+        queues: () => [],
+    };
+    const [slowest] = listSpeeds(port, workers).workers;
+    return `waits for ${
+        Object.keys(explanation?.steps[0]?.waits ?? {}).join()
+    }, ${use?.waiting.tasks} task, ${slowest?.workerId} at ${slowest?.speed}`;
+};
+
 const capView = (): string => {
     const account = newAccount("north", { ...noResources, cpuMillis: 3_000 });
     const first = newJob(submission, testQueue, { acceptedAtMs: 0, order: 1, account });
@@ -237,6 +267,7 @@
     adviceCallSize,
     adviceAhead,
     capView,
+    shardQueries,
     avoidance,
     eligible,
     chooseWorker: chooser,
--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -277,6 +277,8 @@
     pending: async () => 3,
     handlers: {} as CellMember["handlers"],
     ownsShard: () => false,
+    queries: () => undefined,
+    knownOwner: () => undefined,
     leave: async () => {},
     close: () => {},
 });
--- a/packages/puffinarch-cli/src/program.ts
+++ b/packages/puffinarch-cli/src/program.ts
@@ -5,6 +5,7 @@
 import { addClusterCommands } from "./commands/cluster.js";
 import { addConfigurationCommands } from "./commands/configuration.js";
 import { addJobCommands } from "./commands/job.js";
+import { addShardCommands } from "./commands/shard.js";
 import { addWaterfallCommand } from "./commands/waterfall.js";
 import { createContext } from "./context.js";
 import type { Output } from "./output.js";
@@ -37,6 +38,7 @@
     addJobCommands(program, context);
     addConfigurationCommands(program, context);
     addClusterCommands(program, context);
+    addShardCommands(program, context);
     addWaterfallCommand(program, context);
     return program;
 };
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -42,6 +42,7 @@
 import { watchReadiness } from "./readiness.js";
 import { createRowReader } from "./rowReader.js";
 import { type ShardOwner, startShardOwner } from "./shardOwner.js";
+import type { ShardQueries } from "./shardQueries.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { ownerKey, ownerTable } from "./shardTables.js";
 import { type ClaimReason, claimReasons, countShortTenures, settlingMs } from "./shortTenures.js";
@@ -107,6 +108,10 @@
     /** Handlers of the calls that peers make to this daemon. */
     readonly handlers: MemberHandlers;
     ownsShard(): boolean;
+    /** Operators' queries; undefined where this daemon does not own the shard. */
+    queries(): ShardQueries | undefined;
+    /** The newest owner that is known, which may be this daemon while it still reads the shard's rows; undefined for none. */
+    knownOwner(): { readonly memberId: string; readonly address: string; } | undefined;
     /**
      * Hands the shard over to a peer and stops claiming, while callers' requests are still forwarded to the owner. As long as
      * no peer accepts the shard, for example because all are leaving, this daemon keeps it, at most until the local time `untilMs`.
@@ -701,6 +706,8 @@
             }),
         },
         ownsShard: () => owner !== undefined,
+        queries: () => owner?.queries,
+        knownOwner: () => knownOwner?.row,
         leave: async untilMs => {
             leaving = true;
             while (owner !== undefined && clock.monotonicMs() < untilMs) {
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -22,7 +22,7 @@
     WorkerEntry,
 } from "../../types/work.js";
 import { jobStates } from "../../types/work.js";
-import { errorOf } from "../../utils/errors.js";
+import { errorOf, failureOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
 import { createAcceptance } from "./acceptance.js";
 import { createAccounts } from "./accounts.js";
@@ -46,6 +46,14 @@
 import { createOwnerProgress } from "./ownerProgress.js";
 import { readAllRows } from "./readRows.js";
 import { createRowReader } from "./rowReader.js";
+import {
+    explainJob,
+    listOrganisations,
+    listSpeeds,
+    type QueriedState,
+    type ShardQueries,
+    type SpeedPort,
+} from "./shardQueries.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { endedTable } from "./shardTables.js";
 import { createShardWorkers } from "./shardWorkers.js";
@@ -77,6 +85,8 @@
         readonly staleOrderWindowMs: number;
         readonly stateRow: (wave: number, state: WaveState) => RowKey & { readonly value: string; };
     };
+    /** Learned speeds, for operators' queries; none are listed where it is left out. */
+    readonly speeds?: SpeedPort;
     /** Age in ms of the worker list or of the configuration, whichever is older; `Infinity` before both have been read. */
     readonly newsAgeMs: () => number;
     /** Called when the owner has stopped by itself, because another daemon owns the shard or may own it. */
@@ -94,6 +104,7 @@
     cancel(job: JobReference): Promise<boolean>;
     /** Number of accepted jobs of which no task has started, by queue. */
     pending(): Readonly<Record<string, number>>;
+    readonly queries: ShardQueries;
     updateConfiguration(configuration: CellConfiguration): void;
     /** Passes all listed workers, the ids of those whose entries cannot be read, and the age of the former list in ms. */
     updateWorkers(entries: readonly WorkerEntry[], unreadable: ReadonlySet<string>, formerAgeMs: number): void;
@@ -643,11 +654,48 @@
         return false;
     };
 
+    /** State for operators' queries, after the store has confirmed the ownership: a replaced owner must not answer from old state. */
+    const confirmedState = async (): Promise<QueriedState> => {
+        try {
+            await confirmOwnership();
+        }
+        catch (error) {
+            // A query has no effect, so that it is safe to repeat in any case.
+            throw errorOf({ ...failureOf(error), kind: "unavailable" });
+        }
+        return {
+            jobs,
+            accounts,
+            workers: workers.all,
+            nowMs: clock.monotonicMs(),
+            wallMs: clock.nowMs(),
+            plannedStartMs: taskPlacer.plannedStartMs,
+        };
+    };
+
+    const queries: ShardQueries = {
+        explainJob: async jobId => {
+            const explanation = explainJob(jobId, await confirmedState());
+            const ended = explanation === undefined ? await endedStatusOf(jobId) : undefined;
+            return ended === undefined ? explanation : {
+                jobId,
+                state: ended.state,
+                ...(ended.failure === undefined ? {} : { failure: ended.failure }),
+                organisation: organisationOf(jobId) ?? "",
+                steps: [],
+                omittedSteps: 0,
+            };
+        },
+        listOrganisations: async () => listOrganisations(await confirmedState()),
+        listSpeeds: async () => listSpeeds(options.speeds, (await confirmedState()).workers),
+    };
+
     return {
         fencingToken,
         submit,
         jobState: statusOf,
         cancel,
+        queries,
         pending: () => {
             const counts: Record<string, number> = {};
             for (const job of jobs.values()) {
--- a/packages/puffinarch/src/core/shard/taskPlacer.ts
+++ b/packages/puffinarch/src/core/shard/taskPlacer.ts
@@ -48,6 +48,8 @@
     activeSteps(): number;
     /** Whether the next pass tries to place the step's waiting tasks. */
     isQueued(step: ShardStep): boolean;
+    /** Local time at which the newest plan has capacity for all tasks that it covers; undefined without a plan. */
+    plannedStartMs(step: ShardStep): number | undefined;
 }
 
 /** A run is overdue, and its worker may be slow, after `overdueFactor` times its estimate plus `overdueMs`. */
@@ -449,6 +451,11 @@
         },
         runPass,
         isQueued: step => ready.has(step),
+        plannedStartMs: step => {
+            const times = plans.get(step)?.reservations.map(({ freeAtMs }) => freeAtMs) ?? [];
+            const latestMs = Math.max(...times);
+            return Number.isFinite(latestMs) ? latestMs : undefined;
+        },
         waitingSteps: () => ready.size,
         activeSteps: () => ready.size + copyable.size + upcoming.size,
     };
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -207,6 +207,20 @@
     standings,
 } from "./internal.js";
 export { type ShardOwner, type ShardOwnerOptions, startShardOwner } from "./internal.js";
+export {
+    explainJob,
+    type JobExplanation,
+    listOrganisations,
+    listSpeeds,
+    maxListedSteps,
+    type OrganisationUse,
+    type QueriedState,
+    type ShardQueries,
+    type SpeedListing,
+    type SpeedPort,
+    type StepExplanation,
+    type WaitCounts,
+} from "./internal.js";
 export { createShardWorkers, type ShardWorkers, type ShardWorkersOptions } from "./internal.js";
 export {
     defaultShardSettings,
@@ -264,9 +278,9 @@
 export { watchWorkerList, type WorkerListOptions } from "./internal.js";
 export {
     adoptRun,
+    dropRun,
     extendLease,
     freeCapacityOf,
-    dropRun,
     holdCapacity,
     isOpen,
     newWorker,
