--- a/features/examples.feature
+++ b/features/examples.feature
@@ -97,6 +97,7 @@
             | shardSettings        | leases of 5000 ms                       |
             | shardTables          | sequence                                |
             | readRows             | 120 rows                                |
+            | partition            | connected, cut off, connected           |
             | readiness            | ready, notReady, withoutOwner           |
             | crashes              | 1 crash, then 0                         |
             | lostRuns             | 1 run was lost with i-1                 |
--- /dev/null
+++ b/features/partition.feature
@@ -0,0 +1,75 @@
+Feature: A data centre that is cut off from the others
+
+    # Guards against daemons that send callers to an owner which can accept nothing, while other data centres could serve them.
+    Scenario Outline: Its daemons are not ready and refuse at once, with the owner <place>, cut after <ms> ms
+        Given a cell of 9 daemons in 3 data centres and 4 workers
+        When 2 jobs of steps "1 long running" are submitted
+        And the shard runs for <ms> ms
+        And the data centre of the owner <place> is cut off from "peers, store"
+        Then its daemons are not ready within 700 ms, because of "partitioned"
+        And its daemons refuse a submission with "notAccepted", and a read and a cancel with "unavailable", within 5 ms
+        And the daemons of the other data centres are ready within 3000 ms
+        When the shard runs for 2000 ms
+        And the data centre is no longer cut off
+        Then its daemons are ready within 1000 ms
+        And no run was started twice
+        And no promise was broken
+
+        Examples:
+            | place   | ms   |
+            | inside  | 1000 |
+            | inside  | 1270 |
+            | inside  | 1640 |
+            | inside  | 2110 |
+            | outside | 1000 |
+            | outside | 1730 |
+
+    # Guards against daemons that take a fault of another kind for a partition, and so leave callers without a daemon that is ready.
+    Scenario Outline: <what> is not a partition
+        Given a cell of 9 daemons in 3 data centres and 4 workers
+        When the data centre of the owner inside is cut off from "<cut>"
+        Then <which> daemons stay ready for 400 ms
+        When the shard runs for 3000 ms
+        Then no daemon was not ready because of "partitioned"
+
+        Examples:
+            | what                      | cut   | which |
+            | Silence of the peers only | peers | its   |
+            | Silence of the store only | store | all   |
+
+    Scenario: An outage of the store leaves all daemons ready
+        Given a cell of 9 daemons in 3 data centres and 4 workers
+        When the fault "store hangs" comes
+        Then all daemons stay ready for 4000 ms
+
+    Scenario: A cell with one data centre is never cut off in this sense
+        Given a cell of 4 daemons and 4 workers
+        When the fault "two others cut off, store hangs" comes
+        And the shard runs for 3000 ms
+        Then no daemon was not ready because of "partitioned"
+
+    # Guards against a partition that stays unnoticed because its signs came one after the other.
+    Scenario Outline: The store falls silent <ms> ms after the peers
+        Given a cell of 9 daemons in 3 data centres and 4 workers
+        When the data centre of the owner outside is cut off from "peers"
+        And the shard runs for <ms> ms
+        And the data centre of the owner outside is cut off from "store"
+        Then its daemons are not ready within 1300 ms, because of "partitioned"
+
+        Examples:
+            | ms   |
+            | 300  |
+            | 3000 |
+
+    # Guards against a partition that seems to go on because only one kind of sign is watched.
+    Scenario Outline: The <what> answers first
+        Given a cell of 9 daemons in 3 data centres and 4 workers
+        When the data centre of the owner outside is cut off from "peers, store"
+        And the shard runs for 1500 ms
+        And only the "<what>" of the data centre answers again
+        Then its daemons are no longer partitioned within 400 ms
+
+        Examples:
+            | what  |
+            | store |
+            | peers |
--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -9,6 +9,7 @@
     createCommitMonitor,
     createConfigurationFetch,
     createOwnerProgress,
+    createPartitionWatch,
     createPeers,
     createRowReader,
     defaultShardSettings,
@@ -58,6 +59,7 @@
         isLeaving: () => false,
         hasConfiguration: () => true,
         owns: () => clock.monotonicMs() < 500,
+        isPartitioned: () => false,
         lastHealthyAtMs: () => -Infinity,
         ownerServingAtMs: () => Math.min(clock.monotonicMs(), 500),
         knownOwner: () => undefined,
@@ -144,6 +146,31 @@
     return `${before} daemon, then ${peers.live().join(" and ")}`;
 };
 
+const partition = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const readiness: string[] = [];
+    const watch = createPartitionWatch({
+        clock,
+        log,
+        meter,
+        dataCentre: "leon-feria",
+        peers: {
+            elsewhere: () => [{ ...owner, dataCentre: "qro-arena" }],
+            elsewhereAnsweredAtMs: () => -Infinity,
+            ping: async () => undefined,
+        },
+        readStore: async () => clock.monotonicMs() > 500,
+        storeAnsweredAtMs: () => -Infinity,
+    });
+    watch.suspect();
+    for (let check = 0; check < 3; check += 1) {
+        readiness.push(watch.isPartitioned() ? "cut off" : "connected");
+        await clock.advance(400);
+    }
+    watch.close();
+    return readiness.join(", ");
+};
+
 const probes = (): string => {
     const candidates = Array.from({ length: 97 }, (_, index) => ({
         memberId: `entry-${index}`,
@@ -284,6 +311,7 @@
     handOver: handOverExample,
     ownerProgress,
     ownerWatch,
+    partition,
     readiness: readinessExample,
     peers: peersExample,
     probes,
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -37,6 +37,7 @@
 import { handOver } from "./handOver.js";
 import { decodeOwner, unreadableOwner } from "./memberRows.js";
 import { watchOwner } from "./ownerWatch.js";
+import { createPartitionWatch } from "./partition.js";
 import { createPeers, pingIntervalMs } from "./peers.js";
 import { createPendingCancels } from "./pendingCancels.js";
 import { watchReadiness } from "./readiness.js";
@@ -181,6 +182,7 @@
         reader,
         ownerVersion: () => knownOwner?.version ?? 0,
         onOwner: known => updateKnownOwner(known, "peer"),
+        onSilenceElsewhere: () => partition.suspect(),
     });
     /** Upkeep waves by the key of their row. */
     const waves = new Map<string, UpkeepWave>();
@@ -450,6 +452,7 @@
             lastOwnedAtMs = clock.monotonicMs();
             ownerServingAtMs = lastOwnedAtMs;
             pendingCounts = { counts: owner.pending(), atMs: clock.monotonicMs() };
+            partition.reportStall(owner.stalledMs());
             void handOverIfUnfit();
         }
     };
@@ -545,6 +548,16 @@
         configurationWatch,
     ];
 
+    const partition = createPartitionWatch({
+        clock,
+        log,
+        meter,
+        dataCentre: self.dataCentre,
+        peers,
+        readStore: readOwner,
+        storeAnsweredAtMs: () => clock.monotonicMs() - Math.min(...tableWatches.map(({ ageMs }) => ageMs())),
+    });
+
     const ownerWatch = watchOwner({
         clock,
         log,
@@ -560,7 +573,8 @@
         commitMonitor: createCommitMonitor({ clock, log, store, part }),
         claim,
         onAnswer: (address, { configurationVersion }) => configurationFetch.offer(address, configurationVersion),
-        onOwnerAnswer: ({ pending }) => {
+        onOwnerAnswer: ({ pending, storeStalledMs }) => {
+            partition.reportStall(storeStalledMs);
             // A claimant that is still reading the journal returns no counts.
             isOwnerServing = pending !== undefined;
             if (pending !== undefined) {
@@ -587,6 +601,7 @@
         isLeaving: () => leaving,
         hasConfiguration: () => configuration !== undefined,
         owns: () => owner !== undefined,
+        isPartitioned: partition.isPartitioned,
         lastHealthyAtMs: ownerWatch.lastHealthyAtMs,
         ownerServingAtMs: lastServingAtMs,
         knownOwner: () => knownOwner,
@@ -606,6 +621,7 @@
         ownerAddress: () =>
             knownOwner === undefined || knownOwner.row.memberId === self.memberId ? undefined : knownOwner.row.address,
         ownerLostMs: () => clock.monotonicMs() - Math.max(ownerWatch.lastHealthyAtMs(), lastOwnedAtMs),
+        isPartitioned: partition.isPartitioned,
         onNoAnswer: ownerWatch.suspect,
     });
 
@@ -721,6 +737,7 @@
             closed = true;
             pendingCancels.close();
             ownerWatch.close();
+            partition.close();
             readiness.close();
             loseShard("closing");
             for (const tableWatch of tableWatches) {
--- a/packages/puffinarch/src/core/shard/forward.ts
+++ b/packages/puffinarch/src/core/shard/forward.ts
@@ -18,6 +18,8 @@
     readonly ownerAddress: () => string | undefined;
     /** Time since an owner was last known to be healthy. */
     readonly ownerLostMs: () => number;
+    /** Whether this daemon's data centre is cut off, so that requests are refused at once; never where it is left out. */
+    readonly isPartitioned?: () => boolean;
     /** Called when an attempt failed without a definite answer from the owner. */
     readonly onNoAnswer: () => void;
 }
@@ -129,6 +131,11 @@
                     // The outcome would come after the caller has given up. Without another attempt, the request certainly had no effect.
                     return die(refusal, "too little time is left to complete the request", { retryAfterMs });
                 }
+                if (!mayHaveRun && options.isPartitioned?.() === true) {
+                    return die(refusal, "this data centre is cut off from the others and from the store", {
+                        retryAfterMs,
+                    });
+                }
                 try {
                     const answer = await attempt(request, leftMs);
                     if (answer !== undefined) {
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -9,7 +9,7 @@
 import { sleep } from "../../utils/time.js";
 import type { CommitMonitor } from "./commitMonitor.js";
 import { type Peers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
-import { delayForRankMs, followerPauseMs, watcherCount } from "./probes.js";
+import { delayForRankMs, followerPauseMs, neighbourTurns, watcherCount } from "./probes.js";
 import { type ClaimReason, claimReasons, settlingMs, timeoutFactor } from "./shortTenures.js";
 
 /** Dependencies and callbacks of an owner watch. */
@@ -480,12 +480,13 @@
 
     /**
      * Pings at most one neighbour in each round, which spreads the load and the arrival of updates evenly. The last round of each
-     * cycle pings one of the remaining members instead.
+     * cycle pings one of the remaining members instead, if there are any.
      */
     const pingNeighbours = (round: number): void => {
         const turn = round % neighbourPingRounds;
         const neighbours = peers.neighbours();
-        const due = neighbours.filter((_peer, index) => index % neighbourPingRounds === turn);
+        const turns = neighbourTurns(neighbours, { dataCentre: self.dataCentre, turns: neighbourPingRounds - 1 });
+        const due = neighbours.filter(peer => turns.get(peer) === turn);
         pingPeers(turn === neighbourPingRounds - 1 ? withNextRemaining(neighbours).slice(neighbours.length) : due);
     };
 
--- a/packages/puffinarch/src/core/shard/peers.ts
+++ b/packages/puffinarch/src/core/shard/peers.ts
@@ -12,7 +12,14 @@
 import type { Clock, Log } from "../../types/ports.js";
 import { type ErrorKind, failureOf } from "../../utils/errors.js";
 import { decodeMember } from "./memberRows.js";
-import { type ClaimCandidate, claimOrder, laneCount, neighbourCount, neighbourOrder, observerCount } from "./probes.js";
+import {
+    chooseNeighbours,
+    type ClaimCandidate,
+    claimOrder,
+    laneCount,
+    neighbourOrder,
+    observerCount,
+} from "./probes.js";
 import type { RowReader } from "./rowReader.js";
 
 /** Dependencies of the table of peers. */
@@ -26,6 +33,11 @@
     readonly ownerVersion: () => number;
     /** Called when a peer's ping answer contains a newer owner row. */
     readonly onOwner: (owner: KnownOwner) => void;
+    /**
+     * Called where a daemon of another data centre that answered its last ping does not answer the next one soon, and no other daemon
+     * of another data centre has answered meanwhile.
+     */
+    readonly onSilenceElsewhere?: () => void;
 }
 
 /** Options of a ping. */
@@ -61,6 +73,13 @@
     neighbours(): readonly MemberRow[];
     /** Returns the next of the daemons that are not in `pinged`, round robin, so that each of them is pinged from time to time. */
     nextRemaining(pinged: readonly MemberRow[]): MemberRow | undefined;
+    /**
+     * Returns the daemons of other data centres that have answered this process and are not gone: first those that answered their
+     * newest ping, and each group in the order of the newest answers.
+     */
+    elsewhere(): readonly MemberRow[];
+    /** Local time of the newest ping answer of a daemon of another data centre; `-Infinity` before the first. */
+    elsewhereAnsweredAtMs(): number;
     /** Returns whether a daemon left its newest ping unanswered. */
     isSilent(memberId: string): boolean;
     /** Applies new, changed and removed member rows. */
@@ -90,6 +109,11 @@
  * workers, a VM of 0.32 cores on 10 Mbit/s needs 0.7 s to restore and is replaced before the workers answer its first calls.
  */
 const strongShare = 0.5;
+/** An answer takes about 10 ms. One of another data centre that takes longer than this may be a sign of a partition. */
+const slowAnswerMs = 100;
+const maxTimerDelayMs = 25;
+/** Time to read an answer that arrived while this process was busy. */
+const unreadAnswerMs = 20;
 /** A peer that has not answered for this long, about two missed pings, is not considered live. */
 const liveMs = 3 * pingIntervalMs;
 
@@ -115,13 +139,15 @@
  * const peers = createPeers({ clock, log, self, members, reader, ownerVersion, onOwner });
  * peers.applyRows(rows);
  */
-export const createPeers = ({ clock, log, self, members, reader, ownerVersion, onOwner }: PeersOptions): Peers => {
+export const createPeers = (options: PeersOptions): Peers => {
+    const { clock, log, self, members, reader, ownerVersion, onOwner, onSilenceElsewhere = () => {} } = options;
     const all = new Map<string, MemberRow>();
     const answeredAtMs = new Map<string, number>();
     const silences = new Map<string, Silence>();
     const leaving = new Set<string>();
     /** Number of changes so far to the table, to the set of gone daemons and to `lastAskedOwner`; invalidates the cached values. */
     let tableRevision = 0;
+    let elsewhereAnsweredAtMs = -Infinity;
     /** Round-robin counter of `nextRemaining`. */
     let remainingIndex = 0;
 
@@ -169,7 +195,7 @@
         }))
     );
 
-    const neighbours = cacheUntilChange(() => neighbourOrder(self.memberId, presentMembers()).slice(0, neighbourCount));
+    const neighbours = cacheUntilChange(() => chooseNeighbours(self, presentMembers()));
     const allInOrder = cacheUntilChange(() => neighbourOrder(self.memberId, [...all.values()]));
 
     /** The owner for which `claimants` was called last. */
@@ -201,6 +227,46 @@
         tableRevision += wasGone === isGone(memberId) ? 0 : 1;
     };
 
+    const isElsewhere = ({ dataCentre }: MemberRow): boolean => dataCentre !== self.dataCentre;
+
+    const recordAnswer = (peer: MemberRow): void => {
+        const nowMs = clock.monotonicMs();
+        answeredAtMs.set(peer.memberId, nowMs);
+        elsewhereAnsweredAtMs = isElsewhere(peer) ? nowMs : elsewhereAnsweredAtMs;
+    };
+
+    /** Watches the answer of a daemon of another data centre; the returned function ends the watch. */
+    const watchAnswer = (peer: MemberRow, askedAtMs: number): (answered: boolean) => void => {
+        if (!isElsewhere(peer) || silences.has(peer.memberId) || !answeredAtMs.has(peer.memberId)) {
+            return () => {};
+        }
+        const reportSilence = (): void => {
+            if (elsewhereAnsweredAtMs < askedAtMs) {
+                onSilenceElsewhere();
+            }
+        };
+        let cancel = (): void => {};
+        const awaitAnswer = (waitMs: number): void => {
+            const dueAtMs = clock.monotonicMs() + waitMs;
+            cancel = clock.setTimer(waitMs, () => {
+                // A timer that fires late says that this process was busy, and the answer may have arrived unread.
+                if (clock.monotonicMs() - dueAtMs > maxTimerDelayMs) {
+                    awaitAnswer(unreadAnswerMs);
+                }
+                else {
+                    reportSilence();
+                }
+            });
+        };
+        awaitAnswer(slowAnswerMs);
+        return answered => {
+            cancel();
+            if (!answered) {
+                reportSilence();
+            }
+        };
+    };
+
     const clearSilence = (memberId: string): void => {
         tableRevision += isGone(memberId) ? 1 : 0;
         silences.delete(memberId);
@@ -223,6 +289,17 @@
             remainingIndex += 1;
             return remaining[remainingIndex % Math.max(1, remaining.length)];
         },
+        elsewhere: () => {
+            const newestFirst = presentMembers().filter(member =>
+                isElsewhere(member) && answeredAtMs.has(member.memberId)
+            )
+                .sort((left, right) =>
+                    (answeredAtMs.get(right.memberId) ?? 0) - (answeredAtMs.get(left.memberId) ?? 0)
+                );
+            const answering = newestFirst.filter(({ memberId }) => !silences.has(memberId));
+            return [...answering, ...newestFirst.filter(({ memberId }) => silences.has(memberId))];
+        },
+        elsewhereAnsweredAtMs: () => elsewhereAnsweredAtMs,
         isSilent: memberId => silences.has(memberId),
         applyRows: rows => {
             tableRevision += 1;
@@ -248,13 +325,15 @@
         ping: async (peer, { timeoutMs = pingTimeoutMs, ownerLostMs = 0, onSilent } = {}) => {
             const request = { from: self.memberId, ownerVersion: ownerVersion(), ownerLostMs };
             const askedAtMs = clock.monotonicMs();
+            const endWatch = watchAnswer(peer, askedAtMs);
             const answer = await ask(peer.address, "ping", request, { timeoutMs, onSilent });
+            endWatch(answer !== undefined);
             if (answer === undefined) {
                 recordSilence(peer.memberId, askedAtMs);
                 return undefined;
             }
             clearSilence(peer.memberId);
-            answeredAtMs.set(peer.memberId, clock.monotonicMs());
+            recordAnswer(peer);
             if (answer.leaving) {
                 leaving.add(peer.memberId);
             }
--- a/packages/puffinarch/src/core/shard/probes.ts
+++ b/packages/puffinarch/src/core/shard/probes.ts
@@ -73,6 +73,49 @@
 export const neighbourOrder = (memberId: string, members: readonly MemberRow[]): readonly MemberRow[] =>
     [...members].sort(byRendezvousScore(memberId));
 
+/**
+ * Returns the neighbours of a daemon. At least half of them are in other data centres, where there are as many: a daemon whose
+ * neighbours are all in its own would notice late that it is cut off.
+ *
+ * @example
+ * chooseNeighbours({ memberId: "entry-1", dataCentre: "leon-feria" }, members).length; // 8
+ */
+export const chooseNeighbours = (
+    { memberId, dataCentre }: Pick<MemberRow, "memberId" | "dataCentre">,
+    members: readonly MemberRow[],
+): readonly MemberRow[] => {
+    const order = neighbourOrder(memberId, members);
+    const first = order.slice(0, neighbourCount);
+    const isElsewhere = (member: MemberRow): boolean => member.dataCentre !== dataCentre;
+    const elsewhere = order.filter(isElsewhere).slice(0, neighbourCount / 2);
+    const missing = elsewhere.filter(member => !first.includes(member));
+    const near = first.filter(member => !isElsewhere(member));
+    const replaced = new Set(near.slice(near.length - Math.min(near.length, missing.length)));
+    return [...first.filter(member => !replaced.has(member)), ...missing];
+};
+
+/**
+ * Assigns each neighbour the turn in which it is pinged. Those of other data centres are spread evenly over the turns, and the others
+ * take the turns between them; without other data centres, the turns follow the order of the neighbours.
+ *
+ * @example
+ * neighbourTurns(neighbours, { dataCentre: "leon-feria", turns: 9 }).get(neighbours[0]); // 0
+ */
+export const neighbourTurns = (
+    neighbours: readonly MemberRow[],
+    { dataCentre, turns }: { readonly dataCentre: string; readonly turns: number; },
+): ReadonlyMap<MemberRow, number> => {
+    const elsewhere = neighbours.filter(member => member.dataCentre !== dataCentre);
+    const near = neighbours.filter(member => member.dataCentre === dataCentre);
+    const assigned = new Map(elsewhere.map((member, index) => [member, Math.floor(index * turns / elsewhere.length)]));
+    const taken = new Set(assigned.values());
+    const free = Array.from({ length: turns }, (_, turn) => turn).filter(turn => !taken.has(turn));
+    for (const [index, member] of near.entries()) {
+        assigned.set(member, free[index % Math.max(1, free.length)] ?? 0);
+    }
+    return assigned;
+};
+
 /**
  * Returns the interval, in ms, at which a daemon that is not a watcher pings the owner.
  *
--- a/packages/puffinarch/src/core/shard/readiness.ts
+++ b/packages/puffinarch/src/core/shard/readiness.ts
@@ -13,6 +13,8 @@
     readonly isLeaving: () => boolean;
     readonly hasConfiguration: () => boolean;
     readonly owns: () => boolean;
+    /** Whether this daemon's data centre is cut off from the others and from the store. */
+    readonly isPartitioned: () => boolean;
     /** Local time at which the owner was last known to be healthy. */
     readonly lastHealthyAtMs: () => number;
     /** Local time at which any owner was last known to be serving, which means that it has read all its rows. */
@@ -39,11 +41,21 @@
  * Starts to check and log whether a daemon is ready.
  *
  * @example
- * const readiness = watchReadiness({ clock, log, isLeaving, hasConfiguration, owns, lastHealthyAtMs, ownerServingAtMs, knownOwner, situation });
+ * const readiness = watchReadiness({ clock, log, isLeaving, hasConfiguration, owns, isPartitioned, lastHealthyAtMs, ownerServingAtMs, knownOwner, situation });
  * readiness.ready(); // false before the first configuration
  */
 export const watchReadiness = (options: ReadinessOptions): Readiness => {
-    const { clock, log, isLeaving, hasConfiguration, owns, lastHealthyAtMs, ownerServingAtMs, knownOwner } = options;
+    const {
+        clock,
+        log,
+        isLeaving,
+        hasConfiguration,
+        owns,
+        isPartitioned,
+        lastHealthyAtMs,
+        ownerServingAtMs,
+        knownOwner,
+    } = options;
     let closed = false;
     let loggedReason: string | undefined = "starting";
     let nextWarningAfterMs = firstWarningAfterMs;
@@ -56,6 +68,10 @@
         if (!hasConfiguration()) {
             return "noConfiguration";
         }
+        if (isPartitioned()) {
+            // An owner in the same data centre goes on with its runs, but can accept nothing.
+            return "partitioned";
+        }
         if (owns() || clock.monotonicMs() - lastHealthyAtMs() < readyWithoutOwnerMs) {
             return undefined;
         }
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -249,10 +249,26 @@
 export { createOwnerProgress, type OwnerProgress, type OwnerProgressOptions } from "./internal.js";
 export { type OwnerWatch, type OwnerWatchOptions, watchOwner, type WatchStep, watchSteps } from "./internal.js";
 export { type Readiness, type ReadinessOptions, watchReadiness } from "./internal.js";
+export {
+    chooseAsked,
+    createPartitionWatch,
+    isCutOff,
+    type PartitionSigns,
+    type PartitionWatch,
+    type PartitionWatchOptions,
+} from "./internal.js";
 export { createPeers, type Peers, type PeersOptions, type PingOptions } from "./internal.js";
 export { endedSchema, stateSchema, submissionSchema } from "./internal.js";
 export { decodeMember, decodeOwner, unreadableOwner } from "./internal.js";
-export { type ClaimCandidate, claimOrder, delayForRankMs, followerPauseMs, neighbourOrder } from "./internal.js";
+export {
+    chooseNeighbours,
+    type ClaimCandidate,
+    claimOrder,
+    delayForRankMs,
+    followerPauseMs,
+    neighbourOrder,
+    neighbourTurns,
+} from "./internal.js";
 export { createRowReader, type RowReader } from "./internal.js";
 export { mayGoDown, runsToMove } from "./internal.js";
 export { startUpkeep, type Upkeep, type UpkeepOptions } from "./internal.js";
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -135,6 +135,12 @@
     cut(memberId: string, what: readonly ("peers" | "store" | "workers")[]): void;
     /** Restores all links of a daemon. */
     restoreLinks(memberId: string): void;
+    /** Cuts a data centre off from the other data centres, from the store, or from both; its daemons still reach each other and the workers. */
+    cutDataCentre(dataCentre: string, what: readonly ("peers" | "store")[]): void;
+    /** Restores all links of a data centre. */
+    restoreDataCentre(dataCentre: string): void;
+    /** The data centre of a daemon. */
+    dataCentreOf(memberId: string): string;
     /** Whether the daemon's process runs, cut off or not. */
     isRunning(memberId: string): boolean;
     isCut(memberId: string, what: "peers" | "store" | "workers"): boolean;
@@ -204,6 +210,8 @@
     readonly policies?: ShardPolicies;
     /** Strengths of the daemons' VMs in the order of the daemons; 1 where one is left out. */
     readonly strengths?: readonly number[];
+    /** Data centres of the daemons in the order of the daemons; one for all where this is left out. */
+    readonly dataCentres?: readonly string[];
     /** Whether VM calls with a lower fencing token than the VM has seen are refused. */
     readonly checksVmTokens?: boolean;
     /** Whether the members of a gang start work and end together, as on the users' workers; independent where this is left out. */
@@ -330,6 +338,7 @@
         organisations: firstOrganisations,
         policies,
         strengths = [],
+        dataCentres = [],
         checksVmTokens = true,
         runsGangsTogether = false,
         isAllowed = () => true,
@@ -461,6 +470,14 @@
     const answers = new Map<string, string>();
     const ids = Array.from({ length: memberCount }, (_, index) => `entry-${index}`);
     const isCut = (memberId: string, what: string): boolean => cuts.get(memberId)?.has(what) === true;
+    /** Data centres whose daemons and the others do not reach each other. */
+    const separated = new Set<string>();
+    const dataCentreOf = (memberId: string): string => dataCentres[ids.indexOf(memberId)] ?? "leon-feria";
+    const isUnreachable = (from: string, to: string): boolean => {
+        const [left, right] = [dataCentreOf(from), dataCentreOf(to)];
+        return isCut(from, "peers") || isCut(to, "peers")
+            || left !== right && (separated.has(left) || separated.has(right));
+    };
 
     const wait = (delayMs: number): Promise<void> =>
         new Promise(resolve => {
@@ -504,7 +521,7 @@
             if (memberProcess?.incarnation.alive !== true) {
                 return die("unavailable", "no process listens at this address");
             }
-            if (isCut(from, "peers") || isCut(address, "peers")) {
+            if (isUnreachable(from, address)) {
                 await wait(Math.min(timeoutMs, unansweredMs));
                 return die("mayHaveRun", "no answer");
             }
@@ -527,7 +544,7 @@
                     return die("mayHaveRun", "no answer in time");
                 }),
             ]);
-            if (!memberProcess.incarnation.alive || isCut(from, "peers") || isCut(address, "peers")) {
+            if (!memberProcess.incarnation.alive || isUnreachable(from, address)) {
                 await wait(Math.min(timeoutMs, unansweredMs));
                 return die("mayHaveRun", "the answer was lost");
             }
@@ -599,7 +616,7 @@
             self: {
                 memberId,
                 address: memberId,
-                dataCentre: "leon-feria",
+                dataCentre: dataCentreOf(memberId),
                 incarnation: `${memberId}-${clock.monotonicMs()}`,
                 strength: strengths[ids.indexOf(memberId)] ?? 1,
             },
@@ -733,7 +750,7 @@
     /** Whether a fault of a daemon, the store, the VM calls or a worker lasts; so does a worker that is up but not listed. */
     const isFaulty = (): boolean => {
         const listed = new Set(store.rows("workers").map(({ key }) => key));
-        return cuts.size > 0 || !store.isFaultFree() || !vms.isFaultFree()
+        return cuts.size > 0 || separated.size > 0 || !store.isFaultFree() || !vms.isFaultFree()
             || [...memberProcesses.values()].some(({ incarnation, suspension }) =>
                 !incarnation.alive || suspension.isSuspended()
             )
@@ -855,6 +872,23 @@
             cuts.delete(memberId);
             store.setFault("none", memberId);
         },
+        cutDataCentre: (dataCentre, what) => {
+            faultTracker.recordFault();
+            if (what.includes("peers")) {
+                separated.add(dataCentre);
+            }
+            for (const memberId of what.includes("store") ? ids.filter(id => dataCentreOf(id) === dataCentre) : []) {
+                store.setFault("hang", memberId);
+            }
+        },
+        restoreDataCentre: dataCentre => {
+            faultTracker.recordFault();
+            separated.delete(dataCentre);
+            for (const memberId of ids.filter(id => dataCentreOf(id) === dataCentre)) {
+                store.setFault("none", memberId);
+            }
+        },
+        dataCentreOf,
         isRunning: memberId => memberProcesses.get(memberId)?.incarnation.alive === true,
         isCut,
         vms,
