--- a/packages/puffinarch-cli/src/commands/shard.ts
+++ b/packages/puffinarch-cli/src/commands/shard.ts
@@ -44,6 +44,7 @@
     objectiveMs: z.number().optional(),
     dueAtMs: z.number().optional(),
     expectedEndAtMs: z.number().optional(),
+    nextStartAtMs: z.number().optional(),
     steps: z.array(stepSchema),
     omittedSteps: z.number(),
 });
@@ -107,6 +108,7 @@
         `accepted ${timeOrDash(job.acceptedAtMs)}, objective ${
             job.objectiveMs === undefined ? "-" : `${job.objectiveMs} ms`
         }, due ${timeOrDash(job.dueAtMs)}, expected end ${timeOrDash(job.expectedEndAtMs)}`,
+        ...(job.nextStartAtMs === undefined ? [] : [`starts next ${timeOf(job.nextStartAtMs)}`]),
         ...(job.omittedSteps === 0 ? [] : [`${job.omittedSteps} more steps are not listed`]),
     ];
     return `${lines.join("\n")}\n${job.steps.length === 0 ? "" : tableOf(stepColumns, job.steps)}`;
--- a/packages/puffinarch/src/core/shard/shardQueries.ts
+++ b/packages/puffinarch/src/core/shard/shardQueries.ts
@@ -91,6 +91,8 @@
     readonly objectiveMs?: number;
     readonly dueAtMs?: number;
     readonly expectedEndAtMs?: number;
+    /** Start of the next occurrence of a scheduled job. */
+    readonly nextStartAtMs?: number;
     readonly steps: readonly StepExplanation[];
     /** Number of steps that are left out, beyond `maxListedSteps`. */
     readonly omittedSteps: number;
@@ -224,8 +226,9 @@
 > = {
     [taskWaits.commit]: (_step, { nowMs }) => nowMs,
     [taskWaits.startAnswer]: (_step, { nowMs }) => nowMs,
-    [taskWaits.turn]: (_step, { nowMs }) => nowMs,
-    [taskWaits.room]: startAfterBacklogMs,
+    [taskWaits.turn]: (step, { nowMs, plannedStartMs }) => plannedStartMs(step) ?? nowMs,
+    [taskWaits.room]: (step, state) => state.plannedStartMs(step) ?? startAfterBacklogMs(step, state),
+    [taskWaits.ticket]: (step, { plannedStartMs }) => plannedStartMs(step),
     [taskWaits.cap]: firstEndOfOrganisationMs,
 };
 
@@ -253,7 +256,7 @@
     const kinds = Object.keys(waits) as TaskWait[];
     return kinds.length === 0
         ? undefined
-        : state.plannedStartMs(step) ?? latest(kinds.map(kind => expectedStarts[kind]?.(step, state)));
+        : latest(kinds.map(kind => expectedStarts[kind]?.(step, state)));
 };
 
 /** Local time at which a step is expected to be done; undefined where it is unknown. */
@@ -328,6 +331,17 @@
     return explained;
 };
 
+/** Start of the next occurrence of a scheduled job, in milliseconds since the Unix epoch; undefined where none is left. */
+const nextStartMs = ({ submission: { schedule } }: ShardJob, wallMs: number): number | undefined => {
+    const { startAtMs, intervalMs, repeatCount } = schedule;
+    const begun = startAtMs > wallMs
+        ? 0
+        : intervalMs === 0
+        ? repeatCount
+        : 1 + Math.floor((wallMs - startAtMs) / intervalMs);
+    return begun < repeatCount ? startAtMs + begun * intervalMs : undefined;
+};
+
 /**
  * Explains where a job stands; undefined where no accepted job has this ID.
  *
@@ -369,6 +383,7 @@
             objectiveMs: Number.isFinite(objectiveMs) ? Math.round(objectiveMs) : undefined,
             dueAtMs: Number.isFinite(objectiveMs) ? Math.round(beganAtMs + objectiveMs) : undefined,
             expectedEndAtMs: endMs === undefined ? undefined : Math.round(state.wallMs + endMs - state.nowMs),
+            nextStartAtMs: hasEnded(job) ? undefined : nextStartMs(job, state.wallMs),
         }),
         steps: listed.map(({ explanation }) => explanation),
         omittedSteps,
--- a/packages/puffinarch/src/core/shard/taskPlacer.ts
+++ b/packages/puffinarch/src/core/shard/taskPlacer.ts
@@ -48,7 +48,7 @@
     activeSteps(): number;
     /** Whether the next pass tries to place the step's waiting tasks. */
     isQueued(step: ShardStep): boolean;
-    /** Local time at which the newest plan has capacity for all tasks that it covers; undefined without a plan. */
+    /** Local time at which the newest plan has capacity for all tasks that it covers; undefined without a plan, and once it is past. */
     plannedStartMs(step: ShardStep): number | undefined;
 }
 
@@ -454,7 +454,7 @@
         plannedStartMs: step => {
             const times = plans.get(step)?.reservations.map(({ freeAtMs }) => freeAtMs) ?? [];
             const latestMs = Math.max(...times);
-            return Number.isFinite(latestMs) ? latestMs : undefined;
+            return Number.isFinite(latestMs) && latestMs >= clock.monotonicMs() ? latestMs : undefined;
         },
         waitingSteps: () => ready.size,
         activeSteps: () => ready.size + copyable.size + upcoming.size,
