--- a/features/partition.feature
+++ b/features/partition.feature
@@ -28,6 +28,7 @@
     Scenario Outline: <what> is not a partition
         Given a cell of 9 daemons in 3 data centres and 4 workers
         When the data centre of the owner inside is cut off from "<cut>"
+        And 2 jobs of steps "1" are submitted
         Then <which> daemons stay ready for 400 ms
         When the shard runs for 3000 ms
         Then no daemon was not ready because of "partitioned"
@@ -40,6 +41,7 @@
     Scenario: An outage of the store leaves all daemons ready
         Given a cell of 9 daemons in 3 data centres and 4 workers
         When the fault "store hangs" comes
+        And 2 jobs of steps "1" are submitted
         Then all daemons stay ready for 4000 ms
 
     Scenario: A cell with one data centre is never cut off in this sense
