--- a/features/shardQueries.feature
+++ b/features/shardQueries.feature
@@ -46,6 +46,7 @@
             | servers                    | query                          | code | text                                  |
             | the metrics servers        | shard job 5c0e7a21d94b36f8     | 3    | notFound: no accepted job             |
             | the metrics servers        | shard job 5C0E                 | 2    | allowed: 16 hexadecimal digits        |
+            | the metrics servers        | shard job 5c0e7a21d94b36f85c0e7a21d94b36f85c0e7a21d94b36f85c0e7a21d94b36f85c0e7a21d94b36f85c0e7a21d94b36f85c0e7a21d94b36f85c0e7a21d94b36f8 | 2    | allowed: 16 hexadecimal digits |
             | the other metrics servers  | shard job 5c0e7a21d94b36f8     | 7    | does not own the shard; the owner is  |
             | the other metrics servers  | shard organisations            | 7    | does not own the shard; the owner is  |
             | no metrics server          | shard speeds                   | 2    | at least one address, by --metrics    |
