--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -288,6 +288,8 @@
     pending: async () => 3,
     handlers: {} as CellMember["handlers"],
     ownsShard: () => false,
+    queries: () => undefined,
+    knownOwner: () => undefined,
     leave: async () => {},
     close: () => {},
 });
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -37,11 +37,13 @@
 import { handOver } from "./handOver.js";
 import { decodeOwner, unreadableOwner } from "./memberRows.js";
 import { watchOwner } from "./ownerWatch.js";
+import { createPartitionWatch } from "./partition.js";
 import { createPeers, pingIntervalMs } from "./peers.js";
 import { createPendingCancels } from "./pendingCancels.js";
 import { watchReadiness } from "./readiness.js";
 import { createRowReader } from "./rowReader.js";
 import { type ShardOwner, startShardOwner } from "./shardOwner.js";
+import type { ShardQueries } from "./shardQueries.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { ownerKey, ownerTable } from "./shardTables.js";
 import { type ClaimReason, claimReasons, countShortTenures, settlingMs } from "./shortTenures.js";
@@ -110,6 +112,10 @@
     /** Handlers of the calls that peers make to this daemon. */
     readonly handlers: MemberHandlers;
     ownsShard(): boolean;
+    /** Operators' queries; undefined where this daemon does not own the shard. */
+    queries(): ShardQueries | undefined;
+    /** The newest owner that is known, which may be this daemon while it still reads the shard's rows; undefined for none. */
+    knownOwner(): { readonly memberId: string; readonly address: string; } | undefined;
     /**
      * Hands the shard over to a peer and stops claiming, while callers' requests are still forwarded to the owner. As long as
      * no peer accepts the shard, for example because all are leaving, this daemon keeps it, at most until the local time `untilMs`.
@@ -179,6 +185,7 @@
         reader,
         ownerVersion: () => knownOwner?.version ?? 0,
         onOwner: known => updateKnownOwner(known, "peer"),
+        onSilenceElsewhere: () => partition.suspect(),
     });
     /** Upkeep waves by the key of their row. */
     const waves = new Map<string, UpkeepWave>();
@@ -448,6 +455,7 @@
             lastOwnedAtMs = clock.monotonicMs();
             ownerServingAtMs = lastOwnedAtMs;
             pendingCounts = { counts: owner.pending(), atMs: clock.monotonicMs() };
+            partition.reportStall(owner.stalledMs());
             void handOverIfUnfit();
         }
     };
@@ -543,6 +551,16 @@
         configurationWatch,
     ];
 
+    const partition = createPartitionWatch({
+        clock,
+        log,
+        meter,
+        dataCentre: self.dataCentre,
+        peers,
+        readStore: readOwner,
+        storeAnsweredAtMs: () => clock.monotonicMs() - Math.min(...tableWatches.map(({ ageMs }) => ageMs())),
+    });
+
     const ownerWatch = watchOwner({
         clock,
         log,
@@ -558,7 +576,8 @@
         commitMonitor: createCommitMonitor({ clock, log, store, part }),
         claim,
         onAnswer: (address, { configurationVersion }) => configurationFetch.offer(address, configurationVersion),
-        onOwnerAnswer: ({ pending }) => {
+        onOwnerAnswer: ({ pending, storeStalledMs }) => {
+            partition.reportStall(storeStalledMs);
             // A claimant that is still reading the journal returns no counts.
             isOwnerServing = pending !== undefined;
             if (pending !== undefined) {
@@ -585,6 +604,7 @@
         isLeaving: () => leaving,
         hasConfiguration: () => configuration !== undefined,
         owns: () => owner !== undefined,
+        isPartitioned: partition.isPartitioned,
         lastHealthyAtMs: ownerWatch.lastHealthyAtMs,
         ownerServingAtMs: lastServingAtMs,
         knownOwner: () => knownOwner,
@@ -604,6 +624,7 @@
         ownerAddress: () =>
             knownOwner === undefined || knownOwner.row.memberId === self.memberId ? undefined : knownOwner.row.address,
         ownerLostMs: () => clock.monotonicMs() - Math.max(ownerWatch.lastHealthyAtMs(), lastOwnedAtMs),
+        isPartitioned: partition.isPartitioned,
         onNoAnswer: ownerWatch.suspect,
     });
 
@@ -705,6 +726,8 @@
             }),
         },
         ownsShard: () => owner !== undefined,
+        queries: () => owner?.queries,
+        knownOwner: () => knownOwner?.row,
         leave: async untilMs => {
             leaving = true;
             while (owner !== undefined && clock.monotonicMs() < untilMs) {
@@ -718,6 +741,7 @@
             closed = true;
             pendingCancels.close();
             ownerWatch.close();
+            partition.close();
             readiness.close();
             loseShard("closing");
             for (const tableWatch of tableWatches) {
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -207,6 +207,20 @@
     standings,
 } from "./internal.js";
 export { type ShardOwner, type ShardOwnerOptions, startShardOwner } from "./internal.js";
+export {
+    explainJob,
+    type JobExplanation,
+    listOrganisations,
+    listSpeeds,
+    maxListedSteps,
+    type OrganisationUse,
+    type QueriedState,
+    type ShardQueries,
+    type SpeedListing,
+    type SpeedPort,
+    type StepExplanation,
+    type WaitCounts,
+} from "./internal.js";
 export { createShardWorkers, type ShardWorkers, type ShardWorkersOptions } from "./internal.js";
 export {
     defaultShardSettings,
@@ -235,10 +249,26 @@
 export { createOwnerProgress, type OwnerProgress, type OwnerProgressOptions } from "./internal.js";
 export { type OwnerWatch, type OwnerWatchOptions, watchOwner, type WatchStep, watchSteps } from "./internal.js";
 export { type Readiness, type ReadinessOptions, watchReadiness } from "./internal.js";
+export {
+    chooseAsked,
+    createPartitionWatch,
+    isCutOff,
+    type PartitionSigns,
+    type PartitionWatch,
+    type PartitionWatchOptions,
+} from "./internal.js";
 export { createPeers, type Peers, type PeersOptions, type PingOptions } from "./internal.js";
 export { endedSchema, stateSchema, submissionSchema } from "./internal.js";
 export { decodeMember, decodeOwner, unreadableOwner } from "./internal.js";
-export { type ClaimCandidate, claimOrder, delayForRankMs, followerPauseMs, neighbourOrder } from "./internal.js";
+export {
+    chooseNeighbours,
+    type ClaimCandidate,
+    claimOrder,
+    delayForRankMs,
+    followerPauseMs,
+    neighbourOrder,
+    neighbourTurns,
+} from "./internal.js";
 export { createRowReader, type RowReader } from "./internal.js";
 export { roomyWorkers } from "./internal.js";
 export { createTicketBudget, expectedCpuMillis, type TicketBudget } from "./internal.js";
