--- a/features/steps/loadSteps.ts
+++ b/features/steps/loadSteps.ts
@@ -45,7 +45,8 @@
     readonly runs: () => number[];
 }
 
-const part = (world: ScenarioWorld): LoadPart =>
+/** State of a scenario that plays a load; the check of guarantees reads `breaches`. */
+export const loadPart = (world: ScenarioWorld): LoadPart =>
     partOf(
         world,
         "load",
@@ -64,7 +65,7 @@
 Given(
     "workers of 8 accelerators with policies {string}, {string}, {string}",
     function(this: ScenarioWorld, order: string, packing: string, room: string) {
-        part(this).policies = {
+        loadPart(this).policies = {
             order: parseName(Object.keys(schedulingOrders) as (keyof typeof schedulingOrders)[], order),
             packing: parseName(Object.keys(packings) as (keyof typeof packings)[], packing),
             room: parseName(roomPolicies, room),
@@ -73,10 +74,10 @@
 );
 
 const runLoad = async (world: ScenarioWorld, kinds: readonly LoadKind[], forMs: number): Promise<void> => {
-    const { policies } = part(world);
+    const { policies } = loadPart(world);
     const cell = createLoadCell(kinds, { workers: 4, seed: 1, allowedPercent: 50, ...(policies && { policies }) });
-    part(world).outcomes = await playLoad(cell, kinds, { forMs, restMs: 10_000 });
-    part(world).breaches = cell.breaches();
+    loadPart(world).outcomes = await playLoad(cell, kinds, { forMs, restMs: 10_000 });
+    loadPart(world).breaches = cell.breaches();
 };
 
 When(
@@ -89,7 +90,7 @@
 Then(
     /^(\d+) to (\d+) percent of the (\w+) jobs are in time$/,
     function(this: ScenarioWorld, least: string, most: string, kind: string) {
-        const outcome = part(this).outcomes[kind] ?? assert.fail(`the load has no ${kind} jobs`);
+        const outcome = loadPart(this).outcomes[kind] ?? assert.fail(`the load has no ${kind} jobs`);
         const share = 100 * outcome.onTime / outcome.submitted;
         assert.ok(share >= Number(least) && share <= Number(most), `${share} percent: ${JSON.stringify(outcome)}`);
     },
@@ -141,7 +142,7 @@
             wake: () => {},
         });
         placing.updateJob(job);
-        part(this).placed = {
+        loadPart(this).placed = {
             clock,
             placing,
             runs: () => [...responsiveWorker.runs.values()].map(run => run.task.index),
@@ -150,7 +151,7 @@
 );
 
 const placed = (world: ScenarioWorld): StepPlacement =>
-    part(world).placed ?? assert.fail("the scenario has no step to place");
+    loadPart(world).placed ?? assert.fail("the scenario has no step to place");
 
 When("the step is placed", function(this: ScenarioWorld) {
     placed(this).placing.runPass();
@@ -166,7 +167,7 @@
 });
 
 Then("no capacity limit or execution guarantee was violated", function(this: ScenarioWorld) {
-    assert.deepEqual(part(this).breaches, []);
+    assert.deepEqual(loadPart(this).breaches, []);
 });
 
 const lowerQueueKey = "stages.example/later/";
@@ -205,11 +206,11 @@
         const firstStartedAtMs = (): number | undefined =>
             cell.workers.evidence.find(({ taskName }) => taskName.startsWith(gangId))?.startedAtMs;
         await cell.until(() => firstStartedAtMs() !== undefined, streamForMs);
-        part(this).gangWaitedMs = (firstStartedAtMs() ?? Infinity) - submittedAtMs;
+        loadPart(this).gangWaitedMs = (firstStartedAtMs() ?? Infinity) - submittedAtMs;
     },
 );
 
 Then("the gang starts within {int} ms", function(this: ScenarioWorld, limitMs: number) {
-    const waitedMs = part(this).gangWaitedMs;
+    const waitedMs = loadPart(this).gangWaitedMs;
     assert.ok(waitedMs <= limitMs, `the gang started after ${waitedMs} ms`);
 });
--- a/packages/puffinarch/src/core/shard/adviceRequester.ts
+++ b/packages/puffinarch/src/core/shard/adviceRequester.ts
@@ -33,6 +33,8 @@
     readonly reservations: readonly Reservation[];
     readonly view: CapacityView;
     readonly nowMs: number;
+    /** Priority of the call; that of the step's queue where it is left out. */
+    readonly priority?: number;
 }
 
 /** Requests advice and tickets for steps. */
@@ -93,7 +95,11 @@
     /** Workers named in the newest call for a step, and the local time at which it was queued. */
     const newestCalls = new WeakMap<ShardStep, { readonly named: readonly string[]; readonly sinceMs: number; }>();
 
-    const requestAdvice = (step: ShardStep, named: readonly string[]): void => {
+    const requestAdvice = (
+        step: ShardStep,
+        named: readonly string[],
+        priority = step.occurrence.job.queue.priority,
+    ): void => {
         if (step.occurrence.job.queue.advice === undefined || named.length === 0) {
             return;
         }
@@ -105,7 +111,7 @@
             stepName: stepNameOf(step),
             workerIds: named,
             costMs: costOf(step, named.length),
-            priority: step.occurrence.job.queue.priority,
+            priority,
             isNeeded: () => !hasEnded(step.occurrence.job),
             onAnswer: answer => {
                 recordAnswer(step, named, answer);
@@ -199,7 +205,7 @@
             }
             const names = namesFor(request);
             if (names.length > 0) {
-                requestAdvice(step, names);
+                requestAdvice(step, names, request.priority);
                 return;
             }
             advice.notBeforeMs = nowMs + emptyPauseMs;
--- a/packages/puffinarch/src/core/shard/taskPlacer.ts
+++ b/packages/puffinarch/src/core/shard/taskPlacer.ts
@@ -21,7 +21,7 @@
 } from "./jobModel.js";
 import { planReservations } from "./planReservations.js";
 import { fellSilentAtStart, holdForTrial, startableTasks } from "./trials.js";
-import { inSchedulingOrder, type RankedStep, standings } from "./urgency.js";
+import { inSchedulingOrder, isPlacedLast, type RankedStep, standings } from "./urgency.js";
 import { dropRun, holdCapacity, type ShardWorker } from "./workerTable.js";
 
 /** Dependencies of a task placer. */
@@ -70,6 +70,8 @@
     /** Number of steps for which capacity was planned in this pass, or an earlier plan was reused. */
     planned: number;
     readonly caps: CapView;
+    /** Largest priority number of the waiting steps; advice for steps that are placed last is requested with it. */
+    readonly leastPriority: number;
 }
 
 /** Where a step's waiting tasks are expected to run, and when this was planned. */
@@ -361,10 +363,13 @@
                 copyable.add(step);
             }
         }
+        const isLast = isPlacedLast(ranked, settings.policies.order);
+        const priority = isLast ? context.leastPriority : step.occurrence.job.queue.priority;
         if (step.spec.gang && waiting.length < step.tasks.length) {
             // A gang starts only as a whole, once runs of its other members have ended; its tickets are requested meanwhile.
             step.blockedAtMs = undefined;
-            adviceRequester.requestTickets({ step, waiting: step.tasks.length, reservations: [], view, nowMs });
+            const waitingMembers = step.tasks.length;
+            adviceRequester.requestTickets({ step, waiting: waitingMembers, reservations: [], view, nowMs, priority });
             return;
         }
         const unplaced = waiting.length - runs.length;
@@ -376,9 +381,11 @@
             // A task on trial needs a worker without other runs, so that a reservation on a shared worker is of no use to it.
             const reservations = step.tasks.some(needsTrial) ? [] : reserveCapacity(ranked, unplaced, context);
             context.caps.reserve(step, reservations.length);
-            const request = { step, waiting: unplaced, reservations, view, nowMs };
+            const request = { step, waiting: unplaced, reservations, view, nowMs, priority };
             adviceRequester.requestTickets(request);
-            adviceRequester.reserveRequested(request);
+            if (!isLast) {
+                adviceRequester.reserveRequested(request);
+            }
         }
     };
 
@@ -397,14 +404,16 @@
 
     const runPass = (): void => {
         const nowMs = clock.monotonicMs();
+        const order = inSchedulingOrder(ready, { clock, workers, order: settings.policies.order });
         const context: PassContext = {
             nowMs,
             wallMs: clock.nowMs(),
             view: createCapacityView(nowMs),
             planned: 0,
             caps: createCapView(nowMs, capWaits),
+            leastPriority: order.reduce((most, { step }) => Math.max(most, step.occurrence.job.queue.priority), 0),
         };
-        for (const ranked of inSchedulingOrder(ready, { clock, workers, order: settings.policies.order })) {
+        for (const ranked of order) {
             placeStep(ranked, context);
         }
         requestAdviceAhead(context);
--- a/packages/puffinarch/src/core/shard/urgency.ts
+++ b/packages/puffinarch/src/core/shard/urgency.ts
@@ -141,9 +141,14 @@
 const byShare = ({ step: left }: RankedStep, { step: right }: RankedStep): number =>
     Number(left.occurrence.job.beyondShare) - Number(right.occurrence.job.beyondShare);
 
+const byStanding = (left: RankedStep, right: RankedStep): number =>
+    standingRanks[left.standing] - standingRanks[right.standing];
+
+const byOverdue = (left: RankedStep, right: RankedStep): number =>
+    Number(left.standing === standings.overdue) - Number(right.standing === standings.overdue);
+
 const byDueOrder = (left: RankedStep, right: RankedStep): number =>
-    byPriority(left, right) || standingRanks[left.standing] - standingRanks[right.standing] || byDue(left, right)
-    || byAcceptance(left, right);
+    byPriority(left, right) || byStanding(left, right) || byDue(left, right) || byAcceptance(left, right);
 
 /** Scheduling orders of waiting steps, as compare functions. */
 export const schedulingOrders = {
@@ -154,6 +159,8 @@
      * first come, first served would let a backlog make every later job late as well.
      */
     due: byDueOrder,
+    /** As `due`, but jobs that can no longer be of value to their callers come after all others, whatever their priority. */
+    value: (left: RankedStep, right: RankedStep): number => byOverdue(left, right) || byDueOrder(left, right),
     /** As `due`, but jobs that an organisation submitted beyond its share come after all others, whatever their priority. */
     shares: (left: RankedStep, right: RankedStep): number => byShare(left, right) || byDueOrder(left, right),
     /** As `due`, but jobs beyond the share of their organisation come after the others of the same priority. */
@@ -163,6 +170,16 @@
 /** Name of a scheduling order. */
 export type SchedulingOrder = keyof typeof schedulingOrders;
 
+/**
+ * Tells whether an order places a step after all others because its job can no longer be of value. Such a step takes capacity
+ * that is free, but nothing is reserved, stopped or requested early for it.
+ *
+ * @example
+ * isPlacedLast({ step, standing: "overdue", dueAtMs: 0 }, "value"); // true
+ */
+export const isPlacedLast = ({ standing }: Pick<RankedStep, "standing">, order: SchedulingOrder): boolean =>
+    order === "value" && standing === standings.overdue;
+
 /** Clock, workers and scheduling order by which steps are sorted. */
 export interface SchedulingOrderOptions {
     readonly clock: Clock;
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -198,6 +198,7 @@
 export { isBlocked, isBlockedLong, mayUseRestingWorkers } from "./internal.js";
 export {
     inSchedulingOrder,
+    isPlacedLast,
     type RankedStep,
     rankStep,
     type SchedulingOrder,
@@ -264,9 +265,9 @@
 export { watchWorkerList, type WorkerListOptions } from "./internal.js";
 export {
     adoptRun,
+    dropRun,
     extendLease,
     freeCapacityOf,
-    dropRun,
     holdCapacity,
     isOpen,
     newWorker,
--- a/packages/stand-ins/src/shard/shardLoad.ts
+++ b/packages/stand-ins/src/shard/shardLoad.ts
@@ -1,6 +1,6 @@
 /** Submits a mixed load to a cell's shard and counts the outcomes by kind of job. */
 
-import { hash, type Queue, runEnds, type ShardPolicies, type Step } from "puffinarch";
+import { hash, type Organisation, type Queue, runEnds, type ShardPolicies, type Step } from "puffinarch";
 import { jobIdOf, readSteps } from "./jobShapes.js";
 import { createShardCell, type ShardCell, testQueue } from "./shardCell.js";
 
@@ -12,6 +12,10 @@
     readonly everyMs: number;
     /** A job that takes longer than this from its submission counts as late. */
     readonly objectiveMs: number;
+    /** Organisation of the callers; none where it is left out. */
+    readonly organisation?: string;
+    /** Time from the beginning of the load during which jobs arrive; the whole load where it is left out. */
+    readonly arrivesMs?: { readonly from: number; readonly until: number; };
 }
 
 /** Outcome of the jobs of one kind. */
@@ -45,7 +49,13 @@
 const objectiveOf = ({ stretch, targetRuntimeMs, advice }: Queue, chainMs: number, steps: number): number =>
     stretch * (chainMs + steps * ((advice?.decideMs ?? 0) + 30 * (advice?.eachMs ?? 0))) + targetRuntimeMs;
 
-const createKind = (name: string, text: string, everyMs: number, changes: Partial<Queue>): LoadKind => {
+/**
+ * Creates a kind of jobs with a queue of its own, from the text notation of its steps.
+ *
+ * @example
+ * createKind("batch", "25 for 3400 ms", 500, { priority: 2, stretch: 4 });
+ */
+export const createKind = (name: string, text: string, everyMs: number, changes: Partial<Queue>): LoadKind => {
     const queue = createQueue(name, changes);
     const steps = readSteps(text);
     const chainMs = steps.reduce((sum, step) => sum + step.estimateMs, 0);
@@ -75,11 +85,12 @@
 /** Creates a cell for a load. Its advisor allows each step on about `allowedPercent` percent of the workers, and on one at least. */
 export const createLoadCell = (
     kinds: readonly LoadKind[],
-    { workers, seed, allowedPercent, policies }: {
+    { workers, seed, allowedPercent, policies, organisations }: {
         readonly workers: number;
         readonly seed: number;
         readonly allowedPercent: number;
         readonly policies?: ShardPolicies;
+        readonly organisations?: readonly Organisation[];
     },
 ): ShardCell =>
     createShardCell({
@@ -88,8 +99,9 @@
         seed,
         durationMs: "estimated",
         capacity: { cpuMillis: 64_000, memoryMib: 128_000, accelerators: 8 },
-        queues: kinds.map(kind => kind.queue),
+        queues: [...new Map(kinds.map(({ queue }) => [queue.key, queue])).values()],
         ...(policies === undefined ? {} : { policies }),
+        ...(organisations === undefined ? {} : { organisations }),
         isAllowed: (stepName, workerId) =>
             hash(`${seed}|${stepName}|${workerId}`) % 100 < allowedPercent
             || workerId === `worker-${hash(stepName) % workers}`,
@@ -145,11 +157,12 @@
     for (let passedMs = 0; passedMs < forMs; passedMs += stepMs) {
         for (const kind of kinds) {
             const count = sent.get(kind) ?? 0;
-            if (count * kind.everyMs <= passedMs) {
+            const { from, until } = kind.arrivesMs ?? { from: 0, until: forMs };
+            if (from + count * kind.everyMs <= passedMs && passedMs < until) {
                 sent.set(kind, count + 1);
                 const jobId = jobIdOf(jobs.length + 1);
                 jobs.push({ kind, jobId, sentAtMs: beginMs + passedMs });
-                cell.submit(jobId, kind.steps, kind.queue.key);
+                cell.submitFor(kind.organisation ?? "", jobId, kind.steps, kind.queue.key);
             }
         }
         await cell.clock.advance(stepMs);
