--- a/features/examples.feature
+++ b/features/examples.feature
@@ -62,6 +62,8 @@
             | commitWait           | unavailable                             |
             | endedJobs            | unknown, then cancelled                 |
             | accounts             | 2 tasks                                 |
+            | fairShares           | 1 south, 1 north, 1 north               |
+            | shortage             | not short, then short for 1 s           |
             | callerKeys           | north, then unauthenticated             |
             | batchWriter          | in force at version 1                   |
             | commitLog            | 3 jobs in 1 transaction                 |
--- a/features/fairShares.feature
+++ b/features/fairShares.feature
@@ -47,3 +47,49 @@
             | order | standing           | stopped |
             | value | , which is overdue | 0       |
             | value |                    | 1       |
+
+    # Guards against a decision by another resource than the one of which an organisation holds the largest share, and against
+    # weights of organisations that have no work.
+    Scenario Outline: Who holds more than its share: <holders>
+        Then of the organisations "<holders>" with 100 cores and 1000 MiB, "<over>" are over their share
+
+        Examples:
+            | holders                                           | over         |
+            | north 100 0 1                                     | none         |
+            | north 51 0 1, south 10 0 1                        | north        |
+            | north 50 0 1, south 50 0 1                        | none         |
+            | north 50 0 1, south 20 0 3                        | north        |
+            | north 10 510 1, south 40 0 1                      | north        |
+            | north 0 0 1, south 40 0 1, west 40 0 1            | south, west  |
+            | north 60 0 0, south 0 0 0                         | none         |
+            | north 1 0 0, south 0 0 1                          | north        |
+
+    # Guards against an order that changes while capacity is not short, and against steps that are put behind a lower priority.
+    # North holds 9 and south 1 of 16 cores; a step is given by its priority, organisation and cores.
+    Scenario Outline: The order with the policy <shares> while capacity is <room>
+        Then with the policy "<shares>" and capacity "<room>" the steps "<steps>" are placed as "<placed>"
+
+        Examples:
+            | shares   | room  | steps                                                | placed                                               |
+            | none     | short | 1 north 1, 1 south 1, 1 north 1, 1 south 4           | 1 north 1, 1 south 1, 1 north 1, 1 south 4           |
+            | heldRoom | free  | 1 north 1, 1 south 1, 1 north 1, 1 south 4           | 1 north 1, 1 south 1, 1 north 1, 1 south 4           |
+            | heldRoom | short | 1 north 1, 1 south 1, 1 north 2, 1 south 4           | 1 south 1, 1 south 4, 1 north 1, 1 north 2           |
+            | heldRoom | short | 0 north 1, 1 north 1, 1 south 1, 2 north 1, 2 south 1 | 0 north 1, 1 south 1, 1 north 1, 2 south 1, 2 north 1 |
+            | heldRoom | short | 1 south 8, 1 south 1, 1 east 1                       | 1 south 8, 1 east 1, 1 south 1                       |
+
+    # Guards against an organisation whose burst delays the jobs of the others, and against a change of the configuration or of
+    # the owner after which that is so. Ten organisations with equal weights use 0.9 times the capacity; the first one sends at 5
+    # times its rate for 7 s.
+    Scenario Outline: A burst of one organisation beside nine others with the policy <shares>, while <event>
+        When one of 10 organisations sends at 5 times its rate for 7000 ms with the policy "<shares>" while "<event>"
+        Then <worst> percent of the jobs of the worst-served other organisation are in time
+        And every job ends in the end
+        And no capacity limit or execution guarantee was violated
+
+        Examples:
+            | shares   | event                     | worst     |
+            | none     | nothing else happens      | 0 to 75   |
+            | heldRoom | nothing else happens      | 95 to 100 |
+            | heldRoom | its cap is lowered        | 95 to 100  |
+            | heldRoom | it is removed and returns | 95 to 100  |
+            | heldRoom | the owner is lost         | 95 to 100  |
--- a/features/steps/examples/shardPlacement.ts
+++ b/features/steps/examples/shardPlacement.ts
@@ -7,12 +7,15 @@
     avoidedBy,
     chooseVictims,
     countTasksThatFit,
+    createAccounts,
     createAdviceCallSizer,
     createAdviceDispatcher,
     createAdviceRequester,
     createCapacityView,
     createCapView,
     createChooser,
+    createFairShares,
+    createShortage,
     createTaskPlacer,
     defaultShardSettings,
     freeCapacityOf,
@@ -23,6 +26,7 @@
     newJob,
     noResources,
     planReservations,
+    type RankedStep,
     shouldRequestAhead,
     startableTasks,
 } from "puffinarch";
@@ -164,6 +168,32 @@
     return ranked.map(({ step, standing }) => `${step.occurrence.job.order} ${standing}`).join(", ");
 };
 
+const fairShares = (): string => {
+    const accounts = createAccounts();
+    const workers = new Map([["i-1", openWorker()]]);
+    accounts.of("north").held = openWorker().entry.capacity;
+    const ranked: readonly RankedStep[] = ["north", "north", "south"].map((name, index) => {
+        const job = newJob(submission, testQueue, { acceptedAtMs: 0, order: index, account: accounts.of(name) });
+        return { step: taskOf(job).step, standing: "onTime", dueAtMs: 0 };
+    });
+    const policies = { order: "due", shares: "heldRoom" } as const;
+    const shortage = { isShort: () => true };
+    const shares = createFairShares({ log, meter, policies, workers, accounts, shortage });
+    return [...shares.arrange(ranked, 0)].map(({ step }) => `1 ${step.occurrence.job.account.organisation}`).join(", ");
+};
+
+const shortage = (): string => {
+    const full = openWorker();
+    const short = createShortage(new Map([["i-1", full]]));
+    const { step } = taskOf(exampleJob());
+    short.recordWait(step, 0);
+    const before = short.isShort(0) ? "short" : "not short";
+    full.held = full.entry.capacity;
+    short.recordWait(step, 200);
+    const after = short.isShort(1_100) && !short.isShort(1_200) ? "short for 1 s" : "something else";
+    return `${before}, then ${after}`;
+};
+
 const adviceRequester = async (): Promise<string> => {
     const clock = createFakeClock();
     const { step } = taskOf(exampleJob());
@@ -246,6 +276,8 @@
     blockedSteps,
     planReservations: plan,
     urgency,
+    fairShares,
+    shortage,
     adviceRequester,
     trials,
 };
--- a/features/steps/fairSharesSteps.ts
+++ b/features/steps/fairSharesSteps.ts
@@ -9,6 +9,7 @@
     jobIdOf,
     type LoadKind,
     type LoadOutcome,
+    noopLog,
     noopMeter,
     playLoad,
     readSteps,
@@ -18,13 +19,18 @@
 import assert from "node:assert/strict";
 import {
     type Accounts,
+    add,
     createAccounts,
+    createFairShares,
     createTaskPlacer,
     defaultShardSettings,
     holdCapacity,
+    isOverShare,
     newJob,
     newRun,
     newWorker,
+    noResources,
+    type Organisation,
     type RankedStep,
     runPhases,
     type SchedulingOrder,
@@ -34,6 +40,8 @@
     type ShardRun,
     type ShardStep,
     type ShardWorker,
+    type ShareHolder,
+    sharesPolicies,
     type Standing,
     standings,
     type TaskPlacer,
@@ -90,15 +98,21 @@
 const play = async (
     world: ScenarioWorld,
     kinds: readonly LoadKind[],
-    { forMs, policies }: { readonly forMs: number; readonly policies: Partial<ShardPolicies>; },
+    { forMs, policies, organisations, actions }: {
+        readonly forMs: number;
+        readonly policies: Partial<ShardPolicies>;
+        readonly organisations?: readonly Organisation[];
+        readonly actions?: Parameters<typeof playLoad>[2]["actions"];
+    },
 ): Promise<void> => {
     const cell = createLoadCell(kinds, {
         workers,
         seed: 1,
         allowedPercent: 100,
         policies: { ...defaultShardSettings.policies, ...policies },
+        organisations,
     });
-    part(world).outcomes = await playLoad(cell, kinds, { forMs, restMs });
+    part(world).outcomes = await playLoad(cell, kinds, { forMs, restMs, actions });
     loadPart(world).breaches = cell.breaches();
 };
 
@@ -138,9 +152,10 @@
     }
 });
 
-const policiesOf = (order: string, _shares: string, _headroom: string): ShardPolicies => ({
+const policiesOf = (order: string, shares: string, _headroom: string): ShardPolicies => ({
     ...defaultShardSettings.policies,
     order: orderOf(order),
+    shares: sharesPolicies.find(each => each === shares) ?? assert.fail(shares),
 });
 
 const createPlacement = (count: number, cores: number, policies: ShardPolicies): Placement => {
@@ -253,3 +268,115 @@
 Then(/^(no|\d+) runs? (?:was|were) stopped$/, function(this: ScenarioWorld, count: string) {
     assert.equal(placementOf(this).stopped.size, count === "no" ? 0 : Number(count));
 });
+
+/** Parses holders such as "north 51 0 1": name, cores, memory in MiB and weight. */
+const holderOf = (text: string): ShareHolder => {
+    const [organisation = "", cores, memoryMib, weight] = text.split(" ");
+    const held = { cpuMillis: 1_000 * Number(cores), memoryMib: Number(memoryMib), accelerators: 0 };
+    return { organisation, held, weight: Number(weight) };
+};
+
+Then(
+    "of the organisations {string} with {int} cores and {int} MiB, {string} are over their share",
+    (text: string, cores: number, memoryMib: number, expected: string) => {
+        const holders = text.split(", ").map(holderOf);
+        const room = { cpuMillis: 1_000 * cores, memoryMib, accelerators: 0 };
+        const over = holders.filter(holder => isOverShare(holder, holders, room)).map(each => each.organisation);
+        assert.equal(over.join(", ") || "none", expected);
+    },
+);
+
+Then(
+    "with the policy {string} and capacity {string} the steps {string} are placed as {string}",
+    (shares: string, room: string, text: string, expected: string) => {
+        const placement = createPlacement(2, 8, policiesOf("due", shares, "none"));
+        for (const [name, cores] of [["north", 9], ["south", 1], ["east", 0]] as const) {
+            placement.accounts.of(name).held = { ...noResources, cpuMillis: 1_000 * cores };
+        }
+        const texts = text.split(", ");
+        const ranked: readonly RankedStep[] = texts.map(each => {
+            const [priority, organisation = "", cores] = each.split(" ");
+            const job = jobOf(placement, `1 of ${cores} cores`, { priority: Number(priority), organisation });
+            return { step: taskOf(job).step, standing: standings.onTime, dueAtMs: Infinity };
+        });
+        const { workers: byId, accounts } = placement;
+        const policies = policiesOf("due", shares, "none");
+        const shortage = { isShort: () => room === "short" };
+        const fairShares = createFairShares({
+            log: noopLog,
+            meter: noopMeter,
+            policies,
+            workers: byId,
+            accounts,
+            shortage,
+        });
+        const placed: string[] = [];
+        for (const each of fairShares.arrange(ranked, 0)) {
+            placed.push(texts[ranked.indexOf(each)] ?? "");
+            const { account } = each.step.occurrence.job;
+            account.held = add(account.held, each.step.spec.size);
+        }
+        assert.equal(placed.join(", "), expected);
+    },
+);
+
+const organisationsOf = (names: readonly string[], firstCap = noResources): readonly Organisation[] =>
+    names.map((name, index) => ({ name, keyDigests: [], weight: 1, cap: index === 0 ? firstCap : noResources }));
+
+/** What happens besides the load, by name; the burst lasts from 3 to 10 s. */
+const events: Readonly<
+    Record<string, (names: readonly string[]) => NonNullable<Parameters<typeof playLoad>[2]["actions"]>>
+> = {
+    "nothing else happens": () => [],
+    "its cap is lowered": names => {
+        const cap = { ...noResources, cpuMillis: 48_000 };
+        return [{ atMs: 5_000, act: cell => cell.configure(2, organisationsOf(names, cap)) }];
+    },
+    "it is removed and returns": names => [
+        { atMs: 5_000, act: cell => cell.configure(2, organisationsOf(names).slice(1)) },
+        { atMs: 8_000, act: cell => cell.configure(3, organisationsOf(names)) },
+    ],
+    "the owner is lost": () => [{ atMs: 5_000, act: cell => cell.kill(cell.owner() ?? "") }],
+};
+
+When(
+    "one of {int} organisations sends at {int} times its rate for {int} ms with the policy {string} while {string}",
+    async function(
+        this: ScenarioWorld,
+        count: number,
+        factor: number,
+        burstMs: number,
+        shares: string,
+        event: string,
+    ) {
+        const names = Array.from({ length: count }, (_, index) => `organisation-${index}`);
+        // Each job takes 26 core-seconds of 256 cores.
+        const everyMs = 25_600 * count / (0.9 * 64 * workers);
+        const queue = { priority: 1, stretch: 2, targetRuntimeMs: 700, advice: undefined };
+        const kind = createKind("all", "4 of 8 cores for 800 ms", everyMs, queue);
+        const burst: LoadKind = {
+            ...kind,
+            name: "burst",
+            organisation: names[0] ?? "",
+            everyMs: everyMs / (factor - 1),
+            arrivesMs: { from: 3_000, until: 3_000 + burstMs },
+        };
+        await play(this, [...names.map(name => ({ ...kind, name, organisation: name })), burst], {
+            forMs: 14_000,
+            policies: policiesOf("value", shares, "none"),
+            organisations: organisationsOf(names),
+            actions: (events[event] ?? assert.fail(event))(names),
+        });
+    },
+);
+
+Then(
+    /^(\d+) to (\d+) percent of the jobs of the worst-served other organisation are in time$/,
+    function(this: ScenarioWorld, least: string, most: string) {
+        const outcomes = Object.entries(part(this).outcomes).filter(([name]) =>
+            name !== "burst" && name !== "organisation-0"
+        );
+        const worst = Math.min(...outcomes.map(([, { onTime, submitted }]) => 100 * onTime / submitted));
+        assert.ok(worst >= Number(least) && worst <= Number(most), `${worst} percent: ${JSON.stringify(outcomes)}`);
+    },
+);
--- a/features/steps/loadSteps.ts
+++ b/features/steps/loadSteps.ts
@@ -66,6 +66,7 @@
     "workers of 8 accelerators with policies {string}, {string}, {string}",
     function(this: ScenarioWorld, order: string, packing: string, room: string) {
         loadPart(this).policies = {
+            ...defaultShardSettings.policies,
             order: parseName(Object.keys(schedulingOrders) as (keyof typeof schedulingOrders)[], order),
             packing: parseName(Object.keys(packings) as (keyof typeof packings)[], packing),
             room: parseName(roomPolicies, room),
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -400,6 +400,7 @@
         meter,
         settings,
         workers: workers.all,
+        accounts,
         dispatcher: adviceDispatcher,
         onPlanned: startPlanned,
         onPreempt: workers.stop,
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -11,6 +11,8 @@
     readonly packing: Packing;
     /** Whether capacity is reserved, and less urgent runs are preempted, for tasks that do not fit anywhere. */
     readonly room: RoomPolicy;
+    /** Whether organisations that hold more than their share of the capacity come after the others while it is short. */
+    readonly shares: SharesPolicy;
 }
 
 /**
@@ -21,6 +23,14 @@
 /** One of `roomPolicies`. */
 export type RoomPolicy = (typeof roomPolicies)[number];
 
+/**
+ * `heldRoom`: while capacity is short, steps of an organisation that holds more than its weighted share of it come after those of
+ * the others within the same priority and standing. `none`: what an organisation holds does not change the order.
+ */
+export const sharesPolicies = ["none", "heldRoom"] as const;
+/** One of `sharesPolicies`. */
+export type SharesPolicy = (typeof sharesPolicies)[number];
+
 /** Timings and limits of a shard's owner. */
 export interface ShardSettings {
     /** Lease of each run; longer than a takeover, and short enough that the tasks of a lost worker soon run again. */
@@ -92,5 +102,5 @@
     usualAdviceWorkers: 40,
     maxAdviceWorkers: 100,
     retryAfterMs: 1_000,
-    policies: { order: "due", packing: "scarcest", room: "planned" },
+    policies: { order: "due", packing: "scarcest", room: "planned", shares: "none" },
 };
--- a/packages/puffinarch/src/core/shard/taskPlacer.ts
+++ b/packages/puffinarch/src/core/shard/taskPlacer.ts
@@ -1,5 +1,6 @@
 /** Scheduling passes over all steps with waiting tasks: the most urgent step first, each task to a worker with free capacity. */
 
+import type { Accounts } from "./accounts.js";
 import { shouldRequestAhead } from "./adviceAhead.js";
 import { type AdviceRequesterOptions, createAdviceRequester } from "./adviceRequester.js";
 import { isBlocked, recordBlocked } from "./blockedSteps.js";
@@ -8,6 +9,7 @@
 import { type Chooser, createChooser, openWorkersFor } from "./chooseWorker.js";
 import { awaitsCrashConfirmation, needsTrial } from "./crashes.js";
 import { isAtCap } from "./eligible.js";
+import { createFairShares } from "./fairShares.js";
 import {
     hasEnded,
     isReady,
@@ -20,6 +22,7 @@
     stepNameOf,
 } from "./jobModel.js";
 import { planReservations } from "./planReservations.js";
+import { createShortage } from "./shortage.js";
 import { fellSilentAtStart, holdForTrial, startableTasks } from "./trials.js";
 import { inSchedulingOrder, isPlacedLast, type RankedStep, standings } from "./urgency.js";
 import { dropRun, holdCapacity, type ShardWorker } from "./workerTable.js";
@@ -30,6 +33,8 @@
     readonly onPlanned: (job: ShardJob, runs: readonly ShardRun[]) => void;
     /** Receives a run to be stopped with its checkpoint, to free its capacity. */
     readonly onPreempt: (run: ShardRun) => void;
+    /** The organisations' use, for the policy `shares`. */
+    readonly accounts?: Pick<Accounts, "all">;
     /** Requests another pass soon; requests made before it begins are merged. */
     readonly wake: () => void;
 }
@@ -89,7 +94,8 @@
  * placer.runPass();
  */
 export const createTaskPlacer = (options: TaskPlacerOptions): TaskPlacer => {
-    const { clock, log, meter, settings, workers, dispatcher, onPlanned } = options;
+    const { clock, log, meter, settings, workers, dispatcher, onPlanned, accounts } = options;
+    const { policies } = settings;
     const ready = new Set<ShardStep>();
     /** Steps that wait for their predecessors and for which no advice was requested yet. */
     const upcoming = new Set<ShardStep>();
@@ -123,6 +129,8 @@
     });
     const plans = new Map<ShardStep, CapacityPlan>();
     const capWaits: CapWaits = new WeakMap();
+    const shortage = createShortage(workers);
+    const fairShares = createFairShares({ log, meter, policies, workers, accounts, shortage });
 
     /** Ends the trial waits of placed tasks. For a gang, call it only once all members have a worker. */
     const endTrialWaits = (runs: readonly ShardRun[]): void => {
@@ -132,7 +140,7 @@
     };
 
     const chooserFor = (step: ShardStep, { nowMs, view }: PassContext): Chooser =>
-        createChooser(step, workers, { nowMs, view, packing: settings.policies.packing });
+        createChooser(step, workers, { nowMs, view, packing: policies.packing });
 
     /** Starts the wait of tasks on trial for a worker of their own; the members of a gang start it together. */
     const startTrialWaits = (tasks: readonly ShardTask[]): void => {
@@ -278,7 +286,7 @@
         context: PassContext,
     ): readonly Reservation[] => {
         const { nowMs, wallMs, view } = context;
-        if (settings.policies.room === "none" || standing !== standings.onTime || step.spec.fills) {
+        if (policies.room === "none" || standing !== standings.onTime || step.spec.fills) {
             return [];
         }
         context.planned += 1;
@@ -363,7 +371,7 @@
                 copyable.add(step);
             }
         }
-        const isLast = isPlacedLast(ranked, settings.policies.order);
+        const isLast = isPlacedLast(ranked, policies.order);
         const priority = isLast ? context.leastPriority : step.occurrence.job.queue.priority;
         if (step.spec.gang && waiting.length < step.tasks.length) {
             // A gang starts only as a whole, once runs of its other members have ended; its tickets are requested meanwhile.
@@ -378,6 +386,9 @@
             step.blockedBeforeMs = 0;
         }
         if (unplaced > 0) {
+            if (policies.shares !== "none") {
+                shortage.recordWait(step, nowMs);
+            }
             // A task on trial needs a worker without other runs, so that a reservation on a shared worker is of no use to it.
             const reservations = step.tasks.some(needsTrial) ? [] : reserveCapacity(ranked, unplaced, context);
             context.caps.reserve(step, reservations.length);
@@ -404,7 +415,7 @@
 
     const runPass = (): void => {
         const nowMs = clock.monotonicMs();
-        const order = inSchedulingOrder(ready, { clock, workers, order: settings.policies.order });
+        const order = inSchedulingOrder(ready, { clock, workers, order: policies.order });
         const context: PassContext = {
             nowMs,
             wallMs: clock.nowMs(),
@@ -413,7 +424,7 @@
             caps: createCapView(nowMs, capWaits),
             leastPriority: order.reduce((most, { step }) => Math.max(most, step.occurrence.job.queue.priority), 0),
         };
-        for (const ranked of order) {
+        for (const ranked of fairShares.arrange(order, nowMs)) {
             placeStep(ranked, context);
         }
         requestAdviceAhead(context);
--- a/packages/puffinarch/src/core/shard/urgency.ts
+++ b/packages/puffinarch/src/core/shard/urgency.ts
@@ -170,6 +170,25 @@
 /** Name of a scheduling order. */
 export type SchedulingOrder = keyof typeof schedulingOrders;
 
+/** The criteria of each order that come before the time at which a job is due or was accepted. */
+const schedulingRanks: Readonly<Record<SchedulingOrder, (left: RankedStep, right: RankedStep) => number>> = {
+    acceptance: byPriority,
+    due: (left, right) => byPriority(left, right) || byStanding(left, right),
+    value: (left, right) => byPriority(left, right) || byStanding(left, right),
+    shares: (left, right) => byShare(left, right) || byPriority(left, right) || byStanding(left, right),
+    sharesWithinPriority: (left, right) => byPriority(left, right) || byShare(left, right) || byStanding(left, right),
+};
+
+/**
+ * Tells whether an order places two steps only by the time at which their jobs are due or were accepted: they have the same
+ * priority and, in all orders but `acceptance`, the same standing.
+ *
+ * @example
+ * isSameRank(left, right, "due"); // true for two steps of priority 0 that are in time
+ */
+export const isSameRank = (left: RankedStep, right: RankedStep, order: SchedulingOrder): boolean =>
+    schedulingRanks[order](left, right) === 0;
+
 /**
  * Tells whether an order places a step after all others because its job can no longer be of value. Such a step takes capacity
  * that is free, but nothing is reserved, stopped or requested early for it.
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -199,6 +199,7 @@
 export {
     inSchedulingOrder,
     isPlacedLast,
+    isSameRank,
     type RankedStep,
     rankStep,
     type SchedulingOrder,
@@ -215,7 +216,18 @@
     type RoomPolicy,
     type ShardPolicies,
     type ShardSettings,
+    sharesPolicies,
+    type SharesPolicy,
 } from "./internal.js";
+export {
+    createFairShares,
+    dominantShareOf,
+    type FairShares,
+    type FairSharesOptions,
+    isOverShare,
+    type ShareHolder,
+} from "./internal.js";
+export { createShortage, hasCapacityFor, type Shortage } from "./internal.js";
 export { endedTable, journalTable, ownerKey, ownerTable, sequenceKey, upkeepTable } from "./internal.js";
 export { createTaskReview, type TaskReview, type TaskReviewOptions } from "./internal.js";
 export {
--- a/packages/stand-ins/src/shard/shardLoad.ts
+++ b/packages/stand-ins/src/shard/shardLoad.ts
@@ -148,7 +148,12 @@
 export const playLoad = async (
     cell: ShardCell,
     kinds: readonly LoadKind[],
-    { forMs, restMs }: { readonly forMs: number; readonly restMs: number; },
+    { forMs, restMs, actions = [] }: {
+        readonly forMs: number;
+        readonly restMs: number;
+        /** What else happens, by the time from the beginning of the load; a multiple of 10 ms. */
+        readonly actions?: readonly { readonly atMs: number; readonly act: (cell: ShardCell) => void; }[];
+    },
 ): Promise<Readonly<Record<string, LoadOutcome>>> => {
     const jobs: LoadJob[] = [];
     const sent = new Map<LoadKind, number>();
@@ -165,6 +170,9 @@
                 cell.submitFor(kind.organisation ?? "", jobId, kind.steps, kind.queue.key);
             }
         }
+        for (const { act } of actions.filter(({ atMs }) => atMs === passedMs)) {
+            act(cell);
+        }
         await cell.clock.advance(stepMs);
     }
     await cell.clock.advance(restMs);
