--- a/features/examples.feature
+++ b/features/examples.feature
@@ -63,6 +63,7 @@
             | endedJobs            | unknown, then cancelled                 |
             | accounts             | 2 tasks                                 |
             | fairShares           | 1 south, 1 north, 1 north               |
+            | headroom             | 10 cores, 1 core of arrivals, then 0    |
             | shortage             | not short, then short for 1 s           |
             | callerKeys           | north, then unauthenticated             |
             | batchWriter          | in force at version 1                   |
--- a/features/fairShares.feature
+++ b/features/fairShares.feature
@@ -93,3 +93,60 @@
             | heldRoom | its cap is lowered        | 95 to 100  |
             | heldRoom | it is removed and returns | 95 to 100  |
             | heldRoom | the owner is lost         | 95 to 100  |
+
+    # Guards against headroom that exceeds a fifth of all capacity, that counts what urgent work holds anyway, or that leaves
+    # capacity free while less than half of it is in use or nothing waits.
+    Scenario Outline: Headroom of 100 cores, <used> used, urgent work of <urgent> cores that holds <held>, <room>
+        Then the headroom is <cores> cores with <used> of 100 cores used, urgent work of <urgent> cores that holds <held>, and capacity "<room>"
+
+        Examples:
+            | used | urgent | held | room  | cores |
+            | 90   | 15     | 5    | short | 10    |
+            | 90   | 40     | 5    | short | 20    |
+            | 90   | 5      | 9    | short | 0     |
+            | 90   | 15     | 5    | free  | 0     |
+            | 50   | 15     | 5    | short | 0     |
+            | 51   | 15     | 5    | short | 10    |
+            | 100  | 0      | 0    | short | 0     |
+
+    # Guards against batches that take each piece of capacity between two urgent jobs. Urgent jobs need 0.15 times the capacity and
+    # come for 9 s, batches need 1.1 times the capacity for 15 s.
+    Scenario Outline: Urgent jobs beside wide batches with the headroom <headroom>
+        When urgent jobs arrive for 9000 ms beside wide batches for 15000 ms, with the headroom "<headroom>"
+        Then <urgent> percent of the "urgent" jobs are in time
+        And 95 to 100 percent of the "batch" jobs are in time
+        And every job ends in the end
+        And no capacity limit or execution guarantee was violated
+
+        Examples:
+            | headroom       | urgent    |
+            | none           | 0 to 40   |
+            | urgentArrivals | 90 to 100 |
+
+    # Guards against capacity that stays free for a burst that does not come again, and against accepted work that stands beside
+    # it for 3 s. Of 16 cores, 14 are in use when the urgent step has started; 2 more become free. "wide" has running tasks.
+    Scenario Outline: Headroom after a burst that does not come, with the policy <headroom>
+        Given 2 workers of 8 cores with the policies "value", "none", "<headroom>"
+        And a step "8 for 60000 ms" of priority 2 that runs on "worker-0"
+        And a step "2 for 60000 ms" of priority 2 that runs on "worker-1"
+        And a step "2 for 60000 ms" of priority 2 that runs on "worker-1" until it is ended
+        And a waiting step "2 for 6000 ms" of priority 0 called "urgent"<accepted>
+        And a waiting step "6 for 1000 ms" of priority 2 called "wide"
+        When the placer runs for 100 ms
+        Then the step "urgent" has 2 runs
+        And the step "wide" has 2 runs
+        Given a waiting step "6 for 1100 ms" of priority 2 called "other"
+        And a waiting step "1 for 100 ms" of priority 2 called "tight"
+        When the placer runs for 100 ms, the runs are ended, and it runs for 1000 ms
+        Then the step "tight" has <tight> runs
+        And the step "wide" has <early> runs
+        When the placer runs for 1100 ms
+        Then the step "other" has <other> runs
+        When the placer runs for 1000 ms
+        Then <free> cores are free
+
+        Examples:
+            | headroom       | accepted                    | tight | early | other | free |
+            | urgentArrivals |                             | 1     | 2     | 1     | 0    |
+            | urgentArrivals | , accepted by another owner | 1     | 3     | 0     | 0    |
+            | none           |                             | 1     | 3     | 0     | 0    |
--- a/features/steps/examples/shardPlacement.ts
+++ b/features/steps/examples/shardPlacement.ts
@@ -17,6 +17,7 @@
     createFairShares,
     createShortage,
     createTaskPlacer,
+    createUrgentArrivals,
     defaultShardSettings,
     freeCapacityOf,
     inSchedulingOrder,
@@ -25,6 +26,7 @@
     newAccount,
     newJob,
     noResources,
+    planHeadroom,
     planReservations,
     type RankedStep,
     shouldRequestAhead,
@@ -194,6 +196,17 @@
     return `${before}, then ${after}`;
 };
 
+const headroom = (): string => {
+    const inputs = { capacityCores: 100, usedCores: 90, urgentCores: 15, urgentHeldCores: 5, isShort: true };
+    const arrivals = createUrgentArrivals();
+    for (let nowMs = 0; nowMs < 3_000; nowMs += plainStep.estimateMs) {
+        arrivals.record(taskOf(exampleJob()).step, nowMs);
+    }
+    return `${planHeadroom(inputs)} cores, ${Math.round(arrivals.cores(2_999))} core of arrivals, then ${
+        arrivals.cores(6_000)
+    }`;
+};
+
 const adviceRequester = async (): Promise<string> => {
     const clock = createFakeClock();
     const { step } = taskOf(exampleJob());
@@ -278,6 +291,7 @@
     urgency,
     fairShares,
     shortage,
+    headroom,
     adviceRequester,
     trials,
 };
--- a/features/steps/fairSharesSteps.ts
+++ b/features/steps/fairSharesSteps.ts
@@ -24,6 +24,9 @@
     createFairShares,
     createTaskPlacer,
     defaultShardSettings,
+    dropRun,
+    freeCapacityOf,
+    headroomPolicies,
     holdCapacity,
     isOverShare,
     newJob,
@@ -31,6 +34,7 @@
     newWorker,
     noResources,
     type Organisation,
+    planHeadroom,
     type RankedStep,
     runPhases,
     type SchedulingOrder,
@@ -59,6 +63,8 @@
     readonly steps: Map<string, ShardStep>;
     readonly stopped: Set<ShardRun>;
     readonly logged: { readonly event: string; readonly fields: Readonly<Record<string, unknown>>; }[];
+    /** Runs that a scenario ends. */
+    readonly toEnd: ShardRun[];
     order: number;
 }
 
@@ -152,10 +158,11 @@
     }
 });
 
-const policiesOf = (order: string, shares: string, _headroom: string): ShardPolicies => ({
+const policiesOf = (order: string, shares: string, headroom: string): ShardPolicies => ({
     ...defaultShardSettings.policies,
     order: orderOf(order),
     shares: sharesPolicies.find(each => each === shares) ?? assert.fail(shares),
+    headroom: headroomPolicies.find(each => each === headroom) ?? assert.fail(headroom),
 });
 
 const createPlacement = (count: number, cores: number, policies: ShardPolicies): Placement => {
@@ -187,16 +194,22 @@
         onPreempt: run => stopped.add(run),
         wake: () => {},
     });
-    return { clock, workers: workersById, placer, accounts, steps: new Map(), stopped, logged, order: 1 };
+    return { clock, workers: workersById, placer, accounts, steps: new Map(), stopped, logged, toEnd: [], order: 1 };
 };
 
-/** Creates the job of a step; an overdue one was accepted so long ago that it can be of no value. */
+/** How long before the step of the scenario a job was accepted. */
+const agesMs: Readonly<Record<string, number>> = {
+    ", which is overdue": 1_000_000,
+    ", accepted by another owner": 100,
+};
+
+/** Creates the job of a step. */
 const jobOf = (
     placement: Placement,
     text: string,
-    { priority, overdue = false, organisation = "" }: {
+    { priority, ageMs = 0, organisation = "" }: {
         readonly priority: number;
-        readonly overdue?: boolean;
+        readonly ageMs?: number;
         readonly organisation?: string;
     },
 ): ShardJob => {
@@ -209,7 +222,7 @@
         targetRuntimeMs: 1_000,
         advice: undefined,
     };
-    const acceptedAtMs = placement.clock.nowMs() - (overdue ? 1_000_000 : 0);
+    const acceptedAtMs = placement.clock.nowMs() - ageMs;
     return newJob(
         { ...submission, jobId: jobIdOf(placement.order), queueKey: queue.key, organisation, steps: readSteps(text) },
         queue,
@@ -233,24 +246,27 @@
 );
 
 Given(
-    "a step {string} of priority {int} that runs on {string}",
-    function(this: ScenarioWorld, text: string, priority: number, workerId: string) {
+    /^a step "([^"]+)" of priority (\d+) that runs on "([^"]+)"( until it is ended)?$/,
+    function(this: ScenarioWorld, text: string, priority: string, workerId: string, ended: string | null) {
         const placement = placementOf(this);
         const worker = placement.workers.get(workerId) ?? assert.fail(workerId);
-        for (const task of taskOf(jobOf(placement, text, { priority })).step.tasks) {
+        for (const task of taskOf(jobOf(placement, text, { priority: Number(priority) })).step.tasks) {
             const startedAtMs = placement.clock.monotonicMs();
             const run = newRun(task, workerId, 1, { phase: runPhases.running, startedAtMs });
             assert.ok(holdCapacity(worker, run));
             task.runs.push(run);
+            if (ended !== null) {
+                placement.toEnd.push(run);
+            }
         }
     },
 );
 
 Given(
-    /^a waiting step "([^"]+)" of priority (\d+) called "([^"]+)"(, which is overdue)?$/,
-    function(this: ScenarioWorld, text: string, priority: string, name: string, overdue: string | null) {
+    /^a waiting step "([^"]+)" of priority (\d+) called "([^"]+)"(, which is overdue|, accepted by another owner)?$/,
+    function(this: ScenarioWorld, text: string, priority: string, name: string, accepted: string | null) {
         const placement = placementOf(this);
-        const job = jobOf(placement, text, { priority: Number(priority), overdue: overdue !== null });
+        const job = jobOf(placement, text, { priority: Number(priority), ageMs: agesMs[accepted ?? ""] ?? 0 });
         placement.steps.set(name, taskOf(job).step);
         placement.placer.updateJob(job);
     },
@@ -260,6 +276,54 @@
     await advance(placementOf(this), forMs);
 });
 
+When(
+    "the placer runs for {int} ms, the runs are ended, and it runs for {int} ms",
+    async function(this: ScenarioWorld, beforeMs: number, afterMs: number) {
+        const placement = placementOf(this);
+        await advance(placement, beforeMs);
+        for (const run of placement.toEnd) {
+            dropRun(placement.workers.get(run.workerId) ?? assert.fail(run.workerId), run);
+        }
+        await advance(placement, afterMs);
+    },
+);
+
+Then("{int} cores are free", function(this: ScenarioWorld, cores: number) {
+    const free = [...placementOf(this).workers.values()].map(worker => freeCapacityOf(worker).cpuMillis);
+    assert.equal(free.reduce((sum, each) => sum + each, 0), 1_000 * cores);
+});
+
+Then(
+    "the headroom is {int} cores with {int} of {int} cores used, urgent work of {int} cores that holds {int}, and capacity {string}",
+    (cores: number, usedCores: number, capacityCores: number, urgentCores: number, held: number, room: string) => {
+        const inputs = { capacityCores, usedCores, urgentCores, urgentHeldCores: held, isShort: room === "short" };
+        assert.equal(planHeadroom(inputs), cores);
+    },
+);
+
+When(
+    "urgent jobs arrive for {int} ms beside wide batches for {int} ms, with the headroom {string}",
+    async function(this: ScenarioWorld, urgentMs: number, forMs: number, headroom: string) {
+        // Of 256 cores; an urgent job takes 29 core-seconds, a batch 425.
+        const urgent = createKind("urgent", "3 of 12 cores for 800 ms", 28_800 / (0.15 * 64 * workers), {
+            priority: 0,
+            stretch: 1.5,
+            targetRuntimeMs: 250,
+            advice: undefined,
+        });
+        const batch = createKind("batch", "25 of 5 cores for 3400 ms", 425_000 / (1.1 * 64 * workers), {
+            priority: 2,
+            stretch: 4,
+            targetRuntimeMs: 10_000,
+            advice: undefined,
+        });
+        await play(this, [{ ...urgent, arrivesMs: { from: 0, until: urgentMs } }, batch], {
+            forMs,
+            policies: policiesOf("value", "none", headroom),
+        });
+    },
+);
+
 Then("the step {string} has {int} run(s)", function(this: ScenarioWorld, name: string, count: number) {
     const step = placementOf(this).steps.get(name) ?? assert.fail(name);
     assert.equal(step.tasks.filter(task => task.runs.length > 0).length, count);
--- a/packages/puffinarch/src/core/shard/capacityView.ts
+++ b/packages/puffinarch/src/core/shard/capacityView.ts
@@ -2,6 +2,7 @@
 
 import { add, fits, noResources, type Resources, subtract } from "../../types/resources.js";
 import { isBlockedLong, maxBlockedMs } from "./blockedSteps.js";
+import type { PassHeadroom } from "./headroom.js";
 import type { ShardRun, ShardStep } from "./jobModel.js";
 import { freeCapacityOf, type ShardWorker } from "./workerTable.js";
 
@@ -82,13 +83,13 @@
 };
 
 /**
- * Creates the view of one pass, without reservations.
+ * Creates the view of one pass, without reservations. Steps leave the given headroom free.
  *
  * @example
  * const view = createCapacityView(clock.monotonicMs());
  * view.capacityFor(worker, step);
  */
-export const createCapacityView = (nowMs: number): CapacityView => {
+export const createCapacityView = (nowMs: number, headroom?: Pick<PassHeadroom, "keptFrom">): CapacityView => {
     const reservationsByWorker = new Map<string, Reservation[]>();
     const reservationsOn = (worker: ShardWorker): readonly Reservation[] =>
         reservationsByWorker.get(worker.workerId) ?? [];
@@ -104,6 +105,10 @@
         },
         capacityFor: (worker, step, aheadMs = 0) => {
             let free = freeCapacityOf(worker);
+            const kept = headroom?.keptFrom(worker, step, nowMs + aheadMs);
+            if (kept !== undefined) {
+                free = subtract(free, kept);
+            }
             for (const reservation of reservationsOn(worker)) {
                 if (
                     reservation.step !== step && !canBackfill(step, reservation, nowMs)
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -13,6 +13,8 @@
     readonly room: RoomPolicy;
     /** Whether organisations that hold more than their share of the capacity come after the others while it is short. */
     readonly shares: SharesPolicy;
+    /** Whether steps of lower priorities leave capacity free for urgent work while it keeps arriving. */
+    readonly headroom: HeadroomPolicy;
 }
 
 /**
@@ -31,6 +33,14 @@
 /** One of `sharesPolicies`. */
 export type SharesPolicy = (typeof sharesPolicies)[number];
 
+/**
+ * `urgentArrivals`: while capacity is short and urgent work has arrived within the last 3 s, steps of a lower priority that can
+ * wait leave as much capacity free as urgent work needs at that rate, at most a fifth of all. `none`: they take what is free.
+ */
+export const headroomPolicies = ["none", "urgentArrivals"] as const;
+/** One of `headroomPolicies`. */
+export type HeadroomPolicy = (typeof headroomPolicies)[number];
+
 /** Timings and limits of a shard's owner. */
 export interface ShardSettings {
     /** Lease of each run; longer than a takeover, and short enough that the tasks of a lost worker soon run again. */
@@ -102,5 +112,5 @@
     usualAdviceWorkers: 40,
     maxAdviceWorkers: 100,
     retryAfterMs: 1_000,
-    policies: { order: "due", packing: "scarcest", room: "planned", shares: "none" },
+    policies: { order: "due", packing: "scarcest", room: "planned", shares: "none", headroom: "none" },
 };
--- a/packages/puffinarch/src/core/shard/taskPlacer.ts
+++ b/packages/puffinarch/src/core/shard/taskPlacer.ts
@@ -10,6 +10,7 @@
 import { awaitsCrashConfirmation, needsTrial } from "./crashes.js";
 import { isAtCap } from "./eligible.js";
 import { createFairShares } from "./fairShares.js";
+import { createHeadroom, type PassHeadroom } from "./headroom.js";
 import {
     hasEnded,
     isReady,
@@ -24,7 +25,7 @@
 import { planReservations } from "./planReservations.js";
 import { createShortage } from "./shortage.js";
 import { fellSilentAtStart, holdForTrial, startableTasks } from "./trials.js";
-import { inSchedulingOrder, isPlacedLast, type RankedStep, standings } from "./urgency.js";
+import { inSchedulingOrder, isPlacedLast, type RankedStep, slackMsOf, standings } from "./urgency.js";
 import { dropRun, holdCapacity, type ShardWorker } from "./workerTable.js";
 
 /** Dependencies of a task placer. */
@@ -72,6 +73,7 @@
     readonly nowMs: number;
     readonly wallMs: number;
     readonly view: CapacityView;
+    readonly headroom: PassHeadroom | undefined;
     /** Number of steps for which capacity was planned in this pass, or an earlier plan was reused. */
     planned: number;
     readonly caps: CapView;
@@ -131,6 +133,7 @@
     const capWaits: CapWaits = new WeakMap();
     const shortage = createShortage(workers);
     const fairShares = createFairShares({ log, meter, policies, workers, accounts, shortage });
+    const headroom = createHeadroom({ clock, log, meter, policies, workers, shortage });
 
     /** Ends the trial waits of placed tasks. For a gang, call it only once all members have a worker. */
     const endTrialWaits = (runs: readonly ShardRun[]): void => {
@@ -281,10 +284,11 @@
 
     /** Reserves capacity for tasks that found no worker, so that later steps of this pass do not take it. */
     const reserveCapacity = (
-        { step, standing, dueAtMs }: RankedStep,
+        ranked: RankedStep,
         waiting: number,
         context: PassContext,
     ): readonly Reservation[] => {
+        const { step, standing } = ranked;
         const { nowMs, wallMs, view } = context;
         if (policies.room === "none" || standing !== standings.onTime || step.spec.fills) {
             return [];
@@ -298,9 +302,6 @@
             lastPlan.reservations.forEach(view.reserve);
             return lastPlan.reservations;
         }
-        const remainingMs = step.occurrence.timing?.remainingByStepMs[step.number] ?? 0;
-        // Long-running steps and steps without an objective have no due time; any delay of their start is a loss.
-        const slackMs = Number.isFinite(dueAtMs) ? dueAtMs - wallMs - remainingMs : 0;
         const reservations = planReservations({
             step,
             waiting,
@@ -308,7 +309,7 @@
             view,
             nowMs,
             stopMs: settings.stopMs,
-            slackMs,
+            slackMs: slackMsOf(ranked, wallMs),
         });
         plans.set(step, { madeAtMs: nowMs, reservations });
         reservations.forEach(view.reserve);
@@ -333,6 +334,16 @@
         }
     };
 
+    /** Records whether a step with unplaced tasks lacks capacity, which only these policies depend on. */
+    const recordShortage = (step: ShardStep, context: PassContext): void => {
+        if (context.headroom?.isKeptBack(step) === true) {
+            shortage.recordKeptBack(context.nowMs);
+        }
+        else if (policies.shares !== "none" || policies.headroom !== "none") {
+            shortage.recordWait(step, context.nowMs);
+        }
+    };
+
     const placeStep = (ranked: RankedStep, context: PassContext): void => {
         const { step } = ranked;
         const { nowMs, view } = context;
@@ -346,6 +357,7 @@
             // Each of these tasks counts as lost after 3 s without a run. Their trials run one after the other, so all waits begin now.
             startTrialWaits(all.filter(task => !awaitsCrashConfirmation(task, nowMs)));
         }
+        context.headroom?.visit(ranked);
         const startable = startableTasks(step, all, { workers, nowMs });
         const waiting = context.caps.allowed(step, startable);
         if (waiting.length === 0 && startable.length > 0) {
@@ -386,9 +398,7 @@
             step.blockedBeforeMs = 0;
         }
         if (unplaced > 0) {
-            if (policies.shares !== "none") {
-                shortage.recordWait(step, nowMs);
-            }
+            recordShortage(step, context);
             // A task on trial needs a worker without other runs, so that a reservation on a shared worker is of no use to it.
             const reservations = step.tasks.some(needsTrial) ? [] : reserveCapacity(ranked, unplaced, context);
             context.caps.reserve(step, reservations.length);
@@ -416,10 +426,13 @@
     const runPass = (): void => {
         const nowMs = clock.monotonicMs();
         const order = inSchedulingOrder(ready, { clock, workers, order: policies.order });
+        const wallMs = clock.nowMs();
+        const passHeadroom = headroom.beginPass(nowMs, wallMs);
         const context: PassContext = {
             nowMs,
-            wallMs: clock.nowMs(),
-            view: createCapacityView(nowMs),
+            wallMs,
+            view: createCapacityView(nowMs, passHeadroom),
+            headroom: passHeadroom,
             planned: 0,
             caps: createCapView(nowMs, capWaits),
             leastPriority: order.reduce((most, { step }) => Math.max(most, step.occurrence.job.queue.priority), 0),
@@ -453,6 +466,7 @@
                     if (step.open > 0 && !ready.has(step) && isReady(step) && step.tasks.some(isWaiting)) {
                         step.readyAtMs = clock.monotonicMs();
                         ready.add(step);
+                        headroom.recordArrival(step);
                     }
                 }
             }
--- a/packages/puffinarch/src/core/shard/urgency.ts
+++ b/packages/puffinarch/src/core/shard/urgency.ts
@@ -199,6 +199,16 @@
 export const isPlacedLast = ({ standing }: Pick<RankedStep, "standing">, order: SchedulingOrder): boolean =>
     order === "value" && standing === standings.overdue;
 
+/**
+ * Gives how long a step may still wait for its job to meet its objective; 0 or less where it cannot. Long-running steps and
+ * steps without an objective have no due time, and any delay of their start is a loss.
+ *
+ * @example
+ * slackMsOf(ranked, clock.nowMs()); // 0 for a step without an objective
+ */
+export const slackMsOf = ({ step, dueAtMs }: RankedStep, wallMs: number): number =>
+    Number.isFinite(dueAtMs) ? dueAtMs - wallMs - (step.occurrence.timing?.remainingByStepMs[step.number] ?? 0) : 0;
+
 /** Clock, workers and scheduling order by which steps are sorted. */
 export interface SchedulingOrderOptions {
     readonly clock: Clock;
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -205,6 +205,7 @@
     type SchedulingOrder,
     type SchedulingOrderOptions,
     schedulingOrders,
+    slackMsOf,
     type Standing,
     standings,
 } from "./internal.js";
@@ -212,6 +213,8 @@
 export { createShardWorkers, type ShardWorkers, type ShardWorkersOptions } from "./internal.js";
 export {
     defaultShardSettings,
+    headroomPolicies,
+    type HeadroomPolicy,
     roomPolicies,
     type RoomPolicy,
     type ShardPolicies,
@@ -227,6 +230,16 @@
     isOverShare,
     type ShareHolder,
 } from "./internal.js";
+export {
+    createHeadroom,
+    createUrgentArrivals,
+    type Headroom,
+    type HeadroomInputs,
+    type HeadroomOptions,
+    type PassHeadroom,
+    planHeadroom,
+    type UrgentArrivals,
+} from "./internal.js";
 export { createShortage, hasCapacityFor, type Shortage } from "./internal.js";
 export { endedTable, journalTable, ownerKey, ownerTable, sequenceKey, upkeepTable } from "./internal.js";
 export { createTaskReview, type TaskReview, type TaskReviewOptions } from "./internal.js";
