--- a/features/fairShares.feature
+++ b/features/fairShares.feature
@@ -150,3 +150,29 @@
             | urgentArrivals |                             | 1     | 2     | 1     | 0    |
             | urgentArrivals | , accepted by another owner | 1     | 3     | 0     | 0    |
             | none           |                             | 1     | 3     | 0     | 0    |
+
+    # Guards against a misspelled policy that is taken for a default. The policy is on line 12 of the file.
+    Scenario Outline: A settings file with the wrong value of <field> is refused with its line
+        When the platform's settings with "<line>" are read
+        Then the error names line 12, field "<field>" and "<allowed>"
+
+        Examples:
+            | field             | line                               | allowed                                             |
+            | policies.order    | policies: { order: worth }         | due, value, shares, sharesWithinPriority            |
+            | policies.shares   | policies: { shares: heldroom }     | one of none, heldRoom                               |
+            | policies.headroom | policies: { headroom: always }     | one of none, urgentArrivals                         |
+            | contracts         | contracts: pressure                | a list of texts                                     |
+            | contracts[0]      | contracts: [3]                     | a non-empty text                                    |
+
+    Scenario Outline: Policies by the settings "<line>"
+        When the platform's settings with "<line>" are read
+        Then the shard's policies are "<policies>"
+
+        Examples:
+            | line                                             | policies                             |
+            |                                                  | value, none, none                    |
+            | contracts: null                                  | value, none, none                    |
+            | contracts: [quota]                               | value, none, none                    |
+            | contracts: [quota, pressure]                     | value, heldRoom, none                |
+            | contracts: [pressure]\npolicies: { shares: none } | value, none, none                    |
+            | policies: { order: due, headroom: urgentArrivals } | due, none, urgentArrivals          |
--- a/features/steps/fairSharesSteps.ts
+++ b/features/steps/fairSharesSteps.ts
@@ -25,6 +25,7 @@
     createTaskPlacer,
     defaultShardSettings,
     dropRun,
+    failureOf,
     freeCapacityOf,
     headroomPolicies,
     holdCapacity,
@@ -49,7 +50,9 @@
     type Standing,
     standings,
     type TaskPlacer,
+    type Violation,
 } from "puffinarch";
+import { parsePlatformSettings, shardPoliciesFor } from "puffinarch-platform";
 import { submission, taskOf } from "./examples/shardFixtures.js";
 import { loadPart } from "./loadSteps.js";
 import { partOf, type ScenarioWorld } from "./support.js";
@@ -71,10 +74,12 @@
 interface Part {
     outcomes: Readonly<Record<string, LoadOutcome>>;
     placement: Placement | undefined;
+    /** Order, shares and headroom by the settings that were read. */
+    policies: string;
 }
 
 const part = (world: ScenarioWorld): Part =>
-    partOf(world, "fairShares", () => ({ outcomes: {}, placement: undefined }));
+    partOf(world, "fairShares", () => ({ outcomes: {}, placement: undefined, policies: "refused" }));
 
 const placementOf = (world: ScenarioWorld): Placement =>
     part(world).placement ?? assert.fail("the scenario has no placer");
@@ -444,3 +449,35 @@
         assert.ok(worst >= Number(least) && worst <= Number(most), `${worst} percent: ${JSON.stringify(outcomes)}`);
     },
 );
+
+/** A valid settings file of the platform's daemon, up to line 11. */
+const validSettings = [
+    "vmId: entry-1",
+    "dataCentre: leon-feria",
+    "host: 10.0.0.1",
+    "callersAddress: 10.0.0.1:1",
+    "readinessAddress: 10.0.0.1:2",
+    "peerPorts: [1, 2]",
+    "storeAddress: 10.0.0.2:1",
+    "metricsPort: 9464",
+    "bounds:",
+    "  { graceS: 6, leaseLimitMs: 9000,",
+    "  stopMs: 900, statusS: 60 }",
+];
+
+When("the platform's settings with {string} are read", function(this: ScenarioWorld, line: string) {
+    let violations: readonly Violation[] = [];
+    try {
+        const settings = parsePlatformSettings([...validSettings, ...line.split("\\n")].join("\n"));
+        const { order, shares, headroom } = shardPoliciesFor(settings);
+        part(this).policies = `${order}, ${shares}, ${headroom}`;
+    }
+    catch (error) {
+        violations = failureOf(error).violations ?? [];
+    }
+    partOf(this, "violations", () => violations);
+});
+
+Then("the shard's policies are {string}", function(this: ScenarioWorld, policies: string) {
+    assert.equal(part(this).policies, policies);
+});
--- a/packages/puffinarchd/src/settingsFile.ts
+++ b/packages/puffinarchd/src/settingsFile.ts
@@ -4,9 +4,13 @@
 import { die, failureOf, rejectAll, type Violation } from "puffinarch";
 import { type Document, isMap, isNode, LineCounter, parseDocument } from "yaml";
 
+/** Splits the name of a field, such as `peers[0].port`, into keys and indices. */
+const pathOf = (field: string): (string | number)[] =>
+    field.split(/[.[\]]/).filter(part => part !== "").map(part => /^\d+$/.test(part) ? Number(part) : part);
+
 /** Returns the line of a field, or of its closest parent in the file. */
 const lineOf = (document: Document, lines: LineCounter, field: string): number | undefined => {
-    const path = field.split(".").filter(part => part !== "");
+    const path = pathOf(field);
     while (path.length > 0) {
         const node = document.getIn(path, true);
         const range = isNode(node) ? node.range : undefined;
