--- a/features/fairShares.feature
+++ b/features/fairShares.feature
@@ -94,6 +94,12 @@
             | heldRoom | it is removed and returns | 95 to 100  |
             | heldRoom | the owner is lost         | 95 to 100  |
 
+    # Guards against decisions that an operator cannot see, and against a log line in each pass.
+    Scenario: An organisation over its share is logged once a second, and its steps that were put back are counted
+        When "north" holds all of 2 workers, and "north" and "south" have waiting steps for 2500 ms
+        Then "overShare" was logged 3 times, as '{"organisation":"north","heldShare":1,"fairShare":0.5}'
+        And the counter "stepsPutBack" is at least 100
+
     # Guards against headroom that exceeds a fifth of all capacity, that counts what urgent work holds anyway, or that leaves
     # capacity free while less than half of it is in use or nothing waits.
     Scenario Outline: Headroom of 100 cores, <used> used, urgent work of <urgent> cores that holds <held>, <room>
@@ -144,12 +150,13 @@
         Then the step "other" has <other> runs
         When the placer runs for 1000 ms
         Then <free> cores are free
+        And the largest headroom was <most> cores
 
         Examples:
-            | headroom       | accepted                    | tight | early | other | free |
-            | urgentArrivals |                             | 1     | 2     | 1     | 0    |
-            | urgentArrivals | , accepted by another owner | 1     | 3     | 0     | 0    |
-            | none           |                             | 1     | 3     | 0     | 0    |
+            | headroom       | accepted                    | tight | early | other | free | most |
+            | urgentArrivals |                             | 1     | 2     | 1     | 0    | 2.8  |
+            | urgentArrivals | , accepted by another owner | 1     | 3     | 0     | 0    | 0    |
+            | none           |                             | 1     | 3     | 0     | 0    | 0    |
 
     # Guards against a misspelled policy that is taken for a default. The policy is on line 12 of the file.
     Scenario Outline: A settings file with the wrong value of <field> is refused with its line
--- a/features/steps/fairSharesSteps.ts
+++ b/features/steps/fairSharesSteps.ts
@@ -65,6 +65,8 @@
     readonly accounts: Accounts;
     readonly steps: Map<string, ShardStep>;
     readonly stopped: Set<ShardRun>;
+    /** Sums of counters and largest values of histograms, by name. */
+    readonly measured: Map<string, number>;
     readonly logged: { readonly event: string; readonly fields: Readonly<Record<string, unknown>>; }[];
     /** Runs that a scenario ends. */
     readonly toEnd: ShardRun[];
@@ -182,13 +184,19 @@
     const workersById = new Map(open.map(worker => [worker.workerId, worker]));
     const stopped = new Set<ShardRun>();
     const logged: { readonly event: string; readonly fields: Readonly<Record<string, unknown>>; }[] = [];
+    const measured = new Map<string, number>();
     const accounts = createAccounts();
     const placer = createTaskPlacer({
         clock,
         log: { write: (_level, event, fields) => logged.push({ event, fields }) },
-        meter: noopMeter,
+        meter: {
+            ...noopMeter,
+            count: (name, by = 1) => measured.set(name, (measured.get(name) ?? 0) + by),
+            record: (name, value) => measured.set(name, Math.max(measured.get(name) ?? 0, value)),
+        },
         settings: { ...defaultShardSettings, policies },
         workers: workersById,
+        accounts,
         dispatcher: { enqueue: () => assert.fail("no queue uses advice"), wake: () => {}, close: () => {} },
         onPlanned: (_job, runs) => {
             for (const run of runs) {
@@ -199,7 +207,18 @@
         onPreempt: run => stopped.add(run),
         wake: () => {},
     });
-    return { clock, workers: workersById, placer, accounts, steps: new Map(), stopped, logged, toEnd: [], order: 1 };
+    return {
+        clock,
+        workers: workersById,
+        placer,
+        accounts,
+        steps: new Map(),
+        stopped,
+        measured,
+        logged,
+        toEnd: [],
+        order: 1,
+    };
 };
 
 /** How long before the step of the scenario a job was accepted. */
@@ -389,6 +408,40 @@
     },
 );
 
+When(
+    "{string} holds all of {int} workers, and {string} and {string} have waiting steps for {int} ms",
+    async function(this: ScenarioWorld, holder: string, count: number, first: string, second: string, forMs: number) {
+        const placement = createPlacement(count, 8, policiesOf("due", "heldRoom", "none"));
+        part(this).placement = placement;
+        for (const worker of placement.workers.values()) {
+            const { step } = taskOf(jobOf(placement, "1 of 8 cores", { priority: 1, organisation: holder }));
+            for (const task of step.tasks) {
+                assert.ok(holdCapacity(worker, newRun(task, worker.workerId, 1, { phase: runPhases.running })));
+            }
+        }
+        for (const organisation of [first, second]) {
+            placement.placer.updateJob(jobOf(placement, "1", { priority: 1, organisation }));
+        }
+        await advance(placement, forMs);
+    },
+);
+
+Then(
+    "{string} was logged {int} times, as {string}",
+    function(this: ScenarioWorld, event: string, times: number, fields: string) {
+        const lines = placementOf(this).logged.filter(line => line.event === event);
+        assert.deepEqual(lines.map(line => line.fields), Array.from({ length: times }, () => JSON.parse(fields)));
+    },
+);
+
+Then("the counter {string} is at least {int}", function(this: ScenarioWorld, name: string, least: number) {
+    assert.ok((placementOf(this).measured.get(name) ?? 0) >= least, JSON.stringify([...placementOf(this).measured]));
+});
+
+Then("the largest headroom was {float} cores", function(this: ScenarioWorld, cores: number) {
+    assert.equal(Number((placementOf(this).measured.get("headroomCores") ?? 0).toFixed(1)), cores);
+});
+
 const organisationsOf = (names: readonly string[], firstCap = noResources): readonly Organisation[] =>
     names.map((name, index) => ({ name, keyDigests: [], weight: 1, cap: index === 0 ? firstCap : noResources }));
 
