--- a/features/steps/examples/shardPlacement.ts
+++ b/features/steps/examples/shardPlacement.ts
@@ -7,14 +7,18 @@
     avoidedBy,
     chooseVictims,
     countTasksThatFit,
+    createAccounts,
     createAdviceCallSizer,
     createAdviceDispatcher,
     createAdviceRequester,
     createCapacityView,
     createCapView,
     createChooser,
+    createFairShares,
+    createShortage,
     createTaskPlacer,
     createTicketBudget,
+    createUrgentArrivals,
     defaultShardSettings,
     explainJob,
     freeCapacityOf,
@@ -26,7 +30,9 @@
     newAccount,
     newJob,
     noResources,
+    planHeadroom,
     planReservations,
+    type RankedStep,
     roomyWorkers,
     shouldRequestAhead,
     startableTasks,
@@ -212,6 +218,43 @@
     return `${budget.take(step, 1)}, then ${budget.take(step, 1_000)}, then ${budget.take(step, 1)}`;
 };
 
+const fairShares = (): string => {
+    const accounts = createAccounts();
+    const workers = new Map([["i-1", openWorker()]]);
+    accounts.of("north").held = openWorker().entry.capacity;
+    const ranked: readonly RankedStep[] = ["north", "north", "south"].map((name, index) => {
+        const job = newJob(submission, testQueue, { acceptedAtMs: 0, order: index, account: accounts.of(name) });
+        return { step: taskOf(job).step, standing: "onTime", dueAtMs: 0 };
+    });
+    const policies = { order: "due", shares: "heldRoom" } as const;
+    const shortage = { isShort: () => true };
+    const shares = createFairShares({ log, meter, policies, workers, accounts, shortage });
+    return [...shares.arrange(ranked, 0)].map(({ step }) => `1 ${step.occurrence.job.account.organisation}`).join(", ");
+};
+
+const shortage = (): string => {
+    const full = openWorker();
+    const short = createShortage(new Map([["i-1", full]]));
+    const { step } = taskOf(exampleJob());
+    short.recordWait(step, 0);
+    const before = short.isShort(0) ? "short" : "not short";
+    full.held = full.entry.capacity;
+    short.recordWait(step, 200);
+    const after = short.isShort(1_100) && !short.isShort(1_200) ? "short for 1 s" : "something else";
+    return `${before}, then ${after}`;
+};
+
+const headroom = (): string => {
+    const inputs = { capacityCores: 100, usedCores: 90, urgentCores: 15, urgentHeldCores: 5, isShort: true };
+    const arrivals = createUrgentArrivals();
+    for (let nowMs = 0; nowMs < 3_000; nowMs += plainStep.estimateMs) {
+        arrivals.record(taskOf(exampleJob()).step, nowMs);
+    }
+    return `${planHeadroom(inputs)} cores, ${Math.round(arrivals.cores(2_999))} core of arrivals, then ${
+        arrivals.cores(6_000)
+    }`;
+};
+
 const adviceRequester = async (): Promise<string> => {
     const clock = createFakeClock();
     const { step } = taskOf(exampleJob());
@@ -297,6 +340,9 @@
     roomyWorkers: roomyWorkersExample,
     ticketBudget,
     urgency,
+    fairShares,
+    shortage,
+    headroom,
     adviceRequester,
     trials,
 };
--- a/packages/puffinarch/src/core/shard/capacityView.ts
+++ b/packages/puffinarch/src/core/shard/capacityView.ts
@@ -2,6 +2,7 @@
 
 import { add, fits, noResources, type Resources, subtract } from "../../types/resources.js";
 import { isBlockedLong, maxBlockedMs } from "./blockedSteps.js";
+import type { PassHeadroom } from "./headroom.js";
 import type { ShardRun, ShardStep } from "./jobModel.js";
 import { freeCapacityOf, type ShardWorker } from "./workerTable.js";
 
@@ -16,6 +17,12 @@
     readonly victims: readonly ShardRun[];
 }
 
+/** What a view is restricted to. */
+export interface CapacityViewOptions {
+    readonly roomy?: readonly ShardWorker[];
+    readonly headroom?: Pick<PassHeadroom, "keptFrom">;
+}
+
 /** Capacity and reservations during one pass, which visits waiting steps from the most to the least urgent. */
 export interface CapacityView {
     /** The only workers on which a waiting task may fit; undefined where all have to be examined. */
@@ -85,13 +92,13 @@
 
 /**
  * Creates the view of one pass, without reservations. `roomy` lists the workers that may have capacity for a waiting task; all
- * workers may if it is left out.
+ * workers may if it is left out. Steps leave the given headroom free.
  *
  * @example
  * const view = createCapacityView(clock.monotonicMs());
  * view.capacityFor(worker, step);
  */
-export const createCapacityView = (nowMs: number, roomy?: readonly ShardWorker[]): CapacityView => {
+export const createCapacityView = (nowMs: number, { roomy, headroom }: CapacityViewOptions = {}): CapacityView => {
     const reservationsByWorker = new Map<string, Reservation[]>();
     const reservationsOn = (worker: ShardWorker): readonly Reservation[] =>
         reservationsByWorker.get(worker.workerId) ?? [];
@@ -108,6 +115,10 @@
         },
         capacityFor: (worker, step, aheadMs = 0) => {
             let free = freeCapacityOf(worker);
+            const kept = headroom?.keptFrom(worker, step, nowMs + aheadMs);
+            if (kept !== undefined) {
+                free = subtract(free, kept);
+            }
             for (const reservation of reservationsOn(worker)) {
                 if (
                     reservation.step !== step && !canBackfill(step, reservation, nowMs)
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -11,6 +11,10 @@
     readonly packing: Packing;
     /** Whether capacity is reserved, and less urgent runs are preempted, for tasks that do not fit anywhere. */
     readonly room: RoomPolicy;
+    /** Whether organisations that hold more than their share of the capacity come after the others while it is short. */
+    readonly shares: SharesPolicy;
+    /** Whether steps of lower priorities leave capacity free for urgent work while it keeps arriving. */
+    readonly headroom: HeadroomPolicy;
 }
 
 /**
@@ -21,6 +25,22 @@
 /** One of `roomPolicies`. */
 export type RoomPolicy = (typeof roomPolicies)[number];
 
+/**
+ * `heldRoom`: while capacity is short, steps of an organisation that holds more than its weighted share of it come after those of
+ * the others within the same priority and standing. `none`: what an organisation holds does not change the order.
+ */
+export const sharesPolicies = ["none", "heldRoom"] as const;
+/** One of `sharesPolicies`. */
+export type SharesPolicy = (typeof sharesPolicies)[number];
+
+/**
+ * `urgentArrivals`: while capacity is short and urgent work has arrived within the last 3 s, steps of a lower priority that can
+ * wait leave as much capacity free as urgent work needs at that rate, at most a fifth of all. `none`: they take what is free.
+ */
+export const headroomPolicies = ["none", "urgentArrivals"] as const;
+/** One of `headroomPolicies`. */
+export type HeadroomPolicy = (typeof headroomPolicies)[number];
+
 /** Timings and limits of a shard's owner. */
 export interface ShardSettings {
     /** Lease of each run; longer than a takeover, and short enough that the tasks of a lost worker soon run again. */
@@ -92,5 +112,5 @@
     usualAdviceWorkers: 40,
     maxAdviceWorkers: 100,
     retryAfterMs: 1_000,
-    policies: { order: "due", packing: "scarcest", room: "planned" },
+    policies: { order: "due", packing: "scarcest", room: "planned", shares: "none", headroom: "none" },
 };
--- a/packages/puffinarch/src/core/shard/taskPlacer.ts
+++ b/packages/puffinarch/src/core/shard/taskPlacer.ts
@@ -1,5 +1,6 @@
 /** Scheduling passes over all steps with waiting tasks: the most urgent step first, each task to a worker with free capacity. */
 
+import type { Accounts } from "./accounts.js";
 import { shouldRequestAhead } from "./adviceAhead.js";
 import { type AdviceRequesterOptions, createAdviceRequester } from "./adviceRequester.js";
 import { isBlocked, recordBlocked } from "./blockedSteps.js";
@@ -8,6 +9,8 @@
 import { type Chooser, createChooser, openWorkersFor } from "./chooseWorker.js";
 import { awaitsCrashConfirmation, needsTrial } from "./crashes.js";
 import { isAtCap } from "./eligible.js";
+import { createFairShares } from "./fairShares.js";
+import { createHeadroom, type PassHeadroom } from "./headroom.js";
 import {
     hasEnded,
     isReady,
@@ -21,9 +24,10 @@
 } from "./jobModel.js";
 import { planReservations } from "./planReservations.js";
 import { roomyWorkers } from "./roomyWorkers.js";
+import { createShortage } from "./shortage.js";
 import { createTicketBudget, type TicketBudget } from "./ticketBudget.js";
 import { fellSilentAtStart, holdForTrial, startableTasks } from "./trials.js";
-import { inSchedulingOrder, type RankedStep, standings } from "./urgency.js";
+import { inSchedulingOrder, isPlacedLast, type RankedStep, slackMsOf, standings } from "./urgency.js";
 import { dropRun, holdCapacity, type ShardWorker } from "./workerTable.js";
 
 /** Dependencies of a task placer. */
@@ -32,6 +36,8 @@
     readonly onPlanned: (job: ShardJob, runs: readonly ShardRun[]) => void;
     /** Receives a run to be stopped with its checkpoint, to free its capacity. */
     readonly onPreempt: (run: ShardRun) => void;
+    /** The organisations' use, for the policy `shares`. */
+    readonly accounts?: Pick<Accounts, "all">;
     /** Requests another pass soon; requests made before it begins are merged. */
     readonly wake: () => void;
 }
@@ -71,10 +77,13 @@
     readonly nowMs: number;
     readonly wallMs: number;
     readonly view: CapacityView;
+    readonly headroom: PassHeadroom | undefined;
     /** Number of steps for which capacity was planned in this pass, or an earlier plan was reused. */
     planned: number;
     readonly caps: CapView;
     readonly tickets: TicketBudget;
+    /** Largest priority number of the waiting steps; advice for steps that are placed last is requested with it. */
+    readonly leastPriority: number;
 }
 
 /** Where a step's waiting tasks are expected to run, and when this was planned. */
@@ -92,7 +101,8 @@
  * placer.runPass();
  */
 export const createTaskPlacer = (options: TaskPlacerOptions): TaskPlacer => {
-    const { clock, log, meter, settings, workers, dispatcher, onPlanned } = options;
+    const { clock, log, meter, settings, workers, dispatcher, onPlanned, accounts } = options;
+    const { policies } = settings;
     const ready = new Set<ShardStep>();
     /** Steps that wait for their predecessors and for which no advice was requested yet. */
     const upcoming = new Set<ShardStep>();
@@ -126,6 +136,9 @@
     });
     const plans = new Map<ShardStep, CapacityPlan>();
     const capWaits: CapWaits = new WeakMap();
+    const shortage = createShortage(workers);
+    const fairShares = createFairShares({ log, meter, policies, workers, accounts, shortage });
+    const headroom = createHeadroom({ clock, log, meter, policies, workers, shortage });
 
     /** Ends the trial waits of placed tasks. For a gang, call it only once all members have a worker. */
     const endTrialWaits = (runs: readonly ShardRun[]): void => {
@@ -135,7 +148,7 @@
     };
 
     const chooserFor = (step: ShardStep, { nowMs, view }: PassContext): Chooser =>
-        createChooser(step, workers, { nowMs, view, packing: settings.policies.packing });
+        createChooser(step, workers, { nowMs, view, packing: policies.packing });
 
     /** Starts the wait of tasks on trial for a worker of their own; the members of a gang start it together. */
     const startTrialWaits = (tasks: readonly ShardTask[]): void => {
@@ -276,12 +289,13 @@
 
     /** Reserves capacity for tasks that found no worker, so that later steps of this pass do not take it. */
     const reserveCapacity = (
-        { step, standing, dueAtMs }: RankedStep,
+        ranked: RankedStep,
         waiting: number,
         context: PassContext,
     ): readonly Reservation[] => {
+        const { step, standing } = ranked;
         const { nowMs, wallMs, view } = context;
-        if (settings.policies.room === "none" || standing !== standings.onTime || step.spec.fills) {
+        if (policies.room === "none" || standing !== standings.onTime || step.spec.fills) {
             return [];
         }
         context.planned += 1;
@@ -293,9 +307,6 @@
             lastPlan.reservations.forEach(view.reserve);
             return lastPlan.reservations;
         }
-        const remainingMs = step.occurrence.timing?.remainingByStepMs[step.number] ?? 0;
-        // Long-running steps and steps without an objective have no due time; any delay of their start is a loss.
-        const slackMs = Number.isFinite(dueAtMs) ? dueAtMs - wallMs - remainingMs : 0;
         const reservations = planReservations({
             step,
             waiting,
@@ -303,7 +314,7 @@
             view,
             nowMs,
             stopMs: settings.stopMs,
-            slackMs,
+            slackMs: slackMsOf(ranked, wallMs),
         });
         plans.set(step, { madeAtMs: nowMs, reservations });
         reservations.forEach(view.reserve);
@@ -328,6 +339,16 @@
         }
     };
 
+    /** Records whether a step with unplaced tasks lacks capacity, which only these policies depend on. */
+    const recordShortage = (step: ShardStep, context: PassContext): void => {
+        if (context.headroom?.isKeptBack(step) === true) {
+            shortage.recordKeptBack(context.nowMs);
+        }
+        else if (policies.shares !== "none" || policies.headroom !== "none") {
+            shortage.recordWait(step, context.nowMs);
+        }
+    };
+
     const placeStep = (ranked: RankedStep, context: PassContext): void => {
         const { step } = ranked;
         const { nowMs, view } = context;
@@ -341,6 +362,7 @@
             // Each of these tasks counts as lost after 3 s without a run. Their trials run one after the other, so all waits begin now.
             startTrialWaits(all.filter(task => !awaitsCrashConfirmation(task, nowMs)));
         }
+        context.headroom?.visit(ranked);
         const startable = startableTasks(step, all, { workers, nowMs });
         const waiting = context.caps.allowed(step, startable);
         if (waiting.length === 0 && startable.length > 0) {
@@ -366,10 +388,13 @@
                 copyable.add(step);
             }
         }
+        const isLast = isPlacedLast(ranked, policies.order);
+        const priority = isLast ? context.leastPriority : step.occurrence.job.queue.priority;
         if (step.spec.gang && waiting.length < step.tasks.length) {
             // A gang starts only as a whole, once runs of its other members have ended; its tickets are requested meanwhile.
             step.blockedAtMs = undefined;
-            adviceRequester.requestTickets({ step, waiting: step.tasks.length, reservations: [], view, nowMs });
+            const waitingMembers = step.tasks.length;
+            adviceRequester.requestTickets({ step, waiting: waitingMembers, reservations: [], view, nowMs, priority });
             return;
         }
         const unplaced = waiting.length - runs.length;
@@ -378,17 +403,20 @@
             step.blockedBeforeMs = 0;
         }
         if (unplaced > 0) {
+            recordShortage(step, context);
             // A task on trial needs a worker without other runs, so that a reservation on a shared worker is of no use to it.
             const reservations = step.tasks.some(needsTrial) ? [] : reserveCapacity(ranked, unplaced, context);
             context.caps.reserve(step, reservations.length);
-            const request = { step, waiting: unplaced, reservations, view, nowMs };
+            const request = { step, waiting: unplaced, reservations, view, nowMs, priority };
             if (context.tickets.take(step, unplaced)) {
                 adviceRequester.requestTickets(request);
             }
             else {
                 meter.count("ticketRequestsPostponed");
             }
-            adviceRequester.reserveRequested(request);
+            if (!isLast) {
+                adviceRequester.reserveRequested(request);
+            }
         }
     };
 
@@ -407,15 +435,21 @@
 
     const runPass = (): void => {
         const nowMs = clock.monotonicMs();
+        const order = inSchedulingOrder(ready, { clock, workers, order: policies.order });
+        const wallMs = clock.nowMs();
+        const passHeadroom = headroom.beginPass(nowMs, wallMs);
+        const roomy = roomyWorkers(workers.values(), [...ready, ...copyable]);
         const context: PassContext = {
             nowMs,
-            wallMs: clock.nowMs(),
-            view: createCapacityView(nowMs, roomyWorkers(workers.values(), [...ready, ...copyable])),
+            wallMs,
+            view: createCapacityView(nowMs, { roomy, headroom: passHeadroom }),
+            headroom: passHeadroom,
             planned: 0,
             caps: createCapView(nowMs, capWaits),
             tickets: createTicketBudget([...workers.values()], nowMs),
+            leastPriority: order.reduce((most, { step }) => Math.max(most, step.occurrence.job.queue.priority), 0),
         };
-        for (const ranked of inSchedulingOrder(ready, { clock, workers, order: settings.policies.order })) {
+        for (const ranked of fairShares.arrange(order, nowMs)) {
             placeStep(ranked, context);
         }
         requestAdviceAhead(context);
@@ -444,6 +478,7 @@
                     if (step.open > 0 && !ready.has(step) && isReady(step) && step.tasks.some(isWaiting)) {
                         step.readyAtMs = clock.monotonicMs();
                         ready.add(step);
+                        headroom.recordArrival(step);
                     }
                 }
             }
--- a/packages/puffinarch/src/core/shard/urgency.ts
+++ b/packages/puffinarch/src/core/shard/urgency.ts
@@ -141,9 +141,14 @@
 const byShare = ({ step: left }: RankedStep, { step: right }: RankedStep): number =>
     Number(left.occurrence.job.beyondShare) - Number(right.occurrence.job.beyondShare);
 
+const byStanding = (left: RankedStep, right: RankedStep): number =>
+    standingRanks[left.standing] - standingRanks[right.standing];
+
+const byOverdue = (left: RankedStep, right: RankedStep): number =>
+    Number(left.standing === standings.overdue) - Number(right.standing === standings.overdue);
+
 const byDueOrder = (left: RankedStep, right: RankedStep): number =>
-    byPriority(left, right) || standingRanks[left.standing] - standingRanks[right.standing] || byDue(left, right)
-    || byAcceptance(left, right);
+    byPriority(left, right) || byStanding(left, right) || byDue(left, right) || byAcceptance(left, right);
 
 /** Scheduling orders of waiting steps, as compare functions. */
 export const schedulingOrders = {
@@ -154,6 +159,8 @@
      * first come, first served would let a backlog make every later job late as well.
      */
     due: byDueOrder,
+    /** As `due`, but jobs that can no longer be of value to their callers come after all others, whatever their priority. */
+    value: (left: RankedStep, right: RankedStep): number => byOverdue(left, right) || byDueOrder(left, right),
     /** As `due`, but jobs that an organisation submitted beyond its share come after all others, whatever their priority. */
     shares: (left: RankedStep, right: RankedStep): number => byShare(left, right) || byDueOrder(left, right),
     /** As `due`, but jobs beyond the share of their organisation come after the others of the same priority. */
@@ -163,6 +170,45 @@
 /** Name of a scheduling order. */
 export type SchedulingOrder = keyof typeof schedulingOrders;
 
+/** The criteria of each order that come before the time at which a job is due or was accepted. */
+const schedulingRanks: Readonly<Record<SchedulingOrder, (left: RankedStep, right: RankedStep) => number>> = {
+    acceptance: byPriority,
+    due: (left, right) => byPriority(left, right) || byStanding(left, right),
+    value: (left, right) => byPriority(left, right) || byStanding(left, right),
+    shares: (left, right) => byShare(left, right) || byPriority(left, right) || byStanding(left, right),
+    sharesWithinPriority: (left, right) => byPriority(left, right) || byShare(left, right) || byStanding(left, right),
+};
+
+/**
+ * Tells whether an order places two steps only by the time at which their jobs are due or were accepted: they have the same
+ * priority and, in all orders but `acceptance`, the same standing.
+ *
+ * @example
+ * isSameRank(left, right, "due"); // true for two steps of priority 0 that are in time
+ */
+export const isSameRank = (left: RankedStep, right: RankedStep, order: SchedulingOrder): boolean =>
+    schedulingRanks[order](left, right) === 0;
+
+/**
+ * Tells whether an order places a step after all others because its job can no longer be of value. Such a step takes capacity
+ * that is free, but nothing is reserved, stopped or requested early for it.
+ *
+ * @example
+ * isPlacedLast({ step, standing: "overdue", dueAtMs: 0 }, "value"); // true
+ */
+export const isPlacedLast = ({ standing }: Pick<RankedStep, "standing">, order: SchedulingOrder): boolean =>
+    order === "value" && standing === standings.overdue;
+
+/**
+ * Gives how long a step may still wait for its job to meet its objective; 0 or less where it cannot. Long-running steps and
+ * steps without an objective have no due time, and any delay of their start is a loss.
+ *
+ * @example
+ * slackMsOf(ranked, clock.nowMs()); // 0 for a step without an objective
+ */
+export const slackMsOf = ({ step, dueAtMs }: RankedStep, wallMs: number): number =>
+    Number.isFinite(dueAtMs) ? dueAtMs - wallMs - (step.occurrence.timing?.remainingByStepMs[step.number] ?? 0) : 0;
+
 /** Clock, workers and scheduling order by which steps are sorted. */
 export interface SchedulingOrderOptions {
     readonly clock: Clock;
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -198,11 +198,14 @@
 export { isBlocked, isBlockedLong, mayUseRestingWorkers } from "./internal.js";
 export {
     inSchedulingOrder,
+    isPlacedLast,
+    isSameRank,
     type RankedStep,
     rankStep,
     type SchedulingOrder,
     type SchedulingOrderOptions,
     schedulingOrders,
+    slackMsOf,
     type Standing,
     standings,
 } from "./internal.js";
@@ -224,11 +227,34 @@
 export { createShardWorkers, type ShardWorkers, type ShardWorkersOptions } from "./internal.js";
 export {
     defaultShardSettings,
+    headroomPolicies,
+    type HeadroomPolicy,
     roomPolicies,
     type RoomPolicy,
     type ShardPolicies,
     type ShardSettings,
+    sharesPolicies,
+    type SharesPolicy,
 } from "./internal.js";
+export {
+    createFairShares,
+    dominantShareOf,
+    type FairShares,
+    type FairSharesOptions,
+    isOverShare,
+    type ShareHolder,
+} from "./internal.js";
+export {
+    createHeadroom,
+    createUrgentArrivals,
+    type Headroom,
+    type HeadroomInputs,
+    type HeadroomOptions,
+    type PassHeadroom,
+    planHeadroom,
+    type UrgentArrivals,
+} from "./internal.js";
+export { createShortage, hasCapacityFor, type Shortage } from "./internal.js";
 export { endedTable, journalTable, ownerKey, ownerTable, sequenceKey, upkeepTable } from "./internal.js";
 export { createTaskReview, type TaskReview, type TaskReviewOptions } from "./internal.js";
 export {
