--- a/features/advisorLanes.feature
+++ b/features/advisorLanes.feature
@@ -52,3 +52,9 @@
             | none comes                  | 0    | 27   | 600  |
             | few come                    | 50   | 75   | 1600 |
             | as many as their lanes bear | 10   | 42   | 1100 |
+
+    # Guards against urgent steps that wait for the advisor while it is idle: a busy owner reads each answer late and sends the next
+    # call of the lane only then, so that 8 lanes served some 80 of 200 calls a second.
+    Scenario: Quick calls of a busy owner queue at the advisor
+        When 40 steps ask at once through 2 lanes, whose calls take 15 ms and are read 100 ms late
+        Then 40 of them are advised within 1000 ms
--- a/features/steps/advisorLaneSteps.ts
+++ b/features/steps/advisorLaneSteps.ts
@@ -26,6 +26,9 @@
 const part = (world: ScenarioWorld): Part =>
     partOf<Part>(world, partName, () => assert.fail("the scenario has no advice desk"));
 
+/** Times after which the steps of a scenario were advised, in milliseconds. */
+const advised = new WeakMap<ScenarioWorld, readonly number[]>();
+
 /** Delay before a step asks again after a failed call, as in the scheduler. */
 const retryMs = 150;
 /** Time that the advisor takes to answer a quick call. */
@@ -186,3 +189,46 @@
     const tookMs = advisedAtMs(this) - part(this).outageEndsAtMs;
     assert.ok(tookMs <= withinMs, `answered after ${tookMs} ms; lanes called: ${part(this).asked.join(" ")}`);
 });
+
+When(
+    "{int} steps ask at once through {int} lanes, whose calls take {int} ms and are read {int} ms late",
+    async function(this: ScenarioWorld, count: number, lanes: number, costMs: number, lateMs: number) {
+        const clock = createFakeClock();
+        const laneIds = Array.from({ length: lanes }, (_, index) => `entry-${index}`);
+        const idleAtMs = new Map<string, number>();
+        const advisedAtMs: number[] = [];
+        const desk = createAdviceDispatcher({
+            clock,
+            log: noopLog,
+            meter: noopMeter,
+            lanes: () => laneIds,
+            call: async lane => {
+                const endsAtMs = Math.max(clock.monotonicMs(), idleAtMs.get(lane) ?? 0) + costMs;
+                idleAtMs.set(lane, endsAtMs);
+                await sleep(clock, endsAtMs + lateMs - clock.monotonicMs());
+                return { good: [], validMs: 2_000 };
+            },
+        });
+        for (let number = 0; number < count; number += 1) {
+            desk.enqueue({
+                stepName: `${number}.0.0`,
+                workerIds: ["i-1"],
+                costMs,
+                priority: 0,
+                isNeeded: () => true,
+                onAnswer: () => advisedAtMs.push(clock.monotonicMs()),
+                onFailure: () => {},
+            });
+        }
+        const beganAtMs = clock.monotonicMs();
+        for (let ticks = 0; ticks < limitMs / tickMs && advisedAtMs.length < count; ticks += 1) {
+            desk.wake();
+            await clock.advance(tickMs);
+        }
+        advised.set(this, advisedAtMs.map(atMs => atMs - beganAtMs));
+    },
+);
+
+Then("{int} of them are advised within {int} ms", function(this: ScenarioWorld, count: number, withinMs: number) {
+    assert.equal(advised.get(this)?.filter(afterMs => afterMs <= withinMs).length, count);
+});
--- a/packages/puffinarch/src/core/shard/adviceDispatcher.ts
+++ b/packages/puffinarch/src/core/shard/adviceDispatcher.ts
@@ -40,6 +40,14 @@
     readonly newestAtMs: number;
 }
 
+/** The calls that are under way on a lane. */
+interface LaneLoad {
+    readonly calls: number;
+    /** Sum of their expected costs. */
+    readonly costMs: number;
+    readonly hasSlow: boolean;
+}
+
 /** Dependencies of a dispatcher of advisor calls. */
 export interface AdviceDispatcherOptions {
     readonly clock: Clock;
@@ -64,6 +72,13 @@
 const slowCostMs = 150;
 /** Largest share of the lanes that is closed to slow calls. Where there are two or three lanes, one may be closed nevertheless. */
 const quickLaneShare = 0.25;
+/**
+ * Quick calls that have waited for `minWaitToQueueMs` are given to a busy lane, up to this sum of expected costs, where no lane is
+ * idle. The advisor queues them, so that it does not idle until this process, which may be busy itself, reads an answer and sends
+ * the next call. More urgent calls that arrive meanwhile come after them.
+ */
+const maxQueuedCostMs = 60;
+const minWaitToQueueMs = 10;
 /**
  * Time constant of the average number of lanes that quick calls keep busy. The lanes closed to slow calls are one more than
  * `quickMargin` times this average, within `quickLaneShare`, since quick calls come in bursts.
@@ -117,8 +132,8 @@
     const queue: QueuedCall[] = [];
     /** Number of calls that were given to a lane so far. */
     let dispatched = 0;
-    /** Lanes with a call under way, and whether it is a slow one. */
-    const busy = new Map<string, boolean>();
+    /** Lanes with calls under way. */
+    const busy = new Map<string, LaneLoad>();
     /** Exponentially decayed sum of the times that quick calls took, and the local time of its last update. */
     let quickTime = { tookMs: 0, atMs: clock.monotonicMs() };
 
@@ -140,15 +155,39 @@
         return known !== undefined && clock.monotonicMs() - known.newestAtMs < forgetFailureMs ? known : undefined;
     };
 
-    /** Gives the first free lane without failures, else the one whose last failure is longest ago and whose back-off is over. */
-    const freeLane = (): string | undefined => {
+    const isIdle = (lane: string): boolean => !busy.has(lane);
+
+    /** Whether the advisor will be done soon with what the lane has under way. */
+    const takesQuickCalls = (lane: string): boolean => {
+        const load = busy.get(lane);
+        return load !== undefined && !load.hasSlow && load.costMs < maxQueuedCostMs;
+    };
+
+    const addLoad = (lane: string, costMs: number): void => {
+        const { calls, costMs: before, hasSlow } = busy.get(lane) ?? { calls: 0, costMs: 0, hasSlow: false };
+        busy.set(lane, { calls: calls + 1, costMs: before + costMs, hasSlow: hasSlow || costMs > slowCostMs });
+    };
+
+    const removeLoad = (lane: string, costMs: number): void => {
+        const load = busy.get(lane);
+        if (load === undefined || load.calls === 1) {
+            busy.delete(lane);
+            return;
+        }
+        busy.set(lane, { ...load, calls: load.calls - 1, costMs: load.costMs - costMs });
+    };
+
+    /**
+     * Gives the first suitable lane without failures, else the one whose last failure is longest ago and whose back-off is over.
+     */
+    const freeLane = (isSuitable: (lane: string) => boolean): string | undefined => {
         const nowMs = clock.monotonicMs();
         const all = lanes();
         const hasHealthy = all.some(lane => failuresOf(lane) === undefined);
         let best: string | undefined;
         let bestFailedAtMs = Infinity;
         for (const lane of all) {
-            if (busy.has(lane)) {
+            if (!isSuitable(lane)) {
                 continue;
             }
             const failed = failuresOf(lane);
@@ -164,8 +203,13 @@
         return best;
     };
 
-    const dequeue = (): QueuedCall | undefined => {
-        const slowBusy = [...busy.values()].filter(slow => slow).length;
+    /** Whether a call may be queued at the advisor behind others. */
+    const mayQueue = ({ costMs, askedAtMs }: QueuedCall): boolean =>
+        costMs <= maxQueuedCostMs && clock.monotonicMs() - askedAtMs >= minWaitToQueueMs;
+
+    /** Takes the next of the calls in the queue that are suitable. */
+    const dequeue = (isSuitable: (queuedCall: QueuedCall) => boolean): QueuedCall | undefined => {
+        const slowBusy = [...busy.values()].filter(({ hasSlow }) => hasSlow).length;
         const all = lanes().length;
         const slowAllowed = slowBusy < all - quickLanes(all, averageQuickLanes());
         const longWaitSinceMs = clock.monotonicMs() - longWaitMs;
@@ -173,7 +217,7 @@
         let best = -1;
         let firstRepeat = -1;
         for (const [index, queuedCall] of queue.entries()) {
-            if (queuedCall.costMs > slowCostMs && !slowAllowed) {
+            if (!isSuitable(queuedCall) || queuedCall.costMs > slowCostMs && !slowAllowed) {
                 continue;
             }
             if (queuedCall.lanesOpen > 0) {
@@ -245,7 +289,7 @@
         }
         queuedCall.lanesAsked += 1;
         queuedCall.lanesOpen += 1;
-        busy.set(lane, costMs > slowCostMs);
+        addLoad(lane, costMs);
         clock.setTimer(costMs + secondLaneAfterMs, () => queueRepeat(queuedCall));
         try {
             const answer = await call(lane, {
@@ -276,18 +320,19 @@
         }
         finally {
             queuedCall.lanesOpen -= 1;
-            busy.delete(lane);
+            removeLoad(lane, costMs);
         }
         wake();
     };
 
     const wake = (): void => {
         while (!closed) {
-            const lane = freeLane();
+            const idle = freeLane(isIdle);
+            const lane = idle ?? freeLane(takesQuickCalls);
             if (lane === undefined) {
                 return;
             }
-            const queuedCall = dequeue();
+            const queuedCall = dequeue(idle === undefined ? mayQueue : () => true);
             if (queuedCall === undefined) {
                 return;
             }
