--- a/features/runTimes.feature
+++ b/features/runTimes.feature
@@ -34,3 +34,19 @@
     Scenario: Addresses and queues are bounded
         When 3000 addresses and 500 queues end a task each
         Then at most 2000 entries are kept, the newest among them
+
+    # Guards against speeds learned from times that are not those of the run: an end that is listed twice, or read late because the
+    # owner or its VM stood still or the worker was silent, a run that resumed, and one that a former owner started.
+    Scenario Outline: <count> run times are learned where <what>
+        Given an owner of one worker that learns run times
+        When two runs of 1000 ms, the second 100 ms after the first, end while <what>
+        Then <count> ends were learned, each within 100 ms of 1000 ms
+
+        Examples:
+            | what                                | count |
+            | nothing is wrong                    | 2     |
+            | their ends are listed repeatedly    | 1     |
+            | the owner is suspended for 500 ms   | 0     |
+            | the worker is silent for 600 ms     | 0     |
+            | they started from a checkpoint      | 0     |
+            | a former owner had started them     | 0     |
--- a/features/steps/runTimeSteps.ts
+++ b/features/steps/runTimeSteps.ts
@@ -1,8 +1,32 @@
 /** Steps that test how run times are learned: by the module itself, and in a cell whose workers differ. */
 
 import { Given, Then, When } from "@cucumber/cucumber";
+import {
+    createFakeClock,
+    createFakeFencedWorkers,
+    createSuspension,
+    jobIdOf,
+    noopLog,
+    noopMeter,
+    plainStep,
+    testQueue,
+    workerEntry,
+} from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { createRunTimes, createSeededRandom, type Random, type RunTimes } from "puffinarch";
+import {
+    createRunTimes,
+    createSeededRandom,
+    createShardWorkers,
+    defaultShardSettings,
+    type EndedRunTime,
+    holdCapacity,
+    newJob,
+    newRun,
+    noResources,
+    type Random,
+    type RunTimes,
+    type ShardJob,
+} from "puffinarch";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface RunTimePart {
@@ -13,6 +37,8 @@
     spread: number;
     /** Number of ends after which the speeds were spread. */
     timesSpread: number;
+    /** Ends that the owner has learned from. */
+    readonly learned: EndedRunTime[];
 }
 
 const part = (world: ScenarioWorld): RunTimePart =>
@@ -22,6 +48,7 @@
         speeds: [],
         spread: 0,
         timesSpread: 0,
+        learned: [],
     }));
 
 const estimateMs = 700;
@@ -151,3 +178,122 @@
     assert.ok(speeds.length + biases.length <= most, `${speeds.length} and ${biases.length} entries`);
     assert.deepEqual([speeds[0]?.address, biases[0]?.queueKey], [addressOf(2_999), "q499"]);
 });
+
+const workerId = "i-1";
+const ownerToken = 7;
+const runForMs = 1_000;
+
+/** An owner of one worker, with its process's suspension, and the link between the two. */
+const createOwner = (learned: EndedRunTime[]) => {
+    const clock = createFakeClock();
+    const suspension = createSuspension(clock);
+    const link = { open: true, commits: true };
+    const fakes = createFakeFencedWorkers({
+        clock,
+        model: () => ({ durationMs: runForMs, fails: false }),
+        heldOf: () => noResources,
+        leaseLimitMs: 10_000,
+        onCrash: () => {},
+    });
+    const entry = workerEntry(workerId, 1);
+    fakes.add(entry);
+    const jobId = jobIdOf(1);
+    const steps = [{ ...plainStep, count: 2, estimateMs: 800 }];
+    const schedule = { startAtMs: 0, intervalMs: 0, repeatCount: 0 };
+    const submission = { jobId, queueKey, dataCentre: "", payload: "", steps, schedule };
+    const job: ShardJob = newJob(submission, testQueue, { acceptedAtMs: 0, order: 1 });
+    const port = fakes.connect(() => link.open);
+    const workers = createShardWorkers({
+        clock: suspension.clock,
+        log: noopLog,
+        meter: noopMeter,
+        settings: defaultShardSettings,
+        port: {
+            ...port,
+            look: async (target, order) => {
+                const look = await port.look(target, order);
+                await suspension.whenRunning();
+                return look;
+            },
+        },
+        fencingToken: ownerToken,
+        jobOf: () => job,
+        changed: () => link.commits ? Promise.resolve() : new Promise(() => {}),
+        onNextIncarnation: () => {},
+        onStarted: () => {},
+        wake: () => {},
+        onRunsKnown: () => {},
+        onFenced: () => {},
+        runTimes: { recordEnd: end => learned.push(end) },
+    });
+    workers.update([entry]);
+    const start = (index: number, checkpoint = ""): void => {
+        const task = job.occurrences.get(0)?.steps[0]?.tasks[index] ?? assert.fail();
+        const run = newRun(task, workerId, 1, { checkpoint, address: entry.address });
+        assert.ok(holdCapacity(workers.all.get(workerId) ?? assert.fail(), run));
+        task.runs.push(run);
+        workers.start(run, "");
+    };
+    const startAsFormer = (index: number): void => {
+        const task = job.occurrences.get(0)?.steps[0]?.tasks[index] ?? assert.fail();
+        const order = { ticket: "", payload: "", checkpoint: "", deadlineMs: 20_000, fencingToken: ownerToken };
+        void port.start(entry, { ...order, taskName: task.name, run: 1 }, runForMs);
+    };
+    return { clock, suspension, link, workers, start, startAsFormer, evidence: fakes.evidence };
+};
+
+type Owner = ReturnType<typeof createOwner>;
+
+Given("an owner of one worker that learns run times", function(this: ScenarioWorld) {
+    partOf(this, "runTimeOwner", () => createOwner(part(this).learned));
+});
+
+/** What happens 300 ms after the start of the first run, by its name. */
+const disturbances: Readonly<Record<string, (owner: Owner) => void>> = {
+    "nothing is wrong": () => {},
+    "their ends are listed repeatedly": ({ link }) => {
+        link.commits = false;
+    },
+    "the owner is suspended for 500 ms": ({ suspension }) => suspension.suspend(500),
+    "the worker is silent for 600 ms": ({ clock, link }) => {
+        clock.setTimer(400, () => {
+            link.open = false;
+        });
+        clock.setTimer(1_000, () => {
+            link.open = true;
+        });
+    },
+};
+
+When(
+    "two runs of 1000 ms, the second 100 ms after the first, end while {}",
+    async function(this: ScenarioWorld, what: string) {
+        const owner = partOf(this, "runTimeOwner", () => createOwner(part(this).learned));
+        const start = (index: number): void =>
+            what === "a former owner had started them"
+                ? owner.startAsFormer(index)
+                : owner.start(index, what === "they started from a checkpoint" ? "saved" : "");
+        if (what !== "a former owner had started them") {
+            await owner.clock.advance(100);
+        }
+        start(0);
+        await owner.clock.advance(100);
+        start(1);
+        await owner.clock.advance(200);
+        disturbances[what]?.(owner);
+        await owner.clock.advance(6_000);
+        owner.workers.close();
+        assert.deepEqual(owner.evidence.map(({ how }) => how), ["done", "done"]);
+    },
+);
+
+Then(
+    "{int} ends were learned, each within 100 ms of 1000 ms",
+    function(this: ScenarioWorld, count: number) {
+        const { learned } = part(this);
+        assert.equal(learned.length, count);
+        for (const { tookMs } of learned) {
+            assert.ok(Math.abs(tookMs - runForMs) <= 100, `a run took ${tookMs} ms`);
+        }
+    },
+);
--- a/packages/puffinarch/src/core/shard/runTimes.ts
+++ b/packages/puffinarch/src/core/shard/runTimes.ts
@@ -4,7 +4,8 @@
  * both by a share of the difference from the prediction, so that an end costs the same however many workers there are.
  */
 
-import type { ShardStep } from "./jobModel.js";
+import type { ShardRun, ShardStep } from "./jobModel.js";
+import type { ShardWorker } from "./workerTable.js";
 
 /** A run that has ended `done`. */
 export interface EndedRunTime {
@@ -276,3 +277,32 @@
         },
     };
 };
+
+/** Largest uncertainty of the start and the end of a run, as a share of its duration, at which the run still counts. */
+const maxUncertainShare = 0.15;
+
+/**
+ * Returns the duration of a run that has just been listed as `done`, if it says something about its worker. Runs that resumed
+ * from a checkpoint, were not confirmed by this owner, were paced, or whose end may have been read late do not count; nor do
+ * gangs, whose members all take as long as the slowest one, and tasks whose speed depends on their place or on other runs.
+ *
+ * @example
+ * const end = runTimeOf(worker, run, clock.monotonicMs());
+ */
+export const runTimeOf = (worker: ShardWorker, run: ShardRun, nowMs: number): EndedRunTime | undefined => {
+    const { spec, occurrence } = run.task.step;
+    const { sentAtMs, startedAtMs, checkpoint, percent } = run;
+    if (sentAtMs === undefined || startedAtMs === undefined || checkpoint !== "" || percent < 100) {
+        return undefined;
+    }
+    const isComparable = spec.estimateMs > 0 && !spec.gang && !spec.longRunning && !spec.fills && spec.dataRack === "";
+    const tookMs = nowMs - startedAtMs;
+    const uncertainMs = startedAtMs - sentAtMs + worker.lookGapMs;
+    if (!isComparable || uncertainMs > maxUncertainShare * tookMs || worker.clockJumpAtMs >= startedAtMs) {
+        return undefined;
+    }
+    const { address } = worker.entry;
+    return address === ""
+        ? undefined
+        : { queueKey: occurrence.job.queue.key, address, estimateMs: spec.estimateMs, tookMs };
+};
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -46,6 +46,7 @@
 import { createOwnerProgress } from "./ownerProgress.js";
 import { readAllRows } from "./readRows.js";
 import { createRowReader } from "./rowReader.js";
+import { createRunTimes } from "./runTimes.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { endedTable } from "./shardTables.js";
 import { createShardWorkers } from "./shardWorkers.js";
@@ -302,6 +303,8 @@
         }
     };
 
+    const runTimes = createRunTimes();
+
     const workers = createShardWorkers({
         clock,
         log,
@@ -320,6 +323,7 @@
         onStarted: markStarted,
         wake: () => wake(),
         onRunsKnown: () => review.runAndReport(),
+        runTimes,
         onFenced: () => stopFenced("worker"),
     });
 
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -15,6 +15,7 @@
 import { createLostRuns } from "./lostRuns.js";
 import { enterIncarnation, isSettledByLook, leaveIncarnation, withUndecided } from "./nextIncarnation.js";
 import { createPacer } from "./pacer.js";
+import { runTimeOf, type RunTimes } from "./runTimes.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { holdsForOneIncarnation, mayArrive } from "./unansweredStart.js";
 import { openWorkerLink, type WorkerLink } from "./workerLink.js";
@@ -51,6 +52,8 @@
     readonly wake: () => void;
     /** Called once, when every worker that answers has reported its runs. */
     readonly onRunsKnown: () => void;
+    /** Learns from the ends of runs; nothing is learned where it is left out. */
+    readonly runTimes?: Pick<RunTimes, "recordEnd"> | undefined;
     /** Called when a worker has rejected a call because it has seen another owner's higher token. */
     readonly onFenced: () => void;
 }
@@ -165,6 +168,13 @@
             clock.setTimer(leftMs + 1, () => links.get(worker.workerId)?.look());
         },
         stopUnknown: (worker, taskName, run) => links.get(worker.workerId)?.stopUnknown(taskName, run),
+        onDone: (worker, run) => {
+            const end = runTimeOf(worker, run, clock.monotonicMs());
+            meter.count(end === undefined ? "runTimes.ignored" : "runTimes.counted");
+            if (end !== undefined) {
+                options.runTimes?.recordEnd(end);
+            }
+        },
     });
 
     /** Tests with one order at a time whether a worker takes orders again. */
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -11,7 +11,7 @@
 import { runPhases, type ShardRun } from "./jobModel.js";
 import type { LookSlots } from "./lookSlots.js";
 import { createRunOrders } from "./runOrders.js";
-import { extendLease, type ShardWorker } from "./workerTable.js";
+import { extendLease, recordAnswer, type ShardWorker } from "./workerTable.js";
 
 /** Starts that time out within this time share one look. */
 const lookBatchDelayMs = 2;
@@ -244,10 +244,7 @@
             lastLookAnswered = true;
             deliveredAcknowledgedEnd = Math.max(deliveredAcknowledgedEnd, acknowledgedEnd);
             const nowMs = clock.monotonicMs();
-            worker.clock = { localMs: nowMs, clockMs: look.clockMs };
-            worker.answeredAtMs = nowMs;
-            worker.silentLooks = 0;
-            worker.silentSinceMs = undefined;
+            recordAnswer(worker, { nowMs, clockMs: look.clockMs, sentAtMs, lastAnswerAtMs });
             lastAnswerAtMs = nowMs;
             answerTimeoutMs = nowMs - sentAtMs < waitMs + minAnswerTimeoutMs ? minAnswerTimeoutMs : answerTimeoutMs;
             await options.onLook(worker, look, sentAtMs);
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -32,6 +32,13 @@
     leaseHorizonMs: number;
     /** Local time of the newest answer to a look. */
     answeredAtMs: number;
+    /** Time between its last two answers in which no look could bring an end; ends in the newest answer may be that old. */
+    lookGapMs: number;
+    /**
+     * Local time of the newest answer by which its clock had advanced differently from this daemon's: the answer was read late, or one
+     * of the two machines was suspended.
+     */
+    clockJumpAtMs: number;
     /** Consecutive looks without an answer. */
     silentLooks: number;
     /** Local time at which the first of the unanswered looks was given up; undefined while it answers. */
@@ -111,6 +118,8 @@
     clock: undefined,
     leaseHorizonMs,
     answeredAtMs: 0,
+    lookGapMs: Infinity,
+    clockJumpAtMs: -Infinity,
     silentLooks: 0,
     silentSinceMs: undefined,
     connectionLost: false,
@@ -136,6 +145,37 @@
     trialHold: undefined,
 });
 
+/** Deviation between the clocks of two answers that is due to the network, in addition to the deviation of their rates. */
+const maxClockDeviationMs = 150;
+
+/**
+ * Records an answer to a look, by the worker's clock in it. `lastAnswerAtMs` is the local time of the answer before.
+ *
+ * @example
+ * recordAnswer(worker, { nowMs: clock.monotonicMs(), clockMs: look.clockMs, sentAtMs, lastAnswerAtMs });
+ */
+export const recordAnswer = (
+    worker: ShardWorker,
+    { nowMs, clockMs, sentAtMs, lastAnswerAtMs }: {
+        readonly nowMs: number;
+        readonly clockMs: number;
+        readonly sentAtMs: number;
+        readonly lastAnswerAtMs: number;
+    },
+): void => {
+    const { clock } = worker;
+    const elapsedMs = nowMs - (clock?.localMs ?? nowMs);
+    const deviationMs = Math.abs(clockMs - (clock?.clockMs ?? 0) - elapsedMs);
+    if (clock === undefined || deviationMs > maxClockDeviationMs + (1 - slowestClockRate) * elapsedMs) {
+        worker.clockJumpAtMs = nowMs;
+    }
+    worker.lookGapMs = clock === undefined ? Infinity : Math.max(0, sentAtMs - lastAnswerAtMs);
+    worker.clock = { localMs: nowMs, clockMs };
+    worker.answeredAtMs = nowMs;
+    worker.silentLooks = 0;
+    worker.silentSinceMs = undefined;
+};
+
 /**
  * Returns the deadline, on the worker's own clock, of a lease that lasts `leaseMs` from now, and extends `leaseHorizonMs` to cover
  * it. Undefined while the worker's clock is not known.
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -35,6 +35,8 @@
     /** Called for a run that makes no progress and has to run elsewhere. */
     readonly onStuck: (worker: ShardWorker, run: ShardRun) => void;
     readonly stopUnknown: (worker: ShardWorker, taskName: string, run: number) => void;
+    /** Called for a run of this owner that was listed as `done`, before it is removed from its worker. */
+    readonly onDone?: ((worker: ShardWorker, run: ShardRun) => void) | undefined;
 }
 
 /** Applies answers to looks to the jobs in memory. */
@@ -146,6 +148,9 @@
             known: run !== undefined,
         });
         if (run !== undefined) {
+            if (end.how === "done") {
+                options.onDone?.(worker, run);
+            }
             dropRun(worker, run);
             worker.undecided.delete(runKey(end.taskName, end.run));
         }
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -201,6 +201,7 @@
     maxBiases,
     maxSpeeds,
     type RunTimeEntries,
+    runTimeOf,
     type RunTimes,
 } from "./internal.js";
 export { chooseVictims, isPreemptibleBy } from "./internal.js";
@@ -281,6 +282,7 @@
     holdCapacity,
     isOpen,
     newWorker,
+    recordAnswer,
     type ShardWorker,
     stillFits,
 } from "./internal.js";
