--- a/features/runTimes.feature
+++ b/features/runTimes.feature
@@ -50,3 +50,51 @@
             | the worker is silent for 600 ms     | 0     |
             | they started from a checkpoint      | 0     |
             | a former owner had started them     | 0     |
+
+    # Guards against urgent tasks that miss their due time on a slow worker while fast ones are free, and against batches with slack
+    # that take the fast workers.
+    Scenario Outline: <kind> tasks go to the <choice> worker with free capacity
+        Given a fast and a slow worker, known from 40 tasks each, beside 4 usual ones
+        When a job of <kind> tasks is placed
+        Then it runs on the <choice> worker
+
+        Examples:
+            | kind   | choice |
+            | urgent | fast   |
+            | batch  | slow   |
+
+    # Guards against a change for deployments whose workers are equal.
+    Scenario Outline: <kind> tasks go to the same workers with and without learning where workers are equal
+        Given 6 workers, known as equal from 400 tasks each
+        When a job of <kind> tasks is placed
+        Then it runs where it would run without learning
+
+        Examples:
+            | kind   |
+            | urgent |
+            | batch  |
+
+    # Guards against estimates that are taken at their word although the queue is known to exceed them, and against the opposite.
+    Scenario Outline: A job of a queue that takes <factor> times its estimates counts as <standing>
+        Given estimates of 800 ms of which the queue is known to take <factor>
+        When a job is submitted that is due <due> ms later
+        Then it counts as <standing>
+
+        Examples:
+            | factor | due   | standing |
+            | 1      | 900   | onTime   |
+            | 1.5    | 900   | late     |
+            | 1.5    | 1400  | onTime   |
+            | 0.5    | 790   | late     |
+
+    # Guards against a loss of the benefit under load: with learning, more urgent jobs must be in time than without, and no batch may
+    # be late for it.
+    Scenario Outline: More urgent jobs are in time at <share> of the capacity where a quarter of the workers is slow, seed <seed>
+        When urgent jobs and batches take <share> of 12 workers, a quarter of them slow, with and without learning, seed <seed>
+        Then at least 95 percent of the urgent jobs are in time with learning, and 5 percent more than without
+        And no fewer batches are in time with learning
+
+        Examples:
+            | share | seed |
+            | 0.6   | 1    |
+            | 0.85  | 2    |
--- a/features/steps/runTimeSteps.ts
+++ b/features/steps/runTimeSteps.ts
@@ -4,28 +4,38 @@
 import {
     createFakeClock,
     createFakeFencedWorkers,
+    createLoadCell,
     createSuspension,
     jobIdOf,
+    type LoadOutcome,
     noopLog,
     noopMeter,
     plainStep,
+    playLoad,
     testQueue,
+    unequalLoad,
     workerEntry,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
+    createAdviceDispatcher,
     createRunTimes,
     createSeededRandom,
     createShardWorkers,
+    createTaskPlacer,
     defaultShardSettings,
     type EndedRunTime,
     holdCapacity,
     newJob,
     newRun,
+    newWorker,
     noResources,
     type Random,
+    rankStep,
     type RunTimes,
+    type RunTimesPolicy,
     type ShardJob,
+    type ShardWorker,
 } from "puffinarch";
 import { partOf, type ScenarioWorld } from "./support.js";
 
@@ -297,3 +307,171 @@
         }
     },
 );
+
+/** Queue of which each job is due `stretch` times its estimate plus `targetRuntimeMs` after its submission, without advice. */
+const placedQueue = (stretch: number, targetRuntimeMs: number) => ({
+    ...testQueue,
+    key: queueKey,
+    advice: undefined,
+    stretch,
+    targetRuntimeMs,
+});
+
+const acceptedJob = (nowMs: number, stretch: number, targetRuntimeMs: number): ShardJob =>
+    newJob(
+        {
+            jobId: jobIdOf(1),
+            queueKey,
+            dataCentre: "",
+            payload: "",
+            steps: [{ ...plainStep, count: 2, estimateMs: 800 }],
+            schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
+        },
+        placedQueue(stretch, targetRuntimeMs),
+        { acceptedAtMs: nowMs, order: 1 },
+    );
+
+const openWorkers = (count: number): ReadonlyMap<string, ShardWorker> =>
+    new Map(
+        Array.from({ length: count }, (_, index) => {
+            const worker = newWorker(workerEntry(`i-${index}`, index), 0);
+            worker.runsKnown = true;
+            worker.clock = { localMs: 0, clockMs: 0 };
+            return [worker.workerId, worker];
+        }),
+    );
+
+/** Places a job on as many workers as have speeds; returns the IDs of the workers of its tasks. */
+const placeJob = (world: ScenarioWorld, kind: string, runTimes: RunTimes | undefined): readonly string[] => {
+    const clock = createFakeClock();
+    const placed: string[] = [];
+    const dispatcher = createAdviceDispatcher({
+        clock,
+        log: noopLog,
+        meter: noopMeter,
+        lanes: () => [],
+        call: () => assert.fail(),
+    });
+    const placer = createTaskPlacer({
+        clock,
+        log: noopLog,
+        meter: noopMeter,
+        settings: defaultShardSettings,
+        workers: openWorkers(part(world).speeds.length),
+        dispatcher,
+        onPlanned: (_job, runs) => placed.push(...runs.map(run => run.workerId)),
+        onPreempt: () => {},
+        wake: () => {},
+        runTimes,
+    });
+    placer.updateJob(acceptedJob(clock.nowMs(), kind === "urgent" ? 1.3 : 10, 0));
+    placer.runPass();
+    return placed;
+};
+
+/** Index of the fast and of the slow worker; all others are usual ones. */
+const indexOf: Readonly<Record<string, number>> = { fast: 3, slow: 4 };
+
+Given(
+    "a fast and a slow worker, known from {int} tasks each, beside {int} usual ones",
+    function(this: ScenarioWorld, count: number, usual: number) {
+        const speeds = Array.from({ length: usual + 2 }, () => 0.75);
+        speeds[indexOf["fast"] ?? 0] = 1.5;
+        speeds[indexOf["slow"] ?? 0] = 0.45;
+        endTasks(this, { speeds, count, spread: 0.2, seed: 1 });
+    },
+);
+
+Given(
+    "{int} workers, known as equal from {int} tasks each",
+    function(this: ScenarioWorld, workers: number, count: number) {
+        endTasks(this, { speeds: Array.from({ length: workers }, () => 1 / bias), count, spread: 0.2, seed: 1 });
+    },
+);
+
+When("a job of {word} tasks is placed", function(this: ScenarioWorld, kind: string) {
+    const { runTimes } = part(this);
+    partOf(this, "placed", () => ({
+        withLearning: placeJob(this, kind, runTimes),
+        without: placeJob(this, kind, undefined),
+    }));
+});
+
+const placedOf = (world: ScenarioWorld): { withLearning: readonly string[]; without: readonly string[]; } =>
+    partOf(world, "placed", () => assert.fail("no job was placed"));
+
+Then("it runs on the {word} worker", function(this: ScenarioWorld, choice: string) {
+    const workerIdOf = `i-${indexOf[choice]}`;
+    assert.deepEqual(placedOf(this).withLearning, [workerIdOf, workerIdOf]);
+});
+
+Then("it runs where it would run without learning", function(this: ScenarioWorld) {
+    assert.deepEqual(placedOf(this).withLearning, placedOf(this).without);
+});
+
+Given(
+    "estimates of {int} ms of which the queue is known to take {float}",
+    function(this: ScenarioWorld, estimate: number, factor: number) {
+        const { runTimes } = part(this);
+        for (let end = 0; end < 40; end += 1) {
+            const tookMs = factor * estimate;
+            runTimes.recordEnd({ queueKey, address: addressOf(end % 4), estimateMs: estimate, tookMs });
+        }
+    },
+);
+
+When("a job is submitted that is due {int} ms later", function(this: ScenarioWorld, dueMs: number) {
+    const { runTimes } = part(this);
+    const step = acceptedJob(1_000, 0.001, dueMs).occurrences.get(0)?.steps[0] ?? assert.fail();
+    partOf(this, "standing", () => rankStep(step, openWorkers(1), 1_000, runTimes.remainingFactorOf).standing);
+});
+
+Then("it counts as {word}", function(this: ScenarioWorld, standing: string) {
+    assert.equal(partOf(this, "standing", () => ""), standing);
+});
+
+const loadForMs = 30_000;
+
+When(
+    "urgent jobs and batches take {float} of {int} workers, a quarter of them slow, with and without learning, seed {int}",
+    { timeout: 60_000 },
+    async function(this: ScenarioWorld, share: number, workers: number, seed: number) {
+        const kinds = unequalLoad(workers, share);
+        const play = async (runTimes: RunTimesPolicy): Promise<Readonly<Record<string, LoadOutcome>>> => {
+            const cell = createLoadCell(kinds, {
+                workers,
+                seed,
+                allowedPercent: 60,
+                cpuMillis: 8_000,
+                policies: { ...defaultShardSettings.policies, runTimes },
+                speedOf: index => index % 4 === 0 ? 0.55 : 1.2,
+            });
+            const outcomes = await playLoad(cell, kinds, { forMs: loadForMs, restMs: 10_000 });
+            assert.deepEqual(cell.breaches(), []);
+            return outcomes;
+        };
+        const outcomes = { withLearning: await play("learned"), without: await play("ignored") };
+        partOf(this, "loads", () => outcomes);
+    },
+);
+
+const shareInTime = (world: ScenarioWorld, load: "withLearning" | "without", kind: string): number => {
+    const loads = partOf(world, "loads", (): Readonly<Record<string, Readonly<Record<string, LoadOutcome>>>> => ({}));
+    const { onTime, submitted } = loads[load]?.[kind] ?? assert.fail(`no ${kind} jobs were played`);
+    return 100 * onTime / submitted;
+};
+
+Then(
+    "at least {float} percent of the urgent jobs are in time with learning, and {float} percent more than without",
+    function(this: ScenarioWorld, least: number, more: number) {
+        const [learned, ignored] = (["withLearning", "without"] as const).map(load =>
+            shareInTime(this, load, "urgent")
+        );
+        const shares = `${learned} percent with learning, ${ignored} without`;
+        assert.ok((learned ?? 0) >= least && (learned ?? 0) >= (ignored ?? 100) + more, shares);
+    },
+);
+
+Then("no fewer batches are in time with learning", function(this: ScenarioWorld) {
+    assert.ok(shareInTime(this, "withLearning", "batch") >= shareInTime(this, "without", "batch"));
+});
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -102,6 +102,8 @@
     readonly hasTicket: boolean;
     /** Live runs of the step on the worker. */
     runs: number;
+    /** Score by the worker's speed; undefined until the worker is first found to have capacity. */
+    speedScore: number | undefined;
 }
 
 /** Time, capacity and policy of a choice. */
@@ -109,6 +111,8 @@
     readonly nowMs: number;
     readonly view: CapacityView;
     readonly packing: Packing;
+    /** Score of a worker by its learned speed; speeds are ignored where it is left out. */
+    readonly scoreSpeed?: ((worker: ShardWorker) => number) | undefined;
     /** Rack that the tasks must stay on; undefined for any. */
     readonly rack?: string;
 }
@@ -183,6 +187,7 @@
                 fixed: fixedScore(worker, step) - interferenceOf(worker, spec)
                     - crashExposurePenalty * crashExposureOf(worker, job, suspect),
                 runs: runs.get(worker.workerId) ?? 0,
+                speedScore: limits.scoreSpeed === undefined ? 0 : undefined,
             });
         }
     }
@@ -190,11 +195,13 @@
     const hasCapacityFor = ({ worker, runs: runsHere }: Candidate): boolean =>
         allowsAnotherRun(spec, runsHere) && fits(held, view.capacityFor(worker, step));
 
-    const score = ({ worker, fixed, runs: runsHere }: Candidate): number => {
+    const score = (candidate: Candidate): number => {
+        const { worker, fixed, runs: runsHere } = candidate;
+        candidate.speedScore ??= limits.scoreSpeed?.(worker) ?? 0;
         const offer = { capacity: worker.entry.capacity, room: view.capacityFor(worker, step), held };
         const togetherScore = !spec.longRunning && runsHere > 0 ? togetherBonus : 0;
         const reservedPenalty = runsHere === 0 && view.occupiesReserved(worker, step) ? reservedCapacityPenalty : 0;
-        return fixed + packings[packing](offer) + togetherScore - reservedPenalty;
+        return fixed + candidate.speedScore + packings[packing](offer) + togetherScore - reservedPenalty;
     };
 
     return {
--- a/packages/puffinarch/src/core/shard/planReservations.ts
+++ b/packages/puffinarch/src/core/shard/planReservations.ts
@@ -8,14 +8,7 @@
 import { avoidedByAll } from "./avoidance.js";
 import type { CapacityView, Reservation } from "./capacityView.js";
 import { allowsAnotherRun, countRuns, isEligible } from "./eligible.js";
-import {
-    estimatedEndMs,
-    estimatedRunMs,
-    reservedResources,
-    runPhases,
-    type ShardRun,
-    type ShardStep,
-} from "./jobModel.js";
+import { estimatedRunMs, reservedResources, runPhases, type ShardRun, type ShardStep } from "./jobModel.js";
 import { chooseVictims, isPreemptibleBy } from "./preempt.js";
 import { isBlockedByTrial } from "./trials.js";
 import { isOpen, type ShardWorker } from "./workerTable.js";
@@ -32,6 +25,8 @@
     readonly stopMs: number;
     /** How long the step may still wait for the job to meet its objective; 0 or less where it cannot. */
     readonly slackMs: number;
+    /** Expected run time of a run on its worker; by default that of its estimate. */
+    readonly expectedRunMs?: ((run: ShardRun) => number) | undefined;
 }
 
 /** When a worker has capacity for one more task, and which runs must be stopped for it. */
@@ -53,12 +48,16 @@
 /** Tasks that need a smaller share of a worker than this find free capacity without a reservation. */
 const largeShare = 0.25;
 
-const expectedEndMs = (run: ShardRun, nowMs: number, stopMs: number): number => {
+const expectedEndMs = (
+    run: ShardRun,
+    { nowMs, stopMs, expectedRunMs = estimatedRunMs }: PlanOptions,
+): number => {
     if (run.phase === runPhases.stopping) {
         return nowMs + stopMs;
     }
-    const earliestMs = nowMs + Math.max(minRemainingMs, minRemainingShare * estimatedRunMs(run));
-    return Math.max(earliestMs, estimatedEndMs(run, nowMs));
+    const runMs = expectedRunMs(run);
+    const earliestMs = nowMs + Math.max(minRemainingMs, minRemainingShare * runMs);
+    return Math.max(earliestMs, (run.startedAtMs ?? nowMs) + runMs);
 };
 
 /** Time at which enough capacity is free once these runs end by themselves, in order of their ends; `Infinity` where it never is. */
@@ -80,15 +79,16 @@
 const openingOf = (
     worker: ShardWorker,
     room: Resources,
-    { step, nowMs, stopMs, slackMs }: PlanOptions,
+    options: PlanOptions,
 ): Opening | undefined => {
+    const { step, nowMs, stopMs, slackMs } = options;
     const need = reservedResources(step.spec);
     if (fits(need, room)) {
         return { freeAtMs: nowMs, victims: [] };
     }
     const { priority } = step.occurrence.job.queue;
     const ends = [...worker.runs.values()]
-        .map(run => ({ run, endMs: expectedEndMs(run, nowMs, stopMs) }))
+        .map(run => ({ run, endMs: expectedEndMs(run, options) }))
         .sort((left, right) => left.endMs - right.endMs);
     const freedByEndsMs = whenFreed(ends, need, room);
     const stoppedMs = nowMs + stopMs;
--- a/packages/puffinarch/src/core/shard/runTimes.ts
+++ b/packages/puffinarch/src/core/shard/runTimes.ts
@@ -278,6 +278,46 @@
     };
 };
 
+/** How long a step may take from now on, in ms. */
+export interface TimeLeft {
+    /** Until its job is due; 0 or less if it is late already, `Infinity` if its time does not matter. */
+    readonly leftMs: number;
+    /** Until its job is worthless to its caller. */
+    readonly limitMs: number;
+}
+
+/** A step is surely in time on a worker if this many times its expected run time is left; estimates are off by some tenths. */
+const inTimeMargin = 1.25;
+/** Outweighs the bonus for workers with other tasks of the step and a near worker: the step is in time there only by luck. */
+const tightPenalty = 1.5;
+/** Outweighs free capacity as well, but not a recent failure of the task. */
+const latePenalty = 3;
+const worthlessPenalty = 4;
+/** A worker at half the speed gains about as much as one that is empty beside a full one. */
+const slowFirstWeight = 1.5;
+
+/**
+ * Scores a worker by its speed for a step; higher is better. Workers on which the step is in time come before those on which it
+ * is late. Where it is surely in time, or late anyway, slower workers come first, which leaves the fast ones to steps that need
+ * them; otherwise faster ones come first.
+ *
+ * @example
+ * const left = { leftMs: 1_000, limitMs: 3_000 };
+ * scoreSpeed({ speed: 0.5, expectedMs: 1_400, ...left }) < scoreSpeed({ speed: 1.2, expectedMs: 600, ...left }); // true
+ */
+export const scoreSpeed = (
+    { speed, expectedMs, leftMs, limitMs }: TimeLeft & { readonly speed: number; readonly expectedMs: number; },
+): number => {
+    const logSpeed = Math.log(speed);
+    if (inTimeMargin * expectedMs <= leftMs) {
+        return -slowFirstWeight * logSpeed;
+    }
+    if (expectedMs <= leftMs) {
+        return logSpeed - tightPenalty;
+    }
+    return inTimeMargin * expectedMs <= limitMs ? -logSpeed - latePenalty : logSpeed - worthlessPenalty;
+};
+
 /** Largest uncertainty of the start and the end of a run, as a share of its duration, at which the run still counts. */
 const maxUncertainShare = 0.15;
 
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -407,6 +407,7 @@
         dispatcher: adviceDispatcher,
         onPlanned: startPlanned,
         onPreempt: workers.stop,
+        runTimes: settings.policies.runTimes === "ignored" ? undefined : runTimes,
         wake: () => wake(),
     });
 
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -11,8 +11,18 @@
     readonly packing: Packing;
     /** Whether capacity is reserved, and less urgent runs are preempted, for tasks that do not fit anywhere. */
     readonly room: RoomPolicy;
+    /** Whether learned speeds and biases are used; `learned` where it is left out. */
+    readonly runTimes?: RunTimesPolicy;
 }
 
+/**
+ * `learned`: placement uses the speeds of workers and the biases of estimates that the owner learns. `ignored`: they are learned
+ * for the operator only.
+ */
+export const runTimesPolicies = ["learned", "ignored"] as const;
+/** One of `runTimesPolicies`. */
+export type RunTimesPolicy = (typeof runTimesPolicies)[number];
+
 /**
  * `planned`: capacity is reserved for tasks that need a large part of a worker, and preemptible runs are stopped for urgent tasks.
  * `none`: tasks are started wherever capacity is free, without reservations or preemption.
--- a/packages/puffinarch/src/core/shard/taskPlacer.ts
+++ b/packages/puffinarch/src/core/shard/taskPlacer.ts
@@ -5,10 +5,11 @@
 import { isBlocked, recordBlocked } from "./blockedSteps.js";
 import { type CapacityView, createCapacityView, type Reservation } from "./capacityView.js";
 import { type CapView, type CapWaits, createCapView } from "./capView.js";
-import { type Chooser, createChooser, openWorkersFor } from "./chooseWorker.js";
+import { type ChoiceLimits, type Chooser, createChooser, openWorkersFor } from "./chooseWorker.js";
 import { awaitsCrashConfirmation, needsTrial } from "./crashes.js";
 import { isAtCap } from "./eligible.js";
 import {
+    estimatedRunMs,
     hasEnded,
     isReady,
     isWaiting,
@@ -20,8 +21,9 @@
     stepNameOf,
 } from "./jobModel.js";
 import { planReservations } from "./planReservations.js";
+import { type RunTimes, scoreSpeed, type TimeLeft } from "./runTimes.js";
 import { fellSilentAtStart, holdForTrial, startableTasks } from "./trials.js";
-import { inSchedulingOrder, type RankedStep, standings } from "./urgency.js";
+import { inSchedulingOrder, type RankedStep, standings, timeLeftOf } from "./urgency.js";
 import { dropRun, holdCapacity, type ShardWorker } from "./workerTable.js";
 
 /** Dependencies of a task placer. */
@@ -30,6 +32,8 @@
     readonly onPlanned: (job: ShardJob, runs: readonly ShardRun[]) => void;
     /** Receives a run to be stopped with its checkpoint, to free its capacity. */
     readonly onPreempt: (run: ShardRun) => void;
+    /** Learned speeds and biases; where they are left out, all workers count as equal and estimates as right. */
+    readonly runTimes?: Pick<RunTimes, "isSpread" | "speedOf" | "expectedMs" | "remainingFactorOf"> | undefined;
     /** Requests another pass soon; requests made before it begins are merged. */
     readonly wake: () => void;
 }
@@ -87,7 +91,7 @@
  * placer.runPass();
  */
 export const createTaskPlacer = (options: TaskPlacerOptions): TaskPlacer => {
-    const { clock, log, meter, settings, workers, dispatcher, onPlanned } = options;
+    const { clock, log, meter, settings, workers, dispatcher, onPlanned, runTimes } = options;
     const ready = new Set<ShardStep>();
     /** Steps that wait for their predecessors and for which no advice was requested yet. */
     const upcoming = new Set<ShardStep>();
@@ -129,8 +133,32 @@
         }
     };
 
-    const chooserFor = (step: ShardStep, { nowMs, view }: PassContext): Chooser =>
-        createChooser(step, workers, { nowMs, view, packing: settings.policies.packing });
+    /** Expected run time of a run on its worker. */
+    const expectedRunMs = (run: ShardRun): number =>
+        runTimes?.isSpread() === true && run.task.step.spec.estimateMs > 0
+            ? runTimes.expectedMs(run.task.step, run)
+            : estimatedRunMs(run);
+
+    /** Returns the score of a worker by its speed for a step; undefined where speeds do not matter. */
+    const speedScoreFor = (step: ShardStep, timeLeft: () => TimeLeft): ChoiceLimits["scoreSpeed"] => {
+        const { longRunning, estimateMs } = step.spec;
+        if (runTimes?.isSpread() !== true || longRunning || estimateMs === 0) {
+            return undefined;
+        }
+        const left = timeLeft();
+        return ({ entry }) => {
+            const speed = runTimes.speedOf(entry.address);
+            return scoreSpeed({ ...left, speed, expectedMs: runTimes.expectedMs(step, entry) });
+        };
+    };
+
+    const chooserFor = (step: ShardStep, { nowMs, view }: PassContext, timeLeft: () => TimeLeft): Chooser =>
+        createChooser(step, workers, {
+            nowMs,
+            view,
+            packing: settings.policies.packing,
+            scoreSpeed: speedScoreFor(step, timeLeft),
+        });
 
     /** Starts the wait of tasks on trial for a worker of their own; the members of a gang start it together. */
     const startTrialWaits = (tasks: readonly ShardTask[]): void => {
@@ -162,9 +190,14 @@
         }
     };
 
-    const placeTasks = (step: ShardStep, waiting: readonly ShardTask[], context: PassContext): readonly ShardRun[] => {
+    const placeTasks = (
+        ranked: RankedStep,
+        waiting: readonly ShardTask[],
+        context: PassContext,
+    ): readonly ShardRun[] => {
+        const { step } = ranked;
         const runs: ShardRun[] = [];
-        const chooser = chooserFor(step, context);
+        const chooser = chooserFor(step, context, () => timeLeftOf(ranked, context.wallMs));
         // Tasks without failures and trials have the same requirements, so the rest are skipped once one found no worker.
         // Tasks that failed avoid some workers, so their result says nothing about the rest.
         let workersFull = false;
@@ -186,13 +219,18 @@
     };
 
     /** Places all members of a gang under one run number, or none. */
-    const placeGang = (step: ShardStep, waiting: readonly ShardTask[], context: PassContext): readonly ShardRun[] => {
+    const placeGang = (
+        ranked: RankedStep,
+        waiting: readonly ShardTask[],
+        context: PassContext,
+    ): readonly ShardRun[] => {
+        const { step } = ranked;
         if (waiting.length < step.tasks.length) {
             return [];
         }
         const number = 1 + Math.max(...step.tasks.map(task => task.lastRun));
         const runs: ShardRun[] = [];
-        const chooser = chooserFor(step, context);
+        const chooser = chooserFor(step, context, () => timeLeftOf(ranked, context.wallMs));
         startTrialWaits(waiting);
         const trials = waiting.some(needsTrial)
             ? new Map([...workers.values()].map(worker => [worker, worker.trial]))
@@ -231,7 +269,7 @@
         const unresponsive = (worker?.silentLooks ?? 1) > 0;
         const { estimateMs } = task.step.spec;
         const overdue = estimateMs > 0 && run.startedAtMs !== undefined
-            && nowMs - run.startedAtMs > overdueFactor * estimateMs + overdueMs;
+            && nowMs - run.startedAtMs > overdueFactor * expectedRunMs(run) + overdueMs;
         return unresponsive || overdue;
     };
 
@@ -242,7 +280,8 @@
             return;
         }
         const runs: ShardRun[] = [];
-        const chooser = chooserFor(step, context);
+        // A copy is late already, so that the fastest worker is the best.
+        const chooser = chooserFor(step, context, () => ({ leftMs: 0, limitMs: 0 }));
         for (const task of tasks) {
             const run = placeOne(chooser, task, task.lastRun + 1, new Set(task.runs.map(each => each.workerId)));
             if (run !== undefined) {
@@ -299,6 +338,7 @@
             nowMs,
             stopMs: settings.stopMs,
             slackMs,
+            expectedRunMs,
         });
         plans.set(step, { madeAtMs: nowMs, reservations });
         reservations.forEach(view.reserve);
@@ -343,7 +383,7 @@
             step.blockedAtMs = undefined;
             return;
         }
-        const runs = step.spec.gang ? placeGang(step, waiting, context) : placeTasks(step, waiting, context);
+        const runs = step.spec.gang ? placeGang(ranked, waiting, context) : placeTasks(ranked, waiting, context);
         if (runs.length > 0) {
             endTrialWaits(runs);
             log.write("info", "placed", {
@@ -404,7 +444,9 @@
             planned: 0,
             caps: createCapView(nowMs, capWaits),
         };
-        for (const ranked of inSchedulingOrder(ready, { clock, workers, order: settings.policies.order })) {
+        const { order } = settings.policies;
+        const biasOf = runTimes?.remainingFactorOf;
+        for (const ranked of inSchedulingOrder(ready, { clock, workers, order, biasOf })) {
             placeStep(ranked, context);
         }
         requestAdviceAhead(context);
--- a/packages/puffinarch/src/core/shard/urgency.ts
+++ b/packages/puffinarch/src/core/shard/urgency.ts
@@ -5,6 +5,7 @@
 import { newAccount, tasksUnderCap } from "./accounts.js";
 import { isEligible } from "./eligible.js";
 import { reservedResources, type ShardOccurrence, type ShardStep } from "./jobModel.js";
+import type { TimeLeft } from "./runTimes.js";
 import type { ShardWorker } from "./workerTable.js";
 
 /** Whether the job of a step can still end in time to be of value to its caller. */
@@ -108,6 +109,7 @@
     step: ShardStep,
     workers: ReadonlyMap<string, ShardWorker>,
     wallMs: number,
+    biasOf: (queueKey: string) => number = () => 1,
 ): RankedStep => {
     const { occurrence, spec, number } = step;
     if (occurrence.timing === undefined && workers.size > 0) {
@@ -119,7 +121,8 @@
     }
     const startMs = startOf(occurrence);
     const dueAtMs = startMs + timing.objectiveMs;
-    const endsAtMs = wallMs + remainingTimeFactor * (timing.remainingByStepMs[number] ?? 0);
+    const factor = Math.max(1, remainingTimeFactor * biasOf(occurrence.job.queue.key));
+    const endsAtMs = wallMs + factor * (timing.remainingByStepMs[number] ?? 0);
     if (endsAtMs <= dueAtMs) {
         return { step, standing: standings.onTime, dueAtMs };
     }
@@ -127,6 +130,28 @@
     return { step, standing, dueAtMs };
 };
 
+/**
+ * Returns how long a step may take from now on: until its job is due, and until it is worthless, each less the expected time of
+ * the steps after it.
+ *
+ * @example
+ * timeLeftOf(rankStep(step, workers, clock.nowMs()), clock.nowMs()).leftMs;
+ */
+export const timeLeftOf = ({ step, standing, dueAtMs }: RankedStep, wallMs: number): TimeLeft => {
+    const { timing, steps } = step.occurrence;
+    if (timing === undefined || standing === standings.overdue) {
+        return { leftMs: Infinity, limitMs: Infinity };
+    }
+    let laterMs = 0;
+    for (const { spec, number } of steps) {
+        if (spec.after.includes(step.number)) {
+            laterMs = Math.max(laterMs, timing.remainingByStepMs[number] ?? 0);
+        }
+    }
+    const leftMs = dueAtMs - wallMs - laterMs;
+    return { leftMs, limitMs: leftMs + (lateFactor - 1) * timing.objectiveMs };
+};
+
 const standingRanks: Readonly<Record<Standing, number>> = { onTime: 0, late: 1, overdue: 2 };
 
 const byPriority = ({ step: left }: RankedStep, { step: right }: RankedStep): number =>
@@ -168,6 +193,8 @@
     readonly clock: Clock;
     readonly workers: ReadonlyMap<string, ShardWorker>;
     readonly order: SchedulingOrder;
+    /** Factor by which the estimates of a queue are known to be off; 1 for all where it is left out. */
+    readonly biasOf?: ((queueKey: string) => number) | undefined;
 }
 
 /**
@@ -178,12 +205,12 @@
  */
 export const inSchedulingOrder = (
     steps: Iterable<ShardStep>,
-    { clock, workers, order }: SchedulingOrderOptions,
+    { clock, workers, order, biasOf }: SchedulingOrderOptions,
 ): readonly RankedStep[] => {
     const wallMs = clock.nowMs();
     const ranked: RankedStep[] = [];
     for (const step of steps) {
-        ranked.push(rankStep(step, workers, wallMs));
+        ranked.push(rankStep(step, workers, wallMs, biasOf));
     }
     return ranked.sort(schedulingOrders[order]);
 };
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -217,6 +217,7 @@
     schedulingOrders,
     type Standing,
     standings,
+    timeLeftOf,
 } from "./internal.js";
 export { type ShardOwner, type ShardOwnerOptions, startShardOwner } from "./internal.js";
 export { createShardWorkers, type ShardWorkers, type ShardWorkersOptions } from "./internal.js";
@@ -224,6 +225,8 @@
     defaultShardSettings,
     roomPolicies,
     type RoomPolicy,
+    runTimesPolicies,
+    type RunTimesPolicy,
     type ShardPolicies,
     type ShardSettings,
 } from "./internal.js";
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -72,6 +72,8 @@
     connect(isOpen: (workerId: string) => boolean): FencedWorkerPort;
     add(entry: WorkerEntry): void;
     setFault(workerId: string, fault: WorkerFault): void;
+    /** Sets how fast the runs that start on a worker from now on are; 1 is the usual speed. */
+    setSpeed(workerId: string, speed: number): void;
     /** Ends the worker's incarnation; calls to it are answered with `otherIncarnation` from now on. */
     crash(workerId: string): void;
     /** Ends the worker's incarnation; nothing answers at its address until `replace` or `restart`. */
@@ -118,6 +120,8 @@
     readonly formerCapacities: { readonly capacity: Resources; readonly untilMs: number; }[];
     token: number;
     fault: WorkerFault;
+    /** Runs take their usual time divided by this. */
+    speed: number;
     /** Whether this incarnation has not ended. */
     alive: boolean;
     /** Whether nothing answers at its address. */
@@ -354,7 +358,7 @@
         const failing = worker.fault === "failing";
         const scheduleEnd = (): () => void =>
             worker.fault === "hanging" ? () => {} : clock.setTimer(
-                failing ? failingRunMs : durationMs,
+                failing ? failingRunMs : durationMs / worker.speed,
                 () => endRun(worker, key, failing || fails ? runEnds.failed : runEnds.done),
             );
         const scheduleOutcome = (): () => void =>
@@ -544,6 +548,7 @@
             formerCapacities: [],
             token: 0,
             fault,
+            speed: 1,
             alive: true,
             down: false,
             clockStartMs,
@@ -567,6 +572,12 @@
                 worker.fault = fault;
             }
         },
+        setSpeed: (workerId, speed) => {
+            const worker = workers.get(workerId);
+            if (worker !== undefined) {
+                worker.speed = speed;
+            }
+        },
         crash: workerId => {
             const worker = workers.get(workerId);
             if (worker !== undefined) {
--- a/packages/stand-ins/src/shard/shardLoad.ts
+++ b/packages/stand-ins/src/shard/shardLoad.ts
@@ -72,28 +72,69 @@
     }),
 ];
 
+/** Urgent jobs whose objective leaves no time for a slow worker, and wide batches, for workers of 8 cores. */
+const urgentOnUnequal = "3 of 1 cores for 680 ms";
+const batchOnUnequal = "10 of 1 cores for 2000 ms";
+/** Processor time of each job of the two kinds, in core-milliseconds. */
+const urgentWorkMs = 3 * 680;
+const batchWorkMs = 10 * 2_000;
+/** Share of the urgent jobs in the load. */
+const urgentShare = 0.2;
+
+/**
+ * Returns urgent jobs that are late on a worker of speed 0.55, and batches with slack. Together they take `share` of the capacity of
+ * as many workers of 8 cores at the usual speed.
+ *
+ * @example
+ * const [urgent, batch] = unequalLoad(16, 0.8);
+ */
+export const unequalLoad = (workers: number, share: number): readonly LoadKind[] => {
+    const cores = 8 * workers * share;
+    return [
+        createKind("urgent", urgentOnUnequal, urgentWorkMs / (cores * urgentShare), {
+            priority: 0,
+            stretch: 1.5,
+            targetRuntimeMs: 175,
+        }),
+        createKind("batch", batchOnUnequal, batchWorkMs / (cores * (1 - urgentShare)), {
+            priority: 2,
+            stretch: 4,
+            targetRuntimeMs: 3_000,
+        }),
+    ];
+};
+
 /** Creates a cell for a load. Its advisor allows each step on about `allowedPercent` percent of the workers, and on one at least. */
 export const createLoadCell = (
     kinds: readonly LoadKind[],
-    { workers, seed, allowedPercent, policies }: {
+    { workers, seed, allowedPercent, policies, cpuMillis = 64_000, speedOf = () => 1 }: {
         readonly workers: number;
         readonly seed: number;
         readonly allowedPercent: number;
         readonly policies?: ShardPolicies;
+        /** Processors of each worker. */
+        readonly cpuMillis?: number;
+        /** Speed of the worker with an index. */
+        readonly speedOf?: (index: number) => number;
     },
-): ShardCell =>
-    createShardCell({
+): ShardCell => {
+    const cell = createShardCell({
         members: 3,
         workers,
         seed,
         durationMs: "estimated",
-        capacity: { cpuMillis: 64_000, memoryMib: 128_000, accelerators: 8 },
+        capacity: { cpuMillis, memoryMib: 128_000, accelerators: 8 },
         queues: kinds.map(kind => kind.queue),
         ...(policies === undefined ? {} : { policies }),
         isAllowed: (stepName, workerId) =>
             hash(`${seed}|${stepName}|${workerId}`) % 100 < allowedPercent
             || workerId === `worker-${hash(stepName) % workers}`,
     });
+    for (const [index, workerId] of cell.workers.workerIds().entries()) {
+        cell.workers.setSpeed(workerId, speedOf(index));
+    }
+    return cell;
+};
 
 const outcomeOf = (kind: LoadKind, jobs: readonly LoadJob[], cell: ShardCell): LoadOutcome => {
     const doneAtMs = new Map<string, number>();
