--- a/features/examples.feature
+++ b/features/examples.feature
@@ -110,6 +110,7 @@
             | nextIncarnation      | 1 of 2 runs may be there, settled by its next look; 2 may have crashed the incarnation before |
             | runTimes             | spread, 0.5 times as fast               |
             | runTimesRow          | 0 rows, then 1; plans take 2 times their estimates |
+            | speedsReport         | speedsLearned: slowest 10.0.0.1:1 0.50, 10.0.0.0:1 1.20 |
             | trials               | 1 task, by itself                       |
             | shortTenures         | 4 times, then 1                         |
             | tableWatch           | configuration seen                      |
--- a/features/runTimes.feature
+++ b/features/runTimes.feature
@@ -99,6 +99,16 @@
             | 0.6   | 1    |
             | 0.85  | 2    |
 
+    # Guards against an operator who cannot see why placement prefers some workers, and against a log line for each review.
+    Scenario Outline: <lines> log lines show the speeds over 20 s of load where a quarter of the workers runs at <speed>
+        When urgent jobs and batches take 0.6 of 12 workers for 20 s, a quarter of them at <speed>
+        Then <lines> log lines show the speeds, the newest of them those of 12 workers
+
+        Examples:
+            | speed | lines |
+            | 0.55  | 2     |
+            | 1.2   | 0     |
+
     # Guards against an owner that takes all workers as equal again after each takeover, and a row that grows beyond what the store
     # takes.
     Scenario: The next owner knows the speeds before the first run has ended under it
--- a/features/steps/examples/shardPlacement.ts
+++ b/features/steps/examples/shardPlacement.ts
@@ -14,6 +14,7 @@
     createCapView,
     createChooser,
     createRunTimes,
+    createSpeedsReport,
     createTaskPlacer,
     defaultShardSettings,
     freeCapacityOf,
@@ -243,6 +244,23 @@
     return `${learned.isSpread() ? "spread" : "equal"}, ${((slow ?? 0) / (usual ?? 1)).toFixed(1)} times as fast`;
 };
 
+const speedsReport = (): string => {
+    const lines: string[] = [];
+    const [fast, slow] = [1.2, 0.5].map((speed, index) => ({ address: `10.0.0.${index}:1`, speed, error: 0.1 }));
+    const report = createSpeedsReport({
+        clock: createFakeClock(),
+        log: { write: (_level, event, fields) => lines.push(`${event}: slowest ${String(fields["slowest"])}`) },
+        meter,
+        runTimes: {
+            isSpread: () => true,
+            entries: () => ({ speeds: [fast, slow].filter(each => each !== undefined), biases: [] }),
+        },
+    });
+    report.review();
+    report.review();
+    return lines.join("; ");
+};
+
 /** Examples of the modules about placement, by the module's name. */
 export const shardPlacementExamples: Readonly<Record<string, () => string | Promise<string>>> = {
     adviceDispatcher,
@@ -260,5 +278,6 @@
     urgency,
     adviceRequester,
     runTimes,
+    speedsReport,
     trials,
 };
--- a/features/steps/runTimeSteps.ts
+++ b/features/steps/runTimeSteps.ts
@@ -586,3 +586,29 @@
         assert.match(biases[0]?.queueKey ?? "", /499$/);
     },
 );
+
+When(
+    "urgent jobs and batches take {float} of {int} workers for {int} s, a quarter of them at {float}",
+    async function(this: ScenarioWorld, share: number, workers: number, forS: number, slowSpeed: number) {
+        const kinds = unequalLoad(workers, share);
+        const cell = createLoadCell(kinds, {
+            workers,
+            seed: 1,
+            allowedPercent: 100,
+            cpuMillis: 8_000,
+            speedOf: index => index % 4 === 0 ? slowSpeed : 1.2,
+        });
+        cellPart(this).cell = cell;
+        cellPart(this).watch = watchStalledTasks(cell);
+        await playLoad(cell, kinds, { forMs: 1_000 * forS, restMs: 0 });
+    },
+);
+
+Then(
+    "{int} log lines show the speeds, the newest of them those of {int} workers",
+    function(this: ScenarioWorld, lines: number, workers: number) {
+        const shown = cellOf(this).log.filter(({ event }) => event === "speedsLearned");
+        assert.equal(shown.length, lines);
+        assert.ok(lines === 0 || shown.at(-1)?.fields["workers"] === workers, JSON.stringify(shown));
+    },
+);
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -51,6 +51,7 @@
 import type { ShardSettings } from "./shardSettings.js";
 import { endedTable } from "./shardTables.js";
 import { createShardWorkers } from "./shardWorkers.js";
+import { createSpeedsReport } from "./speedsReport.js";
 import { createTaskPlacer } from "./taskPlacer.js";
 import { createTaskReview } from "./taskReview.js";
 import { startUpkeep, type Upkeep } from "./upkeep.js";
@@ -211,6 +212,7 @@
     const reader = createRowReader({ log, meter });
 
     const runTimes = createRunTimes();
+    const speedsReport = createSpeedsReport({ clock, log, meter, runTimes });
     const runTimesRow = createRunTimesRow({ clock, log, reader, runTimes });
 
     const progress = createOwnerProgress({
@@ -507,6 +509,7 @@
         }
         if (ticks % reviewIntervalTicks === 0) {
             review.run();
+            speedsReport.review();
             progress.review(taskPlacer.waitingSteps());
             reviewAccounts();
         }
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -84,6 +84,7 @@
 export * from "./core/shard/shardTables.js";
 export * from "./core/shard/shardWorkers.js";
 export * from "./core/shard/shortTenures.js";
+export * from "./core/shard/speedsReport.js";
 export * from "./core/shard/startBreaker.js";
 export * from "./core/shard/tableWatch.js";
 export * from "./core/shard/taskPlacer.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -205,6 +205,7 @@
     type RunTimes,
 } from "./internal.js";
 export { createRunTimesRow, decodeRunTimes, encodeRunTimes, type RunTimesRow, runTimesSchema } from "./internal.js";
+export { createSpeedsReport, type SpeedsReport } from "./internal.js";
 export { chooseVictims, isPreemptibleBy } from "./internal.js";
 export { type PlanOptions, planReservations } from "./internal.js";
 export { type CapacityView, createCapacityView, isPreemptible, type Reservation } from "./internal.js";
