--- a/features/shardQueries.feature
+++ b/features/shardQueries.feature
@@ -35,7 +35,7 @@
         When the CLI asks the metrics servers "shard organisations"
         Then the CLI ends with 0 and says "north"
         When the CLI asks the metrics servers "shard speeds"
-        Then the CLI ends with 0 and says "nothing was learned yet"
+        Then the CLI ends with 0 and says "stages.example/plans/"
 
     Scenario Outline: The CLI asks <servers> for <query>
         Given a cell of 3 daemons and 2 workers
@@ -49,6 +49,7 @@
             | the metrics servers        | shard job 5c0e7a21d94b36f85c0e7a21d94b36f85c0e7a21d94b36f85c0e7a21d94b36f85c0e7a21d94b36f85c0e7a21d94b36f85c0e7a21d94b36f85c0e7a21d94b36f8 | 2    | allowed: 16 hexadecimal digits |
             | the other metrics servers  | shard job 5c0e7a21d94b36f8     | 7    | does not own the shard; the owner is  |
             | the other metrics servers  | shard organisations            | 7    | does not own the shard; the owner is  |
+            | the metrics servers        | shard speeds                   | 0    | nothing was learned yet               |
             | no metrics server          | shard speeds                   | 2    | at least one address, by --metrics    |
             | a closed port              | shard speeds                   | 7    | no daemon answered as the owner       |
 
--- a/features/steps/examples/shardPlacement.ts
+++ b/features/steps/examples/shardPlacement.ts
@@ -15,7 +15,9 @@
     createCapView,
     createChooser,
     createFairShares,
+    createRunTimes,
     createShortage,
+    createSpeedsReport,
     createTaskPlacer,
     createTicketBudget,
     createUrgentArrivals,
@@ -127,15 +129,11 @@
     const state = { jobs, accounts, workers, nowMs: 0, wallMs: 0, plannedStartMs: () => undefined };
     const explanation = explainJob(submission.jobId, state);
     const [use] = listOrganisations(state);
-    const port = {
-        entries: () => [{ address: "10.0.0.9:1", speed: 1, samples: 4 }, {
-            address: full.entry.address,
-            speed: 0.5,
-            samples: 4,
-        }],
-        queues: () => [],
-    };
-    const [slowest] = listSpeeds(port, workers).workers;
+    const speeds = [
+        { address: "10.0.0.9:1", speed: 1, error: 0.1 },
+        { address: full.entry.address, speed: 0.5, error: 0.1 },
+    ];
+    const [slowest] = listSpeeds({ speeds, biases: [] }, workers).workers;
     return `waits for ${
         Object.keys(explanation?.steps[0]?.waits ?? {}).join()
     }, ${use?.waiting.tasks} task, ${slowest?.workerId} at ${slowest?.speed}`;
@@ -322,6 +320,34 @@
     return `${chosen} task, ${allowsTrial(worker, task, 100) ? "beside others" : "by itself"}`;
 };
 
+const runTimes = (): string => {
+    const learned = createRunTimes();
+    for (let round = 0; round < 20; round += 1) {
+        for (const [index, tookMs] of [800, 800, 800, 1_600].entries()) {
+            learned.recordEnd({ queueKey: "plans", address: `10.0.0.${index}:1`, estimateMs: 800, tookMs });
+        }
+    }
+    const [usual, slow] = ["10.0.0.0:1", "10.0.0.3:1"].map(address => learned.speedOf(address));
+    return `${learned.isSpread() ? "spread" : "equal"}, ${((slow ?? 0) / (usual ?? 1)).toFixed(1)} times as fast`;
+};
+
+const speedsReport = (): string => {
+    const lines: string[] = [];
+    const [fast, slow] = [1.2, 0.5].map((speed, index) => ({ address: `10.0.0.${index}:1`, speed, error: 0.1 }));
+    const report = createSpeedsReport({
+        clock: createFakeClock(),
+        log: { write: (_level, event, fields) => lines.push(`${event}: slowest ${String(fields["slowest"])}`) },
+        meter,
+        runTimes: {
+            isSpread: () => true,
+            entries: () => ({ speeds: [fast, slow].filter(each => each !== undefined), biases: [] }),
+        },
+    });
+    report.review();
+    report.review();
+    return lines.join("; ");
+};
+
 /** Examples of the modules about placement, by the module's name. */
 export const shardPlacementExamples: Readonly<Record<string, () => string | Promise<string>>> = {
     adviceDispatcher,
@@ -344,5 +370,7 @@
     shortage,
     headroom,
     adviceRequester,
+    runTimes,
+    speedsReport,
     trials,
 };
--- a/packages/puffinarch-cli/src/commands/shard.ts
+++ b/packages/puffinarch-cli/src/commands/shard.ts
@@ -67,9 +67,9 @@
         workerId: z.string().optional(),
         dataCentre: z.string().optional(),
         speed: z.number(),
-        samples: z.number(),
+        error: z.number(),
     })),
-    queues: z.array(z.looseObject({ queueKey: z.string(), bias: z.number(), samples: z.number() })),
+    queues: z.array(z.looseObject({ queueKey: z.string(), bias: z.number(), ends: z.number() })),
 });
 
 type Job = z.infer<typeof jobSchema>;
@@ -132,13 +132,13 @@
             { title: "ADDRESS", cell: each => each.address },
             { title: "DATA CENTRE", cell: each => each.dataCentre ?? "-" },
             { title: "SPEED", cell: each => each.speed.toFixed(2) },
-            { title: "SAMPLES", cell: each => each.samples },
+            { title: "ERROR", cell: each => each.error.toFixed(2) },
         ], workers)
     }\n${
         tableOf([
             { title: "QUEUE", cell: each => each.queueKey },
             { title: "BIAS", cell: each => each.bias.toFixed(2) },
-            { title: "SAMPLES", cell: each => each.samples },
+            { title: "ENDS", cell: each => each.ends },
         ], queues)
     }`;
 
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -46,17 +46,13 @@
 import { createOwnerProgress } from "./ownerProgress.js";
 import { readAllRows } from "./readRows.js";
 import { createRowReader } from "./rowReader.js";
-import {
-    explainJob,
-    listOrganisations,
-    listSpeeds,
-    type QueriedState,
-    type ShardQueries,
-    type SpeedPort,
-} from "./shardQueries.js";
+import { createRunTimes } from "./runTimes.js";
+import { createRunTimesRow } from "./runTimesRow.js";
+import { explainJob, listOrganisations, listSpeeds, type QueriedState, type ShardQueries } from "./shardQueries.js";
 import type { ShardSettings } from "./shardSettings.js";
 import { endedTable } from "./shardTables.js";
 import { createShardWorkers } from "./shardWorkers.js";
+import { createSpeedsReport } from "./speedsReport.js";
 import { createTaskPlacer } from "./taskPlacer.js";
 import { createTaskReview } from "./taskReview.js";
 import { startUpkeep, type Upkeep } from "./upkeep.js";
@@ -85,8 +81,6 @@
         readonly staleOrderWindowMs: number;
         readonly stateRow: (wave: number, state: WaveState) => RowKey & { readonly value: string; };
     };
-    /** Learned speeds, for operators' queries; none are listed where it is left out. */
-    readonly speeds?: SpeedPort;
     /** Age in ms of the worker list or of the configuration, whichever is older; `Infinity` before both have been read. */
     readonly newsAgeMs: () => number;
     /** Called when the owner has stopped by itself, because another daemon owns the shard or may own it. */
@@ -208,6 +202,7 @@
         storeLatencyMs: claimed.storeLatencyMs,
         claimId,
         encode,
+        rowsDue: () => runTimesRow.due(),
         onCommitted: version => {
             newestVersion = version;
         },
@@ -218,6 +213,10 @@
 
     const reader = createRowReader({ log, meter });
 
+    const runTimes = createRunTimes();
+    const speedsReport = createSpeedsReport({ clock, log, meter, runTimes });
+    const runTimesRow = createRunTimesRow({ clock, log, reader, runTimes });
+
     const progress = createOwnerProgress({
         clock,
         log,
@@ -331,6 +330,7 @@
         onStarted: markStarted,
         wake: () => wake(),
         onRunsKnown: () => review.runAndReport(),
+        runTimes,
         onFenced: () => stopFenced("worker"),
     });
 
@@ -415,6 +415,7 @@
         dispatcher: adviceDispatcher,
         onPlanned: startPlanned,
         onPreempt: workers.stop,
+        runTimes: settings.policies.runTimes === "ignored" ? undefined : runTimes,
         wake: () => wake(),
     });
 
@@ -511,6 +512,7 @@
         }
         if (ticks % reviewIntervalTicks === 0) {
             review.run();
+            speedsReport.review();
             progress.review(taskPlacer.waitingSteps());
             reviewAccounts();
         }
@@ -538,6 +540,7 @@
     };
 
     const restoreFromRows = (): void => {
+        runTimesRow.restore(claimed.rows);
         const restored = restoreJobs(claimed.rows, { reader, accounts, clock });
         for (const job of restored.jobs) {
             nextOrder = Math.max(nextOrder, job.order + 1);
@@ -688,7 +691,10 @@
             };
         },
         listOrganisations: async () => listOrganisations(await confirmedState()),
-        listSpeeds: async () => listSpeeds(options.speeds, (await confirmedState()).workers),
+        listSpeeds: async () => {
+            const { workers: listed } = await confirmedState();
+            return listSpeeds(runTimes.entries(), listed);
+        },
     };
 
     return {
--- a/packages/puffinarch/src/core/shard/shardQueries.ts
+++ b/packages/puffinarch/src/core/shard/shardQueries.ts
@@ -23,6 +23,7 @@
     type ShardTask,
     stepsOf,
 } from "./jobModel.js";
+import type { LearnedBias, RunTimeEntries } from "./runTimes.js";
 import {
     type AvailabilityCounts,
     awaitsStart,
@@ -38,14 +39,6 @@
 import { rankStep, type Standing } from "./urgency.js";
 import type { ShardWorker } from "./workerTable.js";
 
-/** Learned speeds of workers and errors of estimates. */
-export interface SpeedPort {
-    /** Speeds by worker address; 1 is the usual worker, and 0.5 takes twice as long. */
-    entries(): readonly { readonly address: string; readonly speed: number; readonly samples: number; }[];
-    /** Factor on the estimates of each queue: 2 where its tasks take twice as long as estimated. */
-    queues(): readonly { readonly queueKey: string; readonly bias: number; readonly samples: number; }[];
-}
-
 /** The owner's state that is queried, and the time at which it is examined. */
 export interface QueriedState extends WorkerSnapshot {
     readonly jobs: ReadonlyMap<string, ShardJob>;
@@ -122,9 +115,9 @@
         readonly workerId?: string;
         readonly dataCentre?: string;
         readonly speed: number;
-        readonly samples: number;
+        readonly error: number;
     }[];
-    readonly queues: readonly { readonly queueKey: string; readonly bias: number; readonly samples: number; }[];
+    readonly queues: readonly LearnedBias[];
 }
 
 /** Most steps that an answer lists; a scheduled job may have many open occurrences. */
@@ -459,18 +452,21 @@
  * @example
  * listSpeeds(undefined, workers).workers.length; // 0
  */
-export const listSpeeds = (port: SpeedPort | undefined, workers: ReadonlyMap<string, ShardWorker>): SpeedListing => {
+export const listSpeeds = (
+    { speeds, biases }: RunTimeEntries,
+    workers: ReadonlyMap<string, ShardWorker>,
+): SpeedListing => {
     const byAddress = new Map([...workers.values()].map(({ entry }) => [entry.address, entry]));
-    const listed = (port?.entries() ?? []).map(({ address, speed, samples }) => {
+    const listed = speeds.map(({ address, speed, error }) => {
         const entry = byAddress.get(address);
         return {
             address,
             ...(entry === undefined ? {} : { workerId: entry.workerId, dataCentre: entry.dataCentre }),
             speed,
-            samples,
+            error,
         };
     });
-    return { workers: listed.sort((left, right) => left.speed - right.speed), queues: port?.queues() ?? [] };
+    return { workers: listed.sort((left, right) => left.speed - right.speed), queues: biases };
 };
 
 /** Queries of a shard's owner. Each fails with `unavailable` unless the store confirms that this daemon still owns the shard. */
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -15,8 +15,18 @@
     readonly shares: SharesPolicy;
     /** Whether steps of lower priorities leave capacity free for urgent work while it keeps arriving. */
     readonly headroom: HeadroomPolicy;
+    /** Whether learned speeds and biases are used; `learned` where it is left out. */
+    readonly runTimes?: RunTimesPolicy;
 }
 
+/**
+ * `learned`: placement uses the speeds of workers and the biases of estimates that the owner learns. `ignored`: they are learned
+ * for the operator only.
+ */
+export const runTimesPolicies = ["learned", "ignored"] as const;
+/** One of `runTimesPolicies`. */
+export type RunTimesPolicy = (typeof runTimesPolicies)[number];
+
 /**
  * `planned`: capacity is reserved for tasks that need a large part of a worker, and preemptible runs are stopped for urgent tasks.
  * `none`: tasks are started wherever capacity is free, without reservations or preemption.
--- a/packages/puffinarch/src/core/shard/taskPlacer.ts
+++ b/packages/puffinarch/src/core/shard/taskPlacer.ts
@@ -6,12 +6,13 @@
 import { isBlocked, recordBlocked } from "./blockedSteps.js";
 import { type CapacityView, createCapacityView, type Reservation } from "./capacityView.js";
 import { type CapView, type CapWaits, createCapView } from "./capView.js";
-import { type Chooser, createChooser, openWorkersFor } from "./chooseWorker.js";
+import { type ChoiceLimits, type Chooser, createChooser, openWorkersFor } from "./chooseWorker.js";
 import { awaitsCrashConfirmation, needsTrial } from "./crashes.js";
 import { isAtCap } from "./eligible.js";
 import { createFairShares } from "./fairShares.js";
 import { createHeadroom, type PassHeadroom } from "./headroom.js";
 import {
+    estimatedRunMs,
     hasEnded,
     isReady,
     isWaiting,
@@ -24,10 +25,11 @@
 } from "./jobModel.js";
 import { planReservations } from "./planReservations.js";
 import { roomyWorkers } from "./roomyWorkers.js";
+import { type RunTimes, scoreSpeed, type TimeLeft } from "./runTimes.js";
 import { createShortage } from "./shortage.js";
 import { createTicketBudget, type TicketBudget } from "./ticketBudget.js";
 import { fellSilentAtStart, holdForTrial, startableTasks } from "./trials.js";
-import { inSchedulingOrder, isPlacedLast, type RankedStep, slackMsOf, standings } from "./urgency.js";
+import { inSchedulingOrder, isPlacedLast, type RankedStep, slackMsOf, standings, timeLeftOf } from "./urgency.js";
 import { dropRun, holdCapacity, type ShardWorker } from "./workerTable.js";
 
 /** Dependencies of a task placer. */
@@ -38,6 +40,8 @@
     readonly onPreempt: (run: ShardRun) => void;
     /** The organisations' use, for the policy `shares`. */
     readonly accounts?: Pick<Accounts, "all">;
+    /** Learned speeds and biases; where they are left out, all workers count as equal and estimates as right. */
+    readonly runTimes?: Pick<RunTimes, "isSpread" | "speedOf" | "expectedMs" | "remainingFactorOf"> | undefined;
     /** Requests another pass soon; requests made before it begins are merged. */
     readonly wake: () => void;
 }
@@ -101,7 +105,7 @@
  * placer.runPass();
  */
 export const createTaskPlacer = (options: TaskPlacerOptions): TaskPlacer => {
-    const { clock, log, meter, settings, workers, dispatcher, onPlanned, accounts } = options;
+    const { clock, log, meter, settings, workers, dispatcher, onPlanned, accounts, runTimes } = options;
     const { policies } = settings;
     const ready = new Set<ShardStep>();
     /** Steps that wait for their predecessors and for which no advice was requested yet. */
@@ -147,8 +151,32 @@
         }
     };
 
-    const chooserFor = (step: ShardStep, { nowMs, view }: PassContext): Chooser =>
-        createChooser(step, workers, { nowMs, view, packing: policies.packing });
+    /** Expected run time of a run on its worker. */
+    const expectedRunMs = (run: ShardRun): number =>
+        runTimes?.isSpread() === true && run.task.step.spec.estimateMs > 0
+            ? runTimes.expectedMs(run.task.step, run)
+            : estimatedRunMs(run);
+
+    /** Returns the score of a worker by its speed for a step; undefined where speeds do not matter. */
+    const speedScoreFor = (step: ShardStep, timeLeft: () => TimeLeft): ChoiceLimits["scoreSpeed"] => {
+        const { longRunning, estimateMs } = step.spec;
+        if (runTimes?.isSpread() !== true || longRunning || estimateMs === 0) {
+            return undefined;
+        }
+        const left = timeLeft();
+        return ({ entry }) => {
+            const speed = runTimes.speedOf(entry.address);
+            return scoreSpeed({ ...left, speed, expectedMs: runTimes.expectedMs(step, entry) });
+        };
+    };
+
+    const chooserFor = (step: ShardStep, { nowMs, view }: PassContext, timeLeft: () => TimeLeft): Chooser =>
+        createChooser(step, workers, {
+            nowMs,
+            view,
+            packing: policies.packing,
+            scoreSpeed: speedScoreFor(step, timeLeft),
+        });
 
     /** Starts the wait of tasks on trial for a worker of their own; the members of a gang start it together. */
     const startTrialWaits = (tasks: readonly ShardTask[]): void => {
@@ -180,9 +208,14 @@
         }
     };
 
-    const placeTasks = (step: ShardStep, waiting: readonly ShardTask[], context: PassContext): readonly ShardRun[] => {
+    const placeTasks = (
+        ranked: RankedStep,
+        waiting: readonly ShardTask[],
+        context: PassContext,
+    ): readonly ShardRun[] => {
+        const { step } = ranked;
         const runs: ShardRun[] = [];
-        const chooser = chooserFor(step, context);
+        const chooser = chooserFor(step, context, () => timeLeftOf(ranked, context.wallMs));
         // Tasks without failures and trials have the same requirements, so the rest are skipped once one found no worker.
         // Tasks that failed avoid some workers, so their result says nothing about the rest.
         let workersFull = false;
@@ -204,13 +237,18 @@
     };
 
     /** Places all members of a gang under one run number, or none. */
-    const placeGang = (step: ShardStep, waiting: readonly ShardTask[], context: PassContext): readonly ShardRun[] => {
+    const placeGang = (
+        ranked: RankedStep,
+        waiting: readonly ShardTask[],
+        context: PassContext,
+    ): readonly ShardRun[] => {
+        const { step } = ranked;
         if (waiting.length < step.tasks.length) {
             return [];
         }
         const number = 1 + Math.max(...step.tasks.map(task => task.lastRun));
         const runs: ShardRun[] = [];
-        const chooser = chooserFor(step, context);
+        const chooser = chooserFor(step, context, () => timeLeftOf(ranked, context.wallMs));
         startTrialWaits(waiting);
         const trials = waiting.some(needsTrial)
             ? new Map([...workers.values()].map(worker => [worker, worker.trial]))
@@ -249,7 +287,7 @@
         const unresponsive = (worker?.silentLooks ?? 1) > 0;
         const { estimateMs } = task.step.spec;
         const overdue = estimateMs > 0 && run.startedAtMs !== undefined
-            && nowMs - run.startedAtMs > overdueFactor * estimateMs + overdueMs;
+            && nowMs - run.startedAtMs > overdueFactor * expectedRunMs(run) + overdueMs;
         return unresponsive || overdue;
     };
 
@@ -260,7 +298,8 @@
             return;
         }
         const runs: ShardRun[] = [];
-        const chooser = chooserFor(step, context);
+        // A copy is late already, so that the fastest worker is the best.
+        const chooser = chooserFor(step, context, () => ({ leftMs: 0, limitMs: 0 }));
         for (const task of tasks) {
             const run = placeOne(chooser, task, task.lastRun + 1, new Set(task.runs.map(each => each.workerId)));
             if (run !== undefined) {
@@ -315,6 +354,7 @@
             nowMs,
             stopMs: settings.stopMs,
             slackMs: slackMsOf(ranked, wallMs),
+            expectedRunMs,
         });
         plans.set(step, { madeAtMs: nowMs, reservations });
         reservations.forEach(view.reserve);
@@ -370,7 +410,7 @@
             step.blockedAtMs = undefined;
             return;
         }
-        const runs = step.spec.gang ? placeGang(step, waiting, context) : placeTasks(step, waiting, context);
+        const runs = step.spec.gang ? placeGang(ranked, waiting, context) : placeTasks(ranked, waiting, context);
         if (runs.length > 0) {
             endTrialWaits(runs);
             log.write("info", "placed", {
@@ -435,7 +475,8 @@
 
     const runPass = (): void => {
         const nowMs = clock.monotonicMs();
-        const order = inSchedulingOrder(ready, { clock, workers, order: policies.order });
+        const biasOf = runTimes?.remainingFactorOf;
+        const order = inSchedulingOrder(ready, { clock, workers, order: policies.order, biasOf });
         const wallMs = clock.nowMs();
         const passHeadroom = headroom.beginPass(nowMs, wallMs);
         const roomy = roomyWorkers(workers.values(), [...ready, ...copyable]);
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -192,6 +192,20 @@
 export { createPacer, type Pacer } from "./internal.js";
 export { createPendingCancels, type PendingCancels, type PendingCancelsOptions } from "./internal.js";
 export { createTaskPlacer, type TaskPlacer, type TaskPlacerOptions } from "./internal.js";
+export {
+    createRunTimes,
+    type EndedRunTime,
+    type LearnedBias,
+    type LearnedSpeed,
+    maxBiasEnds,
+    maxBiases,
+    maxSpeeds,
+    type RunTimeEntries,
+    runTimeOf,
+    type RunTimes,
+} from "./internal.js";
+export { createRunTimesRow, decodeRunTimes, encodeRunTimes, type RunTimesRow, runTimesSchema } from "./internal.js";
+export { createSpeedsReport, type SpeedsReport } from "./internal.js";
 export { chooseVictims, isPreemptibleBy } from "./internal.js";
 export { type PlanOptions, planReservations } from "./internal.js";
 export { type CapacityView, createCapacityView, isPreemptible, type Reservation } from "./internal.js";
@@ -208,6 +222,7 @@
     slackMsOf,
     type Standing,
     standings,
+    timeLeftOf,
 } from "./internal.js";
 export { type ShardOwner, type ShardOwnerOptions, startShardOwner } from "./internal.js";
 export {
@@ -220,7 +235,6 @@
     type QueriedState,
     type ShardQueries,
     type SpeedListing,
-    type SpeedPort,
     type StepExplanation,
     type WaitCounts,
 } from "./internal.js";
@@ -231,6 +245,8 @@
     type HeadroomPolicy,
     roomPolicies,
     type RoomPolicy,
+    runTimesPolicies,
+    type RunTimesPolicy,
     type ShardPolicies,
     type ShardSettings,
     sharesPolicies,
@@ -255,7 +271,7 @@
     type UrgentArrivals,
 } from "./internal.js";
 export { createShortage, hasCapacityFor, type Shortage } from "./internal.js";
-export { endedTable, journalTable, ownerKey, ownerTable, sequenceKey, upkeepTable } from "./internal.js";
+export { endedTable, journalTable, ownerKey, ownerTable, runTimesKey, sequenceKey, upkeepTable } from "./internal.js";
 export { createTaskReview, type TaskReview, type TaskReviewOptions } from "./internal.js";
 export {
     type AvailabilityCounts,
@@ -328,6 +344,7 @@
     holdCapacity,
     isOpen,
     newWorker,
+    recordAnswer,
     type ShardWorker,
     stillFits,
 } from "./internal.js";
