--- a/features/examples.feature
+++ b/features/examples.feature
@@ -59,6 +59,11 @@
             | chooseWorker         | i-2                                     |
             | claimShard           | token 1, then refused                   |
             | acceptance           | notAccepted, 0 jobs                     |
+            | admission            | undefined, then ownerLate               |
+            | backlog              | 1600 core-ms for 8 cores                |
+            | shedding             | undefined, undefined, 2                 |
+            | localRefusals        | overloaded                              |
+            | retryTimes           | 500 ms                                  |
             | commitWait           | unavailable                             |
             | endedJobs            | unknown, then cancelled                 |
             | accounts             | 2 tasks                                 |
--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -6,10 +6,14 @@
     countAvailabilities,
     createAcceptance,
     createAccounts,
+    createAdmission,
+    createBacklog,
     createCallerKeys,
     createCommitWait,
     createEndedJobs,
     createForwarder,
+    createLocalRefusals,
+    createOwnerShedding,
     createPendingCancels,
     createTaskReview,
     defaultShardSettings,
@@ -18,6 +22,7 @@
     formatTaskName,
     kindOf,
     noResources,
+    retryAfterFor,
     type ShardJob,
     tasksUnderCap,
     taskWaitOf,
@@ -54,6 +59,57 @@
     return `${before}, then ${outcome?.job.state}`;
 };
 
+const admissionOf = (job: ShardJob, shedding?: { readonly fromPriority: number; readonly retryAfterMs: number; }) => {
+    const clock = createFakeClock();
+    const workers = new Map([["i-1", openWorker()]]);
+    const jobBacklog = createBacklog({ clock, workers, policies: defaultShardSettings.policies });
+    const lagMs = (): number => 0;
+    const jobAdmission = createAdmission({
+        clock,
+        log,
+        meter,
+        workers,
+        backlog: jobBacklog,
+        lagMs,
+        shedding: () => shedding,
+    });
+    jobAdmission.accepted(job);
+    return { jobAdmission, jobBacklog };
+};
+
+const admission = (): string => {
+    const job = exampleJob();
+    const reasons = [undefined, { fromPriority: 0, retryAfterMs: 1_000 }].map(shedding =>
+        admissionOf(job, shedding).jobAdmission.admit(job)?.reason
+    );
+    return reasons.map(String).join(", then ");
+};
+
+const backlog = (): string => {
+    const { capacityCores, work } = admissionOf(exampleJob()).jobBacklog.of(testQueue.service) ?? { work: [] };
+    return `${work[0]?.coreMs} core-ms for ${capacityCores} cores`;
+};
+
+const shedding = (): string => {
+    const ownerShedding = createOwnerShedding({
+        clock: createFakeClock(),
+        priorities: () => [0, 1, 2],
+        inProgress: () => 0,
+        retryAfterMs: 1_000,
+    });
+    const shown = [0, 300, 300].map(lateMs => {
+        ownerShedding.recordTick(lateMs);
+        return String(ownerShedding.current()?.fromPriority);
+    });
+    return shown.join(", ");
+};
+
+const localRefusals = async (): Promise<string> => {
+    const refusals = createLocalRefusals({ clock: createFakeClock(), meter, priorityOf: () => 2 });
+    refusals.onOwnerAnswer({ fromPriority: 2, retryAfterMs: 1_000 });
+    return refusals.run(submission, async () => {}).then(() => "accepted", kindOf);
+};
+
 const acceptance = async (): Promise<string> => {
     const jobs = new Map<string, ShardJob>();
     const commits = {
@@ -75,6 +131,7 @@
         jobs,
         queueOf: () => testQueue,
         accounts: createAccounts(),
+        admission: admissionOf(exampleJob()).jobAdmission,
         nextOrder: 1,
         commits,
         commitWait,
@@ -174,12 +231,17 @@
 export const shardJobExamples: Readonly<Record<string, () => string | Promise<string>>> = {
     acceptance,
     accounts,
+    admission,
+    backlog,
     callerKeys,
     commitWait,
     endedJobs,
     forward,
     jobModel,
+    localRefusals,
     pendingCancels,
+    retryTimes: () => `${retryAfterFor("noOwner", 1_000)} ms`,
+    shedding,
     taskReview,
     taskWait,
     taskName: () => formatTaskName({ jobId: "5c0e7a21d94b36f8", occurrence: 0, step: 1, index: 17 }),
--- a/features/steps/shardModuleSteps.ts
+++ b/features/steps/shardModuleSteps.ts
@@ -12,6 +12,7 @@
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
+    type Admission,
     createAcceptance,
     createAccounts,
     createAdviceDispatcher,
@@ -197,6 +198,14 @@
     assert.equal(part(this).isPeerSilent, false);
 });
 
+/** An admission that refuses nothing. */
+const admitAll: Admission = {
+    admit: () => undefined,
+    track: submission => submission,
+    accepted: () => {},
+    inProgress: () => 0,
+};
+
 When("a job is accepted while a resend of it waits for a batch that stalls", async function(this: ScenarioWorld) {
     const clock = createFakeClock();
     const jobs = new Map<string, ShardJob>();
@@ -219,6 +228,7 @@
         jobs,
         queueOf: () => testQueue,
         accounts: createAccounts(),
+        admission: admitAll,
         nextOrder: 1,
         commits,
         commitWait: createCommitWait({
--- a/packages/puffinarch/src/core/shard/acceptance.ts
+++ b/packages/puffinarch/src/core/shard/acceptance.ts
@@ -8,6 +8,7 @@
 import type { JobSubmission, Queue } from "../../types/work.js";
 import { die } from "../../utils/errors.js";
 import { type Account, type Accounts, amountAboveCap, returnShare, takeShare } from "./accounts.js";
+import type { Admission, AdmissionReason } from "./admission.js";
 import type { CommitLog } from "./commitLog.js";
 import type { CommitWait } from "./commitWait.js";
 import type { EndedJobs, Outcome } from "./endedJobs.js";
@@ -22,6 +23,8 @@
     readonly jobs: Map<string, ShardJob>;
     readonly queueOf: (queueKey: string) => Queue | undefined;
     readonly accounts: Pick<Accounts, "of">;
+    /** Decides which jobs are refused because of the load. */
+    readonly admission: Admission;
     /** Position of the next job in the order of acceptance. */
     readonly nextOrder: number;
     readonly commits: CommitLog;
@@ -46,6 +49,11 @@
     }
 };
 
+const refusalMessages: Readonly<Record<AdmissionReason, string>> = {
+    backlog: "not accepted: the accepted work leaves it no time to end within three times its objective",
+    ownerLate: "not accepted: the owner of the shard is too busy to accept it in time",
+};
+
 /** Refuses jobs with a task or gang that exceeds the organisation's cap by itself, since it would wait forever. */
 const requireWithinCap = ({ steps }: JobSubmission, { organisation, cap }: Account): void => {
     for (const [index, step] of steps.entries()) {
@@ -77,6 +85,7 @@
         jobs,
         queueOf,
         accounts,
+        admission,
         commits,
         commitWait,
         commit,
@@ -116,6 +125,19 @@
         }
     };
 
+    /** Refuses a job that the load leaves no time for. Its ID must be unknown, since the refusal states that the job never runs. */
+    const requireAdmission = (job: ShardJob): void => {
+        const refusal = admission.admit(job);
+        if (refusal === undefined) {
+            return;
+        }
+        if (!job.beyondShare) {
+            returnShare(job.account);
+        }
+        const { reason, retryAfterMs } = refusal;
+        die("overloaded", refusalMessages[reason], { retryAfterMs });
+    };
+
     const register = (submission: JobSubmission): ShardJob => {
         const queue = queueOf(submission.queueKey)
             ?? die("unavailable", `the queue ${submission.queueKey} is not in this daemon's configuration`);
@@ -127,8 +149,10 @@
         const acceptedAtMs = clock.nowMs();
         const beyondShare = !takeShare(account, acceptedAtMs);
         const job = newJob(submission, queue, { acceptedAtMs, order: nextOrder, account, beyondShare });
+        requireAdmission(job);
         nextOrder += 1;
         jobs.set(submission.jobId, job);
+        admission.accepted(job);
         return job;
     };
 
@@ -177,5 +201,5 @@
         });
     };
 
-    return submit;
+    return submission => admission.track(submit(submission));
 };
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -9,6 +9,7 @@
     type FencedWorkerPort,
     type RowKey,
     type RowStore,
+    type Shedding,
 } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import type { UpkeepWave, VmPort, WaveState } from "../../types/upkeep.js";
@@ -26,7 +27,9 @@
 import { sleep } from "../../utils/time.js";
 import { createAcceptance } from "./acceptance.js";
 import { createAccounts } from "./accounts.js";
+import { createAdmission } from "./admission.js";
 import { createAdviceDispatcher } from "./adviceDispatcher.js";
+import { createBacklog } from "./backlog.js";
 import type { ClaimedShard } from "./claimShard.js";
 import { createCommitLog, type RowChange } from "./commitLog.js";
 import { createCommitWait } from "./commitWait.js";
@@ -49,6 +52,7 @@
 import type { ShardSettings } from "./shardSettings.js";
 import { endedTable } from "./shardTables.js";
 import { createShardWorkers } from "./shardWorkers.js";
+import { createOwnerShedding } from "./shedding.js";
 import { createTaskPlacer } from "./taskPlacer.js";
 import { createTaskReview } from "./taskReview.js";
 import { startUpkeep, type Upkeep } from "./upkeep.js";
@@ -105,6 +109,8 @@
     stalledMs(): number;
     /** How late this process's timers fire, in ms, on average over about the last second. */
     lagMs(): number;
+    /** The submissions that it refuses because it is late; undefined while it is not. */
+    shedding(): Shedding | undefined;
     /** Resolves once all changes so far are durable. */
     idle(): Promise<void>;
     close(): void;
@@ -406,6 +412,23 @@
         wake: () => wake(),
     });
 
+    const backlog = createBacklog({ clock, workers: workers.all, policies: settings.policies });
+    const shedding = createOwnerShedding({
+        clock,
+        priorities: () => [...queues.values()].map(({ priority }) => priority),
+        inProgress: () => admission.inProgress(),
+        retryAfterMs: settings.retryAfterMs,
+    });
+    const admission = createAdmission({
+        clock,
+        log,
+        meter,
+        workers: workers.all,
+        backlog,
+        lagMs: () => lagMs,
+        shedding: shedding.current,
+    });
+
     const review = createTaskReview({ clock, log, meter, jobs, workers: workers.all, taskPlacer });
 
     const wake = (): void => {
@@ -487,6 +510,7 @@
         ticks += 1;
         const nowMs = clock.monotonicMs();
         lagMs += lagSmoothing * (nowMs - tickDueMs - lagMs);
+        shedding.recordTick(nowMs - tickDueMs);
         tickDueMs = nowMs + tickMs;
         if (isCutOff(nowMs)) {
             stopFenced("cutOff");
@@ -530,6 +554,7 @@
         for (const job of restored.jobs) {
             nextOrder = Math.max(nextOrder, job.order + 1);
             jobs.set(job.submission.jobId, job);
+            admission.accepted(job);
         }
         workers.restoreRuns(restored.runs);
         workers.restoreLosses(restored.losses);
@@ -603,6 +628,7 @@
         jobs,
         queueOf: queueKey => queues.get(queueKey),
         accounts,
+        admission,
         nextOrder,
         commits,
         commitWait,
@@ -673,6 +699,7 @@
         },
         stalledMs: commits.stalledMs,
         lagMs: () => lagMs,
+        shedding: shedding.current,
         idle: commits.idle,
         close,
     };
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -120,6 +120,28 @@
     tasksUnderCap,
     usesHalfOfCap,
 } from "./internal.js";
+export {
+    type Admission,
+    type AdmissionJob,
+    type AdmissionOptions,
+    type AdmissionReason,
+    admissionReasons,
+    type AdmissionRefusal,
+    createAdmission,
+    decideAdmission,
+    type OwnerLoad,
+    waitAheadMs,
+} from "./internal.js";
+export { type Backlog, type BacklogOptions, type BacklogTracker, type BacklogWork, createBacklog } from "./internal.js";
+export { createLocalRefusals, type LocalRefusals, type LocalRefusalsOptions } from "./internal.js";
+export {
+    createOwnerShedding,
+    decodeShedding,
+    type OwnerShedding,
+    type OwnerSheddingOptions,
+    shedFromPriority,
+} from "./internal.js";
+export { retryAfterFor, type RetryCause } from "./internal.js";
 export {
     awaitsCrashConfirmation,
     clearCrashesIfSound,
@@ -264,9 +286,9 @@
 export { watchWorkerList, type WorkerListOptions } from "./internal.js";
 export {
     adoptRun,
+    dropRun,
     extendLease,
     freeCapacityOf,
-    dropRun,
     holdCapacity,
     isOpen,
     newWorker,
@@ -303,6 +325,7 @@
     type RunEnd,
     runEnds,
     type RunningRun,
+    type Shedding,
     type StartRunOrder,
     type StopRunOrder,
     type WorkerTarget,
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -273,6 +273,14 @@
     readonly ownerLostMs?: number;
 }
 
+/** Submissions that an owner refuses because it is too late to answer them in time. */
+export interface Shedding {
+    /** Submissions to queues whose priority number is at least this are refused. */
+    readonly fromPriority: number;
+    /** Time in ms after which their callers may retry. */
+    readonly retryAfterMs: number;
+}
+
 /** Answer to a health check. */
 export interface PingAnswer {
     readonly incarnation: string;
@@ -295,6 +303,8 @@
     readonly leaving: boolean;
     /** Average delay of its timers while it owns the shard; 0 otherwise. */
     readonly lagMs: number;
+    /** Submissions that it refuses while it owns the shard; undefined where it refuses none, and on daemons of an earlier version. */
+    readonly shedding?: Shedding;
     /** Set where the answering daemon has a newer owner row than the caller, which may be unable to reach the store. */
     readonly newerOwner?: KnownOwner;
 }
