--- a/features/admission.feature
+++ b/features/admission.feature
@@ -31,3 +31,55 @@
             | long-running     | 100  |                           | due      | from 2 | ownerLate, 1000 to 1500 ms  |
             | urgent           | 100  |                           | due      | from 2 | accepted                    |
             | urgent           | 100  |                           | due      | from 0 | ownerLate, 1000 to 1500 ms  |
+
+    # Guards against the answer that an ended job was not accepted: its outcome may be durable, and is shown once the store
+    # answers again.
+    Scenario: A submission of a job whose outcome is being written while the store does not answer
+        When a job that was cancelled is submitted and sent again while the store does not answer
+        Then both are answered at once with "mayHaveRun"
+
+    # Guards against shedding after a single pause of the process, while the owner is not late, and without an end.
+    Scenario: An owner that is late sheds the submissions with the most time first
+        When the ticks of an owner with queues of the priorities 0, 1 and 2 are late by these times, in ms:
+            | times | late | shed from |
+            | 20    | 45   | none      |
+            | 1     | 900  | none      |
+            | 20    | 10   | none      |
+            | 3     | 120  | 2         |
+            | 3     | 400  | 1         |
+            | 3     | 700  | 0         |
+            | 1     | 10   | 0         |
+            | 7     | 10   | none      |
+            | 3     | 120  | 2         |
+            | 20    | 70   | 2         |
+            | 7     | 40   | none      |
+        Then the submissions were shed as listed
+
+    # Guards against a failure on the answer of a peer of another version.
+    Scenario Outline: A daemon hears from the owner that it sheds <field>
+        When a daemon hears from the owner that it sheds <field>, and gets a submission of priority 2 after <after> ms
+        Then the submission is "<outcome>" there
+
+        Examples:
+            | field                                      | after | outcome    |
+            | {"fromPriority": 2, "retryAfterMs": 1000}  | 10    | overloaded |
+            | {"fromPriority": 2, "retryAfterMs": 1000}  | 600   | accepted   |
+            | {"fromPriority": 3, "retryAfterMs": 1000}  | 10    | accepted   |
+            | {"fromPriority": "2", "retryAfterMs": 1}   | 10    | accepted   |
+            | {"fromPriority": 2, "retryAfterMs": -1}    | 10    | accepted   |
+            | {"fromPriority": 2}                        | 10    | accepted   |
+            | [2]                                        | 10    | accepted   |
+            | "all"                                      | 10    | accepted   |
+            | null                                       | 10    | accepted   |
+
+    # Guards against the untrue refusal of a job that the owner has accepted although its answer was lost.
+    Scenario Outline: A daemon refuses no submission after one of the same ID that ended as <first>
+        When a submission ends as "<first>" at a daemon that then hears that the owner sheds it
+        Then a submission of the same ID is "<second>" there
+
+        Examples:
+            | first       | second     |
+            | accepted    | accepted   |
+            | mayHaveRun  | accepted   |
+            | unanswered  | accepted   |
+            | notAccepted | overloaded |
--- a/features/steps/shardModuleSteps.ts
+++ b/features/steps/shardModuleSteps.ts
@@ -28,6 +28,7 @@
     kindOf,
     memberTable,
     type ShardJob,
+    type ShardOwner,
     sleep,
 } from "puffinarch";
 import { part } from "./shardCellPart.js";
@@ -265,6 +266,73 @@
     resendAnswers.push(jobs.has(submission.jobId) ? "known" : "unknown");
 });
 
+When(
+    "a job that was cancelled is submitted and sent again while the store does not answer",
+    async function(this: ScenarioWorld) {
+        const clock = createFakeClock();
+        const never = new Promise<never>(() => {});
+        const commits = {
+            commit: () => never,
+            confirm: () => never,
+            withdraw: () => false,
+            stalledMs: () => 5_000,
+            answeredAtMs: () => 0,
+            idle: () => never,
+            probe: () => {},
+            stop: () => {},
+        };
+        const commitWait = createCommitWait({ clock, settings: defaultShardSettings, commits, ownershipLost: never });
+        const endedJobs = createEndedJobs({ clock, retentionMs: 180_000, write: commits.commit });
+        const submission = {
+            jobId: jobIdOf(1),
+            queueKey: testQueue.key,
+            dataCentre: "leon-feria",
+            payload: "plan",
+            steps: readSteps("1"),
+            schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
+        };
+        void endedJobs.recordCancel(submission);
+        const submit = createAcceptance({
+            clock,
+            log: noopLog,
+            meter: noopMeter,
+            jobs: new Map(),
+            queueOf: () => testQueue,
+            accounts: createAccounts(),
+            admission: admitAll,
+            nextOrder: 1,
+            commits,
+            commitWait,
+            commit: commits.commit,
+            scheduleJob: () => {},
+            dropPlannedStarts: () => {},
+            endedJobs: Promise.resolve(endedJobs),
+        });
+        const shard = { submit } as unknown as ShardOwner;
+        const forwarder = createForwarder({
+            clock,
+            retryAfterMs: 1_000,
+            shard: () => shard,
+            ownerAddress: () => undefined,
+            ownerLostMs: () => 0,
+            onNoAnswer: () => {},
+        });
+        for (let attempt = 0; attempt < 2; attempt += 1) {
+            const request = { refusal: "notAccepted" as const, totalTimeoutMs: 2_500 };
+            void forwarder.run({
+                ...request,
+                local: owner => owner.submit(submission),
+                remote: () => never,
+            }).catch((error: unknown) => part(this).resendAnswers.push(kindOf(error)));
+            await clock.advance(300);
+        }
+    },
+);
+
+Then("both are answered at once with {string}", function(this: ScenarioWorld, kind: string) {
+    assert.deepEqual(part(this).resendAnswers, [kind, kind]);
+});
+
 Then("both are answered as accepted, and the job is known", function(this: ScenarioWorld) {
     assert.deepEqual(part(this).resendAnswers, ["accepted", "accepted", "known"]);
 });
--- a/packages/puffinarch/src/core/shard/acceptance.ts
+++ b/packages/puffinarch/src/core/shard/acceptance.ts
@@ -120,7 +120,7 @@
                 discard(job);
             }
             if (!job.stored && jobs.get(jobId) !== job) {
-                commitWait.refuse("notAccepted");
+                commitWait.refuse("notAccepted", jobId);
             }
         }
     };
@@ -142,7 +142,7 @@
         const queue = queueOf(submission.queueKey)
             ?? die("unavailable", `the queue ${submission.queueKey} is not in this daemon's configuration`);
         if (commitWait.isStalled()) {
-            commitWait.refuse("notAccepted");
+            commitWait.refuse("notAccepted", submission.jobId);
         }
         const account = accounts.of(submission.organisation ?? "");
         requireWithinCap(submission, account);
@@ -186,7 +186,8 @@
         const outcome = ended.find(submission.jobId) ?? applyCancel(ended, submission);
         if (outcome !== undefined) {
             requireSameOrganisation(submission, outcome.job.organisation);
-            await commitWait.until(outcome.written, "notAccepted");
+            // The job was accepted before, or its outcome may be durable and is then shown later.
+            await commitWait.until(outcome.written, "mayHaveRun", submission.jobId);
             return;
         }
         const job = register(submission);
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -35,6 +35,7 @@
 import { createConfigurationFetch } from "./configurationFetch.js";
 import { createForwarder } from "./forward.js";
 import { handOver } from "./handOver.js";
+import { createLocalRefusals } from "./localRefusals.js";
 import { decodeOwner, unreadableOwner } from "./memberRows.js";
 import { watchOwner } from "./ownerWatch.js";
 import { createPeers, pingIntervalMs } from "./peers.js";
@@ -234,6 +235,7 @@
         ownerServingAtMs = lastServingAtMs();
         isOwnerServing = false;
         ownerWatch.reset();
+        localRefusals.reset();
         log.write("info", "ownerKnown", { owner: known.row.memberId, fencingToken: known.version, source });
         if (owner !== undefined && known.version > owner.fencingToken) {
             loseShard("ownerRow");
@@ -555,7 +557,8 @@
         commitMonitor: createCommitMonitor({ clock, log, store, part }),
         claim,
         onAnswer: (address, { configurationVersion }) => configurationFetch.offer(address, configurationVersion),
-        onOwnerAnswer: ({ pending }) => {
+        onOwnerAnswer: ({ pending, shedding }) => {
+            localRefusals.onOwnerAnswer(shedding);
             // A claimant that is still reading the journal returns no counts.
             isOwnerServing = pending !== undefined;
             if (pending !== undefined) {
@@ -594,6 +597,13 @@
     });
     void registerSelf();
 
+    const localRefusals = createLocalRefusals({
+        clock,
+        meter,
+        priorityOf: queueKey =>
+            owner === undefined ? configuration?.queues.find(({ key }) => key === queueKey)?.priority : undefined,
+    });
+
     const forwarder = createForwarder({
         clock,
         retryAfterMs: settings.retryAfterMs,
@@ -611,6 +621,7 @@
         deliver: (job, totalTimeoutMs) =>
             forwarder.run({
                 refusal: "unavailable",
+                jobId: job.jobId,
                 local: shard => shard.cancel(job),
                 remote: async (address, timeoutMs) => (await members.call(address, "cancelJob", job, timeoutMs)).known,
                 totalTimeoutMs,
@@ -641,14 +652,16 @@
         configuration: () => configuration,
         ready: readiness.ready,
         submit: (submission, totalTimeoutMs) =>
-            forwarder.run({
-                refusal: "notAccepted",
-                local: shard => shard.submit(submission),
-                remote: async (address, timeoutMs) => {
-                    await members.call(address, "submit", submission, timeoutMs);
-                },
-                totalTimeoutMs,
-            }),
+            localRefusals.run(submission, () =>
+                forwarder.run({
+                    refusal: "notAccepted",
+                    jobId: submission.jobId,
+                    local: shard => shard.submit(submission),
+                    remote: async (address, timeoutMs) => {
+                        await members.call(address, "submit", submission, timeoutMs);
+                    },
+                    totalTimeoutMs,
+                })),
         authenticate: (queue, key) =>
             callerKeys === undefined
                 ? die("unavailable", "no configuration is known yet", { retryAfterMs: settings.retryAfterMs })
@@ -656,6 +669,7 @@
         jobState: (job, totalTimeoutMs) =>
             forwarder.run({
                 refusal: "unavailable",
+                jobId: job.jobId,
                 local: shard => shard.jobState(job),
                 remote: async (address, timeoutMs) => {
                     const { state, failure } = await members.call(address, "jobState", job, timeoutMs);
@@ -673,6 +687,7 @@
                 if ((owner?.stalledMs() ?? 0) > unreadAnswerMs) {
                     await sleep(clock, 0);
                 }
+                const shedding = owner?.shedding();
                 return {
                     incarnation: self.incarnation,
                     ownedToken: owner?.fencingToken ?? claimedToken,
@@ -683,6 +698,7 @@
                     seenOwnerToken: owner?.fencingToken ?? ownerWatch.seenToken(ownerLostMs),
                     leaving,
                     lagMs: owner?.lagMs() ?? 0,
+                    ...(shedding === undefined ? {} : { shedding }),
                     ...(knownOwner !== undefined && knownOwner.version > ownerVersion
                         ? { newerOwner: knownOwner }
                         : {}),
--- a/packages/puffinarch/src/core/shard/commitWait.ts
+++ b/packages/puffinarch/src/core/shard/commitWait.ts
@@ -5,6 +5,7 @@
 import { sleep } from "../../utils/time.js";
 import type { CommitLog } from "./commitLog.js";
 import type { Refusal } from "./forward.js";
+import { retryAfterFor } from "./retryTimes.js";
 import type { ShardSettings } from "./shardSettings.js";
 
 /** Dependencies of the waits. */
@@ -22,12 +23,12 @@
     isStalled(): boolean;
     /** Resolves once the answers that have arrived were read; a busy process must not take its own delay for that of the store. */
     afterReading(): Promise<void>;
-    /** Fails with a time to try again. */
-    refuse(refusal: Refusal): never;
+    /** Fails with a time to try again, spread by the hash of the job ID where one is given. */
+    refuse(refusal: Refusal | "mayHaveRun", jobId?: string): never;
     /** Waits until `write` resolves, or for a short time. Fails once this daemon no longer owns the shard. */
     pause(write: Promise<void>): Promise<void>;
     /** Waits until `write` resolves. Fails as `refuse` does while the store is stalled, although the write may still take effect. */
-    until(write: Promise<void>, refusal: Refusal): Promise<void>;
+    until(write: Promise<void>, refusal: Refusal | "mayHaveRun", jobId?: string): Promise<void>;
 }
 
 /** Interval at which a wait checks whether the store has stopped answering. */
@@ -42,8 +43,10 @@
  */
 export const createCommitWait = ({ clock, settings, commits, ownershipLost }: CommitWaitOptions): CommitWait => {
     const isStalled = (): boolean => commits.stalledMs() > settings.refuseStalledMs;
-    const refuse: CommitWait["refuse"] = refusal =>
-        die(refusal, "the store does not answer", { retryAfterMs: settings.retryAfterMs });
+    const refuse: CommitWait["refuse"] = (refusal, jobId = "") =>
+        die(refusal, "the store does not answer", {
+            retryAfterMs: retryAfterFor("storeAway", settings.retryAfterMs, jobId),
+        });
     const pause: CommitWait["pause"] = write =>
         Promise.race([write, ownershipLost, sleep(clock, stallCheckIntervalMs)]);
 
@@ -52,7 +55,7 @@
         afterReading: () => sleep(clock, 0),
         refuse,
         pause,
-        until: async (write, refusal) => {
+        until: async (write, refusal, jobId) => {
             let isDurable = false;
             const durable = write.then(() => {
                 isDurable = true;
@@ -61,7 +64,7 @@
             await pause(durable);
             while (!isDurable) {
                 if (isStalled()) {
-                    refuse(refusal);
+                    refuse(refusal, jobId);
                 }
                 await pause(durable);
             }
--- a/packages/puffinarch/src/core/shard/forward.ts
+++ b/packages/puffinarch/src/core/shard/forward.ts
@@ -5,12 +5,13 @@
 
 import type { Clock } from "../../types/ports.js";
 import { die, type ErrorKind, errorOf, failureOf } from "../../utils/errors.js";
+import { retryAfterFor, type RetryCause } from "./retryTimes.js";
 import type { ShardOwner } from "./shardOwner.js";
 
 /** Dependencies of request forwarding. */
 export interface ForwarderOptions {
     readonly clock: Clock;
-    /** Time after which a refused caller is told to retry. */
+    /** `ShardSettings.retryAfterMs`, on which the time depends after which a refused caller is told to retry. */
     readonly retryAfterMs: number;
     /** The shard, if this daemon owns it. */
     readonly shard: () => ShardOwner | undefined;
@@ -31,6 +32,8 @@
 /** One request: how to run it on the local owner and how to send it to another daemon. `totalTimeoutMs` limits all attempts together. */
 export interface ForwardRequest<T> {
     readonly refusal: Refusal;
+    /** The job that the request is about; spreads the retry times of refused callers. */
+    readonly jobId?: string;
     readonly local: (shard: ShardOwner) => Promise<T>;
     readonly remote: (address: string, timeoutMs: number) => Promise<T>;
     readonly totalTimeoutMs: number;
@@ -48,6 +51,11 @@
 const ownerLossGraceMs = 1_500;
 /** Pause between attempts that reached no owner. */
 const retryPauseMs = 50;
+/**
+ * Further pause after an attempt that the owner refused where an earlier one went unanswered. The earlier one may still be accepted, and
+ * the owner is probably busy.
+ */
+const refusedPauseMs = 250;
 /** An attempt takes about 15 ms including a commit; with less time than this left, its outcome could come too late for the caller. */
 const minAttemptMs = 40;
 /** Timeout of one attempt. A commit takes about 10 ms, and sending the same ID again is idempotent. */
@@ -121,13 +129,15 @@
     return {
         run: async request => {
             const startedAtMs = clock.monotonicMs();
-            const { refusal, totalTimeoutMs } = request;
+            const { refusal, totalTimeoutMs, jobId = "" } = request;
+            const retryAfter = (cause: RetryCause) => ({ retryAfterMs: retryAfterFor(cause, retryAfterMs, jobId) });
             let mayHaveRun = false;
             for (;;) {
                 const leftMs = startedAtMs + totalTimeoutMs - clock.monotonicMs();
                 if (!mayHaveRun && leftMs < minAttemptMs) {
                     // The outcome would come after the caller has given up. Without another attempt, the request certainly had no effect.
-                    return die(refusal, "too little time is left to complete the request", { retryAfterMs });
+                    const message = "too little time is left to complete the request";
+                    return die(refusal, message, retryAfter("ownerBusy"));
                 }
                 try {
                     const answer = await attempt(request, leftMs);
@@ -139,11 +149,18 @@
                     const failure = failureOf(error);
                     mayHaveRun ||= failure.kind === "mayHaveRun";
                     // An owner that names a time to try again has answered the request.
-                    const hasAnswered = failure.kind !== "unavailable" || failure.retryAfterMs !== undefined;
-                    if (!mayHaveRun && hasAnswered) {
+                    const namesTime = failure.retryAfterMs !== undefined;
+                    const hasAnswered = failure.kind !== "unavailable" || namesTime;
+                    const isUncertain = failure.kind === "mayHaveRun" && namesTime;
+                    if (isUncertain || !mayHaveRun && hasAnswered) {
                         throw error;
                     }
-                    onNoAnswer();
+                    if (hasAnswered && failure.kind !== "mayHaveRun") {
+                        await waitForOwnerChange(refusedPauseMs);
+                    }
+                    else {
+                        onNoAnswer();
+                    }
                 }
                 // An owner that was lost some time ago is not expected back soon, and other daemons may be able to reach one.
                 const allowedMs = mayHaveRun
@@ -152,7 +169,7 @@
                 if (clock.monotonicMs() - startedAtMs + retryPauseMs >= allowedMs) {
                     return mayHaveRun
                         ? die("mayHaveRun", "the owner of the shard did not answer")
-                        : die(refusal, "no owner of the shard can be reached", { retryAfterMs });
+                        : die(refusal, "no owner of the shard can be reached", retryAfter("noOwner"));
                 }
                 await waitForOwnerChange(retryPauseMs);
             }
--- a/packages/puffinarch/src/core/shard/localRefusals.ts
+++ b/packages/puffinarch/src/core/shard/localRefusals.ts
@@ -14,7 +14,7 @@
 export interface LocalRefusalsOptions {
     readonly clock: Clock;
     readonly meter: Meter;
-    /** Priority of a queue; undefined for a queue that is not configured. */
+    /** Priority of a queue; undefined for a queue that is not configured, and while this daemon owns the shard. */
     readonly priorityOf: (queueKey: string) => number | undefined;
 }
 
