--- a/features/steps/admissionSteps.ts
+++ b/features/steps/admissionSteps.ts
@@ -41,9 +41,9 @@
     "long-running": { priority: 2, criticalPathMs: 0, coreMs: 0, objectiveMs: Infinity },
 };
 
-/** Reads a text such as "2 south/10 90", where "south+" has jobs beyond its share. */
+/** Reads a text such as "2 south/10 90 held 20", where "south+" has jobs beyond its share. */
 const readWork = (text: string): BacklogWork => {
-    const [priority, organisation = "", cores] = text.trim().split(" ");
+    const [priority, organisation = "", cores, , heldCores = "0"] = text.trim().split(" ");
     const [name = "", cap] = organisation.split("/");
     return {
         priority: Number(priority),
@@ -52,6 +52,8 @@
         capCores: cap === undefined ? Infinity : Number(cap),
         beyondShare: name.endsWith("+"),
         coreMs: 1_000 * Number(cores),
+        heldCores: Number(heldCores),
+        heldCoreMs: Number(heldCores) === 0 ? 0 : 1_000 * Number(cores),
     };
 };
 
--- a/packages/puffinarch/src/core/shard/admission.ts
+++ b/packages/puffinarch/src/core/shard/admission.ts
@@ -131,6 +131,27 @@
     return 0;
 };
 
+/**
+ * Time in ms until work is done that waits for tasks which hold cores until they end. Their ends are taken as spread evenly over the time
+ * in which all of them end.
+ */
+const waitBesideHeldMs = (coreMs: number, held: readonly BacklogWork[], capacityCores: number): number => {
+    const heldCores = Math.min(capacityCores, held.reduce((sum, work) => sum + work.heldCores, 0));
+    const heldCoreMs = held.reduce((sum, work) => sum + work.heldCoreMs, 0);
+    if (coreMs === 0 || heldCores === 0 || heldCoreMs === 0) {
+        return coreMs / capacityCores;
+    }
+    const allEndMs = 2 * heldCoreMs / heldCores;
+    const afterAllMs = (coreMs + heldCoreMs) / capacityCores;
+    if (afterAllMs >= allEndMs) {
+        return afterAllMs;
+    }
+    // Solves otherCores * t + releasedPerMs * t^2 / 2 = coreMs, the capacity that the work gets within t.
+    const otherCores = capacityCores - heldCores;
+    const releasedPerMs = heldCores / allEndMs;
+    return (Math.sqrt(otherCores ** 2 + 2 * releasedPerMs * coreMs) - otherCores) / releasedPerMs;
+};
+
 /**
  * Returns how long a job waits for the work that comes before it, in ms, by the estimates.
  *
@@ -146,7 +167,10 @@
     weights.set(job.organisation, job.weight);
     const sumOfWeights = [...weights.values()].reduce((sum, weight) => sum + weight, 0);
     const shareCores = sharesCapacity && sumOfWeights > 0 ? capacityCores * job.weight / sumOfWeights : 0;
-    const waitMs = freeCores > maxFreeShare * capacityCores ? 0 : waitForOthersMs(ahead, capacityCores);
+    const held = backlog.work.filter(({ priority }) => priority > job.priority);
+    const waitMs = freeCores > maxFreeShare * capacityCores
+        ? 0
+        : waitBesideHeldMs(capacityCores * waitForOthersMs(ahead, capacityCores), held, capacityCores);
     // An organisation gets its share of the capacity however much work the others have.
     const sharedMs = shareCores > 0 ? Math.min(waitMs, ownCoreMs / shareCores) : waitMs;
     return Math.max(sharedMs, ownCoreMs / job.capCores);
--- a/packages/puffinarch/src/core/shard/backlog.ts
+++ b/packages/puffinarch/src/core/shard/backlog.ts
@@ -1,6 +1,7 @@
 /** The work that a shard has accepted and not completed, by the service whose workers run it. */
 
 import type { Clock } from "../../types/ports.js";
+import { isPreemptible } from "./capacityView.js";
 import {
     hasEnded,
     reservedResources,
@@ -25,6 +26,9 @@
     readonly beyondShare: boolean;
     /** Estimated work of waiting and running tasks, in core-milliseconds. */
     readonly coreMs: number;
+    /** Cores that running tasks hold until they end, as they are not stopped for more urgent ones, and their part of `coreMs`. */
+    readonly heldCores: number;
+    readonly heldCoreMs: number;
 }
 
 /** Accepted work and capacity of the workers of one service. */
@@ -75,17 +79,38 @@
     return Math.max(0, estimateMs - ranMs);
 };
 
-const remainingCoreMs = (step: ShardStep, nowMs: number): number => {
+type StepWork = Pick<BacklogWork, "coreMs" | "heldCores" | "heldCoreMs">;
+
+const noWork: StepWork = { coreMs: 0, heldCores: 0, heldCoreMs: 0 };
+
+const addWork = (left: StepWork, right: StepWork): StepWork => ({
+    coreMs: left.coreMs + right.coreMs,
+    heldCores: left.heldCores + right.heldCores,
+    heldCoreMs: left.heldCoreMs + right.heldCoreMs,
+});
+
+const workOfStep = (step: ShardStep, nowMs: number): StepWork => {
     const { longRunning } = step.spec;
     const cores = reservedResources(step.spec).cpuMillis / millisPerCore;
     if (longRunning || step.open === 0 || cores === 0) {
-        return 0;
+        return noWork;
     }
+    const isHeld = !isPreemptible(step);
     let sumMs = 0;
+    let heldTasks = 0;
+    let heldMs = 0;
     for (const task of step.tasks) {
-        sumMs += task.done ? 0 : remainingMs(task, nowMs);
+        if (task.done) {
+            continue;
+        }
+        const leftMs = remainingMs(task, nowMs);
+        sumMs += leftMs;
+        if (isHeld && task.runs.length > 0) {
+            heldTasks += 1;
+            heldMs += leftMs;
+        }
     }
-    return cores * sumMs;
+    return { coreMs: cores * sumMs, heldCores: cores * heldTasks, heldCoreMs: cores * heldMs };
 };
 
 const isOpenWorker = (worker: ShardWorker, nowMs: number): boolean =>
@@ -118,11 +143,11 @@
     const isAhead = (step: ShardStep, wallMs: number): boolean =>
         !overdueLast || rankStep(step, workers, wallMs).standing !== standings.overdue;
 
-    const coreMsOf = (job: ShardJob, nowMs: number, wallMs: number): number => {
-        let sum = 0;
+    const workOfJob = (job: ShardJob, nowMs: number, wallMs: number): StepWork => {
+        let sum = noWork;
         for (const step of stepsOf(job)) {
-            const coreMs = remainingCoreMs(step, nowMs);
-            sum += coreMs > 0 && isAhead(step, wallMs) ? coreMs : 0;
+            const work = workOfStep(step, nowMs);
+            sum = work.coreMs > 0 && isAhead(step, wallMs) ? addWork(sum, work) : sum;
         }
         return sum;
     };
@@ -140,8 +165,8 @@
             sums.set(service, ofService);
             const key = `${priority}|${beyondShare}|${organisation}`;
             const capCores = cap.cpuMillis > 0 ? cap.cpuMillis / millisPerCore : Infinity;
-            const coreMs = (ofService.get(key)?.coreMs ?? 0) + coreMsOf(job, nowMs, wallMs);
-            ofService.set(key, { priority, organisation, weight, capCores, beyondShare, coreMs });
+            const work = addWork(ofService.get(key) ?? noWork, workOfJob(job, nowMs, wallMs));
+            ofService.set(key, { priority, organisation, weight, capCores, beyondShare, ...work });
         }
         return new Map([...sums].map(([service, work]) => [service, [...work.values()]]));
     };
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -510,7 +510,6 @@
         ticks += 1;
         const nowMs = clock.monotonicMs();
         lagMs += lagSmoothing * (nowMs - tickDueMs - lagMs);
-        shedding.recordTick(nowMs - tickDueMs);
         tickDueMs = nowMs + tickMs;
         if (isCutOff(nowMs)) {
             stopFenced("cutOff");
@@ -543,6 +542,7 @@
     const close = (): void => {
         closed = true;
         rejectWaiting(errorOf({ kind: "mayHaveRun", message: "this daemon no longer owns the shard" }));
+        shedding.close();
         commits.stop();
         adviceDispatcher.close();
         workers.close();
@@ -620,6 +620,7 @@
     const endedRead = readEnded();
     endedRead.catch(() => {});
     clock.setTimer(tickMs, tick);
+    shedding.start();
 
     const submit = createAcceptance({
         clock,
--- a/packages/puffinarch/src/core/shard/shedding.ts
+++ b/packages/puffinarch/src/core/shard/shedding.ts
@@ -21,6 +21,9 @@
 export interface OwnerShedding {
     /** Records by how many ms a periodic timer fired late. */
     recordTick(lateMs: number): void;
+    /** Measures the lateness of a timer from now on, until `close` is called. */
+    start(): void;
+    close(): void;
     /** Returns the submissions to refuse; undefined while the owner answers in time. */
     current(): Shedding | undefined;
 }
@@ -31,13 +34,24 @@
 const submissionCostMs = 0.3;
 /** Below this, the timers of a healthy owner may be late: a scheduling pass takes 25 ms, and a collection of garbage about as long. */
 const minLateMs = 50;
-/** The submissions with the most time are refused from this on: half of the 900 ms after which an attempt times out. */
-const firstShedAnswerMs = 450;
-/** The most urgent ones are refused from this on: callers wait 3 s in all, and this leaves them time to hear of the refusal. */
-const lastShedAnswerMs = 2_400;
-/** Shedding ends at this share of the time at which it began, once the owner has been below it for `recoveryMs`. */
+/**
+ * The submissions with the most time are refused from this on: a third of the 900 ms after which an attempt times out. Its peers hear of
+ * it by the pings that are answered before the owner is 350 ms late.
+ */
+const firstShedAnswerMs = 300;
+/** The most urgent ones are refused from this on: with timers 350 ms late, pings go unanswered and the owner is replaced. */
+const lastShedAnswerMs = 1_200;
+/** Interval of the timer whose lateness is measured; with that of 100 ms, an owner was replaced before its peers had heard of it. */
+const sampleMs = 25;
+/**
+ * Shedding ends at this share of the time at which it began, once the owner has been below it for a recovery time. The recovery time
+ * doubles where shedding begins again soon after its end, since all callers that were refused return at once then.
+ */
 const recoveryShare = 0.5;
-const recoveryMs = 500;
+const minRecoveryMs = 500;
+const maxRecoveryMs = 2_000;
+/** Shedding that begins within this time of its last end is part of the same overload; callers return within 3 s. */
+const sameOverloadMs = 3_000;
 /** Longest retry time that is taken from a peer; beyond it the answer counts as malformed. */
 const maxRetryAfterMs = 60_000;
 
@@ -71,6 +85,11 @@
     let formerLateMs = 0;
     let fromPriority: number | undefined;
     let lateUntilMs = -Infinity;
+    let recoveryMs = minRecoveryMs;
+    let endedAtMs = -Infinity;
+    let closed = false;
+    /** When the timer that measures the lateness is due; `Infinity` before `start`. */
+    let sampleDueAtMs = Infinity;
 
     const answerMsAt = (lateMs: number): number =>
         lateMs < minLateMs ? 0 : turnsPerSubmission * lateMs + submissionCostMs * inProgress();
@@ -80,26 +99,57 @@
         const reached = shedFromPriority(answerMs, priorities());
         const remaining = shedFromPriority(answerMs / recoveryShare, priorities());
         if (reached !== undefined && (fromPriority === undefined || reached < fromPriority)) {
+            if (fromPriority === undefined) {
+                const isSame = nowMs - endedAtMs < sameOverloadMs;
+                recoveryMs = isSame ? Math.min(maxRecoveryMs, 2 * recoveryMs) : minRecoveryMs;
+            }
             fromPriority = reached;
         }
         if (fromPriority !== undefined && remaining !== undefined && remaining <= fromPriority) {
             lateUntilMs = nowMs + recoveryMs;
         }
         else if (nowMs >= lateUntilMs) {
+            endedAtMs = remaining === undefined && fromPriority !== undefined ? nowMs : endedAtMs;
             fromPriority = remaining === undefined || fromPriority === undefined ? undefined : remaining;
         }
     };
 
+    const recordTick = (lateMs: number): void => {
+        // A single late timer may be due to one long pause of the process, which is over by then.
+        update(answerMsAt(Math.min(lateMs, formerLateMs)));
+        formerLateMs = lateMs;
+    };
+
+    /** Counts a timer that is overdue now as the next one that fired late; an owner that gets later has no other sign of it. */
+    const reviewPending = (): void => {
+        const pendingMs = clock.monotonicMs() - sampleDueAtMs;
+        if (pendingMs >= minLateMs) {
+            update(answerMsAt(Math.min(pendingMs, formerLateMs)));
+        }
+    };
+
+    const sample = (): void => {
+        sampleDueAtMs = clock.monotonicMs() + sampleMs;
+        clock.setTimer(sampleMs, () => {
+            if (!closed) {
+                recordTick(clock.monotonicMs() - sampleDueAtMs);
+                sample();
+            }
+        });
+    };
+
     return {
-        recordTick: lateMs => {
-            // A single late timer may be due to one long pause of the process, which is over by then.
-            update(answerMsAt(Math.min(lateMs, formerLateMs)));
-            formerLateMs = lateMs;
+        recordTick,
+        start: sample,
+        close: () => {
+            closed = true;
         },
-        current: () =>
-            fromPriority === undefined
+        current: () => {
+            reviewPending();
+            return fromPriority === undefined
                 ? undefined
-                : { fromPriority, retryAfterMs: retryAfterFor("ownerBusy", retryAfterMs) },
+                : { fromPriority, retryAfterMs: retryAfterFor("ownerBusy", retryAfterMs) };
+        },
     };
 };
 
