--- a/packages/puffinarch/src/core/shard/acceptance.ts
+++ b/packages/puffinarch/src/core/shard/acceptance.ts
@@ -8,6 +8,7 @@
 import type { JobSubmission, Queue } from "../../types/work.js";
 import { die } from "../../utils/errors.js";
 import { type Account, type Accounts, amountAboveCap, returnShare, takeShare } from "./accounts.js";
+import type { Admission, AdmissionReason } from "./admission.js";
 import type { CommitLog } from "./commitLog.js";
 import type { CommitWait } from "./commitWait.js";
 import type { EndedJobs, Outcome } from "./endedJobs.js";
@@ -22,6 +23,8 @@
     readonly jobs: Map<string, ShardJob>;
     readonly queueOf: (queueKey: string) => Queue | undefined;
     readonly accounts: Pick<Accounts, "of">;
+    /** Decides which jobs are refused because of the load. */
+    readonly admission: Admission;
     /** Position of the next job in the order of acceptance. */
     readonly nextOrder: number;
     readonly commits: CommitLog;
@@ -46,6 +49,11 @@
     }
 };
 
+const refusalMessages: Readonly<Record<AdmissionReason, string>> = {
+    backlog: "not accepted: the accepted work leaves it no time to end within three times its objective",
+    ownerLate: "not accepted: the owner of the shard is too busy to accept it in time",
+};
+
 /** Refuses jobs with a task or gang that exceeds the organisation's cap by itself, since it would wait forever. */
 const requireWithinCap = ({ steps }: JobSubmission, { organisation, cap }: Account): void => {
     for (const [index, step] of steps.entries()) {
@@ -77,6 +85,7 @@
         jobs,
         queueOf,
         accounts,
+        admission,
         commits,
         commitWait,
         commit,
@@ -111,24 +120,39 @@
                 discard(job);
             }
             if (!job.stored && jobs.get(jobId) !== job) {
-                commitWait.refuse("notAccepted");
+                commitWait.refuse("notAccepted", jobId);
             }
         }
     };
 
+    /** Refuses a job that the load leaves no time for. Its ID must be unknown, since the refusal states that the job never runs. */
+    const requireAdmission = (job: ShardJob): void => {
+        const refusal = admission.admit(job);
+        if (refusal === undefined) {
+            return;
+        }
+        if (!job.beyondShare) {
+            returnShare(job.account);
+        }
+        const { reason, retryAfterMs } = refusal;
+        die("overloaded", refusalMessages[reason], { retryAfterMs });
+    };
+
     const register = (submission: JobSubmission): ShardJob => {
         const queue = queueOf(submission.queueKey)
             ?? die("unavailable", `the queue ${submission.queueKey} is not in this daemon's configuration`);
         if (commitWait.isStalled()) {
-            commitWait.refuse("notAccepted");
+            commitWait.refuse("notAccepted", submission.jobId);
         }
         const account = accounts.of(submission.organisation ?? "");
         requireWithinCap(submission, account);
         const acceptedAtMs = clock.nowMs();
         const beyondShare = !takeShare(account, acceptedAtMs);
         const job = newJob(submission, queue, { acceptedAtMs, order: nextOrder, account, beyondShare });
+        requireAdmission(job);
         nextOrder += 1;
         jobs.set(submission.jobId, job);
+        admission.accepted(job);
         return job;
     };
 
@@ -162,7 +186,8 @@
         const outcome = ended.find(submission.jobId) ?? applyCancel(ended, submission);
         if (outcome !== undefined) {
             requireSameOrganisation(submission, outcome.job.organisation);
-            await commitWait.until(outcome.written, "notAccepted");
+            // The job was accepted before, or its outcome may be durable and is then shown later.
+            await commitWait.until(outcome.written, "mayHaveRun", submission.jobId);
             return;
         }
         const job = register(submission);
@@ -177,5 +202,5 @@
         });
     };
 
-    return submit;
+    return submission => admission.track(submit(submission));
 };
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -35,6 +35,7 @@
 import { createConfigurationFetch } from "./configurationFetch.js";
 import { createForwarder } from "./forward.js";
 import { handOver } from "./handOver.js";
+import { createLocalRefusals } from "./localRefusals.js";
 import { decodeOwner, unreadableOwner } from "./memberRows.js";
 import { watchOwner } from "./ownerWatch.js";
 import { createPartitionWatch } from "./partition.js";
@@ -244,6 +245,7 @@
         ownerServingAtMs = lastServingAtMs();
         isOwnerServing = false;
         ownerWatch.reset();
+        localRefusals.reset();
         log.write("info", "ownerKnown", { owner: known.row.memberId, fencingToken: known.version, source });
         if (owner !== undefined && known.version > owner.fencingToken) {
             loseShard("ownerRow");
@@ -576,8 +578,9 @@
         commitMonitor: createCommitMonitor({ clock, log, store, part }),
         claim,
         onAnswer: (address, { configurationVersion }) => configurationFetch.offer(address, configurationVersion),
-        onOwnerAnswer: ({ pending, storeStalledMs }) => {
+        onOwnerAnswer: ({ pending, shedding, storeStalledMs }) => {
             partition.reportStall(storeStalledMs);
+            localRefusals.onOwnerAnswer(shedding);
             // A claimant that is still reading the journal returns no counts.
             isOwnerServing = pending !== undefined;
             if (pending !== undefined) {
@@ -617,6 +620,13 @@
     });
     void registerSelf();
 
+    const localRefusals = createLocalRefusals({
+        clock,
+        meter,
+        priorityOf: queueKey =>
+            owner === undefined ? configuration?.queues.find(({ key }) => key === queueKey)?.priority : undefined,
+    });
+
     const forwarder = createForwarder({
         clock,
         retryAfterMs: settings.retryAfterMs,
@@ -635,6 +645,7 @@
         deliver: (job, totalTimeoutMs) =>
             forwarder.run({
                 refusal: "unavailable",
+                jobId: job.jobId,
                 local: shard => shard.cancel(job),
                 remote: async (address, timeoutMs) => (await members.call(address, "cancelJob", job, timeoutMs)).known,
                 totalTimeoutMs,
@@ -665,15 +676,17 @@
         configuration: () => configuration,
         ready: readiness.ready,
         submit: (submission, totalTimeoutMs, isAbandoned) =>
-            forwarder.run({
-                refusal: "notAccepted",
-                isAbandoned,
-                local: shard => shard.submit(submission),
-                remote: async (address, timeoutMs) => {
-                    await members.call(address, "submit", submission, timeoutMs);
-                },
-                totalTimeoutMs,
-            }),
+            localRefusals.run(submission, () =>
+                forwarder.run({
+                    refusal: "notAccepted",
+                    jobId: submission.jobId,
+                    isAbandoned,
+                    local: shard => shard.submit(submission),
+                    remote: async (address, timeoutMs) => {
+                        await members.call(address, "submit", submission, timeoutMs);
+                    },
+                    totalTimeoutMs,
+                })),
         authenticate: (queue, key) =>
             callerKeys === undefined
                 ? die("unavailable", "no configuration is known yet", { retryAfterMs: settings.retryAfterMs })
@@ -681,6 +694,7 @@
         jobState: (job, totalTimeoutMs) =>
             forwarder.run({
                 refusal: "unavailable",
+                jobId: job.jobId,
                 local: shard => shard.jobState(job),
                 remote: async (address, timeoutMs) => {
                     const { state, failure } = await members.call(address, "jobState", job, timeoutMs);
@@ -698,6 +712,7 @@
                 if ((owner?.stalledMs() ?? 0) > unreadAnswerMs) {
                     await sleep(clock, 0);
                 }
+                const shedding = owner?.shedding();
                 return {
                     incarnation: self.incarnation,
                     ownedToken: owner?.fencingToken ?? claimedToken,
@@ -708,6 +723,7 @@
                     seenOwnerToken: owner?.fencingToken ?? ownerWatch.seenToken(ownerLostMs),
                     leaving,
                     lagMs: owner?.lagMs() ?? 0,
+                    ...(shedding === undefined ? {} : { shedding }),
                     ...(knownOwner !== undefined && knownOwner.version > ownerVersion
                         ? { newerOwner: knownOwner }
                         : {}),
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -9,6 +9,7 @@
     type FencedWorkerPort,
     type RowKey,
     type RowStore,
+    type Shedding,
 } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import type { UpkeepWave, VmPort, WaveState } from "../../types/upkeep.js";
@@ -26,7 +27,9 @@
 import { sleep } from "../../utils/time.js";
 import { createAcceptance } from "./acceptance.js";
 import { createAccounts } from "./accounts.js";
+import { createAdmission } from "./admission.js";
 import { createAdviceDispatcher } from "./adviceDispatcher.js";
+import { createBacklog } from "./backlog.js";
 import type { ClaimedShard } from "./claimShard.js";
 import { createCommitLog, type RowChange } from "./commitLog.js";
 import { createCommitWait } from "./commitWait.js";
@@ -52,6 +55,7 @@
 import type { ShardSettings } from "./shardSettings.js";
 import { endedTable } from "./shardTables.js";
 import { createShardWorkers } from "./shardWorkers.js";
+import { createOwnerShedding } from "./shedding.js";
 import { createSpeedsReport } from "./speedsReport.js";
 import { createTaskPlacer } from "./taskPlacer.js";
 import { createTaskReview } from "./taskReview.js";
@@ -110,6 +114,8 @@
     stalledMs(): number;
     /** How late this process's timers fire, in ms, on average over about the last second. */
     lagMs(): number;
+    /** The submissions that it refuses because it is late; undefined while it is not. */
+    shedding(): Shedding | undefined;
     /** Resolves once all changes so far are durable. */
     idle(): Promise<void>;
     close(): void;
@@ -419,6 +425,23 @@
         wake: () => wake(),
     });
 
+    const backlog = createBacklog({ clock, workers: workers.all, policies: settings.policies });
+    const shedding = createOwnerShedding({
+        clock,
+        priorities: () => [...queues.values()].map(({ priority }) => priority),
+        inProgress: () => admission.inProgress(),
+        retryAfterMs: settings.retryAfterMs,
+    });
+    const admission = createAdmission({
+        clock,
+        log,
+        meter,
+        workers: workers.all,
+        backlog,
+        lagMs: () => lagMs,
+        shedding: shedding.current,
+    });
+
     const review = createTaskReview({ clock, log, meter, jobs, workers: workers.all, taskPlacer });
 
     const wake = (): void => {
@@ -533,6 +556,7 @@
     const close = (): void => {
         closed = true;
         rejectWaiting(errorOf({ kind: "mayHaveRun", message: "this daemon no longer owns the shard" }));
+        shedding.close();
         commits.stop();
         adviceDispatcher.close();
         workers.close();
@@ -545,6 +569,7 @@
         for (const job of restored.jobs) {
             nextOrder = Math.max(nextOrder, job.order + 1);
             jobs.set(job.submission.jobId, job);
+            admission.accepted(job);
         }
         workers.restoreRuns(restored.runs);
         workers.restoreLosses(restored.losses);
@@ -610,6 +635,7 @@
     const endedRead = readEnded();
     endedRead.catch(() => {});
     clock.setTimer(tickMs, tick);
+    shedding.start();
 
     const submit = createAcceptance({
         clock,
@@ -618,6 +644,7 @@
         jobs,
         queueOf: queueKey => queues.get(queueKey),
         accounts,
+        admission,
         nextOrder,
         commits,
         commitWait,
@@ -728,6 +755,7 @@
         },
         stalledMs: commits.stalledMs,
         lagMs: () => lagMs,
+        shedding: shedding.current,
         idle: commits.idle,
         close,
     };
