--- a/packages/puffinarch/src/core/shard/shedding.ts
+++ b/packages/puffinarch/src/core/shard/shedding.ts
@@ -51,6 +51,8 @@
  * before its peers had heard of it.
  */
 const releaseMs = 3_000;
+/** A single priority is shed as the more urgent one of two, at a much higher lateness than the first. */
+const minPriorities = 2;
 /** Longest retry time that is taken from a peer; beyond it the answer counts as malformed. */
 const maxRetryAfterMs = 60_000;
 const hashRange = 2 ** 32;
@@ -98,7 +100,7 @@
 
     const update = (answerMs: number): void => {
         const nowMs = clock.monotonicMs();
-        const count = inOrder(priorities()).length;
+        const count = Math.max(minPriorities, inOrder(priorities()).length);
         const reached = acceptedPriorities(answerMs, count);
         if (reached < Math.min(count, accepted)) {
             accepted = reached;
