--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -143,6 +143,8 @@
  * however many steps wait; calls to workers, pings and commits need the rest.
  */
 const passRestFactor = 2;
+/** First looks at all workers take a new owner 1 to 2 s. Callers wait for 3 s in all, so that it counts as settled after this time. */
+const maxSettlingMs = 3_000;
 /** Ticks between searches for ended jobs to delete. */
 const forgetIntervalTicks = 50;
 /** Ticks between reviews of all accepted tasks; a task that was missed by an event is delayed by at most a second. */
@@ -169,6 +171,8 @@
     const accounts = createAccounts();
     let queues = new Map<string, Queue>();
     let closed = false;
+    /** Whether every worker that answers has listed its runs since the takeover. */
+    let areRunsKnown = false;
     let passScheduled = false;
     /** Duration of the newest pass. */
     let passMs = 0;
@@ -335,7 +339,10 @@
         },
         onStarted: markStarted,
         wake: () => wake(),
-        onRunsKnown: () => review.runAndReport(),
+        onRunsKnown: () => {
+            areRunsKnown = true;
+            review.runAndReport();
+        },
         runTimes,
         onFenced: () => stopFenced("worker"),
     });
@@ -430,6 +437,7 @@
         clock,
         priorities: () => [...queues.values()].map(({ priority }) => priority),
         inProgress: () => admission.inProgress(),
+        isSettling: () => !areRunsKnown && clock.monotonicMs() - startedAtMs < maxSettlingMs,
         retryAfterMs: settings.retryAfterMs,
     });
     const admission = createAdmission({
--- a/packages/puffinarch/src/core/shard/shedding.ts
+++ b/packages/puffinarch/src/core/shard/shedding.ts
@@ -14,6 +14,11 @@
     readonly priorities: () => Iterable<number>;
     /** Submissions that have arrived and are not answered. */
     readonly inProgress: () => number;
+    /**
+     * Whether a new owner has yet to hear from workers for the first time, which makes it late for 1 to 2 s whatever arrives; nothing is
+     * shed then. Never where it is left out.
+     */
+    readonly isSettling?: () => boolean;
     /** `ShardSettings.retryAfterMs`. */
     readonly retryAfterMs: number;
 }
@@ -86,7 +91,7 @@
  * shedding.current()?.fromPriority; // 0
  */
 export const createOwnerShedding = (options: OwnerSheddingOptions): OwnerShedding => {
-    const { clock, priorities, inProgress, retryAfterMs } = options;
+    const { clock, priorities, inProgress, isSettling = () => false, retryAfterMs } = options;
     let formerLateMs = 0;
     /** Result of `acceptedPriorities` that is in force, and when it was set; `Infinity` where nothing is shed. */
     let accepted = Infinity;
@@ -144,6 +149,9 @@
         },
         current: () => {
             reviewPending();
+            if (isSettling()) {
+                return undefined;
+            }
             const ordered = inOrder(priorities());
             const priority = ordered[Math.floor(accepted)];
             const retryMs = retryAfterFor("ownerBusy", retryAfterMs);
