--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -433,6 +433,7 @@
     });
 
     const backlog = createBacklog({ clock, workers: workers.all, policies: settings.policies });
+    const { admission: admissionPolicy = "backlogAndLag" } = settings.policies;
     const shedding = createOwnerShedding({
         clock,
         priorities: () => [...queues.values()].map(({ priority }) => priority),
@@ -445,7 +446,7 @@
         log,
         meter,
         workers: workers.all,
-        backlog,
+        backlog: admissionPolicy === "none" ? { ...backlog, of: () => undefined } : backlog,
         lagMs: () => lagMs,
         shedding: shedding.current,
     });
@@ -643,7 +644,9 @@
     const endedRead = readEnded();
     endedRead.catch(() => {});
     clock.setTimer(tickMs, tick);
-    shedding.start();
+    if (admissionPolicy === "backlogAndLag") {
+        shedding.start();
+    }
 
     const submit = createAcceptance({
         clock,
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -15,6 +15,8 @@
     readonly shares: SharesPolicy;
     /** Whether steps of lower priorities leave capacity free for urgent work while it keeps arriving. */
     readonly headroom: HeadroomPolicy;
+    /** Which jobs are refused because of the load; `backlogAndLag` where it is left out. */
+    readonly admission?: AdmissionPolicy;
     /** Whether learned speeds and biases are used; `learned` where it is left out. */
     readonly runTimes?: RunTimesPolicy;
 }
@@ -51,6 +53,14 @@
 /** One of `headroomPolicies`. */
 export type HeadroomPolicy = (typeof headroomPolicies)[number];
 
+/**
+ * `backlog`: jobs that would end after three times their objective are refused. `backlogAndLag`: so are, while the owner itself is
+ * late, the submissions that it cannot answer in time, the least urgent first. `none`: no job is refused because of the load.
+ */
+export const admissionPolicies = ["none", "backlog", "backlogAndLag"] as const;
+/** One of `admissionPolicies`. */
+export type AdmissionPolicy = (typeof admissionPolicies)[number];
+
 /** Timings and limits of a shard's owner. */
 export interface ShardSettings {
     /** Lease of each run; longer than a takeover, and short enough that the tasks of a lost worker soon run again. */
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -262,6 +262,8 @@
 } from "./internal.js";
 export { createShardWorkers, type ShardWorkers, type ShardWorkersOptions } from "./internal.js";
 export {
+    admissionPolicies,
+    type AdmissionPolicy,
     defaultShardSettings,
     headroomPolicies,
     type HeadroomPolicy,
