--- a/packages/puffinarch/src/core/shard/shedding.ts
+++ b/packages/puffinarch/src/core/shard/shedding.ts
@@ -47,7 +47,7 @@
 const firstShedAnswerMs = 300;
 /** The most urgent ones are refused from this on: with timers 350 ms late, pings go unanswered and the owner is replaced. */
 const lastShedAnswerMs = 1_200;
-/** Interval of the timer whose lateness is measured; with that of 100 ms, an owner was replaced before its peers had heard of it. */
+/** Interval of the timer whose lateness is measured. A slower signal would reach peers only after they have replaced the owner. */
 const sampleMs = 25;
 /** Shedding is reduced only once the owner is at most this share as late as it was when it began. */
 const recoveryShare = 0.5;
