--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -69,18 +69,29 @@
     throw new Error("no free loopback addresses");
 };
 
-/** Starts the deployment. `routes` are those of the configuration; `trace` gets what executors see. */
-export const startDeployment = async ({ folder, routes, trace = () => undefined, advice = null }) => {
+/** Starts the deployment, which writes `record.txt` into `folder`. `routes` are those of the configuration. */
+export const startDeployment = async ({ folder, routes }) => {
     const recordPath = join(folder, "record.txt");
     writeFileSync(recordPath, "");
     const startedAt = performance.now();
     const atS = () => ((performance.now() - startedAt) / 1_000).toFixed(3);
     const record = line => appendFileSync(recordPath, `${atS()} ${line}\n`);
-    const events = [];
+    let stopped = false;
+    const describe = ({ what, executor, task, run, how, former, machine, wave, holder, tasks }) =>
+        [
+            what,
+            task && `${task} run ${run}`,
+            how,
+            executor && `at ${executor}`,
+            former && `in place of ${former}`,
+            machine && `of ${machine} for wave ${wave}, ordered by ${holder}`,
+            tasks && `with ${tasks.length} tasks`,
+        ].filter(Boolean).join(" ");
+    /** Records what the executors and the machines do. */
     const seen = event => {
-        const full = { atMs: performance.now() - startedAt, ...event };
-        events.push(full);
-        trace(full);
+        if (!stopped) {
+            record(describe(event));
+        }
     };
 
     const network = await chooseNetwork();
@@ -143,7 +154,6 @@
         });
         daemon.child = child;
         daemon.starts += 1;
-        seen({ what: "process", node: daemon.node, pid: child.pid });
         child.once("exit", (code, signal) => {
             if (daemon.child !== child) {
                 return;
@@ -152,7 +162,6 @@
             if (!daemon.stopping) {
                 daemon.ownEnds += 1;
                 record(`process of ${daemon.node} ended by itself: code ${code}, signal ${signal}`);
-                seen({ what: "ownEnd", node: daemon.node, code, signal });
                 // The platform restarts a process that has ended, after a short delay.
                 setTimeout(() => daemon.stopping || startProcess(daemon), 500).unref();
             }
@@ -180,7 +189,7 @@
                 port_range: [firstPort + 2, firstPort + 17],
                 platform: { address: store.address },
                 cloud: { address: cloud.address },
-                advice,
+                advice: null,
                 contracts: [
                     "base",
                     "drain",
@@ -216,16 +225,15 @@
         inRotation = chosen.length === 0 ? daemons : chosen;
         return chosen.length;
     };
-    let watching = true;
     const watchReadiness = async () => {
-        while (watching) {
+        while (!stopped) {
             await refresh();
             await sleep(1_000);
         }
     };
 
     const stop = async () => {
-        watching = false;
+        stopped = true;
         for (const daemon of daemons) {
             daemon.stopping = true;
             daemon.child?.kill("SIGKILL");
@@ -257,7 +265,6 @@
         killDaemon,
         executors,
         daemons,
-        events,
         record,
         startedAt,
         rotation: () => inRotation,
--- a/review/lib/http.mjs
+++ b/review/lib/http.mjs
@@ -26,7 +26,7 @@
             const text = await readBody(request);
             const answer = await handle({
                 method: request.method,
-                url: new URL(request.url, "http://stand-in"),
+                url: new URL(request.url, "http://127.0.0.1"),
                 headers: request.headers,
                 body: text === "" ? undefined : JSON.parse(text),
                 response,
