A wide job keeps its tasks in pages, so that no row outgrows the store

What callers saw: one job of 5,000 tasks was accepted, and from then on nothing was started any more, neither of it nor of any other job. Nearly all new jobs were refused, and each daemon that took the shard over came to the same point.

Cause: the state row of a job held the state of all of its tasks, some 28 bytes for each with a run, more with a checkpoint. At some 2,300 running tasks it exceeded the largest row of the store. The store refused the transaction, the batch was sent again for ever, and as batches are written one after the other, no other job could be committed. No test saw it, since the fake store had no limits.

Change: the fake store refuses rows, transactions and pages beyond the platform's limits, and the limits are part of the store's port, for the platform from the settings. The tasks of a job with more than 500 open tasks, or whose state row would be too large, are in task pages of 128 tasks; a page that is too large for a row is divided. Only pages that have changed are written. A change that exceeds a transaction is written in parts, in an order in which a successor can restore the job from any first part: pages, state row, submission row; and for the end of a job, the ended row together with the removal of the submission row first. What an unfinished removal leaves is removed by the next owner. Small jobs keep their rows as they are, byte for byte. A daemon of the former build cannot read the state row of a job with pages and leaves it alone, as it does with any row it cannot read.

Test: features/wideJobs.feature. Its first scenario failed before the change on the fake store with limits: after 20 s the job was "queued" and two of five small jobs were not completed. The others take over in the middle of wide jobs and gangs, with checkpoints of up to 60,000 bytes, and restore a job from every first part of a change.

The encoding still visits all tasks of the job.

--- a/features/steps/checkpointSteps.ts
+++ b/features/steps/checkpointSteps.ts
@@ -16,7 +16,7 @@
     type ShardRun,
     type ShardTask,
 } from "puffinarch";
-import { log, meter, part, submission } from "./examples/shardFixtures.js";
+import { limits, log, meter, part, submission } from "./examples/shardFixtures.js";
 import { cellOf, startCell } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
@@ -98,7 +98,7 @@
             task.lastRun = 1;
             task.runs.push(newRun(task, `i-${index}`, 1));
         }
-        const rows: Row[] = encodeJob(job, clock).puts.map(put => ({ ...put, part, version: 1 }));
+        const rows: Row[] = encodeJob(job, clock, limits).puts.map(put => ({ ...put, part, version: 1 }));
         const formerRows = rows.map(row => {
             if (!row.key.startsWith("state/")) {
                 return row;
@@ -119,7 +119,7 @@
         for (const [index, task] of tasksIn(restored).entries()) {
             task.runs.push(newRun(task, `i-${index}`, 1));
         }
-        const stateRow = encodeJob(restored, clock).puts.find(({ key }) => key.startsWith("state/"));
+        const stateRow = encodeJob(restored, clock, limits).puts.find(({ key }) => key.startsWith("state/"));
         rowPart(this).before = before;
         rowPart(this).after = storedTasksOf(JSON.parse(stateRow?.value ?? "") as StateRow).map(stored =>
             String(stored[checkpointField])
--- a/features/steps/examples/shardFixtures.ts
+++ b/features/steps/examples/shardFixtures.ts
@@ -1,6 +1,14 @@
 /** Fixtures that the examples of a shard's modules share: a job, a task, a run, a worker, an owner. */
 
-import { noopLog, noopMeter, plainStep, testQueue, workerEntry } from "@puffinarch/stand-ins";
+import {
+    createFakeClock,
+    createFakeRowStore,
+    noopLog,
+    noopMeter,
+    plainStep,
+    testQueue,
+    workerEntry,
+} from "@puffinarch/stand-ins";
 import { newJob, newRun, newWorker, type ShardJob, type ShardRun } from "puffinarch";
 
 /** The log of each example; discards all lines. */
@@ -12,6 +20,9 @@
 /** The part of a table that holds the rows of the examples' shard. */
 export const part = "shard-0";
 
+/** The limits of the examples' store. */
+export const limits = createFakeRowStore(createFakeClock()).connect("entry-1").limits;
+
 /** The daemon that owns or claims the shard of an example. */
 export const owner = {
     memberId: "entry-1",
--- a/features/steps/examples/shardRows.ts
+++ b/features/steps/examples/shardRows.ts
@@ -1,6 +1,6 @@
 /** Examples of the rows that a shard writes to the store and reads from it; each example uses one module by itself. */
 
-import { createFakeClock, createFakeRowStore } from "@puffinarch/stand-ins";
+import { createFakeClock, createFakeRowStore, plainStep, testQueue } from "@puffinarch/stand-ins";
 import {
     createAccounts,
     createBatchWriter,
@@ -11,10 +11,14 @@
     decodeMember,
     decodeRow,
     encodeJob,
+    encodeTask,
+    encodeTaskPages,
     journalTable,
     memberTable,
+    newJob,
     readAllRows,
     restoreJobs,
+    restoreTask,
     type Row,
     sequenceKey,
     submissionSchema,
@@ -22,19 +26,40 @@
     watchTable,
 } from "puffinarch";
 import { z } from "zod";
-import { exampleJob, log, meter, part, runOf, taskOf } from "./shardFixtures.js";
+import { exampleJob, limits, log, meter, part, runOf, submission, taskOf } from "./shardFixtures.js";
 
 const jobRows = (): string => {
     const job = exampleJob();
     taskOf(job).lastRun = 1;
     taskOf(job).runs.push(runOf(job));
     const clock = createFakeClock();
-    const rows = encodeJob(job, clock).puts.map(put => ({ ...put, part, version: 1 }));
+    const rows = encodeJob(job, clock, limits).puts.map(put => ({ ...put, part, version: 1 }));
     const [run] =
         restoreJobs(rows, { reader: createRowReader({ log, meter }), accounts: createAccounts(), clock }).runs;
     return `${run?.taskName} ran on ${run?.workerId}`;
 };
 
+const taskPages = (): string => {
+    const job = newJob({ ...submission, steps: [{ ...plainStep, count: 300 }] }, testQueue, {
+        acceptedAtMs: 0,
+        order: 1,
+    });
+    const task = job.occurrences.get(0)?.steps[0]?.tasks[200];
+    if (task !== undefined) {
+        task.lastRun = 1;
+    }
+    return [...encodeTaskPages(job, createFakeClock(), limits.rowBytes).keys()].join(", ");
+};
+
+const taskRows = (): string => {
+    const task = taskOf(exampleJob());
+    const live = restoreTask(task, [2, 1, "", [["i-1", 2]]]);
+    const stored = encodeTask(task, limits.rowBytes);
+    return `${live.length} live run, then ${
+        typeof stored === "number" ? "no runs" : `${stored[0]} runs, ${stored[1]} failure`
+    }`;
+};
+
 const commitLog = async (): Promise<string> => {
     const clock = createFakeClock();
     const store = createFakeRowStore(clock);
@@ -188,6 +213,8 @@
     memberRows,
     rowReader,
     runTimesRow,
+    taskPages,
+    taskRows,
     shardTables: () => sequenceKey,
     tableWatch,
 };
--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -27,6 +27,7 @@
     createPlatformStore,
     createPlatformWorkers,
     parsePlatformSettings,
+    platformStoreLimits,
     readConfiguration,
     readWave,
     readWorker,
@@ -145,8 +146,11 @@
 
 const row = { table: "t", part: "p", key: "k" };
 
+const storeOf = (world: ScenarioWorld) =>
+    createPlatformStore(httpCallerOf(world), `http://${part(world).address}`, platformStoreLimits(65_536));
+
 When("a row is written through the adapter", async function(this: ScenarioWorld) {
-    const store = createPlatformStore(httpCallerOf(this), `http://${part(this).address}`);
+    const store = storeOf(this);
     const result = await store.transact({
         expect: [{ ...row, version: 3 }],
         puts: [{ ...row, value: '{"a":1}' }],
@@ -156,7 +160,7 @@
 });
 
 When("the changes of a table are read through the adapter", async function(this: ScenarioWorld) {
-    const store = createPlatformStore(httpCallerOf(this), `http://${part(this).address}`);
+    const store = storeOf(this);
     part(this).outcome = (await store.changes("t", 1, 100)).kind;
 });
 
--- /dev/null
+++ b/features/steps/wideJobSteps.ts
@@ -0,0 +1,156 @@
+/** Steps for jobs whose state takes more than one row of the store. */
+
+import { Given, Then, When } from "@cucumber/cucumber";
+import { createFakeClock, jobIdOf, plainStep, testQueue } from "@puffinarch/stand-ins";
+import assert from "node:assert/strict";
+import {
+    applyRunEnd,
+    createAccounts,
+    createRowReader,
+    encodeJob,
+    hasEnded,
+    journalTable,
+    newJob,
+    newRun,
+    recordWritten,
+    restoreJobs,
+    type Row,
+    type RowChange,
+    type ShardJob,
+    type ShardTask,
+    type Step,
+} from "puffinarch";
+import { limits, log, meter, part as shardPart, submission } from "./examples/shardFixtures.js";
+import { cellOf, part, startCell } from "./shardCellPart.js";
+import { partOf, type ScenarioWorld } from "./support.js";
+
+/** A step whose tasks all fit on four workers at once. */
+const smallTasks = (count: number, more: Partial<Step> = {}): Step => ({
+    ...plainStep,
+    count,
+    size: { cpuMillis: 5, memoryMib: 2, accelerators: 0 },
+    ...more,
+});
+
+Given(
+    "a cell of {int} daemons and {int} workers whose tasks save checkpoints of {int} bytes every {int} ms",
+    async function(
+        this: ScenarioWorld,
+        members: number,
+        workers: number,
+        checkpointLength: number,
+        checkpointIntervalMs: number,
+    ) {
+        await startCell(this, { members, workers, seed: 1, durationMs: 3_000, checkpointIntervalMs, checkpointLength });
+    },
+);
+
+When(
+    /^a (job|gang) of (\d+) small tasks( with checkpoints)? is submitted$/,
+    function(this: ScenarioWorld, kind: string, count: string, checkpoints: string | null) {
+        const { jobs } = part(this);
+        const jobId = jobIdOf(jobs.length + 1);
+        jobs.push(jobId);
+        const step = smallTasks(Number(count), { gang: kind === "gang", checkpointing: checkpoints !== null });
+        cellOf(this).submit(jobId, [step]);
+    },
+);
+
+/** A job with the rows that are durable before its newest change. */
+interface ChangedJob {
+    job: ShardJob | undefined;
+    readonly durable: Map<string, string>;
+}
+
+const changedJob = (world: ScenarioWorld): ChangedJob =>
+    partOf(world, "wideJob", () => ({ job: undefined, durable: new Map() }));
+
+const jobOf = (world: ScenarioWorld): ShardJob => changedJob(world).job ?? assert.fail("there is no job");
+
+const tasksOf = (job: ShardJob): readonly ShardTask[] => job.occurrences.get(0)?.steps[0]?.tasks ?? [];
+
+const startAll = (tasks: readonly ShardTask[], run: number): void => {
+    for (const task of tasks) {
+        task.lastRun = run;
+        task.runs.splice(0, 1, newRun(task, `i-${task.index % 30}`, run, { address: `10.0.0.${task.index % 30}:1` }));
+    }
+};
+
+const endRuns = (tasks: readonly ShardTask[]): void => {
+    for (const task of tasks) {
+        applyRunEnd(task, task.lastRun, "done", "", 0);
+        task.runs.length = 0;
+    }
+};
+
+const applyRows = (durable: Map<string, string>, { puts, removes }: RowChange): void => {
+    for (const { table, key, value } of puts) {
+        durable.set(`${table}|${key}`, value);
+    }
+    for (const { table, key } of removes) {
+        durable.delete(`${table}|${key}`);
+    }
+};
+
+Given(/^a (job|gang) of (\d+) tasks of which all run$/, function(this: ScenarioWorld, kind: string, count: string) {
+    const steps = [smallTasks(Number(count), { gang: kind === "gang" })];
+    const job = newJob({ ...submission, steps }, testQueue, { acceptedAtMs: 0, order: 1 });
+    startAll(tasksOf(job), 1);
+    const change = encodeJob(job, createFakeClock(), limits);
+    applyRows(changedJob(this).durable, change);
+    recordWritten(job, change);
+    job.stored = true;
+    changedJob(this).job = job;
+});
+
+When("all of its tasks end", function(this: ScenarioWorld) {
+    endRuns(tasksOf(jobOf(this)));
+});
+
+When("half of its tasks end", function(this: ScenarioWorld) {
+    endRuns(tasksOf(jobOf(this)).filter(({ index }) => index % 2 === 0));
+});
+
+When("all of its tasks are started anew", function(this: ScenarioWorld) {
+    startAll(tasksOf(jobOf(this)), 2);
+});
+
+/** Restores a job from its durable rows; undefined where it has ended. */
+const restoredFrom = (durable: ReadonlyMap<string, string>): ShardJob | undefined => {
+    const rows: Row[] = [...durable].map(([id, value]) => {
+        const [table = "", key = ""] = id.split("|");
+        return { table, key, value, part: shardPart, version: 1 };
+    });
+    const reader = createRowReader({ log, meter });
+    const { jobs, runs } = restoreJobs(rows.filter(({ table }) => table === journalTable), {
+        reader,
+        accounts: createAccounts(),
+        clock: createFakeClock(),
+    });
+    const [job] = jobs;
+    if (job === undefined) {
+        return undefined;
+    }
+    const live = new Set(runs.map(({ taskName }) => taskName));
+    for (const task of tasksOf(job).filter(({ name }) => live.has(name))) {
+        task.runs.push(newRun(task, "i-1", task.lastRun));
+    }
+    return job;
+};
+
+Then("each first part of that change is restored to a job that can be completed", function(this: ScenarioWorld) {
+    const { durable } = changedJob(this);
+    const { puts, removes } = encodeJob(jobOf(this), createFakeClock(), limits);
+    assert.ok(puts.length + removes.length > 2, "the change takes a few rows only");
+    for (let rows = 0; rows <= puts.length + removes.length; rows += 1) {
+        const rest = new Map(durable);
+        applyRows(rest, { puts: puts.slice(0, rows), removes: removes.slice(0, Math.max(0, rows - puts.length)) });
+        const restored = restoredFrom(rest);
+        if (restored === undefined) {
+            assert.ok([...rest.keys()].some(key => key.startsWith("puffinarch-ended|")), `${rows} rows lose the job`);
+            continue;
+        }
+        endRuns(tasksOf(restored).filter(({ done }) => !done));
+        assert.ok(hasEnded(restored), `after ${rows} rows the job is ${restored.state}`);
+    }
+});
--- /dev/null
+++ b/features/wideJobs.feature
@@ -0,0 +1,66 @@
+Feature: Jobs whose state is larger than a row of the store
+
+    # Guards against a job whose state outgrew a row, so that no commit of its shard could be written any more.
+    Scenario: A job of 5,000 tasks runs to its end, and small jobs beside it do too
+        Given a cell of 3 daemons and 4 workers
+        When a job of 5000 small tasks is submitted
+        And the shard runs for 500 ms
+        And 5 jobs of steps "1" are submitted
+        Then all jobs are "completed" within 20000 ms
+        And every task ran 1 time
+        And no promise was broken
+        And the shard has had no other owner
+
+    # Guards against a takeover that loses or repeats tasks of a job whose state takes several rows.
+    Scenario Outline: A <kind> of <count> tasks is completed although "<fault>" comes <ms> ms after its submission
+        Given a cell of 3 daemons and 4 workers
+        When a <kind> of <count> small tasks is submitted
+        And the shard runs for <ms> ms
+        And the fault "<fault>" comes
+        And the shard runs for 3000 ms
+        And the fault goes
+        And 2 jobs of steps "1" are submitted
+        Then all jobs are "completed" within 30000 ms
+        And no promise was broken
+
+        Examples:
+            | kind | count | fault                | ms  |
+            | job  | 3000  | owner killed         | 20  |
+            | job  | 3000  | owner killed         | 60  |
+            | job  | 3000  | owner killed         | 700 |
+            | job  | 3000  | worker crashes       | 500 |
+            | job  | 3000  | store loses answers  | 30  |
+            | job  | 3000  | store answers late   | 30  |
+            | gang | 3000  | owner killed         | 30  |
+            | gang | 3000  | worker crashes       | 500 |
+
+    # Guards against long checkpoints, whose length the upstream decides, that make a row or a transaction too large.
+    Scenario Outline: Tasks with checkpoints of <bytes> bytes are completed, also under the next owner
+        Given a cell of 3 daemons and 4 workers whose tasks save checkpoints of <bytes> bytes every 300 ms
+        When a job of <count> small tasks with checkpoints is submitted
+        And the shard runs for 900 ms
+        And 2 jobs of steps "1" are submitted
+        And the fault "owner killed" comes
+        And the shard runs for 2000 ms
+        And the fault goes
+        Then all jobs are "completed" within 30000 ms
+        And no promise was broken
+
+        Examples:
+            | bytes | count |
+            | 400   | 150   |
+            | 3000  | 400   |
+            | 60000 | 20    |
+
+    # Guards against a successor that cannot restore a job of whose newest change only a part is durable.
+    Scenario Outline: A job can go on wherever its change is broken off, <what>
+        Given a <kind> of 700 tasks of which all run
+        When <what>
+        Then each first part of that change is restored to a job that can be completed
+
+        Examples:
+            | kind | what                             |
+            | job  | all of its tasks end             |
+            | job  | half of its tasks end            |
+            | gang | all of its tasks end             |
+            | gang | all of its tasks are started anew |
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -8,13 +8,10 @@
 import { type BatchWriterOptions, createBatchWriter } from "./batchWriter.js";
 import { journalTable, ownerKey, ownerTable, sequenceKey } from "./shardTables.js";
 
-/**
- * Number of job rows at which a batch is closed; its last job may add up to two more. The store accepts 100 entries per call, of which
- * three are the conditions and the sequence row, and one is that of `rowsDue`.
- */
-const maxBatchRows = 90;
-/** Size of the values, in bytes, at which a batch is closed. The store accepts 1 MB per call, and base64 adds a third. */
-const maxBatchBytes = 600_000;
+/** Entries of a transaction that are not rows of jobs: the two conditions, the sequence row and the rows of `rowsDue`. */
+const reservedEntries = 10;
+/** Bytes of a transaction that are kept for the sequence row and the rows of `rowsDue`, which are no larger than a row each. */
+const reservedRows = 2;
 /**
  * Delay before a batch is built. Follow-up changes, such as starts of the next step, are planned within 2 ms and share the batch, so that
  * a step costs one round trip to the store instead of two.
@@ -33,8 +30,13 @@
     readonly sequenceVersion: number;
     /** ID of this owner's claim, which makes the IDs of its batches unique. */
     readonly claimId: string;
-    /** Encodes the present state of a job as rows to put and remove. */
+    /**
+     * Encodes the present state of a job as the rows to put and remove since its last commit, in the order in which they are written if
+     * they take several transactions.
+     */
     readonly encode: (jobId: string) => RowChange;
+    /** Called when rows of a job have become durable: a whole change, or the first part of one that takes several transactions. */
+    readonly onWritten?: (jobId: string, written: RowChange) => void;
     /** Returns rows to write with a batch that holds jobs anyway, at most one per batch; none where it is left out. */
     readonly rowsDue?: (() => RowChange["puts"]) | undefined;
     /** Called when a batch was committed, with its store version: above that of the claim and below that of any successor's claim. */
@@ -54,8 +56,7 @@
     /** Resolves when all changes are written. */
     idle(): Promise<void>;
     /**
-     * Discards the pending write of a job; false if there is none, or if the batch in flight contains the job and may have made it
-     * durable.
+     * Discards the pending write of a job; false if there is none, or if a part of it is durable or in flight.
      */
     withdraw(jobId: string): boolean;
     /**
@@ -72,11 +73,33 @@
 interface InFlightBatch {
     readonly batchId: string;
     readonly transaction: RowTransaction;
-    readonly jobIds: ReadonlySet<string>;
+    /** The rows of each job in the batch, by job ID. */
+    readonly changes: ReadonlyMap<string, RowChange>;
     readonly waiting: readonly (() => void)[];
     readonly sentAtMs: number;
 }
 
+/** Number of rows that a change puts and removes. */
+const rowCount = ({ puts, removes }: RowChange): number => puts.length + removes.length;
+
+/** Takes rows of a change from the front, as many as fit; `bytes` is the size of the values that were taken. */
+const takeRows = (
+    { puts, removes }: RowChange,
+    limits: { readonly entries: number; readonly bytes: number; },
+): { readonly taken: RowChange; readonly bytes: number; } => {
+    const takenPuts: RowChange["puts"][number][] = [];
+    let bytes = 0;
+    for (const put of puts) {
+        const size = Buffer.byteLength(put.value);
+        if (takenPuts.length === limits.entries || bytes + size > limits.bytes) {
+            return { taken: { puts: takenPuts, removes: [] }, bytes };
+        }
+        takenPuts.push(put);
+        bytes += size;
+    }
+    return { taken: { puts: takenPuts, removes: removes.slice(0, limits.entries - takenPuts.length) }, bytes };
+};
+
 /**
  * Creates the commit log of a shard's owner.
  *
@@ -106,44 +129,68 @@
         isStopped: () => stopped,
     });
 
-    const buildBatch = (): InFlightBatch => {
-        const batchId = `${claimId}/${batches}`;
-        batches += 1;
-        const puts: { table: string; part: string; key: string; value: string; }[] = [];
-        const removes: { table: string; part: string; key: string; }[] = [];
-        const waiting = confirmations;
-        confirmations = [];
-        const jobIds = new Set<string>();
+    const { limits } = options.store;
+    const maxEntries = limits.callEntries - reservedEntries;
+    const maxBytes = limits.callBytes - reservedRows * limits.rowBytes;
+    /** Jobs of which a part of the pending change is durable. */
+    const partlyWritten = new Set<string>();
+
+    /** Takes the pending changes of jobs, each whole, or the first part of one that exceeds a batch by itself. */
+    const takeChanges = (
+        waiting: (() => void)[],
+    ): { readonly changes: Map<string, RowChange>; readonly bytes: number; } => {
+        const changes = new Map<string, RowChange>();
+        let entries = 0;
         let bytes = 0;
         for (const [jobId, resolvers] of dirty) {
-            if (puts.length + removes.length >= maxBatchRows || bytes >= maxBatchBytes) {
+            if (entries >= maxEntries || bytes >= maxBytes) {
                 break;
             }
-            dirty.delete(jobId);
-            jobIds.add(jobId);
-            waiting.push(...resolvers);
             const change = encode(jobId);
-            for (const put of change.puts) {
-                puts.push({ ...put, part });
-                bytes += put.value.length;
+            const next = takeRows(change, { entries: maxEntries - entries, bytes: maxBytes - bytes });
+            const isWhole = rowCount(next.taken) === rowCount(change);
+            if (!isWhole && changes.size > 0) {
+                break;
             }
-            for (const remove of change.removes) {
-                removes.push({ ...remove, part });
+            changes.set(jobId, next.taken);
+            entries += rowCount(next.taken);
+            bytes += next.bytes;
+            dirty.delete(jobId);
+            if (!isWhole) {
+                // The rest follows after the changes of the other jobs.
+                partlyWritten.add(jobId);
+                dirty.set(jobId, resolvers);
+                break;
             }
+            partlyWritten.delete(jobId);
+            waiting.push(...resolvers);
         }
-        for (const put of jobIds.size === 0 ? [] : options.rowsDue?.() ?? []) {
-            puts.push({ ...put, part });
-        }
-        const sequence = { table: journalTable, part, key: sequenceKey };
-        puts.push({ ...sequence, value: JSON.stringify({ batch: batchId }) });
+        return { changes, bytes };
+    };
+
+    const buildBatch = (): InFlightBatch => {
+        const batchId = `${claimId}/${batches}`;
+        batches += 1;
+        const waiting = confirmations;
+        confirmations = [];
+        const { changes, bytes } = takeChanges(waiting);
+        const sequence = { table: journalTable, key: sequenceKey };
+        const puts = [
+            ...[...changes.values()].flatMap(change => change.puts),
+            ...changes.size === 0 ? [] : options.rowsDue?.() ?? [],
+            { ...sequence, value: JSON.stringify({ batch: batchId }) },
+        ];
         meter.record("commitRows", puts.length);
         meter.count("commitBytes", bytes);
-        const expect = [
-            { table: ownerTable, part, key: ownerKey, version: ownerVersion },
-            { ...sequence, version: sequenceVersion },
-        ];
-        const transaction = { expect, puts, removes };
-        return { batchId, transaction, jobIds, waiting, sentAtMs: clock.monotonicMs() };
+        const transaction = {
+            expect: [
+                { table: ownerTable, part, key: ownerKey, version: ownerVersion },
+                { ...sequence, part, version: sequenceVersion },
+            ],
+            puts: puts.map(put => ({ ...put, part })),
+            removes: [...changes.values()].flatMap(change => change.removes).map(remove => ({ ...remove, part })),
+        };
+        return { batchId, transaction, changes, waiting, sentAtMs: clock.monotonicMs() };
     };
 
     const resolveIdle = (): void => {
@@ -169,6 +216,9 @@
             sequenceVersion = version;
             options.onCommitted?.(version);
             meter.record("commitMs", clock.monotonicMs() - inFlight.sentAtMs);
+            for (const [jobId, change] of inFlight.changes) {
+                options.onWritten?.(jobId, change);
+            }
             for (const resolve of inFlight.waiting) {
                 resolve();
             }
@@ -200,7 +250,7 @@
                 void confirm();
             }
         },
-        withdraw: jobId => inFlight?.jobIds.has(jobId) !== true && dirty.delete(jobId),
+        withdraw: jobId => inFlight?.changes.has(jobId) !== true && !partlyWritten.has(jobId) && dirty.delete(jobId),
         commit: jobId =>
             new Promise(resolve => {
                 const resolvers = dirty.get(jobId);
--- a/packages/puffinarch/src/core/shard/jobModel.ts
+++ b/packages/puffinarch/src/core/shard/jobModel.ts
@@ -219,6 +219,8 @@
     visibleState: JobState | undefined;
     /** Whether the row with the submission is durable. */
     stored: boolean;
+    /** Keys of its durable rows, with the values of its task pages; the other values are empty here. */
+    readonly storedRows: Map<string, string>;
 }
 
 const newTask = (step: ShardStep, name: TaskName, saved: SavedProgress): ShardTask => ({
@@ -314,6 +316,7 @@
         failure: undefined,
         visibleState: undefined,
         stored: false,
+        storedRows: new Map(),
     };
     if (submission.schedule.repeatCount === 0) {
         openOccurrence(job, 0);
@@ -553,6 +556,27 @@
     endHandlers[how](task, run, nowMs);
 };
 
+/**
+ * Completes what the parts of a change, which was not written whole, imply: a gang is done once one of its members is, and an occurrence
+ * once all of its tasks are.
+ *
+ * @example
+ * settleRestored(job, clock.monotonicMs());
+ */
+export const settleRestored = (job: ShardJob, nowMs: number): void => {
+    for (const { steps, number } of job.occurrences.values()) {
+        for (const { spec, tasks } of steps) {
+            if (spec.gang && tasks.some(({ done }) => done)) {
+                tasks.forEach(markTaskDone);
+            }
+        }
+        const [first] = steps;
+        if (first !== undefined && !job.doneOccurrences.has(number)) {
+            completeIfFinished(first, nowMs);
+        }
+    }
+};
+
 const hasLiveRuns = ({ steps }: ShardOccurrence): boolean =>
     steps.some(step => step.tasks.some(task => task.runs.length > 0));
 
--- a/packages/puffinarch/src/core/shard/jobRowSchemas.ts
+++ b/packages/puffinarch/src/core/shard/jobRowSchemas.ts
@@ -126,35 +126,60 @@
     workerIds: z.array(text),
 });
 
-/** Schema of a state row: the job's state and the progress of each open occurrence. */
-export const stateSchema = z.object({
-    state,
-    done: z.array(wholeNumber, "numbers of occurrences"),
-    open: z.array(
-        z.tuple(
-            [wholeNumber, z.array(z.tuple([wholeNumber, wholeNumber, z.array(taskSchema)]))],
-            "an occurrence and its steps",
-        ),
-        "open occurrences",
-    ),
-    failure,
+/** What is stored of tasks beside their states. */
+const detailsShape = {
     crashed: z.array(crashedTaskSchema, "tasks under which workers crashed").default([]),
     lost: z.array(lossSchema, "runs that were lost").default([]),
     failed: z.array(failedTaskSchema, "tasks that failed").default([]),
-    /** Addresses of the workers of its live runs, by worker ID. */
+    /** Addresses of the workers of the live runs, by worker ID. */
     addresses: z.record(z.string(), text, "addresses of workers").default({}),
     /**
-     * Start times of the worker incarnations that its live runs were planned for, by worker ID; empty if each incarnation has an ID of
-     * its own.
+     * Start times of the worker incarnations that the live runs were planned for, by worker ID; empty if each incarnation has an ID of its
+     * own.
      */
     lives: z.record(z.string(), wholeNumber, "start times of incarnations").default({}),
+    /** Live runs whose start order is unanswered. */
+    unanswered: z.array(unansweredSchema, "starts without an answer").default([]),
+};
+
+const jobShape = {
+    state,
+    done: z.array(wholeNumber, "numbers of occurrences"),
+    failure,
     /**
      * When the row was written, in milliseconds since the Unix epoch. Runs that are not listed as unanswered may have been ordered right
      * after it.
      */
     writtenAtMs: z.number("a time").default(0),
-    /** Live runs whose start order is unanswered. */
-    unanswered: z.array(unansweredSchema, "starts without an answer").default([]),
+};
+
+/** Schema of a state row that holds all of its job: its state and the progress of each open occurrence. */
+export const stateSchema = z.object({
+    ...jobShape,
+    ...detailsShape,
+    open: z.array(
+        z.tuple(
+            [wholeNumber, z.array(z.tuple([wholeNumber, wholeNumber, z.array(taskSchema)]))],
+            "an occurrence and its steps",
+        ),
+        "open occurrences",
+    ),
+});
+
+/** Schema of the mark by which a state row refers to task pages. Earlier versions cannot read such a row and leave its job alone. */
+export const pagedMarkSchema = z.object({ paged: z.literal(true).optional().catch(undefined) });
+
+/** Schema of a state row whose job has its tasks in task pages. */
+export const pagedStateSchema = z.object({ ...jobShape, paged: z.literal(true) });
+
+/** Schema of a task page: consecutive tasks of one occurrence, counted over all of its steps, from `first` on. */
+export const taskPageSchema = z.object({
+    occurrence: wholeNumber,
+    first: wholeNumber,
+    tasks: z.array(taskSchema, "tasks"),
+    /** For each gang whose first task is in the page, if it has failed: its step, its failures and the newest failed run. */
+    gangs: z.array(z.tuple([wholeNumber, wholeNumber, wholeNumber]), "gangs that failed").default([]),
+    ...detailsShape,
 });
 
 /** Schema of the row of a job that has ended, or that was cancelled before it was submitted. */
@@ -181,6 +206,12 @@
 export type StoredLoss = z.infer<typeof lossSchema>;
 /** A stored task that failed on some workers. */
 export type StoredFailedTask = z.infer<typeof failedTaskSchema>;
+/** Stored details of tasks. */
+export type StoredDetails = z.infer<z.ZodObject<typeof detailsShape>>;
+/** A decoded task page. */
+export type StoredTaskPage = z.infer<typeof taskPageSchema>;
+/** A decoded state row of a job with task pages. */
+export type StoredPagedState = z.infer<typeof pagedStateSchema>;
 /**
  * A decoded state row. Each entry of `open` holds an occurrence's number and, for each step, the gang's failures, the newest failed run
  * of the gang and its tasks.
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -45,7 +45,7 @@
     type ShardJob,
     type ShardRun,
 } from "./jobModel.js";
-import { decodeEnded, encodeJob, restoreJobs } from "./jobRows.js";
+import { decodeEnded, encodeJob, recordWritten, restoreJobs } from "./jobRows.js";
 import { createOwnerProgress } from "./ownerProgress.js";
 import { readAllRows } from "./readRows.js";
 import { createRowReader } from "./rowReader.js";
@@ -53,7 +53,7 @@
 import { createRunTimesRow } from "./runTimesRow.js";
 import { explainJob, listOrganisations, listSpeeds, type QueriedState, type ShardQueries } from "./shardQueries.js";
 import type { ShardSettings } from "./shardSettings.js";
-import { endedTable } from "./shardTables.js";
+import { endedTable, journalTable } from "./shardTables.js";
 import { createShardWorkers } from "./shardWorkers.js";
 import { createOwnerShedding } from "./shedding.js";
 import { createSpeedsReport } from "./speedsReport.js";
@@ -191,9 +191,37 @@
         }
     };
 
+    /** Rows without a submission row that former owners left, by job ID; they are removed, or become rows of a new job of that ID. */
+    const leftovers = new Map<string, readonly string[]>();
+
     const encode = (jobId: string): RowChange => {
         const job = jobs.get(jobId);
-        return job === undefined ? endedJobs.encode(jobId) : encodeJob(job, clock);
+        const left = leftovers.get(jobId) ?? [];
+        if (job === undefined) {
+            const { puts, removes } = endedJobs.encode(jobId);
+            return { puts, removes: [...removes, ...left.map(key => ({ table: journalTable, key }))] };
+        }
+        for (const key of left) {
+            job.storedRows.set(key, "");
+        }
+        leftovers.delete(jobId);
+        return encodeJob(job, clock, options.store.limits);
+    };
+
+    const recordWrittenRows = (jobId: string, written: RowChange): void => {
+        const job = jobs.get(jobId);
+        if (job !== undefined) {
+            recordWritten(job, written);
+            return;
+        }
+        const removed = new Set(written.removes.map(({ key }) => key));
+        const left = (leftovers.get(jobId) ?? []).filter(key => !removed.has(key));
+        if (left.length > 0) {
+            leftovers.set(jobId, left);
+        }
+        else {
+            leftovers.delete(jobId);
+        }
     };
 
     /**
@@ -212,6 +240,7 @@
         storeLatencyMs: claimed.storeLatencyMs,
         claimId,
         encode,
+        onWritten: recordWrittenRows,
         rowsDue: () => runTimesRow.due(),
         onCommitted: version => {
             newestVersion = version;
@@ -582,8 +611,14 @@
         }
         workers.restoreRuns(restored.runs);
         workers.restoreLosses(restored.losses);
+        for (const [jobId, keys] of restored.leftovers) {
+            leftovers.set(jobId, keys);
+        }
         for (const job of jobs.values()) {
             taskPlacer.updateJob(job);
+            if (job.state !== job.visibleState) {
+                void commitChange(job);
+            }
         }
         log.write("info", "shardRestored", { part, fencingToken, jobs: jobs.size, runs: restored.runs.length });
     };
@@ -606,7 +641,13 @@
             }
         }
         log.write("info", "endedRead", { part, jobs: rows.length, complete: read !== undefined });
-        return read === undefined ? ownershipLost : endedJobs;
+        if (read === undefined) {
+            return ownershipLost;
+        }
+        for (const jobId of leftovers.keys()) {
+            void commits.commit(jobId);
+        }
+        return endedJobs;
     };
 
     const openUpkeep = (): Upkeep | undefined => {
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -10,13 +10,13 @@
 import { createFirstLooks } from "./firstLooks.js";
 import { incarnationOf, isOtherIncarnation } from "./incarnations.js";
 import { findTask, newRun, runPhases, type ShardJob, type ShardRun } from "./jobModel.js";
-import type { RestoredLoss, StoredRun } from "./jobRows.js";
 import { createLookSlots } from "./lookSlots.js";
 import { createLostRuns } from "./lostRuns.js";
 import { enterIncarnation, isSettledByLook, leaveIncarnation, withUndecided } from "./nextIncarnation.js";
 import { createPacer } from "./pacer.js";
 import { runTimeOf, type RunTimes } from "./runTimes.js";
 import type { ShardSettings } from "./shardSettings.js";
+import type { RestoredLoss, StoredRun } from "./taskRows.js";
 import { holdsForOneIncarnation, mayArrive } from "./unansweredStart.js";
 import { openWorkerLink, type WorkerLink } from "./workerLink.js";
 import {
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -202,7 +202,18 @@
     type ShardTask,
     stepNameOf,
 } from "./internal.js";
-export { decodeEnded, encodeJob, type EndedJob, type RestoredJobs, restoreJobs } from "./internal.js";
+export { decodeEnded, encodeJob, type EndedJob, recordWritten, type RestoredJobs, restoreJobs } from "./internal.js";
+export { encodeTaskPages, jobIdOfTaskPage, maxCheckpointBytes, restoreTaskPage } from "./internal.js";
+export {
+    encodeDetails,
+    encodeTask,
+    restoreDetails,
+    type RestoredLoss,
+    type RestoredRuns,
+    restoreTask,
+    type RestoreTimes,
+    type StoredRun,
+} from "./internal.js";
 export { createFirstLooks, type FirstLooks } from "./internal.js";
 export {
     createForwarder,
@@ -405,6 +416,7 @@
     type Shedding,
     type StartRunOrder,
     type StopRunOrder,
+    type StoreLimits,
     type WorkerTarget,
 } from "./internal.js";
 export {
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -27,7 +27,17 @@
     readonly version: number;
 }
 
-/** An atomic transaction on rows of one part. The store accepts at most 100 entries and 1 MB in one transaction. */
+/** Largest rows and transactions that a store accepts. */
+export interface StoreLimits {
+    /** Most bytes of a row's value as UTF-8. */
+    readonly rowBytes: number;
+    /** Most conditions, puts and removes of one transaction together. */
+    readonly callEntries: number;
+    /** Most bytes of the values that one transaction puts. */
+    readonly callBytes: number;
+}
+
+/** An atomic transaction on rows of one part, within the store's limits. */
 export interface RowTransaction {
     readonly expect: readonly RowExpectation[];
     readonly puts: readonly (RowKey & { readonly value: string; })[];
@@ -59,6 +69,7 @@
 
 /** The platform's transactional row store. `read` and `changes` fail with the kind `unavailable`. */
 export interface RowStore {
+    readonly limits: StoreLimits;
     /** The outcome is `unknown` where no answer arrives within `timeoutMs`. */
     transact(transaction: RowTransaction, timeoutMs: number): Promise<RowTransactResult>;
     /**
--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -13,6 +13,7 @@
     type RowStore,
     type RowTransaction,
     type RowTransactResult,
+    type StoreLimits,
 } from "puffinarch";
 import { createLink, type Link } from "./link.js";
 
@@ -69,6 +70,49 @@
 const changesTimeoutMs = 20_000;
 /** Growth of a value by its base64 encoding on the wire. */
 const base64Factor = 4 / 3;
+/** Limits of the platform's store: of a row's value in base64, of the entries and bytes of a call, and of the bytes of a page. */
+const maxEncodedRowBytes = 65_536;
+const maxCallEntries = 100;
+const maxCallBytes = 1_000_000;
+const maxPageBytes = 1_000_000;
+/** Bytes of a call for one entry besides its value: its names and the punctuation of JSON. */
+const entryOverheadBytes = 150;
+
+/** The limits as a daemon is told them; a call keeps a part of its bytes for the names of its rows. */
+const storeLimits: StoreLimits = {
+    rowBytes: maxEncodedRowBytes / base64Factor,
+    callEntries: maxCallEntries,
+    callBytes: (maxCallBytes - maxCallEntries * entryOverheadBytes) / base64Factor,
+};
+
+const encodedBytes = (value: string | undefined): number => Math.ceil(base64Factor * Buffer.byteLength(value ?? ""));
+
+/** Why the store refuses a transaction for its size, whenever it is sent; undefined for one within the limits. */
+const sizeRefusal = ({ expect, puts, removes }: RowTransaction): string | undefined => {
+    const entries = expect.length + puts.length + removes.length;
+    const bytes = puts.reduce((sum, { value }) => sum + encodedBytes(value), entryOverheadBytes * entries);
+    const wide = puts.find(({ value }) => encodedBytes(value) > maxEncodedRowBytes);
+    if (wide !== undefined) {
+        return `400: the row ${wide.table} ${wide.key} has ${encodedBytes(wide.value)} bytes`;
+    }
+    return entries > maxCallEntries || bytes > maxCallBytes
+        ? `400: the call has ${entries} entries and ${bytes} bytes`
+        : undefined;
+};
+
+/** The longest prefix of these rows that one page can hold; at least one row. */
+const pageOf = (rows: readonly Row[], limit: number): readonly Row[] => {
+    const page: Row[] = [];
+    let bytes = 0;
+    for (const row of rows) {
+        bytes += encodedBytes(row.value);
+        if (page.length >= Math.min(limit, pageRows) || page.length > 0 && bytes > maxPageBytes) {
+            break;
+        }
+        page.push(row);
+    }
+    return page;
+};
 
 const idOf = ({ table, part, key }: { readonly table: string; readonly part: string; readonly key: string; }): string =>
     `${table}|${part}|${key}`;
@@ -193,7 +237,16 @@
 
     return {
         connect: memberId => ({
-            transact: (transaction, timeoutMs) => transactHandlers[faultOf(memberId)](transaction, timeoutMs),
+            limits: storeLimits,
+            transact: async (transaction, timeoutMs) => {
+                const fault = faultOf(memberId);
+                const reason = fault === "hang" ? undefined : sizeRefusal(transaction);
+                if (reason !== undefined) {
+                    await wait(answerMs);
+                    return { outcome: "refused", reason };
+                }
+                return transactHandlers[fault](transaction, timeoutMs);
+            },
             read: async (table, part, fromKey, limit = pageRows, longestMs = readTimeoutMs) => {
                 await awaitStore(memberId);
                 if (unreadable.has(table)) {
@@ -203,7 +256,7 @@
                 const all = [...rows.values()]
                     .filter(row => row.table === table && row.part === part && row.key >= (fromKey ?? ""))
                     .sort((left, right) => left.key < right.key ? -1 : 1);
-                const page = all.slice(0, Math.min(limit, pageRows));
+                const page = pageOf(all, limit);
                 const readVersion = version;
                 await transferPage(memberId, page, longestMs);
                 return { rows: page, hasMore: all.length > page.length, version: readVersion };
--- a/packages/stand-ins/src/shard/savedCheckpoints.ts
+++ b/packages/stand-ins/src/shard/savedCheckpoints.ts
@@ -8,6 +8,8 @@
     /** Working time from one checkpoint to the next. */
     readonly intervalMs: number;
     readonly saves: (taskName: string) => boolean;
+    /** Least length of a checkpoint; no padding where it is left out. */
+    readonly length?: number | undefined;
 }
 
 /** A checkpoint that a run has saved. */
@@ -35,10 +37,10 @@
  * const saved = createSavedCheckpoints(clock, { intervalMs: 500, saves: () => true });
  * saved.save({ taskName: "5c0e7a21d94b36f8.0.0.1", run: 2 }); // "5c0e7a21d94b36f8.0.0.1#2/1"
  */
-export const createSavedCheckpoints = (clock: Clock, { intervalMs, saves }: Saving): SavedCheckpoints => {
+export const createSavedCheckpoints = (clock: Clock, { intervalMs, saves, length = 0 }: Saving): SavedCheckpoints => {
     const all = new Map<string, SavedCheckpoint>();
     const save: SavedCheckpoints["save"] = ({ taskName, run }) => {
-        const checkpoint = `${taskName}#${run}/${all.size + 1}`;
+        const checkpoint = `${taskName}#${run}/${all.size + 1}`.padEnd(length, ".");
         all.set(checkpoint, { taskName, savedAtMs: clock.monotonicMs() });
         return checkpoint;
     };
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -228,6 +228,8 @@
     readonly restartCapacity?: Resources;
     /** Working time from one checkpoint of a checkpointing task to the next; tasks save only at stops where this is left out. */
     readonly checkpointIntervalMs?: number | undefined;
+    /** Least length of a checkpoint. */
+    readonly checkpointLength?: number;
     /** Processor time that the daemons' work takes; none where this is left out. */
     readonly costs?: ProcessorCosts;
     /** A deliberate defect in every daemon's dependencies. */
@@ -347,6 +349,7 @@
         checksTickets = false,
         restartCapacity,
         checkpointIntervalMs,
+        checkpointLength,
         costs = noCosts,
         broken,
     }: ShardCellOptions,
@@ -437,6 +440,7 @@
         saving: checkpointIntervalMs === undefined ? undefined : {
             intervalMs: checkpointIntervalMs,
             saves: taskName => stepOf(taskName)?.checkpointing === true,
+            length: checkpointLength,
         },
         heldOf,
         gangSize: taskName => {
@@ -621,6 +625,7 @@
                 strength: strengths[ids.indexOf(memberId)] ?? 1,
             },
             store: {
+                limits: connection.limits,
                 // A killed daemon sends nothing more, but calls that it has sent may still take effect.
                 transact: delayUntilResumed((transaction, timeoutMs) =>
                     alive() ? connection.transact(transaction, timeoutMs) : unanswered
