Starts are sent at a pace that their answers keep up with

What callers saw: the tasks of a job of 5,000 tasks were started up to 22 times each, and the shard changed its owner twice meanwhile.

Cause: all tasks that fit were placed in one pass, and all of their start orders were sent at once after the commit. An order without an answer within 150 ms is given up and its task is placed again. One process cannot send and read 5,000 calls in that time, so most of them timed out in the owner's own queue, all at once, again and again, and the owner answered its peers late.

Change: at most 32 start orders of an owner wait for an answer; the others are in a queue that serves the jobs in turn, and each is checked again before it is sent. A pass plans no start of a task that is in no gang while 500 of them are planned or sent without an answer, so that an urgent step that comes later is placed before the rest of a wide one. Gangs are still placed as a whole.

Test: "The starts of a job (gang) of ... are sent as fast as a daemon can send them" in features/wideJobs.feature, on a fake whose starts cost processor time.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -91,6 +91,7 @@
             | workerList           | i-1, then nobody                        |
             | jobModel             | completed                               |
             | jobRows              | 5c0e7a21d94b36f8.0.0.0 ran on i-1       |
+            | startQueue           | 3 of 4                                  |
             | taskPages            | tasks/5c0e7a21d94b36f8/0/128            |
             | taskRows             | 1 live run, then 2 runs, 1 failure       |
             | pacer                | paced to 0 percent                      |
--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -15,19 +15,21 @@
     createLocalRefusals,
     createOwnerShedding,
     createPendingCancels,
+    createStartQueue,
     createTaskReview,
     defaultShardSettings,
     die,
     digestKey,
     formatTaskName,
     kindOf,
+    newJob,
     noResources,
     retryAfterFor,
     type ShardJob,
     tasksUnderCap,
     taskWaitOf,
 } from "puffinarch";
-import { exampleJob, log, meter, openWorker, submission, taskOf } from "./shardFixtures.js";
+import { exampleJob, log, meter, openWorker, runOf, submission, taskOf } from "./shardFixtures.js";
 
 const jobModel = (): string => {
     const job = exampleJob();
@@ -36,6 +38,22 @@
     return job.state;
 };
 
+const startQueue = async (): Promise<string> => {
+    const sent: string[] = [];
+    const starts = createStartQueue({
+        maxInFlight: 1,
+        send: async ({ task }) => {
+            sent.push(task.name);
+        },
+        onSettled: () => {},
+    });
+    const wide = exampleJob();
+    starts.add([runOf(wide), runOf(wide), runOf(wide)]);
+    starts.add([runOf(newJob({ ...submission, jobId: "b7" }, testQueue, { acceptedAtMs: 0, order: 2 }))]);
+    await new Promise(setImmediate);
+    return `${sent.indexOf("b7.0.0.0") + 1} of ${sent.length}`;
+};
+
 const never = new Promise<never>(() => {});
 
 const commitWait = async (): Promise<string> => {
@@ -242,6 +260,7 @@
     pendingCancels,
     retryTimes: () => `${retryAfterFor("noOwner", 1_000)} ms`,
     shedding,
+    startQueue,
     taskReview,
     taskWait,
     taskName: () => formatTaskName({ jobId: "5c0e7a21d94b36f8", occurrence: 0, step: 1, index: 17 }),
--- a/features/steps/restSteps.ts
+++ b/features/steps/restSteps.ts
@@ -215,7 +215,7 @@
             const run = newRun(task, workerId, 1, { address: worker().entry.address, bornAtMs: worker().bornAtMs });
             task.runs.push(run);
             assert.ok(holdCapacity(worker(), run));
-            workers.start(run, "");
+            void workers.start(run, "");
         };
         partOf<Part>(this, "rests", () => ({ clock, worker, start, failedAtMs: undefined, refused: false }));
     },
--- a/features/steps/runTimeSteps.ts
+++ b/features/steps/runTimeSteps.ts
@@ -248,7 +248,7 @@
         const run = newRun(task, workerId, 1, { checkpoint, address: entry.address });
         assert.ok(holdCapacity(workers.all.get(workerId) ?? assert.fail(), run));
         task.runs.push(run);
-        workers.start(run, "");
+        void workers.start(run, "");
     };
     const startAsFormer = (index: number): void => {
         const task = job.occurrences.get(0)?.steps[0]?.tasks[index] ?? assert.fail();
--- a/features/steps/tokenSteps.ts
+++ b/features/steps/tokenSteps.ts
@@ -245,7 +245,7 @@
             },
         });
         await clock.advance(25);
-        link.start(runOn(worker), "");
+        void link.start(runOn(worker), "");
         await clock.advance(1_000);
         link.close();
     },
@@ -281,7 +281,7 @@
         });
         await clock.advance(5);
         sent.splice(0);
-        link.start(runOn(worker), "");
+        void link.start(runOn(worker), "");
         await clock.advance(900);
         link.close();
     },
--- a/features/steps/wideJobSteps.ts
+++ b/features/steps/wideJobSteps.ts
@@ -45,6 +45,24 @@
     },
 );
 
+Given(
+    "a cell of {int} daemons and {int} workers where each start costs a daemon {float} ms",
+    async function(this: ScenarioWorld, members: number, workers: number, startMs: number) {
+        await startCell(this, {
+            members,
+            workers,
+            seed: 1,
+            costs: { firstLookMs: 1, lookMs: 0.5, callMs: 0.5, startMs },
+        });
+    },
+);
+
+Then("every start was the first of its task", function(this: ScenarioWorld) {
+    const { evidence } = cellOf(this).workers;
+    assert.ok(evidence.length > 0);
+    assert.deepEqual(evidence.filter(({ run }) => run > 1).map(({ taskName, run }) => `${taskName}#${run}`), []);
+});
+
 When(
     /^a (job|gang) of (\d+) small tasks( with checkpoints)? is submitted$/,
     function(this: ScenarioWorld, kind: string, count: string, checkpoints: string | null) {
--- a/features/wideJobs.feature
+++ b/features/wideJobs.feature
@@ -64,3 +64,19 @@
             | job  | half of its tasks end            |
             | gang | all of its tasks end             |
             | gang | all of its tasks are started anew |
+
+    # Guards against starts that time out in the daemon that sends them, all at once, and are repeated again and again.
+    Scenario Outline: The starts of a <kind> of <count> tasks are sent as fast as a daemon can send them
+        Given a cell of 3 daemons and 4 workers where each start costs a daemon 0.5 ms
+        When a <kind> of <count> small tasks is submitted
+        And the shard runs for 100 ms
+        And 3 jobs of steps "1" are submitted
+        Then all jobs are "completed" within 20000 ms
+        And every start was the first of its task
+        And no promise was broken
+        And the shard has had no other owner
+
+        Examples:
+            | kind | count |
+            | job  | 3000  |
+            | gang | 2000  |
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -57,6 +57,7 @@
 import { createShardWorkers } from "./shardWorkers.js";
 import { createOwnerShedding } from "./shedding.js";
 import { createSpeedsReport } from "./speedsReport.js";
+import { createStartQueue } from "./startQueue.js";
 import { createTaskPlacer } from "./taskPlacer.js";
 import { createTaskReview } from "./taskReview.js";
 import { startUpkeep, type Upkeep } from "./upkeep.js";
@@ -143,6 +144,15 @@
  * however many steps wait; calls to workers, pings and commits need the rest.
  */
 const passRestFactor = 2;
+/**
+ * Most starts, other than those of gangs, that are planned or sent and not answered. The others keep their tasks waiting, so that the
+ * most urgent of them is next.
+ */
+const maxStartsInProgress = 500;
+/** Most start orders without an answer. Sending them all has to take much less than the 150 ms after which one counts as unanswered. */
+const maxStartsInFlight = 32;
+/** Time after which a start makes room for the next one, with or without an answer. */
+const maxStartAnswerMs = 200;
 /** First looks at all workers take a new owner 1 to 2 s. Callers wait for 3 s in all, so that it counts as settled after this time. */
 const maxSettlingMs = 3_000;
 /** Ticks between searches for ended jobs to delete. */
@@ -425,24 +435,62 @@
             && isListed(worker, clock.monotonicMs()) && stillFits(worker, run);
     };
 
+    /** Runs whose start orders are to be sent or were just sent, without those of gangs, which are placed only as a whole. */
+    const startsInProgress = new Set<ShardRun>();
+
+    /** How many more starts may be planned; each of them takes time of this daemon, which answers callers and renews leases as well. */
+    const freeStarts = (): number => {
+        for (const run of startsInProgress) {
+            if (!run.task.runs.includes(run)) {
+                startsInProgress.delete(run);
+            }
+        }
+        return maxStartsInProgress - startsInProgress.size;
+    };
+
+    const endStart = (run: ShardRun): void => {
+        const isPlacingPaused = freeStarts() <= 0;
+        startsInProgress.delete(run);
+        if (isPlacingPaused) {
+            wake();
+        }
+    };
+
+    /** Gives up a planned start of which no order was sent. */
+    const dropPlanned = (run: ShardRun): void => {
+        const worker = workers.all.get(run.workerId);
+        if (worker !== undefined && run.phase === runPhases.planned && run.task.runs.includes(run)) {
+            dropRun(worker, run);
+            void commitChange(jobOf(run));
+        }
+    };
+
+    const sendStart = async (run: ShardRun): Promise<void> => {
+        if (closed || hasEnded(jobOf(run)) || !isStartable(run)) {
+            dropPlanned(run);
+            return;
+        }
+        const ticket = run.task.step.advice.good.get(run.workerId)?.ticket ?? "";
+        progress.recordStart();
+        await Promise.race([workers.start(run, ticket), sleep(clock, maxStartAnswerMs)]);
+    };
+
+    const starts = createStartQueue({ maxInFlight: maxStartsInFlight, send: sendStart, onSettled: endStart });
+
     const startPlanned = (job: ShardJob, runs: readonly ShardRun[]): void => {
+        for (const run of runs.filter(({ task }) => !task.step.spec.gang)) {
+            startsInProgress.add(run);
+        }
         void commit(job).then(waitForFreshNews).then(() => {
             // A gang is not started where one of its members cannot be sent, since the others would wait for it indefinitely.
             const isBroken = runs.some(run => run.task.step.spec.gang) && !runs.every(isStartable);
-            const abandonAll = closed || hasEnded(job) || isBroken;
+            if (!closed && !hasEnded(job) && !isBroken) {
+                starts.add(runs);
+                return;
+            }
             for (const run of runs) {
-                const worker = workers.all.get(run.workerId);
-                if (worker === undefined || run.phase !== runPhases.planned || !run.task.runs.includes(run)) {
-                    continue;
-                }
-                if (abandonAll || !isStartable(run)) {
-                    dropRun(worker, run);
-                    void commitChange(job);
-                    continue;
-                }
-                const ticket = run.task.step.advice.good.get(run.workerId)?.ticket ?? "";
-                workers.start(run, ticket);
-                progress.recordStart();
+                dropPlanned(run);
+                endStart(run);
             }
         });
     };
@@ -455,6 +503,7 @@
         workers: workers.all,
         accounts,
         dispatcher: adviceDispatcher,
+        freeStarts,
         onPlanned: startPlanned,
         onPreempt: workers.stop,
         runTimes: settings.policies.runTimes === "ignored" ? undefined : runTimes,
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -70,7 +70,8 @@
      * list that it replaces.
      */
     update(entries: readonly WorkerEntry[], unreadable?: ReadonlySet<string>, formerAgeMs?: number): void;
-    start(run: ShardRun, ticket: string): void;
+    /** Sends the start of a run whose intent is durable; resolves once it is settled whether the run was started. */
+    start(run: ShardRun, ticket: string): Promise<void>;
     /** Stops a run; one that is only planned is dropped at once. */
     stop(run: ShardRun): void;
     /** Ends a worker's incarnation, on which surely nothing runs any more. */
@@ -567,7 +568,7 @@
             }
         },
         update: updateWorkers,
-        start: (run, ticket) => links.get(run.workerId)?.start(run, ticket),
+        start: (run, ticket) => links.get(run.workerId)?.start(run, ticket) ?? Promise.resolve(),
         stop: stopRun,
         endIncarnation: (workerId, reason) => {
             const worker = workers.get(workerId);
--- a/packages/puffinarch/src/core/shard/taskPlacer.ts
+++ b/packages/puffinarch/src/core/shard/taskPlacer.ts
@@ -34,6 +34,8 @@
 
 /** Dependencies of a task placer. */
 export interface TaskPlacerOptions extends Omit<AdviceRequesterOptions, "onAnswer"> {
+    /** How many starts of tasks that are in no gang may be planned; any number where it is left out. */
+    readonly freeStarts?: (() => number) | undefined;
     /** Receives planned runs of a job, to be committed and then started. */
     readonly onPlanned: (job: ShardJob, runs: readonly ShardRun[]) => void;
     /** Receives a run to be stopped with its checkpoint, to free its capacity. */
@@ -403,8 +405,12 @@
             startTrialWaits(all.filter(task => !awaitsCrashConfirmation(task, nowMs)));
         }
         context.headroom?.visit(ranked);
+        const mostStarts = step.spec.gang ? Infinity : options.freeStarts?.() ?? Infinity;
+        if (mostStarts <= 0) {
+            return;
+        }
         const startable = startableTasks(step, all, { workers, nowMs });
-        const waiting = context.caps.allowed(step, startable);
+        const waiting = context.caps.allowed(step, startable).slice(0, mostStarts);
         if (waiting.length === 0 && startable.length > 0) {
             // The organisation's cap prevents a start: request no advice, reserve nothing and stop no runs.
             step.blockedAtMs = undefined;
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -77,8 +77,8 @@
 
 /** Sends looks and orders to one worker until it is closed. */
 export interface WorkerLink {
-    /** Sends the start of a run whose intent is durable. */
-    start(run: ShardRun, ticket: string): void;
+    /** Sends the start of a run whose intent is durable; resolves once it is settled whether the run was started. */
+    start(run: ShardRun, ticket: string): Promise<void>;
     /** Stops a run; its capacity is free only once the worker lists the end. */
     stop(run: ShardRun): void;
     /** Stops a run that belongs to no known job. */
@@ -311,7 +311,7 @@
         start: (run, ticket) => {
             run.phase = runPhases.starting;
             run.sentAtMs = clock.monotonicMs();
-            void orders.start(run, ticket);
+            return orders.start(run, ticket);
         },
         stop: run => {
             if (run.phase !== runPhases.stopping) {
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -97,6 +97,7 @@
 export * from "./core/shard/shortTenures.js";
 export * from "./core/shard/speedsReport.js";
 export * from "./core/shard/startBreaker.js";
+export * from "./core/shard/startQueue.js";
 export * from "./core/shard/tableWatch.js";
 export * from "./core/shard/taskPages.js";
 export * from "./core/shard/taskPlacer.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -222,6 +222,7 @@
     type ForwardRequest,
     type Refusal,
 } from "./internal.js";
+export { createStartQueue, type StartQueue, type StartQueueOptions } from "./internal.js";
 export { createPacer, type Pacer } from "./internal.js";
 export { createPendingCancels, type PendingCancels, type PendingCancelsOptions } from "./internal.js";
 export { createTaskPlacer, type TaskPlacer, type TaskPlacerOptions } from "./internal.js";
--- a/packages/stand-ins/src/shard/processor.ts
+++ b/packages/stand-ins/src/shard/processor.ts
@@ -10,6 +10,8 @@
     readonly lookMs: number;
     /** To handle the call of a peer. */
     readonly callMs: number;
+    /** To send a start order; nothing where it is left out. */
+    readonly startMs?: number;
 }
 
 /** A simulated processor. */
@@ -40,8 +42,8 @@
 };
 
 /**
- * Wraps a worker port so that reading the answers to looks takes processor time. An answer that is read after the look's timeout
- * becomes `unknown`, although the worker has carried the look out.
+ * Wraps a worker port so that sending starts and reading the answers to looks take processor time. An answer that is read after the
+ * look's timeout becomes `unknown`, although the worker has carried the look out; a start whose turn comes after its timeout is not sent.
  *
  * @example
  * const port = withProcessor(workers.connect(), { clock, processor, costs });
@@ -57,6 +59,15 @@
     const connectedWorkers = new Set<string>();
     return {
         ...port,
+        start: async (target, order, timeoutMs) => {
+            if (costs.startMs === undefined) {
+                return port.start(target, order, timeoutMs);
+            }
+            const beganAtMs = clock.monotonicMs();
+            await processor.use(costs.startMs);
+            const isLate = clock.monotonicMs() - beganAtMs > timeoutMs;
+            return isLate ? "unknown" : port.start(target, order, timeoutMs);
+        },
         look: async (target, order) => {
             const sentAtMs = clock.monotonicMs();
             const answer = await port.look(target, order);
