A change that the store never accepts sets only its own job aside

What callers saw: with one job whose row the store refused, no job of the shard was started or accepted any more.

Cause: every refusal of a transaction was taken for a passing one and the batch was sent again for ever. As batches are written one after the other, one job stopped all others, under each successor as well. Nothing compared a job with what the store can hold before it was accepted.

Change: a refusal that no later attempt can change has an outcome of its own, "rejected", by the status of the store's answer. The jobs of a rejected batch are written one by one; the one at fault is set aside with a log line ("jobSetAside") and a counter, and is tried again at most once a second after it has changed, for example by its cancel. A row that is too large is found before it is sent. A job that the store cannot hold is refused at once with "neverFits" and the limit. A wave of upkeep whose record the store rejects is logged.

Test: three scenarios of features/wideJobs.feature.

--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -133,6 +133,7 @@
     const commits = {
         commit: async () => {},
         confirm: async () => {},
+        setAsideReason: () => undefined,
         withdraw: () => true,
         stalledMs: () => 5_000,
         answeredAtMs: () => 0,
@@ -153,6 +154,7 @@
         nextOrder: 1,
         commits,
         commitWait,
+        explainOversized: () => undefined,
         commit: () => new Promise(() => {}),
         scheduleJob: () => {},
         dropPlannedStarts: () => {},
--- a/features/steps/examples/shardRows.ts
+++ b/features/steps/examples/shardRows.ts
@@ -112,9 +112,10 @@
     });
     const marker = { table: journalTable, part, key: sequenceKey };
     const transaction = { expect: [{ ...marker, version: 0 }], puts: [{ ...marker, value: "first" }], removes: [] };
-    const version = writer.write({ batchId: "first", transaction });
+    const written = writer.write({ batchId: "first", transaction });
     await clock.advance(10);
-    return `in force at version ${await version}`;
+    const result = await written;
+    return `in force at version ${result.outcome === "committed" ? result.version : result.outcome}`;
 };
 
 const readRowsExample = async (): Promise<string> => {
--- a/features/steps/shardModuleSteps.ts
+++ b/features/steps/shardModuleSteps.ts
@@ -251,6 +251,7 @@
     const commits = {
         commit: async () => {},
         confirm: async () => {},
+        setAsideReason: () => undefined,
         withdraw: () => true,
         stalledMs: () => clock.monotonicMs() > stallsFromMs ? 5_000 : 0,
         answeredAtMs: () => 0,
@@ -259,6 +260,7 @@
         stop: () => {},
     };
     const submit = createAcceptance({
+        explainOversized: () => undefined,
         clock,
         log: noopLog,
         meter: noopMeter,
@@ -310,6 +312,7 @@
         const commits = {
             commit: () => never,
             confirm: () => never,
+            setAsideReason: () => undefined,
             withdraw: () => false,
             stalledMs: () => 5_000,
             answeredAtMs: () => 0,
@@ -339,6 +342,7 @@
             nextOrder: 1,
             commits,
             commitWait,
+            explainOversized: () => undefined,
             commit: commits.commit,
             scheduleJob: () => {},
             dropPlannedStarts: () => {},
--- a/features/steps/wideJobSteps.ts
+++ b/features/steps/wideJobSteps.ts
@@ -1,11 +1,20 @@
 /** Steps for jobs whose state takes more than one row of the store. */
 
 import { Given, Then, When } from "@cucumber/cucumber";
-import { createFakeClock, jobIdOf, plainStep, testQueue } from "@puffinarch/stand-ins";
+import {
+    createFakeClock,
+    createFakeRowStore,
+    type FakeClock,
+    jobIdOf,
+    plainStep,
+    testQueue,
+} from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
     applyRunEnd,
+    type CommitLog,
     createAccounts,
+    createCommitLog,
     createRowReader,
     encodeJob,
     hasEnded,
@@ -172,3 +181,89 @@
         assert.ok(hasEnded(restored), `after ${rows} rows the job is ${restored.state}`);
     }
 });
+
+When(
+    "a job of {int} steps with labels of {int} characters is submitted once",
+    function(this: ScenarioWorld, count: number, length: number) {
+        const label = "x".repeat(length);
+        const step = { ...plainStep, requiredLabel: label, dataRack: label, image: label };
+        cellOf(this).submitOnce(jobIdOf(1), Array.from({ length: count }, () => step));
+    },
+);
+
+Then("its answer is {string}", function(this: ScenarioWorld, answer: string) {
+    assert.equal(cellOf(this).answers().get(jobIdOf(1)), answer);
+});
+
+/** A commit log of which one job has a row that is too large. */
+interface CommitPart {
+    clock: FakeClock;
+    commits: CommitLog;
+    largeBytes: number;
+    readonly durable: string[];
+    readonly setAside: string[];
+}
+
+const commitPart = (world: ScenarioWorld): Partial<CommitPart> & Pick<CommitPart, "durable" | "setAside"> =>
+    partOf(world, "commits", () => ({ durable: [], setAside: [] }));
+
+const largeJobId = "c";
+
+When(
+    /^(\d+) jobs are committed, one of them with a row that is too large, to a store whose limits are (known|unknown)$/,
+    async function(this: ScenarioWorld, count: string, known: string) {
+        const state = commitPart(this);
+        const clock = createFakeClock();
+        const connection = createFakeRowStore(clock).connect("entry-1");
+        state.clock = clock;
+        state.largeBytes = 2 * limits.rowBytes;
+        state.commits = createCommitLog({
+            clock,
+            log: { write: (_level, event, { jobId }) => event === "jobSetAside" && state.setAside.push(String(jobId)) },
+            meter,
+            store: known === "known"
+                ? connection
+                : { ...connection, limits: { ...limits, rowBytes: limits.callBytes / 4 } },
+            part: shardPart,
+            ownerVersion: 0,
+            sequenceVersion: 0,
+            storeLatencyMs: 8,
+            claimId: "1",
+            encode: jobId => ({
+                puts: [{
+                    table: journalTable,
+                    key: `state/${jobId}`,
+                    value: "x".repeat(jobId === largeJobId ? state.largeBytes ?? 0 : 10),
+                }],
+                removes: [],
+            }),
+            onFenced: () => assert.fail("no other daemon has the shard"),
+        });
+        for (const jobId of "abcdefghij".slice(0, Number(count))) {
+            void state.commits.commit(jobId).then(() => state.durable.push(jobId));
+        }
+    },
+);
+
+Then(
+    "the other {int} are durable within {int} ms, and one job was set aside",
+    async function(this: ScenarioWorld, others: number, withinMs: number) {
+        const { clock, durable, setAside } = commitPart(this);
+        await clock?.advance(withinMs);
+        assert.equal(durable.length, others, durable.join(", "));
+        assert.ok(!durable.includes(largeJobId));
+        assert.deepEqual(setAside, [largeJobId]);
+    },
+);
+
+When("that job has a small row again and is committed", function(this: ScenarioWorld) {
+    const state = commitPart(this);
+    state.largeBytes = 10;
+    void state.commits?.commit(largeJobId);
+});
+
+Then("it is durable within {int} ms", async function(this: ScenarioWorld, withinMs: number) {
+    const { clock, durable } = commitPart(this);
+    await clock?.advance(withinMs);
+    assert.ok(durable.includes(largeJobId));
+});
--- a/features/usersPlatform.feature
+++ b/features/usersPlatform.feature
@@ -95,6 +95,8 @@
             | status | body                                                                                         | outcome   |
             | 200    | {"schema_ver":9,"now_ms":1}                                                                  | committed |
             | 412    | {"rows":[{"table":"t","part":"p","key":"k","value":"e30=","schema_ver":4}],"schema_ver":9}  | conflict  |
+            | 400    | {}                                                                                           | rejected  |
+            | 413    | {}                                                                                           | rejected  |
             | 429    | {}                                                                                           | refused   |
             | 503    | {}                                                                                           | refused   |
             | 507    | {}                                                                                           | refused   |
--- a/features/wideJobs.feature
+++ b/features/wideJobs.feature
@@ -80,3 +80,25 @@
             | kind | count |
             | job  | 3000  |
             | gang | 2000  |
+
+    # Guards against an accepted job that the store can never take, and against a refusal that comes late or without the limit.
+    Scenario: A job that does not fit into a row of the store is refused at once, and the others go on
+        Given a cell of 3 daemons and 4 workers
+        When a job of 100 steps with labels of 200 characters is submitted once
+        And the shard runs for 100 ms
+        Then its answer is "neverFits"
+        When 2 jobs of steps "2" are submitted
+        Then all jobs are "completed" within 5000 ms
+        And the shard has had no other owner
+
+    # Guards against one job that stops the commits of all others because the store never accepts its rows.
+    Scenario Outline: A job whose rows the store never accepts is set aside until it has changed, with limits that are <limits>
+        When 6 jobs are committed, one of them with a row that is too large, to a store whose limits are <limits>
+        Then the other 5 are durable within 200 ms, and one job was set aside
+        When that job has a small row again and is committed
+        Then it is durable within 1500 ms
+
+        Examples:
+            | limits  |
+            | known   |
+            | unknown |
--- a/packages/puffinarch/src/core/shard/acceptance.ts
+++ b/packages/puffinarch/src/core/shard/acceptance.ts
@@ -29,6 +29,8 @@
     readonly nextOrder: number;
     readonly commits: CommitLog;
     readonly commitWait: CommitWait;
+    /** Explains why the store cannot take a job that is not stored yet; undefined if it can. */
+    readonly explainOversized: (job: ShardJob) => string | undefined;
     /** Resolves once the job's present state is durable. */
     readonly commit: (job: ShardJob) => Promise<void>;
     /** Requests advice and plans starts for the job. */
@@ -119,12 +121,31 @@
             if (!job.stored && !hasEnded(job) && commitWait.isStalled() && commits.withdraw(jobId)) {
                 discard(job);
             }
+            const rejected = commits.setAsideReason(jobId);
+            if (!job.stored && rejected !== undefined && commits.withdraw(jobId)) {
+                discard(job);
+                dieOversized(job, rejected);
+            }
             if (!job.stored && jobs.get(jobId) !== job) {
                 commitWait.refuse("notAccepted", jobId);
             }
         }
     };
 
+    /** Refuses a job whose rows the store cannot take. */
+    const requireStorable = (job: ShardJob): void => {
+        const oversized = options.explainOversized(job);
+        if (oversized !== undefined) {
+            dieOversized(job, oversized);
+        }
+    };
+
+    const dieOversized = ({ submission: { jobId } }: ShardJob, reason: string): never => {
+        meter.count("jobsRefused.oversized");
+        log.write("warn", "jobOversized", { jobId, reason });
+        return die("neverFits", `not accepted: ${reason}`);
+    };
+
     /** Refuses a job that the load leaves no time for. Its ID must be unknown, since the refusal states that the job never runs. */
     const requireAdmission = (job: ShardJob): void => {
         const refusal = admission.admit(job);
@@ -149,6 +170,7 @@
         const acceptedAtMs = clock.nowMs();
         const beyondShare = !takeShare(account, acceptedAtMs);
         const job = newJob(submission, queue, { acceptedAtMs, order: nextOrder, account, beyondShare });
+        requireStorable(job);
         requireAdmission(job);
         nextOrder += 1;
         jobs.set(submission.jobId, job);
--- a/packages/puffinarch/src/core/shard/batchWriter.ts
+++ b/packages/puffinarch/src/core/shard/batchWriter.ts
@@ -31,13 +31,20 @@
     readonly transaction: RowTransaction;
 }
 
+/**
+ * How the write of a batch ended. `committed`: it took effect at this version of the sequence row. `fenced`: another daemon owns the shard.
+ * `rejected`: the store never accepts the batch, and nothing of it was written. `stopped`: the writer was stopped before.
+ */
+export type BatchResult =
+    | { readonly outcome: "committed"; readonly version: number; }
+    | { readonly outcome: "rejected"; readonly reason: string; }
+    | { readonly outcome: "fenced"; }
+    | { readonly outcome: "stopped"; };
+
 /** Writes the batches of one shard. */
 export interface BatchWriter {
-    /**
-     * Resolves to the version of the sequence row at which the batch took effect; undefined if another daemon owns the shard, or after a
-     * stop.
-     */
-    write(batch: Batch): Promise<number | undefined>;
+    /** Resolves once the outcome of the batch is certain. */
+    write(batch: Batch): Promise<BatchResult>;
 }
 
 /** Pause after a refused call, doubled up to `longestPauseMs`; the platform charges for refused calls. */
@@ -71,7 +78,7 @@
  *
  * @example
  * const writer = createBatchWriter({ clock, log, meter, store, part, ownerVersion, storeLatencyMs, onAnswer, isStopped });
- * const version = await writer.write({ batchId: "entry-1/0", transaction });
+ * const result = await writer.write({ batchId: "entry-1/0", transaction });
  */
 export const createBatchWriter = (options: BatchWriterOptions): BatchWriter => {
     const { clock, log, meter, store, part, ownerVersion, onAnswer, isStopped } = options;
@@ -85,14 +92,14 @@
         return owner?.version === ownerVersion && sequence?.value === marker?.value ? sequence?.version : undefined;
     };
 
-    const write = async (batch: Batch): Promise<number | undefined> => {
-        let finalResult: { readonly version: number | undefined; } | undefined;
+    const write = async (batch: Batch): Promise<BatchResult> => {
+        let finalResult: BatchResult | undefined;
         let resolveFinished: () => void = () => {};
         const finished = new Promise<void>(resolve => {
             resolveFinished = resolve;
         });
-        const finish = (version: number | undefined): void => {
-            finalResult = { version };
+        const finish = (result: BatchResult): void => {
+            finalResult = result;
             resolveFinished();
         };
 
@@ -102,7 +109,7 @@
             const sentAtMs = clock.monotonicMs();
             const result = await store.transact(batch.transaction, copyTimeoutMs);
             meter.count(`commits.${result.outcome}`);
-            if (result.outcome === "committed" || result.outcome === "conflict") {
+            if (result.outcome !== "refused" && result.outcome !== "unknown") {
                 const nowMs = clock.monotonicMs();
                 onAnswer(nowMs);
                 const tookMs = nowMs - sentAtMs;
@@ -115,7 +122,11 @@
                 return;
             }
             if (result.outcome === "committed") {
-                finish(result.version);
+                finish(result);
+                return;
+            }
+            if (result.outcome === "rejected") {
+                finish({ outcome: result.outcome, reason: result.reason });
                 return;
             }
             if (result.outcome === "conflict") {
@@ -124,7 +135,7 @@
                     const found = result.rows.length;
                     log.write("warn", "commitFenced", { part, batch: batch.batchId, ownerVersion, found });
                 }
-                finish(version);
+                finish(version === undefined ? { outcome: "fenced" } : { outcome: "committed", version });
                 return;
             }
             const { outcome, reason } = result;
@@ -187,7 +198,7 @@
                 waitMs = Math.min(longestWaitMs, 2 * waitMs);
             }
         }
-        return finalResult?.version;
+        return finalResult ?? { outcome: "stopped" };
     };
 
     return { write };
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -4,7 +4,8 @@
  * row, which fences a former owner, and on a sequence row, so that a duplicate that is applied late cannot restore old rows.
  */
 
-import type { RowTransaction } from "../../types/cellPorts.js";
+import type { RowTransaction, StoreLimits } from "../../types/cellPorts.js";
+import { sleep } from "../../utils/time.js";
 import { type BatchWriterOptions, createBatchWriter } from "./batchWriter.js";
 import { journalTable, ownerKey, ownerTable, sequenceKey } from "./shardTables.js";
 
@@ -39,6 +40,8 @@
     readonly onWritten?: (jobId: string, written: RowChange) => void;
     /** Returns rows to write with a batch that holds jobs anyway, at most one per batch; none where it is left out. */
     readonly rowsDue?: (() => RowChange["puts"]) | undefined;
+    /** Called when the store cannot take the pending change of a job, which is then set aside. */
+    readonly onSetAside?: (jobId: string, reason: string) => void;
     /** Called when a batch was committed, with its store version: above that of the claim and below that of any successor's claim. */
     readonly onCommitted?: (version: number) => void;
     /** Called once when another owner has taken the shard. */
@@ -59,6 +62,8 @@
      * Discards the pending write of a job; false if there is none, or if a part of it is durable or in flight.
      */
     withdraw(jobId: string): boolean;
+    /** Why the store cannot take the pending change of a job; undefined if it can, or if the job has no pending change. */
+    setAsideReason(jobId: string): string | undefined;
     /**
      * Resolves once a batch that was built after this call is durable, which proves that no other daemon had claimed the shard at the time
      * of the call. All calls until the next batch share it; without a pending change it holds no jobs.
@@ -75,10 +80,45 @@
     readonly transaction: RowTransaction;
     /** The rows of each job in the batch, by job ID. */
     readonly changes: ReadonlyMap<string, RowChange>;
-    readonly waiting: readonly (() => void)[];
+    /** Resolvers of the commits that it makes durable, by job ID, and of the confirmations. */
+    readonly resolvers: ReadonlyMap<string, readonly (() => void)[]>;
+    readonly confirmations: readonly (() => void)[];
     readonly sentAtMs: number;
 }
 
+/** A job whose pending change the store cannot take. */
+interface SetAside {
+    readonly reason: string;
+    readonly resolvers: (() => void)[];
+    /** Local time from which another change of the job is tried. */
+    readonly retryAtMs: number;
+    isRetryScheduled: boolean;
+}
+
+/** Time for which a job that was set aside is not tried again although it changes. */
+const setAsideMs = 1_000;
+/** Pause after the store has rejected a batch without jobs. */
+const rejectedPauseMs = 200;
+
+/**
+ * Explains why the store cannot take a row of a change; undefined if all of them are small enough.
+ *
+ * @example
+ * explainOversized(encodeJob(job, clock, limits), limits);
+ */
+export const explainOversized = (
+    { puts }: RowChange,
+    { rowBytes }: Pick<StoreLimits, "rowBytes">,
+): string | undefined => {
+    for (const { table, key, value } of puts) {
+        const bytes = Buffer.byteLength(value);
+        if (bytes > rowBytes) {
+            return `the row ${table} ${key} takes ${bytes} bytes, and the store holds at most ${rowBytes} in a row`;
+        }
+    }
+    return undefined;
+};
+
 /** Number of rows that a change puts and removes. */
 const rowCount = ({ puts, removes }: RowChange): number => puts.length + removes.length;
 
@@ -108,7 +148,7 @@
  * await commits.commit("5c0e7a21d94b36f8");
  */
 export const createCommitLog = (options: CommitLogOptions): CommitLog => {
-    const { clock, meter, part, ownerVersion, claimId, encode, onFenced } = options;
+    const { clock, log, meter, part, ownerVersion, claimId, encode, onFenced } = options;
     const dirty = new Map<string, (() => void)[]>();
     let inFlight: InFlightBatch | undefined;
     let sequenceVersion = options.sequenceVersion;
@@ -135,18 +175,59 @@
     /** Jobs of which a part of the pending change is durable. */
     const partlyWritten = new Set<string>();
 
+    /** Jobs that are written in a batch of their own, since the store has rejected a batch that they were part of. */
+    const writtenAlone = new Set<string>();
+    const aside = new Map<string, SetAside>();
+
+    const markChanged = (jobId: string, resolvers: readonly (() => void)[]): void => {
+        const waiting = dirty.get(jobId) ?? [];
+        waiting.push(...resolvers);
+        dirty.set(jobId, waiting);
+    };
+
+    /** Lets the others go on without a job whose change the store cannot take. The job is tried again once it has changed. */
+    const setAside = (jobId: string, resolvers: readonly (() => void)[], reason: string): void => {
+        log.write("error", "jobSetAside", { part, jobId, reason });
+        meter.count("jobsSetAside");
+        writtenAlone.delete(jobId);
+        const retryAtMs = clock.monotonicMs() + setAsideMs;
+        aside.set(jobId, { reason, resolvers: [...resolvers], retryAtMs, isRetryScheduled: false });
+        options.onSetAside?.(jobId, reason);
+    };
+
+    const retryAside = (jobId: string): void => {
+        const entry = aside.get(jobId);
+        if (entry !== undefined) {
+            aside.delete(jobId);
+            writtenAlone.add(jobId);
+            markChanged(jobId, entry.resolvers);
+            scheduleDrain();
+        }
+    };
+
+    type PendingBatch = Pick<InFlightBatch, "changes" | "resolvers"> & { readonly bytes: number; };
+
     /** Takes the pending changes of jobs, each whole, or the first part of one that exceeds a batch by itself. */
-    const takeChanges = (
-        waiting: (() => void)[],
-    ): { readonly changes: Map<string, RowChange>; readonly bytes: number; } => {
+    const takeChanges = (): PendingBatch => {
         const changes = new Map<string, RowChange>();
+        const resolvers = new Map<string, readonly (() => void)[]>();
         let entries = 0;
         let bytes = 0;
-        for (const [jobId, resolvers] of dirty) {
+        for (const [jobId, waiting] of dirty) {
             if (entries >= maxEntries || bytes >= maxBytes) {
                 break;
             }
+            const isAlone = writtenAlone.has(jobId);
+            if (isAlone && changes.size > 0) {
+                continue;
+            }
             const change = encode(jobId);
+            const oversized = explainOversized(change, limits);
+            if (oversized !== undefined) {
+                dirty.delete(jobId);
+                setAside(jobId, waiting, oversized);
+                continue;
+            }
             const next = takeRows(change, { entries: maxEntries - entries, bytes: maxBytes - bytes });
             const isWhole = rowCount(next.taken) === rowCount(change);
             if (!isWhole && changes.size > 0) {
@@ -156,28 +237,30 @@
             entries += rowCount(next.taken);
             bytes += next.bytes;
             dirty.delete(jobId);
-            if (!isWhole) {
+            if (isWhole) {
+                partlyWritten.delete(jobId);
+                resolvers.set(jobId, waiting);
+            }
+            else {
                 // The rest follows after the changes of the other jobs.
                 partlyWritten.add(jobId);
-                dirty.set(jobId, resolvers);
+                dirty.set(jobId, waiting);
+            }
+            if (!isWhole || isAlone) {
                 break;
             }
-            partlyWritten.delete(jobId);
-            waiting.push(...resolvers);
         }
-        return { changes, bytes };
+        return { changes, resolvers, bytes };
     };
 
-    const buildBatch = (): InFlightBatch => {
+    const buildBatch = ({ changes, resolvers, bytes }: PendingBatch): InFlightBatch => {
         const batchId = `${claimId}/${batches}`;
         batches += 1;
-        const waiting = confirmations;
-        confirmations = [];
-        const { changes, bytes } = takeChanges(waiting);
         const sequence = { table: journalTable, key: sequenceKey };
+        const carriesRowsDue = [...changes.keys()].some(jobId => !writtenAlone.has(jobId));
         const puts = [
             ...[...changes.values()].flatMap(change => change.puts),
-            ...changes.size === 0 ? [] : options.rowsDue?.() ?? [],
+            ...carriesRowsDue ? options.rowsDue?.() ?? [] : [],
             { ...sequence, value: JSON.stringify({ batch: batchId }) },
         ];
         meter.record("commitRows", puts.length);
@@ -190,7 +273,47 @@
             puts: puts.map(put => ({ ...put, part })),
             removes: [...changes.values()].flatMap(change => change.removes).map(remove => ({ ...remove, part })),
         };
-        return { batchId, transaction, changes, waiting, sentAtMs: clock.monotonicMs() };
+        const waiting = confirmations;
+        confirmations = [];
+        return {
+            batchId,
+            transaction,
+            changes,
+            resolvers,
+            confirmations: waiting,
+            sentAtMs: clock.monotonicMs(),
+        };
+    };
+
+    /** Finds the job for which the store has rejected a batch: the jobs of the batch are written one by one. */
+    const isolateJobs = ({ changes, resolvers, confirmations: waiting }: InFlightBatch, reason: string): void => {
+        log.write("error", "commitRejected", { part, jobs: changes.size, reason });
+        confirmations = [...waiting, ...confirmations];
+        const isFound = changes.size === 1;
+        for (const jobId of changes.keys()) {
+            const pending = [...resolvers.get(jobId) ?? [], ...dirty.get(jobId) ?? []];
+            dirty.delete(jobId);
+            if (isFound) {
+                setAside(jobId, pending, reason);
+            }
+            else {
+                writtenAlone.add(jobId);
+                dirty.set(jobId, pending);
+            }
+        }
+    };
+
+    const finishBatch = (batch: InFlightBatch, version: number): void => {
+        sequenceVersion = version;
+        options.onCommitted?.(version);
+        meter.record("commitMs", clock.monotonicMs() - batch.sentAtMs);
+        for (const [jobId, change] of batch.changes) {
+            options.onWritten?.(jobId, change);
+            writtenAlone.delete(jobId);
+        }
+        for (const resolve of [...[...batch.resolvers.values()].flat(), ...batch.confirmations]) {
+            resolve();
+        }
     };
 
     const resolveIdle = (): void => {
@@ -203,26 +326,28 @@
     /** Writes batches until no change or confirmation is pending. */
     const drain = async (): Promise<void> => {
         while (dirty.size + confirmations.length > 0 && !stopped) {
-            inFlight = buildBatch();
-            const version = await writer.write(inFlight);
+            const pending = takeChanges();
+            if (pending.changes.size + confirmations.length === 0) {
+                continue;
+            }
+            inFlight = buildBatch(pending);
+            const result = await writer.write(inFlight);
+            const batch = inFlight;
             if (stopped) {
                 return;
             }
-            if (version === undefined) {
+            if (result.outcome === "fenced" || result.outcome === "stopped") {
                 stopped = true;
                 onFenced();
                 return;
             }
-            sequenceVersion = version;
-            options.onCommitted?.(version);
-            meter.record("commitMs", clock.monotonicMs() - inFlight.sentAtMs);
-            for (const [jobId, change] of inFlight.changes) {
-                options.onWritten?.(jobId, change);
-            }
-            for (const resolve of inFlight.waiting) {
-                resolve();
-            }
             inFlight = undefined;
+            if (result.outcome === "rejected") {
+                isolateJobs(batch, result.reason);
+                await sleep(clock, batch.changes.size === 0 ? rejectedPauseMs : 0);
+                continue;
+            }
+            finishBatch(batch, result.version);
             // Lets resumed callers mark further jobs as changed, so that the next batch includes them.
             await Promise.resolve();
         }
@@ -250,17 +375,23 @@
                 void confirm();
             }
         },
-        withdraw: jobId => inFlight?.changes.has(jobId) !== true && !partlyWritten.has(jobId) && dirty.delete(jobId),
+        withdraw: jobId =>
+            inFlight?.changes.has(jobId) !== true && !partlyWritten.has(jobId)
+            && (dirty.delete(jobId) || aside.delete(jobId)),
+        setAsideReason: jobId => aside.get(jobId)?.reason,
         commit: jobId =>
             new Promise(resolve => {
-                const resolvers = dirty.get(jobId);
-                if (resolvers === undefined) {
-                    dirty.set(jobId, [resolve]);
+                const entry = aside.get(jobId);
+                if (entry === undefined) {
+                    markChanged(jobId, [resolve]);
+                    scheduleDrain();
+                    return;
                 }
-                else {
-                    resolvers.push(resolve);
+                entry.resolvers.push(resolve);
+                if (!entry.isRetryScheduled) {
+                    entry.isRetryScheduled = true;
+                    clock.setTimer(Math.max(0, entry.retryAtMs - clock.monotonicMs()), () => retryAside(jobId));
                 }
-                scheduleDrain();
             }),
         answeredAtMs: () => answeredAtMs,
         stalledMs: () => inFlight === undefined ? 0 : clock.monotonicMs() - inFlight.sentAtMs,
--- a/packages/puffinarch/src/core/shard/jobRowSchemas.ts
+++ b/packages/puffinarch/src/core/shard/jobRowSchemas.ts
@@ -35,6 +35,20 @@
     mayMiss: nonNegative.default(0),
 });
 
+/** Fields of a step that have their defaults when a row leaves them out. */
+const stepDefaults: Readonly<Record<string, unknown>> = stepSchema.omit({ count: true, size: true }).parse({});
+
+/**
+ * Leaves out the fields of a step that have their defaults; the schema of submission rows puts them back.
+ *
+ * @example
+ * compactStep({ ...step, gang: false }); // without "gang"
+ */
+export const compactStep = <T extends object>(step: T): Partial<T> =>
+    Object.fromEntries(
+        Object.entries(step).filter(([name, value]) => JSON.stringify(value) !== JSON.stringify(stepDefaults[name])),
+    ) as Partial<T>;
+
 const stepsSchema = z.array(stepSchema, "a list of steps").min(1, "at least one step").refine(
     steps => steps.every(({ after }, index) => after.every(number => number < index)),
     "dependencies on earlier steps only",
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -21,6 +21,7 @@
     stepsOf,
 } from "./jobModel.js";
 import {
+    compactStep,
     endedSchema,
     pagedMarkSchema,
     pagedStateSchema,
@@ -176,7 +177,8 @@
 
 /** Encodes the submission row of a job. */
 const encodeSubmission = ({ submission, queue, account, beyondShare, acceptedAtMs, order }: ShardJob): string => {
-    const stored = { submission, queue, cap: account.cap, beyondShare, acceptedAtMs, order };
+    const steps = submission.steps.map(compactStep);
+    const stored = { submission: { ...submission, steps }, queue, cap: account.cap, beyondShare, acceptedAtMs, order };
     return JSON.stringify(stored);
 };
 
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -31,7 +31,7 @@
 import { createAdviceDispatcher } from "./adviceDispatcher.js";
 import { createBacklog } from "./backlog.js";
 import type { ClaimedShard } from "./claimShard.js";
-import { createCommitLog, type RowChange } from "./commitLog.js";
+import { createCommitLog, explainOversized, type RowChange } from "./commitLog.js";
 import { createCommitWait } from "./commitWait.js";
 import { createEndedJobs, type EndedJobs } from "./endedJobs.js";
 import {
@@ -749,6 +749,7 @@
         nextOrder,
         commits,
         commitWait,
+        explainOversized: job => explainOversized(encodeJob(job, clock, options.store.limits), options.store.limits),
         commit,
         scheduleJob: job => {
             taskPlacer.updateJob(job);
--- a/packages/puffinarch/src/core/shard/waveRows.ts
+++ b/packages/puffinarch/src/core/shard/waveRows.ts
@@ -86,12 +86,15 @@
     const reportedStates = new Map<number, WaveState>();
 
     const record = async (wave: number, entry: WaveRecord): Promise<boolean> => {
-        const { outcome } = await store.transact({
+        const result = await store.transact({
             expect: [{ table: ownerTable, part, key: ownerKey, version: ownerVersion }],
             puts: [{ table: upkeepTable, part, key: String(wave), value: encodeRecord(entry) }],
             removes: [],
         }, saveTimeoutMs);
-        return outcome === "committed";
+        if (result.outcome === "rejected") {
+            log.write("error", "waveRejected", { wave, vms: entry.ordered.size, reason: result.reason });
+        }
+        return result.outcome === "committed";
     };
 
     const show = async (wave: number, state: WaveState): Promise<boolean> => {
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -46,12 +46,13 @@
 
 /**
  * Result of a transaction. `conflict`: a condition did not hold; nothing was written, and `rows` holds the current rows. `refused`:
- * nothing was or will be written. `unknown`: it may have taken effect, or may still do so.
+ * nothing was or will be written, and a later attempt may succeed. `rejected`: the store never accepts this transaction. `unknown`: it may
+ * have taken effect, or may still do so.
  */
 export type RowTransactResult =
     | { readonly outcome: "committed"; readonly version: number; }
     | { readonly outcome: "conflict"; readonly rows: readonly Row[]; }
-    | { readonly outcome: "refused" | "unknown"; readonly reason: string; };
+    | { readonly outcome: "refused" | "rejected" | "unknown"; readonly reason: string; };
 
 /** A consistent snapshot of rows of one part. */
 export interface RowPage {
--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -243,7 +243,7 @@
                 const reason = fault === "hang" ? undefined : sizeRefusal(transaction);
                 if (reason !== undefined) {
                     await wait(answerMs);
-                    return { outcome: "refused", reason };
+                    return { outcome: "rejected", reason };
                 }
                 return transactHandlers[fault](transaction, timeoutMs);
             },
