Occurrences of a schedule are opened as workers have room, not all that are due

What callers saw: an accepted hourly job that began a year ago ended the process of the shard's owner by its heap limit within seconds, then that of each successor. Accepted jobs were not run, and calls got no answer.

Cause: each tick of the owner opened all occurrences that were due, with an object for each task, 350,400 of some 650 bytes here, of a heap of 200 MB. The row of the job is durable, so that each successor did the same. Each tick also walked over all occurrences from the first one; with an interval of 1 ms or 0 this loop alone stopped the process. The done occurrences were a list in memory and in the state row that grew for as long as the schedule lived.

Change: the next due occurrence of a job is computed from its done and open ones. The oldest is opened whenever none of its job is open; further ones are opened beside it, jobs in turn, while the scheduled jobs have fewer than 100 waiting tasks and the owner is not late, so that overlapping occurrences and backlogs use the room there is. All open tasks together stay below a limit. Done occurrences are kept as ranges, in memory and, beyond 100, in the state row, which a daemon of the former build cannot read and leaves alone then. The occurrences of a job that has ended are dropped with its last run, not three minutes later. The next start in explanations uses the same count.

--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -4,15 +4,18 @@
 import {
     applyRunEnd,
     countAvailabilities,
+    countDue,
     createAcceptance,
     createAccounts,
     createAdmission,
     createBacklog,
     createCallerKeys,
     createCommitWait,
+    createDueOccurrences,
     createEndedJobs,
     createForwarder,
     createLocalRefusals,
+    createOccurrenceSet,
     createOwnerShedding,
     createPendingCancels,
     createStartQueue,
@@ -38,6 +41,27 @@
     return job.state;
 };
 
+const occurrenceSet = (): string => {
+    const done = createOccurrenceSet([[0, 3], [5, 6]]);
+    done.add(3);
+    return `${done.size()} in ${done.ranges().length} ranges; ${done.firstMissing(0)} is missing`;
+};
+
+const dueOccurrences = (): string => {
+    const schedule = { startAtMs: 0, intervalMs: 1_000, repeatCount: 100 };
+    const job = newJob({ ...submission, schedule }, testQueue, { acceptedAtMs: 0, order: 1 });
+    job.stored = true;
+    const due = createDueOccurrences({
+        clock: { ...createFakeClock(), nowMs: () => 2_500 },
+        jobs: new Map([[submission.jobId, job]]),
+        maxHeldTasks: 12,
+        isLate: () => false,
+        onOpened: () => {},
+    });
+    due.open();
+    return `${countDue(schedule, 2_500)} due, ${[...job.occurrences.keys()].join(" and ")} open`;
+};
+
 const startQueue = async (): Promise<string> => {
     const sent: string[] = [];
     const starts = createStartQueue({
@@ -261,6 +285,8 @@
     localRefusals,
     pendingCancels,
     retryTimes: () => `${retryAfterFor("noOwner", 1_000)} ms`,
+    dueOccurrences,
+    occurrenceSet,
     shedding,
     startQueue,
     taskReview,
--- a/packages/puffinarch/src/core/shard/jobModel.ts
+++ b/packages/puffinarch/src/core/shard/jobModel.ts
@@ -18,6 +18,7 @@
     type TaskName,
 } from "../../types/work.js";
 import { type Account, newAccount } from "./accounts.js";
+import { createOccurrenceSet, type OccurrenceSet } from "./occurrenceSet.js";
 
 /** Phases of a run, from planning to its end. */
 export const runPhases = {
@@ -208,7 +209,7 @@
     readonly order: number;
     readonly occurrences: Map<number, ShardOccurrence>;
     /** Numbers of the occurrences that are done; their steps are dropped once no run of them is left. */
-    readonly doneOccurrences: Set<number>;
+    readonly doneOccurrences: OccurrenceSet;
     state: JobState;
     started: boolean;
     /** Local time of its end; undefined before, and for a job that ended under a former owner. */
@@ -309,7 +310,7 @@
         acceptedAtMs,
         order,
         occurrences: new Map(),
-        doneOccurrences: new Set(),
+        doneOccurrences: createOccurrenceSet(),
         state: jobStates.queued,
         started: false,
         endedAtMs: undefined,
@@ -341,6 +342,15 @@
 export const isReady = ({ spec, occurrence }: ShardStep): boolean =>
     spec.after.every(number => occurrence.steps[number]?.open === 0);
 
+/**
+ * Returns the number of tasks of these steps.
+ *
+ * @example
+ * taskCount([{ count: 2 }, { count: 3 }]); // 5
+ */
+export const taskCount = (steps: readonly { readonly count: number; }[]): number =>
+    steps.reduce((sum, { count }) => sum + count, 0);
+
 /**
  * Tells whether a task is not done and has no live run.
  *
@@ -485,7 +495,7 @@
         return;
     }
     job.doneOccurrences.add(occurrence.number);
-    if (job.doneOccurrences.size === occurrenceCount(job) && !hasEnded(job)) {
+    if (job.doneOccurrences.size() === occurrenceCount(job) && !hasEnded(job)) {
         endJob(job, jobStates.completed, nowMs);
     }
 };
@@ -581,7 +591,7 @@
     steps.some(step => step.tasks.some(task => task.runs.length > 0));
 
 /**
- * Drops the occurrences of a job that are done and have no live runs; returns whether no run of the job reserves capacity any more.
+ * Drops the occurrences of a job that are done, or whose job has ended, and have no live runs; returns whether no run of the job reserves capacity any more.
  *
  * @example
  * const isReleased = pruneDoneOccurrences(job);
@@ -592,7 +602,7 @@
         if (hasLiveRuns(occurrence)) {
             settled = false;
         }
-        else if (job.doneOccurrences.has(number)) {
+        else if (hasEnded(job) || job.doneOccurrences.has(number)) {
             job.occurrences.delete(number);
         }
     }
--- a/packages/puffinarch/src/core/shard/jobRowSchemas.ts
+++ b/packages/puffinarch/src/core/shard/jobRowSchemas.ts
@@ -158,7 +158,9 @@
 
 const jobShape = {
     state,
-    done: z.array(wholeNumber, "numbers of occurrences"),
+    done: z.array(wholeNumber, "numbers of occurrences").optional(),
+    /** Done occurrences as ranges, each with its first number and the one after its last, in place of a long `done`. */
+    doneRanges: z.array(z.tuple([wholeNumber, wholeNumber]), "ranges of occurrences").optional(),
     failure,
     /**
      * When the row was written, in milliseconds since the Unix epoch. Runs that are not listed as unanswered may have been ordered right
@@ -167,6 +169,11 @@
     writtenAtMs: z.number("a time").default(0),
 };
 
+/** Without its done occurrences, a job would run them again. */
+const listsDone = ({ done, doneRanges }: { readonly done?: unknown; readonly doneRanges?: unknown; }): boolean =>
+    done !== undefined || doneRanges !== undefined;
+const doneIsMissing = { message: "numbers or ranges of occurrences", path: ["done"] };
+
 /** Schema of a state row that holds all of its job: its state and the progress of each open occurrence. */
 export const stateSchema = z.object({
     ...jobShape,
@@ -178,13 +185,13 @@
         ),
         "open occurrences",
     ),
-});
+}).refine(listsDone, doneIsMissing);
 
 /** Schema of the mark by which a state row refers to task pages. Earlier versions cannot read such a row and leave its job alone. */
 export const pagedMarkSchema = z.object({ paged: z.literal(true).optional().catch(undefined) });
 
 /** Schema of a state row whose job has its tasks in task pages. */
-export const pagedStateSchema = z.object({ ...jobShape, paged: z.literal(true) });
+export const pagedStateSchema = z.object({ ...jobShape, paged: z.literal(true) }).refine(listsDone, doneIsMissing);
 
 /** Schema of a task page: consecutive tasks of one occurrence, counted over all of its steps, from `first` on. */
 export const taskPageSchema = z.object({
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -54,6 +54,9 @@
 /** Most open tasks of a job whose state row holds them: it is written whole at each change of one of them. */
 const maxSingleRowTasks = 500;
 
+/** Most done occurrences that a state row lists one by one. */
+const maxSingleDone = 100;
+
 /** What is stored of a job that has ended. */
 export interface EndedJob extends JobStatus {
     /** Organisation of its caller; empty for a caller without one. */
@@ -68,6 +71,18 @@
     step.tasks.map(task => encodeTask(task, checkpointBytes)),
 ];
 
+/**
+ * Encodes the done occurrences: one by one if they are few, as earlier versions expect them, and otherwise as ranges. An earlier version
+ * cannot read a row without `done` and leaves its job alone.
+ */
+const encodeDone = ({ doneOccurrences }: ShardJob): Pick<StoredState, "done" | "doneRanges"> => {
+    const ranges = doneOccurrences.ranges();
+    if (doneOccurrences.size() > maxSingleDone) {
+        return { doneRanges: ranges.map(([from, to]) => [from, to]) };
+    }
+    return { done: ranges.flatMap(([from, to]) => Array.from({ length: to - from }, (_, index) => from + index)) };
+};
+
 /** Encodes a state row that holds all tasks of its job. */
 const encodeState = (job: ShardJob, clock: Clock, rowBytes: number): string => {
     const checkpointBytes = maxCheckpointBytes(rowBytes);
@@ -76,7 +91,7 @@
         failure: job.failure,
         ...encodeDetails([...stepsOf(job)].flatMap(({ tasks }) => tasks), clock),
         writtenAtMs: clock.nowMs(),
-        done: [...job.doneOccurrences],
+        ...encodeDone(job),
         open: [...job.occurrences.values()].map(({ number, steps }) => [
             number,
             steps.map(step => encodeStep(step, checkpointBytes)),
@@ -91,7 +106,7 @@
         state: job.state,
         failure: job.failure,
         writtenAtMs: clock.nowMs(),
-        done: [...job.doneOccurrences],
+        ...encodeDone(job),
         paged: true,
     };
     return JSON.stringify(stored);
@@ -182,14 +197,17 @@
     return JSON.stringify(stored);
 };
 
-const restoreJobState = (job: ShardJob, { state, failure, done }: StoredState | StoredPagedState): void => {
+const restoreJobState = (
+    job: ShardJob,
+    { state, failure, done = [], doneRanges = [] }: StoredState | StoredPagedState,
+): void => {
     job.state = state;
     job.visibleState = state;
     job.failure = failure;
     job.started = state !== "queued";
     job.occurrences.clear();
-    for (const number of done) {
-        job.doneOccurrences.add(number);
+    for (const range of [...doneRanges, ...done.map(number => [number, number + 1] as const)]) {
+        job.doneOccurrences.addRange(range);
     }
 };
 
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -33,13 +33,13 @@
 import type { ClaimedShard } from "./claimShard.js";
 import { createCommitLog, explainOversized, type RowChange } from "./commitLog.js";
 import { createCommitWait } from "./commitWait.js";
+import { createDueOccurrences } from "./dueOccurrences.js";
 import { createEndedJobs, type EndedJobs } from "./endedJobs.js";
 import {
     cancelJob,
     forgetWorker,
     hasEnded,
     jobOf,
-    openOccurrence,
     runPhases,
     runsOf,
     type ShardJob,
@@ -155,6 +155,8 @@
 const maxStartAnswerMs = 200;
 /** First looks at all workers take a new owner 1 to 2 s. Callers wait for 3 s in all, so that it counts as settled after this time. */
 const maxSettlingMs = 3_000;
+/** An owner whose timers are later than this opens no occurrences beside the open ones of their job. */
+const maxBacklogLagMs = 15;
 /** Ticks between searches for ended jobs to delete. */
 const forgetIntervalTicks = 50;
 /** Ticks between reviews of all accepted tasks; a task that was missed by an event is delayed by at most a second. */
@@ -546,25 +548,16 @@
         });
     };
 
-    const openDueOccurrences = (): void => {
-        const wallMs = clock.nowMs();
-        for (const job of jobs.values()) {
-            const { startAtMs, intervalMs, repeatCount } = job.submission.schedule;
-            if (repeatCount === 0 || hasEnded(job) || !job.stored) {
-                continue;
-            }
-            for (let number = 0; number < repeatCount; number += 1) {
-                if (startAtMs + number * intervalMs > wallMs) {
-                    break;
-                }
-                if (!job.occurrences.has(number) && !job.doneOccurrences.has(number)) {
-                    openOccurrence(job, number);
-                    taskPlacer.updateJob(job);
-                    wake();
-                }
-            }
-        }
-    };
+    const dueOccurrences = createDueOccurrences({
+        clock,
+        jobs,
+        maxHeldTasks: settings.maxHeldTasks,
+        isLate: () => lagMs > maxBacklogLagMs,
+        onOpened: job => {
+            taskPlacer.updateJob(job);
+            wake();
+        },
+    });
 
     const forgetExpiredJobs = (nowMs: number): void => {
         endedJobs.forgetExpired();
@@ -616,7 +609,7 @@
             return;
         }
         workers.checkLeases(nowMs);
-        openDueOccurrences();
+        dueOccurrences.open();
         if (ticks % forgetIntervalTicks === 0) {
             forgetExpiredJobs(nowMs);
         }
--- a/packages/puffinarch/src/core/shard/shardQueries.ts
+++ b/packages/puffinarch/src/core/shard/shardQueries.ts
@@ -8,6 +8,7 @@
 import { type JobFailure, type JobState, jobStates } from "../../types/work.js";
 import type { Accounts } from "./accounts.js";
 import { needsTrial } from "./crashes.js";
+import { countDue } from "./dueOccurrences.js";
 import { isEligible } from "./eligible.js";
 import {
     estimatedEndMs,
@@ -326,13 +327,8 @@
 
 /** Start of the next occurrence of a scheduled job, in milliseconds since the Unix epoch; undefined where none is left. */
 const nextStartMs = ({ submission: { schedule } }: ShardJob, wallMs: number): number | undefined => {
-    const { startAtMs, intervalMs, repeatCount } = schedule;
-    const begun = startAtMs > wallMs
-        ? 0
-        : intervalMs === 0
-        ? repeatCount
-        : 1 + Math.floor((wallMs - startAtMs) / intervalMs);
-    return begun < repeatCount ? startAtMs + begun * intervalMs : undefined;
+    const begun = countDue(schedule, wallMs);
+    return begun < schedule.repeatCount ? schedule.startAtMs + begun * schedule.intervalMs : undefined;
 };
 
 /**
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -108,6 +108,11 @@
     readonly usualAdviceWorkers: number;
     /** Most workers per call to the advisor; a limit of the platform. */
     readonly maxAdviceWorkers: number;
+    /**
+     * Most tasks that an owner holds in memory, of all jobs together; each takes about 1 KB while it runs. Jobs beyond it are refused, and
+     * due occurrences wait.
+     */
+    readonly maxHeldTasks: number;
     /** Retry delay returned to a refused caller. */
     readonly retryAfterMs: number;
     readonly policies: ShardPolicies;
@@ -131,6 +136,7 @@
     retentionMs: 180_000,
     usualAdviceWorkers: 40,
     maxAdviceWorkers: 100,
+    maxHeldTasks: 50_000,
     retryAfterMs: 1_000,
     policies: { order: "due", packing: "scarcest", room: "planned", shares: "none", headroom: "none" },
 };
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -222,6 +222,15 @@
     type ForwardRequest,
     type Refusal,
 } from "./internal.js";
+export {
+    countDue,
+    countHeldTasks,
+    createDueOccurrences,
+    type DueOccurrences,
+    type DueOccurrencesOptions,
+    heldTasksOf,
+} from "./internal.js";
+export { createOccurrenceSet, type OccurrenceRange, type OccurrenceSet } from "./internal.js";
 export { createStartQueue, type StartQueue, type StartQueueOptions } from "./internal.js";
 export { createPacer, type Pacer } from "./internal.js";
 export { createPendingCancels, type PendingCancels, type PendingCancelsOptions } from "./internal.js";
@@ -434,6 +443,7 @@
     type Organisation,
     parseTaskName,
     type Queue,
+    type Schedule,
     type Step,
     type WorkerEntry,
 } from "./internal.js";
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -31,6 +31,7 @@
     type Resources,
     type Row,
     scale,
+    type Schedule,
     type ShardPolicies,
     startCellMember,
     type Step,
@@ -113,6 +114,8 @@
     owner(): string | undefined;
     /** Submits a job through one daemon after another until it is accepted. */
     submit(jobId: string, steps: readonly Step[], queueKey?: string): void;
+    /** As `submit`, for a job with a schedule. The checks for stalled tasks leave it out. */
+    submitScheduled(jobId: string, steps: readonly Step[], schedule: Schedule): void;
     /** As `submit`, for a caller of an organisation. */
     submitFor(organisation: string, jobId: string, steps: readonly Step[], queueKey?: string): void;
     /** Submits a job once through one daemon; `answers` then has "accepted" or the kind of the error. */
@@ -367,6 +370,7 @@
     let claimedAtMs = 0;
     const log: { memberId: string; event: string; fields: Readonly<Record<string, unknown>>; }[] = [];
     const steps = new Map<string, readonly Step[]>();
+    const scheduledJobs = new Set<string>();
     /** Queue key of each job that was submitted with one. */
     const queueOf = new Map<string, string>();
     /** Organisation of each job that was submitted for one. */
@@ -805,6 +809,11 @@
             }
             void submitUntilAccepted(submissionOf(jobId, jobSteps, queueKey === undefined ? {} : { queueKey }));
         },
+        submitScheduled: (jobId, jobSteps, schedule) => {
+            steps.set(jobId, jobSteps);
+            scheduledJobs.add(jobId);
+            void submitUntilAccepted({ ...submissionOf(jobId, jobSteps), schedule });
+        },
         submitFor: (organisation, jobId, jobSteps, queueKey = testQueue.key) => {
             steps.set(jobId, jobSteps);
             organisationOf.set(jobId, organisation);
@@ -996,7 +1005,10 @@
         claimedAtMs: () => claimedAtMs,
         standing: times =>
             hasOpenWave() ? [] : findStalledTasks({
-                jobs: openJobs().filter(hasRoomUnderCap).map(jobId => ({ jobId, steps: steps.get(jobId) ?? [] })),
+                jobs: openJobs().filter(jobId => !scheduledJobs.has(jobId) && hasRoomUnderCap(jobId)).map(jobId => ({
+                    jobId,
+                    steps: steps.get(jobId) ?? [],
+                })),
                 evidence: workers.evidence,
                 workers: availableWorkers(),
                 heldOf,
