The tasks that an owner holds in memory are bounded, and jobs beyond refused

What callers could see: a submission may have 100 steps of 10,000 tasks, or a thousand sound ones may come, and all of their tasks were held in memory, some 650 bytes each and 1 KB with a run, until the owner's process ended by its heap limit, and each successor's after it. This is the same cause as that of the overdue occurrences on a related path.

A job that exceeds this alone is refused with "neverFits" and the limit; one that exceeds it together with those accepted is refused with "overloaded" and a time to return by which, at the pace of the accepted work, enough tasks have ended. A job that the store cannot hold now gives its organisation's share back when it is refused.

Test: "Jobs beyond the tasks that an owner can hold are refused, until others have ended" in features/wideJobs.feature. Before, all of its three jobs were accepted instead of "neverFits, accepted, overloaded".

--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -178,6 +178,8 @@
         nextOrder: 1,
         commits,
         commitWait,
+        maxHeldTasks: 100,
+        backlogMs: () => 0,
         explainOversized: () => undefined,
         commit: () => new Promise(() => {}),
         scheduleJob: () => {},
--- a/features/steps/shardModuleSteps.ts
+++ b/features/steps/shardModuleSteps.ts
@@ -260,6 +260,8 @@
         stop: () => {},
     };
     const submit = createAcceptance({
+        maxHeldTasks: 100,
+        backlogMs: () => 0,
         explainOversized: () => undefined,
         clock,
         log: noopLog,
@@ -342,6 +344,8 @@
             nextOrder: 1,
             commits,
             commitWait,
+            maxHeldTasks: 100,
+            backlogMs: () => 0,
             explainOversized: () => undefined,
             commit: commits.commit,
             scheduleJob: () => {},
--- a/features/steps/wideJobSteps.ts
+++ b/features/steps/wideJobSteps.ts
@@ -267,3 +267,34 @@
     await clock?.advance(withinMs);
     assert.ok(durable.includes(largeJobId));
 });
+
+Given(
+    "a cell of {int} daemons and {int} workers that hold at most {int} tasks",
+    async function(this: ScenarioWorld, members: number, workers: number, maxHeldTasks: number) {
+        await startCell(this, { members, workers, seed: 1, maxHeldTasks });
+    },
+);
+
+/** Answers to the jobs that were submitted last, in the order of their submission. */
+const lastAnswers = (world: ScenarioWorld): { answers: string[]; submitted: number; } =>
+    partOf(world, "answers", () => ({ answers: [], submitted: 0 }));
+
+When(
+    "jobs of {string} small tasks are submitted once, one after the other",
+    async function(this: ScenarioWorld, counts: string) {
+        const cell = cellOf(this);
+        const last = lastAnswers(this);
+        last.answers = [];
+        for (const count of counts.split(",").map(Number)) {
+            last.submitted += 1;
+            const jobId = jobIdOf(last.submitted);
+            cell.submitOnce(jobId, [smallTasks(count)]);
+            await cell.clock.advance(100);
+            last.answers.push(cell.answers().get(jobId) ?? "none");
+        }
+    },
+);
+
+Then("they were answered {string}", function(this: ScenarioWorld, answers: string) {
+    assert.equal(lastAnswers(this).answers.join(", "), answers);
+});
--- a/features/wideJobs.feature
+++ b/features/wideJobs.feature
@@ -102,3 +102,13 @@
             | limits  |
             | known   |
             | unknown |
+
+    # Guards against jobs that fill the memory of the process that accepts them, each of them sound by itself.
+    Scenario: Jobs beyond the tasks that an owner can hold are refused, until others have ended
+        Given a cell of 3 daemons and 4 workers that hold at most 500 tasks
+        When jobs of "600, 300, 300" small tasks are submitted once, one after the other
+        Then they were answered "neverFits, accepted, overloaded"
+        When the shard runs for 4000 ms
+        And jobs of "300" small tasks are submitted once, one after the other
+        Then they were answered "accepted"
+        And no promise was broken
--- a/packages/puffinarch/src/core/shard/acceptance.ts
+++ b/packages/puffinarch/src/core/shard/acceptance.ts
@@ -8,11 +8,12 @@
 import type { JobSubmission, Queue } from "../../types/work.js";
 import { die } from "../../utils/errors.js";
 import { type Account, type Accounts, amountAboveCap, returnShare, takeShare } from "./accounts.js";
-import type { Admission, AdmissionReason } from "./admission.js";
+import { type Admission, type AdmissionReason, spreadRetryMs } from "./admission.js";
 import type { CommitLog } from "./commitLog.js";
 import type { CommitWait } from "./commitWait.js";
+import { countHeldTasks, heldTasksOf } from "./dueOccurrences.js";
 import type { EndedJobs, Outcome } from "./endedJobs.js";
-import { cancelJob, hasEnded, newJob, reservedResources, type ShardJob } from "./jobModel.js";
+import { cancelJob, hasEnded, newJob, reservedResources, type ShardJob, taskCount } from "./jobModel.js";
 
 /** Dependencies of the acceptance of jobs. */
 export interface AcceptanceOptions {
@@ -29,6 +30,10 @@
     readonly nextOrder: number;
     readonly commits: CommitLog;
     readonly commitWait: CommitWait;
+    /** Most tasks that this process holds in memory. */
+    readonly maxHeldTasks: number;
+    /** Time in which a service's workers can do the accepted work, in ms; 0 if it is not known. */
+    readonly backlogMs: (service: string) => number;
     /** Explains why the store cannot take a job that is not stored yet; undefined if it can. */
     readonly explainOversized: (job: ShardJob) => string | undefined;
     /** Resolves once the job's present state is durable. */
@@ -136,10 +141,38 @@
     const requireStorable = (job: ShardJob): void => {
         const oversized = options.explainOversized(job);
         if (oversized !== undefined) {
+            if (!job.beyondShare) {
+                returnShare(job.account);
+            }
             dieOversized(job, oversized);
         }
     };
 
+    /** Refuses a job whose tasks this process cannot hold: for good if they exceed the limit alone, and otherwise until others have ended. */
+    const requireHoldable = ({ jobId, steps, schedule }: JobSubmission, { service }: Queue): void => {
+        const { maxHeldTasks } = options;
+        const own = heldTasksOf(steps);
+        if (own > maxHeldTasks) {
+            meter.count("jobsRefused.tooManyTasks");
+            die(
+                "neverFits",
+                `not accepted: it has ${taskCount(steps)} tasks, and fewer than ${maxHeldTasks} can be held`,
+            );
+        }
+        const held = schedule.repeatCount === 0 ? countHeldTasks(jobs.values()) : 0;
+        if (held + own <= maxHeldTasks) {
+            return;
+        }
+        meter.count("jobsRefused.tasksHeld");
+        // The accepted work is taken to end at an even pace.
+        const leftMs = options.backlogMs(service) * (held + own - maxHeldTasks) / held;
+        const retryAfterMs = spreadRetryMs(leftMs, jobId);
+        log.write("info", "tasksHeld", { jobId, own, held, maxHeldTasks, retryAfterMs });
+        die("overloaded", `not accepted: of at most ${maxHeldTasks} tasks, ${held} are accepted already`, {
+            retryAfterMs,
+        });
+    };
+
     const dieOversized = ({ submission: { jobId } }: ShardJob, reason: string): never => {
         meter.count("jobsRefused.oversized");
         log.write("warn", "jobOversized", { jobId, reason });
@@ -165,6 +198,7 @@
         if (commitWait.isStalled()) {
             commitWait.refuse("notAccepted", submission.jobId);
         }
+        requireHoldable(submission, queue);
         const account = accounts.of(submission.organisation ?? "");
         requireWithinCap(submission, account);
         const acceptedAtMs = clock.nowMs();
--- a/packages/puffinarch/src/core/shard/admission.ts
+++ b/packages/puffinarch/src/core/shard/admission.ts
@@ -96,7 +96,13 @@
 const hashRange = 2 ** 32;
 const millisPerCore = 1_000;
 
-const spreadRetryMs = (retryMs: number, jobId: string): number => {
+/**
+ * Bounds a time after which a caller may return, and spreads it by the hash of the job ID.
+ *
+ * @example
+ * spreadRetryMs(2_000, "5c0e7a21d94b36f8"); // from 2_000 to 3_000
+ */
+export const spreadRetryMs = (retryMs: number, jobId: string): number => {
     const boundedMs = Math.min(maxRetryMs, Math.max(minRetryMs, retryMs));
     return Math.round(boundedMs * (1 + (retrySpread - 1) * hash(jobId) / hashRange));
 };
--- a/packages/puffinarch/src/core/shard/dueOccurrences.ts
+++ b/packages/puffinarch/src/core/shard/dueOccurrences.ts
@@ -71,8 +71,8 @@
  */
 export const countHeldTasks = (jobs: Iterable<ShardJob>): number => {
     let held = 0;
-    for (const job of jobs) {
-        held += job.occurrences.size * heldTasksOf(job.submission.steps);
+    for (const { occurrences, submission } of jobs) {
+        held += occurrences.size === 0 ? 0 : occurrences.size * heldTasksOf(submission.steps);
     }
     return held;
 };
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -742,6 +742,11 @@
         nextOrder,
         commits,
         commitWait,
+        maxHeldTasks: settings.maxHeldTasks,
+        backlogMs: service => {
+            const { work = [], capacityCores = 1 } = backlog.of(service) ?? {};
+            return work.reduce((sum, { coreMs }) => sum + coreMs, 0) / capacityCores;
+        },
         explainOversized: job => explainOversized(encodeJob(job, clock, options.store.limits), options.store.limits),
         commit,
         scheduleJob: job => {
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -233,6 +233,8 @@
     readonly checkpointIntervalMs?: number | undefined;
     /** Least length of a checkpoint. */
     readonly checkpointLength?: number;
+    /** Most tasks that a daemon holds; the default where it is left out. */
+    readonly maxHeldTasks?: number;
     /** Processor time that the daemons' work takes; none where this is left out. */
     readonly costs?: ProcessorCosts;
     /** A deliberate defect in every daemon's dependencies. */
@@ -353,6 +355,7 @@
         restartCapacity,
         checkpointIntervalMs,
         checkpointLength,
+        maxHeldTasks = defaultShardSettings.maxHeldTasks,
         costs = noCosts,
         broken,
     }: ShardCellOptions,
@@ -620,6 +623,7 @@
                 ...defaultShardSettings,
                 ticketsNameIncarnation: checksTickets,
                 policies: policies ?? defaultShardSettings.policies,
+                maxHeldTasks,
             },
             self: {
                 memberId,
