The link of a test whose claimant gets no page is slowed as the rows got smaller

"A daemon that gave up a restore is ready as soon as another daemon owns the shard" failed since submission rows leave out default fields. Its claimant is to give up because no page of rows arrives in time. Trace: with smaller rows a page of ten arrives within its second over the link of 10 bytes a ms, the claimant goes on reading ("claimLost" after 4,200 ms, no "shardReadGivenUp"), and the premise of the scenario no longer holds. With 7 bytes a ms, in the proportion of the rows, no page arrives, and the claimant gives up as before ("shardReadGivenUp"). The bound of 600 ms stays as it is.

--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -141,7 +141,7 @@
     Scenario: A daemon that gave up a restore is ready as soon as another daemon owns the shard
         Given a cell of 4 daemons and 4 workers
         When the journal holds 1000 unfinished jobs and 0 that have ended
-        And the link of the next claimant carries 10 bytes a ms, and no other daemon can claim
+        And the link of the next claimant carries 7 bytes a ms, and no other daemon can claim
         And the fault "owner killed" comes
         And the shard runs for 2500 ms
         And the other daemons can claim again
