Reading of the change: an unused callback goes, passes don't visit all starts

The callback for jobs that are set aside had no caller. The starts in progress are looked through only when their limit is reached, instead of once for each waiting step of a pass. Occurrences beside the open ones of a job wait only for an owner that is 50 ms late, from which on it sheds load as well: with 15 ms, overlapping occurrences could fall behind on an owner that is merely busy.

--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -11,7 +11,7 @@
 
 /** Entries of a transaction that are not rows of jobs: the two conditions, the sequence row and the rows of `rowsDue`. */
 const reservedEntries = 10;
-/** Bytes of a transaction that are kept for the sequence row and the rows of `rowsDue`, which are no larger than a row each. */
+/** Rows for which a transaction keeps room beside the rows of jobs: the sequence row, and all rows of `rowsDue` together. */
 const reservedRows = 2;
 /**
  * Delay before a batch is built. Follow-up changes, such as starts of the next step, are planned within 2 ms and share the batch, so that
@@ -40,8 +40,6 @@
     readonly onWritten?: (jobId: string, written: RowChange) => void;
     /** Returns rows to write with a batch that holds jobs anyway, at most one per batch; none where it is left out. */
     readonly rowsDue?: (() => RowChange["puts"]) | undefined;
-    /** Called when the store cannot take the pending change of a job, which is then set aside. */
-    readonly onSetAside?: (jobId: string, reason: string) => void;
     /** Called when a batch was committed, with its store version: above that of the claim and below that of any successor's claim. */
     readonly onCommitted?: (version: number) => void;
     /** Called once when another owner has taken the shard. */
@@ -174,7 +172,6 @@
     const maxBytes = limits.callBytes - reservedRows * limits.rowBytes;
     /** Jobs of which a part of the pending change is durable. */
     const partlyWritten = new Set<string>();
-
     /** Jobs that are written in a batch of their own, since the store has rejected a batch that they were part of. */
     const writtenAlone = new Set<string>();
     const aside = new Map<string, SetAside>();
@@ -192,7 +189,6 @@
         writtenAlone.delete(jobId);
         const retryAtMs = clock.monotonicMs() + setAsideMs;
         aside.set(jobId, { reason, resolvers: [...resolvers], retryAtMs, isRetryScheduled: false });
-        options.onSetAside?.(jobId, reason);
     };
 
     const retryAside = (jobId: string): void => {
@@ -207,7 +203,7 @@
 
     type PendingBatch = Pick<InFlightBatch, "changes" | "resolvers"> & { readonly bytes: number; };
 
-    /** Takes the pending changes of jobs, each whole, or the first part of one that exceeds a batch by itself. */
+    /** Takes the pending changes of jobs for one batch, each whole, or the first part of one that exceeds a batch by itself. */
     const takeChanges = (): PendingBatch => {
         const changes = new Map<string, RowChange>();
         const resolvers = new Map<string, readonly (() => void)[]>();
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -134,9 +134,10 @@
 const journalRow = (key: string): { readonly table: string; readonly key: string; } => ({ table: journalTable, key });
 
 /**
- * Encodes a job as the rows to put and remove since its last commit. A change that takes several transactions is written in the order of
- * its rows: a successor that finds the first ones has the job as it was before or after the whole change, or in between with only those
- * runs missing that were not ordered yet. A job that has ended loses its submission row first, which makes its other rows leftovers.
+ * Encodes a job as the rows to put and remove since its last commit. Where a change takes several transactions, its rows are written in
+ * this order, and a successor may find only the first of them: task pages come before the state row, so that a job never counts as ended
+ * or an occurrence as done before its tasks do, and the submission row comes last. The row of a job that has ended is written together
+ * with the removal of its submission row; what is left of its other rows then belongs to no job.
  *
  * @example
  * const { puts, removes } = encodeJob(job, clock, { rowBytes: 49_152 });
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -155,8 +155,8 @@
 const maxStartAnswerMs = 200;
 /** First looks at all workers take a new owner 1 to 2 s. Callers wait for 3 s in all, so that it counts as settled after this time. */
 const maxSettlingMs = 3_000;
-/** An owner whose timers are later than this opens no occurrences beside the open ones of their job. */
-const maxBacklogLagMs = 15;
+/** An owner whose timers are later than this is too busy for occurrences beside the open ones of their job. */
+const maxBacklogLagMs = 50;
 /** Ticks between searches for ended jobs to delete. */
 const forgetIntervalTicks = 50;
 /** Ticks between reviews of all accepted tasks; a task that was missed by an event is delayed by at most a second. */
@@ -203,7 +203,7 @@
         }
     };
 
-    /** Rows without a submission row that former owners left, by job ID; they are removed, or become rows of a new job of that ID. */
+    /** Keys of rows without a submission row that former owners left, by job ID; they are removed, or become rows of a new job of that ID. */
     const leftovers = new Map<string, readonly string[]>();
 
     const encode = (jobId: string): RowChange => {
@@ -442,9 +442,12 @@
 
     /** How many more starts may be planned; each of them takes time of this daemon, which answers callers and renews leases as well. */
     const freeStarts = (): number => {
-        for (const run of startsInProgress) {
-            if (!run.task.runs.includes(run)) {
-                startsInProgress.delete(run);
+        if (startsInProgress.size >= maxStartsInProgress) {
+            // The starts of a job that was withdrawn have ended without an order.
+            for (const run of startsInProgress) {
+                if (!run.task.runs.includes(run)) {
+                    startsInProgress.delete(run);
+                }
             }
         }
         return maxStartsInProgress - startsInProgress.size;
--- a/packages/puffinarch/src/core/shard/taskPages.ts
+++ b/packages/puffinarch/src/core/shard/taskPages.ts
@@ -18,7 +18,7 @@
 /** Key prefix of task pages. */
 export const taskPagePrefix = "tasks/";
 
-/** Most tasks of a page. A change of one task rewrites its page, about 4 KB while all tasks of the page run. */
+/** Most tasks of a page; a change of one task rewrites its page. */
 const pageTasks = 128;
 /** Largest stored checkpoint, as a share of a row; the page of a single task holds it beside the task's other state. */
 const checkpointShare = 0.25;
