A job that was set aside keeps no room and no start of its own

What callers could see: an accepted job whose rows the store rejects was set aside, but up to 500 of its starts stayed planned. They held room on the workers, and as a pass plans no more than 500 starts, no other job was placed.

Cause: a planned start waits for the commit of its intent, which does not come while its job is set aside. Found while reading the change.

The fake store can reject the rows of one job.

Test: "An accepted job whose rows the store rejects for a while goes on afterwards, and the others at once" in features/wideJobs.feature.

--- a/features/steps/wideJobSteps.ts
+++ b/features/steps/wideJobSteps.ts
@@ -298,3 +298,33 @@
 Then("they were answered {string}", function(this: ScenarioWorld, answers: string) {
     assert.equal(lastAnswers(this).answers.join(", "), answers);
 });
+
+When("a job of two steps of {int} small tasks is submitted", function(this: ScenarioWorld, count: number) {
+    const jobId = jobIdOf(1);
+    part(this).jobs.push(jobId);
+    cellOf(this).submit(jobId, [smallTasks(count), smallTasks(count, { after: [0] })]);
+});
+
+When("the store rejects the rows of that job", function(this: ScenarioWorld) {
+    cellOf(this).store.rejectRowsOf(part(this).jobs[0]);
+});
+
+When("the store accepts its rows again", function(this: ScenarioWorld) {
+    cellOf(this).store.rejectRowsOf(undefined);
+});
+
+Then("the job was set aside", function(this: ScenarioWorld) {
+    assert.ok(cellOf(this).log.some(({ event, fields }) => event === "jobSetAside" && fields["jobId"] === jobIdOf(1)));
+});
+
+Then(
+    "the last {int} jobs are {string} within {int} ms",
+    async function(this: ScenarioWorld, count: number, state: string, withinMs: number) {
+        const jobs = part(this).jobs.slice(-count);
+        const reached = await cellOf(this).until(
+            async () => [...(await cellOf(this).statesOf(jobs)).values()].every(each => each === state),
+            withinMs,
+        );
+        assert.ok(reached, [...(await cellOf(this).statesOf(jobs))].join("; "));
+    },
+);
--- a/features/wideJobs.feature
+++ b/features/wideJobs.feature
@@ -112,3 +112,18 @@
         And jobs of "300" small tasks are submitted once, one after the other
         Then they were answered "accepted"
         And no promise was broken
+
+    # Guards against the starts of a job that the store cannot take, which would keep their room and stop the placement of others.
+    Scenario: An accepted job whose rows the store rejects for a while goes on afterwards, and the others at once
+        Given a cell of 3 daemons and 4 workers
+        When a job of two steps of 900 small tasks is submitted
+        And the shard runs for 1200 ms
+        And the store rejects the rows of that job
+        And the shard runs for 2500 ms
+        Then the job was set aside
+        When 3 jobs of steps "2, 2 after 0" are submitted
+        Then the last 3 jobs are "completed" within 4000 ms
+        When the store accepts its rows again
+        Then all jobs are "completed" within 12000 ms
+        And no promise was broken
+        And the shard has had no other owner
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -40,6 +40,8 @@
     readonly onWritten?: (jobId: string, written: RowChange) => void;
     /** Returns rows to write with a batch that holds jobs anyway, at most one per batch; none where it is left out. */
     readonly rowsDue?: (() => RowChange["puts"]) | undefined;
+    /** Called when the store cannot take the pending change of a job, which is then set aside. */
+    readonly onSetAside?: (jobId: string) => void;
     /** Called when a batch was committed, with its store version: above that of the claim and below that of any successor's claim. */
     readonly onCommitted?: (version: number) => void;
     /** Called once when another owner has taken the shard. */
@@ -189,6 +191,7 @@
         writtenAlone.delete(jobId);
         const retryAtMs = clock.monotonicMs() + setAsideMs;
         aside.set(jobId, { reason, resolvers: [...resolvers], retryAtMs, isRetryScheduled: false });
+        options.onSetAside?.(jobId);
     };
 
     const retryAside = (jobId: string): void => {
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -253,6 +253,7 @@
         claimId,
         encode,
         onWritten: recordWrittenRows,
+        onSetAside: jobId => abandonStarts(jobs.get(jobId)),
         rowsDue: () => runTimesRow.due(),
         onCommitted: version => {
             newestVersion = version;
@@ -470,6 +471,24 @@
         }
     };
 
+    /**
+     * Frees the capacity of a job's planned starts, of which none may be sent while the store cannot take the job. The review of tasks
+     * hands the job back to the task placer.
+     */
+    const abandonStarts = (job: ShardJob | undefined): void => {
+        if (job === undefined) {
+            return;
+        }
+        taskPlacer.removeJob(job);
+        for (const run of [...runsOf(job)].filter(({ phase }) => phase === runPhases.planned)) {
+            const worker = workers.all.get(run.workerId);
+            if (worker !== undefined) {
+                dropRun(worker, run);
+            }
+            endStart(run);
+        }
+    };
+
     const sendStart = async (run: ShardRun): Promise<void> => {
         if (closed || hasEnded(jobOf(run)) || !isStartable(run)) {
             dropPlanned(run);
@@ -483,6 +502,11 @@
     const starts = createStartQueue({ maxInFlight: maxStartsInFlight, send: sendStart, onSettled: endStart });
 
     const startPlanned = (job: ShardJob, runs: readonly ShardRun[]): void => {
+        if (commits.setAsideReason(job.submission.jobId) !== undefined) {
+            abandonStarts(job);
+            void commit(job);
+            return;
+        }
         for (const run of runs.filter(({ task }) => !task.step.spec.gang)) {
             startsInProgress.add(run);
         }
--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -35,6 +35,8 @@
     isFaultFree(): boolean;
     /** Sets whether reads of a table get no answer; reads of other tables are not affected. */
     setUnreadable(table: string, unreadable: boolean): void;
+    /** Rejects transactions that put a row of this job from now on, whatever their size; `undefined` rejects none. */
+    rejectRowsOf(jobId: string | undefined): void;
     /** Limits a daemon's link to the store, which is unlimited at first. */
     setLink(memberId: string, bytesPerMs: number): void;
     /** A daemon's link; undefined where it is unlimited. */
@@ -133,6 +135,7 @@
     let transactions = 0;
     let freeAtMs = 0;
     const unreadable = new Set<string>();
+    let rejectedJobId: string | undefined;
     const links = new Map<string, Link>();
     const waiters = new Set<() => void>();
     /** Callbacks that let each waiting feed call go silent. */
@@ -240,8 +243,10 @@
             limits: storeLimits,
             transact: async (transaction, timeoutMs) => {
                 const fault = faultOf(memberId);
-                const reason = fault === "hang" ? undefined : sizeRefusal(transaction);
-                if (reason !== undefined) {
+                const isRejected = rejectedJobId !== undefined
+                    && transaction.puts.some(({ key }) => key.split("/")[1] === rejectedJobId);
+                const reason = isRejected ? "400: the row is not allowed" : sizeRefusal(transaction);
+                if (reason !== undefined && fault !== "hang") {
                     await wait(answerMs);
                     return { outcome: "rejected", reason };
                 }
@@ -307,7 +312,9 @@
         setFault: (fault, memberId = "") => {
             faults.set(memberId, fault);
         },
-        isFaultFree: () => unreadable.size === 0 && [...faults.values()].every(fault => fault === "none"),
+        isFaultFree: () =>
+            unreadable.size === 0 && rejectedJobId === undefined
+            && [...faults.values()].every(fault => fault === "none"),
         setUnreadable: (table, isUnreadable) => {
             if (isUnreadable) {
                 unreadable.add(table);
@@ -316,6 +323,9 @@
                 unreadable.delete(table);
             }
         },
+        rejectRowsOf: jobId => {
+            rejectedJobId = jobId;
+        },
         setLink: (memberId, bytesPerMs) => {
             links.set(memberId, createLink(clock, bytesPerMs));
         },
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -366,6 +366,7 @@
     const store = faultTracker.recordingCalls(createFakeRowStore(clock), [
         "setFault",
         "setUnreadable",
+        "rejectRowsOf",
         "setLink",
         "forgetHistory",
         "silenceFeeds",
