A queued start does not follow one that its worker left unanswered

What callers could see: with workers that carry orders out late, tasks of a wide job waited longer than their bound although other workers had room.

Cause: since starts are queued, those to a worker that leaves them unanswered were sent 32 at a time, one group after the other, and each then waited for the time in which it may still be carried out. Before the queue, all went out at once and waited together.

--- a/features/wideJobs.feature
+++ b/features/wideJobs.feature
@@ -31,6 +31,9 @@
             | job  | 3000  | worker crashes       | 500 |
             | job  | 3000  | store loses answers  | 30  |
             | job  | 3000  | store answers late   | 30  |
+            | job  | 3000  | worker carries out late | 10 |
+            | job  | 3000  | half of the workers carry out late | 10 |
+            | job  | 3000  | orders to a worker get lost | 10 |
             | gang | 3000  | owner killed         | 30  |
             | gang | 3000  | worker crashes       | 500 |
 
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -489,8 +489,15 @@
         }
     };
 
+    /** Whether the worker has left a start unanswered while this one was queued, which would most likely be lost as well. */
+    const isBehindUnanswered = ({ workerId, task }: ShardRun): boolean => {
+        const worker = workers.all.get(workerId);
+        return worker !== undefined && !task.step.spec.gang && worker.unansweredStarts > 0
+            && clock.monotonicMs() < worker.avoidUntilMs;
+    };
+
     const sendStart = async (run: ShardRun): Promise<void> => {
-        if (closed || hasEnded(jobOf(run)) || !isStartable(run)) {
+        if (closed || hasEnded(jobOf(run)) || !isStartable(run) || isBehindUnanswered(run)) {
             dropPlanned(run);
             return;
         }
--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -2,7 +2,7 @@
  * Runs seeds with random faults from the command line; exits with 1 where one failed:
  *
  * `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss [--queues N]] [--crashing] [--resizing]
- * [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--saving]
+ * [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--saving] [--wide]
  * [--cancelling accepted|sent|mixed] [--draws N] [--broken PART]`
  */
 
@@ -10,7 +10,7 @@
 import { type BrokenShardPart, brokenShardParts } from "./brokenShardParts.js";
 import { type CancellingMode, cancellingModes } from "./cancellingCallers.js";
 import { exploreShardSeed } from "./exploreSeed.js";
-import { crowdedShapes } from "./jobShapes.js";
+import { crowdedShapes, wideShapes } from "./jobShapes.js";
 import { explorePowerLoss } from "./powerLoss.js";
 
 interface Options {
@@ -29,6 +29,7 @@
     readonly checkingTickets?: true;
     readonly cancelling?: CancellingMode;
     readonly saving?: true;
+    readonly wide?: true;
     readonly draws: string;
     readonly powerLoss?: true;
     readonly queues: string;
@@ -63,6 +64,14 @@
             "powerLoss",
         ]),
     )
+    .addOption(
+        new Option("--wide", "jobs whose tasks take several rows of the store").conflicts([
+            "crowded",
+            "failing",
+            "saving",
+            "powerLoss",
+        ]),
+    )
     .option(
         "--draws <n>",
         "how often the jobs and faults of each seed are played, with all else drawn anew each time",
@@ -104,6 +113,7 @@
     checkingTickets,
     cancelling,
     saving,
+    wide,
     draws,
     powerLoss,
     queues,
@@ -128,7 +138,7 @@
 
 const explore = (seed: number, draw: number): Promise<readonly string[]> =>
     powerLoss ? exploreLoss(seed) : exploreShardSeed(seed, {
-        shapes: crowded && crowdedShapes,
+        shapes: wide ? wideShapes : crowded && crowdedShapes,
         lasting,
         crashing,
         resizing,
--- a/packages/stand-ins/src/shard/jobShapes.ts
+++ b/packages/stand-ins/src/shard/jobShapes.ts
@@ -54,6 +54,14 @@
 export const randomShapes = ["2", "3, 4 after 0", "2, 2 after 0, 1 after 1", "4 gang", "3 speculative, 1 after 0"];
 /** Jobs whose tasks need much of a worker, so that most of them wait for room. */
 export const crowdedShapes = ["2 of 8 cores", "3 of 5 cores checkpointing, 2 of 8 cores after 0", "4 of 3 cores"];
+/** Jobs whose tasks take several rows of the store, among small ones. */
+export const wideShapes = [
+    "2",
+    "600 of 0 cores",
+    "3, 4 after 0",
+    "550 gang of 0 cores",
+    "520 of 0 cores checkpointing, 2 after 0",
+];
 /** Long-running jobs with tasks of three sizes; together they take 20 of the 48 cores of six workers. */
 export const longRunningShapes = ["4 long running", "2 long running of 4 cores", "1 long running of 8 cores"];
 /** Number of the first long-running job, above the numbers of all other jobs. */
