Members of a gang leave the queue of starts together, at a pace that the owner's load sets

Cause: starts went through a queue that let 32 be without an answer, one run at a time and jobs in turn. Its throughput was 32 by the time to an answer, which on a busy owner is mostly its own lag: the busier it was, the fewer starts it sent. Members of a gang were sent seconds apart, and tickets ended in the queue, so that starts were refused, planned and advised anew, which made the owner busier still.

Change: the queue sends a limited number in each turn of the event loop, for 25 ms at most, and more where turns are rare. The members of a gang leave it together, after one check of all of them at that moment, or all are dropped; a start without a valid ticket is dropped instead of sent. No more is planned than can be sent within 400 ms or in one turn. The histogram "startQueuedMs" and the counters and lines "startsDropped" show what became of planned starts. A gang whose worker has left a start unanswered meanwhile is planned anew as other starts are.

The fakes can delay answers to starts, count a member that ended alone with no fault near as a breach in every scenario and exploration, and report no activity of members that wait. A load cell of thousands of tasks runs without the search for stalled tasks in each step, so the check after a scenario takes a missing watch for one that found nothing; all cells that had a watch still have it.

Test: features/gangs.feature.

--- /dev/null
+++ b/features/gangs.feature
@@ -0,0 +1,22 @@
+Feature: The members of a gang start together or not at all
+
+    # Guards against members of a gang that wait in the sender's queue while others of the gang have left it.
+    Scenario Outline: The members of a gang start within 100 ms of each other while answers to starts take up to <answerMs> ms
+        Given a cell of 3 daemons and 60 workers that answer starts within <answerMs> ms
+        When 2 gangs of 12 tasks and 3 jobs of 30 tasks are submitted every 250 ms for 4000 ms
+        Then no gang had members more than 100 ms apart
+        And no run ended alone
+        And no promise was broken
+
+        Examples:
+            | answerMs |
+            | 20       |
+            | 140      |
+
+    # Guards against the same with an owner that is busy.
+    Scenario: The members of a gang start together although each start costs the owner time
+        Given a cell of 3 daemons and 60 workers that answer starts within 100 ms, where each start costs a daemon 1 ms
+        When 2 gangs of 12 tasks and 3 jobs of 30 tasks are submitted every 250 ms for 4000 ms
+        Then no gang had members more than 250 ms apart
+        And no run ended alone
+        And no promise was broken
--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -64,17 +64,18 @@
 
 const startQueue = async (): Promise<string> => {
     const sent: string[] = [];
+    const clock = createFakeClock();
     const starts = createStartQueue({
-        maxInFlight: 1,
-        send: async ({ task }) => {
-            sent.push(task.name);
+        clock,
+        startsPerTurn: () => 1,
+        send: runs => {
+            sent.push(...runs.map(({ task }) => task.name));
         },
-        onSettled: () => {},
     });
     const wide = exampleJob();
     starts.add([runOf(wide), runOf(wide), runOf(wide)]);
     starts.add([runOf(newJob({ ...submission, jobId: "b7" }, testQueue, { acceptedAtMs: 0, order: 2 }))]);
-    await new Promise(setImmediate);
+    await clock.advance(10);
     return `${sent.indexOf("b7.0.0.0") + 1} of ${sent.length}`;
 };
 
--- /dev/null
+++ b/features/steps/gangSteps.ts
@@ -0,0 +1,145 @@
+/** Steps about gangs, whose members have to start together. */
+
+import { Given, Then, When } from "@cucumber/cucumber";
+import { createShardCell, jobIdOf, readSteps, type ShardCell, type WorkerFault } from "@puffinarch/stand-ins";
+import assert from "node:assert/strict";
+import { runEnds } from "puffinarch";
+import { cellOf, part, startCell } from "./shardCellPart.js";
+import type { ScenarioWorld } from "./support.js";
+
+/** How long the placement of a gang may take. */
+const placementLimitMs = 2_000;
+/** Time in which a daemon claims the shard. */
+const claimMs = 2_000;
+
+/** Starts a cell for a load of thousands of tasks, on which the search for stalled tasks in each step would take minutes. */
+const startLoadCell = async (
+    world: ScenarioWorld,
+    options: Omit<Parameters<typeof createShardCell>[0], "seed">,
+): Promise<void> => {
+    part(world).cell = createShardCell({ ...options, seed: 1, runsGangsTogether: true });
+    await cellOf(world).clock.advance(claimMs);
+};
+
+Given(
+    "a cell of {int} daemons and {int} workers that answer starts within {int} ms",
+    async function(this: ScenarioWorld, members: number, workers: number, startAnswerMs: number) {
+        await startLoadCell(this, { members, workers, startAnswerMs });
+    },
+);
+
+Given(
+    "a cell of {int} daemons and {int} workers that answer starts within {int} ms, where each start costs a daemon {float} ms",
+    async function(this: ScenarioWorld, members: number, workers: number, startAnswerMs: number, startMs: number) {
+        await startLoadCell(this, {
+            members,
+            workers,
+            startAnswerMs,
+            costs: { firstLookMs: 1, lookMs: 0.2, callMs: 0.2, startMs },
+        });
+    },
+);
+
+Given(
+    "a cell of {int} daemons and {int} workers on which gangs run together",
+    async function(this: ScenarioWorld, members: number, workers: number) {
+        await startCell(this, { members, workers, seed: 1, runsGangsTogether: true });
+    },
+);
+
+When(
+    "{int} gangs of {int} tasks and {int} jobs of {int} tasks are submitted every {int} ms for {int} ms",
+    async function(
+        this: ScenarioWorld,
+        gangs: number,
+        gangTasks: number,
+        others: number,
+        otherTasks: number,
+        everyMs: number,
+        forMs: number,
+    ) {
+        const cell = cellOf(this);
+        const { jobs } = part(this);
+        const submit = (steps: string): void => {
+            const jobId = jobIdOf(jobs.length + 1);
+            jobs.push(jobId);
+            cell.submit(jobId, readSteps(steps));
+        };
+        for (let passedMs = 0; passedMs < forMs; passedMs += everyMs) {
+            for (let index = 0; index < others; index += 1) {
+                submit(`${otherTasks}`);
+            }
+            for (let index = 0; index < gangs; index += 1) {
+                submit(`${gangTasks} gang`);
+            }
+            await cell.clock.advance(everyMs);
+        }
+        await cell.clock.advance(forMs);
+    },
+);
+
+/** Workers of the newest placement, in the order of the tasks. */
+const placedWorkers = (cell: ShardCell): readonly string[] => {
+    const line = cell.log.filter(({ event }) => event === "placed").at(-1);
+    return [...String(line?.fields["runs"] ?? "").matchAll(/@([^ ]+)/g)].map(([, workerId = ""]) => workerId);
+};
+
+When("a gang of {int} tasks, one to a worker, is placed", async function(this: ScenarioWorld, tasks: number) {
+    const cell = cellOf(this);
+    const jobId = jobIdOf(part(this).jobs.length + 1);
+    part(this).jobs.push(jobId);
+    cell.submit(jobId, readSteps(`${tasks} gang of 5 cores`));
+    for (let waitedMs = 0; placedWorkers(cell).length === 0; waitedMs += 1) {
+        assert.ok(waitedMs < placementLimitMs, "the gang was not placed");
+        await cell.clock.advance(1);
+    }
+});
+
+const setFaults = (world: ScenarioWorld, count: number, fault: WorkerFault): void => {
+    const cell = cellOf(world);
+    const workerIds = placedWorkers(cell).slice(0, count);
+    for (const workerId of workerIds) {
+        cell.workers.setFault(workerId, fault);
+    }
+    part(world).endFaults.push(() => workerIds.forEach(workerId => cell.workers.setFault(workerId, "none")));
+};
+
+When("orders to {int} of its workers are lost", function(this: ScenarioWorld, count: number) {
+    setFaults(this, count, "deaf");
+});
+
+When(
+    /^(\d+) of its workers are (cut|deaf|late)$/,
+    function(this: ScenarioWorld, count: string, fault: WorkerFault) {
+        setFaults(this, Number(count), fault);
+    },
+);
+
+When("the owner is killed {int} ms later", async function(this: ScenarioWorld, afterMs: number) {
+    const cell = cellOf(this);
+    await cell.clock.advance(afterMs);
+    const owner = cell.owner() ?? "";
+    cell.kill(owner);
+    part(this).endFaults.push(() => cell.restart(owner));
+});
+
+Then("no run ended alone", function(this: ScenarioWorld) {
+    const { evidence } = cellOf(this).workers;
+    assert.ok(evidence.length > 0, "nothing was started");
+    const alone = evidence.filter(({ how }) => how === runEnds.alone);
+    assert.deepEqual(alone.map(({ taskName, run, workerId }) => `${taskName}#${run}@${workerId}`), []);
+});
+
+Then("no gang had members more than {int} ms apart", function(this: ScenarioWorld, limitMs: number) {
+    const cell = cellOf(this);
+    const startsMs = new Map<string, number[]>();
+    for (const { taskName, run, startedAtMs } of cell.workers.evidence) {
+        if (cell.stepOf(taskName)?.gang === true) {
+            const key = `${taskName.slice(0, taskName.lastIndexOf("."))}#${run}`;
+            startsMs.set(key, [...startsMs.get(key) ?? [], startedAtMs]);
+        }
+    }
+    assert.ok(startsMs.size > 0, "no gang was started");
+    const spansMs = [...startsMs.values()].map(times => Math.max(...times) - Math.min(...times));
+    assert.ok(Math.max(...spansMs) <= limitMs, `the members of a gang started ${Math.max(...spansMs)} ms apart`);
+});
--- a/features/steps/shardCellPart.ts
+++ b/features/steps/shardCellPart.ts
@@ -94,7 +94,11 @@
     if (cell === undefined || result?.status !== Status.PASSED) {
         return;
     }
-    assert.deepEqual(watch?.stalledTasks(), [], "tasks waited during the scenario although workers had room for them");
+    assert.deepEqual(
+        watch?.stalledTasks() ?? [],
+        [],
+        "tasks waited during the scenario although workers had room for them",
+    );
     for (const endFault of endFaults.splice(0)) {
         endFault();
     }
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -23,6 +23,7 @@
     WorkerEntry,
 } from "../../types/work.js";
 import { jobStates } from "../../types/work.js";
+import { createBucket } from "../../utils/bucket.js";
 import { errorOf, failureOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
 import { createAcceptance } from "./acceptance.js";
@@ -34,6 +35,7 @@
 import { createCommitLog, explainOversized, type RowChange } from "./commitLog.js";
 import { createCommitWait } from "./commitWait.js";
 import { createDueOccurrences } from "./dueOccurrences.js";
+import { ticketFor } from "./eligible.js";
 import { createEndedJobs, type EndedJobs } from "./endedJobs.js";
 import {
     cancelJob,
@@ -44,6 +46,7 @@
     runsOf,
     type ShardJob,
     type ShardRun,
+    stepNameOf,
 } from "./jobModel.js";
 import { decodeEnded, encodeJob, recordWritten, restoreJobs } from "./jobRows.js";
 import { createOwnerProgress } from "./ownerProgress.js";
@@ -57,7 +60,7 @@
 import { createShardWorkers } from "./shardWorkers.js";
 import { createOwnerShedding } from "./shedding.js";
 import { createSpeedsReport } from "./speedsReport.js";
-import { createStartQueue } from "./startQueue.js";
+import { createStartQueue, startTurnMs } from "./startQueue.js";
 import { createTaskPlacer } from "./taskPlacer.js";
 import { createTaskReview } from "./taskReview.js";
 import { startUpkeep, type Upkeep } from "./upkeep.js";
@@ -145,14 +148,18 @@
  */
 const passRestFactor = 2;
 /**
- * Most starts, other than those of gangs, that are planned or sent and not answered. The others keep their tasks waiting, so that the
- * most urgent of them is next.
+ * Most starts, other than those of gangs, that are planned and not sent. The others keep their tasks waiting, so that the most urgent of
+ * them is next.
  */
-const maxStartsInProgress = 500;
-/** Most start orders without an answer. Sending them all has to take much less than the 150 ms after which one counts as unanswered. */
-const maxStartsInFlight = 32;
-/** Time after which a start makes room for the next one, with or without an answer. */
-const maxStartAnswerMs = 200;
+const maxStartsPlanned = 500;
+/** Starts that an idle daemon sends in one turn of the event loop, in much less than the 150 ms after which one counts as unanswered. */
+const usualStartsPerTurn = 128;
+/** Lateness of timers at which a turn sends twice as many: turns are rarer then, for reasons other than the starts. */
+const doublingLagMs = 250;
+/** Planned starts are sent within this time, a fraction of a ticket's validity; the room that they hold is idle meanwhile. */
+const maxStartQueueMs = 400;
+/** Most log lines a second about planned starts that were dropped; the counters have all of them. */
+const maxDropLinesPerS = 20;
 /** First looks at all workers take a new owner 1 to 2 s. Callers wait for 3 s in all, so that it counts as settled after this time. */
 const maxSettlingMs = 3_000;
 /** An owner whose timers are later than this is too busy for occurrences beside the open ones of their job. */
@@ -438,36 +445,50 @@
             && isListed(worker, clock.monotonicMs()) && stillFits(worker, run);
     };
 
-    /** Runs whose start orders are to be sent or were just sent, without those of gangs, which are placed only as a whole. */
-    const startsInProgress = new Set<ShardRun>();
+    /** Runs whose start orders are to be sent, without those of gangs, which are placed only as a whole. */
+    const plannedStarts = new Set<ShardRun>();
 
-    /** How many more starts may be planned; each of them takes time of this daemon, which answers callers and renews leases as well. */
+    /** How late timers fire now: on average, or the one that is due next where it is later. */
+    const presentLagMs = (): number => Math.max(0, lagMs, clock.monotonicMs() - tickDueMs);
+
+    const startsPerTurn = (): number => Math.round(usualStartsPerTurn * (1 + presentLagMs() / doublingLagMs));
+
+    /** How many more starts may be planned: as many as this daemon can send soon, at the pace that its present load allows. */
     const freeStarts = (): number => {
-        if (startsInProgress.size >= maxStartsInProgress) {
+        const inTurn = startsPerTurn();
+        const inTime = inTurn * maxStartQueueMs / (startTurnMs + presentLagMs());
+        const most = Math.floor(Math.min(maxStartsPlanned, Math.max(inTurn, inTime)));
+        if (plannedStarts.size >= most) {
             // The starts of a job that was withdrawn have ended without an order.
-            for (const run of startsInProgress) {
+            for (const run of plannedStarts) {
                 if (!run.task.runs.includes(run)) {
-                    startsInProgress.delete(run);
+                    plannedStarts.delete(run);
                 }
             }
         }
-        return maxStartsInProgress - startsInProgress.size;
+        return most - plannedStarts.size;
     };
 
-    const endStart = (run: ShardRun): void => {
+    const leavePlanned = (run: ShardRun): void => {
         const isPlacingPaused = freeStarts() <= 0;
-        startsInProgress.delete(run);
+        plannedStarts.delete(run);
         if (isPlacingPaused) {
             wake();
         }
     };
 
-    /** Gives up a planned start of which no order was sent. */
-    const dropPlanned = (run: ShardRun): void => {
-        const worker = workers.all.get(run.workerId);
-        if (worker !== undefined && run.phase === runPhases.planned && run.task.runs.includes(run)) {
-            dropRun(worker, run);
-            void commitChange(jobOf(run));
+    /** Gives up planned starts of a job of which no order was sent. */
+    const dropPlanned = (runs: readonly ShardRun[]): void => {
+        const [first] = runs;
+        for (const run of runs) {
+            const worker = workers.all.get(run.workerId);
+            if (worker !== undefined && run.phase === runPhases.planned) {
+                dropRun(worker, run);
+            }
+            leavePlanned(run);
+        }
+        if (first !== undefined) {
+            void commitChange(jobOf(first));
         }
     };
 
@@ -485,28 +506,69 @@
             if (worker !== undefined) {
                 dropRun(worker, run);
             }
-            endStart(run);
+            leavePlanned(run);
         }
     };
 
     /** Whether the worker has left a start unanswered while this one was queued, which would most likely be lost as well. */
-    const isBehindUnanswered = ({ workerId, task }: ShardRun): boolean => {
+    const isBehindUnanswered = ({ workerId }: ShardRun): boolean => {
         const worker = workers.all.get(workerId);
-        return worker !== undefined && !task.step.spec.gang && worker.unansweredStarts > 0
-            && clock.monotonicMs() < worker.avoidUntilMs;
+        return worker !== undefined && worker.unansweredStarts > 0 && clock.monotonicMs() < worker.avoidUntilMs;
+    };
+
+    const hasTicket = ({ task, workerId }: ShardRun): boolean =>
+        ticketFor(task.step, workerId, clock.monotonicMs()) !== undefined;
+
+    /** Returns why a planned start is not sent now; undefined where it may be sent. */
+    const startProblemOf = (run: ShardRun): string | undefined => {
+        for (const [problem, applies] of Object.entries(startProblems)) {
+            if (applies(run)) {
+                return problem;
+            }
+        }
+        return undefined;
+    };
+    const startProblems: Readonly<Record<string, (run: ShardRun) => boolean>> = {
+        closed: () => closed,
+        jobEnded: run => hasEnded(jobOf(run)),
+        notStartable: run => !isStartable(run),
+        unanswered: isBehindUnanswered,
+        noTicket: run => !hasTicket(run),
     };
 
-    const sendStart = async (run: ShardRun): Promise<void> => {
-        if (closed || hasEnded(jobOf(run)) || !isStartable(run) || isBehindUnanswered(run)) {
-            dropPlanned(run);
+    const dropLines = createBucket(clock, () => maxDropLinesPerS);
+
+    /** Sends a start, or the members of a gang: none of these is sent where one of them cannot be, since the others would wait for it. */
+    const sendStarts = (runs: readonly ShardRun[], queuedMs: number): void => {
+        const [first] = runs;
+        if (first === undefined) {
+            return;
+        }
+        meter.record("startQueuedMs", queuedMs);
+        const { step } = first.task;
+        const problem = runs.map(startProblemOf).find(each => each !== undefined);
+        if (problem !== undefined) {
+            meter.count(`startsDropped.${problem}`, runs.length);
+            if (dropLines.take()) {
+                log.write("info", "startsDropped", {
+                    step: stepNameOf(step),
+                    run: first.run,
+                    starts: runs.length,
+                    problem,
+                    queuedMs: Math.round(queuedMs),
+                });
+            }
+            dropPlanned(runs);
             return;
         }
-        const ticket = run.task.step.advice.good.get(run.workerId)?.ticket ?? "";
         progress.recordStart();
-        await Promise.race([workers.start(run, ticket), sleep(clock, maxStartAnswerMs)]);
+        for (const run of runs) {
+            leavePlanned(run);
+            void workers.start(run, ticketFor(step, run.workerId, clock.monotonicMs()) ?? "");
+        }
     };
 
-    const starts = createStartQueue({ maxInFlight: maxStartsInFlight, send: sendStart, onSettled: endStart });
+    const starts = createStartQueue({ clock, startsPerTurn, send: sendStarts });
 
     const startPlanned = (job: ShardJob, runs: readonly ShardRun[]): void => {
         if (commits.setAsideReason(job.submission.jobId) !== undefined) {
@@ -515,20 +577,9 @@
             return;
         }
         for (const run of runs.filter(({ task }) => !task.step.spec.gang)) {
-            startsInProgress.add(run);
-        }
-        void commit(job).then(waitForFreshNews).then(() => {
-            // A gang is not started where one of its members cannot be sent, since the others would wait for it indefinitely.
-            const isBroken = runs.some(run => run.task.step.spec.gang) && !runs.every(isStartable);
-            if (!closed && !hasEnded(job) && !isBroken) {
-                starts.add(runs);
-                return;
-            }
-            for (const run of runs) {
-                dropPlanned(run);
-                endStart(run);
-            }
-        });
+            plannedStarts.add(run);
+        }
+        void commit(job).then(waitForFreshNews).then(() => starts.add(runs));
     };
 
     const taskPlacer = createTaskPlacer({
--- a/packages/puffinarch/src/core/shard/startQueue.ts
+++ b/packages/puffinarch/src/core/shard/startQueue.ts
@@ -1,67 +1,107 @@
 /**
- * Queue of start orders. A daemon sends a few thousand orders a second, and an order counts as unanswered after a fixed time; if the
- * starts of a wide job were all sent at once, most of them would time out in this process and be repeated.
+ * Queue of start orders. An order counts as unanswered after a fixed time; if the starts of a wide job were all sent at once, most of
+ * them would time out in this process and be repeated. The queue therefore sends a limited number in each turn of the event loop, so
+ * that its pace follows the load of this process and not the time that workers take to answer.
  */
 
+import type { Clock } from "../../types/ports.js";
 import type { ShardRun } from "./jobModel.js";
 
 /** Dependencies of the queue. */
 export interface StartQueueOptions {
-    /** Most orders that wait for their answers at the same time. */
-    readonly maxInFlight: number;
-    /** Sends the order for a run; resolves once it is answered or no longer expected to be. */
-    readonly send: (run: ShardRun) => Promise<void>;
-    /** Called when a run has left the queue and its order is no longer in flight. */
-    readonly onSettled: (run: ShardRun) => void;
+    readonly clock: Clock;
+    /** Most starts that are sent in one turn of the event loop. */
+    readonly startsPerTurn: () => number;
+    /** Sends the orders for runs that leave the queue together, or drops the runs; `queuedMs` is how long they have waited. */
+    readonly send: (runs: readonly ShardRun[], queuedMs: number) => void;
 }
 
 /** Sends start orders, those of different jobs in turn. */
 export interface StartQueue {
-    /** Adds the runs of one job, in the order in which they are to be sent. */
+    /** Adds runs of one job, in the order in which they are to be sent. Members of a gang are sent without other starts between them. */
     add(runs: readonly ShardRun[]): void;
 }
 
+/** Pause between two turns; while the process is busy, the next turn comes later than this. */
+export const startTurnMs = 2;
+/** Time after which a turn ends although it may send more; answers, pings and commits wait meanwhile. */
+const longestTurnMs = 25;
+
+/** Runs of one job that wait to be sent, and when they were added. */
+interface Waiting {
+    readonly runs: ShardRun[];
+    readonly sinceMs: number;
+}
+
 /**
  * Creates an empty queue.
  *
  * @example
- * const starts = createStartQueue({ maxInFlight: 32, send: run => link.start(run), onSettled: () => {} });
+ * const starts = createStartQueue({ clock, startsPerTurn: () => 64, send: runs => runs.forEach(run => link.start(run)) });
  * starts.add(runs);
  */
-export const createStartQueue = ({ maxInFlight, send, onSettled }: StartQueueOptions): StartQueue => {
+export const createStartQueue = ({ clock, startsPerTurn, send }: StartQueueOptions): StartQueue => {
     /** Waiting runs by job; the job whose turn is next comes first. */
-    const waiting = new Map<string, ShardRun[]>();
-    let inFlight = 0;
+    const waiting = new Map<string, Waiting[]>();
+    let leftInTurn = startsPerTurn();
+    let turnBeganAtMs = clock.monotonicMs();
+    let isTurnScheduled = false;
 
-    const takeNext = (): ShardRun | undefined => {
-        for (const [jobId, runs] of waiting) {
-            const run = runs.shift();
-            waiting.delete(jobId);
-            if (runs.length > 0) {
-                waiting.set(jobId, runs);
+    /** Takes one start: a run, or as many members of a gang as this turn has left. */
+    const takeNext = (most: number): Waiting | undefined => {
+        for (const [jobId, batches] of waiting) {
+            const [batch] = batches;
+            if (batch === undefined) {
+                waiting.delete(jobId);
+                continue;
+            }
+            const { runs, sinceMs } = batch;
+            const isGang = runs[0]?.task.step.spec.gang === true;
+            const taken = runs.splice(0, isGang ? most : 1);
+            if (runs.length === 0) {
+                batches.shift();
+            }
+            // The rest of a gang stays first.
+            if (!isGang || runs.length === 0) {
+                waiting.delete(jobId);
+                if (batches.length > 0) {
+                    waiting.set(jobId, batches);
+                }
             }
-            return run;
+            return { runs: taken, sinceMs };
         }
         return undefined;
     };
 
-    const settle = (run: ShardRun): void => {
-        inFlight -= 1;
-        onSettled(run);
-        sendWaiting();
+    const beginTurn = (): void => {
+        leftInTurn = startsPerTurn();
+        turnBeganAtMs = clock.monotonicMs();
     };
 
     const sendWaiting = (): void => {
-        while (inFlight < maxInFlight) {
-            const run = takeNext();
-            if (run === undefined) {
+        while (leftInTurn > 0 && clock.monotonicMs() - turnBeganAtMs < longestTurnMs) {
+            const next = takeNext(leftInTurn);
+            if (next === undefined) {
                 return;
             }
-            inFlight += 1;
-            void send(run).finally(() => settle(run));
+            leftInTurn -= next.runs.length;
+            scheduleTurn();
+            send(next.runs, clock.monotonicMs() - next.sinceMs);
         }
     };
 
+    const scheduleTurn = (): void => {
+        if (isTurnScheduled) {
+            return;
+        }
+        isTurnScheduled = true;
+        clock.setTimer(startTurnMs, () => {
+            isTurnScheduled = false;
+            beginTurn();
+            sendWaiting();
+        });
+    };
+
     return {
         add: runs => {
             const [first] = runs;
@@ -69,7 +109,11 @@
                 return;
             }
             const { jobId } = first.task.step.occurrence.job.submission;
-            waiting.set(jobId, [...waiting.get(jobId) ?? [], ...runs]);
+            const batches = waiting.get(jobId) ?? [];
+            waiting.set(jobId, [...batches, { runs: [...runs], sinceMs: clock.monotonicMs() }]);
+            if (!isTurnScheduled) {
+                beginTurn();
+            }
             sendWaiting();
         },
     };
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -110,6 +110,8 @@
     /** Sets the timer that ends the run and returns its cancel function; a gang member's once all members have started. */
     readonly beginWork: () => () => void;
     readonly held: Resources;
+    /** Whether it works; a gang member does once all members have started. */
+    isAtWork: boolean;
     /** The newest checkpoint: the one that the start carried, or one that the run has saved. */
     checkpoint: string;
 }
@@ -173,7 +175,9 @@
     leaseLimitMs,
     checksTickets = false,
     saving,
+    startAnswerMs = () => 0,
     onCrash,
+    onAlone = () => {},
 }: {
     readonly clock: Clock;
     readonly model: TaskModel;
@@ -190,8 +194,12 @@
     readonly checksTickets?: boolean;
     /** Lets tasks save checkpoints while they run; where this is left out, each task saves one when it is stopped. */
     readonly saving?: Saving | undefined;
+    /** How long the answer to a start takes after the start was carried out. */
+    readonly startAnswerMs?: () => number;
     /** Called when a task has crashed its worker, which is down then. */
     readonly onCrash: (entry: WorkerEntry) => void;
+    /** Called when a run has ended because the other members of its gang did not start in time. */
+    readonly onAlone?: (run: StartEvidence) => void;
 }): FakeFencedWorkers => {
     const workers = new Map<string, FakeWorker>();
     const evidence: StartEvidence[] = [];
@@ -232,6 +240,9 @@
             evidence: start,
         });
         worker.nextEndNumber += 1;
+        if (how === runEnds.alone) {
+            onAlone(start);
+        }
         if (worker.nextEndNumber - 1 > worker.acknowledgedUpTo) {
             wakeAll(worker);
         }
@@ -384,12 +395,14 @@
             cancel: isMember ? clock.setTimer(gangWaitMs, () => endRun(worker, key, runEnds.alone)) : beginWork(),
             beginWork,
             held: heldOf(order.taskName),
+            isAtWork: !isMember,
             checkpoint: order.checkpoint,
         });
         const members = membersOf(startRecord);
         if (isMember && members.length === gangSize(order.taskName)) {
             for (const { live } of members) {
                 live.cancel();
+                live.isAtWork = true;
                 live.cancel = live.beginWork();
             }
         }
@@ -426,12 +439,12 @@
         outcome: orderOutcomes.done,
         clockMs: workerTimeMs(worker),
         ...(worker.entry.bornAtMs === undefined ? {} : { bornAtMs: worker.entry.bornAtMs }),
-        running: [...worker.running.values()].map(({ evidence: run, checkpoint, held }) => ({
+        running: [...worker.running.values()].map(({ evidence: run, checkpoint, held, isAtWork }) => ({
             taskName: run.taskName,
             run: run.run,
             checkpoint,
             percent: 100,
-            figure: worker.fault === "hanging" ? 0 : held.cpuMillis,
+            figure: worker.fault === "hanging" || !isAtWork ? 0 : held.cpuMillis,
         })),
         ended: worker.ended.map(({ endNumber, taskName, run, how, checkpoint }) => ({
             endNumber,
@@ -534,8 +547,17 @@
             return worker.alive ? createLookResult(worker) : { outcome: orderOutcomes.otherIncarnation };
         };
         return {
-            start: (target, sent, timeoutMs) =>
-                order(target, timeoutMs, (worker, orderedAtMs) => start(worker, sent, orderedAtMs)),
+            start: async (target, sent, timeoutMs) => {
+                const outcome = await order(
+                    target,
+                    timeoutMs,
+                    (worker, orderedAtMs) => start(worker, sent, orderedAtMs),
+                );
+                if (outcome === orderOutcomes.done && startAnswerMs() > 0) {
+                    await wait(startAnswerMs());
+                }
+                return outcome;
+            },
             stop: (target, sent, timeoutMs) => order(target, timeoutMs, worker => stop(worker, sent)),
             look,
             pace: target => order(target, unansweredMs, () => orderOutcomes.done),
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -237,6 +237,8 @@
     readonly maxHeldTasks?: number;
     /** Processor time that the daemons' work takes; none where this is left out. */
     readonly costs?: ProcessorCosts;
+    /** Longest time for which the answer to a start is under way, below the timeout of starts; each takes a random part of its upper half. */
+    readonly startAnswerMs?: number;
     /** A deliberate defect in every daemon's dependencies. */
     readonly broken?: BrokenShardPart | undefined;
 }
@@ -270,6 +272,8 @@
 const failureAtShare = 0.3;
 /** From the start of a task with one of `crashingImages` until it crashes its worker. */
 const taskCrashDelayMs = 10;
+/** How long after a fault the start of a gang may still fail because of it. */
+const faultInfluenceMs = 4_000;
 /** How long a crashed worker is down by default. */
 const usualDownMs = 3_300;
 /** From a worker's crash until the platform removes its entry. */
@@ -357,6 +361,7 @@
         checkpointLength,
         maxHeldTasks = defaultShardSettings.maxHeldTasks,
         costs = noCosts,
+        startAnswerMs = 0,
         broken,
     }: ShardCellOptions,
 ): ShardCell => {
@@ -375,6 +380,8 @@
     const log: { memberId: string; event: string; fields: Readonly<Record<string, unknown>>; }[] = [];
     const steps = new Map<string, readonly Step[]>();
     const scheduledJobs = new Set<string>();
+    /** Descriptions of the runs that ended alone without a fault or a cancel as the cause. */
+    const aloneRuns: string[] = [];
     /** Queue key of each job that was submitted with one. */
     const queueOf = new Map<string, string>();
     /** Organisation of each job that was submitted for one. */
@@ -455,10 +462,19 @@
             const { gang = false, count = 0 } = stepOf(taskName) ?? {};
             return runsGangsTogether && gang ? count : 0;
         },
+        ...(startAnswerMs === 0 ? {} : { startAnswerMs: () => startAnswerMs * (1 + random.next()) / 2 }),
         onCrash: entry => {
             faultTracker.recordFault();
             scheduleReturn(entry);
         },
+        onAlone: ({ taskName, run, workerId, startedAtMs }) => {
+            const faultFreeMs = startedAtMs - (faultTracker.faultFreeSinceMs() ?? Infinity);
+            const jobId = parseTaskName(taskName)?.jobId;
+            const isCancelled = log.some(({ event, fields }) => event === "jobCancelled" && fields["jobId"] === jobId);
+            if (faultFreeMs > faultInfluenceMs && !isCancelled) {
+                aloneRuns.push(`${taskName}#${run} ran alone on ${workerId}`);
+            }
+        },
         model: (taskName, run) => ({
             crashesAfterMs: crashesWorker(taskName) ? taskCrashDelayMs : undefined,
             durationMs: stepOf(taskName)?.longRunning === true
@@ -995,6 +1011,7 @@
                     stepOf(taskName)?.gang === true ? taskName.slice(0, taskName.lastIndexOf(".")) : undefined,
             })),
             ...workers.overcommitted().map(workerId => `${workerId} held more than its capacity`),
+            ...aloneRuns,
             ...log.filter(({ event }) => event === "accountCorrected").map(({ fields }) =>
                 `the account of ${String(fields["organisation"])} had to be corrected`
             ),
