A gang is stopped when a member of it is gone, whatever phase the member was in

What callers saw: after a change of owner, parts of gangs ran without the others until their workers ended them ("alone"), and held their room meanwhile.

Cause: the rest of a gang was stopped only where this owner had sent the start that was lost. Members that a former owner had planned are restored as running; a new owner that found one missing dropped it and left the others. Each other path that drops a run (lost workers, ended incarnations, ended leases) left them as well.

On the fakes: an owner that is killed while one order is lost.

Change: a watch of the gangs whose starts are sent or restored. How long workers wait for the members of a gang is a setting (bounds.gangWaitMs), read from the platform; the watch ends after that time.

--- a/features/gangs.feature
+++ b/features/gangs.feature
@@ -20,3 +20,19 @@
         Then no gang had members more than 250 ms apart
         And no run ended alone
         And no promise was broken
+
+    # Guards against a new owner that leaves the rest of a gang to wait for members that were never started.
+    Scenario Outline: A new owner stops a gang of which a member did not start, where the former owner was lost <ms> ms after it was placed
+        Given a cell of 3 daemons and 6 workers on which gangs run together
+        When a gang of 6 tasks, one to a worker, is placed
+        And orders to 1 of its workers are lost
+        And the owner is killed <ms> ms later
+        And the shard runs for 8000 ms
+        Then no run ended alone
+        And no promise was broken
+
+        Examples:
+            | ms  |
+            | 10  |
+            | 60  |
+            | 300 |
--- a/features/steps/examples/shardIncarnations.ts
+++ b/features/steps/examples/shardIncarnations.ts
@@ -70,7 +70,7 @@
         onChange: () => {},
         onFormerGone: () => {},
         onPossibleCrash: () => {},
-        onStartLost: () => {},
+        onMemberLost: () => {},
         onAbsent: () => {},
     });
     missing.review(worker, new Set(), 10);
--- a/features/steps/examples/shardWorkers.ts
+++ b/features/steps/examples/shardWorkers.ts
@@ -133,7 +133,7 @@
         stop: () => {},
         stopUnknown: () => {},
         onFormerGone: () => {},
-        onStartLost: () => {},
+        onMemberLost: () => {},
         onAbsent: () => {},
     });
     const ended = [{ endNumber: 7, taskName: task.name, run: 1, how: "done", checkpoint: "" }] as const;
--- a/features/steps/tokenSteps.ts
+++ b/features/steps/tokenSteps.ts
@@ -304,7 +304,7 @@
         onStuck: () => {},
         stopUnknown: () => {},
         onFormerGone: () => {},
-        onStartLost: () => {},
+        onMemberLost: () => {},
         onAbsent: () => {},
     });
     const listed = { taskName: run.task.name, run: run.run, checkpoint: "", percent: 100, figure: 1_000 };
--- a/packages/puffinarch/src/core/shard/missingRuns.ts
+++ b/packages/puffinarch/src/core/shard/missingRuns.ts
@@ -22,8 +22,11 @@
     readonly onFormerGone: (worker: ShardWorker, run: ShardRun) => void;
     /** Called when a run is dropped that may have crashed an incarnation of its worker that this owner did not observe. */
     readonly onPossibleCrash: (worker: ShardWorker, run: ShardRun) => void;
-    /** Called when the start of a run was lost: the worker has not carried it out. An absent run may still be carried out later. */
-    readonly onStartLost: (run: ShardRun) => void;
+    /**
+     * Called when the worker does not have a run, so that the other members of its gang would wait for it. An absent run may still be
+     * carried out later.
+     */
+    readonly onMemberLost: (run: ShardRun) => void;
     /** Called when a worker answers looks but left a start unanswered, and the start may still be carried out there. */
     readonly onAbsent: (worker: ShardWorker, run: ShardRun) => void;
 }
@@ -37,14 +40,11 @@
     review(worker: ShardWorker, listed: ReadonlySet<string>, sentAtMs: number): readonly CrashedRun[];
 }
 
-const wasStartLost = ({ sentAtMs, wasListed, startedAtMs }: ShardRun): boolean =>
-    sentAtMs !== undefined && !wasListed && startedAtMs === undefined;
-
 /**
  * Creates the review of one owner.
  *
  * @example
- * const missing = createMissingRuns({ clock, log, meter, onChange, onFormerGone, onPossibleCrash, onStartLost, onAbsent });
+ * const missing = createMissingRuns({ clock, log, meter, onChange, onFormerGone, onPossibleCrash, onMemberLost, onAbsent });
  * missing.review(worker, new Set(), sentAtMs);
  */
 export const createMissingRuns = (options: MissingRunsOptions): MissingRuns => {
@@ -60,9 +60,7 @@
             forMs: Math.round((run.mayArriveUntilMs ?? nowMs) - nowMs),
         });
         options.onAbsent(worker, run);
-        if (wasStartLost(run)) {
-            options.onStartLost(run);
-        }
+        options.onMemberLost(run);
         onChange(jobOf(run));
     };
 
@@ -86,9 +84,7 @@
         if (run.sentAtMs === undefined && !run.wasListed) {
             options.onFormerGone(worker, run);
         }
-        if (!run.absent && wasStartLost(run)) {
-            options.onStartLost(run);
-        }
+        options.onMemberLost(run);
         onChange(jobOf(run));
     };
 
--- a/packages/puffinarch/src/core/shard/shardSettings.ts
+++ b/packages/puffinarch/src/core/shard/shardSettings.ts
@@ -91,6 +91,8 @@
     readonly formerOwnerMs: number;
     /** How long a worker may take to stop a run; a guarantee of the platform. */
     readonly stopMs: number;
+    /** How long a member of a gang waits on its worker for the others to start, before its run ends; a setting of the platform. */
+    readonly gangWaitMs: number;
     /** A worker or store that has not answered for this long counts as silent; must exceed `lookWaitMs`, the wait of a look. */
     readonly silentMs: number;
     /**
@@ -129,6 +131,7 @@
     ticketsNameIncarnation: false,
     formerOwnerMs: 2_500,
     stopMs: 900,
+    gangWaitMs: 3_000,
     silentMs: 1_300,
     cutOffMs: 1_800,
     refuseStalledMs: 600,
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -8,6 +8,7 @@
 import { type CrashedRun, crashedRuns, needsTrial, recordConfirmedRuns } from "./crashes.js";
 import { createDelayedStarts, type DelayedStart } from "./delayedStarts.js";
 import { createFirstLooks } from "./firstLooks.js";
+import { createGangWatch } from "./gangWatch.js";
 import { incarnationOf, isOtherIncarnation } from "./incarnations.js";
 import { findTask, newRun, runPhases, type ShardJob, type ShardRun } from "./jobModel.js";
 import { createLookSlots } from "./lookSlots.js";
@@ -76,7 +77,7 @@
     stop(run: ShardRun): void;
     /** Ends a worker's incarnation, on which surely nothing runs any more. */
     endIncarnation(workerId: string, reason: string): void;
-    /** Drops runs whose leases have expired by now. */
+    /** Drops runs whose leases have expired by now, and stops gangs that cannot become whole. */
     checkLeases(nowMs: number): void;
     close(): void;
 }
@@ -139,13 +140,7 @@
         }
     };
 
-    /** Stops the other members of the run's gang, which would hold their capacity until they time out waiting for this one. */
-    const stopRestOfGang = ({ task: { step }, run }: ShardRun): void => {
-        const members = step.spec.gang ? step.tasks : [];
-        for (const other of members.flatMap(({ runs }) => runs).filter(each => each.run === run)) {
-            stopRun(other);
-        }
-    };
+    const gangs = createGangWatch({ clock, log, meter, gangWaitMs: settings.gangWaitMs, stop: stopRun });
 
     const watch = createWorkerWatch({
         clock,
@@ -161,7 +156,7 @@
         },
         // This incarnation rejects the late order by its fencing token, but the next one will not know that token.
         onFormerGone: ({ workerId }, { task, run }) => delayedStarts.record(workerId, { taskName: task.name, run }),
-        onStartLost: stopRestOfGang,
+        onMemberLost: run => gangs.memberLost(run, "memberLost"),
         onAbsent: (worker, run) => {
             probe(worker, { taskName: run.task.name, run: run.run });
             // The order may be carried out until `mayArriveUntilMs`, so only a look after that time shows whether it was.
@@ -352,7 +347,7 @@
             onFenced: () => options.onFenced(),
             onNotStarted: (holder, run, outcome) => {
                 dropRun(holder, run);
-                stopRestOfGang(run);
+                gangs.memberLost(run, "refused");
                 const { step } = run.task;
                 if (outcome === "badTicket") {
                     step.advice.good.delete(holder.workerId);
@@ -427,6 +422,7 @@
         }
         task.runs.push(entry);
         adoptRun(worker, entry);
+        gangs.watch(entry);
         if (needsTrial(task)) {
             worker.trial = entry;
         }
@@ -568,7 +564,10 @@
             }
         },
         update: updateWorkers,
-        start: (run, ticket) => links.get(run.workerId)?.start(run, ticket) ?? Promise.resolve(),
+        start: async (run, ticket) => {
+            gangs.watch(run);
+            await links.get(run.workerId)?.start(run, ticket);
+        },
         stop: stopRun,
         endIncarnation: (workerId, reason) => {
             const worker = workers.get(workerId);
@@ -576,7 +575,10 @@
                 endAndRecordIncarnation(worker, reason);
             }
         },
-        checkLeases: expireLeases,
+        checkLeases: nowMs => {
+            expireLeases(nowMs);
+            gangs.review();
+        },
         close: () => {
             for (const link of links.values()) {
                 link.close();
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -22,7 +22,7 @@
 import { adoptRun, dropRun, isLeaving, runKey, setAbsent, type ShardWorker } from "./workerTable.js";
 
 /** What `createWorkerWatch` needs. */
-export interface WorkerWatchOptions extends Pick<MissingRunsOptions, "onFormerGone" | "onStartLost" | "onAbsent"> {
+export interface WorkerWatchOptions extends Pick<MissingRunsOptions, "onFormerGone" | "onMemberLost" | "onAbsent"> {
     readonly clock: Clock;
     readonly log: Log;
     readonly meter: Meter;
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -59,6 +59,7 @@
 export * from "./core/shard/fairShares.js";
 export * from "./core/shard/firstLooks.js";
 export * from "./core/shard/forward.js";
+export * from "./core/shard/gangWatch.js";
 export * from "./core/shard/handOver.js";
 export * from "./core/shard/headroom.js";
 export * from "./core/shard/incarnations.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -231,6 +231,7 @@
     heldTasksOf,
 } from "./internal.js";
 export { createOccurrenceSet, type OccurrenceRange, type OccurrenceSet } from "./internal.js";
+export { createGangWatch, type GangWatch, type GangWatchOptions } from "./internal.js";
 export { createStartQueue, type StartQueue, type StartQueueOptions } from "./internal.js";
 export { createPacer, type Pacer } from "./internal.js";
 export { createPendingCancels, type PendingCancels, type PendingCancelsOptions } from "./internal.js";
