A gang with a member that is not confirmed in time is stopped as a whole

What callers saw: where a worker gave no answer as a gang started, the other members ran without it until their workers ended them ("alone"), after 3 to 4 s; the missing one was given up with its lease after more than 5 s.

Cause: nothing that waited for a member had a limit below the time for which workers wait for the members of a gang.

On the fakes: workers that are cut as a gang starts.

Change: all members have to be confirmed within 0.6 of the time for which workers wait, counted from the first start; otherwise all are stopped, which leaves 1.2 s or more for the stops to arrive. Gangs that a former owner started go on where their members use processors, which they do only once all are present.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -94,6 +94,7 @@
             | dueOccurrences       | 3 due, 0 and 1 open                     |
             | occurrenceSet        | 5 in 2 ranges; 4 is missing             |
             | startQueue           | 3 of 4                                  |
+            | gangWatch            | 0 stopped, then 2                       |
             | taskPages            | tasks/5c0e7a21d94b36f8/0/128            |
             | taskRows             | 1 live run, then 2 runs, 1 failure       |
             | pacer                | paced to 0 percent                      |
--- a/features/gangs.feature
+++ b/features/gangs.feature
@@ -36,3 +36,19 @@
             | 10  |
             | 60  |
             | 300 |
+
+    # Guards against the rest of a gang that waits for a member whose worker gives no answer.
+    Scenario Outline: A gang is stopped before its members end alone where <count> of its workers are <fault> as it starts
+        Given a cell of 3 daemons and 6 workers on which gangs run together
+        When a gang of 6 tasks, one to a worker, is placed
+        And <count> of its workers are <fault>
+        And the shard runs for 8000 ms
+        Then no run ended alone
+        And no promise was broken
+
+        Examples:
+            | count | fault |
+            | 1     | cut   |
+            | 3     | cut   |
+            | 1     | deaf  |
+            | 1     | late  |
--- a/features/steps/examples/shardWorkers.ts
+++ b/features/steps/examples/shardWorkers.ts
@@ -4,6 +4,7 @@
 import {
     createDelayedStarts,
     createFirstLooks,
+    createGangWatch,
     createLookSlots,
     createPacer,
     createRowReader,
@@ -17,6 +18,7 @@
     isWaiting,
     mayGoDown,
     newJob,
+    newRun,
     openWorkerLink,
     runsToMove,
     startUpkeep,
@@ -250,10 +252,37 @@
     return reported.map(each => each === "" ? "nobody" : each).join(", then ");
 };
 
+const gangWatch = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const stopped: string[] = [];
+    const watch = createGangWatch({
+        clock,
+        log,
+        meter,
+        gangWaitMs: 3_000,
+        stop: ({ task }) => stopped.push(task.name),
+    });
+    const job = newJob({ ...submission, steps: [{ ...plainStep, count: 2, gang: true }] }, testQueue, {
+        acceptedAtMs: 0,
+        order: 1,
+    });
+    for (const task of taskOf(job).step.tasks) {
+        const run = newRun(task, "i-1", 1, { startedAtMs: task.index === 0 ? 0 : undefined });
+        task.runs.push(run);
+        watch.watch(run);
+    }
+    watch.review();
+    const before = stopped.length;
+    await clock.advance(2_000);
+    watch.review();
+    return `${before} stopped, then ${stopped.length}`;
+};
+
 /** Examples of the modules about workers, by the module's name. */
 export const shardWorkerExamples: Readonly<Record<string, () => string | Promise<string>>> = {
     evacuate,
     firstLooks: firstLooksExample,
+    gangWatch,
     pacer,
     shardWorkers,
     upkeep,
--- a/packages/puffinarch/src/core/shard/gangWatch.ts
+++ b/packages/puffinarch/src/core/shard/gangWatch.ts
@@ -23,7 +23,7 @@
     watch(run: ShardRun): void;
     /** Stops the other members of a run's gang, since the run is lost or cannot start; does nothing for a run in no gang. */
     memberLost(run: ShardRun, reason: string): void;
-    /** Stops the gangs that have lost a member. */
+    /** Stops the gangs that have not become whole in time, or have lost a member. */
     review(): void;
 }
 
@@ -34,6 +34,9 @@
     readonly sinceMs: number;
 }
 
+/** Share of `gangWaitMs` after which all members have to be confirmed; the rest is for the stops to arrive. */
+const confirmShare = 0.6;
+
 const keyOf = ({ task: { step }, run }: ShardRun): string => `${stepNameOf(step)}#${run}`;
 
 const membersOf = ({ step, run }: Pick<WatchedGang, "step" | "run">): readonly ShardRun[] =>
@@ -43,6 +46,13 @@
 const isWhole = ({ step, run }: WatchedGang): boolean =>
     step.tasks.every(task => task.done || task.runs.some(each => each.run === run && !each.absent));
 
+const isConfirmed = (gang: WatchedGang): boolean =>
+    membersOf(gang).every(({ startedAtMs }) => startedAtMs !== undefined);
+
+/** Whether members that a former owner started use processors, which they do only once all members are present. */
+const wasWhole = (gang: WatchedGang): boolean =>
+    membersOf(gang).some(({ sentAtMs, figure }) => sentAtMs === undefined && figure > 0);
+
 /**
  * Creates a watch without gangs.
  *
@@ -73,7 +83,13 @@
     };
 
     /** Returns why a gang has to be stopped; undefined where it may go on. */
-    const problemOf = (gang: WatchedGang): string | undefined => isWhole(gang) ? undefined : "memberLost";
+    const problemOf = (gang: WatchedGang, nowMs: number): string | undefined => {
+        if (!isWhole(gang)) {
+            return "memberLost";
+        }
+        const isLate = nowMs - gang.sinceMs > confirmShare * gangWaitMs;
+        return isLate && !isConfirmed(gang) && !wasWhole(gang) ? "unconfirmed" : undefined;
+    };
 
     return {
         watch: run => {
@@ -92,7 +108,7 @@
         review: () => {
             const nowMs = clock.monotonicMs();
             for (const [key, gang] of watched) {
-                const problem = problemOf(gang);
+                const problem = problemOf(gang, nowMs);
                 if (problem !== undefined) {
                     watched.delete(key);
                     stopGang(gang, problem);
