Test: service after the return of all daemons, with starts that wait for their answers

What callers saw: 15 s after all VMs were back, 16 of 119 submissions were served.

The fakes can refuse tickets that have expired. Scenario in features/overload.feature: a load on 60 workers, a loss of all daemons, and jobs that are submitted from 5 s after the return on, of which nine tenths have to be completed within 3 s.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -41,3 +41,21 @@
     Scenario: Leases on a worker that never answers again expire in time even if the owner runs late
         When an owner that is 60 ms late looks at a worker that never answers again
         Then its leases have certainly expired 10500 ms after its last answer
+
+    # Guards against starts that wait for longer than their tickets are valid, and are refused and planned again without end.
+    Scenario Outline: Jobs are completed in time from 5 s after the return of all daemons on, with starts that are answered within <answerMs> ms
+        Given a cell of 3 daemons and 60 workers that answer starts within <answerMs> ms, with tickets that expire
+        When 2 gangs of 12 tasks and 3 jobs of 30 tasks are submitted every 250 ms for 2000 ms
+        And the fault "all killed" comes
+        And 2 gangs of 12 tasks and 3 jobs of 30 tasks are submitted every 250 ms for 2000 ms
+        And the fault goes
+        And the shard runs for 5000 ms
+        And 2 gangs of 12 tasks and 3 jobs of 30 tasks are submitted every 250 ms for 4000 ms
+        Then at least 90 percent of the newest jobs were completed within 3000 ms
+        And no run ended alone
+        And no promise was broken
+
+        Examples:
+            | answerMs |
+            | 20       |
+            | 140      |
--- a/features/steps/gangSteps.ts
+++ b/features/steps/gangSteps.ts
@@ -5,7 +5,17 @@
 import assert from "node:assert/strict";
 import { runEnds } from "puffinarch";
 import { cellOf, part, startCell } from "./shardCellPart.js";
-import type { ScenarioWorld } from "./support.js";
+import { partOf, type ScenarioWorld } from "./support.js";
+
+/** A job of a load: when it was submitted, and its number of tasks. */
+interface LoadedJob {
+    readonly sentAtMs: number;
+    readonly tasks: number;
+}
+
+/** The jobs of the newest load, by ID. */
+const newestLoad = (world: ScenarioWorld): Map<string, LoadedJob> =>
+    partOf(world, "gangs", () => new Map<string, LoadedJob>());
 
 /** How long the placement of a gang may take. */
 const placementLimitMs = 2_000;
@@ -28,6 +38,13 @@
     },
 );
 
+Given(
+    "a cell of {int} daemons and {int} workers that answer starts within {int} ms, with tickets that expire",
+    async function(this: ScenarioWorld, members: number, workers: number, startAnswerMs: number) {
+        await startLoadCell(this, { members, workers, startAnswerMs, ticketsExpire: true });
+    },
+);
+
 Given(
     "a cell of {int} daemons and {int} workers that answer starts within {int} ms, where each start costs a daemon {float} ms",
     async function(this: ScenarioWorld, members: number, workers: number, startAnswerMs: number, startMs: number) {
@@ -60,9 +77,12 @@
     ) {
         const cell = cellOf(this);
         const { jobs } = part(this);
+        const sent = newestLoad(this);
+        sent.clear();
         const submit = (steps: string): void => {
             const jobId = jobIdOf(jobs.length + 1);
             jobs.push(jobId);
+            sent.set(jobId, { sentAtMs: cell.clock.monotonicMs(), tasks: Number.parseInt(steps, 10) });
             cell.submit(jobId, readSteps(steps));
         };
         for (let passedMs = 0; passedMs < forMs; passedMs += everyMs) {
@@ -130,6 +150,27 @@
     assert.deepEqual(alone.map(({ taskName, run, workerId }) => `${taskName}#${run}@${workerId}`), []);
 });
 
+Then(
+    "at least {int} percent of the newest jobs were completed within {int} ms",
+    function(this: ScenarioWorld, percent: number, withinMs: number) {
+        const cell = cellOf(this);
+        const load = newestLoad(this);
+        const endsMs = new Map<string, number[]>();
+        for (const { taskName, how, endedAtMs } of cell.workers.evidence) {
+            const jobId = taskName.slice(0, taskName.indexOf("."));
+            if (how === runEnds.done && endedAtMs !== undefined && load.has(jobId)) {
+                endsMs.set(jobId, [...endsMs.get(jobId) ?? [], endedAtMs]);
+            }
+        }
+        const inTime = [...load].filter(([jobId, { sentAtMs, tasks }]) => {
+            const ends = endsMs.get(jobId) ?? [];
+            return ends.length >= tasks && Math.max(...ends) - sentAtMs <= withinMs;
+        });
+        const share = Math.round(100 * inTime.length / load.size);
+        assert.ok(share >= percent, `${share} percent were completed in time`);
+    },
+);
+
 Then("no gang had members more than {int} ms apart", function(this: ScenarioWorld, limitMs: number) {
     const cell = cellOf(this);
     const startsMs = new Map<string, number[]>();
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -143,9 +143,12 @@
     readonly waiters: Set<() => void>;
 }
 
-/** The advisor's ticket for a step on a worker; it is valid for one incarnation of the worker. */
-export const ticketFor = (stepName: string, entry: WorkerEntry | undefined): string =>
-    `${stepName}@${entry?.workerId}@${entry?.bornAtMs}`;
+/** The advisor's ticket for a step on a worker; it is valid for one incarnation of the worker, and until a time where one is given. */
+export const ticketFor = (stepName: string, entry: WorkerEntry | undefined, validUntilMs = Infinity): string =>
+    `${stepName}@${entry?.workerId}@${entry?.bornAtMs}@${validUntilMs}`;
+
+/** Time until which a ticket is valid; `Infinity` for an empty one. */
+const validUntilOf = (ticket: string): number => ticket === "" ? Infinity : Number(ticket.split("@").at(-1));
 
 const stepNameOf = (taskName: string): string => taskName.slice(0, taskName.lastIndexOf("."));
 
@@ -345,9 +348,10 @@
         if (order.run <= (worker.highestRun.get(order.taskName) ?? 0)) {
             return orderOutcomes.stale;
         }
+        const validUntilMs = validUntilOf(order.ticket);
         const isForIncarnation = !checksTickets || order.ticket === ""
-            || order.ticket === ticketFor(stepNameOf(order.taskName), worker.entry);
-        if (!isForIncarnation) {
+            || order.ticket === ticketFor(stepNameOf(order.taskName), worker.entry, validUntilMs);
+        if (!isForIncarnation || clock.monotonicMs() > validUntilMs) {
             return orderOutcomes.badTicket;
         }
         worker.highestRun.set(order.taskName, order.run);
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -227,6 +227,8 @@
     readonly keepsIds?: boolean | undefined;
     /** Whether workers refuse tickets of other incarnations; otherwise a later incarnation can carry out orders for an earlier one. */
     readonly checksTickets?: boolean;
+    /** Whether workers refuse tickets that have expired. */
+    readonly ticketsExpire?: boolean;
     /** Capacity of restarted workers that keep their IDs; the usual one where this is left out. */
     readonly restartCapacity?: Resources;
     /** Working time from one checkpoint of a checkpointing task to the next; tasks save only at stops where this is left out. */
@@ -356,6 +358,7 @@
         crashedDownMs = usualDownMs,
         keepsIds = false,
         checksTickets = false,
+        ticketsExpire = false,
         restartCapacity,
         checkpointIntervalMs,
         checkpointLength,
@@ -589,9 +592,13 @@
         advise: async ({ stepName, workerIds }) => {
             const terms = adviceTermsOf(stepName);
             await wait((terms?.decideMs ?? 0) + (terms?.eachMs ?? 0) * workerIds.length);
+            const validUntilMs = ticketsExpire ? clock.monotonicMs() + (terms?.validMs ?? 0) : Infinity;
             return {
                 good: workerIds.filter(workerId => isAllowed(stepName, workerId))
-                    .map(workerId => ({ workerId, ticket: ticketFor(stepName, workers.entryOf(workerId)) })),
+                    .map(workerId => ({
+                        workerId,
+                        ticket: ticketFor(stepName, workers.entryOf(workerId), validUntilMs),
+                    })),
                 validMs: terms?.validMs ?? 0,
             };
         },
