Explorations with gangs, daemons whose calls cost time, and late answers to starts

No exploration had gangs beside a busy owner, and workers answered within 1 ms, so that starts never waited.

--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -2,7 +2,7 @@
  * Runs seeds with random faults from the command line; exits with 1 where one failed:
  *
  * `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss [--queues N]] [--crashing] [--resizing]
- * [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--saving] [--wide]
+ * [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--saving] [--gangs] [--wide]
  * [--cancelling accepted|sent|mixed] [--draws N] [--broken PART]`
  */
 
@@ -29,6 +29,7 @@
     readonly checkingTickets?: true;
     readonly cancelling?: CancellingMode;
     readonly saving?: true;
+    readonly gangs?: true;
     readonly wide?: true;
     readonly draws: string;
     readonly powerLoss?: true;
@@ -64,6 +65,15 @@
             "powerLoss",
         ]),
     )
+    .addOption(
+        new Option("--gangs", "gangs, busy daemons, and workers that answer starts late").conflicts([
+            "crowded",
+            "failing",
+            "saving",
+            "wide",
+            "powerLoss",
+        ]),
+    )
     .addOption(
         new Option("--wide", "jobs whose tasks take several rows of the store").conflicts([
             "crowded",
@@ -113,6 +123,7 @@
     checkingTickets,
     cancelling,
     saving,
+    gangs,
     wide,
     draws,
     powerLoss,
@@ -149,6 +160,7 @@
         checksTickets: checkingTickets,
         cancelling,
         saving,
+        gangs,
         draw,
         keepsIds: keepingIds,
         crashedDownMs: downMs === undefined ? undefined : Number(downMs),
--- a/packages/stand-ins/src/shard/exploreSeed.ts
+++ b/packages/stand-ins/src/shard/exploreSeed.ts
@@ -8,6 +8,7 @@
     crashingShapes,
     failingShapes,
     firstLongRunningJobNumber,
+    gangShapes,
     jobIdOf,
     longRunningShapes,
     randomShapes,
@@ -136,6 +137,11 @@
 /** Long enough for leases of 5 s to expire. */
 const longFaultSpreadMs = 10_000;
 
+/** With these, the starts of `gangShapes` and the looks take a third of an owner's processor on average, and all of it at times. */
+const busyCosts = { firstLookMs: 5, lookMs: 2, callMs: 0.5, startMs: 1 };
+/** Just below the timeout of starts. */
+const longestStartAnswerMs = 140;
+
 type SubmitJob = (jobId: string, steps: readonly Step[], organisation?: string) => void;
 
 /**
@@ -281,6 +287,8 @@
     readonly delayingOrders?: boolean | undefined;
     /** Submits gangs whose runs save checkpoints for several seconds, and adds faults in which all members of a gang are lost. */
     readonly saving?: boolean | undefined;
+    /** Submits gangs, among jobs with many starts, to daemons for which calls cost time, on workers that answer starts late. */
+    readonly gangs?: boolean | undefined;
     /** Whether workers refuse tickets of other incarnations and the daemons are configured for it. */
     readonly checksTickets?: boolean | undefined;
     /** Lets callers cancel jobs at these moments, and read the accepted jobs that they do not cancel. */
@@ -311,6 +319,7 @@
         capped = false,
         delayingOrders = false,
         saving = false,
+        gangs = false,
         checksTickets = false,
         cancelling,
         draw = 0,
@@ -331,6 +340,7 @@
         checksTickets,
         broken,
         ...(capped ? { organisations } : {}),
+        ...(gangs ? { runsGangsTogether: true, startAnswerMs: longestStartAnswerMs, costs: busyCosts } : {}),
         ...(saving ? { runsGangsTogether: true, durationMs: "estimated", checkpointIntervalMs } : {}),
         ...(failing
             ? {
@@ -372,6 +382,7 @@
         ...(crashing ? { onCrashingJob: jobId => crashingJobs.push(jobId) } : {}),
         ...(failing ? { shapes: completableShapes, onFailingJob: jobId => failingJobs.push(jobId) } : {}),
         ...(saving ? { shapes: savingShapes } : {}),
+        ...(gangs ? { shapes: gangShapes } : {}),
         ...(shapes === undefined ? {} : { shapes }),
         ...(callers === undefined ? {} : { submit: callers.submit }),
         ...(capped ? { organisationOf: job => organisations[job % organisations.length]?.name ?? "" } : {}),
--- a/packages/stand-ins/src/shard/jobShapes.ts
+++ b/packages/stand-ins/src/shard/jobShapes.ts
@@ -62,6 +62,14 @@
     "550 gang of 0 cores",
     "520 of 0 cores checkpointing, 2 after 0",
 ];
+/** Gangs among jobs with many starts, which keep the owner busy. */
+export const gangShapes = [
+    "4 gang of 2 cores",
+    "6 gang",
+    "2, 3 gang of 3 cores after 0",
+    "200 of 0 cores",
+    "2 gang of 5 cores checkpointing",
+];
 /** Long-running jobs with tasks of three sizes; together they take 20 of the 48 cores of six workers. */
 export const longRunningShapes = ["4 long running", "2 long running of 4 cores", "1 long running of 8 cores"];
 /** Number of the first long-running job, above the numbers of all other jobs. */
