Starts without an answer are limited again, by a number that follows the answers

Cause: a turn of the event loop bounds what this process sends and not what workers and the way to them can take; starts timed out there and were repeated.

Change: as many starts as a limit allows are without an answer. The limit grows by one with each answer, to 512, and is halved, to 32 at the least, where starts go unanswered. Gangs leave as a whole in any case. An answer that this process has not read in time does not count as missing, since starts are judged by their calls, not by the timer that makes room for the next.

--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -70,6 +70,7 @@
         startsPerTurn: () => 1,
         send: runs => {
             sent.push(...runs.map(({ task }) => task.name));
+            return [];
         },
     });
     const wide = exampleJob();
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -60,7 +60,7 @@
 import { createShardWorkers } from "./shardWorkers.js";
 import { createOwnerShedding } from "./shedding.js";
 import { createSpeedsReport } from "./speedsReport.js";
-import { createStartQueue, startTurnMs } from "./startQueue.js";
+import { createStartQueue, type StartAnswer, startTurnMs } from "./startQueue.js";
 import { createTaskPlacer } from "./taskPlacer.js";
 import { createTaskReview } from "./taskReview.js";
 import { startUpkeep, type Upkeep } from "./upkeep.js";
@@ -158,6 +158,8 @@
 const doublingLagMs = 250;
 /** Planned starts are sent within this time, a fraction of a ticket's validity; the room that they hold is idle meanwhile. */
 const maxStartQueueMs = 400;
+/** Time after which a start makes room for the next one, with or without an answer. */
+const maxStartAnswerMs = 200;
 /** Most log lines a second about planned starts that were dropped; the counters have all of them. */
 const maxDropLinesPerS = 20;
 /** First looks at all workers take a new owner 1 to 2 s. Callers wait for 3 s in all, so that it counts as settled after this time. */
@@ -536,13 +538,24 @@
         noTicket: run => !hasTicket(run),
     };
 
+    /** Sends a start; resolves once it was answered or given up, or has waited so long that it no longer keeps others back. */
+    const sendStart = async (run: ShardRun): Promise<StartAnswer> => {
+        const ticket = ticketFor(run.task.step, run.workerId, clock.monotonicMs()) ?? "";
+        await Promise.race([workers.start(run, ticket), sleep(clock, maxStartAnswerMs)]);
+        if (run.phase !== runPhases.starting) {
+            return "answered";
+        }
+        // Set once the order counts as unanswered; the timer above may fire before an answer that has arrived was read.
+        return run.absenceProvenAfterMs === undefined ? "open" : "unanswered";
+    };
+
     const dropLines = createBucket(clock, () => maxDropLinesPerS);
 
     /** Sends a start, or the members of a gang: none of these is sent where one of them cannot be, since the others would wait for it. */
-    const sendStarts = (runs: readonly ShardRun[], queuedMs: number): void => {
+    const sendStarts = (runs: readonly ShardRun[], queuedMs: number): readonly Promise<StartAnswer>[] => {
         const [first] = runs;
         if (first === undefined) {
-            return;
+            return [];
         }
         meter.record("startQueuedMs", queuedMs);
         const { step } = first.task;
@@ -559,13 +572,13 @@
                 });
             }
             dropPlanned(runs);
-            return;
+            return [];
         }
         progress.recordStart();
-        for (const run of runs) {
+        return runs.map(run => {
             leavePlanned(run);
-            void workers.start(run, ticketFor(step, run.workerId, clock.monotonicMs()) ?? "");
-        }
+            return sendStart(run);
+        });
     };
 
     const starts = createStartQueue({ clock, startsPerTurn, send: sendStarts });
--- a/packages/puffinarch/src/core/shard/startQueue.ts
+++ b/packages/puffinarch/src/core/shard/startQueue.ts
@@ -1,7 +1,8 @@
 /**
  * Queue of start orders. An order counts as unanswered after a fixed time; if the starts of a wide job were all sent at once, most of
- * them would time out in this process and be repeated. The queue therefore sends a limited number in each turn of the event loop, so
- * that its pace follows the load of this process and not the time that workers take to answer.
+ * them would time out and be repeated. The queue therefore sends a limited number in each turn of the event loop, so that its pace
+ * follows the load of this process. How many may be without an answer grows with each answer and shrinks with each start that gets none, so
+ * that neither slow answers nor overloaded workers set the pace for good.
  */
 
 import type { Clock } from "../../types/ports.js";
@@ -12,10 +13,16 @@
     readonly clock: Clock;
     /** Most starts that are sent in one turn of the event loop. */
     readonly startsPerTurn: () => number;
-    /** Sends the orders for runs that leave the queue together, or drops the runs; `queuedMs` is how long they have waited. */
-    readonly send: (runs: readonly ShardRun[], queuedMs: number) => void;
+    /**
+     * Sends the orders for runs that leave the queue together, or drops the runs; `queuedMs` is how long they have waited. Returns what
+     * becomes of each order that was sent.
+     */
+    readonly send: (runs: readonly ShardRun[], queuedMs: number) => readonly Promise<StartAnswer>[];
 }
 
+/** What became of a start order: `open` where it is not known yet whether the worker answers it in time. */
+export type StartAnswer = "answered" | "unanswered" | "open";
+
 /** Sends start orders, those of different jobs in turn. */
 export interface StartQueue {
     /** Adds runs of one job, in the order in which they are to be sent. Members of a gang are sent without other starts between them. */
@@ -27,6 +34,13 @@
 /** Time after which a turn ends although it may send more; answers, pings and commits wait meanwhile. */
 const longestTurnMs = 25;
 
+/** Fewest and most starts without an answer, and how many there may be at first; gangs leave as a whole in any case. */
+const minInFlight = 32;
+const maxInFlight = 512;
+const firstInFlight = 128;
+/** The limit is reduced once in this time: starts that were sent together are lost together. */
+const reducePauseMs = 200;
+
 /** Runs of one job that wait to be sent, and when they were added. */
 interface Waiting {
     readonly runs: ShardRun[];
@@ -37,7 +51,7 @@
  * Creates an empty queue.
  *
  * @example
- * const starts = createStartQueue({ clock, startsPerTurn: () => 64, send: runs => runs.forEach(run => link.start(run)) });
+ * const starts = createStartQueue({ clock, startsPerTurn: () => 64, send: runs => runs.map(run => link.start(run)) });
  * starts.add(runs);
  */
 export const createStartQueue = ({ clock, startsPerTurn, send }: StartQueueOptions): StartQueue => {
@@ -46,9 +60,12 @@
     let leftInTurn = startsPerTurn();
     let turnBeganAtMs = clock.monotonicMs();
     let isTurnScheduled = false;
+    let inFlight = 0;
+    let inFlightLimit = firstInFlight;
+    let reducedAtMs = -Infinity;
 
-    /** Takes one start: a run, or as many members of a gang as this turn has left. */
-    const takeNext = (most: number): Waiting | undefined => {
+    /** Takes one start: a run, or as many members of a gang as a turn sends. */
+    const takeNext = (): Waiting | undefined => {
         for (const [jobId, batches] of waiting) {
             const [batch] = batches;
             if (batch === undefined) {
@@ -57,7 +74,7 @@
             }
             const { runs, sinceMs } = batch;
             const isGang = runs[0]?.task.step.spec.gang === true;
-            const taken = runs.splice(0, isGang ? most : 1);
+            const taken = runs.splice(0, isGang ? startsPerTurn() : 1);
             if (runs.length === 0) {
                 batches.shift();
             }
@@ -78,15 +95,45 @@
         turnBeganAtMs = clock.monotonicMs();
     };
 
+    const isOpen = (): boolean =>
+        leftInTurn > 0 && inFlight < inFlightLimit && clock.monotonicMs() - turnBeganAtMs < longestTurnMs;
+
+    /** How each outcome changes the limit. */
+    const adjustLimit: Readonly<Record<StartAnswer, () => void>> = {
+        answered: () => {
+            inFlightLimit = Math.min(maxInFlight, inFlightLimit + 1);
+        },
+        unanswered: () => {
+            const nowMs = clock.monotonicMs();
+            if (nowMs - reducedAtMs >= reducePauseMs) {
+                reducedAtMs = nowMs;
+                inFlightLimit = Math.max(minInFlight, inFlightLimit / 2);
+            }
+        },
+        open: () => {},
+    };
+
+    const settle = async (answer: Promise<StartAnswer>): Promise<void> => {
+        inFlight += 1;
+        adjustLimit[await answer]();
+        inFlight -= 1;
+        if (!isTurnScheduled) {
+            beginTurn();
+        }
+        sendWaiting();
+    };
+
     const sendWaiting = (): void => {
-        while (leftInTurn > 0 && clock.monotonicMs() - turnBeganAtMs < longestTurnMs) {
-            const next = takeNext(leftInTurn);
+        while (isOpen()) {
+            const next = takeNext();
             if (next === undefined) {
                 return;
             }
             leftInTurn -= next.runs.length;
             scheduleTurn();
-            send(next.runs, clock.monotonicMs() - next.sinceMs);
+            for (const answer of send(next.runs, clock.monotonicMs() - next.sinceMs)) {
+                void settle(answer);
+            }
         }
     };
 
