Starts of a withdrawn job that leave the queue do not bring the job back

Found in the reading of the change: a job whose acceptance was withdrawn has lost its planned runs, but the queue's drop committed the job and handed it to the task placer again.

--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -479,18 +479,19 @@
         }
     };
 
-    /** Gives up planned starts of a job of which no order was sent. */
+    /** Gives up planned starts of a job of which no order was sent. Those of a job that was withdrawn are gone already. */
     const dropPlanned = (runs: readonly ShardRun[]): void => {
-        const [first] = runs;
+        let droppedOf: ShardJob | undefined;
         for (const run of runs) {
             const worker = workers.all.get(run.workerId);
-            if (worker !== undefined && run.phase === runPhases.planned) {
+            if (worker !== undefined && run.phase === runPhases.planned && run.task.runs.includes(run)) {
                 dropRun(worker, run);
+                droppedOf = jobOf(run);
             }
             leavePlanned(run);
         }
-        if (first !== undefined) {
-            void commitChange(jobOf(first));
+        if (droppedOf !== undefined) {
+            void commitChange(droppedOf);
         }
     };
 
@@ -521,7 +522,15 @@
     const hasTicket = ({ task, workerId }: ShardRun): boolean =>
         ticketFor(task.step, workerId, clock.monotonicMs()) !== undefined;
 
-    /** Returns why a planned start is not sent now; undefined where it may be sent. */
+    /** Reasons for which a planned start is not sent. */
+    const startProblems: Readonly<Record<string, (run: ShardRun) => boolean>> = {
+        closed: () => closed,
+        jobEnded: run => hasEnded(jobOf(run)),
+        notStartable: run => !isStartable(run),
+        unanswered: isBehindUnanswered,
+        noTicket: run => !hasTicket(run),
+    };
+
     const startProblemOf = (run: ShardRun): string | undefined => {
         for (const [problem, applies] of Object.entries(startProblems)) {
             if (applies(run)) {
@@ -530,13 +539,6 @@
         }
         return undefined;
     };
-    const startProblems: Readonly<Record<string, (run: ShardRun) => boolean>> = {
-        closed: () => closed,
-        jobEnded: run => hasEnded(jobOf(run)),
-        notStartable: run => !isStartable(run),
-        unanswered: isBehindUnanswered,
-        noTicket: run => !hasTicket(run),
-    };
 
     /** Sends a start; resolves once it was answered or given up, or has waited so long that it no longer keeps others back. */
     const sendStart = async (run: ShardRun): Promise<StartAnswer> => {
--- a/packages/puffinarch/src/core/shard/startQueue.ts
+++ b/packages/puffinarch/src/core/shard/startQueue.ts
@@ -113,6 +113,7 @@
         open: () => {},
     };
 
+    /** Counts a start that was sent until it is known what became of it, and adjusts the limit by that. */
     const settle = async (answer: Promise<StartAnswer>): Promise<void> => {
         inFlight += 1;
         adjustLimit[await answer]();
