--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -479,20 +479,18 @@
         }
     };
 
-    /** Gives up planned starts of a job of which no order was sent. Those of a job that was withdrawn are gone already. */
-    const dropPlanned = (runs: readonly ShardRun[]): void => {
-        let droppedOf: ShardJob | undefined;
+    /** Frees the capacity of planned starts; returns whether there were any, since those of a job that was withdrawn are gone already. */
+    const freePlanned = (runs: readonly ShardRun[]): boolean => {
+        let freed = false;
         for (const run of runs) {
             const worker = workers.all.get(run.workerId);
             if (worker !== undefined && run.phase === runPhases.planned && run.task.runs.includes(run)) {
                 dropRun(worker, run);
-                droppedOf = jobOf(run);
+                freed = true;
             }
             leavePlanned(run);
         }
-        if (droppedOf !== undefined) {
-            void commitChange(droppedOf);
-        }
+        return freed;
     };
 
     /**
@@ -504,13 +502,7 @@
             return;
         }
         taskPlacer.removeJob(job);
-        for (const run of [...runsOf(job)].filter(({ phase }) => phase === runPhases.planned)) {
-            const worker = workers.all.get(run.workerId);
-            if (worker !== undefined) {
-                dropRun(worker, run);
-            }
-            leavePlanned(run);
-        }
+        freePlanned([...runsOf(job)].filter(({ phase }) => phase === runPhases.planned));
     };
 
     /** Whether the worker has left a start unanswered while this one was queued, which would most likely be lost as well. */
@@ -573,7 +565,9 @@
                     queuedMs: Math.round(queuedMs),
                 });
             }
-            dropPlanned(runs);
+            if (freePlanned(runs)) {
+                void commitChange(jobOf(first));
+            }
             return [];
         }
         progress.recordStart();
