Log line ownerLoad: what keeps tasks waiting, the owner, the store or capacity

Change: once a second while steps wait, the owner logs ownerLoad; the histogram passMs has the duration of passes. An example of the module; the line stands in the operators' table. Result: no change of behaviour; the features' examples pass.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -77,6 +77,7 @@
             | commitMonitor        | commits, then quiet                     |
             | configurationFetch   | asked 1 time for 3 offers               |
             | handOver             | claimed by a peer                       |
+            | loadReport           | 12 steps wait, 500 planned, 8 cores free |
             | ownerProgress        | nothingStarted for 3000 ms, news of 500 ms ago |
             | ownerWatch           | 7 restarted                             |
             | peers                | 1 daemon, then entry-1 and entry-2      |
--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -8,6 +8,7 @@
     countShortTenures,
     createCommitMonitor,
     createConfigurationFetch,
+    createLoadReport,
     createOwnerProgress,
     createPartitionWatch,
     createPeers,
@@ -25,7 +26,7 @@
     watchOwner,
     watchReadiness,
 } from "puffinarch";
-import { log, meter, owner, part, submission } from "./shardFixtures.js";
+import { log, meter, openWorker, owner, part, submission } from "./shardFixtures.js";
 
 const claim = async (): Promise<string> => {
     const clock = createFakeClock();
@@ -284,6 +285,30 @@
     return lines.join("; ");
 };
 
+const loadReport = (): string => {
+    const lines: string[] = [];
+    const report = createLoadReport({
+        clock: createFakeClock(),
+        log: {
+            write: (_level, _event, fields) =>
+                lines.push(
+                    `${fields["waitingSteps"]} steps wait, ${fields["plannedStarts"]} planned, ${
+                        fields["freeCores"]
+                    } cores free`,
+                ),
+        },
+        meter,
+        lagMs: () => 0,
+        planned: () => ({ starts: 500, free: 0 }),
+        queue: () => ({ queued: 0, inFlight: 0, inFlightLimit: 128 }),
+        stalledMs: () => 300,
+        workers: new Map([["i-1", openWorker()]]),
+    });
+    report.write(0);
+    report.write(12);
+    return lines.join("; ");
+};
+
 const cellMember = async (): Promise<string> => {
     const cell = createShardCell({ members: 3, workers: 2, seed: 1 });
     await cell.clock.advance(2_000);
@@ -309,6 +334,7 @@
     commitMonitor,
     configurationFetch,
     handOver: handOverExample,
+    loadReport,
     ownerProgress,
     ownerWatch,
     partition,
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -49,6 +49,7 @@
     stepNameOf,
 } from "./jobModel.js";
 import { decodeEnded, encodeJob, recordWritten, restoreJobs } from "./jobRows.js";
+import { createLoadReport } from "./loadReport.js";
 import { createOwnerProgress } from "./ownerProgress.js";
 import { readAllRows } from "./readRows.js";
 import { createRowReader } from "./rowReader.js";
@@ -579,6 +580,17 @@
 
     const starts = createStartQueue({ clock, startsPerTurn, send: sendStarts });
 
+    const loadReport = createLoadReport({
+        clock,
+        log,
+        meter,
+        lagMs: () => lagMs,
+        planned: () => ({ starts: plannedStarts.size, free: freeStarts() }),
+        queue: starts.load,
+        stalledMs: commits.stalledMs,
+        workers: workers.all,
+    });
+
     const startPlanned = (job: ShardJob, runs: readonly ShardRun[]): void => {
         if (commits.setAsideReason(job.submission.jobId) !== undefined) {
             abandonStarts(job);
@@ -638,6 +650,7 @@
                 const beganAtMs = clock.monotonicMs();
                 taskPlacer.runPass();
                 passMs = clock.monotonicMs() - beganAtMs;
+                loadReport.recordPass(passMs);
             }
         });
     };
@@ -711,6 +724,7 @@
             review.run();
             speedsReport.review();
             progress.review(taskPlacer.waitingSteps());
+            loadReport.write(taskPlacer.waitingSteps());
             reviewAccounts();
         }
         if (taskPlacer.activeSteps() > 0) {
--- a/packages/puffinarch/src/core/shard/startQueue.ts
+++ b/packages/puffinarch/src/core/shard/startQueue.ts
@@ -23,10 +23,20 @@
 /** What became of a start order: `open` where it is not known yet whether the worker answers it in time. */
 export type StartAnswer = "answered" | "unanswered" | "open";
 
+/** What a queue holds and how much it may send. */
+export interface StartQueueLoad {
+    /** Starts that wait to be sent. */
+    readonly queued: number;
+    /** Starts that were sent and have no answer yet, and how many there may be. */
+    readonly inFlight: number;
+    readonly inFlightLimit: number;
+}
+
 /** Sends start orders, those of different jobs in turn. */
 export interface StartQueue {
     /** Adds runs of one job, in the order in which they are to be sent. Members of a gang are sent without other starts between them. */
     add(runs: readonly ShardRun[]): void;
+    load(): StartQueueLoad;
 }
 
 /** Pause between two turns; while the process is busy, the next turn comes later than this. */
@@ -164,5 +174,9 @@
             }
             sendWaiting();
         },
+        load: () => {
+            const queued = [...waiting.values()].flat().reduce((sum, { runs }) => sum + runs.length, 0);
+            return { queued, inFlight, inFlightLimit };
+        },
     };
 };
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -66,6 +66,7 @@
 export * from "./core/shard/jobModel.js";
 export * from "./core/shard/jobRows.js";
 export * from "./core/shard/jobRowSchemas.js";
+export * from "./core/shard/loadReport.js";
 export * from "./core/shard/localRefusals.js";
 export * from "./core/shard/lookSlots.js";
 export * from "./core/shard/lostRuns.js";
