Planned starts are limited by what can be sent, not by the time that their commits take

What callers saw: while the store is slow, most jobs are late although workers have room, and the backlog that is left keeps the owner busy for seconds after that.

Cause: at most 500 starts may be planned and not sent. A start is planned while it waits for its commit, so that a store that takes 240 ms, for the batch before and for its own, limited the rate of starts to 500 in that time, whatever the load.

Change: as many starts more may be planned as this daemon can send while commits take the time that they take now, up to 800 ms of it.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -59,3 +59,11 @@
             | answerMs |
             | 20       |
             | 140      |
+
+    # Guards against a slow store that sets the rate of starts, by a bound on planned ones that counts those waiting for their commit.
+    Scenario: Jobs are completed within their objective while the store is slow
+        Given a cell of 6 daemons and 40 workers that answer starts within 20 ms, with tickets that expire
+        When the fault "store slow" comes
+        And 5 jobs of steps "40 of 0 cores" are submitted every 100 ms for 4000 ms
+        Then at least 90 percent of the newest jobs were completed within 2200 ms
+        And no promise was broken
--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -162,6 +162,7 @@
         setAsideReason: () => undefined,
         withdraw: () => true,
         stalledMs: () => 5_000,
+        expectedWaitMs: () => 0,
         answeredAtMs: () => 0,
         idle: async () => {},
         probe: () => {},
--- a/features/steps/gangSteps.ts
+++ b/features/steps/gangSteps.ts
@@ -64,6 +64,30 @@
     },
 );
 
+/** Submits the same jobs again and again, each given by its steps, and waits for as long again. */
+const submitLoad = async (
+    world: ScenarioWorld,
+    shapes: readonly string[],
+    { everyMs, forMs }: { readonly everyMs: number; readonly forMs: number; },
+): Promise<void> => {
+    const cell = cellOf(world);
+    const { jobs } = part(world);
+    const sent = newestLoad(world);
+    sent.clear();
+    for (let passedMs = 0; passedMs < forMs; passedMs += everyMs) {
+        for (const steps of shapes) {
+            const jobId = jobIdOf(jobs.length + 1);
+            jobs.push(jobId);
+            sent.set(jobId, { sentAtMs: cell.clock.monotonicMs(), tasks: Number.parseInt(steps, 10) });
+            cell.submit(jobId, readSteps(steps));
+        }
+        await cell.clock.advance(everyMs);
+    }
+    await cell.clock.advance(forMs);
+};
+
+const repeat = (count: number, steps: string): readonly string[] => Array.from({ length: count }, () => steps);
+
 When(
     "{int} gangs of {int} tasks and {int} jobs of {int} tasks are submitted every {int} ms for {int} ms",
     async function(
@@ -75,26 +99,15 @@
         everyMs: number,
         forMs: number,
     ) {
-        const cell = cellOf(this);
-        const { jobs } = part(this);
-        const sent = newestLoad(this);
-        sent.clear();
-        const submit = (steps: string): void => {
-            const jobId = jobIdOf(jobs.length + 1);
-            jobs.push(jobId);
-            sent.set(jobId, { sentAtMs: cell.clock.monotonicMs(), tasks: Number.parseInt(steps, 10) });
-            cell.submit(jobId, readSteps(steps));
-        };
-        for (let passedMs = 0; passedMs < forMs; passedMs += everyMs) {
-            for (let index = 0; index < others; index += 1) {
-                submit(`${otherTasks}`);
-            }
-            for (let index = 0; index < gangs; index += 1) {
-                submit(`${gangTasks} gang`);
-            }
-            await cell.clock.advance(everyMs);
-        }
-        await cell.clock.advance(forMs);
+        const shapes = [...repeat(others, `${otherTasks}`), ...repeat(gangs, `${gangTasks} gang`)];
+        await submitLoad(this, shapes, { everyMs, forMs });
+    },
+);
+
+When(
+    "{int} jobs of steps {string} are submitted every {int} ms for {int} ms",
+    async function(this: ScenarioWorld, count: number, steps: string, everyMs: number, forMs: number) {
+        await submitLoad(this, repeat(count, steps), { everyMs, forMs });
     },
 );
 
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -54,6 +54,8 @@
     commit(jobId: string): Promise<void>;
     /** Milliseconds since the batch in flight was first sent; 0 without one. */
     stalledMs(): number;
+    /** How long a change that is made now waits until it is durable, in ms: for the batch in flight, and for its own. */
+    expectedWaitMs(): number;
     /** Local time of the store's newest answer. */
     answeredAtMs(): number;
     /** Resolves when all changes are written. */
@@ -160,6 +162,8 @@
     let confirmations: (() => void)[] = [];
     let stopped = false;
     let answeredAtMs = clock.monotonicMs();
+    /** Duration of the newest batch that was committed. */
+    let newestCommitMs = 0;
 
     const writer = createBatchWriter({
         ...options,
@@ -305,7 +309,8 @@
     const finishBatch = (batch: InFlightBatch, version: number): void => {
         sequenceVersion = version;
         options.onCommitted?.(version);
-        meter.record("commitMs", clock.monotonicMs() - batch.sentAtMs);
+        newestCommitMs = clock.monotonicMs() - batch.sentAtMs;
+        meter.record("commitMs", newestCommitMs);
         for (const [jobId, change] of batch.changes) {
             options.onWritten?.(jobId, change);
             writtenAlone.delete(jobId);
@@ -361,6 +366,8 @@
         }
     };
 
+    const stalledMs = (): number => inFlight === undefined ? 0 : clock.monotonicMs() - inFlight.sentAtMs;
+
     const confirm = (): Promise<void> =>
         new Promise(resolve => {
             confirmations.push(resolve);
@@ -393,7 +400,8 @@
                 }
             }),
         answeredAtMs: () => answeredAtMs,
-        stalledMs: () => inFlight === undefined ? 0 : clock.monotonicMs() - inFlight.sentAtMs,
+        stalledMs,
+        expectedWaitMs: () => 2 * Math.max(newestCommitMs, stalledMs()),
         idle: () =>
             !stopped && isDraining
                 ? new Promise(resolve => {
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -149,10 +149,15 @@
  */
 const passRestFactor = 2;
 /**
- * Most starts, other than those of gangs, that are planned and not sent. The others keep their tasks waiting, so that the most urgent of
- * them is next.
+ * Most starts, other than those of gangs, that are planned and not sent, where commits take no time. The others keep their tasks waiting,
+ * so that the most urgent of them is next.
  */
 const maxStartsPlanned = 500;
+/**
+ * Longest wait for a commit in which as many starts more are planned as this daemon can send meanwhile. With a store that takes longer,
+ * they are planned with tickets that end soon after the commit.
+ */
+const maxCommitWaitMs = 800;
 /** Starts that an idle daemon sends in one turn of the event loop, in much less than the 150 ms after which one counts as unanswered. */
 const usualStartsPerTurn = 128;
 /** Lateness of timers at which a turn sends twice as many: turns are rarer then, for reasons other than the starts. */
@@ -456,11 +461,16 @@
 
     const startsPerTurn = (): number => Math.round(usualStartsPerTurn * (1 + presentLagMs() / doublingLagMs));
 
-    /** How many more starts may be planned: as many as this daemon can send soon, at the pace that its present load allows. */
+    /**
+     * How many more starts may be planned: as many as this daemon can send soon, at the pace that its present load allows, and as many as
+     * it could send while they wait for their commit. Without the latter, a slow store would limit the rate of starts.
+     */
     const freeStarts = (): number => {
         const inTurn = startsPerTurn();
         const inTime = inTurn * maxStartQueueMs / (startTurnMs + presentLagMs());
-        const most = Math.floor(Math.min(maxStartsPlanned, Math.max(inTurn, inTime)));
+        const sentSoon = Math.min(maxStartsPlanned, Math.max(inTurn, inTime));
+        const commitWaitMs = Math.min(maxCommitWaitMs, commits.expectedWaitMs());
+        const most = Math.floor(sentSoon * (1 + commitWaitMs / maxStartQueueMs));
         if (plannedStarts.size >= most) {
             // The starts of a job that was withdrawn have ended without an order.
             for (const run of plannedStarts) {
