Starts do not count as unanswered because their owner is late

What callers saw: after a burst, an owner that was overloaded in it went on serving next to nothing, for as long as the load lasted that it had carried before.

Cause: a start without an answer within 150 ms is given up. On an owner whose event loop takes longer for a turn, the time passes before the order is sent or the answer is read. Each such start costs a commit, looks, an order that makes the worker refuse it, and a rest of the worker, in which other starts for it are dropped, planned and advised anew. So the owner stays late. Looks have had a time-out that follows the owner's own delay; starts had not.

Change: the time-out of a start is longer by two turns of the event loop, as late as timers are now, up to 600 ms.

Test: features/overload.feature, 'A start that is answered within 340 ms, by an owner that is 100 ms late, is running', which was unanswered before the change.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -42,6 +42,18 @@
         When an owner that is 60 ms late looks at a worker that never answers again
         Then its leases have certainly expired 10500 ms after its last answer
 
+    # Guards against an overloaded owner that gives up starts because it is late to send them or to read the answers.
+    Scenario Outline: A start that is answered within <answerMs> ms, by an owner that is <lateMs> ms late, is <outcome>
+        When an owner that is <lateMs> ms late sends a start that is answered after <answerMs> ms
+        Then the sent start is "<outcome>"
+
+        Examples:
+            | lateMs | answerMs | outcome    |
+            | 0      | 140      | running    |
+            | 0      | 160      | unanswered |
+            | 100    | 340      | running    |
+            | 1000   | 650      | unanswered |
+
     # Guards against starts that wait for longer than their tickets are valid, and are refused and planned again without end.
     Scenario Outline: Jobs are completed in time from 5 s after the return of all daemons on, with starts that are answered within <answerMs> ms
         Given a cell of 3 daemons and 60 workers that answer starts within <answerMs> ms, with tickets that expire
--- a/features/steps/shardCellPart.ts
+++ b/features/steps/shardCellPart.ts
@@ -48,6 +48,8 @@
     readonly acknowledged: number[];
     /** Time from the last answer of a worker until its leases have certainly expired. */
     leasesExpiredAfterMs: number;
+    /** "unanswered", or the phase of the run of a start that was sent alone. */
+    startOutcome: string;
     isPeerSilent: boolean | undefined;
     /** The answers to a job and to its resend, followed by `known` or `unknown` for the job. */
     resendAnswers: string[];
@@ -83,6 +85,7 @@
             looksSent: 0,
             acknowledged: [],
             leasesExpiredAfterMs: 0,
+            startOutcome: "",
             isPeerSilent: undefined,
             resendAnswers: [],
         }),
--- a/features/steps/shardLookSteps.ts
+++ b/features/steps/shardLookSteps.ts
@@ -4,6 +4,7 @@
 import { createFakeClock, type FakeClock, noopLog, noopMeter, workerEntry } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
+    adoptRun,
     createDelayedStarts,
     createFirstLooks,
     createLookSlots,
@@ -12,10 +13,13 @@
     type FencedWorkerPort,
     newWorker,
     openWorkerLink,
+    runPhases,
     type ShardWorker,
     sleep,
     type WorkerLink,
+    type WorkerLinkOptions,
 } from "puffinarch";
+import { exampleJob, openWorker, runOf } from "./examples/shardFixtures.js";
 import { part } from "./shardCellPart.js";
 import type { ScenarioWorld } from "./support.js";
 
@@ -55,14 +59,19 @@
     assert.equal(part(this).looksSent, count);
 });
 
-/** Opens a link to a worker that answers looks by `look` and leaves all orders unanswered. */
-const openLinkTo = (worker: ShardWorker, clock: FakeClock, look: FencedWorkerPort["look"]): WorkerLink =>
+/** Opens a link to a worker that answers looks by `look` and leaves all orders unanswered, except for what `more` changes. */
+const openLinkTo = (
+    worker: ShardWorker,
+    clock: FakeClock,
+    look: FencedWorkerPort["look"],
+    { start = async () => "unknown", ...more }: Partial<WorkerLinkOptions & Pick<FencedWorkerPort, "start">> = {},
+): WorkerLink =>
     openWorkerLink(worker, {
         clock,
         log: noopLog,
         meter: noopMeter,
         workers: {
-            start: async () => "unknown",
+            start,
             stop: async () => "unknown",
             pace: async () => "unknown",
             look,
@@ -85,6 +94,7 @@
         onNotStarted: () => {},
         onStarted: () => {},
         onUnanswered: async () => {},
+        ...more,
     });
 
 When(
@@ -107,6 +117,41 @@
     },
 );
 
+When(
+    "an owner that is {int} ms late sends a start that is answered after {int} ms",
+    async function(this: ScenarioWorld, lateMs: number, answerMs: number) {
+        const clock = createFakeClock();
+        const worker = openWorker();
+        const run = { ...runOf(exampleJob()), phase: runPhases.starting };
+        adoptRun(worker, run);
+        const lines: string[] = [];
+        const link = openLinkTo(
+            worker,
+            clock,
+            async () => {
+                await sleep(clock, 10);
+                return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: [] };
+            },
+            {
+                lagMs: () => lateMs,
+                log: { write: (_level, event) => lines.push(event) },
+                start: async (_target, _order, timeoutMs) => {
+                    await sleep(clock, Math.min(answerMs, timeoutMs));
+                    return answerMs <= timeoutMs ? "done" : "unknown";
+                },
+            },
+        );
+        void link.start(run, "t");
+        await clock.advance(1_000);
+        link.close();
+        part(this).startOutcome = lines.includes("startUnanswered") ? "unanswered" : run.phase;
+    },
+);
+
+Then("the sent start is {string}", function(this: ScenarioWorld, outcome: string) {
+    assert.equal(part(this).startOutcome, outcome);
+});
+
 When(
     "ends up to {int} are durable and looks are {string}",
     async function(this: ScenarioWorld, acknowledgedEnd: number, text: string) {
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -15,6 +15,10 @@
 
 /** Timeout of a start, whose round trip takes some milliseconds; beyond it, a look shows sooner whether the start was carried out. */
 const startTimeoutMs = 150;
+/** Turns of this process's event loop that a start and its answer wait for; each lasts about as long as timers are late. */
+const turnsPerStart = 2;
+/** Longest timeout of a start; a worker that has lost it is noticed by then also by an owner that is late itself. */
+const maxStartTimeoutMs = 600;
 const minStopTimeoutMs = 150;
 const maxStopTimeoutMs = 600;
 
@@ -31,6 +35,7 @@
         | "unansweredStartMs"
         | "ticketsNameIncarnation"
         | "delayedStarts"
+        | "lagMs"
     >
 {
     readonly worker: ShardWorker;
@@ -75,6 +80,10 @@
     const { clock, log, meter, workers, worker, target, leaseMs, delayedStarts, orderPauseMs, isClosed, endsLink } =
         options;
 
+    /** A start must not count as unanswered because this process was late to send it or to read its answer. */
+    const startTimeout = (): number =>
+        Math.min(maxStartTimeoutMs, startTimeoutMs + turnsPerStart * (options.lagMs?.() ?? 0));
+
     const isStarting = (run: ShardRun): boolean =>
         !isClosed() && run.phase === runPhases.starting && worker.runs.has(runKey(run.task.name, run.run));
 
@@ -143,7 +152,7 @@
             fencingToken: options.token(),
             checkpoint: run.checkpoint,
             ticket,
-        }, startTimeoutMs);
+        }, startTimeout());
         meter.count(`starts.${outcome}`);
         if (outcome === orderOutcomes.unknown) {
             delayedStarts.record(worker.workerId, { taskName: run.task.name, run: run.run });
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -387,6 +387,7 @@
         port: options.workers,
         fencingToken,
         newestToken: () => newestVersion,
+        lagMs: () => presentLagMs(),
         jobOf: jobId => jobs.get(jobId),
         changed: job => commitChange(job),
         onNextIncarnation: workerId => {
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -42,6 +42,8 @@
     readonly fencingToken: number;
     /** Highest token that surely belongs to this owner now; defaults to `fencingToken`. */
     readonly newestToken?: () => number;
+    /** How late timers of this process fire now, in ms; never late where it is left out. */
+    readonly lagMs?: () => number;
     readonly jobOf: (jobId: string) => ShardJob | undefined;
     /** Called when a job has changed; resolves once the change is durable. */
     readonly changed: (job: ShardJob) => Promise<void>;
@@ -312,6 +314,7 @@
             orderPauseMs: settings.orderPauseMs,
             unansweredStartMs: settings.unansweredStartMs,
             ticketsNameIncarnation: settings.ticketsNameIncarnation,
+            lagMs: options.lagMs,
             onLook: async (seen, look, sentAtMs) => {
                 const wereRunsKnown = seen.runsKnown;
                 watch.countCrashes(seen.workerId, lostRuns.answered(seen));
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -56,6 +56,8 @@
     readonly unansweredStartMs: number;
     /** Whether workers refuse tickets that were issued for another incarnation. */
     readonly ticketsNameIncarnation: boolean;
+    /** How late timers of this process fire now, in ms; never late where it is left out. */
+    readonly lagMs?: (() => number) | undefined;
     /** Called with the answer to a look; resolves when the next look may be sent. */
     readonly onLook: (
         worker: ShardWorker,
