Calls to the advisor are not made twice because their owner is late

What callers saw: an overloaded owner got fewer tickets the later it was; steps waited seconds for advice beside free cores.

A call that is not answered 250 ms after the advisor should be done goes to a second lane, and it fails after 400 ms. On an owner whose event loop takes 150 ms for a turn, the answer has arrived by then and is not read. Each call is then made twice, which takes lanes from the others and gives the owner more answers to read.

Change: both times are longer by two turns of the event loop, as late as timers are now, and by 500 ms at the most.

Test: features/advisorLanes.feature, 'A daemon that is 200 ms late makes 1 calls for a step while 0 of 9 lanes hang'; two calls before. With a lane that hangs the step is advised within 2,500 ms as before.

--- a/features/advisorLanes.feature
+++ b/features/advisorLanes.feature
@@ -58,3 +58,15 @@
     Scenario: Quick calls of a busy owner queue at the advisor
         When 40 steps ask at once through 2 lanes, whose calls take 15 ms and are read 100 ms late
         Then 40 of them are advised within 1000 ms
+
+    # Guards against an overloaded owner that makes each call twice because it is late to read the first answer.
+    Scenario Outline: A daemon that is 200 ms late makes <calls> calls for a step while <hanging> of 9 lanes hang
+        Given an advice desk with 9 lanes, whose calls take 500 ms, of a daemon that is 200 ms late
+        And <hanging> of its lanes hang for good
+        When a step asks until it is advised
+        Then it is advised within 2500 ms, after <calls> calls at the most
+
+        Examples:
+            | hanging | calls |
+            | 0       | 1     |
+            | 1       | 2     |
--- a/features/steps/advisorLaneSteps.ts
+++ b/features/steps/advisorLaneSteps.ts
@@ -37,39 +37,55 @@
 const limitMs = 60_000;
 const tickMs = 10;
 
+/** Opens an advice desk on a daemon whose event loop takes `lateMs` for a turn; each call and its answer wait for one. */
+const openDesk = (
+    world: ScenarioWorld,
+    { lanes, callMs, lateMs }: { readonly lanes: number; readonly callMs: number; readonly lateMs: number; },
+): void => {
+    const clock = createFakeClock();
+    const laneIds = Array.from({ length: lanes }, (_, index) => `entry-${index}`);
+    const hangs = new Map<string, () => boolean>();
+    const asked: string[] = [];
+    const desk = createAdviceDispatcher({
+        clock,
+        log: noopLog,
+        meter: noopMeter,
+        lanes: () => laneIds,
+        call: async (lane, { stepName, timeoutMs }) => {
+            asked.push(lane);
+            if (hangs.get(lane)?.() === true) {
+                await sleep(clock, timeoutMs);
+                throw errorOf({ kind: "unavailable", message: "no answer" });
+            }
+            await sleep(clock, 2 * lateMs + (stepName === "quick" ? quickCallMs : callMs));
+            return { good: [], validMs: 2_000 };
+        },
+        lagMs: () => lateMs,
+    });
+    partOf<Part>(world, partName, () => ({
+        clock,
+        desk,
+        laneIds,
+        callMs,
+        hangs,
+        asked,
+        outageEndsAtMs: 0,
+        newest: undefined,
+        waits: { slow: [], quick: [] },
+    }));
+};
+
 Given(
     "an advice desk with {int} lanes, whose calls take {int} ms",
     function(this: ScenarioWorld, lanes: number, callMs: number) {
-        const clock = createFakeClock();
-        const laneIds = Array.from({ length: lanes }, (_, index) => `entry-${index}`);
-        const hangs = new Map<string, () => boolean>();
-        const asked: string[] = [];
-        const desk = createAdviceDispatcher({
-            clock,
-            log: noopLog,
-            meter: noopMeter,
-            lanes: () => laneIds,
-            call: async (lane, { stepName, timeoutMs }) => {
-                asked.push(lane);
-                if (hangs.get(lane)?.() === true) {
-                    await sleep(clock, timeoutMs);
-                    throw errorOf({ kind: "unavailable", message: "no answer" });
-                }
-                await sleep(clock, stepName === "quick" ? quickCallMs : callMs);
-                return { good: [], validMs: 2_000 };
-            },
-        });
-        partOf<Part>(this, partName, () => ({
-            clock,
-            desk,
-            laneIds,
-            callMs,
-            hangs,
-            asked,
-            outageEndsAtMs: 0,
-            newest: undefined,
-            waits: { slow: [], quick: [] },
-        }));
+        openDesk(this, { lanes, callMs, lateMs: 0 });
+    },
+);
+
+Given(
+    "an advice desk with {int} lanes, whose calls take {int} ms, of a daemon that is {int} ms late",
+    function(this: ScenarioWorld, lanes: number, callMs: number, lateMs: number) {
+        openDesk(this, { lanes, callMs, lateMs });
     },
 );
 
--- a/packages/puffinarch/src/core/shard/adviceDispatcher.ts
+++ b/packages/puffinarch/src/core/shard/adviceDispatcher.ts
@@ -56,6 +56,8 @@
     /** Ids of the daemons that can call the advisor now, this one first. */
     readonly lanes: () => readonly string[];
     readonly call: (laneId: string, request: AdviceRequest) => Promise<AdviceAnswer>;
+    /** How late timers of this process fire now, in ms; never late where it is left out. */
+    readonly lagMs?: () => number;
 }
 
 /** Queues calls and gives each to a free lane. */
@@ -102,6 +104,10 @@
  * run within 3 s where capacity is free, and the timeouts of two hanging lanes, one after the other, would take longer.
  */
 const secondLaneAfterMs = 250;
+/** Turns of this process's event loop that a call and its answer wait for; each lasts about as long as timers are late. */
+const turnsPerCall = 2;
+/** Longest time that this process's own lateness adds to the limits of a call. */
+const maxOwnDelayMs = 500;
 /** Limits on the lanes that one call is given to, in total and at a time. If all fail, its step may name other workers. */
 const maxLanesAsked = 3;
 const maxLanesOpen = 2;
@@ -127,7 +133,7 @@
  * const dispatcher = createAdviceDispatcher({ clock, log, meter, lanes: () => ["entry-1"], call });
  */
 export const createAdviceDispatcher = (
-    { clock, log, meter, lanes, call }: AdviceDispatcherOptions,
+    { clock, log, meter, lanes, call, lagMs = () => 0 }: AdviceDispatcherOptions,
 ): AdviceDispatcher => {
     const queue: QueuedCall[] = [];
     /** Number of calls that were given to a lane so far. */
@@ -290,12 +296,13 @@
         queuedCall.lanesAsked += 1;
         queuedCall.lanesOpen += 1;
         addLoad(lane, costMs);
-        clock.setTimer(costMs + secondLaneAfterMs, () => queueRepeat(queuedCall));
+        const ownDelayMs = Math.min(maxOwnDelayMs, turnsPerCall * lagMs());
+        clock.setTimer(costMs + secondLaneAfterMs + ownDelayMs, () => queueRepeat(queuedCall));
         try {
             const answer = await call(lane, {
                 stepName,
                 workerIds,
-                timeoutMs: Math.ceil(timeoutFactor * costMs + timeoutMarginMs),
+                timeoutMs: Math.ceil(timeoutFactor * costMs + timeoutMarginMs + ownDelayMs),
             });
             meter.record("adviceMs", clock.monotonicMs() - startedAtMs);
             if (costMs <= slowCostMs) {
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -430,6 +430,7 @@
         meter,
         lanes: options.adviceLanes,
         call: options.callAdvice,
+        lagMs: () => presentLagMs(),
     });
 
     /**
