--- a/features/examples.feature
+++ b/features/examples.feature
@@ -78,6 +78,7 @@
             | configurationFetch   | asked 1 time for 3 offers               |
             | handOver             | claimed by a peer                       |
             | loadReport           | 12 steps wait, 500 planned, 8 cores free |
+            | ownDelay             | 200 ms, then 500 ms                     |
             | ownerProgress        | nothingStarted for 3000 ms, news of 500 ms ago |
             | ownerWatch           | 7 restarted                             |
             | peers                | 1 daemon, then entry-1 and entry-2      |
--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -18,6 +18,7 @@
     followerPauseMs,
     handOver,
     journalTable,
+    ownDelayMs,
     type Peers,
     sequenceKey,
     type ShardOwner,
@@ -309,6 +310,8 @@
     return lines.join("; ");
 };
 
+const ownDelay = (): string => `${ownDelayMs(100, 500)} ms, then ${ownDelayMs(1_000, 500)} ms`;
+
 const cellMember = async (): Promise<string> => {
     const cell = createShardCell({ members: 3, workers: 2, seed: 1 });
     await cell.clock.advance(2_000);
@@ -335,6 +338,7 @@
     configurationFetch,
     handOver: handOverExample,
     loadReport,
+    ownDelay,
     ownerProgress,
     ownerWatch,
     partition,
--- a/packages/puffinarch/src/core/shard/adviceDispatcher.ts
+++ b/packages/puffinarch/src/core/shard/adviceDispatcher.ts
@@ -9,6 +9,7 @@
 import type { AdviceAnswer, AdviceRequest } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import { failureOf } from "../../utils/errors.js";
+import { ownDelayMs } from "./ownDelay.js";
 
 /** A call that waits for a lane. */
 export interface AdviceCall {
@@ -104,10 +105,8 @@
  * run within 3 s where capacity is free, and the timeouts of two hanging lanes, one after the other, would take longer.
  */
 const secondLaneAfterMs = 250;
-/** Turns of this process's event loop that a call and its answer wait for; each lasts about as long as timers are late. */
-const turnsPerCall = 2;
-/** Longest time that this process's own lateness adds to the limits of a call. */
-const maxOwnDelayMs = 500;
+/** Most that this process's own lateness adds to the limits of a call. */
+const maxCallDelayMs = 500;
 /** Limits on the lanes that one call is given to, in total and at a time. If all fail, its step may name other workers. */
 const maxLanesAsked = 3;
 const maxLanesOpen = 2;
@@ -296,13 +295,13 @@
         queuedCall.lanesAsked += 1;
         queuedCall.lanesOpen += 1;
         addLoad(lane, costMs);
-        const ownDelayMs = Math.min(maxOwnDelayMs, turnsPerCall * lagMs());
-        clock.setTimer(costMs + secondLaneAfterMs + ownDelayMs, () => queueRepeat(queuedCall));
+        const delayMs = ownDelayMs(lagMs(), maxCallDelayMs);
+        clock.setTimer(costMs + secondLaneAfterMs + delayMs, () => queueRepeat(queuedCall));
         try {
             const answer = await call(lane, {
                 stepName,
                 workerIds,
-                timeoutMs: Math.ceil(timeoutFactor * costMs + timeoutMarginMs + ownDelayMs),
+                timeoutMs: Math.ceil(timeoutFactor * costMs + timeoutMarginMs + delayMs),
             });
             meter.record("adviceMs", clock.monotonicMs() - startedAtMs);
             if (costMs <= slowCostMs) {
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -8,6 +8,7 @@
 import type { DelayedStart } from "./delayedStarts.js";
 import { incarnationOf } from "./incarnations.js";
 import { runPhases, type ShardRun } from "./jobModel.js";
+import { ownDelayMs } from "./ownDelay.js";
 import { recordStartAnswered, recordStartUnanswered } from "./startBreaker.js";
 import { holdsForOneIncarnation } from "./unansweredStart.js";
 import type { WorkerLinkOptions } from "./workerLink.js";
@@ -15,10 +16,8 @@
 
 /** Timeout of a start, whose round trip takes some milliseconds; beyond it, a look shows sooner whether the start was carried out. */
 const startTimeoutMs = 150;
-/** Turns of this process's event loop that a start and its answer wait for; each lasts about as long as timers are late. */
-const turnsPerStart = 2;
-/** Longest timeout of a start; a worker that has lost it is noticed by then also by an owner that is late itself. */
-const maxStartTimeoutMs = 600;
+/** Most that this process's own lateness adds to the timeout of a start; a worker that has lost it is noticed after that in any case. */
+const maxStartDelayMs = 450;
 const minStopTimeoutMs = 150;
 const maxStopTimeoutMs = 600;
 
@@ -81,8 +80,7 @@
         options;
 
     /** A start must not count as unanswered because this process was late to send it or to read its answer. */
-    const startTimeout = (): number =>
-        Math.min(maxStartTimeoutMs, startTimeoutMs + turnsPerStart * (options.lagMs?.() ?? 0));
+    const startTimeout = (): number => startTimeoutMs + ownDelayMs(options.lagMs?.() ?? 0, maxStartDelayMs);
 
     const isStarting = (run: ShardRun): boolean =>
         !isClosed() && run.phase === runPhases.starting && worker.runs.has(runKey(run.task.name, run.run));
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -153,10 +153,7 @@
  * so that the most urgent of them is next.
  */
 const maxStartsPlanned = 500;
-/**
- * Longest wait for a commit in which as many starts more are planned as this daemon can send meanwhile. With a store that takes longer,
- * they are planned with tickets that end soon after the commit.
- */
+/** Starts are planned ahead for this much of a commit's wait at the most; after a longer one, their tickets would end before they are sent. */
 const maxCommitWaitMs = 800;
 /** Starts that an idle daemon sends in one turn of the event loop, in much less than the 150 ms after which one counts as unanswered. */
 const usualStartsPerTurn = 128;
--- a/packages/puffinarch/src/core/shard/startQueue.ts
+++ b/packages/puffinarch/src/core/shard/startQueue.ts
@@ -36,6 +36,7 @@
 export interface StartQueue {
     /** Adds runs of one job, in the order in which they are to be sent. Members of a gang are sent without other starts between them. */
     add(runs: readonly ShardRun[]): void;
+    /** Returns what the queue holds now. */
     load(): StartQueueLoad;
 }
 
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -74,6 +74,7 @@
 export * from "./core/shard/missingRuns.js";
 export * from "./core/shard/nextIncarnation.js";
 export * from "./core/shard/occurrenceSet.js";
+export * from "./core/shard/ownDelay.js";
 export * from "./core/shard/ownerProgress.js";
 export * from "./core/shard/ownerWatch.js";
 export * from "./core/shard/pacer.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -335,6 +335,7 @@
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
 export { handOver, type HandOverOptions } from "./internal.js";
 export { createLoadReport, type LoadReport, type LoadReportOptions } from "./internal.js";
+export { ownDelayMs } from "./internal.js";
 export { createOwnerProgress, type OwnerProgress, type OwnerProgressOptions } from "./internal.js";
 export { type OwnerWatch, type OwnerWatchOptions, watchOwner, type WatchStep, watchSteps } from "./internal.js";
 export { type Readiness, type ReadinessOptions, watchReadiness } from "./internal.js";
