Comment of ownDelay says what it does

Cause: its first line spoke of silence in words that a newcomer stumbles over. Change: one comment; no code.

--- a/packages/puffinarch/src/core/shard/ownDelay.ts
+++ b/packages/puffinarch/src/core/shard/ownDelay.ts
@@ -1,4 +1,4 @@
-/** How long an answer may have been held up in this process, which is not the silence of the other side. */
+/** Extends the limits of calls by the time for which a busy process itself may hold up their requests and answers. */
 
 /** Turns of the event loop that a call and its answer wait for; each lasts about as long as timers are late. */
 const turnsPerCall = 2;
