Log lines are not compared with the line before

Cause: consola folds repeated lines by default. For that it encodes each line a second time, and holds equal lines back for up to a second.

--- a/packages/puffinarchd/src/logging.ts
+++ b/packages/puffinarchd/src/logging.ts
@@ -37,7 +37,12 @@
             );
         },
     };
-    const consola: ConsolaInstance = createConsola({ level: consolaLevels[level], reporters: [reporter] });
+    const consola: ConsolaInstance = createConsola({
+        level: consolaLevels[level],
+        reporters: [reporter],
+        // Comparing each line with the one before, to fold repetitions, would encode every line a second time.
+        throttle: 0,
+    });
     let current = level;
     return {
         write: (lineLevel, event, fields) => {
