An overloaded owner is not taken for one on a slow VM

Callers saw that a burst was followed by seconds of bad service: the owner, late under the load, handed the shard over to a daemon that then had the same load and a takeover besides. Cause: lateness of timers was read as a slow VM. Change: a VM is slow where its process gets less than half of its usual processor time while it has work. With that told, a lateness of 20 ms is enough, so that the hand-over comes before the peers take the owner for lost.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -86,3 +86,34 @@
         When 5 jobs of steps "10" are submitted every 100 ms for 8000 ms
         Then the shard was not handed over
         And no promise was broken
+
+    # Guards against an owner that stays in office on a VM that gets a fifth of its processor, which a test of its lateness alone would have to allow.
+    Scenario: An owner whose VM becomes slow under its usual load hands the shard over
+        Given a cell of 4 daemons and 45 workers that answer starts within 20 ms, where each start costs a daemon 4.8 ms
+        When callers ask for 0.25 of the owner's processor time, at 5 ms a task, for 6500 ms
+        And the fault "owner on a VM that becomes 5 times slower" comes
+        And callers ask for 0.25 of the owner's processor time, at 5 ms a task, for 3000 ms
+        Then the shard was handed over because its owner was "slow"
+        And no promise was broken
+
+    # Guards against a service that stays down after a burst which has ended, on an owner that carries the usual load.
+    Scenario: Jobs are completed in time from 2 s after a burst that takes more processor time than the owner has
+        Given a cell of 4 daemons and 45 workers that answer starts within 20 ms, where each start costs a daemon 4.8 ms
+        When callers ask for 0.8 of the owner's processor time, at 5 ms a task, for 4000 ms
+        And callers ask for 1.5 of the owner's processor time, at 5 ms a task, for 4000 ms
+        And callers ask for 0.8 of the owner's processor time, at 5 ms a task, for 8000 ms
+        And the callers wait for their jobs
+        Then at least 90 percent of the jobs that were sent from 2000 ms after the burst on are in time
+        And the shard has had at most 1 owners since
+        And no promise was broken
+
+    # Guards against accepted jobs that end too late to be of value, on an owner that has too little processor time for all of them.
+    Scenario: An owner that has too little processor time for all jobs serves those that it accepts, and refuses the others at once
+        Given a cell of 4 daemons and 45 workers that answer starts within 20 ms, where each start costs a daemon 4.8 ms
+        When callers ask for 1.5 of the owner's processor time, at 5 ms a task, for 12000 ms
+        And the callers wait for their jobs
+        Then at least 90 percent of the accepted jobs are in time
+        And at least 60 percent of the jobs are accepted
+        And the other jobs are refused within 300 ms
+        And the shard has had at most 1 owners since
+        And no promise was broken
--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -214,6 +214,7 @@
         claim: async (version, why) => claims.push(`${version} ${why}`),
         onAnswer: () => {},
         onOwnerAnswer: () => {},
+        onRound: () => {},
         onOwnRound: () => {},
         onPeersPinged: () => {},
     });
--- a/features/steps/gangSteps.ts
+++ b/features/steps/gangSteps.ts
@@ -173,6 +173,11 @@
     assert.deepEqual(lines.map(({ memberId, fields }) => `${memberId}: ${String(fields["why"])}`), []);
 });
 
+Then("the shard was handed over because its owner was {string}", function(this: ScenarioWorld, why: string) {
+    const lines = cellOf(this).log.filter(({ event, fields }) => event === "handOver" && fields["claimed"] === true);
+    assert.deepEqual([...new Set(lines.map(({ fields }) => fields["why"]))], [why]);
+});
+
 Then("no gang had members more than {int} ms apart", function(this: ScenarioWorld, limitMs: number) {
     const cell = cellOf(this);
     const startsMs = new Map<string, number[]>();
--- a/features/steps/shardOwnerSteps.ts
+++ b/features/steps/shardOwnerSteps.ts
@@ -268,6 +268,7 @@
         claim: async () => claim(),
         onAnswer: () => {},
         onOwnerAnswer: () => {},
+        onRound: () => {},
         onOwnRound: () => {},
         onPeersPinged: () => {},
     });
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -41,6 +41,7 @@
 import { createPartitionWatch } from "./partition.js";
 import { createPeers, pingIntervalMs } from "./peers.js";
 import { createPendingCancels } from "./pendingCancels.js";
+import { createProcessorShare, type ProcessorTimes } from "./processorShare.js";
 import { watchReadiness } from "./readiness.js";
 import { createRowReader } from "./rowReader.js";
 import { type ShardOwner, startShardOwner } from "./shardOwner.js";
@@ -66,6 +67,8 @@
     readonly workers: FencedWorkerPort;
     readonly advisor: AdvisorPort;
     readonly members: MemberPort;
+    /** Reads this process's times, by which a slow VM is told from an overloaded owner. Without it, no VM is taken for slow. */
+    readonly processorTimes?: () => ProcessorTimes;
     /** Tables that the platform publishes, and the decoders of their rows. */
     readonly platform: {
         readonly configurationTable: string;
@@ -135,8 +138,8 @@
  */
 const registerRetryPauseMs = 300;
 const maxRegisterRetryPauseMs = 4_800;
-/** An owner whose timers fire this late, on average over a second, hands the shard over because its VM has become slow. */
-const slowOwnerLagMs = 60;
+/** An owner on a slow VM hands the shard over once its timers fire this late, on average over a second. */
+const slowOwnerLagMs = 20;
 /** A claim that the store has not answered is abandoned after this time, so that the peers can be asked who owns the shard. */
 const maxClaimMs = 1_500;
 /**
@@ -220,6 +223,7 @@
     let nextClaimAtMs = 0;
     const claimWithoutMembersAtMs = clock.monotonicMs() + membersReadTimeoutMs;
     let nextHandOverAtMs = 0;
+    const processorShare = createProcessorShare(options.processorTimes ?? (() => ({ usedMs: 0, activeMs: 0 })));
 
     const applyConfiguration = (next: CellConfiguration, source: string): void => {
         if (configuration !== undefined && next.version <= configuration.version) {
@@ -442,7 +446,7 @@
             return;
         }
         const settled = clock.monotonicMs() - ownerKnownAtMs > settlingMs(knownOwner?.row ?? {});
-        const slow = settled && owner.lagMs() >= slowOwnerLagMs;
+        const slow = settled && owner.lagMs() >= slowOwnerLagMs && processorShare.isSlow();
         if (!slow && !hasStrongerLivePeer()) {
             return;
         }
@@ -588,6 +592,7 @@
                 pendingCounts = { counts: pending, atMs: ownerServingAtMs };
             }
         },
+        onRound: processorShare.sample,
         onOwnRound: recordOwnership,
         onPeersPinged: () => owner?.wake(),
     });
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -41,6 +41,8 @@
     readonly onAnswer: (address: string, answer: PingAnswer) => void;
     /** Called for each ping answer of the owner. */
     readonly onOwnerAnswer: (answer: PingAnswer) => void;
+    /** Called at the beginning of each round. */
+    readonly onRound: () => void;
     /** Called in each round while this daemon owns the shard. */
     readonly onOwnRound: () => void;
     /** Called after pings to peers were sent. */
@@ -164,7 +166,7 @@
  * Starts to watch the owner of a shard.
  *
  * @example
- * const watch = watchOwner({ clock, log, self, peers, known, owns, isSettled, isBackingOff, isLeaving, readOwner, commitMonitor, claim, onAnswer, onOwnerAnswer, onOwnRound, onPeersPinged });
+ * const watch = watchOwner({ clock, log, self, peers, known, owns, isSettled, isBackingOff, isLeaving, readOwner, commitMonitor, claim, onAnswer, onOwnerAnswer, onRound, onOwnRound, onPeersPinged });
  */
 export const watchOwner = (options: OwnerWatchOptions): OwnerWatch => {
     const {
@@ -492,6 +494,7 @@
 
     /** One round: the owner pings its lanes to the advisor, any other daemon pings the owner and neighbours. */
     const watchOnce = async (round: number): Promise<void> => {
+        options.onRound();
         if (owns()) {
             options.onOwnRound();
             if (round % lanePingRounds === 0) {
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -84,6 +84,7 @@
 export * from "./core/shard/planReservations.js";
 export * from "./core/shard/preempt.js";
 export * from "./core/shard/probes.js";
+export * from "./core/shard/processorShare.js";
 export * from "./core/shard/readiness.js";
 export * from "./core/shard/readRows.js";
 export * from "./core/shard/retryTimes.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -141,6 +141,7 @@
     type OwnerShedding,
     type OwnerSheddingOptions,
 } from "./internal.js";
+export { createProcessorShare, type ProcessorShare, type ProcessorTimes } from "./internal.js";
 export { retryAfterFor, type RetryCause } from "./internal.js";
 export {
     awaitsCrashConfirmation,
--- a/packages/stand-ins/src/shard/processor.ts
+++ b/packages/stand-ins/src/shard/processor.ts
@@ -1,6 +1,6 @@
 /** Simulation of the processor of a daemon's VM on a fake clock: a queue that does one piece of work at a time, in order. */
 
-import type { Clock, FencedWorkerPort } from "puffinarch";
+import type { Clock, FencedWorkerPort, ProcessorTimes } from "puffinarch";
 
 /** Processor time that a daemon's work takes. */
 export interface ProcessorCosts {
@@ -18,6 +18,9 @@
 export interface Processor {
     /** Queues work that takes `costMs`; resolves when it and all earlier work are done. */
     use(costMs: number): Promise<void>;
+    /** Makes all work that is queued from now on take this many times as long, as on a VM that gets a smaller share of its machine. */
+    slowDown(factor: number): void;
+    times(): ProcessorTimes;
 }
 
 /**
@@ -29,10 +32,19 @@
  */
 export const createProcessor = (clock: Clock): Processor => {
     let freeAtMs = 0;
+    let slowness = 1;
+    let usedMs = 0;
+    let activeMs = 0;
     return {
+        slowDown: factor => {
+            slowness = factor;
+        },
+        times: () => ({ usedMs, activeMs }),
         use: costMs => {
             const nowMs = clock.monotonicMs();
-            freeAtMs = Math.max(nowMs, freeAtMs) + costMs;
+            usedMs += costMs;
+            activeMs += slowness * costMs;
+            freeAtMs = Math.max(nowMs, freeAtMs) + slowness * costMs;
             const delayMs = freeAtMs - nowMs;
             return new Promise(resolve => {
                 clock.setTimer(delayMs, resolve);
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -134,6 +134,8 @@
     stop(memberId: string): Promise<void>;
     /** Suspends a daemon's VM; its monotonic clock does not count the time. */
     suspend(memberId: string, forMs: number): void;
+    /** Makes the work of a daemon take this many times as long, until its process ends; its calls must cost processor time. */
+    slowDown(memberId: string, factor: number): void;
     /** Cuts a daemon off from its peers, the store or the workers. */
     cut(memberId: string, what: readonly ("peers" | "store" | "workers")[]): void;
     /** Restores all links of a daemon. */
@@ -677,6 +679,7 @@
             },
             advisor: { advise: delayUntilResumed(dependencies.advisor.advise) },
             members: { call: (...call) => afterResume(suspension, peers.call(...call)) },
+            processorTimes: processor.times,
             platform: {
                 configurationTable: "operator",
                 readConfiguration: row => row.key === "configuration" ? decodeRow(row, configurationSchema) : noEntry,
@@ -898,6 +901,9 @@
                 memberProcess.incarnation.alive = false;
             }
         },
+        slowDown: (memberId, factor) => {
+            memberProcesses.get(memberId)?.processor.slowDown(factor);
+        },
         suspend: (memberId, forMs) => {
             memberProcesses.get(memberId)?.suspension.suspend(forMs);
             clock.setTimer(forMs, faultTracker.recordFault);
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -212,6 +212,11 @@
         cell.resize(liveWorkers(cell), 0.5);
         return () => cell.resize(liveWorkers(cell), 1);
     },
+    "owner on a VM that becomes 5 times slower": cell => {
+        const owner = cell.owner() ?? "";
+        cell.slowDown(owner, 5);
+        return () => cell.slowDown(owner, 1);
+    },
     "owner suspended for 3 s": cell => suspend(cell, [cell.owner() ?? ""], 3_000),
     "owner suspended for 9 s": cell => suspend(cell, [cell.owner() ?? ""], 9_000),
     "all suspended for 4 s": cell => suspend(cell, cell.memberIds(), 4_000),
--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -48,6 +48,7 @@
         "puffinarchd/logOutput": resolvePath("packages/puffinarchd/src/logOutput.ts"),
         "puffinarchd/logging": resolvePath("packages/puffinarchd/src/logging.ts"),
         "puffinarchd/metrics": resolvePath("packages/puffinarchd/src/metrics.ts"),
+        "puffinarchd/processorTimes": resolvePath("packages/puffinarchd/src/processorTimes.ts"),
         "puffinarchd/settingsFile": resolvePath("packages/puffinarchd/src/settingsFile.ts"),
     },
 });
