Tests: two ways in which accepted work stands beside free workers; they fail and are listed

Callers can see an accepted job with nothing running for more than 3 s.

- Without any fault, an owner with 1.5 times the starts that it can send hands the shard over as slow.

No product code is changed.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -134,6 +134,7 @@
             | 816  | 600  | last   |
             | 693  | 600  | last   |
             | 1079 | 600  | last   |
+            | 70001 | 600 | last   |
 
     # Guards against tasks that run twice and workers that hold more than their capacity. A start order that got no answer was
     # carried out by the worker's next incarnation, which had received neither the stop nor the fencing token by which the former
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -116,4 +116,9 @@
         And at least 60 percent of the jobs are accepted
         And the other jobs are refused within 300 ms
         And the shard has had at most 1 owners since
+    # Guards against an overloaded owner that takes its own lateness for silent workers, so that accepted long-running jobs wait beside free ones.
+    Scenario: Long-running jobs that an overloaded owner accepts run within 3 s
+        Given a cell of 4 daemons and 90 workers that answer starts within 20 ms, where each start costs a daemon 3 ms
+        When 5 jobs of steps "10" are submitted every 100 ms for 8000 ms, and long-running ones of 2 tasks beside them
+        Then each accepted long-running job ran within 3000 ms of its acceptance
         And no promise was broken
--- a/features/steps/gangSteps.ts
+++ b/features/steps/gangSteps.ts
@@ -111,6 +111,58 @@
     },
 );
 
+/** Interval at which long-running jobs are submitted beside a load. */
+const longRunningEveryMs = 500;
+/** Interval at which the answers to long-running jobs are read, which is the most by which their waits are measured too short. */
+const answerPollMs = 100;
+/** Time after the load in which the accepted long-running jobs have to start. */
+const afterLoadMs = 10_000;
+
+When(
+    "{int} jobs of steps {string} are submitted every {int} ms for {int} ms, and long-running ones of 2 tasks beside them",
+    async function(this: ScenarioWorld, count: number, steps: string, everyMs: number, forMs: number) {
+        const cell = cellOf(this);
+        const { jobs } = part(this);
+        const acceptedAtMs = partOf(this, "longRunning", () => new Map<string, number>());
+        const longRunningJobs: string[] = [];
+        const submit = (text: string): string => {
+            const jobId = jobIdOf(jobs.length + 1);
+            jobs.push(jobId);
+            cell.submit(jobId, readSteps(text));
+            return jobId;
+        };
+        for (let passedMs = 0; passedMs < forMs + afterLoadMs; passedMs += answerPollMs) {
+            if (passedMs < forMs && passedMs % everyMs === 0) {
+                repeat(count, steps).forEach(submit);
+            }
+            if (passedMs < forMs && passedMs % longRunningEveryMs === 0) {
+                longRunningJobs.push(submit("2 long running"));
+            }
+            await cell.clock.advance(answerPollMs);
+            for (const jobId of longRunningJobs) {
+                if (cell.answers().get(jobId) === "accepted" && !acceptedAtMs.has(jobId)) {
+                    acceptedAtMs.set(jobId, cell.clock.monotonicMs());
+                }
+            }
+        }
+    },
+);
+
+Then(
+    "each accepted long-running job ran within {int} ms of its acceptance",
+    function(this: ScenarioWorld, withinMs: number) {
+        const { evidence } = cellOf(this).workers;
+        const acceptedAtMs = partOf(this, "longRunning", () => new Map<string, number>());
+        assert.ok(acceptedAtMs.size > 0, "no long-running job was accepted");
+        const waits = [...acceptedAtMs].map(([jobId, acceptedMs]) => {
+            const starts = evidence.filter(({ taskName }) => taskName.startsWith(`${jobId}.`));
+            return { jobId, waitedMs: Math.min(...starts.map(({ startedAtMs }) => startedAtMs)) - acceptedMs };
+        });
+        const late = waits.filter(({ waitedMs }) => waitedMs > withinMs);
+        assert.deepEqual(late.map(({ jobId, waitedMs }) => `${jobId} waited for ${Math.round(waitedMs)} ms`), []);
+    },
+);
+
 /** Workers of the newest placement, in the order of the tasks. */
 const placedWorkers = (cell: ShardCell): readonly string[] => {
     const line = cell.log.filter(({ event }) => event === "placed").at(-1);
