Tests: gangs that an owner's own lateness ends, or starts again without end, failing

A gang with a member that never starts is stopped 0.6 of the time for which its members wait after the first start, at the next review. That leaves 1,200 ms for the owner's own lateness and for the worker to carry out the stop, which may take 900 ms. With an owner that is 500 ms late, the other members end alone (rule GANG) although nothing but the owner's load is near.

A gang whose starts take the owner longer than one start may be unanswered is never completed: its last starts are not sent in time, which counts as members that were lost, and the whole gang is stopped and started again.

--- a/features/gangs.feature
+++ b/features/gangs.feature
@@ -53,3 +53,28 @@
             | 3     | cut   |
             | 1     | deaf  |
             | 1     | late  |
+
+    # Guards against stops that leave no time for the owner's own lateness and for the worker to carry them out.
+    Scenario Outline: A gang with a member that never starts is stopped before the others end alone, by an owner that is <lateMs> ms late
+        When an owner that is <lateMs> ms late watches a gang of which one member never starts
+        Then the worker has stopped the other member before it ends alone
+
+        Examples:
+            | lateMs |
+            | 0      |
+            | 500    |
+
+    # Guards against a gang that is stopped and started again without end, since sending all of its starts takes longer than one may be unanswered.
+    Scenario Outline: A gang of <tasks> tasks is completed, on an idle owner to which each start costs <startMs> ms
+        Given a cell of 1 daemons and 60 workers that answer starts within 20 ms, where each start costs a daemon <startMs> ms
+        When 1 gangs of <tasks> tasks and 0 jobs of 1 tasks are submitted every 1000 ms for 1000 ms
+        And the shard runs for 8000 ms
+        Then at least 100 percent of the newest jobs were completed within 3000 ms
+        And no run ended alone
+        And no promise was broken
+
+        Examples:
+            | tasks | startMs |
+            | 60    | 2       |
+            | 60    | 3       |
+            | 128   | 1.5     |
--- a/features/steps/gangSteps.ts
+++ b/features/steps/gangSteps.ts
@@ -1,9 +1,17 @@
 /** Steps about gangs, whose members have to start together. */
 
 import { Given, Then, When } from "@cucumber/cucumber";
-import { createShardCell, jobIdOf, readSteps, type ShardCell, type WorkerFault } from "@puffinarch/stand-ins";
+import {
+    createFakeClock,
+    createShardCell,
+    jobIdOf,
+    readSteps,
+    type ShardCell,
+    testQueue,
+    type WorkerFault,
+} from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { runEnds } from "puffinarch";
+import { createGangWatch, defaultShardSettings, newJob, newRun, runEnds } from "puffinarch";
 import { cellOf, part, startCell } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
@@ -227,6 +235,69 @@
     },
 );
 
+/** When a member that waits for its gang ends: alone, or by the stop that its owner sends. */
+interface StoppedGang {
+    readonly endsAloneAtMs: number;
+    endedByStopAtMs: number;
+}
+
+/** Time between two reviews of an owner that is not late. */
+const reviewMs = 100;
+const noLog = { write: () => {} };
+const noMeter = { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 };
+
+When(
+    "an owner that is {int} ms late watches a gang of which one member never starts",
+    async function(this: ScenarioWorld, lateMs: number) {
+        const { gangWaitMs, stopMs } = defaultShardSettings;
+        const clock = createFakeClock();
+        const submission = {
+            jobId: jobIdOf(1),
+            queueKey: testQueue.key,
+            dataCentre: "leon-feria",
+            payload: "plan",
+            steps: readSteps("2 gang"),
+            schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
+        };
+        const tasks = newJob(submission, testQueue, { acceptedAtMs: 0, order: 1 }).occurrences.get(0)?.steps[0]?.tasks;
+        const runs = (tasks ?? []).map(task => newRun(task, "i-1", 1, { phase: "starting", sentAtMs: 0 }));
+        runs.forEach(run => run.task.runs.push(run));
+        const [present, missing] = runs;
+        assert.ok(present !== undefined && missing !== undefined);
+        const stopped = partOf(this, "stoppedGang", (): StoppedGang => ({
+            endsAloneAtMs: gangWaitMs,
+            endedByStopAtMs: Infinity,
+        }));
+        const gangs = createGangWatch({
+            clock,
+            log: noLog,
+            meter: noMeter,
+            gangWaitMs,
+            stop: run => {
+                if (run === present) {
+                    stopped.endedByStopAtMs = Math.min(stopped.endedByStopAtMs, clock.monotonicMs() + stopMs);
+                }
+            },
+        });
+        gangs.watch(present);
+        gangs.watch(missing);
+        present.startedAtMs = clock.monotonicMs();
+        while (clock.monotonicMs() < gangWaitMs) {
+            await clock.advance(reviewMs + lateMs);
+            gangs.review();
+        }
+    },
+);
+
+Then("the worker has stopped the other member before it ends alone", function(this: ScenarioWorld) {
+    const { endsAloneAtMs, endedByStopAtMs } = partOf(
+        this,
+        "stoppedGang",
+        (): StoppedGang => assert.fail("no gang was watched"),
+    );
+    assert.ok(endedByStopAtMs < endsAloneAtMs, `stopped after ${endedByStopAtMs} ms, alone after ${endsAloneAtMs} ms`);
+});
+
 Then("no run ended alone", function(this: ScenarioWorld) {
     const { evidence } = cellOf(this).workers;
     assert.ok(evidence.length > 0, "nothing was started");
