--- a/features/overload.feature
+++ b/features/overload.feature
@@ -132,4 +132,10 @@
         And jobs of 10 tasks arrive for 5000 ms, 267 tasks a second
         And the shard runs for 3000 ms
         Then at least 90 percent of the newest jobs were completed within 3000 ms
+    # Guards against cancels that an overloaded owner leaves unanswered: its peers take it for lost, and each next owner has the same calls to answer.
+    Scenario: Cancels are answered in time while calls of callers overload the owner
+        Given a cell of 4 daemons and 45 workers, where each call of a peer costs a daemon 6 ms
+        When 20 jobs of steps "1 of 0 cores" are submitted every 100 ms for 8000 ms, and every second one is cancelled once it is accepted
+        And the shard runs for 12000 ms
+        Then at least 90 percent of the cancels were answered within 6000 ms
         And no promise was broken
