--- a/features/steps/gangSteps.ts
+++ b/features/steps/gangSteps.ts
@@ -197,6 +197,9 @@
         });
         const late = waits.filter(({ waitedMs }) => waitedMs > withinMs);
         assert.deepEqual(late.map(({ jobId, waitedMs }) => `${jobId} waited for ${Math.round(waitedMs)} ms`), []);
+    },
+);
+
 const msPerS = 1_000;
 
 When(
