Planned starts are limited by the pace at which the owner sends them

Callers got 20 percent of their jobs in time from 5 s after a loss of all daemons on, at a load at which all are in time without the loss. Cause: as many starts were planned as turns of the event loop could send if each sent its full number. A turn ends after 25 ms, so that an owner that sends 300 starts a second planned up to 500, which waited 0.9 to 2.5 s, longer than their tickets were valid. They were dropped, advised and planned anew, and each job got one or two starts at a time. Change: while starts wait to be sent, the queue measures how fast it sends; no more are planned than are sent in 400 ms at that pace.

--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -153,6 +153,8 @@
  * so that the most urgent of them is next.
  */
 const maxStartsPlanned = 500;
+/** Fewest starts that may be planned, so that a queue that stood still for a moment is filled again. */
+const minStartsPlanned = 32;
 /** Starts are planned ahead for this much of a commit's wait at the most; after a longer one, their tickets would end before they are sent. */
 const maxCommitWaitMs = 800;
 /** Starts that an idle daemon sends in one turn of the event loop, in much less than the 150 ms after which one counts as unanswered. */
@@ -460,14 +462,23 @@
 
     const startsPerTurn = (): number => Math.round(usualStartsPerTurn * (1 + presentLagMs() / doublingLagMs));
 
+    /** How many starts this daemon can send soon: by its pace where starts are waiting, else as many as its turns allow. */
+    const startsSentSoon = (): number => {
+        const pacePerMs = starts.pacePerMs();
+        if (pacePerMs !== undefined) {
+            return Math.min(maxStartsPlanned, Math.max(minStartsPlanned, pacePerMs * maxStartQueueMs));
+        }
+        const inTurn = startsPerTurn();
+        const inTime = inTurn * maxStartQueueMs / (startTurnMs + presentLagMs());
+        return Math.min(maxStartsPlanned, Math.max(inTurn, inTime));
+    };
+
     /**
-     * How many more starts may be planned: as many as this daemon can send soon, at the pace that its present load allows, and as many as
-     * it could send while they wait for their commit. Without the latter, a slow store would limit the rate of starts.
+     * How many more starts may be planned: as many as this daemon can send soon, and as many as it could send while they wait for their
+     * commit. Without the latter, a slow store would limit the rate of starts.
      */
     const freeStarts = (): number => {
-        const inTurn = startsPerTurn();
-        const inTime = inTurn * maxStartQueueMs / (startTurnMs + presentLagMs());
-        const sentSoon = Math.min(maxStartsPlanned, Math.max(inTurn, inTime));
+        const sentSoon = startsSentSoon();
         const commitWaitMs = Math.min(maxCommitWaitMs, commits.expectedWaitMs());
         const most = Math.floor(sentSoon * (1 + commitWaitMs / maxStartQueueMs));
         if (plannedStarts.size >= most) {
--- a/packages/puffinarch/src/core/shard/startQueue.ts
+++ b/packages/puffinarch/src/core/shard/startQueue.ts
@@ -38,6 +38,8 @@
     add(runs: readonly ShardRun[]): void;
     /** Returns what the queue holds now. */
     load(): StartQueueLoad;
+    /** Starts sent per ms while more were waiting; undefined where none have waited for a while, so that the pace is not known. */
+    pacePerMs(): number | undefined;
 }
 
 /** Pause between two turns; while the process is busy, the next turn comes later than this. */
@@ -52,6 +54,51 @@
 /** The limit is reduced once in this time: starts that were sent together are lost together. */
 const reducePauseMs = 200;
 
+/** The pace is measured over at least this time in which starts were waiting. */
+const paceWindowMs = 100;
+/** The pace counts as unknown this long after it was last measured. */
+const paceValidMs = 1_000;
+/** Weight of the newest window in the moving average of the pace. */
+const paceSmoothing = 0.5;
+
+/** Measures how fast a queue sends while it holds back starts; a queue that runs empty says nothing of how fast it could send. */
+const createPaceMeter = (clock: Clock) => {
+    let sent = 0;
+    let windowBeganAtMs: number | undefined;
+    let perMs: number | undefined;
+    let measuredAtMs = -Infinity;
+    return {
+        recordSent: (starts: number): void => {
+            sent += starts;
+        },
+        /** Tells after each turn whether starts are still waiting. */
+        recordTurn: (isWaiting: boolean): void => {
+            const nowMs = clock.monotonicMs();
+            if (!isWaiting) {
+                windowBeganAtMs = undefined;
+                return;
+            }
+            if (windowBeganAtMs === undefined) {
+                windowBeganAtMs = nowMs;
+                sent = 0;
+                return;
+            }
+            const elapsedMs = nowMs - windowBeganAtMs;
+            if (elapsedMs < paceWindowMs) {
+                return;
+            }
+            const newest = sent / elapsedMs;
+            perMs = perMs === undefined || nowMs - measuredAtMs > paceValidMs
+                ? newest
+                : perMs + paceSmoothing * (newest - perMs);
+            measuredAtMs = nowMs;
+            windowBeganAtMs = nowMs;
+            sent = 0;
+        },
+        perMs: (): number | undefined => clock.monotonicMs() - measuredAtMs > paceValidMs ? undefined : perMs,
+    };
+};
+
 /** Runs of one job that wait to be sent, and when they were added. */
 interface Waiting {
     readonly runs: ShardRun[];
@@ -74,6 +121,7 @@
     let inFlight = 0;
     let inFlightLimit = firstInFlight;
     let reducedAtMs = -Infinity;
+    const pace = createPaceMeter(clock);
 
     /** Takes one start: a run, or as many members of a gang as a turn sends. */
     const takeNext = (): Waiting | undefined => {
@@ -139,14 +187,16 @@
         while (isOpen()) {
             const next = takeNext();
             if (next === undefined) {
-                return;
+                break;
             }
             leftInTurn -= next.runs.length;
+            pace.recordSent(next.runs.length);
             scheduleTurn();
             for (const answer of send(next.runs, clock.monotonicMs() - next.sinceMs)) {
                 void settle(answer);
             }
         }
+        pace.recordTurn(waiting.size > 0);
     };
 
     const scheduleTurn = (): void => {
@@ -179,5 +229,6 @@
             const queued = [...waiting.values()].flat().reduce((sum, { runs }) => sum + runs.length, 0);
             return { queued, inFlight, inFlightLimit };
         },
+        pacePerMs: pace.perMs,
     };
 };
