A busy process under a cap of its processor is not taken for one on a slow VM

Change: the share is also compared with the one that the VM is configured with; two samples in a row decide, as a single one may be a pause that is over; a share that has changed for good becomes the usual one. The pace of starts counts the starts that were sent, not those that were dropped; a call reports its time-out before it ends the request, so that the reason names the limit. Tests: eight rows of shares, of which those with a cap, a single pause and a lasting change failed before.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -75,6 +75,7 @@
             | commitLog            | 3 jobs in 1 transaction                 |
             | evacuate             | 0 moves while the other is away; not ready |
             | commitMonitor        | commits, then quiet                     |
+            | processorShare       | false false false true                  |
             | configurationFetch   | asked 1 time for 3 offers               |
             | handOver             | claimed by a peer                       |
             | loadReport           | 12 steps wait, 500 planned, 8 cores free |
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -96,6 +96,22 @@
         Then the shard was handed over because its owner was "slow"
         And no promise was broken
 
+    # Guards against a busy process that is taken for one on a slow VM, since its platform enforces the share of the VM as a cap.
+    Scenario Outline: A VM with <share> of a core whose process gets "<shares>" of the processor counts as <verdict>
+        When a process on a VM with <share> of a core gets these shares of the processor while it has work: "<shares>"
+        Then its VM counts as <verdict>
+
+        Examples:
+            | share | shares                  | verdict |
+            | 0.675 | 1 x 30, 0.2 x 2         | slow    |
+            | 0.675 | 1 x 30, 0.2 x 1         | sound   |
+            | 0.675 | 1 x 30, 0.2 x 5, 1 x 1  | sound   |
+            | 0.324 | 1 x 30, 0.324 x 30      | sound   |
+            | 0.324 | 1 x 30, 0.06 x 2        | slow    |
+            | 1     | 1.3 x 30, 0.8 x 30      | sound   |
+            | 1     | 1 x 30, 0.4 x 30        | slow    |
+            | 1     | 1 x 30, 0.4 x 600       | sound   |
+
     # Guards against a service that stays down after a burst which has ended, on an owner that carries the usual load.
     Scenario: Jobs are completed in time from 2 s after a burst that takes more processor time than the owner has
         Given a cell of 4 daemons and 45 workers that answer starts within 20 ms, where each start costs a daemon 4.8 ms
--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -12,6 +12,7 @@
     createOwnerProgress,
     createPartitionWatch,
     createPeers,
+    createProcessorShare,
     createRowReader,
     defaultShardSettings,
     delayForRankMs,
@@ -223,6 +224,19 @@
     return claims.join(", ");
 };
 
+const processorShare = (): string => {
+    const times = { usedMs: 0, activeMs: 0 };
+    const share = createProcessorShare(() => ({ ...times }), 1);
+    const verdicts: boolean[] = [];
+    for (const usedMs of [100, 100, 20, 20]) {
+        times.usedMs += usedMs;
+        times.activeMs += 100;
+        share.sample();
+        verdicts.push(share.isSlow());
+    }
+    return verdicts.join(" ");
+};
+
 const commitMonitor = async (): Promise<string> => {
     const clock = createFakeClock();
     const store = createFakeRowStore(clock);
@@ -336,6 +350,7 @@
     cellMember,
     claimShard: claim,
     commitMonitor,
+    processorShare,
     configurationFetch,
     handOver: handOverExample,
     loadReport,
--- a/features/steps/ownerLoadSteps.ts
+++ b/features/steps/ownerLoadSteps.ts
@@ -3,7 +3,7 @@
 import { Then, When } from "@cucumber/cucumber";
 import { jobIdOf, readSteps, testQueue } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { failureOf, runEnds } from "puffinarch";
+import { createProcessorShare, failureOf, runEnds } from "puffinarch";
 import { cellOf } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
@@ -119,3 +119,27 @@
     }
     assert.deepEqual([...kinds], [], `${late.length} of ${others.length} are not refused in time`);
 });
+
+const sampledActiveMs = 100;
+
+When(
+    "a process on a VM with {float} of a core gets these shares of the processor while it has work: {string}",
+    function(this: ScenarioWorld, configuredShare: number, shares: string) {
+        const times = { usedMs: 0, activeMs: 0 };
+        const share = createProcessorShare(() => ({ ...times }), configuredShare);
+        for (const phase of shares.split(", ")) {
+            const [value, samples] = phase.split(" x ").map(Number);
+            for (let sample = 0; sample < (samples ?? 0); sample += 1) {
+                times.activeMs += sampledActiveMs;
+                times.usedMs += (value ?? 0) * sampledActiveMs;
+                share.sample();
+            }
+        }
+        partOf(this, "processorShare", () => ({ isSlow: share.isSlow() }));
+    },
+);
+
+Then(/^its VM counts as (slow|sound)$/, function(this: ScenarioWorld, expected: string) {
+    const { isSlow } = partOf(this, "processorShare", () => assert.fail("no share was sampled"));
+    assert.equal(isSlow ? "slow" : "sound", expected);
+});
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -67,8 +67,12 @@
     readonly workers: FencedWorkerPort;
     readonly advisor: AdvisorPort;
     readonly members: MemberPort;
-    /** Reads this process's times, by which a slow VM is told from an overloaded owner. Without it, no VM is taken for slow. */
-    readonly processorTimes?: () => ProcessorTimes;
+    /** How a slow VM is told from an overloaded owner; no VM is taken for slow if it is left out. */
+    readonly processor?: {
+        readonly readTimes: () => ProcessorTimes;
+        /** Share of a core that the VM is configured with. */
+        readonly configuredShare: number;
+    };
     /** Tables that the platform publishes, and the decoders of their rows. */
     readonly platform: {
         readonly configurationTable: string;
@@ -138,6 +142,7 @@
  */
 const registerRetryPauseMs = 300;
 const maxRegisterRetryPauseMs = 4_800;
+const unknownProcessor = { readTimes: (): ProcessorTimes => ({ usedMs: 0, activeMs: 0 }), configuredShare: 1 };
 /** An owner on a slow VM hands the shard over once its timers fire this late, on average over a second. */
 const slowOwnerLagMs = 20;
 /** A claim that the store has not answered is abandoned after this time, so that the peers can be asked who owns the shard. */
@@ -223,7 +228,8 @@
     let nextClaimAtMs = 0;
     const claimWithoutMembersAtMs = clock.monotonicMs() + membersReadTimeoutMs;
     let nextHandOverAtMs = 0;
-    const processorShare = createProcessorShare(options.processorTimes ?? (() => ({ usedMs: 0, activeMs: 0 })));
+    const { readTimes, configuredShare } = options.processor ?? unknownProcessor;
+    const processorShare = createProcessorShare(readTimes, configuredShare);
 
     const applyConfiguration = (next: CellConfiguration, source: string): void => {
         if (configuration !== undefined && next.version <= configuration.version) {
--- a/packages/puffinarch/src/core/shard/processorShare.ts
+++ b/packages/puffinarch/src/core/shard/processorShare.ts
@@ -15,31 +15,34 @@
 export interface ProcessorShare {
     /** Takes a sample, if the process has worked for long enough since the last one. */
     sample(): void;
-    /** Whether the newest sample is far below the usual share. */
+    /** Whether the newest samples are far below the usual share, and below what the VM is configured with. */
     isSlow(): boolean;
-    /** Newest share as a fraction of the usual one; 1 before there are two samples. */
-    relative(): number;
 }
 
 /** Least working time of a sample; in less, the resolution of the processor time and single delays count too much. */
 const minActiveMs = 50;
-/** A VM is slow at less than this fraction of its usual share. Owners under load were seen to get 0.8 to 1.2 of theirs. */
+/** A VM is slow at less than this fraction of its usual share; that of a busy owner on a sound VM stays above. */
 const slowFraction = 0.5;
-/** Working time over which the usual share is averaged; the share of a healthy VM drifts over some ten seconds. */
+/** Samples in a row that show a slow VM; a single one may be a pause that is over. */
+const slowSamples = 2;
+/** Working time over which the usual share is averaged; the share of a sound VM drifts over some ten seconds. */
 const averagedActiveMs = 3_000;
+/** The same while the VM counts as slow, so that a share that has changed for good becomes the usual one in the end. */
+const averagedWhileSlowMs = 30_000;
 
 /**
- * Creates the share of a process from the reader of its times.
+ * Creates the share of a process from the reader of its times. `configuredShare` is the share of a core that the VM is configured with: a
+ * platform that enforces it as a cap stops a busy process for the rest of each period, which does not make the VM slow.
  *
  * @example
- * const share = createProcessorShare(readProcessorTimes);
+ * const share = createProcessorShare(readProcessorTimes, 0.675);
  * share.sample();
  * share.isSlow();
  */
-export const createProcessorShare = (readTimes: () => ProcessorTimes): ProcessorShare => {
+export const createProcessorShare = (readTimes: () => ProcessorTimes, configuredShare: number): ProcessorShare => {
     let last = readTimes();
     let usual: number | undefined;
-    let relative = 1;
+    let slowInARow = 0;
     return {
         sample: () => {
             const times = readTimes();
@@ -50,13 +53,10 @@
             const share = (times.usedMs - last.usedMs) / activeMs;
             last = times;
             usual ??= share;
-            relative = usual > 0 ? share / usual : 1;
-            // The share of a slow VM must not become the usual one while it is slow.
-            if (relative >= slowFraction) {
-                usual += Math.min(1, activeMs / averagedActiveMs) * (share - usual);
-            }
+            slowInARow = share < slowFraction * Math.min(usual, configuredShare) ? slowInARow + 1 : 0;
+            const averagedMs = slowInARow > 0 ? averagedWhileSlowMs : averagedActiveMs;
+            usual += Math.min(1, activeMs / averagedMs) * (share - usual);
         },
-        isSlow: () => relative < slowFraction,
-        relative: () => relative,
+        isSlow: () => slowInARow >= slowSamples,
     };
 };
--- a/packages/puffinarch/src/core/shard/startQueue.ts
+++ b/packages/puffinarch/src/core/shard/startQueue.ts
@@ -190,9 +190,10 @@
                 break;
             }
             leftInTurn -= next.runs.length;
-            pace.recordSent(next.runs.length);
             scheduleTurn();
-            for (const answer of send(next.runs, clock.monotonicMs() - next.sinceMs)) {
+            const answers = send(next.runs, clock.monotonicMs() - next.sinceMs);
+            pace.recordSent(answers.length);
+            for (const answer of answers) {
                 void settle(answer);
             }
         }
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -263,7 +263,7 @@
         }
     };
 
-    const call = <T>(
+    const call = async <T>(
         method: Dispatcher.HttpMethod,
         url: string,
         body?: unknown,
@@ -327,18 +327,17 @@
             const onExpired = (limitMs: number): void => {
                 const mayAnswerLate = exchange.isSent() && lateAnswerMs !== undefined
                     && connections.receivedAtMs > startedAtMs;
-                if (mayAnswerLate) {
-                    setTimeout(exchange.abort, lateAnswerMs).unref();
-                }
-                else {
-                    exchange.abort();
-                    replaceIfSilent(origin, connections, startedAtMs);
-                }
                 report({
                     kind: exchange.isSent() ? "unknown" : "notDelivered",
                     reason: `no answer within ${limitMs} ms`,
                     connectionLost: false,
                 });
+                if (mayAnswerLate) {
+                    setTimeout(exchange.abort, lateAnswerMs).unref();
+                    return;
+                }
+                exchange.abort();
+                replaceIfSilent(origin, connections, startedAtMs);
             };
 
             const deadline = startDeadline({ timeoutMs: callTimeoutMs, longestMs }, { startedAtMs, onExpired });
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -681,7 +681,7 @@
             },
             advisor: { advise: delayUntilResumed(dependencies.advisor.advise) },
             members: { call: (...call) => afterResume(suspension, peers.call(...call)) },
-            processorTimes: processor.times,
+            processor: { readTimes: processor.times, configuredShare: 1 },
             platform: {
                 configurationTable: "operator",
                 readConfiguration: row => row.key === "configuration" ? decodeRow(row, configurationSchema) : noEntry,
