--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -55,8 +55,8 @@
     /** Limit of the time to open a connection; `timeoutMs` if it is missing. */
     readonly connectTimeoutMs?: number;
     /**
-     * How long a call that has timed out keeps its connection for a late answer, while the origin answers others; its request counts
-     * as sent only once it is being written. If this is missing, a call that times out closes its connection.
+     * How long a call that has timed out keeps its connection for a late answer, while the origin answers others. If this is missing,
+     * such a call closes its connection.
      */
     readonly lateAnswerMs?: number;
     /** Counts calls, the bytes of their bodies and replacements of connections. */
