--- a/packages/puffinarch/src/core/shard/avoidance.ts
+++ b/packages/puffinarch/src/core/shard/avoidance.ts
@@ -106,16 +106,30 @@
         }),
     );
 
-/** Workers that might run the task, without those that failed it or are excluded. */
-const othersFor = (
+/** Whether the worker might run the task, and is not one that failed it or is excluded. */
+const isOther = (
+    worker: ShardWorker,
     { step }: ShardTask,
     failed: ReadonlyMap<string, number>,
     limits: AvoidanceLimits,
-): readonly ShardWorker[] =>
-    [...limits.workers.values()].filter(worker =>
-        !failed.has(worker.workerId) && limits.except?.has(worker.workerId) !== true
-        && mightRun(worker, step, limits)
-    );
+): boolean =>
+    !failed.has(worker.workerId) && limits.except?.has(worker.workerId) !== true && mightRun(worker, step, limits);
+
+const othersFor = (
+    task: ShardTask,
+    failed: ReadonlyMap<string, number>,
+    limits: AvoidanceLimits,
+): readonly ShardWorker[] => [...limits.workers.values()].filter(worker => isOther(worker, task, failed, limits));
+
+/** Whether `othersFor` would give any worker; a pass asks this for each task that has failed. */
+const hasOthers = (task: ShardTask, failed: ReadonlyMap<string, number>, limits: AvoidanceLimits): boolean => {
+    for (const worker of limits.workers.values()) {
+        if (isOther(worker, task, failed, limits)) {
+            return true;
+        }
+    }
+    return false;
+};
 
 const none: ReadonlyMap<string, number> = new Map();
 
@@ -135,16 +149,15 @@
     if (isOnLastAttempt(task)) {
         const failed = failedWithin(task, lastAttemptAvoidMs, limits);
         const untilMs = Math.max(...failed.values()) + lastAttemptAvoidMs;
-        const others = othersFor(task, failed, limits);
         if (
-            failed.size === 1 && others.length > 0 && shareInUse(step, limits) >= minShareInUse
-            && hasCapacityBy(step, others, untilMs, nowMs)
+            failed.size === 1 && hasOthers(task, failed, limits) && shareInUse(step, limits) >= minShareInUse
+            && hasCapacityBy(step, othersFor(task, failed, limits), untilMs, nowMs)
         ) {
             return new Map([...failed].map(([workerId, atMs]) => [workerId, atMs + lastAttemptAvoidMs]));
         }
     }
     const failed = failedWithin(task, avoidMs, limits);
-    if (failed.size === 0 || othersFor(task, failed, limits).length === 0) {
+    if (failed.size === 0 || !hasOthers(task, failed, limits)) {
         return none;
     }
     return new Map([...failed].map(([workerId, atMs]) => [workerId, atMs + avoidMs]));
