A start that was surely never sent is sent again, and does not count as unanswered

Cause: the time limit of a start runs while the order still waits inside the owner's process, for its processor or for a connection. A start whose limit ended there was handled like one without an answer: commit, newer fencing token, look, circuit breaker, a record of a delayed start, and up to 6.5 s in which it might still arrive. On an owner that is busy, this made more work; a gang of 60 tasks at 3 ms a start, or of 128 at 1.5 ms, was stopped and started again without end on an owner that did nothing else.

Change: a new outcome of orders, `notSent`. The HTTP client reports that the limit ended before the request was passed to a connection (`expiredUnsent`), and the adapter of the workers returns `notSent` for such starts only; refused connections, time-outs of connecting, and all stops and looks stay as they were. Such a start is sent again after a pause of 2 ms, with the longest limit and the newest ticket, for 1 s (members of gangs until the watch over gangs stops them), while its task, job, worker and ticket allow it. After that it ends as not started. Until it is sent it counts as in flight, and then reduces the queue's limit, as unanswered ones did.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -54,6 +54,23 @@
             | 100    | 340      | running    |
             | 1000   | 650      | unanswered |
 
+    # Guards against a busy owner that waits for seconds, commits and looks for a start of which it knows that it was never sent, and against
+    # one that sends such a start for ever, or although it became useless.
+    Scenario Outline: A start that is not sent <times> times and then answered "<answer>" <result><change>
+        When a start is not sent <times> times and then answered "<answer>"<change>
+        Then the start was sent <sent> times, and caused "<events>"
+        And the run is <state>
+
+        Examples:
+            | times | answer  | change                                    | sent | events                                         | state      | result     |
+            | 1     | done    |                                           | 2    |                                                | running    | runs       |
+            | 2     | done    |                                           | 3    |                                                | running    | runs       |
+            | 1     | unknown |                                           | 2    | committed, recorded as delayed, breaker opened | waited for | is held    |
+            | 99    | done    |                                           | 3    | notStarted notSent                             | gone       | is dropped |
+            | 99    | done    | , and its ticket expires after 200 ms     | 2    | notStarted badTicket                           | gone       | is dropped |
+            | 99    | done    | , and its worker drains after 200 ms      | 2    | notStarted notSent                             | gone       | is dropped |
+            | 99    | done    | , and its job ends after 200 ms           | 2    | notStarted notSent                             | gone       | is dropped |
+
     # Guards against starts that wait for longer than their tickets are valid, and are refused and planned again without end.
     Scenario Outline: Jobs are completed in time from 5 s after the return of all daemons on, with starts that are answered within <answerMs> ms
         Given a cell of 3 daemons and 60 workers that answer starts within <answerMs> ms, with tickets that expire
--- a/features/steps/shardLookSteps.ts
+++ b/features/steps/shardLookSteps.ts
@@ -5,15 +5,18 @@
 import assert from "node:assert/strict";
 import {
     adoptRun,
+    cancelJob,
     createDelayedStarts,
     createFirstLooks,
     createLookSlots,
     createShardWorkers,
     defaultShardSettings,
+    dropRun,
     type FencedWorkerPort,
     newWorker,
     openWorkerLink,
     runPhases,
+    type ShardRun,
     type ShardWorker,
     sleep,
     type WorkerLink,
@@ -21,7 +24,7 @@
 } from "puffinarch";
 import { exampleJob, openWorker, runOf } from "./examples/shardFixtures.js";
 import { part } from "./shardCellPart.js";
-import type { ScenarioWorld } from "./support.js";
+import { partOf, type ScenarioWorld } from "./support.js";
 
 When("the owner of {int} workers is replaced at once", async function(this: ScenarioWorld, count: number) {
     const clock = createFakeClock();
@@ -148,6 +151,100 @@
     },
 );
 
+/** What became of a start that was not sent at first: its attempts, and what they caused. */
+interface UnsentStart {
+    readonly run: ShardRun;
+    readonly worker: ShardWorker;
+    readonly attemptsAtMs: number[];
+    readonly events: string[];
+}
+
+/** Longer than any start may be sent again. */
+const afterUnsentMs = 5_000;
+
+const unsentStart = (world: ScenarioWorld): UnsentStart => partOf(world, "unsentStart", () => assert.fail("no start"));
+
+When(
+    /^a start is not sent (\d+) times and then answered "(done|unknown)"(?:, and its (ticket expires|worker drains|job ends) after (\d+) ms)?$/,
+    async function(this: ScenarioWorld, times: string, answer: "done" | "unknown", change?: string, afterMs?: string) {
+        const clock = createFakeClock();
+        const worker = openWorker();
+        worker.bornAtMs = 0;
+        const job = exampleJob();
+        const run = { ...runOf(job), phase: runPhases.starting };
+        run.task.runs.push(run);
+        adoptRun(worker, run);
+        const { step } = run.task;
+        step.advice.good.set(worker.workerId, { ticket: "t", validUntilMs: Infinity });
+        const attemptsAtMs: number[] = [];
+        const events: string[] = [];
+        const delayedStarts = createDelayedStarts(clock);
+        const link = openLinkTo(
+            worker,
+            clock,
+            async (_target, { waitMs }) => {
+                await sleep(clock, Math.max(1, waitMs));
+                return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: [] };
+            },
+            {
+                delayedStarts,
+                onUnanswered: async () => {
+                    events.push("committed");
+                },
+                onNotStarted: (_worker, lost, outcome) => {
+                    events.push(`notStarted ${outcome}`);
+                    dropRun(worker, lost);
+                },
+                start: async (_target, _order, timeoutMs) => {
+                    attemptsAtMs.push(clock.monotonicMs());
+                    const isSent = attemptsAtMs.length > Number(times);
+                    await sleep(clock, isSent ? 10 : timeoutMs);
+                    return isSent ? answer : "notSent";
+                },
+            },
+        );
+        await clock.advance(5);
+        const changes: Readonly<Record<string, () => void>> = {
+            "ticket expires": () => step.advice.good.clear(),
+            "worker drains": () => Object.assign(worker, { entry: { ...worker.entry, draining: true } }),
+            "job ends": () => cancelJob(job, clock.monotonicMs()),
+        };
+        if (change !== undefined) {
+            clock.setTimer(Number(afterMs), () => changes[change]?.());
+        }
+        void link.start(run, "t");
+        await clock.advance(afterUnsentMs);
+        link.close();
+        if (delayedStarts.of(worker.workerId).length > 0) {
+            events.push("recorded as delayed");
+        }
+        if (worker.unansweredStarts > 0) {
+            events.push("breaker opened");
+        }
+        partOf(this, "unsentStart", (): UnsentStart => ({ run, worker, attemptsAtMs, events }));
+    },
+);
+
+Then(
+    "the start was sent {int} times, and caused {string}",
+    function(this: ScenarioWorld, times: number, events: string) {
+        const start = unsentStart(this);
+        assert.equal(start.attemptsAtMs.length, times);
+        assert.equal(start.events.join(", "), events);
+    },
+);
+
+Then(/^the run is (running|gone|waited for)$/, function(this: ScenarioWorld, state: "running" | "gone" | "waited for") {
+    const { run, worker } = unsentStart(this);
+    const isHeld = [...worker.runs.values()].includes(run);
+    const isExpected = {
+        running: () => isHeld && run.phase === runPhases.running && run.mayArriveUntilMs === undefined,
+        gone: () => !isHeld && run.mayArriveUntilMs === undefined,
+        "waited for": () => isHeld && run.mayArriveUntilMs !== undefined,
+    };
+    assert.ok(isExpected[state](), `the run is ${run.phase}, held: ${isHeld}, until ${run.mayArriveUntilMs}`);
+});
+
 Then("the sent start is {string}", function(this: ScenarioWorld, outcome: string) {
     assert.equal(part(this).startOutcome, outcome);
 });
--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -46,6 +46,7 @@
         readonly headers: IncomingHttpHeaders;
     }[];
     outcome: string;
+    otherOutcome: string;
     look: string;
     status: number;
     text: string;
@@ -62,6 +63,7 @@
         address: "",
         sent: [],
         outcome: "",
+        otherOutcome: "",
         look: "",
         status: 0,
         text: "",
@@ -71,7 +73,7 @@
         worker: undefined,
     }));
 
-const serve = async (world: ScenarioWorld, status: number | undefined, body: string): Promise<void> => {
+const serve = async (world: ScenarioWorld, status: number | "never" | undefined, body: string): Promise<void> => {
     const { sent } = part(world);
     const server = createServer((request, response) => {
         const chunks: Buffer[] = [];
@@ -87,6 +89,9 @@
                 request.socket.destroy();
                 return;
             }
+            if (status === "never") {
+                return;
+            }
             response.writeHead(status, { "content-type": "application/json" }).end(body);
         });
     });
@@ -119,19 +124,53 @@
     await this.closers.pop()?.();
 });
 
+Given("a service that answers no call", async function(this: ScenarioWorld) {
+    await serve(this, "never", "");
+});
+
+const startOrder = {
+    taskName: "5c0e7a21d94b36f8.0.1.17",
+    run: 2,
+    payload: "plan",
+    deadlineMs: 9_000,
+    fencingToken: 7,
+    checkpoint: "",
+    ticket: "t",
+};
+
 When("a run is started through the adapter", async function(this: ScenarioWorld) {
     const workers = createPlatformWorkers(httpCallerOf(this));
-    part(this).outcome = await workers.start({ workerId: "i-1", address: part(this).address }, {
-        taskName: "5c0e7a21d94b36f8.0.1.17",
-        run: 2,
-        payload: "plan",
-        deadlineMs: 9_000,
-        fencingToken: 7,
-        checkpoint: "",
-        ticket: "t",
-    }, 1_000);
+    part(this).outcome = await workers.start({ workerId: "i-1", address: part(this).address }, startOrder, 1_000);
 });
 
+/** Far above the time that a call on a free connection takes, and far below that for which the other call holds the connection. */
+const shortLimitMs = 200;
+const heldMs = 1_000;
+
+When(
+    "a run is started through the adapter while another start holds the only connection",
+    async function(this: ScenarioWorld) {
+        const workers = createPlatformWorkers(httpCallerOf(this));
+        const target = { workerId: "i-1", address: part(this).address };
+        const first = workers.start(target, startOrder, heldMs);
+        part(this).outcome = await workers.start(target, { ...startOrder, run: 3 }, shortLimitMs);
+        part(this).otherOutcome = await first;
+        // It would follow the start that was not sent if that were sent after all.
+        await workers.start(target, { ...startOrder, run: 4 }, shortLimitMs);
+    },
+);
+
+When(
+    "a run is stopped through the adapter while another call holds the only connection",
+    async function(this: ScenarioWorld) {
+        const workers = createPlatformWorkers(httpCallerOf(this));
+        const target = { workerId: "i-1", address: part(this).address };
+        void workers.start(target, startOrder, heldMs);
+        const { taskName, run, fencingToken } = startOrder;
+        part(this).outcome = await workers.stop(target, { taskName, run, fencingToken }, shortLimitMs);
+    },
+);
+
 When("a worker is looked at through the adapter", async function(this: ScenarioWorld) {
     const workers = createPlatformWorkers(httpCallerOf(this));
     const look = await workers.look({ workerId: "i-1", address: part(this).address }, {
@@ -198,6 +237,15 @@
     assert.equal(part(this).outcome, outcome);
 });
 
+Then("the other start is {string}", function(this: ScenarioWorld, outcome: string) {
+    assert.equal(part(this).otherOutcome, outcome);
+});
+
+Then("the service was sent the starts of runs {string}", function(this: ScenarioWorld, runs: string) {
+    const sentRuns = part(this).sent.map(({ body }) => (JSON.parse(body) as { readonly run: number; }).run);
+    assert.equal(sentRuns.join(", "), runs);
+});
+
 Then("the decoded look is {string}", function(this: ScenarioWorld, look: string) {
     assert.deepEqual(JSON.parse(part(this).look), JSON.parse(look));
 });
--- a/features/usersPlatform.feature
+++ b/features/usersPlatform.feature
@@ -68,6 +68,24 @@
         When a run is started through the adapter
         Then the adapter returns "unknown"
 
+    # Guards against an owner that waits for seconds for a start which it never sent. A refused connection is a fault of the worker, and stays one.
+    Scenario: A start that found no free connection in time was not sent, and never is
+        Given a service that answers no call
+        When a run is started through the adapter while another start holds the only connection
+        Then the adapter returns "notSent"
+        And the other start is "unknown"
+        And the service was sent the starts of runs "2, 4"
+
+    Scenario: A stop that found no free connection in time is repeated like any other without an answer
+        Given a service that answers no call
+        When a run is stopped through the adapter while another call holds the only connection
+        Then the adapter returns "unknown"
+
+    Scenario: A start to a worker that does not listen may have been carried out, for all that the adapter tells
+        Given a service that does not listen
+        When a run is started through the adapter
+        Then the adapter returns "unknown"
+
     Scenario: Each element of the rows in a look is decoded into its field
         Given a service that answers 200 with '{"clock_ms":5,"running":[["a.0.0.0",2,"saved",40,1300]],"ended":[[58,"a.0.0.9",1,"done",""]]}'
         When a worker is looked at through the adapter
--- a/packages/puffinarch/src/core/shard/jobModel.ts
+++ b/packages/puffinarch/src/core/shard/jobModel.ts
@@ -53,6 +53,8 @@
     phase: RunPhase;
     /** Local time at which its start order was first sent; undefined before that, and if a former owner sent it. */
     sentAtMs: number | undefined;
+    /** Whether its start order was not sent within its time limit, since this process had not got round to it. */
+    sentLate: boolean;
     /**
      * A look that is sent after this local time and does not list the run proves that the run is gone; undefined until its order is
      * answered or given up as unanswered.
@@ -421,6 +423,7 @@
     checkpoint: task.saved.checkpoint,
     phase: runPhases.planned,
     sentAtMs: undefined,
+    sentLate: false,
     absenceProvenAfterMs: undefined,
     wasListed: false,
     mayArriveUntilMs: undefined,
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -6,18 +6,25 @@
 import { type OrderOutcome, orderOutcomes, type WorkerTarget } from "../../types/cellPorts.js";
 import { sleep } from "../../utils/time.js";
 import type { DelayedStart } from "./delayedStarts.js";
+import { ticketFor } from "./eligible.js";
 import { incarnationOf } from "./incarnations.js";
-import { runPhases, type ShardRun } from "./jobModel.js";
+import { hasEnded, jobOf, runPhases, type ShardRun } from "./jobModel.js";
 import { ownDelayMs } from "./ownDelay.js";
 import { recordStartAnswered, recordStartUnanswered } from "./startBreaker.js";
+import { startTurnMs } from "./startQueue.js";
 import { holdsForOneIncarnation } from "./unansweredStart.js";
 import type { WorkerLinkOptions } from "./workerLink.js";
-import { extendLease, runKey, type ShardWorker, stillFits } from "./workerTable.js";
+import { extendLease, isLeaving, runKey, type ShardWorker, stillFits } from "./workerTable.js";
 
 /** Timeout of a start, whose round trip takes some milliseconds; beyond it, a look shows sooner whether the start was carried out. */
 const startTimeoutMs = 150;
 /** Most that this process's own lateness adds to the timeout of a start; a worker that has lost it is noticed after that in any case. */
 const maxStartDelayMs = 450;
+/**
+ * Longest time for which a start that was not sent is sent again; its task is planned anew after that, since a queue that is longer than
+ * this, or a connection that does not open, would keep the task from free workers. The watch over gangs limits it for their members.
+ */
+const maxUnsentMs = 1_000;
 const minStopTimeoutMs = 150;
 const maxStopTimeoutMs = 600;
 
@@ -79,8 +86,12 @@
     const { clock, log, meter, workers, worker, target, leaseMs, delayedStarts, orderPauseMs, isClosed, endsLink } =
         options;
 
-    /** A start must not count as unanswered because this process was late to send it or to read its answer. */
-    const startTimeout = (): number => startTimeoutMs + ownDelayMs(options.lagMs?.() ?? 0, maxStartDelayMs);
+    /**
+     * A start must not count as unanswered because this process was late to send it or to read its answer. One that was not sent shows
+     * that the process is later than its timers; with the same limit, most of a long queue would be sent again for nothing.
+     */
+    const startTimeout = ({ sentLate }: ShardRun): number =>
+        startTimeoutMs + (sentLate ? maxStartDelayMs : ownDelayMs(options.lagMs?.() ?? 0, maxStartDelayMs));
 
     const isStarting = (run: ShardRun): boolean =>
         !isClosed() && run.phase === runPhases.starting && worker.runs.has(runKey(run.task.name, run.run));
@@ -150,26 +161,54 @@
             fencingToken: options.token(),
             checkpoint: run.checkpoint,
             ticket,
-        }, startTimeout());
+        }, startTimeout(run));
         meter.count(`starts.${outcome}`);
         if (outcome === orderOutcomes.unknown) {
             delayedStarts.record(worker.workerId, { taskName: run.task.name, run: run.run });
+            return outcome;
         }
-        else {
-            run.mayArriveUntilMs = undefined;
+        run.mayArriveUntilMs = undefined;
+        if (outcome !== orderOutcomes.notSent) {
             recordStartAnswered(worker);
         }
         return outcome;
     };
 
+    /** Why a start that was not sent may not be sent again; undefined where it may. */
+    const unsentProblemOf = (run: ShardRun, unsentSinceMs: number): OrderOutcome | undefined => {
+        const nowMs = clock.monotonicMs();
+        const { step, done } = run.task;
+        if (ticketFor(step, worker.workerId, nowMs) === undefined) {
+            return orderOutcomes.badTicket;
+        }
+        const isUseless = done || hasEnded(jobOf(run)) || isLeaving(worker);
+        // The watch over gangs stops the members if they are not all sent in time; to give one up earlier would stop the others as well.
+        const isLate = !step.spec.gang && nowMs - unsentSinceMs > maxUnsentMs;
+        return isUseless || isLate ? orderOutcomes.notSent : undefined;
+    };
+
     const start = async (run: ShardRun, ticket: string): Promise<void> => {
+        let unsentSinceMs: number | undefined;
         while (isStarting(run)) {
             if (!stillFits(worker, run)) {
                 options.onNotStarted(run, orderOutcomes.noRoom);
                 return;
             }
+            const problem = unsentSinceMs === undefined ? undefined : unsentProblemOf(run, unsentSinceMs);
+            if (problem !== undefined) {
+                log.write("warn", "startNotSent", {
+                    task: run.task.name,
+                    run: run.run,
+                    ...incarnationOf(worker),
+                    problem,
+                });
+                options.onNotStarted(run, problem);
+                return;
+            }
+            const beganAtMs = clock.monotonicMs();
             const sentToken = options.token();
-            const outcome = await send(run, ticket);
+            const newest = run.sentLate ? ticketFor(run.task.step, worker.workerId, beganAtMs) : ticket;
+            const outcome = await send(run, newest ?? ticket);
             if (!isStarting(run)) {
                 return;
             }
@@ -180,6 +219,14 @@
             if (endsLink(outcome, sentToken)) {
                 return;
             }
+            if (outcome === orderOutcomes.notSent) {
+                unsentSinceMs ??= beganAtMs;
+                run.sentAtMs = clock.monotonicMs();
+                run.sentLate = true;
+                // Other work of a busy process comes first: pings that wait behind starts would make peers take the shard over.
+                await sleep(clock, startTurnMs);
+                continue;
+            }
             if (!options.isOvertaken(outcome, sentToken)) {
                 await applyOutcome(run, outcome, sentToken);
                 return;
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -545,7 +545,13 @@
     /** Sends a start; resolves once it was answered or given up, or has waited so long that it no longer keeps others back. */
     const sendStart = async (run: ShardRun): Promise<StartAnswer> => {
         const ticket = ticketFor(run.task.step, run.workerId, clock.monotonicMs()) ?? "";
-        await Promise.race([workers.start(run, ticket), sleep(clock, maxStartAnswerMs)]);
+        const settled = workers.start(run, ticket);
+        await Promise.race([settled, sleep(clock, maxStartAnswerMs)]);
+        if (run.sentLate) {
+            // It still waits in this process, and others would wait behind it.
+            await settled;
+            return "unanswered";
+        }
         if (run.phase !== runPhases.starting) {
             return "answered";
         }
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -357,7 +357,9 @@
                     step.advice.askedWorkerIds.delete(holder.workerId);
                 }
                 else {
-                    holder.avoidUntilMs = Math.max(holder.avoidUntilMs, clock.monotonicMs() + settings.retryAfterMs);
+                    // A start that was not sent may have waited for a connection to this worker, but most likely for this process.
+                    const avoidMs = outcome === "notSent" ? settings.orderPauseMs : settings.retryAfterMs;
+                    holder.avoidUntilMs = Math.max(holder.avoidUntilMs, clock.monotonicMs() + avoidMs);
                 }
                 void changed(step.occurrence.job);
             },
--- a/packages/puffinarch/src/types/cellPorts.ts
+++ b/packages/puffinarch/src/types/cellPorts.ts
@@ -109,6 +109,8 @@
  * - `invalid`: the order is malformed or names something that does not exist.
  * - `unhealthy`: the worker takes no orders at present.
  * - `otherIncarnation`: the addressed incarnation of the worker no longer exists.
+ * - `notSent`: the time limit ended while the order waited in this process. No part of it was written to a connection, nor will be. Only
+ *   for starts.
  * - `unknown`: the order may have been carried out, or may still be.
  *
  * With any outcome other than `done` and `unknown`, the order had no effect.
@@ -123,6 +125,7 @@
     invalid: "invalid",
     unhealthy: "unhealthy",
     otherIncarnation: "otherIncarnation",
+    notSent: "notSent",
     unknown: "unknown",
 } as const;
 /** One of `orderOutcomes`. */
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -15,10 +15,17 @@
 /** Outcome of a call without an answer: the request was surely not delivered, or that is unknown. */
 export type CallFailure = "notDelivered" | "unknown";
 
-/** The answer to a call, or why there is none. `connectionLost`: the origin refused or closed the connection. */
+/** The answer to a call, or why there is none. */
 export type CallResult<T> =
     | { readonly kind: "answered"; readonly status: number; readonly body: T; }
-    | { readonly kind: CallFailure; readonly reason: string; readonly connectionLost: boolean; };
+    | {
+        readonly kind: CallFailure;
+        readonly reason: string;
+        /** Whether the origin refused or closed the connection. */
+        readonly connectionLost: boolean;
+        /** Whether the time limit ended before the request was passed to a connection; it never will be. */
+        readonly expiredUnsent: boolean;
+    };
 
 /** Options of one call. */
 export interface HttpCallOptions {
@@ -299,6 +306,7 @@
                     kind: failureKindOf(error),
                     reason: error instanceof Error ? error.message : String(error),
                     connectionLost: connectionLostCodes.has(codeOf(error)),
+                    expiredUnsent: false,
                 });
             };
 
@@ -334,10 +342,12 @@
                     exchange.abort();
                     replaceIfSilent(origin, connections, startedAtMs);
                 }
+                const expiredUnsent = !exchange.isSent();
                 report({
-                    kind: exchange.isSent() ? "unknown" : "notDelivered",
+                    kind: expiredUnsent ? "notDelivered" : "unknown",
                     reason: `no answer within ${limitMs} ms`,
                     connectionLost: false,
+                    expiredUnsent,
                 });
             };
 
--- a/packages/stand-ins/src/shard/processor.ts
+++ b/packages/stand-ins/src/shard/processor.ts
@@ -65,8 +65,8 @@
 
 /**
  * Wraps a worker port so that sending starts and reading the answers to starts and looks take processor time. An answer that is read
- * after the timeout becomes `unknown`, although the worker has carried the order out; a start whose turn comes after its timeout is not
- * sent.
+ * after the timeout becomes `unknown`, although the worker has carried the order out; a start whose turn comes after its timeout is
+ * `notSent`.
  *
  * @example
  * const port = withProcessor(workers.connect(), { clock, processor, costs });
@@ -89,7 +89,7 @@
             const beganAtMs = clock.monotonicMs();
             await processor.use(costs.startMs);
             if (clock.monotonicMs() - beganAtMs > timeoutMs) {
-                return "unknown";
+                return "notSent";
             }
             if (costs.startAnswerMs === undefined) {
                 return port.start(target, order, timeoutMs);
