An owner that is late stops a gang before its members end alone

Cause: the watch over gangs stopped one that was not confirmed after 0.6 of the time for which members wait, whatever the owner's lateness and the time that a worker takes for a stop.

Change: the watch gets `stopMs` and the lateness of the timers. The stop leaves early enough for both and for the time until the next review, at the latest after 0.6 of the wait as before, and not before 0.2 of it, which is as long as a start may be unanswered.

The scenario failed before; its step now passes the settings, and its check is unchanged.

--- a/features/steps/gangSteps.ts
+++ b/features/steps/gangSteps.ts
@@ -276,6 +276,8 @@
             log: noLog,
             meter: noMeter,
             gangWaitMs,
+            stopMs,
+            lagMs: () => lateMs,
             stop: run => {
                 if (run === present) {
                     stopped.endedByStopAtMs = Math.min(stopped.endedByStopAtMs, clock.monotonicMs() + stopMs);
--- a/packages/puffinarch/src/core/shard/gangWatch.ts
+++ b/packages/puffinarch/src/core/shard/gangWatch.ts
@@ -13,6 +13,10 @@
     readonly meter: Meter;
     /** How long a member that has started waits for the others. */
     readonly gangWaitMs: number;
+    /** How long a worker may take to stop a run; none where it is left out. */
+    readonly stopMs?: number;
+    /** How late timers of this process fire now, in ms; never late where it is left out. */
+    readonly lagMs?: (() => number) | undefined;
     /** Stops a run; one that is only planned is dropped at once. */
     readonly stop: (run: ShardRun) => void;
 }
@@ -34,8 +38,13 @@
     readonly sinceMs: number;
 }
 
-/** Share of `gangWaitMs` after which all members have to be confirmed; the rest is for the stops to arrive. */
+/** Largest share of `gangWaitMs` after which all members have to be confirmed; the rest is for the stops to arrive. */
 const confirmShare = 0.6;
+/**
+ * Smallest such share, however late the owner is. It is as long as a start may be unanswered; an owner that stopped its gangs earlier
+ * would start and stop them without end.
+ */
+const minConfirmShare = 0.2;
 
 const keyOf = ({ task: { step }, run }: ShardRun): string => `${stepNameOf(step)}#${run}`;
 
@@ -57,12 +66,25 @@
  * Creates a watch without gangs.
  *
  * @example
- * const gangs = createGangWatch({ clock, log, meter, gangWaitMs: 3_000, stop: run => link.stop(run) });
+ * const gangs = createGangWatch({ clock, log, meter, gangWaitMs: 3_000, stopMs: 900, stop: run => link.stop(run) });
  * gangs.watch(run);
  * gangs.review();
  */
-export const createGangWatch = ({ clock, log, meter, gangWaitMs, stop }: GangWatchOptions): GangWatch => {
+export const createGangWatch = (
+    { clock, log, meter, gangWaitMs, stopMs = 0, lagMs = () => 0, stop }: GangWatchOptions,
+): GangWatch => {
     const watched = new Map<string, WatchedGang>();
+    let reviewedAtMs = clock.monotonicMs();
+
+    /**
+     * Returns how long a gang may be unconfirmed. A stop has to leave this process, which takes as long as its timers are late, and to
+     * be carried out before a member ends alone; and one that this review leaves out comes no sooner than the next.
+     */
+    const confirmLimitMs = (sinceReviewMs: number): number =>
+        Math.max(
+            minConfirmShare * gangWaitMs,
+            Math.min(confirmShare * gangWaitMs, gangWaitMs - stopMs - lagMs() - sinceReviewMs),
+        );
 
     const stopGang = (gang: Pick<WatchedGang, "step" | "run">, reason: string): void => {
         const members = membersOf(gang);
@@ -83,11 +105,11 @@
     };
 
     /** Returns why a gang has to be stopped; undefined where it may go on. */
-    const problemOf = (gang: WatchedGang, nowMs: number): string | undefined => {
+    const problemOf = (gang: WatchedGang, nowMs: number, limitMs: number): string | undefined => {
         if (!isWhole(gang)) {
             return "memberLost";
         }
-        const isLate = nowMs - gang.sinceMs > confirmShare * gangWaitMs;
+        const isLate = nowMs - gang.sinceMs > limitMs;
         return isLate && !isConfirmed(gang) && !wasWhole(gang) ? "unconfirmed" : undefined;
     };
 
@@ -107,8 +129,10 @@
         },
         review: () => {
             const nowMs = clock.monotonicMs();
+            const limitMs = confirmLimitMs(nowMs - reviewedAtMs);
+            reviewedAtMs = nowMs;
             for (const [key, gang] of watched) {
-                const problem = problemOf(gang, nowMs);
+                const problem = problemOf(gang, nowMs, limitMs);
                 if (problem !== undefined) {
                     watched.delete(key);
                     stopGang(gang, problem);
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -142,7 +142,15 @@
         }
     };
 
-    const gangs = createGangWatch({ clock, log, meter, gangWaitMs: settings.gangWaitMs, stop: stopRun });
+    const gangs = createGangWatch({
+        clock,
+        log,
+        meter,
+        gangWaitMs: settings.gangWaitMs,
+        stopMs: settings.stopMs,
+        lagMs: options.lagMs,
+        stop: stopRun,
+    });
 
     const watch = createWorkerWatch({
         clock,
