A gang is stopped once, not once for each member that it loses

Cause: each lost or refused member stopped all others again, and counted and logged that as another stopped gang; and a member that left the queue later put the gang under watch again. On a busy owner, a gang that lost k members cost k log lines and k passes over its members.

Change: only members that are not being stopped yet are stopped; where there are none, nothing is counted or logged.

Result: a gang of 8 that loses 3 members one after the other is stopped once, with 7 stops.

--- a/features/gangs.feature
+++ b/features/gangs.feature
@@ -64,6 +64,11 @@
             | 0      |
             | 500    |
 
+    # Guards against a gang of which each lost member stops, counts and logs all others again, on an owner that is busy as it is.
+    Scenario: A gang that loses several members is stopped once
+        When 3 members of a gang of 8 are lost one after the other, and then another review comes
+        Then each of the other 7 was stopped once, as one gang
+
     # Guards against a gang that is stopped and started again without end, since sending all of its starts takes longer than one may be unanswered.
     Scenario Outline: A gang of <tasks> tasks is completed, on an idle owner to which each start costs <startMs> ms
         Given a cell of 1 daemons and 60 workers that answer starts within 20 ms, where each start costs a daemon <startMs> ms
--- a/features/steps/gangSteps.ts
+++ b/features/steps/gangSteps.ts
@@ -244,6 +244,12 @@
     endedByStopAtMs: number;
 }
 
+/** Log lines about stopped gangs, and the tasks whose runs were stopped, by index. */
+interface GangStops {
+    lines: number;
+    readonly stops: number[];
+}
+
 /** Time between two reviews of an owner that is not late. */
 const reviewMs = 100;
 const noLog = { write: () => {} };
@@ -303,6 +309,57 @@
     assert.ok(endedByStopAtMs < endsAloneAtMs, `stopped after ${endedByStopAtMs} ms, alone after ${endsAloneAtMs} ms`);
 });
 
+When(
+    "{int} members of a gang of {int} are lost one after the other, and then another review comes",
+    async function(this: ScenarioWorld, lost: number, count: number) {
+        const clock = createFakeClock();
+        const submission = {
+            jobId: jobIdOf(1),
+            queueKey: testQueue.key,
+            dataCentre: "leon-feria",
+            payload: "plan",
+            steps: readSteps(`${count} gang`),
+            schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
+        };
+        const tasks = newJob(submission, testQueue, { acceptedAtMs: 0, order: 1 }).occurrences.get(0)?.steps[0]?.tasks;
+        const runs = (tasks ?? []).map(task => newRun(task, "i-1", 1, { phase: "starting", sentAtMs: 0 }));
+        const gangStops = partOf(this, "gangStops", (): GangStops => ({ lines: 0, stops: [] }));
+        const gangs = createGangWatch({
+            clock,
+            log: {
+                write: () => {
+                    gangStops.lines += 1;
+                },
+            },
+            meter: noMeter,
+            gangWaitMs: defaultShardSettings.gangWaitMs,
+            stop: run => {
+                run.phase = "stopping";
+                gangStops.stops.push(run.task.index);
+            },
+        });
+        for (const run of runs) {
+            run.task.runs.push(run);
+            gangs.watch(run);
+        }
+        for (const run of runs.slice(0, lost)) {
+            run.task.runs.splice(0);
+            gangs.memberLost(run, "refused");
+            // The rest of its gang leaves the queue in a later turn.
+            runs.slice(lost).forEach(gangs.watch);
+            await clock.advance(reviewMs);
+            gangs.review();
+        }
+    },
+);
+
+Then("each of the other {int} was stopped once, as one gang", function(this: ScenarioWorld, others: number) {
+    const { lines, stops } = partOf(this, "gangStops", (): GangStops => assert.fail("no gang was watched"));
+    assert.equal(lines, 1);
+    assert.equal(new Set(stops).size, others);
+    assert.equal(stops.length, others);
+});
+
 Then("no run ended alone", function(this: ScenarioWorld) {
     const { evidence } = cellOf(this).workers;
     assert.ok(evidence.length > 0, "nothing was started");
--- a/packages/puffinarch/src/core/shard/gangWatch.ts
+++ b/packages/puffinarch/src/core/shard/gangWatch.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Clock, Log, Meter } from "../../types/ports.js";
-import { type ShardRun, type ShardStep, stepNameOf } from "./jobModel.js";
+import { runPhases, type ShardRun, type ShardStep, stepNameOf } from "./jobModel.js";
 
 /** Dependencies and settings of the watch. */
 export interface GangWatchOptions {
@@ -88,7 +88,9 @@
 
     const stopGang = (gang: Pick<WatchedGang, "step" | "run">, reason: string): void => {
         const members = membersOf(gang);
-        if (members.length === 0) {
+        // Each member that is lost reports it; the others are stopped once.
+        const toStop = members.filter(({ phase }) => phase !== runPhases.stopping);
+        if (toStop.length === 0) {
             return;
         }
         meter.count(`gangsStopped.${reason}`);
@@ -99,7 +101,7 @@
             members: members.length,
             confirmed: members.filter(({ startedAtMs }) => startedAtMs !== undefined).length,
         });
-        for (const member of members) {
+        for (const member of toStop) {
             stop(member);
         }
     };
