--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -165,6 +165,8 @@
 const maxStartQueueMs = 400;
 /** Time after which a start makes room for the next one, with or without an answer. */
 const maxStartAnswerMs = 200;
+/** The same for a start that was not sent in time; its worker or the store may keep it longer, and must not hold up the others. */
+const maxUnsentWaitMs = 1_000;
 /** Most log lines a second about planned starts that were dropped; the counters have all of them. */
 const maxDropLinesPerS = 20;
 /** First looks at all workers take a new owner 1 to 2 s. Callers wait for 3 s in all, so that it counts as settled after this time. */
@@ -553,13 +555,23 @@
         return undefined;
     };
 
+    /** Resolves once a start is settled, or after a time. */
+    const settledWithin = (settled: Promise<void>, limitMs: number): Promise<void> =>
+        new Promise((resolve, reject) => {
+            const cancel = clock.setTimer(limitMs, resolve);
+            settled.then(resolve, reject).finally(cancel);
+        });
+
     /** Sends a start; resolves once it was answered or given up, or has waited so long that it no longer keeps others back. */
     const sendStart = async (run: ShardRun): Promise<StartAnswer> => {
         const ticket = ticketFor(run.task.step, run.workerId, clock.monotonicMs()) ?? "";
-        await new Promise<void>((resolve, reject) => {
-            const cancel = clock.setTimer(maxStartAnswerMs, resolve);
-            workers.start(run, ticket).then(resolve, reject).finally(cancel);
-        });
+        const settled = workers.start(run, ticket);
+        await settledWithin(settled, maxStartAnswerMs);
+        if (run.sentLate) {
+            // It still waits in this process, and others would wait behind it.
+            await settledWithin(settled, maxUnsentWaitMs);
+            return "unanswered";
+        }
         if (run.phase !== runPhases.starting) {
             return "answered";
         }
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -15,10 +15,17 @@
 /** Outcome of a call without an answer: the request was surely not delivered, or that is unknown. */
 export type CallFailure = "notDelivered" | "unknown";
 
-/** The answer to a call, or why there is none. `connectionLost`: the origin refused or closed the connection. */
+/** The answer to a call, or why there is none. */
 export type CallResult<T> =
     | { readonly kind: "answered"; readonly status: number; readonly body: T; }
-    | { readonly kind: CallFailure; readonly reason: string; readonly connectionLost: boolean; };
+    | {
+        readonly kind: CallFailure;
+        readonly reason: string;
+        /** Whether the origin refused or closed the connection. */
+        readonly connectionLost: boolean;
+        /** Whether the time limit ended while the request waited for one of the open connections; it is never sent. */
+        readonly expiredUnsent: boolean;
+    };
 
 /** Options of one call. */
 export interface HttpCallOptions {
@@ -299,6 +306,7 @@
                     kind: failureKindOf(error),
                     reason: error instanceof Error ? error.message : String(error),
                     connectionLost: connectionLostCodes.has(codeOf(error)),
+                    expiredUnsent: false,
                 });
             };
 
@@ -327,10 +335,14 @@
             const onExpired = (limitMs: number): void => {
                 const mayAnswerLate = exchange.isSent() && lateAnswerMs !== undefined
                     && connections.receivedAtMs > startedAtMs;
+                const isSent = exchange.isSent();
+                // While connections are still being opened, it is the origin that keeps the request waiting.
+                const expiredUnsent = !isSent && connections.pool.stats.connected >= connectionsPerHost;
                 report({
-                    kind: exchange.isSent() ? "unknown" : "notDelivered",
+                    kind: isSent ? "unknown" : "notDelivered",
                     reason: `no answer within ${limitMs} ms`,
                     connectionLost: false,
+                    expiredUnsent,
                 });
                 if (mayAnswerLate) {
                     setTimeout(exchange.abort, lateAnswerMs).unref();
