Copies of a cancel wait for the commit of the first one

Cause: each copy of a cancel cancelled the job again, and made a commit of its own. Callers and daemons repeat a cancel until it is answered, so that an owner that is late spent its time on them.

Change: the owner keeps the commit of a cancelled job, and copies of the cancel wait for it. They are still answered only once it is durable.

--- a/features/cancels.feature
+++ b/features/cancels.feature
@@ -74,3 +74,26 @@
         When the fault "store hangs" comes
         And a job that was not submitted is cancelled, submitted and cancelled again
         Then no cancel is answered within 400 ms
+
+    # Guards against an owner that spends its processor time on the cancels that late callers repeat.
+    Scenario: A cancel that is repeated after it took effect causes no commit
+        Given a cell of 3 daemons and 4 workers
+        When 1 jobs of steps "1 long running" are submitted
+        And the shard runs for 1000 ms
+        And the owner is sent 1 cancels of that job, 10 ms apart
+        And the shard runs for 1000 ms
+        And the owner is sent 20 cancels of that job, 10 ms apart
+        Then 21 cancels were answered within 100 ms, and the last 20 caused no commit
+        And the owner has cancelled the job once
+
+    # Guards against a copy of a cancel that is answered before the cancel is durable.
+    Scenario: Copies of a cancel are answered once the first one is durable
+        Given a cell of 3 daemons and 4 workers
+        When 1 jobs of steps "1 long running" are submitted
+        And the shard runs for 1000 ms
+        And the fault "store hangs" comes
+        And the owner is sent 5 cancels of that job, 20 ms apart
+        Then no cancel is answered within 100 ms
+        When the fault goes
+        Then 5 cancels were answered within 1000 ms
+        And the owner has cancelled the job once
--- a/features/steps/cancelSteps.ts
+++ b/features/steps/cancelSteps.ts
@@ -20,12 +20,14 @@
     answer: Answer | undefined;
     /** The answers to all calls. */
     readonly answers: Answer[];
+    /** The newest batch of the owner before the newest cancels. */
+    batchBefore: string;
     /** Organisation of the job that is cancelled before its submission; empty for none. */
     organisation: string;
 }
 
 const part = (world: ScenarioWorld): CancelPart =>
-    partOf(world, "cancels", () => ({ answer: undefined, answers: [], organisation: "" }));
+    partOf(world, "cancels", () => ({ answer: undefined, answers: [], batchBefore: "", organisation: "" }));
 
 const callerTimeoutMs = 2_500;
 const submittedJobId = jobIdOf(9_201);
@@ -211,3 +213,43 @@
     await cellOf(this).clock.advance(limitMs);
     assert.deepEqual(part(this).answers, []);
 });
+
+/** The sequence row names the newest batch that the owner has written. */
+const newestBatch = (cell: ShardCell): string =>
+    cell.store.rows("puffinarch-journal").find(({ key }) => key === "sequence")?.value ?? "";
+
+When(
+    "the owner is sent {int} cancels of that job, {int} ms apart",
+    async function(this: ScenarioWorld, count: number, apartMs: number) {
+        const cell = cellOf(this);
+        part(this).batchBefore = newestBatch(cell);
+        for (let sent = 0; sent < count; sent += 1) {
+            send(this, "cancel", cell.owner() ?? "", shardPart(this).jobs[0] ?? "");
+            await cell.clock.advance(apartMs);
+        }
+    },
+);
+
+const requireAnswered = async (world: ScenarioWorld, count: number, limitMs: number): Promise<void> => {
+    await cellOf(world).clock.advance(limitMs);
+    assert.deepEqual(part(world).answers.map(({ outcome }) => outcome), Array.from({ length: count }, () => "known"));
+};
+
+Then(
+    "{int} cancels were answered within {int} ms",
+    async function(this: ScenarioWorld, count: number, limitMs: number) {
+        await requireAnswered(this, count, limitMs);
+    },
+);
+
+Then(
+    "{int} cancels were answered within {int} ms, and the last 20 caused no commit",
+    async function(this: ScenarioWorld, count: number, limitMs: number) {
+        await requireAnswered(this, count, limitMs);
+        assert.equal(newestBatch(cellOf(this)), part(this).batchBefore);
+    },
+);
+
+Then("the owner has cancelled the job once", function(this: ScenarioWorld) {
+    assert.equal(cellOf(this).log.filter(({ event }) => event === "jobCancelled").length, 1);
+});
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -905,12 +905,23 @@
         endedJobs: endedRead,
     });
 
-    const cancelKnownJob = async (job: ShardJob): Promise<void> => {
+    /** Commits of cancelled jobs, by job. Callers repeat a cancel until it is answered; its copies wait for the same commit. */
+    const cancelCommits = new WeakMap<ShardJob, Promise<void>>();
+
+    const commitCancel = (job: ShardJob): Promise<void> => {
+        const earlier = cancelCommits.get(job);
+        if (earlier !== undefined) {
+            return earlier;
+        }
         cancelJob(job, clock.monotonicMs());
         log.write("info", "jobCancelled", { jobId: job.submission.jobId, state: job.state, fencingToken });
-        await Promise.race([commitChange(job), ownershipLost]);
+        const written = commitChange(job);
+        cancelCommits.set(job, written);
+        return written;
     };
 
+    const cancelKnownJob = (job: ShardJob): Promise<void> => Promise.race([commitCancel(job), ownershipLost]);
+
     const cancel = async (reference: JobReference): Promise<boolean> => {
         const { jobId } = reference;
         const outcome = jobs.has(jobId) ? undefined : (await endedRead).find(jobId);
