--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -143,7 +143,7 @@
 const registerRetryPauseMs = 300;
 const maxRegisterRetryPauseMs = 4_800;
 const unknownProcessor = { readTimes: (): ProcessorTimes => ({ usedMs: 0, activeMs: 0 }), configuredShare: 1 };
-/** An owner on a slow VM hands the shard over once its timers fire this late, on average over a second. */
+/** An owner on a slow VM hands the shard over once its timers fire this late, on average over a second: before its peers miss answers. */
 const slowOwnerLagMs = 20;
 /** A claim that the store has not answered is abandoned after this time, so that the peers can be asked who owns the shard. */
 const maxClaimMs = 1_500;
--- a/packages/puffinarch/src/core/shard/jobModel.ts
+++ b/packages/puffinarch/src/core/shard/jobModel.ts
@@ -51,7 +51,7 @@
     /** Checkpoint that its start carries, fixed at planning so that the starts of a gang's run all carry the same one. */
     readonly checkpoint: string;
     phase: RunPhase;
-    /** Local time at which its start order was first sent; undefined before that, and if a former owner sent it. */
+    /** Local time at which its start order was last passed on to be sent; undefined before that, and if a former owner sent it. */
     sentAtMs: number | undefined;
     /** Whether its start order was not sent within its time limit, since this process had not got round to it. */
     sentLate: boolean;
--- a/packages/puffinarch/src/core/shard/startQueue.ts
+++ b/packages/puffinarch/src/core/shard/startQueue.ts
@@ -54,9 +54,9 @@
 /** The limit is reduced once in this time: starts that were sent together are lost together. */
 const reducePauseMs = 200;
 
-/** The pace is measured over at least this time in which starts were waiting. */
+/** The pace is measured over at least this time in which starts were waiting; less would hold a turn or two of a busy process. */
 const paceWindowMs = 100;
-/** The pace counts as unknown this long after it was last measured. */
+/** The pace counts as unknown this long after it was last measured, as the load of the process has changed by then. */
 const paceValidMs = 1_000;
 /** Weight of the newest window in the moving average of the pace. */
 const paceSmoothing = 0.5;
