One check of approval, one count of what fits, and the pace of starts in a module of its own

The check whether the advisor has approved a worker stood in four modules, the count of how often an amount fits into another in two, and the queue of starts held a second concept. A task on its last attempt looked for other workers twice. Change: isApproved in eligible.ts serves the chooser, blocked steps, reservations and avoidance; tasksPerWorker uses timesThatFit; startPace.ts with an example; the search that the check of capacity makes anyway is the only one. Two comments say what is guarded against. Behaviour as before.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -96,6 +96,7 @@
             | jobRows              | 5c0e7a21d94b36f8.0.0.0 ran on i-1       |
             | dueOccurrences       | 3 due, 0 and 1 open                     |
             | occurrenceSet        | 5 in 2 ranges; 4 is missing             |
+            | startPace            | 0.64, then undefined                    |
             | startQueue           | 3 of 4                                  |
             | gangWatch            | 0 stopped, then 2                       |
             | taskPages            | tasks/5c0e7a21d94b36f8/0/128            |
--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -18,6 +18,7 @@
     createOccurrenceSet,
     createOwnerShedding,
     createPendingCancels,
+    createStartPace,
     createStartQueue,
     createTaskReview,
     defaultShardSettings,
@@ -62,6 +63,18 @@
     return `${countDue(schedule, 2_500)} due, ${[...job.occurrences.keys()].join(" and ")} open`;
 };
 
+const startPace = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const pace = createStartPace(clock);
+    pace.endTurn(true);
+    pace.recordSent(128);
+    await clock.advance(200);
+    pace.endTurn(true);
+    const measured = pace.perMs();
+    await clock.advance(2_000);
+    return `${measured}, then ${pace.perMs()}`;
+};
+
 const startQueue = async (): Promise<string> => {
     const sent: string[] = [];
     const clock = createFakeClock();
@@ -293,6 +306,7 @@
     dueOccurrences,
     occurrenceSet,
     shedding,
+    startPace,
     startQueue,
     taskReview,
     taskWait,
--- a/packages/puffinarch/src/core/shard/avoidance.ts
+++ b/packages/puffinarch/src/core/shard/avoidance.ts
@@ -8,6 +8,7 @@
     countRuns,
     countTasksThatFit,
     hasServiceAndLabel,
+    isApproved,
     isEligible,
     mightBecomeEligible,
     minTasksToStart,
@@ -50,8 +51,8 @@
 export const failedRecently = ({ failedOn }: ShardTask, workerId: string, nowMs: number): boolean =>
     nowMs - (failedOn.get(workerId) ?? -Infinity) < preferOthersMs;
 
-const mightBeApproved = ({ workerId }: ShardWorker, { occurrence, advice }: ShardStep): boolean =>
-    occurrence.job.queue.advice === undefined || advice.good.has(workerId) || !advice.askedWorkerIds.has(workerId);
+const mightBeApproved = (worker: ShardWorker, step: ShardStep): boolean =>
+    isApproved(worker, step) || !step.advice.askedWorkerIds.has(worker.workerId);
 
 /**
  * Whether the step might run on a worker now, or once the worker answers again. Workers about which the advisor was not asked
@@ -115,6 +116,7 @@
 ): boolean =>
     !failed.has(worker.workerId) && limits.except?.has(worker.workerId) !== true && mightRun(worker, step, limits);
 
+/** Workers that might run the task, without those that failed it or are excluded. */
 const othersFor = (
     task: ShardTask,
     failed: ReadonlyMap<string, number>,
@@ -150,7 +152,7 @@
         const failed = failedWithin(task, lastAttemptAvoidMs, limits);
         const untilMs = Math.max(...failed.values()) + lastAttemptAvoidMs;
         if (
-            failed.size === 1 && hasOthers(task, failed, limits) && shareInUse(step, limits) >= minShareInUse
+            failed.size === 1 && shareInUse(step, limits) >= minShareInUse
             && hasCapacityBy(step, othersFor(task, failed, limits), untilMs, nowMs)
         ) {
             return new Map([...failed].map(([workerId, atMs]) => [workerId, atMs + lastAttemptAvoidMs]));
--- a/packages/puffinarch/src/core/shard/blockedSteps.ts
+++ b/packages/puffinarch/src/core/shard/blockedSteps.ts
@@ -4,7 +4,7 @@
  * another, so all are counted from the same moment; counted separately, they could add up to more than a job may wait.
  */
 
-import { countRuns, countTasksThatFit, isEligible, minTasksToStart } from "./eligible.js";
+import { countRuns, countTasksThatFit, isApproved, isEligible, minTasksToStart } from "./eligible.js";
 import type { ShardStep, ShardTask } from "./jobModel.js";
 import { isBlockedByTrial } from "./trials.js";
 import { freeCapacityOf, isOpen, type ShardWorker } from "./workerTable.js";
@@ -25,8 +25,7 @@
 
 const isUsable = (worker: ShardWorker, step: ShardStep, { workers, nowMs }: PassSnapshot): boolean => {
     const { job } = step.occurrence;
-    return (job.queue.advice === undefined || step.advice.good.has(worker.workerId))
-        && isOpen(worker, nowMs, Infinity) && isEligible(worker, step)
+    return isApproved(worker, step) && isOpen(worker, nowMs, Infinity) && isEligible(worker, step)
         && !isBlockedByTrial(worker, job, { workers, nowMs });
 };
 
--- a/packages/puffinarch/src/core/shard/chooseWorker.ts
+++ b/packages/puffinarch/src/core/shard/chooseWorker.ts
@@ -5,7 +5,7 @@
 import { avoidedBy, failedRecently } from "./avoidance.js";
 import { mayUseRestingWorkers } from "./blockedSteps.js";
 import type { CapacityView } from "./capacityView.js";
-import { allowsAnotherRun, countRuns, isEligible, ticketFor } from "./eligible.js";
+import { allowsAnotherRun, countRuns, isApproved, isEligible, ticketFor } from "./eligible.js";
 import { reservedResources, type ShardStep, type ShardTask } from "./jobModel.js";
 import { allowsTrial, crashExposureOf, isBlockedByTrial, isSuspect } from "./trials.js";
 import { isOpen, type ShardWorker } from "./workerTable.js";
@@ -125,10 +125,6 @@
     recordPlacement(worker: ShardWorker): void;
 }
 
-/** Whether the step may run on a worker: where its queue uses the advisor, on those that it approved. */
-const isApproved = ({ occurrence, advice }: ShardStep, { workerId }: ShardWorker): boolean =>
-    occurrence.job.queue.advice === undefined || advice.good.has(workerId);
-
 /**
  * Lists the workers that may run the step and accept work now, whether or not they have free capacity.
  *
@@ -141,7 +137,7 @@
     nowMs: number,
 ): readonly ShardWorker[] =>
     [...workers.values()].filter(worker =>
-        isApproved(step, worker) && isOpen(worker, nowMs) && isEligible(worker, step)
+        isApproved(worker, step) && isOpen(worker, nowMs) && isEligible(worker, step)
     );
 
 /**
@@ -165,7 +161,7 @@
     const { job } = step.occurrence;
     const suspect = isSuspect(step);
     for (const worker of view.roomy ?? workers.values()) {
-        if (!isApproved(step, worker)) {
+        if (!isApproved(worker, step)) {
             continue;
         }
         const open = isOpen(worker, limits.nowMs);
--- a/packages/puffinarch/src/core/shard/eligible.ts
+++ b/packages/puffinarch/src/core/shard/eligible.ts
@@ -80,6 +80,15 @@
     return approval !== undefined && approval.validUntilMs - ticketMarginMs > nowMs ? approval.ticket : undefined;
 };
 
+/**
+ * Tells whether the advisor has approved a worker for a step; always true where the queue of the step does not use the advisor.
+ *
+ * @example
+ * isApproved(worker, step);
+ */
+export const isApproved = ({ workerId }: ShardWorker, { occurrence, advice }: ShardStep): boolean =>
+    occurrence.job.queue.advice === undefined || advice.good.has(workerId);
+
 /**
  * Tells whether a worker fulfils the step's requirements: service, label and total capacity.
  *
--- a/packages/puffinarch/src/core/shard/planReservations.ts
+++ b/packages/puffinarch/src/core/shard/planReservations.ts
@@ -7,7 +7,7 @@
 import { add, fits, noResources, type Resources, subtract } from "../../types/resources.js";
 import { avoidedByAll } from "./avoidance.js";
 import type { CapacityView, Reservation } from "./capacityView.js";
-import { allowsAnotherRun, countRuns, isEligible } from "./eligible.js";
+import { allowsAnotherRun, countRuns, isApproved, isEligible } from "./eligible.js";
 import { estimatedRunMs, reservedResources, runPhases, type ShardRun, type ShardStep } from "./jobModel.js";
 import { chooseVictims, isPreemptibleBy } from "./preempt.js";
 import { isBlockedByTrial } from "./trials.js";
@@ -111,7 +111,7 @@
 const isCandidate = (worker: ShardWorker, { step, workers, nowMs }: PlanOptions): boolean =>
     isOpen(worker, nowMs) && isEligible(worker, step)
     && !isBlockedByTrial(worker, step.occurrence.job, { workers, nowMs })
-    && (step.occurrence.job.queue.advice === undefined || step.advice.good.has(worker.workerId));
+    && isApproved(worker, step);
 
 const shareOf = (held: Resources, capacity: Resources): number =>
     Math.max(
--- a/packages/puffinarch/src/core/shard/startQueue.ts
+++ b/packages/puffinarch/src/core/shard/startQueue.ts
@@ -7,6 +7,7 @@
 
 import type { Clock } from "../../types/ports.js";
 import type { ShardRun } from "./jobModel.js";
+import { createStartPace } from "./startPace.js";
 
 /** Dependencies of the queue. */
 export interface StartQueueOptions {
@@ -54,51 +55,6 @@
 /** The limit is reduced once in this time: starts that were sent together are lost together. */
 const reducePauseMs = 200;
 
-/** The pace is measured over at least this time in which starts were waiting; less would hold a turn or two of a busy process. */
-const paceWindowMs = 100;
-/** The pace counts as unknown this long after it was last measured, as the load of the process has changed by then. */
-const paceValidMs = 1_000;
-/** Weight of the newest window in the moving average of the pace. */
-const paceSmoothing = 0.5;
-
-/** Measures how fast a queue sends while it holds back starts; a queue that runs empty says nothing of how fast it could send. */
-const createPaceMeter = (clock: Clock) => {
-    let sent = 0;
-    let windowBeganAtMs: number | undefined;
-    let perMs: number | undefined;
-    let measuredAtMs = -Infinity;
-    return {
-        recordSent: (starts: number): void => {
-            sent += starts;
-        },
-        /** Tells after each turn whether starts are still waiting. */
-        recordTurn: (isWaiting: boolean): void => {
-            const nowMs = clock.monotonicMs();
-            if (!isWaiting) {
-                windowBeganAtMs = undefined;
-                return;
-            }
-            if (windowBeganAtMs === undefined) {
-                windowBeganAtMs = nowMs;
-                sent = 0;
-                return;
-            }
-            const elapsedMs = nowMs - windowBeganAtMs;
-            if (elapsedMs < paceWindowMs) {
-                return;
-            }
-            const newest = sent / elapsedMs;
-            perMs = perMs === undefined || nowMs - measuredAtMs > paceValidMs
-                ? newest
-                : perMs + paceSmoothing * (newest - perMs);
-            measuredAtMs = nowMs;
-            windowBeganAtMs = nowMs;
-            sent = 0;
-        },
-        perMs: (): number | undefined => clock.monotonicMs() - measuredAtMs > paceValidMs ? undefined : perMs,
-    };
-};
-
 /** Runs of one job that wait to be sent, and when they were added. */
 interface Waiting {
     readonly runs: ShardRun[];
@@ -121,7 +77,7 @@
     let inFlight = 0;
     let inFlightLimit = firstInFlight;
     let reducedAtMs = -Infinity;
-    const pace = createPaceMeter(clock);
+    const pace = createStartPace(clock);
 
     /** Takes one start: a run, or as many members of a gang as a turn sends. */
     const takeNext = (): Waiting | undefined => {
@@ -197,7 +153,7 @@
                 void settle(answer);
             }
         }
-        pace.recordTurn(waiting.size > 0);
+        pace.endTurn(waiting.size > 0);
     };
 
     const scheduleTurn = (): void => {
--- a/packages/puffinarch/src/core/shard/urgency.ts
+++ b/packages/puffinarch/src/core/shard/urgency.ts
@@ -1,7 +1,7 @@
 /** Scheduling order of steps: when a job is due by the objective of its queue, and whether it can still meet it. */
 
 import type { Clock } from "../../types/ports.js";
-import type { Resources } from "../../types/resources.js";
+import { type Resources, timesThatFit } from "../../types/resources.js";
 import { newAccount, tasksUnderCap } from "./accounts.js";
 import { isEligible } from "./eligible.js";
 import { reservedResources, type ShardOccurrence, type ShardStep } from "./jobModel.js";
@@ -46,13 +46,8 @@
 
 /** How many tasks of a size an empty worker holds. */
 const tasksPerWorker = (held: Resources, capacity: Resources): number => {
-    let least = Infinity;
-    for (const name of ["cpuMillis", "memoryMib", "accelerators"] as const) {
-        if (held[name] > 0) {
-            least = Math.min(least, Math.floor(capacity[name] / held[name]));
-        }
-    }
-    return Number.isFinite(least) ? least : 1;
+    const tasks = timesThatFit(held, capacity);
+    return Number.isFinite(tasks) ? tasks : 1;
 };
 
 /** Number of waves in which the objective assumes that the tasks of a step run; 1 where no listed worker is eligible. */
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -233,6 +233,7 @@
 } from "./internal.js";
 export { createOccurrenceSet, type OccurrenceRange, type OccurrenceSet } from "./internal.js";
 export { createGangWatch, type GangWatch, type GangWatchOptions } from "./internal.js";
+export { createStartPace, type StartPace } from "./internal.js";
 export { createStartQueue, type StartAnswer, type StartQueue, type StartQueueOptions } from "./internal.js";
 export { createPacer, type Pacer } from "./internal.js";
 export { createPendingCancels, type PendingCancels, type PendingCancelsOptions } from "./internal.js";
--- a/packages/puffinarchd/src/logging.ts
+++ b/packages/puffinarchd/src/logging.ts
@@ -40,7 +40,7 @@
     const consola: ConsolaInstance = createConsola({
         level: consolaLevels[level],
         reporters: [reporter],
-        // Comparing each line with the one before, to fold repetitions, would encode every line a second time.
+        // The default suppresses repeated lines, for which it encodes every line a second time.
         throttle: 0,
     });
     let current = level;
