Steps: one way to tell when a job was completed, one gang that was just sent

Cause: three step files computed when the last task of a job ended, two scenarios built the same gang, and one file had a log and a meter of its own beside those of the stand-ins. Change: completionTimes in shardCellPart.ts, startingGang in gangSteps.ts, noopLog and noopMeter. All assertions and bounds as before.

--- a/features/steps/admissionLoadSteps.ts
+++ b/features/steps/admissionLoadSteps.ts
@@ -3,7 +3,8 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { createShardCell, jobIdOf, readSteps, runRandomFaults, type ShardCell, testQueue } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { errorResponses, failureOf, type Queue, runEnds, sleep, type Step } from "puffinarch";
+import { errorResponses, failureOf, type Queue, sleep, type Step } from "puffinarch";
+import { completionTimes } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 /** A job of a caller, with all answers to its submissions. */
@@ -200,18 +201,10 @@
 
 /** Time from the first submission to the end of the last task; `Infinity` for a job that is not done. */
 const tookMsOf = (cell: ShardCell, jobs: readonly CalledJob[]): ReadonlyMap<string, number> => {
-    const ends = new Map<string, number[]>();
-    for (const { taskName, how, endedAtMs } of cell.workers.evidence) {
-        if (how === runEnds.done && endedAtMs !== undefined) {
-            const jobId = taskName.split(".", 1)[0] ?? "";
-            ends.set(jobId, [...ends.get(jobId) ?? [], endedAtMs]);
-        }
-    }
-    return new Map(jobs.map(({ jobId, kind, sentAtMs }) => {
-        const all = ends.get(jobId) ?? [];
-        const isDone = all.length >= (kind.steps[0]?.count ?? 0);
-        return [jobId, isDone ? Math.max(...all) - sentAtMs : Infinity];
-    }));
+    const completedAtMs = completionTimes(cell);
+    return new Map(
+        jobs.map(({ jobId, kind, sentAtMs }) => [jobId, completedAtMs(jobId, kind.steps[0]?.count ?? 0) - sentAtMs]),
+    );
 };
 
 const wasAccepted = ({ answers }: CalledJob): boolean => answers.some(({ kind }) => kind === "accepted");
--- a/features/steps/gangSteps.ts
+++ b/features/steps/gangSteps.ts
@@ -5,14 +5,16 @@
     createFakeClock,
     createShardCell,
     jobIdOf,
+    noopLog,
+    noopMeter,
     readSteps,
     type ShardCell,
     testQueue,
     type WorkerFault,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { createGangWatch, defaultShardSettings, newJob, newRun, runEnds } from "puffinarch";
-import { cellOf, part, startCell } from "./shardCellPart.js";
+import { createGangWatch, defaultShardSettings, newJob, newRun, runEnds, type ShardRun } from "puffinarch";
+import { cellOf, completionTimes, part, startCell } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 /** A job of a load: when it was submitted, and its number of tasks. */
@@ -252,24 +254,31 @@
 
 /** Time between two reviews of an owner that is not late. */
 const reviewMs = 100;
-const noLog = { write: () => {} };
-const noMeter = { count: () => {}, record: () => {}, total: () => 0, percentile: () => 0 };
 
-When(
-    "an owner that is {int} ms late watches a gang of which one member never starts",
-    async function(this: ScenarioWorld, lateMs: number) {
-        const { gangWaitMs, stopMs } = defaultShardSettings;
-        const clock = createFakeClock();
-        const submission = {
+/** The runs of a gang that was just sent to one worker; their tasks do not list them yet. */
+const startingGang = (members: number): readonly ShardRun[] => {
+    const job = newJob(
+        {
             jobId: jobIdOf(1),
             queueKey: testQueue.key,
             dataCentre: "leon-feria",
             payload: "plan",
-            steps: readSteps("2 gang"),
+            steps: readSteps(`${members} gang`),
             schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
-        };
-        const tasks = newJob(submission, testQueue, { acceptedAtMs: 0, order: 1 }).occurrences.get(0)?.steps[0]?.tasks;
-        const runs = (tasks ?? []).map(task => newRun(task, "i-1", 1, { phase: "starting", sentAtMs: 0 }));
+        },
+        testQueue,
+        { acceptedAtMs: 0, order: 1 },
+    );
+    const tasks = job.occurrences.get(0)?.steps[0]?.tasks ?? [];
+    return tasks.map(task => newRun(task, "i-1", 1, { phase: "starting", sentAtMs: 0 }));
+};
+
+When(
+    "an owner that is {int} ms late watches a gang of which one member never starts",
+    async function(this: ScenarioWorld, lateMs: number) {
+        const { gangWaitMs, stopMs } = defaultShardSettings;
+        const clock = createFakeClock();
+        const runs = startingGang(2);
         runs.forEach(run => run.task.runs.push(run));
         const [present, missing] = runs;
         assert.ok(present !== undefined && missing !== undefined);
@@ -279,8 +288,8 @@
         }));
         const gangs = createGangWatch({
             clock,
-            log: noLog,
-            meter: noMeter,
+            log: noopLog,
+            meter: noopMeter,
             gangWaitMs,
             stopMs,
             lagMs: () => lateMs,
@@ -313,16 +322,7 @@
     "{int} members of a gang of {int} are lost one after the other, and then another review comes",
     async function(this: ScenarioWorld, lost: number, count: number) {
         const clock = createFakeClock();
-        const submission = {
-            jobId: jobIdOf(1),
-            queueKey: testQueue.key,
-            dataCentre: "leon-feria",
-            payload: "plan",
-            steps: readSteps(`${count} gang`),
-            schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
-        };
-        const tasks = newJob(submission, testQueue, { acceptedAtMs: 0, order: 1 }).occurrences.get(0)?.steps[0]?.tasks;
-        const runs = (tasks ?? []).map(task => newRun(task, "i-1", 1, { phase: "starting", sentAtMs: 0 }));
+        const runs = startingGang(count);
         const gangStops = partOf(this, "gangStops", (): GangStops => ({ lines: 0, stops: [] }));
         const gangs = createGangWatch({
             clock,
@@ -331,7 +331,7 @@
                     gangStops.lines += 1;
                 },
             },
-            meter: noMeter,
+            meter: noopMeter,
             gangWaitMs: defaultShardSettings.gangWaitMs,
             stop: run => {
                 run.phase = "stopping";
@@ -370,19 +370,11 @@
 Then(
     "at least {int} percent of the newest jobs were completed within {int} ms",
     function(this: ScenarioWorld, percent: number, withinMs: number) {
-        const cell = cellOf(this);
         const load = newestLoad(this);
-        const endsMs = new Map<string, number[]>();
-        for (const { taskName, how, endedAtMs } of cell.workers.evidence) {
-            const jobId = taskName.slice(0, taskName.indexOf("."));
-            if (how === runEnds.done && endedAtMs !== undefined && load.has(jobId)) {
-                endsMs.set(jobId, [...endsMs.get(jobId) ?? [], endedAtMs]);
-            }
-        }
-        const inTime = [...load].filter(([jobId, { sentAtMs, tasks }]) => {
-            const ends = endsMs.get(jobId) ?? [];
-            return ends.length >= tasks && Math.max(...ends) - sentAtMs <= withinMs;
-        });
+        const completedAtMs = completionTimes(cellOf(this));
+        const inTime = [...load].filter(([jobId, { sentAtMs, tasks }]) =>
+            completedAtMs(jobId, tasks) - sentAtMs <= withinMs
+        );
         const share = Math.round(100 * inTime.length / load.size);
         assert.ok(share >= percent, `${share} percent were completed in time`);
     },
--- a/features/steps/ownerLoadSteps.ts
+++ b/features/steps/ownerLoadSteps.ts
@@ -3,8 +3,8 @@
 import { Then, When } from "@cucumber/cucumber";
 import { jobIdOf, readSteps, testQueue } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { createProcessorShare, failureOf, runEnds } from "puffinarch";
-import { cellOf } from "./shardCellPart.js";
+import { createProcessorShare, failureOf } from "puffinarch";
+import { cellOf, completionTimes } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 /** A job of a caller that submits it once. */
@@ -67,18 +67,11 @@
 /** The IDs of the jobs whose tasks have all ended within the objective of the job. */
 const inTime = (world: ScenarioWorld): ReadonlySet<string> => {
     const { offered } = part(world);
-    const endsMs = new Map<string, number[]>();
-    for (const { taskName, how, endedAtMs } of cellOf(world).workers.evidence) {
-        if (how === runEnds.done && endedAtMs !== undefined) {
-            const jobId = taskName.slice(0, taskName.indexOf("."));
-            endsMs.set(jobId, [...endsMs.get(jobId) ?? [], endedAtMs]);
-        }
-    }
-    const isInTime = (jobId: string, sentAtMs: number): boolean => {
-        const ends = endsMs.get(jobId) ?? [];
-        return ends.length >= tasksPerJob && Math.max(...ends) - sentAtMs <= objectiveMs;
-    };
-    return new Set([...offered].filter(([jobId, { sentAtMs }]) => isInTime(jobId, sentAtMs)).map(([jobId]) => jobId));
+    const completedAtMs = completionTimes(cellOf(world));
+    const served = [...offered].filter(([jobId, { sentAtMs }]) =>
+        completedAtMs(jobId, tasksPerJob) - sentAtMs <= objectiveMs
+    );
+    return new Set(served.map(([jobId]) => jobId));
 };
 
 Then(
--- a/features/steps/shardCellPart.ts
+++ b/features/steps/shardCellPart.ts
@@ -11,6 +11,7 @@
     watchStalledTasks,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
+import { runEnds } from "puffinarch";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
@@ -139,3 +140,20 @@
     part(world).watch = watchStalledTasks(cellOf(world));
     await cellOf(world).clock.advance(2_000);
 };
+
+/** Returns when the last task of a job ended as done, by the number of its tasks; `Infinity` while fewer have ended so. */
+export const completionTimes = (cell: ShardCell): (jobId: string, tasks: number) => number => {
+    const endsMs = new Map<string, number[]>();
+    for (const { taskName, how, endedAtMs } of cell.workers.evidence) {
+        if (how === runEnds.done && endedAtMs !== undefined) {
+            const jobId = taskName.slice(0, taskName.indexOf("."));
+            const ends = endsMs.get(jobId) ?? [];
+            endsMs.set(jobId, ends);
+            ends.push(endedAtMs);
+        }
+    }
+    return (jobId, tasks) => {
+        const ends = endsMs.get(jobId) ?? [];
+        return ends.length >= tasks ? Math.max(...ends) : Infinity;
+    };
+};
