A new owner looks at workers that hold restored runs before they are listed

What callers saw: tasks that had ended as done, or were still running, were started again by a new owner. Cause: a new owner held the restored runs of a worker that the platform's list lacked without looking at it; where the list came late, or its entries had lapsed in an outage of the store, it heard of no end and renewed no lease for the 7.6 s that it counts for its predecessor, and then started the tasks again. If the worker could not be reached by then (its data centre was cut off meanwhile), nothing told that they had ended. Change: the rows of a job hold the address of each run's worker, so the new owner opens the link at once; a worker that answers as another one ends the incarnation that the rows name. Whether all runs are known is still judged only once the list was read.

--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -79,6 +79,29 @@
             | 2900 |
             | 3200 |
 
+    # Guards against runs that end by their leases, and start again, while a new owner has no list of workers.
+    Scenario: A new owner renews the leases of restored runs whose workers are not listed
+        Given a cell of 3 daemons and 4 workers
+        When 1 jobs of steps "4 long running" are submitted
+        And the shard runs for 2000 ms
+        And the fault "workers not listed, owner killed" comes
+        And the shard runs for 12000 ms
+        Then no run was ended by an expired lease
+        And every task ran 1 time
+
+    # Guards against a second start of tasks whose ends a new owner did not learn while it had no list of workers.
+    Scenario: Tasks that end while a new owner has no list of workers are not started again once their workers are cut off
+        Given a cell of 3 daemons and 4 workers
+        When 1 jobs of steps "8" are submitted
+        And the shard runs for 300 ms
+        And the fault "workers not listed, owner killed" comes
+        And the shard runs for 3000 ms
+        And the fault "worker cut" comes
+        And the workers are listed again
+        And the shard runs for 9000 ms
+        Then every task ran 1 time
+        And no promise was broken
+
     # Guards against a weak daemon that replaces an owner which is overloaded and answers now and then.
     Scenario: A weak daemon does not claim from an owner that has answered a peer since the daemon lost it
         When the owner answers a peer every 1000 ms, and a weak daemon never
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -90,7 +90,7 @@
  */
 const maxListingAgeMs = 2_000;
 
-/** Placeholder entry of a worker that has runs but is not listed: no orders are sent to it and nothing fits on it. */
+/** Placeholder entry of a worker that has runs but is not listed: nothing fits on it. */
 const unlistedEntry: WorkerEntry = {
     workerId: "",
     service: "",
@@ -288,11 +288,12 @@
     };
 
     let allKnown = false;
+    let wasListRead = false;
 
     /** Reports once, after a takeover, that every worker that answers has listed its runs. */
     const reportAllKnown = (): void => {
         if (
-            allKnown || links.size === 0
+            allKnown || !wasListRead || links.size === 0
             || [...workers.values()].some(worker => !worker.runsKnown && worker.silentLooks === 0)
         ) {
             return;
@@ -474,6 +475,7 @@
         // After an outage the former list may be old, and a worker that is missing now may meanwhile have been listed with less
         // capacity. The age of the former list beyond `maxListingAgeMs` therefore counts as time for which the worker was unlisted.
         const missingSinceMs = clock.monotonicMs() - Math.max(0, formerAgeMs - maxListingAgeMs);
+        wasListRead = true;
         listing = new Map(entries.map(entry => [entry.workerId, entry]));
         // Entries of ended incarnations are left out: such an entry may be listed while the new worker at the same address is not,
         // and must not end the new worker.
@@ -562,9 +564,13 @@
             storedRunsByWorker.set(stored.workerId, known);
         }
         for (const [workerId, [stored]] of [...storedRunsByWorker]) {
-            // The worker is not listed yet. Until it is, its runs are settled by the end of their leases or by another
-            // incarnation at its address.
-            addWorker({ ...unlistedEntry, workerId, address: stored?.address ?? "" }, false);
+            const { address = "", bornAtMs } = stored ?? {};
+            const worker = addWorker({ ...unlistedEntry, workerId, address, bornAtMs }, false);
+            // The list may come late or lack the worker, as after an outage of the store. Without looks until then, its leases would
+            // end, and tasks whose ends were not durable would be started again.
+            if (address !== "") {
+                links.set(workerId, openLink(worker));
+            }
         }
     };
 
