A look that arrives late acknowledges no ends of the worker's next incarnation

What callers saw: a task whose end had been acknowledged could be started again, on workers that start again under their IDs. Cause: a look without an answer may be carried out seconds later. It carries the number of an end of one incarnation, and the next one numbers its ends from 1 again. Its fencing token kept it from the next incarnation only if the owner had committed something since; with a slow or quiet store both looks carried the same token, and ends of the next incarnation were discarded that were not durable. Change: ends are acknowledged only under a token below the owner's newest, with which the first look at a next incarnation is sent. Where the present token is the newest, the acknowledgement waits for the next commit, and asks for one.

--- /dev/null
+++ b/features/steps/runEndSteps.ts
@@ -0,0 +1,247 @@
+/** Steps that test which ends of runs an owner acknowledges and when. Those without a cell have a clock of their own. */
+
+import { Then, When } from "@cucumber/cucumber";
+import {
+    createFakeClock,
+    createFakeFencedWorkers,
+    type FakeClock,
+    jobIdOf,
+    noopLog,
+    noopMeter,
+    plainStep,
+    readSteps,
+    type StartEvidence,
+    testQueue,
+    workerEntry,
+} from "@puffinarch/stand-ins";
+import assert from "node:assert/strict";
+import {
+    createShardWorkers,
+    defaultShardSettings,
+    encodeJob,
+    type FencedWorkerPort,
+    holdCapacity,
+    newJob,
+    newRun,
+    type ShardJob,
+    type ShardTask,
+    type ShardWorkers,
+    sleep,
+} from "puffinarch";
+import { exampleJob, limits, submission, taskOf } from "./examples/shardFixtures.js";
+import { cellOf, part } from "./shardCellPart.js";
+import { partOf, type ScenarioWorld } from "./support.js";
+
+/** Time until a crashed worker of a cell is back at its address, and until its task is at work there. */
+const replacedMs = 3_400;
+const atWorkMs = 500;
+
+When("a worker crashes, and another one at its address is at work", async function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    cell.crashWorkers(["worker-0"]);
+    await cell.clock.advance(replacedMs);
+    part(this).jobs.push(jobIdOf(1));
+    // The task there ends soon, so that there is room for another run.
+    cell.workers.setSpeed("worker-3", 5);
+    cell.submit(jobIdOf(1), readSteps("4 of 8 cores for 5000 ms"));
+    await cell.clock.advance(atWorkMs);
+    assert.ok(cell.workers.evidence.some(({ workerId }) => workerId === "worker-0*"), "nothing runs at its address");
+});
+
+When(
+    "the owner is killed while the list holds the former worker instead of the present one",
+    function(this: ScenarioWorld) {
+        const cell = cellOf(this);
+        const entry = cell.workers.entryOf("worker-0*") ?? assert.fail("the worker is not up");
+        const owner = cell.owner() ?? "";
+        cell.kill(owner);
+        part(this).endFaults.push(() => cell.restart(owner));
+        cell.removeWorkerEntry("worker-0*");
+        // The platform removes the entry of the former worker later than this.
+        for (const afterMs of [0, 1_000]) {
+            cell.clock.setTimer(
+                afterMs,
+                () => cell.store.put("workers", "worker-0", { ...entry, workerId: "worker-0" }),
+            );
+        }
+        cell.clock.setTimer(4_000, () => cell.store.put("workers", "worker-0*", entry));
+    },
+);
+
+/** Workers under one owner whose commits the scenario controls. */
+interface EndsPart {
+    clock: FakeClock;
+    evidence: readonly StartEvidence[];
+    /** When the ends of each task became durable. */
+    readonly durableAtMs: Map<string, number>;
+}
+
+const endsPart = (world: ScenarioWorld): EndsPart =>
+    partOf(world, "ends", (): EndsPart => ({ clock: createFakeClock(), evidence: [], durableAtMs: new Map() }));
+
+const runMs = 300;
+
+/** Starts workers under their IDs, and an owner of them whose commits take `commitMs()`. */
+const startOwner = (
+    world: ScenarioWorld,
+    { jobs, count, commitMs, wrap = port => port }: {
+        readonly jobs: readonly ShardJob[];
+        readonly count: number;
+        readonly commitMs: () => number;
+        readonly wrap?: (port: FencedWorkerPort) => FencedWorkerPort;
+    },
+) => {
+    const { clock } = endsPart(world);
+    const fakes = createFakeFencedWorkers({
+        clock,
+        model: () => ({ durationMs: runMs, fails: false }),
+        heldOf: () => plainStep.size,
+        leaseLimitMs: 10_000,
+        onCrash: () => {},
+    });
+    endsPart(world).evidence = fakes.evidence;
+    const entries = Array.from({ length: count }, (_, index) => ({
+        ...workerEntry(`i-${index}`, index),
+        bornAtMs: Math.floor(clock.nowMs()),
+    }));
+    entries.forEach(fakes.add);
+    let newestToken = 7;
+    const commit = async (): Promise<void> => {
+        await sleep(clock, commitMs());
+        newestToken += 1;
+    };
+    const workers: ShardWorkers = createShardWorkers({
+        clock,
+        log: noopLog,
+        meter: noopMeter,
+        settings: defaultShardSettings,
+        port: wrap(fakes.connect(() => true)),
+        fencingToken: 7,
+        newestToken: () => newestToken,
+        confirm: commit,
+        jobOf: jobId => jobs.find(({ submission }) => submission.jobId === jobId),
+        changed: async job => {
+            const tasks = [...job.occurrences.values()].flatMap(({ steps }) => steps.flatMap(step => step.tasks));
+            const ended = tasks.filter(({ done }) => done).map(({ name }) => name);
+            encodeJob(job, clock, limits);
+            await commit();
+            for (const name of ended) {
+                endsPart(world).durableAtMs.set(name, clock.monotonicMs());
+            }
+        },
+        onNextIncarnation: () => {},
+        onStarted: () => {},
+        wake: () => {},
+        onRunsKnown: () => {},
+        onFenced: () => {},
+    });
+    workers.update(entries.slice(0, 1));
+    world.closers.push(async () => workers.close());
+    /** Commits the intent of a run and starts it. */
+    const start = async (task: ShardTask, workerId: string): Promise<void> => {
+        const worker = workers.all.get(workerId) ?? assert.fail(`the owner has no worker ${workerId}`);
+        const planned = newRun(task, workerId, 1, { bornAtMs: worker.bornAtMs, address: worker.entry.address });
+        assert.ok(holdCapacity(worker, planned));
+        task.lastRun = 1;
+        task.runs.push(planned);
+        newestToken += 1;
+        void workers.start(planned, "");
+        await clock.advance(10);
+    };
+    return { fakes, workers, entries, start };
+};
+
+/** Long enough for the next look to be sent with the token of this commit. */
+const slowCommitMs = 120;
+/** From the look that is late until its worker's incarnation ends. */
+const crashAfterMs = 100;
+
+When(
+    "a look that acknowledges an end is carried out {int} ms late, by the worker's next incarnation",
+    async function(this: ScenarioWorld, lateMs: number) {
+        const { clock } = endsPart(this);
+        const job = exampleJob();
+        let isDelayed = false;
+        let commitMs = slowCommitMs;
+        const { fakes, start } = startOwner(this, {
+            jobs: [job],
+            count: 1,
+            commitMs: () => commitMs,
+            wrap: port => ({
+                ...port,
+                look: async (target, order) => {
+                    if (isDelayed || order.acknowledgedEnd === 0) {
+                        return port.look(target, order);
+                    }
+                    isDelayed = true;
+                    clock.setTimer(lateMs, () => void port.look(target, order));
+                    clock.setTimer(crashAfterMs, () => {
+                        fakes.goDown("i-0");
+                        fakes.restart("i-0", workerEntry("i-0", 0).capacity);
+                    });
+                    await sleep(clock, order.waitMs + order.answerTimeoutMs);
+                    return { outcome: "unknown" };
+                },
+            }),
+        });
+        await clock.advance(100);
+        await start(taskOf(job), "i-0");
+        for (let passedMs = 0; passedMs < 5_000 && !isDelayed; passedMs += 10) {
+            await clock.advance(10);
+        }
+        assert.ok(isDelayed, "no look acknowledged the end");
+        // The next run ends just before the late look arrives, and the store no longer answers by then.
+        await clock.advance(lateMs - runMs - 100);
+        commitMs = 60_000;
+        await start(taskOf(job, 1), "i-0");
+        await clock.advance(lateMs);
+    },
+);
+
+Then("no end of that incarnation is acknowledged before it is durable", function(this: ScenarioWorld) {
+    const [, next] = endsPart(this).evidence;
+    assert.equal(next?.how, "done");
+    assert.equal(next.acknowledgedAtMs, undefined);
+});
+
+When(
+    "two runs of a task end as done on two workers, and the store takes {int} ms to commit",
+    async function(this: ScenarioWorld, commitMs: number) {
+        const { clock } = endsPart(this);
+        const job = newJob({ ...submission, steps: [plainStep] }, testQueue, { acceptedAtMs: 0, order: 1 });
+        let port: FencedWorkerPort | undefined;
+        const { entries, workers, start } = startOwner(this, {
+            jobs: [job],
+            count: 2,
+            commitMs: () => commitMs,
+            wrap: wrapped => {
+                port = wrapped;
+                return wrapped;
+            },
+        });
+        // A run of a former owner, on a worker that is listed only later.
+        const order = { taskName: taskOf(job).name, run: 2, payload: "plan", checkpoint: "", ticket: "" };
+        void port?.start({ workerId: "i-1", address: "" }, { ...order, deadlineMs: 60_000, fencingToken: 6 }, 100);
+        await clock.advance(100);
+        await start(taskOf(job), "i-0");
+        await clock.advance(2 * runMs);
+        assert.equal(job.occurrences.size, 0);
+        workers.update(entries);
+        await clock.advance(2 * commitMs);
+    },
+);
+
+Then("no end is acknowledged before the task's end is durable", function(this: ScenarioWorld) {
+    const { evidence, durableAtMs } = endsPart(this);
+    for (const { taskName, how, acknowledgedAtMs = Infinity } of evidence) {
+        assert.equal(how, "done");
+        assert.ok(acknowledgedAtMs >= (durableAtMs.get(taskName) ?? Infinity), `acknowledged at ${acknowledgedAtMs}`);
+    }
+});
+
+Then("both ends are acknowledged in time", function(this: ScenarioWorld) {
+    assert.deepEqual(endsPart(this).evidence.map(({ acknowledgedAtMs }) => acknowledgedAtMs !== undefined), [
+        true,
+        true,
+    ]);
+});
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -388,6 +388,7 @@
         port: options.workers,
         fencingToken,
         newestToken: () => newestVersion,
+        confirm: commits.confirm,
         lagMs: () => presentLagMs(),
         jobOf: jobId => jobs.get(jobId),
         changed: job => commitChange(job),
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -42,6 +42,8 @@
     readonly fencingToken: number;
     /** Highest token that surely belongs to this owner now; defaults to `fencingToken`. */
     readonly newestToken?: () => number;
+    /** Writes a batch, if only to get a newer token, and resolves once it is durable. */
+    readonly confirm?: () => Promise<unknown>;
     /** How late timers of this process fire now, in ms; never late where it is left out. */
     readonly lagMs?: () => number;
     readonly jobOf: (jobId: string) => ShardJob | undefined;
@@ -372,6 +374,7 @@
                 void changed(step.occurrence.job);
             },
             onUnanswered: run => changed(run.task.step.occurrence.job),
+            onAcknowledgementHeld: options.confirm,
             onStarted: (holder, run) => {
                 run.startedAtMs = clock.monotonicMs();
                 options.onStarted(run.task.step.occurrence.job);
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -5,6 +5,7 @@
 
 import { type FencedWorkerPort, type LookResult, type OrderOutcome, orderOutcomes } from "../../types/cellPorts.js";
 import type { CancelTimer, Clock, Log, Meter } from "../../types/ports.js";
+import { sleep } from "../../utils/time.js";
 import type { DelayedStart, DelayedStarts } from "./delayedStarts.js";
 import type { FirstLooks } from "./firstLooks.js";
 import { incarnationOf, isOtherIncarnation } from "./incarnations.js";
@@ -75,6 +76,8 @@
     readonly onStarted: (worker: ShardWorker, run: ShardRun) => void;
     /** Called when a start got no answer; resolves once a commit has brought this owner a newer token. */
     readonly onUnanswered: (run: ShardRun) => Promise<unknown>;
+    /** Called when an acknowledgement waits for a newer token; resolves once a commit has brought this owner one. */
+    readonly onAcknowledgementHeld?: (() => Promise<unknown>) | undefined;
 }
 
 /** Sends looks and orders to one worker until it is closed. */
@@ -180,13 +183,26 @@
         return clock.monotonicMs() - lastAnswerAtMs <= ownDelayGraceMs;
     };
 
+    const hasUnacknowledgedEnds = (): boolean => worker.acknowledgedEnd > deliveredAcknowledgedEnd;
+
+    /**
+     * Whether a look with the present token must not acknowledge ends. It may be carried out seconds late, by the next incarnation under
+     * the worker's ID, which would discard ends that are not durable. The first look at that incarnation has this owner's newest token, so
+     * that a look with a lower one is rejected from then on.
+     */
+    const isAcknowledgementHeld = (): boolean => worker.bornAtMs !== undefined && token >= newestToken();
+
     /**
      * The end number that a look acknowledges; 0 for none. Numbers begin anew with each incarnation, and the next one would
      * discard unread ends if it got a number of this one. A number is therefore sent only right after an answered look, and
      * not again once a look that carried it was answered.
      */
     const acknowledgedNow = (): number =>
-        lastLookAnswered && worker.acknowledgedEnd > deliveredAcknowledgedEnd ? worker.acknowledgedEnd : 0;
+        lastLookAnswered && hasUnacknowledgedEnds() && !isAcknowledgementHeld() ? worker.acknowledgedEnd : 0;
+
+    /** Returns the token of a look at a worker that may have restarted; one below the newest where the look is to acknowledge ends. */
+    const tokenAfterGap = (): number =>
+        hasUnacknowledgedEnds() && !mayHaveOrdersInFlight() ? Math.max(token, newestToken() - 1) : newestToken();
 
     /**
      * Returns the answer, or undefined where another look is requested before it comes. The answer is then dropped, since it
@@ -216,9 +232,16 @@
         || [...worker.runs.values()].some(({ wasListed }) => !wasListed);
 
     const lookOnce = async (answered: () => void): Promise<void> => {
+        if (lastLookAnswered && hasUnacknowledgedEnds() && isAcknowledgementHeld()) {
+            const longest = sleep(clock, lookPauseMs);
+            await Promise.race([longest, options.onAcknowledgementHeld?.() ?? longest]);
+            if (closed) {
+                return;
+            }
+        }
         const sentAtMs = clock.monotonicMs();
         if (sentAtMs - lastAnswerAtMs > maxLookGapMs) {
-            token = newestToken();
+            token = tokenAfterGap();
         }
         // Looks to a silent worker renew no lease: each may arrive late, and would postpone the time by which its leases are
         // surely over.
