An end of a task that is no longer in memory is acknowledged only once its job is durable

What callers saw: nothing so far; the end of a task could be acknowledged although no row of its job said that it was done. Cause: the occurrences of a job that are done are dropped from memory as their commit is built. An end that is listed for such a task after that, on another worker or by a worker that was added anew, changed nothing, so that no commit was waited for. Change: such an end waits for a commit of its job as well. Ends of jobs that the owner does not know are acknowledged as before.

--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -2,6 +2,7 @@
 
 import { type EndedRun, type LookResult, type RunningRun } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
+import { parseTaskName } from "../../types/work.js";
 import { markBlockedLong } from "./blockedSteps.js";
 import type { CorrelatedCrashes } from "./correlatedCrashes.js";
 import { clearCrashesIfSound, countCrash, countPossibleCrash, type CrashedRun, crashedRuns } from "./crashes.js";
@@ -155,6 +156,11 @@
             worker.undecided.delete(runKey(end.taskName, end.run));
         }
         if (task === undefined) {
+            // The occurrence was dropped from memory as done; its end may not be durable yet, and must be before this one is acknowledged.
+            const known = jobOf(parseTaskName(end.taskName)?.jobId ?? "");
+            if (known !== undefined) {
+                onChange(known);
+            }
             return;
         }
         const { job } = task.step.occurrence;
