A look that lists as many ends as a worker lists at once does not show which runs are gone

What callers saw: tasks that had ended were started again, and the ends of both runs were acknowledged. Cause: a worker lists at most 500 ends. Runs whose ends came after these were listed neither as running nor as ended, and counted as gone. Change: missing runs are reviewed only where fewer ends are listed. The fake workers list 500 ends at most as well. Measured: a scenario in features/runEnds.feature, a job of 900 tasks on one worker beside a store that refuses calls for 1.5 s; before the change 128 of its tasks were started again after they had ended.

--- a/features/runEnds.feature
+++ b/features/runEnds.feature
@@ -1,5 +1,17 @@
 Feature: Ends of runs are acknowledged once they are durable, and a run counts as gone only by proof
 
+    # A worker lists at most 500 ends. One that had ended more counted as proof that the runs of the others were gone.
+    Scenario: Tasks whose ends do not fit into the answer to a look are not started again
+        Given a cell of 3 daemons and 1 workers
+        When a job of 900 small tasks is submitted
+        And the shard runs for 350 ms
+        And the fault "store refuses" comes
+        And the shard runs for 1500 ms
+        And the fault goes
+        Then all jobs are "completed" within 20000 ms
+        And every task ran 1 time
+        And no promise was broken
+
     # The next incarnation would discard ends that are not durable yet, and their tasks would be started again.
     Scenario: A look that arrives late acknowledges no ends of the worker's next incarnation
         When a look that acknowledges an end is carried out 3000 ms late, by the worker's next incarnation
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -56,6 +56,11 @@
 /** A worker rests after this many consecutive failures from at least this many jobs. */
 const minFailuresToRest = 3;
 const minFailedJobsToRest = 2;
+/**
+ * Most ends that a worker lists at once, the oldest first. An answer with as many may leave out later ones, and shows of no run that it is
+ * gone.
+ */
+const maxListedEnds = 500;
 /** A run that uses no processor for this long is stuck; restoring a resumed run takes up to 0.6 s. */
 const stuckMs = 1_500;
 /**
@@ -342,7 +347,9 @@
                 listed.add(runKey(row.taskName, row.run));
                 applyRunningRun(worker, row);
             }
-            countCrashes(worker.workerId, missingRuns.review(worker, listed, sentAtMs));
+            if (look.ended.length < maxListedEnds) {
+                countCrashes(worker.workerId, missingRuns.review(worker, listed, sentAtMs));
+            }
             worker.runsKnown = true;
             return newest;
         },
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -159,6 +159,8 @@
 /** After how long a worker with the fault `late` carries out an order. */
 export const lateOrderDelayMs = 3_000;
 const failingRunMs = 100;
+/** Most ends that an answer to a look lists. */
+const maxListedEnds = 500;
 /** How long a gang member waits for the other members before its run ends as `alone`. */
 const gangWaitMs = 3_000;
 /** The longest time for a stop at the slower of the users' sites. */
@@ -450,7 +452,7 @@
             percent: 100,
             figure: worker.fault === "hanging" || !isAtWork ? 0 : held.cpuMillis,
         })),
-        ended: worker.ended.map(({ endNumber, taskName, run, how, checkpoint }) => ({
+        ended: worker.ended.slice(0, maxListedEnds).map(({ endNumber, taskName, run, how, checkpoint }) => ({
             endNumber,
             taskName,
             run,
