A worker is over once another one has answered at its address, not once another one is listed there

What callers saw: a task ran on two workers at the same time, or was started again after it had ended. Cause: the runs of a worker that the platform's list lacks were dropped at once, without waiting for their leases, where the list had another worker at its address. After an outage in which entries lapsed, that may be the entry of a former worker, while the present one is at work and not listed yet. A new owner does not know which of the two is the former one. Change: the worker that is listed at the address must have answered this owner later than the one that is not listed. A former worker's entry is answered by the present one as another incarnation, so that it ends by itself. Measured: a scenario in features/runEnds.feature, an owner that is killed while the list holds the former worker instead of the present one; before the change one task of four ran on two workers at the same time.

--- a/features/runEnds.feature
+++ b/features/runEnds.feature
@@ -12,6 +12,17 @@
         And every task ran 1 time
         And no promise was broken
 
+    # After an outage, the list may hold the entry of a former worker at an address before that of the present one.
+    Scenario: Runs are not started again because the list shows a former worker at their worker's address
+        Given a cell of 3 daemons and 4 workers whose tasks take their estimates, with a stretch of 2
+        When a worker crashes, and another one at its address is at work
+        And the owner is killed while the list holds the former worker instead of the present one
+        And the shard runs for 4000 ms
+        And the workers are listed again
+        Then all jobs are "completed" within 20000 ms
+        And every task ran 1 time
+        And no promise was broken
+
     # The next incarnation would discard ends that are not durable yet, and their tasks would be started again.
     Scenario: A look that arrives late acknowledges no ends of the worker's next incarnation
         When a look that acknowledges an end is carried out 3000 ms late, by the worker's next incarnation
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -289,6 +289,24 @@
         }
     };
 
+    /**
+     * Ends unlisted workers at whose address another listed one has answered since. That it is listed there does not suffice: after an
+     * outage, the entry of a former worker may be listed before that of the present one.
+     */
+    const endReplacedWorkers = (): void => {
+        const answeredAtMs = new Map<string, number>();
+        for (const { workerId, entry: { address }, runsKnown, answeredAtMs: atMs } of workers.values()) {
+            if (runsKnown && listing.has(workerId)) {
+                answeredAtMs.set(address, Math.max(answeredAtMs.get(address) ?? -Infinity, atMs));
+            }
+        }
+        for (const worker of [...workers.values()]) {
+            if (!listing.has(worker.workerId) && worker.answeredAtMs < (answeredAtMs.get(worker.entry.address) ?? 0)) {
+                endAndRecordIncarnation(worker, "addressTaken");
+            }
+        }
+    };
+
     let allKnown = false;
 
     /** Reports once, after a takeover, that every worker that answers has listed its runs. */
@@ -337,6 +355,7 @@
                 });
                 seen.endsWritten = written;
                 if (!wereRunsKnown) {
+                    endReplacedWorkers();
                     reportAllKnown();
                     wake();
                 }
@@ -478,11 +497,6 @@
         // capacity. The age of the former list beyond `maxListingAgeMs` therefore counts as time for which the worker was unlisted.
         const missingSinceMs = clock.monotonicMs() - Math.max(0, formerAgeMs - maxListingAgeMs);
         listing = new Map(entries.map(entry => [entry.workerId, entry]));
-        // Entries of ended incarnations are left out: such an entry may be listed while the new worker at the same address is not,
-        // and must not end the new worker.
-        const byAddress = new Map(
-            entries.filter(entry => !hasEndedIncarnation(entry)).map(entry => [entry.address, entry.workerId]),
-        );
         for (const entry of entries) {
             const known = workers.get(entry.workerId);
             if (known === undefined) {
@@ -514,11 +528,8 @@
             worker.unlistedAtMs = unreadable.has(worker.workerId)
                 ? -Infinity
                 : worker.unlistedAtMs ?? missingSinceMs;
-            const next = byAddress.get(worker.entry.address);
-            if (next !== undefined && next !== worker.workerId) {
-                endAndRecordIncarnation(worker, "addressTaken");
-            }
         }
+        endReplacedWorkers();
         void commitChangedJobs();
         wake();
     };
