Wide jobs: no task is in no row while its pages are divided anew

What callers saw: nothing so far; a takeover could start tasks again that were running, or that had ended and whose ends had been acknowledged. Cause: a page of tasks that outgrows a row is divided, and the row that keeps its key was written first. Where the change takes several transactions, the tasks of the other rows were in none until the next one, and a successor took them for never started. Where pages are united, the former row is removed last, and a successor read its old state over the new one. Change: pages are written the last tasks first, and a successor takes each task from the newest row that holds it.

--- a/features/steps/wideJobSteps.ts
+++ b/features/steps/wideJobSteps.ts
@@ -94,6 +94,9 @@
 
 const jobOf = (world: ScenarioWorld): ShardJob => changedJob(world).job ?? assert.fail("there is no job");
 
+/** A page of tasks with checkpoints of this length takes several rows. */
+const longCheckpointBytes = 4_000;
+
 const tasksOf = (job: ShardJob): readonly ShardTask[] => job.occurrences.get(0)?.steps[0]?.tasks ?? [];
 
 const startAll = (tasks: readonly ShardTask[], run: number): void => {
@@ -142,6 +145,76 @@
     startAll(tasksOf(jobOf(this)), 2);
 });
 
+/** The tasks that are done and the runs that are live after a job was restored from rows. */
+interface RestoredTasks {
+    readonly done: ReadonlySet<string>;
+    readonly live: ReadonlySet<string>;
+}
+
+const restoredTasksOf = (rows: readonly Row[]): RestoredTasks => {
+    const { jobs, runs } = restoreJobs(rows.filter(({ table }) => table === journalTable), {
+        reader: createRowReader({ log, meter }),
+        accounts: createAccounts(),
+        clock: createFakeClock(),
+    });
+    return {
+        done: new Set(jobs.flatMap(tasksOf).filter(({ done }) => done).map(({ name }) => name)),
+        live: new Set(runs.map(({ taskName, run, workerId }) => `${taskName}#${run}@${workerId}`)),
+    };
+};
+
+When(
+    /^the checkpoints of its tasks become (longer|shorter), while some of them end$/,
+    function(this: ScenarioWorld, how: string) {
+        const job = jobOf(this);
+        const { durable } = changedJob(this);
+        const store = (checkpointBytes: number): void => {
+            for (const task of tasksOf(job)) {
+                task.saved.checkpoint = "x".repeat(checkpointBytes);
+            }
+        };
+        if (how === "shorter") {
+            store(longCheckpointBytes);
+            const change = encodeJob(job, createFakeClock(), limits);
+            applyRows(durable, change);
+            recordWritten(job, change);
+        }
+        endRuns(tasksOf(job).filter(({ index }) => index % 3 === 0));
+        const change = encodeJob(job, createFakeClock(), limits);
+        applyRows(durable, change);
+        recordWritten(job, change);
+        store(how === "longer" ? longCheckpointBytes : 0);
+        endRuns(tasksOf(job).filter(({ index }) => index % 3 === 1));
+    },
+);
+
+Then("each first part of that change keeps what was durable of its tasks", function(this: ScenarioWorld) {
+    const { durable } = changedJob(this);
+    const job = jobOf(this);
+    const ended = new Set(tasksOf(job).filter(({ done }) => done).map(({ name }) => name));
+    const rowsOf = (values: ReadonlyMap<string, string>): readonly Row[] =>
+        [...values].map(([id, value]) => {
+            const [table = "", key = ""] = id.split("|");
+            return { table, key, value, part: shardPart, version: durable.get(id) === value ? 1 : 2 };
+        });
+    const before = restoredTasksOf(rowsOf(durable));
+    assert.ok(before.done.size > 0 && before.live.size > 0);
+    const { puts, removes } = encodeJob(job, createFakeClock(), limits);
+    for (let rows = 0; rows <= puts.length + removes.length; rows += 1) {
+        const rest = new Map(durable);
+        applyRows(rest, { puts: puts.slice(0, rows), removes: removes.slice(0, Math.max(0, rows - puts.length)) });
+        const after = restoredTasksOf(rowsOf(rest));
+        const lost = [
+            ...[...before.done].filter(name => !after.done.has(name)),
+            ...[...before.live].filter(live =>
+                !after.live.has(live)
+                && !(after.done.has(live.split("#")[0] ?? "") && ended.has(live.split("#")[0] ?? ""))
+            ),
+        ];
+        assert.deepEqual(lost, [], `after ${rows} of ${puts.length} rows, and ${removes.length} that are removed`);
+    }
+});
+
 /** Restores a job from its durable rows; undefined where it has ended. */
 const restoredFrom = (durable: ReadonlyMap<string, string>): ShardJob | undefined => {
     const rows: Row[] = [...durable].map(([id, value]) => {
--- a/features/wideJobs.feature
+++ b/features/wideJobs.feature
@@ -68,6 +68,17 @@
             | gang | all of its tasks end             |
             | gang | all of its tasks are started anew |
 
+    # Guards against a takeover that finds a part of the tasks in no row, so that it starts them again although they run or are done.
+    Scenario Outline: A successor knows all tasks wherever the pages of a job are divided anew, checkpoints become <what>
+        Given a job of 700 tasks of which all run
+        When the checkpoints of its tasks become <what>, while some of them end
+        Then each first part of that change keeps what was durable of its tasks
+
+        Examples:
+            | what    |
+            | longer  |
+            | shorter |
+
     # Guards against starts that time out in the daemon that sends them, all at once, and are repeated again and again.
     Scenario Outline: The starts of a <kind> of <count> tasks are sent as fast as a daemon can send them
         Given a cell of 3 daemons and 4 workers where each start costs a daemon 0.5 ms
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -35,7 +35,14 @@
 } from "./jobRowSchemas.js";
 import type { RowReader } from "./rowReader.js";
 import { endedTable, journalTable } from "./shardTables.js";
-import { encodeTaskPages, jobIdOfTaskPage, maxCheckpointBytes, restoreTaskPage, taskPagePrefix } from "./taskPages.js";
+import {
+    encodeTaskPages,
+    jobIdOfTaskPage,
+    maxCheckpointBytes,
+    restoreTaskPage,
+    taskPagePrefix,
+    withoutReplacedTasks,
+} from "./taskPages.js";
 import {
     encodeDetails,
     encodeTask,
@@ -233,6 +240,7 @@
     return restoreDetails(job, stored, live, restoreTimes(clock, stored));
 };
 
+/** Restores a job from its task pages, given the oldest first. */
 const restorePagedState = (
     job: ShardJob,
     stored: StoredPagedState,
@@ -248,7 +256,7 @@
         openOccurrence(job, number);
     }
     const times = restoreTimes(clock, stored);
-    const restored = pages.map(page => restoreTaskPage(job, page, times));
+    const restored = withoutReplacedTasks(job, pages).map(page => restoreTaskPage(job, page, times));
     settleRestored(job, times.nowMs);
     return { runs: restored.flatMap(({ runs }) => runs), losses: restored.flatMap(({ losses }) => losses) };
 };
@@ -326,7 +334,8 @@
             return stored === undefined ? undefined : restoreState(job, stored, clock);
         }
         const stored = reader.entryOf(state, decodeRow(state, pagedStateSchema));
-        const pages = pageRows.flatMap(row => reader.entryOf(row, decodeRow(row, taskPageSchema)) ?? []);
+        const oldestFirst = [...pageRows].sort((left, right) => left.version - right.version);
+        const pages = oldestFirst.flatMap(row => reader.entryOf(row, decodeRow(row, taskPageSchema)) ?? []);
         return stored === undefined || pages.length < pageRows.length
             ? undefined
             : restorePagedState(job, stored, pages, clock);
--- a/packages/puffinarch/src/core/shard/taskPages.ts
+++ b/packages/puffinarch/src/core/shard/taskPages.ts
@@ -5,7 +5,7 @@
 
 import type { Clock } from "../../types/ports.js";
 import type { ShardJob, ShardOccurrence, ShardStep, ShardTask } from "./jobModel.js";
-import type { StoredTaskPage } from "./jobRowSchemas.js";
+import type { StoredCrashedTask, StoredTaskPage } from "./jobRowSchemas.js";
 import {
     encodeDetails,
     encodeTask,
@@ -54,7 +54,9 @@
 const wasNeverStarted = ({ done, lastRun }: ShardTask): boolean => !done && lastRun === 0;
 
 /**
- * Encodes the pages of a job, by key. A page whose text exceeds a row of the store is divided.
+ * Encodes the pages of a job, by key. A page whose text exceeds a row of the store is divided. The last tasks come first: if a page is
+ * divided anew and only a part of the pages becomes durable, the rows that take over its tasks are written no later than the row
+ * that has lost them.
  *
  * @example
  * encodeTaskPages(job, clock, 49_152).get("tasks/5c0e7a21d94b36f8/0/128");
@@ -75,8 +77,8 @@
         });
         if (Buffer.byteLength(text) > rowBytes && tasks.length > 1) {
             const half = Math.ceil(tasks.length / 2);
-            addPage(occurrence, first, tasks.slice(0, half));
             addPage(occurrence, first + half, tasks.slice(half));
+            addPage(occurrence, first, tasks.slice(0, half));
             return;
         }
         pages.set(`${taskPagePrefix}${job.submission.jobId}/${occurrence}/${first}`, text);
@@ -84,7 +86,7 @@
 
     for (const occurrence of job.occurrences.values()) {
         const tasks = tasksOf(occurrence);
-        for (let first = 0; first < tasks.length; first += pageTasks) {
+        for (let first = pageTasks * (Math.ceil(tasks.length / pageTasks) - 1); first >= 0; first -= pageTasks) {
             addPage(occurrence.number, first, tasks.slice(first, first + pageTasks));
         }
     }
@@ -101,6 +103,37 @@
     }
 };
 
+/**
+ * Leaves out of each page, given the oldest first, the tasks that a newer one holds: while the pages of a job are divided anew, two
+ * rows may hold the same task. The occurrences of the pages are open.
+ *
+ * @example
+ * const restored = withoutReplacedTasks(job, pages).map(page => restoreTaskPage(job, page, times));
+ */
+export const withoutReplacedTasks = (job: ShardJob, pages: readonly StoredTaskPage[]): readonly StoredTaskPage[] => {
+    const replaced = new Set<string>();
+    const isCurrent = ({ place: [occurrence, step, index] }: Pick<StoredCrashedTask, "place">): boolean =>
+        !replaced.has(job.occurrences.get(occurrence)?.steps[step]?.tasks[index]?.name ?? "");
+    const current: StoredTaskPage[] = [];
+    for (const page of [...pages].reverse()) {
+        const occurrence = job.occurrences.get(page.occurrence);
+        const names = (occurrence === undefined ? [] : tasksOf(occurrence))
+            .slice(page.first, page.first + page.tasks.length).map(({ name }) => name);
+        current.unshift({
+            ...page,
+            tasks: page.tasks.map((task, index) => replaced.has(names[index] ?? "") ? 0 : task),
+            crashed: page.crashed.filter(isCurrent),
+            lost: page.lost.filter(isCurrent),
+            failed: page.failed.filter(isCurrent),
+            unanswered: page.unanswered.filter(isCurrent),
+        });
+        for (const name of names) {
+            replaced.add(name);
+        }
+    }
+    return current;
+};
+
 /**
  * Restores the tasks of a page, whose occurrence is open.
  *
