--- /dev/null
+++ b/features/runEnds.feature
@@ -0,0 +1,35 @@
+Feature: Ends of runs are acknowledged once they are durable, and a run counts as gone only by proof
+
+    # A worker lists at most 500 ends. One that had ended more counted as proof that the runs of the others were gone.
+    Scenario: Tasks whose ends do not fit into the answer to a look are not started again
+        Given a cell of 3 daemons and 1 workers
+        When a job of 900 small tasks is submitted
+        And the shard runs for 350 ms
+        And the fault "store refuses" comes
+        And the shard runs for 1500 ms
+        And the fault goes
+        Then all jobs are "completed" within 20000 ms
+        And every task ran 1 time
+        And no promise was broken
+
+    # After an outage, the list may hold the entry of a former worker at an address before that of the present one.
+    Scenario: Runs are not started again because the list shows a former worker at their worker's address
+        Given a cell of 3 daemons and 4 workers whose tasks take their estimates, with a stretch of 2
+        When a worker crashes, and another one at its address is at work
+        And the owner is killed while the list holds the former worker instead of the present one
+        And the shard runs for 4000 ms
+        And the workers are listed again
+        Then all jobs are "completed" within 20000 ms
+        And every task ran 1 time
+        And no promise was broken
+
+    # The next incarnation would discard ends that are not durable yet, and their tasks would be started again.
+    Scenario: A look that arrives late acknowledges no ends of the worker's next incarnation
+        When a look that acknowledges an end is carried out 3000 ms late, by the worker's next incarnation
+        Then no end of that incarnation is acknowledged before it is durable
+
+    # Another end of the same occurrence was acknowledged at once, since its task was no longer in memory.
+    Scenario: An end of a task that is done is acknowledged only once the task's end is durable
+        When two runs of a task end as done on two workers, and the store takes 3000 ms to commit
+        Then no end is acknowledged before the task's end is durable
+        And both ends are acknowledged in time
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -42,6 +42,8 @@
     readonly fencingToken: number;
     /** Highest token that surely belongs to this owner now; defaults to `fencingToken`. */
     readonly newestToken?: () => number;
+    /** Writes a batch, if only to get a newer token, and resolves once it is durable. */
+    readonly confirm?: () => Promise<unknown>;
     /** How late timers of this process fire now, in ms; never late where it is left out. */
     readonly lagMs?: () => number;
     readonly jobOf: (jobId: string) => ShardJob | undefined;
@@ -287,6 +289,24 @@
         }
     };
 
+    /**
+     * Ends unlisted workers at whose address another listed one has answered since. That it is listed there does not suffice: after an
+     * outage, the entry of a former worker may be listed before that of the present one.
+     */
+    const endReplacedWorkers = (): void => {
+        const answeredAtMs = new Map<string, number>();
+        for (const { workerId, entry: { address }, runsKnown, answeredAtMs: atMs } of workers.values()) {
+            if (runsKnown && listing.has(workerId)) {
+                answeredAtMs.set(address, Math.max(answeredAtMs.get(address) ?? -Infinity, atMs));
+            }
+        }
+        for (const worker of [...workers.values()]) {
+            if (!listing.has(worker.workerId) && worker.answeredAtMs < (answeredAtMs.get(worker.entry.address) ?? 0)) {
+                endAndRecordIncarnation(worker, "addressTaken");
+            }
+        }
+    };
+
     let allKnown = false;
     let wasListRead = false;
 
@@ -336,6 +356,7 @@
                 });
                 seen.endsWritten = written;
                 if (!wereRunsKnown) {
+                    endReplacedWorkers();
                     reportAllKnown();
                     wake();
                 }
@@ -373,6 +394,7 @@
                 void changed(step.occurrence.job);
             },
             onUnanswered: run => changed(run.task.step.occurrence.job),
+            onAcknowledgementHeld: options.confirm,
             onStarted: (holder, run) => {
                 run.startedAtMs = clock.monotonicMs();
                 options.onStarted(run.task.step.occurrence.job);
@@ -477,11 +499,6 @@
         const missingSinceMs = clock.monotonicMs() - Math.max(0, formerAgeMs - maxListingAgeMs);
         wasListRead = true;
         listing = new Map(entries.map(entry => [entry.workerId, entry]));
-        // Entries of ended incarnations are left out: such an entry may be listed while the new worker at the same address is not,
-        // and must not end the new worker.
-        const byAddress = new Map(
-            entries.filter(entry => !hasEndedIncarnation(entry)).map(entry => [entry.address, entry.workerId]),
-        );
         for (const entry of entries) {
             const known = workers.get(entry.workerId);
             if (known === undefined) {
@@ -513,11 +530,8 @@
             worker.unlistedAtMs = unreadable.has(worker.workerId)
                 ? -Infinity
                 : worker.unlistedAtMs ?? missingSinceMs;
-            const next = byAddress.get(worker.entry.address);
-            if (next !== undefined && next !== worker.workerId) {
-                endAndRecordIncarnation(worker, "addressTaken");
-            }
         }
+        endReplacedWorkers();
         void commitChangedJobs();
         wake();
     };
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -2,6 +2,7 @@
 
 import { type EndedRun, type LookResult, type RunningRun } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
+import { parseTaskName } from "../../types/work.js";
 import { markBlockedLong } from "./blockedSteps.js";
 import type { CorrelatedCrashes } from "./correlatedCrashes.js";
 import { clearCrashesIfSound, countCrash, countPossibleCrash, type CrashedRun, crashedRuns } from "./crashes.js";
@@ -55,6 +56,11 @@
 /** A worker rests after this many consecutive failures from at least this many jobs. */
 const minFailuresToRest = 3;
 const minFailedJobsToRest = 2;
+/**
+ * Most ends that a worker lists at once, the oldest first. An answer with as many may leave out later ones, and shows of no run that it is
+ * gone.
+ */
+const maxListedEnds = 500;
 /** A run that uses no processor for this long is stuck; restoring a resumed run takes up to 0.6 s. */
 const stuckMs = 1_500;
 /**
@@ -155,6 +161,11 @@
             worker.undecided.delete(runKey(end.taskName, end.run));
         }
         if (task === undefined) {
+            // The occurrence was dropped from memory as done; its end may not be durable yet, and must be before this one is acknowledged.
+            const known = jobOf(parseTaskName(end.taskName)?.jobId ?? "");
+            if (known !== undefined) {
+                onChange(known);
+            }
             return;
         }
         const { job } = task.step.occurrence;
@@ -336,7 +347,9 @@
                 listed.add(runKey(row.taskName, row.run));
                 applyRunningRun(worker, row);
             }
-            countCrashes(worker.workerId, missingRuns.review(worker, listed, sentAtMs));
+            if (look.ended.length < maxListedEnds) {
+                countCrashes(worker.workerId, missingRuns.review(worker, listed, sentAtMs));
+            }
             worker.runsKnown = true;
             return newest;
         },
