Ends of a job whose rows an owner cannot read are left for the next owner

What callers saw: nothing so far; a job whose rows another version of the daemon had written had tasks run twice once an owner that can read them was back. Cause: a job with a row that cannot be read is left out, and its rows stay unchanged. The ends of its runs were acknowledged all the same, so that the next owner that reads the rows found neither the runs nor their ends. Where a worker lists no more ends (500), all are acknowledged, with the log line endsUnread: later ends would never be listed otherwise. Measured: a scenario in features/runEnds.feature with two owners killed, the first successor without the job's state row; without the check both tasks ran twice. Looks and acknowledgements at a worker that keeps such ends: an outline of three rows, at most 25 looks in 5 s.

--- a/features/runEnds.feature
+++ b/features/runEnds.feature
@@ -33,3 +33,30 @@
         When two runs of a task end as done on two workers, and the store takes 3000 ms to commit
         Then no end is acknowledged before the task's end is durable
         And both ends are acknowledged in time
+
+    # The rows may be from another version of the daemon, whose next owner can read them and must learn of the ends.
+    Scenario: Ends of a job whose rows an owner cannot read are left for the next owner
+        Given a cell of 3 daemons and 2 workers
+        When 1 jobs of steps "2" are submitted
+        And the shard runs for 300 ms
+        And the state row of that job cannot be read
+        And the fault "owner killed" comes
+        And the shard runs for 4000 ms
+        And the fault goes
+        And the state row of that job can be read again
+        And the fault "owner killed" comes
+        And the shard runs for 4000 ms
+        Then all jobs are "completed" within 20000 ms
+        And every task ran 1 time
+        And no promise was broken
+
+    # Guards against looks without a pause at a worker that keeps such ends, and against ends that it would never list.
+    Scenario Outline: A worker that lists <ends> ends, of which the owner cannot read one, is asked to forget <acknowledged>
+        When a worker lists <ends> ends for 5000 ms, of which the job of number <unread> cannot be read
+        Then the owner has acknowledged <acknowledged> of them, with at most 25 looks
+
+        Examples:
+            | ends | unread | acknowledged |
+            | 3    | 1      | 0            |
+            | 3    | 3      | 2            |
+            | 500  | 3      | 500          |
--- a/features/steps/runEndSteps.ts
+++ b/features/steps/runEndSteps.ts
@@ -19,10 +19,13 @@
     createShardWorkers,
     defaultShardSettings,
     encodeJob,
+    type EndedRun,
     type FencedWorkerPort,
     holdCapacity,
+    journalTable,
     newJob,
     newRun,
+    type Row,
     type ShardJob,
     type ShardTask,
     type ShardWorkers,
@@ -68,6 +71,23 @@
     },
 );
 
+/** The state rows that steps have made unreadable. */
+const hiddenRows = (world: ScenarioWorld): Row[] => partOf(world, "hiddenRows", () => []);
+
+When(/^the state row of that job (cannot be read|can be read again)$/, function(this: ScenarioWorld, how: string) {
+    const { store } = cellOf(this);
+    if (how === "can be read again") {
+        for (const { table, part: tablePart, key, value = "" } of hiddenRows(this).splice(0)) {
+            store.putText({ table, part: tablePart, key, value });
+        }
+        return;
+    }
+    const row = store.rows(journalTable).find(({ key }) => key === `state/${jobIdOf(1)}`)
+        ?? assert.fail("the job has no state row");
+    hiddenRows(this).push(row);
+    store.putText({ table: row.table, part: row.part, key: row.key, value: "{}" });
+});
+
 /** Workers under one owner whose commits the scenario controls. */
 interface EndsPart {
     clock: FakeClock;
@@ -84,10 +104,11 @@
 /** Starts workers under their IDs, and an owner of them whose commits take `commitMs()`. */
 const startOwner = (
     world: ScenarioWorld,
-    { jobs, count, commitMs, wrap = port => port }: {
+    { jobs, count, commitMs, isLeftOut = () => false, wrap = port => port }: {
         readonly jobs: readonly ShardJob[];
         readonly count: number;
         readonly commitMs: () => number;
+        readonly isLeftOut?: (jobId: string) => boolean;
         readonly wrap?: (port: FencedWorkerPort) => FencedWorkerPort;
     },
 ) => {
@@ -120,6 +141,7 @@
         newestToken: () => newestToken,
         confirm: commit,
         jobOf: jobId => jobs.find(({ submission }) => submission.jobId === jobId),
+        isLeftOut,
         changed: async job => {
             const tasks = [...job.occurrences.values()].flatMap(({ steps }) => steps.flatMap(step => step.tasks));
             const ended = tasks.filter(({ done }) => done).map(({ name }) => name);
@@ -245,3 +267,53 @@
         true,
     ]);
 });
+
+interface ListedEnds {
+    looks: number;
+    acknowledged: number;
+}
+
+const listedEnds = (world: ScenarioWorld): ListedEnds =>
+    partOf(world, "listedEnds", (): ListedEnds => ({ looks: 0, acknowledged: 0 }));
+
+When(
+    "a worker lists {int} ends for {int} ms, of which the job of number {int} cannot be read",
+    async function(this: ScenarioWorld, count: number, forMs: number, unread: number) {
+        const { clock } = endsPart(this);
+        const listed = listedEnds(this);
+        const ended: readonly EndedRun[] = Array.from({ length: count }, (_, index) => ({
+            endNumber: index + 1,
+            taskName: `${jobIdOf(index + 1)}.0.0.0`,
+            run: 1,
+            how: "done",
+            checkpoint: "",
+        }));
+        const { workers } = startOwner(this, {
+            jobs: [],
+            count: 1,
+            commitMs: () => 8,
+            isLeftOut: jobId => jobId === jobIdOf(unread),
+            wrap: port => ({
+                ...port,
+                look: async (_target, { acknowledgedEnd, waitMs }) => {
+                    listed.looks += 1;
+                    listed.acknowledged = Math.max(listed.acknowledged, acknowledgedEnd);
+                    const left = ended.filter(({ endNumber }) => endNumber > listed.acknowledged);
+                    await sleep(clock, left.length > 0 ? 2 : waitMs);
+                    return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: left };
+                },
+            }),
+        });
+        await clock.advance(forMs);
+        workers.close();
+    },
+);
+
+Then(
+    "the owner has acknowledged {int} of them, with at most {int} looks",
+    function(this: ScenarioWorld, acknowledged: number, mostLooks: number) {
+        const listed = listedEnds(this);
+        assert.equal(listed.acknowledged, acknowledged);
+        assert.ok(listed.looks <= mostLooks, `${listed.looks} looks`);
+    },
+);
--- a/packages/puffinarch/src/core/shard/jobRows.ts
+++ b/packages/puffinarch/src/core/shard/jobRows.ts
@@ -266,6 +266,8 @@
     readonly jobs: readonly ShardJob[];
     /** Keys of rows whose job has no submission row, by job ID: what an unfinished commit of a former owner has left. */
     readonly leftovers: ReadonlyMap<string, readonly string[]>;
+    /** IDs of the jobs that were left out, as a row of theirs cannot be read. */
+    readonly leftOut: ReadonlySet<string>;
 }
 
 /** Rows of one job. */
@@ -326,6 +328,7 @@
     const runs: StoredRun[] = [];
     const losses: RestoredLoss[] = [];
     const leftovers = new Map<string, readonly string[]>();
+    const leftOut = new Set<string>();
 
     const restoreProgress = (job: ShardJob, state: Row, pageRows: readonly Row[]): RestoredRuns | undefined => {
         const mark = decodeRow(state, pagedMarkSchema);
@@ -350,6 +353,7 @@
         const stored = reader.entryOf(row, decodeRow(row, submissionSchema));
         const stateRow = jobRows.state ?? { ...row, key: statePrefix + jobId, value: "" };
         if (stored === undefined) {
+            leftOut.add(jobId);
             continue;
         }
         const { submission, queue, acceptedAtMs, order, cap, beyondShare } = stored;
@@ -357,6 +361,7 @@
         const job = newJob(submission, queue, { acceptedAtMs, order, account, beyondShare });
         const progress = restoreProgress(job, stateRow, pages);
         if (progress === undefined) {
+            leftOut.add(jobId);
             continue;
         }
         job.stored = true;
@@ -367,5 +372,5 @@
         losses.push(...progress.losses);
         jobs.push(job);
     }
-    return { jobs, runs, losses, leftovers };
+    return { jobs, runs, losses, leftovers, leftOut };
 };
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -221,6 +221,8 @@
 
     /** Keys of rows without a submission row that former owners left, by job ID; they are removed, or become rows of a new job of that ID. */
     const leftovers = new Map<string, readonly string[]>();
+    /** IDs of the jobs with rows that this owner cannot read. */
+    let leftOut: ReadonlySet<string> = new Set();
 
     const encode = (jobId: string): RowChange => {
         const job = jobs.get(jobId);
@@ -391,6 +393,7 @@
         confirm: commits.confirm,
         lagMs: () => presentLagMs(),
         jobOf: jobId => jobs.get(jobId),
+        isLeftOut: jobId => leftOut.has(jobId) && !jobs.has(jobId),
         changed: job => commitChange(job),
         onNextIncarnation: workerId => {
             for (const job of jobs.values()) {
@@ -797,6 +800,7 @@
         }
         workers.restoreRuns(restored.runs);
         workers.restoreLosses(restored.losses);
+        leftOut = restored.leftOut;
         for (const [jobId, keys] of restored.leftovers) {
             leftovers.set(jobId, keys);
         }
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -47,6 +47,8 @@
     /** How late timers of this process fire now, in ms; never late where it is left out. */
     readonly lagMs?: () => number;
     readonly jobOf: (jobId: string) => ShardJob | undefined;
+    /** Whether a job has rows that this owner cannot read; none has where it is left out. */
+    readonly isLeftOut?: (jobId: string) => boolean;
     /** Called when a job has changed; resolves once the change is durable. */
     readonly changed: (job: ShardJob) => Promise<void>;
     /** Called when a worker has restarted; what steps and tasks recorded under its id applied to the former incarnation. */
@@ -159,6 +161,7 @@
         log,
         meter,
         jobOf,
+        isLeftOut: options.isLeftOut,
         onChange: job => changedJobs.add(job),
         countOthersAt: correlatedCrashes.countOthersAt,
         stop: (worker, run) => links.get(worker.workerId)?.stop(run),
@@ -360,7 +363,10 @@
                     wake();
                 }
                 if (look.ended.length > 0) {
-                    await Promise.race([written, sleep(clock, settings.lookPauseMs)]);
+                    // Looks do not wait at the worker while it lists ends, and those that are not acknowledged stay listed.
+                    const areAllAcknowledged = look.ended.every(({ endNumber }) => endNumber <= newest);
+                    const pause = sleep(clock, settings.lookPauseMs);
+                    await Promise.race([areAllAcknowledged ? written : pause, pause]);
                 }
             },
             onSilent: silent => {
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -28,6 +28,8 @@
     readonly log: Log;
     readonly meter: Meter;
     readonly jobOf: (jobId: string) => ShardJob | undefined;
+    /** Whether a job has rows that this owner cannot read; none has where it is left out. */
+    readonly isLeftOut?: ((jobId: string) => boolean) | undefined;
     /** Called when a job has changed and has to be made durable. */
     readonly onChange: (job: ShardJob) => void;
     /** Counts the workers that fell silent at a moment without having just started a task of the job. */
@@ -42,7 +44,7 @@
 
 /** Applies answers to looks to the jobs in memory. */
 export interface WorkerWatch {
-    /** Applies the answer to one look; returns the highest end number applied so far. */
+    /** Applies the answer to one look; returns the highest end number that may be acknowledged once all is durable. */
     applyLook(worker: ShardWorker, look: LookResult & { readonly outcome: "done"; }, sentAtMs: number): number;
     /**
      * Drops runs whose worker's incarnation, or whose leases, are over: all runs of the worker, or those given. Returns those
@@ -143,6 +145,27 @@
     };
     const workersById = new Map<string, ShardWorker>();
 
+    const jobIdOf = ({ taskName }: EndedRun): string => parseTaskName(taskName)?.jobId ?? "";
+
+    /**
+     * The highest of these end numbers that may be acknowledged. An end of a job whose rows this owner cannot read is left to a successor
+     * that can. Where the worker lists no more ends, all are acknowledged, or the ends of its other runs would never be listed.
+     */
+    const highestToAcknowledge = (ends: readonly EndedRun[]): number => {
+        const numbers = ends.map(({ endNumber }) => endNumber);
+        const left = ends.filter(end => options.isLeftOut?.(jobIdOf(end)) === true).map(({ endNumber }) => endNumber);
+        if (left.length === 0) {
+            return Math.max(0, ...numbers);
+        }
+        if (ends.length >= maxListedEnds) {
+            meter.count("endsUnread", left.length);
+            log.write("error", "endsUnread", { ends: left.length, jobs: new Set(ends.map(jobIdOf)).size });
+            return Math.max(0, ...numbers);
+        }
+        const before = Math.min(...left);
+        return Math.max(0, ...numbers.filter(number => number < before));
+    };
+
     const applyEndedRun = (worker: ShardWorker, end: EndedRun): void => {
         const run = worker.runs.get(runKey(end.taskName, end.run));
         const task = run?.task ?? findTask(jobOf, end.taskName);
@@ -162,7 +185,7 @@
         }
         if (task === undefined) {
             // The occurrence was dropped from memory as done; its end may not be durable yet, and must be before this one is acknowledged.
-            const known = jobOf(parseTaskName(end.taskName)?.jobId ?? "");
+            const known = jobOf(jobIdOf(end));
             if (known !== undefined) {
                 onChange(known);
             }
@@ -330,11 +353,9 @@
             if (!worker.runsKnown) {
                 recordFormerSuspects(worker);
             }
-            let newest = worker.acknowledgedEnd;
             const listed = new Set<string>();
             for (const end of look.ended) {
                 listed.add(runKey(end.taskName, end.run));
-                newest = Math.max(newest, end.endNumber);
                 if (end.endNumber > worker.appliedEnd) {
                     worker.appliedEnd = end.endNumber;
                     applyEndedRun(worker, end);
@@ -351,7 +372,7 @@
                 countCrashes(worker.workerId, missingRuns.review(worker, listed, sentAtMs));
             }
             worker.runsKnown = true;
-            return newest;
+            return Math.max(worker.acknowledgedEnd, highestToAcknowledge(look.ended));
         },
         countCrashes,
         loseRuns: (worker, reason, runs = [...worker.runs.values()]) => {
