A start that waits for a silent worker is not sent once its gang is done

What callers saw: nothing so far; a member of a gang could be started again although the gang was done. Cause: a start to a worker that is silent waits until it answers. Only starts that had been passed to a connection before were checked anew; other runs of a task that is done are stopped one by one, but not those of a gang. Change: each start is checked right before it is sent: its task is not done, its job has not ended, and its worker is not leaving. Measured: a scenario in features/runEnds.feature; before the change the start was sent once the worker answered again.

--- a/features/runEnds.feature
+++ b/features/runEnds.feature
@@ -60,3 +60,8 @@
             | 3    | 1      | 0            |
             | 3    | 3      | 2            |
             | 500  | 3      | 500          |
+
+    # The members of a gang are not stopped one by one when it is done, so that this start was sent once its worker answered.
+    Scenario: A start that waits for a silent worker is not sent once its gang is done
+        When the start of a member waits for a silent worker, which answers again after a former run of the gang was listed as done
+        Then the start was not sent, and the member holds no room
--- a/features/steps/runEndSteps.ts
+++ b/features/steps/runEndSteps.ts
@@ -16,6 +16,7 @@
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
+    applyRunEnd,
     createShardWorkers,
     defaultShardSettings,
     encodeJob,
@@ -268,6 +269,10 @@
     ]);
 });
 
+/** What became of a start that waited for a silent worker. */
+const silentStart = (world: ScenarioWorld): { starts: number; runsHeld: number; } =>
+    partOf(world, "silentStart", () => ({ starts: 0, runsHeld: 0 }));
+
 interface ListedEnds {
     looks: number;
     acknowledged: number;
@@ -317,3 +322,45 @@
         assert.ok(listed.looks <= mostLooks, `${listed.looks} looks`);
     },
 );
+
+When(
+    "the start of a member waits for a silent worker, which answers again after a former run of the gang was listed as done",
+    async function(this: ScenarioWorld) {
+        const { clock } = endsPart(this);
+        const steps = [{ ...plainStep, count: 2, gang: true }];
+        const job = newJob({ ...submission, steps }, testQueue, { acceptedAtMs: 0, order: 1 });
+        const state = silentStart(this);
+        let isSilent = false;
+        const { workers, start } = startOwner(this, {
+            jobs: [job],
+            count: 1,
+            commitMs: () => 8,
+            wrap: port => ({
+                ...port,
+                look: async (target, order) => {
+                    if (!isSilent) {
+                        return port.look(target, order);
+                    }
+                    await sleep(clock, order.waitMs + order.answerTimeoutMs);
+                    return { outcome: "unknown" };
+                },
+                start: (target, order, timeoutMs) => {
+                    state.starts += 1;
+                    return port.start(target, order, timeoutMs);
+                },
+            }),
+        });
+        await clock.advance(100);
+        isSilent = true;
+        await clock.advance(2_500);
+        await start(taskOf(job), "i-0");
+        applyRunEnd(taskOf(job), 0, "done", "", clock.monotonicMs());
+        isSilent = false;
+        await clock.advance(1_000);
+        state.runsHeld = workers.all.get("i-0")?.runs.size ?? 0;
+    },
+);
+
+Then("the start was not sent, and the member holds no room", function(this: ScenarioWorld) {
+    assert.deepEqual(silentStart(this), { starts: 0, runsHeld: 0 });
+});
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -174,16 +174,19 @@
         return outcome;
     };
 
-    /** Why a start that was not sent may not be sent again; undefined where it may. */
-    const unsentProblemOf = (run: ShardRun, unsentSinceMs: number): OrderOutcome | undefined => {
+    /**
+     * Why a start may not be sent, or not again where it was not sent in time since `unsentSinceMs`; undefined where it may. Its task may
+     * have ended while it waited for a silent worker.
+     */
+    const problemOf = (run: ShardRun, unsentSinceMs: number | undefined): OrderOutcome | undefined => {
         const nowMs = clock.monotonicMs();
         const { step, done } = run.task;
-        if (ticketFor(step, worker.workerId, nowMs) === undefined) {
+        if (unsentSinceMs !== undefined && ticketFor(step, worker.workerId, nowMs) === undefined) {
             return orderOutcomes.badTicket;
         }
         const isUseless = done || hasEnded(jobOf(run)) || isLeaving(worker);
         // The watch over gangs stops the members if they are not all sent in time; to give one up earlier would stop the others as well.
-        const isLate = !step.spec.gang && nowMs - unsentSinceMs > maxUnsentMs;
+        const isLate = unsentSinceMs !== undefined && !step.spec.gang && nowMs - unsentSinceMs > maxUnsentMs;
         return isUseless || isLate ? orderOutcomes.notSent : undefined;
     };
 
@@ -194,7 +197,7 @@
                 options.onNotStarted(run, orderOutcomes.noRoom);
                 return;
             }
-            const problem = unsentSinceMs === undefined ? undefined : unsentProblemOf(run, unsentSinceMs);
+            const problem = problemOf(run, unsentSinceMs);
             if (problem !== undefined) {
                 log.write("warn", "startNotSent", {
                     task: run.task.name,
