Exploration: a data centre that is cut off as a whole in an outage, while daemons restart and the list of workers lapses

Cause: no fault of the fakes cut a data centre off as a whole, so that its daemons and workers reach each other and nobody else. None let the entries of workers lapse in an outage of the store with only some of them back at its end, none restarted daemons one after the other, and no look was ever carried out late. An owner that goes on inside such a data centre beside a successor outside had not been explored. Change: the store can be blocked for some daemons, with the answers under way lost and a share of the transactions carried out late; workers have data centres and clocks that are 2% slow; a data centre is cut off from all others and the store, and its workers' entries lapse; looks without an answer are carried out 2 to 12 s later by whichever incarnation has the ID.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -308,6 +308,17 @@
             | mixed    | delayed orders and workers that restart | 98010 |
             | mixed    | delayed orders and workers that restart | 98001 |
 
+    # Guards against tasks that are started again while an owner inside a data centre that is cut off still holds their runs, whose
+    # workers are not listed after an outage of the store.
+    Scenario Outline: A data centre is cut off in an outage while daemons restart, looks <looks>, seeds <first> to <last>
+        When the seeds <first> to <last> are explored on a shard whose data centre is cut off in an outage, with looks that are <looks>
+        Then nothing went wrong on the shard
+
+        Examples:
+            | looks            | first  | last   |
+            | lost             | 200001 | 200003 |
+            | carried out late | 210001 | 210003 |
+
     Scenario Outline: The checks find a dependency of a shard that is broken on purpose: <part>
         When seeds from <first> on are explored on a shard with the part "<part>" broken
         Then a stalled task is found within 20 seeds
--- a/features/steps/explorationSteps.ts
+++ b/features/steps/explorationSteps.ts
@@ -219,6 +219,18 @@
     },
 );
 
+When(
+    /^the seeds (\d+) to (\d+) are explored on a shard whose data centre is cut off in an outage, with looks that are (lost|carried out late)$/,
+    async function(this: ScenarioWorld, first: string, last: string, looks: string) {
+        const wrong: string[] = [];
+        for (let seed = Number(first); seed <= Number(last); seed += 1) {
+            const found = await exploreShardSeed(seed, { cutting: looks === "lost" ? "plain" : "looksLate" });
+            wrong.push(...found.map(each => `${seed}: ${each}`));
+        }
+        part(this).shard.wrong = wrong;
+    },
+);
+
 Then("nothing went wrong on the shard", function(this: ScenarioWorld) {
     assert.deepEqual(part(this).shard.wrong, []);
 });
--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -3,13 +3,13 @@
  *
  * `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss [--queues N]] [--crashing] [--resizing]
  * [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--saving] [--gangs] [--wide]
- * [--cancelling accepted|sent|mixed] [--draws N] [--broken PART]`
+ * [--cancelling accepted|sent|mixed] [--cutting plain|looksLate] [--draws N] [--broken PART]`
  */
 
 import { Command, Option } from "commander";
 import { type BrokenShardPart, brokenShardParts } from "./brokenShardParts.js";
 import { type CancellingMode, cancellingModes } from "./cancellingCallers.js";
-import { exploreShardSeed } from "./exploreSeed.js";
+import { type CuttingMode, cuttingModes, exploreShardSeed } from "./exploreSeed.js";
 import { crowdedShapes, wideShapes } from "./jobShapes.js";
 import { explorePowerLoss } from "./powerLoss.js";
 
@@ -28,6 +28,7 @@
     readonly delayingOrders?: true;
     readonly checkingTickets?: true;
     readonly cancelling?: CancellingMode;
+    readonly cutting?: CuttingMode;
     readonly saving?: true;
     readonly gangs?: true;
     readonly wide?: true;
@@ -57,6 +58,12 @@
     )
     .option("--checking-tickets", "workers that refuse tickets of other incarnations")
     .addOption(new Option("--cancelling <when>", "callers that cancel and read jobs").choices(cancellingModes))
+    .addOption(
+        new Option(
+            "--cutting <mode>",
+            "a data centre that is cut off in an outage of the store, while daemons restart and the list of workers lapses",
+        ).choices(cuttingModes).conflicts(["delayingOrders", "powerLoss"]),
+    )
     // The other two name shapes of their own for the jobs.
     .addOption(
         new Option("--saving", "gangs that save checkpoints while they run").conflicts([
@@ -122,6 +129,7 @@
     delayingOrders,
     checkingTickets,
     cancelling,
+    cutting,
     saving,
     gangs,
     wide,
@@ -159,6 +167,7 @@
         delayingOrders,
         checksTickets: checkingTickets,
         cancelling,
+        cutting,
         saving,
         gangs,
         draw,
--- a/packages/stand-ins/src/shard/exploreSeed.ts
+++ b/packages/stand-ins/src/shard/exploreSeed.ts
@@ -6,6 +6,7 @@
 import {
     completableShapes,
     crashingShapes,
+    cuttingShapes,
     failingShapes,
     firstLongRunningJobNumber,
     gangShapes,
@@ -72,6 +73,31 @@
 const capFaults = ["caps lowered to a quarter", "caps raised to double"];
 const shortestWorkerFailureMs = 4_000;
 const workerFailureSpreadMs = 3_000;
+/** Faults of a data centre, each in its place of `scheduleCut`. */
+const dataCentreCuts = [
+    "the owner's data centre cut off as a whole",
+    "a data centre without the owner cut off as a whole",
+];
+const rollingRestarts = [
+    "half of the daemons restart one after the other",
+    "all daemons restart one after the other",
+];
+const outageWithLapse = "store away, and the list of workers lapses";
+const lateLooks = "looks carried out late";
+/** Faults that are drawn beside those of `scheduleCut`. */
+const faultsBesideCut = [
+    ...crashFaults,
+    "worker cut",
+    "all workers cut",
+    "worker carries out late",
+    "owner killed",
+    "owner cut from the workers",
+    "store loses answers",
+    "store answers late",
+    "store slow",
+    "history lost",
+    "feeds go silent",
+];
 /** Faults that only options add. They are not among `randomFaults`, so the draws of seeds run without these options stay the same. */
 const optionalFaults = [
     ...placementStoppingFaults,
@@ -81,6 +107,10 @@
     ...workerFailureFaults,
     ...capFaults,
     "all workers crash and are back",
+    ...dataCentreCuts,
+    ...rollingRestarts,
+    outageWithLapse,
+    lateLooks,
 ];
 /**
  * Faults that are never drawn by default: a worker that crashes without a restart stays away for good, and several others stop
@@ -132,6 +162,18 @@
 /** `share` is the probability that a fault begins in a step, `atOnce` the most faults at a time. */
 const usualDensity = { share: 0.15, atOnce: 2 };
 const highDensity = { share: 0.3, atOnce: 3 };
+/** Beside the faults of `scheduleCut`. */
+const lowDensity = { share: 0.05, atOnce: 1 };
+/** Data centres of a cell in which one is cut off; the daemons and workers are spread over them in turn. */
+const cutDataCentres = ["serra", "vale", "costa"];
+const cutMembers = 6;
+const cutWorkers = 9;
+/** The lowest rate of a worker's clock, at which its leases last longest. */
+const slowestWorkerClock = 0.98;
+const cutForMs = 24_000;
+/** Share of the cells in which one data centre has most workers, and of the cuts that may outlast a takeover and all leases. */
+const unevenShare = 0.5;
+const longCutShare = 0.3;
 const shortestFaultMs = 500;
 const faultSpreadMs = 4_000;
 /** Long enough for leases of 5 s to expire. */
@@ -142,6 +184,58 @@
 /** Just below the timeout of starts. */
 const longestStartAnswerMs = 140;
 
+/**
+ * Schedules faults that overlap: daemons restart one after the other, the store is away for 4 to 7 s while the entries of the
+ * workers lapse, and one data centre is cut off as a whole from a moment of the outage until after its end. Returns a function
+ * that tells whether all of them are over.
+ */
+const scheduleCut = (
+    cell: ShardCell,
+    seed: number,
+    { looksLate, onFault }: { readonly looksLate: boolean; readonly onFault: (atMs: number, name: string) => void; },
+): () => boolean => {
+    const random = createSeededRandom(2_000 + seed);
+    const between = (least: number, most: number): number => least + (most - least) * random.next();
+    const choose = <T>(all: readonly T[]): T => all[Math.floor(random.next() * all.length)] as T;
+    let open = 0;
+    const schedule = (name: string, fromMs: number, forMs: number): void => {
+        open += 1;
+        cell.clock.setTimer(fromMs, () => {
+            onFault(Math.round(cell.clock.monotonicMs()), `${name} for ${Math.round(forMs)} ms`);
+            const undo = shardFaults[name]?.(cell) ?? (() => {});
+            cell.clock.setTimer(forMs, () => {
+                undo();
+                open -= 1;
+            });
+        });
+    };
+    const restartsAtMs = between(1_000, 7_000);
+    const outageAtMs = restartsAtMs + between(0, 5_000);
+    const outageForMs = between(4_000, 7_000);
+    const cutAtMs = outageAtMs + outageForMs * random.next();
+    const cutEndsAtMs = outageAtMs + outageForMs + between(500, random.next() < longCutShare ? 14_000 : 6_000);
+    // The last of the restarted daemons is back before that.
+    schedule(choose(rollingRestarts), restartsAtMs, 15_000);
+    schedule(outageWithLapse, outageAtMs, outageForMs);
+    schedule(choose(dataCentreCuts), cutAtMs, cutEndsAtMs - cutAtMs);
+    if (looksLate) {
+        schedule(lateLooks, outageAtMs - between(0, 1_000), outageForMs + between(0, 6_000));
+    }
+    return () => open === 0;
+};
+
+/** Returns the places of `count` things that are spread over data centres in turn. */
+const spreadOver = (dataCentres: readonly string[], count: number): readonly string[] =>
+    Array.from({ length: count }, (_, index) => dataCentres[index % dataCentres.length] ?? "");
+
+/** Returns the data centres of the workers: the same number in each, or five of the nine in one, which has no more daemons for that. */
+const placeWorkers = (seed: number): readonly string[] => {
+    const random = createSeededRandom(3_000 + seed);
+    const isUneven = random.next() < unevenShare;
+    const largest = cutDataCentres[Math.floor(random.next() * cutDataCentres.length)] ?? "";
+    return spreadOver(isUneven ? [...cutDataCentres, largest, largest] : cutDataCentres, cutWorkers);
+};
+
 type SubmitJob = (jobId: string, steps: readonly Step[], organisation?: string) => void;
 
 /**
@@ -257,6 +351,11 @@
     return [...failures.values()].some(runs => runs.size >= testQueue.attempts);
 };
 
+/** Modes of the option `cutting`. */
+export const cuttingModes = ["plain", "looksLate"] as const;
+/** One of `cuttingModes`. */
+export type CuttingMode = (typeof cuttingModes)[number];
+
 /** Options for the run of a seed. */
 export interface ExploreShardOptions {
     /** Steps of the jobs that are submitted during the faults, in the notation of `readSteps`. */
@@ -293,6 +392,11 @@
     readonly checksTickets?: boolean | undefined;
     /** Lets callers cancel jobs at these moments, and read the accepted jobs that they do not cancel. */
     readonly cancelling?: CancellingMode | undefined;
+    /**
+     * Spreads more daemons, and the workers, over three data centres, and adds the faults of `scheduleCut`; the others are drawn
+     * less often. "looksLate" also carries out late the looks that get no answer.
+     */
+    readonly cutting?: CuttingMode | undefined;
     /** Another number draws new task durations, heartbeats and daemon choices for the same jobs and faults. */
     readonly draw?: number | undefined;
     /** A deliberate defect in every daemon's dependencies. */
@@ -322,6 +426,7 @@
         gangs = false,
         checksTickets = false,
         cancelling,
+        cutting,
         draw = 0,
         crashedDownMs,
         broken,
@@ -331,8 +436,8 @@
         failing || shapes !== undefined ? largestFailingGangCores : largestGangCores,
     );
     const cell = createShardCell({
-        members: 4,
-        workers: workersPerCell,
+        members: cutting === undefined ? 4 : cutMembers,
+        workers: cutting === undefined ? workersPerCell : cutWorkers,
         seed: seed + draw * drawSeedStride,
         failureRate: 0.01,
         crashedDownMs,
@@ -340,6 +445,12 @@
         checksTickets,
         broken,
         ...(capped ? { organisations } : {}),
+        ...(cutting === undefined ? {} : {
+            durationMs: "estimated",
+            dataCentres: spreadOver(cutDataCentres, cutMembers),
+            workerDataCentres: placeWorkers(seed),
+            workerClockRate: slowestWorkerClock,
+        }),
         ...(gangs ? { runsGangsTogether: true, startAnswerMs: longestStartAnswerMs, costs: busyCosts } : {}),
         ...(saving ? { runsGangsTogether: true, durationMs: "estimated", checkpointIntervalMs } : {}),
         ...(failing
@@ -374,20 +485,27 @@
     if (failing && !lasting) {
         cell.submit(jobIdOf(workerFillingJobNumber), readSteps(workerFillingShape));
     }
+    const onFault = (atMs: number, name: string): void => {
+        faults.push(`${atMs} ${name}`);
+    };
+    const isCutOver = cutting === undefined
+        ? undefined
+        : scheduleCut(cell, seed, { looksLate: cutting === "looksLate", onFault });
     await runRandomFaults(cell, {
         seed,
-        forMs: 20_000,
+        forMs: cutting === undefined ? 20_000 : cutForMs,
         onJob: jobId => jobs.push(jobId),
-        onFault: (atMs, name) => faults.push(`${atMs} ${name}`),
+        onFault,
         ...(crashing ? { onCrashingJob: jobId => crashingJobs.push(jobId) } : {}),
         ...(failing ? { shapes: completableShapes, onFailingJob: jobId => failingJobs.push(jobId) } : {}),
         ...(saving ? { shapes: savingShapes } : {}),
         ...(gangs ? { shapes: gangShapes } : {}),
+        ...(cutting === undefined || saving || gangs || failing ? {} : { shapes: cuttingShapes }),
         ...(shapes === undefined ? {} : { shapes }),
         ...(callers === undefined ? {} : { submit: callers.submit }),
         ...(capped ? { organisationOf: job => organisations[job % organisations.length]?.name ?? "" } : {}),
         faults: delayingOrders ? delayedOrderFaults : [
-            ...randomFaults,
+            ...cutting === undefined ? randomFaults : faultsBesideCut,
             ...lasting ? placementStoppingFaults : [],
             ...crashing ? crashFaults : [],
             // Repeated so that they are about a quarter of the faults.
@@ -402,7 +520,9 @@
         ],
         ...(lasting ? { spreadMs: longFaultSpreadMs } : {}),
         ...(delayingOrders ? { density: highDensity } : {}),
+        ...(cutting === undefined ? {} : { density: lowDensity }),
     });
+    await cell.until(() => isCutOver?.() ?? true, cutForMs);
     // Tasks that may crash workers are tried one at a time, so tasks may still wait while those jobs are open.
     const stalledTasks = crashing
         ? []
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -66,12 +66,26 @@
 /** Returns the simulated course of a run of a task. */
 export type TaskModel = (taskName: string, run: number) => RunModel;
 
+/** How looks are lost and carried out late. */
+export interface LateLooks {
+    /** Whether a look that would reach its worker is lost. */
+    readonly isLost: () => boolean;
+    readonly lateMs: () => number;
+}
+
 /** The fake workers with their call ports, records and fault injection. */
 export interface FakeFencedWorkers {
     /** Creates the call port of one daemon; `isOpen` returns whether its link to a worker is up. */
     connect(isOpen: (workerId: string) => boolean): FencedWorkerPort;
     add(entry: WorkerEntry): void;
     setFault(workerId: string, fault: WorkerFault): void;
+    /**
+     * From now on, a share of the looks that reach their worker is lost, and each look without an answer is carried out late, by
+     * whichever incarnation has the worker's ID by then. `lateMs` draws after how long. Undefined ends the fault.
+     */
+    setLateLooks(lateLooks: LateLooks | undefined): void;
+    /** Whether looks are carried out late. */
+    hasLateLooks(): boolean;
     /** Sets how fast the runs that start on a worker from now on are; 1 is the usual speed. */
     setSpeed(workerId: string, speed: number): void;
     /** Ends the worker's incarnation; calls to it are answered with `otherIncarnation` from now on. */
@@ -91,6 +105,8 @@
     resize(workerId: string, capacity: Resources): WorkerEntry | undefined;
     /** The entry of a worker that is up; undefined for others. */
     entryOf(workerId: string): WorkerEntry | undefined;
+    /** The data centre of a worker, up or not; undefined for an unknown one. */
+    dataCentreOf(workerId: string): string | undefined;
     /** Resources held by the runs on a worker, including those that are being stopped. */
     heldOn(workerId: string): Resources;
     /** Whether the worker is up and no fault is set on it. */
@@ -179,6 +195,7 @@
     checksTickets = false,
     saving,
     startAnswerMs = () => 0,
+    clockRate = 1,
     onCrash,
     onAlone = () => {},
 }: {
@@ -199,6 +216,8 @@
     readonly saving?: Saving | undefined;
     /** How long the answer to a start takes after the start was carried out. */
     readonly startAnswerMs?: () => number;
+    /** Rate of the workers' own clocks, on which their leases are measured. */
+    readonly clockRate?: number;
     /** Called when a task has crashed its worker, which is down then. */
     readonly onCrash: (entry: WorkerEntry) => void;
     /** Called when a run has ended because the other members of its gang did not start in time. */
@@ -207,6 +226,7 @@
     const workers = new Map<string, FakeWorker>();
     const evidence: StartEvidence[] = [];
     const overcommitted = new Set<string>();
+    let lateLooks: LateLooks | undefined;
     const saved = saving === undefined ? undefined : createSavedCheckpoints(clock, saving);
 
     const keyOf = (taskName: string, run: number): string => `${taskName}#${run}`;
@@ -280,7 +300,7 @@
         }
     };
 
-    const workerTimeMs = ({ clockStartMs }: FakeWorker): number => clock.monotonicMs() - clockStartMs;
+    const workerTimeMs = ({ clockStartMs }: FakeWorker): number => clockRate * (clock.monotonicMs() - clockStartMs);
 
     const renewLease = (worker: FakeWorker, deadlineMs: number | undefined): void => {
         if (deadlineMs === undefined) {
@@ -289,7 +309,10 @@
         const nowMs = workerTimeMs(worker);
         worker.deadlineMs = Math.max(worker.deadlineMs, Math.min(deadlineMs, nowMs + leaseLimitMs));
         worker.cancelExpiry();
-        worker.cancelExpiry = clock.setTimer(Math.max(0, worker.deadlineMs - nowMs), () => expireLease(worker));
+        worker.cancelExpiry = clock.setTimer(
+            Math.max(0, worker.deadlineMs - nowMs) / clockRate,
+            () => expireLease(worker),
+        );
     };
 
     const acceptToken = (worker: FakeWorker, token: number): boolean => {
@@ -523,23 +546,47 @@
             }
             return carryOut(worker, orderedAtMs);
         };
-        const look = async (
-            target: WorkerTarget,
-            { fencingToken, acknowledgedEnd, deadlineMs, waitMs, answerTimeoutMs }: LookOrder,
-        ): Promise<LookResult> => {
+        const carryOutLook = (
+            worker: FakeWorker,
+            { fencingToken, acknowledgedEnd, deadlineMs }: LookOrder,
+        ): boolean => {
+            if (!acceptToken(worker, fencingToken)) {
+                return false;
+            }
+            renewLease(worker, deadlineMs);
+            acknowledge(worker, acknowledgedEnd);
+            return true;
+        };
+        const carryOutLookLate = (target: WorkerTarget, order: LookOrder, lateMs: number): void => {
+            clock.setTimer(lateMs, () => {
+                // The look names only the worker's ID, so whichever incarnation has that ID by then carries it out.
+                const present = workers.get(target.workerId);
+                if (present?.alive === true) {
+                    carryOutLook(present, order);
+                }
+            });
+        };
+        const look = async (target: WorkerTarget, sent: LookOrder): Promise<LookResult> => {
+            const { waitMs, answerTimeoutMs } = sent;
             const lookTimeoutMs = Math.min(unansweredMs, waitMs + answerTimeoutMs);
+            if (lateLooks?.isLost() === true) {
+                carryOutLookLate(target, sent, lateLooks.lateMs());
+                await wait(lookTimeoutMs);
+                return { outcome: orderOutcomes.unknown };
+            }
             const worker = await reach(target, lookTimeoutMs);
+            if (worker === undefined && lateLooks !== undefined) {
+                carryOutLookLate(target, sent, lateLooks.lateMs());
+            }
             if (worker === undefined || worker === "down") {
                 return { outcome: orderOutcomes.unknown, connectionLost: worker === "down" };
             }
             if (worker === "otherIncarnation") {
                 return { outcome: orderOutcomes.otherIncarnation };
             }
-            if (!acceptToken(worker, fencingToken)) {
+            if (!carryOutLook(worker, sent)) {
                 return { outcome: orderOutcomes.fenced };
             }
-            renewLease(worker, deadlineMs);
-            acknowledge(worker, acknowledgedEnd);
             await waitForEnd(worker, waitMs);
             if (!isOpen(target.workerId) || (worker.fault as WorkerFault) === "cut") {
                 await wait(answerTimeoutMs);
@@ -598,6 +645,10 @@
                 worker.fault = fault;
             }
         },
+        setLateLooks: next => {
+            lateLooks = next;
+        },
+        hasLateLooks: () => lateLooks !== undefined,
         setSpeed: (workerId, speed) => {
             const worker = workers.get(workerId);
             if (worker !== undefined) {
@@ -649,6 +700,7 @@
             const worker = workers.get(workerId);
             return worker?.alive === true ? worker.entry : undefined;
         },
+        dataCentreOf: workerId => workers.get(workerId)?.entry.dataCentre,
         heldOn: workerId =>
             [...workers.get(workerId)?.running.values() ?? []].reduce((sum, run) => add(sum, run.held), noResources),
         isFaultFree: workerId => workers.get(workerId)?.alive === true && workers.get(workerId)?.fault === "none",
--- a/packages/stand-ins/src/shard/jobShapes.ts
+++ b/packages/stand-ins/src/shard/jobShapes.ts
@@ -107,6 +107,16 @@
     "2 gang of 5 cores checkpointing for 4000 ms",
     "2 checkpointing for 3000 ms, 2 gang checkpointing for 2000 ms after 0",
 ];
+/** Jobs of which some last as long as an outage of the store or a cut, so that ends fall into any moment of these. */
+export const cuttingShapes = [
+    "3, 4 after 0",
+    "4 for 4000 ms, 2 after 0",
+    "4 for 8000 ms",
+    "6 for 12000 ms",
+    "4 gang for 6000 ms",
+    "3 checkpointing for 7000 ms",
+    "3 speculative, 1 after 0",
+];
 /** A job that fills one worker for good, so that no other task fits on it. */
 export const workerFillingShape = "1 long running of 8 cores";
 /** Number of the job that fills a worker. */
--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -31,7 +31,12 @@
     connect(memberId: string): RowStore;
     /** Sets the fault for one daemon, which takes precedence, or for all daemons that have none of their own. */
     setFault(fault: StoreFault, memberId?: string): void;
-    /** Whether no fault is set for any daemon and every table is readable. */
+    /**
+     * Lets the store reach none of these daemons until the returned function is called. Calls that are under way get no answer.
+     * `lateMs` is asked for each transaction: the time after which it takes effect all the same, or undefined where it never does.
+     */
+    block(memberIds: readonly string[], lateMs?: () => number | undefined): () => void;
+    /** Whether no fault is set for any daemon, none is blocked and every table is readable. */
     isFaultFree(): boolean;
     /** Sets whether reads of a table get no answer; reads of other tables are not affected. */
     setUnreadable(table: string, unreadable: boolean): void;
@@ -116,6 +121,12 @@
     return page;
 };
 
+/** Daemons that the store does not reach, and when a transaction of theirs takes effect. */
+interface Block {
+    readonly memberIds: ReadonlySet<string>;
+    readonly lateMs: () => number | undefined;
+}
+
 const idOf = ({ table, part, key }: { readonly table: string; readonly part: string; readonly key: string; }): string =>
     `${table}|${part}|${key}`;
 
@@ -135,6 +146,7 @@
     let transactions = 0;
     let freeAtMs = 0;
     const unreadable = new Set<string>();
+    const blocks = new Set<Block>();
     let rejectedJobId: string | undefined;
     const links = new Map<string, Link>();
     const waiters = new Set<() => void>();
@@ -168,16 +180,32 @@
         return { outcome: "committed", version };
     };
 
-    const faultOf = (memberId: string): StoreFault => faults.get(memberId) ?? faults.get("") ?? "none";
+    const blockOf = (memberId: string): Block | undefined =>
+        [...blocks].find(({ memberIds }) => memberIds.has(memberId));
+
+    const faultOf = (memberId: string): StoreFault =>
+        blockOf(memberId) === undefined ? faults.get(memberId) ?? faults.get("") ?? "none" : "hang";
+
+    const unanswered = async (timeoutMs: number): Promise<RowTransactResult> => {
+        await wait(timeoutMs);
+        return { outcome: "unknown", reason: "no answer" };
+    };
 
-    type Transact = (transaction: RowTransaction, timeoutMs: number) => Promise<RowTransactResult>;
+    type Transact = (transaction: RowTransaction, timeoutMs: number, memberId: string) => Promise<RowTransactResult>;
+    type Answer = RowTransactResult | Promise<RowTransactResult>;
+
+    /** The answer to a transaction that was carried out; it is lost where its daemon is blocked by now. */
+    const deliver = (result: RowTransactResult, timeoutMs: number, memberId: string): Answer =>
+        blockOf(memberId) === undefined
+            ? result
+            : unanswered(timeoutMs);
 
     const transactHandlers: Readonly<Record<StoreFault, Transact>> = {
-        none: async transaction => {
+        none: async (transaction, timeoutMs, memberId) => {
             await wait(answerMs);
-            return apply(transaction);
+            return deliver(apply(transaction), timeoutMs, memberId);
         },
-        slow: async (transaction, timeoutMs) => {
+        slow: async (transaction, timeoutMs, memberId) => {
             const nowMs = clock.monotonicMs();
             const queueDelayMs = Math.max(0, freeAtMs - nowMs);
             if (queueDelayMs > longestQueueMs) {
@@ -187,7 +215,7 @@
             freeAtMs = nowMs + queueDelayMs + slowTransactionMs;
             const takesMs = queueDelayMs + slowAnswerMs;
             const result = new Promise<RowTransactResult>(resolve => {
-                clock.setTimer(takesMs, () => resolve(apply(transaction)));
+                clock.setTimer(takesMs, () => resolve(deliver(apply(transaction), timeoutMs, memberId)));
             });
             if (timeoutMs < takesMs) {
                 await wait(timeoutMs);
@@ -199,10 +227,7 @@
             await wait(answerMs);
             return { outcome: "refused", reason: "503" };
         },
-        hang: async (_transaction, timeoutMs) => {
-            await wait(timeoutMs);
-            return { outcome: "unknown", reason: "no answer" };
-        },
+        hang: (_transaction, timeoutMs) => unanswered(timeoutMs),
         loseReply: async (transaction, timeoutMs) => {
             await wait(answerMs);
             apply(transaction);
@@ -224,6 +249,19 @@
         }
     };
 
+    /** Sends a transaction of a blocked daemon, which may take effect later. */
+    const transactLate = (
+        { lateMs: drawLateMs }: Block,
+        transaction: RowTransaction,
+        timeoutMs: number,
+    ): Promise<RowTransactResult> => {
+        const delayMs = drawLateMs();
+        if (delayMs !== undefined) {
+            clock.setTimer(delayMs, () => apply(transaction));
+        }
+        return unanswered(timeoutMs);
+    };
+
     const transferPage = async (memberId: string, page: readonly Row[], withinMs: number): Promise<void> => {
         const bytes = page.reduce((sum, row) => sum + (row.value?.length ?? 0), 0);
         const transfer = links.get(memberId)?.send(base64Factor * bytes);
@@ -235,6 +273,12 @@
         die("unavailable", "the page did not arrive in time");
     };
 
+    /** Fails a read whose daemon is blocked when the answer would arrive. */
+    const loseAnswer = async (): Promise<never> => {
+        await wait(hangMs);
+        return die("unavailable", "the answer was lost");
+    };
+
     const changesOf = (table: string, after: number): readonly Row[] =>
         history.filter(row => row.table === table && row.version > after);
 
@@ -250,7 +294,11 @@
                     await wait(answerMs);
                     return { outcome: "rejected", reason };
                 }
-                return transactHandlers[fault](transaction, timeoutMs);
+                const block = blockOf(memberId);
+                if (block !== undefined) {
+                    return transactLate(block, transaction, timeoutMs);
+                }
+                return transactHandlers[fault](transaction, timeoutMs, memberId);
             },
             read: async (table, part, fromKey, limit = pageRows, longestMs = readTimeoutMs) => {
                 await awaitStore(memberId);
@@ -264,6 +312,9 @@
                 const page = pageOf(all, limit);
                 const readVersion = version;
                 await transferPage(memberId, page, longestMs);
+                if (blockOf(memberId) !== undefined) {
+                    await loseAnswer();
+                }
                 return { rows: page, hasMore: all.length > page.length, version: readVersion };
             },
             changes: async (table, after, waitMs): Promise<RowChanges> => {
@@ -306,14 +357,24 @@
                 const changed = changesOf(table, after);
                 const readVersion = version;
                 await transferPage(memberId, changed, changesTimeoutMs);
+                if (blockOf(memberId) !== undefined) {
+                    await loseAnswer();
+                }
                 return { kind: "changes", rows: changed, version: readVersion };
             },
         }),
         setFault: (fault, memberId = "") => {
             faults.set(memberId, fault);
         },
+        block: (memberIds, drawLateMs = () => undefined) => {
+            const block: Block = { memberIds: new Set(memberIds), lateMs: drawLateMs };
+            blocks.add(block);
+            return () => {
+                blocks.delete(block);
+            };
+        },
         isFaultFree: () =>
-            unreadable.size === 0 && rejectedJobId === undefined
+            unreadable.size === 0 && blocks.size === 0 && rejectedJobId === undefined
             && [...faults.values()].every(fault => fault === "none"),
         setUnreadable: (table, isUnreadable) => {
             if (isUnreadable) {
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -130,8 +130,8 @@
     kill(memberId: string): void;
     /** Starts a daemon's process where it does not run. */
     restart(memberId: string): void;
-    /** Shuts a daemon down gracefully. */
-    stop(memberId: string): Promise<void>;
+    /** Shuts a daemon down gracefully; its process ends after the grace at the latest. */
+    stop(memberId: string, graceMs?: number): Promise<void>;
     /** Suspends a daemon's VM; its monotonic clock does not count the time. */
     suspend(memberId: string, forMs: number): void;
     /** Makes the work of a daemon take this many times as long, until its process ends; its calls must cost processor time. */
@@ -140,12 +140,20 @@
     cut(memberId: string, what: readonly ("peers" | "store" | "workers")[]): void;
     /** Restores all links of a daemon. */
     restoreLinks(memberId: string): void;
-    /** Cuts a data centre off from the other data centres, from the store, or from both; its daemons still reach each other and the workers. */
-    cutDataCentre(dataCentre: string, what: readonly ("peers" | "store")[]): void;
+    /**
+     * Cuts a data centre off from the daemons of the other data centres, from the store or, with "workers", as a whole: its
+     * daemons and workers reach only each other then, and the entries of its workers lapse.
+     */
+    cutDataCentre(dataCentre: string, what: readonly ("peers" | "store" | "workers")[]): void;
     /** Restores all links of a data centre. */
     restoreDataCentre(dataCentre: string): void;
     /** The data centre of a daemon. */
     dataCentreOf(memberId: string): string;
+    /**
+     * Lets the store answer nobody, and calls to it take effect late at times, until the returned function is called. All entries
+     * of workers are gone then. Those of workers that reach the store are back within 2 s.
+     */
+    loseStoreAndEntries(): () => void;
     /** Whether the daemon's process runs, cut off or not. */
     isRunning(memberId: string): boolean;
     isCut(memberId: string, what: "peers" | "store" | "workers"): boolean;
@@ -217,6 +225,10 @@
     readonly strengths?: readonly number[];
     /** Data centres of the daemons in the order of the daemons; one for all where this is left out. */
     readonly dataCentres?: readonly string[];
+    /** Data centres of the workers in the order of the workers; one for all where this is left out. */
+    readonly workerDataCentres?: readonly string[];
+    /** Rate of the workers' own clocks; 1 where this is left out. */
+    readonly workerClockRate?: number;
     /** Whether VM calls with a lower fencing token than the VM has seen are refused. */
     readonly checksVmTokens?: boolean;
     /** Whether the members of a gang start work and end together, as on the users' workers; independent where this is left out. */
@@ -294,9 +306,17 @@
 const linkDelayMs = 1;
 const unansweredMs = 3_000;
 const leaveTimeoutMs = 4_000;
+/** From the return of a link to the store until the entries of live workers that had lapsed are back, at most. */
+const relistingMs = 2_000;
+/** Share of the outages in which the channels of waiting feed calls deliver nothing further. */
+const silentFeedShare = 0.5;
+/** Share of the transactions sent during an outage that take effect all the same, and how long after they were sent at most. */
+const lateTransactionShare = 0.25;
+const longestLateTransactionMs = 8_000;
 /** Timeout of a caller that submits once. */
 const singleSubmitTimeoutMs = 2_500;
 const stateWaitMs = 10;
+const faultSeedOffset = 500_009;
 const noCosts: ProcessorCosts = { firstLookMs: 0, lookMs: 0, callMs: 0 };
 const workerCapacity: Resources = { cpuMillis: 8_000, memoryMib: 16_000, accelerators: 0 };
 
@@ -354,6 +374,8 @@
         policies,
         strengths = [],
         dataCentres = [],
+        workerDataCentres = [],
+        workerClockRate = 1,
         checksVmTokens = true,
         runsGangsTogether = false,
         isAllowed = () => true,
@@ -418,17 +440,37 @@
     /** Workers that were replaced under another ID after a crash, and are not listed again. */
     const replacedWorkerIds = new Set<string>();
     const isListed = (workerId: string): boolean => store.rows("workers").some(({ key }) => key === workerId);
+    /** Draws for faults that not every cell has, so that the other draws of such a cell stay the same. */
+    const faultRandom = createSeededRandom(seed + faultSeedOffset);
+    /** Data centres whose workers are cut off from all daemons outside and from the store. */
+    const isolated = new Set<string>();
+    let outages = 0;
+    const reachesStore = (workerId: string): boolean =>
+        outages === 0 && !isolated.has(workers.entryOf(workerId)?.dataCentre ?? "");
+    /** Writes the entry of a worker that is up and reaches the store; others are listed again after the fault. */
+    const listWorker = (workerId: string): void => {
+        const newest = workers.entryOf(workerId);
+        if (newest !== undefined && reachesStore(workerId)) {
+            store.put("workers", workerId, newest);
+        }
+    };
+    /** Lists the workers that are up and whose entries lapsed, each after a random time. */
+    const relistWorkers = (): void => {
+        for (const workerId of workers.workerIds()) {
+            clock.setTimer(relistingMs * faultRandom.next(), () => {
+                if (!isListed(workerId)) {
+                    faultTracker.recordFault();
+                    listWorker(workerId);
+                }
+            });
+        }
+    };
 
     /** Restarts a worker under its ID; its first heartbeat writes its entry after a random delay. */
     const restartUnderId = (workerId: string): void => {
         const entry = workers.restart(workerId, restartCapacity ?? capacity ?? workerCapacity);
         if (entry !== undefined) {
-            clock.setTimer(heartbeatMs * random.next(), () => {
-                const newest = workers.entryOf(workerId);
-                if (newest !== undefined) {
-                    store.put("workers", workerId, newest);
-                }
-            });
+            clock.setTimer(heartbeatMs * random.next(), () => listWorker(workerId));
         }
     };
 
@@ -448,7 +490,7 @@
         clock.setTimer(crashedDownMs, () => {
             const next = { ...entry, workerId: `${entry.workerId}*`, capacity: capacity ?? workerCapacity };
             workers.replace(entry.workerId, next);
-            store.put("workers", next.workerId, next);
+            listWorker(next.workerId);
         });
         clock.setTimer(entryRemovalMs, () => store.remove("workers", entry.workerId));
     };
@@ -456,6 +498,7 @@
     const fakeWorkers = createFakeFencedWorkers({
         clock,
         leaseLimitMs: 10_000,
+        clockRate: workerClockRate,
         checksTickets,
         saving: checkpointIntervalMs === undefined ? undefined : {
             intervalMs: checkpointIntervalMs,
@@ -491,6 +534,7 @@
     });
     const workers = faultTracker.recordingCalls(fakeWorkers, [
         "setFault",
+        "setLateLooks",
         "crash",
         "goDown",
         "replace",
@@ -505,7 +549,15 @@
     const isCut = (memberId: string, what: string): boolean => cuts.get(memberId)?.has(what) === true;
     /** Data centres whose daemons and the others do not reach each other. */
     const separated = new Set<string>();
+    /** By data centre that is cut off: what restores its links to the store, and what keeps its workers' entries from lapsing. */
+    const storeBlocks = new Map<string, () => void>();
+    const entryLapses = new Map<string, () => void>();
     const dataCentreOf = (memberId: string): string => dataCentres[ids.indexOf(memberId)] ?? "leon-feria";
+    /** Whether a daemon and a worker are on different sides of a data centre that is cut off as a whole. */
+    const isWorkerSeparated = (memberId: string, workerId: string): boolean => {
+        const [left, right] = [dataCentreOf(memberId), workers.dataCentreOf(workerId) ?? ""];
+        return left !== right && (isolated.has(left) || isolated.has(right));
+    };
     const isUnreachable = (from: string, to: string): boolean => {
         const [left, right] = [dataCentreOf(from), dataCentreOf(to)];
         return isCut(from, "peers") || isCut(to, "peers")
@@ -628,7 +680,9 @@
         };
         const connection = store.connect(memberId);
         const unanswered = new Promise<never>(() => {});
-        const directPort = workers.connect(() => !isCut(memberId, "workers"));
+        const directPort = workers.connect(workerId =>
+            !isCut(memberId, "workers") && !isWorkerSeparated(memberId, workerId)
+        );
         const workerPort = costs === noCosts ? directPort : withProcessor(directPort, { clock, processor, costs });
         const dependencies = breakShardPart(broken, {
             workers: {
@@ -701,14 +755,17 @@
     const writeWorkerEntries = (): void => {
         for (const [index, workerId] of workers.workerIds().entries()) {
             const isDown = keepsIds && workers.entryOf(workerId) === undefined;
-            if (!replacedWorkerIds.has(workerId) && !isDown) {
+            if (!replacedWorkerIds.has(workerId) && !isDown && reachesStore(workerId)) {
                 store.put("workers", workerId, workers.entryOf(workerId) ?? workerEntry(workerId, index, capacity));
             }
         }
     };
 
     for (let index = 0; index < workerCount; index += 1) {
-        const entry = workerEntry(`worker-${index}`, index, capacity);
+        const entry = {
+            ...workerEntry(`worker-${index}`, index, capacity),
+            ...(workerDataCentres[index] === undefined ? {} : { dataCentre: workerDataCentres[index] }),
+        };
         workers.add(keepsIds ? { ...entry, bornAtMs: Math.floor(clock.nowMs()) } : entry);
     }
     const fakeVms = createFakeVms({
@@ -725,7 +782,7 @@
             const renewed = workerEntry(`${workerId}+`, index);
             store.remove("workers", workerId);
             workers.add(renewed);
-            store.put("workers", renewed.workerId, renewed);
+            listWorker(renewed.workerId);
             return renewed.workerId;
         },
     });
@@ -792,7 +849,8 @@
     /** Whether a fault of a daemon, the store, the VM calls or a worker lasts; so does a worker that is up but not listed. */
     const isFaulty = (): boolean => {
         const listed = new Set(store.rows("workers").map(({ key }) => key));
-        return cuts.size > 0 || separated.size > 0 || !store.isFaultFree() || !vms.isFaultFree()
+        return cuts.size > 0 || separated.size > 0 || isolated.size > 0 || workers.hasLateLooks()
+            || !store.isFaultFree() || !vms.isFaultFree()
             || [...memberProcesses.values()].some(({ incarnation, suspension }) =>
                 !incarnation.alive || suspension.isSuspended()
             )
@@ -894,10 +952,11 @@
                 start(memberId);
             }
         },
-        stop: async memberId => {
+        stop: async (memberId, graceMs) => {
             faultTracker.recordFault();
             const memberProcess = memberProcesses.get(memberId);
-            await memberProcess?.member.leave(clock.monotonicMs() + leaveTimeoutMs);
+            const left = memberProcess?.member.leave(clock.monotonicMs() + (graceMs ?? leaveTimeoutMs));
+            await (graceMs === undefined ? left : Promise.race([left, wait(graceMs)]));
             memberProcess?.member.close();
             if (memberProcess !== undefined) {
                 memberProcess.incarnation.alive = false;
@@ -927,17 +986,53 @@
             if (what.includes("peers")) {
                 separated.add(dataCentre);
             }
-            for (const memberId of what.includes("store") ? ids.filter(id => dataCentreOf(id) === dataCentre) : []) {
-                store.setFault("hang", memberId);
+            if (what.includes("store")) {
+                storeBlocks.get(dataCentre)?.();
+                storeBlocks.set(dataCentre, store.block(ids.filter(id => dataCentreOf(id) === dataCentre)));
+            }
+            if (what.includes("workers")) {
+                isolated.add(dataCentre);
+                const cancelLapse = clock.setTimer(entryRemovalMs, () => {
+                    for (const workerId of workers.workerIds().filter(id => workers.dataCentreOf(id) === dataCentre)) {
+                        store.remove("workers", workerId);
+                    }
+                });
+                entryLapses.set(dataCentre, cancelLapse);
             }
         },
         restoreDataCentre: dataCentre => {
             faultTracker.recordFault();
             separated.delete(dataCentre);
-            for (const memberId of ids.filter(id => dataCentreOf(id) === dataCentre)) {
-                store.setFault("none", memberId);
+            storeBlocks.get(dataCentre)?.();
+            storeBlocks.delete(dataCentre);
+            entryLapses.get(dataCentre)?.();
+            if (isolated.delete(dataCentre)) {
+                relistWorkers();
             }
         },
+        loseStoreAndEntries: () => {
+            faultTracker.recordFault();
+            outages += 1;
+            if (faultRandom.next() < silentFeedShare) {
+                store.silenceFeeds();
+            }
+            const unblock = store.block(
+                ids,
+                () =>
+                    faultRandom.next() < lateTransactionShare
+                        ? longestLateTransactionMs * faultRandom.next()
+                        : undefined,
+            );
+            return () => {
+                faultTracker.recordFault();
+                for (const { key } of store.rows("workers")) {
+                    store.remove("workers", key);
+                }
+                outages -= 1;
+                unblock();
+                relistWorkers();
+            };
+        },
         dataCentreOf,
         isRunning: memberId => memberProcesses.get(memberId)?.incarnation.alive === true,
         isCut,
@@ -976,9 +1071,8 @@
                 const entry = workers.resize(workerId, next);
                 if (entry !== undefined) {
                     clock.setTimer(heartbeatMs, () => {
-                        const newest = workers.entryOf(workerId);
-                        if (newest !== undefined && isListed(workerId)) {
-                            store.put("workers", workerId, newest);
+                        if (isListed(workerId)) {
+                            listWorker(workerId);
                         }
                     });
                 }
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -1,7 +1,16 @@
 /** Named faults that tests inject into a cell with one shard. */
 
+import { createSeededRandom } from "puffinarch";
 import type { ShardCell } from "./shardCell.js";
 
+/** When daemons are restarted one after the other: the time from one to the next, their grace, and how long each is away. */
+const restartApartMs = 1_350;
+const restartGraceMs = 6_000;
+const restartDownMs = 700;
+/** With looks that are carried out late: the share of looks that get lost besides those that reach nobody, and the delays. */
+const lostLookShare = 0.1;
+const shortestLateLookMs = 2_000;
+const lateLookSpreadMs = 10_000;
 /** How long a worker stays shrunk after the other workers no longer fail every run. */
 const shrunkForMs = 12_000;
 
@@ -92,6 +101,36 @@
     return () => scaleCaps(cell, 1 / times);
 };
 
+/** Cuts a data centre off as a whole, so that its daemons and workers reach only each other. */
+const cutDataCentre = (cell: ShardCell, dataCentre: string): () => void => {
+    cell.cutDataCentre(dataCentre, ["peers", "store", "workers"]);
+    return () => cell.restoreDataCentre(dataCentre);
+};
+
+/** Tells daemons to stop, one after the other, and starts each again once its process has ended. */
+const restartInTurn = (cell: ShardCell, memberIds: readonly string[]): () => void => {
+    for (const [index, memberId] of memberIds.entries()) {
+        cell.clock.setTimer(index * restartApartMs, () => {
+            if (cell.isRunning(memberId)) {
+                void cell.stop(memberId, restartGraceMs).then(() =>
+                    cell.clock.setTimer(restartDownMs, () => cell.restart(memberId))
+                );
+            }
+        });
+    }
+    return () => {};
+};
+
+const carryOutLooksLate = (cell: ShardCell): () => void => {
+    // The seed is the time, as the other draws of the cell must not change.
+    const random = createSeededRandom(Math.floor(cell.clock.monotonicMs()));
+    cell.workers.setLateLooks({
+        isLost: () => random.next() < lostLookShare,
+        lateMs: () => shortestLateLookMs + lateLookSpreadMs * random.next(),
+    });
+    return () => cell.workers.setLateLooks(undefined);
+};
+
 const removeWorkerEntries = (cell: ShardCell): () => void => {
     for (const workerId of cell.workers.workerIds()) {
         cell.removeWorkerEntry(workerId);
@@ -240,6 +279,18 @@
     },
     "caps lowered to a quarter": cell => changeCaps(cell, 0.25),
     "caps raised to double": cell => changeCaps(cell, 2),
+    "the owner's data centre cut off as a whole": cell =>
+        cutDataCentre(cell, cell.dataCentreOf(cell.owner() ?? cell.memberIds()[0] ?? "")),
+    "a data centre without the owner cut off as a whole": cell => {
+        const owners = cell.dataCentreOf(cell.owner() ?? "");
+        const others = cell.memberIds().map(cell.dataCentreOf).filter(dataCentre => dataCentre !== owners);
+        return cutDataCentre(cell, others[0] ?? owners);
+    },
+    "store away, and the list of workers lapses": cell => cell.loseStoreAndEntries(),
+    "half of the daemons restart one after the other": cell =>
+        restartInTurn(cell, cell.memberIds().filter((_, index) => index % 2 === 0)),
+    "all daemons restart one after the other": cell => restartInTurn(cell, cell.memberIds()),
+    "looks carried out late": carryOutLooksLate,
     "workers not listed": removeWorkerEntries,
     "workers cut until their entries lapsed": cell => {
         const restoreLinks = setWorkerFault(cell, "cut", cell.workers.workerIds().length);
