An owner in a data centre that is cut off gives the shard up even if most workers are there too

Cause: an owner that the store does not answer gave the shard up only once most of all workers were silent. In a data centre that is cut off as a whole and has half of the workers or more, most of them went on answering, so that it renewed their leases for as long as the cut lasted. Its successor outside takes the leases to be over 7.6 s after its claim and started the tasks again: they ran twice at the same time, or were started again after ends that the worker kept listed under a valid lease and the successor acknowledged after the cut. Change: an owner whose data centre is partitioned, so that neither the store nor a daemon of another data centre answers, counts as cut off as well, whatever its workers do. In an outage of the store alone, daemons of other data centres answer, and the owner goes on as before.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -317,6 +317,8 @@
         Examples:
             | looks            | first  | last   |
             | lost             | 200001 | 200003 |
+            | lost             | 200046 | 200046 |
+            | lost             | 200290 | 200290 |
             | carried out late | 210001 | 210003 |
 
     Scenario Outline: The checks find a dependency of a shard that is broken on purpose: <part>
--- a/features/partition.feature
+++ b/features/partition.feature
@@ -24,6 +24,26 @@
             | outside | 1000 |
             | outside | 1730 |
 
+    # Guards against an owner that renews the leases of the workers in its data centre for as long as that is cut off. It went on as
+    # most of all workers answered it, and its successor outside started their tasks again once it took the leases to be over.
+    Scenario Outline: The owner gives the shard up although <most> of <all> workers are in its data centre, cut for <ms> ms
+        Given a cell of 9 daemons in 3 data centres and <all> workers, <most> of them in "leon-feria"
+        And the owner is in "leon-feria"
+        When 3 jobs of steps "4 long running" are submitted
+        And the shard runs for 2000 ms
+        And the data centre of the owner inside is cut off from "peers, store, workers"
+        And the shard runs for <ms> ms
+        And the data centre is no longer cut off
+        And the shard runs for 4000 ms
+        Then no promise was broken
+
+        Examples:
+            | all | most | ms    |
+            | 5   | 3    | 9000  |
+            | 5   | 4    | 12000 |
+            | 6   | 3    | 12000 |
+            | 6   | 2    | 12000 |
+
     # Guards against daemons that take a fault of another kind for a partition, and so leave callers without a daemon that is ready.
     Scenario Outline: <what> is not a partition
         Given a cell of 9 daemons in 3 data centres and 4 workers
--- a/features/steps/partitionSteps.ts
+++ b/features/steps/partitionSteps.ts
@@ -7,7 +7,7 @@
 import { cellOf, part, startCell } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
-type Link = "peers" | "store";
+type Link = "peers" | "store" | "workers";
 
 const dataCentres = ["leon-feria", "qro-arena", "puebla"];
 
@@ -23,6 +23,28 @@
     },
 );
 
+Given(
+    "a cell of {int} daemons in {int} data centres and {int} workers, {int} of them in {string}",
+    async function(this: ScenarioWorld, members: number, count: number, workers: number, most: number, place: string) {
+        const others = dataCentres.filter(name => name !== place);
+        await startCell(this, {
+            members,
+            workers,
+            seed: 1,
+            dataCentres: Array.from({ length: members }, (_, index) => dataCentres[index % count] ?? ""),
+            workerDataCentres: Array.from(
+                { length: workers },
+                (_, index) => index < most ? place : others[index % others.length] ?? "",
+            ),
+        });
+    },
+);
+
+Given("the owner is in {string}", function(this: ScenarioWorld, place: string) {
+    const cell = cellOf(this);
+    assert.equal(cell.dataCentreOf(cell.owner() ?? ""), place);
+});
+
 const inside = (world: ScenarioWorld): readonly string[] => {
     const { name } = cutDataCentre(world);
     return cellOf(world).memberIds().filter(id => cellOf(world).dataCentreOf(id) === name);
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -379,6 +379,7 @@
                 ...(platform.upkeep === undefined
                     ? {}
                     : { upkeep: { ...platform.upkeep, holderId: `${self.memberId}/${self.incarnation}` } }),
+                isPartitioned: () => partition.isPartitioned(),
                 newsAgeMs: () => Math.max(workerWatch?.ageMs() ?? Infinity, configurationWatch.ageMs()),
                 onFenced: reason => {
                     log.write("warn", "shardLost", { reason, fencingToken: claimed.fencingToken });
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -92,6 +92,11 @@
     };
     /** Age in ms of the worker list or of the configuration, whichever is older; `Infinity` before both have been read. */
     readonly newsAgeMs: () => number;
+    /**
+     * Whether this daemon's data centre is cut off: neither the store nor a daemon of another data centre answers. Never where it
+     * is left out.
+     */
+    readonly isPartitioned?: () => boolean;
     /** Called when the owner has stopped by itself, because another daemon owns the shard or may own it. */
     readonly onFenced: (reason: string) => void;
 }
@@ -711,14 +716,20 @@
         }
     };
 
+    const areMostWorkersSilent = (nowMs: number): boolean => {
+        const silent =
+            [...workers.all.values()].filter(worker => nowMs - worker.answeredAtMs > settings.silentMs).length;
+        return 2 * silent > workers.all.size;
+    };
+
     /**
-     * Returns whether neither the store nor most workers answer this owner. It may then have been replaced without receiving the
-     * new owner row, and must stop renewing leases before `formerOwnerMs`, the time that its successor allows for this, is over.
+     * Returns whether the store does not answer this owner, and neither do most workers or the other data centres. It may then have
+     * been replaced without receiving the new owner row, and must stop renewing leases before `formerOwnerMs`, the time that its
+     * successor allows for this, is over. Workers alone do not show it: most of them may be in the data centre that is cut off.
      */
     const isCutOff = (nowMs: number): boolean => {
-        const silent =
-            [...workers.all.values()].filter(worker => nowMs - worker.answeredAtMs > settings.silentMs).length;
-        if (2 * silent <= workers.all.size || nowMs - startedAtMs < settings.cutOffMs) {
+        const isSeparated = options.isPartitioned?.() === true || areMostWorkersSilent(nowMs);
+        if (!isSeparated || nowMs - startedAtMs < settings.cutOffMs) {
             return false;
         }
         if (nowMs - commits.answeredAtMs() > settings.silentMs) {
