Log: what drops a run, and which ends are acknowledged without their task

Cause: a task was started again after the end of its first run had been acknowledged. Its log tells neither whether the run was dropped while its worker's lease could last, nor how old the list of workers was, nor whether an end was acknowledged whose task was not found.

Change: `runLost` and `runGone` say whether the worker is listed, the age of the list and how long leases there may still last. `runEnded` of a run that the owner does not hold says whether its task is done, its highest run and its live runs; `endsAfterDrop` counts such ends of tasks that were not done. No decision depends on any of these.

--- a/features/steps/examples/shardIncarnations.ts
+++ b/features/steps/examples/shardIncarnations.ts
@@ -9,10 +9,12 @@
     crashedRuns,
     createCorrelatedCrashes,
     createDelayedStarts,
+    createEndsWithoutTask,
     createLookSlots,
     createLostRuns,
     createMissingRuns,
     createRunOrders,
+    dropContextOf,
     enterIncarnation,
     holdsForOneIncarnation,
     incarnationOf,
@@ -77,6 +79,32 @@
     return `${2 - worker.runs.size} of 2 is gone`;
 };
 
+const dropContext = (): string => {
+    const worker = { ...openWorker(), leaseHorizonMs: 5_000 };
+    const { listed, listAgeMs, leaseLeftMs } = dropContextOf(worker, { nowMs: 1_000, listAgeMs: () => 300.2 });
+    return `${listed === true ? "" : "not "}listed, list of ${listAgeMs} ms, lease for ${leaseLeftMs} ms`;
+};
+
+const endsWithoutTask = (): string => {
+    const lines: string[] = [];
+    const ends = createEndsWithoutTask({
+        clock: createFakeClock(),
+        log: {
+            write: (_level, _event, { ends: count, acknowledgedEnd, done, jobKnown }) =>
+                lines.push(`${count} end up to ${acknowledgedEnd}: ${done} done, ${jobKnown} of known jobs`),
+        },
+        meter: noopMeter,
+        jobOf: () => undefined,
+    });
+    const worker = openWorker();
+    ends.record(worker, { endNumber: 7, taskName: "5c0e7a21d94b36f8.0.1.17", run: 1, how: "done", checkpoint: "" });
+    ends.reportAcknowledged(worker);
+    const before = lines.length === 0 ? "nothing" : "a line";
+    worker.acknowledgedEnd = 7;
+    ends.reportAcknowledged(worker);
+    return `${before}, then ${lines.join("; ")}`;
+};
+
 const unansweredStart = (): string => {
     const run = { ...runOf(exampleJob()), mayArriveUntilMs: 6_500 };
     const at = (nowMs: number): string => `${mayArrive(run, nowMs) ? "" : "not "}at ${nowMs} ms`;
@@ -193,6 +221,8 @@
     incarnations,
     delayedStarts,
     missingRuns,
+    dropContext,
+    endsWithoutTask,
     unansweredStart,
     lookSlots,
     startBreaker,
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -380,6 +380,7 @@
                     ? {}
                     : { upkeep: { ...platform.upkeep, holderId: `${self.memberId}/${self.incarnation}` } }),
                 newsAgeMs: () => Math.max(workerWatch?.ageMs() ?? Infinity, configurationWatch.ageMs()),
+                listAgeMs: () => workerWatch?.ageMs() ?? Infinity,
                 onFenced: reason => {
                     log.write("warn", "shardLost", { reason, fencingToken: claimed.fencingToken });
                     owner = undefined;
--- a/packages/puffinarch/src/core/shard/missingRuns.ts
+++ b/packages/puffinarch/src/core/shard/missingRuns.ts
@@ -29,8 +29,32 @@
     readonly onMemberLost: (run: ShardRun) => void;
     /** Called when a worker answers looks but left a start unanswered, and the start may still be carried out there. */
     readonly onAbsent: (worker: ShardWorker, run: ShardRun) => void;
+    /** Age of the platform's list of workers in ms, for the log. */
+    readonly listAgeMs?: (() => number) | undefined;
 }
 
+/**
+ * Returns what the log says about the worker of a run that is dropped without an end: whether it is listed, how old the list is, and how
+ * long leases there may still last.
+ *
+ * @example
+ * log.write("info", "runGone", dropContextOf(worker, { nowMs: clock.monotonicMs(), listAgeMs }));
+ */
+export const dropContextOf = (
+    { unlistedAtMs, leaseHorizonMs }: ShardWorker,
+    { nowMs, listAgeMs = () => Infinity }: {
+        readonly nowMs: number;
+        readonly listAgeMs?: (() => number) | undefined;
+    },
+): Readonly<Record<string, boolean | number>> => {
+    const ageMs = listAgeMs();
+    return {
+        listed: unlistedAtMs === undefined,
+        ...(Number.isFinite(ageMs) ? { listAgeMs: Math.round(ageMs) } : {}),
+        leaseLeftMs: Math.round(leaseHorizonMs - nowMs),
+    };
+};
+
 /** Reviews runs that looks do not list. */
 export interface MissingRuns {
     /**
@@ -65,16 +89,17 @@
     };
 
     const dropGoneRun = (worker: ShardWorker, run: ShardRun): void => {
+        const nowMs = clock.monotonicMs();
         meter.count("runsGone");
         log.write("info", "runGone", {
             task: run.task.name,
             run: run.run,
             ...incarnationOf(worker),
             phase: run.phase,
+            ...dropContextOf(worker, { nowMs, listAgeMs: options.listAgeMs }),
         });
         dropRun(worker, run);
         if (run.absent) {
-            const nowMs = clock.monotonicMs();
             meter.record("startHeldMs", nowMs - (run.sentAtMs ?? nowMs));
             markBlockedLong(run.task.step, nowMs);
         }
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -92,6 +92,8 @@
     };
     /** Age in ms of the worker list or of the configuration, whichever is older; `Infinity` before both have been read. */
     readonly newsAgeMs: () => number;
+    /** Age in ms of the worker list alone, for the log; not logged where it is left out. */
+    readonly listAgeMs?: () => number;
     /** Called when the owner has stopped by itself, because another daemon owns the shard or may own it. */
     readonly onFenced: (reason: string) => void;
 }
@@ -389,6 +391,7 @@
         fencingToken,
         newestToken: () => newestVersion,
         lagMs: () => presentLagMs(),
+        listAgeMs: options.listAgeMs,
         jobOf: jobId => jobs.get(jobId),
         changed: job => commitChange(job),
         onNextIncarnation: workerId => {
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -7,6 +7,7 @@
 import { createCorrelatedCrashes } from "./correlatedCrashes.js";
 import { type CrashedRun, crashedRuns, needsTrial, recordConfirmedRuns } from "./crashes.js";
 import { createDelayedStarts, type DelayedStart } from "./delayedStarts.js";
+import { createEndsWithoutTask } from "./endsWithoutTask.js";
 import { createFirstLooks } from "./firstLooks.js";
 import { createGangWatch } from "./gangWatch.js";
 import { incarnationOf, isOtherIncarnation } from "./incarnations.js";
@@ -44,6 +45,8 @@
     readonly newestToken?: () => number;
     /** How late timers of this process fire now, in ms; never late where it is left out. */
     readonly lagMs?: () => number;
+    /** Age of the platform's list of workers in ms, for the log. */
+    readonly listAgeMs?: (() => number) | undefined;
     readonly jobOf: (jobId: string) => ShardJob | undefined;
     /** Called when a job has changed; resolves once the change is durable. */
     readonly changed: (job: ShardJob) => Promise<void>;
@@ -130,6 +133,7 @@
     const changedJobs = new Set<ShardJob>();
     const lostRuns = createLostRuns(job => changedJobs.add(job));
     const correlatedCrashes = createCorrelatedCrashes();
+    const endsWithoutTask = createEndsWithoutTask({ clock, log, meter, jobOf });
 
     const stopRun = (run: ShardRun): void => {
         if (run.phase !== runPhases.planned) {
@@ -157,6 +161,8 @@
         log,
         meter,
         jobOf,
+        listAgeMs: options.listAgeMs,
+        onEndWithoutTask: endsWithoutTask.record,
         onChange: job => changedJobs.add(job),
         countOthersAt: correlatedCrashes.countOthersAt,
         stop: (worker, run) => links.get(worker.workerId)?.stop(run),
@@ -332,6 +338,7 @@
                 // A look may list ends again that an earlier look brought and that are still being committed.
                 const written = Promise.all([seen.endsWritten, commitChangedJobs()]).then(() => {
                     seen.acknowledgedEnd = Math.max(seen.acknowledgedEnd, newest);
+                    endsWithoutTask.reportAcknowledged(seen);
                 });
                 seen.endsWritten = written;
                 if (!wereRunsKnown) {
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -17,12 +17,14 @@
     type ShardRun,
     type ShardTask,
 } from "./jobModel.js";
-import { createMissingRuns, type MissingRunsOptions } from "./missingRuns.js";
+import { createMissingRuns, dropContextOf, type MissingRunsOptions } from "./missingRuns.js";
 import { recordStartAnswered } from "./startBreaker.js";
 import { adoptRun, dropRun, isLeaving, runKey, setAbsent, type ShardWorker } from "./workerTable.js";
 
 /** What `createWorkerWatch` needs. */
-export interface WorkerWatchOptions extends Pick<MissingRunsOptions, "onFormerGone" | "onMemberLost" | "onAbsent"> {
+export interface WorkerWatchOptions
+    extends Pick<MissingRunsOptions, "onFormerGone" | "onMemberLost" | "onAbsent" | "listAgeMs">
+{
     readonly clock: Clock;
     readonly log: Log;
     readonly meter: Meter;
@@ -37,6 +39,8 @@
     readonly stopUnknown: (worker: ShardWorker, taskName: string, run: number) => void;
     /** Called for a run of this owner that was listed as `done`, before it is removed from its worker. */
     readonly onDone?: ((worker: ShardWorker, run: ShardRun) => void) | undefined;
+    /** Called for an end whose task is not found. */
+    readonly onEndWithoutTask?: ((worker: ShardWorker, end: EndedRun) => void) | undefined;
 }
 
 /** Applies answers to looks to the jobs in memory. */
@@ -63,6 +67,13 @@
  */
 const restMs = 4_000;
 
+/** Returns what the log says about a task of which a run has ended that this owner does not hold as live. */
+const stateForLog = ({ done, lastRun, runs }: ShardTask): Readonly<Record<string, boolean | number | string>> => ({
+    taskDone: done,
+    lastRun,
+    liveRuns: runs.map(({ run, workerId, phase }) => `${run}@${workerId} ${phase}`).join(" "),
+});
+
 /**
  * Creates the watch of one shard owner.
  *
@@ -146,6 +157,7 @@
             ...incarnationOf(worker),
             how: end.how,
             known: run !== undefined,
+            ...(run === undefined && task !== undefined ? stateForLog(task) : {}),
         });
         if (run !== undefined) {
             if (end.how === "done") {
@@ -155,8 +167,13 @@
             worker.undecided.delete(runKey(end.taskName, end.run));
         }
         if (task === undefined) {
+            options.onEndWithoutTask?.(worker, end);
             return;
         }
+        if (run === undefined && end.how === "done" && !task.done) {
+            // It was dropped before, by this owner or a former one, and its task may have been started again meanwhile.
+            meter.count("endsAfterDrop");
+        }
         const { job } = task.step.occurrence;
         updateFailureStreak(worker, {
             jobId: job.submission.jobId,
@@ -359,6 +376,7 @@
                     sentMsAgo: run.sentAtMs === undefined ? undefined : Math.round(nowMs - run.sentAtMs),
                     heardMsAgo: Math.round(nowMs - worker.answeredAtMs),
                     otherJobs: runs.filter(other => other.task.step.occurrence.job !== job).length,
+                    ...dropContextOf(worker, { nowMs, listAgeMs: options.listAgeMs }),
                 });
                 dropRun(worker, run);
                 if (run.absent) {
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -55,6 +55,7 @@
 export * from "./core/shard/dueOccurrences.js";
 export * from "./core/shard/eligible.js";
 export * from "./core/shard/endedJobs.js";
+export * from "./core/shard/endsWithoutTask.js";
 export * from "./core/shard/evacuate.js";
 export * from "./core/shard/fairShares.js";
 export * from "./core/shard/firstLooks.js";
