--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -97,6 +97,8 @@
      * is left out.
      */
     readonly isPartitioned?: () => boolean;
+    /** Age in ms of the worker list alone, for the log; not logged where it is left out. */
+    readonly listAgeMs?: () => number;
     /** Called when the owner has stopped by itself, because another daemon owns the shard or may own it. */
     readonly onFenced: (reason: string) => void;
 }
@@ -397,6 +399,7 @@
         newestToken: () => newestVersion,
         confirm: commits.confirm,
         lagMs: () => presentLagMs(),
+        listAgeMs: options.listAgeMs,
         jobOf: jobId => jobs.get(jobId),
         isLeftOut: jobId => leftOut.has(jobId) && !jobs.has(jobId),
         changed: job => commitChange(job),
