Ends that a worker lists in any order are all applied

What callers saw: nothing so far; the end of a run could be passed over and acknowledged, so that its task was started again. Cause: an end counted as applied once one with a higher number was, and ends were applied in the order in which the worker listed them. The protocol promises no order. Change: they are applied in the order of their numbers. Measured: a scenario in features/runEnds.feature, two ends in one answer, the newest first; before the change the first one's task stayed open.

--- a/features/runEnds.feature
+++ b/features/runEnds.feature
@@ -65,3 +65,8 @@
     Scenario: A start that waits for a silent worker is not sent once its gang is done
         When the start of a member waits for a silent worker, which answers again after a former run of the gang was listed as done
         Then the start was not sent, and the member holds no room
+
+    # The protocol promises no order. An end that came after one with a higher number was passed over and acknowledged all the same.
+    Scenario: Ends that a worker lists in any order are all applied
+        When two runs end on a worker that lists the newest end first
+        Then both tasks are done
--- a/features/steps/runEndSteps.ts
+++ b/features/steps/runEndSteps.ts
@@ -273,6 +273,8 @@
 const silentStart = (world: ScenarioWorld): { starts: number; runsHeld: number; } =>
     partOf(world, "silentStart", () => ({ starts: 0, runsHeld: 0 }));
 
+const endedTasks = (world: ScenarioWorld): ShardTask[] => partOf(world, "endedTasks", () => []);
+
 interface ListedEnds {
     looks: number;
     acknowledged: number;
@@ -364,3 +366,42 @@
 Then("the start was not sent, and the member holds no room", function(this: ScenarioWorld) {
     assert.deepEqual(silentStart(this), { starts: 0, runsHeld: 0 });
 });
+
+When("two runs end on a worker that lists the newest end first", async function(this: ScenarioWorld) {
+    const { clock } = endsPart(this);
+    const job = newJob({ ...submission, steps: [{ ...plainStep, count: 2 }] }, testQueue, {
+        acceptedAtMs: 0,
+        order: 1,
+    });
+    const tasks = job.occurrences.get(0)?.steps[0]?.tasks ?? [];
+    endedTasks(this).push(...tasks);
+    let isSilent = false;
+    const { start } = startOwner(this, {
+        jobs: [job],
+        count: 1,
+        commitMs: () => 8,
+        wrap: port => ({
+            ...port,
+            look: async (target, order) => {
+                const look = await port.look(target, { ...order, waitMs: 0 });
+                await sleep(clock, 10);
+                // Both ends are listed for the first time in the same answer.
+                return isSilent || look.outcome !== "done"
+                    ? { outcome: "unknown" }
+                    : { ...look, ended: [...look.ended].reverse() };
+            },
+        }),
+    });
+    await clock.advance(100);
+    for (const task of tasks) {
+        await start(task, "i-0");
+    }
+    isSilent = true;
+    await clock.advance(2 * runMs);
+    isSilent = false;
+    await clock.advance(1_000);
+});
+
+Then("both tasks are done", function(this: ScenarioWorld) {
+    assert.deepEqual(endedTasks(this).map(({ done }) => done), [true, true]);
+});
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -354,7 +354,9 @@
                 recordFormerSuspects(worker);
             }
             const listed = new Set<string>();
-            for (const end of look.ended) {
+            // An end counts as applied once one with a higher number was, and a worker may list its ends in any order.
+            const ended = [...look.ended].sort((left, right) => left.endNumber - right.endNumber);
+            for (const end of ended) {
                 listed.add(runKey(end.taskName, end.run));
                 if (end.endNumber > worker.appliedEnd) {
                     worker.appliedEnd = end.endNumber;
