Show values in bounded length and depth

Operators saw daemons that no longer followed the list of executors or the configuration: one entry with a field nested some thousand deep made the watch read the whole table again and again (watchLost). Callers got status 500 for a body nested as deep.

Cause: decoding shows the wrong value in its report, and JSON.stringify exceeds the stack on such a value, so that the functions that must never throw did. The log and the reason of a refusal by the store wrote values the same way. An error also named each of a hundred thousand wrong fields.

A value is now written up to a limit of 80 characters; each level of nesting adds to the text, so that the limit bounds the depth. An error names 50 fields at the most, and a line that cannot be written keeps its event.

--- a/features/decoding.feature
+++ b/features/decoding.feature
@@ -49,6 +49,28 @@
             | wave/3 | {"wave":"3","machines":[]}                                                                         | wave                   |
             | wave/3 | {"wave":3,"cap":"one"}                                                                             | cap                    |
 
+    # Guards against a value whose text cannot be made: the decoder threw, and the watch read the whole list again for ever.
+    Scenario Outline: A row whose <field> is nested 5000 deep is unreadable: <kind>
+        Then a "<kind>" row whose "<field>" is nested 5000 deep cannot be read at "<at>"
+
+        Examples:
+            | kind          | field      | at         |
+            | worker        | backend    | backend    |
+            | worker        | state      | state      |
+            | worker        | capacity   | capacity   |
+            | worker        | labels     | labels[0]  |
+            | worker        | address    | address    |
+            | worker        | born       | born       |
+            | configuration | version    | version    |
+            | configuration | routes     | routes[0]  |
+            | configuration | limits     | limits     |
+            | wave          | machines   | machines[0] |
+            | member        | address    | address    |
+            | owner         | claimId    | claimId    |
+            | submission    | order      | order      |
+            | state         | state      | state      |
+            | ended         | failure    | failure    |
+
     Scenario Outline: A refused start gives as its reason "<word>", a property that every object inherits
         Given a service that answers 409 with '{"clock_ms":1,"reason":"<word>"}'
         When a run is started through the adapter
--- a/features/steps/decodingSteps.ts
+++ b/features/steps/decodingSteps.ts
@@ -23,7 +23,7 @@
 } from "puffinarch";
 import { readConfiguration, readWave, readWorker } from "puffinarch-platform";
 import { cellOf } from "./shardCellPart.js";
-import type { ScenarioWorld } from "./support.js";
+import { nestedText, type ScenarioWorld } from "./support.js";
 
 const rowOf = (key: string, value: string): Row => ({ table: "", part: "", key, value, version: 1 });
 
@@ -193,6 +193,20 @@
     ended: { key: unreadableJobId, valid: { state: "failed", failure }, decode: row => decodeRow(row, endedSchema) },
 };
 
+/** Length of a reason with the text of one value in it. */
+const maxReasonLength = 200;
+
+Then(
+    "a {string} row whose {string} is nested {int} deep cannot be read at {string}",
+    (name: string, field: string, depth: number, at: string) => {
+        const { key, valid, decode } = kinds[name] ?? assert.fail(`no kind of row is named ${name}`);
+        const text = JSON.stringify({ ...valid as object, [field]: "nested" });
+        const decoded = decode(rowOf(key, text.replace('"nested"', nestedText(depth))));
+        assert.equal(fieldOf(decoded), at);
+        assert.ok(decoded.kind === "unreadable" && decoded.reason.length < maxReasonLength);
+    },
+);
+
 /** Replaces one part of a JSON value by another value, or removes the part. */
 const mutate = (value: unknown, path: readonly number[], replacement: unknown, remove: boolean): unknown => {
     const [position, ...rest] = path;
@@ -207,6 +221,20 @@
     return copy;
 };
 
+/** Values that `JSON.stringify` does not write, by the placeholder that stands for each in a mutated value. */
+const oddTexts: Readonly<Record<string, string>> = {
+    "@nested": nestedText(5_000),
+    "@overflow": "1e400",
+    "@huge": "-1e308",
+    "@tiny": "1e-320",
+    "@exponent": "8E1",
+    "@unsafe": "9007199254740993",
+    "@minusZero": "-0",
+};
+
+const withOddTexts = (text: string): string =>
+    text.replaceAll(/"(@\w+)"/g, (all, name: string) => oddTexts[name] ?? all);
+
 /** Whether no field of an entry, at any depth, is null or a number that is not finite; fields may be missing. */
 const isWellFormed = (entry: unknown): boolean => {
     if (entry === null || typeof entry === "number" && !Number.isFinite(entry)) {
@@ -233,9 +261,13 @@
         assert.equal(first.kind, "entry");
         const expected = typesOf(first.kind === "entry" ? first.entry : undefined);
         const texts = fc.oneof(
-            fc.tuple(fc.array(fc.nat(9), { maxLength: 6 }), fc.jsonValue(), fc.boolean()).map((
+            fc.tuple(
+                fc.array(fc.nat(9), { maxLength: 6 }),
+                fc.oneof(fc.jsonValue(), fc.constantFrom(...Object.keys(oddTexts))),
+                fc.boolean(),
+            ).map((
                 [path, replacement, remove],
-            ) => JSON.stringify(mutate(valid, path, replacement, remove))),
+            ) => withOddTexts(JSON.stringify(mutate(valid, path, replacement, remove)))),
             fc.nat(400).map(length => JSON.stringify(valid).slice(0, length)),
             fc.string(),
         );
--- a/features/steps/logSteps.ts
+++ b/features/steps/logSteps.ts
@@ -1,8 +1,10 @@
-import { Given, Then } from "@cucumber/cucumber";
+import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { type ChildProcessByStdio, spawn } from "node:child_process";
 import type { Readable } from "node:stream";
-import { partOf, type ScenarioWorld } from "./support.js";
+import { createSystemClock } from "puffinarch";
+import { createLog } from "puffinarchd";
+import { nestedText, partOf, type ScenarioWorld } from "./support.js";
 
 interface LogPart {
     child: ChildProcessByStdio<null, Readable, Readable> | undefined;
@@ -91,6 +93,24 @@
     },
 );
 
+When("a value nested {int} deep is logged", function(this: ScenarioWorld, depth: number) {
+    const lines: string[] = [];
+    const log = createLog({
+        clock: createSystemClock(),
+        level: "info",
+        vmId: "entry-1",
+        write: line => lines.push(line),
+    });
+    log.write("warn", "refused", { reason: JSON.parse(nestedText(depth)) as unknown });
+    part(this).lines = lines.map(line => JSON.parse(line) as Readonly<Record<string, unknown>>);
+});
+
+Then("a line names the event and has fewer than {int} characters", function(this: ScenarioWorld, limit: number) {
+    const [line] = part(this).lines;
+    assert.equal(line?.["event"], "refused");
+    assert.ok(JSON.stringify(line).length < limit);
+});
+
 Then("all {int} lines are read in order", function(this: ScenarioWorld, count: number) {
     const numbers = part(this).lines.filter(line => line["event"] === "line").map(line => line["number"]);
     assert.deepEqual(numbers, Array.from({ length: count }, (_, number) => number));
--- a/features/steps/support.ts
+++ b/features/steps/support.ts
@@ -66,3 +66,11 @@
  */
 export const outcomeKind = (ending: CallOutcome<unknown> | undefined, success: string): ErrorKind | string =>
     ending === undefined ? "open" : ending.failure?.kind ?? success;
+
+/**
+ * Returns the JSON text of lists within each other.
+ *
+ * @example
+ * nestedText(3); // "[[[]]]"
+ */
+export const nestedText = (depth: number): string => `${"[".repeat(depth)}${"]".repeat(depth)}`;
--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -34,7 +34,7 @@
     waveStateRow,
 } from "puffinarch-platform";
 import { createHttpClient, createMeter } from "puffinarchd";
-import { partOf, type ScenarioWorld } from "./support.js";
+import { nestedText, partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
     address: string;
@@ -115,6 +115,13 @@
     await serve(this, status, body);
 });
 
+Given(
+    "a service that answers {int} with a body nested {int} deep",
+    async function(this: ScenarioWorld, status: number, depth: number) {
+        await serve(this, status, nestedText(depth));
+    },
+);
+
 Given("a service that closes every connection", async function(this: ScenarioWorld) {
     await serve(this, undefined, "");
 });
@@ -464,6 +471,31 @@
     },
 );
 
+const sendSubmission = async (world: ScenarioWorld, body: string): Promise<void> => {
+    const { status, text } = await sendRequest(part(world).address, "POST", `/plans/${knownJob}`, body);
+    part(world).status = status;
+    part(world).text = text;
+};
+
+When(
+    "a caller submits a job whose {string} is nested {int} deep",
+    async function(this: ScenarioWorld, field: string, depth: number) {
+        const body = JSON.stringify({ spec: "x", steps: [{ count: 1 }], [field]: "nested" });
+        await sendSubmission(this, body.replace('"nested"', nestedText(depth)));
+    },
+);
+
+When(
+    "a caller submits a job whose step comes after {int} wrong ones",
+    async function(this: ScenarioWorld, count: number) {
+        await sendSubmission(this, JSON.stringify({ steps: [{ count: 1, after: Array(count).fill("x") }] }));
+    },
+);
+
+Then("the answer has fewer than {int} characters", function(this: ScenarioWorld, limit: number) {
+    assert.ok(part(this).text.length < limit, `it has ${part(this).text.length}`);
+});
+
 /** Sends a request with the test queue's `Host` header, which selects the queue and which Node's fetch does not let callers set. */
 const sendRequest = async (
     address: string,
--- a/features/usersPlatform.feature
+++ b/features/usersPlatform.feature
@@ -119,6 +119,11 @@
             | 503    | {}                                                                                           | refused   |
             | 507    | {}                                                                                           | refused   |
 
+    Scenario: A refusal that is nested 20000 deep is a refusal
+        Given a service that answers 400 with a body nested 20000 deep
+        When a row is written through the adapter
+        Then the adapter returns "rejected"
+
     Scenario: A transaction whose answer is lost may have taken effect
         Given a service that closes every connection
         When a row is written through the adapter
@@ -171,6 +176,25 @@
             | DELETE | /plans/00000000000000aa    |                                                                | 410    | no such job            |
             | PUT    | /plans/5c0e7a21d94b36f8    | {}                                                             | 405    | GET, POST, DELETE      |
 
+    # Guards against an answer of 500 to a caller who is owed the name of the wrong field.
+    Scenario Outline: A caller submits a job whose <field> is nested 5000 deep
+        Given the API for callers of a daemon
+        When a caller submits a job whose "<field>" is nested 5000 deep
+        Then the answer is 400 and names '<at>'
+        And the answer has fewer than 2000 characters
+
+        Examples:
+            | field        | at           |
+            | spec         | spec         |
+            | steps        | steps[0]     |
+            | repeat_count | repeat_count |
+
+    Scenario: A caller submits a job with 100,000 wrong fields
+        Given the API for callers of a daemon
+        When a caller submits a job whose step comes after 100000 wrong ones
+        Then the answer is 400 and names 'steps[0].after[0]'
+        And the answer has fewer than 20000 characters
+
     # Guards against calls that are carried out with a revoked or invented key.
     # The caller may have been refused by another daemon since, which promised that the job never runs.
     Scenario Outline: A caller submits a job and <then>: <submitted> jobs are submitted
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -579,7 +579,7 @@
 
 // Errors, validation and utilities.
 export { type Bucket, createBucket } from "./internal.js";
-export { check, lookUp, nameSchema, oneOf, rejectAll, textUpTo, wholeNumber } from "./internal.js";
+export { check, lookUp, nameSchema, oneOf, rejectAll, showValue, textUpTo, wholeNumber } from "./internal.js";
 export { type Decoded, decodeRow, decodeText, mapDecoded, noEntry } from "./internal.js";
 export {
     die,
--- a/packages/puffinarch/src/utils/check.ts
+++ b/packages/puffinarch/src/utils/check.ts
@@ -4,10 +4,66 @@
 import { die, type Violation } from "./errors.js";
 
 const maxShownLength = 80;
+/** Fields that are named in one error; a list of wrong elements may have a hundred thousand. */
+const maxViolations = 50;
 
-const showValue = (value: unknown): string => {
-    const text = value === undefined ? "nothing" : JSON.stringify(value);
-    return text.length > maxShownLength ? `${text.slice(0, maxShownLength)}...` : text;
+/**
+ * Writes a value as JSON, shortened where it is long. Each level of nesting adds to the text, so that the limit of the length bounds
+ * the depth as well: `JSON.stringify` exceeds the stack on a value that is nested some thousand deep.
+ *
+ * @example
+ * showValue({ wave: "x" }); // '{"wave":"x"}'
+ */
+export const showValue = (value: unknown): string => {
+    let text = "";
+    const isFull = (): boolean => text.length > maxShownLength;
+
+    const writeList = (elements: readonly unknown[]): void => {
+        text += "[";
+        for (const [index, element] of elements.entries()) {
+            if (isFull()) {
+                return;
+            }
+            text += index === 0 ? "" : ",";
+            write(element);
+        }
+        text += "]";
+    };
+
+    const writeFields = (object: object): void => {
+        text += "{";
+        for (const [index, key] of Object.keys(object).entries()) {
+            if (isFull()) {
+                return;
+            }
+            text += index === 0 ? "" : ",";
+            write(key);
+            text += ":";
+            write((object as Readonly<Record<string, unknown>>)[key]);
+        }
+        text += "}";
+    };
+
+    const write = (part: unknown): void => {
+        if (isFull()) {
+            return;
+        }
+        if (Array.isArray(part)) {
+            writeList(part);
+        }
+        else if (typeof part === "object" && part !== null) {
+            writeFields(part);
+        }
+        else {
+            text += typeof part === "string" ? JSON.stringify(part.slice(0, maxShownLength)) : String(part);
+        }
+    };
+
+    if (value === undefined) {
+        return "nothing";
+    }
+    write(value);
+    return isFull() ? `${text.slice(0, maxShownLength)}...` : text;
 };
 
 const valueAt = (input: unknown, path: readonly PropertyKey[]): unknown => {
@@ -21,21 +77,23 @@
     return value;
 };
 
+const maxFieldLength = 200;
+
 const joinPath = (path: readonly PropertyKey[]): string =>
     path.map((part, index) => typeof part === "number" ? `[${part}]` : index === 0 ? String(part) : `.${String(part)}`)
-        .join("");
+        .join("").slice(0, maxFieldLength);
 
 /**
- * Converts the error of a failed schema check into violations, one for each wrong field of the input.
+ * Converts the error of a failed schema check into violations, one for each wrong field of the input, up to a limit.
  *
  * @example
  * violationsOf(input, parsed.error)[0]?.field;
  */
 export const violationsOf = (input: unknown, error: z.ZodError): readonly Violation[] => {
     const violations: Violation[] = [];
-    for (const issue of error.issues) {
+    for (const issue of error.issues.slice(0, maxViolations)) {
         if (issue.code === "unrecognized_keys") {
-            for (const key of issue.keys) {
+            for (const key of issue.keys.slice(0, maxViolations)) {
                 const path = [...issue.path, key];
                 violations.push({
                     field: joinPath(path),
@@ -51,11 +109,11 @@
             allowed: issue.message,
         });
     }
-    return violations;
+    return violations.slice(0, maxViolations);
 };
 
 /**
- * Validates an input and returns it typed; fails with the kind `invalid` and all violations at once. `what` names the input in the
+ * Validates an input and returns it typed; fails with the kind `invalid` and its violations. `what` names the input in the
  * error message.
  *
  * @example
--- a/packages/puffinarchd/src/logging.ts
+++ b/packages/puffinarchd/src/logging.ts
@@ -1,7 +1,7 @@
 /** Structured log through consola: one JSON object per line, with a level that can be changed at run time. */
 
 import { type ConsolaInstance, type ConsolaReporter, createConsola, LogLevels } from "consola";
-import type { Clock, Log, LogLevel } from "puffinarch";
+import { type Clock, type Log, type LogLevel, showValue } from "puffinarch";
 
 /** A log whose level can be changed. */
 export interface DaemonLog extends Log {
@@ -28,13 +28,19 @@
     readonly vmId: string;
     readonly write: (line: string, level: LogLevel) => void;
 }): DaemonLog => {
+    const encode = (head: Readonly<Record<string, unknown>>, fields: Readonly<Record<string, unknown>>): string => {
+        try {
+            return JSON.stringify({ ...head, ...fields });
+        }
+        catch {
+            // A value from outside may be nested too deeply; the work that writes the line must go on.
+            return JSON.stringify({ ...head, unprintable: showValue(fields) });
+        }
+    };
     const reporter: ConsolaReporter = {
         log: ({ type, args }) => {
             const [event, fields] = args as [string, Readonly<Record<string, unknown>>];
-            write(
-                `${JSON.stringify({ atMs: clock.nowMs(), level: type, vmId, event, ...fields })}\n`,
-                type as LogLevel,
-            );
+            write(`${encode({ atMs: clock.nowMs(), level: type, vmId, event }, fields)}\n`, type as LogLevel);
         },
     };
     const consola: ConsolaInstance = createConsola({
