--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -131,6 +131,10 @@
     await this.closers.pop()?.();
 });
 
+Given("a service that cannot be called at {string}", function(this: ScenarioWorld, address: string) {
+    part(this).address = address;
+});
+
 Given("a service that answers no call", async function(this: ScenarioWorld) {
     await serve(this, "never", "");
 });
@@ -150,6 +154,12 @@
     part(this).outcome = await workers.start({ workerId: "i-1", address: part(this).address }, startOrder, 1_000);
 });
 
+When("a run is started through the adapter at worker {string}", async function(this: ScenarioWorld, workerId: string) {
+    const workers = createPlatformWorkers(httpCallerOf(this));
+    const target = { workerId: workerId.replace("\\n", "\n"), address: part(this).address };
+    part(this).outcome = await workers.start(target, startOrder, 1_000);
+});
+
 /** Far above the time that a call on a free connection takes, and far below that for which the other call holds the connection. */
 const shortLimitMs = 200;
 const heldMs = 1_000;
--- a/features/usersPlatform.feature
+++ b/features/usersPlatform.feature
@@ -86,6 +86,20 @@
         When a run is started through the adapter
         Then the adapter returns "unknown"
 
+    # Guards against an exception in place of an answer, which ended all that followed the worker.
+    Scenario Outline: A worker whose address <address> or id <id> cannot be used leaves its calls without an answer
+        Given a service that cannot be called at "<address>"
+        When a run is started through the adapter at worker '<id>'
+        Then the adapter returns "unknown"
+
+        Examples:
+            | address            | id    |
+            | 999.999.999.999:80 | i-1   |
+            | here               | i-1   |
+            | 127.0.0.1:70000    | i-1   |
+            | 127.0.0.1:9        | i-\n1 |
+            | 127.0.0.1:9        | i-é€  |
+
     Scenario: Each element of the rows in a look is decoded into its field
         Given a service that answers 200 with '{"clock_ms":5,"running":[["a.0.0.0",2,"saved",40,1300]],"ended":[[58,"a.0.0.9",1,"done",""]]}'
         When a worker is looked at through the adapter
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -43,6 +43,7 @@
 
 /** HTTP client with a pool of connections for each origin. */
 export interface HttpClient {
+    /** Sends a request and resolves with the answer; never rejects. */
     call<T>(
         method: "GET" | "POST" | "PUT" | "DELETE",
         url: string,
@@ -270,7 +271,7 @@
         }
     };
 
-    const call = async <T>(
+    const sendCall = async <T>(
         method: Dispatcher.HttpMethod,
         url: string,
         body?: unknown,
@@ -353,15 +354,36 @@
             };
 
             const deadline = startDeadline({ timeoutMs: callTimeoutMs, longestMs }, { startedAtMs, onExpired });
-            connections.pool.dispatch({
-                path,
-                method,
-                headers: body === undefined ? headers ?? {} : { ...headers, "content-type": "application/json" },
-                body: body === undefined ? null : sent,
-            }, exchange.handler);
+            try {
+                connections.pool.dispatch({
+                    path,
+                    method,
+                    headers: body === undefined ? headers ?? {} : { ...headers, "content-type": "application/json" },
+                    body: body === undefined ? null : sent,
+                }, exchange.handler);
+            }
+            catch (error) {
+                onError(error);
+            }
         });
     };
 
+    /** An address that cannot be used, or a body that cannot be written, is a call without an answer; it does not throw. */
+    const call: HttpClient["call"] = async (method, url, body, options) => {
+        try {
+            return await sendCall(method, url, body, options);
+        }
+        catch (error) {
+            meter.count("callsNotSent");
+            return {
+                kind: "notDelivered",
+                reason: error instanceof Error ? error.message : String(error),
+                connectionLost: false,
+                expiredUnsent: false,
+            };
+        }
+    };
+
     return {
         call,
         close: async () => {
