Guard work that nobody waits for, so that one failure ends nothing else

Operators of systems like ours saw machines that ended, or no longer followed the list of executors, after one odd entry. Here the loop of a worker was over after one exception, and its owner stayed in its settling state; a row whose handler threw made the watch read the whole list again for ever; a commit that threw left an owner that wrote nothing more.

Cause: exceptions in loops, timers and calls in the background had no common rule. A rejected promise ended the work with a line at most, and an exception in a timer ended the process.

In the scenes and explorations on the fakes, a failure under the guard is a broken promise, so that the guard hides no fault from them.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -72,6 +72,8 @@
             | shortage             | not short, then short for 1 s           |
             | callerKeys           | north, then unauthenticated             |
             | batchWriter          | in force at version 1                   |
+            | guard                | failed: done, timer                     |
+            | workerAnswers        | unknown                                 |
             | commitLog            | 3 jobs in 1 transaction                 |
             | evacuate             | 0 moves while the other is away; not ready |
             | commitMonitor        | commits, then quiet                     |
--- a/features/steps/examples/shardWorkers.ts
+++ b/features/steps/examples/shardWorkers.ts
@@ -5,6 +5,7 @@
     createDelayedStarts,
     createFirstLooks,
     createGangWatch,
+    createGuard,
     createLookSlots,
     createPacer,
     createRowReader,
@@ -23,6 +24,7 @@
     runsToMove,
     startUpkeep,
     watchWorkerList,
+    withAnswers,
     type WorkerEntry,
 } from "puffinarch";
 import { exampleJob, log, meter, openWorker, part, runOf, submission, taskOf } from "./shardFixtures.js";
@@ -160,6 +162,15 @@
     return `${before} sent, then ${sent}`;
 };
 
+const workerAnswers = (): Promise<string> => {
+    const fails = async (): Promise<never> => Promise.reject(new Error("the address cannot be used"));
+    const port = withAnswers(
+        { start: fails, stop: fails, pace: fails, look: fails },
+        createGuard({ clock: createFakeClock(), log }),
+    );
+    return port.stop({ workerId: "i-1", address: "" }, { taskName: "a.0.0.0", run: 1, fencingToken: 7 }, 600);
+};
+
 const workerLink = async (): Promise<string> => {
     const clock = createFakeClock();
     let looks = 0;
@@ -287,6 +298,7 @@
     shardWorkers,
     upkeep,
     waveRows,
+    workerAnswers,
     workerLink,
     workerList,
     workerTable,
--- a/features/steps/examples/utilities.ts
+++ b/features/steps/examples/utilities.ts
@@ -4,6 +4,7 @@
 import {
     add,
     check,
+    createGuard,
     createRing,
     createSeededRandom,
     errorResponses,
@@ -13,6 +14,7 @@
     scale,
     startLoop,
     wholeNumber,
+    withGuardedTimers,
 } from "puffinarch";
 import { z } from "zod";
 
@@ -58,8 +60,22 @@
     return `${runs} runs`;
 };
 
+const guard = async (): Promise<string> => {
+    const failed: unknown[] = [];
+    const clock = createFakeClock();
+    const log = {
+        write: (_level: string, _event: string, fields: Readonly<Record<string, unknown>>) =>
+            failed.push(fields["work"]),
+    };
+    const guarded = createGuard({ clock, log });
+    withGuardedTimers(clock, guarded).setTimer(1, () => failureOf(JSON.parse("{")));
+    const answer = await guarded.answer("call", async () => "done", "unknown");
+    await clock.advance(1);
+    return `failed: ${[answer, ...failed].join(", ")}`;
+};
+
 const system = (): string =>
     createSeededRandom(7).next() === createSeededRandom(7).next() ? "the same for the same seed" : "different";
 
 /** The examples by module name; each returns a line that the feature compares. */
-export const utilityExamples = { errors, check: checkExample, resources, rendezvous, ring, time, system };
+export const utilityExamples = { errors, check: checkExample, resources, rendezvous, ring, time, guard, system };
--- a/packages/puffinarch/src/core/shard/adviceDispatcher.ts
+++ b/packages/puffinarch/src/core/shard/adviceDispatcher.ts
@@ -9,6 +9,7 @@
 import type { AdviceAnswer, AdviceRequest } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import { failureOf } from "../../utils/errors.js";
+import { createGuard } from "../../utils/guard.js";
 import { ownDelayMs } from "./ownDelay.js";
 
 /** A call that waits for a lane. */
@@ -134,6 +135,7 @@
 export const createAdviceDispatcher = (
     { clock, log, meter, lanes, call, lagMs = () => 0 }: AdviceDispatcherOptions,
 ): AdviceDispatcher => {
+    const guard = createGuard({ clock, log, meter });
     const queue: QueuedCall[] = [];
     /** Number of calls that were given to a lane so far. */
     let dispatched = 0;
@@ -343,7 +345,7 @@
                 return;
             }
             if (queuedCall.isNeeded()) {
-                void runCall(lane, queuedCall);
+                void guard.run("advice", () => runCall(lane, queuedCall));
             }
             else {
                 settle(queuedCall, queuedCall.onFailure);
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -28,6 +28,7 @@
 } from "../../types/work.js";
 import { type Decoded, noEntry } from "../../utils/decode.js";
 import { die, failureOf } from "../../utils/errors.js";
+import { createGuard, withGuardedTimers } from "../../utils/guard.js";
 import { sleep } from "../../utils/time.js";
 import { type CallerKeys, createCallerKeys } from "./callerKeys.js";
 import { claimShard } from "./claimShard.js";
@@ -184,7 +185,9 @@
  * await member.submit(submission, 2_000);
  */
 export const startCellMember = (options: CellMemberOptions): CellMember => {
-    const { clock, log, meter, settings, self, store, members, platform } = options;
+    const { log, meter, settings, self, store, members, platform } = options;
+    const guard = createGuard({ clock: options.clock, log, meter });
+    const clock = withGuardedTimers(options.clock, guard);
     const reader = createRowReader({ log, meter });
     const peers = createPeers({
         clock,
@@ -457,9 +460,13 @@
             return;
         }
         handingOver = true;
-        await handOverShard(owner, slow ? "slow" : "weak");
-        nextHandOverAtMs = clock.monotonicMs() + handOverRetryPauseMs;
-        handingOver = false;
+        try {
+            await handOverShard(owner, slow ? "slow" : "weak");
+        }
+        finally {
+            nextHandOverAtMs = clock.monotonicMs() + handOverRetryPauseMs;
+            handingOver = false;
+        }
     };
 
     const recordOwnership = (): void => {
@@ -468,7 +475,7 @@
             ownerServingAtMs = lastOwnedAtMs;
             pendingCounts = { counts: owner.pending(), atMs: clock.monotonicMs() };
             partition.reportStall(owner.stalledMs());
-            void handOverIfUnfit();
+            void guard.run("handOver", handOverIfUnfit);
         }
     };
 
@@ -476,12 +483,15 @@
         const row = { table: memberTable, part: "", key: self.memberId };
         let pauseMs = registerRetryPauseMs;
         while (!closed) {
-            const result = await store.transact({
-                expect: [],
-                puts: [{ ...row, value: JSON.stringify(self) }],
-                removes: [],
-            }, registerTimeoutMs);
-            if (result.outcome === "committed") {
+            const outcome = await guard.answer("register", async () => {
+                const result = await store.transact({
+                    expect: [],
+                    puts: [{ ...row, value: JSON.stringify(self) }],
+                    removes: [],
+                }, registerTimeoutMs);
+                return result.outcome;
+            }, "unknown");
+            if (outcome === "committed") {
                 return;
             }
             await sleep(clock, pauseMs);
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -5,6 +5,8 @@
  */
 
 import type { RowTransaction, StoreLimits } from "../../types/cellPorts.js";
+import { failureOf } from "../../utils/errors.js";
+import { createGuard } from "../../utils/guard.js";
 import { sleep } from "../../utils/time.js";
 import { type BatchWriterOptions, createBatchWriter } from "./batchWriter.js";
 import { journalTable, ownerKey, ownerTable, sequenceKey } from "./shardTables.js";
@@ -44,7 +46,7 @@
     readonly onSetAside?: (jobId: string) => void;
     /** Called when a batch was committed, with its store version: above that of the claim and below that of any successor's claim. */
     readonly onCommitted?: (version: number) => void;
-    /** Called once when another owner has taken the shard. */
+    /** Called once when another owner has taken the shard, or when the log has failed and cannot commit any more. */
     readonly onFenced: () => void;
 }
 
@@ -161,6 +163,7 @@
     /** Callbacks of the confirmations that the next batch resolves. */
     let confirmations: (() => void)[] = [];
     let stopped = false;
+    const guard = createGuard({ clock, log, meter });
     let answeredAtMs = clock.monotonicMs();
     /** Duration of the newest batch that was committed. */
     let newestCommitMs = 0;
@@ -208,6 +211,24 @@
         }
     };
 
+    /** Encodes a job. One that cannot be encoded is set aside, so that the others are committed. */
+    const encodeOrSetAside = (jobId: string, waiting: readonly (() => void)[]): RowChange | undefined => {
+        let reason: string | undefined;
+        try {
+            const change = encode(jobId);
+            reason = explainOversized(change, limits);
+            if (reason === undefined) {
+                return change;
+            }
+        }
+        catch (error) {
+            reason = failureOf(error).message;
+        }
+        dirty.delete(jobId);
+        setAside(jobId, waiting, reason);
+        return undefined;
+    };
+
     type PendingBatch = Pick<InFlightBatch, "changes" | "resolvers"> & { readonly bytes: number; };
 
     /** Takes the pending changes of jobs for one batch, each whole, or the first part of one that exceeds a batch by itself. */
@@ -224,11 +245,8 @@
             if (isAlone && changes.size > 0) {
                 continue;
             }
-            const change = encode(jobId);
-            const oversized = explainOversized(change, limits);
-            if (oversized !== undefined) {
-                dirty.delete(jobId);
-                setAside(jobId, waiting, oversized);
+            const change = encodeOrSetAside(jobId, waiting);
+            if (change === undefined) {
                 continue;
             }
             const next = takeRows(change, { entries: maxEntries - entries, bytes: maxBytes - bytes });
@@ -359,10 +377,18 @@
         resolveIdle();
     };
 
+    /** Gives the shard up: a successor commits what this log cannot write any more. */
+    const giveUp = (): void => {
+        if (!stopped) {
+            stopped = true;
+            onFenced();
+        }
+    };
+
     const scheduleDrain = (): void => {
         if (!isDraining && !stopped) {
             isDraining = true;
-            clock.setTimer(batchDelayMs, () => void drain());
+            clock.setTimer(batchDelayMs, () => void guard.run("commits", drain, giveUp));
         }
     };
 
--- a/packages/puffinarch/src/core/shard/configurationFetch.ts
+++ b/packages/puffinarch/src/core/shard/configurationFetch.ts
@@ -6,6 +6,7 @@
 
 import type { Clock, Log } from "../../types/ports.js";
 import type { CellConfiguration } from "../../types/work.js";
+import { createGuard } from "../../utils/guard.js";
 import type { Peers } from "./peers.js";
 
 /** Dependencies of the configuration fetch. */
@@ -46,6 +47,7 @@
  */
 export const createConfigurationFetch = (options: ConfigurationFetchOptions): ConfigurationFetch => {
     const { clock, log, selfId, peers, version: known, storeAgeMs, onConfiguration } = options;
+    const guard = createGuard({ clock, log });
     let behindSinceMs: number | undefined;
     let fetching = false;
     let nextFetchAtMs = -Infinity;
@@ -81,7 +83,10 @@
             }
             behindSinceMs ??= clock.monotonicMs();
             if (!fetching && clock.monotonicMs() >= nextFetchAtMs && !shouldWaitForStore(behindSinceMs)) {
-                void askPeer(address, version);
+                void guard.run("configurationFetch", () => askPeer(address, version), () => {
+                    fetching = false;
+                    nextFetchAtMs = clock.monotonicMs() + retryPauseMs;
+                });
             }
         },
     };
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -6,6 +6,7 @@
 import type { KnownOwner, MemberRow, PingAnswer } from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
 import { type ErrorKind, failureOf } from "../../utils/errors.js";
+import { createGuard } from "../../utils/guard.js";
 import { sleep } from "../../utils/time.js";
 import type { CommitMonitor } from "./commitMonitor.js";
 import { type Peers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
@@ -183,6 +184,7 @@
         commitMonitor,
         claim,
     } = options;
+    const guard = createGuard({ clock, log });
     let closed = false;
     /** Local time of the last change of the owner row. */
     let changedAtMs = -Infinity;
@@ -463,7 +465,8 @@
     const pingPeers = (pinged: readonly MemberRow[]): void => {
         for (const peer of pinged) {
             const wasSilent = peers.isSilent(peer.memberId);
-            void peers.ping(peer).then(answer => {
+            void guard.run("ping", async () => {
+                const answer = await peers.ping(peer);
                 if (answer !== undefined) {
                     options.onAnswer(peer.address, answer);
                 }
--- a/packages/puffinarch/src/core/shard/partition.ts
+++ b/packages/puffinarch/src/core/shard/partition.ts
@@ -5,6 +5,7 @@
 
 import type { MemberRow } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
+import { createGuard } from "../../utils/guard.js";
 import { sleep } from "../../utils/time.js";
 import type { Peers } from "./peers.js";
 
@@ -100,6 +101,7 @@
  */
 export const createPartitionWatch = (options: PartitionWatchOptions): PartitionWatch => {
     const { clock, log, meter, dataCentre, peers, readStore } = options;
+    const guard = createGuard({ clock, log, meter });
     let closed = false;
     let checking = false;
     let readAnsweredAtMs = -Infinity;
@@ -169,9 +171,9 @@
         }
         const askedAtMs = clock.monotonicMs();
         for (const peer of asked) {
-            void peers.ping(peer);
+            void guard.run("ping", () => peers.ping(peer));
         }
-        void readOnce();
+        void guard.run("storeRead", readOnce);
         if (await staysSilent(askedAtMs) && cutAskedAtMs === undefined) {
             recordCut(askedAtMs, asked.length);
         }
@@ -186,15 +188,19 @@
 
     const run = async (): Promise<void> => {
         checking = true;
-        while (!closed && await check()) {
-            // The pause is in the check.
+        try {
+            while (!closed && await check()) {
+                // The pause is in the check.
+            }
+        }
+        finally {
+            checking = false;
         }
-        checking = false;
     };
 
     const suspect = (): void => {
         if (!checking && !closed) {
-            void run();
+            void guard.run("partition", run);
         }
     };
 
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -25,6 +25,7 @@
 import { jobStates } from "../../types/work.js";
 import { createBucket } from "../../utils/bucket.js";
 import { errorOf, failureOf } from "../../utils/errors.js";
+import { createGuard } from "../../utils/guard.js";
 import { sleep } from "../../utils/time.js";
 import { createAcceptance } from "./acceptance.js";
 import { createAccounts } from "./accounts.js";
@@ -211,6 +212,8 @@
     let nextOrder = 1;
     let rejectWaiting: (error: Error) => void = () => {};
 
+    const guard = createGuard({ clock, log, meter });
+
     /** Stops this owner and reports that it does not own the shard any more. */
     const stopFenced = (reason: string): void => {
         if (!closed) {
@@ -408,13 +411,14 @@
 
     /** Applies the consequences of a change of a job, and commits it. */
     const commitChange = (job: ShardJob): Promise<void> => {
-        if (hasEnded(job)) {
-            taskPlacer.removeJob(job);
-        }
-        else {
+        if (!hasEnded(job)) {
             job.state = job.started ? jobStates.running : jobStates.queued;
-            taskPlacer.updateJob(job);
         }
+        // The change is committed in any case: an end that was applied counts as durable afterwards.
+        guard.call("placement", () => {
+            const place = hasEnded(job) ? taskPlacer.removeJob : taskPlacer.updateJob;
+            place(job);
+        });
         wake();
         return commit(job).then(() => {
             if (hasEnded(job)) {
@@ -602,14 +606,14 @@
                 });
             }
             if (freePlanned(runs)) {
-                void commitChange(jobOf(first));
+                void guard.run("jobChange", () => commitChange(jobOf(first)));
             }
             return [];
         }
         progress.recordStart();
         return runs.map(run => {
             leavePlanned(run);
-            return sendStart(run);
+            return guard.answer<StartAnswer>("start", () => sendStart(run), "unanswered");
         });
     };
 
@@ -629,13 +633,18 @@
     const startPlanned = (job: ShardJob, runs: readonly ShardRun[]): void => {
         if (commits.setAsideReason(job.submission.jobId) !== undefined) {
             abandonStarts(job);
-            void commit(job);
+            void guard.run("jobChange", () => commit(job));
             return;
         }
         for (const run of runs.filter(({ task }) => !task.step.spec.gang)) {
             plannedStarts.add(run);
         }
-        void commit(job).then(waitForFreshNews).then(() => starts.add(runs));
+        const startOnceDurable = async (): Promise<void> => {
+            await commit(job);
+            await waitForFreshNews();
+            starts.add(runs);
+        };
+        void guard.run("plannedStarts", startOnceDurable, () => freePlanned(runs));
     };
 
     const taskPlacer = createTaskPlacer({
@@ -750,22 +759,23 @@
             stopFenced("cutOff");
             return;
         }
-        workers.checkLeases(nowMs);
-        dueOccurrences.open();
+        // Each part is guarded by itself: one that fails must end neither the others nor the timer.
+        guard.call("leases", () => workers.checkLeases(nowMs));
+        guard.call("dueOccurrences", () => dueOccurrences.open());
         if (ticks % forgetIntervalTicks === 0) {
-            forgetExpiredJobs(nowMs);
+            guard.call("expiredJobs", () => forgetExpiredJobs(nowMs));
         }
         if (ticks % reviewIntervalTicks === 0) {
-            review.run();
-            speedsReport.review();
-            progress.review(taskPlacer.waitingSteps());
-            loadReport.write(taskPlacer.waitingSteps());
-            reviewAccounts();
+            guard.call("taskReview", () => review.run());
+            guard.call("speedsReport", () => speedsReport.review());
+            guard.call("ownerProgress", () => progress.review(taskPlacer.waitingSteps()));
+            guard.call("loadReport", () => loadReport.write(taskPlacer.waitingSteps()));
+            guard.call("accounts", reviewAccounts);
         }
         if (taskPlacer.activeSteps() > 0) {
             wake();
         }
-        adviceDispatcher.wake();
+        guard.call("advice", () => adviceDispatcher.wake());
         clock.setTimer(tickMs, tick);
     };
 
@@ -802,7 +812,7 @@
         for (const job of jobs.values()) {
             taskPlacer.updateJob(job);
             if (job.state !== job.visibleState) {
-                void commitChange(job);
+                void guard.run("jobChange", () => commitChange(job));
             }
         }
         log.write("info", "shardRestored", { part, fencingToken, jobs: jobs.size, runs: restored.runs.length });
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -3,6 +3,7 @@
 import type { FencedWorkerPort } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
 import type { WorkerEntry } from "../../types/work.js";
+import { createGuard } from "../../utils/guard.js";
 import { sleep } from "../../utils/time.js";
 import { createCorrelatedCrashes } from "./correlatedCrashes.js";
 import { type CrashedRun, crashedRuns, needsTrial, recordConfirmedRuns } from "./crashes.js";
@@ -19,6 +20,7 @@
 import type { ShardSettings } from "./shardSettings.js";
 import type { RestoredLoss, StoredRun } from "./taskRows.js";
 import { holdsForOneIncarnation, mayArrive } from "./unansweredStart.js";
+import { withAnswers } from "./workerAnswers.js";
 import { openWorkerLink, type WorkerLink } from "./workerLink.js";
 import {
     adoptRun,
@@ -127,6 +129,8 @@
     const firstLooks = createFirstLooks(clock);
     const delayedStarts = createDelayedStarts(clock);
     const lookSlots = createLookSlots(clock);
+    const guard = createGuard({ clock, log, meter });
+    const port = withAnswers(options.port, guard);
     const changedJobs = new Set<ShardJob>();
     const lostRuns = createLostRuns(job => changedJobs.add(job));
     const correlatedCrashes = createCorrelatedCrashes();
@@ -191,10 +195,14 @@
         }
     };
 
-    const commitChangedJobs = (): Promise<unknown> => {
-        const all = [...changedJobs].map(changed);
+    /** Commits each changed job; resolves with whether all are durable. One that fails stays changed and is tried again. */
+    const commitChangedJobs = async (): Promise<boolean> => {
+        const all = [...changedJobs];
         changedJobs.clear();
-        return Promise.all(all);
+        const committed = await Promise.all(
+            all.map(job => guard.run("jobChange", () => changed(job), () => changedJobs.add(job))),
+        );
+        return committed.every(Boolean);
     };
 
     const dropWorker = (worker: ShardWorker, reason: string): readonly CrashedRun[] => {
@@ -310,7 +318,7 @@
             clock,
             log,
             meter,
-            workers: options.port,
+            workers: port,
             fencingToken,
             ...(options.newestToken === undefined ? {} : { newestToken: options.newestToken }),
             leaseMs: settings.leaseMs,
@@ -327,11 +335,21 @@
                 const wereRunsKnown = seen.runsKnown;
                 watch.countCrashes(seen.workerId, lostRuns.answered(seen));
                 correlatedCrashes.answered(seen);
-                const newest = watch.applyLook(seen, look, sentAtMs);
+                const { appliedEnd } = seen;
+                let newest = 0;
+                try {
+                    newest = watch.applyLook(seen, look, sentAtMs);
+                }
+                catch (error) {
+                    // The next look lists its ends again. One that was not applied must not be acknowledged, or its task would run again.
+                    seen.appliedEnd = appliedEnd;
+                    throw error;
+                }
                 pacer.review(seen, (run, percent) => links.get(seen.workerId)?.pace(run, percent));
                 // A look may list ends again that an earlier look brought and that are still being committed.
-                const written = Promise.all([seen.endsWritten, commitChangedJobs()]).then(() => {
-                    seen.acknowledgedEnd = Math.max(seen.acknowledgedEnd, newest);
+                const written = Promise.all([seen.endsWritten, commitChangedJobs()]).then(([, allDurable]) => {
+                    // An end must not be acknowledged before its job is durable.
+                    seen.acknowledgedEnd = allDurable ? Math.max(seen.acknowledgedEnd, newest) : seen.acknowledgedEnd;
                 });
                 seen.endsWritten = written;
                 if (!wereRunsKnown) {
@@ -369,7 +387,7 @@
                     const avoidMs = outcome === "notSent" ? settings.orderPauseMs : settings.retryAfterMs;
                     holder.avoidUntilMs = Math.max(holder.avoidUntilMs, clock.monotonicMs() + avoidMs);
                 }
-                void changed(step.occurrence.job);
+                void guard.run("jobChange", () => changed(step.occurrence.job));
             },
             onUnanswered: run => changed(run.task.step.occurrence.job),
             onStarted: (holder, run) => {
@@ -466,6 +484,31 @@
         }
     };
 
+    /** Applies one entry of the list. */
+    const applyEntry = (entry: WorkerEntry): void => {
+        const known = workers.get(entry.workerId);
+        if (known === undefined) {
+            watch.countCrashes(entry.workerId, lostRuns.replaced(entry.address, entry.workerId));
+            linkListedWorker(entry);
+            return;
+        }
+        if (isOtherIncarnation(known.bornAtMs, entry.bornAtMs)) {
+            // Either incarnation may be the newer one, which the worker's next answer settles; until then it gets no work.
+            known.unlistedAtMs = -Infinity;
+            return;
+        }
+        const drainsNow = entry.draining && !known.entry.draining;
+        updateEntry(known, entry.address === "" ? { ...entry, address: known.entry.address } : entry);
+        known.unlistedAtMs = undefined;
+        if (!links.has(known.workerId)) {
+            links.set(known.workerId, openLink(known));
+        }
+        if (drainsNow) {
+            log.write("info", "workerDrains", { workerId: entry.workerId, remainingMs: entry.drainRemainingMs });
+            evacuateDraining(known);
+        }
+    };
+
     const updateWorkers = (
         entries: readonly WorkerEntry[],
         unreadable: ReadonlySet<string> = new Set(),
@@ -481,27 +524,7 @@
             entries.filter(entry => !hasEndedIncarnation(entry)).map(entry => [entry.address, entry.workerId]),
         );
         for (const entry of entries) {
-            const known = workers.get(entry.workerId);
-            if (known === undefined) {
-                watch.countCrashes(entry.workerId, lostRuns.replaced(entry.address, entry.workerId));
-                linkListedWorker(entry);
-                continue;
-            }
-            if (isOtherIncarnation(known.bornAtMs, entry.bornAtMs)) {
-                // Either incarnation may be the newer one, which the worker's next answer settles; until then it gets no work.
-                known.unlistedAtMs = -Infinity;
-                continue;
-            }
-            const drainsNow = entry.draining && !known.entry.draining;
-            updateEntry(known, entry.address === "" ? { ...entry, address: known.entry.address } : entry);
-            known.unlistedAtMs = undefined;
-            if (!links.has(known.workerId)) {
-                links.set(known.workerId, openLink(known));
-            }
-            if (drainsNow) {
-                log.write("info", "workerDrains", { workerId: entry.workerId, remainingMs: entry.drainRemainingMs });
-                evacuateDraining(known);
-            }
+            guard.call(`entry of ${entry.workerId}`, () => applyEntry(entry));
         }
         for (const worker of [...workers.values()]) {
             if (listing.has(worker.workerId)) {
--- a/packages/puffinarch/src/core/shard/tableWatch.ts
+++ b/packages/puffinarch/src/core/shard/tableWatch.ts
@@ -3,6 +3,7 @@
 import type { Row, RowStore } from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
 import { failureOf } from "../../utils/errors.js";
+import { createGuard } from "../../utils/guard.js";
 import { sleep } from "../../utils/time.js";
 import { maxPageRows, readAllRows } from "./readRows.js";
 
@@ -13,7 +14,7 @@
     readonly store: RowStore;
     readonly table: string;
     readonly parts: readonly string[];
-    /** Called with new, changed and removed rows; a removed row has no value. */
+    /** Called with new, changed and removed rows; a removed row has no value. Called once more for each row where it throws. */
     readonly onRows: (rows: readonly Row[]) => void;
     /** Called after each snapshot with the keys of all its rows; rows with other keys no longer exist. */
     readonly onSnapshot: (keys: ReadonlySet<string>) => void;
@@ -64,6 +65,20 @@
 ): TableWatch => {
     let stopped = false;
     let lastCallSentAt: Moment | undefined;
+    const guard = createGuard({ clock, log });
+
+    /**
+     * Passes rows on. Where one of them fails, each is passed on by itself, so that the others take effect: if the watch began again, it
+     * would read the same row again, for as long as the row is stored.
+     */
+    const applyRows = (rows: readonly Row[]): void => {
+        if (guard.call(`rows of ${table}`, () => onRows(rows))) {
+            return;
+        }
+        for (const row of rows) {
+            guard.call(`row ${table} ${row.part} ${row.key} version ${row.version}`, () => onRows([row]));
+        }
+    };
 
     /** Reads all parts and returns the version from which to follow changes; undefined once stopped. */
     const readSnapshot = async (): Promise<number | undefined> => {
@@ -91,9 +106,9 @@
             for (const row of rows) {
                 keys.add(row.key);
             }
-            onRows(rows);
+            applyRows(rows);
         }
-        onSnapshot(keys);
+        guard.call(`snapshot of ${table}`, () => onSnapshot(keys));
         lastCallSentAt = sentAt;
         return oldest;
     };
@@ -109,7 +124,7 @@
             }
             version = changes.version;
             if (changes.rows.length > 0 && !stopped) {
-                onRows(changes.rows);
+                applyRows(changes.rows);
             }
             lastCallSentAt = sentAt;
             if (pauseMs !== undefined) {
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -5,6 +5,7 @@
 
 import { type FencedWorkerPort, type LookResult, type OrderOutcome, orderOutcomes } from "../../types/cellPorts.js";
 import type { CancelTimer, Clock, Log, Meter } from "../../types/ports.js";
+import { createGuard } from "../../utils/guard.js";
 import type { DelayedStart, DelayedStarts } from "./delayedStarts.js";
 import type { FirstLooks } from "./firstLooks.js";
 import { incarnationOf, isOtherIncarnation } from "./incarnations.js";
@@ -103,6 +104,7 @@
  */
 export const openWorkerLink = (worker: ShardWorker, options: WorkerLinkOptions): WorkerLink => {
     const { clock, log, meter, workers, leaseMs, lookWaitMs, lookPauseMs } = options;
+    const guard = createGuard({ clock, log, meter });
     const newestToken = (): number => Math.max(options.fencingToken, options.newestToken?.() ?? 0);
     /**
      * Fencing token of the looks and orders that are sent next. It is raised where another incarnation may answer from now
@@ -215,6 +217,20 @@
         options.delayedStarts.of(worker.workerId).length > 0
         || [...worker.runs.values()].some(({ wasListed }) => !wasListed);
 
+    /** Counts a look without an answer, and pauses before the next one where it was not the first. */
+    const countUnanswered = async (outcome: OrderOutcome, connectionLost: boolean): Promise<void> => {
+        worker.silentLooks += 1;
+        worker.silentSinceMs ??= clock.monotonicMs();
+        if (worker.silentLooks === 1) {
+            worker.connectionLost = connectionLost;
+            log.write("warn", "workerSilent", { ...incarnationOf(worker), outcome, connectionLost });
+            options.onSilent(worker);
+        }
+        if (worker.silentLooks > 1) {
+            await pause(mayHaveOrdersInFlight() ? options.lookSlots.pauseMs(lookPauseMs) : lookPauseMs);
+        }
+    };
+
     const lookOnce = async (answered: () => void): Promise<void> => {
         const sentAtMs = clock.monotonicMs();
         if (sentAtMs - lastAnswerAtMs > maxLookGapMs) {
@@ -263,25 +279,39 @@
             meter.count("looks.ownDelay");
             return;
         }
-        worker.silentLooks += 1;
-        worker.silentSinceMs ??= clock.monotonicMs();
-        if (worker.silentLooks === 1) {
-            const { outcome, connectionLost = false } = look;
-            worker.connectionLost = connectionLost;
-            log.write("warn", "workerSilent", { ...incarnationOf(worker), outcome, connectionLost });
-            options.onSilent(worker);
-        }
-        if (worker.silentLooks > 1) {
-            await pause(mayHaveOrdersInFlight() ? options.lookSlots.pauseMs(lookPauseMs) : lookPauseMs);
+        await countUnanswered(look.outcome, look.connectionLost ?? false);
+    };
+
+    /**
+     * Looks once more. A look that fails counts as unanswered although its answer may have come: what it lists has not been applied, so
+     * that the worker must not get work, and its leases must not be renewed for ever.
+     */
+    const lookGuarded = async (answered: () => void): Promise<void> => {
+        const { silentLooks, silentSinceMs } = worker;
+        if (await guard.run("look", () => lookOnce(answered)) || closed) {
+            return;
         }
+        worker.silentLooks = silentLooks;
+        worker.silentSinceMs = silentSinceMs;
+        lastLookAnswered = false;
+        token = newestToken();
+        await guard.run("unansweredLook", () => countUnanswered(orderOutcomes.unknown, false));
     };
 
     const lookRepeatedly = async (): Promise<void> => {
         const answered = await options.firstLooks.enter(() => !closed);
         lastAnswerAtMs = clock.monotonicMs();
-        await lookOnce(answered);
+        let isFirstOpen = true;
+        const leaveFirst = (): void => {
+            if (isFirstOpen) {
+                isFirstOpen = false;
+                answered();
+            }
+        };
+        await lookGuarded(leaveFirst);
+        leaveFirst();
         while (!closed) {
-            await lookOnce(() => {});
+            await lookGuarded(() => {});
         }
     };
 
@@ -308,7 +338,7 @@
         onNotStarted: (run, outcome) => options.onNotStarted(worker, run, outcome),
     });
 
-    void lookRepeatedly();
+    void guard.run("looks", lookRepeatedly);
     return {
         start: (run, ticket) => {
             run.phase = runPhases.starting;
@@ -319,17 +349,19 @@
             if (run.phase !== runPhases.stopping) {
                 run.phase = runPhases.stopping;
                 run.absenceProvenAfterMs = undefined;
-                void orders.stop(run);
+                void guard.run("stop", () => orders.stop(run));
             }
         },
         stopUnknown: (taskName, run) => {
-            void workers.stop(target(), { taskName, run, fencingToken: token }, stopUnknownTimeoutMs);
+            const order = { taskName, run, fencingToken: token };
+            void guard.run("stopUnknown", () => workers.stop(target(), order, stopUnknownTimeoutMs));
         },
-        refuse: order => void orders.refuse(order),
+        refuse: order => void guard.run("refuse", () => orders.refuse(order)),
         look: lookSoon,
-        probe: order => void orders.probe(order),
+        probe: order => void guard.run("probe", () => orders.probe(order)),
         pace: (run, percent) => {
-            void workers.pace(target(), { taskName: run.task.name, run: run.run, fencingToken: token, percent });
+            const order = { taskName: run.task.name, run: run.run, fencingToken: token, percent };
+            void guard.run("pace", () => workers.pace(target(), order));
         },
         close: () => {
             closed = true;
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -384,6 +384,7 @@
 export { holdsForOneIncarnation, mayArrive } from "./internal.js";
 export { allowsStart, recordStartAnswered, recordStartUnanswered } from "./internal.js";
 export { createLookSlots, type LookSlots } from "./internal.js";
+export { withAnswers } from "./internal.js";
 export { openWorkerLink, type WorkerLink, type WorkerLinkOptions } from "./internal.js";
 export { watchWorkerList, type WorkerListOptions } from "./internal.js";
 export {
@@ -593,6 +594,7 @@
     kindOf,
     type Violation,
 } from "./internal.js";
+export { createGuard, type Guard, type GuardOptions, withGuardedTimers } from "./internal.js";
 export { hash, pickMember } from "./internal.js";
 export { createRing, type Ring } from "./internal.js";
 export { createSeededRandom, createSystemClock, createSystemRandom } from "./internal.js";
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -1019,6 +1019,9 @@
             return states;
         },
         breaches: () => [
+            ...log.filter(({ event }) => event === "workFailed").map(({ memberId, fields }) =>
+                `${memberId}: ${String(fields["work"])} has failed: ${String(fields["reason"])}`
+            ),
             ...findBreaches(workers.evidence, taskName => stepOf(taskName)?.speculative === true),
             ...(workers.savedCheckpoints === undefined ? [] : findCheckpointBreaches(workers.evidence, {
                 saved: workers.savedCheckpoints,
