--- a/features/decoding.feature
+++ b/features/decoding.feature
@@ -16,6 +16,21 @@
             | {"backend":"b","address":null,"zone":"z","state":"ready","capacity":{}}                                             | address          |
             | {"backend":"b","address":"here","zone":"z","state":"ready","capacity":{}}                                           | address          |
             | {"backend":"b","address":"10.0.0.9:99999","zone":"z","state":"ready","capacity":{}}                                 | address          |
+            | {"backend":"b","address":"999.999.999.999:80","zone":"z","state":"ready","capacity":{}} | address |
+            | {"backend":"b","address":"010.0.0.1:80","zone":"z","state":"ready","capacity":{}} | address |
+            | {"backend":"b","address":"0.0.0.0:80","zone":"z","state":"ready","capacity":{}} | address |
+            | {"backend":"b","address":"224.0.0.1:80","zone":"z","state":"ready","capacity":{}} | address |
+            | {"backend":"b","address":"255.255.255.255:80","zone":"z","state":"ready","capacity":{}} | address |
+            | {"backend":"b","address":"10.0.0.9:0","zone":"z","state":"ready","capacity":{}} | address |
+            | {"backend":"b","address":"10.0.0.9:080","zone":"z","state":"ready","capacity":{}} | address |
+            | {"backend":"b","address":"10.0.0.9:80:80","zone":"z","state":"ready","capacity":{}} | address |
+            | {"backend":"b","address":"[::1]:80","zone":"z","state":"ready","capacity":{}} | address |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{"cpu":1e400}} | capacity.cpu |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{"gpu":1e13}} | capacity.gpu |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"born":9007199254740993} | born |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"born":-1} | born |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"born":1e300} | born |
+            | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{},"drain_remaining_ms":1e400} | drain_remaining_ms |
             | {"backend":"b","address":"10.0.0.9:80","state":"ready","capacity":{}}                                               | zone             |
             | {"backend":"b","address":"10.0.0.9:80","zone":"z","capacity":{}}                                                    | state            |
             | {"backend":"b","address":"10.0.0.9:80","zone":"z","state":"resting","capacity":{}}                                  | state            |
@@ -49,6 +64,28 @@
             | wave/3 | {"wave":"3","machines":[]}                                                                         | wave                   |
             | wave/3 | {"wave":3,"cap":"one"}                                                                             | cap                    |
 
+    # Guards against a value whose text cannot be made: the decoder threw, and the watch read the whole list again for ever.
+    Scenario Outline: A row whose <field> is nested 5000 deep is unreadable: <kind>
+        Then a "<kind>" row whose "<field>" is nested 5000 deep cannot be read at "<at>"
+
+        Examples:
+            | kind          | field      | at         |
+            | worker        | backend    | backend    |
+            | worker        | state      | state      |
+            | worker        | capacity   | capacity   |
+            | worker        | labels     | labels[0]  |
+            | worker        | address    | address    |
+            | worker        | born       | born       |
+            | configuration | version    | version    |
+            | configuration | routes     | routes[0]  |
+            | configuration | limits     | limits     |
+            | wave          | machines   | machines[0] |
+            | member        | address    | address    |
+            | owner         | claimId    | claimId    |
+            | submission    | order      | order      |
+            | state         | state      | state      |
+            | ended         | failure    | failure    |
+
     Scenario Outline: A refused start gives as its reason "<word>", a property that every object inherits
         Given a service that answers 409 with '{"clock_ms":1,"reason":"<word>"}'
         When a run is started through the adapter
--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -23,6 +23,7 @@
 } from "puffinarch";
 import {
     createCallerServer,
+    createPlatformAdvisor,
     createPlatformMachines,
     createPlatformStore,
     createPlatformWorkers,
@@ -34,7 +35,7 @@
     waveStateRow,
 } from "puffinarch-platform";
 import { createHttpClient, createMeter } from "puffinarchd";
-import { partOf, type ScenarioWorld } from "./support.js";
+import { nestedText, partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
     address: string;
@@ -115,6 +116,20 @@
     await serve(this, status, body);
 });
 
+Given(
+    "a service that answers {int} with a body nested {int} deep",
+    async function(this: ScenarioWorld, status: number, depth: number) {
+        await serve(this, status, nestedText(depth));
+    },
+);
+
+Given(
+    "a service that answers {int} with a reason nested {int} deep",
+    async function(this: ScenarioWorld, status: number, depth: number) {
+        await serve(this, status, `{"reason":${nestedText(depth)}}`);
+    },
+);
+
 Given("a service that closes every connection", async function(this: ScenarioWorld) {
     await serve(this, undefined, "");
 });
@@ -124,6 +139,10 @@
     await this.closers.pop()?.();
 });
 
+Given("a service that cannot be called at {string}", function(this: ScenarioWorld, address: string) {
+    part(this).address = address;
+});
+
 Given("a service that answers no call", async function(this: ScenarioWorld) {
     await serve(this, "never", "");
 });
@@ -143,6 +162,12 @@
     part(this).outcome = await workers.start({ workerId: "i-1", address: part(this).address }, startOrder, 1_000);
 });
 
+When("a run is started through the adapter at worker {string}", async function(this: ScenarioWorld, workerId: string) {
+    const workers = createPlatformWorkers(httpCallerOf(this));
+    const target = { workerId: workerId.replace("\\n", "\n"), address: part(this).address };
+    part(this).outcome = await workers.start(target, startOrder, 1_000);
+});
+
 /** Far above the time that a call on a free connection takes, and far below that for which the other call holds the connection. */
 const shortLimitMs = 200;
 const heldMs = 1_000;
@@ -183,6 +208,15 @@
     part(this).look = JSON.stringify(look);
 });
 
+When("the advisor is asked through the adapter", async function(this: ScenarioWorld) {
+    const advisor = createPlatformAdvisor(httpCallerOf(this), `http://${part(this).address}`);
+    const answer = advisor.advise({ stepName: "a.0.0", workerIds: ["i-1"], timeoutMs: 1_000 });
+    part(this).outcome = await answer.then(
+        ({ good }) => good.map(({ workerId }) => workerId).join(", "),
+        error => failureOf(error).kind,
+    );
+});
+
 const row = { table: "t", part: "p", key: "k" };
 
 const storeOf = (world: ScenarioWorld) =>
@@ -198,6 +232,11 @@
     part(this).outcome = result.outcome;
 });
 
+When("the rows of a table are read through the adapter", async function(this: ScenarioWorld) {
+    const page = storeOf(this).read("t", "");
+    part(this).outcome = await page.then(({ rows }) => `${rows.length} rows`, error => failureOf(error).kind);
+});
+
 When("the changes of a table are read through the adapter", async function(this: ScenarioWorld) {
     const store = storeOf(this);
     part(this).outcome = (await store.changes("t", 1, 100)).kind;
@@ -464,6 +503,31 @@
     },
 );
 
+const sendSubmission = async (world: ScenarioWorld, body: string): Promise<void> => {
+    const { status, text } = await sendRequest(part(world).address, "POST", `/plans/${knownJob}`, body);
+    part(world).status = status;
+    part(world).text = text;
+};
+
+When(
+    "a caller submits a job whose {string} is nested {int} deep",
+    async function(this: ScenarioWorld, field: string, depth: number) {
+        const body = JSON.stringify({ spec: "x", steps: [{ count: 1 }], [field]: "nested" });
+        await sendSubmission(this, body.replace('"nested"', nestedText(depth)));
+    },
+);
+
+When(
+    "a caller submits a job whose step comes after {int} wrong ones",
+    async function(this: ScenarioWorld, count: number) {
+        await sendSubmission(this, JSON.stringify({ steps: [{ count: 1, after: Array(count).fill("x") }] }));
+    },
+);
+
+Then("the answer has fewer than {int} characters", function(this: ScenarioWorld, limit: number) {
+    assert.ok(part(this).text.length < limit, `it has ${part(this).text.length}`);
+});
+
 /** Sends a request with the test queue's `Host` header, which selects the queue and which Node's fetch does not let callers set. */
 const sendRequest = async (
     address: string,
--- a/features/usersPlatform.feature
+++ b/features/usersPlatform.feature
@@ -56,6 +56,9 @@
             | status | body                                                                                         | listed                                                                                               |
             | 200    | {"machines":[{"machine":"m-1","state":"up","id":"i-1"},{"machine":"m-2","state":"upkeep"}]} | [{"vmId":"m-1","state":"up","workerId":"i-1"},{"vmId":"m-2","state":"upkeep","workerId":""}] |
             | 200    | {"machines":[{"machine":"m-1","state":"new","id":"i-1"}]}                                   | [{"vmId":"m-1","state":"down","workerId":"i-1"}]                                                     |
+            | 200    | {"machines":{}}                                                                              | unavailable |
+            | 200    |                                                                                              | unavailable |
+            | 200    | {"machines":[],"next_token":"m-9"}                                                           | unavailable |
             | 503    | {}                                                                                           | unavailable                                                                                          |
 
     Scenario: Waves of upkeep among the operator's rows
@@ -86,6 +89,20 @@
         When a run is started through the adapter
         Then the adapter returns "unknown"
 
+    # Guards against an exception in place of an answer, which ended all that followed the worker.
+    Scenario Outline: A worker whose address <address> or id <id> cannot be used leaves its calls without an answer
+        Given a service that cannot be called at "<address>"
+        When a run is started through the adapter at worker '<id>'
+        Then the adapter returns "unknown"
+
+        Examples:
+            | address            | id    |
+            | 999.999.999.999:80 | i-1   |
+            | here               | i-1   |
+            | 127.0.0.1:70000    | i-1   |
+            | 127.0.0.1:9        | i-\n1 |
+            | 127.0.0.1:9        | i-é€  |
+
     Scenario: Each element of the rows in a look is decoded into its field
         Given a service that answers 200 with '{"clock_ms":5,"running":[["a.0.0.0",2,"saved",40,1300]],"ended":[[58,"a.0.0.9",1,"done",""]]}'
         When a worker is looked at through the adapter
@@ -101,7 +118,59 @@
             | born          | decoded                    |
             | 1768565282669 | "bornAtMs":1768565282669,  |
             | null          |                            |
-            | "early"       |                            |
+
+    # Guards against an owner that takes such an answer for proof that all runs of the worker are gone, and starts their tasks again.
+    Scenario Outline: An answer that is not a look counts as unanswered: <body>
+        Given a service that answers 200 with '<body>'
+        When a worker is looked at through the adapter
+        Then the decoded look is '{"outcome":"unknown"}'
+
+        Examples:
+            | body                                                                              |
+            |                                                                                   |
+            | 7                                                                                 |
+            | {}                                                                                |
+            | {"clock_ms":5,"running":[]}                                                       |
+            | {"clock_ms":5,"running":{},"ended":[]}                                            |
+            | {"running":[],"ended":[]}                                                         |
+            | {"clock_ms":"5","running":[],"ended":[]}                                          |
+            | {"clock_ms":-1,"running":[],"ended":[]}                                           |
+            | {"clock_ms":1e300,"running":[],"ended":[]}                                        |
+            | {"clock_ms":5,"born":"early","running":[],"ended":[]}                             |
+            | {"clock_ms":5,"born":1.5,"running":[],"ended":[]}                                 |
+            | {"clock_ms":5,"running":[["a.0.0.0",2,"",40],null],"ended":[]}                    |
+            | {"clock_ms":5,"running":[["a.0.0.0",2.5,"",40]],"ended":[]}                       |
+            | {"clock_ms":5,"running":[["a.0.0.0",1e300,"",40]],"ended":[]}                     |
+            | {"clock_ms":5,"running":[["a.0.0.0",2,[[]],40]],"ended":[]}                       |
+            | {"clock_ms":5,"running":[["a.0.0.0",2,"",40,1e400]],"ended":[]}                   |
+            | {"clock_ms":5,"running":[],"ended":[[58,"a.0.0.9",1,"done",""],[59]]}             |
+            | {"clock_ms":5,"running":[],"ended":[[1e300,"a.0.0.9",1,"done",""]]}               |
+            | {"clock_ms":5,"running":[],"ended":[[58,7,1,"done",""]]}                          |
+            | {"clock_ms":5,"running":[],"ended":[[58,"a.0.0.9",1,"done",{}]]}                  |
+
+    Scenario Outline: A body with status 200 that is not an answer, as <call>: <body>
+        Given a service that answers 200 with '<body>'
+        When <call> through the adapter
+        Then the adapter returns "<outcome>"
+
+        Examples:
+            | call                              | body                                                    | outcome     |
+            | a row is written                  |                                                         | unknown     |
+            | a row is written                  | {"schema_ver":1e300}                                    | unknown     |
+            | the rows of a table are read      |                                                         | unavailable |
+            | the rows of a table are read      | {"rows":{},"schema_ver":9}                              | unavailable |
+            | the rows of a table are read      | {"rows":[null],"schema_ver":9}                          | unavailable |
+            | the rows of a table are read      | {"rows":[{"table":"t","key":7,"schema_ver":9}],"schema_ver":9} | unavailable |
+            | the rows of a table are read      | {"rows":[],"has_more":true,"schema_ver":9}              | unavailable |
+            | the rows of a table are read      | {"rows":[],"schema_ver":9}                              | 0 rows      |
+            | the advisor is asked              |                                                         | unavailable |
+            | the advisor is asked              | {"good":{},"valid_ms":5}                                | unavailable |
+            | the advisor is asked              | {"good":[["i-1","t"],["i-2"],7],"valid_ms":5}           | i-1         |
+
+    Scenario: A refusal whose reason is nested 20000 deep may have been carried out
+        Given a service that answers 409 with a reason nested 20000 deep
+        When a run is started through the adapter
+        Then the adapter returns "unknown"
 
     Scenario Outline: The store answers a transaction with <status>
         Given a service that answers <status> with '<body>'
@@ -112,6 +181,7 @@
         Examples:
             | status | body                                                                                         | outcome   |
             | 200    | {"schema_ver":9,"now_ms":1}                                                                  | committed |
+            | 412    | {}                                                                                           | unknown   |
             | 412    | {"rows":[{"table":"t","part":"p","key":"k","value":"e30=","schema_ver":4}],"schema_ver":9}  | conflict  |
             | 400    | {}                                                                                           | rejected  |
             | 413    | {}                                                                                           | rejected  |
@@ -119,6 +189,11 @@
             | 503    | {}                                                                                           | refused   |
             | 507    | {}                                                                                           | refused   |
 
+    Scenario: A refusal that is nested 20000 deep is a refusal
+        Given a service that answers 400 with a body nested 20000 deep
+        When a row is written through the adapter
+        Then the adapter returns "rejected"
+
     Scenario: A transaction whose answer is lost may have taken effect
         Given a service that closes every connection
         When a row is written through the adapter
@@ -171,6 +246,25 @@
             | DELETE | /plans/00000000000000aa    |                                                                | 410    | no such job            |
             | PUT    | /plans/5c0e7a21d94b36f8    | {}                                                             | 405    | GET, POST, DELETE      |
 
+    # Guards against an answer of 500 to a caller who is owed the name of the wrong field.
+    Scenario Outline: A caller submits a job whose <field> is nested 5000 deep
+        Given the API for callers of a daemon
+        When a caller submits a job whose "<field>" is nested 5000 deep
+        Then the answer is 400 and names '<at>'
+        And the answer has fewer than 2000 characters
+
+        Examples:
+            | field        | at           |
+            | spec         | spec         |
+            | steps        | steps[0]     |
+            | repeat_count | repeat_count |
+
+    Scenario: A caller submits a job with 100,000 wrong fields
+        Given the API for callers of a daemon
+        When a caller submits a job whose step comes after 100000 wrong ones
+        Then the answer is 400 and names 'steps[0].after[0]'
+        And the answer has fewer than 20000 characters
+
     # Guards against calls that are carried out with a revoked or invented key.
     # The caller may have been refused by another daemon since, which promised that the job never runs.
     Scenario Outline: A caller submits a job and <then>: <submitted> jobs are submitted
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -351,7 +351,7 @@
 } from "./internal.js";
 export { createPeers, type Peers, type PeersOptions, type PingOptions } from "./internal.js";
 export { endedSchema, stateSchema, submissionSchema } from "./internal.js";
-export { decodeMember, decodeOwner, unreadableOwner } from "./internal.js";
+export { decodeKnownOwner, decodeMember, decodeOwner, unreadableOwner } from "./internal.js";
 export {
     chooseNeighbours,
     type ClaimCandidate,
@@ -385,6 +385,7 @@
 export { holdsForOneIncarnation, mayArrive } from "./internal.js";
 export { allowsStart, recordStartAnswered, recordStartUnanswered } from "./internal.js";
 export { createLookSlots, type LookSlots } from "./internal.js";
+export { withAnswers } from "./internal.js";
 export { openWorkerLink, type WorkerLink, type WorkerLinkOptions } from "./internal.js";
 export { watchWorkerList, type WorkerListOptions } from "./internal.js";
 export {
@@ -580,7 +581,7 @@
 
 // Errors, validation and utilities.
 export { type Bucket, createBucket } from "./internal.js";
-export { check, lookUp, nameSchema, oneOf, rejectAll, textUpTo, wholeNumber } from "./internal.js";
+export { check, lookUp, nameSchema, oneOf, rejectAll, showValue, textUpTo, wholeNumber } from "./internal.js";
 export { type Decoded, decodeRow, decodeText, mapDecoded, noEntry } from "./internal.js";
 export {
     die,
@@ -594,6 +595,7 @@
     kindOf,
     type Violation,
 } from "./internal.js";
+export { createGuard, type Guard, type GuardOptions, withGuardedTimers } from "./internal.js";
 export { hash, pickMember } from "./internal.js";
 export { createRing, type Ring } from "./internal.js";
 export { createSeededRandom, createSystemClock, createSystemRandom } from "./internal.js";
