Exploration: crashed workers that are still listed after an outage while the next ones at their addresses are not

Cause: entries of workers that are silent are removed "at times" while the store is away. An entry of a crashed worker may therefore be listed at the end of an outage in which the entry of the next worker at its address lapsed. The fakes removed all of them alike.

--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -3,7 +3,7 @@
  *
  * `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss [--queues N]] [--crashing] [--resizing]
  * [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--saving] [--gangs] [--wide]
- * [--cancelling accepted|sent|mixed] [--cutting plain|looksLate] [--draws N] [--broken PART]`
+ * [--cancelling accepted|sent|mixed] [--cutting plain|looksLate|deadListed] [--draws N] [--broken PART]`
  */
 
 import { Command, Option } from "commander";
--- a/packages/stand-ins/src/shard/exploreSeed.ts
+++ b/packages/stand-ins/src/shard/exploreSeed.ts
@@ -83,6 +83,7 @@
     "all daemons restart one after the other",
 ];
 const outageWithLapse = "store away, and the list of workers lapses";
+const outageWithDeadEntries = "store away, and the list of workers lapses but for dead ones";
 const lateLooks = "looks carried out late";
 /** Faults that are drawn beside those of `scheduleCut`. */
 const faultsBesideCut = [
@@ -110,6 +111,7 @@
     ...dataCentreCuts,
     ...rollingRestarts,
     outageWithLapse,
+    outageWithDeadEntries,
     lateLooks,
 ];
 /**
@@ -174,6 +176,8 @@
 /** Share of the cells in which one data centre has most workers, and of the cuts that may outlast a takeover and all leases. */
 const unevenShare = 0.5;
 const longCutShare = 0.3;
+/** How long before an outage workers crash: after `crashedDownMs` and before their entries are removed. */
+const crashLeadMs = [3_400, 4_400] as const;
 const shortestFaultMs = 500;
 const faultSpreadMs = 4_000;
 /** Long enough for leases of 5 s to expire. */
@@ -192,7 +196,7 @@
 const scheduleCut = (
     cell: ShardCell,
     seed: number,
-    { looksLate, onFault }: { readonly looksLate: boolean; readonly onFault: (atMs: number, name: string) => void; },
+    { mode, onFault }: { readonly mode: CuttingMode; readonly onFault: (atMs: number, name: string) => void; },
 ): () => boolean => {
     const random = createSeededRandom(2_000 + seed);
     const between = (least: number, most: number): number => least + (most - least) * random.next();
@@ -216,11 +220,16 @@
     const cutEndsAtMs = outageAtMs + outageForMs + between(500, random.next() < longCutShare ? 14_000 : 6_000);
     // The last of the restarted daemons is back before that.
     schedule(choose(rollingRestarts), restartsAtMs, 15_000);
-    schedule(outageWithLapse, outageAtMs, outageForMs);
+    schedule(mode === "deadListed" ? outageWithDeadEntries : outageWithLapse, outageAtMs, outageForMs);
     schedule(choose(dataCentreCuts), cutAtMs, cutEndsAtMs - cutAtMs);
-    if (looksLate) {
+    if (mode === "looksLate") {
         schedule(lateLooks, outageAtMs - between(0, 1_000), outageForMs + between(0, 6_000));
     }
+    if (mode === "deadListed") {
+        // The next workers at their addresses are listed before the outage, while the entries of the crashed ones still stand.
+        const [least, most] = crashLeadMs;
+        schedule("half of the workers crash and are back", Math.max(0, outageAtMs - between(least, most)), 0);
+    }
     return () => open === 0;
 };
 
@@ -352,7 +361,7 @@
 };
 
 /** Modes of the option `cutting`. */
-export const cuttingModes = ["plain", "looksLate"] as const;
+export const cuttingModes = ["plain", "looksLate", "deadListed"] as const;
 /** One of `cuttingModes`. */
 export type CuttingMode = (typeof cuttingModes)[number];
 
@@ -394,7 +403,8 @@
     readonly cancelling?: CancellingMode | undefined;
     /**
      * Spreads more daemons, and the workers, over three data centres, and adds the faults of `scheduleCut`; the others are drawn
-     * less often. "looksLate" also carries out late the looks that get no answer.
+     * less often. "looksLate" also carries out late the looks that get no answer. With "deadListed", workers crash before the
+     * outage, and their entries are listed at its end while those of their successors are not.
      */
     readonly cutting?: CuttingMode | undefined;
     /** Another number draws new task durations, heartbeats and daemon choices for the same jobs and faults. */
@@ -490,7 +500,7 @@
     };
     const isCutOver = cutting === undefined
         ? undefined
-        : scheduleCut(cell, seed, { looksLate: cutting === "looksLate", onFault });
+        : scheduleCut(cell, seed, { mode: cutting, onFault });
     await runRandomFaults(cell, {
         seed,
         forMs: cutting === undefined ? 20_000 : cutForMs,
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -151,9 +151,10 @@
     dataCentreOf(memberId: string): string;
     /**
      * Lets the store answer nobody, and calls to it take effect late at times, until the returned function is called. All entries
-     * of workers are gone then. Those of workers that reach the store are back within 2 s.
+     * of workers are gone then. Those of workers that reach the store are back within 2 s. With `keepsDead`, entries of crashed
+     * workers that are due to be removed meanwhile stay until some seconds after the end.
      */
-    loseStoreAndEntries(): () => void;
+    loseStoreAndEntries(options?: { readonly keepsDead?: boolean; }): () => void;
     /** Whether the daemon's process runs, cut off or not. */
     isRunning(memberId: string): boolean;
     isCut(memberId: string, what: "peers" | "store" | "workers"): boolean;
@@ -445,6 +446,9 @@
     /** Data centres whose workers are cut off from all daemons outside and from the store. */
     const isolated = new Set<string>();
     let outages = 0;
+    /** Whether the present outage keeps entries of crashed workers, and of which ones it does. */
+    let keepsDeadEntries = false;
+    const deadEntries = new Set<string>();
     const reachesStore = (workerId: string): boolean =>
         outages === 0 && !isolated.has(workers.entryOf(workerId)?.dataCentre ?? "");
     /** Writes the entry of a worker that is up and reaches the store; others are listed again after the fault. */
@@ -492,7 +496,13 @@
             workers.replace(entry.workerId, next);
             listWorker(next.workerId);
         });
-        clock.setTimer(entryRemovalMs, () => store.remove("workers", entry.workerId));
+        clock.setTimer(entryRemovalMs, () => {
+            if (outages > 0 && keepsDeadEntries) {
+                deadEntries.add(entry.workerId);
+                return;
+            }
+            store.remove("workers", entry.workerId);
+        });
     };
     const scheduleReturn = keepsIds ? scheduleReturnUnderId : scheduleReplacement;
     const fakeWorkers = createFakeFencedWorkers({
@@ -1010,9 +1020,10 @@
                 relistWorkers();
             }
         },
-        loseStoreAndEntries: () => {
+        loseStoreAndEntries: ({ keepsDead = false } = {}) => {
             faultTracker.recordFault();
             outages += 1;
+            keepsDeadEntries = keepsDead;
             if (faultRandom.next() < silentFeedShare) {
                 store.silenceFeeds();
             }
@@ -1026,8 +1037,17 @@
             return () => {
                 faultTracker.recordFault();
                 for (const { key } of store.rows("workers")) {
-                    store.remove("workers", key);
+                    if (!deadEntries.has(key)) {
+                        store.remove("workers", key);
+                    }
+                }
+                for (const workerId of deadEntries) {
+                    clock.setTimer(entryRemovalMs, () => {
+                        faultTracker.recordFault();
+                        store.remove("workers", workerId);
+                    });
                 }
+                deadEntries.clear();
                 outages -= 1;
                 unblock();
                 relistWorkers();
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -287,6 +287,8 @@
         return cutDataCentre(cell, others[0] ?? owners);
     },
     "store away, and the list of workers lapses": cell => cell.loseStoreAndEntries(),
+    "store away, and the list of workers lapses but for dead ones": cell =>
+        cell.loseStoreAndEntries({ keepsDead: true }),
     "half of the daemons restart one after the other": cell =>
         restartInTurn(cell, cell.memberIds().filter((_, index) => index % 2 === 0)),
     "all daemons restart one after the other": cell => restartInTurn(cell, cell.memberIds()),
