--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -310,16 +310,18 @@
 
     # Guards against tasks that are started again while an owner inside a data centre that is cut off still holds their runs, whose
     # workers are not listed after an outage of the store.
-    Scenario Outline: A data centre is cut off in an outage while daemons restart, looks <looks>, seeds <first> to <last>
-        When the seeds <first> to <last> are explored on a shard whose data centre is cut off in an outage, with looks that are <looks>
+    Scenario Outline: A data centre is cut off in an outage while daemons restart, with <what>, seeds <first> to <last>
+        When the seeds <first> to <last> are explored on a shard whose data centre is cut off in an outage, with <what>
         Then nothing went wrong on the shard
 
         Examples:
-            | looks            | first  | last   |
-            | lost             | 200001 | 200003 |
-            | lost             | 200046 | 200046 |
-            | lost             | 200290 | 200290 |
-            | carried out late | 210001 | 210003 |
+            | what                             | first  | last   |
+            | looks that are lost              | 200001 | 200003 |
+            | looks that are lost              | 200046 | 200046 |
+            | looks that are lost              | 200290 | 200290 |
+            | looks that are carried out late  | 210001 | 210003 |
+            | former workers listed            | 220001 | 220001 |
+            | former workers listed            | 220013 | 220013 |
 
     Scenario Outline: The checks find a dependency of a shard that is broken on purpose: <part>
         When seeds from <first> on are explored on a shard with the part "<part>" broken
--- a/features/steps/explorationSteps.ts
+++ b/features/steps/explorationSteps.ts
@@ -6,12 +6,14 @@
     type BrokenShardPart,
     type CancellingMode,
     crowdedShapes,
+    type CuttingMode,
     type Exploration,
     explore,
     exploreShardSeed,
     type Scene,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
+import { lookUp } from "puffinarch";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface ExplorationPart {
@@ -22,6 +24,13 @@
     readonly search: { part: BrokenPart | undefined; scene: Scene | undefined; first: number; };
 }
 
+/** Modes of cuts in an outage, by how scenarios name them. */
+const cuttingModes: Readonly<Record<string, CuttingMode>> = {
+    "looks that are lost": "plain",
+    "looks that are carried out late": "looksLate",
+    "former workers listed": "deadListed",
+};
+
 const stepsInSchedule = 30;
 const stepsInScene = 12;
 
@@ -220,11 +229,12 @@
 );
 
 When(
-    /^the seeds (\d+) to (\d+) are explored on a shard whose data centre is cut off in an outage, with looks that are (lost|carried out late)$/,
-    async function(this: ScenarioWorld, first: string, last: string, looks: string) {
+    /^the seeds (\d+) to (\d+) are explored on a shard whose data centre is cut off in an outage, with (looks that are lost|looks that are carried out late|former workers listed)$/,
+    async function(this: ScenarioWorld, first: string, last: string, what: string) {
+        const cutting = lookUp(cuttingModes, what) ?? assert.fail(`nothing is explored with ${what}`);
         const wrong: string[] = [];
         for (let seed = Number(first); seed <= Number(last); seed += 1) {
-            const found = await exploreShardSeed(seed, { cutting: looks === "lost" ? "plain" : "looksLate" });
+            const found = await exploreShardSeed(seed, { cutting });
             wrong.push(...found.map(each => `${seed}: ${each}`));
         }
         part(this).shard.wrong = wrong;
