Takeover: a scenario of an owner that is suspended as it is cut off with some workers

Cause: a data centre that is cut off holds an owner and workers that only this owner reaches. If the owner's VM is suspended meanwhile, it goes on renewing leases after it has resumed, later than its successor assumes.

Change: cells can cut a daemon off from single workers; a scenario outline with suspensions of 0 to 5.5 s.

--- a/features/steps/shardFaultSteps.ts
+++ b/features/steps/shardFaultSteps.ts
@@ -178,6 +178,23 @@
     cellOf(this).writeWorkerEntries();
 });
 
+When(
+    "the owner and {int} workers are cut off from all others, and its VM is suspended for {int} ms",
+    function(this: ScenarioWorld, count: number, suspendedMs: number) {
+        const cell = cellOf(this);
+        const owner = cell.owner() ?? assert.fail("no daemon owns the shard");
+        const workerIds = cell.workers.workerIds();
+        for (const memberId of cell.memberIds()) {
+            cell.cutFromWorkers(memberId, memberId === owner ? workerIds.slice(count) : workerIds.slice(0, count));
+        }
+        cell.cut(owner, ["peers", "store"]);
+        if (suspendedMs > 0) {
+            cell.suspend(owner, suspendedMs);
+        }
+        part(this).endFaults.push(() => cell.memberIds().forEach(cell.restoreLinks));
+    },
+);
+
 When("the fault goes", function(this: ScenarioWorld) {
     for (const endFault of part(this).endFaults.splice(0)) {
         endFault();
--- a/features/takeover.feature
+++ b/features/takeover.feature
@@ -395,3 +395,25 @@
         And the shard runs for 5000 ms
         Then every daemon that runs has the newest version
         And no weak daemon has owned the shard since
+
+    # Guards against an owner that renews leases after its VM was suspended. What it reads first was answered before the suspension, so
+    # that it took most workers for live, and renewed the leases of those that were cut off with it for up to 1.8 s more. Its
+    # successor had counted these leases as over, and ran the tasks a second time.
+    Scenario Outline: An owner that is suspended for <ms> ms as it is cut off with some workers renews no lease too late
+        Given a cell of 4 daemons and 9 workers
+        When 10 jobs of steps "3 long running" are submitted
+        And the shard runs for 3000 ms
+        And the owner and 3 workers are cut off from all others, and its VM is suspended for <ms> ms
+        And the shard runs for 12000 ms
+        And the fault goes
+        And the shard runs for 5000 ms
+        Then no promise was broken
+
+        Examples:
+            | ms   |
+            | 0    |
+            | 1000 |
+            | 2000 |
+            | 3000 |
+            | 4000 |
+            | 5500 |
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -138,6 +138,8 @@
     slowDown(memberId: string, factor: number): void;
     /** Cuts a daemon off from its peers, the store or the workers. */
     cut(memberId: string, what: readonly ("peers" | "store" | "workers")[]): void;
+    /** Cuts a daemon off from some workers, until its links are restored. */
+    cutFromWorkers(memberId: string, workerIds: readonly string[]): void;
     /** Restores all links of a daemon. */
     restoreLinks(memberId: string): void;
     /** Cuts a data centre off from the other data centres, from the store, or from both; its daemons still reach each other and the workers. */
@@ -502,6 +504,8 @@
     const cuts = new Map<string, ReadonlySet<string>>();
     const answers = new Map<string, string>();
     const ids = Array.from({ length: memberCount }, (_, index) => `entry-${index}`);
+    /** Workers from which a daemon is cut off, by daemon. */
+    const cutWorkers = new Map<string, ReadonlySet<string>>();
     const isCut = (memberId: string, what: string): boolean => cuts.get(memberId)?.has(what) === true;
     /** Data centres whose daemons and the others do not reach each other. */
     const separated = new Set<string>();
@@ -628,7 +632,9 @@
         };
         const connection = store.connect(memberId);
         const unanswered = new Promise<never>(() => {});
-        const directPort = workers.connect(() => !isCut(memberId, "workers"));
+        const directPort = workers.connect(workerId =>
+            !isCut(memberId, "workers") && cutWorkers.get(memberId)?.has(workerId) !== true
+        );
         const workerPort = costs === noCosts ? directPort : withProcessor(directPort, { clock, processor, costs });
         const dependencies = breakShardPart(broken, {
             workers: {
@@ -792,7 +798,7 @@
     /** Whether a fault of a daemon, the store, the VM calls or a worker lasts; so does a worker that is up but not listed. */
     const isFaulty = (): boolean => {
         const listed = new Set(store.rows("workers").map(({ key }) => key));
-        return cuts.size > 0 || separated.size > 0 || !store.isFaultFree() || !vms.isFaultFree()
+        return cuts.size > 0 || cutWorkers.size > 0 || separated.size > 0 || !store.isFaultFree() || !vms.isFaultFree()
             || [...memberProcesses.values()].some(({ incarnation, suspension }) =>
                 !incarnation.alive || suspension.isSuspended()
             )
@@ -917,9 +923,14 @@
                 store.setFault("hang", memberId);
             }
         },
+        cutFromWorkers: (memberId, workerIds) => {
+            faultTracker.recordFault();
+            cutWorkers.set(memberId, new Set(workerIds));
+        },
         restoreLinks: memberId => {
             faultTracker.recordFault();
             cuts.delete(memberId);
+            cutWorkers.delete(memberId);
             store.setFault("none", memberId);
         },
         cutDataCentre: (dataCentre, what) => {
