An owner renews leases only with recent proof that it owns the shard

What callers saw: tasks ran on two workers at the same time. Cause: a successor counts on its predecessor renewing no lease 2.5 s after the claim. An owner inside a data centre that is cut off keeps to that by finding most workers silent. After its VM was suspended it took the answers that it read first for fresh, although they were as old as the suspension, and renewed the leases of the workers beside it for up to 1.8 s more. Change: looks and starts renew leases only while the newest call that proves the ownership was sent less than 2.4 s ago, by both clocks: the claim, a commit, or looks at half of the workers. Without such a proof looks go on without a lease, and the store is asked for one.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -28,6 +28,7 @@
             | rendezvous           | the same for all                        |
             | ring                 | 3, 2                                    |
             | time                 | 3 runs                                  |
+            | moments              | 300 ms                                  |
             | system               | the same for the same seed              |
             | session              | vm-1~1 may act                          |
             | deputy               | promises 3000 ms                        |
@@ -78,6 +79,7 @@
             | processorShare       | false false false true                  |
             | configurationFetch   | asked 1 time for 3 offers               |
             | handOver             | claimed by a peer                       |
+            | ownershipProof       | missing, then by a commit, then missing, then by a worker |
             | loadReport           | 12 steps wait, 500 planned, 8 cores free |
             | ownDelay             | 200 ms, then 500 ms                     |
             | ownerProgress        | nothingStarted for 3000 ms, news of 500 ms ago |
--- a/features/steps/examples/utilities.ts
+++ b/features/steps/examples/utilities.ts
@@ -6,8 +6,10 @@
     check,
     createRing,
     createSeededRandom,
+    elapsedSinceMs,
     errorResponses,
     failureOf,
+    momentOf,
     noResources,
     pickMember,
     scale,
@@ -41,6 +43,13 @@
     return entries.newest().join(", ");
 };
 
+const moments = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const sentAt = momentOf(clock);
+    await clock.advance(300);
+    return `${elapsedSinceMs(clock, sentAt)} ms`;
+};
+
 const time = async (): Promise<string> => {
     const clock = createFakeClock();
     let runs = 0;
@@ -62,4 +71,4 @@
     createSeededRandom(7).next() === createSeededRandom(7).next() ? "the same for the same seed" : "different";
 
 /** The examples by module name; each returns a line that the feature compares. */
-export const utilityExamples = { errors, check: checkExample, resources, rendezvous, ring, time, system };
+export const utilityExamples = { errors, check: checkExample, resources, rendezvous, ring, moments, time, system };
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -28,6 +28,7 @@
 } from "../../types/work.js";
 import { type Decoded, noEntry } from "../../utils/decode.js";
 import { die, failureOf } from "../../utils/errors.js";
+import { momentOf } from "../../utils/moments.js";
 import { sleep } from "../../utils/time.js";
 import { type CallerKeys, createCallerKeys } from "./callerKeys.js";
 import { claimShard } from "./claimShard.js";
@@ -324,6 +325,7 @@
         { seenVersion, committedToken }: { readonly seenVersion: number; readonly committedToken?: number; },
     ): Promise<boolean> => {
         const startedAtMs = clock.monotonicMs();
+        const claimSentAt = momentOf(clock);
         const { claimId } = row;
         claimUnderWay = claimId;
         try {
@@ -369,6 +371,7 @@
                 part,
                 claimId,
                 claimed,
+                claimSentAt: committedToken === undefined ? claimSentAt : undefined,
                 adviceLanes: peers.live,
                 callAdvice: (laneId, request) => {
                     const peer = peers.all.get(laneId);
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -37,6 +37,7 @@
         | "meter"
         | "workers"
         | "leaseMs"
+        | "mayRenew"
         | "orderPauseMs"
         | "unansweredStartMs"
         | "ticketsNameIncarnation"
@@ -144,9 +145,13 @@
         options.onNotStarted(run, outcome);
     };
 
-    /** Sends the start; returns undefined where the worker is silent, since the order would most likely be lost. */
+    /**
+     * Sends the start; returns undefined where the worker is silent, since the order would most likely be lost, or where this owner may
+     * renew no leases, since a start does.
+     */
     const send = async (run: ShardRun, ticket: string): Promise<OrderOutcome | undefined> => {
-        const deadlineMs = worker.silentLooks > 0 ? undefined : extendLease(worker, clock.monotonicMs(), leaseMs);
+        const mayRenew = worker.silentLooks === 0 && options.mayRenew?.() !== false;
+        const deadlineMs = mayRenew ? extendLease(worker, clock.monotonicMs(), leaseMs) : undefined;
         if (deadlineMs === undefined) {
             return undefined;
         }
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -25,6 +25,7 @@
 import { jobStates } from "../../types/work.js";
 import { createBucket } from "../../utils/bucket.js";
 import { errorOf, failureOf } from "../../utils/errors.js";
+import type { Moment } from "../../utils/moments.js";
 import { sleep } from "../../utils/time.js";
 import { createAcceptance } from "./acceptance.js";
 import { createAccounts } from "./accounts.js";
@@ -51,6 +52,7 @@
 import { decodeEnded, encodeJob, recordWritten, restoreJobs } from "./jobRows.js";
 import { createLoadReport } from "./loadReport.js";
 import { createOwnerProgress } from "./ownerProgress.js";
+import { createOwnershipProof } from "./ownershipProof.js";
 import { readAllRows } from "./readRows.js";
 import { createRowReader } from "./rowReader.js";
 import { createRunTimes } from "./runTimes.js";
@@ -79,6 +81,8 @@
     readonly part: string;
     readonly claimId: string;
     readonly claimed: ClaimedShard;
+    /** A moment before the claim was sent; left out for a claim that took effect earlier and is resumed. */
+    readonly claimSentAt?: Moment | undefined;
     /** Ids of the daemons through which the advisor can be called, this daemon included. */
     readonly adviceLanes: () => readonly string[];
     readonly callAdvice: (laneId: string, request: AdviceRequest) => Promise<AdviceAnswer>;
@@ -276,9 +280,18 @@
         onCommitted: version => {
             newestVersion = version;
         },
+        onProof: sentAt => proof.recordCommit(sentAt),
         onFenced: () => stopFenced("commit"),
     });
 
+    const proof = createOwnershipProof({
+        clock,
+        settings,
+        workers: () => workers.all,
+        claimSentAt: options.claimSentAt,
+        onMissing: () => commits.probe(),
+    });
+
     const endedJobs = createEndedJobs({ clock, retentionMs: settings.retentionMs, write: commits.commit });
 
     const reader = createRowReader({ log, meter });
@@ -392,6 +405,7 @@
         newestToken: () => newestVersion,
         lagMs: () => presentLagMs(),
         listAgeMs: options.listAgeMs,
+        mayRenew: proof.isRecent,
         jobOf: jobId => jobs.get(jobId),
         changed: job => commitChange(job),
         onNextIncarnation: workerId => {
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -47,6 +47,8 @@
     readonly lagMs?: () => number;
     /** Age of the platform's list of workers in ms, for the log. */
     readonly listAgeMs?: (() => number) | undefined;
+    /** Whether this owner may renew leases now; always where it is left out. */
+    readonly mayRenew?: (() => boolean) | undefined;
     readonly jobOf: (jobId: string) => ShardJob | undefined;
     /** Called when a job has changed; resolves once the change is durable. */
     readonly changed: (job: ShardJob) => Promise<void>;
@@ -320,6 +322,7 @@
             fencingToken,
             ...(options.newestToken === undefined ? {} : { newestToken: options.newestToken }),
             leaseMs: settings.leaseMs,
+            mayRenew: options.mayRenew,
             lookWaitMs: settings.lookWaitMs,
             firstLooks,
             delayedStarts,
--- a/packages/puffinarch/src/core/shard/tableWatch.ts
+++ b/packages/puffinarch/src/core/shard/tableWatch.ts
@@ -3,6 +3,7 @@
 import type { Row, RowStore } from "../../types/cellPorts.js";
 import type { Clock, Log } from "../../types/ports.js";
 import { failureOf } from "../../utils/errors.js";
+import { elapsedSinceMs, type Moment, momentOf } from "../../utils/moments.js";
 import { sleep } from "../../utils/time.js";
 import { maxPageRows, readAllRows } from "./readRows.js";
 
@@ -41,18 +42,6 @@
  */
 const longestPageMs = 20_000;
 
-/** A point in time on the monotonic clock and on the wall clock. */
-interface Moment {
-    readonly monotonicMs: number;
-    readonly wallClockMs: number;
-}
-
-const momentOf = (clock: Clock): Moment => ({ monotonicMs: clock.monotonicMs(), wallClockMs: clock.nowMs() });
-
-/** Returns the longer time of both clocks: the monotonic one stops while the VM is suspended, the wall clock may be set back. */
-const elapsedSinceMs = (clock: Clock, { monotonicMs, wallClockMs }: Moment): number =>
-    Math.max(clock.monotonicMs() - monotonicMs, clock.nowMs() - wallClockMs);
-
 /**
  * Starts to follow a table.
  *
