--- a/features/steps/examples/utilities.ts
+++ b/features/steps/examples/utilities.ts
@@ -7,8 +7,10 @@
     createGuard,
     createRing,
     createSeededRandom,
+    elapsedSinceMs,
     errorResponses,
     failureOf,
+    momentOf,
     noResources,
     pickMember,
     scale,
@@ -43,6 +45,13 @@
     return entries.newest().join(", ");
 };
 
+const moments = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const sentAt = momentOf(clock);
+    await clock.advance(300);
+    return `${elapsedSinceMs(clock, sentAt)} ms`;
+};
+
 const time = async (): Promise<string> => {
     const clock = createFakeClock();
     let runs = 0;
@@ -78,4 +87,14 @@
     createSeededRandom(7).next() === createSeededRandom(7).next() ? "the same for the same seed" : "different";
 
 /** The examples by module name; each returns a line that the feature compares. */
-export const utilityExamples = { errors, check: checkExample, resources, rendezvous, ring, time, guard, system };
+export const utilityExamples = {
+    errors,
+    check: checkExample,
+    resources,
+    rendezvous,
+    ring,
+    moments,
+    time,
+    guard,
+    system,
+};
