New connections between daemons are kept until the peer accepts them

Cause: a listener accepts one connection in each turn of its event loop, 13 to 19 a second on an owner under load. After a takeover, and after a stall of more than 350 ms, all daemons open connections to the owner at once. A call that timed out before its connection was accepted closed it and opened another, since a connection was kept for a late answer only where the peer had answered another call since. Daemons that had not been let in were without an owner for up to 15 s, five unanswered pings a second, while the owner's timers were 5 to 38 ms late. Two of the three new scenarios fail on the code before.

--- a/features/connections.feature
+++ b/features/connections.feature
@@ -49,6 +49,34 @@
         Then it got no answer
         And 2 connections were opened
 
+    # Guards against daemons that a new owner does not let in for seconds: each call that timed out before its connection was accepted closed
+    # it and opened another, which the owner accepted when it had been given up.
+    Scenario: Calls that time out before their connections are accepted open no others
+        Given a service that accepts connections after 900 ms
+        When calls that may take 100 ms are made one after the other for 700 ms
+        Then it was not delivered
+        When a call is made that may take 5000 ms
+        Then it was answered
+        And 2 connections were accepted
+
+    # Guards against a stall of the owner after which none of its peers can reach it: each had replaced the connections over which it would
+    # have answered, and the new ones waited to be accepted.
+    Scenario: Connections that a stalled service answers again are used again
+        Given a service that accepts connections after 0 ms
+        When a call is made that may take 5000 ms
+        And the service is busy for 700 ms
+        And calls that may take 100 ms are made one after the other for 500 ms
+        And a call is made that may take 5000 ms
+        Then it was answered
+        And at most 4 connections were accepted
+
+    # Guards against waiting without end for a service that has read the calls or lost them, and answers nothing.
+    Scenario: New connections over which nothing arrives are replaced after the time for late answers
+        Given a service that answers nothing over its first 2 connections, to a client that waits 300 ms for late answers
+        When calls that may take 100 ms are made one after the other for 500 ms
+        And a call is made that may take 5000 ms
+        Then it was answered
+
     # Guards against a submission that waits for a connection, was never sent, and is answered as one that may have run.
     Scenario: A call that found no free connection in time was not delivered
         Given a service with 1 connection to a client that keeps connections for late answers
--- a/features/steps/connectionSteps.ts
+++ b/features/steps/connectionSteps.ts
@@ -139,6 +139,97 @@
     });
 });
 
+/**
+ * Listens, prints its port, and blocks its event loop for a time, so that the kernel queues the connections. Then it answers all calls;
+ * the answer to "/accepted" is the number of connections that it has accepted, and after the answer to "/busy/MS" it blocks again.
+ */
+const busyServerScript = `let accepted = 0;
+const blockFor = ms => { for (const endsAtMs = Date.now() + ms; Date.now() < endsAtMs;) {} };
+const server = require("node:http").createServer((request, response) => {
+    response.end(JSON.stringify(request.url === "/accepted" ? accepted : {}));
+    const [, busyMs] = /^\\/busy\\/(\\d+)$/.exec(request.url) ?? [];
+    if (busyMs !== undefined) {
+        setTimeout(blockFor, 20, Number(busyMs));
+    }
+});
+server.on("connection", () => { accepted += 1; });
+server.listen(0, "127.0.0.1", () => {
+    require("node:fs").writeSync(1, String(server.address().port));
+    blockFor(Number(process.argv[1]));
+});`;
+
+Given("a service that accepts connections after {int} ms", async function(this: ScenarioWorld, afterMs: number) {
+    const child = spawn(process.execPath, ["-e", busyServerScript, String(afterMs)], {
+        stdio: ["ignore", "pipe", "ignore"],
+    });
+    const port = await new Promise<number>(resolve => {
+        child.stdout.once("data", (data: Buffer) => resolve(Number(data.toString("utf8"))));
+    });
+    part(this).child = child;
+    part(this).address = `http://127.0.0.1:${port}`;
+    part(this).http = createHttpClient({
+        timeoutMs: longTimeoutMs,
+        connectionsPerHost: 2,
+        lateAnswerMs: longTimeoutMs,
+        meter: part(this).meter,
+    });
+});
+
+Given(
+    "a service that answers nothing over its first {int} connections, to a client that waits {int} ms for late answers",
+    async function(this: ScenarioWorld, count: number, lateAnswerMs: number) {
+        const { silent, open, meter } = part(this);
+        const server = createServer((request, response) => {
+            if (!silent.has(request.socket)) {
+                response.end("{}");
+            }
+        });
+        server.on("connection", socket => {
+            open.add(socket);
+            if (open.size <= count) {
+                silent.add(socket);
+            }
+        });
+        await new Promise<void>(resolve => {
+            server.listen(0, "127.0.0.1", resolve);
+        });
+        part(this).server = server;
+        part(this).address = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+        part(this).http = createHttpClient({
+            timeoutMs: longTimeoutMs,
+            connectionsPerHost: count,
+            lateAnswerMs,
+            meter,
+        });
+    },
+);
+
+When(
+    "calls that may take {int} ms are made one after the other for {int} ms",
+    async function(this: ScenarioWorld, timeoutMs: number, forMs: number) {
+        const endsAtMs = performance.now() + forMs;
+        while (performance.now() < endsAtMs) {
+            part(this).result = await call(this, "/", timeoutMs);
+        }
+    },
+);
+
+When("the service is busy for {int} ms", async function(this: ScenarioWorld, forMs: number) {
+    assert.equal((await call(this, `/busy/${forMs}`, longTimeoutMs)).kind, "answered");
+    // The block begins 20 ms after the answer.
+    await sleep(slowAnswerMs);
+});
+
+Then("at most {int} connections were accepted", async function(this: ScenarioWorld, most: number) {
+    const result = await call(this, "/accepted", longTimeoutMs);
+    assert.ok(result.kind === "answered" && Number(result.body) <= most, JSON.stringify(result));
+});
+
+Then("{int} connections were accepted", async function(this: ScenarioWorld, count: number) {
+    const result = await call(this, "/accepted", longTimeoutMs);
+    assert.equal(result.kind === "answered" ? result.body : undefined, count);
+});
+
 When(
     "a call is made that may take {int} ms, and this process is busy for {int} ms once the answer is sent",
     async function(this: ScenarioWorld, timeoutMs: number, busyMs: number) {
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -6,7 +6,8 @@
  * at all arrived from an origin during a call that timed out, all connections to that origin are replaced.
  *
  * A busy origin answers late. If each call that times out closes its connection, the origin spends its time on accepting new ones
- * and falls further behind. With `lateAnswerMs`, the connection of such a call is kept for the late answer.
+ * and falls further behind. With `lateAnswerMs`, the connection of such a call is kept for the late answer. So are connections over
+ * which nothing has arrived since they were opened: the origin may not have accepted them yet, and new ones would queue behind them.
  */
 
 import { type CancelTimer, die, type Meter } from "puffinarch";
@@ -62,8 +63,8 @@
     /** Limit of the time to open a connection; `timeoutMs` if it is missing. */
     readonly connectTimeoutMs?: number;
     /**
-     * How long a call that has timed out keeps its connection for a late answer, while the origin answers others. If this is missing,
-     * such a call closes its connection.
+     * How long a call that has timed out keeps its connection for a late answer, while the origin answers others; also how long new
+     * connections are kept before anything has arrived. If this is missing, a call that times out closes its connection.
      */
     readonly lateAnswerMs?: number;
     /** Counts calls, the bytes of their bodies and replacements of connections. */
@@ -76,6 +77,10 @@
     readonly openedAtMs: number;
     /** When data last arrived over one of them; 0 if none has. */
     receivedAtMs: number;
+    /** Calls that were passed to the pool and have not ended. */
+    inFlight: number;
+    /** Calls that wait for the first data; each takes the connections over which to send it. */
+    readonly held: ((to: Connections) => void)[];
 }
 
 /** Errors that occur before a request is sent. */
@@ -103,6 +108,12 @@
     return typeof code === "string" && neverConnectedCodes.has(code) ? "notDelivered" : "unknown";
 };
 
+/**
+ * Most calls at a time over connections that the origin may not have accepted yet. A busy origin accepts one connection in each turn of its
+ * event loop, while a hundred peers may open connections to it at once.
+ */
+const mostBeforeAcceptance = 2;
+
 /** Timers have a resolution of 1 ms and may fire early by less than that. */
 const shortestTimerMs = 1;
 
@@ -195,11 +206,11 @@
     return {
         handler: {
             onRequestStart: started => {
-                controller = started;
                 if (isAborted) {
-                    abort();
-                    return;
+                    // An abort would destroy the connection that has just become free; undici drops a request whose handler throws.
+                    die("unavailable", "the call has timed out");
                 }
+                controller = started;
                 isSent = true;
             },
             onResponseStart: (_controller, statusCode) => {
@@ -239,12 +250,10 @@
 export const createHttpClient = (limits: HttpClientOptions): HttpClient => {
     const { timeoutMs, connectionsPerHost, keepAliveMs, connectTimeoutMs, lateAnswerMs, meter } = limits;
     const byOrigin = new Map<string, Connections>();
+    /** Connections that were replaced, by what, and the timer that closes them once no late answer is awaited any more. */
+    const closing = new Map<Connections, { readonly successor: Connections; readonly timer: NodeJS.Timeout; }>();
 
-    const connectionsTo = (origin: string): Connections => {
-        const known = byOrigin.get(origin);
-        if (known !== undefined) {
-            return known;
-        }
+    const open = (origin: string): Connections => {
         const pool = new Pool(origin, {
             connections: connectionsPerHost,
             headersTimeout: timeoutMs,
@@ -252,21 +261,71 @@
             connect: { timeout: connectTimeoutMs ?? timeoutMs },
             ...(keepAliveMs === undefined ? {} : { keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs }),
         });
-        const opened = { pool, openedAtMs: performance.now(), receivedAtMs: 0 };
+        const opened = { pool, openedAtMs: performance.now(), receivedAtMs: 0, inFlight: 0, held: [] };
         byOrigin.set(origin, opened);
         return opened;
     };
 
+    const connectionsTo = (origin: string): Connections => byOrigin.get(origin) ?? open(origin);
+
+    /** Whether the origin may not have accepted the connections yet: they are new, and nothing has arrived over them. */
+    const mayAwaitAcceptance = ({ openedAtMs, receivedAtMs }: Connections): boolean =>
+        lateAnswerMs !== undefined && receivedAtMs === 0 && performance.now() - openedAtMs < lateAnswerMs;
+
+    /** Sends the calls that wait for the first data over `from`, by other connections or by the same ones. */
+    const releaseHeld = (from: Connections, to: Connections): void => {
+        for (const send of from.held.splice(0)) {
+            send(to);
+        }
+    };
+
     /**
      * Replaces the connections to an origin if nothing has arrived over them since a call began. Calls in flight keep the old
      * connections and may still be answered; new calls use new ones.
      */
     const replaceIfSilent = (origin: string, connections: Connections, startedAtMs: number): void => {
         const silent = Math.max(connections.openedAtMs, connections.receivedAtMs) < startedAtMs;
-        if (silent && byOrigin.get(origin) === connections) {
-            byOrigin.delete(origin);
-            meter.count("connectionsReplaced");
+        if (!silent || byOrigin.get(origin) !== connections) {
+            return;
+        }
+        meter.count("connectionsReplaced");
+        const successor = open(origin);
+        releaseHeld(connections, successor);
+        if (lateAnswerMs === undefined) {
             void connections.pool.close();
+            return;
+        }
+        const close = (): void => {
+            closing.delete(connections);
+            void connections.pool.close();
+        };
+        closing.set(connections, { successor, timer: setTimeout(close, lateAnswerMs).unref() });
+    };
+
+    /**
+     * Uses connections again that were replaced, where data has arrived over them and none over the new ones: the origin was only late, and
+     * may not accept the new ones for long.
+     */
+    const useAgain = (origin: string, connections: Connections): void => {
+        const replaced = closing.get(connections);
+        if (
+            replaced === undefined || byOrigin.get(origin) !== replaced.successor || replaced.successor.receivedAtMs > 0
+        ) {
+            return;
+        }
+        clearTimeout(replaced.timer);
+        closing.delete(connections);
+        byOrigin.set(origin, connections);
+        releaseHeld(replaced.successor, connections);
+        void replaced.successor.pool.close();
+    };
+
+    const recordArrival = (origin: string, connections: Connections): void => {
+        const isFirst = connections.receivedAtMs === 0;
+        connections.receivedAtMs = performance.now();
+        useAgain(origin, connections);
+        if (isFirst) {
+            releaseHeld(connections, connections);
         }
     };
 
@@ -278,7 +337,7 @@
     ): Promise<CallResult<T>> => {
         const sent = body === undefined ? "" : JSON.stringify(body);
         const { origin, path } = splitUrl(url);
-        const connections = connectionsTo(origin);
+        let connections = connectionsTo(origin);
         const startedAtMs = performance.now();
 
         return new Promise(resolve => {
@@ -312,11 +371,12 @@
 
             const exchange = createExchange({
                 onChunk: () => {
-                    connections.receivedAtMs = performance.now();
+                    recordArrival(origin, connections);
                     deadline.onChunk(connections.receivedAtMs);
                 },
                 onAnswer: (status, text) => {
-                    connections.receivedAtMs = performance.now();
+                    connections.inFlight -= 1;
+                    recordArrival(origin, connections);
                     meter.count("outsideCalls");
                     meter.count("outsideBytes", text.length + sent.length);
                     if (isReported) {
@@ -329,12 +389,13 @@
                         onError(error);
                     }
                 },
-                onError,
+                onError: error => {
+                    connections.inFlight -= 1;
+                    onError(error);
+                },
             });
 
             const onExpired = (limitMs: number): void => {
-                const mayAnswerLate = exchange.isSent() && lateAnswerMs !== undefined
-                    && connections.receivedAtMs > startedAtMs;
                 const isSent = exchange.isSent();
                 // While connections are still being opened, it is the origin that keeps the request waiting.
                 const expiredUnsent = !isSent && connections.pool.stats.connected >= connectionsPerHost;
@@ -344,28 +405,48 @@
                     connectionLost: false,
                     expiredUnsent,
                 });
-                if (mayAnswerLate) {
+                if (isSent && lateAnswerMs !== undefined) {
                     setTimeout(exchange.abort, lateAnswerMs).unref();
-                    return;
                 }
-                exchange.abort();
-                replaceIfSilent(origin, connections, startedAtMs);
+                else {
+                    exchange.abort();
+                }
+                if (!mayAwaitAcceptance(connections)) {
+                    replaceIfSilent(origin, connections, startedAtMs);
+                }
             };
 
             const deadline = startDeadline({ timeoutMs: callTimeoutMs, longestMs }, { startedAtMs, onExpired });
-            connections.pool.dispatch({
-                path,
-                method,
-                headers: body === undefined ? headers ?? {} : { ...headers, "content-type": "application/json" },
-                body: body === undefined ? null : sent,
-            }, exchange.handler);
+            const send = (to: Connections): void => {
+                if (isReported) {
+                    return;
+                }
+                connections = to;
+                if (mayAwaitAcceptance(to) && to.inFlight >= mostBeforeAcceptance) {
+                    to.held.push(send);
+                    return;
+                }
+                to.inFlight += 1;
+                to.pool.dispatch({
+                    path,
+                    method,
+                    headers: body === undefined ? headers ?? {} : { ...headers, "content-type": "application/json" },
+                    body: body === undefined ? null : sent,
+                }, exchange.handler);
+            };
+            send(connections);
         });
     };
 
     return {
         call,
         close: async () => {
-            await Promise.all([...byOrigin.values()].map(({ pool }) => pool.close()));
+            for (const { timer } of closing.values()) {
+                clearTimeout(timer);
+            }
+            const pools = [...byOrigin.values(), ...closing.keys()].map(({ pool }) => pool);
+            closing.clear();
+            await Promise.all(pools.map(pool => pool.close()));
         },
     };
 };
