--- a/features/partition.feature
+++ b/features/partition.feature
@@ -44,6 +44,59 @@
             | 6   | 3    | 12000 |
             | 6   | 2    | 12000 |
 
+    # The monotonic clock of a suspended VM stands still, so that the owner goes on for longer than its successor allows for.
+    Scenario Outline: The owner is suspended for <ms> ms, <after> ms after its data centre is cut off
+        Given a cell of 9 daemons in 3 data centres and 6 workers, 4 of them in "leon-feria"
+        And the owner is in "leon-feria"
+        When 3 jobs of steps "4 long running" are submitted
+        And the shard runs for 2000 ms
+        And the data centre of the owner inside is cut off from "peers, store, workers"
+        And the shard runs for <after> ms
+        And the owner inside is suspended for <ms> ms
+        And the shard runs for 12000 ms
+        And the data centre is no longer cut off
+        And the shard runs for 4000 ms
+        Then no promise was broken
+
+        Examples:
+            | after | ms   |
+            | 300   | 2500 |
+            | 300   | 3500 |
+            | 300   | 4500 |
+            | 1200  | 4000 |
+
+    # Guards against daemons elsewhere that count as gone by the time the store falls silent, so that nobody is asked.
+    Scenario Outline: The owner gives the shard up although the store falls silent <ms> ms after the peers and workers
+        Given a cell of 9 daemons in 3 data centres and 6 workers, 4 of them in "leon-feria"
+        And the owner is in "leon-feria"
+        When 3 jobs of steps "4 long running" are submitted
+        And the shard runs for 2000 ms
+        And the data centre of the owner inside is cut off from "peers"
+        And the shard runs for <ms> ms
+        And the data centre of the owner inside is cut off from "peers, store, workers"
+        And the shard runs for 15000 ms
+        And the data centre is no longer cut off
+        And the shard runs for 4000 ms
+        Then no promise was broken
+
+        Examples:
+            | ms    |
+            | 3000  |
+            | 15000 |
+            | 40000 |
+
+    # Nothing is committed while the runs just go on, so that no commit shows that the store is silent.
+    Scenario: An owner without commits gives the shard up in a data centre that is cut off
+        Given a cell of 9 daemons in 3 data centres and 6 workers, 4 of them in "leon-feria"
+        And the owner is in "leon-feria"
+        When 3 jobs of steps "4 long running" are submitted
+        And the shard runs for 15000 ms
+        And the data centre of the owner inside is cut off from "peers, store, workers"
+        And the shard runs for 15000 ms
+        And the data centre is no longer cut off
+        And the shard runs for 4000 ms
+        Then no promise was broken
+
     # Guards against daemons that take a fault of another kind for a partition, and so leave callers without a daemon that is ready.
     Scenario Outline: <what> is not a partition
         Given a cell of 9 daemons in 3 data centres and 4 workers
--- a/features/runEnds.feature
+++ b/features/runEnds.feature
@@ -70,3 +70,34 @@
     Scenario: Ends that a worker lists in any order are all applied
         When two runs end on a worker that lists the newest end first
         Then both tasks are done
+
+    # With runs that no look has listed yet, each look takes the newest token, and its acknowledgement waits again.
+    Scenario Outline: Ends are acknowledged while further runs start, with commits of <ms> ms
+        When a task starts each 70 ms for 6000 ms on a worker that keeps its ID, and each commit takes <ms> ms
+        Then at no time were more than 20 ends unacknowledged
+
+        Examples:
+            | ms  |
+            | 30  |
+            | 120 |
+
+    # The rows of such a job stay unchanged, since starting it over could run its tasks twice.
+    Scenario: A job whose rows an owner cannot read is not accepted anew
+        Given a cell of 3 daemons and 2 workers whose tasks take their estimates, with a stretch of 2
+        When 1 jobs of steps "2 for 500 ms, 1 after 0 for 9000 ms" are submitted
+        And the shard runs for 2500 ms
+        And the state row of that job cannot be read
+        And the fault "owner killed" comes
+        And the shard runs for 4000 ms
+        And the fault goes
+        And that job is submitted anew
+        And the shard runs for 4000 ms
+        Then no task was started again after its end was acknowledged
+
+    # As above, with a whole cell; a slow store takes 110 ms for each write.
+    Scenario: Ends are acknowledged by a cell whose store is slow
+        Given a cell of 3 daemons and 2 workers that start again under their IDs 3000 ms after a crash
+        When the fault "store slow" comes
+        And 80 jobs are submitted once, 100 ms apart
+        Then at most 20 ends of that cell are unacknowledged
+        And no promise was broken
--- a/features/steps/partitionSteps.ts
+++ b/features/steps/partitionSteps.ts
@@ -158,3 +158,7 @@
     assert.equal(evidence.length, part(this).jobs.length);
     assert.ok(evidence.every(({ endedAtMs }) => endedAtMs === undefined));
 });
+
+When("the owner inside is suspended for {int} ms", function(this: ScenarioWorld, forMs: number) {
+    cellOf(this).suspend(part(this).formerOwner ?? "", forMs);
+});
--- a/features/steps/runEndSteps.ts
+++ b/features/steps/runEndSteps.ts
@@ -405,3 +405,56 @@
 Then("both tasks are done", function(this: ScenarioWorld) {
     assert.deepEqual(endedTasks(this).map(({ done }) => done), [true, true]);
 });
+
+/** Most ends that were unacknowledged at a time. */
+const mostUnacknowledged = (world: ScenarioWorld): { ends: number; } =>
+    partOf(world, "mostUnacknowledged", () => ({ ends: 0 }));
+
+When(
+    "a task starts each {int} ms for {int} ms on a worker that keeps its ID, and each commit takes {int} ms",
+    async function(this: ScenarioWorld, everyMs: number, forMs: number, commitMs: number) {
+        const { clock } = endsPart(this);
+        const count = Math.floor(forMs / everyMs);
+        const job = newJob({ ...submission, steps: [{ ...plainStep, count }] }, testQueue, {
+            acceptedAtMs: 0,
+            order: 1,
+        });
+        const { start } = startOwner(this, { jobs: [job], count: 1, commitMs: () => commitMs });
+        await clock.advance(1_000);
+        const tasks = job.occurrences.get(0)?.steps[0]?.tasks ?? [];
+        for (const task of tasks) {
+            await start(task, "i-0");
+            await clock.advance(everyMs - 10);
+            const ended = endsPart(this).evidence.filter(({ how }) => how !== undefined);
+            const left = ended.filter(({ acknowledgedAtMs }) => acknowledgedAtMs === undefined).length;
+            mostUnacknowledged(this).ends = Math.max(mostUnacknowledged(this).ends, left);
+        }
+    },
+);
+
+Then("at no time were more than {int} ends unacknowledged", function(this: ScenarioWorld, most: number) {
+    const { ends } = mostUnacknowledged(this);
+    assert.ok(endsPart(this).evidence.every(({ how }) => how === "done" || how === undefined), "a run was lost");
+    assert.ok(ends <= most, `${ends} ends`);
+});
+
+When("that job is submitted anew", function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    cell.submitOnce(jobIdOf(1), readSteps("2 for 500 ms, 1 after 0 for 9000 ms"), cell.owner());
+});
+
+Then("no task was started again after its end was acknowledged", function(this: ScenarioWorld) {
+    const { evidence } = cellOf(this).workers;
+    const ended = evidence.filter(({ how, acknowledgedAtMs }) => how === "done" && acknowledgedAtMs !== undefined);
+    assert.ok(ended.length > 0, "no end was acknowledged");
+    const again = evidence.filter(({ taskName, startedAtMs }) =>
+        ended.some(first => first.taskName === taskName && (first.acknowledgedAtMs ?? 0) < startedAtMs)
+    ).map(({ taskName, run, startedAtMs }) => `${taskName}#${run} at ${startedAtMs}`);
+    assert.deepEqual(again, [], [...cellOf(this).answers().values()].join(", "));
+});
+
+Then("at most {int} ends of that cell are unacknowledged", function(this: ScenarioWorld, most: number) {
+    const ended = cellOf(this).workers.evidence.filter(({ how }) => how !== undefined);
+    const left = ended.filter(({ acknowledgedAtMs }) => acknowledgedAtMs === undefined).length;
+    assert.ok(left <= most, `${left} of ${ended.length} ends`);
+});
