Ends are acknowledged although further starts and a slow store keep raising the token of looks

What callers saw: nothing so far; on workers that keep their IDs, ends stayed listed for as long as commits took over 50 ms and tasks kept starting. Cause: an acknowledgement is held until this owner has a newer token than that of the look. That wait, or the one for the commit of the ends, is longer than 50 ms on a slow store, after which a look takes the newest token if a run was not listed yet, and its acknowledgement is held again. Change: a look that is to acknowledge ends takes the token below the newest also if orders may be in flight, where that is higher than theirs; runs whose start was not sent yet or was answered do not count as such orders.

--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -207,7 +207,9 @@
 
     /** Returns the token of a look at a worker that may have restarted; one below the newest where the look is to acknowledge ends. */
     const tokenAfterGap = (): number =>
-        hasUnacknowledgedEnds() && !mayHaveOrdersInFlight() ? Math.max(token, newestToken() - 1) : newestToken();
+        hasUnacknowledgedEnds() && (newestToken() - 1 > token || !hasUnansweredOrders())
+            ? Math.max(token, newestToken() - 1)
+            : newestToken();
 
     /**
      * Returns the answer, or undefined where another look is requested before it comes. The answer is then dropped, since it
@@ -236,6 +238,13 @@
         options.delayedStarts.of(worker.workerId).length > 0
         || [...worker.runs.values()].some(({ wasListed }) => !wasListed);
 
+    /** As `mayHaveOrdersInFlight`, without runs whose start this owner has not sent yet, or whose start was answered. */
+    const hasUnansweredOrders = (): boolean =>
+        options.delayedStarts.of(worker.workerId).length > 0
+        || [...worker.runs.values()].some(({ wasListed, phase, sentAtMs }) =>
+            !wasListed && (phase === runPhases.starting || phase !== runPhases.planned && sentAtMs === undefined)
+        );
+
     /** Counts a look without an answer, and pauses before the next one where it was not the first. */
     const countUnanswered = async (outcome: OrderOutcome, connectionLost: boolean): Promise<void> => {
         worker.silentLooks += 1;
