A job whose rows an owner cannot read is not accepted anew

What callers saw: nothing so far; the job counted as unknown, so that a submission that was sent again began it anew, and tasks whose ends had been acknowledged ran again. Reads were answered as for a job that does not exist, and so were cancels. Change: submissions of such a job are answered with `mayHaveRun`, reads and cancels with `unavailable`. Measured: the scenario in features/runEnds.feature passes (two tasks ran again before); runEnds, decoding, cancels and shard: 192 passed. Reads and cancels have no scenario of their own.

--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -24,7 +24,7 @@
 } from "../../types/work.js";
 import { jobStates } from "../../types/work.js";
 import { createBucket } from "../../utils/bucket.js";
-import { errorOf, failureOf } from "../../utils/errors.js";
+import { die, errorOf, failureOf } from "../../utils/errors.js";
 import { createGuard } from "../../utils/guard.js";
 import type { Moment } from "../../utils/moments.js";
 import { sleep } from "../../utils/time.js";
@@ -347,6 +347,13 @@
         }
     };
 
+    /** Refuses calls about a job with rows that this owner cannot read: it was accepted, and a next owner may be able to read them. */
+    const requireReadable = (jobId: string, kind: "mayHaveRun" | "unavailable"): void => {
+        if (leftOut.has(jobId) && !jobs.has(jobId)) {
+            die(kind, `the rows of the job ${jobId} cannot be read`);
+        }
+    };
+
     /** Returns the organisation of a job, also of one that is not durable yet and has no visible state. */
     const organisationOf = (jobId: string): string | undefined => {
         const job = jobs.get(jobId);
@@ -384,6 +391,7 @@
 
     const statusOf = async (job: JobReference): Promise<JobStatus | undefined> => {
         const { jobId } = job;
+        requireReadable(jobId, "unavailable");
         let status = shownStatusOf(jobId) ?? await endedStatusOf(jobId);
         if (status === undefined) {
             await confirmOwnership();
@@ -967,6 +975,7 @@
 
     const cancel = async (reference: JobReference): Promise<boolean> => {
         const { jobId } = reference;
+        requireReadable(jobId, "unavailable");
         const outcome = jobs.has(jobId) ? undefined : (await endedRead).find(jobId);
         const job = jobs.get(jobId);
         if (job !== undefined || outcome !== undefined) {
@@ -1023,7 +1032,10 @@
 
     return {
         fencingToken,
-        submit,
+        submit: async submission => {
+            requireReadable(submission.jobId, "mayHaveRun");
+            await submit(submission);
+        },
         jobState: statusOf,
         cancel,
         queries,
