An owner counts the time for which its VM was suspended as time without an answer of the store

Cause: an owner in a data centre that is cut off gives the shard up 1.8 s after the store's newest answer by the monotonic clock, which stands still while the VM is suspended. Suspended for 2.5 s it renewed leases beyond the 7.6 s for which its successor holds the runs, and tasks ran twice. Change: the difference between the wall clock and the monotonic clock from tick to tick, since the store's newest answer, is added. Measured: the four rows in features/partition.feature pass (three failed before); partition, shard and ownership: all passed. Looks that are sent between the resumption and the next tick still renew leases once.

--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -220,6 +220,9 @@
     let lagMs = 0;
     let tickDueMs = clock.monotonicMs() + tickMs;
     const startedAtMs = clock.monotonicMs();
+    /** Time for which this VM was suspended since the store's newest answer; the monotonic clock stands still meanwhile. */
+    let suspendedMs = 0;
+    let newestTick = { atMs: startedAtMs, wallMs: clock.nowMs(), storeAnsweredAtMs: startedAtMs };
     let nextOrder = 1;
     let rejectWaiting: (error: Error) => void = () => {};
 
@@ -773,7 +776,16 @@
         if (nowMs - commits.answeredAtMs() > settings.silentMs) {
             commits.probe();
         }
-        return nowMs - commits.answeredAtMs() > settings.cutOffMs && commits.stalledMs() > settings.silentMs;
+        const stalledMs = commits.stalledMs();
+        return nowMs + suspendedMs - commits.answeredAtMs() > settings.cutOffMs
+            && stalledMs > 0 && stalledMs + suspendedMs > settings.silentMs;
+    };
+
+    const recordSuspension = (nowMs: number): void => {
+        const tick = { atMs: nowMs, wallMs: clock.nowMs(), storeAnsweredAtMs: commits.answeredAtMs() };
+        const stoodStillMs = Math.max(0, tick.wallMs - newestTick.wallMs - (nowMs - newestTick.atMs));
+        suspendedMs = tick.storeAnsweredAtMs > newestTick.storeAnsweredAtMs ? 0 : suspendedMs + stoodStillMs;
+        newestTick = tick;
     };
 
     /** Corrects the accounts by the runs of all workers; one that still counts an ended run would limit its organisation for ever. */
@@ -795,6 +807,7 @@
         const nowMs = clock.monotonicMs();
         lagMs += lagSmoothing * (nowMs - tickDueMs - lagMs);
         tickDueMs = nowMs + tickMs;
+        recordSuspension(nowMs);
         if (isCutOff(nowMs)) {
             stopFenced("cutOff");
             return;
