A new owner waits half a second for the list before it looks at unlisted workers

What callers saw: an owner without processor time to spare refused submissions for seconds longer after a burst. Cause: looks at all workers of restored runs right after a claim, before the list, were work that the listed workers' links do anyway. Change: workers that are still not linked after 500 ms are looked at.

--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -101,6 +101,9 @@
  */
 const maxListingAgeMs = 2_000;
 
+/** A new owner waits this long for the list, which usually comes sooner, before it looks at workers that are not listed. */
+const unlistedLookDelayMs = 500;
+
 /** Placeholder entry of a worker that has runs but is not listed: nothing fits on it. */
 const unlistedEntry: WorkerEntry = {
     workerId: "",
@@ -613,6 +616,18 @@
         void commitChangedJobs();
     };
 
+    /**
+     * Looks at workers that have runs and are not listed. The list may come late or lack them, as after an outage of the store; without
+     * looks, their leases would end, and tasks whose ends were not durable would be started again.
+     */
+    const linkUnlistedWorkers = (): void => {
+        for (const worker of workers.values()) {
+            if (!closed && !links.has(worker.workerId) && worker.entry.address !== "") {
+                links.set(worker.workerId, openLink(worker));
+            }
+        }
+    };
+
     const restoreRuns = (runs: readonly StoredRun[]): void => {
         for (const stored of runs) {
             const known = storedRunsByWorker.get(stored.workerId) ?? [];
@@ -621,13 +636,9 @@
         }
         for (const [workerId, [stored]] of [...storedRunsByWorker]) {
             const { address = "", bornAtMs } = stored ?? {};
-            const worker = addWorker({ ...unlistedEntry, workerId, address, bornAtMs }, false);
-            // The list may come late or lack the worker, as after an outage of the store. Without looks until then, its leases would
-            // end, and tasks whose ends were not durable would be started again.
-            if (address !== "") {
-                links.set(workerId, openLink(worker));
-            }
+            addWorker({ ...unlistedEntry, workerId, address, bornAtMs }, false);
         }
+        clock.setTimer(unlistedLookDelayMs, linkUnlistedWorkers);
     };
 
     return {
