Remove the proof of ownership that is no longer used

Cause: since leases are renewed without it, the module, its options in the batch writer, the links and the orders, and two readings of both clocks for each look and each copy of a commit served nothing. Change: they are gone, with the example of the module; utils/moments.ts stays, as the watch of tables uses it. Behaviour is the same.

--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -10,7 +10,6 @@
     createConfigurationFetch,
     createLoadReport,
     createOwnerProgress,
-    createOwnershipProof,
     createPartitionWatch,
     createPeers,
     createProcessorShare,
@@ -20,7 +19,6 @@
     followerPauseMs,
     handOver,
     journalTable,
-    momentOf,
     ownDelayMs,
     type Peers,
     sequenceKey,
@@ -282,26 +280,6 @@
     return `asked ${asked} time for ${offers} offers`;
 };
 
-const ownershipProof = async (): Promise<string> => {
-    const clock = createFakeClock();
-    const worker = openWorker();
-    const proof = createOwnershipProof({
-        clock,
-        settings: defaultShardSettings,
-        workers: () => new Map([["i-1", worker]]),
-        onMissing: () => {},
-    });
-    const states = [proof.isRecent() ? "recent" : "missing"];
-    proof.recordCommit(momentOf(clock));
-    states.push(proof.isRecent() ? "by a commit" : "missing");
-    await clock.advance(defaultShardSettings.formerOwnerMs);
-    states.push(proof.isRecent() ? "recent" : "missing");
-    worker.answeredLookSentAt = momentOf(clock);
-    await clock.advance(1_000);
-    states.push(proof.isRecent() ? "by a worker" : "missing");
-    return states.join(", then ");
-};
-
 const ownerProgress = async (): Promise<string> => {
     const clock = createFakeClock();
     const lines: string[] = [];
@@ -375,7 +353,6 @@
     processorShare,
     configurationFetch,
     handOver: handOverExample,
-    ownershipProof,
     loadReport,
     ownDelay,
     ownerProgress,
--- a/packages/puffinarch/src/core/shard/batchWriter.ts
+++ b/packages/puffinarch/src/core/shard/batchWriter.ts
@@ -6,7 +6,6 @@
 
 import type { Row, RowStore, RowTransaction } from "../../types/cellPorts.js";
 import type { Clock, Log, Meter } from "../../types/ports.js";
-import { type Moment, momentOf } from "../../utils/moments.js";
 import { sleep } from "../../utils/time.js";
 import { ownerTable } from "./shardTables.js";
 
@@ -23,8 +22,6 @@
     readonly storeLatencyMs: number;
     /** Called with the local time of each definite answer from the store. */
     readonly onAnswer: (atMs: number) => void;
-    /** Called when the store has carried out a batch, with the moment at which the call was sent that it answered so. */
-    readonly onProof?: ((sentAt: Moment) => void) | undefined;
     readonly isStopped: () => boolean;
 }
 
@@ -110,7 +107,6 @@
         const sendCopy = async (): Promise<void> => {
             copies += 1;
             const sentAtMs = clock.monotonicMs();
-            const sentAt = momentOf(clock);
             const result = await store.transact(batch.transaction, copyTimeoutMs);
             meter.count(`commits.${result.outcome}`);
             if (result.outcome !== "refused" && result.outcome !== "unknown") {
@@ -126,7 +122,6 @@
                 return;
             }
             if (result.outcome === "committed") {
-                options.onProof?.(sentAt);
                 finish(result);
                 return;
             }
@@ -140,9 +135,6 @@
                     const found = result.rows.length;
                     log.write("warn", "commitFenced", { part, batch: batch.batchId, ownerVersion, found });
                 }
-                else {
-                    options.onProof?.(sentAt);
-                }
                 finish(version === undefined ? { outcome: "fenced" } : { outcome: "committed", version });
                 return;
             }
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -29,7 +29,6 @@
 import { type Decoded, noEntry } from "../../utils/decode.js";
 import { die, failureOf } from "../../utils/errors.js";
 import { createGuard, withGuardedTimers } from "../../utils/guard.js";
-import { momentOf } from "../../utils/moments.js";
 import { sleep } from "../../utils/time.js";
 import { type CallerKeys, createCallerKeys } from "./callerKeys.js";
 import { claimShard } from "./claimShard.js";
@@ -328,7 +327,6 @@
         { seenVersion, committedToken }: { readonly seenVersion: number; readonly committedToken?: number; },
     ): Promise<boolean> => {
         const startedAtMs = clock.monotonicMs();
-        const claimSentAt = momentOf(clock);
         const { claimId } = row;
         claimUnderWay = claimId;
         try {
@@ -374,7 +372,6 @@
                 part,
                 claimId,
                 claimed,
-                claimSentAt: committedToken === undefined ? claimSentAt : undefined,
                 adviceLanes: peers.live,
                 callAdvice: (laneId, request) => {
                     const peer = peers.all.get(laneId);
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -37,7 +37,6 @@
         | "meter"
         | "workers"
         | "leaseMs"
-        | "mayRenew"
         | "orderPauseMs"
         | "unansweredStartMs"
         | "ticketsNameIncarnation"
@@ -145,13 +144,9 @@
         options.onNotStarted(run, outcome);
     };
 
-    /**
-     * Sends the start; returns undefined where the worker is silent, since the order would most likely be lost, or where this owner may
-     * renew no leases, since a start does.
-     */
+    /** Sends the start; returns undefined where the worker is silent, since the order would most likely be lost. */
     const send = async (run: ShardRun, ticket: string): Promise<OrderOutcome | undefined> => {
-        const mayRenew = worker.silentLooks === 0 && options.mayRenew?.() !== false;
-        const deadlineMs = mayRenew ? extendLease(worker, clock.monotonicMs(), leaseMs) : undefined;
+        const deadlineMs = worker.silentLooks > 0 ? undefined : extendLease(worker, clock.monotonicMs(), leaseMs);
         if (deadlineMs === undefined) {
             return undefined;
         }
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -26,7 +26,6 @@
 import { createBucket } from "../../utils/bucket.js";
 import { die, errorOf, failureOf } from "../../utils/errors.js";
 import { createGuard } from "../../utils/guard.js";
-import type { Moment } from "../../utils/moments.js";
 import { sleep } from "../../utils/time.js";
 import { createAcceptance } from "./acceptance.js";
 import { createAccounts } from "./accounts.js";
@@ -81,8 +80,6 @@
     readonly part: string;
     readonly claimId: string;
     readonly claimed: ClaimedShard;
-    /** A moment before the claim was sent; left out for a claim that took effect earlier and is resumed. */
-    readonly claimSentAt?: Moment | undefined;
     /** Ids of the daemons through which the advisor can be called, this daemon included. */
     readonly adviceLanes: () => readonly string[];
     readonly callAdvice: (laneId: string, request: AdviceRequest) => Promise<AdviceAnswer>;
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -51,8 +51,6 @@
     readonly lagMs?: () => number;
     /** Age of the platform's list of workers in ms, for the log. */
     readonly listAgeMs?: (() => number) | undefined;
-    /** Whether this owner may renew leases now; always where it is left out. */
-    readonly mayRenew?: (() => boolean) | undefined;
     readonly jobOf: (jobId: string) => ShardJob | undefined;
     /** Whether a job has rows that this owner cannot read; none has where it is left out. */
     readonly isLeftOut?: (jobId: string) => boolean;
@@ -361,7 +359,6 @@
             fencingToken,
             ...(options.newestToken === undefined ? {} : { newestToken: options.newestToken }),
             leaseMs: settings.leaseMs,
-            mayRenew: options.mayRenew,
             lookWaitMs: settings.lookWaitMs,
             firstLooks,
             delayedStarts,
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -6,7 +6,6 @@
 import { type FencedWorkerPort, type LookResult, type OrderOutcome, orderOutcomes } from "../../types/cellPorts.js";
 import type { CancelTimer, Clock, Log, Meter } from "../../types/ports.js";
 import { createGuard } from "../../utils/guard.js";
-import { momentOf } from "../../utils/moments.js";
 import { sleep } from "../../utils/time.js";
 import type { DelayedStart, DelayedStarts } from "./delayedStarts.js";
 import type { FirstLooks } from "./firstLooks.js";
@@ -46,8 +45,6 @@
      */
     readonly newestToken?: () => number;
     readonly leaseMs: number;
-    /** Whether this owner may renew leases now; always where it is left out. */
-    readonly mayRenew?: (() => boolean) | undefined;
     /** How long a look may wait for a run to end. */
     readonly lookWaitMs: number;
     readonly firstLooks: FirstLooks;
@@ -268,14 +265,12 @@
             }
         }
         const sentAtMs = clock.monotonicMs();
-        const sentAt = momentOf(clock);
         if (sentAtMs - lastAnswerAtMs > maxLookGapMs) {
             token = tokenAfterGap();
         }
         // Looks to a silent worker renew no lease: each may arrive late, and would postpone the time by which its leases are
         // surely over.
-        const mayRenew = worker.silentLooks === 0 && options.mayRenew?.() !== false;
-        const deadlineMs = mayRenew ? extendLease(worker, sentAtMs, leaseMs) : undefined;
+        const deadlineMs = worker.silentLooks > 0 ? undefined : extendLease(worker, sentAtMs, leaseMs);
         const ready = deadlineMs !== undefined;
         const waitMs = ready && !lookWanted ? lookWaitMs : 0;
         lookWanted = false;
@@ -299,7 +294,6 @@
             lastLookAnswered = true;
             deliveredAcknowledgedEnd = Math.max(deliveredAcknowledgedEnd, acknowledgedEnd);
             const nowMs = clock.monotonicMs();
-            worker.answeredLookSentAt = sentAt;
             recordAnswer(worker, { nowMs, clockMs: look.clockMs, sentAtMs, lastAnswerAtMs });
             lastAnswerAtMs = nowMs;
             answerTimeoutMs = nowMs - sentAtMs < waitMs + minAnswerTimeoutMs ? minAnswerTimeoutMs : answerTimeoutMs;
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -2,7 +2,6 @@
 
 import { add, fits, largest, noResources, type Resources, subtract } from "../../types/resources.js";
 import type { WorkerEntry } from "../../types/work.js";
-import type { Moment } from "../../utils/moments.js";
 import { charge, isOverCap, release } from "./accounts.js";
 import type { CrashedRun } from "./crashes.js";
 import type { DelayedStart } from "./delayedStarts.js";
@@ -33,8 +32,6 @@
     leaseHorizonMs: number;
     /** Local time of the newest answer to a look. */
     answeredAtMs: number;
-    /** When the newest look that was answered had been sent; undefined before the first answer. */
-    answeredLookSentAt: Moment | undefined;
     /** Time between its last two answers in which no look could bring an end; ends in the newest answer may be that old. */
     lookGapMs: number;
     /**
@@ -123,7 +120,6 @@
     clock: undefined,
     leaseHorizonMs,
     answeredAtMs: 0,
-    answeredLookSentAt: undefined,
     lookGapMs: Infinity,
     clockJumpAtMs: -Infinity,
     silentLooks: 0,
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -77,7 +77,6 @@
 export * from "./core/shard/occurrenceSet.js";
 export * from "./core/shard/ownDelay.js";
 export * from "./core/shard/ownerProgress.js";
-export * from "./core/shard/ownershipProof.js";
 export * from "./core/shard/ownerWatch.js";
 export * from "./core/shard/pacer.js";
 export * from "./core/shard/partition.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -339,7 +339,6 @@
 export { createLoadReport, type LoadReport, type LoadReportOptions } from "./internal.js";
 export { ownDelayMs } from "./internal.js";
 export { createOwnerProgress, type OwnerProgress, type OwnerProgressOptions } from "./internal.js";
-export { createOwnershipProof, type OwnershipProof, type OwnershipProofOptions } from "./internal.js";
 export { elapsedSinceMs, type Moment, momentOf } from "./internal.js";
 export { type OwnerWatch, type OwnerWatchOptions, watchOwner, type WatchStep, watchSteps } from "./internal.js";
 export { type Readiness, type ReadinessOptions, watchReadiness } from "./internal.js";
