Logs tell who owned the shard when, and which starts were sent late

Lines about ownership are dropped last: where nobody reads the output, they may fill the whole buffer, warnings 95 percent of it, and routine lines 75 percent as before. shardLost names the owner's newest commit and how long ago the store answered and a start was sent; shardRestored the newest commit that the successor has read; ownerPaused and startSentLate are new.

--- a/features/log.feature
+++ b/features/log.feature
@@ -13,3 +13,9 @@
     Scenario: A process whose standard output is read drops no line
         Given a process that logs 20000 lines to a standard output that is read
         Then all 20000 lines are read in order
+
+    # Guards against logs of an incident that do not tell who owned the shard.
+    Scenario: A change of ownership is logged although warnings that nobody reads have filled the buffer
+        Given a process that logs 100000 warnings and then the loss of its shard to a standard output that nobody reads
+        Then it logs all lines without blocking
+        And its output, when read afterwards, holds the loss of the shard
--- a/features/steps/logSteps.ts
+++ b/features/steps/logSteps.ts
@@ -18,15 +18,16 @@
  * Returns the source of a process that logs the lines, writes to standard error when it is done, and then logs a line "last"
  * every 200 ms, so that a reader that starts late gets the buffered lines and the end of the output.
  */
-const createLoggingScript = (lines: number): string =>
+const createLoggingScript = (lines: number, level: "info" | "warn"): string =>
     `import { createLog, openLogOutput, standardOutput } from "puffinarchd";
     import { createSystemClock } from "puffinarch";
     const output = openLogOutput(standardOutput);
     const log = createLog({ clock: createSystemClock(), level: "info", vmId: "entry-1", write: output.write });
     for (let number = 0; number < ${lines}; number += 1) {
-        log.write("info", "line", { number, text: "x".repeat(100) });
+        log.write("${level}", "line", { number, text: "x".repeat(100) });
         if (number % 100 === 0) { await new Promise(resolve => setImmediate(resolve)); }
     }
+    log.write("warn", "shardLost", { reason: "commit" });
     process.stderr.write("logged");
     const wait = setInterval(() => {
         log.write("warn", "last", {});
@@ -34,8 +35,12 @@
     }, 200);
     process.on("SIGTERM", () => { clearInterval(wait); void output.flush().then(() => process.exit(0)); });`;
 
-const startLoggingProcess = (world: ScenarioWorld, lines: number): ChildProcessByStdio<null, Readable, Readable> => {
-    const child = spawn(process.execPath, ["--input-type=module", "-e", createLoggingScript(lines)], {
+const startLoggingProcess = (
+    world: ScenarioWorld,
+    lines: number,
+    level: "info" | "warn" = "info",
+): ChildProcessByStdio<null, Readable, Readable> => {
+    const child = spawn(process.execPath, ["--input-type=module", "-e", createLoggingScript(lines, level)], {
         stdio: ["ignore", "pipe", "pipe"],
     });
     part(world).child = child;
@@ -67,6 +72,25 @@
     },
 );
 
+Given(
+    "a process that logs {int} warnings and then the loss of its shard to a standard output that nobody reads",
+    function(this: ScenarioWorld, lines: number) {
+        startLoggingProcess(this, lines, "warn");
+    },
+);
+
+Then(
+    "its output, when read afterwards, holds the loss of the shard",
+    { timeout: stepTimeoutMs },
+    async function(this: ScenarioWorld) {
+        const { child } = part(this);
+        assert.ok(child !== undefined);
+        const lines = await readToLastLine(child);
+        assert.ok(lines.some(line => line["event"] === "logDropped"), "the buffer was never full");
+        assert.ok(lines.some(line => line["event"] === "shardLost"), "the line was dropped");
+    },
+);
+
 Then("it logs all lines without blocking", { timeout: stepTimeoutMs }, async function(this: ScenarioWorld) {
     const { child } = part(this);
     assert.ok(child !== undefined);
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -287,7 +287,7 @@
         if (owner === undefined) {
             return;
         }
-        log.write("warn", "shardLost", { reason, fencingToken: owner.fencingToken });
+        log.write("warn", "shardLost", { reason, fencingToken: owner.fencingToken, ...owner.tenure() });
         owner.close();
         owner = undefined;
         workerWatch?.stop();
@@ -386,7 +386,11 @@
                 newsAgeMs: () => Math.max(workerWatch?.ageMs() ?? Infinity, configurationWatch.ageMs()),
                 listAgeMs: () => workerWatch?.ageMs() ?? Infinity,
                 onFenced: reason => {
-                    log.write("warn", "shardLost", { reason, fencingToken: claimed.fencingToken });
+                    log.write("warn", "shardLost", {
+                        reason,
+                        fencingToken: claimed.fencingToken,
+                        ...owner?.tenure(),
+                    });
                     owner = undefined;
                     workerWatch?.stop();
                 },
--- a/packages/puffinarch/src/core/shard/jobModel.ts
+++ b/packages/puffinarch/src/core/shard/jobModel.ts
@@ -55,6 +55,8 @@
     sentAtMs: number | undefined;
     /** Whether its start order was not sent within its time limit, since this process had not got round to it. */
     sentLate: boolean;
+    /** Local time at which this owner knew that its start was durable; undefined before that, and if a former owner planned it. */
+    durableAtMs?: number;
     /**
      * A look that is sent after this local time and does not list the run proves that the run is gone; undefined until its order is
      * answered or given up as unanswered.
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -25,6 +25,8 @@
  * this, or a connection that does not open, would keep the task from free workers. The watch over gangs limits it for their members.
  */
 const maxUnsentMs = 1_000;
+/** Time between the commit of a start and its order from which the log tells of it. */
+const loggedStartDelayMs = 1_000;
 const minStopTimeoutMs = 150;
 const maxStopTimeoutMs = 600;
 
@@ -153,16 +155,29 @@
         run.mayArriveUntilMs = worker.bornAtMs === undefined || holdsForOneIncarnation(run, options)
             ? undefined
             : clock.monotonicMs() + options.unansweredStartMs;
+        const beganAtMs = clock.monotonicMs();
+        const fencingToken = options.token();
         const outcome = await workers.start(target(), {
             taskName: run.task.name,
             run: run.run,
             payload: run.task.step.occurrence.job.submission.payload,
             deadlineMs,
-            fencingToken: options.token(),
+            fencingToken,
             checkpoint: run.checkpoint,
             ticket,
         }, startTimeout(run));
         meter.count(`starts.${outcome}`);
+        const sinceDurableMs = beganAtMs - (run.durableAtMs ?? beganAtMs);
+        if (sinceDurableMs > loggedStartDelayMs) {
+            log.write("info", "startSentLate", {
+                task: run.task.name,
+                run: run.run,
+                ...incarnationOf(worker),
+                outcome,
+                fencingToken,
+                sinceDurableMs: Math.round(sinceDurableMs),
+            });
+        }
         if (outcome === orderOutcomes.unknown) {
             delayedStarts.record(worker.workerId, { taskName: run.task.name, run: run.run });
             return outcome;
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -127,6 +127,8 @@
     stalledMs(): number;
     /** How late this process's timers fire, in ms, on average over about the last second. */
     lagMs(): number;
+    /** What the log says about this owner when it stops: its newest commit, and how long ago the store answered and a start was sent. */
+    tenure(): Readonly<Record<string, number | undefined>>;
     /** The submissions that it refuses because it is late; undefined while it is not. */
     shedding(): Shedding | undefined;
     /** Resolves once all changes so far are durable. */
@@ -136,6 +138,8 @@
 
 /** Interval of the checks that depend only on time: leases, due occurrences, expired advice. */
 const tickMs = 100;
+/** Time between two ticks from which the log tells of it: this process had no processor, or was stopped. */
+const loggedPauseMs = 1_000;
 /** Weight of the newest tick in the moving average of its lateness, which covers about a second. */
 const lagSmoothing = 0.1;
 /**
@@ -219,6 +223,7 @@
     /** Time for which this VM was suspended since the store's newest answer; the monotonic clock stands still meanwhile. */
     let suspendedMs = 0;
     let newestTick = { atMs: startedAtMs, wallMs: clock.nowMs(), storeAnsweredAtMs: startedAtMs };
+    let startSentAtMs: number | undefined;
     let nextOrder = 1;
     let rejectWaiting: (error: Error) => void = () => {};
 
@@ -634,6 +639,7 @@
             return [];
         }
         progress.recordStart();
+        startSentAtMs = clock.monotonicMs();
         return runs.map(run => {
             leavePlanned(run);
             return guard.answer<StartAnswer>("start", () => sendStart(run), "unanswered");
@@ -664,6 +670,10 @@
         }
         const startOnceDurable = async (): Promise<void> => {
             await commit(job);
+            const durableAtMs = clock.monotonicMs();
+            for (const run of runs) {
+                run.durableAtMs = durableAtMs;
+            }
             await waitForFreshNews();
             starts.add(runs);
         };
@@ -770,6 +780,14 @@
     const recordSuspension = (nowMs: number): void => {
         const tick = { atMs: nowMs, wallMs: clock.nowMs(), storeAnsweredAtMs: commits.answeredAtMs() };
         const stoodStillMs = Math.max(0, tick.wallMs - newestTick.wallMs - (nowMs - newestTick.atMs));
+        const pausedMs = nowMs - newestTick.atMs + stoodStillMs;
+        if (pausedMs > loggedPauseMs) {
+            log.write("warn", "ownerPaused", {
+                fencingToken,
+                pausedMs: Math.round(pausedMs),
+                stoodStillMs: Math.round(stoodStillMs),
+            });
+        }
         suspendedMs = tick.storeAnsweredAtMs > newestTick.storeAnsweredAtMs ? 0 : suspendedMs + stoodStillMs;
         newestTick = tick;
     };
@@ -855,7 +873,14 @@
                 void guard.run("jobChange", () => commitChange(job));
             }
         }
-        log.write("info", "shardRestored", { part, fencingToken, jobs: jobs.size, runs: restored.runs.length });
+        log.write("info", "shardRestored", {
+            part,
+            fencingToken,
+            // Every commit of a former owner has at most this version; a later one was refused.
+            sequenceVersion: claimed.sequenceVersion,
+            jobs: jobs.size,
+            runs: restored.runs.length,
+        });
     };
 
     /** Reads the jobs that ended under former owners, while the other jobs are already being placed. */
@@ -1063,6 +1088,14 @@
         },
         stalledMs: commits.stalledMs,
         lagMs: () => lagMs,
+        tenure: () => {
+            const nowMs = clock.monotonicMs();
+            return {
+                newestVersion,
+                storeAnsweredMsAgo: Math.round(nowMs - commits.answeredAtMs()),
+                startSentMsAgo: startSentAtMs === undefined ? undefined : Math.round(nowMs - startSentAtMs),
+            };
+        },
         shedding: shedding.current,
         idle: commits.idle,
         close,
--- a/packages/puffinarchd/src/logOutput.ts
+++ b/packages/puffinarchd/src/logOutput.ts
@@ -5,7 +5,8 @@
 
 /** An output for log lines. */
 export interface LogOutput {
-    write(line: string, level: LogLevel): void;
+    /** Buffers a line; `event` is the name of what it reports. */
+    write(line: string, level: LogLevel, event?: string): void;
     /** Writes the buffered lines; gives up after 200 ms if nobody reads them. */
     flush(): Promise<void>;
 }
@@ -19,10 +20,25 @@
 const batchMs = 50;
 /** Limit of the lines buffered while nobody reads: 40 s of a daemon under load, and 1/50 of a small VM's memory. */
 const maxBufferedBytes = 8 * 1024 * 1024;
-/** Share of the buffer that info and debug lines may fill; the rest is reserved for warnings and errors. */
-const routineShare = 0.75;
+/** Shares of the buffer up to which lines are kept; what one level leaves is reserved for the more important ones. */
+const bufferShares: Readonly<Record<LogLevel, number>> = { debug: 0.75, info: 0.75, warn: 0.95, error: 0.95 };
+/** Events that tell who owned the shard and when. They are dropped last, since no other line can be put into order without them. */
+const ownershipEvents: ReadonlySet<string> = new Set([
+    "claimBegins",
+    "claimed",
+    "claimLost",
+    "claimResumed",
+    "handOver",
+    "listening",
+    "ownerKnown",
+    "ownerPaused",
+    "restoreGivenUp",
+    "shardLost",
+    "shardRestored",
+    "stopped",
+    "stopping",
+]);
 const flushLimitMs = 200;
-const routineLevels: ReadonlySet<LogLevel> = new Set(["info", "debug"]);
 
 /**
  * Opens the output.
@@ -53,8 +69,9 @@
     });
 
     return {
-        write: (line, level) => {
-            const limit = routineLevels.has(level) ? routineShare * maxBufferedBytes : maxBufferedBytes;
+        write: (line, level, event = "") => {
+            const share = ownershipEvents.has(event) ? 1 : bufferShares[level];
+            const limit = share * maxBufferedBytes;
             if (bufferedBytes + line.length > limit) {
                 dropped += 1;
                 return;
--- a/packages/puffinarchd/src/logging.ts
+++ b/packages/puffinarchd/src/logging.ts
@@ -17,7 +17,7 @@
 };
 
 /**
- * Creates the daemon's log; `write` receives each line with its level.
+ * Creates the daemon's log; `write` receives each line with its level and its event.
  *
  * @example
  * createLog({ clock, level: "info", vmId: "vm-1", write: openLogOutput(standardOutput).write });
@@ -26,7 +26,7 @@
     readonly clock: Clock;
     readonly level: LogLevel;
     readonly vmId: string;
-    readonly write: (line: string, level: LogLevel) => void;
+    readonly write: (line: string, level: LogLevel, event: string) => void;
 }): DaemonLog => {
     const encode = (head: Readonly<Record<string, unknown>>, fields: Readonly<Record<string, unknown>>): string => {
         try {
@@ -40,7 +40,7 @@
     const reporter: ConsolaReporter = {
         log: ({ type, args }) => {
             const [event, fields] = args as [string, Readonly<Record<string, unknown>>];
-            write(`${encode({ atMs: clock.nowMs(), level: type, vmId, event }, fields)}\n`, type as LogLevel);
+            write(`${encode({ atMs: clock.nowMs(), level: type, vmId, event }, fields)}\n`, type as LogLevel, event);
         },
     };
     const consola: ConsolaInstance = createConsola({
