Fakes of processes that are stopped while their monotonic clock goes on

A process that gets no processor, or SIGSTOP, differs from a suspended VM: its clock counts the time, and on waking it handles either the timers that are due or the answers that have arrived first. Timers first means that calls whose time limits have passed end without the answers that wait. Calls that have not left the process are sent on waking, or dropped where their limit comes first. The store tells a listener of each transaction that has taken effect, before it is answered.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -30,6 +30,6 @@
 export * from "./shard/shardLoad.js";
 export * from "./shard/stalledTasks.js";
 export * from "./shard/stalledTaskWatch.js";
-export { createSuspension } from "./shard/suspension.js";
+export { createSuspension, type WakingOrder } from "./shard/suspension.js";
 export * from "./upstream.js";
 export * from "./worker.js";
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -73,10 +73,22 @@
     readonly lateMs: () => number;
 }
 
+/**
+ * How a call left the process of its daemon: `sent` within its time limit, `expired` right before the limit ended the call, or `unsent`,
+ * as the limit came first.
+ */
+export type Departure = "sent" | "expired" | "unsent";
+
 /** The fake workers with their call ports, records and fault injection. */
 export interface FakeFencedWorkers {
-    /** Creates the call port of one daemon; `isOpen` returns whether its link to a worker is up. */
-    connect(isOpen: (workerId: string) => boolean): FencedWorkerPort;
+    /**
+     * Creates the call port of one daemon; `isOpen` returns whether its link to a worker is up, `depart` how a call leaves the daemon's
+     * process, which takes as long as the process is stopped; each is sent at once where it is left out.
+     */
+    connect(
+        isOpen: (workerId: string) => boolean,
+        depart?: (timeoutMs: number) => Promise<Departure>,
+    ): FencedWorkerPort;
     add(entry: WorkerEntry): void;
     setFault(workerId: string, fault: WorkerFault): void;
     /**
@@ -502,12 +514,11 @@
                 worker.waiters.add(wake);
             });
 
-    const connect = (isOpen: (workerId: string) => boolean): FencedWorkerPort => {
+    const connect: FakeFencedWorkers["connect"] = (isOpen, depart = async () => "sent") => {
         const reach = async (
             target: WorkerTarget,
             timeoutMs = unansweredMs,
         ): Promise<FakeWorker | "otherIncarnation" | "down" | undefined> => {
-            await wait(answerMs);
             const worker = workers.get(target.workerId);
             if (worker === undefined || !isOpen(target.workerId) || worker.fault === "cut") {
                 await wait(timeoutMs);
@@ -524,6 +535,11 @@
             carryOut: (worker: FakeWorker, orderedAtMs: number) => OrderOutcome,
         ): Promise<OrderOutcome> => {
             const orderedAtMs = clock.monotonicMs();
+            await wait(answerMs);
+            const departure = await depart(timeoutMs);
+            if (departure === "unsent") {
+                return orderOutcomes.notSent;
+            }
             const worker = await reach(target, timeoutMs);
             if (worker === undefined || worker === "down") {
                 return orderOutcomes.unknown;
@@ -546,7 +562,8 @@
                 await wait(timeoutMs);
                 return orderOutcomes.unknown;
             }
-            return carryOut(worker, orderedAtMs);
+            const outcome = carryOut(worker, orderedAtMs);
+            return departure === "expired" ? orderOutcomes.unknown : outcome;
         };
         const carryOutLook = (
             worker: FakeWorker,
@@ -571,6 +588,11 @@
         const look = async (target: WorkerTarget, sent: LookOrder): Promise<LookResult> => {
             const { waitMs, answerTimeoutMs } = sent;
             const lookTimeoutMs = Math.min(unansweredMs, waitMs + answerTimeoutMs);
+            await wait(answerMs);
+            const departure = await depart(waitMs + answerTimeoutMs);
+            if (departure === "unsent") {
+                return { outcome: orderOutcomes.unknown };
+            }
             if (lateLooks?.isLost() === true) {
                 carryOutLookLate(target, sent, lateLooks.lateMs());
                 await wait(lookTimeoutMs);
@@ -589,6 +611,9 @@
             if (!carryOutLook(worker, sent)) {
                 return { outcome: orderOutcomes.fenced };
             }
+            if (departure === "expired") {
+                return { outcome: orderOutcomes.unknown };
+            }
             await waitForEnd(worker, waitMs);
             if (!isOpen(target.workerId) || (worker.fault as WorkerFault) === "cut") {
                 await wait(answerTimeoutMs);
--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -57,6 +57,8 @@
     /** Removes a row from the part with the empty name. */
     remove(table: string, key: string): void;
     rows(table: string): readonly Row[];
+    /** Calls `listener` with each transaction of a daemon that has taken effect, before it is answered; the newest listener only. */
+    onCommitted(listener: (transaction: RowTransaction) => void): void;
     /** Number of transactions that were applied or failed with a conflict. */
     transactions(): number;
 }
@@ -144,6 +146,7 @@
     let historyStart = 0;
     let version = 0;
     let transactions = 0;
+    let committed: (transaction: RowTransaction) => void = () => {};
     let freeAtMs = 0;
     const unreadable = new Set<string>();
     const blocks = new Set<Block>();
@@ -158,7 +161,8 @@
             clock.setTimer(delayMs, resolve);
         });
 
-    const apply = ({ expect, puts, removes }: RowTransaction): RowTransactResult => {
+    const apply = (transaction: RowTransaction): RowTransactResult => {
+        const { expect, puts, removes } = transaction;
         transactions += 1;
         const conflicting = expect.filter(each => (rows.get(idOf(each))?.version ?? 0) !== each.version);
         if (conflicting.length > 0) {
@@ -177,6 +181,7 @@
         for (const wake of [...waiters]) {
             wake();
         }
+        committed(transaction);
         return { outcome: "committed", version };
     };
 
@@ -410,6 +415,9 @@
             apply({ expect: [], puts: [], removes: [{ table, part: "", key }] });
         },
         rows: table => [...rows.values()].filter(row => row.table === table),
+        onCommitted: listener => {
+            committed = listener;
+        },
         transactions: () => transactions,
     };
 };
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -24,6 +24,7 @@
     type MemberPort,
     noEntry,
     noResources,
+    orderOutcomes,
     type Organisation,
     parseTaskName,
     type Queue,
@@ -52,7 +53,7 @@
 import { createFakeRowStore, type FakeRowStore } from "./rowStore.js";
 import { findCheckpointBreaches } from "./savedCheckpoints.js";
 import { findStalledTasks } from "./stalledTasks.js";
-import { createSuspension, type Suspension } from "./suspension.js";
+import { createSuspension, type Suspension, type WakingOrder } from "./suspension.js";
 
 /** The queue of the cell's configuration, unless the options name others. */
 export const testQueue: Queue = {
@@ -134,6 +135,8 @@
     stop(memberId: string, graceMs?: number): Promise<void>;
     /** Suspends a daemon's VM; its monotonic clock does not count the time. */
     suspend(memberId: string, forMs: number): void;
+    /** Stops a daemon's process, as a signal does; its monotonic clock goes on, and calls that have not left it are sent afterwards. */
+    stopProcess(memberId: string, forMs: number, first: WakingOrder): void;
     /** Makes the work of a daemon take this many times as long, until its process ends; its calls must cost processor time. */
     slowDown(memberId: string, factor: number): void;
     /** Cuts a daemon off from its peers, the store or the workers. */
@@ -589,7 +592,7 @@
         peerCalls.set(memberId, { sent: before.sent + sent, received: before.received + received });
     };
 
-    /** Delays an answer that arrives during a suspension until the VM resumes. */
+    /** Delays an answer that arrives during a suspension until the process continues. */
     const afterResume = async <T>(suspension: Suspension, answer: Promise<T>): Promise<T> => {
         try {
             return await answer;
@@ -599,6 +602,25 @@
         }
     };
 
+    /** As `afterResume`; where the process handles the end of the call's time limit first, `expired` is its outcome. */
+    const unlessExpired = async <T>(
+        suspension: Suspension,
+        answer: Promise<T>,
+        { timeoutMs, expired }: { readonly timeoutMs: number; readonly expired: () => T; },
+    ): Promise<T> => {
+        const dueAtMs = suspension.clock.monotonicMs() + timeoutMs;
+        const settled = answer.then(value => () => value, (error: unknown) => (): T => {
+            throw error;
+        });
+        const outcome = await settled;
+        if (suspension.expires(dueAtMs)) {
+            await suspension.whenRunning("timers");
+            return expired();
+        }
+        await suspension.whenRunning();
+        return outcome();
+    };
+
     const queueDelayBetweenMs = (from: string, to: string): number =>
         (store.link(from)?.queueDelayMs() ?? 0) + (store.link(to)?.queueDelayMs() ?? 0);
 
@@ -694,9 +716,11 @@
         };
         const connection = store.connect(memberId);
         const unanswered = new Promise<never>(() => {});
-        const directPort = workers.connect(workerId =>
-            !isCut(memberId, "workers") && !isWorkerSeparated(memberId, workerId)
-            && cutWorkers.get(memberId)?.has(workerId) !== true
+        const directPort = workers.connect(
+            workerId =>
+                !isCut(memberId, "workers") && !isWorkerSeparated(memberId, workerId)
+                && cutWorkers.get(memberId)?.has(workerId) !== true,
+            suspension.depart,
         );
         const workerPort = costs === noCosts ? directPort : withProcessor(directPort, { clock, processor, costs });
         const dependencies = breakShardPart(broken, {
@@ -732,9 +756,12 @@
             store: {
                 limits: connection.limits,
                 // A killed daemon sends nothing more, but calls that it has sent may still take effect.
-                transact: delayUntilResumed((transaction, timeoutMs) =>
-                    alive() ? connection.transact(transaction, timeoutMs) : unanswered
-                ),
+                transact: (transaction, timeoutMs) =>
+                    unlessExpired(
+                        suspension,
+                        alive() ? connection.transact(transaction, timeoutMs) : unanswered,
+                        { timeoutMs, expired: () => ({ outcome: "unknown", reason: "no answer in time" }) },
+                    ),
                 read: delayUntilResumed((table, part, fromKey, limit, longestMs) =>
                     alive() ? connection.read(table, part, fromKey, limit, longestMs) : unanswered
                 ),
@@ -743,13 +770,31 @@
                 ),
             },
             workers: {
-                start: delayUntilResumed(dependencies.workers.start),
-                stop: delayUntilResumed(dependencies.workers.stop),
-                look: delayUntilResumed(dependencies.workers.look),
+                start: (target, order, timeoutMs) =>
+                    unlessExpired(suspension, dependencies.workers.start(target, order, timeoutMs), {
+                        timeoutMs,
+                        expired: () => orderOutcomes.unknown,
+                    }),
+                stop: (target, order, timeoutMs) =>
+                    unlessExpired(suspension, dependencies.workers.stop(target, order, timeoutMs), {
+                        timeoutMs,
+                        expired: () => orderOutcomes.unknown,
+                    }),
+                look: (target, order) =>
+                    unlessExpired(suspension, dependencies.workers.look(target, order), {
+                        timeoutMs: order.waitMs + order.answerTimeoutMs,
+                        expired: () => ({ outcome: orderOutcomes.unknown }),
+                    }),
                 pace: delayUntilResumed(dependencies.workers.pace),
             },
             advisor: { advise: delayUntilResumed(dependencies.advisor.advise) },
-            members: { call: (...call) => afterResume(suspension, peers.call(...call)) },
+            members: {
+                call: (...call) =>
+                    unlessExpired(suspension, peers.call(...call), {
+                        timeoutMs: call[3],
+                        expired: () => die("mayHaveRun", "no answer in time"),
+                    }),
+            },
             processor: { readTimes: processor.times, configuredShare: 1 },
             platform: {
                 configurationTable: "operator",
@@ -984,6 +1029,10 @@
             memberProcesses.get(memberId)?.suspension.suspend(forMs);
             clock.setTimer(forMs, faultTracker.recordFault);
         },
+        stopProcess: (memberId, forMs, first) => {
+            memberProcesses.get(memberId)?.suspension.stop(forMs, first);
+            clock.setTimer(forMs, faultTracker.recordFault);
+        },
         cut: (memberId, what) => {
             faultTracker.recordFault();
             cuts.set(memberId, new Set(what));
