Red scenes: a woken owner renews leases that its successor counts as over

Guards against two runs of one task under two owners. An owner whose process was stopped for 3 or 4 s, less than the lease of 5 s, looks at its workers before anything tells it that it was replaced, with lease deadlines counted from the moment of waking; its successor allows for renewals up to 2.5 s after its own claim. Where the successor cannot reach the worker, nothing there refuses the look.

--- /dev/null
+++ b/features/steps/stoppedOwnerSteps.ts
@@ -0,0 +1,107 @@
+/** Steps about an owner whose process is stopped while its monotonic clock goes on, and workers that only it reaches. */
+
+import { Given, When } from "@cucumber/cucumber";
+import { jobIdOf, readSteps, type ShardCell, testQueue, type WakingOrder } from "@puffinarch/stand-ins";
+import assert from "node:assert/strict";
+import type { Queue } from "puffinarch";
+import { cellOf, part, startCell } from "./shardCellPart.js";
+import type { ScenarioWorld } from "./support.js";
+
+const jobCount = 8;
+/** Time for all jobs to be planned. */
+const planningMs = 1_000;
+
+/** What the owner still reaches besides the workers that only it reaches; it is cut off from the rest as it is stopped. */
+const cutFromRest: Readonly<Record<string, (cell: ShardCell, owner: string, others: readonly string[]) => void>> = {
+    everything: () => {},
+    "the other workers": (cell, owner) => cell.cut(owner, ["peers", "store"]),
+    "nothing else": (cell, owner, others) => {
+        cell.cut(owner, ["peers", "store"]);
+        cell.cutFromWorkers(owner, others);
+    },
+};
+
+const ownerOf = (cell: ShardCell): string => cell.owner() ?? assert.fail("no daemon owns the shard");
+
+/** Cuts all daemons but the owner off from the first workers, until the faults end. */
+const keepWorkers = (world: ScenarioWorld, count: number): { owner: string; kept: readonly string[]; } => {
+    const cell = cellOf(world);
+    const owner = ownerOf(cell);
+    const kept = cell.workers.workerIds().slice(0, count);
+    for (const memberId of cell.memberIds().filter(each => each !== owner)) {
+        cell.cutFromWorkers(memberId, kept);
+    }
+    part(world).formerOwner = owner;
+    part(world).endFaults.push(() => cell.memberIds().forEach(cell.restoreLinks));
+    return { owner, kept };
+};
+
+const cutOwner = (cell: ShardCell, owner: string, kept: readonly string[], reached: string): void => {
+    const others = cell.workers.workerIds().filter(workerId => !kept.includes(workerId));
+    const cut = cutFromRest[reached] ?? assert.fail(`"${reached}" is not known`);
+    cut(cell, owner, others);
+};
+
+Given(
+    "a cell of {int} daemons and {int} workers whose tasks need no advice",
+    async function(this: ScenarioWorld, members: number, workers: number) {
+        const queue = Object.fromEntries(
+            Object.entries(testQueue).filter(([name]) => name !== "advice"),
+        ) as unknown as Queue;
+        await startCell(this, { members, workers, seed: 1, queues: [queue] });
+    },
+);
+
+When(
+    /^(\d+) workers are reached by the owner only, which then reaches (.*)$/,
+    function(this: ScenarioWorld, count: string, reached: string) {
+        const { owner, kept } = keepWorkers(this, Number(count));
+        cutOwner(cellOf(this), owner, kept, reached);
+    },
+);
+
+When(
+    /^the owner's process is stopped for (\d+) ms, after which it handles (timers|answers) first$/,
+    function(this: ScenarioWorld, forMs: string, first: WakingOrder) {
+        const cell = cellOf(this);
+        cell.stopProcess(part(this).formerOwner ?? ownerOf(cell), Number(forMs), first);
+    },
+);
+
+When(
+    /^jobs of steps "(.*)" are submitted, and the owner is stopped for (\d+) ms (as the store carries out the commit|right after the orders) of their first starts, which then reaches (.*) and handles (timers|answers) first$/,
+    async function(
+        this: ScenarioWorld,
+        steps: string,
+        forMs: string,
+        when: string,
+        reached: string,
+        first: WakingOrder,
+    ) {
+        const cell = cellOf(this);
+        const [owner, kept] = [ownerOf(cell), cell.workers.workerIds().slice(0, 2)];
+        let isStopped = false;
+        const stop = (): void => {
+            keepWorkers(this, kept.length);
+            cell.stopProcess(owner, Number(forMs), first);
+            cutOwner(cell, owner, kept, reached);
+        };
+        cell.store.onCommitted(({ puts }) => {
+            if (!isStopped && puts.some(({ value }) => kept.some(workerId => value.includes(`"${workerId}"`)))) {
+                isStopped = true;
+                if (when === "right after the orders") {
+                    // The orders leave as the answer is read, and are not at the workers yet.
+                    cell.clock.setTimer(0, stop);
+                }
+                else {
+                    stop();
+                }
+            }
+        });
+        for (let number = 1; number <= jobCount; number += 1) {
+            cell.submit(jobIdOf(number), readSteps(steps));
+        }
+        await cell.clock.advance(planningMs);
+        assert.ok(isStopped, "no start was planned on these workers");
+    },
+);
--- /dev/null
+++ b/features/stoppedOwner.feature
@@ -0,0 +1,62 @@
+Feature: An owner whose process is stopped and goes on
+
+    # Guards against leases that an owner renews as it wakes, counted from that moment, which its successor has counted as over.
+    Scenario Outline: Runs that last, <ms> ms, <first> first, reaches <reached>
+        Given a cell of 4 daemons and 6 workers
+        When 10 jobs of steps "3 long running" are submitted
+        And the shard runs for 3000 ms
+        And 2 workers are reached by the owner only, which then reaches <reached>
+        And the owner's process is stopped for <ms> ms, after which it handles <first> first
+        And the shard runs for 20000 ms
+        Then no promise was broken
+
+        Examples:
+            | ms    | first   | reached           |
+            | 1000  | timers  | everything        |
+            | 2000  | timers  | everything        |
+            | 3000  | timers  | everything        |
+            | 4000  | timers  | everything        |
+            | 5000  | timers  | everything        |
+            | 7000  | timers  | everything        |
+            | 9000  | timers  | everything        |
+            | 11000 | timers  | everything        |
+            | 1000  | answers | everything        |
+            | 2000  | answers | everything        |
+            | 3000  | answers | everything        |
+            | 4000  | answers | everything        |
+            | 5000  | answers | everything        |
+            | 7000  | answers | everything        |
+            | 9000  | answers | everything        |
+            | 11000 | answers | everything        |
+            | 1000  | timers  | the other workers |
+            | 2000  | timers  | the other workers |
+            | 3000  | timers  | the other workers |
+            | 4000  | timers  | the other workers |
+            | 5000  | timers  | the other workers |
+            | 7000  | timers  | the other workers |
+            | 9000  | timers  | the other workers |
+            | 11000 | timers  | the other workers |
+            | 1000  | answers | the other workers |
+            | 2000  | answers | the other workers |
+            | 3000  | answers | the other workers |
+            | 4000  | answers | the other workers |
+            | 5000  | answers | the other workers |
+            | 7000  | answers | the other workers |
+            | 9000  | answers | the other workers |
+            | 11000 | answers | the other workers |
+            | 1000  | timers  | nothing else      |
+            | 2000  | timers  | nothing else      |
+            | 3000  | timers  | nothing else      |
+            | 4000  | timers  | nothing else      |
+            | 5000  | timers  | nothing else      |
+            | 7000  | timers  | nothing else      |
+            | 9000  | timers  | nothing else      |
+            | 11000 | timers  | nothing else      |
+            | 1000  | answers | nothing else      |
+            | 2000  | answers | nothing else      |
+            | 3000  | answers | nothing else      |
+            | 4000  | answers | nothing else      |
+            | 5000  | answers | nothing else      |
+            | 7000  | answers | nothing else      |
+            | 9000  | answers | nothing else      |
+            | 11000 | answers | nothing else      |
