Directed scene in which an owner that was paused renews leases after its successor's claim

A task then has two runs at work, on executors that are up. The rule TWICE is broken.

- 28.759 the owner, edge-qro-arena-2, is paused; 28.982 its last look's answer, by which the executor's lease ends at 32.980.
It counts the former owner's leases as over 7.6 s later.
- 32.259 the owner goes on.
The look under way has no answer and times out more than 50 ms late, and the executor's last answer is less than `ownDelayGraceMs` (5 s) old, so that `isOwnDelay` in `workerLink.ts` does not count the worker as silent.
- 32.312 the same look at an executor that the successor reaches is answered 409 `fence`, and the owner stops (`shardLost`, `worker`).
- 36.821 the successor drops run 1 (`runLost`, `leaseOver`, `leaseLeftMs` -46) and starts run 2 at another executor at 36.857.
- 37.272 run 1 ends `lapsed`: two runs for 0.4 s.

`isCutOff` does not stop the owner on waking: no commit is open, so that `stalledMs` is 0 although the store's last answer is old. Tasks whose rows are younger than about 9 s when the owner changes are spared by `mayRunUnseen`. No order to start was seen after the claim in these plays; whether one can be sent is open.

With the answers not held (`--scene pausedOwner`, pauses of 3, 3.5, 4 and 4.5 s) the rule held: the owner reads what has arrived before its looks time out, and the first answers make its view of the executors' clocks as old as the pause, so that a look grants a shorter lease.

--- a/packages/stand-ins/soak/main.mjs
+++ b/packages/stand-ins/soak/main.mjs
@@ -78,6 +78,11 @@
         },
     },
     pausedOwner: { warmUpMs: sceneWarmUpMs, newJobOf: sceneJob, play: pauseOwner },
+    lateAnswers: {
+        warmUpMs: sceneWarmUpMs,
+        newJobOf: sceneJob,
+        play: context => pauseOwner({ ...context, silent: true }),
+    },
 };
 
 /** Plays one scene; returns its breaches and figures. */
