An owner that was paused proves its ownership before it renews leases or starts runs

What callers saw: a task ran on two workers at once. An owner was stopped for 3 to 4.5 s, its successor could not reach some workers that it could, and took the leases there for over 7.6 s after its claim.

Cause: of these 7.6 s, 2.5 s are for an owner that does not know yet that it was replaced. An owner that wakes later than that sends the calls that were due during the pause before it reads anything that tells it of its successor. Looks and starts count their deadlines from the moment of waking, and at a worker that the successor has not reached, nothing refuses them. isCutOff does not help: no commit is open on waking, and the owner is not separated from anything.

Change: the time since this process last ran is checked before each look and each start, whichever timer fires first. After more than cutOffMs, which the successor's allowance covers, both wait until a batch of this owner is durable, which proves that nobody had claimed the shard; a replaced owner gets its end instead. The pause counts on the monotonic clock and on the wall clock, so that a VM that was suspended is covered as well.

--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -44,6 +44,7 @@
         | "ticketsNameIncarnation"
         | "delayedStarts"
         | "lagMs"
+        | "held"
     >
 {
     readonly worker: ShardWorker;
@@ -223,6 +224,12 @@
                 options.onNotStarted(run, problem);
                 return;
             }
+            const held = options.held?.();
+            if (held !== undefined) {
+                // Whether the start may still be sent is checked anew.
+                await held;
+                continue;
+            }
             const beganAtMs = clock.monotonicMs();
             const sentToken = options.token();
             const newest = run.sentLate ? ticketFor(run.task.step, worker.workerId, beganAtMs) : ticket;
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -52,6 +52,7 @@
 import { decodeEnded, encodeJob, recordWritten, restoreJobs } from "./jobRows.js";
 import { createLoadReport } from "./loadReport.js";
 import { createOwnerProgress } from "./ownerProgress.js";
+import { createPauseGuard } from "./pauseGuard.js";
 import { readAllRows } from "./readRows.js";
 import { createRowReader } from "./rowReader.js";
 import { createRunTimes } from "./runTimes.js";
@@ -138,8 +139,6 @@
 
 /** Interval of the checks that depend only on time: leases, due occurrences, expired advice. */
 const tickMs = 100;
-/** Time between two ticks from which the log tells of it: this process had no processor, or was stopped. */
-const loggedPauseMs = 1_000;
 /** Weight of the newest tick in the moving average of its lateness, which covers about a second. */
 const lagSmoothing = 0.1;
 /**
@@ -222,7 +221,8 @@
     const startedAtMs = clock.monotonicMs();
     /** Time for which this VM was suspended since the store's newest answer; the monotonic clock stands still meanwhile. */
     let suspendedMs = 0;
-    let newestTick = { atMs: startedAtMs, wallMs: clock.nowMs(), storeAnsweredAtMs: startedAtMs };
+    /** Local time of the store's answer from which `suspendedMs` counts. */
+    let suspendedSinceAnswerMs = startedAtMs;
     let startSentAtMs: number | undefined;
     let nextOrder = 1;
     let rejectWaiting: (error: Error) => void = () => {};
@@ -297,6 +297,14 @@
         onFenced: () => stopFenced("commit"),
     });
 
+    const pauseGuard = createPauseGuard({
+        clock,
+        log,
+        fencingToken,
+        maxPauseMs: settings.cutOffMs,
+        confirm: commits.confirm,
+    });
+
     const endedJobs = createEndedJobs({ clock, retentionMs: settings.retentionMs, write: commits.commit });
 
     const reader = createRowReader({ log, meter });
@@ -417,6 +425,7 @@
         fencingToken,
         newestToken: () => newestVersion,
         confirm: commits.confirm,
+        held: pauseGuard.held,
         lagMs: () => presentLagMs(),
         listAgeMs: options.listAgeMs,
         jobOf: jobId => jobs.get(jobId),
@@ -777,19 +786,11 @@
             && stalledMs > 0 && stalledMs + suspendedMs > settings.silentMs;
     };
 
-    const recordSuspension = (nowMs: number): void => {
-        const tick = { atMs: nowMs, wallMs: clock.nowMs(), storeAnsweredAtMs: commits.answeredAtMs() };
-        const stoodStillMs = Math.max(0, tick.wallMs - newestTick.wallMs - (nowMs - newestTick.atMs));
-        const pausedMs = nowMs - newestTick.atMs + stoodStillMs;
-        if (pausedMs > loggedPauseMs) {
-            log.write("warn", "ownerPaused", {
-                fencingToken,
-                pausedMs: Math.round(pausedMs),
-                stoodStillMs: Math.round(stoodStillMs),
-            });
-        }
-        suspendedMs = tick.storeAnsweredAtMs > newestTick.storeAnsweredAtMs ? 0 : suspendedMs + stoodStillMs;
-        newestTick = tick;
+    const recordSuspension = (): void => {
+        const storeAnsweredAtMs = commits.answeredAtMs();
+        const stoodStillMs = pauseGuard.check();
+        suspendedMs = storeAnsweredAtMs > suspendedSinceAnswerMs ? 0 : suspendedMs + stoodStillMs;
+        suspendedSinceAnswerMs = storeAnsweredAtMs;
     };
 
     /** Corrects the accounts by the runs of all workers; one that still counts an ended run would limit its organisation for ever. */
@@ -811,7 +812,7 @@
         const nowMs = clock.monotonicMs();
         lagMs += lagSmoothing * (nowMs - tickDueMs - lagMs);
         tickDueMs = nowMs + tickMs;
-        recordSuspension(nowMs);
+        recordSuspension();
         if (isCutOff(nowMs)) {
             stopFenced("cutOff");
             return;
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -47,6 +47,8 @@
     readonly newestToken?: () => number;
     /** Writes a batch, if only to get a newer token, and resolves once it is durable. */
     readonly confirm?: () => Promise<unknown>;
+    /** Resolves once leases may be renewed and runs started; undefined if they may now. They always may where it is left out. */
+    readonly held?: () => Promise<void> | undefined;
     /** How late timers of this process fire now, in ms; never late where it is left out. */
     readonly lagMs?: () => number;
     /** Age of the platform's list of workers in ms, for the log. */
@@ -432,6 +434,7 @@
             },
             onUnanswered: run => changed(run.task.step.occurrence.job),
             onAcknowledgementHeld: options.confirm,
+            held: options.held,
             onStarted: (holder, run) => {
                 run.startedAtMs = clock.monotonicMs();
                 options.onStarted(run.task.step.occurrence.job);
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -77,6 +77,8 @@
     readonly onStarted: (worker: ShardWorker, run: ShardRun) => void;
     /** Called when a start got no answer; resolves once a commit has brought this owner a newer token. */
     readonly onUnanswered: (run: ShardRun) => Promise<unknown>;
+    /** Resolves once calls that renew leases or start runs may go out; undefined if they may now. They always may where it is left out. */
+    readonly held?: (() => Promise<void> | undefined) | undefined;
     /** Called when an acknowledgement waits for a newer token; resolves once a commit has brought this owner one. */
     readonly onAcknowledgementHeld?: (() => Promise<unknown>) | undefined;
 }
@@ -264,6 +266,13 @@
                 return;
             }
         }
+        const held = options.held?.();
+        if (held !== undefined) {
+            await held;
+            if (closed) {
+                return;
+            }
+        }
         const sentAtMs = clock.monotonicMs();
         if (sentAtMs - lastAnswerAtMs > maxLookGapMs) {
             token = tokenAfterGap();
