Red scenes: a woken owner sends starts that its successor has given up

The timer of the start queue is due as the process wakes, and fires before any answer is read that tells of the successor; or the commit is read as durable on waking, and the start waits 2 s more for fresh news. A ticket of the advisor that has expired by the owner's own clock keeps the start back; a queue without advice has none.

--- a/features/steps/stoppedOwnerSteps.ts
+++ b/features/steps/stoppedOwnerSteps.ts
@@ -43,12 +43,17 @@
 };
 
 Given(
-    "a cell of {int} daemons and {int} workers whose tasks need no advice",
-    async function(this: ScenarioWorld, members: number, workers: number) {
+    /^a cell of (\d+) daemons and (\d+) workers whose tasks need (no|valid) advice$/,
+    async function(this: ScenarioWorld, members: string, workers: string, advice: string) {
         const queue = Object.fromEntries(
             Object.entries(testQueue).filter(([name]) => name !== "advice"),
         ) as unknown as Queue;
-        await startCell(this, { members, workers, seed: 1, queues: [queue] });
+        await startCell(this, {
+            members: Number(members),
+            workers: Number(workers),
+            seed: 1,
+            queues: [advice === "no" ? queue : testQueue],
+        });
     },
 );
 
@@ -68,8 +73,15 @@
     },
 );
 
+/** When the owner is stopped, from the moment at which the store has carried out a commit of planned starts and answers it. */
+const stopAfterMs: Readonly<Record<string, number>> = {
+    "before it reads that their commit is durable": -1,
+    "as their orders leave": 0,
+    "between two turns of its queue": 1.5,
+};
+
 When(
-    /^jobs of steps "(.*)" are submitted, and the owner is stopped for (\d+) ms (as the store carries out the commit|right after the orders) of their first starts, which then reaches (.*) and handles (timers|answers) first$/,
+    /^jobs of steps "(.*)" are planned, and the owner is stopped for (\d+) ms (.*), which then reaches (.*) and handles (timers|answers) first$/,
     async function(
         this: ScenarioWorld,
         steps: string,
@@ -80,28 +92,27 @@
     ) {
         const cell = cellOf(this);
         const [owner, kept] = [ownerOf(cell), cell.workers.workerIds().slice(0, 2)];
-        let isStopped = false;
+        const afterMs = stopAfterMs[when] ?? assert.fail(`"${when}" is not known`);
+        let isPlanned = false;
         const stop = (): void => {
             keepWorkers(this, kept.length);
             cell.stopProcess(owner, Number(forMs), first);
             cutOwner(cell, owner, kept, reached);
         };
         cell.store.onCommitted(({ puts }) => {
-            if (!isStopped && puts.some(({ value }) => kept.some(workerId => value.includes(`"${workerId}"`)))) {
-                isStopped = true;
-                if (when === "right after the orders") {
-                    // The orders leave as the answer is read, and are not at the workers yet.
-                    cell.clock.setTimer(0, stop);
-                }
-                else {
+            if (!isPlanned && puts.some(({ value }) => kept.some(workerId => value.includes(`"${workerId}"`)))) {
+                isPlanned = true;
+                if (afterMs < 0) {
                     stop();
+                    return;
                 }
+                cell.clock.setTimer(afterMs, stop);
             }
         });
         for (let number = 1; number <= jobCount; number += 1) {
             cell.submit(jobIdOf(number), readSteps(steps));
         }
         await cell.clock.advance(planningMs);
-        assert.ok(isStopped, "no start was planned on these workers");
+        assert.ok(isPlanned, "no start was planned on these workers");
     },
 );
--- a/features/stoppedOwner.feature
+++ b/features/stoppedOwner.feature
@@ -60,3 +60,93 @@
             | 7000  | answers | nothing else      |
             | 9000  | answers | nothing else      |
             | 11000 | answers | nothing else      |
+
+    # Guards against a start that was planned before the process was stopped, and is sent with a new deadline as it wakes.
+    Scenario Outline: Starts that wait for <what>, <advice> advice, <ms> ms, <first> first, reaches <reached>
+        Given a cell of 4 daemons and 6 workers whose tasks need <advice> advice
+        When jobs of steps "60 long running of 0 cores" are planned, and the owner is stopped for <ms> ms <when>, which then reaches <reached> and handles <first> first
+        And the shard runs for 24000 ms
+        Then no promise was broken
+
+        Examples:
+            | what | when | advice | ms | first | reached |
+            | their commit | before it reads that their commit is durable | no | 1000 | timers | everything |
+            | their commit | before it reads that their commit is durable | no | 2000 | timers | everything |
+            | their commit | before it reads that their commit is durable | no | 3000 | timers | everything |
+            | their commit | before it reads that their commit is durable | no | 4000 | timers | everything |
+            | their commit | before it reads that their commit is durable | no | 5000 | timers | everything |
+            | their commit | before it reads that their commit is durable | no | 7000 | timers | everything |
+            | their commit | before it reads that their commit is durable | no | 9000 | timers | everything |
+            | their commit | before it reads that their commit is durable | no | 11000 | timers | everything |
+            | their commit | before it reads that their commit is durable | no | 1000 | answers | everything |
+            | their commit | before it reads that their commit is durable | no | 2000 | answers | everything |
+            | their commit | before it reads that their commit is durable | no | 3000 | answers | everything |
+            | their commit | before it reads that their commit is durable | no | 4000 | answers | everything |
+            | their commit | before it reads that their commit is durable | no | 5000 | answers | everything |
+            | their commit | before it reads that their commit is durable | no | 7000 | answers | everything |
+            | their commit | before it reads that their commit is durable | no | 9000 | answers | everything |
+            | their commit | before it reads that their commit is durable | no | 11000 | answers | everything |
+            | their commit | before it reads that their commit is durable | no | 1000 | timers | nothing else |
+            | their commit | before it reads that their commit is durable | no | 2000 | timers | nothing else |
+            | their commit | before it reads that their commit is durable | no | 3000 | timers | nothing else |
+            | their commit | before it reads that their commit is durable | no | 4000 | timers | nothing else |
+            | their commit | before it reads that their commit is durable | no | 5000 | timers | nothing else |
+            | their commit | before it reads that their commit is durable | no | 7000 | timers | nothing else |
+            | their commit | before it reads that their commit is durable | no | 9000 | timers | nothing else |
+            | their commit | before it reads that their commit is durable | no | 11000 | timers | nothing else |
+            | their commit | before it reads that their commit is durable | no | 1000 | answers | nothing else |
+            | their commit | before it reads that their commit is durable | no | 2000 | answers | nothing else |
+            | their commit | before it reads that their commit is durable | no | 3000 | answers | nothing else |
+            | their commit | before it reads that their commit is durable | no | 4000 | answers | nothing else |
+            | their commit | before it reads that their commit is durable | no | 5000 | answers | nothing else |
+            | their commit | before it reads that their commit is durable | no | 7000 | answers | nothing else |
+            | their commit | before it reads that their commit is durable | no | 9000 | answers | nothing else |
+            | their commit | before it reads that their commit is durable | no | 11000 | answers | nothing else |
+            | their turn | between two turns of its queue | no | 1000 | timers | everything |
+            | their turn | between two turns of its queue | no | 2000 | timers | everything |
+            | their turn | between two turns of its queue | no | 3000 | timers | everything |
+            | their turn | between two turns of its queue | no | 4000 | timers | everything |
+            | their turn | between two turns of its queue | no | 5000 | timers | everything |
+            | their turn | between two turns of its queue | no | 7000 | timers | everything |
+            | their turn | between two turns of its queue | no | 9000 | timers | everything |
+            | their turn | between two turns of its queue | no | 11000 | timers | everything |
+            | their turn | between two turns of its queue | no | 1000 | answers | everything |
+            | their turn | between two turns of its queue | no | 2000 | answers | everything |
+            | their turn | between two turns of its queue | no | 3000 | answers | everything |
+            | their turn | between two turns of its queue | no | 4000 | answers | everything |
+            | their turn | between two turns of its queue | no | 5000 | answers | everything |
+            | their turn | between two turns of its queue | no | 7000 | answers | everything |
+            | their turn | between two turns of its queue | no | 9000 | answers | everything |
+            | their turn | between two turns of its queue | no | 11000 | answers | everything |
+            | their turn | between two turns of its queue | no | 1000 | timers | nothing else |
+            | their turn | between two turns of its queue | no | 2000 | timers | nothing else |
+            | their turn | between two turns of its queue | no | 3000 | timers | nothing else |
+            | their turn | between two turns of its queue | no | 4000 | timers | nothing else |
+            | their turn | between two turns of its queue | no | 5000 | timers | nothing else |
+            | their turn | between two turns of its queue | no | 7000 | timers | nothing else |
+            | their turn | between two turns of its queue | no | 9000 | timers | nothing else |
+            | their turn | between two turns of its queue | no | 11000 | timers | nothing else |
+            | their turn | between two turns of its queue | no | 1000 | answers | nothing else |
+            | their turn | between two turns of its queue | no | 2000 | answers | nothing else |
+            | their turn | between two turns of its queue | no | 3000 | answers | nothing else |
+            | their turn | between two turns of its queue | no | 4000 | answers | nothing else |
+            | their turn | between two turns of its queue | no | 5000 | answers | nothing else |
+            | their turn | between two turns of its queue | no | 7000 | answers | nothing else |
+            | their turn | between two turns of its queue | no | 9000 | answers | nothing else |
+            | their turn | between two turns of its queue | no | 11000 | answers | nothing else |
+            | their turn | between two turns of its queue | valid | 1000 | timers | everything |
+            | their turn | between two turns of its queue | valid | 2000 | timers | everything |
+            | their turn | between two turns of its queue | valid | 3000 | timers | everything |
+            | their turn | between two turns of its queue | valid | 4000 | timers | everything |
+            | their turn | between two turns of its queue | valid | 5000 | timers | everything |
+            | their turn | between two turns of its queue | valid | 7000 | timers | everything |
+            | their turn | between two turns of its queue | valid | 9000 | timers | everything |
+            | their turn | between two turns of its queue | valid | 11000 | timers | everything |
+            | their turn | between two turns of its queue | valid | 1000 | answers | everything |
+            | their turn | between two turns of its queue | valid | 2000 | answers | everything |
+            | their turn | between two turns of its queue | valid | 3000 | answers | everything |
+            | their turn | between two turns of its queue | valid | 4000 | answers | everything |
+            | their turn | between two turns of its queue | valid | 5000 | answers | everything |
+            | their turn | between two turns of its queue | valid | 7000 | answers | everything |
+            | their turn | between two turns of its queue | valid | 9000 | answers | everything |
+            | their turn | between two turns of its queue | valid | 11000 | answers | everything |
