Scenes of orders that leave a stopped process as it wakes

Guards against orders that were handed to the HTTP client before the process was stopped. The deadline in each order protects: the worker starts the task with the lease that the order gives it, which ends 5.2 s after the stop, and refuses an order that leaves later than that. Orders of gangs that expire unsent are not sent again, as the watch over gangs stops their members first.

--- a/features/stoppedOwner.feature
+++ b/features/stoppedOwner.feature
@@ -150,3 +150,77 @@
             | their turn | between two turns of its queue | valid | 7000 | answers | everything |
             | their turn | between two turns of its queue | valid | 9000 | answers | everything |
             | their turn | between two turns of its queue | valid | 11000 | answers | everything |
+
+    # Guards against orders that leave the process as it wakes: each has the deadline that it was given before the stop.
+    Scenario Outline: Orders for <shape> that have not left the process, <ms> ms, <first> first, reaches <reached>
+        Given a cell of 4 daemons and 6 workers whose tasks need no advice
+        When jobs of steps "<shape>" are planned, and the owner is stopped for <ms> ms as their orders leave, which then reaches <reached> and handles <first> first
+        And the shard runs for 24000 ms
+        Then no promise was broken
+
+        Examples:
+            | shape | ms | first | reached |
+            | 3 long running | 1000 | timers | everything |
+            | 3 long running | 2000 | timers | everything |
+            | 3 long running | 3000 | timers | everything |
+            | 3 long running | 4000 | timers | everything |
+            | 3 long running | 5000 | timers | everything |
+            | 3 long running | 7000 | timers | everything |
+            | 3 long running | 9000 | timers | everything |
+            | 3 long running | 11000 | timers | everything |
+            | 3 long running | 1000 | answers | everything |
+            | 3 long running | 2000 | answers | everything |
+            | 3 long running | 3000 | answers | everything |
+            | 3 long running | 4000 | answers | everything |
+            | 3 long running | 5000 | answers | everything |
+            | 3 long running | 7000 | answers | everything |
+            | 3 long running | 9000 | answers | everything |
+            | 3 long running | 11000 | answers | everything |
+            | 3 long running | 1000 | timers | nothing else |
+            | 3 long running | 2000 | timers | nothing else |
+            | 3 long running | 3000 | timers | nothing else |
+            | 3 long running | 4000 | timers | nothing else |
+            | 3 long running | 5000 | timers | nothing else |
+            | 3 long running | 7000 | timers | nothing else |
+            | 3 long running | 9000 | timers | nothing else |
+            | 3 long running | 11000 | timers | nothing else |
+            | 3 long running | 1000 | answers | nothing else |
+            | 3 long running | 2000 | answers | nothing else |
+            | 3 long running | 3000 | answers | nothing else |
+            | 3 long running | 4000 | answers | nothing else |
+            | 3 long running | 5000 | answers | nothing else |
+            | 3 long running | 7000 | answers | nothing else |
+            | 3 long running | 9000 | answers | nothing else |
+            | 3 long running | 11000 | answers | nothing else |
+            | 3 gang long running | 1000 | timers | everything |
+            | 3 gang long running | 2000 | timers | everything |
+            | 3 gang long running | 3000 | timers | everything |
+            | 3 gang long running | 4000 | timers | everything |
+            | 3 gang long running | 5000 | timers | everything |
+            | 3 gang long running | 7000 | timers | everything |
+            | 3 gang long running | 9000 | timers | everything |
+            | 3 gang long running | 11000 | timers | everything |
+            | 3 gang long running | 1000 | answers | everything |
+            | 3 gang long running | 2000 | answers | everything |
+            | 3 gang long running | 3000 | answers | everything |
+            | 3 gang long running | 4000 | answers | everything |
+            | 3 gang long running | 5000 | answers | everything |
+            | 3 gang long running | 7000 | answers | everything |
+            | 3 gang long running | 9000 | answers | everything |
+            | 3 gang long running | 11000 | answers | everything |
+            | 3 gang long running | 1000 | timers | nothing else |
+            | 3 gang long running | 2000 | timers | nothing else |
+            | 3 gang long running | 3000 | timers | nothing else |
+            | 3 gang long running | 4000 | timers | nothing else |
+            | 3 gang long running | 5000 | timers | nothing else |
+            | 3 gang long running | 7000 | timers | nothing else |
+            | 3 gang long running | 9000 | timers | nothing else |
+            | 3 gang long running | 11000 | timers | nothing else |
+            | 3 gang long running | 1000 | answers | nothing else |
+            | 3 gang long running | 2000 | answers | nothing else |
+            | 3 gang long running | 3000 | answers | nothing else |
+            | 3 gang long running | 4000 | answers | nothing else |
+            | 3 gang long running | 5000 | answers | nothing else |
+            | 3 gang long running | 7000 | answers | nothing else |
+            | 3 gang long running | 9000 | answers | nothing else |
+            | 3 gang long running | 11000 | answers | nothing else |
