Red scene: an owner that is cut off with half of the workers never gives up

Guards against two owners in a cell with one data centre, without any pause: an owner that reaches neither the store nor a peer goes on while half of the workers or more answer it, and renews their leases for as long as it is cut off. Its successor starts their tasks elsewhere 7.6 s after its claim. With several data centres the owner counts as partitioned and stops.

--- a/features/partition.feature
+++ b/features/partition.feature
@@ -148,3 +148,20 @@
             | what  |
             | store |
             | peers |
+
+    # Guards against an owner that renews leases for as long as it is cut off with half of the workers: too few are silent for it to give up.
+    Scenario Outline: The owner is cut off alone with <in> of 6 workers, in a cell <cell>
+        Given a cell <cell>
+        When 10 jobs of steps "3 long running" are submitted
+        And the shard runs for 3000 ms
+        And <in> workers are reached by the owner only, which then reaches nothing else
+        And the shard runs for 20000 ms
+        Then no promise was broken
+
+        Examples:
+            | in | cell                                            |
+            | 2  | of 4 daemons and 6 workers                      |
+            | 3  | of 4 daemons and 6 workers                      |
+            | 4  | of 4 daemons and 6 workers                      |
+            | 3  | of 6 daemons in 3 data centres and 6 workers    |
+            | 4  | of 6 daemons in 3 data centres and 6 workers    |
