Scenes of hand-overs: over and back within a lease, and an owner that is stopped meanwhile

Guards against starts of both sides of a hand-over with orders and commits under way, at workers that only the former owner reaches, and against leases that it renews after its process was stopped while it handed the shard over.

--- /dev/null
+++ b/features/handOver.feature
@@ -0,0 +1,97 @@
+Feature: Handing a shard over while orders and commits of its owner are under way
+
+    # Guards against starts of both owners around a hand-over, also where the former one has the shard back within a lease.
+    Scenario Outline: Over and back after <back> ms, <ms> ms into jobs of "<steps>", a cell <cell>
+        Given a cell <cell>
+        When 6 jobs of steps "<steps>" are submitted
+        And the shard runs for 2500 ms
+        And 2 workers are reached by the owner only, which then reaches everything
+        And 6 jobs of steps "<steps>" are submitted
+        And the shard runs for <ms> ms
+        And the owner is told to stop, and its successor <back> ms later
+        And the shard runs for 18000 ms
+        Then no promise was broken
+
+        Examples:
+            | ms | back | cell | steps |
+            | 0 | 800 | of 2 daemons and 6 workers | 3 long running |
+            | 20 | 800 | of 2 daemons and 6 workers | 3 long running |
+            | 40 | 800 | of 2 daemons and 6 workers | 3 long running |
+            | 60 | 800 | of 2 daemons and 6 workers | 3 long running |
+            | 0 | 2500 | of 2 daemons and 6 workers | 3 long running |
+            | 20 | 2500 | of 2 daemons and 6 workers | 3 long running |
+            | 40 | 2500 | of 2 daemons and 6 workers | 3 long running |
+            | 60 | 2500 | of 2 daemons and 6 workers | 3 long running |
+            | 0 | 800 | of 2 daemons and 6 workers | 3 for 1500 ms |
+            | 20 | 800 | of 2 daemons and 6 workers | 3 for 1500 ms |
+            | 40 | 800 | of 2 daemons and 6 workers | 3 for 1500 ms |
+            | 60 | 800 | of 2 daemons and 6 workers | 3 for 1500 ms |
+            | 0 | 2500 | of 2 daemons and 6 workers | 3 for 1500 ms |
+            | 20 | 2500 | of 2 daemons and 6 workers | 3 for 1500 ms |
+            | 40 | 2500 | of 2 daemons and 6 workers | 3 for 1500 ms |
+            | 60 | 2500 | of 2 daemons and 6 workers | 3 for 1500 ms |
+            | 0 | 800 | of 2 daemons and 6 workers | 4 gang for 3000 ms |
+            | 20 | 800 | of 2 daemons and 6 workers | 4 gang for 3000 ms |
+            | 40 | 800 | of 2 daemons and 6 workers | 4 gang for 3000 ms |
+            | 60 | 800 | of 2 daemons and 6 workers | 4 gang for 3000 ms |
+            | 0 | 2500 | of 2 daemons and 6 workers | 4 gang for 3000 ms |
+            | 20 | 2500 | of 2 daemons and 6 workers | 4 gang for 3000 ms |
+            | 40 | 2500 | of 2 daemons and 6 workers | 4 gang for 3000 ms |
+            | 60 | 2500 | of 2 daemons and 6 workers | 4 gang for 3000 ms |
+            | 0 | 800 | of 4 daemons and 6 workers whose tasks need no advice | 3 long running |
+            | 20 | 800 | of 4 daemons and 6 workers whose tasks need no advice | 3 long running |
+            | 40 | 800 | of 4 daemons and 6 workers whose tasks need no advice | 3 long running |
+            | 60 | 800 | of 4 daemons and 6 workers whose tasks need no advice | 3 long running |
+            | 0 | 2500 | of 4 daemons and 6 workers whose tasks need no advice | 3 long running |
+            | 20 | 2500 | of 4 daemons and 6 workers whose tasks need no advice | 3 long running |
+            | 40 | 2500 | of 4 daemons and 6 workers whose tasks need no advice | 3 long running |
+            | 60 | 2500 | of 4 daemons and 6 workers whose tasks need no advice | 3 long running |
+            | 0 | 800 | of 4 daemons and 6 workers whose tasks need no advice | 3 for 1500 ms |
+            | 20 | 800 | of 4 daemons and 6 workers whose tasks need no advice | 3 for 1500 ms |
+            | 40 | 800 | of 4 daemons and 6 workers whose tasks need no advice | 3 for 1500 ms |
+            | 60 | 800 | of 4 daemons and 6 workers whose tasks need no advice | 3 for 1500 ms |
+            | 0 | 2500 | of 4 daemons and 6 workers whose tasks need no advice | 3 for 1500 ms |
+            | 20 | 2500 | of 4 daemons and 6 workers whose tasks need no advice | 3 for 1500 ms |
+            | 40 | 2500 | of 4 daemons and 6 workers whose tasks need no advice | 3 for 1500 ms |
+            | 60 | 2500 | of 4 daemons and 6 workers whose tasks need no advice | 3 for 1500 ms |
+            | 0 | 800 | of 4 daemons and 6 workers whose tasks need no advice | 4 gang for 3000 ms |
+            | 20 | 800 | of 4 daemons and 6 workers whose tasks need no advice | 4 gang for 3000 ms |
+            | 40 | 800 | of 4 daemons and 6 workers whose tasks need no advice | 4 gang for 3000 ms |
+            | 60 | 800 | of 4 daemons and 6 workers whose tasks need no advice | 4 gang for 3000 ms |
+            | 0 | 2500 | of 4 daemons and 6 workers whose tasks need no advice | 4 gang for 3000 ms |
+            | 20 | 2500 | of 4 daemons and 6 workers whose tasks need no advice | 4 gang for 3000 ms |
+            | 40 | 2500 | of 4 daemons and 6 workers whose tasks need no advice | 4 gang for 3000 ms |
+            | 60 | 2500 | of 4 daemons and 6 workers whose tasks need no advice | 4 gang for 3000 ms |
+
+    # Guards against leases that an owner renews which was stopped while it handed the shard over: its successor has begun at once.
+    Scenario Outline: The owner's process is stopped <after> ms into the hand-over for <ms> ms, and handles <first> first
+        Given a cell of 4 daemons and 6 workers
+        When 10 jobs of steps "3 long running" are submitted
+        And the shard runs for 3000 ms
+        And 2 workers are reached by the owner only, which then reaches everything
+        And the owner is told to stop, and <after> ms later its process is stopped for <ms> ms, after which it handles <first> first
+        And the shard runs for 18000 ms
+        Then no promise was broken
+
+        Examples:
+            | after | ms | first |
+            | 1 | 1000 | timers |
+            | 1 | 2000 | timers |
+            | 1 | 3000 | timers |
+            | 1 | 4000 | timers |
+            | 1 | 5000 | timers |
+            | 3 | 1000 | timers |
+            | 3 | 2000 | timers |
+            | 3 | 3000 | timers |
+            | 3 | 4000 | timers |
+            | 3 | 5000 | timers |
+            | 1 | 1000 | answers |
+            | 1 | 2000 | answers |
+            | 1 | 3000 | answers |
+            | 1 | 4000 | answers |
+            | 1 | 5000 | answers |
+            | 3 | 1000 | answers |
+            | 3 | 2000 | answers |
+            | 3 | 3000 | answers |
+            | 3 | 4000 | answers |
+            | 3 | 5000 | answers |
--- a/features/steps/stoppedOwnerSteps.ts
+++ b/features/steps/stoppedOwnerSteps.ts
@@ -21,6 +21,10 @@
     },
 };
 
+/** Grace of a daemon that is told to stop, and for how long its process is away. */
+const graceMs = 6_000;
+const awayMs = 300;
+
 const ownerOf = (cell: ShardCell): string => cell.owner() ?? assert.fail("no daemon owns the shard");
 
 /** Cuts all daemons but the owner off from the first workers, until the faults end. */
@@ -116,3 +120,33 @@
         assert.ok(isPlanned, "no start was planned on these workers");
     },
 );
+
+const tellToStop = (cell: ShardCell, memberId: string): void => {
+    void cell.stop(memberId, graceMs).then(() => cell.clock.setTimer(awayMs, () => cell.restart(memberId)));
+};
+
+When(
+    "the owner is told to stop, and its successor {int} ms later",
+    async function(this: ScenarioWorld, laterMs: number) {
+        const cell = cellOf(this);
+        const former = ownerOf(cell);
+        tellToStop(cell, former);
+        await cell.clock.advance(laterMs);
+        const successor = ownerOf(cell);
+        assert.notEqual(successor, former);
+        tellToStop(cell, successor);
+        await cell.clock.advance(laterMs);
+        assert.notEqual(ownerOf(cell), successor);
+    },
+);
+
+When(
+    /^the owner is told to stop, and (\d+) ms later its process is stopped for (\d+) ms, after which it handles (timers|answers) first$/,
+    async function(this: ScenarioWorld, afterMs: string, forMs: string, first: WakingOrder) {
+        const cell = cellOf(this);
+        const former = ownerOf(cell);
+        tellToStop(cell, former);
+        await cell.clock.advance(Number(afterMs));
+        cell.stopProcess(former, Number(forMs), first);
+    },
+);
