A pause counts from one second on, and only where nothing ran in between

Cause: an owner that is cut off as it wakes gives the shard up only silentMs and a tick later. With a pause of up to 1.8 s before, it renewed leases for up to 3.2 s after the pause began, where its successor allows for 2.5 s after a claim that may come after 0.36 s.

Change: the limit follows from formerOwnerMs and silentMs, 1 s with the defaults. A process that is busy is told apart from one that is paused by its own calls: an owner of 350 workers that is late by 1.7 s with every round of looks sends calls all the while. While the proof is awaited, looks go out without a deadline, so that a worker that the successor has reached ends the owner at once, and ends are still read.

--- a/features/stoppedOwner.feature
+++ b/features/stoppedOwner.feature
@@ -45,6 +45,8 @@
             | 9000  | answers | the other workers |
             | 11000 | answers | the other workers |
             | 1000  | timers  | nothing else      |
+            | 1400  | timers  | nothing else      |
+            | 1700  | timers  | nothing else      |
             | 2000  | timers  | nothing else      |
             | 3000  | timers  | nothing else      |
             | 4000  | timers  | nothing else      |
@@ -53,6 +55,8 @@
             | 9000  | timers  | nothing else      |
             | 11000 | timers  | nothing else      |
             | 1000  | answers | nothing else      |
+            | 1400  | answers | nothing else      |
+            | 1700  | answers | nothing else      |
             | 2000  | answers | nothing else      |
             | 3000  | answers | nothing else      |
             | 4000  | answers | nothing else      |
--- a/packages/puffinarch/src/core/shard/pauseGuard.ts
+++ b/packages/puffinarch/src/core/shard/pauseGuard.ts
@@ -1,7 +1,7 @@
 /**
- * Holds an owner's calls to workers back after its process was paused. A successor may have claimed the shard meanwhile. It takes leases
- * for over some time after its claim, also at workers that it cannot reach, so that nothing may be renewed or started there by an owner
- * that wakes after this time. Timers do not protect from that: calls that were due during the pause go out as soon as the process runs.
+ * Keeps an owner whose process was paused from renewing leases and starting runs until it has proven that it still owns the shard. Its
+ * successor counts leases as over some time after its claim, also at workers that it cannot reach and that therefore still obey the former
+ * owner. Timers do not protect from that: calls that were due during the pause go out as soon as the process runs.
  */
 
 import type { Clock, Log } from "../../types/ports.js";
@@ -17,34 +17,45 @@
     readonly confirm: () => Promise<void>;
 }
 
-/** Notices pauses of the process, and waits for the proof of ownership after them. */
+/** Notices pauses of the process, after which ownership has to be proven. */
 export interface PauseGuard {
     /** Notices a pause; called by each tick. Returns the time for which the monotonic clock has stood still since the last one, in ms. */
     check(): number;
-    /** Resolves once calls to workers may go out; undefined if they may now. */
+    /** Resolves once leases may be renewed and runs started; undefined if they may now. */
     held(): Promise<void> | undefined;
 }
 
+/** A reading of both clocks. */
+interface ClockReading {
+    readonly atMs: number;
+    readonly wallMs: number;
+}
+
+/** Time between two readings, and the part of it that the monotonic clock did not count. */
+const timeBetween = (
+    from: ClockReading,
+    to: ClockReading,
+): { readonly elapsedMs: number; readonly stoodStillMs: number; } => {
+    const countedMs = to.atMs - from.atMs;
+    const stoodStillMs = Math.max(0, to.wallMs - from.wallMs - countedMs);
+    return { elapsedMs: countedMs + stoodStillMs, stoodStillMs };
+};
+
 /**
  * Creates the guard of an owner that has just claimed the shard.
  *
  * @example
- * const guard = createPauseGuard({ clock, log, fencingToken, maxPauseMs: 1_800, confirm: commits.confirm });
+ * const guard = createPauseGuard({ clock, log, fencingToken, maxPauseMs: 1_000, confirm: commits.confirm });
  * await guard.held();
  */
 export const createPauseGuard = (options: PauseGuardOptions): PauseGuard => {
     const { clock, log, fencingToken, maxPauseMs, confirm } = options;
-    let atMs = clock.monotonicMs();
-    let wallMs = clock.nowMs();
+    const readClocks = (): ClockReading => ({ atMs: clock.monotonicMs(), wallMs: clock.nowMs() });
+    /** When this process was last seen running, and when `check` was last called, on both clocks. */
+    let running = readClocks();
+    let checked = running;
     let proof: Promise<void> | undefined;
 
-    /** Time since the newest check, also what the monotonic clock does not count. */
-    const sinceCheck = (): { readonly elapsedMs: number; readonly stoodStillMs: number; } => {
-        const countedMs = clock.monotonicMs() - atMs;
-        const stoodStillMs = Math.max(0, clock.nowMs() - wallMs - countedMs);
-        return { elapsedMs: countedMs + stoodStillMs, stoodStillMs };
-    };
-
     const awaitProof = (): void => {
         const awaited = confirm().then(() => {
             if (proof === awaited) {
@@ -54,10 +65,11 @@
         proof = awaited;
     };
 
-    const check = (): number => {
-        const { elapsedMs, stoodStillMs } = sinceCheck();
-        atMs = clock.monotonicMs();
-        wallMs = clock.nowMs();
+    /** Notices a pause since this process was last seen running. A process that is only busy runs in between. */
+    const recordRunning = (): ClockReading => {
+        const now = readClocks();
+        const { elapsedMs, stoodStillMs } = timeBetween(running, now);
+        running = now;
         if (elapsedMs > maxPauseMs) {
             log.write("warn", "ownerPaused", {
                 fencingToken,
@@ -66,15 +78,18 @@
             });
             awaitProof();
         }
-        return stoodStillMs;
+        return now;
     };
 
     return {
-        check,
+        check: () => {
+            const now = recordRunning();
+            const { stoodStillMs } = timeBetween(checked, now);
+            checked = now;
+            return stoodStillMs;
+        },
         held: () => {
-            if (sinceCheck().elapsedMs > maxPauseMs) {
-                check();
-            }
+            recordRunning();
             return proof;
         },
     };
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -301,7 +301,8 @@
         clock,
         log,
         fencingToken,
-        maxPauseMs: settings.cutOffMs,
+        // An owner that is cut off as it wakes notices that only after `silentMs`, with a tick on either side.
+        maxPauseMs: settings.formerOwnerMs - settings.silentMs - 2 * tickMs,
         confirm: commits.confirm,
     });
 
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -77,7 +77,7 @@
     readonly onStarted: (worker: ShardWorker, run: ShardRun) => void;
     /** Called when a start got no answer; resolves once a commit has brought this owner a newer token. */
     readonly onUnanswered: (run: ShardRun) => Promise<unknown>;
-    /** Resolves once calls that renew leases or start runs may go out; undefined if they may now. They always may where it is left out. */
+    /** Resolves once leases may be renewed and runs started; undefined if they may now. They always may where it is left out. */
     readonly held?: (() => Promise<void> | undefined) | undefined;
     /** Called when an acknowledgement waits for a newer token; resolves once a commit has brought this owner one. */
     readonly onAcknowledgementHeld?: (() => Promise<unknown>) | undefined;
@@ -268,7 +268,7 @@
         }
         const held = options.held?.();
         if (held !== undefined) {
-            await held;
+            await Promise.race([held, sleep(clock, lookPauseMs)]);
             if (closed) {
                 return;
             }
@@ -278,8 +278,10 @@
             token = tokenAfterGap();
         }
         // Looks to a silent worker renew no lease: each may arrive late, and would postpone the time by which its leases are
-        // surely over.
-        const deadlineMs = worker.silentLooks > 0 ? undefined : extendLease(worker, sentAtMs, leaseMs);
+        // surely over. Neither do looks of an owner that may have been replaced during a pause; a worker that its successor has
+        // reached rejects them.
+        const mayRenew = worker.silentLooks === 0 && options.held?.() === undefined;
+        const deadlineMs = mayRenew ? extendLease(worker, sentAtMs, leaseMs) : undefined;
         const ready = deadlineMs !== undefined;
         const waitMs = ready && !lookWanted ? lookWaitMs : 0;
         lookWanted = false;
