An answer of the store proves ownership only at the time of its call

Cause: an answer that had lain unread in the socket during the pause counted from its reading. isCutOff gave the shard up 1.86 s after waking, 5.25 s after the successor's claim, of which the successor allows for 2.5 s. After pauses below one second, which hold nothing back, this is the whole protection. In the same way, any newer answer ended the count of a suspension, also one to a call sent before it.

Change: the batch writer reports the time at which the answered call was sent. A suspension counts until a call that was sent after it is answered; differences between the clocks below 20 ms are due to their resolution.

Measured: the new scenario fails before (proven at 907 ms instead of 10).

--- a/features/steps/shardCellPart.ts
+++ b/features/steps/shardCellPart.ts
@@ -28,6 +28,8 @@
     faultAtMs: number;
     /** Owner when the newest fault began. */
     formerOwner: string | undefined;
+    /** Local time up to which an owner counts as proven to own the shard. */
+    provenAtMs: number | undefined;
     /** ID of the draining worker, empty if there is none. */
     drainingWorker: string;
     /** Strength of each daemon, in the order of their IDs. */
@@ -74,6 +76,7 @@
             seed: 1,
             faultAtMs: 0,
             formerOwner: undefined,
+            provenAtMs: undefined,
             drainingWorker: "",
             strengths: [],
             orderedVms: undefined,
--- a/features/steps/stoppedOwnerSteps.ts
+++ b/features/steps/stoppedOwnerSteps.ts
@@ -1,9 +1,19 @@
 /** Steps about an owner whose process is stopped while its monotonic clock goes on, and workers that only it reaches. */
 
-import { Given, When } from "@cucumber/cucumber";
-import { jobIdOf, readSteps, type ShardCell, testQueue, type WakingOrder } from "@puffinarch/stand-ins";
+import { Given, Then, When } from "@cucumber/cucumber";
+import {
+    createFakeClock,
+    createFakeRowStore,
+    jobIdOf,
+    noopLog,
+    noopMeter,
+    readSteps,
+    type ShardCell,
+    testQueue,
+    type WakingOrder,
+} from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import type { Queue } from "puffinarch";
+import { createCommitLog, type Queue, sleep } from "puffinarch";
 import { cellOf, part, startCell } from "./shardCellPart.js";
 import type { ScenarioWorld } from "./support.js";
 
@@ -150,3 +160,40 @@
         cell.stopProcess(former, Number(forMs), first);
     },
 );
+
+When(
+    "the store answers a confirmation of ownership that the owner reads {int} ms after its call",
+    async function(this: ScenarioWorld, lateMs: number) {
+        const clock = createFakeClock();
+        const connection = createFakeRowStore(clock).connect("entry-1");
+        const commits = createCommitLog({
+            clock,
+            log: noopLog,
+            meter: noopMeter,
+            store: {
+                ...connection,
+                transact: async (transaction, timeoutMs) => {
+                    const answer = await connection.transact(transaction, timeoutMs);
+                    await sleep(clock, lateMs);
+                    return answer;
+                },
+            },
+            part: "shard-0",
+            ownerVersion: 0,
+            sequenceVersion: 0,
+            storeLatencyMs: lateMs,
+            claimId: "1",
+            encode: () => ({ puts: [], removes: [] }),
+            onFenced: () => {},
+        });
+        const confirmed = commits.confirm();
+        await clock.advance(2 * lateMs);
+        await confirmed;
+        part(this).provenAtMs = commits.answeredAtMs();
+    },
+);
+
+Then("its ownership counts as proven for the first {int} ms only", function(this: ScenarioWorld, mostMs: number) {
+    const { provenAtMs } = part(this);
+    assert.ok(provenAtMs !== undefined && provenAtMs <= mostMs, `it counts as proven at ${provenAtMs} ms`);
+});
--- a/features/stoppedOwner.feature
+++ b/features/stoppedOwner.feature
@@ -228,3 +228,8 @@
             | 3 gang long running | 7000 | answers | nothing else |
             | 3 gang long running | 9000 | answers | nothing else |
             | 3 gang long running | 11000 | answers | nothing else |
+
+    # Guards against an answer of the store that lay unread during a pause and counts from its reading, so that a replaced owner gives up late.
+    Scenario: An answer that is read late proves the ownership only at the time of its call
+        When the store answers a confirmation of ownership that the owner reads 900 ms after its call
+        Then its ownership counts as proven for the first 10 ms only
--- a/packages/puffinarch/src/core/shard/batchWriter.ts
+++ b/packages/puffinarch/src/core/shard/batchWriter.ts
@@ -20,8 +20,8 @@
     readonly ownerVersion: number;
     /** Latency of the store's last answer before the writer was created. */
     readonly storeLatencyMs: number;
-    /** Called with the local time of each definite answer from the store. */
-    readonly onAnswer: (atMs: number) => void;
+    /** Called for each definite answer from the store, with the local time at which its call was sent. */
+    readonly onAnswer: (sentAtMs: number) => void;
     readonly isStopped: () => boolean;
 }
 
@@ -110,9 +110,9 @@
             const result = await store.transact(batch.transaction, copyTimeoutMs);
             meter.count(`commits.${result.outcome}`);
             if (result.outcome !== "refused" && result.outcome !== "unknown") {
-                const nowMs = clock.monotonicMs();
-                onAnswer(nowMs);
-                const tookMs = nowMs - sentAtMs;
+                // The answer may have lain unread while this process was paused; it proves nothing of the time since the call.
+                onAnswer(sentAtMs);
+                const tookMs = clock.monotonicMs() - sentAtMs;
                 // A slow store queues the copies, so a late answer among several copies raises the average at once.
                 typicalAnswerMs = copies > 1
                     ? Math.max(typicalAnswerMs, tookMs)
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -58,7 +58,7 @@
     stalledMs(): number;
     /** How long a change that is made now waits until it is durable, in ms: for the batch in flight, and for its own. */
     expectedWaitMs(): number;
-    /** Local time of the store's newest answer. */
+    /** Local time at which the newest call was sent that the store has answered. */
     answeredAtMs(): number;
     /** Resolves when all changes are written. */
     idle(): Promise<void>;
@@ -170,8 +170,8 @@
 
     const writer = createBatchWriter({
         ...options,
-        onAnswer: atMs => {
-            answeredAtMs = atMs;
+        onAnswer: sentAtMs => {
+            answeredAtMs = Math.max(answeredAtMs, sentAtMs);
         },
         isStopped: () => stopped,
     });
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -139,6 +139,8 @@
 
 /** Interval of the checks that depend only on time: leases, due occurrences, expired advice. */
 const tickMs = 100;
+/** Shorter differences between the clocks are due to their resolution. */
+const minSuspensionMs = 20;
 /** Weight of the newest tick in the moving average of its lateness, which covers about a second. */
 const lagSmoothing = 0.1;
 /**
@@ -219,10 +221,10 @@
     let lagMs = 0;
     let tickDueMs = clock.monotonicMs() + tickMs;
     const startedAtMs = clock.monotonicMs();
-    /** Time for which this VM was suspended since the store's newest answer; the monotonic clock stands still meanwhile. */
+    /** Time for which this VM was suspended since the newest call that the store has answered; the monotonic clock stands still then. */
     let suspendedMs = 0;
-    /** Local time of the store's answer from which `suspendedMs` counts. */
-    let suspendedSinceAnswerMs = startedAtMs;
+    /** When this VM was last found to have been suspended. */
+    let resumedAtMs = -Infinity;
     let startSentAtMs: number | undefined;
     let nextOrder = 1;
     let rejectWaiting: (error: Error) => void = () => {};
@@ -788,10 +790,14 @@
     };
 
     const recordSuspension = (): void => {
-        const storeAnsweredAtMs = commits.answeredAtMs();
         const stoodStillMs = pauseGuard.check();
-        suspendedMs = storeAnsweredAtMs > suspendedSinceAnswerMs ? 0 : suspendedMs + stoodStillMs;
-        suspendedSinceAnswerMs = storeAnsweredAtMs;
+        if (stoodStillMs > minSuspensionMs) {
+            suspendedMs += stoodStillMs;
+            resumedAtMs = clock.monotonicMs();
+        }
+        if (commits.answeredAtMs() > resumedAtMs) {
+            suspendedMs = 0;
+        }
     };
 
     /** Corrects the accounts by the runs of all workers; one that still counts an ended run would limit its organisation for ever. */
