--- a/features/examples.feature
+++ b/features/examples.feature
@@ -81,6 +81,7 @@
             | processorShare       | false false false true                  |
             | configurationFetch   | asked 1 time for 3 offers               |
             | handOver             | claimed by a peer                       |
+            | pauseGuard           | free, held, free                        |
             | loadReport           | 12 steps wait, 500 planned, 8 cores free |
             | ownDelay             | 200 ms, then 500 ms                     |
             | ownerProgress        | nothingStarted for 3000 ms, news of 500 ms ago |
--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -11,6 +11,7 @@
     createLoadReport,
     createOwnerProgress,
     createPartitionWatch,
+    createPauseGuard,
     createPeers,
     createProcessorShare,
     createRowReader,
@@ -23,6 +24,7 @@
     type Peers,
     sequenceKey,
     type ShardOwner,
+    sleep,
     startShardOwner,
     timeoutFactor,
     watchOwner,
@@ -187,6 +189,18 @@
     } ms for place 20`;
 };
 
+const pauseGuard = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const confirm = (): Promise<void> => sleep(clock, 10);
+    const guard = createPauseGuard({ clock, log, fencingToken: 7, maxPauseMs: 1_000, confirm });
+    const states: string[] = [];
+    for (const elapsedMs of [900, 1_100, 20]) {
+        await clock.advance(elapsedMs);
+        states.push(guard.held() === undefined ? "free" : "held");
+    }
+    return states.join(", ");
+};
+
 const handOverExample = async (): Promise<string> => {
     const clock = createFakeClock();
     const peers = examplePeers(clock, true);
@@ -358,6 +372,7 @@
     ownerProgress,
     ownerWatch,
     partition,
+    pauseGuard,
     readiness: readinessExample,
     peers: peersExample,
     probes,
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -80,6 +80,7 @@
 export * from "./core/shard/ownerWatch.js";
 export * from "./core/shard/pacer.js";
 export * from "./core/shard/partition.js";
+export * from "./core/shard/pauseGuard.js";
 export * from "./core/shard/peers.js";
 export * from "./core/shard/pendingCancels.js";
 export * from "./core/shard/planReservations.js";
