An owner that hears neither the store nor any daemon gives the shard up

What callers saw: tasks that ran on two workers at once, without any pause: an owner that is cut off alone with half of the workers or more.

Cause: the owner gives up only where most workers are silent, or where it is partitioned, which needs a peer of another data centre. In a cell of one data centre it went on for as long as it was cut off, and renewed the leases of workers that its successor takes for lost after 7.6 s.

Change: the silence of all other daemons, of which one has answered before, counts like that of most workers. The price is known from partitions: an outage of the store in which all other daemons are away as well cannot be told from a cut, and ends the ownership.

--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -383,6 +383,7 @@
                     ? {}
                     : { upkeep: { ...platform.upkeep, holderId: `${self.memberId}/${self.incarnation}` } }),
                 isPartitioned: () => partition.isPartitioned(),
+                peerAnsweredAtMs: peers.newestAnswerAtMs,
                 newsAgeMs: () => Math.max(workerWatch?.ageMs() ?? Infinity, configurationWatch.ageMs()),
                 listAgeMs: () => workerWatch?.ageMs() ?? Infinity,
                 onFenced: reason => {
--- a/packages/puffinarch/src/core/shard/peers.ts
+++ b/packages/puffinarch/src/core/shard/peers.ts
@@ -80,6 +80,8 @@
     elsewhere(): readonly MemberRow[];
     /** Local time of the newest ping answer of a daemon of another data centre; `-Infinity` before the first. */
     elsewhereAnsweredAtMs(): number;
+    /** Local time of the newest ping answer of any daemon; undefined before the first. */
+    newestAnswerAtMs(): number | undefined;
     /** Returns whether a daemon left its newest ping unanswered. */
     isSilent(memberId: string): boolean;
     /** Applies new, changed and removed member rows. */
@@ -148,6 +150,7 @@
     /** Number of changes so far to the table, to the set of gone daemons and to `lastAskedOwner`; invalidates the cached values. */
     let tableRevision = 0;
     let elsewhereAnsweredAtMs = -Infinity;
+    let newestAnswerAtMs: number | undefined;
     /** Round-robin counter of `nextRemaining`. */
     let remainingIndex = 0;
 
@@ -232,6 +235,7 @@
     const recordAnswer = (peer: MemberRow): void => {
         const nowMs = clock.monotonicMs();
         answeredAtMs.set(peer.memberId, nowMs);
+        newestAnswerAtMs = nowMs;
         elsewhereAnsweredAtMs = isElsewhere(peer) ? nowMs : elsewhereAnsweredAtMs;
     };
 
@@ -300,6 +304,7 @@
             return [...answering, ...newestFirst.filter(({ memberId }) => silences.has(memberId))];
         },
         elsewhereAnsweredAtMs: () => elsewhereAnsweredAtMs,
+        newestAnswerAtMs: () => newestAnswerAtMs,
         isSilent: memberId => silences.has(memberId),
         applyRows: rows => {
             tableRevision += 1;
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -99,6 +99,8 @@
      * is left out.
      */
     readonly isPartitioned?: () => boolean;
+    /** Local time of the newest answer of any other daemon; undefined, as where it is left out, if none has answered. */
+    readonly peerAnsweredAtMs?: () => number | undefined;
     /** Age in ms of the worker list alone, for the log; not logged where it is left out. */
     readonly listAgeMs?: () => number;
     /** Called when the owner has stopped by itself, because another daemon owns the shard or may own it. */
@@ -771,13 +773,19 @@
         return 2 * silent > workers.all.size;
     };
 
+    const areAllPeersSilent = (nowMs: number): boolean => {
+        const answeredAtMs = options.peerAnsweredAtMs?.();
+        return answeredAtMs !== undefined && nowMs - answeredAtMs > settings.silentMs;
+    };
+
     /**
-     * Returns whether the store does not answer this owner, and neither do most workers or the other data centres. It may then have
-     * been replaced without receiving the new owner row, and must stop renewing leases before `formerOwnerMs`, the time that its
-     * successor allows for this, is over. Workers alone do not show it: most of them may be in the data centre that is cut off.
+     * Returns whether the store does not answer this owner, and neither do most workers, the other data centres or any other daemon. It
+     * may then have been replaced without receiving the new owner row, and must stop renewing leases before `formerOwnerMs`, the time that
+     * its successor allows for this, is over. Workers alone do not show it: most of them may be on this side of the cut.
      */
     const isCutOff = (nowMs: number): boolean => {
-        const isSeparated = options.isPartitioned?.() === true || areMostWorkersSilent(nowMs);
+        const isSeparated = options.isPartitioned?.() === true || areAllPeersSilent(nowMs)
+            || areMostWorkersSilent(nowMs);
         if (!isSeparated || nowMs - startedAtMs < settings.cutOffMs) {
             return false;
         }
