Shorten the tests of callers that exhaust a daemon and make them stricter

Empty arrays and short keys now come from one crowd of 60 instead of two of 30, so that two rows replace four.

--- a/features/steps/crowd.ts
+++ b/features/steps/crowd.ts
@@ -1,210 +1,117 @@
 /** Callers that send many requests at once to one daemon and keep their connections open. */
 
+import assert from "node:assert/strict";
 import { randomBytes } from "node:crypto";
-import { connect, type Socket } from "node:net";
+import { connect } from "node:net";
+import { pipeline } from "node:stream/promises";
 import { setImmediate as nextTurn, setTimeout } from "node:timers/promises";
 
 export const callerHost = "nony24.example";
 export const pathPrefix = "/lohu930/";
 
-/** What each connection of a crowd sends. */
-export interface CrowdRequest {
+/** What a connection sends. */
+interface CrowdRequest {
     readonly head: (jobId: string) => string;
-    /** Written one after the other behind the head, each by a call of its own. */
+    /** The rest, as it is written piece by piece. */
     readonly pieces: readonly Buffer[];
-    /** False for a caller that reads none of its answers. */
-    readonly reads: boolean;
 }
 
-export interface Crowd {
-    readonly jobIds: readonly string[];
-    /** Status of the first answer on each connection that got one. */
-    statuses(): readonly number[];
-    /** Waits until everything is written, or nothing more can be written for now. */
-    written(): Promise<void>;
-    leave(): void;
-}
-
-type Framing = (body: Buffer, isWhole: boolean) => { readonly header: string; readonly pieces: readonly Buffer[]; };
-
 const pieceBytes = 65_536;
-const lastChunk = "0\r\n\r\n";
-/** Length of a chunk in hexadecimal, and two line breaks. */
-const maxChunkFrameBytes = 12;
+const kib256 = 262_144;
+const mib4 = 4_194_304;
 
-const split = (bytes: Buffer, size: number): readonly Buffer[] => {
-    const pieces: Buffer[] = [];
-    for (let at = 0; at < bytes.length; at += size) {
-        pieces.push(bytes.subarray(at, at + size));
-    }
-    return pieces;
+const split = (text: string, size: number): readonly Buffer[] => {
+    const starts = Array.from({ length: Math.ceil(text.length / size) }, (_, index) => index * size);
+    return starts.map(at => Buffer.from(text.slice(at, at + size)));
 };
 
-const withoutLastByte = (body: Buffer, isWhole: boolean): Buffer => isWhole ? body : body.subarray(0, -1);
-
-const withLength = (size: number, announcedBytes?: number): Framing => (body, isWhole) => ({
-    header: `Content-Length: ${announcedBytes ?? body.length}`,
-    pieces: split(withoutLastByte(body, isWhole), size),
+const jsonTo = `Host: ${callerHost}\r\nContent-Type: application/json`;
+const post = (framing: string, body: string, size = pieceBytes): CrowdRequest => ({
+    head: jobId => `POST ${pathPrefix}${jobId} HTTP/1.1\r\n${jsonTo}\r\n${framing}\r\n\r\n`,
+    pieces: split(body, size),
 });
-
-const inChunks = (chunkBytes: number): Framing => (body, isWhole) => {
-    const chunks = Math.ceil(body.length / chunkBytes);
-    const framed = Buffer.alloc(body.length + chunks * maxChunkFrameBytes + lastChunk.length);
-    let length = 0;
-    for (let at = 0; at < body.length; at += chunkBytes) {
-        const end = Math.min(at + chunkBytes, body.length);
-        length += framed.write(`${(end - at).toString(16)}\r\n`, length, "latin1");
-        length += body.copy(framed, length, at, end);
-        length += framed.write("\r\n", length, "latin1");
-    }
-    // Without its last byte, the last chunk lacks the line break that ends it as well.
-    length += isWhole ? framed.write(lastChunk, length, "latin1") : -3;
-    return { header: "Transfer-Encoding: chunked", pieces: split(framed.subarray(0, length), pieceBytes) };
-};
-
-export const framings: Readonly<Record<string, Framing>> = {
-    "at once": withLength(Infinity),
-    "in pieces of 1 kB": withLength(1_000),
-    "as one chunk": inChunks(Infinity),
-    "in chunks of 1 byte": inChunks(1),
-    "in chunks of 64 KiB": inChunks(pieceBytes),
-    "as part of 1 GB": withLength(pieceBytes, 1e9),
+const plain = (text: string, length = text.length): CrowdRequest => post(`Content-Length: ${length}`, text);
+const withoutLastByte = (text: string, size: number): CrowdRequest =>
+    post(`Content-Length: ${text.length}`, text.slice(0, -1), size);
+
+const chunked = (text: string, size: number): string =>
+    text.replace(new RegExp(`[^]{1,${size}}`, "g"), chunk => `${chunk.length.toString(16)}\r\n${chunk}\r\n`);
+const whole = (chunks: string): CrowdRequest => post("Transfer-Encoding: chunked", `${chunks}0\r\n\r\n`);
+/** Leaves out the last byte of the last chunk, and all that follows. */
+const unfinished = (chunks: string): CrowdRequest => post("Transfer-Encoding: chunked", chunks.slice(0, -3));
+
+const jobText = '{"spec":"{\\"workMs\\":50}","steps":[{"count":1,"cpu":500,"mem_mb":256,"estimate_ms":50}]';
+/** A job that would be accepted, with spaces up to the given length. */
+const job = (bytes: number): string => `${jobText.padEnd(bytes - 1)}}`;
+const arrays = (bytes: number): string => `[${"[],".repeat(Math.floor(bytes / 3) - 1)}[]]`.padEnd(bytes);
+/** Each member takes at least 6 bytes, which makes the text too long before it is cut. */
+const keys = (bytes: number): string => {
+    const members = Array.from({ length: Math.ceil(bytes / 6) }, (_, index) => `"${index.toString(36)}":0,`).join("");
+    return `{${members.slice(0, members.lastIndexOf(",", bytes - 2))}}`.padEnd(bytes);
 };
 
-const job = '{"spec":"{\\"workMs\\":50}","steps":[{"count":1,"cpu":500,"mem_mb":256,"estimate_ms":50}]';
-
-/** Makers of JSON texts with the given number of bytes. */
-export const contents: Readonly<Record<string, (bytes: number) => Buffer>> = {
-    "a job and spaces": bytes => Buffer.from(`${job.padEnd(bytes - 1)}}`),
-    "empty arrays": bytes => Buffer.from(`[${"[],".repeat(Math.floor(bytes / 3) - 1)}[]]`.padEnd(bytes)),
-    "short keys": bytes => {
-        const members: string[] = [];
-        for (let length = 0; length < bytes - 20; length += (members.at(-1)?.length ?? 0) + 1) {
-            members.push(`"${members.length.toString(36)}":0`);
-        }
-        return Buffer.from(`{${members.join()}}`.padEnd(bytes));
-    },
+const get = `GET ${pathPrefix}00000000000000aa HTTP/1.1\r\nHost: ${callerHost}\r\n\r\n`;
+const unread = "20000 requests in a row, of which they read no answer";
+
+/** What a crowd may send, by the words of the feature; its connections take the requests in turn. */
+const requests: Readonly<Record<string, () => readonly CrowdRequest[]>> = {
+    "256 KiB without the last byte": () => [withoutLastByte(job(kib256), kib256)],
+    "256 KiB in pieces of 1 kB, without the last byte": () => [withoutLastByte(job(kib256), 1_000)],
+    "256 KiB as one chunk, without the last byte": () => [unfinished(chunked(job(kib256), kib256))],
+    "256 KiB in chunks of 1 byte, without the last byte": () => [unfinished(chunked(job(kib256), 1))],
+    "4 MiB without the last byte": () => [withoutLastByte(job(mib4), mib4)],
+    "4 MiB in chunks of 1 byte": () => [whole(chunked(job(mib4), 1))],
+    "30 MB of an announced GB": () => [plain(job(3e7), 1e9)],
+    "30 MB in chunks of 64 KiB": () => [whole(chunked(job(3e7), pieceBytes))],
+    "4 MiB of empty arrays or of short keys": () => [plain(arrays(mib4)), plain(keys(mib4))],
+    "256 KiB of empty arrays or of short keys": () => [plain(arrays(kib256)), plain(keys(kib256))],
+    "262000 bytes": () => [plain(job(262_000))],
+    "262000 bytes in chunks of 1 byte": () => [whole(chunked(job(262_000), 1))],
+    [unread]: () => [{ head: () => get, pieces: split(get.repeat(19_999), pieceBytes) }],
+    "half a request line": () => [{ head: () => `GET ${pathPrefix}`, pieces: [] }],
 };
 
-export const sizes: Readonly<Record<string, number>> = {
-    "256 KiB": 262_144,
-    "4 MiB": 4_194_304,
-    "30 MB": 30_000_000,
-};
+/** The test goes on after this time in any case, while the crowd goes on sending. */
+const longestWriteMs = 10_000;
 
-/**
- * Returns the request of a job with such a body; `isWhole` is false for a body without its last byte.
- *
- * @example
- * const request = bodyRequest("a job and spaces", 262_144, "at once", false);
- */
-export const bodyRequest = (content: string, bytes: number, framing: string, isWhole: boolean): CrowdRequest => {
-    const make = contents[content];
-    const frame = framings[framing];
-    if (make === undefined || frame === undefined) {
-        throw new Error(`unknown content "${content}" or framing "${framing}"`);
+/** Yields each piece in a turn of its own, so that connections take turns and the stand-ins in this process keep answering. */
+const inTurns = async function*(pieces: readonly Buffer[]) {
+    for (const piece of pieces) {
+        await nextTurn();
+        yield piece;
     }
-    const { header, pieces } = frame(make(bytes), isWhole);
-    const type = "Content-Type: application/json";
-    return {
-        head: jobId => `POST ${pathPrefix}${jobId} HTTP/1.1\r\nHost: ${callerHost}\r\n${type}\r\n${header}\r\n\r\n`,
-        pieces,
-        reads: true,
-    };
-};
-
-/** Requests in a row on one connection whose answers are not read. */
-export const unreadRequests = (count: number): CrowdRequest => {
-    const perPiece = 200;
-    const get = `GET ${pathPrefix}00000000000000aa HTTP/1.1\r\nHost: ${callerHost}\r\n\r\n`;
-    const piece = Buffer.from(get.repeat(perPiece));
-    return { head: () => "", pieces: Array.from({ length: count / perPiece }, () => piece), reads: false };
 };
 
-export const halfRequestLine: CrowdRequest = { head: () => `GET ${pathPrefix}`, pieces: [], reads: true };
-
-const pollMs = 500;
-/** Polls without progress after which the daemon is taken to read no more for now. */
-const idlePolls = 4;
-/** The step goes on after so many polls in any case, while the crowd goes on sending. */
-const maxPolls = 40;
-
-const openConnection = (port: number, host: string, jobId: string, request: CrowdRequest) => {
-    const socket = connect({ port, host, noDelay: true });
-    let wake = (): void => {};
-    let status: number | undefined;
-    socket.on("drain", () => wake());
-    socket.on("close", () => wake());
-    // A daemon may refuse or cut off such callers.
-    socket.on("error", () => {});
-    if (request.reads) {
-        socket.on("data", (data: Buffer) => {
-            status ??= Number(/^HTTP\/1\.1 (\d{3})/.exec(data.toString("latin1"))?.[1] ?? 0);
-        });
-    }
-    else {
-        socket.pause();
-    }
-    const write = async (): Promise<void> => {
-        for (const piece of [Buffer.from(request.head(jobId)), ...request.pieces]) {
-            if (socket.destroyed) {
-                return;
-            }
-            if (socket.write(piece)) {
-                // Connections take turns, and the stand-ins in this process keep answering.
-                await nextTurn();
-            }
-            else {
-                await new Promise<void>(resolve => {
-                    wake = resolve;
-                });
-            }
-        }
-    };
-    return { socket, status: () => status, written: write() };
-};
-
-const writtenBytes = (sockets: readonly Socket[]): number =>
-    sockets.reduce((sum, socket) => sum + socket.bytesWritten - socket.writableLength, 0);
-
 /**
  * Opens the connections of a crowd, which begin to send at once.
  *
  * @example
- * const crowd = startCrowd({ host, port, connections: 700, request: bodyRequest("a job and spaces", 262_144, "at once", false) });
+ * const crowd = startCrowd("127.0.0.1", 20_000, 700, "256 KiB without the last byte");
  */
-export const startCrowd = (
-    { host, port, connections, request }: {
-        readonly host: string;
-        readonly port: number;
-        readonly connections: number;
-        readonly request: CrowdRequest;
-    },
-): Crowd => {
-    const jobIds = Array.from({ length: connections }, () => randomBytes(8).toString("hex"));
-    const opened = jobIds.map(jobId => openConnection(port, host, jobId, request));
-    const sockets = opened.map(({ socket }) => socket);
-    let isWritten = false;
-    const all = Promise.all(opened.map(({ written }) => written)).then(() => {
-        isWritten = true;
-    });
+export const startCrowd = (host: string, port: number, callers: number, what: string) => {
+    const chosen = requests[what]?.() ?? assert.fail(`unknown request "${what}"`);
+    const jobIds = Array.from({ length: callers }, () => randomBytes(8).toString("hex"));
+    const statuses: number[] = [];
+    const sockets = jobIds.map(() => connect({ host, port, noDelay: true }));
+    const allWritten = Promise.all(sockets.map(async (socket, index) => {
+        // A daemon may refuse such callers or cut them off.
+        socket.on("error", () => {});
+        if (what === unread) {
+            socket.pause();
+        }
+        else {
+            socket.once("data", data => statuses.push(Number(/^HTTP\/1\.1 (\d+)/.exec(String(data))?.[1]))).resume();
+        }
+        const { head, pieces } = chosen[index % chosen.length] ?? assert.fail("no request");
+        const start = Buffer.from(head(jobIds[index] ?? ""));
+        await pipeline(inTurns([start, ...pieces]), socket, { end: false }).catch(() => {});
+    }));
     return {
         jobIds,
-        statuses: () => opened.flatMap(({ status }) => status() ?? []),
-        written: async () => {
-            let idle = 0;
-            let before = -1;
-            for (let polls = 0; polls < maxPolls && idle < idlePolls && !isWritten; polls += 1) {
-                await Promise.race([all, setTimeout(pollMs)]);
-                const now = writtenBytes(sockets);
-                idle = now === before ? idle + 1 : 0;
-                before = now;
-            }
-        },
-        leave: () => {
-            for (const socket of sockets) {
-                socket.destroy();
-            }
-        },
+        /** Status of the first answer on each connection that got one. */
+        statuses,
+        /** Resolves once everything is written or cut off, or the time for it is over. */
+        written: Promise.race([allWritten, setTimeout(longestWriteMs, undefined, { ref: false })]),
+        leave: async () => sockets.forEach(socket => socket.destroy()),
     };
 };
