--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -361,7 +361,8 @@
         version: 1,
         queues: [testQueue, publicQueue],
         maxHeaderBytes: 16_384,
-        maxBodyBytes: 262_144,
+        // Above the usual limit, so that what a large job is told depends on its fields.
+        maxBodyBytes: 1_048_576,
     }),
     ready: () => true,
     submit: async ({ jobId }, _totalTimeoutMs, isAbandoned = () => false) => {
