Requests in a row on one connection are handled one after the other

What callers saw: 60 connections that sent 20000 requests each without reading an answer ended a daemon, or kept it from answering others also after they had gone.

Cause: the parser hands out all requests of one read at once, some thousand of them, and each was handled at once, however many answers the connection still owed.

Change: a request waits until the answer to the one before it has been taken. Eight may wait; a connection that sends more is closed.

--- a/packages/puffinarchd/src/intake/connectionGuard.ts
+++ b/packages/puffinarchd/src/intake/connectionGuard.ts
@@ -1,4 +1,7 @@
-/** Limits the number of connections of callers, so that the process keeps descriptors and memory for its own calls. */
+/**
+ * Limits what connections of callers may occupy: their number, so that the process keeps descriptors for its own calls, and the requests
+ * that one connection sends before their answers, which are handled one after the other.
+ */
 
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions } from "node:http";
 import type { Socket } from "node:net";
@@ -7,6 +10,8 @@
 export const connectionRefusals = {
     /** There were too many, and this one was the least useful: it had sent no whole request, or had been idle for longest. */
     tooMany: "tooMany",
+    /** It had sent too many requests in a row without waiting for their answers. */
+    pipelined: "pipelined",
 } as const;
 /** One of `connectionRefusals`. */
 export type ConnectionRefusal = keyof typeof connectionRefusals;
@@ -32,10 +37,15 @@
 
 interface Connection {
     readonly socket: Socket;
-    /** The requests that are handled now. */
-    readonly current: Set<IncomingMessage>;
+    /** The request that is handled now. */
+    current: IncomingMessage | undefined;
+    /** Starts the requests that wait for the one before them. */
+    readonly waiting: (() => void)[];
 }
 
+/** Requests that may wait on one connection for the one before them. */
+const maxWaiting = 8;
+
 /**
  * Creates a guard without connections.
  *
@@ -60,6 +70,7 @@
 
     const forget = (connection: Connection): void => {
         bySocket.delete(connection.socket);
+        connection.waiting.length = 0;
         for (const group of [fresh, idle, busy]) {
             group.delete(connection);
         }
@@ -67,7 +78,7 @@
 
     const firstUnfinished = (): Connection | undefined => {
         for (const connection of busy) {
-            if ([...connection.current].some(({ complete }) => !complete)) {
+            if (connection.current?.complete === false) {
                 return connection;
             }
         }
@@ -81,7 +92,7 @@
     };
 
     const accept = (socket: Socket): void => {
-        const connection: Connection = { socket, current: new Set() };
+        const connection: Connection = { socket, current: undefined, waiting: [] };
         if (bySocket.size >= maxConnections) {
             const replaced = leastUseful();
             if (replaced === undefined) {
@@ -96,16 +107,20 @@
     };
 
     const begin = (connection: Connection, request: IncomingMessage): void => {
-        connection.current.add(request);
+        connection.current = request;
         fresh.delete(connection);
         idle.delete(connection);
         busy.add(connection);
     };
 
-    const end = (connection: Connection, request: IncomingMessage): void => {
-        connection.current.delete(request);
-        if (connection.current.size === 0 && bySocket.has(connection.socket)) {
-            busy.delete(connection);
+    const end = (connection: Connection): void => {
+        connection.current = undefined;
+        busy.delete(connection);
+        const next = connection.waiting.shift();
+        if (next !== undefined) {
+            next();
+        }
+        else if (bySocket.has(connection.socket)) {
             idle.add(connection);
         }
     };
@@ -118,9 +133,20 @@
                     // The connection was closed, and this request was read together with the one that ended it.
                     return;
                 }
-                begin(connection, request);
-                response.once("close", () => end(connection, request));
-                handle(request, response);
+                const start = (): void => {
+                    begin(connection, request);
+                    response.once("close", () => end(connection));
+                    handle(request, response);
+                };
+                if (connection.current === undefined) {
+                    start();
+                }
+                else if (connection.waiting.length < maxWaiting) {
+                    connection.waiting.push(start);
+                }
+                else {
+                    close(connection, "pipelined");
+                }
             });
             if (keepAliveTimeout !== undefined) {
                 server.keepAliveTimeout = keepAliveTimeout;
