A stop refuses the requests that have not arrived as a whole

Cause: a daemon that is told to stop waited for a body that stops short, before the bodies had a time limit for ever, since then for the time limit of the request, up to 30 s.

--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -350,6 +350,8 @@
 };
 
 /** A queue that accepts calls without a key, and an organisation whose callers have a key. */
+/** A queue whose requests may take longer than a scenario. */
+const patientQueue = { ...testQueue, key: "stages.example/patient/", pathPrefix: "/patient/", timeoutMs: 60_000 };
 const publicQueue = { ...testQueue, key: "stages.example/open/", pathPrefix: "/open/", isPublic: true };
 const northKey = "north-key-of-its-callers";
 const organisations = [{ name: "north", keyDigests: [digestKey(northKey)], weight: 1, cap: noResources }];
@@ -359,7 +361,7 @@
     dataCentre: "leon-feria",
     configuration: () => ({
         version: 1,
-        queues: [testQueue, publicQueue],
+        queues: [testQueue, publicQueue, patientQueue],
         maxHeaderBytes: 16_384,
         // Above the usual limit, so that what a large job is told depends on its fields.
         maxBodyBytes: 1_048_576,
@@ -460,7 +462,7 @@
     async function(this: ScenarioWorld) {
         const [host, port] = part(this).address.split(":");
         const head = [
-            `POST ${testQueue.pathPrefix}${knownJob} HTTP/1.1`,
+            `POST ${patientQueue.pathPrefix}${knownJob} HTTP/1.1`,
             `Host: ${testQueue.host}`,
             "Api-Key: stolen",
             "Content-Type: application/json",
@@ -582,3 +584,36 @@
 Then("the refusal names {string}", function(this: ScenarioWorld, fields: string) {
     assert.equal(part(this).text, fields);
 });
+
+/** Requests that do not end. */
+const unfinishedRequests: Readonly<Record<string, string>> = {
+    "half a request line": "POST /plans/00",
+    "half a body": [
+        `POST ${patientQueue.pathPrefix}${knownJob} HTTP/1.1`,
+        `Host: ${testQueue.host}`,
+        "Content-Type: application/json",
+        "Content-Length: 100",
+        "",
+        "{",
+    ].join("\r\n"),
+};
+
+When(
+    /^a caller sends (half a .*) and keeps its connection open$/,
+    async function(this: ScenarioWorld, what: string) {
+        const [host, port] = part(this).address.split(":");
+        const socket = connect({ host: host ?? "", port: Number(port) });
+        this.closers.unshift(async () => void socket.destroy());
+        socket.on("error", () => {}).resume();
+        await once(socket, "connect");
+        await new Promise(resolve => {
+            socket.write(unfinishedRequests[what] ?? assert.fail(`unknown request "${what}"`), resolve);
+        });
+        // The server reads what was written in one of the next turns of its event loop, which is that of this process.
+        await setTimeout(50);
+    },
+);
+
+Then("the server closes", async function(this: ScenarioWorld) {
+    await this.closers.pop()?.();
+});
--- a/features/usersPlatform.feature
+++ b/features/usersPlatform.feature
@@ -334,3 +334,14 @@
     Scenario: Bounds of keys and caps are checked
         When the settings "vmId: entry-1\nhost: 10.0.0.1\npeerPorts: [1, 2]\ncallersAddress: 10.0.0.1:1\nreadinessAddress: 10.0.0.1:2\ndataCentre: a\nstoreAddress: 10.0.0.2:1\nmetricsPort: 9\nbounds: {graceS: 6, leaseLimitMs: 1, stopMs: 1, statusS: 1, revokeStrict: maybe, revokeMs: 0, quotaOverage: -1, quotaSlack: few, quotaWindowS: 0}" are read
         Then the refusal names "bounds.revokeStrict, bounds.revokeMs, bounds.quotaOverage, bounds.quotaSlack, bounds.quotaWindowS"
+
+    # Guards against a stop that waits for a request which never arrives as a whole.
+    Scenario Outline: A server that closes does not wait for a caller that has sent <what>
+        Given the API for callers of a daemon
+        When a caller sends <what> and keeps its connection open
+        Then the server closes
+
+        Examples:
+            | what                |
+            | half a request line |
+            | half a body         |
--- a/packages/puffinarchd/src/intake/connectionGuard.ts
+++ b/packages/puffinarchd/src/intake/connectionGuard.ts
@@ -12,6 +12,8 @@
     tooMany: "tooMany",
     /** It had sent too many requests in a row without waiting for their answers. */
     pipelined: "pipelined",
+    /** The process stops, and no whole request had arrived. */
+    stopping: "stopping",
 } as const;
 /** One of `connectionRefusals`. */
 export type ConnectionRefusal = keyof typeof connectionRefusals;
@@ -33,6 +35,8 @@
 export interface ConnectionGuard {
     /** Creates the server whose connections are guarded. */
     createServer(handle: RequestListener, options: GuardedServerOptions): Server;
+    /** Closes all connections without a whole request. */
+    closeUnfinished(): void;
 }
 
 interface Connection {
@@ -156,5 +160,12 @@
             server.prependListener("connection", accept);
             return server;
         },
+        closeUnfinished: () => {
+            for (const connection of [...fresh, ...idle, ...busy]) {
+                if (connection.current?.complete !== true) {
+                    close(connection, "stopping");
+                }
+            }
+        },
     };
 };
