--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -2,7 +2,7 @@
  * Runs seeds with random faults from the command line; exits with 1 where one failed:
  *
  * `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss [--queues N]] [--crashing] [--resizing]
- * [--suspending] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--saving] [--gangs] [--wide]
+ * [--suspending] [--stopping] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--saving] [--gangs] [--wide]
  * [--cancelling accepted|sent|mixed] [--cutting plain|looksLate|deadListed] [--draws N] [--broken PART]`
  */
 
@@ -21,6 +21,7 @@
     readonly crashing?: true;
     readonly resizing?: true;
     readonly suspending?: true;
+    readonly stopping?: true;
     readonly failing?: true;
     readonly capped?: true;
     readonly keepingIds?: true;
@@ -48,6 +49,7 @@
     .option("--crashing", "jobs whose tasks crash the workers as well")
     .option("--resizing", "workers whose capacity shrinks and grows")
     .option("--suspending", "daemons whose VMs are suspended")
+    .option("--stopping", "daemons whose processes are stopped while their clocks go on")
     .option("--failing", "several workers that fail everything, and jobs that fail by themselves")
     .option("--capped", "organisations with caps that are lowered and raised")
     .option("--keeping-ids", "workers that crash and start again under their IDs")
@@ -101,6 +103,7 @@
             "crashing",
             "resizing",
             "suspending",
+            "stopping",
             "failing",
             "capped",
             "keepingIds",
@@ -122,6 +125,7 @@
     crashing,
     resizing,
     suspending,
+    stopping,
     failing,
     capped,
     keepingIds,
@@ -162,6 +166,7 @@
         crashing,
         resizing,
         suspending,
+        stopping,
         failing,
         capped,
         delayingOrders,
--- a/packages/stand-ins/src/shard/exploreSeed.ts
+++ b/packages/stand-ins/src/shard/exploreSeed.ts
@@ -41,6 +41,15 @@
     "all suspended for 4 s",
     "two others suspended for 6 s",
 ];
+/** Faults that stop the processes of daemons, whose monotonic clocks go on. */
+const stopFaults = [
+    "owner's process stopped for 3 s, timers first",
+    "owner's process stopped for 3 s, answers first",
+    "owner's process stopped for 9 s, timers first",
+    "owner's process stopped for 9 s, answers first",
+    "all processes stopped for 4 s",
+    "two other processes stopped for 6 s",
+];
 /** Faults in which several workers fail every run; they last 4 to 7 s. */
 const workerFailureFaults = [
     "half of the workers fail everything",
@@ -105,6 +114,7 @@
     ...crashFaults,
     ...resizeFaults,
     ...suspendFaults,
+    ...stopFaults,
     ...workerFailureFaults,
     ...capFaults,
     "all workers crash and are back",
@@ -379,6 +389,8 @@
     readonly resizing?: boolean | undefined;
     /** Adds faults that suspend the VMs of daemons. */
     readonly suspending?: boolean | undefined;
+    /** Adds faults that stop the processes of daemons, whose monotonic clocks go on. */
+    readonly stopping?: boolean | undefined;
     /**
      * Adds jobs whose tasks crash their workers. The scheduler has to give these up; it may give up another job only after three
      * workers crashed while they ran the same task of it, or two with `keepsIds`.
@@ -427,6 +439,7 @@
         lasting = false,
         resizing = false,
         suspending = false,
+        stopping = false,
         crashing = false,
         keepsIds = false,
         failing = false,
@@ -521,6 +534,7 @@
             // Repeated so that they are about a quarter of the faults.
             ...keepsIds ? Array.from({ length: 4 }, () => crashFaults).flat() : [],
             ...suspending ? Array.from({ length: 4 }, () => suspendFaults).flat() : [],
+            ...stopping ? Array.from({ length: 4 }, () => stopFaults).flat() : [],
             // Repeated so that they are about a third of the faults.
             ...failing ? Array.from({ length: 4 }, () => workerFailureFaults).flat() : [],
             ...capped ? Array.from({ length: 4 }, () => capFaults).flat() : [],
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -2,6 +2,7 @@
 
 import { createSeededRandom } from "puffinarch";
 import type { ShardCell } from "./shardCell.js";
+import type { WakingOrder } from "./suspension.js";
 
 /** When daemons are restarted one after the other: the time from one to the next, their grace, and how long each is away. */
 const restartApartMs = 1_350;
@@ -57,6 +58,18 @@
     return () => {};
 };
 
+/** Stops processes whose monotonic clock goes on; they continue by themselves. */
+const stopProcesses = (
+    cell: ShardCell,
+    memberIds: readonly string[],
+    { forMs, first }: { readonly forMs: number; readonly first: WakingOrder; },
+): () => void => {
+    for (const memberId of memberIds) {
+        cell.stopProcess(memberId, forMs, first);
+    }
+    return () => {};
+};
+
 /** IDs of the workers that are up, those with the most processor time in use first. */
 const fullestFirst = (cell: ShardCell): readonly string[] =>
     [...liveWorkers(cell)].sort((left, right) =>
@@ -261,6 +274,21 @@
     "all suspended for 4 s": cell => suspend(cell, cell.memberIds(), 4_000),
     "two others suspended for 6 s": cell =>
         suspend(cell, cell.memberIds().filter(memberId => memberId !== cell.owner()).slice(0, 2), 6_000),
+    "owner's process stopped for 3 s, timers first": cell =>
+        stopProcesses(cell, [cell.owner() ?? ""], { forMs: 3_000, first: "timers" }),
+    "owner's process stopped for 3 s, answers first": cell =>
+        stopProcesses(cell, [cell.owner() ?? ""], { forMs: 3_000, first: "answers" }),
+    "owner's process stopped for 9 s, timers first": cell =>
+        stopProcesses(cell, [cell.owner() ?? ""], { forMs: 9_000, first: "timers" }),
+    "owner's process stopped for 9 s, answers first": cell =>
+        stopProcesses(cell, [cell.owner() ?? ""], { forMs: 9_000, first: "answers" }),
+    "all processes stopped for 4 s": cell =>
+        stopProcesses(cell, cell.memberIds(), { forMs: 4_000, first: "timers" }),
+    "two other processes stopped for 6 s": cell =>
+        stopProcesses(cell, cell.memberIds().filter(memberId => memberId !== cell.owner()).slice(0, 2), {
+            forMs: 6_000,
+            first: "answers",
+        }),
     "upkeep orders late": cell => {
         cell.vms.setFault("late");
         return () => cell.vms.setFault("none");
