--- a/features/steps/stoppedOwnerSteps.ts
+++ b/features/steps/stoppedOwnerSteps.ts
@@ -14,6 +14,7 @@
 /** What the owner still reaches besides the workers that only it reaches; it is cut off from the rest as it is stopped. */
 const cutFromRest: Readonly<Record<string, (cell: ShardCell, owner: string, others: readonly string[]) => void>> = {
     everything: () => {},
+    "all but its peers": (cell, owner) => cell.cut(owner, ["peers"]),
     "the other workers": (cell, owner) => cell.cut(owner, ["peers", "store"]),
     "nothing else": (cell, owner, others) => {
         cell.cut(owner, ["peers", "store"]);
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -73,6 +73,12 @@
     readonly lateMs: () => number;
 }
 
+/** How long a call takes to its worker, and its answer back; each is drawn anew, so that calls overtake each other. */
+export interface Transit {
+    readonly toMs: () => number;
+    readonly backMs: () => number;
+}
+
 /**
  * How a call left the process of its daemon: `sent` within its time limit, `expired` right before the limit ended the call, or `unsent`,
  * as the limit came first.
@@ -96,6 +102,8 @@
      * whichever incarnation has the worker's ID by then. `lateMs` draws after how long. Undefined ends the fault.
      */
     setLateLooks(lateLooks: LateLooks | undefined): void;
+    /** Lets calls and answers take time from now on; undefined ends that. */
+    setTransit(transit: Transit | undefined): void;
     /** Whether looks are carried out late. */
     hasLateLooks(): boolean;
     /** Sets how fast the runs that start on a worker from now on are; 1 is the usual speed. */
@@ -241,6 +249,7 @@
     const evidence: StartEvidence[] = [];
     const overcommitted = new Set<string>();
     let lateLooks: LateLooks | undefined;
+    let transit: Transit | undefined;
     const saved = saving === undefined ? undefined : createSavedCheckpoints(clock, saving);
 
     const keyOf = (taskName: string, run: number): string => `${taskName}#${run}`;
@@ -514,6 +523,26 @@
                 worker.waiters.add(wake);
             });
 
+    /** Carries out a call after its time to the worker; `unanswered` is its outcome where the answer is not back in time. */
+    const afterTransit = async <T>(
+        carryOut: () => Promise<T>,
+        { timeoutMs, unanswered }: { readonly timeoutMs: number; readonly unanswered: T; },
+    ): Promise<T> => {
+        if (transit === undefined) {
+            return carryOut();
+        }
+        const { toMs, backMs } = transit;
+        const answer = wait(toMs()).then(carryOut).then(async outcome => {
+            await wait(backMs());
+            return outcome;
+        });
+        return Promise.race([answer, wait(timeoutMs).then(() => unanswered)]);
+    };
+
+    /** Whether a worker is up at an address; it refuses calls that are meant for another one. */
+    const isServed = (address: string): boolean =>
+        [...workers.values()].some(({ alive, entry }) => alive && entry.address === address);
+
     const connect: FakeFencedWorkers["connect"] = (isOpen, depart = async () => "sent") => {
         const reach = async (
             target: WorkerTarget,
@@ -524,6 +553,13 @@
                 await wait(timeoutMs);
                 return undefined;
             }
+            if (target.address !== worker.entry.address) {
+                if (isServed(target.address)) {
+                    return "otherIncarnation";
+                }
+                await wait(timeoutMs);
+                return undefined;
+            }
             if (worker.down) {
                 return "down";
             }
@@ -540,6 +576,20 @@
             if (departure === "unsent") {
                 return orderOutcomes.notSent;
             }
+            return afterTransit<OrderOutcome>(
+                () => orderSent(target, { timeoutMs, orderedAtMs, departure }, carryOut),
+                { timeoutMs, unanswered: orderOutcomes.unknown },
+            );
+        };
+        const orderSent = async (
+            target: WorkerTarget,
+            { timeoutMs, orderedAtMs, departure }: {
+                readonly timeoutMs: number;
+                readonly orderedAtMs: number;
+                readonly departure: Departure;
+            },
+            carryOut: (worker: FakeWorker, orderedAtMs: number) => OrderOutcome,
+        ): Promise<OrderOutcome> => {
             const worker = await reach(target, timeoutMs);
             if (worker === undefined || worker === "down") {
                 return orderOutcomes.unknown;
@@ -593,6 +643,18 @@
             if (departure === "unsent") {
                 return { outcome: orderOutcomes.unknown };
             }
+            const timeoutMs = waitMs + answerTimeoutMs;
+            return afterTransit<LookResult>(
+                () => lookSent(target, sent, { lookTimeoutMs, departure }),
+                { timeoutMs, unanswered: { outcome: orderOutcomes.unknown } },
+            );
+        };
+        const lookSent = async (
+            target: WorkerTarget,
+            sent: LookOrder,
+            { lookTimeoutMs, departure }: { readonly lookTimeoutMs: number; readonly departure: Departure; },
+        ): Promise<LookResult> => {
+            const { waitMs, answerTimeoutMs } = sent;
             if (lateLooks?.isLost() === true) {
                 carryOutLookLate(target, sent, lateLooks.lateMs());
                 await wait(lookTimeoutMs);
@@ -675,6 +737,9 @@
         setLateLooks: next => {
             lateLooks = next;
         },
+        setTransit: next => {
+            transit = next;
+        },
         hasLateLooks: () => lateLooks !== undefined,
         setSpeed: (workerId, speed) => {
             const worker = workers.get(workerId);
--- a/packages/stand-ins/src/shard/rowStore.ts
+++ b/packages/stand-ins/src/shard/rowStore.ts
@@ -19,9 +19,10 @@
 
 /**
  * Faults of the store. `refuse`: every call is refused. `hang`: calls get no answer and have no effect. `loseReply`: transactions
- * are carried out without an answer. `late`: the same, but two seconds later. `slow`: answers take longer, and transactions queue.
+ * are carried out without an answer. `late`: the same, but two seconds later. `lateReply`: transactions are carried out at once, and
+ * answered right before their time limit. `slow`: answers take longer, and transactions queue.
  */
-export const storeFaults = ["none", "refuse", "hang", "loseReply", "late", "slow"] as const;
+export const storeFaults = ["none", "refuse", "hang", "loseReply", "late", "lateReply", "slow"] as const;
 /** One of `storeFaults`. */
 export type StoreFault = (typeof storeFaults)[number];
 
@@ -48,8 +49,8 @@
     link(memberId: string): Link | undefined;
     /** Drops the history of changes, so that feeds from an earlier version get `historyLost`. */
     forgetHistory(): void;
-    /** Leaves the feed calls that wait now without an answer until they time out; later calls work. */
-    silenceFeeds(): void;
+    /** Leaves the feed calls of one daemon, or of all, that wait now without an answer until they time out; later calls work. */
+    silenceFeeds(memberId?: string): void;
     /** Writes a row with any text as its value. */
     putText(row: RowKey & { readonly value: string; }): void;
     /** Writes a value as JSON into the part with the empty name, as the platform does. */
@@ -72,6 +73,8 @@
 /** How long after the wait of a feed call its caller gives up. */
 const feedSlackMs = 1_000;
 const lateMs = 2_000;
+/** When an answer comes with the fault `lateReply`, as a share of the call's time limit. */
+const lateReplyShare = 0.95;
 const pageRows = 500;
 /** Default timeout of a read. */
 const readTimeoutMs = 1_000;
@@ -154,7 +157,7 @@
     const links = new Map<string, Link>();
     const waiters = new Set<() => void>();
     /** Callbacks that let each waiting feed call go silent. */
-    const silenceCallbacks = new Set<() => void>();
+    const silenceCallbacks = new Map<() => void, string>();
 
     const wait = (delayMs: number): Promise<void> =>
         new Promise(resolve => {
@@ -239,6 +242,12 @@
             await wait(timeoutMs);
             return { outcome: "unknown", reason: "connection closed" };
         },
+        lateReply: async (transaction, timeoutMs, memberId) => {
+            await wait(answerMs);
+            const result = apply(transaction);
+            await wait(lateReplyShare * timeoutMs);
+            return deliver(result, timeoutMs, memberId);
+        },
         late: async transaction => {
             clock.setTimer(lateMs, () => apply(transaction));
             await wait(answerMs);
@@ -351,7 +360,7 @@
                         };
                         const cancel = clock.setTimer(waitMs, end);
                         waiters.add(wake);
-                        silenceCallbacks.add(goSilent);
+                        silenceCallbacks.set(goSilent, memberId);
                     });
                     await awaitStore(memberId);
                 }
@@ -400,9 +409,11 @@
             history = [];
             historyStart = version;
         },
-        silenceFeeds: () => {
-            for (const goSilent of [...silenceCallbacks]) {
-                goSilent();
+        silenceFeeds: memberId => {
+            for (const [goSilent, waitingId] of [...silenceCallbacks]) {
+                if (memberId === undefined || memberId === waitingId) {
+                    goSilent();
+                }
             }
         },
         putText: row => {
--- a/packages/stand-ins/src/shard/shardFaults.ts
+++ b/packages/stand-ins/src/shard/shardFaults.ts
@@ -282,8 +282,7 @@
         stopProcesses(cell, [cell.owner() ?? ""], { forMs: 9_000, first: "timers" }),
     "owner's process stopped for 9 s, answers first": cell =>
         stopProcesses(cell, [cell.owner() ?? ""], { forMs: 9_000, first: "answers" }),
-    "all processes stopped for 4 s": cell =>
-        stopProcesses(cell, cell.memberIds(), { forMs: 4_000, first: "timers" }),
+    "all processes stopped for 4 s": cell => stopProcesses(cell, cell.memberIds(), { forMs: 4_000, first: "timers" }),
     "two other processes stopped for 6 s": cell =>
         stopProcesses(cell, cell.memberIds().filter(memberId => memberId !== cell.owner()).slice(0, 2), {
             forMs: 6_000,
