--- a/features/runEnds.feature
+++ b/features/runEnds.feature
@@ -34,6 +34,12 @@
         Then no end is acknowledged before the task's end is durable
         And both ends are acknowledged in time
 
+    # Guards against the same at workers that get a new ID with each incarnation: there no acknowledgement waits for a newer token.
+    Scenario: An end of a task that is done, at a worker that starts again under another ID, waits for the task's end to be durable
+        When two runs of a task end as done on two workers, which start again under other IDs, and the store takes 3000 ms to commit
+        Then no end is acknowledged before the task's end is durable
+        And both ends are acknowledged in time
+
     # The rows may be from another version of the daemon, whose next owner can read them and must learn of the ends.
     Scenario: Ends of a job whose rows an owner cannot read are left for the next owner
         Given a cell of 3 daemons and 2 workers
--- a/features/steps/runEndSteps.ts
+++ b/features/steps/runEndSteps.ts
@@ -105,10 +105,12 @@
 /** Starts workers under their IDs, and an owner of them whose commits take `commitMs()`. */
 const startOwner = (
     world: ScenarioWorld,
-    { jobs, count, commitMs, isLeftOut = () => false, wrap = port => port }: {
+    { jobs, count, commitMs, keepsIds = true, isLeftOut = () => false, wrap = port => port }: {
         readonly jobs: readonly ShardJob[];
         readonly count: number;
         readonly commitMs: () => number;
+        /** Whether the workers tell when their incarnations began, as those that start again under their IDs do. */
+        readonly keepsIds?: boolean;
         readonly isLeftOut?: (jobId: string) => boolean;
         readonly wrap?: (port: FencedWorkerPort) => FencedWorkerPort;
     },
@@ -124,7 +126,7 @@
     endsPart(world).evidence = fakes.evidence;
     const entries = Array.from({ length: count }, (_, index) => ({
         ...workerEntry(`i-${index}`, index),
-        bornAtMs: Math.floor(clock.nowMs()),
+        ...(keepsIds ? { bornAtMs: Math.floor(clock.nowMs()) } : {}),
     }));
     entries.forEach(fakes.add);
     let newestToken = 7;
@@ -228,8 +230,9 @@
 });
 
 When(
-    "two runs of a task end as done on two workers, and the store takes {int} ms to commit",
-    async function(this: ScenarioWorld, commitMs: number) {
+    /^two runs of a task end as done on two workers(, which start again under other IDs|), and the store takes (\d+) ms to commit$/,
+    async function(this: ScenarioWorld, otherIds: string, commitText: string) {
+        const commitMs = Number(commitText);
         const { clock } = endsPart(this);
         const job = newJob({ ...submission, steps: [plainStep] }, testQueue, { acceptedAtMs: 0, order: 1 });
         let port: FencedWorkerPort | undefined;
@@ -237,6 +240,7 @@
             jobs: [job],
             count: 2,
             commitMs: () => commitMs,
+            keepsIds: otherIds === "",
             wrap: wrapped => {
                 port = wrapped;
                 return wrapped;
