Scene of an owner without commits that asks nobody whether it was replaced, which fails

Its feeds are silent, it has lost its peers, and half of the workers or fewer are silent, while its successor reaches those only.

--- a/features/steps/stoppedOwnerSteps.ts
+++ b/features/steps/stoppedOwnerSteps.ts
@@ -15,6 +15,10 @@
 const cutFromRest: Readonly<Record<string, (cell: ShardCell, owner: string, others: readonly string[]) => void>> = {
     everything: () => {},
     "all but its peers": (cell, owner) => cell.cut(owner, ["peers"]),
+    "only the store": (cell, owner, others) => {
+        cell.cut(owner, ["peers"]);
+        cell.cutFromWorkers(owner, others);
+    },
     "the other workers": (cell, owner) => cell.cut(owner, ["peers", "store"]),
     "nothing else": (cell, owner, others) => {
         cell.cut(owner, ["peers", "store"]);
--- a/features/twoOwners.feature
+++ b/features/twoOwners.feature
@@ -158,6 +158,23 @@
             | 9000 | 3    |
             | 9000 | 6    |
 
+    # Guards against the same where too few workers are silent for the owner to suspect that it was replaced.
+    Scenario Outline: The feeds of an owner without commits go silent as it loses its peers and all but <kept> of 6 workers
+        Given a cell of 4 daemons and 6 workers whose tasks need no advice
+        When 10 jobs of steps "3 long running" are submitted
+        And the shard runs for 3000 ms
+        And <kept> workers are reached by the owner only, which then reaches only the store
+        And the feeds of the owner go silent
+        And the shard runs for 22000 ms
+        Then no promise was broken
+        And the shard has had another owner
+
+        Examples:
+            | kept |
+            | 2    |
+            | 3    |
+            | 4    |
+
     # Guards against a start for which the advice comes once the successor has placed the step.
     Scenario Outline: The advisor takes <advice> ms, and the owner loses its peers and, for <ms> ms, the store, <steps>
         Given a cell of 4 daemons and 6 workers whose advisor takes <advice> ms for a step
