--- a/features/steps/twoOwnersSteps.ts
+++ b/features/steps/twoOwnersSteps.ts
@@ -1,7 +1,7 @@
 /** Steps about a change of owner while both owners are alive and nothing is paused. */
 
 import { Given, Then, When } from "@cucumber/cucumber";
-import { type ShardCell, type StoreFault, testQueue } from "@puffinarch/stand-ins";
+import { type ShardCell, type StoreFault, testQueue, type WorkerFault } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import { createSeededRandom } from "puffinarch";
 import { cellOf, part, startCell } from "./shardCellPart.js";
@@ -85,6 +85,17 @@
     },
 );
 
+When(
+    "orders to {int} workers find no free connection for {int} ms",
+    function(this: ScenarioWorld, count: number, forMs: number) {
+        const { clock, workers } = cellOf(this);
+        const targets = workers.workerIds().slice(0, count);
+        const setFault = (fault: WorkerFault): void => targets.forEach(workerId => workers.setFault(workerId, fault));
+        setFault("unconnected");
+        clock.setTimer(forMs, () => setFault("none"));
+    },
+);
+
 When("no worker is listed for {int} ms", function(this: ScenarioWorld, forMs: number) {
     const cell = cellOf(this);
     cell.workers.workerIds().forEach(cell.removeWorkerEntry);
--- a/features/twoOwners.feature
+++ b/features/twoOwners.feature
@@ -201,6 +201,51 @@
             | 2500   | 1500 | 4 gang for 3000 ms |
             | 2500   | 3000 | 4 gang for 3000 ms |
 
+    # Guards against a start that is sent again, with a newer ticket, after the shard has changed its owner.
+    Scenario Outline: Starts of "<steps>" find no free connection for <ms> ms, with <kind> advice, as the owner loses its peers
+        Given a cell of 4 daemons and 6 workers whose tasks need <kind> advice
+        When 8 jobs of steps "<steps>" are submitted
+        And orders to 2 workers find no free connection for <ms> ms
+        And the shard runs for 150 ms
+        And 2 workers are reached by the owner only, which then reaches all but its peers
+        And the store answers the owner "hang" for 3000 ms, and then "none"
+        And the shard runs for 22000 ms
+        Then no promise was broken
+        And the shard has had another owner
+
+        Examples:
+            | kind | ms | steps |
+            | valid | 400 | 3 long running |
+            | no | 400 | 3 long running |
+            | valid | 900 | 3 long running |
+            | no | 900 | 3 long running |
+            | valid | 1600 | 3 long running |
+            | no | 1600 | 3 long running |
+            | valid | 2800 | 3 long running |
+            | no | 2800 | 3 long running |
+            | valid | 4500 | 3 long running |
+            | no | 4500 | 3 long running |
+            | valid | 400 | 4 gang long running |
+            | no | 400 | 4 gang long running |
+            | valid | 900 | 4 gang long running |
+            | no | 900 | 4 gang long running |
+            | valid | 1600 | 4 gang long running |
+            | no | 1600 | 4 gang long running |
+            | valid | 2800 | 4 gang long running |
+            | no | 2800 | 4 gang long running |
+            | valid | 4500 | 4 gang long running |
+            | no | 4500 | 4 gang long running |
+            | valid | 400 | 4 gang for 3000 ms |
+            | no | 400 | 4 gang for 3000 ms |
+            | valid | 900 | 4 gang for 3000 ms |
+            | no | 900 | 4 gang for 3000 ms |
+            | valid | 1600 | 4 gang for 3000 ms |
+            | no | 1600 | 4 gang for 3000 ms |
+            | valid | 2800 | 4 gang for 3000 ms |
+            | no | 2800 | 4 gang for 3000 ms |
+            | valid | 4500 | 4 gang for 3000 ms |
+            | no | 4500 | 4 gang for 3000 ms |
+
     # Guards against a refusal by the worker at a wrong address that is taken for proof that the runs of another one are over.
     Scenario Outline: The entry of a busy worker shows <what>, <when>
         Given a cell of 4 daemons and 6 workers whose tasks need no advice
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -49,9 +49,10 @@
 
 /**
  * Faults of a worker. `cut`: no call reaches it. `late`: orders get no answer and are carried out after 3 s. `failing`: every run
- * fails. `hanging`: runs make no progress and do not end. `deaf`: orders are lost, while looks are answered.
+ * fails. `hanging`: runs make no progress and do not end. `deaf`: orders are lost, while looks are answered. `unconnected`: orders find no
+ * free connection and are not sent, while looks are answered.
  */
-export const workerFaults = ["none", "cut", "late", "failing", "hanging", "deaf"] as const;
+export const workerFaults = ["none", "cut", "late", "failing", "hanging", "deaf", "unconnected"] as const;
 /** One of `workerFaults`. */
 export type WorkerFault = (typeof workerFaults)[number];
 
@@ -598,6 +599,10 @@
             if (worker === "otherIncarnation") {
                 return orderOutcomes.otherIncarnation;
             }
+            if (worker.fault === "unconnected") {
+                await wait(timeoutMs);
+                return orderOutcomes.notSent;
+            }
             if (worker.fault === "deaf") {
                 await wait(timeoutMs);
                 return orderOutcomes.unknown;
