Red scenes: an owner that gives up too late after short stops

Guards against leases that an owner renews for longer than the 2.5 s that its successor allows after its claim, though no stop lasts for the 1 s from which it counts as a pause. Reading answers of before the stop, an idle owner finds most workers silent only `silentMs` after waking; `isCutOff` sends its probe only then, and waits for `silentMs` again. It gave up 2.9 s after the claim with one stop of 500, 700 and 900 ms, and 3.2 and 3.7 s after it with stops of 900 ms that are 20 and 200 ms apart.

The suspended VMs guard against a guard that counts pauses on the monotonic clock alone: without the wall clock, two of these rows fail, and none of the scenes of before.

Measured: stoppedOwner: 206 rows pass, six fail.

--- a/features/steps/stoppedOwnerSteps.ts
+++ b/features/steps/stoppedOwnerSteps.ts
@@ -77,6 +77,51 @@
     },
 );
 
+Given(
+    /^a cell of (\d+) daemons and (\d+) workers whose tasks last about (\d+) ms, seed (\d+)$/,
+    async function(this: ScenarioWorld, members: string, workers: string, durationMs: string, seed: string) {
+        await startCell(this, {
+            members: Number(members),
+            workers: Number(workers),
+            seed: Number(seed),
+            durationMs: Number(durationMs),
+            queues: [testQueue],
+        });
+    },
+);
+
+/** How long before the owner goes on its links to the other workers are cut, so that it still reads the answers of before. */
+const cutBeforeWakingMs = 5;
+
+When(
+    /^(\d+) workers are reached by the owner only, which loses the others as it wakes from a stop of (\d+) ms, handling (timers|answers) first$/,
+    async function(this: ScenarioWorld, count: string, forMs: string, first: WakingOrder) {
+        const cell = cellOf(this);
+        const { owner, kept } = keepWorkers(this, Number(count));
+        cutOwner(cell, owner, kept, "the other workers");
+        cell.stopProcess(owner, Number(forMs), first);
+        await cell.clock.advance(Number(forMs) - cutBeforeWakingMs);
+        cutOwner(cell, owner, kept, "nothing else");
+    },
+);
+
+When(
+    /^the owner's process is stopped (\d+) times for (\d+) ms, (\d+) ms apart, after which it handles (timers|answers) first$/,
+    async function(this: ScenarioWorld, times: string, forMs: string, apartMs: string, first: WakingOrder) {
+        const cell = cellOf(this);
+        const owner = part(this).formerOwner ?? ownerOf(cell);
+        for (let done = 0; done < Number(times); done += 1) {
+            cell.stopProcess(owner, Number(forMs), first);
+            await cell.clock.advance(Number(forMs) + Number(apartMs));
+        }
+    },
+);
+
+When(/^the VM of the former owner is suspended for (\d+) ms$/, function(this: ScenarioWorld, forMs: string) {
+    const cell = cellOf(this);
+    cell.suspend(part(this).formerOwner ?? ownerOf(cell), Number(forMs));
+});
+
 /** When the owner is stopped, from the moment at which the store has carried out a commit of planned starts and answers it. */
 const stopAfterMs: Readonly<Record<string, number>> = {
     "before it reads that their commit is durable": -1,
--- a/features/stoppedOwner.feature
+++ b/features/stoppedOwner.feature
@@ -228,3 +228,58 @@
             | 3 gang long running | 7000 | answers | nothing else |
             | 3 gang long running | 9000 | answers | nothing else |
             | 3 gang long running | 11000 | answers | nothing else |
+
+    # Guards against leases that an owner renews for longer than its successor allows, as it reads answers of before a short stop on waking.
+    Scenario Outline: Workers lost on waking, <ms> ms, <first> first
+        Given a cell of 4 daemons and 6 workers whose tasks last about 6000 ms, seed 2
+        When 6 jobs of steps "3 long running" are submitted
+        And 1 jobs of steps "3" are submitted
+        And the shard runs for 3000 ms
+        And 2 workers are reached by the owner only, which loses the others as it wakes from a stop of <ms> ms, handling <first> first
+        And the shard runs for 20000 ms
+        Then no promise was broken
+
+        Examples:
+            | ms  | first   |
+            | 300 | answers |
+            | 500 | answers |
+            | 700 | answers |
+            | 900 | answers |
+            | 500 | timers  |
+            | 900 | timers  |
+
+    # Guards against leases that an owner renews through a series of stops, each of them too short to count by itself.
+    Scenario Outline: Stopped <times> times for <ms> ms, <apart> ms apart, <first> first, after <after> ms
+        Given a cell of 4 daemons and 6 workers
+        When 10 jobs of steps "3 long running" are submitted
+        And the shard runs for <after> ms
+        And 2 workers are reached by the owner only, which then reaches nothing else
+        And the owner's process is stopped <times> times for <ms> ms, <apart> ms apart, after which it handles <first> first
+        And the shard runs for 18000 ms
+        Then no promise was broken
+
+        Examples:
+            | after | times | ms  | apart | first   |
+            | 3300  | 5     | 900 | 200   | answers |
+            | 3300  | 6     | 900 | 20    | timers  |
+            | 3000  | 5     | 900 | 200   | timers  |
+            | 3300  | 7     | 700 | 20    | timers  |
+
+    # Guards against leases that an owner renews once its VM has been suspended, a time that only the wall clock counts.
+    Scenario Outline: VM suspended for <ms> ms, reaches <reached>
+        Given a cell of 4 daemons and 6 workers
+        When 10 jobs of steps "3 long running" are submitted
+        And the shard runs for 3300 ms
+        And 2 workers are reached by the owner only, which then reaches <reached>
+        And the VM of the former owner is suspended for <ms> ms
+        And the shard runs for 24000 ms
+        Then no promise was broken
+
+        Examples:
+            | ms   | reached           |
+            | 2000 | nothing else      |
+            | 3000 | nothing else      |
+            | 4000 | nothing else      |
+            | 5000 | nothing else      |
+            | 3000 | the other workers |
+            | 3000 | everything        |
