Red scenes: a successor that is stopped during its claim, and links of an owner that was replaced

Guards against leases that a daemon renews as it wakes from a stop between its claim and its first look, once another one has claimed the shard. Nobody closes these links; they look, and renew leases, until the process ends. This needs no stop: `features/overload.feature` has it by itself.

Measured: nine of twelve rows of stoppedOwner.feature fail, each with 10 of 30 tasks that run twice at once; with `everything`, the first run was still at work 82 s after the claim. A replaced owner of six workers sent 1,506 looks in 5 s.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -38,6 +38,11 @@
         When the owner of 200 workers is replaced at once
         Then it has looked at 24 workers
 
+    # Guards against links that a replaced owner opens, and never closes, as the list of workers arrives that it was reading.
+    Scenario: An owner that was replaced before it has read the list of workers looks at none of them
+        When an owner is replaced, and the list of 6 workers that it was reading arrives
+        Then it has looked at 0 workers
+
     Scenario: Leases on a worker that never answers again expire in time even if the owner runs late
         When an owner that is 60 ms late looks at a worker that never answers again
         Then its leases have certainly expired 10500 ms after its last answer
--- a/features/steps/shardLookSteps.ts
+++ b/features/steps/shardLookSteps.ts
@@ -18,7 +18,9 @@
     runPhases,
     type ShardRun,
     type ShardWorker,
+    type ShardWorkers,
     sleep,
+    type WorkerEntry,
     type WorkerLink,
     type WorkerLinkOptions,
 } from "puffinarch";
@@ -26,9 +28,9 @@
 import { part } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
-When("the owner of {int} workers is replaced at once", async function(this: ScenarioWorld, count: number) {
-    const clock = createFakeClock();
-    const workers = createShardWorkers({
+/** Starts the workers of an owner; each look is counted, and answered after 20 ms. */
+const openWorkers = (world: ScenarioWorld, clock: FakeClock): ShardWorkers =>
+    createShardWorkers({
         clock,
         log: noopLog,
         meter: noopMeter,
@@ -38,7 +40,7 @@
             stop: async () => "done",
             pace: async () => "done",
             look: async () => {
-                part(this).looksSent += 1;
+                part(world).looksSent += 1;
                 await sleep(clock, 20);
                 return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: [] };
             },
@@ -52,12 +54,30 @@
         onRunsKnown: () => {},
         onFenced: () => {},
     });
-    workers.update(Array.from({ length: count }, (_, index) => workerEntry(`i-${index}`, index)));
+
+const listOf = (count: number): readonly WorkerEntry[] =>
+    Array.from({ length: count }, (_, index) => workerEntry(`i-${index}`, index));
+
+When("the owner of {int} workers is replaced at once", async function(this: ScenarioWorld, count: number) {
+    const clock = createFakeClock();
+    const workers = openWorkers(this, clock);
+    workers.update(listOf(count));
     await clock.advance(1);
     workers.close();
     await clock.advance(5_000);
 });
 
+When(
+    "an owner is replaced, and the list of {int} workers that it was reading arrives",
+    async function(this: ScenarioWorld, count: number) {
+        const clock = createFakeClock();
+        const workers = openWorkers(this, clock);
+        workers.close();
+        workers.update(listOf(count));
+        await clock.advance(5_000);
+    },
+);
+
 Then("it has looked at {int} workers", function(this: ScenarioWorld, count: number) {
     assert.equal(part(this).looksSent, count);
 });
--- a/features/steps/stoppedOwnerSteps.ts
+++ b/features/steps/stoppedOwnerSteps.ts
@@ -166,6 +166,43 @@
     },
 );
 
+/** Time in which a daemon begins to claim the shard of an owner that was killed. */
+const claimWithinMs = 4_000;
+
+When(
+    /^the owner is killed, and (\d+) ms into its claim the successor, which alone reaches (\d+) workers, is stopped for (\d+) ms, then reaches (.*) and handles (timers|answers) first$/,
+    async function(
+        this: ScenarioWorld,
+        intoMs: string,
+        count: string,
+        forMs: string,
+        reached: string,
+        first: WakingOrder,
+    ) {
+        const cell = cellOf(this);
+        const logLengthBefore = cell.log.length;
+        const claimant = (): string | undefined =>
+            cell.log.slice(logLengthBefore).find(({ event }) => event === "claimBegins")?.memberId;
+        const former = ownerOf(cell);
+        cell.kill(former);
+        for (let passedMs = 0; claimant() === undefined && passedMs < claimWithinMs; passedMs += 1) {
+            await cell.clock.advance(1);
+        }
+        const successor = claimant() ?? assert.fail("no daemon claimed the shard");
+        const kept = cell.workers.workerIds().slice(0, Number(count));
+        for (const memberId of cell.memberIds().filter(each => each !== successor)) {
+            cell.cutFromWorkers(memberId, kept);
+        }
+        part(this).endFaults.push(() => {
+            cell.memberIds().forEach(cell.restoreLinks);
+            cell.restart(former);
+        });
+        await cell.clock.advance(Number(intoMs));
+        cell.stopProcess(successor, Number(forMs), first);
+        cutOwner(cell, successor, kept, reached);
+    },
+);
+
 const tellToStop = (cell: ShardCell, memberId: string): void => {
     void cell.stop(memberId, graceMs).then(() => cell.clock.setTimer(awayMs, () => cell.restart(memberId)));
 };
--- a/features/stoppedOwner.feature
+++ b/features/stoppedOwner.feature
@@ -283,3 +283,27 @@
             | 5000 | nothing else      |
             | 3000 | the other workers |
             | 3000 | everything        |
+
+    # Guards against leases that a daemon renews as it wakes from a stop between its claim and its first look, after another one's claim.
+    Scenario Outline: A successor stopped <into> ms into its claim, <ms> ms, <first> first, reaches <reached>
+        Given a cell of 4 daemons and 6 workers
+        When 10 jobs of steps "3 long running" are submitted
+        And the shard runs for 3000 ms
+        And the owner is killed, and <into> ms into its claim the successor, which alone reaches 2 workers, is stopped for <ms> ms, then reaches <reached> and handles <first> first
+        And the shard runs for 24000 ms
+        Then no promise was broken
+
+        Examples:
+            | into | ms   | first   | reached      |
+            | 2    | 2000 | answers | everything   |
+            | 2    | 3000 | answers | everything   |
+            | 2    | 4000 | answers | everything   |
+            | 6    | 3000 | answers | everything   |
+            | 6    | 4000 | answers | everything   |
+            | 6    | 3000 | timers  | everything   |
+            | 6    | 4000 | timers  | everything   |
+            | 6    | 6000 | timers  | everything   |
+            | 6    | 3000 | answers | nothing else |
+            | 6    | 3000 | timers  | nothing else |
+            | 12   | 3000 | answers | everything   |
+            | 12   | 3000 | timers  | nothing else |
