A replaced owner that is still reading the list of workers opens no links

What callers saw: tasks that ran on two workers at once, for as long as 82 s after a change of owner in the scenes.

Cause: the list of workers is read in pages. An owner that lost the shard meanwhile was closed, and the list that came after that opened a link to every worker, which nobody closed. Each link renewed the leases of its worker for ever; 1,506 looks in 5 s from a closed owner of 6 workers.

Change: a closed owner ignores the list.

Measured: the scene of a replaced owner failed before, and so did seven rows of a successor that is stopped in its claim; all pass. Four rows of stoppedOwner.feature are left.

--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -559,6 +559,10 @@
         unreadable: ReadonlySet<string> = new Set(),
         formerAgeMs = 0,
     ): void => {
+        if (closed) {
+            // A list that was being read as the shard was lost must open no link, since nothing would close it.
+            return;
+        }
         // After an outage the former list may be old, and a worker that is missing now may meanwhile have been listed with less
         // capacity. The age of the former list beyond `maxListingAgeMs` therefore counts as time for which the worker was unlisted.
         const missingSinceMs = clock.monotonicMs() - Math.max(0, formerAgeMs - maxListingAgeMs);
