Pauses count from the claim on, also before the owner has started

What callers saw: tasks that ran on two workers at once, under a daemon that was stopped between its claim and its first look, while a further daemon claimed the shard.

Cause: the guard read its first clocks as the owner started, after the rows had been read.

Change: the claim is watched for pauses until its rows are read.

--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -192,7 +192,14 @@
 const pauseGuard = async (): Promise<string> => {
     const clock = createFakeClock();
     const confirm = (): Promise<void> => sleep(clock, 10);
-    const guard = createPauseGuard({ clock, log, fencingToken: 7, maxPauseMs: 1_000, confirm });
+    const guard = createPauseGuard({
+        clock,
+        log,
+        fencingToken: 7,
+        pausedMs: 0,
+        maxPauseMs: 1_000,
+        confirm,
+    });
     const states: string[] = [];
     for (const elapsedMs of [900, 1_100, 20]) {
         await clock.advance(elapsedMs);
--- a/packages/puffinarch/src/core/shard/pauseGuard.ts
+++ b/packages/puffinarch/src/core/shard/pauseGuard.ts
@@ -6,11 +6,21 @@
 
 import type { Clock, Log } from "../../types/ports.js";
 
+/** A reading of both clocks. */
+interface ClockReading {
+    readonly atMs: number;
+    readonly wallMs: number;
+}
+
+const readClocks = (clock: Clock): ClockReading => ({ atMs: clock.monotonicMs(), wallMs: clock.nowMs() });
+
 /** What `createPauseGuard` needs. */
 export interface PauseGuardOptions {
     readonly clock: Clock;
     readonly log: Log;
     readonly fencingToken: number;
+    /** Longest time for which this process did not run since its claim was sent. */
+    readonly pausedMs: number;
     /** Longest time without a run of this process after which it may go on without a proof that it still owns the shard. */
     readonly maxPauseMs: number;
     /** Resolves once it is proven that no other daemon had claimed the shard when this was called; never where one had. */
@@ -25,12 +35,6 @@
     held(): Promise<void> | undefined;
 }
 
-/** A reading of both clocks. */
-interface ClockReading {
-    readonly atMs: number;
-    readonly wallMs: number;
-}
-
 /** Time between two readings, and the part of it that the monotonic clock did not count. */
 const timeBetween = (
     from: ClockReading,
@@ -41,18 +45,47 @@
     return { elapsedMs: countedMs + stoodStillMs, stoodStillMs };
 };
 
+const watchIntervalMs = 100;
+
+/**
+ * Watches for pauses of this process until the returned function is called, which returns the longest one, in ms.
+ *
+ * @example
+ * const endWatch = watchPauses(clock);
+ * const pausedMs = endWatch();
+ */
+export const watchPauses = (clock: Clock): () => number => {
+    let running = readClocks(clock);
+    let longestMs = 0;
+    let cancel = (): void => {};
+    const record = (): void => {
+        const now = readClocks(clock);
+        longestMs = Math.max(longestMs, timeBetween(running, now).elapsedMs);
+        running = now;
+    };
+    const tick = (): void => {
+        record();
+        cancel = clock.setTimer(watchIntervalMs, tick);
+    };
+    tick();
+    return () => {
+        cancel();
+        record();
+        return longestMs;
+    };
+};
+
 /**
  * Creates the guard of an owner that has just claimed the shard.
  *
  * @example
- * const guard = createPauseGuard({ clock, log, fencingToken, maxPauseMs: 1_000, confirm: commits.confirm });
+ * const guard = createPauseGuard({ clock, log, fencingToken, pausedMs: 0, maxPauseMs: 1_000, confirm: commits.confirm });
  * await guard.held();
  */
 export const createPauseGuard = (options: PauseGuardOptions): PauseGuard => {
     const { clock, log, fencingToken, maxPauseMs, confirm } = options;
-    const readClocks = (): ClockReading => ({ atMs: clock.monotonicMs(), wallMs: clock.nowMs() });
     /** When this process was last seen running, and when `check` was last called, on both clocks. */
-    let running = readClocks();
+    let running = readClocks(clock);
     let checked = running;
     let proof: Promise<void> | undefined;
 
@@ -67,7 +100,7 @@
 
     /** Notices a pause since this process was last seen running. A process that is only busy runs in between. */
     const recordRunning = (): ClockReading => {
-        const now = readClocks();
+        const now = readClocks(clock);
         const { elapsedMs, stoodStillMs } = timeBetween(running, now);
         running = now;
         if (elapsedMs > maxPauseMs) {
@@ -81,6 +114,10 @@
         return now;
     };
 
+    if (options.pausedMs > maxPauseMs) {
+        awaitProof();
+    }
+
     return {
         check: () => {
             const now = recordRunning();
