A start grants its lease from the time before the check for pauses

Cause, found by reading in the review: the deadline of a start was counted after the check for a pause, so that a stop between the two granted a lease from waking. A held start was not checked for its ticket and its age anew either.

--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -147,16 +147,15 @@
         options.onNotStarted(run, outcome);
     };
 
-    /** Sends the start; returns undefined where the worker is silent, since the order would most likely be lost. */
-    const send = async (run: ShardRun, ticket: string): Promise<OrderOutcome | undefined> => {
-        const deadlineMs = worker.silentLooks > 0 ? undefined : extendLease(worker, clock.monotonicMs(), leaseMs);
+    /** Sends a start that was due at `beganAtMs`; returns undefined where the worker is silent, since the order would most likely be lost. */
+    const send = async (run: ShardRun, ticket: string, beganAtMs: number): Promise<OrderOutcome | undefined> => {
+        const deadlineMs = worker.silentLooks > 0 ? undefined : extendLease(worker, beganAtMs, leaseMs);
         if (deadlineMs === undefined) {
             return undefined;
         }
         run.mayArriveUntilMs = worker.bornAtMs === undefined || holdsForOneIncarnation(run, options)
             ? undefined
             : clock.monotonicMs() + options.unansweredStartMs;
-        const beganAtMs = clock.monotonicMs();
         const fencingToken = options.token();
         const outcome = await workers.start(target(), {
             taskName: run.task.name,
@@ -224,16 +223,17 @@
                 options.onNotStarted(run, problem);
                 return;
             }
+            // Read before `held`, so that a pause between the two shortens the lease that the start grants.
+            const beganAtMs = clock.monotonicMs();
             const held = options.held?.();
             if (held !== undefined) {
-                // Whether the start may still be sent is checked anew.
+                unsentSinceMs ??= beganAtMs;
                 await held;
                 continue;
             }
-            const beganAtMs = clock.monotonicMs();
             const sentToken = options.token();
             const newest = run.sentLate ? ticketFor(run.task.step, worker.workerId, beganAtMs) : ticket;
-            const outcome = await send(run, newest ?? ticket);
+            const outcome = await send(run, newest ?? ticket, beganAtMs);
             if (!isStarting(run)) {
                 return;
             }
