Pauses in series count together until ownership is proven again

What callers saw: tasks that ran on two workers at once, under an owner that was stopped for 0.9 s again and again while it was cut off.

Cause: the guard measured each time without a run by itself. Stops of 0.9 s that were 20 or 200 ms apart never counted, while the owner had no answer of the store.

Change: pauses of more than 300 ms add up until a call of the owner that was sent after the last one is answered.

--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -197,6 +197,7 @@
         log,
         fencingToken: 7,
         pausedMs: 0,
+        provenAtMs: () => 0,
         maxPauseMs: 1_000,
         confirm,
     });
--- a/packages/puffinarch/src/core/shard/pauseGuard.ts
+++ b/packages/puffinarch/src/core/shard/pauseGuard.ts
@@ -21,8 +21,10 @@
     readonly fencingToken: number;
     /** Longest time for which this process did not run since its claim was sent. */
     readonly pausedMs: number;
-    /** Longest time without a run of this process after which it may go on without a proof that it still owns the shard. */
+    /** Longest time without a run of this process, since the newest proof, after which it may go on without another one. */
     readonly maxPauseMs: number;
+    /** Local time for which the ownership was last proven: that of the newest call that the store has answered. */
+    readonly provenAtMs: () => number;
     /** Resolves once it is proven that no other daemon had claimed the shard when this was called; never where one had. */
     readonly confirm: () => Promise<void>;
 }
@@ -46,6 +48,8 @@
 };
 
 const watchIntervalMs = 100;
+/** Shorter times between two calls occur without a pause, as in a busy process. */
+const minPauseMs = 300;
 
 /**
  * Watches for pauses of this process until the returned function is called, which returns the longest one, in ms.
@@ -79,7 +83,7 @@
  * Creates the guard of an owner that has just claimed the shard.
  *
  * @example
- * const guard = createPauseGuard({ clock, log, fencingToken, pausedMs: 0, maxPauseMs: 1_000, confirm: commits.confirm });
+ * const guard = createPauseGuard({ clock, log, fencingToken, pausedMs: 0, maxPauseMs: 1_000, provenAtMs, confirm: commits.confirm });
  * await guard.held();
  */
 export const createPauseGuard = (options: PauseGuardOptions): PauseGuard => {
@@ -88,6 +92,9 @@
     let running = readClocks(clock);
     let checked = running;
     let proof: Promise<void> | undefined;
+    /** Pauses since the newest proof, together, and the end of the last one. */
+    let pausedMs = 0;
+    let pausedAtMs = -Infinity;
 
     const awaitProof = (): void => {
         const awaited = confirm().then(() => {
@@ -103,12 +110,20 @@
         const now = readClocks(clock);
         const { elapsedMs, stoodStillMs } = timeBetween(running, now);
         running = now;
-        if (elapsedMs > maxPauseMs) {
+        if (options.provenAtMs() > pausedAtMs) {
+            pausedMs = 0;
+        }
+        if (elapsedMs > minPauseMs) {
+            pausedMs += elapsedMs;
+            pausedAtMs = now.atMs;
+        }
+        if (pausedMs > maxPauseMs) {
             log.write("warn", "ownerPaused", {
                 fencingToken,
-                pausedMs: Math.round(elapsedMs),
+                pausedMs: Math.round(pausedMs),
                 stoodStillMs: Math.round(stoodStillMs),
             });
+            pausedMs = 0;
             awaitProof();
         }
         return now;
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -306,6 +306,7 @@
         log,
         fencingToken,
         pausedMs: claimed.pausedMs,
+        provenAtMs: commits.answeredAtMs,
         // An owner that is cut off as it wakes notices that only after `silentMs`, with a tick on either side.
         maxPauseMs: settings.formerOwnerMs - settings.silentMs - 2 * tickMs,
         confirm: commits.confirm,
