A 421 counts as the end of a worker's life only where it can come from that worker

What callers saw: tasks that ran on two workers at once, with both owners alive and without any pause, where the list shows a busy worker at the address of another one.

Cause: an answer that the call was meant for another incarnation was taken for proof that the worker's runs are over, whoever sits at the listed address. They were dropped at once and started elsewhere.

Change: where runs were sent to the worker at a different address, such an answer counts as none, and the leases are waited for.

--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -150,6 +150,10 @@
     const isOvertaken = (outcome: OrderOutcome, sentToken: number): boolean =>
         outcome === orderOutcomes.fenced && sentToken < token;
 
+    /** Whether the listed address may be that of another worker, since runs were sent to this one at a different address. */
+    const mayBeStranger = (): boolean =>
+        [...worker.runs.values()].some(({ address }) => address !== "" && address !== worker.entry.address);
+
     /**
      * Reports an outcome by which this owner or the worker's incarnation is over; returns true where nothing more may be sent
      * on this link.
@@ -166,7 +170,7 @@
             options.onFenced(worker);
             return true;
         }
-        if (outcome === orderOutcomes.otherIncarnation) {
+        if (outcome === orderOutcomes.otherIncarnation && !mayBeStranger()) {
             options.onIncarnationOver(worker);
             return true;
         }
