--- a/packages/puffinarchd/src/intake/connectionGuard.ts
+++ b/packages/puffinarchd/src/intake/connectionGuard.ts
@@ -43,11 +43,11 @@
     readonly socket: Socket;
     /** The request that is handled now. */
     current: IncomingMessage | undefined;
-    /** Starts the requests that wait for the one before them. */
+    /** Starts the requests that wait until the answer to the previous one is taken. */
     readonly waiting: (() => void)[];
 }
 
-/** Requests that may wait on one connection for the one before them. */
+/** Most requests that wait on one connection for the answer to the previous one. */
 const maxWaiting = 8;
 
 /**
