The bundle is made of sources alone, found by the exports of each package

What callers saw: no process started, as the build failed in a clean checkout. Cause: the bundler's script listed by hand which modules of puffinarchd it takes from src/. Class: the bundle depended on what lay about in the checkout: compiled modules went into it unnoticed, and a failed build left the bundle of an earlier one. Change: each package's exports name the source of a module under a condition that the bundler reads, so that there is one list; a bundle with any other input of the project ends the build with its name.

--- a/features/platformBuild.feature
+++ b/features/platformBuild.feature
@@ -7,5 +7,18 @@
         Then the build leaves a bundle and its cached code
 
         Examples:
-            | state           |
-            | nothing else    |
+            | state                                 |
+            | nothing else                          |
+            | compiled modules of an earlier build  |
+
+    # Guards against a bundle that runs the code of an earlier build.
+    Scenario Outline: A checkout whose adapter imports <module> is not built
+        Given a checkout with "installed dependencies"
+        And an adapter that imports "<module>", which only an earlier build has left
+        When it is built by the command of the deploy file
+        Then the build fails, names "<named>" and leaves no bundle
+
+        Examples:
+            | module                                       | named                                     |
+            | puffinarchd/intake/removed                   | puffinarchd/intake/removed                |
+            | ../../packages/puffinarchd/dist/intake/removed.js | packages/puffinarchd/dist/intake/removed.js |
--- a/features/steps/platformBuildSteps.ts
+++ b/features/steps/platformBuildSteps.ts
@@ -1,7 +1,7 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { existsSync } from "node:fs";
-import { join } from "node:path";
+import { appendFileSync, existsSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
+import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 
 type Variables = Readonly<Record<string, string>>;
@@ -9,6 +9,7 @@
 interface Checkout {
     readonly folder: string;
     build(variables?: Variables): { readonly status: number | null; readonly output: string; };
+    copyDependencies(): void;
     remove(): void;
 }
 interface CheckoutModule {
@@ -18,14 +19,32 @@
 const root = fileURLToPath(new URL("../..", import.meta.url));
 const buildLimitMs = 10 * 60_000;
 
+/** Code that an earlier build has left. */
+const leftBehind = "left behind by an earlier build";
+
 interface State {
     prepare?(checkout: Checkout): void;
     readonly variables?: Variables;
 }
 
+const writeCompiled = ({ folder }: Checkout, path: string): void => {
+    const file = join(folder, path);
+    mkdirSync(dirname(file), { recursive: true });
+    writeFileSync(file, `throw new Error("${leftBehind}");\nexport const readBody = undefined;\n`);
+};
+
 /** What may be in a checkout, or in the environment of its build. */
 const states: Readonly<Record<string, State>> = {
     "nothing else": {},
+    "installed dependencies": { prepare: ({ copyDependencies }) => copyDependencies() },
+    "compiled modules of an earlier build": {
+        prepare: checkout => {
+            checkout.copyDependencies();
+            writeCompiled(checkout, "packages/puffinarchd/dist/intake/readBody.js");
+            writeCompiled(checkout, "packages/puffinarch/dist/puffinarch.js");
+            writeCompiled(checkout, "target/puffinarchd.cjs");
+        },
+    },
 };
 
 let checkout: Checkout | undefined;
@@ -46,6 +65,13 @@
     variables = state.variables ?? {};
 });
 
+Given("an adapter that imports {string}, which only an earlier build has left", (module: string) => {
+    assert.ok(checkout !== undefined);
+    writeCompiled(checkout, "packages/puffinarchd/dist/intake/removed.js");
+    writeCompiled(checkout, "target/puffinarchd.cjs");
+    appendFileSync(join(checkout.folder, "platform/src/main.ts"), `import "${module}";\n`);
+});
+
 When("it is built by the command of the deploy file", { timeout: buildLimitMs }, () => {
     assert.ok(checkout !== undefined);
     result = checkout.build(variables);
@@ -53,7 +79,13 @@
 
 Then("the build leaves a bundle and its cached code", () => {
     assert.equal(result.status, 0, result.output);
-    for (const name of ["puffinarchd.cjs", "puffinarchd.cache"]) {
-        assert.ok(existsSync(join(checkout?.folder ?? "", "target", name)), `${name} is missing: ${result.output}`);
-    }
+    const target = join(checkout?.folder ?? "", "target");
+    assert.ok(existsSync(join(target, "puffinarchd.cache")), result.output);
+    assert.ok(!readFileSync(join(target, "puffinarchd.cjs"), "utf8").includes(leftBehind), "holds compiled modules");
+});
+
+Then("the build fails, names {string} and leaves no bundle", (name: string) => {
+    assert.notEqual(result.status, 0, result.output);
+    assert.ok(result.output.includes(name), result.output);
+    assert.ok(!existsSync(join(checkout?.folder ?? "", "target/puffinarchd.cjs")), "a bundle is left");
 });
--- a/scripts/bundlePlatform.mjs
+++ b/scripts/bundlePlatform.mjs
@@ -1,7 +1,11 @@
 // Bundles the daemon for the users' platform into one file, target/puffinarchd.cjs or the path that is given. The bundle
 // starts three times as fast as the separate modules. It is built from the TypeScript sources, so that a build writes nothing
-// outside target/; types are not checked here but in CI.
+// outside target/; types are not checked here but in CI. Which file a name of a workspace stands for is said in the `exports` of
+// its package, under the condition "@puffinarch/source".
 import { build } from "esbuild";
+import { rmSync } from "node:fs";
+import { resolve } from "node:path";
+import { findForeignInputs } from "./build/bundleInputs.mjs";
 
 const resolvePath = path => new URL(`../${path}`, import.meta.url).pathname;
 
@@ -31,24 +35,26 @@
     },
 };
 
-await build({
+const outputPath = process.argv[2] ?? "target/puffinarchd.cjs";
+// A build that fails leaves no bundle of an earlier one, which would run in its place.
+rmSync(outputPath, { force: true });
+const { metafile } = await build({
     plugins: [substituteModules],
     entryPoints: [resolvePath("platform/src/main.ts")],
-    outfile: process.argv[2] ?? "target/puffinarchd.cjs",
+    absWorkingDir: resolvePath(""),
+    outfile: resolve(outputPath),
     bundle: true,
+    metafile: true,
     platform: "node",
     target: "node20",
     format: "cjs",
     minify: true,
     legalComments: "none",
-    alias: {
-        puffinarch: resolvePath("packages/puffinarch/src/puffinarch.ts"),
-        "puffinarchd/adapters/http": resolvePath("packages/puffinarchd/src/adapters/http.ts"),
-        "puffinarchd/adapters/members": resolvePath("packages/puffinarchd/src/adapters/members.ts"),
-        "puffinarchd/logOutput": resolvePath("packages/puffinarchd/src/logOutput.ts"),
-        "puffinarchd/logging": resolvePath("packages/puffinarchd/src/logging.ts"),
-        "puffinarchd/metrics": resolvePath("packages/puffinarchd/src/metrics.ts"),
-        "puffinarchd/processorTimes": resolvePath("packages/puffinarchd/src/processorTimes.ts"),
-        "puffinarchd/settingsFile": resolvePath("packages/puffinarchd/src/settingsFile.ts"),
-    },
+    // Naming a condition leaves out "module", which the bundler otherwise adds.
+    conditions: ["@puffinarch/source", "module"],
 });
+const foreignInputs = findForeignInputs(metafile);
+if (foreignInputs.length > 0) {
+    rmSync(outputPath);
+    throw new Error(`the bundle would hold files that are no sources: ${foreignInputs.join(", ")}`);
+}
--- a/scripts/cleanBuild/checkout.mjs
+++ b/scripts/cleanBuild/checkout.mjs
@@ -17,7 +17,7 @@
 
 /** Ways to fill the folder of a checkout: the commit, or the files that git tracks as they are in the working tree. */
 const sources = {
-    commit: (root, folder) => git(root, "clone", "--quiet", "--no-local", root, folder),
+    commit: (root, folder) => git(root, "clone", "--quiet", "--depth=1", `file://${root}`, folder),
     workingTree: (root, folder) => {
         const paths = git(root, "ls-files", "--cached", "--others", "--exclude-standard", "--", ":!journal").split(
             "\n",
@@ -30,7 +30,7 @@
 
 /**
  * Fills a new folder with the `commit` or the `workingTree` of the repository at `root`. `build` runs the build command with
- * the given variables beside PATH and HOME, and returns its exit code and output; `remove` deletes all.
+ * the given variables beside PATH and HOME, and returns its exit code and output; `remove` deletes the folder.
  */
 export const openCheckout = (root, source) => {
     const folder = mkdtempSync(join(tmpdir(), "puffinarch-clean-"));
@@ -56,6 +56,11 @@
             });
             return { status, output: `${stdout}${stderr}` };
         },
+        /** Copies the installed dependencies of the repository, with the links to its workspaces. */
+        copyDependencies: () => {
+            const modules = join(checkout, "node_modules");
+            cpSync(join(root, "node_modules"), modules, { recursive: true, verbatimSymlinks: true });
+        },
         remove: () => rmSync(folder, { recursive: true, force: true }),
     };
 };
