--- a/features/platformBuild.feature
+++ b/features/platformBuild.feature
@@ -10,6 +10,8 @@
             | state                                 |
             | nothing else                          |
             | compiled modules of an earlier build  |
+            | a bundler for another kind of machine |
+            | a dependency of another version       |
 
     # Guards against a bundle that runs the code of an earlier build.
     Scenario Outline: A checkout whose adapter imports <module> is not built
@@ -19,6 +21,6 @@
         Then the build fails, names "<named>" and leaves no bundle
 
         Examples:
-            | module                                       | named                                     |
-            | puffinarchd/intake/removed                   | puffinarchd/intake/removed                |
+            | module                                            | named                                       |
+            | puffinarchd/intake/removed                        | puffinarchd/intake/removed                  |
             | ../../packages/puffinarchd/dist/intake/removed.js | packages/puffinarchd/dist/intake/removed.js |
--- a/features/steps/platformBuildSteps.ts
+++ b/features/steps/platformBuildSteps.ts
@@ -1,6 +1,6 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { appendFileSync, existsSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
+import { appendFileSync, existsSync, mkdirSync, readdirSync, readFileSync, renameSync, writeFileSync } from "node:fs";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 
@@ -27,7 +27,7 @@
     readonly variables?: Variables;
 }
 
-const writeCompiled = ({ folder }: Checkout, path: string): void => {
+const writeCompiled = (folder: string, path: string): void => {
     const file = join(folder, path);
     mkdirSync(dirname(file), { recursive: true });
     writeFileSync(file, `throw new Error("${leftBehind}");\nexport const readBody = undefined;\n`);
@@ -38,11 +38,29 @@
     "nothing else": {},
     "installed dependencies": { prepare: ({ copyDependencies }) => copyDependencies() },
     "compiled modules of an earlier build": {
-        prepare: checkout => {
-            checkout.copyDependencies();
-            writeCompiled(checkout, "packages/puffinarchd/dist/intake/readBody.js");
-            writeCompiled(checkout, "packages/puffinarch/dist/puffinarch.js");
-            writeCompiled(checkout, "target/puffinarchd.cjs");
+        prepare: ({ copyDependencies, folder }) => {
+            copyDependencies();
+            writeCompiled(folder, "packages/puffinarchd/dist/intake/readBody.js");
+            writeCompiled(folder, "packages/puffinarch/dist/puffinarch.js");
+            writeCompiled(folder, "target/puffinarchd.cjs");
+        },
+    },
+    "a bundler for another kind of machine": {
+        prepare: ({ copyDependencies, folder }) => {
+            copyDependencies();
+            const binaries = join(folder, "node_modules/@esbuild");
+            for (const name of readdirSync(binaries)) {
+                renameSync(join(binaries, name), join(binaries, "sunos-x64"));
+            }
+        },
+    },
+    "a dependency of another version": {
+        prepare: ({ copyDependencies, folder }) => {
+            copyDependencies();
+            const path = join(folder, "node_modules/undici/package.json");
+            const undici = JSON.parse(readFileSync(path, "utf8")) as object;
+            writeFileSync(path, JSON.stringify({ ...undici, version: "7.0.0" }));
+            writeCompiled(folder, "node_modules/undici/lib/dispatcher/pool.js");
         },
     },
 };
@@ -67,8 +85,8 @@
 
 Given("an adapter that imports {string}, which only an earlier build has left", (module: string) => {
     assert.ok(checkout !== undefined);
-    writeCompiled(checkout, "packages/puffinarchd/dist/intake/removed.js");
-    writeCompiled(checkout, "target/puffinarchd.cjs");
+    writeCompiled(checkout.folder, "packages/puffinarchd/dist/intake/removed.js");
+    writeCompiled(checkout.folder, "target/puffinarchd.cjs");
     appendFileSync(join(checkout.folder, "platform/src/main.ts"), `import "${module}";\n`);
 });
 
--- a/scripts/cleanBuild/checkout.mjs
+++ b/scripts/cleanBuild/checkout.mjs
@@ -58,8 +58,9 @@
         },
         /** Copies the installed dependencies of the repository, with the links to its workspaces. */
         copyDependencies: () => {
-            const modules = join(checkout, "node_modules");
-            cpSync(join(root, "node_modules"), modules, { recursive: true, verbatimSymlinks: true });
+            execFileSync("cp", ["-a", join(root, "node_modules"), checkout]);
+            // As after an installation, whose files are newer than the lock file.
+            execFileSync("touch", [join(checkout, "node_modules/.package-lock.json")]);
         },
         remove: () => rmSync(folder, { recursive: true, force: true }),
     };
