--- a/features/platformBuild.feature
+++ b/features/platformBuild.feature
@@ -12,6 +12,7 @@
             | compiled modules of an earlier build  |
             | a bundler for another kind of machine |
             | a dependency of another version       |
+            | a production environment              |
 
     # Guards against a bundle that runs the code of an earlier build.
     Scenario Outline: A checkout whose adapter imports <module> is not built
--- a/features/steps/platformBuildSteps.ts
+++ b/features/steps/platformBuildSteps.ts
@@ -36,6 +36,7 @@
 /** What may be in a checkout, or in the environment of its build. */
 const states: Readonly<Record<string, State>> = {
     "nothing else": {},
+    "a production environment": { variables: { NODE_ENV: "production", npm_config_omit: "dev" } },
     "installed dependencies": { prepare: ({ copyDependencies }) => copyDependencies() },
     "compiled modules of an earlier build": {
         prepare: ({ copyDependencies, folder }) => {
