A build does not depend on npm's cache in the home folder

Cause: npm's cache is there by default, and npm retries for ever where the folder cannot be created.

--- a/features/platformBuild.feature
+++ b/features/platformBuild.feature
@@ -13,6 +13,8 @@
             | a bundler for another kind of machine |
             | a dependency of another version       |
             | a production environment              |
+            | no home folder                        |
+            | a home folder that cannot be created  |
 
     # Guards against a bundle that runs the code of an earlier build.
     Scenario Outline: A checkout whose adapter imports <module> is not built
--- a/features/steps/platformBuildSteps.ts
+++ b/features/steps/platformBuildSteps.ts
@@ -37,6 +37,8 @@
 const states: Readonly<Record<string, State>> = {
     "nothing else": {},
     "a production environment": { variables: { NODE_ENV: "production", npm_config_omit: "dev" } },
+    "no home folder": { variables: { HOME: "/dev/null/home" } },
+    "a home folder that cannot be created": { variables: { HOME: "/proc/home" } },
     "installed dependencies": { prepare: ({ copyDependencies }) => copyDependencies() },
     "compiled modules of an earlier build": {
         prepare: ({ copyDependencies, folder }) => {
