Calls and bytes are counted by what they are for

Cause: logs could not tell an owner whose link is full from one that is slow: nothing counted its traffic by purpose. Change: counters of calls and of the bytes of their bodies to the store, the workers and the other daemons; ownerLoad has what came since its last line.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -74,6 +74,7 @@
             | callerKeys           | north, then unauthenticated             |
             | batchWriter          | in force at version 1                   |
             | guard                | failed: done, timer                     |
+            | traffic              | 1 call, 96 bytes sent, 210 received; store 0 |
             | workerAnswers        | unknown                                 |
             | commitLog            | 3 jobs in 1 transaction                 |
             | evacuate             | 0 moves while the other is away; not ready |
@@ -82,7 +83,7 @@
             | configurationFetch   | asked 1 time for 3 offers               |
             | handOver             | claimed by a peer                       |
             | pauseGuard           | free, held, free                        |
-            | loadReport           | 12 steps wait, 500 planned, 8 cores free |
+            | loadReport           | 12 steps wait, 500 planned, 8 cores free, workers: 2 calls 0.2/0.5 kB |
             | ownDelay             | 200 ms, then 500 ms                     |
             | ownerProgress        | nothingStarted for 3000 ms, news of 500 ms ago |
             | ownerWatch           | 7 restarted                             |
--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -6,6 +6,7 @@
     claimReasons,
     claimShard,
     countShortTenures,
+    countTraffic,
     createCommitMonitor,
     createConfigurationFetch,
     createLoadReport,
@@ -30,6 +31,7 @@
     watchOwner,
     watchReadiness,
 } from "puffinarch";
+import { createMeter } from "puffinarchd/metrics";
 import { log, meter, openWorker, owner, part, submission } from "./shardFixtures.js";
 
 const claim = async (): Promise<string> => {
@@ -325,6 +327,7 @@
 
 const loadReport = (): string => {
     const lines: string[] = [];
+    const traffic = createMeter();
     const report = createLoadReport({
         clock: createFakeClock(),
         log: {
@@ -332,17 +335,19 @@
                 lines.push(
                     `${fields["waitingSteps"]} steps wait, ${fields["plannedStarts"]} planned, ${
                         fields["freeCores"]
-                    } cores free`,
+                    } cores free, workers: ${fields["workersTraffic"]}`,
                 ),
         },
-        meter,
+        meter: traffic,
         lagMs: () => 0,
         planned: () => ({ starts: 500, free: 0 }),
         queue: () => ({ queued: 0, inFlight: 0, inFlightLimit: 128 }),
         stalledMs: () => 300,
         workers: new Map([["i-1", openWorker()]]),
     });
+    countTraffic(traffic, "workers", { calls: 7, sentBytes: 9_000 });
     report.write(0);
+    countTraffic(traffic, "workers", { calls: 2, sentBytes: 180, receivedBytes: 510 });
     report.write(12);
     return lines.join("; ");
 };
--- a/features/steps/examples/utilities.ts
+++ b/features/steps/examples/utilities.ts
@@ -4,6 +4,7 @@
 import {
     add,
     check,
+    countTraffic,
     createGuard,
     createRing,
     createSeededRandom,
@@ -13,11 +14,13 @@
     momentOf,
     noResources,
     pickMember,
+    readTraffic,
     scale,
     startLoop,
     wholeNumber,
     withGuardedTimers,
 } from "puffinarch";
+import { createMeter } from "puffinarchd/metrics";
 import { z } from "zod";
 
 const errors = (): string => `notRun is ${errorResponses.notRun.httpStatus}`;
@@ -69,6 +72,16 @@
     return `${runs} runs`;
 };
 
+const traffic = (): string => {
+    const meter = createMeter();
+    countTraffic(meter, "workers", { calls: 1, sentBytes: 96 });
+    countTraffic(meter, "workers", { receivedBytes: 210 });
+    const { calls, sentBytes, receivedBytes } = readTraffic(meter, "workers");
+    return `${calls} call, ${sentBytes} bytes sent, ${receivedBytes} received; store ${
+        readTraffic(meter, "store").calls
+    }`;
+};
+
 const guard = async (): Promise<string> => {
     const failed: unknown[] = [];
     const clock = createFakeClock();
@@ -96,5 +109,6 @@
     moments,
     time,
     guard,
+    traffic,
     system,
 };
--- a/packages/puffinarch/src/core/shard/loadReport.ts
+++ b/packages/puffinarch/src/core/shard/loadReport.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Clock, Log, Meter } from "../../types/ports.js";
+import { readTraffic, trafficPurposes } from "../../utils/traffic.js";
 import type { StartQueueLoad } from "./startQueue.js";
 import { freeCapacityOf, isOpen, type ShardWorker } from "./workerTable.js";
 
@@ -31,6 +32,7 @@
 }
 
 const millisPerCore = 1_000;
+const bytesPerKilobyte = 1_000;
 
 /**
  * Creates the report of an owner that has done nothing yet.
@@ -44,6 +46,20 @@
     const { clock, log, meter, workers } = options;
     let passes = 0;
     let passesMs = 0;
+    let reportedTraffic = trafficPurposes.map(purpose => readTraffic(meter, purpose));
+
+    /** Returns the traffic since the last report, for each purpose as "calls sentKb/receivedKb". */
+    const trafficSinceReport = (): Readonly<Record<string, string>> => {
+        const before = reportedTraffic;
+        reportedTraffic = trafficPurposes.map(purpose => readTraffic(meter, purpose));
+        return Object.fromEntries(reportedTraffic.map(({ calls, sentBytes, receivedBytes }, index) => {
+            const last = before[index] ?? { calls: 0, sentBytes: 0, receivedBytes: 0 };
+            const kilobytes = [sentBytes - last.sentBytes, receivedBytes - last.receivedBytes].map(bytes =>
+                (bytes / bytesPerKilobyte).toFixed(1)
+            );
+            return [`${trafficPurposes[index]}Traffic`, `${calls - last.calls} calls ${kilobytes.join("/")} kB`];
+        }));
+    };
 
     const openCapacity = (): { readonly openWorkers: number; readonly freeCores: number; } => {
         const nowMs = clock.monotonicMs();
@@ -65,6 +81,7 @@
             meter.record("passMs", tookMs);
         },
         write: waitingSteps => {
+            const traffic = trafficSinceReport();
             if (waitingSteps > 0) {
                 const { starts: plannedStarts, free: freeStarts } = options.planned();
                 const { queued, inFlight, inFlightLimit } = options.queue();
@@ -80,6 +97,7 @@
                     startsInFlightLimit: Math.floor(inFlightLimit),
                     commitStalledMs: Math.round(options.stalledMs()),
                     ...openCapacity(),
+                    ...traffic,
                 });
             }
             passes = 0;
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -152,3 +152,4 @@
 export * from "./utils/ring.js";
 export * from "./utils/system.js";
 export * from "./utils/time.js";
+export * from "./utils/traffic.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -602,3 +602,4 @@
 export { createRing, type Ring } from "./internal.js";
 export { createSeededRandom, createSystemClock, createSystemRandom } from "./internal.js";
 export { type Loop, type LoopOptions, sleep, startLoop } from "./internal.js";
+export { countTraffic, readTraffic, type Traffic, type TrafficPurpose, trafficPurposes } from "./internal.js";
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -10,7 +10,7 @@
  * which nothing has arrived since they were opened: the origin may not have accepted them yet, and new ones would queue behind them.
  */
 
-import { type CancelTimer, die, type Meter } from "puffinarch";
+import { type CancelTimer, countTraffic, die, type Meter, type Traffic, type TrafficPurpose } from "puffinarch";
 import { type Dispatcher, Pool } from "undici";
 
 /** Outcome of a call without an answer: the request was surely not delivered, or that is unknown. */
@@ -70,6 +70,8 @@
     readonly lateAnswerMs?: number;
     /** Counts calls, the bytes of their bodies and replacements of connections. */
     readonly meter: Meter;
+    /** What the calls are for; their traffic is not counted apart if it is missing. */
+    readonly purpose?: TrafficPurpose;
 }
 
 /** Open connections to one origin. Times are readings of `performance.now()`. */
@@ -172,8 +174,10 @@
 
 /** Callbacks of one request. */
 interface ExchangeEvents {
+    /** Called when the request is passed to a connection. */
+    readonly onSent: () => void;
     /** Called for each chunk of the answer. */
-    readonly onChunk: () => void;
+    readonly onChunk: (bytes: number) => void;
     /** Called with the whole answer. */
     readonly onAnswer: (status: number, text: string) => void;
     readonly onError: (error: unknown) => void;
@@ -192,7 +196,7 @@
  * Creates the handler of one request, which collects the answer. The streams and abort signals of `Pool.request` would take about half
  * of the processor time of a call, and most of its memory.
  */
-const createExchange = ({ onChunk, onAnswer, onError }: ExchangeEvents): Exchange => {
+const createExchange = ({ onSent, onChunk, onAnswer, onError }: ExchangeEvents): Exchange => {
     const chunks: Buffer[] = [];
     let status = 0;
     let controller: Dispatcher.DispatchController | undefined;
@@ -213,13 +217,14 @@
                 }
                 controller = started;
                 isSent = true;
+                onSent();
             },
             onResponseStart: (_controller, statusCode) => {
                 status = statusCode;
             },
             onResponseData: (_controller, chunk) => {
                 chunks.push(chunk);
-                onChunk();
+                onChunk(chunk.length);
             },
             onResponseEnd: () => {
                 const [first] = chunks;
@@ -249,11 +254,17 @@
  * await http.call("GET", `${address}/vms`);
  */
 export const createHttpClient = (limits: HttpClientOptions): HttpClient => {
-    const { timeoutMs, connectionsPerHost, keepAliveMs, connectTimeoutMs, lateAnswerMs, meter } = limits;
+    const { timeoutMs, connectionsPerHost, keepAliveMs, connectTimeoutMs, lateAnswerMs, meter, purpose } = limits;
     const byOrigin = new Map<string, Connections>();
     /** Connections that were replaced, by what, and the timer that closes them once no late answer is awaited any more. */
     const closing = new Map<Connections, { readonly successor: Connections; readonly timer: NodeJS.Timeout; }>();
 
+    const count = (traffic: Partial<Traffic>): void => {
+        if (purpose !== undefined) {
+            countTraffic(meter, purpose, traffic);
+        }
+    };
+
     const open = (origin: string): Connections => {
         const pool = new Pool(origin, {
             connections: connectionsPerHost,
@@ -371,7 +382,9 @@
             };
 
             const exchange = createExchange({
-                onChunk: () => {
+                onSent: () => count({ calls: 1, sentBytes: Buffer.byteLength(sent) }),
+                onChunk: bytes => {
+                    count({ receivedBytes: bytes });
                     recordArrival(origin, connections);
                     deadline.onChunk(connections.receivedAtMs);
                 },
--- a/packages/puffinarchd/src/adapters/members.ts
+++ b/packages/puffinarchd/src/adapters/members.ts
@@ -105,6 +105,7 @@
         connectTimeoutMs,
         lateAnswerMs,
         meter,
+        purpose: "members",
     });
     return {
         call: async (address, name, input, timeoutMs, longestMs) => {
