Calls to workers that time out keep their connections

What callers saw: on links of 2 Mbit/s nothing is served and accepted jobs are lost, also with no processor time charged. Cause: each call to a worker that timed out closed its connection, and where nothing had arrived since it began, all connections to that worker were replaced: 9,243 new connections for 549 runs in 14 s. Their handshakes and the answers that were thrown away filled the link, which made more calls late.

--- a/features/usersPlatform.feature
+++ b/features/usersPlatform.feature
@@ -89,6 +89,12 @@
         When a run is started through the adapter
         Then the adapter returns "unknown"
 
+    # Guards against an owner on a thin link of which each late answer costs a connection, until handshakes fill the link.
+    Scenario: Stops at a worker that answers late open no connection each
+        Given a service that answers each call after 400 ms
+        When 20 stops that may take 100 ms are sent through the adapter, one after the other
+        Then at most 6 connections were opened to it
+
     # Guards against an exception in place of an answer, which ended all that followed the worker.
     Scenario Outline: A worker whose address <address> or id <id> cannot be used leaves its calls without an answer
         Given a service that cannot be called at "<address>"
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -74,12 +74,26 @@
     readonly purpose?: TrafficPurpose;
 }
 
+/** A late answer: how long after the time limit of its call it arrived, and when. */
+interface Overdue {
+    readonly byMs: number;
+    readonly seenAtMs: number;
+}
+
+const neverOverdue: Overdue = { byMs: 0, seenAtMs: -Infinity };
+/** For how long an origin is taken for late after its newest late answer. */
+const overdueValidMs = 10_000;
+/** Multiple of the lateness of an origin for which nothing must arrive before its connections count as silent. */
+const overdueFactor = 2;
+
 /** Open connections to one origin. Times are readings of `performance.now()`. */
 interface Connections {
     readonly pool: Pool;
     readonly openedAtMs: number;
     /** When data last arrived over one of them; 0 if none has. */
     receivedAtMs: number;
+    /** How long after its time limit the origin's newest late answer arrived, and when; carried over to connections that replace these. */
+    overdue: Overdue;
     /** Calls that were passed to the pool and have not ended. */
     inFlight: number;
     /** Calls that wait for the first data; each takes the connections over which to send it. */
@@ -273,7 +287,14 @@
             connect: { timeout: connectTimeoutMs ?? timeoutMs },
             ...(keepAliveMs === undefined ? {} : { keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs }),
         });
-        const opened = { pool, openedAtMs: performance.now(), receivedAtMs: 0, inFlight: 0, held: [] };
+        const opened = {
+            pool,
+            openedAtMs: performance.now(),
+            receivedAtMs: 0,
+            overdue: byOrigin.get(origin)?.overdue ?? neverOverdue,
+            inFlight: 0,
+            held: [],
+        };
         byOrigin.set(origin, opened);
         return opened;
     };
@@ -291,12 +312,20 @@
         }
     };
 
+    /** Whether nothing has arrived since a call began, nor for longer than an origin that answers late has lately taken. */
+    const isSilent = ({ openedAtMs, receivedAtMs, overdue }: Connections, startedAtMs: number): boolean => {
+        const nowMs = performance.now();
+        const silentSinceMs = Math.max(openedAtMs, receivedAtMs);
+        const lateByMs = nowMs - overdue.seenAtMs < overdueValidMs ? overdueFactor * overdue.byMs : 0;
+        return silentSinceMs < startedAtMs && nowMs - silentSinceMs >= lateByMs;
+    };
+
     /**
-     * Replaces the connections to an origin if nothing has arrived over them since a call began. Calls in flight keep the old
-     * connections and may still be answered; new calls use new ones.
+     * Replaces the connections to an origin if they are silent. Calls in flight keep the old connections and may still be answered; new
+     * calls use new ones.
      */
     const replaceIfSilent = (origin: string, connections: Connections, startedAtMs: number): void => {
-        const silent = Math.max(connections.openedAtMs, connections.receivedAtMs) < startedAtMs;
+        const silent = isSilent(connections, startedAtMs);
         if (!silent || byOrigin.get(origin) !== connections) {
             return;
         }
@@ -354,6 +383,7 @@
 
         return new Promise(resolve => {
             let isReported = false;
+            let expiredAtMs = startedAtMs;
             const cancelSilenceTimer = suspectAfterMs === undefined
                 ? () => {}
                 : setTimerAfterReading(suspectAfterMs, () => replaceIfSilent(origin, connections, startedAtMs));
@@ -394,6 +424,8 @@
                     meter.count("outsideCalls");
                     meter.count("outsideBytes", text.length + sent.length);
                     if (isReported) {
+                        const seenAtMs = performance.now();
+                        connectionsTo(origin).overdue = { byMs: seenAtMs - expiredAtMs, seenAtMs };
                         return;
                     }
                     try {
@@ -410,6 +442,7 @@
             });
 
             const onExpired = (limitMs: number): void => {
+                expiredAtMs = performance.now();
                 const isSent = exchange.isSent();
                 // While connections are still being opened, it is the origin that keeps the request waiting.
                 const expiredUnsent = !isSent && connections.pool.stats.connected >= connectionsPerHost;
