Names and comments of the clean build and of the owner's pings

Cause: read by somebody new, a path variable was a folder of programs and a comment told half of why pings have growing gaps.

--- a/features/steps/platformBuildSteps.ts
+++ b/features/steps/platformBuildSteps.ts
@@ -1,3 +1,5 @@
+/** Steps that build checkouts for the users' platform, each with something that an earlier build, a machine or an environment left. */
+
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { appendFileSync, existsSync, mkdirSync, readdirSync, readFileSync, renameSync, writeFileSync } from "node:fs";
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -164,8 +164,8 @@
     });
 
 /**
- * Returns when to ping an owner that has this long to answer, in ms after the first ping. What is lost on the way is lost again for as
- * long as a cut lasts, so that the gaps grow.
+ * Returns when to ping an owner that has this long to answer, in ms after the first ping. The gaps grow, so that few pings reach an owner
+ * that is busy, and one is sent after a short cut.
  */
 const pingTimesMs = (limitMs: number): readonly number[] => {
     const times = [0];
--- a/scripts/cleanBuild/checkout.mjs
+++ b/scripts/cleanBuild/checkout.mjs
@@ -34,15 +34,15 @@
  */
 export const openCheckout = (root, source) => {
     const folder = mkdtempSync(join(tmpdir(), "puffinarch-clean-"));
-    const [checkout, home, path] = ["checkout", "home", "bin"].map(name => join(folder, name));
-    for (const made of [checkout, home, path]) {
+    const [checkout, home, bin] = ["checkout", "home", "bin"].map(name => join(folder, name));
+    for (const made of [checkout, home, bin]) {
         mkdirSync(made);
     }
     for (const tool of tools) {
-        symlinkSync(findTool(tool), join(path, tool));
+        symlinkSync(findTool(tool), join(bin, tool));
     }
     sources[source](root, checkout);
-    const environment = { PATH: path, HOME: home };
+    const environment = { PATH: bin, HOME: home };
     return {
         folder: checkout,
         environment,
