Traffic counters are named for what they count, and cost less for each call

Cause, found in a second reading: the client that is counted as the store's also calls the advisor and the VMs; counter names were put together for each call and each part of an answer; the report compared two lists by index; the factor for weak VMs was exported, stood in a module about tenures and read the strength a second way; the connections to workers had an interface and a limit of their own; two steps files listened on a port in the same way. Change: platformTraffic in place of storeTraffic, a table of names, one function that follows a purpose, the factor in the owner's watch by the peers' strengthOf, options picked from the client's, one listen in support.ts. Behaviour and bounds stay; the one literal that changes is the purpose's name in an example.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -74,7 +74,7 @@
             | callerKeys           | north, then unauthenticated             |
             | batchWriter          | in force at version 1                   |
             | guard                | failed: done, timer                     |
-            | traffic              | 1 call, 96 bytes sent, 210 received; store 0 |
+            | traffic              | 1 call, 96 bytes sent, 210 received; platform 0 |
             | workerAnswers        | unknown                                 |
             | commitLog            | 3 jobs in 1 transaction                 |
             | evacuate             | 0 moves while the other is away; not ready |
--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -5,8 +5,9 @@
     claimOrder,
     claimReasons,
     claimShard,
+    countCall,
+    countReceived,
     countShortTenures,
-    countTraffic,
     createCommitMonitor,
     createConfigurationFetch,
     createLoadReport,
@@ -345,9 +346,11 @@
         stalledMs: () => 300,
         workers: new Map([["i-1", openWorker()]]),
     });
-    countTraffic(traffic, "workers", { calls: 7, sentBytes: 9_000 });
+    countCall(traffic, "workers", 9_000);
     report.write(0);
-    countTraffic(traffic, "workers", { calls: 2, sentBytes: 180, receivedBytes: 510 });
+    countCall(traffic, "workers", 90);
+    countCall(traffic, "workers", 90);
+    countReceived(traffic, "workers", 510);
     report.write(12);
     return lines.join("; ");
 };
--- a/features/steps/examples/utilities.ts
+++ b/features/steps/examples/utilities.ts
@@ -4,7 +4,8 @@
 import {
     add,
     check,
-    countTraffic,
+    countCall,
+    countReceived,
     createGuard,
     createRing,
     createSeededRandom,
@@ -74,11 +75,11 @@
 
 const traffic = (): string => {
     const meter = createMeter();
-    countTraffic(meter, "workers", { calls: 1, sentBytes: 96 });
-    countTraffic(meter, "workers", { receivedBytes: 210 });
+    countCall(meter, "workers", 96);
+    countReceived(meter, "workers", 210);
     const { calls, sentBytes, receivedBytes } = readTraffic(meter, "workers");
-    return `${calls} call, ${sentBytes} bytes sent, ${receivedBytes} received; store ${
-        readTraffic(meter, "store").calls
+    return `${calls} call, ${sentBytes} bytes sent, ${receivedBytes} received; platform ${
+        readTraffic(meter, "platform").calls
     }`;
 };
 
--- a/features/steps/support.ts
+++ b/features/steps/support.ts
@@ -1,6 +1,8 @@
 /** State that the steps of one scenario share, and the cleanup after it. */
 
 import { After, setDefaultTimeout, setWorldConstructor } from "@cucumber/cucumber";
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
 import { type ErrorKind, type Failure, failureOf } from "puffinarch";
 
 setDefaultTimeout(300_000);
@@ -37,6 +39,23 @@
     return created;
 };
 
+/**
+ * Listens on a free port of the loopback address until the scenario ends, and returns the address.
+ *
+ * @example
+ * const address = await listen(world, createServer((_request, response) => response.end("{}")));
+ */
+export const listen = async (world: ScenarioWorld, server: Server): Promise<string> => {
+    await new Promise<void>(resolve => {
+        server.listen(0, "127.0.0.1", resolve);
+    });
+    world.closers.push(async () => {
+        server.closeAllConnections();
+        server.close();
+    });
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+};
+
 /** The outcome of a call: its value or its failure. */
 export type CallOutcome<T> = { readonly value: T; readonly failure?: undefined; } | {
     readonly value?: undefined;
--- a/features/steps/usersPlatformSteps.ts
+++ b/features/steps/usersPlatformSteps.ts
@@ -35,7 +35,7 @@
     waveStateRow,
 } from "puffinarch-platform";
 import { createHttpClient, createMeter } from "puffinarchd";
-import { nestedText, partOf, type ScenarioWorld } from "./support.js";
+import { listen, nestedText, partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
     address: string;
@@ -96,14 +96,7 @@
             response.writeHead(status, { "content-type": "application/json" }).end(body);
         });
     });
-    await new Promise<void>(resolve => {
-        server.listen(0, "127.0.0.1", resolve);
-    });
-    part(world).address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-    world.closers.push(async () => {
-        server.closeAllConnections();
-        server.close();
-    });
+    part(world).address = await listen(world, server);
 };
 
 const httpCallerOf = (world: ScenarioWorld) => {
--- a/features/steps/workerConnectionSteps.ts
+++ b/features/steps/workerConnectionSteps.ts
@@ -3,10 +3,9 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { createServer } from "node:http";
-import { type AddressInfo } from "node:net";
 import { createPlatformWorkers, openWorkerConnections } from "puffinarch-platform";
 import { createMeter } from "puffinarchd";
-import { partOf, type ScenarioWorld } from "./support.js";
+import { listen, partOf, type ScenarioWorld } from "./support.js";
 
 const part = (world: ScenarioWorld) => partOf(world, "workerConnections", () => ({ address: "", opened: 0 }));
 
@@ -18,21 +17,14 @@
     server.on("connection", () => {
         part(this).opened += 1;
     });
-    await new Promise<void>(resolve => {
-        server.listen(0, "127.0.0.1", resolve);
-    });
-    part(this).address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-    this.closers.push(async () => {
-        server.closeAllConnections();
-        server.close();
-    });
+    part(this).address = await listen(this, server);
 });
 
 When(
     "{int} stops that may take {int} ms are sent through the adapter, one after the other",
     async function(this: ScenarioWorld, count: number, timeoutMs: number) {
         const meter = createMeter();
-        const http = openWorkerConnections({ keepAliveMs: 60_000, connectTimeoutMs: 400, meter });
+        const http = openWorkerConnections({ timeoutMs: 30_000, keepAliveMs: 60_000, connectTimeoutMs: 400, meter });
         this.closers.push(() => http.close());
         const workers = createPlatformWorkers(http, meter);
         const target = { workerId: "i-1", address: part(this).address };
--- a/packages/puffinarch/src/core/shard/loadReport.ts
+++ b/packages/puffinarch/src/core/shard/loadReport.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Clock, Log, Meter } from "../../types/ports.js";
-import { readTraffic, trafficPurposes } from "../../utils/traffic.js";
+import { readTraffic, type TrafficPurpose, trafficPurposes } from "../../utils/traffic.js";
 import type { StartQueueLoad } from "./startQueue.js";
 import { freeCapacityOf, isOpen, type ShardWorker } from "./workerTable.js";
 
@@ -34,6 +34,20 @@
 const millisPerCore = 1_000;
 const bytesPerKilobyte = 1_000;
 
+const inKilobytes = (bytes: number): string => (bytes / bytesPerKilobyte).toFixed(1);
+
+/** Returns a function that describes the traffic of a purpose since its last call: the calls, and kilobytes sent and received. */
+const followTraffic = (meter: Meter, purpose: TrafficPurpose): () => string => {
+    let last = readTraffic(meter, purpose);
+    return () => {
+        const before = last;
+        last = readTraffic(meter, purpose);
+        const sentKb = inKilobytes(last.sentBytes - before.sentBytes);
+        const receivedKb = inKilobytes(last.receivedBytes - before.receivedBytes);
+        return `${last.calls - before.calls} calls ${sentKb}/${receivedKb} kB`;
+    };
+};
+
 /**
  * Creates the report of an owner that has done nothing yet.
  *
@@ -46,20 +60,7 @@
     const { clock, log, meter, workers } = options;
     let passes = 0;
     let passesMs = 0;
-    let reportedTraffic = trafficPurposes.map(purpose => readTraffic(meter, purpose));
-
-    /** Returns the traffic since the last report, for each purpose as "calls sentKb/receivedKb". */
-    const trafficSinceReport = (): Readonly<Record<string, string>> => {
-        const before = reportedTraffic;
-        reportedTraffic = trafficPurposes.map(purpose => readTraffic(meter, purpose));
-        return Object.fromEntries(reportedTraffic.map(({ calls, sentBytes, receivedBytes }, index) => {
-            const last = before[index] ?? { calls: 0, sentBytes: 0, receivedBytes: 0 };
-            const kilobytes = [sentBytes - last.sentBytes, receivedBytes - last.receivedBytes].map(bytes =>
-                (bytes / bytesPerKilobyte).toFixed(1)
-            );
-            return [`${trafficPurposes[index]}Traffic`, `${calls - last.calls} calls ${kilobytes.join("/")} kB`];
-        }));
-    };
+    const trafficFields = trafficPurposes.map(purpose => [`${purpose}Traffic`, followTraffic(meter, purpose)] as const);
 
     const openCapacity = (): { readonly openWorkers: number; readonly freeCores: number; } => {
         const nowMs = clock.monotonicMs();
@@ -81,7 +82,7 @@
             meter.record("passMs", tookMs);
         },
         write: waitingSteps => {
-            const traffic = trafficSinceReport();
+            const traffic = Object.fromEntries(trafficFields.map(([field, sinceLast]) => [field, sinceLast()]));
             if (waitingSteps > 0) {
                 const { starts: plannedStarts, free: freeStarts } = options.planned();
                 const { queued, inFlight, inFlightLimit } = options.queue();
--- a/packages/puffinarch/src/core/shard/ownerWatch.ts
+++ b/packages/puffinarch/src/core/shard/ownerWatch.ts
@@ -9,9 +9,9 @@
 import { createGuard } from "../../utils/guard.js";
 import { sleep } from "../../utils/time.js";
 import type { CommitMonitor } from "./commitMonitor.js";
-import { type Peers, pingIntervalMs, pingTimeoutMs } from "./peers.js";
+import { type Peers, pingIntervalMs, pingTimeoutMs, strengthOf } from "./peers.js";
 import { delayForRankMs, followerPauseMs, neighbourTurns, watcherCount } from "./probes.js";
-import { type ClaimReason, claimReasons, settlingMs, timeoutFactor, weaknessFactor } from "./shortTenures.js";
+import { type ClaimReason, claimReasons, settlingMs, timeoutFactor } from "./shortTenures.js";
 
 /** Dependencies and callbacks of an owner watch. */
 export interface OwnerWatchOptions {
@@ -163,6 +163,16 @@
         void Promise.all(calls.map(call => call.then(settle))).then(() => resolve(undefined));
     });
 
+/** Largest factor on the timeouts for the owner on a weak VM; its failure is then detected after 1.4 s. */
+const maxWeaknessFactor = 4;
+
+/**
+ * Returns the factor on the timeouts for an owner whose VM has less than an owner needs: it is as much later with the same work, and a
+ * successor that is no stronger would begin that work anew.
+ */
+const weaknessFactor = (row: Pick<MemberRow, "strength">): number =>
+    Math.max(1, Math.min(maxWeaknessFactor, 1 / strengthOf(row)));
+
 /**
  * Returns when to ping an owner that has this long to answer, in ms after the first ping. The gaps grow, so that few pings reach an owner
  * that is busy, and one is sent after a short cut.
--- a/packages/puffinarch/src/core/shard/peers.ts
+++ b/packages/puffinarch/src/core/shard/peers.ts
@@ -132,7 +132,8 @@
     readonly untilMs: number;
 }
 
-const strengthOf = ({ strength }: MemberRow): number => strength ?? 1;
+/** Strength of a VM; 1 in rows that an earlier version wrote. */
+export const strengthOf = ({ strength }: Pick<MemberRow, "strength">): number => strength ?? 1;
 
 /**
  * Creates the table of peers, which is empty before the first member rows.
--- a/packages/puffinarch/src/core/shard/shortTenures.ts
+++ b/packages/puffinarch/src/core/shard/shortTenures.ts
@@ -33,9 +33,6 @@
 /** Most doublings of the timeouts; with 3 the failure of an owner is detected after 2.8 s. */
 const maxDoublings = 3;
 
-/** Largest factor on the timeouts for the owner on a weak VM; its failure is then detected after 1.4 s. */
-const maxWeaknessFactor = 4;
-
 /** Reasons for a claim that an overloaded owner can cause. */
 const overloadReasons: ReadonlySet<ClaimReason> = new Set([
     claimReasons.ownerSilent,
@@ -80,13 +77,3 @@
     }
     return (previous.shortOffices ?? 0) + (overloadReasons.has(why) ? 1 : 0);
 };
-
-/**
- * Returns the factor on the timeouts for an owner whose VM has less than an owner needs: it is as much later with the same work, and a
- * successor that is no stronger would begin that work anew.
- *
- * @example
- * weaknessFactor({ strength: 0.5 }); // 2
- */
-export const weaknessFactor = ({ strength = 1 }: Pick<OwnerRow, "strength">): number =>
-    Math.max(1, Math.min(maxWeaknessFactor, 1 / strength));
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -333,14 +333,7 @@
     type WorkerAvailability,
     type WorkerSnapshot,
 } from "./internal.js";
-export {
-    type ClaimReason,
-    claimReasons,
-    countShortTenures,
-    settlingMs,
-    timeoutFactor,
-    weaknessFactor,
-} from "./internal.js";
+export { type ClaimReason, claimReasons, countShortTenures, settlingMs, timeoutFactor } from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
 export { handOver, type HandOverOptions } from "./internal.js";
 export { createPauseGuard, type PauseGuard, type PauseGuardOptions, watchPauses } from "./internal.js";
@@ -609,4 +602,11 @@
 export { createRing, type Ring } from "./internal.js";
 export { createSeededRandom, createSystemClock, createSystemRandom } from "./internal.js";
 export { type Loop, type LoopOptions, sleep, startLoop } from "./internal.js";
-export { countTraffic, readTraffic, type Traffic, type TrafficPurpose, trafficPurposes } from "./internal.js";
+export {
+    countCall,
+    countReceived,
+    readTraffic,
+    type Traffic,
+    type TrafficPurpose,
+    trafficPurposes,
+} from "./internal.js";
--- a/packages/puffinarch/src/utils/traffic.ts
+++ b/packages/puffinarch/src/utils/traffic.ts
@@ -2,8 +2,8 @@
 
 import type { Meter } from "../types/ports.js";
 
-/** What calls are for whose traffic is counted. */
-export const trafficPurposes = ["store", "workers", "members"] as const;
+/** What calls are for whose traffic is counted; those to the platform are for its store, its advisor and its VMs. */
+export const trafficPurposes = ["platform", "workers", "members"] as const;
 /** One of `trafficPurposes`. */
 export type TrafficPurpose = (typeof trafficPurposes)[number];
 
@@ -20,30 +20,41 @@
     receivedBytes: `receivedBytes.${purpose}`,
 });
 
+/** Names of the counters. They are not put together for each call, since an owner makes thousands a second. */
+const counters = {
+    platform: countersOf("platform"),
+    workers: countersOf("workers"),
+    members: countersOf("members"),
+} as const satisfies Record<TrafficPurpose, Record<keyof Traffic, string>>;
+
 /**
- * Adds traffic to a meter.
+ * Counts a call that is sent with a body of this many bytes.
  *
  * @example
- * countTraffic(meter, "workers", { calls: 1, sentBytes: 96 });
+ * countCall(meter, "workers", 96);
  */
-export const countTraffic = (meter: Meter, purpose: TrafficPurpose, added: Partial<Traffic>): void => {
-    const counters = countersOf(purpose);
-    for (const [field, by] of Object.entries(added)) {
-        meter.count(counters[field as keyof Traffic], by);
-    }
+export const countCall = (meter: Meter, purpose: TrafficPurpose, sentBytes: number): void => {
+    meter.count(counters[purpose].calls);
+    meter.count(counters[purpose].sentBytes, sentBytes);
 };
 
+/**
+ * Counts a part of an answer.
+ *
+ * @example
+ * countReceived(meter, "workers", 210);
+ */
+export const countReceived = (meter: Meter, purpose: TrafficPurpose, receivedBytes: number): void =>
+    meter.count(counters[purpose].receivedBytes, receivedBytes);
+
 /**
  * Returns the traffic of a purpose that a meter has counted.
  *
  * @example
  * readTraffic(meter, "workers").sentBytes; // 96
  */
-export const readTraffic = (meter: Meter, purpose: TrafficPurpose): Traffic => {
-    const counters = countersOf(purpose);
-    return {
-        calls: meter.total(counters.calls),
-        sentBytes: meter.total(counters.sentBytes),
-        receivedBytes: meter.total(counters.receivedBytes),
-    };
-};
+export const readTraffic = (meter: Meter, purpose: TrafficPurpose): Traffic => ({
+    calls: meter.total(counters[purpose].calls),
+    sentBytes: meter.total(counters[purpose].sentBytes),
+    receivedBytes: meter.total(counters[purpose].receivedBytes),
+});
--- a/packages/puffinarchd/src/adapters/http.ts
+++ b/packages/puffinarchd/src/adapters/http.ts
@@ -10,7 +10,7 @@
  * which nothing has arrived since they were opened: the origin may not have accepted them yet, and new ones would queue behind them.
  */
 
-import { type CancelTimer, countTraffic, die, type Meter, type Traffic, type TrafficPurpose } from "puffinarch";
+import { type CancelTimer, countCall, countReceived, die, type Meter, type TrafficPurpose } from "puffinarch";
 import { type Dispatcher, Pool } from "undici";
 
 /** Outcome of a call without an answer: the request was surely not delivered, or that is unknown. */
@@ -273,12 +273,6 @@
     /** Connections that were replaced, by what, and the timer that closes them once no late answer is awaited any more. */
     const closing = new Map<Connections, { readonly successor: Connections; readonly timer: NodeJS.Timeout; }>();
 
-    const count = (traffic: Partial<Traffic>): void => {
-        if (purpose !== undefined) {
-            countTraffic(meter, purpose, traffic);
-        }
-    };
-
     const open = (origin: string): Connections => {
         const pool = new Pool(origin, {
             connections: connectionsPerHost,
@@ -412,9 +406,15 @@
             };
 
             const exchange = createExchange({
-                onSent: () => count({ calls: 1, sentBytes: Buffer.byteLength(sent) }),
+                onSent: () => {
+                    if (purpose !== undefined) {
+                        countCall(meter, purpose, Buffer.byteLength(sent));
+                    }
+                },
                 onChunk: bytes => {
-                    count({ receivedBytes: bytes });
+                    if (purpose !== undefined) {
+                        countReceived(meter, purpose, bytes);
+                    }
                     recordArrival(origin, connections);
                     deadline.onChunk(connections.receivedAtMs);
                 },
--- a/scripts/build/installDependencies.mjs
+++ b/scripts/build/installDependencies.mjs
@@ -15,12 +15,11 @@
 ];
 
 const canCreateIn = path => {
-    const folder = existsSync(path) ? path : dirname(path);
-    if (folder !== path && !existsSync(folder)) {
-        return canCreateIn(folder);
+    if (!existsSync(path)) {
+        return canCreateIn(dirname(path));
     }
     try {
-        rmSync(mkdtempSync(join(folder, "puffinarch-")), { recursive: true });
+        rmSync(mkdtempSync(join(path, "puffinarch-")), { recursive: true });
         return true;
     }
     catch {
