The crowd's daemon reads the deploy file as the build does

Cause: a second pattern read the run command of deploy/system.toml, and gave an empty command where it did not match. Change: the steps call readDeployFile, which fails with the line that is missing.

--- a/features/steps/crowdDaemon.ts
+++ b/features/steps/crowdDaemon.ts
@@ -19,6 +19,11 @@
     send(method: string, options: Fields): Promise<{ status: number; reason?: string; body?: Fields; }>;
 }
 
+/** What is used of `scripts/build/deployFile.mjs`. */
+interface DeployFileModule {
+    readDeployFile(root: string): { readonly run: readonly string[]; };
+}
+
 /** A running daemon, and what is known of its process. */
 export type CrowdedDaemon = Awaited<ReturnType<typeof startCrowdedDaemon>>;
 
@@ -68,8 +73,8 @@
  */
 export const startCrowdedDaemon = async (memoryMb: number, maxFds: number) => {
     assert.ok(existsSync(join(root, bundle)), `${bundle} is missing: run "npm run build:platform" first`);
-    const load = (name: string) => import(new URL(`review/lib/${name}.mjs`, `file://${root}`).href) as Promise<object>;
-    const modules = await Promise.all(["store", "executor", "http"].map(load));
+    const load = (path: string) => import(new URL(`${path}.mjs`, `file://${root}`).href) as Promise<object>;
+    const modules = await Promise.all(["store", "executor", "http"].map(name => load(`review/lib/${name}`)));
     const { startStore, startExecutor, send } = Object.assign({}, ...modules) as Scaffolding;
     const network = `127.${16 + Math.floor(Math.random() * 200)}.${Math.floor(Math.random() * 250)}`;
     const host = `${network}.11`;
@@ -95,7 +100,7 @@
     const folder = mkdtempSync(join(tmpdir(), "puffinarch-crowd-"));
     const [settingsPath, logPath] = [join(folder, "settings.yaml"), join(folder, "daemon.log")];
     writeFileSync(settingsPath, stringify(settings));
-    const command = /^run = "(.*)"$/m.exec(readFileSync(join(root, "deploy/system.toml"), "utf8"))?.[1] ?? "";
+    const command = (await load("scripts/build/deployFile") as DeployFileModule).readDeployFile(root).run.join(" ");
     const child = spawn("sh", ["-c", `ulimit -n ${maxFds}; exec ${command} >${logPath} 2>&1`], {
         cwd: root,
         env: { PATH: process.env["PATH"], HOME: process.env["HOME"], PUFFINARCH_BOOT: settingsPath },
