--- a/features/handOver.feature
+++ b/features/handOver.feature
@@ -95,3 +95,21 @@
             | 3 | 3000 | answers |
             | 3 | 4000 | answers |
             | 3 | 5000 | answers |
+
+    # Guards against a look that is taken for proof although its worker has accepted a start that it does not list yet.
+    Scenario Outline: Workers take up to <ms> ms to begin a run, while the owner hands over again and again, seed <seed>
+        Given a cell of 4 daemons and 6 workers that check tickets and take up to <ms> ms to begin a run, seed <seed>
+        When the owner is told to stop 12 times, 720 ms after each other, while jobs of steps "6, 6 after 0" arrive
+        And the shard runs for 8000 ms
+        Then no promise was broken
+
+        Examples:
+            | ms | seed |
+            | 5  | 1    |
+            | 5  | 2    |
+            | 20 | 1    |
+            | 20 | 2    |
+            | 20 | 3    |
+            | 20 | 4    |
+            | 20 | 5    |
+            | 20 | 6    |
--- a/features/steps/stoppedOwnerSteps.ts
+++ b/features/steps/stoppedOwnerSteps.ts
@@ -237,6 +237,39 @@
     },
 );
 
+Given(
+    /^a cell of (\d+) daemons and (\d+) workers that check tickets and take up to (\d+) ms to begin a run, seed (\d+)$/,
+    async function(this: ScenarioWorld, members: string, workers: string, takesMs: string, seed: string) {
+        await startCell(this, {
+            members: Number(members),
+            workers: Number(workers),
+            seed: Number(seed),
+            checksTickets: true,
+            startTakesMs: Number(takesMs),
+        });
+    },
+);
+
+const jobIntervalMs = 120;
+
+When(
+    "the owner is told to stop {int} times, {int} ms after each other, while jobs of steps {string} arrive",
+    async function(this: ScenarioWorld, times: number, apartMs: number, steps: string) {
+        const cell = cellOf(this);
+        const { jobs } = part(this);
+        for (let done = 0; done < times; done += 1) {
+            for (let passedMs = 0; passedMs < apartMs; passedMs += jobIntervalMs) {
+                const jobId = jobIdOf(jobs.length + 1);
+                jobs.push(jobId);
+                cell.submit(jobId, readSteps(steps));
+                await cell.clock.advance(jobIntervalMs);
+            }
+            tellToStop(cell, ownerOf(cell));
+            await cell.clock.advance(apartMs);
+        }
+    },
+);
+
 When(
     /^the owner is told to stop, and (\d+) ms later its process is stopped for (\d+) ms, after which it handles (timers|answers) first$/,
     async function(this: ScenarioWorld, afterMs: string, forMs: string, first: WakingOrder) {
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -218,6 +218,7 @@
     checksTickets = false,
     saving,
     startAnswerMs = () => 0,
+    startTakesMs = () => 0,
     clockRate = 1,
     onCrash,
     onAlone = () => {},
@@ -239,6 +240,8 @@
     readonly saving?: Saving | undefined;
     /** How long the answer to a start takes after the start was carried out. */
     readonly startAnswerMs?: () => number;
+    /** How long a worker takes to carry out a start whose token it has checked; looks at it are answered meanwhile. */
+    readonly startTakesMs?: () => number;
     /** Rate of the workers' own clocks, on which their leases are measured. */
     readonly clockRate?: number;
     /** Called when a task has crashed its worker, which is down then. */
@@ -380,10 +383,8 @@
     const fitsFormerCapacity = ({ formerCapacities }: FakeWorker, held: Resources): boolean =>
         formerCapacities.some(({ capacity, untilMs }) => clock.monotonicMs() <= untilMs && fits(held, capacity));
 
-    const start = (worker: FakeWorker, order: StartRunOrder, orderedAtMs: number): OrderOutcome => {
-        if (!acceptToken(worker, order.fencingToken)) {
-            return orderOutcomes.fenced;
-        }
+    /** Carries out a start whose token the worker has checked. */
+    const begin = (worker: FakeWorker, order: StartRunOrder, orderedAtMs: number): OrderOutcome => {
         if (order.deadlineMs <= workerTimeMs(worker)) {
             return orderOutcomes.late;
         }
@@ -464,6 +465,20 @@
         return orderOutcomes.done;
     };
 
+    const start = (
+        worker: FakeWorker,
+        order: StartRunOrder,
+        orderedAtMs: number,
+    ): OrderOutcome | Promise<OrderOutcome> => {
+        if (!acceptToken(worker, order.fencingToken)) {
+            return orderOutcomes.fenced;
+        }
+        const takesMs = startTakesMs();
+        return takesMs === 0
+            ? begin(worker, order, orderedAtMs)
+            : wait(takesMs).then(() => worker.alive ? begin(worker, order, orderedAtMs) : orderOutcomes.unknown);
+    };
+
     const stop = (worker: FakeWorker, { taskName, run, fencingToken }: StopRunOrder): OrderOutcome => {
         if (!acceptToken(worker, fencingToken)) {
             return orderOutcomes.fenced;
@@ -570,7 +585,7 @@
         const order = async (
             target: WorkerTarget,
             timeoutMs: number,
-            carryOut: (worker: FakeWorker, orderedAtMs: number) => OrderOutcome,
+            carryOut: (worker: FakeWorker, orderedAtMs: number) => OrderOutcome | Promise<OrderOutcome>,
         ): Promise<OrderOutcome> => {
             const orderedAtMs = clock.monotonicMs();
             await wait(answerMs);
@@ -590,7 +605,7 @@
                 readonly orderedAtMs: number;
                 readonly departure: Departure;
             },
-            carryOut: (worker: FakeWorker, orderedAtMs: number) => OrderOutcome,
+            carryOut: (worker: FakeWorker, orderedAtMs: number) => OrderOutcome | Promise<OrderOutcome>,
         ): Promise<OrderOutcome> => {
             const worker = await reach(target, timeoutMs);
             if (worker === undefined || worker === "down") {
@@ -612,13 +627,13 @@
                     // The order names only the worker's ID, so whichever incarnation has that ID by then carries it out.
                     const present = workers.get(target.workerId);
                     if (present?.alive === true) {
-                        carryOut(present, orderedAtMs);
+                        void carryOut(present, orderedAtMs);
                     }
                 });
                 await wait(timeoutMs);
                 return orderOutcomes.unknown;
             }
-            const outcome = carryOut(worker, orderedAtMs);
+            const outcome = await carryOut(worker, orderedAtMs);
             return departure === "expired" ? orderOutcomes.unknown : outcome;
         };
         const carryOutLook = (
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -261,6 +261,8 @@
     readonly costs?: ProcessorCosts;
     /** Longest time for which the answer to a start is under way, below the timeout of starts; each takes a random part of its upper half. */
     readonly startAnswerMs?: number;
+    /** Longest time that a worker takes to carry out a start whose token it has checked; each takes a random part of it. */
+    readonly startTakesMs?: number;
     /** A deliberate defect in every daemon's dependencies. */
     readonly broken?: BrokenShardPart | undefined;
 }
@@ -395,6 +397,7 @@
         maxHeldTasks = defaultShardSettings.maxHeldTasks,
         costs = noCosts,
         startAnswerMs = 0,
+        startTakesMs = 0,
         broken,
     }: ShardCellOptions,
 ): ShardCell => {
@@ -526,6 +529,7 @@
             return runsGangsTogether && gang ? count : 0;
         },
         ...(startAnswerMs === 0 ? {} : { startAnswerMs: () => startAnswerMs * (1 + random.next()) / 2 }),
+        ...(startTakesMs === 0 ? {} : { startTakesMs: () => startTakesMs * random.next() }),
         onCrash: entry => {
             faultTracker.recordFault();
             scheduleReturn(entry);
