A worker refuses a run that a look does not list before its task is free

What callers saw: a task ran twice at the same time on two workers, around a change of owner (three cases on real processes).

Cause: a look that did not list a run was proof that the run is gone, since the worker refuses orders with a lower token from then on. But a worker may have checked the token of the start already and begin the run a moment later; the record shows up to 1 ms between the two. A successor's first look that falls into that moment freed the task at once, and an owner's own look did after a start without an answer. Hand-overs make it likely: the former owner sends starts until it learns of the claim.

Change: such a run is first refused at its worker, by an order to stop it, which a worker answers with a refusal of the run for good. The task is free once a look after the answer still does not list the run, or one after 150 ms where orders get no answer: a worker that answers looks has begun an accepted run by then. Starts without an answer whose orders any incarnation may carry out wait as before. New lines runRefused and runBegunLate; the latter shows the race itself.

--- a/features/steps/examples/shardIncarnations.ts
+++ b/features/steps/examples/shardIncarnations.ts
@@ -74,6 +74,7 @@
         onPossibleCrash: () => {},
         onMemberLost: () => {},
         onAbsent: () => {},
+        refuse: () => {},
     });
     missing.review(worker, new Set(), 10);
     return `${2 - worker.runs.size} of 2 is gone`;
--- a/features/steps/examples/shardWorkers.ts
+++ b/features/steps/examples/shardWorkers.ts
@@ -139,6 +139,7 @@
         onFormerGone: () => {},
         onMemberLost: () => {},
         onAbsent: () => {},
+        refuse: () => {},
     });
     const ended = [{ endNumber: 7, taskName: task.name, run: 1, how: "done", checkpoint: "" }] as const;
     const newest = watch.applyLook(worker, { outcome: "done", clockMs: 1_000, running: [], ended }, 10);
--- a/features/steps/tokenSteps.ts
+++ b/features/steps/tokenSteps.ts
@@ -306,6 +306,7 @@
         onFormerGone: () => {},
         onMemberLost: () => {},
         onAbsent: () => {},
+        refuse: () => {},
     });
     const listed = { taskName: run.task.name, run: run.run, checkpoint: "", percent: 100, figure: 1_000 };
     watch.applyLook(worker, { outcome: "done", clockMs: 0, running: [listed], ended: [] }, clock.monotonicMs());
--- a/packages/puffinarch/src/core/shard/jobModel.ts
+++ b/packages/puffinarch/src/core/shard/jobModel.ts
@@ -71,6 +71,8 @@
     mayArriveUntilMs: number | undefined;
     /** Whether the worker's current incarnation does not run it and would refuse its order. */
     absent: boolean;
+    /** Whether the worker was told to refuse it, since a look did not list it. */
+    refused: boolean;
     /** A worker incarnation that never answered a look of this owner may have carried out its order and crashed because of it. */
     mayHaveCrashed: boolean;
     /** Local time at which its worker first confirmed that it runs. */
@@ -430,6 +432,7 @@
     wasListed: false,
     mayArriveUntilMs: undefined,
     absent: false,
+    refused: false,
     mayHaveCrashed: false,
     startedAtMs: undefined,
     percent: 100,
--- a/packages/puffinarch/src/core/shard/missingRuns.ts
+++ b/packages/puffinarch/src/core/shard/missingRuns.ts
@@ -7,7 +7,7 @@
 import { markBlockedLong } from "./blockedSteps.js";
 import type { CrashedRun } from "./crashes.js";
 import { incarnationOf } from "./incarnations.js";
-import { jobOf, type ShardJob, type ShardRun } from "./jobModel.js";
+import { jobOf, runPhases, type ShardJob, type ShardRun } from "./jobModel.js";
 import { mayArrive } from "./unansweredStart.js";
 import { dropRun, setAbsent, type ShardWorker } from "./workerTable.js";
 
@@ -29,6 +29,8 @@
     readonly onMemberLost: (run: ShardRun) => void;
     /** Called when a worker answers looks but left a start unanswered, and the start may still be carried out there. */
     readonly onAbsent: (worker: ShardWorker, run: ShardRun) => void;
+    /** Called for a run that its worker must refuse before a look can prove that the run is gone. */
+    readonly refuse: (worker: ShardWorker, run: ShardRun) => void;
     /** Age of the platform's list of workers in ms, for the log. */
     readonly listAgeMs?: (() => number) | undefined;
 }
@@ -55,6 +57,13 @@
     };
 };
 
+/**
+ * Whether a worker that does not list a run may begin it yet: it may have checked the token of the start before that of the look. It has to
+ * refuse the run, or begin it, before a look proves that the run is gone.
+ */
+const mayBeginYet = ({ phase, sentAtMs, wasListed, absent, refused }: ShardRun): boolean =>
+    !wasListed && !absent && !refused && (phase === runPhases.starting || sentAtMs === undefined);
+
 /** Reviews runs that looks do not list. */
 export interface MissingRuns {
     /**
@@ -68,7 +77,7 @@
  * Creates the review of one owner.
  *
  * @example
- * const missing = createMissingRuns({ clock, log, meter, onChange, onFormerGone, onPossibleCrash, onMemberLost, onAbsent });
+ * const missing = createMissingRuns({ clock, log, meter, onChange, onFormerGone, onPossibleCrash, onMemberLost, onAbsent, refuse });
  * missing.review(worker, new Set(), sentAtMs);
  */
 export const createMissingRuns = (options: MissingRunsOptions): MissingRuns => {
@@ -113,15 +122,34 @@
         onChange(jobOf(run));
     };
 
-    const reviewRun = (worker: ShardWorker, run: ShardRun, nowMs: number): void => {
+    const refuse = (worker: ShardWorker, run: ShardRun): void => {
+        run.refused = true;
+        meter.count("runsRefused");
+        log.write("info", "runRefused", {
+            task: run.task.name,
+            run: run.run,
+            ...incarnationOf(worker),
+            phase: run.phase,
+        });
+        options.onMemberLost(run);
+        options.refuse(worker, run);
+    };
+
+    /** Handles a run that a look does not list; returns whether the look proves that the worker's incarnation does not have it. */
+    const reviewRun = (worker: ShardWorker, run: ShardRun, nowMs: number): boolean => {
         // Workers that get a new id for each incarnation reject orders that name another one, so their missing runs are gone.
-        if (worker.bornAtMs === undefined || !mayArrive(run, nowMs)) {
-            dropGoneRun(worker, run);
-            return;
+        if (worker.bornAtMs !== undefined && mayArrive(run, nowMs)) {
+            if (!run.absent) {
+                markAbsent(worker, run, nowMs);
+            }
+            return true;
         }
-        if (!run.absent) {
-            markAbsent(worker, run, nowMs);
+        if (mayBeginYet(run)) {
+            refuse(worker, run);
+            return false;
         }
+        dropGoneRun(worker, run);
+        return true;
     };
 
     return {
@@ -132,7 +160,9 @@
                 if (run.absenceProvenAfterMs === undefined || run.absenceProvenAfterMs >= sentAtMs || listed.has(key)) {
                     continue;
                 }
-                reviewRun(worker, run, nowMs);
+                if (!reviewRun(worker, run, nowMs)) {
+                    continue;
+                }
                 const suspect = worker.undecided.get(key);
                 if (suspect !== undefined) {
                     worker.undecided.delete(key);
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -194,6 +194,7 @@
             const leftMs = (run.mayArriveUntilMs ?? 0) - clock.monotonicMs();
             clock.setTimer(leftMs + 1, () => links.get(worker.workerId)?.look());
         },
+        refuse: (worker, run) => links.get(worker.workerId)?.refuseRun(run),
         stopUnknown: (worker, taskName, run) => links.get(worker.workerId)?.stopUnknown(taskName, run),
         onDone: (worker, run) => {
             const end = runTimeOf(worker, run, clock.monotonicMs());
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -29,6 +29,8 @@
 const ownDelayThresholdMs = 50;
 /** For this long after a worker's last answer, looks that time out by this daemon's own delay do not count against the worker. */
 const ownDelayGraceMs = 5_000;
+/** A worker that answers looks begins a run this soon after it has accepted the start. */
+const beginsWithinMs = 150;
 /** A worker whose last answer is older than this may have restarted since. */
 const maxLookGapMs = 50;
 
@@ -93,6 +95,11 @@
     stopUnknown(taskName: string, run: number): void;
     /** Makes the worker reject a start that may be in flight to it; repeated until it is answered. */
     refuse(order: DelayedStart): void;
+    /**
+     * Makes the worker refuse a run that no look has listed. A look proves that the run is gone once the worker has answered the order, or
+     * has had time to begin the run.
+     */
+    refuseRun(run: ShardRun): void;
     /** Sends a look soon that does not wait for a run to end. */
     look(): void;
     /** Tests with a harmless order, until it is answered, whether a worker that left a start unanswered takes orders again. */
@@ -404,6 +411,11 @@
             void guard.run("stopUnknown", () => workers.stop(target(), order, stopUnknownTimeoutMs));
         },
         refuse: order => void guard.run("refuse", () => orders.refuse(order)),
+        refuseRun: run => {
+            run.absenceProvenAfterMs = clock.monotonicMs() + beginsWithinMs;
+            clock.setTimer(beginsWithinMs, lookSoon);
+            void guard.run("refuseRun", () => orders.stop(run).then(lookSoon));
+        },
         look: lookSoon,
         probe: order => void guard.run("probe", () => orders.probe(order)),
         pace: (run, percent) => {
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -24,7 +24,7 @@
 
 /** What `createWorkerWatch` needs. */
 export interface WorkerWatchOptions
-    extends Pick<MissingRunsOptions, "onFormerGone" | "onMemberLost" | "onAbsent" | "listAgeMs">
+    extends Pick<MissingRunsOptions, "onFormerGone" | "onMemberLost" | "onAbsent" | "refuse" | "listAgeMs">
 {
     readonly clock: Clock;
     readonly log: Log;
@@ -288,6 +288,11 @@
             return;
         }
         run.wasListed = true;
+        if (run.refused) {
+            run.refused = false;
+            meter.count("runsBegunLate");
+            log.write("warn", "runBegunLate", { task: run.task.name, run: run.run, ...incarnationOf(worker) });
+        }
         setAbsent(worker, run, false);
         run.mayHaveCrashed = false;
         run.mayArriveUntilMs = undefined;
