Soak and exploration begin runs later than they accept them

The soak has a play of its own, handOvers: owners are told to stop or killed one after the other, jobs have many starts, executors check the tickets of an advisor, tell when their lives began, and take up to 250 ms (mostly a few) from the check of a start's token until they carry it out.

--- a/packages/stand-ins/soak/faults.mjs
+++ b/packages/stand-ins/soak/faults.mjs
@@ -201,3 +201,34 @@
     }
     await Promise.all(over);
 };
+
+const betweenStopsMs = [800, 5_000];
+const stopShare = 0.7;
+const killShare = 0.15;
+const crashShare = 0.4;
+
+/** Tells the owner to stop, or kills it, again and again, while executors crash. */
+export const handOverAgain = async ({ deployment, random, ownerOf, isOver }) => {
+    const { daemons, executors, record, killDaemon, rotation } = deployment;
+    const between = (least, most) => Math.round(least + random() * (most - least));
+    const underWay = [];
+    while (!isOver()) {
+        await sleep(between(...betweenStopsMs));
+        const owner = daemons.find(({ node }) => node === ownerOf());
+        // A process that has just begun ends by the signal itself.
+        const isUp = owner?.child !== undefined && rotation().includes(owner);
+        const kind = random();
+        if (isUp && kind < stopShare) {
+            underWay.push(stopDaemon({ daemon: owner, record, afterMs: 0, forMs: 0 }));
+        }
+        else if (isUp && kind < stopShare + killShare) {
+            record(`${owner.node} is killed`);
+            killDaemon(owner, between(0, 2_000));
+        }
+        const executor = executors[between(0, executors.length - 1)];
+        if (random() < crashShare && executor.id() !== undefined) {
+            executor.crash(between(500, 4_000));
+        }
+    }
+    await Promise.all(underWay);
+};
--- a/packages/stand-ins/soak/load.mjs
+++ b/packages/stand-ins/soak/load.mjs
@@ -27,7 +27,7 @@
 };
 
 /** Starts to hand jobs in; `isOver` ends it. Returns the outcomes by their name. */
-export const handInJobs = async ({ deployment, random, isOver, newJobOf = newJob }) => {
+export const handInJobs = async ({ deployment, random, isOver, newJobOf = newJob, betweenMs = betweenJobsMs }) => {
     const { rotation, front, record } = deployment;
     const agent = new Agent({ keepAlive: true, maxSockets: 8 });
     const outcomes = { accepted: 0, refused: 0, unknown: 0 };
@@ -75,7 +75,7 @@
     const sent = [];
     while (!isOver()) {
         sent.push(handIn(newJobOf(random)));
-        await sleep(betweenJobsMs);
+        await sleep(betweenMs);
     }
     await Promise.all(sent);
     agent.destroy();
--- a/packages/stand-ins/soak/main.mjs
+++ b/packages/stand-ins/soak/main.mjs
@@ -3,7 +3,9 @@
  *
  *     npm run soak -- --seeds 10 --from 1
  *     npm run soak -- --scene pausedOwner --pauses 3000,4500,6000
+ *     npm run soak -- --play handOvers --for 60000 --seeds 3
  *
+ * `--play handOvers` tells owners to stop, one after the other, among executors that check tickets and take some milliseconds to begin a run.
  * `--keep FOLDER` keeps the order of events and the daemons' logs of each play with a breach, with `--all` those of all plays. `--judge FILE`
  * judges a kept `record.txt` again.
  */
@@ -15,12 +17,13 @@
 import { backend, bounds, startDeployment } from "../../../review/lib/deployment.mjs";
 import { send, sleep } from "../../../review/lib/http.mjs";
 import { brokenCode, failedCode, heldCode, runCase } from "../../../review/lib/runCase.mjs";
-import { causeFaults, createRandom, pauseOwner } from "./faults.mjs";
+import { causeFaults, createRandom, handOverAgain, pauseOwner } from "./faults.mjs";
 import { judge } from "./judge.mjs";
 import { handInJobs, host, prefix } from "./load.mjs";
 import { openNetwork } from "./network.mjs";
 
-const routes = [{
+const advice = { decideMs: 19, eachMs: 0.28, validMs: 2_000 };
+const routesFor = isAdvised => [{
     name: "r-3hwrr6x",
     host,
     path_prefix: prefix,
@@ -31,6 +34,7 @@
     backend,
     attempts: 5,
     stretch: 2.2,
+    ...isAdvised ? { advice: { decide_ms: advice.decideMs, each_ms: advice.eachMs, valid_ms: advice.validMs } } : {},
 }];
 const readyWithinMs = 30_000;
 const warmUpMs = 4_000;
@@ -69,6 +73,23 @@
     steps: [{ count: 3, cpu: 300, mem_mb: 128, estimate_ms: 5_000 }],
 });
 
+const longShare = 0.15;
+const mostTasks = 24;
+
+/** Jobs with many starts: most of a few tasks and some of many. */
+const busyJob = random => {
+    const between = (least, most) => Math.round(least + random() * (most - least));
+    const workMs = random() < longShare ? between(4_000, 15_000) : between(300, 2_000);
+    const steps = Array.from({ length: between(1, 3) }, (_each, index) => ({
+        count: between(2, 2 + (mostTasks - 2) * random() ** 2),
+        cpu: 1_500,
+        mem_mb: 512,
+        estimate_ms: workMs,
+        ...index > 0 ? { after: [index - 1] } : {},
+    }));
+    return { spec: JSON.stringify({ workMs }), steps };
+};
+
 const scenes = {
     seed: {
         warmUpMs,
@@ -78,6 +99,16 @@
         },
     },
     pausedOwner: { warmUpMs: sceneWarmUpMs, newJobOf: sceneJob, play: pauseOwner },
+    handOvers: {
+        warmUpMs,
+        newJobOf: busyJob,
+        betweenMs: 110,
+        network: { advice, startTakesMs: 250 },
+        play: async ({ forMs, ...context }) => {
+            const untilMs = performance.now() + forMs;
+            await handOverAgain({ ...context, isOver: () => performance.now() > untilMs });
+        },
+    },
     lateAnswers: {
         warmUpMs: sceneWarmUpMs,
         newJobOf: sceneJob,
@@ -88,12 +119,12 @@
 /** Plays one scene; returns its breaches and figures. */
 const playScene = async ({ scene, seed, forMs, folder }) => {
     process.env.KEEP_LOG = join(folder, "daemons.log");
-    const deployment = await startDeployment({ folder, routes });
+    const deployment = await startDeployment({ folder, routes: routesFor(scene.network !== undefined) });
     const { record } = deployment;
     let over = false;
     let network;
     try {
-        network = await openNetwork({ deployment, holdMaxMs: bounds.hold_max_ms });
+        network = await openNetwork({ deployment, holdMaxMs: bounds.hold_max_ms, ...scene.network });
         record(`the play began at ${new Date().toISOString()}`);
         const ownerOf = followOwner({ ...deployment, isOver: () => over });
         if (!await deployment.untilReady(readyWithinMs)) {
@@ -104,6 +135,7 @@
             deployment,
             random: createRandom(~seed),
             newJobOf: scene.newJobOf,
+            betweenMs: scene.betweenMs,
             isOver: () => over,
         });
         await sleep(scene.warmUpMs);
@@ -126,6 +158,7 @@
 
 const { values } = parseArgs({
     options: {
+        play: { type: "string", default: "seed" },
         seeds: { type: "string", default: "1" },
         from: { type: "string", default: "1" },
         scene: { type: "string" },
@@ -133,6 +166,7 @@
         keep: { type: "string" },
         all: { type: "boolean", default: false },
         judge: { type: "string" },
+        for: { type: "string", default: "60000" },
     },
 });
 
@@ -148,8 +182,9 @@
         }));
     }
     return Array.from({ length: Number(values.seeds) }, (_each, index) => ({
-        name: `seed-${from + index}`,
-        scene: scenes.seed,
+        name: `${values.play}-${from + index}`,
+        scene: scenes[values.play],
+        forMs: Number(values.for),
         seed: from + index,
     }));
 };
--- a/packages/stand-ins/soak/network.mjs
+++ b/packages/stand-ins/soak/network.mjs
@@ -5,10 +5,13 @@
 
 import { readFileSync, writeFileSync } from "node:fs";
 import { Agent, request as openRequest } from "node:http";
-import { serveJson } from "../../../review/lib/http.mjs";
+import { serveJson, sleep } from "../../../review/lib/http.mjs";
+import { startAdvisor } from "./advisor.mjs";
 import { openProxy } from "./proxy.mjs";
 
 const peerPort = 20_002;
+/** The higher, the fewer starts take nearly the longest time. */
+const startRarity = 8;
 const jsonHeaders = { "content-type": "application/json" };
 
 /** Passes a call on and returns its answer, or undefined where none came. */
@@ -35,10 +38,14 @@
             ? row
             : {
                 ...row,
-                value: Buffer.from(rewrite(Buffer.from(row.value, "base64").toString("utf8"))).toString("base64"),
+                value: Buffer.from(rewrite(Buffer.from(row.value, "base64").toString("utf8"), row)).toString("base64"),
             }
     );
 
+/** Adds to the entry of an executor when its life began. */
+const addBorn = (text, { table, key }, bornOf) =>
+    table === "servers" ? JSON.stringify({ ...JSON.parse(text), born: bornOf(key) }) : text;
+
 /** Serves the store to one daemon: `toView` and `fromView` rewrite the addresses in the rows that it reads and writes. */
 const serveStoreView = ({ host, port, store, toView, fromView }) => {
     const agent = new Agent({ keepAlive: true });
@@ -55,18 +62,38 @@
  * Stands before one executor and records each order that it answers: who sent it, the token, the ends that it acknowledges, and by when the
  * lease that it grants ends.
  */
-const serveRecorder = ({ host, executor, holdMaxMs, nameOf, nowS, record }) => {
+const serveRecorder = ({ host, executor, holdMaxMs, nameOf, nowS, record, advisor, bornOf, startTakesMs }) => {
     const agent = new Agent({ keepAlive: true });
+    /** Highest token that was sent to each life of the executor. */
+    const highestTokens = new Map();
+    /** Lets an order wait between the check of its token and the moment at which it is carried out. */
+    const startLater = async (id, body) => {
+        const isAccepted = body.fencing_token >= (highestTokens.get(id) ?? 0);
+        await sleep(startTakesMs * Math.random() ** startRarity);
+        return isAccepted ? { ...body, fencing_token: Math.max(body.fencing_token, highestTokens.get(id)) } : body;
+    };
     return serveJson(host, executor.port, async ({ method, url, headers, body, response }) => {
         const sender = nameOf(response.req.socket.remoteAddress);
         const arrivedS = nowS();
         const expected = headers["x-expected-instance"];
+        if (
+            url.pathname === "/-/run-start" && advisor !== undefined
+            && !advisor.isValid(body.ticket, body.task, expected)
+        ) {
+            record(
+                `order ${url.pathname} ${body.task} run ${body.run} of ${sender} has no valid ticket at ${expected}`,
+            );
+            return { status: 409, body: { clock_ms: 0, reason: "ticket" } };
+        }
+        const later = url.pathname === "/-/run-start" && startTakesMs > 0 ? startLater(expected, body) : body;
+        highestTokens.set(expected, Math.max(body?.fencing_token ?? 0, highestTokens.get(expected) ?? 0));
+        const carriedOut = await later;
         const answer = await passOn(agent, {
             ...executor,
             method,
             path: url.pathname,
             headers: expected === undefined ? {} : { "x-expected-instance": expected },
-            body,
+            body: carriedOut,
         });
         if (answer === undefined || body === undefined) {
             return answer;
@@ -81,12 +108,17 @@
             `order ${url.pathname} ${task} run ${run} of ${sender} token ${token} seen ${seenUpto} lease ${leaseS} `
                 + `arrived ${arrivedS} at ${expected} answered ${answer.status} ${reason ?? ""}`,
         );
-        return answer;
+        return advisor === undefined || answer.status !== 200
+            ? answer
+            : { ...answer, body: { ...answer.body, born: bornOf(expected) } };
     });
 };
 
-/** Puts the network between the daemons and the rest of `deployment`, whose daemons start anew with it. */
-export const openNetwork = async ({ deployment, holdMaxMs }) => {
+/**
+ * Puts the network between the daemons and the rest of `deployment`, whose daemons start anew with it. With `advice`, starts need tickets of
+ * an advisor, and executors tell when their lives began; a start takes up to `startTakesMs` after its token was checked.
+ */
+export const openNetwork = async ({ deployment, holdMaxMs, advice, startTakesMs = 0 }) => {
     const { store, executors, daemons, record, startedAt } = deployment;
     const [storeHost, storePortText] = store.address.split(":");
     const storePort = Number(storePortText);
@@ -103,6 +135,11 @@
     const viewHost = index => `${base}${90 + index}`;
     const peerHost = (index, other) => `${base}${100 + daemons.length * index + other}`;
 
+    const births = new Map();
+    const bornOf = id => {
+        births.set(id, births.get(id) ?? Math.floor(Date.now()));
+        return births.get(id);
+    };
     const open = [];
     const keep = async opening => {
         const opened = await opening;
@@ -129,9 +166,24 @@
             return host === undefined ? all : `${host}:${port}`;
         });
 
+    const advisor = advice === undefined
+        ? undefined
+        : await keep(startAdvisor({ host: `${base}5`, ...advice, bornOf }));
     const nameOf = address => daemons.find((_daemon, index) => callerHost(index) === address)?.node ?? address;
     for (const executor of targets) {
-        await keep(serveRecorder({ host: recorderHost, executor, holdMaxMs, nameOf, nowS, record }));
+        await keep(
+            serveRecorder({
+                host: recorderHost,
+                executor,
+                holdMaxMs,
+                nameOf,
+                nowS,
+                record,
+                advisor,
+                bornOf,
+                startTakesMs,
+            }),
+        );
     }
     const links = [];
     for (const [index, daemon] of daemons.entries()) {
@@ -139,7 +191,10 @@
             host: viewHost(index),
             port: storePort,
             store: { host: storeHost, port: storePort },
-            toView: rewriteWith(viewedHosts[index]),
+            toView: (text, row) => {
+                const viewed = rewriteWith(viewedHosts[index])(text);
+                return advisor === undefined ? viewed : addBorn(viewed, row, bornOf);
+            },
             fromView: rewriteWith(realHosts),
         }));
         const proxy = (host, port, targetHost) =>
@@ -157,7 +212,11 @@
         }
         links.push({ daemon, toStore, toExecutors, toPeers });
         const settings = readFileSync(daemon.settingsPath, "utf8");
-        writeFileSync(daemon.settingsPath, settings.replace(store.address, `${proxyHost(index)}:${storePort}`));
+        writeFileSync(
+            daemon.settingsPath,
+            settings.replace(store.address, `${proxyHost(index)}:${storePort}`)
+                .replace("advisorAddress: null", `advisorAddress: ${JSON.stringify(advisor?.address ?? null)}`),
+        );
         deployment.killDaemon(daemon, 0);
     }
     return {
--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -2,7 +2,7 @@
  * Runs seeds with random faults from the command line; exits with 1 where one failed:
  *
  * `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss [--queues N]] [--crashing] [--resizing]
- * [--suspending] [--stopping] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--saving] [--gangs] [--wide]
+ * [--suspending] [--stopping] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--beginning-late] [--saving] [--gangs] [--wide]
  * [--cancelling accepted|sent|mixed] [--cutting plain|looksLate|deadListed] [--draws N] [--broken PART]`
  */
 
@@ -28,6 +28,7 @@
     readonly downMs?: string;
     readonly delayingOrders?: true;
     readonly checkingTickets?: true;
+    readonly beginningLate?: true;
     readonly cancelling?: CancellingMode;
     readonly cutting?: CuttingMode;
     readonly saving?: true;
@@ -59,6 +60,7 @@
         "more faults at once, of those that leave orders under way to workers that start again",
     )
     .option("--checking-tickets", "workers that refuse tickets of other incarnations")
+    .option("--beginning-late", "workers that begin runs some milliseconds after they have accepted them")
     .addOption(new Option("--cancelling <when>", "callers that cancel and read jobs").choices(cancellingModes))
     .addOption(
         new Option(
@@ -110,6 +112,7 @@
             "downMs",
             "delayingOrders",
             "checkingTickets",
+            "beginningLate",
             "cancelling",
             "broken",
         ]),
@@ -132,6 +135,7 @@
     downMs,
     delayingOrders,
     checkingTickets,
+    beginningLate,
     cancelling,
     cutting,
     saving,
@@ -171,6 +175,7 @@
         capped,
         delayingOrders,
         checksTickets: checkingTickets,
+        beginningLate,
         cancelling,
         cutting,
         saving,
--- a/packages/stand-ins/src/shard/exploreSeed.ts
+++ b/packages/stand-ins/src/shard/exploreSeed.ts
@@ -197,6 +197,7 @@
 const busyCosts = { firstLookMs: 5, lookMs: 2, callMs: 0.5, startMs: 1 };
 /** Just below the timeout of starts. */
 const longestStartAnswerMs = 140;
+const longestStartMs = 50;
 
 /**
  * Schedules faults that overlap: daemons restart one after the other, the store is away for 4 to 7 s while the entries of the
@@ -411,6 +412,8 @@
     readonly gangs?: boolean | undefined;
     /** Whether workers refuse tickets of other incarnations and the daemons are configured for it. */
     readonly checksTickets?: boolean | undefined;
+    /** Whether workers take up to `longestStartMs` from the check of a start's token until its run begins. */
+    readonly beginningLate?: boolean | undefined;
     /** Lets callers cancel jobs at these moments, and read the accepted jobs that they do not cancel. */
     readonly cancelling?: CancellingMode | undefined;
     /**
@@ -448,6 +451,7 @@
         saving = false,
         gangs = false,
         checksTickets = false,
+        beginningLate = false,
         cancelling,
         cutting,
         draw = 0,
@@ -466,6 +470,7 @@
         crashedDownMs,
         keepsIds,
         checksTickets,
+        ...(beginningLate ? { startTakesMs: longestStartMs } : {}),
         broken,
         ...(capped ? { organisations } : {}),
         ...(cutting === undefined ? {} : {
