A successor counts its ownership as proven from its claim, not from the end of its restore

What callers would see: tasks run twice, each on a worker that only one of two owners reaches.

Cause: a successor that reads the rows for seconds, over a thin link or from a slow store, may be replaced meanwhile. It went on to renew leases as if its claim had been a moment ago, while the next owner counted these leases from its own claim.

Change: the time since the claim was sent counts like a pause. Where it exceeds the limit for pauses, the successor renews and starts nothing before the store has confirmed that it still owns the shard. The stopwatch that measures it counts suspensions as well, so that the watch for pauses during a claim is not needed any more.

--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -199,7 +199,7 @@
         clock,
         log,
         fencingToken: 7,
-        pausedMs: 0,
+        claimedMs: 0,
         provenAtMs: () => 0,
         maxPauseMs: 1_000,
         confirm,
--- a/features/steps/stoppedOwnerSteps.ts
+++ b/features/steps/stoppedOwnerSteps.ts
@@ -184,6 +184,24 @@
 /** Time in which a daemon begins to claim the shard of an owner that was killed. */
 const claimWithinMs = 4_000;
 
+/** Kills the owner, until the faults end, and returns the daemon that begins to claim its shard. */
+const killOwnerUntilClaim = async (world: ScenarioWorld): Promise<string> => {
+    const cell = cellOf(world);
+    const logLengthBefore = cell.log.length;
+    const claimant = (): string | undefined =>
+        cell.log.slice(logLengthBefore).find(({ event }) => event === "claimBegins")?.memberId;
+    const former = ownerOf(cell);
+    cell.kill(former);
+    for (let passedMs = 0; claimant() === undefined && passedMs < claimWithinMs; passedMs += 1) {
+        await cell.clock.advance(1);
+    }
+    part(world).endFaults.push(() => {
+        cell.memberIds().forEach(cell.restoreLinks);
+        cell.restart(former);
+    });
+    return claimant() ?? assert.fail("no daemon claimed the shard");
+};
+
 When(
     /^the owner is killed, and (\d+) ms into its claim the successor, which alone reaches (\d+) workers, is stopped for (\d+) ms, then reaches (.*) and handles (timers|answers) first$/,
     async function(
@@ -195,29 +213,52 @@
         first: WakingOrder,
     ) {
         const cell = cellOf(this);
-        const logLengthBefore = cell.log.length;
-        const claimant = (): string | undefined =>
-            cell.log.slice(logLengthBefore).find(({ event }) => event === "claimBegins")?.memberId;
-        const former = ownerOf(cell);
-        cell.kill(former);
-        for (let passedMs = 0; claimant() === undefined && passedMs < claimWithinMs; passedMs += 1) {
-            await cell.clock.advance(1);
-        }
-        const successor = claimant() ?? assert.fail("no daemon claimed the shard");
+        const successor = await killOwnerUntilClaim(this);
         const kept = cell.workers.workerIds().slice(0, Number(count));
         for (const memberId of cell.memberIds().filter(each => each !== successor)) {
             cell.cutFromWorkers(memberId, kept);
         }
-        part(this).endFaults.push(() => {
-            cell.memberIds().forEach(cell.restoreLinks);
-            cell.restart(former);
-        });
         await cell.clock.advance(Number(intoMs));
         cell.stopProcess(successor, Number(forMs), first);
         cutOwner(cell, successor, kept, reached);
     },
 );
 
+const restoreWithinMs = 8_000;
+/** From a claim until the store has carried it out and the first page of rows is under way. */
+const claimMs = 30;
+const wideLink = 1e6;
+
+When(
+    /^the owner is killed, and its successor alone reaches (\d+) workers and else only the store, at (\d+) bytes per ms$/,
+    async function(this: ScenarioWorld, count: string, rate: string) {
+        const cell = cellOf(this);
+        cell.memberIds().forEach(memberId => cell.store.setLink(memberId, Number(rate)));
+        const successor = await killOwnerUntilClaim(this);
+        await cell.clock.advance(claimMs);
+        const kept = cell.workers.workerIds().slice(0, Number(count));
+        for (const memberId of cell.memberIds().filter(each => each !== successor)) {
+            cell.cutFromWorkers(memberId, kept);
+            cell.store.setLink(memberId, wideLink);
+        }
+        cutOwner(cell, successor, kept, "only the store");
+        part(this).formerOwner = successor;
+    },
+);
+
+When("the store answers the successor no more once it has read the rows", async function(this: ScenarioWorld) {
+    const cell = cellOf(this);
+    const { formerOwner: successor = "" } = part(this);
+    const hasRead = (): boolean =>
+        cell.log.some(({ event, memberId }) => event === "claimed" && memberId === successor);
+    for (let passedMs = 0; !hasRead() && passedMs < restoreWithinMs; passedMs += 1) {
+        cell.store.silenceFeeds(successor);
+        await cell.clock.advance(1);
+    }
+    assert.ok(hasRead(), "the successor has not read the rows");
+    cell.store.setFault("hang", successor);
+});
+
 const tellToStop = (cell: ShardCell, memberId: string): void => {
     void cell.stop(memberId, graceMs).then(() => cell.clock.setTimer(awayMs, () => cell.restart(memberId)));
 };
--- a/features/twoOwners.feature
+++ b/features/twoOwners.feature
@@ -262,3 +262,21 @@
             | the address of another          | as the owner loses its peers and the store | owner cut from its peers, the store |
             | an address where nobody listens | without a change of owner                  | history lost                        |
             | an address where nobody listens | as the owner loses its peers and the store | owner cut from its peers, the store |
+
+    # Guards against leases that a successor renews once it has read the rows, although it was replaced while it read them.
+    Scenario Outline: A successor that alone reaches <kept> workers reads rows at <rate> bytes per ms and is replaced meanwhile
+        Given a cell of 4 daemons and 6 workers whose tasks need no advice
+        When 100 jobs of steps "1 of 0 cores long running" are submitted
+        And the shard runs for 4000 ms
+        And the owner is killed, and its successor alone reaches <kept> workers and else only the store, at <rate> bytes per ms
+        And the store answers the successor no more once it has read the rows
+        And the shard runs for 20000 ms
+        Then no promise was broken
+
+        Examples:
+            | kept | rate |
+            | 2    | 35   |
+            | 2    | 40   |
+            | 2    | 45   |
+            | 3    | 40   |
+            | 4    | 40   |
--- a/packages/puffinarch/src/core/shard/claimShard.ts
+++ b/packages/puffinarch/src/core/shard/claimShard.ts
@@ -5,7 +5,7 @@
 import { failureOf } from "../../utils/errors.js";
 import { sleep } from "../../utils/time.js";
 import { decodeOwner } from "./memberRows.js";
-import { watchPauses } from "./pauseGuard.js";
+import { startStopwatch } from "./pauseGuard.js";
 import { readAllRows } from "./readRows.js";
 import { journalTable, ownerKey, ownerTable, sequenceKey } from "./shardTables.js";
 
@@ -41,8 +41,8 @@
     readonly rows: readonly Row[];
     /** How long the store took for the claim, in ms; the timeout of one write where the claim was resumed. */
     readonly storeLatencyMs: number;
-    /** Longest time for which this process did not run since the claim was sent; infinite where the claim was resumed. */
-    readonly pausedMs: number;
+    /** Time since the claim was sent, in ms, in which another daemon may have claimed the shard; infinite where the claim was resumed. */
+    readonly claimedMs: number;
 }
 
 const claimRetryPauseMs = 60;
@@ -94,9 +94,16 @@
     return undefined;
 };
 
-/** Claims the shard and reads its rows, as `claimShard` does, without watching for pauses. */
-const claimAndRead = async (options: ClaimOptions): Promise<Omit<ClaimedShard, "pausedMs"> | undefined> => {
+/**
+ * Claims a shard and reads its rows. Returns undefined where another daemon owns the shard by now, or the rows could not be
+ * read in time. Once the claim takes effect, commits and orders of the former owner are refused by their lower fencing token.
+ *
+ * @example
+ * const claimed = await claimShard({ clock, log, store, part: "shard-0", owner, seenVersion, isNeeded, reportedToken, onClaimed, restoreIdleTimeoutMs: 2_500, restoreTimeoutMs: 5_000 });
+ */
+export const claimShard = async (options: ClaimOptions): Promise<ClaimedShard | undefined> => {
     const startedAtMs = options.clock.monotonicMs();
+    const elapsedMs = startStopwatch(options.clock);
     const fencingToken = options.committedToken ?? await writeClaim(options);
     const storeLatencyMs = options.committedToken === undefined
         ? options.clock.monotonicMs() - startedAtMs
@@ -116,24 +123,11 @@
     }
     const { rows } = read;
     const sequence = rows.find(row => row.key === sequenceKey);
-    return { fencingToken, sequenceVersion: sequence?.version ?? 0, rows, storeLatencyMs };
-};
-
-/**
- * Claims a shard and reads its rows. Returns undefined where another daemon owns the shard by now, or the rows could not be
- * read in time. Once the claim takes effect, commits and orders of the former owner are refused by their lower fencing token.
- *
- * @example
- * const claimed = await claimShard({ clock, log, store, part: "shard-0", owner, seenVersion, isNeeded, reportedToken, onClaimed, restoreIdleTimeoutMs: 2_500, restoreTimeoutMs: 5_000 });
- */
-export const claimShard = async (options: ClaimOptions): Promise<ClaimedShard | undefined> => {
-    const endWatch = watchPauses(options.clock);
-    try {
-        const claimed = await claimAndRead(options);
-        const pausedMs = options.committedToken === undefined ? endWatch() : Infinity;
-        return claimed === undefined ? undefined : { ...claimed, pausedMs };
-    }
-    finally {
-        endWatch();
-    }
+    return {
+        fencingToken,
+        sequenceVersion: sequence?.version ?? 0,
+        rows,
+        storeLatencyMs,
+        claimedMs: options.committedToken === undefined ? elapsedMs() : Infinity,
+    };
 };
--- a/packages/puffinarch/src/core/shard/pauseGuard.ts
+++ b/packages/puffinarch/src/core/shard/pauseGuard.ts
@@ -19,9 +19,9 @@
     readonly clock: Clock;
     readonly log: Log;
     readonly fencingToken: number;
-    /** Longest time for which this process did not run since its claim was sent. */
-    readonly pausedMs: number;
-    /** Longest time without a run of this process, since the newest proof, after which it may go on without another one. */
+    /** Time since the claim was sent, which proved the ownership. */
+    readonly claimedMs: number;
+    /** Longest time without a run of this process, or without a proof before it begins, after which it may go on. */
     readonly maxPauseMs: number;
     /** Local time for which the ownership was last proven: that of the newest call that the store has answered. */
     readonly provenAtMs: () => number;
@@ -47,43 +47,26 @@
     return { elapsedMs: countedMs + stoodStillMs, stoodStillMs };
 };
 
-const watchIntervalMs = 100;
 /** Shorter times between two calls occur without a pause, as in a busy process. */
 const minPauseMs = 300;
 
 /**
- * Watches for pauses of this process until the returned function is called, which returns the longest one, in ms.
+ * Measures the time from now on, also that which the monotonic clock does not count. The returned function tells it, in ms.
  *
  * @example
- * const endWatch = watchPauses(clock);
- * const pausedMs = endWatch();
+ * const elapsedMs = startStopwatch(clock);
+ * elapsedMs(); // 0
  */
-export const watchPauses = (clock: Clock): () => number => {
-    let running = readClocks(clock);
-    let longestMs = 0;
-    let cancel = (): void => {};
-    const record = (): void => {
-        const now = readClocks(clock);
-        longestMs = Math.max(longestMs, timeBetween(running, now).elapsedMs);
-        running = now;
-    };
-    const tick = (): void => {
-        record();
-        cancel = clock.setTimer(watchIntervalMs, tick);
-    };
-    tick();
-    return () => {
-        cancel();
-        record();
-        return longestMs;
-    };
+export const startStopwatch = (clock: Clock): () => number => {
+    const startedAt = readClocks(clock);
+    return () => timeBetween(startedAt, readClocks(clock)).elapsedMs;
 };
 
 /**
  * Creates the guard of an owner that has just claimed the shard.
  *
  * @example
- * const guard = createPauseGuard({ clock, log, fencingToken, pausedMs: 0, maxPauseMs: 1_000, provenAtMs, confirm: commits.confirm });
+ * const guard = createPauseGuard({ clock, log, fencingToken, claimedMs: 0, maxPauseMs: 1_000, provenAtMs, confirm: commits.confirm });
  * await guard.held();
  */
 export const createPauseGuard = (options: PauseGuardOptions): PauseGuard => {
@@ -129,7 +112,7 @@
         return now;
     };
 
-    if (options.pausedMs > maxPauseMs) {
+    if (options.claimedMs > maxPauseMs) {
         awaitProof();
     }
 
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -305,7 +305,7 @@
         clock,
         log,
         fencingToken,
-        pausedMs: claimed.pausedMs,
+        claimedMs: claimed.claimedMs,
         provenAtMs: commits.answeredAtMs,
         // An owner that is cut off as it wakes notices that only after `silentMs`, with a tick on either side.
         maxPauseMs: settings.formerOwnerMs - settings.silentMs - 2 * tickMs,
