A stop that was answered refuses a run as well, and the next incarnation is asked anew

A restored run whose job was cancelled before the first look got a second order to stop it, although the worker had answered the first one. A run that may move to the next incarnation of its worker counted as refused there, while only the former incarnation had refused it.

--- a/packages/puffinarch/src/core/shard/missingRuns.ts
+++ b/packages/puffinarch/src/core/shard/missingRuns.ts
@@ -62,7 +62,8 @@
  * refuse the run, or begin it, before a look proves that the run is gone.
  */
 const mayBeginYet = ({ phase, sentAtMs, wasListed, absent, refused }: ShardRun): boolean =>
-    !wasListed && !absent && !refused && (phase === runPhases.starting || sentAtMs === undefined);
+    !wasListed && !absent && !refused
+    && (phase === runPhases.starting || phase === runPhases.running && sentAtMs === undefined);
 
 /** Reviews runs that looks do not list. */
 export interface MissingRuns {
--- a/packages/puffinarch/src/core/shard/nextIncarnation.ts
+++ b/packages/puffinarch/src/core/shard/nextIncarnation.ts
@@ -116,6 +116,7 @@
     // It may have another service or capacity, so nothing is started there until its own entry is listed.
     next.unlistedAtMs = isListed ? undefined : -Infinity;
     for (const run of carried) {
+        run.refused = false;
         if (run.absent) {
             // The former incarnation rejected the run and so did not crash under it, but an unseen incarnation in between may have.
             run.bornAtMs = bornAtMs;
