--- a/packages/puffinarch/src/core/shard/missingRuns.ts
+++ b/packages/puffinarch/src/core/shard/missingRuns.ts
@@ -58,8 +58,8 @@
 };
 
 /**
- * Whether a worker that does not list a run may begin it yet: it may have checked the token of the start before that of the look. It has to
- * refuse the run, or begin it, before a look proves that the run is gone.
+ * Whether a worker that does not list a run may begin it yet: it may have checked the token of the start before that of the look. Only
+ * once it has refused the run, or has had time to begin it, does a look prove that the run is gone.
  */
 const mayBeginYet = ({ phase, sentAtMs, wasListed, absent, refused }: ShardRun): boolean =>
     !wasListed && !absent && !refused
--- a/packages/puffinarch/src/core/shard/pauseGuard.ts
+++ b/packages/puffinarch/src/core/shard/pauseGuard.ts
@@ -21,7 +21,7 @@
     readonly fencingToken: number;
     /** Time since the claim was sent, which proved the ownership. */
     readonly claimedMs: number;
-    /** Longest time without a run of this process, or without a proof before it begins, after which it may go on. */
+    /** Longest time for which this process may not have run, or since the claim, after which it goes on without another proof. */
     readonly maxPauseMs: number;
     /** Local time for which the ownership was last proven: that of the newest call that the store has answered. */
     readonly provenAtMs: () => number;
