The soak plays a scene again where two of its parts chose the same port

By reading, the store and an executor may get the same port, and both have their proxies at one address; that this was so is not shown. Other reasons not to play end the play as before. A play of 5 s passes; the second try itself was not provoked.

--- a/packages/stand-ins/soak/main.mjs
+++ b/packages/stand-ins/soak/main.mjs
@@ -44,6 +44,7 @@
 /** Time after the last fault in which a successor starts again what it counts as lost. */
 const settleMs = 12_000;
 const feedWaitMs = 5_000;
+const maxTries = 3;
 /** Breaches printed for each play; `--judge` prints all. */
 const maxLines = 4;
 
@@ -156,6 +157,20 @@
     }
 };
 
+/** Plays a scene again where two of its parts have chosen the same port. */
+const playWithFreePorts = async play => {
+    for (let tries = 1;; tries += 1) {
+        try {
+            return await playScene(play);
+        }
+        catch (error) {
+            if (error.code !== "EADDRINUSE" || tries === maxTries) {
+                throw error;
+            }
+        }
+    }
+};
+
 const { values } = parseArgs({
     options: {
         play: { type: "string", default: "seed" },
@@ -199,7 +214,7 @@
     for (const play of plays()) {
         const folder = mkdtempSync(join(tmpdir(), "puffinarch-soak-"));
         try {
-            const { breaches, figures } = await playScene({ ...play, folder });
+            const { breaches, figures } = await playWithFreePorts({ ...play, folder });
             process.stdout.write(`${play.name}: ${breaches.length} breaches, ${JSON.stringify(figures)}\n`);
             for (const breach of breaches.slice(0, maxLines)) {
                 process.stdout.write(`    ${breach}\n`);
