An owner looks again for a refused run only while it is still missing

Since a start without an answer, of which an overloaded owner has many, brought a look after 150 ms although the run had been settled by then. Now it does so only where the run is still missing.

--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -13,7 +13,7 @@
 import { runPhases, type ShardRun } from "./jobModel.js";
 import type { LookSlots } from "./lookSlots.js";
 import { createRunOrders } from "./runOrders.js";
-import { extendLease, recordAnswer, type ShardWorker } from "./workerTable.js";
+import { extendLease, recordAnswer, runKey, type ShardWorker } from "./workerTable.js";
 
 /** Starts that time out within this time share one look. */
 const lookBatchDelayMs = 2;
@@ -413,8 +413,13 @@
         refuse: order => void guard.run("refuse", () => orders.refuse(order)),
         refuseRun: run => {
             run.absenceProvenAfterMs = clock.monotonicMs() + beginsWithinMs;
-            clock.setTimer(beginsWithinMs, lookSoon);
-            void guard.run("refuseRun", () => orders.stop(run).then(lookSoon));
+            const lookIfMissing = (): void => {
+                if (!run.wasListed && worker.runs.has(runKey(run.task.name, run.run))) {
+                    lookSoon();
+                }
+            };
+            clock.setTimer(beginsWithinMs, lookIfMissing);
+            void guard.run("refuseRun", () => orders.stop(run).then(lookIfMissing));
         },
         look: lookSoon,
         probe: order => void guard.run("probe", () => orders.probe(order)),
