runGone and runLost tell what was known of the run

The hypotheses on runs that a look does not list could not be told apart: neither line said whether the run was ever listed, or its start or a stop of it answered, nor how long ago the claim was and under which token. Both now say so, from one function; a run keeps when its worker last answered a stop of it.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -130,7 +130,7 @@
             | incarnations         | i-1, then another one; maybe the same   |
             | delayedStarts           | 1 order, then none                      |
             | missingRuns          | 1 of 2 is gone                          |
-            | dropContext          | listed, list of 300 ms, lease for 4000 ms |
+            | dropContext          | listed, list of 300 ms, lease for 4000 ms, at work for 600 ms |
             | endsWithoutTask      | nothing, then 1 end up to 7: 1 done, 0 of known jobs |
             | unansweredStart      | it may arrive at 2000 ms, not at 9000 ms; one with a ticket of one incarnation is settled by a look |
             | lookSlots            | 10 ms, 15 ms, 20 ms, 20 ms |
--- a/features/steps/examples/shardIncarnations.ts
+++ b/features/steps/examples/shardIncarnations.ts
@@ -82,8 +82,13 @@
 
 const dropContext = (): string => {
     const worker = { ...openWorker(), leaseHorizonMs: 5_000 };
-    const { listed, listAgeMs, leaseLeftMs } = dropContextOf(worker, { nowMs: 1_000, listAgeMs: () => 300.2 });
-    return `${listed === true ? "" : "not "}listed, list of ${listAgeMs} ms, lease for ${leaseLeftMs} ms`;
+    const { listed, listAgeMs, leaseLeftMs, startedMsAgo } = dropContextOf(
+        worker,
+        { ...runOf(exampleJob()), startedAtMs: 400 },
+        { nowMs: 1_000, listAgeMs: () => 300.2 },
+    );
+    return `${listed === true ? "" : "not "}listed, list of ${listAgeMs} ms, lease for ${leaseLeftMs} ms, `
+        + `at work for ${startedMsAgo} ms`;
 };
 
 const endsWithoutTask = (): string => {
--- a/packages/puffinarch/src/core/shard/jobModel.ts
+++ b/packages/puffinarch/src/core/shard/jobModel.ts
@@ -62,6 +62,8 @@
      * answered or given up as unanswered.
      */
     absenceProvenAfterMs: number | undefined;
+    /** Local time at which its worker last answered a stop of it, also one that makes the worker refuse it; undefined before. */
+    stopAnsweredAtMs: number | undefined;
     /** Whether a look at its worker has listed it; before that, it is unknown which incarnation carried its order out. */
     wasListed: boolean;
     /**
@@ -429,6 +431,7 @@
     sentAtMs: undefined,
     sentLate: false,
     absenceProvenAfterMs: undefined,
+    stopAnsweredAtMs: undefined,
     wasListed: false,
     mayArriveUntilMs: undefined,
     absent: false,
--- a/packages/puffinarch/src/core/shard/missingRuns.ts
+++ b/packages/puffinarch/src/core/shard/missingRuns.ts
@@ -33,27 +33,59 @@
     readonly refuse: (worker: ShardWorker, run: ShardRun) => void;
     /** Age of the platform's list of workers in ms, for the log. */
     readonly listAgeMs?: (() => number) | undefined;
+    /** This owner's claim, for the log. */
+    readonly claim?: ClaimForLog | undefined;
 }
 
+/** What the log says of an owner's claim. */
+export interface ClaimForLog {
+    readonly fencingToken: number;
+    /** Local time of the claim. */
+    readonly claimedAtMs: number;
+}
+
+/** What the log needs besides the worker and the run. */
+export interface DropContext extends Pick<MissingRunsOptions, "listAgeMs" | "claim"> {
+    readonly nowMs: number;
+}
+
+const agesOf = (times: Readonly<Record<string, number | undefined>>, nowMs: number): Record<string, number> => {
+    const ages: Record<string, number> = {};
+    for (const [name, atMs] of Object.entries(times)) {
+        if (atMs !== undefined && Number.isFinite(atMs)) {
+            ages[name] = Math.round(nowMs - atMs);
+        }
+    }
+    return ages;
+};
+
 /**
- * Returns what the log says about the worker of a run that is dropped without an end: whether it is listed, how old the list is, and how
- * long leases there may still last.
+ * Returns what the log says about a run that is dropped without an end. Of the run: whether a look has listed it, and how long ago its
+ * start was sent, its worker confirmed it, and its worker answered a stop of it. Of the worker: whether it is listed, how old the list is,
+ * how long leases there may still last, and how long ago it answered a look. Of the owner: its claim.
  *
  * @example
- * log.write("info", "runGone", dropContextOf(worker, { nowMs: clock.monotonicMs(), listAgeMs }));
+ * log.write("info", "runGone", dropContextOf(worker, run, { nowMs: clock.monotonicMs(), listAgeMs, claim }));
  */
 export const dropContextOf = (
-    { unlistedAtMs, leaseHorizonMs }: ShardWorker,
-    { nowMs, listAgeMs = () => Infinity }: {
-        readonly nowMs: number;
-        readonly listAgeMs?: (() => number) | undefined;
-    },
+    { unlistedAtMs, leaseHorizonMs, answeredAtMs, runsKnown }: ShardWorker,
+    { wasListed, sentAtMs, startedAtMs, stopAnsweredAtMs }: ShardRun,
+    { nowMs, listAgeMs = () => Infinity, claim }: DropContext,
 ): Readonly<Record<string, boolean | number>> => {
     const ageMs = listAgeMs();
     return {
+        wasListed,
+        ...agesOf({
+            sentMsAgo: sentAtMs,
+            startedMsAgo: startedAtMs,
+            stopAnsweredMsAgo: stopAnsweredAtMs,
+            heardMsAgo: runsKnown ? answeredAtMs : undefined,
+            claimedMsAgo: claim?.claimedAtMs,
+        }, nowMs),
         listed: unlistedAtMs === undefined,
         ...(Number.isFinite(ageMs) ? { listAgeMs: Math.round(ageMs) } : {}),
         leaseLeftMs: Math.round(leaseHorizonMs - nowMs),
+        ...(claim === undefined ? {} : { fencingToken: claim.fencingToken }),
     };
 };
 
@@ -106,7 +138,7 @@
             run: run.run,
             ...incarnationOf(worker),
             phase: run.phase,
-            ...dropContextOf(worker, { nowMs, listAgeMs: options.listAgeMs }),
+            ...dropContextOf(worker, run, { ...options, nowMs }),
         });
         dropRun(worker, run);
         if (run.absent) {
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -267,7 +267,8 @@
             timeoutMs = Math.min(maxStopTimeoutMs, 2 * timeoutMs);
             meter.count(`stops.${outcome}`);
             if (outcome === orderOutcomes.done || outcome === orderOutcomes.stale) {
-                run.absenceProvenAfterMs = clock.monotonicMs();
+                run.stopAnsweredAtMs = clock.monotonicMs();
+                run.absenceProvenAfterMs = run.stopAnsweredAtMs;
                 return;
             }
             if (endsLink(outcome, order.fencingToken)) {
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -177,6 +177,7 @@
         jobOf,
         isLeftOut: options.isLeftOut,
         listAgeMs: options.listAgeMs,
+        claim: { fencingToken, claimedAtMs: startedAtMs },
         onEndWithoutTask: endsWithoutTask.record,
         onChange: job => changedJobs.add(job),
         countOthersAt: correlatedCrashes.countOthersAt,
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -24,7 +24,7 @@
 
 /** What `createWorkerWatch` needs. */
 export interface WorkerWatchOptions
-    extends Pick<MissingRunsOptions, "onFormerGone" | "onMemberLost" | "onAbsent" | "refuse" | "listAgeMs">
+    extends Pick<MissingRunsOptions, "onFormerGone" | "onMemberLost" | "onAbsent" | "refuse" | "listAgeMs" | "claim">
 {
     readonly clock: Clock;
     readonly log: Log;
@@ -414,10 +414,8 @@
                     ...incarnationOf(worker),
                     reason,
                     phase: run.phase,
-                    sentMsAgo: run.sentAtMs === undefined ? undefined : Math.round(nowMs - run.sentAtMs),
-                    heardMsAgo: Math.round(nowMs - worker.answeredAtMs),
                     otherJobs: runs.filter(other => other.task.step.occurrence.job !== job).length,
-                    ...dropContextOf(worker, { nowMs, listAgeMs: options.listAgeMs }),
+                    ...dropContextOf(worker, run, { ...options, nowMs }),
                 });
                 dropRun(worker, run);
                 if (run.absent) {
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -383,7 +383,14 @@
 } from "./internal.js";
 export { createRunOrders, type RunOrders, type RunOrdersOptions } from "./internal.js";
 export { createEndsWithoutTask, type EndsWithoutTask, type EndsWithoutTaskOptions } from "./internal.js";
-export { createMissingRuns, dropContextOf, type MissingRuns, type MissingRunsOptions } from "./internal.js";
+export {
+    type ClaimForLog,
+    createMissingRuns,
+    type DropContext,
+    dropContextOf,
+    type MissingRuns,
+    type MissingRunsOptions,
+} from "./internal.js";
 export { holdsForOneIncarnation, mayArrive } from "./internal.js";
 export { allowsStart, recordStartAnswered, recordStartUnanswered } from "./internal.js";
 export { createLookSlots, type LookSlots } from "./internal.js";
