Fake workers that hide stops, and that check a start only once

Cause: in trials on real processes, workers that list a run that is being stopped neither as running nor as ended, and workers that begin an accepted run whatever is ordered meanwhile, break "a task never runs in two places at once". No fake worker did either.

`checksStartsOnce` makes all checks of a start as its order comes; the run begins `startTakesMs` later, unless the lease is over, and a stop before that has no effect on it.

--- a/packages/stand-ins/src/shard/exploreMain.ts
+++ b/packages/stand-ins/src/shard/exploreMain.ts
@@ -2,7 +2,8 @@
  * Runs seeds with random faults from the command line; exits with 1 where one failed:
  *
  * `npm run explore:shard -- --seeds 200 [--from 1] [--crowded | --lasting | --power-loss [--queues N]] [--crashing] [--resizing]
- * [--suspending] [--stopping] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--beginning-late] [--saving] [--gangs] [--wide]
+ * [--suspending] [--stopping] [--failing] [--capped] [--keeping-ids] [--down-ms N] [--delaying-orders] [--checking-tickets] [--beginning-late | --checking-once]
+ * [--hiding-stops] [--saving] [--gangs] [--wide]
  * [--cancelling accepted|sent|mixed] [--cutting plain|looksLate|deadListed] [--draws N] [--broken PART]`
  */
 
@@ -29,6 +30,8 @@
     readonly delayingOrders?: true;
     readonly checkingTickets?: true;
     readonly beginningLate?: true;
+    readonly checkingOnce?: true;
+    readonly hidingStops?: true;
     readonly cancelling?: CancellingMode;
     readonly cutting?: CuttingMode;
     readonly saving?: true;
@@ -61,6 +64,13 @@
     )
     .option("--checking-tickets", "workers that refuse tickets of other incarnations")
     .option("--beginning-late", "workers that begin runs some milliseconds after they have accepted them")
+    .addOption(
+        new Option(
+            "--checking-once",
+            "workers that check starts once, and begin the runs later whatever comes meanwhile",
+        ).conflicts("beginningLate"),
+    )
+    .option("--hiding-stops", "workers that list a run that is being stopped neither as running nor as ended")
     .addOption(new Option("--cancelling <when>", "callers that cancel and read jobs").choices(cancellingModes))
     .addOption(
         new Option(
@@ -113,6 +123,8 @@
             "delayingOrders",
             "checkingTickets",
             "beginningLate",
+            "checkingOnce",
+            "hidingStops",
             "cancelling",
             "broken",
         ]),
@@ -136,6 +148,8 @@
     delayingOrders,
     checkingTickets,
     beginningLate,
+    checkingOnce,
+    hidingStops,
     cancelling,
     cutting,
     saving,
@@ -176,6 +190,8 @@
         delayingOrders,
         checksTickets: checkingTickets,
         beginningLate,
+        checkingOnce,
+        hidingStops,
         cancelling,
         cutting,
         saving,
--- a/packages/stand-ins/src/shard/exploreSeed.ts
+++ b/packages/stand-ins/src/shard/exploreSeed.ts
@@ -198,6 +198,7 @@
 /** Just below the timeout of starts. */
 const longestStartAnswerMs = 140;
 const longestStartMs = 50;
+const longestAcceptedStartMs = 100;
 
 /**
  * Schedules faults that overlap: daemons restart one after the other, the store is away for 4 to 7 s while the entries of the
@@ -414,6 +415,10 @@
     readonly checksTickets?: boolean | undefined;
     /** Whether workers take up to `longestStartMs` from the check of a start's token until its run begins. */
     readonly beginningLate?: boolean | undefined;
+    /** Whether workers check starts as a whole as the orders come, and begin the runs up to `longestAcceptedStartMs` later. */
+    readonly checkingOnce?: boolean | undefined;
+    /** Whether workers list a run that is being stopped neither as running nor as ended until its end. */
+    readonly hidingStops?: boolean | undefined;
     /** Lets callers cancel jobs at these moments, and read the accepted jobs that they do not cancel. */
     readonly cancelling?: CancellingMode | undefined;
     /**
@@ -452,6 +457,8 @@
         gangs = false,
         checksTickets = false,
         beginningLate = false,
+        checkingOnce = false,
+        hidingStops = false,
         cancelling,
         cutting,
         draw = 0,
@@ -471,6 +478,8 @@
         keepsIds,
         checksTickets,
         ...(beginningLate ? { startTakesMs: longestStartMs } : {}),
+        ...(checkingOnce ? { startTakesMs: longestAcceptedStartMs, checksStartsOnce: true } : {}),
+        hidesStopping: hidingStops,
         broken,
         ...(capped ? { organisations } : {}),
         ...(cutting === undefined ? {} : {
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -149,6 +149,8 @@
     readonly held: Resources;
     /** Whether it works; a gang member does once all members have started. */
     isAtWork: boolean;
+    /** Whether its worker was told to stop it. */
+    isStopping: boolean;
     /** The newest checkpoint: the one that the start carried, or one that the run has saved. */
     checkpoint: string;
 }
@@ -219,6 +221,8 @@
     saving,
     startAnswerMs = () => 0,
     startTakesMs = () => 0,
+    checksStartsOnce = false,
+    hidesStopping = false,
     clockRate = 1,
     onCrash,
     onAlone = () => {},
@@ -242,6 +246,10 @@
     readonly startAnswerMs?: () => number;
     /** How long a worker takes to carry out a start whose token it has checked; looks at it are answered meanwhile. */
     readonly startTakesMs?: () => number;
+    /** Whether a start is checked as a whole as its order comes, so that a stop that comes before the run begins has no effect on it. */
+    readonly checksStartsOnce?: boolean;
+    /** Whether a run that is being stopped is listed neither as running nor as ended until its end. */
+    readonly hidesStopping?: boolean;
     /** Rate of the workers' own clocks, on which their leases are measured. */
     readonly clockRate?: number;
     /** Called when a task has crashed its worker, which is down then. */
@@ -383,8 +391,8 @@
     const fitsFormerCapacity = ({ formerCapacities }: FakeWorker, held: Resources): boolean =>
         formerCapacities.some(({ capacity, untilMs }) => clock.monotonicMs() <= untilMs && fits(held, capacity));
 
-    /** Carries out a start whose token the worker has checked. */
-    const begin = (worker: FakeWorker, order: StartRunOrder, orderedAtMs: number): OrderOutcome => {
+    /** Checks a start whose token is not too low; returns the answer to one that begins no run. */
+    const checkStart = (worker: FakeWorker, order: StartRunOrder): OrderOutcome | undefined => {
         if (order.deadlineMs <= workerTimeMs(worker)) {
             return orderOutcomes.late;
         }
@@ -403,6 +411,12 @@
             return orderOutcomes.badTicket;
         }
         worker.highestRun.set(order.taskName, order.run);
+        return undefined;
+    };
+
+    /** Begins the run of a start that the worker has accepted. */
+    const begin = (worker: FakeWorker, order: StartRunOrder, orderedAtMs: number): OrderOutcome => {
+        const key = keyOf(order.taskName, order.run);
         const { durationMs, fails, crashesAfterMs } = model(order.taskName, order.run);
         const startRecord: StartEvidence = {
             taskName: order.taskName,
@@ -448,6 +462,7 @@
             beginWork,
             held: heldOf(order.taskName),
             isAtWork: !isMember,
+            isStopping: false,
             checkpoint: order.checkpoint,
         });
         const members = membersOf(startRecord);
@@ -474,9 +489,15 @@
             return orderOutcomes.fenced;
         }
         const takesMs = startTakesMs();
-        return takesMs === 0
-            ? begin(worker, order, orderedAtMs)
-            : wait(takesMs).then(() => worker.alive ? begin(worker, order, orderedAtMs) : orderOutcomes.unknown);
+        const beginIfSound = (): OrderOutcome => checkStart(worker, order) ?? begin(worker, order, orderedAtMs);
+        if (takesMs === 0) {
+            return beginIfSound();
+        }
+        const problem = checksStartsOnce ? checkStart(worker, order) : undefined;
+        const beginAccepted = (): OrderOutcome =>
+            worker.deadlineMs <= workerTimeMs(worker) ? orderOutcomes.unknown : begin(worker, order, orderedAtMs);
+        const beginLate = checksStartsOnce ? beginAccepted : beginIfSound;
+        return problem ?? wait(takesMs).then(() => worker.alive ? beginLate() : orderOutcomes.unknown);
     };
 
     const stop = (worker: FakeWorker, { taskName, run, fencingToken }: StopRunOrder): OrderOutcome => {
@@ -484,7 +505,11 @@
             return orderOutcomes.fenced;
         }
         worker.highestRun.set(taskName, Math.max(run, worker.highestRun.get(taskName) ?? 0));
-        clock.setTimer(stopDurationMs, () => endRun(worker, keyOf(taskName, run), runEnds.stopped));
+        const live = worker.running.get(keyOf(taskName, run));
+        if (live !== undefined) {
+            live.isStopping = true;
+            clock.setTimer(stopDurationMs, () => endRun(worker, keyOf(taskName, run), runEnds.stopped));
+        }
         return orderOutcomes.done;
     };
 
@@ -505,7 +530,9 @@
         outcome: orderOutcomes.done,
         clockMs: workerTimeMs(worker),
         ...(worker.entry.bornAtMs === undefined ? {} : { bornAtMs: worker.entry.bornAtMs }),
-        running: [...worker.running.values()].map(({ evidence: run, checkpoint, held, isAtWork }) => ({
+        running: [...worker.running.values()].filter(({ isStopping }) => !hidesStopping || !isStopping).map((
+            { evidence: run, checkpoint, held, isAtWork },
+        ) => ({
             taskName: run.taskName,
             run: run.run,
             checkpoint,
--- a/packages/stand-ins/src/shard/shardCell.ts
+++ b/packages/stand-ins/src/shard/shardCell.ts
@@ -263,6 +263,10 @@
     readonly startAnswerMs?: number;
     /** Longest time that a worker takes to carry out a start whose token it has checked; each takes a random part of it. */
     readonly startTakesMs?: number;
+    /** Whether workers check starts as a whole as the orders come, so that a stop before the run begins has no effect on it. */
+    readonly checksStartsOnce?: boolean;
+    /** Whether workers list a run that is being stopped neither as running nor as ended until its end. */
+    readonly hidesStopping?: boolean;
     /** A deliberate defect in every daemon's dependencies. */
     readonly broken?: BrokenShardPart | undefined;
 }
@@ -398,6 +402,8 @@
         costs = noCosts,
         startAnswerMs = 0,
         startTakesMs = 0,
+        checksStartsOnce = false,
+        hidesStopping = false,
         broken,
     }: ShardCellOptions,
 ): ShardCell => {
@@ -518,6 +524,8 @@
         leaseLimitMs: 10_000,
         clockRate: workerClockRate,
         checksTickets,
+        checksStartsOnce,
+        hidesStopping,
         saving: checkpointIntervalMs === undefined ? undefined : {
             intervalMs: checkpointIntervalMs,
             saves: taskName => stepOf(taskName)?.checkpointing === true,
