Scenes of stops that looks do not show, which fail

Cause: an owner takes an answered stop and a look without the run for the run's end. A stop takes up to 900 ms, and some workers list the run only at its end; a look that returns in between, as another run of the worker ends, frees the task and its room.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -68,6 +68,16 @@
             | shrink and grow             | 6    |
             | crash under their tasks     | 30247 |
 
+    # Guards against runs that are taken for ended because a look lacks them, and against room that is given away for them.
+    Scenario Outline: Random faults among workers that <kind>, seed <seed>
+        When the seed <seed> is explored on a shard whose workers <kind>
+        Then nothing went wrong on the shard
+
+        Examples:
+            | kind                                                                  | seed   |
+            | hide runs that are being stopped                                      | 930001 |
+            | hide runs that are being stopped and keep their IDs                   | 930002 |
+
     # Guards against two faults: jobs that crash every worker were started without end, and sound jobs were given up because of
     # crashes that a task beside them on the same worker caused.
     Scenario Outline: Only tasks that crash their workers are given up, among jobs that <others>, seed <seed>
--- a/features/steps/explorationSteps.ts
+++ b/features/steps/explorationSteps.ts
@@ -212,6 +212,25 @@
     },
 );
 
+/** Kinds of workers by how scenarios name them, with what is explored beside them. */
+const workerKinds: Readonly<Record<string, Parameters<typeof exploreShardSeed>[1]>> = {
+    "hide runs that are being stopped": { hidingStops: true, lasting: true },
+    "hide runs that are being stopped and keep their IDs": {
+        hidingStops: true,
+        lasting: true,
+        keepsIds: true,
+        checksTickets: true,
+    },
+};
+
+When(
+    /^the seed (\d+) is explored on a shard whose workers ((?:hide|check) .+)$/,
+    async function(this: ScenarioWorld, seed: string, kind: string) {
+        assert.ok(kind in workerKinds, kind);
+        part(this).shard.wrong = await exploreShardSeed(Number(seed), workerKinds[kind]);
+    },
+);
+
 /** Faults that are combined with cancels, by their names in the table of examples. */
 const faultsWithCancels: Readonly<Record<string, Parameters<typeof exploreShardSeed>[1]>> = {
     "the usual faults": {},
--- /dev/null
+++ b/features/steps/unlistedRunSteps.ts
@@ -0,0 +1,85 @@
+/** Steps about runs that a look lists neither as running nor as ended. */
+
+import { Given, Then, When } from "@cucumber/cucumber";
+import { jobIdOf, readSteps, type ShardCellOptions, testQueue } from "@puffinarch/stand-ins";
+import assert from "node:assert/strict";
+import { runEnds } from "puffinarch";
+import { cellOf, part as shardPart, startCell } from "./shardCellPart.js";
+import { partOf, type ScenarioWorld } from "./support.js";
+
+interface Part {
+    drainingWorkers: readonly string[];
+}
+
+const part = (world: ScenarioWorld): Part => partOf(world, "unlistedRuns", () => ({ drainingWorkers: [] }));
+
+/** How workers list runs and begin them, by how scenarios name it. */
+const workerKinds: Readonly<Record<string, Partial<ShardCellOptions>>> = {
+    "hide runs that are being stopped": { hidesStopping: true },
+};
+
+Given(
+    /^a cell of (\d+) daemons and (\d+) workers that ((?:hide runs|check starts) [^,]+), seed (\d+)$/,
+    async function(this: ScenarioWorld, members: string, workers: string, kind: string, seed: string) {
+        await startCell(this, {
+            members: Number(members),
+            workers: Number(workers),
+            seed: Number(seed),
+            ...workerKinds[kind] ?? assert.fail(`workers that ${kind} are not known`),
+        });
+    },
+);
+
+/** Keeps the IDs of less urgent jobs apart from those of the others. */
+const laterJobOffset = 900;
+
+/** A queue whose runs may be stopped for more urgent ones, and a queue of these with an objective that allows for the stops. */
+const laterQueue = { ...testQueue, key: "stages.example/later/", pathPrefix: "/later/", priority: 2, stretch: 20 };
+const urgentQueue = { ...testQueue, stretch: 4, targetRuntimeMs: 1_500 };
+
+Given(
+    "a cell of {int} daemons and {int} workers that hide runs that are being stopped, with less urgent jobs, seed {int}",
+    async function(this: ScenarioWorld, members: number, workers: number, seed: number) {
+        await startCell(this, {
+            members,
+            workers,
+            seed,
+            durationMs: "estimated",
+            hidesStopping: true,
+            queues: [urgentQueue, laterQueue],
+        });
+    },
+);
+
+When(
+    "{int} less urgent jobs of steps {string} are submitted",
+    function(this: ScenarioWorld, count: number, steps: string) {
+        for (let number = 1; number <= count; number += 1) {
+            cellOf(this).submit(jobIdOf(laterJobOffset + number), readSteps(steps), laterQueue.key);
+        }
+    },
+);
+
+const drainMs = 5_000;
+
+When("{int} workers with tasks drain", function(this: ScenarioWorld, count: number) {
+    const cell = cellOf(this);
+    const busy = cell.workers.evidence.filter(({ endedAtMs }) => endedAtMs === undefined);
+    part(this).drainingWorkers = [...new Set(busy.map(({ workerId }) => workerId))].slice(0, count);
+    assert.equal(part(this).drainingWorkers.length, count);
+    part(this).drainingWorkers.forEach(workerId => cell.drain(workerId, drainMs));
+    shardPart(this).endFaults.push(cell.writeWorkerEntries);
+});
+
+Then("runs were stopped for more urgent ones", function(this: ScenarioWorld) {
+    assert.ok(cellOf(this).log.some(({ event }) => event === "preempted"));
+});
+
+Then("runs were stopped on a draining worker", function(this: ScenarioWorld) {
+    const { drainingWorkers } = part(this);
+    assert.ok(
+        cellOf(this).workers.evidence.some(({ workerId, how }) =>
+            how === runEnds.stopped && drainingWorkers.includes(workerId)
+        ),
+    );
+});
