Scenes of starts that workers accept as a whole and begin later, which fail

Cause: an owner takes an answered refusal and a look without the run for proof that the run will not begin. A worker that checked the start before begins it all the same.

What the tests do: workers begin runs up to 100 ms after they have accepted them, and one call in four is under way for up to 150 ms. Owners hand over six times, or one owner gets no answer in 150 ms.

--- a/features/exploration.feature
+++ b/features/exploration.feature
@@ -77,6 +77,8 @@
             | kind                                                                  | seed   |
             | hide runs that are being stopped                                      | 930001 |
             | hide runs that are being stopped and keep their IDs                   | 930002 |
+            | check starts once and begin runs later                                | 930006 |
+            | check starts once and begin runs later, with daemons that are stopped | 930008 |
 
     # Guards against two faults: jobs that crash every worker were started without end, and sound jobs were given up because of
     # crashes that a task beside them on the same worker caused.
--- a/features/steps/explorationSteps.ts
+++ b/features/steps/explorationSteps.ts
@@ -221,6 +221,8 @@
         keepsIds: true,
         checksTickets: true,
     },
+    "check starts once and begin runs later": { checkingOnce: true, checksTickets: true },
+    "check starts once and begin runs later, with daemons that are stopped": { checkingOnce: true, stopping: true },
 };
 
 When(
--- a/features/steps/unlistedRunSteps.ts
+++ b/features/steps/unlistedRunSteps.ts
@@ -3,7 +3,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import { jobIdOf, readSteps, type ShardCellOptions, testQueue } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { runEnds } from "puffinarch";
+import { createSeededRandom, runEnds } from "puffinarch";
 import { cellOf, part as shardPart, startCell } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
@@ -16,6 +16,7 @@
 /** How workers list runs and begin them, by how scenarios name it. */
 const workerKinds: Readonly<Record<string, Partial<ShardCellOptions>>> = {
     "hide runs that are being stopped": { hidesStopping: true },
+    "check starts once and begin runs up to 100 ms later": { checksStartsOnce: true, startTakesMs: 100 },
 };
 
 Given(
@@ -71,6 +72,16 @@
     shardPart(this).endFaults.push(cell.writeWorkerEntries);
 });
 
+When(
+    "one call in {int} takes up to {int} ms to its worker",
+    function(this: ScenarioWorld, oneIn: number, longestMs: number) {
+        const random = createSeededRandom(shardPart(this).seed);
+        const toMs = (): number => random.next() * oneIn < 1 ? longestMs * random.next() : 0;
+        cellOf(this).workers.setTransit({ toMs, backMs: () => 0 });
+        shardPart(this).endFaults.push(() => cellOf(this).workers.setTransit(undefined));
+    },
+);
+
 Then("runs were stopped for more urgent ones", function(this: ScenarioWorld) {
     assert.ok(cellOf(this).log.some(({ event }) => event === "preempted"));
 });
--- a/features/unlistedRuns.feature
+++ b/features/unlistedRuns.feature
@@ -53,3 +53,29 @@
             | owner stops  | 200 |
             | owner killed | 40  |
             | owner killed | 200 |
+
+    # Guards against looks and refusals that are taken for proof although a worker has accepted a start that it begins later.
+    Scenario Outline: Owners hand over again and again among workers that <kind>, seed <seed>
+        Given a cell of 4 daemons and 6 workers that <kind>, seed <seed>
+        When one call in 4 takes up to 150 ms to its worker
+        And the owner is told to stop 6 times, 720 ms after each other, while jobs of steps "6, 3 long running" arrive
+        And the shard runs for 8000 ms
+        Then no promise was broken
+
+        Examples:
+            | kind                                                | seed |
+            | check starts once and begin runs up to 100 ms later | 1    |
+            | check starts once and begin runs up to 100 ms later | 4    |
+
+    # Guards against one owner that takes such a look or refusal for proof where a start was not answered in time.
+    Scenario Outline: Starts are not answered in time by workers that <kind>, seed <seed>
+        Given a cell of 4 daemons and 6 workers that <kind>, seed <seed>
+        When one call in 4 takes up to 150 ms to its worker
+        And 20 jobs of steps "6" are submitted
+        And the shard runs for 8000 ms
+        Then no promise was broken
+
+        Examples:
+            | kind                                                | seed |
+            | check starts once and begin runs up to 100 ms later | 1    |
+            | check starts once and begin runs up to 100 ms later | 2    |
