Scenes of refusals that stop a run which has just begun, which fail

Cause: a run may begin between the look that lacks it and the order to refuse it. The refusal then stops the run, and where looks do not list a run that is being stopped, the next look is taken for proof that it never began.

What the tests do: the plays of the commit before on workers that begin runs up to 20 ms late and hide those that are being stopped.

--- a/features/steps/unlistedRunSteps.ts
+++ b/features/steps/unlistedRunSteps.ts
@@ -16,6 +16,7 @@
 /** How workers list runs and begin them, by how scenarios name it. */
 const workerKinds: Readonly<Record<string, Partial<ShardCellOptions>>> = {
     "hide runs that are being stopped": { hidesStopping: true },
+    "hide runs that are being stopped and begin others up to 20 ms late": { hidesStopping: true, startTakesMs: 20 },
     "check starts once and begin runs up to 100 ms later": { checksStartsOnce: true, startTakesMs: 100 },
 };
 
--- a/features/unlistedRuns.feature
+++ b/features/unlistedRuns.feature
@@ -67,6 +67,12 @@
             | check starts once and begin runs up to 100 ms later | 1    |
             | check starts once and begin runs up to 100 ms later | 4    |
 
+        # Here the refusal stops a run that has begun since the look.
+        Examples:
+            | kind                                                               | seed |
+            | hide runs that are being stopped and begin others up to 20 ms late | 1    |
+            | hide runs that are being stopped and begin others up to 20 ms late | 4    |
+
     # Guards against one owner that takes such a look or refusal for proof where a start was not answered in time.
     Scenario Outline: Starts are not answered in time by workers that <kind>, seed <seed>
         Given a cell of 4 daemons and 6 workers that <kind>, seed <seed>
@@ -79,3 +85,8 @@
             | kind                                                | seed |
             | check starts once and begin runs up to 100 ms later | 1    |
             | check starts once and begin runs up to 100 ms later | 2    |
+
+        Examples:
+            | kind                                                               | seed |
+            | hide runs that are being stopped and begin others up to 20 ms late | 1    |
+            | hide runs that are being stopped and begin others up to 20 ms late | 2    |
