--- a/features/steps/unlistedRunSteps.ts
+++ b/features/steps/unlistedRunSteps.ts
@@ -1,17 +1,39 @@
 /** Steps about runs that a look lists neither as running nor as ended. */
 
 import { Given, Then, When } from "@cucumber/cucumber";
-import { jobIdOf, readSteps, type ShardCellOptions, testQueue } from "@puffinarch/stand-ins";
+import {
+    createFakeClock,
+    jobIdOf,
+    noopLog,
+    noopMeter,
+    readSteps,
+    type ShardCellOptions,
+    testQueue,
+    workerEntry,
+} from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import { createSeededRandom, runEnds } from "puffinarch";
+import {
+    createSeededRandom,
+    createShardWorkers,
+    defaultShardSettings,
+    holdCapacity,
+    type LookResult,
+    newRun,
+    runEnds,
+    sleep,
+} from "puffinarch";
+import { exampleJob, taskOf } from "./examples/shardFixtures.js";
 import { cellOf, part as shardPart, startCell } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
     drainingWorkers: readonly string[];
+    /** Numbers of runs that an owner held, at each moment at which it was asked. */
+    heldRuns: string[];
 }
 
-const part = (world: ScenarioWorld): Part => partOf(world, "unlistedRuns", () => ({ drainingWorkers: [] }));
+const part = (world: ScenarioWorld): Part =>
+    partOf(world, "unlistedRuns", () => ({ drainingWorkers: [], heldRuns: [] }));
 
 /** How workers list runs and begin them, by how scenarios name it. */
 const workerKinds: Readonly<Record<string, Partial<ShardCellOptions>>> = {
@@ -95,3 +117,59 @@
         ),
     );
 });
+
+const watchedMs = 5_000;
+
+When("a run that was started is missing in the first look after that only", async function(this: ScenarioWorld) {
+    const clock = createFakeClock();
+    const job = exampleJob();
+    const task = taskOf(job);
+    const run = newRun(task, "i-1", 1);
+    let isStarted = false;
+    let looksSinceStart = 0;
+    const workers = createShardWorkers({
+        clock,
+        log: noopLog,
+        meter: noopMeter,
+        settings: defaultShardSettings,
+        port: {
+            start: async () => {
+                isStarted = true;
+                return "done";
+            },
+            stop: async () => "done",
+            pace: async () => "done",
+            look: async (_target, { waitMs }): Promise<LookResult> => {
+                const isListed = looksSinceStart > 0;
+                looksSinceStart += isStarted ? 1 : 0;
+                await sleep(clock, Math.max(1, waitMs));
+                const row = { taskName: task.name, run: 1, checkpoint: "", percent: 100, figure: 1_000 };
+                const running = isListed ? [row] : [];
+                return { outcome: "done", clockMs: clock.monotonicMs(), running, ended: [] };
+            },
+        },
+        fencingToken: 7,
+        jobOf: () => job,
+        changed: async () => {},
+        onNextIncarnation: () => {},
+        onStarted: () => {},
+        wake: () => {},
+        onRunsKnown: () => {},
+        onFenced: () => {},
+    });
+    workers.update([workerEntry("i-1", 1)]);
+    await clock.advance(100);
+    task.runs.push(run);
+    holdCapacity(workers.all.get("i-1") ?? assert.fail("the worker was not added"), run);
+    void workers.start(run, "");
+    for (let passedMs = 0; passedMs < watchedMs; passedMs += 100) {
+        await clock.advance(100);
+        part(this).heldRuns.push(task.runs.map(each => each.run).join());
+    }
+    assert.ok(looksSinceStart > 1);
+    workers.close();
+});
+
+Then("its owner holds it all the time", function(this: ScenarioWorld) {
+    assert.deepEqual(new Set(part(this).heldRuns), new Set(["1"]));
+});
--- a/features/unlistedRuns.feature
+++ b/features/unlistedRuns.feature
@@ -90,3 +90,8 @@
             | kind                                                               | seed |
             | hide runs that are being stopped and begin others up to 20 ms late | 1    |
             | hide runs that are being stopped and begin others up to 20 ms late | 2    |
+
+    # Guards against a single look without a run whose start was answered, which is no proof that the run has ended.
+    Scenario: A look between others lists a run that was started neither as running nor as ended
+        When a run that was started is missing in the first look after that only
+        Then its owner holds it all the time
