A run that has begun ends by its listed end, its incarnation or its lease, not by one look without it

Cause: a look that lists a run neither as running nor as ended was taken for its end, as soon as the worker had answered its start or a stop of it. A stop may take 0.9 s; a worker that takes the run off its list meanwhile made the owner start the task elsewhere, and give its room away, while it was still up.

Change: one module decides on missing runs (absence.ts). A run that its worker has listed, or whose start it has answered, is stopped when a look lacks it, and is gone only if it is still missing longer than a stop may take after the worker's answer. So is a run that lasts and was inherited from a former owner, which may be stopping it. All other runs are handled as before.

--- a/features/steps/examples/shardIncarnations.ts
+++ b/features/steps/examples/shardIncarnations.ts
@@ -15,13 +15,17 @@
     createMissingRuns,
     createRunOrders,
     dropContextOf,
+    endedByMs,
     enterIncarnation,
     holdsForOneIncarnation,
     incarnationOf,
     isOtherIncarnation,
     isSettledByLook,
+    knowledgeOf,
     leaveIncarnation,
+    listedByMs,
     mayArrive,
+    nextAbsenceStep,
     recordStartAnswered,
     recordStartUnanswered,
     runPhases,
@@ -63,8 +67,10 @@
 const missingRuns = (): string => {
     const job = exampleJob();
     const worker = { ...openWorker(), bornAtMs: 500 };
+    const stopped: number[] = [];
     adoptRun(worker, runOf(job));
     adoptRun(worker, { ...runOf(job), run: 2, mayArriveUntilMs: 6_500 });
+    adoptRun(worker, { ...runOf(job), run: 3, phase: runPhases.stopping });
     const missing = createMissingRuns({
         clock: createFakeClock(),
         log: noopLog,
@@ -74,10 +80,28 @@
         onPossibleCrash: () => {},
         onMemberLost: () => {},
         onAbsent: () => {},
+        fencingToken: 7,
+        lookAgain: () => {},
         refuse: () => {},
+        stop: (_worker, { run }) => stopped.push(run),
+        stopMs: 900,
+        claimedAtMs: 0,
     });
     missing.review(worker, new Set(), 10);
-    return `${2 - worker.runs.size} of 2 is gone`;
+    return `${3 - worker.runs.size} of 3 is gone, run ${stopped.join()} has to be stopped first`;
+};
+
+const absence = (): string => {
+    const run = { ...runOf(exampleJob()), wasListed: false, startedAtMs: undefined, sentAtMs: 5_000 };
+    const missing = { ...run, missingSinceMs: 5_160 };
+    const refused = { ...missing, refused: true };
+    const times = { stopMs: 900, claimedAtMs: 0 };
+    const steps = [
+        `${nextAbsenceStep(run, 5_160, times)} until ${listedByMs(run, 5_160, times)}`,
+        nextAbsenceStep(missing, 5_260, times),
+        `${nextAbsenceStep(refused, 5_300, times)} after ${endedByMs(refused, 5_270, times)}`,
+    ];
+    return `${knowledgeOf(run)}: ${steps.join(", ")}`;
 };
 
 const dropContext = (): string => {
@@ -85,7 +109,7 @@
     const { listed, listAgeMs, leaseLeftMs, startedMsAgo } = dropContextOf(
         worker,
         { ...runOf(exampleJob()), startedAtMs: 400 },
-        { nowMs: 1_000, listAgeMs: () => 300.2 },
+        { nowMs: 1_000, listAgeMs: () => 300.2, claimedAtMs: 0, fencingToken: 7 },
     );
     return `${listed === true ? "" : "not "}listed, list of ${listAgeMs} ms, lease for ${leaseLeftMs} ms, `
         + `at work for ${startedMsAgo} ms`;
@@ -158,6 +182,8 @@
         },
         target: () => ({ workerId: "i-1", address: "10.0.0.1:1" }),
         leaseMs: 5_000,
+        stopMs: 900,
+        claimedAtMs: 0,
         orderPauseMs: 100,
         unansweredStartMs: 6_500,
         ticketsNameIncarnation: false,
@@ -226,6 +252,7 @@
     lostRuns,
     incarnations,
     delayedStarts,
+    absence,
     missingRuns,
     dropContext,
     endsWithoutTask,
--- a/features/steps/examples/shardWorkers.ts
+++ b/features/steps/examples/shardWorkers.ts
@@ -139,7 +139,11 @@
         onFormerGone: () => {},
         onMemberLost: () => {},
         onAbsent: () => {},
+        fencingToken: 7,
+        lookAgain: () => {},
         refuse: () => {},
+        stopMs: 900,
+        claimedAtMs: 0,
     });
     const ended = [{ endNumber: 7, taskName: task.name, run: 1, how: "done", checkpoint: "" }] as const;
     const newest = watch.applyLook(worker, { outcome: "done", clockMs: 1_000, running: [], ended }, 10);
@@ -194,6 +198,8 @@
         workers,
         fencingToken: 7,
         leaseMs: 5_000,
+        stopMs: 900,
+        claimedAtMs: 0,
         lookWaitMs: 1_000,
         firstLooks: createFirstLooks(clock),
         delayedStarts: createDelayedStarts(clock),
--- a/features/steps/shardLookSteps.ts
+++ b/features/steps/shardLookSteps.ts
@@ -101,6 +101,8 @@
         },
         fencingToken: 7,
         leaseMs: 5_000,
+        stopMs: 900,
+        claimedAtMs: 0,
         lookWaitMs: 1_000,
         firstLooks: createFirstLooks(clock),
         lookSlots: createLookSlots(clock),
--- a/features/steps/tokenSteps.ts
+++ b/features/steps/tokenSteps.ts
@@ -85,6 +85,8 @@
         fencingToken,
         newestToken,
         leaseMs: 5_000,
+        stopMs: 900,
+        claimedAtMs: 0,
         lookWaitMs: 1_000,
         firstLooks: createFirstLooks(clock),
         lookSlots: createLookSlots(clock),
@@ -306,7 +308,11 @@
         onFormerGone: () => {},
         onMemberLost: () => {},
         onAbsent: () => {},
+        fencingToken: 7,
+        lookAgain: () => {},
         refuse: () => {},
+        stopMs: 900,
+        claimedAtMs: 0,
     });
     const listed = { taskName: run.task.name, run: run.run, checkpoint: "", percent: 100, figure: 1_000 };
     watch.applyLook(worker, { outcome: "done", clockMs: 0, running: [listed], ended: [] }, clock.monotonicMs());
--- /dev/null
+++ b/packages/puffinarch/src/core/shard/absence.ts
@@ -0,0 +1,106 @@
+/**
+ * Decides when a run that looks do not list is gone, so that its task may run elsewhere. A look shows what its worker lists at one moment.
+ * A run that it lacks may be about to begin, since the worker has checked the token of its start before that of the look, or it may be
+ * ending, since a stop takes time. Neither is proof that the run is over.
+ */
+
+import { runPhases, type ShardRun } from "./jobModel.js";
+
+/** What an owner knows of a run that looks do not list. */
+export const runKnowledge = {
+    /** Its worker has listed it or answered its start. */
+    begun: "begun",
+    /** A former owner may have ordered its start. */
+    inherited: "inherited",
+    /** The same for a run that lasts until it is stopped; the former owner may have ordered that as well. */
+    inheritedLasting: "inheritedLasting",
+    /** Its start got no answer from its worker. */
+    ordered: "ordered",
+} as const;
+/** One of `runKnowledge`. */
+export type RunKnowledge = (typeof runKnowledge)[keyof typeof runKnowledge];
+
+/** Times that decide how long a run may be missing from looks, in ms. */
+export interface AbsenceTimes {
+    /** Most that a worker takes for a stop, until it lists the end of the run. */
+    readonly stopMs: number;
+    /** Local time of the owner's claim; its predecessors have ordered no runs since. */
+    readonly claimedAtMs: number;
+}
+
+/**
+ * Returns what is known of a run.
+ *
+ * @example
+ * knowledgeOf({ ...run, wasListed: false, startedAtMs: undefined, sentAtMs: 4_000 }); // "ordered"
+ */
+export const knowledgeOf = ({ wasListed, startedAtMs, sentAtMs, task }: ShardRun): RunKnowledge => {
+    if (wasListed || startedAtMs !== undefined) {
+        return runKnowledge.begun;
+    }
+    if (sentAtMs !== undefined) {
+        return runKnowledge.ordered;
+    }
+    return task.step.spec.longRunning ? runKnowledge.inheritedLasting : runKnowledge.inherited;
+};
+
+/** Local time by which a run that is missing at `nowMs`, and has begun, is listed or, after a stop, its end is. */
+const listedBy: Readonly<Record<RunKnowledge, (run: ShardRun, nowMs: number, times: AbsenceTimes) => number>> = {
+    begun: (_run, nowMs, { stopMs }) => nowMs + stopMs,
+    inherited: (_run, nowMs) => nowMs,
+    inheritedLasting: (_run, nowMs, { stopMs }) => nowMs + stopMs,
+    ordered: (_run, nowMs) => nowMs,
+};
+
+/**
+ * Returns the local time by which a run that is missing from a look at `nowMs` is listed if it has begun, or its end if it has been
+ * stopped; not before `nowMs`.
+ *
+ * @example
+ * run.absenceProvenAfterMs = listedByMs(run, clock.monotonicMs(), { stopMs: 900, claimedAtMs });
+ */
+export const listedByMs = (run: ShardRun, nowMs: number, times: AbsenceTimes): number =>
+    Math.max(nowMs, listedBy[knowledgeOf(run)](run, nowMs, times));
+
+/**
+ * The same for a run of which its worker answers a stop at `nowMs`. A run that the worker was only told to refuse has been missing for long
+ * enough.
+ *
+ * @example
+ * run.absenceProvenAfterMs = endedByMs(run, clock.monotonicMs(), { stopMs: 900, claimedAtMs });
+ */
+export const endedByMs = (run: ShardRun, nowMs: number, times: AbsenceTimes): number =>
+    run.refused && knowledgeOf(run) !== runKnowledge.begun ? nowMs : listedByMs(run, nowMs, times);
+
+/** What is done about a run that a look does not list. */
+export const absenceSteps = {
+    /** Another look, once the run would be listed if it had begun. */
+    wait: "wait",
+    /** The worker is told to refuse its start. */
+    refuse: "refuse",
+    /** The worker is told to stop it. */
+    stop: "stop",
+    /** It is over. */
+    drop: "drop",
+} as const;
+/** One of `absenceSteps`. */
+export type AbsenceStep = (typeof absenceSteps)[keyof typeof absenceSteps];
+
+/**
+ * Returns the next step about a run that is missing from a look which was sent after its `absenceProvenAfterMs`.
+ *
+ * @example
+ * nextAbsenceStep({ ...run, wasListed: true, phase: "running" }, nowMs, { stopMs: 900, claimedAtMs }); // "stop"
+ */
+export const nextAbsenceStep = (run: ShardRun, nowMs: number, times: AbsenceTimes): AbsenceStep => {
+    if (run.phase === runPhases.stopping || run.absent) {
+        return absenceSteps.drop;
+    }
+    if (knowledgeOf(run) === runKnowledge.begun) {
+        return absenceSteps.stop;
+    }
+    if (run.missingSinceMs === undefined && listedByMs(run, nowMs, times) > nowMs) {
+        return absenceSteps.wait;
+    }
+    return run.refused ? absenceSteps.drop : absenceSteps.refuse;
+};
--- a/packages/puffinarch/src/core/shard/jobModel.ts
+++ b/packages/puffinarch/src/core/shard/jobModel.ts
@@ -73,7 +73,9 @@
     mayArriveUntilMs: number | undefined;
     /** Whether the worker's current incarnation does not run it and would refuse its order. */
     absent: boolean;
-    /** Whether the worker was told to refuse it, since a look did not list it. */
+    /** Local time of the first of the looks in a row that did not list it although they should have; undefined while there is none. */
+    missingSinceMs: number | undefined;
+    /** Whether the worker was told to refuse it, since looks did not list it. */
     refused: boolean;
     /** A worker incarnation that never answered a look of this owner may have carried out its order and crashed because of it. */
     mayHaveCrashed: boolean;
@@ -435,6 +437,7 @@
     wasListed: false,
     mayArriveUntilMs: undefined,
     absent: false,
+    missingSinceMs: undefined,
     refused: false,
     mayHaveCrashed: false,
     startedAtMs: undefined,
--- a/packages/puffinarch/src/core/shard/missingRuns.ts
+++ b/packages/puffinarch/src/core/shard/missingRuns.ts
@@ -4,15 +4,16 @@
  */
 
 import type { Clock, Log, Meter } from "../../types/ports.js";
+import { type AbsenceStep, absenceSteps, type AbsenceTimes, listedByMs, nextAbsenceStep } from "./absence.js";
 import { markBlockedLong } from "./blockedSteps.js";
 import type { CrashedRun } from "./crashes.js";
 import { incarnationOf } from "./incarnations.js";
-import { jobOf, runPhases, type ShardJob, type ShardRun } from "./jobModel.js";
+import { jobOf, type ShardJob, type ShardRun } from "./jobModel.js";
 import { mayArrive } from "./unansweredStart.js";
 import { dropRun, setAbsent, type ShardWorker } from "./workerTable.js";
 
 /** What `createMissingRuns` needs. */
-export interface MissingRunsOptions {
+export interface MissingRunsOptions extends AbsenceTimes {
     readonly clock: Clock;
     readonly log: Log;
     readonly meter: Meter;
@@ -29,23 +30,20 @@
     readonly onMemberLost: (run: ShardRun) => void;
     /** Called when a worker answers looks but left a start unanswered, and the start may still be carried out there. */
     readonly onAbsent: (worker: ShardWorker, run: ShardRun) => void;
+    /** Called for a run at which the worker has to be looked again after `absenceProvenAfterMs`. */
+    readonly lookAgain: (worker: ShardWorker, run: ShardRun) => void;
     /** Called for a run that its worker must refuse before a look can prove that the run is gone. */
     readonly refuse: (worker: ShardWorker, run: ShardRun) => void;
+    /** Stops a run that has begun. */
+    readonly stop: (worker: ShardWorker, run: ShardRun) => void;
     /** Age of the platform's list of workers in ms, for the log. */
     readonly listAgeMs?: (() => number) | undefined;
-    /** This owner's claim, for the log. */
-    readonly claim?: ClaimForLog | undefined;
-}
-
-/** What the log says of an owner's claim. */
-export interface ClaimForLog {
+    /** Token of this owner's claim, for the log. */
     readonly fencingToken: number;
-    /** Local time of the claim. */
-    readonly claimedAtMs: number;
 }
 
 /** What the log needs besides the worker and the run. */
-export interface DropContext extends Pick<MissingRunsOptions, "listAgeMs" | "claim"> {
+export interface DropContext extends Pick<MissingRunsOptions, "listAgeMs" | "claimedAtMs" | "fencingToken"> {
     readonly nowMs: number;
 }
 
@@ -65,12 +63,12 @@
  * how long leases there may still last, and how long ago it answered a look. Of the owner: its claim.
  *
  * @example
- * log.write("info", "runGone", dropContextOf(worker, run, { nowMs: clock.monotonicMs(), listAgeMs, claim }));
+ * log.write("info", "runGone", dropContextOf(worker, run, { nowMs: clock.monotonicMs(), listAgeMs, claimedAtMs, fencingToken }));
  */
 export const dropContextOf = (
     { unlistedAtMs, leaseHorizonMs, answeredAtMs, runsKnown }: ShardWorker,
     { wasListed, sentAtMs, startedAtMs, stopAnsweredAtMs }: ShardRun,
-    { nowMs, listAgeMs = () => Infinity, claim }: DropContext,
+    { nowMs, listAgeMs = () => Infinity, claimedAtMs, fencingToken }: DropContext,
 ): Readonly<Record<string, boolean | number>> => {
     const ageMs = listAgeMs();
     return {
@@ -80,23 +78,15 @@
             startedMsAgo: startedAtMs,
             stopAnsweredMsAgo: stopAnsweredAtMs,
             heardMsAgo: runsKnown ? answeredAtMs : undefined,
-            claimedMsAgo: claim?.claimedAtMs,
+            claimedMsAgo: claimedAtMs,
         }, nowMs),
         listed: unlistedAtMs === undefined,
         ...(Number.isFinite(ageMs) ? { listAgeMs: Math.round(ageMs) } : {}),
         leaseLeftMs: Math.round(leaseHorizonMs - nowMs),
-        ...(claim === undefined ? {} : { fencingToken: claim.fencingToken }),
+        fencingToken,
     };
 };
 
-/**
- * Whether a worker that does not list a run may begin it yet: it may have checked the token of the start before that of the look. Only
- * once it has refused the run, or has had time to begin it, does a look prove that the run is gone.
- */
-const mayBeginYet = ({ phase, sentAtMs, wasListed, absent, refused }: ShardRun): boolean =>
-    !wasListed && !absent && !refused
-    && (phase === runPhases.starting || phase === runPhases.running && sentAtMs === undefined);
-
 /** Reviews runs that looks do not list. */
 export interface MissingRuns {
     /**
@@ -110,7 +100,7 @@
  * Creates the review of one owner.
  *
  * @example
- * const missing = createMissingRuns({ clock, log, meter, onChange, onFormerGone, onPossibleCrash, onMemberLost, onAbsent, refuse });
+ * const missing = createMissingRuns({ ...options, stopMs: 900, claimedAtMs });
  * missing.review(worker, new Set(), sentAtMs);
  */
 export const createMissingRuns = (options: MissingRunsOptions): MissingRuns => {
@@ -155,7 +145,18 @@
         onChange(jobOf(run));
     };
 
+    const waitUntilListed = (worker: ShardWorker, run: ShardRun): void => {
+        const nowMs = clock.monotonicMs();
+        run.missingSinceMs = nowMs;
+        run.absenceProvenAfterMs = listedByMs(run, nowMs, options);
+        options.onMemberLost(run);
+        options.lookAgain(worker, run);
+    };
+
     const refuse = (worker: ShardWorker, run: ShardRun): void => {
+        if (run.missingSinceMs === undefined) {
+            options.onMemberLost(run);
+        }
         run.refused = true;
         meter.count("runsRefused");
         log.write("info", "runRefused", {
@@ -164,10 +165,29 @@
             ...incarnationOf(worker),
             phase: run.phase,
         });
-        options.onMemberLost(run);
         options.refuse(worker, run);
     };
 
+    const stopMissing = (worker: ShardWorker, run: ShardRun): void => {
+        meter.count("runsMissing");
+        log.write("warn", "runMissing", {
+            task: run.task.name,
+            run: run.run,
+            ...incarnationOf(worker),
+            phase: run.phase,
+            ...dropContextOf(worker, run, { ...options, nowMs: clock.monotonicMs() }),
+        });
+        options.onMemberLost(run);
+        options.stop(worker, run);
+    };
+
+    const handlers: Readonly<Record<AbsenceStep, (worker: ShardWorker, run: ShardRun) => void>> = {
+        wait: waitUntilListed,
+        refuse,
+        stop: stopMissing,
+        drop: dropGoneRun,
+    };
+
     /** Handles a run that a look does not list; returns whether the look proves that the worker's incarnation does not have it. */
     const reviewRun = (worker: ShardWorker, run: ShardRun, nowMs: number): boolean => {
         // Workers that get a new id for each incarnation reject orders that name another one, so their missing runs are gone.
@@ -177,12 +197,9 @@
             }
             return true;
         }
-        if (mayBeginYet(run)) {
-            refuse(worker, run);
-            return false;
-        }
-        dropGoneRun(worker, run);
-        return true;
+        const step = nextAbsenceStep(run, nowMs, options);
+        handlers[step](worker, run);
+        return step === absenceSteps.drop;
     };
 
     return {
--- a/packages/puffinarch/src/core/shard/nextIncarnation.ts
+++ b/packages/puffinarch/src/core/shard/nextIncarnation.ts
@@ -117,6 +117,8 @@
     next.unlistedAtMs = isListed ? undefined : -Infinity;
     for (const run of carried) {
         run.refused = false;
+        run.missingSinceMs = undefined;
+        run.stopAnsweredAtMs = undefined;
         if (run.absent) {
             // The former incarnation rejected the run and so did not crash under it, but an unseen incarnation in between may have.
             run.bornAtMs = bornAtMs;
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -5,6 +5,7 @@
 
 import { type OrderOutcome, orderOutcomes, type WorkerTarget } from "../../types/cellPorts.js";
 import { sleep } from "../../utils/time.js";
+import { endedByMs } from "./absence.js";
 import type { DelayedStart } from "./delayedStarts.js";
 import { ticketFor } from "./eligible.js";
 import { incarnationOf } from "./incarnations.js";
@@ -39,6 +40,8 @@
         | "meter"
         | "workers"
         | "leaseMs"
+        | "stopMs"
+        | "claimedAtMs"
         | "orderPauseMs"
         | "unansweredStartMs"
         | "ticketsNameIncarnation"
@@ -268,7 +271,7 @@
             meter.count(`stops.${outcome}`);
             if (outcome === orderOutcomes.done || outcome === orderOutcomes.stale) {
                 run.stopAnsweredAtMs = clock.monotonicMs();
-                run.absenceProvenAfterMs = run.stopAnsweredAtMs;
+                run.absenceProvenAfterMs = endedByMs(run, run.stopAnsweredAtMs, options);
                 return;
             }
             if (endsLink(outcome, order.fencingToken)) {
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -174,10 +174,12 @@
         clock,
         log,
         meter,
+        stopMs: settings.stopMs,
         jobOf,
         isLeftOut: options.isLeftOut,
         listAgeMs: options.listAgeMs,
-        claim: { fencingToken, claimedAtMs: startedAtMs },
+        claimedAtMs: startedAtMs,
+        fencingToken,
         onEndWithoutTask: endsWithoutTask.record,
         onChange: job => changedJobs.add(job),
         countOthersAt: correlatedCrashes.countOthersAt,
@@ -195,6 +197,7 @@
             const leftMs = (run.mayArriveUntilMs ?? 0) - clock.monotonicMs();
             clock.setTimer(leftMs + 1, () => links.get(worker.workerId)?.look());
         },
+        lookAgain: (worker, run) => links.get(worker.workerId)?.lookUnlessListed(run),
         refuse: (worker, run) => links.get(worker.workerId)?.refuseRun(run),
         stopUnknown: (worker, taskName, run) => links.get(worker.workerId)?.stopUnknown(taskName, run),
         onDone: (worker, run) => {
@@ -363,6 +366,8 @@
             fencingToken,
             ...(options.newestToken === undefined ? {} : { newestToken: options.newestToken }),
             leaseMs: settings.leaseMs,
+            stopMs: settings.stopMs,
+            claimedAtMs: startedAtMs,
             lookWaitMs: settings.lookWaitMs,
             firstLooks,
             delayedStarts,
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -29,8 +29,8 @@
 const ownDelayThresholdMs = 50;
 /** For this long after a worker's last answer, looks that time out by this daemon's own delay do not count against the worker. */
 const ownDelayGraceMs = 5_000;
-/** A worker that answers looks begins a run this soon after it has accepted the start. */
-const beginsWithinMs = 150;
+/** A run that is missing for this long after its worker was told to refuse it is gone, also where the order got no answer. */
+const refusedWithinMs = 150;
 /** A worker whose last answer is older than this may have restarted since. */
 const maxLookGapMs = 50;
 
@@ -47,6 +47,10 @@
      */
     readonly newestToken?: () => number;
     readonly leaseMs: number;
+    /** How long the worker may take to stop a run. */
+    readonly stopMs: number;
+    /** Local time of this owner's claim. */
+    readonly claimedAtMs: number;
     /** How long a look may wait for a run to end. */
     readonly lookWaitMs: number;
     readonly firstLooks: FirstLooks;
@@ -95,6 +99,8 @@
     stopUnknown(taskName: string, run: number): void;
     /** Makes the worker reject a start that may be in flight to it; repeated until it is answered. */
     refuse(order: DelayedStart): void;
+    /** Sends a look after `absenceProvenAfterMs` of a run, unless one has listed the run by then. */
+    lookUnlessListed(run: ShardRun): void;
     /**
      * Makes the worker refuse a run that no look has listed. A look proves that the run is gone once the worker has answered the order, or
      * has had time to begin the run.
@@ -376,6 +382,15 @@
         });
     };
 
+    const lookUnlessListed = (run: ShardRun): void => {
+        const delayMs = Math.max(0, (run.absenceProvenAfterMs ?? 0) - clock.monotonicMs());
+        clock.setTimer(delayMs, () => {
+            if (!run.wasListed && worker.runs.has(runKey(run.task.name, run.run))) {
+                lookSoon();
+            }
+        });
+    };
+
     const orders = createRunOrders({
         ...options,
         worker,
@@ -411,15 +426,12 @@
             void guard.run("stopUnknown", () => workers.stop(target(), order, stopUnknownTimeoutMs));
         },
         refuse: order => void guard.run("refuse", () => orders.refuse(order)),
+        lookUnlessListed,
         refuseRun: run => {
-            run.absenceProvenAfterMs = clock.monotonicMs() + beginsWithinMs;
-            const lookIfMissing = (): void => {
-                if (!run.wasListed && worker.runs.has(runKey(run.task.name, run.run))) {
-                    lookSoon();
-                }
-            };
-            clock.setTimer(beginsWithinMs, lookIfMissing);
-            void guard.run("refuseRun", () => orders.stop(run).then(lookIfMissing));
+            // A worker may answer looks and no orders.
+            run.absenceProvenAfterMs = clock.monotonicMs() + refusedWithinMs;
+            lookUnlessListed(run);
+            void guard.run("refuseRun", () => orders.stop(run).then(() => lookUnlessListed(run)));
         },
         look: lookSoon,
         probe: order => void guard.run("probe", () => orders.probe(order)),
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -23,8 +23,19 @@
 import { adoptRun, dropRun, isLeaving, runKey, setAbsent, type ShardWorker } from "./workerTable.js";
 
 /** What `createWorkerWatch` needs. */
-export interface WorkerWatchOptions
-    extends Pick<MissingRunsOptions, "onFormerGone" | "onMemberLost" | "onAbsent" | "refuse" | "listAgeMs" | "claim">
+export interface WorkerWatchOptions extends
+    Pick<
+        MissingRunsOptions,
+        | "stopMs"
+        | "onFormerGone"
+        | "onMemberLost"
+        | "onAbsent"
+        | "lookAgain"
+        | "refuse"
+        | "listAgeMs"
+        | "claimedAtMs"
+        | "fencingToken"
+    >
 {
     readonly clock: Clock;
     readonly log: Log;
@@ -288,6 +299,7 @@
             return;
         }
         run.wasListed = true;
+        run.missingSinceMs = undefined;
         if (run.refused) {
             run.refused = false;
             meter.count("runsBegunLate");
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -28,6 +28,7 @@
 export * from "./core/requestClaims.js";
 export * from "./core/router.js";
 export * from "./core/session.js";
+export * from "./core/shard/absence.js";
 export * from "./core/shard/acceptance.js";
 export * from "./core/shard/accounts.js";
 export * from "./core/shard/admission.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -384,7 +384,17 @@
 export { createRunOrders, type RunOrders, type RunOrdersOptions } from "./internal.js";
 export { createEndsWithoutTask, type EndsWithoutTask, type EndsWithoutTaskOptions } from "./internal.js";
 export {
-    type ClaimForLog,
+    type AbsenceStep,
+    absenceSteps,
+    type AbsenceTimes,
+    endedByMs,
+    knowledgeOf,
+    listedByMs,
+    nextAbsenceStep,
+    type RunKnowledge,
+    runKnowledge,
+} from "./internal.js";
+export {
     createMissingRuns,
     type DropContext,
     dropContextOf,
