A run that no look has listed is refused only once it would be listed if it had begun

Cause: the first look without such a run had the worker refuse it at once, and the next look without it was proof. A worker that checks a start as a whole begins it in spite of the refusal. A worker that checks again takes the refusal for a stop of the run that it has just begun; where it lists such a run no more, the task was started elsewhere while it was still up.

Change: the worker is looked at again first, 250 ms after the start was sent or, for a run of a former owner, after the claim. It is told to refuse the run only if that look lacks it as well. A run that begins late is thereby kept in place of being stopped.

--- a/packages/puffinarch/src/core/shard/absence.ts
+++ b/packages/puffinarch/src/core/shard/absence.ts
@@ -28,6 +28,9 @@
     readonly claimedAtMs: number;
 }
 
+/** Most time between the check of a start's token and the moment from which looks list the run. */
+const beginsWithinMs = 250;
+
 /**
  * Returns what is known of a run.
  *
@@ -47,9 +50,9 @@
 /** Local time by which a run that is missing at `nowMs`, and has begun, is listed or, after a stop, its end is. */
 const listedBy: Readonly<Record<RunKnowledge, (run: ShardRun, nowMs: number, times: AbsenceTimes) => number>> = {
     begun: (_run, nowMs, { stopMs }) => nowMs + stopMs,
-    inherited: (_run, nowMs) => nowMs,
-    inheritedLasting: (_run, nowMs, { stopMs }) => nowMs + stopMs,
-    ordered: (_run, nowMs) => nowMs,
+    inherited: (_run, _nowMs, { claimedAtMs }) => claimedAtMs + beginsWithinMs,
+    inheritedLasting: (_run, nowMs, { stopMs }) => nowMs + Math.max(stopMs, beginsWithinMs),
+    ordered: ({ sentAtMs = 0 }) => sentAtMs + beginsWithinMs,
 };
 
 /**
