A successor waits for late starts on workers that it never reached

What callers saw: a task that lasts ran in two places at once, for some seconds. Its former owner's start had been sent to a worker that started again under its ID, and the next incarnation carried it out late. No successor reached that worker.

Cause: an owner keeps a run whose start may still be carried out for one more lease after that, but only on workers that are known to keep their IDs, and it knew that from their answers alone. A successor that had got no answer took the worker for one whose incarnations have IDs of their own, and started the task elsewhere 7.6 s after its claim.

The new scenes (three rows) failed before: "ran twice at the same time: on worker-0 and worker-1".

The price, by reading: on queues whose tickets do not hold for one incarnation, a run whose row is younger than 6.5 s at the claim waits up to 16.7 s instead of 7.6 s where its worker is silent but listed. Others wait as before.

--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -225,3 +225,18 @@
             | 50   | 2 long running | running   | 5     | 4      | 1000  |
             | 2500 | 4 long running | running   | 8     | 3      | 3000  |
             | 50   | 1 of 8 cores   | completed | 6     | 3      | 4000  |
+
+    # Guards against a successor that knows no incarnation of a silent worker, and counts no late start for any.
+    Scenario Outline: A former owner's start is carried out late, by an incarnation that no successor reaches, as <what>
+        Given a cell of 4 daemons and 6 workers that start again under their IDs <ms> ms after a crash, with no advice
+        When the shard runs for 10000 ms
+        And a worker starts again before it has carried out its start of "6 long running", and "<what>"
+        And the shard runs for 25000 ms
+        Then no promise was broken
+        And 6 tasks run
+
+        Examples:
+            | ms  | what                                             |
+            | 100 | only the owner reaches it, which is told to stop |
+            | 100 | only the owner reaches it, which is killed       |
+            | 600 | only the owner reaches it, which is killed       |
--- /dev/null
+++ b/features/steps/nextIncarnationSteps.ts
@@ -0,0 +1,65 @@
+/** Steps about calls that were sent to a worker before it started again under its ID, and that its next incarnation carries out. */
+
+import { Given, When } from "@cucumber/cucumber";
+import { jobIdOf, lateOrderDelayMs, readSteps, type ShardCell, testQueue } from "@puffinarch/stand-ins";
+import assert from "node:assert/strict";
+import { cellOf, startCell } from "./shardCellPart.js";
+import type { ScenarioWorld } from "./support.js";
+
+const stopGraceMs = 3_000;
+
+const ownerOf = (cell: ShardCell): string => cell.owner() ?? assert.fail("no daemon owns the shard");
+
+const firstWorkerOf = (cell: ShardCell): string => cell.workers.workerIds()[0] ?? assert.fail("there is no worker");
+
+const until = async (cell: ShardCell, holds: () => boolean): Promise<void> => {
+    for (let waitedMs = 0; waitedMs < 3_000 && !holds(); waitedMs += 1) {
+        await cell.clock.advance(1);
+    }
+    assert.ok(holds(), "it did not come to that");
+};
+
+const cutFrom = (cell: ShardCell, members: readonly string[], workerId: string): void =>
+    members.forEach(memberId => cell.cutFromWorkers(memberId, [workerId]));
+
+/** Changes of the daemons that reach a worker. */
+const changes: Readonly<Record<string, (cell: ShardCell, workerId: string) => void>> = {
+    "only the owner reaches it, which is told to stop": (cell, workerId) => {
+        const owner = ownerOf(cell);
+        cutFrom(cell, cell.memberIds().filter(memberId => memberId !== owner), workerId);
+        void cell.stop(owner, stopGraceMs);
+    },
+    "only the owner reaches it, which is killed": (cell, workerId) => {
+        const owner = ownerOf(cell);
+        cutFrom(cell, cell.memberIds().filter(memberId => memberId !== owner), workerId);
+        cell.kill(owner);
+    },
+};
+
+const change = (cell: ShardCell, what: string, workerId: string): void =>
+    (changes[what] ?? assert.fail(`"${what}" is not known`))(cell, workerId);
+
+Given(
+    "a cell of {int} daemons and {int} workers that start again under their IDs {int} ms after a crash, with no advice",
+    async function(this: ScenarioWorld, members: number, workers: number, crashedDownMs: number) {
+        const queues = [{ ...testQueue, advice: undefined }];
+        await startCell(this, { members, workers, seed: 1, keepsIds: true, crashedDownMs, queues });
+    },
+);
+
+When(
+    "a worker starts again before it has carried out its start of {string}, and {string}",
+    async function(this: ScenarioWorld, steps: string, what: string) {
+        const cell = cellOf(this);
+        const workerId = firstWorkerOf(cell);
+        cell.workers.setFault(workerId, "late");
+        cell.submit(jobIdOf(1), readSteps(steps));
+        await until(cell, () => cell.workers.evidence.length > 0);
+        cell.crashWorkers([workerId]);
+        change(cell, what, workerId);
+        await until(cell, () => cell.workers.entryOf(workerId) !== undefined);
+        cell.workers.setFault(workerId, "none");
+        await cell.clock.advance(lateOrderDelayMs);
+        assert.ok(cell.workers.heldOn(workerId).cpuMillis > 0, "nothing runs there");
+    },
+);
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -589,11 +589,12 @@
 
     /**
      * Whether an incarnation that this owner cannot reach may hold the run. It may carry the order out until
-     * `mayArriveUntilMs` and, where the worker is listed, hold the run for one more lease.
+     * `mayArriveUntilMs` and, where the worker is listed, hold the run for one more lease. A worker that has not answered since the
+     * takeover may keep its id as well; the list or the row of the run says so.
      */
-    const mayRunUnseen = ({ workerId, bornAtMs }: ShardWorker, run: ShardRun, nowMs: number): boolean => {
+    const mayRunUnseen = ({ workerId, bornAtMs, entry }: ShardWorker, run: ShardRun, nowMs: number): boolean => {
         const leaseMs = listing.has(workerId) ? settings.leaseLimitMs / slowestClockRate : 0;
-        return bornAtMs !== undefined && mayArrive(run, nowMs - leaseMs);
+        return (bornAtMs ?? entry.bornAtMs ?? run.bornAtMs) !== undefined && mayArrive(run, nowMs - leaseMs);
     };
 
     /** Drops runs whose leases are surely over, and unlisted workers without runs. */
