The first start on a restarted worker makes it reject older looks

What callers saw: a task that lasts ran in two places at once, for up to four seconds, with no change of owner or after one. It had been started on a worker that had just started again under its ID, and that then answered no daemon any more.

Cause: a look that was sent to the incarnation before may be carried out seconds late by the next one, whose clock has begun anew, so that its deadline grants the longest lease, 10 s. The owner counted this from the first answer of the next incarnation, as if such a look could not come any later. It can, as long as nothing with a newer token has arrived: a link whose looks are answered keeps the token with which it began, and that of the late look is no lower where nothing was committed in between.

The first start on an incarnation that follows another now carries the owner's newest token. The intent to start it was committed after the last look for the former incarnation was sent, so that the worker rejects these looks from then on; the longest lease is counted from this start. Six of the seven new rows failed before with "ran twice at the same time"; the last one checks that a look that comes in time is still counted.

The price: where a restarted worker falls silent within 5 s of its first start, its tasks are started elsewhere up to 10.2 s after that start instead of 10.2 s after its first answer; and one look may be overtaken and sent again.

Not covered: a run that the next incarnation got by a late start, and to which this owner sends no start.

--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -226,6 +226,28 @@
             | 2500 | 4 long running | running   | 8     | 3      | 3000  |
             | 50   | 1 of 8 cores   | completed | 6     | 3      | 4000  |
 
+    # Guards against tasks that are started elsewhere while the longest lease still lasts, granted by a look for the former
+    # incarnation, whose clock had counted further.
+    Scenario Outline: A look for the former incarnation is carried out <late> ms late, and then <what>
+        Given a cell of 4 daemons and 6 workers that check tickets and start again under their IDs 30 ms after a crash
+        When the shard runs for 10000 ms
+        And a worker starts again, and its next incarnation carries out a look that is <late> ms late
+        And 1 jobs of steps "12 long running" are submitted
+        And <after> ms later "<what>"
+        And the shard runs for 25000 ms
+        Then no promise was broken
+        And 12 tasks run
+
+        Examples:
+            | late | after | what                                             |
+            | 2000 | 100   | only the owner reaches it, which is told to stop |
+            | 5000 | 100   | only the owner reaches it, which is told to stop |
+            | 5000 | 5000  | only the owner reaches it, which is told to stop |
+            | 450  | 100   | no daemon reaches it                             |
+            | 2000 | 100   | no daemon reaches it                             |
+            | 5000 | 100   | no daemon reaches it                             |
+            | 5000 | 5000  | no daemon reaches it                             |
+
     # Guards against a successor that knows no incarnation of a silent worker, and counts no late start for any.
     Scenario Outline: A former owner's start is carried out late, by an incarnation that no successor reaches, as <what>
         Given a cell of 4 daemons and 6 workers that start again under their IDs <ms> ms after a crash, with no advice
--- a/features/steps/examples/shardIncarnations.ts
+++ b/features/steps/examples/shardIncarnations.ts
@@ -158,6 +158,8 @@
         },
         target: () => ({ workerId: "i-1", address: "10.0.0.1:1" }),
         leaseMs: 5_000,
+        leaseLimitMs: 10_000,
+        mayGetFormerLooks: false,
         orderPauseMs: 100,
         unansweredStartMs: 6_500,
         ticketsNameIncarnation: false,
--- a/features/steps/examples/shardWorkers.ts
+++ b/features/steps/examples/shardWorkers.ts
@@ -194,6 +194,8 @@
         workers,
         fencingToken: 7,
         leaseMs: 5_000,
+        leaseLimitMs: 10_000,
+        mayGetFormerLooks: false,
         lookWaitMs: 1_000,
         firstLooks: createFirstLooks(clock),
         delayedStarts: createDelayedStarts(clock),
--- a/features/steps/nextIncarnationSteps.ts
+++ b/features/steps/nextIncarnationSteps.ts
@@ -6,6 +6,8 @@
 import { cellOf, startCell } from "./shardCellPart.js";
 import type { ScenarioWorld } from "./support.js";
 
+/** By then the owner has given the lost look up and has found the next incarnation. */
+const foundAfterMs = 700;
 const stopGraceMs = 3_000;
 
 const ownerOf = (cell: ShardCell): string => cell.owner() ?? assert.fail("no daemon owns the shard");
@@ -24,6 +26,7 @@
 
 /** Changes of the daemons that reach a worker. */
 const changes: Readonly<Record<string, (cell: ShardCell, workerId: string) => void>> = {
+    "no daemon reaches it": (cell, workerId) => cutFrom(cell, cell.memberIds(), workerId),
     "only the owner reaches it, which is told to stop": (cell, workerId) => {
         const owner = ownerOf(cell);
         cutFrom(cell, cell.memberIds().filter(memberId => memberId !== owner), workerId);
@@ -39,6 +42,36 @@
 const change = (cell: ShardCell, what: string, workerId: string): void =>
     (changes[what] ?? assert.fail(`"${what}" is not known`))(cell, workerId);
 
+When(
+    "a worker starts again, and its next incarnation carries out a look that is {int} ms late",
+    async function(this: ScenarioWorld, lateMs: number) {
+        const cell = cellOf(this);
+        const workerId = firstWorkerOf(cell);
+        let isLost = false;
+        cell.workers.setLateLooks({
+            isLost: target => {
+                const losesThis = target === workerId && !isLost;
+                isLost ||= losesThis;
+                return losesThis;
+            },
+            lateMs: () => lateMs,
+        });
+        await until(cell, () => isLost);
+        cell.workers.setLateLooks(undefined);
+        cell.crashWorkers([workerId]);
+        await cell.clock.advance(foundAfterMs);
+        cell.writeWorkerEntries();
+    },
+);
+
+When("{int} ms later {string}", async function(this: ScenarioWorld, afterMs: number, what: string) {
+    const cell = cellOf(this);
+    const workerId = firstWorkerOf(cell);
+    await cell.clock.advance(afterMs);
+    assert.ok(cell.workers.heldOn(workerId).cpuMillis > 0, "nothing runs there");
+    change(cell, what, workerId);
+});
+
 Given(
     "a cell of {int} daemons and {int} workers that start again under their IDs {int} ms after a crash, with no advice",
     async function(this: ScenarioWorld, members: number, workers: number, crashedDownMs: number) {
--- a/features/steps/shardLookSteps.ts
+++ b/features/steps/shardLookSteps.ts
@@ -101,6 +101,8 @@
         },
         fencingToken: 7,
         leaseMs: 5_000,
+        leaseLimitMs: 10_000,
+        mayGetFormerLooks: false,
         lookWaitMs: 1_000,
         firstLooks: createFirstLooks(clock),
         lookSlots: createLookSlots(clock),
--- a/features/steps/tokenSteps.ts
+++ b/features/steps/tokenSteps.ts
@@ -85,6 +85,8 @@
         fencingToken,
         newestToken,
         leaseMs: 5_000,
+        leaseLimitMs: 10_000,
+        mayGetFormerLooks: false,
         lookWaitMs: 1_000,
         firstLooks: createFirstLooks(clock),
         lookSlots: createLookSlots(clock),
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -14,7 +14,7 @@
 import { startTurnMs } from "./startQueue.js";
 import { holdsForOneIncarnation } from "./unansweredStart.js";
 import type { WorkerLinkOptions } from "./workerLink.js";
-import { extendLease, isLeaving, runKey, type ShardWorker, stillFits } from "./workerTable.js";
+import { extendLease, extendToLongestLease, isLeaving, runKey, type ShardWorker, stillFits } from "./workerTable.js";
 
 /** Timeout of a start, whose round trip takes some milliseconds; beyond it, a look shows sooner whether the start was carried out. */
 const startTimeoutMs = 150;
@@ -39,9 +39,11 @@
         | "meter"
         | "workers"
         | "leaseMs"
+        | "leaseLimitMs"
         | "orderPauseMs"
         | "unansweredStartMs"
         | "ticketsNameIncarnation"
+        | "mayGetFormerLooks"
         | "delayedStarts"
         | "lagMs"
         | "held"
@@ -88,6 +90,19 @@
 export const createRunOrders = (options: RunOrdersOptions): RunOrders => {
     const { clock, log, meter, workers, worker, target, leaseMs, delayedStarts, orderPauseMs, isClosed, endsLink } =
         options;
+    /** Whether a start has left on this link. */
+    let hasSentStart = false;
+
+    /**
+     * Prepares the first start on this link: it carries this owner's newest token, so that the worker rejects looks for the incarnation
+     * before from then on. One that came first may have granted the longest lease, as its deadline is on a clock that had counted further.
+     */
+    const rejectFormerLooks = (nowMs: number): void => {
+        if (!hasSentStart && options.mayGetFormerLooks) {
+            options.renewToken();
+            extendToLongestLease(worker, nowMs, options.leaseLimitMs);
+        }
+    };
 
     /**
      * A start must not count as unanswered because this process was late to send it or to read its answer. One that was not sent shows
@@ -231,9 +246,11 @@
                 await held;
                 continue;
             }
+            rejectFormerLooks(beganAtMs);
             const sentToken = options.token();
             const newest = run.sentLate ? ticketFor(run.task.step, worker.workerId, beganAtMs) : ticket;
             const outcome = await send(run, newest ?? ticket, beganAtMs);
+            hasSentStart ||= outcome !== undefined;
             if (!isStarting(run)) {
                 return;
             }
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -289,7 +289,7 @@
             nowMs,
         });
         workers.set(workerId, next);
-        const link = openLink(next);
+        const link = openLink(next, true);
         links.set(workerId, link);
         if (next.unansweredOrder !== undefined) {
             link.probe(next.unansweredOrder);
@@ -354,7 +354,7 @@
         options.onRunsKnown();
     };
 
-    const openLink = (worker: ShardWorker): WorkerLink => {
+    const openLink = (worker: ShardWorker, mayGetFormerLooks = false): WorkerLink => {
         const link = openWorkerLink(worker, {
             clock,
             log,
@@ -363,7 +363,9 @@
             fencingToken,
             ...(options.newestToken === undefined ? {} : { newestToken: options.newestToken }),
             leaseMs: settings.leaseMs,
+            leaseLimitMs: settings.leaseLimitMs,
             lookWaitMs: settings.lookWaitMs,
+            mayGetFormerLooks,
             firstLooks,
             delayedStarts,
             lookSlots,
@@ -527,7 +529,7 @@
     /** Opens a link to a listed worker, unless the entry is that of an ended incarnation. */
     const linkListedWorker = (entry: WorkerEntry): void => {
         if (!hasEndedIncarnation(entry)) {
-            links.set(entry.workerId, openLink(addWorker(entry, true)));
+            links.set(entry.workerId, openLink(addWorker(entry, true), endedIncarnations.has(entry.workerId)));
         }
     };
 
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -47,8 +47,12 @@
      */
     readonly newestToken?: () => number;
     readonly leaseMs: number;
+    /** The longest lease that a worker grants. */
+    readonly leaseLimitMs: number;
     /** How long a look may wait for a run to end. */
     readonly lookWaitMs: number;
+    /** Whether looks that this owner sent to an earlier incarnation may still be carried out by this one. */
+    readonly mayGetFormerLooks: boolean;
     readonly firstLooks: FirstLooks;
     readonly delayedStarts: DelayedStarts;
     readonly lookSlots: LookSlots;
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -197,6 +197,16 @@
     return deadlineMs;
 };
 
+/**
+ * Extends `leaseHorizonMs` to cover the longest lease that the worker may have granted until now.
+ *
+ * @example
+ * extendToLongestLease(worker, clock.monotonicMs(), 10_000);
+ */
+export const extendToLongestLease = (worker: ShardWorker, nowMs: number, leaseLimitMs: number): void => {
+    worker.leaseHorizonMs = Math.max(worker.leaseHorizonMs, nowMs + leaseLimitMs / slowestClockRate);
+};
+
 /** Whether the next incarnation may carry out the run's order: it has had no final answer yet. */
 const mayReachNext = ({ mayArriveUntilMs, phase }: ShardRun): boolean =>
     mayArriveUntilMs !== undefined || phase === runPhases.planned || phase === runPhases.starting;
--- a/packages/stand-ins/src/shard/fencedWorkers.ts
+++ b/packages/stand-ins/src/shard/fencedWorkers.ts
@@ -69,8 +69,8 @@
 
 /** How looks are lost and carried out late. */
 export interface LateLooks {
-    /** Whether a look that would reach its worker is lost. */
-    readonly isLost: () => boolean;
+    /** Whether a look that would reach this worker is lost. */
+    readonly isLost: (workerId: string) => boolean;
     readonly lateMs: () => number;
 }
 
@@ -676,7 +676,7 @@
             { lookTimeoutMs, departure }: { readonly lookTimeoutMs: number; readonly departure: Departure; },
         ): Promise<LookResult> => {
             const { waitMs, answerTimeoutMs } = sent;
-            if (lateLooks?.isLost() === true) {
+            if (lateLooks?.isLost(target.workerId) === true) {
                 carryOutLookLate(target, sent, lateLooks.lateMs());
                 await wait(lookTimeoutMs);
                 return { outcome: orderOutcomes.unknown };
