A successor counts the longest lease on workers that have just restarted

What callers saw: a task that lasts ran in two places at once, for some two seconds, after a change of owner. Its worker had started again under its ID shortly before, and did not answer the successor.

Cause: a look for the former incarnation that the next one carries out grants it the longest lease, 10 s, as its clock has begun anew. The owner that finds the next incarnation counts that, but its successor counted the usual 5 s for every lease, so that it started the tasks of such a worker elsewhere 7.6 s after its claim.

Rows of runs say when the incarnation began for which they were planned. The successor counts 10.2 s instead of 5.1 s where that is less than 20 s ago. No look for the former incarnation comes later: one that grants a lease leaves its owner at most 1.5 s after the restart, may be 12 s late, and is rejected after the first start; what is left covers the 2.6 s by which the two leases differ for older ones, and wall clocks. The three new rows failed before with "ran twice at the same time".

The price: tasks on a worker that restarted less than 20 s before a claim and does not answer the successor are started elsewhere 12.7 s after the claim instead of 7.6 s. Where wall clocks differ by more than 3 s, the shorter time may be counted as before.

--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -240,6 +240,9 @@
 
         Examples:
             | late | after | what                                             |
+            | 450  | 100   | only the owner reaches it, which is told to stop |
+            | 450  | 100   | only the owner reaches it, which is killed       |
+            | 450  | 1000  | only the owner reaches it, which is told to stop |
             | 2000 | 100   | only the owner reaches it, which is told to stop |
             | 5000 | 100   | only the owner reaches it, which is told to stop |
             | 5000 | 5000  | only the owner reaches it, which is told to stop |
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -104,6 +104,13 @@
 /** A new owner waits this long for the list, which usually comes sooner, before it looks at workers that are not listed. */
 const unlistedLookDelayMs = 500;
 
+/**
+ * An incarnation that began less than this before a takeover may hold the longest lease: a look for the one before is sent up to 1.5 s
+ * later, may be 12 s late, and is rejected from the first start on. The rest is for the leases that are compared and for wall clocks that
+ * differ.
+ */
+const youngMs = 20_000;
+
 /** Placeholder entry of a worker that has runs but is not listed: nothing fits on it. */
 const unlistedEntry: WorkerEntry = {
     workerId: "",
@@ -508,15 +515,21 @@
         }
     };
 
-    /** Local time by which every lease that a former owner may have granted is over. */
-    const formerLeaseEndMs = (): number =>
-        clock.monotonicMs() + settings.formerOwnerMs + settings.leaseMs / slowestClockRate;
+    const isYoung = (bornAtMs: number | undefined): boolean =>
+        bornAtMs !== undefined && clock.nowMs() - bornAtMs < youngMs;
+
+    /** Local time by which every lease is over that a former owner may have granted a worker with these runs. */
+    const formerLeaseEndMs = (runs: readonly StoredRun[]): number => {
+        const leaseMs = runs.some(({ bornAtMs }) => isYoung(bornAtMs)) ? settings.leaseLimitMs : settings.leaseMs;
+        return clock.monotonicMs() + settings.formerOwnerMs + leaseMs / slowestClockRate;
+    };
 
     const addWorker = (entry: WorkerEntry, listed: boolean): ShardWorker => {
-        const worker = newWorker(entry, formerLeaseEndMs());
+        const runs = storedRunsByWorker.get(entry.workerId) ?? [];
+        const worker = newWorker(entry, formerLeaseEndMs(runs));
         worker.unlistedAtMs = listed ? undefined : clock.monotonicMs();
         workers.set(entry.workerId, worker);
-        for (const stored of storedRunsByWorker.get(entry.workerId) ?? []) {
+        for (const stored of runs) {
             restoreRun(worker, stored);
         }
         storedRunsByWorker.delete(entry.workerId);
