--- a/features/steps/examples/shardIncarnations.ts
+++ b/features/steps/examples/shardIncarnations.ts
@@ -184,6 +184,8 @@
         leaseMs: 5_000,
         stopMs: 900,
         claimedAtMs: 0,
+        leaseLimitMs: 10_000,
+        mayGetFormerLooks: false,
         orderPauseMs: 100,
         unansweredStartMs: 6_500,
         ticketsNameIncarnation: false,
--- a/features/steps/examples/shardWorkers.ts
+++ b/features/steps/examples/shardWorkers.ts
@@ -200,6 +200,8 @@
         leaseMs: 5_000,
         stopMs: 900,
         claimedAtMs: 0,
+        leaseLimitMs: 10_000,
+        mayGetFormerLooks: false,
         lookWaitMs: 1_000,
         firstLooks: createFirstLooks(clock),
         delayedStarts: createDelayedStarts(clock),
--- a/features/steps/shardLookSteps.ts
+++ b/features/steps/shardLookSteps.ts
@@ -103,6 +103,8 @@
         leaseMs: 5_000,
         stopMs: 900,
         claimedAtMs: 0,
+        leaseLimitMs: 10_000,
+        mayGetFormerLooks: false,
         lookWaitMs: 1_000,
         firstLooks: createFirstLooks(clock),
         lookSlots: createLookSlots(clock),
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -104,6 +104,13 @@
 /** A new owner waits this long for the list, which usually comes sooner, before it looks at workers that are not listed. */
 const unlistedLookDelayMs = 500;
 
+/**
+ * An incarnation that began less than this before a takeover may hold the longest lease: a look for the one before is sent up to 1.5 s
+ * later, may be 12 s late, and is rejected from the first start on. The rest is for the leases that are compared and for wall clocks that
+ * differ.
+ */
+const youngMs = 20_000;
+
 /** Placeholder entry of a worker that has runs but is not listed: nothing fits on it. */
 const unlistedEntry: WorkerEntry = {
     workerId: "",
@@ -292,7 +299,7 @@
             nowMs,
         });
         workers.set(workerId, next);
-        const link = openLink(next);
+        const link = openLink(next, true);
         links.set(workerId, link);
         if (next.unansweredOrder !== undefined) {
             link.probe(next.unansweredOrder);
@@ -357,7 +364,7 @@
         options.onRunsKnown();
     };
 
-    const openLink = (worker: ShardWorker): WorkerLink => {
+    const openLink = (worker: ShardWorker, mayGetFormerLooks = false): WorkerLink => {
         const link = openWorkerLink(worker, {
             clock,
             log,
@@ -368,7 +375,9 @@
             leaseMs: settings.leaseMs,
             stopMs: settings.stopMs,
             claimedAtMs: startedAtMs,
+            leaseLimitMs: settings.leaseLimitMs,
             lookWaitMs: settings.lookWaitMs,
+            mayGetFormerLooks,
             firstLooks,
             delayedStarts,
             lookSlots,
@@ -511,15 +520,21 @@
         }
     };
 
-    /** Local time by which every lease that a former owner may have granted is over. */
-    const formerLeaseEndMs = (): number =>
-        clock.monotonicMs() + settings.formerOwnerMs + settings.leaseMs / slowestClockRate;
+    const isYoung = (bornAtMs: number | undefined): boolean =>
+        bornAtMs !== undefined && clock.nowMs() - bornAtMs < youngMs;
+
+    /** Local time by which every lease is over that a former owner may have granted a worker with these runs. */
+    const formerLeaseEndMs = (runs: readonly StoredRun[]): number => {
+        const leaseMs = runs.some(({ bornAtMs }) => isYoung(bornAtMs)) ? settings.leaseLimitMs : settings.leaseMs;
+        return clock.monotonicMs() + settings.formerOwnerMs + leaseMs / slowestClockRate;
+    };
 
     const addWorker = (entry: WorkerEntry, listed: boolean): ShardWorker => {
-        const worker = newWorker(entry, formerLeaseEndMs());
+        const runs = storedRunsByWorker.get(entry.workerId) ?? [];
+        const worker = newWorker(entry, formerLeaseEndMs(runs));
         worker.unlistedAtMs = listed ? undefined : clock.monotonicMs();
         workers.set(entry.workerId, worker);
-        for (const stored of storedRunsByWorker.get(entry.workerId) ?? []) {
+        for (const stored of runs) {
             restoreRun(worker, stored);
         }
         storedRunsByWorker.delete(entry.workerId);
@@ -532,7 +547,7 @@
     /** Opens a link to a listed worker, unless the entry is that of an ended incarnation. */
     const linkListedWorker = (entry: WorkerEntry): void => {
         if (!hasEndedIncarnation(entry)) {
-            links.set(entry.workerId, openLink(addWorker(entry, true)));
+            links.set(entry.workerId, openLink(addWorker(entry, true), endedIncarnations.has(entry.workerId)));
         }
     };
 
@@ -594,11 +609,12 @@
 
     /**
      * Whether an incarnation that this owner cannot reach may hold the run. It may carry the order out until
-     * `mayArriveUntilMs` and, where the worker is listed, hold the run for one more lease.
+     * `mayArriveUntilMs` and, where the worker is listed, hold the run for one more lease. A worker that has not answered since the
+     * takeover may keep its id as well; the list or the row of the run says so.
      */
-    const mayRunUnseen = ({ workerId, bornAtMs }: ShardWorker, run: ShardRun, nowMs: number): boolean => {
+    const mayRunUnseen = ({ workerId, bornAtMs, entry }: ShardWorker, run: ShardRun, nowMs: number): boolean => {
         const leaseMs = listing.has(workerId) ? settings.leaseLimitMs / slowestClockRate : 0;
-        return bornAtMs !== undefined && mayArrive(run, nowMs - leaseMs);
+        return (bornAtMs ?? entry.bornAtMs ?? run.bornAtMs) !== undefined && mayArrive(run, nowMs - leaseMs);
     };
 
     /** Drops runs whose leases are surely over, and unlisted workers without runs. */
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -51,8 +51,12 @@
     readonly stopMs: number;
     /** Local time of this owner's claim. */
     readonly claimedAtMs: number;
+    /** The longest lease that a worker grants. */
+    readonly leaseLimitMs: number;
     /** How long a look may wait for a run to end. */
     readonly lookWaitMs: number;
+    /** Whether looks that this owner sent to an earlier incarnation may still be carried out by this one. */
+    readonly mayGetFormerLooks: boolean;
     readonly firstLooks: FirstLooks;
     readonly delayedStarts: DelayedStarts;
     readonly lookSlots: LookSlots;
