An owner that hands its shard over leaves no start open

What callers risked: an owner that was told to stop, or that gave the shard up as its VM was slow or weak, went on planning and sending starts until it learned of its successor's claim.

Cause: a hand-over waited for commits only, 350 ms at the most. Nothing held back passes, the queue of starts, or starts that wait for a worker or a connection.

As a hand-over begins, no start is planned; those that were planned are freed and this is committed; those that wait in the loop of runOrders are given up; those under way are answered or count as unanswered. Only when all of it is durable is a peer asked, after 600 ms at the latest. The commit log has `written` in place of `idle`: it waits for the changes before the call, where `idle` never came under a steady load and cost its whole limit. Peers are chosen after that, as before, since an owner on a slow VM reads their answers late. Where no peer claims, the owner plans again at once; at the stop it waits as long as the attempt took before the next, so that peers that do not answer (0.7 s each) take at most half of the placing time. The log line `handOver` has `quietAfterMs`, `startsFreed`, `startsOpen` and `isDurable`.

Tests: 7 scenarios in handOver.feature.

Not covered: an executor that answers a start after its 150 ms still leaves an unanswered start to the successor, which its row says; an owner that nobody replaces within its grace ends as before.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -82,6 +82,7 @@
             | processorShare       | false false false true                  |
             | configurationFetch   | asked 1 time for 3 offers               |
             | handOver             | claimed by a peer                       |
+            | startGate            | 2 freed, 1 open, then open again        |
             | pauseGuard           | free, held, free                        |
             | loadReport           | 12 steps wait, 500 planned, 8 cores free, workers: 2 calls 0.2/0.5 kB |
             | ownDelay             | 200 ms, then 500 ms                     |
--- a/features/handOver.feature
+++ b/features/handOver.feature
@@ -113,3 +113,38 @@
             | 20 | 4    |
             | 20 | 5    |
             | 20 | 6    |
+
+    # Guards against starts that an owner sends, or has under way, as its successor claims: each has to be found, or proven gone.
+    Scenario Outline: An owner that hands over under load of steps "<steps>", beside <cut> peers without the store, leaves no start open
+        Given a cell of 4 daemons and 24 workers that answer a start after up to 100 ms
+        When <cut> daemons other than the owner do not reach the store
+        And the owner is told to stop as planned starts become durable, while jobs of steps "<steps>" arrive for 1200 ms more
+        And the shard runs for 4000 ms
+        Then the successor claimed the shard within <ms> ms, no start was sent after the stop, and none in the 50 ms before the claim
+        And the successor found no start of its predecessor open
+        And no promise was broken
+
+        Examples:
+            | steps            | cut | ms   |
+            | 1 for 100 ms     | 0   | 150  |
+            | 1 for 100 ms     | 2   | 1550 |
+            | 12 for 100 ms    | 2   | 1550 |
+            | 4 gang for 50 ms | 0   | 150  |
+            | 4 gang for 50 ms | 2   | 1550 |
+
+    # Guards against a start that waits for a connection and is sent after the stop, and against a claim before a slow commit of what was freed.
+    Scenario: An owner with slow commits that hands over gives up starts that wait for a connection
+        Given a cell of 4 daemons and 24 workers that answer a start after up to 100 ms
+        When no worker has a free connection from 330 ms to 600 ms, and the owner reaches the store at 40 bytes per ms
+        And the owner is told to stop as planned starts become durable, while jobs of steps "1 for 100 ms" arrive for 1200 ms more
+        And the shard runs for 4000 ms
+        Then the successor claimed the shard within 350 ms, no start was sent after the stop, and none in the 50 ms before the claim
+        And the successor found no start of its predecessor open
+        And no promise was broken
+
+    # Guards against an owner that places no more tasks although no peer can take its shard.
+    Scenario: An owner that nobody replaces goes on placing tasks
+        Given a cell of 4 daemons and 24 workers that answer a start after up to 100 ms
+        When 3 daemons other than the owner do not reach the store
+        And the owner is told to stop as planned starts become durable, while jobs of steps "1" arrive for 4000 ms more
+        Then the owner has placed tasks for 3000 ms after the stop
--- a/features/steps/examples/shardJobs.ts
+++ b/features/steps/examples/shardJobs.ts
@@ -177,7 +177,7 @@
         stalledMs: () => 5_000,
         expectedWaitMs: () => 0,
         answeredAtMs: () => 0,
-        idle: async () => {},
+        written: async () => {},
         probe: () => {},
         stop: () => {},
     };
--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -17,6 +17,7 @@
     createPeers,
     createProcessorShare,
     createRowReader,
+    createStartGate,
     defaultShardSettings,
     delayForRankMs,
     followerPauseMs,
@@ -216,12 +217,25 @@
     const clock = createFakeClock();
     const peers = examplePeers(clock, true);
     await Promise.all([...peers.all.values()].map(peer => peers.ping(peer)));
-    const shard = { fencingToken: 7, idle: async () => {} } as ShardOwner;
-    return await handOver(shard, "leaving", { clock, log, peers, selfId: "entry-1", isOver: () => false })
+    const left = { quietAfterMs: 0, startsFreed: 0, startsOpen: 0, isDurable: true };
+    const shard = { fencingToken: 7, quiesce: async () => left, resume: () => {} } as unknown as ShardOwner;
+    return await handOver(shard, "leaving", { log, peers, selfId: "entry-1", isOver: () => false })
         ? "claimed by a peer"
         : "kept";
 };
 
+const startGate = async (): Promise<string> => {
+    const clock = createFakeClock();
+    const gate = createStartGate({ clock, freePlanned: () => 2, written: async () => {}, onOpened: () => {} });
+    void gate.track(sleep(clock, 30));
+    void gate.track(sleep(clock, 900));
+    const closing = gate.close(600);
+    await clock.advance(600);
+    const { startsFreed, startsOpen } = await closing;
+    gate.open();
+    return `${startsFreed} freed, ${startsOpen} open, then ${gate.isOpen() ? "open again" : "closed"}`;
+};
+
 const ownerWatch = async (): Promise<string> => {
     const clock = createFakeClock();
     const claims: string[] = [];
@@ -383,6 +397,7 @@
     processorShare,
     configurationFetch,
     handOver: handOverExample,
+    startGate,
     loadReport,
     ownDelay,
     ownerProgress,
--- a/features/steps/shardModuleSteps.ts
+++ b/features/steps/shardModuleSteps.ts
@@ -256,7 +256,7 @@
         stalledMs: () => clock.monotonicMs() > stallsFromMs ? 5_000 : 0,
         expectedWaitMs: () => 0,
         answeredAtMs: () => 0,
-        idle: async () => {},
+        written: async () => {},
         probe: () => {},
         stop: () => {},
     };
@@ -320,7 +320,7 @@
             stalledMs: () => 5_000,
             expectedWaitMs: () => 0,
             answeredAtMs: () => 0,
-            idle: () => never,
+            written: () => never,
             probe: () => {},
             stop: () => {},
         };
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -445,7 +445,7 @@
 
     const handOverShard = async (shard: ShardOwner, why: HandOverReason): Promise<boolean> => {
         const isOver = (): boolean => owner !== shard;
-        const claimed = await handOver(shard, why, { clock, log, peers, selfId: self.memberId, isOver });
+        const claimed = await handOver(shard, why, { log, peers, selfId: self.memberId, isOver });
         if (claimed && owner === shard) {
             loseShard(why);
         }
@@ -775,8 +775,11 @@
         leave: async untilMs => {
             leaving = true;
             while (owner !== undefined && clock.monotonicMs() < untilMs) {
+                const beganAtMs = clock.monotonicMs();
                 if (!await handOverShard(owner, "leaving")) {
-                    await sleep(clock, pingIntervalMs);
+                    const nowMs = clock.monotonicMs();
+                    // Nothing is placed during an attempt; where peers take long to refuse, tasks get half of the time.
+                    await sleep(clock, Math.min(Math.max(pingIntervalMs, nowMs - beganAtMs), untilMs - nowMs));
                 }
             }
             loseShard("leaving");
--- a/packages/puffinarch/src/core/shard/commitLog.ts
+++ b/packages/puffinarch/src/core/shard/commitLog.ts
@@ -60,8 +60,8 @@
     expectedWaitMs(): number;
     /** Local time at which the newest call was sent that the store has answered. */
     answeredAtMs(): number;
-    /** Resolves when all changes are written. */
-    idle(): Promise<void>;
+    /** Resolves once all changes before the call are durable; later ones are not waited for. */
+    written(): Promise<void>;
     /**
      * Discards the pending write of a job; false if there is none, or if a part of it is durable or in flight.
      */
@@ -156,7 +156,6 @@
     const dirty = new Map<string, (() => void)[]>();
     let inFlight: InFlightBatch | undefined;
     let sequenceVersion = options.sequenceVersion;
-    let idleResolvers: (() => void)[] = [];
     let batches = 0;
     /** True from the first change or confirmation until everything is written. */
     let isDraining = false;
@@ -338,13 +337,6 @@
         }
     };
 
-    const resolveIdle = (): void => {
-        for (const resolve of idleResolvers) {
-            resolve();
-        }
-        idleResolvers = [];
-    };
-
     /** Writes batches until no change or confirmation is pending. */
     const drain = async (): Promise<void> => {
         while (dirty.size + confirmations.length > 0 && !stopped) {
@@ -374,7 +366,6 @@
             await Promise.resolve();
         }
         isDraining = false;
-        resolveIdle();
     };
 
     /** Gives the shard up: a successor commits what this log cannot write any more. */
@@ -400,6 +391,28 @@
             scheduleDrain();
         });
 
+    const commit = (jobId: string): Promise<void> =>
+        new Promise(resolve => {
+            const entry = aside.get(jobId);
+            if (entry === undefined) {
+                markChanged(jobId, [resolve]);
+                scheduleDrain();
+                return;
+            }
+            entry.resolvers.push(resolve);
+            if (!entry.isRetryScheduled) {
+                entry.isRetryScheduled = true;
+                clock.setTimer(Math.max(0, entry.retryAtMs - clock.monotonicMs()), () => retryAside(jobId));
+            }
+        });
+
+    const written = async (): Promise<void> => {
+        if (isDraining && !stopped) {
+            // The batch in flight is durable before that of the confirmation.
+            await Promise.all([confirm(), ...[...dirty.keys()].map(commit)]);
+        }
+    };
+
     return {
         confirm,
         probe: () => {
@@ -411,29 +424,11 @@
             inFlight?.changes.has(jobId) !== true && !partlyWritten.has(jobId)
             && (dirty.delete(jobId) || aside.delete(jobId)),
         setAsideReason: jobId => aside.get(jobId)?.reason,
-        commit: jobId =>
-            new Promise(resolve => {
-                const entry = aside.get(jobId);
-                if (entry === undefined) {
-                    markChanged(jobId, [resolve]);
-                    scheduleDrain();
-                    return;
-                }
-                entry.resolvers.push(resolve);
-                if (!entry.isRetryScheduled) {
-                    entry.isRetryScheduled = true;
-                    clock.setTimer(Math.max(0, entry.retryAtMs - clock.monotonicMs()), () => retryAside(jobId));
-                }
-            }),
+        commit,
         answeredAtMs: () => answeredAtMs,
         stalledMs,
         expectedWaitMs: () => 2 * Math.max(newestCommitMs, stalledMs()),
-        idle: () =>
-            !stopped && isDraining
-                ? new Promise(resolve => {
-                    idleResolvers.push(resolve);
-                })
-                : Promise.resolve(),
+        written,
         stop: () => {
             stopped = true;
         },
--- a/packages/puffinarch/src/core/shard/handOver.ts
+++ b/packages/puffinarch/src/core/shard/handOver.ts
@@ -1,14 +1,13 @@
 /** Hands a shard over to a peer: when the owner's process stops, or its VM has become slow or is weaker than a peer's. */
 
 import type { HandOverReason } from "../../types/cellPorts.js";
-import type { Clock, Log } from "../../types/ports.js";
-import { sleep } from "../../utils/time.js";
+import type { Log } from "../../types/ports.js";
 import { type Peers, pingTimeoutMs } from "./peers.js";
 import type { ShardOwner } from "./shardOwner.js";
+import type { ClosedGate } from "./startGate.js";
 
 /** Dependencies of a hand-over. */
 export interface HandOverOptions {
-    readonly clock: Clock;
     readonly log: Log;
     readonly peers: Peers;
     readonly selfId: string;
@@ -16,40 +15,73 @@
     readonly isOver: () => boolean;
 }
 
+/**
+ * Longest time until nothing of the owner is open. A start counts as unanswered after 150 ms, in a process that is late after up to 600 ms;
+ * an owner that waited longer would keep its tasks from its successor.
+ */
+const maxQuietMs = 600;
+
 /** Start time of a daemon, taken from its incarnation; 0 where it is unknown. */
 const startedAtMs = (peers: Peers, peerId: string): number =>
     Number.parseInt(peers.all.get(peerId)?.incarnation ?? "0", 10);
 
-/**
- * Asks peers one after the other to claim the shard: strong VMs first, and among equals the one that started last, which is the
- * least likely to stop soon. Returns false where none of them claimed it.
- *
- * @example
- * const claimed = await handOver(shard, "leaving", { clock, log, peers, selfId, isOver: () => false });
- */
-export const handOver = async (
-    shard: ShardOwner,
-    why: HandOverReason,
-    { clock, log, peers, selfId, isOver }: HandOverOptions,
-): Promise<boolean> => {
-    await Promise.race([shard.idle(), sleep(clock, pingTimeoutMs)]);
-    const candidates = peers.live().filter(id => id !== selfId && !peers.isLeaving(id));
+/** Returns the ids of the peers that can be asked, in the order in which they are. */
+const candidatesOf = (peers: Peers, selfId: string): readonly string[] => {
     const byPreference = (left: string, right: string): number =>
         Number(peers.isStrong(right)) - Number(peers.isStrong(left))
         || startedAtMs(peers, right) - startedAtMs(peers, left);
-    for (const peerId of candidates.sort(byPreference)) {
+    return peers.live().filter(id => id !== selfId && !peers.isLeaving(id)).sort(byPreference);
+};
+
+/** Asks peers one after the other, and logs beside each answer what the owner has left open. */
+const askInTurn = async (
+    order: { readonly token: number; readonly why: HandOverReason; },
+    left: ClosedGate,
+    { log, peers, selfId, isOver }: HandOverOptions,
+): Promise<boolean> => {
+    // Read only now: an owner on a slow VM has read its peers' newest answers while its starts were settled.
+    for (const peerId of candidatesOf(peers, selfId)) {
+        // The shard may have been claimed while the owner's starts were settled.
+        if (isOver()) {
+            return true;
+        }
         const address = peers.all.get(peerId)?.address;
         if (address === undefined) {
             continue;
         }
-        const order = { token: shard.fencingToken, why };
         const answer = await peers.ask(address, "handOver", order, { timeoutMs: 2 * pingTimeoutMs });
         const claimed = answer?.claimed ?? false;
-        log.write("info", "handOver", { to: peerId, claimed, why });
-        // A claim may have taken effect although its answer came too late.
-        if (claimed || isOver()) {
+        log.write("info", "handOver", { to: peerId, claimed, why: order.why, ...left });
+        if (claimed) {
             return true;
         }
     }
-    return false;
+    // A claim may have taken effect although its answer came too late.
+    return isOver();
+};
+
+/**
+ * Asks peers one after the other to claim the shard: strong VMs first, and among equals the one that started last, which is the
+ * least likely to stop soon. Before that the owner settles its starts, so that its successor has none to prove gone; it plans none until
+ * this is over. Returns false where no peer claimed the shard, and the owner goes on.
+ *
+ * @example
+ * const claimed = await handOver(shard, "leaving", { log, peers, selfId, isOver: () => false });
+ */
+export const handOver = async (
+    shard: ShardOwner,
+    why: HandOverReason,
+    options: HandOverOptions,
+): Promise<boolean> => {
+    let claimed = false;
+    try {
+        const left = await shard.quiesce(maxQuietMs);
+        claimed = await askInTurn({ token: shard.fencingToken, why }, left, options);
+    }
+    finally {
+        if (!claimed) {
+            shard.resume();
+        }
+    }
+    return claimed;
 };
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -45,6 +45,7 @@
         | "delayedStarts"
         | "lagMs"
         | "held"
+        | "mayStart"
     >
 {
     readonly worker: ShardWorker;
@@ -199,7 +200,8 @@
         if (unsentSinceMs !== undefined && ticketFor(step, worker.workerId, nowMs) === undefined) {
             return orderOutcomes.badTicket;
         }
-        const isUseless = done || hasEnded(jobOf(run)) || isLeaving(worker);
+        // A start that is sent while the shard is handed over would be open at the successor's claim.
+        const isUseless = done || hasEnded(jobOf(run)) || isLeaving(worker) || options.mayStart?.() === false;
         // The watch over gangs stops the members if they are not all sent in time; to give one up earlier would stop the others as well.
         const isLate = unsentSinceMs !== undefined && !step.spec.gang && nowMs - unsentSinceMs > maxUnsentMs;
         return isUseless || isLate ? orderOutcomes.notSent : undefined;
--- a/packages/puffinarch/src/core/shard/shardOwner.ts
+++ b/packages/puffinarch/src/core/shard/shardOwner.ts
@@ -63,6 +63,7 @@
 import { createShardWorkers } from "./shardWorkers.js";
 import { createOwnerShedding } from "./shedding.js";
 import { createSpeedsReport } from "./speedsReport.js";
+import { type ClosedGate, createStartGate } from "./startGate.js";
 import { createStartQueue, type StartAnswer, startTurnMs } from "./startQueue.js";
 import { createTaskPlacer } from "./taskPlacer.js";
 import { createTaskReview } from "./taskReview.js";
@@ -134,8 +135,13 @@
     tenure(): Readonly<Record<string, number | undefined>>;
     /** The submissions that it refuses because it is late; undefined while it is not. */
     shedding(): Shedding | undefined;
-    /** Resolves once all changes so far are durable. */
-    idle(): Promise<void>;
+    /**
+     * Plans and sends no more starts, frees those that were not sent, and resolves once the others are settled and all changes are durable,
+     * after `limitMs` at the latest. Callers, looks and ends are answered as before.
+     */
+    quiesce(limitMs: number): Promise<ClosedGate>;
+    /** Plans starts again after `quiesce`. */
+    resume(): void;
     close(): void;
 }
 
@@ -433,6 +439,7 @@
         newestToken: () => newestVersion,
         confirm: commits.confirm,
         held: pauseGuard.held,
+        mayStart: () => gate.isOpen(),
         lagMs: () => presentLagMs(),
         listAgeMs: options.listAgeMs,
         jobOf: jobId => jobs.get(jobId),
@@ -576,6 +583,25 @@
         freePlanned([...runsOf(job)].filter(({ phase }) => phase === runPhases.planned));
     };
 
+    /** Frees the capacity of all planned starts, and commits it, so that a successor's rows list no run that was never sent. */
+    const freeAllPlanned = (): number => {
+        const planned = [...workers.all.values()]
+            .flatMap(({ runs }) => [...runs.values()])
+            .filter(({ phase }) => phase === runPhases.planned);
+        freePlanned(planned);
+        for (const job of new Set(planned.map(jobOf))) {
+            void guard.run("jobChange", () => commitChange(job));
+        }
+        return planned.length;
+    };
+
+    const gate = createStartGate({
+        clock,
+        freePlanned: freeAllPlanned,
+        written: commits.written,
+        onOpened: () => wake(),
+    });
+
     /** Whether the worker has left a start unanswered while this one was queued, which would most likely be lost as well. */
     const isBehindUnanswered = ({ workerId }: ShardRun): boolean => {
         const worker = workers.all.get(workerId);
@@ -588,6 +614,7 @@
     /** Reasons for which a planned start is not sent. */
     const startProblems: Readonly<Record<string, (run: ShardRun) => boolean>> = {
         closed: () => closed,
+        handingOver: () => !gate.isOpen(),
         jobEnded: run => hasEnded(jobOf(run)),
         notStartable: run => !isStartable(run),
         unanswered: isBehindUnanswered,
@@ -613,7 +640,7 @@
     /** Sends a start; resolves once it was answered or given up, or has waited so long that it no longer keeps others back. */
     const sendStart = async (run: ShardRun): Promise<StartAnswer> => {
         const ticket = ticketFor(run.task.step, run.workerId, clock.monotonicMs()) ?? "";
-        const settled = workers.start(run, ticket);
+        const settled = gate.track(workers.start(run, ticket));
         await settledWithin(settled, maxStartAnswerMs);
         if (run.sentLate) {
             // It still waits in this process, and others would wait behind it.
@@ -733,13 +760,13 @@
     const review = createTaskReview({ clock, log, meter, jobs, workers: workers.all, taskPlacer });
 
     const wake = (): void => {
-        if (passScheduled || closed) {
+        if (passScheduled || closed || !gate.isOpen()) {
             return;
         }
         passScheduled = true;
         clock.setTimer(Math.max(passDelayMs, passRestFactor * passMs), () => {
             passScheduled = false;
-            if (!closed) {
+            if (!closed && gate.isOpen()) {
                 const beganAtMs = clock.monotonicMs();
                 taskPlacer.runPass();
                 passMs = clock.monotonicMs() - beganAtMs;
@@ -1115,7 +1142,8 @@
             };
         },
         shedding: shedding.current,
-        idle: commits.idle,
+        quiesce: gate.close,
+        resume: gate.open,
         close,
     };
 };
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -49,6 +49,8 @@
     readonly confirm?: () => Promise<unknown>;
     /** Resolves once leases may be renewed and runs started; undefined if they may now. They always may where it is left out. */
     readonly held?: () => Promise<void> | undefined;
+    /** Whether starts may be sent; they always may where it is left out. */
+    readonly mayStart?: () => boolean;
     /** How late timers of this process fire now, in ms; never late where it is left out. */
     readonly lagMs?: () => number;
     /** Age of the platform's list of workers in ms, for the log. */
@@ -437,6 +439,7 @@
             onUnanswered: run => changed(run.task.step.occurrence.job),
             onAcknowledgementHeld: options.confirm,
             held: options.held,
+            mayStart: options.mayStart,
             onStarted: (holder, run) => {
                 run.startedAtMs = clock.monotonicMs();
                 options.onStarted(run.task.step.occurrence.job);
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -81,6 +81,8 @@
     readonly onUnanswered: (run: ShardRun) => Promise<unknown>;
     /** Resolves once leases may be renewed and runs started; undefined if they may now. They always may where it is left out. */
     readonly held?: (() => Promise<void> | undefined) | undefined;
+    /** Whether starts may be sent; they always may where it is left out. */
+    readonly mayStart?: (() => boolean) | undefined;
     /** Called when an acknowledgement waits for a newer token; resolves once a commit has brought this owner one. */
     readonly onAcknowledgementHeld?: (() => Promise<unknown>) | undefined;
 }
--- a/packages/puffinarch/src/internal.ts
+++ b/packages/puffinarch/src/internal.ts
@@ -105,6 +105,7 @@
 export * from "./core/shard/shortTenures.js";
 export * from "./core/shard/speedsReport.js";
 export * from "./core/shard/startBreaker.js";
+export * from "./core/shard/startGate.js";
 export * from "./core/shard/startPace.js";
 export * from "./core/shard/startQueue.js";
 export * from "./core/shard/tableWatch.js";
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -336,6 +336,7 @@
 export { type ClaimReason, claimReasons, countShortTenures, settlingMs, timeoutFactor } from "./internal.js";
 export { type TableWatch, type TableWatchOptions, watchTable } from "./internal.js";
 export { handOver, type HandOverOptions } from "./internal.js";
+export { type ClosedGate, createStartGate, type StartGate, type StartGateOptions } from "./internal.js";
 export { createPauseGuard, type PauseGuard, type PauseGuardOptions, startStopwatch } from "./internal.js";
 export { createLoadReport, type LoadReport, type LoadReportOptions } from "./internal.js";
 export { ownDelayMs } from "./internal.js";
