The soak plays restarts of executors that keep their IDs, with jobs that last

Cause: in each play of the soak a restarted executor had a new ID, one executor at a time went down, no job lasted, none drained, and every stop took 60 ms.

A daemon that was told to stop or killed as the owner gets no second signal within 4 s.

--- a/packages/stand-ins/soak/faults.mjs
+++ b/packages/stand-ins/soak/faults.mjs
@@ -206,29 +206,92 @@
 const stopShare = 0.7;
 const killShare = 0.15;
 const crashShare = 0.4;
+/** A process that was told to stop or killed as the owner is named as the owner until the next claim, and may have just begun by then. */
+const restMs = 4_000;
 
-/** Tells the owner to stop, or kills it, again and again, while executors crash. */
-export const handOverAgain = async ({ deployment, random, ownerOf, isOver }) => {
-    const { daemons, executors, record, killDaemon, rotation } = deployment;
+/** One executor crashes at times. */
+const crashOne = ({ deployment: { executors }, random, between }) => {
+    const executor = executors[between(0, executors.length - 1)];
+    if (random() < crashShare && executor.id() !== undefined) {
+        executor.crash(between(500, 4_000));
+    }
+};
+
+/** Tells the owner to stop, or kills it, again and again, while executors crash, which `crash` does in each round. */
+export const handOverAgain = async ({ deployment, network, random, ownerOf, isOver, crash = crashOne }) => {
+    const { daemons, record, killDaemon, rotation } = deployment;
     const between = (least, most) => Math.round(least + random() * (most - least));
     const underWay = [];
+    let last;
+    let lastAtMs = -Infinity;
     while (!isOver()) {
         await sleep(between(...betweenStopsMs));
+        underWay.push(crash({ deployment, network, random, between, ownerOf }));
         const owner = daemons.find(({ node }) => node === ownerOf());
         // A process that has just begun ends by the signal itself.
-        const isUp = owner?.child !== undefined && rotation().includes(owner);
+        const isUp = owner?.child !== undefined && rotation().includes(owner)
+            && !(owner === last && performance.now() < lastAtMs + restMs);
         const kind = random();
-        if (isUp && kind < stopShare) {
+        if (!isUp || kind >= stopShare + killShare) {
+            continue;
+        }
+        last = owner;
+        lastAtMs = performance.now();
+        if (kind < stopShare) {
             underWay.push(stopDaemon({ daemon: owner, record, afterMs: 0, forMs: 0 }));
         }
-        else if (isUp && kind < stopShare + killShare) {
+        else {
             record(`${owner.node} is killed`);
             killDaemon(owner, between(0, 2_000));
         }
-        const executor = executors[between(0, executors.length - 1)];
-        if (random() < crashShare && executor.id() !== undefined) {
-            executor.crash(between(500, 4_000));
-        }
     }
     await Promise.all(underWay);
 };
+
+const restartShare = 0.5;
+const restartedShares = [0.05, 0.45];
+const nearMs = 600;
+const downMs = [[30, 330], [30, 4_500]];
+const drainingShare = 0.7;
+const drainMs = [500, 3_500];
+const heldShare = 0.3;
+const heldBeforeMs = [20, 300];
+
+/**
+ * Ends the lives of several executors at the same moment, half of the times after most of them have drained. At times a daemon's calls to
+ * them are held meanwhile, and reach their next lives.
+ */
+export const restartTogether = async ({ deployment: { executors, record }, network, random, between, ownerOf }) => {
+    if (random() >= restartShare) {
+        return;
+    }
+    await sleep(between(0, nearMs));
+    const share = restartedShares[0] + random() * (restartedShares[1] - restartedShares[0]);
+    const chosen = executors.filter(() => random() < share);
+    const areUp = () => chosen.filter(executor => executor.id() !== undefined);
+    if (random() < 0.5) {
+        const forMs = between(...drainMs);
+        const draining = areUp().filter(() => random() < drainingShare);
+        record(`${draining.length} executors drain for ${forMs} ms`);
+        for (const executor of draining) {
+            network.drain(executor, forMs);
+        }
+        await sleep(forMs);
+    }
+    const [leastMs, mostMs] = downMs[random() < 0.5 ? 0 : 1];
+    let held;
+    if (random() < heldShare) {
+        const { daemon, toExecutors } = network.links.find(link => link.daemon.node === ownerOf()) ?? network.links[0];
+        const links = toExecutors.filter((_link, index) => chosen.includes(executors[index]));
+        const forMs = heldBeforeMs[1] + mostMs;
+        const fault = { ...sound, holdUp: true, dropOnClose: false };
+        held = impair({ links, fault, forMs, record, what: `calls of ${daemon.node} to executors that restart` });
+        await sleep(between(...heldBeforeMs));
+    }
+    const ending = areUp();
+    record(`${ending.length} executors restart`);
+    for (const executor of ending) {
+        executor.crash(between(leastMs, mostMs));
+    }
+    await held;
+};
--- a/packages/stand-ins/soak/judge.mjs
+++ b/packages/stand-ins/soak/judge.mjs
@@ -152,6 +152,8 @@
         figures: {
             starts: runs.length,
             done: runs.filter(({ how }) => how === "done").length,
+            stopped: runs.filter(({ how }) => how === "stopped").length,
+            crashed: runs.filter(({ how }) => how === "crashed").length,
             lapsed: runs.filter(({ how }) => how === "lapsed").length,
             again: runs.filter(({ run }) => run > 1).length,
             tasks: byTask.size,
--- a/packages/stand-ins/soak/main.mjs
+++ b/packages/stand-ins/soak/main.mjs
@@ -6,6 +6,9 @@
  *     npm run soak -- --play handOvers --for 60000 --seeds 3
  *
  * `--play handOvers` tells owners to stop, one after the other, among executors that check tickets and take some milliseconds to begin a run.
+ * `--play restarts` does so beside jobs that last, among executors that keep their IDs, restart together, may drain before, and take up to
+ * 0.9 s for a stop. In any play, `--keep-ids` has executors keep their IDs, `--hide-stops` has their looks not list a run that is being
+ * stopped, and `--late-starts MS` has them begin a run up to that long after they have accepted it for good.
  * `--keep FOLDER` keeps the order of events and the daemons' logs of each play with a breach, with `--all` those of all plays. `--judge FILE`
  * judges a kept `record.txt` again.
  */
@@ -17,7 +20,7 @@
 import { backend, bounds, startDeployment } from "../../../review/lib/deployment.mjs";
 import { send, sleep } from "../../../review/lib/http.mjs";
 import { brokenCode, failedCode, heldCode, runCase } from "../../../review/lib/runCase.mjs";
-import { causeFaults, createRandom, handOverAgain, pauseOwner } from "./faults.mjs";
+import { causeFaults, createRandom, handOverAgain, pauseOwner, restartTogether } from "./faults.mjs";
 import { judge } from "./judge.mjs";
 import { handInJobs, host, prefix } from "./load.mjs";
 import { openNetwork } from "./network.mjs";
@@ -91,6 +94,25 @@
     return { spec: JSON.stringify({ workMs }), steps };
 };
 
+const lastingShare = 0.06;
+/** Longer than any play. */
+const lastingWorkMs = 600_000;
+
+/** Busy jobs, and some that last until they are cancelled. */
+const lastingJob = random =>
+    random() < lastingShare
+        ? {
+            spec: JSON.stringify({ workMs: lastingWorkMs }),
+            steps: [{ count: 8, cpu: 500, mem_mb: 256, estimate_ms: 5_000, long_running: true }],
+        }
+        : busyJob(random);
+
+/** Tells owners to stop for `forMs`. */
+const playHandOvers = async ({ forMs, ...context }) => {
+    const untilMs = performance.now() + forMs;
+    await handOverAgain({ ...context, isOver: () => performance.now() > untilMs });
+};
+
 const scenes = {
     seed: {
         warmUpMs,
@@ -105,10 +127,14 @@
         newJobOf: busyJob,
         betweenMs: 110,
         network: { advice, startTakesMs: 250 },
-        play: async ({ forMs, ...context }) => {
-            const untilMs = performance.now() + forMs;
-            await handOverAgain({ ...context, isOver: () => performance.now() > untilMs });
-        },
+        play: playHandOvers,
+    },
+    restarts: {
+        warmUpMs,
+        newJobOf: lastingJob,
+        betweenMs: 110,
+        network: { advice, startTakesMs: 250, stopTakesMs: 900, keepIds: true },
+        play: context => playHandOvers({ ...context, crash: restartTogether }),
     },
     lateAnswers: {
         warmUpMs: sceneWarmUpMs,
@@ -118,14 +144,21 @@
 };
 
 /** Plays one scene; returns its breaches and figures. */
-const playScene = async ({ scene, seed, forMs, folder }) => {
+const playScene = async ({ scene, seed, forMs, folder, habits }) => {
     process.env.KEEP_LOG = join(folder, "daemons.log");
-    const deployment = await startDeployment({ folder, routes: routesFor(scene.network !== undefined) });
+    const deployment = await startDeployment({ folder, routes: routesFor(scene.network?.advice !== undefined) });
     const { record } = deployment;
     let over = false;
     let network;
     try {
-        network = await openNetwork({ deployment, holdMaxMs: bounds.hold_max_ms, ...scene.network });
+        network = await openNetwork({
+            deployment,
+            holdMaxMs: bounds.hold_max_ms,
+            startTakesMs: 0,
+            stopTakesMs: bounds.stop_ms,
+            ...scene.network,
+            ...habits,
+        });
         record(`the play began at ${new Date().toISOString()}`);
         const ownerOf = followOwner({ ...deployment, isOver: () => over });
         if (!await deployment.untilReady(readyWithinMs)) {
@@ -182,9 +215,19 @@
         all: { type: "boolean", default: false },
         judge: { type: "string" },
         for: { type: "string", default: "60000" },
+        "keep-ids": { type: "boolean", default: false },
+        "hide-stops": { type: "boolean", default: false },
+        "late-starts": { type: "string" },
     },
 });
 
+/** What the options change in the executors of a play. */
+const habits = {
+    hidesStops: values["hide-stops"],
+    ...values["keep-ids"] ? { keepIds: true } : {},
+    ...values["late-starts"] === undefined ? {} : { acceptsWhole: true, startTakesMs: Number(values["late-starts"]) },
+};
+
 /** The plays that the options ask for, each with its name. */
 const plays = () => {
     const from = Number(values.from);
@@ -214,7 +257,7 @@
     for (const play of plays()) {
         const folder = mkdtempSync(join(tmpdir(), "puffinarch-soak-"));
         try {
-            const { breaches, figures } = await playWithFreePorts({ ...play, folder });
+            const { breaches, figures } = await playWithFreePorts({ ...play, folder, habits });
             process.stdout.write(`${play.name}: ${breaches.length} breaches, ${JSON.stringify(figures)}\n`);
             for (const breach of breaches.slice(0, maxLines)) {
                 process.stdout.write(`    ${breach}\n`);
