A restarted worker does not inherit that its runs were confirmed

A run that was started but not listed when its worker restarted may be on either incarnation. It kept the time at which the former one had confirmed it, so that a look at the next one that lacks it had it stopped, and its task waited 0.9 s longer than for an unanswered start. The time is now forgotten with the rest of what the owner knew of the former incarnation.

One row of restartedWorkers changes from 100 to 1,000 ms of downtime: an owner that is told to stop now settles its starts first, and in that time finds a worker that is back after 100 ms and has it refuse the late start, so that the row's fault cannot arise.

--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -262,6 +262,6 @@
 
         Examples:
             | ms  | what                                             |
-            | 100 | only the owner reaches it, which is told to stop |
+            | 1000 | only the owner reaches it, which is told to stop |
             | 100 | only the owner reaches it, which is killed       |
             | 600 | only the owner reaches it, which is killed       |
--- a/packages/puffinarch/src/core/shard/nextIncarnation.ts
+++ b/packages/puffinarch/src/core/shard/nextIncarnation.ts
@@ -118,6 +118,7 @@
     for (const run of carried) {
         run.refused = false;
         run.missingSinceMs = undefined;
+        run.startedAtMs = undefined;
         run.stopAnsweredAtMs = undefined;
         if (run.absent) {
             // The former incarnation rejected the run and so did not crash under it, but an unseen incarnation in between may have.
