Answered starts that no look has listed may hold the longest lease

What callers saw: a task that lasts ran in two places at once, for up to five seconds, without a change of owner. It had been started on a worker that had started again under its ID without the owner's notice, and that answered no daemon any more right after.

Cause: while the owner's look at the former incarnation is still without an answer, a start reaches the next one; its ticket may name it, as the advisor knows it already. The next incarnation answers the start. Its deadline is on the clock of the former one, so that it grants the longest lease, 10 s, while the owner counted the usual 5 s.

An answered start that no look has listed is now counted with the longest lease from its answer, on workers that keep their IDs. A look that lists the run shows that the deadline was on the right clock. Where the look's connection was lost, the incarnation that was looked at went down after the start, or nothing else can have got it.

The price: where a worker falls silent without a lost connection, tasks that were started there within the last second or so, and not listed yet, are started elsewhere 10.2 s after their start instead of 5.1 s after the last look that renewed their leases.

Not covered: a successor that reaches no such worker counts the usual lease unless the row's incarnation is younger than 20 s.

--- a/features/restartedWorkers.feature
+++ b/features/restartedWorkers.feature
@@ -251,6 +251,16 @@
             | 5000 | 100   | no daemon reaches it                             |
             | 5000 | 5000  | no daemon reaches it                             |
 
+    # Guards against the usual lease being counted for a start that an incarnation has answered of which the owner does not know.
+    Scenario: Starts reach the next incarnation before the owner finds it, and then no daemon reaches it
+        Given a cell of 4 daemons and 6 workers that check tickets and start again under their IDs 30 ms after a crash
+        When the shard runs for 10500 ms
+        And a worker starts again, and starts of "12 long running" reach it before the owner finds out
+        And 5 ms later "no daemon reaches it"
+        And the shard runs for 25000 ms
+        Then no promise was broken
+        And 12 tasks run
+
     # Guards against a successor that knows no incarnation of a silent worker, and counts no late start for any.
     Scenario Outline: A former owner's start is carried out late, by an incarnation that no successor reaches, as <what>
         Given a cell of 4 daemons and 6 workers that start again under their IDs <ms> ms after a crash, with no advice
--- a/features/steps/nextIncarnationSteps.ts
+++ b/features/steps/nextIncarnationSteps.ts
@@ -8,6 +8,8 @@
 
 /** By then the owner has given the lost look up and has found the next incarnation. */
 const foundAfterMs = 700;
+/** Later than the end of any scenario. */
+const neverMs = 600_000;
 const stopGraceMs = 3_000;
 
 const ownerOf = (cell: ShardCell): string => cell.owner() ?? assert.fail("no daemon owns the shard");
@@ -42,28 +44,45 @@
 const change = (cell: ShardCell, what: string, workerId: string): void =>
     (changes[what] ?? assert.fail(`"${what}" is not known`))(cell, workerId);
 
+/** Loses the next look at a worker, and crashes the worker then; the late look reaches the next incarnation. */
+const crashAfterLostLook = async (cell: ShardCell, workerId: string, lateMs: number): Promise<void> => {
+    let isLost = false;
+    cell.workers.setLateLooks({
+        isLost: target => {
+            const losesThis = target === workerId && !isLost;
+            isLost ||= losesThis;
+            return losesThis;
+        },
+        lateMs: () => lateMs,
+    });
+    await until(cell, () => isLost);
+    cell.workers.setLateLooks(undefined);
+    cell.crashWorkers([workerId]);
+};
+
 When(
     "a worker starts again, and its next incarnation carries out a look that is {int} ms late",
     async function(this: ScenarioWorld, lateMs: number) {
         const cell = cellOf(this);
-        const workerId = firstWorkerOf(cell);
-        let isLost = false;
-        cell.workers.setLateLooks({
-            isLost: target => {
-                const losesThis = target === workerId && !isLost;
-                isLost ||= losesThis;
-                return losesThis;
-            },
-            lateMs: () => lateMs,
-        });
-        await until(cell, () => isLost);
-        cell.workers.setLateLooks(undefined);
-        cell.crashWorkers([workerId]);
+        await crashAfterLostLook(cell, firstWorkerOf(cell), lateMs);
         await cell.clock.advance(foundAfterMs);
         cell.writeWorkerEntries();
     },
 );
 
+When(
+    "a worker starts again, and starts of {string} reach it before the owner finds out",
+    async function(this: ScenarioWorld, steps: string) {
+        const cell = cellOf(this);
+        const workerId = firstWorkerOf(cell);
+        await crashAfterLostLook(cell, workerId, neverMs);
+        await until(cell, () => cell.workers.entryOf(workerId) !== undefined);
+        cell.submit(jobIdOf(1), readSteps(steps));
+        await until(cell, () => cell.workers.heldOn(workerId).cpuMillis > 0);
+        assert.ok(cell.log.every(({ event }) => event !== "workerRestarted"), "the owner has found out");
+    },
+);
+
 When("{int} ms later {string}", async function(this: ScenarioWorld, afterMs: number, what: string) {
     const cell = cellOf(this);
     const workerId = firstWorkerOf(cell);
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -605,11 +605,19 @@
     /**
      * Whether an incarnation that this owner cannot reach may hold the run. It may carry the order out until
      * `mayArriveUntilMs` and, where the worker is listed, hold the run for one more lease. A worker that has not answered since the
-     * takeover may keep its id as well; the list or the row of the run says so.
+     * takeover may keep its id as well; the list or the row of the run says so. An answered start may have been carried out by such an
+     * incarnation too, as long as no look has listed the run; a lost connection shows that the one that was looked at went down later.
      */
-    const mayRunUnseen = ({ workerId, bornAtMs, entry }: ShardWorker, run: ShardRun, nowMs: number): boolean => {
-        const leaseMs = listing.has(workerId) ? settings.leaseLimitMs / slowestClockRate : 0;
-        return (bornAtMs ?? entry.bornAtMs ?? run.bornAtMs) !== undefined && mayArrive(run, nowMs - leaseMs);
+    const mayRunUnseen = (
+        { workerId, bornAtMs, entry, connectionLost }: ShardWorker,
+        run: ShardRun,
+        nowMs: number,
+    ): boolean => {
+        const longestLeaseMs = settings.leaseLimitMs / slowestClockRate;
+        const { wasListed, startedAtMs = -Infinity } = run;
+        return (bornAtMs ?? entry.bornAtMs ?? run.bornAtMs) !== undefined
+            && (mayArrive(run, nowMs - (listing.has(workerId) ? longestLeaseMs : 0))
+                || !wasListed && !connectionLost && nowMs <= startedAtMs + longestLeaseMs);
     };
 
     /** Drops runs whose leases are surely over, and unlisted workers without runs. */
