--- a/features/absenceReview.feature
+++ b/features/absenceReview.feature
@@ -139,3 +139,10 @@
     Scenario: A gang's member was sent to a worker that answers looks and no orders
         When a gang's member is sent to a worker that answers looks and no orders
         Then its task waits for 3000 ms at most
+
+    # Guards against tasks that wait while each of many peers takes 0.7 s to answer nothing.
+    Scenario: An owner that is told to stop asks six peers that do not reach the store
+        Given a cell of 7 daemons and 24 workers that answer a start after up to 100 ms
+        When 6 daemons other than the owner do not reach the store
+        And the owner is told to stop as planned starts become durable, while jobs of steps "1 for 100 ms" arrive for 5000 ms more
+        Then no 3000 ms passed without a start
--- a/features/steps/absenceReviewSteps.ts
+++ b/features/steps/absenceReviewSteps.ts
@@ -2,6 +2,7 @@
 
 import { Given, Then, When } from "@cucumber/cucumber";
 import { createFakeClock, type FakeClock, noopLog, noopMeter, workerEntry } from "@puffinarch/stand-ins";
+import { plainStep, testQueue } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
     createShardWorkers,
@@ -15,8 +16,7 @@
     type ShardWorkers,
     sleep,
 } from "puffinarch";
-import { plainStep, testQueue } from "@puffinarch/stand-ins";
-import { startCell } from "./shardCellPart.js";
+import { cellOf, startCell } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
@@ -26,7 +26,8 @@
     heldMs: number;
 }
 
-const part = (world: ScenarioWorld): Part => partOf(world, "absenceReview", () => ({ unheldMs: 0, unheldRoomMs: 0, heldMs: 0 }));
+const part = (world: ScenarioWorld): Part =>
+    partOf(world, "absenceReview", () => ({ unheldMs: 0, unheldRoomMs: 0, heldMs: 0 }));
 
 const stopTakesMs = 900;
 /** Looks wait no longer than this, as runs of other jobs end on the worker. */
@@ -35,7 +36,15 @@
 /** A worker whose runs begin 5 ms after their start was sent, and are not listed while they are being stopped. */
 const createScriptedWorkers = (
     clock: FakeClock,
-    { startAnswerMs = 5, refusesOn = "", answersStops = true, losesAfterMs = Infinity, bornAtMs, isUp = false, lookMs = 1 }: {
+    {
+        startAnswerMs = 5,
+        refusesOn = "",
+        answersStops = true,
+        losesAfterMs = Infinity,
+        bornAtMs,
+        isUp = false,
+        lookMs = 1,
+    }: {
         readonly startAnswerMs?: number;
         readonly refusesOn?: string;
         readonly answersStops?: boolean;
@@ -84,7 +93,10 @@
             { waitMs }: { readonly waitMs: number; },
         ): Promise<LookResult> => {
             const endsAtMs = stoppedAtMs + stopTakesMs;
-            await sleep(clock, Math.max(lookMs, Math.min(waitMs, looksEndAfterMs, Math.max(1, endsAtMs - clock.monotonicMs()))));
+            await sleep(
+                clock,
+                Math.max(lookMs, Math.min(waitMs, looksEndAfterMs, Math.max(1, endsAtMs - clock.monotonicMs()))),
+            );
             const here = workerId === "i-1" && name !== "";
             const row = { taskName: name, run: 1, checkpoint: "", percent: 100, figure: 1_000 };
             ends = clock.monotonicMs() >= endsAtMs ? 1 : 0;
@@ -93,11 +105,19 @@
                 clockMs: clock.monotonicMs(),
                 ...(bornAtMs === undefined ? {} : { bornAtMs }),
                 running: here && isListed() ? [row] : [],
-                ended: here && ends > 0 ? [{ endNumber: 1, taskName: name, run: 1, how: "stopped", checkpoint: "" }] : [],
+                ended: here && ends > 0
+                    ? [{ endNumber: 1, taskName: name, run: 1, how: "stopped", checkpoint: "" }]
+                    : [],
             };
         },
     };
-    return { port, runIsUp, setName: (taskName: string) => { name = taskName; } };
+    return {
+        port,
+        runIsUp,
+        setName: (taskName: string) => {
+            name = taskName;
+        },
+    };
 };
 
 const open = (clock: FakeClock, job: ShardJob, port: ReturnType<typeof createScriptedWorkers>["port"]): ShardWorkers =>
@@ -310,3 +330,11 @@
         await startCell(this, { members, workers, seed, checksStartsOnce: true, startTakesMs: 100, keepsIds: true });
     },
 );
+
+Then("no {int} ms passed without a start", function(this: ScenarioWorld, mostMs: number) {
+    const atMs = cellOf(this).workers.evidence.map(({ orderedAtMs }) => orderedAtMs).sort((left, right) =>
+        left - right
+    );
+    const gaps = atMs.slice(1).map((each, index) => each - (atMs[index] ?? 0));
+    assert.ok(Math.max(...gaps) <= mostMs, `the longest time without a start was ${Math.max(...gaps)} ms`);
+});
