An owner that asks many peers in vain places tasks in between

A peer that answers pings and cannot claim takes 0.7 s to be asked, and nothing is placed meanwhile. With six of them, no start was sent for 4.4 s, longer than accepted work may stand. After 1.5 s of asking, the owner now places tasks for 0.7 s before it asks the next peer. The scene with six peers failed before and passes; the one with two peers goes on without a start until the third has claimed.

--- a/features/steps/examples/shardOwners.ts
+++ b/features/steps/examples/shardOwners.ts
@@ -219,7 +219,7 @@
     await Promise.all([...peers.all.values()].map(peer => peers.ping(peer)));
     const left = { quietAfterMs: 0, startsFreed: 0, startsOpen: 0, isDurable: true };
     const shard = { fencingToken: 7, quiesce: async () => left, resume: () => {} } as unknown as ShardOwner;
-    return await handOver(shard, "leaving", { log, peers, selfId: "entry-1", isOver: () => false })
+    return await handOver(shard, "leaving", { clock, log, peers, selfId: "entry-1", isOver: () => false })
         ? "claimed by a peer"
         : "kept";
 };
--- a/packages/puffinarch/src/core/shard/cellMember.ts
+++ b/packages/puffinarch/src/core/shard/cellMember.ts
@@ -445,7 +445,7 @@
 
     const handOverShard = async (shard: ShardOwner, why: HandOverReason): Promise<boolean> => {
         const isOver = (): boolean => owner !== shard;
-        const claimed = await handOver(shard, why, { log, peers, selfId: self.memberId, isOver });
+        const claimed = await handOver(shard, why, { clock, log, peers, selfId: self.memberId, isOver });
         if (claimed && owner === shard) {
             loseShard(why);
         }
--- a/packages/puffinarch/src/core/shard/handOver.ts
+++ b/packages/puffinarch/src/core/shard/handOver.ts
@@ -1,13 +1,15 @@
 /** Hands a shard over to a peer: when the owner's process stops, or its VM has become slow or is weaker than a peer's. */
 
 import type { HandOverReason } from "../../types/cellPorts.js";
-import type { Log } from "../../types/ports.js";
+import type { Clock, Log } from "../../types/ports.js";
+import { sleep } from "../../utils/time.js";
 import { type Peers, pingTimeoutMs } from "./peers.js";
 import type { ShardOwner } from "./shardOwner.js";
 import type { ClosedGate } from "./startGate.js";
 
 /** Dependencies of a hand-over. */
 export interface HandOverOptions {
+    readonly clock: Clock;
     readonly log: Log;
     readonly peers: Peers;
     readonly selfId: string;
@@ -20,6 +22,9 @@
  * an owner that waited longer would keep its tasks from its successor.
  */
 const maxQuietMs = 600;
+/** Peers that answer nothing take 0.7 s each; after this time the owner places tasks for a while before it asks the next one. */
+const maxAskMs = 1_500;
+const placingPauseMs = 700;
 
 /** Start time of a daemon, taken from its incarnation; 0 where it is unknown. */
 const startedAtMs = (peers: Peers, peerId: string): number =>
@@ -35,16 +40,24 @@
 
 /** Asks peers one after the other, and logs beside each answer what the owner has left open. */
 const askInTurn = async (
+    shard: ShardOwner,
     order: { readonly token: number; readonly why: HandOverReason; },
-    left: ClosedGate,
-    { log, peers, selfId, isOver }: HandOverOptions,
+    { clock, log, peers, selfId, isOver }: HandOverOptions,
 ): Promise<boolean> => {
+    let left: ClosedGate = await shard.quiesce(maxQuietMs);
+    let quietSinceMs = clock.monotonicMs();
     // Read only now: an owner on a slow VM has read its peers' newest answers while its starts were settled.
     for (const peerId of candidatesOf(peers, selfId)) {
         // The shard may have been claimed while the owner's starts were settled.
         if (isOver()) {
             return true;
         }
+        if (clock.monotonicMs() - quietSinceMs > maxAskMs) {
+            shard.resume();
+            await sleep(clock, placingPauseMs);
+            left = await shard.quiesce(maxQuietMs);
+            quietSinceMs = clock.monotonicMs();
+        }
         const address = peers.all.get(peerId)?.address;
         if (address === undefined) {
             continue;
@@ -66,7 +79,7 @@
  * this is over. Returns false where no peer claimed the shard, and the owner goes on.
  *
  * @example
- * const claimed = await handOver(shard, "leaving", { log, peers, selfId, isOver: () => false });
+ * const claimed = await handOver(shard, "leaving", { clock, log, peers, selfId, isOver: () => false });
  */
 export const handOver = async (
     shard: ShardOwner,
@@ -75,8 +88,7 @@
 ): Promise<boolean> => {
     let claimed = false;
     try {
-        const left = await shard.quiesce(maxQuietMs);
-        claimed = await askInTurn({ token: shard.fencingToken, why }, left, options);
+        claimed = await askInTurn(shard, { token: shard.fencingToken, why }, options);
     }
     finally {
         if (!claimed) {
