Runs whose start may be late, is under way or was stopped by a former owner are proven over as well

What callers saw: a task in two places at once, or a worker over its capacity, where it lists a run no more as it stops it, or begins a run after it has accepted the start.

- A run whose start may still be late, on workers that keep their IDs, was set aside with the first look that lacks it: its room was free at once.
- A stop of a run whose start had no answer yet counted as over with the answer.
- Only lasting runs of a former owner were given the time of a stop.
Owners stop checkpointing runs and gangs as well (preemption followed by a change of owner, over capacity).
- A member of a gang that was missing on a worker that answers looks and no orders was held without bound, since its stop left its absence unproven; so was a missing run that had begun.
Both end after twice the time of a stop without a look that lists them.
- A restarted worker's runs kept that looks had listed them, and the first start on such a worker counted although it had not been sent.

The nextIncarnation example shows what is known of a carried run.

--- a/features/examples.feature
+++ b/features/examples.feature
@@ -138,7 +138,7 @@
             | lookSlots            | 10 ms, 15 ms, 20 ms, 20 ms |
             | startBreaker         | 100 ms without starts, then one at a time, then all |
             | runOrders            | 1 order without an answer, 1 look under token 8 |
-            | nextIncarnation      | 1 of 2 runs may be there, settled by its next look; 2 may have crashed the incarnation before |
+            | nextIncarnation      | 1 of 2 runs may be there, inherited, settled by its next look; 2 may have crashed the incarnation before |
             | runTimes             | spread, 0.5 times as fast               |
             | runTimesRow          | 0 rows, then 1; plans take 2 times their estimates |
             | speedsReport         | speedsLearned: slowest 10.0.0.1:1 0.50, 10.0.0.0:1 1.20 |
--- a/features/missingRuns.feature
+++ b/features/missingRuns.feature
@@ -1,4 +1,4 @@
-Feature: Runs that are missing from looks, scenes of a review
+Feature: Runs that are missing from looks
 
     # Guards against a successor that takes a run for ended which its predecessor has stopped, where the run does not last for ever.
     Scenario Outline: Checkpointing runs are being stopped but listed no more as the fault "<fault>" comes <ms> ms into a drain
--- a/features/steps/examples/shardIncarnations.ts
+++ b/features/steps/examples/shardIncarnations.ts
@@ -233,7 +233,8 @@
     });
     const settled = isSettledByLook(unshown, delayed) ? "by its next look" : "by a stop";
     const suspects = withUndecided(next, left.suspects).length;
-    return `${next.runs.size} of 2 runs may be there, settled ${settled}; ${suspects} may have crashed the incarnation before`;
+    return `${next.runs.size} of 2 runs may be there, ${knowledgeOf(unshown)}, settled ${settled}; `
+        + `${suspects} may have crashed the incarnation before`;
 };
 
 const correlatedCrashes = (): string => {
--- a/packages/puffinarch/src/core/shard/absence.ts
+++ b/packages/puffinarch/src/core/shard/absence.ts
@@ -12,8 +12,8 @@
     begun: "begun",
     /** A former owner may have ordered its start. */
     inherited: "inherited",
-    /** The same for a run that lasts until it is stopped; the former owner may have ordered that as well. */
-    inheritedLasting: "inheritedLasting",
+    /** The same for a run of a kind that owners stop and start again; the former one may have ordered its stop as well. */
+    inheritedStoppable: "inheritedStoppable",
     /** Its start got no answer from its worker. */
     ordered: "ordered",
 } as const;
@@ -42,14 +42,15 @@
     if (sentAtMs !== undefined) {
         return runKnowledge.ordered;
     }
-    return task.step.spec.longRunning ? runKnowledge.inheritedLasting : runKnowledge.inherited;
+    const { longRunning, checkpointing, gang } = task.step.spec;
+    return longRunning || checkpointing || gang ? runKnowledge.inheritedStoppable : runKnowledge.inherited;
 };
 
 /** How long after it is found missing a run may still be listed or, after a stop, its end. */
 const unlistedMs: Readonly<Record<RunKnowledge, (times: AbsenceTimes) => number>> = {
     begun: ({ stopMs }) => stopMs,
     inherited: () => beginsWithinMs,
-    inheritedLasting: ({ stopMs }) => Math.max(stopMs, beginsWithinMs),
+    inheritedStoppable: ({ stopMs }) => Math.max(stopMs, beginsWithinMs),
     ordered: () => beginsWithinMs,
 };
 
@@ -64,14 +65,27 @@
     nowMs + unlistedMs[knowledgeOf(run)](times);
 
 /**
- * The same for a run of which its worker answers a stop at `nowMs`. A run that the worker was only told to refuse has been missing for long
- * enough.
+ * The same for a run of which its worker answers a stop at `nowMs`. The run may have begun right before the stop, also where its start got no
+ * answer. A run that the worker was only told to refuse has been missing for long enough.
  *
  * @example
  * run.absenceProvenAfterMs = endedByMs(run, clock.monotonicMs(), { stopMs: 900 });
  */
 export const endedByMs = (run: ShardRun, nowMs: number, times: AbsenceTimes): number =>
-    run.refused && knowledgeOf(run) !== runKnowledge.begun ? nowMs : listedByMs(run, nowMs, times);
+    run.refused && knowledgeOf(run) !== runKnowledge.begun
+        ? nowMs
+        : Math.max(nowMs + times.stopMs, listedByMs(run, nowMs, times));
+
+/** How many times as long as a stop may take a run is missing in all looks before it counts as ended although its stops get no answer. */
+const unansweredStopFactor = 2;
+
+/**
+ * The same for a run that has begun, is missing at `nowMs` and is told to stop, where the worker answers looks and no orders.
+ *
+ * @example
+ * run.absenceProvenAfterMs = goneByMs(clock.monotonicMs(), { stopMs: 900 });
+ */
+export const goneByMs = (nowMs: number, { stopMs }: AbsenceTimes): number => nowMs + unansweredStopFactor * stopMs;
 
 /** What is done about a run that a look does not list. */
 export const absenceSteps = {
--- a/packages/puffinarch/src/core/shard/missingRuns.ts
+++ b/packages/puffinarch/src/core/shard/missingRuns.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Clock, Log, Meter } from "../../types/ports.js";
-import { type AbsenceStep, absenceSteps, type AbsenceTimes, listedByMs, nextAbsenceStep } from "./absence.js";
+import { type AbsenceStep, absenceSteps, type AbsenceTimes, goneByMs, listedByMs, nextAbsenceStep } from "./absence.js";
 import { markBlockedLong } from "./blockedSteps.js";
 import type { CrashedRun } from "./crashes.js";
 import { incarnationOf } from "./incarnations.js";
@@ -149,8 +149,9 @@
     const waitUntilListed = (worker: ShardWorker, run: ShardRun): void => {
         const nowMs = clock.monotonicMs();
         run.missingSinceMs = nowMs;
-        run.absenceProvenAfterMs = listedByMs(run, nowMs, options);
+        // The stop of a gang covers this member too, and would leave its absence unproven until the stop is answered.
         options.onMemberLost(run);
+        run.absenceProvenAfterMs = listedByMs(run, nowMs, options);
         options.lookAgain(worker, run);
     };
 
@@ -167,16 +168,20 @@
     };
 
     const stopMissing = (worker: ShardWorker, run: ShardRun): void => {
+        const nowMs = clock.monotonicMs();
+        run.missingSinceMs = nowMs;
         meter.count("runsMissing");
         log.write("warn", "runMissing", {
             task: run.task.name,
             run: run.run,
             ...incarnationOf(worker),
             phase: run.phase,
-            ...dropContextOf(worker, run, { ...options, nowMs: clock.monotonicMs() }),
+            ...dropContextOf(worker, run, { ...options, nowMs }),
         });
         options.onMemberLost(run);
         options.stop(worker, run);
+        run.absenceProvenAfterMs = goneByMs(nowMs, options);
+        options.lookAgain(worker, run);
     };
 
     const handlers: Readonly<Record<AbsenceStep, (worker: ShardWorker, run: ShardRun) => void>> = {
@@ -188,14 +193,14 @@
 
     /** Handles a run that a look does not list; returns whether the look proves that the worker's incarnation does not have it. */
     const reviewRun = (worker: ShardWorker, run: ShardRun, nowMs: number): boolean => {
+        const step = nextAbsenceStep(run);
         // Workers that get a new id for each incarnation reject orders that name another one, so their missing runs are gone.
-        if (worker.bornAtMs !== undefined && mayArrive(run, nowMs)) {
+        if (step !== absenceSteps.wait && worker.bornAtMs !== undefined && mayArrive(run, nowMs)) {
             if (!run.absent) {
                 markAbsent(worker, run, nowMs);
             }
             return true;
         }
-        const step = nextAbsenceStep(run);
         handlers[step](worker, run);
         return step === absenceSteps.drop;
     };
--- a/packages/puffinarch/src/core/shard/nextIncarnation.ts
+++ b/packages/puffinarch/src/core/shard/nextIncarnation.ts
@@ -118,6 +118,7 @@
     for (const run of carried) {
         run.refused = false;
         run.missingSinceMs = undefined;
+        run.wasListed = false;
         run.startedAtMs = undefined;
         run.stopAnsweredAtMs = undefined;
         if (run.absent) {
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -254,7 +254,7 @@
             const sentToken = options.token();
             const newest = run.sentLate ? ticketFor(run.task.step, worker.workerId, beganAtMs) : ticket;
             const outcome = await send(run, newest ?? ticket, beganAtMs);
-            hasSentStart ||= outcome !== undefined;
+            hasSentStart ||= outcome !== undefined && outcome !== orderOutcomes.notSent;
             if (!isStarting(run)) {
                 return;
             }
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -206,7 +206,7 @@
             const leftMs = (run.mayArriveUntilMs ?? 0) - clock.monotonicMs();
             clock.setTimer(leftMs + 1, () => links.get(worker.workerId)?.look());
         },
-        lookAgain: (worker, run) => links.get(worker.workerId)?.lookUnlessListed(run),
+        lookAgain: (worker, run) => links.get(worker.workerId)?.lookWhileMissing(run),
         refuse: (worker, run) => links.get(worker.workerId)?.refuseRun(run),
         stopUnknown: (worker, taskName, run) => links.get(worker.workerId)?.stopUnknown(taskName, run),
         onDone: (worker, run) => {
--- a/packages/puffinarch/src/core/shard/workerLink.ts
+++ b/packages/puffinarch/src/core/shard/workerLink.ts
@@ -104,7 +104,7 @@
     /** Makes the worker reject a start that may be in flight to it; repeated until it is answered. */
     refuse(order: DelayedStart): void;
     /** Sends a look after `absenceProvenAfterMs` of a run, unless one has listed the run by then. */
-    lookUnlessListed(run: ShardRun): void;
+    lookWhileMissing(run: ShardRun): void;
     /**
      * Makes the worker refuse a run that no look has listed. A look proves that the run is gone once the worker has answered the order, or
      * has had time to begin the run.
@@ -386,10 +386,10 @@
         });
     };
 
-    const lookUnlessListed = (run: ShardRun): void => {
+    const lookWhileMissing = (run: ShardRun): void => {
         const delayMs = Math.max(0, (run.absenceProvenAfterMs ?? 0) - clock.monotonicMs());
         clock.setTimer(delayMs, () => {
-            if (!run.wasListed && worker.runs.has(runKey(run.task.name, run.run))) {
+            if (run.missingSinceMs !== undefined && worker.runs.has(runKey(run.task.name, run.run))) {
                 lookSoon();
             }
         });
@@ -422,7 +422,7 @@
             if (run.phase !== runPhases.stopping) {
                 run.phase = runPhases.stopping;
                 run.absenceProvenAfterMs = undefined;
-                void guard.run("stop", () => orders.stop(run));
+                void guard.run("stop", () => orders.stop(run).then(() => lookWhileMissing(run)));
             }
         },
         stopUnknown: (taskName, run) => {
@@ -430,12 +430,12 @@
             void guard.run("stopUnknown", () => workers.stop(target(), order, stopUnknownTimeoutMs));
         },
         refuse: order => void guard.run("refuse", () => orders.refuse(order)),
-        lookUnlessListed,
+        lookWhileMissing,
         refuseRun: run => {
             // A worker may answer looks and no orders.
             run.absenceProvenAfterMs = clock.monotonicMs() + refusedWithinMs;
-            lookUnlessListed(run);
-            void guard.run("refuseRun", () => orders.stop(run).then(() => lookUnlessListed(run)));
+            lookWhileMissing(run);
+            void guard.run("refuseRun", () => orders.stop(run).then(() => lookWhileMissing(run)));
         },
         look: lookSoon,
         probe: order => void guard.run("probe", () => orders.probe(order)),
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -299,6 +299,11 @@
             return;
         }
         run.wasListed = true;
+        if (
+            run.missingSinceMs !== undefined && run.phase === runPhases.stopping && run.stopAnsweredAtMs === undefined
+        ) {
+            run.absenceProvenAfterMs = undefined;
+        }
         run.missingSinceMs = undefined;
         if (run.refused) {
             run.refused = false;
--- a/packages/puffinarch/src/puffinarch.ts
+++ b/packages/puffinarch/src/puffinarch.ts
@@ -389,6 +389,7 @@
     absenceSteps,
     type AbsenceTimes,
     endedByMs,
+    goneByMs,
     knowledgeOf,
     listedByMs,
     nextAbsenceStep,
