--- a/features/steps/missingRunSteps.ts
+++ b/features/steps/missingRunSteps.ts
@@ -1,8 +1,15 @@
 /** Steps about runs of scripted workers that an owner stops, or whose stops get no answer. */
 
 import { Given, Then, When } from "@cucumber/cucumber";
-import { createFakeClock, type FakeClock, noopLog, noopMeter, workerEntry } from "@puffinarch/stand-ins";
-import { plainStep, testQueue } from "@puffinarch/stand-ins";
+import {
+    createFakeClock,
+    type FakeClock,
+    noopLog,
+    noopMeter,
+    plainStep,
+    testQueue,
+    workerEntry,
+} from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
     createShardWorkers,
@@ -27,7 +34,7 @@
 }
 
 const part = (world: ScenarioWorld): Part =>
-    partOf(world, "absenceReview", () => ({ unheldMs: 0, unheldRoomMs: 0, heldMs: 0 }));
+    partOf(world, "missingRuns", () => ({ unheldMs: 0, unheldRoomMs: 0, heldMs: 0 }));
 
 const stopTakesMs = 900;
 /** Looks wait no longer than this, as runs of other jobs end on the worker. */
