One fixture creates the workers of an owner in steps

Cause: eight files of steps each wrote out the options of an owner's workers, eleven of them without effect, two of them new; the steps of missing runs also repeated the submission of the example's job, the stored form of a run, and the start of a gang, and passed their port with a cast that hid its type.

No assertion changes.

--- a/features/steps/examples/shardFixtures.ts
+++ b/features/steps/examples/shardFixtures.ts
@@ -9,7 +9,20 @@
     testQueue,
     workerEntry,
 } from "@puffinarch/stand-ins";
-import { newJob, newRun, newWorker, type ShardJob, type ShardRun } from "puffinarch";
+import {
+    createShardWorkers,
+    defaultShardSettings,
+    newJob,
+    newRun,
+    newWorker,
+    type ShardJob,
+    type ShardRun,
+    type ShardTask,
+    type ShardWorkers,
+    type ShardWorkersOptions,
+    type Step,
+    type StoredRun,
+} from "puffinarch";
 
 /** The log of each example; discards all lines. */
 export const log = noopLog;
@@ -43,12 +56,13 @@
 };
 
 /**
- * Creates a job of two steps that has been accepted.
+ * Creates a job that has been accepted, of two steps or of those given.
  *
  * @example
  * const job = exampleJob();
  */
-export const exampleJob = (): ShardJob => newJob(submission, testQueue, { acceptedAtMs: 0, order: 1 });
+export const exampleJob = (steps: readonly Step[] = submission.steps): ShardJob =>
+    newJob({ ...submission, steps }, testQueue, { acceptedAtMs: 0, order: 1 });
 
 /**
  * Returns the first task of a step of a job; throws if the job has no such step.
@@ -85,3 +99,46 @@
  */
 export const runOf = (job: ShardJob): ShardRun =>
     newRun(taskOf(job), "i-1", 1, { phase: "running", absenceProvenAfterMs: 0, wasListed: true, startedAtMs: 0 });
+
+/**
+ * Creates the workers of an owner that logs nothing and to which every change is durable at once, except for what `options` change.
+ *
+ * @example
+ * const workers = openShardWorkers({ clock, port, jobOf: () => job });
+ */
+export const openShardWorkers = (
+    options: Partial<ShardWorkersOptions> & Pick<ShardWorkersOptions, "clock" | "port">,
+): ShardWorkers =>
+    createShardWorkers({
+        log,
+        meter,
+        settings: defaultShardSettings,
+        fencingToken: 7,
+        jobOf: () => undefined,
+        changed: async () => {},
+        onNextIncarnation: () => {},
+        onStarted: () => {},
+        wake: () => {},
+        onRunsKnown: () => {},
+        onFenced: () => {},
+        ...options,
+    });
+
+/**
+ * Returns the first run of a task on worker "i-1" as a row of its job holds it, except for what `more` changes.
+ *
+ * @example
+ * workers.restoreRuns([storedRunOf(taskOf(exampleJob()))]);
+ */
+export const storedRunOf = ({ name }: ShardTask, more: Partial<StoredRun> = {}): StoredRun => ({
+    taskName: name,
+    run: 1,
+    workerId: "i-1",
+    bornAtMs: undefined,
+    address: "10.0.0.1:1",
+    mayArriveUntilMs: undefined,
+    absent: false,
+    mayHaveCrashed: false,
+    storedAtMs: 0,
+    ...more,
+});
--- a/features/steps/failingWorkSteps.ts
+++ b/features/steps/failingWorkSteps.ts
@@ -1,14 +1,12 @@
 /** Steps about exceptions in loops, watches and calls that nobody waits for, each with a fake clock of its own. */
 
 import { Then, When } from "@cucumber/cucumber";
-import { createFakeClock, createFakeRowStore, noopLog, noopMeter, workerEntry } from "@puffinarch/stand-ins";
+import { createFakeClock, createFakeRowStore, noopMeter, workerEntry } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
     createCommitLog,
     createRowReader,
-    createShardWorkers,
     decodeKnownOwner,
-    defaultShardSettings,
     journalTable,
     type Log,
     type RowStore,
@@ -18,6 +16,7 @@
     type WorkerEntry,
 } from "puffinarch";
 import { readWorker } from "puffinarch-platform";
+import { openShardWorkers } from "./examples/shardFixtures.js";
 import { nestedText, partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
@@ -168,11 +167,8 @@
         const clock = createFakeClock();
         const { failsCall } = oddWorkers[what] ?? assert.fail(`no worker at which ${what}`);
         const end = { endNumber: 1, taskName: "5c0e7a21d94b36f8.0.0.0", run: 1, how: "done", checkpoint: "" } as const;
-        const workers = createShardWorkers({
+        const workers = openShardWorkers({
             clock,
-            log: noopLog,
-            meter: noopMeter,
-            settings: defaultShardSettings,
             port: {
                 start: async () => "done",
                 stop: async () => "done",
@@ -185,16 +181,10 @@
                     return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: isOdd ? [end] : [] };
                 },
             },
-            fencingToken: 7,
             jobOf: () => assert.fail("the job cannot be looked up"),
-            changed: async () => {},
-            onNextIncarnation: () => {},
-            onStarted: () => {},
-            wake: () => {},
             onRunsKnown: () => {
                 part(this).knownAfterMs = clock.monotonicMs();
             },
-            onFenced: () => {},
         });
         const startedAtMs = clock.monotonicMs();
         workers.update(Array.from({ length: Number(count) }, (_, index) => workerEntry(`i-${index}`, index)));
--- a/features/steps/missingRunSteps.ts
+++ b/features/steps/missingRunSteps.ts
@@ -1,35 +1,29 @@
 /** Steps about runs of scripted workers that an owner stops, or whose stops get no answer. */
 
 import { Given, Then, When } from "@cucumber/cucumber";
-import {
-    createFakeClock,
-    type FakeClock,
-    noopLog,
-    noopMeter,
-    plainStep,
-    testQueue,
-    workerEntry,
-} from "@puffinarch/stand-ins";
+import { createFakeClock, type FakeClock, plainStep, workerEntry } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
-    createShardWorkers,
     defaultShardSettings,
+    type FencedWorkerPort,
     holdCapacity,
-    type LookResult,
-    newJob,
     newRun,
     type OrderOutcome,
     type ShardJob,
+    type ShardRun,
+    type ShardTask,
     type ShardWorkers,
     sleep,
 } from "puffinarch";
+import { exampleJob, openShardWorkers, storedRunOf } from "./examples/shardFixtures.js";
 import { cellOf, startCell } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Part {
-    /** How long runs were up although their owner held them no more, by task. */
+    /** How long runs were up although their owner held them, or their room, no more. */
     unheldMs: number;
     unheldRoomMs: number;
+    /** How long an owner held runs that were not there. */
     heldMs: number;
 }
 
@@ -64,15 +58,14 @@
     let beganAtMs = isUp ? 0 : Infinity;
     let stoppedAtMs = Infinity;
     let name = "";
-    let ends = 0;
     const runIsUp = (): boolean => clock.monotonicMs() >= beganAtMs && clock.monotonicMs() < stoppedAtMs + stopTakesMs;
     const isListed = (): boolean =>
         runIsUp() && stoppedAtMs === Infinity && clock.monotonicMs() < beganAtMs + losesAfterMs;
-    const port = {
-        start: async (
-            { workerId }: { readonly workerId: string; },
-            { taskName }: { readonly taskName: string; },
-        ): Promise<OrderOutcome> => {
+    const beginStop = (): void => {
+        stoppedAtMs = Math.min(stoppedAtMs, clock.monotonicMs());
+    };
+    const port: FencedWorkerPort = {
+        start: async ({ workerId }, { taskName }) => {
             if (workerId === refusesOn) {
                 await sleep(clock, 2);
                 return "noRoom";
@@ -83,22 +76,19 @@
             await sleep(clock, startAnswerMs);
             return "done";
         },
-        stop: async ({ workerId }: { readonly workerId: string; }): Promise<OrderOutcome> => {
+        stop: async ({ workerId }) => {
             if (!answersStops) {
                 await sleep(clock, 150);
                 return "unknown";
             }
             await sleep(clock, 10);
-            if (workerId === "i-1" && stoppedAtMs === Infinity) {
-                stoppedAtMs = clock.monotonicMs();
+            if (workerId === "i-1") {
+                beginStop();
             }
             return "done";
         },
-        pace: async (): Promise<OrderOutcome> => "done",
-        look: async (
-            { workerId }: { readonly workerId: string; },
-            { waitMs }: { readonly waitMs: number; },
-        ): Promise<LookResult> => {
+        pace: async () => "done",
+        look: async ({ workerId }, { waitMs }) => {
             const endsAtMs = stoppedAtMs + stopTakesMs;
             await sleep(
                 clock,
@@ -106,13 +96,12 @@
             );
             const here = workerId === "i-1" && name !== "";
             const row = { taskName: name, run: 1, checkpoint: "", percent: 100, figure: 1_000 };
-            ends = clock.monotonicMs() >= endsAtMs ? 1 : 0;
             return {
                 outcome: "done",
                 clockMs: clock.monotonicMs(),
                 ...(bornAtMs === undefined ? {} : { bornAtMs }),
                 running: here && isListed() ? [row] : [],
-                ended: here && ends > 0
+                ended: here && clock.monotonicMs() >= endsAtMs
                     ? [{ endNumber: 1, taskName: name, run: 1, how: "stopped", checkpoint: "" }]
                     : [],
             };
@@ -121,67 +110,54 @@
     return {
         port,
         runIsUp,
+        beginStop,
         setName: (taskName: string) => {
             name = taskName;
         },
     };
 };
 
-const open = (clock: FakeClock, job: ShardJob, port: ReturnType<typeof createScriptedWorkers>["port"]): ShardWorkers =>
-    createShardWorkers({
+const open = (clock: FakeClock, job: ShardJob, port: FencedWorkerPort): ShardWorkers =>
+    openShardWorkers({
         clock,
-        log: noopLog,
-        meter: noopMeter,
-        settings: defaultShardSettings,
-        port: port as never,
-        fencingToken: 7,
+        port,
         newestToken: () => 7 + Math.floor(clock.monotonicMs() / 10),
         jobOf: () => job,
-        changed: async () => {},
-        onNextIncarnation: () => {},
-        onStarted: () => {},
-        wake: () => {},
-        onRunsKnown: () => {},
-        onFenced: () => {},
     });
 
-const jobOfSteps = (steps: readonly typeof plainStep[]): ShardJob =>
-    newJob(
-        {
-            jobId: "5c0e7a21d94b36f8",
-            queueKey: testQueue.key,
-            dataCentre: "leon-feria",
-            payload: "plan",
-            steps,
-            schedule: { startAtMs: 0, intervalMs: 0, repeatCount: 0 },
-        },
-        testQueue,
-        { acceptedAtMs: 0, order: 1 },
-    );
-
 const tasksOf = (job: ShardJob) => job.occurrences.get(0)?.steps[0]?.tasks ?? [];
 
+/** Holds the first run of a task on a worker. */
+const holdRun = (workers: ShardWorkers, task: ShardTask, workerId = "i-1"): ShardRun => {
+    const run = newRun(task, workerId, 1);
+    task.runs.push(run);
+    holdCapacity(workers.all.get(workerId) ?? assert.fail("the worker was not added"), run);
+    return run;
+};
+
+/** Starts each member of a job's gang of two on a worker of its own. */
+const startGang = async (clock: FakeClock, job: ShardJob, port: FencedWorkerPort): Promise<ShardWorkers> => {
+    const workers = open(clock, job, port);
+    workers.update([workerEntry("i-1", 1), workerEntry("i-2", 2)]);
+    await clock.advance(100);
+    const runs = tasksOf(job).map((task, index) => holdRun(workers, task, `i-${index + 1}`));
+    for (const run of runs) {
+        void workers.start(run, "");
+    }
+    return workers;
+};
+
 When(
     /^a gang loses one member as another's start is under way, at a worker (that keeps its ID|with an ID for each incarnation)$/,
     async function(this: ScenarioWorld, kind: string) {
         const clock = createFakeClock();
-        const job = jobOfSteps([{ ...plainStep, count: 2, gang: true }]);
+        const job = exampleJob([{ ...plainStep, count: 2, gang: true }]);
         const scripted = createScriptedWorkers(clock, {
             startAnswerMs: 60,
             refusesOn: "i-2",
             ...(kind === "that keeps its ID" ? { bornAtMs: 500 } : {}),
         });
-        const workers = open(clock, job, scripted.port);
-        workers.update([workerEntry("i-1", 1), workerEntry("i-2", 2)]);
-        await clock.advance(100);
-        for (const [index, task] of tasksOf(job).entries()) {
-            const run = newRun(task, `i-${index + 1}`, 1);
-            task.runs.push(run);
-            holdCapacity(workers.all.get(run.workerId) ?? assert.fail("the worker was not added"), run);
-        }
-        for (const task of tasksOf(job)) {
-            void workers.start(task.runs[0] ?? assert.fail("no run"), "");
-        }
+        const workers = await startGang(clock, job, scripted.port);
         for (let passedMs = 0; passedMs < 3_000; passedMs += 1) {
             await clock.advance(1);
             part(this).unheldMs += scripted.runIsUp() && (tasksOf(job)[0]?.runs.length ?? 0) === 0 ? 1 : 0;
@@ -194,23 +170,13 @@
     "a successor's first list shows that the worker of a checkpointing run drains, and the stop overtakes the first look",
     async function(this: ScenarioWorld) {
         const clock = createFakeClock();
-        const job = jobOfSteps([{ ...plainStep, checkpointing: true, estimateMs: 60_000 }]);
+        const job = exampleJob([{ ...plainStep, checkpointing: true, estimateMs: 60_000 }]);
         const [task = assert.fail("no task")] = tasksOf(job);
         await clock.advance(30_000);
         const scripted = createScriptedWorkers(clock, { isUp: true, lookMs: 20 });
         scripted.setName(task.name);
         const workers = open(clock, job, scripted.port);
-        workers.restoreRuns([{
-            taskName: task.name,
-            run: 1,
-            workerId: "i-1",
-            bornAtMs: undefined,
-            address: "10.0.0.1:1",
-            mayArriveUntilMs: undefined,
-            absent: false,
-            mayHaveCrashed: false,
-            storedAtMs: 1_000,
-        }]);
+        workers.restoreRuns([storedRunOf(task, { storedAtMs: 1_000 })]);
         await clock.advance(300);
         workers.update([{ ...workerEntry("i-1", 1), draining: true, drainRemainingMs: 5_000 }]);
         for (let passedMs = 0; passedMs < 3_000; passedMs += 1) {
@@ -225,16 +191,13 @@
     "a run that a worker has listed is missing from then on, and stops of it get no answer, while looks do",
     async function(this: ScenarioWorld) {
         const clock = createFakeClock();
-        const job = jobOfSteps([plainStep]);
+        const job = exampleJob([plainStep]);
         const [task = assert.fail("no task")] = tasksOf(job);
         const scripted = createScriptedWorkers(clock, { losesAfterMs: 2_000, answersStops: false });
         const workers = open(clock, job, scripted.port);
         workers.update([workerEntry("i-1", 1)]);
         await clock.advance(100);
-        const run = newRun(task, "i-1", 1);
-        task.runs.push(run);
-        holdCapacity(workers.all.get("i-1") ?? assert.fail("the worker was not added"), run);
-        void workers.start(run, "");
+        void workers.start(holdRun(workers, task), "");
         await clock.advance(2_005);
         for (let passedMs = 0; passedMs < 30_000 && task.runs.length > 0; passedMs += 100) {
             await clock.advance(100);
@@ -248,25 +211,17 @@
     "a successor looks at a worker that stops a lasting run, whose row says for {int} ms more that its start may be late",
     async function(this: ScenarioWorld, leftMs: number) {
         const clock = createFakeClock();
-        const job = jobOfSteps([{ ...plainStep, longRunning: true }]);
+        const job = exampleJob([{ ...plainStep, longRunning: true }]);
         const [task = assert.fail("no task")] = tasksOf(job);
         await clock.advance(30_000);
         const scripted = createScriptedWorkers(clock, { isUp: true, bornAtMs: 500 });
         scripted.setName(task.name);
         // The former owner's stop, right before the claim.
-        await Promise.all([scripted.port.stop({ workerId: "i-1" }), clock.advance(10)]);
+        await clock.advance(10);
+        scripted.beginStop();
         const workers = open(clock, job, scripted.port);
-        workers.restoreRuns([{
-            taskName: task.name,
-            run: 1,
-            workerId: "i-1",
-            bornAtMs: 500,
-            address: "10.0.0.1:1",
-            mayArriveUntilMs: undefined,
-            absent: false,
-            mayHaveCrashed: false,
-            storedAtMs: clock.monotonicMs() - defaultShardSettings.unansweredStartMs + leftMs,
-        }]);
+        const storedAtMs = clock.monotonicMs() - defaultShardSettings.unansweredStartMs + leftMs;
+        workers.restoreRuns([storedRunOf(task, { bornAtMs: 500, storedAtMs })]);
         workers.update([{ ...workerEntry("i-1", 1), bornAtMs: 500 }]);
         for (let passedMs = 0; passedMs < 3_000; passedMs += 1) {
             await clock.advance(1);
@@ -280,30 +235,20 @@
 
 When("a gang's member is sent to a worker that answers looks and no orders", async function(this: ScenarioWorld) {
     const clock = createFakeClock();
-    const job = jobOfSteps([{ ...plainStep, count: 2, gang: true }]);
+    const job = exampleJob([{ ...plainStep, count: 2, gang: true }]);
     const scripted = createScriptedWorkers(clock, {});
     const never = async (): Promise<OrderOutcome> => {
         await sleep(clock, 150);
         return "unknown";
     };
-    const port = {
+    const port: FencedWorkerPort = {
         ...scripted.port,
-        start: (target: { readonly workerId: string; }, order: { readonly taskName: string; }) =>
-            target.workerId === "i-2" ? never() : scripted.port.start(target, order),
-        stop: (target: { readonly workerId: string; }) =>
-            target.workerId === "i-2" ? never() : scripted.port.stop(target),
+        start: (target, order, timeoutMs) =>
+            target.workerId === "i-2" ? never() : scripted.port.start(target, order, timeoutMs),
+        stop: (target, order, timeoutMs) =>
+            target.workerId === "i-2" ? never() : scripted.port.stop(target, order, timeoutMs),
     };
-    const workers = open(clock, job, port);
-    workers.update([workerEntry("i-1", 1), workerEntry("i-2", 2)]);
-    await clock.advance(100);
-    for (const [index, task] of tasksOf(job).entries()) {
-        const run = newRun(task, `i-${index + 1}`, 1);
-        task.runs.push(run);
-        holdCapacity(workers.all.get(run.workerId) ?? assert.fail("the worker was not added"), run);
-    }
-    for (const task of tasksOf(job)) {
-        void workers.start(task.runs[0] ?? assert.fail("no run"), "");
-    }
+    const workers = await startGang(clock, job, port);
     for (let passedMs = 0; passedMs < 30_000 && tasksOf(job).some(({ runs }) => runs.length > 0); passedMs += 100) {
         await clock.advance(100);
         workers.checkLeases(clock.monotonicMs());
@@ -316,13 +261,6 @@
     assert.equal(part(this).unheldRoomMs, 0, `a run was up for ${part(this).unheldRoomMs} ms without its room`);
 });
 
-Given(
-    "{int} daemons and {int} workers that hide runs that are being stopped and keep their IDs, seed {int}",
-    async function(this: ScenarioWorld, members: number, workers: number, seed: number) {
-        await startCell(this, { members, workers, seed, hidesStopping: true, keepsIds: true });
-    },
-);
-
 Then("its owner held each run for as long as it was up", function(this: ScenarioWorld) {
     assert.equal(part(this).unheldMs, 0, `a run was up for ${part(this).unheldMs} ms without its owner`);
 });
--- a/features/steps/restSteps.ts
+++ b/features/steps/restSteps.ts
@@ -5,8 +5,6 @@
     createFakeClock,
     type FakeClock,
     jobIdOf,
-    noopLog,
-    noopMeter,
     plainStep,
     readSteps,
     type ShardCell,
@@ -15,8 +13,6 @@
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
 import {
-    createShardWorkers,
-    defaultShardSettings,
     holdCapacity,
     isOpen,
     newJob,
@@ -26,6 +22,7 @@
     type ShardWorker,
     sleep,
 } from "puffinarch";
+import { openShardWorkers } from "./examples/shardFixtures.js";
 import { cellOf, startCell } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
@@ -174,11 +171,8 @@
             how: "failed" as const,
             checkpoint: "",
         }));
-        const workers = createShardWorkers({
+        const workers = openShardWorkers({
             clock,
-            log: noopLog,
-            meter: noopMeter,
-            settings: defaultShardSettings,
             port: {
                 start: async () => {
                     sent = true;
@@ -198,14 +192,7 @@
                     return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended, bornAtMs: 1 };
                 },
             },
-            fencingToken: 7,
             jobOf: jobId => jobs.get(jobId),
-            changed: async () => {},
-            onNextIncarnation: () => {},
-            onStarted: () => {},
-            wake: () => {},
-            onRunsKnown: () => {},
-            onFenced: () => {},
         });
         workers.update([workerEntry(workerId, 1)]);
         const worker = (): ShardWorker => workers.all.get(workerId) ?? assert.fail("the worker is gone");
--- a/features/steps/runEndSteps.ts
+++ b/features/steps/runEndSteps.ts
@@ -6,8 +6,6 @@
     createFakeFencedWorkers,
     type FakeClock,
     jobIdOf,
-    noopLog,
-    noopMeter,
     plainStep,
     readSteps,
     type StartEvidence,
@@ -17,8 +15,6 @@
 import assert from "node:assert/strict";
 import {
     applyRunEnd,
-    createShardWorkers,
-    defaultShardSettings,
     encodeJob,
     type EndedRun,
     type FencedWorkerPort,
@@ -32,7 +28,7 @@
     type ShardWorkers,
     sleep,
 } from "puffinarch";
-import { exampleJob, limits, submission, taskOf } from "./examples/shardFixtures.js";
+import { exampleJob, limits, openShardWorkers, submission, taskOf } from "./examples/shardFixtures.js";
 import { cellOf, part } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
@@ -134,13 +130,9 @@
         await sleep(clock, commitMs());
         newestToken += 1;
     };
-    const workers: ShardWorkers = createShardWorkers({
+    const workers: ShardWorkers = openShardWorkers({
         clock,
-        log: noopLog,
-        meter: noopMeter,
-        settings: defaultShardSettings,
         port: wrap(fakes.connect(() => true)),
-        fencingToken: 7,
         newestToken: () => newestToken,
         confirm: commit,
         jobOf: jobId => jobs.find(({ submission }) => submission.jobId === jobId),
@@ -154,11 +146,6 @@
                 endsPart(world).durableAtMs.set(name, clock.monotonicMs());
             }
         },
-        onNextIncarnation: () => {},
-        onStarted: () => {},
-        wake: () => {},
-        onRunsKnown: () => {},
-        onFenced: () => {},
     });
     workers.update(entries.slice(0, 1));
     world.closers.push(async () => workers.close());
--- a/features/steps/runLogSteps.ts
+++ b/features/steps/runLogSteps.ts
@@ -5,7 +5,6 @@
 import assert from "node:assert/strict";
 import {
     adoptRun,
-    createShardWorkers,
     defaultShardSettings,
     type FencedWorkerPort,
     formatTaskName,
@@ -17,7 +16,7 @@
     sleep,
 } from "puffinarch";
 import { createMeter } from "puffinarchd";
-import { exampleJob, taskOf } from "./examples/shardFixtures.js";
+import { exampleJob, openShardWorkers, storedRunOf, taskOf } from "./examples/shardFixtures.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 interface Line {
@@ -42,7 +41,7 @@
     more: Partial<ShardWorkersOptions>,
 ): ShardWorkers => {
     const { lines, meter } = part(world);
-    return createShardWorkers({
+    return openShardWorkers({
         clock,
         log: {
             write: (_level, event, fields) => {
@@ -50,16 +49,7 @@
             },
         },
         meter,
-        settings: defaultShardSettings,
         port: { start: async () => "done", stop: async () => "done", pace: async () => "done", look },
-        fencingToken: 7,
-        jobOf: () => undefined,
-        changed: async () => {},
-        onNextIncarnation: () => {},
-        onStarted: () => {},
-        wake: () => {},
-        onRunsKnown: () => {},
-        onFenced: () => {},
         ...more,
     });
 };
@@ -113,11 +103,7 @@
             return { outcome: "unknown" };
         };
         const workers = openWorkers(this, clock, look, { jobOf: () => job, listAgeMs: () => listAgeMs });
-        const { name: taskName } = taskOf(job);
-        const stored = { taskName, run: 1, workerId: "i-1", bornAtMs: undefined, address: "10.0.0.1:1" };
-        workers.restoreRuns([
-            { ...stored, mayArriveUntilMs: undefined, absent: false, mayHaveCrashed: false, storedAtMs: 0 },
-        ]);
+        workers.restoreRuns([storedRunOf(taskOf(job))]);
         workers.update([workerEntry("i-1", 1)]);
         await clock.advance(defaultShardSettings.formerOwnerMs + 2 * defaultShardSettings.leaseMs);
         workers.checkLeases(clock.monotonicMs());
--- a/features/steps/runTimeSteps.ts
+++ b/features/steps/runTimeSteps.ts
@@ -22,7 +22,6 @@
     createAdviceDispatcher,
     createRunTimes,
     createSeededRandom,
-    createShardWorkers,
     createTaskPlacer,
     decodeRunTimes,
     defaultShardSettings,
@@ -42,6 +41,7 @@
     type ShardJob,
     type ShardWorker,
 } from "puffinarch";
+import { openShardWorkers } from "./examples/shardFixtures.js";
 import { cellOf, part as cellPart } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
@@ -219,11 +219,8 @@
     const submission = { jobId, queueKey, dataCentre: "", payload: "", steps, schedule };
     const job: ShardJob = newJob(submission, testQueue, { acceptedAtMs: 0, order: 1 });
     const port = fakes.connect(() => link.open);
-    const workers = createShardWorkers({
+    const workers = openShardWorkers({
         clock: suspension.clock,
-        log: noopLog,
-        meter: noopMeter,
-        settings: defaultShardSettings,
         port: {
             ...port,
             look: async (target, order) => {
@@ -235,11 +232,6 @@
         fencingToken: ownerToken,
         jobOf: () => job,
         changed: () => link.commits ? Promise.resolve() : new Promise(() => {}),
-        onNextIncarnation: () => {},
-        onStarted: () => {},
-        wake: () => {},
-        onRunsKnown: () => {},
-        onFenced: () => {},
         runTimes: { recordEnd: end => learned.push(end) },
     });
     workers.update([entry]);
--- a/features/steps/shardLookSteps.ts
+++ b/features/steps/shardLookSteps.ts
@@ -9,8 +9,6 @@
     createDelayedStarts,
     createFirstLooks,
     createLookSlots,
-    createShardWorkers,
-    defaultShardSettings,
     dropRun,
     type FencedWorkerPort,
     newWorker,
@@ -24,17 +22,14 @@
     type WorkerLink,
     type WorkerLinkOptions,
 } from "puffinarch";
-import { exampleJob, openWorker, runOf } from "./examples/shardFixtures.js";
+import { exampleJob, openShardWorkers, openWorker, runOf } from "./examples/shardFixtures.js";
 import { part } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
 /** Starts the workers of an owner; each look is counted, and answered after 20 ms. */
 const openWorkers = (world: ScenarioWorld, clock: FakeClock): ShardWorkers =>
-    createShardWorkers({
+    openShardWorkers({
         clock,
-        log: noopLog,
-        meter: noopMeter,
-        settings: defaultShardSettings,
         port: {
             start: async () => "done",
             stop: async () => "done",
@@ -45,14 +40,6 @@
                 return { outcome: "done", clockMs: clock.monotonicMs(), running: [], ended: [] };
             },
         },
-        fencingToken: 7,
-        jobOf: () => undefined,
-        changed: async () => {},
-        onNextIncarnation: () => {},
-        onStarted: () => {},
-        wake: () => {},
-        onRunsKnown: () => {},
-        onFenced: () => {},
     });
 
 const listOf = (count: number): readonly WorkerEntry[] =>
--- a/features/steps/unlistedRunSteps.ts
+++ b/features/steps/unlistedRunSteps.ts
@@ -4,25 +4,14 @@
 import {
     createFakeClock,
     jobIdOf,
-    noopLog,
-    noopMeter,
     readSteps,
     type ShardCellOptions,
     testQueue,
     workerEntry,
 } from "@puffinarch/stand-ins";
 import assert from "node:assert/strict";
-import {
-    createSeededRandom,
-    createShardWorkers,
-    defaultShardSettings,
-    holdCapacity,
-    type LookResult,
-    newRun,
-    runEnds,
-    sleep,
-} from "puffinarch";
-import { exampleJob, taskOf } from "./examples/shardFixtures.js";
+import { createSeededRandom, holdCapacity, type LookResult, newRun, runEnds, sleep } from "puffinarch";
+import { exampleJob, openShardWorkers, taskOf } from "./examples/shardFixtures.js";
 import { cellOf, part as shardPart, startCell } from "./shardCellPart.js";
 import { partOf, type ScenarioWorld } from "./support.js";
 
@@ -127,11 +116,8 @@
     const run = newRun(task, "i-1", 1);
     let isStarted = false;
     let looksSinceStart = 0;
-    const workers = createShardWorkers({
+    const workers = openShardWorkers({
         clock,
-        log: noopLog,
-        meter: noopMeter,
-        settings: defaultShardSettings,
         port: {
             start: async () => {
                 isStarted = true;
@@ -148,14 +134,7 @@
                 return { outcome: "done", clockMs: clock.monotonicMs(), running, ended: [] };
             },
         },
-        fencingToken: 7,
         jobOf: () => job,
-        changed: async () => {},
-        onNextIncarnation: () => {},
-        onStarted: () => {},
-        wake: () => {},
-        onRunsKnown: () => {},
-        onFenced: () => {},
     });
     workers.update([workerEntry("i-1", 1)]);
     await clock.advance(100);
