The longest lease is worked out once, and two comments say plainly what they limit

The comment on young incarnations was a chain of conditions, and the one on hand-overs did not mention the pauses between peers.

Change: one constant of the owner's workers; the comments name the limit, what causes it, and what the rest of it covers. No behaviour changes.

--- a/packages/puffinarch/src/core/shard/handOver.ts
+++ b/packages/puffinarch/src/core/shard/handOver.ts
@@ -74,9 +74,9 @@
 };
 
 /**
- * Asks peers one after the other to claim the shard: strong VMs first, and among equals the one that started last, which is the
- * least likely to stop soon. Before that the owner settles its starts, so that its successor has none to prove gone; it plans none until
- * this is over. Returns false where no peer claimed the shard, and the owner goes on.
+ * Settles the owner's starts, so that a successor has none to prove gone, and asks peers one after the other to claim the shard: strong VMs
+ * first, and among equals the one that started last. No start is planned meanwhile, but for pauses between peers that do not answer. Returns
+ * false where no peer claimed the shard, and the owner goes on.
  *
  * @example
  * const claimed = await handOver(shard, "leaving", { clock, log, peers, selfId, isOver: () => false });
--- a/packages/puffinarch/src/core/shard/shardWorkers.ts
+++ b/packages/puffinarch/src/core/shard/shardWorkers.ts
@@ -107,11 +107,10 @@
 const unlistedLookDelayMs = 500;
 
 /**
- * An incarnation that began less than this before a takeover may hold the longest lease: a look for the one before is sent up to 1.5 s
- * later, may be 12 s late, and is rejected from the first start on. The rest is for the leases that are compared and for wall clocks that
- * differ.
+ * Age up to which an incarnation may hold the longest lease at a takeover. A look that was meant for the incarnation before grants it; such
+ * looks leave within 1.5 s of the restart and arrive at most 12 s late. The rest covers clocks that differ between VMs.
  */
-const youngMs = 20_000;
+const maxYoungAgeMs = 20_000;
 
 /** Placeholder entry of a worker that has runs but is not listed: nothing fits on it. */
 const unlistedEntry: WorkerEntry = {
@@ -138,6 +137,8 @@
 export const createShardWorkers = (options: ShardWorkersOptions): ShardWorkers => {
     const { clock, log, meter, settings, fencingToken, jobOf, changed, wake } = options;
     const startedAtMs = clock.monotonicMs();
+    /** How long the longest lease may last by this daemon's clock. */
+    const longestLeaseMs = settings.leaseLimitMs / slowestClockRate;
     const workers = new Map<string, ShardWorker>();
     const links = new Map<string, WorkerLink>();
     /** Start time, if known, of each worker's newest ended incarnation, by worker id. Its list entry may still be there. */
@@ -297,7 +298,7 @@
             listed: listing.get(workerId),
             // Late orders for the former incarnation may have reached this one. Their deadlines refer to the clock
             // of the former incarnation, so each may result in the longest lease that a worker grants.
-            leaseHorizonMs: nowMs + settings.leaseLimitMs / slowestClockRate,
+            leaseHorizonMs: nowMs + longestLeaseMs,
             nowMs,
         });
         workers.set(workerId, next);
@@ -523,12 +524,13 @@
     };
 
     const isYoung = (bornAtMs: number | undefined): boolean =>
-        bornAtMs !== undefined && clock.nowMs() - bornAtMs < youngMs;
+        bornAtMs !== undefined && clock.nowMs() - bornAtMs < maxYoungAgeMs;
 
     /** Local time by which every lease is over that a former owner may have granted a worker with these runs. */
     const formerLeaseEndMs = (runs: readonly StoredRun[]): number => {
-        const leaseMs = runs.some(({ bornAtMs }) => isYoung(bornAtMs)) ? settings.leaseLimitMs : settings.leaseMs;
-        return clock.monotonicMs() + settings.formerOwnerMs + leaseMs / slowestClockRate;
+        const isAnyYoung = runs.some(({ bornAtMs }) => isYoung(bornAtMs));
+        const leaseMs = isAnyYoung ? longestLeaseMs : settings.leaseMs / slowestClockRate;
+        return clock.monotonicMs() + settings.formerOwnerMs + leaseMs;
     };
 
     const addWorker = (entry: WorkerEntry, listed: boolean): ShardWorker => {
@@ -620,7 +622,6 @@
         run: ShardRun,
         nowMs: number,
     ): boolean => {
-        const longestLeaseMs = settings.leaseLimitMs / slowestClockRate;
         const { wasListed, startedAtMs = -Infinity } = run;
         return (bornAtMs ?? entry.bornAtMs ?? run.bornAtMs) !== undefined
             && (mayArrive(run, nowMs - (listing.has(workerId) ? longestLeaseMs : 0))
