Each step about a missing run is in one table, and one function names a run in the log

Cause: whether a missing run is set aside for a late start was decided beside the table of steps, in an order that mattered; a review had already found a fault there. Twelve log lines in three files wrote out the same four fields of a run and its worker, two of them new.

Change: setting a run aside is a step like the others, chosen by `nextAbsenceStep` and handled by the table. `logFieldsOf` gives the fields. No decision, log line or assertion changes; the example passes the new parameter.

--- a/features/steps/examples/shardIncarnations.ts
+++ b/features/steps/examples/shardIncarnations.ts
@@ -97,9 +97,9 @@
     const refused = { ...missing, refused: true };
     const times = { stopMs: 900 };
     const steps = [
-        `${nextAbsenceStep(run)} until ${listedByMs(run, 5_160, times)}`,
-        nextAbsenceStep(missing),
-        `${nextAbsenceStep(refused)} after ${endedByMs(refused, 5_330, times)}`,
+        `${nextAbsenceStep(run, false)} until ${listedByMs(run, 5_160, times)}`,
+        nextAbsenceStep(missing, false),
+        `${nextAbsenceStep(refused, false)} after ${endedByMs(refused, 5_330, times)}`,
     ];
     return `${knowledgeOf(run)}: ${steps.join(", ")}`;
 };
--- a/packages/puffinarch/src/core/shard/absence.ts
+++ b/packages/puffinarch/src/core/shard/absence.ts
@@ -95,19 +95,16 @@
     refuse: "refuse",
     /** The worker is told to stop it. */
     stop: "stop",
+    /** It keeps its task without room, since a later incarnation of the worker may still carry its start out. */
+    setAside: "setAside",
     /** It is over. */
     drop: "drop",
 } as const;
 /** One of `absenceSteps`. */
 export type AbsenceStep = (typeof absenceSteps)[keyof typeof absenceSteps];
 
-/**
- * Returns the next step about a run that is missing from a look which was sent after its `absenceProvenAfterMs`.
- *
- * @example
- * nextAbsenceStep({ ...run, wasListed: true, phase: "running" }); // "stop"
- */
-export const nextAbsenceStep = (run: ShardRun): AbsenceStep => {
+/** Returns the next step for the incarnation that answered the look. */
+const nextStepHere = (run: ShardRun): AbsenceStep => {
     if (run.phase === runPhases.stopping || run.absent) {
         return absenceSteps.drop;
     }
@@ -119,3 +116,15 @@
     }
     return run.refused ? absenceSteps.drop : absenceSteps.refuse;
 };
+
+/**
+ * Returns the next step about a run that is missing from a look which was sent after its `absenceProvenAfterMs`; `mayArriveLater` is whether
+ * another incarnation of the worker may still carry its start out.
+ *
+ * @example
+ * nextAbsenceStep({ ...run, wasListed: true, phase: "running" }, false); // "stop"
+ */
+export const nextAbsenceStep = (run: ShardRun, mayArriveLater: boolean): AbsenceStep => {
+    const step = nextStepHere(run);
+    return mayArriveLater && step !== absenceSteps.wait ? absenceSteps.setAside : step;
+};
--- a/packages/puffinarch/src/core/shard/missingRuns.ts
+++ b/packages/puffinarch/src/core/shard/missingRuns.ts
@@ -7,10 +7,9 @@
 import { type AbsenceStep, absenceSteps, type AbsenceTimes, goneByMs, listedByMs, nextAbsenceStep } from "./absence.js";
 import { markBlockedLong } from "./blockedSteps.js";
 import type { CrashedRun } from "./crashes.js";
-import { incarnationOf } from "./incarnations.js";
 import { jobOf, type ShardJob, type ShardRun } from "./jobModel.js";
 import { mayArrive } from "./unansweredStart.js";
-import { dropRun, setAbsent, type ShardWorker } from "./workerTable.js";
+import { dropRun, logFieldsOf, setAbsent, type ShardWorker } from "./workerTable.js";
 
 /** What `createMissingRuns` needs. */
 export interface MissingRunsOptions extends AbsenceTimes {
@@ -107,13 +106,15 @@
 export const createMissingRuns = (options: MissingRunsOptions): MissingRuns => {
     const { clock, log, meter, onChange } = options;
 
-    const markAbsent = (worker: ShardWorker, run: ShardRun, nowMs: number): void => {
+    const markAbsent = (worker: ShardWorker, run: ShardRun): void => {
+        if (run.absent) {
+            return;
+        }
+        const nowMs = clock.monotonicMs();
         setAbsent(worker, run, true);
         meter.count("startsAbsent");
         log.write("warn", "startMayArrive", {
-            task: run.task.name,
-            run: run.run,
-            ...incarnationOf(worker),
+            ...logFieldsOf(worker, run),
             forMs: Math.round((run.mayArriveUntilMs ?? nowMs) - nowMs),
         });
         options.onAbsent(worker, run);
@@ -125,9 +126,7 @@
         const nowMs = clock.monotonicMs();
         meter.count("runsGone");
         log.write("info", "runGone", {
-            task: run.task.name,
-            run: run.run,
-            ...incarnationOf(worker),
+            ...logFieldsOf(worker, run),
             phase: run.phase,
             ...dropContextOf(worker, run, { ...options, nowMs }),
         });
@@ -159,9 +158,7 @@
         run.refused = true;
         meter.count("runsRefused");
         log.write("info", "runRefused", {
-            task: run.task.name,
-            run: run.run,
-            ...incarnationOf(worker),
+            ...logFieldsOf(worker, run),
             phase: run.phase,
         });
         options.refuse(worker, run);
@@ -172,9 +169,7 @@
         run.missingSinceMs = nowMs;
         meter.count("runsMissing");
         log.write("warn", "runMissing", {
-            task: run.task.name,
-            run: run.run,
-            ...incarnationOf(worker),
+            ...logFieldsOf(worker, run),
             phase: run.phase,
             ...dropContextOf(worker, run, { ...options, nowMs }),
         });
@@ -188,21 +183,18 @@
         wait: waitUntilListed,
         refuse,
         stop: stopMissing,
+        setAside: markAbsent,
         drop: dropGoneRun,
     };
+    /** Steps after which the worker's incarnation surely does not have the run. */
+    const settledSteps: ReadonlySet<AbsenceStep> = new Set([absenceSteps.setAside, absenceSteps.drop]);
 
     /** Handles a run that a look does not list; returns whether the look proves that the worker's incarnation does not have it. */
     const reviewRun = (worker: ShardWorker, run: ShardRun, nowMs: number): boolean => {
-        const step = nextAbsenceStep(run);
         // Workers that get a new id for each incarnation reject orders that name another one, so their missing runs are gone.
-        if (step !== absenceSteps.wait && worker.bornAtMs !== undefined && mayArrive(run, nowMs)) {
-            if (!run.absent) {
-                markAbsent(worker, run, nowMs);
-            }
-            return true;
-        }
+        const step = nextAbsenceStep(run, worker.bornAtMs !== undefined && mayArrive(run, nowMs));
         handlers[step](worker, run);
-        return step === absenceSteps.drop;
+        return settledSteps.has(step);
     };
 
     return {
--- a/packages/puffinarch/src/core/shard/runOrders.ts
+++ b/packages/puffinarch/src/core/shard/runOrders.ts
@@ -8,14 +8,21 @@
 import { endedByMs } from "./absence.js";
 import type { DelayedStart } from "./delayedStarts.js";
 import { ticketFor } from "./eligible.js";
-import { incarnationOf } from "./incarnations.js";
 import { hasEnded, jobOf, runPhases, type ShardRun } from "./jobModel.js";
 import { ownDelayMs } from "./ownDelay.js";
 import { recordStartAnswered, recordStartUnanswered } from "./startBreaker.js";
 import { startTurnMs } from "./startQueue.js";
 import { holdsForOneIncarnation } from "./unansweredStart.js";
 import type { WorkerLinkOptions } from "./workerLink.js";
-import { extendLease, extendToLongestLease, isLeaving, runKey, type ShardWorker, stillFits } from "./workerTable.js";
+import {
+    extendLease,
+    extendToLongestLease,
+    isLeaving,
+    logFieldsOf,
+    runKey,
+    type ShardWorker,
+    stillFits,
+} from "./workerTable.js";
 
 /** Timeout of a start, whose round trip takes some milliseconds; beyond it, a look shows sooner whether the start was carried out. */
 const startTimeoutMs = 150;
@@ -129,7 +136,7 @@
      * whichever incarnation has the id then.
      */
     const handleUnansweredStart = async (run: ShardRun, sentToken: number): Promise<void> => {
-        log.write("warn", "startUnanswered", { task: run.task.name, run: run.run, ...incarnationOf(worker) });
+        log.write("warn", "startUnanswered", logFieldsOf(worker, run));
         const nowMs = clock.monotonicMs();
         recordStartUnanswered(worker, run.sentAtMs ?? nowMs, nowMs);
         // Without a newer token, the worker rejects the order only once its lease deadline has passed.
@@ -161,7 +168,7 @@
             await handleUnansweredStart(run, sentToken);
             return;
         }
-        log.write("warn", "startRefused", { task: run.task.name, run: run.run, ...incarnationOf(worker), outcome });
+        log.write("warn", "startRefused", { ...logFieldsOf(worker, run), outcome });
         options.onNotStarted(run, outcome);
     };
 
@@ -188,9 +195,7 @@
         const sinceDurableMs = beganAtMs - (run.durableAtMs ?? beganAtMs);
         if (sinceDurableMs > loggedStartDelayMs) {
             log.write("info", "startSentLate", {
-                task: run.task.name,
-                run: run.run,
-                ...incarnationOf(worker),
+                ...logFieldsOf(worker, run),
                 outcome,
                 fencingToken,
                 sinceDurableMs: Math.round(sinceDurableMs),
@@ -234,9 +239,7 @@
             const problem = problemOf(run, unsentSinceMs);
             if (problem !== undefined) {
                 log.write("warn", "startNotSent", {
-                    task: run.task.name,
-                    run: run.run,
-                    ...incarnationOf(worker),
+                    ...logFieldsOf(worker, run),
                     problem,
                 });
                 options.onNotStarted(run, problem);
--- a/packages/puffinarch/src/core/shard/workerTable.ts
+++ b/packages/puffinarch/src/core/shard/workerTable.ts
@@ -5,6 +5,7 @@
 import { charge, isOverCap, release } from "./accounts.js";
 import type { CrashedRun } from "./crashes.js";
 import type { DelayedStart } from "./delayedStarts.js";
+import { incarnationOf, type WorkerIncarnation } from "./incarnations.js";
 import { jobOf, runPhases, type ShardJob, type ShardRun } from "./jobModel.js";
 import { allowsStart } from "./startBreaker.js";
 
@@ -101,6 +102,21 @@
     trialHold: { readonly job: ShardJob; readonly untilMs: number; } | undefined;
 }
 
+/**
+ * Returns the fields that identify a run and the incarnation of its worker in log entries.
+ *
+ * @example
+ * log.write("warn", "runStuck", logFieldsOf(worker, run));
+ */
+export const logFieldsOf = (
+    worker: WorkerIncarnation,
+    { task, run }: Pick<ShardRun, "task" | "run">,
+): Readonly<Record<string, string | number | undefined>> => ({
+    task: task.name,
+    run,
+    ...incarnationOf(worker),
+});
+
 /** Key of a run in the maps of a worker. */
 export const runKey = (taskName: string, run: number): string => `${taskName}#${run}`;
 
--- a/packages/puffinarch/src/core/shard/workerWatch.ts
+++ b/packages/puffinarch/src/core/shard/workerWatch.ts
@@ -20,7 +20,7 @@
 } from "./jobModel.js";
 import { createMissingRuns, dropContextOf, type MissingRunsOptions } from "./missingRuns.js";
 import { recordStartAnswered } from "./startBreaker.js";
-import { adoptRun, dropRun, isLeaving, runKey, setAbsent, type ShardWorker } from "./workerTable.js";
+import { adoptRun, dropRun, isLeaving, logFieldsOf, runKey, setAbsent, type ShardWorker } from "./workerTable.js";
 
 /** What `createWorkerWatch` needs. */
 export interface WorkerWatchOptions extends
@@ -282,7 +282,7 @@
         const nowMs = clock.monotonicMs();
         run.idleSinceMs ??= nowMs;
         if (nowMs - run.idleSinceMs >= stuckMs) {
-            log.write("warn", "runStuck", { task: run.task.name, run: run.run, ...incarnationOf(worker) });
+            log.write("warn", "runStuck", logFieldsOf(worker, run));
             options.onStuck(worker, run);
         }
     };
@@ -308,7 +308,7 @@
         if (run.refused) {
             run.refused = false;
             meter.count("runsBegunLate");
-            log.write("warn", "runBegunLate", { task: run.task.name, run: run.run, ...incarnationOf(worker) });
+            log.write("warn", "runBegunLate", logFieldsOf(worker, run));
         }
         setAbsent(worker, run, false);
         run.mayHaveCrashed = false;
@@ -332,7 +332,7 @@
             onChange(job);
         }
         if (clearCrashesIfSound(run, clock.monotonicMs())) {
-            log.write("info", "taskSound", { task: run.task.name, run: run.run, ...incarnationOf(worker) });
+            log.write("info", "taskSound", logFieldsOf(worker, run));
             onChange(job);
         }
         if (hasEnded(job) || (run.task.done && run.phase !== runPhases.stopping)) {
@@ -426,9 +426,7 @@
                 const { job } = run.task.step.occurrence;
                 meter.count(`runsLost.${reason}`);
                 log.write("info", "runLost", {
-                    task: run.task.name,
-                    run: run.run,
-                    ...incarnationOf(worker),
+                    ...logFieldsOf(worker, run),
                     reason,
                     phase: run.phase,
                     otherJobs: runs.filter(other => other.task.step.occurrence.job !== job).length,
